--- /dev/null
+++ b/crates/simhost/src/main.rs
@@ -0,0 +1,203 @@
+//! Hosts the decisions on the simulator's wire: frames on standard input, replies on standard output.
+#![forbid(unsafe_code)]
+
+mod settings;
+mod wire;
+
+use mountshift::port::*;
+use mountshift::rules::Relay;
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+use wire::{Cursor, Reply};
+
+const HEADER: usize = 12;
+
+/// One instance: its decisions, its start on the wire's clock, and what came for it in this batch.
+struct Host<'a> {
+    relay: Relay,
+    start: u64,
+    came: Vec<(u16, &'a [u8], Option<List>)>,
+}
+
+type List = Rc<Vec<u8>>;
+type Kept = BTreeMap<u32, (Relay, u64)>;
+
+fn main() -> ExitCode {
+    match serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(what) => {
+            eprintln!("mountshift-simhost: {what}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn serve(input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
+    let mut relays = Kept::new();
+    let mut lists: Vec<Option<List>> = vec![None; 16];
+    loop {
+        let Some(frame) = read_frame(input)? else { return Ok(()) };
+        let mut reply = Reply::new();
+        relays = play(&frame, relays, &mut lists, &mut reply)?;
+        let sent = output.write_all(reply.finish()).and_then(|()| output.flush());
+        sent.map_err(|e| format!("writing a reply: {e}"))?;
+    }
+}
+
+/// Reads a frame's content; none at a clean end of input.
+fn read_frame(input: &mut impl Read) -> Result<Option<Vec<u8>>, String> {
+    let mut bytes = Vec::new();
+    let mut take = |n: u64, bytes: &mut Vec<u8>| {
+        bytes.clear();
+        input.by_ref().take(n).read_to_end(bytes).map_err(|e| format!("reading a frame: {e}"))
+    };
+    match take(4, &mut bytes)? {
+        0 => return Ok(None),
+        4 => {}
+        n => return Err(format!("frame: input ends after {n} of 4 bytes of its length")),
+    }
+    let length = Cursor::new(&bytes, "frame").u32("length")?;
+    let got = take(u64::from(length), &mut bytes)?;
+    if got < length as usize {
+        return Err(format!("frame: input ends after {got} of {length} bytes"));
+    }
+    if got < HEADER {
+        return Err(format!("frame: {got} bytes, too short for its header"));
+    }
+    Ok(Some(bytes))
+}
+
+/// Sorts a batch's records by instance, plays each instance's round, and gives the instances back.
+fn play(frame: &[u8], kept: Kept, lists: &mut [Option<List>], reply: &mut Reply) -> Result<Kept, String> {
+    let mut header = Cursor::new(frame, "frame");
+    let clock = header.u64("clock")?;
+    let records = header.u32("number of records")?;
+    let mut hosts: BTreeMap<u32, Host> =
+        kept.into_iter().map(|(id, (relay, start))| (id, Host { relay, start, came: Vec::new() })).collect();
+    for _ in 0..records {
+        let code = header.u16("record code")?;
+        let length = header.u32("record length")? as usize;
+        let body = header.bytes(length, "record")?;
+        let mut fields = Cursor::new(body, wire::event_name(code));
+        match code {
+            wire::LIST => {
+                let slot = fields.u8("slot")?;
+                let n = fields.u32("items")? as usize;
+                let items = fields.bytes(n.saturating_mul(wire::ENTRY), "items")?;
+                let place = lists.get_mut(slot as usize);
+                *place.ok_or_else(|| format!("ROSTER: slot {slot} is over 15"))? =
+                    Some(Rc::new(items.to_vec()));
+            }
+            wire::START => {
+                let id = fields.u32("relayId")?;
+                let seed = fields.u64("prng")?;
+                let n = fields.u32("options")? as usize;
+                let facts = settings::facts(fields.bytes(n, "options")?, RelayId(id), seed)?;
+                hosts.insert(id, Host { relay: Relay::new(facts), start: clock, came: Vec::new() });
+            }
+            wire::STOP => {
+                hosts.remove(&fields.u32("relayId")?);
+            }
+            wire::CHANGE => {
+                let id = fields.u32("relayId")?;
+                let slot = fields.u8("slot")?;
+                let list = lists.get(slot as usize).cloned().flatten();
+                if let Some(host) = hosts.get_mut(&id) {
+                    host.came.push((code, body, list));
+                }
+            }
+            wire::MESSAGE | wire::OUTCOME | wire::WITHDRAWN | wire::ALARM | wire::PROBED => {
+                if let Some(host) = hosts.get_mut(&fields.u32("relayId")?) {
+                    host.came.push((code, body, None));
+                }
+            }
+            _ => {}
+        }
+    }
+    let mut kept = Kept::new();
+    for (id, mut host) in hosts {
+        if !host.came.is_empty() {
+            let now = Duration::from_micros(clock.saturating_sub(host.start));
+            let mut decoded = Ok(());
+            let (came, start) = (std::mem::take(&mut host.came), host.start);
+            reply.relay = id;
+            let events =
+                |r: &mut Relay| decoded = came.iter().try_for_each(|(c, b, l)| event(r, start, *c, b, l));
+            host.relay.round(now, events, reply);
+            decoded?;
+        }
+        kept.insert(id, (host.relay, host.start));
+    }
+    Ok(kept)
+}
+
+/// Decodes one event straight into a call.
+fn event(r: &mut Relay, start: u64, code: u16, body: &[u8], list: &Option<List>) -> Result<(), String> {
+    let mut f = Cursor::new(body, wire::event_name(code));
+    f.u32("relayId")?;
+    match code {
+        wire::MESSAGE => {
+            let (id, lane) = (MsgId(f.u64("id")?), LaneId(f.u16("type")?));
+            f.u8("bitmap")?;
+            f.u32("predicted")?;
+            let (tenant, dst) = (TenantId(f.u32("account")?), DstId(f.f32("dest")? as u32));
+            let deadline = Duration::from_micros(f.u64("deadline")?.saturating_sub(start));
+            let key = f.u64("affinity")?;
+            r.message(id, lane, tenant, dst, (key != 0).then_some(Key(key)), deadline);
+        }
+        wire::OUTCOME => {
+            let id = MsgId(f.u64("id")?);
+            let wait = Duration::from_millis(u64::from(f.u32("holdMs")?));
+            f.u8("go")?;
+            let waited = Duration::from_micros(u64::from(f.u32("waitTime")?));
+            let to = f.endpoint("endpoint")?;
+            let over = f.u8("over")? != 0;
+            let code = f.u8("code")?;
+            let outcome = match code {
+                0 => Outcome::Error,
+                1 => Outcome::Delivered,
+                2 => Outcome::Full(wait),
+                3 => Outcome::TimedOut,
+                4 => Outcome::ConnectFailed,
+                5 => Outcome::Reset,
+                6 => Outcome::Cancelled,
+                7 => Outcome::Moot,
+                _ => return Err(format!("OUTCOME: code {code} is not known")),
+            };
+            r.outcome(id, to, waited, outcome, over);
+        }
+        wire::WITHDRAWN => r.withdrawn(MsgId(f.u64("id")?)),
+        wire::CHANGE => {
+            f.u8("slot")?;
+            f.u64("generation")?;
+            let how = f.u8("how")?;
+            if how == wire::LIST_FAILED {
+                r.watch_failed();
+                return Ok(());
+            }
+            let list = list.as_ref().ok_or("ROSTER_CHANGE: names a list that has not come")?;
+            if how != wire::LIST_DELTA {
+                r.whole_list();
+            }
+            for entry in list.chunks_exact(wire::ENTRY) {
+                let mut f = Cursor::new(entry, "ROSTER entry");
+                let (dst, zone) = (DstId(u32::from(f.u16("cell")?)), ZoneId(f.u8("dc")?));
+                f.u64("upSince")?;
+                let says = match f.u8("mode")? {
+                    0 => Listed::Gone,
+                    1 => Listed::Ready,
+                    _ => Listed::Draining,
+                };
+                let kind = KindId(f.u16("model")?);
+                let id = f.endpoint("endpoint")?;
+                r.entry(id, dst, zone, kind, says, f64::from(f.f32("capacityHint")?));
+            }
+            r.list_done();
+        }
+        _ => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/rules.rs
@@ -0,0 +1,814 @@
+//! All decisions of one relay. Interface: `port.rs`. A host makes a [`Relay`] at startup and calls
+//! `relay.round(now, |r| { r.message(..); r.outcome(..); }, &mut out)` once a round with all that came in;
+//! decisions go straight into `out`. Times are spans since the start. Relays share nothing.
+//!
+//! The ordinary path is the design's breaker (docs/design.md). Beside it stand six mechanisms:
+//! 1. credits: each endpoint's limit in flight grows by one, is cut by a share; a send goes where one is left
+//! 2. pacing to the listed rate and to pushbacks
+//! 3. a cold ramp after an outage was seen
+//! 4. time-outs learnt from answer times
+//! 5. further legs by the message's value
+//! 6. which parked message goes first and who is pushed back: value, target time, tenant share
+
+use crate::port::*;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::time::Duration;
+
+const fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+// The breaker.
+const THRESHOLD: u32 = 5; // consecutive failures that open it ...
+const WINDOW: Duration = ms(20_000); // ... inside this window
+const QUIET_RUN: u32 = 2; // at a quiet destination fewer do, if no success came for QUIET_SPAN
+const QUIET_SPAN: Duration = ms(1_500);
+const RECOVERY_DELAY: Duration = ms(1_800);
+// 1 Credits.
+const CREDITS_AT_START: f64 = 4.0;
+const CREDITS_MOST: f64 = 24.0;
+const CREDITS_CUT: f64 = 0.6;
+const DEAD_ENDPOINT_RUN: u32 = 3; // failures in a row at one endpoint of several
+const SLOT_SHARE: f64 = 2.0; // calls out to one destination, as a multiple of the free slots
+// 2 Pacing.
+const PACE_CUT: f64 = 0.7;
+const PACE_GROWTH: f64 = 0.1; // a second
+const PACE_LEAST: f64 = 0.5; // of an even portion
+const PACE_BURST: f64 = 0.5; // seconds of the rate
+const ROUGH: f64 = 1.5; // a rough rate may be this much off
+const FULL_PAUSE: Duration = ms(120); // after a refusal without a wait, doubled in a row
+const FULL_PAUSE_MOST: Duration = ms(1_500);
+// 3 Cold ramp.
+const COLD_SAFETY: f64 = 0.6;
+const COLD_SHARE: f64 = 0.4; // share of calls failed lately that counts as an outage
+const COLD_FULLS: u32 = 3; // refusals in a row that count as one
+const COLD_WAIT: Duration = ms(1_500); // a told wait longer than this means shut
+// 4 Time-outs.
+const TIMEOUT_LEAST: Duration = ms(1_000);
+const TIMEOUT_MEANS: f64 = 6.0;
+const TIMEOUT_PEAKS: f64 = 1.5;
+const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
+// 5 Further legs.
+const LEGS_LEAST: f64 = 2.0;
+// 6 Ranking.
+const OVER_SHARE: f64 = 0.05;
+const SHARE_BURST: f64 = 2.0; // seconds of the quota
+const HELD_MOST: f64 = 0.9; // share of the places held before parked messages are pushed back
+// Other.
+const WAKE: Duration = ms(20);
+const MARGIN: Duration = ms(40); // before a deadline
+const WATCH_AGAIN: Duration = ms(500);
+
+/// What is measured over time: fixed buckets, used again in a ring.
+#[derive(Clone)]
+struct Ring {
+    width: Duration,
+    buckets: [(u128, f64, f64, f64); 6],
+}
+
+impl Ring {
+    fn new(width: Duration) -> Ring {
+        Ring { width, buckets: [(0, 0.0, 0.0, 0.0); 6] }
+    }
+
+    fn add(&mut self, now: Duration, x: f64) {
+        let epoch = now.as_nanos() / self.width.as_nanos() + 1;
+        let bucket = &mut self.buckets[(epoch % 6) as usize];
+        if bucket.0 != epoch {
+            *bucket = (epoch, 0.0, 0.0, 0.0);
+        }
+        *bucket = (epoch, bucket.1 + 1.0, bucket.2 + x, bucket.3.max(x));
+    }
+
+    /// Count, sum and peak over the ring.
+    fn totals(&self, now: Duration) -> (f64, f64, f64) {
+        let epoch = now.as_nanos() / self.width.as_nanos() + 1;
+        let live = self.buckets.iter().filter(|b| b.0 > 0 && b.0 + 6 > epoch);
+        live.fold((0.0, 0.0, 0.0), |t, b| (t.0 + b.1, t.1 + b.2, t.2.max(b.3)))
+    }
+}
+
+/// Tokens that come back at a rate.
+#[derive(Clone, Copy, Default)]
+struct Tokens {
+    left: f64,
+    at: Duration,
+}
+
+impl Tokens {
+    fn refill(&mut self, now: Duration, rate: f64, most: f64) {
+        self.left = (self.left + rate * now.saturating_sub(self.at).as_secs_f64()).min(most);
+        self.at = now;
+    }
+}
+
+type RouteId = (DstId, Option<EndpointId>);
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Breaker {
+    Closed,
+    Open { until: Duration },
+    HalfOpen { trial: Option<u64> },
+}
+
+/// A destination, or one of its routes where they are apart.
+struct Route {
+    breaker: Breaker,
+    run: u32,
+    run_since: Duration,
+    told_until: Duration,
+    pause_until: Duration,
+    fulls: u32,
+    rate: f64,
+    pace: f64,
+    pace_at: Duration,
+    tokens: Tokens,
+    cold_since: Option<Duration>,
+    cold: Tokens,
+    ends: Ring,
+}
+
+struct Endpoint {
+    dst: DstId,
+    zone: ZoneId,
+    kind: KindId,
+    off_since: Option<Duration>,
+    limit: f64,
+    out: u32,
+    run: u32,
+    rest_until: Duration,
+    answers: Ring,
+}
+
+struct Msg {
+    lane: LaneId,
+    dst: DstId,
+    key: Option<Key>,
+    target: Duration,
+    deadline: Duration,
+    over_share: bool,
+    legs: u8,
+    ran: u32,
+    late: u32,
+    out: Option<u64>,
+    may_have_run: Option<(Duration, ZoneId)>,
+    ended: bool,
+}
+
+struct Call {
+    route: RouteId,
+    to: EndpointId,
+    left: u32,
+    sent: Duration,
+    expect: Duration,
+    counted: bool,
+}
+
+#[derive(Default)]
+struct Line {
+    queue: VecDeque<MsgId>,
+    rest_until: Duration,
+    rest_by: Option<MsgId>,
+}
+
+pub struct Relay {
+    facts: StartupFacts,
+    now: Duration,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    routes: BTreeMap<RouteId, Route>,
+    turns: BTreeMap<DstId, u64>,
+    msgs: BTreeMap<MsgId, Msg>,
+    lines: BTreeMap<Key, Line>,
+    calls: BTreeMap<u64, Call>,
+    tenants: Vec<Tokens>,
+    count: u64,
+    unseen: Vec<EndpointId>,
+    watch_at: Option<Duration>,
+    wake_at: Option<Duration>,
+    lines_to_log: Vec<String>,
+}
+
+impl Relay {
+    pub fn new(facts: StartupFacts) -> Relay {
+        let tenants = facts.quotas.iter().map(|q| Tokens { left: q * SHARE_BURST, at: Duration::ZERO });
+        Relay {
+            now: Duration::ZERO,
+            endpoints: BTreeMap::new(),
+            routes: BTreeMap::new(),
+            turns: BTreeMap::new(),
+            msgs: BTreeMap::new(),
+            lines: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            tenants: tenants.collect(),
+            count: 0,
+            unseen: Vec::new(),
+            watch_at: facts.must_watch.then_some(Duration::ZERO),
+            wake_at: None,
+            lines_to_log: Vec::new(),
+            facts,
+        }
+    }
+
+    /// Takes in all that came since the last round, then decides.
+    pub fn round(&mut self, now: Duration, events: impl FnOnce(&mut Relay), out: &mut dyn Writer) {
+        self.now = now;
+        events(self);
+        self.count_overdue();
+        self.end_spent(out);
+        self.send_waiting(out);
+        self.make_room(out);
+        if self.watch_at.is_some_and(|at| at <= now) {
+            self.watch_at = None;
+            out.watch();
+        }
+        for line in self.lines_to_log.drain(..) {
+            out.log(&line);
+        }
+        let idle = self.msgs.is_empty() && self.calls.is_empty() && self.watch_at.is_none();
+        if !idle && self.wake_at.is_none_or(|at| at <= now) {
+            self.wake_at = Some(now + WAKE);
+            out.wake(WAKE);
+        }
+    }
+
+    // ---- what came in ----
+
+    pub fn message(
+        &mut self,
+        id: MsgId,
+        lane: LaneId,
+        tenant: TenantId,
+        dst: DstId,
+        key: Option<Key>,
+        deadline: Duration,
+    ) {
+        let Some(row) = self.facts.lanes.get(lane.0 as usize) else { return };
+        let mut over_share = false;
+        if let Some(tokens) = self.tenants.get_mut(tenant.0 as usize) {
+            let quota = self.facts.quotas[tenant.0 as usize] / f64::from(self.facts.relays);
+            tokens.refill(self.now, quota, quota * SHARE_BURST);
+            over_share = tokens.left < 1.0;
+            tokens.left = (tokens.left - 1.0).max(0.0);
+        }
+        let key = key.filter(|_| row.in_order);
+        if let Some(key) = key {
+            self.lines.entry(key).or_default().queue.push_back(id);
+        }
+        let target = (deadline + row.target).saturating_sub(row.deadline);
+        let msg = Msg {
+            lane,
+            dst,
+            key,
+            target,
+            deadline,
+            over_share,
+            legs: 0,
+            ran: 0,
+            late: 0,
+            out: None,
+            may_have_run: None,
+            ended: false,
+        };
+        self.msgs.insert(id, msg);
+    }
+
+    pub fn withdrawn(&mut self, id: MsgId) {
+        self.finish(id);
+    }
+
+    pub fn outcome(&mut self, id: MsgId, to: EndpointId, waited: Duration, outcome: Outcome, over: bool) {
+        let now = self.now;
+        let Some(msg) = self.msgs.get_mut(&id) else { return };
+        let Some(call_id) = msg.out.take() else { return };
+        let uncertain = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        if outcome.never_ran() {
+            msg.ran -= 1;
+            if msg.ran == 0 {
+                msg.may_have_run = None;
+            }
+        }
+        msg.late += u32::from(outcome == Outcome::TimedOut);
+        let ended = msg.ended || over;
+        // Rule 5: an attempt that may still be running holds back the rest of its key for a while.
+        if let Some(line) = msg.key.filter(|_| uncertain).and_then(|k| self.lines.get_mut(&k)) {
+            line.rest_until = now + self.facts.order_pause;
+            line.rest_by = Some(id);
+        }
+        if ended {
+            self.finish(id);
+        }
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
+        call.left -= 1;
+        let (first, route_id, sent) = (!call.counted, call.route, call.sent);
+        let was_overdue = call.counted && call.sent + call.expect <= now;
+        call.counted = true;
+        if call.left == 0 {
+            self.calls.remove(&call_id);
+            if let Some(ep) = self.endpoints.get_mut(&to) {
+                ep.out = ep.out.saturating_sub(1);
+            }
+        }
+        match outcome {
+            Outcome::Delivered if first || was_overdue => self.succeeded(route_id, call_id, to, sent, waited),
+            Outcome::Full(wait) if first => self.refused(route_id, call_id, to, wait),
+            Outcome::Cancelled | Outcome::Moot => self.trial_undecided(route_id, call_id),
+            Outcome::Delivered | Outcome::Full(_) => {}
+            _ if first => self.failed(route_id, call_id, to),
+            _ => self.trial_failed(route_id, call_id),
+        }
+    }
+
+    /// A whole list begins: what it leaves out is gone.
+    pub fn whole_list(&mut self) {
+        self.unseen = self.endpoints.keys().copied().collect();
+    }
+
+    pub fn entry(&mut self, id: EndpointId, dst: DstId, zone: ZoneId, kind: KindId, says: Listed, rate: f64) {
+        let now = self.now;
+        self.unseen.retain(|e| *e != id);
+        let ep = self.endpoints.entry(id).or_insert_with(|| Endpoint {
+            dst,
+            zone,
+            kind,
+            off_since: None,
+            limit: CREDITS_AT_START,
+            out: 0,
+            run: 0,
+            rest_until: Duration::ZERO,
+            answers: Ring::new(ms(4_000)),
+        });
+        ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
+        let route_id = self.route_of(id);
+        let route = self.routes.entry(route_id).or_insert_with(|| Route {
+            breaker: Breaker::Closed,
+            run: 0,
+            run_since: now,
+            told_until: Duration::ZERO,
+            pause_until: Duration::ZERO,
+            fulls: 0,
+            rate,
+            pace: 1.0,
+            pace_at: now,
+            tokens: Tokens { left: rate, at: now },
+            cold_since: None,
+            cold: Tokens::default(),
+            ends: Ring::new(ms(700)),
+        });
+        if rate > 0.0 {
+            route.rate = rate;
+        }
+    }
+
+    pub fn list_done(&mut self) {
+        for id in std::mem::take(&mut self.unseen) {
+            if let Some(ep) = self.endpoints.get_mut(&id) {
+                ep.off_since = ep.off_since.or(Some(self.now));
+            }
+        }
+    }
+
+    pub fn watch_failed(&mut self) {
+        if self.facts.must_watch {
+            let spread = WATCH_AGAIN.mul_f64(0.5 + self.chance(0));
+            self.watch_at = Some(self.now + spread);
+        }
+    }
+
+    // ---- the breaker and what is learnt from ends ----
+
+    fn route_of(&self, id: EndpointId) -> RouteId {
+        let ep = &self.endpoints[&id];
+        let apart = self.facts.kinds.get(ep.kind.0 as usize).is_some_and(|k| k.own_limits);
+        (ep.dst, apart.then_some(id))
+    }
+
+    fn set_breaker(&mut self, id: RouteId, to: Breaker) {
+        let Some(route) = self.routes.get_mut(&id) else { return };
+        let word = |b| match b {
+            Breaker::Closed => "closed",
+            Breaker::Open { .. } => "open",
+            Breaker::HalfOpen { .. } => "half-open",
+        };
+        let (from, dst) = (route.breaker, id.0.0);
+        if word(from) != word(to) {
+            let run = route.run;
+            self.lines_to_log.push(format!(
+                "breaker of {dst}: {} -> {} after {run} failures",
+                word(from),
+                word(to)
+            ));
+        }
+        route.breaker = to;
+    }
+
+    fn succeeded(&mut self, route_id: RouteId, call: u64, to: EndpointId, sent: Duration, waited: Duration) {
+        let now = self.now;
+        if let Some(ep) = self.endpoints.get_mut(&to) {
+            ep.answers.add(now, waited.as_secs_f64());
+            ep.run = 0;
+            if f64::from(ep.out) + 1.5 >= ep.limit {
+                ep.limit = (ep.limit + 1.0 / ep.limit).min(CREDITS_MOST);
+            }
+        }
+        let Some(route) = self.routes.get_mut(&route_id) else { return };
+        route.ends.add(now, 0.0);
+        route.run = 0;
+        route.fulls = 0;
+        match route.breaker {
+            Breaker::HalfOpen { trial } if trial == Some(call) => {
+                route.cold_since = Some(now);
+                route.cold = Tokens { left: 0.0, at: now };
+                self.set_breaker(route_id, Breaker::Closed);
+            }
+            // A call from before it opened came back well: no reason to wait longer for the trial.
+            Breaker::Open { until } if until > now && sent + ms(1) < now => {
+                self.set_breaker(route_id, Breaker::Open { until: now });
+            }
+            _ => {}
+        }
+    }
+
+    fn failed(&mut self, route_id: RouteId, call: u64, to: EndpointId) {
+        let now = self.now;
+        if let Some(ep) = self.endpoints.get_mut(&to) {
+            ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
+            ep.run += 1;
+            if ep.run >= DEAD_ENDPOINT_RUN {
+                ep.rest_until = now + RECOVERY_DELAY;
+            }
+        }
+        let Some(route) = self.routes.get_mut(&route_id) else { return };
+        route.ends.add(now, 1.0);
+        if route.run == 0 || now.saturating_sub(route.run_since) > WINDOW {
+            route.run = 0;
+            route.run_since = now;
+        }
+        route.run += 1;
+        let (all, bad, _) = route.ends.totals(now);
+        if bad >= 2.0 && bad >= COLD_SHARE * all {
+            Relay::turn_cold(route, now);
+        }
+        let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
+        if route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet) {
+            Relay::turn_cold(route, now);
+            self.set_breaker(route_id, Breaker::Open { until: now + RECOVERY_DELAY });
+        }
+        self.trial_failed(route_id, call);
+    }
+
+    fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
+        let now = self.now;
+        let even = 1.0 / f64::from(self.facts.relays);
+        if let Some(ep) = self.endpoints.get_mut(&to) {
+            ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
+        }
+        if let Some(route) = self.routes.get_mut(&route_id) {
+            route.fulls += 1;
+            route.told_until = route.told_until.max(now + wait);
+            if wait.is_zero() {
+                let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(5) - 1);
+                route.pause_until = now + pause.min(FULL_PAUSE_MOST);
+            }
+            if now.saturating_sub(route.pace_at) > ms(300) {
+                route.pace = (route.pace * PACE_CUT).max(PACE_LEAST * even);
+                route.pace_at = now;
+            }
+            if route.fulls >= COLD_FULLS || wait > COLD_WAIT {
+                Relay::turn_cold(route, now + wait);
+            }
+        }
+        self.trial_undecided(route_id, call);
+    }
+
+    fn turn_cold(route: &mut Route, since: Duration) {
+        if route.cold_since.is_none() {
+            route.cold = Tokens { left: 0.0, at: since };
+        }
+        route.cold_since = Some(since);
+    }
+
+    fn trial_undecided(&mut self, route_id: RouteId, call: u64) {
+        if self.routes.get(&route_id).is_some_and(|r| r.breaker == Breaker::HalfOpen { trial: Some(call) }) {
+            self.set_breaker(route_id, Breaker::HalfOpen { trial: None });
+        }
+    }
+
+    fn trial_failed(&mut self, route_id: RouteId, call: u64) {
+        if self.routes.get(&route_id).is_some_and(|r| r.breaker == Breaker::HalfOpen { trial: Some(call) }) {
+            self.set_breaker(route_id, Breaker::Open { until: self.now + RECOVERY_DELAY });
+        }
+    }
+
+    /// A leg past its learnt time-out counts as failed then, though an effect that must not run twice is
+    /// left out until its deadline: guards against hosts that take calls and answer none.
+    fn count_overdue(&mut self) {
+        let now = self.now;
+        let late: Vec<(u64, RouteId, EndpointId)> = (self.calls.iter_mut())
+            .filter(|(_, c)| !c.counted && c.sent + c.expect <= now)
+            .map(|(id, c)| {
+                c.counted = true;
+                (*id, c.route, c.to)
+            })
+            .collect();
+        for (call, route, to) in late {
+            self.failed(route, call, to);
+        }
+    }
+
+    // ---- ends ----
+
+    fn finish(&mut self, id: MsgId) {
+        let Some(msg) = self.msgs.get_mut(&id) else { return };
+        if msg.out.is_some() {
+            msg.ended = true;
+            return;
+        }
+        let key = msg.key;
+        self.msgs.remove(&id);
+        let Some(key) = key else { return };
+        if let Some(line) = self.lines.get_mut(&key) {
+            line.queue.retain(|m| *m != id);
+            if line.queue.is_empty() && line.rest_until <= self.now {
+                self.lines.remove(&key);
+            }
+        }
+    }
+
+    /// Fails what can't be sent again or is out of time.
+    fn end_spent(&mut self, out: &mut dyn Writer) {
+        let spent: Vec<MsgId> = self
+            .msgs
+            .iter()
+            .filter(|(_, m)| !m.ended && m.out.is_none())
+            .filter(|(_, m)| m.deadline <= self.now + MARGIN || !self.may_go_again(m))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in spent {
+            out.fail(id);
+            self.finish(id);
+        }
+    }
+
+    fn may_go_again(&self, msg: &Msg) -> bool {
+        let row = &self.facts.lanes[msg.lane.0 as usize];
+        let least = self.facts.lanes.iter().map(|l| l.value).fold(f64::INFINITY, f64::min);
+        let legs = LEGS_LEAST + (row.value / least).round();
+        msg.legs < self.facts.max_legs
+            && f64::from(msg.ran) < legs
+            && match (row.effect, msg.may_have_run) {
+                (Effect::Retriable, _) | (_, None) => true,
+                (Effect::Keyed { memory, .. }, Some((since, _))) => self.now + ms(1) < since + memory,
+                (Effect::NonRetriable, Some(_)) => false,
+            }
+    }
+
+    // ---- sending ----
+
+    /// What a message is worth if answered at `at`.
+    fn worth(&self, msg: &Msg, at: Duration) -> f64 {
+        let row = &self.facts.lanes[msg.lane.0 as usize];
+        let late = at.saturating_sub(msg.target).as_secs_f64();
+        let left = match self.facts.decay {
+            Decay::Linear => {
+                let span = (row.deadline.saturating_sub(row.target)).as_secs_f64().max(0.001);
+                1.0 - (1.0 - row.late_share) * (late / span).min(1.0)
+            }
+            Decay::Halving => (0.5f64).powf(late / row.target.as_secs_f64().max(0.001)).max(row.late_share),
+        };
+        row.value * left * if msg.over_share { OVER_SHARE } else { 1.0 }
+    }
+
+    fn chance(&mut self, what: u64) -> f64 {
+        self.count += 1;
+        let mut hasher = DefaultHasher::new();
+        (self.facts.seed, self.facts.relay, what, self.count).hash(&mut hasher);
+        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Free slots go in turns over destinations with messages waiting, fewest calls out first.
+    fn send_waiting(&mut self, out: &mut dyn Writer) {
+        let mut waiting: BTreeMap<DstId, Vec<MsgId>> = BTreeMap::new();
+        for (id, msg) in &self.msgs {
+            if msg.out.is_none() && !msg.ended && self.in_turn(*id, msg) {
+                waiting.entry(msg.dst).or_default().push(*id);
+            }
+        }
+        for list in waiting.values_mut() {
+            let rank = |id: &MsgId| (self.worth(&self.msgs[id], self.now), self.msgs[id].target);
+            list.sort_by(|a, b| {
+                let (a, b) = (rank(a), rank(b));
+                b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
+            });
+        }
+        while self.calls.len() < self.facts.slots {
+            let next = waiting.keys().min_by_key(|d| (self.calls_out(**d), self.turns.get(d).copied()));
+            let Some(dst) = next.copied() else { break };
+            let mut list = waiting.remove(&dst).unwrap_or_default();
+            if self.send_call(dst, &mut list, out) && !list.is_empty() {
+                waiting.insert(dst, list);
+            }
+        }
+    }
+
+    fn calls_out(&self, dst: DstId) -> usize {
+        self.calls.values().filter(|c| c.route.0 == dst).count()
+    }
+
+    fn in_turn(&self, id: MsgId, msg: &Msg) -> bool {
+        let Some(line) = msg.key.and_then(|k| self.lines.get(&k)) else { return true };
+        line.queue.front() == Some(&id) && (line.rest_until <= self.now || line.rest_by == Some(id))
+    }
+
+    /// How many messages a route takes now.
+    fn room(&mut self, route_id: RouteId, batch: usize) -> usize {
+        let now = self.now;
+        let f = &self.facts;
+        let relays = f64::from(f.relays);
+        let Some(route) = self.routes.get_mut(&route_id) else { return 0 };
+        if now < route.told_until || now < route.pause_until {
+            return 0;
+        }
+        let trial = match route.breaker {
+            Breaker::Closed => false,
+            Breaker::Open { until } if now < until => return 0,
+            Breaker::Open { .. } | Breaker::HalfOpen { trial: None } => true,
+            Breaker::HalfOpen { trial: Some(_) } => return 0,
+        };
+        if f.listed_rate != ListedRate::Untold {
+            let most = if f.listed_rate == ListedRate::Rough { ROUGH } else { 1.0 };
+            let since = now.saturating_sub(route.tokens.at).as_secs_f64();
+            route.pace = (route.pace + PACE_GROWTH * since).min(most);
+            let rate = route.rate * route.pace;
+            route.tokens.refill(now, rate, (rate * PACE_BURST).max(1.0));
+            if route.tokens.left < 1.0 {
+                return 0;
+            }
+        }
+        if trial {
+            return 1;
+        }
+        let Some(since) = route.cold_since else { return batch };
+        let warm = now.saturating_sub(since).as_secs_f64() / f.warm_after.as_secs_f64().max(0.001);
+        if warm >= 1.0 {
+            route.cold_since = None;
+            return batch;
+        }
+        let share = f.cold_from + (1.0 - f.cold_from) * warm;
+        let listed = if f.listed_rate == ListedRate::Rough { route.rate / ROUGH } else { route.rate };
+        let rate = COLD_SAFETY * f.fall_multiple * share * listed / relays;
+        route.cold.refill(now, rate, (0.4 * rate * f.fall.as_secs_f64()).max(1.0));
+        batch.min(route.cold.left as usize)
+    }
+
+    /// Sends one call to a destination, with as many of the messages as may travel in it.
+    fn send_call(&mut self, dst: DstId, list: &mut Vec<MsgId>, out: &mut dyn Writer) -> bool {
+        let now = self.now;
+        let free = self.facts.slots - self.calls.len();
+        // Guards against a slow or silent destination taking all slots: it may hold a share of the free ones.
+        if self.calls_out(dst) as f64 >= SLOT_SHARE * free as f64 {
+            return false;
+        }
+        let fees = self.facts.zone_fees.clone();
+        let target = self.facts.lanes[self.msgs[&list[0]].lane.0 as usize].target.as_secs_f64();
+        let mut best: Option<(f64, EndpointId, usize)> = None;
+        let near: Vec<EndpointId> =
+            self.endpoints.iter().filter(|(_, e)| e.dst == dst).map(|(id, _)| *id).collect();
+        let siblings = near.len();
+        for id in near {
+            let ep = &self.endpoints[&id];
+            let resting = siblings > 1 && now < ep.rest_until;
+            if ep.off_since.is_some() || f64::from(ep.out) + 1.0 > ep.limit || resting {
+                continue;
+            }
+            let route_id = self.route_of(id);
+            let batch = self.facts.kinds.get(ep.kind.0 as usize).map_or(1, |k| k.batch.max(1));
+            let room = self.room(route_id, batch);
+            if room == 0 {
+                continue;
+            }
+            let ep = &self.endpoints[&id];
+            let (n, sum, _) = ep.answers.totals(now);
+            let fee = route_id.1.and(fees.get(ep.zone.0 as usize)).copied().unwrap_or(0.0);
+            let cross = if ep.zone == self.facts.zone { 0.0 } else { self.facts.cross_zone_price };
+            let slow = if n > 0.0 { 0.2 * (sum / n / target).min(2.0) } else { 0.0 };
+            let used = 0.05 * f64::from(ep.out) / ep.limit;
+            let cost = fee + cross + slow + used + 0.01 * self.chance(id.0);
+            if best.is_none_or(|b| cost < b.0) {
+                best = Some((cost, id, room));
+            }
+        }
+        let Some((_, to, room)) = best else { return false };
+        let route_id = self.route_of(to);
+        let trial = self.routes[&route_id].breaker != Breaker::Closed;
+        if trial {
+            // A trial can strand a message that must not run twice: a safer one goes first.
+            let safe = |id: &MsgId| match self.facts.lanes[self.msgs[id].lane.0 as usize].effect {
+                Effect::NonRetriable => 2,
+                Effect::Keyed { .. } => 1,
+                Effect::Retriable => 0,
+            };
+            list.sort_by_key(safe);
+        }
+        self.count += 1;
+        let call = self.count;
+        let mut sent = 0;
+        let mut expect = Duration::ZERO;
+        let mut rest = Vec::new();
+        for id in list.drain(..) {
+            let wanted = sent < room;
+            match wanted.then(|| self.send(id, to, call, out)).flatten() {
+                Some(span) => {
+                    sent += 1;
+                    expect = expect.max(span);
+                }
+                None => rest.push(id),
+            }
+        }
+        *list = rest;
+        if sent == 0 {
+            return false;
+        }
+        let left = sent as u32;
+        self.calls.insert(call, Call { route: route_id, to, left, sent: now, expect, counted: false });
+        self.turns.insert(dst, call);
+        if let Some(ep) = self.endpoints.get_mut(&to) {
+            ep.out += 1;
+        }
+        if let Some(route) = self.routes.get_mut(&route_id) {
+            route.tokens.left -= 1.0;
+            route.cold.left -= sent as f64;
+        }
+        if trial {
+            self.set_breaker(route_id, Breaker::HalfOpen { trial: Some(call) });
+        }
+        true
+    }
+
+    /// The one place that every send passes: the six rules are enforced here.
+    fn send(&mut self, id: MsgId, to: EndpointId, call: u64, out: &mut dyn Writer) -> Option<Duration> {
+        let now = self.now;
+        let msg = self.msgs.get(&id)?;
+        let ep = self.endpoints.get(&to)?;
+        let route = self.routes.get(&self.route_of(to))?;
+        let row = self.facts.lanes[msg.lane.0 as usize];
+        let same_group = match (row.effect, msg.may_have_run) {
+            (Effect::Keyed { group: Group::Zone, .. }, Some((_, zone))) => zone == ep.zone,
+            _ => true,
+        };
+        let one = !msg.ended && msg.deadline > now + MARGIN && msg.dst == ep.dst; // rule 1
+        let two = msg.out.is_none() && self.may_go_again(msg) && same_group; // rule 2
+        let three = ep.off_since.is_none_or(|at| now < at + self.facts.drain_grace); // rule 3
+        let four = route.cold_since.is_none() || route.cold.left > 0.0 || route.breaker != Breaker::Closed;
+        let five = self.in_turn(id, msg); // rule 5
+        let six = now >= route.told_until; // rule 6
+        if !(one && two && three && four && five && six) {
+            return None;
+        }
+        let span = self.timeout(to, &row, msg.late);
+        let left = msg.deadline - now;
+        let limit = if row.effect == Effect::NonRetriable { left } else { span.min(left) };
+        let zone = ep.zone;
+        let msg = self.msgs.get_mut(&id)?;
+        msg.out = Some(call);
+        msg.legs += 1;
+        msg.ran += 1;
+        msg.may_have_run = msg.may_have_run.or(Some((now, zone)));
+        out.send(id, to, limit);
+        Some(span)
+    }
+
+    fn timeout(&self, to: EndpointId, row: &LaneFacts, late: u32) -> Duration {
+        let (n, sum, peak) = self.endpoints[&to].answers.totals(self.now);
+        let learnt = (TIMEOUT_MEANS * sum / n.max(1.0)).max(TIMEOUT_PEAKS * peak);
+        let span =
+            if n < 3.0 { row.target.mul_f64(TIMEOUT_UNKNOWN) } else { Duration::from_secs_f64(learnt) };
+        span.max(TIMEOUT_LEAST) * 2u32.pow(late.min(4))
+    }
+
+    /// Pushes back the messages of least worth when places run out: guards against parked messages that
+    /// keep live traffic out.
+    fn make_room(&mut self, out: &mut dyn Writer) {
+        let most = (self.facts.max_held as f64 * HELD_MOST) as usize;
+        let held = self.msgs.values().filter(|m| !m.ended).count();
+        if held <= most {
+            return;
+        }
+        let mut idle: Vec<(f64, MsgId)> = (self.msgs.iter())
+            .filter(|(_, m)| !m.ended && m.out.is_none() && self.may_push_back(m))
+            .map(|(id, m)| (self.worth(m, self.now), *id))
+            .collect();
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        for (_, id) in idle.into_iter().take(held - most) {
+            out.push_back(id, RECOVERY_DELAY.min(self.facts.max_pause));
+            self.finish(id);
+        }
+    }
+
+    fn may_push_back(&self, msg: &Msg) -> bool {
+        let effect = self.facts.lanes[msg.lane.0 as usize].effect;
+        msg.may_have_run.is_none()
+            || effect == Effect::Retriable
+            || matches!(effect, Effect::Keyed { group: Group::All, .. })
+    }
+}
