--- a/src/rules.rs
+++ b/src/rules.rs
@@ -300,6 +300,10 @@
         }
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.left -= 1;
+        // Rule 6: every wait binds, whichever of a call's outcomes tells it and however late it comes.
+        if let (Outcome::Full(wait), Some(route)) = (outcome, self.routes.get_mut(&call.route)) {
+            route.told_until = route.told_until.max(now + wait);
+        }
         let (first, route_id, sent) = (!call.counted, call.route, call.sent);
         let was_overdue = call.counted && call.sent + call.expect <= now;
         call.counted = true;
@@ -465,7 +469,6 @@
         }
         if let Some(route) = self.routes.get_mut(&route_id) {
             route.fulls += 1;
-            route.told_until = route.told_until.max(now + wait);
             if wait.is_zero() {
                 let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(5) - 1);
                 route.pause_until = now + pause.min(FULL_PAUSE_MOST);
