--- a/src/port.rs
+++ b/src/port.rs
@@ -5,7 +5,7 @@
 macro_rules! ids {
     ($($(#[$doc:meta])* $name:ident($inner:ty);)*) => {$(
         $(#[$doc])*
-        #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
         pub struct $name(pub $inner);
     )*};
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -60,31 +60,28 @@
 const MARGIN: Duration = ms(40); // before a deadline
 const WATCH_AGAIN: Duration = ms(500);
 
-/// What is measured over time: fixed buckets, used again in a ring.
-#[derive(Clone)]
-struct Ring {
-    width: Duration,
-    buckets: [(u128, f64, f64, f64); 6],
-}
+/// What is measured over time: fixed buckets of a second, used again in a ring.
+struct Ring<const N: usize>([(u64, f64, f64, f64); N]);
 
-impl Ring {
-    fn new(width: Duration) -> Ring {
-        Ring { width, buckets: [(0, 0.0, 0.0, 0.0); 6] }
+impl<const N: usize> Default for Ring<N> {
+    fn default() -> Self {
+        Ring([(0, 0.0, 0.0, 0.0); N])
     }
+}
 
+impl<const N: usize> Ring<N> {
     fn add(&mut self, now: Duration, x: f64) {
-        let epoch = now.as_nanos() / self.width.as_nanos() + 1;
-        let bucket = &mut self.buckets[(epoch % 6) as usize];
-        if bucket.0 != epoch {
-            *bucket = (epoch, 0.0, 0.0, 0.0);
+        let second = now.as_secs() + 1;
+        let bucket = &mut self.0[second as usize % N];
+        if bucket.0 != second {
+            *bucket = (second, 0.0, 0.0, 0.0);
         }
-        *bucket = (epoch, bucket.1 + 1.0, bucket.2 + x, bucket.3.max(x));
+        *bucket = (second, bucket.1 + 1.0, bucket.2 + x, bucket.3.max(x));
     }
 
     /// Count, sum and peak over the ring.
     fn totals(&self, now: Duration) -> (f64, f64, f64) {
-        let epoch = now.as_nanos() / self.width.as_nanos() + 1;
-        let live = self.buckets.iter().filter(|b| b.0 > 0 && b.0 + 6 > epoch);
+        let live = self.0.iter().filter(|b| b.0 > 0 && b.0 + N as u64 > now.as_secs() + 1);
         live.fold((0.0, 0.0, 0.0), |t, b| (t.0 + b.1, t.1 + b.2, t.2.max(b.3)))
     }
 }
@@ -105,14 +102,20 @@
 
 type RouteId = (DstId, Option<EndpointId>);
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, Default, PartialEq, Eq)]
 enum Breaker {
+    #[default]
     Closed,
-    Open { until: Duration },
-    HalfOpen { trial: Option<u64> },
+    Open {
+        until: Duration,
+    },
+    HalfOpen {
+        trial: Option<u64>,
+    },
 }
 
 /// A destination, or one of its routes where they are apart.
+#[derive(Default)]
 struct Route {
     breaker: Breaker,
     run: u32,
@@ -126,9 +129,10 @@
     tokens: Tokens,
     cold_since: Option<Duration>,
     cold: Tokens,
-    ends: Ring,
+    ends: Ring<4>,
 }
 
+#[derive(Default)]
 struct Endpoint {
     dst: DstId,
     zone: ZoneId,
@@ -138,9 +142,10 @@
     out: u32,
     run: u32,
     rest_until: Duration,
-    answers: Ring,
+    answers: Ring<24>,
 }
 
+#[derive(Default)]
 struct Msg {
     lane: LaneId,
     dst: DstId,
@@ -256,20 +261,7 @@
             self.lines.entry(key).or_default().queue.push_back(id);
         }
         let target = (deadline + row.target).saturating_sub(row.deadline);
-        let msg = Msg {
-            lane,
-            dst,
-            key,
-            target,
-            deadline,
-            over_share,
-            legs: 0,
-            ran: 0,
-            late: 0,
-            out: None,
-            may_have_run: None,
-            ended: false,
-        };
+        let msg = Msg { lane, dst, key, target, deadline, over_share, ..Msg::default() };
         self.msgs.insert(id, msg);
     }
 
@@ -331,34 +323,13 @@
     pub fn entry(&mut self, id: EndpointId, dst: DstId, zone: ZoneId, kind: KindId, says: Listed, rate: f64) {
         let now = self.now;
         self.unseen.retain(|e| *e != id);
-        let ep = self.endpoints.entry(id).or_insert_with(|| Endpoint {
-            dst,
-            zone,
-            kind,
-            off_since: None,
-            limit: CREDITS_AT_START,
-            out: 0,
-            run: 0,
-            rest_until: Duration::ZERO,
-            answers: Ring::new(ms(4_000)),
-        });
+        let fresh = Endpoint { dst, zone, kind, limit: CREDITS_AT_START, ..Endpoint::default() };
+        let ep = self.endpoints.entry(id).or_insert(fresh);
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
         let route_id = self.route_of(id);
-        let route = self.routes.entry(route_id).or_insert_with(|| Route {
-            breaker: Breaker::Closed,
-            run: 0,
-            run_since: now,
-            told_until: Duration::ZERO,
-            pause_until: Duration::ZERO,
-            fulls: 0,
-            rate,
-            pace: 1.0,
-            pace_at: now,
-            tokens: Tokens { left: rate, at: now },
-            cold_since: None,
-            cold: Tokens::default(),
-            ends: Ring::new(ms(700)),
-        });
+        let tokens = Tokens { left: rate, at: now };
+        let fresh = Route { rate, pace: 1.0, tokens, ..Route::default() };
+        let route = self.routes.entry(route_id).or_insert(fresh);
         if rate > 0.0 {
             route.rate = rate;
         }
