--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,8 +41,10 @@
 const FULL_PAUSE_MOST: Duration = ms(1_500);
 // 3 Cold ramp.
 const COLD_SAFETY: f64 = 0.6;
-const COLD_SHARE: f64 = 0.4; // share of calls failed lately that counts as an outage
-const COLD_FULLS: u32 = 3; // refusals in a row that count as one
+const COLD_SHARE: f64 = 0.6; // share of calls failed lately that counts as an outage, ...
+const COLD_FAILED: f64 = 3.0; // ... of at least so many
+const COLD_FULLS: u32 = 4; // refusals in a row, ...
+const COLD_FULL_SPAN: Duration = ms(2_500); // ... without a success for so long, that count as one
 const COLD_WAIT: Duration = ms(1_500); // a told wait longer than this means shut
 // 4 Time-outs.
 const TIMEOUT_LEAST: Duration = ms(1_000);
@@ -123,6 +125,7 @@
     told_until: Duration,
     pause_until: Duration,
     fulls: u32,
+    full_since: Duration,
     rate: f64,
     pace: f64,
     pace_at: Duration,
@@ -421,7 +424,7 @@
         }
         route.run += 1;
         let (all, bad, _) = route.ends.totals(now);
-        if bad >= 2.0 && bad >= COLD_SHARE * all {
+        if bad >= COLD_FAILED && bad >= COLD_SHARE * all {
             Relay::turn_cold(route, now);
         }
         let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
@@ -439,7 +442,11 @@
             ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
         }
         if let Some(route) = self.routes.get_mut(&route_id) {
+            if route.fulls == 0 {
+                route.full_since = now;
+            }
             route.fulls += 1;
+            let shut = route.fulls >= COLD_FULLS && now - route.full_since >= COLD_FULL_SPAN;
             if wait.is_zero() {
                 let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(5) - 1);
                 route.pause_until = now + pause.min(FULL_PAUSE_MOST);
@@ -448,7 +455,7 @@
                 route.pace = (route.pace * PACE_CUT).max(PACE_LEAST * even);
                 route.pace_at = now;
             }
-            if route.fulls >= COLD_FULLS || wait > COLD_WAIT {
+            if shut || wait > COLD_WAIT {
                 Relay::turn_cold(route, now + wait);
             }
         }
