--- a/src/rules.rs
+++ b/src/rules.rs
@@ -385,7 +385,8 @@
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.answers.add(now, waited.as_secs_f64());
             ep.run = 0;
-            if f64::from(ep.out) + 1.5 >= ep.limit {
+            // All credits were out (one is back already): without the 2, a broken limit never grew again.
+            if f64::from(ep.out) + 2.0 > ep.limit {
                 ep.limit = (ep.limit + 1.0 / ep.limit).min(CREDITS_MOST);
             }
         }
