--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -120,6 +120,10 @@
         self.record(267, &[&msg.0.to_le_bytes(), &[leg.0]]);
     }
 
+    fn close_idle(&mut self, to: EndpointId) {
+        self.record(256, &[&to.0.to_le_bytes()[..6]]);
+    }
+
     fn wake(&mut self, after: Duration) {
         self.record(258, &[&micros(after), &[0; 4]]);
     }
--- a/src/port.rs
+++ b/src/port.rs
@@ -161,6 +161,8 @@
     fn fail(&mut self, msg: MsgId);
     /// Stop waiting for a leg.
     fn recall(&mut self, msg: MsgId, leg: LegNo);
+    /// Close the idle connections held to an endpoint.
+    fn close_idle(&mut self, to: EndpointId);
     /// Call a round after this span.
     fn wake(&mut self, after: Duration);
     /// Ask for the list and its changes from now on.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,6 +52,7 @@
 const TIMEOUT_PEAKS: f64 = 1.5;
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
+const STALE_SPAN: Duration = ms(10_000); // after a reset, idle connections there are not trusted for so long
 const LEGS_LEAST: f64 = 2.0;
 // 6 Ranking.
 const OVER_SHARE: f64 = 0.05;
@@ -146,6 +147,7 @@
     run: u32,
     rest_until: Duration,
     answers: Ring<24>,
+    reset_at: Option<Duration>,
 }
 
 #[derive(Default)]
@@ -293,6 +295,9 @@
         if ended {
             self.finish(id);
         }
+        if let (Outcome::Reset, Some(ep)) = (outcome, self.endpoints.get_mut(&to)) {
+            ep.reset_at = Some(now);
+        }
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.left -= 1;
         // Rule 6: every wait binds, whichever of a call's outcomes tells it and however late it comes.
@@ -750,6 +755,12 @@
         let span = self.timeout(to, &row, msg.late);
         let left = msg.deadline - now;
         let limit = if row.effect == Effect::NonRetriable { left } else { span.min(left) };
+        // Guards one-chance messages against connections that died while idle (a reset one round trip after
+        // the send). Also covers restarted hosts and middleboxes that drop quiet flows; costs handshakes.
+        let stale = ep.reset_at.is_some_and(|at| now < at + STALE_SPAN);
+        if stale && row.effect == Effect::NonRetriable {
+            out.close_idle(to);
+        }
         let zone = ep.zone;
         let msg = self.msgs.get_mut(&id)?;
         msg.out = Some(call);
