--- a/src/rules.rs
+++ b/src/rules.rs
@@ -758,7 +758,7 @@
         // Guards one-chance messages against connections that died while idle (a reset one round trip after
         // the send). Also covers restarted hosts and middleboxes that drop quiet flows; costs handshakes.
         let stale = ep.reset_at.is_some_and(|at| now < at + STALE_SPAN);
-        if stale && row.effect == Effect::NonRetriable {
+        if stale {
             out.close_idle(to);
         }
         let zone = ep.zone;
