--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,7 +33,8 @@
 const SLOT_SHARE: f64 = 2.0; // calls out to one destination, as a multiple of the free slots
 // 2 Pacing.
 const PACE_CUT: f64 = 0.7;
-const PACE_GROWTH: f64 = 0.1; // a second
+const PACE_START: f64 = 1.3; // of an even portion
+const PACE_GROWTH: f64 = 0.2; // for each call of a second at the listed rate, while tokens run short
 const PACE_LEAST: f64 = 0.5; // of an even portion
 const PACE_BURST: f64 = 0.5; // seconds of the rate
 const ROUGH: f64 = 1.5; // a rough rate may be this much off
@@ -336,7 +337,8 @@
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
         let route_id = self.route_of(id);
         let tokens = Tokens { left: rate, at: now };
-        let fresh = Route { rate, pace: 1.0, tokens, ..Route::default() };
+        let pace = PACE_START / f64::from(self.facts.relays);
+        let fresh = Route { rate, pace, tokens, ..Route::default() };
         let route = self.routes.entry(route_id).or_insert(fresh);
         if rate > 0.0 {
             route.rate = rate;
@@ -399,6 +401,9 @@
         route.ends.add(now, 0.0);
         route.run = 0;
         route.fulls = 0;
+        if route.tokens.left < 1.0 {
+            route.pace += PACE_GROWTH / route.rate.max(1.0);
+        }
         match route.breaker {
             Breaker::HalfOpen { trial } if trial == Some(call) => {
                 route.cold_since = Some(now);
@@ -624,8 +629,7 @@
         };
         if f.listed_rate != ListedRate::Untold {
             let most = if f.listed_rate == ListedRate::Rough { ROUGH } else { 1.0 };
-            let since = now.saturating_sub(route.tokens.at).as_secs_f64();
-            route.pace = (route.pace + PACE_GROWTH * since).min(most);
+            route.pace = route.pace.min(most);
             let rate = route.rate * route.pace;
             route.tokens.refill(now, rate, (rate * PACE_BURST).max(1.0));
             if route.tokens.left < 1.0 {
