--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,6 +51,8 @@
 const TIMEOUT_LEAST: Duration = ms(1_000);
 const TIMEOUT_MEANS: f64 = 6.0;
 const TIMEOUT_PEAKS: f64 = 1.5;
+const PATIENCE: f64 = 0.35; // of the time left, a leg is left out at least
+const MEMORY_SHARE: f64 = 0.6;
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
 const STALE_SPAN: Duration = ms(10_000); // after a reset, idle connections there are not trusted for so long
@@ -758,7 +760,15 @@
         }
         let span = self.timeout(to, &row, msg.late);
         let left = msg.deadline - now;
-        let limit = if row.effect == Effect::NonRetriable { left } else { span.min(left) };
+        // A slow host keeps answering: an overdue leg weighs on the breaker at once but is cut later, as a
+        // repeat there would only add work. Harm: a leg into silence comes back late.
+        let limit = match row.effect {
+            Effect::NonRetriable => left,
+            Effect::Keyed { memory, .. } => {
+                span.max(left.mul_f64(PATIENCE).min(memory.mul_f64(MEMORY_SHARE)))
+            }
+            Effect::Retriable => span.max(left.mul_f64(PATIENCE)),
+        };
         // Guards one-chance messages against connections that died while idle (a reset one round trip after
         // the send). Also covers restarted hosts and middleboxes that drop quiet flows; costs handshakes.
         let stale = ep.reset_at.is_some_and(|at| now < at + STALE_SPAN);
@@ -771,7 +781,7 @@
         msg.legs += 1;
         msg.ran += 1;
         msg.may_have_run = msg.may_have_run.or(Some((now, zone)));
-        out.send(id, to, limit);
+        out.send(id, to, limit.min(left));
         Some(span)
     }
 
