--- a/src/rules.rs
+++ b/src/rules.rs
@@ -51,7 +51,7 @@
 const TIMEOUT_LEAST: Duration = ms(1_000);
 const TIMEOUT_MEANS: f64 = 6.0;
 const TIMEOUT_PEAKS: f64 = 1.5;
-const PATIENCE: f64 = 0.35; // of the time left, a leg is left out at least
+const PATIENCE: f64 = 0.8; // a leg is left out at least until this share of the value is left
 const MEMORY_SHARE: f64 = 0.6;
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
@@ -760,6 +760,14 @@
         }
         let span = self.timeout(to, &row, msg.late);
         let left = msg.deadline - now;
+        let fall = match self.facts.decay {
+            Decay::Linear => (1.0 - PATIENCE) / (1.0 - row.late_share).max(0.01),
+            Decay::Halving => {
+                -PATIENCE.log2() * row.target.as_secs_f64() / (row.deadline - row.target).as_secs_f64()
+            }
+        };
+        let patience = msg.target + (row.deadline - row.target).mul_f64(fall.min(1.0));
+        let patience = patience.saturating_sub(now);
         // A slow host keeps answering: an overdue leg weighs on the breaker at once but is cut later, as a
         // repeat there would only add work. Harm: a leg into silence comes back late.
         let limit = match row.effect {
