--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,6 +53,7 @@
 const TIMEOUT_PEAKS: f64 = 1.5;
 const PATIENCE: f64 = 0.8; // a leg is left out at least until this share of the value is left
 const MEMORY_SHARE: f64 = 0.6;
+const SLOTS_SPARE: usize = 4; // a slot in so many is kept free by recalling overdue legs
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
 const STALE_SPAN: Duration = ms(10_000); // after a reset, idle connections there are not trusted for so long
@@ -176,6 +177,7 @@
     sent: Duration,
     expect: Duration,
     counted: bool,
+    recalled: bool,
 }
 
 #[derive(Default)]
@@ -228,6 +230,7 @@
         self.now = now;
         events(self);
         self.count_overdue();
+        self.recall_overdue(out);
         self.end_spent(out);
         self.send_waiting(out);
         self.make_room(out);
@@ -510,6 +513,33 @@
         }
     }
 
+    /// Guards against hung legs holding every slot, whatever hangs: when slots run short, calls that are
+    /// overdue are recalled, the oldest first, and those with one-chance messages only at twice their time.
+    fn recall_overdue(&mut self, out: &mut dyn Writer) {
+        let spare = self.facts.slots.div_ceil(SLOTS_SPARE);
+        let recalled = self.calls.values().filter(|c| c.recalled).count();
+        let taken = self.calls.len() - recalled;
+        if !self.facts.may_recall || taken + spare <= self.facts.slots {
+            return;
+        }
+        let mut wanted = taken + spare - self.facts.slots;
+        let ids: Vec<u64> = self.calls.keys().copied().collect();
+        for id in ids {
+            let call = &self.calls[&id];
+            let legs: Vec<_> = self.msgs.iter().filter(|(_, m)| m.out == Some(id)).collect();
+            let once = |m: &Msg| self.facts.lanes[m.lane.0 as usize].effect == Effect::NonRetriable;
+            let grace = if legs.iter().any(|(_, m)| once(m)) { call.expect * 2 } else { call.expect };
+            if wanted == 0 || call.recalled || self.now < call.sent + grace {
+                continue;
+            }
+            for (msg, m) in legs {
+                out.recall(*msg, LegNo(m.legs - 1));
+            }
+            wanted -= 1;
+            self.calls.entry(id).and_modify(|c| c.recalled = true);
+        }
+    }
+
     // ---- ends ----
 
     fn finish(&mut self, id: MsgId) {
@@ -723,7 +753,10 @@
             return false;
         }
         let left = sent as u32;
-        self.calls.insert(call, Call { route: route_id, to, left, sent: now, expect, counted: false });
+        self.calls.insert(
+            call,
+            Call { route: route_id, to, left, sent: now, expect, counted: false, recalled: false },
+        );
         self.turns.insert(dst, call);
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.out += 1;
