--- a/src/port.rs
+++ b/src/port.rs
@@ -53,8 +53,9 @@
 }
 
 /// How value falls after the target time.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Decay {
+    #[default]
     Linear,
     Halving,
 }
@@ -113,15 +114,16 @@
 }
 
 /// How the listed rate is to be read.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ListedRate {
     Exact,
     Rough,
+    #[default]
     Untold,
 }
 
 /// Everything told at startup that the decisions read.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct StartupFacts {
     pub relay: RelayId,
     pub seed: u64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,6 +33,7 @@
 const SLOT_SHARE: f64 = 2.0; // calls out to one destination, as a multiple of the free slots
 // 2 Pacing.
 const PACE_CUT: f64 = 0.7;
+const PACE_CUT_EVERY: Duration = ms(300);
 const PACE_START: f64 = 1.3; // of an even portion
 const PACE_GROWTH: f64 = 0.2; // for each call of a second at the listed rate, while tokens run short
 const PACE_LEAST: f64 = 0.5; // of an even portion
@@ -121,6 +122,16 @@
     },
 }
 
+impl std::fmt::Display for Breaker {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        f.write_str(match self {
+            Breaker::Closed => "closed",
+            Breaker::Open { .. } => "open",
+            Breaker::HalfOpen { .. } => "half-open",
+        })
+    }
+}
+
 /// A destination, or one of its routes where they are apart.
 #[derive(Default)]
 struct Route {
@@ -170,6 +181,7 @@
     ended: bool,
 }
 
+#[derive(Default)]
 struct Call {
     route: RouteId,
     to: EndpointId,
@@ -187,6 +199,7 @@
     rest_by: Option<MsgId>,
 }
 
+#[derive(Default)]
 pub struct Relay {
     facts: StartupFacts,
     now: Duration,
@@ -207,22 +220,8 @@
 impl Relay {
     pub fn new(facts: StartupFacts) -> Relay {
         let tenants = facts.quotas.iter().map(|q| Tokens { left: q * SHARE_BURST, at: Duration::ZERO });
-        Relay {
-            now: Duration::ZERO,
-            endpoints: BTreeMap::new(),
-            routes: BTreeMap::new(),
-            turns: BTreeMap::new(),
-            msgs: BTreeMap::new(),
-            lines: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            tenants: tenants.collect(),
-            count: 0,
-            unseen: Vec::new(),
-            watch_at: facts.must_watch.then_some(Duration::ZERO),
-            wake_at: None,
-            lines_to_log: Vec::new(),
-            facts,
-        }
+        let watch_at = facts.must_watch.then_some(Duration::ZERO);
+        Relay { tenants: tenants.collect(), watch_at, facts, ..Relay::default() }
     }
 
     /// Takes in all that came since the last round, then decides.
@@ -234,6 +233,7 @@
         self.end_spent(out);
         self.send_waiting(out);
         self.make_room(out);
+        self.lines.retain(|_, l| !l.queue.is_empty() || l.rest_until > now);
         if self.watch_at.is_some_and(|at| at <= now) {
             self.watch_at = None;
             out.watch();
@@ -322,10 +322,12 @@
         match outcome {
             Outcome::Delivered if first || was_overdue => self.succeeded(route_id, call_id, to, sent, waited),
             Outcome::Full(wait) if first => self.refused(route_id, call_id, to, wait),
-            Outcome::Cancelled | Outcome::Moot => self.trial_undecided(route_id, call_id),
+            Outcome::Cancelled | Outcome::Moot => {
+                self.end_trial(route_id, call_id, Breaker::HalfOpen { trial: None })
+            }
             Outcome::Delivered | Outcome::Full(_) => {}
             _ if first => self.failed(route_id, call_id, to),
-            _ => self.trial_failed(route_id, call_id),
+            _ => {}
         }
     }
 
@@ -337,6 +339,7 @@
     pub fn entry(&mut self, id: EndpointId, dst: DstId, zone: ZoneId, kind: KindId, says: Listed, rate: f64) {
         let now = self.now;
         self.unseen.retain(|e| *e != id);
+        let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
         let fresh = Endpoint { dst, zone, kind, limit: CREDITS_AT_START, ..Endpoint::default() };
         let ep = self.endpoints.entry(id).or_insert(fresh);
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
@@ -375,19 +378,9 @@
 
     fn set_breaker(&mut self, id: RouteId, to: Breaker) {
         let Some(route) = self.routes.get_mut(&id) else { return };
-        let word = |b| match b {
-            Breaker::Closed => "closed",
-            Breaker::Open { .. } => "open",
-            Breaker::HalfOpen { .. } => "half-open",
-        };
-        let (from, dst) = (route.breaker, id.0.0);
-        if word(from) != word(to) {
-            let run = route.run;
-            self.lines_to_log.push(format!(
-                "breaker of {dst}: {} -> {} after {run} failures",
-                word(from),
-                word(to)
-            ));
+        if std::mem::discriminant(&route.breaker) != std::mem::discriminant(&to) {
+            self.lines_to_log
+                .push(format!("breaker of {}: {} -> {to}, run {}", id.0.0, route.breaker, route.run));
         }
         route.breaker = to;
     }
@@ -448,15 +441,14 @@
             Relay::turn_cold(route, now);
             self.set_breaker(route_id, Breaker::Open { until: now + RECOVERY_DELAY });
         }
-        self.trial_failed(route_id, call);
+        self.end_trial(route_id, call, Breaker::Open { until: now + RECOVERY_DELAY });
     }
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
         let now = self.now;
         let even = 1.0 / f64::from(self.facts.relays);
-        if let Some(ep) = self.endpoints.get_mut(&to) {
-            ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
-        }
+        let cut = |ep: &mut Endpoint| ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
+        self.endpoints.get_mut(&to).into_iter().for_each(cut);
         if let Some(route) = self.routes.get_mut(&route_id) {
             if route.fulls == 0 {
                 route.full_since = now;
@@ -467,7 +459,7 @@
                 let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(5) - 1);
                 route.pause_until = now + pause.min(FULL_PAUSE_MOST);
             }
-            if now.saturating_sub(route.pace_at) > ms(300) {
+            if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
                 route.pace = (route.pace * PACE_CUT).max(PACE_LEAST * even);
                 route.pace_at = now;
             }
@@ -475,7 +467,7 @@
                 Relay::turn_cold(route, now + wait);
             }
         }
-        self.trial_undecided(route_id, call);
+        self.end_trial(route_id, call, Breaker::HalfOpen { trial: None });
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
@@ -485,15 +477,9 @@
         route.cold_since = Some(since);
     }
 
-    fn trial_undecided(&mut self, route_id: RouteId, call: u64) {
-        if self.routes.get(&route_id).is_some_and(|r| r.breaker == Breaker::HalfOpen { trial: Some(call) }) {
-            self.set_breaker(route_id, Breaker::HalfOpen { trial: None });
-        }
-    }
-
-    fn trial_failed(&mut self, route_id: RouteId, call: u64) {
+    fn end_trial(&mut self, route_id: RouteId, call: u64, next: Breaker) {
         if self.routes.get(&route_id).is_some_and(|r| r.breaker == Breaker::HalfOpen { trial: Some(call) }) {
-            self.set_breaker(route_id, Breaker::Open { until: self.now + RECOVERY_DELAY });
+            self.set_breaker(route_id, next);
         }
     }
 
@@ -501,14 +487,10 @@
     /// left out until its deadline: guards against hosts that take calls and answer none.
     fn count_overdue(&mut self) {
         let now = self.now;
-        let late: Vec<(u64, RouteId, EndpointId)> = (self.calls.iter_mut())
-            .filter(|(_, c)| !c.counted && c.sent + c.expect <= now)
-            .map(|(id, c)| {
-                c.counted = true;
-                (*id, c.route, c.to)
-            })
-            .collect();
-        for (call, route, to) in late {
+        let overdue = self.calls.iter_mut().filter(|(_, c)| !c.counted && c.sent + c.expect <= now);
+        let late: Vec<_> =
+            overdue.map(|(id, c)| (std::mem::replace(&mut c.counted, true), *id, c.route, c.to)).collect();
+        for (_, call, route, to) in late {
             self.failed(route, call, to);
         }
     }
@@ -527,7 +509,7 @@
         for id in ids {
             let call = &self.calls[&id];
             let legs: Vec<_> = self.msgs.iter().filter(|(_, m)| m.out == Some(id)).collect();
-            let once = |m: &Msg| self.facts.lanes[m.lane.0 as usize].effect == Effect::NonRetriable;
+            let once = |m: &Msg| self.row(m).effect == Effect::NonRetriable;
             let grace = if legs.iter().any(|(_, m)| once(m)) { call.expect * 2 } else { call.expect };
             if wanted == 0 || call.recalled || self.now < call.sent + grace {
                 continue;
@@ -548,34 +530,28 @@
             msg.ended = true;
             return;
         }
-        let key = msg.key;
+        let line = msg.key.and_then(|key| self.lines.get_mut(&key));
+        line.into_iter().for_each(|l| l.queue.retain(|m| *m != id));
         self.msgs.remove(&id);
-        let Some(key) = key else { return };
-        if let Some(line) = self.lines.get_mut(&key) {
-            line.queue.retain(|m| *m != id);
-            if line.queue.is_empty() && line.rest_until <= self.now {
-                self.lines.remove(&key);
-            }
-        }
     }
 
     /// Fails what can't be sent again or is out of time.
     fn end_spent(&mut self, out: &mut dyn Writer) {
-        let spent: Vec<MsgId> = self
-            .msgs
-            .iter()
-            .filter(|(_, m)| !m.ended && m.out.is_none())
-            .filter(|(_, m)| m.deadline <= self.now + MARGIN || !self.may_go_again(m))
-            .map(|(id, _)| *id)
-            .collect();
+        let spent = |m: &Msg| m.deadline <= self.now + MARGIN || !self.may_go_again(m);
+        let idle = self.msgs.iter().filter(|(_, m)| !m.ended && m.out.is_none());
+        let spent: Vec<MsgId> = idle.filter(|(_, m)| spent(m)).map(|(id, _)| *id).collect();
         for id in spent {
             out.fail(id);
             self.finish(id);
         }
     }
 
+    fn row(&self, msg: &Msg) -> &LaneFacts {
+        &self.facts.lanes[msg.lane.0 as usize]
+    }
+
     fn may_go_again(&self, msg: &Msg) -> bool {
-        let row = &self.facts.lanes[msg.lane.0 as usize];
+        let row = self.row(msg);
         let least = self.facts.lanes.iter().map(|l| l.value).fold(f64::INFINITY, f64::min);
         let legs = LEGS_LEAST + (row.value / least).round();
         msg.legs < self.facts.max_legs
@@ -591,7 +567,7 @@
 
     /// What a message is worth if answered at `at`.
     fn worth(&self, msg: &Msg, at: Duration) -> f64 {
-        let row = &self.facts.lanes[msg.lane.0 as usize];
+        let row = self.row(msg);
         let late = at.saturating_sub(msg.target).as_secs_f64();
         let left = match self.facts.decay {
             Decay::Linear => {
@@ -620,10 +596,7 @@
         }
         for list in waiting.values_mut() {
             let rank = |id: &MsgId| (self.worth(&self.msgs[id], self.now), self.msgs[id].target);
-            list.sort_by(|a, b| {
-                let (a, b) = (rank(a), rank(b));
-                b.0.total_cmp(&a.0).then(a.1.cmp(&b.1))
-            });
+            list.sort_by(|a, b| rank(b).0.total_cmp(&rank(a).0).then(rank(a).1.cmp(&rank(b).1)));
         }
         while self.calls.len() < self.facts.slots {
             let next = waiting.keys().min_by_key(|d| (self.calls_out(**d), self.turns.get(d).copied()));
@@ -659,7 +632,7 @@
             Breaker::Open { .. } | Breaker::HalfOpen { trial: None } => true,
             Breaker::HalfOpen { trial: Some(_) } => return 0,
         };
-        if f.listed_rate != ListedRate::Untold {
+        if f.listed_rate != ListedRate::Untold && route.rate > 0.0 {
             let most = if f.listed_rate == ListedRate::Rough { ROUGH } else { 1.0 };
             route.pace = route.pace.min(most);
             let rate = route.rate * route.pace;
@@ -692,8 +665,7 @@
         if self.calls_out(dst) as f64 >= SLOT_SHARE * free as f64 {
             return false;
         }
-        let fees = self.facts.zone_fees.clone();
-        let target = self.facts.lanes[self.msgs[&list[0]].lane.0 as usize].target.as_secs_f64();
+        let target = self.row(&self.msgs[&list[0]]).target.as_secs_f64();
         let mut best: Option<(f64, EndpointId, usize)> = None;
         let near: Vec<EndpointId> =
             self.endpoints.iter().filter(|(_, e)| e.dst == dst).map(|(id, _)| *id).collect();
@@ -712,7 +684,7 @@
             }
             let ep = &self.endpoints[&id];
             let (n, sum, _) = ep.answers.totals(now);
-            let fee = route_id.1.and(fees.get(ep.zone.0 as usize)).copied().unwrap_or(0.0);
+            let fee = route_id.1.and(self.facts.zone_fees.get(ep.zone.0 as usize)).copied().unwrap_or(0.0);
             let cross = if ep.zone == self.facts.zone { 0.0 } else { self.facts.cross_zone_price };
             let slow = if n > 0.0 { 0.2 * (sum / n / target).min(2.0) } else { 0.0 };
             let used = 0.05 * f64::from(ep.out) / ep.limit;
@@ -726,7 +698,7 @@
         let trial = self.routes[&route_id].breaker != Breaker::Closed;
         if trial {
             // A trial can strand a message that must not run twice: a safer one goes first.
-            let safe = |id: &MsgId| match self.facts.lanes[self.msgs[id].lane.0 as usize].effect {
+            let safe = |id: &MsgId| match self.row(&self.msgs[id]).effect {
                 Effect::NonRetriable => 2,
                 Effect::Keyed { .. } => 1,
                 Effect::Retriable => 0,
@@ -737,26 +709,17 @@
         let call = self.count;
         let mut sent = 0;
         let mut expect = Duration::ZERO;
-        let mut rest = Vec::new();
-        for id in list.drain(..) {
-            let wanted = sent < room;
-            match wanted.then(|| self.send(id, to, call, out)).flatten() {
-                Some(span) => {
-                    sent += 1;
-                    expect = expect.max(span);
-                }
-                None => rest.push(id),
-            }
-        }
-        *list = rest;
+        list.retain(|id| {
+            let span = if sent < room { self.send(*id, to, call, out) } else { None };
+            sent += usize::from(span.is_some());
+            expect = expect.max(span.unwrap_or_default());
+            span.is_none()
+        });
         if sent == 0 {
             return false;
         }
         let left = sent as u32;
-        self.calls.insert(
-            call,
-            Call { route: route_id, to, left, sent: now, expect, counted: false, recalled: false },
-        );
+        self.calls.insert(call, Call { route: route_id, to, left, sent: now, expect, ..Call::default() });
         self.turns.insert(dst, call);
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.out += 1;
@@ -777,7 +740,7 @@
         let msg = self.msgs.get(&id)?;
         let ep = self.endpoints.get(&to)?;
         let route = self.routes.get(&self.route_of(to))?;
-        let row = self.facts.lanes[msg.lane.0 as usize];
+        let row = *self.row(msg);
         let same_group = match (row.effect, msg.may_have_run) {
             (Effect::Keyed { group: Group::Zone, .. }, Some((_, zone))) => zone == ep.zone,
             _ => true,
@@ -793,14 +756,6 @@
         }
         let span = self.timeout(to, &row, msg.late);
         let left = msg.deadline - now;
-        let fall = match self.facts.decay {
-            Decay::Linear => (1.0 - PATIENCE) / (1.0 - row.late_share).max(0.01),
-            Decay::Halving => {
-                -PATIENCE.log2() * row.target.as_secs_f64() / (row.deadline - row.target).as_secs_f64()
-            }
-        };
-        let patience = msg.target + (row.deadline - row.target).mul_f64(fall.min(1.0));
-        let patience = patience.saturating_sub(now);
         // A slow host keeps answering: an overdue leg weighs on the breaker at once but is cut later, as a
         // repeat there would only add work. Harm: a leg into silence comes back late.
         let limit = match row.effect {
@@ -854,7 +809,7 @@
     }
 
     fn may_push_back(&self, msg: &Msg) -> bool {
-        let effect = self.facts.lanes[msg.lane.0 as usize].effect;
+        let effect = self.row(msg).effect;
         msg.may_have_run.is_none()
             || effect == Effect::Retriable
             || matches!(effect, Effect::Keyed { group: Group::All, .. })
