--- a/src/rules.rs
+++ b/src/rules.rs
@@ -54,7 +54,7 @@
 const TIMEOUT_PEAKS: f64 = 1.5;
 const PATIENCE: f64 = 0.8; // a leg is left out at least until this share of the value is left
 const MEMORY_SHARE: f64 = 0.6;
-const SLOTS_SPARE: usize = 4; // a slot in so many is kept free by recalling overdue legs
+const SLOTS_SPARE: usize = 8; // a slot in so many is kept free by recalling overdue legs
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
 const STALE_SPAN: Duration = ms(10_000); // after a reset, idle connections there are not trusted for so long
