--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,7 @@
 const FULL_PAUSE_MOST: Duration = ms(1_500);
 // 3 Cold ramp.
 const COLD_SAFETY: f64 = 0.6;
+const COLD_ITEM: f64 = 0.3; // what each further message of a call weighs against the budget
 const COLD_SHARE: f64 = 0.6; // share of calls failed lately that counts as an outage, ...
 const COLD_FAILED: f64 = 3.0; // ... of at least so many
 const COLD_FULLS: u32 = 4; // refusals in a row, ...
@@ -654,7 +655,12 @@
         let listed = if f.listed_rate == ListedRate::Rough { route.rate / ROUGH } else { route.rate };
         let rate = COLD_SAFETY * f.fall_multiple * share * listed / relays;
         route.cold.refill(now, rate, (0.4 * rate * f.fall.as_secs_f64()).max(1.0));
-        batch.min(route.cold.left as usize)
+        // A call weighs little more for each further message; the first wants a whole token.
+        if route.cold.left < 1.0 {
+            0
+        } else {
+            batch.min(1 + ((route.cold.left - 1.0) / COLD_ITEM) as usize + 4)
+        }
     }
 
     /// Sends one call to a destination, with as many of the messages as may travel in it.
@@ -726,7 +732,7 @@
         }
         if let Some(route) = self.routes.get_mut(&route_id) {
             route.tokens.left -= 1.0;
-            route.cold.left -= sent as f64;
+            route.cold.left -= 1.0 + COLD_ITEM * (sent as f64 - 1.0);
         }
         if trial {
             self.set_breaker(route_id, Breaker::HalfOpen { trial: Some(call) });
