--- a/src/rules.rs
+++ b/src/rules.rs
@@ -809,7 +809,7 @@
             .collect();
         idle.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
         for (_, id) in idle.into_iter().take(held - most) {
-            out.push_back(id, RECOVERY_DELAY.min(self.facts.max_pause));
+            out.push_back(id, self.facts.max_pause);
             self.finish(id);
         }
     }
