--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,226 @@
+//! Plays the scenarios in `tests/scenarios`, small texts in a notation of our own:
+//!
+//! - `facts name=value ..`, `lane name=value ..`, `kind name=value ..`: what is told at startup; spans in seconds
+//! - `at T: event; event ..`: one round; events: `list A dst=1 ..`, `whole A dst=1 ..`, `msg 1 lane=0 ..`,
+//!   `end 1 A delivered`, `gone 1` (withdrawn), `nolist` (the watch failed)
+//! - `until T`: a round each 20 ms
+//! - `=> a; b`: exactly these decisions in that span; `~> a`: this one among them; `!> a`: none like it;
+//!   `#> N a`: N that begin so. Decisions: `send 1 A`, `push 1`, `fail 1`, `recall 1`, `close A`, `watch`, `log ..`
+
+use mountshift::port::*;
+use mountshift::rules::Relay;
+use std::collections::BTreeMap;
+use std::time::Duration;
+use test_case::test_case;
+
+#[derive(Default)]
+struct Decisions(Vec<String>);
+
+fn name(to: EndpointId) -> char {
+    char::from(to.0 as u8)
+}
+
+impl Writer for Decisions {
+    fn send(&mut self, msg: MsgId, to: EndpointId, _limit: Duration) {
+        self.0.push(format!("send {} {}", msg.0, name(to)));
+    }
+    fn push_back(&mut self, msg: MsgId, _pause: Duration) {
+        self.0.push(format!("push {}", msg.0));
+    }
+    fn fail(&mut self, msg: MsgId) {
+        self.0.push(format!("fail {}", msg.0));
+    }
+    fn recall(&mut self, msg: MsgId, _leg: LegNo) {
+        self.0.push(format!("recall {}", msg.0));
+    }
+    fn close_idle(&mut self, to: EndpointId) {
+        self.0.push(format!("close {}", name(to)));
+    }
+    fn wake(&mut self, _after: Duration) {}
+    fn watch(&mut self) {
+        self.0.push("watch".into());
+    }
+    fn log(&mut self, line: &str) {
+        self.0.push(format!("log {line}"));
+    }
+}
+
+struct Words<'a>(Vec<&'a str>, BTreeMap<&'a str, &'a str>);
+
+impl<'a> Words<'a> {
+    fn new(text: &'a str) -> Words<'a> {
+        let plain = text.split_whitespace().filter(|w| !w.contains('=')).collect();
+        Words(plain, text.split_whitespace().filter_map(|w| w.split_once('=')).collect())
+    }
+    fn n(&self, key: &str, absent: f64) -> f64 {
+        self.1.get(key).map_or(absent, |v| v.parse().unwrap_or_else(|_| panic!("{key}={v}")))
+    }
+    fn span(&self, key: &str, absent: f64) -> Duration {
+        Duration::from_secs_f64(self.n(key, absent))
+    }
+    fn endpoint(&self, i: usize) -> EndpointId {
+        EndpointId(u64::from(self.0[i].as_bytes()[0]))
+    }
+    fn msg(&self) -> MsgId {
+        MsgId(self.0[1].parse().expect("a message's number"))
+    }
+}
+
+fn lane(w: &Words) -> LaneFacts {
+    let group = if w.0.contains(&"zone") { Group::Zone } else { Group::All };
+    LaneFacts {
+        target: w.span("target", 2.0),
+        deadline: w.span("deadline", 20.0),
+        value: w.n("value", 1.0),
+        late_share: w.n("late", 0.3),
+        effect: match w.0[1] {
+            "retriable" => Effect::Retriable,
+            "keyed" => Effect::Keyed { memory: w.span("memory", 5.0), group },
+            _ => Effect::NonRetriable,
+        },
+        in_order: w.0.contains(&"ordered"),
+    }
+}
+
+fn facts(w: &Words, lanes: Vec<LaneFacts>, kinds: Vec<KindFacts>) -> StartupFacts {
+    StartupFacts {
+        seed: 7,
+        relays: w.n("relays", 1.0) as u32,
+        lanes,
+        kinds,
+        slots: w.n("slots", 20.0) as usize,
+        max_held: w.n("held", 100.0) as usize,
+        max_legs: w.n("legs", 8.0) as u8,
+        listed_rate: ListedRate::Exact,
+        must_watch: w.0.contains(&"watch"),
+        may_recall: true,
+        max_pause: w.span("pause", 3.0),
+        round: Duration::from_millis(5),
+        drain_grace: Duration::from_secs(1),
+        order_pause: w.span("rest", 0.3),
+        cold_from: 0.3,
+        warm_after: Duration::from_secs(10),
+        fall_multiple: 1.5,
+        fall: Duration::from_secs(2),
+        ..StartupFacts::default()
+    }
+}
+
+fn event(r: &mut Relay, now: Duration, lanes: &[LaneFacts], text: &str) {
+    let w = Words::new(text);
+    match w.0[0] {
+        how @ ("list" | "whole") => {
+            if how == "whole" {
+                r.whole_list();
+            }
+            let says = match w.0.get(2) {
+                Some(&"draining") => Listed::Draining,
+                Some(&"removed") => Listed::Gone,
+                _ => Listed::Ready,
+            };
+            let (dst, zone) = (DstId(w.n("dst", 1.0) as u32), ZoneId(w.n("zone", 0.0) as u8));
+            r.entry(w.endpoint(1), dst, zone, KindId(w.n("kind", 0.0) as u16), says, w.n("rate", 1000.0));
+            r.list_done();
+        }
+        "msg" => {
+            let (of, key) = (w.n("lane", 0.0) as u16, w.n("key", 0.0) as u64);
+            let deadline = now + lanes[of as usize].deadline;
+            let dst = DstId(w.n("dst", 1.0) as u32);
+            r.message(w.msg(), LaneId(of), TenantId(0), dst, (key > 0).then_some(Key(key)), deadline);
+        }
+        "end" => {
+            let outcome = match w.0[3] {
+                "delivered" => Outcome::Delivered,
+                "error" => Outcome::Error,
+                "full" => Outcome::Full(w.span("wait", 0.0)),
+                "timeout" => Outcome::TimedOut,
+                "unconnected" => Outcome::ConnectFailed,
+                "reset" => Outcome::Reset,
+                "cancelled" => Outcome::Cancelled,
+                other => panic!("no outcome {other}"),
+            };
+            let over = outcome == Outcome::Delivered;
+            r.outcome(w.msg(), w.endpoint(2), w.span("took", 0.1), outcome, over);
+        }
+        "gone" => r.withdrawn(w.msg()),
+        "nolist" => r.watch_failed(),
+        other => panic!("no event {other}"),
+    }
+}
+
+#[test_case("rule1"; "rule 1 one final answer in time")]
+#[test_case("rule2"; "rule 2 no effect twice")]
+#[test_case("rule2-zone"; "rule 2 repeats stay in the group")]
+#[test_case("rule2-push"; "rule 2 pushback only where allowed")]
+#[test_case("rule3"; "rule 3 drains are kept")]
+#[test_case("rule4"; "rule 4 a cold destination is not pushed over")]
+#[test_case("rule5"; "rule 5 order by key")]
+#[test_case("rule6"; "rule 6 waits are heeded")]
+#[test_case("rule6-apart"; "rule 6 by route where apart")]
+#[test_case("rule6-batch"; "rule 6 every wait of a call binds")]
+#[test_case("breaker"; "five failures open, one trial decides")]
+#[test_case("breaker-apart"; "routes apart have breakers of their own")]
+#[test_case("breaker-quiet"; "few calls open a quiet destination")]
+#[test_case("breaker-hung"; "calls without an answer open")]
+#[test_case("partial"; "a few resets are no outage")]
+#[test_case("trial"; "the trial is a message that may run again")]
+#[test_case("slots"; "slots go to the fewest calls out")]
+#[test_case("slot-share"; "one destination cannot take all slots")]
+#[test_case("recall"; "overdue calls are recalled when slots run short")]
+#[test_case("credits"; "credits are spent and earned back")]
+#[test_case("credits-grow"; "a cut limit grows again")]
+#[test_case("dead-endpoint"; "a dead endpoint beside a live one rests")]
+#[test_case("stale"; "no stale connection after a reset")]
+#[test_case("refused"; "a refusal without a wait pauses")]
+#[test_case("batch"; "a batch is one call")]
+#[test_case("hold"; "least worth is pushed back when places run out")]
+#[test_case("legs"; "further legs go by value")]
+#[test_case("list"; "lists whole and in part")]
+#[test_case("watch"; "the list is asked for again")]
+#[test_case("stray"; "stray events are ignored")]
+fn scenario(file: &str) {
+    let path = format!("{}/tests/scenarios/{file}.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
+    let (mut lanes, mut kinds, mut told) = (Vec::new(), Vec::new(), "facts");
+    let (mut relay, mut now, mut out): (Option<Relay>, _, _) = (None, Duration::ZERO, Decisions::default());
+    let mut checks = 0;
+    for (at, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty() && !l.starts_with("# ")) {
+        let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
+        let seen = || format!("{file}:{}: {line}\nseen: {}", at + 1, out.0.join("; "));
+        match word {
+            "facts" => told = line,
+            "lane" => lanes.push(lane(&Words::new(line))),
+            "kind" => {
+                let w = Words::new(line);
+                let own_limits = w.0.contains(&"apart");
+                kinds.push(KindFacts { own_limits, batch: w.n("batch", 1.0) as usize });
+            }
+            "at" | "until" => {
+                let start = || Relay::new(facts(&Words::new(told), lanes.clone(), kinds.clone()));
+                let relay = relay.get_or_insert_with(start);
+                let (time, events) = rest.split_once(':').unwrap_or((rest, ""));
+                let end = Duration::from_secs_f64(time.parse().unwrap_or_else(|_| panic!("{}", seen())));
+                out = Decisions::default();
+                while word == "until" && now + Duration::from_millis(20) < end {
+                    now += Duration::from_millis(20);
+                    relay.round(now, |_| {}, &mut out);
+                }
+                now = end;
+                let events: Vec<&str> = events.split(';').filter(|e| !e.trim().is_empty()).collect();
+                relay.round(now, |r| events.iter().for_each(|e| event(r, now, &lanes, e)), &mut out);
+                continue;
+            }
+            "=>" => assert_eq!(out.0.join("; "), rest, "{}", seen()),
+            "~>" => assert!(out.0.iter().any(|d| d.starts_with(rest)), "{}", seen()),
+            "!>" => assert!(!out.0.iter().any(|d| d.starts_with(rest)), "{}", seen()),
+            "#>" => {
+                let (n, what) = rest.split_once(' ').expect("a count and a decision");
+                let found = out.0.iter().filter(|d| d.starts_with(what)).count();
+                assert_eq!(found.to_string(), n, "{}", seen());
+            }
+            _ => panic!("{}", seen()),
+        }
+        checks += usize::from(word.ends_with('>'));
+    }
+    assert!(checks > 0, "{file} checks nothing");
+}
