--- a/src/rules.rs
+++ b/src/rules.rs
@@ -53,8 +53,8 @@
 const TIMEOUT_LEAST: Duration = ms(1_000);
 const TIMEOUT_MEANS: f64 = 6.0;
 const TIMEOUT_PEAKS: f64 = 1.5;
-const PATIENCE: f64 = 0.8; // a leg is left out at least until this share of the value is left
-const MEMORY_SHARE: f64 = 0.6;
+const PATIENCE: f64 = 0.8; // of the time left, a leg is left out at least, ...
+const MEMORY_SHARE: f64 = 0.6; // ... or of the memory span where repeats are dropped
 const SLOTS_SPARE: usize = 8; // a slot in so many is kept free by recalling overdue legs
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
@@ -286,18 +286,13 @@
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         let Some(call_id) = msg.out.take() else { return };
         let uncertain = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
-        if outcome.never_ran() {
-            msg.ran -= 1;
-            if msg.ran == 0 {
-                msg.may_have_run = None;
-            }
-        }
+        msg.ran -= u32::from(outcome.never_ran());
+        msg.may_have_run = msg.may_have_run.filter(|_| msg.ran > 0);
         msg.late += u32::from(outcome == Outcome::TimedOut);
-        let ended = msg.ended || over;
+        let (key, ended) = (msg.key, msg.ended || over);
         // Rule 5: an attempt that may still be running holds back the rest of its key for a while.
-        if let Some(line) = msg.key.filter(|_| uncertain).and_then(|k| self.lines.get_mut(&k)) {
-            line.rest_until = now + self.facts.order_pause;
-            line.rest_by = Some(id);
+        if let Some(line) = key.filter(|_| uncertain).and_then(|k| self.lines.get_mut(&k)) {
+            (line.rest_until, line.rest_by) = (now + self.facts.order_pause, Some(id));
         }
         if ended {
             self.finish(id);
@@ -311,9 +306,9 @@
         if let (Outcome::Full(wait), Some(route)) = (outcome, self.routes.get_mut(&call.route)) {
             route.told_until = route.told_until.max(now + wait);
         }
-        let (first, route_id, sent) = (!call.counted, call.route, call.sent);
-        let was_overdue = call.counted && call.sent + call.expect <= now;
-        call.counted = true;
+        let (route_id, sent) = (call.route, call.sent);
+        let first = !std::mem::replace(&mut call.counted, true);
+        let was_overdue = !first && sent + call.expect <= now;
         if call.left == 0 {
             self.calls.remove(&call_id);
             if let Some(ep) = self.endpoints.get_mut(&to) {
@@ -355,17 +350,15 @@
     }
 
     pub fn list_done(&mut self) {
-        for id in std::mem::take(&mut self.unseen) {
-            if let Some(ep) = self.endpoints.get_mut(&id) {
-                ep.off_since = ep.off_since.or(Some(self.now));
-            }
+        for (_, ep) in self.endpoints.iter_mut().filter(|(id, _)| self.unseen.contains(id)) {
+            ep.off_since = ep.off_since.or(Some(self.now));
         }
+        self.unseen.clear();
     }
 
     pub fn watch_failed(&mut self) {
         if self.facts.must_watch {
-            let spread = WATCH_AGAIN.mul_f64(0.5 + self.chance(0));
-            self.watch_at = Some(self.now + spread);
+            self.watch_at = Some(self.now + WATCH_AGAIN.mul_f64(0.5 + self.chance(0)));
         }
     }
 
@@ -405,8 +398,7 @@
         }
         match route.breaker {
             Breaker::HalfOpen { trial } if trial == Some(call) => {
-                route.cold_since = Some(now);
-                route.cold = Tokens { left: 0.0, at: now };
+                (route.cold_since, route.cold) = (Some(now), Tokens { left: 0.0, at: now });
                 self.set_breaker(route_id, Breaker::Closed);
             }
             // A call from before it opened came back well: no reason to wait longer for the trial.
@@ -472,10 +464,9 @@
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
-        if route.cold_since.is_none() {
+        if route.cold_since.replace(since).is_none() {
             route.cold = Tokens { left: 0.0, at: since };
         }
-        route.cold_since = Some(since);
     }
 
     fn end_trial(&mut self, route_id: RouteId, call: u64, next: Breaker) {
@@ -508,9 +499,9 @@
         let mut wanted = taken + spare - self.facts.slots;
         let ids: Vec<u64> = self.calls.keys().copied().collect();
         for id in ids {
-            let call = &self.calls[&id];
             let legs: Vec<_> = self.msgs.iter().filter(|(_, m)| m.out == Some(id)).collect();
             let once = |m: &Msg| self.row(m).effect == Effect::NonRetriable;
+            let call = &self.calls[&id];
             let grace = if legs.iter().any(|(_, m)| once(m)) { call.expect * 2 } else { call.expect };
             if wanted == 0 || call.recalled || self.now < call.sent + grace {
                 continue;
@@ -767,14 +758,13 @@
         let limit = match row.effect {
             Effect::NonRetriable => left,
             Effect::Keyed { memory, .. } => {
-                span.max(left.mul_f64(PATIENCE).min(memory.mul_f64(MEMORY_SHARE)))
+                left.mul_f64(PATIENCE).min(memory.mul_f64(MEMORY_SHARE)).max(span)
             }
-            Effect::Retriable => span.max(left.mul_f64(PATIENCE)),
+            Effect::Retriable => left.mul_f64(PATIENCE).max(span),
         };
         // Guards one-chance messages against connections that died while idle (a reset one round trip after
         // the send). Also covers restarted hosts and middleboxes that drop quiet flows; costs handshakes.
-        let stale = ep.reset_at.is_some_and(|at| now < at + STALE_SPAN);
-        if stale {
+        if ep.reset_at.is_some_and(|at| now < at + STALE_SPAN) {
             out.close_idle(to);
         }
         let zone = ep.zone;
@@ -803,8 +793,12 @@
         if held <= most {
             return;
         }
+        // Rule 2: a pushback only where coming again is safe.
+        let again = |m: &Msg| {
+            matches!(self.row(m).effect, Effect::Retriable | Effect::Keyed { group: Group::All, .. })
+        };
         let mut idle: Vec<(f64, MsgId)> = (self.msgs.iter())
-            .filter(|(_, m)| !m.ended && m.out.is_none() && self.may_push_back(m))
+            .filter(|(_, m)| !m.ended && m.out.is_none() && (m.may_have_run.is_none() || again(m)))
             .map(|(id, m)| (self.worth(m, self.now), *id))
             .collect();
         idle.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
@@ -813,11 +807,4 @@
             self.finish(id);
         }
     }
-
-    fn may_push_back(&self, msg: &Msg) -> bool {
-        let effect = self.row(msg).effect;
-        msg.may_have_run.is_none()
-            || effect == Effect::Retriable
-            || matches!(effect, Effect::Keyed { group: Group::All, .. })
-    }
 }
