--- a/src/rules.rs
+++ b/src/rules.rs
@@ -24,7 +24,9 @@
 const WINDOW: Duration = ms(20_000); // ... inside this window
 const QUIET_RUN: u32 = 2; // at a quiet destination fewer do, if no success came for QUIET_SPAN
 const QUIET_SPAN: Duration = ms(1_500);
-const RECOVERY_DELAY: Duration = ms(1_800);
+const RECOVERY_DELAY: Duration = ms(1_800); // the first one; each failed trial makes it longer, ...
+const RECOVERY_GROWTH: f64 = 1.3;
+const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages
 // 1 Credits.
 const CREDITS_AT_START: f64 = 4.0;
 const CREDITS_MOST: f64 = 24.0;
@@ -425,6 +427,8 @@
             route.run_since = now;
         }
         route.run += 1;
+        let more = RECOVERY_GROWTH.powi(route.run.saturating_sub(THRESHOLD).min(9) as i32);
+        let delay = RECOVERY_DELAY.mul_f64(more).min(RECOVERY_MOST);
         let (all, bad, _) = route.ends.totals(now);
         if bad >= COLD_FAILED && bad >= COLD_SHARE * all {
             Relay::turn_cold(route, now);
@@ -432,9 +436,9 @@
         let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
         if route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet) {
             Relay::turn_cold(route, now);
-            self.set_breaker(route_id, Breaker::Open { until: now + RECOVERY_DELAY });
+            self.set_breaker(route_id, Breaker::Open { until: now + delay });
         }
-        self.end_trial(route_id, call, Breaker::Open { until: now + RECOVERY_DELAY });
+        self.end_trial(route_id, call, Breaker::Open { until: now + delay });
     }
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
