--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,6 +61,7 @@
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
 const STALE_SPAN: Duration = ms(10_000); // after a reset, idle connections there are not trusted for so long
+const LEG_PAUSE: Duration = ms(250); // before a further leg, doubled with each
 const LEGS_LEAST: f64 = 2.0;
 // 6 Ranking.
 const OVER_SHARE: f64 = 0.05;
@@ -179,6 +180,7 @@
     legs: u8,
     ran: u32,
     late: u32,
+    not_before: Duration,
     out: Option<u64>,
     may_have_run: Option<(Duration, ZoneId)>,
     ended: bool,
@@ -291,6 +293,10 @@
         msg.ran -= u32::from(outcome.never_ran());
         msg.may_have_run = msg.may_have_run.filter(|_| msg.ran > 0);
         msg.late += u32::from(outcome == Outcome::TimedOut);
+        // Guards against legs burnt in a moment on a destination that fails fast.
+        if matches!(outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut) {
+            msg.not_before = now + LEG_PAUSE * 2u32.pow(u32::from(msg.legs.min(5)) - 1);
+        }
         let (key, ended) = (msg.key, msg.ended || over);
         // Rule 5: an attempt that may still be running holds back the rest of its key for a while.
         if let Some(line) = key.filter(|_| uncertain).and_then(|k| self.lines.get_mut(&k)) {
@@ -586,7 +592,7 @@
     fn send_waiting(&mut self, out: &mut dyn Writer) {
         let mut waiting: BTreeMap<DstId, Vec<MsgId>> = BTreeMap::new();
         for (id, msg) in &self.msgs {
-            if msg.out.is_none() && !msg.ended && self.in_turn(*id, msg) {
+            if msg.out.is_none() && msg.not_before <= self.now && self.in_turn(*id, msg) {
                 waiting.entry(msg.dst).or_default().push(*id);
             }
         }
