--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,7 +36,8 @@
 // 2 Pacing.
 const PACE_CUT: f64 = 0.7;
 const PACE_CUT_EVERY: Duration = ms(300);
-const PACE_START: f64 = 1.3; // of an even portion
+const PACE_START: f64 = 1.3; // of an even portion, ...
+const PACE_START_BATCH: f64 = 0.95; // ... or this where calls take more messages as they wait
 const PACE_GROWTH: f64 = 0.2; // for each call of a second at the listed rate, while tokens run short
 const PACE_LEAST: f64 = 0.5; // of an even portion
 const PACE_BURST: f64 = 0.5; // seconds of the rate
@@ -195,6 +196,7 @@
     expect: Duration,
     counted: bool,
     recalled: bool,
+    full: bool,
 }
 
 #[derive(Default)]
@@ -314,7 +316,7 @@
         if let (Outcome::Full(wait), Some(route)) = (outcome, self.routes.get_mut(&call.route)) {
             route.told_until = route.told_until.max(now + wait);
         }
-        let (route_id, sent) = (call.route, call.sent);
+        let (route_id, sent, full) = (call.route, call.sent, call.full);
         let first = !std::mem::replace(&mut call.counted, true);
         let was_overdue = !first && sent + call.expect <= now;
         if call.left == 0 {
@@ -324,7 +326,7 @@
             }
         }
         match outcome {
-            Outcome::Delivered if first || was_overdue => self.succeeded(route_id, call_id, to, sent, waited),
+            Outcome::Delivered if first || was_overdue => self.succeeded(route_id, call_id, to, waited, full),
             Outcome::Full(wait) if first => self.refused(route_id, call_id, to, wait),
             Outcome::Cancelled | Outcome::Moot => {
                 self.end_trial(route_id, call_id, Breaker::HalfOpen { trial: None })
@@ -349,7 +351,8 @@
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
         let route_id = self.route_of(id);
         let tokens = Tokens { left: rate, at: now };
-        let pace = PACE_START / f64::from(self.facts.relays);
+        let batch = self.batch(kind);
+        let pace = if batch > 1 { PACE_START_BATCH } else { PACE_START } / f64::from(self.facts.relays);
         let fresh = Route { rate, pace, tokens, ..Route::default() };
         let route = self.routes.entry(route_id).or_insert(fresh);
         if rate > 0.0 {
@@ -372,6 +375,10 @@
 
     // ---- the breaker and what is learnt from ends ----
 
+    fn batch(&self, kind: KindId) -> usize {
+        self.facts.kinds.get(kind.0 as usize).map_or(1, |k| k.batch.max(1))
+    }
+
     fn route_of(&self, id: EndpointId) -> RouteId {
         let ep = &self.endpoints[&id];
         let apart = self.facts.kinds.get(ep.kind.0 as usize).is_some_and(|k| k.own_limits);
@@ -387,7 +394,7 @@
         route.breaker = to;
     }
 
-    fn succeeded(&mut self, route_id: RouteId, call: u64, to: EndpointId, sent: Duration, waited: Duration) {
+    fn succeeded(&mut self, route_id: RouteId, call: u64, to: EndpointId, waited: Duration, full: bool) {
         let now = self.now;
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.answers.add(now, waited.as_secs_f64());
@@ -401,7 +408,7 @@
         route.ends.add(now, 0.0);
         route.run = 0;
         route.fulls = 0;
-        if route.tokens.left < 1.0 {
+        if full && route.tokens.left < 1.0 {
             route.pace += PACE_GROWTH / route.rate.max(1.0);
         }
         match route.breaker {
@@ -410,7 +417,7 @@
                 self.set_breaker(route_id, Breaker::Closed);
             }
             // A call from before it opened came back well: no reason to wait longer for the trial.
-            Breaker::Open { until } if until > now && sent + ms(1) < now => {
+            Breaker::Open { until } if until > now => {
                 self.set_breaker(route_id, Breaker::Open { until: now });
             }
             _ => {}
@@ -684,7 +691,7 @@
                 continue;
             }
             let route_id = self.route_of(id);
-            let batch = self.facts.kinds.get(ep.kind.0 as usize).map_or(1, |k| k.batch.max(1));
+            let batch = self.batch(ep.kind);
             let room = self.room(route_id, batch);
             if room == 0 {
                 continue;
@@ -726,7 +733,9 @@
             return false;
         }
         let left = sent as u32;
-        self.calls.insert(call, Call { route: route_id, to, left, sent: now, expect, ..Call::default() });
+        let full = sent >= room;
+        self.calls
+            .insert(call, Call { route: route_id, to, left, sent: now, expect, full, ..Call::default() });
         self.turns.insert(dst, call);
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.out += 1;
