--- a/src/rules.rs
+++ b/src/rules.rs
@@ -22,7 +22,7 @@
 // The breaker.
 const THRESHOLD: u32 = 5; // consecutive failures that open it ...
 const WINDOW: Duration = ms(20_000); // ... inside this window
-const QUIET_RUN: u32 = 2; // at a quiet destination fewer do, if no success came for QUIET_SPAN
+const QUIET_RUN: u32 = 3; // at a quiet destination fewer do, if no success came for QUIET_SPAN
 const QUIET_SPAN: Duration = ms(1_500);
 const RECOVERY_DELAY: Duration = ms(1_800); // the first one; each failed trial makes it longer, ...
 const RECOVERY_GROWTH: f64 = 1.3;
@@ -115,26 +115,13 @@
 
 type RouteId = (DstId, Option<EndpointId>);
 
-#[derive(Clone, Copy, Default, PartialEq, Eq)]
+/// Open until the next trial; half-open with the call that is the trial.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Breaker {
     #[default]
     Closed,
-    Open {
-        until: Duration,
-    },
-    HalfOpen {
-        trial: Option<u64>,
-    },
-}
-
-impl std::fmt::Display for Breaker {
-    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        f.write_str(match self {
-            Breaker::Closed => "closed",
-            Breaker::Open { .. } => "open",
-            Breaker::HalfOpen { .. } => "half-open",
-        })
-    }
+    Open(Duration),
+    HalfOpen(Option<u64>),
 }
 
 /// A destination, or one of its routes where they are apart.
@@ -245,9 +232,7 @@
             self.watch_at = None;
             out.watch();
         }
-        for line in self.lines_to_log.drain(..) {
-            out.log(&line);
-        }
+        self.lines_to_log.drain(..).for_each(|line| out.log(&line));
         let idle = self.msgs.is_empty() && self.calls.is_empty() && self.watch_at.is_none();
         if !idle && self.wake_at.is_none_or(|at| at <= now) {
             self.wake_at = Some(now + WAKE);
@@ -328,9 +313,7 @@
         match outcome {
             Outcome::Delivered if first || was_overdue => self.succeeded(route_id, call_id, to, waited, full),
             Outcome::Full(wait) if first => self.refused(route_id, call_id, to, wait),
-            Outcome::Cancelled | Outcome::Moot => {
-                self.end_trial(route_id, call_id, Breaker::HalfOpen { trial: None })
-            }
+            Outcome::Cancelled | Outcome::Moot => self.end_trial(route_id, call_id, Breaker::HalfOpen(None)),
             Outcome::Delivered | Outcome::Full(_) => {}
             _ if first => self.failed(route_id, call_id, to),
             _ => {}
@@ -389,7 +372,7 @@
         let Some(route) = self.routes.get_mut(&id) else { return };
         if std::mem::discriminant(&route.breaker) != std::mem::discriminant(&to) {
             self.lines_to_log
-                .push(format!("breaker of {}: {} -> {to}, run {}", id.0.0, route.breaker, route.run));
+                .push(format!("breaker of {}: {:?} -> {to:?}, run {}", id.0.0, route.breaker, route.run));
         }
         route.breaker = to;
     }
@@ -412,13 +395,13 @@
             route.pace += PACE_GROWTH / route.rate.max(1.0);
         }
         match route.breaker {
-            Breaker::HalfOpen { trial } if trial == Some(call) => {
+            Breaker::HalfOpen(trial) if trial == Some(call) => {
                 (route.cold_since, route.cold) = (Some(now), Tokens { left: 0.0, at: now });
                 self.set_breaker(route_id, Breaker::Closed);
             }
             // A call from before it opened came back well: no reason to wait longer for the trial.
-            Breaker::Open { until } if until > now => {
-                self.set_breaker(route_id, Breaker::Open { until: now });
+            Breaker::Open(until) if until > now => {
+                self.set_breaker(route_id, Breaker::Open(now));
             }
             _ => {}
         }
@@ -449,9 +432,9 @@
         let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
         if route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet) {
             Relay::turn_cold(route, now);
-            self.set_breaker(route_id, Breaker::Open { until: now + delay });
+            self.set_breaker(route_id, Breaker::Open(now + delay));
         }
-        self.end_trial(route_id, call, Breaker::Open { until: now + delay });
+        self.end_trial(route_id, call, Breaker::Open(now + delay));
     }
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
@@ -477,7 +460,7 @@
                 Relay::turn_cold(route, now + wait);
             }
         }
-        self.end_trial(route_id, call, Breaker::HalfOpen { trial: None });
+        self.end_trial(route_id, call, Breaker::HalfOpen(None));
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
@@ -487,7 +470,7 @@
     }
 
     fn end_trial(&mut self, route_id: RouteId, call: u64, next: Breaker) {
-        if self.routes.get(&route_id).is_some_and(|r| r.breaker == Breaker::HalfOpen { trial: Some(call) }) {
+        if self.routes.get(&route_id).is_some_and(|r| r.breaker == Breaker::HalfOpen(Some(call))) {
             self.set_breaker(route_id, next);
         }
     }
@@ -637,9 +620,9 @@
         }
         let trial = match route.breaker {
             Breaker::Closed => false,
-            Breaker::Open { until } if now < until => return 0,
-            Breaker::Open { .. } | Breaker::HalfOpen { trial: None } => true,
-            Breaker::HalfOpen { trial: Some(_) } => return 0,
+            Breaker::Open(until) if now < until => return 0,
+            Breaker::Open(_) | Breaker::HalfOpen(None) => true,
+            Breaker::HalfOpen(Some(_)) => return 0,
         };
         if f.listed_rate != ListedRate::Untold && route.rate > 0.0 {
             let most = if f.listed_rate == ListedRate::Rough { ROUGH } else { 1.0 };
@@ -680,7 +663,7 @@
             return false;
         }
         let target = self.row(&self.msgs[&list[0]]).target.as_secs_f64();
-        let mut best: Option<(f64, EndpointId, usize)> = None;
+        let mut options = Vec::new();
         let near: Vec<EndpointId> =
             self.endpoints.iter().filter(|(_, e)| e.dst == dst).map(|(id, _)| *id).collect();
         let siblings = near.len();
@@ -703,11 +686,14 @@
             let slow = if n > 0.0 { 0.2 * (sum / n / target).min(2.0) } else { 0.0 };
             let used = 0.05 * f64::from(ep.out) / ep.limit;
             let cost = fee + cross + slow + used + 0.01 * self.chance(id.0);
-            if best.is_none_or(|b| cost < b.0) {
-                best = Some((cost, id, room));
-            }
+            options.push((cost, id, room));
         }
-        let Some((_, to, room)) = best else { return false };
+        options.sort_by(|a, b| a.0.total_cmp(&b.0));
+        options.into_iter().any(|(_, to, room)| self.send_to(to, room, list, out))
+    }
+
+    fn send_to(&mut self, to: EndpointId, room: usize, list: &mut Vec<MsgId>, out: &mut dyn Writer) -> bool {
+        let now = self.now;
         let route_id = self.route_of(to);
         let trial = self.routes[&route_id].breaker != Breaker::Closed;
         if trial {
@@ -736,7 +722,7 @@
         let full = sent >= room;
         self.calls
             .insert(call, Call { route: route_id, to, left, sent: now, expect, full, ..Call::default() });
-        self.turns.insert(dst, call);
+        self.turns.insert(route_id.0, call);
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.out += 1;
         }
@@ -745,7 +731,7 @@
             route.cold.left -= 1.0 + COLD_ITEM * (sent as f64 - 1.0);
         }
         if trial {
-            self.set_breaker(route_id, Breaker::HalfOpen { trial: Some(call) });
+            self.set_breaker(route_id, Breaker::HalfOpen(Some(call)));
         }
         true
     }
