--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,6 +46,7 @@
 const FULL_PAUSE_MOST: Duration = ms(1_500);
 // 3 Cold ramp.
 const COLD_SAFETY: f64 = 1.0;
+const COLD_ROUGH: f64 = 1.15; // a rough rate is taken for so much less
 const COLD_ITEM: f64 = 0.3; // what each further message of a call weighs against the budget
 const COLD_SHARE: f64 = 0.6; // share of calls failed lately that counts as an outage, ...
 const COLD_FAILED: f64 = 3.0; // ... of at least so many
@@ -643,7 +644,7 @@
             return batch;
         }
         let share = f.cold_from + (1.0 - f.cold_from) * warm;
-        let listed = if f.listed_rate == ListedRate::Rough { route.rate / ROUGH } else { route.rate };
+        let listed = if f.listed_rate == ListedRate::Rough { route.rate / COLD_ROUGH } else { route.rate };
         let rate = COLD_SAFETY * f.fall_multiple * share * listed / relays;
         route.cold.refill(now, rate, (0.3 * rate * f.fall.as_secs_f64()).max(1.0));
         // A call weighs little more for each further message; the first wants a whole token.
