--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,7 +47,7 @@
 // 3 Cold ramp.
 const COLD_SAFETY: f64 = 1.0;
 const COLD_ROUGH: f64 = 1.15; // a rough rate is taken for so much less
-const COLD_ITEM: f64 = 0.3; // what each further message of a call weighs against the budget
+const COLD_ITEM: f64 = 0.25; // what each further message of a call weighs against the budget
 const COLD_SHARE: f64 = 0.6; // share of calls failed lately that counts as an outage, ...
 const COLD_FAILED: f64 = 3.0; // ... of at least so many
 const COLD_FULLS: u32 = 4; // refusals in a row, ...
@@ -634,6 +634,8 @@
                 return 0;
             }
         }
+        // Refused again and again it may be shut: one message asks, and not a batch that burns legs.
+        let batch = if route.fulls > 1 { 1 } else { batch };
         if trial {
             return 1;
         }
