--- a/src/rules.rs
+++ b/src/rules.rs
@@ -33,6 +33,9 @@
 const CREDITS_CUT: f64 = 0.6;
 const DEAD_ENDPOINT_RUN: u32 = 3; // failures in a row at one endpoint of several
 const SLOT_SHARE: f64 = 2.0; // calls out to one destination, as a multiple of the free slots
+const PICK_SLOW: f64 = 0.2; // points for an answer time as long as the span to the target time
+const PICK_USED: f64 = 0.05; // points for credits all out; fees and prices count in points as told
+const PICK_CHANCE: f64 = 0.01;
 // 2 Pacing.
 const PACE_CUT: f64 = 0.7;
 const PACE_CUT_EVERY: Duration = ms(300);
@@ -48,6 +51,8 @@
 const COLD_SAFETY: f64 = 1.0;
 const COLD_ROUGH: f64 = 1.15; // a rough rate is taken for so much less
 const COLD_ITEM: f64 = 0.25; // what each further message of a call weighs against the budget
+const COLD_FURTHER: usize = 4; // further messages that may overdraw the budget
+const COLD_BURST: f64 = 0.3; // of what the budget lets pass in the fall span
 const COLD_SHARE: f64 = 0.6; // share of calls failed lately that counts as an outage, ...
 const COLD_FAILED: f64 = 3.0; // ... of at least so many
 const COLD_FULLS: u32 = 4; // refusals in a row, ...
@@ -60,6 +65,7 @@
 const PATIENCE: f64 = 0.8; // of the time left, a leg is left out at least, ...
 const MEMORY_SHARE: f64 = 0.6; // ... or of the memory span where repeats are dropped
 const SLOTS_SPARE: usize = 8; // a slot in so many is kept free by recalling overdue legs
+const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
 const STALE_SPAN: Duration = ms(10_000); // after a reset, idle connections there are not trusted for so long
@@ -393,7 +399,7 @@
         route.run = 0;
         route.fulls = 0;
         if full && route.tokens.left < 1.0 {
-            route.pace += PACE_GROWTH / route.rate.max(1.0);
+            route.pace = (route.pace + PACE_GROWTH / route.rate.max(1.0)).min(ROUGH);
         }
         match route.breaker {
             Breaker::HalfOpen(trial) if trial == Some(call) => {
@@ -492,18 +498,17 @@
     /// overdue are recalled, the oldest first, and those with one-chance messages only at twice their time.
     fn recall_overdue(&mut self, out: &mut dyn Writer) {
         let spare = self.facts.slots.div_ceil(SLOTS_SPARE);
-        let recalled = self.calls.values().filter(|c| c.recalled).count();
-        let taken = self.calls.len() - recalled;
+        let taken = self.calls.values().filter(|c| !c.recalled).count();
         if !self.facts.may_recall || taken + spare <= self.facts.slots {
             return;
         }
         let mut wanted = taken + spare - self.facts.slots;
-        let ids: Vec<u64> = self.calls.keys().copied().collect();
-        for id in ids {
+        for id in self.calls.keys().copied().collect::<Vec<_>>() {
             let legs: Vec<_> = self.msgs.iter().filter(|(_, m)| m.out == Some(id)).collect();
             let once = |m: &Msg| self.row(m).effect == Effect::NonRetriable;
             let call = &self.calls[&id];
-            let grace = if legs.iter().any(|(_, m)| once(m)) { call.expect * 2 } else { call.expect };
+            let grace =
+                if legs.iter().any(|(_, m)| once(m)) { call.expect * ONCE_GRACE } else { call.expect };
             if wanted == 0 || call.recalled || self.now < call.sent + grace {
                 continue;
             }
@@ -614,7 +619,6 @@
     fn room(&mut self, route_id: RouteId, batch: usize) -> usize {
         let now = self.now;
         let f = &self.facts;
-        let relays = f64::from(f.relays);
         let Some(route) = self.routes.get_mut(&route_id) else { return 0 };
         if now < route.told_until || now < route.pause_until {
             return 0;
@@ -627,19 +631,15 @@
         };
         if f.listed_rate != ListedRate::Untold && route.rate > 0.0 {
             let most = if f.listed_rate == ListedRate::Rough { ROUGH } else { 1.0 };
-            route.pace = route.pace.min(most);
-            let rate = route.rate * route.pace;
+            let rate = route.rate * route.pace.min(most);
             route.tokens.refill(now, rate, (rate * PACE_BURST).max(1.0));
             if route.tokens.left < 1.0 {
                 return 0;
             }
         }
         // Refused again and again it may be shut: one message asks, and not a batch that burns legs.
-        let batch = if route.fulls > 1 { 1 } else { batch };
-        if trial {
-            return 1;
-        }
-        let Some(since) = route.cold_since else { return batch };
+        let batch = if trial || route.fulls > 1 { 1 } else { batch };
+        let Some(since) = route.cold_since.filter(|_| !trial) else { return batch };
         let warm = now.saturating_sub(since).as_secs_f64() / f.warm_after.as_secs_f64().max(0.001);
         if warm >= 1.0 {
             route.cold_since = None;
@@ -647,14 +647,11 @@
         }
         let share = f.cold_from + (1.0 - f.cold_from) * warm;
         let listed = if f.listed_rate == ListedRate::Rough { route.rate / COLD_ROUGH } else { route.rate };
-        let rate = COLD_SAFETY * f.fall_multiple * share * listed / relays;
-        route.cold.refill(now, rate, (0.3 * rate * f.fall.as_secs_f64()).max(1.0));
+        let rate = COLD_SAFETY * f.fall_multiple * share * listed / f64::from(f.relays);
+        route.cold.refill(now, rate, (COLD_BURST * rate * f.fall.as_secs_f64()).max(1.0));
         // A call weighs little more for each further message; the first wants a whole token.
-        if route.cold.left < 1.0 {
-            0
-        } else {
-            batch.min(1 + ((route.cold.left - 1.0) / COLD_ITEM) as usize + 4)
-        }
+        let further = (route.cold.left - 1.0) / COLD_ITEM;
+        if further < 0.0 { 0 } else { batch.min(1 + COLD_FURTHER + further as usize) }
     }
 
     /// Sends one call to a destination, with as many of the messages as may travel in it.
@@ -686,9 +683,9 @@
             let (n, sum, _) = ep.answers.totals(now);
             let fee = route_id.1.and(self.facts.zone_fees.get(ep.zone.0 as usize)).copied().unwrap_or(0.0);
             let cross = if ep.zone == self.facts.zone { 0.0 } else { self.facts.cross_zone_price };
-            let slow = if n > 0.0 { 0.2 * (sum / n / target).min(2.0) } else { 0.0 };
-            let used = 0.05 * f64::from(ep.out) / ep.limit;
-            let cost = fee + cross + slow + used + 0.01 * self.chance(id.0);
+            let slow = if n > 0.0 { PICK_SLOW * (sum / n / target).min(2.0) } else { 0.0 };
+            let used = PICK_USED * f64::from(ep.out) / ep.limit;
+            let cost = fee + cross + slow + used + PICK_CHANCE * self.chance(id.0);
             options.push((cost, id, room));
         }
         options.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -172,6 +172,7 @@
 #[test_case("dead-endpoint"; "a dead endpoint beside a live one rests")]
 #[test_case("stale"; "no stale connection after a reset")]
 #[test_case("refused"; "a refusal without a wait pauses")]
+#[test_case("shut"; "a shut destination is asked with one message")]
 #[test_case("batch"; "a batch is one call")]
 #[test_case("hold"; "least worth is pushed back when places run out")]
 #[test_case("legs"; "further legs go by value")]
