--- a/src/rules.rs
+++ b/src/rules.rs
@@ -68,7 +68,9 @@
 const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
-const STALE_SPAN: Duration = ms(10_000); // after a reset, idle connections there are not trusted for so long
+const IDLE: Duration = ms(500); // an endpoint not used for so long has idle connections
+const STALE_ENDS: f64 = 2.0; // calls on idle connections reset or unanswered, in half a minute, ...
+const STALE_SHARE: f64 = 0.3; // ... and their share, from which idle connections are not trusted
 const LEG_PAUSE: Duration = ms(250); // before a further leg, doubled with each
 const LEGS_LEAST: f64 = 2.0;
 // 6 Ranking.
@@ -161,7 +163,8 @@
     run: u32,
     rest_until: Duration,
     answers: Ring<24>,
-    reset_at: Option<Duration>,
+    used_at: Duration,
+    closed_at: Duration,
 }
 
 #[derive(Default)]
@@ -191,6 +194,7 @@
     counted: bool,
     recalled: bool,
     full: bool,
+    idle: bool,
 }
 
 #[derive(Default)]
@@ -211,6 +215,7 @@
     lines: BTreeMap<Key, Line>,
     calls: BTreeMap<u64, Call>,
     tenants: Vec<Tokens>,
+    idle_ends: Ring<30>,
     count: u64,
     unseen: Vec<EndpointId>,
     watch_at: Option<Duration>,
@@ -299,9 +304,6 @@
         if ended {
             self.finish(id);
         }
-        if let (Outcome::Reset, Some(ep)) = (outcome, self.endpoints.get_mut(&to)) {
-            ep.reset_at = Some(now);
-        }
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.left -= 1;
         // Rule 6: every wait binds, whichever of a call's outcomes tells it and however late it comes.
@@ -310,11 +312,14 @@
         }
         let (route_id, sent, full) = (call.route, call.sent, call.full);
         let first = !std::mem::replace(&mut call.counted, true);
+        if first && call.idle {
+            self.idle_ends.add(now, f64::from(u8::from(uncertain)));
+        }
         let was_overdue = !first && sent + call.expect <= now;
         if call.left == 0 {
             self.calls.remove(&call_id);
             if let Some(ep) = self.endpoints.get_mut(&to) {
-                ep.out = ep.out.saturating_sub(1);
+                (ep.out, ep.used_at) = (ep.out.saturating_sub(1), now);
             }
         }
         match outcome {
@@ -490,6 +495,9 @@
         let late: Vec<_> =
             overdue.map(|(id, c)| (std::mem::replace(&mut c.counted, true), *id, c.route, c.to)).collect();
         for (_, call, route, to) in late {
+            if self.calls[&call].idle {
+                self.idle_ends.add(now, 1.0);
+            }
             self.failed(route, call, to);
         }
     }
@@ -720,11 +728,15 @@
         }
         let left = sent as u32;
         let full = sent >= room;
-        self.calls
-            .insert(call, Call { route: route_id, to, left, sent: now, expect, full, ..Call::default() });
+        let ep = &self.endpoints[&to];
+        let idle = ep.out == 0 && ep.used_at > Duration::ZERO && now > ep.used_at.max(ep.closed_at) + IDLE;
+        self.calls.insert(
+            call,
+            Call { route: route_id, to, left, sent: now, expect, full, idle, ..Call::default() },
+        );
         self.turns.insert(route_id.0, call);
         if let Some(ep) = self.endpoints.get_mut(&to) {
-            ep.out += 1;
+            (ep.out, ep.used_at) = (ep.out + 1, now);
         }
         if let Some(route) = self.routes.get_mut(&route_id) {
             route.tokens.left -= 1.0;
@@ -756,6 +768,7 @@
         if !(one && two && three && four && five && six) {
             return None;
         }
+        let zone = ep.zone;
         let span = self.timeout(to, &row, msg.late);
         let left = msg.deadline - now;
         // A slow host keeps answering: an overdue leg weighs on the breaker at once but is cut later, as a
@@ -767,12 +780,14 @@
             }
             Effect::Retriable => left.mul_f64(PATIENCE).max(span),
         };
-        // Guards one-chance messages against connections that died while idle (a reset one round trip after
-        // the send). Also covers restarted hosts and middleboxes that drop quiet flows; costs handshakes.
-        if ep.reset_at.is_some_and(|at| now < at + STALE_SPAN) {
+        // Guards against connections that died while idle, whether they reset or swallow the call: also
+        // middleboxes that drop quiet flows and hosts restarted between calls. Costs handshakes.
+        let (all, bad, _) = self.idle_ends.totals(now);
+        let stale = bad >= STALE_ENDS && bad >= STALE_SHARE * all && now > ep.closed_at + IDLE;
+        if let Some(ep) = self.endpoints.get_mut(&to).filter(|_| stale) {
+            ep.closed_at = now;
             out.close_idle(to);
         }
-        let zone = ep.zone;
         let msg = self.msgs.get_mut(&id)?;
         msg.out = Some(call);
         msg.legs += 1;
