--- a/src/rules.rs
+++ b/src/rules.rs
@@ -68,9 +68,9 @@
 const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
-const IDLE: Duration = ms(500); // an endpoint not used for so long has idle connections
+const IDLE: Duration = ms(1_000); // an endpoint not used for so long has idle connections
 const STALE_ENDS: f64 = 2.0; // calls on idle connections reset or unanswered, in half a minute, ...
-const STALE_SHARE: f64 = 0.3; // ... and their share, from which idle connections are not trusted
+const STALE_SHARE: f64 = 0.15; // ... and their share, from which idle connections are not trusted
 const LEG_PAUSE: Duration = ms(250); // before a further leg, doubled with each
 const LEGS_LEAST: f64 = 2.0;
 // 6 Ranking.
