--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,6 +69,7 @@
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
 const IDLE: Duration = ms(1_000); // an endpoint not used for so long has idle connections
+const CLOSE_EVERY: Duration = ms(400); // while not trusted, idle connections are closed before sends this often
 const STALE_ENDS: f64 = 2.0; // calls on idle connections reset or unanswered, in half a minute, ...
 const STALE_SHARE: f64 = 0.15; // ... and their share, from which idle connections are not trusted
 const LEG_PAUSE: Duration = ms(250); // before a further leg, doubled with each
@@ -783,7 +784,7 @@
         // Guards against connections that died while idle, whether they reset or swallow the call: also
         // middleboxes that drop quiet flows and hosts restarted between calls. Costs handshakes.
         let (all, bad, _) = self.idle_ends.totals(now);
-        let stale = bad >= STALE_ENDS && bad >= STALE_SHARE * all && now > ep.closed_at + IDLE;
+        let stale = bad >= STALE_ENDS && bad >= STALE_SHARE * all && now > ep.closed_at + CLOSE_EVERY;
         if let Some(ep) = self.endpoints.get_mut(&to).filter(|_| stale) {
             ep.closed_at = now;
             out.close_idle(to);
