--- a/src/rules.rs
+++ b/src/rules.rs
@@ -407,16 +407,9 @@
         if full && route.tokens.left < 1.0 {
             route.pace = (route.pace + PACE_GROWTH / route.rate.max(1.0)).min(ROUGH);
         }
-        match route.breaker {
-            Breaker::HalfOpen(trial) if trial == Some(call) => {
-                (route.cold_since, route.cold) = (Some(now), Tokens { left: 0.0, at: now });
-                self.set_breaker(route_id, Breaker::Closed);
-            }
-            // A call from before it opened came back well: no reason to wait longer for the trial.
-            Breaker::Open(until) if until > now => {
-                self.set_breaker(route_id, Breaker::Open(now));
-            }
-            _ => {}
+        if route.breaker == Breaker::HalfOpen(Some(call)) {
+            (route.cold_since, route.cold) = (Some(now), Tokens { left: 0.0, at: now });
+            self.set_breaker(route_id, Breaker::Closed);
         }
     }
 
