--- a/src/rules.rs
+++ b/src/rules.rs
@@ -273,9 +273,7 @@
             tokens.left = (tokens.left - 1.0).max(0.0);
         }
         let key = key.filter(|_| row.in_order);
-        if let Some(key) = key {
-            self.lines.entry(key).or_default().queue.push_back(id);
-        }
+        key.into_iter().for_each(|k| self.lines.entry(k).or_default().queue.push_back(id));
         let target = (deadline + row.target).saturating_sub(row.deadline);
         let msg = Msg { lane, dst, key, target, deadline, over_share, ..Msg::default() };
         self.msgs.insert(id, msg);
@@ -311,12 +309,10 @@
         if let (Outcome::Full(wait), Some(route)) = (outcome, self.routes.get_mut(&call.route)) {
             route.told_until = route.told_until.max(now + wait);
         }
-        let (route_id, sent, full) = (call.route, call.sent, call.full);
+        let (route_id, full) = (call.route, call.full);
         let first = !std::mem::replace(&mut call.counted, true);
-        if first && call.idle {
-            self.idle_ends.add(now, f64::from(u8::from(uncertain)));
-        }
-        let was_overdue = !first && sent + call.expect <= now;
+        let idle = first && call.idle;
+        idle.then(|| self.idle_ends.add(now, f64::from(u8::from(uncertain))));
         if call.left == 0 {
             self.calls.remove(&call_id);
             if let Some(ep) = self.endpoints.get_mut(&to) {
@@ -324,10 +320,10 @@
             }
         }
         match outcome {
-            Outcome::Delivered if first || was_overdue => self.succeeded(route_id, call_id, to, waited, full),
+            Outcome::Delivered => self.succeeded(route_id, call_id, to, waited, full),
             Outcome::Full(wait) if first => self.refused(route_id, call_id, to, wait),
             Outcome::Cancelled | Outcome::Moot => self.end_trial(route_id, call_id, Breaker::HalfOpen(None)),
-            Outcome::Delivered | Outcome::Full(_) => {}
+            Outcome::Full(_) => {}
             _ if first => self.failed(route_id, call_id, to),
             _ => {}
         }
@@ -347,13 +343,11 @@
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
         let route_id = self.route_of(id);
         let tokens = Tokens { left: rate, at: now };
-        let batch = self.batch(kind);
-        let pace = if batch > 1 { PACE_START_BATCH } else { PACE_START } / f64::from(self.facts.relays);
+        let pace =
+            if self.batch(kind) > 1 { PACE_START_BATCH } else { PACE_START } / f64::from(self.facts.relays);
         let fresh = Route { rate, pace, tokens, ..Route::default() };
         let route = self.routes.entry(route_id).or_insert(fresh);
-        if rate > 0.0 {
-            route.rate = rate;
-        }
+        route.rate = if rate > 0.0 { rate } else { route.rate };
     }
 
     pub fn list_done(&mut self) {
@@ -485,13 +479,11 @@
     /// left out until its deadline: guards against hosts that take calls and answer none.
     fn count_overdue(&mut self) {
         let now = self.now;
-        let overdue = self.calls.iter_mut().filter(|(_, c)| !c.counted && c.sent + c.expect <= now);
-        let late: Vec<_> =
-            overdue.map(|(id, c)| (std::mem::replace(&mut c.counted, true), *id, c.route, c.to)).collect();
-        for (_, call, route, to) in late {
-            if self.calls[&call].idle {
-                self.idle_ends.add(now, 1.0);
-            }
+        let overdue = self.calls.iter().filter(|(_, c)| !c.counted && c.sent + c.expect <= now);
+        let late: Vec<_> = overdue.map(|(id, c)| (*id, c.route, c.to, c.idle)).collect();
+        for (call, route, to, idle) in late {
+            self.calls.entry(call).and_modify(|c| c.counted = true);
+            idle.then(|| self.idle_ends.add(now, 1.0));
             self.failed(route, call, to);
         }
     }
