--- a/src/rules.rs
+++ b/src/rules.rs
@@ -309,10 +309,9 @@
         if let (Outcome::Full(wait), Some(route)) = (outcome, self.routes.get_mut(&call.route)) {
             route.told_until = route.told_until.max(now + wait);
         }
-        let (route_id, full) = (call.route, call.full);
         let first = !std::mem::replace(&mut call.counted, true);
-        let idle = first && call.idle;
-        idle.then(|| self.idle_ends.add(now, f64::from(u8::from(uncertain))));
+        let (route_id, full) = (call.route, first && call.full);
+        (first && call.idle).then(|| self.idle_ends.add(now, f64::from(u8::from(uncertain))));
         if call.left == 0 {
             self.calls.remove(&call_id);
             if let Some(ep) = self.endpoints.get_mut(&to) {
