--- a/src/rules.rs
+++ b/src/rules.rs
@@ -59,7 +59,7 @@
 const COLD_FULL_SPAN: Duration = ms(2_500); // ... without a success for so long, that count as one
 const COLD_WAIT: Duration = ms(1_500); // a told wait longer than this means shut
 // 4 Time-outs.
-const TIMEOUT_LEAST: Duration = ms(1_000);
+const TIMEOUT_LEAST: Duration = ms(600);
 const TIMEOUT_MEANS: f64 = 6.0;
 const TIMEOUT_PEAKS: f64 = 1.5;
 const PATIENCE: f64 = 0.8; // of the time left, a leg is left out at least, ...
