--- a/src/rules.rs
+++ b/src/rules.rs
@@ -585,10 +585,6 @@
                 waiting.entry(msg.dst).or_default().push(*id);
             }
         }
-        for list in waiting.values_mut() {
-            let rank = |id: &MsgId| (self.worth(&self.msgs[id], self.now), self.msgs[id].target);
-            list.sort_by(|a, b| rank(b).0.total_cmp(&rank(a).0).then(rank(a).1.cmp(&rank(b).1)));
-        }
         while self.calls.len() < self.facts.slots {
             let next = waiting.keys().min_by_key(|d| (self.calls_out(**d), self.turns.get(d).copied()));
             let Some(dst) = next.copied() else { break };
@@ -681,7 +677,13 @@
             let cost = fee + cross + slow + used + PICK_CHANCE * self.chance(id.0);
             options.push((cost, id, room));
         }
+        if options.is_empty() {
+            return false;
+        }
         options.sort_by(|a, b| a.0.total_cmp(&b.0));
+        // What is worth most now goes first, then what is wanted first; ranked only where a send can follow.
+        let rank = |id: &MsgId| (-self.worth(&self.msgs[id], self.now) * 1e6) as i64;
+        list.sort_by_cached_key(|id| (rank(id), self.msgs[id].target));
         options.into_iter().any(|(_, to, room)| self.send_to(to, room, list, out))
     }
 
