--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,6 +26,7 @@
 const QUIET_SPAN: Duration = ms(1_500);
 const RECOVERY_DELAY: Duration = ms(1_800); // the first one; each failed trial makes it longer, ...
 const RECOVERY_GROWTH: f64 = 1.3;
+const TRIALS_PER_PARKED: u32 = 2; // ... unless this many times the run of failures wait
 const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages
 // 1 Credits.
 const CREDITS_AT_START: f64 = 4.0;
@@ -415,6 +416,7 @@
                 ep.rest_until = now + RECOVERY_DELAY;
             }
         }
+        let parked = self.msgs.values().filter(|m| m.dst == route_id.0 && m.out.is_none()).count() as u32;
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         route.ends.add(now, 1.0);
         if route.run == 0 || now.saturating_sub(route.run_since) > WINDOW {
@@ -422,7 +424,9 @@
             route.run_since = now;
         }
         route.run += 1;
-        let more = RECOVERY_GROWTH.powi(route.run.saturating_sub(THRESHOLD).min(9) as i32);
+        // Longer and longer, unless many more wait than trials went: a quiet destination is not worth asking.
+        let trials = if parked > TRIALS_PER_PARKED * route.run { THRESHOLD } else { route.run };
+        let more = RECOVERY_GROWTH.powi(trials.saturating_sub(THRESHOLD).min(9) as i32);
         let delay = RECOVERY_DELAY.mul_f64(more).min(RECOVERY_MOST);
         let (all, bad, _) = route.ends.totals(now);
         if bad >= COLD_FAILED && bad >= COLD_SHARE * all {
