--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,8 +47,8 @@
 const PACE_LEAST: f64 = 0.5; // of an even portion
 const PACE_BURST: f64 = 0.5; // seconds of the rate
 const ROUGH: f64 = 1.5; // a rough rate may be this much off
-const FULL_PAUSE: Duration = ms(120); // after a refusal without a wait, doubled in a row
-const FULL_PAUSE_MOST: Duration = ms(1_500);
+const FULL_PAUSE: Duration = ms(120); // after a refusal, doubled in a row, so that a shut one is not asked often
+const FULL_PAUSE_MOST: Duration = ms(2_000);
 // 3 Cold ramp.
 const COLD_SAFETY: f64 = 1.0;
 const COLD_ROUGH: f64 = 1.15; // a rough rate is taken for so much less
@@ -452,10 +452,8 @@
             }
             route.fulls += 1;
             let shut = route.fulls >= COLD_FULLS && now - route.full_since >= COLD_FULL_SPAN;
-            if wait.is_zero() {
-                let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(5) - 1);
-                route.pause_until = now + pause.min(FULL_PAUSE_MOST);
-            }
+            let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1);
+            route.pause_until = now + pause.min(FULL_PAUSE_MOST);
             if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
                 route.pace = (route.pace * PACE_CUT).max(PACE_LEAST * even);
                 route.pace_at = now;
