--- a/src/rules.rs
+++ b/src/rules.rs
@@ -287,8 +287,9 @@
 
     pub fn outcome(&mut self, id: MsgId, to: EndpointId, waited: Duration, outcome: Outcome, over: bool) {
         let now = self.now;
-        let Some(msg) = self.msgs.get_mut(&id) else { return };
-        let Some(call_id) = msg.out.take() else { return };
+        let Some((msg, call_id)) = self.msgs.get_mut(&id).and_then(|m| m.out.take().map(|c| (m, c))) else {
+            return;
+        };
         let uncertain = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         msg.ran -= u32::from(outcome.never_ran());
         msg.may_have_run = msg.may_have_run.filter(|_| msg.ran > 0);
@@ -421,8 +422,7 @@
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         route.ends.add(now, 1.0);
         if route.run == 0 || now.saturating_sub(route.run_since) > WINDOW {
-            route.run = 0;
-            route.run_since = now;
+            (route.run, route.run_since) = (0, now);
         }
         route.run += 1;
         // Longer and longer, unless many more wait than trials went: a quiet destination is not worth asking.
@@ -443,21 +443,18 @@
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
         let now = self.now;
-        let even = 1.0 / f64::from(self.facts.relays);
         let cut = |ep: &mut Endpoint| ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
         self.endpoints.get_mut(&to).into_iter().for_each(cut);
         if let Some(route) = self.routes.get_mut(&route_id) {
-            if route.fulls == 0 {
-                route.full_since = now;
-            }
+            route.full_since = if route.fulls == 0 { now } else { route.full_since };
             route.fulls += 1;
-            let shut = route.fulls >= COLD_FULLS && now - route.full_since >= COLD_FULL_SPAN;
             let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1);
             route.pause_until = now + pause.min(FULL_PAUSE_MOST);
             if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
-                route.pace = (route.pace * PACE_CUT).max(PACE_LEAST * even);
+                route.pace = (route.pace * PACE_CUT).max(PACE_LEAST / f64::from(self.facts.relays));
                 route.pace_at = now;
             }
+            let shut = route.fulls >= COLD_FULLS && now - route.full_since >= COLD_FULL_SPAN;
             if shut || wait > COLD_WAIT {
                 Relay::turn_cold(route, now + wait);
             }
@@ -508,16 +505,12 @@
             if wanted == 0 || call.recalled || self.now < call.sent + grace {
                 continue;
             }
-            for (msg, m) in legs {
-                out.recall(*msg, LegNo(m.legs - 1));
-            }
+            legs.iter().for_each(|(msg, m)| out.recall(**msg, LegNo(m.legs - 1)));
             wanted -= 1;
             self.calls.entry(id).and_modify(|c| c.recalled = true);
         }
     }
 
-    // ---- ends ----
-
     fn finish(&mut self, id: MsgId) {
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         if msg.out.is_some() {
@@ -557,8 +550,6 @@
             }
     }
 
-    // ---- sending ----
-
     /// What a message is worth if answered at `at`.
     fn worth(&self, msg: &Msg, at: Duration) -> f64 {
         let row = self.row(msg);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -169,6 +169,7 @@
 #[test_case("recall"; "overdue calls are recalled when slots run short")]
 #[test_case("credits"; "credits are spent and earned back")]
 #[test_case("credits-grow"; "a cut limit grows again")]
+#[test_case("suspect"; "one call at a time while failures run")]
 #[test_case("dead-endpoint"; "a dead endpoint beside a live one rests")]
 #[test_case("stale"; "no stale connection after a reset")]
 #[test_case("refused"; "a refusal without a wait pauses")]
