--- a/src/rules.rs
+++ b/src/rules.rs
@@ -64,8 +64,7 @@
 const TIMEOUT_LEAST: Duration = ms(600);
 const TIMEOUT_MEANS: f64 = 6.0;
 const TIMEOUT_PEAKS: f64 = 1.5;
-const PATIENCE: f64 = 0.8; // of the time left, a leg is left out at least, ...
-const MEMORY_SHARE: f64 = 0.6; // ... or of the memory span where repeats are dropped
+const PATIENCE: f64 = 0.8; // of the time left, a leg is left out at least
 const SLOTS_SPARE: usize = 8; // a slot in so many is kept free by recalling overdue legs
 const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
@@ -756,13 +755,8 @@
         let left = msg.deadline - now;
         // A slow host keeps answering: an overdue leg weighs on the breaker at once but is cut later, as a
         // repeat there would only add work. Harm: a leg into silence comes back late.
-        let limit = match row.effect {
-            Effect::NonRetriable => left,
-            Effect::Keyed { memory, .. } => {
-                left.mul_f64(PATIENCE).min(memory.mul_f64(MEMORY_SHARE)).max(span)
-            }
-            Effect::Retriable => left.mul_f64(PATIENCE).max(span),
-        };
+        let patient = left.mul_f64(PATIENCE).max(span);
+        let limit = if row.effect == Effect::NonRetriable { left } else { patient };
         // Guards against connections that died while idle, whether they reset or swallow the call: also
         // middleboxes that drop quiet flows and hosts restarted between calls. Costs handshakes.
         let (all, bad, _) = self.idle_ends.totals(now);
