--- a/src/rules.rs
+++ b/src/rules.rs
@@ -405,6 +405,9 @@
         if route.breaker == Breaker::HalfOpen(Some(call)) {
             (route.cold_since, route.cold) = (Some(now), Tokens { left: 0.0, at: now });
             self.set_breaker(route_id, Breaker::Closed);
+        } else if matches!(route.breaker, Breaker::Open(_)) {
+            // A good answer to an earlier call: slow, not dead. The trial need not wait.
+            self.set_breaker(route_id, Breaker::Open(now));
         }
     }
 
@@ -654,10 +657,13 @@
         for id in near {
             let ep = &self.endpoints[&id];
             let resting = siblings > 1 && now < ep.rest_until;
-            if ep.off_since.is_some() || f64::from(ep.out) + 1.0 > ep.limit || resting {
+            let route_id = self.route_of(id);
+            // The trial takes no credit: legs left out on a hung host must not hold up the trial of its return.
+            let spent =
+                f64::from(ep.out) + 1.0 > ep.limit && self.routes[&route_id].breaker == Breaker::Closed;
+            if ep.off_since.is_some() || spent || resting {
                 continue;
             }
-            let route_id = self.route_of(id);
             let batch = self.batch(ep.kind);
             let room = self.room(route_id, batch);
             if room == 0 {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -162,6 +162,7 @@
 #[test_case("breaker-apart"; "routes apart have breakers of their own")]
 #[test_case("breaker-quiet"; "few calls open a quiet destination")]
 #[test_case("breaker-hung"; "calls without an answer open")]
+#[test_case("slow"; "a slow host is tried at once")]
 #[test_case("partial"; "a few resets are no outage")]
 #[test_case("trial"; "the trial is a message that may run again")]
 #[test_case("slots"; "slots go to the fewest calls out")]
