--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,8 +26,8 @@
 const SUSPECT_RUN: u32 = 2; // failures in a row after which one call goes at a time
 const QUIET_SPAN: Duration = ms(1_500);
 const RECOVERY_DELAY: Duration = ms(1_800); // the first one; each failed trial makes it longer, ...
-const RECOVERY_GROWTH: f64 = 1.3;
-const TRIALS_PER_PARKED: u32 = 2; // ... unless this many times the run of failures wait
+const RECOVERY_GROWTH: f64 = 1.4;
+const TRIALS_PER_PARKED: u32 = 4; // ... unless this many times the run of failures wait
 const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages
 // 1 Credits.
 const CREDITS_AT_START: f64 = 4.0;
