--- a/src/rules.rs
+++ b/src/rules.rs
@@ -45,7 +45,8 @@
 const PACE_START_BATCH: f64 = 0.95; // ... or this where calls take more messages as they wait
 const PACE_GROWTH: f64 = 0.2; // for each call of a second at the listed rate, while tokens run short
 const PACE_LEAST: f64 = 0.5; // of an even portion
-const PACE_BURST: f64 = 0.5; // seconds of the rate
+const PACE_BURST: f64 = 0.5; // seconds of the rate that may go at once, ...
+const PACE_CALLS: f64 = 1.6; // ... and at least so many calls
 const ROUGH: f64 = 1.5; // a rough rate may be this much off
 const FULL_PAUSE: Duration = ms(120); // after a refusal, doubled in a row, so that a shut one is not asked often
 const FULL_PAUSE_MOST: Duration = ms(2_000);
@@ -619,7 +620,7 @@
         if f.listed_rate != ListedRate::Untold && route.rate > 0.0 {
             let most = if f.listed_rate == ListedRate::Rough { ROUGH } else { 1.0 };
             let rate = route.rate * route.pace.min(most);
-            route.tokens.refill(now, rate, (rate * PACE_BURST).max(1.0));
+            route.tokens.refill(now, rate, (rate * PACE_BURST).max(PACE_CALLS));
             if route.tokens.left < 1.0 {
                 return 0;
             }
@@ -664,8 +665,7 @@
             if ep.off_since.is_some() || spent || resting {
                 continue;
             }
-            let batch = self.batch(ep.kind);
-            let room = self.room(route_id, batch);
+            let room = self.room(route_id, self.batch(ep.kind));
             if room == 0 {
                 continue;
             }
