--- a/src/rules.rs
+++ b/src/rules.rs
@@ -48,7 +48,7 @@
 const PACE_BURST: f64 = 0.5; // seconds of the rate that may go at once, ...
 const PACE_CALLS: f64 = 1.6; // ... and at least so many calls
 const ROUGH: f64 = 1.5; // a rough rate may be this much off
-const FULL_PAUSE: Duration = ms(120); // after a refusal, doubled in a row, so that a shut one is not asked often
+const FULL_PAUSE: Duration = ms(120); // after a refusal, doubled in a row: a shut one is asked seldom
 const FULL_PAUSE_MOST: Duration = ms(2_000);
 // 3 Cold ramp.
 const COLD_SAFETY: f64 = 1.0;
@@ -71,7 +71,7 @@
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 // 5 Further legs.
 const IDLE: Duration = ms(1_000); // an endpoint not used for so long has idle connections
-const CLOSE_EVERY: Duration = ms(400); // while not trusted, idle connections are closed before sends this often
+const CLOSE_EVERY: Duration = ms(400); // while not trusted, they are closed before sends this often
 const STALE_ENDS: f64 = 2.0; // calls on idle connections reset or unanswered, in half a minute, ...
 const STALE_SHARE: f64 = 0.15; // ... and their share, from which idle connections are not trusted
 const LEG_PAUSE: Duration = ms(250); // before a further leg, doubled with each
@@ -607,7 +607,7 @@
         let asking = self.calls.values().any(|c| c.route == route_id && !c.counted);
         let f = &self.facts;
         let Some(route) = self.routes.get_mut(&route_id) else { return 0 };
-        // While failures run, one call at a time: most calls to a silent destination went out before it opened.
+        // While failures run, one call at a time: most calls into silence went out before it opened.
         if now < route.told_until || now < route.pause_until || (route.run >= SUSPECT_RUN && asking) {
             return 0;
         }
@@ -659,7 +659,7 @@
             let ep = &self.endpoints[&id];
             let resting = siblings > 1 && now < ep.rest_until;
             let route_id = self.route_of(id);
-            // The trial takes no credit: legs left out on a hung host must not hold up the trial of its return.
+            // The trial takes no credit: legs left out on a hung host must not hold it up.
             let spent =
                 f64::from(ep.out) + 1.0 > ep.limit && self.routes[&route_id].breaker == Breaker::Closed;
             if ep.off_since.is_some() || spent || resting {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -91,6 +91,7 @@
         slots: w.n("slots", 20.0) as usize,
         max_held: w.n("held", 100.0) as usize,
         max_legs: w.n("legs", 8.0) as u8,
+        quotas: vec![w.n("quota", 1e6); 2],
         listed_rate: ListedRate::Exact,
         must_watch: w.0.contains(&"watch"),
         may_recall: true,
@@ -126,7 +127,8 @@
             let (of, key) = (w.n("lane", 0.0) as u16, w.n("key", 0.0) as u64);
             let deadline = now + lanes[of as usize].deadline;
             let dst = DstId(w.n("dst", 1.0) as u32);
-            r.message(w.msg(), LaneId(of), TenantId(0), dst, (key > 0).then_some(Key(key)), deadline);
+            let tenant = TenantId(w.n("tenant", 0.0) as u32);
+            r.message(w.msg(), LaneId(of), tenant, dst, (key > 0).then_some(Key(key)), deadline);
         }
         "end" => {
             let outcome = match w.0[3] {
@@ -175,6 +177,8 @@
 #[test_case("stale"; "no stale connection after a reset")]
 #[test_case("refused"; "a refusal without a wait pauses")]
 #[test_case("shut"; "a shut destination is asked with one message")]
+#[test_case("pace"; "the listed rate paces")]
+#[test_case("share"; "over its share a tenant goes last")]
 #[test_case("batch"; "a batch is one call")]
 #[test_case("hold"; "least worth is pushed back when places run out")]
 #[test_case("legs"; "further legs go by value")]
