--- a/crates/simhost/src/settings.rs
+++ b/crates/simhost/src/settings.rs
@@ -83,7 +83,6 @@
         must_watch: pairs.or("discovery", "automatic".to_string())? == "subscribe",
         may_recall: pairs.or("limits.cancel", false)?,
         max_pause: pairs.span_or_none("limits.maxRetryAfter")?,
-        round: pairs.span("quantum")?,
         drain_grace: pairs.span_or_none("obligations.drainGrace")?,
         order_pause: pairs.span_or_none("obligations.orderPause")?,
         cold_from: pairs.number("obligations.coldFrom")?,
--- a/src/port.rs
+++ b/src/port.rs
@@ -142,7 +142,6 @@
     pub must_watch: bool,
     pub may_recall: bool,
     pub max_pause: Duration,
-    pub round: Duration,
     pub drain_grace: Duration,
     pub order_pause: Duration,
     pub cold_from: f64,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -23,7 +23,6 @@
 const THRESHOLD: u32 = 5; // consecutive failures that open it ...
 const WINDOW: Duration = ms(20_000); // ... inside this window
 const QUIET_RUN: u32 = 3; // at a quiet destination fewer do, if no success came for QUIET_SPAN
-const SUSPECT_RUN: u32 = 2; // failures in a row after which one call goes at a time
 const QUIET_SPAN: Duration = ms(1_500);
 const RECOVERY_DELAY: Duration = ms(1_800); // the first one; each failed trial makes it longer, ...
 const RECOVERY_GROWTH: f64 = 1.4;
@@ -608,7 +607,7 @@
         let f = &self.facts;
         let Some(route) = self.routes.get_mut(&route_id) else { return 0 };
         // While failures run, one call at a time: most calls into silence went out before it opened.
-        if now < route.told_until || now < route.pause_until || (route.run >= SUSPECT_RUN && asking) {
+        if now < route.told_until || now < route.pause_until || (route.run > 0 && asking) {
             return 0;
         }
         let trial = match route.breaker {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -96,7 +96,6 @@
         must_watch: w.0.contains(&"watch"),
         may_recall: true,
         max_pause: w.span("pause", 3.0),
-        round: Duration::from_millis(5),
         drain_grace: Duration::from_secs(1),
         order_pause: w.span("rest", 0.3),
         cold_from: 0.3,
