--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -15,15 +15,11 @@
 
 const HEADER: usize = 12;
 
-/// One instance: its decisions, its start on the wire's clock, and what came for it in this batch.
-struct Host<'a> {
-    relay: Relay,
-    start: u64,
-    came: Vec<(u16, &'a [u8], Option<List>)>,
-}
-
 type List = Rc<Vec<u8>>;
-type Kept = BTreeMap<u32, (Relay, u64)>;
+/// An event that came for an instance: its code, its fields, and the list that it names.
+type Event<'a> = (u16, &'a [u8], Option<List>);
+/// The instances: the decisions of each, and its start on the wire's clock.
+type Relays = BTreeMap<u32, (Relay, u64)>;
 
 fn main() -> ExitCode {
     match serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
@@ -36,12 +32,12 @@
 }
 
 fn serve(input: &mut impl Read, output: &mut impl Write) -> Result<(), String> {
-    let mut relays = Kept::new();
+    let mut relays = Relays::new();
     let mut lists: Vec<Option<List>> = vec![None; 16];
     loop {
         let Some(frame) = read_frame(input)? else { return Ok(()) };
         let mut reply = Reply::new();
-        relays = play(&frame, relays, &mut lists, &mut reply)?;
+        play(&frame, &mut relays, &mut lists, &mut reply)?;
         let sent = output.write_all(reply.finish()).and_then(|()| output.flush());
         sent.map_err(|e| format!("writing a reply: {e}"))?;
     }
@@ -70,13 +66,17 @@
     Ok(Some(bytes))
 }
 
-/// Sorts a batch's records by instance, plays each instance's round, and gives the instances back.
-fn play(frame: &[u8], kept: Kept, lists: &mut [Option<List>], reply: &mut Reply) -> Result<Kept, String> {
+/// Sorts a batch's records by instance and plays the round of each.
+fn play(
+    frame: &[u8],
+    relays: &mut Relays,
+    lists: &mut [Option<List>],
+    reply: &mut Reply,
+) -> Result<(), String> {
     let mut header = Cursor::new(frame, "frame");
     let clock = header.u64("clock")?;
     let records = header.u32("number of records")?;
-    let mut hosts: BTreeMap<u32, Host> =
-        kept.into_iter().map(|(id, (relay, start))| (id, Host { relay, start, came: Vec::new() })).collect();
+    let mut came: BTreeMap<u32, Vec<Event>> = BTreeMap::new();
     for _ in 0..records {
         let code = header.u16("record code")?;
         let length = header.u32("record length")? as usize;
@@ -96,42 +96,38 @@
                 let seed = fields.u64("prng")?;
                 let n = fields.u32("options")? as usize;
                 let facts = settings::facts(fields.bytes(n, "options")?, RelayId(id), seed)?;
-                hosts.insert(id, Host { relay: Relay::new(facts), start: clock, came: Vec::new() });
+                relays.insert(id, (Relay::new(facts), clock));
+                came.remove(&id);
             }
             wire::STOP => {
-                hosts.remove(&fields.u32("relayId")?);
+                let id = fields.u32("relayId")?;
+                relays.remove(&id);
+                came.remove(&id);
             }
             wire::CHANGE => {
                 let id = fields.u32("relayId")?;
                 let slot = fields.u8("slot")?;
                 let list = lists.get(slot as usize).cloned().flatten();
-                if let Some(host) = hosts.get_mut(&id) {
-                    host.came.push((code, body, list));
-                }
+                came.entry(id).or_default().push((code, body, list));
             }
             wire::MESSAGE | wire::OUTCOME | wire::WITHDRAWN | wire::ALARM | wire::PROBED => {
-                if let Some(host) = hosts.get_mut(&fields.u32("relayId")?) {
-                    host.came.push((code, body, None));
-                }
+                came.entry(fields.u32("relayId")?).or_default().push((code, body, None));
             }
             _ => {}
         }
     }
-    let mut kept = Kept::new();
-    for (id, mut host) in hosts {
-        if !host.came.is_empty() {
-            let now = Duration::from_micros(clock.saturating_sub(host.start));
-            let mut decoded = Ok(());
-            let (came, start) = (std::mem::take(&mut host.came), host.start);
-            reply.relay = id;
-            let events =
-                |r: &mut Relay| decoded = came.iter().try_for_each(|(c, b, l)| event(r, start, *c, b, l));
-            host.relay.round(now, events, reply);
-            decoded?;
-        }
-        kept.insert(id, (host.relay, host.start));
+    for (id, events) in came {
+        // What names an instance that does not run is ignored.
+        let Some((relay, start)) = relays.get_mut(&id) else { continue };
+        let now = Duration::from_micros(clock.saturating_sub(*start));
+        let mut decoded = Ok(());
+        reply.relay = id;
+        let take =
+            |r: &mut Relay| decoded = events.iter().try_for_each(|(c, b, l)| event(r, *start, *c, b, l));
+        relay.round(now, take, reply);
+        decoded?;
     }
-    Ok(kept)
+    Ok(())
 }
 
 /// Decodes one event straight into a call.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -26,8 +26,8 @@
 const QUIET_SPAN: Duration = ms(1_500);
 const RECOVERY_DELAY: Duration = ms(1_800); // the first one; each failed trial makes it longer, ...
 const RECOVERY_GROWTH: f64 = 1.4;
+const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages, ...
 const TRIALS_PER_PARKED: u32 = 4; // ... unless this many times the run of failures wait
-const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages
 // 1 Credits.
 const CREDITS_AT_START: f64 = 4.0;
 const CREDITS_MOST: f64 = 24.0;
@@ -50,7 +50,6 @@
 const FULL_PAUSE: Duration = ms(120); // after a refusal, doubled in a row: a shut one is asked seldom
 const FULL_PAUSE_MOST: Duration = ms(2_000);
 // 3 Cold ramp.
-const COLD_SAFETY: f64 = 1.0;
 const COLD_ROUGH: f64 = 1.15; // a rough rate is taken for so much less
 const COLD_ITEM: f64 = 0.25; // what each further message of a call weighs against the budget
 const COLD_FURTHER: usize = 4; // further messages that may overdraw the budget
@@ -68,11 +67,11 @@
 const SLOTS_SPARE: usize = 8; // a slot in so many is kept free by recalling overdue legs
 const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
-// 5 Further legs.
 const IDLE: Duration = ms(1_000); // an endpoint not used for so long has idle connections
 const CLOSE_EVERY: Duration = ms(400); // while not trusted, they are closed before sends this often
 const STALE_ENDS: f64 = 2.0; // calls on idle connections reset or unanswered, in half a minute, ...
 const STALE_SHARE: f64 = 0.15; // ... and their share, from which idle connections are not trusted
+// 5 Further legs.
 const LEG_PAUSE: Duration = ms(250); // before a further leg, doubled with each
 const LEGS_LEAST: f64 = 2.0;
 // 6 Ranking.
@@ -169,6 +168,12 @@
     closed_at: Duration,
 }
 
+impl Endpoint {
+    fn cut(&mut self) {
+        self.limit = (self.limit * CREDITS_CUT).max(1.0);
+    }
+}
+
 #[derive(Default)]
 struct Msg {
     lane: LaneId,
@@ -414,7 +419,7 @@
     fn failed(&mut self, route_id: RouteId, call: u64, to: EndpointId) {
         let now = self.now;
         if let Some(ep) = self.endpoints.get_mut(&to) {
-            ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
+            ep.cut();
             ep.run += 1;
             if ep.run >= DEAD_ENDPOINT_RUN {
                 ep.rest_until = now + RECOVERY_DELAY;
@@ -432,12 +437,12 @@
         let more = RECOVERY_GROWTH.powi(trials.saturating_sub(THRESHOLD).min(9) as i32);
         let delay = RECOVERY_DELAY.mul_f64(more).min(RECOVERY_MOST);
         let (all, bad, _) = route.ends.totals(now);
-        if bad >= COLD_FAILED && bad >= COLD_SHARE * all {
-            Relay::turn_cold(route, now);
-        }
         let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
-        if route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet) {
+        let opens = route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet);
+        if opens || (bad >= COLD_FAILED && bad >= COLD_SHARE * all) {
             Relay::turn_cold(route, now);
+        }
+        if opens {
             self.set_breaker(route_id, Breaker::Open(now + delay));
         }
         self.end_trial(route_id, call, Breaker::Open(now + delay));
@@ -445,8 +450,7 @@
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
         let now = self.now;
-        let cut = |ep: &mut Endpoint| ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
-        self.endpoints.get_mut(&to).into_iter().for_each(cut);
+        self.endpoints.get_mut(&to).into_iter().for_each(Endpoint::cut);
         if let Some(route) = self.routes.get_mut(&route_id) {
             route.full_since = if route.fulls == 0 { now } else { route.full_since };
             route.fulls += 1;
@@ -497,20 +501,17 @@
         if !self.facts.may_recall || taken + spare <= self.facts.slots {
             return;
         }
-        let mut wanted = taken + spare - self.facts.slots;
-        for id in self.calls.keys().copied().collect::<Vec<_>>() {
-            let legs: Vec<_> = self.msgs.iter().filter(|(_, m)| m.out == Some(id)).collect();
-            let once = |m: &Msg| self.row(m).effect == Effect::NonRetriable;
-            let call = &self.calls[&id];
-            let grace =
-                if legs.iter().any(|(_, m)| once(m)) { call.expect * ONCE_GRACE } else { call.expect };
-            if wanted == 0 || call.recalled || self.now < call.sent + grace {
-                continue;
+        let (mut wanted, mut recalled) = (taken + spare - self.facts.slots, Vec::new());
+        for (id, call) in self.calls.iter().filter(|(_, c)| !c.recalled && self.now >= c.sent + c.expect) {
+            let legs: Vec<_> = self.msgs.iter().filter(|(_, m)| m.out == Some(*id)).collect();
+            let once = legs.iter().any(|(_, m)| self.row(m).effect == Effect::NonRetriable);
+            if wanted > 0 && (!once || self.now >= call.sent + call.expect * ONCE_GRACE) {
+                legs.iter().for_each(|(msg, m)| out.recall(**msg, LegNo(m.legs - 1)));
+                recalled.push(*id);
+                wanted -= 1;
             }
-            legs.iter().for_each(|(msg, m)| out.recall(**msg, LegNo(m.legs - 1)));
-            wanted -= 1;
-            self.calls.entry(id).and_modify(|c| c.recalled = true);
         }
+        self.calls.iter_mut().filter(|(id, _)| recalled.contains(id)).for_each(|(_, c)| c.recalled = true);
     }
 
     fn finish(&mut self, id: MsgId) {
@@ -552,10 +553,10 @@
             }
     }
 
-    /// What a message is worth if answered at `at`.
-    fn worth(&self, msg: &Msg, at: Duration) -> f64 {
+    /// What a message is worth if answered now.
+    fn worth(&self, msg: &Msg) -> f64 {
         let row = self.row(msg);
-        let late = at.saturating_sub(msg.target).as_secs_f64();
+        let late = self.now.saturating_sub(msg.target).as_secs_f64();
         let left = match self.facts.decay {
             Decay::Linear => {
                 let span = (row.deadline.saturating_sub(row.target)).as_secs_f64().max(0.001);
@@ -634,7 +635,7 @@
         }
         let share = f.cold_from + (1.0 - f.cold_from) * warm;
         let listed = if f.listed_rate == ListedRate::Rough { route.rate / COLD_ROUGH } else { route.rate };
-        let rate = COLD_SAFETY * f.fall_multiple * share * listed / f64::from(f.relays);
+        let rate = f.fall_multiple * share * listed / f64::from(f.relays);
         route.cold.refill(now, rate, (COLD_BURST * rate * f.fall.as_secs_f64()).max(1.0));
         // A call weighs little more for each further message; the first wants a whole token.
         let further = (route.cold.left - 1.0) / COLD_ITEM;
@@ -682,7 +683,7 @@
         }
         options.sort_by(|a, b| a.0.total_cmp(&b.0));
         // What is worth most now goes first, then what is wanted first; ranked only where a send can follow.
-        let rank = |id: &MsgId| (-self.worth(&self.msgs[id], self.now) * 1e6) as i64;
+        let rank = |id: &MsgId| (-self.worth(&self.msgs[id]) * 1e6) as i64;
         list.sort_by_cached_key(|id| (rank(id), self.msgs[id].target));
         options.into_iter().any(|(_, to, room)| self.send_to(to, room, list, out))
     }
@@ -801,9 +802,9 @@
         };
         let mut idle: Vec<(f64, MsgId)> = (self.msgs.iter())
             .filter(|(_, m)| !m.ended && m.out.is_none() && (m.may_have_run.is_none() || again(m)))
-            .map(|(id, m)| (self.worth(m, self.now), *id))
+            .map(|(id, m)| (self.worth(m), *id))
             .collect();
-        idle.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        idle.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, id) in idle.into_iter().take(held - most) {
             out.push_back(id, self.facts.max_pause);
             self.finish(id);
