--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,7 +11,7 @@
 //! 6. which parked message goes first and who is pushed back: value, target time, tenant share
 
 use crate::port::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -84,17 +84,13 @@
 const WATCH_AGAIN: Duration = ms(500);
 
 /// What is measured over time: fixed buckets of a second, used again in a ring.
-struct Ring<const N: usize>([(u64, f64, f64, f64); N]);
-
-impl<const N: usize> Default for Ring<N> {
-    fn default() -> Self {
-        Ring([(0, 0.0, 0.0, 0.0); N])
-    }
-}
+#[derive(Default)]
+struct Ring<const N: usize>(Vec<(u64, f64, f64, f64)>);
 
 impl<const N: usize> Ring<N> {
     fn add(&mut self, now: Duration, x: f64) {
         let second = now.as_secs() + 1;
+        self.0.resize(N, Default::default());
         let bucket = &mut self.0[second as usize % N];
         if bucket.0 != second {
             *bucket = (second, 0.0, 0.0, 0.0);
@@ -216,6 +212,7 @@
     facts: StartupFacts,
     now: Duration,
     endpoints: BTreeMap<EndpointId, Endpoint>,
+    endpoints_of: BTreeMap<DstId, Vec<EndpointId>>,
     routes: BTreeMap<RouteId, Route>,
     turns: BTreeMap<DstId, u64>,
     msgs: BTreeMap<MsgId, Msg>,
@@ -224,7 +221,7 @@
     tenants: Vec<Tokens>,
     idle_ends: Ring<30>,
     count: u64,
-    unseen: Vec<EndpointId>,
+    unseen: BTreeSet<EndpointId>,
     watch_at: Option<Duration>,
     wake_at: Option<Duration>,
     lines_to_log: Vec<String>,
@@ -342,10 +339,13 @@
 
     pub fn entry(&mut self, id: EndpointId, dst: DstId, zone: ZoneId, kind: KindId, says: Listed, rate: f64) {
         let now = self.now;
-        self.unseen.retain(|e| *e != id);
+        self.unseen.remove(&id);
         let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
         let fresh = Endpoint { dst, zone, kind, limit: CREDITS_AT_START, ..Endpoint::default() };
-        let ep = self.endpoints.entry(id).or_insert(fresh);
+        let ep = self.endpoints.entry(id).or_insert_with(|| {
+            self.endpoints_of.entry(dst).or_default().push(id);
+            fresh
+        });
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
         let route_id = self.route_of(id);
         let tokens = Tokens { left: rate, at: now };
@@ -652,8 +652,8 @@
         }
         let target = self.row(&self.msgs[&list[0]]).target.as_secs_f64();
         let mut options = Vec::new();
-        let near: Vec<EndpointId> =
-            self.endpoints.iter().filter(|(_, e)| e.dst == dst).map(|(id, _)| *id).collect();
+        // Never the whole list: at hundreds of endpoints that alone costs more than everything else.
+        let near = self.endpoints_of.get(&dst).cloned().unwrap_or_default();
         let siblings = near.len();
         for id in near {
             let ep = &self.endpoints[&id];
