--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -191,7 +191,6 @@
                 let id = f.endpoint("endpoint")?;
                 r.entry(id, dst, zone, kind, says, f64::from(f.f32("capacityHint")?));
             }
-            r.list_done();
         }
         _ => {}
     }
--- a/src/port.rs
+++ b/src/port.rs
@@ -33,8 +33,8 @@
     LegNo(u8);
 }
 
-/// What running a message twice would do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// What running a message twice would do, the harmless first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Effect {
     Retriable,
     /// Repeats are dropped for `memory` from the first leg that may have run, at endpoints of the group.
@@ -46,7 +46,7 @@
 }
 
 /// Which endpoints of a destination recognise a repeat.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Group {
     All,
     Zone,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -11,7 +11,7 @@
 //! 6. which parked message goes first and who is pushed back: value, target time, tenant share
 
 use crate::port::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -37,6 +37,8 @@
 const PICK_SLOW: f64 = 0.2; // points for an answer time as long as the span to the target time
 const PICK_USED: f64 = 0.05; // points for credits all out; fees and prices count in points as told
 const PICK_CHANCE: f64 = 0.01;
+const CROWD: u32 = 6; // relays, from which their idle connections may fill an endpoint's table ...
+const KEEP_CALLS: f64 = 7.0; // ... unless it answered so many here for each call a second at the listed rate
 // 2 Pacing.
 const PACE_CUT: f64 = 0.7;
 const PACE_CUT_EVERY: Duration = ms(300);
@@ -68,7 +70,6 @@
 const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 const IDLE: Duration = ms(1_000); // an endpoint not used for so long has idle connections
-const CLOSE_EVERY: Duration = ms(400); // while not trusted, they are closed before sends this often
 const STALE_ENDS: f64 = 2.0; // calls on idle connections reset or unanswered, in half a minute, ...
 const STALE_SHARE: f64 = 0.15; // ... and their share, from which idle connections are not trusted
 // 5 Further legs.
@@ -161,13 +162,6 @@
     rest_until: Duration,
     answers: Ring<24>,
     used_at: Duration,
-    closed_at: Duration,
-}
-
-impl Endpoint {
-    fn cut(&mut self) {
-        self.limit = (self.limit * CREDITS_CUT).max(1.0);
-    }
 }
 
 #[derive(Default)]
@@ -220,8 +214,9 @@
     calls: BTreeMap<u64, Call>,
     tenants: Vec<Tokens>,
     idle_ends: Ring<30>,
+    unconnected: BTreeMap<KindId, Ring<30>>,
+    ended_at: Vec<EndpointId>,
     count: u64,
-    unseen: BTreeSet<EndpointId>,
     watch_at: Option<Duration>,
     wake_at: Option<Duration>,
     lines_to_log: Vec<String>,
@@ -241,6 +236,7 @@
         self.count_overdue();
         self.recall_overdue(out);
         self.end_spent(out);
+        self.leave_idle(out);
         self.send_waiting(out);
         self.make_room(out);
         self.lines.retain(|_, l| !l.queue.is_empty() || l.rest_until > now);
@@ -315,13 +311,22 @@
         }
         let first = !std::mem::replace(&mut call.counted, true);
         let (route_id, full) = (call.route, first && call.full);
-        (first && call.idle).then(|| self.idle_ends.add(now, f64::from(u8::from(uncertain))));
+        let call_idle = call.idle;
+        (first && call_idle).then(|| self.idle_ends.add(now, f64::from(u8::from(uncertain))));
         if call.left == 0 {
             self.calls.remove(&call_id);
+            self.ended_at.push(to);
             if let Some(ep) = self.endpoints.get_mut(&to) {
                 (ep.out, ep.used_at) = (ep.out.saturating_sub(1), now);
+                if outcome == Outcome::ConnectFailed {
+                    self.unconnected.entry(ep.kind).or_default().add(now, 1.0);
+                }
             }
         }
+        if first && (outcome == Outcome::ConnectFailed || (call_idle && uncertain)) {
+            self.ended_at
+                .extend(self.endpoints.iter().filter(|(_, e)| e.used_at > Duration::ZERO).map(|e| e.0));
+        }
         match outcome {
             Outcome::Delivered => self.succeeded(route_id, call_id, to, waited, full),
             Outcome::Full(wait) if first => self.refused(route_id, call_id, to, wait),
@@ -332,20 +337,18 @@
         }
     }
 
-    /// A whole list begins: what it leaves out is gone.
+    /// A whole list begins: what its entries don't name is gone.
     pub fn whole_list(&mut self) {
-        self.unseen = self.endpoints.keys().copied().collect();
+        self.endpoints.values_mut().for_each(|ep| ep.off_since = ep.off_since.or(Some(self.now)));
     }
 
     pub fn entry(&mut self, id: EndpointId, dst: DstId, zone: ZoneId, kind: KindId, says: Listed, rate: f64) {
         let now = self.now;
-        self.unseen.remove(&id);
         let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
         let fresh = Endpoint { dst, zone, kind, limit: CREDITS_AT_START, ..Endpoint::default() };
-        let ep = self.endpoints.entry(id).or_insert_with(|| {
-            self.endpoints_of.entry(dst).or_default().push(id);
-            fresh
-        });
+        let known = self.endpoints.contains_key(&id);
+        (!known).then(|| self.endpoints_of.entry(dst).or_default().push(id));
+        let ep = self.endpoints.entry(id).or_insert(fresh);
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
         let route_id = self.route_of(id);
         let tokens = Tokens { left: rate, at: now };
@@ -356,13 +359,6 @@
         route.rate = if rate > 0.0 { rate } else { route.rate };
     }
 
-    pub fn list_done(&mut self) {
-        for (_, ep) in self.endpoints.iter_mut().filter(|(id, _)| self.unseen.contains(id)) {
-            ep.off_since = ep.off_since.or(Some(self.now));
-        }
-        self.unseen.clear();
-    }
-
     pub fn watch_failed(&mut self) {
         if self.facts.must_watch {
             self.watch_at = Some(self.now + WATCH_AGAIN.mul_f64(0.5 + self.chance(0)));
@@ -419,7 +415,7 @@
     fn failed(&mut self, route_id: RouteId, call: u64, to: EndpointId) {
         let now = self.now;
         if let Some(ep) = self.endpoints.get_mut(&to) {
-            ep.cut();
+            ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
             ep.run += 1;
             if ep.run >= DEAD_ENDPOINT_RUN {
                 ep.rest_until = now + RECOVERY_DELAY;
@@ -450,7 +446,7 @@
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
         let now = self.now;
-        self.endpoints.get_mut(&to).into_iter().for_each(Endpoint::cut);
+        self.endpoints.entry(to).and_modify(|ep| ep.limit = (ep.limit * CREDITS_CUT).max(1.0));
         if let Some(route) = self.routes.get_mut(&route_id) {
             route.full_since = if route.fulls == 0 { now } else { route.full_since };
             route.fulls += 1;
@@ -683,8 +679,7 @@
         }
         options.sort_by(|a, b| a.0.total_cmp(&b.0));
         // What is worth most now goes first, then what is wanted first; ranked only where a send can follow.
-        let rank = |id: &MsgId| (-self.worth(&self.msgs[id]) * 1e6) as i64;
-        list.sort_by_cached_key(|id| (rank(id), self.msgs[id].target));
+        list.sort_by_cached_key(|id| ((-self.worth(&self.msgs[id]) * 1e6) as i64, self.msgs[id].target));
         options.into_iter().any(|(_, to, room)| self.send_to(to, room, list, out))
     }
 
@@ -694,12 +689,7 @@
         let trial = self.routes[&route_id].breaker != Breaker::Closed;
         if trial {
             // A trial can strand a message that must not run twice: a safer one goes first.
-            let safe = |id: &MsgId| match self.row(&self.msgs[id]).effect {
-                Effect::NonRetriable => 2,
-                Effect::Keyed { .. } => 1,
-                Effect::Retriable => 0,
-            };
-            list.sort_by_key(safe);
+            list.sort_by_key(|id| self.row(&self.msgs[id]).effect);
         }
         self.count += 1;
         let call = self.count;
@@ -717,11 +707,9 @@
         let left = sent as u32;
         let full = sent >= room;
         let ep = &self.endpoints[&to];
-        let idle = ep.out == 0 && ep.used_at > Duration::ZERO && now > ep.used_at.max(ep.closed_at) + IDLE;
-        self.calls.insert(
-            call,
-            Call { route: route_id, to, left, sent: now, expect, full, idle, ..Call::default() },
-        );
+        let idle = ep.out == 0 && ep.used_at > Duration::ZERO && now > ep.used_at + IDLE;
+        let made = Call { route: route_id, to, left, sent: now, expect, full, idle, ..Call::default() };
+        self.calls.insert(call, made);
         self.turns.insert(route_id.0, call);
         if let Some(ep) = self.endpoints.get_mut(&to) {
             (ep.out, ep.used_at) = (ep.out + 1, now);
@@ -763,14 +751,6 @@
         // repeat there would only add work. Harm: a leg into silence comes back late.
         let patient = left.mul_f64(PATIENCE).max(span);
         let limit = if row.effect == Effect::NonRetriable { left } else { patient };
-        // Guards against connections that died while idle, whether they reset or swallow the call: also
-        // middleboxes that drop quiet flows and hosts restarted between calls. Costs handshakes.
-        let (all, bad, _) = self.idle_ends.totals(now);
-        let stale = bad >= STALE_ENDS && bad >= STALE_SHARE * all && now > ep.closed_at + CLOSE_EVERY;
-        if let Some(ep) = self.endpoints.get_mut(&to).filter(|_| stale) {
-            ep.closed_at = now;
-            out.close_idle(to);
-        }
         let msg = self.msgs.get_mut(&id)?;
         msg.out = Some(call);
         msg.legs += 1;
@@ -788,6 +768,25 @@
         span.max(TIMEOUT_LEAST) * 2u32.pow(late.min(4))
     }
 
+    /// Closes idle connections. Guards against tables filled by those that relays keep and seldom use: where
+    /// connects of a kind fail and relays are many. Guards against those that died while idle, whether they
+    /// reset or swallow the call: also quiet flows dropped on the way and restarted hosts. Costs handshakes.
+    fn leave_idle(&mut self, out: &mut dyn Writer) {
+        let (all, bad, _) = self.idle_ends.totals(self.now);
+        let stale = bad >= STALE_ENDS && bad >= STALE_SHARE * all;
+        for id in std::mem::take(&mut self.ended_at) {
+            let (ep, rate) = (&self.endpoints[&id], self.routes[&self.route_of(id)].rate.max(1.0));
+            let tight = self.unconnected.get(&ep.kind).is_some_and(|r| r.totals(self.now).0 > 0.0);
+            let seldom = ep.answers.totals(self.now).0 < KEEP_CALLS * rate;
+            let wanted = self.msgs.values().any(|m| m.dst == ep.dst && m.out.is_none());
+            let crowded = self.facts.relays > CROWD && tight && seldom && !wanted;
+            if ep.used_at > Duration::ZERO && (stale || crowded) {
+                self.endpoints.entry(id).and_modify(|ep| ep.used_at = Duration::ZERO);
+                out.close_idle(id);
+            }
+        }
+    }
+
     /// Pushes back the messages of least worth when places run out: guards against parked messages that
     /// keep live traffic out.
     fn make_room(&mut self, out: &mut dyn Writer) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -120,7 +120,6 @@
             };
             let (dst, zone) = (DstId(w.n("dst", 1.0) as u32), ZoneId(w.n("zone", 0.0) as u8));
             r.entry(w.endpoint(1), dst, zone, KindId(w.n("kind", 0.0) as u16), says, w.n("rate", 1000.0));
-            r.list_done();
         }
         "msg" => {
             let (of, key) = (w.n("lane", 0.0) as u16, w.n("key", 0.0) as u64);
@@ -174,6 +173,7 @@
 #[test_case("suspect"; "one call at a time while failures run")]
 #[test_case("dead-endpoint"; "a dead endpoint beside a live one rests")]
 #[test_case("stale"; "no stale connection after a reset")]
+#[test_case("crowd"; "no idle connections in a crowd")]
 #[test_case("refused"; "a refusal without a wait pauses")]
 #[test_case("shut"; "a shut destination is asked with one message")]
 #[test_case("pace"; "the listed rate paces")]
