--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,6 +46,7 @@
 const PACE_START_BATCH: f64 = 0.95; // ... or this where calls take more messages as they wait
 const PACE_GROWTH: f64 = 0.2; // for each call of a second at the listed rate, while tokens run short
 const PACE_LEAST: f64 = 0.5; // of an even portion
+const PACE_FEW: f64 = 0.5; // calls a second, the least that counts as a portion among many relays
 const PACE_BURST: f64 = 0.5; // seconds of the rate that may go at once, ...
 const PACE_CALLS: f64 = 1.6; // ... and at least so many calls
 const ROUGH: f64 = 1.5; // a rough rate may be this much off
@@ -240,10 +241,7 @@
         self.send_waiting(out);
         self.make_room(out);
         self.lines.retain(|_, l| !l.queue.is_empty() || l.rest_until > now);
-        if self.watch_at.is_some_and(|at| at <= now) {
-            self.watch_at = None;
-            out.watch();
-        }
+        self.watch_at.take_if(|at| *at <= now).into_iter().for_each(|_| out.watch());
         self.lines_to_log.drain(..).for_each(|line| out.log(&line));
         let idle = self.msgs.is_empty() && self.calls.is_empty() && self.watch_at.is_none();
         if !idle && self.wake_at.is_none_or(|at| at <= now) {
@@ -300,9 +298,7 @@
         if let Some(line) = key.filter(|_| uncertain).and_then(|k| self.lines.get_mut(&k)) {
             (line.rest_until, line.rest_by) = (now + self.facts.order_pause, Some(id));
         }
-        if ended {
-            self.finish(id);
-        }
+        ended.then(|| self.finish(id));
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.left -= 1;
         // Rule 6: every wait binds, whichever of a call's outcomes tells it and however late it comes.
@@ -352,8 +348,7 @@
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
         let route_id = self.route_of(id);
         let tokens = Tokens { left: rate, at: now };
-        let pace =
-            if self.batch(kind) > 1 { PACE_START_BATCH } else { PACE_START } / f64::from(self.facts.relays);
+        let pace = self.portion(rate) * if self.batch(kind) > 1 { PACE_START_BATCH } else { PACE_START };
         let fresh = Route { rate, pace, tokens, ..Route::default() };
         let route = self.routes.entry(route_id).or_insert(fresh);
         route.rate = if rate > 0.0 { rate } else { route.rate };
@@ -367,6 +362,12 @@
 
     // ---- the breaker and what is learnt from ends ----
 
+    /// An even portion of a listed rate. Guards against standstill among many relays: their own traffic is
+    /// uneven, and a portion of a call in a minute holds a message past its deadline.
+    fn portion(&self, rate: f64) -> f64 {
+        (1.0 / f64::from(self.facts.relays)).max((PACE_FEW / rate.max(PACE_FEW)).min(1.0))
+    }
+
     fn batch(&self, kind: KindId) -> usize {
         self.facts.kinds.get(kind.0 as usize).map_or(1, |k| k.batch.max(1))
     }
@@ -438,14 +439,13 @@
         if opens || (bad >= COLD_FAILED && bad >= COLD_SHARE * all) {
             Relay::turn_cold(route, now);
         }
-        if opens {
-            self.set_breaker(route_id, Breaker::Open(now + delay));
-        }
+        opens.then(|| self.set_breaker(route_id, Breaker::Open(now + delay)));
         self.end_trial(route_id, call, Breaker::Open(now + delay));
     }
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
         let now = self.now;
+        let least = self.routes.get(&route_id).map_or(1.0, |r| PACE_LEAST * self.portion(r.rate));
         self.endpoints.entry(to).and_modify(|ep| ep.limit = (ep.limit * CREDITS_CUT).max(1.0));
         if let Some(route) = self.routes.get_mut(&route_id) {
             route.full_since = if route.fulls == 0 { now } else { route.full_since };
@@ -453,7 +453,7 @@
             let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1);
             route.pause_until = now + pause.min(FULL_PAUSE_MOST);
             if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
-                route.pace = (route.pace * PACE_CUT).max(PACE_LEAST / f64::from(self.facts.relays));
+                route.pace = (route.pace * PACE_CUT).max(least);
                 route.pace_at = now;
             }
             let shut = route.fulls >= COLD_FULLS && now - route.full_since >= COLD_FULL_SPAN;
