--- a/src/rules.rs
+++ b/src/rules.rs
@@ -778,8 +778,7 @@
             let (ep, rate) = (&self.endpoints[&id], self.routes[&self.route_of(id)].rate.max(1.0));
             let tight = self.unconnected.get(&ep.kind).is_some_and(|r| r.totals(self.now).0 > 0.0);
             let seldom = ep.answers.totals(self.now).0 < KEEP_CALLS * rate;
-            let wanted = self.msgs.values().any(|m| m.dst == ep.dst && m.out.is_none());
-            let crowded = self.facts.relays > CROWD && tight && seldom && !wanted;
+            let crowded = self.facts.relays > CROWD && tight && seldom;
             if ep.used_at > Duration::ZERO && (stale || crowded) {
                 self.endpoints.entry(id).and_modify(|ep| ep.used_at = Duration::ZERO);
                 out.close_idle(id);
