--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -165,7 +165,7 @@
             };
             r.outcome(id, to, waited, outcome, over);
         }
-        wire::WITHDRAWN => r.withdrawn(MsgId(f.u64("id")?)),
+        wire::WITHDRAWN => r.over(MsgId(f.u64("id")?)),
         wire::CHANGE => {
             f.u8("slot")?;
             f.u64("generation")?;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,6 +28,7 @@
 const RECOVERY_GROWTH: f64 = 1.4;
 const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages, ...
 const TRIALS_PER_PARKED: u32 = 4; // ... unless this many times the run of failures wait
+const CROWD_LOAD: f64 = 0.6; // share of the listed rate that others hold messages of since the failures began
 // 1 Credits.
 const CREDITS_AT_START: f64 = 4.0;
 const CREDITS_MOST: f64 = 24.0;
@@ -276,10 +277,6 @@
         self.msgs.insert(id, msg);
     }
 
-    pub fn withdrawn(&mut self, id: MsgId) {
-        self.finish(id);
-    }
-
     pub fn outcome(&mut self, id: MsgId, to: EndpointId, waited: Duration, outcome: Outcome, over: bool) {
         let now = self.now;
         let Some((msg, call_id)) = self.msgs.get_mut(&id).and_then(|m| m.out.take().map(|c| (m, c))) else {
@@ -298,7 +295,7 @@
         if let Some(line) = key.filter(|_| uncertain).and_then(|k| self.lines.get_mut(&k)) {
             (line.rest_until, line.rest_by) = (now + self.facts.order_pause, Some(id));
         }
-        ended.then(|| self.finish(id));
+        ended.then(|| self.over(id));
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.left -= 1;
         // Rule 6: every wait binds, whichever of a call's outcomes tells it and however late it comes.
@@ -418,21 +415,20 @@
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.limit = (ep.limit * CREDITS_CUT).max(1.0);
             ep.run += 1;
-            if ep.run >= DEAD_ENDPOINT_RUN {
-                ep.rest_until = now + RECOVERY_DELAY;
-            }
+            ep.rest_until = if ep.run >= DEAD_ENDPOINT_RUN { now + RECOVERY_DELAY } else { ep.rest_until };
         }
+        let crowd = self.crowd_delay(route_id);
         let parked = self.msgs.values().filter(|m| m.dst == route_id.0 && m.out.is_none()).count() as u32;
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         route.ends.add(now, 1.0);
-        if route.run == 0 || now.saturating_sub(route.run_since) > WINDOW {
+        if route.run == 0 || (route.breaker == Breaker::Closed && now > route.run_since + WINDOW) {
             (route.run, route.run_since) = (0, now);
         }
         route.run += 1;
         // Longer and longer, unless many more wait than trials went: a quiet destination is not worth asking.
         let trials = if parked > TRIALS_PER_PARKED * route.run { THRESHOLD } else { route.run };
         let more = RECOVERY_GROWTH.powi(trials.saturating_sub(THRESHOLD).min(9) as i32);
-        let delay = RECOVERY_DELAY.mul_f64(more).min(RECOVERY_MOST);
+        let delay = RECOVERY_DELAY.mul_f64(more).min(RECOVERY_MOST).max(crowd);
         let (all, bad, _) = route.ends.totals(now);
         let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
         let opens = route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet);
@@ -444,7 +440,7 @@
     }
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
-        let now = self.now;
+        let (now, crowd) = (self.now, self.crowd_delay(route_id));
         let least = self.routes.get(&route_id).map_or(1.0, |r| PACE_LEAST * self.portion(r.rate));
         self.endpoints.entry(to).and_modify(|ep| ep.limit = (ep.limit * CREDITS_CUT).max(1.0));
         if let Some(route) = self.routes.get_mut(&route_id) {
@@ -461,7 +457,17 @@
                 Relay::turn_cold(route, now + wait);
             }
         }
-        self.end_trial(route_id, call, Breaker::HalfOpen(None));
+        self.end_trial(route_id, call, Breaker::Open(now + crowd));
+    }
+
+    /// Guards against a crowd of relays whose trials together push over a cold destination (rule 4): as many
+    /// others as may hold a message share the calls that it can take. Harm: a return is seen late by most.
+    fn crowd_delay(&mut self, id: RouteId) -> Duration {
+        let (others, chance) = (f64::from(self.facts.relays.max(1) - 1), self.chance(id.0.0.into()));
+        let Some(route) = self.routes.get(&id).filter(|r| r.run > 0) else { return Duration::ZERO };
+        let (rate, since) = (route.rate.max(1.0), self.now.saturating_sub(route.run_since).as_secs_f64());
+        let spread = (0.5 + chance) / (self.facts.fall_multiple * self.facts.cold_from * rate).max(0.01);
+        Duration::from_secs_f64(others.min(CROWD_LOAD * rate * since) * spread).min(self.facts.warm_after)
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
@@ -510,7 +516,8 @@
         self.calls.iter_mut().filter(|(id, _)| recalled.contains(id)).for_each(|(_, c)| c.recalled = true);
     }
 
-    fn finish(&mut self, id: MsgId) {
+    /// Nothing more is sent for the message: it was withdrawn, or ended here.
+    pub fn over(&mut self, id: MsgId) {
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         if msg.out.is_some() {
             msg.ended = true;
@@ -528,7 +535,7 @@
         let spent: Vec<MsgId> = idle.filter(|(_, m)| spent(m)).map(|(id, _)| *id).collect();
         for id in spent {
             out.fail(id);
-            self.finish(id);
+            self.over(id);
         }
     }
 
@@ -711,16 +718,12 @@
         let made = Call { route: route_id, to, left, sent: now, expect, full, idle, ..Call::default() };
         self.calls.insert(call, made);
         self.turns.insert(route_id.0, call);
-        if let Some(ep) = self.endpoints.get_mut(&to) {
-            (ep.out, ep.used_at) = (ep.out + 1, now);
-        }
+        self.endpoints.entry(to).and_modify(|ep| (ep.out, ep.used_at) = (ep.out + 1, now));
         if let Some(route) = self.routes.get_mut(&route_id) {
             route.tokens.left -= 1.0;
             route.cold.left -= 1.0 + COLD_ITEM * (sent as f64 - 1.0);
         }
-        if trial {
-            self.set_breaker(route_id, Breaker::HalfOpen(Some(call)));
-        }
+        trial.then(|| self.set_breaker(route_id, Breaker::HalfOpen(Some(call))));
         true
     }
 
@@ -778,8 +781,7 @@
             let (ep, rate) = (&self.endpoints[&id], self.routes[&self.route_of(id)].rate.max(1.0));
             let tight = self.unconnected.get(&ep.kind).is_some_and(|r| r.totals(self.now).0 > 0.0);
             let seldom = ep.answers.totals(self.now).0 < KEEP_CALLS * rate;
-            let crowded = self.facts.relays > CROWD && tight && seldom;
-            if ep.used_at > Duration::ZERO && (stale || crowded) {
+            if ep.used_at > Duration::ZERO && (stale || (self.facts.relays > CROWD && tight && seldom)) {
                 self.endpoints.entry(id).and_modify(|ep| ep.used_at = Duration::ZERO);
                 out.close_idle(id);
             }
@@ -805,7 +807,7 @@
         idle.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, id) in idle.into_iter().take(held - most) {
             out.push_back(id, self.facts.max_pause);
-            self.finish(id);
+            self.over(id);
         }
     }
 }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -142,7 +142,7 @@
             let over = outcome == Outcome::Delivered;
             r.outcome(w.msg(), w.endpoint(2), w.span("took", 0.1), outcome, over);
         }
-        "gone" => r.withdrawn(w.msg()),
+        "gone" => r.over(w.msg()),
         "nolist" => r.watch_failed(),
         other => panic!("no event {other}"),
     }
@@ -165,6 +165,7 @@
 #[test_case("slow"; "a slow host is tried at once")]
 #[test_case("partial"; "a few resets are no outage")]
 #[test_case("trial"; "the trial is a message that may run again")]
+#[test_case("trial-crowd"; "trials of a crowd leave a cold destination room")]
 #[test_case("slots"; "slots go to the fewest calls out")]
 #[test_case("slot-share"; "one destination cannot take all slots")]
 #[test_case("recall"; "overdue calls are recalled when slots run short")]
