--- a/src/rules.rs
+++ b/src/rules.rs
@@ -38,7 +38,7 @@
 const PICK_SLOW: f64 = 0.2; // points for an answer time as long as the span to the target time
 const PICK_USED: f64 = 0.05; // points for credits all out; fees and prices count in points as told
 const PICK_CHANCE: f64 = 0.01;
-const CROWD: u32 = 6; // relays, from which their idle connections may fill an endpoint's table ...
+const CROWD: u32 = 6; // relays, from which their trials add up and their idle connections may fill a table ...
 const KEEP_CALLS: f64 = 7.0; // ... unless it answered so many here for each call a second at the listed rate
 // 2 Pacing.
 const PACE_CUT: f64 = 0.7;
@@ -463,11 +463,12 @@
     /// Guards against a crowd of relays whose trials together push over a cold destination (rule 4): as many
     /// others as may hold a message share the calls that it can take. Harm: a return is seen late by most.
     fn crowd_delay(&mut self, id: RouteId) -> Duration {
-        let (others, chance) = (f64::from(self.facts.relays.max(1) - 1), self.chance(id.0.0.into()));
+        let (relays, chance) = (self.facts.relays.saturating_sub(CROWD), self.chance(id.0.0.into()));
         let Some(route) = self.routes.get(&id).filter(|r| r.run > 0) else { return Duration::ZERO };
         let (rate, since) = (route.rate.max(1.0), self.now.saturating_sub(route.run_since).as_secs_f64());
         let spread = (0.5 + chance) / (self.facts.fall_multiple * self.facts.cold_from * rate).max(0.01);
-        Duration::from_secs_f64(others.min(CROWD_LOAD * rate * since) * spread).min(self.facts.warm_after)
+        Duration::from_secs_f64(f64::from(relays).min(CROWD_LOAD * rate * since) * spread)
+            .min(self.facts.warm_after)
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
