--- a/src/rules.rs
+++ b/src/rules.rs
@@ -108,7 +108,6 @@
     }
 }
 
-/// Tokens that come back at a rate.
 #[derive(Clone, Copy, Default)]
 struct Tokens {
     left: f64,
@@ -303,20 +302,18 @@
             route.told_until = route.told_until.max(now + wait);
         }
         let first = !std::mem::replace(&mut call.counted, true);
-        let (route_id, full) = (call.route, first && call.full);
-        let call_idle = call.idle;
-        (first && call_idle).then(|| self.idle_ends.add(now, f64::from(u8::from(uncertain))));
+        let (route_id, full, idle) = (call.route, first && call.full, first && call.idle);
+        idle.then(|| self.idle_ends.add(now, f64::from(u8::from(uncertain))));
         if call.left == 0 {
             self.calls.remove(&call_id);
             self.ended_at.push(to);
             if let Some(ep) = self.endpoints.get_mut(&to) {
                 (ep.out, ep.used_at) = (ep.out.saturating_sub(1), now);
-                if outcome == Outcome::ConnectFailed {
-                    self.unconnected.entry(ep.kind).or_default().add(now, 1.0);
-                }
+                let failed = outcome == Outcome::ConnectFailed;
+                failed.then(|| self.unconnected.entry(ep.kind).or_default().add(now, 1.0));
             }
         }
-        if first && (outcome == Outcome::ConnectFailed || (call_idle && uncertain)) {
+        if (first && outcome == Outcome::ConnectFailed) || (idle && uncertain) {
             self.ended_at
                 .extend(self.endpoints.iter().filter(|(_, e)| e.used_at > Duration::ZERO).map(|e| e.0));
         }
@@ -466,9 +463,9 @@
         let (relays, chance) = (self.facts.relays.saturating_sub(CROWD), self.chance(id.0.0.into()));
         let Some(route) = self.routes.get(&id).filter(|r| r.run > 0) else { return Duration::ZERO };
         let (rate, since) = (route.rate.max(1.0), self.now.saturating_sub(route.run_since).as_secs_f64());
-        let spread = (0.5 + chance) / (self.facts.fall_multiple * self.facts.cold_from * rate).max(0.01);
-        Duration::from_secs_f64(f64::from(relays).min(CROWD_LOAD * rate * since) * spread)
-            .min(self.facts.warm_after)
+        let takes = (self.facts.fall_multiple * self.facts.cold_from * rate).max(0.01);
+        let span = f64::from(relays).min(CROWD_LOAD * rate * since) * (0.5 + chance) / takes;
+        Duration::from_secs_f64(span).min(self.facts.warm_after)
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
@@ -650,23 +647,25 @@
     fn send_call(&mut self, dst: DstId, list: &mut Vec<MsgId>, out: &mut dyn Writer) -> bool {
         let now = self.now;
         let free = self.facts.slots - self.calls.len();
-        // Guards against a slow or silent destination taking all slots: it may hold a share of the free ones.
+        // Guards against slow or silent destinations taking all slots, each by a share of the free ones, and
+        // those that failed and are not open yet all together. Harm: with few slots they open later.
         if self.calls_out(dst) as f64 >= SLOT_SHARE * free as f64 {
             return false;
         }
         let target = self.row(&self.msgs[&list[0]]).target.as_secs_f64();
         let mut options = Vec::new();
-        // Never the whole list: at hundreds of endpoints that alone costs more than everything else.
+        let suspect = |c: &&Call| self.routes.get(&c.route).is_some_and(|r| r.run > 0);
+        let suspects = self.calls.values().filter(suspect).count();
         let near = self.endpoints_of.get(&dst).cloned().unwrap_or_default();
-        let siblings = near.len();
-        for id in near {
+        for id in near.iter().copied() {
             let ep = &self.endpoints[&id];
-            let resting = siblings > 1 && now < ep.rest_until;
+            let resting = near.len() > 1 && now < ep.rest_until;
             let route_id = self.route_of(id);
             // The trial takes no credit: legs left out on a hung host must not hold it up.
-            let spent =
-                f64::from(ep.out) + 1.0 > ep.limit && self.routes[&route_id].breaker == Breaker::Closed;
-            if ep.off_since.is_some() || spent || resting {
+            let closed = self.routes[&route_id].breaker == Breaker::Closed;
+            let spent = closed && f64::from(ep.out) + 1.0 > ep.limit;
+            let held = closed && self.routes[&route_id].run > 0 && suspects >= free;
+            if ep.off_since.is_some() || spent || resting || held {
                 continue;
             }
             let room = self.room(route_id, self.batch(ep.kind));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -168,6 +168,7 @@
 #[test_case("trial-crowd"; "trials of a crowd leave a cold destination room")]
 #[test_case("slots"; "slots go to the fewest calls out")]
 #[test_case("slot-share"; "one destination cannot take all slots")]
+#[test_case("suspects"; "failed destinations together leave slots free")]
 #[test_case("recall"; "overdue calls are recalled when slots run short")]
 #[test_case("credits"; "credits are spent and earned back")]
 #[test_case("credits-grow"; "a cut limit grows again")]
