--- a/src/rules.rs
+++ b/src/rules.rs
@@ -76,6 +76,7 @@
 const STALE_SHARE: f64 = 0.15; // ... and their share, from which idle connections are not trusted
 // 5 Further legs.
 const LEG_PAUSE: Duration = ms(250); // before a further leg, doubled with each
+const FULL_SHARE_PAUSE: f64 = 8.0; // times the share of legs refused lately, so much longer after a refusal
 const LEGS_LEAST: f64 = 2.0;
 // 6 Ranking.
 const OVER_SHARE: f64 = 0.05;
@@ -95,10 +96,8 @@
         let second = now.as_secs() + 1;
         self.0.resize(N, Default::default());
         let bucket = &mut self.0[second as usize % N];
-        if bucket.0 != second {
-            *bucket = (second, 0.0, 0.0, 0.0);
-        }
-        *bucket = (second, bucket.1 + 1.0, bucket.2 + x, bucket.3.max(x));
+        let old = if bucket.0 == second { *bucket } else { Default::default() };
+        *bucket = (second, old.1 + 1.0, old.2 + x, old.3.max(x));
     }
 
     /// Count, sum and peak over the ring.
@@ -215,6 +214,7 @@
     calls: BTreeMap<u64, Call>,
     tenants: Vec<Tokens>,
     idle_ends: Ring<30>,
+    fulls: Ring<30>,
     unconnected: BTreeMap<KindId, Ring<30>>,
     ended_at: Vec<EndpointId>,
     count: u64,
@@ -285,10 +285,17 @@
         msg.ran -= u32::from(outcome.never_ran());
         msg.may_have_run = msg.may_have_run.filter(|_| msg.ran > 0);
         msg.late += u32::from(outcome == Outcome::TimedOut);
-        // Guards against legs burnt in a moment on a destination that fails fast.
-        if matches!(outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut) {
-            msg.not_before = now + LEG_PAUSE * 2u32.pow(u32::from(msg.legs.min(5)) - 1);
-        }
+        // Guards against legs burnt in a moment on a destination that fails fast, and against messages that are
+        // refused at one route apart after the other: where refused calls use up the limits that starves all.
+        let times = 2f64.powi(i32::from(msg.legs.clamp(1, 6)) - 1);
+        let (all, full, _) = self.fulls.totals(now);
+        let more = match outcome {
+            Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut => times,
+            Outcome::Full(_) => times - 1.0 + times * FULL_SHARE_PAUSE * full / all.max(20.0),
+            _ => 0.0,
+        };
+        msg.not_before = now + LEG_PAUSE.mul_f64(more);
+        self.fulls.add(now, f64::from(u8::from(matches!(outcome, Outcome::Full(_)))));
         let (key, ended) = (msg.key, msg.ended || over);
         // Rule 5: an attempt that may still be running holds back the rest of its key for a while.
         if let Some(line) = key.filter(|_| uncertain).and_then(|k| self.lines.get_mut(&k)) {
@@ -336,8 +343,7 @@
         let now = self.now;
         let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
         let fresh = Endpoint { dst, zone, kind, limit: CREDITS_AT_START, ..Endpoint::default() };
-        let known = self.endpoints.contains_key(&id);
-        (!known).then(|| self.endpoints_of.entry(dst).or_default().push(id));
+        (!self.endpoints.contains_key(&id)).then(|| self.endpoints_of.entry(dst).or_default().push(id));
         let ep = self.endpoints.entry(id).or_insert(fresh);
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
         let route_id = self.route_of(id);
@@ -429,9 +435,8 @@
         let (all, bad, _) = route.ends.totals(now);
         let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
         let opens = route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet);
-        if opens || (bad >= COLD_FAILED && bad >= COLD_SHARE * all) {
-            Relay::turn_cold(route, now);
-        }
+        let cold = opens || (bad >= COLD_FAILED && bad >= COLD_SHARE * all);
+        cold.then(|| Relay::turn_cold(route, now));
         opens.then(|| self.set_breaker(route_id, Breaker::Open(now + delay)));
         self.end_trial(route_id, call, Breaker::Open(now + delay));
     }
@@ -450,9 +455,7 @@
                 route.pace_at = now;
             }
             let shut = route.fulls >= COLD_FULLS && now - route.full_since >= COLD_FULL_SPAN;
-            if shut || wait > COLD_WAIT {
-                Relay::turn_cold(route, now + wait);
-            }
+            (shut || wait > COLD_WAIT).then(|| Relay::turn_cold(route, now + wait));
         }
         self.end_trial(route_id, call, Breaker::Open(now + crowd));
     }
@@ -498,17 +501,15 @@
     fn recall_overdue(&mut self, out: &mut dyn Writer) {
         let spare = self.facts.slots.div_ceil(SLOTS_SPARE);
         let taken = self.calls.values().filter(|c| !c.recalled).count();
-        if !self.facts.may_recall || taken + spare <= self.facts.slots {
-            return;
-        }
-        let (mut wanted, mut recalled) = (taken + spare - self.facts.slots, Vec::new());
-        for (id, call) in self.calls.iter().filter(|(_, c)| !c.recalled && self.now >= c.sent + c.expect) {
+        let short = (taken + spare).saturating_sub(self.facts.slots);
+        let (wanted, mut recalled) = (if self.facts.may_recall { short } else { 0 }, Vec::new());
+        let overdue = |c: &Call| wanted > 0 && !c.recalled && self.now >= c.sent + c.expect;
+        for (id, call) in self.calls.iter().filter(|(_, c)| overdue(c)) {
             let legs: Vec<_> = self.msgs.iter().filter(|(_, m)| m.out == Some(*id)).collect();
             let once = legs.iter().any(|(_, m)| self.row(m).effect == Effect::NonRetriable);
-            if wanted > 0 && (!once || self.now >= call.sent + call.expect * ONCE_GRACE) {
+            if recalled.len() < wanted && (!once || self.now >= call.sent + call.expect * ONCE_GRACE) {
                 legs.iter().for_each(|(msg, m)| out.recall(**msg, LegNo(m.legs - 1)));
                 recalled.push(*id);
-                wanted -= 1;
             }
         }
         self.calls.iter_mut().filter(|(id, _)| recalled.contains(id)).for_each(|(_, c)| c.recalled = true);
@@ -711,8 +712,7 @@
         if sent == 0 {
             return false;
         }
-        let left = sent as u32;
-        let full = sent >= room;
+        let (left, full) = (sent as u32, sent >= room);
         let ep = &self.endpoints[&to];
         let idle = ep.out == 0 && ep.used_at > Duration::ZERO && now > ep.used_at + IDLE;
         let made = Call { route: route_id, to, left, sent: now, expect, full, idle, ..Call::default() };
@@ -752,14 +752,14 @@
         let left = msg.deadline - now;
         // A slow host keeps answering: an overdue leg weighs on the breaker at once but is cut later, as a
         // repeat there would only add work. Harm: a leg into silence comes back late.
-        let patient = left.mul_f64(PATIENCE).max(span);
+        let patient = left.mul_f64(PATIENCE).max(span).min(left);
         let limit = if row.effect == Effect::NonRetriable { left } else { patient };
         let msg = self.msgs.get_mut(&id)?;
         msg.out = Some(call);
         msg.legs += 1;
         msg.ran += 1;
         msg.may_have_run = msg.may_have_run.or(Some((now, zone)));
-        out.send(id, to, limit.min(left));
+        out.send(id, to, limit);
         Some(span)
     }
 
