--- a/src/rules.rs
+++ b/src/rules.rs
@@ -47,7 +47,7 @@
 const PACE_START_BATCH: f64 = 0.95; // ... or this where calls take more messages as they wait
 const PACE_GROWTH: f64 = 0.2; // for each call of a second at the listed rate, while tokens run short
 const PACE_LEAST: f64 = 0.5; // of an even portion
-const PACE_FEW: f64 = 0.5; // calls a second, the least that counts as a portion among many relays
+const PACE_FEW: f64 = 2.0; // calls a second, the least that counts as a portion among many relays
 const PACE_BURST: f64 = 0.5; // seconds of the rate that may go at once, ...
 const PACE_CALLS: f64 = 1.6; // ... and at least so many calls
 const ROUGH: f64 = 1.5; // a rough rate may be this much off
@@ -365,7 +365,8 @@
     /// An even portion of a listed rate. Guards against standstill among many relays: their own traffic is
     /// uneven, and a portion of a call in a minute holds a message past its deadline.
     fn portion(&self, rate: f64) -> f64 {
-        (1.0 / f64::from(self.facts.relays)).max((PACE_FEW / rate.max(PACE_FEW)).min(1.0))
+        let few = if self.facts.relays > CROWD { PACE_FEW } else { 0.0 };
+        (few / rate.max(1.0)).clamp(1.0 / f64::from(self.facts.relays), 1.0)
     }
 
     fn batch(&self, kind: KindId) -> usize {
@@ -627,7 +628,7 @@
                 return 0;
             }
         }
-        // Refused again and again it may be shut: one message asks, and not a batch that burns legs.
+        // Refused again and again it may be shut: one message asks, not a batch that burns legs.
         let batch = if trial || route.fulls > 1 { 1 } else { batch };
         let Some(since) = route.cold_since.filter(|_| !trial) else { return batch };
         let warm = now.saturating_sub(since).as_secs_f64() / f.warm_after.as_secs_f64().max(0.001);
