--- a/src/rules.rs
+++ b/src/rules.rs
@@ -362,8 +362,7 @@
 
     // ---- the breaker and what is learnt from ends ----
 
-    /// An even portion of a listed rate. Guards against standstill among many relays: their own traffic is
-    /// uneven, and a portion of a call in a minute holds a message past its deadline.
+    /// An even portion. Guards against standstill among many relays: their own traffic is uneven.
     fn portion(&self, rate: f64) -> f64 {
         let few = if self.facts.relays > CROWD { PACE_FEW } else { 0.0 };
         (few / rate.max(1.0)).clamp(1.0 / f64::from(self.facts.relays), 1.0)
