--- a/src/rules.rs
+++ b/src/rules.rs
@@ -28,7 +28,8 @@
 const RECOVERY_GROWTH: f64 = 1.4;
 const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages, ...
 const TRIALS_PER_PARKED: u32 = 4; // ... unless this many times the run of failures wait
-const CROWD_LOAD: f64 = 0.6; // share of the listed rate that others hold messages of since the failures began
+const CROWD_LOAD: f64 = 0.8; // share of the listed rate that others hold messages of since failures began, ...
+const CROWD_SPAN: Duration = ms(2_000); // ... for so long at least
 // 1 Credits.
 const CREDITS_AT_START: f64 = 4.0;
 const CREDITS_MOST: f64 = 24.0;
@@ -250,8 +251,6 @@
         }
     }
 
-    // ---- what came in ----
-
     pub fn message(
         &mut self,
         id: MsgId,
@@ -420,7 +419,7 @@
             ep.run += 1;
             ep.rest_until = if ep.run >= DEAD_ENDPOINT_RUN { now + RECOVERY_DELAY } else { ep.rest_until };
         }
-        let crowd = self.crowd_delay(route_id);
+        let chance = self.chance(to.0);
         let parked = self.msgs.values().filter(|m| m.dst == route_id.0 && m.out.is_none()).count() as u32;
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         route.ends.add(now, 1.0);
@@ -428,6 +427,8 @@
             (route.run, route.run_since) = (0, now);
         }
         route.run += 1;
+        let crowd = Relay::crowd_delay(&self.facts, route, now, chance);
+        route.pause_until = route.pause_until.max(now + crowd);
         // Longer and longer, unless many more wait than trials went: a quiet destination is not worth asking.
         let trials = if parked > TRIALS_PER_PARKED * route.run { THRESHOLD } else { route.run };
         let more = RECOVERY_GROWTH.powi(trials.saturating_sub(THRESHOLD).min(9) as i32);
@@ -442,45 +443,43 @@
     }
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
-        let (now, crowd) = (self.now, self.crowd_delay(route_id));
+        let (now, chance) = (self.now, self.chance(to.0));
         let least = self.routes.get(&route_id).map_or(1.0, |r| PACE_LEAST * self.portion(r.rate));
         self.endpoints.entry(to).and_modify(|ep| ep.limit = (ep.limit * CREDITS_CUT).max(1.0));
-        if let Some(route) = self.routes.get_mut(&route_id) {
-            route.full_since = if route.fulls == 0 { now } else { route.full_since };
-            route.fulls += 1;
-            let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1);
-            route.pause_until = now + pause.min(FULL_PAUSE_MOST);
-            if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
-                route.pace = (route.pace * PACE_CUT).max(least);
-                route.pace_at = now;
-            }
-            let shut = route.fulls >= COLD_FULLS && now - route.full_since >= COLD_FULL_SPAN;
-            (shut || wait > COLD_WAIT).then(|| Relay::turn_cold(route, now + wait));
-        }
+        let Some(route) = self.routes.get_mut(&route_id) else { return };
+        let since = if route.fulls == 0 { now } else { route.full_since };
+        (route.full_since, route.fulls) = (since, route.fulls + 1);
+        let crowd = Relay::crowd_delay(&self.facts, route, now, chance);
+        let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1);
+        route.pause_until = now + pause.min(FULL_PAUSE_MOST).max(crowd);
+        if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
+            (route.pace, route.pace_at) = ((route.pace * PACE_CUT).max(least), now);
+        }
+        let shut = route.fulls >= COLD_FULLS && now - since >= COLD_FULL_SPAN;
+        (shut || wait > COLD_WAIT).then(|| Relay::turn_cold(route, now + wait));
         self.end_trial(route_id, call, Breaker::Open(now + crowd));
     }
 
-    /// Guards against a crowd of relays whose trials together push over a cold destination (rule 4): as many
-    /// others as may hold a message share the calls that it can take. Harm: a return is seen late by most.
-    fn crowd_delay(&mut self, id: RouteId) -> Duration {
-        let (relays, chance) = (self.facts.relays.saturating_sub(CROWD), self.chance(id.0.0.into()));
-        let Some(route) = self.routes.get(&id).filter(|r| r.run > 0) else { return Duration::ZERO };
-        let (rate, since) = (route.rate.max(1.0), self.now.saturating_sub(route.run_since).as_secs_f64());
-        let takes = (self.facts.fall_multiple * self.facts.cold_from * rate).max(0.01);
-        let span = f64::from(relays).min(CROWD_LOAD * rate * since) * (0.5 + chance) / takes;
-        Duration::from_secs_f64(span).min(self.facts.warm_after)
+    /// Guards against a crowd of relays that together push over a cold destination (rule 4): from the second
+    /// failure or refusal in a row on, as many others as may ask share the calls that it can take. It also ends
+    /// collapses by asking again. Harm: a return is seen late by most.
+    fn crowd_delay(f: &StartupFacts, route: &Route, now: Duration, chance: f64) -> Duration {
+        let began = if route.run > 0 { route.run_since } else { route.full_since };
+        let since = now.saturating_sub(began).max(CROWD_SPAN).as_secs_f64();
+        let (relays, rate) = (f64::from(f.relays.saturating_sub(CROWD)), route.rate.max(1.0));
+        let others = if route.run + route.fulls > 1 { relays.min(CROWD_LOAD * rate * since) } else { 0.0 };
+        let takes = (f.fall_multiple * f.cold_from * rate).max(0.01);
+        Duration::from_secs_f64(others * (0.5 + chance) / takes).min(f.warm_after)
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
-        if route.cold_since.replace(since).is_none() {
-            route.cold = Tokens { left: 0.0, at: since };
-        }
+        let fresh = Tokens { left: 0.0, at: since };
+        route.cold = route.cold_since.replace(since).map_or(fresh, |_| route.cold);
     }
 
     fn end_trial(&mut self, route_id: RouteId, call: u64, next: Breaker) {
-        if self.routes.get(&route_id).is_some_and(|r| r.breaker == Breaker::HalfOpen(Some(call))) {
-            self.set_breaker(route_id, next);
-        }
+        let trial = self.routes.get(&route_id).is_some_and(|r| r.breaker == Breaker::HalfOpen(Some(call)));
+        trial.then(|| self.set_breaker(route_id, next));
     }
 
     /// A leg past its learnt time-out counts as failed then, though an effect that must not run twice is
