--- a/src/rules.rs
+++ b/src/rules.rs
@@ -686,7 +686,10 @@
         }
         options.sort_by(|a, b| a.0.total_cmp(&b.0));
         // What is worth most now goes first, then what is wanted first; ranked only where a send can follow.
-        list.sort_by_cached_key(|id| ((-self.worth(&self.msgs[id]) * 1e6) as i64, self.msgs[id].target));
+        // Guards against long lines behind one key: what holds others back is worth as much as all of them.
+        let line = |m: &Msg| m.key.and_then(|k| self.lines.get(&k)).map_or(1, |l| l.queue.len()) as f64;
+        let rank = |m: &Msg| ((-self.worth(m) * line(m) * 1e6) as i64, m.target);
+        list.sort_by_cached_key(|id| rank(&self.msgs[id]));
         options.into_iter().any(|(_, to, room)| self.send_to(to, room, list, out))
     }
 
@@ -700,8 +703,7 @@
         }
         self.count += 1;
         let call = self.count;
-        let mut sent = 0;
-        let mut expect = Duration::ZERO;
+        let (mut sent, mut expect) = (0, Duration::ZERO);
         list.retain(|id| {
             let span = if sent < room { self.send(*id, to, call, out) } else { None };
             sent += usize::from(span.is_some());
@@ -746,8 +748,7 @@
         if !(one && two && three && four && five && six) {
             return None;
         }
-        let zone = ep.zone;
-        let span = self.timeout(to, &row, msg.late);
+        let (zone, span) = (ep.zone, self.timeout(to, &row, msg.late));
         let left = msg.deadline - now;
         // A slow host keeps answering: an overdue leg weighs on the breaker at once but is cut later, as a
         // repeat there would only add work. Harm: a leg into silence comes back late.
@@ -755,8 +756,7 @@
         let limit = if row.effect == Effect::NonRetriable { left } else { patient };
         let msg = self.msgs.get_mut(&id)?;
         msg.out = Some(call);
-        msg.legs += 1;
-        msg.ran += 1;
+        (msg.legs, msg.ran) = (msg.legs + 1, msg.ran + 1);
         msg.may_have_run = msg.may_have_run.or(Some((now, zone)));
         out.send(id, to, limit);
         Some(span)
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -181,6 +181,7 @@
 #[test_case("pace"; "the listed rate paces")]
 #[test_case("pace-crowd"; "among many relays no message waits for an even portion")]
 #[test_case("share"; "over its share a tenant goes last")]
+#[test_case("line"; "what holds others back goes first")]
 #[test_case("batch"; "a batch is one call")]
 #[test_case("hold"; "least worth is pushed back when places run out")]
 #[test_case("legs"; "further legs go by value")]
