--- a/src/rules.rs
+++ b/src/rules.rs
@@ -19,6 +19,9 @@
     Duration::from_millis(n)
 }
 
+const WAKE: Duration = ms(20);
+const MARGIN: Duration = ms(40); // before a deadline
+const WATCH_AGAIN: Duration = ms(500);
 // The breaker.
 const THRESHOLD: u32 = 5; // consecutive failures that open it ...
 const WINDOW: Duration = ms(20_000); // ... inside this window
@@ -28,7 +31,7 @@
 const RECOVERY_GROWTH: f64 = 1.4;
 const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages, ...
 const TRIALS_PER_PARKED: u32 = 4; // ... unless this many times the run of failures wait
-const CROWD_LOAD: f64 = 0.8; // share of the listed rate that others hold messages of since failures began, ...
+const CROWD_LOAD: f64 = 0.8; // share of the listed rate that others may ask since failures began, ...
 const CROWD_SPAN: Duration = ms(2_000); // ... for so long at least
 // 1 Credits.
 const CREDITS_AT_START: f64 = 4.0;
@@ -39,8 +42,7 @@
 const PICK_SLOW: f64 = 0.2; // points for an answer time as long as the span to the target time
 const PICK_USED: f64 = 0.05; // points for credits all out; fees and prices count in points as told
 const PICK_CHANCE: f64 = 0.01;
-const CROWD: u32 = 6; // relays, from which their trials add up and their idle connections may fill a table ...
-const KEEP_CALLS: f64 = 7.0; // ... unless it answered so many here for each call a second at the listed rate
+const CROWD: u32 = 6; // relays, from which their trials add up and their idle connections may fill a table
 // 2 Pacing.
 const PACE_CUT: f64 = 0.7;
 const PACE_CUT_EVERY: Duration = ms(300);
@@ -68,6 +70,7 @@
 const TIMEOUT_LEAST: Duration = ms(600);
 const TIMEOUT_MEANS: f64 = 6.0;
 const TIMEOUT_PEAKS: f64 = 1.5;
+const TIMEOUT_SLOWER: f64 = 3.0; // at most, where all answers of late took longer than before
 const PATIENCE: f64 = 0.8; // of the time left, a leg is left out at least
 const SLOTS_SPARE: usize = 8; // a slot in so many is kept free by recalling overdue legs
 const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
@@ -83,11 +86,6 @@
 const OVER_SHARE: f64 = 0.05;
 const SHARE_BURST: f64 = 2.0; // seconds of the quota
 const HELD_MOST: f64 = 0.9; // share of the places held before parked messages are pushed back
-// Other.
-const WAKE: Duration = ms(20);
-const MARGIN: Duration = ms(40); // before a deadline
-const WATCH_AGAIN: Duration = ms(500);
-
 /// What is measured over time: fixed buckets of a second, used again in a ring.
 #[derive(Default)]
 struct Ring<const N: usize>(Vec<(u64, f64, f64, f64)>);
@@ -101,9 +99,9 @@
         *bucket = (second, old.1 + 1.0, old.2 + x, old.3.max(x));
     }
 
-    /// Count, sum and peak over the ring.
-    fn totals(&self, now: Duration) -> (f64, f64, f64) {
-        let live = self.0.iter().filter(|b| b.0 > 0 && b.0 + N as u64 > now.as_secs() + 1);
+    /// Count, sum and peak over the last of its seconds.
+    fn totals(&self, now: Duration, seconds: u64) -> (f64, f64, f64) {
+        let live = self.0.iter().filter(|b| b.0 > 0 && b.0 + seconds > now.as_secs() + 1);
         live.fold((0.0, 0.0, 0.0), |t, b| (t.0 + b.1, t.1 + b.2, t.2.max(b.3)))
     }
 }
@@ -215,6 +213,7 @@
     calls: BTreeMap<u64, Call>,
     tenants: Vec<Tokens>,
     idle_ends: Ring<30>,
+    answers: Ring<24>,
     fulls: Ring<30>,
     unconnected: BTreeMap<KindId, Ring<30>>,
     ended_at: Vec<EndpointId>,
@@ -284,10 +283,10 @@
         msg.ran -= u32::from(outcome.never_ran());
         msg.may_have_run = msg.may_have_run.filter(|_| msg.ran > 0);
         msg.late += u32::from(outcome == Outcome::TimedOut);
-        // Guards against legs burnt in a moment on a destination that fails fast, and against messages that are
-        // refused at one route apart after the other: where refused calls use up the limits that starves all.
+        // Guards against legs burnt in a moment on a destination that fails fast, and messages refused at one
+        // route apart after the other: where refused calls use up the limits that starves all.
         let times = 2f64.powi(i32::from(msg.legs.clamp(1, 6)) - 1);
-        let (all, full, _) = self.fulls.totals(now);
+        let (all, full, _) = self.fulls.totals(now, 30);
         let more = match outcome {
             Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut => times,
             Outcome::Full(_) => times - 1.0 + times * FULL_SHARE_PAUSE * full / all.max(20.0),
@@ -325,11 +324,10 @@
         }
         match outcome {
             Outcome::Delivered => self.succeeded(route_id, call_id, to, waited, full),
-            Outcome::Full(wait) if first => self.refused(route_id, call_id, to, wait),
             Outcome::Cancelled | Outcome::Moot => self.end_trial(route_id, call_id, Breaker::HalfOpen(None)),
-            Outcome::Full(_) => {}
-            _ if first => self.failed(route_id, call_id, to),
-            _ => {}
+            _ if !first => {}
+            Outcome::Full(wait) => self.refused(route_id, call_id, to, wait),
+            _ => self.failed(route_id, call_id, to),
         }
     }
 
@@ -390,6 +388,7 @@
         let now = self.now;
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.answers.add(now, waited.as_secs_f64());
+            self.answers.add(now, waited.as_secs_f64());
             ep.run = 0;
             // All credits were out (one is back already): without the 2, a broken limit never grew again.
             if f64::from(ep.out) + 2.0 > ep.limit {
@@ -433,7 +432,7 @@
         let trials = if parked > TRIALS_PER_PARKED * route.run { THRESHOLD } else { route.run };
         let more = RECOVERY_GROWTH.powi(trials.saturating_sub(THRESHOLD).min(9) as i32);
         let delay = RECOVERY_DELAY.mul_f64(more).min(RECOVERY_MOST).max(crowd);
-        let (all, bad, _) = route.ends.totals(now);
+        let (all, bad, _) = route.ends.totals(now, 4);
         let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
         let opens = route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet);
         let cold = opens || (bad >= COLD_FAILED && bad >= COLD_SHARE * all);
@@ -460,9 +459,8 @@
         self.end_trial(route_id, call, Breaker::Open(now + crowd));
     }
 
-    /// Guards against a crowd of relays that together push over a cold destination (rule 4): from the second
-    /// failure or refusal in a row on, as many others as may ask share the calls that it can take. It also ends
-    /// collapses by asking again. Harm: a return is seen late by most.
+    /// Guards against a crowd of relays that pushes over a cold destination (rule 4) or starves one that
+    /// refuses: from the second bad end in a row on all who may ask share what it takes. Harm: late returns.
     fn crowd_delay(f: &StartupFacts, route: &Route, now: Duration, chance: f64) -> Duration {
         let began = if route.run > 0 { route.run_since } else { route.full_since };
         let since = now.saturating_sub(began).max(CROWD_SPAN).as_secs_f64();
@@ -554,7 +552,6 @@
             }
     }
 
-    /// What a message is worth if answered now.
     fn worth(&self, msg: &Msg) -> f64 {
         let row = self.row(msg);
         let late = self.now.saturating_sub(msg.target).as_secs_f64();
@@ -673,7 +670,7 @@
                 continue;
             }
             let ep = &self.endpoints[&id];
-            let (n, sum, _) = ep.answers.totals(now);
+            let (n, sum, _) = ep.answers.totals(now, 24);
             let fee = route_id.1.and(self.facts.zone_fees.get(ep.zone.0 as usize)).copied().unwrap_or(0.0);
             let cross = if ep.zone == self.facts.zone { 0.0 } else { self.facts.cross_zone_price };
             let slow = if n > 0.0 { PICK_SLOW * (sum / n / target).min(2.0) } else { 0.0 };
@@ -763,24 +760,26 @@
     }
 
     fn timeout(&self, to: EndpointId, row: &LaneFacts, late: u32) -> Duration {
-        let (n, sum, peak) = self.endpoints[&to].answers.totals(self.now);
+        let (n, sum, peak) = self.endpoints[&to].answers.totals(self.now, 24);
         let learnt = (TIMEOUT_MEANS * sum / n.max(1.0)).max(TIMEOUT_PEAKS * peak);
         let span =
             if n < 3.0 { row.target.mul_f64(TIMEOUT_UNKNOWN) } else { Duration::from_secs_f64(learnt) };
-        span.max(TIMEOUT_LEAST) * 2u32.pow(late.min(4))
+        // Guards against calling off what is only slow with all else, whether network, relay or hosts. Harm:
+        // silence of one destination is found out later while others slow down.
+        let mean = |(n, sum, _): (f64, f64, f64)| (sum / n.max(1.0)).max(0.001);
+        let slower = mean(self.answers.totals(self.now, 3)) / mean(self.answers.totals(self.now, 24));
+        span.max(TIMEOUT_LEAST).mul_f64(slower.clamp(1.0, TIMEOUT_SLOWER)) * 2u32.pow(late.min(4))
     }
 
-    /// Closes idle connections. Guards against tables filled by those that relays keep and seldom use: where
-    /// connects of a kind fail and relays are many. Guards against those that died while idle, whether they
-    /// reset or swallow the call: also quiet flows dropped on the way and restarted hosts. Costs handshakes.
+    /// Guards against tables filled by connections kept among many relays (connects of a kind fail), and
+    /// against those that died while idle, on the way or at the host. Costs handshakes.
     fn leave_idle(&mut self, out: &mut dyn Writer) {
-        let (all, bad, _) = self.idle_ends.totals(self.now);
+        let (all, bad, _) = self.idle_ends.totals(self.now, 30);
         let stale = bad >= STALE_ENDS && bad >= STALE_SHARE * all;
         for id in std::mem::take(&mut self.ended_at) {
-            let (ep, rate) = (&self.endpoints[&id], self.routes[&self.route_of(id)].rate.max(1.0));
-            let tight = self.unconnected.get(&ep.kind).is_some_and(|r| r.totals(self.now).0 > 0.0);
-            let seldom = ep.answers.totals(self.now).0 < KEEP_CALLS * rate;
-            if ep.used_at > Duration::ZERO && (stale || (self.facts.relays > CROWD && tight && seldom)) {
+            let ep = &self.endpoints[&id];
+            let tight = self.unconnected.get(&ep.kind).is_some_and(|r| r.totals(self.now, 30).0 > 0.0);
+            if ep.used_at > Duration::ZERO && (stale || (self.facts.relays > CROWD && tight)) {
                 self.endpoints.entry(id).and_modify(|ep| ep.used_at = Duration::ZERO);
                 out.close_idle(id);
             }
