--- a/src/rules.rs
+++ b/src/rules.rs
@@ -42,7 +42,8 @@
 const PICK_SLOW: f64 = 0.2; // points for an answer time as long as the span to the target time
 const PICK_USED: f64 = 0.05; // points for credits all out; fees and prices count in points as told
 const PICK_CHANCE: f64 = 0.01;
-const CROWD: u32 = 6; // relays, from which their trials add up and their idle connections may fill a table
+const CROWD: u32 = 6; // relays, from which their trials add up and even portions are too small, ...
+const CROWD_TABLE: u32 = 16; // ... and from which their idle connections alone fill an endpoint's table
 // 2 Pacing.
 const PACE_CUT: f64 = 0.7;
 const PACE_CUT_EVERY: Duration = ms(300);
@@ -70,7 +71,6 @@
 const TIMEOUT_LEAST: Duration = ms(600);
 const TIMEOUT_MEANS: f64 = 6.0;
 const TIMEOUT_PEAKS: f64 = 1.5;
-const TIMEOUT_SLOWER: f64 = 3.0; // at most, where all answers of late took longer than before
 const PATIENCE: f64 = 0.8; // of the time left, a leg is left out at least
 const SLOTS_SPARE: usize = 8; // a slot in so many is kept free by recalling overdue legs
 const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
@@ -213,7 +213,6 @@
     calls: BTreeMap<u64, Call>,
     tenants: Vec<Tokens>,
     idle_ends: Ring<30>,
-    answers: Ring<24>,
     fulls: Ring<30>,
     unconnected: BTreeMap<KindId, Ring<30>>,
     ended_at: Vec<EndpointId>,
@@ -388,7 +387,6 @@
         let now = self.now;
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.answers.add(now, waited.as_secs_f64());
-            self.answers.add(now, waited.as_secs_f64());
             ep.run = 0;
             // All credits were out (one is back already): without the 2, a broken limit never grew again.
             if f64::from(ep.out) + 2.0 > ep.limit {
@@ -764,11 +762,7 @@
         let learnt = (TIMEOUT_MEANS * sum / n.max(1.0)).max(TIMEOUT_PEAKS * peak);
         let span =
             if n < 3.0 { row.target.mul_f64(TIMEOUT_UNKNOWN) } else { Duration::from_secs_f64(learnt) };
-        // Guards against calling off what is only slow with all else, whether network, relay or hosts. Harm:
-        // silence of one destination is found out later while others slow down.
-        let mean = |(n, sum, _): (f64, f64, f64)| (sum / n.max(1.0)).max(0.001);
-        let slower = mean(self.answers.totals(self.now, 3)) / mean(self.answers.totals(self.now, 24));
-        span.max(TIMEOUT_LEAST).mul_f64(slower.clamp(1.0, TIMEOUT_SLOWER)) * 2u32.pow(late.min(4))
+        span.max(TIMEOUT_LEAST) * 2u32.pow(late.min(4))
     }
 
     /// Guards against tables filled by connections kept among many relays (connects of a kind fail), and
@@ -779,7 +773,7 @@
         for id in std::mem::take(&mut self.ended_at) {
             let ep = &self.endpoints[&id];
             let tight = self.unconnected.get(&ep.kind).is_some_and(|r| r.totals(self.now, 30).0 > 0.0);
-            if ep.used_at > Duration::ZERO && (stale || (self.facts.relays > CROWD && tight)) {
+            if ep.used_at > Duration::ZERO && (stale || (self.facts.relays > CROWD_TABLE && tight)) {
                 self.endpoints.entry(id).and_modify(|ep| ep.used_at = Duration::ZERO);
                 out.close_idle(id);
             }
