--- a/src/rules.rs
+++ b/src/rules.rs
@@ -317,10 +317,8 @@
                 failed.then(|| self.unconnected.entry(ep.kind).or_default().add(now, 1.0));
             }
         }
-        if (first && outcome == Outcome::ConnectFailed) || (idle && uncertain) {
-            self.ended_at
-                .extend(self.endpoints.iter().filter(|(_, e)| e.used_at > Duration::ZERO).map(|e| e.0));
-        }
+        let suspect = (first && outcome == Outcome::ConnectFailed) || (idle && uncertain);
+        suspect.then(|| self.look_at_idle());
         match outcome {
             Outcome::Delivered => self.succeeded(route_id, call_id, to, waited, full),
             Outcome::Cancelled | Outcome::Moot => self.end_trial(route_id, call_id, Breaker::HalfOpen(None)),
@@ -486,7 +484,10 @@
         let late: Vec<_> = overdue.map(|(id, c)| (*id, c.route, c.to, c.idle)).collect();
         for (call, route, to, idle) in late {
             self.calls.entry(call).and_modify(|c| c.counted = true);
-            idle.then(|| self.idle_ends.add(now, 1.0));
+            if idle {
+                self.idle_ends.add(now, 1.0);
+                self.look_at_idle();
+            }
             self.failed(route, call, to);
         }
     }
@@ -765,6 +766,10 @@
         span.max(TIMEOUT_LEAST) * 2u32.pow(late.min(4))
     }
 
+    fn look_at_idle(&mut self) {
+        self.ended_at.extend(self.endpoints.iter().filter(|(_, e)| e.used_at > Duration::ZERO).map(|e| e.0));
+    }
+
     /// Guards against tables filled by connections kept among many relays (connects of a kind fail), and
     /// against those that died while idle, on the way or at the host. Costs handshakes.
     fn leave_idle(&mut self, out: &mut dyn Writer) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -175,6 +175,7 @@
 #[test_case("suspect"; "one call at a time while failures run")]
 #[test_case("dead-endpoint"; "a dead endpoint beside a live one rests")]
 #[test_case("stale"; "no stale connection after a reset")]
+#[test_case("stale-silent"; "no stale connection after silence")]
 #[test_case("crowd"; "no idle connections in a crowd")]
 #[test_case("refused"; "a refusal without a wait pauses")]
 #[test_case("shut"; "a shut destination is asked with one message")]
