--- a/src/rules.rs
+++ b/src/rules.rs
@@ -31,8 +31,8 @@
 const RECOVERY_GROWTH: f64 = 1.4;
 const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages, ...
 const TRIALS_PER_PARKED: u32 = 4; // ... unless this many times the run of failures wait
-const CROWD_LOAD: f64 = 0.8; // share of the listed rate that others may ask since failures began, ...
-const CROWD_SPAN: Duration = ms(2_000); // ... for so long at least
+const CROWD_LOAD: f64 = 1.0; // share of the listed rate that others may ask since failures began, ...
+const CROWD_SPAN: Duration = ms(4_000); // ... for so long at least
 // 1 Credits.
 const CREDITS_AT_START: f64 = 4.0;
 const CREDITS_MOST: f64 = 24.0;
@@ -462,8 +462,9 @@
         let since = now.saturating_sub(began).max(CROWD_SPAN).as_secs_f64();
         let (relays, rate) = (f64::from(f.relays.saturating_sub(CROWD)), route.rate.max(1.0));
         let others = if route.run + route.fulls > 1 { relays.min(CROWD_LOAD * rate * since) } else { 0.0 };
-        let takes = (f.fall_multiple * f.cold_from * rate).max(0.01);
-        Duration::from_secs_f64(others * (0.5 + chance) / takes).min(f.warm_after)
+        let warm = (f.fall.as_secs_f64() / f.warm_after.as_secs_f64().max(0.001)).min(1.0);
+        let takes = (f.fall_multiple * (f.cold_from + (1.0 - f.cold_from) * warm) * rate).max(0.01);
+        Duration::from_secs_f64(others * (0.5 + chance) / takes).min(f.warm_after * 2)
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
