Tenants and idempotency keys pass on; modules of the relay import in one direction

Checked with a debug line of what is handed in: lists there hold t= and k=, which brno's do not. The key goes out as Idempotency-Key and in receive-many's lines.

--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -1,11 +1,10 @@
 //! Clients hand messages in over RESP2: arrays of bulk strings in, one short reply each.
 
-use crate::host::{Answer, Event, HandedIn};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, FutureExt};
-use log::{info, warn};
+use log::{debug, info, warn};
 use mountshift::port::MsgId;
 use std::cell::Cell;
 use std::io::{self, Read};
@@ -14,6 +13,8 @@
 use std::time::{Duration, Instant};
 
 pub const BODY_MOST: usize = 64 * 1024;
+/// Bytes of an id.
+const ID_MOST: usize = 128;
 const WORDS_MOST: usize = 16;
 /// A length or a count is a line of so many bytes at most.
 const LINE_MOST: usize = 32;
@@ -22,9 +23,43 @@
 /// After a failed accept, as when descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// A message as a client handed it in.
+pub struct HandedIn {
+    pub id: Vec<u8>,
+    pub key: u64,
+    /// The names and values that came with it, as they came.
+    pub list: String,
+    pub told: Told,
+    pub at: Instant,
+    pub body: Vec<u8>,
+}
+
+/// What the list of names and values says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Told {
+    pub lane: String,
+    pub tenant: Option<String>,
+    pub dst: u32,
+    /// How long the message may still be delivered.
+    pub left: Duration,
+    /// By this the other side knows a repeat.
+    pub idempotency_key: Option<String>,
+}
+
+/// What a client hears.
+pub enum Answer {
+    Taken(MsgId),
+    /// With the pause in milliseconds, or zero.
+    PushedBack(u64),
+    Failed(&'static str),
+}
+
 /// What every connection needs.
 pub struct Front {
-    pub events: Sender<Event>,
+    /// Takes a message in; the answer comes over the channel.
+    pub hand_in: Box<dyn Fn(HandedIn, Sender<Answer>)>,
+    /// A client did not hear that its message was taken on.
+    pub gone: Box<dyn Fn(MsgId)>,
     /// Closed when clients are to go.
     pub leaving: Receiver<()>,
     pub most: usize,
@@ -201,7 +236,7 @@
             Err(e) if e.kind() == io::ErrorKind::TimedOut => "slow",
             Err(_) => "closed-before-answer",
         };
-        taken.into_iter().for_each(|msg: MsgId| drop(front.events.try_send(Event::Gone(msg))));
+        taken.into_iter().for_each(&front.gone);
         Some(reason)
     }
 }
@@ -217,10 +252,8 @@
             Err(what) => (now(&format!("-ERR {what}")), false),
             Ok(message) => {
                 let (tell, answer) = async_channel::bounded(1);
-                match front.events.try_send(Event::Message(message, tell)) {
-                    Ok(()) => (Reply::Later(answer), false),
-                    Err(_) => (now("-BUSY"), false),
-                }
+                (front.hand_in)(message, tell);
+                (Reply::Later(answer), false)
             }
         },
         (b"PING" | b"QUIT" | b"OUT.ADD", _) => (now("-ERR wrong number of arguments"), false),
@@ -233,7 +266,7 @@
         return Err("five words wanted");
     };
     // An id goes into a header as it is.
-    if id.is_empty() || id.len() > 128 || !id.iter().all(u8::is_ascii_graphic) {
+    if id.is_empty() || id.len() > ID_MOST || !id.iter().all(u8::is_ascii_graphic) {
         return Err("the id can't be read");
     }
     if body.len() > BODY_MOST {
@@ -242,12 +275,23 @@
     let key = std::str::from_utf8(&key).ok().and_then(|k| u64::from_str_radix(k, 16).ok());
     let key = key.ok_or("the key can't be read")?;
     let list = String::from_utf8(list).map_err(|_| "the list can't be read")?;
-    let field = |name: &str| list.split(',').filter_map(|f| f.split_once('=')).find(|f| f.0 == name);
-    let number = |name: &str| field(name).and_then(|f| f.1.parse::<u64>().ok());
-    let lane = mountshift_settings::plain(field("c").ok_or("c is missing")?.1);
-    let left = Duration::from_millis(number("d").ok_or("d is missing or can't be read")?);
-    let dst = number("dest").and_then(|n| u32::try_from(n).ok()).ok_or("dest is missing or can't be read")?;
-    Ok(HandedIn { id, key, lane, dst, left, at: Instant::now(), body })
+    debug!("handed in: {} key {key:016x} {list}, {} bytes", String::from_utf8_lossy(&id), body.len());
+    Ok(HandedIn { id, key, told: told(&list)?, list, at: Instant::now(), body })
+}
+
+/// Reads a message's list of names and values; names that are not known are left alone.
+pub fn told(list: &str) -> Result<Told, &'static str> {
+    let field =
+        |name: &str| list.split(',').filter_map(|f| f.split_once('=')).find(|f| f.0 == name).map(|f| f.1);
+    let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
+    let header = |text: &&str| text.len() <= ID_MOST && text.bytes().all(|b| b.is_ascii_graphic());
+    Ok(Told {
+        lane: mountshift_settings::plain(field("c").ok_or("c is missing")?),
+        tenant: field("t").map(mountshift_settings::plain),
+        dst: number("dest").and_then(|n| u32::try_from(n).ok()).ok_or("dest is missing or can't be read")?,
+        left: Duration::from_millis(number("d").ok_or("d is missing or can't be read")?),
+        idempotency_key: field("k").filter(header).map(str::to_string),
+    })
 }
 
 /// The first request in what came and its size; none while it is not whole.
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -1,8 +1,7 @@
 //! Follows the list of endpoints: one call after the other, each waiting for what is newer.
 
-use crate::host::Event;
 use crate::http::{Connection, request};
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{info, warn};
@@ -76,12 +75,12 @@
 }
 
 /// Runs for good. After a failed call the next one starts by itself, or once asked for where the decisions
-/// ask for the list.
+/// ask for the list. Tells every list, or none for a call that failed.
 pub async fn follow(
     at: SocketAddr,
     mut revision: Option<u64>,
     asked: Option<Receiver<()>>,
-    events: Sender<Event>,
+    tell: impl Fn(Option<Members>),
 ) {
     let mut connection = None;
     let mut failed = asked.is_some();
@@ -102,12 +101,12 @@
             Ok(list) => {
                 info!("list {}: {} entries, whole: {}", list.revision, list.members.len(), list.whole);
                 revision = Some(list.revision);
-                let _ = events.send(Event::List(list)).await;
+                tell(Some(list));
             }
             Err(what) => {
                 warn!("discovery: {what}");
                 connection = None;
-                let _ = events.send(Event::WatchFailed).await;
+                tell(None);
             }
         }
     }
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -4,6 +4,7 @@
 use crate::http::{Answer, Broken, Connection, request};
 use async_io::Timer;
 use futures_lite::FutureExt;
+use log::{debug, error, info};
 use mountshift::port::*;
 use mountshift_settings::SocketFacts;
 use std::cell::{Cell, RefCell};
@@ -127,6 +128,7 @@
 pub struct Part {
     pub msg: MsgId,
     pub id: Vec<u8>,
+    pub idempotency_key: Option<String>,
     pub body: Vec<u8>,
     /// When the message is out of time.
     pub until: Instant,
@@ -148,13 +150,15 @@
         let host = self.endpoint.address.to_string();
         let limit = self.limit.as_millis().max(1).to_string();
         if let [part] = &self.parts[..] {
-            let headers = [("X-Request-ID", &part.id[..]), ("X-Timeout-Ms", limit.as_bytes())];
+            let mut headers = vec![("X-Request-ID", &part.id[..]), ("X-Timeout-Ms", limit.as_bytes())];
+            headers.extend(part.idempotency_key.iter().map(|key| ("Idempotency-Key", key.as_bytes())));
             return request("POST", "/receive", &host, &headers, &part.body);
         }
         let mut body = Vec::new();
         for part in &self.parts {
             body.extend(&part.id);
-            body.extend(format!(" - {}\r\n", part.body.len()).as_bytes());
+            let key = part.idempotency_key.as_deref().unwrap_or("-");
+            body.extend(format!(" {key} {}\r\n", part.body.len()).as_bytes());
             body.extend(&part.body);
             body.extend(b"\r\n");
         }
@@ -206,13 +210,15 @@
                 match Connection::open(self.endpoint.address, name).or(late).await {
                     Ok(connection) => connection,
                     Err(e) => {
-                        log::info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
+                        info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
                         return all(Outcome::ConnectFailed, false);
                     }
                 }
             }
         };
-        if connection.write(&self.request()).await.is_err() {
+        let request = self.request();
+        debug!("call to endpoint {}: {}", self.endpoint.name, String::from_utf8_lossy(&request));
+        if connection.write(&request).await.is_err() {
             return all(Outcome::ConnectFailed, false);
         }
         written.set(true);
@@ -238,7 +244,7 @@
             504 => (Outcome::Moot, false),
             410 => (Outcome::Moot, true),
             400 | 404 | 413 => {
-                log::error!("endpoint {} answered {}", self.endpoint.name, answer.status);
+                error!("endpoint {} answered {}", self.endpoint.name, answer.status);
                 (Outcome::Error, false)
             }
             _ => (Outcome::Error, false),
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -1,6 +1,7 @@
 //! Carries the decisions out: gathers what came into rounds, is the writer of the decisions, keeps the
 //! spool in step. Everything runs on one thread.
 
+use crate::clients::{Answer, HandedIn, Told, told};
 use crate::discovery::Members;
 use crate::endpoints::{Call, End, Endpoints, Idle, Part};
 use crate::notices::Notice;
@@ -31,32 +32,13 @@
     Gone(MsgId),
     /// Messages of a call have ended.
     Ended(u64, Vec<End>),
-    List(Members),
-    WatchFailed,
+    /// The list or its changes; none if a call for it failed.
+    List(Option<Members>),
     /// The platform took these ends.
     Noticed(Vec<MsgId>),
     Stop,
 }
 
-/// A message as a client handed it in.
-pub struct HandedIn {
-    pub id: Vec<u8>,
-    pub key: u64,
-    pub lane: String,
-    pub dst: u32,
-    pub left: Duration,
-    pub at: Instant,
-    pub body: Vec<u8>,
-}
-
-/// What a client hears.
-pub enum Answer {
-    Taken(MsgId),
-    /// With the pause in milliseconds, or zero.
-    PushedBack(u64),
-    Failed(&'static str),
-}
-
 /// The clock of the decisions. It began before any leg that the spool still tells of.
 #[derive(Clone, Copy)]
 struct Clock {
@@ -196,8 +178,13 @@
         }
     }
 
-    fn lane(&self, name: &str) -> Option<LaneId> {
-        self.facts.lanes.iter().position(|l| l == name).map(|l| LaneId(l as u16))
+    /// What the decisions are told of a message; none if its lane is not known.
+    fn hand_in(&self, told: &Told, key: u64, deadline: Duration) -> Option<HandIn> {
+        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
+        let lane = LaneId(place(&self.facts.lanes, &told.lane)? as u16);
+        let tenant = told.tenant.as_deref().and_then(|t| place(&self.facts.tenants, t));
+        let tenant = TenantId(tenant.unwrap_or_default() as u32);
+        Some(HandIn { lane, tenant, dst: DstId(told.dst), key: (key != 0).then_some(Key(key)), deadline })
     }
 
     /// Takes an event in; what the decisions must know goes into `tell`.
@@ -210,8 +197,8 @@
                 tell.push(Box::new(move |r| r.over(msg)));
             }
             Event::Ended(call, ends) => ends.into_iter().for_each(|end| self.take_end(call, end, tell)),
-            Event::List(list) => self.take_list(list, tell),
-            Event::WatchFailed => tell.push(Box::new(Relay::watch_failed)),
+            Event::List(Some(list)) => self.take_list(list, tell),
+            Event::List(None) => tell.push(Box::new(Relay::watch_failed)),
             Event::Noticed(taken) => taken.into_iter().for_each(|msg| {
                 self.over(msg);
                 tell.push(Box::new(move |r| r.over(msg)));
@@ -221,7 +208,8 @@
     }
 
     fn take_message(&mut self, m: HandedIn, asking: Sender<Answer>, tell: &mut Vec<Tell>) {
-        let Some(lane) = self.lane(&m.lane) else {
+        let deadline = self.clock.at(m.at) + m.told.left;
+        let Some(hand_in) = self.hand_in(&m.told, m.key, deadline) else {
             let _ = asking.try_send(Answer::Failed("c names no class"));
             return;
         };
@@ -230,10 +218,8 @@
             let _ = asking.try_send(Answer::Taken(*msg));
             return;
         }
-        let deadline = self.clock.at(m.at) + m.left;
-        let (key, dst) = ((m.key != 0).then_some(Key(m.key)), DstId(m.dst));
         let at = self.clock.unix_ms(deadline);
-        let taken = Taken { id: m.id, lane: m.lane, key: m.key, dst: m.dst, deadline: at, body: m.body };
+        let taken = Taken { id: m.id, key: m.key, list: m.list, deadline: at, body: m.body };
         let name = taken.id.clone();
         let Some(n) = self.spool.add(taken) else {
             warn!("spool: full with {} messages", self.spool.live().len());
@@ -243,7 +229,6 @@
         let msg = MsgId(n);
         self.by_name.insert(name, msg);
         self.asking.insert(msg, asking);
-        let hand_in = HandIn { lane, tenant: TenantId(0), dst, key, deadline };
         tell.push(Box::new(move |r| r.message(msg, hand_in)));
     }
 
@@ -280,23 +265,18 @@
         let kept: Vec<_> = self.spool.live().iter().map(|(n, k)| (MsgId(*n), k.clone())).collect();
         for (msg, kept) in kept {
             self.by_name.insert(kept.taken.id.clone(), msg);
-            let lane = self.lane(&kept.taken.lane);
-            let owed = kept.owed.or(if lane.is_none() { Some(Owed::Failed) } else { None });
-            let taken = kept.taken;
-            let deadline = self.clock.at_unix_ms(taken.deadline);
-            let key = (taken.key != 0).then_some(Key(taken.key));
-            let hand_in = HandIn {
-                lane: lane.unwrap_or_default(),
-                tenant: TenantId(0),
-                dst: DstId(taken.dst),
-                key,
-                deadline,
-            };
-            if let Some(end) = owed {
-                self.notify(msg, end);
-                continue;
-            }
+            let deadline = self.clock.at_unix_ms(kept.taken.deadline);
+            let told = told(&kept.taken.list).ok();
+            let hand_in = told.and_then(|told| self.hand_in(&told, kept.taken.key, deadline));
+            // A class that the settings no longer hold: nobody could decide on it.
+            let owed = kept.owed.or(if hand_in.is_none() { Some(Owed::Failed) } else { None });
+            owed.into_iter().for_each(|end| self.notify(msg, end));
+            let Some(hand_in) = hand_in else { continue };
             tell.push(Box::new(move |r| r.message(msg, hand_in)));
+            if owed.is_some() {
+                // Its end is not taken yet: it still holds back the rest of its key.
+                tell.push(Box::new(move |r| r.end(msg, false)));
+            }
             for leg in kept.legs {
                 let (zone, at) = (self.endpoints.zone(&leg.zone), self.clock.at_unix_ms(leg.at));
                 tell.push(Box::new(move |r| r.earlier_leg(msg, zone, at, leg.may_have_run)));
@@ -358,7 +338,8 @@
         let part = |(msg, _): &(MsgId, Duration)| {
             let taken = &self.spool.get(msg.0)?.taken;
             let until = self.clock.instant(self.clock.at_unix_ms(taken.deadline));
-            Some(Part { msg: *msg, id: taken.id.clone(), body: taken.body.clone(), until })
+            let idempotency_key = told(&taken.list).ok().and_then(|t| t.idempotency_key);
+            Some(Part { msg: *msg, id: taken.id.clone(), idempotency_key, body: taken.body.clone(), until })
         };
         let parts = legs.iter().filter_map(part).collect();
         let call = Call { to, endpoint, parts, limit, connect: self.facts.connect };
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -66,17 +66,27 @@
             watch,
         });
         let asked = must_ask.then_some(watch_asked);
-        executor.spawn(discovery::follow(start.discovery, revision, asked, events.0.clone())).detach();
-        executor.spawn(notices::deliver(start.discovery, notices_out, events.0.clone())).detach();
+        let events = events.0;
+        let (listed, taken) = (events.clone(), events.clone());
+        let listed = move |list| drop(listed.try_send(Event::List(list)));
+        executor.spawn(discovery::follow(start.discovery, revision, asked, listed)).detach();
+        let taken = move |msgs| drop(taken.try_send(Event::Noticed(msgs)));
+        executor.spawn(notices::deliver(start.discovery, notices_out, taken)).detach();
         let listener =
             Async::<TcpListener>::bind(start.listen).map_err(|e| format!("{}: {e}", start.listen))?;
-        let front = Front { events: events.0.clone(), leaving, most: start.descriptors / 2 };
+        let (handed, gone) = (events.clone(), events.clone());
+        let front = Front {
+            hand_in: Box::new(move |message, answer| drop(handed.try_send(Event::Message(message, answer)))),
+            gone: Box::new(move |msg| drop(gone.try_send(Event::Gone(msg)))),
+            leaving,
+            most: start.descriptors / 2,
+        };
         executor.spawn(clients::serve(listener, Rc::new(front), executor.clone())).detach();
         info!("ready on {}", start.listen);
         let stop = async move {
             signals.next().await;
             info!("told to stop");
-            let _ = events.0.send(Event::Stop).await;
+            let _ = events.send(Event::Stop).await;
             Timer::after(ACCEPTED_ON).await;
             leave.close();
         };
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -1,8 +1,7 @@
 //! Tells the platform of ends that are no delivery, again until each is taken.
 
-use crate::host::Event;
 use crate::http::{Connection, request};
-use async_channel::{Receiver, Sender};
+use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::warn;
@@ -38,8 +37,8 @@
     }
 }
 
-/// Runs for good.
-pub async fn deliver(at: SocketAddr, queue: Receiver<Notice>, events: Sender<Event>) {
+/// Runs for good; `taken` hears of every notice that the platform took.
+pub async fn deliver(at: SocketAddr, queue: Receiver<Notice>, taken: impl Fn(Vec<MsgId>)) {
     let (mut waiting, mut connection) = (Vec::new(), None);
     // After a 400 notices go one by one: one that can't be read must not hold the others back.
     let mut together = MANY;
@@ -56,8 +55,7 @@
         };
         let status = call(at, &part, &mut connection).or(late).await;
         if status == Ok(204) {
-            let taken = part.iter().map(|n| n.msg).collect();
-            let _ = events.send(Event::Noticed(taken)).await;
+            taken(part.iter().map(|n| n.msg).collect());
             together = MANY.min(together * 2);
             continue;
         }
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -15,6 +15,7 @@
 #[derive(Clone, Debug)]
 pub struct SocketFacts {
     pub lanes: Vec<String>,
+    pub tenants: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
     /// Idle connections are closed by the other side after this span at the latest.
@@ -106,9 +107,13 @@
 }
 
 pub fn socket_facts(pairs: &Pairs) -> Result<SocketFacts, String> {
-    let lanes = (0..pairs.need::<u16>("classes.count")?).map(|i| pairs.need(&format!("classes.{i}.name")));
+    let names = |of: &str| {
+        let count: u32 = pairs.or(&format!("{of}.count"), 0)?;
+        (0..count).map(|i| pairs.need(&format!("{of}.{i}.name"))).collect::<Result<_, _>>()
+    };
     Ok(SocketFacts {
-        lanes: lanes.collect::<Result<_, _>>()?,
+        lanes: names("classes")?,
+        tenants: names("tenants")?,
         zones: pairs.list("localities")?,
         kinds: pairs.list("kinds")?,
         idle: pairs.span("limits.connIdle")?,
--- a/crates/spool/src/lib.rs
+++ b/crates/spool/src/lib.rs
@@ -23,9 +23,9 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Taken {
     pub id: Vec<u8>,
-    pub lane: String,
     pub key: u64,
-    pub dst: u32,
+    /// What came with it.
+    pub list: String,
     /// Unix time in milliseconds.
     pub deadline: u64,
     pub body: Vec<u8>,
@@ -197,7 +197,7 @@
     }
 
     fn room_for(&self, taken: &Taken) -> u64 {
-        let own = SMALL + 16 + (taken.id.len() + taken.lane.len() + taken.body.len()) as u64;
+        let own = SMALL + 16 + (taken.id.len() + taken.list.len() + taken.body.len()) as u64;
         own + self.legs_most * (2 * SMALL + self.zone_room) + 2 * SMALL
     }
 
@@ -243,9 +243,9 @@
         self.next = self.next.max(n + 1);
         match tag {
             b'M' => {
-                let (key, dst, deadline) = (f.u64()?, f.u64()? as u32, f.u64()?);
-                let (id, lane) = (f.text()?.to_vec(), String::from_utf8(f.text()?.to_vec()).ok()?);
-                let taken = Taken { id, lane, key, dst, deadline, body: f.text()?.to_vec() };
+                let (key, deadline) = (f.u64()?, f.u64()?);
+                let (id, list) = (f.text()?.to_vec(), String::from_utf8(f.text()?.to_vec()).ok()?);
+                let taken = Taken { id, key, list, deadline, body: f.text()?.to_vec() };
                 self.live.insert(n, Kept { taken, legs: Vec::new(), owed: None });
             }
             b'L' => {
@@ -300,8 +300,8 @@
 
 fn message(n: u64, taken: &Taken) -> Vec<u8> {
     let mut bytes = small(b'M', n);
-    [taken.key, u64::from(taken.dst), taken.deadline].iter().for_each(|x| bytes.extend(x.to_le_bytes()));
-    [&taken.id[..], taken.lane.as_bytes(), &taken.body].iter().for_each(|t| text(&mut bytes, t));
+    [taken.key, taken.deadline].iter().for_each(|x| bytes.extend(x.to_le_bytes()));
+    [&taken.id[..], taken.list.as_bytes(), &taken.body].iter().for_each(|t| text(&mut bytes, t));
     bytes
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -535,7 +535,7 @@
     }
 
     /// Ended here. On sockets it keeps its place in line until the end was taken: guards rule 5.
-    fn end(&mut self, id: MsgId, at_once: bool) {
+    pub fn end(&mut self, id: MsgId, at_once: bool) {
         self.msgs.entry(id).and_modify(|m| m.ended = true);
         at_once.then(|| self.over(id));
     }
