Waits beside other outcomes bind; the stop waits for clients; requests stay bounded

Read in the protocol, not seen to fail: an answer of 200 for several messages may hold a wait. A stop ended before client tasks had written answers. A partial request larger than the buffer would have spun.

--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -15,6 +15,8 @@
 pub const BODY_MOST: usize = 64 * 1024;
 /// Bytes of an id.
 const ID_MOST: usize = 128;
+/// Bytes of a request; more than one may be in the buffer, but no more is read before it is parsed.
+const REQUEST_MOST: usize = BODY_MOST + 4 * 1024;
 const WORDS_MOST: usize = 16;
 /// A length or a count is a line of so many bytes at most.
 const LINE_MOST: usize = 32;
@@ -49,6 +51,8 @@
 /// What a client hears.
 pub enum Answer {
     Taken(MsgId),
+    /// It came before under this id and is held.
+    Held,
     /// With the pause in milliseconds, or zero.
     PushedBack(u64),
     Failed(&'static str),
@@ -63,11 +67,13 @@
     /// Closed when clients are to go.
     pub leaving: Receiver<()>,
     pub most: usize,
+    /// Connections open now.
+    pub open: Rc<Cell<usize>>,
 }
 
 /// Accepts until clients are to go.
 pub async fn serve(listener: Async<TcpListener>, front: Rc<Front>, executor: Rc<LocalExecutor<'static>>) {
-    let open = Rc::new(Cell::new(0));
+    let open = &front.open;
     loop {
         let leaving = async {
             let _ = front.leaving.recv().await;
@@ -85,7 +91,7 @@
             }
             Ok((stream, peer)) => {
                 open.set(open.get() + 1);
-                let (front, open) = (front.clone(), open.clone());
+                let front = front.clone();
                 let task = async move {
                     let _ = stream.get_ref().set_nodelay(true);
                     let mut client = Client { stream, peer, buffer: Vec::new(), requests: 0 };
@@ -94,7 +100,7 @@
                         "connection from {} ended: {reason} after {} requests",
                         client.peer, client.requests
                     );
-                    open.set(open.get() - 1);
+                    front.open.set(front.open.get() - 1);
                 };
                 executor.spawn(task).detach();
             }
@@ -154,6 +160,12 @@
             let mut failed = None;
             loop {
                 match request(&self.buffer) {
+                    // Guards against waiting for the rest of what will not be read.
+                    Ok(None) if self.buffer.len() > REQUEST_MOST => {
+                        replies.push(Reply::Now("-ERR Protocol error: the request is too large\r\n".into()));
+                        failed = Some("protocol");
+                        break;
+                    }
                     Ok(None) => break,
                     Ok(Some((words, size))) => {
                         self.buffer.drain(..size);
@@ -187,7 +199,7 @@
     /// Reads what has come, as far as the buffer goes; false if the client is gone.
     fn pull(&mut self) -> io::Result<bool> {
         let mut chunk = [0; 16 * 1024];
-        while self.buffer.len() <= 2 * BODY_MOST {
+        while self.buffer.len() <= REQUEST_MOST {
             match self.stream.get_ref().read(&mut chunk) {
                 Ok(0) => return Ok(false),
                 Ok(n) => self.buffer.extend(&chunk[..n]),
@@ -210,6 +222,7 @@
                         taken.push(msg);
                         "+OK\r\n".into()
                     }
+                    Ok(Answer::Held) => "+OK\r\n".into(),
                     Ok(Answer::PushedBack(0)) => "-BUSY\r\n".into(),
                     Ok(Answer::PushedBack(ms)) => format!("-BUSY {ms}\r\n"),
                     Ok(Answer::Failed(what)) => format!("-ERR {what}\r\n"),
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -41,21 +41,22 @@
         Endpoints { zones: facts.zones.clone(), kinds: facts.kinds.clone(), ..Endpoints::default() }
     }
 
-    /// Takes an entry of the list in; gives its id and what the list says.
-    pub fn learn(&mut self, member: &Member) -> (EndpointId, Listed) {
+    /// Takes an entry of the list in; gives its id, what the list says, and if it has moved or gone.
+    pub fn learn(&mut self, member: &Member) -> (EndpointId, Listed, bool) {
         let next = EndpointId(self.ids.len() as u64 + 1);
         let id = *self.ids.entry(member.id.clone()).or_insert(next);
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let zone = self.zone(&member.zone);
         let kind = KindId(place(&self.kinds, &member.kind).map_or(u16::MAX, |k| k as u16));
         let (address, name, dst) = (member.address, Rc::from(member.id.as_str()), DstId(member.dst));
-        self.known.insert(id, Endpoint { address, name, zone, kind, dst });
+        let old = self.known.insert(id, Endpoint { address, name, zone, kind, dst });
+        let moved = old.is_some_and(|old| old.address != address) || member.phase == Phase::Gone;
         let listed = match member.phase {
             Phase::Ready => Listed::Ready,
             Phase::Draining => Listed::Draining,
             Phase::Gone => Listed::Gone,
         };
-        (id, listed)
+        (id, listed, moved)
     }
 
     pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
@@ -137,6 +138,18 @@
 /// How a message of a call ended, and if it is over.
 pub type End = (MsgId, Outcome, bool);
 
+/// What is known of a call: ends of its messages, and a wait told beside them.
+pub struct Ends {
+    pub ends: Vec<End>,
+    pub wait: Option<Duration>,
+}
+
+impl From<Vec<End>> for Ends {
+    fn from(ends: Vec<End>) -> Ends {
+        Ends { ends, wait: None }
+    }
+}
+
 pub struct Call {
     pub to: EndpointId,
     pub endpoint: Endpoint,
@@ -167,7 +180,7 @@
 
     /// Makes the call, once; `tell` gets the end of each message as it is known. A message whose deadline
     /// comes first ends by itself, for the others the call goes on up to its limit.
-    pub async fn run(self, idle: &Idle, tell: impl Fn(Vec<End>)) {
+    pub async fn run(self, idle: &Idle, tell: impl Fn(Ends)) {
         let start = Instant::now();
         let written = Cell::new(false);
         let mut exchange = Box::pin(self.exchange(idle, &written));
@@ -182,23 +195,26 @@
                 Timer::at(next).await;
                 None
             };
-            let Some(ends) = async { Some(exchange.as_mut().await) }.or(timer).await else {
+            let Some(mut ends) = async { Some(exchange.as_mut().await) }.or(timer).await else {
                 let over = self.parts.iter().filter(|p| open.contains(&p.msg) && cut(p) <= next);
                 let ends: Vec<End> = over.map(|p| (p.msg, late(), false)).collect();
                 open.retain(|msg| ends.iter().all(|e| e.0 != *msg));
                 if open.is_empty() {
                     drop(exchange); // closes the connection before the end is told
-                    return tell(ends);
+                    return tell(ends.into());
                 }
-                tell(ends);
+                tell(ends.into());
                 continue;
             };
-            return tell(ends.into_iter().filter(|e| open.contains(&e.0)).collect());
+            ends.ends.retain(|e| open.contains(&e.0));
+            return tell(ends);
         }
     }
 
-    async fn exchange(&self, idle: &Idle, written: &Cell<bool>) -> Vec<End> {
-        let all = |outcome, over| self.parts.iter().map(|p| (p.msg, outcome, over)).collect();
+    async fn exchange(&self, idle: &Idle, written: &Cell<bool>) -> Ends {
+        let all = |outcome, over| -> Ends {
+            self.parts.iter().map(|p| (p.msg, outcome, over)).collect::<Vec<End>>().into()
+        };
         let mut connection = match idle.take(self.to) {
             Some(connection) => connection,
             None => {
@@ -233,7 +249,7 @@
     }
 
     /// Reads an answer: how each message ended.
-    fn ends(&self, answer: &Answer) -> Vec<End> {
+    fn ends(&self, answer: &Answer) -> Ends {
         let wait = Duration::from_secs_f64(answer.retry_after.unwrap_or(0.0).min(1e6));
         let end = match answer.status {
             200 if self.parts.len() == 1 => (Outcome::Delivered, true),
@@ -249,10 +265,10 @@
             }
             _ => (Outcome::Error, false),
         };
-        self.parts.iter().map(|p| (p.msg, end.0, end.1)).collect()
+        self.parts.iter().map(|p| (p.msg, end.0, end.1)).collect::<Vec<End>>().into()
     }
 
-    fn ends_of_many(&self, answer: &Answer, wait: Duration) -> Vec<End> {
+    fn ends_of_many(&self, answer: &Answer, wait: Duration) -> Ends {
         let mut told = BTreeMap::new();
         for line in answer.body.split(|b| *b == b'\n') {
             let mut words = line.split(u8::is_ascii_whitespace).filter(|w| !w.is_empty());
@@ -268,6 +284,7 @@
             // Told as failed, or not told: it may have run.
             _ => (part.msg, Outcome::Error, false),
         };
-        self.parts.iter().map(end).collect()
+        // The wait binds whether or not a message was refused.
+        Ends { ends: self.parts.iter().map(end).collect(), wait: (!wait.is_zero()).then_some(wait) }
     }
 }
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -3,7 +3,7 @@
 
 use crate::clients::{Answer, HandedIn, Told, told};
 use crate::discovery::Members;
-use crate::endpoints::{Call, End, Endpoints, Idle, Part};
+use crate::endpoints::{Call, End, Endpoint, Endpoints, Ends, Idle, Part};
 use crate::notices::Notice;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -14,6 +14,7 @@
 use mountshift::rules::Relay;
 use mountshift_settings::SocketFacts;
 use mountshift_spool::{End as Owed, Spool, Taken};
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -22,7 +23,8 @@
 const LAST_LEG: Duration = Duration::from_millis(2_400);
 /// ... and what is out may end until then.
 const LAST_END: Duration = Duration::from_millis(3_300);
-/// Between two looks at idle connections.
+/// Between two looks while stopping, and at idle connections else.
+const STOP_LOOK: Duration = Duration::from_millis(20);
 const SWEEP: Duration = Duration::from_millis(500);
 
 /// What came in.
@@ -31,7 +33,7 @@
     /// A client did not hear that its message was taken on.
     Gone(MsgId),
     /// Messages of a call have ended.
-    Ended(u64, Vec<End>),
+    Ended(u64, Ends),
     /// The list or its changes; none if a call for it failed.
     List(Option<Members>),
     /// The platform took these ends.
@@ -128,8 +130,8 @@
         call.recalled.insert(msg);
         // One message can't be taken out of a call: it would still be out on an open connection.
         if call.recalled.is_superset(&call.legs) {
-            let ends = call.legs.iter().map(|msg| (*msg, Outcome::Cancelled, false)).collect();
-            let _ = self.events.try_send(Event::Ended(*n, ends));
+            let ends: Vec<End> = call.legs.iter().map(|msg| (*msg, Outcome::Cancelled, false)).collect();
+            let _ = self.events.try_send(Event::Ended(*n, ends.into()));
             call.task = self.executor.spawn(async {});
         }
     }
@@ -196,7 +198,13 @@
                 self.over(msg);
                 tell.push(Box::new(move |r| r.over(msg)));
             }
-            Event::Ended(call, ends) => ends.into_iter().for_each(|end| self.take_end(call, end, tell)),
+            Event::Ended(call, ends) => {
+                if let (Some(wait), Some(out)) = (ends.wait, self.calls.get(&call)) {
+                    let to = out.to;
+                    tell.push(Box::new(move |r| r.told_to_wait(to, wait)));
+                }
+                ends.ends.into_iter().for_each(|end| self.take_end(call, end, tell));
+            }
             Event::List(Some(list)) => self.take_list(list, tell),
             Event::List(None) => tell.push(Box::new(Relay::watch_failed)),
             Event::Noticed(taken) => taken.into_iter().for_each(|msg| {
@@ -215,7 +223,8 @@
         };
         if let Some(msg) = self.by_name.get(&m.id) {
             // Taken on already: the one that came first stands.
-            let _ = asking.try_send(Answer::Taken(*msg));
+            info!("message {} came again while it is held", msg.0);
+            let _ = asking.try_send(Answer::Held);
             return;
         }
         let at = self.clock.unix_ms(deadline);
@@ -253,7 +262,10 @@
             tell.push(Box::new(Relay::whole_list));
         }
         for member in &list.members {
-            let (id, says) = self.endpoints.learn(member);
+            let (id, says, moved) = self.endpoints.learn(member);
+            if moved {
+                self.idle.close(id);
+            }
             let Some(e) = self.endpoints.get(id) else { continue };
             let (dst, zone, kind, rate) = (e.dst, e.zone, e.kind, member.size);
             tell.push(Box::new(move |r| r.entry(id, dst, zone, kind, says, rate)));
@@ -317,8 +329,8 @@
                 self.start(n, to, endpoint, legs)
             } else {
                 // A leg that is not noted must not go out.
-                let moot = legs.iter().map(|(msg, _)| (*msg, Outcome::Moot, false)).collect();
-                let _ = self.events.try_send(Event::Ended(n, moot));
+                let moot: Vec<End> = legs.iter().map(|(msg, _)| (*msg, Outcome::Moot, false)).collect();
+                let _ = self.events.try_send(Event::Ended(n, moot.into()));
                 self.executor.spawn(async {})
             };
             let out = Out { to, sent: self.now, legs: all, recalled: BTreeSet::new(), task };
@@ -326,13 +338,7 @@
         }
     }
 
-    fn start(
-        &self,
-        n: u64,
-        to: EndpointId,
-        endpoint: crate::endpoints::Endpoint,
-        legs: Vec<(MsgId, Duration)>,
-    ) -> Task<()> {
+    fn start(&self, n: u64, to: EndpointId, endpoint: Endpoint, legs: Vec<(MsgId, Duration)>) -> Task<()> {
         // A call is given up as a whole, so that none of its messages is out again while it is open.
         let limit = legs.iter().map(|l| l.1).max().unwrap_or_default();
         let part = |(msg, _): &(MsgId, Duration)| {
@@ -360,6 +366,9 @@
     pub events: (Sender<Event>, Receiver<Event>),
     pub notices: Sender<Notice>,
     pub watch: Sender<()>,
+    /// Client connections open now, and closed once clients are to go.
+    pub clients: Rc<Cell<usize>>,
+    pub leaving: Receiver<()>,
 }
 
 pub struct Host {
@@ -367,6 +376,8 @@
     desk: Desk,
     came: Receiver<Event>,
     stopping: Option<Instant>,
+    clients: Rc<Cell<usize>>,
+    leaving: Receiver<()>,
 }
 
 impl Host {
@@ -394,7 +405,14 @@
             wake: None,
         };
         let relay = Relay::new(parts.facts);
-        let mut host = Host { relay, desk, came: parts.events.1, stopping: None };
+        let mut host = Host {
+            relay,
+            desk,
+            came: parts.events.1,
+            stopping: None,
+            clients: parts.clients,
+            leaving: parts.leaving,
+        };
         let mut tell = Vec::new();
         parts.known.into_iter().for_each(|list| host.desk.take_list(list, &mut tell));
         host.desk.restore(&mut tell);
@@ -415,6 +433,8 @@
         loop {
             let wake = self.desk.wake.map(|at| self.desk.clock.instant(at));
             let sweep = swept + SWEEP;
+            // What is left to do before the end must not wait for the next look.
+            let sweep = if self.stopping.is_some() { Instant::now() + STOP_LOOK } else { sweep };
             let timer = async {
                 Timer::at(wake.map_or(sweep, |w| w.min(sweep))).await;
                 None
@@ -444,12 +464,13 @@
             } else {
                 // Nothing more is decided: ends are noted, what is held waits in the spool for the next start.
                 self.desk.carry_out();
-                if self.desk.calls.is_empty() || stopped >= LAST_END {
-                    info!(
-                        "stopped with {} calls out, {} messages kept",
-                        self.desk.calls.len(),
-                        self.desk.spool.live().len()
-                    );
+            }
+            if self.stopping.is_some() {
+                let clients_gone = self.leaving.is_closed() && self.clients.get() == 0;
+                let kept = self.desk.spool.live().len();
+                let done = clients_gone && self.desk.calls.is_empty() && (stopped >= LAST_LEG || kept == 0);
+                if done || stopped >= LAST_END {
+                    info!("stopped with {} calls out, {kept} messages kept", self.desk.calls.len());
                     return;
                 }
             }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -17,6 +17,7 @@
 use host::{Event, Host, Parts};
 use log::{error, info};
 use mountshift_spool::Spool;
+use std::cell::Cell;
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -49,6 +50,7 @@
     let (notices, notices_out) = async_channel::unbounded();
     let (watch, watch_asked) = async_channel::bounded(1);
     let (leave, leaving) = async_channel::bounded::<()>(1);
+    let open = Rc::new(Cell::new(0));
     let known = discovery::members(&start.known);
     let revision = known.as_ref().map(|list| list.revision);
     let must_ask = start.facts.must_watch;
@@ -64,6 +66,8 @@
             events: events.clone(),
             notices,
             watch,
+            clients: open.clone(),
+            leaving: leaving.clone(),
         });
         let asked = must_ask.then_some(watch_asked);
         let events = events.0;
@@ -80,6 +84,7 @@
             gone: Box::new(move |msg| drop(gone.try_send(Event::Gone(msg)))),
             leaving,
             most: start.descriptors / 2,
+            open,
         };
         executor.spawn(clients::serve(listener, Rc::new(front), executor.clone())).detach();
         info!("ready on {}", start.listen);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,6 +1,5 @@
 //! All decisions of one relay. Interface: `port.rs`. A host makes a [`Relay`] at startup and calls
-//! `relay.round(now, |r| { r.message(..); r.outcome(..); }, &mut out)` once a round with all that came in;
-//! decisions go straight into `out`. Times are spans since the start. Relays share nothing.
+//! `round` with all that came in; decisions go straight into `out`. Times are spans since a start.
 //!
 //! The ordinary path is the design's breaker (docs/design.md). Beside it stand six mechanisms:
 //! 1. credits: each endpoint's limit in flight grows by one, is cut by a share; a send goes where one is left
@@ -261,8 +260,7 @@
         let key = key.filter(|_| row.in_order);
         key.into_iter().for_each(|k| self.lines.entry(k).or_default().queue.push_back(id));
         let target = (deadline + row.target).saturating_sub(row.deadline);
-        let msg = Msg { lane, dst, key, target, deadline, over_share, ..Msg::default() };
-        self.msgs.insert(id, msg);
+        self.msgs.insert(id, Msg { lane, dst, key, target, deadline, over_share, ..Msg::default() });
     }
 
     /// A leg from before a restart; without an outcome that proves the contrary it may have run.
@@ -301,12 +299,11 @@
             (line.rest_until, line.rest_by) = (now + self.facts.order_pause, Some(id));
         }
         ended.then(|| self.over(id));
+        if let Outcome::Full(wait) = outcome {
+            self.told_to_wait(to, wait);
+        }
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.left -= 1;
-        // Rule 6: every wait binds, whichever of a call's outcomes tells it and however late it comes.
-        if let (Outcome::Full(wait), Some(route)) = (outcome, self.routes.get_mut(&call.route)) {
-            route.told_until = route.told_until.max(now + wait);
-        }
         let first = !std::mem::replace(&mut call.counted, true);
         let (route_id, full, idle) = (call.route, first && call.full, first && call.idle);
         idle.then(|| self.idle_ends.add(now, f64::from(u8::from(uncertain))));
@@ -330,6 +327,14 @@
         }
     }
 
+    /// Rule 6: every wait binds, whichever answer tells it and however late it comes.
+    pub fn told_to_wait(&mut self, to: EndpointId, wait: Duration) {
+        let until = self.now + wait;
+        let route_id = self.endpoints.contains_key(&to).then(|| self.route_of(to));
+        let route = route_id.and_then(|id| self.routes.get_mut(&id));
+        route.into_iter().for_each(|r| r.told_until = r.told_until.max(until));
+    }
+
     /// A whole list begins: what its entries don't name is gone.
     pub fn whole_list(&mut self) {
         self.endpoints.values_mut().for_each(|ep| ep.off_since = ep.off_since.or(Some(self.now)));
@@ -560,11 +565,9 @@
     fn worth(&self, msg: &Msg) -> f64 {
         let row = self.row(msg);
         let late = self.now.saturating_sub(msg.target).as_secs_f64();
+        let span = row.deadline.saturating_sub(row.target).as_secs_f64().max(0.001);
         let left = match self.facts.decay {
-            Decay::Linear => {
-                let span = (row.deadline.saturating_sub(row.target)).as_secs_f64().max(0.001);
-                1.0 - (1.0 - row.late_share) * (late / span).min(1.0)
-            }
+            Decay::Linear => 1.0 - (1.0 - row.late_share) * (late / span).min(1.0),
             Decay::Halving => (0.5f64).powf(late / row.target.as_secs_f64().max(0.001)).max(row.late_share),
         };
         row.value * left * if msg.over_share { OVER_SHARE } else { 1.0 }
@@ -755,8 +758,7 @@
         let patient = left.mul_f64(PATIENCE).max(span).min(left);
         let limit = if row.effect == Effect::NonRetriable { left } else { patient };
         let msg = self.msgs.get_mut(&id)?;
-        msg.out = Some(call);
-        (msg.legs, msg.ran) = (msg.legs + 1, msg.ran + 1);
+        (msg.out, msg.legs, msg.ran) = (Some(call), msg.legs + 1, msg.ran + 1);
         msg.may_have_run = msg.may_have_run.or(Some((now, zone)));
         out.send(id, to, limit);
         Some(span)
