--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -2,7 +2,9 @@
 //!
 //! - `facts name=value ..`, `lane name=value ..`, `kind name=value ..`: what is told at startup; spans in seconds
 //! - `at T: event; event ..`: one round; events: `list A dst=1 ..`, `whole A dst=1 ..`, `msg 1 lane=0 ..`,
-//!   `end 1 A delivered`, `gone 1` (withdrawn), `nolist` (the watch failed)
+//!   `end 1 A delivered`, `gone 1` (withdrawn, or its end was taken), `nolist` (the watch failed),
+//!   `leg 1 ago=2 zone=0 [refused]` and `ended 1` (from before a restart), `wait A for=1` (told beside outcomes);
+//!   with `facts notices` ends count only once taken
 //! - `until T`: a round each 20 ms
 //! - `=> a; b`: exactly these decisions in that span; `~> a`: this one among them; `!> a`: none like it;
 //!   `#> N a`: N that begin so. Decisions: `send 1 A`, `push 1`, `fail 1`, `recall 1`, `close A`, `watch`, `log ..`
@@ -13,8 +15,9 @@
 use std::time::Duration;
 use test_case::test_case;
 
+/// What was decided, and if ends count only once the host says that they were taken.
 #[derive(Default)]
-struct Decisions(Vec<String>);
+struct Decisions(Vec<String>, bool);
 
 fn name(to: EndpointId) -> char {
     char::from(to.0 as u8)
@@ -26,11 +29,11 @@
     }
     fn push_back(&mut self, msg: MsgId, _pause: Duration) -> bool {
         self.0.push(format!("push {}", msg.0));
-        true
+        !self.1
     }
     fn fail(&mut self, msg: MsgId) -> bool {
         self.0.push(format!("fail {}", msg.0));
-        true
+        !self.1
     }
     fn recall(&mut self, msg: MsgId, _leg: LegNo) {
         self.0.push(format!("recall {}", msg.0));
@@ -146,6 +149,12 @@
             r.outcome(w.msg(), w.endpoint(2), w.span("took", 0.1), outcome, over);
         }
         "gone" => r.over(w.msg()),
+        "leg" => {
+            let at = now.saturating_sub(w.span("ago", 0.0));
+            r.earlier_leg(w.msg(), ZoneId(w.n("zone", 0.0) as u8), at, !w.0.contains(&"refused"));
+        }
+        "ended" => r.end(w.msg(), false),
+        "wait" => r.told_to_wait(w.endpoint(1), w.span("for", 0.0)),
         "nolist" => r.watch_failed(),
         other => panic!("no event {other}"),
     }
@@ -192,6 +201,10 @@
 #[test_case("list"; "lists whole and in part")]
 #[test_case("watch"; "the list is asked for again")]
 #[test_case("stray"; "stray events are ignored")]
+#[test_case("rule5-notice"; "rule 5 an end that is not taken holds back its key")]
+#[test_case("rule6-beside"; "rule 6 a wait told beside outcomes binds")]
+#[test_case("restart"; "what was out before a restart may have run")]
+#[test_case("restart-order"; "rule 5 order by key across a restart")]
 fn scenario(file: &str) {
     let path = format!("{}/tests/scenarios/{file}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
@@ -214,7 +227,7 @@
                 let relay = relay.get_or_insert_with(start);
                 let (time, events) = rest.split_once(':').unwrap_or((rest, ""));
                 let end = Duration::from_secs_f64(time.parse().unwrap_or_else(|_| panic!("{}", seen())));
-                out = Decisions::default();
+                out = Decisions(Vec::new(), told.contains("notices"));
                 while word == "until" && now + Duration::from_millis(20) < end {
                     now += Duration::from_millis(20);
                     relay.round(now, |_| {}, &mut out);
