--- /dev/null
+++ b/crates/relay/tests/relay.rs
@@ -0,0 +1,436 @@
+//! The relay as a process, against stand-ins on loopback.
+
+mod standins;
+
+use serde_json::{Value, json};
+use standins::*;
+use std::io::Read;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+use test_case::test_case;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+fn ok() -> Act {
+    answer(200, "", "")
+}
+
+struct Scene {
+    dir: tempfile::TempDir,
+    platform: Platform,
+    config: Value,
+}
+
+/// A platform with one list, told to the relay from the start.
+fn scene(refused: usize, members: Vec<Value>) -> Scene {
+    let platform = Platform::start(refused);
+    let config = config(free(), platform.server.address, &members);
+    platform.set(members);
+    Scene { dir: tempfile::tempdir().expect("a folder"), platform, config }
+}
+
+impl Scene {
+    fn relay(&self) -> Relay {
+        Relay::start(&self.config, self.dir.path())
+    }
+
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.dir.path().join("log")).expect("a log")
+    }
+
+    fn disk(&self) -> u64 {
+        let files = std::fs::read_dir(self.dir.path().join("state")).expect("a folder").flatten();
+        files.map(|f| f.metadata().map_or(0, |m| m.len().div_ceil(512) * 512)).sum()
+    }
+}
+
+#[test]
+fn a_message_goes_out_as_the_bytes_that_came() {
+    let endpoint = Server::start(|_| ok());
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    let body: Vec<u8> = (0..=255).chain(*b"\r\n$5\r\n\0").collect();
+    assert_eq!(relay.add("m1", 0, "c=any,d=8000,x=new,k=abc-1,dest=7", &body), "+OK");
+    until("the call", || endpoint.requests().len() == 1);
+    let got = &endpoint.requests()[0];
+    let header = |name: &str| got.headers.get(name).map(String::as_str);
+    assert_eq!((got.path.as_str(), &got.body), ("/receive", &body));
+    assert_eq!((header("x-request-id"), header("idempotency-key")), (Some("m1"), Some("abc-1")));
+    let limit: u64 = header("x-timeout-ms").and_then(|l| l.parse().ok()).expect("a limit");
+    assert!(limit > 0 && limit <= 8_000, "{limit}");
+    // The connection is kept, and nothing is told of a message that was delivered.
+    relay.add("m2", 0, "c=once,d=8000,dest=7", b"");
+    until("the call", || endpoint.requests().len() == 2);
+    assert!(endpoint.requests().iter().all(|r| r.connection == 0));
+    assert!(scene.platform.notices().is_empty());
+}
+
+#[test]
+fn sends_of_a_round_share_a_call_and_end_one_by_one() {
+    let again = Server::start(|r| {
+        let many = |ends: &[&str]| {
+            let lines: Vec<String> =
+                r.ids().iter().zip(ends).map(|(id, end)| format!("{id} {end}\r\n")).collect();
+            answer(200, "Retry-After: 0.7\r\n", &lines.concat())
+        };
+        if r.path == "/receive-many" {
+            many(&["delivered", "failed", "refused", "over", "spent"])
+        } else {
+            ok()
+        }
+    });
+    let scene = scene(0, vec![member("e1", again.address, 7, "bulk")]);
+    let relay = scene.relay();
+    let list = "c=any,d=8000,k=key1,dest=7";
+    let five = ["a", "b", "c", "d"].map(|id| out_add(id, 0, list, b"x\r\ny")).concat();
+    let mut client = relay.client();
+    client.say(&[five, out_add("e", 0, "c=any,d=8000,dest=7", b"")].concat());
+    assert_eq!([(); 5].map(|()| client.hear()), ["+OK"; 5]);
+    until("the refused ones", || again.ids().len() == 8);
+    sleep(ms(300));
+    let got = again.requests();
+    let line = "key1 4\r\nx\r\ny\r\n";
+    let body = format!("a {line}b {line}c {line}d {line}e - 0\r\n\r\n");
+    assert_eq!(String::from_utf8_lossy(&got[0].body), body);
+    // Neither what was delivered nor what is over goes again, nothing before the wait is over.
+    let mut later: Vec<String> = again.ids().split_off(5);
+    later.sort();
+    assert_eq!(later, ["b", "c", "e"]);
+    assert!(got[1].at.duration_since(got[0].at) >= ms(700));
+}
+
+#[test_case(503, "", "once" => 2; "turned away may go again")]
+#[test_case(429, "Retry-After: 0.3\r\n", "once" => 2; "so may what is told to wait")]
+#[test_case(503, "Slots-Taken: 1\r\n", "once" => 2; "and what was not sent")]
+#[test_case(500, "", "once" => 1; "an error may have run")]
+#[test_case(500, "", "any" => 2; "an error of a retriable one goes again")]
+#[test_case(410, "", "any" => 1; "over is over")]
+#[test_case(0, "", "once" => 1; "a reset may have run")]
+#[test_case(0, "", "any" => 2; "a reset of a retriable one goes again")]
+#[test_case(1, "", "once" => 1; "what is no answer may have run")]
+fn ends_are_told_as_they_were(status: u16, headers: &'static str, lane: &str) -> usize {
+    let first = AtomicBool::new(true);
+    let endpoint = Server::start(move |_| match (first.swap(false, Ordering::SeqCst), status) {
+        (false, _) => ok(),
+        (true, 0) => Act::Close,
+        (true, 1) => Act::Say("SMTP ready\r\n\r\n".into(), Duration::ZERO),
+        (true, _) => answer(status, headers, ""),
+    });
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    relay.add("m1", 0, &format!("c={lane},d=8000,dest=7"), b"x");
+    let failed = lane == "once" && matches!(status, 500 | 0 | 1);
+    if failed {
+        until("the notice", || scene.platform.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    }
+    sleep(ms(900));
+    assert_eq!(scene.platform.notices().len(), usize::from(failed));
+    endpoint.ids().len()
+}
+
+#[test]
+fn a_notice_goes_again_until_taken_and_holds_back_its_key() {
+    let endpoint = Server::start(|r| if r.ids()[0] == "m1" { answer(500, "", "") } else { ok() });
+    let scene = scene(3, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    relay.add("m1", 9, "c=pay,d=8000,dest=7", b"x");
+    relay.add("m2", 9, "c=pay,d=8000,dest=7", b"x");
+    until("the second of the key", || endpoint.ids() == ["m1", "m2"]);
+    assert_eq!(scene.platform.notices(), [r#"{"id":"m1","state":"failed"}"#; 4]);
+    let told = scene.platform.server.requests().iter().rfind(|r| r.path == "/status").expect("a notice").at;
+    assert!(endpoint.requests()[1].at > told, "sent before the notice was taken");
+}
+
+#[test]
+fn a_message_out_of_time_ends_by_a_notice() {
+    let endpoint = Server::start(|_| Act::Hang);
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    let start = Instant::now();
+    relay.add("out", 0, "c=once,d=900,dest=7", b"x");
+    relay.add("parked", 0, "c=any,d=700,dest=8", b"x");
+    until("both", || scene.platform.notices().len() == 2);
+    assert!(start.elapsed() < ms(900 + 300), "{:?}", start.elapsed());
+}
+
+#[test_case(b"PING\r\n", "-ERR Protocol error"; "no array")]
+#[test_case(b"*0\r\n", "-ERR Protocol error"; "empty array")]
+#[test_case(b"*-1\r\n", "-ERR Protocol error"; "null array")]
+#[test_case(b"*99999999999999999999999999\r\n", "-ERR Protocol error"; "too many to count")]
+#[test_case(b"*17\r\n", "-ERR Protocol error"; "too many words")]
+#[test_case(b"*1\r\n:5\r\n", "-ERR Protocol error"; "no bulk string")]
+#[test_case(b"*1\r\n$-1\r\n", "-ERR Protocol error"; "null bulk string")]
+#[test_case(b"*1\r\n$999999999\r\n", "-ERR Protocol error"; "oversized bulk string")]
+#[test_case(b"*1\r\n$4\r\nPINGPING\r\n", "-ERR Protocol error"; "wrong length")]
+#[test_case(b"*111111111111111111111111111111111111111111111111111", "-ERR Protocol error"; "endless count")]
+#[test_case(b"*1\r\n$4\r\nNOPE\r\n", "-ERR unknown command"; "unknown command")]
+#[test_case(b"*2\r\n$7\r\nOUT.ADD\r\n$1\r\n0\r\n", "-ERR wrong number"; "missing words")]
+#[test_case(&out_add("m", 0, "d=8000,dest=7", b""), "-ERR c is missing"; "no class")]
+#[test_case(&out_add("m", 0, "c=none,d=8000,dest=7", b""), "-ERR c names no class"; "unknown class")]
+#[test_case(&out_add("m", 0, "c=any,d=soon,dest=7", b""), "-ERR d is missing"; "no time")]
+#[test_case(&out_add("m", 0, "c=any,d=1,dest=99999999999", b""), "-ERR dest is missing"; "no destination")]
+#[test_case(&out_add("", 0, "c=any,d=8000,dest=7", b""), "-ERR the id"; "no id")]
+#[test_case(&out_add("a\r\nHost: b", 0, "c=any,d=8000,dest=7", b""), "-ERR the id"; "a header in the id")]
+fn bad_requests_get_plain_errors(bytes: &[u8], expected: &str) {
+    let scene = scene(0, vec![]);
+    let relay = scene.relay();
+    let said = relay.client().ask(bytes);
+    assert!(said.starts_with(expected), "{said}");
+    assert_eq!(relay.client().ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
+}
+
+#[test]
+fn a_request_that_never_ends_is_cut_off() {
+    let scene = scene(0, vec![]);
+    let relay = scene.relay();
+    let (mut slow, mut huge) = (relay.client(), relay.client());
+    slow.say(b"*5\r\n$7\r\nOUT.");
+    let words: Vec<u8> =
+        (0..16).flat_map(|_| [b"$60000\r\n", &[b'x'; 60_000][..], b"\r\n"].concat()).collect();
+    let _ = std::io::Write::write_all(huge.0.get_mut(), &[b"*16\r\n", &words[..]].concat());
+    assert!(huge.hear().starts_with("-ERR Protocol error") || scene.log().contains("ended: protocol"));
+    assert_eq!(slow.hear(), "");
+    until("the log line", || scene.log().contains("ended: slow after 0 requests"));
+    assert_eq!(relay.client().ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
+}
+
+#[test_case("", "not JSON"; "an empty file")]
+#[test_case("{}", "seed"; "an empty object")]
+#[test_case("listen", "no address"; "a bad address")]
+#[test_case("settings", "classes.count"; "no settings")]
+#[test_case("seed", "hexadecimal"; "a bad seed")]
+#[test_case("limits", "disk_mb"; "a bad limit")]
+fn a_bad_config_is_one_line(what: &str, named: &str) {
+    let scene = scene(0, vec![]);
+    let mut config = scene.config.clone();
+    match what {
+        "listen" | "seed" => config[what] = json!("nowhere"),
+        "settings" => config[what] = json!({}),
+        "limits" => config[what]["disk_mb"] = json!("three"),
+        _ => {}
+    }
+    let text = if what == "" || what == "{}" { what.to_string() } else { config.to_string() };
+    let file = scene.dir.path().join("config.json");
+    std::fs::write(&file, text).expect("a config");
+    let out = command(&file, scene.dir.path()).output().expect("a relay");
+    let said = String::from_utf8_lossy(&out.stderr).into_owned();
+    assert!(!out.status.success() && said.lines().count() == 1, "{said}");
+    assert!(said.contains("not started") && (said.contains(named) || named == "not JSON"), "{said}");
+}
+
+#[test]
+fn a_kill_loses_nothing_and_repeats_nothing() {
+    let dead = Arc::new(AtomicBool::new(true));
+    let hangs = dead.clone();
+    let endpoint = Server::start(move |_| if hangs.load(Ordering::SeqCst) { Act::Hang } else { ok() });
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    assert_eq!(relay.add("once", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    assert_eq!(relay.add("any", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
+    assert_eq!(relay.add("pay1", 5, "c=pay,d=15000,dest=7", b"3"), "+OK");
+    assert_eq!(relay.add("pay2", 5, "c=pay,d=15000,dest=7", b"4"), "+OK");
+    assert_eq!(relay.add("late", 0, "c=any,d=600,dest=8", b"5"), "+OK");
+    until("the first calls", || endpoint.ids().len() == 3);
+    relay.signal("KILL");
+    drop(relay);
+    dead.store(false, Ordering::SeqCst);
+    sleep(ms(700));
+    let start = Instant::now();
+    let relay = scene.relay();
+    until("what is left", || endpoint.ids().len() == 5 && scene.platform.notices().len() == 3);
+    sleep(ms(500));
+    let later = endpoint.requests().split_off(3);
+    let body = |id: &str| later.iter().find(|r| r.ids() == [id]).map(|r| (r.body.clone(), r.at));
+    assert_eq!(body("any").expect("any goes again").0, b"2");
+    let (bytes, at) = body("pay2").expect("pay2 goes");
+    assert_eq!((bytes, later.len()), (b"4".to_vec(), 2));
+    assert!(at.duration_since(start) >= ms(300), "the earlier one may still have been running");
+    let mut notices = scene.platform.notices();
+    notices.sort();
+    assert_eq!(notices, ["late", "once", "pay1"].map(|id| format!(r#"{{"id":"{id}","state":"failed"}}"#)));
+    drop(relay);
+    // All of it has ended: the next one starts with nothing.
+    scene.relay();
+    sleep(ms(200));
+    assert_eq!((endpoint.ids().len(), scene.platform.notices().len()), (5, 3));
+    assert!(scene.log().trim_end().contains("starts with 0 messages"));
+}
+
+#[test]
+fn an_owed_notice_outlives_the_process() {
+    let endpoint = Server::start(|_| answer(500, "", ""));
+    let scene = scene(usize::MAX, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    relay.add("m1", 0, "c=once,d=8000,dest=7", b"x");
+    until("the notice", || !scene.platform.notices().is_empty());
+    relay.signal("KILL");
+    drop(relay);
+    let other = Platform::start(0);
+    let mut config = scene.config.clone();
+    config["discovery"] = json!(other.server.address.to_string());
+    let _relay = Relay::start(&config, scene.dir.path());
+    until("the notice", || other.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    sleep(ms(200));
+    assert_eq!((endpoint.ids().len(), other.notices().len()), (1, 1));
+}
+
+#[test]
+fn sigterm_finishes_what_is_out_and_keeps_the_rest() {
+    let slow = Server::start(|_| Act::Say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".into(), ms(1_500)));
+    let scene = scene(0, vec![member("e1", slow.address, 7, "single")]);
+    let mut relay = scene.relay();
+    let (mut kept, mut idle) = (relay.client(), relay.client());
+    assert_eq!(kept.ask(&out_add("out", 0, "c=once,d=15000,dest=7", b"1")), "+OK");
+    assert_eq!(idle.ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
+    let start = Instant::now();
+    relay.signal("TERM");
+    sleep(ms(300));
+    // Both on a connection that was open and on a new one.
+    assert_eq!(kept.ask(&out_add("parked", 0, "c=any,d=15000,dest=8", b"2")), "+OK");
+    assert_eq!(relay.add("late", 0, "c=any,d=15000,dest=7", b"3"), "+OK");
+    assert_eq!(idle.hear(), "");
+    assert_eq!(relay.code(), Some(0));
+    assert!(start.elapsed() > ms(1_400) && start.elapsed() < ms(3_700), "{:?}", start.elapsed());
+    assert_eq!(slow.ids(), ["out", "late"]);
+    let other = Server::start(|_| ok());
+    scene.platform.set(vec![member("e2", other.address, 8, "single")]);
+    let _relay = scene.relay();
+    until("what was kept", || other.ids() == ["parked"]);
+    sleep(ms(200));
+    assert_eq!((slow.ids().len(), scene.platform.notices().len()), (2, 0));
+}
+
+#[test]
+fn sigterm_does_not_wait_for_the_silent() {
+    let hung = Server::start(|_| Act::Hang);
+    let scene = scene(0, vec![member("e1", hung.address, 7, "single")]);
+    let mut relay = scene.relay();
+    let mut client = relay.client();
+    client.ask(&out_add("out", 0, "c=any,d=15000,dest=7", b"1"));
+    client.say(b"*5\r\n$7\r\nOUT.");
+    let start = Instant::now();
+    relay.signal("TERM");
+    assert_eq!(relay.code(), Some(0));
+    assert!(start.elapsed() < ms(3_700), "{:?}", start.elapsed());
+    assert!(scene.log().contains("stopped with 1 calls out, 1 messages kept"));
+}
+
+#[test]
+fn a_client_that_is_gone_hands_nothing_in() {
+    let endpoint = Server::start(|_| ok());
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    let mut client = relay.client();
+    assert_eq!(client.ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
+    relay.signal("STOP");
+    client.say(&out_add("gone", 0, "c=any,d=8000,dest=7", b"1"));
+    drop(client);
+    relay.signal("CONT");
+    assert_eq!(relay.add("here", 0, "c=any,d=8000,dest=7", b"2"), "+OK");
+    until("the other one", || endpoint.ids() == ["here"]);
+    sleep(ms(300));
+    assert_eq!(endpoint.ids(), ["here"]);
+}
+
+#[test]
+fn a_full_spool_pushes_back_and_stays_within_its_limit() {
+    let open = Arc::new(AtomicBool::new(false));
+    let ready = open.clone();
+    let endpoint =
+        Server::start(move |_| if ready.load(Ordering::SeqCst) { ok() } else { answer(503, "", "") });
+    let mut scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    scene.config["limits"]["disk_mb"] = json!(0.2);
+    let relay = scene.relay();
+    let (mut client, mut said) = (relay.client(), Vec::new());
+    for i in 0..40 {
+        said.push(client.ask(&out_add(&format!("m{i}"), 0, "c=any,d=20000,dest=7", &[b'x'; 9_000])));
+        assert!(scene.disk() <= 200_000, "{}", scene.disk());
+    }
+    assert!(said.contains(&"+OK".to_string()) && said.contains(&"-BUSY".to_string()), "{said:?}");
+    open.store(true, Ordering::SeqCst);
+    until("room", || client.ask(&out_add("more", 0, "c=any,d=20000,dest=7", b"x")) == "+OK");
+}
+
+#[test]
+fn a_connection_closed_while_idle_is_not_used_again() {
+    let closing = Server::start(|_| Act::SayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".into()));
+    let scene = scene(0, vec![member("e1", closing.address, 7, "single")]);
+    let relay = scene.relay();
+    for (n, id) in ["m1", "m2", "m3"].iter().enumerate() {
+        relay.add(id, 0, "c=once,d=8000,dest=7", b"x");
+        until("the call", || closing.ids().len() == n + 1);
+        sleep(ms(100));
+    }
+    assert_eq!(closing.requests().iter().map(|r| r.connection).collect::<Vec<_>>(), [0, 1, 2]);
+    assert!(scene.platform.notices().is_empty());
+    until("log lines", || scene.log().matches("ended: closed-while-idle after 1 requests").count() == 3);
+}
+
+#[test]
+fn the_list_is_followed() {
+    let (old, new) = (Server::start(|_| ok()), Server::start(|_| ok()));
+    let scene = scene(0, vec![member("e1", old.address, 7, "single")]);
+    let relay = scene.relay();
+    relay.add("m1", 0, "c=any,d=8000,dest=7", b"x");
+    until("the call", || old.ids() == ["m1"]);
+    let mut leaving = member("e1", old.address, 7, "single");
+    leaving["phase"] = json!("Terminating");
+    scene.platform.set(vec![leaving, json!({"id": 5}), member("e2", new.address, 7, "single")]);
+    until("the change", || scene.log().contains("list 3:"));
+    for id in ["m2", "m3", "m4"] {
+        relay.add(id, 0, "c=any,d=8000,dest=7", b"x");
+    }
+    until("the calls", || new.ids().len() == 3);
+    // An endpoint that moves keeps its id; nothing goes to the old place.
+    scene.platform.set(vec![member("e2", old.address, 7, "single")]);
+    until("the change", || scene.log().contains("list 4:"));
+    relay.add("m5", 0, "c=any,d=8000,dest=7", b"x");
+    until("the call", || old.ids() == ["m1", "m5"]);
+    assert_eq!(new.ids().len(), 3);
+}
+
+#[test]
+fn a_silent_discovery_holds_nothing_up() {
+    let silent = Server::start(|_| Act::Hang);
+    let endpoint = Server::start(|_| ok());
+    let members = [member("e1", endpoint.address, 7, "single")];
+    let dir = tempfile::tempdir().expect("a folder");
+    let relay = Relay::start(&config(free(), silent.address, &members), dir.path());
+    assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b"x"), "+OK");
+    until("the call", || endpoint.ids() == ["m1"]);
+}
+
+#[test]
+fn no_connection_means_that_it_never_ran() {
+    let address = Arc::new(Mutex::new(free()));
+    let scene = scene(0, vec![member("e1", *address.lock().expect("an address"), 7, "single")]);
+    let relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=once,d=8000,dest=7", b"x"), "+OK");
+    until("a refused connection", || scene.log().contains("connection to endpoint e1 not made"));
+    let late = Server::start(|_| ok());
+    scene.platform.set(vec![member("e1", late.address, 7, "single")]);
+    until("the call", || late.ids() == ["m1"]);
+    assert!(scene.platform.notices().is_empty());
+}
+
+#[test]
+fn every_answer_comes_in_order_on_its_connection() {
+    let endpoint = Server::start(|_| ok());
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    let mut client = relay.client();
+    let ping = b"*1\r\n$4\r\nping\r\n".to_vec();
+    let add = |id: &str| out_add(id, 0, "c=any,d=8000,dest=7", b"x");
+    client.say(&[add("m1"), ping.clone(), add("m1"), add("m2"), b"*1\r\n$4\r\nQUIT\r\n".to_vec()].concat());
+    assert_eq!([(); 5].map(|()| client.hear()), ["+OK", "+PONG", "+OK", "+OK", "+OK"]);
+    assert_eq!(client.0.read(&mut [0]).expect("an end"), 0);
+    until("both", || endpoint.ids().len() == 2);
+    sleep(ms(100));
+    let mut ids = endpoint.ids();
+    ids.sort();
+    assert_eq!(ids, ["m1", "m2"], "handed in twice, sent once");
+}
--- /dev/null
+++ b/crates/spool/tests/spool.rs
@@ -0,0 +1,138 @@
+//! The spool against torn tails, full disks and restarts.
+
+use mountshift_spool::{End, Kept, Leg, Spool, Taken};
+use std::collections::BTreeMap;
+use std::fs;
+use std::path::Path;
+
+const LEGS: u64 = 4;
+
+fn open(dir: &Path, limit: u64) -> Spool {
+    Spool::open(dir, limit, LEGS, 8).expect("a spool")
+}
+
+fn taken(id: &str, body: usize) -> Taken {
+    let body = (0..body).map(|i| (i * 7) as u8).collect();
+    Taken { id: id.into(), key: 5, list: "c=a,d=8000,dest=7".into(), deadline: 1_000, body }
+}
+
+fn leg(at: u64, may_have_run: bool) -> Leg {
+    Leg { zone: "north".into(), at, may_have_run }
+}
+
+/// What all files in the folder take, in whole blocks.
+fn disk(dir: &Path) -> u64 {
+    let files = fs::read_dir(dir).expect("a folder").flatten();
+    files.map(|f| f.metadata().expect("a file").len().div_ceil(512) * 512).sum()
+}
+
+#[test]
+fn everything_comes_back_in_the_order_handed_in() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let mut spool = open(dir.path(), 1 << 20);
+    let n: Vec<u64> =
+        ["a", "b", "c", "d"].iter().map(|id| spool.add(taken(id, 300)).expect("room")).collect();
+    spool.leg(n[0], "north", 10);
+    spool.never_ran(n[0]);
+    spool.leg(n[0], "north", 20);
+    spool.owe(n[1], End::PushedBack(500));
+    spool.owe(n[3], End::Failed);
+    spool.over(n[2]);
+    spool.commit().expect("written");
+    drop(spool); // as when the process is killed: nothing is written at the end
+    let mut spool = open(dir.path(), 1 << 20);
+    let kept = |id, legs, owed| Kept { taken: taken(id, 300), legs, owed };
+    let expected = BTreeMap::from([
+        (n[0], kept("a", vec![leg(10, false), leg(20, true)], None)),
+        (n[1], kept("b", vec![], Some(End::PushedBack(500)))),
+        (n[3], kept("d", vec![], Some(End::Failed))),
+    ]);
+    assert_eq!(*spool.live(), expected);
+    assert!(spool.add(taken("e", 1)).expect("room") > n[3], "a number is used twice");
+}
+
+#[test]
+fn what_is_not_committed_is_not_there() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let mut spool = open(dir.path(), 1 << 20);
+    spool.add(taken("a", 10)).expect("room");
+    assert!(open(dir.path(), 1 << 20).live().is_empty());
+    spool.commit().expect("written");
+    assert_eq!(open(dir.path(), 1 << 20).live().len(), 1);
+}
+
+#[test]
+fn a_log_cut_anywhere_keeps_all_whole_records() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("spool.log");
+    let mut spool = open(dir.path(), 1 << 20);
+    let mut ends = Vec::new();
+    for id in ["a", "b", "c"] {
+        spool.add(taken(id, 20)).expect("room");
+        spool.commit().expect("written");
+        ends.push(fs::metadata(&path).expect("a log").len() as usize);
+    }
+    let whole = fs::read(&path).expect("a log");
+    for cut in 0..=whole.len() {
+        fs::write(&path, &whole[..cut]).expect("a log");
+        let mut spool = open(dir.path(), 1 << 20);
+        let expected = ends.iter().filter(|end| **end <= cut).count();
+        assert_eq!(spool.live().len(), expected, "cut at {cut}");
+        // What is appended after a dropped tail can be read.
+        spool.add(taken("z", 5)).expect("room");
+        spool.commit().expect("written");
+        assert_eq!(open(dir.path(), 1 << 20).live().len(), expected + 1, "cut at {cut}");
+    }
+    for at in 0..whole.len() {
+        let mut bad = whole.clone();
+        bad[at] ^= 0x55;
+        fs::write(&path, &bad).expect("a log");
+        let expected = ends.iter().filter(|end| **end <= at).count();
+        assert_eq!(open(dir.path(), 1 << 20).live().len(), expected, "flipped at {at}");
+    }
+}
+
+#[test]
+fn both_files_stay_within_the_limit_and_a_full_spool_takes_nothing_on() {
+    let (dir, limit) = (tempfile::tempdir().expect("a folder"), 40_000);
+    let mut spool = open(dir.path(), limit);
+    let (mut held, mut full) = (Vec::new(), 0);
+    for i in 0..3_000u64 {
+        match spool.add(taken(&i.to_string(), (i % 900) as usize)) {
+            Some(n) => held.push(n),
+            None => full += 1,
+        }
+        // Every leg and end of what was taken on has room, however full it is.
+        for n in held.iter().rev().take(1) {
+            (0..LEGS).for_each(|at| spool.leg(*n, "northern", at));
+        }
+        if held.len() > 60 || (full > 0 && i % 3 == 0 && !held.is_empty()) {
+            spool.over(held.remove(0));
+        }
+        spool.commit().expect("written");
+        assert!(disk(dir.path()) <= limit, "{} at {i}", disk(dir.path()));
+        if i % 500 == 0 {
+            assert_eq!(open(dir.path(), limit).live(), spool.live(), "at {i}");
+        }
+    }
+    assert!(full > 0 && full < 2_000, "{full} not taken on");
+}
+
+#[test]
+fn the_old_and_the_new_file_fit_together() {
+    // Guards against a fresh file that is written while the old one nearly fills the limit.
+    let (dir, limit) = (tempfile::tempdir().expect("a folder"), 40_000);
+    let mut spool = open(dir.path(), limit);
+    for i in 0..500u64 {
+        let n = spool.add(taken(&i.to_string(), 700)).expect("room");
+        spool.commit().expect("written");
+        let live: u64 = spool.live().values().map(|k| k.taken.body.len() as u64).sum();
+        assert!(spool.size() + live <= limit, "{} and {live} at {i}", spool.size());
+        if spool.live().len() > 10 {
+            spool.over(n - 10);
+        }
+    }
+    fs::write(dir.path().join("spool.new"), vec![0; 30_000]).expect("left over");
+    let again = open(dir.path(), limit);
+    assert!(disk(dir.path()) <= limit && again.live().len() >= 9, "{}", disk(dir.path()));
+}
