--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -82,10 +82,10 @@
     asked: Option<Receiver<()>>,
     tell: impl Fn(Option<Members>),
 ) {
-    let mut connection = None;
-    let mut failed = asked.is_some();
+    let (mut connection, mut failures) = (None, 0);
+    let mut start = asked.is_some();
     loop {
-        if failed {
+        if std::mem::take(&mut start) || failures > 0 {
             match &asked {
                 Some(asked) => drop(asked.recv().await),
                 None => drop(Timer::after(PAUSE).await),
@@ -96,16 +96,19 @@
             Err("no answer in time".to_string())
         };
         let told = call(at, revision, &mut connection).or(late).await;
-        failed = told.is_err();
         match told {
             Ok(list) => {
                 info!("list {}: {} entries, whole: {}", list.revision, list.members.len(), list.whole);
                 revision = Some(list.revision);
+                failures = 0;
                 tell(Some(list));
             }
             Err(what) => {
-                warn!("discovery: {what}");
-                connection = None;
+                // Told once, or an outage would fill the log.
+                if failures == 0 {
+                    warn!("discovery: {what}");
+                }
+                (connection, failures) = (None, failures + 1);
                 tell(None);
             }
         }
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -2,6 +2,7 @@
 
 use crate::discovery::{Member, Phase};
 use crate::http::{Answer, Broken, Connection, request};
+use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{debug, error, info};
@@ -14,6 +15,8 @@
 use std::time::{Duration, Instant};
 
 const ANSWER_MOST: usize = 256 * 1024;
+/// A connection that took longer to come up asks before it carries its call.
+const SLOW_CONNECT: Duration = Duration::from_millis(50);
 /// An idle connection is not used for the last part of its time: the request has a way to go.
 const IDLE_SPARE: u32 = 10;
 
@@ -156,6 +159,8 @@
     pub parts: Vec<Part>,
     pub limit: Duration,
     pub connect: Duration,
+    /// Asks if the endpoint may still be reached.
+    pub may_reach: Box<dyn Fn() -> Receiver<bool>>,
 }
 
 impl Call {
@@ -222,8 +227,17 @@
                     Timer::after(self.connect).await;
                     Err(std::io::ErrorKind::TimedOut.into())
                 };
-                let name = format!("endpoint {}", self.endpoint.name);
+                let (name, start) = (format!("endpoint {}", self.endpoint.name), Instant::now());
                 match Connection::open(self.endpoint.address, name).or(late).await {
+                    // Guards against a call decided long ago that crosses a wait or a drain told since.
+                    Ok(connection) if start.elapsed() > SLOW_CONNECT => {
+                        if !(self.may_reach)().recv().await.unwrap_or(false) {
+                            info!("call to endpoint {} not made: no longer allowed", self.endpoint.name);
+                            idle.keep(self.to, connection);
+                            return all(Outcome::Moot, false);
+                        }
+                        connection
+                    }
                     Ok(connection) => connection,
                     Err(e) => {
                         info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -34,6 +34,8 @@
     Gone(MsgId),
     /// Messages of a call have ended.
     Ended(u64, Ends),
+    /// A connection to this endpoint was slow to come up: may it still be reached?
+    Late(EndpointId, Sender<bool>),
     /// The list or its changes; none if a call for it failed.
     List(Option<Members>),
     /// The platform took these ends.
@@ -103,6 +105,7 @@
     /// Messages that came for this round, and who waits for the answer.
     asking: BTreeMap<MsgId, Sender<Answer>>,
     sends: Vec<(EndpointId, Vec<(MsgId, Duration)>)>,
+    late: Vec<(EndpointId, Sender<bool>)>,
     calls: BTreeMap<u64, Out>,
     count: u64,
     wake: Option<Duration>,
@@ -211,6 +214,7 @@
                 self.over(msg);
                 tell.push(Box::new(move |r| r.over(msg)));
             }),
+            Event::Late(to, asking) => self.late.push((to, asking)),
             Event::Stop => {}
         }
     }
@@ -348,8 +352,13 @@
             Some(Part { msg: *msg, id: taken.id.clone(), idempotency_key, body: taken.body.clone(), until })
         };
         let parts = legs.iter().filter_map(part).collect();
-        let call = Call { to, endpoint, parts, limit, connect: self.facts.connect };
-        let (idle, events) = (self.idle.clone(), self.events.clone());
+        let (idle, events, late) = (self.idle.clone(), self.events.clone(), self.events.clone());
+        let may_reach = Box::new(move || {
+            let (tell, told) = async_channel::bounded(1);
+            let _ = late.try_send(Event::Late(to, tell));
+            told
+        });
+        let call = Call { to, endpoint, parts, limit, connect: self.facts.connect, may_reach };
         let tell = move |ends| drop(events.try_send(Event::Ended(n, ends)));
         self.executor.spawn(async move { call.run(&idle, tell).await })
     }
@@ -400,6 +409,7 @@
             by_name: BTreeMap::new(),
             asking: BTreeMap::new(),
             sends: Vec::new(),
+            late: Vec::new(),
             calls: BTreeMap::new(),
             count: 0,
             wake: None,
@@ -425,6 +435,9 @@
         self.desk.wake.take_if(|at| *at <= now);
         self.relay.round(now, |r| tell.into_iter().for_each(|t| t(r)), &mut self.desk);
         self.desk.carry_out();
+        for (to, asking) in std::mem::take(&mut self.desk.late) {
+            let _ = asking.try_send(self.relay.may_reach(to, now));
+        }
     }
 
     /// Plays rounds until the relay is told to stop and what is out has ended.
@@ -464,6 +477,7 @@
             } else {
                 // Nothing more is decided: ends are noted, what is held waits in the spool for the next start.
                 self.desk.carry_out();
+                self.desk.late.clear();
             }
             if self.stopping.is_some() {
                 let clients_gone = self.leaving.is_closed() && self.clients.get() == 0;
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -39,7 +39,7 @@
 
 /// Runs for good; `taken` hears of every notice that the platform took.
 pub async fn deliver(at: SocketAddr, queue: Receiver<Notice>, taken: impl Fn(Vec<MsgId>)) {
-    let (mut waiting, mut connection) = (Vec::new(), None);
+    let (mut waiting, mut connection, mut failures) = (Vec::new(), None, 0);
     // After a 400 notices go one by one: one that can't be read must not hold the others back.
     let mut together = MANY;
     loop {
@@ -56,10 +56,14 @@
         let status = call(at, &part, &mut connection).or(late).await;
         if status == Ok(204) {
             taken(part.iter().map(|n| n.msg).collect());
-            together = MANY.min(together * 2);
+            (together, failures) = (MANY.min(together * 2), 0);
             continue;
         }
-        warn!("notices: {} of them not taken: {status:?}", part.len());
+        // Told once, or an outage would fill the log.
+        if failures == 0 {
+            warn!("notices: {} of them not taken: {status:?}", part.len());
+        }
+        failures += 1;
         together = if status == Ok(400) { 1 } else { together };
         connection = connection.filter(|_| status.is_ok());
         waiting.extend(part);
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -120,6 +120,26 @@
     assert!(got[1].at.duration_since(got[0].at) >= ms(800));
 }
 
+#[test]
+fn a_connection_that_comes_up_late_crosses_no_wait() {
+    let (listener, fillers) = full();
+    let address = listener.local_addr().expect("an address");
+    let first = AtomicBool::new(true);
+    let full = move |_: &Request| first.swap(false, Ordering::SeqCst);
+    let waits = Server::start(move |r| if full(r) { answer(429, "Retry-After: 2\r\n", "") } else { ok() });
+    let scene = scene(0, vec![member("e1", address, 7, "single"), member("e2", waits.address, 7, "single")]);
+    let relay = scene.relay();
+    relay.client().ask(&["a", "b"].map(|id| out_add(id, 0, "c=any,d=8000,dest=7", b"")).concat());
+    until("the refused call", || waits.ids().len() == 1);
+    drop(fillers);
+    let late = Server::on(listener, |_| ok());
+    until("both", || waits.ids().len() + late.ids().len() == 3);
+    assert!(scene.log().contains("call to endpoint e1 not made: no longer allowed"));
+    let all = [waits.requests(), late.requests()].concat();
+    let gap = |r: &Request| r.at.duration_since(all[0].at);
+    assert!(all[1..].iter().all(|r| gap(r) >= ms(2_000)), "{:?}", all.iter().map(gap).collect::<Vec<_>>());
+}
+
 #[test]
 fn after_silence_the_rest_of_a_key_rests() {
     let endpoint = Server::start(|r| if r.ids()[0] == "m1" { Act::Hang } else { ok() });
--- a/crates/relay/tests/standins/mod.rs
+++ b/crates/relay/tests/standins/mod.rs
@@ -62,7 +62,10 @@
 
 impl Server {
     pub fn start(act: impl Fn(&Request) -> Act + Send + Sync + 'static) -> Server {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        Server::on(TcpListener::bind("127.0.0.1:0").expect("a port"), act)
+    }
+
+    pub fn on(listener: TcpListener, act: impl Fn(&Request) -> Act + Send + Sync + 'static) -> Server {
         let server = Server { address: listener.local_addr().expect("an address"), got: Arc::default() };
         let (got, act) = (server.got.clone(), Arc::new(act));
         thread::spawn(move || {
@@ -292,6 +295,25 @@
     }
 }
 
+/// A listener that takes no more connections for now; dropping what comes with it makes room.
+pub fn full() -> (TcpListener, Vec<socket2::Socket>) {
+    let socket =
+        || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let listener = socket();
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    listener.bind(&any.into()).and_then(|()| listener.listen(0)).expect("a port");
+    let listener: TcpListener = listener.into();
+    let address = listener.local_addr().expect("an address");
+    let fill = |_| {
+        let filler = socket();
+        filler.set_nonblocking(true).expect("a mode");
+        let _ = filler.connect(&address.into());
+        filler
+    };
+    let fillers = (0..4).map(fill).collect();
+    (listener, fillers)
+}
+
 /// Waits for something, ten seconds at most.
 pub fn until(what: &str, mut seen: impl FnMut() -> bool) {
     let start = Instant::now();
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,5 +1,4 @@
-//! All decisions of one relay. Interface: `port.rs`. A host makes a [`Relay`] at startup and calls
-//! `round` with all that came in; decisions go straight into `out`. Times are spans since a start.
+//! All decisions of one relay; the interface is `port.rs`. A host calls `round` with all that came in.
 //!
 //! The ordinary path is the design's breaker (docs/design.md). Beside it stand six mechanisms:
 //! 1. credits: each endpoint's limit in flight grows by one, is cut by a share; a send goes where one is left
@@ -360,8 +359,6 @@
         self.watch_at = self.facts.must_watch.then_some(again);
     }
 
-    // ---- the breaker and what is learnt from ends ----
-
     /// An even portion. Guards against standstill among many relays: their own traffic is uneven.
     fn portion(&self, rate: f64) -> f64 {
         let few = if self.facts.relays > CROWD { PACE_FEW } else { 0.0 };
@@ -481,8 +478,7 @@
         trial.then(|| self.set_breaker(route_id, next));
     }
 
-    /// A leg past its learnt time-out counts as failed then, though an effect that must not run twice is
-    /// left out until its deadline: guards against hosts that take calls and answer none.
+    /// A leg past its learnt time-out counts as failed, though left out: guards against hosts that hang.
     fn count_overdue(&mut self) {
         let now = self.now;
         let overdue = self.calls.iter().filter(|(_, c)| !c.counted && c.sent + c.expect <= now);
@@ -680,8 +676,8 @@
             let fee = route_id.1.and(self.facts.zone_fees.get(ep.zone.0 as usize)).copied().unwrap_or(0.0);
             let cross = if ep.zone == self.facts.zone { 0.0 } else { self.facts.cross_zone_price };
             let slow = if n > 0.0 { PICK_SLOW * (sum / n / target).min(2.0) } else { 0.0 };
-            let used = PICK_USED * f64::from(ep.out) / ep.limit;
-            let cost = fee + cross + slow + used + PICK_CHANCE * self.chance(id.0);
+            let cost = fee + cross + slow + PICK_USED * f64::from(ep.out) / ep.limit;
+            let cost = cost + PICK_CHANCE * self.chance(id.0);
             options.push((cost, id, room));
         }
         if options.is_empty() {
@@ -744,11 +740,9 @@
         };
         let one = !msg.ended && msg.deadline > now + MARGIN && msg.dst == ep.dst; // rule 1
         let two = msg.out.is_none() && self.may_go_again(msg) && same_group; // rule 2
-        let three = ep.off_since.is_none_or(|at| now < at + self.facts.drain_grace); // rule 3
         let four = route.cold_since.is_none() || route.cold.left > 0.0 || route.breaker != Breaker::Closed;
         let five = self.in_turn(id, msg); // rule 5
-        let six = now >= route.told_until; // rule 6
-        if !(one && two && three && four && five && six) {
+        if !(one && two && four && five && self.may_reach(to, now)) {
             return None;
         }
         let (zone, span) = (ep.zone, self.timeout(to, &row, msg.late));
@@ -764,6 +758,13 @@
         Some(span)
     }
 
+    /// Rules 3 and 6. A host asks again where a connection was slow to come up: both may have changed.
+    pub fn may_reach(&self, to: EndpointId, now: Duration) -> bool {
+        let Some(ep) = self.endpoints.get(&to) else { return false };
+        let drained = ep.off_since.is_some_and(|at| now >= at + self.facts.drain_grace);
+        !drained && now >= self.routes[&self.route_of(to)].told_until
+    }
+
     fn timeout(&self, to: EndpointId, row: &LaneFacts, late: u32) -> Duration {
         let (n, sum, peak) = self.endpoints[&to].answers.totals(self.now, 24);
         let learnt = Duration::from_secs_f64((TIMEOUT_MEANS * sum / n.max(1.0)).max(TIMEOUT_PEAKS * peak));
@@ -790,8 +791,7 @@
         }
     }
 
-    /// Pushes back the messages of least worth when places run out: guards against parked messages that
-    /// keep live traffic out.
+    /// Guards against parked messages that keep live traffic out: those of least worth are pushed back.
     fn make_room(&mut self, out: &mut dyn Writer) {
         let most = (self.facts.max_held as f64 * HELD_MOST) as usize;
         let held = self.msgs.values().filter(|m| !m.ended).count();
