--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -6,7 +6,8 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 use log::{debug, info, warn};
 use mountshift::port::MsgId;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
@@ -69,11 +70,15 @@
     pub most: usize,
     /// Connections open now.
     pub open: Rc<Cell<usize>>,
+    pub idle: IdleClients,
 }
 
+/// Connections between requests, by number: since when, and how to let go of them.
+pub type IdleClients = RefCell<BTreeMap<u64, (Instant, Sender<()>)>>;
+
 /// Accepts until clients are to go.
 pub async fn serve(listener: Async<TcpListener>, front: Rc<Front>, executor: Rc<LocalExecutor<'static>>) {
-    let open = &front.open;
+    let (open, mut count) = (&front.open, 0);
     loop {
         let leaving = async {
             let _ = front.leaving.recv().await;
@@ -85,21 +90,24 @@
                 warn!("accept: {e}");
                 Timer::after(ACCEPT_PAUSE).await;
             }
-            Ok((stream, peer)) if open.get() >= front.most => {
+            Ok((stream, peer)) if open.get() >= front.most && !make_room(&front) => {
                 let _ = (&stream).write(b"-ERR too many clients\r\n").await;
                 info!("connection from {peer} ended: too-many after 0 requests");
             }
             Ok((stream, peer)) => {
                 open.set(open.get() + 1);
-                let front = front.clone();
+                count += 1;
+                let (front, number, leave) = (front.clone(), count, async_channel::bounded(1));
+                front.idle.borrow_mut().insert(number, (Instant::now(), leave.0.clone()));
                 let task = async move {
                     let _ = stream.get_ref().set_nodelay(true);
-                    let mut client = Client { stream, peer, buffer: Vec::new(), requests: 0 };
+                    let mut client = Client { stream, peer, number, leave, buffer: Vec::new(), requests: 0 };
                     let reason = client.run(&front).await;
                     info!(
                         "connection from {} ended: {reason} after {} requests",
                         client.peer, client.requests
                     );
+                    front.idle.borrow_mut().remove(&number);
                     front.open.set(front.open.get() - 1);
                 };
                 executor.spawn(task).detach();
@@ -108,9 +116,19 @@
     }
 }
 
+/// Guards against idle connections that keep clients with messages out: the one idle for longest goes.
+fn make_room(front: &Front) -> bool {
+    let mut idle = front.idle.borrow_mut();
+    let oldest = idle.iter().min_by_key(|(_, (since, _))| *since).map(|(number, _)| *number);
+    oldest.and_then(|number| idle.remove(&number)).is_some_and(|(_, leave)| leave.close())
+}
+
 struct Client {
     stream: Async<TcpStream>,
     peer: SocketAddr,
+    number: u64,
+    /// Closed when it is to make room for another.
+    leave: (Sender<()>, Receiver<()>),
     buffer: Vec<u8>,
     requests: u64,
 }
@@ -133,23 +151,33 @@
             if !self.has_something() {
                 let (idle, left) = (self.buffer.is_empty(), SLOW.saturating_sub(begun.elapsed()));
                 let ready = async { self.stream.readable().await.map_or(Some("broken"), |()| None) };
+                if idle {
+                    front.idle.borrow_mut().insert(self.number, (Instant::now(), self.leave.0.clone()));
+                }
                 let end = async {
                     if idle {
-                        let _ = front.leaving.recv().await;
-                        return Some("stopping");
+                        let stopping = async {
+                            let _ = front.leaving.recv().await;
+                            Some("stopping")
+                        };
+                        let evicted = async {
+                            let _ = self.leave.1.recv().await;
+                            Some("idle")
+                        };
+                        return stopping.or(evicted).await;
                     }
                     Timer::after(left).await;
                     Some("slow")
                 };
-                if let Some(reason) = ready.or(end).await
-                    && !self.has_something()
-                {
+                let reason = ready.or(end).await;
+                if let Some(reason) = reason.filter(|_| !self.has_something()) {
                     return reason;
                 }
                 if idle {
                     begun = Instant::now();
                 }
             }
+            front.idle.borrow_mut().remove(&self.number);
             // A client that is gone hears no answer: what it asked last is not taken on.
             match self.pull() {
                 Ok(true) => {}
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -20,9 +20,9 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// After SIGTERM new legs go out for so long ...
-const LAST_LEG: Duration = Duration::from_millis(2_400);
+const LAST_LEG: Duration = Duration::from_millis(2_000);
 /// ... and what is out may end until then.
-const LAST_END: Duration = Duration::from_millis(3_300);
+const LAST_END: Duration = Duration::from_millis(3_500);
 /// Between two looks while stopping, and at idle connections else.
 const STOP_LOOK: Duration = Duration::from_millis(20);
 const SWEEP: Duration = Duration::from_millis(500);
@@ -109,6 +109,8 @@
     calls: BTreeMap<u64, Out>,
     count: u64,
     wake: Option<Duration>,
+    /// The spool had no room for the last message.
+    full: bool,
 }
 
 impl Writer for Desk {
@@ -235,11 +237,15 @@
         let taken = Taken { id: m.id, key: m.key, list: m.list, deadline: at, body: m.body };
         let name = taken.id.clone();
         let Some(n) = self.spool.add(taken) else {
-            warn!("spool: full with {} messages", self.spool.live().len());
+            // Told once, or what clients do meanwhile would fill the log.
+            if !std::mem::replace(&mut self.full, true) {
+                warn!("spool: full with {} messages", self.spool.live().len());
+            }
             let _ = asking.try_send(Answer::PushedBack(0));
             return;
         };
         let msg = MsgId(n);
+        self.full = false;
         self.by_name.insert(name, msg);
         self.asking.insert(msg, asking);
         tell.push(Box::new(move |r| r.message(msg, hand_in)));
@@ -413,6 +419,7 @@
             calls: BTreeMap::new(),
             count: 0,
             wake: None,
+            full: false,
         };
         let relay = Relay::new(parts.facts);
         let mut host = Host {
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -85,6 +85,7 @@
             leaving,
             most: start.descriptors / 2,
             open,
+            idle: clients::IdleClients::default(),
         };
         executor.spawn(clients::serve(listener, Rc::new(front), executor.clone())).detach();
         info!("ready on {}", start.listen);
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -247,6 +247,30 @@
     assert_eq!(relay.client().ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
 }
 
+#[test]
+fn idle_connections_make_room_for_clients_with_messages() {
+    let mut scene = scene(0, vec![]);
+    scene.config["limits"]["sockets"] = json!(40);
+    let relay = scene.relay();
+    let idle: Vec<Client> = (0..60).map(|_| relay.client()).collect();
+    let mut said: Vec<String> =
+        (0..30).map(|n| relay.add(&format!("m{n}"), 0, "c=any,d=8000,dest=7", b"")).collect();
+    said.dedup();
+    assert_eq!(said, ["+OK"]);
+    drop(idle);
+    // Requests that never end hold their places only for a while.
+    let held: Vec<Client> = (0..20).map(|_| relay.client()).collect();
+    let half = |mut client: Client| {
+        client.say(b"*5\r\n$7\r\nOUT.");
+        client
+    };
+    let held: Vec<Client> = held.into_iter().map(half).collect();
+    sleep(ms(100));
+    assert_eq!(relay.client().hear(), "-ERR too many clients");
+    until("room", || relay.add("late", 0, "c=any,d=8000,dest=7", b"") == "+OK");
+    drop(held);
+}
+
 #[test_case("", "not JSON"; "an empty file")]
 #[test_case("{}", "seed"; "an empty object")]
 #[test_case("listen", "no address"; "a bad address")]
