A delivery whose answer breaks off in its body stays a delivery

The protocol counts a message as delivered once the first line with 200 is written; the relay took a body that broke off for a reset and failed a non-retriable message that had arrived. Looking for an idle connection now looks at the one endpoint's only.

--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -89,8 +89,10 @@
     }
 
     fn take(&self, to: EndpointId) -> Option<Connection> {
-        self.close_old();
-        self.waiting.borrow_mut().get_mut(&to).and_then(VecDeque::pop_back).map(|(_, c)| c)
+        let mut waiting = self.waiting.borrow_mut();
+        let queue = waiting.get_mut(&to)?;
+        queue.retain_mut(|entry| self.lasting(entry));
+        queue.pop_back().map(|(_, connection)| connection)
     }
 
     fn keep(&self, to: EndpointId, connection: Connection) {
@@ -112,19 +114,21 @@
 
     /// Lets go of what the other side closed, and of what it is about to close.
     pub fn close_old(&self) {
-        for queue in self.waiting.borrow_mut().values_mut() {
-            queue.retain_mut(|(since, connection)| {
-                if since.elapsed() >= self.lasts {
-                    connection.reason = "idle";
-                } else if !connection.is_quiet() {
-                    connection.reason = "closed-while-idle";
-                } else {
-                    return true;
-                }
-                false
-            });
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.values_mut().for_each(|queue| queue.retain_mut(|entry| self.lasting(entry)));
+        waiting.retain(|_, queue| !queue.is_empty());
+    }
+
+    /// True if an idle connection can still be used.
+    fn lasting(&self, (since, connection): &mut (Instant, Connection)) -> bool {
+        if since.elapsed() >= self.lasts {
+            connection.reason = "idle";
+        } else if !connection.is_quiet() {
+            connection.reason = "closed-while-idle";
+        } else {
+            return true;
         }
-        self.waiting.borrow_mut().retain(|_, queue| !queue.is_empty());
+        false
     }
 }
 
@@ -267,6 +271,7 @@
         let wait = Duration::from_secs_f64(answer.retry_after.unwrap_or(0.0).min(1e6));
         let end = match answer.status {
             200 if self.parts.len() == 1 => (Outcome::Delivered, true),
+            200 if !answer.whole => (Outcome::Reset, false),
             200 => return self.ends_of_many(answer, wait),
             429 => (Outcome::Full(wait), false),
             503 if answer.slots_taken => (Outcome::Moot, false),
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -18,6 +18,8 @@
     /// True if the request was not sent on since all slots were taken.
     pub slots_taken: bool,
     pub body: Vec<u8>,
+    /// False if it broke off within its body.
+    pub whole: bool,
     keep: bool,
 }
 
@@ -74,6 +76,7 @@
         match &answer {
             Err(Broken::Ended) => self.reason = "broken-in-answer",
             Err(Broken::Unreadable) => self.reason = "unreadable-answer",
+            Ok(a) if !a.whole => self.reason = "broken-in-answer",
             Ok(a) if !a.keep => self.reason = "closed-after-answer",
             Ok(_) => {}
         }
@@ -101,19 +104,15 @@
             if (100..200).contains(&answer.status) {
                 continue;
             }
-            answer.body = match length {
-                Length::Bytes(n) if n > most => return Err(Broken::Unreadable),
-                Length::Bytes(n) => self.take(n).await?,
-                Length::Chunks => self.chunks(most).await?,
-                Length::ToEnd => {
-                    while self.fill().await? {
-                        if self.buffer.len() > most {
-                            return Err(Broken::Unreadable);
-                        }
-                    }
-                    std::mem::take(&mut self.buffer)
-                }
+            let body = match length {
+                Length::Bytes(n) if n > most => Err(Broken::Unreadable),
+                Length::Bytes(n) => self.take(n).await,
+                Length::Chunks => self.chunks(most).await,
+                Length::ToEnd => self.read_to_end(most).await,
             };
+            // Guards against taking a delivery for a reset: its status may be all that counts.
+            (answer.whole, answer.keep) = (body.is_ok(), answer.keep && body.is_ok());
+            answer.body = body.unwrap_or_default();
             return Ok(answer);
         }
     }
@@ -136,6 +135,15 @@
         Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
+    async fn read_to_end(&mut self, most: usize) -> Result<Vec<u8>, Broken> {
+        while self.fill().await? {
+            if self.buffer.len() > most {
+                return Err(Broken::Unreadable);
+            }
+        }
+        Ok(std::mem::take(&mut self.buffer))
+    }
+
     async fn chunks(&mut self, most: usize) -> Result<Vec<u8>, Broken> {
         let mut body = Vec::new();
         loop {
@@ -180,7 +188,8 @@
     };
     let status = parsed.code.ok_or(Broken::Unreadable)?;
     let mut keep = parsed.version == Some(1);
-    let mut answer = Answer { status, retry_after: None, slots_taken: false, body: Vec::new(), keep };
+    let mut answer =
+        Answer { status, retry_after: None, slots_taken: false, body: Vec::new(), whole: true, keep };
     let mut length = None;
     for header in parsed.headers.iter() {
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -161,12 +161,14 @@
 #[test_case(0, "", "once" => 1; "a reset may have run")]
 #[test_case(0, "", "any" => 2; "a reset of a retriable one goes again")]
 #[test_case(1, "", "once" => 1; "what is no answer may have run")]
+#[test_case(2, "", "once" => 1; "delivered is delivered when the body breaks off")]
 fn ends_are_told_as_they_were(status: u16, headers: &'static str, lane: &str) -> usize {
     let first = AtomicBool::new(true);
     let endpoint = Server::start(move |_| match (first.swap(false, Ordering::SeqCst), status) {
         (false, _) => ok(),
         (true, 0) => Act::Close,
         (true, 1) => Act::Say("SMTP ready\r\n\r\n".into(), Duration::ZERO),
+        (true, 2) => Act::SayAndClose("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc".into()),
         (true, _) => answer(status, headers, ""),
     });
     let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
