--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,64 @@
+//! Both forms of the settings object say the same.
+
+use mountshift::port::*;
+use mountshift_settings::{Pairs, facts, me, socket_facts};
+use serde_json::json;
+use std::time::Duration;
+
+const TEXT: &str = "balancers=3\nme=2\nzone=1\nquantum=5000\nkinds=big_host,small\nlocalities=a,b\nweights=rough\n\
+classes.count=2\nclasses.0.name=one\nclasses.0.aim=1500000\nclasses.0.giveUp=8000000\nclasses.0.importance=1.0\n\
+classes.0.idempotency=deduplicated\nclasses.0.memorySpan=5000000\nclasses.0.group=zone\nclasses.1.name=two\n\
+classes.1.aim=1\nclasses.1.giveUp=2\nclasses.1.importance=3\nclasses.1.idempotency=at_most_once\n\
+classes.1.inOrder=true\ntenants.count=1\ntenants.0.name=north_mill\ntenants.0.quotaPerS=4.5\ndiscovery=subscribe\n\
+familyInfo.callsOut=7\nfamilyInfo.ownLimits=true,false\nfamilyInfo.kindBatch=20,1\nfamilyInfo.decay=halving\n\
+familyInfo.feeByZone=0.5,0.25\nlimits.openCap=117\nlimits.maxAttempts=8\nlimits.cancel=true\n\
+limits.connIdle=15000000\nlimits.dialTimeout=1500000\nobligations.coldFrom=0.28\nobligations.warmAfter=13000000\n\
+obligations.fallMultiple=1.5\nobligations.fall=2000000\nnew.key=left,alone\n";
+
+#[test]
+fn text_and_json_give_the_same_facts() {
+    let lane = |name, aim, give_up, importance, effect, more: serde_json::Value| {
+        let mut lane = json!({"name": name, "aim": aim, "giveUp": give_up, "importance": importance,
+            "idempotency": effect});
+        lane.as_object_mut().expect("an object").extend(more.as_object().expect("an object").clone());
+        lane
+    };
+    let json = json!({"balancers": 3, "me": 2, "zone": 1, "quantum": 5000, "kinds": ["big host", "small"],
+        "localities": ["a", "b"], "weights": "rough", "discovery": "subscribe",
+        "classes": [
+            lane("one", 1_500_000, 8_000_000, 1.0, "deduplicated", json!({"memorySpan": 5_000_000, "group": "zone"})),
+            lane("two", 1, 2, 3.0, "at_most_once", json!({"inOrder": true, "memorySpan": null})),
+        ],
+        "tenants": [{"name": "north mill", "quotaPerS": 4.5}],
+        "familyInfo": {"callsOut": 7, "ownLimits": [true, false], "kindBatch": [20, 1], "decay": "halving",
+            "feeByZone": [0.5, 0.25]},
+        "limits": {"openCap": 117, "maxAttempts": 8, "cancel": true, "connIdle": 15_000_000,
+            "dialTimeout": 1_500_000},
+        "obligations": {"coldFrom": 0.28, "warmAfter": 13_000_000, "fallMultiple": 1.5, "fall": 2_000_000}});
+    let (text, json) = (Pairs::from_text(TEXT), Pairs::from_json(&json));
+    let read = |pairs| facts(pairs, me(pairs).expect("a number"), 9).expect("facts");
+    assert_eq!(format!("{:?}", read(&json)), format!("{:?}", read(&text)));
+    assert_eq!(format!("{:?}", socket_facts(&json)), format!("{:?}", socket_facts(&text)));
+    let (facts, sockets) = (read(&json), socket_facts(&json).expect("facts"));
+    let keyed = Effect::Keyed { memory: Duration::from_secs(5), group: Group::Zone };
+    assert_eq!((facts.relay, facts.lanes[0].effect, facts.lanes[1].in_order), (RelayId(2), keyed, true));
+    assert_eq!((facts.quotas, facts.zone_fees, facts.must_watch), (vec![4.5], vec![0.5, 0.25], true));
+    assert_eq!((sockets.kinds[0].as_str(), sockets.tenants[0].as_str()), ("big_host", "north_mill"));
+}
+
+#[test]
+fn what_is_missing_or_odd_is_named() {
+    for (from, to, named) in [
+        ("balancers=3\n", "", "setting balancers is missing"),
+        ("limits.openCap=117", "limits.openCap=many", "setting limits.openCap=many can't be read"),
+        (
+            "obligations.coldFrom=0.28",
+            "obligations.coldFrom=NaN",
+            "setting obligations.coldFrom=NaN is no amount",
+        ),
+        ("=at_most_once", "=sometimes", "setting classes.1.idempotency=sometimes is not known"),
+    ] {
+        let pairs = Pairs::from_text(&TEXT.replacen(from, to, 1));
+        assert_eq!(facts(&pairs, RelayId(0), 1).expect_err(named), named);
+    }
+}
