--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -138,8 +138,6 @@
     pub id: Vec<u8>,
     pub idempotency_key: Option<String>,
     pub body: Vec<u8>,
-    /// When the message is out of time.
-    pub until: Instant,
 }
 
 /// How a message of a call ended, and if it is over.
@@ -187,43 +185,25 @@
         request("POST", "/receive-many", &host, &[("X-Timeout-Ms", limit.as_bytes())], &body)
     }
 
-    /// Makes the call, once; `tell` gets the end of each message as it is known. A message whose deadline
-    /// comes first ends by itself, for the others the call goes on up to its limit.
+    /// Makes the call, once; tells how its messages ended once it is over. Guards against a message that is
+    /// told as ended while the call goes on for others: the next of its key must wait for that.
     pub async fn run(self, idle: &Idle, tell: impl Fn(Ends)) {
-        let start = Instant::now();
         let written = Cell::new(false);
-        let mut exchange = Box::pin(self.exchange(idle, &written));
-        let mut open: Vec<MsgId> = self.parts.iter().map(|p| p.msg).collect();
-        // Nothing left the relay whole: it can't have run.
-        let late = || if written.get() { Outcome::TimedOut } else { Outcome::ConnectFailed };
-        while !open.is_empty() {
-            let cut = |p: &Part| p.until.min(start + self.limit);
-            let left = self.parts.iter().filter(|p| open.contains(&p.msg));
-            let Some(next) = left.map(cut).min() else { return };
-            let timer = async {
-                Timer::at(next).await;
-                None
-            };
-            let Some(mut ends) = async { Some(exchange.as_mut().await) }.or(timer).await else {
-                let over = self.parts.iter().filter(|p| open.contains(&p.msg) && cut(p) <= next);
-                let ends: Vec<End> = over.map(|p| (p.msg, late(), false)).collect();
-                open.retain(|msg| ends.iter().all(|e| e.0 != *msg));
-                if open.is_empty() {
-                    drop(exchange); // closes the connection before the end is told
-                    return tell(ends.into());
-                }
-                tell(ends.into());
-                continue;
-            };
-            ends.ends.retain(|e| open.contains(&e.0));
-            return tell(ends);
-        }
+        let late = async {
+            Timer::after(self.limit).await;
+            None
+        };
+        let ends = async { Some(self.exchange(idle, &written).await) }.or(late).await;
+        // Where nothing left the relay whole it can't have run.
+        let outcome = if written.get() { Outcome::TimedOut } else { Outcome::ConnectFailed };
+        tell(ends.unwrap_or_else(|| self.all(outcome, false)));
+    }
+
+    fn all(&self, outcome: Outcome, over: bool) -> Ends {
+        self.parts.iter().map(|p| (p.msg, outcome, over)).collect::<Vec<End>>().into()
     }
 
     async fn exchange(&self, idle: &Idle, written: &Cell<bool>) -> Ends {
-        let all = |outcome, over| -> Ends {
-            self.parts.iter().map(|p| (p.msg, outcome, over)).collect::<Vec<End>>().into()
-        };
         let mut connection = match idle.take(self.to) {
             Some(connection) => connection,
             None => {
@@ -238,14 +218,14 @@
                         if !(self.may_reach)().recv().await.unwrap_or(false) {
                             info!("call to endpoint {} not made: no longer allowed", self.endpoint.name);
                             idle.keep(self.to, connection);
-                            return all(Outcome::Moot, false);
+                            return self.all(Outcome::Moot, false);
                         }
                         connection
                     }
                     Ok(connection) => connection,
                     Err(e) => {
                         info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
-                        return all(Outcome::ConnectFailed, false);
+                        return self.all(Outcome::ConnectFailed, false);
                     }
                 }
             }
@@ -253,7 +233,7 @@
         let request = self.request();
         debug!("call to endpoint {}: {}", self.endpoint.name, String::from_utf8_lossy(&request));
         if connection.write(&request).await.is_err() {
-            return all(Outcome::ConnectFailed, false);
+            return self.all(Outcome::ConnectFailed, false);
         }
         written.set(true);
         match connection.answer(ANSWER_MOST).await {
@@ -261,8 +241,8 @@
                 keep.then(|| idle.keep(self.to, connection));
                 self.ends(&answer)
             }
-            Err(Broken::Ended) => all(Outcome::Reset, false),
-            Err(Broken::Unreadable) => all(Outcome::Error, false),
+            Err(Broken::Ended) => self.all(Outcome::Reset, false),
+            Err(Broken::Unreadable) => self.all(Outcome::Error, false),
         }
     }
 
@@ -284,7 +264,7 @@
             }
             _ => (Outcome::Error, false),
         };
-        self.parts.iter().map(|p| (p.msg, end.0, end.1)).collect::<Vec<End>>().into()
+        self.all(end.0, end.1)
     }
 
     fn ends_of_many(&self, answer: &Answer, wait: Duration) -> Ends {
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -353,9 +353,8 @@
         let limit = legs.iter().map(|l| l.1).max().unwrap_or_default();
         let part = |(msg, _): &(MsgId, Duration)| {
             let taken = &self.spool.get(msg.0)?.taken;
-            let until = self.clock.instant(self.clock.at_unix_ms(taken.deadline));
             let idempotency_key = told(&taken.list).ok().and_then(|t| t.idempotency_key);
-            Some(Part { msg: *msg, id: taken.id.clone(), idempotency_key, body: taken.body.clone(), until })
+            Some(Part { msg: *msg, id: taken.id.clone(), idempotency_key, body: taken.body.clone() })
         };
         let parts = legs.iter().filter_map(part).collect();
         let (idle, events, late) = (self.idle.clone(), self.events.clone(), self.events.clone());
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -140,6 +140,24 @@
     assert!(all[1..].iter().all(|r| gap(r) >= ms(2_000)), "{:?}", all.iter().map(gap).collect::<Vec<_>>());
 }
 
+#[test]
+fn a_message_out_of_time_in_an_open_call_still_holds_back_its_key() {
+    let endpoint = Server::start(|r| if r.path == "/receive-many" { Act::Hang } else { ok() });
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "bulk")]);
+    let relay = scene.relay();
+    let start = Instant::now();
+    let both = [out_add("m1", 9, "c=line,d=900,dest=7", b""), out_add("long", 0, "c=any,d=4000,dest=7", b"")];
+    assert_eq!(relay.client().ask(&both.concat()), "+OK");
+    relay.add("m2", 9, "c=line,d=8000,dest=7", b"");
+    until("the notice", || scene.platform.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    assert!(start.elapsed() < ms(900 + 300), "{:?}", start.elapsed());
+    until("the next of the key", || endpoint.ids().contains(&"m2".to_string()));
+    // The call was given up at the limit of the other message, 0.8 of its time; its key rests after that.
+    let at = endpoint.requests().iter().find(|r| r.ids() == ["m2"]).expect("m2 alone").at;
+    assert!(at.duration_since(start) >= ms(3_200 + 300), "{:?}", at.duration_since(start));
+    assert_eq!(scene.platform.notices().len(), 1);
+}
+
 #[test]
 fn after_silence_the_rest_of_a_key_rests() {
     let endpoint = Server::start(|r| if r.ids()[0] == "m1" { Act::Hang } else { ok() });
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -524,12 +524,12 @@
         self.msgs.remove(&id);
     }
 
-    /// Fails what can't be sent again or is out of time.
+    /// Fails what can't be sent again or is out of time, even in a call that goes on for others.
     fn end_spent(&mut self, out: &mut dyn Writer) {
-        let spent = |m: &Msg| m.deadline <= self.now + MARGIN || !self.may_go_again(m);
-        let idle = self.msgs.iter().filter(|(_, m)| !m.ended && m.out.is_none());
-        let spent: Vec<MsgId> = idle.filter(|(_, m)| spent(m)).map(|(id, _)| *id).collect();
-        for id in spent {
+        let idle = |m: &Msg| m.deadline <= self.now + MARGIN || !self.may_go_again(m);
+        let spent = |m: &Msg| if m.out.is_none() { idle(m) } else { m.deadline + WAKE < self.now };
+        let ids = self.msgs.iter().filter(|(_, m)| !m.ended && spent(m)).map(|(id, _)| *id);
+        for id in ids.collect::<Vec<_>>() {
             let at_once = out.fail(id);
             self.end(id, at_once);
         }
