--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -6,6 +6,9 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
+/// Bytes of memory where the file tells no limit.
+const MEMORY: usize = 192_000_000;
+
 #[derive(Debug)]
 pub struct Start {
     pub name: String,
@@ -14,8 +17,9 @@
     pub state: PathBuf,
     /// Bytes that the folder may hold.
     pub disk: u64,
-    /// Descriptors that the process may hold.
+    /// Descriptors that the process may hold, and bytes of memory.
     pub descriptors: usize,
+    pub memory: usize,
     pub known: Value,
     pub facts: StartupFacts,
     pub sockets: SocketFacts,
@@ -54,8 +58,14 @@
         state: PathBuf::from(state),
         disk: limit("disk_mb")?.map_or(u64::MAX / 4, |mb| (mb * 1e6) as u64),
         descriptors: limit("sockets")?.map_or(1024, |n| n as usize).min(1024),
+        memory: limit("memory_mb")?.map_or(MEMORY, |mb| (mb * 1e6) as usize),
         known: json["known"].clone(),
         facts: mountshift_settings::facts(&pairs, me, seed).map_err(settings)?,
         sockets: mountshift_settings::socket_facts(&pairs).map_err(settings)?,
     })
 }
+
+/// Where discovery is from now on, by the file alone; all of it must be readable.
+pub fn discovery() -> Result<SocketAddr, String> {
+    read(|name| std::env::var(name).ok().filter(|_| name != "NODE_DISCOVERY")).map(|start| start.discovery)
+}
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -13,7 +13,6 @@
 const WAIT: Duration = Duration::from_millis(60_000);
 /// Beyond that, an answer that has not come will not come.
 const SLACK: Duration = Duration::from_millis(2_000);
-const LIST_MOST: usize = 8 << 20;
 /// A call that failed at once is not repeated sooner.
 const PAUSE: Duration = Duration::from_millis(100);
 
@@ -74,61 +73,79 @@
     })
 }
 
-/// Runs for good. After a failed call the next one starts by itself, or once asked for where the decisions
-/// ask for the list. Tells every list, or none for a call that failed.
-pub async fn follow(
-    at: SocketAddr,
-    mut revision: Option<u64>,
-    asked: Option<Receiver<()>>,
-    tell: impl Fn(Option<Members>),
-) {
-    let (mut connection, mut failures) = (None, 0);
-    let mut start = asked.is_some();
-    loop {
-        if std::mem::take(&mut start) || failures > 0 {
-            match &asked {
-                Some(asked) => drop(asked.recv().await),
-                None => drop(Timer::after(PAUSE).await),
-            }
-        }
-        let late = async {
-            Timer::after(WAIT + SLACK).await;
-            Err("no answer in time".to_string())
-        };
-        let told = call(at, revision, &mut connection).or(late).await;
-        match told {
-            Ok(list) => {
-                info!("list {}: {} entries, whole: {}", list.revision, list.members.len(), list.whole);
-                revision = Some(list.revision);
-                failures = 0;
-                tell(Some(list));
-            }
-            Err(what) => {
-                // Told once, or an outage would fill the log.
-                if failures == 0 {
-                    warn!("discovery: {what}");
+/// How lists are asked for.
+pub struct Follow {
+    pub at: SocketAddr,
+    /// Tells of another address to ask at from now on.
+    pub moved: Receiver<SocketAddr>,
+    pub revision: Option<u64>,
+    /// Tells when to ask, where the decisions do that.
+    pub asked: Option<Receiver<()>>,
+    /// Bytes of a list at most.
+    pub most: usize,
+}
+
+impl Follow {
+    /// Runs for good. After a failed call the next one starts by itself, or once asked for where the
+    /// decisions ask for the list. Tells every list, or none for a call that failed.
+    pub async fn run(mut self, tell: impl Fn(Option<Members>)) {
+        let (mut connection, mut failures, mut start) = (None, 0, self.asked.is_some());
+        loop {
+            let moved = async { self.moved.recv().await.ok() };
+            let next = async {
+                if start || failures > 0 {
+                    match &self.asked {
+                        Some(asked) => drop(asked.recv().await),
+                        None => drop(Timer::after(PAUSE).await),
+                    }
+                }
+                let late = async {
+                    Timer::after(WAIT + SLACK).await;
+                    Err("no answer in time".to_string())
+                };
+                Some(self.call(&mut connection).or(late).await)
+            };
+            // Guards against a watch that waits at an address that is no longer told anything. What is told
+            // at the new one is asked for at once, and whole: its revisions may be counted anew.
+            let told = match async { moved.await.map(Err) }.or(async { next.await.map(Ok) }).await {
+                Some(Err(at)) => {
+                    (self.at, self.revision) = (at, None);
+                    (connection, failures, start) = (None, 0, false);
+                    continue;
+                }
+                Some(Ok(told)) => told,
+                None => return,
+            };
+            start = false;
+            match told {
+                Ok(list) => {
+                    info!("list {}: {} entries, whole: {}", list.revision, list.members.len(), list.whole);
+                    (self.revision, failures) = (Some(list.revision), 0);
+                    tell(Some(list));
+                }
+                Err(what) => {
+                    // Told once, or an outage would fill the log.
+                    if failures == 0 {
+                        warn!("discovery: {what}");
+                    }
+                    (connection, failures) = (None, failures + 1);
+                    tell(None);
                 }
-                (connection, failures) = (None, failures + 1);
-                tell(None);
             }
         }
     }
-}
 
-async fn call(
-    at: SocketAddr,
-    revision: Option<u64>,
-    connection: &mut Option<Connection>,
-) -> Result<Members, String> {
-    let path = match revision {
-        Some(n) => format!("/catalog/members?index={n}&wait={}", WAIT.as_millis()),
-        None => "/catalog/members".to_string(),
-    };
-    let bytes = request("GET", &path, &at.to_string(), &[], &[]);
-    let answer = ask(connection, at, "discovery", &bytes, LIST_MOST).await?;
-    if answer.status != 200 {
-        return Err(format!("status {}", answer.status));
+    async fn call(&self, connection: &mut Option<Connection>) -> Result<Members, String> {
+        let path = match self.revision {
+            Some(n) => format!("/catalog/members?index={n}&wait={}", WAIT.as_millis()),
+            None => "/catalog/members".to_string(),
+        };
+        let bytes = request("GET", &path, &self.at.to_string(), &[], &[]);
+        let answer = ask(connection, self.at, "discovery", &bytes, self.most).await?;
+        if answer.status != 200 {
+            return Err(format!("status {}", answer.status));
+        }
+        let json: Value = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
+        members(&json).ok_or_else(|| "the list can't be read".to_string())
     }
-    let json: Value = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
-    members(&json).ok_or_else(|| "the list can't be read".to_string())
 }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -13,6 +13,7 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use clients::Front;
+use discovery::Follow;
 use futures_lite::StreamExt;
 use host::{Event, Host, Parts};
 use log::{error, info};
@@ -25,12 +26,17 @@
 
 /// After SIGTERM new connections still come for a while.
 const ACCEPTED_ON: Duration = Duration::from_millis(500);
+/// A list may take one part in so many of the memory.
+const LIST_SHARE: usize = 32;
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .init();
-    match config::read(|name| std::env::var(name).ok()).and_then(run) {
+    // Guards against an end by a signal that comes before anything else is ready.
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"));
+    let told = signals.and_then(|s| Ok((s, config::read(|name| std::env::var(name).ok())?)));
+    match told.and_then(|(signals, start)| run(signals, start)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             error!("not started: {what}");
@@ -39,7 +45,7 @@
     }
 }
 
-fn run(start: config::Start) -> Result<(), String> {
+fn run(mut signals: Signals, start: config::Start) -> Result<(), String> {
     let folder = |e| format!("{}: {e}", start.state.display());
     let zone_room = start.sockets.zones.iter().map(String::len).max().unwrap_or(0) as u64;
     let legs = u64::from(start.facts.max_legs);
@@ -50,12 +56,13 @@
     let (notices, notices_out) = async_channel::unbounded();
     let (watch, watch_asked) = async_channel::bounded(1);
     let (leave, leaving) = async_channel::bounded::<()>(1);
+    let (watch_moves, watch_moved) = async_channel::unbounded();
+    let (notices_move, notices_moved) = async_channel::unbounded();
     let open = Rc::new(Cell::new(0));
     let known = discovery::members(&start.known);
     let revision = known.as_ref().map(|list| list.revision);
     let must_ask = start.facts.must_watch;
     async_io::block_on(executor.run(async {
-        let mut signals = Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
         let host = Host::new(Parts {
             facts: start.facts,
             sockets: start.sockets,
@@ -73,9 +80,16 @@
         let events = events.0;
         let (listed, taken) = (events.clone(), events.clone());
         let listed = move |list| drop(listed.try_send(Event::List(list)));
-        executor.spawn(discovery::follow(start.discovery, revision, asked, listed)).detach();
+        let follow = Follow {
+            at: start.discovery,
+            moved: watch_moved,
+            revision,
+            asked,
+            most: start.memory / LIST_SHARE,
+        };
+        executor.spawn(follow.run(listed)).detach();
         let taken = move |msgs| drop(taken.try_send(Event::Noticed(msgs)));
-        executor.spawn(notices::deliver(start.discovery, notices_out, taken)).detach();
+        executor.spawn(notices::deliver(start.discovery, notices_moved, notices_out, taken)).detach();
         let listener =
             Async::<TcpListener>::bind(start.listen).map_err(|e| format!("{}: {e}", start.listen))?;
         let (handed, gone) = (events.clone(), events.clone());
@@ -90,7 +104,19 @@
         executor.spawn(clients::serve(listener, Rc::new(front), executor.clone())).detach();
         info!("ready on {}", start.listen);
         let stop = async move {
-            signals.next().await;
+            let mut at = start.discovery;
+            while let Some(Ok(Signal::Hup)) = signals.next().await {
+                match config::discovery() {
+                    Ok(to) if to == at => info!("told to read the configuration: discovery stays at {to}"),
+                    Ok(to) => {
+                        info!("told to read the configuration: discovery moves from {at} to {to}");
+                        at = to;
+                        let _ = watch_moves.try_send(to);
+                        let _ = notices_move.try_send(to);
+                    }
+                    Err(what) => error!("the new configuration is not used: {what}"),
+                }
+            }
             info!("told to stop");
             let _ = events.send(Event::Stop).await;
             Timer::after(ACCEPTED_ON).await;
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -37,8 +37,13 @@
     }
 }
 
-/// Runs for good; `taken` hears of every notice that the platform took.
-pub async fn deliver(at: SocketAddr, queue: Receiver<Notice>, taken: impl Fn(Vec<MsgId>)) {
+/// Runs for good; `taken` hears of every notice that the platform took, `moved` tells of another address.
+pub async fn deliver(
+    mut at: SocketAddr,
+    moved: Receiver<SocketAddr>,
+    queue: Receiver<Notice>,
+    taken: impl Fn(Vec<MsgId>),
+) {
     let (mut waiting, mut connection, mut failures) = (Vec::new(), None, 0);
     // After a 400 notices go one by one: one that can't be read must not hold the others back.
     let mut together = MANY;
@@ -48,12 +53,27 @@
             waiting.push(first);
         }
         waiting.extend(std::iter::from_fn(|| queue.try_recv().ok()));
+        if let Ok(to) = moved.try_recv() {
+            (at, connection) = (to, None);
+        }
         let part: Vec<Notice> = waiting.drain(..waiting.len().min(together)).collect();
         let late = async {
             Timer::after(LATE).await;
             Err("no answer in time".to_string())
         };
-        let status = call(at, &part, &mut connection).or(late).await;
+        let left = async {
+            let Ok(to) = moved.recv().await else { return std::future::pending().await };
+            Err(to)
+        };
+        let status = match async { Ok(call(at, &part, &mut connection).or(late).await) }.or(left).await {
+            Ok(status) => status,
+            // Guards against notices lost with an address: what has no answer yet goes to the new one.
+            Err(to) => {
+                (at, connection) = (to, None);
+                waiting.splice(0..0, part);
+                continue;
+            }
+        };
         if status == Ok(204) {
             taken(part.iter().map(|n| n.msg).collect());
             (together, failures) = (MANY.min(together * 2), 0);
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -388,6 +388,36 @@
     assert_eq!((endpoint.ids().len(), other.notices().len()), (1, 1));
 }
 
+#[test]
+fn a_new_configuration_moves_watch_and_notices_at_once() {
+    let endpoint = Server::start(|_| answer(500, "", ""));
+    let scene = scene(usize::MAX, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = Relay::start_with(&scene.config, scene.dir.path(), Some(scene.platform.server.address));
+    relay.add("m1", 0, "c=once,d=8000,dest=7", b"x");
+    until("a notice that is not taken", || !scene.platform.notices().is_empty());
+    let file = scene.dir.path().join("config.json");
+    // What can't be read changes nothing.
+    std::fs::write(&file, "{").expect("a config");
+    relay.signal("HUP");
+    until("a line", || scene.log().matches("the new configuration is not used").count() == 1);
+    let (other, new) = (Platform::start(0), Server::start(|_| ok()));
+    other.set(vec![member("e2", new.address, 8, "single")]);
+    let mut config = scene.config.clone();
+    config["discovery"] = json!(other.server.address.to_string());
+    std::fs::write(&file, config.to_string()).expect("a config");
+    let start = Instant::now();
+    relay.signal("HUP");
+    until("the notice", || other.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    until("the list", || scene.log().contains("list 2: 1 entries"));
+    assert!(start.elapsed() < ms(1_000), "{:?}", start.elapsed());
+    assert_eq!(relay.add("m2", 0, "c=any,d=8000,dest=8", b"x"), "+OK");
+    until("the call", || new.ids() == ["m2"]);
+    // Nothing more is asked at the old address.
+    let asked = scene.platform.server.requests().len();
+    sleep(ms(300));
+    assert_eq!(scene.platform.server.requests().len(), asked);
+}
+
 #[test]
 fn sigterm_finishes_what_is_out_and_keeps_the_rest() {
     let slow = Server::start(|_| Act::Say("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".into(), ms(2_650)));
--- a/crates/relay/tests/standins/mod.rs
+++ b/crates/relay/tests/standins/mod.rs
@@ -229,11 +229,18 @@
 impl Relay {
     /// Starts one and waits for its `+PONG`.
     pub fn start(config: &Value, dir: &Path) -> Relay {
+        Relay::start_with(config, dir, None)
+    }
+
+    /// As above, with the address of discovery in its environment too.
+    pub fn start_with(config: &Value, dir: &Path, discovery: Option<SocketAddr>) -> Relay {
         let (file, state) = (dir.join("config.json"), dir.join("state"));
         std::fs::write(&file, config.to_string()).expect("a config");
         std::fs::create_dir_all(&state).expect("a folder");
         let log = std::fs::File::options().create(true).append(true).open(dir.join("log")).expect("a log");
-        let child = command(&file, &state).stderr(log).stdout(Stdio::null()).spawn().expect("a relay");
+        let mut command = command(&file, &state);
+        command.envs(discovery.map(|at| ("NODE_DISCOVERY", at.to_string())));
+        let child = command.stderr(log).stdout(Stdio::null()).spawn().expect("a relay");
         let listen = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let relay = Relay { child, listen };
         until("the relay to be ready", || TcpStream::connect(listen).is_ok());
