--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -141,7 +141,7 @@
             None => "/catalog/members".to_string(),
         };
         let bytes = request("GET", &path, &self.at.to_string(), &[], &[]);
-        let answer = ask(connection, self.at, "discovery", &bytes, self.most).await?;
+        let answer = ask(connection, self.at, "discovery", &bytes, self.most, WAIT + SLACK).await?;
         if answer.status != 200 {
             return Err(format!("status {}", answer.status));
         }
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -8,7 +8,7 @@
 use log::{debug, error, info};
 use mountshift::port::*;
 use mountshift_settings::SocketFacts;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -188,22 +188,25 @@
     /// Makes the call, once; tells how its messages ended once it is over. Guards against a message that is
     /// told as ended while the call goes on for others: the next of its key must wait for that.
     pub async fn run(self, idle: &Idle, tell: impl Fn(Ends)) {
-        let written = Cell::new(false);
+        let by = Instant::now() + self.limit;
         let late = async {
-            Timer::after(self.limit).await;
-            None
+            Timer::at(by).await;
+            // Nothing left the relay whole, so it can't have run.
+            Err(Outcome::ConnectFailed)
         };
-        let ends = async { Some(self.exchange(idle, &written).await) }.or(late).await;
-        // Where nothing left the relay whole it can't have run.
-        let outcome = if written.get() { Outcome::TimedOut } else { Outcome::ConnectFailed };
-        tell(ends.unwrap_or_else(|| self.all(outcome, false)));
+        let ends = match self.begin(idle).or(late).await {
+            Ok(connection) => self.finish(connection, by, idle).await,
+            Err(outcome) => self.all(outcome, false),
+        };
+        tell(ends);
     }
 
     fn all(&self, outcome: Outcome, over: bool) -> Ends {
         self.parts.iter().map(|p| (p.msg, outcome, over)).collect::<Vec<End>>().into()
     }
 
-    async fn exchange(&self, idle: &Idle, written: &Cell<bool>) -> Ends {
+    /// Writes the call, on an idle connection or a new one.
+    async fn begin(&self, idle: &Idle) -> Result<Connection, Outcome> {
         let mut connection = match idle.take(self.to) {
             Some(connection) => connection,
             None => {
@@ -218,30 +221,33 @@
                         if !(self.may_reach)().recv().await.unwrap_or(false) {
                             info!("call to endpoint {} not made: no longer allowed", self.endpoint.name);
                             idle.keep(self.to, connection);
-                            return self.all(Outcome::Moot, false);
+                            return Err(Outcome::Moot);
                         }
                         connection
                     }
                     Ok(connection) => connection,
                     Err(e) => {
                         info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
-                        return self.all(Outcome::ConnectFailed, false);
+                        return Err(Outcome::ConnectFailed);
                     }
                 }
             }
         };
         let request = self.request();
         debug!("call to endpoint {}: {}", self.endpoint.name, String::from_utf8_lossy(&request));
-        if connection.write(&request).await.is_err() {
-            return self.all(Outcome::ConnectFailed, false);
-        }
-        written.set(true);
-        match connection.answer(ANSWER_MOST).await {
+        connection.write(&request).await.map_err(|_| Outcome::ConnectFailed)?;
+        Ok(connection)
+    }
+
+    async fn finish(&self, mut connection: Connection, by: Instant, idle: &Idle) -> Ends {
+        match connection.answer(ANSWER_MOST, by).await {
             Ok((answer, keep)) => {
                 keep.then(|| idle.keep(self.to, connection));
                 self.ends(&answer)
             }
+            Err(Broken::Silent) => self.all(Outcome::TimedOut, false),
             Err(Broken::Ended) => self.all(Outcome::Reset, false),
+            // Guards against a spoilt answer that says it was turned away: it may have run all the same.
             Err(Broken::Unreadable) => self.all(Outcome::Error, false),
         }
     }
@@ -251,7 +257,7 @@
         let wait = Duration::from_secs_f64(answer.retry_after.unwrap_or(0.0).min(1e6));
         let end = match answer.status {
             200 if self.parts.len() == 1 => (Outcome::Delivered, true),
-            200 if !answer.whole => (Outcome::Reset, false),
+            200 if !answer.whole => (Outcome::Error, false),
             200 => return self.ends_of_many(answer, wait),
             429 => (Outcome::Full(wait), false),
             503 if answer.slots_taken => (Outcome::Moot, false),
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -1,15 +1,18 @@
 //! One HTTP/1.1 connection as its client: a request out, its answer back, everything bounded. Each
 //! connection leaves one log line when it ends.
 
-use async_io::Async;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use async_io::{Async, Timer};
+use futures_lite::{AsyncWriteExt, FutureExt};
 use log::info;
-use std::io;
+use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
 
 const HEADERS_MOST: usize = 64;
 const HEAD_MOST: usize = 16 * 1024;
 const CHUNK: usize = 8 * 1024;
+/// Once an answer has begun, the rest of it comes within this span or not at all.
+const REST: Duration = Duration::from_millis(500);
 
 pub struct Answer {
     pub status: u16,
@@ -18,23 +21,27 @@
     /// True if the request was not sent on since all slots were taken.
     pub slots_taken: bool,
     pub body: Vec<u8>,
-    /// False if it broke off within its body.
+    /// False if only its first line could be read; then that says 200.
     pub whole: bool,
     keep: bool,
 }
 
-/// Why an answer did not come whole.
+/// Why there is no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Broken {
     /// Closed or reset.
     Ended,
-    /// Not HTTP, or larger than allowed.
+    /// Not HTTP, larger than allowed, or begun and not gone on with.
     Unreadable,
+    /// Nothing came in time.
+    Silent,
 }
 
 pub struct Connection {
     stream: Async<TcpStream>,
     buffer: Vec<u8>,
+    /// The first line of the answer being read says 200.
+    said_ok: bool,
     peer: String,
     requests: u32,
     /// What the log line tells when the connection ends.
@@ -51,7 +58,7 @@
     pub async fn open(to: SocketAddr, peer: String) -> io::Result<Connection> {
         let stream = Async::<TcpStream>::connect(to).await?;
         stream.get_ref().set_nodelay(true)?;
-        Ok(Connection { stream, buffer: Vec::new(), peer, requests: 0, reason: "given-up" })
+        Ok(Connection { stream, buffer: Vec::new(), said_ok: false, peer, requests: 0, reason: "given-up" })
     }
 
     /// True if the other side has neither closed it nor said anything unasked.
@@ -69,60 +76,95 @@
         written
     }
 
-    /// The answer to the request just written, with a body of `most` bytes at most; and if the connection
-    /// can carry another request.
-    pub async fn answer(&mut self, most: usize) -> Result<(Answer, bool), Broken> {
-        let answer = self.read_answer(most).await;
+    /// The answer to the request just written, begun by then, with a body of `most` bytes at most; and if
+    /// the connection can carry another request.
+    pub async fn answer(&mut self, most: usize, by: Instant) -> Result<(Answer, bool), Broken> {
+        let answer = loop {
+            self.said_ok = false;
+            if self.buffer.is_empty() {
+                let late = async {
+                    Timer::at(by).await;
+                    Err(Broken::Silent)
+                };
+                match self.fill().or(late).await {
+                    Ok(true) => {}
+                    Ok(false) => break Err(Broken::Ended),
+                    Err(broken) => break Err(broken),
+                }
+            }
+            // Guards against an answer that begins and never ends: it would hold its slot to the time-out.
+            let stalled = async {
+                Timer::after(REST).await;
+                Err(Broken::Unreadable)
+            };
+            match self.read_answer(most).or(stalled).await {
+                Ok(answer) if (100..200).contains(&answer.status) => {}
+                read => break read,
+            }
+        };
         match &answer {
             Err(Broken::Ended) => self.reason = "broken-in-answer",
             Err(Broken::Unreadable) => self.reason = "unreadable-answer",
-            Ok(a) if !a.whole => self.reason = "broken-in-answer",
             Ok(a) if !a.keep => self.reason = "closed-after-answer",
-            Ok(_) => {}
+            Ok(_) if !self.buffer.is_empty() => self.reason = "more-than-an-answer",
+            Ok(_) | Err(Broken::Silent) => {}
+        }
+        match answer {
+            // Guards against taking a delivery for a failure: its first line may be all that counts.
+            Err(Broken::Ended | Broken::Unreadable) if self.said_ok => {
+                let (retry_after, slots_taken, body) = (None, false, Vec::new());
+                Ok((Answer { status: 200, retry_after, slots_taken, body, whole: false, keep: false }, false))
+            }
+            answer => answer.map(|a| {
+                let keep = a.keep && self.buffer.is_empty();
+                (a, keep)
+            }),
         }
-        answer.map(|a| {
-            let keep = a.keep && self.buffer.is_empty();
-            (a, keep)
-        })
     }
 
     async fn read_answer(&mut self, most: usize) -> Result<Answer, Broken> {
+        let (mut answer, size, length) = loop {
+            self.said_ok = says_ok(&self.buffer);
+            if let Some(found) = head(&self.buffer)? {
+                break found;
+            }
+            if self.buffer.len() > HEAD_MOST {
+                return Err(Broken::Unreadable);
+            }
+            if !self.fill().await? {
+                return Err(Broken::Ended);
+            }
+        };
+        self.buffer.drain(..size);
+        answer.body = match length {
+            Length::Bytes(n) if n > most => return Err(Broken::Unreadable),
+            Length::Bytes(n) => self.take(n).await?,
+            Length::Chunks => self.chunks(most).await?,
+            Length::ToEnd => self.read_to_end(most).await?,
+        };
+        Ok(answer)
+    }
+
+    /// Reads what has come; false at the end. Nothing is lost if it is given up while it waits.
+    async fn fill(&mut self) -> Result<bool, Broken> {
         loop {
-            let (mut answer, head, length) = loop {
-                if let Some(found) = head(&self.buffer)? {
-                    break found;
+            match self.read_some() {
+                Ok(n) => return Ok(n > 0),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.stream.readable().await.map_err(|_| Broken::Ended)?;
                 }
-                if self.buffer.len() > HEAD_MOST || !self.fill().await? {
-                    return Err(if self.buffer.len() > HEAD_MOST {
-                        Broken::Unreadable
-                    } else {
-                        Broken::Ended
-                    });
-                }
-            };
-            self.buffer.drain(..head);
-            if (100..200).contains(&answer.status) {
-                continue;
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Err(Broken::Ended),
             }
-            let body = match length {
-                Length::Bytes(n) if n > most => Err(Broken::Unreadable),
-                Length::Bytes(n) => self.take(n).await,
-                Length::Chunks => self.chunks(most).await,
-                Length::ToEnd => self.read_to_end(most).await,
-            };
-            // Guards against taking a delivery for a reset: its status may be all that counts.
-            (answer.whole, answer.keep) = (body.is_ok(), answer.keep && body.is_ok());
-            answer.body = body.unwrap_or_default();
-            return Ok(answer);
         }
     }
 
-    /// Reads what has come; false at the end.
-    async fn fill(&mut self) -> Result<bool, Broken> {
+    /// Its place to read into is held only for the moment, not as long as the connection lives.
+    fn read_some(&mut self) -> io::Result<usize> {
         let mut chunk = [0; CHUNK];
-        let n = self.stream.read(&mut chunk).await.map_err(|_| Broken::Ended)?;
+        let n = self.stream.get_ref().read(&mut chunk)?;
         self.buffer.extend(&chunk[..n]);
-        Ok(n > 0)
+        Ok(n)
     }
 
     async fn take(&mut self, n: usize) -> Result<Vec<u8>, Broken> {
@@ -163,7 +205,8 @@
             }
             // Trailers are not asked for, so that an empty line ends the last chunk too.
             let chunk = self.take(n as usize + 2).await?;
-            body.extend(&chunk[..n as usize]);
+            let Some(data) = chunk.strip_suffix(b"\r\n") else { return Err(Broken::Unreadable) };
+            body.extend(data);
             if n == 0 {
                 return Ok(body);
             }
@@ -171,6 +214,14 @@
     }
 }
 
+/// True if a first line has come as far as its status, and that is 200.
+fn says_ok(bytes: &[u8]) -> bool {
+    let minor = bytes.strip_prefix(b"HTTP/1.").and_then(<[u8]>::split_first);
+    let Some((_, rest)) = minor.filter(|(minor, _)| minor.is_ascii_digit()) else { return false };
+    rest.strip_prefix(b" 200").and_then(<[u8]>::first).is_some_and(u8::is_ascii_whitespace)
+}
+
+#[derive(PartialEq)]
 enum Length {
     Bytes(usize),
     Chunks,
@@ -195,10 +246,17 @@
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
         match header.name.to_ascii_lowercase().as_str() {
             "content-length" => {
-                let n = value.parse().map_err(|_| Broken::Unreadable)?;
-                length = length.or(Some(Length::Bytes(n)));
+                let digits = Some(value).filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
+                let n = digits.and_then(|v| v.parse().ok()).ok_or(Broken::Unreadable)?;
+                // Guards against taking one answer for another: two lengths that differ tell nothing.
+                if length.replace(Length::Bytes(n)).is_some_and(|other| other != Length::Bytes(n)) {
+                    return Err(Broken::Unreadable);
+                }
+            }
+            "transfer-encoding" if value.eq_ignore_ascii_case("chunked") && length.is_none() => {
+                length = Some(Length::Chunks);
             }
-            "transfer-encoding" if value.eq_ignore_ascii_case("chunked") => length = Some(Length::Chunks),
+            "transfer-encoding" => return Err(Broken::Unreadable),
             "connection" => keep = keep && !value.to_ascii_lowercase().contains("close"),
             "retry-after" => {
                 answer.retry_after = value.parse().ok().filter(|s: &f64| s.is_finite() && *s >= 0.0)
@@ -220,17 +278,19 @@
     peer: &str,
     request: &[u8],
     most: usize,
+    within: Duration,
 ) -> Result<Answer, String> {
     if kept.as_ref().is_none_or(|c| !c.is_quiet()) {
         *kept = Some(Connection::open(to, peer.into()).await.map_err(|e| e.to_string())?);
     }
     let Some(open) = kept.as_mut() else { return Err("not connected".into()) };
     open.write(request).await.map_err(|e| e.to_string())?;
-    let (answer, keep) = open.answer(most).await.map_err(|e| format!("{e:?}"))?;
+    let by = Instant::now() + within;
+    let (answer, keep) = open.answer(most, by).await.map_err(|e| format!("{e:?}"))?;
     if !keep {
         *kept = None;
     }
-    Ok(answer)
+    if answer.whole { Ok(answer) } else { Err("the answer is spoilt".into()) }
 }
 
 /// A request as bytes.
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -94,5 +94,5 @@
 async fn call(at: SocketAddr, part: &[Notice], connection: &mut Option<Connection>) -> Result<u16, String> {
     let body: String = part.iter().map(Notice::line).collect();
     let bytes = request("POST", "/status", &at.to_string(), &[], body.as_bytes());
-    Ok(ask(connection, at, "notices", &bytes, ANSWER_MOST).await?.status)
+    Ok(ask(connection, at, "notices", &bytes, ANSWER_MOST, LATE).await?.status)
 }
