What is off the list is forgotten once no rule needs it; an id has one end

Now: one mechanism, Relay::forget: off the list, nothing out, the grace over, and for the last of a route no told wait and no ramp; the host drops its name, address and connections by Writer::forget. A connection is only used at the address it was made to. Tests: a scenario, two of the relay, seen to fail before.

--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -30,10 +30,11 @@
     pub dst: DstId,
 }
 
-/// The endpoints by id; ids are given out in the order in which names come up.
+/// The endpoints by id; ids are given out in the order in which names come up, none of them twice.
 #[derive(Default)]
 pub struct Endpoints {
-    ids: BTreeMap<String, EndpointId>,
+    count: u64,
+    ids: BTreeMap<Rc<str>, EndpointId>,
     known: BTreeMap<EndpointId, Endpoint>,
     zones: Vec<String>,
     kinds: Vec<String>,
@@ -46,12 +47,15 @@
 
     /// Takes an entry of the list in; gives its id, what the list says, and if it has moved or gone.
     pub fn learn(&mut self, member: &Member) -> (EndpointId, Listed, bool) {
-        let next = EndpointId(self.ids.len() as u64 + 1);
-        let id = *self.ids.entry(member.id.clone()).or_insert(next);
+        let name: Rc<str> = Rc::from(member.id.as_str());
+        let id = *self.ids.entry(name.clone()).or_insert_with(|| {
+            self.count += 1;
+            EndpointId(self.count)
+        });
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let zone = self.zone(&member.zone);
         let kind = KindId(place(&self.kinds, &member.kind).map_or(u16::MAX, |k| k as u16));
-        let (address, name, dst) = (member.address, Rc::from(member.id.as_str()), DstId(member.dst));
+        let (address, dst) = (member.address, DstId(member.dst));
         let old = self.known.insert(id, Endpoint { address, name, zone, kind, dst });
         let moved = old.is_some_and(|old| old.address != address) || member.phase == Phase::Gone;
         let listed = match member.phase {
@@ -67,6 +71,13 @@
         self.known.values().any(|e| e.dst == dst)
     }
 
+    /// Guards against tables that grow with every endpoint that ever was.
+    pub fn forget(&mut self, id: EndpointId) -> Option<Endpoint> {
+        let gone = self.known.remove(&id)?;
+        self.ids.remove(&gone.name);
+        Some(gone)
+    }
+
     pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
         self.known.get(&id)
     }
@@ -93,10 +104,11 @@
         Idle { waiting: RefCell::default(), lasts: lasts - lasts / IDLE_SPARE, most }
     }
 
-    fn take(&self, to: EndpointId) -> Option<Connection> {
+    /// Guards against one that was out when its endpoint moved: what is at the old address may be another.
+    fn take(&self, to: EndpointId, at: SocketAddr) -> Option<Connection> {
         let mut waiting = self.waiting.borrow_mut();
         let queue = waiting.get_mut(&to)?;
-        queue.retain_mut(|entry| self.lasting(entry));
+        queue.retain_mut(|entry| self.lasting(entry) && entry.1.to == at);
         queue.pop_back().map(|(_, connection)| connection)
     }
 
@@ -212,7 +224,7 @@
 
     /// Writes the call, on an idle connection or a new one.
     async fn begin(&self, idle: &Idle) -> Result<Connection, Outcome> {
-        let mut connection = match idle.take(self.to) {
+        let mut connection = match idle.take(self.to, self.endpoint.address) {
             Some(connection) => connection,
             None => {
                 let late = async {
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -15,7 +15,8 @@
 use mountshift_settings::SocketFacts;
 use mountshift_spool::{End as Owed, Spool, Taken};
 use std::cell::Cell;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -23,6 +24,8 @@
 const LAST_LEG: Duration = Duration::from_millis(2_000);
 /// ... and what is out may end until then.
 const LAST_END: Duration = Duration::from_millis(3_500);
+/// Ids that are remembered beyond their end.
+const ENDED_MOST: usize = 4_096;
 /// Between two looks while stopping, and at idle connections else.
 const STOP_LOOK: Duration = Duration::from_millis(20);
 const SWEEP: Duration = Duration::from_millis(500);
@@ -75,6 +78,12 @@
     }
 }
 
+fn number(id: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// A call that is out.
 struct Out {
     to: EndpointId,
@@ -102,6 +111,8 @@
     notices: Sender<Notice>,
     watch: Sender<()>,
     by_name: BTreeMap<Vec<u8>, MsgId>,
+    /// Ids of messages that ended lately, as numbers.
+    ended: VecDeque<u64>,
     /// Messages that came for this round, and who waits for the answer.
     asking: BTreeMap<MsgId, Sender<Answer>>,
     sends: Vec<(EndpointId, Vec<(MsgId, Duration)>)>,
@@ -145,6 +156,13 @@
         self.idle.close(to);
     }
 
+    fn forget(&mut self, endpoint: EndpointId) {
+        self.idle.close(endpoint);
+        if let Some(gone) = self.endpoints.forget(endpoint) {
+            info!("endpoint {} is forgotten", gone.name);
+        }
+    }
+
     fn wake(&mut self, after: Duration) {
         let at = self.now + after;
         self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
@@ -185,6 +203,14 @@
         }
     }
 
+    /// Guards against an id that is handed in again after its end: every message has a new one, so whoever
+    /// uses it hands in another's, and it would go out as a second copy.
+    fn remember(&mut self, msg: MsgId) {
+        let ended = self.spool.get(msg.0).map(|kept| number(&kept.taken.id));
+        self.ended.extend(ended);
+        self.ended.drain(..self.ended.len().saturating_sub(ENDED_MOST));
+    }
+
     /// What the decisions are told of a message; none if its lane is not known.
     fn hand_in(&self, told: &Told, key: u64, deadline: Duration) -> Option<HandIn> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
@@ -209,7 +235,10 @@
             }
             Event::List(Some(list)) => self.take_list(list, tell),
             Event::List(None) => tell.push(Box::new(Relay::watch_failed)),
-            Event::Noticed(taken) => taken.into_iter().for_each(|msg| self.take_over(msg, tell)),
+            Event::Noticed(taken) => {
+                taken.iter().for_each(|msg| self.remember(*msg));
+                taken.into_iter().for_each(|msg| self.take_over(msg, tell));
+            }
             Event::Late(to, asking) => self.late.push((to, asking)),
             Event::Stop => {}
         }
@@ -237,6 +266,10 @@
             let _ = asking.try_send(Answer::Held);
             return;
         }
+        if self.ended.contains(&number(&m.id)) {
+            let _ = asking.try_send(Answer::Failed("the id was used before"));
+            return;
+        }
         let at = self.clock.unix_ms(deadline);
         let taken = Taken { id: m.id, key: m.key, list: m.list, deadline: at, body: m.body };
         let name = taken.id.clone();
@@ -266,6 +299,7 @@
             self.spool.never_ran(msg.0);
         }
         if over {
+            self.remember(msg);
             self.over(msg);
         }
         tell.push(Box::new(move |r| r.outcome(msg, to, waited, outcome, over)));
@@ -416,6 +450,7 @@
             notices: parts.notices,
             watch: parts.watch,
             by_name: BTreeMap::new(),
+            ended: VecDeque::new(),
             asking: BTreeMap::new(),
             sends: Vec::new(),
             late: Vec::new(),
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -42,6 +42,7 @@
     buffer: Vec<u8>,
     /// The first line of the answer being read says 200.
     said_ok: bool,
+    pub to: SocketAddr,
     peer: String,
     requests: u32,
     /// What the log line tells when the connection ends.
@@ -58,7 +59,15 @@
     pub async fn open(to: SocketAddr, peer: String) -> io::Result<Connection> {
         let stream = Async::<TcpStream>::connect(to).await?;
         stream.get_ref().set_nodelay(true)?;
-        Ok(Connection { stream, buffer: Vec::new(), said_ok: false, peer, requests: 0, reason: "given-up" })
+        Ok(Connection {
+            stream,
+            buffer: Vec::new(),
+            said_ok: false,
+            to,
+            peer,
+            requests: 0,
+            reason: "given-up",
+        })
     }
 
     /// True if the other side has neither closed it nor said anything unasked.
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -598,6 +598,39 @@
     assert_eq!(new.ids().len(), 3);
 }
 
+// Guards against a second copy under an id that has had its end.
+#[test]
+fn an_id_is_used_once() {
+    let endpoint = Server::start(|_| ok());
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b"x"), "+OK");
+    until("the call", || endpoint.ids() == ["m1"]);
+    sleep(ms(100));
+    assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b"y"), "-ERR the id was used before");
+    assert_eq!(endpoint.ids(), ["m1"]);
+}
+
+// Guards against tables that grow for good, and against one endpoint's connection used for another.
+#[test]
+fn endpoints_that_are_gone_are_forgotten_with_their_connections() {
+    let endpoint = Server::start(|_| ok());
+    let scene = scene(0, vec![member("e0", endpoint.address, 7, "single")]);
+    let relay = scene.relay();
+    for n in 1..4 {
+        relay.add(&format!("m{n}"), 0, "c=any,d=8000,dest=7", b"x");
+        until("the call", || endpoint.ids().len() == n);
+        // Another one takes the address.
+        scene.platform.set(vec![member(&format!("e{n}"), endpoint.address, 7, "single")]);
+        let gone = format!("endpoint e{} is forgotten", n - 1);
+        until("the end of the last one", || scene.log().contains(&gone));
+    }
+    assert_eq!(endpoint.requests().iter().map(|r| r.connection).collect::<Vec<_>>(), [0, 1, 2]);
+    scene.platform.set(vec![]);
+    until("the last one", || scene.log().contains("endpoint e3 is forgotten"));
+    assert_eq!(relay.add("m9", 0, "c=any,d=8000,dest=7", b"x"), "-ERR dest is not on the list");
+}
+
 #[test]
 fn a_silent_discovery_holds_nothing_up() {
     let silent = Server::start(|_| Act::Hang);
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -126,6 +126,9 @@
         self.record(256, &[&to.0.to_le_bytes()[..6]]);
     }
 
+    /// The wire's ids stand for themselves.
+    fn forget(&mut self, _endpoint: EndpointId) {}
+
     fn wake(&mut self, after: Duration) {
         self.record(258, &[&micros(after), &[0; 4]]);
     }
--- a/src/port.rs
+++ b/src/port.rs
@@ -45,6 +45,13 @@
     NonRetriable,
 }
 
+impl Effect {
+    /// True where a message that has run does no harm wherever it runs again.
+    pub fn repeats_anywhere(self) -> bool {
+        matches!(self, Effect::Retriable | Effect::Keyed { group: Group::All, .. })
+    }
+}
+
 /// Which endpoints of a destination recognise a repeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Group {
@@ -175,6 +182,8 @@
     fn recall(&mut self, msg: MsgId, leg: LegNo);
     /// Close the idle connections held to an endpoint.
     fn close_idle(&mut self, to: EndpointId);
+    /// The endpoint is off the list, nothing is out to it and no rule needs it: keep nothing of it.
+    fn forget(&mut self, endpoint: EndpointId);
     /// Call a round after this span.
     fn wake(&mut self, after: Duration);
     /// Ask for the list and its changes from now on.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,5 +1,4 @@
 //! All decisions of one relay; the interface is `port.rs`. A host calls `round` with all that came in.
-//!
 //! The ordinary path is the design's breaker (docs/design.md). Beside it stand six mechanisms:
 //! 1. credits: each endpoint's limit in flight grows by one, is cut by a share; a send goes where one is left
 //! 2. pacing to the listed rate and to pushbacks
@@ -203,9 +202,8 @@
     facts: StartupFacts,
     now: Duration,
     endpoints: BTreeMap<EndpointId, Endpoint>,
-    endpoints_of: BTreeMap<DstId, Vec<EndpointId>>,
+    near: BTreeMap<DstId, (Vec<EndpointId>, u64)>, // and its last call
     routes: BTreeMap<RouteId, Route>,
-    turns: BTreeMap<DstId, u64>,
     msgs: BTreeMap<MsgId, Msg>,
     lines: BTreeMap<Key, Line>,
     calls: BTreeMap<u64, Call>,
@@ -240,8 +238,8 @@
         self.lines.retain(|_, l| !l.queue.is_empty() || l.rest_until > now);
         self.watch_at.take_if(|at| *at <= now).into_iter().for_each(|_| out.watch());
         self.lines_to_log.drain(..).for_each(|line| out.log(&line));
-        let idle = self.msgs.is_empty() && self.calls.is_empty() && self.watch_at.is_none();
-        if !idle && self.wake_at.is_none_or(|at| at <= now) {
+        let busy = self.forget(out) || self.msgs.len() + self.calls.len() > 0 || self.watch_at.is_some();
+        if busy && self.wake_at.is_none_or(|at| at <= now) {
             self.wake_at = Some(now + WAKE);
             out.wake(WAKE);
         }
@@ -281,8 +279,7 @@
         msg.ran -= u32::from(outcome.never_ran());
         msg.may_have_run = msg.may_have_run.filter(|_| msg.ran > 0);
         msg.late += u32::from(outcome == Outcome::TimedOut);
-        // Guards against legs burnt in a moment on a destination that fails fast, and messages refused at one
-        // route apart after the other: where refused calls use up the limits that starves all.
+        // Guards against legs burnt in a moment on what fails fast, or refused route after route.
         let times = 2f64.powi(i32::from(msg.legs.clamp(1, 6)) - 1);
         let (all, full, _) = self.fulls.totals(now, 30);
         let more = match outcome {
@@ -340,16 +337,14 @@
     }
 
     pub fn entry(&mut self, id: EndpointId, dst: DstId, zone: ZoneId, kind: KindId, says: Listed, rate: f64) {
-        let now = self.now;
-        let rate = if rate.is_finite() { rate.max(0.0) } else { 0.0 };
+        let (now, rate) = (self.now, if rate.is_finite() { rate.max(0.0) } else { 0.0 });
         let fresh = Endpoint { dst, zone, kind, limit: CREDITS_AT_START, ..Endpoint::default() };
-        (!self.endpoints.contains_key(&id)).then(|| self.endpoints_of.entry(dst).or_default().push(id));
+        (!self.endpoints.contains_key(&id)).then(|| self.near.entry(dst).or_default().0.push(id));
         let ep = self.endpoints.entry(id).or_insert(fresh);
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
         let route_id = self.route_of(id);
-        let tokens = Tokens { left: rate, at: now };
         let pace = self.portion(rate) * if self.batch(kind) > 1 { PACE_START_BATCH } else { PACE_START };
-        let fresh = Route { rate, pace, tokens, ..Route::default() };
+        let fresh = Route { rate, pace, tokens: Tokens { left: rate, at: now }, ..Route::default() };
         let route = self.routes.entry(route_id).or_insert(fresh);
         route.rate = if rate > 0.0 { rate } else { route.rate };
     }
@@ -388,11 +383,9 @@
         let now = self.now;
         if let Some(ep) = self.endpoints.get_mut(&to) {
             ep.answers.add(now, waited.as_secs_f64());
-            ep.run = 0;
             // All credits were out (one is back already): without the 2, a broken limit never grew again.
-            if f64::from(ep.out) + 2.0 > ep.limit {
-                ep.limit = (ep.limit + 1.0 / ep.limit).min(CREDITS_MOST);
-            }
+            let grown = if f64::from(ep.out) + 2.0 > ep.limit { 1.0 / ep.limit } else { 0.0 };
+            (ep.run, ep.limit) = (0, (ep.limit + grown).min(CREDITS_MOST));
         }
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         route.ends.add(now, 0.0);
@@ -469,8 +462,7 @@
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
-        let fresh = Tokens { left: 0.0, at: since };
-        route.cold = route.cold_since.replace(since).map_or(fresh, |_| route.cold);
+        route.cold = route.cold_since.replace(since).map_or(Tokens { left: 0.0, at: since }, |_| route.cold);
     }
 
     fn end_trial(&mut self, route_id: RouteId, call: u64, next: Breaker) {
@@ -485,16 +477,13 @@
         let late: Vec<_> = overdue.map(|(id, c)| (*id, c.route, c.to, c.idle)).collect();
         for (call, route, to, idle) in late {
             self.calls.entry(call).and_modify(|c| c.counted = true);
-            if idle {
-                self.idle_ends.add(now, 1.0);
-                self.look_at_idle();
-            }
+            idle.then(|| self.idle_ends.add(now, 1.0));
+            idle.then(|| self.look_at_idle());
             self.failed(route, call, to);
         }
     }
 
-    /// Guards against hung legs holding every slot, whatever hangs: when slots run short, calls that are
-    /// overdue are recalled, the oldest first, and those with one-chance messages only at twice their time.
+    /// Guards against hung legs holding every slot: the oldest overdue are recalled, one-chance ones later.
     fn recall_overdue(&mut self, out: &mut dyn Writer) {
         let spare = self.facts.slots.div_ceil(SLOTS_SPARE);
         let taken = self.calls.values().filter(|c| !c.recalled).count();
@@ -585,7 +574,7 @@
             }
         }
         while self.calls.len() < self.facts.slots {
-            let next = waiting.keys().min_by_key(|d| (self.calls_out(**d), self.turns.get(d).copied()));
+            let next = waiting.keys().min_by_key(|d| (self.calls_out(**d), self.near.get(d).map(|n| n.1)));
             let Some(dst) = next.copied() else { break };
             let mut list = waiting.remove(&dst).unwrap_or_default();
             if self.send_call(dst, &mut list, out) && !list.is_empty() {
@@ -648,8 +637,7 @@
     fn send_call(&mut self, dst: DstId, list: &mut Vec<MsgId>, out: &mut dyn Writer) -> bool {
         let now = self.now;
         let free = self.facts.slots - self.calls.len();
-        // Guards against slow or silent destinations taking all slots, each by a share of the free ones, and
-        // those that failed and are not open yet all together. Harm: with few slots they open later.
+        // Guards against slow or suspect destinations taking all slots. Harm: with few they open late.
         if self.calls_out(dst) as f64 >= SLOT_SHARE * free as f64 {
             return false;
         }
@@ -657,7 +645,7 @@
         let mut options = Vec::new();
         let suspect = |c: &&Call| self.routes.get(&c.route).is_some_and(|r| r.run > 0);
         let suspects = self.calls.values().filter(suspect).count();
-        let near = self.endpoints_of.get(&dst).cloned().unwrap_or_default();
+        let near = self.near.get(&dst).map(|near| near.0.clone()).unwrap_or_default();
         for id in near.iter().copied() {
             let ep = &self.endpoints[&id];
             let resting = near.len() > 1 && now < ep.rest_until;
@@ -684,8 +672,7 @@
             return false;
         }
         options.sort_by(|a, b| a.0.total_cmp(&b.0));
-        // What is worth most now goes first, then what is wanted first; ranked only where a send can follow.
-        // Guards against long lines behind one key: what holds others back is worth as much as all of them.
+        // What is worth most now, with the line behind its key (guards against long ones), goes first.
         let line = |m: &Msg| m.key.and_then(|k| self.lines.get(&k)).map_or(1, |l| l.queue.len()) as f64;
         let rank = |m: &Msg| ((-self.worth(m) * line(m) * 1e6) as i64, m.target);
         list.sort_by_cached_key(|id| rank(&self.msgs[id]));
@@ -717,7 +704,7 @@
         let idle = ep.out == 0 && ep.used_at > Duration::ZERO && now > ep.used_at + IDLE;
         let made = Call { route: route_id, to, left, sent: now, expect, full, idle, ..Call::default() };
         self.calls.insert(call, made);
-        self.turns.insert(route_id.0, call);
+        self.near.entry(route_id.0).or_default().1 = call;
         self.endpoints.entry(to).and_modify(|ep| (ep.out, ep.used_at) = (ep.out + 1, now));
         if let Some(route) = self.routes.get_mut(&route_id) {
             route.tokens.left -= 1.0;
@@ -734,10 +721,8 @@
         let ep = self.endpoints.get(&to)?;
         let route = self.routes.get(&self.route_of(to))?;
         let row = *self.row(msg);
-        let same_group = match (row.effect, msg.may_have_run) {
-            (Effect::Keyed { group: Group::Zone, .. }, Some((_, zone))) => zone == ep.zone,
-            _ => true,
-        };
+        let zonal = matches!(row.effect, Effect::Keyed { group: Group::Zone, .. });
+        let same_group = !zonal || msg.may_have_run.is_none_or(|(_, zone)| zone == ep.zone);
         let one = !msg.ended && msg.deadline > now + MARGIN && msg.dst == ep.dst; // rule 1
         let two = msg.out.is_none() && self.may_go_again(msg) && same_group; // rule 2
         let four = route.cold_since.is_none() || route.cold.left > 0.0 || route.breaker != Breaker::Closed;
@@ -747,8 +732,7 @@
         }
         let (zone, span) = (ep.zone, self.timeout(to, &row, msg.late));
         let left = msg.deadline - now;
-        // A slow host keeps answering: an overdue leg weighs on the breaker at once but is cut later, as a
-        // repeat there would only add work. Harm: a leg into silence comes back late.
+        // A slow host keeps answering: an overdue leg counts at once, is cut later. Harm: late after silence.
         let patient = left.mul_f64(PATIENCE).max(span).min(left);
         let limit = if row.effect == Effect::NonRetriable { left } else { patient };
         let msg = self.msgs.get_mut(&id)?;
@@ -776,8 +760,7 @@
         self.ended_at.extend(self.endpoints.iter().filter(|(_, e)| e.used_at > Duration::ZERO).map(|e| e.0));
     }
 
-    /// Guards against tables filled by connections kept among many relays (connects of a kind fail), and
-    /// against those that died while idle, on the way or at the host. Costs handshakes.
+    /// Guards against tables full of kept connections, and ones that died idle. Costs handshakes.
     fn leave_idle(&mut self, out: &mut dyn Writer) {
         let (all, bad, _) = self.idle_ends.totals(self.now, 30);
         let stale = bad >= STALE_ENDS && bad >= STALE_SHARE * all;
@@ -791,6 +774,26 @@
         }
     }
 
+    /// Guards against tables that grow for good: forgets what is off and binds no rule; true if more is off.
+    fn forget(&mut self, out: &mut dyn Writer) -> bool {
+        let (now, f) = (self.now, &self.facts);
+        let binds = |r: &Route| now < r.told_until || r.cold_since.is_some_and(|at| now < at + f.warm_after);
+        let off = |e: &Endpoint| e.out == 0 && e.off_since.is_some_and(|at| now >= at + f.drain_grace);
+        let unused = self.endpoints.iter().filter(|(_, e)| off(e)).map(|(id, e)| (*id, e.dst));
+        for (id, dst) in unused.collect::<Vec<_>>() {
+            let (route_id, near) = (self.route_of(id), &mut self.near.entry(dst).or_default().0);
+            let last = route_id.1.is_some() || near.len() == 1;
+            if !(last && self.routes.get(&route_id).is_some_and(binds)) {
+                near.retain(|e| *e != id);
+                last.then(|| self.routes.remove(&route_id));
+                self.endpoints.remove(&id);
+                out.forget(id);
+            }
+        }
+        self.near.retain(|_, near| !near.0.is_empty());
+        self.endpoints.values().any(|e| e.off_since.is_some())
+    }
+
     /// Guards against parked messages that keep live traffic out: those of least worth are pushed back.
     fn make_room(&mut self, out: &mut dyn Writer) {
         let most = (self.facts.max_held as f64 * HELD_MOST) as usize;
@@ -799,11 +802,9 @@
             return;
         }
         // Rule 2: a pushback only where coming again is safe.
-        let again = |m: &Msg| {
-            matches!(self.row(m).effect, Effect::Retriable | Effect::Keyed { group: Group::All, .. })
-        };
+        let again = |m: &Msg| m.may_have_run.is_none() || self.row(m).effect.repeats_anywhere();
         let mut idle: Vec<(f64, MsgId)> = (self.msgs.iter())
-            .filter(|(_, m)| !m.ended && m.out.is_none() && (m.may_have_run.is_none() || again(m)))
+            .filter(|(_, m)| !m.ended && m.out.is_none() && again(m))
             .map(|(id, m)| (self.worth(m), *id))
             .collect();
         idle.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -7,7 +7,8 @@
 //!   with `facts notices` ends count only once taken
 //! - `until T`: a round each 20 ms
 //! - `=> a; b`: exactly these decisions in that span; `~> a`: this one among them; `!> a`: none like it;
-//!   `#> N a`: N that begin so. Decisions: `send 1 A`, `push 1`, `fail 1`, `recall 1`, `close A`, `watch`, `log ..`
+//!   `#> N a`: N that begin so. Decisions: `send 1 A`, `push 1`, `fail 1`, `recall 1`, `close A`,
+//!   `forget A` with `facts forgets`, `watch`, `log ..`
 
 use mountshift::port::*;
 use mountshift::rules::Relay;
@@ -15,9 +16,9 @@
 use std::time::Duration;
 use test_case::test_case;
 
-/// What was decided, and if ends count only once the host says that they were taken.
+/// What was decided, if ends count only once the host says that they were taken, and if forgetting shows.
 #[derive(Default)]
-struct Decisions(Vec<String>, bool);
+struct Decisions(Vec<String>, bool, bool);
 
 fn name(to: EndpointId) -> char {
     char::from(to.0 as u8)
@@ -41,6 +42,9 @@
     fn close_idle(&mut self, to: EndpointId) {
         self.0.push(format!("close {}", name(to)));
     }
+    fn forget(&mut self, endpoint: EndpointId) {
+        self.2.then(|| self.0.push(format!("forget {}", name(endpoint))));
+    }
     fn wake(&mut self, _after: Duration) {}
     fn watch(&mut self) {
         self.0.push("watch".into());
@@ -199,6 +203,7 @@
 #[test_case("hold"; "least worth is pushed back when places run out")]
 #[test_case("legs"; "further legs go by value")]
 #[test_case("list"; "lists whole and in part")]
+#[test_case("forget"; "what is gone is forgotten once no rule needs it")]
 #[test_case("watch"; "the list is asked for again")]
 #[test_case("stray"; "stray events are ignored")]
 #[test_case("rule5-notice"; "rule 5 an end that is not taken holds back its key")]
@@ -227,7 +232,7 @@
                 let relay = relay.get_or_insert_with(start);
                 let (time, events) = rest.split_once(':').unwrap_or((rest, ""));
                 let end = Duration::from_secs_f64(time.parse().unwrap_or_else(|_| panic!("{}", seen())));
-                out = Decisions(Vec::new(), told.contains("notices"));
+                out = Decisions(Vec::new(), told.contains("notices"), told.contains("forgets"));
                 while word == "until" && now + Duration::from_millis(20) < end {
                     now += Duration::from_millis(20);
                     relay.round(now, |_| {}, &mut out);
