--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,7 +61,7 @@
 const COLD_BURST: f64 = 0.3; // of what the budget lets pass in the fall span
 const COLD_SHARE: f64 = 0.6; // share of calls failed lately that counts as an outage, ...
 const COLD_FAILED: f64 = 3.0; // ... of at least so many
-const COLD_FULLS: u32 = 4; // refusals in a row, ...
+const COLD_FULLS: u32 = 4; // refusals in a row, the last one without a wait (guards against ramps after a limit) ...
 const COLD_FULL_SPAN: Duration = ms(2_500); // ... without a success for so long, that count as one
 const COLD_WAIT: Duration = ms(1_500); // a told wait longer than this means shut
 // 4 Time-outs.
@@ -444,7 +444,7 @@
         if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
             (route.pace, route.pace_at) = ((route.pace * PACE_CUT).max(least), now);
         }
-        let shut = route.fulls >= COLD_FULLS && now - since >= COLD_FULL_SPAN;
+        let shut = wait.is_zero() && route.fulls >= COLD_FULLS && now - since >= COLD_FULL_SPAN;
         (shut || wait > COLD_WAIT).then(|| Relay::turn_cold(route, now + wait));
         self.end_trial(route_id, call, Breaker::Open(now + crowd));
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -195,6 +195,7 @@
 #[test_case("crowd"; "no idle connections in a crowd")]
 #[test_case("refused"; "a refusal without a wait pauses")]
 #[test_case("shut"; "a shut destination is asked with one message")]
+#[test_case("limit"; "a limit that tells waits is no outage")]
 #[test_case("pace"; "the listed rate paces")]
 #[test_case("pace-crowd"; "among many relays no message waits for an even portion")]
 #[test_case("share"; "over its share a tenant goes last")]
