--- a/src/rules.rs
+++ b/src/rules.rs
@@ -61,7 +61,7 @@
 const COLD_BURST: f64 = 0.3; // of what the budget lets pass in the fall span
 const COLD_SHARE: f64 = 0.6; // share of calls failed lately that counts as an outage, ...
 const COLD_FAILED: f64 = 3.0; // ... of at least so many
-const COLD_FULLS: u32 = 4; // refusals in a row, the last without a wait (guards against ramps after limits) ...
+const COLD_FULLS: u32 = 4; // refusals in a row, no wait told (guards against ramps after limits), ...
 const COLD_FULL_SPAN: Duration = ms(2_500); // ... without a success for so long, that count as one
 const COLD_WAIT: Duration = ms(1_500); // a told wait longer than this means shut
 // 4 Time-outs.
@@ -326,7 +326,7 @@
     /// Rule 6: every wait binds, whichever answer tells it and however late it comes.
     pub fn told_to_wait(&mut self, to: EndpointId, wait: Duration) {
         let until = self.now + wait;
-        let route_id = self.endpoints.contains_key(&to).then(|| self.route_of(to));
+        let route_id = (self.endpoints.contains_key(&to) && wait > ms(0)).then(|| self.route_of(to));
         let route = route_id.and_then(|id| self.routes.get_mut(&id));
         route.into_iter().for_each(|r| r.told_until = r.told_until.max(until));
     }
@@ -444,7 +444,7 @@
         if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
             (route.pace, route.pace_at) = ((route.pace * PACE_CUT).max(least), now);
         }
-        let shut = wait.is_zero() && route.fulls >= COLD_FULLS && now - since >= COLD_FULL_SPAN;
+        let shut = route.told_until < since && route.fulls >= COLD_FULLS && now - since >= COLD_FULL_SPAN;
         (shut || wait > COLD_WAIT).then(|| Relay::turn_cold(route, now + wait));
         self.end_trial(route_id, call, Breaker::Open(now + crowd));
     }
@@ -599,7 +599,7 @@
         let f = &self.facts;
         let Some(route) = self.routes.get_mut(&route_id) else { return 0 };
         // While failures run, one call at a time: most calls into silence went out before it opened.
-        if now < route.told_until || now < route.pause_until || (route.run > 0 && asking) {
+        if now < route.told_until || now < route.pause_until || (route.run + route.fulls > 0 && asking) {
             return 0;
         }
         let trial = match route.breaker {
@@ -616,8 +616,8 @@
                 return 0;
             }
         }
-        // Refused again and again it may be shut: one message asks, not a batch that burns legs.
-        let batch = if trial || route.fulls > 1 { 1 } else { batch };
+        // Refused again with no wait told it may be shut: one message asks, not a batch that burns legs.
+        let batch = if trial || route.fulls > 1 && route.told_until < route.full_since { 1 } else { batch };
         let Some(since) = route.cold_since.filter(|_| !trial) else { return batch };
         let warm = now.saturating_sub(since).as_secs_f64() / f.warm_after.as_secs_f64().max(0.001);
         if warm >= 1.0 {
