--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -101,9 +101,11 @@
                     Err(broken) => break Err(broken),
                 }
             }
-            // Guards against an answer that begins and never ends: it would hold its slot to the time-out.
+            // Guards against an answer that begins and never ends: it would hold its slot to the time-out, and
+            // its messages beyond it.
+            let rest = (Instant::now() + REST).min(by);
             let stalled = async {
-                Timer::after(REST).await;
+                Timer::at(rest).await;
                 Err(Broken::Unreadable)
             };
             match self.read_answer(most).or(stalled).await {
