--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -196,9 +196,8 @@
                 match reason {
                     Some("broken" | "stopping") => return reason.unwrap_or_default(),
                     Some(_) if begun => {
-                        return self
-                            .goodbye("-ERR the request did not come in time\r\n", "slow", front)
-                            .await;
+                        let late = Reply::Now("-ERR the request did not come in time\r\n".into());
+                        return self.goodbye(vec![late], "slow", front).await;
                     }
                     Some(_) if fresh => return "silent",
                     Some(reason) => return reason,
@@ -231,7 +230,10 @@
                         self.requests += 1;
                         match command(words, front) {
                             Some(reply) => replies.push(reply),
-                            None => return self.finish(replies, "+OK\r\n".into(), "quit", front).await,
+                            None => {
+                                replies.push(Reply::Now("+OK\r\n".into()));
+                                return self.goodbye(replies, "quit", front).await;
+                            }
                         }
                     }
                     Err(what) => {
@@ -241,8 +243,8 @@
                 }
             }
             if let Some(what) = last {
-                let text = format!("-ERR Protocol error: {what}\r\n");
-                return self.finish(replies, text, "protocol", front).await;
+                replies.push(Reply::Now(format!("-ERR Protocol error: {what}\r\n")));
+                return self.goodbye(replies, "protocol", front).await;
             }
             if let Some(reason) = self.reply(replies, front).await {
                 return reason;
@@ -277,25 +279,11 @@
         Some("idle")
     }
 
-    /// Answers what is answered yet, says the last word and ends.
-    async fn finish(
-        &mut self,
-        replies: Vec<Reply>,
-        last: String,
-        reason: &'static str,
-        front: &Front,
-    ) -> &'static str {
-        match self.reply(replies, front).await {
-            Some(reason) => reason,
-            None => self.goodbye(&last, reason, front).await,
-        }
-    }
-
-    /// Says the last word and ends. Guards against a reset over unread bytes, which would take the word
+    /// Says the last words and ends. Guards against a reset over unread bytes, which would take the words
     /// away with it: what still comes is read, within bounds and at a pace that leaves others theirs.
-    async fn goodbye(&mut self, word: &str, reason: &'static str, front: &Front) -> &'static str {
+    async fn goodbye(&mut self, last: Vec<Reply>, reason: &'static str, front: &Front) -> &'static str {
         self.buffer = Vec::new();
-        if let Some(reason) = self.reply(vec![Reply::Now(word.into())], front).await {
+        if let Some(reason) = self.reply(last, front).await {
             return reason;
         }
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
