One time limit for a kept exchange, in ask, not in ask and both its callers

discovery.rs and notices.rs each raced http::ask against a timer of the same span that ask was given as well. The race stands in ask now and covers connecting, writing and the answer; spans and the line 'no answer in time' are the same.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -99,11 +99,7 @@
                         None => drop(Timer::after(PAUSE).await),
                     }
                 }
-                let late = async {
-                    Timer::after(WAIT + SLACK).await;
-                    Err("no answer in time".to_string())
-                };
-                Some(self.call(&mut connection).or(late).await)
+                Some(self.call(&mut connection).await)
             };
             // Guards against a watch that waits at an address that is no longer told anything. What is told
             // at the new one is asked for at once, and whole: its revisions may be counted anew.
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -282,7 +282,8 @@
     Ok(Some((answer, size, length)))
 }
 
-/// Sends a request over a connection that is kept between calls, opened anew where it is not usable.
+/// Sends a request over a connection that is kept between calls, opened anew where it is not usable; all of it within a
+/// span.
 pub async fn ask(
     kept: &mut Option<Connection>,
     to: SocketAddr,
@@ -291,17 +292,24 @@
     most: usize,
     within: Duration,
 ) -> Result<Answer, String> {
-    if kept.as_ref().is_none_or(|c| !c.is_quiet()) {
-        *kept = Some(Connection::open(to, peer.into()).await.map_err(|e| e.to_string())?);
-    }
-    let Some(open) = kept.as_mut() else { return Err("not connected".into()) };
-    open.write(request).await.map_err(|e| e.to_string())?;
     let by = Instant::now() + within;
-    let (answer, keep) = open.answer(most, by).await.map_err(|e| format!("{e:?}"))?;
-    if !keep {
-        *kept = None;
-    }
-    if answer.whole { Ok(answer) } else { Err("the answer is spoilt".into()) }
+    let late = async {
+        Timer::at(by).await;
+        Err("no answer in time".to_string())
+    };
+    let asked = async {
+        if kept.as_ref().is_none_or(|c| !c.is_quiet()) {
+            *kept = Some(Connection::open(to, peer.into()).await.map_err(|e| e.to_string())?);
+        }
+        let Some(open) = kept.as_mut() else { return Err("not connected".into()) };
+        open.write(request).await.map_err(|e| e.to_string())?;
+        let (answer, keep) = open.answer(most, by).await.map_err(|e| format!("{e:?}"))?;
+        if !keep {
+            *kept = None;
+        }
+        if answer.whole { Ok(answer) } else { Err("the answer is spoilt".into()) }
+    };
+    late.or(asked).await
 }
 
 /// A request as bytes.
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -57,15 +57,11 @@
             (at, connection) = (to, None);
         }
         let part: Vec<Notice> = waiting.drain(..waiting.len().min(together)).collect();
-        let late = async {
-            Timer::after(LATE).await;
-            Err("no answer in time".to_string())
-        };
         let left = async {
             let Ok(to) = moved.recv().await else { return std::future::pending().await };
             Err(to)
         };
-        let status = match async { Ok(call(at, &part, &mut connection).or(late).await) }.or(left).await {
+        let status = match async { Ok(call(at, &part, &mut connection).await) }.or(left).await {
             Ok(status) => status,
             // Guards against notices lost with an address: what has no answer yet goes to the new one.
             Err(to) => {
