--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -387,8 +387,9 @@
     }
 
     fn start(&self, n: u64, to: EndpointId, endpoint: Endpoint, legs: Vec<(MsgId, Duration)>) -> Task<()> {
-        // A call is given up as a whole, so that none of its messages is out again while it is open.
-        let limit = legs.iter().map(|l| l.1).max().unwrap_or_default();
+        // A call is given up as a whole, so that none of its messages is out again while it is open, and at
+        // the shortest limit: guards against an answer behind the deadline of one, which counts for none.
+        let limit = legs.iter().map(|l| l.1).min().unwrap_or_default();
         let part = |(msg, _): &(MsgId, Duration)| {
             let taken = &self.spool.get(msg.0)?.taken;
             let idempotency_key = told(&taken.list).ok().and_then(|t| t.idempotency_key);
