The laboratory in virtual time, and what it found at once: routes pushed over after few failures

A relay that saw one or two calls fail never opened its breaker and went on at full pace after the first success; with its peers it pushed over what had just come back (docs/incidents/lab-few-failures.md). Now such a run of 1.5 s turns the route cold at the success that ends it. Tried: the trial counted as debt (28 days still broken), any failure and two failures (0 and 1 days; slow hosts suffer).

--- /dev/null
+++ b/crates/lab/benches/day.rs
@@ -0,0 +1,24 @@
+//! What a day of the model costs: the decisions, the judge and the world together, by size.
+
+use criterion::{Criterion, Throughput, criterion_group, criterion_main};
+use mountshift_lab::day::{Day, Play};
+use mountshift_lab::policy::Which;
+use mountshift_scenario::Scenario;
+use std::hint::black_box;
+
+fn days(c: &mut Criterion) {
+    let mut group = c.benchmark_group("day");
+    group.sample_size(10);
+    for name in ["calm", "everything", "crowd-outage"] {
+        let path = format!("{}/../../examples/scenarios/{name}.toml", env!("CARGO_MANIFEST_DIR"));
+        let scenario = Scenario::read(path.as_ref()).expect("a scenario");
+        let play = Play { which: Which::Mountshift, seed: 1, course: false };
+        let messages = Day::new(&scenario, play).play().messages;
+        group.throughput(Throughput::Elements(messages));
+        group.bench_function(name, |b| b.iter(|| black_box(Day::new(&scenario, play).play())));
+    }
+    group.finish();
+}
+
+criterion_group!(benches, days);
+criterion_main!(benches);
--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,26 @@
+//! The laboratory in virtual time. A scenario becomes a [`day::Day`]: clients, relays, destinations and their
+//! troubles as events on a heap, from one seed, the same trace on every machine. Each relay hosts a
+//! [`policy::Policy`]: the project's decisions, or one of the baselines beside them, behind the same
+//! `mountshift::port::Writer`. The judge reads every fact; the tally tells what service came of it.
+//!
+//! What the model leaves out, and how to add to it, stands in `docs/lab.md`.
+#![forbid(unsafe_code)]
+
+pub mod chance;
+pub mod day;
+pub mod experiment;
+mod host;
+pub mod hunt;
+pub mod outcome;
+mod policies;
+pub mod policy;
+pub mod report;
+mod servers;
+mod tally;
+mod traffic;
+mod world;
+
+pub use mountshift_judge::Fact;
+
+/// Microseconds since the day began.
+pub type Time = u64;
--- /dev/null
+++ b/crates/lab/src/policy.rs
@@ -0,0 +1,158 @@
+//! What decides at a relay: the project's decisions and the baselines, behind one interface.
+
+use crate::policies::{Baseline, Style};
+use mountshift::port::*;
+use mountshift::rules::Relay;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// What a relay is told in a round; the calls of `mountshift::rules::Relay`, by name.
+#[derive(Clone, Copy, Debug)]
+pub enum Tell {
+    Message(MsgId, HandIn),
+    EarlierLeg {
+        msg: MsgId,
+        zone: ZoneId,
+        at: Duration,
+        may_have_run: bool,
+    },
+    /// Its end was given before a restart and has not been taken.
+    EndOwed(MsgId),
+    Outcome {
+        msg: MsgId,
+        to: EndpointId,
+        waited: Duration,
+        outcome: Outcome,
+        over: bool,
+    },
+    Wait {
+        to: EndpointId,
+        wait: Duration,
+    },
+    WholeList,
+    Entry {
+        id: EndpointId,
+        dst: DstId,
+        zone: ZoneId,
+        kind: KindId,
+        listed: Listed,
+        rate: f64,
+    },
+    WatchFailed,
+    Over(MsgId),
+}
+
+/// The true state of all, for the policy that sees it.
+#[derive(Clone, Debug, Default)]
+pub struct Truth {
+    /// By endpoint, from 0.
+    pub endpoints: Vec<TrueState>,
+    /// By route, from 0: calls that its limits and its cold share let through now; what is sent is taken off.
+    pub routes: Vec<f64>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+pub struct TrueState {
+    /// It would take and answer a call.
+    pub well: bool,
+    pub route: u32,
+    /// Calls that it can work on now, with one that may wait; what is sent is taken off.
+    pub room: f64,
+    /// Kept connections to it may have died.
+    pub stale: bool,
+}
+
+/// Decides for one relay, one call a round.
+pub trait Policy: Send {
+    /// Takes in what came since the last round, empties it, decides.
+    fn round(
+        &mut self,
+        now: Duration,
+        tells: &mut Vec<Tell>,
+        truth: Option<&mut Truth>,
+        out: &mut dyn Writer,
+    );
+}
+
+impl Policy for Relay {
+    fn round(&mut self, now: Duration, tells: &mut Vec<Tell>, _: Option<&mut Truth>, out: &mut dyn Writer) {
+        Relay::round(self, now, |r| tells.drain(..).for_each(|tell| take(r, tell)), out);
+    }
+}
+
+fn take(r: &mut Relay, tell: Tell) {
+    match tell {
+        Tell::Message(id, hand_in) => r.message(id, hand_in),
+        Tell::EarlierLeg { msg, zone, at, may_have_run } => r.earlier_leg(msg, zone, at, may_have_run),
+        Tell::EndOwed(msg) => r.end(msg, false),
+        Tell::Outcome { msg, to, waited, outcome, over } => r.outcome(msg, to, waited, outcome, over),
+        Tell::Wait { to, wait } => r.told_to_wait(to, wait),
+        Tell::WholeList => r.whole_list(),
+        Tell::Entry { id, dst, zone, kind, listed, rate } => r.entry(id, dst, zone, kind, listed, rate),
+        Tell::WatchFailed => r.watch_failed(),
+        Tell::Over(msg) => r.over(msg),
+    }
+}
+
+/// The policies that a day can be played with.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Which {
+    /// The project's decisions.
+    Mountshift,
+    /// One leg for each message, in the order of arrival: the floor.
+    OneTry,
+    /// Further legs after a pause that doubles, spread by chance.
+    Backoff,
+    /// The same, with further legs at most a tenth of the first ones.
+    RetryBudget,
+    /// The breaker of the design's source alone.
+    PlainBreaker,
+    /// Always the endpoint with the fewest calls out.
+    LeastOut,
+    /// Sees the true state of all: the top.
+    SeesAll,
+}
+
+impl Which {
+    pub const ALL: [Which; 7] = [
+        Which::Mountshift,
+        Which::OneTry,
+        Which::Backoff,
+        Which::RetryBudget,
+        Which::PlainBreaker,
+        Which::LeastOut,
+        Which::SeesAll,
+    ];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Which::Mountshift => "mountshift",
+            Which::OneTry => "one-try",
+            Which::Backoff => "backoff",
+            Which::RetryBudget => "retry-budget",
+            Which::PlainBreaker => "plain-breaker",
+            Which::LeastOut => "least-out",
+            Which::SeesAll => "sees-all",
+        }
+    }
+
+    /// True if it reads the truth: its relays then play one after another.
+    pub fn sees_all(self) -> bool {
+        self == Which::SeesAll
+    }
+
+    /// One for a relay that starts.
+    pub fn make(self, facts: StartupFacts) -> Box<dyn Policy> {
+        let style = match self {
+            Which::Mountshift => return Box::new(Relay::new(facts)),
+            Which::OneTry => Style::OneTry,
+            Which::Backoff => Style::Backoff,
+            Which::RetryBudget => Style::Budget,
+            Which::PlainBreaker => Style::Breaker,
+            Which::LeastOut => Style::LeastOut,
+            Which::SeesAll => Style::SeesAll,
+        };
+        Box::new(Baseline::new(style, facts))
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/days.rs
@@ -0,0 +1,170 @@
+//! Days of the library, played and judged; the same trace whatever the threads; experiments that know what they
+//! don't know.
+
+use mountshift_lab::day::{Day, Play, Seen};
+use mountshift_lab::experiment::{Estimate, compare, run, summarise, with_value};
+use mountshift_lab::hunt::{Prey, hunt};
+use mountshift_lab::outcome::DayOutcome;
+use mountshift_lab::policy::Which;
+use mountshift_lab::report;
+use mountshift_scenario::Scenario;
+use proptest::prelude::*;
+use std::path::PathBuf;
+use test_case::test_case;
+
+fn path(name: &str) -> PathBuf {
+    format!("{}/../../examples/scenarios/{name}.toml", env!("CARGO_MANIFEST_DIR")).into()
+}
+
+fn scenario(name: &str) -> Scenario {
+    Scenario::read(&path(name)).expect("a scenario")
+}
+
+fn play(s: &Scenario, which: Which, seed: u64) -> DayOutcome {
+    Day::new(s, Play { which, seed, course: false }).play()
+}
+
+// The short form of the library that CI judges; `mountshift lab run examples/scenarios/*.toml` plays all of it.
+#[test_case("calm")]
+#[test_case("half-errors")]
+#[test_case("shut")]
+#[test_case("silent")]
+#[test_case("vanish")]
+#[test_case("crash-cold")]
+#[test_case("resets")]
+#[test_case("limit-lies")]
+#[test_case("list-late")]
+#[test_case("watch-lost")]
+#[test_case("address-taken")]
+#[test_case("relays-in-waves")]
+#[test_case("relay-stalled")]
+#[test_case("relay-cut-off")]
+#[test_case("clock-step")]
+#[test_case("everything")]
+fn the_decisions_keep_the_rules(name: &str) {
+    let s = scenario(name);
+    for seed in [11, 12] {
+        let day = play(&s, Which::Mountshift, seed);
+        assert!(day.kept(), "seed {seed}: {:?} {:#?}", day.rules, day.breaches.first());
+        assert!(day.service > 0.5 && day.requests > 100, "{}", day.service);
+    }
+}
+
+#[test]
+fn every_file_of_the_library_can_be_played() {
+    let folder = path("calm").parent().expect("a folder").to_path_buf();
+    let files = std::fs::read_dir(folder).expect("a folder").flatten().map(|e| e.path());
+    let files: Vec<PathBuf> = files.filter(|p| p.extension().is_some_and(|e| e == "toml")).collect();
+    assert!(files.len() >= 25);
+    for file in files {
+        Scenario::read(&file).unwrap_or_else(|e| panic!("{e}"));
+    }
+}
+
+#[test]
+fn one_seed_gives_one_trace_whatever_the_threads() {
+    let s = scenario("relays-in-waves");
+    let trace = |threads: usize| {
+        let pool = rayon::ThreadPoolBuilder::new().num_threads(threads).build().expect("threads");
+        pool.install(|| {
+            let mut lines = Vec::new();
+            let mut watch = |at: u64, seen: Seen| lines.push(format!("{at} {seen:?}"));
+            let play = Play { which: Which::Mountshift, seed: 3, course: false };
+            let day = Day::new(&s, play).watched(&mut watch).play();
+            (lines, day.digest)
+        })
+    };
+    let (one, four) = (trace(1), trace(4));
+    assert!(one.0.len() > 5_000);
+    assert!(one == four, "traces differ");
+    assert_ne!(play(&s, Which::Mountshift, 4).digest, one.1, "another seed gives another day");
+}
+
+#[test]
+fn floor_and_top_enclose_the_textbooks() {
+    // A day on which a second try elsewhere helps and does no harm.
+    let s = scenario("one-endpoint-down");
+    let days = run(&s, &Which::ALL, &[1, 2, 3], false, &|_| {});
+    let of = |which: Which| {
+        let days: Vec<f64> = days.iter().filter(|d| d.policy == which.name()).map(|d| d.service).collect();
+        days.iter().sum::<f64>() / days.len() as f64
+    };
+    assert!(of(Which::SeesAll) > of(Which::OneTry) + 0.05, "{} {}", of(Which::SeesAll), of(Which::OneTry));
+    for which in [Which::Backoff, Which::PlainBreaker, Which::LeastOut, Which::Mountshift] {
+        assert!(of(which) > of(Which::OneTry), "{which:?}");
+        assert!(of(which) < of(Which::SeesAll) + 0.01, "{which:?}");
+    }
+}
+
+#[test]
+fn what_is_the_same_can_not_be_told_apart_and_what_is_worse_can() {
+    let s = scenario("crash-cold");
+    let seeds: Vec<u64> = (1..=8).collect();
+    let a = run(&s, &[Which::Mountshift], &seeds, false, &|_| {});
+    let same = compare(&a, &a).expect("pairs");
+    assert!(same.says.starts_with("can't be told apart"), "{}", same.says);
+    assert_eq!(same.difference.mean, 0.0);
+    let b = run(&s, &[Which::OneTry], &seeds, false, &|_| {});
+    let worse = compare(&a, &b).expect("pairs");
+    assert!(worse.says.starts_with("A serves better"), "{}", worse.says);
+    let few = compare(&a[..3], &b[..3]).expect("pairs");
+    assert!(few.says.contains("too few"), "{}", few.says);
+    assert!(compare(&a, &[]).is_err());
+}
+
+#[test]
+fn a_value_is_changed_by_its_path() {
+    let text = std::fs::read_to_string(path("slow")).expect("a file");
+    let changed = with_value(&text, "slow.toml", "trouble.0.level", "3").expect("a scenario");
+    assert_eq!(changed.troubles[0].as_ref().level.map(|l| l.0), Some(3.0));
+    let set = with_value(&text, "slow.toml", "relays.round_gap", "10 ms").expect("a scenario");
+    assert_eq!(set.relays.round_gap.us(), 10_000);
+    let none = with_value(&text, "slow.toml", "trouble.7.level", "3").expect_err("refused");
+    assert_eq!(none, "slow.toml: there is no trouble.7.level: nothing at \"7\"");
+    assert!(
+        with_value(&text, "slow.toml", "trouble.0.level", "0").expect_err("refused").contains("does nothing")
+    );
+}
+
+#[test]
+fn a_hunt_finds_and_cuts_down_and_can_be_played_again() {
+    let s = scenario("calm");
+    let found = hunt(&s, Prey::Loss, 12, 1, &|| {}).expect("a bad day");
+    assert!(found.badness.loss() > 0.01 && found.troubles.1 <= found.troubles.0);
+    let text = found.scenario.to_text().expect("a text");
+    let again = Scenario::from_text(&text, "found").expect("a scenario");
+    let day = play(&again, Which::Mountshift, found.seed);
+    assert_eq!(day.service, found.badness.service);
+}
+
+#[test]
+fn a_report_is_one_page_that_needs_nothing_else() {
+    let s = scenario("everything");
+    let days = run(&s, &[Which::Mountshift, Which::OneTry, Which::SeesAll], &[1], true, &|_| {});
+    let page = report::page(&s, &days).expect("a page");
+    for part in ["<svg", "Policies", "sees-all", "Breaches", "transfer", "throttle-count"] {
+        assert!(page.contains(part), "{part}");
+    }
+    assert!(!page.contains("src=") && !page.contains("href="));
+}
+
+#[test]
+fn a_summary_tells_where_between_floor_and_top() {
+    let s = scenario("silent");
+    let days = run(&s, &[Which::Mountshift, Which::OneTry, Which::SeesAll], &[1, 2], false, &|_| {});
+    let summaries = summarise(&days);
+    let place = |which: Which| summaries.iter().find(|s| s.policy == which.name()).and_then(|s| s.place);
+    assert_eq!((place(Which::OneTry), place(Which::SeesAll)), (Some(0.0), Some(1.0)));
+    assert!(place(Which::Mountshift).is_some_and(|p| p > 0.0));
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn an_estimate_holds_its_mean(values in proptest::collection::vec(0.0f64..1.0, 1..40)) {
+        let e = Estimate::of(&values);
+        prop_assert!(e.low <= e.mean + 1e-9 && e.mean <= e.high + 1e-9);
+        prop_assert_eq!(e.n, values.len());
+    }
+}
--- /dev/null
+++ b/crates/scenario/src/lib.rs
@@ -0,0 +1,442 @@
+//! The file format of a world and its day, as TOML: destinations, endpoints, lanes, tenants, relays, traffic,
+//! and a script of troubles. Unknown fields and impossible values are refused with file, line and reason; what
+//! [`Scenario::read`] gives back is whole and fits together. See `docs/lab.md` for a field-by-field account.
+#![forbid(unsafe_code)]
+
+mod check;
+mod trouble;
+mod units;
+
+pub use trouble::{Knobs, Strikes, Trouble, TroubleKind, Whom};
+pub use units::{Amount, Rate, Share, Span};
+
+use serde::{Deserialize, Serialize};
+use std::num::NonZeroU32;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use toml::Spanned;
+
+/// The version of the format that this package reads.
+pub const FORMAT: u32 = 1;
+
+const fn n(n: u32) -> NonZeroU32 {
+    match NonZeroU32::new(n) {
+        Some(n) => n,
+        None => NonZeroU32::MIN,
+    }
+}
+
+const fn ms(n: u64) -> Span {
+    Span(Duration::from_millis(n))
+}
+
+/// A world and its day.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    pub format: u32,
+    /// What the day is meant to show, in a sentence.
+    pub about: String,
+    /// Messages are handed in for so long; the day goes on until the last of them has ended.
+    pub length: Spanned<Span>,
+    #[serde(default = "here")]
+    pub zones: Vec<String>,
+    #[serde(default)]
+    pub relays: Relays,
+    #[serde(default)]
+    pub rules: Rules,
+    #[serde(default)]
+    pub clients: Clients,
+    #[serde(rename = "lane")]
+    pub lanes: Vec<Lane>,
+    #[serde(rename = "tenant", default)]
+    pub tenants: Vec<Tenant>,
+    #[serde(rename = "destinations")]
+    pub groups: Vec<Group>,
+    pub traffic: Traffic,
+    #[serde(rename = "trouble", default)]
+    pub troubles: Vec<Spanned<Trouble>>,
+    /// What the day is called: its file's name without the ending.
+    #[serde(skip)]
+    pub name: String,
+    /// The messages of a recorded day, where `traffic.replay` names one.
+    #[serde(skip)]
+    pub recorded: Vec<Recorded>,
+}
+
+fn here() -> Vec<String> {
+    vec!["here".into()]
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Relays {
+    pub count: NonZeroU32,
+    /// Calls that one relay may have out.
+    pub slots: NonZeroU32,
+    /// Messages that one relay may hold.
+    pub held: NonZeroU32,
+    /// The shortest gap between two rounds.
+    pub round_gap: Span,
+    /// Idle connections are closed by endpoints after this span.
+    pub idle: Span,
+    /// A connection that is not up by then has failed.
+    pub connect: Span,
+    /// Calls may be recalled.
+    pub recall: bool,
+    /// What the list tells of a destination's rate.
+    pub rates: Rates,
+    /// The list comes only to a relay that watches it.
+    pub watch: bool,
+    /// The price of a call into another zone, in points of service for each first leg.
+    pub cross_zone: Amount,
+}
+
+impl Default for Relays {
+    fn default() -> Relays {
+        Relays {
+            count: n(3),
+            slots: n(12),
+            held: n(300),
+            round_gap: ms(5),
+            idle: ms(15_000),
+            connect: ms(1_500),
+            recall: true,
+            rates: Rates::Exact,
+            watch: false,
+            cross_zone: Amount(0.0),
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rates {
+    Exact,
+    /// Up to half too high or too low.
+    Rough,
+    Untold,
+}
+
+/// The figures of the rules, the same for every relay.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Rules {
+    pub legs: NonZeroU32,
+    pub drain_grace: Span,
+    pub order_pause: Span,
+    /// Capacity just after an outage, as a share.
+    pub cold_from: Share,
+    pub warm_after: Span,
+    pub fall_multiple: Rate,
+    pub fall: Span,
+    /// The longest pause that clients heed.
+    pub max_pause: Span,
+    /// How value falls after the target time.
+    pub decay: Decay,
+}
+
+impl Default for Rules {
+    fn default() -> Rules {
+        Rules {
+            legs: n(8),
+            drain_grace: ms(1_000),
+            order_pause: ms(300),
+            cold_from: Share(0.3),
+            warm_after: ms(10_000),
+            fall_multiple: Rate(1.5),
+            fall: ms(2_000),
+            max_pause: ms(3_000),
+            decay: Decay::Linear,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Decay {
+    Linear,
+    Halving,
+}
+
+/// The habits of those who hand messages in.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Clients {
+    /// The share that comes again after a push-back.
+    pub again: Share,
+    /// How long a client stays away that was told no pause.
+    pub pause: Span,
+    /// How long a client waits to hear that its message was taken.
+    pub patience: Span,
+    /// How long the front goes on dealing out clients to a dead relay.
+    pub front_notices: Span,
+}
+
+impl Default for Clients {
+    fn default() -> Clients {
+        Clients { again: Share(1.0), pause: ms(500), patience: ms(400), front_notices: ms(2_000) }
+    }
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Lane {
+    pub name: String,
+    /// From arrival to the target time, and to the deadline.
+    pub target: Span,
+    pub deadline: Spanned<Span>,
+    #[serde(default = "one")]
+    pub value: Rate,
+    #[serde(default)]
+    pub late_share: Share,
+    pub effect: Effect,
+    /// With `keyed`: how long repeats are dropped, counted from the first leg that may have run.
+    #[serde(default)]
+    pub memory: Option<Span>,
+    /// With `keyed`: which endpoints recognise a repeat.
+    #[serde(default)]
+    pub group: Option<Spanned<RepeatGroup>>,
+    #[serde(default)]
+    pub in_order: bool,
+    /// Its part of the traffic, against the other lanes.
+    #[serde(default = "one")]
+    pub traffic: Rate,
+}
+
+fn one() -> Rate {
+    Rate(1.0)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Effect {
+    Retriable,
+    Keyed,
+    NonRetriable,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RepeatGroup {
+    All,
+    Zone,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tenant {
+    pub name: String,
+    /// Messages a second within its share, over all relays.
+    pub quota: Rate,
+    #[serde(default = "one")]
+    pub traffic: Rate,
+}
+
+/// Destinations that are alike.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    pub name: Spanned<String>,
+    #[serde(default = "single")]
+    pub count: NonZeroU32,
+    /// Endpoints of each, dealt out over the zones.
+    #[serde(default = "single")]
+    pub endpoints: NonZeroU32,
+    /// Endpoints are routes apart, each with its own limit and outages.
+    #[serde(default)]
+    pub own_limits: bool,
+    /// Messages in one call at most.
+    #[serde(default = "single")]
+    pub batch: NonZeroU32,
+    /// Calls a second that each destination (or route apart) takes from all relays together; what the list tells.
+    pub rate: Rate,
+    /// What it can really work off, as a multiple of its rate.
+    #[serde(default = "headroom")]
+    pub headroom: Rate,
+    /// The answer time while nothing waits, in the median, and its spread (sigma of its logarithm).
+    pub answers: Span,
+    #[serde(default = "spread")]
+    pub spread: Amount,
+    /// Work of each further message of a call, as a share of the first one's.
+    #[serde(default = "further")]
+    pub further: Share,
+    /// Calls that may wait at an endpoint beyond those it works on.
+    #[serde(default = "queue")]
+    pub queue: u32,
+    /// Connections that an endpoint takes, idle ones counted.
+    #[serde(default = "connections")]
+    pub connections: NonZeroU32,
+    #[serde(default)]
+    pub limit: Option<Limit>,
+    /// Its part of the traffic, against the other groups.
+    #[serde(default = "one")]
+    pub traffic: Rate,
+}
+
+fn single() -> NonZeroU32 {
+    n(1)
+}
+
+fn headroom() -> Rate {
+    Rate(1.3)
+}
+
+fn spread() -> Amount {
+    Amount(0.35)
+}
+
+fn further() -> Share {
+    Share(0.1)
+}
+
+fn queue() -> u32 {
+    32
+}
+
+fn connections() -> NonZeroU32 {
+    n(200)
+}
+
+/// A limit on calls, beside what the endpoints can work off.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Limit {
+    pub by: LimitBy,
+    /// Calls a second; over `window` where calls are counted.
+    pub rate: Rate,
+    #[serde(default = "window")]
+    pub window: Span,
+    #[serde(default)]
+    pub waits: Waits,
+    /// Refused calls use up the limit too.
+    #[serde(default)]
+    pub spent_by_refused: bool,
+}
+
+fn window() -> Span {
+    ms(1_000)
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LimitBy {
+    /// Evenly, a tenth of a second's worth at once.
+    Rate,
+    /// So many in each fixed window.
+    Count,
+}
+
+/// What a refused caller is told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Waits {
+    #[default]
+    True,
+    Missing,
+    /// Between a tenth and four times the true one.
+    Lying,
+}
+
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Traffic {
+    /// Messages a second, over all relays.
+    pub rate: Rate,
+    #[serde(default)]
+    pub arrivals: Arrivals,
+    /// Messages of a clump go to one destination, this many in the mean.
+    #[serde(default)]
+    pub clump: Option<Rate>,
+    /// How uneven the destinations of a group are: the exponent of their shares.
+    #[serde(default)]
+    pub zipf: Amount,
+    /// Keys in use at a time at each destination, for lanes that keep their order.
+    #[serde(default = "keys")]
+    pub keys: NonZeroU32,
+    #[serde(default)]
+    pub rush: Vec<Spanned<Rush>>,
+    /// A recorded day in place of drawn messages: a CSV file beside the scenario, with a head line
+    /// `seconds,lane,destinations,number,key`.
+    #[serde(default)]
+    pub replay: Option<PathBuf>,
+}
+
+fn keys() -> NonZeroU32 {
+    n(20)
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Arrivals {
+    #[default]
+    Poisson,
+    /// Bursts for one destination, Poisson between them.
+    Clumps,
+    Even,
+}
+
+/// More traffic for a while.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rush {
+    pub from: Span,
+    pub to: Span,
+    pub times: Rate,
+}
+
+/// A message of a recorded day.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Recorded {
+    pub seconds: f64,
+    pub lane: String,
+    pub destinations: String,
+    pub number: u32,
+    /// 0 for none.
+    pub key: u64,
+}
+
+impl Scenario {
+    /// Reads and checks a file, and the recorded day that it may name.
+    ///
+    /// # Errors
+    /// One line: the file, the line where one can be told, and the reason.
+    pub fn read(path: &Path) -> Result<Scenario, String> {
+        let shown = path.display();
+        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
+        let mut scenario = Scenario::from_text(&text, &shown.to_string())?;
+        scenario.name = path.file_stem().map(|n| n.to_string_lossy().into_owned()).unwrap_or_default();
+        if let Some(replay) = &scenario.traffic.replay {
+            let at = path.parent().unwrap_or(Path::new("")).join(replay);
+            scenario.recorded = check::recorded(&at, &scenario)?;
+        }
+        Ok(scenario)
+    }
+
+    /// Reads and checks a text; `shown` names it in complaints.
+    ///
+    /// # Errors
+    /// One line, as [`Scenario::read`].
+    pub fn from_text(text: &str, shown: &str) -> Result<Scenario, String> {
+        let at = |byte: usize| text.get(..byte).map_or(1, |before| before.matches('\n').count() + 1);
+        let scenario: Scenario = toml::from_str(text).map_err(|e| {
+            let line = e.span().map_or(1, |span| at(span.start));
+            format!("{shown}:{line}: {}", e.message().replace('\n', " "))
+        })?;
+        check::whole(&scenario).map_err(|(byte, reason)| format!("{shown}:{}: {reason}", at(byte)))?;
+        Ok(scenario)
+    }
+
+    /// The scenario as a file, so that a found or changed day can be kept.
+    ///
+    /// # Errors
+    /// What the serializer says; no scenario that was read causes one.
+    pub fn to_text(&self) -> Result<String, String> {
+        toml::to_string(self).map_err(|e| e.to_string())
+    }
+
+    /// Destinations in all.
+    pub fn destinations(&self) -> u32 {
+        self.groups.iter().map(|g| g.count.get()).sum()
+    }
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -133,6 +133,7 @@
     breaker: Breaker,
     run: u32,
     run_since: Duration,
+    broken: bool, // a call of the run has come to nothing, and is not just overdue
     told_until: Duration,
     pause_until: Duration,
     fulls: u32,
@@ -321,6 +322,9 @@
             Outcome::Full(wait) => self.refused(route_id, call_id, to, wait),
             _ => self.failed(route_id, call_id, to),
         }
+        if matches!(outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Reset) {
+            self.routes.entry(route_id).and_modify(|r| r.broken = r.run > 0);
+        }
     }
 
     /// Rule 6: every wait binds, whichever answer tells it and however late it comes.
@@ -389,7 +393,10 @@
         }
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         route.ends.add(now, 0.0);
-        (route.run, route.fulls) = (0, 0);
+        // Guards against a crowd, or quiet routes, that come back at full pace as no relay saw enough to open.
+        let back = route.broken && now.saturating_sub(route.run_since) >= QUIET_SPAN;
+        back.then(|| Relay::turn_cold(route, now));
+        (route.run, route.fulls, route.broken) = (0, 0, false);
         if full && route.tokens.left < 1.0 {
             route.pace = (route.pace + PACE_GROWTH / route.rate.max(1.0)).min(ROUGH);
         }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -207,6 +207,7 @@
 #[test_case("forget"; "what is gone is forgotten once no rule needs it")]
 #[test_case("watch"; "the list is asked for again")]
 #[test_case("stray"; "stray events are ignored")]
+#[test_case("back"; "what came to nothing for a while comes back cold")]
 #[test_case("rule5-notice"; "rule 5 an end that is not taken holds back its key")]
 #[test_case("rule6-beside"; "rule 6 a wait told beside outcomes binds")]
 #[test_case("restart"; "what was out before a restart may have run")]
