--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,7 +8,7 @@
 //! 6. which parked message goes first and who is pushed back: value, target time, tenant share
 
 use crate::port::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -203,6 +203,7 @@
     facts: StartupFacts,
     now: Duration,
     endpoints: BTreeMap<EndpointId, Endpoint>,
+    off: BTreeSet<EndpointId>, // guards against a walk over all endpoints in every round
     near: BTreeMap<DstId, (Vec<EndpointId>, u64)>, // and its last call
     routes: BTreeMap<RouteId, Route>,
     msgs: BTreeMap<MsgId, Msg>,
@@ -338,6 +339,7 @@
     /// A whole list begins: what its entries don't name is gone.
     pub fn whole_list(&mut self) {
         self.endpoints.values_mut().for_each(|ep| ep.off_since = ep.off_since.or(Some(self.now)));
+        self.off = self.endpoints.keys().copied().collect();
     }
 
     pub fn entry(&mut self, id: EndpointId, dst: DstId, zone: ZoneId, kind: KindId, says: Listed, rate: f64) {
@@ -346,6 +348,7 @@
         (!self.endpoints.contains_key(&id)).then(|| self.near.entry(dst).or_default().0.push(id));
         let ep = self.endpoints.entry(id).or_insert(fresh);
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
+        if says == Listed::Ready { self.off.remove(&id) } else { self.off.insert(id) };
         let route_id = self.route_of(id);
         let pace = self.portion(rate) * if self.batch(kind) > 1 { PACE_START_BATCH } else { PACE_START };
         let fresh = Route { rate, pace, tokens: Tokens { left: rate, at: now }, ..Route::default() };
@@ -786,19 +789,21 @@
         let (now, f) = (self.now, &self.facts);
         let binds = |r: &Route| now < r.told_until || r.cold_since.is_some_and(|at| now < at + f.warm_after);
         let off = |e: &Endpoint| e.out == 0 && e.off_since.is_some_and(|at| now >= at + f.drain_grace);
-        let unused = self.endpoints.iter().filter(|(_, e)| off(e)).map(|(id, e)| (*id, e.dst));
+        let known = self.off.iter().filter_map(|id| Some((*id, self.endpoints.get(id)?)));
+        let unused = known.filter(|(_, e)| off(e)).map(|(id, e)| (id, e.dst));
         for (id, dst) in unused.collect::<Vec<_>>() {
             let (route_id, near) = (self.route_of(id), &mut self.near.entry(dst).or_default().0);
             let last = route_id.1.is_some() || near.len() == 1;
             if !(last && self.routes.get(&route_id).is_some_and(binds)) {
                 near.retain(|e| *e != id);
+                near.is_empty().then(|| self.near.remove(&dst));
                 last.then(|| self.routes.remove(&route_id));
                 self.endpoints.remove(&id);
+                self.off.remove(&id);
                 out.forget(id);
             }
         }
-        self.near.retain(|_, near| !near.0.is_empty());
-        self.endpoints.values().any(|e| e.off_since.is_some())
+        !self.off.is_empty()
     }
 
     /// Guards against parked messages that keep live traffic out: those of least worth are pushed back.
