A relay that stands still can't end anything, and a moment's silence leaves nothing cold (model)

Change: a fact RelayStands gives the judge the slack of a restart; routes that were out for less than a second come back warm.

--- a/crates/judge/src/fact.rs
+++ b/crates/judge/src/fact.rs
@@ -149,6 +149,11 @@
     RelayUp {
         relay: u32,
     },
+    /// It stands still until then: its machine gives it no time, so it can end nothing.
+    RelayStands {
+        relay: u32,
+        until: Time,
+    },
 }
 
 impl Fact {
@@ -211,6 +216,9 @@
             Fact::FellOver { route } => write!(f, "route {route} is pushed over"),
             Fact::RelayDown { relay } => write!(f, "relay {relay} is down"),
             Fact::RelayUp { relay } => write!(f, "relay {relay} is up"),
+            Fact::RelayStands { relay, until } => {
+                write!(f, "relay {relay} stands still until {:.3} s", seconds(until))
+            }
         }
     }
 }
--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -47,7 +47,7 @@
     pub lanes: Vec<Lane>,
     /// How far past its deadline an end still counts.
     pub answer_slack: Time,
-    /// After it is up again, a relay may be late with ends for so long.
+    /// After it is up again, or goes on after standing still, a relay may be late with ends for so long.
     pub restart_slack: Time,
     pub drain_grace: Time,
     pub order_pause: Time,
@@ -269,6 +269,11 @@
                 let r = self.relays.entry(relay).or_default();
                 (r.down, r.up_since) = (false, at);
             }
+            // What falls due meanwhile may be late as after a restart.
+            Fact::RelayStands { relay, until } => {
+                let r = self.relays.entry(relay).or_default();
+                r.up_since = r.up_since.max(until);
+            }
         }
     }
 
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -1,6 +1,7 @@
 //! The script of troubles: what begins and ends, and what that does to endpoints, relays and the list.
 
 use super::{AT_ONCE, Call, Day, Event, Stage};
+use crate::Time;
 use crate::chance::What;
 use crate::host::Came;
 use crate::servers::{Route, Server, State};
@@ -9,6 +10,9 @@
 use mountshift_judge::Fact;
 use mountshift_scenario::TroubleKind;
 
+/// An outage shorter than this leaves nothing cold: what was warm still is, and nobody can have learnt of it.
+const COLD_LEAST: Time = 1_000_000;
+
 impl Day<'_> {
     pub(super) fn strike(&mut self, n: usize, on: bool) {
         let strike = self.world.strikes[n].clone();
@@ -24,10 +28,10 @@
             }
             TroubleKind::Stall => {
                 for relay in strike.relays {
-                    let host = &mut self.relays[relay as usize];
-                    host.stalled_until =
-                        if on { host.stalled_until.max(strike.to) } else { host.stalled_until };
                     if on {
+                        self.fact(Fact::RelayStands { relay, until: strike.to });
+                        let host = &mut self.relays[relay as usize];
+                        host.stalled_until = host.stalled_until.max(strike.to);
                         let patience = self.now + self.world.scenario.clients.patience.us();
                         let asks = |m: &&Came| matches!(m, Came::Message { .. });
                         let waiting: Vec<Came> = host.inbox.iter().filter(asks).cloned().collect();
@@ -158,13 +162,14 @@
         if out == route.out || route.fallen {
             return;
         }
+        let now = self.now;
         let route = &mut self.routes[route_id as usize];
         route.out = out;
         if out {
-            route.cold_since = None;
+            (route.cold_since, route.out_since) = (None, now);
             self.fact(Fact::OutageBegan { route: route_id });
-        } else {
-            route.cold_since = Some(self.now);
+        } else if now - route.out_since >= COLD_LEAST {
+            route.cold_since = Some(now);
             self.fact(Fact::OutageOver { route: route_id });
         }
     }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -140,6 +140,7 @@
     /// Calls a second while warm.
     pub capacity: f64,
     pub out: bool,
+    pub out_since: Time,
     pub cold_since: Option<Time>,
     /// Pushed over: down until the day ends.
     pub fallen: bool,
@@ -155,6 +156,7 @@
             endpoints: Vec::new(),
             capacity: world.capacity(group),
             out: false,
+            out_since: 0,
             cold_since: None,
             fallen: false,
             load: VecDeque::new(),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -348,7 +348,11 @@
         (!self.endpoints.contains_key(&id)).then(|| self.near.entry(dst).or_default().0.push(id));
         let ep = self.endpoints.entry(id).or_insert(fresh);
         ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
-        if says == Listed::Ready { self.off.remove(&id) } else { self.off.insert(id) };
+        if says == Listed::Ready {
+            self.off.remove(&id)
+        } else {
+            self.off.insert(id)
+        };
         let route_id = self.route_of(id);
         let pace = self.portion(rate) * if self.batch(kind) > 1 { PACE_START_BATCH } else { PACE_START };
         let fresh = Route { rate, pace, tokens: Tokens { left: rate, at: now }, ..Route::default() };
