--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -1,7 +1,7 @@
 //! The laboratory's commands.
 
-use crate::Went;
 use crate::variant::{Variant, played};
+use crate::{Went, json};
 use clap::{Args, Subcommand, ValueEnum};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use mountshift_lab::day::{Day, Play, Seen};
@@ -195,10 +195,6 @@
     std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
-fn json(what: &impl serde::Serialize) -> Result<String, String> {
-    serde_json::to_string_pretty(what).map_err(|e| e.to_string())
-}
-
 pub fn run(what: Lab) -> Result<Went, String> {
     match what {
         Lab::Run(args) => play(args),
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,9 +1,10 @@
-//! `mountshift`: what people do with the project by hand. So far the laboratory in virtual time.
+//! `mountshift`: what people do with the project by hand. The laboratory in virtual time, and a load tool.
 //!
-//! Exit codes: 0 done, 1 a rule broke or what was asked for failed, 2 bad input (one plain line).
+//! Exit codes: 0 done, 1 a rule broke or messages were lost, 2 bad input (one plain line).
 #![forbid(unsafe_code)]
 
 mod lab;
+mod load;
 mod variant;
 
 use clap::{Parser, Subcommand};
@@ -21,6 +22,8 @@
     /// Play days of a model fleet in virtual time, compare, search, report
     #[command(subcommand)]
     Lab(lab::Lab),
+    /// Hand messages to a relay by a schedule, and measure from the moment each was due
+    Load(load::Load),
 }
 
 /// How a command went, where it went at all.
@@ -30,10 +33,15 @@
     Broke,
 }
 
+fn json(what: &impl serde::Serialize) -> Result<String, String> {
+    serde_json::to_string_pretty(what).map_err(|e| e.to_string())
+}
+
 fn main() -> ExitCode {
     let args = Args::parse();
     let went = match args.what {
         What::Lab(what) => lab::run(what),
+        What::Load(what) => load::load(what),
     };
     match went {
         Ok(Went::Well) => ExitCode::SUCCESS,
--- a/crates/spool/src/lib.rs
+++ b/crates/spool/src/lib.rs
@@ -11,6 +11,8 @@
 
 const NAME: &str = "spool.log";
 const NEW_NAME: &str = "spool.new";
+/// The format of the log. Logs without a head record are of format 0, which differs in that alone.
+const FORMAT: u64 = 1;
 const HEADER: usize = 8;
 /// Files count in whole blocks of this size.
 const BLOCK: u64 = 512;
@@ -18,6 +20,8 @@
 const RECORD_MOST: usize = 1 << 20;
 /// Bytes of a record without text: header, tag, number, and at most two more numbers.
 const SMALL: u64 = HEADER as u64 + 1 + 8 + 16;
+/// Bytes of the head record at most.
+const HEAD: u64 = SMALL;
 
 /// A message as it was handed in.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -74,6 +78,10 @@
 impl Spool {
     /// Opens the log in `dir`, reads what is alive, drops a torn tail. A message may have `legs_most` legs,
     /// at places with names of `zone_room` bytes at most.
+    ///
+    /// # Errors
+    /// If the folder can't be used, or the log holds whole records that this version can't read (of a newer
+    /// format, say); the log is then left as it is.
     pub fn open(dir: &Path, limit: u64, legs_most: u64, zone_room: u64) -> io::Result<Spool> {
         match fs::remove_file(dir.join(NEW_NAME)) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
@@ -96,9 +104,12 @@
         };
         let mut rest = &bytes[..];
         while let Some((payload, after)) = record(rest) {
-            if spool.replay(payload).is_none() {
-                break;
-            }
+            // Guards against the log of a newer program: what is whole and can't be read must not be dropped as
+            // if it were a torn tail.
+            spool.replay(payload).map_err(|what| {
+                let at = bytes.len() - rest.len();
+                io::Error::new(io::ErrorKind::InvalidData, format!("{NAME}, byte {at}: {what}"))
+            })?;
             rest = after;
         }
         let good = bytes.len() - rest.len();
@@ -108,6 +119,9 @@
             spool.file.set_len(good as u64)?;
         }
         spool.written = good as u64;
+        if good == 0 {
+            spool.append(&small(b'V', FORMAT));
+        }
         spool.reserved = spool.live.values().map(|k| spool.room_for(&k.taken)).sum();
         Ok(spool)
     }
@@ -204,7 +218,7 @@
     /// True if the log, `more` bytes and a fresh file with `room` more fit together.
     fn fits(&self, more: usize, room: u64) -> bool {
         let now = self.written + self.pending.len() as u64 + more as u64;
-        blocks(now) + blocks(self.reserved + room) <= self.limit || self.written == 0
+        blocks(now) + blocks(HEAD + self.reserved + room) <= self.limit || self.written == 0
     }
 
     fn append(&mut self, payload: &[u8]) {
@@ -213,7 +227,7 @@
 
     /// Writes what is alive to a fresh file, which takes the place of the old one.
     fn compact(&mut self) -> io::Result<()> {
-        let mut bytes = Vec::new();
+        let mut bytes = frame(&small(b'V', FORMAT));
         for (n, kept) in &self.live {
             bytes.extend(frame(&message(*n, &kept.taken)));
             for leg in &kept.legs {
@@ -237,9 +251,25 @@
         Ok(())
     }
 
-    fn replay(&mut self, payload: &[u8]) -> Option<()> {
+    /// Takes a whole record in, or tells why that can't be.
+    fn replay(&mut self, payload: &[u8]) -> Result<(), String> {
+        let newer = |tag: u8, n: u64| tag == b'V' && n > FORMAT;
+        match payload.split_first().and_then(|(tag, rest)| Some((*tag, Fields(rest).u64()?))) {
+            Some((tag, n)) if newer(tag, n) => {
+                Err(format!("it is of format {n}; this program reads formats up to {FORMAT}"))
+            }
+            _ => {
+                self.read(payload).ok_or_else(|| "a record of a kind that this program does not know".into())
+            }
+        }
+    }
+
+    fn read(&mut self, payload: &[u8]) -> Option<()> {
         let mut f = Fields(payload);
         let (tag, n) = (f.take(1)?[0], f.u64()?);
+        if tag == b'V' {
+            return Some(());
+        }
         self.next = self.next.max(n + 1);
         match tag {
             b'M' => {
--- a/crates/spool/tests/spool.rs
+++ b/crates/spool/tests/spool.rs
@@ -92,6 +92,47 @@
     }
 }
 
+/// A record as the log frames it.
+fn framed(payload: &[u8]) -> Vec<u8> {
+    let length = (payload.len() as u32).to_le_bytes();
+    [&length[..], &crc32fast::hash(payload).to_le_bytes(), payload].concat()
+}
+
+#[test]
+fn a_log_of_another_format_is_refused_by_name_and_left_as_it_is() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("spool.log");
+    let mut spool = open(dir.path(), 1 << 20);
+    spool.add(taken("a", 20)).expect("room");
+    spool.commit().expect("written");
+    let log = fs::read(&path).expect("a log");
+    let head = framed(&[&b"V"[..], &1u64.to_le_bytes()].concat());
+    assert!(log.starts_with(&head));
+    let refused = |bytes: Vec<u8>| {
+        fs::write(&path, &bytes).expect("a log");
+        let why = Spool::open(dir.path(), 1 << 20, LEGS, 8).err().expect("it is refused").to_string();
+        assert_eq!(fs::read(&path).expect("a log"), bytes, "it is left as it is");
+        why
+    };
+    let newer = framed(&[&b"V"[..], &2u64.to_le_bytes()].concat());
+    let why = refused([newer, log[head.len()..].to_vec()].concat());
+    assert_eq!(why, "spool.log, byte 0: it is of format 2; this program reads formats up to 1");
+    let unknown = framed(&[&b"Q"[..], &9u64.to_le_bytes()].concat());
+    let why = refused([log.clone(), unknown, framed(b"E12345678")].concat());
+    let at = log.len();
+    assert_eq!(why, format!("spool.log, byte {at}: a record of a kind that this program does not know"));
+    // A log from before there were formats is read, and gets a head when it is next written anew.
+    fs::write(&path, &log[head.len()..]).expect("a log");
+    let mut old = open(dir.path(), 4_000);
+    assert_eq!(old.live().len(), 1);
+    while !fs::read(&path).expect("a log").starts_with(&head) {
+        let n = old.add(taken("b", 200)).expect("room");
+        old.over(n);
+        old.commit().expect("written");
+    }
+    assert_eq!(open(dir.path(), 4_000).live().len(), 1);
+}
+
 #[test]
 fn both_files_stay_within_the_limit_and_a_full_spool_takes_nothing_on() {
     let (dir, limit) = (tempfile::tempdir().expect("a folder"), 40_000);
