--- a/src/rules.rs
+++ b/src/rules.rs
@@ -70,6 +70,7 @@
 const TIMEOUT_PEAKS: f64 = 1.5;
 const PATIENCE: f64 = 0.8; // of the time left, a leg is left out at least
 const SLOTS_SPARE: usize = 8; // a slot in so many is kept free by recalling overdue legs
+const CALL_TIMES: f64 = 0.5; // messages share a call if the shortest time left is this share of the longest
 const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
 const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
 const IDLE: Duration = ms(1_000); // an endpoint not used for so long has idle connections
@@ -400,7 +401,7 @@
         }
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         route.ends.add(now, 0.0);
-        // Guards against a crowd, or quiet routes, that come back at full pace as no relay saw enough to open.
+        // Guards against a crowd, or quiet routes, back at full pace as no relay saw enough to open.
         let back = route.broken && now.saturating_sub(route.run_since) >= QUIET_SPAN;
         back.then(|| Relay::turn_cold(route, now));
         (route.run, route.fulls, route.broken) = (0, 0, false);
@@ -703,9 +704,15 @@
         }
         self.count += 1;
         let call = self.count;
-        let (mut sent, mut expect) = (0, Duration::ZERO);
+        let (mut sent, mut expect, mut least, mut most) = (0, Duration::ZERO, Duration::MAX, Duration::ZERO);
         list.retain(|id| {
-            let span = if sent < room { self.send(*id, to, call, out) } else { None };
+            // A call ends at its shortest limit: guards against one with little time that cuts others off.
+            let time = self.msgs[id].deadline.saturating_sub(now);
+            let joins = sent == 0 || least.min(time) >= most.max(time).mul_f64(CALL_TIMES);
+            let span = if sent < room && joins { self.send(*id, to, call, out) } else { None };
+            if span.is_some() {
+                (least, most) = (least.min(time), most.max(time));
+            }
             sent += usize::from(span.is_some());
             expect = expect.max(span.unwrap_or_default());
             span.is_none()
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -201,6 +201,7 @@
 #[test_case("share"; "over its share a tenant goes last")]
 #[test_case("line"; "what holds others back goes first")]
 #[test_case("batch"; "a batch is one call")]
+#[test_case("batch-times"; "a call holds messages with like times left")]
 #[test_case("hold"; "least worth is pushed back when places run out")]
 #[test_case("legs"; "further legs go by value")]
 #[test_case("list"; "lists whole and in part")]
