--- a/crates/lab/tests/sabotage.rs
+++ b/crates/lab/tests/sabotage.rs
@@ -167,12 +167,12 @@
     Scenario::read(path.as_ref()).expect("a scenario")
 }
 
-fn play(name: &str, lie: Lie, change: impl FnOnce(&mut Scenario)) -> DayOutcome {
+fn play(name: &str, lie: Lie, seed: u64, change: impl FnOnce(&mut Scenario)) -> DayOutcome {
     let mut s = scenario(name);
     // One key a destination: a line stands behind every message that keeps its order.
     s.traffic.keys = std::num::NonZeroU32::MIN;
     change(&mut s);
-    let play = Play { which: Which::Mountshift, seed: 5, course: false };
+    let play = Play { which: Which::Mountshift, seed, course: false };
     Day::new(&s, play).with_policy(Box::new(move |facts| lied_to(lie, facts))).play()
 }
 
@@ -196,10 +196,11 @@
 #[test_case("resets", Lie::Rest, 5; "no rest for a key")]
 #[test_case("limit-count", Lie::Waits, 6; "heeds no wait")]
 fn a_lie_that_breaks_a_rule_is_found(name: &str, lie: Lie, rule: usize) {
-    let clean = play(name, Lie::None, |_| {});
+    let clean = play(name, Lie::None, 5, |_| {});
     assert_eq!(broken(&clean), Vec::<usize>::new(), "{:?}", clean.breaches.first());
-    let lied = play(name, lie, |_| {});
-    assert!(broken(&lied).contains(&rule), "rules {:?} broken", broken(&lied));
+    // Not every day gives every lie its chance.
+    let mut days = (5..15).map(|seed| play(name, lie, seed, |_| {}));
+    let lied = days.find(|day| broken(day).contains(&rule)).expect("a day on which the rule is broken");
     let breach = lied.breaches.iter().find(|b| usize::from(b.rule) == rule).expect("a breach");
     assert!(!breach.story.is_empty() && !breach.why.is_empty());
 }
@@ -210,6 +211,6 @@
         let text = s.to_text().expect("a text").replace("memory = ", "group = \"zone\"\nmemory = ");
         *s = Scenario::from_text(&text, "by zone").expect("a scenario");
     };
-    assert_eq!(broken(&play("fast-errors", Lie::None, by_zone)), Vec::<usize>::new());
-    assert_eq!(broken(&play("fast-errors", Lie::Everywhere, by_zone)), vec![2]);
+    assert_eq!(broken(&play("fast-errors", Lie::None, 5, by_zone)), Vec::<usize>::new());
+    assert_eq!(broken(&play("fast-errors", Lie::Everywhere, 5, by_zone)), vec![2]);
 }
