--- /dev/null
+++ b/crates/orders/src/tests.rs
@@ -0,0 +1,63 @@
+use super::*;
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+#[test]
+fn calls_are_read_or_refused_with_a_4xx() {
+    assert_eq!(call("GET", "/status"), Ok(Call::Status));
+    assert_eq!(call("POST", "/maintenance/enter?target=e-3"), Ok(Call::Enter("e-3".into())));
+    assert_eq!(call("POST", "/maintenance/exit?x=1&target=e-3"), Ok(Call::Exit("e-3".into())));
+    assert_eq!(call("GET", "/standby").unwrap_err().code, 405);
+    assert_eq!(call("POST", "/nothing").unwrap_err().code, 404);
+    assert_eq!(call("POST", "/maintenance/enter").unwrap_err().code, 400);
+    assert_eq!(call("POST", "/maintenance/enter?target=").unwrap_err().code, 400);
+}
+
+#[test]
+fn an_endpoint_never_listed_is_owed_a_no_and_repeats_are_harmless() {
+    let mut orders = Orders::default();
+    let (no, _) = orders.take(Call::Enter("a".into()), ms(0));
+    assert_eq!(no.code, 404);
+    orders.listed("a");
+    assert_eq!(orders.take(Call::Enter("a".into()), ms(0)), (answer(200, "out"), Change::Out("a".into())));
+    assert_eq!(orders.take(Call::Enter("a".into()), ms(1)).1, Change::None);
+    assert!(orders.is_out("a"));
+    assert_eq!(orders.take(Call::Exit("a".into()), ms(2)).1, Change::Back("a".into()));
+    assert_eq!(orders.take(Call::Exit("a".into()), ms(3)), (answer(200, "was not out"), Change::None));
+    assert!(!orders.is_out("a"));
+}
+
+#[test]
+fn endpoints_out_outlive_the_process_by_their_text() {
+    let mut orders = Orders::default();
+    ["b", "a"].iter().for_each(|id| orders.listed(id));
+    orders.take(Call::Enter("b".into()), ms(0));
+    orders.take(Call::Enter("a".into()), ms(0));
+    let mut again = Orders::from_text(&orders.written());
+    assert!(again.is_out("a") && again.is_out("b"));
+    // Known from before, so it may be put back before any list came.
+    assert_eq!(again.take(Call::Exit("a".into()), ms(0)).0.code, 200);
+}
+
+#[test]
+fn standby_sends_clients_away_and_lets_connections_go() {
+    let mut orders = Orders::default();
+    assert_eq!(orders.take(Call::Status, ms(0)).0.code, 503);
+    orders.serving();
+    assert_eq!(orders.take(Call::Status, ms(0)).0.code, 200);
+    assert!(orders.says_yes() && orders.let_go_at(ms(0)).is_none());
+    assert_eq!(orders.take(Call::Standby, ms(1_000)).1, Change::Standby);
+    assert!(!orders.says_yes());
+    // An old idle one goes soon after the call, a busy one after its own wait, none later than ALL_CLOSE.
+    assert_eq!(orders.let_go_at(ms(0)), Some(ms(1_000) + IDLE_CLOSE));
+    assert_eq!(orders.let_go_at(ms(1_100)), Some(ms(1_100) + IDLE_CLOSE));
+    assert_eq!(orders.let_go_at(ms(2_400)), Some(ms(1_000) + ALL_CLOSE));
+    assert!(!orders.closes(ms(2_000)) && orders.closes(ms(2_500)));
+    assert_eq!(orders.take(Call::Active, ms(3_000)).1, Change::Active);
+    assert!(orders.says_yes() && !orders.closes(ms(9_000)));
+    orders.stopping();
+    assert!(!orders.says_yes());
+    assert_eq!(orders.take(Call::Status, ms(9_000)).0.code, 503);
+}
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -6,6 +6,7 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 use log::{debug, info, warn};
 use mountshift::port::MsgId;
+use mountshift_orders::Orders;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{self, Read};
@@ -84,6 +85,11 @@
     /// Connections open now.
     pub open: Rc<Cell<usize>>,
     pub waiting: RefCell<BTreeMap<u64, Waiting>>,
+    /// Whether clients are sent away, and when their connections go; from `start` on.
+    pub orders: Rc<RefCell<Orders>>,
+    pub start: Instant,
+    /// Closed, and made anew, when standby begins or ends: wakes the connections that wait.
+    pub moved: RefCell<(Sender<()>, Receiver<()>)>,
 }
 
 /// A connection that waits for its client, and may be let go for others by closing `leave`.
@@ -95,6 +101,38 @@
 }
 
 impl Front {
+    /// Standby began or ended.
+    pub fn standby_moved(&self) {
+        let old = std::mem::replace(&mut *self.moved.borrow_mut(), async_channel::bounded(1));
+        old.0.close();
+    }
+
+    /// Why a connection that waits for its next request is let go in standby, once it is.
+    async fn sent_away(&self, since: Instant) -> &'static str {
+        loop {
+            let moved = self.moved.borrow().1.clone();
+            let at = self.orders.borrow().let_go_at(since.saturating_duration_since(self.start));
+            let changed = async {
+                let _ = moved.recv().await;
+                false
+            };
+            let due = match at {
+                Some(at) => {
+                    async {
+                        Timer::at(self.start + at).await;
+                        true
+                    }
+                    .or(changed)
+                    .await
+                }
+                None => changed.await,
+            };
+            if due {
+                return "standby";
+            }
+        }
+    }
+
     /// Guards against clients that keep out others by saying nothing or never ending: of those that wait,
     /// or hold part of a request, the one that does so for longest goes.
     fn make_room(&self, holding: bool) -> bool {
@@ -190,11 +228,15 @@
                     let _ = front.leaving.recv().await;
                     if begun { std::future::pending().await } else { Some("stopping") }
                 };
-                let reason = ready.or(self.let_go(due)).or(stopping).await;
+                // A request that has begun is waited for, in standby too.
+                let standby = async {
+                    if begun { std::future::pending().await } else { Some(front.sent_away(self.since).await) }
+                };
+                let reason = ready.or(self.let_go(due)).or(stopping).or(standby).await;
                 let reason = reason.filter(|_| !self.has_something());
                 front.waiting.borrow_mut().remove(&self.number);
                 match reason {
-                    Some("broken" | "stopping") => return reason.unwrap_or_default(),
+                    Some("broken" | "stopping" | "standby") => return reason.unwrap_or_default(),
                     Some(_) if begun => {
                         let late = Reply::Now("-ERR the request did not come in time\r\n".into());
                         return self.goodbye(vec![late], "slow", front).await;
@@ -252,6 +294,11 @@
             if self.requests > before {
                 self.since = Instant::now();
             }
+            // In standby a connection goes once it owes nothing, and none is held long after the call.
+            let owes = !self.buffer.is_empty() || more || self.has_something();
+            if !owes && front.orders.borrow().closes(front.start.elapsed()) {
+                return "standby";
+            }
             if more {
                 futures_lite::future::yield_now().await;
                 continue;
@@ -381,7 +428,8 @@
     let now = |text: &str| Some(Reply::Now(format!("{text}\r\n")));
     let name = words.first().map(|w| w.to_ascii_uppercase()).unwrap_or_default();
     match (&name[..], words.len()) {
-        (b"PING", 1) => now("+PONG"),
+        (b"PING", 1) if front.orders.borrow().says_yes() => now("+PONG"),
+        (b"PING", 1) => now("-ERR standby"),
         (b"QUIT", 1) => None,
         (b"OUT.ADD", 5) => match handed_in(words) {
             Err(what) => now(&format!("-ERR {what}")),
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -13,6 +13,8 @@
 pub struct Start {
     pub name: String,
     pub listen: SocketAddr,
+    /// The second address, for operators' calls; none on older days.
+    pub mgmt: Option<SocketAddr>,
     pub discovery: SocketAddr,
     pub state: PathBuf,
     /// Bytes that the folder may hold.
@@ -54,6 +56,10 @@
     Ok(Start {
         name: text("NODE_NAME", "name")?,
         listen: address("NODE_LISTEN", "listen")?,
+        mgmt: match variable("NODE_MGMT").or_else(|| json["mgmt"].as_str().map(str::to_string)) {
+            None => None,
+            Some(_) => Some(address("NODE_MGMT", "mgmt")?),
+        },
         discovery: address("NODE_DISCOVERY", "discovery")?,
         state: PathBuf::from(state),
         disk: limit("disk_mb")?.map_or(u64::MAX / 4, |mb| (mb * 1e6) as u64),
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -28,6 +28,9 @@
     pub zone: ZoneId,
     pub kind: KindId,
     pub dst: DstId,
+    /// What the list said last, and its rate.
+    pub listed: Listed,
+    pub rate: f64,
 }
 
 /// The endpoints by id; ids are given out in the order in which names come up, none of them twice.
@@ -56,13 +59,14 @@
         let zone = self.zone(&member.zone);
         let kind = KindId(place(&self.kinds, &member.kind).map_or(u16::MAX, |k| k as u16));
         let (address, dst) = (member.address, DstId(member.dst));
-        let old = self.known.insert(id, Endpoint { address, name, zone, kind, dst });
-        let moved = old.is_some_and(|old| old.address != address) || member.phase == Phase::Gone;
         let listed = match member.phase {
             Phase::Ready => Listed::Ready,
             Phase::Draining => Listed::Draining,
             Phase::Gone => Listed::Gone,
         };
+        let rate = member.size;
+        let old = self.known.insert(id, Endpoint { address, name, zone, kind, dst, listed, rate });
+        let moved = old.is_some_and(|old| old.address != address) || member.phase == Phase::Gone;
         (id, listed, moved)
     }
 
@@ -78,6 +82,10 @@
         Some(gone)
     }
 
+    pub fn id_of(&self, name: &str) -> Option<EndpointId> {
+        self.ids.get(name).copied()
+    }
+
     pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
         self.known.get(&id)
     }
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -12,11 +12,13 @@
 use log::{error, info, warn};
 use mountshift::port::*;
 use mountshift::rules::Relay;
+use mountshift_orders::{Change, Orders};
 use mountshift_settings::SocketFacts;
 use mountshift_spool::{End as Owed, Spool, Taken};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -43,6 +45,8 @@
     List(Option<Members>),
     /// The platform took these ends.
     Noticed(Vec<MsgId>),
+    /// An operator's call changed the orders.
+    Orders(Change),
     Stop,
 }
 
@@ -122,6 +126,9 @@
     wake: Option<Duration>,
     /// The spool had no room for the last message.
     full: bool,
+    orders: Rc<RefCell<Orders>>,
+    /// Where the endpoints out by hand are written down.
+    out_file: PathBuf,
 }
 
 impl Writer for Desk {
@@ -240,7 +247,8 @@
                 taken.into_iter().for_each(|msg| self.take_over(msg, tell));
             }
             Event::Late(to, asking) => self.late.push((to, asking)),
-            Event::Stop => {}
+            Event::Orders(change) => self.take_orders(change, tell),
+            Event::Stop => self.orders.borrow_mut().stopping(),
         }
     }
 
@@ -310,7 +318,9 @@
             tell.push(Box::new(Relay::whole_list));
         }
         for member in &list.members {
+            self.orders.borrow_mut().listed(&member.id);
             let (id, says, moved) = self.endpoints.learn(member);
+            let says = self.as_ordered(&member.id, says);
             if moved {
                 self.idle.close(id);
             }
@@ -320,6 +330,28 @@
         }
     }
 
+    /// An endpoint out by hand is draining for this relay, whatever the list says (rule 3).
+    fn as_ordered(&self, name: &str, says: Listed) -> Listed {
+        if says == Listed::Ready && self.orders.borrow().is_out(name) { Listed::Draining } else { says }
+    }
+
+    fn take_orders(&mut self, change: Change, tell: &mut Vec<Tell>) {
+        let (Change::Out(name) | Change::Back(name)) = &change else { return };
+        let text = self.orders.borrow().written();
+        let new = self.out_file.with_extension("new");
+        let saved = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &self.out_file));
+        if let Err(e) = saved {
+            error!("{}: {e}", self.out_file.display());
+        }
+        let Some(id) = self.endpoints.id_of(name) else { return };
+        let Some(e) = self.endpoints.get(id) else { return };
+        let (dst, zone, kind, rate, says) = (e.dst, e.zone, e.kind, e.rate, self.as_ordered(name, e.listed));
+        tell.push(Box::new(move |r| r.entry(id, dst, zone, kind, says, rate)));
+        if matches!(change, Change::Back(_)) {
+            tell.push(Box::new(move |r| r.back_cold(id)));
+        }
+    }
+
     /// Tells of everything that the spool holds from before.
     fn restore(&mut self, tell: &mut Vec<Tell>) {
         let kept: Vec<_> = self.spool.live().iter().map(|(n, k)| (MsgId(*n), k.clone())).collect();
@@ -422,6 +454,8 @@
     /// Client connections open now, and closed once clients are to go.
     pub clients: Rc<Cell<usize>>,
     pub leaving: Receiver<()>,
+    pub orders: Rc<RefCell<Orders>>,
+    pub out_file: PathBuf,
 }
 
 pub struct Host {
@@ -459,6 +493,8 @@
             count: 0,
             wake: None,
             full: false,
+            orders: parts.orders,
+            out_file: parts.out_file,
         };
         let relay = Relay::new(parts.facts);
         let mut host = Host {
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -7,6 +7,7 @@
 mod endpoints;
 mod host;
 mod http;
+mod mgmt;
 mod notices;
 
 use async_executor::LocalExecutor;
@@ -17,12 +18,13 @@
 use futures_lite::StreamExt;
 use host::{Event, Host, Parts};
 use log::{error, info};
+use mountshift_orders::{Change, Orders};
 use mountshift_spool::Spool;
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// After SIGTERM new connections still come for a while.
 const ACCEPTED_ON: Duration = Duration::from_millis(500);
@@ -36,8 +38,15 @@
         .init();
     // Guards against an end by a signal that comes before anything else is ready.
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(|e| format!("signals: {e}"));
-    let told = signals.and_then(|s| Ok((s, config::read(|name| std::env::var(name).ok())?)));
-    match told.and_then(|(signals, start)| run(signals, start)) {
+    let start = match config::read(|name| std::env::var(name).ok()) {
+        Ok(start) => start,
+        Err(what) => {
+            // Bad input: one plain line, exit 2.
+            error!("not started: {what}");
+            return ExitCode::from(2);
+        }
+    };
+    match signals.and_then(|signals| run(signals, start)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
             error!("not started: {what}");
@@ -63,6 +72,14 @@
     let known = discovery::members(&start.known);
     let revision = known.as_ref().map(|list| list.revision);
     let must_ask = start.facts.must_watch;
+    let started = Instant::now();
+    let out_file = start.state.join("maintenance");
+    let out_before = match std::fs::read_to_string(&out_file) {
+        Ok(text) => text,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => String::new(),
+        Err(e) => return Err(format!("{}: {e}", out_file.display())),
+    };
+    let orders = Rc::new(RefCell::new(Orders::from_text(&out_before)));
     async_io::block_on(executor.run(async {
         let host = Host::new(Parts {
             facts: start.facts,
@@ -76,6 +93,8 @@
             watch,
             clients: open.clone(),
             leaving: leaving.clone(),
+            orders: orders.clone(),
+            out_file,
         });
         let asked = must_ask.then_some(watch_asked);
         let events = events.0;
@@ -102,8 +121,26 @@
             bytes_most: start.memory / REQUESTS_SHARE,
             open,
             waiting: RefCell::default(),
+            orders: orders.clone(),
+            start: started,
+            moved: RefCell::new(async_channel::bounded(1)),
         };
-        executor.spawn(clients::serve(listener, Rc::new(front), executor.clone())).detach();
+        let front = Rc::new(front);
+        if let Some(at) = start.mgmt {
+            let mgmt = Async::<TcpListener>::bind(at).map_err(|e| format!("mgmt {at}: {e}"))?;
+            let (changed, front) = (events.clone(), front.clone());
+            let changed = Box::new(move |change: Change| {
+                if matches!(change, Change::Standby | Change::Active) {
+                    front.standby_moved();
+                }
+                drop(changed.try_send(Event::Orders(change)));
+            });
+            let desk = mgmt::Desk { orders: orders.clone(), start: started, changed };
+            executor.spawn(mgmt::serve(mgmt, Rc::new(desk), executor.clone())).detach();
+            info!("operators' calls on {at}");
+        }
+        executor.spawn(clients::serve(listener, front, executor.clone())).detach();
+        orders.borrow_mut().serving();
         info!("ready on {}", start.listen);
         let stop = async move {
             let mut at = start.discovery;
