--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -15,8 +15,6 @@
     pub listen: SocketAddr,
     /// The second address, for operators' calls; none on older days.
     pub mgmt: Option<SocketAddr>,
-    /// The clients' listening socket, inherited from the platform.
-    pub accept_fd: Option<i32>,
     pub discovery: SocketAddr,
     pub state: PathBuf,
     /// Bytes that the folder may hold.
@@ -58,15 +56,6 @@
     Ok(Start {
         name: text("NODE_NAME", "name")?,
         listen: address("NODE_LISTEN", "listen")?,
-        accept_fd: match variable("NODE_ACCEPT_FD") {
-            None => None,
-            Some(fd) => Some(
-                fd.parse()
-                    .ok()
-                    .filter(|fd| *fd > 2)
-                    .ok_or(format!("NODE_ACCEPT_FD: {fd} is no descriptor"))?,
-            ),
-        },
         mgmt: match variable("NODE_MGMT").or_else(|| json["mgmt"].as_str().map(str::to_string)) {
             None => None,
             Some(_) => Some(address("NODE_MGMT", "mgmt")?),
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -20,7 +20,7 @@
 use log::{error, info};
 use mountshift_orders::{Change, Orders};
 use mountshift_spool::Spool;
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
@@ -31,8 +31,6 @@
 /// A list may take one part in so many of the memory, and so may all requests that are not whole.
 const LIST_SHARE: usize = 32;
 const REQUESTS_SHARE: usize = 8;
-/// Between two looks at the state folder while the process before holds it.
-const LOCK_LOOK: Duration = Duration::from_millis(20);
 
 fn main() -> ExitCode {
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
@@ -61,6 +59,8 @@
     let folder = |e| format!("{}: {e}", start.state.display());
     let zone_room = start.sockets.zones.iter().map(String::len).max().unwrap_or(0) as u64;
     let legs = u64::from(start.facts.max_legs);
+    let spool = Spool::open(&start.state, start.disk, legs, zone_room).map_err(folder)?;
+    info!("{} starts with {} messages in its spool", start.name, spool.live().len());
     let executor = Rc::new(LocalExecutor::new());
     let events = async_channel::unbounded();
     let (notices, notices_out) = async_channel::unbounded();
@@ -80,45 +80,6 @@
         Err(e) => return Err(format!("{}: {e}", out_file.display())),
     };
     let orders = Rc::new(RefCell::new(Orders::from_text(&out_before)));
-    known.iter().flat_map(|list| &list.members).for_each(|m| orders.borrow_mut().listed(&m.id));
-    let front_cell: Rc<OnceCell<Rc<Front>>> = Rc::default();
-    if let Some(at) = start.mgmt {
-        let mgmt = Async::<TcpListener>::bind(at).map_err(|e| format!("mgmt {at}: {e}"))?;
-        let (changed, front) = (events.0.clone(), front_cell.clone());
-        let changed = Box::new(move |change: Change| {
-            if matches!(change, Change::Standby | Change::Active) {
-                front.get().into_iter().for_each(|front| front.standby_moved());
-            }
-            drop(changed.try_send(Event::Orders(change)));
-        });
-        let desk = mgmt::Desk { orders: orders.clone(), start: started, changed };
-        executor.spawn(mgmt::serve(mgmt, Rc::new(desk), executor.clone())).detach();
-        info!("operators' calls on {at}");
-    }
-    // On an upgrade the process before holds the state folder until it ends; it serves meanwhile, on the
-    // same inherited socket, so this one says yes and waits. Guards against two writers of one spool.
-    let lock_file = start.state.join("lock");
-    let lock = std::fs::File::create(&lock_file).map_err(|e| format!("{}: {e}", lock_file.display()))?;
-    if start.accept_fd.is_some() {
-        orders.borrow_mut().serving();
-    }
-    async_io::block_on(executor.run(async {
-        let mut told = false;
-        loop {
-            match lock.try_lock() {
-                Ok(()) => return Ok(()),
-                Err(std::fs::TryLockError::WouldBlock) => {
-                    if !std::mem::replace(&mut told, true) {
-                        info!("waits for the process before it to leave the state folder");
-                    }
-                    Timer::after(LOCK_LOOK).await;
-                }
-                Err(std::fs::TryLockError::Error(e)) => return Err(format!("{}: {e}", lock_file.display())),
-            }
-        }
-    }))?;
-    let spool = Spool::open(&start.state, start.disk, legs, zone_room).map_err(folder)?;
-    info!("{} starts with {} messages in its spool", start.name, spool.live().len());
     async_io::block_on(executor.run(async {
         let host = Host::new(Parts {
             facts: start.facts,
@@ -149,15 +110,8 @@
         executor.spawn(follow.run(listed)).detach();
         let taken = move |msgs| drop(taken.try_send(Event::Noticed(msgs)));
         executor.spawn(notices::deliver(start.discovery, notices_moved, notices_out, taken)).detach();
-        let listener = match start.accept_fd {
-            // The platform's socket, inherited: `run` names it to listenfd.
-            Some(fd) => {
-                let taken = listenfd::ListenFd::from_env().take_tcp_listener(0);
-                let taken = taken.ok().flatten().ok_or(format!("descriptor {fd} is no listening socket"))?;
-                Async::new(taken).map_err(|e| format!("descriptor {fd}: {e}"))?
-            }
-            None => Async::<TcpListener>::bind(start.listen).map_err(|e| format!("{}: {e}", start.listen))?,
-        };
+        let listener =
+            Async::<TcpListener>::bind(start.listen).map_err(|e| format!("{}: {e}", start.listen))?;
         let (handed, gone) = (events.clone(), events.clone());
         let front = Front {
             hand_in: Box::new(move |message, answer| drop(handed.try_send(Event::Message(message, answer)))),
@@ -172,7 +126,19 @@
             moved: RefCell::new(async_channel::bounded(1)),
         };
         let front = Rc::new(front);
-        let _ = front_cell.set(front.clone());
+        if let Some(at) = start.mgmt {
+            let mgmt = Async::<TcpListener>::bind(at).map_err(|e| format!("mgmt {at}: {e}"))?;
+            let (changed, front) = (events.clone(), front.clone());
+            let changed = Box::new(move |change: Change| {
+                if matches!(change, Change::Standby | Change::Active) {
+                    front.standby_moved();
+                }
+                drop(changed.try_send(Event::Orders(change)));
+            });
+            let desk = mgmt::Desk { orders: orders.clone(), start: started, changed };
+            executor.spawn(mgmt::serve(mgmt, Rc::new(desk), executor.clone())).detach();
+            info!("operators' calls on {at}");
+        }
         executor.spawn(clients::serve(listener, front, executor.clone())).detach();
         orders.borrow_mut().serving();
         info!("ready on {}", start.listen);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -361,6 +361,13 @@
         route.rate = if rate > 0.0 { rate } else { route.rate };
     }
 
+    /// The endpoint was out by hand and was restarted meanwhile: its route comes back cold (rule 4).
+    pub fn back_cold(&mut self, id: EndpointId) {
+        let route_id = self.endpoints.contains_key(&id).then(|| self.route_of(id));
+        let now = self.now;
+        route_id.and_then(|r| self.routes.get_mut(&r)).into_iter().for_each(|r| Relay::turn_cold(r, now));
+    }
+
     pub fn watch_failed(&mut self) {
         let again = self.now + WATCH_AGAIN.mul_f64(0.5 + self.chance(0));
         self.watch_at = self.facts.must_watch.then_some(again);
