Review: answers and tuned values of the second address in crates/orders; mgmt that is no text exits 2

Read back over the whole change since: - mgmt.rs held a tuned value (WRITE_DUE) and built its 4xx answers by hand, 408 twice: both now stand in crates/orders beside HEAD_DUE. It also copied ACCEPT_PAUSE from clients.rs; it uses that one. - config.rs took a mgmt that is present but not text (a number) for no second address at all, a silent default: now it is one line and exit 2.

--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -14,6 +14,8 @@
 pub const HEAD_DUE: Duration = Duration::from_millis(800);
 /// Connections to the second address at once; a further one gets `503`.
 pub const CALLERS_MOST: usize = 32;
+/// An answer that the caller does not take by then is dropped.
+pub const WRITE_DUE: Duration = Duration::from_millis(150);
 /// Bytes of a call's head.
 pub const HEAD_MOST: usize = 4 * 1024;
 /// Bytes of an endpoint's id in a call.
@@ -40,6 +42,12 @@
     Answer { code, text }
 }
 
+/// No whole head in time, or sent away for another caller.
+pub const LATE: Answer = answer(408, "the call did not come in time");
+pub const NOT_HTTP: Answer = answer(400, "not an HTTP call");
+pub const TOO_LARGE: Answer = answer(431, "the head is too large");
+pub const CUT_SHORT: Answer = answer(400, "closed before the call was whole");
+
 /// What the call is, from its method and target; a 4xx answer if none.
 pub fn call(method: &str, target: &str) -> Result<Call, Answer> {
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -36,7 +36,7 @@
 const LINGER_MOST: usize = 80_000_000;
 const LINGER_PAUSE: Duration = Duration::from_millis(1);
 /// After a failed accept, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// A message as a client handed it in.
 pub struct HandedIn {
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -56,10 +56,10 @@
     Ok(Start {
         name: text("NODE_NAME", "name")?,
         listen: address("NODE_LISTEN", "listen")?,
-        mgmt: match variable("NODE_MGMT").or_else(|| json["mgmt"].as_str().map(str::to_string)) {
-            None => None,
-            Some(_) => Some(address("NODE_MGMT", "mgmt")?),
-        },
+        // Guards against a second address that is there but no text being taken for none at all.
+        mgmt: (variable("NODE_MGMT").is_some() || !json["mgmt"].is_null())
+            .then(|| address("NODE_MGMT", "mgmt"))
+            .transpose()?,
         discovery: address("NODE_DISCOVERY", "discovery")?,
         state: PathBuf::from(state),
         disk: limit("disk_mb")?.map_or(u64::MAX / 4, |mb| (mb * 1e6) as u64),
--- a/crates/relay/src/mgmt.rs
+++ b/crates/relay/src/mgmt.rs
@@ -1,21 +1,20 @@
 //! The second address: operators' calls over HTTP/1.1, one a connection. What a call means is decided in
 //! `mountshift_orders`; here calls are read, handed over and answered. No answer waits for a round.
 
+use crate::clients::ACCEPT_PAUSE;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use log::{info, warn};
-use mountshift_orders::{Answer, CALLERS_MOST, Change, HEAD_DUE, HEAD_MOST, Orders, call};
+use mountshift_orders::{
+    Answer, CALLERS_MOST, CUT_SHORT, Change, HEAD_DUE, HEAD_MOST, LATE, NOT_HTTP, Orders, TOO_LARGE,
+    WRITE_DUE, call,
+};
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// After a failed accept, as when descriptors have run out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// An answer that the caller does not take by then is dropped.
-const WRITE_DUE: Duration = Duration::from_millis(150);
+use std::time::Instant;
 
 /// What the second address needs.
 pub struct Desk {
@@ -55,7 +54,7 @@
         let task = async move {
             let sent_away = async {
                 let _ = gone.recv().await;
-                Answer { code: 408, text: "the call did not come in time" }
+                LATE
             };
             let answer = take(&stream, &desk).or(sent_away).await;
             open.borrow_mut().remove(&number);
@@ -77,7 +76,7 @@
     let due = Instant::now() + HEAD_DUE;
     let head = read_head(stream).or(async {
         Timer::at(due).await;
-        Err(Answer { code: 408, text: "the call did not come in time" })
+        Err(LATE)
     });
     let (method, target) = match head.await {
         Ok(head) => head,
@@ -101,9 +100,9 @@
     let mut buffer = Vec::new();
     let mut chunk = [0; 1024];
     loop {
-        let n = stream.read(&mut chunk).await.map_err(|_| Answer { code: 400, text: "broken" })?;
+        let n = stream.read(&mut chunk).await.map_err(|_| CUT_SHORT)?;
         if n == 0 {
-            return Err(Answer { code: 400, text: "closed before the call was whole" });
+            return Err(CUT_SHORT);
         }
         buffer.extend(&chunk[..n]);
         let mut headers = [httparse::EMPTY_HEADER; 32];
@@ -114,8 +113,8 @@
                 return Ok((method, request.path.unwrap_or_default().to_string()));
             }
             Ok(httparse::Status::Partial) if buffer.len() <= HEAD_MOST => {}
-            Ok(httparse::Status::Partial) => return Err(Answer { code: 431, text: "the head is too large" }),
-            Err(_) => return Err(Answer { code: 400, text: "not an HTTP call" }),
+            Ok(httparse::Status::Partial) => return Err(TOO_LARGE),
+            Err(_) => return Err(NOT_HTTP),
         }
     }
 }
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -123,3 +123,26 @@
     assert_eq!(out.status.code(), Some(2), "{said}");
     assert!(said.lines().count() == 1 && said.contains("mgmt"), "{said}");
 }
+
+#[test]
+fn a_second_address_that_is_no_text_is_not_taken_for_none() {
+    let mut ops = ops(vec![]);
+    ops.config["mgmt"] = json!(6379);
+    let file = ops.dir.path().join("config.json");
+    std::fs::write(&file, ops.config.to_string()).expect("a config");
+    let mut relay =
+        command(&file, ops.dir.path()).stderr(std::process::Stdio::null()).spawn().expect("a relay");
+    let start = Instant::now();
+    let code = loop {
+        if let Some(status) = relay.try_wait().expect("a state") {
+            break status.code();
+        }
+        if start.elapsed() > ms(5_000) {
+            let _ = relay.kill();
+            let _ = relay.wait();
+            break None;
+        }
+        std::thread::sleep(ms(10));
+    };
+    assert_eq!(code, Some(2), "a relay that started without its second address");
+}
