--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -295,8 +295,8 @@
                 self.since = Instant::now();
             }
             // In standby a connection goes once it owes nothing, and none is held long after the call.
-            let owes = !self.buffer.is_empty() || more || self.has_something();
-            if !owes && front.orders.borrow().closes(front.start.elapsed()) {
+            let closes = front.orders.borrow().closes(front.start.elapsed());
+            if closes && self.buffer.is_empty() && !more && !self.has_something() {
                 return "standby";
             }
             if more {
