Load tool test: the bound of a search follows from its plan (232 a second), not 220

Checked: with one connection, answers of 5 ms and a play of 0.4 s, the 99th percentile's wait stays within the 60 ms asked for up to about 232 a second, so 222 is right whenever sleeps come out exact; the bound of 220 was wrong. It is now 240, with the reckoning at the assertion.

--- a/crates/load/tests/load.rs
+++ b/crates/load/tests/load.rs
@@ -107,7 +107,10 @@
     let (mut tried, to) = (0, stand_in(slow));
     let best =
         search(&plan(to, 40.0, ms(400), 1), ms(60), |_| tried += 1).expect("a search").expect("a rate");
-    assert!((40.0..220.0).contains(&best) && tried >= 6, "{best} after {tried}");
+    // The bound follows from the plan: a rate r borne for 0.4 s with answers of 5 ms keeps the 99th
+    // percentile's wait, about 0.4 * r * 5 ms - 0.4 s, within 60 ms only up to about 232 a second. Guards
+    // against a bound of 220 that failed whenever sleeps came out exact (222 was found, rightly).
+    assert!((40.0..240.0).contains(&best) && tried >= 6, "{best} after {tried}");
     assert_eq!(search(&plan(to, 4_000.0, ms(300), 1), ms(1), |_| {}).expect("a search"), None);
 }
 
