Upgrades: take the platform's socket; a taker spools beside the owner, then owns

Checked and ruled out: the second address (own port) and the spool (never reached).

Change: run names $NODE_ACCEPT_FD to listenfd; a descriptor that is none is one line, exit 2. crates/handover decides the role by the locks, what a taker takes on, how an owner stops (HANDOVER or RESTART, the constants that were in host.rs and main.rs) and the merge order; reception.rs takes in beside the owner; the host hands over on SIGTERM when next/lock is held and writes handover.json whenever the decisions' carried state changes; the spool stamps each message with the time of taking (format 2) and can be replaced whole in a given order.

--- /dev/null
+++ b/crates/handover/src/tests.rs
@@ -0,0 +1,81 @@
+use super::*;
+
+#[test]
+fn the_role_follows_from_the_locks() {
+    assert_eq!(role(true, true, false), Ok(Role::Owner { adopt: false }));
+    assert_eq!(role(true, true, true), Ok(Role::Owner { adopt: true }));
+    // A taker that is still there keeps its messages until it owns.
+    assert_eq!(role(true, false, true), Ok(Role::Owner { adopt: false }));
+    assert_eq!(role(false, true, true), Ok(Role::Taker));
+    assert!(role(false, false, false).is_err());
+}
+
+#[test]
+fn a_taker_takes_only_what_has_time_left_beyond_what_it_may_hold() {
+    assert!(!takes(HELD_MOST));
+    assert!(!takes(HELD_MOST + HELD_MARGIN));
+    assert!(takes(Duration::from_secs(8)));
+}
+
+#[test]
+fn a_stop_with_a_taker_accepts_and_sends_nothing_more_and_leaves_what_it_holds() {
+    let handover = stopping(true);
+    assert_eq!(
+        (handover.accept, handover.legs, handover.leaves_held),
+        (Duration::ZERO, Duration::ZERO, true)
+    );
+    assert!(handover.end_by < Duration::from_millis(3_700));
+    let restart = stopping(false);
+    assert!(
+        !restart.leaves_held
+            && restart.legs > Duration::ZERO
+            && restart.end_by < Duration::from_millis(3_700)
+    );
+}
+
+#[test]
+fn two_spools_merge_by_the_time_of_taking_and_keep_each_ones_order() {
+    let owner: Vec<(&[u8], u64)> = vec![(b"a", 10), (b"b", 30), (b"c", 50)];
+    let taker: Vec<(&[u8], u64)> = vec![(b"x", 20), (b"b", 25), (b"y", 30), (b"z", 60)];
+    let order = merge(&owner, &taker);
+    use Side::*;
+    // b came first to the owner; y ties with the owner's b and goes after it.
+    assert_eq!(order, vec![(Owner, 0), (Taker, 0), (Owner, 1), (Taker, 2), (Owner, 2), (Taker, 3)]);
+    // A side whose times go back (the clock was set) keeps its own order.
+    let owner: Vec<(&[u8], u64)> = vec![(b"a", 50), (b"b", 10)];
+    assert_eq!(merge(&owner, &[]), vec![(Owner, 0), (Owner, 1)]);
+}
+
+#[test]
+fn a_snapshot_is_read_back_and_one_of_a_newer_format_is_refused_by_name() {
+    let route = Route {
+        dst: 7,
+        endpoint: Some("s-1".into()),
+        told_until_ms: 2_000,
+        open_until_ms: Some(0),
+        cold_since_ms: None,
+    };
+    let snapshot = Snapshot { format: FORMAT, written_ms: 1_000, routes: vec![route] };
+    assert_eq!(Snapshot::read(&snapshot.written()), Ok(snapshot.clone()));
+    let newer = snapshot.written().replace("\"format\":1", "\"format\":2");
+    assert_eq!(Snapshot::read(&newer), Err("it is of format 2; this program reads formats up to 1".into()));
+    assert!(Snapshot::read("{\"format\":1,").is_err());
+}
+
+#[test]
+fn what_binds_no_more_is_not_carried() {
+    let route = |dst, told_until_ms, open_until_ms| Route {
+        dst,
+        endpoint: None,
+        told_until_ms,
+        open_until_ms,
+        cold_since_ms: None,
+    };
+    let snapshot = Snapshot {
+        format: FORMAT,
+        written_ms: 0,
+        routes: vec![route(1, 900, None), route(2, 1_100, None), route(3, 900, Some(5))],
+    };
+    let kept = snapshot.binding(1_000);
+    assert_eq!(kept.routes, vec![route(2, 1_100, None), route(3, 0, Some(5))]);
+}
--- a/crates/orders/src/lib.rs
+++ b/crates/orders/src/lib.rs
@@ -106,6 +106,14 @@
         Orders { listed: out.clone(), out, ..Orders::default() }
     }
 
+    /// Takes the endpoints out as another process of the relay wrote them down since (an upgrade): the file
+    /// holds all that are out. True if that changed anything here.
+    pub fn read_out(&mut self, text: &str) -> bool {
+        let told = Orders::from_text(text);
+        self.listed.extend(told.listed);
+        std::mem::replace(&mut self.out, told.out) != self.out
+    }
+
     /// The endpoints out, a line each.
     pub fn written(&self) -> String {
         self.out.iter().map(|id| format!("{id}\n")).collect()
--- a/crates/orders/src/tests.rs
+++ b/crates/orders/src/tests.rs
@@ -61,3 +61,13 @@
     assert!(!orders.says_yes());
     assert_eq!(orders.take(Call::Status, ms(9_000)).0.code, 503);
 }
+
+#[test]
+fn endpoints_out_as_another_process_wrote_them_take_the_place_of_ours() {
+    let mut orders = Orders::from_text("e1\ne2\n");
+    assert!(!orders.read_out("e2\ne1\n"));
+    assert!(orders.read_out("e2\ne3\n"));
+    assert!(!orders.is_out("e1") && orders.is_out("e3"));
+    // An id that was out elsewhere may be put back here.
+    assert_eq!(orders.take(Call::Exit("e3".into()), Duration::ZERO).1, Change::Back("e3".into()));
+}
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -15,6 +15,8 @@
     pub listen: SocketAddr,
     /// The second address, for operators' calls; none on older days.
     pub mgmt: Option<SocketAddr>,
+    /// The clients' listening socket, held by the platform and inherited; none where the relay binds it.
+    pub accept_fd: Option<i32>,
     pub discovery: SocketAddr,
     pub state: PathBuf,
     /// Bytes that the folder may hold.
@@ -60,6 +62,17 @@
         mgmt: (variable("NODE_MGMT").is_some() || !json["mgmt"].is_null())
             .then(|| address("NODE_MGMT", "mgmt"))
             .transpose()?,
+        accept_fd: match variable("NODE_ACCEPT_FD") {
+            None => None,
+            // Guards against a silent default: a descriptor that can't be one is refused at the start.
+            Some(fd) => Some(
+                fd.trim()
+                    .parse()
+                    .ok()
+                    .filter(|fd| *fd > 2)
+                    .ok_or(format!("NODE_ACCEPT_FD: {fd} is no descriptor"))?,
+            ),
+        },
         discovery: address("NODE_DISCOVERY", "discovery")?,
         state: PathBuf::from(state),
         disk: limit("disk_mb")?.map_or(u64::MAX / 4, |mb| (mb * 1e6) as u64),
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -12,6 +12,7 @@
 use log::{error, info, warn};
 use mountshift::port::*;
 use mountshift::rules::Relay;
+use mountshift_handover::{Route, Snapshot, Stopping};
 use mountshift_orders::{Change, Orders};
 use mountshift_settings::SocketFacts;
 use mountshift_spool::{End as Owed, Spool, Taken};
@@ -22,10 +23,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// After SIGTERM new legs go out for so long ...
-const LAST_LEG: Duration = Duration::from_millis(2_000);
-/// ... and what is out may end until then.
-const LAST_END: Duration = Duration::from_millis(3_500);
 /// Ids that are remembered beyond their end.
 const ENDED_MOST: usize = 4_096;
 /// Between two looks while stopping, and at idle connections else.
@@ -47,7 +44,8 @@
     Noticed(Vec<MsgId>),
     /// An operator's call changed the orders.
     Orders(Change),
-    Stop,
+    /// Told to stop, and how.
+    Stop(Stopping),
 }
 
 /// The clock of the decisions. It began before any leg that the spool still tells of.
@@ -129,6 +127,8 @@
     orders: Rc<RefCell<Orders>>,
     /// Where the endpoints out by hand are written down.
     out_file: PathBuf,
+    /// Where what outlives the process is written down for the next one.
+    snapshot_file: PathBuf,
 }
 
 impl Writer for Desk {
@@ -182,6 +182,29 @@
     fn log(&mut self, line: &str) {
         info!("{line}");
     }
+
+    fn carry(&mut self, routes: &[Carried]) {
+        let ms = |at: Duration| if at.is_zero() { 0 } else { self.clock.unix_ms(at).max(1) };
+        let route = |c: &Carried| Route {
+            dst: c.dst.0,
+            endpoint: c.endpoint.and_then(|id| Some(self.endpoints.get(id)?.name.to_string())),
+            told_until_ms: ms(c.told_until),
+            open_until_ms: c.open_until.map(ms),
+            cold_since_ms: c.cold_since.map(ms),
+        };
+        let routes = routes.iter().map(route).collect();
+        let now = self.clock.unix_ms(self.now);
+        let snapshot = Snapshot { format: mountshift_handover::FORMAT, written_ms: now, routes };
+        if let Err(e) = write_anew(&self.snapshot_file, &snapshot.written()) {
+            error!("{}: {e}", self.snapshot_file.display());
+        }
+    }
+}
+
+/// Writes a file whole or not at all.
+pub fn write_anew(path: &std::path::Path, text: &str) -> std::io::Result<()> {
+    let new = path.with_extension("new");
+    std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, path))
 }
 
 impl Desk {
@@ -248,7 +271,14 @@
             }
             Event::Late(to, asking) => self.late.push((to, asking)),
             Event::Orders(change) => self.take_orders(change, tell),
-            Event::Stop => self.orders.borrow_mut().stopping(),
+            Event::Stop(how) => {
+                self.orders.borrow_mut().stopping();
+                // A process beside this one takes over what is held: nothing more goes out from here.
+                if how.leaves_held {
+                    info!("hands over to the process beside it");
+                    tell.push(Box::new(Relay::hand_over));
+                }
+            }
         }
     }
 
@@ -279,7 +309,8 @@
             return;
         }
         let at = self.clock.unix_ms(deadline);
-        let taken = Taken { id: m.id, key: m.key, list: m.list, deadline: at, body: m.body };
+        let taken =
+            Taken { id: m.id, key: m.key, list: m.list, deadline: at, body: m.body, at_us: unix_us() };
         let name = taken.id.clone();
         let Some(n) = self.spool.add(taken) else {
             // Told once, or what clients do meanwhile would fill the log.
@@ -337,12 +368,7 @@
 
     fn take_orders(&mut self, change: Change, tell: &mut Vec<Tell>) {
         let (Change::Out(name) | Change::Back(name)) = &change else { return };
-        let text = self.orders.borrow().written();
-        let new = self.out_file.with_extension("new");
-        let saved = std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, &self.out_file));
-        if let Err(e) = saved {
-            error!("{}: {e}", self.out_file.display());
-        }
+        write_orders(&self.out_file, &self.orders.borrow());
         let Some(id) = self.endpoints.id_of(name) else { return };
         let Some(e) = self.endpoints.get(id) else { return };
         let (dst, zone, kind, rate, says) = (e.dst, e.zone, e.kind, e.rate, self.as_ordered(name, e.listed));
@@ -352,6 +378,33 @@
         }
     }
 
+    /// Tells what an earlier process of the relay left (rules 4 and 6 run on over an upgrade).
+    fn carry_in(&mut self, snapshot: Snapshot, tell: &mut Vec<Tell>) {
+        let snapshot = snapshot.binding(self.clock.unix_ms(self.now));
+        let at = |ms: u64| {
+            if ms == 0 { Duration::ZERO } else { self.clock.at_unix_ms(ms).max(Duration::from_millis(1)) }
+        };
+        let mut carried = Vec::new();
+        for route in snapshot.routes {
+            let endpoint = match &route.endpoint {
+                None => None,
+                Some(name) => match self.endpoints.id_of(name) {
+                    Some(id) => Some(id),
+                    None => continue,
+                },
+            };
+            carried.push(Carried {
+                dst: DstId(route.dst),
+                endpoint,
+                told_until: at(route.told_until_ms),
+                open_until: route.open_until_ms.map(at),
+                cold_since: route.cold_since_ms.map(at),
+            });
+        }
+        info!("carries {} routes over from the process before", carried.len());
+        tell.push(Box::new(move |r| r.carry_in(&carried)));
+    }
+
     /// Tells of everything that the spool holds from before.
     fn restore(&mut self, tell: &mut Vec<Tell>) {
         let kept: Vec<_> = self.spool.live().iter().map(|(n, k)| (MsgId(*n), k.clone())).collect();
@@ -440,6 +493,18 @@
     }
 }
 
+/// Now, Unix time in microseconds.
+pub fn unix_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+/// Writes down the endpoints out by hand, for the next process and the one beside.
+pub fn write_orders(path: &std::path::Path, orders: &Orders) {
+    if let Err(e) = write_anew(path, &orders.written()) {
+        error!("{}: {e}", path.display());
+    }
+}
+
 /// What the host is made of.
 pub struct Parts {
     pub facts: StartupFacts,
@@ -456,13 +521,16 @@
     pub leaving: Receiver<()>,
     pub orders: Rc<RefCell<Orders>>,
     pub out_file: PathBuf,
+    /// What an earlier process left, and where this one writes it down.
+    pub carried: Option<Snapshot>,
+    pub snapshot_file: PathBuf,
 }
 
 pub struct Host {
     relay: Relay,
     desk: Desk,
     came: Receiver<Event>,
-    stopping: Option<Instant>,
+    stopping: Option<(Instant, Stopping)>,
     clients: Rc<Cell<usize>>,
     leaving: Receiver<()>,
 }
@@ -495,6 +563,7 @@
             full: false,
             orders: parts.orders,
             out_file: parts.out_file,
+            snapshot_file: parts.snapshot_file,
         };
         let relay = Relay::new(parts.facts);
         let mut host = Host {
@@ -507,6 +576,7 @@
         };
         let mut tell = Vec::new();
         parts.known.into_iter().for_each(|list| host.desk.take_list(list, &mut tell));
+        parts.carried.into_iter().for_each(|snapshot| host.desk.carry_in(snapshot, &mut tell));
         host.desk.restore(&mut tell);
         host.round(tell);
         host
@@ -543,8 +613,10 @@
             }
             let came: Vec<Event> =
                 first.into_iter().chain(std::iter::from_fn(|| self.came.try_recv().ok())).collect();
-            if came.iter().any(|e| matches!(e, Event::Stop)) {
-                self.stopping = self.stopping.or(Some(Instant::now()));
+            if let Some(how) =
+                came.iter().find_map(|e| if let Event::Stop(how) = e { Some(*how) } else { None })
+            {
+                self.stopping = self.stopping.or(Some((Instant::now(), how)));
             }
             let due = self.desk.wake.is_some_and(|at| at <= self.desk.clock.at(Instant::now()));
             if came.is_empty() && !due && self.stopping.is_none() {
@@ -553,8 +625,11 @@
             self.desk.now = self.desk.clock.at(Instant::now());
             let mut tell = Vec::new();
             came.into_iter().for_each(|event| self.desk.take(event, &mut tell));
-            let stopped = self.stopping.map_or(Duration::ZERO, |at| at.elapsed());
-            if stopped < LAST_LEG {
+            let (stopped, how) = self
+                .stopping
+                .map_or((Duration::ZERO, mountshift_handover::RESTART), |(at, how)| (at.elapsed(), how));
+            // In a handover the decisions go on, sending nothing: ends that fall due are still told.
+            if stopped < how.legs || how.leaves_held {
                 self.round(tell);
             } else {
                 // Nothing more is decided: ends are noted, what is held waits in the spool for the next start.
@@ -564,8 +639,9 @@
             if self.stopping.is_some() {
                 let clients_gone = self.leaving.is_closed() && self.clients.get() == 0;
                 let kept = self.desk.spool.live().len();
-                let done = clients_gone && self.desk.calls.is_empty() && (stopped >= LAST_LEG || kept == 0);
-                if done || stopped >= LAST_END {
+                let left = how.leaves_held || stopped >= how.legs || kept == 0;
+                let done = clients_gone && self.desk.calls.is_empty() && left;
+                if done || stopped >= how.end_by {
                     info!("stopped with {} calls out, {kept} messages kept", self.desk.calls.len());
                     return;
                 }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod mgmt;
 mod notices;
+mod reception;
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -17,17 +18,20 @@
 use discovery::Follow;
 use futures_lite::StreamExt;
 use host::{Event, Host, Parts};
-use log::{error, info};
+use log::{error, info, warn};
+use mountshift::port::MsgId;
+use mountshift_handover::{LOCK, NEXT, OWNER_SHARE, Role, SNAPSHOT, Side, Snapshot, TAKER_SHARE};
 use mountshift_orders::{Change, Orders};
-use mountshift_spool::Spool;
+use mountshift_spool::{End, Kept, Spool};
+use notices::Notice;
+use reception::{Ended, Reception};
 use std::cell::{Cell, RefCell};
+use std::fs::{File, TryLockError};
 use std::net::TcpListener;
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
-
-/// After SIGTERM new connections still come for a while.
-const ACCEPTED_ON: Duration = Duration::from_millis(500);
+use std::time::Instant;
 /// A list may take one part in so many of the memory, and so may all requests that are not whole.
 const LIST_SHARE: usize = 32;
 const REQUESTS_SHARE: usize = 8;
@@ -46,21 +50,127 @@
             return ExitCode::from(2);
         }
     };
-    match signals.and_then(|signals| run(signals, start)) {
+    match signals.map_err(NotStarted::failure).and_then(|signals| run(signals, start)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(what) => {
+        Err(NotStarted { code, what }) => {
             error!("not started: {what}");
-            ExitCode::FAILURE
+            ExitCode::from(code)
         }
     }
 }
 
-fn run(mut signals: Signals, start: config::Start) -> Result<(), String> {
-    let folder = |e| format!("{}: {e}", start.state.display());
+/// Why the relay did not start, and its exit code: 2 for bad input, 1 else.
+struct NotStarted {
+    code: u8,
+    what: String,
+}
+
+impl NotStarted {
+    fn failure(what: String) -> NotStarted {
+        NotStarted { code: 1, what }
+    }
+
+    fn bad_input(what: String) -> NotStarted {
+        NotStarted { code: 2, what }
+    }
+}
+
+/// Takes the lock in `dir` for as long as the file is open: true if it is this process's.
+fn lock(dir: &Path) -> Result<(File, bool), String> {
+    let path = dir.join(LOCK);
+    let file = File::create(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+    match file.try_lock() {
+        Ok(()) => Ok((file, true)),
+        Err(TryLockError::WouldBlock) => Ok((file, false)),
+        Err(TryLockError::Error(e)) => Err(format!("{}: {e}", path.display())),
+    }
+}
+
+/// True if another process holds the lock in `dir`.
+fn held_by_another(dir: &Path) -> bool {
+    let file = File::open(dir.join(LOCK));
+    file.is_ok_and(|f| matches!(f.try_lock(), Err(TryLockError::WouldBlock)))
+}
+
+/// The clients' listening socket: the platform's, inherited as `run` names it, or bound here.
+fn listener(start: &config::Start) -> Result<Async<TcpListener>, NotStarted> {
+    let Some(fd) = start.accept_fd else {
+        let bound = Async::<TcpListener>::bind(start.listen);
+        return bound.map_err(|e| NotStarted::failure(format!("{}: {e}", start.listen)));
+    };
+    let taken = listenfd::ListenFd::from_env().take_tcp_listener(0);
+    let taken = taken.map_err(|e| format!("descriptor {fd}: {e}")).and_then(|l| {
+        l.ok_or(format!("descriptor {fd} is not named to the program (LISTEN_FDS, LISTEN_FDS_FIRST_FD)"))
+    });
+    let taken = taken.map_err(NotStarted::bad_input)?;
+    Async::new(taken).map_err(|e| NotStarted::bad_input(format!("descriptor {fd}: {e}")))
+}
+
+/// The endpoints out by hand as written down; none is, if nothing is.
+fn read_out(path: &Path) -> Result<String, NotStarted> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => Ok(text),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(String::new()),
+        Err(e) => Err(NotStarted::failure(format!("{}: {e}", path.display()))),
+    }
+}
+
+/// What an earlier process left of its destinations; none if nothing.
+fn carried(state: &Path) -> Result<Option<Snapshot>, NotStarted> {
+    let path = state.join(SNAPSHOT);
+    match std::fs::read_to_string(&path) {
+        Ok(text) => Snapshot::read(&text)
+            .map(Some)
+            .map_err(|e| NotStarted::bad_input(format!("{}: {e}", path.display()))),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(NotStarted::failure(format!("{}: {e}", path.display()))),
+    }
+}
+
+/// Makes the owner's spool one with what a taker took in beside it, in the order in which all was taken on,
+/// before any number of it is used. What does not fit ends by a notice. The taker's spool is gone after.
+fn adopt(
+    spool: &mut Spool,
+    next: Spool,
+    next_dir: &Path,
+    notices: &async_channel::Sender<Notice>,
+) -> Result<(), String> {
+    let (owner, taker): (Vec<Kept>, Vec<Kept>) =
+        (spool.live().values().cloned().collect(), next.live().values().cloned().collect());
+    fn times(side: &[Kept]) -> Vec<(&[u8], u64)> {
+        side.iter().map(|k| (&k.taken.id[..], k.taken.at_us)).collect()
+    }
+    let order = mountshift_handover::merge(&times(&owner), &times(&taker));
+    let merged = order
+        .iter()
+        .map(|(side, i)| if *side == Side::Owner { owner[*i].clone() } else { taker[*i].clone() });
+    let left = spool.replace_all(merged.collect()).map_err(|e| format!("spool: {e}"))?;
+    for kept in left {
+        warn!(
+            "spool: no room for message {} of the process before; it ends as failed",
+            String::from_utf8_lossy(&kept.taken.id)
+        );
+        let _ = notices.try_send(Notice { msg: MsgId(u64::MAX), id: kept.taken.id, end: End::Failed });
+    }
+    info!("took over {} messages taken in beside the owner", taker.len());
+    drop(next);
+    let path = next_dir.join(mountshift_spool::NAME);
+    std::fs::remove_file(&path).map_err(|e| format!("{}: {e}", path.display()))
+}
+
+fn run(mut signals: Signals, start: config::Start) -> Result<(), NotStarted> {
+    let folder = |e| NotStarted::failure(format!("{}: {e}", start.state.display()));
     let zone_room = start.sockets.zones.iter().map(String::len).max().unwrap_or(0) as u64;
     let legs = u64::from(start.facts.max_legs);
-    let spool = Spool::open(&start.state, start.disk, legs, zone_room).map_err(folder)?;
-    info!("{} starts with {} messages in its spool", start.name, spool.live().len());
+    let share = |of: f64| (start.disk as f64 * of) as u64;
+    let next_dir = start.state.join(NEXT);
+    std::fs::create_dir_all(&next_dir).map_err(folder)?;
+    let (owner_lock, owner_free) = lock(&start.state).map_err(NotStarted::failure)?;
+    let (taker_lock, taker_free) = lock(&next_dir).map_err(NotStarted::failure)?;
+    let taker_spool = next_dir.join(mountshift_spool::NAME).exists();
+    let role = mountshift_handover::role(owner_free, taker_free, taker_spool)
+        .map_err(|e| NotStarted::failure(format!("{}: {e}", start.state.display())))?;
+    info!("{} starts as {role:?}", start.name);
     let executor = Rc::new(LocalExecutor::new());
     let events = async_channel::unbounded();
     let (notices, notices_out) = async_channel::unbounded();
@@ -74,52 +184,32 @@
     let must_ask = start.facts.must_watch;
     let started = Instant::now();
     let out_file = start.state.join("maintenance");
-    let out_before = match std::fs::read_to_string(&out_file) {
-        Ok(text) => text,
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => String::new(),
-        Err(e) => return Err(format!("{}: {e}", out_file.display())),
-    };
-    let orders = Rc::new(RefCell::new(Orders::from_text(&out_before)));
+    let orders = Rc::new(RefCell::new(Orders::from_text(&read_out(&out_file)?)));
+    known.iter().flat_map(|list| &list.members).for_each(|m| orders.borrow_mut().listed(&m.id));
+    let listener = listener(&start)?;
+    let lanes = start.sockets.lanes.clone();
     async_io::block_on(executor.run(async {
-        let host = Host::new(Parts {
-            facts: start.facts,
-            sockets: start.sockets,
-            spool,
-            known,
-            idle_most: start.descriptors / 4,
-            executor: executor.clone(),
-            events: events.clone(),
-            notices,
-            watch,
-            clients: open.clone(),
-            leaving: leaving.clone(),
-            orders: orders.clone(),
-            out_file,
-        });
-        let asked = must_ask.then_some(watch_asked);
-        let events = events.0;
-        let (listed, taken) = (events.clone(), events.clone());
+        let events_in = events.0.clone();
+        let (listed, taken) = (events_in.clone(), events_in.clone());
         let listed = move |list| drop(listed.try_send(Event::List(list)));
         let follow = Follow {
             at: start.discovery,
             moved: watch_moved,
             revision,
-            asked,
+            asked: must_ask.then_some(watch_asked),
             most: start.memory / LIST_SHARE,
         };
         executor.spawn(follow.run(listed)).detach();
         let taken = move |msgs| drop(taken.try_send(Event::Noticed(msgs)));
         executor.spawn(notices::deliver(start.discovery, notices_moved, notices_out, taken)).detach();
-        let listener =
-            Async::<TcpListener>::bind(start.listen).map_err(|e| format!("{}: {e}", start.listen))?;
-        let (handed, gone) = (events.clone(), events.clone());
+        let (handed, gone) = (events_in.clone(), events_in.clone());
         let front = Front {
             hand_in: Box::new(move |message, answer| drop(handed.try_send(Event::Message(message, answer)))),
             gone: Box::new(move |msg| drop(gone.try_send(Event::Gone(msg)))),
-            leaving,
+            leaving: leaving.clone(),
             most: start.descriptors / 2,
             bytes_most: start.memory / REQUESTS_SHARE,
-            open,
+            open: open.clone(),
             waiting: RefCell::default(),
             orders: orders.clone(),
             start: started,
@@ -127,8 +217,9 @@
         };
         let front = Rc::new(front);
         if let Some(at) = start.mgmt {
-            let mgmt = Async::<TcpListener>::bind(at).map_err(|e| format!("mgmt {at}: {e}"))?;
-            let (changed, front) = (events.clone(), front.clone());
+            let mgmt =
+                Async::<TcpListener>::bind(at).map_err(|e| NotStarted::failure(format!("mgmt {at}: {e}")))?;
+            let (changed, front) = (events_in.clone(), front.clone());
             let changed = Box::new(move |change: Change| {
                 if matches!(change, Change::Standby | Change::Active) {
                     front.standby_moved();
@@ -140,8 +231,9 @@
             info!("operators' calls on {at}");
         }
         executor.spawn(clients::serve(listener, front, executor.clone())).detach();
-        orders.borrow_mut().serving();
-        info!("ready on {}", start.listen);
+        let (stop_events, stop_dir, owns) = (events_in.clone(), next_dir.clone(), Rc::new(Cell::new(false)));
+        let leave_all = leave.clone();
+        let owned = owns.clone();
         let stop = async move {
             let mut at = start.discovery;
             while let Some(Ok(Signal::Hup)) = signals.next().await {
@@ -156,12 +248,79 @@
                     Err(what) => error!("the new configuration is not used: {what}"),
                 }
             }
-            info!("told to stop");
-            let _ = events.send(Event::Stop).await;
-            Timer::after(ACCEPTED_ON).await;
-            leave.close();
+            // An owner with a taker beside it hands over; else this is a restart.
+            let how = mountshift_handover::stopping(owned.get() && held_by_another(&stop_dir));
+            info!(
+                "told to stop, {}",
+                if how.leaves_held { "with a process beside it" } else { "for a restart" }
+            );
+            let _ = stop_events.send(Event::Stop(how)).await;
+            Timer::after(how.accept).await;
+            leave_all.close();
         };
         executor.spawn(stop).detach();
+        orders.borrow_mut().serving();
+        info!("ready on {}", start.listen);
+        let mut spool = Spool::open(&start.state, share(OWNER_SHARE), legs, zone_room).map_err(folder);
+        let mut stash = Vec::new();
+        match role {
+            Role::Owner { adopt: true } => {
+                let next = Spool::open(&next_dir, share(TAKER_SHARE), legs, zone_room).map_err(folder)?;
+                if let Ok(spool) = spool.as_mut() {
+                    adopt(spool, next, &next_dir, &notices).map_err(NotStarted::failure)?;
+                }
+            }
+            Role::Owner { adopt: false } => {}
+            Role::Taker => {
+                drop(spool);
+                let next = Spool::open(&next_dir, share(TAKER_SHARE), legs, zone_room).map_err(folder)?;
+                info!("another process owns the state folder: takes in beside it");
+                let (leave, clients) = (leave.clone(), open.clone());
+                let (owner_lock, file) = (&owner_lock, out_file.clone());
+                let mut taker = Reception {
+                    spool: next,
+                    owner_lock,
+                    lanes,
+                    orders: orders.clone(),
+                    out_file: file,
+                    leave,
+                    clients,
+                };
+                stash = match taker.run(&events.1).await {
+                    Ended::Stopped => return Ok(()),
+                    Ended::Owns(stash) => stash,
+                };
+                let next = taker.spool;
+                let mut owned =
+                    Spool::open(&start.state, share(OWNER_SHARE), legs, zone_room).map_err(folder)?;
+                adopt(&mut owned, next, &next_dir, &notices).map_err(NotStarted::failure)?;
+                // What the owner wrote down since this process started.
+                orders.borrow_mut().read_out(&read_out(&out_file)?);
+                spool = Ok(owned);
+            }
+        }
+        drop(taker_lock);
+        let spool = spool?;
+        owns.set(true);
+        info!("{} starts with {} messages in its spool", start.name, spool.live().len());
+        let host = Host::new(Parts {
+            facts: start.facts,
+            sockets: start.sockets,
+            spool,
+            known,
+            idle_most: start.descriptors / 4,
+            executor: executor.clone(),
+            events: events.clone(),
+            notices,
+            watch,
+            clients: open.clone(),
+            leaving: leaving.clone(),
+            orders: orders.clone(),
+            out_file,
+            carried: carried(&start.state)?,
+            snapshot_file: start.state.join(SNAPSHOT),
+        });
+        stash.into_iter().for_each(|event| drop(events_in.try_send(event)));
         host.run().await;
         Ok(())
     }))
--- a/crates/spool/src/lib.rs
+++ b/crates/spool/src/lib.rs
@@ -9,10 +9,12 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 
-const NAME: &str = "spool.log";
+/// The log's file in its folder.
+pub const NAME: &str = "spool.log";
 const NEW_NAME: &str = "spool.new";
-/// The format of the log. Logs without a head record are of format 0, which differs in that alone.
-const FORMAT: u64 = 1;
+/// The format of the log. Logs without a head record are of format 0, which differs in that alone; format 1
+/// has no time of taking in its messages, which format 2 appends to each.
+const FORMAT: u64 = 2;
 const HEADER: usize = 8;
 /// Files count in whole blocks of this size.
 const BLOCK: u64 = 512;
@@ -33,6 +35,9 @@
     /// Unix time in milliseconds.
     pub deadline: u64,
     pub body: Vec<u8>,
+    /// When it was taken on, Unix time in microseconds; 0 if the log is older than that. Orders the messages
+    /// of one key across two processes that took them on side by side.
+    pub at_us: u64,
 }
 
 /// A leg, noted before its first byte.
@@ -187,6 +192,33 @@
         }
     }
 
+    /// Takes the place of all that is alive: these messages, numbered anew from 1 in the order given, written
+    /// to a fresh file that replaces the log by rename. For a handover, before any number was used.
+    ///
+    /// # Errors
+    /// If the fresh file can't be written; the log is then as it was. Messages that don't fit within the limit
+    /// are not taken and come back, in the order given.
+    pub fn replace_all(&mut self, kept: Vec<Kept>) -> io::Result<Vec<Kept>> {
+        let (live, reserved, next) = (std::mem::take(&mut self.live), self.reserved, self.next);
+        (self.reserved, self.next) = (0, 1);
+        let mut left = Vec::new();
+        for k in kept {
+            let room = self.room_for(&k.taken);
+            if !left.is_empty() || self.reserved + room > self.limit / 2 {
+                left.push(k);
+                continue;
+            }
+            self.reserved += room;
+            self.live.insert(self.next, k);
+            self.next += 1;
+        }
+        if let Err(e) = self.compact() {
+            (self.live, self.reserved, self.next) = (live, reserved, next);
+            return Err(e);
+        }
+        Ok(left)
+    }
+
     /// Writes what was noted since the last call. Before this returns nothing of it is safe.
     pub fn commit(&mut self) -> io::Result<()> {
         if self.pending.is_empty() {
@@ -211,7 +243,7 @@
     }
 
     fn room_for(&self, taken: &Taken) -> u64 {
-        let own = SMALL + 16 + (taken.id.len() + taken.list.len() + taken.body.len()) as u64;
+        let own = SMALL + 24 + (taken.id.len() + taken.list.len() + taken.body.len()) as u64;
         own + self.legs_most * (2 * SMALL + self.zone_room) + 2 * SMALL
     }
 
@@ -275,7 +307,10 @@
             b'M' => {
                 let (key, deadline) = (f.u64()?, f.u64()?);
                 let (id, list) = (f.text()?.to_vec(), String::from_utf8(f.text()?.to_vec()).ok()?);
-                let taken = Taken { id, key, list, deadline, body: f.text()?.to_vec() };
+                let body = f.text()?.to_vec();
+                // Format 1 ends here.
+                let at_us = if f.0.is_empty() { 0 } else { f.u64()? };
+                let taken = Taken { id, key, list, deadline, body, at_us };
                 self.live.insert(n, Kept { taken, legs: Vec::new(), owed: None });
             }
             b'L' => {
@@ -332,6 +367,7 @@
     let mut bytes = small(b'M', n);
     [taken.key, taken.deadline].iter().for_each(|x| bytes.extend(x.to_le_bytes()));
     [&taken.id[..], taken.list.as_bytes(), &taken.body].iter().for_each(|t| text(&mut bytes, t));
+    bytes.extend(taken.at_us.to_le_bytes());
     bytes
 }
 
--- a/crates/spool/tests/spool.rs
+++ b/crates/spool/tests/spool.rs
@@ -13,7 +13,7 @@
 
 fn taken(id: &str, body: usize) -> Taken {
     let body = (0..body).map(|i| (i * 7) as u8).collect();
-    Taken { id: id.into(), key: 5, list: "c=a,d=8000,dest=7".into(), deadline: 1_000, body }
+    Taken { id: id.into(), key: 5, list: "c=a,d=8000,dest=7".into(), deadline: 1_000, body, at_us: 9 }
 }
 
 fn leg(at: u64, may_have_run: bool) -> Leg {
@@ -106,7 +106,7 @@
     spool.add(taken("a", 20)).expect("room");
     spool.commit().expect("written");
     let log = fs::read(&path).expect("a log");
-    let head = framed(&[&b"V"[..], &1u64.to_le_bytes()].concat());
+    let head = framed(&[&b"V"[..], &2u64.to_le_bytes()].concat());
     assert!(log.starts_with(&head));
     let refused = |bytes: Vec<u8>| {
         fs::write(&path, &bytes).expect("a log");
@@ -114,9 +114,9 @@
         assert_eq!(fs::read(&path).expect("a log"), bytes, "it is left as it is");
         why
     };
-    let newer = framed(&[&b"V"[..], &2u64.to_le_bytes()].concat());
+    let newer = framed(&[&b"V"[..], &3u64.to_le_bytes()].concat());
     let why = refused([newer, log[head.len()..].to_vec()].concat());
-    assert_eq!(why, "spool.log, byte 0: it is of format 2; this program reads formats up to 1");
+    assert_eq!(why, "spool.log, byte 0: it is of format 3; this program reads formats up to 2");
     let unknown = framed(&[&b"Q"[..], &9u64.to_le_bytes()].concat());
     let why = refused([log.clone(), unknown, framed(b"E12345678")].concat());
     let at = log.len();
@@ -177,3 +177,50 @@
     let again = open(dir.path(), limit);
     assert!(disk(dir.path()) <= limit && again.live().len() >= 9, "{}", disk(dir.path()));
 }
+
+#[test]
+fn a_log_of_format_1_is_read_with_no_time_of_taking() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let mut message = vec![b'M'];
+    [1u64, 5, 1_000].iter().for_each(|x| message.extend(x.to_le_bytes()));
+    for text in [&b"a"[..], b"c=a,d=8000,dest=7", b"body"] {
+        message.extend((text.len() as u32).to_le_bytes());
+        message.extend(text);
+    }
+    let head = framed(&[&b"V"[..], &1u64.to_le_bytes()].concat());
+    fs::write(dir.path().join("spool.log"), [head, framed(&message)].concat()).expect("a log");
+    let spool = open(dir.path(), 1 << 20);
+    let kept = &spool.live()[&1].taken;
+    assert_eq!((&kept.id[..], &kept.body[..], kept.at_us), (&b"a"[..], &b"body"[..], 0));
+}
+
+#[test]
+fn all_that_is_alive_is_replaced_in_the_order_given_and_numbered_anew() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let mut spool = open(dir.path(), 1 << 20);
+    for id in ["a", "b", "c"] {
+        spool.add(taken(id, 10)).expect("room");
+    }
+    spool.leg(2, "north", 77);
+    spool.commit().expect("written");
+    let mut order: Vec<Kept> = spool.live().values().cloned().collect();
+    order.reverse();
+    order.push(Kept { taken: taken("d", 10), legs: Vec::new(), owed: Some(End::Failed) });
+    assert!(spool.replace_all(order.clone()).expect("written").is_empty());
+    let ids = |s: &Spool| s.live().iter().map(|(n, k)| (*n, k.taken.id.clone())).collect::<Vec<_>>();
+    let wanted: Vec<(u64, Vec<u8>)> =
+        [(1, "c"), (2, "b"), (3, "a"), (4, "d")].iter().map(|(n, id)| (*n, id.as_bytes().to_vec())).collect();
+    assert_eq!(ids(&spool), wanted);
+    let again = open(dir.path(), 1 << 20);
+    assert_eq!(ids(&again), wanted);
+    assert_eq!(again.live()[&2].legs, vec![leg(77, true)]);
+    assert_eq!(again.live()[&4].owed, Some(End::Failed));
+    // What does not fit comes back and is not in the log.
+    let other = tempfile::tempdir().expect("a folder");
+    let mut small = open(other.path(), 6_000);
+    let many: Vec<Kept> =
+        (0..20).map(|n| Kept { taken: taken(&n.to_string(), 100), legs: vec![], owed: None }).collect();
+    let left = small.replace_all(many).expect("written");
+    assert!(!left.is_empty() && small.live().len() + left.len() == 20);
+    assert_eq!(left[0].taken.id, small.live().len().to_string().into_bytes());
+}
--- a/src/port.rs
+++ b/src/port.rs
@@ -169,6 +169,20 @@
     pub cross_zone_price: f64,
 }
 
+/// What a route leaves to the next process of the relay at an upgrade; spans since this process's start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Carried {
+    pub dst: DstId,
+    /// The endpoint, where endpoints of the kind are routes apart.
+    pub endpoint: Option<EndpointId>,
+    /// A told wait binds until then; zero if none does.
+    pub told_until: Duration,
+    /// The breaker is open until then, due for a trial at zero; none if it is closed.
+    pub open_until: Option<Duration>,
+    /// The route came back cold then and is still ramped.
+    pub cold_since: Option<Duration>,
+}
+
 /// Takes the decisions of a round, in order.
 pub trait Writer {
     /// Send a leg; it ends as timed out after `limit`.
@@ -190,4 +204,6 @@
     fn watch(&mut self);
     /// A line for on-call staff.
     fn log(&mut self, line: &str);
+    /// What must outlive the process changed: this is all of it now. Hosts without upgrades keep nothing.
+    fn carry(&mut self, _routes: &[Carried]) {}
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -7,6 +7,8 @@
 //! 5. further legs by the message's value
 //! 6. which parked message goes first and who is pushed back: value, target time, tenant share
 
+mod carry;
+
 use crate::port::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -219,6 +221,8 @@
     watch_at: Option<Duration>,
     wake_at: Option<Duration>,
     lines_to_log: Vec<String>,
+    handing_over: bool,    // a process beside this one takes over: no new leg
+    carried: Vec<Carried>, // as last told
 }
 
 impl Relay {
@@ -241,6 +245,7 @@
         self.lines.retain(|_, l| !l.queue.is_empty() || l.rest_until > now);
         self.watch_at.take_if(|at| *at <= now).into_iter().for_each(|_| out.watch());
         self.lines_to_log.drain(..).for_each(|line| out.log(&line));
+        self.carry_out(out);
         let busy = self.forget(out) || self.msgs.len() + self.calls.len() > 0 || self.watch_at.is_some();
         if busy && self.wake_at.is_none_or(|at| at <= now) {
             self.wake_at = Some(now + WAKE);
@@ -595,7 +600,7 @@
                 waiting.entry(msg.dst).or_default().push(*id);
             }
         }
-        while self.calls.len() < self.facts.slots {
+        while !self.handing_over && self.calls.len() < self.facts.slots {
             let next = waiting.keys().min_by_key(|d| (self.calls_out(**d), self.near.get(d).map(|n| n.1)));
             let Some(dst) = next.copied() else { break };
             let mut list = waiting.remove(&dst).unwrap_or_default();
