Handover test: three upgrades under load on one inherited socket, stops at seeded points

Two processes of the relay on one listening socket (socket2, inherited, no fixed port), four clients of which two hand in keyed messages of a lane in order; three upgrades, each SIGTERM at a point drawn from a seed. Every message taken on ends once (delivered or noticed), none refused is sent, each key goes out in the order taken on, and the old process ends before its SIGKILL would come. A descriptor that is none, or not named to the program, is one line and exit 2; the listener is now taken before anything else is said.

--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -159,6 +159,7 @@
 }
 
 fn run(mut signals: Signals, start: config::Start) -> Result<(), NotStarted> {
+    let listener = listener(&start)?;
     let folder = |e| NotStarted::failure(format!("{}: {e}", start.state.display()));
     let zone_room = start.sockets.zones.iter().map(String::len).max().unwrap_or(0) as u64;
     let legs = u64::from(start.facts.max_legs);
@@ -186,7 +187,6 @@
     let out_file = start.state.join("maintenance");
     let orders = Rc::new(RefCell::new(Orders::from_text(&read_out(&out_file)?)));
     known.iter().flat_map(|list| &list.members).for_each(|m| orders.borrow_mut().listed(&m.id));
-    let listener = listener(&start)?;
     let lanes = start.sockets.lanes.clone();
     async_io::block_on(executor.run(async {
         let events_in = events.0.clone();
--- /dev/null
+++ b/crates/relay/tests/handover.rs
@@ -0,0 +1,233 @@
+//! Upgrades: processes of one relay started beside each other on one inherited listening socket, under load,
+//! each told to stop at a point drawn from a seed. Nothing may be lost, sent twice or out of its key's order.
+
+#[allow(dead_code)]
+mod standins;
+
+use serde_json::{Value, json};
+use standins::*;
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
+use std::process::{Child, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread::{self, sleep};
+use std::time::{Duration, Instant};
+
+fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+/// The platform's listening socket, which every process of the relay inherits.
+fn platform_socket() -> (socket2::Socket, SocketAddr) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+    socket.bind(&any.into()).and_then(|()| socket.listen(128)).expect("a port");
+    socket.set_cloexec(false).expect("inherited");
+    let at = socket.local_addr().expect("an address").as_socket().expect("IPv4");
+    (socket, at)
+}
+
+/// One process of the relay, started as `run` starts it on upgrade days.
+struct Process {
+    child: Child,
+    mgmt: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+impl Process {
+    fn start(config: &Value, dir: &std::path::Path, fd: i32, n: usize) -> Process {
+        let mgmt = free();
+        let mut config = config.clone();
+        config["mgmt"] = json!(mgmt.to_string());
+        let file = dir.join(format!("config{n}.json"));
+        std::fs::write(&file, config.to_string()).expect("a config");
+        let log = std::fs::File::options().create(true).append(true).open(dir.join("log")).expect("a log");
+        let mut command = command(&file, &dir.join("state"));
+        let fd = fd.to_string();
+        command.env("NODE_ACCEPT_FD", &fd).env("LISTEN_FDS", "1").env("LISTEN_FDS_FIRST_FD", &fd);
+        let child = command.stderr(log).stdout(Stdio::null()).spawn().expect("a relay");
+        Process { child, mgmt }
+    }
+
+    fn says_yes(&self) -> bool {
+        let Ok(mut stream) = TcpStream::connect(self.mgmt) else { return false };
+        let _ = stream.set_read_timeout(Some(ms(1_000)));
+        let _ = stream.write_all(b"GET /status HTTP/1.1\r\nHost: relay\r\n\r\n");
+        let mut text = String::new();
+        let _ = stream.read_to_string(&mut text);
+        text.starts_with("HTTP/1.1 200")
+    }
+
+    fn term(&self) {
+        let id = self.child.id().to_string();
+        assert!(
+            std::process::Command::new("kill").args(["-s", "TERM", &id]).status().expect("kill").success()
+        );
+    }
+
+    /// Waits for its end: true if it came in time.
+    fn ended_within(&mut self, most: Duration) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < most {
+            if self.child.try_wait().expect("a state").is_some() {
+                return true;
+            }
+            sleep(ms(5));
+        }
+        false
+    }
+}
+
+/// What clients heard, by id: `+OK` or not, and for each key the ids in the order they were taken on.
+#[derive(Default)]
+struct Heard {
+    taken: Vec<String>,
+    refused: Vec<String>,
+    keys: BTreeMap<u64, Vec<String>>,
+    /// Connections that ended with a request unanswered; it went again on a new one.
+    again: usize,
+}
+
+/// A client that hands in messages of one key, each once the one before is taken on, over connections it
+/// keeps; a request whose connection ends unanswered is sent once more on a new connection.
+fn client(
+    at: SocketAddr,
+    key: u64,
+    stop: Arc<AtomicBool>,
+    heard: Arc<Mutex<Heard>>,
+) -> thread::JoinHandle<()> {
+    thread::spawn(move || {
+        let (mut n, mut connection): (u64, Option<Client>) = (0, None);
+        while !stop.load(Ordering::SeqCst) {
+            n += 1;
+            let (id, lane) = (format!("k{key}m{n}"), if key % 2 == 0 { "pay" } else { "once" });
+            let request = out_add(&id, key, &format!("c={lane},d=15000,dest=7"), b"x");
+            let answer = loop {
+                let mut c = match connection.take() {
+                    Some(c) => c,
+                    None => match TcpStream::connect(at) {
+                        Ok(stream) => {
+                            stream.set_read_timeout(Some(ms(3_000))).expect("a time-out");
+                            Client(std::io::BufReader::new(stream))
+                        }
+                        Err(_) => {
+                            sleep(ms(5));
+                            continue;
+                        }
+                    },
+                };
+                let _ = c.0.get_mut().write_all(&request);
+                let line = c.hear();
+                if line.is_empty() {
+                    heard.lock().expect("heard").again += 1;
+                    continue;
+                }
+                connection = Some(c);
+                break line;
+            };
+            let mut heard = heard.lock().expect("heard");
+            if answer == "+OK" {
+                heard.taken.push(id.clone());
+                heard.keys.entry(key).or_default().push(id);
+            } else {
+                heard.refused.push(id);
+                drop(heard);
+                sleep(ms(20));
+            }
+        }
+    })
+}
+
+/// Plays upgrades under load with stops at points drawn from `seed`; checks what the endpoint and the
+/// platform got against what clients heard.
+fn upgrades_under_load(seed: u64) {
+    let endpoint = Server::start(|_| Act::Say(answer_text(200), ms(15)));
+    let platform = Platform::start(0);
+    let (socket, at) = platform_socket();
+    let members = vec![member("e1", endpoint.address, 7, "single")];
+    let config = config(at, platform.server.address, &members);
+    platform.set(members);
+    let dir = tempfile::tempdir().expect("a folder");
+    std::fs::create_dir_all(dir.path().join("state")).expect("a folder");
+    let fd = socket.as_raw_fd();
+    let mut running = Process::start(&config, dir.path(), fd, 0);
+    until("the first process", || running.says_yes());
+    let (stop, heard) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Heard::default())));
+    let clients: Vec<_> = (1..=4).map(|key| client(at, key, stop.clone(), heard.clone())).collect();
+    let mut chance = seed;
+    let mut draw = |most: u64| {
+        chance = chance.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        (chance >> 33) % most
+    };
+    for n in 1..=3 {
+        sleep(ms(300 + draw(400)));
+        let next = Process::start(&config, dir.path(), fd, n);
+        until("the process beside it", || next.says_yes());
+        sleep(ms(draw(150)));
+        running.term();
+        assert!(running.ended_within(ms(3_600)), "the old process ends before its SIGKILL");
+        running = next;
+    }
+    sleep(ms(400));
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|c| c.join().expect("a client"));
+    let heard = heard.lock().expect("heard");
+    let ended = |id: &String| {
+        let delivered = endpoint.ids().iter().filter(|i| *i == id).count();
+        let noticed = platform.notices().iter().filter(|n| n.contains(&format!("\"{id}\""))).count();
+        (delivered, noticed)
+    };
+    until("every message taken on to end", || heard.taken.iter().all(|id| ended(id) != (0, 0)));
+    let log = std::fs::read_to_string(dir.path().join("log")).unwrap_or_default();
+    assert!(heard.taken.len() > 100, "{} taken, {} refused", heard.taken.len(), heard.refused.len());
+    assert_eq!(log.matches("told to stop, with a process beside it").count(), 3, "{log}");
+    let sent = endpoint.ids();
+    for id in &heard.taken {
+        // Rule 2: never twice, and one end each (rule 1).
+        assert!(matches!(ended(id), (1, 0) | (0, 1)), "{id}: {:?}", ended(id));
+    }
+    for id in &heard.refused {
+        assert!(!sent.contains(id), "{id} was turned away, yet sent");
+    }
+    // Rule 5: each key's messages went out in the order they were taken on (even keys are of a lane in order).
+    for (key, ids) in heard.keys.iter().filter(|(key, _)| *key % 2 == 0) {
+        let order: Vec<&String> = sent.iter().filter(|id| ids.contains(id)).collect();
+        let wanted: Vec<&String> = ids.iter().filter(|id| order.contains(id)).collect();
+        assert_eq!(order, wanted, "key {key}");
+    }
+}
+
+fn answer_text(status: u16) -> String {
+    format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n")
+}
+
+#[test]
+fn upgrades_under_load_lose_nothing_and_send_nothing_twice() {
+    for seed in [3, 11] {
+        upgrades_under_load(seed);
+    }
+}
+
+#[test]
+fn a_descriptor_that_is_none_is_one_line_and_exit_2() {
+    let platform = Platform::start(0);
+    let config = config(free(), platform.server.address, &[]);
+    let dir = tempfile::tempdir().expect("a folder");
+    let file = dir.path().join("config.json");
+    std::fs::write(&file, config.to_string()).expect("a config");
+    for (fd, named) in [("seven", "no descriptor"), ("9", "not named to the program")] {
+        let out = command(&file, dir.path()).env("NODE_ACCEPT_FD", fd).output().expect("a relay");
+        let said = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert_eq!(out.status.code(), Some(2), "{said}");
+        assert!(said.lines().count() == 1 && said.contains(named), "{said}");
+    }
+}
