--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -109,7 +109,7 @@
         let (mut n, mut connection): (u64, Option<Client>) = (0, None);
         while !stop.load(Ordering::SeqCst) {
             n += 1;
-            let (id, lane) = (format!("k{key}m{n}"), if key % 2 == 0 { "pay" } else { "once" });
+            let (id, lane) = (format!("k{key}m{n}"), if key.is_multiple_of(2) { "pay" } else { "once" });
             let request = out_add(&id, key, &format!("c={lane},d=15000,dest=7"), b"x");
             let answer = loop {
                 let mut c = match connection.take() {
@@ -199,7 +199,7 @@
         assert!(!sent.contains(id), "{id} was turned away, yet sent");
     }
     // Rule 5: each key's messages went out in the order they were taken on (even keys are of a lane in order).
-    for (key, ids) in heard.keys.iter().filter(|(key, _)| *key % 2 == 0) {
+    for (key, ids) in heard.keys.iter().filter(|(key, _)| key.is_multiple_of(2)) {
         let order: Vec<&String> = sent.iter().filter(|id| ids.contains(id)).collect();
         let wanted: Vec<&String> = ids.iter().filter(|id| order.contains(id)).collect();
         assert_eq!(order, wanted, "key {key}");
