An endpoint forgotten while out by hand is known again when put back

Endpoints out for longer than the drain grace were forgotten by the decisions; the call that put them back found no such endpoint in the host and told nothing, and discovery sends changes only: never used again, and a destination whose only endpoint it was answered '-ERR dest is not on the list'. Ruled out: the handover (same on the first process), the ban file (right ids).

Change: Endpoints keeps an endpoint forgotten while out as last listed ('resting'), counts it in lists(), and revives it under a new id on Back, which the host tells as listed and ramps cold.

Tests fail without the fix.

--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -397,6 +397,9 @@
                     Err(_) => return Some("stopping"),
                 },
             };
+            if text.starts_with('-') {
+                debug!("answered: {}", text.trim_end());
+            }
             self.errors = if text.starts_with("-ERR") { self.errors + 1 } else { 0 };
             bytes.extend(text.as_bytes());
         }
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -39,6 +39,8 @@
     count: u64,
     ids: BTreeMap<Rc<str>, EndpointId>,
     known: BTreeMap<EndpointId, Endpoint>,
+    /// Forgotten while out by hand, as last listed: guards against an endpoint put back that nobody knows.
+    resting: BTreeMap<Rc<str>, Endpoint>,
     zones: Vec<String>,
     kinds: Vec<String>,
 }
@@ -65,23 +67,36 @@
             Phase::Gone => Listed::Gone,
         };
         let rate = member.size;
+        self.resting.remove(&name);
         let old = self.known.insert(id, Endpoint { address, name, zone, kind, dst, listed, rate });
         let moved = old.is_some_and(|old| old.address != address) || member.phase == Phase::Gone;
         (id, listed, moved)
     }
 
-    /// True if the list has held an endpoint of the destination lately.
+    /// True if the list has held an endpoint of the destination lately, or holds one that is out by hand.
     pub fn lists(&self, dst: DstId) -> bool {
-        self.known.values().any(|e| e.dst == dst)
+        self.known.values().chain(self.resting.values()).any(|e| e.dst == dst)
     }
 
-    /// Guards against tables that grow with every endpoint that ever was.
-    pub fn forget(&mut self, id: EndpointId) -> Option<Endpoint> {
+    /// Guards against tables that grow with every endpoint that ever was. One that is out by hand is kept
+    /// aside (`resting`) as it was last listed, until it is put back or listed again.
+    pub fn forget(&mut self, id: EndpointId, resting: bool) -> Option<Endpoint> {
         let gone = self.known.remove(&id)?;
         self.ids.remove(&gone.name);
+        resting.then(|| self.resting.insert(gone.name.clone(), gone.clone()));
         Some(gone)
     }
 
+    /// An endpoint put back after it was forgotten while out: known again, under a new id, as last listed.
+    pub fn revive(&mut self, name: &str) -> Option<EndpointId> {
+        let endpoint = self.resting.remove(name)?;
+        self.count += 1;
+        let id = EndpointId(self.count);
+        self.ids.insert(endpoint.name.clone(), id);
+        self.known.insert(id, endpoint);
+        Some(id)
+    }
+
     pub fn id_of(&self, name: &str) -> Option<EndpointId> {
         self.ids.get(name).copied()
     }
@@ -280,6 +295,9 @@
     /// Reads an answer: how each message ended.
     fn ends(&self, answer: &Answer) -> Ends {
         let wait = Duration::from_secs_f64(answer.retry_after.unwrap_or(0.0).min(1e6));
+        if !wait.is_zero() {
+            debug!("endpoint {} answered {} with a wait of {wait:?}", self.endpoint.name, answer.status);
+        }
         let end = match answer.status {
             200 if self.parts.len() == 1 => (Outcome::Delivered, true),
             200 if !answer.whole => (Outcome::Error, false),
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -9,7 +9,7 @@
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use log::{error, info, warn};
+use log::{debug, error, info, warn};
 use mountshift::port::*;
 use mountshift::rules::Relay;
 use mountshift_handover::{Route, Snapshot, Stopping};
@@ -165,8 +165,10 @@
 
     fn forget(&mut self, endpoint: EndpointId) {
         self.idle.close(endpoint);
-        if let Some(gone) = self.endpoints.forget(endpoint) {
-            info!("endpoint {} is forgotten", gone.name);
+        let name = self.endpoints.get(endpoint).map(|e| e.name.clone());
+        let out = name.is_some_and(|name| self.orders.borrow().is_out(&name));
+        if let Some(gone) = self.endpoints.forget(endpoint, out) {
+            info!("endpoint {} is forgotten{}", gone.name, if out { " while out by hand" } else { "" });
         }
     }
 
@@ -193,6 +195,7 @@
             cold_since_ms: c.cold_since.map(ms),
         };
         let routes = routes.iter().map(route).collect();
+        debug!("carry at {}: {routes:?}", self.clock.unix_ms(self.now));
         let now = self.clock.unix_ms(self.now);
         let snapshot = Snapshot { format: mountshift_handover::FORMAT, written_ms: now, routes };
         if let Err(e) = write_anew(&self.snapshot_file, &snapshot.written()) {
@@ -210,6 +213,10 @@
 impl Desk {
     /// An end that is no delivery: the answer to a client that waits, else a notice. True if it is taken.
     fn end(&mut self, msg: MsgId, answer: Answer, owed: Owed) -> bool {
+        if let Some(kept) = self.spool.get(msg.0) {
+            let (id, legs) = (String::from_utf8_lossy(&kept.taken.id), kept.legs.len());
+            debug!("message {id} ends undelivered: {owed:?} after {legs} legs, {}", kept.taken.list);
+        }
         if let Some(asking) = self.asking.remove(&msg) {
             let _ = asking.try_send(answer);
             self.over(msg);
@@ -369,7 +376,12 @@
     fn take_orders(&mut self, change: Change, tell: &mut Vec<Tell>) {
         let (Change::Out(name) | Change::Back(name)) = &change else { return };
         write_orders(&self.out_file, &self.orders.borrow());
-        let Some(id) = self.endpoints.id_of(name) else { return };
+        // Guards against an endpoint that the decisions forgot while it was out: put back, it is known again.
+        let known = self.endpoints.id_of(name);
+        let revived = known.is_none() && matches!(change, Change::Back(_));
+        let Some(id) = known.or_else(|| revived.then(|| self.endpoints.revive(name)).flatten()) else {
+            return;
+        };
         let Some(e) = self.endpoints.get(id) else { return };
         let (dst, zone, kind, rate, says) = (e.dst, e.zone, e.kind, e.rate, self.as_ordered(name, e.listed));
         tell.push(Box::new(move |r| r.entry(id, dst, zone, kind, says, rate)));
@@ -381,6 +393,7 @@
     /// Tells what an earlier process of the relay left (rules 4 and 6 run on over an upgrade).
     fn carry_in(&mut self, snapshot: Snapshot, tell: &mut Vec<Tell>) {
         let snapshot = snapshot.binding(self.clock.unix_ms(self.now));
+        debug!("carried at {}: {}", self.clock.unix_ms(self.now), snapshot.written());
         let at = |ms: u64| {
             if ms == 0 { Duration::ZERO } else { self.clock.at_unix_ms(ms).max(Duration::from_millis(1)) }
         };
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -146,3 +146,40 @@
     };
     assert_eq!(code, Some(2), "a relay that started without its second address");
 }
+
+#[test]
+fn an_endpoint_out_for_longer_than_the_grace_serves_again_once_it_is_back() {
+    let one = Server::start(|_| answer(200, "", ""));
+    let ops = ops(vec![member("e1", one.address, 7, "single")]);
+    let relay = Relay::start(&ops.config, ops.dir.path());
+    assert_eq!(call(ops.mgmt, "POST", "/maintenance/enter?target=e1"), 200);
+    // Past the drain's grace the decisions forget it: nothing is out to it and no rule needs it.
+    until("it is forgotten", || {
+        std::fs::read_to_string(ops.dir.path().join("log")).unwrap_or_default().contains("forgotten")
+    });
+    assert_eq!(call(ops.mgmt, "POST", "/maintenance/exit?target=e1"), 200);
+    for n in 0..5 {
+        assert_eq!(relay.add(&format!("a{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+    }
+    until("calls to the endpoint that is back", || one.requests().len() >= 5);
+}
+
+#[test]
+fn an_endpoint_out_over_a_restart_and_forgotten_serves_again_once_it_is_back() {
+    let one = Server::start(|_| answer(200, "", ""));
+    let ops = ops(vec![member("e1", one.address, 7, "single")]);
+    let mut relay = Relay::start(&ops.config, ops.dir.path());
+    assert_eq!(call(ops.mgmt, "POST", "/maintenance/enter?target=e1"), 200);
+    relay.signal("TERM");
+    assert_eq!(relay.code(), Some(0));
+    let relay = Relay::start(&ops.config, ops.dir.path());
+    let forgotten = || std::fs::read_to_string(ops.dir.path().join("log")).unwrap_or_default();
+    until("it is forgotten", || forgotten().contains("forgotten while out by hand"));
+    for n in 0..5 {
+        assert_eq!(relay.add(&format!("a{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+    }
+    std::thread::sleep(ms(300));
+    assert_eq!(one.requests().len(), 0);
+    assert_eq!(call(ops.mgmt, "POST", "/maintenance/exit?target=e1"), 200);
+    until("calls to the endpoint that is back", || one.requests().len() >= 5);
+}
