Discovery asked again after pauses that double and are spread by a seeded chance

Change: crates/members decides the pause after a failed call: 100 ms doubled in a row up to 1.6 s (news counts as told 6 s later), spread over half to one and a half by a seeded chance, at least a wait the agent tells (3 s at most). Test: an agent that answers 503 is asked 3 to 12 times in 3 s (31 with a fixed pause).

--- /dev/null
+++ b/crates/members/src/lib.rs
@@ -0,0 +1,79 @@
+//! How a relay follows discovery's list of endpoints, decided without I/O: when it asks again after a call
+//! that failed. Many relays may fail at one moment (a release, a fleet restarted at once) against an agent
+//! that is short of room; asking again at a fixed pause keeps it full for all of them, and none gets a list.
+#![forbid(unsafe_code)]
+
+use std::time::Duration;
+
+/// The pause after the first failed call ...
+pub const FIRST: Duration = Duration::from_millis(100);
+/// ... doubled with each failure in a row, up to this. What discovery has to tell counts as told 6 s later
+/// whether it arrived or not (rule 3), so a relay must still ask several times within that span.
+pub const MOST: Duration = Duration::from_millis(1_600);
+/// A wait that discovery tells is kept, up to this.
+pub const TOLD_MOST: Duration = Duration::from_millis(3_000);
+
+/// The pause before the next call after `failures` failed calls in a row (1 or more), spread by `chance`
+/// (in 0..1) over half to one and a half of it, so that relays that failed together come back apart; at
+/// least a wait that discovery told, up to `TOLD_MOST`.
+pub fn again(failures: u32, told: Option<Duration>, chance: f64) -> Duration {
+    let grown = FIRST.saturating_mul(1 << failures.clamp(1, 16).saturating_sub(1)).min(MOST);
+    let spread = grown.mul_f64(0.5 + chance.clamp(0.0, 1.0));
+    told.map_or(spread, |told| spread.max(told.min(TOLD_MOST)))
+}
+
+/// Chance from a seed: the same seed gives the same draws (splitmix64).
+#[derive(Clone, Debug)]
+pub struct Chance(u64);
+
+impl Chance {
+    pub fn new(seed: u64) -> Chance {
+        Chance(seed)
+    }
+
+    /// A draw in 0..1.
+    pub fn draw(&mut self) -> f64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        ((z ^ (z >> 31)) >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ms(n: u64) -> Duration {
+        Duration::from_millis(n)
+    }
+
+    #[test]
+    fn pauses_grow_with_failures_in_a_row_up_to_a_bound() {
+        assert_eq!(again(1, None, 0.5), FIRST);
+        assert_eq!(again(2, None, 0.5), FIRST * 2);
+        assert_eq!(again(5, None, 0.5), MOST);
+        assert_eq!(again(40, None, 0.5), MOST);
+        assert_eq!(again(0, None, 0.5), FIRST);
+    }
+
+    #[test]
+    fn relays_that_failed_together_come_back_apart() {
+        assert_eq!(again(5, None, 0.0), MOST / 2);
+        assert_eq!(again(5, None, 1.0), MOST * 3 / 2);
+        let mut chance = Chance::new(7);
+        let draws: Vec<f64> = (0..1000).map(|_| chance.draw()).collect();
+        assert!(draws.iter().all(|d| (0.0..1.0).contains(d)));
+        let low = draws.iter().filter(|d| **d < 0.5).count();
+        assert!((400..600).contains(&low), "{low}");
+        assert_eq!(Chance::new(7).draw(), draws[0]);
+    }
+
+    #[test]
+    fn a_wait_that_discovery_tells_is_kept_within_a_bound() {
+        assert_eq!(again(1, Some(ms(900)), 0.5), ms(900));
+        assert_eq!(again(1, Some(ms(60_000)), 0.5), TOLD_MOST);
+        assert_eq!(again(5, Some(ms(10)), 0.5), MOST);
+    }
+}
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -5,6 +5,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{info, warn};
+use mountshift_members::{Chance, again};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,8 +14,6 @@
 const WAIT: Duration = Duration::from_millis(60_000);
 /// Beyond that, an answer that has not come will not come.
 const SLACK: Duration = Duration::from_millis(2_000);
-/// A call that failed at once is not repeated sooner.
-const PAUSE: Duration = Duration::from_millis(100);
 
 /// An entry of the list, as told.
 #[derive(Clone, Debug, PartialEq)]
@@ -83,6 +82,8 @@
     pub asked: Option<Receiver<()>>,
     /// Bytes of a list at most.
     pub most: usize,
+    /// Spreads the pauses after failed calls.
+    pub chance: Chance,
 }
 
 impl Follow {
@@ -90,13 +91,16 @@
     /// decisions ask for the list. Tells every list, or none for a call that failed.
     pub async fn run(mut self, tell: impl Fn(Option<Members>)) {
         let (mut connection, mut failures, mut start) = (None, 0, self.asked.is_some());
+        let mut told_wait = None;
         loop {
             let moved = async { self.moved.recv().await.ok() };
+            // Guards against a fleet that fails at one moment and keeps the agent full by asking together.
+            let pause = again(failures, told_wait, self.chance.draw());
             let next = async {
                 if start || failures > 0 {
                     match &self.asked {
                         Some(asked) => drop(asked.recv().await),
-                        None => drop(Timer::after(PAUSE).await),
+                        None => drop(Timer::after(pause).await),
                     }
                 }
                 Some(self.call(&mut connection).await)
@@ -119,29 +123,32 @@
                     (self.revision, failures) = (Some(list.revision), 0);
                     tell(Some(list));
                 }
-                Err(what) => {
+                Err((what, wait)) => {
                     // Told once, or an outage would fill the log.
                     if failures == 0 {
                         warn!("discovery: {what}");
                     }
-                    (connection, failures) = (None, failures + 1);
+                    (connection, failures, told_wait) = (None, failures + 1, wait);
                     tell(None);
                 }
             }
         }
     }
 
-    async fn call(&self, connection: &mut Option<Connection>) -> Result<Members, String> {
+    /// The list or its changes; else why not, with a wait that discovery told.
+    async fn call(&self, connection: &mut Option<Connection>) -> Result<Members, (String, Option<Duration>)> {
         let path = match self.revision {
             Some(n) => format!("/catalog/members?index={n}&wait={}", WAIT.as_millis()),
             None => "/catalog/members".to_string(),
         };
         let bytes = request("GET", &path, &self.at.to_string(), &[], &[]);
-        let answer = ask(connection, self.at, "discovery", &bytes, self.most, WAIT + SLACK).await?;
+        let asked = ask(connection, self.at, "discovery", &bytes, self.most, WAIT + SLACK).await;
+        let answer = asked.map_err(|e| (e, None))?;
         if answer.status != 200 {
-            return Err(format!("status {}", answer.status));
+            let wait = answer.retry_after.map(|s| Duration::from_secs_f64(s.min(1e6)));
+            return Err((format!("status {}", answer.status), wait));
         }
-        let json: Value = serde_json::from_slice(&answer.body).map_err(|e| e.to_string())?;
-        members(&json).ok_or_else(|| "the list can't be read".to_string())
+        let json: Value = serde_json::from_slice(&answer.body).map_err(|e| (e.to_string(), None))?;
+        members(&json).ok_or_else(|| ("the list can't be read".to_string(), None))
     }
 }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -198,6 +198,7 @@
             revision,
             asked: must_ask.then_some(watch_asked),
             most: start.memory / LIST_SHARE,
+            chance: mountshift_members::Chance::new(start.facts.seed),
         };
         executor.spawn(follow.run(listed)).detach();
         let taken = move |msgs| drop(taken.try_send(Event::Noticed(msgs)));
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -681,3 +681,16 @@
     ids.sort();
     assert_eq!(ids, ["m1", "m2"], "handed in twice, sent once");
 }
+
+#[test]
+fn a_discovery_that_refuses_is_asked_again_less_and_less_often() {
+    let agent = Server::start(|r| if r.path.starts_with("/catalog") { answer(503, "", "") } else { ok() });
+    let endpoint = Server::start(|_| ok());
+    let mut scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    scene.config["discovery"] = json!(agent.address.to_string());
+    let _relay = scene.relay();
+    sleep(ms(3_000));
+    let calls = agent.requests().iter().filter(|r| r.path.starts_with("/catalog")).count();
+    // A pause of 100 ms each time would make some 30 calls; doubling pauses up to 1.6 s make about 7.
+    assert!((3..=12).contains(&calls), "{calls} calls in 3 s");
+}
