The watch on discovery goes on after SIGTERM, for as long as legs go out

At fault: main.rs drops the sender of watch_moves 0.5 s after SIGTERM; Follow::run took that for its own end. Ruled out: late list, slow connect, queued task, old list at a restart, the decisions' table. Change: without a sender the watch goes on. Test a_drain_told_after_sigterm_is_kept, seen to fail without it.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -93,7 +93,12 @@
         let (mut connection, mut failures, mut start) = (None, 0, self.asked.is_some());
         let mut told_wait = None;
         loop {
-            let moved = async { self.moved.recv().await.ok() };
+            // Guards against an end of the watch while the relay still sends: nobody moves it any more once the
+            // relay is told to stop, and what is told from then on binds as before (rule 3).
+            let moved = async {
+                let Ok(to) = self.moved.recv().await else { return std::future::pending().await };
+                to
+            };
             // Guards against a fleet that fails at one moment and keeps the agent full by asking together.
             let pause = again(failures, told_wait, self.chance.draw());
             let next = async {
@@ -103,18 +108,17 @@
                         None => drop(Timer::after(pause).await),
                     }
                 }
-                Some(self.call(&mut connection).await)
+                self.call(&mut connection).await
             };
             // Guards against a watch that waits at an address that is no longer told anything. What is told
             // at the new one is asked for at once, and whole: its revisions may be counted anew.
-            let told = match async { moved.await.map(Err) }.or(async { next.await.map(Ok) }).await {
-                Some(Err(at)) => {
+            let told = match async { Err(moved.await) }.or(async { Ok(next.await) }).await {
+                Err(at) => {
                     (self.at, self.revision) = (at, None);
                     (connection, failures, start) = (None, 0, false);
                     continue;
                 }
-                Some(Ok(told)) => told,
-                None => return,
+                Ok(told) => told,
             };
             start = false;
             match told {
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -524,6 +524,29 @@
     assert_eq!((slow.ids().len(), scene.platform.notices().len()), (2, 0));
 }
 
+#[test]
+fn a_drain_told_after_sigterm_is_kept() {
+    // The first call is told to wait until after the drain; the relay still sends two seconds after SIGTERM.
+    let wait = std::sync::atomic::AtomicBool::new(true);
+    let endpoint = Server::start(move |_| {
+        if wait.swap(false, Ordering::SeqCst) { answer(429, "Retry-After: 1.8\r\n", "") } else { ok() }
+    });
+    let e1 = member("e1", endpoint.address, 7, "single");
+    let scene = scene(0, vec![e1.clone()]);
+    let mut relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=any,d=15000,dest=7", b"1"), "+OK");
+    until("the first call", || endpoint.ids().len() == 1);
+    relay.signal("TERM");
+    // Clients are sent away half a second later; the list must be followed beyond that.
+    sleep(ms(600));
+    let mut leaving = e1;
+    leaving["phase"] = json!("Terminating");
+    scene.platform.set(vec![leaving]);
+    assert_eq!(relay.code(), Some(0));
+    assert_eq!(endpoint.ids(), ["m1"]);
+    assert!(scene.log().contains("list 3: 1 entries"));
+}
+
 #[test]
 fn sigterm_does_not_wait_for_the_silent() {
     let hung = Server::start(|_| Act::Hang);
