What was told as leaving stays told: over restarts, old lists, late calls, a core that stood still

At fault: host.rs Host::new played its first round on the configuration's list; rules.rs may_reach gave a grace counted from when a list was heard; endpoints.rs asked it only after a slow connect; discovery.rs had no memory beyond the table of endpoints, which forgets; Host::run decided first after standing still. Change: crates/members keeps a book of endpoints told as leaving, in the state folder; LIST_WAIT in the module; late calls of every kind ask, without the grace; after a standstill what came is read first. Tests: ten, each seen to fail without its part; tests bind their free ports on loopback addresses of their own (two runs in one lost theirs to another test on a busy machine).

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -1,8 +1,11 @@
-//! How a relay follows discovery's list of endpoints, decided without I/O: when it asks again after a call
-//! that failed. Many relays may fail at one moment (a release, a fleet restarted at once) against an agent
+//! How a relay follows discovery's list of endpoints, decided without I/O: what stays told as leaving whatever
+//! an older list says ([`Book`]), and when it asks again after a call that failed. Many relays may fail at one moment (a release, a fleet restarted at once) against an agent
 //! that is short of room; asking again at a fixed pause keeps it full for all of them, and none gets a list.
 #![forbid(unsafe_code)]
 
+mod book;
+
+pub use book::{BOOK, BOOK_SHARE, Book, Entry, List, Phase};
 use std::time::Duration;
 
 /// The pause after the first failed call ...
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{info, warn};
-use mountshift_members::{Chance, again};
+use mountshift_members::{Chance, Phase, again};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -25,25 +25,22 @@
     pub dst: u32,
     pub phase: Phase,
     pub size: f64,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Phase {
-    Ready,
-    Draining,
-    Gone,
+    /// When it last started, Unix milliseconds; 0 for long ago.
+    pub up_since_ms: u64,
 }
 
 /// The list or its changes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Members {
+    /// Who counts the revisions.
+    pub source: SocketAddr,
     pub revision: u64,
     pub whole: bool,
     pub members: Vec<Member>,
 }
 
 /// Reads a list; entries that can't be read are left out with a log line.
-pub fn members(json: &Value) -> Option<Members> {
+pub fn members(json: &Value, source: SocketAddr) -> Option<Members> {
     let mut members = Vec::new();
     for entry in json["members"].as_array()? {
         match member(entry) {
@@ -51,7 +48,8 @@
             None => warn!("discovery: an entry can't be read: {entry}"),
         }
     }
-    Some(Members { revision: json["revision"].as_u64()?, whole: json["complete"].as_bool()?, members })
+    let (revision, whole) = (json["revision"].as_u64()?, json["complete"].as_bool()?);
+    Some(Members { source, revision, whole, members })
 }
 
 fn member(json: &Value) -> Option<Member> {
@@ -69,6 +67,7 @@
         dst: u32::try_from(json["cell"].as_u64()?).ok()?,
         phase,
         size: json["size"].as_f64().unwrap_or(0.0),
+        up_since_ms: json["up_since_ms"].as_u64().unwrap_or(0),
     })
 }
 
@@ -84,6 +83,8 @@
     pub most: usize,
     /// Spreads the pauses after failed calls.
     pub chance: Chance,
+    /// Discovery has answered since the start.
+    pub heard: bool,
 }
 
 impl Follow {
@@ -124,7 +125,7 @@
             match told {
                 Ok(list) => {
                     info!("list {}: {} entries, whole: {}", list.revision, list.members.len(), list.whole);
-                    (self.revision, failures) = (Some(list.revision), 0);
+                    (self.revision, failures, self.heard) = (Some(list.revision), 0, true);
                     tell(Some(list));
                 }
                 Err((what, wait)) => {
@@ -141,8 +142,10 @@
 
     /// The list or its changes; else why not, with a wait that discovery told.
     async fn call(&self, connection: &mut Option<Connection>) -> Result<Members, (String, Option<Duration>)> {
+        // The list held at first may be old: what changed since is asked for at once.
+        let wait = if self.heard { WAIT } else { Duration::from_millis(1) };
         let path = match self.revision {
-            Some(n) => format!("/catalog/members?index={n}&wait={}", WAIT.as_millis()),
+            Some(n) => format!("/catalog/members?index={n}&wait={}", wait.as_millis()),
             None => "/catalog/members".to_string(),
         };
         let bytes = request("GET", &path, &self.at.to_string(), &[], &[]);
@@ -153,6 +156,6 @@
             return Err((format!("status {}", answer.status), wait));
         }
         let json: Value = serde_json::from_slice(&answer.body).map_err(|e| (e.to_string(), None))?;
-        members(&json).ok_or_else(|| ("the list can't be read".to_string(), None))
+        members(&json, self.at).ok_or_else(|| ("the list can't be read".to_string(), None))
     }
 }
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -1,12 +1,13 @@
 //! Calls to endpoints, and the connections kept to them.
 
-use crate::discovery::{Member, Phase};
+use crate::discovery::Member;
 use crate::http::{Answer, Broken, Connection, request};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{debug, error, info};
 use mountshift::port::*;
+use mountshift_members::Phase;
 use mountshift_settings::SocketFacts;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
@@ -15,8 +16,8 @@
 use std::time::{Duration, Instant};
 
 const ANSWER_MOST: usize = 256 * 1024;
-/// A connection that took longer to come up asks before it carries its call.
-const SLOW_CONNECT: Duration = Duration::from_millis(50);
+/// A call whose first byte goes out longer after the decision asks first.
+const LATE: Duration = Duration::from_millis(50);
 /// An idle connection is not used for the last part of its time: the request has a way to go.
 const IDLE_SPARE: u32 = 10;
 
@@ -207,6 +208,7 @@
     pub parts: Vec<Part>,
     pub limit: Duration,
     pub connect: Duration,
+    pub decided: Instant,
     /// Asks if the endpoint may still be reached.
     pub may_reach: Box<dyn Fn() -> Receiver<bool>>,
 }
@@ -260,17 +262,8 @@
                     Timer::after(self.connect).await;
                     Err(std::io::ErrorKind::TimedOut.into())
                 };
-                let (name, start) = (format!("endpoint {}", self.endpoint.name), Instant::now());
+                let name = format!("endpoint {}", self.endpoint.name);
                 match Connection::open(self.endpoint.address, name).or(late).await {
-                    // Guards against a call decided long ago that crosses a wait or a drain told since.
-                    Ok(connection) if start.elapsed() > SLOW_CONNECT => {
-                        if !(self.may_reach)().recv().await.unwrap_or(false) {
-                            info!("call to endpoint {} not made: no longer allowed", self.endpoint.name);
-                            idle.keep(self.to, connection);
-                            return Err(Outcome::Moot);
-                        }
-                        connection
-                    }
                     Ok(connection) => connection,
                     Err(e) => {
                         info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
@@ -279,6 +272,13 @@
                 }
             }
         };
+        // Guards against a call decided long ago that crosses a wait or a drain told since: its connection came up
+        // slowly, or its task waited for the core. On a kept connection too.
+        if self.decided.elapsed() > LATE && !(self.may_reach)().recv().await.unwrap_or(false) {
+            info!("call to endpoint {} not made: no longer allowed", self.endpoint.name);
+            idle.keep(self.to, connection);
+            return Err(Outcome::Moot);
+        }
         let request = self.request();
         debug!("call to endpoint {}: {}", self.endpoint.name, String::from_utf8_lossy(&request));
         connection.write(&request).await.map_err(|_| Outcome::ConnectFailed)?;
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -2,7 +2,7 @@
 //! spool in step. Everything runs on one thread.
 
 use crate::clients::{Answer, HandedIn, Told, told};
-use crate::discovery::Members;
+use crate::discovery::{Member, Members};
 use crate::endpoints::{Call, End, Endpoint, Endpoints, Ends, Idle, Part};
 use crate::notices::Notice;
 use async_channel::{Receiver, Sender};
@@ -13,6 +13,7 @@
 use mountshift::port::*;
 use mountshift::rules::Relay;
 use mountshift_handover::{Route, Snapshot, Stopping};
+use mountshift_members::{Book, Entry, List};
 use mountshift_orders::{Change, Orders};
 use mountshift_settings::SocketFacts;
 use mountshift_spool::{End as Owed, Spool, Taken};
@@ -28,6 +29,8 @@
 /// Between two looks while stopping, and at idle connections else.
 const STOP_LOOK: Duration = Duration::from_millis(20);
 const SWEEP: Duration = Duration::from_millis(500);
+/// A round so late means that the process stood still.
+const STOOD_STILL: Duration = Duration::from_millis(100);
 
 /// What came in.
 pub enum Event {
@@ -36,7 +39,7 @@
     Gone(MsgId),
     /// Messages of a call have ended.
     Ended(u64, Ends),
-    /// A connection to this endpoint was slow to come up: may it still be reached?
+    /// A call to this endpoint begins late: may it still be reached?
     Late(EndpointId, Sender<bool>),
     /// The list or its changes; none if a call for it failed.
     List(Option<Members>),
@@ -129,6 +132,10 @@
     out_file: PathBuf,
     /// Where what outlives the process is written down for the next one.
     snapshot_file: PathBuf,
+    /// Endpoints told as leaving, where that is written down, and in how many bytes at most.
+    book: Book,
+    book_file: PathBuf,
+    book_most: usize,
 }
 
 impl Writer for Desk {
@@ -270,7 +277,10 @@
                 }
                 ends.ends.into_iter().for_each(|end| self.take_end(call, end, tell));
             }
-            Event::List(Some(list)) => self.take_list(list, tell),
+            Event::List(Some(list)) => {
+                self.take_list(list, tell);
+                tell.push(Box::new(Relay::listed));
+            }
             Event::List(None) => tell.push(Box::new(Relay::watch_failed)),
             Event::Noticed(taken) => {
                 taken.iter().for_each(|msg| self.remember(*msg));
@@ -351,7 +361,8 @@
         tell.push(Box::new(move |r| r.outcome(msg, to, waited, outcome, over)));
     }
 
-    fn take_list(&mut self, list: Members, tell: &mut Vec<Tell>) {
+    fn take_list(&mut self, mut list: Members, tell: &mut Vec<Tell>) {
+        self.take_down(&mut list);
         if list.whole {
             tell.push(Box::new(Relay::whole_list));
         }
@@ -368,6 +379,30 @@
         }
     }
 
+    /// Guards rule 3 against lists that are older than what was told: an endpoint told as leaving stays so,
+    /// beyond this process too, until it is newly listed.
+    fn take_down(&mut self, list: &mut Members) {
+        let source = list.source.to_string();
+        let now_ms = self.clock.unix_ms(self.now);
+        let head = List { source: &source, revision: list.revision, whole: list.whole, now_ms };
+        fn entry(m: &Member) -> Entry<'_> {
+            Entry { id: &m.id, phase: m.phase, up_since_ms: m.up_since_ms }
+        }
+        let entries: Vec<Entry> = list.members.iter().map(entry).collect();
+        let (phases, old) = self.book.take(&head, &entries);
+        if old > 0 {
+            info!(
+                "list {}: {old} entries say ready of endpoints told as leaving; they stay so",
+                list.revision
+            );
+        }
+        list.members.iter_mut().zip(phases).for_each(|(m, phase)| m.phase = phase);
+        let Some(text) = self.book.written(self.book_most) else { return };
+        if let Err(e) = write_anew(&self.book_file, &text) {
+            error!("{}: {e}", self.book_file.display());
+        }
+    }
+
     /// An endpoint out by hand is draining for this relay, whatever the list says (rule 3).
     fn as_ordered(&self, name: &str, says: Listed) -> Listed {
         if says == Listed::Ready && self.orders.borrow().is_out(name) { Listed::Draining } else { says }
@@ -500,7 +535,8 @@
             let _ = late.try_send(Event::Late(to, tell));
             told
         });
-        let call = Call { to, endpoint, parts, limit, connect: self.facts.connect, may_reach };
+        let (connect, decided) = (self.facts.connect, Instant::now());
+        let call = Call { to, endpoint, parts, limit, connect, decided, may_reach };
         let tell = move |ends| drop(events.try_send(Event::Ended(n, ends)));
         self.executor.spawn(async move { call.run(&idle, tell).await })
     }
@@ -537,6 +573,10 @@
     /// What an earlier process left, and where this one writes it down.
     pub carried: Option<Snapshot>,
     pub snapshot_file: PathBuf,
+    /// Endpoints told as leaving, to an earlier process too.
+    pub book: Book,
+    pub book_file: PathBuf,
+    pub book_most: usize,
 }
 
 pub struct Host {
@@ -577,6 +617,9 @@
             orders: parts.orders,
             out_file: parts.out_file,
             snapshot_file: parts.snapshot_file,
+            book: parts.book,
+            book_file: parts.book_file,
+            book_most: parts.book_most,
         };
         let relay = Relay::new(parts.facts);
         let mut host = Host {
@@ -589,6 +632,7 @@
         };
         let mut tell = Vec::new();
         parts.known.into_iter().for_each(|list| host.desk.take_list(list, &mut tell));
+        tell.push(Box::new(Relay::list_may_be_old));
         parts.carried.into_iter().for_each(|snapshot| host.desk.carry_in(snapshot, &mut tell));
         host.desk.restore(&mut tell);
         host.round(tell);
@@ -620,6 +664,11 @@
             let first = async { self.came.recv().await.ok() }.or(timer).await;
             // All that comes within the shortest gap goes into one round.
             Timer::at(self.desk.clock.instant(self.desk.now) + gap).await;
+            // Guards rule 3 on a core that stood still: what was told meanwhile is read before anything is decided.
+            let due = wake.map_or(sweep, |w| w.min(sweep)) + gap;
+            if Instant::now().saturating_duration_since(due) > STOOD_STILL {
+                Timer::after(STOP_LOOK).await;
+            }
             if swept.elapsed() >= SWEEP {
                 self.desk.idle.close_old();
                 swept = Instant::now();
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -21,6 +21,7 @@
 use log::{error, info, warn};
 use mountshift::port::MsgId;
 use mountshift_handover::{LOCK, NEXT, OWNER_SHARE, Role, SNAPSHOT, Side, Snapshot, TAKER_SHARE, carries};
+use mountshift_members::{BOOK, BOOK_SHARE, Book};
 use mountshift_orders::{Change, Orders};
 use mountshift_spool::{End, Kept, Spool};
 use notices::Notice;
@@ -127,6 +128,25 @@
     }
 }
 
+/// What earlier processes were told of endpoints that leave. A book that can't be read ends nothing: what is
+/// left of it counts, and discovery is asked before anything goes out.
+fn book(state: &Path) -> Book {
+    let path = state.join(BOOK);
+    let text = match std::fs::read(&path) {
+        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => String::new(),
+        Err(e) => {
+            error!("{}: {e}", path.display());
+            String::new()
+        }
+    };
+    let (book, bad) = Book::read(&text);
+    if bad > 0 {
+        error!("{}: {bad} lines can't be read and are left out", path.display());
+    }
+    book
+}
+
 /// Makes the owner's spool one with what a taker took in beside it, in the order in which all was taken on,
 /// before any number of it is used. What does not fit ends by a notice. The taker's spool is gone after.
 fn adopt(
@@ -180,7 +200,10 @@
     let (watch_moves, watch_moved) = async_channel::unbounded();
     let (notices_move, notices_moved) = async_channel::unbounded();
     let open = Rc::new(Cell::new(0));
-    let known = discovery::members(&start.known);
+    let known = discovery::members(&start.known, start.discovery);
+    if known.is_none() {
+        warn!("the configuration's known list can't be read; discovery is asked for the whole list");
+    }
     let revision = known.as_ref().map(|list| list.revision);
     let must_ask = start.facts.must_watch;
     let started = Instant::now();
@@ -199,6 +222,7 @@
             asked: must_ask.then_some(watch_asked),
             most: start.memory / LIST_SHARE,
             chance: mountshift_members::Chance::new(start.facts.seed),
+            heard: false,
         };
         executor.spawn(follow.run(listed)).detach();
         let taken = move |msgs| drop(taken.try_send(Event::Noticed(msgs)));
@@ -327,6 +351,9 @@
             out_file,
             carried: if carries(role) { carried(&start.state)? } else { None },
             snapshot_file: start.state.join(SNAPSHOT),
+            book: book(&start.state),
+            book_file: start.state.join(BOOK),
+            book_most: share(BOOK_SHARE) as usize,
         });
         stash.into_iter().for_each(|event| drop(events_in.try_send(event)));
         host.run().await;
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -145,6 +145,50 @@
     assert!(all[1..].iter().all(|r| gap(r) >= ms(2_000)), "{:?}", all.iter().map(gap).collect::<Vec<_>>());
 }
 
+#[test]
+fn a_connection_that_comes_up_late_crosses_no_drain() {
+    // When discovery told it can't be known here: within the grace of when it was heard it may be long ago.
+    let (listener, fillers) = full();
+    let e1 = member("e1", listener.local_addr().expect("an address"), 7, "single");
+    let other = Server::start(|_| ok());
+    let scene = scene(0, vec![e1.clone()]);
+    let relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
+    sleep(ms(200));
+    let mut leaving = e1;
+    leaving["phase"] = json!("Terminating");
+    scene.platform.set(vec![leaving, member("e2", other.address, 7, "single")]);
+    until("the list", || scene.log().contains("list 3:"));
+    drop(fillers);
+    let late = Server::on(listener, |_| ok());
+    until("the call elsewhere", || other.ids() == ["m1"]);
+    assert_eq!(late.ids().len(), 0);
+    assert!(scene.log().contains("call to endpoint e1 not made: no longer allowed"));
+}
+
+#[test]
+fn a_relay_that_stood_still_hears_of_drains_first() {
+    let wait = AtomicBool::new(true);
+    let endpoint = Server::start(move |_| {
+        if wait.swap(false, Ordering::SeqCst) { answer(429, "Retry-After: 0.6\r\n", "") } else { ok() }
+    });
+    let e1 = member("e1", endpoint.address, 7, "single");
+    let scene = scene(0, vec![e1.clone()]);
+    let relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=any,d=15000,dest=7", b"1"), "+OK");
+    until("the first call", || endpoint.ids().len() == 1);
+    sleep(ms(100));
+    relay.signal("STOP");
+    until("the relay to stand still", || relay.stands_still());
+    let mut leaving = e1;
+    leaving["phase"] = json!("Terminating");
+    scene.platform.set(vec![leaving]);
+    sleep(ms(1_500));
+    relay.signal("CONT");
+    sleep(ms(700));
+    assert_eq!(endpoint.ids(), ["m1"]);
+}
+
 #[test]
 fn no_call_outlasts_the_limit_of_any_of_its_messages() {
     // Every call with several messages is answered well, but later than the first of them may still be delivered.
@@ -450,6 +494,106 @@
     assert!(scene.platform.notices().is_empty());
 }
 
+/// `e1` of destination 7, as the configuration still lists it, and as discovery told the first process.
+fn told_before() -> (Server, Server, Scene, Vec<Value>) {
+    let (old, new) = (Server::start(|_| ok()), Server::start(|_| ok()));
+    let scene = scene(0, vec![member("e1", old.address, 7, "single")]);
+    let mut leaving = member("e1", old.address, 7, "single");
+    leaving["phase"] = json!("Terminating");
+    let list = vec![leaving, member("e2", new.address, 7, "single")];
+    (old, new, scene, list)
+}
+
+#[test_case("TERM")]
+#[test_case("KILL")]
+fn a_drain_told_to_an_earlier_process_is_kept(signal: &str) {
+    let (old, new, scene, list) = told_before();
+    let relay = scene.relay();
+    scene.platform.set(list);
+    let book = scene.dir.path().join("state/leaving");
+    until("the book", || std::fs::read_to_string(&book).is_ok_and(|text| text.contains("e1 ")));
+    relay.signal(signal);
+    drop(relay);
+    // Discovery says nothing to the next process, whose configuration lists e1 as ready and knows of no other.
+    let silent = Server::start(|_| Act::Hang);
+    let relay = Relay::start_with(&scene.config, scene.dir.path(), Some(silent.address));
+    assert_eq!(relay.add("m1", 0, "c=any,d=1500,dest=7", b""), "+OK");
+    sleep(ms(1_000));
+    assert!(scene.log().contains("1 entries say ready of endpoints told as leaving; they stay so"));
+    drop(relay);
+    let _relay = scene.relay();
+    until("the call", || new.ids() == ["m1"]);
+    assert_eq!(old.ids().len(), 0);
+}
+
+#[test]
+fn a_restart_asks_discovery_before_it_sends() {
+    let (old, new) = (Server::start(|_| answer(429, "Retry-After: 9\r\n", "")), Server::start(|_| ok()));
+    let e1 = member("e1", old.address, 7, "single");
+    let scene = scene(0, vec![e1.clone()]);
+    let relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=any,d=15000,dest=7", b""), "+OK");
+    until("the call", || old.ids() == ["m1"]);
+    relay.signal("KILL");
+    drop(relay);
+    // What discovery tells while no process runs counts as told; nothing of it stands in the folder. The restart
+    // ends the wait, so that m1 could go at once.
+    let mut leaving = e1;
+    leaving["phase"] = json!("Terminating");
+    scene.platform.set(vec![leaving, member("e2", new.address, 7, "single")]);
+    let _relay = scene.relay();
+    until("the call", || new.ids() == ["m1"]);
+    assert_eq!(old.ids(), ["m1"]);
+}
+
+#[test]
+fn a_start_on_a_list_that_is_up_to_date_holds_nothing_up() {
+    let endpoint = Server::start(|_| ok());
+    let mut scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    scene.config["known"]["revision"] = json!(2);
+    let relay = scene.relay();
+    let start = Instant::now();
+    assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
+    until("the call", || endpoint.ids() == ["m1"]);
+    // Nothing changed since: discovery says so at once, and does not wait for a change.
+    assert!(start.elapsed() < ms(400), "{:?}", start.elapsed());
+}
+
+#[test]
+fn a_stale_list_from_another_discovery_revives_nothing() {
+    let (old, new, scene, list) = told_before();
+    let relay = scene.relay();
+    scene.platform.set(list.clone());
+    until("the list", || scene.log().contains("list 3:"));
+    let stale = Platform::start(0);
+    stale.set(vec![member("e1", old.address, 7, "single"), member("e2", new.address, 7, "single")]);
+    let mut config = scene.config.clone();
+    config["discovery"] = json!(stale.server.address.to_string());
+    std::fs::write(scene.dir.path().join("config.json"), config.to_string()).expect("a config");
+    // After the grace, when the decisions have forgotten e1 too, a drain is as binding as before.
+    sleep(ms(1_200));
+    relay.signal("HUP");
+    until("the list", || scene.log().contains("list 2:"));
+    for n in 0..6 {
+        assert_eq!(relay.add(&format!("m{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+    }
+    until("the calls", || new.ids().len() == 6);
+    assert_eq!(old.ids().len(), 0);
+}
+
+#[test]
+fn a_book_that_cannot_be_read_is_one_line() {
+    let endpoint = Server::start(|_| ok());
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let state = scene.dir.path().join("state");
+    std::fs::create_dir_all(&state).expect("a folder");
+    std::fs::write(state.join("leaving"), b"\xff\0what\nno row\n").expect("a book");
+    let relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
+    until("the call", || endpoint.ids() == ["m1"]);
+    assert_eq!(scene.log().matches("leaving: 2 lines can't be read and are left out").count(), 1);
+}
+
 #[test]
 fn an_owed_notice_outlives_the_process() {
     let endpoint = Server::start(|_| answer(500, "", ""));
--- a/crates/relay/tests/standins/mod.rs
+++ b/crates/relay/tests/standins/mod.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -143,14 +144,24 @@
                 *left = left.saturating_sub(1);
                 return answer(status, "", "");
             }
-            let index =
-                request.path.split("index=").nth(1).and_then(|t| t.split('&').next()?.parse::<u64>().ok());
+            let asked = |name: &str| -> Option<u64> {
+                request.path.split(name).nth(1).and_then(|t| t.split('&').next()?.parse().ok())
+            };
+            let (index, by) =
+                (asked("index="), Instant::now() + Duration::from_millis(asked("wait=").unwrap_or(0)));
             loop {
                 let (revision, members) = shown.lock().expect("a list").clone();
                 if index.is_none_or(|index| index < revision) {
                     let list = json!({"revision": revision, "complete": true, "members": members});
                     return answer(200, "", &list.to_string());
                 }
+                if Instant::now() >= by {
+                    return answer(
+                        200,
+                        "",
+                        &json!({"revision": index, "complete": false, "members": []}).to_string(),
+                    );
+                }
                 thread::sleep(Duration::from_millis(5));
             }
         });
@@ -221,9 +232,14 @@
     command
 }
 
-/// A free address, as far as that can be told.
+/// A free address: on a loopback address of its own, so that no server or connection of another test, here or
+/// in a process beside this one, takes the port before it is used.
 pub fn free() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+    static COUNT: AtomicU32 = AtomicU32::new(0);
+    let (process, n) = (std::process::id(), COUNT.fetch_add(1, Ordering::SeqCst));
+    let part = |n: u32| (n % 250) as u8 + 1;
+    let own = [127, part(process / 250 % 120 + 100), part(process), part(n)];
+    TcpListener::bind(SocketAddr::from((own, 0))).and_then(|l| l.local_addr()).expect("a port")
 }
 
 impl Relay {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,6 +21,7 @@
 const WAKE: Duration = ms(20);
 const MARGIN: Duration = ms(40); // before a deadline
 const WATCH_AGAIN: Duration = ms(500);
+const LIST_WAIT: Duration = ms(500); // nothing goes out on a list that may be old before discovery has answered
 // The breaker.
 const THRESHOLD: u32 = 5; // consecutive failures that open it ...
 const WINDOW: Duration = ms(20_000); // ... inside this window
@@ -222,7 +223,8 @@
     watch_at: Option<Duration>,
     wake_at: Option<Duration>,
     lines_to_log: Vec<String>,
-    handing_over: bool,    // a process beside this one takes over: no new leg
+    handing_over: bool, // a process beside this one takes over: no new leg
+    list_due: Option<Duration>,
     carried: Vec<Carried>, // as last told
 }
 
@@ -377,6 +379,18 @@
         route_id.and_then(|r| self.routes.get_mut(&r)).into_iter().for_each(|r| Relay::turn_cold(r, now));
     }
 
+    /// The list held at a start may be older than what discovery told since (rule 3): nothing goes out on it
+    /// until discovery answers. Guards against sends to what was told as leaving while no process ran. Harm: a
+    /// pause at a start with discovery down.
+    pub fn list_may_be_old(&mut self) {
+        self.list_due = Some(self.now + LIST_WAIT);
+    }
+
+    /// Discovery has answered.
+    pub fn listed(&mut self) {
+        self.list_due = None;
+    }
+
     pub fn watch_failed(&mut self) {
         let again = self.now + WATCH_AGAIN.mul_f64(0.5 + self.chance(0));
         self.watch_at = self.facts.must_watch.then_some(again);
@@ -604,7 +618,8 @@
                 waiting.entry(msg.dst).or_default().push(*id);
             }
         }
-        while !self.handing_over && self.calls.len() < self.facts.slots {
+        let still = self.handing_over || self.list_due.is_some_and(|at| self.now < at);
+        while !still && self.calls.len() < self.facts.slots {
             let next = waiting.keys().min_by_key(|d| (self.calls_out(**d), self.near.get(d).map(|n| n.1)));
             let Some(dst) = next.copied() else { break };
             let mut list = waiting.remove(&dst).unwrap_or_default();
@@ -779,11 +794,11 @@
         Some(span)
     }
 
-    /// Rules 3 and 6. A host asks again where a connection was slow to come up: both may have changed.
+    /// Rules 3 and 6. A host asks again where a call begins late: both may have changed. The grace is not made
+    /// use of, as discovery may have told long before its list was heard (it was down, or this process was).
     pub fn may_reach(&self, to: EndpointId, now: Duration) -> bool {
         let Some(ep) = self.endpoints.get(&to) else { return false };
-        let drained = ep.off_since.is_some_and(|at| now >= at + self.facts.drain_grace);
-        !drained && now >= self.routes[&self.route_of(to)].told_until
+        ep.off_since.is_none() && now >= self.routes[&self.route_of(to)].told_until
     }
 
     fn timeout(&self, to: EndpointId, row: &LaneFacts, late: u32) -> Duration {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -160,6 +160,8 @@
         }
         "ended" => r.end(w.msg(), false),
         "wait" => r.told_to_wait(w.endpoint(1), w.span("for", 0.0)),
+        "oldlist" => r.list_may_be_old(),
+        "listed" => r.listed(),
         "nolist" => r.watch_failed(),
         other => panic!("no event {other}"),
     }
@@ -170,6 +172,7 @@
 #[test_case("rule2-zone"; "rule 2 repeats stay in the group")]
 #[test_case("rule2-push"; "rule 2 pushback only where allowed")]
 #[test_case("rule3"; "rule 3 drains are kept")]
+#[test_case("rule3-start"; "rule 3 a list that may be old")]
 #[test_case("rule4"; "rule 4 a cold destination is not pushed over")]
 #[test_case("rule5"; "rule 5 order by key")]
 #[test_case("rule6"; "rule 6 waits are heeded")]
