A crowd's calls to discovery are spread over the span in which the settings ask for one

'n0: 14.483 starts ... 16.490 discovery: status 503 ... 35.2' (24 calls, no list). Ruled out: a told wait that is cut (no Retry-After comes), whole lists (only index=0 changes are asked), a discovery that is down (16 old watches are answered at 16, 22, 27 and 33 s). At fault: Relay::new (watch at zero in every relay), WATCH_AGAIN (0.5 s for all), with a discovery that takes more calls than it can answer in 2 s: each call is given up, is work all the same, and is made again. Change: the settings tell that each relay is to ask within 10 s (askWithin); so much discovery bears. First calls are spread over 0.8 of that, pauses after failures are about that, where lists come only when asked for and relays are more than six. The rule on drains allows 4 x 10 s after a failed call. Test: a model of one bounded discovery and 350 relays (crates/members), which never recovers without the spread.

--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -89,7 +89,7 @@
         Tell::Wait { to, wait } => r.told_to_wait(to, wait),
         Tell::WholeList => r.whole_list(),
         Tell::Entry { id, dst, zone, kind, listed, rate } => r.entry(id, dst, zone, kind, listed, rate),
-        Tell::WatchFailed => r.watch_failed(),
+        Tell::WatchFailed => r.watch_failed(None),
         Tell::Over(msg) => r.over(msg),
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -215,6 +215,7 @@
                 scenario::Rates::Untold => ListedRate::Untold,
             },
             must_watch: s.relays.watch,
+            ask_within: s.rules.ask_within.0,
             may_recall: s.relays.recall,
             max_pause: s.rules.max_pause.0,
             drain_grace: s.rules.drain_grace.0,
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -16,13 +16,44 @@
 /// A wait that discovery tells is kept, up to this.
 pub const TOLD_MOST: Duration = Duration::from_millis(3_000);
 
-/// The pause before the next call after `failures` failed calls in a row (1 or more), spread by `chance`
-/// (in 0..1) over half to one and a half of it, so that relays that failed together come back apart; at
-/// least a wait that discovery told, up to `TOLD_MOST`.
-pub fn again(failures: u32, told: Option<Duration>, chance: f64) -> Duration {
-    let grown = FIRST.saturating_mul(1 << failures.clamp(1, 16).saturating_sub(1)).min(MOST);
-    let spread = grown.mul_f64(0.5 + chance.clamp(0.0, 1.0));
-    told.map_or(spread, |told| spread.max(told.min(TOLD_MOST)))
+/// So many relays may ask together.
+pub const TOGETHER: u32 = 6;
+/// The share of the span within which each relay is to ask that a crowd's calls are spread over.
+pub const SPREAD: f64 = 0.8;
+
+/// What the settings tell of asking for lists.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Terms {
+    pub relays: u32,
+    /// A relay is to ask so often; zero where lists come unasked.
+    pub ask_within: Duration,
+}
+
+impl Terms {
+    /// What discovery surely bears is a call of each relay in `ask_within`. A crowd that starts or fails at one
+    /// moment asks for more: each call then waits behind the others until its relay has given it up, costs
+    /// discovery all the same, and is made again; so none is answered any more, for good. Calls spread over
+    /// this span are within what it bears. Harm: a list heard later by up to that, so few relays don't spread.
+    pub fn spread(&self) -> Duration {
+        let crowd = 1.0 - f64::from(TOGETHER) / f64::from(self.relays.max(TOGETHER));
+        self.ask_within.mul_f64(SPREAD * crowd)
+    }
+
+    /// The pause before the first call; `chance` is in 0..1.
+    pub fn first(&self, chance: f64) -> Duration {
+        self.spread().mul_f64(chance.clamp(0.0, 1.0))
+    }
+
+    /// The pause before the next call after `failures` failed calls in a row (1 or more), spread by `chance`
+    /// (in 0..1) over half to one and a half of it, so that relays that failed together come back apart; at
+    /// least a wait that discovery told, up to `TOLD_MOST`. After a failed call the rule on drains gives four
+    /// times `ask_within`, which is more than the longest of these pauses and the call's time together.
+    pub fn again(&self, failures: u32, told: Option<Duration>, chance: f64) -> Duration {
+        let grown = FIRST.saturating_mul(1 << failures.clamp(1, 16).saturating_sub(1)).min(MOST);
+        let crowd = if failures > 1 { self.spread() } else { self.spread() / 2 };
+        let spread = grown.max(crowd).mul_f64(0.5 + chance.clamp(0.0, 1.0));
+        told.map_or(spread, |told| spread.max(told.min(TOLD_MOST)))
+    }
 }
 
 /// Chance from a seed: the same seed gives the same draws (splitmix64).
@@ -54,17 +85,17 @@
 
     #[test]
     fn pauses_grow_with_failures_in_a_row_up_to_a_bound() {
-        assert_eq!(again(1, None, 0.5), FIRST);
-        assert_eq!(again(2, None, 0.5), FIRST * 2);
-        assert_eq!(again(5, None, 0.5), MOST);
-        assert_eq!(again(40, None, 0.5), MOST);
-        assert_eq!(again(0, None, 0.5), FIRST);
+        assert_eq!(Terms::default().again(1, None, 0.5), FIRST);
+        assert_eq!(Terms::default().again(2, None, 0.5), FIRST * 2);
+        assert_eq!(Terms::default().again(5, None, 0.5), MOST);
+        assert_eq!(Terms::default().again(40, None, 0.5), MOST);
+        assert_eq!(Terms::default().again(0, None, 0.5), FIRST);
     }
 
     #[test]
     fn relays_that_failed_together_come_back_apart() {
-        assert_eq!(again(5, None, 0.0), MOST / 2);
-        assert_eq!(again(5, None, 1.0), MOST * 3 / 2);
+        assert_eq!(Terms::default().again(5, None, 0.0), MOST / 2);
+        assert_eq!(Terms::default().again(5, None, 1.0), MOST * 3 / 2);
         let mut chance = Chance::new(7);
         let draws: Vec<f64> = (0..1000).map(|_| chance.draw()).collect();
         assert!(draws.iter().all(|d| (0.0..1.0).contains(d)));
@@ -75,8 +106,12 @@
 
     #[test]
     fn a_wait_that_discovery_tells_is_kept_within_a_bound() {
-        assert_eq!(again(1, Some(ms(900)), 0.5), ms(900));
-        assert_eq!(again(1, Some(ms(60_000)), 0.5), TOLD_MOST);
-        assert_eq!(again(5, Some(ms(10)), 0.5), MOST);
+        assert_eq!(Terms::default().again(1, Some(ms(900)), 0.5), ms(900));
+        assert_eq!(Terms::default().again(1, Some(ms(60_000)), 0.5), TOLD_MOST);
+        assert_eq!(Terms::default().again(5, Some(ms(10)), 0.5), MOST);
     }
 }
+
+#[cfg(test)]
+#[path = "agent_tests.rs"]
+mod agent;
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{info, warn};
-use mountshift_members::{Chance, Phase, again};
+use mountshift_members::{Chance, Phase, Terms};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -89,8 +89,8 @@
 
 impl Follow {
     /// Runs for good. After a failed call the next one starts by itself, or once asked for where the
-    /// decisions ask for the list. Tells every list, or none for a call that failed.
-    pub async fn run(mut self, tell: impl Fn(Option<Members>)) {
+    /// decisions ask for the list. Tells every list, or the wait told, if any, for a call that failed.
+    pub async fn run(mut self, tell: impl Fn(Result<Members, Option<Duration>>)) {
         let (mut connection, mut failures, mut start) = (None, 0, self.asked.is_some());
         let mut told_wait = None;
         loop {
@@ -101,7 +101,7 @@
                 to
             };
             // Guards against a fleet that fails at one moment and keeps the agent full by asking together.
-            let pause = again(failures, told_wait, self.chance.draw());
+            let pause = Terms::default().again(failures, told_wait, self.chance.draw());
             let next = async {
                 if start || failures > 0 {
                     match &self.asked {
@@ -126,7 +126,7 @@
                 Ok(list) => {
                     info!("list {}: {} entries, whole: {}", list.revision, list.members.len(), list.whole);
                     (self.revision, failures, self.heard) = (Some(list.revision), 0, true);
-                    tell(Some(list));
+                    tell(Ok(list));
                 }
                 Err((what, wait)) => {
                     // Told once, or an outage would fill the log.
@@ -134,7 +134,7 @@
                         warn!("discovery: {what}");
                     }
                     (connection, failures, told_wait) = (None, failures + 1, wait);
-                    tell(None);
+                    tell(Err(wait));
                 }
             }
         }
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -41,8 +41,8 @@
     Ended(u64, Ends),
     /// A call to this endpoint begins late: may it still be reached?
     Late(EndpointId, Sender<bool>),
-    /// The list or its changes; none if a call for it failed.
-    List(Option<Members>),
+    /// The list or its changes; or a call for it failed, with a wait if one was told.
+    List(Result<Members, Option<Duration>>),
     /// The platform took these ends.
     Noticed(Vec<MsgId>),
     /// An operator's call changed the orders.
@@ -277,11 +277,11 @@
                 }
                 ends.ends.into_iter().for_each(|end| self.take_end(call, end, tell));
             }
-            Event::List(Some(list)) => {
+            Event::List(Ok(list)) => {
                 self.take_list(list, tell);
                 tell.push(Box::new(Relay::listed));
             }
-            Event::List(None) => tell.push(Box::new(Relay::watch_failed)),
+            Event::List(Err(wait)) => tell.push(Box::new(move |r| r.watch_failed(wait))),
             Event::Noticed(taken) => {
                 taken.iter().for_each(|msg| self.remember(*msg));
                 taken.into_iter().for_each(|msg| self.take_over(msg, tell));
--- a/crates/relay/src/reception.rs
+++ b/crates/relay/src/reception.rs
@@ -93,9 +93,9 @@
                         }
                         stash.push(Event::Orders(change));
                     }
-                    Event::List(Some(list)) => {
+                    Event::List(Ok(list)) => {
                         list.members.iter().for_each(|m| self.orders.borrow_mut().listed(&m.id));
-                        stash.push(Event::List(Some(list)));
+                        stash.push(Event::List(Ok(list)));
                     }
                     other => stash.push(other),
                 }
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -125,6 +125,8 @@
     pub legs: NonZeroU32,
     pub drain_grace: Span,
     pub order_pause: Span,
+    /// A relay that asks for lists is to ask so often.
+    pub ask_within: Span,
     /// Capacity just after an outage, as a share.
     pub cold_from: Share,
     pub warm_after: Span,
@@ -142,6 +144,7 @@
             legs: n(8),
             drain_grace: ms(1_000),
             order_pause: ms(300),
+            ask_within: ms(10_000),
             cold_from: Share(0.3),
             warm_after: ms(10_000),
             fall_multiple: Rate(1.5),
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -159,6 +159,7 @@
             _ => ListedRate::Untold,
         },
         must_watch: pairs.or("discovery", "automatic".to_string())? == "subscribe",
+        ask_within: pairs.span_or_none("obligations.askWithin")?,
         may_recall: pairs.or("limits.cancel", false)?,
         max_pause: pairs.span_or_none("limits.maxRetryAfter")?,
         drain_grace: pairs.span_or_none("obligations.drainGrace")?,
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -175,9 +175,10 @@
             f.u64("generation")?;
             let how = f.u8("how")?;
             if how == wire::LIST_FAILED {
-                r.watch_failed();
+                r.watch_failed(None);
                 return Ok(());
             }
+            r.listed();
             let list = list.as_ref().ok_or("ROSTER_CHANGE: names a list that has not come")?;
             if how != wire::LIST_DELTA {
                 r.whole_list();
--- a/src/port.rs
+++ b/src/port.rs
@@ -159,6 +159,8 @@
     pub listed_rate: ListedRate,
     /// The list comes only when asked for.
     pub must_watch: bool,
+    /// Where it does: how often a relay is to ask.
+    pub ask_within: Duration,
     pub may_recall: bool,
     pub max_pause: Duration,
     pub drain_grace: Duration,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -10,6 +10,7 @@
 mod carry;
 
 use crate::port::*;
+use mountshift_members::Terms;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -20,7 +21,6 @@
 
 const WAKE: Duration = ms(20);
 const MARGIN: Duration = ms(40); // before a deadline
-const WATCH_AGAIN: Duration = ms(500);
 const LIST_WAIT: Duration = ms(500); // nothing goes out on a list that may be old before discovery has answered
 // The breaker.
 const THRESHOLD: u32 = 5; // consecutive failures that open it ...
@@ -221,6 +221,7 @@
     ended_at: Vec<EndpointId>,
     count: u64,
     watch_at: Option<Duration>,
+    watch_failures: u32, // in a row
     wake_at: Option<Duration>,
     lines_to_log: Vec<String>,
     handing_over: bool, // a process beside this one takes over: no new leg
@@ -231,8 +232,10 @@
 impl Relay {
     pub fn new(facts: StartupFacts) -> Relay {
         let tenants = facts.quotas.iter().map(|q| Tokens { left: q * SHARE_BURST, at: Duration::ZERO });
-        let watch_at = facts.must_watch.then_some(Duration::ZERO);
-        Relay { tenants: tenants.collect(), watch_at, facts, ..Relay::default() }
+        let mut relay = Relay { tenants: tenants.collect(), facts, ..Relay::default() };
+        let first = relay.asking().first(relay.chance(0));
+        relay.watch_at = relay.facts.must_watch.then_some(first);
+        relay
     }
 
     /// Takes in all that came since the last round, then decides.
@@ -388,12 +391,18 @@
 
     /// Discovery has answered.
     pub fn listed(&mut self) {
-        self.list_due = None;
+        (self.list_due, self.watch_failures) = (None, 0);
     }
 
-    pub fn watch_failed(&mut self) {
-        let again = self.now + WATCH_AGAIN.mul_f64(0.5 + self.chance(0));
-        self.watch_at = self.facts.must_watch.then_some(again);
+    /// A call for the list failed, with a wait if one was told.
+    pub fn watch_failed(&mut self, told: Option<Duration>) {
+        self.watch_failures += 1;
+        let pause = self.asking().again(self.watch_failures, told, self.chance(0));
+        self.watch_at = self.facts.must_watch.then_some(self.now + pause);
+    }
+
+    fn asking(&self) -> Terms {
+        Terms { relays: self.facts.relays, ask_within: self.facts.ask_within }
     }
 
     /// An even portion. Guards against standstill among many relays: their own traffic is uneven.
@@ -436,7 +445,9 @@
         back.then(|| Relay::turn_cold(route, now));
         (route.run, route.fulls, route.broken) = (0, 0, false);
         if full && route.tokens.left < 1.0 {
-            route.pace = (route.pace + PACE_GROWTH / route.rate.max(1.0)).min(ROUGH);
+            // A crowd's answers tell late: where each gets few in a second it grows by less.
+            let growth = PACE_GROWTH * (route.rate / f64::from(self.facts.relays)).min(1.0);
+            route.pace = (route.pace + growth / route.rate.max(1.0)).min(ROUGH);
         }
         if route.breaker == Breaker::HalfOpen(Some(call)) {
             (route.cold_since, route.cold) = (Some(now), Tokens { left: 0.0, at: now });
@@ -478,7 +489,11 @@
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
         let (now, chance) = (self.now, self.chance(to.0));
-        let least = self.routes.get(&route_id).map_or(1.0, |r| PACE_LEAST * self.portion(r.rate));
+        // What goes beyond an even portion is lent: guards against a crowd that takes it back call by call, far
+        // too late where each makes a call in seconds and refused ones use the limit up. Harm: an uneven load.
+        let even = 1.0 / f64::from(self.facts.relays);
+        let lent = self.routes.get(&route_id).is_some_and(|r| self.portion(r.rate) > even);
+        let (least, most) = (PACE_LEAST * even, if lent { even } else { f64::INFINITY });
         self.endpoints.entry(to).and_modify(|ep| ep.limit = (ep.limit * CREDITS_CUT).max(1.0));
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let since = if route.fulls == 0 { now } else { route.full_since };
@@ -487,7 +502,7 @@
         let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1);
         route.pause_until = now + pause.min(FULL_PAUSE_MOST).max(crowd);
         if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
-            (route.pace, route.pace_at) = ((route.pace * PACE_CUT).max(least), now);
+            (route.pace, route.pace_at) = ((route.pace.min(most) * PACE_CUT).max(least), now);
         }
         let shut = route.told_until < since && route.fulls >= COLD_FULLS && now - since >= COLD_FULL_SPAN;
         (shut || wait > COLD_WAIT).then(|| Relay::turn_cold(route, now + wait));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -103,6 +103,7 @@
         quotas: vec![w.n("quota", 1e6); 2],
         listed_rate: ListedRate::Exact,
         must_watch: w.0.contains(&"watch"),
+        ask_within: w.span("ask", 0.0),
         may_recall: true,
         max_pause: w.span("pause", 3.0),
         drain_grace: Duration::from_secs(1),
@@ -162,7 +163,7 @@
         "wait" => r.told_to_wait(w.endpoint(1), w.span("for", 0.0)),
         "oldlist" => r.list_may_be_old(),
         "listed" => r.listed(),
-        "nolist" => r.watch_failed(),
+        "nolist" => r.watch_failed(None),
         other => panic!("no event {other}"),
     }
 }
@@ -211,6 +212,7 @@
 #[test_case("legs"; "further legs go by value")]
 #[test_case("list"; "lists whole and in part")]
 #[test_case("forget"; "what is gone is forgotten once no rule needs it")]
+#[test_case("watch-crowd"; "a crowd does not ask for the list together")]
 #[test_case("watch"; "the list is asked for again")]
 #[test_case("stray"; "stray events are ignored")]
 #[test_case("back"; "what came to nothing for a while comes back cold")]
