--- a/src/rules.rs
+++ b/src/rules.rs
@@ -515,7 +515,7 @@
         let began = if route.run > 0 { route.run_since } else { route.full_since };
         let since = now.saturating_sub(began).max(CROWD_SPAN).as_secs_f64();
         let (relays, rate) = (f64::from(f.relays.saturating_sub(CROWD)), route.rate.max(1.0));
-        let others = if route.run + route.fulls > 1 { relays.min(CROWD_LOAD * rate * since) } else { 0.0 };
+        let others = if route.run + 2 * route.fulls > 1 { relays.min(CROWD_LOAD * rate * since) } else { 0.0 };
         let warm = (f.fall.as_secs_f64() / f.warm_after.as_secs_f64().max(0.001)).min(1.0);
         let takes = (f.fall_multiple * (f.cold_from + (1.0 - f.cold_from) * warm) * rate).max(0.01);
         Duration::from_secs_f64(others * (0.5 + chance) / takes).min(f.warm_after * 2)
