--- a/src/rules.rs
+++ b/src/rules.rs
@@ -515,7 +515,8 @@
         let began = if route.run > 0 { route.run_since } else { route.full_since };
         let since = now.saturating_sub(began).max(CROWD_SPAN).as_secs_f64();
         let (relays, rate) = (f64::from(f.relays.saturating_sub(CROWD)), route.rate.max(1.0));
-        let others = if route.run + 2 * route.fulls > 1 { relays.min(CROWD_LOAD * rate * since) } else { 0.0 };
+        let others =
+            if route.run + 2 * route.fulls > 1 { relays.min(CROWD_LOAD * rate * since) } else { 0.0 };
         let warm = (f.fall.as_secs_f64() / f.warm_after.as_secs_f64().max(0.001)).min(1.0);
         let takes = (f.fall_multiple * (f.cold_from + (1.0 - f.cold_from) * warm) * rate).max(0.01);
         Duration::from_secs_f64(others * (0.5 + chance) / takes).min(f.warm_after * 2)
@@ -750,11 +751,15 @@
         }
         self.count += 1;
         let call = self.count;
+        let learnt = self.learnt(to);
         let (mut sent, mut expect, mut least, mut most) = (0, Duration::ZERO, Duration::MAX, Duration::ZERO);
         list.retain(|id| {
             // A call ends at its shortest limit: guards against one with little time that cuts others off.
             let time = self.msgs[id].deadline.saturating_sub(now);
-            let joins = sent == 0 || least.min(time) >= most.max(time).mul_f64(CALL_TIMES);
+            // One whose time is long beside the learnt answer cuts nobody off: else what waited long keeps out what
+            // is new, and each takes a call of its own where calls are few.
+            let ample = learnt.is_some_and(|span| time.min(least).mul_f64(CALL_TIMES) >= span);
+            let joins = sent == 0 || ample || least.min(time) >= most.max(time).mul_f64(CALL_TIMES);
             let span = if sent < room && joins { self.send(*id, to, call, out) } else { None };
             if span.is_some() {
                 (least, most) = (least.min(time), most.max(time));
@@ -816,11 +821,15 @@
         ep.off_since.is_none() && now >= self.routes[&self.route_of(to)].told_until
     }
 
-    fn timeout(&self, to: EndpointId, row: &LaneFacts, late: u32) -> Duration {
+    fn learnt(&self, to: EndpointId) -> Option<Duration> {
         let (n, sum, peak) = self.endpoints[&to].answers.totals(self.now, 24);
-        let learnt = Duration::from_secs_f64((TIMEOUT_MEANS * sum / n.max(1.0)).max(TIMEOUT_PEAKS * peak));
-        let span = if n < 3.0 { row.target.mul_f64(TIMEOUT_UNKNOWN) } else { learnt };
-        span.max(TIMEOUT_LEAST) * 2u32.pow(late.min(4))
+        let span = Duration::from_secs_f64((TIMEOUT_MEANS * sum / n.max(1.0)).max(TIMEOUT_PEAKS * peak));
+        (n >= 3.0).then_some(span.max(TIMEOUT_LEAST))
+    }
+
+    fn timeout(&self, to: EndpointId, row: &LaneFacts, late: u32) -> Duration {
+        let span = self.learnt(to).unwrap_or(row.target.mul_f64(TIMEOUT_UNKNOWN).max(TIMEOUT_LEAST));
+        span * 2u32.pow(late.min(4))
     }
 
     fn look_at_idle(&mut self) {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -185,6 +185,7 @@
 #[test_case("breaker-hung"; "calls without an answer open")]
 #[test_case("slow"; "a slow host is tried at once")]
 #[test_case("partial"; "a few resets are no outage")]
+#[test_case("refused-crowd"; "the first refusal in a crowd")]
 #[test_case("trial"; "the trial is a message that may run again")]
 #[test_case("trial-crowd"; "trials of a crowd leave a cold destination room")]
 #[test_case("slots"; "slots go to the fewest calls out")]
