--- a/src/rules.rs
+++ b/src/rules.rs
@@ -58,6 +58,7 @@
 const ROUGH: f64 = 1.5; // a rough rate may be this much off
 const FULL_PAUSE: Duration = ms(120); // after a refusal, doubled in a row: a shut one is asked seldom
 const FULL_PAUSE_MOST: Duration = ms(2_000);
+const CROWD_HALVINGS: u32 = 3;
 // 3 Cold ramp.
 const COLD_ROUGH: f64 = 1.15; // a rough rate is taken for so much less
 const COLD_ITEM: f64 = 0.25; // what each further message of a call weighs against the budget
@@ -493,14 +494,17 @@
         // too late where each makes a call in seconds and refused ones use the limit up. Harm: an uneven load.
         let even = 1.0 / f64::from(self.facts.relays);
         let lent = self.routes.get(&route_id).is_some_and(|r| self.portion(r.rate) > even);
-        let (least, most) = (PACE_LEAST * even, if lent { even } else { f64::INFINITY });
+        let (least, most) = if lent { (even, even) } else { (PACE_LEAST * even, f64::INFINITY) };
         self.endpoints.entry(to).and_modify(|ep| ep.limit = (ep.limit * CREDITS_CUT).max(1.0));
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let since = if route.fulls == 0 { now } else { route.full_since };
         (route.full_since, route.fulls) = (since, route.fulls + 1);
         let crowd = Relay::crowd_delay(&self.facts, route, now, chance);
-        let pause = FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1);
-        route.pause_until = now + pause.min(FULL_PAUSE_MOST).max(crowd);
+        let pause = (FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1)).min(FULL_PAUSE_MOST);
+        // A crowd halves what it asks as well, each time: guards against a limit that was lowered and that all
+        // together, each at its share of the listed one, keep used up. Harm: a limit found again late.
+        let crowd = crowd * 2u32.pow(route.fulls.min(CROWD_HALVINGS) - 1);
+        route.pause_until = now + pause.max(crowd);
         if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
             (route.pace, route.pace_at) = ((route.pace.min(most) * PACE_CUT).max(least), now);
         }
