A silent discovery is given up 3 s after the call's own wait; spans told out of range still ask

Found by reading and a process test: the first call for the list asks for an answer at once, but was left for as long as a watch (62 s) when discovery took it and said nothing; discovery_that_fails_once_is_asked_again, case silent, fails without the change ('waited for the list'). A span to ask within of ages let a relay in a crowd never ask; it counts as 60 s. The test also covers 503s with absurd waits, answers that never end, are cut short, empty or no list, with lists pushed and asked for; each is one line in the log and none ends the process.

--- a/crates/members/src/agent_tests.rs
+++ b/crates/members/src/agent_tests.rs
@@ -71,6 +71,9 @@
         assert_eq!(terms.first(1.0), Duration::ZERO, "{relays}");
         assert_eq!(terms.again(1, None, 0.5), FIRST, "{relays}");
     }
+    // A span told out of range still lets every relay ask.
+    let ages = Terms { relays: 350, ask_within: Duration::MAX };
+    assert!(ages.first(1.0) < WITHIN_MOST && ages.again(40, None, 1.0) < WITHIN_MOST * 2);
     // Nor do many where lists come unasked.
     assert_eq!(Terms { relays: 350, ask_within: Duration::ZERO }.first(1.0), Duration::ZERO);
 }
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -16,6 +16,8 @@
 /// A wait that discovery tells is kept, up to this.
 pub const TOLD_MOST: Duration = Duration::from_millis(3_000);
 
+/// A span to ask within that is told longer counts as this: a relay that hardly ever asks is never informed.
+pub const WITHIN_MOST: Duration = Duration::from_secs(60);
 /// So many relays may ask together.
 pub const TOGETHER: u32 = 6;
 /// The share of the span within which each relay is to ask that a crowd's calls are spread over.
@@ -36,7 +38,7 @@
     /// this span are within what it bears. Harm: a list heard later by up to that, so few relays don't spread.
     pub fn spread(&self) -> Duration {
         let crowd = 1.0 - f64::from(TOGETHER) / f64::from(self.relays.max(TOGETHER));
-        self.ask_within.mul_f64(SPREAD * crowd)
+        self.ask_within.min(WITHIN_MOST).mul_f64(SPREAD * crowd)
     }
 
     /// The pause before the first call; `chance` is in 0..1.
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -12,8 +12,10 @@
 
 /// The longest that discovery lets a call wait.
 const WAIT: Duration = Duration::from_millis(60_000);
-/// Beyond that, an answer that has not come will not come.
-const SLACK: Duration = Duration::from_millis(2_000);
+/// Beyond its wait and that, an answer that has not come will not come. Guards against a first call, which asks
+/// for an answer at once, that is left with a discovery gone silent for as long as a watch. A discovery short of
+/// room says so after 2 s; a call given up sooner would cost it as much and be made again.
+const SLACK: Duration = Duration::from_millis(3_000);
 
 /// An entry of the list, as told.
 #[derive(Clone, Debug, PartialEq)]
@@ -149,7 +151,7 @@
             None => "/catalog/members".to_string(),
         };
         let bytes = request("GET", &path, &self.at.to_string(), &[], &[]);
-        let asked = ask(connection, self.at, "discovery", &bytes, self.most, WAIT + SLACK).await;
+        let asked = ask(connection, self.at, "discovery", &bytes, self.most, wait + SLACK).await;
         let answer = asked.map_err(|e| (e, None))?;
         if answer.status != 200 {
             let wait = answer.retry_after.map(|s| Duration::from_secs_f64(s.min(1e6)));
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -782,6 +782,67 @@
     assert!(scene.platform.notices().is_empty());
 }
 
+/// Discovery answers the first call for the list with this, then as it should.
+fn recovers(said: &'static str) -> (Server, impl Fn(&Request) -> Act) {
+    let endpoint = Server::start(|_| ok());
+    let list =
+        json!({"revision": 5, "complete": true, "members": [member("e1", endpoint.address, 7, "single")]});
+    let left = AtomicBool::new(true);
+    let act = move |_: &Request| match (left.swap(false, Ordering::SeqCst), said) {
+        (true, "") => Act::Hang,
+        (true, said) => Act::Say(said.to_string(), Duration::ZERO),
+        _ => Act::Say(
+            format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.to_string().len()),
+            ms(20),
+        ),
+    };
+    (endpoint, act)
+}
+
+// Guards against a discovery that, once it was short of room, silent or wrong, is not asked again or ends the relay.
+#[test_case("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"; "full")]
+#[test_case("HTTP/1.1 503 X\r\nRetry-After: 1e300\r\nContent-Length: 0\r\n\r\n"; "full for ages")]
+#[test_case("HTTP/1.1 503 X\r\nRetry-After: -5\r\nContent-Length: 0\r\n\r\n"; "full since long ago")]
+#[test_case("HTTP/1.1 503 X\r\nRetry-After: soon\r\nContent-Length: 0\r\n\r\n"; "a wait that can't be read")]
+#[test_case(""; "silent")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 900000\r\n\r\n{\"revision\": 9"; "an answer that never ends")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n{\"revision\": 9,"; "a list cut short")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"; "an empty answer")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nnull"; "no list")]
+fn discovery_that_fails_once_is_asked_again(said: &'static str) {
+    for asked in ["automatic", "subscribe"] {
+        let (endpoint, act) = recovers(said);
+        let discovery = Server::start(act);
+        let mut config = config(free(), discovery.address, &[]);
+        config["settings"]["discovery"] = json!(asked);
+        // A span to ask within that nobody can mean.
+        config["settings"]["obligations"]["askWithin"] = json!(u64::MAX);
+        let dir = tempfile::tempdir().expect("a folder");
+        let relay = Relay::start(&config, dir.path());
+        let log = || std::fs::read_to_string(dir.path().join("log")).expect("a log");
+        until("the list", || log().contains("list 5:"));
+        assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b"x"), "+OK");
+        until("the call", || endpoint.ids().iter().filter(|id| *id == "m1").count() > 0);
+        assert!(
+            log().lines().filter(|l| l.contains("WARN") && l.contains("discovery:")).count() <= 1,
+            "{}",
+            log()
+        );
+    }
+}
+
+// The same with nobody at the address at first.
+#[test]
+fn discovery_that_starts_late_is_found() {
+    let (_endpoint, act) = recovers("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n");
+    let at = free();
+    let dir = tempfile::tempdir().expect("a folder");
+    let _relay = Relay::start(&config(free(), at, &[]), dir.path());
+    sleep(ms(300));
+    let _discovery = Server::on(std::net::TcpListener::bind(at).expect("the port"), act);
+    until("the list", || std::fs::read_to_string(dir.path().join("log")).expect("a log").contains("list 5:"));
+}
+
 #[test]
 fn the_list_is_followed() {
     let (old, new) = (Server::start(|_| ok()), Server::start(|_| ok()));
