A silent watch is broken off after 3 s and a new discovery asked again after 1 s (both 63 s before)

Seen, reading crates/relay/src/discovery.rs: `Follow::call` let a watch wait 60 s at discovery and gave it up after 63 s; after SIGHUP the whole list was waited for as long, as `heard` stayed true. Ruled out: lists that come late through a live watch (tests in relay.rs).

Mend, in crates/members (`Terms::call`, no I/O): where lists come unasked a watch waits 2 s and is given up after 3; where they are asked for it waits the span to ask within, and 1 s more. A call due at once is given up after 1 s (own discovery) or 3 s (shared, which says 503 after 2 s). After a failed call or a move the next one asks for an answer at once. An answer that is here when its time is up counts. Harm: a call each 2 s to the agent of the relay's own machine ("at once and at no cost"); for a shared discovery a call in `askWithin`, which is what it surely bears.

Stand-ins gain gates, and the scene is shared by all test files.

--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -16,6 +16,21 @@
 /// A wait that discovery tells is kept, up to this.
 pub const TOLD_MOST: Duration = Duration::from_millis(3_000);
 
+/// A watch waits for so long at least, and for the span within which a relay is to ask where that is longer (up to
+/// `WAIT_MOST`). Guards against a watch that has fallen silent: it is as good as none, and what it misses
+/// counts as told 6 s after it fell silent, or 2 s after its wait is over if that is later.
+pub const WAIT: Duration = Duration::from_millis(2_000);
+/// The longest that discovery lets a call wait.
+pub const WAIT_MOST: Duration = Duration::from_millis(60_000);
+/// A watch without an answer so long after its wait is broken: with the pause and the next call this is within the
+/// 2 s after which what it missed counts as told.
+pub const WATCH_SLACK: Duration = Duration::from_millis(1_000);
+/// A call that asks for an answer at once is given up after this. A discovery short of room says so after 2 s; a
+/// call given up sooner would cost it as much and be made again. Where lists come unasked, a discovery of the
+/// relay's own machine answers at once, and what a new one has to tell counts as told within 4 s.
+pub const ASKED_SLACK: Duration = Duration::from_millis(3_000);
+pub const OWN_SLACK: Duration = Duration::from_millis(1_000);
+
 /// A span to ask within that is told longer counts as this: a relay that hardly ever asks is never informed.
 pub const WITHIN_MOST: Duration = Duration::from_secs(60);
 /// So many relays may ask together.
@@ -41,6 +56,20 @@
         self.ask_within.min(WITHIN_MOST).mul_f64(SPREAD * crowd)
     }
 
+    /// How long a call for the list may wait at discovery, and when it is given up. `held`: discovery has answered
+    /// since the start, and what is newer than that list is asked for; else the answer is due at once (a wait
+    /// of 0). Harm: a call in so many seconds where nothing changes; they carry no entries.
+    pub fn call(&self, held: bool) -> (Duration, Duration) {
+        let own = self.ask_within.is_zero();
+        match held {
+            true => {
+                let wait = self.ask_within.clamp(WAIT, WAIT_MOST);
+                (wait, wait + WATCH_SLACK)
+            }
+            false => (Duration::ZERO, if own { OWN_SLACK } else { ASKED_SLACK }),
+        }
+    }
+
     /// The pause before the first call; `chance` is in 0..1.
     pub fn first(&self, chance: f64) -> Duration {
         self.spread().mul_f64(chance.clamp(0.0, 1.0))
@@ -94,6 +123,28 @@
         assert_eq!(Terms::default().again(0, None, 0.5), FIRST);
     }
 
+    /// The clock for silence: 6 s after it fell silent, or 2 s after its wait, what a watch missed counts as told.
+    #[test]
+    fn a_watch_that_falls_silent_is_asked_again_before_what_it_missed_counts_as_told() {
+        for within in [0, 1, 4_000, 10_000, 60_000, u64::MAX / 2] {
+            for relays in [1, 6, 350] {
+                let terms = Terms { relays, ask_within: ms(within) };
+                let (wait, given_up) = terms.call(true);
+                // A new watch is opened by a call whose answer is due at once.
+                let told = (wait + ms(2_000)).max(ms(6_000));
+                let own = within == 0;
+                let pause = if own { terms.again(1, None, 1.0) } else { Duration::ZERO };
+                assert!(wait <= WAIT_MOST && given_up + pause + ms(500) < told, "{within} {relays}");
+                // One more may fail where lists come unasked.
+                let next = given_up + pause + terms.call(false).1 + terms.again(2, None, 1.0);
+                assert!(!own || next + ms(500) < told, "{next:?}");
+            }
+        }
+        // A whole list asked for at a new address counts as told 4 s later.
+        let own = Terms::default();
+        assert!((own.call(false).1 + own.again(1, None, 1.0)) * 2 < ms(4_000));
+    }
+
     #[test]
     fn relays_that_failed_together_come_back_apart() {
         assert_eq!(Terms::default().again(5, None, 0.0), MOST / 2);
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -4,19 +4,12 @@
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
-use log::{info, warn};
+use log::{Level, log, warn};
 use mountshift_members::{Chance, Phase, Terms};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The longest that discovery lets a call wait.
-const WAIT: Duration = Duration::from_millis(60_000);
-/// Beyond its wait and that, an answer that has not come will not come. Guards against a first call, which asks
-/// for an answer at once, that is left with a discovery gone silent for as long as a watch. A discovery short of
-/// room says so after 2 s; a call given up sooner would cost it as much and be made again.
-const SLACK: Duration = Duration::from_millis(3_000);
-
 /// An entry of the list, as told.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -85,7 +78,9 @@
     pub most: usize,
     /// Spreads the pauses after failed calls.
     pub chance: Chance,
-    /// Discovery has answered since the start.
+    /// How long a call may wait, and when it is given up.
+    pub terms: Terms,
+    /// Discovery has answered since the start, or since it moved.
     pub heard: bool,
 }
 
@@ -103,7 +98,7 @@
                 to
             };
             // Guards against a fleet that fails at one moment and keeps the agent full by asking together.
-            let pause = Terms::default().again(failures, told_wait, self.chance.draw());
+            let pause = self.terms.again(failures, told_wait, self.chance.draw());
             let next = async {
                 if start || failures > 0 {
                     match &self.asked {
@@ -117,7 +112,7 @@
             // at the new one is asked for at once, and whole: its revisions may be counted anew.
             let told = match async { Err(moved.await) }.or(async { Ok(next.await) }).await {
                 Err(at) => {
-                    (self.at, self.revision) = (at, None);
+                    (self.at, self.revision, self.heard) = (at, None, false);
                     (connection, failures, start) = (None, 0, false);
                     continue;
                 }
@@ -126,7 +121,15 @@
             start = false;
             match told {
                 Ok(list) => {
-                    info!("list {}: {} entries, whole: {}", list.revision, list.members.len(), list.whole);
+                    let level =
+                        if list.whole || !list.members.is_empty() { Level::Info } else { Level::Debug };
+                    log!(
+                        level,
+                        "list {}: {} entries, whole: {}",
+                        list.revision,
+                        list.members.len(),
+                        list.whole
+                    );
                     (self.revision, failures, self.heard) = (Some(list.revision), 0, true);
                     tell(Ok(list));
                 }
@@ -135,7 +138,8 @@
                     if failures == 0 {
                         warn!("discovery: {what}");
                     }
-                    (connection, failures, told_wait) = (None, failures + 1, wait);
+                    // What changed meanwhile is asked for at once: guards against a wait added to one that was silent.
+                    (connection, failures, told_wait, self.heard) = (None, failures + 1, wait, false);
                     tell(Err(wait));
                 }
             }
@@ -144,14 +148,14 @@
 
     /// The list or its changes; else why not, with a wait that discovery told.
     async fn call(&self, connection: &mut Option<Connection>) -> Result<Members, (String, Option<Duration>)> {
-        // The list held at first may be old: what changed since is asked for at once.
-        let wait = if self.heard { WAIT } else { Duration::from_millis(1) };
+        // The list held at first, or before a failed call, may be old: what changed since is asked for at once.
+        let (wait, within) = self.terms.call(self.heard && self.revision.is_some());
         let path = match self.revision {
-            Some(n) => format!("/catalog/members?index={n}&wait={}", wait.as_millis()),
+            Some(n) => format!("/catalog/members?index={n}&wait={}", wait.as_millis().max(1)),
             None => "/catalog/members".to_string(),
         };
         let bytes = request("GET", &path, &self.at.to_string(), &[], &[]);
-        let asked = ask(connection, self.at, "discovery", &bytes, self.most, wait + SLACK).await;
+        let asked = ask(connection, self.at, "discovery", &bytes, self.most, within).await;
         let answer = asked.map_err(|e| (e, None))?;
         if answer.status != 200 {
             let wait = answer.retry_after.map(|s| Duration::from_secs_f64(s.min(1e6)));
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -345,7 +345,8 @@
         }
         if answer.whole { Ok(answer) } else { Err("the answer is spoilt".into()) }
     };
-    late.or(asked).await
+    // Guards against an answer that is here, and a process that stood still until its time was up.
+    asked.or(late).await
 }
 
 /// A request as bytes.
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -222,6 +222,10 @@
             asked: must_ask.then_some(watch_asked),
             most: start.memory / LIST_SHARE,
             chance: mountshift_members::Chance::new(start.facts.seed),
+            terms: mountshift_members::Terms {
+                relays: start.facts.relays,
+                ask_within: if must_ask { start.facts.ask_within } else { Default::default() },
+            },
             heard: false,
         };
         executor.spawn(follow.run(listed)).detach();
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -16,10 +16,6 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
-fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
 /// The platform's listening socket, which every process of the relay inherits.
 fn platform_socket() -> (socket2::Socket, SocketAddr) {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -9,10 +9,6 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
-fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
 /// Sends the bytes, then reads the answer to its end; the status code and how long it took.
 fn call_with(at: SocketAddr, bytes: &[u8]) -> (u16, Duration) {
     let start = Instant::now();
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -1,5 +1,6 @@
 //! The relay as a process, against stand-ins on loopback.
 
+#[allow(dead_code)]
 mod standins;
 
 use serde_json::{Value, json};
@@ -11,48 +12,6 @@
 use std::time::{Duration, Instant};
 use test_case::test_case;
 
-fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
-fn ok() -> Act {
-    answer(200, "", "")
-}
-
-/// An endpoint of destination 8 that refuses connections.
-fn nowhere() -> Value {
-    member("e0", free(), 8, "single")
-}
-
-struct Scene {
-    dir: tempfile::TempDir,
-    platform: Platform,
-    config: Value,
-}
-
-/// A platform with one list, told to the relay from the start.
-fn scene(refused: usize, members: Vec<Value>) -> Scene {
-    let platform = Platform::start(refused);
-    let config = config(free(), platform.server.address, &members);
-    platform.set(members);
-    Scene { dir: tempfile::tempdir().expect("a folder"), platform, config }
-}
-
-impl Scene {
-    fn relay(&self) -> Relay {
-        Relay::start(&self.config, self.dir.path())
-    }
-
-    fn log(&self) -> String {
-        std::fs::read_to_string(self.dir.path().join("log")).expect("a log")
-    }
-
-    fn disk(&self) -> u64 {
-        let files = std::fs::read_dir(self.dir.path().join("state")).expect("a folder").flatten();
-        files.map(|f| f.metadata().map_or(0, |m| m.len().div_ceil(512) * 512)).sum()
-    }
-}
-
 #[test]
 fn a_message_goes_out_as_the_bytes_that_came() {
     let endpoint = Server::start(|_| ok());
--- a/crates/relay/tests/standins/mod.rs
+++ b/crates/relay/tests/standins/mod.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -343,6 +343,78 @@
     (listener, fillers)
 }
 
+pub fn ms(n: u64) -> Duration {
+    Duration::from_millis(n)
+}
+
+pub fn ok() -> Act {
+    answer(200, "", "")
+}
+
+/// An endpoint of destination 8 that refuses connections.
+pub fn nowhere() -> Value {
+    member("e0", free(), 8, "single")
+}
+
+/// A platform, and a relay's configuration and folder.
+pub struct Scene {
+    pub dir: tempfile::TempDir,
+    pub platform: Platform,
+    pub config: Value,
+}
+
+/// A platform with one list, told to the relay from the start.
+pub fn scene(refused: usize, members: Vec<Value>) -> Scene {
+    let platform = Platform::start(refused);
+    let config = config(free(), platform.server.address, &members);
+    platform.set(members);
+    Scene { dir: tempfile::tempdir().expect("a folder"), platform, config }
+}
+
+impl Scene {
+    pub fn relay(&self) -> Relay {
+        Relay::start(&self.config, self.dir.path())
+    }
+
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.dir.path().join("log")).expect("a log")
+    }
+
+    pub fn disk(&self) -> u64 {
+        let files = std::fs::read_dir(self.dir.path().join("state")).expect("a folder").flatten();
+        files.map(|f| f.metadata().map_or(0, |m| m.len().div_ceil(512) * 512)).sum()
+    }
+}
+
+/// Holds whoever comes to it until it is opened, and counts them: forces the order of two events.
+#[derive(Clone, Default)]
+pub struct Gate(Arc<(Mutex<(bool, usize)>, Condvar)>);
+
+impl Gate {
+    /// Waits at the gate until it is open, a minute at most.
+    pub fn pass(&self) {
+        let (state, moved) = &*self.0;
+        let mut held = state.lock().expect("a gate");
+        held.1 += 1;
+        moved.notify_all();
+        let _ = moved.wait_timeout_while(held, Duration::from_secs(60), |s| !s.0).expect("a gate");
+    }
+
+    pub fn open(&self) {
+        self.0.0.lock().expect("a gate").0 = true;
+        self.0.1.notify_all();
+    }
+
+    /// Waits until so many have come.
+    pub fn came(&self, n: usize) {
+        let (state, moved) = &*self.0;
+        let held = state.lock().expect("a gate");
+        let most = Duration::from_secs(10);
+        let (held, late) = moved.wait_timeout_while(held, most, |s| s.1 < n).expect("a gate");
+        assert!(!late.timed_out(), "{} of {n} came to the gate", held.1);
+    }
+}
+
 /// Waits for something, ten seconds at most.
 pub fn until(what: &str, mut seen: impl FnMut() -> bool) {
     let start = Instant::now();
