A restart's untried messages are kept and go first; a cold ramp without listed rates follows own calls

Two causes in src/rules.rs, each proven by a scenario that failed without its mend.

`message` drew each one's tenant token again in one moment, and the ranking put them behind new ones (restart-untried: `send 4` before `send 3`). Lines: `make_room`'s filter, `message`, `rank` in `send_call`. Now `HandIn::restored` marks them: untried ones are not pushed back for others, go first, draw no token. Where no rate is listed (`weights` none, as OTHER has) every entry says 1, and `room` reckoned the cold ramp from one call a second over all relays: next to no call passed until the route was warm (untold-cold: 0 sends in 2.5 s, now 3). Now the calls that a relay had answered in the last minute, times the relays, stand for the rate (`call_answered`). The listed rates of the other sites are read as before.

--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -229,6 +229,7 @@
                     dst: DstId(dst),
                     key: (key != 0).then_some(Key(key)),
                     deadline: self.clock.at(deadline),
+                    restored: false,
                 };
                 let kept = Kept { hand_in, deadline: self.unix(deadline), legs: Vec::new(), owed: None };
                 self.spool.insert(msg, kept);
@@ -296,7 +297,7 @@
         tells.push(Tell::Entry {
             id: EndpointId(u64::from(endpoint) + 1),
             dst: DstId(e.dst),
-            zone: ZoneId(e.zone),
+            zone: ZoneId(e.zone.into()),
             kind: KindId(e.kind),
             listed: e.says,
             rate: e.rate,
@@ -313,7 +314,7 @@
             for legs in legs.chunks(batch) {
                 for (msg, _) in legs {
                     let kept = self.spool.get_mut(msg);
-                    kept.into_iter().for_each(|k| k.legs.push((ZoneId(entry.zone), unix, true)));
+                    kept.into_iter().for_each(|k| k.legs.push((ZoneId(entry.zone.into()), unix, true)));
                 }
                 // A call ends at the shortest limit of its messages.
                 let limit = legs.iter().map(|l| l.1).min().unwrap_or_default();
@@ -394,7 +395,7 @@
         for (msg, k) in kept {
             let id = MsgId(msg);
             let deadline = desk.clock.at_unix(k.deadline);
-            self.tells.push(Tell::Message(id, HandIn { deadline, ..k.hand_in }));
+            self.tells.push(Tell::Message(id, HandIn { deadline, restored: true, ..k.hand_in }));
             if let Some(end) = k.owed {
                 desk.acts.push(Act::Fact(Fact::Ended { msg, relay: desk.me, end }));
                 desk.acts.push(Act::Notice { msg, end });
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -261,7 +261,8 @@
         let lane = LaneId(place(&self.facts.lanes, &told.lane)? as u16);
         let tenant = told.tenant.as_deref().and_then(|t| place(&self.facts.tenants, t));
         let tenant = TenantId(tenant.unwrap_or_default() as u32);
-        Some(HandIn { lane, tenant, dst: DstId(told.dst), key: (key != 0).then_some(Key(key)), deadline })
+        let key = (key != 0).then_some(Key(key));
+        Some(HandIn { lane, tenant, dst: DstId(told.dst), key, deadline, restored: false })
     }
 
     /// Takes an event in; what the decisions must know goes into `tell`.
@@ -464,7 +465,7 @@
             // A class that the settings no longer hold: nobody could decide on it.
             let owed = kept.owed.or(if hand_in.is_none() { Some(Owed::Failed) } else { None });
             owed.into_iter().for_each(|end| self.notify(msg, end));
-            let Some(hand_in) = hand_in else { continue };
+            let Some(hand_in) = hand_in.map(|h| HandIn { restored: true, ..h }) else { continue };
             tell.push(Box::new(move |r| r.message(msg, hand_in)));
             if owed.is_some() {
                 // Its end is not taken yet: it still holds back the rest of its key.
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -146,7 +146,7 @@
             let deadline = Duration::from_micros(f.u64("deadline")?.saturating_sub(start));
             let key = f.u64("affinity")?;
             let key = (key != 0).then_some(Key(key));
-            r.message(id, HandIn { lane, tenant, dst, key, deadline });
+            r.message(id, HandIn { lane, tenant, dst, key, deadline, restored: false });
         }
         wire::OUTCOME => {
             let id = MsgId(f.u64("id")?);
--- a/src/port.rs
+++ b/src/port.rs
@@ -107,6 +107,8 @@
     pub dst: DstId,
     pub key: Option<Key>,
     pub deadline: Duration,
+    /// An earlier process of the relay took it on.
+    pub restored: bool,
 }
 
 /// Facts of a lane as told at startup.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -69,6 +69,8 @@
 const COLD_FULLS: u32 = 4; // refusals in a row, no wait told (guards against ramps after limits), ...
 const COLD_FULL_SPAN: Duration = ms(2_500); // ... without a success for so long, that count as one
 const COLD_WAIT: Duration = ms(1_500); // a told wait longer than this means shut
+const OWN_SPAN: u64 = 60; // seconds over which own calls stand in for a listed rate, ...
+const OWN_LEAST: u64 = 10; // ... and at least so many
 // 4 Time-outs.
 const TIMEOUT_LEAST: Duration = ms(600);
 const TIMEOUT_MEANS: f64 = 6.0;
@@ -151,6 +153,7 @@
     cold_since: Option<Duration>,
     cold: Tokens,
     ends: Ring<4>,
+    answered: Ring<{ OWN_SPAN as usize }>,
 }
 
 #[derive(Default)]
@@ -175,6 +178,7 @@
     target: Duration,
     deadline: Duration,
     over_share: bool,
+    restored: bool,
     legs: u8,
     ran: u32,
     late: u32,
@@ -184,6 +188,13 @@
     ended: bool,
 }
 
+impl Msg {
+    /// What a restart finds taken on and untried is still tried: it is not pushed back for others, and goes first.
+    fn untried(&self) -> bool {
+        self.restored && self.legs == 0
+    }
+}
+
 #[derive(Default)]
 struct Call {
     route: RouteId,
@@ -260,10 +271,12 @@
         }
     }
 
-    pub fn message(&mut self, id: MsgId, HandIn { lane, tenant, dst, key, deadline }: HandIn) {
+    pub fn message(&mut self, id: MsgId, told: HandIn) {
+        let HandIn { lane, tenant, dst, key, deadline, restored } = told;
         let Some(row) = self.facts.lanes.get(lane.0 as usize) else { return };
         let mut over_share = false;
-        if let Some(tokens) = self.tenants.get_mut(tenant.0 as usize) {
+        // What a restart finds was counted when it was handed in.
+        if let Some(tokens) = self.tenants.get_mut(tenant.0 as usize).filter(|_| !restored) {
             let quota = self.facts.quotas[tenant.0 as usize] / f64::from(self.facts.relays);
             tokens.refill(self.now, quota, quota * SHARE_BURST);
             over_share = tokens.left < 1.0;
@@ -272,7 +285,8 @@
         let key = key.filter(|_| row.in_order);
         key.into_iter().for_each(|k| self.lines.entry(k).or_default().queue.push_back(id));
         let target = (deadline + row.target).saturating_sub(row.deadline);
-        self.msgs.insert(id, Msg { lane, dst, key, target, deadline, over_share, ..Msg::default() });
+        let fresh = Msg { lane, dst, key, target, deadline, over_share, restored, ..Msg::default() };
+        self.msgs.insert(id, fresh);
     }
 
     /// A leg from before a restart; without an outcome that proves the contrary it may have run.
@@ -333,7 +347,10 @@
         let suspect = (first && (no_room || outcome == Outcome::ConnectFailed)) || (idle && uncertain);
         suspect.then(|| self.look_at_idle());
         match outcome {
-            Outcome::Delivered => self.succeeded(route_id, call_id, to, waited, full),
+            Outcome::Delivered => {
+                first.then(|| self.call_answered(route_id));
+                self.succeeded(route_id, call_id, to, waited, full);
+            }
             Outcome::Cancelled | Outcome::Moot => self.end_trial(route_id, call_id, Breaker::HalfOpen(None)),
             _ if !first => {}
             Outcome::Full(wait) => self.refused(route_id, call_id, to, wait),
@@ -371,9 +388,11 @@
         };
         let route_id = self.route_of(id);
         let pace = self.portion(rate) * if self.batch(kind) > 1 { PACE_START_BATCH } else { PACE_START };
-        let fresh = Route { rate, pace, tokens: Tokens { left: rate, at: now }, ..Route::default() };
+        let untold = self.facts.listed_rate == ListedRate::Untold;
+        let start = if untold { f64::from(self.facts.relays.min(CROWD)) } else { rate };
+        let fresh = Route { rate: start, pace, tokens: Tokens { left: rate, at: now }, ..Route::default() };
         let route = self.routes.entry(route_id).or_insert(fresh);
-        route.rate = if rate > 0.0 { rate } else { route.rate };
+        route.rate = if rate > 0.0 && !untold { rate } else { route.rate };
     }
 
     /// The endpoint was out by hand and was restarted meanwhile: its route comes back cold (rule 4).
@@ -431,6 +450,18 @@
         route.breaker = to;
     }
 
+    /// Where no rate is told, the calls that this relay had answered stand for its part of one: guards against a cold
+    /// ramp reckoned from nothing, which lets hardly a call pass until the route is warm.
+    fn call_answered(&mut self, route_id: RouteId) {
+        let Some(route) = self.routes.get_mut(&route_id) else { return };
+        if self.facts.listed_rate == ListedRate::Untold {
+            route.answered.add(self.now, 0.0);
+            let span = self.now.as_secs().clamp(OWN_LEAST, OWN_SPAN) as f64;
+            let own = route.answered.totals(self.now, OWN_SPAN).0 / span;
+            route.rate = (own * f64::from(self.facts.relays)).max(f64::from(self.facts.relays.min(CROWD)));
+        }
+    }
+
     fn succeeded(&mut self, route_id: RouteId, call: u64, to: EndpointId, waited: Duration, full: bool) {
         let now = self.now;
         if let Some(ep) = self.endpoints.get_mut(&to) {
@@ -740,7 +771,7 @@
         options.sort_by(|a, b| a.0.total_cmp(&b.0));
         // What is worth most now, with the line behind its key (guards against long ones), goes first.
         let line = |m: &Msg| m.key.and_then(|k| self.lines.get(&k)).map_or(1, |l| l.queue.len()) as f64;
-        let rank = |m: &Msg| ((-self.worth(m) * line(m) * 1e6) as i64, m.target);
+        let rank = |m: &Msg| (!m.untried(), (-self.worth(m) * line(m) * 1e6) as i64, m.target);
         list.sort_by_cached_key(|id| rank(&self.msgs[id]));
         options.into_iter().any(|(_, to, room)| self.send_to(to, room, list, out))
     }
@@ -887,7 +918,7 @@
         // Rule 2: a pushback only where coming again is safe.
         let again = |m: &Msg| m.may_have_run.is_none() || self.row(m).effect.repeats_anywhere();
         let mut idle: Vec<(f64, MsgId)> = (self.msgs.iter())
-            .filter(|(_, m)| !m.ended && m.out.is_none() && again(m))
+            .filter(|(_, m)| !m.ended && m.out.is_none() && again(m) && !m.untried())
             .map(|(id, m)| (self.worth(m), *id))
             .collect();
         idle.sort_by(|a, b| a.0.total_cmp(&b.0));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -1,8 +1,8 @@
 //! Plays the scenarios in `tests/scenarios`, small texts in a notation of our own:
 //!
-//! - `facts name=value ..`, `lane name=value ..`, `kind name=value ..`: what is told at startup; spans in seconds
+//! - `facts name=value ..` (`untold`: no rates are listed), `lane name=value ..`, `kind name=value ..`: what is told at startup; spans in seconds
 //! - `at T: event; event ..`: one round; events: `list A dst=1 ..`, `whole A dst=1 ..`, `msg 1 lane=0 ..`,
-//!   `end 1 A delivered`, `gone 1` (withdrawn, or its end was taken), `nolist` (the watch failed),
+//!   (`restored`: from before a restart), `end 1 A delivered`, `gone 1` (withdrawn, or its end was taken), `nolist` (the watch failed),
 //!   `leg 1 ago=2 zone=0 [refused]` and `ended 1` (from before a restart), `wait A for=1` (told beside outcomes);
 //!   with `facts notices` ends count only once taken
 //! - `until T`: a round each 20 ms
@@ -101,7 +101,7 @@
         max_held: w.n("held", 100.0) as usize,
         max_legs: w.n("legs", 8.0) as u8,
         quotas: vec![w.n("quota", 1e6); 2],
-        listed_rate: ListedRate::Exact,
+        listed_rate: if w.0.contains(&"untold") { ListedRate::Untold } else { ListedRate::Exact },
         must_watch: w.0.contains(&"watch"),
         ask_within: w.span("ask", 0.0),
         may_recall: true,
@@ -128,7 +128,7 @@
                 Some(&"removed") => Listed::Gone,
                 _ => Listed::Ready,
             };
-            let (dst, zone) = (DstId(w.n("dst", 1.0) as u32), ZoneId(w.n("zone", 0.0) as u8));
+            let (dst, zone) = (DstId(w.n("dst", 1.0) as u32), ZoneId(w.n("zone", 0.0) as u16));
             r.entry(w.endpoint(1), dst, zone, KindId(w.n("kind", 0.0) as u16), says, w.n("rate", 1000.0));
         }
         "msg" => {
@@ -136,8 +136,8 @@
             let deadline = now + lanes[of as usize].deadline;
             let dst = DstId(w.n("dst", 1.0) as u32);
             let tenant = TenantId(w.n("tenant", 0.0) as u32);
-            let key = (key > 0).then_some(Key(key));
-            r.message(w.msg(), HandIn { lane: LaneId(of), tenant, dst, key, deadline });
+            let (key, restored) = ((key > 0).then_some(Key(key)), w.0.contains(&"restored"));
+            r.message(w.msg(), HandIn { lane: LaneId(of), tenant, dst, key, deadline, restored });
         }
         "end" => {
             let outcome = match w.0[3] {
@@ -157,7 +157,7 @@
         "gone" => r.over(w.msg()),
         "leg" => {
             let at = now.saturating_sub(w.span("ago", 0.0));
-            r.earlier_leg(w.msg(), ZoneId(w.n("zone", 0.0) as u8), at, !w.0.contains(&"refused"));
+            r.earlier_leg(w.msg(), ZoneId(w.n("zone", 0.0) as u16), at, !w.0.contains(&"refused"));
         }
         "ended" => r.end(w.msg(), false),
         "wait" => r.told_to_wait(w.endpoint(1), w.span("for", 0.0)),
@@ -220,6 +220,9 @@
 #[test_case("rule5-notice"; "rule 5 an end that is not taken holds back its key")]
 #[test_case("rule6-beside"; "rule 6 a wait told beside outcomes binds")]
 #[test_case("restart"; "what was out before a restart may have run")]
+#[test_case("restart-room"; "a restart's untried messages are not pushed back for others")]
+#[test_case("restart-untried"; "a restart's untried messages go first")]
+#[test_case("untold-cold"; "a cold ramp where no rate is listed")]
 #[test_case("restart-order"; "rule 5 order by key across a restart")]
 fn scenario(file: &str) {
     let path = format!("{}/tests/scenarios/{file}.txt", env!("CARGO_MANIFEST_DIR"));
