--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -198,7 +198,7 @@
             relay: RelayId(relay),
             seed: self.chance.seed(What::Relay, u64::from(relay), start),
             relays: s.relays.count.get(),
-            zone: ZoneId(self.relay_zone(relay)),
+            zone: ZoneId(self.relay_zone(relay).into()),
             lanes: s.lanes.iter().map(lane).collect(),
             kinds: s.groups.iter().map(kind).collect(),
             quotas: s.tenants.iter().map(|t| t.quota.0).collect(),
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -24,6 +24,8 @@
 const LINE_MOST: usize = 32;
 /// A request that has begun must be whole by then, an answer taken; a new connection's first one is due.
 const SLOW: Duration = Duration::from_millis(2_500);
+/// While stopping a new connection is let go if its first request has not begun by then: who opens one means to ask.
+const FIRST: Duration = Duration::from_millis(400);
 /// A client that has nothing to ask for so long is let go.
 const IDLE: Duration = Duration::from_secs(10);
 /// Requests of one connection that are taken in before the others get their turn.
@@ -38,6 +40,9 @@
 /// After a failed accept, as when descriptors have run out.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// What a client hears once its message is taken on.
+const TAKEN: &str = "+OK\r\n";
+
 /// A message as a client handed it in.
 pub struct HandedIn {
     pub id: Vec<u8>,
@@ -79,6 +84,8 @@
     pub gone: Box<dyn Fn(MsgId)>,
     /// Closed when clients are to go.
     pub leaving: Receiver<()>,
+    /// Closed shortly before the process ends: what was taken in is answered, nothing more is read.
+    pub ending: Receiver<()>,
     pub most: usize,
     /// Bytes of requests that are not whole, over all connections, at most.
     pub bytes_most: usize,
@@ -159,6 +166,8 @@
             let _ = front.leaving.recv().await;
             None
         };
+        // Accepting is asked first: guards against a listener closed over connections that came in time, which would be
+        // reset without an answer.
         let Some(accepted) = async { Some(listener.accept().await) }.or(leaving).await else { return };
         match accepted {
             Err(e) => {
@@ -226,13 +235,20 @@
                 let ready = async { self.stream.readable().await.map_or(Some("broken"), |()| None) };
                 let stopping = async {
                     let _ = front.leaving.recv().await;
+                    if fresh {
+                        Timer::at(self.since + FIRST).await;
+                    }
                     if begun { std::future::pending().await } else { Some("stopping") }
                 };
+                let ending = async {
+                    let _ = front.ending.recv().await;
+                    Some("stopping")
+                };
                 // A request that has begun is waited for, in standby too.
                 let standby = async {
                     if begun { std::future::pending().await } else { Some(front.sent_away(self.since).await) }
                 };
-                let reason = ready.or(self.let_go(due)).or(stopping).or(standby).await;
+                let reason = ready.or(self.let_go(due)).or(stopping).or(standby).or(ending).await;
                 let reason = reason.filter(|_| !self.has_something());
                 front.waiting.borrow_mut().remove(&self.number);
                 match reason {
@@ -247,6 +263,9 @@
                     None => self.since = Instant::now(),
                 }
             }
+            if front.ending.is_closed() {
+                return "stopping";
+            }
             // A client that is gone hears no answer: what it asked last is not taken on.
             match self.pull() {
                 Ok(true) => {}
@@ -379,22 +398,26 @@
         Ok(true)
     }
 
-    /// Writes the replies in order. Messages whose client is gone before are over.
+    /// Writes the replies in order. Messages whose client is gone before are over. Guards against taking back what a
+    /// client may have heard: an answer that left whole stands, whatever comes after it.
     async fn reply(&mut self, replies: Vec<Reply>, front: &Front) -> Option<&'static str> {
-        let (mut bytes, mut taken) = (Vec::new(), Vec::new());
+        let (mut bytes, mut taken, mut stopped) = (Vec::new(), Vec::new(), None);
         for reply in replies {
             let text = match reply {
                 Reply::Now(text) => text,
                 Reply::Later(answer) => match answer.recv().await {
                     Ok(Answer::Taken(msg)) => {
-                        taken.push(msg);
-                        "+OK\r\n".into()
+                        taken.push((bytes.len() + TAKEN.len(), msg));
+                        TAKEN.into()
                     }
-                    Ok(Answer::Held) => "+OK\r\n".into(),
+                    Ok(Answer::Held) => TAKEN.into(),
                     Ok(Answer::PushedBack(0)) => "-BUSY\r\n".into(),
                     Ok(Answer::PushedBack(ms)) => format!("-BUSY {ms}\r\n"),
                     Ok(Answer::Failed(what)) => format!("-ERR {what}\r\n"),
-                    Err(_) => return Some("stopping"),
+                    Err(_) => {
+                        stopped = Some("stopping");
+                        break;
+                    }
                 },
             };
             if text.starts_with('-') {
@@ -404,24 +427,35 @@
             bytes.extend(text.as_bytes());
         }
         if bytes.is_empty() {
-            return None;
+            return stopped;
         }
+        let mut left = &bytes[..];
         let gone = matches!(self.stream.get_ref().peek(&mut [0]), Ok(0));
         let late = async {
             Timer::after(SLOW).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let written = if gone {
+        let written: io::Result<()> = if gone {
             Err(io::ErrorKind::BrokenPipe.into())
         } else {
-            self.stream.write_all(&bytes).or(late).await
+            let write = async {
+                while !left.is_empty() {
+                    match self.stream.write(left).await? {
+                        0 => return Err(io::ErrorKind::WriteZero.into()),
+                        n => left = &left[n..],
+                    }
+                }
+                Ok(())
+            };
+            write.or(late).await
         };
         let reason = match written {
-            Ok(()) => return None,
+            Ok(()) => return stopped,
             Err(e) if e.kind() == io::ErrorKind::TimedOut => "slow",
             Err(_) => "closed-before-answer",
         };
-        taken.into_iter().for_each(&front.gone);
+        let out = bytes.len() - left.len();
+        taken.into_iter().filter(|(end, _)| *end > out).for_each(|(_, msg)| (front.gone)(msg));
         Some(reason)
     }
 }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -76,7 +76,7 @@
         discovery: address("NODE_DISCOVERY", "discovery")?,
         state: PathBuf::from(state),
         disk: limit("disk_mb")?.map_or(u64::MAX / 4, |mb| (mb * 1e6) as u64),
-        descriptors: limit("sockets")?.map_or(1024, |n| n as usize).min(1024),
+        descriptors: limit("sockets")?.map_or(1024, |n| n as usize),
         memory: limit("memory_mb")?.map_or(MEMORY, |mb| (mb * 1e6) as usize),
         known: json["known"].clone(),
         facts: mountshift_settings::facts(&pairs, me, seed).map_err(settings)?,
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -9,7 +9,7 @@
 use mountshift::port::*;
 use mountshift_members::Phase;
 use mountshift_settings::SocketFacts;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -18,8 +18,10 @@
 const ANSWER_MOST: usize = 256 * 1024;
 /// A call whose first byte goes out longer after the decision asks first.
 const LATE: Duration = Duration::from_millis(50);
-/// An idle connection is not used for the last part of its time: the request has a way to go.
+/// An idle connection is not used for the last part of its time, a tenth or so much, but half of it at most: the
+/// request has a way to go, and the other side's clock began as much earlier.
 const IDLE_SPARE: u32 = 10;
+const IDLE_SPARE_LEAST: Duration = Duration::from_millis(250);
 
 /// What is known of an endpoint.
 #[derive(Clone)]
@@ -106,9 +108,14 @@
         self.known.get(&id)
     }
 
-    /// A place by name; a name that the settings don't hold is a place of its own.
-    pub fn zone(&self, name: &str) -> ZoneId {
-        ZoneId(self.zones.iter().position(|z| z == name).map_or(u8::MAX, |z| z as u8))
+    /// A place by name; a name that the settings don't hold is a place of its own. Guards against two such places
+    /// taken for one: a repeat that one of them knows would go to the other (rule 2).
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        let known = self.zones.iter().position(|z| z == name);
+        ZoneId(known.unwrap_or_else(|| {
+            self.zones.push(name.to_string());
+            self.zones.len() - 1
+        }) as u16)
     }
 
     pub fn zone_name(&self, zone: ZoneId) -> &str {
@@ -124,51 +131,53 @@
 
 /// Connections that carry no call now, those used last at the end.
 pub struct Idle {
-    waiting: RefCell<BTreeMap<EndpointId, VecDeque<(Instant, Connection)>>>,
+    waiting: RefCell<BTreeMap<EndpointId, VecDeque<Connection>>>,
     lasts: Duration,
     most: usize,
 }
 
 impl Idle {
     pub fn new(lasts: Duration, most: usize) -> Idle {
-        Idle { waiting: RefCell::default(), lasts: lasts - lasts / IDLE_SPARE, most }
+        let spare = (lasts / IDLE_SPARE).max(IDLE_SPARE_LEAST).min(lasts / 2);
+        Idle { waiting: RefCell::default(), lasts: lasts - spare, most }
     }
 
     /// Guards against one that was out when its endpoint moved: what is at the old address may be another.
     fn take(&self, to: EndpointId, at: SocketAddr) -> Option<Connection> {
         let mut waiting = self.waiting.borrow_mut();
         let queue = waiting.get_mut(&to)?;
-        queue.retain_mut(|entry| self.lasting(entry) && entry.1.to == at);
-        queue.pop_back().map(|(_, connection)| connection)
+        queue.retain_mut(|connection| self.lasting(connection) && connection.to == at);
+        queue.pop_back()
     }
 
     fn keep(&self, to: EndpointId, connection: Connection) {
         let mut waiting = self.waiting.borrow_mut();
         if waiting.values().map(VecDeque::len).sum::<usize>() >= self.most {
             // Guards against running out of descriptors: the one that waited longest goes.
-            let oldest = waiting.iter().filter_map(|(id, q)| q.front().map(|(at, _)| (*at, *id))).min();
+            let oldest = waiting.iter().filter_map(|(id, q)| q.front().map(|c| (c.used, *id))).min();
             let gone = oldest.and_then(|(_, id)| waiting.get_mut(&id)).and_then(VecDeque::pop_front);
-            gone.into_iter().for_each(|(_, mut c)| c.reason = "too-many");
+            gone.into_iter().for_each(|mut c| c.reason = "too-many");
         }
-        waiting.entry(to).or_default().push_back((Instant::now(), connection));
+        waiting.entry(to).or_default().push_back(connection);
     }
 
     /// Closes the idle connections to an endpoint.
     pub fn close(&self, to: EndpointId) {
         let gone = self.waiting.borrow_mut().remove(&to);
-        gone.into_iter().flatten().for_each(|(_, mut c)| c.reason = "told-to-close");
+        gone.into_iter().flatten().for_each(|mut c| c.reason = "told-to-close");
     }
 
     /// Lets go of what the other side closed, and of what it is about to close.
     pub fn close_old(&self) {
         let mut waiting = self.waiting.borrow_mut();
-        waiting.values_mut().for_each(|queue| queue.retain_mut(|entry| self.lasting(entry)));
+        waiting.values_mut().for_each(|queue| queue.retain_mut(|connection| self.lasting(connection)));
         waiting.retain(|_, queue| !queue.is_empty());
     }
 
-    /// True if an idle connection can still be used.
-    fn lasting(&self, (since, connection): &mut (Instant, Connection)) -> bool {
-        if since.elapsed() >= self.lasts {
+    /// True if an idle connection can still be used. Guards against one that was taken out for a call that was not
+    /// made: it was not used, so its time runs on.
+    fn lasting(&self, connection: &mut Connection) -> bool {
+        if connection.used.elapsed() >= self.lasts {
             connection.reason = "idle";
         } else if !connection.is_quiet() {
             connection.reason = "closed-while-idle";
@@ -202,6 +211,18 @@
     }
 }
 
+/// How far a call has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Stage {
+    /// Queued or connecting: nothing of it is noted, no byte has left.
+    #[default]
+    Begun,
+    /// Noted in the spool, its first byte may have left.
+    Noted,
+    /// Its last byte was written: only now may it run.
+    Written,
+}
+
 pub struct Call {
     pub to: EndpointId,
     pub endpoint: Endpoint,
@@ -211,6 +232,9 @@
     pub decided: Instant,
     /// Asks if the endpoint may still be reached.
     pub may_reach: Box<dyn Fn() -> Receiver<bool>>,
+    /// Notes the legs, right before the first byte; false if they must not go out.
+    pub note: Box<dyn Fn() -> bool>,
+    pub stage: Rc<Cell<Stage>>,
 }
 
 impl Call {
@@ -253,25 +277,25 @@
         self.parts.iter().map(|p| (p.msg, outcome, over)).collect::<Vec<End>>().into()
     }
 
+    /// An idle connection that lasts, or a new one.
+    async fn connection(&self, idle: &Idle) -> Result<Connection, Outcome> {
+        if let Some(connection) = idle.take(self.to, self.endpoint.address) {
+            return Ok(connection);
+        }
+        let late = async {
+            Timer::after(self.connect).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        let name = format!("endpoint {}", self.endpoint.name);
+        Connection::open(self.endpoint.address, name).or(late).await.map_err(|e| {
+            info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
+            Outcome::ConnectFailed
+        })
+    }
+
     /// Writes the call, on an idle connection or a new one.
     async fn begin(&self, idle: &Idle) -> Result<Connection, Outcome> {
-        let mut connection = match idle.take(self.to, self.endpoint.address) {
-            Some(connection) => connection,
-            None => {
-                let late = async {
-                    Timer::after(self.connect).await;
-                    Err(std::io::ErrorKind::TimedOut.into())
-                };
-                let name = format!("endpoint {}", self.endpoint.name);
-                match Connection::open(self.endpoint.address, name).or(late).await {
-                    Ok(connection) => connection,
-                    Err(e) => {
-                        info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
-                        return Err(Outcome::ConnectFailed);
-                    }
-                }
-            }
-        };
+        let mut connection = self.connection(idle).await?;
         // Guards against a call decided long ago that crosses a wait or a drain told since: its connection came up
         // slowly, or its task waited for the core. On a kept connection too.
         if self.decided.elapsed() > LATE && !(self.may_reach)().recv().await.unwrap_or(false) {
@@ -279,9 +303,21 @@
             idle.keep(self.to, connection);
             return Err(Outcome::Moot);
         }
+        // The answer to that may have taken long: guards against writing to a kept connection whose time ran out since.
+        if connection.requests > 0 && !idle.lasting(&mut connection) {
+            connection = self.connection(idle).await?;
+        }
         let request = self.request();
+        // Guards against a message that surely has not run and counts as if it may have: its process ended while the
+        // connection came up.
+        if !(self.note)() {
+            idle.keep(self.to, connection);
+            return Err(Outcome::Moot);
+        }
+        self.stage.set(Stage::Noted);
         debug!("call to endpoint {}: {}", self.endpoint.name, String::from_utf8_lossy(&request));
         connection.write(&request).await.map_err(|_| Outcome::ConnectFailed)?;
+        self.stage.set(Stage::Written);
         Ok(connection)
     }
 
@@ -347,3 +383,33 @@
         Ends { ends: self.parts.iter().map(end).collect(), wait: (!wait.is_zero()).then_some(wait) }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    // Guards against an idle time that starts anew when a connection is put back unused: the far side counts from its
+    // last use, and the next request would be written to a connection that it is closing.
+    #[test]
+    fn a_connection_put_back_unused_is_as_old_as_before() {
+        let far = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let at = far.local_addr().expect("an address");
+        let lasts = Duration::from_secs(10);
+        let idle = Idle::new(lasts, 8);
+        let open = || async_io::block_on(Connection::open(at, "far".into())).expect("a connection");
+        let (mut old, to) = (open(), EndpointId(1));
+        old.used = Instant::now().checked_sub(lasts / 2).expect("a time");
+        idle.keep(to, old);
+        let mut again = idle.take(to, at).expect("it still lasts");
+        again.used = again.used.checked_sub(lasts * 45 / 100).expect("a time");
+        idle.keep(to, again);
+        assert!(idle.take(to, at).is_none(), "older than nine tenths of the time");
+        // A short time is kept to its half, whatever a tenth of it is.
+        let short = Idle::new(Duration::from_millis(400), 8);
+        let mut old = open();
+        old.used = Instant::now().checked_sub(Duration::from_millis(210)).expect("a time");
+        short.keep(to, old);
+        assert!(short.take(to, at).is_none());
+    }
+}
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -3,7 +3,7 @@
 
 use crate::clients::{Answer, HandedIn, Told, told};
 use crate::discovery::{Member, Members};
-use crate::endpoints::{Call, End, Endpoint, Endpoints, Ends, Idle, Part};
+use crate::endpoints::{Call, End, Endpoint, Endpoints, Ends, Idle, Part, Stage};
 use crate::notices::Notice;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -29,6 +29,8 @@
 /// Between two looks while stopping, and at idle connections else.
 const STOP_LOOK: Duration = Duration::from_millis(20);
 const SWEEP: Duration = Duration::from_millis(500);
+/// At the end, for what clients are owed.
+const LAST_WORDS: Duration = Duration::from_millis(80);
 /// A round so late means that the process stood still.
 const STOOD_STILL: Duration = Duration::from_millis(100);
 
@@ -95,6 +97,7 @@
     sent: Duration,
     legs: BTreeSet<MsgId>,
     recalled: BTreeSet<MsgId>,
+    stage: Rc<Cell<Stage>>,
     /// Dropping it closes the call's connection.
     task: Option<Task<()>>,
 }
@@ -108,7 +111,7 @@
     now: Duration,
     facts: SocketFacts,
     batches: Vec<usize>,
-    spool: Spool,
+    spool: Rc<RefCell<Spool>>,
     endpoints: Endpoints,
     idle: Rc<Idle>,
     executor: Rc<LocalExecutor<'static>>,
@@ -160,7 +163,10 @@
         call.recalled.insert(msg);
         // One message can't be taken out of a call: it would still be out on an open connection.
         if call.recalled.is_superset(&call.legs) {
-            let ends: Vec<End> = call.legs.iter().map(|msg| (*msg, Outcome::Cancelled, false)).collect();
+            // Guards against a call told as one that may have run, though its last byte never left.
+            let ran = call.stage.get() == Stage::Written;
+            let outcome = if ran { Outcome::Cancelled } else { Outcome::Moot };
+            let ends: Vec<End> = call.legs.iter().map(|msg| (*msg, outcome, false)).collect();
             let _ = self.events.try_send(Event::Ended(*n, ends.into()));
             call.task = None;
         }
@@ -220,7 +226,7 @@
 impl Desk {
     /// An end that is no delivery: the answer to a client that waits, else a notice. True if it is taken.
     fn end(&mut self, msg: MsgId, answer: Answer, owed: Owed) -> bool {
-        if let Some(kept) = self.spool.get(msg.0) {
+        if let Some(kept) = self.spool.borrow().get(msg.0) {
             let (id, legs) = (String::from_utf8_lossy(&kept.taken.id), kept.legs.len());
             debug!("message {id} ends undelivered: {owed:?} after {legs} legs, {}", kept.taken.list);
         }
@@ -229,28 +235,29 @@
             self.over(msg);
             return true;
         }
-        self.spool.owe(msg.0, owed);
+        self.spool.borrow_mut().owe(msg.0, owed);
         self.notify(msg, owed);
         false
     }
 
     fn notify(&mut self, msg: MsgId, end: Owed) {
-        if let Some(kept) = self.spool.get(msg.0) {
+        if let Some(kept) = self.spool.borrow().get(msg.0) {
             let _ = self.notices.try_send(Notice { msg, id: kept.taken.id.clone(), end });
         }
     }
 
     fn over(&mut self, msg: MsgId) {
-        if let Some(kept) = self.spool.get(msg.0) {
+        let mut spool = self.spool.borrow_mut();
+        if let Some(kept) = spool.get(msg.0) {
             self.by_name.remove(&kept.taken.id);
-            self.spool.over(msg.0);
+            spool.over(msg.0);
         }
     }
 
     /// Guards against an id that is handed in again after its end: every message has a new one, so whoever
     /// uses it hands in another's, and it would go out as a second copy.
     fn remember(&mut self, msg: MsgId) {
-        let ended = self.spool.get(msg.0).map(|kept| number(&kept.taken.id));
+        let ended = self.spool.borrow().get(msg.0).map(|kept| number(&kept.taken.id));
         self.ended.extend(ended);
         self.ended.drain(..self.ended.len().saturating_sub(ENDED_MOST));
     }
@@ -260,7 +267,8 @@
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let lane = LaneId(place(&self.facts.lanes, &told.lane)? as u16);
         let tenant = told.tenant.as_deref().and_then(|t| place(&self.facts.tenants, t));
-        let tenant = TenantId(tenant.unwrap_or_default() as u32);
+        // Guards against a tenant that nobody knows drawing on the share of the first one: it has none.
+        let tenant = TenantId(tenant.map_or(u32::MAX, |t| t as u32));
         let key = (key != 0).then_some(Key(key));
         Some(HandIn { lane, tenant, dst: DstId(told.dst), key, deadline, restored: false })
     }
@@ -330,10 +338,11 @@
         let taken =
             Taken { id: m.id, key: m.key, list: m.list, deadline: at, body: m.body, at_us: unix_us() };
         let name = taken.id.clone();
-        let Some(n) = self.spool.add(taken) else {
+        let added = self.spool.borrow_mut().add(taken);
+        let Some(n) = added else {
             // Told once, or what clients do meanwhile would fill the log.
             if !std::mem::replace(&mut self.full, true) {
-                warn!("spool: full with {} messages", self.spool.live().len());
+                warn!("spool: full with {} messages", self.spool.borrow().live().len());
             }
             let _ = asking.try_send(Answer::PushedBack(0));
             return;
@@ -349,11 +358,12 @@
         let Some(out) = self.calls.get_mut(&call).filter(|out| out.legs.contains(&msg)) else { return };
         out.legs.remove(&msg);
         let (to, waited) = (out.to, self.now.saturating_sub(out.sent));
+        let noted = out.stage.get() != Stage::Begun;
         if out.legs.is_empty() {
             self.calls.remove(&call);
         }
-        if outcome.never_ran() {
-            self.spool.never_ran(msg.0);
+        if outcome.never_ran() && noted {
+            self.spool.borrow_mut().never_ran(msg.0);
         }
         if over {
             self.remember(msg);
@@ -456,7 +466,7 @@
 
     /// Tells of everything that the spool holds from before.
     fn restore(&mut self, tell: &mut Vec<Tell>) {
-        let kept: Vec<_> = self.spool.live().iter().map(|(n, k)| (MsgId(*n), k.clone())).collect();
+        let kept: Vec<_> = self.spool.borrow().live().iter().map(|(n, k)| (MsgId(*n), k.clone())).collect();
         for (msg, kept) in kept {
             self.by_name.insert(kept.taken.id.clone(), msg);
             let deadline = self.clock.at_unix_ms(kept.taken.deadline);
@@ -484,14 +494,11 @@
         for (to, legs) in std::mem::take(&mut self.sends) {
             let Some(endpoint) = self.endpoints.get(to).cloned() else { continue };
             let batch = self.batches.get(endpoint.kind.0 as usize).copied().unwrap_or(1);
-            let (zone, at) =
-                (self.endpoints.zone_name(endpoint.zone).to_string(), self.clock.unix_ms(self.now));
             for legs in legs.chunks(batch) {
-                legs.iter().for_each(|(msg, _)| self.spool.leg(msg.0, &zone, at));
                 calls.push((to, endpoint.clone(), legs.to_vec()));
             }
         }
-        let safe = self.spool.commit();
+        let safe = self.spool.borrow_mut().commit();
         if let Err(e) = &safe {
             error!("spool: {e}");
         }
@@ -507,25 +514,34 @@
             self.count += 1;
             let n = self.count;
             let all = legs.iter().map(|(msg, _)| *msg).collect();
+            let stage = Rc::new(Cell::new(Stage::Begun));
             let task = if safe.is_ok() {
-                Some(self.start(n, to, endpoint, legs))
+                Some(self.start(n, to, endpoint, legs, stage.clone()))
             } else {
                 // A leg that is not noted must not go out.
                 let moot: Vec<End> = legs.iter().map(|(msg, _)| (*msg, Outcome::Moot, false)).collect();
                 let _ = self.events.try_send(Event::Ended(n, moot.into()));
                 None
             };
-            let out = Out { to, sent: self.now, legs: all, recalled: BTreeSet::new(), task };
+            let out = Out { to, sent: self.now, legs: all, recalled: BTreeSet::new(), stage, task };
             self.calls.insert(n, out);
         }
     }
 
-    fn start(&self, n: u64, to: EndpointId, endpoint: Endpoint, legs: Vec<(MsgId, Duration)>) -> Task<()> {
+    fn start(
+        &self,
+        n: u64,
+        to: EndpointId,
+        endpoint: Endpoint,
+        legs: Vec<(MsgId, Duration)>,
+        stage: Rc<Cell<Stage>>,
+    ) -> Task<()> {
         // A call is given up as a whole, so that none of its messages is out again while it is open, and at
         // the shortest limit: guards against an answer behind the deadline of one, which counts for none.
         let limit = legs.iter().map(|l| l.1).min().unwrap_or_default();
         let part = |(msg, _): &(MsgId, Duration)| {
-            let taken = &self.spool.get(msg.0)?.taken;
+            let spool = self.spool.borrow();
+            let taken = &spool.get(msg.0)?.taken;
             let idempotency_key = told(&taken.list).ok().and_then(|t| t.idempotency_key);
             Some(Part { msg: *msg, id: taken.id.clone(), idempotency_key, body: taken.body.clone() })
         };
@@ -537,7 +553,24 @@
             told
         });
         let (connect, decided) = (self.facts.connect, Instant::now());
-        let call = Call { to, endpoint, parts, limit, connect, decided, may_reach };
+        let (spool, clock, zone) =
+            (self.spool.clone(), self.clock, self.endpoints.zone_name(endpoint.zone).to_string());
+        let note = Box::new(move || {
+            let (mut spool, at) = (spool.borrow_mut(), clock.unix_ms(clock.at(Instant::now())));
+            // Guards against a message that goes out behind its end, or that nobody wants any more.
+            if !legs.iter().all(|(msg, _)| spool.get(msg.0).is_some_and(|kept| kept.owed.is_none())) {
+                return false;
+            }
+            legs.iter().for_each(|(msg, _)| spool.leg(msg.0, &zone, at));
+            // A leg that is not noted must not go out.
+            let safe = spool.commit();
+            if let Err(e) = &safe {
+                error!("spool: {e}");
+                legs.iter().for_each(|(msg, _)| spool.never_ran(msg.0));
+            }
+            safe.is_ok()
+        });
+        let call = Call { to, endpoint, parts, limit, connect, decided, may_reach, note, stage };
         let tell = move |ends| drop(events.try_send(Event::Ended(n, ends)));
         self.executor.spawn(async move { call.run(&idle, tell).await })
     }
@@ -569,6 +602,8 @@
     /// Client connections open now, and closed once clients are to go.
     pub clients: Rc<Cell<usize>>,
     pub leaving: Receiver<()>,
+    /// Closed shortly before the end: clients hear what they are owed, nothing more is read.
+    pub end: Sender<()>,
     pub orders: Rc<RefCell<Orders>>,
     pub out_file: PathBuf,
     /// What an earlier process left, and where this one writes it down.
@@ -587,6 +622,7 @@
     stopping: Option<(Instant, Stopping)>,
     clients: Rc<Cell<usize>>,
     leaving: Receiver<()>,
+    end: Sender<()>,
 }
 
 impl Host {
@@ -601,7 +637,7 @@
             endpoints: Endpoints::new(&parts.sockets),
             idle: Rc::new(Idle::new(parts.sockets.idle, parts.idle_most)),
             facts: parts.sockets,
-            spool: parts.spool,
+            spool: Rc::new(RefCell::new(parts.spool)),
             executor: parts.executor,
             events: parts.events.0,
             notices: parts.notices,
@@ -630,6 +666,7 @@
             stopping: None,
             clients: parts.clients,
             leaving: parts.leaving,
+            end: parts.end,
         };
         let mut tell = Vec::new();
         parts.known.into_iter().for_each(|list| host.desk.take_list(list, &mut tell));
@@ -650,6 +687,35 @@
         }
     }
 
+    /// The last words: what has come by now is taken in, and clients hear of what was taken on for them. Guards
+    /// against a delivery that is known to the process and not to the spool, whose message would be sent again, and
+    /// against a message in the spool whose client never heard, and hands it in again.
+    async fn finish(mut self) {
+        self.end.close();
+        let by = Instant::now() + LAST_WORDS;
+        loop {
+            // Everything that can go on has its turn meanwhile.
+            Timer::after(STOP_LOOK / 4).await;
+            let mut tell = Vec::new();
+            while let Ok(event) = self.came.try_recv() {
+                self.desk.take(event, &mut tell);
+            }
+            self.desk.carry_out();
+            self.desk.late.clear();
+            if Instant::now() >= by || (self.clients.get() == 0 && tell.is_empty()) {
+                break;
+            }
+        }
+        // What was being written can't become whole any more.
+        for out in self.desk.calls.values_mut().filter(|out| out.stage.get() == Stage::Noted) {
+            out.task = None;
+            out.legs.iter().for_each(|msg| self.desk.spool.borrow_mut().never_ran(msg.0));
+        }
+        self.desk.carry_out();
+        let kept = self.desk.spool.borrow().live().len();
+        info!("stopped with {} calls out, {kept} messages kept", self.desk.calls.len());
+    }
+
     /// Plays rounds until the relay is told to stop and what is out has ended.
     pub async fn run(mut self) {
         let (mut swept, gap) = (Instant::now(), self.desk.facts.round_gap);
@@ -701,12 +767,11 @@
             }
             if self.stopping.is_some() {
                 let clients_gone = self.leaving.is_closed() && self.clients.get() == 0;
-                let kept = self.desk.spool.live().len();
+                let kept = self.desk.spool.borrow().live().len();
                 let left = how.leaves_held || stopped >= how.legs || kept == 0;
                 let done = clients_gone && self.desk.calls.is_empty() && left;
                 if done || stopped >= how.end_by {
-                    info!("stopped with {} calls out, {kept} messages kept", self.desk.calls.len());
-                    return;
+                    return self.finish().await;
                 }
             }
         }
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -46,6 +46,8 @@
     peer: String,
     /// Requests written so far.
     pub requests: u32,
+    /// When it came up, or its last request or answer went over it: the other side counts from then.
+    pub used: Instant,
     /// What the log line tells when the connection ends.
     pub reason: &'static str,
 }
@@ -67,6 +69,7 @@
             to,
             peer,
             requests: 0,
+            used: Instant::now(),
             reason: "given-up",
         })
     }
@@ -78,7 +81,7 @@
     }
 
     pub async fn write(&mut self, request: &[u8]) -> io::Result<()> {
-        self.requests += 1;
+        (self.requests, self.used) = (self.requests + 1, Instant::now());
         let written = self.stream.write_all(request).await;
         if written.is_err() {
             self.reason = "broken-in-request";
@@ -183,6 +186,7 @@
     fn read_some(&mut self) -> io::Result<usize> {
         let mut chunk = [0; CHUNK];
         let n = self.stream.get_ref().read(&mut chunk)?;
+        self.used = Instant::now();
         self.buffer.extend(&chunk[..n]);
         Ok(n)
     }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -116,16 +116,19 @@
     }
 }
 
-/// What an earlier process left of its destinations; none if nothing.
-fn carried(state: &Path) -> Result<Option<Snapshot>, NotStarted> {
+/// What an earlier process left of its destinations; none if nothing. Guards against a taker that ends over a file
+/// that it can't read, when the owner has ended: nobody would serve. It goes on as after a restart.
+fn carried(state: &Path) -> Option<Snapshot> {
     let path = state.join(SNAPSHOT);
-    match std::fs::read_to_string(&path) {
-        Ok(text) => Snapshot::read(&text)
-            .map(Some)
-            .map_err(|e| NotStarted::bad_input(format!("{}: {e}", path.display()))),
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(None),
-        Err(e) => Err(NotStarted::failure(format!("{}: {e}", path.display()))),
-    }
+    let read = match std::fs::read(&path) {
+        Ok(bytes) => Snapshot::read(&String::from_utf8_lossy(&bytes)),
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
+        Err(e) => Err(e.to_string()),
+    };
+    read.map_err(|e| {
+        error!("{}: {e}; waits and breakers of the process before are not known", path.display())
+    })
+    .ok()
 }
 
 /// What earlier processes were told of endpoints that leave. A book that can't be read ends nothing: what is
@@ -197,6 +200,7 @@
     let (notices, notices_out) = async_channel::unbounded();
     let (watch, watch_asked) = async_channel::bounded(1);
     let (leave, leaving) = async_channel::bounded::<()>(1);
+    let (end, ending) = async_channel::bounded::<()>(1);
     let (watch_moves, watch_moved) = async_channel::unbounded();
     let (notices_move, notices_moved) = async_channel::unbounded();
     let open = Rc::new(Cell::new(0));
@@ -236,6 +240,7 @@
             hand_in: Box::new(move |message, answer| drop(handed.try_send(Event::Message(message, answer)))),
             gone: Box::new(move |msg| drop(gone.try_send(Event::Gone(msg)))),
             leaving: leaving.clone(),
+            ending,
             most: start.descriptors / 2,
             bytes_most: start.memory / REQUESTS_SHARE,
             open: open.clone(),
@@ -262,30 +267,49 @@
         executor.spawn(clients::serve(listener, front, executor.clone())).detach();
         let (stop_events, stop_dir, owns) = (events_in.clone(), next_dir.clone(), Rc::new(Cell::new(false)));
         let leave_all = leave.clone();
-        let owned = owns.clone();
+        let (owned, stop_executor) = (owns.clone(), executor.clone());
         let stop = async move {
-            let mut at = start.discovery;
-            while let Some(Ok(Signal::Hup)) = signals.next().await {
-                match config::discovery() {
-                    Ok(to) if to == at => info!("told to read the configuration: discovery stays at {to}"),
-                    Ok(to) => {
-                        info!("told to read the configuration: discovery moves from {at} to {to}");
-                        at = to;
-                        let _ = watch_moves.try_send(to);
-                        let _ = notices_move.try_send(to);
+            let (mut at, mut stopping) = (start.discovery, false);
+            // Signals are read to the end. Guards against a move of discovery that comes while stopping and is missed,
+            // and against an error of the stream taken for an order to stop.
+            loop {
+                match signals.next().await {
+                    Some(Ok(Signal::Hup)) => match config::discovery() {
+                        Ok(to) if to == at => {
+                            info!("told to read the configuration: discovery stays at {to}")
+                        }
+                        Ok(to) => {
+                            info!("told to read the configuration: discovery moves from {at} to {to}");
+                            at = to;
+                            let _ = watch_moves.try_send(to);
+                            let _ = notices_move.try_send(to);
+                        }
+                        Err(what) => error!("the new configuration is not used: {what}"),
+                    },
+                    Some(Ok(_)) if stopping => info!("told to stop again, while stopping"),
+                    Some(Ok(_)) => {
+                        stopping = true;
+                        // An owner with a taker beside it hands over; else this is a restart.
+                        let how = mountshift_handover::stopping(owned.get() && held_by_another(&stop_dir));
+                        info!(
+                            "told to stop, {}",
+                            if how.leaves_held { "with a process beside it" } else { "for a restart" }
+                        );
+                        let _ = stop_events.send(Event::Stop(how)).await;
+                        let leave_all = leave_all.clone();
+                        let leave_later = async move {
+                            Timer::after(how.accept).await;
+                            leave_all.close();
+                        };
+                        stop_executor.spawn(leave_later).detach();
+                    }
+                    Some(Err(e)) => {
+                        error!("signals: {e}");
+                        Timer::after(clients::ACCEPT_PAUSE).await;
                     }
-                    Err(what) => error!("the new configuration is not used: {what}"),
+                    None => return error!("signals: no more of them can be read"),
                 }
             }
-            // An owner with a taker beside it hands over; else this is a restart.
-            let how = mountshift_handover::stopping(owned.get() && held_by_another(&stop_dir));
-            info!(
-                "told to stop, {}",
-                if how.leaves_held { "with a process beside it" } else { "for a restart" }
-            );
-            let _ = stop_events.send(Event::Stop(how)).await;
-            Timer::after(how.accept).await;
-            leave_all.close();
         };
         executor.spawn(stop).detach();
         orders.borrow_mut().serving();
@@ -351,9 +375,10 @@
             watch,
             clients: open.clone(),
             leaving: leaving.clone(),
+            end,
             orders: orders.clone(),
             out_file,
-            carried: if carries(role) { carried(&start.state)? } else { None },
+            carried: if carries(role) { carried(&start.state) } else { None },
             snapshot_file: start.state.join(SNAPSHOT),
             book: book(&start.state),
             book_file: start.state.join(BOOK),
--- a/crates/relay/tests/crossings.rs
+++ b/crates/relay/tests/crossings.rs
@@ -8,6 +8,7 @@
 use standins::*;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
+use test_case::test_case;
 
 /// The number of milliseconds that a call for the list may wait; none if it does not.
 fn wait_of(request: &Request) -> Option<u64> {
@@ -71,3 +72,150 @@
     assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
     until("the call", || endpoint.ids() == ["m1"]);
 }
+
+// Guards against a message given up untried: it was noted as one that may have run before its connection was up, and
+// one that must not run twice failed at the next start.
+#[test_case("TERM")]
+#[test_case("KILL")]
+fn a_restart_while_a_connection_comes_up_still_tries_its_message(signal: &str) {
+    let (listener, _fillers) = full();
+    let at = listener.local_addr().expect("an address");
+    let mut scene = scene(0, vec![member("e1", at, 7, "single")]);
+    scene.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
+    let mut relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    until("a connection on its way", || connecting(at));
+    relay.signal(signal);
+    relay.code();
+    let other = Server::start(|_| ok());
+    scene.platform.set(vec![member("e1", other.address, 7, "single")]);
+    let _relay = scene.relay();
+    until("the call", || other.ids() == ["m1"]);
+    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+}
+
+// What was written whole before the end may have run: not again if that does harm.
+#[test_case("TERM", "once" => 1; "term once")]
+#[test_case("KILL", "once" => 1; "kill once")]
+#[test_case("TERM", "any" => 2; "term any")]
+#[test_case("KILL", "any" => 2; "kill any")]
+fn a_restart_while_an_answer_is_due_repeats_only_what_does_no_harm(signal: &str, lane: &str) -> usize {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let endpoint = Server::start(move |_| {
+        held.pass();
+        ok()
+    });
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, &format!("c={lane},d=15000,dest=7"), b"1"), "+OK");
+    gate.came(1);
+    relay.signal(signal);
+    relay.code();
+    gate.open();
+    let relay = scene.relay();
+    if lane == "once" {
+        until("the notice", || scene.platform.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    } else {
+        until("the call", || endpoint.ids().len() == 2);
+    }
+    // Another message that went through shows that nothing more of the first one comes before it.
+    assert_eq!(relay.add("m2", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
+    until("the next one", || endpoint.ids().contains(&"m2".into()));
+    endpoint.ids().iter().filter(|id| *id == "m1").count()
+}
+
+// An answer that came just before the end counts: the message is not sent again.
+#[test]
+fn an_answer_that_comes_while_the_relay_ends_is_taken_in() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let endpoint = Server::start(move |_| {
+        held.pass();
+        ok()
+    });
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=any,d=15000,dest=7", b"1"), "+OK");
+    gate.came(1);
+    relay.signal("TERM");
+    until("the stop", || scene.log().contains("told to stop, for a restart"));
+    gate.open();
+    assert_eq!(relay.code(), Some(0));
+    assert!(scene.log().contains("stopped with 0 calls out, 0 messages kept"), "{}", scene.log());
+    let _relay = scene.relay();
+    assert_eq!(endpoint.ids(), ["m1"]);
+}
+
+// A tenant that the settings don't hold has no share, and takes nothing of the first one's.
+#[test]
+fn an_unknown_tenant_draws_on_nobodys_share() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let endpoint = Server::start(move |_| {
+        held.pass();
+        ok()
+    });
+    let mut scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    scene.config["settings"]["tenants"] = json!([{"name": "North Quay", "quotaPerS": 1.0, "portion": 1.0}]);
+    scene.config["settings"]["familyInfo"]["callsOut"] = json!(1);
+    let relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=any,t=North Quay,d=15000,dest=7", b"1"), "+OK");
+    gate.came(1);
+    assert_eq!(relay.add("strange", 0, "c=any,t=north quay,d=15000,dest=7", b"2"), "+OK");
+    assert_eq!(relay.add("m2", 0, "c=any,t=North Quay,d=15000,dest=7", b"3"), "+OK");
+    gate.open();
+    until("the calls", || endpoint.ids().len() == 3);
+    assert_eq!(endpoint.ids(), ["m1", "m2", "strange"]);
+}
+
+// Signals are read to the end: a move of discovery while stopping reaches the notices and the watch.
+#[test]
+fn a_move_of_discovery_while_stopping_is_heard() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let endpoint = Server::start(move |_| {
+        held.pass();
+        answer(500, "", "")
+    });
+    let scene = scene(usize::MAX, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    gate.came(1);
+    relay.signal("TERM");
+    until("the stop", || scene.log().contains("told to stop, for a restart"));
+    let other = Platform::start(0);
+    let mut config = scene.config.clone();
+    config["discovery"] = json!(other.server.address.to_string());
+    std::fs::write(scene.dir.path().join("config.json"), config.to_string()).expect("a config");
+    relay.signal("HUP");
+    until("the move", || scene.log().contains("discovery moves from"));
+    relay.signal("TERM");
+    until("the second one", || scene.log().contains("told to stop again"));
+    gate.open();
+    until("the notice", || other.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    assert_eq!(relay.code(), Some(0));
+}
+
+// A connection that waits in the kernel's queue when clients are sent away is served, also if its request comes only
+// after that: one closed without an answer counts against the relay.
+#[test]
+fn a_connection_in_the_queue_when_the_listener_closes_is_served() {
+    let endpoint = Server::start(|_| ok());
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = scene.relay();
+    relay.signal("TERM");
+    until("the stop", || scene.log().contains("told to stop, for a restart"));
+    relay.signal("STOP");
+    until("the relay to stand still", || relay.stands_still());
+    let (mut early, mut late) = (relay.client(), relay.client());
+    early.say(&out_add("m1", 0, "c=any,d=15000,dest=7", b"1"));
+    // Beyond the time in which new connections are accepted: all is due at once when it goes on.
+    std::thread::sleep(ms(600));
+    relay.signal("CONT");
+    until("the listener to close", || std::net::TcpStream::connect(relay.listen).is_err());
+    assert_eq!(late.ask(&out_add("m2", 0, "c=any,d=15000,dest=7", b"2")), "+OK");
+    assert_eq!(early.hear(), "+OK");
+    until("the calls", || endpoint.ids().len() == 2);
+    assert_eq!(relay.code(), Some(0));
+}
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -377,21 +377,37 @@
 #[test_case("settings", "classes.count"; "no settings")]
 #[test_case("seed", "hexadecimal"; "a bad seed")]
 #[test_case("limits", "disk_mb"; "a bad limit")]
+#[test_case("names", "two names are read as any"; "two classes of one name")]
+#[test_case("slots", "familyInfo.callsOut=0"; "no calls at all")]
 fn a_bad_config_is_one_line(what: &str, named: &str) {
     let scene = scene(0, vec![]);
     let mut config = scene.config.clone();
     match what {
         "listen" | "seed" => config[what] = json!("nowhere"),
         "settings" => config[what] = json!({}),
+        "names" => config["settings"]["classes"][1]["name"] = json!("any"),
+        "slots" => config["settings"]["familyInfo"]["callsOut"] = json!(0),
         "limits" => config[what]["disk_mb"] = json!("three"),
         _ => {}
     }
     let text = if what.len() < 3 { what.to_string() } else { config.to_string() };
     let file = scene.dir.path().join("config.json");
     std::fs::write(&file, text).expect("a config");
-    let out = command(&file, scene.dir.path()).output().expect("a relay");
-    let said = String::from_utf8_lossy(&out.stderr).into_owned();
-    assert!(!out.status.success() && said.lines().count() == 1, "{said}");
+    let log = scene.dir.path().join("said");
+    let mut command = command(&file, scene.dir.path());
+    let mut child = command.stderr(std::fs::File::create(&log).expect("a log")).spawn().expect("a relay");
+    // Guards against waiting for good on one that starts after all.
+    let mut code = None;
+    for _ in 0..1_000 {
+        code = child.try_wait().expect("a state").and_then(|status| status.code());
+        if code.is_some() {
+            break;
+        }
+        sleep(ms(10));
+    }
+    let _ = child.kill();
+    let said = std::fs::read_to_string(&log).expect("a log");
+    assert!(code == Some(2) && said.lines().count() == 1, "{said}");
     assert!(said.contains("not started") && (said.contains(named) || named == "not JSON"), "{said}");
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -96,8 +96,37 @@
 
     /// A finite number of at least zero.
     fn number(&self, path: &str) -> Result<f64, String> {
-        let n: f64 = self.need(path)?;
-        if n.is_finite() && n >= 0.0 { Ok(n) } else { Err(format!("setting {path}={n} is no amount")) }
+        amount(path, self.need(path)?)
+    }
+
+    fn amounts(&self, path: &str) -> Result<Vec<f64>, String> {
+        self.list(path)?.into_iter().map(|n| amount(path, n)).collect()
+    }
+
+    /// A whole number of at least one.
+    fn count<T: FromStr + PartialOrd + From<u8> + std::fmt::Display>(&self, path: &str) -> Result<T, String> {
+        let n: T = self.need(path)?;
+        if n >= T::from(1) { Ok(n) } else { Err(format!("setting {path}={n} is none at all")) }
+    }
+
+    /// The names of a list of objects. Guards against two that would be taken for one another.
+    fn names(&self, of: &str) -> Result<Vec<String>, String> {
+        let count: u32 = self.or(&format!("{of}.count"), 0)?;
+        let names: Result<Vec<String>, String> =
+            (0..count).map(|i| self.need(&format!("{of}.{i}.name"))).collect();
+        differ(of, names?)
+    }
+}
+
+fn amount(path: &str, n: f64) -> Result<f64, String> {
+    if n.is_finite() && n >= 0.0 { Ok(n) } else { Err(format!("setting {path}={n} is no amount")) }
+}
+
+fn differ(of: &str, names: Vec<String>) -> Result<Vec<String>, String> {
+    let mut seen = std::collections::BTreeSet::new();
+    match names.iter().find(|name| !seen.insert(*name)) {
+        Some(twice) => Err(format!("setting {of}: two names are read as {twice}; they can't be told apart")),
+        None => Ok(names),
     }
 }
 
@@ -107,15 +136,16 @@
 }
 
 pub fn socket_facts(pairs: &Pairs) -> Result<SocketFacts, String> {
-    let names = |of: &str| {
-        let count: u32 = pairs.or(&format!("{of}.count"), 0)?;
-        (0..count).map(|i| pairs.need(&format!("{of}.{i}.name"))).collect::<Result<_, _>>()
-    };
+    let zones = differ("localities", pairs.list("localities")?)?;
+    let zone: usize = pairs.or("zone", 0)?;
+    if !zones.is_empty() && zone >= zones.len() {
+        return Err(format!("setting zone={zone} is none of the {} localities", zones.len()));
+    }
     Ok(SocketFacts {
-        lanes: names("classes")?,
-        tenants: names("tenants")?,
-        zones: pairs.list("localities")?,
-        kinds: pairs.list("kinds")?,
+        lanes: pairs.names("classes")?,
+        tenants: pairs.names("tenants")?,
+        zones,
+        kinds: differ("kinds", pairs.list("kinds")?)?,
         idle: pairs.span("limits.connIdle")?,
         connect: pairs.span("limits.dialTimeout")?,
         round_gap: pairs.span_or_none("quantum")?,
@@ -124,7 +154,7 @@
 
 pub fn facts(pairs: &Pairs, relay: RelayId, seed: u64) -> Result<StartupFacts, String> {
     let mut lanes = Vec::new();
-    for i in 0..pairs.need::<u16>("classes.count")? {
+    for i in 0..pairs.count::<u16>("classes.count")? {
         lanes.push(lane(pairs, &format!("classes.{i}"))?);
     }
     let own_limits: Vec<bool> = pairs.list("familyInfo.ownLimits")?;
@@ -150,9 +180,9 @@
             "halving" => Decay::Halving,
             _ => Decay::Linear,
         },
-        slots: pairs.need("familyInfo.callsOut")?,
-        max_held: pairs.need("limits.openCap")?,
-        max_legs: pairs.need::<u32>("limits.maxAttempts")?.min(255) as u8,
+        slots: pairs.count::<u32>("familyInfo.callsOut")? as usize,
+        max_held: pairs.count::<u32>("limits.openCap")? as usize,
+        max_legs: pairs.count::<u32>("limits.maxAttempts")?.min(255) as u8,
         listed_rate: match pairs.or("weights", "none".to_string())?.as_str() {
             "nominal" => ListedRate::Exact,
             "rough" => ListedRate::Rough,
@@ -168,19 +198,21 @@
         warm_after: pairs.span("obligations.warmAfter")?,
         fall_multiple: pairs.number("obligations.fallMultiple")?,
         fall: pairs.span("obligations.fall")?,
-        zone_fees: pairs.list("familyInfo.feeByZone")?,
-        cross_zone_price: pairs.or("penalties.crossZone", 0.0)?,
+        zone_fees: pairs.amounts("familyInfo.feeByZone")?,
+        cross_zone_price: amount("penalties.crossZone", pairs.or("penalties.crossZone", 0.0)?)?,
     })
 }
 
 fn lane(pairs: &Pairs, at: &str) -> Result<LaneFacts, String> {
     let path = |name: &str| format!("{at}.{name}");
     let effect: String = pairs.need(&path("idempotency"))?;
+    let deadline = pairs.span(&path("giveUp"))?;
     Ok(LaneFacts {
-        target: pairs.span(&path("aim"))?,
-        deadline: pairs.span(&path("giveUp"))?,
+        // A target time beyond the deadline: full value up to the deadline.
+        target: pairs.span(&path("aim"))?.min(deadline),
+        deadline,
         value: pairs.number(&path("importance"))?,
-        late_share: pairs.or(&path("lateWorth"), 0.0)?,
+        late_share: amount(&path("lateWorth"), pairs.or(&path("lateWorth"), 0.0)?)?,
         effect: match effect.as_str() {
             "idempotent" => Effect::Retriable,
             "deduplicated" => Effect::Keyed {
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -56,9 +56,41 @@
             "obligations.coldFrom=NaN",
             "setting obligations.coldFrom=NaN is no amount",
         ),
+        ("familyInfo.callsOut=7", "familyInfo.callsOut=0", "setting familyInfo.callsOut=0 is none at all"),
+        ("limits.maxAttempts=8", "limits.maxAttempts=0", "setting limits.maxAttempts=0 is none at all"),
+        ("feeByZone=0.5,0.25", "feeByZone=0.5,inf", "setting familyInfo.feeByZone=inf is no amount"),
+        ("classes.count=2", "classes.count=0", "setting classes.count=0 is none at all"),
         ("=at_most_once", "=sometimes", "setting classes.1.idempotency=sometimes is not known"),
     ] {
         let pairs = Pairs::from_text(&TEXT.replacen(from, to, 1));
         assert_eq!(facts(&pairs, RelayId(0), 1).expect_err(named), named);
     }
 }
+
+// Guards against two customers' names merged into one: spaces and commas are read as underscores.
+#[test]
+fn names_that_would_be_taken_for_one_another_are_refused() {
+    let named = |json: serde_json::Value| socket_facts(&Pairs::from_json(&json)).map(drop);
+    let limits = json!({"connIdle": 1, "dialTimeout": 1});
+    for list in ["classes", "tenants"] {
+        let two = |a: &str, b: &str| json!({list: [{"name": a}, {"name": b}], "limits": limits});
+        let said = format!("setting {list}: two names are read as a_b; they can't be told apart");
+        assert_eq!(named(two("a b", "a_b")), Err(said.clone()));
+        assert_eq!(named(two("a,b", "a b")), Err(said));
+        assert_eq!(named(two("a b", "A b")), Ok(()));
+    }
+    for list in ["localities", "kinds"] {
+        let said = format!("setting {list}: two names are read as a_b; they can't be told apart");
+        assert_eq!(named(json!({list: ["a b", "a_b"], "limits": limits})), Err(said));
+    }
+    let zone = json!({"localities": ["a", "b"], "zone": 2, "limits": limits});
+    assert_eq!(named(zone), Err("setting zone=2 is none of the 2 localities".to_string()));
+}
+
+// A target time beyond the deadline is none: the value stays whole up to the deadline.
+#[test]
+fn a_target_time_is_never_beyond_the_deadline() {
+    let pairs = Pairs::from_text(&TEXT.replacen("classes.1.aim=1\n", "classes.1.aim=9\n", 1));
+    let lane = facts(&pairs, RelayId(0), 1).expect("facts").lanes[1];
+    assert_eq!(lane.target, lane.deadline);
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -185,7 +185,7 @@
             }
             for entry in list.chunks_exact(wire::ENTRY) {
                 let mut f = Cursor::new(entry, "ROSTER entry");
-                let (dst, zone) = (DstId(u32::from(f.u16("cell")?)), ZoneId(f.u8("dc")?));
+                let (dst, zone) = (DstId(u32::from(f.u16("cell")?)), ZoneId(f.u8("dc")?.into()));
                 f.u64("upSince")?;
                 let says = match f.u8("mode")? {
                     0 => Listed::Gone,
--- a/src/port.rs
+++ b/src/port.rs
@@ -24,7 +24,7 @@
     /// A customer, by place in the facts.
     TenantId(u32);
     /// A place, by number.
-    ZoneId(u8);
+    ZoneId(u16);
     /// A kind of destination, by place in the facts.
     KindId(u16);
     /// What messages that keep their order are about.
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -274,8 +274,8 @@
     pub fn message(&mut self, id: MsgId, told: HandIn) {
         let HandIn { lane, tenant, dst, key, deadline, restored } = told;
         let Some(row) = self.facts.lanes.get(lane.0 as usize) else { return };
-        let mut over_share = false;
-        // What a restart finds was counted when it was handed in.
+        // A tenant that nobody knows has no share. What a restart finds was counted when it was handed in.
+        let mut over_share = !self.facts.quotas.is_empty() && tenant.0 as usize >= self.facts.quotas.len();
         if let Some(tokens) = self.tenants.get_mut(tenant.0 as usize).filter(|_| !restored) {
             let quota = self.facts.quotas[tenant.0 as usize] / f64::from(self.facts.relays);
             tokens.refill(self.now, quota, quota * SHARE_BURST);
