--- a/crates/judge/src/lib.rs
+++ b/crates/judge/src/lib.rs
@@ -61,6 +61,8 @@
 
 /// The share of the load on a cold route that must come from relays that saw its outage.
 const COLD_SEEN: f64 = 2.0 / 3.0;
+/// An end so much before the deadline is no end by the deadline.
+const EARLY: Time = 100_000;
 /// Breaches that are kept with their stories; the rest are counted.
 const STORIES_MOST: usize = 50;
 
@@ -92,6 +94,10 @@
     pub harmless_repeats: u64,
     /// Routes that were pushed over while cold, whoever did it.
     pub fell_over: u64,
+    /// Messages that restarts found taken on and untried, and those of them that were ended with no call made
+    /// though their time was not up.
+    pub found_untried: u64,
+    pub given_up_untried: u64,
 }
 
 impl Verdict {
@@ -120,6 +126,8 @@
     key: u64,
     deadline: Time,
     taken: bool,
+    /// A restart found it untried.
+    found: bool,
     legs: Vec<Leg>,
     /// The relay of now knows that it is over.
     known_over: bool,
@@ -189,6 +197,8 @@
     /// When messages are due at the latest.
     due: BTreeSet<(Time, u64)>,
     verdict: Verdict,
+    /// The first message that was given up untried.
+    given_up: Vec<(Time, Fact)>,
 }
 
 impl Judge {
@@ -204,6 +214,7 @@
             calls: FxHashMap::default(),
             due: BTreeSet::new(),
             verdict: Verdict::default(),
+            given_up: Vec::new(),
         }
     }
 
@@ -268,6 +279,12 @@
             Fact::RelayUp { relay } => {
                 let r = self.relays.entry(relay).or_default();
                 (r.down, r.up_since) = (false, at);
+                for msg in r.live.iter() {
+                    let Some(m) = self.messages.get_mut(msg) else { continue };
+                    let untried = m.taken && m.legs.is_empty() && !m.ended && !m.known_over && !m.found;
+                    m.found |= untried;
+                    self.verdict.found_untried += u64::from(untried);
+                }
             }
             // What falls due meanwhile may be late as after a restart.
             Fact::RelayStands { relay, until } => {
@@ -281,6 +298,12 @@
     pub fn finish(mut self, at: Time) -> Verdict {
         self.now = self.now.max(at);
         self.find_lost();
+        let (found, given_up) = (self.verdict.found_untried, self.verdict.given_up_untried);
+        // What a restart finds taken on and untried is still tried: over half of it given up is a broken rule 1.
+        if given_up * 2 > found {
+            let story = std::mem::take(&mut self.given_up);
+            self.breach(1, format!("{given_up} of {found} untried messages given up after restarts"), story);
+        }
         self.verdict
     }
 
@@ -313,6 +336,7 @@
             key: if in_order { key } else { 0 },
             deadline,
             taken: false,
+            found: false,
             legs: Vec::new(),
             known_over: false,
             ended: false,
@@ -475,6 +499,12 @@
         if m.known_over {
             found.push((1, "ended a second time".into()));
         }
+        if m.found && m.legs.is_empty() && now + EARLY < m.deadline {
+            self.verdict.given_up_untried += 1;
+            if self.given_up.is_empty() {
+                self.given_up = m.story.clone();
+            }
+        }
         let late = m.deadline + self.figures.answer_slack;
         let excused = self.relays.get(&relay).map_or(0, |r| r.up_since);
         if now > late && (excused == 0 || now > excused + self.figures.restart_slack) && !m.answered {
--- a/crates/lab/tests/sabotage.rs
+++ b/crates/lab/tests/sabotage.rs
@@ -33,6 +33,8 @@
     Pushed,
     /// What went out before a restart is forgotten.
     Amnesia,
+    /// What a restart finds is given up at once.
+    GiveUp,
     /// Draining endpoints are told as ready.
     Drains,
     /// One relay alone sends, and what is cold is warm.
@@ -140,6 +142,10 @@
                 hand_in.deadline += Duration::from_secs(3);
                 true
             }
+            Tell::Message(_, hand_in) if lie == Lie::GiveUp && hand_in.restored => {
+                hand_in.deadline = now;
+                true
+            }
             Tell::EarlierLeg { .. } => lie != Lie::Amnesia,
             Tell::Entry { listed, .. } if lie == Lie::Drains => {
                 *listed = Listed::Ready;
@@ -190,6 +196,7 @@
 #[test_case("half-errors", Lie::Pushed, 2; "pushed back what may have run")]
 #[test_case("fast-errors", Lie::Memory, 2; "behind the memory")]
 #[test_case("relays-in-waves", Lie::Amnesia, 2; "forgets what was out")]
+#[test_case("relays-in-waves", Lie::GiveUp, 1; "gives up what a restart finds untried")]
 #[test_case("rolling-drain", Lie::Drains, 3; "sends to what drains")]
 #[test_case("crowd-cold", Lie::Cold, 4; "pushes over what is cold")]
 #[test_case("slow", Lie::Order, 5; "keeps no order")]
