Requests that were read and not handed in at the end are turned away; answers written in part tested

`Client::run` returned "stopping" once `ending` was closed, with whole requests in its buffer (more than 32 in a batch): read, and no answer. PROTOCOL: a request written whole whose connection ends with no answer is lost. Now they get -BUSY (`turn_away`). 2. A client that ends its sending behind its request got nothing at all (`Ok(false) => "closed"`). Now -BUSY, and nothing is taken on, as before. 3. One connection too many got its -BUSY without TCP_NODELAY and was closed over its unread request: the reset may take the answer with it (`say_no`). `reply` is split into `write_out` and `unheard`, so that the row "several answers are being written" of docs/crossings.md has its test. A socket takes so few bytes whole or not at all, so there the writer is a stand-in. Harm: -BUSY written to a client that has gone costs one system call.

--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -3,13 +3,13 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncWrite, AsyncWriteExt, FutureExt};
 use log::{debug, info, warn};
 use mountshift::port::MsgId;
 use mountshift_orders::Orders;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::{self, Read};
+use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -42,6 +42,8 @@
 
 /// What a client hears once its message is taken on.
 const TAKEN: &str = "+OK\r\n";
+/// Refused, and harmless to hand in again.
+const NO_ROOM: &str = "-BUSY\r\n";
 
 /// A message as a client handed it in.
 pub struct HandedIn {
@@ -175,7 +177,7 @@
                 Timer::after(ACCEPT_PAUSE).await;
             }
             Ok((stream, peer)) if open.get() >= front.most && !front.make_room(false) => {
-                let _ = (&stream).write(b"-BUSY\r\n").await;
+                say_no(&stream);
                 info!("connection from {peer} ended: too-many after 0 requests");
             }
             Ok((stream, peer)) => {
@@ -199,6 +201,16 @@
     }
 }
 
+/// Turns a new connection away. Guards against an answer that its client never sees: it must not be held back, and a
+/// close over a request that was not read resets the connection, so what has come is read and dropped.
+fn say_no(stream: &Async<TcpStream>) {
+    let mut stream = stream.get_ref();
+    let _ = stream.set_nodelay(true);
+    let _ = stream.write(NO_ROOM.as_bytes());
+    let _ = stream.shutdown(Shutdown::Write);
+    let _ = stream.read(&mut [0; 16 * 1024]);
+}
+
 struct Client {
     stream: Async<TcpStream>,
     number: u64,
@@ -264,12 +276,12 @@
                 }
             }
             if front.ending.is_closed() {
-                return "stopping";
+                return self.turn_away("stopping");
             }
             // A client that is gone hears no answer: what it asked last is not taken on.
             match self.pull() {
                 Ok(true) => {}
-                Ok(false) => return "closed",
+                Ok(false) => return self.turn_away("closed"),
                 Err(_) => return "broken",
             }
             let (mut replies, mut last, before) = (Vec::new(), None, self.requests);
@@ -333,6 +345,21 @@
         }
     }
 
+    /// Says no to every request that was read whole and is not handed in any more, as its client ended its sending or
+    /// the process ends. Guards against a request without an answer, which its client takes for lost; what was not
+    /// read goes again by itself. Nothing is taken on: a client that has gone altogether looks the same.
+    fn turn_away(&mut self, reason: &'static str) -> &'static str {
+        let mut answers = String::new();
+        while let Ok(Some((_, size))) = request(&self.buffer) {
+            self.buffer.drain(..size);
+            self.requests += 1;
+            answers.push_str(NO_ROOM);
+        }
+        // What the connection does not take at once goes nowhere: its client has stopped reading.
+        let _ = self.stream.get_ref().write(answers.as_bytes());
+        reason
+    }
+
     /// Why the connection is let go of, once it is: for another, or since nothing came by then.
     async fn let_go(&self, due: Instant) -> Option<&'static str> {
         let late = async {
@@ -411,7 +438,7 @@
                         TAKEN.into()
                     }
                     Ok(Answer::Held) => TAKEN.into(),
-                    Ok(Answer::PushedBack(0)) => "-BUSY\r\n".into(),
+                    Ok(Answer::PushedBack(0)) => NO_ROOM.into(),
                     Ok(Answer::PushedBack(ms)) => format!("-BUSY {ms}\r\n"),
                     Ok(Answer::Failed(what)) => format!("-ERR {what}\r\n"),
                     Err(_) => {
@@ -429,37 +456,47 @@
         if bytes.is_empty() {
             return stopped;
         }
-        let mut left = &bytes[..];
         let gone = matches!(self.stream.get_ref().peek(&mut [0]), Ok(0));
-        let late = async {
-            Timer::after(SLOW).await;
-            Err(io::ErrorKind::TimedOut.into())
-        };
-        let written: io::Result<()> = if gone {
-            Err(io::ErrorKind::BrokenPipe.into())
+        let (left, written) = if gone {
+            (bytes.len(), Err(io::ErrorKind::BrokenPipe.into()))
         } else {
-            let write = async {
-                while !left.is_empty() {
-                    match self.stream.write(left).await? {
-                        0 => return Err(io::ErrorKind::WriteZero.into()),
-                        n => left = &left[n..],
-                    }
-                }
-                Ok(())
-            };
-            write.or(late).await
+            write_out(&mut self.stream, &bytes).await
         };
         let reason = match written {
             Ok(()) => return stopped,
             Err(e) if e.kind() == io::ErrorKind::TimedOut => "slow",
             Err(_) => "closed-before-answer",
         };
-        let out = bytes.len() - left.len();
-        taken.into_iter().filter(|(end, _)| *end > out).for_each(|(_, msg)| (front.gone)(msg));
+        unheard(&taken, bytes.len() - left).for_each(|msg| (front.gone)(msg));
         Some(reason)
     }
 }
 
+/// Writes the bytes within the time that a client has to take them; how many are left if that fails.
+async fn write_out<W: AsyncWrite + Unpin>(to: &mut W, bytes: &[u8]) -> (usize, io::Result<()>) {
+    let mut left = bytes;
+    let late = async {
+        Timer::after(SLOW).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let write = async {
+        while !left.is_empty() {
+            match to.write(left).await? {
+                0 => return Err(io::ErrorKind::WriteZero.into()),
+                n => left = &left[n..],
+            }
+        }
+        Ok(())
+    };
+    let written = write.or(late).await;
+    (left.len(), written)
+}
+
+/// The messages whose answers, which end at these bytes, did not leave whole.
+fn unheard(taken: &[(usize, MsgId)], out: usize) -> impl Iterator<Item = MsgId> {
+    taken.iter().filter(move |(end, _)| *end > out).map(|(_, msg)| *msg)
+}
+
 /// Carries a request out; none if it says that it was the last.
 fn command(words: Words, front: &Front) -> Option<Reply> {
     let now = |text: &str| Some(Reply::Now(format!("{text}\r\n")));
@@ -553,3 +590,157 @@
     let n = text.and_then(|t| t.parse().ok()).ok_or("a length can't be read")?;
     Ok(Some((n, at + end + 1)))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_lite::future::block_on;
+    use std::pin::Pin;
+    use std::task::{Context, Poll};
+
+    const ADD: &str =
+        "*5\r\n$7\r\nOUT.ADD\r\n$1\r\n0\r\n$2\r\nm1\r\n$19\r\nc=any,d=9000,dest=7\r\n$1\r\nx\r\n";
+
+    /// A front whose host is the test: what was handed in waits there for its answer.
+    struct Scene {
+        front: Rc<Front>,
+        handed: Receiver<Sender<Answer>>,
+        ending: Sender<()>,
+        _leaving: Sender<()>,
+        gone: Rc<RefCell<Vec<MsgId>>>,
+    }
+
+    fn scene() -> Scene {
+        let (hand, handed) = async_channel::unbounded();
+        let ((leave, leaving), (ending, ended)) = (async_channel::bounded(1), async_channel::bounded(1));
+        let gone = Rc::new(RefCell::new(Vec::new()));
+        let told = gone.clone();
+        let front = Front {
+            hand_in: Box::new(move |_, answer| drop(hand.try_send(answer))),
+            gone: Box::new(move |msg| told.borrow_mut().push(msg)),
+            leaving,
+            ending: ended,
+            most: 8,
+            bytes_most: 1 << 20,
+            open: Rc::default(),
+            waiting: RefCell::default(),
+            orders: Rc::new(RefCell::new(Orders::from_text(""))),
+            start: Instant::now(),
+            moved: RefCell::new(async_channel::bounded(1)),
+        };
+        Scene { front: Rc::new(front), handed, ending, _leaving: leave, gone }
+    }
+
+    /// Plays a scene, ten seconds at most.
+    fn play(executor: &LocalExecutor<'_>, scene: impl Future<Output = ()>) {
+        let late = async {
+            Timer::after(Duration::from_secs(10)).await;
+            panic!("not over in time");
+        };
+        async_io::block_on(executor.run(scene.or(late)));
+    }
+
+    /// Both ends of a connection that the front serves; the far one has said `said` by then.
+    async fn connected(scene: &Scene, said: &str, executor: &Rc<LocalExecutor<'static>>) -> Async<TcpStream> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+        let at = listener.get_ref().local_addr().expect("an address");
+        let far = Async::<TcpStream>::connect(at).await.expect("a connection");
+        far.get_ref().write_all(said.as_bytes()).expect("written");
+        executor.spawn(serve(listener, scene.front.clone(), executor.clone())).detach();
+        far
+    }
+
+    async fn heard(far: &mut Async<TcpStream>) -> String {
+        let mut text = String::new();
+        let _ = futures_lite::AsyncReadExt::read_to_string(far, &mut text).await;
+        text
+    }
+
+    // Guards against requests that were read and get no answer, as the process ends while the ones before them wait for
+    // theirs: whoever wrote them whole takes them for lost.
+    #[test]
+    fn what_was_read_and_not_handed_in_when_the_process_ends_is_turned_away() {
+        let (scene, executor) = (scene(), Rc::new(LocalExecutor::new()));
+        play(&executor, async {
+            let mut far = connected(&scene, &ADD.repeat(AT_ONCE + 8), &executor).await;
+            let mut waiting = Vec::new();
+            for _ in 0..AT_ONCE {
+                waiting.push(scene.handed.recv().await.expect("a message"));
+            }
+            // The rest is read by now; the process ends before the first ones have their answers.
+            scene.ending.close();
+            waiting.iter().for_each(|answer| answer.try_send(Answer::Taken(MsgId(1))).expect("waited for"));
+            assert_eq!(heard(&mut far).await, "+OK\r\n".repeat(AT_ONCE) + &"-BUSY\r\n".repeat(8));
+            assert!(scene.handed.is_empty(), "nothing more is handed in");
+        });
+    }
+
+    // A client may end its sending behind its request: it hears that it is to come again, and nothing is taken on, as
+    // one that has gone altogether looks the same.
+    #[test]
+    fn a_client_that_ends_its_sending_is_turned_away_and_not_left_without_an_answer() {
+        let (scene, executor) = (scene(), Rc::new(LocalExecutor::new()));
+        play(&executor, async {
+            let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
+            let far = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+            (&far).write_all(ADD.as_bytes()).expect("written");
+            far.shutdown(Shutdown::Write).expect("half closed");
+            let listener = Async::new(listener).expect("a listener");
+            executor.spawn(serve(listener, scene.front.clone(), executor.clone())).detach();
+            let mut far = Async::new(far).expect("a stream");
+            assert_eq!(heard(&mut far).await, "-BUSY\r\n");
+            assert!(scene.handed.is_empty(), "nothing is handed in");
+        });
+    }
+
+    // One that is turned away as there is no room hears so, though its request was not read: a close over unread bytes
+    // resets the connection.
+    #[test]
+    fn one_connection_too_many_hears_that_it_is_turned_away() {
+        let (scene, executor) = (scene(), Rc::new(LocalExecutor::new()));
+        scene.front.open.set(scene.front.most);
+        play(&executor, async {
+            let mut far = connected(&scene, ADD, &executor).await;
+            let mut text = Vec::new();
+            let read = futures_lite::AsyncReadExt::read_to_end(&mut far, &mut text).await;
+            assert!(read.is_ok(), "not reset: {read:?}");
+            assert_eq!(text, b"-BUSY\r\n");
+        });
+    }
+
+    /// Takes so many bytes, then breaks.
+    struct Breaks(usize);
+
+    impl futures_lite::AsyncWrite for Breaks {
+        fn poll_write(
+            mut self: Pin<&mut Self>,
+            _: &mut Context<'_>,
+            bytes: &[u8],
+        ) -> Poll<io::Result<usize>> {
+            let n = bytes.len().min(self.0).min(3);
+            self.0 -= n;
+            Poll::Ready(if n == 0 { Err(io::ErrorKind::ConnectionReset.into()) } else { Ok(n) })
+        }
+
+        fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+            Poll::Ready(Ok(()))
+        }
+
+        fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+            Poll::Ready(Ok(()))
+        }
+    }
+
+    // An answer that left whole stands, whatever comes after it; the others are taken back. A socket takes so few bytes
+    // whole or not at all, so the writer here is one that does not.
+    #[test]
+    fn only_answers_that_did_not_leave_whole_are_taken_back() {
+        let taken = [(5, MsgId(1)), (10, MsgId(2)), (15, MsgId(3))];
+        for (takes, back) in [(0, 3), (4, 3), (5, 2), (9, 2), (10, 1), (14, 1), (15, 0)] {
+            let (left, written) = block_on(write_out(&mut Breaks(takes), &[b'+'; 15]));
+            assert_eq!((15 - left, written.is_err()), (takes, takes < 15));
+            assert_eq!(unheard(&taken, 15 - left).collect::<Vec<_>>().len(), back, "{takes} bytes left");
+        }
+        assert!(scene().gone.borrow().is_empty());
+    }
+}
