--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -74,6 +74,12 @@
         })
     }
 
+    /// Leaves room for so few bytes on the way.
+    #[cfg(test)]
+    pub fn room(&self, bytes: usize) {
+        socket2::SockRef::from(self.stream.get_ref()).set_send_buffer_size(bytes).expect("a size");
+    }
+
     /// True if the other side has neither closed it nor said anything unasked.
     pub fn is_quiet(&self) -> bool {
         let waiting = self.stream.get_ref().peek(&mut [0]);
--- a/crates/relay/tests/crossings.rs
+++ b/crates/relay/tests/crossings.rs
@@ -219,3 +219,50 @@
     until("the calls", || endpoint.ids().len() == 2);
     assert_eq!(relay.code(), Some(0));
 }
+
+// Requests that come in the very moment in which the process ends: whatever it took on was answered, whatever was not
+// answered is not kept. The relay stands still over its end, so that both are due at once when it goes on.
+#[test]
+fn at_the_very_end_what_is_kept_was_answered_and_what_was_answered_is_kept() {
+    let endpoint = Server::start(|_| ok());
+    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = scene.relay();
+    let all: Vec<Vec<u8>> =
+        (0..60).map(|n| out_add(&format!("m{n}"), 0, "c=any,d=15000,dest=7", b"x")).collect();
+    let bytes = all.concat();
+    let mut client = relay.client();
+    // A request that has begun keeps its connection open while the relay stops.
+    client.say(&bytes[..10]);
+    relay.signal("TERM");
+    until("the stop", || scene.log().contains("told to stop, for a restart"));
+    let stopped = std::time::Instant::now();
+    std::thread::sleep(ms(1_500));
+    let first = all[0].len();
+    client.say(&bytes[10..first + 10]);
+    assert_eq!(client.hear(), "+OK");
+    std::thread::sleep(ms(3_300).saturating_sub(stopped.elapsed()));
+    relay.signal("STOP");
+    until("the relay to stand still", || relay.stands_still());
+    client.say(&bytes[first + 10..]);
+    std::thread::sleep(ms(3_700).saturating_sub(stopped.elapsed()));
+    relay.signal("CONT");
+    let mut heard = vec!["+OK".to_string()];
+    while let Some(line) = Some(client.hear()).filter(|line| !line.is_empty()) {
+        heard.push(line);
+    }
+    assert_eq!(relay.code(), Some(0));
+    let taken: Vec<String> =
+        (0..).zip(&heard).filter(|h| *h.1 == "+OK").map(|h| format!("m{}", h.0)).collect();
+    assert!(heard.iter().all(|line| line == "+OK" || line == "-BUSY"), "{heard:?}");
+    let _relay = scene.relay();
+    let kept = |log: &str| {
+        let told =
+            log.rsplit(" starts with ").next().and_then(|rest| rest.split(' ').next()?.parse::<usize>().ok());
+        told.expect("a number of messages")
+    };
+    until("the calls", || endpoint.ids().len() > kept(&scene.log()));
+    let (mut sent, mut wanted) = (endpoint.ids(), taken);
+    sent.sort();
+    wanted.sort();
+    assert_eq!(sent, wanted, "{heard:?}");
+}
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -15,6 +15,7 @@
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
+use test_case::test_case;
 
 /// The platform's listening socket, which every process of the relay inherits.
 fn platform_socket() -> (socket2::Socket, SocketAddr) {
@@ -64,10 +65,12 @@
     }
 
     fn term(&self) {
+        self.signal("TERM");
+    }
+
+    fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
-        assert!(
-            std::process::Command::new("kill").args(["-s", "TERM", &id]).status().expect("kill").success()
-        );
+        assert!(std::process::Command::new("kill").args(["-s", name, &id]).status().expect("kill").success());
     }
 
     /// Waits for its end: true if it came in time.
@@ -252,3 +255,151 @@
     assert_eq!(client.ask(&out_add("m1", 0, "c=any,d=15000,dest=7", b"x")), "+OK");
     until("the call", || endpoint.ids() == ["m1"]);
 }
+
+/// A relay's folder, platform and listening socket, for processes that are started by hand; its endpoint holds every
+/// call at a gate.
+struct Beside {
+    gate: Gate,
+    endpoint: Server,
+    platform: Platform,
+    config: Value,
+    dir: tempfile::TempDir,
+    socket: socket2::Socket,
+    at: SocketAddr,
+}
+
+fn beside() -> Beside {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let endpoint = Server::start(move |_| {
+        held.pass();
+        ok()
+    });
+    let platform = Platform::start(0);
+    let (socket, at) = platform_socket();
+    let members = vec![member("e1", endpoint.address, 7, "single")];
+    let config = config(at, platform.server.address, &members);
+    platform.set(members);
+    let dir = tempfile::tempdir().expect("a folder");
+    std::fs::create_dir_all(dir.path().join("state")).expect("a folder");
+    Beside { gate, endpoint, platform, config, dir, socket, at }
+}
+
+impl Beside {
+    fn start(&self, n: usize) -> Process {
+        let process = Process::start(&self.config, self.dir.path(), self.socket.as_raw_fd(), n);
+        until("the process to say yes", || process.says_yes());
+        process
+    }
+
+    fn add(&self, id: &str, key: u64, lane: &str) {
+        let mut client = Client(std::io::BufReader::new(TcpStream::connect(self.at).expect("a connection")));
+        assert_eq!(client.ask(&out_add(id, key, &format!("c={lane},d=15000,dest=7"), b"x")), "+OK");
+    }
+
+    fn log(&self) -> String {
+        std::fs::read_to_string(self.dir.path().join("log")).expect("a log")
+    }
+
+    fn owns(&self, times: usize) {
+        until("the taker to own", || self.log().matches("owns the state folder now").count() == times);
+    }
+}
+
+// A handover while a call is out: its answer is the owner's, and what comes meanwhile goes out only after it.
+#[test]
+fn an_answer_due_at_a_handover_is_taken_in_before_the_taker_sends() {
+    let scene = beside();
+    let mut owner = scene.start(0);
+    scene.add("m1", 5, "pay");
+    scene.gate.came(1);
+    let _taker = scene.start(1);
+    owner.term();
+    until("the stop", || scene.log().contains("told to stop, with a process beside it"));
+    scene.add("m2", 5, "pay");
+    assert_eq!(scene.endpoint.ids(), ["m1"]);
+    scene.gate.open();
+    assert!(owner.ended_within(ms(3_600)));
+    until("the call of the taker", || scene.endpoint.ids() == ["m1", "m2"]);
+    scene.owns(1);
+    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+}
+
+// The owner is killed with a call out that may have run: the taker repeats only what does no harm, and what its key
+// holds back comes after that end.
+#[test_case("pay", &["m1", "m2"], &[r#"{"id":"m1","state":"failed"}"#]; "must not run twice")]
+#[test_case("line", &["m1", "m1", "m2"], &[]; "does no harm twice")]
+fn a_call_out_when_the_owner_is_killed_is_repeated_only_if_that_does_no_harm(
+    lane: &str,
+    ids: &[&str],
+    notices: &[&str],
+) {
+    let scene = beside();
+    let mut owner = scene.start(0);
+    scene.add("m1", 5, lane);
+    scene.gate.came(1);
+    let _taker = scene.start(1);
+    // Who stands still takes nothing on: this is the taker's.
+    owner.signal("STOP");
+    scene.add("m2", 5, lane);
+    scene.gate.open();
+    owner.signal("KILL");
+    assert!(owner.ended_within(ms(3_600)));
+    scene.owns(1);
+    until("the calls", || scene.endpoint.ids() == ids);
+    until("the notices", || scene.platform.notices() == notices);
+}
+
+// The owner's call is still connecting at the handover: it never ran, so the taker sends it though it may run only once.
+#[test]
+fn a_connection_on_its_way_at_a_handover_is_nothing_sent() {
+    let (listener, _fillers) = full();
+    let full_at = listener.local_addr().expect("an address");
+    let mut scene = beside();
+    scene.config["known"]["members"] = json!([member("e1", full_at, 7, "single")]);
+    scene.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
+    scene.platform.set(vec![member("e1", full_at, 7, "single")]);
+    let mut owner = scene.start(0);
+    scene.add("m1", 0, "once");
+    until("a connection on its way", || connecting(full_at));
+    let _taker = scene.start(1);
+    // Where the taker finds it, and no connection waits.
+    scene.gate.open();
+    scene.platform.set(vec![member("e1", scene.endpoint.address, 7, "single")]);
+    owner.term();
+    assert!(owner.ended_within(ms(3_600)));
+    scene.owns(1);
+    until("the call", || scene.endpoint.ids() == ["m1"]);
+    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+}
+
+// A taker is killed with messages that it took on: the owner goes on, and whoever owns next has them, a later taker or
+// a process that starts alone.
+#[test_case(true; "a later taker")]
+#[test_case(false; "a process alone")]
+fn what_a_killed_taker_took_on_is_the_next_owners(beside_owner: bool) {
+    let scene = beside();
+    scene.gate.open();
+    let mut owner = scene.start(0);
+    let mut taker = scene.start(1);
+    owner.signal("STOP");
+    scene.add("m1", 0, "once");
+    taker.signal("KILL");
+    assert!(taker.ended_within(ms(3_600)));
+    owner.signal("CONT");
+    if beside_owner {
+        scene.add("m2", 0, "once");
+        until("the owner's call", || scene.endpoint.ids() == ["m2"]);
+        let _later = scene.start(2);
+        owner.term();
+        assert!(owner.ended_within(ms(3_600)));
+        scene.owns(1);
+        until("the taker's message", || scene.endpoint.ids() == ["m2", "m1"]);
+    } else {
+        owner.signal("KILL");
+        assert!(owner.ended_within(ms(3_600)));
+        let _alone = scene.start(2);
+        until("the taker's message", || scene.endpoint.ids() == ["m1"]);
+    }
+    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+}
