A lane worth nothing is sent all the same; class order, crossing lists and the barest settings tested

Found by the new test the_barest_settings_serve_and_end_in_time: with an importance of 0 every message of the class got `-ERR failed` at once. Now the least is the least that is worth something.

New on sockets (crossings.rs), all passing before too, so no fault there: classes listed in another order at the next start; a list of the old address that crosses SIGHUP; a whole list that lacks an endpoint with a call out; settings with one leg, no recall, no told wait, fewer batch sizes than kinds, spans as short as the margins.

--- a/crates/relay/tests/crossings.rs
+++ b/crates/relay/tests/crossings.rs
@@ -266,3 +266,126 @@
     wanted.sort();
     assert_eq!(sent, wanted, "{heard:?}");
 }
+
+// What is kept between processes is kept by name: settings that list the classes in another order must not make one that
+// may run only once a repeatable one, nor the other way round.
+#[test]
+fn classes_in_another_order_at_the_next_start_change_no_message() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let endpoint = Server::start(move |_| {
+        held.pass();
+        ok()
+    });
+    let mut scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    assert_eq!(relay.add("m2", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
+    gate.came(2);
+    relay.signal("KILL");
+    relay.code();
+    gate.open();
+    let classes = scene.config["settings"]["classes"].as_array_mut().expect("classes");
+    classes.reverse();
+    let _relay = scene.relay();
+    until("the notice", || scene.platform.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    until("the repeat", || endpoint.ids().iter().filter(|id| *id == "m2").count() == 2);
+    assert_eq!(endpoint.ids().iter().filter(|id| *id == "m1").count(), 1);
+}
+
+// A list that the old address sends just as discovery moves is not heard: what the new one told stands.
+#[test]
+fn a_list_of_the_old_address_that_crosses_a_move_revives_nothing() {
+    let (old, new) = (Server::start(|_| ok()), Server::start(|_| ok()));
+    let (e1, e2) = (member("e1", old.address, 7, "single"), member("e2", new.address, 7, "single"));
+    let gate = Gate::default();
+    let (held, both) = (gate.clone(), json!({"revision": 9, "complete": true, "members": [e1, e2]}));
+    // Its first answer is whole and at once; the watch behind it is held until the move is over.
+    let first = AtomicUsize::new(0);
+    let before = Server::start(move |r| {
+        if r.path.starts_with("/catalog") && first.fetch_add(1, Ordering::SeqCst) > 0 {
+            held.pass();
+        }
+        answer(200, "", &both.to_string())
+    });
+    let mut scene = scene(0, vec![e2]);
+    scene.config["discovery"] = json!(before.address.to_string());
+    let relay = scene.relay();
+    until("the list", || scene.log().contains("list 9:"));
+    gate.came(1);
+    let mut config = scene.config.clone();
+    config["discovery"] = json!(scene.platform.server.address.to_string());
+    std::fs::write(scene.dir.path().join("config.json"), config.to_string()).expect("a config");
+    relay.signal("HUP");
+    until("the new list", || scene.log().contains("list 2: 1 entries, whole: true"));
+    gate.open();
+    for n in 0..6 {
+        assert_eq!(relay.add(&format!("m{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+    }
+    until("the calls", || new.ids().len() == 6);
+    assert_eq!((old.ids().len(), scene.log().matches("list 9:").count()), (0, 1));
+}
+
+// A whole list that lacks an endpoint with a call out: its answer counts, nothing new goes there, and listed again it is
+// used again.
+#[test]
+fn a_call_out_to_an_endpoint_that_a_whole_list_lacks_ends_as_it_is_answered() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let (old, new) = (
+        Server::start(move |_| {
+            held.pass();
+            ok()
+        }),
+        Server::start(|_| answer(503, "", "")),
+    );
+    let (e1, e2) = (member("e1", old.address, 7, "single"), member("e2", new.address, 7, "single"));
+    let scene = scene(0, vec![e1.clone()]);
+    let mut relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    gate.came(1);
+    scene.platform.set(vec![e2.clone()]);
+    until("the list", || scene.log().contains("list 3:"));
+    assert_eq!(relay.add("m2", 0, "c=once,d=15000,dest=7", b"2"), "+OK");
+    until("the other endpoint", || new.ids().contains(&"m2".into()));
+    gate.open();
+    // Beyond the grace it is forgotten; what it held ended as it was answered.
+    until("it to be forgotten", || scene.log().contains("endpoint e1 is forgotten"));
+    assert_eq!(old.ids(), ["m1"]);
+    scene.platform.set(vec![e1]);
+    until("the call", || old.ids() == ["m1", "m2"]);
+    relay.signal("TERM");
+    assert_eq!(relay.code(), Some(0));
+    assert!(scene.log().contains("stopped with 0 calls out, 0 messages kept"), "{}", scene.log());
+    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+}
+
+// Another customer's settings, as bare as they may be: one leg, no recall, no wait to tell, fewer batch sizes than kinds,
+// times as short as the decisions' own margins. What can be delivered is, the rest ends in time by one notice.
+#[test]
+fn the_barest_settings_serve_and_end_in_time() {
+    let endpoint = Server::start(|_| ok());
+    let mut scene =
+        scene(0, vec![member("e1", endpoint.address, 7, "bulk"), member("e2", free(), 8, "single")]);
+    let lane = |name: &str, effect: &str, aim: u64, give_up: u64| json!({"name": name, "aim": aim, "giveUp": give_up, "importance": 0.0, "idempotency": effect});
+    let settings = &mut scene.config["settings"];
+    settings["classes"] =
+        json!([lane("Any Thing", "idempotent", 0, 40_000), lane("any", "at_most_once", 1, 900_000)]);
+    settings["familyInfo"] = json!({"callsOut": 1, "decay": "halving"});
+    settings["limits"] = json!({"openCap": 1, "maxAttempts": 1, "connIdle": 1, "dialTimeout": 1_000});
+    settings["obligations"] = json!({"coldFrom": 0.0, "warmAfter": 0, "fallMultiple": 0.0, "fall": 0});
+    for gone in ["penalties", "tenants", "quantum", "weights", "discovery"] {
+        settings.as_object_mut().expect("an object").remove(gone);
+    }
+    let relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=Any Thing,d=9000,dest=7", b"1"), "+OK");
+    until("the call", || endpoint.ids() == ["m1"]);
+    assert_eq!(relay.add("m2", 0, "c=any thing,d=9000,dest=7", b"2"), "-ERR c names no class");
+    let started = std::time::Instant::now();
+    assert_eq!(relay.add("m3", 0, "c=any,d=900,dest=8", b"3"), "+OK");
+    until("the notice", || !scene.platform.notices().is_empty());
+    assert!(started.elapsed() < ms(900), "{:?}", started.elapsed());
+    assert_eq!(relay.add("m4", 0, "c=any,d=9000,dest=7", b"4"), "+OK");
+    until("the call", || endpoint.ids() == ["m1", "m4"]);
+    assert_eq!(scene.platform.notices().len(), 1);
+}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -632,7 +632,9 @@
 
     fn may_go_again(&self, msg: &Msg) -> bool {
         let row = self.row(msg);
-        let least = self.facts.lanes.iter().map(|l| l.value).fold(f64::INFINITY, f64::min);
+        // A lane worth nothing is no measure: guards against no leg at all for it, and any number for the others.
+        let values = self.facts.lanes.iter().map(|l| l.value).filter(|v| *v > 0.0);
+        let least = values.fold(f64::INFINITY, f64::min);
         let legs = LEGS_LEAST + (row.value / least).round();
         msg.legs < self.facts.max_legs
             && f64::from(msg.ran) < legs
