--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -203,14 +203,25 @@
 pub struct Ends {
     pub ends: Vec<End>,
     pub wait: Option<Duration>,
+    /// The report that came with the answer.
+    pub report: Option<String>,
 }
 
 impl From<Vec<End>> for Ends {
     fn from(ends: Vec<End>) -> Ends {
-        Ends { ends, wait: None }
+        Ends { ends, wait: None, report: None }
     }
 }
 
+/// The value of a name in a report.
+pub fn told(report: &str, name: &str) -> Option<f64> {
+    let pairs = report.split(',').filter_map(|pair| pair.split_once('='));
+    pairs
+        .filter(|(n, _)| n.trim() == name)
+        .find_map(|(_, value)| value.trim().parse().ok())
+        .filter(|n: &f64| n.is_finite())
+}
+
 /// How far a call has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Stage {
@@ -330,7 +341,7 @@
                     debug!("endpoint {} had no room for another connection", self.endpoint.name);
                     return self.all(Outcome::NoRoom, false);
                 }
-                self.ends(&answer)
+                Ends { report: answer.report.clone(), ..self.ends(&answer) }
             }
             Err(Broken::Silent) => self.all(Outcome::TimedOut, false),
             Err(Broken::Ended) => self.all(Outcome::Reset, false),
@@ -380,7 +391,11 @@
             _ => (part.msg, Outcome::Error, false),
         };
         // The wait binds whether or not a message was refused.
-        Ends { ends: self.parts.iter().map(end).collect(), wait: (!wait.is_zero()).then_some(wait) }
+        Ends {
+            ends: self.parts.iter().map(end).collect(),
+            wait: (!wait.is_zero()).then_some(wait),
+            report: None,
+        }
     }
 }
 
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -3,7 +3,7 @@
 
 use crate::clients::{Answer, HandedIn, Told, told};
 use crate::discovery::{Member, Members};
-use crate::endpoints::{Call, End, Endpoint, Endpoints, Ends, Idle, Part, Stage};
+use crate::endpoints::{self, Call, End, Endpoint, Endpoints, Ends, Idle, Part, Stage};
 use crate::notices::Notice;
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
@@ -280,9 +280,14 @@
             // Its client will hand it in again: it is nobody's any more.
             Event::Gone(msg) => self.take_over(msg, tell),
             Event::Ended(call, ends) => {
-                if let (Some(wait), Some(out)) = (ends.wait, self.calls.get(&call)) {
-                    let to = out.to;
-                    tell.push(Box::new(move |r| r.told_to_wait(to, wait)));
+                if let Some(to) = self.calls.get(&call).map(|out| out.to) {
+                    ends.wait
+                        .into_iter()
+                        .for_each(|wait| tell.push(Box::new(move |r| r.told_to_wait(to, wait))));
+                    let name = self.facts.told_limit.as_deref();
+                    let limit =
+                        name.zip(ends.report.as_deref()).and_then(|(name, text)| endpoints::told(text, name));
+                    limit.into_iter().for_each(|rate| tell.push(Box::new(move |r| r.told_limit(to, rate))));
                 }
                 ends.ends.into_iter().for_each(|end| self.take_end(call, end, tell));
             }
--- a/crates/relay/src/http.rs
+++ b/crates/relay/src/http.rs
@@ -20,6 +20,8 @@
     pub retry_after: Option<f64>,
     /// True if the request was not sent on since all slots were taken.
     pub slots_taken: bool,
+    /// `X-Server-Load`: names and values.
+    pub report: Option<String>,
     pub body: Vec<u8>,
     /// False if only its first line could be read; then that says 200.
     pub whole: bool,
@@ -141,8 +143,9 @@
         match answer {
             // Guards against taking a delivery for a failure: its first line may be all that counts.
             Err(Broken::Ended | Broken::Unreadable) if self.said_ok => {
-                let (retry_after, slots_taken, body) = (None, false, Vec::new());
-                Ok((Answer { status: 200, retry_after, slots_taken, body, whole: false, keep: false }, false))
+                let (retry_after, slots_taken, report, body) = (None, false, None, Vec::new());
+                let (status, whole, keep) = (200, false, false);
+                Ok((Answer { status, retry_after, slots_taken, report, body, whole, keep }, false))
             }
             answer => answer.map(|a| {
                 let keep = a.keep && self.buffer.is_empty();
@@ -296,8 +299,8 @@
     };
     let status = parsed.code.ok_or(Broken::Unreadable)?;
     let mut keep = parsed.version == Some(1);
-    let mut answer =
-        Answer { status, retry_after: None, slots_taken: false, body: Vec::new(), whole: true, keep };
+    let (retry_after, slots_taken, report, body, whole) = (None, false, None, Vec::new(), true);
+    let mut answer = Answer { status, retry_after, slots_taken, report, body, whole, keep };
     let mut length = None;
     for header in parsed.headers.iter() {
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
@@ -319,6 +322,7 @@
                 answer.retry_after = value.parse().ok().filter(|s: &f64| s.is_finite() && *s >= 0.0)
             }
             "slots-taken" => answer.slots_taken = value == "1",
+            "x-server-load" => answer.report = Some(value.to_string()),
             _ => {}
         }
     }
--- a/crates/relay/tests/relay.rs
+++ b/crates/relay/tests/relay.rs
@@ -84,6 +84,30 @@
     assert!(got[1].at.duration_since(got[0].at) >= ms(800));
 }
 
+// Where no rate is listed, answers tell the limit (`X-Server-Load`): what is handed in at once goes out at that pace.
+// Reports that can't be read change nothing.
+#[test_case("X-Server-Load: x0=0.4, x1=4\r\n" => true; "told")]
+#[test_case("X-Server-Load: x1=,x1=NaN,x0=4,{\r\n" => false; "not to be read")]
+fn a_limit_told_in_answers_paces_calls(header: &'static str) -> bool {
+    let endpoint = Server::start(move |_| answer(200, header, ""));
+    let mut scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
+    scene.config["settings"]["weights"] = json!("none");
+    scene.config["settings"]["loadInfo"] = json!({"source": "answers", "fields": ["x0", "x1"]});
+    scene.config["settings"]["familyInfo"]["reportX1"] =
+        json!("calls a second that the limit allows; 0 where none");
+    let relay = scene.relay();
+    assert_eq!(relay.add("m", 0, "c=any,d=15000,dest=7", b"x"), "+OK");
+    until("the first call", || endpoint.ids().len() == 1);
+    sleep(ms(100));
+    let all: Vec<u8> =
+        (0..8).flat_map(|n| out_add(&format!("m{n}"), 0, "c=any,d=15000,dest=7", b"x")).collect();
+    let mut client = relay.client();
+    client.say(&all);
+    until("the calls", || endpoint.ids().len() == 9);
+    let got = endpoint.requests();
+    got[8].at.duration_since(got[1].at) > ms(800)
+}
+
 #[test]
 fn a_connection_that_comes_up_late_crosses_no_wait() {
     let (listener, fillers) = full();
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -24,6 +24,8 @@
     pub connect: Duration,
     /// The shortest gap between two rounds.
     pub round_gap: Duration,
+    /// The name under which answers tell a limit.
+    pub told_limit: Option<String>,
 }
 
 /// A name as it stands in a list of names.
@@ -149,9 +151,21 @@
         idle: pairs.span("limits.connIdle")?,
         connect: pairs.span("limits.dialTimeout")?,
         round_gap: pairs.span_or_none("quantum")?,
+        told_limit: told_limit(pairs)?.map(|(_, name)| name),
     })
 }
 
+/// Which value of a report tells the limit in calls a second, and its name; none where answers hold no reports.
+pub fn told_limit(pairs: &Pairs) -> Result<Option<(usize, String)>, String> {
+    if pairs.or("loadInfo.source", "none".to_string())? != "answers" {
+        return Ok(None);
+    }
+    let says = |i: usize| pairs.0.get(&format!("familyInfo.reportX{i}")).map_or("", String::as_str);
+    let names = pairs.list::<String>("loadInfo.fields")?.into_iter().enumerate();
+    let mut told = names.filter(|(i, _)| says(*i).starts_with("calls_a_second_that_the_limit_allows"));
+    Ok(told.next())
+}
+
 pub fn facts(pairs: &Pairs, relay: RelayId, seed: u64) -> Result<StartupFacts, String> {
     let mut lanes = Vec::new();
     for i in 0..pairs.count::<u16>("classes.count")? {
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Both forms of the settings object say the same.
 
 use mountshift::port::*;
-use mountshift_settings::{Pairs, facts, me, socket_facts};
+use mountshift_settings::{Pairs, facts, me, socket_facts, told_limit};
 use serde_json::json;
 use std::time::Duration;
 
@@ -94,3 +94,23 @@
     let lane = facts(&pairs, RelayId(0), 1).expect("facts").lanes[1];
     assert_eq!(lane.target, lane.deadline);
 }
+
+// Answers tell a limit where the settings say which of their values it is; a report of anything else is none.
+#[test]
+fn the_value_that_tells_a_limit_is_found_by_what_the_settings_say_of_it() {
+    let told = |source: &str, fields: &[&str], x0: &str, x1: &str| {
+        let json = json!({"loadInfo": {"source": source, "fields": fields}, "familyInfo": {"reportX0": x0, "reportX1": x1}});
+        told_limit(&Pairs::from_json(&json)).expect("readable")
+    };
+    let (share, limit) = (
+        "share of the allowance that is left",
+        "calls a second that the limit allows; 0 where there is none",
+    );
+    assert_eq!(told("answers", &["x0", "x1"], share, limit), Some((1, "x1".to_string())));
+    assert_eq!(told("answers", &["left", "limit"], limit, share), Some((0, "left".to_string())));
+    for (source, x1) in [("none", limit), ("probe", limit), ("answers", share)] {
+        assert_eq!(told(source, &["x0", "x1"], share, x1), None);
+    }
+    assert_eq!(told("answers", &["x0"], share, limit), None);
+    assert_eq!(told_limit(&Pairs::from_text("")), Ok(None));
+}
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -19,7 +19,7 @@
 /// An event that came for an instance: its code, its fields, and the list that it names.
 type Event<'a> = (u16, &'a [u8], Option<List>);
 /// The instances: the decisions of each, and its start on the wire's clock.
-type Relays = BTreeMap<u32, (Relay, u64)>;
+type Relays = BTreeMap<u32, (Relay, u64, Option<usize>)>;
 
 fn main() -> ExitCode {
     match serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
@@ -99,7 +99,8 @@
                 let options = Pairs::from_text(options.map_err(|_| "HELLO: options are not UTF-8")?);
                 let facts = mountshift_settings::facts(&options, RelayId(id), seed);
                 let facts = facts.map_err(|e| format!("HELLO: {e}"))?;
-                relays.insert(id, (Relay::new(facts), clock));
+                let limit = mountshift_settings::told_limit(&options).map_err(|e| format!("HELLO: {e}"))?;
+                relays.insert(id, (Relay::new(facts), clock, limit.map(|l| l.0)));
                 came.remove(&id);
             }
             wire::STOP => {
@@ -121,12 +122,13 @@
     }
     for (id, events) in came {
         // What names an instance that does not run is ignored.
-        let Some((relay, start)) = relays.get_mut(&id) else { continue };
+        let Some((relay, start, limit)) = relays.get_mut(&id) else { continue };
         let now = Duration::from_micros(clock.saturating_sub(*start));
         let mut decoded = Ok(());
         reply.relay = id;
-        let take =
-            |r: &mut Relay| decoded = events.iter().try_for_each(|(c, b, l)| event(r, *start, *c, b, l));
+        let take = |r: &mut Relay| {
+            decoded = events.iter().try_for_each(|(c, b, l)| event(r, *start, *limit, *c, b, l))
+        };
         relay.round(now, take, reply);
         decoded?;
     }
@@ -134,7 +136,14 @@
 }
 
 /// Decodes one event straight into a call.
-fn event(r: &mut Relay, start: u64, code: u16, body: &[u8], list: &Option<List>) -> Result<(), String> {
+fn event(
+    r: &mut Relay,
+    start: u64,
+    limit: Option<usize>,
+    code: u16,
+    body: &[u8],
+    list: &Option<List>,
+) -> Result<(), String> {
     let mut f = Cursor::new(body, wire::event_name(code));
     f.u32("relayId")?;
     match code {
@@ -167,6 +176,13 @@
                 7 => Outcome::Moot,
                 _ => return Err(format!("OUTCOME: code {code} is not known")),
             };
+            // A report is left out where there is none.
+            for i in 0..f.u8("report").unwrap_or(0) as usize {
+                let told = f.f32("report")?;
+                if limit == Some(i) {
+                    r.told_limit(to, told.into());
+                }
+            }
             r.outcome(id, to, waited, outcome, over);
         }
         wire::WITHDRAWN => r.over(MsgId(f.u64("id")?)),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -21,7 +21,7 @@
 
 const WAKE: Duration = ms(20);
 const MARGIN: Duration = ms(40); // before a deadline
-const LIST_WAIT: Duration = ms(500); // nothing goes out on a list that may be old before discovery has answered
+const LIST_WAIT: Duration = ms(500); // nothing goes out on a list that may be old before discovery answers
 // The breaker.
 const THRESHOLD: u32 = 5; // consecutive failures that open it ...
 const WINDOW: Duration = ms(20_000); // ... inside this window
@@ -147,6 +147,7 @@
     fulls: u32,
     full_since: Duration,
     rate: f64,
+    told_rate: bool, // by answers, where none is listed
     pace: f64,
     pace_at: Duration,
     tokens: Tokens,
@@ -189,7 +190,7 @@
 }
 
 impl Msg {
-    /// What a restart finds taken on and untried is still tried: it is not pushed back for others, and goes first.
+    /// What a restart finds untried is still tried: it is not pushed back for others, and goes first.
     fn untried(&self) -> bool {
         self.restored && self.legs == 0
     }
@@ -369,6 +370,14 @@
         route.into_iter().for_each(|r| r.told_until = r.told_until.max(until));
     }
 
+    /// An answer told the limit, in calls a second of all relays together: late, and not exact.
+    pub fn told_limit(&mut self, to: EndpointId, rate: f64) {
+        let untold = self.facts.listed_rate == ListedRate::Untold && self.endpoints.contains_key(&to);
+        let route_id = (untold && rate > 0.0).then(|| self.route_of(to));
+        let Some(route) = route_id.and_then(|id| self.routes.get_mut(&id)) else { return };
+        (route.rate, route.told_rate) = (rate, true);
+    }
+
     /// A whole list begins: what its entries don't name is gone.
     pub fn whole_list(&mut self) {
         self.endpoints.values_mut().for_each(|ep| ep.off_since = ep.off_since.or(Some(self.now)));
@@ -403,7 +412,7 @@
     }
 
     /// The list held at a start may be older than what discovery told since (rule 3): nothing goes out on it
-    /// until discovery answers. Guards against sends to what was told as leaving while no process ran. Harm: a
+    /// until discovery answers. Guards against sends to what was told as leaving when no process ran. Harm: a
     /// pause at a start with discovery down.
     pub fn list_may_be_old(&mut self) {
         self.list_due = Some(self.now + LIST_WAIT);
@@ -450,16 +459,15 @@
         route.breaker = to;
     }
 
-    /// Where no rate is told, the calls that this relay had answered stand for its part of one: guards against a cold
-    /// ramp reckoned from nothing, which lets hardly a call pass until the route is warm.
+    /// Where no rate is told, the calls that this relay had answered stand for its part of one: guards against
+    /// a cold ramp reckoned from nothing, which lets hardly a call pass until the route is warm.
     fn call_answered(&mut self, route_id: RouteId) {
-        let Some(route) = self.routes.get_mut(&route_id) else { return };
-        if self.facts.listed_rate == ListedRate::Untold {
-            route.answered.add(self.now, 0.0);
-            let span = self.now.as_secs().clamp(OWN_LEAST, OWN_SPAN) as f64;
-            let own = route.answered.totals(self.now, OWN_SPAN).0 / span;
-            route.rate = (own * f64::from(self.facts.relays)).max(f64::from(self.facts.relays.min(CROWD)));
-        }
+        let untold = self.facts.listed_rate == ListedRate::Untold;
+        let Some(route) = self.routes.get_mut(&route_id).filter(|r| untold && !r.told_rate) else { return };
+        route.answered.add(self.now, 0.0);
+        let span = self.now.as_secs().clamp(OWN_LEAST, OWN_SPAN) as f64;
+        let own = route.answered.totals(self.now, OWN_SPAN).0 / span;
+        route.rate = (own * f64::from(self.facts.relays)).max(f64::from(self.facts.relays.min(CROWD)));
     }
 
     fn succeeded(&mut self, route_id: RouteId, call: u64, to: EndpointId, waited: Duration, full: bool) {
@@ -521,8 +529,8 @@
 
     fn refused(&mut self, route_id: RouteId, call: u64, to: EndpointId, wait: Duration) {
         let (now, chance) = (self.now, self.chance(to.0));
-        // What goes beyond an even portion is lent: guards against a crowd that takes it back call by call, far
-        // too late where each makes a call in seconds and refused ones use the limit up. Harm: an uneven load.
+        // What goes beyond an even portion is lent: guards against a crowd that takes it back call by call,
+        // too late where each makes a call in seconds and refused ones use the limit up. Harm: uneven load.
         let even = 1.0 / f64::from(self.facts.relays);
         let lent = self.routes.get(&route_id).is_some_and(|r| self.portion(r.rate) > even);
         let (least, most) = if lent { (even, even) } else { (PACE_LEAST * even, f64::INFINITY) };
@@ -532,7 +540,7 @@
         (route.full_since, route.fulls) = (since, route.fulls + 1);
         let crowd = Relay::crowd_delay(&self.facts, route, now, chance);
         let pause = (FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1)).min(FULL_PAUSE_MOST);
-        // A crowd halves what it asks as well, each time: guards against a limit that was lowered and that all
+        // A crowd halves what it asks as well, each time: guards against a limit that was lowered and all
         // together, each at its share of the listed one, keep used up. Harm: a limit found again late.
         let crowd = crowd * 2u32.pow(route.fulls.min(CROWD_HALVINGS) - 1);
         route.pause_until = now + pause.max(crowd);
@@ -632,7 +640,7 @@
 
     fn may_go_again(&self, msg: &Msg) -> bool {
         let row = self.row(msg);
-        // A lane worth nothing is no measure: guards against no leg at all for it, and any number for the others.
+        // A lane worth nothing is no measure: guards against no leg for it, and any number for the others.
         let values = self.facts.lanes.iter().map(|l| l.value).filter(|v| *v > 0.0);
         let least = values.fold(f64::INFINITY, f64::min);
         let legs = LEGS_LEAST + (row.value / least).round();
@@ -707,8 +715,9 @@
             Breaker::Open(_) | Breaker::HalfOpen(None) => true,
             Breaker::HalfOpen(Some(_)) => return 0,
         };
-        if f.listed_rate != ListedRate::Untold && route.rate > 0.0 {
-            let most = if f.listed_rate == ListedRate::Rough { ROUGH } else { 1.0 };
+        let rough = f.listed_rate == ListedRate::Rough || route.told_rate;
+        if (f.listed_rate == ListedRate::Exact || rough) && route.rate > 0.0 {
+            let most = if rough { ROUGH } else { 1.0 };
             let rate = route.rate * route.pace.min(most);
             route.tokens.refill(now, rate, (rate * PACE_BURST).max(PACE_CALLS));
             if route.tokens.left < 1.0 {
@@ -724,7 +733,7 @@
             return batch;
         }
         let share = f.cold_from + (1.0 - f.cold_from) * warm;
-        let listed = if f.listed_rate == ListedRate::Rough { route.rate / COLD_ROUGH } else { route.rate };
+        let listed = if rough { route.rate / COLD_ROUGH } else { route.rate };
         let rate = f.fall_multiple * share * listed / f64::from(f.relays);
         route.cold.refill(now, rate, (COLD_BURST * rate * f.fall.as_secs_f64()).max(1.0));
         // A call weighs little more for each further message; the first wants a whole token.
@@ -793,8 +802,8 @@
         list.retain(|id| {
             // A call ends at its shortest limit: guards against one with little time that cuts others off.
             let time = self.msgs[id].deadline.saturating_sub(now);
-            // One whose time is long beside the learnt answer cuts nobody off: else what waited long keeps out what
-            // is new, and each takes a call of its own where calls are few.
+            // One whose time is long beside the learnt answer cuts nobody off: else what waited long keeps
+            // out what is new, and each takes a call of its own where calls are few.
             let ample = learnt.is_some_and(|span| time.min(least).mul_f64(CALL_TIMES) >= span);
             let joins = sent == 0 || ample || least.min(time) >= most.max(time).mul_f64(CALL_TIMES);
             let span = if sent < room && joins { self.send(*id, to, call, out) } else { None };
@@ -851,8 +860,8 @@
         Some(span)
     }
 
-    /// Rules 3 and 6. A host asks again where a call begins late: both may have changed. The grace is not made
-    /// use of, as discovery may have told long before its list was heard (it was down, or this process was).
+    /// Rules 3 and 6. A host asks again where a call begins late: both may have changed. The grace is not
+    /// used, as discovery may have told long before its list was heard (it was down, or this process was).
     pub fn may_reach(&self, to: EndpointId, now: Duration) -> bool {
         let Some(ep) = self.endpoints.get(&to) else { return false };
         ep.off_since.is_none() && now >= self.routes[&self.route_of(to)].told_until
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -4,6 +4,7 @@
 //! - `at T: event; event ..`: one round; events: `list A dst=1 ..`, `whole A dst=1 ..`, `msg 1 lane=0 ..`,
 //!   (`restored`: from before a restart), `end 1 A delivered`, `gone 1` (withdrawn, or its end was taken), `nolist` (the watch failed),
 //!   `leg 1 ago=2 zone=0 [refused]` and `ended 1` (from before a restart), `wait A for=1` (told beside outcomes);
+//!   `limit A rate=2` (told beside outcomes);
 //!   with `facts notices` ends count only once taken
 //! - `until T`: a round each 20 ms
 //! - `=> a; b`: exactly these decisions in that span; `~> a`: this one among them; `!> a`: none like it;
@@ -161,6 +162,7 @@
         }
         "ended" => r.end(w.msg(), false),
         "wait" => r.told_to_wait(w.endpoint(1), w.span("for", 0.0)),
+        "limit" => r.told_limit(w.endpoint(1), w.n("rate", 0.0)),
         "oldlist" => r.list_may_be_old(),
         "listed" => r.listed(),
         "nolist" => r.watch_failed(None),
@@ -222,6 +224,7 @@
 #[test_case("restart"; "what was out before a restart may have run")]
 #[test_case("restart-room"; "a restart's untried messages are not pushed back for others")]
 #[test_case("restart-untried"; "a restart's untried messages go first")]
+#[test_case("told-limit"; "answers tell the limit where no rate is listed")]
 #[test_case("worthless"; "a lane worth nothing is sent all the same")]
 #[test_case("untold-cold"; "a cold ramp where no rate is listed")]
 #[test_case("restart-order"; "rule 5 order by key across a restart")]
