--- a/src/rules.rs
+++ b/src/rules.rs
@@ -716,8 +716,9 @@
             Breaker::HalfOpen(Some(_)) => return 0,
         };
         let rough = f.listed_rate == ListedRate::Rough || route.told_rate;
-        if (f.listed_rate == ListedRate::Exact || rough) && route.rate > 0.0 {
-            let most = if rough { ROUGH } else { 1.0 };
+        // Where nothing is told, what was answered stands for the rate once a call was refused.
+        if (f.listed_rate == ListedRate::Exact || rough || route.pace_at > ms(0)) && route.rate > 0.0 {
+            let most = if f.listed_rate == ListedRate::Exact { 1.0 } else { ROUGH };
             let rate = route.rate * route.pace.min(most);
             route.tokens.refill(now, rate, (rate * PACE_BURST).max(PACE_CALLS));
             if route.tokens.left < 1.0 {
