--- a/crates/relay/tests/standins/mod.rs
+++ b/crates/relay/tests/standins/mod.rs
@@ -260,7 +260,8 @@
         let listen = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let relay = Relay { child, listen };
         until("the relay to be ready", || TcpStream::connect(listen).is_ok());
-        assert_eq!(relay.client().ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
+        let said = relay.client().ask(b"*1\r\n$4\r\nPING\r\n");
+        assert_eq!(said, "+PONG", "{}", std::fs::read_to_string(dir.join("log")).unwrap_or_default());
         relay
     }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -922,7 +922,7 @@
 
     /// Guards against parked messages that keep live traffic out: those of least worth are pushed back.
     fn make_room(&mut self, out: &mut dyn Writer) {
-        let most = (self.facts.max_held as f64 * HELD_MOST) as usize;
+        let most = (self.facts.max_held as f64 * HELD_MOST).max(1.0) as usize;
         let held = self.msgs.values().filter(|m| !m.ended).count();
         if held <= most {
             return;
