--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -271,13 +271,14 @@
     /// Makes the call, once; tells how its messages ended once it is over. Guards against a message that is
     /// told as ended while the call goes on for others: the next of its key must wait for that.
     pub async fn run(self, idle: &Idle, tell: impl Fn(Ends)) {
-        let by = Instant::now() + self.limit;
+        // From the decision on: a task that waits for the core has no more time for that.
+        let by = self.decided + self.limit;
         let late = async {
             Timer::at(by).await;
             // Nothing left the relay whole, so it can't have run.
             Err(Outcome::ConnectFailed)
         };
-        let ends = match self.begin(idle).or(late).await {
+        let ends = match self.begin(idle, by).or(late).await {
             Ok(connection) => self.finish(connection, by, idle).await,
             Err(outcome) => self.all(outcome, false),
         };
@@ -305,7 +306,7 @@
     }
 
     /// Writes the call, on an idle connection or a new one.
-    async fn begin(&self, idle: &Idle) -> Result<Connection, Outcome> {
+    async fn begin(&self, idle: &Idle, by: Instant) -> Result<Connection, Outcome> {
         let mut connection = self.connection(idle).await?;
         // Guards against a call decided long ago that crosses a wait or a drain told since: its connection came up
         // slowly, or its task waited for the core. On a kept connection too.
@@ -318,6 +319,11 @@
         if connection.requests > 0 && !idle.lasting(&mut connection) {
             connection = self.connection(idle).await?;
         }
+        // Guards against a first byte behind the limit, when both the connection and the end of its time are here at once.
+        if Instant::now() >= by {
+            idle.keep(self.to, connection);
+            return Err(Outcome::ConnectFailed);
+        }
         let request = self.request();
         // Guards against a message that surely has not run and counts as if it may have: its process ended while the
         // connection came up.
--- a/crates/relay/tests/crossings.rs
+++ b/crates/relay/tests/crossings.rs
@@ -389,3 +389,38 @@
     until("the call", || endpoint.ids() == ["m1", "m4"]);
     assert_eq!(scene.platform.notices().len(), 1);
 }
+
+// A repeat whose connection comes up only when the other side no longer knows the first one: it would run twice.
+#[test]
+fn a_repeat_whose_connection_comes_up_behind_the_memory_is_not_sent() {
+    let gate = Gate::default();
+    let held = gate.clone();
+    let first = Server::start(move |_| {
+        held.pass();
+        answer(500, "", "")
+    });
+    let (listener, fillers) = full();
+    let at = listener.local_addr().expect("an address");
+    let mut scene = scene(0, vec![member("e1", first.address, 7, "single")]);
+    let lanes = scene.config["settings"]["classes"].as_array_mut().expect("classes");
+    lanes.push(json!({"name": "known", "aim": 1_500_000, "giveUp": 20_000_000, "importance": 1.0,
+        "idempotency": "deduplicated", "memorySpan": 1_500_000, "group": "all"}));
+    scene.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
+    let relay = scene.relay();
+    assert_eq!(relay.add("m1", 0, "c=known,d=15000,dest=7", b"1"), "+OK");
+    gate.came(1);
+    let began = std::time::Instant::now();
+    scene.platform.set(vec![member("e2", at, 7, "single")]);
+    until("the list", || scene.log().contains("list 3:"));
+    gate.open();
+    until("a connection on its way", || connecting(at));
+    assert!(began.elapsed() < ms(1_400), "the repeat is decided within the memory");
+    // The system asks for the connection again and again, and has it once there is room: after the memory's end.
+    std::thread::sleep(ms(1_600).saturating_sub(began.elapsed()));
+    drop(fillers);
+    let second = Server::on(listener, |_| ok());
+    until("the notice", || scene.platform.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    assert_eq!(relay.add("m2", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
+    until("another message", || second.ids().contains(&"m2".into()));
+    assert_eq!((first.ids(), second.ids()), (vec!["m1".to_string()], vec!["m2".to_string()]));
+}
--- a/src/port.rs
+++ b/src/port.rs
@@ -46,6 +46,11 @@
 }
 
 impl Effect {
+    /// For how long repeats are dropped, where they are.
+    pub fn memory(self) -> Option<Duration> {
+        if let Effect::Keyed { memory, .. } = self { Some(memory) } else { None }
+    }
+
     /// True where a message that has run does no harm wherever it runs again.
     pub fn repeats_anywhere(self) -> bool {
         matches!(self, Effect::Retriable | Effect::Keyed { group: Group::All, .. })
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -126,7 +126,6 @@
 
 type RouteId = (DstId, Option<EndpointId>);
 
-/// Open until the next trial; half-open with the call that is the trial.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Breaker {
     #[default]
@@ -135,7 +134,6 @@
     HalfOpen(Option<u64>),
 }
 
-/// A destination, or one of its routes where they are apart.
 #[derive(Default)]
 struct Route {
     breaker: Breaker,
@@ -418,7 +416,6 @@
         self.list_due = Some(self.now + LIST_WAIT);
     }
 
-    /// Discovery has answered.
     pub fn listed(&mut self) {
         (self.list_due, self.watch_failures) = (None, 0);
     }
@@ -459,7 +456,7 @@
         route.breaker = to;
     }
 
-    /// Where no rate is told, the calls that this relay had answered stand for its part of one: guards against
+    /// Where no rate is told, the calls that this relay had answered stand for its part: guards against
     /// a cold ramp reckoned from nothing, which lets hardly a call pass until the route is warm.
     fn call_answered(&mut self, route_id: RouteId) {
         let untold = self.facts.listed_rate == ListedRate::Untold;
@@ -641,16 +638,19 @@
     fn may_go_again(&self, msg: &Msg) -> bool {
         let row = self.row(msg);
         // A lane worth nothing is no measure: guards against no leg for it, and any number for the others.
-        let values = self.facts.lanes.iter().map(|l| l.value).filter(|v| *v > 0.0);
-        let least = values.fold(f64::INFINITY, f64::min);
+        let least = self.facts.lanes.iter().map(|l| l.value).filter(|v| *v > 0.0).fold(f64::MAX, f64::min);
         let legs = LEGS_LEAST + (row.value / least).round();
         msg.legs < self.facts.max_legs
             && f64::from(msg.ran) < legs
-            && match (row.effect, msg.may_have_run) {
-                (Effect::Retriable, _) | (_, None) => true,
-                (Effect::Keyed { memory, .. }, Some((since, _))) => self.now + ms(1) < since + memory,
-                (Effect::NonRetriable, Some(_)) => false,
-            }
+            && (row.effect == Effect::Retriable
+                || msg.may_have_run.is_none()
+                || self.known(msg) > Some(MARGIN * 2))
+    }
+
+    /// For how long a repeat of what may have run is still known for one, where repeats are.
+    fn known(&self, msg: &Msg) -> Option<Duration> {
+        let until = self.row(msg).effect.memory().zip(msg.may_have_run).map(|(memory, ran)| ran.0 + memory);
+        until.map(|until| until.saturating_sub(self.now))
     }
 
     fn worth(&self, msg: &Msg) -> f64 {
@@ -849,11 +849,12 @@
         if !(one && two && four && five && self.may_reach(to, now)) {
             return None;
         }
-        let (zone, span) = (ep.zone, self.timeout(to, &row, msg.late));
-        let left = msg.deadline - now;
+        let (zone, span, left) = (ep.zone, self.timeout(to, &row, msg.late), msg.deadline - now);
         // A slow host keeps answering: an overdue leg counts at once, is cut later. Harm: late after silence.
         let patient = left.mul_f64(PATIENCE).max(span).min(left);
         let limit = if row.effect == Effect::NonRetriable { left } else { patient };
+        // Guards against a repeat behind the memory: its connection came up late, or it was held up.
+        let limit = self.known(msg).map_or(limit, |left| limit.min(left.saturating_sub(MARGIN)));
         let msg = self.msgs.get_mut(&id)?;
         (msg.out, msg.legs, msg.ran) = (Some(call), msg.legs + 1, msg.ran + 1);
         msg.may_have_run = msg.may_have_run.or(Some((now, zone)));
