--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -461,7 +461,11 @@
             limit,
             connect: limit,
             decided: Instant::now(),
-            may_reach: Box::new(|| async_channel::bounded(1).1),
+            may_reach: Box::new(|| {
+                let (tell, told) = async_channel::bounded(1);
+                tell.try_send(true).expect("room");
+                told
+            }),
             note: Box::new(note),
             stage: Rc::default(),
         }
@@ -523,4 +527,24 @@
         let _ = std::io::Read::read_to_end(&mut far, &mut bytes);
         assert!(bytes.is_empty(), "{bytes:?}");
     }
+
+    // A task that waited for the core until its call's time was up, with a connection at hand: nothing of it goes out.
+    #[test]
+    fn a_call_whose_time_is_up_before_its_first_byte_sends_nothing() {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let to = listener.local_addr().expect("an address");
+        let (idle, told) = (Idle::new(Duration::from_secs(60), 8), RefCell::new(None));
+        idle.keep(
+            EndpointId(1),
+            async_io::block_on(Connection::open(to, "far".into())).expect("a connection"),
+        );
+        let mut call = call(to, 1, Duration::from_millis(300), || true);
+        call.decided = Instant::now().checked_sub(Duration::from_millis(400)).expect("a time");
+        async_io::block_on(call.run(&idle, |ends| *told.borrow_mut() = Some(ends.ends[0].1)));
+        assert_eq!(*told.borrow(), Some(Outcome::ConnectFailed), "never ran");
+        drop(idle);
+        let (mut far, mut bytes) = (listener.accept().expect("the far side").0, Vec::new());
+        let _ = std::io::Read::read_to_end(&mut far, &mut bytes);
+        assert!(bytes.is_empty(), "{} bytes came", bytes.len());
+    }
 }
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -269,13 +269,18 @@
 }
 
 fn beside() -> Beside {
+    beside_of(0, 200)
+}
+
+/// The platform refuses so many calls with notices; the endpoint answers with this status.
+fn beside_of(refused: usize, status: u16) -> Beside {
     let gate = Gate::default();
     let held = gate.clone();
     let endpoint = Server::start(move |_| {
         held.pass();
-        ok()
+        answer(status, "", "")
     });
-    let platform = Platform::start(0);
+    let platform = Platform::start(refused);
     let (socket, at) = platform_socket();
     let members = vec![member("e1", endpoint.address, 7, "single")];
     let config = config(at, platform.server.address, &members);
@@ -403,3 +408,21 @@
     }
     assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
 }
+
+// A notice that the platform has not taken at the handover is owed: the taker tells it again.
+#[test]
+fn a_notice_owed_at_a_handover_is_told_by_the_taker() {
+    let scene = beside_of(usize::MAX, 500);
+    scene.gate.open();
+    let mut owner = scene.start(0);
+    scene.add("m1", 0, "once");
+    until("the notice", || !scene.platform.notices().is_empty());
+    let _taker = scene.start(1);
+    owner.term();
+    assert!(owner.ended_within(ms(3_600)));
+    let before = scene.platform.notices().len();
+    scene.owns(1);
+    until("the notice again", || scene.platform.notices().len() > before);
+    assert!(scene.platform.notices().iter().all(|n| n == r#"{"id":"m1","state":"failed"}"#));
+    assert_eq!(scene.endpoint.ids(), ["m1"]);
+}
