Own answers pace no crowd: after a restart of hundreds of relays next to nothing was left for each

Line at fault: `room` paces since by own answers where no rate is told; with 300 relays a process that has just started reckons six calls a second over all, and an even portion of that is a call a minute. Scenario untold-crowd, seen to fail without it.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -420,7 +420,6 @@
         (self.list_due, self.watch_failures) = (None, 0);
     }
 
-    /// A call for the list failed, with a wait if one was told.
     pub fn watch_failed(&mut self, told: Option<Duration>) {
         self.watch_failures += 1;
         let pause = self.asking().again(self.watch_failures, told, self.chance(0));
@@ -716,8 +715,9 @@
             Breaker::HalfOpen(Some(_)) => return 0,
         };
         let rough = f.listed_rate == ListedRate::Rough || route.told_rate;
-        // Where nothing is told, what was answered stands for the rate once a call was refused.
-        if (f.listed_rate == ListedRate::Exact || rough || route.pace_at > ms(0)) && route.rate > 0.0 {
+        // Where nothing is told, own answers stand for the rate once one was refused: too few in a crowd.
+        let own = route.pace_at > ms(0) && f.relays <= CROWD;
+        if (f.listed_rate == ListedRate::Exact || rough || own) && route.rate > 0.0 {
             let most = if f.listed_rate == ListedRate::Exact { 1.0 } else { ROUGH };
             let rate = route.rate * route.pace.min(most);
             route.tokens.refill(now, rate, (rate * PACE_BURST).max(PACE_CALLS));
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -226,6 +226,7 @@
 #[test_case("restart-untried"; "a restart's untried messages go first")]
 #[test_case("untold-paced"; "what was refused is paced where no rate is told")]
 #[test_case("one-place"; "one place holds one")]
+#[test_case("untold-crowd"; "a crowd reckons no rate from its own answers")]
 #[test_case("told-limit"; "answers tell the limit where no rate is listed")]
 #[test_case("worthless"; "a lane worth nothing is sent all the same")]
 #[test_case("untold-cold"; "a cold ramp where no rate is listed")]
