--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -15,7 +15,7 @@
 use crate::tally::Tally;
 use crate::traffic::{self, Request};
 use crate::world::{Place, World};
-use mountshift::port::{Listed, Outcome, StartupFacts};
+use mountshift::port::{EndpointStatus, Outcome, PolicySettings};
 use mountshift_judge::{End, Fact, Judge};
 use mountshift_scenario::{Scenario, TroubleKind};
 use rayon::prelude::*;
@@ -53,7 +53,7 @@
 #[derive(Clone, Debug)]
 enum Event {
     /// A request is handed in, for the first time or again.
-    HandIn(u32),
+    Submission(u32),
     Reach(u64),
     Finish(u64, u32),
     Answer(u64, Vec<(u64, Outcome, bool)>, Time),
@@ -61,7 +61,7 @@
     Thaw(u32),
     StrikeOn(usize),
     StrikeOff(usize),
-    Tell(u32, u32, Listed),
+    Tell(u32, u32, EndpointStatus),
     Whole(u32),
     NoList(u32),
     Noticed(u64),
@@ -147,7 +147,7 @@
     /// Until when discovery is at work on calls that it took.
     discovery_free: Time,
     /// What the list says of each endpoint.
-    listing: Vec<Listed>,
+    listing: Vec<EndpointStatus>,
     truth: Truth,
     judge: Judge,
     tally: Tally,
@@ -168,7 +168,7 @@
 pub type Watch<'a> = &'a mut dyn FnMut(Time, Seen<'_>);
 
 /// Makes what decides at a relay that starts.
-pub type Make<'a> = Box<dyn Fn(StartupFacts) -> Box<dyn Policy> + 'a>;
+pub type Make<'a> = Box<dyn Fn(PolicySettings) -> Box<dyn Policy> + 'a>;
 
 type Slot = usize;
 
@@ -213,7 +213,7 @@
             cuts: Vec::new(),
             lists_held: 0,
             discovery_free: 0,
-            listing: vec![Listed::Ready; world.places.len()],
+            listing: vec![EndpointStatus::Ready; world.places.len()],
             truth: Truth::default(),
             judge,
             tally,
@@ -361,7 +361,7 @@
         self.free.push(slot);
         let Some(event) = self.events[slot].take() else { return };
         match event {
-            Event::HandIn(request) => self.hand_in(request),
+            Event::Submission(request) => self.hand_in(request),
             Event::Reach(call) => self.reach(call),
             Event::Finish(call, epoch) => self.finish(call, epoch),
             Event::Answer(call, ends, wait) => self.answer(call, ends, wait),
@@ -391,7 +391,7 @@
         for me in 0..self.relays.len() {
             for i in 0..self.servers.len() as u32 {
                 let place = self.world.places[i as usize];
-                self.relays[me].learn(&self.world, &place, i, Listed::Ready);
+                self.relays[me].learn(&self.world, &place, i, EndpointStatus::Ready);
             }
             self.start(me as u32);
         }
@@ -438,7 +438,7 @@
         let all = self.relays.len();
         let first = self.world.chance.of(What::Front, all, who, 0);
         let Some(relay) = (0..all).map(|i| (first + i) % all).find(|i| self.relays[*i].up) else {
-            self.at(self.now + REFUSED, Event::HandIn(n));
+            self.at(self.now + REFUSED, Event::Submission(n));
             return;
         };
         let (msg, relay) = (self.next_msg, relay as u32);
@@ -462,7 +462,7 @@
         let request = m.request;
         self.fact(Fact::Disowned { msg });
         self.pass(msg);
-        self.at(self.now + REFUSED, Event::HandIn(request));
+        self.at(self.now + REFUSED, Event::Submission(request));
     }
 
     /// Nothing more is owed under this id.
@@ -506,7 +506,7 @@
                 let pause = if pause > 0 { pause } else { clients.pause.us() };
                 let pause = pause.min(self.world.scenario.rules.max_pause.us()).max(1_000);
                 if comes {
-                    self.at(self.now + pause, Event::HandIn(request));
+                    self.at(self.now + pause, Event::Submission(request));
                 }
             }
         }
@@ -668,7 +668,7 @@
 
     // The list.
 
-    fn tell(&mut self, relay: u32, endpoint: u32, says: Listed) {
+    fn tell(&mut self, relay: u32, endpoint: u32, says: EndpointStatus) {
         // A watch that is lost and a list that lies silent hold everything back until they are over.
         let held = |s: &crate::world::Strike| {
             let of_relay = s.kind == TroubleKind::WatchLost && s.relays.contains(&relay);
@@ -700,9 +700,9 @@
     }
 
     /// Tells every relay, each a little later.
-    fn list(&mut self, endpoint: u32, says: Listed) {
+    fn list(&mut self, endpoint: u32, says: EndpointStatus) {
         if self.listing.len() <= endpoint as usize {
-            self.listing.resize(endpoint as usize + 1, Listed::Gone);
+            self.listing.resize(endpoint as usize + 1, EndpointStatus::Removed);
         }
         self.listing[endpoint as usize] = says;
         for relay in 0..self.relays.len() as u32 {
@@ -747,7 +747,7 @@
         self.relays[relay as usize].inbox.push(Came::Whole);
         for endpoint in 0..self.listing.len() as u32 {
             let says = self.listing[endpoint as usize];
-            if says != Listed::Gone {
+            if says != EndpointStatus::Removed {
                 let place = self.place(endpoint);
                 let host = &mut self.relays[relay as usize];
                 host.learn(&self.world, &place, endpoint, says);
--- a/crates/lab/src/day/calls.rs
+++ b/crates/lab/src/day/calls.rs
@@ -206,7 +206,7 @@
         let Some(call) = self.calls.get(&n) else { return };
         let (relay, at) = (call.relay, call.at);
         let later = AT_ONCE + self.way(relay, at);
-        let full = Outcome::Full(Duration::from_micros(wait));
+        let full = Outcome::Rejected { retry_after: Duration::from_micros(wait) };
         self.broken(n, full, later);
         self.done(n);
     }
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -6,7 +6,7 @@
 use crate::host::Came;
 use crate::servers::{Route, Server, State};
 use crate::world::Strike;
-use mountshift::port::{Listed, Outcome};
+use mountshift::port::{EndpointStatus, Outcome};
 use mountshift_judge::Fact;
 use mountshift_scenario::TroubleKind;
 
@@ -65,7 +65,7 @@
             }
             TroubleKind::ListWrong => {
                 for endpoint in strike.endpoints {
-                    self.list(endpoint, if on { Listed::Gone } else { Listed::Ready });
+                    self.list(endpoint, if on { EndpointStatus::Removed } else { EndpointStatus::Ready });
                 }
             }
             TroubleKind::Drain | TroubleKind::Replace | TroubleKind::Readdress => {
@@ -207,8 +207,8 @@
                 self.replaced.entry(n).or_default().push((old, new));
                 match kind {
                     TroubleKind::Drain => {
-                        self.list(old, Listed::Draining);
-                        self.list(new, Listed::Ready);
+                        self.list(old, EndpointStatus::Draining);
+                        self.list(new, EndpointStatus::Ready);
                     }
                     TroubleKind::Readdress => self.leave(old, Some(new)),
                     _ => self.leave(old, None),
@@ -220,9 +220,9 @@
             if kind == TroubleKind::Drain {
                 self.leave(old, None);
             } else {
-                self.list(new, Listed::Ready);
+                self.list(new, EndpointStatus::Ready);
             }
-            self.list(old, Listed::Gone);
+            self.list(old, EndpointStatus::Removed);
         }
     }
 
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -33,7 +33,7 @@
     Whole,
     Listed {
         endpoint: u32,
-        says: Listed,
+        says: EndpointStatus,
     },
     WatchFailed,
     Noticed(u64),
@@ -71,7 +71,7 @@
 /// A message as the spool keeps it; times are Unix times.
 #[derive(Clone, Debug)]
 struct Kept {
-    hand_in: HandIn,
+    hand_in: Submission,
     deadline: i64,
     legs: Vec<(ZoneId, i64, bool)>,
     owed: Option<End>,
@@ -87,7 +87,7 @@
 /// What the list told of an endpoint.
 #[derive(Clone, Copy)]
 struct Entry {
-    says: Listed,
+    says: EndpointStatus,
     dst: u32,
     zone: u8,
     kind: u16,
@@ -144,8 +144,8 @@
     starts: u64,
 }
 
-impl Writer for Desk {
-    fn send(&mut self, msg: MsgId, to: EndpointId, limit: Duration) {
+impl Actions for Desk {
+    fn send(&mut self, msg: MessageId, to: EndpointId, limit: Duration) {
         let (to, limit) = (to.0 as u32 - 1, limit.as_micros() as u64);
         match self.sends.iter_mut().find(|s| s.0 == to) {
             Some(send) => send.1.push((msg.0, limit)),
@@ -153,15 +153,15 @@
         }
     }
 
-    fn push_back(&mut self, msg: MsgId, pause: Duration) -> bool {
+    fn reject(&mut self, msg: MessageId, pause: Duration) -> bool {
         self.end(msg.0, End::PushedBack(pause.as_micros() as u64))
     }
 
-    fn fail(&mut self, msg: MsgId) -> bool {
+    fn fail(&mut self, msg: MessageId) -> bool {
         self.end(msg.0, End::Failed)
     }
 
-    fn recall(&mut self, msg: MsgId, _leg: LegNo) {
+    fn cancel(&mut self, msg: MessageId, _leg: AttemptNumber) {
         let Some((n, call)) = self.calls.iter_mut().find(|(_, c)| c.legs.contains(&msg.0)) else { return };
         call.recalled.push(msg.0);
         // One message can't be taken out of a call: it would still be out on an open connection.
@@ -170,21 +170,21 @@
         }
     }
 
-    fn close_idle(&mut self, to: EndpointId) {
+    fn close_idle_connections(&mut self, to: EndpointId) {
         self.acts.push(Act::CloseIdle { endpoint: to.0 as u32 - 1 });
     }
 
-    fn forget(&mut self, endpoint: EndpointId) {
+    fn forget_endpoint(&mut self, endpoint: EndpointId) {
         self.listed.remove(&(endpoint.0 as u32 - 1));
         self.acts.push(Act::CloseIdle { endpoint: endpoint.0 as u32 - 1 });
     }
 
-    fn wake(&mut self, after: Duration) {
+    fn wake_after(&mut self, after: Duration) {
         let at = self.now + after.as_micros() as u64;
         self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
     }
 
-    fn watch(&mut self) {
+    fn poll_endpoints(&mut self) {
         self.acts.push(Act::Watch);
     }
 
@@ -223,22 +223,22 @@
                     self.acts.push(Act::Answer { msg, end: Some(end) });
                     return;
                 }
-                let hand_in = HandIn {
-                    lane: LaneId(lane),
+                let hand_in = Submission {
+                    class: ClassId(lane),
                     tenant: TenantId(tenant),
-                    dst: DstId(dst),
-                    key: (key != 0).then_some(Key(key)),
+                    destination: DestinationId(dst),
+                    key: (key != 0).then_some(OrderingKey(key)),
                     deadline: self.clock.at(deadline),
                     restored: false,
                 };
                 let kept = Kept { hand_in, deadline: self.unix(deadline), legs: Vec::new(), owed: None };
                 self.spool.insert(msg, kept);
                 self.asking.push(msg);
-                tells.push(Tell::Message(MsgId(msg), hand_in));
+                tells.push(Tell::Message(MessageId(msg), hand_in));
             }
             Came::Gone(msg) | Came::Noticed(msg) => {
                 self.spool.remove(&msg);
-                tells.push(Tell::Over(MsgId(msg)));
+                tells.push(Tell::Over(MessageId(msg)));
             }
             Came::Ended { call, ends, wait } => self.take_ends(call, ends, wait, tells),
             Came::Whole => tells.push(Tell::WholeList),
@@ -260,13 +260,13 @@
             let end = match outcome {
                 Outcome::Delivered => LegEnd::Delivered,
                 Outcome::Error => LegEnd::Error,
-                Outcome::Full(wait) => LegEnd::Full(wait.as_micros() as u64),
-                Outcome::NoRoom => LegEnd::Full(0),
+                Outcome::Rejected { retry_after: wait } => LegEnd::Full(wait.as_micros() as u64),
+                Outcome::ConnectionLimit => LegEnd::Full(0),
                 Outcome::TimedOut => LegEnd::TimedOut,
                 Outcome::ConnectFailed => LegEnd::ConnectFailed,
                 Outcome::Reset => LegEnd::Reset,
                 Outcome::Cancelled => LegEnd::Cancelled,
-                Outcome::Moot => LegEnd::Moot,
+                Outcome::NotSent => LegEnd::Moot,
             };
             self.acts.push(Act::Fact(Fact::LegEnded { msg, call, relay: self.me, end }));
             if outcome.never_ran() {
@@ -276,11 +276,11 @@
             if over {
                 self.spool.remove(&msg);
             }
-            tells.push(Tell::Outcome { msg: MsgId(msg), to, waited, outcome, over });
+            tells.push(Tell::Outcome { msg: MessageId(msg), to, waited, outcome, over });
         }
     }
 
-    fn take_listed(&mut self, endpoint: u32, says: Listed, tells: &mut Vec<Tell>) {
+    fn take_listed(&mut self, endpoint: u32, says: EndpointStatus, tells: &mut Vec<Tell>) {
         let Some(entry) = self.listed.get_mut(&endpoint) else { return };
         entry.says = says;
         let entry = *entry;
@@ -289,16 +289,16 @@
 
     fn tell_entry(&mut self, endpoint: u32, e: Entry, tells: &mut Vec<Tell>) {
         let listed = match e.says {
-            Listed::Ready => Said::Ready,
-            Listed::Draining => Said::Draining,
-            Listed::Gone => Said::Gone,
+            EndpointStatus::Ready => Said::Ready,
+            EndpointStatus::Draining => Said::Draining,
+            EndpointStatus::Removed => Said::Gone,
         };
         self.acts.push(Act::Fact(Fact::Told { relay: self.me, endpoint, listed }));
         tells.push(Tell::Entry {
             id: EndpointId(u64::from(endpoint) + 1),
-            dst: DstId(e.dst),
+            dst: DestinationId(e.dst),
             zone: ZoneId(e.zone.into()),
-            kind: KindId(e.kind),
+            kind: DestinationKindId(e.kind),
             listed: e.says,
             rate: e.rate,
         });
@@ -373,7 +373,7 @@
     pub fn start(
         &mut self,
         world: &World,
-        make: &dyn Fn(StartupFacts) -> Box<dyn Policy>,
+        make: &dyn Fn(PolicySettings) -> Box<dyn Policy>,
         now: Time,
         truth: Option<&mut Truth>,
     ) {
@@ -384,7 +384,7 @@
         desk.clock = Clock { start: now, unix, lead };
         desk.calls.clear();
         desk.wake = None;
-        self.policy = Some(make(world.facts(desk.me, self.starts)));
+        self.policy = Some(make(world.policy_settings(desk.me, self.starts)));
         self.starts += 1;
         (self.up, self.stalled_until) = (true, 0);
         desk.acts.push(Act::Fact(Fact::RelayUp { relay: desk.me }));
@@ -393,9 +393,9 @@
         known.into_iter().for_each(|(id, e)| desk.tell_entry(id, e, &mut self.tells));
         let kept: Vec<(u64, Kept)> = desk.spool.iter().map(|(msg, k)| (*msg, k.clone())).collect();
         for (msg, k) in kept {
-            let id = MsgId(msg);
+            let id = MessageId(msg);
             let deadline = desk.clock.at_unix(k.deadline);
-            self.tells.push(Tell::Message(id, HandIn { deadline, restored: true, ..k.hand_in }));
+            self.tells.push(Tell::Message(id, Submission { deadline, restored: true, ..k.hand_in }));
             if let Some(end) = k.owed {
                 desk.acts.push(Act::Fact(Fact::Ended { msg, relay: desk.me, end }));
                 desk.acts.push(Act::Notice { msg, end });
@@ -414,7 +414,7 @@
     }
 
     /// What the list tells of an endpoint that this relay may not know yet.
-    pub fn learn(&mut self, world: &World, place: &crate::world::Place, endpoint: u32, says: Listed) {
+    pub fn learn(&mut self, world: &World, place: &crate::world::Place, endpoint: u32, says: EndpointStatus) {
         let rate = world.listed_rate(place);
         let entry = Entry { says, dst: place.dst, zone: place.zone, kind: place.group as u16, rate };
         self.desk.listed.entry(endpoint).or_insert(entry);
--- a/crates/lab/src/policies/law.rs
+++ b/crates/lab/src/policies/law.rs
@@ -9,7 +9,7 @@
 const MARGIN: Duration = Duration::from_millis(40);
 
 struct Msg {
-    hand_in: HandIn,
+    hand_in: Submission,
     legs: u8,
     ran: u32,
     out: Option<EndpointId>,
@@ -18,35 +18,35 @@
 }
 
 struct Endpoint {
-    dst: DstId,
+    dst: DestinationId,
     zone: ZoneId,
-    kind: KindId,
+    kind: DestinationKindId,
     off_since: Option<Duration>,
     out: u32,
 }
 
 #[derive(Default)]
 struct Line {
-    queue: VecDeque<MsgId>,
+    queue: VecDeque<MessageId>,
     rest_until: Duration,
-    rest_by: Option<MsgId>,
+    rest_by: Option<MessageId>,
 }
 
 pub(super) struct Law {
-    pub facts: StartupFacts,
+    pub facts: PolicySettings,
     pub now: Duration,
-    msgs: BTreeMap<MsgId, Msg>,
-    idle: BTreeSet<MsgId>,
+    msgs: BTreeMap<MessageId, Msg>,
+    idle: BTreeSet<MessageId>,
     endpoints: BTreeMap<EndpointId, Endpoint>,
-    near: BTreeMap<DstId, Vec<EndpointId>>,
-    waits: BTreeMap<(DstId, Option<EndpointId>), Duration>,
-    lines: BTreeMap<Key, Line>,
+    near: BTreeMap<DestinationId, Vec<EndpointId>>,
+    waits: BTreeMap<(DestinationId, Option<EndpointId>), Duration>,
+    lines: BTreeMap<OrderingKey, Line>,
     out: usize,
     wake_at: Duration,
 }
 
 impl Law {
-    pub fn new(facts: StartupFacts) -> Law {
+    pub fn new(facts: PolicySettings) -> Law {
         Law {
             facts,
             now: Duration::ZERO,
@@ -61,12 +61,13 @@
         }
     }
 
-    fn lane(&self, msg: &Msg) -> &LaneFacts {
-        &self.facts.lanes[usize::from(msg.hand_in.lane.0)]
+    fn lane(&self, msg: &Msg) -> &MessageClass {
+        &self.facts.classes[usize::from(msg.hand_in.class.0)]
     }
 
-    fn route(&self, id: EndpointId, e: &Endpoint) -> (DstId, Option<EndpointId>) {
-        let apart = self.facts.kinds.get(usize::from(e.kind.0)).is_some_and(|k| k.own_limits);
+    fn route(&self, id: EndpointId, e: &Endpoint) -> (DestinationId, Option<EndpointId>) {
+        let apart =
+            self.facts.destination_kinds.get(usize::from(e.kind.0)).is_some_and(|k| k.independent_endpoints);
         (e.dst, apart.then_some(id))
     }
 
@@ -74,8 +75,8 @@
         let now = self.now;
         match tell {
             Tell::Message(id, hand_in) => {
-                let in_order = self.facts.lanes[usize::from(hand_in.lane.0)].in_order;
-                let hand_in = HandIn { key: hand_in.key.filter(|_| in_order), ..hand_in };
+                let in_order = self.facts.classes[usize::from(hand_in.class.0)].in_order;
+                let hand_in = Submission { key: hand_in.key.filter(|_| in_order), ..hand_in };
                 if let Some(key) = hand_in.key {
                     self.lines.entry(key).or_default().queue.push_back(id);
                 }
@@ -106,7 +107,7 @@
                 if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
                     self.rest(key, msg);
                 }
-                if let Outcome::Full(wait) = outcome {
+                if let Outcome::Rejected { retry_after: wait } = outcome {
                     self.wait(to, wait);
                 }
                 if ended {
@@ -124,7 +125,7 @@
                     self.near.entry(dst).or_default().push(id);
                     Endpoint { dst, zone, kind, off_since: None, out: 0 }
                 });
-                e.off_since = if listed == Listed::Ready { None } else { e.off_since.or(Some(now)) };
+                e.off_since = if listed == EndpointStatus::Ready { None } else { e.off_since.or(Some(now)) };
             }
             Tell::WatchFailed => {}
             Tell::Over(id) => self.over(id),
@@ -137,13 +138,13 @@
         *until = (*until).max(self.now + wait);
     }
 
-    fn rest(&mut self, key: Option<Key>, by: MsgId) {
-        let until = self.now + self.facts.order_pause;
+    fn rest(&mut self, key: Option<OrderingKey>, by: MessageId) {
+        let until = self.now + self.facts.order_hold_off;
         let line = key.and_then(|k| self.lines.get_mut(&k));
         line.into_iter().for_each(|l| (l.rest_until, l.rest_by) = (until, Some(by)));
     }
 
-    fn over(&mut self, id: MsgId) {
+    fn over(&mut self, id: MessageId) {
         let Some(m) = self.msgs.get_mut(&id) else { return };
         self.idle.remove(&id);
         if m.out.is_some() {
@@ -156,17 +157,18 @@
         self.msgs.remove(&id);
     }
 
-    pub fn destination(&self, id: MsgId) -> Option<DstId> {
-        self.msgs.get(&id).map(|m| m.hand_in.dst)
+    pub fn destination(&self, id: MessageId) -> Option<DestinationId> {
+        self.msgs.get(&id).map(|m| m.hand_in.destination)
     }
 
-    pub fn left(&self, id: MsgId) -> Duration {
+    pub fn left(&self, id: MessageId) -> Duration {
         self.msgs.get(&id).map_or(Duration::ZERO, |m| m.hand_in.deadline.saturating_sub(self.now))
     }
 
-    pub fn target(&self, id: MsgId) -> Duration {
-        let target =
-            |m: &Msg| (m.hand_in.deadline + self.lane(m).target).saturating_sub(self.lane(m).deadline);
+    pub fn target(&self, id: MessageId) -> Duration {
+        let target = |m: &Msg| {
+            (m.hand_in.deadline + self.lane(m).latency_objective).saturating_sub(self.lane(m).deadline)
+        };
         self.msgs.get(&id).map_or(Duration::ZERO, target)
     }
 
@@ -177,19 +179,19 @@
     /// Messages in one call to it at most.
     pub fn batch(&self, id: EndpointId) -> usize {
         let kind = self.endpoints.get(&id).map_or(0, |e| usize::from(e.kind.0));
-        self.facts.kinds.get(kind).map_or(1, |k| k.batch.max(1))
+        self.facts.destination_kinds.get(kind).map_or(1, |k| k.max_batch.max(1))
     }
 
     pub fn no_slot(&self) -> bool {
-        self.out >= self.facts.slots
+        self.out >= self.facts.max_calls_in_flight
     }
 
     /// Messages that nothing is out for, oldest first.
-    pub fn waiting(&self) -> Vec<MsgId> {
+    pub fn waiting(&self) -> Vec<MessageId> {
         self.idle.iter().copied().filter(|id| self.in_turn(*id)).collect()
     }
 
-    fn in_turn(&self, id: MsgId) -> bool {
+    fn in_turn(&self, id: MessageId) -> bool {
         let line = self.msgs.get(&id).and_then(|m| m.hand_in.key).and_then(|k| self.lines.get(&k));
         line.is_none_or(|l| {
             l.queue.front() == Some(&id) && (l.rest_until <= self.now || l.rest_by == Some(id))
@@ -197,9 +199,12 @@
     }
 
     /// Endpoints that the message may go to now.
-    pub fn options(&self, id: MsgId, dst: DstId) -> impl Iterator<Item = EndpointId> + '_ {
+    pub fn options(&self, id: MessageId, dst: DestinationId) -> impl Iterator<Item = EndpointId> + '_ {
         let first = self.msgs.get(&id).and_then(|m| {
-            let zonal = matches!(self.lane(m).effect, Effect::Keyed { group: Group::Zone, .. });
+            let zonal = matches!(
+                self.lane(m).idempotency,
+                Idempotency::WithKey { scope: DeduplicationScope::SameZone, .. }
+            );
             m.may_have_run.filter(|_| zonal).map(|r| r.1)
         });
         let may = move |e: &EndpointId| {
@@ -211,7 +216,7 @@
         self.near.get(&dst).into_iter().flatten().copied().filter(may)
     }
 
-    pub fn send(&mut self, id: MsgId, to: EndpointId, limit: Duration, out: &mut dyn Writer) {
+    pub fn send(&mut self, id: MessageId, to: EndpointId, limit: Duration, out: &mut dyn Actions) {
         let zone = self.endpoints.get(&to).map_or(ZoneId(0), |e| e.zone);
         let Some(m) = self.msgs.get_mut(&id) else { return };
         m.out = Some(to);
@@ -225,17 +230,17 @@
     }
 
     /// Fails what is out of time, can't go again, or is given up by the style.
-    pub fn end_spent(&mut self, out: &mut dyn Writer, given_up: impl Fn(MsgId) -> bool) {
+    pub fn end_spent(&mut self, out: &mut dyn Actions, given_up: impl Fn(MessageId) -> bool) {
         let now = self.now;
-        let spent = |id: &MsgId, m: &Msg| {
-            let again = match (self.lane(m).effect, m.may_have_run) {
-                (Effect::Retriable, _) | (_, None) => true,
-                (Effect::Keyed { memory, .. }, Some((since, _))) => {
+        let spent = |id: &MessageId, m: &Msg| {
+            let again = match (self.lane(m).idempotency, m.may_have_run) {
+                (Idempotency::Idempotent, _) | (_, None) => true,
+                (Idempotency::WithKey { window: memory, .. }, Some((since, _))) => {
                     now + Duration::from_millis(1) < since + memory
                 }
-                (Effect::NonRetriable, Some(_)) => false,
+                (Idempotency::NotIdempotent, Some(_)) => false,
             };
-            let last = m.legs >= self.facts.max_legs || !again || given_up(*id);
+            let last = m.legs >= self.facts.max_attempts || !again || given_up(*id);
             m.hand_in.deadline <= now + MARGIN || (m.out.is_none() && last)
         };
         let ids = self.msgs.iter().filter(|(id, m)| !m.ended && spent(id, m)).map(|(id, _)| *id);
@@ -249,10 +254,10 @@
         }
     }
 
-    pub fn wake(&mut self, out: &mut dyn Writer) {
+    pub fn wake(&mut self, out: &mut dyn Actions) {
         if !self.msgs.is_empty() && self.wake_at <= self.now {
             self.wake_at = self.now + WAKE;
-            out.wake(WAKE);
+            out.wake_after(WAKE);
         }
         let now = self.now;
         self.lines.retain(|_, l| !l.queue.is_empty() || l.rest_until > now);
--- a/crates/lab/src/policies/mod.rs
+++ b/crates/lab/src/policies/mod.rs
@@ -41,23 +41,23 @@
 struct Breaker {
     run: u32,
     open_until: Option<Duration>,
-    trial: Option<MsgId>,
+    trial: Option<MessageId>,
 }
 
 pub(crate) struct Baseline {
     style: Style,
     law: Law,
     /// Not before this time, after so many tries.
-    pauses: BTreeMap<MsgId, (Duration, u32)>,
+    pauses: BTreeMap<MessageId, (Duration, u32)>,
     budget: f64,
-    breakers: BTreeMap<DstId, Breaker>,
+    breakers: BTreeMap<DestinationId, Breaker>,
     count: u64,
     /// Messages that go to each endpoint in this round.
     round: BTreeMap<EndpointId, usize>,
 }
 
 impl Baseline {
-    pub fn new(style: Style, facts: StartupFacts) -> Baseline {
+    pub fn new(style: Style, facts: PolicySettings) -> Baseline {
         let law = Law::new(facts);
         Baseline {
             style,
@@ -78,10 +78,12 @@
     }
 
     /// Learns from how a leg ended.
-    fn ended(&mut self, msg: MsgId, dst: DstId, outcome: Outcome) {
+    fn ended(&mut self, msg: MessageId, dst: DestinationId, outcome: Outcome) {
         let now = self.law.now;
-        let failed =
-            !matches!(outcome, Outcome::Delivered | Outcome::Full(_) | Outcome::Moot | Outcome::Cancelled);
+        let failed = !matches!(
+            outcome,
+            Outcome::Delivered | Outcome::Rejected { .. } | Outcome::NotSent | Outcome::Cancelled
+        );
         if self.style == Style::Breaker {
             let b = self.breakers.entry(dst).or_default();
             let trial = b.trial.take_if(|t| *t == msg).is_some();
@@ -106,7 +108,7 @@
     }
 
     /// May this message go now, as far as the style is concerned?
-    fn may_try(&self, msg: MsgId, dst: DstId) -> bool {
+    fn may_try(&self, msg: MessageId, dst: DestinationId) -> bool {
         let (not_before, tries) = self.pauses.get(&msg).copied().unwrap_or_default();
         let open = self
             .breakers
@@ -121,7 +123,7 @@
     }
 
     /// Where it goes; none if nowhere is allowed.
-    fn pick(&mut self, msg: MsgId, dst: DstId, truth: Option<&Truth>) -> Option<EndpointId> {
+    fn pick(&mut self, msg: MessageId, dst: DestinationId, truth: Option<&Truth>) -> Option<EndpointId> {
         let options: Vec<EndpointId> = self.law.options(msg, dst).collect();
         if options.is_empty() {
             return None;
@@ -155,7 +157,7 @@
         now: Duration,
         tells: &mut Vec<Tell>,
         mut truth: Option<&mut Truth>,
-        out: &mut dyn Writer,
+        out: &mut dyn Actions,
     ) {
         self.law.now = now;
         self.round.clear();
@@ -197,7 +199,7 @@
                 state.room -= 1.0;
                 truth.routes[state.route as usize] -= 1.0;
                 if state.stale {
-                    out.close_idle(to);
+                    out.close_idle_connections(to);
                 }
             }
             if let Some(b) = self.breakers.get_mut(&dst).filter(|b| b.open_until.is_some()) {
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -9,17 +9,17 @@
 /// What a relay is told in a round; the calls of `mountshift::rules::Relay`, by name.
 #[derive(Clone, Copy, Debug)]
 pub enum Tell {
-    Message(MsgId, HandIn),
+    Message(MessageId, Submission),
     EarlierLeg {
-        msg: MsgId,
+        msg: MessageId,
         zone: ZoneId,
         at: Duration,
         may_have_run: bool,
     },
     /// Its end was given before a restart and has not been taken.
-    EndOwed(MsgId),
+    EndOwed(MessageId),
     Outcome {
-        msg: MsgId,
+        msg: MessageId,
         to: EndpointId,
         waited: Duration,
         outcome: Outcome,
@@ -32,14 +32,14 @@
     WholeList,
     Entry {
         id: EndpointId,
-        dst: DstId,
+        dst: DestinationId,
         zone: ZoneId,
-        kind: KindId,
-        listed: Listed,
+        kind: DestinationKindId,
+        listed: EndpointStatus,
         rate: f64,
     },
     WatchFailed,
-    Over(MsgId),
+    Over(MessageId),
 }
 
 /// The true state of all, for the policy that sees it.
@@ -70,12 +70,12 @@
         now: Duration,
         tells: &mut Vec<Tell>,
         truth: Option<&mut Truth>,
-        out: &mut dyn Writer,
+        out: &mut dyn Actions,
     );
 }
 
 impl Policy for Relay {
-    fn round(&mut self, now: Duration, tells: &mut Vec<Tell>, _: Option<&mut Truth>, out: &mut dyn Writer) {
+    fn round(&mut self, now: Duration, tells: &mut Vec<Tell>, _: Option<&mut Truth>, out: &mut dyn Actions) {
         Relay::round(self, now, |r| tells.drain(..).for_each(|tell| take(r, tell)), out);
     }
 }
@@ -83,12 +83,12 @@
 fn take(r: &mut Relay, tell: Tell) {
     match tell {
         Tell::Message(id, hand_in) => r.message(id, hand_in),
-        Tell::EarlierLeg { msg, zone, at, may_have_run } => r.earlier_leg(msg, zone, at, may_have_run),
+        Tell::EarlierLeg { msg, zone, at, may_have_run } => r.earlier_attempt(msg, zone, at, may_have_run),
         Tell::EndOwed(msg) => r.end(msg, false),
         Tell::Outcome { msg, to, waited, outcome, over } => r.outcome(msg, to, waited, outcome, over),
-        Tell::Wait { to, wait } => r.told_to_wait(to, wait),
+        Tell::Wait { to, wait } => r.retry_after(to, wait),
         Tell::WholeList => {
-            r.whole_list();
+            r.full_list();
             r.listed();
         }
         Tell::Entry { id, dst, zone, kind, listed, rate } => r.entry(id, dst, zone, kind, listed, rate),
@@ -146,7 +146,7 @@
     }
 
     /// One for a relay that starts.
-    pub fn make(self, facts: StartupFacts) -> Box<dyn Policy> {
+    pub fn make(self, facts: PolicySettings) -> Box<dyn Policy> {
         let style = match self {
             Which::Mountshift => return Box::new(Relay::new(facts)),
             Which::OneTry => Style::OneTry,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -174,56 +174,62 @@
         }
     }
 
-    /// What a relay is told at its start.
-    pub fn facts(&self, relay: u32, start: u64) -> StartupFacts {
+    /// The settings of a relay at its start.
+    pub fn policy_settings(&self, relay: u32, start: u64) -> PolicySettings {
         let s = self.scenario;
-        let kind =
-            |g: &scenario::Group| KindFacts { own_limits: g.own_limits, batch: g.batch.get() as usize };
-        let lane = |l: &scenario::Lane| LaneFacts {
-            target: l.target.0,
+        let kind = |g: &scenario::Group| DestinationKind {
+            independent_endpoints: g.own_limits,
+            max_batch: g.batch.get() as usize,
+        };
+        let class = |l: &scenario::Lane| MessageClass {
+            latency_objective: l.target.0,
             deadline: l.deadline.as_ref().0,
-            value: l.value.0,
-            late_share: l.late_share.0,
-            effect: match l.effect {
-                scenario::Effect::Retriable => Effect::Retriable,
-                scenario::Effect::NonRetriable => Effect::NonRetriable,
-                scenario::Effect::Keyed => Effect::Keyed {
-                    memory: l.memory.map_or(Duration::ZERO, |m| m.0),
-                    group: if by_zone(l) { Group::Zone } else { Group::All },
+            priority_weight: l.value.0,
+            late_weight_share: l.late_share.0,
+            idempotency: match l.effect {
+                scenario::Effect::Retriable => Idempotency::Idempotent,
+                scenario::Effect::NonRetriable => Idempotency::NotIdempotent,
+                scenario::Effect::Keyed => Idempotency::WithKey {
+                    window: l.memory.map_or(Duration::ZERO, |m| m.0),
+                    scope: if by_zone(l) {
+                        DeduplicationScope::SameZone
+                    } else {
+                        DeduplicationScope::AllEndpoints
+                    },
                 },
             },
             in_order: l.in_order,
         };
-        StartupFacts {
+        PolicySettings {
             relay: RelayId(relay),
             seed: self.chance.seed(What::Relay, u64::from(relay), start),
-            relays: s.relays.count.get(),
+            relay_count: s.relays.count.get(),
             zone: ZoneId(self.relay_zone(relay).into()),
-            lanes: s.lanes.iter().map(lane).collect(),
-            kinds: s.groups.iter().map(kind).collect(),
-            quotas: s.tenants.iter().map(|t| t.quota.0).collect(),
+            classes: s.lanes.iter().map(class).collect(),
+            destination_kinds: s.groups.iter().map(kind).collect(),
+            tenant_quotas: s.tenants.iter().map(|t| t.quota.0).collect(),
             decay: match s.rules.decay {
                 scenario::Decay::Linear => Decay::Linear,
                 scenario::Decay::Halving => Decay::Halving,
             },
-            slots: s.relays.slots.get() as usize,
-            max_held: s.relays.held.get() as usize,
-            max_legs: s.rules.legs.get().min(255) as u8,
+            max_calls_in_flight: s.relays.slots.get() as usize,
+            max_queued: s.relays.held.get() as usize,
+            max_attempts: s.rules.legs.get().min(255) as u8,
             listed_rate: match s.relays.rates {
                 scenario::Rates::Exact => ListedRate::Exact,
-                scenario::Rates::Rough => ListedRate::Rough,
-                scenario::Rates::Untold => ListedRate::Untold,
+                scenario::Rates::Rough => ListedRate::Approximate,
+                scenario::Rates::Untold => ListedRate::Unknown,
             },
-            must_watch: s.relays.watch,
-            ask_within: s.rules.ask_within.0,
-            may_recall: s.relays.recall,
-            max_pause: s.rules.max_pause.0,
+            must_poll: s.relays.watch,
+            poll_interval: s.rules.ask_within.0,
+            may_cancel: s.relays.recall,
+            max_retry_after: s.rules.max_pause.0,
             drain_grace: s.rules.drain_grace.0,
-            order_pause: s.rules.order_pause.0,
-            cold_from: s.rules.cold_from.0,
-            warm_after: s.rules.warm_after.0,
-            fall_multiple: s.rules.fall_multiple.0,
-            fall: s.rules.fall.0,
+            order_hold_off: s.rules.order_pause.0,
+            slow_start_share: s.rules.cold_from.0,
+            slow_start_duration: s.rules.warm_after.0,
+            overload_multiple: s.rules.fall_multiple.0,
+            overload_window: s.rules.fall.0,
             zone_fees: vec![0.0; s.zones.len()],
             cross_zone_price: s.relays.cross_zone.0,
         }
--- a/crates/lab/tests/sabotage.rs
+++ b/crates/lab/tests/sabotage.rs
@@ -53,14 +53,14 @@
 }
 
 struct Meddler<'a> {
-    out: &'a mut dyn Writer,
+    out: &'a mut dyn Actions,
     lie: Lie,
     peers: Vec<EndpointId>,
     last: Option<EndpointId>,
 }
 
-impl Writer for Meddler<'_> {
-    fn send(&mut self, msg: MsgId, to: EndpointId, limit: Duration) {
+impl Actions for Meddler<'_> {
+    fn send(&mut self, msg: MessageId, to: EndpointId, limit: Duration) {
         self.out.send(msg, to, limit);
         self.last = Some(to);
         if self.lie == Lie::Beside {
@@ -71,10 +71,10 @@
             }
         }
     }
-    fn push_back(&mut self, msg: MsgId, pause: Duration) -> bool {
-        self.out.push_back(msg, pause)
+    fn reject(&mut self, msg: MessageId, pause: Duration) -> bool {
+        self.out.reject(msg, pause)
     }
-    fn fail(&mut self, msg: MsgId) -> bool {
+    fn fail(&mut self, msg: MessageId) -> bool {
         match self.lie {
             Lie::Lost => false,
             Lie::Twice => {
@@ -87,54 +87,55 @@
                 self.out.send(msg, to, Duration::from_millis(500));
                 at_once
             }
-            Lie::Pushed => self.out.push_back(msg, Duration::from_millis(100)),
+            Lie::Pushed => self.out.reject(msg, Duration::from_millis(100)),
             _ => self.out.fail(msg),
         }
     }
-    fn recall(&mut self, msg: MsgId, leg: LegNo) {
-        self.out.recall(msg, leg);
+    fn cancel(&mut self, msg: MessageId, leg: AttemptNumber) {
+        self.out.cancel(msg, leg);
     }
-    fn close_idle(&mut self, to: EndpointId) {
-        self.out.close_idle(to);
+    fn close_idle_connections(&mut self, to: EndpointId) {
+        self.out.close_idle_connections(to);
     }
-    fn forget(&mut self, endpoint: EndpointId) {
-        self.out.forget(endpoint);
+    fn forget_endpoint(&mut self, endpoint: EndpointId) {
+        self.out.forget_endpoint(endpoint);
     }
-    fn wake(&mut self, after: Duration) {
-        self.out.wake(after);
+    fn wake_after(&mut self, after: Duration) {
+        self.out.wake_after(after);
     }
-    fn watch(&mut self) {
-        self.out.watch();
+    fn poll_endpoints(&mut self) {
+        self.out.poll_endpoints();
     }
     fn log(&mut self, line: &str) {
         self.out.log(line);
     }
 }
 
-fn lied_to(lie: Lie, mut facts: StartupFacts) -> Box<dyn Policy> {
-    for lane in &mut facts.lanes {
-        match (lie, lane.effect) {
-            (Lie::Repeats, _) => lane.effect = Effect::Retriable,
-            (Lie::Memory, Effect::Keyed { group, .. }) => {
-                lane.effect = Effect::Keyed { memory: Duration::from_secs(60), group };
+fn lied_to(lie: Lie, mut facts: PolicySettings) -> Box<dyn Policy> {
+    for lane in &mut facts.classes {
+        match (lie, lane.idempotency) {
+            (Lie::Repeats, _) => lane.idempotency = Idempotency::Idempotent,
+            (Lie::Memory, Idempotency::WithKey { scope: group, .. }) => {
+                lane.idempotency = Idempotency::WithKey { window: Duration::from_secs(60), scope: group };
             }
-            (Lie::Everywhere, Effect::Keyed { memory, .. }) => {
-                lane.effect = Effect::Keyed { memory, group: Group::All };
+            (Lie::Everywhere, Idempotency::WithKey { window: memory, .. }) => {
+                lane.idempotency =
+                    Idempotency::WithKey { window: memory, scope: DeduplicationScope::AllEndpoints };
             }
             (Lie::Order, _) => lane.in_order = false,
             _ => {}
         }
     }
     match lie {
-        Lie::Rest => facts.order_pause = Duration::ZERO,
-        Lie::Cold => (facts.relays, facts.cold_from, facts.fall_multiple) = (1, 1.0, 100.0),
+        Lie::Rest => facts.order_hold_off = Duration::ZERO,
+        Lie::Cold => (facts.relay_count, facts.slow_start_share, facts.overload_multiple) = (1, 1.0, 100.0),
         _ => {}
     }
     Box::new(Liar { relay: Relay::new(facts), lie })
 }
 
 impl Policy for Liar {
-    fn round(&mut self, now: Duration, tells: &mut Vec<Tell>, _: Option<&mut Truth>, out: &mut dyn Writer) {
+    fn round(&mut self, now: Duration, tells: &mut Vec<Tell>, _: Option<&mut Truth>, out: &mut dyn Actions) {
         let lie = self.lie;
         let mut peers = Vec::new();
         tells.retain_mut(|tell| match tell {
@@ -148,12 +149,12 @@
             }
             Tell::EarlierLeg { .. } => lie != Lie::Amnesia,
             Tell::Entry { listed, .. } if lie == Lie::Drains => {
-                *listed = Listed::Ready;
+                *listed = EndpointStatus::Ready;
                 true
             }
             Tell::Wait { .. } => lie != Lie::Waits,
             Tell::Outcome { outcome, .. } if lie == Lie::Waits => {
-                if let Outcome::Full(wait) = outcome {
+                if let Outcome::Rejected { retry_after: wait } = outcome {
                     *wait = Duration::ZERO;
                 }
                 true
--- a/crates/members/src/lib.rs
+++ b/crates/members/src/lib.rs
@@ -43,27 +43,27 @@
 pub struct Terms {
     pub relays: u32,
     /// A relay is to ask so often; zero where lists come unasked.
-    pub ask_within: Duration,
+    pub poll_interval: Duration,
 }
 
 impl Terms {
-    /// What discovery surely bears is a call of each relay in `ask_within`. A crowd that starts or fails at one
+    /// What discovery surely bears is a call of each relay in `poll_interval`. A crowd that starts or fails at one
     /// moment asks for more: each call then waits behind the others until its relay has given it up, costs
     /// discovery all the same, and is made again; so none is answered any more, for good. Calls spread over
     /// this span are within what it bears. Harm: a list heard later by up to that, so few relays don't spread.
     pub fn spread(&self) -> Duration {
         let crowd = 1.0 - f64::from(TOGETHER) / f64::from(self.relays.max(TOGETHER));
-        self.ask_within.min(WITHIN_MOST).mul_f64(SPREAD * crowd)
+        self.poll_interval.min(WITHIN_MOST).mul_f64(SPREAD * crowd)
     }
 
     /// How long a call for the list may wait at discovery, and when it is given up. `held`: discovery has answered
     /// since the start, and what is newer than that list is asked for; else the answer is due at once (a wait
     /// of 0). Harm: a call in so many seconds where nothing changes; they carry no entries.
     pub fn call(&self, held: bool) -> (Duration, Duration) {
-        let own = self.ask_within.is_zero();
+        let own = self.poll_interval.is_zero();
         match held {
             true => {
-                let wait = self.ask_within.clamp(WAIT, WAIT_MOST);
+                let wait = self.poll_interval.clamp(WAIT, WAIT_MOST);
                 (wait, wait + WATCH_SLACK)
             }
             false => (Duration::ZERO, if own { OWN_SLACK } else { ASKED_SLACK }),
@@ -78,7 +78,7 @@
     /// The pause before the next call after `failures` failed calls in a row (1 or more), spread by `chance`
     /// (in 0..1) over half to one and a half of it, so that relays that failed together come back apart; at
     /// least a wait that discovery told, up to `TOLD_MOST`. After a failed call the rule on drains gives four
-    /// times `ask_within`, which is more than the longest of these pauses and the call's time together.
+    /// times `poll_interval`, which is more than the longest of these pauses and the call's time together.
     pub fn again(&self, failures: u32, told: Option<Duration>, chance: f64) -> Duration {
         let grown = FIRST.saturating_mul(1 << failures.clamp(1, 16).saturating_sub(1)).min(MOST);
         let crowd = if failures > 1 { self.spread() } else { self.spread() / 2 };
@@ -128,7 +128,7 @@
     fn a_watch_that_falls_silent_is_asked_again_before_what_it_missed_counts_as_told() {
         for within in [0, 1, 4_000, 10_000, 60_000, u64::MAX / 2] {
             for relays in [1, 6, 350] {
-                let terms = Terms { relays, ask_within: ms(within) };
+                let terms = Terms { relays, poll_interval: ms(within) };
                 let (wait, given_up) = terms.call(true);
                 // A new watch is opened by a call whose answer is due at once.
                 let told = (wait + ms(2_000)).max(ms(6_000));
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -5,7 +5,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWrite, AsyncWriteExt, FutureExt};
 use log::{debug, info, warn};
-use mountshift::port::MsgId;
+use mountshift::port::MessageId;
 use mountshift_orders::Orders;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -70,7 +70,7 @@
 
 /// What a client hears.
 pub enum Answer {
-    Taken(MsgId),
+    Taken(MessageId),
     /// It came before under this id and is held.
     Held,
     /// With the pause in milliseconds, or zero.
@@ -83,7 +83,7 @@
     /// Takes a message in; the answer comes over the channel.
     pub hand_in: Box<dyn Fn(HandedIn, Sender<Answer>)>,
     /// A client did not hear that its message was taken on.
-    pub gone: Box<dyn Fn(MsgId)>,
+    pub gone: Box<dyn Fn(MessageId)>,
     /// Closed when clients are to go.
     pub leaving: Receiver<()>,
     /// Closed shortly before the process ends: what was taken in is answered, nothing more is read.
@@ -493,7 +493,7 @@
 }
 
 /// The messages whose answers, which end at these bytes, did not leave whole.
-fn unheard(taken: &[(usize, MsgId)], out: usize) -> impl Iterator<Item = MsgId> {
+fn unheard(taken: &[(usize, MessageId)], out: usize) -> impl Iterator<Item = MessageId> {
     taken.iter().filter(move |(end, _)| *end > out).map(|(_, msg)| *msg)
 }
 
@@ -607,7 +607,7 @@
         handed: Receiver<Sender<Answer>>,
         ending: Sender<()>,
         _leaving: Sender<()>,
-        gone: Rc<RefCell<Vec<MsgId>>>,
+        gone: Rc<RefCell<Vec<MessageId>>>,
     }
 
     fn scene() -> Scene {
@@ -669,7 +669,9 @@
             }
             // The rest is read by now; the process ends before the first ones have their answers.
             scene.ending.close();
-            waiting.iter().for_each(|answer| answer.try_send(Answer::Taken(MsgId(1))).expect("waited for"));
+            waiting
+                .iter()
+                .for_each(|answer| answer.try_send(Answer::Taken(MessageId(1))).expect("waited for"));
             assert_eq!(heard(&mut far).await, "+OK\r\n".repeat(AT_ONCE) + &"-BUSY\r\n".repeat(8));
             assert!(scene.handed.is_empty(), "nothing more is handed in");
             assert!(scene.gone.borrow().is_empty(), "what was heard is not taken back");
@@ -736,7 +738,7 @@
     // whole or not at all, so the writer here is one that does not.
     #[test]
     fn only_answers_that_did_not_leave_whole_are_taken_back() {
-        let taken = [(5, MsgId(1)), (10, MsgId(2)), (15, MsgId(3))];
+        let taken = [(5, MessageId(1)), (10, MessageId(2)), (15, MessageId(3))];
         for (takes, back) in [(0, 3), (4, 3), (5, 2), (9, 2), (10, 1), (14, 1), (15, 0)] {
             let (left, written) = block_on(write_out(&mut Breaks(takes), &[b'+'; 15]));
             assert_eq!((15 - left, written.is_err()), (takes, takes < 15));
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,7 +1,7 @@
 //! What a relay is told at its start: the JSON file, and the variables that take precedence.
 
 use mountshift::port::*;
-use mountshift_settings::{Pairs, SocketFacts};
+use mountshift_settings::{FlatSettings, SocketSettings};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -25,8 +25,8 @@
     pub descriptors: usize,
     pub memory: usize,
     pub known: Value,
-    pub facts: StartupFacts,
-    pub sockets: SocketFacts,
+    pub policy_settings: PolicySettings,
+    pub socket_settings: SocketSettings,
 }
 
 /// Reads the file named by `NODE_CONFIG`; `variable` looks up the environment.
@@ -52,9 +52,9 @@
             told.as_f64().filter(|n| *n > 0.0).map(Some).ok_or(format!("limits.{field}: {told} is no amount"))
         }
     };
-    let pairs = Pairs::from_json(&json["settings"]);
+    let pairs = FlatSettings::from_json(&json["settings"]);
     let settings = |e| format!("{path}: {e}");
-    let me = mountshift_settings::me(&pairs).map_err(settings)?;
+    let me = mountshift_settings::relay_id(&pairs).map_err(settings)?;
     Ok(Start {
         name: text("NODE_NAME", "name")?,
         listen: address("NODE_LISTEN", "listen")?,
@@ -79,8 +79,8 @@
         descriptors: limit("sockets")?.map_or(1024, |n| n as usize),
         memory: limit("memory_mb")?.map_or(MEMORY, |mb| (mb * 1e6) as usize),
         known: json["known"].clone(),
-        facts: mountshift_settings::facts(&pairs, me, seed).map_err(settings)?,
-        sockets: mountshift_settings::socket_facts(&pairs).map_err(settings)?,
+        policy_settings: mountshift_settings::policy_settings(&pairs, me, seed).map_err(settings)?,
+        socket_settings: mountshift_settings::socket_settings(&pairs).map_err(settings)?,
     })
 }
 
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -8,7 +8,7 @@
 use log::{debug, error, info};
 use mountshift::port::*;
 use mountshift_members::Phase;
-use mountshift_settings::SocketFacts;
+use mountshift_settings::SocketSettings;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
@@ -29,10 +29,10 @@
     pub address: SocketAddr,
     pub name: Rc<str>,
     pub zone: ZoneId,
-    pub kind: KindId,
-    pub dst: DstId,
+    pub kind: DestinationKindId,
+    pub dst: DestinationId,
     /// What the list said last, and its rate.
-    pub listed: Listed,
+    pub listed: EndpointStatus,
     pub rate: f64,
 }
 
@@ -49,12 +49,16 @@
 }
 
 impl Endpoints {
-    pub fn new(facts: &SocketFacts) -> Endpoints {
-        Endpoints { zones: facts.zones.clone(), kinds: facts.kinds.clone(), ..Endpoints::default() }
+    pub fn new(settings: &SocketSettings) -> Endpoints {
+        Endpoints {
+            zones: settings.zones.clone(),
+            kinds: settings.destination_kinds.clone(),
+            ..Endpoints::default()
+        }
     }
 
     /// Takes an entry of the list in; gives its id, what the list says, and if it has moved or gone.
-    pub fn learn(&mut self, member: &Member) -> (EndpointId, Listed, bool) {
+    pub fn learn(&mut self, member: &Member) -> (EndpointId, EndpointStatus, bool) {
         let name: Rc<str> = Rc::from(member.id.as_str());
         let id = *self.ids.entry(name.clone()).or_insert_with(|| {
             self.count += 1;
@@ -62,12 +66,12 @@
         });
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let zone = self.zone(&member.zone);
-        let kind = KindId(place(&self.kinds, &member.kind).map_or(u16::MAX, |k| k as u16));
-        let (address, dst) = (member.address, DstId(member.dst));
+        let kind = DestinationKindId(place(&self.kinds, &member.kind).map_or(u16::MAX, |k| k as u16));
+        let (address, dst) = (member.address, DestinationId(member.dst));
         let listed = match member.phase {
-            Phase::Ready => Listed::Ready,
-            Phase::Draining => Listed::Draining,
-            Phase::Gone => Listed::Gone,
+            Phase::Ready => EndpointStatus::Ready,
+            Phase::Draining => EndpointStatus::Draining,
+            Phase::Gone => EndpointStatus::Removed,
         };
         let rate = member.size;
         self.resting.remove(&name);
@@ -77,7 +81,7 @@
     }
 
     /// True if the list has held an endpoint of the destination lately, or holds one that is out by hand.
-    pub fn lists(&self, dst: DstId) -> bool {
+    pub fn lists(&self, dst: DestinationId) -> bool {
         self.known.values().chain(self.resting.values()).any(|e| e.dst == dst)
     }
 
@@ -190,14 +194,14 @@
 
 /// A message in a call.
 pub struct Part {
-    pub msg: MsgId,
+    pub msg: MessageId,
     pub id: Vec<u8>,
     pub idempotency_key: Option<String>,
     pub body: Vec<u8>,
 }
 
 /// How a message of a call ended, and if it is over.
-pub type End = (MsgId, Outcome, bool);
+pub type End = (MessageId, Outcome, bool);
 
 /// What is known of a call: ends of its messages, and a wait told beside them.
 pub struct Ends {
@@ -313,7 +317,7 @@
         if self.decided.elapsed() > LATE && !(self.may_reach)().recv().await.unwrap_or(false) {
             info!("call to endpoint {} not made: no longer allowed", self.endpoint.name);
             idle.keep(self.to, connection);
-            return Err(Outcome::Moot);
+            return Err(Outcome::NotSent);
         }
         // The answer to that may have taken long: guards against writing to a kept connection whose time ran out since.
         if connection.requests > 0 && !idle.lasting(&mut connection) {
@@ -329,7 +333,7 @@
         // connection came up.
         if !(self.note)() {
             idle.keep(self.to, connection);
-            return Err(Outcome::Moot);
+            return Err(Outcome::NotSent);
         }
         self.stage.set(Stage::Noted);
         debug!("call to endpoint {}: {}", self.endpoint.name, String::from_utf8_lossy(&request));
@@ -345,7 +349,7 @@
                 keep.then(|| idle.keep(self.to, connection));
                 if turned_away_at_the_door(&answer, fresh, keep) {
                     debug!("endpoint {} had no room for another connection", self.endpoint.name);
-                    return self.all(Outcome::NoRoom, false);
+                    return self.all(Outcome::ConnectionLimit, false);
                 }
                 Ends { report: answer.report.clone(), ..self.ends(&answer) }
             }
@@ -366,11 +370,11 @@
             200 if self.parts.len() == 1 => (Outcome::Delivered, true),
             200 if !answer.whole => (Outcome::Error, false),
             200 => return self.ends_of_many(answer, wait),
-            429 => (Outcome::Full(wait), false),
-            503 if answer.slots_taken => (Outcome::Moot, false),
-            503 => (Outcome::Full(wait), false),
-            504 => (Outcome::Moot, false),
-            410 => (Outcome::Moot, true),
+            429 => (Outcome::Rejected { retry_after: wait }, false),
+            503 if answer.slots_taken => (Outcome::NotSent, false),
+            503 => (Outcome::Rejected { retry_after: wait }, false),
+            504 => (Outcome::NotSent, false),
+            410 => (Outcome::NotSent, true),
             400 | 404 | 413 => {
                 error!("endpoint {} answered {}", self.endpoint.name, answer.status);
                 (Outcome::Error, false)
@@ -390,9 +394,9 @@
         }
         let end = |part: &Part| match told.get(&part.id[..]).copied() {
             Some(b"delivered") => (part.msg, Outcome::Delivered, true),
-            Some(b"refused") => (part.msg, Outcome::Full(wait), false),
-            Some(b"over") => (part.msg, Outcome::Moot, true),
-            Some(b"spent") => (part.msg, Outcome::Moot, false),
+            Some(b"refused") => (part.msg, Outcome::Rejected { retry_after: wait }, false),
+            Some(b"over") => (part.msg, Outcome::NotSent, true),
+            Some(b"spent") => (part.msg, Outcome::NotSent, false),
             // Told as failed, or not told: it may have run.
             _ => (part.msg, Outcome::Error, false),
         };
@@ -451,13 +455,14 @@
     }
 
     fn call(to: SocketAddr, body: usize, limit: Duration, note: impl Fn() -> bool + 'static) -> Call {
-        let (zone, kind, dst, listed) = (ZoneId(0), KindId(0), DstId(7), Listed::Ready);
+        let (zone, kind, dst, listed) =
+            (ZoneId(0), DestinationKindId(0), DestinationId(7), EndpointStatus::Ready);
         let endpoint = Endpoint { address: to, name: "far".into(), zone, kind, dst, listed, rate: 1.0 };
         let body = vec![b'x'; body];
         Call {
             to: EndpointId(1),
             endpoint,
-            parts: vec![Part { msg: MsgId(1), id: b"m1".to_vec(), idempotency_key: None, body }],
+            parts: vec![Part { msg: MessageId(1), id: b"m1".to_vec(), idempotency_key: None, body }],
             limit,
             connect: limit,
             decided: Instant::now(),
@@ -520,7 +525,7 @@
         let call = call(to, 1, Duration::from_secs(5), || false);
         let stage = call.stage.clone();
         async_io::block_on(call.run(&idle, |ends| *told.borrow_mut() = Some(ends.ends[0].1)));
-        assert_eq!((*told.borrow(), stage.get()), (Some(Outcome::Moot), Stage::Begun));
+        assert_eq!((*told.borrow(), stage.get()), (Some(Outcome::NotSent), Stage::Begun));
         assert!(idle.take(EndpointId(1), to).is_some(), "kept");
         idle.close(EndpointId(1));
         let (mut far, mut bytes) = (listener.accept().expect("the far side").0, Vec::new());
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -15,7 +15,7 @@
 use mountshift_handover::{Route, Snapshot, Stopping};
 use mountshift_members::{Book, Entry, List};
 use mountshift_orders::{Change, Orders};
-use mountshift_settings::SocketFacts;
+use mountshift_settings::SocketSettings;
 use mountshift_spool::{End as Owed, Spool, Taken};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -38,7 +38,7 @@
 pub enum Event {
     Message(HandedIn, Sender<Answer>),
     /// A client did not hear that its message was taken on.
-    Gone(MsgId),
+    Gone(MessageId),
     /// Messages of a call have ended.
     Ended(u64, Ends),
     /// A call to this endpoint begins late: may it still be reached?
@@ -46,7 +46,7 @@
     /// The list or its changes; or a call for it failed, with a wait if one was told.
     List(Result<Members, Option<Duration>>),
     /// The platform took these ends.
-    Noticed(Vec<MsgId>),
+    Noticed(Vec<MessageId>),
     /// An operator's call changed the orders.
     Orders(Change),
     /// Told to stop, and how.
@@ -95,8 +95,8 @@
 struct Out {
     to: EndpointId,
     sent: Duration,
-    legs: BTreeSet<MsgId>,
-    recalled: BTreeSet<MsgId>,
+    legs: BTreeSet<MessageId>,
+    recalled: BTreeSet<MessageId>,
     stage: Rc<Cell<Stage>>,
     /// Dropping it closes the call's connection.
     task: Option<Task<()>>,
@@ -109,7 +109,7 @@
 struct Desk {
     clock: Clock,
     now: Duration,
-    facts: SocketFacts,
+    settings: SocketSettings,
     batches: Vec<usize>,
     spool: Rc<RefCell<Spool>>,
     endpoints: Endpoints,
@@ -118,12 +118,12 @@
     events: Sender<Event>,
     notices: Sender<Notice>,
     watch: Sender<()>,
-    by_name: BTreeMap<Vec<u8>, MsgId>,
+    by_name: BTreeMap<Vec<u8>, MessageId>,
     /// Ids of messages that ended lately, as numbers.
     ended: VecDeque<u64>,
     /// Messages that came for this round, and who waits for the answer.
-    asking: BTreeMap<MsgId, Sender<Answer>>,
-    sends: Vec<(EndpointId, Vec<(MsgId, Duration)>)>,
+    asking: BTreeMap<MessageId, Sender<Answer>>,
+    sends: Vec<(EndpointId, Vec<(MessageId, Duration)>)>,
     late: Vec<(EndpointId, Sender<bool>)>,
     calls: BTreeMap<u64, Out>,
     count: u64,
@@ -141,42 +141,42 @@
     book_most: usize,
 }
 
-impl Writer for Desk {
-    fn send(&mut self, msg: MsgId, to: EndpointId, limit: Duration) {
+impl Actions for Desk {
+    fn send(&mut self, msg: MessageId, to: EndpointId, limit: Duration) {
         match self.sends.iter_mut().find(|s| s.0 == to) {
             Some(send) => send.1.push((msg, limit)),
             None => self.sends.push((to, vec![(msg, limit)])),
         }
     }
 
-    fn push_back(&mut self, msg: MsgId, pause: Duration) -> bool {
+    fn reject(&mut self, msg: MessageId, pause: Duration) -> bool {
         let ms = pause.as_millis() as u64;
         self.end(msg, Answer::PushedBack(ms), Owed::PushedBack(ms))
     }
 
-    fn fail(&mut self, msg: MsgId) -> bool {
+    fn fail(&mut self, msg: MessageId) -> bool {
         self.end(msg, Answer::Failed("failed"), Owed::Failed)
     }
 
-    fn recall(&mut self, msg: MsgId, _leg: LegNo) {
+    fn cancel(&mut self, msg: MessageId, _leg: AttemptNumber) {
         let Some((n, call)) = self.calls.iter_mut().find(|(_, c)| c.legs.contains(&msg)) else { return };
         call.recalled.insert(msg);
         // One message can't be taken out of a call: it would still be out on an open connection.
         if call.recalled.is_superset(&call.legs) {
             // Guards against a call told as one that may have run, though its last byte never left.
             let ran = call.stage.get() == Stage::Written;
-            let outcome = if ran { Outcome::Cancelled } else { Outcome::Moot };
+            let outcome = if ran { Outcome::Cancelled } else { Outcome::NotSent };
             let ends: Vec<End> = call.legs.iter().map(|msg| (*msg, outcome, false)).collect();
             let _ = self.events.try_send(Event::Ended(*n, ends.into()));
             call.task = None;
         }
     }
 
-    fn close_idle(&mut self, to: EndpointId) {
+    fn close_idle_connections(&mut self, to: EndpointId) {
         self.idle.close(to);
     }
 
-    fn forget(&mut self, endpoint: EndpointId) {
+    fn forget_endpoint(&mut self, endpoint: EndpointId) {
         self.idle.close(endpoint);
         let name = self.endpoints.get(endpoint).map(|e| e.name.clone());
         let out = name.is_some_and(|name| self.orders.borrow().is_out(&name));
@@ -185,12 +185,12 @@
         }
     }
 
-    fn wake(&mut self, after: Duration) {
+    fn wake_after(&mut self, after: Duration) {
         let at = self.now + after;
         self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
     }
 
-    fn watch(&mut self) {
+    fn poll_endpoints(&mut self) {
         let _ = self.watch.try_send(());
     }
 
@@ -198,14 +198,14 @@
         info!("{line}");
     }
 
-    fn carry(&mut self, routes: &[Carried]) {
+    fn persist_routes(&mut self, routes: &[RouteSnapshot]) {
         let ms = |at: Duration| if at.is_zero() { 0 } else { self.clock.unix_ms(at).max(1) };
-        let route = |c: &Carried| Route {
-            dst: c.dst.0,
+        let route = |c: &RouteSnapshot| Route {
+            dst: c.destination.0,
             endpoint: c.endpoint.and_then(|id| Some(self.endpoints.get(id)?.name.to_string())),
-            told_until_ms: ms(c.told_until),
+            told_until_ms: ms(c.retry_after_until),
             open_until_ms: c.open_until.map(ms),
-            cold_since_ms: c.cold_since.map(ms),
+            cold_since_ms: c.slow_start_since.map(ms),
         };
         let routes = routes.iter().map(route).collect();
         debug!("carry at {}: {routes:?}", self.clock.unix_ms(self.now));
@@ -225,7 +225,7 @@
 
 impl Desk {
     /// An end that is no delivery: the answer to a client that waits, else a notice. True if it is taken.
-    fn end(&mut self, msg: MsgId, answer: Answer, owed: Owed) -> bool {
+    fn end(&mut self, msg: MessageId, answer: Answer, owed: Owed) -> bool {
         if let Some(kept) = self.spool.borrow().get(msg.0) {
             let (id, legs) = (String::from_utf8_lossy(&kept.taken.id), kept.legs.len());
             debug!("message {id} ends undelivered: {owed:?} after {legs} legs, {}", kept.taken.list);
@@ -240,13 +240,13 @@
         false
     }
 
-    fn notify(&mut self, msg: MsgId, end: Owed) {
+    fn notify(&mut self, msg: MessageId, end: Owed) {
         if let Some(kept) = self.spool.borrow().get(msg.0) {
             let _ = self.notices.try_send(Notice { msg, id: kept.taken.id.clone(), end });
         }
     }
 
-    fn over(&mut self, msg: MsgId) {
+    fn over(&mut self, msg: MessageId) {
         let mut spool = self.spool.borrow_mut();
         if let Some(kept) = spool.get(msg.0) {
             self.by_name.remove(&kept.taken.id);
@@ -256,21 +256,28 @@
 
     /// Guards against an id that is handed in again after its end: every message has a new one, so whoever
     /// uses it hands in another's, and it would go out as a second copy.
-    fn remember(&mut self, msg: MsgId) {
+    fn remember(&mut self, msg: MessageId) {
         let ended = self.spool.borrow().get(msg.0).map(|kept| number(&kept.taken.id));
         self.ended.extend(ended);
         self.ended.drain(..self.ended.len().saturating_sub(ENDED_MOST));
     }
 
     /// What the decisions are told of a message; none if its lane is not known.
-    fn hand_in(&self, told: &Told, key: u64, deadline: Duration) -> Option<HandIn> {
+    fn hand_in(&self, told: &Told, key: u64, deadline: Duration) -> Option<Submission> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let lane = LaneId(place(&self.facts.lanes, &told.lane)? as u16);
-        let tenant = told.tenant.as_deref().and_then(|t| place(&self.facts.tenants, t));
+        let class = ClassId(place(&self.settings.classes, &told.lane)? as u16);
+        let tenant = told.tenant.as_deref().and_then(|t| place(&self.settings.tenants, t));
         // Guards against a tenant that nobody knows drawing on the share of the first one: it has none.
         let tenant = TenantId(tenant.map_or(u32::MAX, |t| t as u32));
-        let key = (key != 0).then_some(Key(key));
-        Some(HandIn { lane, tenant, dst: DstId(told.dst), key, deadline, restored: false })
+        let key = (key != 0).then_some(OrderingKey(key));
+        Some(Submission {
+            class,
+            tenant,
+            destination: DestinationId(told.dst),
+            key,
+            deadline,
+            restored: false,
+        })
     }
 
     /// Takes an event in; what the decisions must know goes into `tell`.
@@ -283,11 +290,13 @@
                 if let Some(to) = self.calls.get(&call).map(|out| out.to) {
                     ends.wait
                         .into_iter()
-                        .for_each(|wait| tell.push(Box::new(move |r| r.told_to_wait(to, wait))));
-                    let name = self.facts.told_limit.as_deref();
+                        .for_each(|wait| tell.push(Box::new(move |r| r.retry_after(to, wait))));
+                    let name = self.settings.rate_limit_field.as_deref();
                     let limit =
                         name.zip(ends.report.as_deref()).and_then(|(name, text)| endpoints::told(text, name));
-                    limit.into_iter().for_each(|rate| tell.push(Box::new(move |r| r.told_limit(to, rate))));
+                    limit
+                        .into_iter()
+                        .for_each(|rate| tell.push(Box::new(move |r| r.report_rate_limit(to, rate))));
                 }
                 ends.ends.into_iter().for_each(|end| self.take_end(call, end, tell));
             }
@@ -307,13 +316,13 @@
                 // A process beside this one takes over what is held: nothing more goes out from here.
                 if how.leaves_held {
                     info!("hands over to the process beside it");
-                    tell.push(Box::new(Relay::hand_over));
+                    tell.push(Box::new(Relay::start_handover));
                 }
             }
         }
     }
 
-    fn take_over(&mut self, msg: MsgId, tell: &mut Vec<Tell>) {
+    fn take_over(&mut self, msg: MessageId, tell: &mut Vec<Tell>) {
         self.over(msg);
         tell.push(Box::new(move |r| r.over(msg)));
     }
@@ -325,7 +334,7 @@
             return;
         };
         // Guards against messages that nobody can ever take: they would be held until their deadline.
-        if !self.endpoints.lists(hand_in.dst) {
+        if !self.endpoints.lists(hand_in.destination) {
             let _ = asking.try_send(Answer::Failed("dest is not on the list"));
             return;
         }
@@ -352,7 +361,7 @@
             let _ = asking.try_send(Answer::PushedBack(0));
             return;
         };
-        let msg = MsgId(n);
+        let msg = MessageId(n);
         self.full = false;
         self.by_name.insert(name, msg);
         self.asking.insert(msg, asking);
@@ -380,7 +389,7 @@
     fn take_list(&mut self, mut list: Members, tell: &mut Vec<Tell>) {
         self.take_down(&mut list);
         if list.whole {
-            tell.push(Box::new(Relay::whole_list));
+            tell.push(Box::new(Relay::full_list));
         }
         for member in &list.members {
             self.orders.borrow_mut().listed(&member.id);
@@ -420,8 +429,12 @@
     }
 
     /// An endpoint out by hand is draining for this relay, whatever the list says (rule 3).
-    fn as_ordered(&self, name: &str, says: Listed) -> Listed {
-        if says == Listed::Ready && self.orders.borrow().is_out(name) { Listed::Draining } else { says }
+    fn as_ordered(&self, name: &str, status: EndpointStatus) -> EndpointStatus {
+        if status == EndpointStatus::Ready && self.orders.borrow().is_out(name) {
+            EndpointStatus::Draining
+        } else {
+            status
+        }
     }
 
     fn take_orders(&mut self, change: Change, tell: &mut Vec<Tell>) {
@@ -437,12 +450,12 @@
         let (dst, zone, kind, rate, says) = (e.dst, e.zone, e.kind, e.rate, self.as_ordered(name, e.listed));
         tell.push(Box::new(move |r| r.entry(id, dst, zone, kind, says, rate)));
         if matches!(change, Change::Back(_)) {
-            tell.push(Box::new(move |r| r.back_cold(id)));
+            tell.push(Box::new(move |r| r.endpoint_restarted(id)));
         }
     }
 
     /// Tells what an earlier process of the relay left (rules 4 and 6 run on over an upgrade).
-    fn carry_in(&mut self, snapshot: Snapshot, tell: &mut Vec<Tell>) {
+    fn restore_routes(&mut self, snapshot: Snapshot, tell: &mut Vec<Tell>) {
         let snapshot = snapshot.binding(self.clock.unix_ms(self.now));
         debug!("carried at {}: {}", self.clock.unix_ms(self.now), snapshot.written());
         let at = |ms: u64| {
@@ -457,21 +470,22 @@
                     None => continue,
                 },
             };
-            carried.push(Carried {
-                dst: DstId(route.dst),
+            carried.push(RouteSnapshot {
+                destination: DestinationId(route.dst),
                 endpoint,
-                told_until: at(route.told_until_ms),
+                retry_after_until: at(route.told_until_ms),
                 open_until: route.open_until_ms.map(at),
-                cold_since: route.cold_since_ms.map(at),
+                slow_start_since: route.cold_since_ms.map(at),
             });
         }
         info!("carries {} routes over from the process before", carried.len());
-        tell.push(Box::new(move |r| r.carry_in(&carried)));
+        tell.push(Box::new(move |r| r.restore_routes(&carried)));
     }
 
     /// Tells of everything that the spool holds from before.
     fn restore(&mut self, tell: &mut Vec<Tell>) {
-        let kept: Vec<_> = self.spool.borrow().live().iter().map(|(n, k)| (MsgId(*n), k.clone())).collect();
+        let kept: Vec<_> =
+            self.spool.borrow().live().iter().map(|(n, k)| (MessageId(*n), k.clone())).collect();
         for (msg, kept) in kept {
             self.by_name.insert(kept.taken.id.clone(), msg);
             let deadline = self.clock.at_unix_ms(kept.taken.deadline);
@@ -480,7 +494,7 @@
             // A class that the settings no longer hold: nobody could decide on it.
             let owed = kept.owed.or(if hand_in.is_none() { Some(Owed::Failed) } else { None });
             owed.into_iter().for_each(|end| self.notify(msg, end));
-            let Some(hand_in) = hand_in.map(|h| HandIn { restored: true, ..h }) else { continue };
+            let Some(hand_in) = hand_in.map(|h| Submission { restored: true, ..h }) else { continue };
             tell.push(Box::new(move |r| r.message(msg, hand_in)));
             if owed.is_some() {
                 // Its end is not taken yet: it still holds back the rest of its key.
@@ -488,7 +502,7 @@
             }
             for leg in kept.legs {
                 let (zone, at) = (self.endpoints.zone(&leg.zone), self.clock.at_unix_ms(leg.at));
-                tell.push(Box::new(move |r| r.earlier_leg(msg, zone, at, leg.may_have_run)));
+                tell.push(Box::new(move |r| r.earlier_attempt(msg, zone, at, leg.may_have_run)));
             }
         }
     }
@@ -524,7 +538,7 @@
                 Some(self.start(n, to, endpoint, legs, stage.clone()))
             } else {
                 // A leg that is not noted must not go out.
-                let moot: Vec<End> = legs.iter().map(|(msg, _)| (*msg, Outcome::Moot, false)).collect();
+                let moot: Vec<End> = legs.iter().map(|(msg, _)| (*msg, Outcome::NotSent, false)).collect();
                 let _ = self.events.try_send(Event::Ended(n, moot.into()));
                 None
             };
@@ -538,13 +552,13 @@
         n: u64,
         to: EndpointId,
         endpoint: Endpoint,
-        legs: Vec<(MsgId, Duration)>,
+        legs: Vec<(MessageId, Duration)>,
         stage: Rc<Cell<Stage>>,
     ) -> Task<()> {
         // A call is given up as a whole, so that none of its messages is out again while it is open, and at
         // the shortest limit: guards against an answer behind the deadline of one, which counts for none.
         let limit = legs.iter().map(|l| l.1).min().unwrap_or_default();
-        let part = |(msg, _): &(MsgId, Duration)| {
+        let part = |(msg, _): &(MessageId, Duration)| {
             let spool = self.spool.borrow();
             let taken = &spool.get(msg.0)?.taken;
             let idempotency_key = told(&taken.list).ok().and_then(|t| t.idempotency_key);
@@ -557,7 +571,7 @@
             let _ = late.try_send(Event::Late(to, tell));
             told
         });
-        let (connect, decided) = (self.facts.connect, Instant::now());
+        let (connect, decided) = (self.settings.connect_timeout, Instant::now());
         let (spool, clock, zone) =
             (self.spool.clone(), self.clock, self.endpoints.zone_name(endpoint.zone).to_string());
         let note = Box::new(move || {
@@ -595,8 +609,8 @@
 
 /// What the host is made of.
 pub struct Parts {
-    pub facts: StartupFacts,
-    pub sockets: SocketFacts,
+    pub policy_settings: PolicySettings,
+    pub socket_settings: SocketSettings,
     pub spool: Spool,
     pub known: Option<Members>,
     pub idle_most: usize,
@@ -638,10 +652,10 @@
         let desk = Desk {
             clock,
             now: clock.at(Instant::now()),
-            batches: parts.facts.kinds.iter().map(|k| k.batch.max(1)).collect(),
-            endpoints: Endpoints::new(&parts.sockets),
-            idle: Rc::new(Idle::new(parts.sockets.idle, parts.idle_most)),
-            facts: parts.sockets,
+            batches: parts.policy_settings.destination_kinds.iter().map(|k| k.max_batch.max(1)).collect(),
+            endpoints: Endpoints::new(&parts.socket_settings),
+            idle: Rc::new(Idle::new(parts.socket_settings.idle_timeout, parts.idle_most)),
+            settings: parts.socket_settings,
             spool: Rc::new(RefCell::new(parts.spool)),
             executor: parts.executor,
             events: parts.events.0,
@@ -663,7 +677,7 @@
             book_file: parts.book_file,
             book_most: parts.book_most,
         };
-        let relay = Relay::new(parts.facts);
+        let relay = Relay::new(parts.policy_settings);
         let mut host = Host {
             relay,
             desk,
@@ -675,8 +689,8 @@
         };
         let mut tell = Vec::new();
         parts.known.into_iter().for_each(|list| host.desk.take_list(list, &mut tell));
-        tell.push(Box::new(Relay::list_may_be_old));
-        parts.carried.into_iter().for_each(|snapshot| host.desk.carry_in(snapshot, &mut tell));
+        tell.push(Box::new(Relay::list_may_be_stale));
+        parts.carried.into_iter().for_each(|snapshot| host.desk.restore_routes(snapshot, &mut tell));
         host.desk.restore(&mut tell);
         host.round(tell);
         host
@@ -723,7 +737,7 @@
 
     /// Plays rounds until the relay is told to stop and what is out has ended.
     pub async fn run(mut self) {
-        let (mut swept, gap) = (Instant::now(), self.desk.facts.round_gap);
+        let (mut swept, gap) = (Instant::now(), self.desk.settings.min_step_interval);
         loop {
             let wake = self.desk.wake.map(|at| self.desk.clock.instant(at));
             let sweep = swept + SWEEP;
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -19,7 +19,7 @@
 use futures_lite::StreamExt;
 use host::{Event, Host, Parts};
 use log::{error, info, warn};
-use mountshift::port::MsgId;
+use mountshift::port::MessageId;
 use mountshift_handover::{LOCK, NEXT, OWNER_SHARE, Role, SNAPSHOT, Side, Snapshot, TAKER_SHARE, carries};
 use mountshift_members::{BOOK, BOOK_SHARE, Book};
 use mountshift_orders::{Change, Orders};
@@ -173,7 +173,7 @@
             "spool: no room for message {} of the process before; it ends as failed",
             String::from_utf8_lossy(&kept.taken.id)
         );
-        let _ = notices.try_send(Notice { msg: MsgId(u64::MAX), id: kept.taken.id, end: End::Failed });
+        let _ = notices.try_send(Notice { msg: MessageId(u64::MAX), id: kept.taken.id, end: End::Failed });
     }
     info!("took over {} messages taken in beside the owner", taker.len());
     drop(next);
@@ -184,8 +184,8 @@
 fn run(mut signals: Signals, start: config::Start) -> Result<(), NotStarted> {
     let listener = listener(&start)?;
     let folder = |e| NotStarted::failure(format!("{}: {e}", start.state.display()));
-    let zone_room = start.sockets.zones.iter().map(String::len).max().unwrap_or(0) as u64;
-    let legs = u64::from(start.facts.max_legs);
+    let zone_room = start.socket_settings.zones.iter().map(String::len).max().unwrap_or(0) as u64;
+    let legs = u64::from(start.policy_settings.max_attempts);
     let share = |of: f64| (start.disk as f64 * of) as u64;
     let next_dir = start.state.join(NEXT);
     std::fs::create_dir_all(&next_dir).map_err(folder)?;
@@ -209,12 +209,12 @@
         warn!("the configuration's known list can't be read; discovery is asked for the whole list");
     }
     let revision = known.as_ref().map(|list| list.revision);
-    let must_ask = start.facts.must_watch;
+    let must_ask = start.policy_settings.must_poll;
     let started = Instant::now();
     let out_file = start.state.join("maintenance");
     let orders = Rc::new(RefCell::new(Orders::from_text(&read_out(&out_file)?)));
     known.iter().flat_map(|list| &list.members).for_each(|m| orders.borrow_mut().listed(&m.id));
-    let lanes = start.sockets.lanes.clone();
+    let lanes = start.socket_settings.classes.clone();
     async_io::block_on(executor.run(async {
         let events_in = events.0.clone();
         let (listed, taken) = (events_in.clone(), events_in.clone());
@@ -225,10 +225,14 @@
             revision,
             asked: must_ask.then_some(watch_asked),
             most: start.memory / LIST_SHARE,
-            chance: mountshift_members::Chance::new(start.facts.seed),
+            chance: mountshift_members::Chance::new(start.policy_settings.seed),
             terms: mountshift_members::Terms {
-                relays: start.facts.relays,
-                ask_within: if must_ask { start.facts.ask_within } else { Default::default() },
+                relays: start.policy_settings.relay_count,
+                poll_interval: if must_ask {
+                    start.policy_settings.poll_interval
+                } else {
+                    Default::default()
+                },
             },
             heard: false,
         };
@@ -364,8 +368,8 @@
         owns.set(true);
         info!("{} starts with {} messages in its spool", start.name, spool.live().len());
         let host = Host::new(Parts {
-            facts: start.facts,
-            sockets: start.sockets,
+            policy_settings: start.policy_settings,
+            socket_settings: start.socket_settings,
             spool,
             known,
             idle_most: start.descriptors / 4,
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::warn;
-use mountshift::port::MsgId;
+use mountshift::port::MessageId;
 use mountshift_spool::End;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -20,7 +20,7 @@
 const MANY: usize = 500;
 
 pub struct Notice {
-    pub msg: MsgId,
+    pub msg: MessageId,
     pub id: Vec<u8>,
     pub end: End,
 }
@@ -42,7 +42,7 @@
     mut at: SocketAddr,
     moved: Receiver<SocketAddr>,
     queue: Receiver<Notice>,
-    taken: impl Fn(Vec<MsgId>),
+    taken: impl Fn(Vec<MessageId>),
 ) {
     let (mut waiting, mut connection, mut failures) = (Vec::new(), None, 0);
     // After a 400 notices go one by one: one that can't be read must not hold the others back.
--- a/crates/relay/src/reception.rs
+++ b/crates/relay/src/reception.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{error, info, warn};
-use mountshift::port::MsgId;
+use mountshift::port::MessageId;
 use mountshift_handover::{LOCK_LOOK, RESTART, takes};
 use mountshift_orders::{Change, Orders};
 use mountshift_spool::{Spool, Taken};
@@ -106,7 +106,7 @@
             }
             for (n, answer) in asking {
                 if safe.is_ok() {
-                    let _ = answer.try_send(Answer::Taken(MsgId(TAKEN_BASE + n)));
+                    let _ = answer.try_send(Answer::Taken(MessageId(TAKEN_BASE + n)));
                 } else {
                     let _ = answer.try_send(Answer::PushedBack(0));
                     self.spool.over(n);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -9,23 +9,23 @@
 use std::time::Duration;
 
 /// The settings as text by path; a list of plain values is one text, joined by commas.
-pub struct Pairs(BTreeMap<String, String>);
+pub struct FlatSettings(BTreeMap<String, String>);
 
 /// What a host on sockets reads beside the facts.
 #[derive(Clone, Debug)]
-pub struct SocketFacts {
-    pub lanes: Vec<String>,
+pub struct SocketSettings {
+    pub classes: Vec<String>,
     pub tenants: Vec<String>,
     pub zones: Vec<String>,
-    pub kinds: Vec<String>,
+    pub destination_kinds: Vec<String>,
     /// Idle connections are closed by the other side after this span at the latest.
-    pub idle: Duration,
+    pub idle_timeout: Duration,
     /// A connection that is not up by then has failed.
-    pub connect: Duration,
+    pub connect_timeout: Duration,
     /// The shortest gap between two rounds.
-    pub round_gap: Duration,
+    pub min_step_interval: Duration,
     /// The name under which answers tell a limit.
-    pub told_limit: Option<String>,
+    pub rate_limit_field: Option<String>,
 }
 
 /// A name as it stands in a list of names.
@@ -33,15 +33,15 @@
     name.replace([' ', ','], "_")
 }
 
-impl Pairs {
+impl FlatSettings {
     /// From a path=value pair a line.
-    pub fn from_text(text: &str) -> Pairs {
+    pub fn from_text(text: &str) -> FlatSettings {
         let pairs = text.lines().filter_map(|line| line.split_once('='));
-        Pairs(pairs.map(|(path, text)| (path.to_string(), text.to_string())).collect())
+        FlatSettings(pairs.map(|(path, text)| (path.to_string(), text.to_string())).collect())
     }
 
-    pub fn from_json(value: &Value) -> Pairs {
-        let mut pairs = Pairs(BTreeMap::new());
+    pub fn from_json(value: &Value) -> FlatSettings {
+        let mut pairs = FlatSettings(BTreeMap::new());
         pairs.flatten(String::new(), value);
         pairs
     }
@@ -55,12 +55,12 @@
                 items.iter().enumerate().for_each(|(i, v)| self.flatten(under(&i.to_string()), v));
             }
             Value::Array(items) => {
-                let texts: Vec<String> = items.iter().map(Pairs::text).collect();
+                let texts: Vec<String> = items.iter().map(FlatSettings::text).collect();
                 self.0.insert(path, texts.join(","));
             }
             Value::Null => {}
             plain => {
-                self.0.insert(path, Pairs::text(plain));
+                self.0.insert(path, FlatSettings::text(plain));
             }
         }
     }
@@ -75,17 +75,17 @@
 
     fn need<T: FromStr>(&self, path: &str) -> Result<T, String> {
         let text = self.0.get(path).ok_or_else(|| format!("setting {path} is missing"))?;
-        Pairs::read(path, text)
+        FlatSettings::read(path, text)
     }
 
     /// The value, or what the wire means by its absence.
     fn or<T: FromStr>(&self, path: &str, absent: T) -> Result<T, String> {
-        self.0.get(path).map_or(Ok(absent), |text| Pairs::read(path, text))
+        self.0.get(path).map_or(Ok(absent), |text| FlatSettings::read(path, text))
     }
 
     fn list<T: FromStr>(&self, path: &str) -> Result<Vec<T>, String> {
         let text = self.0.get(path).map_or("", String::as_str);
-        text.split(',').filter(|item| !item.is_empty()).map(|item| Pairs::read(path, item)).collect()
+        text.split(',').filter(|item| !item.is_empty()).map(|item| FlatSettings::read(path, item)).collect()
     }
 
     fn span(&self, path: &str) -> Result<Duration, String> {
@@ -133,30 +133,30 @@
 }
 
 /// The number of this relay among its peers.
-pub fn me(pairs: &Pairs) -> Result<RelayId, String> {
+pub fn relay_id(pairs: &FlatSettings) -> Result<RelayId, String> {
     pairs.or("me", 0).map(RelayId)
 }
 
-pub fn socket_facts(pairs: &Pairs) -> Result<SocketFacts, String> {
+pub fn socket_settings(pairs: &FlatSettings) -> Result<SocketSettings, String> {
     let zones = differ("localities", pairs.list("localities")?)?;
     let zone: usize = pairs.or("zone", 0)?;
     if !zones.is_empty() && zone >= zones.len() {
         return Err(format!("setting zone={zone} is none of the {} localities", zones.len()));
     }
-    Ok(SocketFacts {
-        lanes: pairs.names("classes")?,
+    Ok(SocketSettings {
+        classes: pairs.names("classes")?,
         tenants: pairs.names("tenants")?,
         zones,
-        kinds: differ("kinds", pairs.list("kinds")?)?,
-        idle: pairs.span("limits.connIdle")?,
-        connect: pairs.span("limits.dialTimeout")?,
-        round_gap: pairs.span_or_none("quantum")?,
-        told_limit: told_limit(pairs)?.map(|(_, name)| name),
+        destination_kinds: differ("kinds", pairs.list("kinds")?)?,
+        idle_timeout: pairs.span("limits.connIdle")?,
+        connect_timeout: pairs.span("limits.dialTimeout")?,
+        min_step_interval: pairs.span_or_none("quantum")?,
+        rate_limit_field: rate_limit_field(pairs)?.map(|(_, name)| name),
     })
 }
 
 /// Which value of a report tells the limit in calls a second, and its name; none where answers hold no reports.
-pub fn told_limit(pairs: &Pairs) -> Result<Option<(usize, String)>, String> {
+pub fn rate_limit_field(pairs: &FlatSettings) -> Result<Option<(usize, String)>, String> {
     if pairs.or("loadInfo.source", "none".to_string())? != "answers" {
         return Ok(None);
     }
@@ -166,77 +166,77 @@
     Ok(told.next())
 }
 
-pub fn facts(pairs: &Pairs, relay: RelayId, seed: u64) -> Result<StartupFacts, String> {
-    let mut lanes = Vec::new();
+pub fn policy_settings(pairs: &FlatSettings, relay: RelayId, seed: u64) -> Result<PolicySettings, String> {
+    let mut classes = Vec::new();
     for i in 0..pairs.count::<u16>("classes.count")? {
-        lanes.push(lane(pairs, &format!("classes.{i}"))?);
+        classes.push(message_class(pairs, &format!("classes.{i}"))?);
     }
-    let own_limits: Vec<bool> = pairs.list("familyInfo.ownLimits")?;
+    let independent_endpoints: Vec<bool> = pairs.list("familyInfo.ownLimits")?;
     let batch: Vec<usize> = pairs.list("familyInfo.kindBatch")?;
     let kinds = pairs.list::<String>("kinds")?;
-    let kind = |i: usize| KindFacts {
-        own_limits: own_limits.get(i).copied().unwrap_or(false),
-        batch: batch.get(i).copied().unwrap_or(1).max(1),
+    let kind = |i: usize| DestinationKind {
+        independent_endpoints: independent_endpoints.get(i).copied().unwrap_or(false),
+        max_batch: batch.get(i).copied().unwrap_or(1).max(1),
     };
-    let mut quotas = Vec::new();
+    let mut tenant_quotas = Vec::new();
     for i in 0..pairs.or::<u32>("tenants.count", 0)? {
-        quotas.push(pairs.number(&format!("tenants.{i}.quotaPerS"))?);
+        tenant_quotas.push(pairs.number(&format!("tenants.{i}.quotaPerS"))?);
     }
-    Ok(StartupFacts {
+    Ok(PolicySettings {
         relay,
         seed,
-        relays: pairs.need::<u32>("balancers")?.max(1),
+        relay_count: pairs.need::<u32>("balancers")?.max(1),
         zone: ZoneId(pairs.or("zone", 0)?),
-        lanes,
-        kinds: (0..kinds.len()).map(kind).collect(),
-        quotas,
+        classes,
+        destination_kinds: (0..kinds.len()).map(kind).collect(),
+        tenant_quotas,
         decay: match pairs.or("familyInfo.decay", "linear".to_string())?.as_str() {
             "halving" => Decay::Halving,
             _ => Decay::Linear,
         },
-        slots: pairs.count::<u32>("familyInfo.callsOut")? as usize,
-        max_held: pairs.count::<u32>("limits.openCap")? as usize,
-        max_legs: pairs.count::<u32>("limits.maxAttempts")?.min(255) as u8,
+        max_calls_in_flight: pairs.count::<u32>("familyInfo.callsOut")? as usize,
+        max_queued: pairs.count::<u32>("limits.openCap")? as usize,
+        max_attempts: pairs.count::<u32>("limits.maxAttempts")?.min(255) as u8,
         listed_rate: match pairs.or("weights", "none".to_string())?.as_str() {
             "nominal" => ListedRate::Exact,
-            "rough" => ListedRate::Rough,
-            _ => ListedRate::Untold,
+            "rough" => ListedRate::Approximate,
+            _ => ListedRate::Unknown,
         },
-        must_watch: pairs.or("discovery", "automatic".to_string())? == "subscribe",
-        ask_within: pairs.span_or_none("obligations.askWithin")?,
-        may_recall: pairs.or("limits.cancel", false)?,
-        max_pause: pairs.span_or_none("limits.maxRetryAfter")?,
+        must_poll: pairs.or("discovery", "automatic".to_string())? == "subscribe",
+        poll_interval: pairs.span_or_none("obligations.askWithin")?,
+        may_cancel: pairs.or("limits.cancel", false)?,
+        max_retry_after: pairs.span_or_none("limits.maxRetryAfter")?,
         drain_grace: pairs.span_or_none("obligations.drainGrace")?,
-        order_pause: pairs.span_or_none("obligations.orderPause")?,
-        cold_from: pairs.number("obligations.coldFrom")?,
-        warm_after: pairs.span("obligations.warmAfter")?,
-        fall_multiple: pairs.number("obligations.fallMultiple")?,
-        fall: pairs.span("obligations.fall")?,
+        order_hold_off: pairs.span_or_none("obligations.orderPause")?,
+        slow_start_share: pairs.number("obligations.coldFrom")?,
+        slow_start_duration: pairs.span("obligations.warmAfter")?,
+        overload_multiple: pairs.number("obligations.fallMultiple")?,
+        overload_window: pairs.span("obligations.fall")?,
         zone_fees: pairs.amounts("familyInfo.feeByZone")?,
         cross_zone_price: amount("penalties.crossZone", pairs.or("penalties.crossZone", 0.0)?)?,
     })
 }
 
-fn lane(pairs: &Pairs, at: &str) -> Result<LaneFacts, String> {
+fn message_class(pairs: &FlatSettings, at: &str) -> Result<MessageClass, String> {
     let path = |name: &str| format!("{at}.{name}");
     let effect: String = pairs.need(&path("idempotency"))?;
     let deadline = pairs.span(&path("giveUp"))?;
-    Ok(LaneFacts {
+    Ok(MessageClass {
         // A target time beyond the deadline: full value up to the deadline.
-        target: pairs.span(&path("aim"))?.min(deadline),
+        latency_objective: pairs.span(&path("aim"))?.min(deadline),
         deadline,
-        value: pairs.number(&path("importance"))?,
-        late_share: amount(&path("lateWorth"), pairs.or(&path("lateWorth"), 0.0)?)?,
-        effect: match effect.as_str() {
-            "idempotent" => Effect::Retriable,
-            "deduplicated" => Effect::Keyed {
-                memory: pairs.span(&path("memorySpan"))?,
-                group: match pairs.or(&path("group"), "all".to_string())?.as_str() {
-                    "all" => Group::All,
-                    _ => Group::Zone,
+        priority_weight: pairs.number(&path("importance"))?,
+        late_weight_share: amount(&path("lateWorth"), pairs.or(&path("lateWorth"), 0.0)?)?,
+        idempotency: match effect.as_str() {
+            "idempotent" => Idempotency::Idempotent,
+            "deduplicated" => Idempotency::WithKey {
+                window: pairs.span(&path("memorySpan"))?,
+                scope: match pairs.or(&path("group"), "all".to_string())?.as_str() {
+                    "all" => DeduplicationScope::AllEndpoints,
+                    _ => DeduplicationScope::SameZone,
                 },
             },
-            "at_most_once" => Effect::NonRetriable,
+            "at_most_once" => Idempotency::NotIdempotent,
             other => return Err(format!("setting {at}.idempotency={other} is not known")),
         },
         in_order: pairs.or(&path("inOrder"), false)?,
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,7 +1,7 @@
 //! Both forms of the settings object say the same.
 
 use mountshift::port::*;
-use mountshift_settings::{Pairs, facts, me, socket_facts, told_limit};
+use mountshift_settings::{FlatSettings, policy_settings, rate_limit_field, relay_id, socket_settings};
 use serde_json::json;
 use std::time::Duration;
 
@@ -35,15 +35,21 @@
         "limits": {"openCap": 117, "maxAttempts": 8, "cancel": true, "connIdle": 15_000_000,
             "dialTimeout": 1_500_000},
         "obligations": {"coldFrom": 0.28, "warmAfter": 13_000_000, "fallMultiple": 1.5, "fall": 2_000_000}});
-    let (text, json) = (Pairs::from_text(TEXT), Pairs::from_json(&json));
-    let read = |pairs| facts(pairs, me(pairs).expect("a number"), 9).expect("facts");
+    let (text, json) = (FlatSettings::from_text(TEXT), FlatSettings::from_json(&json));
+    let read = |pairs| policy_settings(pairs, relay_id(pairs).expect("a number"), 9).expect("facts");
     assert_eq!(format!("{:?}", read(&json)), format!("{:?}", read(&text)));
-    assert_eq!(format!("{:?}", socket_facts(&json)), format!("{:?}", socket_facts(&text)));
-    let (facts, sockets) = (read(&json), socket_facts(&json).expect("facts"));
-    let keyed = Effect::Keyed { memory: Duration::from_secs(5), group: Group::Zone };
-    assert_eq!((facts.relay, facts.lanes[0].effect, facts.lanes[1].in_order), (RelayId(2), keyed, true));
-    assert_eq!((facts.quotas, facts.zone_fees, facts.must_watch), (vec![4.5], vec![0.5, 0.25], true));
-    assert_eq!((sockets.kinds[0].as_str(), sockets.tenants[0].as_str()), ("big_host", "north_mill"));
+    assert_eq!(format!("{:?}", socket_settings(&json)), format!("{:?}", socket_settings(&text)));
+    let (facts, sockets) = (read(&json), socket_settings(&json).expect("facts"));
+    let keyed = Idempotency::WithKey { window: Duration::from_secs(5), scope: DeduplicationScope::SameZone };
+    assert_eq!(
+        (facts.relay, facts.classes[0].idempotency, facts.classes[1].in_order),
+        (RelayId(2), keyed, true)
+    );
+    assert_eq!((facts.tenant_quotas, facts.zone_fees, facts.must_poll), (vec![4.5], vec![0.5, 0.25], true));
+    assert_eq!(
+        (sockets.destination_kinds[0].as_str(), sockets.tenants[0].as_str()),
+        ("big_host", "north_mill")
+    );
 }
 
 #[test]
@@ -62,15 +68,15 @@
         ("classes.count=2", "classes.count=0", "setting classes.count=0 is none at all"),
         ("=at_most_once", "=sometimes", "setting classes.1.idempotency=sometimes is not known"),
     ] {
-        let pairs = Pairs::from_text(&TEXT.replacen(from, to, 1));
-        assert_eq!(facts(&pairs, RelayId(0), 1).expect_err(named), named);
+        let pairs = FlatSettings::from_text(&TEXT.replacen(from, to, 1));
+        assert_eq!(policy_settings(&pairs, RelayId(0), 1).expect_err(named), named);
     }
 }
 
 // Guards against two customers' names merged into one: spaces and commas are read as underscores.
 #[test]
 fn names_that_would_be_taken_for_one_another_are_refused() {
-    let named = |json: serde_json::Value| socket_facts(&Pairs::from_json(&json)).map(drop);
+    let named = |json: serde_json::Value| socket_settings(&FlatSettings::from_json(&json)).map(drop);
     let limits = json!({"connIdle": 1, "dialTimeout": 1});
     for list in ["classes", "tenants"] {
         let two = |a: &str, b: &str| json!({list: [{"name": a}, {"name": b}], "limits": limits});
@@ -90,9 +96,9 @@
 // A target time beyond the deadline is none: the value stays whole up to the deadline.
 #[test]
 fn a_target_time_is_never_beyond_the_deadline() {
-    let pairs = Pairs::from_text(&TEXT.replacen("classes.1.aim=1\n", "classes.1.aim=9\n", 1));
-    let lane = facts(&pairs, RelayId(0), 1).expect("facts").lanes[1];
-    assert_eq!(lane.target, lane.deadline);
+    let pairs = FlatSettings::from_text(&TEXT.replacen("classes.1.aim=1\n", "classes.1.aim=9\n", 1));
+    let class = policy_settings(&pairs, RelayId(0), 1).expect("facts").classes[1];
+    assert_eq!(class.latency_objective, class.deadline);
 }
 
 // Answers tell a limit where the settings say which of their values it is; a report of anything else is none.
@@ -100,7 +106,7 @@
 fn the_value_that_tells_a_limit_is_found_by_what_the_settings_say_of_it() {
     let told = |source: &str, fields: &[&str], x0: &str, x1: &str| {
         let json = json!({"loadInfo": {"source": source, "fields": fields}, "familyInfo": {"reportX0": x0, "reportX1": x1}});
-        told_limit(&Pairs::from_json(&json)).expect("readable")
+        rate_limit_field(&FlatSettings::from_json(&json)).expect("readable")
     };
     let (share, limit) = (
         "share of the allowance that is left",
@@ -112,5 +118,5 @@
         assert_eq!(told(source, &["x0", "x1"], share, x1), None);
     }
     assert_eq!(told("answers", &["x0"], share, limit), None);
-    assert_eq!(told_limit(&Pairs::from_text("")), Ok(None));
+    assert_eq!(rate_limit_field(&FlatSettings::from_text("")), Ok(None));
 }
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -5,7 +5,7 @@
 
 use mountshift::port::*;
 use mountshift::rules::Relay;
-use mountshift_settings::Pairs;
+use mountshift_settings::FlatSettings;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::process::ExitCode;
@@ -96,10 +96,11 @@
                 let seed = fields.u64("prng")?;
                 let n = fields.u32("options")? as usize;
                 let options = std::str::from_utf8(fields.bytes(n, "options")?);
-                let options = Pairs::from_text(options.map_err(|_| "HELLO: options are not UTF-8")?);
-                let facts = mountshift_settings::facts(&options, RelayId(id), seed);
+                let options = FlatSettings::from_text(options.map_err(|_| "HELLO: options are not UTF-8")?);
+                let facts = mountshift_settings::policy_settings(&options, RelayId(id), seed);
                 let facts = facts.map_err(|e| format!("HELLO: {e}"))?;
-                let limit = mountshift_settings::told_limit(&options).map_err(|e| format!("HELLO: {e}"))?;
+                let limit =
+                    mountshift_settings::rate_limit_field(&options).map_err(|e| format!("HELLO: {e}"))?;
                 relays.insert(id, (Relay::new(facts), clock, limit.map(|l| l.0)));
                 came.remove(&id);
             }
@@ -148,17 +149,17 @@
     f.u32("relayId")?;
     match code {
         wire::MESSAGE => {
-            let (id, lane) = (MsgId(f.u64("id")?), LaneId(f.u16("type")?));
+            let (id, class) = (MessageId(f.u64("id")?), ClassId(f.u16("type")?));
             f.u8("bitmap")?;
             f.u32("predicted")?;
-            let (tenant, dst) = (TenantId(f.u32("account")?), DstId(f.f32("dest")? as u32));
+            let (tenant, destination) = (TenantId(f.u32("account")?), DestinationId(f.f32("dest")? as u32));
             let deadline = Duration::from_micros(f.u64("deadline")?.saturating_sub(start));
             let key = f.u64("affinity")?;
-            let key = (key != 0).then_some(Key(key));
-            r.message(id, HandIn { lane, tenant, dst, key, deadline, restored: false });
+            let key = (key != 0).then_some(OrderingKey(key));
+            r.message(id, Submission { class, tenant, destination, key, deadline, restored: false });
         }
         wire::OUTCOME => {
-            let id = MsgId(f.u64("id")?);
+            let id = MessageId(f.u64("id")?);
             let wait = Duration::from_millis(u64::from(f.u32("holdMs")?));
             f.u8("go")?;
             let waited = Duration::from_micros(u64::from(f.u32("waitTime")?));
@@ -168,24 +169,24 @@
             let outcome = match code {
                 0 => Outcome::Error,
                 1 => Outcome::Delivered,
-                2 => Outcome::Full(wait),
+                2 => Outcome::Rejected { retry_after: wait },
                 3 => Outcome::TimedOut,
                 4 => Outcome::ConnectFailed,
                 5 => Outcome::Reset,
                 6 => Outcome::Cancelled,
-                7 => Outcome::Moot,
+                7 => Outcome::NotSent,
                 _ => return Err(format!("OUTCOME: code {code} is not known")),
             };
             // A report is left out where there is none.
             for i in 0..f.u8("report").unwrap_or(0) as usize {
                 let told = f.f32("report")?;
                 if limit == Some(i) {
-                    r.told_limit(to, told.into());
+                    r.report_rate_limit(to, told.into());
                 }
             }
             r.outcome(id, to, waited, outcome, over);
         }
-        wire::WITHDRAWN => r.over(MsgId(f.u64("id")?)),
+        wire::WITHDRAWN => r.over(MessageId(f.u64("id")?)),
         wire::CHANGE => {
             f.u8("slot")?;
             f.u64("generation")?;
@@ -197,18 +198,18 @@
             r.listed();
             let list = list.as_ref().ok_or("ROSTER_CHANGE: names a list that has not come")?;
             if how != wire::LIST_DELTA {
-                r.whole_list();
+                r.full_list();
             }
             for entry in list.chunks_exact(wire::ENTRY) {
                 let mut f = Cursor::new(entry, "ROSTER entry");
-                let (dst, zone) = (DstId(u32::from(f.u16("cell")?)), ZoneId(f.u8("dc")?.into()));
+                let (dst, zone) = (DestinationId(u32::from(f.u16("cell")?)), ZoneId(f.u8("dc")?.into()));
                 f.u64("upSince")?;
                 let says = match f.u8("mode")? {
-                    0 => Listed::Gone,
-                    1 => Listed::Ready,
-                    _ => Listed::Draining,
+                    0 => EndpointStatus::Removed,
+                    1 => EndpointStatus::Ready,
+                    _ => EndpointStatus::Draining,
                 };
-                let kind = KindId(f.u16("model")?);
+                let kind = DestinationKindId(f.u16("model")?);
                 let id = f.endpoint("endpoint")?;
                 r.entry(id, dst, zone, kind, says, f64::from(f.f32("capacityHint")?));
             }
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -101,39 +101,39 @@
     }
 }
 
-impl Writer for Reply {
-    fn send(&mut self, msg: MsgId, to: EndpointId, limit: Duration) {
+impl Actions for Reply {
+    fn send(&mut self, msg: MessageId, to: EndpointId, limit: Duration) {
         // On the wire a limit of zero means none.
         let limit = limit.max(Duration::from_micros(1));
         self.record(263, &[&msg.0.to_le_bytes(), &to.0.to_le_bytes()[..6], &micros(limit)]);
     }
 
-    fn push_back(&mut self, msg: MsgId, pause: Duration) -> bool {
+    fn reject(&mut self, msg: MessageId, pause: Duration) -> bool {
         self.record(261, &[&msg.0.to_le_bytes(), &micros(pause)]);
         true
     }
 
-    fn fail(&mut self, msg: MsgId) -> bool {
+    fn fail(&mut self, msg: MessageId) -> bool {
         self.record(257, &[&msg.0.to_le_bytes()]);
         true
     }
 
-    fn recall(&mut self, msg: MsgId, leg: LegNo) {
+    fn cancel(&mut self, msg: MessageId, leg: AttemptNumber) {
         self.record(267, &[&msg.0.to_le_bytes(), &[leg.0]]);
     }
 
-    fn close_idle(&mut self, to: EndpointId) {
+    fn close_idle_connections(&mut self, to: EndpointId) {
         self.record(256, &[&to.0.to_le_bytes()[..6]]);
     }
 
     /// The wire's ids stand for themselves.
-    fn forget(&mut self, _endpoint: EndpointId) {}
+    fn forget_endpoint(&mut self, _endpoint: EndpointId) {}
 
-    fn wake(&mut self, after: Duration) {
+    fn wake_after(&mut self, after: Duration) {
         self.record(258, &[&micros(after), &[0; 4]]);
     }
 
-    fn watch(&mut self) {
+    fn poll_endpoints(&mut self) {
         self.record(262, &[&[1]]);
     }
 
--- a/src/port.rs
+++ b/src/port.rs
@@ -1,4 +1,4 @@
-//! The interface between the decisions and whatever carries them out. Holds no decision.
+//! The interface between the decisions and the program that carries them out. Holds no decision.
 
 use std::time::Duration;
 
@@ -14,207 +14,267 @@
     /// A relay, counted from 0 among its peers.
     RelayId(u32);
     /// A message; never used twice.
-    MsgId(u64);
+    MessageId(u64);
     /// A destination.
-    DstId(u32);
+    DestinationId(u32);
     /// One address of a destination; opaque.
     EndpointId(u64);
-    /// A row of the lane table.
-    LaneId(u16);
-    /// A customer, by place in the facts.
+    /// A message class, by position in [`PolicySettings::classes`].
+    ClassId(u16);
+    /// A customer, by position in [`PolicySettings::tenant_quotas`].
     TenantId(u32);
     /// A place, by number.
     ZoneId(u16);
-    /// A kind of destination, by place in the facts.
-    KindId(u16);
-    /// What messages that keep their order are about.
-    Key(u64);
-    /// The number of a message's leg, from 0.
-    LegNo(u8);
+    /// A kind of destination, by position in [`PolicySettings::destination_kinds`].
+    DestinationKindId(u16);
+    /// Messages with the same key are delivered in the order in which they were submitted.
+    OrderingKey(u64);
+    /// The number of a message's attempt, from 0.
+    AttemptNumber(u8);
 }
 
 /// What running a message twice would do, the harmless first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Effect {
-    Retriable,
-    /// Repeats are dropped for `memory` from the first leg that may have run, at endpoints of the group.
-    Keyed {
-        memory: Duration,
-        group: Group,
+pub enum Idempotency {
+    /// A second run does no harm.
+    Idempotent,
+    /// The message carries an idempotency key: repeats are dropped for `window` from the first attempt that
+    /// may have run, at endpoints in `scope`.
+    WithKey {
+        /// For how long an endpoint recognises a repeat.
+        window: Duration,
+        /// Which endpoints recognise it.
+        scope: DeduplicationScope,
     },
-    NonRetriable,
+    /// A second run does harm: the message must not be sent again once it may have run.
+    NotIdempotent,
 }
 
-impl Effect {
+impl Idempotency {
     /// For how long repeats are dropped, where they are.
-    pub fn memory(self) -> Option<Duration> {
-        if let Effect::Keyed { memory, .. } = self { Some(memory) } else { None }
+    pub fn deduplication_window(self) -> Option<Duration> {
+        if let Idempotency::WithKey { window, .. } = self { Some(window) } else { None }
     }
 
     /// True where a message that has run does no harm wherever it runs again.
-    pub fn repeats_anywhere(self) -> bool {
-        matches!(self, Effect::Retriable | Effect::Keyed { group: Group::All, .. })
+    pub fn is_repeatable_anywhere(self) -> bool {
+        matches!(
+            self,
+            Idempotency::Idempotent | Idempotency::WithKey { scope: DeduplicationScope::AllEndpoints, .. }
+        )
     }
 }
 
 /// Which endpoints of a destination recognise a repeat.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Group {
-    All,
-    Zone,
+pub enum DeduplicationScope {
+    /// All endpoints of the destination.
+    AllEndpoints,
+    /// Endpoints in the zone of the first attempt that may have run.
+    SameZone,
 }
 
-/// How value falls after the target time.
+/// How a message's priority weight falls after its latency objective.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Decay {
+    /// In a straight line up to the deadline.
     #[default]
     Linear,
+    /// By half in each further span of the latency objective.
     Halving,
 }
 
-/// How a leg ended.
+/// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
+    /// The endpoint confirmed the delivery.
     Delivered,
+    /// The endpoint answered with an error.
     Error,
-    /// Turned away unseen; with the wait told, or zero.
-    Full(Duration),
-    /// Turned away unseen as the endpoint's table of connections is full.
-    NoRoom,
+    /// Rejected without being processed.
+    Rejected {
+        /// The `Retry-After` of the answer, or zero.
+        retry_after: Duration,
+    },
+    /// Rejected without being processed, as the endpoint's connection limit is reached.
+    ConnectionLimit,
+    /// No answer within the attempt's time limit.
     TimedOut,
+    /// The connection never came up.
     ConnectFailed,
+    /// The connection was closed or reset before the answer was complete.
     Reset,
+    /// The attempt was cancelled by the relay.
     Cancelled,
     /// Never left the relay.
-    Moot,
+    NotSent,
 }
 
 impl Outcome {
-    /// True where the outcome proves that the leg took no effect.
+    /// True where the outcome proves that the attempt took no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, Outcome::Full(_) | Outcome::NoRoom | Outcome::ConnectFailed | Outcome::Moot)
+        matches!(
+            self,
+            Outcome::Rejected { .. } | Outcome::ConnectionLimit | Outcome::ConnectFailed | Outcome::NotSent
+        )
     }
 }
 
-/// What the list says of an endpoint.
+/// The state of an endpoint in the endpoint list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listed {
+pub enum EndpointStatus {
+    /// Takes messages.
     Ready,
+    /// Leaves: takes no new messages.
     Draining,
-    Gone,
+    /// No longer on the list.
+    Removed,
 }
 
-/// What is told with a message that is handed in.
+/// What is known of a message when it is submitted.
 #[derive(Clone, Copy, Debug)]
-pub struct HandIn {
-    pub lane: LaneId,
+pub struct Submission {
+    /// Its message class.
+    pub class: ClassId,
+    /// Whose message it is.
     pub tenant: TenantId,
-    pub dst: DstId,
-    pub key: Option<Key>,
+    /// Where it goes.
+    pub destination: DestinationId,
+    /// The key by which its class keeps messages in order.
+    pub key: Option<OrderingKey>,
+    /// When its final answer is due at the latest.
     pub deadline: Duration,
-    /// An earlier process of the relay took it on.
+    /// An earlier process of the relay accepted it.
     pub restored: bool,
 }
 
-/// Facts of a lane as told at startup.
+/// A message class, as the settings describe it.
 #[derive(Clone, Copy, Debug)]
-pub struct LaneFacts {
-    /// The span from arrival to the target time.
-    pub target: Duration,
-    /// The span from arrival to the deadline.
+pub struct MessageClass {
+    /// The span from submission to the time by which a delivery earns its full weight.
+    pub latency_objective: Duration,
+    /// The span from submission to the deadline.
     pub deadline: Duration,
-    pub value: f64,
-    /// The share of the value left at the deadline.
-    pub late_share: f64,
-    pub effect: Effect,
+    /// What a delivery within the latency objective is worth, beside other classes.
+    pub priority_weight: f64,
+    /// The share of the priority weight left at the deadline.
+    pub late_weight_share: f64,
+    /// What running a message twice would do.
+    pub idempotency: Idempotency,
+    /// Messages with the same key are delivered in order.
     pub in_order: bool,
 }
 
-/// Facts of a kind of destination.
+/// A kind of destination, as the settings describe it.
 #[derive(Clone, Copy, Debug)]
-pub struct KindFacts {
-    /// Endpoints are routes apart, each with its own limit and outages.
-    pub own_limits: bool,
+pub struct DestinationKind {
+    /// Each endpoint is a route of its own, with its own limit and outages.
+    pub independent_endpoints: bool,
     /// Messages in one call at most.
-    pub batch: usize,
+    pub max_batch: usize,
 }
 
-/// How the listed rate is to be read.
+/// How the rate in the endpoint list is to be read.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ListedRate {
+    /// As it stands.
     Exact,
-    Rough,
+    /// It may be off.
+    Approximate,
+    /// No rate is listed.
     #[default]
-    Untold,
+    Unknown,
 }
 
-/// Everything told at startup that the decisions read.
+/// The settings that the decisions read, fixed at startup.
 #[derive(Clone, Debug, Default)]
-pub struct StartupFacts {
+pub struct PolicySettings {
+    /// This relay.
     pub relay: RelayId,
+    /// Seeds the jitter.
     pub seed: u64,
-    pub relays: u32,
+    /// How many relays send to the same destinations.
+    pub relay_count: u32,
+    /// The zone of this relay.
     pub zone: ZoneId,
-    pub lanes: Vec<LaneFacts>,
-    pub kinds: Vec<KindFacts>,
-    /// Each tenant's messages a second within its share, over all relays.
-    pub quotas: Vec<f64>,
+    /// The message classes, by [`ClassId`].
+    pub classes: Vec<MessageClass>,
+    /// The kinds of destinations, by [`DestinationKindId`].
+    pub destination_kinds: Vec<DestinationKind>,
+    /// Each tenant's messages a second within its quota, over all relays, by [`TenantId`].
+    pub tenant_quotas: Vec<f64>,
+    /// How priority weights fall after the latency objective.
     pub decay: Decay,
-    pub slots: usize,
-    pub max_held: usize,
-    pub max_legs: u8,
+    /// Calls in flight at most.
+    pub max_calls_in_flight: usize,
+    /// Messages held at most.
+    pub max_queued: usize,
+    /// Attempts for one message at most.
+    pub max_attempts: u8,
+    /// How the rate in the endpoint list is to be read.
     pub listed_rate: ListedRate,
-    /// The list comes only when asked for.
-    pub must_watch: bool,
+    /// The endpoint list comes only when asked for.
+    pub must_poll: bool,
     /// Where it does: how often a relay is to ask.
-    pub ask_within: Duration,
-    pub may_recall: bool,
-    pub max_pause: Duration,
+    pub poll_interval: Duration,
+    /// Attempts may be cancelled.
+    pub may_cancel: bool,
+    /// The longest `Retry-After` that a client may be told.
+    pub max_retry_after: Duration,
+    /// How long after a drain was told new messages may still arrive.
     pub drain_grace: Duration,
-    pub order_pause: Duration,
-    pub cold_from: f64,
-    pub warm_after: Duration,
-    pub fall_multiple: f64,
-    pub fall: Duration,
+    /// How long an attempt that may still be running holds off the next message of its key.
+    pub order_hold_off: Duration,
+    /// The share of its rate that a destination bears as it comes back from an outage.
+    pub slow_start_share: f64,
+    /// How long it takes until the destination bears its whole rate again.
+    pub slow_start_duration: Duration,
+    /// A destination in slow start fails again under this multiple of what it bears ...
+    pub overload_multiple: f64,
+    /// ... within this span.
+    pub overload_window: Duration,
+    /// What a call costs by zone of the endpoint, by [`ZoneId`].
     pub zone_fees: Vec<f64>,
+    /// What a call to another zone costs.
     pub cross_zone_price: f64,
 }
 
 /// What a route leaves to the next process of the relay at an upgrade; spans since this process's start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Carried {
-    pub dst: DstId,
-    /// The endpoint, where endpoints of the kind are routes apart.
+pub struct RouteSnapshot {
+    /// The destination.
+    pub destination: DestinationId,
+    /// The endpoint, where endpoints of the kind are independent.
     pub endpoint: Option<EndpointId>,
-    /// A told wait binds until then; zero if none does.
-    pub told_until: Duration,
+    /// A `Retry-After` binds until then; zero if none does.
+    pub retry_after_until: Duration,
     /// The breaker is open until then, due for a trial at zero; none if it is closed.
     pub open_until: Option<Duration>,
-    /// The route came back cold then and is still ramped.
-    pub cold_since: Option<Duration>,
-}
-
-/// Takes the decisions of a round, in order.
-pub trait Writer {
-    /// Send a leg; it ends as timed out after `limit`.
-    fn send(&mut self, msg: MsgId, to: EndpointId, limit: Duration);
-    /// End the message undelivered; the client may safely come again after `pause`. True if that ends it
-    /// at once; else the host calls `over` when the end has been taken.
-    fn push_back(&mut self, msg: MsgId, pause: Duration) -> bool;
-    /// End the message as failed; returns as `push_back` does.
-    fn fail(&mut self, msg: MsgId) -> bool;
-    /// Stop waiting for a leg.
-    fn recall(&mut self, msg: MsgId, leg: LegNo);
-    /// Close the idle connections held to an endpoint.
-    fn close_idle(&mut self, to: EndpointId);
-    /// The endpoint is off the list, nothing is out to it and no rule needs it: keep nothing of it.
-    fn forget(&mut self, endpoint: EndpointId);
-    /// Call a round after this span.
-    fn wake(&mut self, after: Duration);
-    /// Ask for the list and its changes from now on.
-    fn watch(&mut self);
+    /// The route came back from an outage then and is still in slow start.
+    pub slow_start_since: Option<Duration>,
+}
+
+/// Takes the decisions of a step, in order.
+pub trait Actions {
+    /// Sends an attempt; it ends as timed out after `limit`.
+    fn send(&mut self, message: MessageId, endpoint: EndpointId, limit: Duration);
+    /// Ends the message undelivered; the client may safely submit it again after `retry_after`. True if that
+    /// ends it at once; else the message is closed by a later input, when the end has been taken.
+    fn reject(&mut self, message: MessageId, retry_after: Duration) -> bool;
+    /// Ends the message as failed; returns as `reject` does.
+    fn fail(&mut self, message: MessageId) -> bool;
+    /// Stops waiting for an attempt.
+    fn cancel(&mut self, message: MessageId, attempt: AttemptNumber);
+    /// Closes the idle connections held to an endpoint.
+    fn close_idle_connections(&mut self, endpoint: EndpointId);
+    /// The endpoint is off the list, nothing is in flight to it and no rule needs it: keep nothing of it.
+    fn forget_endpoint(&mut self, endpoint: EndpointId);
+    /// Calls for the next step after this span.
+    fn wake_after(&mut self, span: Duration);
+    /// Asks for the endpoint list and its updates from now on.
+    fn poll_endpoints(&mut self);
     /// A line for on-call staff.
     fn log(&mut self, line: &str);
     /// What must outlive the process changed: this is all of it now. Hosts without upgrades keep nothing.
-    fn carry(&mut self, _routes: &[Carried]) {}
+    fn persist_routes(&mut self, _routes: &[RouteSnapshot]) {}
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -124,7 +124,7 @@
     }
 }
 
-type RouteId = (DstId, Option<EndpointId>);
+type RouteId = (DestinationId, Option<EndpointId>);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum Breaker {
@@ -140,7 +140,7 @@
     run: u32,
     run_since: Duration,
     broken: bool, // a call of the run has come to nothing, and is not just overdue
-    told_until: Duration,
+    retry_after_until: Duration,
     pause_until: Duration,
     fulls: u32,
     full_since: Duration,
@@ -149,7 +149,7 @@
     pace: f64,
     pace_at: Duration,
     tokens: Tokens,
-    cold_since: Option<Duration>,
+    slow_start_since: Option<Duration>,
     cold: Tokens,
     ends: Ring<4>,
     answered: Ring<{ OWN_SPAN as usize }>,
@@ -157,9 +157,9 @@
 
 #[derive(Default)]
 struct Endpoint {
-    dst: DstId,
+    dst: DestinationId,
     zone: ZoneId,
-    kind: KindId,
+    kind: DestinationKindId,
     off_since: Option<Duration>,
     limit: f64,
     out: u32,
@@ -171,9 +171,9 @@
 
 #[derive(Default)]
 struct Msg {
-    lane: LaneId,
-    dst: DstId,
-    key: Option<Key>,
+    class: ClassId,
+    destination: DestinationId,
+    key: Option<OrderingKey>,
     target: Duration,
     deadline: Duration,
     over_share: bool,
@@ -209,26 +209,26 @@
 
 #[derive(Default)]
 struct Line {
-    queue: VecDeque<MsgId>,
+    queue: VecDeque<MessageId>,
     rest_until: Duration,
-    rest_by: Option<MsgId>,
+    rest_by: Option<MessageId>,
 }
 
 #[derive(Default)]
 pub struct Relay {
-    facts: StartupFacts,
+    settings: PolicySettings,
     now: Duration,
     endpoints: BTreeMap<EndpointId, Endpoint>,
     off: BTreeSet<EndpointId>, // guards against a walk over all endpoints in every round
-    near: BTreeMap<DstId, (Vec<EndpointId>, u64)>, // and its last call
+    near: BTreeMap<DestinationId, (Vec<EndpointId>, u64)>, // and its last call
     routes: BTreeMap<RouteId, Route>,
-    msgs: BTreeMap<MsgId, Msg>,
-    lines: BTreeMap<Key, Line>,
+    msgs: BTreeMap<MessageId, Msg>,
+    lines: BTreeMap<OrderingKey, Line>,
     calls: BTreeMap<u64, Call>,
     tenants: Vec<Tokens>,
     idle_ends: Ring<30>,
     fulls: Ring<30>,
-    found_room: BTreeMap<KindId, u32>, // calls in a row
+    found_room: BTreeMap<DestinationKindId, u32>, // calls in a row
     ended_at: Vec<EndpointId>,
     count: u64,
     watch_at: Option<Duration>,
@@ -237,20 +237,21 @@
     lines_to_log: Vec<String>,
     handing_over: bool, // a process beside this one takes over: no new leg
     list_due: Option<Duration>,
-    carried: Vec<Carried>, // as last told
+    carried: Vec<RouteSnapshot>, // as last told
 }
 
 impl Relay {
-    pub fn new(facts: StartupFacts) -> Relay {
-        let tenants = facts.quotas.iter().map(|q| Tokens { left: q * SHARE_BURST, at: Duration::ZERO });
-        let mut relay = Relay { tenants: tenants.collect(), facts, ..Relay::default() };
+    pub fn new(settings: PolicySettings) -> Relay {
+        let tenants =
+            settings.tenant_quotas.iter().map(|q| Tokens { left: q * SHARE_BURST, at: Duration::ZERO });
+        let mut relay = Relay { tenants: tenants.collect(), settings, ..Relay::default() };
         let first = relay.asking().first(relay.chance(0));
-        relay.watch_at = relay.facts.must_watch.then_some(first);
+        relay.watch_at = relay.settings.must_poll.then_some(first);
         relay
     }
 
     /// Takes in all that came since the last round, then decides.
-    pub fn round(&mut self, now: Duration, events: impl FnOnce(&mut Relay), out: &mut dyn Writer) {
+    pub fn round(&mut self, now: Duration, events: impl FnOnce(&mut Relay), out: &mut dyn Actions) {
         self.now = now;
         events(self);
         self.count_overdue();
@@ -260,48 +261,49 @@
         self.send_waiting(out);
         self.make_room(out);
         self.lines.retain(|_, l| !l.queue.is_empty() || l.rest_until > now);
-        self.watch_at.take_if(|at| *at <= now).into_iter().for_each(|_| out.watch());
+        self.watch_at.take_if(|at| *at <= now).into_iter().for_each(|_| out.poll_endpoints());
         self.lines_to_log.drain(..).for_each(|line| out.log(&line));
         self.carry_out(out);
         let busy = self.forget(out) || self.msgs.len() + self.calls.len() > 0 || self.watch_at.is_some();
         if busy && self.wake_at.is_none_or(|at| at <= now) {
             self.wake_at = Some(now + WAKE);
-            out.wake(WAKE);
+            out.wake_after(WAKE);
         }
     }
 
-    pub fn message(&mut self, id: MsgId, told: HandIn) {
-        let HandIn { lane, tenant, dst, key, deadline, restored } = told;
-        let Some(row) = self.facts.lanes.get(lane.0 as usize) else { return };
+    pub fn message(&mut self, id: MessageId, submission: Submission) {
+        let Submission { class, tenant, destination, key, deadline, restored } = submission;
+        let Some(row) = self.settings.classes.get(class.0 as usize) else { return };
         // A tenant that nobody knows has no share. What a restart finds was counted when it was handed in.
-        let mut over_share = !self.facts.quotas.is_empty() && tenant.0 as usize >= self.facts.quotas.len();
+        let mut over_share =
+            !self.settings.tenant_quotas.is_empty() && tenant.0 as usize >= self.settings.tenant_quotas.len();
         if let Some(tokens) = self.tenants.get_mut(tenant.0 as usize).filter(|_| !restored) {
-            let quota = self.facts.quotas[tenant.0 as usize] / f64::from(self.facts.relays);
+            let quota = self.settings.tenant_quotas[tenant.0 as usize] / f64::from(self.settings.relay_count);
             tokens.refill(self.now, quota, quota * SHARE_BURST);
             over_share = tokens.left < 1.0;
             tokens.left = (tokens.left - 1.0).max(0.0);
         }
         let key = key.filter(|_| row.in_order);
         key.into_iter().for_each(|k| self.lines.entry(k).or_default().queue.push_back(id));
-        let target = (deadline + row.target).saturating_sub(row.deadline);
-        let fresh = Msg { lane, dst, key, target, deadline, over_share, restored, ..Msg::default() };
+        let target = (deadline + row.latency_objective).saturating_sub(row.deadline);
+        let fresh = Msg { class, destination, key, target, deadline, over_share, restored, ..Msg::default() };
         self.msgs.insert(id, fresh);
     }
 
     /// A leg from before a restart; without an outcome that proves the contrary it may have run.
-    pub fn earlier_leg(&mut self, id: MsgId, zone: ZoneId, at: Duration, may_have_run: bool) {
+    pub fn earlier_attempt(&mut self, id: MessageId, zone: ZoneId, at: Duration, may_have_run: bool) {
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         (msg.legs, msg.ran) = (msg.legs.saturating_add(1), msg.ran + u32::from(may_have_run));
         msg.may_have_run = msg.may_have_run.or(may_have_run.then_some((at, zone)));
         if let Some(line) = msg.key.filter(|_| may_have_run).and_then(|k| self.lines.get_mut(&k)) {
-            (line.rest_until, line.rest_by) = (self.now + self.facts.order_pause, Some(id));
+            (line.rest_until, line.rest_by) = (self.now + self.settings.order_hold_off, Some(id));
         }
     }
 
-    pub fn outcome(&mut self, id: MsgId, to: EndpointId, waited: Duration, outcome: Outcome, over: bool) {
+    pub fn outcome(&mut self, id: MessageId, to: EndpointId, waited: Duration, outcome: Outcome, over: bool) {
         let now = self.now;
-        let no_room = outcome == Outcome::NoRoom;
-        let outcome = if no_room { Outcome::Full(ms(0)) } else { outcome };
+        let no_room = outcome == Outcome::ConnectionLimit;
+        let outcome = if no_room { Outcome::Rejected { retry_after: ms(0) } } else { outcome };
         let Some((msg, call_id)) = self.msgs.get_mut(&id).and_then(|m| m.out.take().map(|c| (m, c))) else {
             return;
         };
@@ -314,19 +316,19 @@
         let (all, full, _) = self.fulls.totals(now, 30);
         let more = match outcome {
             Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut => times,
-            Outcome::Full(_) => times - 1.0 + times * FULL_SHARE_PAUSE * full / all.max(20.0),
+            Outcome::Rejected { .. } => times - 1.0 + times * FULL_SHARE_PAUSE * full / all.max(20.0),
             _ => 0.0,
         };
         msg.not_before = now + LEG_PAUSE.mul_f64(more);
-        self.fulls.add(now, f64::from(u8::from(matches!(outcome, Outcome::Full(_)))));
+        self.fulls.add(now, f64::from(u8::from(matches!(outcome, Outcome::Rejected { .. }))));
         let (key, ended) = (msg.key, msg.ended || over);
         // Rule 5: an attempt that may still be running holds back the rest of its key for a while.
         if let Some(line) = key.filter(|_| uncertain).and_then(|k| self.lines.get_mut(&k)) {
-            (line.rest_until, line.rest_by) = (now + self.facts.order_pause, Some(id));
+            (line.rest_until, line.rest_by) = (now + self.settings.order_hold_off, Some(id));
         }
         ended.then(|| self.over(id));
-        if let Outcome::Full(wait) = outcome {
-            self.told_to_wait(to, wait);
+        if let Outcome::Rejected { retry_after: wait } = outcome {
+            self.retry_after(to, wait);
         }
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.left -= 1;
@@ -350,9 +352,11 @@
                 first.then(|| self.call_answered(route_id));
                 self.succeeded(route_id, call_id, to, waited, full);
             }
-            Outcome::Cancelled | Outcome::Moot => self.end_trial(route_id, call_id, Breaker::HalfOpen(None)),
+            Outcome::Cancelled | Outcome::NotSent => {
+                self.end_trial(route_id, call_id, Breaker::HalfOpen(None))
+            }
             _ if !first => {}
-            Outcome::Full(wait) => self.refused(route_id, call_id, to, wait),
+            Outcome::Rejected { retry_after: wait } => self.refused(route_id, call_id, to, wait),
             _ => self.failed(route_id, call_id, to),
         }
         if matches!(outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Reset) {
@@ -361,49 +365,57 @@
     }
 
     /// Rule 6: every wait binds, whichever answer tells it and however late it comes.
-    pub fn told_to_wait(&mut self, to: EndpointId, wait: Duration) {
+    pub fn retry_after(&mut self, to: EndpointId, wait: Duration) {
         let until = self.now + wait;
         let route_id = (self.endpoints.contains_key(&to) && wait > ms(0)).then(|| self.route_of(to));
         let route = route_id.and_then(|id| self.routes.get_mut(&id));
-        route.into_iter().for_each(|r| r.told_until = r.told_until.max(until));
+        route.into_iter().for_each(|r| r.retry_after_until = r.retry_after_until.max(until));
     }
 
     /// An answer told the limit, in calls a second of all relays together: late, and not exact.
-    pub fn told_limit(&mut self, to: EndpointId, rate: f64) {
-        let untold = self.facts.listed_rate == ListedRate::Untold && self.endpoints.contains_key(&to);
+    pub fn report_rate_limit(&mut self, to: EndpointId, rate: f64) {
+        let untold = self.settings.listed_rate == ListedRate::Unknown && self.endpoints.contains_key(&to);
         let route_id = (untold && rate > 0.0).then(|| self.route_of(to));
         let Some(route) = route_id.and_then(|id| self.routes.get_mut(&id)) else { return };
         (route.rate, route.told_rate) = (rate, true);
     }
 
     /// A whole list begins: what its entries don't name is gone.
-    pub fn whole_list(&mut self) {
+    pub fn full_list(&mut self) {
         self.endpoints.values_mut().for_each(|ep| ep.off_since = ep.off_since.or(Some(self.now)));
         self.off = self.endpoints.keys().copied().collect();
     }
 
-    pub fn entry(&mut self, id: EndpointId, dst: DstId, zone: ZoneId, kind: KindId, says: Listed, rate: f64) {
+    pub fn entry(
+        &mut self,
+        id: EndpointId,
+        dst: DestinationId,
+        zone: ZoneId,
+        kind: DestinationKindId,
+        says: EndpointStatus,
+        rate: f64,
+    ) {
         let (now, rate) = (self.now, if rate.is_finite() { rate.max(0.0) } else { 0.0 });
         let fresh = Endpoint { dst, zone, kind, limit: CREDITS_AT_START, ..Endpoint::default() };
         (!self.endpoints.contains_key(&id)).then(|| self.near.entry(dst).or_default().0.push(id));
         let ep = self.endpoints.entry(id).or_insert(fresh);
-        ep.off_since = if says == Listed::Ready { None } else { ep.off_since.or(Some(now)) };
-        if says == Listed::Ready {
+        ep.off_since = if says == EndpointStatus::Ready { None } else { ep.off_since.or(Some(now)) };
+        if says == EndpointStatus::Ready {
             self.off.remove(&id)
         } else {
             self.off.insert(id)
         };
         let route_id = self.route_of(id);
         let pace = self.portion(rate) * if self.batch(kind) > 1 { PACE_START_BATCH } else { PACE_START };
-        let untold = self.facts.listed_rate == ListedRate::Untold;
-        let start = if untold { f64::from(self.facts.relays.min(CROWD)) } else { rate };
+        let untold = self.settings.listed_rate == ListedRate::Unknown;
+        let start = if untold { f64::from(self.settings.relay_count.min(CROWD)) } else { rate };
         let fresh = Route { rate: start, pace, tokens: Tokens { left: rate, at: now }, ..Route::default() };
         let route = self.routes.entry(route_id).or_insert(fresh);
         route.rate = if rate > 0.0 && !untold { rate } else { route.rate };
     }
 
     /// The endpoint was out by hand and was restarted meanwhile: its route comes back cold (rule 4).
-    pub fn back_cold(&mut self, id: EndpointId) {
+    pub fn endpoint_restarted(&mut self, id: EndpointId) {
         let route_id = self.endpoints.contains_key(&id).then(|| self.route_of(id));
         let now = self.now;
         route_id.and_then(|r| self.routes.get_mut(&r)).into_iter().for_each(|r| Relay::turn_cold(r, now));
@@ -412,7 +424,7 @@
     /// The list held at a start may be older than what discovery told since (rule 3): nothing goes out on it
     /// until discovery answers. Guards against sends to what was told as leaving when no process ran. Harm: a
     /// pause at a start with discovery down.
-    pub fn list_may_be_old(&mut self) {
+    pub fn list_may_be_stale(&mut self) {
         self.list_due = Some(self.now + LIST_WAIT);
     }
 
@@ -423,26 +435,27 @@
     pub fn watch_failed(&mut self, told: Option<Duration>) {
         self.watch_failures += 1;
         let pause = self.asking().again(self.watch_failures, told, self.chance(0));
-        self.watch_at = self.facts.must_watch.then_some(self.now + pause);
+        self.watch_at = self.settings.must_poll.then_some(self.now + pause);
     }
 
     fn asking(&self) -> Terms {
-        Terms { relays: self.facts.relays, ask_within: self.facts.ask_within }
+        Terms { relays: self.settings.relay_count, poll_interval: self.settings.poll_interval }
     }
 
     /// An even portion. Guards against standstill among many relays: their own traffic is uneven.
     fn portion(&self, rate: f64) -> f64 {
-        let few = if self.facts.relays > CROWD { PACE_FEW } else { 0.0 };
-        (few / rate.max(1.0)).clamp(1.0 / f64::from(self.facts.relays), 1.0)
+        let few = if self.settings.relay_count > CROWD { PACE_FEW } else { 0.0 };
+        (few / rate.max(1.0)).clamp(1.0 / f64::from(self.settings.relay_count), 1.0)
     }
 
-    fn batch(&self, kind: KindId) -> usize {
-        self.facts.kinds.get(kind.0 as usize).map_or(1, |k| k.batch.max(1))
+    fn batch(&self, kind: DestinationKindId) -> usize {
+        self.settings.destination_kinds.get(kind.0 as usize).map_or(1, |k| k.max_batch.max(1))
     }
 
     fn route_of(&self, id: EndpointId) -> RouteId {
         let ep = &self.endpoints[&id];
-        let apart = self.facts.kinds.get(ep.kind.0 as usize).is_some_and(|k| k.own_limits);
+        let apart =
+            self.settings.destination_kinds.get(ep.kind.0 as usize).is_some_and(|k| k.independent_endpoints);
         (ep.dst, apart.then_some(id))
     }
 
@@ -458,12 +471,13 @@
     /// Where no rate is told, the calls that this relay had answered stand for its part: guards against
     /// a cold ramp reckoned from nothing, which lets hardly a call pass until the route is warm.
     fn call_answered(&mut self, route_id: RouteId) {
-        let untold = self.facts.listed_rate == ListedRate::Untold;
+        let untold = self.settings.listed_rate == ListedRate::Unknown;
         let Some(route) = self.routes.get_mut(&route_id).filter(|r| untold && !r.told_rate) else { return };
         route.answered.add(self.now, 0.0);
         let span = self.now.as_secs().clamp(OWN_LEAST, OWN_SPAN) as f64;
         let own = route.answered.totals(self.now, OWN_SPAN).0 / span;
-        route.rate = (own * f64::from(self.facts.relays)).max(f64::from(self.facts.relays.min(CROWD)));
+        route.rate =
+            (own * f64::from(self.settings.relay_count)).max(f64::from(self.settings.relay_count.min(CROWD)));
     }
 
     fn succeeded(&mut self, route_id: RouteId, call: u64, to: EndpointId, waited: Duration, full: bool) {
@@ -482,11 +496,11 @@
         (route.run, route.fulls, route.broken) = (0, 0, false);
         if full && route.tokens.left < 1.0 {
             // A crowd's answers tell late: where each gets few in a second it grows by less.
-            let growth = PACE_GROWTH * (route.rate / f64::from(self.facts.relays)).min(1.0);
+            let growth = PACE_GROWTH * (route.rate / f64::from(self.settings.relay_count)).min(1.0);
             route.pace = (route.pace + growth / route.rate.max(1.0)).min(ROUGH);
         }
         if route.breaker == Breaker::HalfOpen(Some(call)) {
-            (route.cold_since, route.cold) = (Some(now), Tokens { left: 0.0, at: now });
+            (route.slow_start_since, route.cold) = (Some(now), Tokens { left: 0.0, at: now });
             self.set_breaker(route_id, Breaker::Closed);
         } else if matches!(route.breaker, Breaker::Open(_)) {
             // A good answer to an earlier call: slow, not dead. The trial need not wait.
@@ -501,14 +515,15 @@
             ep.rest_until = if ep.run >= DEAD_ENDPOINT_RUN { now + RECOVERY_DELAY } else { ep.rest_until };
         }
         let chance = self.chance(to.0);
-        let parked = self.msgs.values().filter(|m| m.dst == route_id.0 && m.out.is_none()).count() as u32;
+        let parked =
+            self.msgs.values().filter(|m| m.destination == route_id.0 && m.out.is_none()).count() as u32;
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         route.ends.add(now, 1.0);
         if route.run == 0 || (route.breaker == Breaker::Closed && now > route.run_since + WINDOW) {
             (route.run, route.run_since) = (0, now);
         }
         route.run += 1;
-        let crowd = Relay::crowd_delay(&self.facts, route, now, chance);
+        let crowd = Relay::crowd_delay(&self.settings, route, now, chance);
         route.pause_until = route.pause_until.max(now + crowd);
         // Longer and longer, unless many more wait than trials went: a quiet destination is not worth asking.
         let trials = if parked > TRIALS_PER_PARKED * route.run { THRESHOLD } else { route.run };
@@ -527,14 +542,14 @@
         let (now, chance) = (self.now, self.chance(to.0));
         // What goes beyond an even portion is lent: guards against a crowd that takes it back call by call,
         // too late where each makes a call in seconds and refused ones use the limit up. Harm: uneven load.
-        let even = 1.0 / f64::from(self.facts.relays);
+        let even = 1.0 / f64::from(self.settings.relay_count);
         let lent = self.routes.get(&route_id).is_some_and(|r| self.portion(r.rate) > even);
         let (least, most) = if lent { (even, even) } else { (PACE_LEAST * even, f64::INFINITY) };
         self.endpoints.entry(to).and_modify(|ep| ep.limit = (ep.limit * CREDITS_CUT).max(1.0));
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let since = if route.fulls == 0 { now } else { route.full_since };
         (route.full_since, route.fulls) = (since, route.fulls + 1);
-        let crowd = Relay::crowd_delay(&self.facts, route, now, chance);
+        let crowd = Relay::crowd_delay(&self.settings, route, now, chance);
         let pause = (FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1)).min(FULL_PAUSE_MOST);
         // A crowd halves what it asks as well, each time: guards against a limit that was lowered and all
         // together, each at its share of the listed one, keep used up. Harm: a limit found again late.
@@ -543,26 +558,30 @@
         if now.saturating_sub(route.pace_at) > PACE_CUT_EVERY {
             (route.pace, route.pace_at) = ((route.pace.min(most) * PACE_CUT).max(least), now);
         }
-        let shut = route.told_until < since && route.fulls >= COLD_FULLS && now - since >= COLD_FULL_SPAN;
+        let shut =
+            route.retry_after_until < since && route.fulls >= COLD_FULLS && now - since >= COLD_FULL_SPAN;
         (shut || wait > COLD_WAIT).then(|| Relay::turn_cold(route, now + wait));
         self.end_trial(route_id, call, Breaker::Open(now + crowd));
     }
 
     /// Guards against a crowd of relays that pushes over a cold destination (rule 4) or starves one that
     /// refuses: from the second bad end in a row on all who may ask share what it takes. Harm: late returns.
-    fn crowd_delay(f: &StartupFacts, route: &Route, now: Duration, chance: f64) -> Duration {
+    fn crowd_delay(f: &PolicySettings, route: &Route, now: Duration, chance: f64) -> Duration {
         let began = if route.run > 0 { route.run_since } else { route.full_since };
         let since = now.saturating_sub(began).max(CROWD_SPAN).as_secs_f64();
-        let (relays, rate) = (f64::from(f.relays.saturating_sub(CROWD)), route.rate.max(1.0));
+        let (relays, rate) = (f64::from(f.relay_count.saturating_sub(CROWD)), route.rate.max(1.0));
         let others =
             if route.run + 2 * route.fulls > 1 { relays.min(CROWD_LOAD * rate * since) } else { 0.0 };
-        let warm = (f.fall.as_secs_f64() / f.warm_after.as_secs_f64().max(0.001)).min(1.0);
-        let takes = (f.fall_multiple * (f.cold_from + (1.0 - f.cold_from) * warm) * rate).max(0.01);
-        Duration::from_secs_f64(others * (0.5 + chance) / takes).min(f.warm_after * 2)
+        let warm =
+            (f.overload_window.as_secs_f64() / f.slow_start_duration.as_secs_f64().max(0.001)).min(1.0);
+        let takes =
+            (f.overload_multiple * (f.slow_start_share + (1.0 - f.slow_start_share) * warm) * rate).max(0.01);
+        Duration::from_secs_f64(others * (0.5 + chance) / takes).min(f.slow_start_duration * 2)
     }
 
     fn turn_cold(route: &mut Route, since: Duration) {
-        route.cold = route.cold_since.replace(since).map_or(Tokens { left: 0.0, at: since }, |_| route.cold);
+        route.cold =
+            route.slow_start_since.replace(since).map_or(Tokens { left: 0.0, at: since }, |_| route.cold);
     }
 
     fn end_trial(&mut self, route_id: RouteId, call: u64, next: Breaker) {
@@ -584,17 +603,17 @@
     }
 
     /// Guards against hung legs holding every slot: the oldest overdue are recalled, one-chance ones later.
-    fn recall_overdue(&mut self, out: &mut dyn Writer) {
-        let spare = self.facts.slots.div_ceil(SLOTS_SPARE);
+    fn recall_overdue(&mut self, out: &mut dyn Actions) {
+        let spare = self.settings.max_calls_in_flight.div_ceil(SLOTS_SPARE);
         let taken = self.calls.values().filter(|c| !c.recalled).count();
-        let short = (taken + spare).saturating_sub(self.facts.slots);
-        let (wanted, mut recalled) = (if self.facts.may_recall { short } else { 0 }, Vec::new());
+        let short = (taken + spare).saturating_sub(self.settings.max_calls_in_flight);
+        let (wanted, mut recalled) = (if self.settings.may_cancel { short } else { 0 }, Vec::new());
         let overdue = |c: &Call| wanted > 0 && !c.recalled && self.now >= c.sent + c.expect;
         for (id, call) in self.calls.iter().filter(|(_, c)| overdue(c)) {
             let legs: Vec<_> = self.msgs.iter().filter(|(_, m)| m.out == Some(*id)).collect();
-            let once = legs.iter().any(|(_, m)| self.row(m).effect == Effect::NonRetriable);
+            let once = legs.iter().any(|(_, m)| self.row(m).idempotency == Idempotency::NotIdempotent);
             if recalled.len() < wanted && (!once || self.now >= call.sent + call.expect * ONCE_GRACE) {
-                legs.iter().for_each(|(msg, m)| out.recall(**msg, LegNo(m.legs - 1)));
+                legs.iter().for_each(|(msg, m)| out.cancel(**msg, AttemptNumber(m.legs - 1)));
                 recalled.push(*id);
             }
         }
@@ -602,7 +621,7 @@
     }
 
     /// Nothing more is sent for the message: it was withdrawn, or ended here.
-    pub fn over(&mut self, id: MsgId) {
+    pub fn over(&mut self, id: MessageId) {
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         if msg.out.is_some() {
             msg.ended = true;
@@ -614,7 +633,7 @@
     }
 
     /// Fails what can't be sent again or is out of time, even in a call that goes on for others.
-    fn end_spent(&mut self, out: &mut dyn Writer) {
+    fn end_spent(&mut self, out: &mut dyn Actions) {
         let idle = |m: &Msg| m.deadline <= self.now + MARGIN || !self.may_go_again(m);
         let spent = |m: &Msg| if m.out.is_none() { idle(m) } else { m.deadline + WAKE < self.now };
         let ids = self.msgs.iter().filter(|(_, m)| !m.ended && spent(m)).map(|(id, _)| *id);
@@ -625,61 +644,74 @@
     }
 
     /// Ended here. On sockets it keeps its place in line until the end was taken: guards rule 5.
-    pub fn end(&mut self, id: MsgId, at_once: bool) {
+    pub fn end(&mut self, id: MessageId, at_once: bool) {
         self.msgs.entry(id).and_modify(|m| m.ended = true);
         at_once.then(|| self.over(id));
     }
 
-    fn row(&self, msg: &Msg) -> &LaneFacts {
-        &self.facts.lanes[msg.lane.0 as usize]
+    fn row(&self, msg: &Msg) -> &MessageClass {
+        &self.settings.classes[msg.class.0 as usize]
     }
 
     fn may_go_again(&self, msg: &Msg) -> bool {
         let row = self.row(msg);
         // A lane worth nothing is no measure: guards against no leg for it, and any number for the others.
-        let least = self.facts.lanes.iter().map(|l| l.value).filter(|v| *v > 0.0).fold(f64::MAX, f64::min);
-        let legs = LEGS_LEAST + (row.value / least).round();
-        msg.legs < self.facts.max_legs
+        let least = self
+            .settings
+            .classes
+            .iter()
+            .map(|l| l.priority_weight)
+            .filter(|v| *v > 0.0)
+            .fold(f64::MAX, f64::min);
+        let legs = LEGS_LEAST + (row.priority_weight / least).round();
+        msg.legs < self.settings.max_attempts
             && f64::from(msg.ran) < legs
-            && (row.effect == Effect::Retriable
+            && (row.idempotency == Idempotency::Idempotent
                 || msg.may_have_run.is_none()
                 || self.known(msg) > Some(MARGIN * 2))
     }
 
     /// For how long a repeat of what may have run is still known for one, where repeats are.
     fn known(&self, msg: &Msg) -> Option<Duration> {
-        let until = self.row(msg).effect.memory().zip(msg.may_have_run).map(|(memory, ran)| ran.0 + memory);
+        let until = self
+            .row(msg)
+            .idempotency
+            .deduplication_window()
+            .zip(msg.may_have_run)
+            .map(|(memory, ran)| ran.0 + memory);
         until.map(|until| until.saturating_sub(self.now))
     }
 
     fn worth(&self, msg: &Msg) -> f64 {
         let row = self.row(msg);
         let late = self.now.saturating_sub(msg.target).as_secs_f64();
-        let span = row.deadline.saturating_sub(row.target).as_secs_f64().max(0.001);
-        let left = match self.facts.decay {
-            Decay::Linear => 1.0 - (1.0 - row.late_share) * (late / span).min(1.0),
-            Decay::Halving => (0.5f64).powf(late / row.target.as_secs_f64().max(0.001)).max(row.late_share),
+        let span = row.deadline.saturating_sub(row.latency_objective).as_secs_f64().max(0.001);
+        let left = match self.settings.decay {
+            Decay::Linear => 1.0 - (1.0 - row.late_weight_share) * (late / span).min(1.0),
+            Decay::Halving => (0.5f64)
+                .powf(late / row.latency_objective.as_secs_f64().max(0.001))
+                .max(row.late_weight_share),
         };
-        row.value * left * if msg.over_share { OVER_SHARE } else { 1.0 }
+        row.priority_weight * left * if msg.over_share { OVER_SHARE } else { 1.0 }
     }
 
     fn chance(&mut self, what: u64) -> f64 {
         self.count += 1;
         let mut hasher = DefaultHasher::new();
-        (self.facts.seed, self.facts.relay, what, self.count).hash(&mut hasher);
+        (self.settings.seed, self.settings.relay, what, self.count).hash(&mut hasher);
         (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
     }
 
     /// Free slots go in turns over destinations with messages waiting, fewest calls out first.
-    fn send_waiting(&mut self, out: &mut dyn Writer) {
-        let mut waiting: BTreeMap<DstId, Vec<MsgId>> = BTreeMap::new();
+    fn send_waiting(&mut self, out: &mut dyn Actions) {
+        let mut waiting: BTreeMap<DestinationId, Vec<MessageId>> = BTreeMap::new();
         for (id, msg) in &self.msgs {
             if msg.out.is_none() && !msg.ended && msg.not_before <= self.now && self.in_turn(*id, msg) {
-                waiting.entry(msg.dst).or_default().push(*id);
+                waiting.entry(msg.destination).or_default().push(*id);
             }
         }
         let still = self.handing_over || self.list_due.is_some_and(|at| self.now < at);
-        while !still && self.calls.len() < self.facts.slots {
+        while !still && self.calls.len() < self.settings.max_calls_in_flight {
             let next = waiting.keys().min_by_key(|d| (self.calls_out(**d), self.near.get(d).map(|n| n.1)));
             let Some(dst) = next.copied() else { break };
             let mut list = waiting.remove(&dst).unwrap_or_default();
@@ -689,11 +721,11 @@
         }
     }
 
-    fn calls_out(&self, dst: DstId) -> usize {
+    fn calls_out(&self, dst: DestinationId) -> usize {
         self.calls.values().filter(|c| c.route.0 == dst).count()
     }
 
-    fn in_turn(&self, id: MsgId, msg: &Msg) -> bool {
+    fn in_turn(&self, id: MessageId, msg: &Msg) -> bool {
         let Some(line) = msg.key.and_then(|k| self.lines.get(&k)) else { return true };
         line.queue.front() == Some(&id) && (line.rest_until <= self.now || line.rest_by == Some(id))
     }
@@ -702,10 +734,11 @@
     fn room(&mut self, route_id: RouteId, batch: usize) -> usize {
         let now = self.now;
         let asking = self.calls.values().any(|c| c.route == route_id && !c.counted);
-        let f = &self.facts;
+        let f = &self.settings;
         let Some(route) = self.routes.get_mut(&route_id) else { return 0 };
         // While failures run, one call at a time: most calls into silence went out before it opened.
-        if now < route.told_until || now < route.pause_until || (route.run + route.fulls > 0 && asking) {
+        if now < route.retry_after_until || now < route.pause_until || (route.run + route.fulls > 0 && asking)
+        {
             return 0;
         }
         let trial = match route.breaker {
@@ -714,9 +747,9 @@
             Breaker::Open(_) | Breaker::HalfOpen(None) => true,
             Breaker::HalfOpen(Some(_)) => return 0,
         };
-        let rough = f.listed_rate == ListedRate::Rough || route.told_rate;
+        let rough = f.listed_rate == ListedRate::Approximate || route.told_rate;
         // Where nothing is told, own answers stand for the rate once one was refused: too few in a crowd.
-        let own = route.pace_at > ms(0) && f.relays <= CROWD;
+        let own = route.pace_at > ms(0) && f.relay_count <= CROWD;
         if (f.listed_rate == ListedRate::Exact || rough || own) && route.rate > 0.0 {
             let most = if f.listed_rate == ListedRate::Exact { 1.0 } else { ROUGH };
             let rate = route.rate * route.pace.min(most);
@@ -726,31 +759,32 @@
             }
         }
         // Refused again with no wait told it may be shut: one message asks, not a batch that burns legs.
-        let batch = if trial || route.fulls > 1 && route.told_until < route.full_since { 1 } else { batch };
-        let Some(since) = route.cold_since.filter(|_| !trial) else { return batch };
-        let warm = now.saturating_sub(since).as_secs_f64() / f.warm_after.as_secs_f64().max(0.001);
+        let batch =
+            if trial || route.fulls > 1 && route.retry_after_until < route.full_since { 1 } else { batch };
+        let Some(since) = route.slow_start_since.filter(|_| !trial) else { return batch };
+        let warm = now.saturating_sub(since).as_secs_f64() / f.slow_start_duration.as_secs_f64().max(0.001);
         if warm >= 1.0 {
-            route.cold_since = None;
+            route.slow_start_since = None;
             return batch;
         }
-        let share = f.cold_from + (1.0 - f.cold_from) * warm;
+        let share = f.slow_start_share + (1.0 - f.slow_start_share) * warm;
         let listed = if rough { route.rate / COLD_ROUGH } else { route.rate };
-        let rate = f.fall_multiple * share * listed / f64::from(f.relays);
-        route.cold.refill(now, rate, (COLD_BURST * rate * f.fall.as_secs_f64()).max(1.0));
+        let rate = f.overload_multiple * share * listed / f64::from(f.relay_count);
+        route.cold.refill(now, rate, (COLD_BURST * rate * f.overload_window.as_secs_f64()).max(1.0));
         // A call weighs little more for each further message; the first wants a whole token.
         let further = (route.cold.left - 1.0) / COLD_ITEM;
         if further < 0.0 { 0 } else { batch.min(1 + COLD_FURTHER + further as usize) }
     }
 
     /// Sends one call to a destination, with as many of the messages as may travel in it.
-    fn send_call(&mut self, dst: DstId, list: &mut Vec<MsgId>, out: &mut dyn Writer) -> bool {
+    fn send_call(&mut self, dst: DestinationId, list: &mut Vec<MessageId>, out: &mut dyn Actions) -> bool {
         let now = self.now;
-        let free = self.facts.slots - self.calls.len();
+        let free = self.settings.max_calls_in_flight - self.calls.len();
         // Guards against slow or suspect destinations taking all slots. Harm: with few they open late.
         if self.calls_out(dst) as f64 >= SLOT_SHARE * free as f64 {
             return false;
         }
-        let target = self.row(&self.msgs[&list[0]]).target.as_secs_f64();
+        let target = self.row(&self.msgs[&list[0]]).latency_objective.as_secs_f64();
         let mut options = Vec::new();
         let suspect = |c: &&Call| self.routes.get(&c.route).is_some_and(|r| r.run > 0);
         let suspects = self.calls.values().filter(suspect).count();
@@ -770,8 +804,8 @@
             }
             let ep = &self.endpoints[&id];
             let (n, sum, _) = ep.answers.totals(now, 24);
-            let fee = route_id.1.and(self.facts.zone_fees.get(ep.zone.0 as usize)).copied().unwrap_or(0.0);
-            let cross = if ep.zone == self.facts.zone { 0.0 } else { self.facts.cross_zone_price };
+            let fee = route_id.1.and(self.settings.zone_fees.get(ep.zone.0 as usize)).copied().unwrap_or(0.0);
+            let cross = if ep.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_price };
             let slow = if n > 0.0 { PICK_SLOW * (sum / n / target).min(2.0) } else { 0.0 };
             let cost = fee + cross + slow + PICK_USED * f64::from(ep.out) / ep.limit;
             let cost = cost + PICK_CHANCE * self.chance(id.0);
@@ -788,13 +822,19 @@
         options.into_iter().any(|(_, to, room)| self.send_to(to, room, list, out))
     }
 
-    fn send_to(&mut self, to: EndpointId, room: usize, list: &mut Vec<MsgId>, out: &mut dyn Writer) -> bool {
+    fn send_to(
+        &mut self,
+        to: EndpointId,
+        room: usize,
+        list: &mut Vec<MessageId>,
+        out: &mut dyn Actions,
+    ) -> bool {
         let now = self.now;
         let route_id = self.route_of(to);
         let trial = self.routes[&route_id].breaker != Breaker::Closed;
         if trial {
             // A trial can strand a message that must not run twice: a safer one goes first.
-            list.sort_by_key(|id| self.row(&self.msgs[id]).effect);
+            list.sort_by_key(|id| self.row(&self.msgs[id]).idempotency);
         }
         self.count += 1;
         let call = self.count;
@@ -834,17 +874,19 @@
     }
 
     /// The one place that every send passes: the six rules are enforced here.
-    fn send(&mut self, id: MsgId, to: EndpointId, call: u64, out: &mut dyn Writer) -> Option<Duration> {
+    fn send(&mut self, id: MessageId, to: EndpointId, call: u64, out: &mut dyn Actions) -> Option<Duration> {
         let now = self.now;
         let msg = self.msgs.get(&id)?;
         let ep = self.endpoints.get(&to)?;
         let route = self.routes.get(&self.route_of(to))?;
         let row = *self.row(msg);
-        let zonal = matches!(row.effect, Effect::Keyed { group: Group::Zone, .. });
+        let zonal =
+            matches!(row.idempotency, Idempotency::WithKey { scope: DeduplicationScope::SameZone, .. });
         let same_group = !zonal || msg.may_have_run.is_none_or(|(_, zone)| zone == ep.zone);
-        let one = !msg.ended && msg.deadline > now + MARGIN && msg.dst == ep.dst; // rule 1
+        let one = !msg.ended && msg.deadline > now + MARGIN && msg.destination == ep.dst; // rule 1
         let two = msg.out.is_none() && self.may_go_again(msg) && same_group; // rule 2
-        let four = route.cold_since.is_none() || route.cold.left > 0.0 || route.breaker != Breaker::Closed;
+        let four =
+            route.slow_start_since.is_none() || route.cold.left > 0.0 || route.breaker != Breaker::Closed;
         let five = self.in_turn(id, msg); // rule 5
         if !(one && two && four && five && self.may_reach(to, now)) {
             return None;
@@ -852,7 +894,7 @@
         let (zone, span, left) = (ep.zone, self.timeout(to, &row, msg.late), msg.deadline - now);
         // A slow host keeps answering: an overdue leg counts at once, is cut later. Harm: late after silence.
         let patient = left.mul_f64(PATIENCE).max(span).min(left);
-        let limit = if row.effect == Effect::NonRetriable { left } else { patient };
+        let limit = if row.idempotency == Idempotency::NotIdempotent { left } else { patient };
         // Guards against a repeat behind the memory: its connection came up late, or it was held up.
         let limit = self.known(msg).map_or(limit, |left| limit.min(left.saturating_sub(MARGIN)));
         let msg = self.msgs.get_mut(&id)?;
@@ -866,7 +908,7 @@
     /// used, as discovery may have told long before its list was heard (it was down, or this process was).
     pub fn may_reach(&self, to: EndpointId, now: Duration) -> bool {
         let Some(ep) = self.endpoints.get(&to) else { return false };
-        ep.off_since.is_none() && now >= self.routes[&self.route_of(to)].told_until
+        ep.off_since.is_none() && now >= self.routes[&self.route_of(to)].retry_after_until
     }
 
     fn learnt(&self, to: EndpointId) -> Option<Duration> {
@@ -875,8 +917,9 @@
         (n >= 3.0).then_some(span.max(TIMEOUT_LEAST))
     }
 
-    fn timeout(&self, to: EndpointId, row: &LaneFacts, late: u32) -> Duration {
-        let span = self.learnt(to).unwrap_or(row.target.mul_f64(TIMEOUT_UNKNOWN).max(TIMEOUT_LEAST));
+    fn timeout(&self, to: EndpointId, row: &MessageClass, late: u32) -> Duration {
+        let span =
+            self.learnt(to).unwrap_or(row.latency_objective.mul_f64(TIMEOUT_UNKNOWN).max(TIMEOUT_LEAST));
         span * 2u32.pow(late.min(4))
     }
 
@@ -885,24 +928,26 @@
     }
 
     /// Guards against tables full of kept connections, and ones that died idle. Costs handshakes.
-    fn leave_idle(&mut self, out: &mut dyn Writer) {
+    fn leave_idle(&mut self, out: &mut dyn Actions) {
         let (all, bad, _) = self.idle_ends.totals(self.now, 30);
         let stale = bad >= STALE_ENDS && bad >= STALE_SHARE * all;
         for id in std::mem::take(&mut self.ended_at) {
             let ep = &self.endpoints[&id];
             // Known too late if a crowd waits for a refusal: those who keep theirs are the ones not refused.
             let tight = self.found_room.get(&ep.kind).is_none_or(|n| *n < ROOM_SHOWN);
-            if ep.used_at > Duration::ZERO && (stale || (self.facts.relays > CROWD_TABLE && tight)) {
+            if ep.used_at > Duration::ZERO && (stale || (self.settings.relay_count > CROWD_TABLE && tight)) {
                 self.endpoints.entry(id).and_modify(|ep| ep.used_at = Duration::ZERO);
-                out.close_idle(id);
+                out.close_idle_connections(id);
             }
         }
     }
 
     /// Guards against tables that grow for good: forgets what is off and binds no rule; true if more is off.
-    fn forget(&mut self, out: &mut dyn Writer) -> bool {
-        let (now, f) = (self.now, &self.facts);
-        let binds = |r: &Route| now < r.told_until || r.cold_since.is_some_and(|at| now < at + f.warm_after);
+    fn forget(&mut self, out: &mut dyn Actions) -> bool {
+        let (now, f) = (self.now, &self.settings);
+        let binds = |r: &Route| {
+            now < r.retry_after_until || r.slow_start_since.is_some_and(|at| now < at + f.slow_start_duration)
+        };
         let off = |e: &Endpoint| e.out == 0 && e.off_since.is_some_and(|at| now >= at + f.drain_grace);
         let known = self.off.iter().filter_map(|id| Some((*id, self.endpoints.get(id)?)));
         let unused = known.filter(|(_, e)| off(e)).map(|(id, e)| (id, e.dst));
@@ -915,28 +960,28 @@
                 last.then(|| self.routes.remove(&route_id));
                 self.endpoints.remove(&id);
                 self.off.remove(&id);
-                out.forget(id);
+                out.forget_endpoint(id);
             }
         }
         !self.off.is_empty()
     }
 
     /// Guards against parked messages that keep live traffic out: those of least worth are pushed back.
-    fn make_room(&mut self, out: &mut dyn Writer) {
-        let most = (self.facts.max_held as f64 * HELD_MOST).max(1.0) as usize;
+    fn make_room(&mut self, out: &mut dyn Actions) {
+        let most = (self.settings.max_queued as f64 * HELD_MOST).max(1.0) as usize;
         let held = self.msgs.values().filter(|m| !m.ended).count();
         if held <= most {
             return;
         }
         // Rule 2: a pushback only where coming again is safe.
-        let again = |m: &Msg| m.may_have_run.is_none() || self.row(m).effect.repeats_anywhere();
-        let mut idle: Vec<(f64, MsgId)> = (self.msgs.iter())
+        let again = |m: &Msg| m.may_have_run.is_none() || self.row(m).idempotency.is_repeatable_anywhere();
+        let mut idle: Vec<(f64, MessageId)> = (self.msgs.iter())
             .filter(|(_, m)| !m.ended && m.out.is_none() && again(m) && !m.untried())
             .map(|(id, m)| (self.worth(m), *id))
             .collect();
         idle.sort_by(|a, b| a.0.total_cmp(&b.0));
         for (_, id) in idle.into_iter().take(held - most) {
-            let at_once = out.push_back(id, self.facts.max_pause);
+            let at_once = out.reject(id, self.settings.max_retry_after);
             self.end(id, at_once);
         }
     }
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -25,29 +25,29 @@
     char::from(to.0 as u8)
 }
 
-impl Writer for Decisions {
-    fn send(&mut self, msg: MsgId, to: EndpointId, _limit: Duration) {
+impl Actions for Decisions {
+    fn send(&mut self, msg: MessageId, to: EndpointId, _limit: Duration) {
         self.0.push(format!("send {} {}", msg.0, name(to)));
     }
-    fn push_back(&mut self, msg: MsgId, _pause: Duration) -> bool {
+    fn reject(&mut self, msg: MessageId, _pause: Duration) -> bool {
         self.0.push(format!("push {}", msg.0));
         !self.1
     }
-    fn fail(&mut self, msg: MsgId) -> bool {
+    fn fail(&mut self, msg: MessageId) -> bool {
         self.0.push(format!("fail {}", msg.0));
         !self.1
     }
-    fn recall(&mut self, msg: MsgId, _leg: LegNo) {
+    fn cancel(&mut self, msg: MessageId, _leg: AttemptNumber) {
         self.0.push(format!("recall {}", msg.0));
     }
-    fn close_idle(&mut self, to: EndpointId) {
+    fn close_idle_connections(&mut self, to: EndpointId) {
         self.0.push(format!("close {}", name(to)));
     }
-    fn forget(&mut self, endpoint: EndpointId) {
+    fn forget_endpoint(&mut self, endpoint: EndpointId) {
         self.2.then(|| self.0.push(format!("forget {}", name(endpoint))));
     }
-    fn wake(&mut self, _after: Duration) {}
-    fn watch(&mut self) {
+    fn wake_after(&mut self, _after: Duration) {}
+    fn poll_endpoints(&mut self) {
         self.0.push("watch".into());
     }
     fn log(&mut self, line: &str) {
@@ -71,81 +71,96 @@
     fn endpoint(&self, i: usize) -> EndpointId {
         EndpointId(u64::from(self.0[i].as_bytes()[0]))
     }
-    fn msg(&self) -> MsgId {
-        MsgId(self.0[1].parse().expect("a message's number"))
+    fn msg(&self) -> MessageId {
+        MessageId(self.0[1].parse().expect("a message's number"))
     }
 }
 
-fn lane(w: &Words) -> LaneFacts {
-    let group = if w.0.contains(&"zone") { Group::Zone } else { Group::All };
-    LaneFacts {
-        target: w.span("target", 2.0),
+fn message_class(w: &Words) -> MessageClass {
+    let group =
+        if w.0.contains(&"zone") { DeduplicationScope::SameZone } else { DeduplicationScope::AllEndpoints };
+    MessageClass {
+        latency_objective: w.span("target", 2.0),
         deadline: w.span("deadline", 20.0),
-        value: w.n("value", 1.0),
-        late_share: w.n("late", 0.3),
-        effect: match w.0[1] {
-            "retriable" => Effect::Retriable,
-            "keyed" => Effect::Keyed { memory: w.span("memory", 5.0), group },
-            _ => Effect::NonRetriable,
+        priority_weight: w.n("value", 1.0),
+        late_weight_share: w.n("late", 0.3),
+        idempotency: match w.0[1] {
+            "retriable" => Idempotency::Idempotent,
+            "keyed" => Idempotency::WithKey { window: w.span("memory", 5.0), scope: group },
+            _ => Idempotency::NotIdempotent,
         },
         in_order: w.0.contains(&"ordered"),
     }
 }
 
-fn facts(w: &Words, lanes: Vec<LaneFacts>, kinds: Vec<KindFacts>) -> StartupFacts {
-    StartupFacts {
+fn settings(
+    w: &Words,
+    classes: Vec<MessageClass>,
+    destination_kinds: Vec<DestinationKind>,
+) -> PolicySettings {
+    PolicySettings {
         seed: 7,
-        relays: w.n("relays", 1.0) as u32,
-        lanes,
-        kinds,
-        slots: w.n("slots", 20.0) as usize,
-        max_held: w.n("held", 100.0) as usize,
-        max_legs: w.n("legs", 8.0) as u8,
-        quotas: vec![w.n("quota", 1e6); 2],
-        listed_rate: if w.0.contains(&"untold") { ListedRate::Untold } else { ListedRate::Exact },
-        must_watch: w.0.contains(&"watch"),
-        ask_within: w.span("ask", 0.0),
-        may_recall: true,
-        max_pause: w.span("pause", 3.0),
+        relay_count: w.n("relays", 1.0) as u32,
+        classes,
+        destination_kinds,
+        max_calls_in_flight: w.n("slots", 20.0) as usize,
+        max_queued: w.n("held", 100.0) as usize,
+        max_attempts: w.n("legs", 8.0) as u8,
+        tenant_quotas: vec![w.n("quota", 1e6); 2],
+        listed_rate: if w.0.contains(&"untold") { ListedRate::Unknown } else { ListedRate::Exact },
+        must_poll: w.0.contains(&"watch"),
+        poll_interval: w.span("ask", 0.0),
+        may_cancel: true,
+        max_retry_after: w.span("pause", 3.0),
         drain_grace: Duration::from_secs(1),
-        order_pause: w.span("rest", 0.3),
-        cold_from: 0.3,
-        warm_after: Duration::from_secs(10),
-        fall_multiple: 1.5,
-        fall: Duration::from_secs(2),
-        ..StartupFacts::default()
+        order_hold_off: w.span("rest", 0.3),
+        slow_start_share: 0.3,
+        slow_start_duration: Duration::from_secs(10),
+        overload_multiple: 1.5,
+        overload_window: Duration::from_secs(2),
+        ..PolicySettings::default()
     }
 }
 
-fn event(r: &mut Relay, now: Duration, lanes: &[LaneFacts], text: &str) {
+fn event(r: &mut Relay, now: Duration, classes: &[MessageClass], text: &str) {
     let w = Words::new(text);
     match w.0[0] {
         how @ ("list" | "whole") => {
             if how == "whole" {
-                r.whole_list();
+                r.full_list();
             }
             let says = match w.0.get(2) {
-                Some(&"draining") => Listed::Draining,
-                Some(&"removed") => Listed::Gone,
-                _ => Listed::Ready,
+                Some(&"draining") => EndpointStatus::Draining,
+                Some(&"removed") => EndpointStatus::Removed,
+                _ => EndpointStatus::Ready,
             };
-            let (dst, zone) = (DstId(w.n("dst", 1.0) as u32), ZoneId(w.n("zone", 0.0) as u16));
-            r.entry(w.endpoint(1), dst, zone, KindId(w.n("kind", 0.0) as u16), says, w.n("rate", 1000.0));
+            let (dst, zone) = (DestinationId(w.n("dst", 1.0) as u32), ZoneId(w.n("zone", 0.0) as u16));
+            r.entry(
+                w.endpoint(1),
+                dst,
+                zone,
+                DestinationKindId(w.n("kind", 0.0) as u16),
+                says,
+                w.n("rate", 1000.0),
+            );
         }
         "msg" => {
             let (of, key) = (w.n("lane", 0.0) as u16, w.n("key", 0.0) as u64);
-            let deadline = now + lanes[of as usize].deadline;
-            let dst = DstId(w.n("dst", 1.0) as u32);
+            let deadline = now + classes[of as usize].deadline;
+            let destination = DestinationId(w.n("dst", 1.0) as u32);
             let tenant = TenantId(w.n("tenant", 0.0) as u32);
-            let (key, restored) = ((key > 0).then_some(Key(key)), w.0.contains(&"restored"));
-            r.message(w.msg(), HandIn { lane: LaneId(of), tenant, dst, key, deadline, restored });
+            let (key, restored) = ((key > 0).then_some(OrderingKey(key)), w.0.contains(&"restored"));
+            r.message(
+                w.msg(),
+                Submission { class: ClassId(of), tenant, destination, key, deadline, restored },
+            );
         }
         "end" => {
             let outcome = match w.0[3] {
                 "delivered" => Outcome::Delivered,
                 "error" => Outcome::Error,
-                "full" => Outcome::Full(w.span("wait", 0.0)),
-                "noroom" => Outcome::NoRoom,
+                "full" => Outcome::Rejected { retry_after: w.span("wait", 0.0) },
+                "noroom" => Outcome::ConnectionLimit,
                 "timeout" => Outcome::TimedOut,
                 "unconnected" => Outcome::ConnectFailed,
                 "reset" => Outcome::Reset,
@@ -158,12 +173,12 @@
         "gone" => r.over(w.msg()),
         "leg" => {
             let at = now.saturating_sub(w.span("ago", 0.0));
-            r.earlier_leg(w.msg(), ZoneId(w.n("zone", 0.0) as u16), at, !w.0.contains(&"refused"));
+            r.earlier_attempt(w.msg(), ZoneId(w.n("zone", 0.0) as u16), at, !w.0.contains(&"refused"));
         }
         "ended" => r.end(w.msg(), false),
-        "wait" => r.told_to_wait(w.endpoint(1), w.span("for", 0.0)),
-        "limit" => r.told_limit(w.endpoint(1), w.n("rate", 0.0)),
-        "oldlist" => r.list_may_be_old(),
+        "wait" => r.retry_after(w.endpoint(1), w.span("for", 0.0)),
+        "limit" => r.report_rate_limit(w.endpoint(1), w.n("rate", 0.0)),
+        "oldlist" => r.list_may_be_stale(),
         "listed" => r.listed(),
         "nolist" => r.watch_failed(None),
         other => panic!("no event {other}"),
@@ -234,7 +249,7 @@
 fn scenario(file: &str) {
     let path = format!("{}/tests/scenarios/{file}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
-    let (mut lanes, mut kinds, mut told) = (Vec::new(), Vec::new(), "facts");
+    let (mut classes, mut kinds, mut told) = (Vec::new(), Vec::new(), "facts");
     let (mut relay, mut now, mut out): (Option<Relay>, _, _) = (None, Duration::ZERO, Decisions::default());
     let mut checks = 0;
     for (at, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty() && !l.starts_with("# ")) {
@@ -242,14 +257,14 @@
         let seen = || format!("{file}:{}: {line}\nseen: {}", at + 1, out.0.join("; "));
         match word {
             "facts" => told = line,
-            "lane" => lanes.push(lane(&Words::new(line))),
+            "lane" => classes.push(message_class(&Words::new(line))),
             "kind" => {
                 let w = Words::new(line);
-                let own_limits = w.0.contains(&"apart");
-                kinds.push(KindFacts { own_limits, batch: w.n("batch", 1.0) as usize });
+                let independent_endpoints = w.0.contains(&"apart");
+                kinds.push(DestinationKind { independent_endpoints, max_batch: w.n("batch", 1.0) as usize });
             }
             "at" | "until" => {
-                let start = || Relay::new(facts(&Words::new(told), lanes.clone(), kinds.clone()));
+                let start = || Relay::new(settings(&Words::new(told), classes.clone(), kinds.clone()));
                 let relay = relay.get_or_insert_with(start);
                 let (time, events) = rest.split_once(':').unwrap_or((rest, ""));
                 let end = Duration::from_secs_f64(time.parse().unwrap_or_else(|_| panic!("{}", seen())));
@@ -260,7 +275,7 @@
                 }
                 now = end;
                 let events: Vec<&str> = events.split(';').filter(|e| !e.trim().is_empty()).collect();
-                relay.round(now, |r| events.iter().for_each(|e| event(r, now, &lanes, e)), &mut out);
+                relay.round(now, |r| events.iter().for_each(|e| event(r, now, &classes, e)), &mut out);
                 continue;
             }
             "=>" => assert_eq!(out.0.join("; "), rest, "{}", seen()),
