--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -2,7 +2,7 @@
 //! and starts again from it, in the way of the relay on sockets.
 
 use crate::Time;
-use crate::policy::{Policy, Tell, Truth};
+use crate::policy::{Policy, Truth};
 use crate::world::World;
 use mountshift::port::*;
 use mountshift_judge::{End, Fact, LegEnd, Listed as Said};
@@ -135,7 +135,7 @@
     policy: Option<Box<dyn Policy>>,
     desk: Desk,
     pub inbox: Vec<Came>,
-    tells: Vec<Tell>,
+    inputs: Vec<Input>,
     pub last_round: Time,
     pub up: bool,
     /// Its process has a watch that stands.
@@ -214,7 +214,7 @@
         false
     }
 
-    fn take(&mut self, came: Came, tells: &mut Vec<Tell>) {
+    fn take(&mut self, came: Came, inputs: &mut Vec<Input>) {
         match came {
             Came::Message { msg, lane, tenant, dst, key, deadline } => {
                 if self.spool.len() >= self.held_most {
@@ -234,26 +234,26 @@
                 let kept = Kept { hand_in, deadline: self.unix(deadline), legs: Vec::new(), owed: None };
                 self.spool.insert(msg, kept);
                 self.asking.push(msg);
-                tells.push(Tell::Message(MessageId(msg), hand_in));
+                inputs.push(Input::Submitted { message: MessageId(msg), submission: hand_in });
             }
             Came::Gone(msg) | Came::Noticed(msg) => {
                 self.spool.remove(&msg);
-                tells.push(Tell::Over(MessageId(msg)));
+                inputs.push(Input::Closed(MessageId(msg)));
             }
-            Came::Ended { call, ends, wait } => self.take_ends(call, ends, wait, tells),
-            Came::Whole => tells.push(Tell::WholeList),
-            Came::Listed { endpoint, says } => self.take_listed(endpoint, says, tells),
-            Came::WatchFailed => tells.push(Tell::WatchFailed),
+            Came::Ended { call, ends, wait } => self.take_ends(call, ends, wait, inputs),
+            Came::Whole => inputs.extend([Input::FullListBegins, Input::ListReceived]),
+            Came::Listed { endpoint, says } => self.take_listed(endpoint, says, inputs),
+            Came::WatchFailed => inputs.push(Input::PollFailed { retry_after: None }),
         }
     }
 
-    fn take_ends(&mut self, call: u64, ends: Vec<(u64, Outcome, bool)>, wait: Time, tells: &mut Vec<Tell>) {
+    fn take_ends(&mut self, call: u64, ends: Vec<(u64, Outcome, bool)>, wait: Time, inputs: &mut Vec<Input>) {
         let Some(out) = self.calls.remove(&call) else { return };
         let to = EndpointId(u64::from(out.to) + 1);
         if wait > 0 {
             let told = Fact::WaitTold { relay: self.me, endpoint: out.to, wait };
             self.acts.push(Act::Fact(told));
-            tells.push(Tell::Wait { to, wait: Duration::from_micros(wait) });
+            inputs.push(Input::RetryAfter { endpoint: to, span: Duration::from_micros(wait) });
         }
         let waited = Duration::from_micros(self.now.saturating_sub(out.sent));
         for (msg, outcome, over) in ends {
@@ -276,32 +276,38 @@
             if over {
                 self.spool.remove(&msg);
             }
-            tells.push(Tell::Outcome { msg: MessageId(msg), to, waited, outcome, over });
+            inputs.push(Input::AttemptEnded {
+                message: MessageId(msg),
+                endpoint: to,
+                waited,
+                outcome,
+                closed: over,
+            });
         }
     }
 
-    fn take_listed(&mut self, endpoint: u32, says: EndpointStatus, tells: &mut Vec<Tell>) {
+    fn take_listed(&mut self, endpoint: u32, says: EndpointStatus, inputs: &mut Vec<Input>) {
         let Some(entry) = self.listed.get_mut(&endpoint) else { return };
         entry.says = says;
         let entry = *entry;
-        self.tell_entry(endpoint, entry, tells);
+        self.tell_entry(endpoint, entry, inputs);
     }
 
-    fn tell_entry(&mut self, endpoint: u32, e: Entry, tells: &mut Vec<Tell>) {
+    fn tell_entry(&mut self, endpoint: u32, e: Entry, inputs: &mut Vec<Input>) {
         let listed = match e.says {
             EndpointStatus::Ready => Said::Ready,
             EndpointStatus::Draining => Said::Draining,
             EndpointStatus::Removed => Said::Gone,
         };
         self.acts.push(Act::Fact(Fact::Told { relay: self.me, endpoint, listed }));
-        tells.push(Tell::Entry {
-            id: EndpointId(u64::from(endpoint) + 1),
-            dst: DestinationId(e.dst),
+        inputs.push(Input::EndpointListed(ListedEndpoint {
+            endpoint: EndpointId(u64::from(endpoint) + 1),
+            destination: DestinationId(e.dst),
             zone: ZoneId(e.zone.into()),
             kind: DestinationKindId(e.kind),
-            listed: e.says,
+            status: e.says,
             rate: e.rate,
-        });
+        }));
     }
 
     /// Writes what was decided into the spool, then lets it out.
@@ -360,7 +366,7 @@
             policy: None,
             desk,
             inbox: Vec::new(),
-            tells: Vec::new(),
+            inputs: Vec::new(),
             last_round: 0,
             up: false,
             watching: false,
@@ -388,22 +394,25 @@
         self.starts += 1;
         (self.up, self.stalled_until) = (true, 0);
         desk.acts.push(Act::Fact(Fact::RelayUp { relay: desk.me }));
-        self.tells.push(Tell::WholeList);
+        self.inputs.extend([Input::FullListBegins, Input::ListReceived]);
         let known: Vec<(u32, Entry)> = desk.listed.iter().map(|(id, e)| (*id, *e)).collect();
-        known.into_iter().for_each(|(id, e)| desk.tell_entry(id, e, &mut self.tells));
+        known.into_iter().for_each(|(id, e)| desk.tell_entry(id, e, &mut self.inputs));
         let kept: Vec<(u64, Kept)> = desk.spool.iter().map(|(msg, k)| (*msg, k.clone())).collect();
         for (msg, k) in kept {
             let id = MessageId(msg);
             let deadline = desk.clock.at_unix(k.deadline);
-            self.tells.push(Tell::Message(id, Submission { deadline, restored: true, ..k.hand_in }));
+            self.inputs.push(Input::Submitted {
+                message: id,
+                submission: Submission { deadline, restored: true, ..k.hand_in },
+            });
             if let Some(end) = k.owed {
                 desk.acts.push(Act::Fact(Fact::Ended { msg, relay: desk.me, end }));
                 desk.acts.push(Act::Notice { msg, end });
-                self.tells.push(Tell::EndOwed(id));
+                self.inputs.push(Input::FinalAnswerPending(id));
             }
             for (zone, at, may_have_run) in k.legs {
                 let at = desk.clock.at_unix(at);
-                self.tells.push(Tell::EarlierLeg { msg: id, zone, at, may_have_run });
+                self.inputs.push(Input::EarlierAttempt { message: id, zone, at, may_have_run });
             }
         }
         self.round(now, truth);
@@ -413,7 +422,7 @@
         self.desk.keep_log = true;
     }
 
-    /// What the list tells of an endpoint that this relay may not know yet.
+    /// What the list inputs of an endpoint that this relay may not know yet.
     pub fn learn(&mut self, world: &World, place: &crate::world::Place, endpoint: u32, says: EndpointStatus) {
         let rate = world.listed_rate(place);
         let entry = Entry { says, dst: place.dst, zone: place.zone, kind: place.group as u16, rate };
@@ -436,11 +445,11 @@
         (desk.now, self.last_round) = (now, now);
         desk.wake.take_if(|at| *at <= now);
         for came in self.inbox.drain(..) {
-            desk.take(came, &mut self.tells);
+            desk.take(came, &mut self.inputs);
         }
         let at = desk.clock.at(now);
         if let Some(policy) = self.policy.as_mut() {
-            policy.round(at, &mut self.tells, truth, desk);
+            policy.step(at, &mut self.inputs, truth, desk);
         }
         desk.carry_out();
     }
@@ -455,7 +464,7 @@
         self.policy = None;
         (self.up, self.watching) = (false, false);
         self.inbox.clear();
-        self.tells.clear();
+        self.inputs.clear();
         self.desk.calls.clear();
         self.desk.asking.clear();
         self.desk.wake = None;
--- a/crates/lab/src/policies/law.rs
+++ b/crates/lab/src/policies/law.rs
@@ -1,6 +1,5 @@
 //! What every baseline keeps: one leg at a time, order by key, drains, waits, and ends in time.
 
-use crate::policy::Tell;
 use mountshift::port::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -71,10 +70,10 @@
         (e.dst, apart.then_some(id))
     }
 
-    pub fn take(&mut self, tell: Tell) {
+    pub fn take(&mut self, input: Input) {
         let now = self.now;
-        match tell {
-            Tell::Message(id, hand_in) => {
+        match input {
+            Input::Submitted { message: id, submission: hand_in } => {
                 let in_order = self.facts.classes[usize::from(hand_in.class.0)].in_order;
                 let hand_in = Submission { key: hand_in.key.filter(|_| in_order), ..hand_in };
                 if let Some(key) = hand_in.key {
@@ -84,7 +83,7 @@
                 self.msgs.insert(id, msg);
                 self.idle.insert(id);
             }
-            Tell::EarlierLeg { msg, zone, at, may_have_run } => {
+            Input::EarlierAttempt { message: msg, zone, at, may_have_run } => {
                 let Some(m) = self.msgs.get_mut(&msg) else { return };
                 m.legs += 1;
                 m.ran += u32::from(may_have_run);
@@ -92,11 +91,11 @@
                 let key = m.hand_in.key.filter(|_| may_have_run);
                 self.rest(key, msg);
             }
-            Tell::EndOwed(id) => {
+            Input::FinalAnswerPending(id) => {
                 self.idle.remove(&id);
                 self.msgs.get_mut(&id).into_iter().for_each(|m| m.ended = true);
             }
-            Tell::Outcome { msg, outcome, over, to, .. } => {
+            Input::AttemptEnded { message: msg, outcome, closed: over, endpoint: to, .. } => {
                 let Some(m) = self.msgs.get_mut(&msg).filter(|m| m.out.is_some()) else { return };
                 m.out = None;
                 m.ran -= u32::from(outcome.never_ran());
@@ -116,19 +115,33 @@
                     self.idle.insert(msg);
                 }
             }
-            Tell::Wait { to, wait } => self.wait(to, wait),
-            Tell::WholeList => {
+            Input::RetryAfter { endpoint, span } => self.wait(endpoint, span),
+            Input::FullListBegins => {
                 self.endpoints.values_mut().for_each(|e| e.off_since = e.off_since.or(Some(now)));
             }
-            Tell::Entry { id, dst, zone, kind, listed, .. } => {
+            Input::EndpointListed(ListedEndpoint {
+                endpoint: id,
+                destination: dst,
+                zone,
+                kind,
+                status: listed,
+                ..
+            }) => {
                 let e = self.endpoints.entry(id).or_insert_with(|| {
                     self.near.entry(dst).or_default().push(id);
                     Endpoint { dst, zone, kind, off_since: None, out: 0 }
                 });
                 e.off_since = if listed == EndpointStatus::Ready { None } else { e.off_since.or(Some(now)) };
             }
-            Tell::WatchFailed => {}
-            Tell::Over(id) => self.over(id),
+            Input::Closed(id) => self.over(id),
+            // The baselines poll nothing, and nothing of theirs outlives a process.
+            Input::RateLimitReported { .. }
+            | Input::ListReceived
+            | Input::ListMayBeStale
+            | Input::PollFailed { .. }
+            | Input::EndpointRestarted(_)
+            | Input::HandoverStarted
+            | Input::RoutesRestored(_) => {}
         }
     }
 
--- a/crates/lab/src/policies/mod.rs
+++ b/crates/lab/src/policies/mod.rs
@@ -3,7 +3,7 @@
 
 mod law;
 
-use crate::policy::{Policy, Tell, Truth};
+use crate::policy::{Policy, Truth};
 use law::Law;
 use mountshift::port::*;
 use std::collections::BTreeMap;
@@ -152,22 +152,22 @@
 }
 
 impl Policy for Baseline {
-    fn round(
+    fn step(
         &mut self,
         now: Duration,
-        tells: &mut Vec<Tell>,
+        inputs: &mut Vec<Input>,
         mut truth: Option<&mut Truth>,
         out: &mut dyn Actions,
     ) {
         self.law.now = now;
         self.round.clear();
-        for tell in tells.drain(..) {
-            if let Tell::Outcome { msg, outcome, .. } = tell
+        for input in inputs.drain(..) {
+            if let Input::AttemptEnded { message: msg, outcome, .. } = input
                 && let Some(dst) = self.law.destination(msg)
             {
                 self.ended(msg, dst, outcome);
             }
-            self.law.take(tell);
+            self.law.take(input);
         }
         let once = self.style == Style::OneTry;
         self.law.end_spent(out, |id| once && self.pauses.contains_key(&id));
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -2,46 +2,10 @@
 
 use crate::policies::{Baseline, Style};
 use mountshift::port::*;
-use mountshift::rules::Relay;
+use mountshift::rules::DeliveryPolicy;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// What a relay is told in a round; the calls of `mountshift::rules::Relay`, by name.
-#[derive(Clone, Copy, Debug)]
-pub enum Tell {
-    Message(MessageId, Submission),
-    EarlierLeg {
-        msg: MessageId,
-        zone: ZoneId,
-        at: Duration,
-        may_have_run: bool,
-    },
-    /// Its end was given before a restart and has not been taken.
-    EndOwed(MessageId),
-    Outcome {
-        msg: MessageId,
-        to: EndpointId,
-        waited: Duration,
-        outcome: Outcome,
-        over: bool,
-    },
-    Wait {
-        to: EndpointId,
-        wait: Duration,
-    },
-    WholeList,
-    Entry {
-        id: EndpointId,
-        dst: DestinationId,
-        zone: ZoneId,
-        kind: DestinationKindId,
-        listed: EndpointStatus,
-        rate: f64,
-    },
-    WatchFailed,
-    Over(MessageId),
-}
-
 /// The true state of all, for the policy that sees it.
 #[derive(Clone, Debug, Default)]
 pub struct Truth {
@@ -62,38 +26,21 @@
     pub stale: bool,
 }
 
-/// Decides for one relay, one call a round.
+/// Decides for one relay, one call a step.
 pub trait Policy: Send {
-    /// Takes in what came since the last round, empties it, decides.
-    fn round(
+    /// Takes in what came since the last step, empties it, decides.
+    fn step(
         &mut self,
         now: Duration,
-        tells: &mut Vec<Tell>,
+        inputs: &mut Vec<Input>,
         truth: Option<&mut Truth>,
         out: &mut dyn Actions,
     );
 }
 
-impl Policy for Relay {
-    fn round(&mut self, now: Duration, tells: &mut Vec<Tell>, _: Option<&mut Truth>, out: &mut dyn Actions) {
-        Relay::round(self, now, |r| tells.drain(..).for_each(|tell| take(r, tell)), out);
-    }
-}
-
-fn take(r: &mut Relay, tell: Tell) {
-    match tell {
-        Tell::Message(id, hand_in) => r.message(id, hand_in),
-        Tell::EarlierLeg { msg, zone, at, may_have_run } => r.earlier_attempt(msg, zone, at, may_have_run),
-        Tell::EndOwed(msg) => r.end(msg, false),
-        Tell::Outcome { msg, to, waited, outcome, over } => r.outcome(msg, to, waited, outcome, over),
-        Tell::Wait { to, wait } => r.retry_after(to, wait),
-        Tell::WholeList => {
-            r.full_list();
-            r.listed();
-        }
-        Tell::Entry { id, dst, zone, kind, listed, rate } => r.entry(id, dst, zone, kind, listed, rate),
-        Tell::WatchFailed => r.watch_failed(None),
-        Tell::Over(msg) => r.over(msg),
+impl Policy for DeliveryPolicy {
+    fn step(&mut self, now: Duration, inputs: &mut Vec<Input>, _: Option<&mut Truth>, out: &mut dyn Actions) {
+        DeliveryPolicy::step(self, now, inputs.drain(..), out);
     }
 }
 
@@ -146,9 +93,9 @@
     }
 
     /// One for a relay that starts.
-    pub fn make(self, facts: PolicySettings) -> Box<dyn Policy> {
+    pub fn make(self, settings: PolicySettings) -> Box<dyn Policy> {
         let style = match self {
-            Which::Mountshift => return Box::new(Relay::new(facts)),
+            Which::Mountshift => return Box::new(DeliveryPolicy::new(settings)),
             Which::OneTry => Style::OneTry,
             Which::Backoff => Style::Backoff,
             Which::RetryBudget => Style::Budget,
@@ -156,6 +103,6 @@
             Which::LeastOut => Style::LeastOut,
             Which::SeesAll => Style::SeesAll,
         };
-        Box::new(Baseline::new(style, facts))
+        Box::new(Baseline::new(style, settings))
     }
 }
--- a/crates/lab/tests/sabotage.rs
+++ b/crates/lab/tests/sabotage.rs
@@ -2,10 +2,10 @@
 //! judge must name that rule; the same day without the lie must be clean.
 
 use mountshift::port::*;
-use mountshift::rules::Relay;
+use mountshift::rules::DeliveryPolicy;
 use mountshift_lab::day::{Day, Play};
 use mountshift_lab::outcome::DayOutcome;
-use mountshift_lab::policy::{Policy, Tell, Truth, Which};
+use mountshift_lab::policy::{Policy, Truth, Which};
 use mountshift_scenario::Scenario;
 use std::time::Duration;
 use test_case::test_case;
@@ -48,7 +48,7 @@
 }
 
 struct Liar {
-    relay: Relay,
+    policy: DeliveryPolicy,
     lie: Lie,
 }
 
@@ -131,29 +131,29 @@
         Lie::Cold => (facts.relay_count, facts.slow_start_share, facts.overload_multiple) = (1, 1.0, 100.0),
         _ => {}
     }
-    Box::new(Liar { relay: Relay::new(facts), lie })
+    Box::new(Liar { policy: DeliveryPolicy::new(facts), lie })
 }
 
 impl Policy for Liar {
-    fn round(&mut self, now: Duration, tells: &mut Vec<Tell>, _: Option<&mut Truth>, out: &mut dyn Actions) {
+    fn step(&mut self, now: Duration, inputs: &mut Vec<Input>, _: Option<&mut Truth>, out: &mut dyn Actions) {
         let lie = self.lie;
         let mut peers = Vec::new();
-        tells.retain_mut(|tell| match tell {
-            Tell::Message(_, hand_in) if lie == Lie::Deadline => {
-                hand_in.deadline += Duration::from_secs(3);
+        inputs.retain_mut(|input| match input {
+            Input::Submitted { submission, .. } if lie == Lie::Deadline => {
+                submission.deadline += Duration::from_secs(3);
                 true
             }
-            Tell::Message(_, hand_in) if lie == Lie::GiveUp && hand_in.restored => {
-                hand_in.deadline = now;
+            Input::Submitted { submission, .. } if lie == Lie::GiveUp && submission.restored => {
+                submission.deadline = now;
                 true
             }
-            Tell::EarlierLeg { .. } => lie != Lie::Amnesia,
-            Tell::Entry { listed, .. } if lie == Lie::Drains => {
-                *listed = EndpointStatus::Ready;
+            Input::EarlierAttempt { .. } => lie != Lie::Amnesia,
+            Input::EndpointListed(listed) if lie == Lie::Drains => {
+                listed.status = EndpointStatus::Ready;
                 true
             }
-            Tell::Wait { .. } => lie != Lie::Waits,
-            Tell::Outcome { outcome, .. } if lie == Lie::Waits => {
+            Input::RetryAfter { .. } => lie != Lie::Waits,
+            Input::AttemptEnded { outcome, .. } if lie == Lie::Waits => {
                 if let Outcome::Rejected { retry_after: wait } = outcome {
                     *wait = Duration::ZERO;
                 }
@@ -165,7 +165,7 @@
             peers = (1..=200).map(EndpointId).collect();
         }
         let mut meddler = Meddler { out, lie, peers, last: None };
-        Policy::round(&mut self.relay, now, tells, None, &mut meddler);
+        Policy::step(&mut self.policy, now, inputs, None, &mut meddler);
     }
 }
 
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -11,7 +11,7 @@
 use futures_lite::FutureExt;
 use log::{debug, error, info, warn};
 use mountshift::port::*;
-use mountshift::rules::Relay;
+use mountshift::rules::DeliveryPolicy;
 use mountshift_handover::{Route, Snapshot, Stopping};
 use mountshift_members::{Book, Entry, List};
 use mountshift_orders::{Change, Orders};
@@ -102,9 +102,6 @@
     task: Option<Task<()>>,
 }
 
-/// Calls into the decisions, gathered for a round.
-type Tell = Box<dyn FnOnce(&mut Relay)>;
-
 /// Takes the decisions and holds what they are about.
 struct Desk {
     clock: Clock,
@@ -280,54 +277,54 @@
         })
     }
 
-    /// Takes an event in; what the decisions must know goes into `tell`.
-    fn take(&mut self, event: Event, tell: &mut Vec<Tell>) {
+    /// Takes an event in; what the decisions must know goes into `inputs`.
+    fn take(&mut self, event: Event, inputs: &mut Vec<Input>) {
         match event {
-            Event::Message(message, asking) => self.take_message(message, asking, tell),
+            Event::Message(message, asking) => self.take_message(message, asking, inputs),
             // Its client will hand it in again: it is nobody's any more.
-            Event::Gone(msg) => self.take_over(msg, tell),
+            Event::Gone(msg) => self.take_over(msg, inputs),
             Event::Ended(call, ends) => {
                 if let Some(to) = self.calls.get(&call).map(|out| out.to) {
                     ends.wait
                         .into_iter()
-                        .for_each(|wait| tell.push(Box::new(move |r| r.retry_after(to, wait))));
+                        .for_each(|wait| inputs.push(Input::RetryAfter { endpoint: to, span: wait }));
                     let name = self.settings.rate_limit_field.as_deref();
                     let limit =
                         name.zip(ends.report.as_deref()).and_then(|(name, text)| endpoints::told(text, name));
                     limit
                         .into_iter()
-                        .for_each(|rate| tell.push(Box::new(move |r| r.report_rate_limit(to, rate))));
+                        .for_each(|rate| inputs.push(Input::RateLimitReported { endpoint: to, rate }));
                 }
-                ends.ends.into_iter().for_each(|end| self.take_end(call, end, tell));
+                ends.ends.into_iter().for_each(|end| self.take_end(call, end, inputs));
             }
             Event::List(Ok(list)) => {
-                self.take_list(list, tell);
-                tell.push(Box::new(Relay::listed));
+                self.take_list(list, inputs);
+                inputs.push(Input::ListReceived);
             }
-            Event::List(Err(wait)) => tell.push(Box::new(move |r| r.watch_failed(wait))),
+            Event::List(Err(wait)) => inputs.push(Input::PollFailed { retry_after: wait }),
             Event::Noticed(taken) => {
                 taken.iter().for_each(|msg| self.remember(*msg));
-                taken.into_iter().for_each(|msg| self.take_over(msg, tell));
+                taken.into_iter().for_each(|msg| self.take_over(msg, inputs));
             }
             Event::Late(to, asking) => self.late.push((to, asking)),
-            Event::Orders(change) => self.take_orders(change, tell),
+            Event::Orders(change) => self.take_orders(change, inputs),
             Event::Stop(how) => {
                 self.orders.borrow_mut().stopping();
                 // A process beside this one takes over what is held: nothing more goes out from here.
                 if how.leaves_held {
                     info!("hands over to the process beside it");
-                    tell.push(Box::new(Relay::start_handover));
+                    inputs.push(Input::HandoverStarted);
                 }
             }
         }
     }
 
-    fn take_over(&mut self, msg: MessageId, tell: &mut Vec<Tell>) {
+    fn take_over(&mut self, msg: MessageId, inputs: &mut Vec<Input>) {
         self.over(msg);
-        tell.push(Box::new(move |r| r.over(msg)));
+        inputs.push(Input::Closed(msg));
     }
 
-    fn take_message(&mut self, m: HandedIn, asking: Sender<Answer>, tell: &mut Vec<Tell>) {
+    fn take_message(&mut self, m: HandedIn, asking: Sender<Answer>, inputs: &mut Vec<Input>) {
         let deadline = self.clock.at(m.at) + m.told.left;
         let Some(hand_in) = self.hand_in(&m.told, m.key, deadline) else {
             let _ = asking.try_send(Answer::Failed("c names no class"));
@@ -365,10 +362,10 @@
         self.full = false;
         self.by_name.insert(name, msg);
         self.asking.insert(msg, asking);
-        tell.push(Box::new(move |r| r.message(msg, hand_in)));
+        inputs.push(Input::Submitted { message: msg, submission: hand_in });
     }
 
-    fn take_end(&mut self, call: u64, (msg, outcome, over): End, tell: &mut Vec<Tell>) {
+    fn take_end(&mut self, call: u64, (msg, outcome, over): End, inputs: &mut Vec<Input>) {
         let Some(out) = self.calls.get_mut(&call).filter(|out| out.legs.contains(&msg)) else { return };
         out.legs.remove(&msg);
         let (to, waited) = (out.to, self.now.saturating_sub(out.sent));
@@ -383,13 +380,13 @@
             self.remember(msg);
             self.over(msg);
         }
-        tell.push(Box::new(move |r| r.outcome(msg, to, waited, outcome, over)));
+        inputs.push(Input::AttemptEnded { message: msg, endpoint: to, waited, outcome, closed: over });
     }
 
-    fn take_list(&mut self, mut list: Members, tell: &mut Vec<Tell>) {
+    fn take_list(&mut self, mut list: Members, inputs: &mut Vec<Input>) {
         self.take_down(&mut list);
         if list.whole {
-            tell.push(Box::new(Relay::full_list));
+            inputs.push(Input::FullListBegins);
         }
         for member in &list.members {
             self.orders.borrow_mut().listed(&member.id);
@@ -400,7 +397,14 @@
             }
             let Some(e) = self.endpoints.get(id) else { continue };
             let (dst, zone, kind, rate) = (e.dst, e.zone, e.kind, member.size);
-            tell.push(Box::new(move |r| r.entry(id, dst, zone, kind, says, rate)));
+            inputs.push(Input::EndpointListed(ListedEndpoint {
+                endpoint: id,
+                destination: dst,
+                zone,
+                kind,
+                status: says,
+                rate,
+            }));
         }
     }
 
@@ -437,7 +441,7 @@
         }
     }
 
-    fn take_orders(&mut self, change: Change, tell: &mut Vec<Tell>) {
+    fn take_orders(&mut self, change: Change, inputs: &mut Vec<Input>) {
         let (Change::Out(name) | Change::Back(name)) = &change else { return };
         write_orders(&self.out_file, &self.orders.borrow());
         // Guards against an endpoint that the decisions forgot while it was out: put back, it is known again.
@@ -448,14 +452,21 @@
         };
         let Some(e) = self.endpoints.get(id) else { return };
         let (dst, zone, kind, rate, says) = (e.dst, e.zone, e.kind, e.rate, self.as_ordered(name, e.listed));
-        tell.push(Box::new(move |r| r.entry(id, dst, zone, kind, says, rate)));
+        inputs.push(Input::EndpointListed(ListedEndpoint {
+            endpoint: id,
+            destination: dst,
+            zone,
+            kind,
+            status: says,
+            rate,
+        }));
         if matches!(change, Change::Back(_)) {
-            tell.push(Box::new(move |r| r.endpoint_restarted(id)));
+            inputs.push(Input::EndpointRestarted(id));
         }
     }
 
     /// Tells what an earlier process of the relay left (rules 4 and 6 run on over an upgrade).
-    fn restore_routes(&mut self, snapshot: Snapshot, tell: &mut Vec<Tell>) {
+    fn restore_routes(&mut self, snapshot: Snapshot, inputs: &mut Vec<Input>) {
         let snapshot = snapshot.binding(self.clock.unix_ms(self.now));
         debug!("carried at {}: {}", self.clock.unix_ms(self.now), snapshot.written());
         let at = |ms: u64| {
@@ -479,11 +490,11 @@
             });
         }
         info!("carries {} routes over from the process before", carried.len());
-        tell.push(Box::new(move |r| r.restore_routes(&carried)));
+        inputs.push(Input::RoutesRestored(carried));
     }
 
     /// Tells of everything that the spool holds from before.
-    fn restore(&mut self, tell: &mut Vec<Tell>) {
+    fn restore(&mut self, inputs: &mut Vec<Input>) {
         let kept: Vec<_> =
             self.spool.borrow().live().iter().map(|(n, k)| (MessageId(*n), k.clone())).collect();
         for (msg, kept) in kept {
@@ -495,14 +506,14 @@
             let owed = kept.owed.or(if hand_in.is_none() { Some(Owed::Failed) } else { None });
             owed.into_iter().for_each(|end| self.notify(msg, end));
             let Some(hand_in) = hand_in.map(|h| Submission { restored: true, ..h }) else { continue };
-            tell.push(Box::new(move |r| r.message(msg, hand_in)));
+            inputs.push(Input::Submitted { message: msg, submission: hand_in });
             if owed.is_some() {
                 // Its end is not taken yet: it still holds back the rest of its key.
-                tell.push(Box::new(move |r| r.end(msg, false)));
+                inputs.push(Input::FinalAnswerPending(msg));
             }
             for leg in kept.legs {
                 let (zone, at) = (self.endpoints.zone(&leg.zone), self.clock.at_unix_ms(leg.at));
-                tell.push(Box::new(move |r| r.earlier_attempt(msg, zone, at, leg.may_have_run)));
+                inputs.push(Input::EarlierAttempt { message: msg, zone, at, may_have_run: leg.may_have_run });
             }
         }
     }
@@ -635,7 +646,7 @@
 }
 
 pub struct Host {
-    relay: Relay,
+    policy: DeliveryPolicy,
     desk: Desk,
     came: Receiver<Event>,
     stopping: Option<(Instant, Stopping)>,
@@ -677,9 +688,9 @@
             book_file: parts.book_file,
             book_most: parts.book_most,
         };
-        let relay = Relay::new(parts.policy_settings);
+        let policy = DeliveryPolicy::new(parts.policy_settings);
         let mut host = Host {
-            relay,
+            policy,
             desk,
             came: parts.events.1,
             stopping: None,
@@ -687,22 +698,22 @@
             leaving: parts.leaving,
             end: parts.end,
         };
-        let mut tell = Vec::new();
-        parts.known.into_iter().for_each(|list| host.desk.take_list(list, &mut tell));
-        tell.push(Box::new(Relay::list_may_be_stale));
-        parts.carried.into_iter().for_each(|snapshot| host.desk.restore_routes(snapshot, &mut tell));
-        host.desk.restore(&mut tell);
-        host.round(tell);
+        let mut inputs = Vec::new();
+        parts.known.into_iter().for_each(|list| host.desk.take_list(list, &mut inputs));
+        inputs.push(Input::ListMayBeStale);
+        parts.carried.into_iter().for_each(|snapshot| host.desk.restore_routes(snapshot, &mut inputs));
+        host.desk.restore(&mut inputs);
+        host.round(inputs);
         host
     }
 
-    fn round(&mut self, tell: Vec<Tell>) {
+    fn round(&mut self, inputs: Vec<Input>) {
         let now = self.desk.now;
         self.desk.wake.take_if(|at| *at <= now);
-        self.relay.round(now, |r| tell.into_iter().for_each(|t| t(r)), &mut self.desk);
+        self.policy.step(now, inputs, &mut self.desk);
         self.desk.carry_out();
         for (to, asking) in std::mem::take(&mut self.desk.late) {
-            let _ = asking.try_send(self.relay.may_reach(to, now));
+            let _ = asking.try_send(self.policy.may_send_to(to, now));
         }
     }
 
@@ -715,13 +726,13 @@
         loop {
             // Everything that can go on has its turn meanwhile.
             Timer::after(STOP_LOOK / 4).await;
-            let mut tell = Vec::new();
+            let mut inputs = Vec::new();
             while let Ok(event) = self.came.try_recv() {
-                self.desk.take(event, &mut tell);
+                self.desk.take(event, &mut inputs);
             }
             self.desk.carry_out();
             self.desk.late.clear();
-            if Instant::now() >= by || (self.clients.get() == 0 && tell.is_empty()) {
+            if Instant::now() >= by || (self.clients.get() == 0 && inputs.is_empty()) {
                 break;
             }
         }
@@ -771,14 +782,14 @@
                 continue;
             }
             self.desk.now = self.desk.clock.at(Instant::now());
-            let mut tell = Vec::new();
-            came.into_iter().for_each(|event| self.desk.take(event, &mut tell));
+            let mut inputs = Vec::new();
+            came.into_iter().for_each(|event| self.desk.take(event, &mut inputs));
             let (stopped, how) = self
                 .stopping
                 .map_or((Duration::ZERO, mountshift_handover::RESTART), |(at, how)| (at.elapsed(), how));
             // In a handover the decisions go on, sending nothing: ends that fall due are still told.
             if stopped < how.legs || how.leaves_held {
-                self.round(tell);
+                self.round(inputs);
             } else {
                 // Nothing more is decided: ends are noted, what is held waits in the spool for the next start.
                 self.desk.carry_out();
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -4,7 +4,7 @@
 mod wire;
 
 use mountshift::port::*;
-use mountshift::rules::Relay;
+use mountshift::rules::DeliveryPolicy;
 use mountshift_settings::FlatSettings;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -19,7 +19,7 @@
 /// An event that came for an instance: its code, its fields, and the list that it names.
 type Event<'a> = (u16, &'a [u8], Option<List>);
 /// The instances: the decisions of each, and its start on the wire's clock.
-type Relays = BTreeMap<u32, (Relay, u64, Option<usize>)>;
+type Relays = BTreeMap<u32, (DeliveryPolicy, u64, Option<usize>)>;
 
 fn main() -> ExitCode {
     match serve(&mut io::stdin().lock(), &mut io::stdout().lock()) {
@@ -97,11 +97,11 @@
                 let n = fields.u32("options")? as usize;
                 let options = std::str::from_utf8(fields.bytes(n, "options")?);
                 let options = FlatSettings::from_text(options.map_err(|_| "HELLO: options are not UTF-8")?);
-                let facts = mountshift_settings::policy_settings(&options, RelayId(id), seed);
-                let facts = facts.map_err(|e| format!("HELLO: {e}"))?;
+                let settings = mountshift_settings::policy_settings(&options, RelayId(id), seed);
+                let settings = settings.map_err(|e| format!("HELLO: {e}"))?;
                 let limit =
                     mountshift_settings::rate_limit_field(&options).map_err(|e| format!("HELLO: {e}"))?;
-                relays.insert(id, (Relay::new(facts), clock, limit.map(|l| l.0)));
+                relays.insert(id, (DeliveryPolicy::new(settings), clock, limit.map(|l| l.0)));
                 came.remove(&id);
             }
             wire::STOP => {
@@ -123,22 +123,21 @@
     }
     for (id, events) in came {
         // What names an instance that does not run is ignored.
-        let Some((relay, start, limit)) = relays.get_mut(&id) else { continue };
+        let Some((policy, start, limit)) = relays.get_mut(&id) else { continue };
         let now = Duration::from_micros(clock.saturating_sub(*start));
-        let mut decoded = Ok(());
+        let mut inputs = Vec::new();
+        for (code, body, list) in &events {
+            decode(&mut inputs, *start, *limit, *code, body, list)?;
+        }
         reply.relay = id;
-        let take = |r: &mut Relay| {
-            decoded = events.iter().try_for_each(|(c, b, l)| event(r, *start, *limit, *c, b, l))
-        };
-        relay.round(now, take, reply);
-        decoded?;
+        policy.step(now, inputs, reply);
     }
     Ok(())
 }
 
-/// Decodes one event straight into a call.
-fn event(
-    r: &mut Relay,
+/// Decodes one event into the inputs that it stands for.
+fn decode(
+    inputs: &mut Vec<Input>,
     start: u64,
     limit: Option<usize>,
     code: u16,
@@ -156,7 +155,10 @@
             let deadline = Duration::from_micros(f.u64("deadline")?.saturating_sub(start));
             let key = f.u64("affinity")?;
             let key = (key != 0).then_some(OrderingKey(key));
-            r.message(id, Submission { class, tenant, destination, key, deadline, restored: false });
+            inputs.push(Input::Submitted {
+                message: id,
+                submission: Submission { class, tenant, destination, key, deadline, restored: false },
+            });
         }
         wire::OUTCOME => {
             let id = MessageId(f.u64("id")?);
@@ -181,37 +183,46 @@
             for i in 0..f.u8("report").unwrap_or(0) as usize {
                 let told = f.f32("report")?;
                 if limit == Some(i) {
-                    r.report_rate_limit(to, told.into());
+                    inputs.push(Input::RateLimitReported { endpoint: to, rate: told.into() });
                 }
             }
-            r.outcome(id, to, waited, outcome, over);
+            inputs.push(Input::AttemptEnded { message: id, endpoint: to, waited, outcome, closed: over });
         }
-        wire::WITHDRAWN => r.over(MessageId(f.u64("id")?)),
+        wire::WITHDRAWN => inputs.push(Input::Closed(MessageId(f.u64("id")?))),
         wire::CHANGE => {
             f.u8("slot")?;
             f.u64("generation")?;
             let how = f.u8("how")?;
             if how == wire::LIST_FAILED {
-                r.watch_failed(None);
+                inputs.push(Input::PollFailed { retry_after: None });
                 return Ok(());
             }
-            r.listed();
+            inputs.push(Input::ListReceived);
             let list = list.as_ref().ok_or("ROSTER_CHANGE: names a list that has not come")?;
             if how != wire::LIST_DELTA {
-                r.full_list();
+                inputs.push(Input::FullListBegins);
             }
             for entry in list.chunks_exact(wire::ENTRY) {
                 let mut f = Cursor::new(entry, "ROSTER entry");
-                let (dst, zone) = (DestinationId(u32::from(f.u16("cell")?)), ZoneId(f.u8("dc")?.into()));
+                let (destination, zone) =
+                    (DestinationId(u32::from(f.u16("cell")?)), ZoneId(f.u8("dc")?.into()));
                 f.u64("upSince")?;
-                let says = match f.u8("mode")? {
+                let status = match f.u8("mode")? {
                     0 => EndpointStatus::Removed,
                     1 => EndpointStatus::Ready,
                     _ => EndpointStatus::Draining,
                 };
                 let kind = DestinationKindId(f.u16("model")?);
-                let id = f.endpoint("endpoint")?;
-                r.entry(id, dst, zone, kind, says, f64::from(f.f32("capacityHint")?));
+                let endpoint = f.endpoint("endpoint")?;
+                let rate = f64::from(f.f32("capacityHint")?);
+                inputs.push(Input::EndpointListed(ListedEndpoint {
+                    endpoint,
+                    destination,
+                    zone,
+                    kind,
+                    status,
+                    rate,
+                }));
             }
         }
         _ => {}
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,4 +1,4 @@
-//! All decisions of one relay; the interface is `port.rs`. A host calls `round` with all that came in.
+//! All decisions of one relay; the interface is `port.rs`. A host calls `step` with all that came in.
 //! The ordinary path is the design's breaker (docs/design.md). Beside it stand six mechanisms:
 //! 1. credits: each endpoint's limit in flight grows by one, is cut by a share; a send goes where one is left
 //! 2. pacing to the listed rate and to pushbacks
@@ -215,7 +215,7 @@
 }
 
 #[derive(Default)]
-pub struct Relay {
+pub struct DeliveryPolicy {
     settings: PolicySettings,
     now: Duration,
     endpoints: BTreeMap<EndpointId, Endpoint>,
@@ -240,20 +240,22 @@
     carried: Vec<RouteSnapshot>, // as last told
 }
 
-impl Relay {
-    pub fn new(settings: PolicySettings) -> Relay {
+impl DeliveryPolicy {
+    pub fn new(settings: PolicySettings) -> DeliveryPolicy {
         let tenants =
             settings.tenant_quotas.iter().map(|q| Tokens { left: q * SHARE_BURST, at: Duration::ZERO });
-        let mut relay = Relay { tenants: tenants.collect(), settings, ..Relay::default() };
+        let mut relay = DeliveryPolicy { tenants: tenants.collect(), settings, ..DeliveryPolicy::default() };
         let first = relay.asking().first(relay.chance(0));
         relay.watch_at = relay.settings.must_poll.then_some(first);
         relay
     }
 
-    /// Takes in all that came since the last round, then decides.
-    pub fn round(&mut self, now: Duration, events: impl FnOnce(&mut Relay), out: &mut dyn Actions) {
+    /// Takes in all that came since the last step, then decides.
+    pub fn step(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>, out: &mut dyn Actions) {
         self.now = now;
-        events(self);
+        for input in inputs {
+            self.apply(input);
+        }
         self.count_overdue();
         self.recall_overdue(out);
         self.end_spent(out);
@@ -263,7 +265,7 @@
         self.lines.retain(|_, l| !l.queue.is_empty() || l.rest_until > now);
         self.watch_at.take_if(|at| *at <= now).into_iter().for_each(|_| out.poll_endpoints());
         self.lines_to_log.drain(..).for_each(|line| out.log(&line));
-        self.carry_out(out);
+        self.persist_routes(out);
         let busy = self.forget(out) || self.msgs.len() + self.calls.len() > 0 || self.watch_at.is_some();
         if busy && self.wake_at.is_none_or(|at| at <= now) {
             self.wake_at = Some(now + WAKE);
@@ -271,7 +273,31 @@
         }
     }
 
-    pub fn message(&mut self, id: MessageId, submission: Submission) {
+    fn apply(&mut self, input: Input) {
+        match input {
+            Input::Submitted { message, submission } => self.submitted(message, submission),
+            Input::EarlierAttempt { message, zone, at, may_have_run } => {
+                self.earlier_attempt(message, zone, at, may_have_run);
+            }
+            Input::FinalAnswerPending(message) => self.end(message, false),
+            Input::Closed(message) => self.closed(message),
+            Input::AttemptEnded { message, endpoint, waited, outcome, closed } => {
+                self.attempt_ended(message, endpoint, waited, outcome, closed);
+            }
+            Input::RetryAfter { endpoint, span } => self.retry_after(endpoint, span),
+            Input::RateLimitReported { endpoint, rate } => self.rate_limit_reported(endpoint, rate),
+            Input::FullListBegins => self.full_list_begins(),
+            Input::EndpointListed(listed) => self.endpoint_listed(listed),
+            Input::ListReceived => self.list_received(),
+            Input::ListMayBeStale => self.list_may_be_stale(),
+            Input::PollFailed { retry_after } => self.poll_failed(retry_after),
+            Input::EndpointRestarted(endpoint) => self.endpoint_restarted(endpoint),
+            Input::HandoverStarted => self.handover_started(),
+            Input::RoutesRestored(routes) => self.routes_restored(&routes),
+        }
+    }
+
+    fn submitted(&mut self, id: MessageId, submission: Submission) {
         let Submission { class, tenant, destination, key, deadline, restored } = submission;
         let Some(row) = self.settings.classes.get(class.0 as usize) else { return };
         // A tenant that nobody knows has no share. What a restart finds was counted when it was handed in.
@@ -291,7 +317,7 @@
     }
 
     /// A leg from before a restart; without an outcome that proves the contrary it may have run.
-    pub fn earlier_attempt(&mut self, id: MessageId, zone: ZoneId, at: Duration, may_have_run: bool) {
+    fn earlier_attempt(&mut self, id: MessageId, zone: ZoneId, at: Duration, may_have_run: bool) {
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         (msg.legs, msg.ran) = (msg.legs.saturating_add(1), msg.ran + u32::from(may_have_run));
         msg.may_have_run = msg.may_have_run.or(may_have_run.then_some((at, zone)));
@@ -300,7 +326,14 @@
         }
     }
 
-    pub fn outcome(&mut self, id: MessageId, to: EndpointId, waited: Duration, outcome: Outcome, over: bool) {
+    fn attempt_ended(
+        &mut self,
+        id: MessageId,
+        to: EndpointId,
+        waited: Duration,
+        outcome: Outcome,
+        over: bool,
+    ) {
         let now = self.now;
         let no_room = outcome == Outcome::ConnectionLimit;
         let outcome = if no_room { Outcome::Rejected { retry_after: ms(0) } } else { outcome };
@@ -326,7 +359,7 @@
         if let Some(line) = key.filter(|_| uncertain).and_then(|k| self.lines.get_mut(&k)) {
             (line.rest_until, line.rest_by) = (now + self.settings.order_hold_off, Some(id));
         }
-        ended.then(|| self.over(id));
+        ended.then(|| self.closed(id));
         if let Outcome::Rejected { retry_after: wait } = outcome {
             self.retry_after(to, wait);
         }
@@ -365,7 +398,7 @@
     }
 
     /// Rule 6: every wait binds, whichever answer tells it and however late it comes.
-    pub fn retry_after(&mut self, to: EndpointId, wait: Duration) {
+    fn retry_after(&mut self, to: EndpointId, wait: Duration) {
         let until = self.now + wait;
         let route_id = (self.endpoints.contains_key(&to) && wait > ms(0)).then(|| self.route_of(to));
         let route = route_id.and_then(|id| self.routes.get_mut(&id));
@@ -373,7 +406,7 @@
     }
 
     /// An answer told the limit, in calls a second of all relays together: late, and not exact.
-    pub fn report_rate_limit(&mut self, to: EndpointId, rate: f64) {
+    fn rate_limit_reported(&mut self, to: EndpointId, rate: f64) {
         let untold = self.settings.listed_rate == ListedRate::Unknown && self.endpoints.contains_key(&to);
         let route_id = (untold && rate > 0.0).then(|| self.route_of(to));
         let Some(route) = route_id.and_then(|id| self.routes.get_mut(&id)) else { return };
@@ -381,20 +414,13 @@
     }
 
     /// A whole list begins: what its entries don't name is gone.
-    pub fn full_list(&mut self) {
+    fn full_list_begins(&mut self) {
         self.endpoints.values_mut().for_each(|ep| ep.off_since = ep.off_since.or(Some(self.now)));
         self.off = self.endpoints.keys().copied().collect();
     }
 
-    pub fn entry(
-        &mut self,
-        id: EndpointId,
-        dst: DestinationId,
-        zone: ZoneId,
-        kind: DestinationKindId,
-        says: EndpointStatus,
-        rate: f64,
-    ) {
+    fn endpoint_listed(&mut self, listed: ListedEndpoint) {
+        let ListedEndpoint { endpoint: id, destination: dst, zone, kind, status: says, rate } = listed;
         let (now, rate) = (self.now, if rate.is_finite() { rate.max(0.0) } else { 0.0 });
         let fresh = Endpoint { dst, zone, kind, limit: CREDITS_AT_START, ..Endpoint::default() };
         (!self.endpoints.contains_key(&id)).then(|| self.near.entry(dst).or_default().0.push(id));
@@ -415,24 +441,27 @@
     }
 
     /// The endpoint was out by hand and was restarted meanwhile: its route comes back cold (rule 4).
-    pub fn endpoint_restarted(&mut self, id: EndpointId) {
+    fn endpoint_restarted(&mut self, id: EndpointId) {
         let route_id = self.endpoints.contains_key(&id).then(|| self.route_of(id));
         let now = self.now;
-        route_id.and_then(|r| self.routes.get_mut(&r)).into_iter().for_each(|r| Relay::turn_cold(r, now));
+        route_id
+            .and_then(|r| self.routes.get_mut(&r))
+            .into_iter()
+            .for_each(|r| DeliveryPolicy::turn_cold(r, now));
     }
 
     /// The list held at a start may be older than what discovery told since (rule 3): nothing goes out on it
     /// until discovery answers. Guards against sends to what was told as leaving when no process ran. Harm: a
     /// pause at a start with discovery down.
-    pub fn list_may_be_stale(&mut self) {
+    fn list_may_be_stale(&mut self) {
         self.list_due = Some(self.now + LIST_WAIT);
     }
 
-    pub fn listed(&mut self) {
+    fn list_received(&mut self) {
         (self.list_due, self.watch_failures) = (None, 0);
     }
 
-    pub fn watch_failed(&mut self, told: Option<Duration>) {
+    fn poll_failed(&mut self, told: Option<Duration>) {
         self.watch_failures += 1;
         let pause = self.asking().again(self.watch_failures, told, self.chance(0));
         self.watch_at = self.settings.must_poll.then_some(self.now + pause);
@@ -492,7 +521,7 @@
         route.ends.add(now, 0.0);
         // Guards against a crowd, or quiet routes, back at full pace as no relay saw enough to open.
         let back = route.broken && now.saturating_sub(route.run_since) >= QUIET_SPAN;
-        back.then(|| Relay::turn_cold(route, now));
+        back.then(|| DeliveryPolicy::turn_cold(route, now));
         (route.run, route.fulls, route.broken) = (0, 0, false);
         if full && route.tokens.left < 1.0 {
             // A crowd's answers tell late: where each gets few in a second it grows by less.
@@ -523,7 +552,7 @@
             (route.run, route.run_since) = (0, now);
         }
         route.run += 1;
-        let crowd = Relay::crowd_delay(&self.settings, route, now, chance);
+        let crowd = DeliveryPolicy::crowd_delay(&self.settings, route, now, chance);
         route.pause_until = route.pause_until.max(now + crowd);
         // Longer and longer, unless many more wait than trials went: a quiet destination is not worth asking.
         let trials = if parked > TRIALS_PER_PARKED * route.run { THRESHOLD } else { route.run };
@@ -533,7 +562,7 @@
         let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
         let opens = route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet);
         let cold = opens || (bad >= COLD_FAILED && bad >= COLD_SHARE * all);
-        cold.then(|| Relay::turn_cold(route, now));
+        cold.then(|| DeliveryPolicy::turn_cold(route, now));
         opens.then(|| self.set_breaker(route_id, Breaker::Open(now + delay)));
         self.end_trial(route_id, call, Breaker::Open(now + delay));
     }
@@ -549,7 +578,7 @@
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let since = if route.fulls == 0 { now } else { route.full_since };
         (route.full_since, route.fulls) = (since, route.fulls + 1);
-        let crowd = Relay::crowd_delay(&self.settings, route, now, chance);
+        let crowd = DeliveryPolicy::crowd_delay(&self.settings, route, now, chance);
         let pause = (FULL_PAUSE * 2u32.pow(route.fulls.min(6) - 1)).min(FULL_PAUSE_MOST);
         // A crowd halves what it asks as well, each time: guards against a limit that was lowered and all
         // together, each at its share of the listed one, keep used up. Harm: a limit found again late.
@@ -560,7 +589,7 @@
         }
         let shut =
             route.retry_after_until < since && route.fulls >= COLD_FULLS && now - since >= COLD_FULL_SPAN;
-        (shut || wait > COLD_WAIT).then(|| Relay::turn_cold(route, now + wait));
+        (shut || wait > COLD_WAIT).then(|| DeliveryPolicy::turn_cold(route, now + wait));
         self.end_trial(route_id, call, Breaker::Open(now + crowd));
     }
 
@@ -621,7 +650,7 @@
     }
 
     /// Nothing more is sent for the message: it was withdrawn, or ended here.
-    pub fn over(&mut self, id: MessageId) {
+    fn closed(&mut self, id: MessageId) {
         let Some(msg) = self.msgs.get_mut(&id) else { return };
         if msg.out.is_some() {
             msg.ended = true;
@@ -644,9 +673,9 @@
     }
 
     /// Ended here. On sockets it keeps its place in line until the end was taken: guards rule 5.
-    pub fn end(&mut self, id: MessageId, at_once: bool) {
+    fn end(&mut self, id: MessageId, at_once: bool) {
         self.msgs.entry(id).and_modify(|m| m.ended = true);
-        at_once.then(|| self.over(id));
+        at_once.then(|| self.closed(id));
     }
 
     fn row(&self, msg: &Msg) -> &MessageClass {
@@ -888,7 +917,7 @@
         let four =
             route.slow_start_since.is_none() || route.cold.left > 0.0 || route.breaker != Breaker::Closed;
         let five = self.in_turn(id, msg); // rule 5
-        if !(one && two && four && five && self.may_reach(to, now)) {
+        if !(one && two && four && five && self.may_send_to(to, now)) {
             return None;
         }
         let (zone, span, left) = (ep.zone, self.timeout(to, &row, msg.late), msg.deadline - now);
@@ -906,7 +935,7 @@
 
     /// Rules 3 and 6. A host asks again where a call begins late: both may have changed. The grace is not
     /// used, as discovery may have told long before its list was heard (it was down, or this process was).
-    pub fn may_reach(&self, to: EndpointId, now: Duration) -> bool {
+    pub fn may_send_to(&self, to: EndpointId, now: Duration) -> bool {
         let Some(ep) = self.endpoints.get(&to) else { return false };
         ep.off_since.is_none() && now >= self.routes[&self.route_of(to)].retry_after_until
     }
--- a/src/rules/carry.rs
+++ b/src/rules/carry.rs
@@ -2,16 +2,16 @@
 
 use super::*;
 
-impl Relay {
+impl DeliveryPolicy {
     /// Sends no new leg from now on: a process beside this one takes over all that this one holds. Ends
     /// that are due still come.
-    pub fn start_handover(&mut self) {
+    pub(super) fn handover_started(&mut self) {
         self.handing_over = true;
     }
 
     /// What an earlier process of this relay left, in this process's spans. Rule 6: its told waits bind
     /// here too; rule 4: a route it ramped stays cold. Routes not on the list yet are passed over.
-    pub fn restore_routes(&mut self, carried: &[RouteSnapshot]) {
+    pub(super) fn routes_restored(&mut self, carried: &[RouteSnapshot]) {
         for c in carried {
             let Some(route) = self.routes.get_mut(&(c.destination, c.endpoint)) else { continue };
             route.retry_after_until = route.retry_after_until.max(c.retry_after_until);
@@ -19,12 +19,12 @@
                 // A trial that was out there is not out here: the next message is the trial.
                 (route.breaker, route.run, route.run_since) = (Breaker::Open(until), THRESHOLD, self.now);
             }
-            c.slow_start_since.into_iter().for_each(|since| Relay::turn_cold(route, since));
+            c.slow_start_since.into_iter().for_each(|since| DeliveryPolicy::turn_cold(route, since));
         }
     }
 
     /// Tells the host all that must outlive this process, whenever that changed.
-    pub(super) fn carry_out(&mut self, out: &mut dyn Actions) {
+    pub(super) fn persist_routes(&mut self, out: &mut dyn Actions) {
         let (now, warm) = (self.now, self.settings.slow_start_duration);
         let carried: Vec<RouteSnapshot> = (self.routes.iter())
             .filter_map(|(id, r)| {
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -12,7 +12,7 @@
 //!   `forget A` with `facts forgets`, `watch`, `log ..`
 
 use mountshift::port::*;
-use mountshift::rules::Relay;
+use mountshift::rules::DeliveryPolicy;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use test_case::test_case;
@@ -122,27 +122,24 @@
     }
 }
 
-fn event(r: &mut Relay, now: Duration, classes: &[MessageClass], text: &str) {
+/// The inputs that an event of the notation stands for.
+fn event(now: Duration, classes: &[MessageClass], text: &str) -> Vec<Input> {
     let w = Words::new(text);
     match w.0[0] {
         how @ ("list" | "whole") => {
-            if how == "whole" {
-                r.full_list();
-            }
-            let says = match w.0.get(2) {
+            let status = match w.0.get(2) {
                 Some(&"draining") => EndpointStatus::Draining,
                 Some(&"removed") => EndpointStatus::Removed,
                 _ => EndpointStatus::Ready,
             };
-            let (dst, zone) = (DestinationId(w.n("dst", 1.0) as u32), ZoneId(w.n("zone", 0.0) as u16));
-            r.entry(
-                w.endpoint(1),
-                dst,
-                zone,
-                DestinationKindId(w.n("kind", 0.0) as u16),
-                says,
-                w.n("rate", 1000.0),
-            );
+            let (destination, zone) =
+                (DestinationId(w.n("dst", 1.0) as u32), ZoneId(w.n("zone", 0.0) as u16));
+            let kind = DestinationKindId(w.n("kind", 0.0) as u16);
+            let rate = w.n("rate", 1000.0);
+            let endpoint = w.endpoint(1);
+            let listed = ListedEndpoint { endpoint, destination, zone, kind, status, rate };
+            let begins = (how == "whole").then_some(Input::FullListBegins);
+            begins.into_iter().chain([Input::EndpointListed(listed)]).collect()
         }
         "msg" => {
             let (of, key) = (w.n("lane", 0.0) as u16, w.n("key", 0.0) as u64);
@@ -150,10 +147,8 @@
             let destination = DestinationId(w.n("dst", 1.0) as u32);
             let tenant = TenantId(w.n("tenant", 0.0) as u32);
             let (key, restored) = ((key > 0).then_some(OrderingKey(key)), w.0.contains(&"restored"));
-            r.message(
-                w.msg(),
-                Submission { class: ClassId(of), tenant, destination, key, deadline, restored },
-            );
+            let submission = Submission { class: ClassId(of), tenant, destination, key, deadline, restored };
+            vec![Input::Submitted { message: w.msg(), submission }]
         }
         "end" => {
             let outcome = match w.0[3] {
@@ -168,19 +163,22 @@
                 other => panic!("no outcome {other}"),
             };
             let over = outcome == Outcome::Delivered;
-            r.outcome(w.msg(), w.endpoint(2), w.span("took", 0.1), outcome, over);
+            let waited = w.span("took", 0.1);
+            let (message, endpoint) = (w.msg(), w.endpoint(2));
+            vec![Input::AttemptEnded { message, endpoint, waited, outcome, closed: over }]
         }
-        "gone" => r.over(w.msg()),
+        "gone" => vec![Input::Closed(w.msg())],
         "leg" => {
             let at = now.saturating_sub(w.span("ago", 0.0));
-            r.earlier_attempt(w.msg(), ZoneId(w.n("zone", 0.0) as u16), at, !w.0.contains(&"refused"));
+            let (zone, may_have_run) = (ZoneId(w.n("zone", 0.0) as u16), !w.0.contains(&"refused"));
+            vec![Input::EarlierAttempt { message: w.msg(), zone, at, may_have_run }]
         }
-        "ended" => r.end(w.msg(), false),
-        "wait" => r.retry_after(w.endpoint(1), w.span("for", 0.0)),
-        "limit" => r.report_rate_limit(w.endpoint(1), w.n("rate", 0.0)),
-        "oldlist" => r.list_may_be_stale(),
-        "listed" => r.listed(),
-        "nolist" => r.watch_failed(None),
+        "ended" => vec![Input::FinalAnswerPending(w.msg())],
+        "wait" => vec![Input::RetryAfter { endpoint: w.endpoint(1), span: w.span("for", 0.0) }],
+        "limit" => vec![Input::RateLimitReported { endpoint: w.endpoint(1), rate: w.n("rate", 0.0) }],
+        "oldlist" => vec![Input::ListMayBeStale],
+        "listed" => vec![Input::ListReceived],
+        "nolist" => vec![Input::PollFailed { retry_after: None }],
         other => panic!("no event {other}"),
     }
 }
@@ -250,7 +248,8 @@
     let path = format!("{}/tests/scenarios/{file}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(&path).unwrap_or_else(|e| panic!("{path}: {e}"));
     let (mut classes, mut kinds, mut told) = (Vec::new(), Vec::new(), "facts");
-    let (mut relay, mut now, mut out): (Option<Relay>, _, _) = (None, Duration::ZERO, Decisions::default());
+    let (mut policy, mut now, mut out): (Option<DeliveryPolicy>, _, _) =
+        (None, Duration::ZERO, Decisions::default());
     let mut checks = 0;
     for (at, line) in text.lines().enumerate().filter(|(_, l)| !l.trim().is_empty() && !l.starts_with("# ")) {
         let (word, rest) = line.split_once(' ').unwrap_or((line, ""));
@@ -264,18 +263,20 @@
                 kinds.push(DestinationKind { independent_endpoints, max_batch: w.n("batch", 1.0) as usize });
             }
             "at" | "until" => {
-                let start = || Relay::new(settings(&Words::new(told), classes.clone(), kinds.clone()));
-                let relay = relay.get_or_insert_with(start);
+                let start =
+                    || DeliveryPolicy::new(settings(&Words::new(told), classes.clone(), kinds.clone()));
+                let policy = policy.get_or_insert_with(start);
                 let (time, events) = rest.split_once(':').unwrap_or((rest, ""));
                 let end = Duration::from_secs_f64(time.parse().unwrap_or_else(|_| panic!("{}", seen())));
                 out = Decisions(Vec::new(), told.contains("notices"), told.contains("forgets"));
                 while word == "until" && now + Duration::from_millis(20) < end {
                     now += Duration::from_millis(20);
-                    relay.round(now, |_| {}, &mut out);
+                    policy.step(now, [], &mut out);
                 }
                 now = end;
                 let events: Vec<&str> = events.split(';').filter(|e| !e.trim().is_empty()).collect();
-                relay.round(now, |r| events.iter().for_each(|e| event(r, now, &classes, e)), &mut out);
+                let inputs = events.iter().flat_map(|e| event(now, &classes, e));
+                policy.step(now, inputs, &mut out);
                 continue;
             }
             "=>" => assert_eq!(out.0.join("; "), rest, "{}", seen()),
