--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -15,7 +15,7 @@
 use crate::tally::Tally;
 use crate::traffic::{self, Request};
 use crate::world::{Place, World};
-use mountshift::port::{EndpointStatus, Outcome, PolicySettings};
+use mountshift::interface::{EndpointStatus, Outcome, PolicySettings};
 use mountshift_judge::{End, Fact, Judge};
 use mountshift_scenario::{Scenario, TroubleKind};
 use rayon::prelude::*;
--- a/crates/lab/src/day/calls.rs
+++ b/crates/lab/src/day/calls.rs
@@ -5,7 +5,7 @@
 use crate::chance::What;
 use crate::host::Came;
 use crate::world::by_zone;
-use mountshift::port::Outcome;
+use mountshift::interface::Outcome;
 use mountshift_judge::Fact;
 use mountshift_scenario::Effect;
 use std::time::Duration;
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -6,7 +6,7 @@
 use crate::host::Came;
 use crate::servers::{Route, Server, State};
 use crate::world::Strike;
-use mountshift::port::{EndpointStatus, Outcome};
+use mountshift::interface::{EndpointStatus, Outcome};
 use mountshift_judge::Fact;
 use mountshift_scenario::TroubleKind;
 
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -4,7 +4,7 @@
 use crate::Time;
 use crate::policy::{Policy, Truth};
 use crate::world::World;
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift_judge::{End, Fact, LegEnd, Listed as Said};
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/lab/src/policies/law.rs
+++ b/crates/lab/src/policies/law.rs
@@ -1,6 +1,6 @@
 //! What every baseline keeps: one leg at a time, order by key, drains, waits, and ends in time.
 
-use mountshift::port::*;
+use mountshift::interface::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
--- a/crates/lab/src/policies/mod.rs
+++ b/crates/lab/src/policies/mod.rs
@@ -5,7 +5,7 @@
 
 use crate::policy::{Policy, Truth};
 use law::Law;
-use mountshift::port::*;
+use mountshift::interface::*;
 use std::collections::BTreeMap;
 use std::hash::Hasher;
 use std::time::Duration;
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -1,7 +1,7 @@
 //! What decides at a relay: the project's decisions and the baselines, behind one interface.
 
 use crate::policies::{Baseline, Style};
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift::rules::DeliveryPolicy;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -3,7 +3,7 @@
 
 use crate::Time;
 use crate::chance::{Chance, What};
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift_judge as judge;
 use mountshift_scenario as scenario;
 use mountshift_scenario::{Scenario, TroubleKind, Whom};
--- a/crates/lab/tests/sabotage.rs
+++ b/crates/lab/tests/sabotage.rs
@@ -1,7 +1,7 @@
 //! The judge proved on whole days: the decisions are lied to, so that they break a rule on purpose, and the
 //! judge must name that rule; the same day without the lie must be clean.
 
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift::rules::DeliveryPolicy;
 use mountshift_lab::day::{Day, Play};
 use mountshift_lab::outcome::DayOutcome;
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -5,7 +5,7 @@
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWrite, AsyncWriteExt, FutureExt};
 use log::{debug, info, warn};
-use mountshift::port::MessageId;
+use mountshift::interface::MessageId;
 use mountshift_orders::Orders;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -1,6 +1,6 @@
 //! What a relay is told at its start: the JSON file, and the variables that take precedence.
 
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift_settings::{FlatSettings, SocketSettings};
 use serde_json::Value;
 use std::net::SocketAddr;
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{debug, error, info};
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift_members::Phase;
 use mountshift_settings::SocketSettings;
 use std::cell::{Cell, RefCell};
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -10,7 +10,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{debug, error, info, warn};
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift::rules::DeliveryPolicy;
 use mountshift_handover::{Route, Snapshot, Stopping};
 use mountshift_members::{Book, Entry, List};
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -19,7 +19,7 @@
 use futures_lite::StreamExt;
 use host::{Event, Host, Parts};
 use log::{error, info, warn};
-use mountshift::port::MessageId;
+use mountshift::interface::MessageId;
 use mountshift_handover::{LOCK, NEXT, OWNER_SHARE, Role, SNAPSHOT, Side, Snapshot, TAKER_SHARE, carries};
 use mountshift_members::{BOOK, BOOK_SHARE, Book};
 use mountshift_orders::{Change, Orders};
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::warn;
-use mountshift::port::MessageId;
+use mountshift::interface::MessageId;
 use mountshift_spool::End;
 use serde_json::json;
 use std::net::SocketAddr;
--- a/crates/relay/src/reception.rs
+++ b/crates/relay/src/reception.rs
@@ -8,7 +8,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{error, info, warn};
-use mountshift::port::MessageId;
+use mountshift::interface::MessageId;
 use mountshift_handover::{LOCK_LOOK, RESTART, takes};
 use mountshift_orders::{Change, Orders};
 use mountshift_spool::{Spool, Taken};
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,7 +2,7 @@
 //! nested JSON with the same names and units.
 #![forbid(unsafe_code)]
 
-use mountshift::port::*;
+use mountshift::interface::*;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::str::FromStr;
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,6 +1,6 @@
 //! Both forms of the settings object say the same.
 
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift_settings::{FlatSettings, policy_settings, rate_limit_field, relay_id, socket_settings};
 use serde_json::json;
 use std::time::Duration;
--- a/crates/simhost/src/main.rs
+++ b/crates/simhost/src/main.rs
@@ -3,7 +3,7 @@
 
 mod wire;
 
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift::rules::DeliveryPolicy;
 use mountshift_settings::FlatSettings;
 use std::collections::BTreeMap;
--- a/crates/simhost/src/wire.rs
+++ b/crates/simhost/src/wire.rs
@@ -1,6 +1,6 @@
 //! Reading and writing the wire's fields.
 
-use mountshift::port::*;
+use mountshift::interface::*;
 use std::time::Duration;
 
 pub const START: u16 = 256;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -1,4 +1,4 @@
-//! All decisions of one relay; the interface is `port.rs`. A host calls `step` with all that came in.
+//! All decisions of one relay; the interface is `interface`. A host calls `step` with all that came in.
 //! The ordinary path is the design's breaker (docs/design.md). Beside it stand six mechanisms:
 //! 1. credits: each endpoint's limit in flight grows by one, is cut by a share; a send goes where one is left
 //! 2. pacing to the listed rate and to pushbacks
@@ -9,7 +9,7 @@
 
 mod carry;
 
-use crate::port::*;
+use crate::interface::*;
 use mountshift_members::Terms;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -11,7 +11,7 @@
 //!   `#> N a`: N that begin so. Decisions: `send 1 A`, `push 1`, `fail 1`, `recall 1`, `close A`,
 //!   `forget A` with `facts forgets`, `watch`, `log ..`
 
-use mountshift::port::*;
+use mountshift::interface::*;
 use mountshift::rules::DeliveryPolicy;
 use std::collections::BTreeMap;
 use std::time::Duration;
