--- a/crates/members/src/book.rs
+++ b/crates/discovery/src/drain_record.rs
@@ -8,8 +8,8 @@
 
 /// The book's name in the state folder, and the share of the folder's bytes that it may hold. It is written
 /// beside the old one first, so twice that is needed for a moment.
-pub const BOOK: &str = "leaving";
-pub const BOOK_SHARE: f64 = 0.05;
+pub const DRAIN_RECORD_FILE: &str = "leaving";
+pub const DRAIN_RECORD_DISK_SHARE: f64 = 0.05;
 const HEAD: &str = "mountshift leaving 1";
 
 /// What a list says of an endpoint.
@@ -22,7 +22,7 @@
 
 /// An entry of a list, as far as the book reads it.
 #[derive(Clone, Copy, Debug)]
-pub struct Entry<'a> {
+pub struct ListEntry<'a> {
     pub id: &'a str,
     pub phase: Phase,
     /// When the endpoint last started, Unix milliseconds; 0 for long ago.
@@ -31,7 +31,7 @@
 
 /// The list that the entries stand in.
 #[derive(Clone, Copy, Debug)]
-pub struct List<'a> {
+pub struct ListHeader<'a> {
     /// Whose revisions these are: discovery's address.
     pub source: &'a str,
     pub revision: u64,
@@ -52,7 +52,7 @@
     /// True if an entry that says ready is news, and not an older state told again. Revisions of one source
     /// grow; those of two can't be compared, so another source is believed only where it tells a change. An
     /// endpoint that started since was started to serve.
-    fn is_over(&self, list: &List, entry: &Entry) -> bool {
+    fn is_over(&self, list: &ListHeader, entry: &ListEntry) -> bool {
         let newer = if list.source == self.source { list.revision > self.revision } else { !list.whole };
         newer || entry.up_since_ms > self.at_ms
     }
@@ -60,7 +60,7 @@
 
 /// Endpoints told as leaving.
 #[derive(Debug, Default)]
-pub struct Book {
+pub struct DrainRecord {
     leaving: BTreeMap<String, Told>,
     /// Endpoints that the list holds as ready: guards against one that a whole list leaves out and an older
     /// one names again.
@@ -68,10 +68,10 @@
     changed: bool,
 }
 
-impl Book {
+impl DrainRecord {
     /// Takes a list in, in the order in which lists came: what each entry says is to be taken for, and how
     /// many of them said ready of an endpoint that stays told as leaving.
-    pub fn take(&mut self, list: &List, entries: &[Entry]) -> (Vec<Phase>, usize) {
+    pub fn take(&mut self, list: &ListHeader, entries: &[ListEntry]) -> (Vec<Phase>, usize) {
         if list.whole {
             let named: BTreeSet<&str> = entries.iter().map(|e| e.id).collect();
             let absent = self.ready.iter().filter(|id| !named.contains(id.as_str())).cloned();
@@ -101,7 +101,7 @@
     }
 
     /// Told as leaving: the first time counts, but the newest revision of a source must be passed.
-    fn note(&mut self, id: &str, list: &List) {
+    fn note(&mut self, id: &str, list: &ListHeader) {
         self.ready.remove(id);
         let told = Told { at_ms: list.now_ms, revision: list.revision, source: list.source.to_string() };
         match self.leaving.get_mut(id) {
@@ -133,8 +133,8 @@
     }
 
     /// Reads a book's text; with it, how many of its lines can't be read. They are left out one by one.
-    pub fn read(text: &str) -> (Book, usize) {
-        let mut book = Book::default();
+    pub fn read(text: &str) -> (DrainRecord, usize) {
+        let mut book = DrainRecord::default();
         let mut lines = text.lines();
         if text.is_empty() {
             return (book, 0);
@@ -172,5 +172,5 @@
 }
 
 #[cfg(test)]
-#[path = "book_tests.rs"]
+#[path = "drain_record_tests.rs"]
 mod tests;
--- a/crates/members/src/book_tests.rs
+++ b/crates/discovery/src/drain_record_tests.rs
@@ -3,23 +3,23 @@
 const A: &str = "10.2.0.1:8500";
 const B: &str = "10.2.0.1:8501";
 
-fn list(source: &str, revision: u64, whole: bool) -> List<'_> {
-    List { source, revision, whole, now_ms: 1_000 * revision }
+fn list(source: &str, revision: u64, whole: bool) -> ListHeader<'_> {
+    ListHeader { source, revision, whole, now_ms: 1_000 * revision }
 }
 
-fn says(id: &str, phase: Phase) -> Entry<'_> {
-    Entry { id, phase, up_since_ms: 0 }
+fn says(id: &str, phase: Phase) -> ListEntry<'_> {
+    ListEntry { id, phase, up_since_ms: 0 }
 }
 
-fn take(book: &mut Book, list: &List, entries: &[Entry]) -> Vec<Phase> {
+fn take(book: &mut DrainRecord, list: &ListHeader, entries: &[ListEntry]) -> Vec<Phase> {
     book.take(list, entries).0
 }
 
 use Phase::{Draining, Gone, Ready};
 
 /// Told as draining at revision 7 of A.
-fn told() -> Book {
-    let mut book = Book::default();
+fn told() -> DrainRecord {
+    let mut book = DrainRecord::default();
     assert_eq!(take(&mut book, &list(A, 5, true), &[says("x", Ready), says("y", Ready)]), [Ready, Ready]);
     assert_eq!(take(&mut book, &list(A, 7, false), &[says("x", Draining)]), [Draining]);
     book
@@ -45,9 +45,9 @@
 #[test]
 fn an_endpoint_that_started_since_serves_again() {
     let mut book = told();
-    let old = Entry { id: "x", phase: Ready, up_since_ms: 6_999 };
+    let old = ListEntry { id: "x", phase: Ready, up_since_ms: 6_999 };
     assert_eq!(book.take(&list(B, 3, true), &[old]), (vec![Draining], 1));
-    let new = Entry { id: "x", phase: Ready, up_since_ms: 7_001 };
+    let new = ListEntry { id: "x", phase: Ready, up_since_ms: 7_001 };
     assert_eq!(book.take(&list(B, 3, false), &[new]), (vec![Ready], 0));
     assert!(!book.leaving.contains_key("x"));
 }
@@ -79,7 +79,7 @@
     let mut book = told();
     assert_eq!(take(&mut book, &list(A, 9, false), &[says("x", Gone)]), [Gone]);
     assert_eq!(take(&mut book, &list(A, 8, true), &[says("x", Ready)]), [Draining]);
-    let since = Entry { id: "x", phase: Ready, up_since_ms: 8_000 };
+    let since = ListEntry { id: "x", phase: Ready, up_since_ms: 8_000 };
     assert_eq!(take(&mut book, &list(A, 8, true), &[since]), [Ready]);
 }
 
@@ -88,7 +88,7 @@
     let mut book = told();
     let text = book.written(10_000).expect("a change");
     assert_eq!(book.written(10_000), None);
-    let (mut again, bad) = Book::read(&text);
+    let (mut again, bad) = DrainRecord::read(&text);
     assert_eq!((again.len(), bad), (1, 0));
     // A start's list, as the earlier process had it first.
     assert_eq!(take(&mut again, &list(A, 5, true), &[says("x", Ready), says("y", Ready)]), [Draining, Ready]);
@@ -99,16 +99,17 @@
 
 #[test]
 fn a_book_that_cannot_be_read_costs_its_bad_lines_alone() {
-    let (book, bad) = Book::read("mountshift leaving 1\nx 7000 7 a:1\nhalf 70\n\u{0}\u{0}\ny 8 8 b:1\n");
+    let (book, bad) =
+        DrainRecord::read("mountshift leaving 1\nx 7000 7 a:1\nhalf 70\n\u{0}\u{0}\ny 8 8 b:1\n");
     assert_eq!((book.len(), bad), (2, 2));
-    let (book, bad) = Book::read("mountshift leaving 2\nx 7000 7 a:1\n");
+    let (book, bad) = DrainRecord::read("mountshift leaving 2\nx 7000 7 a:1\n");
     assert_eq!((book.len(), bad), (1, 1));
-    assert_eq!(Book::read("").1, 0);
+    assert_eq!(DrainRecord::read("").1, 0);
 }
 
 #[test]
 fn a_book_stays_within_its_room_and_keeps_those_told_last() {
-    let mut book = Book::default();
+    let mut book = DrainRecord::default();
     for n in 0..5_000_u64 {
         let id = format!("s-{n:08x}");
         take(&mut book, &list(A, n + 1, false), &[says(&id, Gone)]);
@@ -116,7 +117,7 @@
     take(&mut book, &list(A, 6_000, false), &[says("no word", Gone), says("", Gone)]);
     let text = book.written(150_000).expect("a change");
     assert!(text.len() <= 150_000 && text.len() > 149_900, "{}", text.len());
-    let (again, bad) = Book::read(&text);
+    let (again, bad) = DrainRecord::read(&text);
     assert_eq!(bad, 0);
     // More than 1,024 of them, in the 3 MB folder of the platform's page.
     assert!(again.len() > 3_000, "{}", again.len());
--- a/crates/members/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,11 +1,13 @@
 //! How a relay follows discovery's list of endpoints, decided without I/O: what stays told as leaving whatever
-//! an older list says ([`Book`]), and when it asks again after a call that failed. Many relays may fail at one moment (a release, a fleet restarted at once) against an agent
+//! an older list says ([`DrainRecord`]), and when it asks again after a call that failed. Many relays may fail at one moment (a release, a fleet restarted at once) against an agent
 //! that is short of room; asking again at a fixed pause keeps it full for all of them, and none gets a list.
 #![forbid(unsafe_code)]
 
-mod book;
+mod drain_record;
 
-pub use book::{BOOK, BOOK_SHARE, Book, Entry, List, Phase};
+pub use drain_record::{
+    DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ListEntry, ListHeader, Phase,
+};
 use std::time::Duration;
 
 /// The pause after the first failed call ...
@@ -40,26 +42,26 @@
 
 /// What the settings tell of asking for lists.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Terms {
-    pub relays: u32,
+pub struct PollSchedule {
+    pub relay_count: u32,
     /// A relay is to ask so often; zero where lists come unasked.
     pub poll_interval: Duration,
 }
 
-impl Terms {
+impl PollSchedule {
     /// What discovery surely bears is a call of each relay in `poll_interval`. A crowd that starts or fails at one
     /// moment asks for more: each call then waits behind the others until its relay has given it up, costs
     /// discovery all the same, and is made again; so none is answered any more, for good. Calls spread over
     /// this span are within what it bears. Harm: a list heard later by up to that, so few relays don't spread.
     pub fn spread(&self) -> Duration {
-        let crowd = 1.0 - f64::from(TOGETHER) / f64::from(self.relays.max(TOGETHER));
+        let crowd = 1.0 - f64::from(TOGETHER) / f64::from(self.relay_count.max(TOGETHER));
         self.poll_interval.min(WITHIN_MOST).mul_f64(SPREAD * crowd)
     }
 
     /// How long a call for the list may wait at discovery, and when it is given up. `held`: discovery has answered
     /// since the start, and what is newer than that list is asked for; else the answer is due at once (a wait
     /// of 0). Harm: a call in so many seconds where nothing changes; they carry no entries.
-    pub fn call(&self, held: bool) -> (Duration, Duration) {
+    pub fn poll_timeouts(&self, held: bool) -> (Duration, Duration) {
         let own = self.poll_interval.is_zero();
         match held {
             true => {
@@ -71,7 +73,7 @@
     }
 
     /// The pause before the first call; `chance` is in 0..1.
-    pub fn first(&self, chance: f64) -> Duration {
+    pub fn first_pause(&self, chance: f64) -> Duration {
         self.spread().mul_f64(chance.clamp(0.0, 1.0))
     }
 
@@ -79,7 +81,7 @@
     /// (in 0..1) over half to one and a half of it, so that relays that failed together come back apart; at
     /// least a wait that discovery told, up to `TOLD_MOST`. After a failed call the rule on drains gives four
     /// times `poll_interval`, which is more than the longest of these pauses and the call's time together.
-    pub fn again(&self, failures: u32, told: Option<Duration>, chance: f64) -> Duration {
+    pub fn retry_pause(&self, failures: u32, told: Option<Duration>, chance: f64) -> Duration {
         let grown = FIRST.saturating_mul(1 << failures.clamp(1, 16).saturating_sub(1)).min(MOST);
         let crowd = if failures > 1 { self.spread() } else { self.spread() / 2 };
         let spread = grown.max(crowd).mul_f64(0.5 + chance.clamp(0.0, 1.0));
@@ -87,13 +89,13 @@
     }
 }
 
-/// Chance from a seed: the same seed gives the same draws (splitmix64).
+/// Jitter from a seed: the same seed gives the same draws (splitmix64).
 #[derive(Clone, Debug)]
-pub struct Chance(u64);
+pub struct Jitter(u64);
 
-impl Chance {
-    pub fn new(seed: u64) -> Chance {
-        Chance(seed)
+impl Jitter {
+    pub fn new(seed: u64) -> Jitter {
+        Jitter(seed)
     }
 
     /// A draw in 0..1.
@@ -116,11 +118,11 @@
 
     #[test]
     fn pauses_grow_with_failures_in_a_row_up_to_a_bound() {
-        assert_eq!(Terms::default().again(1, None, 0.5), FIRST);
-        assert_eq!(Terms::default().again(2, None, 0.5), FIRST * 2);
-        assert_eq!(Terms::default().again(5, None, 0.5), MOST);
-        assert_eq!(Terms::default().again(40, None, 0.5), MOST);
-        assert_eq!(Terms::default().again(0, None, 0.5), FIRST);
+        assert_eq!(PollSchedule::default().retry_pause(1, None, 0.5), FIRST);
+        assert_eq!(PollSchedule::default().retry_pause(2, None, 0.5), FIRST * 2);
+        assert_eq!(PollSchedule::default().retry_pause(5, None, 0.5), MOST);
+        assert_eq!(PollSchedule::default().retry_pause(40, None, 0.5), MOST);
+        assert_eq!(PollSchedule::default().retry_pause(0, None, 0.5), FIRST);
     }
 
     /// The clock for silence: 6 s after it fell silent, or 2 s after its wait, what a watch missed counts as told.
@@ -128,40 +130,40 @@
     fn a_watch_that_falls_silent_is_asked_again_before_what_it_missed_counts_as_told() {
         for within in [0, 1, 4_000, 10_000, 60_000, u64::MAX / 2] {
             for relays in [1, 6, 350] {
-                let terms = Terms { relays, poll_interval: ms(within) };
-                let (wait, given_up) = terms.call(true);
+                let terms = PollSchedule { relay_count: relays, poll_interval: ms(within) };
+                let (wait, given_up) = terms.poll_timeouts(true);
                 // A new watch is opened by a call whose answer is due at once.
                 let told = (wait + ms(2_000)).max(ms(6_000));
                 let own = within == 0;
-                let pause = if own { terms.again(1, None, 1.0) } else { Duration::ZERO };
+                let pause = if own { terms.retry_pause(1, None, 1.0) } else { Duration::ZERO };
                 assert!(wait <= WAIT_MOST && given_up + pause + ms(500) < told, "{within} {relays}");
                 // One more may fail where lists come unasked.
-                let next = given_up + pause + terms.call(false).1 + terms.again(2, None, 1.0);
+                let next = given_up + pause + terms.poll_timeouts(false).1 + terms.retry_pause(2, None, 1.0);
                 assert!(!own || next + ms(500) < told, "{next:?}");
             }
         }
         // A whole list asked for at a new address counts as told 4 s later.
-        let own = Terms::default();
-        assert!((own.call(false).1 + own.again(1, None, 1.0)) * 2 < ms(4_000));
+        let own = PollSchedule::default();
+        assert!((own.poll_timeouts(false).1 + own.retry_pause(1, None, 1.0)) * 2 < ms(4_000));
     }
 
     #[test]
     fn relays_that_failed_together_come_back_apart() {
-        assert_eq!(Terms::default().again(5, None, 0.0), MOST / 2);
-        assert_eq!(Terms::default().again(5, None, 1.0), MOST * 3 / 2);
-        let mut chance = Chance::new(7);
+        assert_eq!(PollSchedule::default().retry_pause(5, None, 0.0), MOST / 2);
+        assert_eq!(PollSchedule::default().retry_pause(5, None, 1.0), MOST * 3 / 2);
+        let mut chance = Jitter::new(7);
         let draws: Vec<f64> = (0..1000).map(|_| chance.draw()).collect();
         assert!(draws.iter().all(|d| (0.0..1.0).contains(d)));
         let low = draws.iter().filter(|d| **d < 0.5).count();
         assert!((400..600).contains(&low), "{low}");
-        assert_eq!(Chance::new(7).draw(), draws[0]);
+        assert_eq!(Jitter::new(7).draw(), draws[0]);
     }
 
     #[test]
     fn a_wait_that_discovery_tells_is_kept_within_a_bound() {
-        assert_eq!(Terms::default().again(1, Some(ms(900)), 0.5), ms(900));
-        assert_eq!(Terms::default().again(1, Some(ms(60_000)), 0.5), TOLD_MOST);
-        assert_eq!(Terms::default().again(5, Some(ms(10)), 0.5), MOST);
+        assert_eq!(PollSchedule::default().retry_pause(1, Some(ms(900)), 0.5), ms(900));
+        assert_eq!(PollSchedule::default().retry_pause(1, Some(ms(60_000)), 0.5), TOLD_MOST);
+        assert_eq!(PollSchedule::default().retry_pause(5, Some(ms(10)), 0.5), MOST);
     }
 }
 
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -15,28 +15,28 @@
 /// The format of the snapshot this program writes; newer ones are refused by name.
 pub const FORMAT: u32 = 1;
 /// Names in the state folder.
-pub const LOCK: &str = "lock";
-pub const NEXT: &str = "next";
-pub const SNAPSHOT: &str = "handover.json";
+pub const LOCK_FILE: &str = "lock";
+pub const SUCCESSOR_DIR: &str = "next";
+pub const SNAPSHOT_FILE: &str = "handover.json";
 /// Between two looks at the owner's lock while taking in.
-pub const LOCK_LOOK: Duration = Duration::from_millis(20);
+pub const LOCK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// A taker holds a message for so long at most before it owns: the owner ends before its SIGKILL, which
 /// comes 3.7 s after its SIGTERM, and the SIGTERM follows the taker's first yes.
-pub const HELD_MOST: Duration = Duration::from_millis(4_000);
+pub const MAX_HOLD: Duration = Duration::from_millis(4_000);
 /// A taker takes on a message only with so much more time left than it may hold it.
-pub const HELD_MARGIN: Duration = Duration::from_millis(500);
+pub const HOLD_MARGIN: Duration = Duration::from_millis(500);
 /// Shares of the folder's bytes: the owner's spool and the taker's. The rest is for small files, and for
 /// the spool of an owner of an older version that took all.
-pub const OWNER_SHARE: f64 = 0.6;
-pub const TAKER_SHARE: f64 = 0.25;
+pub const ACTIVE_DISK_SHARE: f64 = 0.6;
+pub const SUCCESSOR_DISK_SHARE: f64 = 0.25;
 
 /// What a process is at its start, by the locks it could take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
-    /// Owns the spool; takes over what a taker left in `next/` if `adopt`.
-    Owner { adopt: bool },
+    /// Owns the spool; takes over what a taker left in `next/` if `merge_successor`.
+    Active { merge_successor: bool },
     /// Another process owns: take in until its lock is free.
-    Taker,
+    Successor,
 }
 
 /// Decides the role from the locks: `owner_free` if this process took `lock`, `taker_free` if it took
@@ -46,8 +46,8 @@
 /// If both locks are held by others: two processes run beside this one, and a third has no place.
 pub fn role(owner_free: bool, taker_free: bool, taker_spool: bool) -> Result<Role, &'static str> {
     match (owner_free, taker_free) {
-        (true, free) => Ok(Role::Owner { adopt: free && taker_spool }),
-        (false, true) => Ok(Role::Taker),
+        (true, free) => Ok(Role::Active { merge_successor: free && taker_spool }),
+        (false, true) => Ok(Role::Successor),
         (false, false) => Err("two processes of this relay hold the state folder already"),
     }
 }
@@ -55,55 +55,55 @@
 /// True if a process in this role reads what the process before it left of its destinations. A taker
 /// does: it and the owner are one relay, so the owner's told waits bind it. An owner at its start does not:
 /// the process before it ended or was killed, and a restart ends every wait (PROTOCOL); it starts closed.
-pub fn carries(role: Role) -> bool {
-    role == Role::Taker
+pub fn reads_snapshot(role: Role) -> bool {
+    role == Role::Successor
 }
 
 /// True if a taker takes on a message with `left` until its deadline; else it is pushed back, as it
 /// might end late while nobody may send it.
-pub fn takes(left: Duration) -> bool {
-    left > HELD_MOST + HELD_MARGIN
+pub fn accepts(left: Duration) -> bool {
+    left > MAX_HOLD + HOLD_MARGIN
 }
 
 /// What an owner does once it is told to stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Stopping {
+pub struct StopPlan {
     /// New client connections are accepted for so long: the platform's front still sends them.
-    pub accept: Duration,
+    pub accept_for: Duration,
     /// New legs go out for so long ...
-    pub legs: Duration,
+    pub send_for: Duration,
     /// ... and it ends by then, whatever is still out.
     pub end_by: Duration,
     /// It ends as soon as nothing is out and no client is left, though it holds messages.
-    pub leaves_held: bool,
+    pub hands_over: bool,
 }
 
 /// A stop for a restart: SIGKILL may come 3.7 s after SIGTERM.
-pub const RESTART: Stopping = Stopping {
-    accept: Duration::from_millis(500),
-    legs: Duration::from_millis(2_000),
+pub const RESTART: StopPlan = StopPlan {
+    accept_for: Duration::from_millis(500),
+    send_for: Duration::from_millis(2_000),
     end_by: Duration::from_millis(3_500),
-    leaves_held: false,
+    hands_over: false,
 };
 /// A stop with a taker beside it: every new connection goes to the taker, every message it holds is the
 /// taker's once it has ended, and the sooner it ends the sooner these are sent.
-pub const HANDOVER: Stopping = Stopping {
-    accept: Duration::ZERO,
-    legs: Duration::ZERO,
+pub const HANDOVER: StopPlan = StopPlan {
+    accept_for: Duration::ZERO,
+    send_for: Duration::ZERO,
     end_by: Duration::from_millis(3_300),
-    leaves_held: true,
+    hands_over: true,
 };
 
 /// How to stop: a handover if a taker is there.
-pub fn stopping(taker_there: bool) -> Stopping {
-    if taker_there { HANDOVER } else { RESTART }
+pub fn stop_plan(successor_present: bool) -> StopPlan {
+    if successor_present { HANDOVER } else { RESTART }
 }
 
 /// Which spool a message comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
-    Owner,
-    Taker,
+    Active,
+    Successor,
 }
 
 /// The order of one spool made of two: each side's messages `(id, taken at)` in their own order, merged
@@ -117,10 +117,10 @@
     let (mut o, mut t, mut order) = (0, 0, Vec::with_capacity(owner.len() + taker.len()));
     while o < owner.len() || t < taker.len() {
         if t == taker.len() || (o < owner.len() && owner[o].1 <= taker[t].1) {
-            order.push((Side::Owner, o));
+            order.push((Side::Active, o));
             o += 1;
         } else {
-            order.push((Side::Taker, taker[t].0));
+            order.push((Side::Successor, taker[t].0));
             t += 1;
         }
     }
@@ -129,20 +129,21 @@
 
 /// What an owner leaves of a destination, or of one route where its endpoints are apart.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Route {
-    pub dst: u32,
+pub struct RouteRecord {
+    #[serde(rename = "dst")]
+    pub destination: u32,
     /// The endpoint's id as listed, where the route is one endpoint's.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub endpoint: Option<String>,
     /// A told wait binds until then (rule 6); 0 if none.
-    #[serde(default)]
-    pub told_until_ms: u64,
+    #[serde(default, rename = "told_until_ms")]
+    pub retry_after_until_ms: u64,
     /// The breaker is open until then, half-open if 0; closed if none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub open_until_ms: Option<u64>,
     /// The destination came back cold then, and is ramped from then on (rule 4).
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub cold_since_ms: Option<u64>,
+    #[serde(default, rename = "cold_since_ms", skip_serializing_if = "Option::is_none")]
+    pub slow_start_since_ms: Option<u64>,
 }
 
 /// All that an owner leaves to the next one beside its spool; endpoints out by hand have their own file.
@@ -151,7 +152,7 @@
     pub format: u32,
     /// When it was written, Unix milliseconds.
     pub written_ms: u64,
-    pub routes: Vec<Route>,
+    pub routes: Vec<RouteRecord>,
 }
 
 impl Snapshot {
@@ -182,11 +183,13 @@
     /// What still binds at `now_ms`: waits that are over and closed breakers of warm routes are dropped.
     pub fn binding(mut self, now_ms: u64) -> Snapshot {
         for route in &mut self.routes {
-            if route.told_until_ms <= now_ms {
-                route.told_until_ms = 0;
+            if route.retry_after_until_ms <= now_ms {
+                route.retry_after_until_ms = 0;
             }
         }
-        self.routes.retain(|r| r.told_until_ms > 0 || r.open_until_ms.is_some() || r.cold_since_ms.is_some());
+        self.routes.retain(|r| {
+            r.retry_after_until_ms > 0 || r.open_until_ms.is_some() || r.slow_start_since_ms.is_some()
+        });
         self
     }
 }
--- a/crates/handover/src/tests.rs
+++ b/crates/handover/src/tests.rs
@@ -2,33 +2,33 @@
 
 #[test]
 fn the_role_follows_from_the_locks() {
-    assert_eq!(role(true, true, false), Ok(Role::Owner { adopt: false }));
-    assert_eq!(role(true, true, true), Ok(Role::Owner { adopt: true }));
+    assert_eq!(role(true, true, false), Ok(Role::Active { merge_successor: false }));
+    assert_eq!(role(true, true, true), Ok(Role::Active { merge_successor: true }));
     // A taker that is still there keeps its messages until it owns.
-    assert_eq!(role(true, false, true), Ok(Role::Owner { adopt: false }));
-    assert_eq!(role(false, true, true), Ok(Role::Taker));
+    assert_eq!(role(true, false, true), Ok(Role::Active { merge_successor: false }));
+    assert_eq!(role(false, true, true), Ok(Role::Successor));
     assert!(role(false, false, false).is_err());
 }
 
 #[test]
 fn a_taker_takes_only_what_has_time_left_beyond_what_it_may_hold() {
-    assert!(!takes(HELD_MOST));
-    assert!(!takes(HELD_MOST + HELD_MARGIN));
-    assert!(takes(Duration::from_secs(8)));
+    assert!(!accepts(MAX_HOLD));
+    assert!(!accepts(MAX_HOLD + HOLD_MARGIN));
+    assert!(accepts(Duration::from_secs(8)));
 }
 
 #[test]
 fn a_stop_with_a_taker_accepts_and_sends_nothing_more_and_leaves_what_it_holds() {
-    let handover = stopping(true);
+    let handover = stop_plan(true);
     assert_eq!(
-        (handover.accept, handover.legs, handover.leaves_held),
+        (handover.accept_for, handover.send_for, handover.hands_over),
         (Duration::ZERO, Duration::ZERO, true)
     );
     assert!(handover.end_by < Duration::from_millis(3_700));
-    let restart = stopping(false);
+    let restart = stop_plan(false);
     assert!(
-        !restart.leaves_held
-            && restart.legs > Duration::ZERO
+        !restart.hands_over
+            && restart.send_for > Duration::ZERO
             && restart.end_by < Duration::from_millis(3_700)
     );
 }
@@ -40,20 +40,23 @@
     let order = merge(&owner, &taker);
     use Side::*;
     // b came first to the owner; y ties with the owner's b and goes after it.
-    assert_eq!(order, vec![(Owner, 0), (Taker, 0), (Owner, 1), (Taker, 2), (Owner, 2), (Taker, 3)]);
+    assert_eq!(
+        order,
+        vec![(Active, 0), (Successor, 0), (Active, 1), (Successor, 2), (Active, 2), (Successor, 3)]
+    );
     // A side whose times go back (the clock was set) keeps its own order.
     let owner: Vec<(&[u8], u64)> = vec![(b"a", 50), (b"b", 10)];
-    assert_eq!(merge(&owner, &[]), vec![(Owner, 0), (Owner, 1)]);
+    assert_eq!(merge(&owner, &[]), vec![(Active, 0), (Active, 1)]);
 }
 
 #[test]
 fn a_snapshot_is_read_back_and_one_of_a_newer_format_is_refused_by_name() {
-    let route = Route {
-        dst: 7,
+    let route = RouteRecord {
+        destination: 7,
         endpoint: Some("s-1".into()),
-        told_until_ms: 2_000,
+        retry_after_until_ms: 2_000,
         open_until_ms: Some(0),
-        cold_since_ms: None,
+        slow_start_since_ms: None,
     };
     let snapshot = Snapshot { format: FORMAT, written_ms: 1_000, routes: vec![route] };
     assert_eq!(Snapshot::read(&snapshot.written()), Ok(snapshot.clone()));
@@ -64,12 +67,12 @@
 
 #[test]
 fn what_binds_no_more_is_not_carried() {
-    let route = |dst, told_until_ms, open_until_ms| Route {
-        dst,
+    let route = |dst, told_until_ms, open_until_ms| RouteRecord {
+        destination: dst,
         endpoint: None,
-        told_until_ms,
+        retry_after_until_ms: told_until_ms,
         open_until_ms,
-        cold_since_ms: None,
+        slow_start_since_ms: None,
     };
     let snapshot = Snapshot {
         format: FORMAT,
@@ -82,6 +85,9 @@
 
 #[test]
 fn only_a_taker_reads_what_the_owner_left() {
-    assert!(carries(Role::Taker));
-    assert!(!carries(Role::Owner { adopt: false }) && !carries(Role::Owner { adopt: true }));
+    assert!(reads_snapshot(Role::Successor));
+    assert!(
+        !reads_snapshot(Role::Active { merge_successor: false })
+            && !reads_snapshot(Role::Active { merge_successor: true })
+    );
 }
--- a/crates/judge/tests/rules.rs
+++ b/crates/invariants/tests/rules.rs
@@ -1,7 +1,7 @@
 //! Each rule broken in each way its text names, by hand, and clean histories beside them where the judge must
 //! stay silent.
 
-use mountshift_judge::{Effect, End, Fact, Figures, Judge, Lane, LegEnd, Listed, Time, Verdict};
+use mountshift_invariants::{Effect, End, Fact, Figures, Judge, Lane, LegEnd, Listed, Time, Verdict};
 use test_case::test_case;
 
 /// Lanes: 0 retriable, 1 keyed everywhere, 2 keyed by zone, 3 non-retriable, 4 retriable in order.
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -16,7 +16,7 @@
 use crate::traffic::{self, Request};
 use crate::world::{Place, World};
 use mountshift::interface::{EndpointStatus, Outcome, PolicySettings};
-use mountshift_judge::{End, Fact, Judge};
+use mountshift_invariants::{End, Fact, Judge};
 use mountshift_scenario::{Scenario, TroubleKind};
 use rayon::prelude::*;
 use rustc_hash::FxHashMap;
@@ -323,7 +323,7 @@
             Fact::Ran { msg, call, repeat, .. } => words = [3, msg, call, u64::from(repeat)],
             Fact::LegEnded { msg, call, end, .. } => {
                 let (code, wait) = match end {
-                    mountshift_judge::LegEnd::Full(wait) => (0, wait),
+                    mountshift_invariants::LegEnd::Full(wait) => (0, wait),
                     other => (1 + end_number(other), 0),
                 };
                 words = [4, msg, call, code << 56 | wait];
@@ -757,8 +757,8 @@
     }
 }
 
-fn end_number(end: mountshift_judge::LegEnd) -> u64 {
-    use mountshift_judge::LegEnd as E;
+fn end_number(end: mountshift_invariants::LegEnd) -> u64 {
+    use mountshift_invariants::LegEnd as E;
     match end {
         E::Delivered => 0,
         E::Error => 1,
@@ -771,7 +771,7 @@
     }
 }
 
-fn end_name(end: mountshift_judge::LegEnd) -> &'static str {
+fn end_name(end: mountshift_invariants::LegEnd) -> &'static str {
     ["delivered", "error", "full", "timed out", "connect failed", "reset", "cancelled", "moot"]
         [end_number(end) as usize]
 }
--- a/crates/lab/src/day/calls.rs
+++ b/crates/lab/src/day/calls.rs
@@ -6,7 +6,7 @@
 use crate::host::Came;
 use crate::world::by_zone;
 use mountshift::interface::Outcome;
-use mountshift_judge::Fact;
+use mountshift_invariants::Fact;
 use mountshift_scenario::Effect;
 use std::time::Duration;
 
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -7,7 +7,7 @@
 use crate::servers::{Route, Server, State};
 use crate::world::Strike;
 use mountshift::interface::{EndpointStatus, Outcome};
-use mountshift_judge::Fact;
+use mountshift_invariants::Fact;
 use mountshift_scenario::TroubleKind;
 
 /// An outage shorter than this leaves nothing cold: what was warm still is, and nobody can have learnt of it.
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -5,7 +5,7 @@
 use crate::policy::{Policy, Truth};
 use crate::world::World;
 use mountshift::interface::*;
-use mountshift_judge::{End, Fact, LegEnd, Listed as Said};
+use mountshift_invariants::{End, Fact, LegEnd, Listed as Said};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -20,7 +20,7 @@
 mod traffic;
 mod world;
 
-pub use mountshift_judge::Fact;
+pub use mountshift_invariants::Fact;
 
 /// Microseconds since the day began.
 pub type Time = u64;
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -1,6 +1,6 @@
 //! What a played day came to, for people, programs and comparisons.
 
-use mountshift_judge::Verdict;
+use mountshift_invariants::Verdict;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -113,8 +113,9 @@
 }
 
 pub(crate) fn breaches(verdict: &Verdict) -> Vec<BreachOutcome> {
-    let line = |(at, fact): &(u64, mountshift_judge::Fact)| format!("{:10.4} s  {fact}", *at as f64 / 1e6);
-    let breach = |b: &mountshift_judge::Breach| BreachOutcome {
+    let line =
+        |(at, fact): &(u64, mountshift_invariants::Fact)| format!("{:10.4} s  {fact}", *at as f64 / 1e6);
+    let breach = |b: &mountshift_invariants::Breach| BreachOutcome {
         rule: b.rule,
         at_s: b.at as f64 / 1e6,
         why: b.why.clone(),
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -187,7 +187,7 @@
         self.weighed += weight;
         // A little slack for chance, as the judge allows it.
         let takes = self.takes(now, world);
-        self.weighed(now, world) > takes + mountshift_judge::cold_slack(takes)
+        self.weighed(now, world) > takes + mountshift_invariants::cold_slack(takes)
     }
 
     /// Calls that its limits and what it bears while cold let through now.
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -4,7 +4,7 @@
 use crate::Time;
 use crate::chance::{Chance, What};
 use mountshift::interface::*;
-use mountshift_judge as judge;
+use mountshift_invariants as judge;
 use mountshift_scenario as scenario;
 use mountshift_scenario::{Scenario, TroubleKind, Whom};
 use std::time::Duration;
--- a/crates/orders/src/lib.rs
+++ b/crates/maintenance/src/lib.rs
@@ -79,15 +79,15 @@
 pub enum Change {
     None,
     /// The set of endpoints out changed: write it down, tell the decisions.
-    Out(String),
-    Back(String),
+    EndpointOut(String),
+    EndpointBack(String),
     Standby,
     Active,
 }
 
 /// The orders in force.
 #[derive(Debug, Default)]
-pub struct Orders {
+pub struct MaintenanceState {
     /// Endpoints out by hand, by id as listed.
     out: BTreeSet<String>,
     /// Every id that a list has named in this process, or that was out from before.
@@ -98,18 +98,18 @@
     stopping: bool,
 }
 
-impl Orders {
+impl MaintenanceState {
     /// With the endpoints out from before, as `written` wrote them.
-    pub fn from_text(text: &str) -> Orders {
+    pub fn from_text(text: &str) -> MaintenanceState {
         let out: BTreeSet<String> =
             text.lines().map(str::trim).filter(|l| !l.is_empty()).map(String::from).collect();
-        Orders { listed: out.clone(), out, ..Orders::default() }
+        MaintenanceState { listed: out.clone(), out, ..MaintenanceState::default() }
     }
 
     /// Takes the endpoints out as another process of the relay wrote them down since (an upgrade): the file
     /// holds all that are out. True if that changed anything here.
     pub fn read_out(&mut self, text: &str) -> bool {
-        let told = Orders::from_text(text);
+        let told = MaintenanceState::from_text(text);
         self.listed.extend(told.listed);
         std::mem::replace(&mut self.out, told.out) != self.out
     }
@@ -140,12 +140,12 @@
     }
 
     /// True if `PING` at the clients' address says yes.
-    pub fn says_yes(&self) -> bool {
+    pub fn answers_ping(&self) -> bool {
         self.standby.is_none() && !self.stopping
     }
 
     /// When a client connection that waits since `since` for its next request is closed; none if it isn't.
-    pub fn let_go_at(&self, since: Duration) -> Option<Duration> {
+    pub fn idle_close_at(&self, since: Duration) -> Option<Duration> {
         self.standby.map(|at| (since.max(at) + IDLE_CLOSE).min(at + ALL_CLOSE))
     }
 
@@ -163,9 +163,9 @@
             Call::Enter(id) | Call::Exit(id) if !self.listed.contains(&id) => {
                 (answer(404, "no endpoint of that id was listed"), Change::None)
             }
-            Call::Enter(id) if self.out.insert(id.clone()) => (answer(200, "out"), Change::Out(id)),
+            Call::Enter(id) if self.out.insert(id.clone()) => (answer(200, "out"), Change::EndpointOut(id)),
             Call::Enter(_) => (answer(200, "out already"), Change::None),
-            Call::Exit(id) if self.out.remove(&id) => (answer(200, "back"), Change::Back(id)),
+            Call::Exit(id) if self.out.remove(&id) => (answer(200, "back"), Change::EndpointBack(id)),
             Call::Exit(_) => (answer(200, "was not out"), Change::None),
             Call::Standby => {
                 let change = if self.standby.is_none() { Change::Standby } else { Change::None };
--- a/crates/relay/src/clients.rs
+++ b/crates/relay/src/clients.rs
@@ -6,7 +6,7 @@
 use futures_lite::{AsyncWrite, AsyncWriteExt, FutureExt};
 use log::{debug, info, warn};
 use mountshift::interface::MessageId;
-use mountshift_orders::Orders;
+use mountshift_maintenance::MaintenanceState;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
@@ -95,7 +95,7 @@
     pub open: Rc<Cell<usize>>,
     pub waiting: RefCell<BTreeMap<u64, Waiting>>,
     /// Whether clients are sent away, and when their connections go; from `start` on.
-    pub orders: Rc<RefCell<Orders>>,
+    pub maintenance: Rc<RefCell<MaintenanceState>>,
     pub start: Instant,
     /// Closed, and made anew, when standby begins or ends: wakes the connections that wait.
     pub moved: RefCell<(Sender<()>, Receiver<()>)>,
@@ -120,7 +120,7 @@
     async fn sent_away(&self, since: Instant) -> &'static str {
         loop {
             let moved = self.moved.borrow().1.clone();
-            let at = self.orders.borrow().let_go_at(since.saturating_duration_since(self.start));
+            let at = self.maintenance.borrow().idle_close_at(since.saturating_duration_since(self.start));
             let changed = async {
                 let _ = moved.recv().await;
                 false
@@ -326,7 +326,7 @@
                 self.since = Instant::now();
             }
             // In standby a connection goes once it owes nothing, and none is held long after the call.
-            let closes = front.orders.borrow().closes(front.start.elapsed());
+            let closes = front.maintenance.borrow().closes(front.start.elapsed());
             if closes && self.buffer.is_empty() && !more && !self.has_something() {
                 return "standby";
             }
@@ -502,7 +502,7 @@
     let now = |text: &str| Some(Reply::Now(format!("{text}\r\n")));
     let name = words.first().map(|w| w.to_ascii_uppercase()).unwrap_or_default();
     match (&name[..], words.len()) {
-        (b"PING", 1) if front.orders.borrow().says_yes() => now("+PONG"),
+        (b"PING", 1) if front.maintenance.borrow().answers_ping() => now("+PONG"),
         (b"PING", 1) => now("-ERR standby"),
         (b"QUIT", 1) => None,
         (b"OUT.ADD", 5) => match handed_in(words) {
@@ -624,7 +624,7 @@
             bytes_most: 1 << 20,
             open: Rc::default(),
             waiting: RefCell::default(),
-            orders: Rc::new(RefCell::new(Orders::from_text(""))),
+            maintenance: Rc::new(RefCell::new(MaintenanceState::from_text(""))),
             start: Instant::now(),
             moved: RefCell::new(async_channel::bounded(1)),
         };
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{Level, log, warn};
-use mountshift_members::{Chance, Phase, Terms};
+use mountshift_discovery::{Jitter, Phase, PollSchedule};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -77,9 +77,9 @@
     /// Bytes of a list at most.
     pub most: usize,
     /// Spreads the pauses after failed calls.
-    pub chance: Chance,
+    pub chance: Jitter,
     /// How long a call may wait, and when it is given up.
-    pub terms: Terms,
+    pub terms: PollSchedule,
     /// Discovery has answered since the start, or since it moved.
     pub heard: bool,
 }
@@ -98,7 +98,7 @@
                 to
             };
             // Guards against a fleet that fails at one moment and keeps the agent full by asking together.
-            let pause = self.terms.again(failures, told_wait, self.chance.draw());
+            let pause = self.terms.retry_pause(failures, told_wait, self.chance.draw());
             let next = async {
                 if start || failures > 0 {
                     match &self.asked {
@@ -149,7 +149,7 @@
     /// The list or its changes; else why not, with a wait that discovery told.
     async fn call(&self, connection: &mut Option<Connection>) -> Result<Members, (String, Option<Duration>)> {
         // The list held at first, or before a failed call, may be old: what changed since is asked for at once.
-        let (wait, within) = self.terms.call(self.heard && self.revision.is_some());
+        let (wait, within) = self.terms.poll_timeouts(self.heard && self.revision.is_some());
         let path = match self.revision {
             Some(n) => format!("/catalog/members?index={n}&wait={}", wait.as_millis().max(1)),
             None => "/catalog/members".to_string(),
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -7,7 +7,7 @@
 use futures_lite::FutureExt;
 use log::{debug, error, info};
 use mountshift::interface::*;
-use mountshift_members::Phase;
+use mountshift_discovery::Phase;
 use mountshift_settings::SocketSettings;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -12,11 +12,11 @@
 use log::{debug, error, info, warn};
 use mountshift::interface::*;
 use mountshift::rules::DeliveryPolicy;
-use mountshift_handover::{Route, Snapshot, Stopping};
-use mountshift_members::{Book, Entry, List};
-use mountshift_orders::{Change, Orders};
+use mountshift_discovery::{DrainRecord, ListEntry, ListHeader};
+use mountshift_handover::{RouteRecord, Snapshot, StopPlan};
+use mountshift_maintenance::{Change, MaintenanceState};
 use mountshift_settings::SocketSettings;
-use mountshift_spool::{End as Owed, Spool, Taken};
+use mountshift_spool::{AcceptedMessage, FinalOutcome, Spool};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -47,10 +47,10 @@
     List(Result<Members, Option<Duration>>),
     /// The platform took these ends.
     Noticed(Vec<MessageId>),
-    /// An operator's call changed the orders.
-    Orders(Change),
+    /// An operator's call changed the maintenance.
+    Maintenance(Change),
     /// Told to stop, and how.
-    Stop(Stopping),
+    Stop(StopPlan),
 }
 
 /// The clock of the decisions. It began before any leg that the spool still tells of.
@@ -127,15 +127,15 @@
     wake: Option<Duration>,
     /// The spool had no room for the last message.
     full: bool,
-    orders: Rc<RefCell<Orders>>,
+    maintenance: Rc<RefCell<MaintenanceState>>,
     /// Where the endpoints out by hand are written down.
     out_file: PathBuf,
     /// Where what outlives the process is written down for the next one.
     snapshot_file: PathBuf,
     /// Endpoints told as leaving, where that is written down, and in how many bytes at most.
-    book: Book,
-    book_file: PathBuf,
-    book_most: usize,
+    drain_record: DrainRecord,
+    drain_record_file: PathBuf,
+    drain_record_max_bytes: usize,
 }
 
 impl Actions for Desk {
@@ -148,11 +148,11 @@
 
     fn reject(&mut self, msg: MessageId, pause: Duration) -> bool {
         let ms = pause.as_millis() as u64;
-        self.end(msg, Answer::PushedBack(ms), Owed::PushedBack(ms))
+        self.end(msg, Answer::PushedBack(ms), FinalOutcome::Rejected(ms))
     }
 
     fn fail(&mut self, msg: MessageId) -> bool {
-        self.end(msg, Answer::Failed("failed"), Owed::Failed)
+        self.end(msg, Answer::Failed("failed"), FinalOutcome::Failed)
     }
 
     fn cancel(&mut self, msg: MessageId, _leg: AttemptNumber) {
@@ -176,7 +176,7 @@
     fn forget_endpoint(&mut self, endpoint: EndpointId) {
         self.idle.close(endpoint);
         let name = self.endpoints.get(endpoint).map(|e| e.name.clone());
-        let out = name.is_some_and(|name| self.orders.borrow().is_out(&name));
+        let out = name.is_some_and(|name| self.maintenance.borrow().is_out(&name));
         if let Some(gone) = self.endpoints.forget(endpoint, out) {
             info!("endpoint {} is forgotten{}", gone.name, if out { " while out by hand" } else { "" });
         }
@@ -197,12 +197,12 @@
 
     fn persist_routes(&mut self, routes: &[RouteSnapshot]) {
         let ms = |at: Duration| if at.is_zero() { 0 } else { self.clock.unix_ms(at).max(1) };
-        let route = |c: &RouteSnapshot| Route {
-            dst: c.destination.0,
+        let route = |c: &RouteSnapshot| RouteRecord {
+            destination: c.destination.0,
             endpoint: c.endpoint.and_then(|id| Some(self.endpoints.get(id)?.name.to_string())),
-            told_until_ms: ms(c.retry_after_until),
+            retry_after_until_ms: ms(c.retry_after_until),
             open_until_ms: c.open_until.map(ms),
-            cold_since_ms: c.slow_start_since.map(ms),
+            slow_start_since_ms: c.slow_start_since.map(ms),
         };
         let routes = routes.iter().map(route).collect();
         debug!("carry at {}: {routes:?}", self.clock.unix_ms(self.now));
@@ -222,39 +222,39 @@
 
 impl Desk {
     /// An end that is no delivery: the answer to a client that waits, else a notice. True if it is taken.
-    fn end(&mut self, msg: MessageId, answer: Answer, owed: Owed) -> bool {
+    fn end(&mut self, msg: MessageId, answer: Answer, owed: FinalOutcome) -> bool {
         if let Some(kept) = self.spool.borrow().get(msg.0) {
-            let (id, legs) = (String::from_utf8_lossy(&kept.taken.id), kept.legs.len());
-            debug!("message {id} ends undelivered: {owed:?} after {legs} legs, {}", kept.taken.list);
+            let (id, legs) = (String::from_utf8_lossy(&kept.accepted.id), kept.attempts.len());
+            debug!("message {id} ends undelivered: {owed:?} after {legs} legs, {}", kept.accepted.metadata);
         }
         if let Some(asking) = self.asking.remove(&msg) {
             let _ = asking.try_send(answer);
             self.over(msg);
             return true;
         }
-        self.spool.borrow_mut().owe(msg.0, owed);
+        self.spool.borrow_mut().record_outcome(msg.0, owed);
         self.notify(msg, owed);
         false
     }
 
-    fn notify(&mut self, msg: MessageId, end: Owed) {
+    fn notify(&mut self, msg: MessageId, end: FinalOutcome) {
         if let Some(kept) = self.spool.borrow().get(msg.0) {
-            let _ = self.notices.try_send(Notice { msg, id: kept.taken.id.clone(), end });
+            let _ = self.notices.try_send(Notice { msg, id: kept.accepted.id.clone(), end });
         }
     }
 
     fn over(&mut self, msg: MessageId) {
         let mut spool = self.spool.borrow_mut();
         if let Some(kept) = spool.get(msg.0) {
-            self.by_name.remove(&kept.taken.id);
-            spool.over(msg.0);
+            self.by_name.remove(&kept.accepted.id);
+            spool.remove(msg.0);
         }
     }
 
     /// Guards against an id that is handed in again after its end: every message has a new one, so whoever
     /// uses it hands in another's, and it would go out as a second copy.
     fn remember(&mut self, msg: MessageId) {
-        let ended = self.spool.borrow().get(msg.0).map(|kept| number(&kept.taken.id));
+        let ended = self.spool.borrow().get(msg.0).map(|kept| number(&kept.accepted.id));
         self.ended.extend(ended);
         self.ended.drain(..self.ended.len().saturating_sub(ENDED_MOST));
     }
@@ -307,11 +307,11 @@
                 taken.into_iter().for_each(|msg| self.take_over(msg, inputs));
             }
             Event::Late(to, asking) => self.late.push((to, asking)),
-            Event::Orders(change) => self.take_orders(change, inputs),
+            Event::Maintenance(change) => self.take_maintenance(change, inputs),
             Event::Stop(how) => {
-                self.orders.borrow_mut().stopping();
+                self.maintenance.borrow_mut().stopping();
                 // A process beside this one takes over what is held: nothing more goes out from here.
-                if how.leaves_held {
+                if how.hands_over {
                     info!("hands over to the process beside it");
                     inputs.push(Input::HandoverStarted);
                 }
@@ -346,14 +346,20 @@
             return;
         }
         let at = self.clock.unix_ms(deadline);
-        let taken =
-            Taken { id: m.id, key: m.key, list: m.list, deadline: at, body: m.body, at_us: unix_us() };
+        let taken = AcceptedMessage {
+            id: m.id,
+            key: m.key,
+            metadata: m.list,
+            deadline: at,
+            body: m.body,
+            accepted_at_us: unix_us(),
+        };
         let name = taken.id.clone();
-        let added = self.spool.borrow_mut().add(taken);
+        let added = self.spool.borrow_mut().accept(taken);
         let Some(n) = added else {
             // Told once, or what clients do meanwhile would fill the log.
             if !std::mem::replace(&mut self.full, true) {
-                warn!("spool: full with {} messages", self.spool.borrow().live().len());
+                warn!("spool: full with {} messages", self.spool.borrow().messages().len());
             }
             let _ = asking.try_send(Answer::PushedBack(0));
             return;
@@ -374,7 +380,7 @@
             self.calls.remove(&call);
         }
         if outcome.never_ran() && noted {
-            self.spool.borrow_mut().never_ran(msg.0);
+            self.spool.borrow_mut().record_not_run(msg.0);
         }
         if over {
             self.remember(msg);
@@ -389,7 +395,7 @@
             inputs.push(Input::FullListBegins);
         }
         for member in &list.members {
-            self.orders.borrow_mut().listed(&member.id);
+            self.maintenance.borrow_mut().listed(&member.id);
             let (id, says, moved) = self.endpoints.learn(member);
             let says = self.as_ordered(&member.id, says);
             if moved {
@@ -413,12 +419,12 @@
     fn take_down(&mut self, list: &mut Members) {
         let source = list.source.to_string();
         let now_ms = self.clock.unix_ms(self.now);
-        let head = List { source: &source, revision: list.revision, whole: list.whole, now_ms };
-        fn entry(m: &Member) -> Entry<'_> {
-            Entry { id: &m.id, phase: m.phase, up_since_ms: m.up_since_ms }
+        let head = ListHeader { source: &source, revision: list.revision, whole: list.whole, now_ms };
+        fn entry(m: &Member) -> ListEntry<'_> {
+            ListEntry { id: &m.id, phase: m.phase, up_since_ms: m.up_since_ms }
         }
-        let entries: Vec<Entry> = list.members.iter().map(entry).collect();
-        let (phases, old) = self.book.take(&head, &entries);
+        let entries: Vec<ListEntry> = list.members.iter().map(entry).collect();
+        let (phases, old) = self.drain_record.take(&head, &entries);
         if old > 0 {
             info!(
                 "list {}: {old} entries say ready of endpoints told as leaving; they stay so",
@@ -426,27 +432,27 @@
             );
         }
         list.members.iter_mut().zip(phases).for_each(|(m, phase)| m.phase = phase);
-        let Some(text) = self.book.written(self.book_most) else { return };
-        if let Err(e) = write_anew(&self.book_file, &text) {
-            error!("{}: {e}", self.book_file.display());
+        let Some(text) = self.drain_record.written(self.drain_record_max_bytes) else { return };
+        if let Err(e) = write_anew(&self.drain_record_file, &text) {
+            error!("{}: {e}", self.drain_record_file.display());
         }
     }
 
     /// An endpoint out by hand is draining for this relay, whatever the list says (rule 3).
     fn as_ordered(&self, name: &str, status: EndpointStatus) -> EndpointStatus {
-        if status == EndpointStatus::Ready && self.orders.borrow().is_out(name) {
+        if status == EndpointStatus::Ready && self.maintenance.borrow().is_out(name) {
             EndpointStatus::Draining
         } else {
             status
         }
     }
 
-    fn take_orders(&mut self, change: Change, inputs: &mut Vec<Input>) {
-        let (Change::Out(name) | Change::Back(name)) = &change else { return };
-        write_orders(&self.out_file, &self.orders.borrow());
+    fn take_maintenance(&mut self, change: Change, inputs: &mut Vec<Input>) {
+        let (Change::EndpointOut(name) | Change::EndpointBack(name)) = &change else { return };
+        write_maintenance(&self.out_file, &self.maintenance.borrow());
         // Guards against an endpoint that the decisions forgot while it was out: put back, it is known again.
         let known = self.endpoints.id_of(name);
-        let revived = known.is_none() && matches!(change, Change::Back(_));
+        let revived = known.is_none() && matches!(change, Change::EndpointBack(_));
         let Some(id) = known.or_else(|| revived.then(|| self.endpoints.revive(name)).flatten()) else {
             return;
         };
@@ -460,7 +466,7 @@
             status: says,
             rate,
         }));
-        if matches!(change, Change::Back(_)) {
+        if matches!(change, Change::EndpointBack(_)) {
             inputs.push(Input::EndpointRestarted(id));
         }
     }
@@ -482,11 +488,11 @@
                 },
             };
             carried.push(RouteSnapshot {
-                destination: DestinationId(route.dst),
+                destination: DestinationId(route.destination),
                 endpoint,
-                retry_after_until: at(route.told_until_ms),
+                retry_after_until: at(route.retry_after_until_ms),
                 open_until: route.open_until_ms.map(at),
-                slow_start_since: route.cold_since_ms.map(at),
+                slow_start_since: route.slow_start_since_ms.map(at),
             });
         }
         info!("carries {} routes over from the process before", carried.len());
@@ -496,14 +502,15 @@
     /// Tells of everything that the spool holds from before.
     fn restore(&mut self, inputs: &mut Vec<Input>) {
         let kept: Vec<_> =
-            self.spool.borrow().live().iter().map(|(n, k)| (MessageId(*n), k.clone())).collect();
+            self.spool.borrow().messages().iter().map(|(n, k)| (MessageId(*n), k.clone())).collect();
         for (msg, kept) in kept {
-            self.by_name.insert(kept.taken.id.clone(), msg);
-            let deadline = self.clock.at_unix_ms(kept.taken.deadline);
-            let told = told(&kept.taken.list).ok();
-            let hand_in = told.and_then(|told| self.hand_in(&told, kept.taken.key, deadline));
+            self.by_name.insert(kept.accepted.id.clone(), msg);
+            let deadline = self.clock.at_unix_ms(kept.accepted.deadline);
+            let told = told(&kept.accepted.metadata).ok();
+            let hand_in = told.and_then(|told| self.hand_in(&told, kept.accepted.key, deadline));
             // A class that the settings no longer hold: nobody could decide on it.
-            let owed = kept.owed.or(if hand_in.is_none() { Some(Owed::Failed) } else { None });
+            let owed =
+                kept.pending_outcome.or(if hand_in.is_none() { Some(FinalOutcome::Failed) } else { None });
             owed.into_iter().for_each(|end| self.notify(msg, end));
             let Some(hand_in) = hand_in.map(|h| Submission { restored: true, ..h }) else { continue };
             inputs.push(Input::Submitted { message: msg, submission: hand_in });
@@ -511,7 +518,7 @@
                 // Its end is not taken yet: it still holds back the rest of its key.
                 inputs.push(Input::FinalAnswerPending(msg));
             }
-            for leg in kept.legs {
+            for leg in kept.attempts {
                 let (zone, at) = (self.endpoints.zone(&leg.zone), self.clock.at_unix_ms(leg.at));
                 inputs.push(Input::EarlierAttempt { message: msg, zone, at, may_have_run: leg.may_have_run });
             }
@@ -571,8 +578,8 @@
         let limit = legs.iter().map(|l| l.1).min().unwrap_or_default();
         let part = |(msg, _): &(MessageId, Duration)| {
             let spool = self.spool.borrow();
-            let taken = &spool.get(msg.0)?.taken;
-            let idempotency_key = told(&taken.list).ok().and_then(|t| t.idempotency_key);
+            let taken = &spool.get(msg.0)?.accepted;
+            let idempotency_key = told(&taken.metadata).ok().and_then(|t| t.idempotency_key);
             Some(Part { msg: *msg, id: taken.id.clone(), idempotency_key, body: taken.body.clone() })
         };
         let parts = legs.iter().filter_map(part).collect();
@@ -588,15 +595,18 @@
         let note = Box::new(move || {
             let (mut spool, at) = (spool.borrow_mut(), clock.unix_ms(clock.at(Instant::now())));
             // Guards against a message that goes out behind its end, or that nobody wants any more.
-            if !legs.iter().all(|(msg, _)| spool.get(msg.0).is_some_and(|kept| kept.owed.is_none())) {
+            if !legs
+                .iter()
+                .all(|(msg, _)| spool.get(msg.0).is_some_and(|kept| kept.pending_outcome.is_none()))
+            {
                 return false;
             }
-            legs.iter().for_each(|(msg, _)| spool.leg(msg.0, &zone, at));
+            legs.iter().for_each(|(msg, _)| spool.record_attempt(msg.0, &zone, at));
             // A leg that is not noted must not go out.
             let safe = spool.commit();
             if let Err(e) = &safe {
                 error!("spool: {e}");
-                legs.iter().for_each(|(msg, _)| spool.never_ran(msg.0));
+                legs.iter().for_each(|(msg, _)| spool.record_not_run(msg.0));
             }
             safe.is_ok()
         });
@@ -612,8 +622,8 @@
 }
 
 /// Writes down the endpoints out by hand, for the next process and the one beside.
-pub fn write_orders(path: &std::path::Path, orders: &Orders) {
-    if let Err(e) = write_anew(path, &orders.written()) {
+pub fn write_maintenance(path: &std::path::Path, maintenance: &MaintenanceState) {
+    if let Err(e) = write_anew(path, &maintenance.written()) {
         error!("{}: {e}", path.display());
     }
 }
@@ -634,22 +644,22 @@
     pub leaving: Receiver<()>,
     /// Closed shortly before the end: clients hear what they are owed, nothing more is read.
     pub end: Sender<()>,
-    pub orders: Rc<RefCell<Orders>>,
+    pub maintenance: Rc<RefCell<MaintenanceState>>,
     pub out_file: PathBuf,
     /// What an earlier process left, and where this one writes it down.
     pub carried: Option<Snapshot>,
     pub snapshot_file: PathBuf,
     /// Endpoints told as leaving, to an earlier process too.
-    pub book: Book,
-    pub book_file: PathBuf,
-    pub book_most: usize,
+    pub drain_record: DrainRecord,
+    pub drain_record_file: PathBuf,
+    pub drain_record_max_bytes: usize,
 }
 
 pub struct Host {
     policy: DeliveryPolicy,
     desk: Desk,
     came: Receiver<Event>,
-    stopping: Option<(Instant, Stopping)>,
+    stopping: Option<(Instant, StopPlan)>,
     clients: Rc<Cell<usize>>,
     leaving: Receiver<()>,
     end: Sender<()>,
@@ -658,7 +668,7 @@
 impl Host {
     /// Makes the host and plays its first round, with what the spool and the list hold from before.
     pub fn new(parts: Parts) -> Host {
-        let legs = parts.spool.live().values().flat_map(|k| &k.legs);
+        let legs = parts.spool.messages().values().flat_map(|k| &k.attempts);
         let clock = Clock::new(legs.map(|l| l.at).min());
         let desk = Desk {
             clock,
@@ -681,12 +691,12 @@
             count: 0,
             wake: None,
             full: false,
-            orders: parts.orders,
+            maintenance: parts.maintenance,
             out_file: parts.out_file,
             snapshot_file: parts.snapshot_file,
-            book: parts.book,
-            book_file: parts.book_file,
-            book_most: parts.book_most,
+            drain_record: parts.drain_record,
+            drain_record_file: parts.drain_record_file,
+            drain_record_max_bytes: parts.drain_record_max_bytes,
         };
         let policy = DeliveryPolicy::new(parts.policy_settings);
         let mut host = Host {
@@ -739,10 +749,10 @@
         // What was being written can't become whole any more.
         for out in self.desk.calls.values_mut().filter(|out| out.stage.get() == Stage::Noted) {
             out.task = None;
-            out.legs.iter().for_each(|msg| self.desk.spool.borrow_mut().never_ran(msg.0));
+            out.legs.iter().for_each(|msg| self.desk.spool.borrow_mut().record_not_run(msg.0));
         }
         self.desk.carry_out();
-        let kept = self.desk.spool.borrow().live().len();
+        let kept = self.desk.spool.borrow().messages().len();
         info!("stopped with {} calls out, {kept} messages kept", self.desk.calls.len());
     }
 
@@ -788,7 +798,7 @@
                 .stopping
                 .map_or((Duration::ZERO, mountshift_handover::RESTART), |(at, how)| (at.elapsed(), how));
             // In a handover the decisions go on, sending nothing: ends that fall due are still told.
-            if stopped < how.legs || how.leaves_held {
+            if stopped < how.send_for || how.hands_over {
                 self.round(inputs);
             } else {
                 // Nothing more is decided: ends are noted, what is held waits in the spool for the next start.
@@ -797,8 +807,8 @@
             }
             if self.stopping.is_some() {
                 let clients_gone = self.leaving.is_closed() && self.clients.get() == 0;
-                let kept = self.desk.spool.borrow().live().len();
-                let left = how.leaves_held || stopped >= how.legs || kept == 0;
+                let kept = self.desk.spool.borrow().messages().len();
+                let left = how.hands_over || stopped >= how.send_for || kept == 0;
                 let done = clients_gone && self.desk.calls.is_empty() && left;
                 if done || stopped >= how.end_by {
                     return self.finish().await;
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -20,10 +20,13 @@
 use host::{Event, Host, Parts};
 use log::{error, info, warn};
 use mountshift::interface::MessageId;
-use mountshift_handover::{LOCK, NEXT, OWNER_SHARE, Role, SNAPSHOT, Side, Snapshot, TAKER_SHARE, carries};
-use mountshift_members::{BOOK, BOOK_SHARE, Book};
-use mountshift_orders::{Change, Orders};
-use mountshift_spool::{End, Kept, Spool};
+use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord};
+use mountshift_handover::{
+    ACTIVE_DISK_SHARE, LOCK_FILE, Role, SNAPSHOT_FILE, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, Side, Snapshot,
+    reads_snapshot,
+};
+use mountshift_maintenance::{Change, MaintenanceState};
+use mountshift_spool::{FinalOutcome, Spool, StoredMessage};
 use notices::Notice;
 use reception::{Ended, Reception};
 use std::cell::{Cell, RefCell};
@@ -78,7 +81,7 @@
 
 /// Takes the lock in `dir` for as long as the file is open: true if it is this process's.
 fn lock(dir: &Path) -> Result<(File, bool), String> {
-    let path = dir.join(LOCK);
+    let path = dir.join(LOCK_FILE);
     let file = File::create(&path).map_err(|e| format!("{}: {e}", path.display()))?;
     match file.try_lock() {
         Ok(()) => Ok((file, true)),
@@ -89,7 +92,7 @@
 
 /// True if another process holds the lock in `dir`.
 fn held_by_another(dir: &Path) -> bool {
-    let file = File::open(dir.join(LOCK));
+    let file = File::open(dir.join(LOCK_FILE));
     file.is_ok_and(|f| matches!(f.try_lock(), Err(TryLockError::WouldBlock)))
 }
 
@@ -119,7 +122,7 @@
 /// What an earlier process left of its destinations; none if nothing. Guards against a taker that ends over a file
 /// that it can't read, when the owner has ended: nobody would serve. It goes on as after a restart.
 fn carried(state: &Path) -> Option<Snapshot> {
-    let path = state.join(SNAPSHOT);
+    let path = state.join(SNAPSHOT_FILE);
     let read = match std::fs::read(&path) {
         Ok(bytes) => Snapshot::read(&String::from_utf8_lossy(&bytes)),
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
@@ -133,8 +136,8 @@
 
 /// What earlier processes were told of endpoints that leave. A book that can't be read ends nothing: what is
 /// left of it counts, and discovery is asked before anything goes out.
-fn book(state: &Path) -> Book {
-    let path = state.join(BOOK);
+fn drain_record(state: &Path) -> DrainRecord {
+    let path = state.join(DRAIN_RECORD_FILE);
     let text = match std::fs::read(&path) {
         Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => String::new(),
@@ -143,41 +146,45 @@
             String::new()
         }
     };
-    let (book, bad) = Book::read(&text);
+    let (drain_record, bad) = DrainRecord::read(&text);
     if bad > 0 {
         error!("{}: {bad} lines can't be read and are left out", path.display());
     }
-    book
+    drain_record
 }
 
 /// Makes the owner's spool one with what a taker took in beside it, in the order in which all was taken on,
 /// before any number of it is used. What does not fit ends by a notice. The taker's spool is gone after.
-fn adopt(
+fn merge_successor_spool(
     spool: &mut Spool,
     next: Spool,
     next_dir: &Path,
     notices: &async_channel::Sender<Notice>,
 ) -> Result<(), String> {
-    let (owner, taker): (Vec<Kept>, Vec<Kept>) =
-        (spool.live().values().cloned().collect(), next.live().values().cloned().collect());
-    fn times(side: &[Kept]) -> Vec<(&[u8], u64)> {
-        side.iter().map(|k| (&k.taken.id[..], k.taken.at_us)).collect()
+    let (owner, taker): (Vec<StoredMessage>, Vec<StoredMessage>) =
+        (spool.messages().values().cloned().collect(), next.messages().values().cloned().collect());
+    fn times(side: &[StoredMessage]) -> Vec<(&[u8], u64)> {
+        side.iter().map(|k| (&k.accepted.id[..], k.accepted.accepted_at_us)).collect()
     }
     let order = mountshift_handover::merge(&times(&owner), &times(&taker));
     let merged = order
         .iter()
-        .map(|(side, i)| if *side == Side::Owner { owner[*i].clone() } else { taker[*i].clone() });
+        .map(|(side, i)| if *side == Side::Active { owner[*i].clone() } else { taker[*i].clone() });
     let left = spool.replace_all(merged.collect()).map_err(|e| format!("spool: {e}"))?;
     for kept in left {
         warn!(
             "spool: no room for message {} of the process before; it ends as failed",
-            String::from_utf8_lossy(&kept.taken.id)
+            String::from_utf8_lossy(&kept.accepted.id)
         );
-        let _ = notices.try_send(Notice { msg: MessageId(u64::MAX), id: kept.taken.id, end: End::Failed });
+        let _ = notices.try_send(Notice {
+            msg: MessageId(u64::MAX),
+            id: kept.accepted.id,
+            end: FinalOutcome::Failed,
+        });
     }
     info!("took over {} messages taken in beside the owner", taker.len());
     drop(next);
-    let path = next_dir.join(mountshift_spool::NAME);
+    let path = next_dir.join(mountshift_spool::FILE_NAME);
     std::fs::remove_file(&path).map_err(|e| format!("{}: {e}", path.display()))
 }
 
@@ -187,11 +194,11 @@
     let zone_room = start.socket_settings.zones.iter().map(String::len).max().unwrap_or(0) as u64;
     let legs = u64::from(start.policy_settings.max_attempts);
     let share = |of: f64| (start.disk as f64 * of) as u64;
-    let next_dir = start.state.join(NEXT);
+    let next_dir = start.state.join(SUCCESSOR_DIR);
     std::fs::create_dir_all(&next_dir).map_err(folder)?;
     let (owner_lock, owner_free) = lock(&start.state).map_err(NotStarted::failure)?;
     let (taker_lock, taker_free) = lock(&next_dir).map_err(NotStarted::failure)?;
-    let taker_spool = next_dir.join(mountshift_spool::NAME).exists();
+    let taker_spool = next_dir.join(mountshift_spool::FILE_NAME).exists();
     let role = mountshift_handover::role(owner_free, taker_free, taker_spool)
         .map_err(|e| NotStarted::failure(format!("{}: {e}", start.state.display())))?;
     info!("{} starts as {role:?}", start.name);
@@ -212,8 +219,8 @@
     let must_ask = start.policy_settings.must_poll;
     let started = Instant::now();
     let out_file = start.state.join("maintenance");
-    let orders = Rc::new(RefCell::new(Orders::from_text(&read_out(&out_file)?)));
-    known.iter().flat_map(|list| &list.members).for_each(|m| orders.borrow_mut().listed(&m.id));
+    let maintenance = Rc::new(RefCell::new(MaintenanceState::from_text(&read_out(&out_file)?)));
+    known.iter().flat_map(|list| &list.members).for_each(|m| maintenance.borrow_mut().listed(&m.id));
     let lanes = start.socket_settings.classes.clone();
     async_io::block_on(executor.run(async {
         let events_in = events.0.clone();
@@ -225,9 +232,9 @@
             revision,
             asked: must_ask.then_some(watch_asked),
             most: start.memory / LIST_SHARE,
-            chance: mountshift_members::Chance::new(start.policy_settings.seed),
-            terms: mountshift_members::Terms {
-                relays: start.policy_settings.relay_count,
+            chance: mountshift_discovery::Jitter::new(start.policy_settings.seed),
+            terms: mountshift_discovery::PollSchedule {
+                relay_count: start.policy_settings.relay_count,
                 poll_interval: if must_ask {
                     start.policy_settings.poll_interval
                 } else {
@@ -249,7 +256,7 @@
             bytes_most: start.memory / REQUESTS_SHARE,
             open: open.clone(),
             waiting: RefCell::default(),
-            orders: orders.clone(),
+            maintenance: maintenance.clone(),
             start: started,
             moved: RefCell::new(async_channel::bounded(1)),
         };
@@ -262,9 +269,9 @@
                 if matches!(change, Change::Standby | Change::Active) {
                     front.standby_moved();
                 }
-                drop(changed.try_send(Event::Orders(change)));
+                drop(changed.try_send(Event::Maintenance(change)));
             });
-            let desk = mgmt::Desk { orders: orders.clone(), start: started, changed };
+            let desk = mgmt::Desk { maintenance: maintenance.clone(), start: started, changed };
             executor.spawn(mgmt::serve(mgmt, Rc::new(desk), executor.clone())).detach();
             info!("operators' calls on {at}");
         }
@@ -294,15 +301,15 @@
                     Some(Ok(_)) => {
                         stopping = true;
                         // An owner with a taker beside it hands over; else this is a restart.
-                        let how = mountshift_handover::stopping(owned.get() && held_by_another(&stop_dir));
+                        let how = mountshift_handover::stop_plan(owned.get() && held_by_another(&stop_dir));
                         info!(
                             "told to stop, {}",
-                            if how.leaves_held { "with a process beside it" } else { "for a restart" }
+                            if how.hands_over { "with a process beside it" } else { "for a restart" }
                         );
                         let _ = stop_events.send(Event::Stop(how)).await;
                         let leave_all = leave_all.clone();
                         let leave_later = async move {
-                            Timer::after(how.accept).await;
+                            Timer::after(how.accept_for).await;
                             leave_all.close();
                         };
                         stop_executor.spawn(leave_later).detach();
@@ -316,21 +323,23 @@
             }
         };
         executor.spawn(stop).detach();
-        orders.borrow_mut().serving();
+        maintenance.borrow_mut().serving();
         info!("ready on {}", start.listen);
-        let mut spool = Spool::open(&start.state, share(OWNER_SHARE), legs, zone_room).map_err(folder);
+        let mut spool = Spool::open(&start.state, share(ACTIVE_DISK_SHARE), legs, zone_room).map_err(folder);
         let mut stash = Vec::new();
         match role {
-            Role::Owner { adopt: true } => {
-                let next = Spool::open(&next_dir, share(TAKER_SHARE), legs, zone_room).map_err(folder)?;
+            Role::Active { merge_successor: true } => {
+                let next =
+                    Spool::open(&next_dir, share(SUCCESSOR_DISK_SHARE), legs, zone_room).map_err(folder)?;
                 if let Ok(spool) = spool.as_mut() {
-                    adopt(spool, next, &next_dir, &notices).map_err(NotStarted::failure)?;
+                    merge_successor_spool(spool, next, &next_dir, &notices).map_err(NotStarted::failure)?;
                 }
             }
-            Role::Owner { adopt: false } => {}
-            Role::Taker => {
+            Role::Active { merge_successor: false } => {}
+            Role::Successor => {
                 drop(spool);
-                let next = Spool::open(&next_dir, share(TAKER_SHARE), legs, zone_room).map_err(folder)?;
+                let next =
+                    Spool::open(&next_dir, share(SUCCESSOR_DISK_SHARE), legs, zone_room).map_err(folder)?;
                 info!("another process owns the state folder: takes in beside it");
                 let (leave, clients) = (leave.clone(), open.clone());
                 let (owner_lock, file) = (&owner_lock, out_file.clone());
@@ -338,7 +347,7 @@
                     spool: next,
                     owner_lock,
                     lanes,
-                    orders: orders.clone(),
+                    maintenance: maintenance.clone(),
                     out_file: file,
                     leave,
                     clients,
@@ -349,24 +358,24 @@
                 };
                 let next = taker.spool;
                 let mut owned =
-                    Spool::open(&start.state, share(OWNER_SHARE), legs, zone_room).map_err(folder)?;
-                adopt(&mut owned, next, &next_dir, &notices).map_err(NotStarted::failure)?;
+                    Spool::open(&start.state, share(ACTIVE_DISK_SHARE), legs, zone_room).map_err(folder)?;
+                merge_successor_spool(&mut owned, next, &next_dir, &notices).map_err(NotStarted::failure)?;
                 // What the owner wrote down since this process started.
-                orders.borrow_mut().read_out(&read_out(&out_file)?);
+                maintenance.borrow_mut().read_out(&read_out(&out_file)?);
                 spool = Ok(owned);
             }
         }
         drop(taker_lock);
         let spool = spool?;
         // Guards against waits of a process long gone being read at the next handover.
-        if !carries(role) {
-            match std::fs::remove_file(start.state.join(SNAPSHOT)) {
-                Err(e) if e.kind() != std::io::ErrorKind::NotFound => error!("{SNAPSHOT}: {e}"),
+        if !reads_snapshot(role) {
+            match std::fs::remove_file(start.state.join(SNAPSHOT_FILE)) {
+                Err(e) if e.kind() != std::io::ErrorKind::NotFound => error!("{SNAPSHOT_FILE}: {e}"),
                 _ => {}
             }
         }
         owns.set(true);
-        info!("{} starts with {} messages in its spool", start.name, spool.live().len());
+        info!("{} starts with {} messages in its spool", start.name, spool.messages().len());
         let host = Host::new(Parts {
             policy_settings: start.policy_settings,
             socket_settings: start.socket_settings,
@@ -380,13 +389,13 @@
             clients: open.clone(),
             leaving: leaving.clone(),
             end,
-            orders: orders.clone(),
+            maintenance: maintenance.clone(),
             out_file,
-            carried: if carries(role) { carried(&start.state) } else { None },
-            snapshot_file: start.state.join(SNAPSHOT),
-            book: book(&start.state),
-            book_file: start.state.join(BOOK),
-            book_most: share(BOOK_SHARE) as usize,
+            carried: if reads_snapshot(role) { carried(&start.state) } else { None },
+            snapshot_file: start.state.join(SNAPSHOT_FILE),
+            drain_record: drain_record(&start.state),
+            drain_record_file: start.state.join(DRAIN_RECORD_FILE),
+            drain_record_max_bytes: share(DRAIN_RECORD_DISK_SHARE) as usize,
         });
         stash.into_iter().for_each(|event| drop(events_in.try_send(event)));
         host.run().await;
--- a/crates/relay/src/mgmt.rs
+++ b/crates/relay/src/mgmt.rs
@@ -1,14 +1,14 @@
 //! The second address: operators' calls over HTTP/1.1, one a connection. What a call means is decided in
-//! `mountshift_orders`; here calls are read, handed over and answered. No answer waits for a round.
+//! `mountshift_maintenance`; here calls are read, handed over and answered. No answer waits for a round.
 
 use crate::clients::ACCEPT_PAUSE;
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use log::{info, warn};
-use mountshift_orders::{
-    Answer, CALLERS_MOST, CUT_SHORT, Change, HEAD_DUE, HEAD_MOST, LATE, NOT_HTTP, Orders, TOO_LARGE,
-    WRITE_DUE, call,
+use mountshift_maintenance::{
+    Answer, CALLERS_MOST, CUT_SHORT, Change, HEAD_DUE, HEAD_MOST, LATE, MaintenanceState, NOT_HTTP,
+    TOO_LARGE, WRITE_DUE, call,
 };
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -18,7 +18,7 @@
 
 /// What the second address needs.
 pub struct Desk {
-    pub orders: Rc<RefCell<Orders>>,
+    pub maintenance: Rc<RefCell<MaintenanceState>>,
     /// The relay's start, from which orders count time.
     pub start: Instant,
     /// Carries out what a call changed.
@@ -87,7 +87,7 @@
         Err(answer) => return answer,
     };
     let now = desk.start.elapsed();
-    let (answer, change) = desk.orders.borrow_mut().take(call, now);
+    let (answer, change) = desk.maintenance.borrow_mut().take(call, now);
     if change != Change::None {
         info!("mgmt: {method} {target}: {change:?}");
         (desk.changed)(change);
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -6,7 +6,7 @@
 use futures_lite::FutureExt;
 use log::warn;
 use mountshift::interface::MessageId;
-use mountshift_spool::End;
+use mountshift_spool::FinalOutcome;
 use serde_json::json;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,16 +22,16 @@
 pub struct Notice {
     pub msg: MessageId,
     pub id: Vec<u8>,
-    pub end: End,
+    pub end: FinalOutcome,
 }
 
 impl Notice {
     fn line(&self) -> String {
         let id = String::from_utf8_lossy(&self.id);
         let line = match self.end {
-            End::Failed => json!({"id": id, "state": "failed"}),
-            End::PushedBack(0) => json!({"id": id, "state": "returned"}),
-            End::PushedBack(ms) => json!({"id": id, "state": "returned", "after_ms": ms}),
+            FinalOutcome::Failed => json!({"id": id, "state": "failed"}),
+            FinalOutcome::Rejected(0) => json!({"id": id, "state": "returned"}),
+            FinalOutcome::Rejected(ms) => json!({"id": id, "state": "returned", "after_ms": ms}),
         };
         format!("{line}\n")
     }
--- a/crates/relay/src/reception.rs
+++ b/crates/relay/src/reception.rs
@@ -3,15 +3,15 @@
 //! what a taker takes on is decided in `mountshift_handover`; here it is carried out.
 
 use crate::clients::{Answer, HandedIn};
-use crate::host::{Event, unix_us, write_orders};
+use crate::host::{Event, unix_us, write_maintenance};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{error, info, warn};
 use mountshift::interface::MessageId;
-use mountshift_handover::{LOCK_LOOK, RESTART, takes};
-use mountshift_orders::{Change, Orders};
-use mountshift_spool::{Spool, Taken};
+use mountshift_handover::{LOCK_POLL_INTERVAL, RESTART, accepts};
+use mountshift_maintenance::{Change, MaintenanceState};
+use mountshift_spool::{AcceptedMessage, Spool};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::File;
@@ -37,7 +37,7 @@
     /// The owner's lock, to be taken once it is free; then held for as long as the process runs.
     pub owner_lock: &'a File,
     pub lanes: Vec<String>,
-    pub orders: Rc<RefCell<Orders>>,
+    pub maintenance: Rc<RefCell<MaintenanceState>>,
     pub out_file: PathBuf,
     /// Closed when clients are to go.
     pub leave: Sender<()>,
@@ -52,7 +52,7 @@
         let mut stopped: Option<Instant> = None;
         loop {
             let timer = async {
-                Timer::after(LOCK_LOOK).await;
+                Timer::after(LOCK_POLL_INTERVAL).await;
                 None
             };
             let first = async { came.recv().await.ok() }.or(timer).await;
@@ -63,13 +63,13 @@
                 match event {
                     Event::Message(m, answer) => match self.take(&m, &by_name) {
                         Err(refused) => drop(answer.try_send(refused)),
-                        Ok(taken) => match self.spool.add(taken) {
+                        Ok(taken) => match self.spool.accept(taken) {
                             Some(n) => {
                                 by_name.insert(m.id, n);
                                 asking.push((n, answer));
                             }
                             None => {
-                                warn!("next spool: full with {} messages", self.spool.live().len());
+                                warn!("next spool: full with {} messages", self.spool.messages().len());
                                 let _ = answer.try_send(Answer::PushedBack(0));
                             }
                         },
@@ -78,23 +78,23 @@
                     Event::Gone(msg) => {
                         let n = msg.0.wrapping_sub(TAKEN_BASE);
                         if let Some(kept) = self.spool.get(n) {
-                            by_name.remove(&kept.taken.id);
+                            by_name.remove(&kept.accepted.id);
                         }
-                        self.spool.over(n);
+                        self.spool.remove(n);
                     }
                     Event::Stop(_) => {
                         stopped = stopped.or(Some(Instant::now()));
-                        self.orders.borrow_mut().stopping();
+                        self.maintenance.borrow_mut().stopping();
                         self.leave.close();
                     }
-                    Event::Orders(change) => {
-                        if matches!(change, Change::Out(_) | Change::Back(_)) {
-                            write_orders(&self.out_file, &self.orders.borrow());
+                    Event::Maintenance(change) => {
+                        if matches!(change, Change::EndpointOut(_) | Change::EndpointBack(_)) {
+                            write_maintenance(&self.out_file, &self.maintenance.borrow());
                         }
-                        stash.push(Event::Orders(change));
+                        stash.push(Event::Maintenance(change));
                     }
                     Event::List(Ok(list)) => {
-                        list.members.iter().for_each(|m| self.orders.borrow_mut().listed(&m.id));
+                        list.members.iter().for_each(|m| self.maintenance.borrow_mut().listed(&m.id));
                         stash.push(Event::List(Ok(list)));
                     }
                     other => stash.push(other),
@@ -109,10 +109,10 @@
                     let _ = answer.try_send(Answer::Taken(MessageId(TAKEN_BASE + n)));
                 } else {
                     let _ = answer.try_send(Answer::PushedBack(0));
-                    self.spool.over(n);
+                    self.spool.remove(n);
                 }
             }
-            let kept = self.spool.live().len();
+            let kept = self.spool.messages().len();
             if let Some(at) = stopped {
                 if self.clients.get() == 0 || at.elapsed() >= RESTART.end_by {
                     info!("stopped before it owned, with {kept} messages in the next spool");
@@ -126,7 +126,7 @@
     }
 
     /// What a taker takes on, or how it answers instead.
-    fn take(&self, m: &HandedIn, by_name: &BTreeMap<Vec<u8>, u64>) -> Result<Taken, Answer> {
+    fn take(&self, m: &HandedIn, by_name: &BTreeMap<Vec<u8>, u64>) -> Result<AcceptedMessage, Answer> {
         if !self.lanes.contains(&m.told.lane) {
             return Err(Answer::Failed("c names no class"));
         }
@@ -134,11 +134,18 @@
             return Err(Answer::Held);
         }
         let left = m.told.left.saturating_sub(m.at.elapsed());
-        if !takes(left) {
+        if !accepts(left) {
             return Err(Answer::PushedBack(0));
         }
         let deadline = unix_us() / 1_000 + left.as_millis() as u64;
         let list = m.list.clone();
-        Ok(Taken { id: m.id.clone(), key: m.key, list, deadline, body: m.body.clone(), at_us: unix_us() })
+        Ok(AcceptedMessage {
+            id: m.id.clone(),
+            key: m.key,
+            metadata: list,
+            deadline,
+            body: m.body.clone(),
+            accepted_at_us: unix_us(),
+        })
     }
 }
--- a/crates/spool/src/lib.rs
+++ b/crates/spool/src/lib.rs
@@ -10,7 +10,7 @@
 use std::path::{Path, PathBuf};
 
 /// The log's file in its folder.
-pub const NAME: &str = "spool.log";
+pub const FILE_NAME: &str = "spool.log";
 const NEW_NAME: &str = "spool.new";
 /// The format of the log. Logs without a head record are of format 0, which differs in that alone; format 1
 /// has no time of taking in its messages, which format 2 appends to each.
@@ -27,22 +27,22 @@
 
 /// A message as it was handed in.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Taken {
+pub struct AcceptedMessage {
     pub id: Vec<u8>,
     pub key: u64,
     /// What came with it.
-    pub list: String,
+    pub metadata: String,
     /// Unix time in milliseconds.
     pub deadline: u64,
     pub body: Vec<u8>,
     /// When it was taken on, Unix time in microseconds; 0 if the log is older than that. Orders the messages
     /// of one key across two processes that took them on side by side.
-    pub at_us: u64,
+    pub accepted_at_us: u64,
 }
 
 /// A leg, noted before its first byte.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Leg {
+pub struct AttemptRecord {
     pub zone: String,
     /// Unix time in milliseconds.
     pub at: u64,
@@ -51,18 +51,18 @@
 
 /// An end that a message got and that has not been taken yet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
+pub enum FinalOutcome {
     Failed,
     /// With the pause in milliseconds.
-    PushedBack(u64),
+    Rejected(u64),
 }
 
 /// A message that is not over.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Kept {
-    pub taken: Taken,
-    pub legs: Vec<Leg>,
-    pub owed: Option<End>,
+pub struct StoredMessage {
+    pub accepted: AcceptedMessage,
+    pub attempts: Vec<AttemptRecord>,
+    pub pending_outcome: Option<FinalOutcome>,
 }
 
 /// The open log. Messages go by a number that grows in the order in which they were handed in.
@@ -73,26 +73,26 @@
     pending: Vec<u8>,
     limit: u64,
     zone_room: u64,
-    legs_most: u64,
-    live: BTreeMap<u64, Kept>,
+    max_attempts: u64,
+    live: BTreeMap<u64, StoredMessage>,
     /// What the live messages take at most in a fresh file, with all their legs and ends to come.
     reserved: u64,
     next: u64,
 }
 
 impl Spool {
-    /// Opens the log in `dir`, reads what is alive, drops a torn tail. A message may have `legs_most` legs,
+    /// Opens the log in `dir`, reads what is alive, drops a torn tail. A message may have `max_attempts` legs,
     /// at places with names of `zone_room` bytes at most.
     ///
     /// # Errors
     /// If the folder can't be used, or the log holds whole records that this version can't read (of a newer
     /// format, say); the log is then left as it is.
-    pub fn open(dir: &Path, limit: u64, legs_most: u64, zone_room: u64) -> io::Result<Spool> {
+    pub fn open(dir: &Path, limit: u64, max_attempts: u64, zone_room: u64) -> io::Result<Spool> {
         match fs::remove_file(dir.join(NEW_NAME)) {
             Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
             _ => {}
         }
-        let path = dir.join(NAME);
+        let path = dir.join(FILE_NAME);
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         let bytes = fs::read(&path)?;
         let mut spool = Spool {
@@ -102,7 +102,7 @@
             pending: Vec::new(),
             limit,
             zone_room,
-            legs_most,
+            max_attempts,
             live: BTreeMap::new(),
             reserved: 0,
             next: 1,
@@ -113,7 +113,7 @@
             // if it were a torn tail.
             spool.replay(payload).map_err(|what| {
                 let at = bytes.len() - rest.len();
-                io::Error::new(io::ErrorKind::InvalidData, format!("{NAME}, byte {at}: {what}"))
+                io::Error::new(io::ErrorKind::InvalidData, format!("{FILE_NAME}, byte {at}: {what}"))
             })?;
             rest = after;
         }
@@ -127,23 +127,23 @@
         if good == 0 {
             spool.append(&small(b'V', FORMAT));
         }
-        spool.reserved = spool.live.values().map(|k| spool.room_for(&k.taken)).sum();
+        spool.reserved = spool.live.values().map(|k| spool.room_for(&k.accepted)).sum();
         Ok(spool)
     }
 
     /// What is alive, in the order in which it was handed in.
-    pub fn live(&self) -> &BTreeMap<u64, Kept> {
+    pub fn messages(&self) -> &BTreeMap<u64, StoredMessage> {
         &self.live
     }
 
-    pub fn get(&self, n: u64) -> Option<&Kept> {
+    pub fn get(&self, n: u64) -> Option<&StoredMessage> {
         self.live.get(&n)
     }
 
     /// Takes a message on under a new number; none if it is not sure to fit with all that may follow.
-    pub fn add(&mut self, taken: Taken) -> Option<u64> {
-        let (n, room) = (self.next, self.room_for(&taken));
-        let record = frame(&message(n, &taken));
+    pub fn accept(&mut self, accepted: AcceptedMessage) -> Option<u64> {
+        let (n, room) = (self.next, self.room_for(&accepted));
+        let record = frame(&message(n, &accepted));
         // A tenth stays free so that a nearly full log is not written anew for every message.
         let half = (self.limit / 2).saturating_sub(self.limit / 20);
         if self.reserved + room > half {
@@ -155,39 +155,39 @@
         self.reserved += room;
         self.next += 1;
         self.pending.extend(record);
-        self.live.insert(n, Kept { taken, legs: Vec::new(), owed: None });
+        self.live.insert(n, StoredMessage { accepted, attempts: Vec::new(), pending_outcome: None });
         Some(n)
     }
 
     /// Notes a leg that is about to go out.
-    pub fn leg(&mut self, n: u64, zone: &str, at: u64) {
-        let leg = Leg { zone: zone.to_string(), at, may_have_run: true };
+    pub fn record_attempt(&mut self, n: u64, zone: &str, at: u64) {
+        let leg = AttemptRecord { zone: zone.to_string(), at, may_have_run: true };
         if let Some(kept) = self.live.get_mut(&n) {
-            kept.legs.push(leg.clone());
+            kept.attempts.push(leg.clone());
             self.append(&leg_out(n, &leg));
         }
     }
 
     /// Notes that the last leg never ran.
-    pub fn never_ran(&mut self, n: u64) {
-        if let Some(leg) = self.live.get_mut(&n).and_then(|k| k.legs.last_mut()) {
+    pub fn record_not_run(&mut self, n: u64) {
+        if let Some(leg) = self.live.get_mut(&n).and_then(|k| k.attempts.last_mut()) {
             leg.may_have_run = false;
             self.append(&small(b'N', n));
         }
     }
 
-    /// Notes an end that is owed until `over`.
-    pub fn owe(&mut self, n: u64, end: End) {
+    /// Notes an end that is owed until `remove`.
+    pub fn record_outcome(&mut self, n: u64, end: FinalOutcome) {
         if let Some(kept) = self.live.get_mut(&n) {
-            kept.owed = Some(end);
+            kept.pending_outcome = Some(end);
             self.append(&owed(n, end));
         }
     }
 
     /// The message is over: nothing of it is kept.
-    pub fn over(&mut self, n: u64) {
+    pub fn remove(&mut self, n: u64) {
         if let Some(kept) = self.live.remove(&n) {
-            self.reserved -= self.room_for(&kept.taken);
+            self.reserved -= self.room_for(&kept.accepted);
             self.append(&small(b'E', n));
         }
     }
@@ -198,12 +198,12 @@
     /// # Errors
     /// If the fresh file can't be written; the log is then as it was. Messages that don't fit within the limit
     /// are not taken and come back, in the order given.
-    pub fn replace_all(&mut self, kept: Vec<Kept>) -> io::Result<Vec<Kept>> {
+    pub fn replace_all(&mut self, kept: Vec<StoredMessage>) -> io::Result<Vec<StoredMessage>> {
         let (live, reserved, next) = (std::mem::take(&mut self.live), self.reserved, self.next);
         (self.reserved, self.next) = (0, 1);
         let mut left = Vec::new();
         for k in kept {
-            let room = self.room_for(&k.taken);
+            let room = self.room_for(&k.accepted);
             if !left.is_empty() || self.reserved + room > self.limit / 2 {
                 left.push(k);
                 continue;
@@ -242,9 +242,9 @@
         blocks(self.written)
     }
 
-    fn room_for(&self, taken: &Taken) -> u64 {
-        let own = SMALL + 24 + (taken.id.len() + taken.list.len() + taken.body.len()) as u64;
-        own + self.legs_most * (2 * SMALL + self.zone_room) + 2 * SMALL
+    fn room_for(&self, accepted: &AcceptedMessage) -> u64 {
+        let own = SMALL + 24 + (accepted.id.len() + accepted.metadata.len() + accepted.body.len()) as u64;
+        own + self.max_attempts * (2 * SMALL + self.zone_room) + 2 * SMALL
     }
 
     /// True if the log, `more` bytes and a fresh file with `room` more fit together.
@@ -261,19 +261,19 @@
     fn compact(&mut self) -> io::Result<()> {
         let mut bytes = frame(&small(b'V', FORMAT));
         for (n, kept) in &self.live {
-            bytes.extend(frame(&message(*n, &kept.taken)));
-            for leg in &kept.legs {
+            bytes.extend(frame(&message(*n, &kept.accepted)));
+            for leg in &kept.attempts {
                 bytes.extend(frame(&leg_out(*n, leg)));
                 if !leg.may_have_run {
                     bytes.extend(frame(&small(b'N', *n)));
                 }
             }
-            kept.owed.iter().for_each(|end| bytes.extend(frame(&owed(*n, *end))));
+            kept.pending_outcome.iter().for_each(|end| bytes.extend(frame(&owed(*n, *end))));
         }
         let new = self.dir.join(NEW_NAME);
         let mut file = OpenOptions::new().create(true).append(true).open(&new)?;
         file.set_len(0)?;
-        let moved = file.write_all(&bytes).and_then(|()| fs::rename(&new, self.dir.join(NAME)));
+        let moved = file.write_all(&bytes).and_then(|()| fs::rename(&new, self.dir.join(FILE_NAME)));
         if let Err(e) = moved {
             let _ = fs::remove_file(&new);
             return Err(e);
@@ -306,26 +306,27 @@
         match tag {
             b'M' => {
                 let (key, deadline) = (f.u64()?, f.u64()?);
-                let (id, list) = (f.text()?.to_vec(), String::from_utf8(f.text()?.to_vec()).ok()?);
+                let (id, metadata) = (f.text()?.to_vec(), String::from_utf8(f.text()?.to_vec()).ok()?);
                 let body = f.text()?.to_vec();
                 // Format 1 ends here.
-                let at_us = if f.0.is_empty() { 0 } else { f.u64()? };
-                let taken = Taken { id, key, list, deadline, body, at_us };
-                self.live.insert(n, Kept { taken, legs: Vec::new(), owed: None });
+                let accepted_at_us = if f.0.is_empty() { 0 } else { f.u64()? };
+                let accepted = AcceptedMessage { id, key, metadata, deadline, body, accepted_at_us };
+                self.live.insert(n, StoredMessage { accepted, attempts: Vec::new(), pending_outcome: None });
             }
             b'L' => {
                 let (at, zone) = (f.u64()?, String::from_utf8(f.text()?.to_vec()).ok()?);
-                let leg = Leg { zone, at, may_have_run: true };
-                self.live.get_mut(&n).into_iter().for_each(|k| k.legs.push(leg.clone()));
+                let leg = AttemptRecord { zone, at, may_have_run: true };
+                self.live.get_mut(&n).into_iter().for_each(|k| k.attempts.push(leg.clone()));
             }
             b'N' => {
-                let leg = self.live.get_mut(&n).and_then(|k| k.legs.last_mut());
+                let leg = self.live.get_mut(&n).and_then(|k| k.attempts.last_mut());
                 leg.into_iter().for_each(|l| l.may_have_run = false);
             }
             b'F' => {
                 let pause = f.u64()?;
-                let end = if pause == u64::MAX { End::Failed } else { End::PushedBack(pause) };
-                self.live.get_mut(&n).into_iter().for_each(|k| k.owed = Some(end));
+                let end =
+                    if pause == u64::MAX { FinalOutcome::Failed } else { FinalOutcome::Rejected(pause) };
+                self.live.get_mut(&n).into_iter().for_each(|k| k.pending_outcome = Some(end));
             }
             b'E' => {
                 self.live.remove(&n);
@@ -363,24 +364,24 @@
     bytes
 }
 
-fn message(n: u64, taken: &Taken) -> Vec<u8> {
+fn message(n: u64, accepted: &AcceptedMessage) -> Vec<u8> {
     let mut bytes = small(b'M', n);
-    [taken.key, taken.deadline].iter().for_each(|x| bytes.extend(x.to_le_bytes()));
-    [&taken.id[..], taken.list.as_bytes(), &taken.body].iter().for_each(|t| text(&mut bytes, t));
-    bytes.extend(taken.at_us.to_le_bytes());
+    [accepted.key, accepted.deadline].iter().for_each(|x| bytes.extend(x.to_le_bytes()));
+    [&accepted.id[..], accepted.metadata.as_bytes(), &accepted.body].iter().for_each(|t| text(&mut bytes, t));
+    bytes.extend(accepted.accepted_at_us.to_le_bytes());
     bytes
 }
 
-fn leg_out(n: u64, leg: &Leg) -> Vec<u8> {
+fn leg_out(n: u64, leg: &AttemptRecord) -> Vec<u8> {
     let mut bytes = small(b'L', n);
     bytes.extend(leg.at.to_le_bytes());
     text(&mut bytes, leg.zone.as_bytes());
     bytes
 }
 
-fn owed(n: u64, end: End) -> Vec<u8> {
+fn owed(n: u64, end: FinalOutcome) -> Vec<u8> {
     let mut bytes = small(b'F', n);
-    let pause = if let End::PushedBack(pause) = end { pause } else { u64::MAX };
+    let pause = if let FinalOutcome::Rejected(pause) = end { pause } else { u64::MAX };
     bytes.extend(pause.to_le_bytes());
     bytes
 }
--- a/crates/spool/tests/spool.rs
+++ b/crates/spool/tests/spool.rs
@@ -1,23 +1,30 @@
 //! The spool against torn tails, full disks and restarts.
 
-use mountshift_spool::{End, Kept, Leg, Spool, Taken};
+use mountshift_spool::{AcceptedMessage, AttemptRecord, FinalOutcome, Spool, StoredMessage};
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
 
-const LEGS: u64 = 4;
+const MAX_ATTEMPTS: u64 = 4;
 
 fn open(dir: &Path, limit: u64) -> Spool {
-    Spool::open(dir, limit, LEGS, 8).expect("a spool")
+    Spool::open(dir, limit, MAX_ATTEMPTS, 8).expect("a spool")
 }
 
-fn taken(id: &str, body: usize) -> Taken {
+fn accepted(id: &str, body: usize) -> AcceptedMessage {
     let body = (0..body).map(|i| (i * 7) as u8).collect();
-    Taken { id: id.into(), key: 5, list: "c=a,d=8000,dest=7".into(), deadline: 1_000, body, at_us: 9 }
+    AcceptedMessage {
+        id: id.into(),
+        key: 5,
+        metadata: "c=a,d=8000,dest=7".into(),
+        deadline: 1_000,
+        body,
+        accepted_at_us: 9,
+    }
 }
 
-fn leg(at: u64, may_have_run: bool) -> Leg {
-    Leg { zone: "north".into(), at, may_have_run }
+fn leg(at: u64, may_have_run: bool) -> AttemptRecord {
+    AttemptRecord { zone: "north".into(), at, may_have_run }
 }
 
 /// What all files in the folder take, in whole blocks.
@@ -31,34 +38,38 @@
     let dir = tempfile::tempdir().expect("a folder");
     let mut spool = open(dir.path(), 1 << 20);
     let n: Vec<u64> =
-        ["a", "b", "c", "d"].iter().map(|id| spool.add(taken(id, 300)).expect("room")).collect();
-    spool.leg(n[0], "north", 10);
-    spool.never_ran(n[0]);
-    spool.leg(n[0], "north", 20);
-    spool.owe(n[1], End::PushedBack(500));
-    spool.owe(n[3], End::Failed);
-    spool.over(n[2]);
+        ["a", "b", "c", "d"].iter().map(|id| spool.accept(accepted(id, 300)).expect("room")).collect();
+    spool.record_attempt(n[0], "north", 10);
+    spool.record_not_run(n[0]);
+    spool.record_attempt(n[0], "north", 20);
+    spool.record_outcome(n[1], FinalOutcome::Rejected(500));
+    spool.record_outcome(n[3], FinalOutcome::Failed);
+    spool.remove(n[2]);
     spool.commit().expect("written");
     drop(spool); // as when the process is killed: nothing is written at the end
     let mut spool = open(dir.path(), 1 << 20);
-    let kept = |id, legs, owed| Kept { taken: taken(id, 300), legs, owed };
+    let kept = |id, attempts, pending_outcome| StoredMessage {
+        accepted: accepted(id, 300),
+        attempts,
+        pending_outcome,
+    };
     let expected = BTreeMap::from([
         (n[0], kept("a", vec![leg(10, false), leg(20, true)], None)),
-        (n[1], kept("b", vec![], Some(End::PushedBack(500)))),
-        (n[3], kept("d", vec![], Some(End::Failed))),
+        (n[1], kept("b", vec![], Some(FinalOutcome::Rejected(500)))),
+        (n[3], kept("d", vec![], Some(FinalOutcome::Failed))),
     ]);
-    assert_eq!(*spool.live(), expected);
-    assert!(spool.add(taken("e", 1)).expect("room") > n[3], "a number is used twice");
+    assert_eq!(*spool.messages(), expected);
+    assert!(spool.accept(accepted("e", 1)).expect("room") > n[3], "a number is used twice");
 }
 
 #[test]
 fn what_is_not_committed_is_not_there() {
     let dir = tempfile::tempdir().expect("a folder");
     let mut spool = open(dir.path(), 1 << 20);
-    spool.add(taken("a", 10)).expect("room");
-    assert!(open(dir.path(), 1 << 20).live().is_empty());
+    spool.accept(accepted("a", 10)).expect("room");
+    assert!(open(dir.path(), 1 << 20).messages().is_empty());
     spool.commit().expect("written");
-    assert_eq!(open(dir.path(), 1 << 20).live().len(), 1);
+    assert_eq!(open(dir.path(), 1 << 20).messages().len(), 1);
 }
 
 #[test]
@@ -68,7 +79,7 @@
     let mut spool = open(dir.path(), 1 << 20);
     let mut ends = Vec::new();
     for id in ["a", "b", "c"] {
-        spool.add(taken(id, 20)).expect("room");
+        spool.accept(accepted(id, 20)).expect("room");
         spool.commit().expect("written");
         ends.push(fs::metadata(&path).expect("a log").len() as usize);
     }
@@ -77,18 +88,18 @@
         fs::write(&path, &whole[..cut]).expect("a log");
         let mut spool = open(dir.path(), 1 << 20);
         let expected = ends.iter().filter(|end| **end <= cut).count();
-        assert_eq!(spool.live().len(), expected, "cut at {cut}");
+        assert_eq!(spool.messages().len(), expected, "cut at {cut}");
         // What is appended after a dropped tail can be read.
-        spool.add(taken("z", 5)).expect("room");
+        spool.accept(accepted("z", 5)).expect("room");
         spool.commit().expect("written");
-        assert_eq!(open(dir.path(), 1 << 20).live().len(), expected + 1, "cut at {cut}");
+        assert_eq!(open(dir.path(), 1 << 20).messages().len(), expected + 1, "cut at {cut}");
     }
     for at in 0..whole.len() {
         let mut bad = whole.clone();
         bad[at] ^= 0x55;
         fs::write(&path, &bad).expect("a log");
         let expected = ends.iter().filter(|end| **end <= at).count();
-        assert_eq!(open(dir.path(), 1 << 20).live().len(), expected, "flipped at {at}");
+        assert_eq!(open(dir.path(), 1 << 20).messages().len(), expected, "flipped at {at}");
     }
 }
 
@@ -103,14 +114,14 @@
     let dir = tempfile::tempdir().expect("a folder");
     let path = dir.path().join("spool.log");
     let mut spool = open(dir.path(), 1 << 20);
-    spool.add(taken("a", 20)).expect("room");
+    spool.accept(accepted("a", 20)).expect("room");
     spool.commit().expect("written");
     let log = fs::read(&path).expect("a log");
     let head = framed(&[&b"V"[..], &2u64.to_le_bytes()].concat());
     assert!(log.starts_with(&head));
     let refused = |bytes: Vec<u8>| {
         fs::write(&path, &bytes).expect("a log");
-        let why = Spool::open(dir.path(), 1 << 20, LEGS, 8).err().expect("it is refused").to_string();
+        let why = Spool::open(dir.path(), 1 << 20, MAX_ATTEMPTS, 8).err().expect("it is refused").to_string();
         assert_eq!(fs::read(&path).expect("a log"), bytes, "it is left as it is");
         why
     };
@@ -124,13 +135,13 @@
     // A log from before there were formats is read, and gets a head when it is next written anew.
     fs::write(&path, &log[head.len()..]).expect("a log");
     let mut old = open(dir.path(), 4_000);
-    assert_eq!(old.live().len(), 1);
+    assert_eq!(old.messages().len(), 1);
     while !fs::read(&path).expect("a log").starts_with(&head) {
-        let n = old.add(taken("b", 200)).expect("room");
-        old.over(n);
+        let n = old.accept(accepted("b", 200)).expect("room");
+        old.remove(n);
         old.commit().expect("written");
     }
-    assert_eq!(open(dir.path(), 4_000).live().len(), 1);
+    assert_eq!(open(dir.path(), 4_000).messages().len(), 1);
 }
 
 #[test]
@@ -139,21 +150,21 @@
     let mut spool = open(dir.path(), limit);
     let (mut held, mut full) = (Vec::new(), 0);
     for i in 0..3_000u64 {
-        match spool.add(taken(&i.to_string(), (i % 900) as usize)) {
+        match spool.accept(accepted(&i.to_string(), (i % 900) as usize)) {
             Some(n) => held.push(n),
             None => full += 1,
         }
         // Every leg and end of what was taken on has room, however full it is.
         for n in held.iter().rev().take(1) {
-            (0..LEGS).for_each(|at| spool.leg(*n, "northern", at));
+            (0..MAX_ATTEMPTS).for_each(|at| spool.record_attempt(*n, "northern", at));
         }
         if held.len() > 60 || (full > 0 && i % 3 == 0 && !held.is_empty()) {
-            spool.over(held.remove(0));
+            spool.remove(held.remove(0));
         }
         spool.commit().expect("written");
         assert!(disk(dir.path()) <= limit, "{} at {i}", disk(dir.path()));
         if i % 500 == 0 {
-            assert_eq!(open(dir.path(), limit).live(), spool.live(), "at {i}");
+            assert_eq!(open(dir.path(), limit).messages(), spool.messages(), "at {i}");
         }
     }
     assert!(full > 0 && full < 2_000, "{full} not taken on");
@@ -165,17 +176,17 @@
     let (dir, limit) = (tempfile::tempdir().expect("a folder"), 40_000);
     let mut spool = open(dir.path(), limit);
     for i in 0..500u64 {
-        let n = spool.add(taken(&i.to_string(), 700)).expect("room");
+        let n = spool.accept(accepted(&i.to_string(), 700)).expect("room");
         spool.commit().expect("written");
-        let live: u64 = spool.live().values().map(|k| k.taken.body.len() as u64).sum();
+        let live: u64 = spool.messages().values().map(|k| k.accepted.body.len() as u64).sum();
         assert!(spool.size() + live <= limit, "{} and {live} at {i}", spool.size());
-        if spool.live().len() > 10 {
-            spool.over(n - 10);
+        if spool.messages().len() > 10 {
+            spool.remove(n - 10);
         }
     }
     fs::write(dir.path().join("spool.new"), vec![0; 30_000]).expect("left over");
     let again = open(dir.path(), limit);
-    assert!(disk(dir.path()) <= limit && again.live().len() >= 9, "{}", disk(dir.path()));
+    assert!(disk(dir.path()) <= limit && again.messages().len() >= 9, "{}", disk(dir.path()));
 }
 
 #[test]
@@ -190,8 +201,8 @@
     let head = framed(&[&b"V"[..], &1u64.to_le_bytes()].concat());
     fs::write(dir.path().join("spool.log"), [head, framed(&message)].concat()).expect("a log");
     let spool = open(dir.path(), 1 << 20);
-    let kept = &spool.live()[&1].taken;
-    assert_eq!((&kept.id[..], &kept.body[..], kept.at_us), (&b"a"[..], &b"body"[..], 0));
+    let kept = &spool.messages()[&1].accepted;
+    assert_eq!((&kept.id[..], &kept.body[..], kept.accepted_at_us), (&b"a"[..], &b"body"[..], 0));
 }
 
 #[test]
@@ -199,28 +210,37 @@
     let dir = tempfile::tempdir().expect("a folder");
     let mut spool = open(dir.path(), 1 << 20);
     for id in ["a", "b", "c"] {
-        spool.add(taken(id, 10)).expect("room");
+        spool.accept(accepted(id, 10)).expect("room");
     }
-    spool.leg(2, "north", 77);
+    spool.record_attempt(2, "north", 77);
     spool.commit().expect("written");
-    let mut order: Vec<Kept> = spool.live().values().cloned().collect();
+    let mut order: Vec<StoredMessage> = spool.messages().values().cloned().collect();
     order.reverse();
-    order.push(Kept { taken: taken("d", 10), legs: Vec::new(), owed: Some(End::Failed) });
+    order.push(StoredMessage {
+        accepted: accepted("d", 10),
+        attempts: Vec::new(),
+        pending_outcome: Some(FinalOutcome::Failed),
+    });
     assert!(spool.replace_all(order.clone()).expect("written").is_empty());
-    let ids = |s: &Spool| s.live().iter().map(|(n, k)| (*n, k.taken.id.clone())).collect::<Vec<_>>();
+    let ids = |s: &Spool| s.messages().iter().map(|(n, k)| (*n, k.accepted.id.clone())).collect::<Vec<_>>();
     let wanted: Vec<(u64, Vec<u8>)> =
         [(1, "c"), (2, "b"), (3, "a"), (4, "d")].iter().map(|(n, id)| (*n, id.as_bytes().to_vec())).collect();
     assert_eq!(ids(&spool), wanted);
     let again = open(dir.path(), 1 << 20);
     assert_eq!(ids(&again), wanted);
-    assert_eq!(again.live()[&2].legs, vec![leg(77, true)]);
-    assert_eq!(again.live()[&4].owed, Some(End::Failed));
+    assert_eq!(again.messages()[&2].attempts, vec![leg(77, true)]);
+    assert_eq!(again.messages()[&4].pending_outcome, Some(FinalOutcome::Failed));
     // What does not fit comes back and is not in the log.
     let other = tempfile::tempdir().expect("a folder");
     let mut small = open(other.path(), 6_000);
-    let many: Vec<Kept> =
-        (0..20).map(|n| Kept { taken: taken(&n.to_string(), 100), legs: vec![], owed: None }).collect();
+    let many: Vec<StoredMessage> = (0..20)
+        .map(|n| StoredMessage {
+            accepted: accepted(&n.to_string(), 100),
+            attempts: vec![],
+            pending_outcome: None,
+        })
+        .collect();
     let left = small.replace_all(many).expect("written");
-    assert!(!left.is_empty() && small.live().len() + left.len() == 20);
-    assert_eq!(left[0].taken.id, small.live().len().to_string().into_bytes());
+    assert!(!left.is_empty() && small.messages().len() + left.len() == 20);
+    assert_eq!(left[0].accepted.id, small.messages().len().to_string().into_bytes());
 }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -10,7 +10,7 @@
 mod carry;
 
 use crate::interface::*;
-use mountshift_members::Terms;
+use mountshift_discovery::PollSchedule;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
@@ -245,7 +245,7 @@
         let tenants =
             settings.tenant_quotas.iter().map(|q| Tokens { left: q * SHARE_BURST, at: Duration::ZERO });
         let mut relay = DeliveryPolicy { tenants: tenants.collect(), settings, ..DeliveryPolicy::default() };
-        let first = relay.asking().first(relay.chance(0));
+        let first = relay.asking().first_pause(relay.chance(0));
         relay.watch_at = relay.settings.must_poll.then_some(first);
         relay
     }
@@ -463,12 +463,12 @@
 
     fn poll_failed(&mut self, told: Option<Duration>) {
         self.watch_failures += 1;
-        let pause = self.asking().again(self.watch_failures, told, self.chance(0));
+        let pause = self.asking().retry_pause(self.watch_failures, told, self.chance(0));
         self.watch_at = self.settings.must_poll.then_some(self.now + pause);
     }
 
-    fn asking(&self) -> Terms {
-        Terms { relays: self.settings.relay_count, poll_interval: self.settings.poll_interval }
+    fn asking(&self) -> PollSchedule {
+        PollSchedule { relay_count: self.settings.relay_count, poll_interval: self.settings.poll_interval }
     }
 
     /// An even portion. Guards against standstill among many relays: their own traffic is uneven.
