Relay: start and dispatch loop in modules (moves only)

Cause: `host.rs` (819 lines) and `main.rs` held the start, the step loop, the actions, the handlers of events, the restore, the small files and the locks in one place each. Change: moved to `dispatch/`, `startup/`, `state_files`, `clock`, `error`; `notices` -> `notifications`, `mgmt` -> `admin`, `reception` -> `successor`. No line changed but imports, visibility and module paths.

--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -1,41 +1,46 @@
 //! The relay on sockets: clients hand messages in, endpoints get them, the decisions are mountshift's.
 #![forbid(unsafe_code)]
 
+mod admin;
 mod clients;
-mod config;
+mod clock;
 mod discovery;
+mod dispatch;
 mod endpoints;
-mod host;
+mod error;
 mod http;
-mod mgmt;
-mod notices;
-mod reception;
+mod notifications;
+mod startup;
+mod state_files;
+mod successor;
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use clients::Front;
 use discovery::Follow;
+use dispatch::{Event, Host, Parts};
+use error::NotStarted;
 use futures_lite::StreamExt;
-use host::{Event, Host, Parts};
 use log::{error, info, warn};
-use mountshift::interface::MessageId;
-use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord};
+use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE};
 use mountshift_handover::{
-    ACTIVE_DISK_SHARE, LOCK_FILE, Role, SNAPSHOT_FILE, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, Side, Snapshot,
-    reads_snapshot,
+    ACTIVE_DISK_SHARE, Role, SNAPSHOT_FILE, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, reads_snapshot,
 };
 use mountshift_maintenance::{Change, MaintenanceState};
-use mountshift_spool::{FinalOutcome, Spool, StoredMessage};
-use notices::Notice;
-use reception::{Ended, Reception};
+use mountshift_spool::Spool;
+use startup::config;
+use startup::listener::listener;
+use startup::spool::merge_successor_spool;
+use startup::state_dir::{held_by_another, lock};
+use state_files::{carried, drain_record, read_out};
 use std::cell::{Cell, RefCell};
-use std::fs::{File, TryLockError};
 use std::net::TcpListener;
-use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Instant;
+use successor::{Ended, Reception};
+
 /// A list may take one part in so many of the memory, and so may all requests that are not whole.
 const LIST_SHARE: usize = 32;
 const REQUESTS_SHARE: usize = 8;
@@ -63,131 +68,6 @@
     }
 }
 
-/// Why the relay did not start, and its exit code: 2 for bad input, 1 else.
-struct NotStarted {
-    code: u8,
-    what: String,
-}
-
-impl NotStarted {
-    fn failure(what: String) -> NotStarted {
-        NotStarted { code: 1, what }
-    }
-
-    fn bad_input(what: String) -> NotStarted {
-        NotStarted { code: 2, what }
-    }
-}
-
-/// Takes the lock in `dir` for as long as the file is open: true if it is this process's.
-fn lock(dir: &Path) -> Result<(File, bool), String> {
-    let path = dir.join(LOCK_FILE);
-    let file = File::create(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    match file.try_lock() {
-        Ok(()) => Ok((file, true)),
-        Err(TryLockError::WouldBlock) => Ok((file, false)),
-        Err(TryLockError::Error(e)) => Err(format!("{}: {e}", path.display())),
-    }
-}
-
-/// True if another process holds the lock in `dir`.
-fn held_by_another(dir: &Path) -> bool {
-    let file = File::open(dir.join(LOCK_FILE));
-    file.is_ok_and(|f| matches!(f.try_lock(), Err(TryLockError::WouldBlock)))
-}
-
-/// The clients' listening socket: the platform's, inherited as `run` names it, or bound here.
-fn listener(start: &config::Start) -> Result<Async<TcpListener>, NotStarted> {
-    let Some(fd) = start.accept_fd else {
-        let bound = Async::<TcpListener>::bind(start.listen);
-        return bound.map_err(|e| NotStarted::failure(format!("{}: {e}", start.listen)));
-    };
-    let taken = listenfd::ListenFd::from_env().take_tcp_listener(0);
-    let taken = taken.map_err(|e| format!("descriptor {fd}: {e}")).and_then(|l| {
-        l.ok_or(format!("descriptor {fd} is not named to the program (LISTEN_FDS, LISTEN_FDS_FIRST_FD)"))
-    });
-    let taken = taken.map_err(NotStarted::bad_input)?;
-    Async::new(taken).map_err(|e| NotStarted::bad_input(format!("descriptor {fd}: {e}")))
-}
-
-/// The endpoints out by hand as written down; none is, if nothing is.
-fn read_out(path: &Path) -> Result<String, NotStarted> {
-    match std::fs::read_to_string(path) {
-        Ok(text) => Ok(text),
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(String::new()),
-        Err(e) => Err(NotStarted::failure(format!("{}: {e}", path.display()))),
-    }
-}
-
-/// What an earlier process left of its destinations; none if nothing. Guards against a taker that ends over a file
-/// that it can't read, when the owner has ended: nobody would serve. It goes on as after a restart.
-fn carried(state: &Path) -> Option<Snapshot> {
-    let path = state.join(SNAPSHOT_FILE);
-    let read = match std::fs::read(&path) {
-        Ok(bytes) => Snapshot::read(&String::from_utf8_lossy(&bytes)),
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
-        Err(e) => Err(e.to_string()),
-    };
-    read.map_err(|e| {
-        error!("{}: {e}; waits and breakers of the process before are not known", path.display())
-    })
-    .ok()
-}
-
-/// What earlier processes were told of endpoints that leave. A book that can't be read ends nothing: what is
-/// left of it counts, and discovery is asked before anything goes out.
-fn drain_record(state: &Path) -> DrainRecord {
-    let path = state.join(DRAIN_RECORD_FILE);
-    let text = match std::fs::read(&path) {
-        Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
-        Err(e) if e.kind() == std::io::ErrorKind::NotFound => String::new(),
-        Err(e) => {
-            error!("{}: {e}", path.display());
-            String::new()
-        }
-    };
-    let (drain_record, bad) = DrainRecord::read(&text);
-    if bad > 0 {
-        error!("{}: {bad} lines can't be read and are left out", path.display());
-    }
-    drain_record
-}
-
-/// Makes the owner's spool one with what a taker took in beside it, in the order in which all was taken on,
-/// before any number of it is used. What does not fit ends by a notice. The taker's spool is gone after.
-fn merge_successor_spool(
-    spool: &mut Spool,
-    next: Spool,
-    next_dir: &Path,
-    notices: &async_channel::Sender<Notice>,
-) -> Result<(), String> {
-    let (owner, taker): (Vec<StoredMessage>, Vec<StoredMessage>) =
-        (spool.messages().values().cloned().collect(), next.messages().values().cloned().collect());
-    fn times(side: &[StoredMessage]) -> Vec<(&[u8], u64)> {
-        side.iter().map(|k| (&k.accepted.id[..], k.accepted.accepted_at_us)).collect()
-    }
-    let order = mountshift_handover::merge(&times(&owner), &times(&taker));
-    let merged = order
-        .iter()
-        .map(|(side, i)| if *side == Side::Active { owner[*i].clone() } else { taker[*i].clone() });
-    let left = spool.replace_all(merged.collect()).map_err(|e| format!("spool: {e}"))?;
-    for kept in left {
-        warn!(
-            "spool: no room for message {} of the process before; it ends as failed",
-            String::from_utf8_lossy(&kept.accepted.id)
-        );
-        let _ = notices.try_send(Notice {
-            msg: MessageId(u64::MAX),
-            id: kept.accepted.id,
-            end: FinalOutcome::Failed,
-        });
-    }
-    info!("took over {} messages taken in beside the owner", taker.len());
-    drop(next);
-    let path = next_dir.join(mountshift_spool::FILE_NAME);
-    std::fs::remove_file(&path).map_err(|e| format!("{}: {e}", path.display()))
-}
-
 fn run(mut signals: Signals, start: config::Start) -> Result<(), NotStarted> {
     let listener = listener(&start)?;
     let folder = |e| NotStarted::failure(format!("{}: {e}", start.state.display()));
@@ -245,7 +125,7 @@
         };
         executor.spawn(follow.run(listed)).detach();
         let taken = move |msgs| drop(taken.try_send(Event::Noticed(msgs)));
-        executor.spawn(notices::deliver(start.discovery, notices_moved, notices_out, taken)).detach();
+        executor.spawn(notifications::deliver(start.discovery, notices_moved, notices_out, taken)).detach();
         let (handed, gone) = (events_in.clone(), events_in.clone());
         let front = Front {
             hand_in: Box::new(move |message, answer| drop(handed.try_send(Event::Message(message, answer)))),
@@ -271,8 +151,8 @@
                 }
                 drop(changed.try_send(Event::Maintenance(change)));
             });
-            let desk = mgmt::Desk { maintenance: maintenance.clone(), start: started, changed };
-            executor.spawn(mgmt::serve(mgmt, Rc::new(desk), executor.clone())).detach();
+            let desk = admin::Desk { maintenance: maintenance.clone(), start: started, changed };
+            executor.spawn(admin::serve(mgmt, Rc::new(desk), executor.clone())).detach();
             info!("operators' calls on {at}");
         }
         executor.spawn(clients::serve(listener, front, executor.clone())).detach();
--- a/crates/relay/src/reception.rs
+++ b/crates/relay/src/successor.rs
@@ -3,7 +3,9 @@
 //! what a taker takes on is decided in `mountshift_handover`; here it is carried out.
 
 use crate::clients::{Answer, HandedIn};
-use crate::host::{Event, unix_us, write_maintenance};
+use crate::clock::unix_us;
+use crate::dispatch::Event;
+use crate::state_files::write_maintenance;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
