Relay: clients/ and upstream/ as modules by concern, by moves alone

Cause: clients.rs (748 lines), endpoints.rs (555) and http.rs (381) each held several jobs, and their tests stood inside. Change: clients.rs becomes clients/{mod,connection,protocol,submission}.rs, endpoints.rs becomes upstream/{endpoint_table,connection_pool,attempt}.rs, http.rs becomes upstream/http1.rs; test blocks move to clients/tests.rs and upstream/tests.rs. Beside moved lines only imports, visibility and the paths at call sites differ.

--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Follows the list of endpoints: one call after the other, each waiting for what is newer.
 
-use crate::http::{Connection, ask, request};
+use crate::upstream::{Connection, ask, request};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -3,8 +3,8 @@
 
 use crate::clients::{Answer, HandedIn, Told, told};
 use crate::discovery::{Member, Members};
-use crate::endpoints::{self, Call, End, Endpoint, Endpoints, Ends, Idle, Part, Stage};
 use crate::notices::Notice;
+use crate::upstream::{self, Call, End, Endpoint, Endpoints, Ends, Idle, Part, Stage};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -290,7 +290,7 @@
                         .for_each(|wait| inputs.push(Input::RetryAfter { endpoint: to, span: wait }));
                     let name = self.settings.rate_limit_field.as_deref();
                     let limit =
-                        name.zip(ends.report.as_deref()).and_then(|(name, text)| endpoints::told(text, name));
+                        name.zip(ends.report.as_deref()).and_then(|(name, text)| upstream::told(text, name));
                     limit
                         .into_iter()
                         .for_each(|rate| inputs.push(Input::RateLimitReported { endpoint: to, rate }));
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -4,12 +4,12 @@
 mod clients;
 mod config;
 mod discovery;
-mod endpoints;
 mod host;
-mod http;
+
 mod mgmt;
 mod notices;
 mod reception;
+mod upstream;
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -1,6 +1,6 @@
 //! Tells the platform of ends that are no delivery, again until each is taken.
 
-use crate::http::{Connection, ask, request};
+use crate::upstream::{Connection, ask, request};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
