--- a/crates/relay/src/dispatch/actions.rs
+++ b/crates/relay/src/dispatch/actions.rs
@@ -3,8 +3,8 @@
 use super::event::Event;
 use super::state::Desk;
 use crate::clients::Answer;
-use crate::endpoints::{End, Stage};
 use crate::state_files::write_anew;
+use crate::upstream::{End, Stage};
 use log::{debug, error, info};
 use mountshift::interface::*;
 use mountshift_handover::{RouteRecord, Snapshot};
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -3,7 +3,7 @@
 use super::event::Event;
 use super::state::{Desk, Out};
 use crate::clients::{Answer, told};
-use crate::endpoints::{Call, End, Endpoint, Part, Stage};
+use crate::upstream::{Call, End, Endpoint, Part, Stage};
 use async_executor::Task;
 use log::error;
 use mountshift::interface::*;
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -2,7 +2,7 @@
 
 use crate::clients::{Answer, HandedIn};
 use crate::discovery::Members;
-use crate::endpoints::Ends;
+use crate::upstream::Ends;
 use async_channel::Sender;
 use mountshift::interface::{EndpointId, MessageId};
 use mountshift_handover::StopPlan;
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -4,7 +4,7 @@
 use super::state::{Desk, number};
 use crate::clients::{Answer, HandedIn};
 use crate::clock::unix_us;
-use crate::endpoints::{self, End, Stage};
+use crate::upstream::{self, End, Stage};
 use async_channel::Sender;
 use log::{info, warn};
 use mountshift::interface::*;
@@ -24,7 +24,7 @@
                         .for_each(|wait| inputs.push(Input::RetryAfter { endpoint: to, span: wait }));
                     let name = self.settings.rate_limit_field.as_deref();
                     let limit =
-                        name.zip(ends.report.as_deref()).and_then(|(name, text)| endpoints::told(text, name));
+                        name.zip(ends.report.as_deref()).and_then(|(name, text)| upstream::told(text, name));
                     limit
                         .into_iter()
                         .for_each(|rate| inputs.push(Input::RateLimitReported { endpoint: to, rate }));
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -14,8 +14,8 @@
 
 use crate::clock::Clock;
 use crate::discovery::Members;
-use crate::endpoints::{Endpoints, Idle};
 use crate::notifications::Notice;
+use crate::upstream::{Endpoints, Idle};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
--- a/crates/relay/src/dispatch/shutdown.rs
+++ b/crates/relay/src/dispatch/shutdown.rs
@@ -1,7 +1,7 @@
 //! The end of the process.
 
 use super::{Host, STOP_LOOK};
-use crate::endpoints::Stage;
+use crate::upstream::Stage;
 use async_io::Timer;
 use log::info;
 use std::time::{Duration, Instant};
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -3,8 +3,8 @@
 use super::event::Event;
 use crate::clients::{Answer, Told};
 use crate::clock::Clock;
-use crate::endpoints::{Endpoints, Idle, Stage};
 use crate::notifications::Notice;
+use crate::upstream::{Endpoints, Idle, Stage};
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use log::debug;
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -6,13 +6,12 @@
 mod clock;
 mod discovery;
 mod dispatch;
-mod endpoints;
 mod error;
-mod http;
 mod notifications;
 mod startup;
 mod state_files;
 mod successor;
+mod upstream;
 
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
