--- /dev/null
+++ b/crates/discovery/tests/stored_data.rs
@@ -0,0 +1,38 @@
+//! The drain record that the version before (commit 64fb5b4) left is read, kept to, and written as it would.
+
+use mountshift_discovery::{DrainRecord, ListEntry, ListHeader, Phase};
+
+const TEXT: &str = include_str!("../../relay/tests/fixtures/64fb5b4/leaving");
+/// When the fixture's drain was told, by which discovery and at which of its revisions.
+const TOLD_MS: u64 = 1_796_189_815_197;
+const SOURCE: &str = "127.0.0.1:39973";
+const REVISION: u64 = 3;
+
+/// The phase of `e11-draining` after a list that says it is ready.
+fn after_ready(source: &str, revision: u64, whole: bool, up_since_ms: u64) -> Phase {
+    let (mut record, unreadable) = DrainRecord::read(TEXT);
+    assert_eq!((record.len(), unreadable), (1, 0));
+    let list = ListHeader { source, revision, whole, now_ms: TOLD_MS + 5_000 };
+    let entry = ListEntry { id: "e11-draining", phase: Phase::Ready, up_since_ms };
+    record.take(&list, &[entry]).0[0]
+}
+
+#[test]
+fn a_drain_recorded_by_the_version_before_is_kept_until_it_is_newly_listed() {
+    // The revision, the source and the time of the record are read: each decides one of these.
+    assert_eq!(after_ready(SOURCE, REVISION, true, 0), Phase::Draining);
+    assert_eq!(after_ready(SOURCE, REVISION + 1, true, 0), Phase::Ready);
+    assert_eq!(after_ready("127.0.0.1:1", REVISION + 1, true, 0), Phase::Draining);
+    assert_eq!(after_ready(SOURCE, REVISION, true, TOLD_MS), Phase::Draining);
+    assert_eq!(after_ready(SOURCE, REVISION, true, TOLD_MS + 1), Phase::Ready);
+}
+
+// So the version before can read what this one writes.
+#[test]
+fn the_drain_record_is_written_as_the_version_before_wrote_it() {
+    let (mut record, _) = DrainRecord::read(TEXT);
+    let list = ListHeader { source: SOURCE, revision: 4, whole: false, now_ms: TOLD_MS - 1 };
+    record.take(&list, &[ListEntry { id: "other", phase: Phase::Draining, up_since_ms: 0 }]);
+    let expected = format!("{TEXT}other {} 4 {SOURCE}\n", TOLD_MS - 1);
+    assert_eq!(record.written(10_000), Some(expected));
+}
