State types moved out of the decisions into src/state, no line changed but visibility

Ring, Tokens, Breaker, Route, Endpoint, Msg, Call and Line held no decision and stood between the tuned values: each in a module named by it. The ring of own calls still takes its size from the policy's constant.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,3 +10,4 @@
 
 pub mod interface;
 pub mod rules;
+mod state;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -10,8 +10,9 @@
 mod carry;
 
 use crate::interface::*;
+use crate::state::*;
 use mountshift_discovery::PollSchedule;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::time::Duration;
 
@@ -69,7 +70,7 @@
 const COLD_FULLS: u32 = 4; // refusals in a row, no wait told (guards against ramps after limits), ...
 const COLD_FULL_SPAN: Duration = ms(2_500); // ... without a success for so long, that count as one
 const COLD_WAIT: Duration = ms(1_500); // a told wait longer than this means shut
-const OWN_SPAN: u64 = 60; // seconds over which own calls stand in for a listed rate, ...
+pub(crate) const OWN_SPAN: u64 = 60; // seconds over which own calls stand in for a listed rate, ...
 const OWN_LEAST: u64 = 10; // ... and at least so many
 // 4 Time-outs.
 const TIMEOUT_LEAST: Duration = ms(600);
@@ -91,129 +92,6 @@
 const OVER_SHARE: f64 = 0.05;
 const SHARE_BURST: f64 = 2.0; // seconds of the quota
 const HELD_MOST: f64 = 0.9; // share of the places held before parked messages are pushed back
-/// What is measured over time: fixed buckets of a second, used again in a ring.
-#[derive(Default)]
-struct Ring<const N: usize>(Vec<(u64, f64, f64, f64)>);
-
-impl<const N: usize> Ring<N> {
-    fn add(&mut self, now: Duration, x: f64) {
-        let second = now.as_secs() + 1;
-        self.0.resize(N, Default::default());
-        let bucket = &mut self.0[second as usize % N];
-        let old = if bucket.0 == second { *bucket } else { Default::default() };
-        *bucket = (second, old.1 + 1.0, old.2 + x, old.3.max(x));
-    }
-
-    /// Count, sum and peak over the last of its seconds.
-    fn totals(&self, now: Duration, seconds: u64) -> (f64, f64, f64) {
-        let live = self.0.iter().filter(|b| b.0 > 0 && b.0 + seconds > now.as_secs() + 1);
-        live.fold((0.0, 0.0, 0.0), |t, b| (t.0 + b.1, t.1 + b.2, t.2.max(b.3)))
-    }
-}
-
-#[derive(Clone, Copy, Default)]
-struct Tokens {
-    left: f64,
-    at: Duration,
-}
-
-impl Tokens {
-    fn refill(&mut self, now: Duration, rate: f64, most: f64) {
-        self.left = (self.left + rate * now.saturating_sub(self.at).as_secs_f64()).min(most);
-        self.at = now;
-    }
-}
-
-type RouteId = (DestinationId, Option<EndpointId>);
-
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-enum Breaker {
-    #[default]
-    Closed,
-    Open(Duration),
-    HalfOpen(Option<u64>),
-}
-
-#[derive(Default)]
-struct Route {
-    breaker: Breaker,
-    run: u32,
-    run_since: Duration,
-    broken: bool, // a call of the run has come to nothing, and is not just overdue
-    retry_after_until: Duration,
-    pause_until: Duration,
-    fulls: u32,
-    full_since: Duration,
-    rate: f64,
-    told_rate: bool, // by answers, where none is listed
-    pace: f64,
-    pace_at: Duration,
-    tokens: Tokens,
-    slow_start_since: Option<Duration>,
-    cold: Tokens,
-    ends: Ring<4>,
-    answered: Ring<{ OWN_SPAN as usize }>,
-}
-
-#[derive(Default)]
-struct Endpoint {
-    dst: DestinationId,
-    zone: ZoneId,
-    kind: DestinationKindId,
-    off_since: Option<Duration>,
-    limit: f64,
-    out: u32,
-    run: u32,
-    rest_until: Duration,
-    answers: Ring<24>,
-    used_at: Duration,
-}
-
-#[derive(Default)]
-struct Msg {
-    class: ClassId,
-    destination: DestinationId,
-    key: Option<OrderingKey>,
-    target: Duration,
-    deadline: Duration,
-    over_share: bool,
-    restored: bool,
-    legs: u8,
-    ran: u32,
-    late: u32,
-    not_before: Duration,
-    out: Option<u64>,
-    may_have_run: Option<(Duration, ZoneId)>,
-    ended: bool,
-}
-
-impl Msg {
-    /// What a restart finds untried is still tried: it is not pushed back for others, and goes first.
-    fn untried(&self) -> bool {
-        self.restored && self.legs == 0
-    }
-}
-
-#[derive(Default)]
-struct Call {
-    route: RouteId,
-    to: EndpointId,
-    left: u32,
-    sent: Duration,
-    expect: Duration,
-    counted: bool,
-    recalled: bool,
-    full: bool,
-    idle: bool,
-}
-
-#[derive(Default)]
-struct Line {
-    queue: VecDeque<MessageId>,
-    rest_until: Duration,
-    rest_by: Option<MessageId>,
-}
-
 #[derive(Default)]
 pub struct DeliveryPolicy {
     settings: PolicySettings,
