--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -4,42 +4,40 @@
 //! carried out in the order of their numbers, and the trace doesn't depend on the number of threads.
 
 mod calls;
+mod clients;
+mod connections;
+mod discovery;
+mod endpoints;
+mod events;
+mod outages;
+mod relays;
+mod replacement;
+mod trace;
 mod troubles;
 
+use self::calls::Call;
+use self::clients::{Msg, Wish};
+use self::events::{Event, Slot};
 use crate::Time;
-use crate::chance::What;
-use crate::host::{Act, Came, Relay};
+use crate::host::Relay;
 use crate::outcome::{DayOutcome, breaches};
-use crate::policy::{Policy, TrueState, Truth, Which};
+use crate::policy::{Policy, Truth, Which};
 use crate::servers::{Route, Server};
 use crate::tally::Tally;
 use crate::traffic::{self, Request};
-use crate::world::{Place, World};
-use mountshift::interface::{EndpointStatus, Outcome, PolicySettings};
-use mountshift_invariants::{End, Fact, Judge};
-use mountshift_scenario::{Scenario, TroubleKind};
-use rayon::prelude::*;
+use crate::world::World;
+use mountshift::interface::{EndpointStatus, PolicySettings};
+use mountshift_invariants::{Fact, Judge};
+use mountshift_scenario::Scenario;
 use rustc_hash::FxHashMap;
 use siphasher::sip128::{Hasher128, SipHasher13};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-use std::hash::Hasher;
 
 /// From an endpoint's look at a call to an answer that needs no work.
 const AT_ONCE: Time = 1_000;
-/// A change of the list comes to a relay after a span between these.
-const LIST_LEAST: Time = 50_000;
-const LIST_MOST: Time = 700_000;
-/// A call for the list is answered no sooner.
-const ASKED: Time = 5_000;
-/// A notice is answered after this span.
-const NOTICE: Time = 1_000;
-/// A client that finds a dead relay tries the next one after this span.
-const REFUSED: Time = 50_000;
 /// The day goes on so long after the last deadline.
 const AFTERMATH: Time = 3_000_000;
-/// Relays from which rounds are played in parallel.
-const PARALLEL: usize = 8;
 
 /// How a day is to be played.
 #[derive(Clone, Copy, Debug)]
@@ -50,73 +48,6 @@
     pub course: bool,
 }
 
-#[derive(Clone, Debug)]
-enum Event {
-    /// A request is handed in, for the first time or again.
-    Submission(u32),
-    Reach(u64),
-    Finish(u64, u32),
-    Answer(u64, Vec<(u64, Outcome, bool)>, Time),
-    Limit(u64),
-    Thaw(u32),
-    StrikeOn(usize),
-    StrikeOff(usize),
-    Tell(u32, u32, EndpointStatus),
-    Whole(u32),
-    NoList(u32),
-    Noticed(u64),
-    Patience(u64),
-    Second,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Stage {
-    OnItsWay,
-    Queued,
-    Running,
-    Done,
-}
-
-struct Call {
-    relay: u32,
-    /// As it was addressed, and who got it.
-    to: u32,
-    at: u32,
-    epoch: u32,
-    legs: Vec<u64>,
-    /// The relay still waits for it.
-    open: bool,
-    connected: bool,
-    stage: Stage,
-    /// When its last byte came.
-    came: Time,
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Client {
-    Waits,
-    Heard,
-    GaveUp,
-}
-
-struct Msg {
-    request: u32,
-    relay: u32,
-    client: Client,
-    /// It took effect under this id.
-    ran: bool,
-    /// Its end is owed or taken, or nobody waits for one: its late effects are counted, nothing else.
-    past: bool,
-}
-
-#[derive(Clone, Copy, Default)]
-struct Wish {
-    delivered: bool,
-    /// Ids under which it took effect.
-    effects: u32,
-    tries: u32,
-}
-
 /// A day that can be played; facts may be watched as they come.
 pub struct Day<'a> {
     world: World<'a>,
@@ -170,8 +101,6 @@
 /// Makes what decides at a relay that starts.
 pub type Make<'a> = Box<dyn Fn(PolicySettings) -> Box<dyn Policy> + 'a>;
 
-type Slot = usize;
-
 impl<'a> Day<'a> {
     pub fn new(scenario: &'a Scenario, play: Play) -> Day<'a> {
         let world = World::new(scenario, play.seed);
@@ -311,73 +240,6 @@
         }
     }
 
-    fn fact(&mut self, fact: Fact) {
-        // What tells two traces apart: when, what kind, about whom, and what it says.
-        self.digest.write_u64(self.now);
-        let mut words = [0u64; 4];
-        match fact {
-            Fact::Leg { msg, call, relay, to } => {
-                words = [1, msg, call, u64::from(relay) << 32 | u64::from(to)]
-            }
-            Fact::Reached { call, endpoint, .. } => words = [2, call, u64::from(endpoint), 0],
-            Fact::Ran { msg, call, repeat, .. } => words = [3, msg, call, u64::from(repeat)],
-            Fact::LegEnded { msg, call, end, .. } => {
-                let (code, wait) = match end {
-                    mountshift_invariants::LegEnd::Full(wait) => (0, wait),
-                    other => (1 + end_number(other), 0),
-                };
-                words = [4, msg, call, code << 56 | wait];
-            }
-            Fact::Ended { msg, end, .. } => {
-                words = [5, msg, if let End::PushedBack(pause) = end { pause + 1 } else { 0 }, 0];
-            }
-            other => words[1] = other.msg().unwrap_or(u64::MAX),
-        }
-        words.iter().for_each(|w| self.digest.write_u64(*w));
-        if let Some(watch) = self.watch.as_mut() {
-            watch(self.now, Seen::Fact(&fact));
-        }
-        self.judge.see(self.now, fact);
-    }
-
-    fn at(&mut self, at: Time, event: Event) {
-        let slot = match self.free.pop() {
-            Some(slot) => {
-                self.events[slot] = Some(event);
-                slot
-            }
-            None => {
-                self.events.push(Some(event));
-                self.events.len() - 1
-            }
-        };
-        self.sequence += 1;
-        self.heap.push(Reverse((at.max(self.now), self.sequence, slot)));
-    }
-
-    fn pop(&mut self) {
-        let Some(Reverse((at, _, slot))) = self.heap.pop() else { return };
-        self.now = at;
-        self.free.push(slot);
-        let Some(event) = self.events[slot].take() else { return };
-        match event {
-            Event::Submission(request) => self.hand_in(request),
-            Event::Reach(call) => self.reach(call),
-            Event::Finish(call, epoch) => self.finish(call, epoch),
-            Event::Answer(call, ends, wait) => self.answer(call, ends, wait),
-            Event::Limit(call) => self.limit(call),
-            Event::Thaw(endpoint) => self.start_queued(endpoint),
-            Event::StrikeOn(n) => self.strike(n, true),
-            Event::StrikeOff(n) => self.strike(n, false),
-            Event::Tell(relay, endpoint, says) => self.tell(relay, endpoint, says),
-            Event::Whole(relay) => self.whole(relay),
-            Event::NoList(relay) => self.relays[relay as usize].inbox.push(Came::WatchFailed),
-            Event::Noticed(msg) => self.noticed(msg),
-            Event::Patience(msg) => self.patience(msg),
-            Event::Second => self.second(),
-        }
-    }
-
     fn begin(&mut self) {
         for i in 0..self.servers.len() as u32 {
             self.set_up(i);
@@ -422,356 +284,4 @@
             self.at(self.now + 1_000_000, Event::Second);
         }
     }
-
-    // Clients.
-
-    fn hand_in(&mut self, n: u32) {
-        let r = self.requests[n as usize];
-        let deadline = r.at + self.world.scenario.lanes[usize::from(r.lane)].deadline.as_ref().us();
-        if self.now >= deadline || self.wishes[n as usize].delivered {
-            return;
-        }
-        let tries = self.wishes[n as usize].tries;
-        self.wishes[n as usize].tries += 1;
-        // Messages of a key come to one relay while it runs; others to any.
-        let who = if r.key != 0 { r.key } else { u64::from(n) << 20 | u64::from(tries) };
-        let all = self.relays.len();
-        let first = self.world.chance.of(What::Front, all, who, 0);
-        let Some(relay) = (0..all).map(|i| (first + i) % all).find(|i| self.relays[*i].up) else {
-            self.at(self.now + REFUSED, Event::Submission(n));
-            return;
-        };
-        let (msg, relay) = (self.next_msg, relay as u32);
-        self.next_msg += 1;
-        self.msgs.insert(msg, Msg { request: n, relay, client: Client::Waits, ran: false, past: false });
-        self.live += 1;
-        Tally::count(&mut self.tally.messages, self.now, 1.0);
-        let (lane, tenant, dst, key) = (r.lane, r.tenant, r.dst, r.key);
-        self.fact(Fact::HandedIn { msg, request: u64::from(n), relay, lane, dst, key, deadline });
-        let host = &mut self.relays[relay as usize];
-        host.inbox.push(Came::Message { msg, lane, tenant, dst, key, deadline });
-        if host.stalled_until > self.now {
-            self.at(self.now + self.world.scenario.clients.patience.us(), Event::Patience(msg));
-        }
-    }
-
-    /// A client that has heard nothing hands its message in elsewhere.
-    fn patience(&mut self, msg: u64) {
-        let Some(m) = self.msgs.get_mut(&msg).filter(|m| m.client == Client::Waits) else { return };
-        m.client = Client::GaveUp;
-        let request = m.request;
-        self.fact(Fact::Disowned { msg });
-        self.pass(msg);
-        self.at(self.now + REFUSED, Event::Submission(request));
-    }
-
-    /// Nothing more is owed under this id.
-    fn pass(&mut self, msg: u64) {
-        if let Some(m) = self.msgs.get_mut(&msg).filter(|m| !m.past) {
-            m.past = true;
-            self.live -= 1;
-        }
-    }
-
-    /// The client heard what became of its message.
-    fn heard(&mut self, msg: u64, end: Option<End>) {
-        let Some(m) = self.msgs.get_mut(&msg) else { return };
-        if m.client == Client::GaveUp {
-            if end.is_none() {
-                let relay = m.relay;
-                self.relays[relay as usize].inbox.push(Came::Gone(msg));
-            }
-            return;
-        }
-        m.client = Client::Heard;
-        match end {
-            None => self.fact(Fact::Taken { msg }),
-            Some(end) => {
-                self.fact(Fact::EndTaken { msg });
-                self.ended(msg, end);
-            }
-        }
-    }
-
-    /// A message ended undelivered: its client may come again.
-    fn ended(&mut self, msg: u64, end: End) {
-        let Some(request) = self.msgs.get(&msg).filter(|m| !m.past).map(|m| m.request) else { return };
-        self.pass(msg);
-        let clients = &self.world.scenario.clients;
-        match end {
-            End::Failed => self.tally.failed += 1,
-            End::PushedBack(pause) => {
-                self.tally.pushed_back += 1;
-                let comes = self.world.chance.part(What::Again, u64::from(request), msg) < clients.again.0;
-                let pause = if pause > 0 { pause } else { clients.pause.us() };
-                let pause = pause.min(self.world.scenario.rules.max_pause.us()).max(1_000);
-                if comes {
-                    self.at(self.now + pause, Event::Submission(request));
-                }
-            }
-        }
-    }
-
-    fn noticed(&mut self, msg: u64) {
-        let Some(m) = self.msgs.get(&msg) else { return };
-        let relay = m.relay as usize;
-        self.fact(Fact::EndTaken { msg });
-        self.relays[relay].inbox.push(Came::Noticed(msg));
-    }
-
-    // Relays.
-
-    fn rounds(&mut self) {
-        let now = self.now;
-        if self.play.which.sees_all() {
-            self.see_all();
-            for me in 0..self.relays.len() {
-                if self.relays[me].due(now) {
-                    let mut truth = std::mem::take(&mut self.truth);
-                    self.relays[me].round(now, Some(&mut truth));
-                    self.truth = truth;
-                    self.carry_out(me as u32, usize::MAX);
-                }
-            }
-            return;
-        }
-        let mut due: Vec<&mut Relay> = self.relays.iter_mut().filter(|r| r.due(now)).collect();
-        if due.len() >= PARALLEL {
-            due.par_iter_mut().for_each(|r| r.round(now, None));
-        } else {
-            due.iter_mut().for_each(|r| r.round(now, None));
-        }
-        for me in 0..self.relays.len() {
-            if self.relays[me].last_round == now {
-                self.carry_out(me as u32, usize::MAX);
-            }
-        }
-    }
-
-    fn see_all(&mut self) {
-        let (now, world) = (self.now, &self.world);
-        let routes: Vec<f64> = self.routes.iter_mut().map(|r| r.room(now, world)).collect();
-        let state = |s: &Server| {
-            // Who is reached is whoever has the address now.
-            let mut s = s;
-            while let Some(next) = s.successor {
-                s = &self.servers[next as usize];
-            }
-            let route = &self.routes[s.route as usize];
-            let well = !s.gone && !s.state.out() && !route.fallen && s.state.frozen_until <= now;
-            let room = f64::from(s.workers) * route.share(now, world).max(0.05)
-                - f64::from(s.busy)
-                - s.queue.len() as f64;
-            TrueState { well, route: s.route, room: room + 1.0, stale: s.state.stale > 0.0 }
-        };
-        let endpoints = self.servers.iter().map(state).collect();
-        self.truth = Truth { endpoints, routes };
-    }
-
-    fn start(&mut self, me: u32) {
-        let which = self.play.which;
-        if which.sees_all() {
-            self.see_all();
-        }
-        let mut truth = std::mem::take(&mut self.truth);
-        let seen = which.sees_all().then_some(&mut truth);
-        self.relays[me as usize].start(&self.world, &*self.make, self.now, seen);
-        self.truth = truth;
-        self.carry_out(me, usize::MAX);
-    }
-
-    /// Carries out what a relay did; of its calls and answers only the first `most`, if it dies meanwhile.
-    fn carry_out(&mut self, me: u32, most: usize) {
-        let mut done = 0;
-        let mut seen_to_go = true;
-        for act in self.relays[me as usize].acts() {
-            let outward = matches!(act, Act::Call { .. } | Act::Answer { .. } | Act::Notice { .. });
-            done += usize::from(outward);
-            if outward && done > most {
-                seen_to_go = false;
-            }
-            match act {
-                // What was learnt was learnt; what went out counts only if it went.
-                Act::Fact(fact @ (Fact::LegEnded { .. } | Fact::WaitTold { .. })) => {
-                    if let Fact::LegEnded { end, .. } = fact {
-                        *self.tally.ends.entry(end_name(end)).or_default() += 1;
-                    }
-                    self.fact(fact);
-                }
-                Act::Fact(Fact::Leg { msg, call, relay, to }) => {
-                    if most == usize::MAX || done < most {
-                        self.legs += 1;
-                        Tally::count(&mut self.tally.legs, self.now, 1.0);
-                        self.fact(Fact::Leg { msg, call, relay, to });
-                    }
-                }
-                Act::Fact(fact) => {
-                    if most == usize::MAX || done < most {
-                        self.fact(fact);
-                    }
-                }
-                _ if !seen_to_go => {}
-                Act::Call { call, to, legs, limit } => self.call(me, call, to, legs, limit),
-                Act::Answer { msg, end } => self.heard(msg, end),
-                Act::Notice { msg, end } => self.notice(msg, end),
-                Act::Close { call } => self.close(call, Outcome::Cancelled),
-                Act::CloseIdle { endpoint } => self.close_idle(me, endpoint),
-                Act::Watch => self.ask(me),
-                Act::Log(line) => {
-                    if let Some(watch) = self.watch.as_mut() {
-                        watch(self.now, Seen::Log(me, &line));
-                    }
-                    self.tally.log(&self.world, me, self.now, &line);
-                }
-            }
-        }
-    }
-
-    fn notice(&mut self, msg: u64, end: End) {
-        // The platform passes it on at once; its answer takes a while.
-        self.at(self.now + NOTICE, Event::Noticed(msg));
-        self.ended(msg, end);
-    }
-
-    fn kill(&mut self, me: u32, strike: usize) {
-        if !self.relays[me as usize].up {
-            return;
-        }
-        // At what point of its work it dies: before a round, behind the spool's write, in the middle of the
-        // writes to the sockets.
-        let point = self.world.chance.of(What::Kill, 3, strike as u64, u64::from(me));
-        if point > 0 && self.relays[me as usize].stalled_until <= self.now && !self.play.which.sees_all() {
-            let now = self.now;
-            self.relays[me as usize].round(now, None);
-            let most = if point == 1 { 0 } else { 2 };
-            self.carry_out(me, most);
-        }
-        self.relays[me as usize].kill();
-        self.fact(Fact::RelayDown { relay: me });
-        let mut mine: Vec<u64> = self.calls.iter().filter(|(_, c)| c.relay == me).map(|(n, _)| *n).collect();
-        mine.sort_unstable();
-        for call in mine {
-            self.hang_up(call);
-        }
-        let mut pools: Vec<(u32, u32)> = self.idle.keys().filter(|k| k.0 == me).copied().collect();
-        pools.sort_unstable();
-        for (_, endpoint) in pools {
-            self.close_idle(me, endpoint);
-        }
-        let waits = |m: &Msg| m.relay == me && m.client == Client::Waits;
-        let mut waiting: Vec<u64> = self.msgs.iter().filter(|(_, m)| waits(m)).map(|(n, _)| *n).collect();
-        waiting.sort_unstable();
-        for msg in waiting {
-            self.patience(msg);
-        }
-    }
-
-    // The list.
-
-    fn tell(&mut self, relay: u32, endpoint: u32, says: EndpointStatus) {
-        // A watch that is lost and a list that lies silent hold everything back until they are over.
-        let held = |s: &crate::world::Strike| {
-            let of_relay = s.kind == TroubleKind::WatchLost && s.relays.contains(&relay);
-            let of_list = s.kind == TroubleKind::ListLate && s.endpoints.contains(&endpoint);
-            (of_relay || of_list) && s.from <= self.now && self.now < s.to
-        };
-        if self.lists_held > 0 {
-            let until = self.world.strikes.iter().filter(|s| held(s)).map(|s| s.to).max();
-            if let Some(until) = until {
-                self.at(until + LIST_LEAST, Event::Tell(relay, endpoint, says));
-                return;
-            }
-        }
-        let place = self.place(endpoint);
-        let host = &mut self.relays[relay as usize];
-        // Where discovery is short of room a relay hears only what its own watch brings.
-        if self.world.scenario.relays.discovery.is_some() && !host.watching {
-            return;
-        }
-        host.learn(&self.world, &place, endpoint, says);
-        if host.up {
-            host.inbox.push(Came::Listed { endpoint, says });
-        }
-    }
-
-    fn place(&self, endpoint: u32) -> Place {
-        let s = &self.servers[endpoint as usize];
-        Place { dst: s.dst, group: s.group, zone: s.zone, route: s.route }
-    }
-
-    /// Tells every relay, each a little later.
-    fn list(&mut self, endpoint: u32, says: EndpointStatus) {
-        if self.listing.len() <= endpoint as usize {
-            self.listing.resize(endpoint as usize + 1, EndpointStatus::Removed);
-        }
-        self.listing[endpoint as usize] = says;
-        for relay in 0..self.relays.len() as u32 {
-            let part =
-                self.world.chance.part(What::List, u64::from(relay) << 32 | u64::from(endpoint), self.now);
-            let later = LIST_LEAST + ((LIST_MOST - LIST_LEAST) as f64 * part) as Time;
-            self.at(self.now + later, Event::Tell(relay, endpoint, says));
-        }
-    }
-
-    /// A call for the list, answered in its turn where discovery is short of room.
-    fn ask(&mut self, relay: u32) {
-        let Some(d) = self.world.scenario.relays.discovery else {
-            return self.at(self.now + ASKED, Event::Whole(relay));
-        };
-        let answered = self.discovery_free.max(self.now) + (1e6 / d.calls.0) as Time;
-        if answered > self.now + d.queued.us() {
-            return self.at(self.now + ASKED, Event::NoList(relay));
-        }
-        self.discovery_free = answered;
-        if answered > self.now + d.within.us() {
-            return self.at(self.now + d.within.us(), Event::NoList(relay));
-        }
-        self.at(answered.max(self.now + ASKED), Event::Whole(relay));
-    }
-
-    /// The answer to a relay that asked for the list.
-    fn whole(&mut self, relay: u32) {
-        let lost = |s: &crate::world::Strike| {
-            let on = s.from <= self.now && self.now < s.to;
-            on && s.kind == TroubleKind::WatchLost && s.relays.contains(&relay)
-        };
-        let failed = self.world.strikes.iter().any(lost);
-        if !self.relays[relay as usize].up {
-            return;
-        }
-        if failed {
-            self.relays[relay as usize].inbox.push(Came::WatchFailed);
-            return;
-        }
-        self.relays[relay as usize].watching = true;
-        self.relays[relay as usize].inbox.push(Came::Whole);
-        for endpoint in 0..self.listing.len() as u32 {
-            let says = self.listing[endpoint as usize];
-            if says != EndpointStatus::Removed {
-                let place = self.place(endpoint);
-                let host = &mut self.relays[relay as usize];
-                host.learn(&self.world, &place, endpoint, says);
-                host.inbox.push(Came::Listed { endpoint, says });
-            }
-        }
-    }
-}
-
-fn end_number(end: mountshift_invariants::LegEnd) -> u64 {
-    use mountshift_invariants::LegEnd as E;
-    match end {
-        E::Delivered => 0,
-        E::Error => 1,
-        E::Full(_) => 2,
-        E::TimedOut => 3,
-        E::ConnectFailed => 4,
-        E::Reset => 5,
-        E::Cancelled => 6,
-        E::Moot => 7,
-    }
-}
-
-fn end_name(end: mountshift_invariants::LegEnd) -> &'static str {
-    ["delivered", "error", "full", "timed out", "connect failed", "reset", "cancelled", "moot"]
-        [end_number(end) as usize]
 }
