--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -1,7 +1,7 @@
 //! Plays one day: clients, relays, endpoints and the script of troubles, as events in virtual time.
 //!
-//! Relays share nothing, so those whose round is due at a tick play it in parallel; what they did is then
-//! carried out in the order of their numbers, and the trace doesn't depend on the number of threads.
+//! Relays share nothing, so those whose step is due at a tick play it in parallel; their actions are then
+//! performed in the order of their numbers, and the trace doesn't depend on the number of threads.
 
 mod calls;
 mod clients;
@@ -16,8 +16,11 @@
 mod troubles;
 
 use self::calls::Call;
-use self::clients::{Msg, Wish};
-use self::events::{Event, Slot};
+use self::clients::{MessageState, RequestProgress};
+use self::connections::IdleConnection;
+use self::endpoints::Deduplication;
+use self::events::{Event, EventQueue};
+use self::replacement::Replacement;
 use crate::Time;
 use crate::host::Relay;
 use crate::outcome::{DayOutcome, breaches};
@@ -31,190 +34,261 @@
 use mountshift_scenario::Scenario;
 use rustc_hash::FxHashMap;
 use siphasher::sip128::{Hasher128, SipHasher13};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap};
+use std::collections::BTreeMap;
 
-/// From an endpoint's look at a call to an answer that needs no work.
-const AT_ONCE: Time = 1_000;
-/// The day goes on so long after the last deadline.
+/// From a call's arrival at an endpoint to an answer that needs no work.
+const ANSWER_DELAY: Time = 1_000;
+/// The day goes on so long after the last deadline, so that late final answers are still seen.
 const AFTERMATH: Time = 3_000_000;
+/// How often the course of the day is sampled.
+const SAMPLE_INTERVAL: Time = 1_000_000;
 
 /// How a day is to be played.
 #[derive(Clone, Copy, Debug)]
 pub struct Play {
+    /// The policy that decides at the relays.
     pub which: Which,
+    /// The seed of everything random.
     pub seed: u64,
     /// Keep the course of the day for a report.
     pub course: bool,
 }
 
+/// What somebody sees who watches a day.
+#[derive(Clone, Copy, Debug)]
+pub enum Seen<'f> {
+    /// Something happened.
+    Fact(&'f Fact),
+    /// A relay, by its number, wrote a line to its log.
+    Log(u32, &'f str),
+}
+
+/// Sees what happens in a day as it happens.
+pub type Watch<'a> = &'a mut dyn FnMut(Time, Seen<'_>);
+
+/// Makes the policy of a relay that starts.
+pub type MakePolicy<'a> = Box<dyn Fn(PolicySettings) -> Box<dyn Policy> + 'a>;
+
 /// A day that can be played; facts may be watched as they come.
 pub struct Day<'a> {
     world: World<'a>,
     play: Play,
-    requests: Vec<Request>,
-    wishes: Vec<Wish>,
     now: Time,
-    heap: BinaryHeap<Reverse<(Time, u64, Slot)>>,
-    events: Vec<Option<Event>>,
-    free: Vec<usize>,
-    sequence: u64,
+    events: EventQueue,
+    /// What clients want delivered, by time, and what has become of it.
+    requests: Vec<Request>,
+    progress: Vec<RequestProgress>,
+    /// The first request whose time has not come.
+    next_request: usize,
     relays: Vec<Relay>,
     servers: Vec<Server>,
     routes: Vec<Route>,
     calls: FxHashMap<u64, Call>,
-    msgs: FxHashMap<u64, Msg>,
-    /// Messages that are not past.
-    live: u64,
-    next_msg: u64,
-    /// Idle connections: since when, and their endpoint's epoch.
-    idle: FxHashMap<(u32, u32), Vec<(Time, u32)>>,
-    /// Where repeats are known, by destination or zone: when a message first came, and if it has run since.
-    memories: FxHashMap<(u64, u32), (Time, bool)>,
-    /// Endpoints that stand for others: the list is told of them later.
-    replaced: BTreeMap<usize, Vec<(u32, u32)>>,
-    cuts: Vec<usize>,
-    lists_held: u32,
-    /// Until when discovery is at work on calls that it took.
-    discovery_free: Time,
+    messages: FxHashMap<u64, MessageState>,
+    /// Number of messages that are not closed.
+    open_messages: u64,
+    next_message: u64,
+    /// By relay and the endpoint addressed.
+    idle_connections: FxHashMap<(u32, u32), Vec<IdleConnection>>,
+    /// By message and where repeats are known: a destination or a zone.
+    deduplication: FxHashMap<(u64, u32), Deduplication>,
+    /// By trouble: endpoints that stand for others, which the list learns when the trouble ends.
+    replacements: BTreeMap<usize, Vec<Replacement>>,
+    /// Troubles that now cut relays off from endpoints.
+    partitions: Vec<usize>,
+    /// Number of troubles that now hold back updates of the list.
+    discovery_troubles: u32,
+    /// Until when discovery is at work on polls that it has accepted.
+    discovery_busy_until: Time,
     /// What the list says of each endpoint.
-    listing: Vec<EndpointStatus>,
+    endpoint_list: Vec<EndpointStatus>,
     truth: Truth,
     judge: Judge,
     tally: Tally,
     digest: SipHasher13,
-    legs: u64,
+    attempts: u64,
     watch: Option<Watch<'a>>,
-    make: Make<'a>,
+    make_policy: MakePolicy<'a>,
 }
 
-/// What somebody sees who watches a day.
-#[derive(Clone, Copy, Debug)]
-pub enum Seen<'f> {
-    Fact(&'f Fact),
-    /// A line of a relay's log.
-    Log(u32, &'f str),
-}
-
-pub type Watch<'a> = &'a mut dyn FnMut(Time, Seen<'_>);
-
-/// Makes what decides at a relay that starts.
-pub type Make<'a> = Box<dyn Fn(PolicySettings) -> Box<dyn Policy> + 'a>;
-
 impl<'a> Day<'a> {
+    /// A day of a scenario, before its first event.
     pub fn new(scenario: &'a Scenario, play: Play) -> Day<'a> {
         let world = World::new(scenario, play.seed);
         let requests = traffic::draw(&world);
-        let mut routes: Vec<Route> = Vec::new();
-        let mut servers = Vec::new();
-        for (i, place) in world.places.iter().enumerate() {
-            if routes.len() <= place.route as usize {
-                routes.push(Route::new(&world, place.group));
-            }
-            routes[place.route as usize].endpoints.push(i as u32);
-        }
-        for place in &world.places {
-            let peers = routes[place.route as usize].endpoints.len() as u32;
-            servers.push(Server::new(&world, place.dst, place.group, place.zone, place.route, peers));
-        }
-        let relays = (0..scenario.relays.count.get()).map(|me| Relay::new(&world, me, play.course)).collect();
-        let judge = Judge::new(world.figures());
-        let tally = Tally::new(&world, &requests);
+        let routes = routes_of(&world);
+        let relays = (0..scenario.relays.count.get()).map(|relay| Relay::new(&world, relay, play.course));
         Day {
-            wishes: vec![Wish::default(); requests.len()],
-            requests,
             play,
             now: 0,
-            heap: BinaryHeap::new(),
-            events: Vec::new(),
-            free: Vec::new(),
-            sequence: 0,
-            relays,
-            servers,
+            events: EventQueue::default(),
+            progress: vec![RequestProgress::default(); requests.len()],
+            next_request: 0,
+            relays: relays.collect(),
+            servers: servers_of(&world, &routes),
             routes,
             calls: FxHashMap::default(),
-            msgs: FxHashMap::default(),
-            live: 0,
-            next_msg: 0,
-            idle: FxHashMap::default(),
-            memories: FxHashMap::default(),
-            replaced: BTreeMap::new(),
-            cuts: Vec::new(),
-            lists_held: 0,
-            discovery_free: 0,
-            listing: vec![EndpointStatus::Ready; world.places.len()],
+            messages: FxHashMap::default(),
+            open_messages: 0,
+            next_message: 0,
+            idle_connections: FxHashMap::default(),
+            deduplication: FxHashMap::default(),
+            replacements: BTreeMap::new(),
+            partitions: Vec::new(),
+            discovery_troubles: 0,
+            discovery_busy_until: 0,
+            endpoint_list: vec![EndpointStatus::Ready; world.places.len()],
             truth: Truth::default(),
-            judge,
-            tally,
+            judge: Judge::new(world.figures()),
+            tally: Tally::new(&world, &requests),
             digest: SipHasher13::new(),
-            legs: 0,
+            attempts: 0,
             watch: None,
-            make: Box::new(move |facts| play.which.make(facts)),
+            make_policy: Box::new(move |settings| play.which.make(settings)),
+            requests,
             world,
         }
     }
 
     /// Shows every fact, and every line of the relays' logs, to somebody as it comes.
     pub fn watched(mut self, watch: Watch<'a>) -> Day<'a> {
-        self.relays.iter_mut().for_each(Relay::keep_log);
+        for relay in &mut self.relays {
+            relay.keep_log();
+        }
         self.watch = Some(watch);
         self
     }
 
     /// Has relays decide by something else than the policy named.
-    pub fn with_policy(mut self, make: Make<'a>) -> Day<'a> {
-        self.make = make;
+    pub fn with_policy(mut self, make_policy: MakePolicy<'a>) -> Day<'a> {
+        self.make_policy = make_policy;
         self
     }
 
     /// The number of a destination by its name, as `banks/3`.
     pub fn destination(&self, name: &str) -> Option<u32> {
-        (0..self.world.destinations.len() as u32).find(|dst| self.world.name(*dst) == name)
+        let count = self.world.destinations.len() as u32;
+        (0..count).find(|destination| self.world.name(*destination) == name)
     }
 
     /// Plays the day to its end.
     pub fn play(mut self) -> DayOutcome {
-        self.begin();
-        let gap = self.world.scenario.relays.round_gap.us();
-        let last_deadline = self.world.scenario.lanes.iter().map(|l| l.deadline.as_ref().us()).max();
-        let length = self.world.scenario.length.as_ref().us();
-        let end = length + last_deadline.unwrap_or(0) + AFTERMATH;
-        let mut arrived = 0;
-        loop {
-            // The next thing that happens, on the grid of rounds.
-            let arrival = self.requests.get(arrived).map(|r| r.at);
-            let event = self.heap.peek().map(|e| e.0.0);
-            let wakes = self.relays.iter().filter_map(Relay::wakes).min();
-            let next = [arrival, event, wakes].into_iter().flatten().min();
-            let Some(next) = next.filter(|next| *next <= end) else { break };
+        self.set_up();
+        let end = self.end();
+        while let Some(next) = self.next_time().filter(|next| *next <= end) {
+            // Relays take steps on a grid of ticks.
+            let gap = self.world.scenario.relays.round_gap.us();
             let tick = (next.div_ceil(gap) * gap).max(self.now);
-            loop {
-                let arrival = self.requests.get(arrived).map(|r| r.at).filter(|at| *at <= tick);
-                let event = self.heap.peek().map(|e| e.0.0).filter(|at| *at <= tick);
-                match (arrival, event) {
-                    (Some(a), e) if e.is_none_or(|e| a <= e) => {
-                        self.now = a;
-                        self.hand_in(arrived as u32);
-                        arrived += 1;
-                    }
-                    (_, Some(_)) => self.pop(),
-                    _ => break,
-                }
-            }
+            self.handle_events_until(tick);
             self.now = tick;
-            self.rounds();
-            let idle = self.live == 0 && self.calls.is_empty() && arrived == self.requests.len();
-            if idle && self.now > length && self.relays.iter().all(|r| r.held() == 0) {
+            self.step_relays();
+            if self.is_over() {
                 break;
             }
         }
         self.outcome(end)
     }
 
+    fn set_up(&mut self) {
+        for endpoint in 0..self.servers.len() as u32 {
+            self.record_endpoint(endpoint);
+        }
+        for trouble in 0..self.world.strikes.len() {
+            let begins = self.world.strikes[trouble].from;
+            let ends = self.world.strikes[trouble].to;
+            self.schedule(begins, Event::TroubleBegins { trouble });
+            self.schedule(ends, Event::TroubleEnds { trouble });
+        }
+        self.schedule(0, Event::Second);
+        for relay in 0..self.relays.len() {
+            for endpoint in 0..self.servers.len() as u32 {
+                let place = self.world.places[endpoint as usize];
+                self.relays[relay].learn(&self.world, &place, endpoint, EndpointStatus::Ready);
+            }
+            self.start_relay(relay as u32);
+        }
+    }
+
+    fn record_endpoint(&mut self, endpoint: u32) {
+        let server = &self.servers[endpoint as usize];
+        let route = &self.routes[server.route as usize];
+        let fact = Fact::Endpoint {
+            endpoint,
+            dst: server.dst,
+            zone: server.zone,
+            route: server.route,
+            capacity: route.capacity as f32,
+        };
+        self.record(fact);
+    }
+
+    /// When the day is over at the latest.
+    fn end(&self) -> Time {
+        let deadlines = self.world.scenario.lanes.iter().map(|lane| lane.deadline.as_ref().us());
+        self.length() + deadlines.max().unwrap_or(0) + AFTERMATH
+    }
+
+    fn length(&self) -> Time {
+        self.world.scenario.length.as_ref().us()
+    }
+
+    /// When the next request, event or step is due.
+    fn next_time(&self) -> Option<Time> {
+        let step = self.relays.iter().filter_map(Relay::wakes).min();
+        [self.next_arrival(), self.events.next_time(), step].into_iter().flatten().min()
+    }
+
+    fn next_arrival(&self) -> Option<Time> {
+        self.requests.get(self.next_request).map(|request| request.at)
+    }
+
+    /// Handles requests and events in the order of their times, requests first.
+    fn handle_events_until(&mut self, tick: Time) {
+        loop {
+            let arrival = self.next_arrival().filter(|at| *at <= tick);
+            let event = self.events.next_time().filter(|at| *at <= tick);
+            match (arrival, event) {
+                (Some(arrival), event) if event.is_none_or(|event| arrival <= event) => {
+                    self.now = arrival;
+                    self.submit(self.next_request as u32);
+                    self.next_request += 1;
+                }
+                (_, Some(_)) => self.handle_next_event(),
+                _ => return,
+            }
+        }
+    }
+
+    /// True once nothing is left to happen.
+    fn is_over(&self) -> bool {
+        let all_arrived = self.next_request == self.requests.len();
+        let idle = self.open_messages == 0 && self.calls.is_empty() && all_arrived;
+        idle && self.now > self.length() && self.relays.iter().all(|relay| relay.held() == 0)
+    }
+
+    /// Samples what the course of the day shows, once a second.
+    fn sample_second(&mut self) {
+        let queued: usize = self.relays.iter().map(Relay::held).sum();
+        let in_flight: usize = self.relays.iter().map(Relay::calls_out).sum();
+        Tally::count(&mut self.tally.held, self.now, queued as f64);
+        Tally::count(&mut self.tally.out, self.now, in_flight as f64);
+        let now = self.now;
+        let world = &self.world;
+        let routes = &self.routes;
+        self.tally.capacities(now, |route| {
+            let route = &routes[route as usize];
+            if route.out || route.fallen { 0.0 } else { route.capacity * route.share(now, world) }
+        });
+        if self.open_messages > 0 || now < self.length() {
+            self.schedule(now + SAMPLE_INTERVAL, Event::Second);
+        }
+    }
+
     fn outcome(mut self, end: Time) -> DayOutcome {
-        let verdict = std::mem::replace(&mut self.judge, Judge::new(self.world.figures())).finish(end);
+        let judge = std::mem::replace(&mut self.judge, Judge::new(self.world.figures()));
+        let verdict = judge.finish(end);
         let digest = self.digest.finish128();
-        let twins = self.wishes.iter().filter(|w| w.effects > 1).count() as u64;
+        let twins = self.progress.iter().filter(|progress| progress.effects > 1).count() as u64;
         DayOutcome {
             scenario: self.world.scenario.name.clone(),
             policy: self.play.which.name().to_string(),
@@ -224,8 +298,8 @@
             lanes: self.tally.lanes(&self.world),
             tenants: self.tally.tenants(&self.world),
             requests: self.requests.len() as u64,
-            messages: self.next_msg,
-            legs: self.legs,
+            messages: self.next_message,
+            legs: self.attempts,
             calls_into_outages: self.tally.calls_into_outages,
             ends: self.tally.ends.iter().map(|(name, n)| (name.to_string(), *n)).collect(),
             failed: self.tally.failed,
@@ -239,49 +313,25 @@
             course: if self.play.course { Some(self.tally.course(&self.world)) } else { None },
         }
     }
+}
 
-    fn begin(&mut self) {
-        for i in 0..self.servers.len() as u32 {
-            self.set_up(i);
+/// The routes of a world with their endpoints.
+fn routes_of(world: &World) -> Vec<Route> {
+    let mut routes: Vec<Route> = Vec::new();
+    for (endpoint, place) in world.places.iter().enumerate() {
+        if routes.len() <= place.route as usize {
+            routes.push(Route::new(world, place.group));
         }
-        for n in 0..self.world.strikes.len() {
-            let (from, to) = (self.world.strikes[n].from, self.world.strikes[n].to);
-            self.at(from, Event::StrikeOn(n));
-            self.at(to, Event::StrikeOff(n));
-        }
-        self.at(0, Event::Second);
-        for me in 0..self.relays.len() {
-            for i in 0..self.servers.len() as u32 {
-                let place = self.world.places[i as usize];
-                self.relays[me].learn(&self.world, &place, i, EndpointStatus::Ready);
-            }
-            self.start(me as u32);
-        }
-    }
-
-    fn set_up(&mut self, endpoint: u32) {
-        let (dst, zone, route) = {
-            let s = &self.servers[endpoint as usize];
-            (s.dst, s.zone, s.route)
-        };
-        let capacity = self.routes[route as usize].capacity as f32;
-        self.fact(Fact::Endpoint { endpoint, dst, zone, route, capacity });
+        routes[place.route as usize].endpoints.push(endpoint as u32);
     }
+    routes
+}
 
-    fn second(&mut self) {
-        let held: usize = self.relays.iter().map(Relay::held).sum();
-        let out: usize = self.relays.iter().map(Relay::calls_out).sum();
-        Tally::count(&mut self.tally.held, self.now, held as f64);
-        Tally::count(&mut self.tally.out, self.now, out as f64);
-        let (routes, world, now) = (&self.routes, &self.world, self.now);
-        let able = |route: u32| {
-            let r = &routes[route as usize];
-            if r.out || r.fallen { 0.0 } else { r.capacity * r.share(now, world) }
-        };
-        self.tally.capacities(now, able);
-        let more = self.live > 0 || self.now < self.world.scenario.length.as_ref().us();
-        if more {
-            self.at(self.now + 1_000_000, Event::Second);
-        }
-    }
+/// The endpoints of a world, each with its part of its route's capacity.
+fn servers_of(world: &World, routes: &[Route]) -> Vec<Server> {
+    let server = |place: &crate::world::Place| {
+        let peers = routes[place.route as usize].endpoints.len() as u32;
+        Server::new(world, place.dst, place.group, place.zone, place.route, peers)
+    };
+    world.places.iter().map(server).collect()
 }
--- a/crates/lab/src/day/calls.rs
+++ b/crates/lab/src/day/calls.rs
@@ -1,7 +1,8 @@
-//! Calls on their way, and how they end at their relay.
+//! Calls as relays see them: how they start and how they end. A call carries one attempt of each of its messages.
 
 use super::Day;
-use super::clients::Client;
+use super::clients::ClientState;
+use super::connections::IdleConnection;
 use super::events::Event;
 use crate::Time;
 use crate::chance::What;
@@ -9,160 +10,195 @@
 use mountshift::interface::Outcome;
 use mountshift_invariants::Fact;
 
+/// A kept connection that was idle for less than this can't have died unnoticed.
+const MIN_STALE_IDLE: Time = 200_000;
+
+/// How far an endpoint has come with a call.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub(super) enum Stage {
-    OnItsWay,
+    OnTheWay,
     Queued,
     Running,
     Done,
 }
 
+/// A call that its relay waits for or its endpoint is not done with.
 pub(super) struct Call {
     pub(super) relay: u32,
-    /// As it was addressed, and who got it.
-    pub(super) to: u32,
-    pub(super) at: u32,
+    /// The endpoint that it was addressed to.
+    pub(super) addressed: u32,
+    /// The endpoint that has the address now and got the call.
+    pub(super) endpoint: u32,
+    /// The endpoint's epoch at the start of the call: its connection has broken if the two differ.
     pub(super) epoch: u32,
-    pub(super) legs: Vec<u64>,
+    pub(super) messages: Vec<u64>,
     /// The relay still waits for it.
     pub(super) open: bool,
     pub(super) connected: bool,
     pub(super) stage: Stage,
-    /// When its last byte came.
-    pub(super) came: Time,
+    /// When its last byte arrived.
+    pub(super) arrived_at: Time,
 }
 
 impl Day<'_> {
-    pub(super) fn call(&mut self, relay: u32, n: u64, to: u32, legs: Vec<u64>, limit: Time) {
-        let mut at = to;
-        while let Some(next) = self.servers[at as usize].successor {
-            at = next;
-        }
-        let way = self.way(relay, at);
-        let server = &self.servers[at as usize];
-        let (epoch, fresh) = (server.epoch, self.now.saturating_sub(self.idle_used()));
-        let pool = self.idle.get_mut(&(relay, to));
-        let (kept, dropped) = pool.map_or((None, 0), |pool| {
-            let before = pool.len();
-            pool.retain(|c| c.0 >= fresh && c.1 == epoch);
-            let dropped = (before - pool.len()) as u32;
-            (pool.pop(), dropped)
-        });
-        let server = &mut self.servers[at as usize];
-        server.connections = server.connections.saturating_sub(dropped);
+    /// A relay starts a call, over a kept connection if it has one.
+    pub(super) fn start_call(
+        &mut self,
+        relay: u32,
+        call_id: u64,
+        addressed: u32,
+        messages: Vec<u64>,
+        limit: Time,
+    ) {
+        let endpoint = self.current_endpoint(addressed);
+        let delay = self.network_delay(relay, endpoint);
+        let epoch = self.servers[endpoint as usize].epoch;
+        let kept = self.take_idle_connection(relay, addressed, endpoint);
         let call = Call {
             relay,
-            to,
-            at,
+            addressed,
+            endpoint,
             epoch,
-            legs,
+            messages,
             open: true,
             connected: kept.is_some(),
-            stage: Stage::OnItsWay,
-            came: 0,
+            stage: Stage::OnTheWay,
+            arrived_at: 0,
         };
-        let stale = kept.is_some_and(|c| c.0 + 200_000 < self.now)
-            && self.world.chance.part(What::Stale, n, 0) < self.servers[at as usize].state.stale;
-        self.calls.insert(n, call);
-        self.at(self.now + limit.max(1), Event::Limit(n));
-        if stale {
-            self.broken(n, Outcome::Reset, 2 * way);
-        } else if kept.is_some() {
-            self.at(self.now + way, Event::Reach(n));
-        } else {
-            self.connect(n, way);
+        self.calls.insert(call_id, call);
+        self.schedule(self.now + limit.max(1), Event::CallTimeout { call: call_id });
+        match kept {
+            None => self.connect(call_id, delay),
+            Some(connection) if self.has_died(connection, call_id, endpoint) => {
+                self.fail_call(call_id, Outcome::Reset, 2 * delay);
+            }
+            Some(_) => self.schedule(self.now + delay, Event::CallArrives { call: call_id }),
+        }
+    }
+
+    /// The endpoint that has an address now.
+    fn current_endpoint(&self, addressed: u32) -> u32 {
+        let mut endpoint = addressed;
+        while let Some(next) = self.servers[endpoint as usize].successor {
+            endpoint = next;
         }
+        endpoint
+    }
+
+    fn has_died(&self, connection: IdleConnection, call_id: u64, endpoint: u32) -> bool {
+        let probability = self.servers[endpoint as usize].state.stale;
+        connection.since + MIN_STALE_IDLE < self.now
+            && self.world.chance.part(What::Stale, call_id, 0) < probability
     }
 
     /// The call ends at its relay without an answer, a while from now.
-    pub(super) fn broken(&mut self, n: u64, outcome: Outcome, later: Time) {
-        let Some(call) = self.calls.get(&n) else { return };
-        let ends = call.legs.iter().map(|msg| (*msg, outcome, false)).collect();
-        self.at(self.now + later, Event::Answer(n, ends, 0));
+    pub(super) fn fail_call(&mut self, call_id: u64, outcome: Outcome, delay: Time) {
+        let Some(call) = self.calls.get(&call_id) else { return };
+        let ends = call.messages.iter().map(|message| (*message, outcome, false)).collect();
+        self.schedule(self.now + delay, Event::CallEnds { call: call_id, ends });
     }
 
     /// The endpoint's answer is written to the network: the message is delivered, and its worth booked if its
-    /// client knows it as taken. Behind a silence that is when the answer comes through.
-    pub(super) fn written(&mut self, n: u64, msg: u64) {
-        let Some(m) = self.msgs.get(&msg).filter(|m| m.client == Client::Heard && !m.past) else { return };
-        let request = m.request as usize;
-        if self.wishes[request].delivered {
+    /// client knows it as accepted. Behind a silence that is when the answer comes through.
+    pub(super) fn record_delivery(&mut self, call_id: u64, message_id: u64) {
+        let Some(message) = self.messages.get(&message_id) else { return };
+        if message.client != ClientState::Answered || message.closed {
+            return;
+        }
+        let request_id = message.request as usize;
+        if self.progress[request_id].delivered {
             return;
         }
-        self.fact(Fact::Answered { msg, call: n });
-        let r = self.requests[request];
-        let deadline = r.at + self.world.scenario.lanes[usize::from(r.lane)].deadline.as_ref().us();
-        if self.now <= deadline {
-            self.wishes[request].delivered = true;
-            self.tally.delivered(&self.world, &r, self.now);
+        self.record(Fact::Answered { msg: message_id, call: call_id });
+        let request = self.requests[request_id];
+        if self.now <= self.deadline(&request) {
+            self.progress[request_id].delivered = true;
+            self.tally.delivered(&self.world, &request, self.now);
         }
     }
 
-    /// The endpoint is through with a call.
-    pub(super) fn done(&mut self, n: u64) {
-        let Some(call) = self.calls.get_mut(&n) else { return };
+    /// The endpoint is done with a call.
+    pub(super) fn endpoint_done(&mut self, call_id: u64) {
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.stage = Stage::Done;
         if !call.open {
-            self.calls.remove(&n);
+            self.calls.remove(&call_id);
         }
     }
 
-    /// What became of a call comes to its relay.
-    pub(super) fn answer(&mut self, n: u64, ends: Vec<(u64, Outcome, bool)>, wait: Time) {
-        let Some(call) = self.calls.get_mut(&n).filter(|c| c.open) else { return };
-        let (relay, to, at) = (call.relay, call.to, call.at);
+    /// The outcome of a call arrives at its relay.
+    pub(super) fn call_ends(&mut self, call_id: u64, ends: Vec<(u64, Outcome, bool)>) {
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
+        if !call.open {
+            return;
+        }
         call.open = false;
-        let broken = ends.iter().any(|e| matches!(e.1, Outcome::Reset | Outcome::ConnectFailed));
-        let done = call.stage == Stage::Done || broken;
+        let relay = call.relay as usize;
+        let stage = call.stage;
+        let broken =
+            ends.iter().any(|(_, outcome, _)| matches!(outcome, Outcome::Reset | Outcome::ConnectFailed));
         if broken {
-            self.forget_connection(n);
-        } else if let Some(call) = self.calls.get(&n).filter(|c| c.connected) {
-            let kept = (self.now, call.epoch);
-            if self.servers[at as usize].epoch == call.epoch {
-                self.idle.entry((relay, to)).or_default().push(kept);
-            }
+            self.close_connection(call_id);
+        } else {
+            self.keep_connection(call_id);
         }
-        for (msg, outcome, _) in &ends {
+        for (message, outcome, _) in &ends {
             if *outcome == Outcome::Delivered {
-                self.written(n, *msg);
-                self.pass(*msg);
+                self.record_delivery(call_id, *message);
+                self.close_message(*message);
             }
         }
-        if done && self.calls.get(&n).is_some_and(|c| c.stage != Stage::Running && c.stage != Stage::Queued) {
-            self.calls.remove(&n);
+        if stage == Stage::Done || (broken && stage == Stage::OnTheWay) {
+            self.calls.remove(&call_id);
+        }
+        self.relays[relay].inbox.push(Came::Ended { call: call_id, ends, wait: 0 });
+    }
+
+    /// Puts the connection of a call that is over back into the pool.
+    fn keep_connection(&mut self, call_id: u64) {
+        let Some(call) = self.calls.get(&call_id) else { return };
+        if !call.connected || self.servers[call.endpoint as usize].epoch != call.epoch {
+            return;
         }
-        self.relays[relay as usize].inbox.push(Came::Ended { call: n, ends, wait });
+        let connection = IdleConnection { since: self.now, epoch: call.epoch };
+        self.idle_connections.entry((call.relay, call.addressed)).or_default().push(connection);
     }
 
     /// A relay has waited long enough for a call.
-    pub(super) fn limit(&mut self, n: u64) {
-        let Some(call) = self.calls.get(&n).filter(|c| c.open) else { return };
-        let until = self.relays[call.relay as usize].stalled_until;
-        if until > self.now {
+    pub(super) fn call_timeout(&mut self, call_id: u64) {
+        let Some(call) = self.calls.get(&call_id) else { return };
+        if !call.open {
+            return;
+        }
+        let stalled_until = self.relays[call.relay as usize].stalled_until;
+        if stalled_until > self.now {
             // It notices once it goes on; an answer that came meanwhile is read first.
-            self.at(until, Event::Limit(n));
+            self.schedule(stalled_until, Event::CallTimeout { call: call_id });
             return;
         }
-        let connected = call.connected;
-        self.close(n, if connected { Outcome::TimedOut } else { Outcome::ConnectFailed });
+        let outcome = if call.connected { Outcome::TimedOut } else { Outcome::ConnectFailed };
+        self.close_call(call_id, outcome);
     }
 
     /// A relay ends a call by itself.
-    pub(super) fn close(&mut self, n: u64, outcome: Outcome) {
-        let Some(call) = self.calls.get(&n).filter(|c| c.open) else { return };
+    pub(super) fn close_call(&mut self, call_id: u64, outcome: Outcome) {
+        let Some(call) = self.calls.get(&call_id) else { return };
+        if !call.open {
+            return;
+        }
         let relay = call.relay as usize;
-        let ends = call.legs.iter().map(|msg| (*msg, outcome, false)).collect();
-        self.hang_up(n);
-        self.relays[relay].inbox.push(Came::Ended { call: n, ends, wait: 0 });
+        let ends = call.messages.iter().map(|message| (*message, outcome, false)).collect();
+        self.hang_up(call_id);
+        self.relays[relay].inbox.push(Came::Ended { call: call_id, ends, wait: 0 });
     }
 
     /// The connection of a call is closed from the relay's side.
-    pub(super) fn hang_up(&mut self, n: u64) {
-        self.forget_connection(n);
-        let Some(call) = self.calls.get_mut(&n) else { return };
+    pub(super) fn hang_up(&mut self, call_id: u64) {
+        self.close_connection(call_id);
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
         call.open = false;
         if call.stage == Stage::Done {
-            self.calls.remove(&n);
+            self.calls.remove(&call_id);
         }
     }
 }
--- a/crates/lab/src/day/clients.rs
+++ b/crates/lab/src/day/clients.rs
@@ -1,4 +1,4 @@
-//! Clients: what they hand in, hear and hand in again.
+//! Clients: what they submit, what they hear of it, and when they submit it again.
 
 use super::Day;
 use super::events::Event;
@@ -6,128 +6,174 @@
 use crate::chance::What;
 use crate::host::Came;
 use crate::tally::Tally;
+use crate::traffic::Request;
 use mountshift_invariants::{End, Fact};
 
 /// A client that finds a dead relay tries the next one after this span.
-const REFUSED: Time = 50_000;
+const RECONNECT_DELAY: Time = 50_000;
+/// The shortest span after which a client submits a rejected message again.
+const MIN_RESUBMISSION_DELAY: Time = 1_000;
 
+/// What the client of a message knows of it.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub(super) enum Client {
-    Waits,
-    Heard,
+pub(super) enum ClientState {
+    /// It waits to hear that the message was accepted.
+    Waiting,
+    /// It has heard that the message was accepted, or its final answer.
+    Answered,
+    /// It has stopped waiting and submits the request under another id.
     GaveUp,
 }
 
-pub(super) struct Msg {
+/// A message: one submission of a request.
+pub(super) struct MessageState {
     pub(super) request: u32,
     pub(super) relay: u32,
-    pub(super) client: Client,
+    pub(super) client: ClientState,
     /// It took effect under this id.
-    pub(super) ran: bool,
-    /// Its end is owed or taken, or nobody waits for one: its late effects are counted, nothing else.
-    pub(super) past: bool,
+    pub(super) took_effect: bool,
+    /// Its final answer is given or awaited by nobody: late effects are counted, nothing else.
+    pub(super) closed: bool,
 }
 
+/// What has become of a request so far, over all its submissions.
 #[derive(Clone, Copy, Default)]
-pub(super) struct Wish {
+pub(super) struct RequestProgress {
     pub(super) delivered: bool,
-    /// Ids under which it took effect.
+    /// Number of message ids under which it took effect.
     pub(super) effects: u32,
-    pub(super) tries: u32,
+    submissions: u32,
 }
 
 impl Day<'_> {
-    pub(super) fn hand_in(&mut self, n: u32) {
-        let r = self.requests[n as usize];
-        let deadline = r.at + self.world.scenario.lanes[usize::from(r.lane)].deadline.as_ref().us();
-        if self.now >= deadline || self.wishes[n as usize].delivered {
+    /// When a request is worth nothing any more.
+    pub(super) fn deadline(&self, request: &Request) -> Time {
+        request.at + self.world.scenario.lanes[usize::from(request.lane)].deadline.as_ref().us()
+    }
+
+    /// A client submits a request to a relay that is up.
+    pub(super) fn submit(&mut self, request_id: u32) {
+        let request = self.requests[request_id as usize];
+        let deadline = self.deadline(&request);
+        let progress = &mut self.progress[request_id as usize];
+        if self.now >= deadline || progress.delivered {
             return;
         }
-        let tries = self.wishes[n as usize].tries;
-        self.wishes[n as usize].tries += 1;
-        // Messages of a key come to one relay while it runs; others to any.
-        let who = if r.key != 0 { r.key } else { u64::from(n) << 20 | u64::from(tries) };
-        let all = self.relays.len();
-        let first = self.world.chance.of(What::Front, all, who, 0);
-        let Some(relay) = (0..all).map(|i| (first + i) % all).find(|i| self.relays[*i].up) else {
-            self.at(self.now + REFUSED, Event::Submission(n));
+        let submission = progress.submissions;
+        progress.submissions += 1;
+        let Some(relay) = self.choose_relay(request_id, request.key, submission) else {
+            self.schedule(self.now + RECONNECT_DELAY, Event::Submission { request: request_id });
             return;
         };
-        let (msg, relay) = (self.next_msg, relay as u32);
-        self.next_msg += 1;
-        self.msgs.insert(msg, Msg { request: n, relay, client: Client::Waits, ran: false, past: false });
-        self.live += 1;
-        Tally::count(&mut self.tally.messages, self.now, 1.0);
-        let (lane, tenant, dst, key) = (r.lane, r.tenant, r.dst, r.key);
-        self.fact(Fact::HandedIn { msg, request: u64::from(n), relay, lane, dst, key, deadline });
+        let message = self.open_message(request_id, relay);
+        let Request { lane, tenant, dst, key, .. } = request;
+        let request = u64::from(request_id);
+        self.record(Fact::HandedIn { msg: message, request, relay, lane, dst, key, deadline });
         let host = &mut self.relays[relay as usize];
-        host.inbox.push(Came::Message { msg, lane, tenant, dst, key, deadline });
+        host.inbox.push(Came::Message { msg: message, lane, tenant, dst, key, deadline });
         if host.stalled_until > self.now {
-            self.at(self.now + self.world.scenario.clients.patience.us(), Event::Patience(msg));
+            let patience = self.world.scenario.clients.patience.us();
+            self.schedule(self.now + patience, Event::ClientTimeout { message });
         }
     }
 
-    /// A client that has heard nothing hands its message in elsewhere.
-    pub(super) fn patience(&mut self, msg: u64) {
-        let Some(m) = self.msgs.get_mut(&msg).filter(|m| m.client == Client::Waits) else { return };
-        m.client = Client::GaveUp;
-        let request = m.request;
-        self.fact(Fact::Disowned { msg });
-        self.pass(msg);
-        self.at(self.now + REFUSED, Event::Submission(request));
+    /// The relay that a client connects to. Messages of one ordering key come to one relay while it is up.
+    fn choose_relay(&self, request_id: u32, key: u64, submission: u32) -> Option<u32> {
+        let client = if key != 0 { key } else { u64::from(request_id) << 20 | u64::from(submission) };
+        let count = self.relays.len();
+        let first = self.world.chance.of(What::Front, count, client, 0);
+        let relay = (0..count).map(|i| (first + i) % count).find(|i| self.relays[*i].up)?;
+        Some(relay as u32)
+    }
+
+    fn open_message(&mut self, request: u32, relay: u32) -> u64 {
+        let message = self.next_message;
+        self.next_message += 1;
+        let client = ClientState::Waiting;
+        let state = MessageState { request, relay, client, took_effect: false, closed: false };
+        self.messages.insert(message, state);
+        self.open_messages += 1;
+        Tally::count(&mut self.tally.messages, self.now, 1.0);
+        message
+    }
+
+    /// A client that has heard nothing submits its request to another relay.
+    pub(super) fn client_timeout(&mut self, message_id: u64) {
+        let Some(message) = self.messages.get_mut(&message_id) else { return };
+        if message.client != ClientState::Waiting {
+            return;
+        }
+        message.client = ClientState::GaveUp;
+        let request = message.request;
+        self.record(Fact::Disowned { msg: message_id });
+        self.close_message(message_id);
+        self.schedule(self.now + RECONNECT_DELAY, Event::Submission { request });
     }
 
     /// Nothing more is owed under this id.
-    pub(super) fn pass(&mut self, msg: u64) {
-        if let Some(m) = self.msgs.get_mut(&msg).filter(|m| !m.past) {
-            m.past = true;
-            self.live -= 1;
+    pub(super) fn close_message(&mut self, message_id: u64) {
+        let Some(message) = self.messages.get_mut(&message_id) else { return };
+        if !message.closed {
+            message.closed = true;
+            self.open_messages -= 1;
         }
     }
 
-    /// The client heard what became of its message.
-    pub(super) fn heard(&mut self, msg: u64, end: Option<End>) {
-        let Some(m) = self.msgs.get_mut(&msg) else { return };
-        if m.client == Client::GaveUp {
+    /// A relay answers the client of a message: accepted, or its final answer.
+    pub(super) fn answer_client(&mut self, message_id: u64, end: Option<End>) {
+        let Some(message) = self.messages.get_mut(&message_id) else { return };
+        if message.client == ClientState::GaveUp {
             if end.is_none() {
-                let relay = m.relay;
-                self.relays[relay as usize].inbox.push(Came::Gone(msg));
+                let relay = message.relay;
+                self.relays[relay as usize].inbox.push(Came::Gone(message_id));
             }
             return;
         }
-        m.client = Client::Heard;
+        message.client = ClientState::Answered;
         match end {
-            None => self.fact(Fact::Taken { msg }),
+            None => self.record(Fact::Taken { msg: message_id }),
             Some(end) => {
-                self.fact(Fact::EndTaken { msg });
-                self.ended(msg, end);
+                self.record(Fact::EndTaken { msg: message_id });
+                self.message_ended(message_id, end);
             }
         }
     }
 
-    /// A message ended undelivered: its client may come again.
-    pub(super) fn ended(&mut self, msg: u64, end: End) {
-        let Some(request) = self.msgs.get(&msg).filter(|m| !m.past).map(|m| m.request) else { return };
-        self.pass(msg);
-        let clients = &self.world.scenario.clients;
+    /// A message ended undelivered: its client may submit the request again.
+    pub(super) fn message_ended(&mut self, message_id: u64, end: End) {
+        let Some(message) = self.messages.get(&message_id) else { return };
+        if message.closed {
+            return;
+        }
+        let request = message.request;
+        self.close_message(message_id);
         match end {
             End::Failed => self.tally.failed += 1,
-            End::PushedBack(pause) => {
+            End::PushedBack(retry_after) => {
                 self.tally.pushed_back += 1;
-                let comes = self.world.chance.part(What::Again, u64::from(request), msg) < clients.again.0;
-                let pause = if pause > 0 { pause } else { clients.pause.us() };
-                let pause = pause.min(self.world.scenario.rules.max_pause.us()).max(1_000);
-                if comes {
-                    self.at(self.now + pause, Event::Submission(request));
-                }
+                self.schedule_resubmission(request, message_id, retry_after);
             }
         }
     }
 
-    pub(super) fn noticed(&mut self, msg: u64) {
-        let Some(m) = self.msgs.get(&msg) else { return };
-        let relay = m.relay as usize;
-        self.fact(Fact::EndTaken { msg });
-        self.relays[relay].inbox.push(Came::Noticed(msg));
+    /// Some clients submit a rejected request again, after the relay's Retry-After if it gave one.
+    fn schedule_resubmission(&mut self, request: u32, message_id: u64, retry_after: Time) {
+        let clients = &self.world.scenario.clients;
+        let drawn = self.world.chance.part(What::Again, u64::from(request), message_id);
+        if drawn >= clients.again.0 {
+            return;
+        }
+        let delay = if retry_after > 0 { retry_after } else { clients.pause.us() };
+        let longest = self.world.scenario.rules.max_pause.us();
+        let delay = delay.min(longest).max(MIN_RESUBMISSION_DELAY);
+        self.schedule(self.now + delay, Event::Submission { request });
+    }
+
+    /// The platform has a message's final answer; its relay may forget the message.
+    pub(super) fn notification_acknowledged(&mut self, message_id: u64) {
+        let Some(message) = self.messages.get(&message_id) else { return };
+        let relay = message.relay as usize;
+        self.record(Fact::EndTaken { msg: message_id });
+        self.relays[relay].inbox.push(Came::Noticed(message_id));
     }
 }
--- a/crates/lab/src/day/connections.rs
+++ b/crates/lab/src/day/connections.rs
@@ -1,99 +1,142 @@
-//! Connections between relays and endpoints.
+//! Connections between relays and endpoints: the network's delays, dialling, and the pools of idle connections.
 
 use super::Day;
 use super::events::Event;
 use crate::Time;
+use crate::servers::Server;
 use mountshift::interface::Outcome;
 
-/// One way through the network, inside a zone and across.
-const NEAR: Time = 300;
+/// One way through the network inside a zone.
+const DELAY_IN_ZONE: Time = 300;
+/// One way through the network between two zones.
+const DELAY_BETWEEN_ZONES: Time = 1_200;
+/// An idle connection is not used for the last part of its time, when the endpoint may just be closing it.
+const USABLE_IDLE_SHARE: f64 = 0.9;
 
-const FAR: Time = 1_200;
-
-/// An idle connection is not used for the last part of its time.
-const IDLE_USED: f64 = 0.9;
+/// An open connection that no call uses.
+#[derive(Clone, Copy)]
+pub(super) struct IdleConnection {
+    pub(super) since: Time,
+    /// The endpoint's epoch when it was opened: it has died if the two differ.
+    pub(super) epoch: u32,
+}
 
 impl Day<'_> {
-    pub(super) fn way(&self, relay: u32, endpoint: u32) -> Time {
-        let near = self.world.relay_zone(relay) == self.servers[endpoint as usize].zone;
-        if near { NEAR } else { FAR }
+    /// How long a byte takes from a relay to an endpoint or back.
+    pub(super) fn network_delay(&self, relay: u32, endpoint: u32) -> Time {
+        if self.world.relay_zone(relay) == self.servers[endpoint as usize].zone {
+            DELAY_IN_ZONE
+        } else {
+            DELAY_BETWEEN_ZONES
+        }
     }
 
-    /// Until when no byte passes between the two; 0 if they do.
+    /// Until when no byte passes between the two; 0 if bytes pass.
     pub(super) fn silent_until(&self, relay: u32, endpoint: u32) -> Time {
-        let cut = self.cuts.iter().map(|n| &self.world.strikes[*n]);
-        let cut = cut.filter(|s| s.relays.contains(&relay) && s.endpoints.binary_search(&endpoint).is_ok());
-        cut.map(|s| s.to).max().unwrap_or(0).max(self.servers[endpoint as usize].state.silent_until)
+        let partitions = self.partitions.iter().map(|trouble| &self.world.strikes[*trouble]);
+        let between =
+            partitions.filter(|p| p.relays.contains(&relay) && p.endpoints.binary_search(&endpoint).is_ok());
+        let partitioned_until = between.map(|partition| partition.to).max().unwrap_or(0);
+        partitioned_until.max(self.servers[endpoint as usize].state.silent_until)
     }
 
-    pub(super) fn idle_used(&self) -> Time {
-        (self.world.scenario.relays.idle.us() as f64 * IDLE_USED) as Time
+    /// Takes the idle connection that was used last, and drops those that are too old or have died.
+    pub(super) fn take_idle_connection(
+        &mut self,
+        relay: u32,
+        addressed: u32,
+        endpoint: u32,
+    ) -> Option<IdleConnection> {
+        let usable_idle = self.world.scenario.relays.idle.us() as f64 * USABLE_IDLE_SHARE;
+        let oldest = self.now.saturating_sub(usable_idle as Time);
+        let server = &mut self.servers[endpoint as usize];
+        let pool = self.idle_connections.get_mut(&(relay, addressed))?;
+        let before = pool.len();
+        pool.retain(|connection| connection.since >= oldest && connection.epoch == server.epoch);
+        let dropped = before - pool.len();
+        close_connections(server, dropped);
+        pool.pop()
     }
 
-    pub(super) fn connect(&mut self, n: u64, way: Time) {
-        let (relay, at) = {
-            let call = &self.calls[&n];
-            (call.relay, call.at)
-        };
-        let silent = self.silent_until(relay, at) > self.now;
-        let route = self.servers[at as usize].route as usize;
-        let server = &mut self.servers[at as usize];
-        let group = &self.world.scenario.groups[server.group];
-        if server.state.vanished || silent || (server.gone && server.successor.is_none()) {
+    /// Opens a connection for a call.
+    pub(super) fn connect(&mut self, call_id: u64, delay: Time) {
+        let call = &self.calls[&call_id];
+        let relay = call.relay;
+        let endpoint = call.endpoint;
+        let silent = self.silent_until(relay, endpoint) > self.now;
+        let server = &self.servers[endpoint as usize];
+        let deserted = server.gone && server.successor.is_none();
+        if server.state.vanished || silent || deserted {
             // The list may still hold what is gone: its machine says nothing.
-            let never = self.world.scenario.relays.connect.us();
-            self.broken(n, Outcome::ConnectFailed, never);
-        } else if server.state.refuses || self.routes[route].fallen {
-            self.broken(n, Outcome::ConnectFailed, 2 * way);
-        } else if server.state.tables_full || server.connections >= group.connections.get() {
-            self.sweep(at);
-            let server = &self.servers[at as usize];
-            let most = self.world.scenario.groups[server.group].connections.get();
-            if server.state.tables_full || server.connections >= most {
-                self.broken(n, Outcome::ConnectFailed, 2 * way);
-            } else {
-                self.connected(n, at, way);
+            let connect_timeout = self.world.scenario.relays.connect.us();
+            self.fail_call(call_id, Outcome::ConnectFailed, connect_timeout);
+            return;
+        }
+        if server.state.refuses || self.routes[server.route as usize].fallen {
+            self.fail_call(call_id, Outcome::ConnectFailed, 2 * delay);
+            return;
+        }
+        if self.connection_table_full(endpoint) {
+            self.close_expired_connections(endpoint);
+            if self.connection_table_full(endpoint) {
+                self.fail_call(call_id, Outcome::ConnectFailed, 2 * delay);
+                return;
             }
-        } else {
-            self.connected(n, at, way);
         }
+        self.connection_opened(call_id, endpoint, delay);
     }
 
-    pub(super) fn connected(&mut self, n: u64, at: u32, way: Time) {
-        self.servers[at as usize].connections += 1;
+    fn connection_table_full(&self, endpoint: u32) -> bool {
+        let server = &self.servers[endpoint as usize];
+        let limit = self.world.scenario.groups[server.group].connections.get();
+        server.state.tables_full || server.connections >= limit
+    }
+
+    fn connection_opened(&mut self, call_id: u64, endpoint: u32, delay: Time) {
+        self.servers[endpoint as usize].connections += 1;
         self.tally.connections += 1;
-        self.calls.entry(n).and_modify(|c| c.connected = true);
-        self.at(self.now + 3 * way, Event::Reach(n));
+        if let Some(call) = self.calls.get_mut(&call_id) {
+            call.connected = true;
+        }
+        // There and back for the connection, and there for the call.
+        self.schedule(self.now + 3 * delay, Event::CallArrives { call: call_id });
     }
 
-    /// Closes what has stood idle too long at an endpoint whose table seems full.
-    pub(super) fn sweep(&mut self, at: u32) {
+    /// Closes what has been idle too long at an endpoint whose table seems full.
+    fn close_expired_connections(&mut self, endpoint: u32) {
         let oldest = self.now.saturating_sub(self.world.scenario.relays.idle.us());
         for relay in 0..self.relays.len() as u32 {
-            if let Some(pool) = self.idle.get_mut(&(relay, at)) {
+            if let Some(pool) = self.idle_connections.get_mut(&(relay, endpoint)) {
                 let before = pool.len();
-                pool.retain(|c| c.0 >= oldest);
-                let gone = (before - pool.len()) as u32;
-                let server = &mut self.servers[at as usize];
-                server.connections = server.connections.saturating_sub(gone);
+                pool.retain(|connection| connection.since >= oldest);
+                let closed = before - pool.len();
+                close_connections(&mut self.servers[endpoint as usize], closed);
             }
         }
     }
 
-    pub(super) fn close_idle(&mut self, relay: u32, endpoint: u32) {
-        let Some(pool) = self.idle.remove(&(relay, endpoint)) else { return };
+    /// A relay closes its idle connections to an endpoint.
+    pub(super) fn close_idle_connections(&mut self, relay: u32, endpoint: u32) {
+        let Some(pool) = self.idle_connections.remove(&(relay, endpoint)) else { return };
         let server = &mut self.servers[endpoint as usize];
-        let open = pool.iter().filter(|c| c.1 == server.epoch).count() as u32;
-        server.connections = server.connections.saturating_sub(open);
+        let open = pool.iter().filter(|connection| connection.epoch == server.epoch).count();
+        close_connections(server, open);
     }
 
-    pub(super) fn forget_connection(&mut self, n: u64) {
-        let Some(call) = self.calls.get_mut(&n) else { return };
-        if std::mem::replace(&mut call.connected, false) {
-            let server = &mut self.servers[call.at as usize];
-            if server.epoch == call.epoch {
-                server.connections = server.connections.saturating_sub(1);
-            }
+    /// Closes the connection of a call.
+    pub(super) fn close_connection(&mut self, call_id: u64) {
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
+        if !call.connected {
+            return;
+        }
+        call.connected = false;
+        let server = &mut self.servers[call.endpoint as usize];
+        if server.epoch == call.epoch {
+            close_connections(server, 1);
         }
     }
 }
+
+fn close_connections(server: &mut Server, count: usize) {
+    server.connections = server.connections.saturating_sub(count as u32);
+}
--- a/crates/lab/src/day/discovery.rs
+++ b/crates/lab/src/day/discovery.rs
@@ -1,107 +1,119 @@
-//! The list of endpoints, as relays hear of it.
+//! Discovery: the endpoint list, its updates on their way to relays, and the polls of relays.
 
 use super::Day;
 use super::events::Event;
 use crate::Time;
 use crate::chance::What;
 use crate::host::Came;
-use crate::world::Place;
+use crate::world::{Place, Strike};
 use mountshift::interface::EndpointStatus;
 use mountshift_scenario::TroubleKind;
 
-/// A change of the list comes to a relay after a span between these.
-const LIST_LEAST: Time = 50_000;
-
-const LIST_MOST: Time = 700_000;
-
-/// A call for the list is answered no sooner.
-const ASKED: Time = 5_000;
+/// An update of the list arrives at a relay after a span between this and [`MAX_UPDATE_DELAY`].
+const MIN_UPDATE_DELAY: Time = 50_000;
+/// The longest span from a change of the list to its arrival at a relay.
+const MAX_UPDATE_DELAY: Time = 700_000;
+/// A poll is answered no sooner.
+const POLL_DELAY: Time = 5_000;
 
 impl Day<'_> {
-    pub(super) fn tell(&mut self, relay: u32, endpoint: u32, says: EndpointStatus) {
-        // A watch that is lost and a list that lies silent hold everything back until they are over.
-        let held = |s: &crate::world::Strike| {
-            let of_relay = s.kind == TroubleKind::WatchLost && s.relays.contains(&relay);
-            let of_list = s.kind == TroubleKind::ListLate && s.endpoints.contains(&endpoint);
-            (of_relay || of_list) && s.from <= self.now && self.now < s.to
-        };
-        if self.lists_held > 0 {
-            let until = self.world.strikes.iter().filter(|s| held(s)).map(|s| s.to).max();
-            if let Some(until) = until {
-                self.at(until + LIST_LEAST, Event::Tell(relay, endpoint, says));
-                return;
-            }
+    /// An update arrives at a relay, unless a trouble holds it back until the trouble is over.
+    pub(super) fn list_update(&mut self, relay: u32, endpoint: u32, status: EndpointStatus) {
+        if let Some(until) = self.update_held_until(relay, endpoint) {
+            let event = Event::ListUpdate { relay, endpoint, status };
+            self.schedule(until + MIN_UPDATE_DELAY, event);
+            return;
         }
         let place = self.place(endpoint);
         let host = &mut self.relays[relay as usize];
-        // Where discovery is short of room a relay hears only what its own watch brings.
+        // Where discovery is short of capacity a relay hears only what its own watch brings.
         if self.world.scenario.relays.discovery.is_some() && !host.watching {
             return;
         }
-        host.learn(&self.world, &place, endpoint, says);
+        host.learn(&self.world, &place, endpoint, status);
         if host.up {
-            host.inbox.push(Came::Listed { endpoint, says });
+            host.inbox.push(Came::Listed { endpoint, says: status });
         }
     }
 
+    /// The end of the troubles that hold back an update, if any does.
+    fn update_held_until(&self, relay: u32, endpoint: u32) -> Option<Time> {
+        if self.discovery_troubles == 0 {
+            return None;
+        }
+        let holds = |trouble: &&Strike| {
+            let watch_lost = trouble.kind == TroubleKind::WatchLost && trouble.relays.contains(&relay);
+            let list_late = trouble.kind == TroubleKind::ListLate && trouble.endpoints.contains(&endpoint);
+            (watch_lost || list_late) && trouble.is_active(self.now)
+        };
+        self.world.strikes.iter().filter(holds).map(|trouble| trouble.to).max()
+    }
+
     pub(super) fn place(&self, endpoint: u32) -> Place {
-        let s = &self.servers[endpoint as usize];
-        Place { dst: s.dst, group: s.group, zone: s.zone, route: s.route }
+        let server = &self.servers[endpoint as usize];
+        Place { dst: server.dst, group: server.group, zone: server.zone, route: server.route }
     }
 
-    /// Tells every relay, each a little later.
-    pub(super) fn list(&mut self, endpoint: u32, says: EndpointStatus) {
-        if self.listing.len() <= endpoint as usize {
-            self.listing.resize(endpoint as usize + 1, EndpointStatus::Removed);
+    /// Changes an endpoint's entry in the list and sends the update to every relay, each a little later.
+    pub(super) fn publish(&mut self, endpoint: u32, status: EndpointStatus) {
+        let index = endpoint as usize;
+        if self.endpoint_list.len() <= index {
+            self.endpoint_list.resize(index + 1, EndpointStatus::Removed);
         }
-        self.listing[endpoint as usize] = says;
+        self.endpoint_list[index] = status;
         for relay in 0..self.relays.len() as u32 {
-            let part =
-                self.world.chance.part(What::List, u64::from(relay) << 32 | u64::from(endpoint), self.now);
-            let later = LIST_LEAST + ((LIST_MOST - LIST_LEAST) as f64 * part) as Time;
-            self.at(self.now + later, Event::Tell(relay, endpoint, says));
+            let pair = u64::from(relay) << 32 | u64::from(endpoint);
+            let drawn = self.world.chance.part(What::List, pair, self.now);
+            let spread = (MAX_UPDATE_DELAY - MIN_UPDATE_DELAY) as f64;
+            let delay = MIN_UPDATE_DELAY + (spread * drawn) as Time;
+            self.schedule(self.now + delay, Event::ListUpdate { relay, endpoint, status });
         }
     }
 
-    /// A call for the list, answered in its turn where discovery is short of room.
-    pub(super) fn ask(&mut self, relay: u32) {
-        let Some(d) = self.world.scenario.relays.discovery else {
-            return self.at(self.now + ASKED, Event::Whole(relay));
+    /// A relay polls for the list; where discovery is short of capacity it is answered in its turn.
+    pub(super) fn poll_discovery(&mut self, relay: u32) {
+        let Some(discovery) = self.world.scenario.relays.discovery else {
+            self.schedule(self.now + POLL_DELAY, Event::PollAnswered { relay });
+            return;
         };
-        let answered = self.discovery_free.max(self.now) + (1e6 / d.calls.0) as Time;
-        if answered > self.now + d.queued.us() {
-            return self.at(self.now + ASKED, Event::NoList(relay));
+        let time_per_poll = (1e6 / discovery.calls.0) as Time;
+        let answered = self.discovery_busy_until.max(self.now) + time_per_poll;
+        if answered > self.now + discovery.queued.us() {
+            self.schedule(self.now + POLL_DELAY, Event::PollFailed { relay });
+            return;
         }
-        self.discovery_free = answered;
-        if answered > self.now + d.within.us() {
-            return self.at(self.now + d.within.us(), Event::NoList(relay));
+        self.discovery_busy_until = answered;
+        if answered > self.now + discovery.within.us() {
+            self.schedule(self.now + discovery.within.us(), Event::PollFailed { relay });
+            return;
         }
-        self.at(answered.max(self.now + ASKED), Event::Whole(relay));
+        self.schedule(answered.max(self.now + POLL_DELAY), Event::PollAnswered { relay });
     }
 
-    /// The answer to a relay that asked for the list.
-    pub(super) fn whole(&mut self, relay: u32) {
-        let lost = |s: &crate::world::Strike| {
-            let on = s.from <= self.now && self.now < s.to;
-            on && s.kind == TroubleKind::WatchLost && s.relays.contains(&relay)
+    /// The answer to a poll arrives: the whole list, or an error while the relay's watch is lost.
+    pub(super) fn poll_answered(&mut self, relay: u32) {
+        let watch_lost = |trouble: &Strike| {
+            let kind = trouble.kind == TroubleKind::WatchLost;
+            kind && trouble.is_active(self.now) && trouble.relays.contains(&relay)
         };
-        let failed = self.world.strikes.iter().any(lost);
-        if !self.relays[relay as usize].up {
+        let failed = self.world.strikes.iter().any(watch_lost);
+        let host = &mut self.relays[relay as usize];
+        if !host.up {
             return;
         }
         if failed {
-            self.relays[relay as usize].inbox.push(Came::WatchFailed);
+            host.inbox.push(Came::WatchFailed);
             return;
         }
-        self.relays[relay as usize].watching = true;
-        self.relays[relay as usize].inbox.push(Came::Whole);
-        for endpoint in 0..self.listing.len() as u32 {
-            let says = self.listing[endpoint as usize];
-            if says != EndpointStatus::Removed {
+        host.watching = true;
+        host.inbox.push(Came::Whole);
+        for endpoint in 0..self.endpoint_list.len() as u32 {
+            let status = self.endpoint_list[endpoint as usize];
+            if status != EndpointStatus::Removed {
                 let place = self.place(endpoint);
                 let host = &mut self.relays[relay as usize];
-                host.learn(&self.world, &place, endpoint, says);
-                host.inbox.push(Came::Listed { endpoint, says });
+                host.learn(&self.world, &place, endpoint, status);
+                host.inbox.push(Came::Listed { endpoint, says: status });
             }
         }
     }
--- a/crates/lab/src/day/endpoints.rs
+++ b/crates/lab/src/day/endpoints.rs
@@ -1,8 +1,8 @@
-//! What endpoints make of the calls that come to them.
+//! Calls as endpoints see them: admission, queueing, work and its effects, and the answer.
 
 use super::calls::Stage;
 use super::events::Event;
-use super::{AT_ONCE, Day};
+use super::{ANSWER_DELAY, Day};
 use crate::Time;
 use crate::chance::What;
 use crate::world::by_zone;
@@ -11,191 +11,277 @@
 use mountshift_scenario::Effect;
 use std::time::Duration;
 
-/// One message in so many is struck by a heavy tail.
-const TAIL: f64 = 0.05;
+/// The share of messages that a heavy tail strikes.
+const HEAVY_TAIL_SHARE: f64 = 0.05;
+/// The share of calls in the queue that are worked on although their relay has hung up.
+const ABANDONED_WORK_SHARE: f64 = 0.5;
+/// The share of failing calls that take effect all the same.
+pub(super) const FAILED_EFFECT_SHARE: f64 = 0.5;
+/// The longest span from the end of a silence to the network's next try to pass a call on, in microseconds.
+const MAX_RETRANSMISSION_DELAY: f64 = 200_000.0;
+/// No work takes less.
+const MIN_SERVICE_TIME: Time = 100;
+/// Work never slows down to less than this share of the full capacity.
+const MIN_CAPACITY_SHARE: f64 = 0.01;
 
-/// The part of what was left behind by callers that is worked on all the same.
-const LEFT_BEHIND: f64 = 0.5;
-
-/// What a retry over the network waits for after a silence, at most.
-const AGAIN_AFTER_SILENCE: f64 = 200_000.0;
+/// What an endpoint remembers of a message with an idempotency key.
+pub(super) struct Deduplication {
+    first_seen: Time,
+    took_effect: bool,
+}
 
 impl Day<'_> {
-    /// A call's last byte comes to its endpoint.
-    pub(super) fn reach(&mut self, n: u64) {
-        let Some(call) = self.calls.get(&n) else { return };
-        let (relay, at, epoch, open, items) = (call.relay, call.at, call.epoch, call.open, call.legs.len());
-        let silent = self.silent_until(relay, at);
-        let server = &self.servers[at as usize];
-        if !open {
-            self.done(n);
+    /// A call's last byte arrives at its endpoint.
+    pub(super) fn call_arrives(&mut self, call_id: u64) {
+        let Some(call) = self.calls.get(&call_id) else { return };
+        let relay = call.relay;
+        let endpoint = call.endpoint;
+        let server = &self.servers[endpoint as usize];
+        if !call.open {
+            self.endpoint_done(call_id);
             return;
         }
-        if server.epoch != epoch {
-            self.broken(n, Outcome::Reset, self.way(relay, at));
+        if server.epoch != call.epoch {
+            self.fail_call(call_id, Outcome::Reset, self.network_delay(relay, endpoint));
             return;
         }
-        if silent > self.now {
-            let again = self.world.chance.part(What::LeftBehind, n, 1) * AGAIN_AFTER_SILENCE;
-            self.at(silent + again as Time, Event::Reach(n));
+        let silent_until = self.silent_until(relay, endpoint);
+        if silent_until > self.now {
+            let drawn = self.world.chance.part(What::LeftBehind, call_id, 1);
+            let retransmission = (drawn * MAX_RETRANSMISSION_DELAY) as Time;
+            self.schedule(silent_until + retransmission, Event::CallArrives { call: call_id });
             return;
         }
         if server.state.vanished || server.gone {
             // Nobody is there; its relay finds out by its own limit.
-            self.done(n);
+            self.endpoint_done(call_id);
             return;
         }
-        let (route_id, group) = (server.route, server.group);
-        let weight = 1.0 + self.world.scenario.groups[group].further.0 * (items as f64 - 1.0);
+        self.call_arrived(call_id);
+    }
+
+    /// Counts a call that arrived; the route may be overloaded by it.
+    fn call_arrived(&mut self, call_id: u64) {
         let now = self.now;
-        self.calls.entry(n).and_modify(|c| c.came = now);
-        self.tally.reached(route_id, self.now);
-        self.fact(Fact::Reached { call: n, relay, endpoint: at, weight: weight as f32 });
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
+        call.arrived_at = now;
+        let relay = call.relay;
+        let endpoint = call.endpoint;
+        let further_messages = call.messages.len() as f64 - 1.0;
+        let server = &self.servers[endpoint as usize];
+        let route_id = server.route;
+        let weight = 1.0 + self.world.scenario.groups[server.group].further.0 * further_messages;
+        self.tally.reached(route_id, now);
+        self.record(Fact::Reached { call: call_id, relay, endpoint, weight: weight as f32 });
         let route = &mut self.routes[route_id as usize];
-        self.tally.calls_into_outages += u64::from(route.out);
-        if route.weigh(self.now, weight, &self.world) {
-            self.fall_over(route_id);
+        if route.out {
+            self.tally.calls_into_outages += 1;
+        }
+        if route.weigh(now, weight, &self.world) {
+            self.overload_route(route_id);
             return;
         }
-        let lie = self.world.chance.part(What::Wait, n, 0);
-        let route = &mut self.routes[route_id as usize];
-        let state = &self.servers[at as usize].state;
-        if state.shut {
-            self.refuse(n, 0);
-        } else if let Some(wait) = route.refuses(self.now, lie) {
-            self.refuse(n, wait);
-        } else if self.world.chance.part(What::Fails, n, 0) < state.errors {
-            if self.world.chance.part(What::HalfRan, n, 0) < 0.5 {
-                self.run(n);
+        self.admit_call(call_id, relay, endpoint);
+    }
+
+    /// Rejects a call, fails it, or puts it into the queue.
+    fn admit_call(&mut self, call_id: u64, relay: u32, endpoint: u32) {
+        let server = &self.servers[endpoint as usize];
+        let error_rate = server.state.errors;
+        if server.state.shut {
+            self.reject_call(call_id, 0);
+            return;
+        }
+        let lie = self.world.chance.part(What::Wait, call_id, 0);
+        if let Some(retry_after) = self.routes[server.route as usize].refuses(self.now, lie) {
+            self.reject_call(call_id, retry_after);
+            return;
+        }
+        if self.world.chance.part(What::Fails, call_id, 0) < error_rate {
+            if self.world.chance.part(What::HalfRan, call_id, 0) < FAILED_EFFECT_SHARE {
+                self.apply_effects(call_id);
             }
-            self.broken(n, Outcome::Error, AT_ONCE + self.way(relay, at));
-            self.done(n);
-        } else if self.servers[at as usize].queue.len() as u32 >= self.world.scenario.groups[group].queue {
-            self.refuse(n, 0);
-        } else {
-            self.calls.entry(n).and_modify(|c| c.stage = Stage::Queued);
-            self.servers[at as usize].queue.push_back(n);
-            self.start_queued(at);
+            let delay = ANSWER_DELAY + self.network_delay(relay, endpoint);
+            self.fail_call(call_id, Outcome::Error, delay);
+            self.endpoint_done(call_id);
+            return;
+        }
+        let server = &mut self.servers[endpoint as usize];
+        if server.queue.len() as u32 >= self.world.scenario.groups[server.group].queue {
+            self.reject_call(call_id, 0);
+            return;
         }
+        server.queue.push_back(call_id);
+        if let Some(call) = self.calls.get_mut(&call_id) {
+            call.stage = Stage::Queued;
+        }
+        self.start_queued_calls(endpoint);
     }
 
-    pub(super) fn refuse(&mut self, n: u64, wait: Time) {
-        let Some(call) = self.calls.get(&n) else { return };
-        let (relay, at) = (call.relay, call.at);
-        let later = AT_ONCE + self.way(relay, at);
-        let full = Outcome::Rejected { retry_after: Duration::from_micros(wait) };
-        self.broken(n, full, later);
-        self.done(n);
+    fn reject_call(&mut self, call_id: u64, retry_after: Time) {
+        let Some(call) = self.calls.get(&call_id) else { return };
+        let delay = ANSWER_DELAY + self.network_delay(call.relay, call.endpoint);
+        let rejected = Outcome::Rejected { retry_after: Duration::from_micros(retry_after) };
+        self.fail_call(call_id, rejected, delay);
+        self.endpoint_done(call_id);
     }
 
-    /// Puts waiting calls to work where workers are free.
-    pub(super) fn start_queued(&mut self, at: u32) {
+    /// Takes calls from the queue while workers are free.
+    pub(super) fn start_queued_calls(&mut self, endpoint: u32) {
         loop {
-            let server = &mut self.servers[at as usize];
-            let idle = server.busy < server.workers && server.state.frozen_until <= self.now;
-            if !idle || server.state.refuses || server.state.vanished || server.gone {
+            let server = &mut self.servers[endpoint as usize];
+            let free = server.busy < server.workers && server.state.frozen_until <= self.now;
+            if !free || server.state.refuses || server.state.vanished || server.gone {
                 return;
             }
-            let Some(n) = server.queue.pop_front() else { return };
-            let Some(call) = self.calls.get(&n) else { continue };
-            if !call.open && self.world.chance.part(What::LeftBehind, n, 0) >= LEFT_BEHIND {
-                self.done(n);
+            let Some(call_id) = server.queue.pop_front() else { return };
+            let Some(call) = self.calls.get(&call_id) else { continue };
+            let drawn = self.world.chance.part(What::LeftBehind, call_id, 0);
+            if !call.open && drawn >= ABANDONED_WORK_SHARE {
+                self.endpoint_done(call_id);
                 continue;
             }
-            let took = self.work(n, at);
-            let server = &mut self.servers[at as usize];
-            server.busy += 1;
-            server.running.push(n);
-            let epoch = server.epoch;
-            self.calls.entry(n).and_modify(|c| c.stage = Stage::Running);
-            self.at(self.now + took, Event::Finish(n, epoch));
+            self.start_work(call_id, endpoint);
         }
     }
 
+    fn start_work(&mut self, call_id: u64, endpoint: u32) {
+        let service_time = self.service_time(call_id, endpoint);
+        let server = &mut self.servers[endpoint as usize];
+        server.busy += 1;
+        server.running.push(call_id);
+        let epoch = server.epoch;
+        if let Some(call) = self.calls.get_mut(&call_id) {
+            call.stage = Stage::Running;
+        }
+        self.schedule(self.now + service_time, Event::WorkFinished { call: call_id, epoch });
+    }
+
     /// How long a call takes an endpoint now.
-    pub(super) fn work(&self, n: u64, at: u32) -> Time {
-        let server = &self.servers[at as usize];
+    fn service_time(&self, call_id: u64, endpoint: u32) -> Time {
+        let server = &self.servers[endpoint as usize];
         let group = &self.world.scenario.groups[server.group];
-        let call = &self.calls[&n];
+        let messages = &self.calls[&call_id].messages;
         // By request and place, so that another policy that sends it there meets the same answer time.
-        let first = call.legs.first().and_then(|msg| self.msgs.get(msg)).map_or(n, |m| u64::from(m.request));
-        let drawn = self.world.chance.factor(What::Service, group.spread.0, first, u64::from(at));
-        let items = 1.0 + group.further.0 * (call.legs.len() as f64 - 1.0);
-        let tail = |(lane, times): &(u16, f64)| {
-            let of_lane = |msg: &u64| {
-                self.msgs.get(msg).is_some_and(|m| self.requests[m.request as usize].lane == *lane)
-            };
-            let struck = call.legs.iter().any(of_lane)
-                && self.world.chance.part(What::Tail, first, u64::from(at)) < TAIL;
-            if struck { *times } else { 1.0 }
+        let first = messages.first().and_then(|message| self.messages.get(message));
+        let first = first.map_or(call_id, |message| u64::from(message.request));
+        let drawn = self.world.chance.factor(What::Service, group.spread.0, first, u64::from(endpoint));
+        let batch = 1.0 + group.further.0 * (messages.len() as f64 - 1.0);
+        let struck = self.world.chance.part(What::Tail, first, u64::from(endpoint)) < HEAVY_TAIL_SHARE;
+        let tail = |(class, factor): &(u16, f64)| {
+            if struck && self.carries_class(messages, *class) { *factor } else { 1.0 }
         };
         let tails: f64 = server.state.tails.iter().map(tail).product();
-        let share = self.routes[server.route as usize].share(self.now, &self.world);
-        let span = group.answers.seconds() * drawn * items * tails * server.state.slow / share.max(0.01);
-        ((span * 1e6) as Time).max(100)
+        let capacity = self.routes[server.route as usize].share(self.now, &self.world);
+        let seconds = group.answers.seconds() * drawn * batch * tails * server.state.slow
+            / capacity.max(MIN_CAPACITY_SHARE);
+        ((seconds * 1e6) as Time).max(MIN_SERVICE_TIME)
     }
 
-    /// The messages of a call take effect.
-    pub(super) fn run(&mut self, n: u64) {
-        let Some(call) = self.calls.get(&n) else { return };
-        let (at, came, legs) = (call.at, call.came, call.legs.clone());
-        let (zone, dst) = (self.servers[at as usize].zone, self.servers[at as usize].dst);
-        for msg in legs {
-            let Some(request) = self.msgs.get(&msg).map(|m| m.request) else { continue };
-            let lane = &self.world.scenario.lanes[usize::from(self.requests[request as usize].lane)];
-            let mut repeat = false;
-            if lane.effect == Effect::Keyed {
-                let place = if by_zone(lane) { u32::from(zone) } else { dst };
-                let memory = lane.memory.map_or(0, |m| m.us());
-                // It is known from its first coming on, but counts as done only once it has run: a first try that
-                // died in the queue must not swallow the second.
-                let (since, ran) = self.memories.entry((msg, place)).or_insert((came, false));
-                repeat = *ran && came <= *since + memory;
-                if !repeat {
-                    (*since, *ran) = (if *ran { came } else { *since }, true);
-                }
-            }
-            if let Some(m) = self.msgs.get_mut(&msg).filter(|m| !repeat && !m.ran) {
-                m.ran = true;
-                self.wishes[request as usize].effects += 1;
+    fn carries_class(&self, messages: &[u64], class: u16) -> bool {
+        let of_class = |message: &u64| {
+            let state = self.messages.get(message);
+            state.is_some_and(|state| self.requests[state.request as usize].lane == class)
+        };
+        messages.iter().any(of_class)
+    }
+
+    /// The messages of a call take effect, save those that the endpoint knows as repeats.
+    pub(super) fn apply_effects(&mut self, call_id: u64) {
+        let Some(call) = self.calls.get(&call_id) else { return };
+        let endpoint = call.endpoint;
+        let arrived_at = call.arrived_at;
+        for message_id in call.messages.clone() {
+            let Some(request) = self.messages.get(&message_id).map(|message| message.request) else {
+                continue;
+            };
+            let repeat = self.is_repeat(message_id, request, endpoint, arrived_at);
+            if !repeat {
+                self.count_effect(message_id);
             }
-            self.fact(Fact::Ran { msg, call: n, endpoint: at, repeat });
+            self.record(Fact::Ran { msg: message_id, call: call_id, endpoint, repeat });
         }
     }
 
+    fn count_effect(&mut self, message_id: u64) {
+        let Some(message) = self.messages.get_mut(&message_id) else { return };
+        if !message.took_effect {
+            message.took_effect = true;
+            self.progress[message.request as usize].effects += 1;
+        }
+    }
+
+    /// True if the endpoint knows a message's idempotency key and drops the message; otherwise it remembers it.
+    fn is_repeat(&mut self, message_id: u64, request: u32, endpoint: u32, arrived_at: Time) -> bool {
+        let class = self.requests[request as usize].lane;
+        let lane = &self.world.scenario.lanes[usize::from(class)];
+        if lane.effect != Effect::Keyed {
+            return false;
+        }
+        let server = &self.servers[endpoint as usize];
+        let scope = if by_zone(lane) { u32::from(server.zone) } else { server.dst };
+        let window = lane.memory.map_or(0, |memory| memory.us());
+        // It is known from its first arrival on, but counts as done only once it took effect: a first attempt that
+        // died in the queue must not swallow the second.
+        let unknown = Deduplication { first_seen: arrived_at, took_effect: false };
+        let known = self.deduplication.entry((message_id, scope)).or_insert(unknown);
+        if !known.took_effect {
+            known.took_effect = true;
+            return false;
+        }
+        if arrived_at <= known.first_seen + window {
+            return true;
+        }
+        known.first_seen = arrived_at;
+        false
+    }
+
     /// An endpoint has worked a call off.
-    pub(super) fn finish(&mut self, n: u64, epoch: u32) {
-        let Some(call) = self.calls.get(&n) else { return };
-        let (relay, at, open) = (call.relay, call.at, call.open);
-        let server = &mut self.servers[at as usize];
-        if server.epoch != epoch || !server.running.contains(&n) {
+    pub(super) fn work_finished(&mut self, call_id: u64, epoch: u32) {
+        let Some(call) = self.calls.get(&call_id) else { return };
+        let endpoint = call.endpoint;
+        let open = call.open;
+        let server = &mut self.servers[endpoint as usize];
+        if server.epoch != epoch || !server.running.contains(&call_id) {
             return;
         }
         if server.state.frozen_until > self.now {
             // It stood still meanwhile and goes on with what was left.
-            let until = server.state.frozen_until + AT_ONCE;
-            self.at(until, Event::Finish(n, epoch));
+            let until = server.state.frozen_until + ANSWER_DELAY;
+            self.schedule(until, Event::WorkFinished { call: call_id, epoch });
             return;
         }
         server.busy -= 1;
-        server.running.retain(|c| *c != n);
-        let resets = server.state.resets;
-        self.run(n);
-        let silent = self.silent_until(relay, at);
-        let way = self.way(relay, at);
-        if open && self.world.chance.part(What::Resets, n, 0) < resets {
-            self.broken(n, Outcome::Reset, way);
-            self.forget_connection(n);
-        } else if open {
-            let legs = self.calls[&n].legs.clone();
-            if silent <= self.now {
-                legs.iter().for_each(|msg| self.written(n, *msg));
+        server.running.retain(|running| *running != call_id);
+        self.apply_effects(call_id);
+        if open {
+            self.send_answer(call_id);
+        }
+        self.endpoint_done(call_id);
+        self.start_queued_calls(endpoint);
+    }
+
+    /// The answer to a call is written, unless its connection is reset instead.
+    fn send_answer(&mut self, call_id: u64) {
+        let Some(call) = self.calls.get(&call_id) else { return };
+        let relay = call.relay;
+        let endpoint = call.endpoint;
+        let messages = call.messages.clone();
+        let delay = self.network_delay(relay, endpoint);
+        let reset_rate = self.servers[endpoint as usize].state.resets;
+        if self.world.chance.part(What::Resets, call_id, 0) < reset_rate {
+            self.fail_call(call_id, Outcome::Reset, delay);
+            self.close_connection(call_id);
+            return;
+        }
+        let silent_until = self.silent_until(relay, endpoint);
+        if silent_until <= self.now {
+            for message in &messages {
+                self.record_delivery(call_id, *message);
             }
-            let ends = legs.iter().map(|msg| (*msg, Outcome::Delivered, true)).collect();
-            let comes = if silent > self.now { silent + way } else { self.now + way };
-            self.at(comes, Event::Answer(n, ends, 0));
         }
-        self.done(n);
-        self.start_queued(at);
+        let written_at = silent_until.max(self.now);
+        let ends = messages.into_iter().map(|message| (message, Outcome::Delivered, true)).collect();
+        self.schedule(written_at + delay, Event::CallEnds { call: call_id, ends });
     }
 }
--- a/crates/lab/src/day/outages.rs
+++ b/crates/lab/src/day/outages.rs
@@ -1,105 +1,116 @@
-//! Endpoints that are struck, and the outages of their routes.
+//! Troubles of endpoints: what they do to connections and work, and the outages of routes that follow.
 
-use super::calls::{Call, Stage};
+use super::calls::Stage;
+use super::endpoints::FAILED_EFFECT_SHARE;
 use super::events::Event;
-use super::{AT_ONCE, Day};
+use super::{ANSWER_DELAY, Day};
 use crate::Time;
 use crate::chance::What;
 use crate::servers::State;
 use mountshift::interface::Outcome;
 use mountshift_invariants::Fact;
 
-/// An outage shorter than this leaves nothing cold: what was warm still is, and nobody can have learnt of it.
-const COLD_LEAST: Time = 1_000_000;
+/// An outage shorter than this starts no slow start: caches are still warm, and nobody can have learnt of it.
+const MIN_OUTAGE_BEFORE_SLOW_START: Time = 1_000_000;
 
 impl Day<'_> {
     /// A trouble of an endpoint itself begins or ends.
-    pub(super) fn afflict(&mut self, endpoint: u32, n: usize, on: bool) {
+    pub(super) fn change_endpoint_trouble(&mut self, endpoint: u32, trouble: usize, begins: bool) {
         let server = &mut self.servers[endpoint as usize];
-        server.active.retain(|a| *a != n);
-        if on {
-            server.active.push(n);
+        server.active.retain(|active| *active != trouble);
+        if begins {
+            server.active.push(trouble);
         }
-        let before = server.state.clone();
-        server.state = State::new(&server.active, &self.world.strikes);
-        let after = server.state.clone();
+        let after = State::new(&server.active, &self.world.strikes);
+        let before = std::mem::replace(&mut server.state, after.clone());
+        let route = server.route;
         let dies = after.refuses && !before.refuses;
-        let back = before.vanished && !after.vanished;
-        if dies || back {
+        let returns = before.vanished && !after.vanished;
+        if dies || returns {
             self.break_connections(endpoint, dies);
         } else if after.vanished && !before.vanished {
             self.lose_work(endpoint);
         }
-        let route = self.servers[endpoint as usize].route;
-        self.look_at(route);
+        self.update_outage(route);
         if after.frozen_until > self.now {
-            self.at(after.frozen_until, Event::Thaw(endpoint));
+            self.schedule(after.frozen_until, Event::EndpointResumes { endpoint });
         } else {
-            self.start_queued(endpoint);
+            self.start_queued_calls(endpoint);
         }
     }
 
-    /// What an endpoint worked on is lost, half of it done.
-    pub(super) fn lose_work(&mut self, endpoint: u32) {
+    /// What an endpoint worked on is lost, some of it after it took effect.
+    fn lose_work(&mut self, endpoint: u32) {
         let server = &mut self.servers[endpoint as usize];
         server.busy = 0;
-        let (running, queued) = (std::mem::take(&mut server.running), std::mem::take(&mut server.queue));
-        for n in running {
-            if self.world.chance.part(What::HalfRan, n, 1) < 0.5 {
-                self.run(n);
+        let running = std::mem::take(&mut server.running);
+        let queued = std::mem::take(&mut server.queue);
+        for call in running {
+            if self.world.chance.part(What::HalfRan, call, 1) < FAILED_EFFECT_SHARE {
+                self.apply_effects(call);
             }
-            self.done(n);
+            self.endpoint_done(call);
+        }
+        for call in queued {
+            self.endpoint_done(call);
         }
-        queued.into_iter().for_each(|n| self.done(n));
     }
 
-    /// All connections of an endpoint break.
-    pub(super) fn break_connections(&mut self, endpoint: u32, told: bool) {
+    /// All connections of an endpoint break; relays notice at once if it says so (`announced`).
+    pub(super) fn break_connections(&mut self, endpoint: u32, announced: bool) {
         self.lose_work(endpoint);
         let server = &mut self.servers[endpoint as usize];
         server.epoch += 1;
         server.connections = 0;
-        let theirs = |c: &Call| c.at == endpoint && c.connected;
-        let mut calls: Vec<u64> = self.calls.iter().filter(|(_, c)| theirs(c)).map(|(n, _)| *n).collect();
+        let connected = self.calls.iter().filter(|(_, call)| call.endpoint == endpoint && call.connected);
+        let mut calls: Vec<u64> = connected.map(|(id, _)| *id).collect();
         calls.sort_unstable();
-        for n in calls {
-            let (relay, at) = (self.calls[&n].relay, endpoint);
-            let reached = self.calls[&n].stage != Stage::OnItsWay;
-            // A machine that is back tells of old connections when it is next written to.
-            let later = if told { self.way(relay, at) } else { AT_ONCE };
-            let silent = self.silent_until(relay, at).saturating_sub(self.now);
-            if reached {
-                self.broken(n, Outcome::Reset, later + silent);
+        for call_id in calls {
+            let call = &self.calls[&call_id];
+            let relay = call.relay;
+            if call.stage == Stage::OnTheWay {
+                continue;
             }
+            // A machine that is back tells of old connections when it is next written to.
+            let noticed = if announced { self.network_delay(relay, endpoint) } else { ANSWER_DELAY };
+            let silence = self.silent_until(relay, endpoint).saturating_sub(self.now);
+            self.fail_call(call_id, Outcome::Reset, noticed + silence);
         }
     }
 
-    /// Looks if a route's outage begins or ends with a change at one of its endpoints.
-    pub(super) fn look_at(&mut self, route_id: u32) {
-        let route = &self.routes[route_id as usize];
-        let mut live =
-            route.endpoints.iter().map(|e| &self.servers[*e as usize]).filter(|s| !s.gone).peekable();
-        let out = live.peek().is_some() && live.all(|s| s.state.out());
+    /// Looks whether a route's outage begins or ends with a change at one of its endpoints.
+    pub(super) fn update_outage(&mut self, route_id: u32) {
+        let now = self.now;
+        let out = self.all_endpoints_out(route_id);
+        let route = &mut self.routes[route_id as usize];
         if out == route.out || route.fallen {
             return;
         }
-        let now = self.now;
-        let route = &mut self.routes[route_id as usize];
         route.out = out;
         if out {
-            (route.cold_since, route.out_since) = (None, now);
-            self.fact(Fact::OutageBegan { route: route_id });
-        } else if now - route.out_since >= COLD_LEAST {
+            route.cold_since = None;
+            route.out_since = now;
+            self.record(Fact::OutageBegan { route: route_id });
+        } else if now - route.out_since >= MIN_OUTAGE_BEFORE_SLOW_START {
             route.cold_since = Some(now);
-            self.fact(Fact::OutageOver { route: route_id });
+            self.record(Fact::OutageOver { route: route_id });
         }
     }
 
-    /// A cold route was sent more than it bears: it is down for the rest of the day.
-    pub(super) fn fall_over(&mut self, route_id: u32) {
-        self.fact(Fact::FellOver { route: route_id });
-        self.routes[route_id as usize].fallen = true;
-        for endpoint in self.routes[route_id as usize].endpoints.clone() {
+    /// True if the route has endpoints in service and none of them serves.
+    fn all_endpoints_out(&self, route_id: u32) -> bool {
+        let endpoints = &self.routes[route_id as usize].endpoints;
+        let servers = endpoints.iter().map(|endpoint| &self.servers[*endpoint as usize]);
+        let mut in_service = servers.filter(|server| !server.gone).peekable();
+        in_service.peek().is_some() && in_service.all(|server| server.state.out())
+    }
+
+    /// A route in slow start was sent more than it bears: it is down for the rest of the day.
+    pub(super) fn overload_route(&mut self, route_id: u32) {
+        self.record(Fact::FellOver { route: route_id });
+        let route = &mut self.routes[route_id as usize];
+        route.fallen = true;
+        for endpoint in route.endpoints.clone() {
             self.servers[endpoint as usize].state.refuses = true;
             self.break_connections(endpoint, true);
         }
--- a/crates/lab/src/day/relays.rs
+++ b/crates/lab/src/day/relays.rs
@@ -1,8 +1,8 @@
-//! Relays: their rounds, what they do, their starts and deaths.
+//! Relays: their steps, what comes of their actions, their starts and deaths.
 
-use super::clients::{Client, Msg};
+use super::clients::ClientState;
 use super::events::Event;
-use super::trace::end_name;
+use super::trace::attempt_end_name;
 use super::{Day, Seen};
 use crate::Time;
 use crate::chance::What;
@@ -14,155 +14,227 @@
 use mountshift_invariants::{End, Fact};
 use rayon::prelude::*;
 
-/// A notice is answered after this span.
-const NOTICE: Time = 1_000;
+/// The platform acknowledges a notification after this span.
+const NOTIFICATION_DELAY: Time = 1_000;
+/// Number of relays from which steps are played in parallel; below it threads cost more than they save.
+const PARALLEL_MIN: usize = 8;
+/// A route that warms up counts with this share of its capacity at least, so that workers are never divided away.
+const MIN_TRUE_SHARE: f64 = 0.05;
 
-/// Relays from which rounds are played in parallel.
-const PARALLEL: usize = 8;
+/// The point of its work at which a relay's process dies.
+#[derive(Clone, Copy)]
+enum KillPoint {
+    BeforeStep,
+    AfterSpoolWrite,
+    BetweenSocketWrites,
+}
+
+impl KillPoint {
+    const ALL: [KillPoint; 3] =
+        [KillPoint::BeforeStep, KillPoint::AfterSpoolWrite, KillPoint::BetweenSocketWrites];
+
+    /// How many outward actions of the step under way get out; none if no step is played.
+    fn completed_actions(self) -> Option<usize> {
+        match self {
+            KillPoint::BeforeStep => None,
+            KillPoint::AfterSpoolWrite => Some(0),
+            KillPoint::BetweenSocketWrites => Some(2),
+        }
+    }
+}
 
 impl Day<'_> {
-    pub(super) fn rounds(&mut self) {
-        let now = self.now;
+    /// Plays the steps of all relays that are due.
+    pub(super) fn step_relays(&mut self) {
         if self.play.which.sees_all() {
-            self.see_all();
-            for me in 0..self.relays.len() {
-                if self.relays[me].due(now) {
-                    let mut truth = std::mem::take(&mut self.truth);
-                    self.relays[me].round(now, Some(&mut truth));
-                    self.truth = truth;
-                    self.carry_out(me as u32, usize::MAX);
-                }
-            }
+            self.step_relays_with_truth();
             return;
         }
-        let mut due: Vec<&mut Relay> = self.relays.iter_mut().filter(|r| r.due(now)).collect();
-        if due.len() >= PARALLEL {
-            due.par_iter_mut().for_each(|r| r.round(now, None));
+        let now = self.now;
+        let mut due: Vec<&mut Relay> = self.relays.iter_mut().filter(|relay| relay.due(now)).collect();
+        if due.len() >= PARALLEL_MIN {
+            due.par_iter_mut().for_each(|relay| relay.round(now, None));
         } else {
-            due.iter_mut().for_each(|r| r.round(now, None));
+            due.iter_mut().for_each(|relay| relay.round(now, None));
         }
-        for me in 0..self.relays.len() {
-            if self.relays[me].last_round == now {
-                self.carry_out(me as u32, usize::MAX);
+        for relay in 0..self.relays.len() {
+            if self.relays[relay].last_round == now {
+                self.perform_actions(relay as u32, usize::MAX);
             }
         }
     }
 
-    pub(super) fn see_all(&mut self) {
-        let (now, world) = (self.now, &self.world);
-        let routes: Vec<f64> = self.routes.iter_mut().map(|r| r.room(now, world)).collect();
-        let state = |s: &Server| {
-            // Who is reached is whoever has the address now.
-            let mut s = s;
-            while let Some(next) = s.successor {
-                s = &self.servers[next as usize];
+    /// One after another: each sees what those before it have sent.
+    fn step_relays_with_truth(&mut self) {
+        self.refresh_truth();
+        for relay in 0..self.relays.len() {
+            if self.relays[relay].due(self.now) {
+                let mut truth = std::mem::take(&mut self.truth);
+                self.relays[relay].round(self.now, Some(&mut truth));
+                self.truth = truth;
+                self.perform_actions(relay as u32, usize::MAX);
             }
-            let route = &self.routes[s.route as usize];
-            let well = !s.gone && !s.state.out() && !route.fallen && s.state.frozen_until <= now;
-            let room = f64::from(s.workers) * route.share(now, world).max(0.05)
-                - f64::from(s.busy)
-                - s.queue.len() as f64;
-            TrueState { well, route: s.route, room: room + 1.0, stale: s.state.stale > 0.0 }
-        };
-        let endpoints = self.servers.iter().map(state).collect();
+        }
+    }
+
+    fn refresh_truth(&mut self) {
+        let now = self.now;
+        let world = &self.world;
+        let routes = self.routes.iter_mut().map(|route| route.room(now, world)).collect();
+        let endpoints = self.servers.iter().map(|server| self.true_state(server)).collect();
         self.truth = Truth { endpoints, routes };
     }
 
-    pub(super) fn start(&mut self, me: u32) {
-        let which = self.play.which;
-        if which.sees_all() {
-            self.see_all();
+    fn true_state(&self, listed: &Server) -> TrueState {
+        // Who is reached is whoever has the address now.
+        let mut server = listed;
+        while let Some(next) = server.successor {
+            server = &self.servers[next as usize];
+        }
+        let route = &self.routes[server.route as usize];
+        let serves = !server.gone && !server.state.out() && !route.fallen;
+        let share = route.share(self.now, &self.world).max(MIN_TRUE_SHARE);
+        let workers = f64::from(server.workers) * share;
+        let free = workers - f64::from(server.busy) - server.queue.len() as f64;
+        TrueState {
+            well: serves && server.state.frozen_until <= self.now,
+            route: server.route,
+            room: free + 1.0,
+            stale: server.state.stale > 0.0,
+        }
+    }
+
+    /// Starts a relay's process, with what its spool and its endpoint list hold.
+    pub(super) fn start_relay(&mut self, relay: u32) {
+        let sees_all = self.play.which.sees_all();
+        if sees_all {
+            self.refresh_truth();
         }
         let mut truth = std::mem::take(&mut self.truth);
-        let seen = which.sees_all().then_some(&mut truth);
-        self.relays[me as usize].start(&self.world, &*self.make, self.now, seen);
+        let seen = if sees_all { Some(&mut truth) } else { None };
+        self.relays[relay as usize].start(&self.world, &*self.make_policy, self.now, seen);
         self.truth = truth;
-        self.carry_out(me, usize::MAX);
+        self.perform_actions(relay, usize::MAX);
     }
 
-    /// Carries out what a relay did; of its calls and answers only the first `most`, if it dies meanwhile.
-    pub(super) fn carry_out(&mut self, me: u32, most: usize) {
-        let mut done = 0;
-        let mut seen_to_go = true;
-        for act in self.relays[me as usize].acts() {
-            let outward = matches!(act, Act::Call { .. } | Act::Answer { .. } | Act::Notice { .. });
-            done += usize::from(outward);
-            if outward && done > most {
-                seen_to_go = false;
+    /// Performs a relay's actions in their order. If its process dies meanwhile, only the first `completed` of
+    /// those that leave the process get out.
+    fn perform_actions(&mut self, relay: u32, completed: usize) {
+        let mut begun = 0;
+        for action in self.relays[relay as usize].acts() {
+            if leaves_process(&action) {
+                begun += 1;
             }
-            match act {
-                // What was learnt was learnt; what went out counts only if it went.
-                Act::Fact(fact @ (Fact::LegEnded { .. } | Fact::WaitTold { .. })) => {
-                    if let Fact::LegEnded { end, .. } = fact {
-                        *self.tally.ends.entry(end_name(end)).or_default() += 1;
-                    }
-                    self.fact(fact);
-                }
-                Act::Fact(Fact::Leg { msg, call, relay, to }) => {
-                    if most == usize::MAX || done < most {
-                        self.legs += 1;
-                        Tally::count(&mut self.tally.legs, self.now, 1.0);
-                        self.fact(Fact::Leg { msg, call, relay, to });
-                    }
-                }
-                Act::Fact(fact) => {
-                    if most == usize::MAX || done < most {
-                        self.fact(fact);
-                    }
-                }
-                _ if !seen_to_go => {}
-                Act::Call { call, to, legs, limit } => self.call(me, call, to, legs, limit),
-                Act::Answer { msg, end } => self.heard(msg, end),
-                Act::Notice { msg, end } => self.notice(msg, end),
-                Act::Close { call } => self.close(call, Outcome::Cancelled),
-                Act::CloseIdle { endpoint } => self.close_idle(me, endpoint),
-                Act::Watch => self.ask(me),
-                Act::Log(line) => {
-                    if let Some(watch) = self.watch.as_mut() {
-                        watch(self.now, Seen::Log(me, &line));
-                    }
-                    self.tally.log(&self.world, me, self.now, &line);
-                }
+            // What was learnt was learnt; what was sent counts only if it got out.
+            let gets_out = match &action {
+                Act::Fact(fact) => is_observation(fact) || begun < completed,
+                _ => begun <= completed,
+            };
+            if gets_out {
+                self.perform(relay, action);
             }
         }
     }
 
-    pub(super) fn notice(&mut self, msg: u64, end: End) {
-        // The platform passes it on at once; its answer takes a while.
-        self.at(self.now + NOTICE, Event::Noticed(msg));
-        self.ended(msg, end);
+    fn record_from_relay(&mut self, fact: Fact) {
+        match fact {
+            Fact::LegEnded { end, .. } => {
+                *self.tally.ends.entry(attempt_end_name(end)).or_default() += 1;
+            }
+            Fact::Leg { .. } => {
+                self.attempts += 1;
+                Tally::count(&mut self.tally.legs, self.now, 1.0);
+            }
+            _ => {}
+        }
+        self.record(fact);
     }
 
-    pub(super) fn kill(&mut self, me: u32, strike: usize) {
-        if !self.relays[me as usize].up {
+    fn perform(&mut self, relay: u32, action: Act) {
+        match action {
+            Act::Fact(fact) => self.record_from_relay(fact),
+            Act::Call { call, to, legs, limit } => self.start_call(relay, call, to, legs, limit),
+            Act::Answer { msg, end } => self.answer_client(msg, end),
+            Act::Notice { msg, end } => self.send_notification(msg, end),
+            Act::Close { call } => self.close_call(call, Outcome::Cancelled),
+            Act::CloseIdle { endpoint } => self.close_idle_connections(relay, endpoint),
+            Act::Watch => self.poll_discovery(relay),
+            Act::Log(line) => self.record_log_line(relay, &line),
+        }
+    }
+
+    fn record_log_line(&mut self, relay: u32, line: &str) {
+        if let Some(watch) = self.watch.as_mut() {
+            watch(self.now, Seen::Log(relay, line));
+        }
+        self.tally.log(&self.world, relay, self.now, line);
+    }
+
+    /// Sends a final answer to the platform, which passes it on to the client at once and acknowledges it later.
+    fn send_notification(&mut self, message: u64, end: End) {
+        self.schedule(self.now + NOTIFICATION_DELAY, Event::NotificationAcknowledged { message });
+        self.message_ended(message, end);
+    }
+
+    /// Ends a relay's process without notice.
+    pub(super) fn kill_relay(&mut self, relay: u32, trouble: usize) {
+        if !self.relays[relay as usize].up {
+            return;
+        }
+        self.play_interrupted_step(relay, trouble);
+        self.relays[relay as usize].kill();
+        self.record(Fact::RelayDown { relay });
+        self.drop_connections_of_relay(relay);
+        self.time_out_clients_of_relay(relay);
+    }
+
+    fn play_interrupted_step(&mut self, relay: u32, trouble: usize) {
+        let count = KillPoint::ALL.len();
+        let drawn = self.world.chance.of(What::Kill, count, trouble as u64, u64::from(relay));
+        let stalled = self.relays[relay as usize].stalled_until > self.now;
+        if stalled || self.play.which.sees_all() {
             return;
         }
-        // At what point of its work it dies: before a round, behind the spool's write, in the middle of the
-        // writes to the sockets.
-        let point = self.world.chance.of(What::Kill, 3, strike as u64, u64::from(me));
-        if point > 0 && self.relays[me as usize].stalled_until <= self.now && !self.play.which.sees_all() {
-            let now = self.now;
-            self.relays[me as usize].round(now, None);
-            let most = if point == 1 { 0 } else { 2 };
-            self.carry_out(me, most);
-        }
-        self.relays[me as usize].kill();
-        self.fact(Fact::RelayDown { relay: me });
-        let mut mine: Vec<u64> = self.calls.iter().filter(|(_, c)| c.relay == me).map(|(n, _)| *n).collect();
-        mine.sort_unstable();
-        for call in mine {
+        if let Some(completed) = KillPoint::ALL[drawn].completed_actions() {
+            self.relays[relay as usize].round(self.now, None);
+            self.perform_actions(relay, completed);
+        }
+    }
+
+    fn drop_connections_of_relay(&mut self, relay: u32) {
+        let calls = self.calls.iter().filter(|(_, call)| call.relay == relay);
+        let mut calls: Vec<u64> = calls.map(|(id, _)| *id).collect();
+        calls.sort_unstable();
+        for call in calls {
             self.hang_up(call);
         }
-        let mut pools: Vec<(u32, u32)> = self.idle.keys().filter(|k| k.0 == me).copied().collect();
+        let pools = self.idle_connections.keys().filter(|pool| pool.0 == relay);
+        let mut pools: Vec<(u32, u32)> = pools.copied().collect();
         pools.sort_unstable();
         for (_, endpoint) in pools {
-            self.close_idle(me, endpoint);
+            self.close_idle_connections(relay, endpoint);
         }
-        let waits = |m: &Msg| m.relay == me && m.client == Client::Waits;
-        let mut waiting: Vec<u64> = self.msgs.iter().filter(|(_, m)| waits(m)).map(|(n, _)| *n).collect();
+    }
+
+    fn time_out_clients_of_relay(&mut self, relay: u32) {
+        let waiting = self
+            .messages
+            .iter()
+            .filter(|(_, message)| message.relay == relay && message.client == ClientState::Waiting);
+        let mut waiting: Vec<u64> = waiting.map(|(id, _)| *id).collect();
         waiting.sort_unstable();
-        for msg in waiting {
-            self.patience(msg);
+        for message in waiting {
+            self.client_timeout(message);
         }
     }
 }
+
+/// True for what other processes see: it gets out only if the relay lives long enough.
+fn leaves_process(action: &Act) -> bool {
+    matches!(action, Act::Call { .. } | Act::Answer { .. } | Act::Notice { .. })
+}
+
+/// True for facts that a relay has learnt from others, as opposed to those that it makes.
+fn is_observation(fact: &Fact) -> bool {
+    matches!(fact, Fact::LegEnded { .. } | Fact::WaitTold { .. })
+}
--- a/crates/lab/src/day/replacement.rs
+++ b/crates/lab/src/day/replacement.rs
@@ -1,59 +1,73 @@
-//! Endpoints that are replaced by others.
+//! Endpoints that are taken out of service, and those that take their place.
 
 use super::Day;
 use crate::servers::{Route, Server};
-use crate::world::Strike;
+use crate::world::{Place, Strike};
 use mountshift::interface::EndpointStatus;
 use mountshift_scenario::TroubleKind;
 
+/// An endpoint and the one that takes its place.
+pub(super) struct Replacement {
+    old: u32,
+    new: u32,
+}
+
 impl Day<'_> {
-    /// Endpoints are taken out of service, others stand in their place.
-    pub(super) fn replace(&mut self, n: usize, strike: &Strike, on: bool) {
-        let kind = strike.kind;
-        if on {
-            for old in strike.endpoints.iter().copied() {
-                if self.servers[old as usize].gone {
-                    continue;
-                }
-                let mut place = self.place(old);
-                let group = &self.world.scenario.groups[place.group];
-                let (new, apart) = (self.servers.len() as u32, group.own_limits);
-                let peers = if apart { 1 } else { group.endpoints.get() };
-                if apart {
-                    place.route = self.routes.len() as u32;
-                    self.routes.push(Route::new(&self.world, place.group));
-                }
-                let server = Server::new(&self.world, place.dst, place.group, place.zone, place.route, peers);
-                self.servers.push(server);
-                self.routes[place.route as usize].endpoints.push(new);
-                self.set_up(new);
-                self.replaced.entry(n).or_default().push((old, new));
-                match kind {
-                    TroubleKind::Drain => {
-                        self.list(old, EndpointStatus::Draining);
-                        self.list(new, EndpointStatus::Ready);
-                    }
-                    TroubleKind::Readdress => self.leave(old, Some(new)),
-                    _ => self.leave(old, None),
+    /// The endpoints of a trouble are drained, replaced, or lose their addresses to others.
+    pub(super) fn begin_replacements(&mut self, trouble_id: usize, trouble: &Strike) {
+        for old in trouble.endpoints.iter().copied() {
+            if self.servers[old as usize].gone {
+                continue;
+            }
+            let new = self.add_replacement(old);
+            self.replacements.entry(trouble_id).or_default().push(Replacement { old, new });
+            match trouble.kind {
+                TroubleKind::Drain => {
+                    self.publish(old, EndpointStatus::Draining);
+                    self.publish(new, EndpointStatus::Ready);
                 }
+                TroubleKind::Readdress => self.take_out_of_service(old, Some(new)),
+                _ => self.take_out_of_service(old, None),
             }
-            return;
         }
-        for (old, new) in self.replaced.remove(&n).unwrap_or_default() {
+    }
+
+    /// The endpoint list learns what became of the trouble's endpoints.
+    pub(super) fn end_replacements(&mut self, trouble_id: usize, kind: TroubleKind) {
+        for Replacement { old, new } in self.replacements.remove(&trouble_id).unwrap_or_default() {
             if kind == TroubleKind::Drain {
-                self.leave(old, None);
+                self.take_out_of_service(old, None);
             } else {
-                self.list(new, EndpointStatus::Ready);
+                self.publish(new, EndpointStatus::Ready);
             }
-            self.list(old, EndpointStatus::Removed);
+            self.publish(old, EndpointStatus::Removed);
+        }
+    }
+
+    /// Sets up an endpoint of the same kind, on a route of its own where endpoints have limits of their own.
+    fn add_replacement(&mut self, old: u32) -> u32 {
+        let new = self.servers.len() as u32;
+        let mut place = self.place(old);
+        let group = &self.world.scenario.groups[place.group];
+        let mut peers = group.endpoints.get();
+        if group.own_limits {
+            peers = 1;
+            place.route = self.routes.len() as u32;
+            self.routes.push(Route::new(&self.world, place.group));
         }
+        let Place { dst, group, zone, route } = place;
+        self.servers.push(Server::new(&self.world, dst, group, zone, route, peers));
+        self.routes[route as usize].endpoints.push(new);
+        self.record_endpoint(new);
+        new
     }
 
-    pub(super) fn leave(&mut self, old: u32, successor: Option<u32>) {
-        self.break_connections(old, true);
-        let server = &mut self.servers[old as usize];
-        (server.gone, server.successor) = (true, successor);
+    fn take_out_of_service(&mut self, endpoint: u32, successor: Option<u32>) {
+        self.break_connections(endpoint, true);
+        let server = &mut self.servers[endpoint as usize];
+        server.gone = true;
+        server.successor = successor;
         let route = server.route;
-        self.look_at(route);
+        self.update_outage(route);
     }
 }
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -2,87 +2,121 @@
 
 use super::Day;
 use super::events::Event;
+use crate::Time;
 use crate::host::Came;
+use crate::world::Strike;
 use mountshift::interface::EndpointStatus;
 use mountshift_invariants::Fact;
 use mountshift_scenario::TroubleKind;
 
 impl Day<'_> {
-    pub(super) fn strike(&mut self, n: usize, on: bool) {
-        let strike = self.world.strikes[n].clone();
-        match strike.kind {
-            TroubleKind::Kill | TroubleKind::Waves => {
-                for relay in strike.relays {
-                    if on {
-                        self.kill(relay, n);
-                    } else if !self.relays[relay as usize].up {
-                        self.start(relay);
-                    }
-                }
-            }
-            TroubleKind::Stall => {
-                for relay in strike.relays {
-                    if on {
-                        self.fact(Fact::RelayStands { relay, until: strike.to });
-                        let host = &mut self.relays[relay as usize];
-                        host.stalled_until = host.stalled_until.max(strike.to);
-                        let patience = self.now + self.world.scenario.clients.patience.us();
-                        let asks = |m: &&Came| matches!(m, Came::Message { .. });
-                        let waiting: Vec<Came> = host.inbox.iter().filter(asks).cloned().collect();
-                        for came in waiting {
-                            if let Came::Message { msg, .. } = came {
-                                self.at(patience, Event::Patience(msg));
-                            }
-                        }
-                    }
-                }
-            }
-            TroubleKind::Cut => {
-                self.cuts.retain(|c| *c != n);
-                if on {
-                    self.cuts.push(n);
-                }
-            }
-            TroubleKind::ClockStep => {
-                let by = (strike.level * 1e6) as i64;
-                for relay in strike.relays {
-                    self.relays[relay as usize].step_clock(if on { by } else { -by });
-                }
-            }
+    /// A trouble of the script begins or ends.
+    pub(super) fn change_trouble(&mut self, trouble_id: usize, begins: bool) {
+        let trouble = self.world.strikes[trouble_id].clone();
+        match trouble.kind {
+            TroubleKind::Kill | TroubleKind::Waves => self.change_kill(trouble_id, &trouble, begins),
+            TroubleKind::Stall if begins => self.begin_stall(&trouble),
+            TroubleKind::Stall => {}
+            TroubleKind::Cut => self.change_partition(trouble_id, begins),
+            TroubleKind::ClockStep => self.change_clock_step(&trouble, begins),
             TroubleKind::WatchLost | TroubleKind::ListLate => {
-                self.lists_held = if on { self.lists_held + 1 } else { self.lists_held - 1 };
-                if on && strike.kind == TroubleKind::WatchLost && self.world.scenario.relays.watch {
-                    for relay in strike.relays {
-                        self.relays[relay as usize].inbox.push(Came::WatchFailed);
-                    }
-                }
-            }
-            TroubleKind::ListWrong => {
-                for endpoint in strike.endpoints {
-                    self.list(endpoint, if on { EndpointStatus::Removed } else { EndpointStatus::Ready });
-                }
+                self.change_discovery_trouble(&trouble, begins);
             }
+            TroubleKind::ListWrong => self.change_wrong_list(&trouble, begins),
             TroubleKind::Drain | TroubleKind::Replace | TroubleKind::Readdress => {
-                self.replace(n, &strike, on)
+                if begins {
+                    self.begin_replacements(trouble_id, &trouble);
+                } else {
+                    self.end_replacements(trouble_id, trouble.kind);
+                }
             }
             TroubleKind::ThrottleCount
             | TroubleKind::ThrottleRate
             | TroubleKind::ThrottleLies
-            | TroubleKind::ThrottleSpends => {
-                let mut routes: Vec<u32> =
-                    strike.endpoints.iter().map(|e| self.servers[*e as usize].route).collect();
-                routes.dedup();
-                for route in routes {
-                    let first = self.routes[route as usize].endpoints[0];
-                    let rate = self.world.scenario.groups[self.servers[first as usize].group].rate.0;
-                    self.routes[route as usize].throttle(n, &strike, rate, on, self.now);
-                }
-            }
+            | TroubleKind::ThrottleSpends => self.change_throttle(trouble_id, &trouble, begins),
             _ => {
-                for endpoint in strike.endpoints {
-                    self.afflict(endpoint, n, on);
+                for endpoint in trouble.endpoints {
+                    self.change_endpoint_trouble(endpoint, trouble_id, begins);
                 }
             }
         }
     }
+
+    fn change_kill(&mut self, trouble_id: usize, trouble: &Strike, begins: bool) {
+        for relay in trouble.relays.iter().copied() {
+            if begins {
+                self.kill_relay(relay, trouble_id);
+            } else if !self.relays[relay as usize].up {
+                self.start_relay(relay);
+            }
+        }
+    }
+
+    fn begin_stall(&mut self, trouble: &Strike) {
+        for relay in trouble.relays.iter().copied() {
+            self.record(Fact::RelayStands { relay, until: trouble.to });
+            self.stall_relay(relay, trouble.to);
+        }
+    }
+
+    /// A relay stands still; clients whose messages it has not read yet wait no longer than their patience.
+    fn stall_relay(&mut self, relay: u32, until: Time) {
+        let host = &mut self.relays[relay as usize];
+        host.stalled_until = host.stalled_until.max(until);
+        let unread = host.inbox.iter().filter_map(|came| match came {
+            Came::Message { msg, .. } => Some(*msg),
+            _ => None,
+        });
+        let unread: Vec<u64> = unread.collect();
+        let timeout = self.now + self.world.scenario.clients.patience.us();
+        for message in unread {
+            self.schedule(timeout, Event::ClientTimeout { message });
+        }
+    }
+
+    fn change_partition(&mut self, trouble_id: usize, begins: bool) {
+        self.partitions.retain(|active| *active != trouble_id);
+        if begins {
+            self.partitions.push(trouble_id);
+        }
+    }
+
+    fn change_clock_step(&mut self, trouble: &Strike, begins: bool) {
+        let step = (trouble.level * 1e6) as i64;
+        for relay in &trouble.relays {
+            self.relays[*relay as usize].step_clock(if begins { step } else { -step });
+        }
+    }
+
+    fn change_discovery_trouble(&mut self, trouble: &Strike, begins: bool) {
+        if !begins {
+            self.discovery_troubles -= 1;
+            return;
+        }
+        self.discovery_troubles += 1;
+        if trouble.kind == TroubleKind::WatchLost && self.world.scenario.relays.watch {
+            for relay in &trouble.relays {
+                self.relays[*relay as usize].inbox.push(Came::WatchFailed);
+            }
+        }
+    }
+
+    fn change_wrong_list(&mut self, trouble: &Strike, begins: bool) {
+        let status = if begins { EndpointStatus::Removed } else { EndpointStatus::Ready };
+        for endpoint in trouble.endpoints.iter().copied() {
+            self.publish(endpoint, status);
+        }
+    }
+
+    fn change_throttle(&mut self, trouble_id: usize, trouble: &Strike, begins: bool) {
+        let routes = trouble.endpoints.iter().map(|endpoint| self.servers[*endpoint as usize].route);
+        let mut routes: Vec<u32> = routes.collect();
+        routes.dedup();
+        for route_id in routes {
+            let route = &mut self.routes[route_id as usize];
+            let group = self.servers[route.endpoints[0] as usize].group;
+            let rate = self.world.scenario.groups[group].rate.0;
+            route.throttle(trouble_id, trouble, rate, begins, self.now);
+        }
+    }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -36,6 +36,12 @@
     pub relays: Vec<u32>,
 }
 
+impl Strike {
+    pub fn is_active(&self, now: Time) -> bool {
+        self.from <= now && now < self.to
+    }
+}
+
 pub(crate) struct World<'a> {
     pub scenario: &'a Scenario,
     pub chance: Chance,
