--- /dev/null
+++ b/crates/lab/src/day/connections.rs
@@ -0,0 +1,142 @@
+//! Connections between relays and endpoints: the network's delays, dialling, and the pools of idle connections.
+
+use super::Day;
+use super::events::Event;
+use crate::Time;
+use crate::servers::Server;
+use mountshift::interface::Outcome;
+
+/// One way through the network inside a zone.
+const DELAY_IN_ZONE: Time = 300;
+/// One way through the network between two zones.
+const DELAY_BETWEEN_ZONES: Time = 1_200;
+/// An idle connection is not used for the last part of its time, when the endpoint may just be closing it.
+const USABLE_IDLE_SHARE: f64 = 0.9;
+
+/// An open connection that no call uses.
+#[derive(Clone, Copy)]
+pub(super) struct IdleConnection {
+    pub(super) since: Time,
+    /// The endpoint's epoch when it was opened: it has died if the two differ.
+    pub(super) epoch: u32,
+}
+
+impl Day<'_> {
+    /// How long a byte takes from a relay to an endpoint or back.
+    pub(super) fn network_delay(&self, relay: u32, endpoint: u32) -> Time {
+        if self.world.relay_zone(relay) == self.servers[endpoint as usize].zone {
+            DELAY_IN_ZONE
+        } else {
+            DELAY_BETWEEN_ZONES
+        }
+    }
+
+    /// Until when no byte passes between the two; 0 if bytes pass.
+    pub(super) fn silent_until(&self, relay: u32, endpoint: u32) -> Time {
+        let partitions = self.partitions.iter().map(|trouble| &self.world.strikes[*trouble]);
+        let between =
+            partitions.filter(|p| p.relays.contains(&relay) && p.endpoints.binary_search(&endpoint).is_ok());
+        let partitioned_until = between.map(|partition| partition.to).max().unwrap_or(0);
+        partitioned_until.max(self.servers[endpoint as usize].state.silent_until)
+    }
+
+    /// Takes the idle connection that was used last, and drops those that are too old or have died.
+    pub(super) fn take_idle_connection(
+        &mut self,
+        relay: u32,
+        addressed: u32,
+        endpoint: u32,
+    ) -> Option<IdleConnection> {
+        let usable_idle = self.world.scenario.relays.idle.us() as f64 * USABLE_IDLE_SHARE;
+        let oldest = self.now.saturating_sub(usable_idle as Time);
+        let server = &mut self.servers[endpoint as usize];
+        let pool = self.idle_connections.get_mut(&(relay, addressed))?;
+        let before = pool.len();
+        pool.retain(|connection| connection.since >= oldest && connection.epoch == server.epoch);
+        let dropped = before - pool.len();
+        close_connections(server, dropped);
+        pool.pop()
+    }
+
+    /// Opens a connection for a call.
+    pub(super) fn connect(&mut self, call_id: u64, delay: Time) {
+        let call = &self.calls[&call_id];
+        let relay = call.relay;
+        let endpoint = call.endpoint;
+        let silent = self.silent_until(relay, endpoint) > self.now;
+        let server = &self.servers[endpoint as usize];
+        let deserted = server.gone && server.successor.is_none();
+        if server.state.vanished || silent || deserted {
+            // The list may still hold what is gone: its machine says nothing.
+            let connect_timeout = self.world.scenario.relays.connect.us();
+            self.fail_call(call_id, Outcome::ConnectFailed, connect_timeout);
+            return;
+        }
+        if server.state.refuses || self.routes[server.route as usize].fallen {
+            self.fail_call(call_id, Outcome::ConnectFailed, 2 * delay);
+            return;
+        }
+        if self.connection_table_full(endpoint) {
+            self.close_expired_connections(endpoint);
+            if self.connection_table_full(endpoint) {
+                self.fail_call(call_id, Outcome::ConnectFailed, 2 * delay);
+                return;
+            }
+        }
+        self.connection_opened(call_id, endpoint, delay);
+    }
+
+    fn connection_table_full(&self, endpoint: u32) -> bool {
+        let server = &self.servers[endpoint as usize];
+        let limit = self.world.scenario.groups[server.group].connections.get();
+        server.state.tables_full || server.connections >= limit
+    }
+
+    fn connection_opened(&mut self, call_id: u64, endpoint: u32, delay: Time) {
+        self.servers[endpoint as usize].connections += 1;
+        self.tally.connections += 1;
+        if let Some(call) = self.calls.get_mut(&call_id) {
+            call.connected = true;
+        }
+        // There and back for the connection, and there for the call.
+        self.schedule(self.now + 3 * delay, Event::CallArrives { call: call_id });
+    }
+
+    /// Closes what has been idle too long at an endpoint whose table seems full.
+    fn close_expired_connections(&mut self, endpoint: u32) {
+        let oldest = self.now.saturating_sub(self.world.scenario.relays.idle.us());
+        for relay in 0..self.relays.len() as u32 {
+            if let Some(pool) = self.idle_connections.get_mut(&(relay, endpoint)) {
+                let before = pool.len();
+                pool.retain(|connection| connection.since >= oldest);
+                let closed = before - pool.len();
+                close_connections(&mut self.servers[endpoint as usize], closed);
+            }
+        }
+    }
+
+    /// A relay closes its idle connections to an endpoint.
+    pub(super) fn close_idle_connections(&mut self, relay: u32, endpoint: u32) {
+        let Some(pool) = self.idle_connections.remove(&(relay, endpoint)) else { return };
+        let server = &mut self.servers[endpoint as usize];
+        let open = pool.iter().filter(|connection| connection.epoch == server.epoch).count();
+        close_connections(server, open);
+    }
+
+    /// Closes the connection of a call.
+    pub(super) fn close_connection(&mut self, call_id: u64) {
+        let Some(call) = self.calls.get_mut(&call_id) else { return };
+        if !call.connected {
+            return;
+        }
+        call.connected = false;
+        let server = &mut self.servers[call.endpoint as usize];
+        if server.epoch == call.epoch {
+            close_connections(server, 1);
+        }
+    }
+}
+
+fn close_connections(server: &mut Server, count: usize) {
+    server.connections = server.connections.saturating_sub(count as u32);
+}
--- /dev/null
+++ b/crates/lab/src/day/outages.rs
@@ -0,0 +1,118 @@
+//! Troubles of endpoints: what they do to connections and work, and the outages of routes that follow.
+
+use super::calls::Stage;
+use super::endpoints::FAILED_EFFECT_SHARE;
+use super::events::Event;
+use super::{ANSWER_DELAY, Day};
+use crate::Time;
+use crate::chance::What;
+use crate::servers::State;
+use mountshift::interface::Outcome;
+use mountshift_invariants::Fact;
+
+/// An outage shorter than this starts no slow start: caches are still warm, and nobody can have learnt of it.
+const MIN_OUTAGE_BEFORE_SLOW_START: Time = 1_000_000;
+
+impl Day<'_> {
+    /// A trouble of an endpoint itself begins or ends.
+    pub(super) fn change_endpoint_trouble(&mut self, endpoint: u32, trouble: usize, begins: bool) {
+        let server = &mut self.servers[endpoint as usize];
+        server.active.retain(|active| *active != trouble);
+        if begins {
+            server.active.push(trouble);
+        }
+        let after = State::new(&server.active, &self.world.strikes);
+        let before = std::mem::replace(&mut server.state, after.clone());
+        let route = server.route;
+        let dies = after.refuses && !before.refuses;
+        let returns = before.vanished && !after.vanished;
+        if dies || returns {
+            self.break_connections(endpoint, dies);
+        } else if after.vanished && !before.vanished {
+            self.lose_work(endpoint);
+        }
+        self.update_outage(route);
+        if after.frozen_until > self.now {
+            self.schedule(after.frozen_until, Event::EndpointResumes { endpoint });
+        } else {
+            self.start_queued_calls(endpoint);
+        }
+    }
+
+    /// What an endpoint worked on is lost, some of it after it took effect.
+    fn lose_work(&mut self, endpoint: u32) {
+        let server = &mut self.servers[endpoint as usize];
+        server.busy = 0;
+        let running = std::mem::take(&mut server.running);
+        let queued = std::mem::take(&mut server.queue);
+        for call in running {
+            if self.world.chance.part(What::HalfRan, call, 1) < FAILED_EFFECT_SHARE {
+                self.apply_effects(call);
+            }
+            self.endpoint_done(call);
+        }
+        for call in queued {
+            self.endpoint_done(call);
+        }
+    }
+
+    /// All connections of an endpoint break; relays notice at once if it says so (`announced`).
+    pub(super) fn break_connections(&mut self, endpoint: u32, announced: bool) {
+        self.lose_work(endpoint);
+        let server = &mut self.servers[endpoint as usize];
+        server.epoch += 1;
+        server.connections = 0;
+        let connected = self.calls.iter().filter(|(_, call)| call.endpoint == endpoint && call.connected);
+        let mut calls: Vec<u64> = connected.map(|(id, _)| *id).collect();
+        calls.sort_unstable();
+        for call_id in calls {
+            let call = &self.calls[&call_id];
+            let relay = call.relay;
+            if call.stage == Stage::OnTheWay {
+                continue;
+            }
+            // A machine that is back tells of old connections when it is next written to.
+            let noticed = if announced { self.network_delay(relay, endpoint) } else { ANSWER_DELAY };
+            let silence = self.silent_until(relay, endpoint).saturating_sub(self.now);
+            self.fail_call(call_id, Outcome::Reset, noticed + silence);
+        }
+    }
+
+    /// Looks whether a route's outage begins or ends with a change at one of its endpoints.
+    pub(super) fn update_outage(&mut self, route_id: u32) {
+        let now = self.now;
+        let out = self.all_endpoints_out(route_id);
+        let route = &mut self.routes[route_id as usize];
+        if out == route.out || route.fallen {
+            return;
+        }
+        route.out = out;
+        if out {
+            route.cold_since = None;
+            route.out_since = now;
+            self.record(Fact::OutageBegan { route: route_id });
+        } else if now - route.out_since >= MIN_OUTAGE_BEFORE_SLOW_START {
+            route.cold_since = Some(now);
+            self.record(Fact::OutageOver { route: route_id });
+        }
+    }
+
+    /// True if the route has endpoints in service and none of them serves.
+    fn all_endpoints_out(&self, route_id: u32) -> bool {
+        let endpoints = &self.routes[route_id as usize].endpoints;
+        let servers = endpoints.iter().map(|endpoint| &self.servers[*endpoint as usize]);
+        let mut in_service = servers.filter(|server| !server.gone).peekable();
+        in_service.peek().is_some() && in_service.all(|server| server.state.out())
+    }
+
+    /// A route in slow start was sent more than it bears: it is down for the rest of the day.
+    pub(super) fn overload_route(&mut self, route_id: u32) {
+        self.record(Fact::FellOver { route: route_id });
+        let route = &mut self.routes[route_id as usize];
+        route.fallen = true;
+        for endpoint in route.endpoints.clone() {
+            self.servers[endpoint as usize].state.refuses = true;
+            self.break_connections(endpoint, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/day/replacement.rs
@@ -0,0 +1,73 @@
+//! Endpoints that are taken out of service, and those that take their place.
+
+use super::Day;
+use crate::servers::{Route, Server};
+use crate::world::{Place, Strike};
+use mountshift::interface::EndpointStatus;
+use mountshift_scenario::TroubleKind;
+
+/// An endpoint and the one that takes its place.
+pub(super) struct Replacement {
+    old: u32,
+    new: u32,
+}
+
+impl Day<'_> {
+    /// The endpoints of a trouble are drained, replaced, or lose their addresses to others.
+    pub(super) fn begin_replacements(&mut self, trouble_id: usize, trouble: &Strike) {
+        for old in trouble.endpoints.iter().copied() {
+            if self.servers[old as usize].gone {
+                continue;
+            }
+            let new = self.add_replacement(old);
+            self.replacements.entry(trouble_id).or_default().push(Replacement { old, new });
+            match trouble.kind {
+                TroubleKind::Drain => {
+                    self.publish(old, EndpointStatus::Draining);
+                    self.publish(new, EndpointStatus::Ready);
+                }
+                TroubleKind::Readdress => self.take_out_of_service(old, Some(new)),
+                _ => self.take_out_of_service(old, None),
+            }
+        }
+    }
+
+    /// The endpoint list learns what became of the trouble's endpoints.
+    pub(super) fn end_replacements(&mut self, trouble_id: usize, kind: TroubleKind) {
+        for Replacement { old, new } in self.replacements.remove(&trouble_id).unwrap_or_default() {
+            if kind == TroubleKind::Drain {
+                self.take_out_of_service(old, None);
+            } else {
+                self.publish(new, EndpointStatus::Ready);
+            }
+            self.publish(old, EndpointStatus::Removed);
+        }
+    }
+
+    /// Sets up an endpoint of the same kind, on a route of its own where endpoints have limits of their own.
+    fn add_replacement(&mut self, old: u32) -> u32 {
+        let new = self.servers.len() as u32;
+        let mut place = self.place(old);
+        let group = &self.world.scenario.groups[place.group];
+        let mut peers = group.endpoints.get();
+        if group.own_limits {
+            peers = 1;
+            place.route = self.routes.len() as u32;
+            self.routes.push(Route::new(&self.world, place.group));
+        }
+        let Place { dst, group, zone, route } = place;
+        self.servers.push(Server::new(&self.world, dst, group, zone, route, peers));
+        self.routes[route as usize].endpoints.push(new);
+        self.record_endpoint(new);
+        new
+    }
+
+    fn take_out_of_service(&mut self, endpoint: u32, successor: Option<u32>) {
+        self.break_connections(endpoint, true);
+        let server = &mut self.servers[endpoint as usize];
+        server.gone = true;
+        server.successor = successor;
+        let route = server.route;
+        self.update_outage(route);
+    }
+}
