--- a/crates/simulation-adapter/src/wire.rs
+++ b/crates/simulation-adapter/src/wire.rs
@@ -1,144 +1,144 @@
-//! Reading and writing the wire's fields.
+//! The simulator's wire: record codes, and the fields of a record.
 
-use mountshift::interface::*;
+use crate::error::AdapterError;
+use mountshift::interface::EndpointId;
+use std::rc::Rc;
 use std::time::Duration;
 
-pub const START: u16 = 256;
-pub const CHANGE: u16 = 258;
-pub const STOP: u16 = 259;
-pub const WITHDRAWN: u16 = 260;
-pub const OUTCOME: u16 = 261;
-pub const ALARM: u16 = 262;
-pub const LIST: u16 = 263;
-pub const PROBED: u16 = 265;
-pub const MESSAGE: u16 = 266;
-
-pub const LIST_FAILED: u8 = 1;
-pub const LIST_DELTA: u8 = 2;
-/// Bytes of a list's entry.
-pub const ENTRY: usize = 24;
-
-pub fn event_name(code: u16) -> &'static str {
-    match code {
-        START => "HELLO",
-        CHANGE => "ROSTER_CHANGE",
-        STOP => "SHUTDOWN",
-        WITHDRAWN => "HANGUP",
-        OUTCOME => "OUTCOME",
-        ALARM => "ALARM",
-        LIST => "ROSTER",
-        PROBED => "SAMPLED",
-        MESSAGE => "NEW_REQUEST",
-        _ => "unknown event",
+/// Bytes of the length that opens a frame, of the input and of a reply.
+pub(crate) const LENGTH_BYTES: usize = size_of::<u32>();
+/// Slots that hold endpoint lists, as the wire defines.
+pub(crate) const LIST_SLOTS: usize = 16;
+/// Bytes of an entry of an endpoint list, as the wire defines.
+pub(crate) const LIST_ENTRY_BYTES: usize = 24;
+/// Bytes of an endpoint's id on the wire, the low ones first.
+pub(crate) const ENDPOINT_ID_BYTES: usize = 6;
+
+/// The entries of an endpoint list as they came.
+pub(crate) type EndpointList = Rc<[u8]>;
+
+/// A time of the wire's clock, in microseconds.
+#[derive(Clone, Copy)]
+pub(crate) struct WireTime(pub(crate) u64);
+
+impl WireTime {
+    pub(crate) fn since(self, start: WireTime) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(start.0))
     }
 }
 
-/// Takes fields off the front, in order; says what is missing and where.
-pub struct Cursor<'a> {
-    left: &'a [u8],
-    of: &'static str,
+/// The records of a frame that the adapter reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RecordCode {
+    /// An instance of the decisions starts.
+    Start,
+    /// Its endpoint list changed.
+    ListChanged,
+    /// An instance stops.
+    Stop,
+    /// A message was withdrawn by its client.
+    Withdrawn,
+    /// An attempt ended.
+    AttemptEnded,
+    /// The time for which an instance asked to be woken has come.
+    Timer,
+    /// An endpoint list, to which later list changes refer by its slot.
+    EndpointList,
+    /// A sample of an endpoint's load, which the decisions don't read.
+    Sample,
+    /// A message was submitted.
+    Submitted,
 }
 
-macro_rules! numbers {
-    ($($name:ident)*) => {$(
-        pub fn $name(&mut self, what: &str) -> Result<$name, String> {
-            let bytes = self.bytes(size_of::<$name>(), what)?;
-            Ok($name::from_le_bytes(bytes.try_into().map_err(|_| "a field's size is off")?))
+impl RecordCode {
+    /// None for records that the adapter skips.
+    pub(crate) fn from_wire(code: u16) -> Option<RecordCode> {
+        match code {
+            256 => Some(RecordCode::Start),
+            258 => Some(RecordCode::ListChanged),
+            259 => Some(RecordCode::Stop),
+            260 => Some(RecordCode::Withdrawn),
+            261 => Some(RecordCode::AttemptEnded),
+            262 => Some(RecordCode::Timer),
+            263 => Some(RecordCode::EndpointList),
+            265 => Some(RecordCode::Sample),
+            266 => Some(RecordCode::Submitted),
+            _ => None,
         }
-    )*};
-}
-
-impl<'a> Cursor<'a> {
-    pub fn new(left: &'a [u8], of: &'static str) -> Cursor<'a> {
-        Cursor { left, of }
     }
 
-    pub fn bytes(&mut self, n: usize, what: &str) -> Result<&'a [u8], String> {
-        let (taken, left) = self
-            .left
-            .split_at_checked(n)
-            .ok_or_else(|| format!("{}: {what} wants {n} bytes, {} are left", self.of, self.left.len()))?;
-        self.left = left;
-        Ok(taken)
-    }
-
-    numbers!(u8 u16 u32 u64 f32);
-
-    pub fn endpoint(&mut self, what: &str) -> Result<EndpointId, String> {
-        let mut wide = [0; 8];
-        wide[..6].copy_from_slice(self.bytes(6, what)?);
-        Ok(EndpointId(u64::from_le_bytes(wide)))
+    /// The record's name in the wire's words, for error messages.
+    pub(crate) fn wire_name(self) -> &'static str {
+        match self {
+            RecordCode::Start => "HELLO",
+            RecordCode::ListChanged => "ROSTER_CHANGE",
+            RecordCode::Stop => "SHUTDOWN",
+            RecordCode::Withdrawn => "HANGUP",
+            RecordCode::AttemptEnded => "OUTCOME",
+            RecordCode::Timer => "ALARM",
+            RecordCode::EndpointList => "ROSTER",
+            RecordCode::Sample => "SAMPLED",
+            RecordCode::Submitted => "NEW_REQUEST",
+        }
     }
 }
 
-/// The reply being written; takes the decisions of the instance named in `relay`.
-pub struct Reply {
-    bytes: Vec<u8>,
-    pub relay: u32,
-}
-
-fn micros(span: Duration) -> [u8; 4] {
-    u32::try_from(span.as_micros()).unwrap_or(u32::MAX).to_le_bytes()
+/// Takes fields off the front of a record, in order; an error says what is missing and where.
+#[derive(Clone)]
+pub(crate) struct Cursor<'a> {
+    left: &'a [u8],
+    record: &'static str,
 }
 
-impl Reply {
-    pub fn new() -> Reply {
-        Reply { bytes: vec![0; 4], relay: 0 }
-    }
-
-    pub fn finish(&mut self) -> &[u8] {
-        let length = (self.bytes.len() - 4) as u32;
-        self.bytes[..4].copy_from_slice(&length.to_le_bytes());
-        &self.bytes
+impl<'a> Cursor<'a> {
+    /// A cursor over the bytes of the record with this name.
+    pub(crate) fn new(bytes: &'a [u8], record: &'static str) -> Cursor<'a> {
+        Cursor { left: bytes, record }
     }
 
-    fn record(&mut self, code: u16, fields: &[&[u8]]) {
-        let length: usize = 4 + fields.iter().map(|f| f.len()).sum::<usize>();
-        self.bytes.extend(code.to_le_bytes());
-        self.bytes.extend((length as u32).to_le_bytes());
-        self.bytes.extend(self.relay.to_le_bytes());
-        self.bytes.extend(fields.iter().copied().flatten());
+    fn missing(&self, field: &'static str, wanted: usize) -> AdapterError {
+        AdapterError::MissingField { record: self.record, field, wanted, left: self.left.len() }
     }
-}
 
-impl Actions for Reply {
-    fn send(&mut self, msg: MessageId, to: EndpointId, limit: Duration) {
-        // On the wire a limit of zero means none.
-        let limit = limit.max(Duration::from_micros(1));
-        self.record(263, &[&msg.0.to_le_bytes(), &to.0.to_le_bytes()[..6], &micros(limit)]);
+    pub(crate) fn bytes(&mut self, wanted: usize, field: &'static str) -> Result<&'a [u8], AdapterError> {
+        let Some((taken, left)) = self.left.split_at_checked(wanted) else {
+            return Err(self.missing(field, wanted));
+        };
+        self.left = left;
+        Ok(taken)
     }
 
-    fn reject(&mut self, msg: MessageId, pause: Duration) -> bool {
-        self.record(261, &[&msg.0.to_le_bytes(), &micros(pause)]);
-        true
+    fn array<const N: usize>(&mut self, field: &'static str) -> Result<[u8; N], AdapterError> {
+        let Some((taken, left)) = self.left.split_first_chunk::<N>() else {
+            return Err(self.missing(field, N));
+        };
+        self.left = left;
+        Ok(*taken)
     }
 
-    fn fail(&mut self, msg: MessageId) -> bool {
-        self.record(257, &[&msg.0.to_le_bytes()]);
-        true
+    pub(crate) fn u8(&mut self, field: &'static str) -> Result<u8, AdapterError> {
+        Ok(u8::from_le_bytes(self.array(field)?))
     }
 
-    fn cancel(&mut self, msg: MessageId, leg: AttemptNumber) {
-        self.record(267, &[&msg.0.to_le_bytes(), &[leg.0]]);
+    pub(crate) fn u16(&mut self, field: &'static str) -> Result<u16, AdapterError> {
+        Ok(u16::from_le_bytes(self.array(field)?))
     }
 
-    fn close_idle_connections(&mut self, to: EndpointId) {
-        self.record(256, &[&to.0.to_le_bytes()[..6]]);
+    pub(crate) fn u32(&mut self, field: &'static str) -> Result<u32, AdapterError> {
+        Ok(u32::from_le_bytes(self.array(field)?))
     }
 
-    /// The wire's ids stand for themselves.
-    fn forget_endpoint(&mut self, _endpoint: EndpointId) {}
-
-    fn wake_after(&mut self, after: Duration) {
-        self.record(258, &[&micros(after), &[0; 4]]);
+    pub(crate) fn u64(&mut self, field: &'static str) -> Result<u64, AdapterError> {
+        Ok(u64::from_le_bytes(self.array(field)?))
     }
 
-    fn poll_endpoints(&mut self) {
-        self.record(262, &[&[1]]);
+    pub(crate) fn f32(&mut self, field: &'static str) -> Result<f32, AdapterError> {
+        Ok(f32::from_le_bytes(self.array(field)?))
     }
 
-    fn log(&mut self, line: &str) {
-        let text = &line.as_bytes()[..line.len().min(u16::MAX as usize)];
-        self.record(264, &[&(text.len() as u16).to_le_bytes(), text]);
+    pub(crate) fn endpoint(&mut self, field: &'static str) -> Result<EndpointId, AdapterError> {
+        let mut id = [0; size_of::<u64>()];
+        id[..ENDPOINT_ID_BYTES].copy_from_slice(self.bytes(ENDPOINT_ID_BYTES, field)?);
+        Ok(EndpointId(u64::from_le_bytes(id)))
     }
 }
