--- a/crates/discovery/src/agent_tests.rs
+++ b/crates/discovery/src/agent_tests.rs
@@ -3,6 +3,7 @@
 //! made is lost to its relay and was work all the same; a call that would wait beyond `QUEUE` is turned away.
 
 use super::*;
+use crate::Jitter;
 
 const GIVEN_UP: Duration = Duration::from_secs(2);
 const QUEUE: Duration = Duration::from_secs(6);
