--- /dev/null
+++ b/crates/handover/src/stop_plan.rs
@@ -0,0 +1,37 @@
+//! How a process stops.
+
+use std::time::Duration;
+
+/// What an owner does once it is told to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopPlan {
+    /// New client connections are accepted for so long: the platform's front still sends them.
+    pub accept_for: Duration,
+    /// New legs go out for so long ...
+    pub send_for: Duration,
+    /// ... and it ends by then, whatever is still out.
+    pub end_by: Duration,
+    /// It ends as soon as nothing is out and no client is left, though it holds messages.
+    pub hands_over: bool,
+}
+
+/// A stop for a restart: SIGKILL may come 3.7 s after SIGTERM.
+pub const RESTART: StopPlan = StopPlan {
+    accept_for: Duration::from_millis(500),
+    send_for: Duration::from_millis(2_000),
+    end_by: Duration::from_millis(3_500),
+    hands_over: false,
+};
+/// A stop with a taker beside it: every new connection goes to the taker, every message it holds is the
+/// taker's once it has ended, and the sooner it ends the sooner these are sent.
+pub const HANDOVER: StopPlan = StopPlan {
+    accept_for: Duration::ZERO,
+    send_for: Duration::ZERO,
+    end_by: Duration::from_millis(3_300),
+    hands_over: true,
+};
+
+/// How to stop: a handover if a taker is there.
+pub fn stop_plan(successor_present: bool) -> StopPlan {
+    if successor_present { HANDOVER } else { RESTART }
+}
--- a/crates/handover/src/tests.rs
+++ b/crates/handover/src/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use std::time::Duration;
 
 #[test]
 fn the_role_follows_from_the_locks() {
