Maintenance in modules: call, state (moved only)

Cause: one file held the reading of calls and the state that they change.

Change: pure move; only visibility and imports differ.

--- a/crates/maintenance/src/tests.rs
+++ b/crates/maintenance/src/tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::call::answer;
+use std::time::Duration;
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
