Spool: typed records and SpoolError, terms of the field, every public item documented

Cause: io::Error carried texts, records were read and written tag by tag in the middle of the file's code, and names were those of the earlier house style (legs, owed, live, small, told).

Change: `Record` is an enum decoded in one place; `SpoolError` (thiserror) in place of texts in io::Error, messages word for word, io::Error kept as source; fields and functions named by the terms, one step a line; missing_docs on. The relay's main converts one io::Error (one call-site line).

Tests, old -> new (assertions unchanged): everything_comes_back_in_the_order_handed_in -> messages_are_read_back_in_the_order_accepted both_files_stay_within_the_limit_and_a_full_spool_takes_nothing_on -> .._accepts_nothing a_log_of_format_1_is_read_with_no_time_of_taking -> .._with_no_time_of_acceptance all_that_is_alive_is_replaced_in_the_order_given_and_numbered_anew -> all_messages_are_replaced_.. Two tests of the encoding are new.

--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -195,7 +195,7 @@
     let legs = u64::from(start.policy_settings.max_attempts);
     let share = |of: f64| (start.disk as f64 * of) as u64;
     let next_dir = start.state.join(SUCCESSOR_DIR);
-    std::fs::create_dir_all(&next_dir).map_err(folder)?;
+    std::fs::create_dir_all(&next_dir).map_err(|e| folder(e.into()))?;
     let (owner_lock, owner_free) = lock(&start.state).map_err(NotStarted::failure)?;
     let (taker_lock, taker_free) = lock(&next_dir).map_err(NotStarted::failure)?;
     let taker_spool = next_dir.join(mountshift_spool::FILE_NAME).exists();
--- a/crates/spool/src/compaction.rs
+++ b/crates/spool/src/compaction.rs
@@ -1,80 +1,110 @@
-//! The spool written anew.
+//! The log written anew: which of it is still needed, and how much space that takes at most. Together the old
+//! and the new file stay within the limit.
 
-use crate::log_file::{FILE_NAME, NEW_NAME, Spool};
+use crate::log_file::{FILE_NAME, Spool};
 use crate::message::{AcceptedMessage, StoredMessage};
-use crate::record::{FORMAT, HEAD, SMALL, frame, leg_out, message, owed, small};
+use crate::record::{
+    MAX_SMALL_RECORD_BYTES, encode_accepted, encode_attempt, encode_format, encode_not_run, encode_outcome,
+    frame,
+};
 use std::fs::{self, OpenOptions};
 use std::io::{self, Write};
 
-/// Files count in whole blocks of this size.
-const BLOCK: u64 = 512;
+/// The fresh file, until it replaces the log.
+pub(crate) const NEW_FILE_NAME: &str = "spool.new";
+/// Files count in whole blocks of this size, in bytes.
+const BLOCK_BYTES: u64 = 512;
+/// Bytes of the format record at most.
+const MAX_FORMAT_RECORD_BYTES: u64 = MAX_SMALL_RECORD_BYTES;
 
 impl Spool {
-    /// Takes the place of all that is alive: these messages, numbered anew from 1 in the order given, written
-    /// to a fresh file that replaces the log by rename. For a handover, before any number was used.
+    /// Replaces all messages by these, numbered anew from 1 in the order given, in a fresh file that takes the
+    /// place of the log by rename. For a handover, before any number was used. Messages that don't fit within
+    /// the limit are not stored and come back, in the order given.
     ///
     /// # Errors
-    /// If the fresh file can't be written; the log is then as it was. Messages that don't fit within the limit
-    /// are not taken and come back, in the order given.
-    pub fn replace_all(&mut self, kept: Vec<StoredMessage>) -> io::Result<Vec<StoredMessage>> {
-        let (live, reserved, next) = (std::mem::take(&mut self.live), self.reserved, self.next);
-        (self.reserved, self.next) = (0, 1);
-        let mut left = Vec::new();
-        for k in kept {
-            let room = self.room_for(&k.accepted);
-            if !left.is_empty() || self.reserved + room > self.limit / 2 {
-                left.push(k);
+    /// If the fresh file can't be written; the log is then as it was.
+    pub fn replace_all(&mut self, messages: Vec<StoredMessage>) -> io::Result<Vec<StoredMessage>> {
+        let messages_before = std::mem::take(&mut self.messages);
+        let reserved_before = self.reserved_bytes;
+        let next_before = self.next_number;
+        self.reserved_bytes = 0;
+        self.next_number = 1;
+        let mut left_over = Vec::new();
+        for message in messages {
+            let needed = self.max_bytes_of(&message.accepted);
+            if !left_over.is_empty() || self.reserved_bytes + needed > self.max_bytes / 2 {
+                left_over.push(message);
                 continue;
             }
-            self.reserved += room;
-            self.live.insert(self.next, k);
-            self.next += 1;
+            self.reserved_bytes += needed;
+            self.messages.insert(self.next_number, message);
+            self.next_number += 1;
         }
-        if let Err(e) = self.compact() {
-            (self.live, self.reserved, self.next) = (live, reserved, next);
-            return Err(e);
+        if let Err(error) = self.compact() {
+            self.messages = messages_before;
+            self.reserved_bytes = reserved_before;
+            self.next_number = next_before;
+            return Err(error);
         }
-        Ok(left)
+        Ok(left_over)
     }
 
-    pub(crate) fn room_for(&self, accepted: &AcceptedMessage) -> u64 {
-        let own = SMALL + 24 + (accepted.id.len() + accepted.metadata.len() + accepted.body.len()) as u64;
-        own + self.max_attempts * (2 * SMALL + self.zone_room) + 2 * SMALL
+    /// Bytes that a message takes at most in a fresh file, with all its attempts and outcomes to come.
+    pub(crate) fn max_bytes_of(&self, accepted: &AcceptedMessage) -> u64 {
+        let text = (accepted.id.len() + accepted.metadata.len() + accepted.body.len()) as u64;
+        let message = MAX_SMALL_RECORD_BYTES + 24 + text;
+        let attempts = self.max_attempts * (2 * MAX_SMALL_RECORD_BYTES + self.max_zone_bytes);
+        let outcomes = 2 * MAX_SMALL_RECORD_BYTES;
+        message + attempts + outcomes
     }
 
-    /// True if the log, `more` bytes and a fresh file with `room` more fit together.
-    pub(crate) fn fits(&self, more: usize, room: u64) -> bool {
-        let now = self.written + self.pending.len() as u64 + more as u64;
-        blocks(now) + blocks(HEAD + self.reserved + room) <= self.limit || self.written == 0
+    /// True if the log with `more_in_log` bytes more and a fresh file with `more_reserved` bytes more fit
+    /// within the limit together.
+    pub(crate) fn fits(&self, more_in_log: usize, more_reserved: u64) -> bool {
+        let log = self.written_bytes + self.pending.len() as u64 + more_in_log as u64;
+        let fresh = MAX_FORMAT_RECORD_BYTES + self.reserved_bytes + more_reserved;
+        whole_blocks(log) + whole_blocks(fresh) <= self.max_bytes || self.written_bytes == 0
     }
 
-    /// Writes what is alive to a fresh file, which takes the place of the old one.
+    /// Writes the messages to a fresh file, which takes the place of the old one.
     pub(crate) fn compact(&mut self) -> io::Result<()> {
-        let mut bytes = frame(&small(b'V', FORMAT));
-        for (n, kept) in &self.live {
-            bytes.extend(frame(&message(*n, &kept.accepted)));
-            for leg in &kept.attempts {
-                bytes.extend(frame(&leg_out(*n, leg)));
-                if !leg.may_have_run {
-                    bytes.extend(frame(&small(b'N', *n)));
-                }
-            }
-            kept.pending_outcome.iter().for_each(|end| bytes.extend(frame(&owed(*n, *end))));
-        }
-        let new = self.dir.join(NEW_NAME);
-        let mut file = OpenOptions::new().create(true).append(true).open(&new)?;
+        let bytes = self.encode_all();
+        let new_path = self.dir.join(NEW_FILE_NAME);
+        let mut file = OpenOptions::new().create(true).append(true).open(&new_path)?;
         file.set_len(0)?;
-        let moved = file.write_all(&bytes).and_then(|()| fs::rename(&new, self.dir.join(FILE_NAME)));
-        if let Err(e) = moved {
-            let _ = fs::remove_file(&new);
-            return Err(e);
+        let written = file.write_all(&bytes);
+        let replaced = written.and_then(|()| fs::rename(&new_path, self.dir.join(FILE_NAME)));
+        if let Err(error) = replaced {
+            let _ = fs::remove_file(&new_path);
+            return Err(error);
         }
-        (self.file, self.written) = (file, bytes.len() as u64);
+        self.file = file;
+        self.written_bytes = bytes.len() as u64;
         self.pending.clear();
         Ok(())
     }
+
+    /// A log that holds the messages and nothing else.
+    fn encode_all(&self) -> Vec<u8> {
+        let mut bytes = frame(&encode_format());
+        for (number, message) in &self.messages {
+            bytes.extend(frame(&encode_accepted(*number, &message.accepted)));
+            for attempt in &message.attempts {
+                bytes.extend(frame(&encode_attempt(*number, attempt)));
+                if !attempt.may_have_run {
+                    bytes.extend(frame(&encode_not_run(*number)));
+                }
+            }
+            if let Some(outcome) = message.pending_outcome {
+                bytes.extend(frame(&encode_outcome(*number, outcome)));
+            }
+        }
+        bytes
+    }
 }
 
-pub(crate) fn blocks(bytes: u64) -> u64 {
-    bytes.div_ceil(BLOCK) * BLOCK
+/// What a file of so many bytes takes on disk.
+pub(crate) fn whole_blocks(bytes: u64) -> u64 {
+    bytes.div_ceil(BLOCK_BYTES) * BLOCK_BYTES
 }
--- a/crates/spool/src/log_file.rs
+++ b/crates/spool/src/log_file.rs
@@ -1,8 +1,12 @@
-//! The log file.
+//! The log file and the messages in it: opening and replaying, appending, committing.
 
-use crate::compaction::blocks;
+use crate::compaction::{NEW_FILE_NAME, whole_blocks};
+use crate::error::SpoolError;
 use crate::message::{AcceptedMessage, AttemptRecord, FinalOutcome, StoredMessage};
-use crate::record::{FORMAT, Fields, frame, leg_out, message, owed, record, small};
+use crate::record::{
+    FORMAT, Record, encode_accepted, encode_attempt, encode_format, encode_not_run, encode_outcome,
+    encode_removed, frame, split_first_record,
+};
 use log::warn;
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -12,136 +16,141 @@
 /// The log's file in its folder.
 pub const FILE_NAME: &str = "spool.log";
 
-pub(crate) const NEW_NAME: &str = "spool.new";
-
-/// The open log. Messages go by a number that grows in the order in which they were handed in.
+/// The open log. A message goes by a number; numbers grow in the order in which messages were accepted.
+/// Changes are kept in memory until [`Spool::commit`] writes them.
 pub struct Spool {
     pub(crate) dir: PathBuf,
     pub(crate) file: File,
-    pub(crate) written: u64,
+    /// Bytes of the log's file.
+    pub(crate) written_bytes: u64,
+    /// Records that are not written yet.
     pub(crate) pending: Vec<u8>,
-    pub(crate) limit: u64,
-    pub(crate) zone_room: u64,
+    /// What the log and a fresh one may take together.
+    pub(crate) max_bytes: u64,
+    /// Bytes of a zone's name at most.
+    pub(crate) max_zone_bytes: u64,
     pub(crate) max_attempts: u64,
-    pub(crate) live: BTreeMap<u64, StoredMessage>,
-    /// What the live messages take at most in a fresh file, with all their legs and ends to come.
-    pub(crate) reserved: u64,
-    pub(crate) next: u64,
+    /// Messages that are not over, by number.
+    pub(crate) messages: BTreeMap<u64, StoredMessage>,
+    /// What these take at most in a fresh file, with all their attempts and outcomes to come.
+    pub(crate) reserved_bytes: u64,
+    /// The number of the next message.
+    pub(crate) next_number: u64,
 }
 
 impl Spool {
-    /// Opens the log in `dir`, reads what is alive, drops a torn tail. A message may have `max_attempts` legs,
-    /// at places with names of `zone_room` bytes at most.
+    /// Opens the log in `dir` and reads the messages that are not over; a torn tail is dropped. The files take
+    /// `max_bytes` at most; a message may have `max_attempts` attempts, at zones with names of
+    /// `max_zone_bytes` bytes at most.
     ///
     /// # Errors
     /// If the folder can't be used, or the log holds whole records that this version can't read (of a newer
     /// format, say); the log is then left as it is.
-    pub fn open(dir: &Path, limit: u64, max_attempts: u64, zone_room: u64) -> io::Result<Spool> {
-        match fs::remove_file(dir.join(NEW_NAME)) {
-            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
-            _ => {}
-        }
+    pub fn open(
+        dir: &Path,
+        max_bytes: u64,
+        max_attempts: u64,
+        max_zone_bytes: u64,
+    ) -> Result<Spool, SpoolError> {
+        remove_if_present(&dir.join(NEW_FILE_NAME))?;
         let path = dir.join(FILE_NAME);
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         let bytes = fs::read(&path)?;
         let mut spool = Spool {
             dir: dir.to_path_buf(),
             file,
-            written: 0,
+            written_bytes: 0,
             pending: Vec::new(),
-            limit,
-            zone_room,
+            max_bytes,
+            max_zone_bytes,
             max_attempts,
-            live: BTreeMap::new(),
-            reserved: 0,
-            next: 1,
+            messages: BTreeMap::new(),
+            reserved_bytes: 0,
+            next_number: 1,
         };
-        let mut rest = &bytes[..];
-        while let Some((payload, after)) = record(rest) {
-            // Guards against the log of a newer program: what is whole and can't be read must not be dropped as
-            // if it were a torn tail.
-            spool.replay(payload).map_err(|what| {
-                let at = bytes.len() - rest.len();
-                io::Error::new(io::ErrorKind::InvalidData, format!("{FILE_NAME}, byte {at}: {what}"))
-            })?;
-            rest = after;
-        }
-        let good = bytes.len() - rest.len();
-        if !rest.is_empty() {
+        let whole_bytes = spool.replay(&bytes)?;
+        if whole_bytes < bytes.len() {
             // Guards against a record cut short by the end of a process: what follows it is unreadable.
-            warn!("spool: dropped a torn tail of {} bytes after {good}", rest.len());
-            spool.file.set_len(good as u64)?;
+            let torn_bytes = bytes.len() - whole_bytes;
+            warn!("spool: dropped a torn tail of {torn_bytes} bytes after {whole_bytes}");
+            spool.file.set_len(whole_bytes as u64)?;
         }
-        spool.written = good as u64;
-        if good == 0 {
-            spool.append(&small(b'V', FORMAT));
+        spool.written_bytes = whole_bytes as u64;
+        if whole_bytes == 0 {
+            spool.append(&encode_format());
         }
-        spool.reserved = spool.live.values().map(|k| spool.room_for(&k.accepted)).sum();
+        spool.reserved_bytes = spool.messages.values().map(|m| spool.max_bytes_of(&m.accepted)).sum();
         Ok(spool)
     }
 
-    /// What is alive, in the order in which it was handed in.
+    /// The messages that are not over, by number: in the order in which they were accepted.
     pub fn messages(&self) -> &BTreeMap<u64, StoredMessage> {
-        &self.live
+        &self.messages
     }
 
-    pub fn get(&self, n: u64) -> Option<&StoredMessage> {
-        self.live.get(&n)
+    /// The message with this number, unless it is over.
+    pub fn get(&self, number: u64) -> Option<&StoredMessage> {
+        self.messages.get(&number)
     }
 
-    /// Takes a message on under a new number; none if it is not sure to fit with all that may follow.
+    /// Accepts a message under a new number; none if it is not sure to fit with all that may follow.
     pub fn accept(&mut self, accepted: AcceptedMessage) -> Option<u64> {
-        let (n, room) = (self.next, self.room_for(&accepted));
-        let record = frame(&message(n, &accepted));
+        let number = self.next_number;
+        let needed = self.max_bytes_of(&accepted);
+        let record = frame(&encode_accepted(number, &accepted));
         // A tenth stays free so that a nearly full log is not written anew for every message.
-        let half = (self.limit / 2).saturating_sub(self.limit / 20);
-        if self.reserved + room > half {
+        let half = (self.max_bytes / 2).saturating_sub(self.max_bytes / 20);
+        if self.reserved_bytes + needed > half {
             return None;
         }
-        if !self.fits(record.len(), room) && (self.compact().is_err() || !self.fits(record.len(), room)) {
+        if !self.fits(record.len(), needed) && (self.compact().is_err() || !self.fits(record.len(), needed)) {
             return None;
         }
-        self.reserved += room;
-        self.next += 1;
+        self.reserved_bytes += needed;
+        self.next_number += 1;
         self.pending.extend(record);
-        self.live.insert(n, StoredMessage { accepted, attempts: Vec::new(), pending_outcome: None });
-        Some(n)
+        self.messages.insert(number, StoredMessage::new(accepted));
+        Some(number)
     }
 
-    /// Notes a leg that is about to go out.
-    pub fn record_attempt(&mut self, n: u64, zone: &str, at: u64) {
-        let leg = AttemptRecord { zone: zone.to_string(), at, may_have_run: true };
-        if let Some(kept) = self.live.get_mut(&n) {
-            kept.attempts.push(leg.clone());
-            self.append(&leg_out(n, &leg));
-        }
+    /// Records an attempt that is about to be sent at `at`, Unix time in milliseconds.
+    pub fn record_attempt(&mut self, number: u64, zone: &str, at: u64) {
+        let Some(message) = self.messages.get_mut(&number) else { return };
+        let attempt = AttemptRecord { zone: zone.to_string(), at, may_have_run: true };
+        let record = encode_attempt(number, &attempt);
+        message.attempts.push(attempt);
+        self.append(&record);
     }
 
-    /// Notes that the last leg never ran.
-    pub fn record_not_run(&mut self, n: u64) {
-        if let Some(leg) = self.live.get_mut(&n).and_then(|k| k.attempts.last_mut()) {
-            leg.may_have_run = false;
-            self.append(&small(b'N', n));
+    /// Records that the last attempt was not processed.
+    pub fn record_not_run(&mut self, number: u64) {
+        let last = self.messages.get_mut(&number).and_then(|message| message.attempts.last_mut());
+        if let Some(attempt) = last {
+            attempt.may_have_run = false;
+            self.append(&encode_not_run(number));
         }
     }
 
-    /// Notes an end that is owed until `remove`.
-    pub fn record_outcome(&mut self, n: u64, end: FinalOutcome) {
-        if let Some(kept) = self.live.get_mut(&n) {
-            kept.pending_outcome = Some(end);
-            self.append(&owed(n, end));
+    /// Records a final outcome whose notification is pending until [`Spool::remove`].
+    pub fn record_outcome(&mut self, number: u64, outcome: FinalOutcome) {
+        if let Some(message) = self.messages.get_mut(&number) {
+            message.pending_outcome = Some(outcome);
+            self.append(&encode_outcome(number, outcome));
         }
     }
 
     /// The message is over: nothing of it is kept.
-    pub fn remove(&mut self, n: u64) {
-        if let Some(kept) = self.live.remove(&n) {
-            self.reserved -= self.room_for(&kept.accepted);
-            self.append(&small(b'E', n));
+    pub fn remove(&mut self, number: u64) {
+        if let Some(message) = self.messages.remove(&number) {
+            self.reserved_bytes -= self.max_bytes_of(&message.accepted);
+            self.append(&encode_removed(number));
         }
     }
 
-    /// Writes what was noted since the last call. Before this returns nothing of it is safe.
+    /// Writes what was recorded since the last call. Before this returns nothing of it survives the process.
+    ///
+    /// # Errors
+    /// If the file can't be written. What was recorded stays pending, and the file holds no part of it.
     pub fn commit(&mut self) -> io::Result<()> {
         if self.pending.is_empty() {
             return Ok(());
@@ -149,75 +158,87 @@
         if !self.fits(0, 0) {
             return self.compact();
         }
-        if let Err(e) = self.file.write_all(&self.pending) {
+        if let Err(error) = self.file.write_all(&self.pending) {
             // Guards against half a record in the middle of the log.
-            self.file.set_len(self.written)?;
-            return Err(e);
+            self.file.set_len(self.written_bytes)?;
+            return Err(error);
         }
-        self.written += self.pending.len() as u64;
+        self.written_bytes += self.pending.len() as u64;
         self.pending.clear();
         Ok(())
     }
 
-    /// The bytes that the log takes now, in whole blocks.
+    /// The bytes that the log takes on disk now, in whole blocks.
     pub fn size(&self) -> u64 {
-        blocks(self.written)
+        whole_blocks(self.written_bytes)
     }
 
-    pub(crate) fn append(&mut self, payload: &[u8]) {
+    fn append(&mut self, payload: &[u8]) {
         self.pending.extend(frame(payload));
     }
 
-    /// Takes a whole record in, or tells why that can't be.
-    fn replay(&mut self, payload: &[u8]) -> Result<(), String> {
-        let newer = |tag: u8, n: u64| tag == b'V' && n > FORMAT;
-        match payload.split_first().and_then(|(tag, rest)| Some((*tag, Fields(rest).u64()?))) {
-            Some((tag, n)) if newer(tag, n) => {
-                Err(format!("it is of format {n}; this program reads formats up to {FORMAT}"))
-            }
-            _ => {
-                self.read(payload).ok_or_else(|| "a record of a kind that this program does not know".into())
+    /// Reads all whole records; how many bytes these are.
+    fn replay(&mut self, bytes: &[u8]) -> Result<usize, SpoolError> {
+        let mut rest = bytes;
+        while let Some((payload, after)) = split_first_record(rest) {
+            let offset = bytes.len() - rest.len();
+            // Guards against the log of a newer program: what is whole and can't be read must not be dropped as
+            // if it were a torn tail.
+            match Record::decode(payload) {
+                Some(Record::Format(format)) if format > FORMAT => {
+                    return Err(SpoolError::NewerFormat { offset, format });
+                }
+                Some(record) => self.apply(record),
+                None => return Err(SpoolError::UnknownRecord { offset }),
             }
+            rest = after;
         }
+        Ok(bytes.len() - rest.len())
     }
 
-    fn read(&mut self, payload: &[u8]) -> Option<()> {
-        let mut f = Fields(payload);
-        let (tag, n) = (f.take(1)?[0], f.u64()?);
-        if tag == b'V' {
-            return Some(());
-        }
-        self.next = self.next.max(n + 1);
-        match tag {
-            b'M' => {
-                let (key, deadline) = (f.u64()?, f.u64()?);
-                let (id, metadata) = (f.text()?.to_vec(), String::from_utf8(f.text()?.to_vec()).ok()?);
-                let body = f.text()?.to_vec();
-                // Format 1 ends here.
-                let accepted_at_us = if f.0.is_empty() { 0 } else { f.u64()? };
-                let accepted = AcceptedMessage { id, key, metadata, deadline, body, accepted_at_us };
-                self.live.insert(n, StoredMessage { accepted, attempts: Vec::new(), pending_outcome: None });
+    /// Takes up one record of the log. Records of messages that are over change nothing.
+    fn apply(&mut self, record: Record) {
+        match record {
+            Record::Format(_) => {}
+            Record::Accepted { number, message } => {
+                self.note_used(number);
+                self.messages.insert(number, StoredMessage::new(message));
             }
-            b'L' => {
-                let (at, zone) = (f.u64()?, String::from_utf8(f.text()?.to_vec()).ok()?);
-                let leg = AttemptRecord { zone, at, may_have_run: true };
-                self.live.get_mut(&n).into_iter().for_each(|k| k.attempts.push(leg.clone()));
+            Record::Attempt { number, attempt } => {
+                self.note_used(number);
+                if let Some(message) = self.messages.get_mut(&number) {
+                    message.attempts.push(attempt);
+                }
             }
-            b'N' => {
-                let leg = self.live.get_mut(&n).and_then(|k| k.attempts.last_mut());
-                leg.into_iter().for_each(|l| l.may_have_run = false);
+            Record::NotRun { number } => {
+                self.note_used(number);
+                let message = self.messages.get_mut(&number);
+                if let Some(attempt) = message.and_then(|message| message.attempts.last_mut()) {
+                    attempt.may_have_run = false;
+                }
             }
-            b'F' => {
-                let pause = f.u64()?;
-                let end =
-                    if pause == u64::MAX { FinalOutcome::Failed } else { FinalOutcome::Rejected(pause) };
-                self.live.get_mut(&n).into_iter().for_each(|k| k.pending_outcome = Some(end));
+            Record::Outcome { number, outcome } => {
+                self.note_used(number);
+                if let Some(message) = self.messages.get_mut(&number) {
+                    message.pending_outcome = Some(outcome);
+                }
             }
-            b'E' => {
-                self.live.remove(&n);
+            Record::Removed { number } => {
+                self.note_used(number);
+                self.messages.remove(&number);
             }
-            _ => return None,
         }
-        Some(())
+    }
+
+    /// Guards against a number used twice.
+    fn note_used(&mut self, number: u64) {
+        self.next_number = self.next_number.max(number + 1);
+    }
+}
+
+fn remove_if_present(path: &Path) -> io::Result<()> {
+    match fs::remove_file(path) {
+        Err(error) if error.kind() != io::ErrorKind::NotFound => Err(error),
+        _ => Ok(()),
     }
 }
--- a/crates/spool/src/record.rs
+++ b/crates/spool/src/record.rs
@@ -1,87 +1,179 @@
-//! Records of the log as bytes.
+//! Records of the log as bytes. A record is framed by its length and checksum; its payload is a tag, the number
+//! of a message, and what the tag adds. All numbers are little-endian. Opens no file.
 
 use crate::message::{AcceptedMessage, AttemptRecord, FinalOutcome};
 
-/// The format of the log. Logs without a head record are of format 0, which differs in that alone; format 1
-/// has no time of taking in its messages, which format 2 appends to each.
+/// The format of the log. Logs without a format record are of format 0, which differs in that alone; format 1
+/// has no time of acceptance in its messages, which format 2 appends to each.
 pub(crate) const FORMAT: u64 = 2;
+/// Bytes of a frame before its payload: length and checksum.
+const FRAME_HEADER_BYTES: usize = 8;
+/// No record is larger: guards against reading a torn length.
+const MAX_RECORD_BYTES: usize = 1 << 20;
+/// Bytes of a record without text: frame, tag, number, and at most two more numbers.
+pub(crate) const MAX_SMALL_RECORD_BYTES: u64 = FRAME_HEADER_BYTES as u64 + 1 + 8 + 16;
+
+const TAG_FORMAT: u8 = b'V';
+const TAG_ACCEPTED: u8 = b'M';
+const TAG_ATTEMPT: u8 = b'L';
+const TAG_NOT_RUN: u8 = b'N';
+const TAG_OUTCOME: u8 = b'F';
+const TAG_REMOVED: u8 = b'E';
+/// Stands in the place of a Retry-After for the outcome `Failed`.
+const FAILED: u64 = u64::MAX;
+
+/// A payload as it was read.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Record {
+    Format(u64),
+    Accepted { number: u64, message: AcceptedMessage },
+    Attempt { number: u64, attempt: AttemptRecord },
+    NotRun { number: u64 },
+    Outcome { number: u64, outcome: FinalOutcome },
+    Removed { number: u64 },
+}
 
-const HEADER: usize = 8;
-
-/// No record is larger: a guard against reading a torn length.
-const RECORD_MOST: usize = 1 << 20;
-
-/// Bytes of a record without text: header, tag, number, and at most two more numbers.
-pub(crate) const SMALL: u64 = HEADER as u64 + 1 + 8 + 16;
-
-/// Bytes of the head record at most.
-pub(crate) const HEAD: u64 = SMALL;
+impl Record {
+    /// None if the payload is of a kind that this program does not know.
+    pub(crate) fn decode(payload: &[u8]) -> Option<Record> {
+        let mut fields = Fields(payload);
+        let tag = fields.take(1)?[0];
+        let number = fields.number()?;
+        match tag {
+            TAG_FORMAT => Some(Record::Format(number)),
+            TAG_ACCEPTED => Some(Record::Accepted { number, message: fields.message()? }),
+            TAG_ATTEMPT => Some(Record::Attempt { number, attempt: fields.attempt()? }),
+            TAG_NOT_RUN => Some(Record::NotRun { number }),
+            TAG_OUTCOME => Some(Record::Outcome { number, outcome: fields.outcome()? }),
+            TAG_REMOVED => Some(Record::Removed { number }),
+            _ => None,
+        }
+    }
+}
 
+/// The payload, framed.
 pub(crate) fn frame(payload: &[u8]) -> Vec<u8> {
-    let mut bytes = Vec::with_capacity(HEADER + payload.len());
+    let mut bytes = Vec::with_capacity(FRAME_HEADER_BYTES + payload.len());
     bytes.extend((payload.len() as u32).to_le_bytes());
     bytes.extend(crc32fast::hash(payload).to_le_bytes());
     bytes.extend(payload);
     bytes
 }
 
-/// The first record's content and what follows it; none if it is not whole.
-pub(crate) fn record(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+/// The first record's payload and the bytes that follow it; none if it is not whole.
+pub(crate) fn split_first_record(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
     let (length, after) = bytes.split_first_chunk::<4>()?;
-    let (sum, after) = after.split_first_chunk::<4>()?;
+    let (checksum, after) = after.split_first_chunk::<4>()?;
     let length = u32::from_le_bytes(*length) as usize;
-    let (payload, after) = after.split_at_checked(length).filter(|_| length <= RECORD_MOST)?;
-    (crc32fast::hash(payload) == u32::from_le_bytes(*sum)).then_some((payload, after))
+    if length > MAX_RECORD_BYTES {
+        return None;
+    }
+    let (payload, after) = after.split_at_checked(length)?;
+    if crc32fast::hash(payload) != u32::from_le_bytes(*checksum) {
+        return None;
+    }
+    Some((payload, after))
 }
 
-pub(crate) fn small(tag: u8, n: u64) -> Vec<u8> {
-    let mut bytes = vec![tag];
-    bytes.extend(n.to_le_bytes());
+pub(crate) fn encode_format() -> Vec<u8> {
+    encode_number(TAG_FORMAT, FORMAT)
+}
+
+pub(crate) fn encode_accepted(number: u64, message: &AcceptedMessage) -> Vec<u8> {
+    let mut bytes = encode_number(TAG_ACCEPTED, number);
+    bytes.extend(message.key.to_le_bytes());
+    bytes.extend(message.deadline.to_le_bytes());
+    append_text(&mut bytes, &message.id);
+    append_text(&mut bytes, message.metadata.as_bytes());
+    append_text(&mut bytes, &message.body);
+    bytes.extend(message.accepted_at_us.to_le_bytes());
     bytes
 }
 
-pub(crate) fn message(n: u64, accepted: &AcceptedMessage) -> Vec<u8> {
-    let mut bytes = small(b'M', n);
-    [accepted.key, accepted.deadline].iter().for_each(|x| bytes.extend(x.to_le_bytes()));
-    [&accepted.id[..], accepted.metadata.as_bytes(), &accepted.body].iter().for_each(|t| text(&mut bytes, t));
-    bytes.extend(accepted.accepted_at_us.to_le_bytes());
+pub(crate) fn encode_attempt(number: u64, attempt: &AttemptRecord) -> Vec<u8> {
+    let mut bytes = encode_number(TAG_ATTEMPT, number);
+    bytes.extend(attempt.at.to_le_bytes());
+    append_text(&mut bytes, attempt.zone.as_bytes());
     bytes
 }
 
-pub(crate) fn leg_out(n: u64, leg: &AttemptRecord) -> Vec<u8> {
-    let mut bytes = small(b'L', n);
-    bytes.extend(leg.at.to_le_bytes());
-    text(&mut bytes, leg.zone.as_bytes());
+pub(crate) fn encode_not_run(number: u64) -> Vec<u8> {
+    encode_number(TAG_NOT_RUN, number)
+}
+
+pub(crate) fn encode_outcome(number: u64, outcome: FinalOutcome) -> Vec<u8> {
+    let retry_after_ms = match outcome {
+        FinalOutcome::Failed => FAILED,
+        FinalOutcome::Rejected(retry_after_ms) => retry_after_ms,
+    };
+    let mut bytes = encode_number(TAG_OUTCOME, number);
+    bytes.extend(retry_after_ms.to_le_bytes());
     bytes
 }
 
-pub(crate) fn owed(n: u64, end: FinalOutcome) -> Vec<u8> {
-    let mut bytes = small(b'F', n);
-    let pause = if let FinalOutcome::Rejected(pause) = end { pause } else { u64::MAX };
-    bytes.extend(pause.to_le_bytes());
+pub(crate) fn encode_removed(number: u64) -> Vec<u8> {
+    encode_number(TAG_REMOVED, number)
+}
+
+fn encode_number(tag: u8, number: u64) -> Vec<u8> {
+    let mut bytes = vec![tag];
+    bytes.extend(number.to_le_bytes());
     bytes
 }
 
-pub(crate) fn text(bytes: &mut Vec<u8>, text: &[u8]) {
+fn append_text(bytes: &mut Vec<u8>, text: &[u8]) {
     bytes.extend((text.len() as u32).to_le_bytes());
     bytes.extend(text);
 }
 
-pub(crate) struct Fields<'a>(pub(crate) &'a [u8]);
+/// What is left to read of a payload.
+struct Fields<'a>(&'a [u8]);
 
 impl<'a> Fields<'a> {
-    pub(crate) fn take(&mut self, n: usize) -> Option<&'a [u8]> {
-        let (taken, left) = self.0.split_at_checked(n)?;
+    fn take(&mut self, count: usize) -> Option<&'a [u8]> {
+        let (taken, left) = self.0.split_at_checked(count)?;
         self.0 = left;
         Some(taken)
     }
 
-    pub(crate) fn u64(&mut self) -> Option<u64> {
+    fn number(&mut self) -> Option<u64> {
         Some(u64::from_le_bytes(self.take(8)?.try_into().ok()?))
     }
 
-    pub(crate) fn text(&mut self) -> Option<&'a [u8]> {
-        let n = u32::from_le_bytes(self.take(4)?.try_into().ok()?);
-        self.take(n as usize)
+    fn text(&mut self) -> Option<&'a [u8]> {
+        let length = u32::from_le_bytes(self.take(4)?.try_into().ok()?);
+        self.take(length as usize)
+    }
+
+    fn string(&mut self) -> Option<String> {
+        String::from_utf8(self.text()?.to_vec()).ok()
+    }
+
+    fn message(&mut self) -> Option<AcceptedMessage> {
+        let key = self.number()?;
+        let deadline = self.number()?;
+        let id = self.text()?.to_vec();
+        let metadata = self.string()?;
+        let body = self.text()?.to_vec();
+        // Format 1 ends here.
+        let accepted_at_us = if self.0.is_empty() { 0 } else { self.number()? };
+        Some(AcceptedMessage { id, key, metadata, deadline, body, accepted_at_us })
+    }
+
+    fn attempt(&mut self) -> Option<AttemptRecord> {
+        let at = self.number()?;
+        let zone = self.string()?;
+        Some(AttemptRecord { zone, at, may_have_run: true })
+    }
+
+    fn outcome(&mut self) -> Option<FinalOutcome> {
+        match self.number()? {
+            FAILED => Some(FinalOutcome::Failed),
+            retry_after_ms => Some(FinalOutcome::Rejected(retry_after_ms)),
+        }
     }
 }
+
+#[cfg(test)]
+#[path = "record_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/spool/src/record_tests.rs
@@ -0,0 +1,44 @@
+use super::*;
+
+fn message() -> AcceptedMessage {
+    AcceptedMessage {
+        id: b"a".to_vec(),
+        key: 5,
+        metadata: "c=a,d=8000".into(),
+        deadline: 1_000,
+        body: vec![0, 255],
+        accepted_at_us: 9,
+    }
+}
+
+#[test]
+fn every_record_is_decoded_as_it_was_encoded() {
+    let attempt = AttemptRecord { zone: "north".into(), at: 77, may_have_run: true };
+    for (payload, expected) in [
+        (encode_format(), Record::Format(FORMAT)),
+        (encode_accepted(1, &message()), Record::Accepted { number: 1, message: message() }),
+        (encode_attempt(2, &attempt), Record::Attempt { number: 2, attempt }),
+        (encode_not_run(3), Record::NotRun { number: 3 }),
+        (
+            encode_outcome(4, FinalOutcome::Failed),
+            Record::Outcome { number: 4, outcome: FinalOutcome::Failed },
+        ),
+        (
+            encode_outcome(5, FinalOutcome::Rejected(500)),
+            Record::Outcome { number: 5, outcome: FinalOutcome::Rejected(500) },
+        ),
+        (encode_removed(6), Record::Removed { number: 6 }),
+    ] {
+        assert_eq!(Record::decode(&payload), Some(expected));
+    }
+}
+
+#[test]
+fn a_payload_cut_short_or_of_an_unknown_tag_is_not_decoded() {
+    let payload = encode_accepted(1, &message());
+    let without_time = payload.len() - 8;
+    for cut in (0..payload.len()).filter(|cut| *cut != without_time) {
+        assert_eq!(Record::decode(&payload[..cut]), None, "cut at {cut}");
+    }
+    assert_eq!(Record::decode(b"Q12345678"), None);
+}
--- a/crates/spool/tests/spool.rs
+++ b/crates/spool/tests/spool.rs
@@ -23,7 +23,7 @@
     }
 }
 
-fn leg(at: u64, may_have_run: bool) -> AttemptRecord {
+fn attempt(at: u64, may_have_run: bool) -> AttemptRecord {
     AttemptRecord { zone: "north".into(), at, may_have_run }
 }
 
@@ -34,7 +34,7 @@
 }
 
 #[test]
-fn everything_comes_back_in_the_order_handed_in() {
+fn messages_are_read_back_in_the_order_accepted() {
     let dir = tempfile::tempdir().expect("a folder");
     let mut spool = open(dir.path(), 1 << 20);
     let n: Vec<u64> =
@@ -54,7 +54,7 @@
         pending_outcome,
     };
     let expected = BTreeMap::from([
-        (n[0], kept("a", vec![leg(10, false), leg(20, true)], None)),
+        (n[0], kept("a", vec![attempt(10, false), attempt(20, true)], None)),
         (n[1], kept("b", vec![], Some(FinalOutcome::Rejected(500)))),
         (n[3], kept("d", vec![], Some(FinalOutcome::Failed))),
     ]);
@@ -132,7 +132,7 @@
     let why = refused([log.clone(), unknown, framed(b"E12345678")].concat());
     let at = log.len();
     assert_eq!(why, format!("spool.log, byte {at}: a record of a kind that this program does not know"));
-    // A log from before there were formats is read, and gets a head when it is next written anew.
+    // A log from before there were formats is read, and gets a format record when it is next written anew.
     fs::write(&path, &log[head.len()..]).expect("a log");
     let mut old = open(dir.path(), 4_000);
     assert_eq!(old.messages().len(), 1);
@@ -145,7 +145,7 @@
 }
 
 #[test]
-fn both_files_stay_within_the_limit_and_a_full_spool_takes_nothing_on() {
+fn both_files_stay_within_the_limit_and_a_full_spool_accepts_nothing() {
     let (dir, limit) = (tempfile::tempdir().expect("a folder"), 40_000);
     let mut spool = open(dir.path(), limit);
     let (mut held, mut full) = (Vec::new(), 0);
@@ -154,7 +154,7 @@
             Some(n) => held.push(n),
             None => full += 1,
         }
-        // Every leg and end of what was taken on has room, however full it is.
+        // Every attempt and outcome of what was accepted has room, however full it is.
         for n in held.iter().rev().take(1) {
             (0..MAX_ATTEMPTS).for_each(|at| spool.record_attempt(*n, "northern", at));
         }
@@ -167,7 +167,7 @@
             assert_eq!(open(dir.path(), limit).messages(), spool.messages(), "at {i}");
         }
     }
-    assert!(full > 0 && full < 2_000, "{full} not taken on");
+    assert!(full > 0 && full < 2_000, "{full} not accepted");
 }
 
 #[test]
@@ -190,7 +190,7 @@
 }
 
 #[test]
-fn a_log_of_format_1_is_read_with_no_time_of_taking() {
+fn a_log_of_format_1_is_read_with_no_time_of_acceptance() {
     let dir = tempfile::tempdir().expect("a folder");
     let mut message = vec![b'M'];
     [1u64, 5, 1_000].iter().for_each(|x| message.extend(x.to_le_bytes()));
@@ -206,7 +206,7 @@
 }
 
 #[test]
-fn all_that_is_alive_is_replaced_in_the_order_given_and_numbered_anew() {
+fn all_messages_are_replaced_in_the_order_given_and_numbered_anew() {
     let dir = tempfile::tempdir().expect("a folder");
     let mut spool = open(dir.path(), 1 << 20);
     for id in ["a", "b", "c"] {
@@ -228,7 +228,7 @@
     assert_eq!(ids(&spool), wanted);
     let again = open(dir.path(), 1 << 20);
     assert_eq!(ids(&again), wanted);
-    assert_eq!(again.messages()[&2].attempts, vec![leg(77, true)]);
+    assert_eq!(again.messages()[&2].attempts, vec![attempt(77, true)]);
     assert_eq!(again.messages()[&4].pending_outcome, Some(FinalOutcome::Failed));
     // What does not fit comes back and is not in the log.
     let other = tempfile::tempdir().expect("a folder");
