Settings: SettingsError in place of String, terms of the field, every public item documented

Cause: errors were texts, and names said less than they do (or, need, span, pairs, differ, told).

Change: `SettingsError` (thiserror), messages word for word; policy_settings reads its parts in functions of their own, in the order as before, so that of several wrong settings the same one is named; `RateLimitField` in place of a tuple (one call-site line in the simulation adapter); missing_docs on.

Tests, old -> new (assertions unchanged; errors are compared by their message): text_and_json_give_the_same_facts -> text_and_json_give_the_same_settings a_target_time_is_never_beyond_the_deadline -> a_latency_objective_is_never_beyond_the_deadline the_value_that_tells_a_limit_is_found_by_what_the_settings_say_of_it -> the_rate_limit_field_is_found_by_..

--- a/crates/settings/src/flat.rs
+++ b/crates/settings/src/flat.rs
@@ -1,116 +1,163 @@
-//! The settings as text by path.
+//! The settings as text by path, whichever form they came in, and the reading of single values.
 
+use crate::error::SettingsError;
 use serde_json::Value;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Display;
 use std::str::FromStr;
 use std::time::Duration;
 
 /// The settings as text by path; a list of plain values is one text, joined by commas.
-pub struct FlatSettings(pub(crate) BTreeMap<String, String>);
+pub struct FlatSettings(BTreeMap<String, String>);
 
-/// A name as it stands in a list of names.
+/// A name as it stands in a list of names: spaces and commas are underscores.
 pub fn plain(name: &str) -> String {
     name.replace([' ', ','], "_")
 }
 
 impl FlatSettings {
-    /// From a path=value pair a line.
+    /// From lines of `path=value`; lines without `=` are left out.
     pub fn from_text(text: &str) -> FlatSettings {
-        let pairs = text.lines().filter_map(|line| line.split_once('='));
-        FlatSettings(pairs.map(|(path, text)| (path.to_string(), text.to_string())).collect())
+        let mut values = BTreeMap::new();
+        for (path, value) in text.lines().filter_map(|line| line.split_once('=')) {
+            values.insert(path.to_string(), value.to_string());
+        }
+        FlatSettings(values)
     }
 
+    /// From nested JSON with the same names; parts of a path are joined by dots. A list of objects is read as its
+    /// `count` and one path for each index; `null` is as good as absent.
     pub fn from_json(value: &Value) -> FlatSettings {
-        let mut pairs = FlatSettings(BTreeMap::new());
-        pairs.flatten(String::new(), value);
-        pairs
+        let mut settings = FlatSettings(BTreeMap::new());
+        settings.flatten(String::new(), value);
+        settings
     }
 
     fn flatten(&mut self, path: String, value: &Value) {
-        let under = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+        let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
         match value {
-            Value::Object(fields) => fields.iter().for_each(|(name, v)| self.flatten(under(name), v)),
+            Value::Object(fields) => {
+                for (name, field) in fields {
+                    self.flatten(below(name), field);
+                }
+            }
             Value::Array(items) if items.iter().any(Value::is_object) => {
-                self.0.insert(under("count"), items.len().to_string());
-                items.iter().enumerate().for_each(|(i, v)| self.flatten(under(&i.to_string()), v));
+                self.0.insert(below("count"), items.len().to_string());
+                for (index, item) in items.iter().enumerate() {
+                    self.flatten(below(&index.to_string()), item);
+                }
             }
             Value::Array(items) => {
-                let texts: Vec<String> = items.iter().map(FlatSettings::text).collect();
+                let texts: Vec<String> = items.iter().map(json_text).collect();
                 self.0.insert(path, texts.join(","));
             }
             Value::Null => {}
-            plain => {
-                self.0.insert(path, FlatSettings::text(plain));
+            single => {
+                self.0.insert(path, json_text(single));
             }
         }
     }
 
-    fn text(value: &Value) -> String {
-        value.as_str().map_or_else(|| value.to_string(), plain)
+    /// The text at the path, empty if there is none.
+    pub(crate) fn text(&self, path: &str) -> &str {
+        self.0.get(path).map_or("", String::as_str)
     }
 
-    fn read<T: FromStr>(path: &str, text: &str) -> Result<T, String> {
-        text.parse().map_err(|_| format!("setting {path}={text} can't be read"))
+    /// The value, which must be there.
+    pub(crate) fn required<T: FromStr>(&self, path: &str) -> Result<T, SettingsError> {
+        let Some(text) = self.0.get(path) else {
+            return Err(SettingsError::Missing { path: path.to_string() });
+        };
+        parse(path, text)
     }
 
-    pub(crate) fn need<T: FromStr>(&self, path: &str) -> Result<T, String> {
-        let text = self.0.get(path).ok_or_else(|| format!("setting {path} is missing"))?;
-        FlatSettings::read(path, text)
+    /// The value, or what its absence means on the wire.
+    pub(crate) fn value_or<T: FromStr>(&self, path: &str, absent: T) -> Result<T, SettingsError> {
+        self.0.get(path).map_or(Ok(absent), |text| parse(path, text))
     }
 
-    /// The value, or what the wire means by its absence.
-    pub(crate) fn or<T: FromStr>(&self, path: &str, absent: T) -> Result<T, String> {
-        self.0.get(path).map_or(Ok(absent), |text| FlatSettings::read(path, text))
+    /// The values of a list; none if the list is absent.
+    pub(crate) fn list<T: FromStr>(&self, path: &str) -> Result<Vec<T>, SettingsError> {
+        let items = self.text(path).split(',').filter(|item| !item.is_empty());
+        items.map(|item| parse(path, item)).collect()
     }
 
-    pub(crate) fn list<T: FromStr>(&self, path: &str) -> Result<Vec<T>, String> {
-        let text = self.0.get(path).map_or("", String::as_str);
-        text.split(',').filter(|item| !item.is_empty()).map(|item| FlatSettings::read(path, item)).collect()
+    /// A span, given in microseconds.
+    pub(crate) fn duration(&self, path: &str) -> Result<Duration, SettingsError> {
+        self.required(path).map(Duration::from_micros)
     }
 
-    pub(crate) fn span(&self, path: &str) -> Result<Duration, String> {
-        self.need(path).map(Duration::from_micros)
+    /// A span, given in microseconds; zero if absent.
+    pub(crate) fn duration_or_zero(&self, path: &str) -> Result<Duration, SettingsError> {
+        self.value_or(path, 0).map(Duration::from_micros)
     }
 
-    pub(crate) fn span_or_none(&self, path: &str) -> Result<Duration, String> {
-        self.or(path, 0).map(Duration::from_micros)
+    /// A finite number of at least zero.
+    pub(crate) fn amount(&self, path: &str) -> Result<f64, SettingsError> {
+        check_amount(path, self.required(path)?)
     }
 
-    /// A finite number of at least zero.
-    pub(crate) fn number(&self, path: &str) -> Result<f64, String> {
-        amount(path, self.need(path)?)
+    /// A finite number of at least zero; zero if absent.
+    pub(crate) fn amount_or_zero(&self, path: &str) -> Result<f64, SettingsError> {
+        check_amount(path, self.value_or(path, 0.0)?)
     }
 
-    pub(crate) fn amounts(&self, path: &str) -> Result<Vec<f64>, String> {
-        self.list(path)?.into_iter().map(|n| amount(path, n)).collect()
+    /// A list of finite numbers of at least zero.
+    pub(crate) fn amounts(&self, path: &str) -> Result<Vec<f64>, SettingsError> {
+        self.list(path)?.into_iter().map(|number| check_amount(path, number)).collect()
     }
 
     /// A whole number of at least one.
-    pub(crate) fn count<T: FromStr + PartialOrd + From<u8> + std::fmt::Display>(
-        &self,
-        path: &str,
-    ) -> Result<T, String> {
-        let n: T = self.need(path)?;
-        if n >= T::from(1) { Ok(n) } else { Err(format!("setting {path}={n} is none at all")) }
+    pub(crate) fn count<T>(&self, path: &str) -> Result<T, SettingsError>
+    where
+        T: FromStr + PartialOrd + From<u8> + Display,
+    {
+        let number: T = self.required(path)?;
+        if number >= T::from(1) {
+            return Ok(number);
+        }
+        Err(SettingsError::Zero { path: path.to_string(), value: number.to_string() })
+    }
+
+    /// The names of a list of objects.
+    pub(crate) fn object_names(&self, list: &str) -> Result<Vec<String>, SettingsError> {
+        let count: u32 = self.value_or(&format!("{list}.count"), 0)?;
+        let mut names = Vec::new();
+        for index in 0..count {
+            names.push(self.required(&format!("{list}.{index}.name"))?);
+        }
+        check_distinct(list, names)
     }
 
-    /// The names of a list of objects. Guards against two that would be taken for one another.
-    pub(crate) fn names(&self, of: &str) -> Result<Vec<String>, String> {
-        let count: u32 = self.or(&format!("{of}.count"), 0)?;
-        let names: Result<Vec<String>, String> =
-            (0..count).map(|i| self.need(&format!("{of}.{i}.name"))).collect();
-        differ(of, names?)
+    /// The names of a list of plain names.
+    pub(crate) fn plain_names(&self, list: &str) -> Result<Vec<String>, SettingsError> {
+        check_distinct(list, self.list(list)?)
     }
 }
 
-pub(crate) fn amount(path: &str, n: f64) -> Result<f64, String> {
-    if n.is_finite() && n >= 0.0 { Ok(n) } else { Err(format!("setting {path}={n} is no amount")) }
+fn json_text(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), plain)
+}
+
+fn parse<T: FromStr>(path: &str, text: &str) -> Result<T, SettingsError> {
+    let unreadable = |_| SettingsError::Unreadable { path: path.to_string(), text: text.to_string() };
+    text.parse().map_err(unreadable)
 }
 
-pub(crate) fn differ(of: &str, names: Vec<String>) -> Result<Vec<String>, String> {
-    let mut seen = std::collections::BTreeSet::new();
-    match names.iter().find(|name| !seen.insert(*name)) {
-        Some(twice) => Err(format!("setting {of}: two names are read as {twice}; they can't be told apart")),
-        None => Ok(names),
+fn check_amount(path: &str, number: f64) -> Result<f64, SettingsError> {
+    if number.is_finite() && number >= 0.0 {
+        return Ok(number);
+    }
+    Err(SettingsError::NotAnAmount { path: path.to_string(), value: number.to_string() })
+}
+
+/// Guards against two names that would be taken for one another.
+fn check_distinct(list: &str, names: Vec<String>) -> Result<Vec<String>, SettingsError> {
+    let mut seen = BTreeSet::new();
+    for name in &names {
+        if !seen.insert(name) {
+            return Err(SettingsError::DuplicateName { list: list.to_string(), name: name.clone() });
+        }
     }
+    Ok(names)
 }
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -1,86 +1,131 @@
-//! What the decisions read.
+//! The settings of the decisions.
 
-use crate::flat::{FlatSettings, amount};
+use crate::error::SettingsError;
+use crate::flat::FlatSettings;
 use mountshift::interface::*;
 
 /// The number of this relay among its peers.
-pub fn relay_id(pairs: &FlatSettings) -> Result<RelayId, String> {
-    pairs.or("me", 0).map(RelayId)
+///
+/// # Errors
+/// If it is no number.
+pub fn relay_id(settings: &FlatSettings) -> Result<RelayId, SettingsError> {
+    settings.value_or("me", 0).map(RelayId)
 }
 
-pub fn policy_settings(pairs: &FlatSettings, relay: RelayId, seed: u64) -> Result<PolicySettings, String> {
-    let mut classes = Vec::new();
-    for i in 0..pairs.count::<u16>("classes.count")? {
-        classes.push(message_class(pairs, &format!("classes.{i}"))?);
-    }
-    let independent_endpoints: Vec<bool> = pairs.list("familyInfo.ownLimits")?;
-    let batch: Vec<usize> = pairs.list("familyInfo.kindBatch")?;
-    let kinds = pairs.list::<String>("kinds")?;
-    let kind = |i: usize| DestinationKind {
-        independent_endpoints: independent_endpoints.get(i).copied().unwrap_or(false),
-        max_batch: batch.get(i).copied().unwrap_or(1).max(1),
-    };
-    let mut tenant_quotas = Vec::new();
-    for i in 0..pairs.or::<u32>("tenants.count", 0)? {
-        tenant_quotas.push(pairs.number(&format!("tenants.{i}.quotaPerS"))?);
-    }
+/// Reads the settings of the decisions, for the relay of that number; `seed` is that of its random source.
+///
+/// # Errors
+/// If a setting is missing, can't be read, or is not in its range.
+pub fn policy_settings(
+    settings: &FlatSettings,
+    relay: RelayId,
+    seed: u64,
+) -> Result<PolicySettings, SettingsError> {
+    // In this order: of several wrong settings the first one read is reported.
+    let classes = message_classes(settings)?;
+    let destination_kinds = destination_kinds(settings)?;
+    let tenant_quotas = tenant_quotas(settings)?;
     Ok(PolicySettings {
         relay,
         seed,
-        relay_count: pairs.need::<u32>("balancers")?.max(1),
-        zone: ZoneId(pairs.or("zone", 0)?),
+        relay_count: settings.required::<u32>("balancers")?.max(1),
+        zone: ZoneId(settings.value_or("zone", 0)?),
         classes,
-        destination_kinds: (0..kinds.len()).map(kind).collect(),
+        destination_kinds,
         tenant_quotas,
-        decay: match pairs.or("familyInfo.decay", "linear".to_string())?.as_str() {
-            "halving" => Decay::Halving,
-            _ => Decay::Linear,
-        },
-        max_calls_in_flight: pairs.count::<u32>("familyInfo.callsOut")? as usize,
-        max_queued: pairs.count::<u32>("limits.openCap")? as usize,
-        max_attempts: pairs.count::<u32>("limits.maxAttempts")?.min(255) as u8,
-        listed_rate: match pairs.or("weights", "none".to_string())?.as_str() {
-            "nominal" => ListedRate::Exact,
-            "rough" => ListedRate::Approximate,
-            _ => ListedRate::Unknown,
-        },
-        must_poll: pairs.or("discovery", "automatic".to_string())? == "subscribe",
-        poll_interval: pairs.span_or_none("obligations.askWithin")?,
-        may_cancel: pairs.or("limits.cancel", false)?,
-        max_retry_after: pairs.span_or_none("limits.maxRetryAfter")?,
-        drain_grace: pairs.span_or_none("obligations.drainGrace")?,
-        order_hold_off: pairs.span_or_none("obligations.orderPause")?,
-        slow_start_share: pairs.number("obligations.coldFrom")?,
-        slow_start_duration: pairs.span("obligations.warmAfter")?,
-        overload_multiple: pairs.number("obligations.fallMultiple")?,
-        overload_window: pairs.span("obligations.fall")?,
-        zone_fees: pairs.amounts("familyInfo.feeByZone")?,
-        cross_zone_price: amount("penalties.crossZone", pairs.or("penalties.crossZone", 0.0)?)?,
+        decay: decay(settings)?,
+        max_calls_in_flight: settings.count::<u32>("familyInfo.callsOut")? as usize,
+        max_queued: settings.count::<u32>("limits.openCap")? as usize,
+        max_attempts: settings.count::<u32>("limits.maxAttempts")?.min(255) as u8,
+        listed_rate: listed_rate(settings)?,
+        must_poll: settings.value_or("discovery", "automatic".to_string())? == "subscribe",
+        poll_interval: settings.duration_or_zero("obligations.askWithin")?,
+        may_cancel: settings.value_or("limits.cancel", false)?,
+        max_retry_after: settings.duration_or_zero("limits.maxRetryAfter")?,
+        drain_grace: settings.duration_or_zero("obligations.drainGrace")?,
+        order_hold_off: settings.duration_or_zero("obligations.orderPause")?,
+        slow_start_share: settings.amount("obligations.coldFrom")?,
+        slow_start_duration: settings.duration("obligations.warmAfter")?,
+        overload_multiple: settings.amount("obligations.fallMultiple")?,
+        overload_window: settings.duration("obligations.fall")?,
+        zone_fees: settings.amounts("familyInfo.feeByZone")?,
+        cross_zone_price: settings.amount_or_zero("penalties.crossZone")?,
     })
 }
 
-fn message_class(pairs: &FlatSettings, at: &str) -> Result<MessageClass, String> {
-    let path = |name: &str| format!("{at}.{name}");
-    let effect: String = pairs.need(&path("idempotency"))?;
-    let deadline = pairs.span(&path("giveUp"))?;
+fn message_classes(settings: &FlatSettings) -> Result<Vec<MessageClass>, SettingsError> {
+    let count = settings.count::<u16>("classes.count")?;
+    (0..count).map(|index| message_class(settings, &format!("classes.{index}"))).collect()
+}
+
+/// The class that stands at the path `class`.
+fn message_class(settings: &FlatSettings, class: &str) -> Result<MessageClass, SettingsError> {
+    let path = |name: &str| format!("{class}.{name}");
+    let idempotency_word: String = settings.required(&path("idempotency"))?;
+    let deadline = settings.duration(&path("giveUp"))?;
     Ok(MessageClass {
-        // A target time beyond the deadline: full value up to the deadline.
-        latency_objective: pairs.span(&path("aim"))?.min(deadline),
+        // A latency objective beyond the deadline: full value up to the deadline.
+        latency_objective: settings.duration(&path("aim"))?.min(deadline),
         deadline,
-        priority_weight: pairs.number(&path("importance"))?,
-        late_weight_share: amount(&path("lateWorth"), pairs.or(&path("lateWorth"), 0.0)?)?,
-        idempotency: match effect.as_str() {
-            "idempotent" => Idempotency::Idempotent,
-            "deduplicated" => Idempotency::WithKey {
-                window: pairs.span(&path("memorySpan"))?,
-                scope: match pairs.or(&path("group"), "all".to_string())?.as_str() {
-                    "all" => DeduplicationScope::AllEndpoints,
-                    _ => DeduplicationScope::SameZone,
-                },
-            },
-            "at_most_once" => Idempotency::NotIdempotent,
-            other => return Err(format!("setting {at}.idempotency={other} is not known")),
-        },
-        in_order: pairs.or(&path("inOrder"), false)?,
+        priority_weight: settings.amount(&path("importance"))?,
+        late_weight_share: settings.amount_or_zero(&path("lateWorth"))?,
+        idempotency: idempotency(settings, class, &idempotency_word)?,
+        in_order: settings.value_or(&path("inOrder"), false)?,
+    })
+}
+
+fn idempotency(settings: &FlatSettings, class: &str, word: &str) -> Result<Idempotency, SettingsError> {
+    match word {
+        "idempotent" => Ok(Idempotency::Idempotent),
+        "deduplicated" => Ok(Idempotency::WithKey {
+            window: settings.duration(&format!("{class}.memorySpan"))?,
+            scope: deduplication_scope(settings, class)?,
+        }),
+        "at_most_once" => Ok(Idempotency::NotIdempotent),
+        other => Err(SettingsError::UnknownIdempotency {
+            path: format!("{class}.idempotency"),
+            value: other.to_string(),
+        }),
+    }
+}
+
+fn deduplication_scope(settings: &FlatSettings, class: &str) -> Result<DeduplicationScope, SettingsError> {
+    let group = settings.value_or(&format!("{class}.group"), "all".to_string())?;
+    Ok(match group.as_str() {
+        "all" => DeduplicationScope::AllEndpoints,
+        _ => DeduplicationScope::SameZone,
+    })
+}
+
+fn destination_kinds(settings: &FlatSettings) -> Result<Vec<DestinationKind>, SettingsError> {
+    let independent_endpoints: Vec<bool> = settings.list("familyInfo.ownLimits")?;
+    let max_batch: Vec<usize> = settings.list("familyInfo.kindBatch")?;
+    let names: Vec<String> = settings.list("kinds")?;
+    let kind = |index: usize| DestinationKind {
+        independent_endpoints: independent_endpoints.get(index).copied().unwrap_or(false),
+        max_batch: max_batch.get(index).copied().unwrap_or(1).max(1),
+    };
+    Ok((0..names.len()).map(kind).collect())
+}
+
+fn tenant_quotas(settings: &FlatSettings) -> Result<Vec<f64>, SettingsError> {
+    let count = settings.value_or::<u32>("tenants.count", 0)?;
+    (0..count).map(|index| settings.amount(&format!("tenants.{index}.quotaPerS"))).collect()
+}
+
+fn decay(settings: &FlatSettings) -> Result<Decay, SettingsError> {
+    let word = settings.value_or("familyInfo.decay", "linear".to_string())?;
+    Ok(match word.as_str() {
+        "halving" => Decay::Halving,
+        _ => Decay::Linear,
+    })
+}
+
+fn listed_rate(settings: &FlatSettings) -> Result<ListedRate, SettingsError> {
+    let word = settings.value_or("weights", "none".to_string())?;
+    Ok(match word.as_str() {
+        "nominal" => ListedRate::Exact,
+        "rough" => ListedRate::Approximate,
+        _ => ListedRate::Unknown,
     })
 }
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -1,7 +1,9 @@
 //! Both forms of the settings object say the same.
 
 use mountshift::interface::*;
-use mountshift_settings::{FlatSettings, policy_settings, rate_limit_field, relay_id, socket_settings};
+use mountshift_settings::{
+    FlatSettings, RateLimitField, SettingsError, policy_settings, rate_limit_field, relay_id, socket_settings,
+};
 use serde_json::json;
 use std::time::Duration;
 
@@ -16,18 +18,18 @@
 obligations.fallMultiple=1.5\nobligations.fall=2000000\nnew.key=left,alone\n";
 
 #[test]
-fn text_and_json_give_the_same_facts() {
-    let lane = |name, aim, give_up, importance, effect, more: serde_json::Value| {
-        let mut lane = json!({"name": name, "aim": aim, "giveUp": give_up, "importance": importance,
-            "idempotency": effect});
-        lane.as_object_mut().expect("an object").extend(more.as_object().expect("an object").clone());
-        lane
+fn text_and_json_give_the_same_settings() {
+    let class = |name, aim, give_up, importance, idempotency, more: serde_json::Value| {
+        let mut class = json!({"name": name, "aim": aim, "giveUp": give_up, "importance": importance,
+            "idempotency": idempotency});
+        class.as_object_mut().expect("an object").extend(more.as_object().expect("an object").clone());
+        class
     };
     let json = json!({"balancers": 3, "me": 2, "zone": 1, "quantum": 5000, "kinds": ["big host", "small"],
         "localities": ["a", "b"], "weights": "rough", "discovery": "subscribe",
         "classes": [
-            lane("one", 1_500_000, 8_000_000, 1.0, "deduplicated", json!({"memorySpan": 5_000_000, "group": "zone"})),
-            lane("two", 1, 2, 3.0, "at_most_once", json!({"inOrder": true, "memorySpan": null})),
+            class("one", 1_500_000, 8_000_000, 1.0, "deduplicated", json!({"memorySpan": 5_000_000, "group": "zone"})),
+            class("two", 1, 2, 3.0, "at_most_once", json!({"inOrder": true, "memorySpan": null})),
         ],
         "tenants": [{"name": "north mill", "quotaPerS": 4.5}],
         "familyInfo": {"callsOut": 7, "ownLimits": [true, false], "kindBatch": [20, 1], "decay": "halving",
@@ -36,16 +38,19 @@
             "dialTimeout": 1_500_000},
         "obligations": {"coldFrom": 0.28, "warmAfter": 13_000_000, "fallMultiple": 1.5, "fall": 2_000_000}});
     let (text, json) = (FlatSettings::from_text(TEXT), FlatSettings::from_json(&json));
-    let read = |pairs| policy_settings(pairs, relay_id(pairs).expect("a number"), 9).expect("facts");
+    let read = |pairs| policy_settings(pairs, relay_id(pairs).expect("a number"), 9).expect("settings");
     assert_eq!(format!("{:?}", read(&json)), format!("{:?}", read(&text)));
     assert_eq!(format!("{:?}", socket_settings(&json)), format!("{:?}", socket_settings(&text)));
-    let (facts, sockets) = (read(&json), socket_settings(&json).expect("facts"));
+    let (policy, sockets) = (read(&json), socket_settings(&json).expect("settings"));
     let keyed = Idempotency::WithKey { window: Duration::from_secs(5), scope: DeduplicationScope::SameZone };
     assert_eq!(
-        (facts.relay, facts.classes[0].idempotency, facts.classes[1].in_order),
+        (policy.relay, policy.classes[0].idempotency, policy.classes[1].in_order),
         (RelayId(2), keyed, true)
     );
-    assert_eq!((facts.tenant_quotas, facts.zone_fees, facts.must_poll), (vec![4.5], vec![0.5, 0.25], true));
+    assert_eq!(
+        (policy.tenant_quotas, policy.zone_fees, policy.must_poll),
+        (vec![4.5], vec![0.5, 0.25], true)
+    );
     assert_eq!(
         (sockets.destination_kinds[0].as_str(), sockets.tenants[0].as_str()),
         ("big_host", "north_mill")
@@ -69,14 +74,17 @@
         ("=at_most_once", "=sometimes", "setting classes.1.idempotency=sometimes is not known"),
     ] {
         let pairs = FlatSettings::from_text(&TEXT.replacen(from, to, 1));
-        assert_eq!(policy_settings(&pairs, RelayId(0), 1).expect_err(named), named);
+        assert_eq!(policy_settings(&pairs, RelayId(0), 1).expect_err(named).to_string(), named);
     }
 }
 
 // Guards against two customers' names merged into one: spaces and commas are read as underscores.
 #[test]
 fn names_that_would_be_taken_for_one_another_are_refused() {
-    let named = |json: serde_json::Value| socket_settings(&FlatSettings::from_json(&json)).map(drop);
+    let named = |json: serde_json::Value| {
+        let settings = socket_settings(&FlatSettings::from_json(&json));
+        settings.map(drop).map_err(|error: SettingsError| error.to_string())
+    };
     let limits = json!({"connIdle": 1, "dialTimeout": 1});
     for list in ["classes", "tenants"] {
         let two = |a: &str, b: &str| json!({list: [{"name": a}, {"name": b}], "limits": limits});
@@ -93,18 +101,19 @@
     assert_eq!(named(zone), Err("setting zone=2 is none of the 2 localities".to_string()));
 }
 
-// A target time beyond the deadline is none: the value stays whole up to the deadline.
+// A latency objective beyond the deadline is none: the value stays whole up to the deadline.
 #[test]
-fn a_target_time_is_never_beyond_the_deadline() {
+fn a_latency_objective_is_never_beyond_the_deadline() {
     let pairs = FlatSettings::from_text(&TEXT.replacen("classes.1.aim=1\n", "classes.1.aim=9\n", 1));
-    let class = policy_settings(&pairs, RelayId(0), 1).expect("facts").classes[1];
+    let class = policy_settings(&pairs, RelayId(0), 1).expect("settings").classes[1];
     assert_eq!(class.latency_objective, class.deadline);
 }
 
-// Answers tell a limit where the settings say which of their values it is; a report of anything else is none.
+// Answers report a rate limit where the settings say which of their values it is; a report of anything else is none.
 #[test]
-fn the_value_that_tells_a_limit_is_found_by_what_the_settings_say_of_it() {
-    let told = |source: &str, fields: &[&str], x0: &str, x1: &str| {
+fn the_rate_limit_field_is_found_by_what_the_settings_say_of_it() {
+    let field = |index, name: &str| Some(RateLimitField { index, name: name.to_string() });
+    let found = |source: &str, fields: &[&str], x0: &str, x1: &str| {
         let json = json!({"loadInfo": {"source": source, "fields": fields}, "familyInfo": {"reportX0": x0, "reportX1": x1}});
         rate_limit_field(&FlatSettings::from_json(&json)).expect("readable")
     };
@@ -112,11 +121,11 @@
         "share of the allowance that is left",
         "calls a second that the limit allows; 0 where there is none",
     );
-    assert_eq!(told("answers", &["x0", "x1"], share, limit), Some((1, "x1".to_string())));
-    assert_eq!(told("answers", &["left", "limit"], limit, share), Some((0, "left".to_string())));
+    assert_eq!(found("answers", &["x0", "x1"], share, limit), field(1, "x1"));
+    assert_eq!(found("answers", &["left", "limit"], limit, share), field(0, "left"));
     for (source, x1) in [("none", limit), ("probe", limit), ("answers", share)] {
-        assert_eq!(told(source, &["x0", "x1"], share, x1), None);
+        assert_eq!(found(source, &["x0", "x1"], share, x1), None);
     }
-    assert_eq!(told("answers", &["x0"], share, limit), None);
+    assert_eq!(found("answers", &["x0"], share, limit), None);
     assert_eq!(rate_limit_field(&FlatSettings::from_text("")), Ok(None));
 }
--- a/crates/simulation-adapter/src/main.rs
+++ b/crates/simulation-adapter/src/main.rs
@@ -101,7 +101,7 @@
                 let settings = settings.map_err(|e| format!("HELLO: {e}"))?;
                 let limit =
                     mountshift_settings::rate_limit_field(&options).map_err(|e| format!("HELLO: {e}"))?;
-                relays.insert(id, (DeliveryPolicy::new(settings), clock, limit.map(|l| l.0)));
+                relays.insert(id, (DeliveryPolicy::new(settings), clock, limit.map(|l| l.index)));
                 came.remove(&id);
             }
             wire::STOP => {
