--- a/crates/simulation-adapter/src/session.rs
+++ b/crates/simulation-adapter/src/session.rs
@@ -126,7 +126,7 @@
         let instance = Instance {
             policy: DeliveryPolicy::new(settings),
             started_at: clock,
-            rate_limit_field: rate_limit_field.map(|(position, _)| position),
+            rate_limit_field: rate_limit_field.map(|field| field.index),
         };
         self.instances.insert(id, instance);
         Ok(id)
