--- a/crates/cli/src/variant.rs
+++ b/crates/cli/src/variant.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
-const RULES: &str = "src/rules.rs";
+const POLICY: &str = "src/policy";
 const PARTS: [&str; 4] = ["Cargo.toml", "Cargo.lock", "src", "crates"];
 
 /// The decisions with some constants changed.
@@ -26,12 +26,19 @@
 
     /// Builds it; must be called inside the checkout.
     pub fn of(constants: BTreeMap<String, String>) -> Result<Variant, String> {
-        let rules =
-            std::fs::read_to_string(RULES).map_err(|e| format!("{RULES}: {e} (not in a checkout?)"))?;
-        let mut changed = rules;
+        let read = |path: &Path| {
+            std::fs::read_to_string(path).map_err(|e| format!("{}: {e} (not in a checkout?)", path.display()))
+        };
+        let mut modules: BTreeMap<PathBuf, String> = BTreeMap::new();
+        for entry in std::fs::read_dir(POLICY).map_err(|e| format!("{POLICY}: {e} (not in a checkout?)"))? {
+            let path = entry.map_err(|e| format!("{POLICY}: {e}"))?.path();
+            modules.insert(path.clone(), read(&path)?);
+        }
         let mut name = String::from("as-it-is");
         for (constant, value) in &constants {
-            changed = with_constant(&changed, constant, value)?;
+            let module = modules.values_mut().find(|text| with_constant(text, constant, value).is_ok());
+            let module = module.ok_or(format!("{POLICY} has no constant {constant}"))?;
+            *module = with_constant(module, constant, value)?;
             name = format!("{name}-{constant}-{value}");
         }
         let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
@@ -45,9 +52,11 @@
         };
         std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
         PARTS.iter().try_for_each(|part| copy(part))?;
-        let at = folder.join(RULES);
-        if std::fs::read_to_string(&at).ok().as_ref() != Some(&changed) {
-            std::fs::write(&at, &changed).map_err(|e| format!("{}: {e}", at.display()))?;
+        for (path, text) in &modules {
+            let at = folder.join(path);
+            if std::fs::read_to_string(&at).ok().as_ref() != Some(text) {
+                std::fs::write(&at, text).map_err(|e| format!("{}: {e}", at.display()))?;
+            }
         }
         eprintln!("building {}", folder.display());
         let mut build = Command::new("cargo");
@@ -83,10 +92,13 @@
     let start = format!("const {constant}: ");
     let mut found = false;
     let line = |line: &str| {
-        let rest = line.strip_prefix(&start)?;
+        let (visibility, rest) = line.split_once(&start)?;
+        if !["", "pub(super) ", "pub(crate) "].contains(&visibility) {
+            return None;
+        }
         let (kind, old) = rest.split_once(" = ")?;
         let (_, after) = old.split_once(';')?;
-        Some(format!("{start}{kind} = {value};{after}"))
+        Some(format!("{visibility}{start}{kind} = {value};{after}"))
     };
     let lines: Vec<String> = rules
         .lines()
@@ -96,7 +108,7 @@
             changed.unwrap_or_else(|| l.to_string())
         })
         .collect();
-    if found { Ok(lines.join("\n") + "\n") } else { Err(format!("{RULES} has no constant {constant}")) }
+    if found { Ok(lines.join("\n") + "\n") } else { Err(format!("{POLICY} has no constant {constant}")) }
 }
 
 /// Days that `lab run --save` kept.
@@ -118,5 +130,8 @@
             "const A: u32 = 7; // five\nconst AB: f64 = 1.0;\n"
         );
         assert!(with_constant(rules, "B", "7").is_err());
+        let shared = "pub(super) const A: u32 = 5;\nconst OTHER: u32 = A;\n";
+        let changed = "pub(super) const A: u32 = 7;\nconst OTHER: u32 = A;\n";
+        assert_eq!(with_constant(shared, "A", "7").unwrap(), changed);
     }
 }
--- a/crates/lab/src/policy.rs
+++ b/crates/lab/src/policy.rs
@@ -2,7 +2,7 @@
 
 use crate::policies::{Baseline, Style};
 use mountshift::interface::*;
-use mountshift::rules::DeliveryPolicy;
+use mountshift::policy::DeliveryPolicy;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
--- a/crates/lab/tests/sabotage.rs
+++ b/crates/lab/tests/sabotage.rs
@@ -2,7 +2,7 @@
 //! judge must name that rule; the same day without the lie must be clean.
 
 use mountshift::interface::*;
-use mountshift::rules::DeliveryPolicy;
+use mountshift::policy::DeliveryPolicy;
 use mountshift_lab::day::{Day, Play};
 use mountshift_lab::outcome::DayOutcome;
 use mountshift_lab::policy::{Policy, Truth, Which};
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -11,7 +11,7 @@
 use futures_lite::FutureExt;
 use log::{debug, error, info, warn};
 use mountshift::interface::*;
-use mountshift::rules::DeliveryPolicy;
+use mountshift::policy::DeliveryPolicy;
 use mountshift_discovery::{DrainRecord, ListEntry, ListHeader};
 use mountshift_handover::{RouteRecord, Snapshot, StopPlan};
 use mountshift_maintenance::{Change, MaintenanceState};
--- a/crates/simulation-adapter/src/main.rs
+++ b/crates/simulation-adapter/src/main.rs
@@ -4,7 +4,7 @@
 mod wire;
 
 use mountshift::interface::*;
-use mountshift::rules::DeliveryPolicy;
+use mountshift::policy::DeliveryPolicy;
 use mountshift_settings::FlatSettings;
 use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,11 +3,11 @@
 //!
 //! - [`interface`] is the interface: ids, outcomes, the facts told at startup, and the [`interface::Actions`] that
 //!   takes the decisions.
-//! - [`rules`] holds every decision and every tuned value.
+//! - [`policy`] holds every decision and every tuned value.
 //!
-//! A host calls [`rules::DeliveryPolicy::step`] once a step with all that came in.
+//! A host calls [`policy::DeliveryPolicy::step`] once a step with all that came in.
 #![forbid(unsafe_code)]
 
 pub mod interface;
-pub mod rules;
+pub mod policy;
 mod state;
--- a/src/rules/carry.rs
+++ b/src/policy/handover.rs
@@ -1,6 +1,10 @@
-//! What outlives a process of the relay at an upgrade: told waits, breakers and cold ramps, by route.
+//! What outlives a process of the relay at an upgrade: `Retry-After`, breakers and slow starts, by route.
 
-use super::*;
+use super::DeliveryPolicy;
+use super::circuit_breaker::THRESHOLD;
+use crate::interface::*;
+use crate::state::Breaker;
+use std::time::Duration;
 
 impl DeliveryPolicy {
     /// Sends no new leg from now on: a process beside this one takes over all that this one holds. Ends
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -2,7 +2,7 @@
 
 use super::{Ring, Tokens};
 use crate::interface::*;
-use crate::rules::OWN_SPAN;
+use crate::policy::pacing::OWN_SPAN;
 use std::time::Duration;
 
 pub(crate) type RouteId = (DestinationId, Option<EndpointId>);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -12,7 +12,7 @@
 //!   `forget A` with `facts forgets`, `watch`, `log ..`
 
 use mountshift::interface::*;
-use mountshift::rules::DeliveryPolicy;
+use mountshift::policy::DeliveryPolicy;
 use std::collections::BTreeMap;
 use std::time::Duration;
 use test_case::test_case;
