--- a/src/policy/circuit_breaker.rs
+++ b/src/policy/circuit_breaker.rs
@@ -1,99 +1,97 @@
-//! The circuit breaker of a route: consecutive failures open it, a trial closes it again.
+//! The circuit breaker of a route: consecutive failures open it, the answer to one trial closes it again.
 
-use super::concurrency::{CREDITS_CUT, CREDITS_MOST, DEAD_ENDPOINT_RUN};
-use super::pacing::{PACE_GROWTH, ROUGH};
-use super::slow_start::{COLD_FAILED, COLD_SHARE};
-use super::{DeliveryPolicy, ms};
-use crate::interface::*;
-use crate::state::{Breaker, RouteId, Tokens};
+use super::concurrency::{DEAD_ENDPOINT_FAILURES, LIMIT_CUT, LIMIT_MAX};
+use super::{pacing, slow_start};
+use crate::interface::Outcome;
+use crate::state::{Backoff, Breaker, CallResult, State};
 use std::time::Duration;
 
-pub(super) const THRESHOLD: u32 = 5; // consecutive failures that open it ...
-const WINDOW: Duration = ms(20_000); // ... inside this window
-const QUIET_RUN: u32 = 3; // at a quiet destination fewer do, if no success came for QUIET_SPAN
-const QUIET_SPAN: Duration = ms(1_500);
-const RECOVERY_DELAY: Duration = ms(1_800); // the first one; each failed trial makes it longer, ...
-const RECOVERY_GROWTH: f64 = 1.4;
-const RECOVERY_MOST: Duration = ms(4_500); // ... up to this, so that trials don't outnumber messages, ...
-const TRIALS_PER_PARKED: u32 = 4; // ... unless this many times the run of failures wait
+/// So many failures in a row open: a reset or an error now and then is no outage ...
+pub(super) const FAILURE_THRESHOLD: u32 = 5;
+/// ... within this window: failures further apart are not one outage.
+const FAILURE_WINDOW: Duration = Duration::from_secs(20);
+/// At a quiet destination so few open, as five would take too long to come together ...
+const QUIET_FAILURE_THRESHOLD: u32 = 3;
+/// ... once no success came for so long.
+const QUIET_SPAN: Duration = Duration::from_millis(1_500);
+/// The delay before the first trial; also how long a dead endpoint of several is left out.
+pub(super) const RECOVERY_DELAY: Duration = Duration::from_millis(1_800);
+/// Each failed trial makes it longer: a long outage costs few attempts; a return is seen within 4.5 s.
+const RECOVERY: Backoff = Backoff { first: RECOVERY_DELAY, growth: 1.4, max: Duration::from_millis(4_500) };
+/// It stays short if more than so many messages wait for each failure: then trials don't outnumber messages.
+const WAITING_PER_FAILURE: u32 = 4;
+/// The span over which the share of failed calls is measured: short, as it shows an outage of now.
+pub(crate) const RECENT_RESULT_SECONDS: usize = 4;
 
-impl DeliveryPolicy {
-    pub(super) fn set_breaker(&mut self, id: RouteId, to: Breaker) {
-        let Some(route) = self.routes.get_mut(&id) else { return };
-        if std::mem::discriminant(&route.breaker) != std::mem::discriminant(&to) {
-            self.lines_to_log
-                .push(format!("breaker of {}: {:?} -> {to:?}, run {}", id.0.0, route.breaker, route.run));
+/// Counts the result of a call for its endpoint and its route.
+pub(super) fn record_result(state: &mut State, call: &CallResult, waited: Duration, outcome: Outcome) {
+    match outcome {
+        Outcome::Delivered => call_succeeded(state, call, waited),
+        Outcome::Cancelled | Outcome::NotSent => {
+            state.routes.end_trial(call.route, call.number, Breaker::HalfOpen(None));
         }
-        route.breaker = to;
+        _ if !call.is_first_result => {}
+        Outcome::Rejected { retry_after } => pacing::call_rejected(state, call, retry_after),
+        _ => call_failed(state, call),
     }
-
-    pub(super) fn succeeded(
-        &mut self,
-        route_id: RouteId,
-        call: u64,
-        to: EndpointId,
-        waited: Duration,
-        full: bool,
-    ) {
-        let now = self.now;
-        if let Some(ep) = self.endpoints.get_mut(&to) {
-            ep.answers.add(now, waited.as_secs_f64());
-            // All credits were out (one is back already): without the 2, a broken limit never grew again.
-            let grown = if f64::from(ep.out) + 2.0 > ep.limit { 1.0 / ep.limit } else { 0.0 };
-            (ep.run, ep.limit) = (0, (ep.limit + grown).min(CREDITS_MOST));
-        }
-        let Some(route) = self.routes.get_mut(&route_id) else { return };
-        route.ends.add(now, 0.0);
-        // Guards against a crowd, or quiet routes, back at full pace as no relay saw enough to open.
-        let back = route.broken && now.saturating_sub(route.run_since) >= QUIET_SPAN;
-        back.then(|| DeliveryPolicy::turn_cold(route, now));
-        (route.run, route.fulls, route.broken) = (0, 0, false);
-        if full && route.tokens.left < 1.0 {
-            // A crowd's answers tell late: where each gets few in a second it grows by less.
-            let growth = PACE_GROWTH * (route.rate / f64::from(self.settings.relay_count)).min(1.0);
-            route.pace = (route.pace + growth / route.rate.max(1.0)).min(ROUGH);
-        }
-        if route.breaker == Breaker::HalfOpen(Some(call)) {
-            (route.slow_start_since, route.cold) = (Some(now), Tokens { left: 0.0, at: now });
-            self.set_breaker(route_id, Breaker::Closed);
-        } else if matches!(route.breaker, Breaker::Open(_)) {
-            // A good answer to an earlier call: slow, not dead. The trial need not wait.
-            self.set_breaker(route_id, Breaker::Open(now));
-        }
+    if matches!(outcome, Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut | Outcome::Reset) {
+        state.routes.confirm_failure(call.route);
     }
+}
 
-    pub(super) fn failed(&mut self, route_id: RouteId, call: u64, to: EndpointId) {
-        let now = self.now;
-        if let Some(ep) = self.endpoints.get_mut(&to) {
-            (ep.limit, ep.run) = ((ep.limit * CREDITS_CUT).max(1.0), ep.run + 1);
-            ep.rest_until = if ep.run >= DEAD_ENDPOINT_RUN { now + RECOVERY_DELAY } else { ep.rest_until };
-        }
-        let chance = self.chance(to.0);
-        let parked =
-            self.msgs.values().filter(|m| m.destination == route_id.0 && m.out.is_none()).count() as u32;
-        let Some(route) = self.routes.get_mut(&route_id) else { return };
-        route.ends.add(now, 1.0);
-        if route.run == 0 || (route.breaker == Breaker::Closed && now > route.run_since + WINDOW) {
-            (route.run, route.run_since) = (0, now);
-        }
-        route.run += 1;
-        let crowd = DeliveryPolicy::crowd_delay(&self.settings, route, now, chance);
-        route.pause_until = route.pause_until.max(now + crowd);
-        // Longer and longer, unless many more wait than trials went: a quiet destination is not worth asking.
-        let trials = if parked > TRIALS_PER_PARKED * route.run { THRESHOLD } else { route.run };
-        let more = RECOVERY_GROWTH.powi(trials.saturating_sub(THRESHOLD).min(9) as i32);
-        let delay = RECOVERY_DELAY.mul_f64(more).min(RECOVERY_MOST).max(crowd);
-        let (all, bad, _) = route.ends.totals(now, 4);
-        let quiet = route.run >= QUIET_RUN && now.saturating_sub(route.run_since) >= QUIET_SPAN;
-        let opens = route.breaker == Breaker::Closed && (route.run >= THRESHOLD || quiet);
-        let cold = opens || (bad >= COLD_FAILED && bad >= COLD_SHARE * all);
-        cold.then(|| DeliveryPolicy::turn_cold(route, now));
-        opens.then(|| self.set_breaker(route_id, Breaker::Open(now + delay)));
-        self.end_trial(route_id, call, Breaker::Open(now + delay));
+fn call_succeeded(state: &mut State, call: &CallResult, waited: Duration) {
+    if call.is_first_result {
+        pacing::learn_own_rate(state, call.route);
     }
+    let (now, relay_count) = (state.now, state.relay_count());
+    state.endpoints.record_success(call.endpoint, now, waited, LIMIT_MAX);
+    let Some(route) = state.routes.get_mut(call.route) else { return };
+    route.recent_results.add_flag(now, false);
+    // In a large fleet or at a quiet route no relay may see enough failures to open: without this all
+    // come back at full rate.
+    if route.failure_confirmed && now.saturating_sub(route.failing_since) >= QUIET_SPAN {
+        route.start_slow_start(now);
+    }
+    route.record_success();
+    if call.filled {
+        pacing::grow_rate_share(route, relay_count);
+    }
+    if route.is_trial(call.number) {
+        route.restart_slow_start(now);
+        state.routes.set_breaker(call.route, Breaker::Closed);
+    } else if matches!(route.breaker, Breaker::Open(_)) {
+        // A good answer to an earlier call: slow, not dead. The trial need not wait.
+        state.routes.set_breaker(call.route, Breaker::Open(now));
+    }
+}
 
-    pub(super) fn end_trial(&mut self, route_id: RouteId, call: u64, next: Breaker) {
-        let trial = self.routes.get(&route_id).is_some_and(|r| r.breaker == Breaker::HalfOpen(Some(call)));
-        trial.then(|| self.set_breaker(route_id, next));
+/// A call failed, or is overdue.
+pub(super) fn call_failed(state: &mut State, call: &CallResult) {
+    let now = state.now;
+    let hold_off_until = now + RECOVERY_DELAY;
+    state.endpoints.record_failure(call.endpoint, LIMIT_CUT, DEAD_ENDPOINT_FAILURES, hold_off_until);
+    let jitter = state.jitter.draw(call.endpoint.0);
+    let waiting = state.messages.count_without_call(call.route.destination);
+    let Some(route) = state.routes.get_mut(call.route) else { return };
+    route.record_failure(now, FAILURE_WINDOW);
+    let fleet_delay = slow_start::fleet_delay(&state.settings, route, now, jitter);
+    route.backoff_until = route.backoff_until.max(now + fleet_delay);
+    let failures = route.consecutive_failures;
+    let is_quiet = now.saturating_sub(route.failing_since) >= QUIET_SPAN;
+    let threshold = if is_quiet { QUIET_FAILURE_THRESHOLD } else { FAILURE_THRESHOLD };
+    let opens = route.is_closed() && failures >= threshold;
+    if opens || slow_start::is_outage(&route.recent_results.totals(now)) {
+        route.start_slow_start(now);
     }
+    let next = Breaker::Open(now + recovery_delay(failures, waiting).max(fleet_delay));
+    if opens {
+        state.routes.set_breaker(call.route, next);
+    }
+    state.routes.end_trial(call.route, call.number, next);
+}
+
+/// Longer and longer, unless many more messages wait than trials went: few are not worth many trials.
+fn recovery_delay(failures: u32, waiting: u32) -> Duration {
+    let trials = if waiting > WAITING_PER_FAILURE * failures { FAILURE_THRESHOLD } else { failures };
+    RECOVERY.after(trials.saturating_sub(FAILURE_THRESHOLD))
 }
--- a/src/policy/idle_connections.rs
+++ b/src/policy/idle_connections.rs
@@ -1,32 +1,36 @@
 //! Idle connections: when they are closed rather than used again.
 
-use super::{DeliveryPolicy, ms};
-use crate::interface::*;
+use crate::interface::Actions;
+use crate::state::State;
 use std::time::Duration;
 
-pub(super) const IDLE: Duration = ms(1_000); // an endpoint not used for so long has idle connections
-const STALE_ENDS: f64 = 2.0; // calls on idle connections reset or unanswered, in half a minute, ...
-const STALE_SHARE: f64 = 0.15; // ... and their share, from which idle connections are not trusted
-const CROWD_TABLE: u32 = 16; // ... and from which their idle connections alone fill an endpoint's table, ...
-const ROOM_SHOWN: u32 = 50; // ... unless so many calls in a row found room at endpoints of the kind
+/// An endpoint not used for so long has idle connections: calls in one burst share theirs.
+pub(super) const IDLE_AFTER: Duration = Duration::from_secs(1);
+/// Seconds over which the results of calls on idle connections count: few calls go on them.
+pub(crate) const IDLE_RESULT_SECONDS: usize = 30;
+/// So many of them reset or unanswered: one alone may be the host's restart, ...
+const STALE_RESULTS: f64 = 2.0;
+/// ... and this share of all, from which on idle connections are not trusted.
+const STALE_SHARE: f64 = 0.15;
+/// More relays than this: their idle connections alone fill an endpoint's connection table, ...
+const FLEET_FILLS_TABLE: u32 = 16;
+/// ... unless so many calls in a row found a connection at endpoints of the kind.
+const CONNECTED_CALLS: u32 = 50;
 
-impl DeliveryPolicy {
-    pub(super) fn look_at_idle(&mut self) {
-        self.ended_at.extend(self.endpoints.iter().filter(|(_, e)| e.used_at > Duration::ZERO).map(|e| e.0));
-    }
-
-    /// Guards against tables full of kept connections, and ones that died idle. Costs handshakes.
-    pub(super) fn leave_idle(&mut self, out: &mut dyn Actions) {
-        let (all, bad, _) = self.idle_ends.totals(self.now, 30);
-        let stale = bad >= STALE_ENDS && bad >= STALE_SHARE * all;
-        for id in std::mem::take(&mut self.ended_at) {
-            let ep = &self.endpoints[&id];
-            // Known too late if a crowd waits for a refusal: those who keep theirs are the ones not refused.
-            let tight = self.found_room.get(&ep.kind).is_none_or(|n| *n < ROOM_SHOWN);
-            if ep.used_at > Duration::ZERO && (stale || (self.settings.relay_count > CROWD_TABLE && tight)) {
-                self.endpoints.entry(id).and_modify(|ep| ep.used_at = Duration::ZERO);
-                out.close_idle_connections(id);
-            }
+/// Closes connections that may have died idle, and in a large fleet those that fill connection tables. Costs
+/// handshakes.
+pub(super) fn close_idle_connections(state: &mut State, out: &mut dyn Actions) {
+    let results = state.idle_results.totals(state.now);
+    let are_stale = results.sum >= STALE_RESULTS && results.sum >= STALE_SHARE * results.count;
+    let may_fill_table = state.settings.relay_count > FLEET_FILLS_TABLE;
+    for id in std::mem::take(&mut state.review_idle) {
+        let Some(endpoint) = state.endpoints.get_mut(id) else { continue };
+        // A rejection tells too late in a large fleet: those who keep their connections are not rejected.
+        let connected = state.connected_in_a_row.get(&endpoint.kind).copied().unwrap_or(0);
+        let fills_table = may_fill_table && connected < CONNECTED_CALLS;
+        if endpoint.keeps_connections() && (are_stale || fills_table) {
+            endpoint.last_used_at = Duration::ZERO;
+            out.close_idle_connections(id);
         }
     }
 }
--- a/src/policy/safety.rs
+++ b/src/policy/safety.rs
@@ -1,55 +1,77 @@
-//! The one place where the six rules are enforced.
+//! The one place where the six rules are enforced: every send passes here, whatever other modules decided.
 
-use super::timeouts::PATIENCE;
-use super::{DeliveryPolicy, ms};
+use super::{retry, timeouts};
 use crate::interface::*;
-use crate::state::Breaker;
+use crate::state::{CallDraft, Endpoint, Message, PossibleRun, Route, State};
 use std::time::Duration;
 
-pub(super) const MARGIN: Duration = ms(40); // before a deadline
-
-impl DeliveryPolicy {
-    /// The one place that every send passes: the six rules are enforced here.
-    pub(super) fn send(
-        &mut self,
-        id: MessageId,
-        to: EndpointId,
-        call: u64,
-        out: &mut dyn Actions,
-    ) -> Option<Duration> {
-        let now = self.now;
-        let msg = self.msgs.get(&id)?;
-        let ep = self.endpoints.get(&to)?;
-        let route = self.routes.get(&self.route_of(to))?;
-        let row = *self.row(msg);
-        let zonal =
-            matches!(row.idempotency, Idempotency::WithKey { scope: DeduplicationScope::SameZone, .. });
-        let same_group = !zonal || msg.may_have_run.is_none_or(|(_, zone)| zone == ep.zone);
-        let one = !msg.ended && msg.deadline > now + MARGIN && msg.destination == ep.dst; // rule 1
-        let two = msg.out.is_none() && self.may_go_again(msg) && same_group; // rule 2
-        let four =
-            route.slow_start_since.is_none() || route.cold.left > 0.0 || route.breaker != Breaker::Closed;
-        let five = self.in_turn(id, msg); // rule 5
-        if !(one && two && four && five && self.may_send_to(to, now)) {
-            return None;
-        }
-        let (zone, span, left) = (ep.zone, self.timeout(to, &row, msg.late), msg.deadline - now);
-        // A slow host keeps answering: an overdue leg counts at once, is cut later. Harm: late after silence.
-        let patient = left.mul_f64(PATIENCE).max(span).min(left);
-        let limit = if row.idempotency == Idempotency::NotIdempotent { left } else { patient };
-        // Guards against a repeat behind the memory: its connection came up late, or it was held up.
-        let limit = self.known(msg).map_or(limit, |left| limit.min(left.saturating_sub(MARGIN)));
-        let msg = self.msgs.get_mut(&id)?;
-        (msg.out, msg.legs, msg.ran) = (Some(call), msg.legs + 1, msg.ran + 1);
-        msg.may_have_run = msg.may_have_run.or(Some((now, zone)));
-        out.send(id, to, limit);
-        Some(span)
+/// Nothing is sent so shortly before a deadline: its answer would come too late.
+pub(super) const DEADLINE_MARGIN: Duration = Duration::from_millis(40);
+/// An attempt may take this share of the time left even if it is overdue: a slow host keeps answering.
+const PATIENCE: f64 = 0.8;
+
+/// Sends an attempt in the call if all rules allow it.
+pub(super) fn send(state: &mut State, id: MessageId, call: &mut CallDraft, out: &mut dyn Actions) -> bool {
+    let Some(message) = state.messages.get(id) else { return false };
+    let Some(endpoint) = state.endpoints.get(call.endpoint) else { return false };
+    let now = state.now;
+    let keeps_rules = keeps_deadline(message, endpoint, now) // rule 1
+        && may_repeat(state, message, endpoint) // rule 2
+        && keeps_slow_start(&state.routes[endpoint.route]) // rule 4
+        && state.messages.is_next(id, message, now) // rule 5
+        && may_send_to(state, call.endpoint, now); // rules 3 and 6
+    if !keeps_rules {
+        return false;
+    }
+    let timeout = timeouts::timeout(state, call.endpoint, state.class_of(message), message.timeouts);
+    let limit = attempt_limit(state, message, timeout);
+    call.add(message.deadline - now, timeout);
+    let run = PossibleRun { at: now, zone: endpoint.zone };
+    if let Some(message) = state.messages.get_mut(id) {
+        message.record_sent(call.number, run);
     }
+    out.send(id, call.endpoint, limit);
+    true
+}
+
+/// Rule 1: each message has one final outcome, in time, at its own destination.
+fn keeps_deadline(message: &Message, endpoint: &Endpoint, now: Duration) -> bool {
+    let is_in_time = message.deadline > now + DEADLINE_MARGIN;
+    !message.ended && is_in_time && message.destination == endpoint.route.destination
+}
+
+/// Rule 2: no message runs twice where that does harm, nor where the repeat is not recognised.
+fn may_repeat(state: &State, message: &Message, endpoint: &Endpoint) -> bool {
+    let is_known_in_zone = message.first_possible_run.is_none_or(|run| run.zone == endpoint.zone);
+    let is_recognised = match state.class_of(message).idempotency {
+        Idempotency::WithKey { scope: DeduplicationScope::SameZone, .. } => is_known_in_zone,
+        _ => true,
+    };
+    message.call.is_none() && retry::may_try_again(state, message) && is_recognised
+}
+
+/// Rules 3 and 6. The drain grace is not used: discovery may have told long before its list was heard, as it
+/// was down, or this process was.
+pub(super) fn may_send_to(state: &State, to: EndpointId, now: Duration) -> bool {
+    let Some(endpoint) = state.endpoints.get(to) else { return false };
+    endpoint.unavailable_since.is_none() && now >= state.routes[endpoint.route].retry_after_until
+}
+
+/// Rule 4: within the budget of its slow start, or as a trial.
+fn keeps_slow_start(route: &Route) -> bool {
+    route.slow_start_since.is_none() || route.slow_start_budget.tokens > 0.0 || !route.is_closed()
+}
 
-    /// Rules 3 and 6. A host asks again where a call begins late: both may have changed. The grace is not
-    /// used, as discovery may have told long before its list was heard (it was down, or this process was).
-    pub fn may_send_to(&self, to: EndpointId, now: Duration) -> bool {
-        let Some(ep) = self.endpoints.get(&to) else { return false };
-        ep.off_since.is_none() && now >= self.routes[&self.route_of(to)].retry_after_until
+/// How long the host waits for the answer. An overdue attempt counts at once and is cut later: a slow host
+/// goes on answering, though this learns late of one that fell silent.
+fn attempt_limit(state: &State, message: &Message, timeout: Duration) -> Duration {
+    let class = state.class_of(message);
+    let left = message.deadline - state.now;
+    let patient = left.mul_f64(PATIENCE).max(timeout).min(left);
+    let limit = if class.idempotency == Idempotency::NotIdempotent { left } else { patient };
+    // A repeat must arrive while it is recognised, also if its connection comes up late or is held up.
+    match message.deduplication_left(class, state.now) {
+        Some(recognised) => limit.min(recognised.saturating_sub(DEADLINE_MARGIN)),
+        None => limit,
     }
 }
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -1,138 +1,144 @@
-//! Selection: which destination is served next, at which endpoint, with which messages.
+//! Selection: which destination is served next, at which of its endpoints, with which messages in one call.
 
-use super::DeliveryPolicy;
-use super::concurrency::SLOT_SHARE;
-use super::idle_connections::IDLE;
-use super::slow_start::COLD_ITEM;
+use super::idle_connections::IDLE_AFTER;
+use super::slow_start::FURTHER_MESSAGE_WEIGHT;
+use super::{admission, concurrency, pacing, safety, timeouts};
 use crate::interface::*;
-use crate::state::{Breaker, Call, Msg};
-use std::collections::BTreeMap;
+use crate::state::{Breaker, CallDraft, Message, State};
 use std::time::Duration;
 
-const PICK_SLOW: f64 = 0.2; // points for an answer time as long as the span to the target time
-const PICK_USED: f64 = 0.05; // points for credits all out; fees and prices count in points as told
-const PICK_CHANCE: f64 = 0.01;
-const CALL_TIMES: f64 = 0.5; // messages share a call if the shortest time left is this share of the longest
+/// Cost of an answer time as long as the latency objective; fees and prices count as told, ...
+const COST_SLOW: f64 = 0.2;
+/// ... for so many objectives at most: slower still is no worse than out of reach.
+const SLOW_OBJECTIVES_MAX: f64 = 2.0;
+/// Cost of a concurrency limit that is used up: spreads calls over like endpoints.
+const COST_USED: f64 = 0.05;
+/// Cost by chance at most: relays that know the same don't all pick the same endpoint.
+const COST_JITTER: f64 = 0.01;
+/// Messages share a call if the shortest time left is at least this share of the longest.
+const LIKE_TIMES: f64 = 0.5;
 
-impl DeliveryPolicy {
-    /// Free slots go in turns over destinations with messages waiting, fewest calls out first.
-    pub(super) fn send_waiting(&mut self, out: &mut dyn Actions) {
-        let mut waiting: BTreeMap<DestinationId, Vec<MessageId>> = BTreeMap::new();
-        for (id, msg) in &self.msgs {
-            if msg.out.is_none() && !msg.ended && msg.not_before <= self.now && self.in_turn(*id, msg) {
-                waiting.entry(msg.destination).or_default().push(*id);
-            }
-        }
-        let still = self.handing_over || self.list_due.is_some_and(|at| self.now < at);
-        while !still && self.calls.len() < self.settings.max_calls_in_flight {
-            let next = waiting.keys().min_by_key(|d| (self.calls_out(**d), self.near.get(d).map(|n| n.1)));
-            let Some(dst) = next.copied() else { break };
-            let mut list = waiting.remove(&dst).unwrap_or_default();
-            if self.send_call(dst, &mut list, out) && !list.is_empty() {
-                waiting.insert(dst, list);
-            }
+/// Messages that wait for one destination.
+type Waiting = Vec<MessageId>;
+
+/// An endpoint that may be called now.
+struct Candidate {
+    endpoint: EndpointId,
+    cost: f64,
+    messages_allowed: usize,
+}
+
+/// Free calls go in turns over destinations with messages waiting, those with the fewest in flight first.
+pub(super) fn send_waiting(state: &mut State, out: &mut dyn Actions) {
+    let awaits_list = state.list_awaited_until.is_some_and(|until| state.now < until);
+    if state.is_handing_over || awaits_list {
+        return;
+    }
+    let mut waiting = state.messages.waiting(state.now);
+    while state.calls.len() < state.settings.max_calls_in_flight {
+        let turn = |id: &&DestinationId| (state.calls.in_flight_to(**id), state.endpoints.last_call(**id));
+        let Some(destination) = waiting.keys().min_by_key(turn).copied() else { break };
+        let mut messages = waiting.remove(&destination).unwrap_or_default();
+        if send_call(state, destination, &mut messages, out) && !messages.is_empty() {
+            waiting.insert(destination, messages);
         }
     }
+}
 
-    /// Sends one call to a destination, with as many of the messages as may travel in it.
-    fn send_call(&mut self, dst: DestinationId, list: &mut Vec<MessageId>, out: &mut dyn Actions) -> bool {
-        let now = self.now;
-        let free = self.settings.max_calls_in_flight - self.calls.len();
-        // Guards against slow or suspect destinations taking all slots. Harm: with few they open late.
-        if self.calls_out(dst) as f64 >= SLOT_SHARE * free as f64 {
-            return false;
-        }
-        let target = self.row(&self.msgs[&list[0]]).latency_objective.as_secs_f64();
-        let mut options = Vec::new();
-        let suspect = |c: &&Call| self.routes.get(&c.route).is_some_and(|r| r.run > 0);
-        let suspects = self.calls.values().filter(suspect).count();
-        let near = self.near.get(&dst).map(|near| near.0.clone()).unwrap_or_default();
-        for id in near.iter().copied() {
-            let ep = &self.endpoints[&id];
-            let resting = near.len() > 1 && now < ep.rest_until;
-            let route_id = self.route_of(id);
-            // The trial takes no credit: legs left out on a hung host must not hold it up.
-            let closed = self.routes[&route_id].breaker == Breaker::Closed;
-            let spent = closed && f64::from(ep.out) + 1.0 > ep.limit;
-            let held = closed && self.routes[&route_id].run > 0 && suspects >= free;
-            let shut = ep.off_since.is_some() || spent || resting || held;
-            let room = if shut { 0 } else { self.room(route_id, self.batch(ep.kind)) };
-            if room == 0 {
-                continue;
-            }
-            let ep = &self.endpoints[&id];
-            let (n, sum, _) = ep.answers.totals(now, 24);
-            let fee = route_id.1.and(self.settings.zone_fees.get(ep.zone.0 as usize)).copied().unwrap_or(0.0);
-            let cross = if ep.zone == self.settings.zone { 0.0 } else { self.settings.cross_zone_price };
-            let slow = if n > 0.0 { PICK_SLOW * (sum / n / target).min(2.0) } else { 0.0 };
-            let cost = fee + cross + slow + PICK_USED * f64::from(ep.out) / ep.limit;
-            let cost = cost + PICK_CHANCE * self.chance(id.0);
-            options.push((cost, id, room));
-        }
-        if options.is_empty() {
-            return false;
-        }
-        options.sort_by(|a, b| a.0.total_cmp(&b.0));
-        // What is worth most now, with the line behind its key (guards against long ones), goes first.
-        let line = |m: &Msg| m.key.and_then(|k| self.lines.get(&k)).map_or(1, |l| l.queue.len()) as f64;
-        let rank = |m: &Msg| (!m.untried(), (-self.worth(m) * line(m) * 1e6) as i64, m.target);
-        list.sort_by_cached_key(|id| rank(&self.msgs[id]));
-        options.into_iter().any(|(_, to, room)| self.send_to(to, room, list, out))
+/// Sends one call to a destination, with as many of the messages as may travel in it; takes those out.
+fn send_call(state: &mut State, to: DestinationId, messages: &mut Waiting, out: &mut dyn Actions) -> bool {
+    if !concurrency::has_calls_for(state, to) {
+        return false;
     }
+    let objective = state.class_of(&state.messages[messages[0]]).latency_objective;
+    let mut candidates = candidates(state, to, objective);
+    if candidates.is_empty() {
+        return false;
+    }
+    candidates.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+    messages.sort_by_cached_key(|id| rank(state, &state.messages[*id]));
+    candidates.iter().any(|candidate| send_to(state, candidate, messages, out))
+}
 
-    fn send_to(
-        &mut self,
-        to: EndpointId,
-        room: usize,
-        list: &mut Vec<MessageId>,
-        out: &mut dyn Actions,
-    ) -> bool {
-        let now = self.now;
-        let route_id = self.route_of(to);
-        let trial = self.routes[&route_id].breaker != Breaker::Closed;
-        if trial {
-            // A trial can strand a message that must not run twice: a safer one goes first.
-            list.sort_by_key(|id| self.row(&self.msgs[id]).idempotency);
-        }
-        self.count += 1;
-        let call = self.count;
-        let learnt = self.learnt(to);
-        let (mut sent, mut expect, mut least, mut most) = (0, Duration::ZERO, Duration::MAX, Duration::ZERO);
-        list.retain(|id| {
-            // A call ends at its shortest limit: guards against one with little time that cuts others off.
-            let time = self.msgs[id].deadline.saturating_sub(now);
-            // One whose time is long beside the learnt answer cuts nobody off: else what waited long keeps
-            // out what is new, and each takes a call of its own where calls are few.
-            let ample = learnt.is_some_and(|span| time.min(least).mul_f64(CALL_TIMES) >= span);
-            let joins = sent == 0 || ample || least.min(time) >= most.max(time).mul_f64(CALL_TIMES);
-            let span = if sent < room && joins { self.send(*id, to, call, out) } else { None };
-            if span.is_some() {
-                (least, most) = (least.min(time), most.max(time));
-            }
-            sent += usize::from(span.is_some());
-            expect = expect.max(span.unwrap_or_default());
-            span.is_none()
-        });
-        if sent == 0 {
-            return false;
+fn candidates(state: &mut State, destination: DestinationId, objective: Duration) -> Vec<Candidate> {
+    let are_calls_short = state.calls_on_failing_routes() >= state.free_calls();
+    let endpoints = state.endpoints.of_destination(destination).to_vec();
+    let mut candidates = Vec::new();
+    for endpoint in endpoints.iter().copied() {
+        if !may_take_call(state, endpoint, endpoints.len() > 1, are_calls_short) {
+            continue;
         }
-        let (left, full) = (sent as u32, sent >= room);
-        let ep = &self.endpoints[&to];
-        let idle = ep.out == 0 && ep.used_at > Duration::ZERO && now > ep.used_at + IDLE;
-        let made = Call { route: route_id, to, left, sent: now, expect, full, idle, ..Call::default() };
-        self.calls.insert(call, made);
-        self.near.entry(route_id.0).or_default().1 = call;
-        self.endpoints.entry(to).and_modify(|ep| (ep.out, ep.used_at) = (ep.out + 1, now));
-        if let Some(route) = self.routes.get_mut(&route_id) {
-            route.tokens.left -= 1.0;
-            route.cold.left -= 1.0 + COLD_ITEM * (sent as f64 - 1.0);
+        let batch_size = state.batch_size(state.endpoints[endpoint].kind);
+        let route = state.endpoints[endpoint].route;
+        let messages_allowed = pacing::messages_allowed_now(state, route, batch_size);
+        if messages_allowed > 0 {
+            let cost = cost(state, endpoint, objective);
+            candidates.push(Candidate { endpoint, cost, messages_allowed });
         }
-        trial.then(|| self.set_breaker(route_id, Breaker::HalfOpen(Some(call))));
-        true
     }
+    candidates
+}
+
+fn may_take_call(state: &State, id: EndpointId, has_siblings: bool, are_calls_short: bool) -> bool {
+    let endpoint = &state.endpoints[id];
+    let route = &state.routes[endpoint.route];
+    // The trial is not limited: calls left in flight at a hung host must not hold it up.
+    let is_used_up = f64::from(endpoint.calls_in_flight) + 1.0 > endpoint.concurrency_limit;
+    let is_held = route.consecutive_failures > 0 && are_calls_short;
+    let is_limited = route.is_closed() && (is_used_up || is_held);
+    let is_held_off = has_siblings && state.now < endpoint.hold_off_until;
+    endpoint.unavailable_since.is_none() && !is_limited && !is_held_off
+}
 
-    pub(super) fn in_turn(&self, id: MessageId, msg: &Msg) -> bool {
-        let Some(line) = msg.key.and_then(|k| self.lines.get(&k)) else { return true };
-        line.queue.front() == Some(&id) && (line.rest_until <= self.now || line.rest_by == Some(id))
+fn cost(state: &mut State, id: EndpointId, objective: Duration) -> f64 {
+    let endpoint = &state.endpoints[id];
+    let times = endpoint.response_times.totals(state.now);
+    let fee = state.settings.zone_fees.get(endpoint.zone.0 as usize).copied().unwrap_or(0.0);
+    let fee = if endpoint.route.endpoint.is_some() { fee } else { 0.0 };
+    let is_near = endpoint.zone == state.settings.zone;
+    let price = if is_near { 0.0 } else { state.settings.cross_zone_price };
+    let objectives = times.sum / times.count / objective.as_secs_f64();
+    let slow = if times.count > 0.0 { COST_SLOW * objectives.min(SLOW_OBJECTIVES_MAX) } else { 0.0 };
+    let used = COST_USED * f64::from(endpoint.calls_in_flight) / endpoint.concurrency_limit;
+    fee + price + slow + used + COST_JITTER * state.jitter.draw(id.0)
+}
+
+/// What a restart found untried goes first, then what weighs most with the queue behind its key.
+fn rank(state: &State, message: &Message) -> (bool, i64, Duration) {
+    let queue_length = state.messages.queue_length(message) as f64;
+    let millionths = (-admission::weight(state, message) * queue_length * 1e6) as i64;
+    (!message.is_untried_since_restart(), millionths, message.objective)
+}
+
+fn send_to(state: &mut State, to: &Candidate, messages: &mut Waiting, out: &mut dyn Actions) -> bool {
+    let route_id = state.endpoints[to.endpoint].route;
+    let is_trial = !state.routes[route_id].is_closed();
+    if is_trial {
+        // A trial can strand a message that must not run twice: a safer one goes first.
+        messages.sort_by_key(|id| state.class_of(&state.messages[*id]).idempotency);
+    }
+    let mut draft = CallDraft::new(state.jitter.next_number(), to.endpoint, to.messages_allowed);
+    let learnt_timeout = timeouts::learnt(state, to.endpoint);
+    messages.retain(|id| {
+        let left = state.messages[*id].deadline.saturating_sub(state.now);
+        let may_join = !draft.is_full() && may_join(&draft, left, learnt_timeout);
+        !(may_join && safety::send(state, *id, &mut draft, out))
+    });
+    if draft.messages == 0 {
+        return false;
+    }
+    let is_idle = state.endpoints[to.endpoint].has_idle_connection(state.now, IDLE_AFTER);
+    state.start_call(&draft, is_idle, FURTHER_MESSAGE_WEIGHT);
+    if is_trial {
+        state.routes.set_breaker(route_id, Breaker::HalfOpen(Some(draft.number)));
     }
+    true
+}
+
+/// A call ends at its shortest limit, so one with little time left would cut others off. One whose time is
+/// long beside the learnt answer time cuts nobody off: else what waited long keeps out what is new.
+fn may_join(draft: &CallDraft, left: Duration, learnt_timeout: Option<Duration>) -> bool {
+    let shortest = draft.shortest_with(left);
+    let is_ample = learnt_timeout.is_some_and(|timeout| shortest.mul_f64(LIKE_TIMES) >= timeout);
+    draft.messages == 0 || is_ample || shortest >= draft.longest_with(left).mul_f64(LIKE_TIMES)
 }
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -1,51 +1,63 @@
-//! Slow start: a destination that comes back from an outage takes a part of its load first.
+//! Slow start: a destination that comes back from an outage bears a part of its rate first, as the settings
+//! tell. A budget keeps to it; all relays of a large fleet together must not exceed it (rule 4).
 
-use super::{DeliveryPolicy, ms};
-use crate::interface::*;
-use crate::state::{Route, Tokens};
+use super::LARGE_FLEET;
+use crate::interface::PolicySettings;
+use crate::state::{Route, Totals, slow_start_progress, slow_start_share};
 use std::time::Duration;
 
-pub(super) const CROWD: u32 = 6; // relays, from which their trials add up and even portions are too small, ...
-const CROWD_LOAD: f64 = 1.0; // share of the listed rate that others may ask since failures began, ...
-const CROWD_SPAN: Duration = ms(4_000); // ... for so long at least
-pub(super) const COLD_ROUGH: f64 = 1.15; // a rough rate is taken for so much less
-pub(super) const COLD_ITEM: f64 = 0.25; // what each further message of a call weighs against the budget
-pub(super) const COLD_FURTHER: usize = 4; // further messages that may overdraw the budget
-pub(super) const COLD_BURST: f64 = 0.3; // of what the budget lets pass in the fall span
-pub(super) const COLD_SHARE: f64 = 0.6; // share of calls failed lately that counts as an outage, ...
-pub(super) const COLD_FAILED: f64 = 3.0; // ... of at least so many
-pub(super) const COLD_FULLS: u32 = 4; // refusals in a row, no wait told (guards against ramps after limits), ...
-pub(super) const COLD_FULL_SPAN: Duration = ms(2_500); // ... without a success for so long, that count as one
-pub(super) const COLD_WAIT: Duration = ms(1_500); // a told wait longer than this means shut
+/// Share of the calls lately failed that counts as an outage, ...
+const OUTAGE_FAILURE_SHARE: f64 = 0.6;
+/// ... of at least so many failed ones: fewer are chance.
+const OUTAGE_FAILURES: f64 = 3.0;
+/// A budget reckoned from an inexact rate is so many times smaller, as overload sets the return back.
+const INEXACT_RATE_MARGIN: f64 = 1.15;
+/// What each further message of a call weighs against the budget, beside 1 for the call.
+pub(super) const FURTHER_MESSAGE_WEIGHT: f64 = 0.25;
+/// Further messages that may overdraw the budget: calls of one message alone would be too many.
+const OVERDRAFT_MESSAGES: usize = 4;
+/// The burst, as a share of what the budget lets pass in the span in which overload shows.
+const BURST_SHARE: f64 = 0.3;
+/// The share of the listed rate that other relays are taken to ask since an outage began, ...
+const FLEET_LOAD: f64 = 1.0;
+/// ... for so long at least: less is known of a young outage.
+const FLEET_SPAN_MIN: Duration = Duration::from_secs(4);
 
-impl DeliveryPolicy {
-    pub(super) fn turn_cold(route: &mut Route, since: Duration) {
-        route.cold =
-            route.slow_start_since.replace(since).map_or(Tokens { left: 0.0, at: since }, |_| route.cold);
-    }
+/// True if so many calls failed lately that the route will come back from an outage.
+pub(super) fn is_outage(recent_results: &Totals) -> bool {
+    let (all, failed) = (recent_results.count, recent_results.sum);
+    failed >= OUTAGE_FAILURES && failed >= OUTAGE_FAILURE_SHARE * all
+}
 
-    /// Guards against a crowd of relays that pushes over a cold destination (rule 4) or starves one that
-    /// refuses: from the second bad end in a row on all who may ask share what it takes. Harm: late returns.
-    pub(super) fn crowd_delay(f: &PolicySettings, route: &Route, now: Duration, chance: f64) -> Duration {
-        let began = if route.run > 0 { route.run_since } else { route.full_since };
-        let since = now.saturating_sub(began).max(CROWD_SPAN).as_secs_f64();
-        let (relays, rate) = (f64::from(f.relay_count.saturating_sub(CROWD)), route.rate.max(1.0));
-        let others =
-            if route.run + 2 * route.fulls > 1 { relays.min(CROWD_LOAD * rate * since) } else { 0.0 };
-        let warm =
-            (f.overload_window.as_secs_f64() / f.slow_start_duration.as_secs_f64().max(0.001)).min(1.0);
-        let takes =
-            (f.overload_multiple * (f.slow_start_share + (1.0 - f.slow_start_share) * warm) * rate).max(0.01);
-        Duration::from_secs_f64(others * (0.5 + chance) / takes).min(f.slow_start_duration * 2)
-    }
+/// Keeps a large fleet from pushing over a destination that comes back (rule 4), and from starving one that
+/// rejects: from the second bad end in a row on, all who may ask share what it bears. Makes returns late.
+pub(super) fn fleet_delay(f: &PolicySettings, route: &Route, now: Duration, jitter: f64) -> Duration {
+    let is_failing = route.consecutive_failures > 0;
+    let began = if is_failing { route.failing_since } else { route.rejected_since };
+    let since = now.saturating_sub(began).max(FLEET_SPAN_MIN).as_secs_f64();
+    let relays = f64::from(f.relay_count.saturating_sub(LARGE_FLEET));
+    let rate = route.rate_limit.max(1.0);
+    let is_repeated = route.consecutive_failures + 2 * route.consecutive_rejections > 1;
+    let others = if is_repeated { relays.min(FLEET_LOAD * rate * since) } else { 0.0 };
+    let share = slow_start_share(f, slow_start_progress(f, f.overload_window).min(1.0));
+    let bearable = (f.overload_multiple * share * rate).max(0.01);
+    Duration::from_secs_f64(others * (0.5 + jitter) / bearable).min(f.slow_start_duration * 2)
+}
 
-    /// The endpoint was out by hand and was restarted meanwhile: its route comes back cold (rule 4).
-    pub(super) fn endpoint_restarted(&mut self, id: EndpointId) {
-        let route_id = self.endpoints.contains_key(&id).then(|| self.route_of(id));
-        let now = self.now;
-        route_id
-            .and_then(|r| self.routes.get_mut(&r))
-            .into_iter()
-            .for_each(|r| DeliveryPolicy::turn_cold(r, now));
+/// How many messages of a call the slow start lets pass; the whole batch if it is over.
+pub(super) fn messages_allowed(f: &PolicySettings, route: &mut Route, now: Duration, batch: usize) -> usize {
+    let Some(since) = route.slow_start_since else { return batch };
+    let progress = slow_start_progress(f, now.saturating_sub(since));
+    if progress >= 1.0 {
+        route.slow_start_since = None;
+        return batch;
     }
+    let is_inexact = route.is_rate_inexact(f.listed_rate);
+    let limit = if is_inexact { route.rate_limit / INEXACT_RATE_MARGIN } else { route.rate_limit };
+    let rate = f.overload_multiple * slow_start_share(f, progress) * limit / f64::from(f.relay_count);
+    let burst = (BURST_SHARE * rate * f.overload_window.as_secs_f64()).max(1.0);
+    route.slow_start_budget.refill(now, rate, burst);
+    // A call weighs little more for each further message; the first wants a whole token.
+    let further = (route.slow_start_budget.tokens - 1.0) / FURTHER_MESSAGE_WEIGHT;
+    if further < 0.0 { 0 } else { batch.min(1 + OVERDRAFT_MESSAGES + further as usize) }
 }
--- a/src/policy/timeouts.rs
+++ b/src/policy/timeouts.rs
@@ -1,59 +1,73 @@
-//! Time-outs learnt from answer times, and what happens to calls that are overdue.
+//! Time-outs learnt from answer times, and what happens to calls that are overdue by them.
 
-use super::{DeliveryPolicy, ms};
+use super::circuit_breaker;
 use crate::interface::*;
-use crate::state::Call;
+use crate::state::{Call, CallNumber, State};
 use std::time::Duration;
 
-const TIMEOUT_LEAST: Duration = ms(600);
+/// No learnt time-out is shorter: garbage collection and lost packets take so long now and then.
+const TIMEOUT_MIN: Duration = Duration::from_millis(600);
+/// A time-out is so many mean answer times, ...
 const TIMEOUT_MEANS: f64 = 6.0;
+/// ... and at least so many times the longest answer time: the next one may be longer.
 const TIMEOUT_PEAKS: f64 = 1.5;
-const TIMEOUT_UNKNOWN: f64 = 1.5; // of the span to the target time
-pub(super) const PATIENCE: f64 = 0.8; // of the time left, a leg is left out at least
-const SLOTS_SPARE: usize = 8; // a slot in so many is kept free by recalling overdue legs
-const ONCE_GRACE: u32 = 2; // times the learnt time-out before a one-chance leg is recalled
+/// Seconds over which answer times count: as the load changes, older ones mislead.
+pub(crate) const RESPONSE_TIME_SECONDS: usize = 24;
+/// Answers from which on a time-out is learnt: fewer tell too little of the spread.
+const ANSWERS_MIN: f64 = 3.0;
+/// The time-out before that, as a multiple of the latency objective: longer answers are of little worth.
+const TIMEOUT_OF_OBJECTIVE: f64 = 1.5;
+/// A message's time-out is doubled with each that it had, so many times: the next host may be slow too.
+const TIMEOUT_DOUBLINGS_MAX: u32 = 4;
+/// One call in so many is kept free by cancelling overdue ones: enough for the destinations that answer.
+const CALLS_PER_SPARE_CALL: usize = 8;
+/// A call with a message that can't be sent again is cancelled after so many time-outs: its one chance.
+const NOT_IDEMPOTENT_TIMEOUTS: u32 = 2;
 
-impl DeliveryPolicy {
-    pub(super) fn learnt(&self, to: EndpointId) -> Option<Duration> {
-        let (n, sum, peak) = self.endpoints[&to].answers.totals(self.now, 24);
-        let span = Duration::from_secs_f64((TIMEOUT_MEANS * sum / n.max(1.0)).max(TIMEOUT_PEAKS * peak));
-        (n >= 3.0).then_some(span.max(TIMEOUT_LEAST))
+pub(super) fn learnt(state: &State, endpoint: EndpointId) -> Option<Duration> {
+    let times = state.endpoints[endpoint].response_times.totals(state.now);
+    if times.count < ANSWERS_MIN {
+        return None;
     }
+    let seconds = (TIMEOUT_MEANS * times.sum / times.count).max(TIMEOUT_PEAKS * times.peak);
+    Some(Duration::from_secs_f64(seconds).max(TIMEOUT_MIN))
+}
+
+/// The time-out of an attempt for a message that timed out so often before.
+pub(super) fn timeout(state: &State, to: EndpointId, class: &MessageClass, timeouts: u32) -> Duration {
+    let unknown = class.latency_objective.mul_f64(TIMEOUT_OF_OBJECTIVE).max(TIMEOUT_MIN);
+    learnt(state, to).unwrap_or(unknown) * 2u32.pow(timeouts.min(TIMEOUT_DOUBLINGS_MAX))
+}
 
-    pub(super) fn timeout(&self, to: EndpointId, row: &MessageClass, late: u32) -> Duration {
-        let span =
-            self.learnt(to).unwrap_or(row.latency_objective.mul_f64(TIMEOUT_UNKNOWN).max(TIMEOUT_LEAST));
-        span * 2u32.pow(late.min(4))
+/// A call past its learnt time-out counts as failed, though it is left in flight: shows hosts that hang.
+pub(super) fn count_overdue_calls(state: &mut State) {
+    for call in state.calls.count_overdue(state.now) {
+        state.record_connection(&call, false, true);
+        circuit_breaker::call_failed(state, &call);
     }
+}
 
-    /// A leg past its learnt time-out counts as failed, though left out: guards against hosts that hang.
-    pub(super) fn count_overdue(&mut self) {
-        let now = self.now;
-        let overdue = self.calls.iter().filter(|(_, c)| !c.counted && c.sent + c.expect <= now);
-        let late: Vec<_> = overdue.map(|(id, c)| (*id, c.route, c.to, c.idle)).collect();
-        for (call, route, to, idle) in late {
-            self.calls.entry(call).and_modify(|c| c.counted = true);
-            idle.then(|| self.idle_ends.add(now, 1.0));
-            idle.then(|| self.look_at_idle());
-            self.failed(route, call, to);
+/// Keeps some calls free of hosts that hang: cancels the oldest overdue, those that can't go again later.
+pub(super) fn cancel_overdue_calls(state: &mut State, out: &mut dyn Actions) {
+    let spare = state.settings.max_calls_in_flight.div_ceil(CALLS_PER_SPARE_CALL);
+    let wanted = (state.calls.not_cancelled() + spare).saturating_sub(state.settings.max_calls_in_flight);
+    if wanted == 0 || !state.settings.may_cancel {
+        return;
+    }
+    let may_cancel = state.calls.iter().filter(|(number, call)| may_cancel(state, *number, call));
+    for number in may_cancel.map(|(number, _)| number).take(wanted).collect::<Vec<_>>() {
+        for (id, message) in state.messages.carried_by(number) {
+            out.cancel(id, AttemptNumber(message.attempts - 1));
         }
+        state.calls.mark_cancelled(number);
     }
+}
 
-    /// Guards against hung legs holding every slot: the oldest overdue are recalled, one-chance ones later.
-    pub(super) fn recall_overdue(&mut self, out: &mut dyn Actions) {
-        let spare = self.settings.max_calls_in_flight.div_ceil(SLOTS_SPARE);
-        let taken = self.calls.values().filter(|c| !c.recalled).count();
-        let short = (taken + spare).saturating_sub(self.settings.max_calls_in_flight);
-        let (wanted, mut recalled) = (if self.settings.may_cancel { short } else { 0 }, Vec::new());
-        let overdue = |c: &Call| wanted > 0 && !c.recalled && self.now >= c.sent + c.expect;
-        for (id, call) in self.calls.iter().filter(|(_, c)| overdue(c)) {
-            let legs: Vec<_> = self.msgs.iter().filter(|(_, m)| m.out == Some(*id)).collect();
-            let once = legs.iter().any(|(_, m)| self.row(m).idempotency == Idempotency::NotIdempotent);
-            if recalled.len() < wanted && (!once || self.now >= call.sent + call.expect * ONCE_GRACE) {
-                legs.iter().for_each(|(msg, m)| out.cancel(**msg, AttemptNumber(m.legs - 1)));
-                recalled.push(*id);
-            }
-        }
-        self.calls.iter_mut().filter(|(id, _)| recalled.contains(id)).for_each(|(_, c)| c.recalled = true);
+fn may_cancel(state: &State, number: CallNumber, call: &Call) -> bool {
+    if call.cancelled || !call.is_overdue(state.now) {
+        return false;
     }
+    let not_idempotent = |message| state.class_of(message).idempotency == Idempotency::NotIdempotent;
+    let is_risky = state.messages.carried_by(number).any(|(_, message)| not_idempotent(message));
+    !is_risky || state.now >= call.sent_at + call.expected_within * NOT_IDEMPOTENT_TIMEOUTS
 }
--- a/src/state/calls.rs
+++ b/src/state/calls.rs
@@ -1,18 +1,174 @@
-//! Calls in flight; one call carries one or more messages.
+//! Calls in flight. A call carries one attempt of each of one or more messages.
 
 use super::RouteId;
-use crate::interface::*;
+use crate::interface::{DestinationId, EndpointId};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// A call's number; never used twice.
+pub(crate) type CallNumber = u64;
+
+/// A call in flight.
 #[derive(Default)]
 pub(crate) struct Call {
     pub(crate) route: RouteId,
-    pub(crate) to: EndpointId,
-    pub(crate) left: u32,
-    pub(crate) sent: Duration,
-    pub(crate) expect: Duration,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) attempts_in_flight: u32,
+    pub(crate) sent_at: Duration,
+    /// The time-out learnt: behind it the call is overdue.
+    pub(crate) expected_within: Duration,
+    /// Its result has been counted for its route.
     pub(crate) counted: bool,
-    pub(crate) recalled: bool,
-    pub(crate) full: bool,
-    pub(crate) idle: bool,
+    pub(crate) cancelled: bool,
+    /// It carries as many messages as the route took.
+    pub(crate) filled: bool,
+    pub(crate) on_idle_connection: bool,
+}
+
+/// What is known of a call as one of its attempts ends, or as it is overdue.
+pub(crate) struct CallResult {
+    pub(crate) number: CallNumber,
+    pub(crate) route: RouteId,
+    pub(crate) endpoint: EndpointId,
+    /// The call's result has not been counted before.
+    pub(crate) is_first_result: bool,
+    pub(crate) is_over: bool,
+    pub(crate) filled: bool,
+    pub(crate) on_idle_connection: bool,
+}
+
+impl Call {
+    pub(crate) fn is_overdue(&self, now: Duration) -> bool {
+        now >= self.sent_at + self.expected_within
+    }
+
+    /// Counts the call's result, unless it has been counted.
+    fn result(&mut self, number: CallNumber, endpoint: EndpointId) -> CallResult {
+        let is_first_result = !self.counted;
+        self.counted = true;
+        CallResult {
+            number,
+            route: self.route,
+            endpoint,
+            is_first_result,
+            is_over: self.attempts_in_flight == 0,
+            filled: is_first_result && self.filled,
+            on_idle_connection: is_first_result && self.on_idle_connection,
+        }
+    }
+}
+
+/// A call that is being filled with messages.
+pub(crate) struct CallDraft {
+    pub(crate) number: CallNumber,
+    pub(crate) endpoint: EndpointId,
+    pub(crate) messages_allowed: usize,
+    pub(crate) messages: usize,
+    expected_within: Duration,
+    shortest_left: Duration,
+    longest_left: Duration,
+}
+
+impl CallDraft {
+    pub(crate) fn new(number: CallNumber, endpoint: EndpointId, messages_allowed: usize) -> CallDraft {
+        CallDraft {
+            number,
+            endpoint,
+            messages_allowed,
+            messages: 0,
+            expected_within: Duration::ZERO,
+            shortest_left: Duration::MAX,
+            longest_left: Duration::ZERO,
+        }
+    }
+
+    pub(crate) fn is_full(&self) -> bool {
+        self.messages >= self.messages_allowed
+    }
+
+    /// The shortest time left in the call, with a message that has `left`.
+    pub(crate) fn shortest_with(&self, left: Duration) -> Duration {
+        self.shortest_left.min(left)
+    }
+
+    /// The longest time left in the call, with a message that has `left`.
+    pub(crate) fn longest_with(&self, left: Duration) -> Duration {
+        self.longest_left.max(left)
+    }
+
+    pub(crate) fn add(&mut self, left: Duration, timeout: Duration) {
+        self.messages += 1;
+        self.expected_within = self.expected_within.max(timeout);
+        self.shortest_left = self.shortest_with(left);
+        self.longest_left = self.longest_with(left);
+    }
+
+    pub(crate) fn call(&self, route: RouteId, now: Duration, on_idle_connection: bool) -> Call {
+        Call {
+            route,
+            endpoint: self.endpoint,
+            attempts_in_flight: self.messages as u32,
+            sent_at: now,
+            expected_within: self.expected_within,
+            filled: self.is_full(),
+            on_idle_connection,
+            ..Call::default()
+        }
+    }
+}
+
+/// All calls in flight, by number: the oldest first.
+#[derive(Default)]
+pub(crate) struct Calls {
+    by_number: BTreeMap<CallNumber, Call>,
+}
+
+impl Calls {
+    pub(crate) fn len(&self) -> usize {
+        self.by_number.len()
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (CallNumber, &Call)> {
+        self.by_number.iter().map(|(number, call)| (*number, call))
+    }
+
+    pub(crate) fn insert(&mut self, number: CallNumber, call: Call) {
+        self.by_number.insert(number, call);
+    }
+
+    pub(crate) fn in_flight_to(&self, destination: DestinationId) -> usize {
+        self.by_number.values().filter(|call| call.route.destination == destination).count()
+    }
+
+    /// True if the result of a call of the route has not been counted yet.
+    pub(crate) fn is_result_due(&self, route: RouteId) -> bool {
+        self.by_number.values().any(|call| call.route == route && !call.counted)
+    }
+
+    /// Counts those whose result is overdue; the oldest first.
+    pub(crate) fn count_overdue(&mut self, now: Duration) -> Vec<CallResult> {
+        let overdue = self.by_number.iter_mut().filter(|(_, call)| !call.counted && call.is_overdue(now));
+        overdue.map(|(number, call)| call.result(*number, call.endpoint)).collect()
+    }
+
+    /// An attempt of the call ended at `endpoint`; with the last one the call is over.
+    pub(crate) fn end_attempt(&mut self, number: CallNumber, endpoint: EndpointId) -> Option<CallResult> {
+        let call = self.by_number.get_mut(&number)?;
+        call.attempts_in_flight -= 1;
+        let result = call.result(number, endpoint);
+        if result.is_over {
+            self.by_number.remove(&number);
+        }
+        Some(result)
+    }
+
+    pub(crate) fn not_cancelled(&self) -> usize {
+        self.by_number.values().filter(|call| !call.cancelled).count()
+    }
+
+    pub(crate) fn mark_cancelled(&mut self, number: CallNumber) {
+        if let Some(call) = self.by_number.get_mut(&number) {
+            call.cancelled = true;
+        }
+    }
 }
--- a/src/state/endpoints.rs
+++ b/src/state/endpoints.rs
@@ -1,19 +1,201 @@
-//! Endpoints: what is known of each address of a destination.
+//! Endpoints: what is known of each address of a destination, and their indexes.
 
-use super::Ring;
+use super::{CallNumber, RouteId, SlidingWindow};
 use crate::interface::*;
+use crate::policy::timeouts::RESPONSE_TIME_SECONDS;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 #[derive(Default)]
 pub(crate) struct Endpoint {
-    pub(crate) dst: DestinationId,
+    pub(crate) route: RouteId,
     pub(crate) zone: ZoneId,
     pub(crate) kind: DestinationKindId,
-    pub(crate) off_since: Option<Duration>,
-    pub(crate) limit: f64,
-    pub(crate) out: u32,
-    pub(crate) run: u32,
-    pub(crate) rest_until: Duration,
-    pub(crate) answers: Ring<24>,
-    pub(crate) used_at: Duration,
+    /// Draining or off the list since then.
+    pub(crate) unavailable_since: Option<Duration>,
+    pub(crate) concurrency_limit: f64,
+    pub(crate) calls_in_flight: u32,
+    pub(crate) consecutive_failures: u32,
+    pub(crate) hold_off_until: Duration,
+    /// Answer times in seconds.
+    pub(crate) response_times: SlidingWindow<RESPONSE_TIME_SECONDS>,
+    /// When a connection was last used; zero if none is kept.
+    pub(crate) last_used_at: Duration,
+}
+
+impl Endpoint {
+    pub(crate) fn new(listed: &ListedEndpoint, route: RouteId, concurrency_limit: f64) -> Endpoint {
+        Endpoint { route, zone: listed.zone, kind: listed.kind, concurrency_limit, ..Endpoint::default() }
+    }
+
+    /// Additive increase: about one call more for each concurrency limit's worth of answers, up to `maximum`.
+    pub(crate) fn record_success(&mut self, now: Duration, waited: Duration, maximum: f64) {
+        self.response_times.add(now, waited.as_secs_f64());
+        // The limit was used up (one call is back already): without the 2, a limit of one never grew again.
+        let was_used_up = f64::from(self.calls_in_flight) + 2.0 > self.concurrency_limit;
+        let increase = if was_used_up { 1.0 / self.concurrency_limit } else { 0.0 };
+        self.concurrency_limit = (self.concurrency_limit + increase).min(maximum);
+        self.consecutive_failures = 0;
+    }
+
+    /// Multiplicative decrease, down to one call.
+    pub(crate) fn cut_concurrency_limit(&mut self, factor: f64) {
+        self.concurrency_limit = (self.concurrency_limit * factor).max(1.0);
+    }
+
+    /// Consecutive failures from `dead_from` on hold the endpoint off.
+    pub(crate) fn record_failure(&mut self, cut: f64, dead_from: u32, hold_off_until: Duration) {
+        self.cut_concurrency_limit(cut);
+        self.consecutive_failures += 1;
+        if self.consecutive_failures >= dead_from {
+            self.hold_off_until = hold_off_until;
+        }
+    }
+
+    /// True if the next call finds a connection that was not used for `idle_after`.
+    pub(crate) fn has_idle_connection(&self, now: Duration, idle_after: Duration) -> bool {
+        self.calls_in_flight == 0 && self.keeps_connections() && now > self.last_used_at + idle_after
+    }
+
+    pub(crate) fn call_started(&mut self, now: Duration) {
+        self.calls_in_flight += 1;
+        self.last_used_at = now;
+    }
+
+    pub(crate) fn call_ended(&mut self, now: Duration) {
+        self.calls_in_flight = self.calls_in_flight.saturating_sub(1);
+        self.last_used_at = now;
+    }
+
+    pub(crate) fn keeps_connections(&self) -> bool {
+        self.last_used_at > Duration::ZERO
+    }
+}
+
+#[derive(Default)]
+struct DestinationEndpoints {
+    endpoints: Vec<EndpointId>,
+    last_call: CallNumber,
+}
+
+/// All endpoints, with those of each destination and those that are unavailable.
+#[derive(Default)]
+pub(crate) struct Endpoints {
+    by_id: BTreeMap<EndpointId, Endpoint>,
+    by_destination: BTreeMap<DestinationId, DestinationEndpoints>,
+    /// Kept apart so that a step need not walk over all endpoints.
+    unavailable: BTreeSet<EndpointId>,
+}
+
+impl Endpoints {
+    pub(crate) fn get(&self, id: EndpointId) -> Option<&Endpoint> {
+        self.by_id.get(&id)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: EndpointId) -> Option<&mut Endpoint> {
+        self.by_id.get_mut(&id)
+    }
+
+    pub(crate) fn of_destination(&self, destination: DestinationId) -> &[EndpointId] {
+        self.by_destination.get(&destination).map_or(&[], |of| &of.endpoints)
+    }
+
+    /// The last call to a destination; none if the destination has no endpoints.
+    pub(crate) fn last_call(&self, destination: DestinationId) -> Option<CallNumber> {
+        self.by_destination.get(&destination).map(|of| of.last_call)
+    }
+
+    pub(crate) fn record_success(&mut self, id: EndpointId, now: Duration, waited: Duration, limit_max: f64) {
+        if let Some(endpoint) = self.by_id.get_mut(&id) {
+            endpoint.record_success(now, waited, limit_max);
+        }
+    }
+
+    pub(crate) fn record_failure(
+        &mut self,
+        id: EndpointId,
+        cut: f64,
+        dead_from: u32,
+        hold_off_until: Duration,
+    ) {
+        if let Some(endpoint) = self.by_id.get_mut(&id) {
+            endpoint.record_failure(cut, dead_from, hold_off_until);
+        }
+    }
+
+    pub(crate) fn record_rejection(&mut self, id: EndpointId, cut: f64) {
+        if let Some(endpoint) = self.by_id.get_mut(&id) {
+            endpoint.cut_concurrency_limit(cut);
+        }
+    }
+
+    /// A call to the endpoint was sent.
+    pub(crate) fn record_call(&mut self, id: EndpointId, call: CallNumber, now: Duration) {
+        let Some(endpoint) = self.by_id.get_mut(&id) else { return };
+        endpoint.call_started(now);
+        self.by_destination.entry(endpoint.route.destination).or_default().last_call = call;
+    }
+
+    /// Adds the endpoint if it is new, and notes whether it takes messages.
+    pub(crate) fn update(&mut self, id: EndpointId, new: Endpoint, status: EndpointStatus, now: Duration) {
+        if !self.by_id.contains_key(&id) {
+            self.by_destination.entry(new.route.destination).or_default().endpoints.push(id);
+        }
+        let endpoint = self.by_id.entry(id).or_insert(new);
+        if status == EndpointStatus::Ready {
+            endpoint.unavailable_since = None;
+            self.unavailable.remove(&id);
+        } else {
+            endpoint.unavailable_since.get_or_insert(now);
+            self.unavailable.insert(id);
+        }
+    }
+
+    pub(crate) fn mark_all_unavailable(&mut self, now: Duration) {
+        for (id, endpoint) in &mut self.by_id {
+            endpoint.unavailable_since.get_or_insert(now);
+            self.unavailable.insert(*id);
+        }
+    }
+
+    pub(crate) fn any_unavailable(&self) -> bool {
+        !self.unavailable.is_empty()
+    }
+
+    /// Endpoints unavailable for at least `grace` with nothing in flight.
+    pub(crate) fn unused(&self, now: Duration, grace: Duration) -> Vec<EndpointId> {
+        let is_unused = |endpoint: &Endpoint| {
+            endpoint.calls_in_flight == 0 && endpoint.unavailable_since.is_some_and(|at| now >= at + grace)
+        };
+        let unavailable = self.unavailable.iter().copied();
+        unavailable.filter(|id| self.get(*id).is_some_and(is_unused)).collect()
+    }
+
+    /// True if no other endpoint shares the route.
+    pub(crate) fn is_last_of_route(&self, route: RouteId) -> bool {
+        route.endpoint.is_some() || self.of_destination(route.destination).len() == 1
+    }
+
+    pub(crate) fn remove(&mut self, id: EndpointId) {
+        let Some(endpoint) = self.by_id.remove(&id) else { return };
+        self.unavailable.remove(&id);
+        let destination = endpoint.route.destination;
+        let Some(of_destination) = self.by_destination.get_mut(&destination) else { return };
+        of_destination.endpoints.retain(|listed| *listed != id);
+        if of_destination.endpoints.is_empty() {
+            self.by_destination.remove(&destination);
+        }
+    }
+
+    pub(crate) fn with_connections(&self) -> impl Iterator<Item = EndpointId> {
+        self.by_id.iter().filter(|(_, endpoint)| endpoint.keeps_connections()).map(|(id, _)| *id)
+    }
+}
+
+impl std::ops::Index<EndpointId> for Endpoints {
+    type Output = Endpoint;
+
+    fn index(&self, id: EndpointId) -> &Endpoint {
+        &self.by_id[&id]
+    }
 }
--- a/src/state/messages.rs
+++ b/src/state/messages.rs
@@ -1,29 +1,217 @@
 //! Messages held until their final answer.
 
+use super::CallNumber;
+use super::key_queues::KeyQueues;
 use crate::interface::*;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// An attempt that may have run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PossibleRun {
+    pub(crate) at: Duration,
+    pub(crate) zone: ZoneId,
+}
+
+/// An attempt that ended, as the host tells it.
+pub(crate) struct EndedAttempt {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) waited: Duration,
+    pub(crate) outcome: Outcome,
+    /// Nothing more is sent for the message.
+    pub(crate) closed: bool,
+}
+
 #[derive(Default)]
-pub(crate) struct Msg {
+pub(crate) struct Message {
     pub(crate) class: ClassId,
     pub(crate) destination: DestinationId,
     pub(crate) key: Option<OrderingKey>,
-    pub(crate) target: Duration,
+    /// The time by which a delivery earns the full priority weight.
+    pub(crate) objective: Duration,
     pub(crate) deadline: Duration,
-    pub(crate) over_share: bool,
+    pub(crate) over_quota: bool,
+    /// An earlier process of the relay accepted it.
     pub(crate) restored: bool,
-    pub(crate) legs: u8,
-    pub(crate) ran: u32,
-    pub(crate) late: u32,
+    pub(crate) attempts: u8,
+    /// Attempts whose outcome doesn't prove that they took no effect.
+    pub(crate) possible_runs: u32,
+    pub(crate) first_possible_run: Option<PossibleRun>,
+    pub(crate) timeouts: u32,
     pub(crate) not_before: Duration,
-    pub(crate) out: Option<u64>,
-    pub(crate) may_have_run: Option<(Duration, ZoneId)>,
+    /// The call that carries it, while an attempt is in flight.
+    pub(crate) call: Option<CallNumber>,
+    /// It has its final outcome, which may not have been taken yet.
     pub(crate) ended: bool,
 }
 
-impl Msg {
-    /// What a restart finds untried is still tried: it is not pushed back for others, and goes first.
-    pub(crate) fn untried(&self) -> bool {
-        self.restored && self.legs == 0
+impl Message {
+    pub(crate) fn new(submission: &Submission, class: &MessageClass) -> Message {
+        Message {
+            class: submission.class,
+            destination: submission.destination,
+            key: submission.key.filter(|_| class.in_order),
+            objective: (submission.deadline + class.latency_objective).saturating_sub(class.deadline),
+            deadline: submission.deadline,
+            restored: submission.restored,
+            ..Message::default()
+        }
+    }
+
+    /// True for what a restart finds without an attempt: it is not rejected for others, and goes first.
+    pub(crate) fn is_untried_since_restart(&self) -> bool {
+        self.restored && self.attempts == 0
+    }
+
+    pub(crate) fn record_earlier_attempt(&mut self, run: PossibleRun, may_have_run: bool) {
+        self.attempts = self.attempts.saturating_add(1);
+        if may_have_run {
+            self.possible_runs += 1;
+            self.first_possible_run.get_or_insert(run);
+        }
+    }
+
+    pub(crate) fn record_sent(&mut self, call: CallNumber, run: PossibleRun) {
+        self.call = Some(call);
+        self.attempts += 1;
+        self.possible_runs += 1;
+        self.first_possible_run.get_or_insert(run);
+    }
+
+    pub(crate) fn record_outcome(&mut self, outcome: Outcome) {
+        if outcome.never_ran() {
+            self.possible_runs -= 1;
+        }
+        if self.possible_runs == 0 {
+            self.first_possible_run = None;
+        }
+        if outcome == Outcome::TimedOut {
+            self.timeouts += 1;
+        }
+    }
+
+    /// The priority weight that a delivery now still earns, as the settings define its decay.
+    pub(crate) fn remaining_weight(&self, class: &MessageClass, decay: Decay, now: Duration) -> f64 {
+        let lateness = now.saturating_sub(self.objective).as_secs_f64();
+        let span = class.deadline.saturating_sub(class.latency_objective).as_secs_f64().max(0.001);
+        let share = match decay {
+            Decay::Linear => 1.0 - (1.0 - class.late_weight_share) * (lateness / span).min(1.0),
+            Decay::Halving => (0.5f64)
+                .powf(lateness / class.latency_objective.as_secs_f64().max(0.001))
+                .max(class.late_weight_share),
+        };
+        class.priority_weight * share
+    }
+
+    /// For how long endpoints still recognise a repeat, where the message may have run and has such a window.
+    pub(crate) fn deduplication_left(&self, class: &MessageClass, now: Duration) -> Option<Duration> {
+        let window = class.idempotency.deduplication_window()?;
+        let run = self.first_possible_run?;
+        Some((run.at + window).saturating_sub(now))
+    }
+}
+
+/// All messages held, with the key queues that they wait in.
+#[derive(Default)]
+pub(crate) struct Messages {
+    by_id: BTreeMap<MessageId, Message>,
+    key_queues: KeyQueues,
+}
+
+impl Messages {
+    pub(crate) fn get(&self, id: MessageId) -> Option<&Message> {
+        self.by_id.get(&id)
+    }
+
+    pub(crate) fn get_mut(&mut self, id: MessageId) -> Option<&mut Message> {
+        self.by_id.get_mut(&id)
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (MessageId, &Message)> {
+        self.by_id.iter().map(|(id, message)| (*id, message))
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Messages without a final outcome.
+    pub(crate) fn open(&self) -> impl Iterator<Item = (MessageId, &Message)> {
+        self.iter().filter(|(_, message)| !message.ended)
+    }
+
+    pub(crate) fn insert(&mut self, id: MessageId, message: Message) {
+        if let Some(key) = message.key {
+            self.key_queues.push(key, id);
+        }
+        self.by_id.insert(id, message);
+    }
+
+    pub(crate) fn carried_by(&self, call: CallNumber) -> impl Iterator<Item = (MessageId, &Message)> {
+        self.iter().filter(move |(_, message)| message.call == Some(call))
+    }
+
+    pub(crate) fn count_without_call(&self, destination: DestinationId) -> u32 {
+        let waits = |message: &&Message| message.destination == destination && message.call.is_none();
+        self.by_id.values().filter(waits).count() as u32
+    }
+
+    /// Messages that may be sent now, by destination.
+    pub(crate) fn waiting(&self, now: Duration) -> BTreeMap<DestinationId, Vec<MessageId>> {
+        let mut waiting: BTreeMap<DestinationId, Vec<MessageId>> = BTreeMap::new();
+        for (id, message) in self.open() {
+            if message.call.is_none() && message.not_before <= now && self.is_next(id, message, now) {
+                waiting.entry(message.destination).or_default().push(id);
+            }
+        }
+        waiting
+    }
+
+    pub(crate) fn is_next(&self, id: MessageId, message: &Message, now: Duration) -> bool {
+        self.key_queues.is_next(message.key, id, now)
+    }
+
+    /// How many messages wait for this one's key, itself included.
+    pub(crate) fn queue_length(&self, message: &Message) -> usize {
+        self.key_queues.length(message.key)
+    }
+
+    /// An attempt of the message may still be running: until then no other message of its key is next.
+    pub(crate) fn hold_off_key(&mut self, id: MessageId, until: Duration) {
+        let key = self.get(id).and_then(|message| message.key);
+        self.key_queues.hold_off(key, until, id);
+    }
+
+    /// The message has its final outcome. Until that was taken it keeps its place in its key queue (rule 5).
+    pub(crate) fn end(&mut self, id: MessageId, is_taken: bool) {
+        if let Some(message) = self.get_mut(id) {
+            message.ended = true;
+        }
+        if is_taken {
+            self.close(id);
+        }
+    }
+
+    /// Nothing more is sent for the message; it is forgotten once nothing of it is in flight.
+    pub(crate) fn close(&mut self, id: MessageId) {
+        let Some(message) = self.by_id.get_mut(&id) else { return };
+        if message.call.is_some() {
+            message.ended = true;
+            return;
+        }
+        self.key_queues.remove(message.key, id);
+        self.by_id.remove(&id);
+    }
+
+    pub(crate) fn discard_unused_queues(&mut self, now: Duration) {
+        self.key_queues.discard_unused(now);
+    }
+}
+
+impl std::ops::Index<MessageId> for Messages {
+    type Output = Message;
+
+    fn index(&self, id: MessageId) -> &Message {
+        &self.by_id[&id]
     }
 }
--- a/src/state/sliding_window.rs
+++ b/src/state/sliding_window.rs
@@ -1,23 +1,54 @@
-//! What was measured over the last seconds.
+//! What was measured over the last seconds: fixed buckets of one second, reused in a ring.
 
 use std::time::Duration;
 
-/// What is measured over time: fixed buckets of a second, used again in a ring.
+#[derive(Clone, Copy, Default)]
+struct Bucket {
+    /// The second that the bucket holds, counted from 1; 0 if it holds none.
+    second: u64,
+    totals: Totals,
+}
+
+/// Count, sum and peak of the values measured.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Totals {
+    pub(crate) count: f64,
+    pub(crate) sum: f64,
+    pub(crate) peak: f64,
+}
+
+/// The values measured in the last `SECONDS` seconds, the running one included.
 #[derive(Default)]
-pub(crate) struct Ring<const N: usize>(Vec<(u64, f64, f64, f64)>);
+pub(crate) struct SlidingWindow<const SECONDS: usize> {
+    buckets: Vec<Bucket>,
+}
 
-impl<const N: usize> Ring<N> {
-    pub(crate) fn add(&mut self, now: Duration, x: f64) {
+impl<const SECONDS: usize> SlidingWindow<SECONDS> {
+    pub(crate) fn add(&mut self, now: Duration, value: f64) {
         let second = now.as_secs() + 1;
-        self.0.resize(N, Default::default());
-        let bucket = &mut self.0[second as usize % N];
-        let old = if bucket.0 == second { *bucket } else { Default::default() };
-        *bucket = (second, old.1 + 1.0, old.2 + x, old.3.max(x));
+        self.buckets.resize(SECONDS, Bucket::default());
+        let bucket = &mut self.buckets[second as usize % SECONDS];
+        if bucket.second != second {
+            *bucket = Bucket { second, totals: Totals::default() };
+        }
+        bucket.totals.count += 1.0;
+        bucket.totals.sum += value;
+        bucket.totals.peak = bucket.totals.peak.max(value);
+    }
+
+    /// Counts an event, and whether it was of the kind that is looked for.
+    pub(crate) fn add_flag(&mut self, now: Duration, flag: bool) {
+        self.add(now, f64::from(u8::from(flag)));
     }
 
-    /// Count, sum and peak over the last of its seconds.
-    pub(crate) fn totals(&self, now: Duration, seconds: u64) -> (f64, f64, f64) {
-        let live = self.0.iter().filter(|b| b.0 > 0 && b.0 + seconds > now.as_secs() + 1);
-        live.fold((0.0, 0.0, 0.0), |t, b| (t.0 + b.1, t.1 + b.2, t.2.max(b.3)))
+    pub(crate) fn totals(&self, now: Duration) -> Totals {
+        let oldest = (now.as_secs() + 2).saturating_sub(SECONDS as u64).max(1);
+        let mut totals = Totals::default();
+        for bucket in self.buckets.iter().filter(|bucket| bucket.second >= oldest) {
+            totals.count += bucket.totals.count;
+            totals.sum += bucket.totals.sum;
+            totals.peak = totals.peak.max(bucket.totals.peak);
+        }
+        totals
     }
 }
--- /dev/null
+++ b/src/state/tests.rs
@@ -0,0 +1,408 @@
+//! Tests of the state's own transitions; what is decided with them is tested by the scenarios.
+
+use super::key_queues::KeyQueues;
+use super::*;
+
+fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+#[test]
+fn a_sliding_window_forgets_what_is_older_than_its_seconds() {
+    let mut window: SlidingWindow<4> = SlidingWindow::default();
+    window.add(seconds(0.5), 1.0);
+    window.add(seconds(0.9), 3.0);
+    window.add(seconds(2.0), 2.0);
+    assert_eq!(window.totals(seconds(3.9)), Totals { count: 3.0, sum: 6.0, peak: 3.0 });
+    assert_eq!(window.totals(seconds(4.0)), Totals { count: 1.0, sum: 2.0, peak: 2.0 });
+    assert_eq!(window.totals(seconds(60.0)), Totals::default());
+}
+
+#[test]
+fn a_sliding_window_reuses_the_bucket_of_an_old_second() {
+    let mut window: SlidingWindow<4> = SlidingWindow::default();
+    window.add_flag(seconds(1.0), true);
+    window.add_flag(seconds(5.0), false);
+    assert_eq!(window.totals(seconds(5.0)), Totals { count: 1.0, sum: 0.0, peak: 0.0 });
+}
+
+#[test]
+fn a_token_bucket_fills_up_to_its_burst_and_pays_back_an_overdraft() {
+    let mut bucket = TokenBucket::new(-1.0, seconds(0.0));
+    bucket.refill(seconds(1.0), 0.5, 2.0);
+    assert_eq!(bucket.tokens, -0.5);
+    bucket.refill(seconds(1.0), 0.5, 2.0);
+    assert_eq!(bucket.tokens, -0.5, "no time went by");
+    bucket.refill(seconds(100.0), 0.5, 2.0);
+    assert_eq!(bucket.tokens, 2.0);
+}
+
+#[test]
+fn a_backoff_grows_up_to_its_maximum() {
+    let backoff = Backoff { first: seconds(0.1), growth: 2.0, max: seconds(0.5) };
+    let spans: Vec<Duration> = [0, 1, 2, 3, u32::MAX].into_iter().map(|steps| backoff.after(steps)).collect();
+    assert_eq!(spans, [0.1, 0.2, 0.4, 0.5, 0.5].map(seconds));
+}
+
+#[test]
+fn jitter_is_the_same_for_the_same_seed_and_relay_and_shares_its_counter() {
+    let draws = |seed, relay| {
+        let mut jitter = Jitter::new(seed, RelayId(relay));
+        [jitter.draw(1), jitter.draw(1), jitter.draw(2)]
+    };
+    assert_eq!(draws(7, 0), draws(7, 0));
+    assert_ne!(draws(7, 0), draws(8, 0));
+    assert_ne!(draws(7, 0), draws(7, 1));
+    assert_ne!(draws(7, 0)[0], draws(7, 0)[1]);
+    assert!(draws(7, 0).iter().all(|draw| (0.0..1.0).contains(draw)));
+    let mut jitter = Jitter::new(7, RelayId(0));
+    jitter.draw(1);
+    assert_eq!(jitter.next_number(), 2);
+}
+
+#[test]
+fn a_breaker_admits_calls_while_closed_and_one_trial_once_open_long_enough() {
+    let now = seconds(10.0);
+    assert!(Breaker::Closed.admits_call(now));
+    assert!(!Breaker::Open(seconds(10.1)).admits_call(now));
+    assert!(Breaker::Open(now).admits_call(now));
+    assert!(Breaker::HalfOpen(None).admits_call(now));
+    assert!(!Breaker::HalfOpen(Some(3)).admits_call(now));
+}
+
+#[test]
+fn failures_in_a_row_count_within_the_window_and_end_with_a_success() {
+    let window = seconds(20.0);
+    let mut route = Route::default();
+    route.record_failure(seconds(1.0), window);
+    route.record_failure(seconds(21.0), window);
+    assert_eq!((route.consecutive_failures, route.failing_since), (2, seconds(1.0)));
+    route.record_failure(seconds(21.1), window);
+    assert_eq!((route.consecutive_failures, route.failing_since), (1, seconds(21.1)), "a new count");
+    route.confirm_failure();
+    assert!(route.failure_confirmed);
+    route.record_success();
+    assert_eq!((route.consecutive_failures, route.failure_confirmed), (0, false));
+    route.confirm_failure();
+    assert!(!route.failure_confirmed, "nothing has failed since the success");
+}
+
+#[test]
+fn an_open_breaker_counts_failures_beyond_the_window() {
+    let mut route = Route { breaker: Breaker::Open(seconds(2.0)), ..Route::default() };
+    route.record_failure(seconds(1.0), seconds(20.0));
+    route.record_failure(seconds(60.0), seconds(20.0));
+    assert_eq!(route.consecutive_failures, 2);
+}
+
+#[test]
+fn rejections_in_a_row_are_dated_from_the_first() {
+    let mut route = Route::default();
+    route.record_rejection(seconds(3.0));
+    route.record_rejection(seconds(4.0));
+    assert_eq!((route.consecutive_rejections, route.rejected_since), (2, seconds(3.0)));
+    assert!(!route.has_retry_after_since_rejected());
+    route.extend_retry_after(seconds(5.0));
+    assert!(route.has_retry_after_since_rejected());
+    route.extend_retry_after(seconds(4.5));
+    assert_eq!(route.retry_after_until, seconds(5.0), "the longer one binds");
+}
+
+#[test]
+fn a_slow_start_that_runs_keeps_its_budget_unless_it_is_restarted() {
+    let mut route = Route::default();
+    route.start_slow_start(seconds(1.0));
+    route.slow_start_budget.refill(seconds(2.0), 3.0, 10.0);
+    route.start_slow_start(seconds(2.0));
+    assert_eq!((route.slow_start_since, route.slow_start_budget.tokens), (Some(seconds(2.0)), 3.0));
+    route.restart_slow_start(seconds(3.0));
+    assert_eq!((route.slow_start_since, route.slow_start_budget.tokens), (Some(seconds(3.0)), 0.0));
+}
+
+#[test]
+fn a_route_is_kept_while_a_retry_after_or_a_slow_start_binds() {
+    let mut route = Route::default();
+    assert!(!route.binds(seconds(1.0), seconds(10.0)));
+    route.extend_retry_after(seconds(2.0));
+    assert!(route.binds(seconds(1.0), seconds(10.0)) && !route.binds(seconds(2.0), seconds(10.0)));
+    route.start_slow_start(seconds(2.0));
+    assert!(route.binds(seconds(11.9), seconds(10.0)) && !route.binds(seconds(12.0), seconds(10.0)));
+}
+
+fn route_id() -> RouteId {
+    RouteId { destination: DestinationId(4), endpoint: None }
+}
+
+#[test]
+fn a_change_of_the_breaker_is_logged_and_a_longer_opening_is_not() {
+    let mut routes = Routes::default();
+    routes.get_or_insert(route_id(), Route::default()).consecutive_failures = 5;
+    routes.set_breaker(route_id(), Breaker::Open(seconds(1.8)));
+    routes.set_breaker(route_id(), Breaker::Open(seconds(2.0)));
+    routes.set_breaker(route_id(), Breaker::HalfOpen(Some(9)));
+    routes.end_trial(route_id(), 8, Breaker::Closed);
+    assert!(routes[route_id()].is_trial(9), "call 8 is not the trial");
+    routes.end_trial(route_id(), 9, Breaker::Closed);
+    let lines = routes.take_log_lines();
+    let expected = [
+        "breaker of 4: Closed -> Open(1.8s), run 5",
+        "breaker of 4: Open(2s) -> HalfOpen(Some(9)), run 5",
+        "breaker of 4: HalfOpen(Some(9)) -> Closed, run 5",
+    ];
+    assert_eq!(lines, expected);
+    assert!(routes.take_log_lines().is_empty());
+}
+
+#[test]
+fn what_a_route_leaves_is_told_when_it_changes_and_restored() {
+    let (now, duration) = (seconds(5.0), seconds(10.0));
+    let mut routes = Routes::default();
+    routes.get_or_insert(route_id(), Route::default());
+    assert_eq!(routes.changed_snapshots(now, duration), None, "nothing must outlive the process");
+    let route = routes.get_mut(route_id()).expect("inserted above");
+    route.extend_retry_after(seconds(7.0));
+    route.start_slow_start(seconds(4.0));
+    route.breaker = Breaker::HalfOpen(Some(1));
+    let snapshot = RouteSnapshot {
+        destination: DestinationId(4),
+        endpoint: None,
+        retry_after_until: seconds(7.0),
+        open_until: Some(Duration::ZERO),
+        slow_start_since: Some(seconds(4.0)),
+    };
+    assert_eq!(routes.changed_snapshots(now, duration), Some(&[snapshot][..]));
+    assert_eq!(routes.changed_snapshots(now, duration), None, "it did not change");
+
+    let mut successor = Routes::default();
+    successor.restore(&[snapshot], 5, now);
+    assert!(successor.get(route_id()).is_none(), "routes not on the list yet are passed over");
+    successor.get_or_insert(route_id(), Route::default());
+    successor.restore(&[snapshot], 5, now);
+    let route = &successor[route_id()];
+    assert_eq!((route.breaker, route.consecutive_failures), (Breaker::Open(Duration::ZERO), 5));
+    assert_eq!((route.retry_after_until, route.slow_start_since), (seconds(7.0), Some(seconds(4.0))));
+}
+
+#[test]
+fn a_concurrency_limit_grows_while_it_is_used_up_and_is_cut_down_to_one() {
+    let mut endpoint = Endpoint { concurrency_limit: 4.0, calls_in_flight: 1, ..Endpoint::default() };
+    endpoint.record_success(seconds(1.0), seconds(0.1), 24.0);
+    assert_eq!(endpoint.concurrency_limit, 4.0, "not used up");
+    endpoint.calls_in_flight = 3;
+    endpoint.record_success(seconds(1.0), seconds(0.1), 24.0);
+    assert_eq!(endpoint.concurrency_limit, 4.25);
+    endpoint.record_success(seconds(1.0), seconds(0.1), 4.3);
+    assert_eq!(endpoint.concurrency_limit, 4.3, "the maximum");
+    endpoint.cut_concurrency_limit(0.5);
+    assert_eq!(endpoint.concurrency_limit, 2.15);
+    endpoint.cut_concurrency_limit(0.1);
+    assert_eq!(endpoint.concurrency_limit, 1.0);
+}
+
+#[test]
+fn an_endpoint_is_held_off_after_failures_in_a_row() {
+    let mut endpoint = Endpoint { concurrency_limit: 4.0, ..Endpoint::default() };
+    endpoint.record_failure(0.6, 2, seconds(3.0));
+    assert_eq!(endpoint.hold_off_until, Duration::ZERO);
+    endpoint.record_success(seconds(1.0), seconds(0.1), 24.0);
+    endpoint.record_failure(0.6, 2, seconds(4.0));
+    assert_eq!(endpoint.hold_off_until, Duration::ZERO, "an answer came between");
+    endpoint.record_failure(0.6, 2, seconds(5.0));
+    assert_eq!(endpoint.hold_off_until, seconds(5.0));
+}
+
+#[test]
+fn a_connection_is_idle_once_nothing_is_in_flight_for_a_while() {
+    let mut endpoint = Endpoint::default();
+    let is_idle = |endpoint: &Endpoint, now| endpoint.has_idle_connection(seconds(now), seconds(1.0));
+    assert!(!is_idle(&endpoint, 9.0), "no connection was used");
+    endpoint.call_started(seconds(1.0));
+    assert!(!is_idle(&endpoint, 9.0), "a call is in flight");
+    endpoint.call_ended(seconds(2.0));
+    assert!(!is_idle(&endpoint, 3.0));
+    assert!(is_idle(&endpoint, 3.1));
+}
+
+fn listed(endpoint: u64, status: EndpointStatus) -> ListedEndpoint {
+    ListedEndpoint {
+        endpoint: EndpointId(endpoint),
+        destination: DestinationId(4),
+        zone: ZoneId(0),
+        kind: DestinationKindId(0),
+        status,
+        rate: 0.0,
+    }
+}
+
+#[test]
+fn an_endpoint_is_unused_once_its_grace_is_over_and_nothing_is_in_flight() {
+    let mut endpoints = Endpoints::default();
+    let mut update = |endpoint, status, now| {
+        let listed = listed(endpoint, status);
+        endpoints.update(listed.endpoint, Endpoint::new(&listed, route_id(), 4.0), status, seconds(now));
+    };
+    update(1, EndpointStatus::Ready, 0.0);
+    update(2, EndpointStatus::Ready, 0.0);
+    update(1, EndpointStatus::Draining, 1.0);
+    update(1, EndpointStatus::Removed, 2.0);
+    let grace = seconds(1.0);
+    assert_eq!(endpoints.unused(seconds(1.9), grace), []);
+    assert_eq!(endpoints.unused(seconds(2.0), grace), [EndpointId(1)], "dated from the drain");
+    endpoints.record_call(EndpointId(1), 7, seconds(1.0));
+    assert_eq!(endpoints.unused(seconds(2.0), grace), []);
+    assert_eq!(endpoints.last_call(DestinationId(4)), Some(7));
+    assert!(!endpoints.is_last_of_route(route_id()));
+    endpoints.remove(EndpointId(1));
+    assert!(endpoints.is_last_of_route(route_id()) && !endpoints.any_unavailable());
+    endpoints.mark_all_unavailable(seconds(5.0));
+    assert_eq!(endpoints.unused(seconds(6.0), grace), [EndpointId(2)]);
+    endpoints.remove(EndpointId(2));
+    assert_eq!(endpoints.of_destination(DestinationId(4)), []);
+    assert_eq!(endpoints.last_call(DestinationId(4)), None);
+}
+
+#[test]
+fn a_key_queue_lets_the_first_message_go_and_holds_the_others_off() {
+    let (first, second, key) = (MessageId(1), MessageId(2), Some(OrderingKey(9)));
+    let mut queues = KeyQueues::default();
+    assert!(queues.is_next(None, first, seconds(0.0)), "a message without a key");
+    queues.push(OrderingKey(9), first);
+    queues.push(OrderingKey(9), second);
+    assert_eq!((queues.length(key), queues.length(None)), (2, 1));
+    assert!(queues.is_next(key, first, seconds(0.0)) && !queues.is_next(key, second, seconds(0.0)));
+    queues.hold_off(key, seconds(1.0), first);
+    assert!(queues.is_next(key, first, seconds(0.5)), "a retry of the one that holds the others off");
+    queues.remove(key, first);
+    queues.discard_unused(seconds(0.5));
+    assert!(!queues.is_next(key, second, seconds(0.9)) && queues.is_next(key, second, seconds(1.0)));
+    queues.remove(key, second);
+    queues.discard_unused(seconds(1.0));
+    assert_eq!(queues.length(key), 1, "the queue is forgotten");
+}
+
+fn class(idempotency: Idempotency) -> MessageClass {
+    MessageClass {
+        latency_objective: seconds(2.0),
+        deadline: seconds(12.0),
+        priority_weight: 8.0,
+        late_weight_share: 0.25,
+        idempotency,
+        in_order: false,
+    }
+}
+
+fn submission(key: u64) -> Submission {
+    Submission {
+        class: ClassId(0),
+        tenant: TenantId(0),
+        destination: DestinationId(4),
+        key: Some(OrderingKey(key)),
+        deadline: seconds(12.0),
+        restored: false,
+    }
+}
+
+#[test]
+fn an_attempt_may_have_run_until_its_outcome_proves_the_contrary() {
+    let mut message = Message::default();
+    let run = PossibleRun { at: seconds(1.0), zone: ZoneId(2) };
+    message.record_sent(1, run);
+    message.record_outcome(Outcome::ConnectFailed);
+    assert_eq!((message.attempts, message.possible_runs, message.first_possible_run), (1, 0, None));
+    message.record_sent(2, run);
+    message.record_outcome(Outcome::TimedOut);
+    message.record_sent(3, PossibleRun { at: seconds(9.0), zone: ZoneId(3) });
+    message.record_outcome(Outcome::Rejected { retry_after: Duration::ZERO });
+    assert_eq!((message.attempts, message.possible_runs, message.timeouts), (3, 1, 1));
+    assert_eq!(message.first_possible_run, Some(run));
+}
+
+#[test]
+fn the_weight_of_a_message_falls_after_its_objective() {
+    let class = class(Idempotency::Idempotent);
+    let message = Message::new(&submission(1), &class);
+    assert_eq!((message.objective, message.key), (seconds(2.0), None));
+    let weight = |decay, now| message.remaining_weight(&class, decay, seconds(now));
+    assert_eq!([0.0, 2.0, 7.0, 12.0, 99.0].map(|now| weight(Decay::Linear, now)), [8.0, 8.0, 5.0, 2.0, 2.0]);
+    assert_eq!([2.0, 4.0, 6.0, 99.0].map(|now| weight(Decay::Halving, now)), [8.0, 4.0, 2.0, 2.0]);
+}
+
+#[test]
+fn a_repeat_is_recognised_within_the_window_of_the_first_possible_run() {
+    let scope = DeduplicationScope::AllEndpoints;
+    let class = class(Idempotency::WithKey { window: seconds(5.0), scope });
+    let mut message = Message::new(&submission(1), &class);
+    assert_eq!(message.deduplication_left(&class, seconds(1.0)), None, "it has not run");
+    message.record_sent(1, PossibleRun { at: seconds(1.0), zone: ZoneId(0) });
+    assert_eq!(message.deduplication_left(&class, seconds(4.0)), Some(seconds(2.0)));
+    assert_eq!(message.deduplication_left(&class, seconds(9.0)), Some(Duration::ZERO));
+}
+
+#[test]
+fn a_message_that_ended_keeps_its_place_until_its_end_was_taken_and_its_attempt_is_over() {
+    let class = MessageClass { in_order: true, ..class(Idempotency::Idempotent) };
+    let (first, second) = (MessageId(1), MessageId(2));
+    let mut messages = Messages::default();
+    messages.insert(first, Message::new(&submission(9), &class));
+    messages.insert(second, Message::new(&submission(9), &class));
+    let is_next = |messages: &Messages, id| messages.is_next(id, &messages[id], seconds(0.0));
+    assert_eq!(messages.waiting(seconds(0.0))[&DestinationId(4)], [first]);
+    messages.end(first, false);
+    assert!(messages.waiting(seconds(0.0)).is_empty());
+    assert!(!is_next(&messages, second), "the end was not taken");
+    messages.get_mut(first).expect("inserted above").call = Some(3);
+    messages.close(first);
+    assert!(!is_next(&messages, second), "an attempt is in flight");
+    assert_eq!(messages.carried_by(3).map(|(id, _)| id).collect::<Vec<_>>(), [first]);
+    assert_eq!(messages.count_without_call(DestinationId(4)), 1);
+    messages.get_mut(first).expect("an attempt is in flight").call = None;
+    messages.close(first);
+    assert!(messages.get(first).is_none() && is_next(&messages, second));
+}
+
+#[test]
+fn a_call_counts_its_first_result_and_is_over_with_its_last_attempt() {
+    let mut calls = Calls::default();
+    let mut draft = CallDraft::new(5, EndpointId(1), 2);
+    draft.add(seconds(4.0), seconds(1.0));
+    draft.add(seconds(2.0), seconds(0.6));
+    assert!(draft.is_full());
+    assert_eq!(draft.shortest_with(seconds(3.0)), seconds(2.0));
+    assert_eq!(draft.longest_with(seconds(3.0)), seconds(4.0));
+    calls.insert(draft.number, draft.call(route_id(), seconds(10.0), true));
+    assert_eq!(calls.in_flight_to(DestinationId(4)), 1);
+    assert!(calls.is_result_due(route_id()));
+    assert!(calls.count_overdue(seconds(10.9)).is_empty());
+    let first = calls.end_attempt(5, EndpointId(1)).expect("in flight");
+    assert!(first.is_first_result && first.filled && first.on_idle_connection && !first.is_over);
+    assert!(!calls.is_result_due(route_id()));
+    assert!(calls.count_overdue(seconds(11.0)).is_empty(), "its result is counted");
+    let last = calls.end_attempt(5, EndpointId(1)).expect("in flight");
+    assert!(!last.is_first_result && !last.filled && !last.on_idle_connection && last.is_over);
+    assert_eq!(calls.len(), 0);
+    assert!(calls.end_attempt(5, EndpointId(1)).is_none());
+}
+
+#[test]
+fn an_overdue_call_counts_once_and_stays_in_flight() {
+    let mut calls = Calls::default();
+    let mut draft = CallDraft::new(5, EndpointId(1), 2);
+    draft.add(seconds(4.0), seconds(1.0));
+    calls.insert(draft.number, draft.call(route_id(), seconds(10.0), false));
+    let overdue = calls.count_overdue(seconds(11.0));
+    assert_eq!(overdue.iter().map(|call| (call.number, call.is_over)).collect::<Vec<_>>(), [(5, false)]);
+    assert!(calls.count_overdue(seconds(12.0)).is_empty());
+    let late = calls.end_attempt(5, EndpointId(1)).expect("in flight");
+    assert!(!late.is_first_result && late.is_over);
+}
+
+#[test]
+fn the_share_borne_in_a_slow_start_grows_in_a_straight_line() {
+    let settings = PolicySettings {
+        slow_start_share: 0.25,
+        slow_start_duration: seconds(10.0),
+        ..PolicySettings::default()
+    };
+    let share = |elapsed| slow_start_share(&settings, slow_start_progress(&settings, seconds(elapsed)));
+    assert_eq!([0.0, 5.0, 10.0].map(share), [0.25, 0.625, 1.0]);
+}
--- a/src/state/token_bucket.rs
+++ b/src/state/token_bucket.rs
@@ -2,15 +2,22 @@
 
 use std::time::Duration;
 
+/// Tokens come in at a rate, up to a burst; an overdraft is paid back first.
 #[derive(Clone, Copy, Default)]
-pub(crate) struct Tokens {
-    pub(crate) left: f64,
-    pub(crate) at: Duration,
+pub(crate) struct TokenBucket {
+    pub(crate) tokens: f64,
+    refilled_at: Duration,
 }
 
-impl Tokens {
-    pub(crate) fn refill(&mut self, now: Duration, rate: f64, most: f64) {
-        self.left = (self.left + rate * now.saturating_sub(self.at).as_secs_f64()).min(most);
-        self.at = now;
+impl TokenBucket {
+    pub(crate) fn new(tokens: f64, now: Duration) -> TokenBucket {
+        TokenBucket { tokens, refilled_at: now }
+    }
+
+    /// Adds what came in since the last refill at `rate` tokens a second, up to `burst`.
+    pub(crate) fn refill(&mut self, now: Duration, rate: f64, burst: f64) {
+        let elapsed = now.saturating_sub(self.refilled_at).as_secs_f64();
+        self.tokens = (self.tokens + rate * elapsed).min(burst);
+        self.refilled_at = now;
     }
 }
