--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -21,7 +21,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use mountshift::interface::*;
-use mountshift::rules::DeliveryPolicy;
+use mountshift::policy::DeliveryPolicy;
 use mountshift_discovery::DrainRecord;
 use mountshift_handover::{Snapshot, StopPlan};
 use mountshift_maintenance::MaintenanceState;
--- a/crates/simulation-adapter/src/session.rs
+++ b/crates/simulation-adapter/src/session.rs
@@ -5,7 +5,7 @@
 use crate::reply::Reply;
 use crate::wire::{Cursor, EndpointList, LIST_ENTRY_BYTES, LIST_SLOTS, RecordCode, WireTime};
 use mountshift::interface::{Input, RelayId};
-use mountshift::rules::DeliveryPolicy;
+use mountshift::policy::DeliveryPolicy;
 use mountshift_settings::FlatSettings;
 use std::collections::BTreeMap;
 use std::rc::Rc;
--- /dev/null
+++ b/src/policy/discovery.rs
@@ -0,0 +1,63 @@
+//! Endpoint discovery: what a list update changes, when to poll again, and when an endpoint is forgotten.
+
+use super::{concurrency::LIMIT_AT_START, pacing};
+use crate::interface::*;
+use crate::state::{Endpoint, State};
+use mountshift_discovery::PollSchedule;
+use std::time::Duration;
+
+/// So long nothing is sent on a list that may be old: discovery answers sooner, or is down.
+const LIST_WAIT: Duration = Duration::from_millis(500);
+
+pub(super) fn endpoint_listed(state: &mut State, listed: ListedEndpoint) {
+    let new = Endpoint::new(&listed, state.route_id(&listed), LIMIT_AT_START);
+    state.endpoints.update(listed.endpoint, new, listed.status, state.now);
+    let rate = if listed.rate.is_finite() { listed.rate.max(0.0) } else { 0.0 };
+    let is_rate_listed = rate > 0.0 && state.settings.listed_rate != ListedRate::Unknown;
+    let new_route = pacing::new_route(state, rate, listed.kind);
+    let route = state.routes.get_or_insert(state.endpoints[listed.endpoint].route, new_route);
+    if is_rate_listed {
+        route.rate_limit = rate;
+    }
+}
+
+/// Rule 3: the list held at a start may be old. Nothing is sent on it until discovery answers: it may have
+/// told of a drain when no process ran. Pauses a start with discovery down.
+pub(super) fn list_may_be_stale(state: &mut State) {
+    state.list_awaited_until = Some(state.now + LIST_WAIT);
+}
+
+pub(super) fn schedule_first_poll(state: &mut State) {
+    let pause = poll_schedule(state).first_pause(state.jitter.draw(0));
+    state.poll_at = state.settings.must_poll.then_some(pause);
+}
+
+pub(super) fn poll_failed(state: &mut State, retry_after: Option<Duration>) {
+    state.poll_failures += 1;
+    let jitter = state.jitter.draw(0);
+    let pause = poll_schedule(state).retry_pause(state.poll_failures, retry_after, jitter);
+    state.poll_at = state.settings.must_poll.then_some(state.now + pause);
+}
+
+pub(super) fn poll_if_due(state: &mut State, out: &mut dyn Actions) {
+    if state.poll_at.is_some_and(|at| at <= state.now) {
+        state.poll_at = None;
+        out.poll_endpoints();
+    }
+}
+
+fn poll_schedule(state: &State) -> PollSchedule {
+    PollSchedule { relay_count: state.settings.relay_count, poll_interval: state.settings.poll_interval }
+}
+
+/// Forgets endpoints that are off the list and bind no rule: tables would else grow for good.
+pub(super) fn forget_unused_endpoints(state: &mut State, out: &mut dyn Actions) {
+    for id in state.endpoints.unused(state.now, state.settings.drain_grace) {
+        let route_id = state.endpoints[id].route;
+        let route = state.routes.get(route_id).filter(|_| state.endpoints.is_last_of_route(route_id));
+        if !route.is_some_and(|route| route.binds(state.now, state.settings.slow_start_duration)) {
+            state.forget(id);
+            out.forget_endpoint(id);
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/mod.rs
@@ -0,0 +1,95 @@
+//! All decisions of one relay. A host calls [`DeliveryPolicy::step`] with all that came in; the decisions
+//! come back as calls of [`Actions`]. Each module has one concern and its tuned values (docs/design.md).
+//! Every send passes `safety`, the one place where the six rules are enforced.
+
+mod admission;
+pub(crate) mod circuit_breaker;
+mod concurrency;
+mod discovery;
+mod handover;
+pub(crate) mod idle_connections;
+pub(crate) mod pacing;
+pub(crate) mod retry;
+mod safety;
+mod selection;
+mod slow_start;
+pub(crate) mod timeouts;
+
+use crate::interface::*;
+use crate::state::{EndedAttempt, PossibleRun, State};
+use std::time::Duration;
+
+/// A step each 20 ms while there is work: short beside the shortest time-out and backoff.
+const STEP_INTERVAL: Duration = Duration::from_millis(20);
+/// More relays than this: trials add up, and an even share of a rate is too small for uneven traffic.
+const LARGE_FLEET: u32 = 6;
+
+/// The decisions of one relay: when and where each message is sent, and when it is given up.
+#[derive(Default)]
+pub struct DeliveryPolicy {
+    state: State,
+}
+
+impl DeliveryPolicy {
+    /// The decisions at the start of a process.
+    pub fn new(settings: PolicySettings) -> DeliveryPolicy {
+        let mut state = State::new(settings, admission::QUOTA_BURST_SECONDS);
+        discovery::schedule_first_poll(&mut state);
+        DeliveryPolicy { state }
+    }
+
+    /// Takes in all that came since the last step, then decides.
+    pub fn step(&mut self, now: Duration, inputs: impl IntoIterator<Item = Input>, out: &mut dyn Actions) {
+        let state = &mut self.state;
+        state.now = now;
+        for input in inputs {
+            apply(state, input);
+        }
+        timeouts::count_overdue_calls(state);
+        timeouts::cancel_overdue_calls(state, out);
+        retry::fail_spent_messages(state, out);
+        idle_connections::close_idle_connections(state, out);
+        selection::send_waiting(state, out);
+        admission::shed_load(state, out);
+        state.messages.discard_unused_queues(now);
+        discovery::poll_if_due(state, out);
+        for line in state.routes.take_log_lines() {
+            out.log(&line);
+        }
+        handover::persist_routes(state, out);
+        discovery::forget_unused_endpoints(state, out);
+        if state.holds_work() && state.wake_at.is_none_or(|at| at <= now) {
+            state.wake_at = Some(now + STEP_INTERVAL);
+            out.wake_after(STEP_INTERVAL);
+        }
+    }
+
+    /// Rules 3 and 6. A host asks again where a call begins late: both may have changed.
+    pub fn may_send_to(&self, endpoint: EndpointId, now: Duration) -> bool {
+        safety::may_send_to(&self.state, endpoint, now)
+    }
+}
+
+fn apply(state: &mut State, input: Input) {
+    match input {
+        Input::Submitted { message, submission } => admission::submitted(state, message, submission),
+        Input::EarlierAttempt { message, zone, at, may_have_run } => {
+            state.record_earlier_attempt(message, PossibleRun { at, zone }, may_have_run);
+        }
+        Input::FinalAnswerPending(message) => state.messages.end(message, false),
+        Input::Closed(message) => state.messages.close(message),
+        Input::AttemptEnded { message, endpoint, waited, outcome, closed } => {
+            retry::attempt_ended(state, message, &EndedAttempt { endpoint, waited, outcome, closed });
+        }
+        Input::RetryAfter { endpoint, span } => state.extend_retry_after(endpoint, span),
+        Input::RateLimitReported { endpoint, rate } => pacing::rate_limit_reported(state, endpoint, rate),
+        Input::FullListBegins => state.endpoints.mark_all_unavailable(state.now),
+        Input::EndpointListed(listed) => discovery::endpoint_listed(state, listed),
+        Input::ListReceived => state.list_received(),
+        Input::ListMayBeStale => discovery::list_may_be_stale(state),
+        Input::PollFailed { retry_after } => discovery::poll_failed(state, retry_after),
+        Input::EndpointRestarted(endpoint) => state.start_slow_start(endpoint),
+        Input::HandoverStarted => state.is_handing_over = true,
+        Input::RoutesRestored(routes) => handover::routes_restored(state, &routes),
+    }
+}
