Laboratory: routes, rate limits and report charts in modules of their own

Cause: servers.rs held endpoints, routes and limits; report.rs held the page and its drawing. Change: moves only; visibility and imports follow.

--- a/crates/lab/src/day/replacement.rs
+++ b/crates/lab/src/day/replacement.rs
@@ -1,7 +1,8 @@
 //! Endpoints that are taken out of service, and those that take their place.
 
 use super::Day;
-use crate::servers::{Route, Server};
+use crate::route::Route;
+use crate::servers::Server;
 use crate::world::{Place, Strike};
 use mountshift::interface::EndpointStatus;
 use mountshift_scenario::TroubleKind;
