--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -27,9 +27,9 @@
 use crate::policy::{Policy, Truth, Which};
 use crate::route::Route;
 use crate::servers::Server;
-use crate::tally::Tally;
+use crate::statistics::Statistics;
 use crate::traffic::{self, Request};
-use crate::world::World;
+use crate::world::{EndpointSetup, World};
 use mountshift::interface::{EndpointStatus, PolicySettings};
 use mountshift_invariants::{Fact, Judge};
 use mountshift_scenario::Scenario;
@@ -105,7 +105,7 @@
     endpoint_list: Vec<EndpointStatus>,
     truth: Truth,
     judge: Judge,
-    tally: Tally,
+    statistics: Statistics,
     digest: SipHasher13,
     attempts: u64,
     watch: Option<Watch<'a>>,
@@ -138,10 +138,10 @@
             partitions: Vec::new(),
             discovery_troubles: 0,
             discovery_busy_until: 0,
-            endpoint_list: vec![EndpointStatus::Ready; world.places.len()],
+            endpoint_list: vec![EndpointStatus::Ready; world.endpoints.len()],
             truth: Truth::default(),
             judge: Judge::new(world.figures()),
-            tally: Tally::new(&world, &requests),
+            statistics: Statistics::new(&world, &requests),
             digest: SipHasher13::new(),
             attempts: 0,
             watch: None,
@@ -194,17 +194,17 @@
         for endpoint in 0..self.servers.len() as u32 {
             self.record_endpoint(endpoint);
         }
-        for trouble in 0..self.world.strikes.len() {
-            let begins = self.world.strikes[trouble].from;
-            let ends = self.world.strikes[trouble].to;
+        for trouble in 0..self.world.troubles.len() {
+            let begins = self.world.troubles[trouble].begins;
+            let ends = self.world.troubles[trouble].ends;
             self.schedule(begins, Event::TroubleBegins { trouble });
             self.schedule(ends, Event::TroubleEnds { trouble });
         }
         self.schedule(0, Event::Second);
         for relay in 0..self.relays.len() {
             for endpoint in 0..self.servers.len() as u32 {
-                let place = self.world.places[endpoint as usize];
-                self.relays[relay].learn(&self.world, &place, endpoint, EndpointStatus::Ready);
+                let setup = self.world.endpoints[endpoint as usize];
+                self.relays[relay].learn(&self.world, &setup, endpoint, EndpointStatus::Ready);
             }
             self.start_relay(relay as u32);
         }
@@ -212,12 +212,12 @@
 
     fn record_endpoint(&mut self, endpoint: u32) {
         let server = &self.servers[endpoint as usize];
-        let route = &self.routes[server.route as usize];
+        let route = &self.routes[server.setup.route as usize];
         let fact = Fact::Endpoint {
             endpoint,
-            dst: server.dst,
-            zone: server.zone,
-            route: server.route,
+            dst: server.setup.destination,
+            zone: server.setup.zone,
+            route: server.setup.route,
             capacity: route.capacity as f32,
         };
         self.record(fact);
@@ -271,14 +271,18 @@
     fn sample_second(&mut self) {
         let queued: usize = self.relays.iter().map(Relay::held).sum();
         let in_flight: usize = self.relays.iter().map(Relay::calls_out).sum();
-        Tally::count(&mut self.tally.held, self.now, queued as f64);
-        Tally::count(&mut self.tally.out, self.now, in_flight as f64);
+        self.statistics.queued.add(self.now, queued as f64);
+        self.statistics.calls_in_flight.add(self.now, in_flight as f64);
         let now = self.now;
         let world = &self.world;
         let routes = &self.routes;
-        self.tally.capacities(now, |route| {
+        self.statistics.sample_capacities(now, |route| {
             let route = &routes[route as usize];
-            if route.out || route.fallen { 0.0 } else { route.capacity * route.share(now, world) }
+            if route.in_outage || route.overloaded {
+                0.0
+            } else {
+                route.capacity * route.capacity_share(now, world)
+            }
         });
         if self.open_messages > 0 || now < self.length() {
             self.schedule(now + SAMPLE_INTERVAL, Event::Second);
@@ -289,29 +293,34 @@
         let judge = std::mem::replace(&mut self.judge, Judge::new(self.world.figures()));
         let verdict = judge.finish(end);
         let digest = self.digest.finish128();
-        let twins = self.progress.iter().filter(|progress| progress.effects > 1).count() as u64;
+        let duplicates = self.progress.iter().filter(|progress| progress.effects > 1).count() as u64;
         DayOutcome {
             scenario: self.world.scenario.name.clone(),
             policy: self.play.which.name().to_string(),
             seed: self.play.seed,
-            service: self.tally.service(),
-            worst_window: self.tally.worst_window(),
-            lanes: self.tally.lanes(&self.world),
-            tenants: self.tally.tenants(&self.world),
+            service: self.statistics.service(),
+            worst_window: self.statistics.worst_window(),
+            classes: self.statistics.classes(&self.world),
+            tenants: self.statistics.tenants(&self.world),
             requests: self.requests.len() as u64,
             messages: self.next_message,
-            legs: self.attempts,
-            calls_into_outages: self.tally.calls_into_outages,
-            ends: self.tally.ends.iter().map(|(name, n)| (name.to_string(), *n)).collect(),
-            failed: self.tally.failed,
-            pushed_back: self.tally.pushed_back,
-            twins,
+            attempts: self.attempts,
+            calls_into_outages: self.statistics.calls_into_outages,
+            attempt_ends: self
+                .statistics
+                .attempt_ends
+                .iter()
+                .map(|(name, n)| (name.to_string(), *n))
+                .collect(),
+            failed: self.statistics.failed,
+            rejected: self.statistics.rejected,
+            duplicates,
             rules: verdict.count,
             breaches: breaches(&verdict),
             fell_over: verdict.fell_over,
-            connections: self.tally.connections,
+            connections: self.statistics.connections,
             digest: format!("{:016x}{:016x}", digest.h1, digest.h2),
-            course: if self.play.course { Some(self.tally.course(&self.world)) } else { None },
+            course: if self.play.course { Some(self.statistics.course(&self.world)) } else { None },
         }
     }
 }
@@ -319,20 +328,20 @@
 /// The routes of a world with their endpoints.
 fn routes_of(world: &World) -> Vec<Route> {
     let mut routes: Vec<Route> = Vec::new();
-    for (endpoint, place) in world.places.iter().enumerate() {
-        if routes.len() <= place.route as usize {
-            routes.push(Route::new(world, place.group));
+    for (endpoint, setup) in world.endpoints.iter().enumerate() {
+        if routes.len() <= setup.route as usize {
+            routes.push(Route::new(world, setup.group));
         }
-        routes[place.route as usize].endpoints.push(endpoint as u32);
+        routes[setup.route as usize].endpoints.push(endpoint as u32);
     }
     routes
 }
 
 /// The endpoints of a world, each with its part of its route's capacity.
 fn servers_of(world: &World, routes: &[Route]) -> Vec<Server> {
-    let server = |place: &crate::world::Place| {
-        let peers = routes[place.route as usize].endpoints.len() as u32;
-        Server::new(world, place.dst, place.group, place.zone, place.route, peers)
+    let server = |setup: &EndpointSetup| {
+        let endpoints_of_route = routes[setup.route as usize].endpoints.len() as u32;
+        Server::new(world, *setup, endpoints_of_route)
     };
-    world.places.iter().map(server).collect()
+    world.endpoints.iter().map(server).collect()
 }
--- a/crates/lab/src/day/calls.rs
+++ b/crates/lab/src/day/calls.rs
@@ -5,8 +5,8 @@
 use super::connections::IdleConnection;
 use super::events::Event;
 use crate::Time;
-use crate::chance::What;
 use crate::host::Came;
+use crate::random::Purpose;
 use mountshift::interface::Outcome;
 use mountshift_invariants::Fact;
 
@@ -86,9 +86,9 @@
     }
 
     fn has_died(&self, connection: IdleConnection, call_id: u64, endpoint: u32) -> bool {
-        let probability = self.servers[endpoint as usize].state.stale;
+        let probability = self.servers[endpoint as usize].effects.stale_rate;
         connection.since + MIN_STALE_IDLE < self.now
-            && self.world.chance.part(What::Stale, call_id, 0) < probability
+            && self.world.random.uniform(Purpose::StaleConnection, call_id, 0) < probability
     }
 
     /// The call ends at its relay without an answer, a while from now.
@@ -113,7 +113,7 @@
         let request = self.requests[request_id];
         if self.now <= self.deadline(&request) {
             self.progress[request_id].delivered = true;
-            self.tally.delivered(&self.world, &request, self.now);
+            self.statistics.record_delivery(&self.world, &request, self.now);
         }
     }
 
--- a/crates/lab/src/day/clients.rs
+++ b/crates/lab/src/day/clients.rs
@@ -3,9 +3,8 @@
 use super::Day;
 use super::events::Event;
 use crate::Time;
-use crate::chance::What;
 use crate::host::Came;
-use crate::tally::Tally;
+use crate::random::Purpose;
 use crate::traffic::Request;
 use mountshift_invariants::{End, Fact};
 
@@ -48,7 +47,7 @@
 impl Day<'_> {
     /// When a request is worth nothing any more.
     pub(super) fn deadline(&self, request: &Request) -> Time {
-        request.at + self.world.scenario.lanes[usize::from(request.lane)].deadline.as_ref().us()
+        request.at + self.world.scenario.lanes[usize::from(request.class)].deadline.as_ref().us()
     }
 
     /// A client submits a request to a relay that is up.
@@ -66,7 +65,7 @@
             return;
         };
         let message = self.open_message(request_id, relay);
-        let Request { lane, tenant, dst, key, .. } = request;
+        let Request { class: lane, tenant, destination: dst, key, .. } = request;
         let request = u64::from(request_id);
         self.record(Fact::HandedIn { msg: message, request, relay, lane, dst, key, deadline });
         let host = &mut self.relays[relay as usize];
@@ -81,7 +80,7 @@
     fn choose_relay(&self, request_id: u32, key: u64, submission: u32) -> Option<u32> {
         let client = if key != 0 { key } else { u64::from(request_id) << 20 | u64::from(submission) };
         let count = self.relays.len();
-        let first = self.world.chance.of(What::Front, count, client, 0);
+        let first = self.world.random.index(Purpose::RelayChoice, count, client, 0);
         let relay = (0..count).map(|i| (first + i) % count).find(|i| self.relays[*i].up)?;
         Some(relay as u32)
     }
@@ -93,7 +92,7 @@
         let state = MessageState { request, relay, client, took_effect: false, closed: false };
         self.messages.insert(message, state);
         self.open_messages += 1;
-        Tally::count(&mut self.tally.messages, self.now, 1.0);
+        self.statistics.submissions.add(self.now, 1.0);
         message
     }
 
@@ -148,9 +147,9 @@
         let request = message.request;
         self.close_message(message_id);
         match end {
-            End::Failed => self.tally.failed += 1,
+            End::Failed => self.statistics.failed += 1,
             End::PushedBack(retry_after) => {
-                self.tally.pushed_back += 1;
+                self.statistics.rejected += 1;
                 self.schedule_resubmission(request, message_id, retry_after);
             }
         }
@@ -159,7 +158,7 @@
     /// Some clients submit a rejected request again, after the relay's Retry-After if it gave one.
     fn schedule_resubmission(&mut self, request: u32, message_id: u64, retry_after: Time) {
         let clients = &self.world.scenario.clients;
-        let drawn = self.world.chance.part(What::Again, u64::from(request), message_id);
+        let drawn = self.world.random.uniform(Purpose::Resubmission, u64::from(request), message_id);
         if drawn >= clients.again.0 {
             return;
         }
--- a/crates/lab/src/day/connections.rs
+++ b/crates/lab/src/day/connections.rs
@@ -24,7 +24,7 @@
 impl Day<'_> {
     /// How long a byte takes from a relay to an endpoint or back.
     pub(super) fn network_delay(&self, relay: u32, endpoint: u32) -> Time {
-        if self.world.relay_zone(relay) == self.servers[endpoint as usize].zone {
+        if self.world.relay_zone(relay) == self.servers[endpoint as usize].setup.zone {
             DELAY_IN_ZONE
         } else {
             DELAY_BETWEEN_ZONES
@@ -33,11 +33,11 @@
 
     /// Until when no byte passes between the two; 0 if bytes pass.
     pub(super) fn silent_until(&self, relay: u32, endpoint: u32) -> Time {
-        let partitions = self.partitions.iter().map(|trouble| &self.world.strikes[*trouble]);
+        let partitions = self.partitions.iter().map(|trouble| &self.world.troubles[*trouble]);
         let between =
             partitions.filter(|p| p.relays.contains(&relay) && p.endpoints.binary_search(&endpoint).is_ok());
-        let partitioned_until = between.map(|partition| partition.to).max().unwrap_or(0);
-        partitioned_until.max(self.servers[endpoint as usize].state.silent_until)
+        let partitioned_until = between.map(|partition| partition.ends).max().unwrap_or(0);
+        partitioned_until.max(self.servers[endpoint as usize].effects.silent_until)
     }
 
     /// Takes the idle connection that was used last, and drops those that are too old or have died.
@@ -65,14 +65,14 @@
         let endpoint = call.endpoint;
         let silent = self.silent_until(relay, endpoint) > self.now;
         let server = &self.servers[endpoint as usize];
-        let deserted = server.gone && server.successor.is_none();
-        if server.state.vanished || silent || deserted {
+        let deserted = server.removed && server.successor.is_none();
+        if server.effects.vanished || silent || deserted {
             // The list may still hold what is gone: its machine says nothing.
             let connect_timeout = self.world.scenario.relays.connect.us();
             self.fail_call(call_id, Outcome::ConnectFailed, connect_timeout);
             return;
         }
-        if server.state.refuses || self.routes[server.route as usize].fallen {
+        if server.effects.refuses || self.routes[server.setup.route as usize].overloaded {
             self.fail_call(call_id, Outcome::ConnectFailed, 2 * delay);
             return;
         }
@@ -88,13 +88,13 @@
 
     fn connection_table_full(&self, endpoint: u32) -> bool {
         let server = &self.servers[endpoint as usize];
-        let limit = self.world.scenario.groups[server.group].connections.get();
-        server.state.tables_full || server.connections >= limit
+        let limit = self.world.scenario.groups[server.setup.group].connections.get();
+        server.effects.connection_table_full || server.connections >= limit
     }
 
     fn connection_opened(&mut self, call_id: u64, endpoint: u32, delay: Time) {
         self.servers[endpoint as usize].connections += 1;
-        self.tally.connections += 1;
+        self.statistics.connections += 1;
         if let Some(call) = self.calls.get_mut(&call_id) {
             call.connected = true;
         }
--- a/crates/lab/src/day/discovery.rs
+++ b/crates/lab/src/day/discovery.rs
@@ -3,9 +3,9 @@
 use super::Day;
 use super::events::Event;
 use crate::Time;
-use crate::chance::What;
 use crate::host::Came;
-use crate::world::{Place, Strike};
+use crate::random::Purpose;
+use crate::world::ScheduledTrouble;
 use mountshift::interface::EndpointStatus;
 use mountshift_scenario::TroubleKind;
 
@@ -24,13 +24,13 @@
             self.schedule(until + MIN_UPDATE_DELAY, event);
             return;
         }
-        let place = self.place(endpoint);
+        let setup = self.servers[endpoint as usize].setup;
         let host = &mut self.relays[relay as usize];
         // Where discovery is short of capacity a relay hears only what its own watch brings.
         if self.world.scenario.relays.discovery.is_some() && !host.watching {
             return;
         }
-        host.learn(&self.world, &place, endpoint, status);
+        host.learn(&self.world, &setup, endpoint, status);
         if host.up {
             host.inbox.push(Came::Listed { endpoint, says: status });
         }
@@ -41,17 +41,12 @@
         if self.discovery_troubles == 0 {
             return None;
         }
-        let holds = |trouble: &&Strike| {
+        let holds = |trouble: &&ScheduledTrouble| {
             let watch_lost = trouble.kind == TroubleKind::WatchLost && trouble.relays.contains(&relay);
             let list_late = trouble.kind == TroubleKind::ListLate && trouble.endpoints.contains(&endpoint);
             (watch_lost || list_late) && trouble.is_active(self.now)
         };
-        self.world.strikes.iter().filter(holds).map(|trouble| trouble.to).max()
-    }
-
-    pub(super) fn place(&self, endpoint: u32) -> Place {
-        let server = &self.servers[endpoint as usize];
-        Place { dst: server.dst, group: server.group, zone: server.zone, route: server.route }
+        self.world.troubles.iter().filter(holds).map(|trouble| trouble.ends).max()
     }
 
     /// Changes an endpoint's entry in the list and sends the update to every relay, each a little later.
@@ -63,7 +58,7 @@
         self.endpoint_list[index] = status;
         for relay in 0..self.relays.len() as u32 {
             let pair = u64::from(relay) << 32 | u64::from(endpoint);
-            let drawn = self.world.chance.part(What::List, pair, self.now);
+            let drawn = self.world.random.uniform(Purpose::EndpointList, pair, self.now);
             let spread = (MAX_UPDATE_DELAY - MIN_UPDATE_DELAY) as f64;
             let delay = MIN_UPDATE_DELAY + (spread * drawn) as Time;
             self.schedule(self.now + delay, Event::ListUpdate { relay, endpoint, status });
@@ -92,11 +87,11 @@
 
     /// The answer to a poll arrives: the whole list, or an error while the relay's watch is lost.
     pub(super) fn poll_answered(&mut self, relay: u32) {
-        let watch_lost = |trouble: &Strike| {
+        let watch_lost = |trouble: &ScheduledTrouble| {
             let kind = trouble.kind == TroubleKind::WatchLost;
             kind && trouble.is_active(self.now) && trouble.relays.contains(&relay)
         };
-        let failed = self.world.strikes.iter().any(watch_lost);
+        let failed = self.world.troubles.iter().any(watch_lost);
         let host = &mut self.relays[relay as usize];
         if !host.up {
             return;
@@ -110,9 +105,9 @@
         for endpoint in 0..self.endpoint_list.len() as u32 {
             let status = self.endpoint_list[endpoint as usize];
             if status != EndpointStatus::Removed {
-                let place = self.place(endpoint);
+                let setup = self.servers[endpoint as usize].setup;
                 let host = &mut self.relays[relay as usize];
-                host.learn(&self.world, &place, endpoint, status);
+                host.learn(&self.world, &setup, endpoint, status);
                 host.inbox.push(Came::Listed { endpoint, says: status });
             }
         }
--- a/crates/lab/src/day/endpoints.rs
+++ b/crates/lab/src/day/endpoints.rs
@@ -4,7 +4,8 @@
 use super::events::Event;
 use super::{ANSWER_DELAY, Day};
 use crate::Time;
-use crate::chance::What;
+use crate::random::Purpose;
+use crate::servers::HeavyTail;
 use crate::world::by_zone;
 use mountshift::interface::Outcome;
 use mountshift_invariants::Fact;
@@ -47,12 +48,12 @@
         }
         let silent_until = self.silent_until(relay, endpoint);
         if silent_until > self.now {
-            let drawn = self.world.chance.part(What::LeftBehind, call_id, 1);
+            let drawn = self.world.random.uniform(Purpose::AbandonedCall, call_id, 1);
             let retransmission = (drawn * MAX_RETRANSMISSION_DELAY) as Time;
             self.schedule(silent_until + retransmission, Event::CallArrives { call: call_id });
             return;
         }
-        if server.state.vanished || server.gone {
+        if server.effects.vanished || server.removed {
             // Nobody is there; its relay finds out by its own limit.
             self.endpoint_done(call_id);
             return;
@@ -69,15 +70,15 @@
         let endpoint = call.endpoint;
         let further_messages = call.messages.len() as f64 - 1.0;
         let server = &self.servers[endpoint as usize];
-        let route_id = server.route;
-        let weight = 1.0 + self.world.scenario.groups[server.group].further.0 * further_messages;
-        self.tally.reached(route_id, now);
+        let route_id = server.setup.route;
+        let weight = 1.0 + self.world.scenario.groups[server.setup.group].further.0 * further_messages;
+        self.statistics.record_arrival(route_id, now);
         self.record(Fact::Reached { call: call_id, relay, endpoint, weight: weight as f32 });
         let route = &mut self.routes[route_id as usize];
-        if route.out {
-            self.tally.calls_into_outages += 1;
+        if route.in_outage {
+            self.statistics.calls_into_outages += 1;
         }
-        if route.weigh(now, weight, &self.world) {
+        if route.record_call(now, weight, &self.world) {
             self.overload_route(route_id);
             return;
         }
@@ -87,18 +88,18 @@
     /// Rejects a call, fails it, or puts it into the queue.
     fn admit_call(&mut self, call_id: u64, relay: u32, endpoint: u32) {
         let server = &self.servers[endpoint as usize];
-        let error_rate = server.state.errors;
-        if server.state.shut {
+        let error_rate = server.effects.error_rate;
+        if server.effects.rejects_all {
             self.reject_call(call_id, 0);
             return;
         }
-        let lie = self.world.chance.part(What::Wait, call_id, 0);
-        if let Some(retry_after) = self.routes[server.route as usize].refuses(self.now, lie) {
+        let lie = self.world.random.uniform(Purpose::WrongRetryAfter, call_id, 0);
+        if let Err(retry_after) = self.routes[server.setup.route as usize].admit(self.now, lie) {
             self.reject_call(call_id, retry_after);
             return;
         }
-        if self.world.chance.part(What::Fails, call_id, 0) < error_rate {
-            if self.world.chance.part(What::HalfRan, call_id, 0) < FAILED_EFFECT_SHARE {
+        if self.world.random.uniform(Purpose::Error, call_id, 0) < error_rate {
+            if self.world.random.uniform(Purpose::FailedCallEffect, call_id, 0) < FAILED_EFFECT_SHARE {
                 self.apply_effects(call_id);
             }
             let delay = ANSWER_DELAY + self.network_delay(relay, endpoint);
@@ -107,7 +108,7 @@
             return;
         }
         let server = &mut self.servers[endpoint as usize];
-        if server.queue.len() as u32 >= self.world.scenario.groups[server.group].queue {
+        if server.queue.len() as u32 >= self.world.scenario.groups[server.setup.group].queue {
             self.reject_call(call_id, 0);
             return;
         }
@@ -130,13 +131,13 @@
     pub(super) fn start_queued_calls(&mut self, endpoint: u32) {
         loop {
             let server = &mut self.servers[endpoint as usize];
-            let free = server.busy < server.workers && server.state.frozen_until <= self.now;
-            if !free || server.state.refuses || server.state.vanished || server.gone {
+            let free = server.busy < server.workers && server.effects.frozen_until <= self.now;
+            if !free || server.effects.refuses || server.effects.vanished || server.removed {
                 return;
             }
             let Some(call_id) = server.queue.pop_front() else { return };
             let Some(call) = self.calls.get(&call_id) else { continue };
-            let drawn = self.world.chance.part(What::LeftBehind, call_id, 0);
+            let drawn = self.world.random.uniform(Purpose::AbandonedCall, call_id, 0);
             if !call.open && drawn >= ABANDONED_WORK_SHARE {
                 self.endpoint_done(call_id);
                 continue;
@@ -160,20 +161,22 @@
     /// How long a call takes an endpoint now.
     fn service_time(&self, call_id: u64, endpoint: u32) -> Time {
         let server = &self.servers[endpoint as usize];
-        let group = &self.world.scenario.groups[server.group];
+        let group = &self.world.scenario.groups[server.setup.group];
         let messages = &self.calls[&call_id].messages;
         // By request and place, so that another policy that sends it there meets the same answer time.
         let first = messages.first().and_then(|message| self.messages.get(message));
         let first = first.map_or(call_id, |message| u64::from(message.request));
-        let drawn = self.world.chance.factor(What::Service, group.spread.0, first, u64::from(endpoint));
+        let drawn =
+            self.world.random.log_normal(Purpose::ServiceTime, group.spread.0, first, u64::from(endpoint));
         let batch = 1.0 + group.further.0 * (messages.len() as f64 - 1.0);
-        let struck = self.world.chance.part(What::Tail, first, u64::from(endpoint)) < HEAVY_TAIL_SHARE;
-        let tail = |(class, factor): &(u16, f64)| {
-            if struck && self.carries_class(messages, *class) { *factor } else { 1.0 }
+        let struck =
+            self.world.random.uniform(Purpose::HeavyTail, first, u64::from(endpoint)) < HEAVY_TAIL_SHARE;
+        let tail = |tail: &HeavyTail| {
+            if struck && self.carries_class(messages, tail.class) { tail.factor } else { 1.0 }
         };
-        let tails: f64 = server.state.tails.iter().map(tail).product();
-        let capacity = self.routes[server.route as usize].share(self.now, &self.world);
-        let seconds = group.answers.seconds() * drawn * batch * tails * server.state.slow
+        let tails: f64 = server.effects.heavy_tails.iter().map(tail).product();
+        let capacity = self.routes[server.setup.route as usize].capacity_share(self.now, &self.world);
+        let seconds = group.answers.seconds() * drawn * batch * tails * server.effects.slowdown
             / capacity.max(MIN_CAPACITY_SHARE);
         ((seconds * 1e6) as Time).max(MIN_SERVICE_TIME)
     }
@@ -181,7 +184,7 @@
     fn carries_class(&self, messages: &[u64], class: u16) -> bool {
         let of_class = |message: &u64| {
             let state = self.messages.get(message);
-            state.is_some_and(|state| self.requests[state.request as usize].lane == class)
+            state.is_some_and(|state| self.requests[state.request as usize].class == class)
         };
         messages.iter().any(of_class)
     }
@@ -213,13 +216,13 @@
 
     /// True if the endpoint knows a message's idempotency key and drops the message; otherwise it remembers it.
     fn is_repeat(&mut self, message_id: u64, request: u32, endpoint: u32, arrived_at: Time) -> bool {
-        let class = self.requests[request as usize].lane;
+        let class = self.requests[request as usize].class;
         let lane = &self.world.scenario.lanes[usize::from(class)];
         if lane.effect != Effect::Keyed {
             return false;
         }
         let server = &self.servers[endpoint as usize];
-        let scope = if by_zone(lane) { u32::from(server.zone) } else { server.dst };
+        let scope = if by_zone(lane) { u32::from(server.setup.zone) } else { server.setup.destination };
         let window = lane.memory.map_or(0, |memory| memory.us());
         // It is known from its first arrival on, but counts as done only once it took effect: a first attempt that
         // died in the queue must not swallow the second.
@@ -245,9 +248,9 @@
         if server.epoch != epoch || !server.running.contains(&call_id) {
             return;
         }
-        if server.state.frozen_until > self.now {
+        if server.effects.frozen_until > self.now {
             // It stood still meanwhile and goes on with what was left.
-            let until = server.state.frozen_until + ANSWER_DELAY;
+            let until = server.effects.frozen_until + ANSWER_DELAY;
             self.schedule(until, Event::WorkFinished { call: call_id, epoch });
             return;
         }
@@ -268,8 +271,8 @@
         let endpoint = call.endpoint;
         let messages = call.messages.clone();
         let delay = self.network_delay(relay, endpoint);
-        let reset_rate = self.servers[endpoint as usize].state.resets;
-        if self.world.chance.part(What::Resets, call_id, 0) < reset_rate {
+        let reset_rate = self.servers[endpoint as usize].effects.reset_rate;
+        if self.world.random.uniform(Purpose::Reset, call_id, 0) < reset_rate {
             self.fail_call(call_id, Outcome::Reset, delay);
             self.close_connection(call_id);
             return;
--- a/crates/lab/src/day/outages.rs
+++ b/crates/lab/src/day/outages.rs
@@ -5,8 +5,8 @@
 use super::events::Event;
 use super::{ANSWER_DELAY, Day};
 use crate::Time;
-use crate::chance::What;
-use crate::servers::State;
+use crate::random::Purpose;
+use crate::servers::TroubleEffects;
 use mountshift::interface::Outcome;
 use mountshift_invariants::Fact;
 
@@ -17,13 +17,13 @@
     /// A trouble of an endpoint itself begins or ends.
     pub(super) fn change_endpoint_trouble(&mut self, endpoint: u32, trouble: usize, begins: bool) {
         let server = &mut self.servers[endpoint as usize];
-        server.active.retain(|active| *active != trouble);
+        server.active_troubles.retain(|active| *active != trouble);
         if begins {
-            server.active.push(trouble);
+            server.active_troubles.push(trouble);
         }
-        let after = State::new(&server.active, &self.world.strikes);
-        let before = std::mem::replace(&mut server.state, after.clone());
-        let route = server.route;
+        let after = TroubleEffects::new(&server.active_troubles, &self.world.troubles);
+        let before = std::mem::replace(&mut server.effects, after.clone());
+        let route = server.setup.route;
         let dies = after.refuses && !before.refuses;
         let returns = before.vanished && !after.vanished;
         if dies || returns {
@@ -46,7 +46,7 @@
         let running = std::mem::take(&mut server.running);
         let queued = std::mem::take(&mut server.queue);
         for call in running {
-            if self.world.chance.part(What::HalfRan, call, 1) < FAILED_EFFECT_SHARE {
+            if self.world.random.uniform(Purpose::FailedCallEffect, call, 1) < FAILED_EFFECT_SHARE {
                 self.apply_effects(call);
             }
             self.endpoint_done(call);
@@ -83,16 +83,16 @@
         let now = self.now;
         let out = self.all_endpoints_out(route_id);
         let route = &mut self.routes[route_id as usize];
-        if out == route.out || route.fallen {
+        if out == route.in_outage || route.overloaded {
             return;
         }
-        route.out = out;
+        route.in_outage = out;
         if out {
-            route.cold_since = None;
-            route.out_since = now;
+            route.slow_start_since = None;
+            route.outage_since = now;
             self.record(Fact::OutageBegan { route: route_id });
-        } else if now - route.out_since >= MIN_OUTAGE_BEFORE_SLOW_START {
-            route.cold_since = Some(now);
+        } else if now - route.outage_since >= MIN_OUTAGE_BEFORE_SLOW_START {
+            route.slow_start_since = Some(now);
             self.record(Fact::OutageOver { route: route_id });
         }
     }
@@ -101,17 +101,17 @@
     fn all_endpoints_out(&self, route_id: u32) -> bool {
         let endpoints = &self.routes[route_id as usize].endpoints;
         let servers = endpoints.iter().map(|endpoint| &self.servers[*endpoint as usize]);
-        let mut in_service = servers.filter(|server| !server.gone).peekable();
-        in_service.peek().is_some() && in_service.all(|server| server.state.out())
+        let mut in_service = servers.filter(|server| !server.removed).peekable();
+        in_service.peek().is_some() && in_service.all(|server| server.effects.is_out())
     }
 
     /// A route in slow start was sent more than it bears: it is down for the rest of the day.
     pub(super) fn overload_route(&mut self, route_id: u32) {
         self.record(Fact::FellOver { route: route_id });
         let route = &mut self.routes[route_id as usize];
-        route.fallen = true;
+        route.overloaded = true;
         for endpoint in route.endpoints.clone() {
-            self.servers[endpoint as usize].state.refuses = true;
+            self.servers[endpoint as usize].effects.refuses = true;
             self.break_connections(endpoint, true);
         }
     }
--- a/crates/lab/src/day/relays.rs
+++ b/crates/lab/src/day/relays.rs
@@ -5,11 +5,10 @@
 use super::trace::attempt_end_name;
 use super::{Day, Seen};
 use crate::Time;
-use crate::chance::What;
 use crate::host::{Act, Relay};
 use crate::policy::{TrueState, Truth};
+use crate::random::Purpose;
 use crate::servers::Server;
-use crate::tally::Tally;
 use mountshift::interface::Outcome;
 use mountshift_invariants::{End, Fact};
 use rayon::prelude::*;
@@ -80,7 +79,7 @@
     fn refresh_truth(&mut self) {
         let now = self.now;
         let world = &self.world;
-        let routes = self.routes.iter_mut().map(|route| route.room(now, world)).collect();
+        let routes = self.routes.iter_mut().map(|route| route.calls_allowed(now, world)).collect();
         let endpoints = self.servers.iter().map(|server| self.true_state(server)).collect();
         self.truth = Truth { endpoints, routes };
     }
@@ -91,16 +90,16 @@
         while let Some(next) = server.successor {
             server = &self.servers[next as usize];
         }
-        let route = &self.routes[server.route as usize];
-        let serves = !server.gone && !server.state.out() && !route.fallen;
-        let share = route.share(self.now, &self.world).max(MIN_TRUE_SHARE);
+        let route = &self.routes[server.setup.route as usize];
+        let serves = !server.removed && !server.effects.is_out() && !route.overloaded;
+        let share = route.capacity_share(self.now, &self.world).max(MIN_TRUE_SHARE);
         let workers = f64::from(server.workers) * share;
         let free = workers - f64::from(server.busy) - server.queue.len() as f64;
         TrueState {
-            well: serves && server.state.frozen_until <= self.now,
-            route: server.route,
+            well: serves && server.effects.frozen_until <= self.now,
+            route: server.setup.route,
             room: free + 1.0,
-            stale: server.state.stale > 0.0,
+            stale: server.effects.stale_rate > 0.0,
         }
     }
 
@@ -139,11 +138,11 @@
     fn record_from_relay(&mut self, fact: Fact) {
         match fact {
             Fact::LegEnded { end, .. } => {
-                *self.tally.ends.entry(attempt_end_name(end)).or_default() += 1;
+                *self.statistics.attempt_ends.entry(attempt_end_name(end)).or_default() += 1;
             }
             Fact::Leg { .. } => {
                 self.attempts += 1;
-                Tally::count(&mut self.tally.legs, self.now, 1.0);
+                self.statistics.attempts.add(self.now, 1.0);
             }
             _ => {}
         }
@@ -167,7 +166,7 @@
         if let Some(watch) = self.watch.as_mut() {
             watch(self.now, Seen::Log(relay, line));
         }
-        self.tally.log(&self.world, relay, self.now, line);
+        self.statistics.read_log_line(&self.world, relay, self.now, line);
     }
 
     /// Sends a final answer to the platform, which passes it on to the client at once and acknowledges it later.
@@ -190,7 +189,7 @@
 
     fn play_interrupted_step(&mut self, relay: u32, trouble: usize) {
         let count = KillPoint::ALL.len();
-        let drawn = self.world.chance.of(What::Kill, count, trouble as u64, u64::from(relay));
+        let drawn = self.world.random.index(Purpose::KillPoint, count, trouble as u64, u64::from(relay));
         let stalled = self.relays[relay as usize].stalled_until > self.now;
         if stalled || self.play.which.sees_all() {
             return;
--- a/crates/lab/src/day/replacement.rs
+++ b/crates/lab/src/day/replacement.rs
@@ -3,7 +3,7 @@
 use super::Day;
 use crate::route::Route;
 use crate::servers::Server;
-use crate::world::{Place, Strike};
+use crate::world::ScheduledTrouble;
 use mountshift::interface::EndpointStatus;
 use mountshift_scenario::TroubleKind;
 
@@ -15,9 +15,9 @@
 
 impl Day<'_> {
     /// The endpoints of a trouble are drained, replaced, or lose their addresses to others.
-    pub(super) fn begin_replacements(&mut self, trouble_id: usize, trouble: &Strike) {
+    pub(super) fn begin_replacements(&mut self, trouble_id: usize, trouble: &ScheduledTrouble) {
         for old in trouble.endpoints.iter().copied() {
-            if self.servers[old as usize].gone {
+            if self.servers[old as usize].removed {
                 continue;
             }
             let new = self.add_replacement(old);
@@ -48,17 +48,16 @@
     /// Sets up an endpoint of the same kind, on a route of its own where endpoints have limits of their own.
     fn add_replacement(&mut self, old: u32) -> u32 {
         let new = self.servers.len() as u32;
-        let mut place = self.place(old);
-        let group = &self.world.scenario.groups[place.group];
-        let mut peers = group.endpoints.get();
+        let mut setup = self.servers[old as usize].setup;
+        let group = &self.world.scenario.groups[setup.group];
+        let mut endpoints_of_route = group.endpoints.get();
         if group.own_limits {
-            peers = 1;
-            place.route = self.routes.len() as u32;
-            self.routes.push(Route::new(&self.world, place.group));
+            endpoints_of_route = 1;
+            setup.route = self.routes.len() as u32;
+            self.routes.push(Route::new(&self.world, setup.group));
         }
-        let Place { dst, group, zone, route } = place;
-        self.servers.push(Server::new(&self.world, dst, group, zone, route, peers));
-        self.routes[route as usize].endpoints.push(new);
+        self.servers.push(Server::new(&self.world, setup, endpoints_of_route));
+        self.routes[setup.route as usize].endpoints.push(new);
         self.record_endpoint(new);
         new
     }
@@ -66,9 +65,9 @@
     fn take_out_of_service(&mut self, endpoint: u32, successor: Option<u32>) {
         self.break_connections(endpoint, true);
         let server = &mut self.servers[endpoint as usize];
-        server.gone = true;
+        server.removed = true;
         server.successor = successor;
-        let route = server.route;
+        let route = server.setup.route;
         self.update_outage(route);
     }
 }
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -4,7 +4,7 @@
 use super::events::Event;
 use crate::Time;
 use crate::host::Came;
-use crate::world::Strike;
+use crate::world::ScheduledTrouble;
 use mountshift::interface::EndpointStatus;
 use mountshift_invariants::Fact;
 use mountshift_scenario::TroubleKind;
@@ -12,7 +12,7 @@
 impl Day<'_> {
     /// A trouble of the script begins or ends.
     pub(super) fn change_trouble(&mut self, trouble_id: usize, begins: bool) {
-        let trouble = self.world.strikes[trouble_id].clone();
+        let trouble = self.world.troubles[trouble_id].clone();
         match trouble.kind {
             TroubleKind::Kill | TroubleKind::Waves => self.change_kill(trouble_id, &trouble, begins),
             TroubleKind::Stall if begins => self.begin_stall(&trouble),
@@ -42,7 +42,7 @@
         }
     }
 
-    fn change_kill(&mut self, trouble_id: usize, trouble: &Strike, begins: bool) {
+    fn change_kill(&mut self, trouble_id: usize, trouble: &ScheduledTrouble, begins: bool) {
         for relay in trouble.relays.iter().copied() {
             if begins {
                 self.kill_relay(relay, trouble_id);
@@ -52,10 +52,10 @@
         }
     }
 
-    fn begin_stall(&mut self, trouble: &Strike) {
+    fn begin_stall(&mut self, trouble: &ScheduledTrouble) {
         for relay in trouble.relays.iter().copied() {
-            self.record(Fact::RelayStands { relay, until: trouble.to });
-            self.stall_relay(relay, trouble.to);
+            self.record(Fact::RelayStands { relay, until: trouble.ends });
+            self.stall_relay(relay, trouble.ends);
         }
     }
 
@@ -81,14 +81,14 @@
         }
     }
 
-    fn change_clock_step(&mut self, trouble: &Strike, begins: bool) {
+    fn change_clock_step(&mut self, trouble: &ScheduledTrouble, begins: bool) {
         let step = (trouble.level * 1e6) as i64;
         for relay in &trouble.relays {
             self.relays[*relay as usize].step_clock(if begins { step } else { -step });
         }
     }
 
-    fn change_discovery_trouble(&mut self, trouble: &Strike, begins: bool) {
+    fn change_discovery_trouble(&mut self, trouble: &ScheduledTrouble, begins: bool) {
         if !begins {
             self.discovery_troubles -= 1;
             return;
@@ -101,22 +101,22 @@
         }
     }
 
-    fn change_wrong_list(&mut self, trouble: &Strike, begins: bool) {
+    fn change_wrong_list(&mut self, trouble: &ScheduledTrouble, begins: bool) {
         let status = if begins { EndpointStatus::Removed } else { EndpointStatus::Ready };
         for endpoint in trouble.endpoints.iter().copied() {
             self.publish(endpoint, status);
         }
     }
 
-    fn change_throttle(&mut self, trouble_id: usize, trouble: &Strike, begins: bool) {
-        let routes = trouble.endpoints.iter().map(|endpoint| self.servers[*endpoint as usize].route);
+    fn change_throttle(&mut self, trouble_id: usize, trouble: &ScheduledTrouble, begins: bool) {
+        let routes = trouble.endpoints.iter().map(|endpoint| self.servers[*endpoint as usize].setup.route);
         let mut routes: Vec<u32> = routes.collect();
         routes.dedup();
         for route_id in routes {
             let route = &mut self.routes[route_id as usize];
-            let group = self.servers[route.endpoints[0] as usize].group;
+            let group = self.servers[route.endpoints[0] as usize].setup.group;
             let rate = self.world.scenario.groups[group].rate.0;
-            route.throttle(trouble_id, trouble, rate, begins, self.now);
+            route.change_trouble_limit(trouble_id, trouble, rate, begins, self.now);
         }
     }
 }
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -1,10 +1,10 @@
 //! Days played many times over: summaries with intervals, paired comparisons that say when two things can't be
 //! told apart, and sweeps of one value.
 
-use crate::chance::{Chance, What};
 use crate::day::{Day, Play};
 use crate::outcome::DayOutcome;
 use crate::policy::Which;
+use crate::random::{Purpose, SeededRandom};
 use mountshift_scenario::Scenario;
 use rand::RngExt;
 use rayon::prelude::*;
@@ -55,7 +55,7 @@
             return Estimate::default();
         }
         let mean = values.iter().sum::<f64>() / n as f64;
-        let mut rng = Chance(n as u64).stream(What::Bootstrap, 0);
+        let mut rng = SeededRandom(n as u64).stream(Purpose::Bootstrap, 0);
         let mut resample = || (0..n).map(|_| values[rng.random_range(0..n)]).sum::<f64>() / n as f64;
         let mut means: Vec<f64> = (0..RESAMPLES).map(|_| resample()).collect();
         means.sort_by(f64::total_cmp);
@@ -106,18 +106,18 @@
             |of: &dyn Fn(&DayOutcome) -> f64| Estimate::of(&days.iter().map(|d| of(d)).collect::<Vec<f64>>());
         let mean = |of: &dyn Fn(&DayOutcome) -> f64| days.iter().map(|d| of(d)).sum::<f64>() / n;
         let service = estimate(&|d| d.service);
-        let lanes = days[0].lanes.iter().enumerate();
+        let lanes = days[0].classes.iter().enumerate();
         Summary {
             policy: name.to_string(),
             place: ends.filter(|(floor, top)| top - floor > 0.02).map(|(f, t)| (service.mean - f) / (t - f)),
             service,
             worst_window: estimate(&|d| d.worst_window),
-            legs_per_message: mean(&|d| d.legs as f64 / (d.messages as f64).max(1.0)),
+            legs_per_message: mean(&|d| d.attempts as f64 / (d.messages as f64).max(1.0)),
             calls_into_outages: mean(&|d| d.calls_into_outages as f64),
             fell_over: mean(&|d| d.fell_over as f64),
-            twins: mean(&|d| d.twins as f64),
+            twins: mean(&|d| d.duplicates as f64),
             days_broken: std::array::from_fn(|rule| days.iter().filter(|d| d.rules[rule] > 0).count()),
-            lanes: lanes.map(|(i, l)| (l.name.clone(), estimate(&|d| d.lanes[i].service))).collect(),
+            lanes: lanes.map(|(i, l)| (l.name.clone(), estimate(&|d| d.classes[i].service))).collect(),
         }
     };
     order.into_iter().map(summary).collect()
@@ -161,10 +161,11 @@
     } else {
         format!("can't be told apart: the interval of the difference, {difference}, holds zero")
     };
-    let lane =
-        |name: &str, d: &DayOutcome| d.lanes.iter().find(|l| l.name == name).map_or(f64::NAN, |l| l.service);
+    let lane = |name: &str, d: &DayOutcome| {
+        d.classes.iter().find(|l| l.name == name).map_or(f64::NAN, |l| l.service)
+    };
     let lanes =
-        first.lanes.iter().map(|l| (l.name.clone(), Estimate::of(&differences(&|d| lane(&l.name, d)))));
+        first.classes.iter().map(|l| (l.name.clone(), Estimate::of(&differences(&|d| lane(&l.name, d)))));
     let broken = |days: Vec<&DayOutcome>| days.into_iter().filter(|d| !d.kept()).count();
     Ok(Comparison {
         a: Estimate::of(&pairs.iter().map(|p| p.0.service).collect::<Vec<f64>>()),
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -423,9 +423,15 @@
     }
 
     /// What the list inputs of an endpoint that this relay may not know yet.
-    pub fn learn(&mut self, world: &World, place: &crate::world::Place, endpoint: u32, says: EndpointStatus) {
+    pub fn learn(
+        &mut self,
+        world: &World,
+        place: &crate::world::EndpointSetup,
+        endpoint: u32,
+        says: EndpointStatus,
+    ) {
         let rate = world.listed_rate(place);
-        let entry = Entry { says, dst: place.dst, zone: place.zone, kind: place.group as u16, rate };
+        let entry = Entry { says, dst: place.destination, zone: place.zone, kind: place.group as u16, rate };
         self.desk.listed.entry(endpoint).or_insert(entry);
     }
 
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -1,9 +1,9 @@
 //! Searches scripts of troubles for days that break a rule, or lose most against the policy that sees all, and
 //! cuts the found day down to the fewest and shortest troubles that still do it.
 
-use crate::chance::{Chance, What};
 use crate::day::{Day, Play};
 use crate::policy::Which;
+use crate::random::{Purpose, SeededRandom};
 use mountshift_scenario::{Amount, Scenario, Share, Span, Strikes, Trouble, TroubleKind};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -130,7 +130,7 @@
     let tried: Vec<(Badness, Vec<Trouble>, u64)> = (0..budget as u64)
         .into_par_iter()
         .map(|i| {
-            let mut rng = Chance(seed).stream(What::Hunt, i);
+            let mut rng = SeededRandom(seed).stream(Purpose::Search, i);
             let n = rng.random_range(1..=TROUBLES_MOST);
             let troubles: Vec<Trouble> = (0..n).map(|_| draw(base, &mut rng)).collect();
             let day = u64::from(rng.random::<u32>());
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,7 +6,6 @@
 //! What the model leaves out, and how to add to it, stands in `docs/lab.md`.
 #![forbid(unsafe_code)]
 
-pub mod chance;
 pub mod day;
 pub mod experiment;
 mod host;
@@ -14,11 +13,12 @@
 pub mod outcome;
 mod policies;
 pub mod policy;
+mod random;
 mod rate_limit;
 pub mod report;
 mod route;
 mod servers;
-mod tally;
+mod statistics;
 mod traffic;
 mod world;
 
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -1,4 +1,5 @@
-//! What a played day came to, for people, programs and comparisons.
+//! What a played day came to, for people, programs and comparisons. Serialized names are part of the output
+//! format and differ from the fields' where those follow newer terms.
 
 use mountshift_invariants::Verdict;
 use serde::{Deserialize, Serialize};
@@ -7,32 +8,48 @@
 /// One day under one policy.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct DayOutcome {
+    /// The scenario's name.
     pub scenario: String,
+    /// The policy's name.
     pub policy: String,
+    /// The seed of everything random.
     pub seed: u64,
-    /// Worth delivered over worth handed in, 0 to 1.
+    /// Worth delivered over worth submitted, 0 to 1.
     pub service: f64,
     /// The same over the worst ten seconds of arrivals.
     pub worst_window: f64,
-    pub lanes: Vec<PartOutcome>,
+    /// By message class.
+    #[serde(rename = "lanes")]
+    pub classes: Vec<PartOutcome>,
+    /// By tenant.
     pub tenants: Vec<PartOutcome>,
+    /// What clients wanted delivered.
     pub requests: u64,
+    /// Submissions of requests.
     pub messages: u64,
-    pub legs: u64,
+    /// Attempts to deliver messages.
+    #[serde(rename = "legs")]
+    pub attempts: u64,
     /// Calls that reached an endpoint while its route was out.
     pub calls_into_outages: u64,
-    /// How legs ended, by name.
-    pub ends: BTreeMap<String, u64>,
-    /// Ends given by relays.
+    /// How attempts ended, by name.
+    #[serde(rename = "ends")]
+    pub attempt_ends: BTreeMap<String, u64>,
+    /// Messages that relays gave up.
     pub failed: u64,
-    pub pushed_back: u64,
-    /// Wishes of clients that took effect under more than one id.
-    pub twins: u64,
+    /// Messages that relays rejected.
+    #[serde(rename = "pushed_back")]
+    pub rejected: u64,
+    /// Requests that took effect under more than one message id.
+    #[serde(rename = "twins")]
+    pub duplicates: u64,
     /// How often each rule was broken, rule 1 first.
     pub rules: [u64; 6],
     /// What was broken, in words, with the history that shows it.
     pub breaches: Vec<BreachOutcome>,
+    /// Routes that were overloaded during slow start.
     pub fell_over: u64,
+    /// Connections opened.
     pub connections: u64,
     /// Of all facts in their order: the same day played again gives the same.
     pub digest: String,
@@ -42,44 +59,64 @@
 }
 
 impl DayOutcome {
+    /// True if no rule was broken.
     pub fn kept(&self) -> bool {
         self.rules.iter().all(|n| *n == 0)
     }
 }
 
-/// A lane or a tenant.
+/// A message class or a tenant.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct PartOutcome {
+    /// Its name in the scenario.
     pub name: String,
+    /// Worth delivered over worth submitted, 0 to 1.
     pub service: f64,
+    /// What clients wanted delivered.
     pub requests: u64,
+    /// Requests delivered before their deadlines.
     pub delivered: u64,
-    /// Milliseconds from the first hand-in to the delivery.
+    /// The median of milliseconds from the first submission to the delivery.
     pub p50_ms: f64,
+    /// The same, for nine tenths of deliveries.
     pub p90_ms: f64,
+    /// The same, for 99 in 100 deliveries.
     pub p99_ms: f64,
 }
 
+/// A broken rule.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct BreachOutcome {
+    /// The rule's number.
     pub rule: u8,
+    /// When, in seconds of the day.
     pub at_s: f64,
+    /// What was done against the rule.
     pub why: String,
+    /// The history that shows it, a line for each fact.
     pub story: Vec<String>,
 }
 
 /// The course of a day, second by second.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Course {
-    /// By lane, by second of arrival: worth handed in, worth delivered.
-    pub lanes: Vec<Vec<(f64, f64)>>,
+    /// By message class, by second of arrival: worth submitted, worth delivered.
+    #[serde(rename = "lanes")]
+    pub classes: Vec<Vec<(f64, f64)>>,
+    /// The same by tenant.
     pub tenants: Vec<Vec<(f64, f64)>>,
-    /// Messages held, calls out, over all relays.
-    pub held: Vec<f64>,
-    pub out: Vec<f64>,
-    /// Legs and messages handed in.
-    pub legs: Vec<f64>,
-    pub messages: Vec<f64>,
+    /// Messages that all relays hold.
+    #[serde(rename = "held")]
+    pub queued: Vec<f64>,
+    /// Calls of all relays that are in flight.
+    #[serde(rename = "out")]
+    pub calls_in_flight: Vec<f64>,
+    /// Attempts that went out.
+    #[serde(rename = "legs")]
+    pub attempts: Vec<f64>,
+    /// Messages submitted.
+    #[serde(rename = "messages")]
+    pub submissions: Vec<f64>,
     /// By destination that was struck: calls that reached it, and what it could work off.
     pub routes: Vec<RouteCourse>,
     /// Breakers: relay, destination, second, state.
@@ -88,27 +125,40 @@
     pub troubles: Vec<TroubleSpan>,
 }
 
+/// The load of a route, second by second.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct RouteCourse {
+    /// The destination's name.
     pub name: String,
+    /// Calls that reached it.
     pub reached: Vec<f64>,
+    /// Calls that it could work off.
     pub capacity: Vec<f64>,
 }
 
+/// A change of a circuit breaker.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct BreakerStep {
+    /// The relay that has the breaker.
     pub relay: u32,
+    /// The name of the destination that it guards.
     pub destination: String,
+    /// When, in seconds of the day.
     pub at_s: f64,
     /// `closed`, `open` or `half-open`.
     pub state: String,
 }
 
+/// A trouble of the scenario.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct TroubleSpan {
+    /// What it is, as scenario files call it.
     pub kind: String,
+    /// Whom it strikes, as scenario files name them.
     pub whom: String,
+    /// When it begins, in seconds of the day.
     pub from_s: f64,
+    /// When it ends, in seconds of the day.
     pub to_s: f64,
 }
 
--- a/crates/lab/src/rate_limit.rs
+++ b/crates/lab/src/rate_limit.rs
@@ -1,83 +1,110 @@
-//! Limits on the rate of calls.
+//! Limits on the rate of calls, as destinations enforce them.
 
 use crate::Time;
 use mountshift_scenario::{Limit, LimitBy};
 
-/// A limit at work.
+/// The span for which unused rate is saved up, in seconds.
+const BURST_SECONDS: f64 = 0.1;
+/// What a rejected call costs where rejected calls count too, in calls.
+const REJECTED_CALL_COST: f64 = 0.5;
+/// The part of a window that calls rejected in the window before can use up at most.
+const MAX_SHARE_USED_BY_REJECTED: f64 = 0.5;
+
+/// A limit at work: a token bucket, or a count in fixed windows.
 #[derive(Clone, Debug)]
-pub(crate) struct Gate {
-    pub limit: Limit,
+pub(crate) struct RateLimit {
+    pub(crate) limit: Limit,
     /// The trouble that set it.
-    pub by: Option<usize>,
+    pub(crate) set_by: Option<usize>,
     tokens: f64,
-    at: Time,
+    refilled_at: Time,
     window: u64,
-    count: f64,
-    refused: f64,
+    calls: f64,
+    rejected: f64,
 }
 
-impl Gate {
-    pub fn new(limit: Limit, by: Option<usize>, now: Time) -> Gate {
-        Gate { limit, by, tokens: 1.0, at: now, window: 0, count: 0.0, refused: 0.0 }
+impl RateLimit {
+    /// A limit that begins now with one call to spare.
+    pub(crate) fn new(limit: Limit, set_by: Option<usize>, now: Time) -> RateLimit {
+        RateLimit { limit, set_by, tokens: 1.0, refilled_at: now, window: 0, calls: 0.0, rejected: 0.0 }
     }
 
-    /// Calls that may pass now.
-    pub fn room(&mut self, now: Time) -> f64 {
+    /// Calls that would pass now.
+    pub(crate) fn calls_allowed(&mut self, now: Time) -> f64 {
         match self.limit.by {
             LimitBy::Rate => {
                 self.refill(now);
                 self.tokens
             }
             LimitBy::Count => {
-                let most = self.turn(now);
-                most - self.count
+                let max_calls = self.enter_window(now);
+                max_calls - self.calls
             }
         }
     }
 
+    /// Counts a call.
+    ///
+    /// # Errors
+    /// The span until a call may pass, if this one may not.
+    pub(crate) fn admit(&mut self, now: Time) -> Result<(), Time> {
+        match self.limit.by {
+            LimitBy::Rate => self.admit_by_rate(now),
+            LimitBy::Count => self.admit_by_count(now),
+        }
+    }
+
+    fn admit_by_rate(&mut self, now: Time) -> Result<(), Time> {
+        self.refill(now);
+        if self.tokens >= 1.0 {
+            self.tokens -= 1.0;
+            return Ok(());
+        }
+        let rate = self.limit.rate.0;
+        if self.limit.spent_by_refused {
+            self.tokens = (self.tokens - REJECTED_CALL_COST).max(-rate);
+        }
+        Err(((1.0 - self.tokens) / rate * 1e6) as Time)
+    }
+
     fn refill(&mut self, now: Time) {
         let rate = self.limit.rate.0;
-        self.tokens = (self.tokens + rate * (now - self.at) as f64 / 1e6).min((rate * 0.1).max(1.0));
-        self.at = now;
+        let refill = rate * (now - self.refilled_at) as f64 / 1e6;
+        let burst = (rate * BURST_SECONDS).max(1.0);
+        self.tokens = (self.tokens + refill).min(burst);
+        self.refilled_at = now;
     }
 
-    /// Begins a window if one is due; gives what a window takes.
-    fn turn(&mut self, now: Time) -> f64 {
-        let span = self.limit.window.us().max(1);
-        let (window, most) = (now / span + 1, (self.limit.rate.0 * span as f64 / 1e6).max(1.0));
-        if window != self.window {
-            // What was refused in the last window takes up to half of this one.
-            let spent = self.limit.spent_by_refused && window == self.window + 1;
-            self.count = if spent { self.refused.min(most / 2.0) } else { 0.0 };
-            (self.window, self.refused) = (window, 0.0);
+    fn admit_by_count(&mut self, now: Time) -> Result<(), Time> {
+        let max_calls = self.enter_window(now);
+        if self.calls + 1.0 <= max_calls {
+            self.calls += 1.0;
+            return Ok(());
         }
-        most
+        self.rejected += 1.0;
+        let span = self.window_span();
+        Err(span - now % span)
     }
 
-    /// None if the call may pass, else the span until there is room.
-    pub fn refuses(&mut self, now: Time) -> Option<Time> {
-        let rate = self.limit.rate.0;
-        match self.limit.by {
-            LimitBy::Rate => {
-                self.refill(now);
-                if self.tokens >= 1.0 {
-                    self.tokens -= 1.0;
-                    return None;
-                }
-                if self.limit.spent_by_refused {
-                    self.tokens = (self.tokens - 0.5).max(-rate);
-                }
-                Some(((1.0 - self.tokens) / rate * 1e6) as Time)
-            }
-            LimitBy::Count => {
-                let (span, most) = (self.limit.window.us().max(1), self.turn(now));
-                if self.count + 1.0 <= most {
-                    self.count += 1.0;
-                    return None;
-                }
-                self.refused += 1.0;
-                Some(span - now % span)
-            }
+    fn window_span(&self) -> Time {
+        self.limit.window.us().max(1)
+    }
+
+    /// Begins a window if one is due; gives the calls that a window takes.
+    fn enter_window(&mut self, now: Time) -> f64 {
+        let span = self.window_span();
+        let window = now / span + 1;
+        let max_calls = (self.limit.rate.0 * span as f64 / 1e6).max(1.0);
+        if window != self.window {
+            let follows = window == self.window + 1;
+            self.calls = if self.limit.spent_by_refused && follows {
+                self.rejected.min(max_calls * MAX_SHARE_USED_BY_REJECTED)
+            } else {
+                0.0
+            };
+            self.window = window;
+            self.rejected = 0.0;
         }
+        max_calls
     }
 }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -49,7 +49,7 @@
         })
         .collect();
     let span = |ms: f64| if ms < 1_000.0 { format!("{ms:.0} ms") } else { format!("{:.2} s", ms / 1e3) };
-    let lanes: Vec<_> = (shown.lanes.iter().chain(&shown.tenants))
+    let lanes: Vec<_> = (shown.classes.iter().chain(&shown.tenants))
         .map(|l| {
             context! {
                 name => l.name.as_str(), service => format!("{:.4}", l.service), requests => l.requests,
--- a/crates/lab/src/report/charts.rs
+++ b/crates/lab/src/report/charts.rs
@@ -46,7 +46,7 @@
     let lines = |names: Vec<String>, all: &[Vec<(f64, f64)>]| -> Vec<(String, Vec<f64>)> {
         names.into_iter().zip(all.iter().map(|by_second| smooth(by_second))).collect()
     };
-    let lanes = lines(scenario.lanes.iter().map(|l| l.name.clone()).collect(), &course.lanes);
+    let lanes = lines(scenario.lanes.iter().map(|l| l.name.clone()).collect(), &course.classes);
     plots.push((
         chart(course, "share of worth delivered", Some(1.02), &lanes)?,
         "Service by lane and second of arrival (over three seconds). Shaded: troubles.".to_string(),
@@ -56,15 +56,19 @@
         plots
             .push((chart(course, "share of worth", Some(1.02), &tenants)?, "Service by tenant.".to_string()));
     }
-    let held = [("held".to_string(), course.held.clone()), ("calls out".to_string(), course.out.clone())];
+    let held = [
+        ("held".to_string(), course.queued.clone()),
+        ("calls out".to_string(), course.calls_in_flight.clone()),
+    ];
     plots.push((
         chart(course, "messages", None, &held)?,
         "Messages held and calls out, over all relays.".to_string(),
     ));
     let per = |i: usize| {
-        course.legs.get(i).copied().unwrap_or(0.0) / course.messages.get(i).copied().unwrap_or(0.0).max(1.0)
+        course.attempts.get(i).copied().unwrap_or(0.0)
+            / course.submissions.get(i).copied().unwrap_or(0.0).max(1.0)
     };
-    let legs: Vec<f64> = (0..course.messages.len()).map(per).collect();
+    let legs: Vec<f64> = (0..course.submissions.len()).map(per).collect();
     plots.push((
         chart(course, "legs", None, &[("legs for each message handed in".to_string(), legs)])?,
         "Legs that went out in a second for each message handed in then.".to_string(),
@@ -141,7 +145,7 @@
     rows.sort_by_key(|r| std::cmp::Reverse(r.1.len()));
     rows.truncate(16);
     rows.sort_by_key(|r| r.0);
-    let seconds = course.held.len().max(2) as f64;
+    let seconds = course.queued.len().max(2) as f64;
     let relays =
         course.breakers.iter().map(|b| b.relay).collect::<std::collections::BTreeSet<_>>().len().max(1);
     let high = 60 + 20 * rows.len() as u32;
--- a/crates/lab/src/route.rs
+++ b/crates/lab/src/route.rs
@@ -1,127 +1,167 @@
 //! Routes: endpoints that share one limit, one capacity and one outage.
 
 use crate::Time;
-use crate::rate_limit::Gate;
-use crate::world::{Strike, World};
+use crate::rate_limit::RateLimit;
+use crate::world::{ScheduledTrouble, World};
 use mountshift_scenario::{Limit, LimitBy, Rate, Span, TroubleKind, Waits};
 use std::collections::VecDeque;
 use std::time::Duration;
 
+/// The shortest truthful Retry-After.
+const MIN_RETRY_AFTER: Time = 1_000;
+/// A wrong Retry-After lies between this share of the true one and [`WRONG_RETRY_AFTER_SPREAD`] more.
+const WRONG_RETRY_AFTER_MIN: f64 = 0.1;
+/// How far wrong Retry-Afters spread, as a share of the true one.
+const WRONG_RETRY_AFTER_SPREAD: f64 = 3.9;
+/// The window of limits that troubles bring and that count calls.
+const TROUBLE_LIMIT_WINDOW: Duration = Duration::from_secs(1);
+
+/// A call that arrived lately.
+struct RecentCall {
+    at: Time,
+    weight: f64,
+}
+
 /// Endpoints that share one limit, one capacity and one outage.
 pub(crate) struct Route {
-    pub endpoints: Vec<u32>,
+    pub(crate) endpoints: Vec<u32>,
     /// Calls a second while warm.
-    pub capacity: f64,
-    pub out: bool,
-    pub out_since: Time,
-    pub cold_since: Option<Time>,
-    /// Pushed over: down until the day ends.
-    pub fallen: bool,
-    load: VecDeque<(Time, f64)>,
-    weighed: f64,
-    gates: Vec<Gate>,
+    pub(crate) capacity: f64,
+    /// No endpoint in service serves.
+    pub(crate) in_outage: bool,
+    pub(crate) outage_since: Time,
+    /// When an outage ended after which the route has to warm up.
+    pub(crate) slow_start_since: Option<Time>,
+    /// Overloaded during slow start: down until the day ends.
+    pub(crate) overloaded: bool,
+    recent_calls: VecDeque<RecentCall>,
+    recent_weight: f64,
+    limits: Vec<RateLimit>,
 }
 
 impl Route {
-    pub fn new(world: &World, group: usize) -> Route {
-        let gates = world.scenario.groups[group].limit.map(|l| Gate::new(l, None, 0));
+    /// A route of a group's destination, without endpoints yet.
+    pub(crate) fn new(world: &World, group: usize) -> Route {
+        let limit = world.scenario.groups[group].limit.map(|limit| RateLimit::new(limit, None, 0));
         Route {
             endpoints: Vec::new(),
             capacity: world.capacity(group),
-            out: false,
-            out_since: 0,
-            cold_since: None,
-            fallen: false,
-            load: VecDeque::new(),
-            weighed: 0.0,
-            gates: gates.into_iter().collect(),
+            in_outage: false,
+            outage_since: 0,
+            slow_start_since: None,
+            overloaded: false,
+            recent_calls: VecDeque::new(),
+            recent_weight: 0.0,
+            limits: limit.into_iter().collect(),
         }
     }
 
     /// The share of its capacity that it has now.
-    pub fn share(&self, now: Time, world: &World) -> f64 {
+    pub(crate) fn capacity_share(&self, now: Time, world: &World) -> f64 {
+        let Some(since) = self.slow_start_since else { return 1.0 };
         let rules = &world.scenario.rules;
-        let warm = |since: Time| ((now - since) as f64 / rules.warm_after.us().max(1) as f64).min(1.0);
-        self.cold_since.map_or(1.0, |since| rules.cold_from.0 + (1.0 - rules.cold_from.0) * warm(since))
+        let warmed_up = ((now - since) as f64 / rules.warm_after.us().max(1) as f64).min(1.0);
+        rules.cold_from.0 + (1.0 - rules.cold_from.0) * warmed_up
     }
 
-    /// A call has come; true if that pushes it over.
-    pub fn weigh(&mut self, now: Time, weight: f64, world: &World) -> bool {
-        let rules = &world.scenario.rules;
-        if self.cold_since.is_some_and(|since| now >= since + rules.warm_after.us()) {
-            self.cold_since = None;
-            self.load.clear();
-            self.weighed = 0.0;
-        }
-        if self.cold_since.is_none() {
+    /// Counts a call that has arrived; true if it overloads the route.
+    pub(crate) fn record_call(&mut self, now: Time, weight: f64, world: &World) -> bool {
+        let Some(since) = self.slow_start_since else { return false };
+        if now >= since + world.scenario.rules.warm_after.us() {
+            self.end_slow_start();
             return false;
         }
-        self.load.push_back((now, weight));
-        self.weighed += weight;
-        // A little slack for chance, as the judge allows it.
-        let takes = self.takes(now, world);
-        self.weighed(now, world) > takes + mountshift_invariants::cold_slack(takes)
+        self.recent_calls.push_back(RecentCall { at: now, weight });
+        self.recent_weight += weight;
+        // A little slack for random arrivals, as the checker of the rules allows it.
+        let limit = self.overload_limit(now, world);
+        self.recent_weight(now, world) > limit + mountshift_invariants::cold_slack(limit)
     }
 
-    /// Calls that its limits and what it bears while cold let through now.
-    pub fn room(&mut self, now: Time, world: &World) -> f64 {
-        let gates = self.gates.iter_mut().map(|g| g.room(now)).fold(f64::INFINITY, f64::min);
-        let cold = if self.cold_since.is_some() {
-            self.takes(now, world) - self.weighed(now, world)
-        } else {
-            f64::INFINITY
-        };
-        gates.min(cold)
+    fn end_slow_start(&mut self) {
+        self.slow_start_since = None;
+        self.recent_calls.clear();
+        self.recent_weight = 0.0;
     }
 
-    fn takes(&self, now: Time, world: &World) -> f64 {
+    /// Calls that its limits and what it bears during slow start let through now.
+    pub(crate) fn calls_allowed(&mut self, now: Time, world: &World) -> f64 {
+        let by_limits = self.limits.iter_mut().map(|limit| limit.calls_allowed(now));
+        let by_limits = by_limits.fold(f64::INFINITY, f64::min);
+        if self.slow_start_since.is_none() {
+            return by_limits;
+        }
+        by_limits.min(self.overload_limit(now, world) - self.recent_weight(now, world))
+    }
+
+    /// The weight of calls within the overload window that it bears.
+    fn overload_limit(&self, now: Time, world: &World) -> f64 {
         let rules = &world.scenario.rules;
-        rules.fall_multiple.0 * self.capacity * self.share(now, world) * rules.fall.seconds()
+        rules.fall_multiple.0 * self.capacity * self.capacity_share(now, world) * rules.fall.seconds()
     }
 
-    /// What came within the last fall span.
-    fn weighed(&mut self, now: Time, world: &World) -> f64 {
-        while let Some((_, old)) =
-            self.load.front().copied().filter(|l| l.0 + world.scenario.rules.fall.us() < now)
-        {
-            self.load.pop_front();
-            self.weighed -= old;
+    /// The weight of calls that arrived within the overload window.
+    fn recent_weight(&mut self, now: Time, world: &World) -> f64 {
+        let window = world.scenario.rules.fall.us();
+        while let Some(oldest) = self.recent_calls.front().filter(|call| call.at + window < now) {
+            self.recent_weight -= oldest.weight;
+            self.recent_calls.pop_front();
         }
-        self.weighed
+        self.recent_weight
     }
 
-    /// None if the call may pass the limits, else what the caller is told to wait; `lie` draws a wrong one.
-    pub fn refuses(&mut self, now: Time, lie: f64) -> Option<Time> {
-        let mut told = None;
-        for gate in &mut self.gates {
-            if let Some(wait) = gate.refuses(now) {
-                let says = match gate.limit.waits {
-                    Waits::True => wait.max(1_000),
+    /// Counts a call against all limits; `lie` draws a wrong Retry-After where limits lie.
+    ///
+    /// # Errors
+    /// The Retry-After that the caller hears, 0 for none, if a limit rejects the call.
+    pub(crate) fn admit(&mut self, now: Time, lie: f64) -> Result<(), Time> {
+        let mut longest: Option<Time> = None;
+        for limit in &mut self.limits {
+            if let Err(wait) = limit.admit(now) {
+                let retry_after = match limit.limit.waits {
+                    Waits::True => wait.max(MIN_RETRY_AFTER),
                     Waits::Missing => 0,
-                    Waits::Lying => (wait as f64 * (0.1 + 3.9 * lie)) as Time,
+                    Waits::Lying => {
+                        (wait as f64 * (WRONG_RETRY_AFTER_MIN + WRONG_RETRY_AFTER_SPREAD * lie)) as Time
+                    }
                 };
-                told = Some(told.unwrap_or(0).max(says));
+                longest = longest.max(Some(retry_after));
             }
         }
-        told
+        match longest {
+            Some(retry_after) => Err(retry_after),
+            None => Ok(()),
+        }
     }
 
-    /// Sets or lifts the limit that a trouble brings.
-    pub fn throttle(&mut self, by: usize, strike: &Strike, rate: f64, on: bool, now: Time) {
-        self.gates.retain(|g| g.by != Some(by));
-        let kind = match strike.kind {
-            TroubleKind::ThrottleCount => (LimitBy::Count, Waits::True, false),
-            TroubleKind::ThrottleRate => (LimitBy::Rate, Waits::Missing, false),
-            TroubleKind::ThrottleLies => (LimitBy::Rate, Waits::Lying, false),
-            TroubleKind::ThrottleSpends => (LimitBy::Count, Waits::True, true),
-            _ => return,
-        };
-        if on {
-            let (limit_by, waits, spent_by_refused) = kind;
-            let window = Span(Duration::from_secs(1));
-            let limit =
-                Limit { by: limit_by, rate: Rate(rate * strike.level), window, waits, spent_by_refused };
-            self.gates.push(Gate::new(limit, Some(by), now));
+    /// Lifts the limit that a trouble brings, and sets it anew where the trouble begins.
+    pub(crate) fn change_trouble_limit(
+        &mut self,
+        trouble_id: usize,
+        trouble: &ScheduledTrouble,
+        rate: f64,
+        begins: bool,
+        now: Time,
+    ) {
+        self.limits.retain(|limit| limit.set_by != Some(trouble_id));
+        if !begins {
+            return;
+        }
+        if let Some(limit) = limit_of(trouble.kind, Rate(rate * trouble.level)) {
+            self.limits.push(RateLimit::new(limit, Some(trouble_id), now));
         }
     }
 }
+
+/// The limit that a kind of trouble brings.
+fn limit_of(kind: TroubleKind, rate: Rate) -> Option<Limit> {
+    let window = Span(TROUBLE_LIMIT_WINDOW);
+    let by_count = Limit { by: LimitBy::Count, rate, window, waits: Waits::True, spent_by_refused: false };
+    match kind {
+        TroubleKind::ThrottleCount => Some(by_count),
+        TroubleKind::ThrottleRate => Some(Limit { by: LimitBy::Rate, waits: Waits::Missing, ..by_count }),
+        TroubleKind::ThrottleLies => Some(Limit { by: LimitBy::Rate, waits: Waits::Lying, ..by_count }),
+        TroubleKind::ThrottleSpends => Some(Limit { spent_by_refused: true, ..by_count }),
+        _ => None,
+    }
+}
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -1,100 +1,152 @@
-//! Endpoints: what they can do now, given the troubles that strike them.
+//! Endpoints at work: their workers, queues and connections, and what troubles make of them.
 
 use crate::Time;
-use crate::world::{Strike, World};
+use crate::world::{EndpointSetup, ScheduledTrouble, World};
 use mountshift_scenario::TroubleKind;
 use std::collections::VecDeque;
 
+/// From this rate of errors on an endpoint counts as out.
+const OUTAGE_ERROR_RATE: f64 = 0.5;
+
+/// Messages of a class that take longer, now and then.
+#[derive(Clone, Debug)]
+pub(crate) struct HeavyTail {
+    pub(crate) class: u16,
+    pub(crate) factor: f64,
+}
+
 /// What the troubles of now make of an endpoint.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct State {
+#[derive(Clone, Debug)]
+pub(crate) struct TroubleEffects {
     /// Connections are refused, and what was open breaks.
-    pub refuses: bool,
-    pub vanished: bool,
-    /// Until when no byte passes, or it stands still.
-    pub silent_until: Time,
-    pub frozen_until: Time,
-    pub hung: bool,
-    pub shut: bool,
-    pub errors: f64,
-    pub resets: f64,
-    pub stale: f64,
-    pub slow: f64,
-    pub tails: Vec<(u16, f64)>,
-    pub tables_full: bool,
+    pub(crate) refuses: bool,
+    /// It is off the network without a word.
+    pub(crate) vanished: bool,
+    /// Until when no byte passes; 0 if bytes pass.
+    pub(crate) silent_until: Time,
+    /// Until when it stands still; 0 if it works.
+    pub(crate) frozen_until: Time,
+    /// It stands still for so long that it counts as out.
+    pub(crate) hung: bool,
+    /// It rejects every call.
+    pub(crate) rejects_all: bool,
+    pub(crate) error_rate: f64,
+    pub(crate) reset_rate: f64,
+    /// The share of kept connections that have died unnoticed.
+    pub(crate) stale_rate: f64,
+    /// The factor by which work takes longer.
+    pub(crate) slowdown: f64,
+    pub(crate) heavy_tails: Vec<HeavyTail>,
+    pub(crate) connection_table_full: bool,
+}
+
+impl Default for TroubleEffects {
+    fn default() -> TroubleEffects {
+        TroubleEffects {
+            refuses: false,
+            vanished: false,
+            silent_until: 0,
+            frozen_until: 0,
+            hung: false,
+            rejects_all: false,
+            error_rate: 0.0,
+            reset_rate: 0.0,
+            stale_rate: 0.0,
+            slowdown: 1.0,
+            heavy_tails: Vec::new(),
+            connection_table_full: false,
+        }
+    }
 }
 
-impl State {
-    pub fn new(active: &[usize], strikes: &[Strike]) -> State {
-        let mut s = State { slow: 1.0, ..State::default() };
-        let both = |a: f64, b: f64| 1.0 - (1.0 - a) * (1.0 - b);
-        for strike in active.iter().map(|i| &strikes[*i]) {
-            match strike.kind {
-                TroubleKind::Errors => s.errors = both(s.errors, strike.level),
-                TroubleKind::Shut => s.shut = true,
-                TroubleKind::Refuse | TroubleKind::Crash => s.refuses = true,
-                TroubleKind::Hang => (s.hung, s.frozen_until) = (true, s.frozen_until.max(strike.to)),
-                TroubleKind::Pauses => s.frozen_until = s.frozen_until.max(strike.to),
-                TroubleKind::Silent => s.silent_until = s.silent_until.max(strike.to),
-                TroubleKind::Vanish => s.vanished = true,
-                TroubleKind::Slow => s.slow *= strike.level,
-                TroubleKind::HeavyTail => s.tails.push((strike.lane, strike.level)),
-                TroubleKind::Resets => s.resets = both(s.resets, strike.level),
-                TroubleKind::Stale => s.stale = both(s.stale, strike.level),
-                TroubleKind::TablesFull => s.tables_full = true,
-                _ => {}
+impl TroubleEffects {
+    /// The joint effects of the active troubles, given by their numbers.
+    pub(crate) fn new(active: &[usize], troubles: &[ScheduledTrouble]) -> TroubleEffects {
+        let mut effects = TroubleEffects::default();
+        for trouble in active {
+            effects.add(&troubles[*trouble]);
+        }
+        effects
+    }
+
+    fn add(&mut self, trouble: &ScheduledTrouble) {
+        match trouble.kind {
+            TroubleKind::Errors => self.error_rate = either(self.error_rate, trouble.level),
+            TroubleKind::Shut => self.rejects_all = true,
+            TroubleKind::Refuse | TroubleKind::Crash => self.refuses = true,
+            TroubleKind::Hang => {
+                self.hung = true;
+                self.frozen_until = self.frozen_until.max(trouble.ends);
             }
+            TroubleKind::Pauses => self.frozen_until = self.frozen_until.max(trouble.ends),
+            TroubleKind::Silent => self.silent_until = self.silent_until.max(trouble.ends),
+            TroubleKind::Vanish => self.vanished = true,
+            TroubleKind::Slow => self.slowdown *= trouble.level,
+            TroubleKind::HeavyTail => {
+                self.heavy_tails.push(HeavyTail { class: trouble.class, factor: trouble.level });
+            }
+            TroubleKind::Resets => self.reset_rate = either(self.reset_rate, trouble.level),
+            TroubleKind::Stale => self.stale_rate = either(self.stale_rate, trouble.level),
+            TroubleKind::TablesFull => self.connection_table_full = true,
+            _ => {}
         }
-        s
     }
 
-    /// Down, silent, hung, shut, or failing most calls.
-    pub fn out(&self) -> bool {
-        self.refuses || self.vanished || self.silent_until > 0 || self.hung || self.shut || self.errors >= 0.5
+    /// Down, silent, hung, rejecting all calls, or failing most of them.
+    pub(crate) fn is_out(&self) -> bool {
+        self.refuses
+            || self.vanished
+            || self.silent_until > 0
+            || self.hung
+            || self.rejects_all
+            || self.error_rate >= OUTAGE_ERROR_RATE
     }
 }
 
+/// The probability that at least one of two independent events happens.
+fn either(a: f64, b: f64) -> f64 {
+    1.0 - (1.0 - a) * (1.0 - b)
+}
+
 /// An endpoint at work.
 pub(crate) struct Server {
-    pub dst: u32,
-    pub group: usize,
-    pub zone: u8,
-    pub route: u32,
-    pub workers: u32,
-    pub busy: u32,
-    pub queue: VecDeque<u64>,
-    pub running: Vec<u64>,
-    pub connections: u32,
+    pub(crate) setup: EndpointSetup,
+    pub(crate) workers: u32,
+    pub(crate) busy: u32,
+    /// Calls that wait for a worker.
+    pub(crate) queue: VecDeque<u64>,
+    /// Calls that are worked on.
+    pub(crate) running: Vec<u64>,
+    pub(crate) connections: u32,
     /// Grows each time its connections break.
-    pub epoch: u32,
-    pub gone: bool,
+    pub(crate) epoch: u32,
+    /// It was taken out of service for good.
+    pub(crate) removed: bool,
     /// Another one that took its address over.
-    pub successor: Option<u32>,
-    pub active: Vec<usize>,
-    pub state: State,
+    pub(crate) successor: Option<u32>,
+    pub(crate) active_troubles: Vec<usize>,
+    pub(crate) effects: TroubleEffects,
 }
 
 impl Server {
-    pub fn new(world: &World, dst: u32, group: usize, zone: u8, route: u32, peers: u32) -> Server {
-        let g = &world.scenario.groups[group];
+    /// An endpoint with as many workers as its part of its route's capacity needs.
+    pub(crate) fn new(world: &World, setup: EndpointSetup, endpoints_of_route: u32) -> Server {
+        let group = &world.scenario.groups[setup.group];
         // The mean of what is drawn around the median.
-        let mean = g.answers.seconds() * (g.spread.0 * g.spread.0 / 2.0).exp();
-        let share = world.capacity(group) / f64::from(peers.max(1));
+        let mean_service_time = group.answers.seconds() * (group.spread.0 * group.spread.0 / 2.0).exp();
+        let capacity = world.capacity(setup.group) / f64::from(endpoints_of_route.max(1));
         Server {
-            dst,
-            group,
-            zone,
-            route,
-            workers: ((share * mean).ceil() as u32).max(1),
+            setup,
+            workers: ((capacity * mean_service_time).ceil() as u32).max(1),
             busy: 0,
             queue: VecDeque::new(),
             running: Vec::new(),
             connections: 0,
             epoch: 0,
-            gone: false,
+            removed: false,
             successor: None,
-            active: Vec::new(),
-            state: State { slow: 1.0, ..State::default() },
+            active_troubles: Vec::new(),
+            effects: TroubleEffects::default(),
         }
     }
 }
--- /dev/null
+++ b/crates/lab/src/statistics.rs
@@ -0,0 +1,328 @@
+//! Counts while a day is played: worth submitted and delivered, and the course of the day by seconds.
+
+use crate::Time;
+use crate::outcome::{BreakerStep, Course, PartOutcome, RouteCourse, TroubleSpan};
+use crate::traffic::Request;
+use crate::world::World;
+use hdrhistogram::Histogram;
+use mountshift_scenario::{Decay, Lane};
+use std::collections::BTreeMap;
+
+const MICROSECONDS_PER_SECOND: Time = 1_000_000;
+/// The length of the worst window, in seconds.
+const WORST_WINDOW_SECONDS: usize = 10;
+/// A window in which less than this share of the day's worth was submitted can't be the worst.
+const MIN_WINDOW_SHARE: f64 = 0.02;
+/// Routes whose load a report shows.
+const MAX_ROUTES_SHOWN: usize = 24;
+/// The longest delivery time that is told apart, in microseconds.
+const MAX_DELIVERY_TIME: u64 = 600_000_000;
+/// The precision of delivery times, in decimal digits.
+const DELIVERY_TIME_DIGITS: u8 = 3;
+/// The shortest latency objective by which worth can halve, in seconds.
+const MIN_HALF_LIFE: f64 = 0.001;
+/// How the decisions' log begins a line about a circuit breaker.
+const BREAKER_LOG_PREFIX: &str = "breaker of ";
+
+/// Worth submitted and delivered.
+#[derive(Clone, Copy, Default)]
+struct Worth {
+    submitted: f64,
+    delivered: f64,
+}
+
+impl Worth {
+    fn add(&mut self, other: Worth) {
+        self.submitted += other.submitted;
+        self.delivered += other.delivered;
+    }
+
+    fn service(&self) -> f64 {
+        if self.submitted > 0.0 { self.delivered / self.submitted } else { 1.0 }
+    }
+}
+
+/// Counts of a message class or a tenant.
+struct Part {
+    worth: Worth,
+    requests: u64,
+    delivered: u64,
+    delivery_times: Option<Histogram<u64>>,
+    /// By second of arrival.
+    course: Vec<Worth>,
+}
+
+impl Part {
+    fn new(seconds: usize) -> Part {
+        Part {
+            worth: Worth::default(),
+            requests: 0,
+            delivered: 0,
+            delivery_times: Histogram::new_with_bounds(1, MAX_DELIVERY_TIME, DELIVERY_TIME_DIGITS).ok(),
+            course: vec![Worth::default(); seconds],
+        }
+    }
+
+    fn record_request(&mut self, second: usize, value: f64) {
+        self.worth.submitted += value;
+        self.requests += 1;
+        self.course[second].submitted += value;
+    }
+
+    fn record_delivery(&mut self, second: usize, worth: f64, delivery_time: Time) {
+        self.worth.delivered += worth;
+        self.delivered += 1;
+        self.course[second].delivered += worth;
+        if let Some(times) = &mut self.delivery_times {
+            times.saturating_record(delivery_time.max(1));
+        }
+    }
+
+    fn quantile_ms(&self, quantile: f64) -> f64 {
+        let Some(times) = &self.delivery_times else { return 0.0 };
+        times.value_at_quantile(quantile) as f64 / 1e3
+    }
+
+    fn outcome(&self, name: &str) -> PartOutcome {
+        PartOutcome {
+            name: name.to_string(),
+            service: self.worth.service(),
+            requests: self.requests,
+            delivered: self.delivered,
+            p50_ms: self.quantile_ms(0.5),
+            p90_ms: self.quantile_ms(0.9),
+            p99_ms: self.quantile_ms(0.99),
+        }
+    }
+
+    fn course_pairs(self) -> Vec<(f64, f64)> {
+        self.course.into_iter().map(|worth| (worth.submitted, worth.delivered)).collect()
+    }
+}
+
+/// A quantity by second of the day.
+#[derive(Default)]
+pub(crate) struct BySecond(Vec<f64>);
+
+impl BySecond {
+    /// Adds to the second that holds a time.
+    pub(crate) fn add(&mut self, at: Time, amount: f64) {
+        let second = (at / MICROSECONDS_PER_SECOND) as usize;
+        if self.0.len() <= second {
+            self.0.resize(second + 1, 0.0);
+        }
+        self.0[second] += amount;
+    }
+}
+
+/// Calls that arrived at a route, and calls that it could work off.
+#[derive(Default)]
+struct RouteLoad {
+    arrived: BySecond,
+    capacity: BySecond,
+}
+
+/// All counts of a day.
+pub(crate) struct Statistics {
+    classes: Vec<Part>,
+    tenants: Vec<Part>,
+    pub(crate) attempts: BySecond,
+    pub(crate) submissions: BySecond,
+    pub(crate) queued: BySecond,
+    pub(crate) calls_in_flight: BySecond,
+    /// The routes that a report shows.
+    routes: BTreeMap<u32, RouteLoad>,
+    breakers: Vec<BreakerStep>,
+    /// How attempts ended, by name.
+    pub(crate) attempt_ends: BTreeMap<&'static str, u64>,
+    pub(crate) failed: u64,
+    pub(crate) rejected: u64,
+    pub(crate) calls_into_outages: u64,
+    pub(crate) connections: u64,
+}
+
+impl Statistics {
+    /// Counts of a day on which clients want these requests delivered.
+    pub(crate) fn new(world: &World, requests: &[Request]) -> Statistics {
+        let scenario = world.scenario;
+        let seconds = scenario.length.as_ref().seconds().ceil() as usize + 1;
+        let mut statistics = Statistics {
+            classes: scenario.lanes.iter().map(|_| Part::new(seconds)).collect(),
+            tenants: scenario.tenants.iter().map(|_| Part::new(seconds)).collect(),
+            attempts: BySecond::default(),
+            submissions: BySecond::default(),
+            queued: BySecond::default(),
+            calls_in_flight: BySecond::default(),
+            routes: shown_routes(world),
+            breakers: Vec::new(),
+            attempt_ends: BTreeMap::new(),
+            failed: 0,
+            rejected: 0,
+            calls_into_outages: 0,
+            connections: 0,
+        };
+        for request in requests {
+            let value = scenario.lanes[usize::from(request.class)].value.0;
+            statistics.for_parts_of(request, |part, second| part.record_request(second, value));
+        }
+        statistics
+    }
+
+    /// Changes the counts of a request's class and tenant, with the second of its arrival.
+    fn for_parts_of(&mut self, request: &Request, mut change: impl FnMut(&mut Part, usize)) {
+        let second = (request.at / MICROSECONDS_PER_SECOND) as usize;
+        change(&mut self.classes[usize::from(request.class)], second);
+        if let Some(tenant) = self.tenants.get_mut(request.tenant as usize) {
+            change(tenant, second);
+        }
+    }
+
+    /// A request was delivered before its deadline.
+    pub(crate) fn record_delivery(&mut self, world: &World, request: &Request, at: Time) {
+        let class = &world.scenario.lanes[usize::from(request.class)];
+        let delivery_time = at - request.at;
+        let worth = class.value.0 * worth_left(class, world.scenario.rules.decay, delivery_time);
+        self.for_parts_of(request, |part, second| part.record_delivery(second, worth, delivery_time));
+    }
+
+    /// A call arrived at a route.
+    pub(crate) fn record_arrival(&mut self, route: u32, at: Time) {
+        if let Some(load) = self.routes.get_mut(&route) {
+            load.arrived.add(at, 1.0);
+        }
+    }
+
+    /// What the routes that are shown can work off in this second.
+    pub(crate) fn sample_capacities(&mut self, at: Time, capacity: impl Fn(u32) -> f64) {
+        for (route, load) in &mut self.routes {
+            load.capacity.add(at, capacity(*route));
+        }
+    }
+
+    /// Takes breakers' changes from the decisions' log.
+    pub(crate) fn read_log_line(&mut self, world: &World, relay: u32, at: Time, line: &str) {
+        if let Some((destination, state)) = parse_breaker_line(line) {
+            let destination = world.name(destination);
+            let at_s = at as f64 / 1e6;
+            self.breakers.push(BreakerStep { relay, destination, at_s, state: state.to_string() });
+        }
+    }
+
+    /// Worth delivered over worth submitted, 0 to 1.
+    pub(crate) fn service(&self) -> f64 {
+        let submitted: f64 = self.classes.iter().map(|class| class.worth.submitted).sum();
+        let delivered: f64 = self.classes.iter().map(|class| class.worth.delivered).sum();
+        Worth { submitted, delivered }.service()
+    }
+
+    /// The service of the worst window among those with enough worth.
+    pub(crate) fn worst_window(&self) -> f64 {
+        let seconds = self.classes.first().map_or(0, |class| class.course.len());
+        let least = MIN_WINDOW_SHARE * self.worth_between(0, seconds).submitted;
+        let last_start = seconds.saturating_sub(WORST_WINDOW_SECONDS).max(1);
+        let mut worst: f64 = 1.0;
+        for start in 0..last_start {
+            let window = self.worth_between(start, (start + WORST_WINDOW_SECONDS).min(seconds));
+            if window.submitted > 0.0 && window.submitted >= least {
+                worst = worst.min(window.service());
+            }
+        }
+        worst
+    }
+
+    fn worth_between(&self, start: usize, end: usize) -> Worth {
+        let mut sum = Worth::default();
+        for class in &self.classes {
+            for worth in &class.course[start..end] {
+                sum.add(*worth);
+            }
+        }
+        sum
+    }
+
+    /// The outcome of each message class.
+    pub(crate) fn classes(&self, world: &World) -> Vec<PartOutcome> {
+        let named = self.classes.iter().zip(&world.scenario.lanes);
+        named.map(|(part, class)| part.outcome(&class.name)).collect()
+    }
+
+    /// The outcome of each tenant.
+    pub(crate) fn tenants(&self, world: &World) -> Vec<PartOutcome> {
+        let named = self.tenants.iter().zip(&world.scenario.tenants);
+        named.map(|(part, tenant)| part.outcome(&tenant.name)).collect()
+    }
+
+    /// The course of the day, for a report.
+    pub(crate) fn course(self, world: &World) -> Course {
+        let troubles = world.scenario.troubles.iter().map(|trouble| trouble_span(trouble.as_ref()));
+        let routes = self.routes.into_iter().map(|(route, load)| RouteCourse {
+            name: route_name(world, route),
+            reached: load.arrived.0,
+            capacity: load.capacity.0,
+        });
+        Course {
+            classes: self.classes.into_iter().map(Part::course_pairs).collect(),
+            tenants: self.tenants.into_iter().map(Part::course_pairs).collect(),
+            queued: self.queued.0,
+            calls_in_flight: self.calls_in_flight.0,
+            attempts: self.attempts.0,
+            submissions: self.submissions.0,
+            routes: routes.collect(),
+            breakers: self.breakers,
+            troubles: troubles.collect(),
+        }
+    }
+}
+
+/// The routes of the endpoints that troubles strike, as many as a report shows.
+fn shown_routes(world: &World) -> BTreeMap<u32, RouteLoad> {
+    let mut routes = BTreeMap::new();
+    for endpoint in world.troubles.iter().flat_map(|trouble| &trouble.endpoints) {
+        if routes.len() >= MAX_ROUTES_SHOWN {
+            break;
+        }
+        routes.entry(world.endpoints[*endpoint as usize].route).or_default();
+    }
+    routes
+}
+
+/// The share of its worth that a message has left when it is delivered.
+fn worth_left(class: &Lane, decay: Decay, delivery_time: Time) -> f64 {
+    let objective = class.target.seconds();
+    let deadline = class.deadline.as_ref().seconds();
+    let late = (delivery_time as f64 / 1e6 - objective).max(0.0);
+    match decay {
+        Decay::Linear => 1.0 - (1.0 - class.late_share.0) * (late / (deadline - objective)).min(1.0),
+        Decay::Halving => 0.5f64.powf(late / objective.max(MIN_HALF_LIFE)).max(class.late_share.0),
+    }
+}
+
+/// The destination and the new state of a breaker, from a line like `breaker of 3: Closed -> Open(..)`.
+fn parse_breaker_line(line: &str) -> Option<(u32, &'static str)> {
+    let (destination, change) = line.strip_prefix(BREAKER_LOG_PREFIX)?.split_once(':')?;
+    let destination = destination.parse().ok()?;
+    let (_, state) = change.split_once("-> ")?;
+    let state = if state.starts_with("Closed") {
+        "closed"
+    } else if state.starts_with("HalfOpen") {
+        "half-open"
+    } else {
+        "open"
+    };
+    Some((destination, state))
+}
+
+/// The name of the destination that a route belongs to.
+fn route_name(world: &World, route: u32) -> String {
+    let endpoint = world.endpoints.iter().find(|endpoint| endpoint.route == route);
+    endpoint.map_or(String::new(), |endpoint| world.name(endpoint.destination))
+}
+
+fn trouble_span(trouble: &mountshift_scenario::Trouble) -> TroubleSpan {
+    TroubleSpan {
+        kind: trouble.kind.to_string(),
+        whom: trouble.who.join(", "),
+        from_s: trouble.from.seconds(),
+        to_s: trouble.to.seconds(),
+    }
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,248 +1,282 @@
-//! A scenario drawn out: destinations, endpoints and routes by number, who is struck by which trouble, and what
+//! A scenario drawn out: destinations, endpoints and routes by number, when which trouble strikes whom, and what
 //! relays are told at their start.
 
 use crate::Time;
-use crate::chance::{Chance, What};
+use crate::random::{Purpose, SeededRandom};
 use mountshift::interface::*;
 use mountshift_invariants as judge;
 use mountshift_scenario as scenario;
 use mountshift_scenario::{Scenario, TroubleKind, Whom};
 use std::time::Duration;
 
+/// Where the list tells rates roughly, it is off by a factor between this and 1.5.
+const ROUGH_RATE_MIN: f64 = 0.5;
+/// Where the list tells no rates, it says this.
+const UNTOLD_RATE: f64 = 1.0;
+/// The most attempts that a relay's settings can express.
+const MAX_ATTEMPTS: u32 = 255;
+
 /// A destination of the world.
 pub(crate) struct Destination {
-    pub group: usize,
-    pub endpoints: Vec<u32>,
+    pub(crate) group: usize,
+    pub(crate) endpoints: Vec<u32>,
 }
 
 /// An endpoint as it is set up.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Place {
-    pub dst: u32,
-    pub group: usize,
-    pub zone: u8,
-    pub route: u32,
+pub(crate) struct EndpointSetup {
+    pub(crate) destination: u32,
+    pub(crate) group: usize,
+    pub(crate) zone: u8,
+    pub(crate) route: u32,
 }
 
 /// A trouble with its times and whom it strikes.
 #[derive(Clone, Debug)]
-pub(crate) struct Strike {
-    pub kind: TroubleKind,
-    pub from: Time,
-    pub to: Time,
-    pub level: f64,
-    pub lane: u16,
-    pub endpoints: Vec<u32>,
-    pub relays: Vec<u32>,
+pub(crate) struct ScheduledTrouble {
+    pub(crate) kind: TroubleKind,
+    pub(crate) begins: Time,
+    pub(crate) ends: Time,
+    pub(crate) level: f64,
+    /// The message class that it strikes, where it strikes one.
+    pub(crate) class: u16,
+    pub(crate) endpoints: Vec<u32>,
+    pub(crate) relays: Vec<u32>,
 }
 
-impl Strike {
-    pub fn is_active(&self, now: Time) -> bool {
-        self.from <= now && now < self.to
+impl ScheduledTrouble {
+    pub(crate) fn is_active(&self, now: Time) -> bool {
+        self.begins <= now && now < self.ends
     }
 }
 
+/// Whom a trouble strikes, in ascending order.
+#[derive(Default)]
+struct Targets {
+    endpoints: Vec<u32>,
+    relays: Vec<u32>,
+}
+
+/// A scenario with its destinations, endpoints and routes numbered, and its troubles drawn.
 pub(crate) struct World<'a> {
-    pub scenario: &'a Scenario,
-    pub chance: Chance,
-    pub destinations: Vec<Destination>,
-    pub places: Vec<Place>,
-    pub routes: u32,
-    pub strikes: Vec<Strike>,
-    /// By group: what the list tells, and what a destination of it can work off.
-    first_of: Vec<u32>,
+    pub(crate) scenario: &'a Scenario,
+    pub(crate) random: SeededRandom,
+    pub(crate) destinations: Vec<Destination>,
+    pub(crate) endpoints: Vec<EndpointSetup>,
+    pub(crate) troubles: Vec<ScheduledTrouble>,
+    route_count: u32,
+    /// By group: the number of its first destination.
+    first_destination: Vec<u32>,
 }
 
 impl<'a> World<'a> {
-    pub fn new(scenario: &'a Scenario, seed: u64) -> World<'a> {
+    /// Draws a scenario out; equal seeds give equal worlds.
+    pub(crate) fn new(scenario: &'a Scenario, seed: u64) -> World<'a> {
         let mut world = World {
             scenario,
-            chance: Chance(seed),
+            random: SeededRandom(seed),
             destinations: Vec::new(),
-            places: Vec::new(),
-            routes: 0,
-            strikes: Vec::new(),
-            first_of: Vec::new(),
+            endpoints: Vec::new(),
+            troubles: Vec::new(),
+            route_count: 0,
+            first_destination: Vec::new(),
         };
-        for (group, g) in scenario.groups.iter().enumerate() {
-            world.first_of.push(world.destinations.len() as u32);
-            for _ in 0..g.count.get() {
-                let dst = world.destinations.len() as u32;
-                world.routes += u32::from(!g.own_limits);
-                let mut endpoints = Vec::new();
-                for i in 0..g.endpoints.get() {
-                    world.routes += u32::from(g.own_limits);
-                    let zone = ((dst + i) as usize % scenario.zones.len()) as u8;
-                    endpoints.push(world.places.len() as u32);
-                    world.places.push(Place { dst, group, zone, route: world.routes - 1 });
-                }
-                world.destinations.push(Destination { group, endpoints });
+        for (group_id, group) in scenario.groups.iter().enumerate() {
+            world.first_destination.push(world.destinations.len() as u32);
+            for _ in 0..group.count.get() {
+                world.add_destination(group_id, group);
             }
         }
-        for (n, trouble) in scenario.troubles.iter().enumerate() {
-            world.strike(n as u64, trouble.as_ref());
+        for (number, trouble) in scenario.troubles.iter().enumerate() {
+            world.schedule_trouble(number as u64, trouble.as_ref());
         }
         world
     }
 
+    /// Adds a destination, on one route or on one for each endpoint where endpoints have limits of their own.
+    fn add_destination(&mut self, group_id: usize, group: &scenario::Group) {
+        let destination = self.destinations.len() as u32;
+        if !group.own_limits {
+            self.route_count += 1;
+        }
+        let mut endpoints = Vec::new();
+        for index in 0..group.endpoints.get() {
+            if group.own_limits {
+                self.route_count += 1;
+            }
+            let zone = ((destination + index) as usize % self.scenario.zones.len()) as u8;
+            let route = self.route_count - 1;
+            endpoints.push(self.endpoints.len() as u32);
+            self.endpoints.push(EndpointSetup { destination, group: group_id, zone, route });
+        }
+        self.destinations.push(Destination { group: group_id, endpoints });
+    }
+
     /// The number of a group's destination.
-    pub fn destination(&self, group: usize, number: u32) -> u32 {
-        self.first_of[group] + number
+    pub(crate) fn destination(&self, group: usize, number: u32) -> u32 {
+        self.first_destination[group] + number
     }
 
-    pub fn group(&self, name: &str) -> usize {
+    /// The number of a group by its name.
+    pub(crate) fn group(&self, name: &str) -> usize {
         self.scenario.groups.iter().position(|g| g.name.as_ref() == name).unwrap_or_default()
     }
 
     /// What a destination is called in scenario files.
-    pub fn name(&self, dst: u32) -> String {
-        let group = self.destinations[dst as usize].group;
-        format!("{}/{}", self.scenario.groups[group].name.as_ref(), dst - self.first_of[group])
+    pub(crate) fn name(&self, destination: u32) -> String {
+        let group = self.destinations[destination as usize].group;
+        let number = destination - self.first_destination[group];
+        format!("{}/{}", self.scenario.groups[group].name.as_ref(), number)
     }
 
     /// Calls a second that a route works off while warm.
-    pub fn capacity(&self, group: usize) -> f64 {
-        let g = &self.scenario.groups[group];
-        g.rate.0 * g.headroom.0
+    pub(crate) fn capacity(&self, group: usize) -> f64 {
+        let group = &self.scenario.groups[group];
+        group.rate.0 * group.headroom.0
     }
 
     /// What the list tells of a destination's rate.
-    pub fn listed_rate(&self, place: &Place) -> f64 {
-        let rate = self.scenario.groups[place.group].rate.0;
+    pub(crate) fn listed_rate(&self, endpoint: &EndpointSetup) -> f64 {
+        let rate = self.scenario.groups[endpoint.group].rate.0;
         match self.scenario.relays.rates {
             scenario::Rates::Exact => rate,
             scenario::Rates::Rough => {
-                rate * (0.5 + self.chance.part(What::List, u64::from(place.route), 0)).max(0.5)
+                let drawn = self.random.uniform(Purpose::EndpointList, u64::from(endpoint.route), 0);
+                rate * (ROUGH_RATE_MIN + drawn)
             }
-            scenario::Rates::Untold => 1.0,
+            scenario::Rates::Untold => UNTOLD_RATE,
         }
     }
 
-    pub fn relay_zone(&self, relay: u32) -> u8 {
+    /// The zone that a relay stands in.
+    pub(crate) fn relay_zone(&self, relay: u32) -> u8 {
         (relay as usize % self.scenario.zones.len()) as u8
     }
 
-    fn named(&self, who: &[String]) -> (Vec<u32>, Vec<u32>) {
-        let (mut endpoints, mut relays) = (Vec::new(), Vec::new());
+    /// Whom the names in a trouble's script mean.
+    fn targets(&self, who: &[String]) -> Targets {
+        let mut targets = Targets::default();
         for whom in who.iter().filter_map(|text| Whom::read(text).ok()) {
             match whom {
-                Whom::All => endpoints.extend(0..self.places.len() as u32),
-                Whom::Relays => relays.extend(0..self.scenario.relays.count.get()),
-                Whom::Relay(n) => relays.push(n),
-                Whom::Group(name, which, endpoint) => {
+                Whom::All => targets.endpoints.extend(0..self.endpoints.len() as u32),
+                Whom::Relays => targets.relays.extend(0..self.scenario.relays.count.get()),
+                Whom::Relay(relay) => targets.relays.push(relay),
+                Whom::Group(name, number, endpoint) => {
                     let group = self.group(&name);
                     let all = 0..self.scenario.groups[group].count.get();
-                    for n in all.filter(|n| which.is_none_or(|w| w == *n)) {
-                        let of = &self.destinations[self.destination(group, n) as usize].endpoints;
-                        let fits = |i: usize| endpoint.is_none_or(|e| e as usize == i);
-                        endpoints.extend(of.iter().enumerate().filter(|(i, _)| fits(*i)).map(|(_, e)| *e));
+                    for number in all.filter(|n| number.is_none_or(|only| only == *n)) {
+                        let destination = self.destination(group, number);
+                        targets.endpoints.extend(self.endpoints_of(destination, endpoint));
                     }
                 }
             }
         }
-        endpoints.sort_unstable();
-        endpoints.dedup();
-        relays.sort_unstable();
-        relays.dedup();
-        (endpoints, relays)
+        targets.endpoints.sort_unstable();
+        targets.endpoints.dedup();
+        targets.relays.sort_unstable();
+        targets.relays.dedup();
+        targets
     }
 
-    fn strike(&mut self, n: u64, t: &scenario::Trouble) {
-        let (mut endpoints, mut relays) = self.named(&t.who);
-        if let Some(share) = t.share {
-            let drawn = |what: u64| self.chance.part(What::Troubles, n, what) < share.0;
-            let places = &self.places;
-            endpoints
-                .retain(|e| drawn(if t.each { u64::from(*e) } else { u64::from(places[*e as usize].dst) }));
-            relays.retain(|r| drawn(u64::from(*r)));
-        }
-        let lane = t.lane.as_ref().and_then(|l| self.scenario.lanes.iter().position(|lane| lane.name == *l));
-        let (from, to) = (t.from.us(), t.to.us());
-        let level = t.level.map_or(0.0, |l| l.0);
-        if t.kind == TroubleKind::Cut {
-            endpoints = self.named(&t.off).0;
+    /// The endpoints of a destination, or the one at a place in its list.
+    fn endpoints_of(&self, destination: u32, only: Option<u32>) -> Vec<u32> {
+        let endpoints = &self.destinations[destination as usize].endpoints;
+        match only {
+            None => endpoints.clone(),
+            Some(index) => endpoints.get(index as usize).copied().into_iter().collect(),
         }
-        let whole =
-            Strike { kind: t.kind, from, to, level, lane: lane.unwrap_or(0) as u16, endpoints, relays };
-        let (Some(every), Some(lasts)) = (t.every, t.lasts) else {
-            self.strikes.push(whole);
+    }
+
+    /// Draws whom a trouble strikes, and splits it where it comes again and again.
+    fn schedule_trouble(&mut self, number: u64, script: &scenario::Trouble) {
+        let whole = self.draw_trouble(number, script);
+        let (Some(every), Some(lasts)) = (script.every, script.lasts) else {
+            self.troubles.push(whole);
             return;
         };
-        let starts = (from..to).step_by(every.us().max(1) as usize);
-        for (i, start) in starts.enumerate() {
-            let mut part = Strike { from: start, to: (start + lasts.us()).min(to), ..whole.clone() };
-            if t.kind == TroubleKind::Waves {
+        let starts = (whole.begins..whole.ends).step_by(every.us().max(1) as usize);
+        for (index, begins) in starts.enumerate() {
+            let ends = (begins + lasts.us()).min(whole.ends);
+            let mut part = ScheduledTrouble { begins, ends, ..whole.clone() };
+            if script.kind == TroubleKind::Waves {
                 // One relay after another.
-                let Some(relay) = whole.relays.get(i).copied() else { break };
+                let Some(relay) = whole.relays.get(index).copied() else { break };
                 part.relays = vec![relay];
             }
-            self.strikes.push(part);
+            self.troubles.push(part);
         }
     }
 
-    /// The settings of a relay at its start.
-    pub fn policy_settings(&self, relay: u32, start: u64) -> PolicySettings {
-        let s = self.scenario;
-        let kind = |g: &scenario::Group| DestinationKind {
-            independent_endpoints: g.own_limits,
-            max_batch: g.batch.get() as usize,
-        };
-        let class = |l: &scenario::Lane| MessageClass {
-            latency_objective: l.target.0,
-            deadline: l.deadline.as_ref().0,
-            priority_weight: l.value.0,
-            late_weight_share: l.late_share.0,
-            idempotency: match l.effect {
-                scenario::Effect::Retriable => Idempotency::Idempotent,
-                scenario::Effect::NonRetriable => Idempotency::NotIdempotent,
-                scenario::Effect::Keyed => Idempotency::WithKey {
-                    window: l.memory.map_or(Duration::ZERO, |m| m.0),
-                    scope: if by_zone(l) {
-                        DeduplicationScope::SameZone
-                    } else {
-                        DeduplicationScope::AllEndpoints
-                    },
-                },
-            },
-            in_order: l.in_order,
-        };
+    fn draw_trouble(&self, number: u64, script: &scenario::Trouble) -> ScheduledTrouble {
+        let mut targets = self.targets(&script.who);
+        if let Some(share) = script.share {
+            let struck =
+                |id: u32| self.random.uniform(Purpose::TroubleTargets, number, u64::from(id)) < share.0;
+            targets.endpoints.retain(|endpoint| {
+                // Each endpoint for itself, or all those of a destination together.
+                let destination = self.endpoints[*endpoint as usize].destination;
+                struck(if script.each { *endpoint } else { destination })
+            });
+            targets.relays.retain(|relay| struck(*relay));
+        }
+        if script.kind == TroubleKind::Cut {
+            targets.endpoints = self.targets(&script.off).endpoints;
+        }
+        let lanes = &self.scenario.lanes;
+        let class = script.lane.as_ref().and_then(|name| lanes.iter().position(|lane| lane.name == *name));
+        ScheduledTrouble {
+            kind: script.kind,
+            begins: script.from.us(),
+            ends: script.to.us(),
+            level: script.level.map_or(0.0, |level| level.0),
+            class: class.unwrap_or(0) as u16,
+            endpoints: targets.endpoints,
+            relays: targets.relays,
+        }
+    }
+
+    /// The settings of a relay at its start; each start has a seed of its own.
+    pub(crate) fn policy_settings(&self, relay: u32, start: u64) -> PolicySettings {
+        let scenario = self.scenario;
+        let relays = &scenario.relays;
+        let rules = &scenario.rules;
         PolicySettings {
             relay: RelayId(relay),
-            seed: self.chance.seed(What::Relay, u64::from(relay), start),
-            relay_count: s.relays.count.get(),
+            seed: self.random.derive_seed(Purpose::RelaySeed, u64::from(relay), start),
+            relay_count: relays.count.get(),
             zone: ZoneId(self.relay_zone(relay).into()),
-            classes: s.lanes.iter().map(class).collect(),
-            destination_kinds: s.groups.iter().map(kind).collect(),
-            tenant_quotas: s.tenants.iter().map(|t| t.quota.0).collect(),
-            decay: match s.rules.decay {
+            classes: scenario.lanes.iter().map(message_class).collect(),
+            destination_kinds: scenario.groups.iter().map(destination_kind).collect(),
+            tenant_quotas: scenario.tenants.iter().map(|tenant| tenant.quota.0).collect(),
+            decay: match rules.decay {
                 scenario::Decay::Linear => Decay::Linear,
                 scenario::Decay::Halving => Decay::Halving,
             },
-            max_calls_in_flight: s.relays.slots.get() as usize,
-            max_queued: s.relays.held.get() as usize,
-            max_attempts: s.rules.legs.get().min(255) as u8,
-            listed_rate: match s.relays.rates {
+            max_calls_in_flight: relays.slots.get() as usize,
+            max_queued: relays.held.get() as usize,
+            max_attempts: rules.legs.get().min(MAX_ATTEMPTS) as u8,
+            listed_rate: match relays.rates {
                 scenario::Rates::Exact => ListedRate::Exact,
                 scenario::Rates::Rough => ListedRate::Approximate,
                 scenario::Rates::Untold => ListedRate::Unknown,
             },
-            must_poll: s.relays.watch,
-            poll_interval: s.rules.ask_within.0,
-            may_cancel: s.relays.recall,
-            max_retry_after: s.rules.max_pause.0,
-            drain_grace: s.rules.drain_grace.0,
-            order_hold_off: s.rules.order_pause.0,
-            slow_start_share: s.rules.cold_from.0,
-            slow_start_duration: s.rules.warm_after.0,
-            overload_multiple: s.rules.fall_multiple.0,
-            overload_window: s.rules.fall.0,
-            zone_fees: vec![0.0; s.zones.len()],
-            cross_zone_price: s.relays.cross_zone.0,
+            must_poll: relays.watch,
+            poll_interval: rules.ask_within.0,
+            may_cancel: relays.recall,
+            max_retry_after: rules.max_pause.0,
+            drain_grace: rules.drain_grace.0,
+            order_hold_off: rules.order_pause.0,
+            slow_start_share: rules.cold_from.0,
+            slow_start_duration: rules.warm_after.0,
+            overload_multiple: rules.fall_multiple.0,
+            overload_window: rules.fall.0,
+            zone_fees: vec![0.0; scenario.zones.len()],
+            cross_zone_price: relays.cross_zone.0,
         }
     }
 
     /// The rules' figures for the judge, read from the scenario and not from what relays are told.
-    pub fn figures(&self) -> judge::Figures {
+    pub(crate) fn figures(&self) -> judge::Figures {
         let s = self.scenario;
         let lane = |l: &scenario::Lane| judge::Lane {
             effect: match l.effect {
@@ -269,6 +303,35 @@
     }
 }
 
+fn destination_kind(group: &scenario::Group) -> DestinationKind {
+    DestinationKind { independent_endpoints: group.own_limits, max_batch: group.batch.get() as usize }
+}
+
+fn message_class(lane: &scenario::Lane) -> MessageClass {
+    MessageClass {
+        latency_objective: lane.target.0,
+        deadline: lane.deadline.as_ref().0,
+        priority_weight: lane.value.0,
+        late_weight_share: lane.late_share.0,
+        idempotency: idempotency(lane),
+        in_order: lane.in_order,
+    }
+}
+
+fn idempotency(lane: &scenario::Lane) -> Idempotency {
+    match lane.effect {
+        scenario::Effect::Retriable => Idempotency::Idempotent,
+        scenario::Effect::NonRetriable => Idempotency::NotIdempotent,
+        scenario::Effect::Keyed => {
+            let window = lane.memory.map_or(Duration::ZERO, |memory| memory.0);
+            let scope =
+                if by_zone(lane) { DeduplicationScope::SameZone } else { DeduplicationScope::AllEndpoints };
+            Idempotency::WithKey { window, scope }
+        }
+    }
+}
+
+/// True if an idempotency key is known to the endpoints of one zone only, else to all of a destination.
 pub(crate) fn by_zone(lane: &scenario::Lane) -> bool {
     lane.group.as_ref().is_some_and(|g| *g.as_ref() == scenario::RepeatGroup::Zone)
 }
