--- a/crates/relay/src/admin.rs
+++ b/crates/relay/src/admin.rs
@@ -17,16 +17,20 @@
 use std::time::Instant;
 
 /// What the second address needs.
-pub struct Desk {
+pub struct AdminService {
     pub maintenance: Rc<RefCell<MaintenanceState>>,
     /// The relay's start, from which orders count time.
     pub start: Instant,
-    /// Carries out what a call changed.
-    pub changed: Box<dyn Fn(Change)>,
+    /// Carries out what a call on_change.
+    pub on_change: Box<dyn Fn(Change)>,
 }
 
 /// Accepts calls for as long as the process runs.
-pub async fn serve(listener: Async<TcpListener>, desk: Rc<Desk>, executor: Rc<LocalExecutor<'static>>) {
+pub async fn serve(
+    listener: Async<TcpListener>,
+    service: Rc<AdminService>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
     // Callers by number, each with what lets it go.
     let open: Rc<RefCell<BTreeMap<u64, async_channel::Sender<()>>>> = Rc::default();
     let mut count = 0u64;
@@ -39,7 +43,7 @@
                 continue;
             }
         };
-        let (desk, open) = (desk.clone(), open.clone());
+        let (service, open) = (service.clone(), open.clone());
         count += 1;
         let (number, (go, gone)) = (count, async_channel::bounded::<()>(1));
         // Guards against callers that say nothing and stay: the one that came first makes room.
@@ -56,14 +60,14 @@
                 let _ = gone.recv().await;
                 LATE
             };
-            let answer = take(&stream, &desk).or(sent_away).await;
+            let answer = handle_call(&stream, &service).or(sent_away).await;
             open.borrow_mut().remove(&number);
             let end = Instant::now() + WRITE_DUE;
-            let written = written(&stream, answer).or(async {
+            let write_answer = write_answer(&stream, answer).or(async {
                 Timer::at(end).await;
                 false
             });
-            let said = if written.await { "answered" } else { "not taken" };
+            let said = if write_answer.await { "answered" } else { "not taken" };
             info!("mgmt call from {peer}: {} {}, {said}", answer.code, answer.text);
             let _ = stream.get_ref().shutdown(Shutdown::Both);
         };
@@ -72,7 +76,7 @@
 }
 
 /// Reads a call's head within its time, and takes it.
-async fn take(stream: &Async<TcpStream>, desk: &Desk) -> Answer {
+async fn handle_call(stream: &Async<TcpStream>, service: &AdminService) -> Answer {
     let due = Instant::now() + HEAD_DUE;
     let head = read_head(stream).or(async {
         Timer::at(due).await;
@@ -86,11 +90,11 @@
         Ok(call) => call,
         Err(answer) => return answer,
     };
-    let now = desk.start.elapsed();
-    let (answer, change) = desk.maintenance.borrow_mut().take(call, now);
+    let now = service.start.elapsed();
+    let (answer, change) = service.maintenance.borrow_mut().take(call, now);
     if change != Change::None {
         info!("mgmt: {method} {target}: {change:?}");
-        (desk.changed)(change);
+        (service.on_change)(change);
     }
     answer
 }
@@ -119,7 +123,7 @@
     }
 }
 
-async fn written(mut stream: &Async<TcpStream>, answer: Answer) -> bool {
+async fn write_answer(mut stream: &Async<TcpStream>, answer: Answer) -> bool {
     let reason = match answer.code {
         200 => "OK",
         400 => "Bad Request",
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -12,7 +12,7 @@
 
 /// An entry of the list, as told.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Member {
+pub struct EndpointEntry {
     pub id: String,
     pub address: SocketAddr,
     pub zone: String,
@@ -26,16 +26,16 @@
 
 /// The list or its changes.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Members {
+pub struct EndpointList {
     /// Who counts the revisions.
     pub source: SocketAddr,
     pub revision: u64,
     pub whole: bool,
-    pub members: Vec<Member>,
+    pub members: Vec<EndpointEntry>,
 }
 
 /// Reads a list; entries that can't be read are left out with a log line.
-pub fn members(json: &Value, source: SocketAddr) -> Option<Members> {
+pub fn members(json: &Value, source: SocketAddr) -> Option<EndpointList> {
     let mut members = Vec::new();
     for entry in json["members"].as_array()? {
         match member(entry) {
@@ -44,17 +44,17 @@
         }
     }
     let (revision, whole) = (json["revision"].as_u64()?, json["complete"].as_bool()?);
-    Some(Members { source, revision, whole, members })
+    Some(EndpointList { source, revision, whole, members })
 }
 
-fn member(json: &Value) -> Option<Member> {
+fn member(json: &Value) -> Option<EndpointEntry> {
     let text = |field: &str| json[field].as_str();
     let phase = match text("phase")? {
         "Ready" => Phase::Ready,
         "Gone" => Phase::Gone,
         _ => Phase::Draining,
     };
-    Some(Member {
+    Some(EndpointEntry {
         id: text("id")?.to_string(),
         address: text("host_port")?.parse().ok()?,
         zone: mountshift_settings::plain(text("locality")?),
@@ -67,7 +67,7 @@
 }
 
 /// How lists are asked for.
-pub struct Follow {
+pub struct DiscoveryClient {
     pub at: SocketAddr,
     /// Tells of another address to ask at from now on.
     pub moved: Receiver<SocketAddr>,
@@ -84,10 +84,10 @@
     pub heard: bool,
 }
 
-impl Follow {
+impl DiscoveryClient {
     /// Runs for good. After a failed call the next one starts by itself, or once asked for where the
     /// decisions ask for the list. Tells every list, or the wait told, if any, for a call that failed.
-    pub async fn run(mut self, tell: impl Fn(Result<Members, Option<Duration>>)) {
+    pub async fn run(mut self, tell: impl Fn(Result<EndpointList, Option<Duration>>)) {
         let (mut connection, mut failures, mut start) = (None, 0, self.asked.is_some());
         let mut told_wait = None;
         loop {
@@ -147,7 +147,10 @@
     }
 
     /// The list or its changes; else why not, with a wait that discovery told.
-    async fn call(&self, connection: &mut Option<Connection>) -> Result<Members, (String, Option<Duration>)> {
+    async fn call(
+        &self,
+        connection: &mut Option<Connection>,
+    ) -> Result<EndpointList, (String, Option<Duration>)> {
         // The list held at first, or before a failed call, may be old: what changed since is asked for at once.
         let (wait, within) = self.terms.poll_timeouts(self.heard && self.revision.is_some());
         let path = match self.revision {
--- a/crates/relay/src/dispatch/actions.rs
+++ b/crates/relay/src/dispatch/actions.rs
@@ -1,53 +1,56 @@
 //! Takes the decisions of a step.
 
 use super::event::Event;
-use super::state::Desk;
+use super::state::DispatcherState;
 use crate::clients::Answer;
 use crate::endpoints::{End, Stage};
-use crate::state_files::write_anew;
+use crate::state_files::replace_file;
 use log::{debug, error, info};
 use mountshift::interface::*;
 use mountshift_handover::{RouteRecord, Snapshot};
 use mountshift_spool::FinalOutcome;
 use std::time::Duration;
 
-impl Actions for Desk {
-    fn send(&mut self, msg: MessageId, to: EndpointId, limit: Duration) {
-        match self.sends.iter_mut().find(|s| s.0 == to) {
-            Some(send) => send.1.push((msg, limit)),
-            None => self.sends.push((to, vec![(msg, limit)])),
+impl Actions for DispatcherState {
+    fn send(&mut self, message: MessageId, to: EndpointId, limit: Duration) {
+        match self.pending_sends.iter_mut().find(|s| s.0 == to) {
+            Some(send) => send.1.push((message, limit)),
+            None => self.pending_sends.push((to, vec![(message, limit)])),
         }
     }
 
-    fn reject(&mut self, msg: MessageId, pause: Duration) -> bool {
+    fn reject(&mut self, message: MessageId, pause: Duration) -> bool {
         let ms = pause.as_millis() as u64;
-        self.end(msg, Answer::PushedBack(ms), FinalOutcome::Rejected(ms))
+        self.end_undelivered(message, Answer::PushedBack(ms), FinalOutcome::Rejected(ms))
     }
 
-    fn fail(&mut self, msg: MessageId) -> bool {
-        self.end(msg, Answer::Failed("failed"), FinalOutcome::Failed)
+    fn fail(&mut self, message: MessageId) -> bool {
+        self.end_undelivered(message, Answer::Failed("failed"), FinalOutcome::Failed)
     }
 
-    fn cancel(&mut self, msg: MessageId, _leg: AttemptNumber) {
-        let Some((n, call)) = self.calls.iter_mut().find(|(_, c)| c.legs.contains(&msg)) else { return };
-        call.recalled.insert(msg);
+    fn cancel(&mut self, message: MessageId, _leg: AttemptNumber) {
+        let Some((n, call)) = self.calls_in_flight.iter_mut().find(|(_, c)| c.messages.contains(&message))
+        else {
+            return;
+        };
+        call.cancelled.insert(message);
         // One message can't be taken out of a call: it would still be out on an open connection.
-        if call.recalled.is_superset(&call.legs) {
+        if call.cancelled.is_superset(&call.messages) {
             // Guards against a call told as one that may have run, though its last byte never left.
             let ran = call.stage.get() == Stage::Written;
             let outcome = if ran { Outcome::Cancelled } else { Outcome::NotSent };
-            let ends: Vec<End> = call.legs.iter().map(|msg| (*msg, outcome, false)).collect();
-            let _ = self.events.try_send(Event::Ended(*n, ends.into()));
+            let ends: Vec<End> = call.messages.iter().map(|message| (*message, outcome, false)).collect();
+            let _ = self.events.try_send(Event::AttemptsEnded(*n, ends.into()));
             call.task = None;
         }
     }
 
     fn close_idle_connections(&mut self, to: EndpointId) {
-        self.idle.close(to);
+        self.idle_connections.close(to);
     }
 
     fn forget_endpoint(&mut self, endpoint: EndpointId) {
-        self.idle.close(endpoint);
+        self.idle_connections.close(endpoint);
         let name = self.endpoints.get(endpoint).map(|e| e.name.clone());
         let out = name.is_some_and(|name| self.maintenance.borrow().is_out(&name));
         if let Some(gone) = self.endpoints.forget(endpoint, out) {
@@ -57,11 +60,11 @@
 
     fn wake_after(&mut self, after: Duration) {
         let at = self.now + after;
-        self.wake = Some(self.wake.map_or(at, |w| w.min(at)));
+        self.next_wake = Some(self.next_wake.map_or(at, |w| w.min(at)));
     }
 
     fn poll_endpoints(&mut self) {
-        let _ = self.watch.try_send(());
+        let _ = self.poll_requests.try_send(());
     }
 
     fn log(&mut self, line: &str) {
@@ -81,7 +84,7 @@
         debug!("carry at {}: {routes:?}", self.clock.unix_ms(self.now));
         let now = self.clock.unix_ms(self.now);
         let snapshot = Snapshot { format: mountshift_handover::FORMAT, written_ms: now, routes };
-        if let Err(e) = write_anew(&self.snapshot_file, &snapshot.written()) {
+        if let Err(e) = replace_file(&self.snapshot_file, &snapshot.written()) {
             error!("{}: {e}", self.snapshot_file.display());
         }
     }
--- a/crates/relay/src/dispatch/endpoint_list.rs
+++ b/crates/relay/src/dispatch/endpoint_list.rs
@@ -1,25 +1,25 @@
 //! Takes lists of endpoints in, and what the operators change of them.
 
-use super::state::Desk;
-use crate::discovery::{Member, Members};
-use crate::state_files::{write_anew, write_maintenance};
+use super::state::DispatcherState;
+use crate::discovery::{EndpointEntry, EndpointList};
+use crate::state_files::{replace_file, write_maintenance};
 use log::{error, info};
 use mountshift::interface::*;
 use mountshift_discovery::{ListEntry, ListHeader};
 use mountshift_maintenance::Change;
 
-impl Desk {
-    pub(super) fn take_list(&mut self, mut list: Members, inputs: &mut Vec<Input>) {
-        self.take_down(&mut list);
+impl DispatcherState {
+    pub(super) fn on_endpoint_list(&mut self, mut list: EndpointList, inputs: &mut Vec<Input>) {
+        self.apply_drain_record(&mut list);
         if list.whole {
             inputs.push(Input::FullListBegins);
         }
         for member in &list.members {
             self.maintenance.borrow_mut().listed(&member.id);
             let (id, says, moved) = self.endpoints.learn(member);
-            let says = self.as_ordered(&member.id, says);
+            let says = self.status_under_maintenance(&member.id, says);
             if moved {
-                self.idle.close(id);
+                self.idle_connections.close(id);
             }
             let Some(e) = self.endpoints.get(id) else { continue };
             let (dst, zone, kind, rate) = (e.dst, e.zone, e.kind, member.size);
@@ -36,11 +36,11 @@
 
     /// Guards rule 3 against lists that are older than what was told: an endpoint told as leaving stays so,
     /// beyond this process too, until it is newly listed.
-    fn take_down(&mut self, list: &mut Members) {
+    fn apply_drain_record(&mut self, list: &mut EndpointList) {
         let source = list.source.to_string();
         let now_ms = self.clock.unix_ms(self.now);
         let head = ListHeader { source: &source, revision: list.revision, whole: list.whole, now_ms };
-        fn entry(m: &Member) -> ListEntry<'_> {
+        fn entry(m: &EndpointEntry) -> ListEntry<'_> {
             ListEntry { id: &m.id, phase: m.phase, up_since_ms: m.up_since_ms }
         }
         let entries: Vec<ListEntry> = list.members.iter().map(entry).collect();
@@ -53,13 +53,13 @@
         }
         list.members.iter_mut().zip(phases).for_each(|(m, phase)| m.phase = phase);
         let Some(text) = self.drain_record.written(self.drain_record_max_bytes) else { return };
-        if let Err(e) = write_anew(&self.drain_record_file, &text) {
+        if let Err(e) = replace_file(&self.drain_record_file, &text) {
             error!("{}: {e}", self.drain_record_file.display());
         }
     }
 
     /// An endpoint out by hand is draining for this relay, whatever the list says (rule 3).
-    fn as_ordered(&self, name: &str, status: EndpointStatus) -> EndpointStatus {
+    fn status_under_maintenance(&self, name: &str, status: EndpointStatus) -> EndpointStatus {
         if status == EndpointStatus::Ready && self.maintenance.borrow().is_out(name) {
             EndpointStatus::Draining
         } else {
@@ -67,9 +67,9 @@
         }
     }
 
-    pub(super) fn take_maintenance(&mut self, change: Change, inputs: &mut Vec<Input>) {
+    pub(super) fn on_maintenance_changed(&mut self, change: Change, inputs: &mut Vec<Input>) {
         let (Change::EndpointOut(name) | Change::EndpointBack(name)) = &change else { return };
-        write_maintenance(&self.out_file, &self.maintenance.borrow());
+        write_maintenance(&self.maintenance_file, &self.maintenance.borrow());
         // Guards against an endpoint that the decisions forgot while it was out: put back, it is known again.
         let known = self.endpoints.id_of(name);
         let revived = known.is_none() && matches!(change, Change::EndpointBack(_));
@@ -77,7 +77,8 @@
             return;
         };
         let Some(e) = self.endpoints.get(id) else { return };
-        let (dst, zone, kind, rate, says) = (e.dst, e.zone, e.kind, e.rate, self.as_ordered(name, e.listed));
+        let (dst, zone, kind, rate, says) =
+            (e.dst, e.zone, e.kind, e.rate, self.status_under_maintenance(name, e.listed));
         inputs.push(Input::EndpointListed(ListedEndpoint {
             endpoint: id,
             destination: dst,
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -1,7 +1,7 @@
 //! What the dispatcher is told.
 
 use crate::clients::{Answer, HandedIn};
-use crate::discovery::Members;
+use crate::discovery::EndpointList;
 use crate::endpoints::Ends;
 use async_channel::Sender;
 use mountshift::interface::{EndpointId, MessageId};
@@ -11,19 +11,19 @@
 
 /// What came in.
 pub enum Event {
-    Message(HandedIn, Sender<Answer>),
+    MessageReceived(HandedIn, Sender<Answer>),
     /// A client did not hear that its message was taken on.
-    Gone(MessageId),
+    ClientUnreachable(MessageId),
     /// Messages of a call have ended.
-    Ended(u64, Ends),
+    AttemptsEnded(u64, Ends),
     /// A call to this endpoint begins late: may it still be reached?
-    Late(EndpointId, Sender<bool>),
+    ReachabilityAsked(EndpointId, Sender<bool>),
     /// The list or its changes; or a call for it failed, with a wait if one was told.
-    List(Result<Members, Option<Duration>>),
+    EndpointList(Result<EndpointList, Option<Duration>>),
     /// The platform took these ends.
-    Noticed(Vec<MessageId>),
+    NotificationsTaken(Vec<MessageId>),
     /// An operator's call changed the maintenance.
-    Maintenance(Change),
+    MaintenanceChanged(Change),
     /// Told to stop, and how.
-    Stop(StopPlan),
+    StopRequested(StopPlan),
 }
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -1,7 +1,7 @@
 //! Takes events in, and turns them into what the decisions must know.
 
 use super::event::Event;
-use super::state::{Desk, number};
+use super::state::{DispatcherState, hash_id};
 use crate::clients::{Answer, HandedIn};
 use crate::clock::unix_us;
 use crate::endpoints::{self, End, Stage};
@@ -10,15 +10,15 @@
 use mountshift::interface::*;
 use mountshift_spool::AcceptedMessage;
 
-impl Desk {
+impl DispatcherState {
     /// Takes an event in; what the decisions must know goes into `inputs`.
-    pub(super) fn take(&mut self, event: Event, inputs: &mut Vec<Input>) {
+    pub(super) fn handle(&mut self, event: Event, inputs: &mut Vec<Input>) {
         match event {
-            Event::Message(message, asking) => self.take_message(message, asking, inputs),
+            Event::MessageReceived(message, reply_to) => self.on_message_received(message, reply_to, inputs),
             // Its client will hand it in again: it is nobody's any more.
-            Event::Gone(msg) => self.take_over(msg, inputs),
-            Event::Ended(call, ends) => {
-                if let Some(to) = self.calls.get(&call).map(|out| out.to) {
+            Event::ClientUnreachable(message) => self.close_message(message, inputs),
+            Event::AttemptsEnded(call, ends) => {
+                if let Some(to) = self.calls_in_flight.get(&call).map(|out| out.to) {
                     ends.wait
                         .into_iter()
                         .for_each(|wait| inputs.push(Input::RetryAfter { endpoint: to, span: wait }));
@@ -29,20 +29,20 @@
                         .into_iter()
                         .for_each(|rate| inputs.push(Input::RateLimitReported { endpoint: to, rate }));
                 }
-                ends.ends.into_iter().for_each(|end| self.take_end(call, end, inputs));
+                ends.ends.into_iter().for_each(|end| self.on_attempt_ended(call, end, inputs));
             }
-            Event::List(Ok(list)) => {
-                self.take_list(list, inputs);
+            Event::EndpointList(Ok(list)) => {
+                self.on_endpoint_list(list, inputs);
                 inputs.push(Input::ListReceived);
             }
-            Event::List(Err(wait)) => inputs.push(Input::PollFailed { retry_after: wait }),
-            Event::Noticed(taken) => {
-                taken.iter().for_each(|msg| self.remember(*msg));
-                taken.into_iter().for_each(|msg| self.take_over(msg, inputs));
+            Event::EndpointList(Err(wait)) => inputs.push(Input::PollFailed { retry_after: wait }),
+            Event::NotificationsTaken(taken) => {
+                taken.iter().for_each(|message| self.remember_ended(*message));
+                taken.into_iter().for_each(|message| self.close_message(message, inputs));
             }
-            Event::Late(to, asking) => self.late.push((to, asking)),
-            Event::Maintenance(change) => self.take_maintenance(change, inputs),
-            Event::Stop(how) => {
+            Event::ReachabilityAsked(to, reply_to) => self.reachability_questions.push((to, reply_to)),
+            Event::MaintenanceChanged(change) => self.on_maintenance_changed(change, inputs),
+            Event::StopRequested(how) => {
                 self.maintenance.borrow_mut().stopping();
                 // A process beside this one takes over what is held: nothing more goes out from here.
                 if how.hands_over {
@@ -53,30 +53,30 @@
         }
     }
 
-    fn take_over(&mut self, msg: MessageId, inputs: &mut Vec<Input>) {
-        self.over(msg);
-        inputs.push(Input::Closed(msg));
+    fn close_message(&mut self, message: MessageId, inputs: &mut Vec<Input>) {
+        self.remove_message(message);
+        inputs.push(Input::Closed(message));
     }
 
-    fn take_message(&mut self, m: HandedIn, asking: Sender<Answer>, inputs: &mut Vec<Input>) {
+    fn on_message_received(&mut self, m: HandedIn, reply_to: Sender<Answer>, inputs: &mut Vec<Input>) {
         let deadline = self.clock.at(m.at) + m.told.left;
-        let Some(hand_in) = self.hand_in(&m.told, m.key, deadline) else {
-            let _ = asking.try_send(Answer::Failed("c names no class"));
+        let Some(submission) = self.submission(&m.told, m.key, deadline) else {
+            let _ = reply_to.try_send(Answer::Failed("c names no class"));
             return;
         };
         // Guards against messages that nobody can ever take: they would be held until their deadline.
-        if !self.endpoints.lists(hand_in.destination) {
-            let _ = asking.try_send(Answer::Failed("dest is not on the list"));
+        if !self.endpoints.lists(submission.destination) {
+            let _ = reply_to.try_send(Answer::Failed("dest is not on the list"));
             return;
         }
-        if let Some(msg) = self.by_name.get(&m.id) {
+        if let Some(message) = self.message_by_id.get(&m.id) {
             // Taken on already: the one that came first stands.
-            info!("message {} came again while it is held", msg.0);
-            let _ = asking.try_send(Answer::Held);
+            info!("message {} came again while it is held", message.0);
+            let _ = reply_to.try_send(Answer::Held);
             return;
         }
-        if self.ended.contains(&number(&m.id)) {
-            let _ = asking.try_send(Answer::Failed("the id was used before"));
+        if self.recently_ended.contains(&hash_id(&m.id)) {
+            let _ = reply_to.try_send(Answer::Failed("the id was used before"));
             return;
         }
         let at = self.clock.unix_ms(deadline);
@@ -92,34 +92,37 @@
         let added = self.spool.borrow_mut().accept(taken);
         let Some(n) = added else {
             // Told once, or what clients do meanwhile would fill the log.
-            if !std::mem::replace(&mut self.full, true) {
+            if !std::mem::replace(&mut self.spool_full_logged, true) {
                 warn!("spool: full with {} messages", self.spool.borrow().messages().len());
             }
-            let _ = asking.try_send(Answer::PushedBack(0));
+            let _ = reply_to.try_send(Answer::PushedBack(0));
             return;
         };
-        let msg = MessageId(n);
-        self.full = false;
-        self.by_name.insert(name, msg);
-        self.asking.insert(msg, asking);
-        inputs.push(Input::Submitted { message: msg, submission: hand_in });
+        let message = MessageId(n);
+        self.spool_full_logged = false;
+        self.message_by_id.insert(name, message);
+        self.awaiting_answer.insert(message, reply_to);
+        inputs.push(Input::Submitted { message, submission });
     }
 
-    fn take_end(&mut self, call: u64, (msg, outcome, over): End, inputs: &mut Vec<Input>) {
-        let Some(out) = self.calls.get_mut(&call).filter(|out| out.legs.contains(&msg)) else { return };
-        out.legs.remove(&msg);
+    fn on_attempt_ended(&mut self, call: u64, (message, outcome, over): End, inputs: &mut Vec<Input>) {
+        let Some(out) = self.calls_in_flight.get_mut(&call).filter(|out| out.messages.contains(&message))
+        else {
+            return;
+        };
+        out.messages.remove(&message);
         let (to, waited) = (out.to, self.now.saturating_sub(out.sent));
         let noted = out.stage.get() != Stage::Begun;
-        if out.legs.is_empty() {
-            self.calls.remove(&call);
+        if out.messages.is_empty() {
+            self.calls_in_flight.remove(&call);
         }
         if outcome.never_ran() && noted {
-            self.spool.borrow_mut().record_not_run(msg.0);
+            self.spool.borrow_mut().record_not_run(message.0);
         }
         if over {
-            self.remember(msg);
-            self.over(msg);
+            self.remember_ended(message);
+            self.remove_message(message);
         }
-        inputs.push(Input::AttemptEnded { message: msg, endpoint: to, waited, outcome, closed: over });
+        inputs.push(Input::AttemptEnded { message, endpoint: to, waited, outcome, closed: over });
     }
 }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -13,9 +13,9 @@
 pub use event::Event;
 
 use crate::clock::Clock;
-use crate::discovery::Members;
+use crate::discovery::EndpointList;
 use crate::endpoints::{Endpoints, Idle};
-use crate::notifications::Notice;
+use crate::notifications::Notification;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -27,7 +27,7 @@
 use mountshift_maintenance::MaintenanceState;
 use mountshift_settings::SocketSettings;
 use mountshift_spool::Spool;
-use state::Desk;
+use state::DispatcherState;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::path::PathBuf;
@@ -35,31 +35,31 @@
 use std::time::{Duration, Instant};
 
 /// Between two looks while stopping, and at idle connections else.
-const STOP_LOOK: Duration = Duration::from_millis(20);
-const SWEEP: Duration = Duration::from_millis(500);
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// A round so late means that the process stood still.
-const STOOD_STILL: Duration = Duration::from_millis(100);
+const PROCESS_PAUSE: Duration = Duration::from_millis(100);
 
-/// What the host is made of.
-pub struct Parts {
+/// What the dispatcher is made of.
+pub struct Dependencies {
     pub policy_settings: PolicySettings,
     pub socket_settings: SocketSettings,
     pub spool: Spool,
-    pub known: Option<Members>,
-    pub idle_most: usize,
+    pub known: Option<EndpointList>,
+    pub max_idle_connections: usize,
     pub executor: Rc<LocalExecutor<'static>>,
     pub events: (Sender<Event>, Receiver<Event>),
-    pub notices: Sender<Notice>,
-    pub watch: Sender<()>,
+    pub notifications: Sender<Notification>,
+    pub poll_requests: Sender<()>,
     /// Client connections open now, and closed once clients are to go.
-    pub clients: Rc<Cell<usize>>,
-    pub leaving: Receiver<()>,
+    pub client_connections: Rc<Cell<usize>>,
+    pub clients_leaving: Receiver<()>,
     /// Closed shortly before the end: clients hear what they are owed, nothing more is read.
-    pub end: Sender<()>,
+    pub clients_end: Sender<()>,
     pub maintenance: Rc<RefCell<MaintenanceState>>,
-    pub out_file: PathBuf,
+    pub maintenance_file: PathBuf,
     /// What an earlier process left, and where this one writes it down.
-    pub carried: Option<Snapshot>,
+    pub snapshot: Option<Snapshot>,
     pub snapshot_file: PathBuf,
     /// Endpoints told as leaving, to an earlier process too.
     pub drain_record: DrainRecord,
@@ -67,132 +67,143 @@
     pub drain_record_max_bytes: usize,
 }
 
-pub struct Host {
+pub struct Dispatcher {
     policy: DeliveryPolicy,
-    desk: Desk,
-    came: Receiver<Event>,
+    state: DispatcherState,
+    events: Receiver<Event>,
     stopping: Option<(Instant, StopPlan)>,
-    clients: Rc<Cell<usize>>,
-    leaving: Receiver<()>,
-    end: Sender<()>,
+    client_connections: Rc<Cell<usize>>,
+    clients_leaving: Receiver<()>,
+    clients_end: Sender<()>,
 }
 
-impl Host {
-    /// Makes the host and plays its first round, with what the spool and the list hold from before.
-    pub fn new(parts: Parts) -> Host {
-        let legs = parts.spool.messages().values().flat_map(|k| &k.attempts);
+impl Dispatcher {
+    /// Makes the dispatcher and plays its first round, with what the spool and the list hold from before.
+    pub fn new(dependencies: Dependencies) -> Dispatcher {
+        let legs = dependencies.spool.messages().values().flat_map(|k| &k.attempts);
         let clock = Clock::new(legs.map(|l| l.at).min());
-        let desk = Desk {
+        let state = DispatcherState {
             clock,
             now: clock.at(Instant::now()),
-            batches: parts.policy_settings.destination_kinds.iter().map(|k| k.max_batch.max(1)).collect(),
-            endpoints: Endpoints::new(&parts.socket_settings),
-            idle: Rc::new(Idle::new(parts.socket_settings.idle_timeout, parts.idle_most)),
-            settings: parts.socket_settings,
-            spool: Rc::new(RefCell::new(parts.spool)),
-            executor: parts.executor,
-            events: parts.events.0,
-            notices: parts.notices,
-            watch: parts.watch,
-            by_name: BTreeMap::new(),
-            ended: VecDeque::new(),
-            asking: BTreeMap::new(),
-            sends: Vec::new(),
-            late: Vec::new(),
-            calls: BTreeMap::new(),
-            count: 0,
-            wake: None,
-            full: false,
-            maintenance: parts.maintenance,
-            out_file: parts.out_file,
-            snapshot_file: parts.snapshot_file,
-            drain_record: parts.drain_record,
-            drain_record_file: parts.drain_record_file,
-            drain_record_max_bytes: parts.drain_record_max_bytes,
+            max_batches: dependencies
+                .policy_settings
+                .destination_kinds
+                .iter()
+                .map(|k| k.max_batch.max(1))
+                .collect(),
+            endpoints: Endpoints::new(&dependencies.socket_settings),
+            idle_connections: Rc::new(Idle::new(
+                dependencies.socket_settings.idle_timeout,
+                dependencies.max_idle_connections,
+            )),
+            settings: dependencies.socket_settings,
+            spool: Rc::new(RefCell::new(dependencies.spool)),
+            executor: dependencies.executor,
+            events: dependencies.events.0,
+            notifications: dependencies.notifications,
+            poll_requests: dependencies.poll_requests,
+            message_by_id: BTreeMap::new(),
+            recently_ended: VecDeque::new(),
+            awaiting_answer: BTreeMap::new(),
+            pending_sends: Vec::new(),
+            reachability_questions: Vec::new(),
+            calls_in_flight: BTreeMap::new(),
+            last_call_number: 0,
+            next_wake: None,
+            spool_full_logged: false,
+            maintenance: dependencies.maintenance,
+            maintenance_file: dependencies.maintenance_file,
+            snapshot_file: dependencies.snapshot_file,
+            drain_record: dependencies.drain_record,
+            drain_record_file: dependencies.drain_record_file,
+            drain_record_max_bytes: dependencies.drain_record_max_bytes,
         };
-        let policy = DeliveryPolicy::new(parts.policy_settings);
-        let mut host = Host {
+        let policy = DeliveryPolicy::new(dependencies.policy_settings);
+        let mut dispatcher = Dispatcher {
             policy,
-            desk,
-            came: parts.events.1,
+            state,
+            events: dependencies.events.1,
             stopping: None,
-            clients: parts.clients,
-            leaving: parts.leaving,
-            end: parts.end,
+            client_connections: dependencies.client_connections,
+            clients_leaving: dependencies.clients_leaving,
+            clients_end: dependencies.clients_end,
         };
         let mut inputs = Vec::new();
-        parts.known.into_iter().for_each(|list| host.desk.take_list(list, &mut inputs));
+        dependencies.known.into_iter().for_each(|list| dispatcher.state.on_endpoint_list(list, &mut inputs));
         inputs.push(Input::ListMayBeStale);
-        parts.carried.into_iter().for_each(|snapshot| host.desk.restore_routes(snapshot, &mut inputs));
-        host.desk.restore(&mut inputs);
-        host.round(inputs);
-        host
+        dependencies
+            .snapshot
+            .into_iter()
+            .for_each(|snapshot| dispatcher.state.restore_routes(snapshot, &mut inputs));
+        dispatcher.state.restore_spool(&mut inputs);
+        dispatcher.step(inputs);
+        dispatcher
     }
 
-    fn round(&mut self, inputs: Vec<Input>) {
-        let now = self.desk.now;
-        self.desk.wake.take_if(|at| *at <= now);
-        self.policy.step(now, inputs, &mut self.desk);
-        self.desk.carry_out();
-        for (to, asking) in std::mem::take(&mut self.desk.late) {
-            let _ = asking.try_send(self.policy.may_send_to(to, now));
+    fn step(&mut self, inputs: Vec<Input>) {
+        let now = self.state.now;
+        self.state.next_wake.take_if(|at| *at <= now);
+        self.policy.step(now, inputs, &mut self.state);
+        self.state.execute_step();
+        for (to, reply_to) in std::mem::take(&mut self.state.reachability_questions) {
+            let _ = reply_to.try_send(self.policy.may_send_to(to, now));
         }
     }
 
     /// Plays rounds until the relay is told to stop and what is out has ended.
     pub async fn run(mut self) {
-        let (mut swept, gap) = (Instant::now(), self.desk.settings.min_step_interval);
+        let (mut swept, gap) = (Instant::now(), self.state.settings.min_step_interval);
         loop {
-            let wake = self.desk.wake.map(|at| self.desk.clock.instant(at));
-            let sweep = swept + SWEEP;
+            let wake = self.state.next_wake.map(|at| self.state.clock.instant(at));
+            let sweep = swept + IDLE_CHECK_INTERVAL;
             // What is left to do before the end must not wait for the next look.
-            let sweep = if self.stopping.is_some() { Instant::now() + STOP_LOOK } else { sweep };
+            let sweep = if self.stopping.is_some() { Instant::now() + STOP_CHECK_INTERVAL } else { sweep };
             let timer = async {
                 Timer::at(wake.map_or(sweep, |w| w.min(sweep))).await;
                 None
             };
-            let first = async { self.came.recv().await.ok() }.or(timer).await;
+            let first = async { self.events.recv().await.ok() }.or(timer).await;
             // All that comes within the shortest gap goes into one round.
-            Timer::at(self.desk.clock.instant(self.desk.now) + gap).await;
+            Timer::at(self.state.clock.instant(self.state.now) + gap).await;
             // Guards rule 3 on a core that stood still: what was told meanwhile is read before anything is decided.
             let due = wake.map_or(sweep, |w| w.min(sweep)) + gap;
-            if Instant::now().saturating_duration_since(due) > STOOD_STILL {
-                Timer::after(STOP_LOOK).await;
+            if Instant::now().saturating_duration_since(due) > PROCESS_PAUSE {
+                Timer::after(STOP_CHECK_INTERVAL).await;
             }
-            if swept.elapsed() >= SWEEP {
-                self.desk.idle.close_old();
+            if swept.elapsed() >= IDLE_CHECK_INTERVAL {
+                self.state.idle_connections.close_old();
                 swept = Instant::now();
             }
             let came: Vec<Event> =
-                first.into_iter().chain(std::iter::from_fn(|| self.came.try_recv().ok())).collect();
+                first.into_iter().chain(std::iter::from_fn(|| self.events.try_recv().ok())).collect();
             if let Some(how) =
-                came.iter().find_map(|e| if let Event::Stop(how) = e { Some(*how) } else { None })
+                came.iter().find_map(|e| if let Event::StopRequested(how) = e { Some(*how) } else { None })
             {
                 self.stopping = self.stopping.or(Some((Instant::now(), how)));
             }
-            let due = self.desk.wake.is_some_and(|at| at <= self.desk.clock.at(Instant::now()));
+            let due = self.state.next_wake.is_some_and(|at| at <= self.state.clock.at(Instant::now()));
             if came.is_empty() && !due && self.stopping.is_none() {
                 continue;
             }
-            self.desk.now = self.desk.clock.at(Instant::now());
+            self.state.now = self.state.clock.at(Instant::now());
             let mut inputs = Vec::new();
-            came.into_iter().for_each(|event| self.desk.take(event, &mut inputs));
+            came.into_iter().for_each(|event| self.state.handle(event, &mut inputs));
             let (stopped, how) = self
                 .stopping
                 .map_or((Duration::ZERO, mountshift_handover::RESTART), |(at, how)| (at.elapsed(), how));
             // In a handover the decisions go on, sending nothing: ends that fall due are still told.
             if stopped < how.send_for || how.hands_over {
-                self.round(inputs);
+                self.step(inputs);
             } else {
                 // Nothing more is decided: ends are noted, what is held waits in the spool for the next start.
-                self.desk.carry_out();
-                self.desk.late.clear();
+                self.state.execute_step();
+                self.state.reachability_questions.clear();
             }
             if self.stopping.is_some() {
-                let clients_gone = self.leaving.is_closed() && self.clients.get() == 0;
-                let kept = self.desk.spool.borrow().messages().len();
+                let clients_gone = self.clients_leaving.is_closed() && self.client_connections.get() == 0;
+                let kept = self.state.spool.borrow().messages().len();
                 let left = how.hands_over || stopped >= how.send_for || kept == 0;
-                let done = clients_gone && self.desk.calls.is_empty() && left;
+                let done = clients_gone && self.state.calls_in_flight.is_empty() && left;
                 if done || stopped >= how.end_by {
                     return self.finish().await;
                 }
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -1,6 +1,6 @@
 //! Tells the decisions what earlier processes of the relay left.
 
-use super::state::Desk;
+use super::state::DispatcherState;
 use crate::clients::told;
 use log::{debug, info};
 use mountshift::interface::*;
@@ -8,7 +8,7 @@
 use mountshift_spool::FinalOutcome;
 use std::time::Duration;
 
-impl Desk {
+impl DispatcherState {
     /// Tells what an earlier process of the relay left (rules 4 and 6 run on over an upgrade).
     pub(super) fn restore_routes(&mut self, snapshot: Snapshot, inputs: &mut Vec<Input>) {
         let snapshot = snapshot.binding(self.clock.unix_ms(self.now));
@@ -38,27 +38,27 @@
     }
 
     /// Tells of everything that the spool holds from before.
-    pub(super) fn restore(&mut self, inputs: &mut Vec<Input>) {
+    pub(super) fn restore_spool(&mut self, inputs: &mut Vec<Input>) {
         let kept: Vec<_> =
             self.spool.borrow().messages().iter().map(|(n, k)| (MessageId(*n), k.clone())).collect();
-        for (msg, kept) in kept {
-            self.by_name.insert(kept.accepted.id.clone(), msg);
+        for (message, kept) in kept {
+            self.message_by_id.insert(kept.accepted.id.clone(), message);
             let deadline = self.clock.at_unix_ms(kept.accepted.deadline);
             let told = told(&kept.accepted.metadata).ok();
-            let hand_in = told.and_then(|told| self.hand_in(&told, kept.accepted.key, deadline));
+            let submission = told.and_then(|told| self.submission(&told, kept.accepted.key, deadline));
             // A class that the settings no longer hold: nobody could decide on it.
             let owed =
-                kept.pending_outcome.or(if hand_in.is_none() { Some(FinalOutcome::Failed) } else { None });
-            owed.into_iter().for_each(|end| self.notify(msg, end));
-            let Some(hand_in) = hand_in.map(|h| Submission { restored: true, ..h }) else { continue };
-            inputs.push(Input::Submitted { message: msg, submission: hand_in });
+                kept.pending_outcome.or(if submission.is_none() { Some(FinalOutcome::Failed) } else { None });
+            owed.into_iter().for_each(|end| self.notify(message, end));
+            let Some(submission) = submission.map(|h| Submission { restored: true, ..h }) else { continue };
+            inputs.push(Input::Submitted { message, submission });
             if owed.is_some() {
                 // Its end is not taken yet: it still holds back the rest of its key.
-                inputs.push(Input::FinalAnswerPending(msg));
+                inputs.push(Input::FinalAnswerPending(message));
             }
             for leg in kept.attempts {
                 let (zone, at) = (self.endpoints.zone(&leg.zone), self.clock.at_unix_ms(leg.at));
-                inputs.push(Input::EarlierAttempt { message: msg, zone, at, may_have_run: leg.may_have_run });
+                inputs.push(Input::EarlierAttempt { message, zone, at, may_have_run: leg.may_have_run });
             }
         }
     }
--- a/crates/relay/src/dispatch/shutdown.rs
+++ b/crates/relay/src/dispatch/shutdown.rs
@@ -1,41 +1,41 @@
 //! The end of the process.
 
-use super::{Host, STOP_LOOK};
+use super::{Dispatcher, STOP_CHECK_INTERVAL};
 use crate::endpoints::Stage;
 use async_io::Timer;
 use log::info;
 use std::time::{Duration, Instant};
 
 /// At the end, for what clients are owed.
-const LAST_WORDS: Duration = Duration::from_millis(80);
+const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(80);
 
-impl Host {
+impl Dispatcher {
     /// The last words: what has come by now is taken in, and clients hear of what was taken on for them. Guards
     /// against a delivery that is known to the process and not to the spool, whose message would be sent again, and
     /// against a message in the spool whose client never heard, and hands it in again.
     pub(super) async fn finish(mut self) {
-        self.end.close();
-        let by = Instant::now() + LAST_WORDS;
+        self.clients_end.close();
+        let by = Instant::now() + FINAL_ANSWERS_TIME;
         loop {
             // Everything that can go on has its turn meanwhile.
-            Timer::after(STOP_LOOK / 4).await;
+            Timer::after(STOP_CHECK_INTERVAL / 4).await;
             let mut inputs = Vec::new();
-            while let Ok(event) = self.came.try_recv() {
-                self.desk.take(event, &mut inputs);
+            while let Ok(event) = self.events.try_recv() {
+                self.state.handle(event, &mut inputs);
             }
-            self.desk.carry_out();
-            self.desk.late.clear();
-            if Instant::now() >= by || (self.clients.get() == 0 && inputs.is_empty()) {
+            self.state.execute_step();
+            self.state.reachability_questions.clear();
+            if Instant::now() >= by || (self.client_connections.get() == 0 && inputs.is_empty()) {
                 break;
             }
         }
         // What was being written can't become whole any more.
-        for out in self.desk.calls.values_mut().filter(|out| out.stage.get() == Stage::Noted) {
+        for out in self.state.calls_in_flight.values_mut().filter(|out| out.stage.get() == Stage::Noted) {
             out.task = None;
-            out.legs.iter().for_each(|msg| self.desk.spool.borrow_mut().record_not_run(msg.0));
+            out.messages.iter().for_each(|message| self.state.spool.borrow_mut().record_not_run(message.0));
         }
-        self.desk.carry_out();
-        let kept = self.desk.spool.borrow().messages().len();
-        info!("stopped with {} calls out, {kept} messages kept", self.desk.calls.len());
+        self.state.execute_step();
+        let kept = self.state.spool.borrow().messages().len();
+        info!("stopped with {} calls out, {kept} messages kept", self.state.calls_in_flight.len());
     }
 }
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -4,7 +4,7 @@
 use crate::clients::{Answer, Told};
 use crate::clock::Clock;
 use crate::endpoints::{Endpoints, Idle, Stage};
-use crate::notifications::Notice;
+use crate::notifications::Notification;
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use log::debug;
@@ -21,53 +21,53 @@
 use std::time::Duration;
 
 /// Ids that are remembered beyond their end.
-const ENDED_MOST: usize = 4_096;
+const MAX_RECENTLY_ENDED: usize = 4_096;
 
-pub(super) fn number(id: &[u8]) -> u64 {
+pub(super) fn hash_id(id: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
     id.hash(&mut hasher);
     hasher.finish()
 }
 
 /// A call that is out.
-pub(super) struct Out {
+pub(super) struct CallInFlight {
     pub(super) to: EndpointId,
     pub(super) sent: Duration,
-    pub(super) legs: BTreeSet<MessageId>,
-    pub(super) recalled: BTreeSet<MessageId>,
+    pub(super) messages: BTreeSet<MessageId>,
+    pub(super) cancelled: BTreeSet<MessageId>,
     pub(super) stage: Rc<Cell<Stage>>,
     /// Dropping it closes the call's connection.
     pub(super) task: Option<Task<()>>,
 }
 
 /// Takes the decisions and holds what they are about.
-pub(super) struct Desk {
+pub(super) struct DispatcherState {
     pub(super) clock: Clock,
     pub(super) now: Duration,
     pub(super) settings: SocketSettings,
-    pub(super) batches: Vec<usize>,
+    pub(super) max_batches: Vec<usize>,
     pub(super) spool: Rc<RefCell<Spool>>,
     pub(super) endpoints: Endpoints,
-    pub(super) idle: Rc<Idle>,
+    pub(super) idle_connections: Rc<Idle>,
     pub(super) executor: Rc<LocalExecutor<'static>>,
     pub(super) events: Sender<Event>,
-    pub(super) notices: Sender<Notice>,
-    pub(super) watch: Sender<()>,
-    pub(super) by_name: BTreeMap<Vec<u8>, MessageId>,
+    pub(super) notifications: Sender<Notification>,
+    pub(super) poll_requests: Sender<()>,
+    pub(super) message_by_id: BTreeMap<Vec<u8>, MessageId>,
     /// Ids of messages that ended lately, as numbers.
-    pub(super) ended: VecDeque<u64>,
+    pub(super) recently_ended: VecDeque<u64>,
     /// Messages that came for this round, and who waits for the answer.
-    pub(super) asking: BTreeMap<MessageId, Sender<Answer>>,
-    pub(super) sends: Vec<(EndpointId, Vec<(MessageId, Duration)>)>,
-    pub(super) late: Vec<(EndpointId, Sender<bool>)>,
-    pub(super) calls: BTreeMap<u64, Out>,
-    pub(super) count: u64,
-    pub(super) wake: Option<Duration>,
+    pub(super) awaiting_answer: BTreeMap<MessageId, Sender<Answer>>,
+    pub(super) pending_sends: Vec<(EndpointId, Vec<(MessageId, Duration)>)>,
+    pub(super) reachability_questions: Vec<(EndpointId, Sender<bool>)>,
+    pub(super) calls_in_flight: BTreeMap<u64, CallInFlight>,
+    pub(super) last_call_number: u64,
+    pub(super) next_wake: Option<Duration>,
     /// The spool had no room for the last message.
-    pub(super) full: bool,
+    pub(super) spool_full_logged: bool,
     pub(super) maintenance: Rc<RefCell<MaintenanceState>>,
     /// Where the endpoints out by hand are written down.
-    pub(super) out_file: PathBuf,
+    pub(super) maintenance_file: PathBuf,
     /// Where what outlives the process is written down for the next one.
     pub(super) snapshot_file: PathBuf,
     /// Endpoints told as leaving, where that is written down, and in how many bytes at most.
@@ -76,47 +76,56 @@
     pub(super) drain_record_max_bytes: usize,
 }
 
-impl Desk {
+impl DispatcherState {
     /// An end that is no delivery: the answer to a client that waits, else a notice. True if it is taken.
-    pub(super) fn end(&mut self, msg: MessageId, answer: Answer, owed: FinalOutcome) -> bool {
-        if let Some(kept) = self.spool.borrow().get(msg.0) {
+    pub(super) fn end_undelivered(
+        &mut self,
+        message: MessageId,
+        answer: Answer,
+        outcome: FinalOutcome,
+    ) -> bool {
+        if let Some(kept) = self.spool.borrow().get(message.0) {
             let (id, legs) = (String::from_utf8_lossy(&kept.accepted.id), kept.attempts.len());
-            debug!("message {id} ends undelivered: {owed:?} after {legs} legs, {}", kept.accepted.metadata);
+            debug!(
+                "message {id} ends undelivered: {outcome:?} after {legs} legs, {}",
+                kept.accepted.metadata
+            );
         }
-        if let Some(asking) = self.asking.remove(&msg) {
-            let _ = asking.try_send(answer);
-            self.over(msg);
+        if let Some(reply_to) = self.awaiting_answer.remove(&message) {
+            let _ = reply_to.try_send(answer);
+            self.remove_message(message);
             return true;
         }
-        self.spool.borrow_mut().record_outcome(msg.0, owed);
-        self.notify(msg, owed);
+        self.spool.borrow_mut().record_outcome(message.0, outcome);
+        self.notify(message, outcome);
         false
     }
 
-    pub(super) fn notify(&mut self, msg: MessageId, end: FinalOutcome) {
-        if let Some(kept) = self.spool.borrow().get(msg.0) {
-            let _ = self.notices.try_send(Notice { msg, id: kept.accepted.id.clone(), end });
+    pub(super) fn notify(&mut self, message: MessageId, outcome: FinalOutcome) {
+        if let Some(kept) = self.spool.borrow().get(message.0) {
+            let _ =
+                self.notifications.try_send(Notification { message, id: kept.accepted.id.clone(), outcome });
         }
     }
 
-    pub(super) fn over(&mut self, msg: MessageId) {
+    pub(super) fn remove_message(&mut self, message: MessageId) {
         let mut spool = self.spool.borrow_mut();
-        if let Some(kept) = spool.get(msg.0) {
-            self.by_name.remove(&kept.accepted.id);
-            spool.remove(msg.0);
+        if let Some(kept) = spool.get(message.0) {
+            self.message_by_id.remove(&kept.accepted.id);
+            spool.remove(message.0);
         }
     }
 
     /// Guards against an id that is handed in again after its end: every message has a new one, so whoever
     /// uses it hands in another's, and it would go out as a second copy.
-    pub(super) fn remember(&mut self, msg: MessageId) {
-        let ended = self.spool.borrow().get(msg.0).map(|kept| number(&kept.accepted.id));
-        self.ended.extend(ended);
-        self.ended.drain(..self.ended.len().saturating_sub(ENDED_MOST));
+    pub(super) fn remember_ended(&mut self, message: MessageId) {
+        let ended = self.spool.borrow().get(message.0).map(|kept| hash_id(&kept.accepted.id));
+        self.recently_ended.extend(ended);
+        self.recently_ended.drain(..self.recently_ended.len().saturating_sub(MAX_RECENTLY_ENDED));
     }
 
     /// What the decisions are told of a message; none if its lane is not known.
-    pub(super) fn hand_in(&self, told: &Told, key: u64, deadline: Duration) -> Option<Submission> {
+    pub(super) fn submission(&self, told: &Told, key: u64, deadline: Duration) -> Option<Submission> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let class = ClassId(place(&self.settings.classes, &told.lane)? as u16);
         let tenant = told.tenant.as_deref().and_then(|t| place(&self.settings.tenants, t));
--- a/crates/relay/src/endpoints.rs
+++ b/crates/relay/src/endpoints.rs
@@ -1,6 +1,6 @@
 //! Calls to endpoints, and the connections kept to them.
 
-use crate::discovery::Member;
+use crate::discovery::EndpointEntry;
 use crate::http::{Answer, Broken, Connection, request};
 use async_channel::Receiver;
 use async_io::Timer;
@@ -58,7 +58,7 @@
     }
 
     /// Takes an entry of the list in; gives its id, what the list says, and if it has moved or gone.
-    pub fn learn(&mut self, member: &Member) -> (EndpointId, EndpointStatus, bool) {
+    pub fn learn(&mut self, member: &EndpointEntry) -> (EndpointId, EndpointStatus, bool) {
         let name: Rc<str> = Rc::from(member.id.as_str());
         let id = *self.ids.entry(name.clone()).or_insert_with(|| {
             self.count += 1;
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -18,9 +18,9 @@
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use clients::Front;
-use discovery::Follow;
-use dispatch::{Event, Host, Parts};
-use error::NotStarted;
+use discovery::DiscoveryClient;
+use dispatch::{Dependencies, Dispatcher, Event};
+use error::StartError;
 use futures_lite::StreamExt;
 use log::{error, info, warn};
 use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE};
@@ -33,13 +33,13 @@
 use startup::listener::listener;
 use startup::spool::merge_successor_spool;
 use startup::state_dir::{held_by_another, lock};
-use state_files::{carried, drain_record, read_out};
+use state_files::{read_drain_record, read_maintenance, read_snapshot};
 use std::cell::{Cell, RefCell};
 use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Instant;
-use successor::{Ended, Reception};
+use successor::{IntakeEnd, SuccessorIntake};
 
 /// A list may take one part in so many of the memory, and so may all requests that are not whole.
 const LIST_SHARE: usize = 32;
@@ -59,28 +59,28 @@
             return ExitCode::from(2);
         }
     };
-    match signals.map_err(NotStarted::failure).and_then(|signals| run(signals, start)) {
+    match signals.map_err(StartError::failure).and_then(|signals| run(signals, start)) {
         Ok(()) => ExitCode::SUCCESS,
-        Err(NotStarted { code, what }) => {
+        Err(StartError { code, what }) => {
             error!("not started: {what}");
             ExitCode::from(code)
         }
     }
 }
 
-fn run(mut signals: Signals, start: config::Start) -> Result<(), NotStarted> {
+fn run(mut signals: Signals, start: config::StartConfig) -> Result<(), StartError> {
     let listener = listener(&start)?;
-    let folder = |e| NotStarted::failure(format!("{}: {e}", start.state.display()));
+    let folder = |e| StartError::failure(format!("{}: {e}", start.state.display()));
     let zone_room = start.socket_settings.zones.iter().map(String::len).max().unwrap_or(0) as u64;
     let legs = u64::from(start.policy_settings.max_attempts);
     let share = |of: f64| (start.disk as f64 * of) as u64;
-    let next_dir = start.state.join(SUCCESSOR_DIR);
-    std::fs::create_dir_all(&next_dir).map_err(folder)?;
-    let (owner_lock, owner_free) = lock(&start.state).map_err(NotStarted::failure)?;
-    let (taker_lock, taker_free) = lock(&next_dir).map_err(NotStarted::failure)?;
-    let taker_spool = next_dir.join(mountshift_spool::FILE_NAME).exists();
-    let role = mountshift_handover::role(owner_free, taker_free, taker_spool)
-        .map_err(|e| NotStarted::failure(format!("{}: {e}", start.state.display())))?;
+    let successor_dir = start.state.join(SUCCESSOR_DIR);
+    std::fs::create_dir_all(&successor_dir).map_err(folder)?;
+    let (active_lock, active_free) = lock(&start.state).map_err(StartError::failure)?;
+    let (successor_lock, successor_free) = lock(&successor_dir).map_err(StartError::failure)?;
+    let successor_spool_exists = successor_dir.join(mountshift_spool::FILE_NAME).exists();
+    let role = mountshift_handover::role(active_free, successor_free, successor_spool_exists)
+        .map_err(|e| StartError::failure(format!("{}: {e}", start.state.display())))?;
     info!("{} starts as {role:?}", start.name);
     let executor = Rc::new(LocalExecutor::new());
     let events = async_channel::unbounded();
@@ -98,15 +98,16 @@
     let revision = known.as_ref().map(|list| list.revision);
     let must_ask = start.policy_settings.must_poll;
     let started = Instant::now();
-    let out_file = start.state.join("maintenance");
-    let maintenance = Rc::new(RefCell::new(MaintenanceState::from_text(&read_out(&out_file)?)));
+    let maintenance_file = start.state.join("maintenance");
+    let maintenance =
+        Rc::new(RefCell::new(MaintenanceState::from_text(&read_maintenance(&maintenance_file)?)));
     known.iter().flat_map(|list| &list.members).for_each(|m| maintenance.borrow_mut().listed(&m.id));
-    let lanes = start.socket_settings.classes.clone();
+    let classes = start.socket_settings.classes.clone();
     async_io::block_on(executor.run(async {
         let events_in = events.0.clone();
         let (listed, taken) = (events_in.clone(), events_in.clone());
-        let listed = move |list| drop(listed.try_send(Event::List(list)));
-        let follow = Follow {
+        let listed = move |list| drop(listed.try_send(Event::EndpointList(list)));
+        let follow = DiscoveryClient {
             at: start.discovery,
             moved: watch_moved,
             revision,
@@ -124,12 +125,14 @@
             heard: false,
         };
         executor.spawn(follow.run(listed)).detach();
-        let taken = move |msgs| drop(taken.try_send(Event::Noticed(msgs)));
+        let taken = move |msgs| drop(taken.try_send(Event::NotificationsTaken(msgs)));
         executor.spawn(notifications::deliver(start.discovery, notices_moved, notices_out, taken)).detach();
         let (handed, gone) = (events_in.clone(), events_in.clone());
         let front = Front {
-            hand_in: Box::new(move |message, answer| drop(handed.try_send(Event::Message(message, answer)))),
-            gone: Box::new(move |msg| drop(gone.try_send(Event::Gone(msg)))),
+            hand_in: Box::new(move |message, answer| {
+                drop(handed.try_send(Event::MessageReceived(message, answer)))
+            }),
+            gone: Box::new(move |msg| drop(gone.try_send(Event::ClientUnreachable(msg)))),
             leaving: leaving.clone(),
             ending,
             most: start.descriptors / 2,
@@ -143,20 +146,22 @@
         let front = Rc::new(front);
         if let Some(at) = start.mgmt {
             let mgmt =
-                Async::<TcpListener>::bind(at).map_err(|e| NotStarted::failure(format!("mgmt {at}: {e}")))?;
+                Async::<TcpListener>::bind(at).map_err(|e| StartError::failure(format!("mgmt {at}: {e}")))?;
             let (changed, front) = (events_in.clone(), front.clone());
             let changed = Box::new(move |change: Change| {
                 if matches!(change, Change::Standby | Change::Active) {
                     front.standby_moved();
                 }
-                drop(changed.try_send(Event::Maintenance(change)));
+                drop(changed.try_send(Event::MaintenanceChanged(change)));
             });
-            let desk = admin::Desk { maintenance: maintenance.clone(), start: started, changed };
-            executor.spawn(admin::serve(mgmt, Rc::new(desk), executor.clone())).detach();
+            let service =
+                admin::AdminService { maintenance: maintenance.clone(), start: started, on_change: changed };
+            executor.spawn(admin::serve(mgmt, Rc::new(service), executor.clone())).detach();
             info!("operators' calls on {at}");
         }
         executor.spawn(clients::serve(listener, front, executor.clone())).detach();
-        let (stop_events, stop_dir, owns) = (events_in.clone(), next_dir.clone(), Rc::new(Cell::new(false)));
+        let (stop_events, stop_dir, owns) =
+            (events_in.clone(), successor_dir.clone(), Rc::new(Cell::new(false)));
         let leave_all = leave.clone();
         let (owned, stop_executor) = (owns.clone(), executor.clone());
         let stop = async move {
@@ -180,13 +185,13 @@
                     Some(Ok(_)) if stopping => info!("told to stop again, while stopping"),
                     Some(Ok(_)) => {
                         stopping = true;
-                        // An owner with a taker beside it hands over; else this is a restart.
+                        // An owner with a intake beside it hands over; else this is a restart.
                         let how = mountshift_handover::stop_plan(owned.get() && held_by_another(&stop_dir));
                         info!(
                             "told to stop, {}",
                             if how.hands_over { "with a process beside it" } else { "for a restart" }
                         );
-                        let _ = stop_events.send(Event::Stop(how)).await;
+                        let _ = stop_events.send(Event::StopRequested(how)).await;
                         let leave_all = leave_all.clone();
                         let leave_later = async move {
                             Timer::after(how.accept_for).await;
@@ -206,46 +211,48 @@
         maintenance.borrow_mut().serving();
         info!("ready on {}", start.listen);
         let mut spool = Spool::open(&start.state, share(ACTIVE_DISK_SHARE), legs, zone_room).map_err(folder);
-        let mut stash = Vec::new();
+        let mut deferred = Vec::new();
         match role {
             Role::Active { merge_successor: true } => {
-                let next =
-                    Spool::open(&next_dir, share(SUCCESSOR_DISK_SHARE), legs, zone_room).map_err(folder)?;
+                let next = Spool::open(&successor_dir, share(SUCCESSOR_DISK_SHARE), legs, zone_room)
+                    .map_err(folder)?;
                 if let Ok(spool) = spool.as_mut() {
-                    merge_successor_spool(spool, next, &next_dir, &notices).map_err(NotStarted::failure)?;
+                    merge_successor_spool(spool, next, &successor_dir, &notices)
+                        .map_err(StartError::failure)?;
                 }
             }
             Role::Active { merge_successor: false } => {}
             Role::Successor => {
                 drop(spool);
-                let next =
-                    Spool::open(&next_dir, share(SUCCESSOR_DISK_SHARE), legs, zone_room).map_err(folder)?;
+                let next = Spool::open(&successor_dir, share(SUCCESSOR_DISK_SHARE), legs, zone_room)
+                    .map_err(folder)?;
                 info!("another process owns the state folder: takes in beside it");
-                let (leave, clients) = (leave.clone(), open.clone());
-                let (owner_lock, file) = (&owner_lock, out_file.clone());
-                let mut taker = Reception {
+                let (clients_leave, client_connections) = (leave.clone(), open.clone());
+                let (active_lock, file) = (&active_lock, maintenance_file.clone());
+                let mut intake = SuccessorIntake {
                     spool: next,
-                    owner_lock,
-                    lanes,
+                    active_lock,
+                    classes,
                     maintenance: maintenance.clone(),
-                    out_file: file,
-                    leave,
-                    clients,
+                    maintenance_file: file,
+                    clients_leave,
+                    client_connections,
                 };
-                stash = match taker.run(&events.1).await {
-                    Ended::Stopped => return Ok(()),
-                    Ended::Owns(stash) => stash,
+                deferred = match intake.run(&events.1).await {
+                    IntakeEnd::Stopped => return Ok(()),
+                    IntakeEnd::BecameActive(deferred) => deferred,
                 };
-                let next = taker.spool;
+                let next = intake.spool;
                 let mut owned =
                     Spool::open(&start.state, share(ACTIVE_DISK_SHARE), legs, zone_room).map_err(folder)?;
-                merge_successor_spool(&mut owned, next, &next_dir, &notices).map_err(NotStarted::failure)?;
+                merge_successor_spool(&mut owned, next, &successor_dir, &notices)
+                    .map_err(StartError::failure)?;
                 // What the owner wrote down since this process started.
-                maintenance.borrow_mut().read_out(&read_out(&out_file)?);
+                maintenance.borrow_mut().read_out(&read_maintenance(&maintenance_file)?);
                 spool = Ok(owned);
             }
         }
-        drop(taker_lock);
+        drop(successor_lock);
         let spool = spool?;
         // Guards against waits of a process long gone being read at the next handover.
         if !reads_snapshot(role) {
@@ -256,29 +263,29 @@
         }
         owns.set(true);
         info!("{} starts with {} messages in its spool", start.name, spool.messages().len());
-        let host = Host::new(Parts {
+        let dispatcher = Dispatcher::new(Dependencies {
             policy_settings: start.policy_settings,
             socket_settings: start.socket_settings,
             spool,
             known,
-            idle_most: start.descriptors / 4,
+            max_idle_connections: start.descriptors / 4,
             executor: executor.clone(),
             events: events.clone(),
-            notices,
-            watch,
-            clients: open.clone(),
-            leaving: leaving.clone(),
-            end,
+            notifications: notices,
+            poll_requests: watch,
+            client_connections: open.clone(),
+            clients_leaving: leaving.clone(),
+            clients_end: end,
             maintenance: maintenance.clone(),
-            out_file,
-            carried: if reads_snapshot(role) { carried(&start.state) } else { None },
+            maintenance_file,
+            snapshot: if reads_snapshot(role) { read_snapshot(&start.state) } else { None },
             snapshot_file: start.state.join(SNAPSHOT_FILE),
-            drain_record: drain_record(&start.state),
+            drain_record: read_drain_record(&start.state),
             drain_record_file: start.state.join(DRAIN_RECORD_FILE),
             drain_record_max_bytes: share(DRAIN_RECORD_DISK_SHARE) as usize,
         });
-        stash.into_iter().for_each(|event| drop(events_in.try_send(event)));
-        host.run().await;
+        deferred.into_iter().for_each(|event| drop(events_in.try_send(event)));
+        dispatcher.run().await;
         Ok(())
     }))
 }
--- a/crates/relay/src/notifications.rs
+++ b/crates/relay/src/notifications.rs
@@ -19,16 +19,16 @@
 /// Notices in one call at most.
 const MANY: usize = 500;
 
-pub struct Notice {
-    pub msg: MessageId,
+pub struct Notification {
+    pub message: MessageId,
     pub id: Vec<u8>,
-    pub end: FinalOutcome,
+    pub outcome: FinalOutcome,
 }
 
-impl Notice {
+impl Notification {
     fn line(&self) -> String {
         let id = String::from_utf8_lossy(&self.id);
-        let line = match self.end {
+        let line = match self.outcome {
             FinalOutcome::Failed => json!({"id": id, "state": "failed"}),
             FinalOutcome::Rejected(0) => json!({"id": id, "state": "returned"}),
             FinalOutcome::Rejected(ms) => json!({"id": id, "state": "returned", "after_ms": ms}),
@@ -41,7 +41,7 @@
 pub async fn deliver(
     mut at: SocketAddr,
     moved: Receiver<SocketAddr>,
-    queue: Receiver<Notice>,
+    queue: Receiver<Notification>,
     taken: impl Fn(Vec<MessageId>),
 ) {
     let (mut waiting, mut connection, mut failures) = (Vec::new(), None, 0);
@@ -56,7 +56,7 @@
         if let Ok(to) = moved.try_recv() {
             (at, connection) = (to, None);
         }
-        let part: Vec<Notice> = waiting.drain(..waiting.len().min(together)).collect();
+        let part: Vec<Notification> = waiting.drain(..waiting.len().min(together)).collect();
         let left = async {
             let Ok(to) = moved.recv().await else { return std::future::pending().await };
             Err(to)
@@ -71,7 +71,7 @@
             }
         };
         if status == Ok(204) {
-            taken(part.iter().map(|n| n.msg).collect());
+            taken(part.iter().map(|n| n.message).collect());
             (together, failures) = (MANY.min(together * 2), 0);
             continue;
         }
@@ -87,8 +87,12 @@
     }
 }
 
-async fn call(at: SocketAddr, part: &[Notice], connection: &mut Option<Connection>) -> Result<u16, String> {
-    let body: String = part.iter().map(Notice::line).collect();
+async fn call(
+    at: SocketAddr,
+    part: &[Notification],
+    connection: &mut Option<Connection>,
+) -> Result<u16, String> {
+    let body: String = part.iter().map(Notification::line).collect();
     let bytes = request("POST", "/status", &at.to_string(), &[], body.as_bytes());
     Ok(ask(connection, at, "notices", &bytes, ANSWER_MOST, LATE).await?.status)
 }
--- a/crates/relay/src/startup/config.rs
+++ b/crates/relay/src/startup/config.rs
@@ -10,13 +10,13 @@
 const MEMORY: usize = 192_000_000;
 
 #[derive(Debug)]
-pub struct Start {
+pub struct StartConfig {
     pub name: String,
     pub listen: SocketAddr,
     /// The second address, for operators' calls; none on older days.
     pub mgmt: Option<SocketAddr>,
     /// The clients' listening socket, held by the platform and inherited; none where the relay binds it.
-    pub accept_fd: Option<i32>,
+    pub listener_fd: Option<i32>,
     pub discovery: SocketAddr,
     pub state: PathBuf,
     /// Bytes that the folder may hold.
@@ -30,7 +30,7 @@
 }
 
 /// Reads the file named by `NODE_CONFIG`; `variable` looks up the environment.
-pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<Start, String> {
+pub fn read(variable: impl Fn(&str) -> Option<String>) -> Result<StartConfig, String> {
     let path = variable("NODE_CONFIG").ok_or("NODE_CONFIG is not set")?;
     let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
     let json: Value = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
@@ -55,14 +55,14 @@
     let pairs = FlatSettings::from_json(&json["settings"]);
     let settings = |e| format!("{path}: {e}");
     let me = mountshift_settings::relay_id(&pairs).map_err(settings)?;
-    Ok(Start {
+    Ok(StartConfig {
         name: text("NODE_NAME", "name")?,
         listen: address("NODE_LISTEN", "listen")?,
         // Guards against a second address that is there but no text being taken for none at all.
         mgmt: (variable("NODE_MGMT").is_some() || !json["mgmt"].is_null())
             .then(|| address("NODE_MGMT", "mgmt"))
             .transpose()?,
-        accept_fd: match variable("NODE_ACCEPT_FD") {
+        listener_fd: match variable("NODE_ACCEPT_FD") {
             None => None,
             // Guards against a silent default: a descriptor that can't be one is refused at the start.
             Some(fd) => Some(
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -1,6 +1,6 @@
 //! Makes one spool of two after an upgrade.
 
-use crate::notifications::Notice;
+use crate::notifications::Notification;
 use log::{info, warn};
 use mountshift::interface::MessageId;
 use mountshift_handover::Side;
@@ -13,7 +13,7 @@
     spool: &mut Spool,
     next: Spool,
     next_dir: &Path,
-    notices: &async_channel::Sender<Notice>,
+    notices: &async_channel::Sender<Notification>,
 ) -> Result<(), String> {
     let (owner, taker): (Vec<StoredMessage>, Vec<StoredMessage>) =
         (spool.messages().values().cloned().collect(), next.messages().values().cloned().collect());
@@ -30,10 +30,10 @@
             "spool: no room for message {} of the process before; it ends as failed",
             String::from_utf8_lossy(&kept.accepted.id)
         );
-        let _ = notices.try_send(Notice {
-            msg: MessageId(u64::MAX),
+        let _ = notices.try_send(Notification {
+            message: MessageId(u64::MAX),
             id: kept.accepted.id,
-            end: FinalOutcome::Failed,
+            outcome: FinalOutcome::Failed,
         });
     }
     info!("took over {} messages taken in beside the owner", taker.len());
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -1,6 +1,6 @@
 //! The small files in the state folder.
 
-use crate::error::NotStarted;
+use crate::error::StartError;
 use log::error;
 use mountshift_discovery::{DRAIN_RECORD_FILE, DrainRecord};
 use mountshift_handover::{SNAPSHOT_FILE, Snapshot};
@@ -8,17 +8,17 @@
 use std::path::Path;
 
 /// The endpoints out by hand as written down; none is, if nothing is.
-pub(crate) fn read_out(path: &Path) -> Result<String, NotStarted> {
+pub(crate) fn read_maintenance(path: &Path) -> Result<String, StartError> {
     match std::fs::read_to_string(path) {
         Ok(text) => Ok(text),
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => Ok(String::new()),
-        Err(e) => Err(NotStarted::failure(format!("{}: {e}", path.display()))),
+        Err(e) => Err(StartError::failure(format!("{}: {e}", path.display()))),
     }
 }
 
 /// What an earlier process left of its destinations; none if nothing. Guards against a taker that ends over a file
 /// that it can't read, when the owner has ended: nobody would serve. It goes on as after a restart.
-pub(crate) fn carried(state: &Path) -> Option<Snapshot> {
+pub(crate) fn read_snapshot(state: &Path) -> Option<Snapshot> {
     let path = state.join(SNAPSHOT_FILE);
     let read = match std::fs::read(&path) {
         Ok(bytes) => Snapshot::read(&String::from_utf8_lossy(&bytes)),
@@ -33,7 +33,7 @@
 
 /// What earlier processes were told of endpoints that leave. A book that can't be read ends nothing: what is
 /// left of it counts, and discovery is asked before anything goes out.
-pub(crate) fn drain_record(state: &Path) -> DrainRecord {
+pub(crate) fn read_drain_record(state: &Path) -> DrainRecord {
     let path = state.join(DRAIN_RECORD_FILE);
     let text = match std::fs::read(&path) {
         Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
@@ -51,14 +51,14 @@
 }
 
 /// Writes a file whole or not at all.
-pub fn write_anew(path: &std::path::Path, text: &str) -> std::io::Result<()> {
+pub fn replace_file(path: &std::path::Path, text: &str) -> std::io::Result<()> {
     let new = path.with_extension("new");
     std::fs::write(&new, text).and_then(|()| std::fs::rename(&new, path))
 }
 
 /// Writes down the endpoints out by hand, for the next process and the one beside.
 pub fn write_maintenance(path: &std::path::Path, maintenance: &MaintenanceState) {
-    if let Err(e) = write_anew(path, &maintenance.written()) {
+    if let Err(e) = replace_file(path, &maintenance.written()) {
         error!("{}: {e}", path.display());
     }
 }
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -23,34 +23,34 @@
 
 /// Numbers that clients hear of from a taker begin here: guards against a client gone after the handover,
 /// whose message would be taken for the owner's under the same number.
-pub const TAKEN_BASE: u64 = 1 << 62;
+pub const FIRST_SUCCESSOR_NUMBER: u64 = 1 << 62;
 
 /// How taking in ended.
-pub enum Ended {
+pub enum IntakeEnd {
     /// The owner's lock is this process's now; these events wait for the host, in order.
-    Owns(Vec<Event>),
+    BecameActive(Vec<Event>),
     /// Told to stop before it owned: what it took waits in its spool for the next owner.
     Stopped,
 }
 
 /// What the taker works with.
-pub struct Reception<'a> {
+pub struct SuccessorIntake<'a> {
     pub spool: Spool,
     /// The owner's lock, to be taken once it is free; then held for as long as the process runs.
-    pub owner_lock: &'a File,
-    pub lanes: Vec<String>,
+    pub active_lock: &'a File,
+    pub classes: Vec<String>,
     pub maintenance: Rc<RefCell<MaintenanceState>>,
-    pub out_file: PathBuf,
+    pub maintenance_file: PathBuf,
     /// Closed when clients are to go.
-    pub leave: Sender<()>,
+    pub clients_leave: Sender<()>,
     /// Client connections open now.
-    pub clients: Rc<Cell<usize>>,
+    pub client_connections: Rc<Cell<usize>>,
 }
 
-impl Reception<'_> {
+impl SuccessorIntake<'_> {
     /// Takes in until the owner's lock is free, or until told to stop.
-    pub async fn run(&mut self, came: &Receiver<Event>) -> Ended {
-        let (mut by_name, mut stash) = (BTreeMap::new(), Vec::new());
+    pub async fn run(&mut self, came: &Receiver<Event>) -> IntakeEnd {
+        let (mut message_by_id, mut deferred) = (BTreeMap::new(), Vec::new());
         let mut stopped: Option<Instant> = None;
         loop {
             let timer = async {
@@ -60,15 +60,15 @@
             let first = async { came.recv().await.ok() }.or(timer).await;
             let events: Vec<Event> =
                 first.into_iter().chain(std::iter::from_fn(|| came.try_recv().ok())).collect();
-            let mut asking: Vec<(u64, Sender<Answer>)> = Vec::new();
+            let mut awaiting_answer: Vec<(u64, Sender<Answer>)> = Vec::new();
             for event in events {
                 match event {
-                    Event::Message(m, answer) => match self.take(&m, &by_name) {
+                    Event::MessageReceived(m, answer) => match self.check(&m, &message_by_id) {
                         Err(refused) => drop(answer.try_send(refused)),
                         Ok(taken) => match self.spool.accept(taken) {
                             Some(n) => {
-                                by_name.insert(m.id, n);
-                                asking.push((n, answer));
+                                message_by_id.insert(m.id, n);
+                                awaiting_answer.push((n, answer));
                             }
                             None => {
                                 warn!("next spool: full with {} messages", self.spool.messages().len());
@@ -77,38 +77,38 @@
                         },
                     },
                     // Its client did not hear that it was taken on: it is nobody's.
-                    Event::Gone(msg) => {
-                        let n = msg.0.wrapping_sub(TAKEN_BASE);
+                    Event::ClientUnreachable(message) => {
+                        let n = message.0.wrapping_sub(FIRST_SUCCESSOR_NUMBER);
                         if let Some(kept) = self.spool.get(n) {
-                            by_name.remove(&kept.accepted.id);
+                            message_by_id.remove(&kept.accepted.id);
                         }
                         self.spool.remove(n);
                     }
-                    Event::Stop(_) => {
+                    Event::StopRequested(_) => {
                         stopped = stopped.or(Some(Instant::now()));
                         self.maintenance.borrow_mut().stopping();
-                        self.leave.close();
+                        self.clients_leave.close();
                     }
-                    Event::Maintenance(change) => {
+                    Event::MaintenanceChanged(change) => {
                         if matches!(change, Change::EndpointOut(_) | Change::EndpointBack(_)) {
-                            write_maintenance(&self.out_file, &self.maintenance.borrow());
+                            write_maintenance(&self.maintenance_file, &self.maintenance.borrow());
                         }
-                        stash.push(Event::Maintenance(change));
+                        deferred.push(Event::MaintenanceChanged(change));
                     }
-                    Event::List(Ok(list)) => {
+                    Event::EndpointList(Ok(list)) => {
                         list.members.iter().for_each(|m| self.maintenance.borrow_mut().listed(&m.id));
-                        stash.push(Event::List(Ok(list)));
+                        deferred.push(Event::EndpointList(Ok(list)));
                     }
-                    other => stash.push(other),
+                    other => deferred.push(other),
                 }
             }
             let safe = self.spool.commit();
             if let Err(e) = &safe {
                 error!("next spool: {e}");
             }
-            for (n, answer) in asking {
+            for (n, answer) in awaiting_answer {
                 if safe.is_ok() {
-                    let _ = answer.try_send(Answer::Taken(MessageId(TAKEN_BASE + n)));
+                    let _ = answer.try_send(Answer::Taken(MessageId(FIRST_SUCCESSOR_NUMBER + n)));
                 } else {
                     let _ = answer.try_send(Answer::PushedBack(0));
                     self.spool.remove(n);
@@ -116,23 +116,23 @@
             }
             let kept = self.spool.messages().len();
             if let Some(at) = stopped {
-                if self.clients.get() == 0 || at.elapsed() >= RESTART.end_by {
+                if self.client_connections.get() == 0 || at.elapsed() >= RESTART.end_by {
                     info!("stopped before it owned, with {kept} messages in the next spool");
-                    return Ended::Stopped;
+                    return IntakeEnd::Stopped;
                 }
-            } else if self.owner_lock.try_lock().is_ok() {
+            } else if self.active_lock.try_lock().is_ok() {
                 info!("owns the state folder now, with {kept} messages taken in beside the owner");
-                return Ended::Owns(stash);
+                return IntakeEnd::BecameActive(deferred);
             }
         }
     }
 
     /// What a taker takes on, or how it answers instead.
-    fn take(&self, m: &HandedIn, by_name: &BTreeMap<Vec<u8>, u64>) -> Result<AcceptedMessage, Answer> {
-        if !self.lanes.contains(&m.told.lane) {
+    fn check(&self, m: &HandedIn, message_by_id: &BTreeMap<Vec<u8>, u64>) -> Result<AcceptedMessage, Answer> {
+        if !self.classes.contains(&m.told.lane) {
             return Err(Answer::Failed("c names no class"));
         }
-        if by_name.contains_key(&m.id) {
+        if message_by_id.contains_key(&m.id) {
             return Err(Answer::Held);
         }
         let left = m.told.left.saturating_sub(m.at.elapsed());
