--- a/crates/relay/src/admin.rs
+++ b/crates/relay/src/admin.rs
@@ -1,7 +1,8 @@
-//! The second address: operators' calls over HTTP/1.1, one a connection. What a call means is decided in
-//! `mountshift_maintenance`; here calls are read, handed over and answered. No answer waits for a round.
+//! The operators' address: maintenance commands over HTTP/1.1, one a connection. What a command means is decided in
+//! `mountshift_maintenance`; here commands are read, handed over and answered. No answer waits for the dispatcher.
 
 use crate::clients::ACCEPT_PAUSE;
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -12,119 +13,179 @@
 };
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Instant;
 
-/// What the second address needs.
-pub struct AdminService {
-    pub maintenance: Rc<RefCell<MaintenanceState>>,
-    /// The relay's start, from which orders count time.
-    pub start: Instant,
-    /// Carries out what a call on_change.
-    pub on_change: Box<dyn Fn(Change)>,
+/// Bytes that one read of a request takes at most.
+const READ_CHUNK_BYTES: usize = 1024;
+/// Header fields of a request at most.
+const MAX_HEADERS: usize = 32;
+
+/// What commands act on.
+pub(crate) struct AdminService {
+    pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
+    /// The relay's start, from which maintenance commands count time.
+    pub(crate) started: Instant,
+    /// Carries out what a command changed.
+    pub(crate) on_change: Box<dyn Fn(Change)>,
+}
+
+/// The open connections by number, each with what lets it go when closed.
+#[derive(Default)]
+struct Callers {
+    open: BTreeMap<u64, Sender<()>>,
+    last_number: u64,
 }
 
-/// Accepts calls for as long as the process runs.
-pub async fn serve(
+impl Callers {
+    /// Adds a connection; gives its number, and what closes when it is to go. Callers that say nothing must not keep
+    /// others out: the one that came first makes room.
+    fn add(&mut self) -> (u64, Receiver<()>) {
+        while self.open.len() >= CALLERS_MOST {
+            if let Some((_, dismiss)) = self.open.pop_first() {
+                dismiss.close();
+            }
+        }
+        self.last_number += 1;
+        let (dismiss, dismissed) = async_channel::bounded(1);
+        self.open.insert(self.last_number, dismiss);
+        (self.last_number, dismissed)
+    }
+
+    fn remove(&mut self, number: u64) {
+        self.open.remove(&number);
+    }
+}
+
+/// Accepts connections for as long as the process runs.
+pub(crate) async fn serve(
     listener: Async<TcpListener>,
     service: Rc<AdminService>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
-    // Callers by number, each with what lets it go.
-    let open: Rc<RefCell<BTreeMap<u64, async_channel::Sender<()>>>> = Rc::default();
-    let mut count = 0u64;
+    let callers: Rc<RefCell<Callers>> = Rc::default();
     loop {
-        let (stream, peer) = match listener.accept().await {
-            Ok(accepted) => accepted,
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let (number, dismissed) = callers.borrow_mut().add();
+                let (service, callers) = (service.clone(), callers.clone());
+                let task = async move {
+                    let answer = service.answer(&stream, dismissed).await;
+                    callers.borrow_mut().remove(number);
+                    respond(&stream, peer, answer).await;
+                };
+                executor.spawn(task).detach();
+            }
             Err(e) => {
                 warn!("mgmt: accept: {e}");
                 Timer::after(ACCEPT_PAUSE).await;
-                continue;
             }
-        };
-        let (service, open) = (service.clone(), open.clone());
-        count += 1;
-        let (number, (go, gone)) = (count, async_channel::bounded::<()>(1));
-        // Guards against callers that say nothing and stay: the one that came first makes room.
-        let mut callers = open.borrow_mut();
-        while callers.len() >= CALLERS_MOST {
-            callers.pop_first().into_iter().for_each(|(_, go)| {
-                go.close();
-            });
         }
-        callers.insert(number, go);
-        drop(callers);
-        let task = async move {
-            let sent_away = async {
-                let _ = gone.recv().await;
-                LATE
-            };
-            let answer = handle_call(&stream, &service).or(sent_away).await;
-            open.borrow_mut().remove(&number);
-            let end = Instant::now() + WRITE_DUE;
-            let write_answer = write_answer(&stream, answer).or(async {
-                Timer::at(end).await;
-                false
-            });
-            let said = if write_answer.await { "answered" } else { "not taken" };
-            info!("mgmt call from {peer}: {} {}, {said}", answer.code, answer.text);
-            let _ = stream.get_ref().shutdown(Shutdown::Both);
-        };
-        executor.spawn(task).detach();
     }
 }
 
-/// Reads a call's head within its time, and takes it.
-async fn handle_call(stream: &Async<TcpStream>, service: &AdminService) -> Answer {
-    let due = Instant::now() + HEAD_DUE;
-    let head = read_head(stream).or(async {
-        Timer::at(due).await;
-        Err(LATE)
-    });
-    let (method, target) = match head.await {
-        Ok(head) => head,
-        Err(answer) => return answer,
-    };
-    let call = match call(&method, &target) {
-        Ok(call) => call,
-        Err(answer) => return answer,
-    };
-    let now = service.start.elapsed();
-    let (answer, change) = service.maintenance.borrow_mut().take(call, now);
-    if change != Change::None {
-        info!("mgmt: {method} {target}: {change:?}");
-        (service.on_change)(change);
+impl AdminService {
+    /// The answer to a connection's command, or to a connection that has to go before it brought one.
+    async fn answer(&self, stream: &Async<TcpStream>, dismissed: Receiver<()>) -> Answer {
+        let sent_away = async {
+            let _ = dismissed.recv().await;
+            LATE
+        };
+        self.handle_command(stream).or(sent_away).await
+    }
+
+    /// Reads a request's head within its time, and carries the command out.
+    async fn handle_command(&self, stream: &Async<TcpStream>) -> Answer {
+        let due = Instant::now() + HEAD_DUE;
+        let too_late = async {
+            Timer::at(due).await;
+            Err(LATE)
+        };
+        let head = match read_head(stream).or(too_late).await {
+            Ok(head) => head,
+            Err(answer) => return answer,
+        };
+        let command = match call(&head.method, &head.target) {
+            Ok(command) => command,
+            Err(answer) => return answer,
+        };
+        let now = self.started.elapsed();
+        let (answer, change) = self.maintenance.borrow_mut().take(command, now);
+        if change != Change::None {
+            info!("mgmt: {} {}: {change:?}", head.method, head.target);
+            (self.on_change)(change);
+        }
+        answer
     }
-    answer
 }
 
-/// The method and target of a whole head; a 4xx answer for what is not HTTP or too large.
-async fn read_head(mut stream: &Async<TcpStream>) -> Result<(String, String), Answer> {
+/// What a request's head says.
+struct RequestHead {
+    method: String,
+    target: String,
+}
+
+/// Reads a whole head; a 4xx answer for what is not HTTP or too large.
+async fn read_head(mut stream: &Async<TcpStream>) -> Result<RequestHead, Answer> {
     let mut buffer = Vec::new();
-    let mut chunk = [0; 1024];
+    let mut chunk = [0; READ_CHUNK_BYTES];
     loop {
-        let n = stream.read(&mut chunk).await.map_err(|_| CUT_SHORT)?;
-        if n == 0 {
+        let count = stream.read(&mut chunk).await.map_err(|_| CUT_SHORT)?;
+        if count == 0 {
             return Err(CUT_SHORT);
         }
-        buffer.extend(&chunk[..n]);
-        let mut headers = [httparse::EMPTY_HEADER; 32];
-        let mut request = httparse::Request::new(&mut headers);
-        match request.parse(&buffer) {
-            Ok(httparse::Status::Complete(_)) => {
-                let method = request.method.unwrap_or_default().to_string();
-                return Ok((method, request.path.unwrap_or_default().to_string()));
-            }
-            Ok(httparse::Status::Partial) if buffer.len() <= HEAD_MOST => {}
-            Ok(httparse::Status::Partial) => return Err(TOO_LARGE),
-            Err(_) => return Err(NOT_HTTP),
+        buffer.extend(&chunk[..count]);
+        if let Some(head) = parse_head(&buffer)? {
+            return Ok(head);
+        }
+        if buffer.len() > HEAD_MOST {
+            return Err(TOO_LARGE);
         }
     }
 }
 
+/// The head at the beginning of the bytes; none while it is not whole.
+fn parse_head(bytes: &[u8]) -> Result<Option<RequestHead>, Answer> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(bytes) {
+        Ok(httparse::Status::Complete(_)) => Ok(Some(RequestHead {
+            method: request.method.unwrap_or_default().to_string(),
+            target: request.path.unwrap_or_default().to_string(),
+        })),
+        Ok(httparse::Status::Partial) => Ok(None),
+        Err(_) => Err(NOT_HTTP),
+    }
+}
+
+/// Writes the answer within its time, and closes the connection.
+async fn respond(stream: &Async<TcpStream>, peer: SocketAddr, answer: Answer) {
+    let due = Instant::now() + WRITE_DUE;
+    let too_late = async {
+        Timer::at(due).await;
+        false
+    };
+    let is_written = write_answer(stream, answer).or(too_late).await;
+    let how = if is_written { "answered" } else { "not taken" };
+    info!("mgmt call from {peer}: {} {}, {how}", answer.code, answer.text);
+    let _ = stream.get_ref().shutdown(Shutdown::Both);
+}
+
+/// True if the whole answer was written.
 async fn write_answer(mut stream: &Async<TcpStream>, answer: Answer) -> bool {
-    let reason = match answer.code {
+    let body = format!("{}\n", answer.text);
+    let text = format!(
+        "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        answer.code,
+        reason_phrase(answer.code),
+        body.len()
+    );
+    stream.write_all(text.as_bytes()).await.is_ok()
+}
+
+fn reason_phrase(code: u16) -> &'static str {
+    match code {
         200 => "OK",
         400 => "Bad Request",
         404 => "Not Found",
@@ -132,12 +193,5 @@
         408 => "Request Timeout",
         431 => "Request Header Fields Too Large",
         _ => "Service Unavailable",
-    };
-    let body = format!("{}\n", answer.text);
-    let text = format!(
-        "HTTP/1.1 {} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
-        answer.code,
-        body.len()
-    );
-    stream.write_all(text.as_bytes()).await.is_ok()
+    }
 }
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -1,4 +1,4 @@
-//! Follows the list of endpoints: one call after the other, each waiting for what is newer.
+//! Follows discovery's endpoint list: one poll after the other, each waiting for what is newer than the list held.
 
 use crate::http::{Connection, ask, request};
 use async_channel::Receiver;
@@ -10,44 +10,50 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// An entry of the list, as told.
+const STATUS_OK: u16 = 200;
+/// A `Retry-After` beyond this would not fit a span; it is cut to what the schedule allows anyway.
+const MAX_RETRY_AFTER_SECONDS: f64 = 1e6;
+
+/// An endpoint as the list describes it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct EndpointEntry {
-    pub id: String,
-    pub address: SocketAddr,
-    pub zone: String,
-    pub kind: String,
-    pub dst: u32,
-    pub phase: Phase,
-    pub size: f64,
+pub(crate) struct EndpointEntry {
+    pub(crate) id: String,
+    pub(crate) address: SocketAddr,
+    pub(crate) zone: String,
+    pub(crate) kind: String,
+    pub(crate) dst: u32,
+    pub(crate) phase: Phase,
+    pub(crate) size: f64,
     /// When it last started, Unix milliseconds; 0 for long ago.
-    pub up_since_ms: u64,
+    pub(crate) up_since_ms: u64,
 }
 
-/// The list or its changes.
+/// The endpoint list, or an update to it.
 #[derive(Clone, Debug, PartialEq)]
-pub struct EndpointList {
+pub(crate) struct EndpointList {
     /// Who counts the revisions.
-    pub source: SocketAddr,
-    pub revision: u64,
-    pub whole: bool,
-    pub members: Vec<EndpointEntry>,
+    pub(crate) source: SocketAddr,
+    pub(crate) revision: u64,
+    /// True for a full list, false for an update.
+    pub(crate) is_full: bool,
+    pub(crate) entries: Vec<EndpointEntry>,
 }
 
-/// Reads a list; entries that can't be read are left out with a log line.
-pub fn members(json: &Value, source: SocketAddr) -> Option<EndpointList> {
-    let mut members = Vec::new();
-    for entry in json["members"].as_array()? {
-        match member(entry) {
-            Some(member) => members.push(member),
-            None => warn!("discovery: an entry can't be read: {entry}"),
+/// Reads a list; entries that can't be read are left out with a log line. None if it is no list.
+pub(crate) fn parse_list(json: &Value, source: SocketAddr) -> Option<EndpointList> {
+    let mut entries = Vec::new();
+    for member in json["members"].as_array()? {
+        match parse_entry(member) {
+            Some(entry) => entries.push(entry),
+            None => warn!("discovery: an entry can't be read: {member}"),
         }
     }
-    let (revision, whole) = (json["revision"].as_u64()?, json["complete"].as_bool()?);
-    Some(EndpointList { source, revision, whole, members })
+    let revision = json["revision"].as_u64()?;
+    let is_full = json["complete"].as_bool()?;
+    Some(EndpointList { source, revision, is_full, entries })
 }
 
-fn member(json: &Value) -> Option<EndpointEntry> {
+fn parse_entry(json: &Value) -> Option<EndpointEntry> {
     let text = |field: &str| json[field].as_str();
     let phase = match text("phase")? {
         "Ready" => Phase::Ready,
@@ -66,105 +72,181 @@
     })
 }
 
-/// How lists are asked for.
-pub struct DiscoveryClient {
-    pub at: SocketAddr,
-    /// Tells of another address to ask at from now on.
-    pub moved: Receiver<SocketAddr>,
-    pub revision: Option<u64>,
-    /// Tells when to ask, where the decisions do that.
-    pub asked: Option<Receiver<()>>,
-    /// Bytes of a list at most.
-    pub most: usize,
-    /// Spreads the pauses after failed calls.
-    pub chance: Jitter,
-    /// How long a call may wait, and when it is given up.
-    pub terms: PollSchedule,
-    /// Discovery has answered since the start, or since it moved.
-    pub heard: bool,
+/// Why a poll brought no list.
+#[derive(Debug, thiserror::Error)]
+enum PollError {
+    #[error("{0}")]
+    NoAnswer(String),
+    #[error("status {status}")]
+    Status { status: u16, retry_after: Option<Duration> },
+    #[error(transparent)]
+    Json(#[from] serde_json::Error),
+    #[error("the list can't be read")]
+    NotAList,
+}
+
+impl PollError {
+    /// The `Retry-After` that discovery told.
+    fn retry_after(&self) -> Option<Duration> {
+        if let PollError::Status { retry_after, .. } = self { *retry_after } else { None }
+    }
+}
+
+/// What a poll waited for.
+enum PollEnd {
+    Answered(Result<EndpointList, PollError>),
+    /// Discovery is at another address from now on.
+    Moved(SocketAddr),
+}
+
+/// What the client is configured with.
+pub(crate) struct DiscoveryOptions {
+    pub(crate) address: SocketAddr,
+    /// Tells of another address to poll from now on.
+    pub(crate) moves: Receiver<SocketAddr>,
+    /// The revision of the list held at the start.
+    pub(crate) revision: Option<u64>,
+    /// Where the decisions say when to poll: their requests.
+    pub(crate) poll_requests: Option<Receiver<()>>,
+    pub(crate) max_list_bytes: usize,
+    /// Spreads the pauses after failed polls.
+    pub(crate) jitter: Jitter,
+    /// How long a poll may wait, and when it is given up.
+    pub(crate) schedule: PollSchedule,
+}
+
+/// Polls discovery.
+pub(crate) struct DiscoveryClient {
+    options: DiscoveryOptions,
+    connection: Option<Connection>,
+    consecutive_failures: u32,
+    retry_after: Option<Duration>,
+    /// Discovery has answered the last poll at this address.
+    has_answered: bool,
+    /// The first poll waits for a request, where the decisions make any.
+    is_first: bool,
 }
 
 impl DiscoveryClient {
-    /// Runs for good. After a failed call the next one starts by itself, or once asked for where the
-    /// decisions ask for the list. Tells every list, or the wait told, if any, for a call that failed.
-    pub async fn run(mut self, tell: impl Fn(Result<EndpointList, Option<Duration>>)) {
-        let (mut connection, mut failures, mut start) = (None, 0, self.asked.is_some());
-        let mut told_wait = None;
+    pub(crate) fn new(options: DiscoveryOptions) -> DiscoveryClient {
+        DiscoveryClient {
+            is_first: options.poll_requests.is_some(),
+            options,
+            connection: None,
+            consecutive_failures: 0,
+            retry_after: None,
+            has_answered: false,
+        }
+    }
+
+    /// Runs to the end of the process. After a failed poll the next one starts by itself, or once asked for where
+    /// the decisions say when to poll. `on_result` hears of every list, and of the `Retry-After`, if any, of every
+    /// failed poll.
+    pub(crate) async fn run(mut self, on_result: impl Fn(Result<EndpointList, Option<Duration>>)) {
         loop {
-            // Guards against an end of the watch while the relay still sends: nobody moves it any more once the
-            // relay is told to stop, and what is told from then on binds as before (rule 3).
-            let moved = async {
-                let Ok(to) = self.moved.recv().await else { return std::future::pending().await };
-                to
-            };
-            // Guards against a fleet that fails at one moment and keeps the agent full by asking together.
-            let pause = self.terms.retry_pause(failures, told_wait, self.chance.draw());
-            let next = async {
-                if start || failures > 0 {
-                    match &self.asked {
-                        Some(asked) => drop(asked.recv().await),
-                        None => drop(Timer::after(pause).await),
-                    }
+            match self.poll_unless_moved().await {
+                PollEnd::Moved(address) => self.on_moved(address),
+                PollEnd::Answered(Ok(list)) => {
+                    self.on_list(&list);
+                    on_result(Ok(list));
                 }
-                self.call(&mut connection).await
-            };
-            // Guards against a watch that waits at an address that is no longer told anything. What is told
-            // at the new one is asked for at once, and whole: its revisions may be counted anew.
-            let told = match async { Err(moved.await) }.or(async { Ok(next.await) }).await {
-                Err(at) => {
-                    (self.at, self.revision, self.heard) = (at, None, false);
-                    (connection, failures, start) = (None, 0, false);
-                    continue;
-                }
-                Ok(told) => told,
-            };
-            start = false;
-            match told {
-                Ok(list) => {
-                    let level =
-                        if list.whole || !list.members.is_empty() { Level::Info } else { Level::Debug };
-                    log!(
-                        level,
-                        "list {}: {} entries, whole: {}",
-                        list.revision,
-                        list.members.len(),
-                        list.whole
-                    );
-                    (self.revision, failures, self.heard) = (Some(list.revision), 0, true);
-                    tell(Ok(list));
-                }
-                Err((what, wait)) => {
-                    // Told once, or an outage would fill the log.
-                    if failures == 0 {
-                        warn!("discovery: {what}");
-                    }
-                    // What changed meanwhile is asked for at once: guards against a wait added to one that was silent.
-                    (connection, failures, told_wait, self.heard) = (None, failures + 1, wait, false);
-                    tell(Err(wait));
+                PollEnd::Answered(Err(e)) => {
+                    self.on_failure(&e);
+                    on_result(Err(e.retry_after()));
                 }
             }
         }
     }
 
-    /// The list or its changes; else why not, with a wait that discovery told.
-    async fn call(
-        &self,
-        connection: &mut Option<Connection>,
-    ) -> Result<EndpointList, (String, Option<Duration>)> {
-        // The list held at first, or before a failed call, may be old: what changed since is asked for at once.
-        let (wait, within) = self.terms.poll_timeouts(self.heard && self.revision.is_some());
-        let path = match self.revision {
-            Some(n) => format!("/catalog/members?index={n}&wait={}", wait.as_millis().max(1)),
+    /// A poll that waits at an address where nothing is told any more is given up. Once the sender of moves is gone
+    /// the poll goes on all the same: the relay still sends then, and what it is told binds as before (rule 3).
+    async fn poll_unless_moved(&mut self) -> PollEnd {
+        let moves = self.options.moves.clone();
+        let moved = async {
+            match moves.recv().await {
+                Ok(address) => PollEnd::Moved(address),
+                Err(_) => std::future::pending().await,
+            }
+        };
+        // With jitter, or a fleet that failed at one moment would keep discovery full by polling together.
+        let draw = self.options.jitter.draw();
+        let pause = self.options.schedule.retry_pause(self.consecutive_failures, self.retry_after, draw);
+        let polled = async {
+            self.wait_for_turn(pause).await;
+            PollEnd::Answered(self.poll().await)
+        };
+        moved.or(polled).await
+    }
+
+    async fn wait_for_turn(&self, pause: Duration) {
+        if !self.is_first && self.consecutive_failures == 0 {
+            return;
+        }
+        match &self.options.poll_requests {
+            Some(requests) => {
+                let _ = requests.recv().await;
+            }
+            None => {
+                Timer::after(pause).await;
+            }
+        }
+    }
+
+    async fn poll(&mut self) -> Result<EndpointList, PollError> {
+        let address = self.options.address;
+        // The list held at first, or before a failed poll, may be old: what changed since is asked for at once.
+        let may_wait = self.has_answered && self.options.revision.is_some();
+        let (wait, timeout) = self.options.schedule.poll_timeouts(may_wait);
+        let path = match self.options.revision {
+            Some(revision) => {
+                format!("/catalog/members?index={revision}&wait={}", wait.as_millis().max(1))
+            }
             None => "/catalog/members".to_string(),
         };
-        let bytes = request("GET", &path, &self.at.to_string(), &[], &[]);
-        let asked = ask(connection, self.at, "discovery", &bytes, self.most, within).await;
-        let answer = asked.map_err(|e| (e, None))?;
-        if answer.status != 200 {
-            let wait = answer.retry_after.map(|s| Duration::from_secs_f64(s.min(1e6)));
-            return Err((format!("status {}", answer.status), wait));
+        let bytes = request("GET", &path, &address.to_string(), &[], &[]);
+        let max_bytes = self.options.max_list_bytes;
+        let answer = ask(&mut self.connection, address, "discovery", &bytes, max_bytes, timeout)
+            .await
+            .map_err(|e| PollError::NoAnswer(e.to_string()))?;
+        if answer.status != STATUS_OK {
+            let retry_after =
+                answer.retry_after.map(|s| Duration::from_secs_f64(s.min(MAX_RETRY_AFTER_SECONDS)));
+            return Err(PollError::Status { status: answer.status, retry_after });
+        }
+        let json: Value = serde_json::from_slice(&answer.body)?;
+        parse_list(&json, address).ok_or(PollError::NotAList)
+    }
+
+    /// The new address is polled at once, and for the full list: its revisions may be counted anew.
+    fn on_moved(&mut self, address: SocketAddr) {
+        self.options.address = address;
+        self.options.revision = None;
+        self.has_answered = false;
+        self.connection = None;
+        self.consecutive_failures = 0;
+        self.is_first = false;
+    }
+
+    fn on_list(&mut self, list: &EndpointList) {
+        let brings_news = list.is_full || !list.entries.is_empty();
+        let level = if brings_news { Level::Info } else { Level::Debug };
+        log!(level, "list {}: {} entries, whole: {}", list.revision, list.entries.len(), list.is_full);
+        self.options.revision = Some(list.revision);
+        self.consecutive_failures = 0;
+        self.has_answered = true;
+        self.is_first = false;
+    }
+
+    fn on_failure(&mut self, error: &PollError) {
+        // Logged once, or an outage would fill the log.
+        if self.consecutive_failures == 0 {
+            warn!("discovery: {error}");
         }
-        let json: Value = serde_json::from_slice(&answer.body).map_err(|e| (e.to_string(), None))?;
-        members(&json, self.at).ok_or_else(|| ("the list can't be read".to_string(), None))
+        self.connection = None;
+        self.consecutive_failures += 1;
+        self.retry_after = error.retry_after();
+        // What changed meanwhile is asked for at once: else the next wait would add to the time without news.
+        self.has_answered = false;
+        self.is_first = false;
     }
 }
--- a/crates/relay/src/dispatch/actions.rs
+++ b/crates/relay/src/dispatch/actions.rs
@@ -4,8 +4,7 @@
 use super::state::DispatcherState;
 use crate::clients::Answer;
 use crate::endpoints::{End, Stage};
-use crate::state_files::replace_file;
-use log::{debug, error, info};
+use log::{debug, info};
 use mountshift::interface::*;
 use mountshift_handover::{RouteRecord, Snapshot};
 use mountshift_spool::FinalOutcome;
@@ -84,8 +83,6 @@
         debug!("carry at {}: {routes:?}", self.clock.unix_ms(self.now));
         let now = self.clock.unix_ms(self.now);
         let snapshot = Snapshot { format: mountshift_handover::FORMAT, written_ms: now, routes };
-        if let Err(e) = replace_file(&self.snapshot_file, &snapshot.written()) {
-            error!("{}: {e}", self.snapshot_file.display());
-        }
+        self.files.write_snapshot(&snapshot);
     }
 }
--- a/crates/relay/src/dispatch/endpoint_list.rs
+++ b/crates/relay/src/dispatch/endpoint_list.rs
@@ -2,8 +2,7 @@
 
 use super::state::DispatcherState;
 use crate::discovery::{EndpointEntry, EndpointList};
-use crate::state_files::{replace_file, write_maintenance};
-use log::{error, info};
+use log::info;
 use mountshift::interface::*;
 use mountshift_discovery::{ListEntry, ListHeader};
 use mountshift_maintenance::Change;
@@ -11,10 +10,10 @@
 impl DispatcherState {
     pub(super) fn on_endpoint_list(&mut self, mut list: EndpointList, inputs: &mut Vec<Input>) {
         self.apply_drain_record(&mut list);
-        if list.whole {
+        if list.is_full {
             inputs.push(Input::FullListBegins);
         }
-        for member in &list.members {
+        for member in &list.entries {
             self.maintenance.borrow_mut().listed(&member.id);
             let (id, says, moved) = self.endpoints.learn(member);
             let says = self.status_under_maintenance(&member.id, says);
@@ -39,11 +38,11 @@
     fn apply_drain_record(&mut self, list: &mut EndpointList) {
         let source = list.source.to_string();
         let now_ms = self.clock.unix_ms(self.now);
-        let head = ListHeader { source: &source, revision: list.revision, whole: list.whole, now_ms };
+        let head = ListHeader { source: &source, revision: list.revision, whole: list.is_full, now_ms };
         fn entry(m: &EndpointEntry) -> ListEntry<'_> {
             ListEntry { id: &m.id, phase: m.phase, up_since_ms: m.up_since_ms }
         }
-        let entries: Vec<ListEntry> = list.members.iter().map(entry).collect();
+        let entries: Vec<ListEntry> = list.entries.iter().map(entry).collect();
         let (phases, old) = self.drain_record.take(&head, &entries);
         if old > 0 {
             info!(
@@ -51,11 +50,8 @@
                 list.revision
             );
         }
-        list.members.iter_mut().zip(phases).for_each(|(m, phase)| m.phase = phase);
-        let Some(text) = self.drain_record.written(self.drain_record_max_bytes) else { return };
-        if let Err(e) = replace_file(&self.drain_record_file, &text) {
-            error!("{}: {e}", self.drain_record_file.display());
-        }
+        list.entries.iter_mut().zip(phases).for_each(|(m, phase)| m.phase = phase);
+        self.files.write_drain_record(&mut self.drain_record);
     }
 
     /// An endpoint out by hand is draining for this relay, whatever the list says (rule 3).
@@ -69,7 +65,7 @@
 
     pub(super) fn on_maintenance_changed(&mut self, change: Change, inputs: &mut Vec<Input>) {
         let (Change::EndpointOut(name) | Change::EndpointBack(name)) = &change else { return };
-        write_maintenance(&self.maintenance_file, &self.maintenance.borrow());
+        self.files.write_maintenance(&self.maintenance.borrow());
         // Guards against an endpoint that the decisions forgot while it was out: put back, it is known again.
         let known = self.endpoints.id_of(name);
         let revived = known.is_none() && matches!(change, Change::EndpointBack(_));
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -11,7 +11,8 @@
 
 /// What came in.
 pub enum Event {
-    MessageReceived(HandedIn, Sender<Answer>),
+    /// A client submitted a message; it waits for the answer.
+    MessageReceived { message: HandedIn, reply_to: Sender<Answer> },
     /// A client did not hear that its message was taken on.
     ClientUnreachable(MessageId),
     /// Messages of a call have ended.
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -14,7 +14,9 @@
     /// Takes an event in; what the decisions must know goes into `inputs`.
     pub(super) fn handle(&mut self, event: Event, inputs: &mut Vec<Input>) {
         match event {
-            Event::MessageReceived(message, reply_to) => self.on_message_received(message, reply_to, inputs),
+            Event::MessageReceived { message, reply_to } => {
+                self.on_message_received(message, reply_to, inputs)
+            }
             // Its client will hand it in again: it is nobody's any more.
             Event::ClientUnreachable(message) => self.close_message(message, inputs),
             Event::AttemptsEnded(call, ends) => {
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 use crate::discovery::EndpointList;
 use crate::endpoints::{Endpoints, Idle};
 use crate::notifications::Notification;
+use crate::state_files::StateFiles;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Timer;
@@ -30,7 +31,6 @@
 use state::DispatcherState;
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -45,7 +45,7 @@
     pub policy_settings: PolicySettings,
     pub socket_settings: SocketSettings,
     pub spool: Spool,
-    pub known: Option<EndpointList>,
+    pub initial_list: Option<EndpointList>,
     pub max_idle_connections: usize,
     pub executor: Rc<LocalExecutor<'static>>,
     pub events: (Sender<Event>, Receiver<Event>),
@@ -53,18 +53,15 @@
     pub poll_requests: Sender<()>,
     /// Client connections open now, and closed once clients are to go.
     pub client_connections: Rc<Cell<usize>>,
-    pub clients_leaving: Receiver<()>,
+    pub clients_leave: Receiver<()>,
     /// Closed shortly before the end: clients hear what they are owed, nothing more is read.
     pub clients_end: Sender<()>,
     pub maintenance: Rc<RefCell<MaintenanceState>>,
-    pub maintenance_file: PathBuf,
-    /// What an earlier process left, and where this one writes it down.
+    /// What an earlier process left of its routes.
     pub snapshot: Option<Snapshot>,
-    pub snapshot_file: PathBuf,
     /// Endpoints told as leaving, to an earlier process too.
     pub drain_record: DrainRecord,
-    pub drain_record_file: PathBuf,
-    pub drain_record_max_bytes: usize,
+    pub files: StateFiles,
 }
 
 pub struct Dispatcher {
@@ -73,7 +70,7 @@
     events: Receiver<Event>,
     stopping: Option<(Instant, StopPlan)>,
     client_connections: Rc<Cell<usize>>,
-    clients_leaving: Receiver<()>,
+    clients_leave: Receiver<()>,
     clients_end: Sender<()>,
 }
 
@@ -112,11 +109,8 @@
             next_wake: None,
             spool_full_logged: false,
             maintenance: dependencies.maintenance,
-            maintenance_file: dependencies.maintenance_file,
-            snapshot_file: dependencies.snapshot_file,
             drain_record: dependencies.drain_record,
-            drain_record_file: dependencies.drain_record_file,
-            drain_record_max_bytes: dependencies.drain_record_max_bytes,
+            files: dependencies.files,
         };
         let policy = DeliveryPolicy::new(dependencies.policy_settings);
         let mut dispatcher = Dispatcher {
@@ -125,11 +119,14 @@
             events: dependencies.events.1,
             stopping: None,
             client_connections: dependencies.client_connections,
-            clients_leaving: dependencies.clients_leaving,
+            clients_leave: dependencies.clients_leave,
             clients_end: dependencies.clients_end,
         };
         let mut inputs = Vec::new();
-        dependencies.known.into_iter().for_each(|list| dispatcher.state.on_endpoint_list(list, &mut inputs));
+        dependencies
+            .initial_list
+            .into_iter()
+            .for_each(|list| dispatcher.state.on_endpoint_list(list, &mut inputs));
         inputs.push(Input::ListMayBeStale);
         dependencies
             .snapshot
@@ -200,7 +197,7 @@
                 self.state.reachability_questions.clear();
             }
             if self.stopping.is_some() {
-                let clients_gone = self.clients_leaving.is_closed() && self.client_connections.get() == 0;
+                let clients_gone = self.clients_leave.is_closed() && self.client_connections.get() == 0;
                 let kept = self.state.spool.borrow().messages().len();
                 let left = how.hands_over || stopped >= how.send_for || kept == 0;
                 let done = clients_gone && self.state.calls_in_flight.is_empty() && left;
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::endpoints::{Endpoints, Idle, Stage};
 use crate::notifications::Notification;
+use crate::state_files::StateFiles;
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use log::debug;
@@ -16,7 +17,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -66,14 +66,9 @@
     /// The spool had no room for the last message.
     pub(super) spool_full_logged: bool,
     pub(super) maintenance: Rc<RefCell<MaintenanceState>>,
-    /// Where the endpoints out by hand are written down.
-    pub(super) maintenance_file: PathBuf,
-    /// Where what outlives the process is written down for the next one.
-    pub(super) snapshot_file: PathBuf,
-    /// Endpoints told as leaving, where that is written down, and in how many bytes at most.
+    /// Endpoints told as leaving.
     pub(super) drain_record: DrainRecord,
-    pub(super) drain_record_file: PathBuf,
-    pub(super) drain_record_max_bytes: usize,
+    pub(super) files: StateFiles,
 }
 
 impl DispatcherState {
--- a/crates/relay/src/error.rs
+++ b/crates/relay/src/error.rs
@@ -1,17 +1,62 @@
-//! Why the relay does not start.
+//! Why the relay did not start.
 
-/// Why the relay did not start, and its exit code: 2 for bad input, 1 else.
-pub(crate) struct StartError {
-    pub(crate) code: u8,
-    pub(crate) what: String,
+use crate::startup::config::ConfigError;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// The exit code for bad input: the operator has to change the configuration or the environment.
+const BAD_INPUT: u8 = 2;
+/// The exit code for everything else that keeps the relay from starting.
+const FAILURE: u8 = 1;
+
+/// Why the relay did not start. Displayed, each is one plain line.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum StartError {
+    /// The configuration can't be used.
+    #[error(transparent)]
+    Config(#[from] ConfigError),
+    /// The inherited descriptor is no listening socket.
+    #[error("descriptor {descriptor}: {source}")]
+    InheritedListener { descriptor: i32, source: io::Error },
+    /// The environment does not pass the descriptor on to this program.
+    #[error("descriptor {descriptor} is not named to the program (LISTEN_FDS, LISTEN_FDS_FIRST_FD)")]
+    ListenerNotInherited { descriptor: i32 },
+    /// Signals can't be received.
+    #[error("signals: {0}")]
+    Signals(#[source] io::Error),
+    /// The clients' address can't be listened on.
+    #[error("{address}: {source}")]
+    Listen { address: SocketAddr, source: io::Error },
+    /// The operators' address can't be listened on.
+    #[error("mgmt {address}: {source}")]
+    AdminListen { address: SocketAddr, source: io::Error },
+    /// A file or folder of the relay's state can't be used.
+    #[error("{}: {source}", path.display())]
+    State { path: PathBuf, source: io::Error },
+    /// Two other processes run on the state folder.
+    #[error("{}: {reason}", path.display())]
+    StateDirInUse { path: PathBuf, reason: String },
+    /// The merged spool can't be written.
+    #[error("spool: {0}")]
+    MergeSpools(#[source] io::Error),
 }
 
 impl StartError {
-    pub(crate) fn failure(what: String) -> StartError {
-        StartError { code: 1, what }
-    }
-
-    pub(crate) fn bad_input(what: String) -> StartError {
-        StartError { code: 2, what }
+    /// The process's exit code.
+    pub(crate) fn exit_code(&self) -> ExitCode {
+        let code = match self {
+            StartError::Config(_)
+            | StartError::InheritedListener { .. }
+            | StartError::ListenerNotInherited { .. } => BAD_INPUT,
+            StartError::Signals(_)
+            | StartError::Listen { .. }
+            | StartError::AdminListen { .. }
+            | StartError::State { .. }
+            | StartError::StateDirInUse { .. }
+            | StartError::MergeSpools(_) => FAILURE,
+        };
+        ExitCode::from(code)
     }
 }
--- a/crates/relay/src/notifications.rs
+++ b/crates/relay/src/notifications.rs
@@ -1,4 +1,4 @@
-//! Tells the platform of ends that are no delivery, again until each is taken.
+//! Notifications of final outcomes that are no delivery: sent to the platform, again until each is taken.
 
 use crate::http::{Connection, ask, request};
 use async_channel::Receiver;
@@ -11,21 +11,29 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-const ANSWER_MOST: usize = 64 * 1024;
+/// Bytes of an answer at most; the platform's are empty.
+const MAX_ANSWER_BYTES: usize = 64 * 1024;
 /// An answer that has not come by then will not come.
-const LATE: Duration = Duration::from_millis(1_000);
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Between a call that failed and the next one.
-const PAUSE: Duration = Duration::from_millis(50);
-/// Notices in one call at most.
-const MANY: usize = 500;
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Notifications in one call at most.
+const MAX_BATCH: usize = 500;
+/// The platform took the whole call.
+const STATUS_TAKEN: u16 = 204;
+/// The platform can't read a notification of the call.
+const STATUS_UNREADABLE: u16 = 400;
 
-pub struct Notification {
-    pub message: MessageId,
-    pub id: Vec<u8>,
-    pub outcome: FinalOutcome,
+/// The final outcome of a message, for the platform.
+pub(crate) struct Notification {
+    pub(crate) message: MessageId,
+    /// The id that the client gave the message.
+    pub(crate) id: Vec<u8>,
+    pub(crate) outcome: FinalOutcome,
 }
 
 impl Notification {
+    /// The line that tells it on the wire.
     fn line(&self) -> String {
         let id = String::from_utf8_lossy(&self.id);
         let line = match self.outcome {
@@ -37,62 +45,120 @@
     }
 }
 
-/// Runs for good; `taken` hears of every notice that the platform took, `moved` tells of another address.
-pub async fn deliver(
-    mut at: SocketAddr,
-    moved: Receiver<SocketAddr>,
+/// The status of the platform's answer, or why there is none.
+type CallResult = Result<u16, String>;
+
+/// How a call ended.
+enum CallEnd {
+    Answered(CallResult),
+    /// The platform is at another address from now on; the call was given up.
+    Moved(SocketAddr),
+}
+
+/// Sends notifications to the platform.
+pub(crate) struct Notifier {
+    address: SocketAddr,
+    /// Tells of another address from now on.
+    moves: Receiver<SocketAddr>,
     queue: Receiver<Notification>,
-    taken: impl Fn(Vec<MessageId>),
-) {
-    let (mut waiting, mut connection, mut failures) = (Vec::new(), None, 0);
-    // After a 400 notices go one by one: one that can't be read must not hold the others back.
-    let mut together = MANY;
-    loop {
-        if waiting.is_empty() {
-            let Ok(first) = queue.recv().await else { return };
-            waiting.push(first);
+    /// Taken off the queue, and not taken by the platform yet.
+    waiting: Vec<Notification>,
+    connection: Option<Connection>,
+    consecutive_failures: u32,
+    /// Notifications in the next call at most. After a 400 they go one by one, so that one that can't be read does
+    /// not hold the others back.
+    batch_limit: usize,
+}
+
+impl Notifier {
+    pub(crate) fn new(
+        address: SocketAddr,
+        moves: Receiver<SocketAddr>,
+        queue: Receiver<Notification>,
+    ) -> Notifier {
+        Notifier {
+            address,
+            moves,
+            queue,
+            waiting: Vec::new(),
+            connection: None,
+            consecutive_failures: 0,
+            batch_limit: MAX_BATCH,
         }
-        waiting.extend(std::iter::from_fn(|| queue.try_recv().ok()));
-        if let Ok(to) = moved.try_recv() {
-            (at, connection) = (to, None);
+    }
+
+    /// Runs until the queue is closed; `on_taken` hears of every notification that the platform took.
+    pub(crate) async fn run(mut self, on_taken: impl Fn(Vec<MessageId>)) {
+        while let Some(batch) = self.next_batch().await {
+            match self.call_unless_moved(&batch).await {
+                CallEnd::Moved(address) => {
+                    // What has no answer yet goes to the new address, before all else.
+                    self.move_to(address);
+                    self.waiting.splice(0..0, batch);
+                }
+                CallEnd::Answered(Ok(STATUS_TAKEN)) => {
+                    on_taken(batch.iter().map(|notification| notification.message).collect());
+                    self.batch_limit = MAX_BATCH.min(self.batch_limit * 2);
+                    self.consecutive_failures = 0;
+                }
+                CallEnd::Answered(result) => self.on_not_taken(batch, result).await,
+            }
         }
-        let part: Vec<Notification> = waiting.drain(..waiting.len().min(together)).collect();
-        let left = async {
-            let Ok(to) = moved.recv().await else { return std::future::pending().await };
-            Err(to)
-        };
-        let status = match async { Ok(call(at, &part, &mut connection).await) }.or(left).await {
-            Ok(status) => status,
-            // Guards against notices lost with an address: what has no answer yet goes to the new one.
-            Err(to) => {
-                (at, connection) = (to, None);
-                waiting.splice(0..0, part);
-                continue;
+    }
+
+    /// What goes into the next call; none once the queue is closed.
+    async fn next_batch(&mut self) -> Option<Vec<Notification>> {
+        if self.waiting.is_empty() {
+            self.waiting.push(self.queue.recv().await.ok()?);
+        }
+        while let Ok(notification) = self.queue.try_recv() {
+            self.waiting.push(notification);
+        }
+        if let Ok(address) = self.moves.try_recv() {
+            self.move_to(address);
+        }
+        let size = self.waiting.len().min(self.batch_limit);
+        Some(self.waiting.drain(..size).collect())
+    }
+
+    fn move_to(&mut self, address: SocketAddr) {
+        self.address = address;
+        self.connection = None;
+    }
+
+    async fn call_unless_moved(&mut self, batch: &[Notification]) -> CallEnd {
+        let moves = self.moves.clone();
+        let moved = async {
+            match moves.recv().await {
+                Ok(address) => CallEnd::Moved(address),
+                Err(_) => std::future::pending().await,
             }
         };
-        if status == Ok(204) {
-            taken(part.iter().map(|n| n.message).collect());
-            (together, failures) = (MANY.min(together * 2), 0);
-            continue;
+        async { CallEnd::Answered(self.call(batch).await) }.or(moved).await
+    }
+
+    async fn call(&mut self, batch: &[Notification]) -> CallResult {
+        let body: String = batch.iter().map(Notification::line).collect();
+        let bytes = request("POST", "/status", &self.address.to_string(), &[], body.as_bytes());
+        let answer =
+            ask(&mut self.connection, self.address, "notices", &bytes, MAX_ANSWER_BYTES, ANSWER_TIMEOUT)
+                .await;
+        answer.map(|answer| answer.status).map_err(|e| e.to_string())
+    }
+
+    async fn on_not_taken(&mut self, batch: Vec<Notification>, result: CallResult) {
+        // Logged once, or an outage would fill the log.
+        if self.consecutive_failures == 0 {
+            warn!("notices: {} of them not taken: {result:?}", batch.len());
         }
-        // Told once, or an outage would fill the log.
-        if failures == 0 {
-            warn!("notices: {} of them not taken: {status:?}", part.len());
+        self.consecutive_failures += 1;
+        if result == Ok(STATUS_UNREADABLE) {
+            self.batch_limit = 1;
         }
-        failures += 1;
-        together = if status == Ok(400) { 1 } else { together };
-        connection = connection.filter(|_| status.is_ok());
-        waiting.extend(part);
-        Timer::after(PAUSE).await;
+        if result.is_err() {
+            self.connection = None;
+        }
+        self.waiting.extend(batch);
+        Timer::after(RETRY_PAUSE).await;
     }
 }
-
-async fn call(
-    at: SocketAddr,
-    part: &[Notification],
-    connection: &mut Option<Connection>,
-) -> Result<u16, String> {
-    let body: String = part.iter().map(Notification::line).collect();
-    let bytes = request("POST", "/status", &at.to_string(), &[], body.as_bytes());
-    Ok(ask(connection, at, "notices", &bytes, ANSWER_MOST, LATE).await?.status)
-}
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -1,43 +1,176 @@
-//! Makes one spool of two after an upgrade.
+//! Opens the spool of an active process: waits for the process before to end, and merges what a successor accepted
+//! beside it.
 
+use super::config::StartConfig;
+use super::state_dir::StateDir;
+use super::tasks::RelayTasks;
+use crate::dispatch::Event;
+use crate::error::StartError;
 use crate::notifications::Notification;
+use crate::state_files::StateFiles;
+use crate::successor::{IntakeEnd, IntakeOptions, SuccessorIntake};
+use async_channel::Sender;
 use log::{info, warn};
 use mountshift::interface::MessageId;
-use mountshift_handover::Side;
+use mountshift_handover::{ACTIVE_DISK_SHARE, Role, SUCCESSOR_DISK_SHARE, Side};
 use mountshift_spool::{FinalOutcome, Spool, StoredMessage};
+use std::io;
 use std::path::Path;
 
-/// Makes the owner's spool one with what a taker took in beside it, in the order in which all was taken on,
-/// before any number of it is used. What does not fit ends by a notice. The taker's spool is gone after.
-pub(crate) fn merge_successor_spool(
+/// A message that is not in the spool has no number; the dispatcher knows none by this one.
+const NOT_IN_SPOOL: MessageId = MessageId(u64::MAX);
+
+/// The spool of an active process.
+pub(crate) struct ActiveSpool {
+    pub(crate) spool: Spool,
+    /// Events from the time before this process was active that the dispatcher has to handle, in order.
+    pub(crate) deferred_events: Vec<Event>,
+}
+
+/// Opens the spool as the role demands; a successor accepts messages meanwhile. None if a successor was told to stop
+/// before it became active.
+pub(crate) async fn open_spool(
+    config: &StartConfig,
+    state_dir: &StateDir,
+    files: &StateFiles,
+    tasks: &RelayTasks,
+) -> Result<Option<ActiveSpool>, StartError> {
+    let opener = SpoolOpener::new(config, state_dir);
+    // A successor opens it too, and lets go of it again: it is the active process's.
+    let active = opener.open_active();
+    match state_dir.role {
+        Role::Active { merge_successor: false } => {
+            Ok(Some(ActiveSpool { spool: active?, deferred_events: Vec::new() }))
+        }
+        Role::Active { merge_successor: true } => {
+            let successor = opener.open_successor()?;
+            let mut spool = active?;
+            merge_successor_spool(&mut spool, successor, &state_dir.successor_path, &tasks.notifications.0)?;
+            Ok(Some(ActiveSpool { spool, deferred_events: Vec::new() }))
+        }
+        Role::Successor => {
+            drop(active);
+            accept_until_active(config, state_dir, files, tasks, &opener).await
+        }
+    }
+}
+
+/// Accepts messages beside the active process until it ends, then takes over its spool.
+async fn accept_until_active(
+    config: &StartConfig,
+    state_dir: &StateDir,
+    files: &StateFiles,
+    tasks: &RelayTasks,
+    opener: &SpoolOpener<'_>,
+) -> Result<Option<ActiveSpool>, StartError> {
+    let successor = opener.open_successor()?;
+    info!("another process owns the state folder: takes in beside it");
+    let mut intake = SuccessorIntake::new(IntakeOptions {
+        spool: successor,
+        active_lock: &state_dir.active_lock,
+        classes: &config.socket_settings.classes,
+        maintenance: tasks.maintenance.clone(),
+        files,
+        clients_leave: tasks.clients_leave.0.clone(),
+        client_connections: tasks.client_connections.clone(),
+    });
+    let deferred_events = match intake.run(&tasks.events.1).await {
+        IntakeEnd::Stopped => return Ok(None),
+        IntakeEnd::BecameActive(deferred_events) => deferred_events,
+    };
+    let mut spool = opener.open_active()?;
+    let successor = intake.into_spool();
+    merge_successor_spool(&mut spool, successor, &state_dir.successor_path, &tasks.notifications.0)?;
+    // What the process before wrote down since this one started.
+    let maintenance = files.read_maintenance()?;
+    tasks.maintenance.borrow_mut().read_out(&maintenance);
+    Ok(Some(ActiveSpool { spool, deferred_events }))
+}
+
+/// Opens the spools in the state folder.
+struct SpoolOpener<'a> {
+    config: &'a StartConfig,
+    state_dir: &'a StateDir,
+    max_attempts: u64,
+    max_zone_bytes: u64,
+}
+
+impl<'a> SpoolOpener<'a> {
+    fn new(config: &'a StartConfig, state_dir: &'a StateDir) -> SpoolOpener<'a> {
+        let zones = &config.socket_settings.zones;
+        SpoolOpener {
+            config,
+            state_dir,
+            max_attempts: u64::from(config.policy_settings.max_attempts),
+            max_zone_bytes: zones.iter().map(String::len).max().unwrap_or(0) as u64,
+        }
+    }
+
+    fn open_active(&self) -> Result<Spool, StartError> {
+        self.open(&self.state_dir.path, ACTIVE_DISK_SHARE)
+    }
+
+    fn open_successor(&self) -> Result<Spool, StartError> {
+        self.open(&self.state_dir.successor_path, SUCCESSOR_DISK_SHARE)
+    }
+
+    fn open(&self, dir: &Path, disk_share: f64) -> Result<Spool, StartError> {
+        let max_bytes = self.config.disk_share(disk_share);
+        Spool::open(dir, max_bytes, self.max_attempts, self.max_zone_bytes).map_err(|e| self.unusable(e))
+    }
+
+    /// The line names the state folder for both spools; the spool's own error names the file.
+    fn unusable(&self, source: io::Error) -> StartError {
+        StartError::State { path: self.state_dir.path.clone(), source }
+    }
+}
+
+/// Merges what a successor accepted into the active process's spool, in the order in which all of it was accepted,
+/// before any number of the spool is used. What does not fit fails, with a notification. The successor's spool file
+/// is removed.
+fn merge_successor_spool(
     spool: &mut Spool,
-    next: Spool,
-    next_dir: &Path,
-    notices: &async_channel::Sender<Notification>,
-) -> Result<(), String> {
-    let (owner, taker): (Vec<StoredMessage>, Vec<StoredMessage>) =
-        (spool.messages().values().cloned().collect(), next.messages().values().cloned().collect());
-    fn times(side: &[StoredMessage]) -> Vec<(&[u8], u64)> {
-        side.iter().map(|k| (&k.accepted.id[..], k.accepted.accepted_at_us)).collect()
-    }
-    let order = mountshift_handover::merge(&times(&owner), &times(&taker));
-    let merged = order
-        .iter()
-        .map(|(side, i)| if *side == Side::Active { owner[*i].clone() } else { taker[*i].clone() });
-    let left = spool.replace_all(merged.collect()).map_err(|e| format!("spool: {e}"))?;
-    for kept in left {
-        warn!(
-            "spool: no room for message {} of the process before; it ends as failed",
-            String::from_utf8_lossy(&kept.accepted.id)
-        );
-        let _ = notices.try_send(Notification {
-            message: MessageId(u64::MAX),
-            id: kept.accepted.id,
-            outcome: FinalOutcome::Failed,
-        });
-    }
-    info!("took over {} messages taken in beside the owner", taker.len());
-    drop(next);
-    let path = next_dir.join(mountshift_spool::FILE_NAME);
-    std::fs::remove_file(&path).map_err(|e| format!("{}: {e}", path.display()))
+    successor: Spool,
+    successor_dir: &Path,
+    notifications: &Sender<Notification>,
+) -> Result<(), StartError> {
+    let accepted_by_active = stored_messages(spool);
+    let accepted_by_successor = stored_messages(&successor);
+    let order =
+        mountshift_handover::merge(&accept_times(&accepted_by_active), &accept_times(&accepted_by_successor));
+    let mut merged = Vec::with_capacity(order.len());
+    for (side, index) in order {
+        let message = match side {
+            Side::Active => &accepted_by_active[index],
+            Side::Successor => &accepted_by_successor[index],
+        };
+        merged.push(message.clone());
+    }
+    let left_out = spool.replace_all(merged).map_err(StartError::MergeSpools)?;
+    for message in left_out {
+        fail_left_out(message, notifications);
+    }
+    info!("took over {} messages taken in beside the owner", accepted_by_successor.len());
+    drop(successor);
+    let path = successor_dir.join(mountshift_spool::FILE_NAME);
+    std::fs::remove_file(&path).map_err(|source| StartError::State { path, source })
+}
+
+fn stored_messages(spool: &Spool) -> Vec<StoredMessage> {
+    spool.messages().values().cloned().collect()
+}
+
+/// The id of each message, and when it was accepted.
+fn accept_times(messages: &[StoredMessage]) -> Vec<(&[u8], u64)> {
+    messages.iter().map(|message| (message.accepted.id.as_slice(), message.accepted.accepted_at_us)).collect()
+}
+
+fn fail_left_out(message: StoredMessage, notifications: &Sender<Notification>) {
+    let id = message.accepted.id;
+    warn!(
+        "spool: no room for message {} of the process before; it ends as failed",
+        String::from_utf8_lossy(&id)
+    );
+    let notification = Notification { message: NOT_IN_SPOOL, id, outcome: FinalOutcome::Failed };
+    let _ = notifications.try_send(notification);
 }
--- a/crates/relay/src/startup/state_dir.rs
+++ b/crates/relay/src/startup/state_dir.rs
@@ -1,22 +1,69 @@
-//! The locks in the state folder.
+//! The state folder: its locks, and the role that they give to this process.
 
-use mountshift_handover::LOCK_FILE;
+use crate::error::StartError;
+use mountshift_handover::{LOCK_FILE, Role, SUCCESSOR_DIR};
 use std::fs::{File, TryLockError};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
-/// Takes the lock in `dir` for as long as the file is open: true if it is this process's.
-pub(crate) fn lock(dir: &Path) -> Result<(File, bool), String> {
-    let path = dir.join(LOCK_FILE);
-    let file = File::create(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-    match file.try_lock() {
-        Ok(()) => Ok((file, true)),
-        Err(TryLockError::WouldBlock) => Ok((file, false)),
-        Err(TryLockError::Error(e)) => Err(format!("{}: {e}", path.display())),
+/// The state folder of a process, which holds its locks.
+pub(crate) struct StateDir {
+    /// The folder, the active process's.
+    pub(crate) path: PathBuf,
+    /// The folder in it that a successor works in.
+    pub(crate) successor_path: PathBuf,
+    /// What this process is at its start.
+    pub(crate) role: Role,
+    /// The active process's lock: this process's already, or to be taken once it is free. Held while the file is
+    /// open.
+    pub(crate) active_lock: File,
+    successor_lock: Option<File>,
+}
+
+impl StateDir {
+    /// Takes the locks that are free, and finds the role that follows.
+    pub(crate) fn open(path: &Path) -> Result<StateDir, StartError> {
+        let successor_path = path.join(SUCCESSOR_DIR);
+        std::fs::create_dir_all(&successor_path)
+            .map_err(|source| StartError::State { path: path.to_path_buf(), source })?;
+        let active = try_lock(path)?;
+        let successor = try_lock(&successor_path)?;
+        let successor_spool_exists = successor_path.join(mountshift_spool::FILE_NAME).exists();
+        let role = mountshift_handover::role(active.acquired, successor.acquired, successor_spool_exists)
+            .map_err(|e| StartError::StateDirInUse { path: path.to_path_buf(), reason: e.to_string() })?;
+        Ok(StateDir {
+            path: path.to_path_buf(),
+            successor_path,
+            role,
+            active_lock: active.file,
+            successor_lock: Some(successor.file),
+        })
+    }
+
+    /// Lets another process become this one's successor.
+    pub(crate) fn release_successor_lock(&mut self) {
+        self.successor_lock = None;
     }
 }
 
 /// True if another process holds the lock in `dir`.
-pub(crate) fn held_by_another(dir: &Path) -> bool {
+pub(crate) fn is_locked_by_another(dir: &Path) -> bool {
     let file = File::open(dir.join(LOCK_FILE));
-    file.is_ok_and(|f| matches!(f.try_lock(), Err(TryLockError::WouldBlock)))
+    file.is_ok_and(|file| matches!(file.try_lock(), Err(TryLockError::WouldBlock)))
+}
+
+/// A lock file, and whether its lock is this process's.
+struct LockAttempt {
+    file: File,
+    acquired: bool,
+}
+
+/// Takes the lock in `dir`, for as long as the file is open, if it is free.
+fn try_lock(dir: &Path) -> Result<LockAttempt, StartError> {
+    let path = dir.join(LOCK_FILE);
+    let file = File::create(&path).map_err(|source| StartError::State { path: path.clone(), source })?;
+    match file.try_lock() {
+        Ok(()) => Ok(LockAttempt { file, acquired: true }),
+        Err(TryLockError::WouldBlock) => Ok(LockAttempt { file, acquired: false }),
+        Err(TryLockError::Error(source)) => Err(StartError::State { path, source }),
+    }
 }
--- /dev/null
+++ b/crates/relay/src/startup/tasks.rs
@@ -0,0 +1,176 @@
+//! The tasks that run beside the dispatcher, and the channels between them. Each task is spawned here and runs until
+//! the process ends; what tells it to stop, if anything, is a channel that is closed.
+
+use super::config::StartConfig;
+use super::state_dir::StateDir;
+use crate::admin::{self, AdminService};
+use crate::clients::{self, Front};
+use crate::discovery::{DiscoveryClient, DiscoveryOptions, EndpointList};
+use crate::dispatch::Event;
+use crate::error::StartError;
+use crate::notifications::{Notification, Notifier};
+use crate::signals::SignalHandler;
+use async_channel::{Receiver, Sender};
+use async_executor::LocalExecutor;
+use async_io::Async;
+use async_signal::Signals;
+use log::info;
+use mountshift_discovery::{Jitter, PollSchedule};
+use mountshift_maintenance::{Change, MaintenanceState};
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// An endpoint list may take one part in so many of the memory ...
+const LIST_MEMORY_DIVISOR: usize = 32;
+/// ... and so may all client requests that are not whole yet.
+const REQUEST_MEMORY_DIVISOR: usize = 8;
+/// Client connections may take one part in so many of the descriptors; the rest is for endpoints and files.
+const CLIENT_DESCRIPTOR_DIVISOR: usize = 2;
+
+/// A channel, both ends: kept together so that none of them closes before the process ends.
+type Channel<T> = (Sender<T>, Receiver<T>);
+
+/// What the tasks share. All of them run on one thread.
+pub(crate) struct RelayTasks {
+    pub(crate) executor: Rc<LocalExecutor<'static>>,
+    /// To the dispatcher, or to a successor's intake before it.
+    pub(crate) events: Channel<Event>,
+    /// Final outcomes, from the dispatcher to discovery's address.
+    pub(crate) notifications: Channel<Notification>,
+    /// From the dispatcher: the endpoint list is to be asked for.
+    pub(crate) poll_requests: Channel<()>,
+    /// Closed when client connections are to go.
+    pub(crate) clients_leave: Channel<()>,
+    /// Closed shortly before the process ends: clients hear the answers they are owed, nothing more is read.
+    pub(crate) clients_end: Channel<()>,
+    /// The operators' commands in force.
+    pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
+    /// Client connections open now.
+    pub(crate) client_connections: Rc<Cell<usize>>,
+    /// True once this process holds the active process's lock and spool.
+    pub(crate) is_active: Rc<Cell<bool>>,
+    /// From which maintenance commands count time.
+    started: Instant,
+}
+
+impl RelayTasks {
+    pub(crate) fn new(executor: Rc<LocalExecutor<'static>>, maintenance: MaintenanceState) -> RelayTasks {
+        RelayTasks {
+            executor,
+            events: async_channel::unbounded(),
+            notifications: async_channel::unbounded(),
+            poll_requests: async_channel::bounded(1),
+            clients_leave: async_channel::bounded(1),
+            clients_end: async_channel::bounded(1),
+            maintenance: Rc::new(RefCell::new(maintenance)),
+            client_connections: Rc::default(),
+            is_active: Rc::default(),
+            started: Instant::now(),
+        }
+    }
+
+    /// Starts everything that runs beside the dispatcher, each task on the channels it needs.
+    pub(crate) fn spawn_all(
+        &self,
+        config: &StartConfig,
+        state_dir: &StateDir,
+        initial_list: Option<&EndpointList>,
+        listener: Async<TcpListener>,
+        signals: Signals,
+    ) -> Result<(), StartError> {
+        let discovery_moves = async_channel::unbounded();
+        let notification_moves = async_channel::unbounded();
+        self.spawn_discovery_client(config, initial_list, discovery_moves.1);
+        self.spawn_notifier(config, notification_moves.1);
+        let client_service = self.client_service(config);
+        if let Some(address) = config.admin_listen {
+            self.spawn_admin_service(address, client_service.clone())?;
+        }
+        let serve_clients = clients::serve(listener, client_service, self.executor.clone());
+        self.executor.spawn(serve_clients).detach();
+        let handler = SignalHandler {
+            discovery: config.discovery,
+            discovery_moves: vec![discovery_moves.0, notification_moves.0],
+            events: self.events.0.clone(),
+            clients_leave: self.clients_leave.0.clone(),
+            is_active: self.is_active.clone(),
+            successor_path: state_dir.successor_path.clone(),
+            executor: self.executor.clone(),
+            is_stopping: false,
+        };
+        self.executor.spawn(handler.run(signals)).detach();
+        Ok(())
+    }
+
+    /// Follows the endpoint list: unasked, or when the decisions ask, as the settings say.
+    fn spawn_discovery_client(
+        &self,
+        config: &StartConfig,
+        initial_list: Option<&EndpointList>,
+        moves: Receiver<SocketAddr>,
+    ) {
+        let settings = &config.policy_settings;
+        let poll_interval = if settings.must_poll { settings.poll_interval } else { Duration::ZERO };
+        let client = DiscoveryClient::new(DiscoveryOptions {
+            address: config.discovery,
+            moves,
+            revision: initial_list.map(|list| list.revision),
+            poll_requests: if settings.must_poll { Some(self.poll_requests.1.clone()) } else { None },
+            max_list_bytes: config.memory_bytes / LIST_MEMORY_DIVISOR,
+            jitter: Jitter::new(settings.seed),
+            schedule: PollSchedule { relay_count: settings.relay_count, poll_interval },
+        });
+        let events = self.events.0.clone();
+        let on_result = move |result| drop(events.try_send(Event::EndpointList(result)));
+        self.executor.spawn(client.run(on_result)).detach();
+    }
+
+    fn spawn_notifier(&self, config: &StartConfig, moves: Receiver<SocketAddr>) {
+        let notifier = Notifier::new(config.discovery, moves, self.notifications.1.clone());
+        let events = self.events.0.clone();
+        let on_taken = move |messages| drop(events.try_send(Event::NotificationsTaken(messages)));
+        self.executor.spawn(notifier.run(on_taken)).detach();
+    }
+
+    fn client_service(&self, config: &StartConfig) -> Rc<Front> {
+        let received = self.events.0.clone();
+        let unreachable = self.events.0.clone();
+        Rc::new(Front {
+            hand_in: Box::new(move |message, reply_to| {
+                drop(received.try_send(Event::MessageReceived { message, reply_to }));
+            }),
+            gone: Box::new(move |message| drop(unreachable.try_send(Event::ClientUnreachable(message)))),
+            leaving: self.clients_leave.1.clone(),
+            ending: self.clients_end.1.clone(),
+            most: config.max_descriptors / CLIENT_DESCRIPTOR_DIVISOR,
+            bytes_most: config.memory_bytes / REQUEST_MEMORY_DIVISOR,
+            open: self.client_connections.clone(),
+            waiting: RefCell::default(),
+            maintenance: self.maintenance.clone(),
+            start: self.started,
+            moved: RefCell::new(async_channel::bounded(1)),
+        })
+    }
+
+    fn spawn_admin_service(&self, address: SocketAddr, client_service: Rc<Front>) -> Result<(), StartError> {
+        let listener = Async::<TcpListener>::bind(address)
+            .map_err(|source| StartError::AdminListen { address, source })?;
+        let events = self.events.0.clone();
+        let on_change = move |change: Change| {
+            if matches!(change, Change::Standby | Change::Active) {
+                client_service.standby_moved();
+            }
+            let _ = events.try_send(Event::MaintenanceChanged(change));
+        };
+        let service = Rc::new(AdminService {
+            maintenance: self.maintenance.clone(),
+            started: self.started,
+            on_change: Box::new(on_change),
+        });
+        self.executor.spawn(admin::serve(listener, service, self.executor.clone())).detach();
+        info!("operators' calls on {address}");
+        Ok(())
+    }
+}
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -1,11 +1,12 @@
-//! A process that starts beside the one that owns the relay's state folder: it answers clients and keeps
-//! what they hand in in a spool of its own, and sends nothing, until the owner has ended. Who owns what and
-//! what a taker takes on is decided in `mountshift_handover`; here it is carried out.
+//! The intake of a successor: a process that starts beside the active one. It answers clients, keeps what they submit
+//! in a spool of its own and sends nothing, until the active process has ended. Who is active and what a successor
+//! accepts is decided in `mountshift_handover`.
 
 use crate::clients::{Answer, HandedIn};
 use crate::clock::unix_us;
+use crate::discovery::EndpointList;
 use crate::dispatch::Event;
-use crate::state_files::write_maintenance;
+use crate::state_files::StateFiles;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -17,137 +18,211 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::fs::File;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Instant;
 
-/// Numbers that clients hear of from a taker begin here: guards against a client gone after the handover,
-/// whose message would be taken for the owner's under the same number.
-pub const FIRST_SUCCESSOR_NUMBER: u64 = 1 << 62;
+/// The numbers of a successor's messages, as its clients' connections know them, begin here. Once it is active its
+/// messages are numbered anew: a client that is unreachable by then must not withdraw another's message.
+const FIRST_SUCCESSOR_NUMBER: u64 = 1 << 62;
 
-/// How taking in ended.
-pub enum IntakeEnd {
-    /// The owner's lock is this process's now; these events wait for the host, in order.
+/// How the intake ended.
+pub(crate) enum IntakeEnd {
+    /// The active process's lock is this process's now; these events wait for the dispatcher, in order.
     BecameActive(Vec<Event>),
-    /// Told to stop before it owned: what it took waits in its spool for the next owner.
+    /// Told to stop before that: what was accepted waits in the successor's spool for the next active process.
     Stopped,
 }
 
-/// What the taker works with.
-pub struct SuccessorIntake<'a> {
-    pub spool: Spool,
-    /// The owner's lock, to be taken once it is free; then held for as long as the process runs.
-    pub active_lock: &'a File,
-    pub classes: Vec<String>,
-    pub maintenance: Rc<RefCell<MaintenanceState>>,
-    pub maintenance_file: PathBuf,
-    /// Closed when clients are to go.
-    pub clients_leave: Sender<()>,
+/// What the intake shares with others.
+pub(crate) struct IntakeOptions<'a> {
+    /// The successor's spool.
+    pub(crate) spool: Spool,
+    /// The active process's lock, to be taken once it is free.
+    pub(crate) active_lock: &'a File,
+    /// The names of the message classes.
+    pub(crate) classes: &'a [String],
+    pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
+    pub(crate) files: &'a StateFiles,
+    /// Closed when client connections are to go.
+    pub(crate) clients_leave: Sender<()>,
     /// Client connections open now.
-    pub client_connections: Rc<Cell<usize>>,
+    pub(crate) client_connections: Rc<Cell<usize>>,
 }
 
-impl SuccessorIntake<'_> {
-    /// Takes in until the owner's lock is free, or until told to stop.
-    pub async fn run(&mut self, came: &Receiver<Event>) -> IntakeEnd {
-        let (mut message_by_id, mut deferred) = (BTreeMap::new(), Vec::new());
-        let mut stopped: Option<Instant> = None;
+/// A message in the spool that is not committed yet, and who waits for the answer.
+struct PendingAnswer {
+    number: u64,
+    reply_to: Sender<Answer>,
+}
+
+/// Accepts messages beside the active process.
+pub(crate) struct SuccessorIntake<'a> {
+    options: IntakeOptions<'a>,
+    numbers_by_id: BTreeMap<Vec<u8>, u64>,
+    /// Accepted since the last commit.
+    pending_answers: Vec<PendingAnswer>,
+    /// Events that only a dispatcher can handle.
+    deferred_events: Vec<Event>,
+    stopping_since: Option<Instant>,
+}
+
+impl<'a> SuccessorIntake<'a> {
+    pub(crate) fn new(options: IntakeOptions<'a>) -> SuccessorIntake<'a> {
+        SuccessorIntake {
+            options,
+            numbers_by_id: BTreeMap::new(),
+            pending_answers: Vec::new(),
+            deferred_events: Vec::new(),
+            stopping_since: None,
+        }
+    }
+
+    /// Runs until the active process's lock is free, or until told to stop.
+    pub(crate) async fn run(&mut self, events: &Receiver<Event>) -> IntakeEnd {
         loop {
-            let timer = async {
-                Timer::after(LOCK_POLL_INTERVAL).await;
-                None
-            };
-            let first = async { came.recv().await.ok() }.or(timer).await;
-            let events: Vec<Event> =
-                first.into_iter().chain(std::iter::from_fn(|| came.try_recv().ok())).collect();
-            let mut awaiting_answer: Vec<(u64, Sender<Answer>)> = Vec::new();
-            for event in events {
-                match event {
-                    Event::MessageReceived(m, answer) => match self.check(&m, &message_by_id) {
-                        Err(refused) => drop(answer.try_send(refused)),
-                        Ok(taken) => match self.spool.accept(taken) {
-                            Some(n) => {
-                                message_by_id.insert(m.id, n);
-                                awaiting_answer.push((n, answer));
-                            }
-                            None => {
-                                warn!("next spool: full with {} messages", self.spool.messages().len());
-                                let _ = answer.try_send(Answer::PushedBack(0));
-                            }
-                        },
-                    },
-                    // Its client did not hear that it was taken on: it is nobody's.
-                    Event::ClientUnreachable(message) => {
-                        let n = message.0.wrapping_sub(FIRST_SUCCESSOR_NUMBER);
-                        if let Some(kept) = self.spool.get(n) {
-                            message_by_id.remove(&kept.accepted.id);
-                        }
-                        self.spool.remove(n);
-                    }
-                    Event::StopRequested(_) => {
-                        stopped = stopped.or(Some(Instant::now()));
-                        self.maintenance.borrow_mut().stopping();
-                        self.clients_leave.close();
-                    }
-                    Event::MaintenanceChanged(change) => {
-                        if matches!(change, Change::EndpointOut(_) | Change::EndpointBack(_)) {
-                            write_maintenance(&self.maintenance_file, &self.maintenance.borrow());
-                        }
-                        deferred.push(Event::MaintenanceChanged(change));
-                    }
-                    Event::EndpointList(Ok(list)) => {
-                        list.members.iter().for_each(|m| self.maintenance.borrow_mut().listed(&m.id));
-                        deferred.push(Event::EndpointList(Ok(list)));
-                    }
-                    other => deferred.push(other),
-                }
-            }
-            let safe = self.spool.commit();
-            if let Err(e) = &safe {
-                error!("next spool: {e}");
-            }
-            for (n, answer) in awaiting_answer {
-                if safe.is_ok() {
-                    let _ = answer.try_send(Answer::Taken(MessageId(FIRST_SUCCESSOR_NUMBER + n)));
-                } else {
-                    let _ = answer.try_send(Answer::PushedBack(0));
-                    self.spool.remove(n);
-                }
+            for event in next_events(events).await {
+                self.handle(event);
             }
-            let kept = self.spool.messages().len();
-            if let Some(at) = stopped {
-                if self.client_connections.get() == 0 || at.elapsed() >= RESTART.end_by {
-                    info!("stopped before it owned, with {kept} messages in the next spool");
-                    return IntakeEnd::Stopped;
-                }
-            } else if self.active_lock.try_lock().is_ok() {
-                info!("owns the state folder now, with {kept} messages taken in beside the owner");
-                return IntakeEnd::BecameActive(deferred);
+            self.commit();
+            if let Some(end) = self.end() {
+                return end;
             }
         }
     }
 
-    /// What a taker takes on, or how it answers instead.
-    fn check(&self, m: &HandedIn, message_by_id: &BTreeMap<Vec<u8>, u64>) -> Result<AcceptedMessage, Answer> {
-        if !self.classes.contains(&m.told.lane) {
+    /// The spool, for the active process that this one is now.
+    pub(crate) fn into_spool(self) -> Spool {
+        self.options.spool
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::MessageReceived { message, reply_to } => self.on_message_received(message, reply_to),
+            Event::ClientUnreachable(message) => self.on_client_unreachable(message),
+            Event::StopRequested(_) => self.on_stop_requested(),
+            Event::MaintenanceChanged(change) => self.on_maintenance_changed(change),
+            Event::EndpointList(Ok(list)) => self.on_endpoint_list(list),
+            other => self.deferred_events.push(other),
+        }
+    }
+
+    fn on_message_received(&mut self, message: HandedIn, reply_to: Sender<Answer>) {
+        let accepted = match self.check(&message) {
+            Ok(accepted) => accepted,
+            Err(answer) => {
+                let _ = reply_to.try_send(answer);
+                return;
+            }
+        };
+        let Some(number) = self.options.spool.accept(accepted) else {
+            warn!("next spool: full with {} messages", self.options.spool.messages().len());
+            let _ = reply_to.try_send(Answer::PushedBack(0));
+            return;
+        };
+        self.numbers_by_id.insert(message.id, number);
+        self.pending_answers.push(PendingAnswer { number, reply_to });
+    }
+
+    /// What goes into the spool, or the answer if nothing does.
+    fn check(&self, message: &HandedIn) -> Result<AcceptedMessage, Answer> {
+        if !self.options.classes.contains(&message.told.lane) {
             return Err(Answer::Failed("c names no class"));
         }
-        if message_by_id.contains_key(&m.id) {
+        if self.numbers_by_id.contains_key(&message.id) {
             return Err(Answer::Held);
         }
-        let left = m.told.left.saturating_sub(m.at.elapsed());
-        if !accepts(left) {
+        let time_left = message.told.left.saturating_sub(message.at.elapsed());
+        if !accepts(time_left) {
             return Err(Answer::PushedBack(0));
         }
-        let deadline = unix_us() / 1_000 + left.as_millis() as u64;
-        let list = m.list.clone();
+        let deadline = unix_us() / 1_000 + time_left.as_millis() as u64;
         Ok(AcceptedMessage {
-            id: m.id.clone(),
-            key: m.key,
-            metadata: list,
+            id: message.id.clone(),
+            key: message.key,
+            metadata: message.list.clone(),
             deadline,
-            body: m.body.clone(),
+            body: message.body.clone(),
             accepted_at_us: unix_us(),
         })
     }
+
+    /// The client did not hear that its message was accepted, and submits it again: this one is nobody's.
+    fn on_client_unreachable(&mut self, message: MessageId) {
+        let number = message.0.wrapping_sub(FIRST_SUCCESSOR_NUMBER);
+        if let Some(stored) = self.options.spool.get(number) {
+            self.numbers_by_id.remove(&stored.accepted.id);
+        }
+        self.options.spool.remove(number);
+    }
+
+    fn on_stop_requested(&mut self) {
+        if self.stopping_since.is_none() {
+            self.stopping_since = Some(Instant::now());
+        }
+        self.options.maintenance.borrow_mut().stopping();
+        self.options.clients_leave.close();
+    }
+
+    fn on_maintenance_changed(&mut self, change: Change) {
+        if matches!(change, Change::EndpointOut(_) | Change::EndpointBack(_)) {
+            self.options.files.write_maintenance(&self.options.maintenance.borrow());
+        }
+        self.deferred_events.push(Event::MaintenanceChanged(change));
+    }
+
+    fn on_endpoint_list(&mut self, list: EndpointList) {
+        for entry in &list.entries {
+            self.options.maintenance.borrow_mut().listed(&entry.id);
+        }
+        self.deferred_events.push(Event::EndpointList(Ok(list)));
+    }
+
+    /// Commits what was accepted, and answers: only what is committed may be called accepted.
+    fn commit(&mut self) {
+        let committed = self.options.spool.commit();
+        if let Err(e) = &committed {
+            error!("next spool: {e}");
+        }
+        for pending in std::mem::take(&mut self.pending_answers) {
+            if committed.is_ok() {
+                let message = MessageId(FIRST_SUCCESSOR_NUMBER + pending.number);
+                let _ = pending.reply_to.try_send(Answer::Taken(message));
+            } else {
+                let _ = pending.reply_to.try_send(Answer::PushedBack(0));
+                self.options.spool.remove(pending.number);
+            }
+        }
+    }
+
+    /// How the intake ends, if it does now. One that is told to stop does not become active any more.
+    fn end(&mut self) -> Option<IntakeEnd> {
+        let stored = self.options.spool.messages().len();
+        if let Some(since) = self.stopping_since {
+            let clients_gone = self.options.client_connections.get() == 0;
+            if !clients_gone && since.elapsed() < RESTART.end_by {
+                return None;
+            }
+            info!("stopped before it owned, with {stored} messages in the next spool");
+            return Some(IntakeEnd::Stopped);
+        }
+        if self.options.active_lock.try_lock().is_err() {
+            return None;
+        }
+        info!("owns the state folder now, with {stored} messages taken in beside the owner");
+        Some(IntakeEnd::BecameActive(std::mem::take(&mut self.deferred_events)))
+    }
+}
+
+/// Waits for an event, or until it is time to look at the lock again; all events that are there come together.
+async fn next_events(events: &Receiver<Event>) -> Vec<Event> {
+    let look_at_lock = async {
+        Timer::after(LOCK_POLL_INTERVAL).await;
+        None
+    };
+    let first = async { events.recv().await.ok() }.or(look_at_lock).await;
+    let mut came = Vec::from_iter(first);
+    while let Ok(event) = events.try_recv() {
+        came.push(event);
+    }
+    came
 }
