--- a/crates/relay/src/dispatch/actions.rs
+++ b/crates/relay/src/dispatch/actions.rs
@@ -1,7 +1,7 @@
-//! Takes the decisions of a step.
+//! Takes the decisions of a step. What has to wait for the spool is collected, and carried out when the step is over.
 
 use super::event::Event;
-use super::state::DispatcherState;
+use super::state::{DispatcherState, PendingAttempt, PendingSends};
 use crate::clients::Answer;
 use crate::endpoints::{End, Stage};
 use log::{debug, info};
@@ -11,55 +11,58 @@
 use std::time::Duration;
 
 impl Actions for DispatcherState {
-    fn send(&mut self, message: MessageId, to: EndpointId, limit: Duration) {
-        match self.pending_sends.iter_mut().find(|s| s.0 == to) {
-            Some(send) => send.1.push((message, limit)),
-            None => self.pending_sends.push((to, vec![(message, limit)])),
+    fn send(&mut self, message: MessageId, endpoint: EndpointId, limit: Duration) {
+        let attempt = PendingAttempt { message, limit };
+        match self.pending_sends.iter_mut().find(|sends| sends.endpoint == endpoint) {
+            Some(sends) => sends.attempts.push(attempt),
+            None => self.pending_sends.push(PendingSends { endpoint, attempts: vec![attempt] }),
         }
     }
 
-    fn reject(&mut self, message: MessageId, pause: Duration) -> bool {
-        let ms = pause.as_millis() as u64;
-        self.end_undelivered(message, Answer::PushedBack(ms), FinalOutcome::Rejected(ms))
+    fn reject(&mut self, message: MessageId, retry_after: Duration) -> bool {
+        let retry_after_ms = retry_after.as_millis() as u64;
+        let outcome = FinalOutcome::Rejected(retry_after_ms);
+        self.end_undelivered(message, Answer::PushedBack(retry_after_ms), outcome)
     }
 
     fn fail(&mut self, message: MessageId) -> bool {
         self.end_undelivered(message, Answer::Failed("failed"), FinalOutcome::Failed)
     }
 
-    fn cancel(&mut self, message: MessageId, _leg: AttemptNumber) {
-        let Some((n, call)) = self.calls_in_flight.iter_mut().find(|(_, c)| c.messages.contains(&message))
-        else {
-            return;
-        };
+    /// One message can't be taken out of a call, as it would still be in flight on an open connection: the call ends
+    /// once all its messages are cancelled.
+    fn cancel(&mut self, message: MessageId, _attempt: AttemptNumber) {
+        let mut calls = self.calls_in_flight.iter_mut();
+        let Some((number, call)) = calls.find(|(_, call)| call.messages.contains(&message)) else { return };
         call.cancelled.insert(message);
-        // One message can't be taken out of a call: it would still be out on an open connection.
-        if call.cancelled.is_superset(&call.messages) {
-            // Guards against a call told as one that may have run, though its last byte never left.
-            let ran = call.stage.get() == Stage::Written;
-            let outcome = if ran { Outcome::Cancelled } else { Outcome::NotSent };
-            let ends: Vec<End> = call.messages.iter().map(|message| (*message, outcome, false)).collect();
-            let _ = self.events.try_send(Event::AttemptsEnded(*n, ends.into()));
-            call.task = None;
+        if !call.cancelled.is_superset(&call.messages) {
+            return;
         }
+        // What was not written to its last byte can't have run.
+        let may_have_run = call.stage.get() == Stage::Written;
+        let outcome = if may_have_run { Outcome::Cancelled } else { Outcome::NotSent };
+        let ends: Vec<End> = call.messages.iter().map(|message| (*message, outcome, false)).collect();
+        let _ = self.events.try_send(Event::AttemptsEnded { call: *number, results: ends.into() });
+        call.task = None;
     }
 
-    fn close_idle_connections(&mut self, to: EndpointId) {
-        self.idle_connections.close(to);
+    fn close_idle_connections(&mut self, endpoint: EndpointId) {
+        self.idle_connections.close(endpoint);
     }
 
     fn forget_endpoint(&mut self, endpoint: EndpointId) {
         self.idle_connections.close(endpoint);
-        let name = self.endpoints.get(endpoint).map(|e| e.name.clone());
-        let out = name.is_some_and(|name| self.maintenance.borrow().is_out(&name));
-        if let Some(gone) = self.endpoints.forget(endpoint, out) {
-            info!("endpoint {} is forgotten{}", gone.name, if out { " while out by hand" } else { "" });
+        let name = self.endpoints.get(endpoint).map(|known| known.name.clone());
+        let in_maintenance = name.is_some_and(|name| self.maintenance.borrow().is_out(&name));
+        if let Some(forgotten) = self.endpoints.forget(endpoint, in_maintenance) {
+            let note = if in_maintenance { " while out by hand" } else { "" };
+            info!("endpoint {} is forgotten{note}", forgotten.name);
         }
     }
 
-    fn wake_after(&mut self, after: Duration) {
-        let at = self.now + after;
-        self.next_wake = Some(self.next_wake.map_or(at, |w| w.min(at)));
+    fn wake_after(&mut self, span: Duration) {
+        let wake = self.now + span;
+        self.next_wake = Some(self.next_wake.map_or(wake, |earlier| earlier.min(wake)));
     }
 
     fn poll_endpoints(&mut self) {
@@ -71,18 +74,26 @@
     }
 
     fn persist_routes(&mut self, routes: &[RouteSnapshot]) {
-        let ms = |at: Duration| if at.is_zero() { 0 } else { self.clock.unix_ms(at).max(1) };
-        let route = |c: &RouteSnapshot| RouteRecord {
-            destination: c.destination.0,
-            endpoint: c.endpoint.and_then(|id| Some(self.endpoints.get(id)?.name.to_string())),
-            retry_after_until_ms: ms(c.retry_after_until),
-            open_until_ms: c.open_until.map(ms),
-            slow_start_since_ms: c.slow_start_since.map(ms),
-        };
-        let routes = routes.iter().map(route).collect();
-        debug!("carry at {}: {routes:?}", self.clock.unix_ms(self.now));
-        let now = self.clock.unix_ms(self.now);
-        let snapshot = Snapshot { format: mountshift_handover::FORMAT, written_ms: now, routes };
+        let now_ms = self.clock.unix_ms(self.now);
+        let routes = routes.iter().map(|route| self.route_record(route)).collect();
+        debug!("persists routes at {now_ms}: {routes:?}");
+        let snapshot = Snapshot { format: mountshift_handover::FORMAT, written_ms: now_ms, routes };
         self.files.write_snapshot(&snapshot);
     }
 }
+
+impl DispatcherState {
+    /// A route as the snapshot has it: with names and times that the next process understands.
+    fn route_record(&self, route: &RouteSnapshot) -> RouteRecord {
+        // Zero means "none" or "due", so any other time is at least 1.
+        let unix_ms = |at: Duration| if at.is_zero() { 0 } else { self.clock.unix_ms(at).max(1) };
+        let endpoint = route.endpoint.and_then(|id| self.endpoints.get(id));
+        RouteRecord {
+            destination: route.destination.0,
+            endpoint: endpoint.map(|known| known.name.to_string()),
+            retry_after_until_ms: unix_ms(route.retry_after_until),
+            open_until_ms: route.open_until.map(unix_ms),
+            slow_start_since_ms: route.slow_start_since.map(unix_ms),
+        }
+    }
+}
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -1,107 +1,174 @@
-//! Carries a step's decisions out.
+//! Carries out what a step decided: commits the spool, answers clients, starts calls.
 
-use super::event::Event;
-use super::state::{CallInFlight, DispatcherState};
+use super::event::{CallNumber, Event};
+use super::state::{CallInFlight, DispatcherState, PendingAttempt};
 use crate::clients::{Answer, told};
 use crate::endpoints::{Call, End, Endpoint, Part, Stage};
+use async_channel::Receiver;
 use async_executor::Task;
 use log::error;
 use mountshift::interface::*;
 use std::cell::Cell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
+
+/// Messages in one call to an endpoint of a kind that the settings don't name.
+const DEFAULT_BATCH: usize = 1;
+
+/// A call that the step decided and that has not begun.
+struct PlannedCall {
+    to: EndpointId,
+    endpoint: Endpoint,
+    attempts: Vec<PendingAttempt>,
+}
+
+impl PlannedCall {
+    fn messages(&self) -> impl Iterator<Item = MessageId> {
+        self.attempts.iter().map(|attempt| attempt.message)
+    }
+}
 
 impl DispatcherState {
-    /// Carries the round's decisions out: first into the spool, then onto the sockets.
+    /// Carries a step out: first into the spool, then onto the sockets.
     pub(super) fn execute_step(&mut self) {
+        let calls = self.plan_calls();
+        let is_committed = self.commit_spool();
+        self.answer_clients(is_committed);
+        for call in calls {
+            self.begin_call(call, is_committed);
+        }
+    }
+
+    /// Turns the attempts of the step into calls, each as large as its endpoint's kind allows.
+    fn plan_calls(&mut self) -> Vec<PlannedCall> {
         let mut calls = Vec::new();
-        for (to, legs) in std::mem::take(&mut self.pending_sends) {
-            let Some(endpoint) = self.endpoints.get(to).cloned() else { continue };
-            let batch = self.max_batches.get(endpoint.kind.0 as usize).copied().unwrap_or(1);
-            for legs in legs.chunks(batch) {
-                calls.push((to, endpoint.clone(), legs.to_vec()));
+        for sends in std::mem::take(&mut self.pending_sends) {
+            let Some(endpoint) = self.endpoints.get(sends.endpoint) else { continue };
+            let kind = endpoint.kind.0 as usize;
+            let max_batch = self.max_batches.get(kind).copied().unwrap_or(DEFAULT_BATCH);
+            for attempts in sends.attempts.chunks(max_batch) {
+                calls.push(PlannedCall {
+                    to: sends.endpoint,
+                    endpoint: endpoint.clone(),
+                    attempts: attempts.to_vec(),
+                });
             }
         }
-        let safe = self.spool.borrow_mut().commit();
-        if let Err(e) = &safe {
+        calls
+    }
+
+    fn commit_spool(&mut self) -> bool {
+        let committed = self.spool.borrow_mut().commit();
+        if let Err(e) = &committed {
             error!("spool: {e}");
         }
+        committed.is_ok()
+    }
+
+    /// Only a message that is committed may be called accepted.
+    fn answer_clients(&mut self, is_committed: bool) {
         for (message, reply_to) in std::mem::take(&mut self.awaiting_answer) {
-            if safe.is_ok() {
+            if is_committed {
                 let _ = reply_to.try_send(Answer::Taken(message));
             } else {
                 let _ = reply_to.try_send(Answer::PushedBack(0));
                 let _ = self.events.try_send(Event::ClientUnreachable(message));
             }
         }
-        for (to, endpoint, legs) in calls {
-            self.last_call_number += 1;
-            let n = self.last_call_number;
-            let all = legs.iter().map(|(message, _)| *message).collect();
-            let stage = Rc::new(Cell::new(Stage::Begun));
-            let task = if safe.is_ok() {
-                Some(self.start_call(n, to, endpoint, legs, stage.clone()))
-            } else {
-                // A leg that is not noted must not go out.
-                let moot: Vec<End> =
-                    legs.iter().map(|(message, _)| (*message, Outcome::NotSent, false)).collect();
-                let _ = self.events.try_send(Event::AttemptsEnded(n, moot.into()));
-                None
-            };
-            let out =
-                CallInFlight { to, sent: self.now, messages: all, cancelled: BTreeSet::new(), stage, task };
-            self.calls_in_flight.insert(n, out);
-        }
     }
 
-    fn start_call(
-        &self,
-        n: u64,
-        to: EndpointId,
-        endpoint: Endpoint,
-        legs: Vec<(MessageId, Duration)>,
-        stage: Rc<Cell<Stage>>,
-    ) -> Task<()> {
-        // A call is given up as a whole, so that none of its messages is out again while it is open, and at
-        // the shortest limit: guards against an answer behind the deadline of one, which counts for none.
-        let limit = legs.iter().map(|l| l.1).min().unwrap_or_default();
-        let part = |(message, _): &(MessageId, Duration)| {
-            let spool = self.spool.borrow();
-            let taken = &spool.get(message.0)?.accepted;
-            let idempotency_key = told(&taken.metadata).ok().and_then(|t| t.idempotency_key);
-            Some(Part { msg: *message, id: taken.id.clone(), idempotency_key, body: taken.body.clone() })
+    /// Starts a call. While the spool can't be written none is sent, as no attempt of it could be recorded: it ends
+    /// as not sent.
+    fn begin_call(&mut self, planned: PlannedCall, is_committed: bool) {
+        self.last_call_number += 1;
+        let number = CallNumber(self.last_call_number);
+        let endpoint = planned.to;
+        let messages: BTreeSet<MessageId> = planned.messages().collect();
+        let stage = Rc::new(Cell::new(Stage::Begun));
+        let task = if is_committed {
+            Some(self.spawn_call(number, planned, stage.clone()))
+        } else {
+            let not_sent: Vec<End> =
+                planned.messages().map(|message| (message, Outcome::NotSent, false)).collect();
+            let _ = self.events.try_send(Event::AttemptsEnded { call: number, results: not_sent.into() });
+            None
         };
-        let parts = legs.iter().filter_map(part).collect();
-        let (idle, events, late) = (self.idle_connections.clone(), self.events.clone(), self.events.clone());
-        let may_reach = Box::new(move || {
-            let (tell, told) = async_channel::bounded(1);
-            let _ = late.try_send(Event::ReachabilityAsked(to, tell));
-            told
-        });
-        let (connect, decided) = (self.settings.connect_timeout, Instant::now());
-        let (spool, clock, zone) =
-            (self.spool.clone(), self.clock, self.endpoints.zone_name(endpoint.zone).to_string());
-        let note = Box::new(move || {
-            let (mut spool, at) = (spool.borrow_mut(), clock.unix_ms(clock.at(Instant::now())));
-            // Guards against a message that goes out behind its end, or that nobody wants any more.
-            if !legs
-                .iter()
-                .all(|(message, _)| spool.get(message.0).is_some_and(|kept| kept.pending_outcome.is_none()))
-            {
+        let sent_at = self.now;
+        let call = CallInFlight { endpoint, sent_at, messages, cancelled: BTreeSet::new(), stage, task };
+        self.calls_in_flight.insert(number, call);
+    }
+
+    fn spawn_call(&self, number: CallNumber, planned: PlannedCall, stage: Rc<Cell<Stage>>) -> Task<()> {
+        let call = self.call(planned, stage);
+        let idle_connections = self.idle_connections.clone();
+        let events = self.events.clone();
+        let on_end = move |results| drop(events.try_send(Event::AttemptsEnded { call: number, results }));
+        self.executor.spawn(async move { call.run(&idle_connections, on_end).await })
+    }
+
+    fn call(&self, planned: PlannedCall, stage: Rc<Cell<Stage>>) -> Call {
+        // A call is given up as a whole, so that none of its messages is sent again while it is open, and at the
+        // shortest limit: an answer after a message's deadline would count for nothing.
+        let limit = planned.attempts.iter().map(|attempt| attempt.limit).min().unwrap_or_default();
+        let parts = planned.messages().filter_map(|message| self.call_part(message)).collect();
+        let zone = self.endpoints.zone_name(planned.endpoint.zone).to_string();
+        Call {
+            to: planned.to,
+            endpoint: planned.endpoint,
+            parts,
+            limit,
+            connect: self.settings.connect_timeout,
+            decided: Instant::now(),
+            may_reach: self.reachability_check(planned.to),
+            note: self.attempt_recorder(planned.attempts, zone),
+            stage,
+        }
+    }
+
+    /// A message as it goes out in a call.
+    fn call_part(&self, message: MessageId) -> Option<Part> {
+        let spool = self.spool.borrow();
+        let accepted = &spool.get(message.0)?.accepted;
+        let idempotency_key = told(&accepted.metadata).ok().and_then(|metadata| metadata.idempotency_key);
+        Some(Part { msg: message, id: accepted.id.clone(), idempotency_key, body: accepted.body.clone() })
+    }
+
+    /// What a call that begins late asks before it is sent: the next step answers.
+    fn reachability_check(&self, endpoint: EndpointId) -> Box<dyn Fn() -> Receiver<bool>> {
+        let events = self.events.clone();
+        Box::new(move || {
+            let (reply_to, answer) = async_channel::bounded(1);
+            let _ = events.try_send(Event::ReachabilityAsked { endpoint, reply_to });
+            answer
+        })
+    }
+
+    /// What a call does right before its first byte: it records its attempts. False if they must not be sent: one of
+    /// the messages has its final answer or is withdrawn, or the spool can't be written.
+    fn attempt_recorder(&self, attempts: Vec<PendingAttempt>, zone: String) -> Box<dyn Fn() -> bool> {
+        let spool = self.spool.clone();
+        let clock = self.clock;
+        Box::new(move || {
+            let mut spool = spool.borrow_mut();
+            let at_ms = clock.unix_ms(clock.now());
+            let is_wanted = |attempt: &PendingAttempt| {
+                spool.get(attempt.message.0).is_some_and(|stored| stored.pending_outcome.is_none())
+            };
+            if !attempts.iter().all(is_wanted) {
                 return false;
             }
-            legs.iter().for_each(|(message, _)| spool.record_attempt(message.0, &zone, at));
-            // A leg that is not noted must not go out.
-            let safe = spool.commit();
-            if let Err(e) = &safe {
+            for attempt in &attempts {
+                spool.record_attempt(attempt.message.0, &zone, at_ms);
+            }
+            let committed = spool.commit();
+            if let Err(e) = &committed {
                 error!("spool: {e}");
-                legs.iter().for_each(|(message, _)| spool.record_not_run(message.0));
+                for attempt in &attempts {
+                    spool.record_not_run(attempt.message.0);
+                }
             }
-            safe.is_ok()
-        });
-        let call = Call { to, endpoint, parts, limit, connect, decided, may_reach, note, stage };
-        let tell = move |ends| drop(events.try_send(Event::AttemptsEnded(n, ends)));
-        self.executor.spawn(async move { call.run(&idle, tell).await })
+            committed.is_ok()
+        })
     }
 }
--- a/crates/relay/src/dispatch/endpoint_list.rs
+++ b/crates/relay/src/dispatch/endpoint_list.rs
@@ -1,4 +1,5 @@
-//! Takes lists of endpoints in, and what the operators change of them.
+//! Handles endpoint lists and what operators change of them: translates entries for the decisions, and keeps what an
+//! older list must not undo.
 
 use super::state::DispatcherState;
 use crate::discovery::{EndpointEntry, EndpointList};
@@ -8,53 +9,42 @@
 use mountshift_maintenance::Change;
 
 impl DispatcherState {
+    /// Takes a list or an update in.
     pub(super) fn on_endpoint_list(&mut self, mut list: EndpointList, inputs: &mut Vec<Input>) {
         self.apply_drain_record(&mut list);
         if list.is_full {
             inputs.push(Input::FullListBegins);
         }
-        for member in &list.entries {
-            self.maintenance.borrow_mut().listed(&member.id);
-            let (id, says, moved) = self.endpoints.learn(member);
-            let says = self.status_under_maintenance(&member.id, says);
-            if moved {
-                self.idle_connections.close(id);
+        for entry in &list.entries {
+            self.maintenance.borrow_mut().listed(&entry.id);
+            let (endpoint, listed_status, has_moved) = self.endpoints.learn(entry);
+            if has_moved {
+                self.idle_connections.close(endpoint);
             }
-            let Some(e) = self.endpoints.get(id) else { continue };
-            let (dst, zone, kind, rate) = (e.dst, e.zone, e.kind, member.size);
-            inputs.push(Input::EndpointListed(ListedEndpoint {
-                endpoint: id,
-                destination: dst,
-                zone,
-                kind,
-                status: says,
-                rate,
-            }));
+            let status = self.status_under_maintenance(&entry.id, listed_status);
+            inputs.extend(self.listed_endpoint(endpoint, status).map(Input::EndpointListed));
         }
     }
 
-    /// Guards rule 3 against lists that are older than what was told: an endpoint told as leaving stays so,
-    /// beyond this process too, until it is newly listed.
+    /// Rule 3: an endpoint that was told to be draining or removed stays so, beyond this process too, until it is
+    /// newly listed. A list that is older than what was told must not undo that.
     fn apply_drain_record(&mut self, list: &mut EndpointList) {
         let source = list.source.to_string();
         let now_ms = self.clock.unix_ms(self.now);
-        let head = ListHeader { source: &source, revision: list.revision, whole: list.is_full, now_ms };
-        fn entry(m: &EndpointEntry) -> ListEntry<'_> {
-            ListEntry { id: &m.id, phase: m.phase, up_since_ms: m.up_since_ms }
+        let header = ListHeader { source: &source, revision: list.revision, whole: list.is_full, now_ms };
+        let entries: Vec<ListEntry> = list.entries.iter().map(drain_record_entry).collect();
+        let (phases, outdated) = self.drain_record.take(&header, &entries);
+        if outdated > 0 {
+            let revision = list.revision;
+            info!("list {revision}: {outdated} entries say ready of endpoints told as leaving; they stay so");
         }
-        let entries: Vec<ListEntry> = list.entries.iter().map(entry).collect();
-        let (phases, old) = self.drain_record.take(&head, &entries);
-        if old > 0 {
-            info!(
-                "list {}: {old} entries say ready of endpoints told as leaving; they stay so",
-                list.revision
-            );
+        for (entry, phase) in list.entries.iter_mut().zip(phases) {
+            entry.phase = phase;
         }
-        list.entries.iter_mut().zip(phases).for_each(|(m, phase)| m.phase = phase);
         self.files.write_drain_record(&mut self.drain_record);
     }
 
-    /// An endpoint out by hand is draining for this relay, whatever the list says (rule 3).
+    /// Rule 3: an endpoint in maintenance is draining for this relay, whatever the list says.
     fn status_under_maintenance(&self, name: &str, status: EndpointStatus) -> EndpointStatus {
         if status == EndpointStatus::Ready && self.maintenance.borrow().is_out(name) {
             EndpointStatus::Draining
@@ -63,28 +53,44 @@
         }
     }
 
+    /// An endpoint as the decisions are told of it.
+    fn listed_endpoint(&self, endpoint: EndpointId, status: EndpointStatus) -> Option<ListedEndpoint> {
+        let known = self.endpoints.get(endpoint)?;
+        Some(ListedEndpoint {
+            endpoint,
+            destination: known.dst,
+            zone: known.zone,
+            kind: known.kind,
+            status,
+            rate: known.rate,
+        })
+    }
+
+    /// Writes the maintenance, and tells the decisions of the endpoint that it is about.
     pub(super) fn on_maintenance_changed(&mut self, change: Change, inputs: &mut Vec<Input>) {
-        let (Change::EndpointOut(name) | Change::EndpointBack(name)) = &change else { return };
-        self.files.write_maintenance(&self.maintenance.borrow());
-        // Guards against an endpoint that the decisions forgot while it was out: put back, it is known again.
-        let known = self.endpoints.id_of(name);
-        let revived = known.is_none() && matches!(change, Change::EndpointBack(_));
-        let Some(id) = known.or_else(|| revived.then(|| self.endpoints.revive(name)).flatten()) else {
-            return;
+        let (name, is_back) = match &change {
+            Change::EndpointOut(name) => (name, false),
+            Change::EndpointBack(name) => (name, true),
+            Change::None | Change::Standby | Change::Active => return,
         };
-        let Some(e) = self.endpoints.get(id) else { return };
-        let (dst, zone, kind, rate, says) =
-            (e.dst, e.zone, e.kind, e.rate, self.status_under_maintenance(name, e.listed));
-        inputs.push(Input::EndpointListed(ListedEndpoint {
-            endpoint: id,
-            destination: dst,
-            zone,
-            kind,
-            status: says,
-            rate,
-        }));
-        if matches!(change, Change::EndpointBack(_)) {
-            inputs.push(Input::EndpointRestarted(id));
+        self.files.write_maintenance(&self.maintenance.borrow());
+        let Some(endpoint) = self.endpoint_in_maintenance(name, is_back) else { return };
+        let Some(listed_status) = self.endpoints.get(endpoint).map(|known| known.listed) else { return };
+        let status = self.status_under_maintenance(name, listed_status);
+        inputs.extend(self.listed_endpoint(endpoint, status).map(Input::EndpointListed));
+        if is_back {
+            inputs.push(Input::EndpointRestarted(endpoint));
         }
     }
+
+    /// The endpoint of this name. One that the decisions forgot while it was in maintenance is known again, under a
+    /// new id, when it is put back.
+    fn endpoint_in_maintenance(&mut self, name: &str, is_back: bool) -> Option<EndpointId> {
+        let known = self.endpoints.id_of(name);
+        if known.is_none() && is_back { self.endpoints.revive(name) } else { known }
+    }
+}
+
+fn drain_record_entry(entry: &EndpointEntry) -> ListEntry<'_> {
+    ListEntry { id: &entry.id, phase: entry.phase, up_since_ms: entry.up_since_ms }
 }
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -1,4 +1,4 @@
-//! What the dispatcher is told.
+//! What the tasks tell the dispatcher.
 
 use crate::clients::{Answer, HandedIn};
 use crate::discovery::EndpointList;
@@ -9,22 +9,26 @@
 use mountshift_maintenance::Change;
 use std::time::Duration;
 
-/// What came in.
-pub enum Event {
-    /// A client submitted a message; it waits for the answer.
+/// A call to an endpoint; never used twice.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct CallNumber(pub(super) u64);
+
+/// What happened, in the order in which it did.
+pub(crate) enum Event {
+    /// A client submitted a message, and waits for the answer.
     MessageReceived { message: HandedIn, reply_to: Sender<Answer> },
-    /// A client did not hear that its message was taken on.
+    /// A client did not hear that its message was accepted.
     ClientUnreachable(MessageId),
-    /// Messages of a call have ended.
-    AttemptsEnded(u64, Ends),
-    /// A call to this endpoint begins late: may it still be reached?
-    ReachabilityAsked(EndpointId, Sender<bool>),
-    /// The list or its changes; or a call for it failed, with a wait if one was told.
+    /// Attempts of a call ended.
+    AttemptsEnded { call: CallNumber, results: Ends },
+    /// A call begins late: may it still be sent to the endpoint?
+    ReachabilityAsked { endpoint: EndpointId, reply_to: Sender<bool> },
+    /// Discovery told the endpoint list or an update; or a poll failed, with a `Retry-After` if one was told.
     EndpointList(Result<EndpointList, Option<Duration>>),
-    /// The platform took these ends.
+    /// The platform took the notifications of these messages.
     NotificationsTaken(Vec<MessageId>),
-    /// An operator's call changed the maintenance.
+    /// An operator's command changed the maintenance.
     MaintenanceChanged(Change),
-    /// Told to stop, and how.
+    /// The process was told to stop, in this way.
     StopRequested(StopPlan),
 }
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -1,57 +1,35 @@
-//! Takes events in, and turns them into what the decisions must know.
+//! Handles events: keeps the dispatcher's state, and tells the decisions what they must know. One handler each.
 
-use super::event::Event;
-use super::state::{DispatcherState, hash_id};
+use super::event::{CallNumber, Event};
+use super::state::{DispatcherState, ReachabilityQuestion};
 use crate::clients::{Answer, HandedIn};
 use crate::clock::unix_us;
-use crate::endpoints::{self, End, Stage};
+use crate::discovery::EndpointList;
+use crate::endpoints::{self, End, Ends, Stage};
 use async_channel::Sender;
 use log::{info, warn};
 use mountshift::interface::*;
+use mountshift_handover::StopPlan;
 use mountshift_spool::AcceptedMessage;
+use std::time::Duration;
 
 impl DispatcherState {
-    /// Takes an event in; what the decisions must know goes into `inputs`.
+    /// Handles an event; what the decisions must know goes into `inputs`.
     pub(super) fn handle(&mut self, event: Event, inputs: &mut Vec<Input>) {
         match event {
             Event::MessageReceived { message, reply_to } => {
-                self.on_message_received(message, reply_to, inputs)
+                self.on_message_received(message, reply_to, inputs);
             }
-            // Its client will hand it in again: it is nobody's any more.
+            // Its client submits it again: this one is nobody's any more.
             Event::ClientUnreachable(message) => self.close_message(message, inputs),
-            Event::AttemptsEnded(call, ends) => {
-                if let Some(to) = self.calls_in_flight.get(&call).map(|out| out.to) {
-                    ends.wait
-                        .into_iter()
-                        .for_each(|wait| inputs.push(Input::RetryAfter { endpoint: to, span: wait }));
-                    let name = self.settings.rate_limit_field.as_deref();
-                    let limit =
-                        name.zip(ends.report.as_deref()).and_then(|(name, text)| endpoints::told(text, name));
-                    limit
-                        .into_iter()
-                        .for_each(|rate| inputs.push(Input::RateLimitReported { endpoint: to, rate }));
-                }
-                ends.ends.into_iter().for_each(|end| self.on_attempt_ended(call, end, inputs));
+            Event::AttemptsEnded { call, results } => self.on_attempts_ended(call, results, inputs),
+            Event::ReachabilityAsked { endpoint, reply_to } => {
+                self.reachability_questions.push(ReachabilityQuestion { endpoint, reply_to });
             }
-            Event::EndpointList(Ok(list)) => {
-                self.on_endpoint_list(list, inputs);
-                inputs.push(Input::ListReceived);
-            }
-            Event::EndpointList(Err(wait)) => inputs.push(Input::PollFailed { retry_after: wait }),
-            Event::NotificationsTaken(taken) => {
-                taken.iter().for_each(|message| self.remember_ended(*message));
-                taken.into_iter().for_each(|message| self.close_message(message, inputs));
-            }
-            Event::ReachabilityAsked(to, reply_to) => self.reachability_questions.push((to, reply_to)),
+            Event::EndpointList(result) => self.on_poll_ended(result, inputs),
+            Event::NotificationsTaken(messages) => self.on_notifications_taken(messages, inputs),
             Event::MaintenanceChanged(change) => self.on_maintenance_changed(change, inputs),
-            Event::StopRequested(how) => {
-                self.maintenance.borrow_mut().stopping();
-                // A process beside this one takes over what is held: nothing more goes out from here.
-                if how.hands_over {
-                    info!("hands over to the process beside it");
-                    inputs.push(Input::HandoverStarted);
-                }
-            }
+            Event::StopRequested(plan) => self.on_stop_requested(plan, inputs),
         }
     }
 
@@ -60,71 +38,137 @@
         inputs.push(Input::Closed(message));
     }
 
-    fn on_message_received(&mut self, m: HandedIn, reply_to: Sender<Answer>, inputs: &mut Vec<Input>) {
-        let deadline = self.clock.at(m.at) + m.told.left;
-        let Some(submission) = self.submission(&m.told, m.key, deadline) else {
-            let _ = reply_to.try_send(Answer::Failed("c names no class"));
+    fn on_message_received(&mut self, received: HandedIn, reply_to: Sender<Answer>, inputs: &mut Vec<Input>) {
+        let deadline = self.clock.since_start(received.at) + received.told.left;
+        let submission = match self.check_message(&received, deadline) {
+            Ok(submission) => submission,
+            Err(answer) => {
+                let _ = reply_to.try_send(answer);
+                return;
+            }
+        };
+        let Some(message) = self.accept_message(received, deadline) else {
+            let _ = reply_to.try_send(Answer::PushedBack(0));
             return;
         };
-        // Guards against messages that nobody can ever take: they would be held until their deadline.
+        self.awaiting_answer.insert(message, reply_to);
+        inputs.push(Input::Submitted { message, submission });
+    }
+
+    /// What the decisions are told of a message, or the answer if they are told nothing.
+    fn check_message(&self, received: &HandedIn, deadline: Duration) -> Result<Submission, Answer> {
+        let Some(submission) = self.submission(&received.told, received.key, deadline) else {
+            return Err(Answer::Failed("c names no class"));
+        };
+        // Nobody could ever take it: it would be held until its deadline.
         if !self.endpoints.lists(submission.destination) {
-            let _ = reply_to.try_send(Answer::Failed("dest is not on the list"));
-            return;
+            return Err(Answer::Failed("dest is not on the list"));
         }
-        if let Some(message) = self.message_by_id.get(&m.id) {
-            // Taken on already: the one that came first stands.
+        // Accepted already: the one that came first stands.
+        if let Some(message) = self.messages_by_id.get(&received.id) {
             info!("message {} came again while it is held", message.0);
-            let _ = reply_to.try_send(Answer::Held);
-            return;
+            return Err(Answer::Held);
         }
-        if self.recently_ended.contains(&hash_id(&m.id)) {
-            let _ = reply_to.try_send(Answer::Failed("the id was used before"));
-            return;
+        if self.has_ended_recently(&received.id) {
+            return Err(Answer::Failed("the id was used before"));
         }
-        let at = self.clock.unix_ms(deadline);
-        let taken = AcceptedMessage {
-            id: m.id,
-            key: m.key,
-            metadata: m.list,
-            deadline: at,
-            body: m.body,
+        Ok(submission)
+    }
+
+    /// Puts a message into the spool; none if there is no room.
+    fn accept_message(&mut self, received: HandedIn, deadline: Duration) -> Option<MessageId> {
+        let id = received.id.clone();
+        let accepted = AcceptedMessage {
+            id: received.id,
+            key: received.key,
+            metadata: received.list,
+            deadline: self.clock.unix_ms(deadline),
+            body: received.body,
             accepted_at_us: unix_us(),
         };
-        let name = taken.id.clone();
-        let added = self.spool.borrow_mut().accept(taken);
-        let Some(n) = added else {
-            // Told once, or what clients do meanwhile would fill the log.
-            if !std::mem::replace(&mut self.spool_full_logged, true) {
-                warn!("spool: full with {} messages", self.spool.borrow().messages().len());
-            }
-            let _ = reply_to.try_send(Answer::PushedBack(0));
-            return;
+        let Some(number) = self.spool.borrow_mut().accept(accepted) else {
+            self.log_spool_full();
+            return None;
         };
-        let message = MessageId(n);
         self.spool_full_logged = false;
-        self.message_by_id.insert(name, message);
-        self.awaiting_answer.insert(message, reply_to);
-        inputs.push(Input::Submitted { message, submission });
+        let message = MessageId(number);
+        self.messages_by_id.insert(id, message);
+        Some(message)
     }
 
-    fn on_attempt_ended(&mut self, call: u64, (message, outcome, over): End, inputs: &mut Vec<Input>) {
-        let Some(out) = self.calls_in_flight.get_mut(&call).filter(|out| out.messages.contains(&message))
-        else {
+    /// Logged once, or clients that keep submitting would fill the log.
+    fn log_spool_full(&mut self) {
+        if !self.spool_full_logged {
+            self.spool_full_logged = true;
+            warn!("spool: full with {} messages", self.spool.borrow().messages().len());
+        }
+    }
+
+    fn on_attempts_ended(&mut self, call: CallNumber, results: Ends, inputs: &mut Vec<Input>) {
+        if let Some(endpoint) = self.calls_in_flight.get(&call).map(|call| call.endpoint) {
+            if let Some(span) = results.wait {
+                inputs.push(Input::RetryAfter { endpoint, span });
+            }
+            if let Some(rate) = self.reported_rate_limit(&results) {
+                inputs.push(Input::RateLimitReported { endpoint, rate });
+            }
+        }
+        for end in results.ends {
+            self.on_attempt_ended(call, end, inputs);
+        }
+    }
+
+    /// The rate limit in the report that came with an answer.
+    fn reported_rate_limit(&self, results: &Ends) -> Option<f64> {
+        let field = self.settings.rate_limit_field.as_deref()?;
+        endpoints::told(results.report.as_deref()?, field)
+    }
+
+    fn on_attempt_ended(&mut self, number: CallNumber, end: End, inputs: &mut Vec<Input>) {
+        let (message, outcome, closed) = end;
+        let Some(call) = self.calls_in_flight.get_mut(&number) else { return };
+        if !call.messages.remove(&message) {
             return;
-        };
-        out.messages.remove(&message);
-        let (to, waited) = (out.to, self.now.saturating_sub(out.sent));
-        let noted = out.stage.get() != Stage::Begun;
-        if out.messages.is_empty() {
-            self.calls_in_flight.remove(&call);
         }
-        if outcome.never_ran() && noted {
+        let endpoint = call.endpoint;
+        let waited = self.now.saturating_sub(call.sent_at);
+        let is_recorded = call.stage.get() != Stage::Begun;
+        if call.messages.is_empty() {
+            self.calls_in_flight.remove(&number);
+        }
+        if outcome.never_ran() && is_recorded {
             self.spool.borrow_mut().record_not_run(message.0);
         }
-        if over {
+        if closed {
             self.remember_ended(message);
             self.remove_message(message);
         }
-        inputs.push(Input::AttemptEnded { message, endpoint: to, waited, outcome, closed: over });
+        inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, closed });
+    }
+
+    fn on_poll_ended(&mut self, result: Result<EndpointList, Option<Duration>>, inputs: &mut Vec<Input>) {
+        match result {
+            Ok(list) => {
+                self.on_endpoint_list(list, inputs);
+                inputs.push(Input::ListReceived);
+            }
+            Err(retry_after) => inputs.push(Input::PollFailed { retry_after }),
+        }
+    }
+
+    fn on_notifications_taken(&mut self, messages: Vec<MessageId>, inputs: &mut Vec<Input>) {
+        for message in messages {
+            self.remember_ended(message);
+            self.close_message(message, inputs);
+        }
+    }
+
+    fn on_stop_requested(&mut self, plan: StopPlan, inputs: &mut Vec<Input>) {
+        self.maintenance.borrow_mut().stopping();
+        // A successor takes over what is held: nothing more is sent from here.
+        if plan.hands_over {
+            info!("hands over to the process beside it");
+            inputs.push(Input::HandoverStarted);
+        }
     }
 }
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -1,65 +1,95 @@
-//! Tells the decisions what earlier processes of the relay left.
+//! Tells the decisions what earlier processes of the relay left: routes after a handover, messages in the spool.
 
 use super::state::DispatcherState;
 use crate::clients::told;
 use log::{debug, info};
 use mountshift::interface::*;
-use mountshift_handover::Snapshot;
-use mountshift_spool::FinalOutcome;
+use mountshift_handover::{RouteRecord, Snapshot};
+use mountshift_spool::{AttemptRecord, FinalOutcome, StoredMessage};
 use std::time::Duration;
 
+/// A time that is not "none" or "due", which zero means, is at least this.
+const EARLIEST: Duration = Duration::from_millis(1);
+
 impl DispatcherState {
-    /// Tells what an earlier process of the relay left (rules 4 and 6 run on over an upgrade).
+    /// Restores routes: a `Retry-After` and a slow start bind beyond a handover (rules 4 and 6).
     pub(super) fn restore_routes(&mut self, snapshot: Snapshot, inputs: &mut Vec<Input>) {
-        let snapshot = snapshot.binding(self.clock.unix_ms(self.now));
-        debug!("carried at {}: {}", self.clock.unix_ms(self.now), snapshot.written());
-        let at = |ms: u64| {
-            if ms == 0 { Duration::ZERO } else { self.clock.at_unix_ms(ms).max(Duration::from_millis(1)) }
-        };
-        let mut carried = Vec::new();
-        for route in snapshot.routes {
-            let endpoint = match &route.endpoint {
-                None => None,
-                Some(name) => match self.endpoints.id_of(name) {
-                    Some(id) => Some(id),
-                    None => continue,
-                },
-            };
-            carried.push(RouteSnapshot {
-                destination: DestinationId(route.destination),
-                endpoint,
-                retry_after_until: at(route.retry_after_until_ms),
-                open_until: route.open_until_ms.map(at),
-                slow_start_since: route.slow_start_since_ms.map(at),
-            });
+        let now_ms = self.clock.unix_ms(self.now);
+        let snapshot = snapshot.binding(now_ms);
+        debug!("restores at {now_ms}: {}", snapshot.written());
+        let mut restored = Vec::new();
+        for route in &snapshot.routes {
+            restored.extend(self.restored_route(route));
         }
-        info!("carries {} routes over from the process before", carried.len());
-        inputs.push(Input::RoutesRestored(carried));
+        info!("carries {} routes over from the process before", restored.len());
+        inputs.push(Input::RoutesRestored(restored));
     }
 
-    /// Tells of everything that the spool holds from before.
-    pub(super) fn restore_spool(&mut self, inputs: &mut Vec<Input>) {
-        let kept: Vec<_> =
-            self.spool.borrow().messages().iter().map(|(n, k)| (MessageId(*n), k.clone())).collect();
-        for (message, kept) in kept {
-            self.message_by_id.insert(kept.accepted.id.clone(), message);
-            let deadline = self.clock.at_unix_ms(kept.accepted.deadline);
-            let told = told(&kept.accepted.metadata).ok();
-            let submission = told.and_then(|told| self.submission(&told, kept.accepted.key, deadline));
-            // A class that the settings no longer hold: nobody could decide on it.
-            let owed =
-                kept.pending_outcome.or(if submission.is_none() { Some(FinalOutcome::Failed) } else { None });
-            owed.into_iter().for_each(|end| self.notify(message, end));
-            let Some(submission) = submission.map(|h| Submission { restored: true, ..h }) else { continue };
-            inputs.push(Input::Submitted { message, submission });
-            if owed.is_some() {
-                // Its end is not taken yet: it still holds back the rest of its key.
-                inputs.push(Input::FinalAnswerPending(message));
-            }
-            for leg in kept.attempts {
-                let (zone, at) = (self.endpoints.zone(&leg.zone), self.clock.at_unix_ms(leg.at));
-                inputs.push(Input::EarlierAttempt { message, zone, at, may_have_run: leg.may_have_run });
+    /// A route as the decisions know it; none if its endpoint is not on the list any more.
+    fn restored_route(&self, record: &RouteRecord) -> Option<RouteSnapshot> {
+        let endpoint = match &record.endpoint {
+            Some(name) => Some(self.endpoints.id_of(name)?),
+            None => None,
+        };
+        let since_start = |unix_ms: u64| {
+            if unix_ms == 0 {
+                Duration::ZERO
+            } else {
+                self.clock.since_start_of_unix_ms(unix_ms).max(EARLIEST)
             }
+        };
+        Some(RouteSnapshot {
+            destination: DestinationId(record.destination),
+            endpoint,
+            retry_after_until: since_start(record.retry_after_until_ms),
+            open_until: record.open_until_ms.map(since_start),
+            slow_start_since: record.slow_start_since_ms.map(since_start),
+        })
+    }
+
+    /// Restores every message that the spool holds from before.
+    pub(super) fn restore_spool(&mut self, inputs: &mut Vec<Input>) {
+        let stored_messages = self.spool.borrow().messages().clone();
+        for (number, stored) in stored_messages {
+            self.restore_message(MessageId(number), stored, inputs);
+        }
+    }
+
+    fn restore_message(&mut self, message: MessageId, stored: StoredMessage, inputs: &mut Vec<Input>) {
+        self.messages_by_id.insert(stored.accepted.id.clone(), message);
+        let submission = self.restored_submission(&stored);
+        let mut final_outcome = stored.pending_outcome;
+        if submission.is_none() && final_outcome.is_none() {
+            // Of a class that the settings no longer hold: nobody could decide on it.
+            final_outcome = Some(FinalOutcome::Failed);
+        }
+        if let Some(outcome) = final_outcome {
+            self.notify(message, outcome);
+        }
+        let Some(submission) = submission else { return };
+        inputs.push(Input::Submitted { message, submission });
+        if final_outcome.is_some() {
+            // Until the notification is taken it holds back the rest of its key.
+            inputs.push(Input::FinalAnswerPending(message));
+        }
+        for attempt in &stored.attempts {
+            inputs.push(self.earlier_attempt(message, attempt));
+        }
+    }
+
+    fn restored_submission(&self, stored: &StoredMessage) -> Option<Submission> {
+        let metadata = told(&stored.accepted.metadata).ok()?;
+        let deadline = self.clock.since_start_of_unix_ms(stored.accepted.deadline);
+        let submission = self.submission(&metadata, stored.accepted.key, deadline)?;
+        Some(Submission { restored: true, ..submission })
+    }
+
+    fn earlier_attempt(&mut self, message: MessageId, attempt: &AttemptRecord) -> Input {
+        Input::EarlierAttempt {
+            message,
+            zone: self.endpoints.zone(&attempt.zone),
+            at: self.clock.since_start_of_unix_ms(attempt.at),
+            may_have_run: attempt.may_have_run,
         }
     }
 }
--- a/crates/relay/src/dispatch/shutdown.rs
+++ b/crates/relay/src/dispatch/shutdown.rs
@@ -1,41 +1,111 @@
-//! The end of the process.
+//! The end of the process: when it comes, and what is done last.
 
-use super::{Dispatcher, STOP_CHECK_INTERVAL};
+use super::Dispatcher;
+use super::state::DispatcherState;
 use crate::endpoints::Stage;
 use async_io::Timer;
 use log::info;
+use mountshift_handover::StopPlan;
 use std::time::{Duration, Instant};
 
-/// At the end, for what clients are owed.
+/// Between two looks at whether everything has ended, while stopping.
+pub(super) const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// At the end: the time for clients to hear the answers they are owed.
 const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(80);
+/// Between two looks at events within that time.
+const FINAL_ANSWERS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+
+/// The process was told to stop.
+#[derive(Clone, Copy)]
+pub(super) struct Stopping {
+    pub(super) since: Instant,
+    pub(super) plan: StopPlan,
+}
+
+impl Stopping {
+    /// How far the stop has come.
+    pub(super) fn progress(self) -> StopProgress {
+        StopProgress { elapsed: self.since.elapsed(), plan: self.plan }
+    }
+}
+
+/// How far a stop has come.
+#[derive(Clone, Copy)]
+pub(super) struct StopProgress {
+    elapsed: Duration,
+    plan: StopPlan,
+}
+
+impl StopProgress {
+    /// True while the decisions go on. In a handover they do to the end, sending nothing: final answers that fall due
+    /// are still given.
+    pub(super) fn decides(self) -> bool {
+        self.elapsed < self.plan.send_for || self.plan.hands_over
+    }
+
+    /// True once messages may be left in the spool for the next process.
+    fn may_leave_messages(self) -> bool {
+        self.plan.hands_over || self.elapsed >= self.plan.send_for
+    }
+}
 
 impl Dispatcher {
-    /// The last words: what has come by now is taken in, and clients hear of what was taken on for them. Guards
-    /// against a delivery that is known to the process and not to the spool, whose message would be sent again, and
-    /// against a message in the spool whose client never heard, and hands it in again.
+    /// True once the process can end, or has to.
+    pub(super) fn is_done(&self, stop: StopProgress) -> bool {
+        if stop.elapsed >= stop.plan.end_by {
+            return true;
+        }
+        let clients_gone = self.clients_leave.is_closed() && self.client_connections.get() == 0;
+        let nothing_in_flight = self.state.calls_in_flight.is_empty();
+        let is_spool_empty = self.state.spool.borrow().messages().is_empty();
+        clients_gone && nothing_in_flight && (stop.may_leave_messages() || is_spool_empty)
+    }
+
+    /// Takes in what has come by now, and lets clients hear which messages were accepted. Without that a delivery
+    /// that the spool does not know would be sent again, and so would a message in the spool whose client never heard
+    /// and submits it again.
     pub(super) async fn finish(mut self) {
         self.clients_end.close();
-        let by = Instant::now() + FINAL_ANSWERS_TIME;
+        let end = Instant::now() + FINAL_ANSWERS_TIME;
         loop {
-            // Everything that can go on has its turn meanwhile.
-            Timer::after(STOP_CHECK_INTERVAL / 4).await;
+            // All other tasks have their turn meanwhile.
+            Timer::after(FINAL_ANSWERS_CHECK_INTERVAL).await;
             let mut inputs = Vec::new();
             while let Ok(event) = self.events.try_recv() {
                 self.state.handle(event, &mut inputs);
             }
-            self.state.execute_step();
-            self.state.reachability_questions.clear();
-            if Instant::now() >= by || (self.client_connections.get() == 0 && inputs.is_empty()) {
+            self.state.execute_without_deciding();
+            let is_quiet = self.client_connections.get() == 0 && inputs.is_empty();
+            if is_quiet || Instant::now() >= end {
                 break;
             }
         }
-        // What was being written can't become whole any more.
-        for out in self.state.calls_in_flight.values_mut().filter(|out| out.stage.get() == Stage::Noted) {
-            out.task = None;
-            out.messages.iter().for_each(|message| self.state.spool.borrow_mut().record_not_run(message.0));
-        }
+        self.state.abandon_unwritten_calls();
         self.state.execute_step();
-        let kept = self.state.spool.borrow().messages().len();
-        info!("stopped with {} calls out, {kept} messages kept", self.state.calls_in_flight.len());
+        let calls = self.state.calls_in_flight.len();
+        let stored = self.state.spool.borrow().messages().len();
+        info!("stopped with {calls} calls out, {stored} messages kept");
+    }
+}
+
+impl DispatcherState {
+    /// Carries out a step in which nothing is decided: outcomes are recorded, messages wait in the spool for the next
+    /// process. Late calls hear nothing, and are not sent.
+    pub(super) fn execute_without_deciding(&mut self) {
+        self.execute_step();
+        self.reachability_questions.clear();
+    }
+
+    /// Calls whose last byte is not written can't run any more.
+    fn abandon_unwritten_calls(&mut self) {
+        for call in self.calls_in_flight.values_mut() {
+            if call.stage.get() != Stage::Noted {
+                continue;
+            }
+            call.task = None;
+            for message in &call.messages {
+                self.spool.borrow_mut().record_not_run(message.0);
+            }
+        }
     }
 }
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -1,6 +1,7 @@
-//! What the dispatcher holds: messages, calls, endpoints and what it tells to others.
+//! What the dispatcher holds: messages, calls in flight, endpoints, and what the step under way collects.
 
-use super::event::Event;
+use super::dependencies::Dependencies;
+use super::event::{CallNumber, Event};
 use crate::clients::{Answer, Told};
 use crate::clock::Clock;
 use crate::endpoints::{Endpoints, Idle, Stage};
@@ -20,31 +21,54 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Ids that are remembered beyond their end.
+/// Ids that are remembered after their messages ended: enough for a client that submits again late, and bounded.
 const MAX_RECENTLY_ENDED: usize = 4_096;
+/// The tenant of messages whose tenant the settings don't name: it has no quota. Were it the first one, unknown
+/// tenants would draw on that one's share.
+const UNKNOWN_TENANT: TenantId = TenantId(u32::MAX);
+/// On the wire, the key of a message that is in no order.
+const NO_ORDERING_KEY: u64 = 0;
 
-pub(super) fn hash_id(id: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish()
-}
-
-/// A call that is out.
+/// A call in flight.
 pub(super) struct CallInFlight {
-    pub(super) to: EndpointId,
-    pub(super) sent: Duration,
+    pub(super) endpoint: EndpointId,
+    pub(super) sent_at: Duration,
+    /// The messages whose attempts have not ended.
     pub(super) messages: BTreeSet<MessageId>,
+    /// Those of them that the decisions cancelled.
     pub(super) cancelled: BTreeSet<MessageId>,
     pub(super) stage: Rc<Cell<Stage>>,
     /// Dropping it closes the call's connection.
     pub(super) task: Option<Task<()>>,
 }
 
-/// Takes the decisions and holds what they are about.
+/// A message's attempt that the step under way decided.
+#[derive(Clone, Copy)]
+pub(super) struct PendingAttempt {
+    pub(super) message: MessageId,
+    /// It ends as timed out after this.
+    pub(super) limit: Duration,
+}
+
+/// The attempts of the step under way to one endpoint.
+pub(super) struct PendingSends {
+    pub(super) endpoint: EndpointId,
+    pub(super) attempts: Vec<PendingAttempt>,
+}
+
+/// A late call that waits to hear whether it may still be sent.
+pub(super) struct ReachabilityQuestion {
+    pub(super) endpoint: EndpointId,
+    pub(super) reply_to: Sender<bool>,
+}
+
+/// What the decisions are about. It is their [`Actions`].
 pub(super) struct DispatcherState {
     pub(super) clock: Clock,
+    /// The time of the step under way.
     pub(super) now: Duration,
     pub(super) settings: SocketSettings,
+    /// Messages in one call at most, by kind of destination.
     pub(super) max_batches: Vec<usize>,
     pub(super) spool: Rc<RefCell<Spool>>,
     pub(super) endpoints: Endpoints,
@@ -53,39 +77,70 @@
     pub(super) events: Sender<Event>,
     pub(super) notifications: Sender<Notification>,
     pub(super) poll_requests: Sender<()>,
-    pub(super) message_by_id: BTreeMap<Vec<u8>, MessageId>,
-    /// Ids of messages that ended lately, as numbers.
+    pub(super) maintenance: Rc<RefCell<MaintenanceState>>,
+    /// Endpoints known to be draining or removed, whatever an older list says.
+    pub(super) drain_record: DrainRecord,
+    pub(super) files: StateFiles,
+    /// The messages in the spool, by the ids that clients gave them.
+    pub(super) messages_by_id: BTreeMap<Vec<u8>, MessageId>,
+    /// Hashes of the ids of messages that ended lately.
     pub(super) recently_ended: VecDeque<u64>,
-    /// Messages that came for this round, and who waits for the answer.
-    pub(super) awaiting_answer: BTreeMap<MessageId, Sender<Answer>>,
-    pub(super) pending_sends: Vec<(EndpointId, Vec<(MessageId, Duration)>)>,
-    pub(super) reachability_questions: Vec<(EndpointId, Sender<bool>)>,
-    pub(super) calls_in_flight: BTreeMap<u64, CallInFlight>,
+    pub(super) calls_in_flight: BTreeMap<CallNumber, CallInFlight>,
     pub(super) last_call_number: u64,
+    /// When the decisions want the next step at the latest.
     pub(super) next_wake: Option<Duration>,
-    /// The spool had no room for the last message.
+    /// The spool had no room for the last message, and the log says so.
     pub(super) spool_full_logged: bool,
-    pub(super) maintenance: Rc<RefCell<MaintenanceState>>,
-    /// Endpoints told as leaving.
-    pub(super) drain_record: DrainRecord,
-    pub(super) files: StateFiles,
+    /// Clients that submitted a message for the step under way.
+    pub(super) awaiting_answer: BTreeMap<MessageId, Sender<Answer>>,
+    /// What the step under way sends.
+    pub(super) pending_sends: Vec<PendingSends>,
+    /// What the step under way is asked.
+    pub(super) reachability_questions: Vec<ReachabilityQuestion>,
 }
 
 impl DispatcherState {
-    /// An end that is no delivery: the answer to a client that waits, else a notice. True if it is taken.
+    /// The state before the first step.
+    pub(super) fn new(dependencies: Dependencies, clock: Clock) -> DispatcherState {
+        let kinds = &dependencies.policy_settings.destination_kinds;
+        let settings = dependencies.socket_settings;
+        let idle_connections = Idle::new(settings.idle_timeout, dependencies.max_idle_connections);
+        DispatcherState {
+            clock,
+            now: clock.now(),
+            max_batches: kinds.iter().map(|kind| kind.max_batch.max(1)).collect(),
+            spool: Rc::new(RefCell::new(dependencies.spool)),
+            endpoints: Endpoints::new(&settings),
+            idle_connections: Rc::new(idle_connections),
+            settings,
+            executor: dependencies.executor,
+            events: dependencies.events.0,
+            notifications: dependencies.notifications,
+            poll_requests: dependencies.poll_requests,
+            maintenance: dependencies.maintenance,
+            drain_record: dependencies.drain_record,
+            files: dependencies.files,
+            messages_by_id: BTreeMap::new(),
+            recently_ended: VecDeque::new(),
+            calls_in_flight: BTreeMap::new(),
+            last_call_number: 0,
+            next_wake: None,
+            spool_full_logged: false,
+            awaiting_answer: BTreeMap::new(),
+            pending_sends: Vec::new(),
+            reachability_questions: Vec::new(),
+        }
+    }
+
+    /// Ends a message undelivered: its client hears so if it still waits, else the platform. True if the client took
+    /// it, so that the message is closed.
     pub(super) fn end_undelivered(
         &mut self,
         message: MessageId,
         answer: Answer,
         outcome: FinalOutcome,
     ) -> bool {
-        if let Some(kept) = self.spool.borrow().get(message.0) {
-            let (id, legs) = (String::from_utf8_lossy(&kept.accepted.id), kept.attempts.len());
-            debug!(
-                "message {id} ends undelivered: {outcome:?} after {legs} legs, {}",
-                kept.accepted.metadata
-            );
-        }
+        self.log_undelivered(message, outcome);
         if let Some(reply_to) = self.awaiting_answer.remove(&message) {
             let _ = reply_to.try_send(answer);
             self.remove_message(message);
@@ -96,44 +151,74 @@
         false
     }
 
-    pub(super) fn notify(&mut self, message: MessageId, outcome: FinalOutcome) {
-        if let Some(kept) = self.spool.borrow().get(message.0) {
-            let _ =
-                self.notifications.try_send(Notification { message, id: kept.accepted.id.clone(), outcome });
+    fn log_undelivered(&self, message: MessageId, outcome: FinalOutcome) {
+        let spool = self.spool.borrow();
+        let Some(stored) = spool.get(message.0) else { return };
+        let id = String::from_utf8_lossy(&stored.accepted.id);
+        let attempts = stored.attempts.len();
+        let metadata = &stored.accepted.metadata;
+        debug!("message {id} ends undelivered: {outcome:?} after {attempts} attempts, {metadata}");
+    }
+
+    /// Queues the notification of a message's final outcome.
+    pub(super) fn notify(&self, message: MessageId, outcome: FinalOutcome) {
+        if let Some(stored) = self.spool.borrow().get(message.0) {
+            let id = stored.accepted.id.clone();
+            let _ = self.notifications.try_send(Notification { message, id, outcome });
         }
     }
 
+    /// Removes a message that is closed.
     pub(super) fn remove_message(&mut self, message: MessageId) {
         let mut spool = self.spool.borrow_mut();
-        if let Some(kept) = spool.get(message.0) {
-            self.message_by_id.remove(&kept.accepted.id);
+        if let Some(stored) = spool.get(message.0) {
+            self.messages_by_id.remove(&stored.accepted.id);
             spool.remove(message.0);
         }
     }
 
-    /// Guards against an id that is handed in again after its end: every message has a new one, so whoever
-    /// uses it hands in another's, and it would go out as a second copy.
+    /// Remembers the id of a message that ended. Every message has a new id, so who submits it again repeats the
+    /// message, which must not be sent a second time.
     pub(super) fn remember_ended(&mut self, message: MessageId) {
-        let ended = self.spool.borrow().get(message.0).map(|kept| hash_id(&kept.accepted.id));
-        self.recently_ended.extend(ended);
-        self.recently_ended.drain(..self.recently_ended.len().saturating_sub(MAX_RECENTLY_ENDED));
+        if let Some(stored) = self.spool.borrow().get(message.0) {
+            self.recently_ended.push_back(hash_id(&stored.accepted.id));
+        }
+        while self.recently_ended.len() > MAX_RECENTLY_ENDED {
+            self.recently_ended.pop_front();
+        }
     }
 
-    /// What the decisions are told of a message; none if its lane is not known.
-    pub(super) fn submission(&self, told: &Told, key: u64, deadline: Duration) -> Option<Submission> {
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let class = ClassId(place(&self.settings.classes, &told.lane)? as u16);
-        let tenant = told.tenant.as_deref().and_then(|t| place(&self.settings.tenants, t));
-        // Guards against a tenant that nobody knows drawing on the share of the first one: it has none.
-        let tenant = TenantId(tenant.map_or(u32::MAX, |t| t as u32));
-        let key = (key != 0).then_some(OrderingKey(key));
+    /// True if a message of this id ended lately.
+    pub(super) fn has_ended_recently(&self, id: &[u8]) -> bool {
+        self.recently_ended.contains(&hash_id(id))
+    }
+
+    /// What the decisions are told of a message; none if the settings don't know its class.
+    pub(super) fn submission(
+        &self,
+        metadata: &Told,
+        ordering_key: u64,
+        deadline: Duration,
+    ) -> Option<Submission> {
+        let class = position(&self.settings.classes, &metadata.lane)?;
+        let tenant = metadata.tenant.as_deref().and_then(|name| position(&self.settings.tenants, name));
         Some(Submission {
-            class,
-            tenant,
-            destination: DestinationId(told.dst),
-            key,
+            class: ClassId(class as u16),
+            tenant: tenant.map_or(UNKNOWN_TENANT, |position| TenantId(position as u32)),
+            destination: DestinationId(metadata.dst),
+            key: if ordering_key == NO_ORDERING_KEY { None } else { Some(OrderingKey(ordering_key)) },
             deadline,
             restored: false,
         })
     }
 }
+
+fn position(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+fn hash_id(id: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
