--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -1,125 +1,174 @@
-//! Takes events in, and turns them into what the decisions must know.
+//! Handles events: keeps the dispatcher's state, and tells the decisions what they must know. One handler each.
 
-use super::event::Event;
-use super::state::{Desk, number};
+use super::event::{CallNumber, Event};
+use super::state::{DispatcherState, ReachabilityQuestion};
 use crate::clients::{Answer, HandedIn};
 use crate::clock::unix_us;
-use crate::upstream::{self, End, Stage};
+use crate::discovery::EndpointList;
+use crate::upstream::{self, End, Ends, Stage};
 use async_channel::Sender;
 use log::{info, warn};
 use mountshift::interface::*;
+use mountshift_handover::StopPlan;
 use mountshift_spool::AcceptedMessage;
+use std::time::Duration;
 
-impl Desk {
-    /// Takes an event in; what the decisions must know goes into `inputs`.
-    pub(super) fn take(&mut self, event: Event, inputs: &mut Vec<Input>) {
+impl DispatcherState {
+    /// Handles an event; what the decisions must know goes into `inputs`.
+    pub(super) fn handle(&mut self, event: Event, inputs: &mut Vec<Input>) {
         match event {
-            Event::Message(message, asking) => self.take_message(message, asking, inputs),
-            // Its client will hand it in again: it is nobody's any more.
-            Event::Gone(msg) => self.take_over(msg, inputs),
-            Event::Ended(call, ends) => {
-                if let Some(to) = self.calls.get(&call).map(|out| out.to) {
-                    ends.wait
-                        .into_iter()
-                        .for_each(|wait| inputs.push(Input::RetryAfter { endpoint: to, span: wait }));
-                    let name = self.settings.rate_limit_field.as_deref();
-                    let limit =
-                        name.zip(ends.report.as_deref()).and_then(|(name, text)| upstream::told(text, name));
-                    limit
-                        .into_iter()
-                        .for_each(|rate| inputs.push(Input::RateLimitReported { endpoint: to, rate }));
-                }
-                ends.ends.into_iter().for_each(|end| self.take_end(call, end, inputs));
+            Event::MessageReceived { message, reply_to } => {
+                self.on_message_received(message, reply_to, inputs);
             }
-            Event::List(Ok(list)) => {
-                self.take_list(list, inputs);
-                inputs.push(Input::ListReceived);
-            }
-            Event::List(Err(wait)) => inputs.push(Input::PollFailed { retry_after: wait }),
-            Event::Noticed(taken) => {
-                taken.iter().for_each(|msg| self.remember(*msg));
-                taken.into_iter().for_each(|msg| self.take_over(msg, inputs));
-            }
-            Event::Late(to, asking) => self.late.push((to, asking)),
-            Event::Maintenance(change) => self.take_maintenance(change, inputs),
-            Event::Stop(how) => {
-                self.maintenance.borrow_mut().stopping();
-                // A process beside this one takes over what is held: nothing more goes out from here.
-                if how.hands_over {
-                    info!("hands over to the process beside it");
-                    inputs.push(Input::HandoverStarted);
-                }
+            // Its client submits it again: this one is nobody's any more.
+            Event::ClientUnreachable(message) => self.close_message(message, inputs),
+            Event::AttemptsEnded { call, results } => self.on_attempts_ended(call, results, inputs),
+            Event::ReachabilityAsked { endpoint, reply_to } => {
+                self.reachability_questions.push(ReachabilityQuestion { endpoint, reply_to });
             }
+            Event::EndpointList(result) => self.on_poll_ended(result, inputs),
+            Event::NotificationsTaken(messages) => self.on_notifications_taken(messages, inputs),
+            Event::MaintenanceChanged(change) => self.on_maintenance_changed(change, inputs),
+            Event::StopRequested(plan) => self.on_stop_requested(plan, inputs),
         }
     }
 
-    fn take_over(&mut self, msg: MessageId, inputs: &mut Vec<Input>) {
-        self.over(msg);
-        inputs.push(Input::Closed(msg));
+    fn close_message(&mut self, message: MessageId, inputs: &mut Vec<Input>) {
+        self.remove_message(message);
+        inputs.push(Input::Closed(message));
     }
 
-    fn take_message(&mut self, m: HandedIn, asking: Sender<Answer>, inputs: &mut Vec<Input>) {
-        let deadline = self.clock.at(m.at) + m.told.left;
-        let Some(hand_in) = self.hand_in(&m.told, m.key, deadline) else {
-            let _ = asking.try_send(Answer::Failed("c names no class"));
-            return;
+    fn on_message_received(&mut self, received: HandedIn, reply_to: Sender<Answer>, inputs: &mut Vec<Input>) {
+        let deadline = self.clock.since_start(received.at) + received.told.left;
+        let submission = match self.check_message(&received, deadline) {
+            Ok(submission) => submission,
+            Err(answer) => {
+                let _ = reply_to.try_send(answer);
+                return;
+            }
         };
-        // Guards against messages that nobody can ever take: they would be held until their deadline.
-        if !self.endpoints.lists(hand_in.destination) {
-            let _ = asking.try_send(Answer::Failed("dest is not on the list"));
+        let Some(message) = self.accept_message(received, deadline) else {
+            let _ = reply_to.try_send(Answer::PushedBack(0));
             return;
+        };
+        self.awaiting_answer.insert(message, reply_to);
+        inputs.push(Input::Submitted { message, submission });
+    }
+
+    /// What the decisions are told of a message, or the answer if they are told nothing.
+    fn check_message(&self, received: &HandedIn, deadline: Duration) -> Result<Submission, Answer> {
+        let Some(submission) = self.submission(&received.told, received.key, deadline) else {
+            return Err(Answer::Failed("c names no class"));
+        };
+        // Nobody could ever take it: it would be held until its deadline.
+        if !self.endpoints.lists(submission.destination) {
+            return Err(Answer::Failed("dest is not on the list"));
         }
-        if let Some(msg) = self.by_name.get(&m.id) {
-            // Taken on already: the one that came first stands.
-            info!("message {} came again while it is held", msg.0);
-            let _ = asking.try_send(Answer::Held);
-            return;
+        // Accepted already: the one that came first stands.
+        if let Some(message) = self.messages_by_id.get(&received.id) {
+            info!("message {} came again while it is held", message.0);
+            return Err(Answer::Held);
         }
-        if self.ended.contains(&number(&m.id)) {
-            let _ = asking.try_send(Answer::Failed("the id was used before"));
-            return;
+        if self.has_ended_recently(&received.id) {
+            return Err(Answer::Failed("the id was used before"));
         }
-        let at = self.clock.unix_ms(deadline);
-        let taken = AcceptedMessage {
-            id: m.id,
-            key: m.key,
-            metadata: m.list,
-            deadline: at,
-            body: m.body,
+        Ok(submission)
+    }
+
+    /// Puts a message into the spool; none if there is no room.
+    fn accept_message(&mut self, received: HandedIn, deadline: Duration) -> Option<MessageId> {
+        let id = received.id.clone();
+        let accepted = AcceptedMessage {
+            id: received.id,
+            key: received.key,
+            metadata: received.list,
+            deadline: self.clock.unix_ms(deadline),
+            body: received.body,
             accepted_at_us: unix_us(),
         };
-        let name = taken.id.clone();
-        let added = self.spool.borrow_mut().accept(taken);
-        let Some(n) = added else {
-            // Told once, or what clients do meanwhile would fill the log.
-            if !std::mem::replace(&mut self.full, true) {
-                warn!("spool: full with {} messages", self.spool.borrow().messages().len());
+        let Some(number) = self.spool.borrow_mut().accept(accepted) else {
+            self.log_spool_full();
+            return None;
+        };
+        self.spool_full_logged = false;
+        let message = MessageId(number);
+        self.messages_by_id.insert(id, message);
+        Some(message)
+    }
+
+    /// Logged once, or clients that keep submitting would fill the log.
+    fn log_spool_full(&mut self) {
+        if !self.spool_full_logged {
+            self.spool_full_logged = true;
+            warn!("spool: full with {} messages", self.spool.borrow().messages().len());
+        }
+    }
+
+    fn on_attempts_ended(&mut self, call: CallNumber, results: Ends, inputs: &mut Vec<Input>) {
+        if let Some(endpoint) = self.calls_in_flight.get(&call).map(|call| call.endpoint) {
+            if let Some(span) = results.wait {
+                inputs.push(Input::RetryAfter { endpoint, span });
             }
-            let _ = asking.try_send(Answer::PushedBack(0));
+            if let Some(rate) = self.reported_rate_limit(&results) {
+                inputs.push(Input::RateLimitReported { endpoint, rate });
+            }
+        }
+        for end in results.ends {
+            self.on_attempt_ended(call, end, inputs);
+        }
+    }
+
+    /// The rate limit in the report that came with an answer.
+    fn reported_rate_limit(&self, results: &Ends) -> Option<f64> {
+        let field = self.settings.rate_limit_field.as_deref()?;
+        upstream::told(results.report.as_deref()?, field)
+    }
+
+    fn on_attempt_ended(&mut self, number: CallNumber, end: End, inputs: &mut Vec<Input>) {
+        let (message, outcome, closed) = end;
+        let Some(call) = self.calls_in_flight.get_mut(&number) else { return };
+        if !call.messages.remove(&message) {
             return;
-        };
-        let msg = MessageId(n);
-        self.full = false;
-        self.by_name.insert(name, msg);
-        self.asking.insert(msg, asking);
-        inputs.push(Input::Submitted { message: msg, submission: hand_in });
+        }
+        let endpoint = call.endpoint;
+        let waited = self.now.saturating_sub(call.sent_at);
+        let is_recorded = call.stage.get() != Stage::Begun;
+        if call.messages.is_empty() {
+            self.calls_in_flight.remove(&number);
+        }
+        if outcome.never_ran() && is_recorded {
+            self.spool.borrow_mut().record_not_run(message.0);
+        }
+        if closed {
+            self.remember_ended(message);
+            self.remove_message(message);
+        }
+        inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, closed });
     }
 
-    fn take_end(&mut self, call: u64, (msg, outcome, over): End, inputs: &mut Vec<Input>) {
-        let Some(out) = self.calls.get_mut(&call).filter(|out| out.legs.contains(&msg)) else { return };
-        out.legs.remove(&msg);
-        let (to, waited) = (out.to, self.now.saturating_sub(out.sent));
-        let noted = out.stage.get() != Stage::Begun;
-        if out.legs.is_empty() {
-            self.calls.remove(&call);
+    fn on_poll_ended(&mut self, result: Result<EndpointList, Option<Duration>>, inputs: &mut Vec<Input>) {
+        match result {
+            Ok(list) => {
+                self.on_endpoint_list(list, inputs);
+                inputs.push(Input::ListReceived);
+            }
+            Err(retry_after) => inputs.push(Input::PollFailed { retry_after }),
         }
-        if outcome.never_ran() && noted {
-            self.spool.borrow_mut().record_not_run(msg.0);
+    }
+
+    fn on_notifications_taken(&mut self, messages: Vec<MessageId>, inputs: &mut Vec<Input>) {
+        for message in messages {
+            self.remember_ended(message);
+            self.close_message(message, inputs);
         }
-        if over {
-            self.remember(msg);
-            self.over(msg);
+    }
+
+    fn on_stop_requested(&mut self, plan: StopPlan, inputs: &mut Vec<Input>) {
+        self.maintenance.borrow_mut().stopping();
+        // A successor takes over what is held: nothing more is sent from here.
+        if plan.hands_over {
+            info!("hands over to the process beside it");
+            inputs.push(Input::HandoverStarted);
         }
-        inputs.push(Input::AttemptEnded { message: msg, endpoint: to, waited, outcome, closed: over });
     }
 }
--- a/crates/relay/src/upstream/endpoint_table.rs
+++ b/crates/relay/src/upstream/endpoint_table.rs
@@ -1,6 +1,6 @@
 //! What is known of endpoints.
 
-use crate::discovery::Member;
+use crate::discovery::EndpointEntry;
 use mountshift::interface::*;
 use mountshift_discovery::Phase;
 use mountshift_settings::SocketSettings;
@@ -43,7 +43,7 @@
     }
 
     /// Takes an entry of the list in; gives its id, what the list says, and if it has moved or gone.
-    pub fn learn(&mut self, member: &Member) -> (EndpointId, EndpointStatus, bool) {
+    pub fn learn(&mut self, member: &EndpointEntry) -> (EndpointId, EndpointStatus, bool) {
         let name: Rc<str> = Rc::from(member.id.as_str());
         let id = *self.ids.entry(name.clone()).or_insert_with(|| {
             self.count += 1;
