--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -1,339 +1,555 @@
-//! One client's connection.
+//! One client's connection, from the first byte to its end.
+//!
+//! Owns the socket, what was read and not yet carried out, and the order of the replies. A connection is always in one
+//! of three states ([`Expecting`]); each round waits for input, carries out the requests that have arrived whole and
+//! writes their replies. Never takes back a message whose reply left whole, and never reads without a bound.
 
-use super::protocol::{Words, request};
-use super::submission::{Answer, BODY_MOST, handed_in};
-use super::{Front, NO_ROOM};
+use super::ClientService;
+use super::protocol::{self, Command, CommandError, ProtocolError};
+use super::submission::{MAX_BODY_BYTES, SubmissionReply};
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWrite, AsyncWriteExt, FutureExt};
 use log::debug;
 use mountshift::interface::MessageId;
+use std::fmt;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
-/// Bytes of a request; more than one may be in the buffer, but no more is read before it is parsed.
-const REQUEST_MOST: usize = BODY_MOST + 4 * 1024;
-
-/// A request that has begun must be whole by then, an answer taken; a new connection's first one is due.
-const SLOW: Duration = Duration::from_millis(2_500);
-/// While stopping a new connection is let go if its first request has not begun by then: who opens one means to ask.
-const FIRST: Duration = Duration::from_millis(400);
-/// A client that has nothing to ask for so long is let go.
-const IDLE: Duration = Duration::from_secs(10);
-/// Requests of one connection that are taken in before the others get their turn.
-pub(super) const AT_ONCE: usize = 32;
-/// After requests that can't be used, for each in a row, before the next is read; at most so many times.
-const ERROR_PAUSE: Duration = Duration::from_millis(50);
-const ERROR_PAUSES: u32 = 20;
-/// What still comes after the last answer is read for so long, and so much of it, at this pace.
-const LINGER: Duration = Duration::from_millis(2_500);
-const LINGER_MOST: usize = 80_000_000;
-const LINGER_PAUSE: Duration = Duration::from_millis(1);
-
-/// What a client hears once its message is taken on.
-const TAKEN: &str = "+OK\r\n";
-
-pub(super) struct Client {
-    pub(super) stream: Async<TcpStream>,
+/// Bytes of a request at most, with room for its words beside the body. More than one request may be in the buffer,
+/// but no more is read before it is parsed.
+const MAX_REQUEST_BYTES: usize = MAX_BODY_BYTES + 4 * 1024;
+/// Bytes that one read takes.
+pub(super) const READ_CHUNK_BYTES: usize = 16 * 1024;
+/// Bytes that one read takes from a connection whose input is dropped.
+const DISCARD_CHUNK_BYTES: usize = 64 * 1024;
+/// The first request must begin by then, a request that has begun must be whole and a reply taken: far more than a
+/// client that is well needs, and within what others may be kept waiting for a place.
+const SLOW_CLIENT_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// While stopping a new connection is closed if its first request has not begun by then: who opens one means to ask.
+const FIRST_REQUEST_WHILE_STOPPING: Duration = Duration::from_millis(400);
+/// A client that asks for nothing for so long is disconnected, so that its place is free.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// Requests of one connection carried out in one turn, so that a client that sends many doesn't go before all others.
+pub(super) const MAX_REQUESTS_PER_TURN: usize = 32;
+/// The pause before the next read, for each error reply in a row: slows down a client that repeats its error.
+const PAUSE_PER_ERROR: Duration = Duration::from_millis(50);
+/// The pause grows no longer than this many errors make it: one second.
+const MAX_PAUSED_ERRORS: u32 = 20;
+/// How long input is read and dropped after the last reply.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// How much of it is.
+const MAX_DISCARDED_BYTES: usize = 80_000_000;
+/// The pause between two such reads, which leaves other connections their turn.
+const DISCARD_PAUSE: Duration = Duration::from_millis(1);
+
+/// Why a connection ended, as its log line tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// The socket failed.
+    Broken,
+    /// The client ended its sending.
+    Closed,
+    /// The client was gone before its replies could be written.
+    ClosedBeforeReply,
+    /// No first request came.
+    Silent,
+    /// A request did not arrive whole in time, or replies were not taken.
+    Slow,
+    /// Nothing was asked for a long while, or another connection needed the place.
+    Idle,
+    /// The client said that it was done.
+    Quit,
+    /// What came was no request.
+    ProtocolError,
+    /// The process ends.
+    Stopping,
+    /// Clients are to go to another relay.
+    Standby,
+}
+
+impl fmt::Display for CloseReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            CloseReason::Broken => "broken",
+            CloseReason::Closed => "closed",
+            CloseReason::ClosedBeforeReply => "closed-before-answer",
+            CloseReason::Silent => "silent",
+            CloseReason::Slow => "slow",
+            CloseReason::Idle => "idle",
+            CloseReason::Quit => "quit",
+            CloseReason::ProtocolError => "protocol",
+            CloseReason::Stopping => "stopping",
+            CloseReason::Standby => "standby",
+        })
+    }
+}
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Expecting {
+    /// The beginning of its first request.
+    FirstRequest,
+    /// The rest of a request that has begun.
+    Remainder,
+    /// The beginning of another request.
+    NextRequest,
+}
+
+/// What ended a wait for input.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Wakeup {
+    Input,
+    SocketBroken,
+    /// The time for what is expected is over, or the place is needed for another connection.
+    TimeOver,
+    Stopping,
+    Standby,
+}
+
+/// The reply to a request.
+enum Reply {
+    /// Known already.
+    Line(String),
+    /// To come from the dispatcher.
+    Pending(Receiver<SubmissionReply>),
+}
+
+/// What a turn did with the buffered requests.
+struct Turn {
+    replies: Vec<Reply>,
+    end: TurnEnd,
+}
+
+/// Why a turn ended.
+enum TurnEnd {
+    /// No whole request is left in the buffer.
+    BufferDrained,
+    /// Whole requests may be left, but it is the turn of others.
+    MaxRequestsReached,
+    /// The client said that it was done.
+    Quit,
+    /// What is left is no request.
+    Invalid(ProtocolError),
+}
+
+/// Replies as bytes, with the place of each that tells of a newly accepted message.
+#[derive(Default)]
+struct ReplyBytes {
+    bytes: Vec<u8>,
+    accepted: Vec<AcceptedReply>,
+    /// The dispatcher is gone: what it had not answered stays unanswered.
+    dispatcher_gone: bool,
+}
+
+/// A reply that tells a client that its message was accepted.
+pub(super) struct AcceptedReply {
+    pub(super) message: MessageId,
+    /// Where its line ends among the bytes of all replies.
+    pub(super) end: usize,
+}
+
+/// A client's connection.
+pub(super) struct ClientConnection {
+    stream: Async<TcpStream>,
+    /// Its number among all connections so far.
     pub(super) number: u64,
-    /// Closed when it is to make room for another.
-    pub(super) leave: (Sender<()>, Receiver<()>),
-    /// When it came, its last request was answered or the one it is sending began.
-    pub(super) since: Instant,
+    /// Closed when it is to make room for another connection.
+    pub(super) evict: Sender<()>,
+    evicted: Receiver<()>,
+    /// When it was accepted, its last request was answered or the one it is sending began.
+    pub(super) waiting_since: Instant,
     pub(super) buffer: Vec<u8>,
-    /// Requests in a row that could not be used.
-    pub(super) errors: u32,
+    /// Requests in a row that were answered with an error.
+    consecutive_errors: u32,
+    /// Requests read so far.
     pub(super) requests: u64,
 }
 
-/// The reply to a request, or who will tell it.
-enum Reply {
-    Now(String),
-    Later(Receiver<Answer>),
-}
+impl ClientConnection {
+    /// A connection just accepted.
+    pub(super) fn new(stream: Async<TcpStream>, number: u64) -> ClientConnection {
+        let _ = stream.get_ref().set_nodelay(true);
+        let (evict, evicted) = async_channel::bounded(1);
+        ClientConnection {
+            stream,
+            number,
+            evict,
+            evicted,
+            waiting_since: Instant::now(),
+            buffer: Vec::new(),
+            consecutive_errors: 0,
+            requests: 0,
+        }
+    }
 
-impl Client {
-    /// Serves until the connection ends; says why it did.
-    pub(super) async fn run(&mut self, front: &Front) -> &'static str {
-        let mut more = false;
+    /// Serves the client until the connection ends; says why it did.
+    pub(super) async fn run(&mut self, service: &ClientService) -> CloseReason {
+        let mut has_buffered_requests = false;
         loop {
-            // Guards against closing on a request that has come: only one that has nothing to say may go.
-            if !std::mem::take(&mut more) && !self.has_something() {
-                let (begun, fresh) = (!self.buffer.is_empty(), self.requests == 0);
-                // What the client owes: the rest of a request, the first one, or another in a good while.
-                let due = self.since + if begun || fresh { SLOW } else { IDLE };
-                front.wait(self);
-                let ready = async { self.stream.readable().await.map_or(Some("broken"), |()| None) };
-                let stopping = async {
-                    let _ = front.leaving.recv().await;
-                    if fresh {
-                        Timer::at(self.since + FIRST).await;
-                    }
-                    if begun { std::future::pending().await } else { Some("stopping") }
-                };
-                let ending = async {
-                    let _ = front.ending.recv().await;
-                    Some("stopping")
-                };
-                // A request that has begun is waited for, in standby too.
-                let standby = async {
-                    if begun { std::future::pending().await } else { Some(front.sent_away(self.since).await) }
-                };
-                let reason = ready.or(self.let_go(due)).or(stopping).or(standby).or(ending).await;
-                let reason = reason.filter(|_| !self.has_something());
-                front.waiting.borrow_mut().remove(&self.number);
-                match reason {
-                    Some("broken" | "stopping" | "standby") => return reason.unwrap_or_default(),
-                    Some(_) if begun => {
-                        let late = Reply::Now("-ERR the request did not come in time\r\n".into());
-                        return self.goodbye(vec![late], "slow", front).await;
-                    }
-                    Some(_) if fresh => return "silent",
-                    Some(reason) => return reason,
-                    None if begun || fresh => {}
-                    None => self.since = Instant::now(),
-                }
-            }
-            if front.ending.is_closed() {
-                return self.turn_away("stopping");
-            }
-            // A client that is gone hears no answer: what it asked last is not taken on.
-            match self.pull() {
-                Ok(true) => {}
-                Ok(false) => return self.turn_away("closed"),
-                Err(_) => return "broken",
-            }
-            let (mut replies, mut last, before) = (Vec::new(), None, self.requests);
-            loop {
-                // Guards against one client's many requests coming before those of all others.
-                if replies.len() == AT_ONCE {
-                    more = true;
-                    break;
-                }
-                match request(&self.buffer) {
-                    // Guards against waiting for the rest of what will not be read.
-                    Ok(None) if self.buffer.len() > REQUEST_MOST => {
-                        last = Some("the request is too large");
-                        break;
-                    }
-                    Ok(None) => break,
-                    Ok(Some((words, size))) => {
-                        self.buffer.drain(..size);
-                        self.requests += 1;
-                        match command(words, front) {
-                            Some(reply) => replies.push(reply),
-                            None => {
-                                replies.push(Reply::Now("+OK\r\n".into()));
-                                return self.goodbye(replies, "quit", front).await;
-                            }
-                        }
-                    }
-                    Err(what) => {
-                        last = Some(what);
-                        break;
-                    }
-                }
+            // A connection may only be closed while it has nothing to say: a request that has arrived is answered.
+            if !has_buffered_requests
+                && !self.has_input()
+                && let Err(reason) = self.wait_for_input(service).await
+            {
+                return reason;
             }
-            if let Some(what) = last {
-                replies.push(Reply::Now(format!("-ERR Protocol error: {what}\r\n")));
-                return self.goodbye(replies, "protocol", front).await;
+            if service.ending.is_closed() {
+                return self.reject_buffered_requests(CloseReason::Stopping);
             }
-            if let Some(reason) = self.reply(replies, front).await {
-                return reason;
+            match self.read_available() {
+                Ok(Input::Open) => {}
+                // A client that is gone hears no reply: what it asked last is not accepted.
+                Ok(Input::Ended) => return self.reject_buffered_requests(CloseReason::Closed),
+                Err(_) => return CloseReason::Broken,
             }
-            if self.requests > before {
-                self.since = Instant::now();
+            match self.take_turn(service).await {
+                Ok(has_more) => has_buffered_requests = has_more,
+                Err(reason) => return reason,
             }
-            // In standby a connection goes once it owes nothing, and none is held long after the call.
-            let closes = front.maintenance.borrow().closes(front.start.elapsed());
-            if closes && self.buffer.is_empty() && !more && !self.has_something() {
-                return "standby";
+        }
+    }
+
+    fn expecting(&self) -> Expecting {
+        if !self.buffer.is_empty() {
+            Expecting::Remainder
+        } else if self.requests == 0 {
+            Expecting::FirstRequest
+        } else {
+            Expecting::NextRequest
+        }
+    }
+
+    /// Waits until there is something to read; else says why the connection ends.
+    async fn wait_for_input(&mut self, service: &ClientService) -> Result<(), CloseReason> {
+        let expecting = self.expecting();
+        service.start_waiting(self);
+        let wakeup = self.next_wakeup(service, expecting).await;
+        let has_input = self.has_input();
+        service.stop_waiting(self.number);
+        if has_input || wakeup == Wakeup::Input {
+            if expecting == Expecting::NextRequest {
+                self.waiting_since = Instant::now();
             }
-            if more {
-                futures_lite::future::yield_now().await;
-                continue;
+            return Ok(());
+        }
+        Err(match (wakeup, expecting) {
+            (Wakeup::SocketBroken, _) => CloseReason::Broken,
+            (Wakeup::Stopping, _) => CloseReason::Stopping,
+            (Wakeup::Standby, _) => CloseReason::Standby,
+            (_, Expecting::Remainder) => {
+                let late = Reply::Line(protocol::error_line("the request did not come in time"));
+                self.close_after(vec![late], CloseReason::Slow, service).await
             }
-            if self.buffer.is_empty() {
-                // Guards against memory held for what a client asked once.
-                self.buffer = Vec::new();
+            (_, Expecting::FirstRequest) => CloseReason::Silent,
+            (_, Expecting::NextRequest) => CloseReason::Idle,
+        })
+    }
+
+    /// The first event that ends a wait; of several at one moment the one named first.
+    async fn next_wakeup(&self, service: &ClientService, expecting: Expecting) -> Wakeup {
+        let timeout = match expecting {
+            Expecting::FirstRequest | Expecting::Remainder => SLOW_CLIENT_TIMEOUT,
+            Expecting::NextRequest => IDLE_TIMEOUT,
+        };
+        let stopping = async {
+            let _ = service.stopping.recv().await;
+            match expecting {
+                Expecting::FirstRequest => {
+                    Timer::at(self.waiting_since + FIRST_REQUEST_WHILE_STOPPING).await;
+                }
+                // A request that has begun is waited for.
+                Expecting::Remainder => std::future::pending().await,
+                Expecting::NextRequest => {}
             }
-            // Guards against a client that hands in the same again the moment it is turned away.
-            if self.errors > 0 && self.requests > before {
-                Timer::after(ERROR_PAUSE * self.errors.min(ERROR_PAUSES)).await;
+            Wakeup::Stopping
+        };
+        let standby = async {
+            if expecting == Expecting::Remainder {
+                std::future::pending::<()>().await;
             }
-        }
+            service.standby_closes_idle(self.waiting_since).await;
+            Wakeup::Standby
+        };
+        let ending = async {
+            let _ = service.ending.recv().await;
+            Wakeup::Stopping
+        };
+        let time_over = self.time_over(self.waiting_since + timeout);
+        self.readable().or(time_over).or(stopping).or(standby).or(ending).await
     }
 
-    /// Says no to every request that was read whole and is not handed in any more, as its client ended its sending or
-    /// the process ends. Guards against a request without an answer, which its client takes for lost; what was not
-    /// read goes again by itself. Nothing is taken on: a client that has gone altogether looks the same.
-    fn turn_away(&mut self, reason: &'static str) -> &'static str {
-        let mut answers = String::new();
-        while let Ok(Some((_, size))) = request(&self.buffer) {
-            self.buffer.drain(..size);
-            self.requests += 1;
-            answers.push_str(NO_ROOM);
+    async fn readable(&self) -> Wakeup {
+        match self.stream.readable().await {
+            Ok(()) => Wakeup::Input,
+            Err(_) => Wakeup::SocketBroken,
         }
-        // What the connection does not take at once goes nowhere: its client has stopped reading.
-        let _ = self.stream.get_ref().write(answers.as_bytes());
-        reason
     }
 
-    /// Why the connection is let go of, once it is: for another, or since nothing came by then.
-    async fn let_go(&self, due: Instant) -> Option<&'static str> {
+    /// Waits until `due`, or until the place is needed for another connection.
+    async fn time_over(&self, due: Instant) -> Wakeup {
         let late = async {
             Timer::at(due).await;
         };
         let evicted = async {
-            let _ = self.leave.1.recv().await;
+            let _ = self.evicted.recv().await;
         };
         late.or(evicted).await;
-        Some("idle")
+        Wakeup::TimeOver
     }
 
-    /// Says the last words and ends. Guards against a reset over unread bytes, which would take the words
-    /// away with it: what still comes is read, within bounds and at a pace that leaves others theirs.
-    async fn goodbye(&mut self, last: Vec<Reply>, reason: &'static str, front: &Front) -> &'static str {
+    /// Carries out the requests that have arrived whole, as many as one turn allows, and writes their replies; says if
+    /// whole requests may be left, or why the connection ends.
+    async fn take_turn(&mut self, service: &ClientService) -> Result<bool, CloseReason> {
+        let requests_before = self.requests;
+        let Turn { mut replies, end } = self.run_buffered_requests(service);
+        let has_more = match end {
+            TurnEnd::BufferDrained => false,
+            TurnEnd::MaxRequestsReached => true,
+            TurnEnd::Quit => {
+                replies.push(Reply::Line(protocol::OK.to_string()));
+                return Err(self.close_after(replies, CloseReason::Quit, service).await);
+            }
+            TurnEnd::Invalid(error) => {
+                replies.push(Reply::Line(protocol::error_line(format!("Protocol error: {error}"))));
+                return Err(self.close_after(replies, CloseReason::ProtocolError, service).await);
+            }
+        };
+        self.send_replies(replies, service).await?;
+        let answered = self.requests > requests_before;
+        if answered {
+            self.waiting_since = Instant::now();
+        }
+        // In standby a connection ends once it is owed nothing, and none is held long after the operators' call.
+        let standby = service.maintenance.borrow().closes(service.start.elapsed());
+        if standby && self.buffer.is_empty() && !has_more && !self.has_input() {
+            return Err(CloseReason::Standby);
+        }
+        if has_more {
+            futures_lite::future::yield_now().await;
+            return Ok(true);
+        }
+        if self.buffer.is_empty() {
+            // Gives back the memory of a large request.
+            self.buffer = Vec::new();
+        }
+        // A client may submit the same again the moment it gets an error.
+        if self.consecutive_errors > 0 && answered {
+            Timer::after(PAUSE_PER_ERROR * self.consecutive_errors.min(MAX_PAUSED_ERRORS)).await;
+        }
+        Ok(false)
+    }
+
+    /// Carries out buffered requests in order; what is left of the buffer waits for the next turn.
+    fn run_buffered_requests(&mut self, service: &ClientService) -> Turn {
+        let mut replies = Vec::new();
+        while replies.len() < MAX_REQUESTS_PER_TURN {
+            let request = match protocol::parse_request(&self.buffer) {
+                Ok(Some(request)) => request,
+                // The rest of a request this large will not be read.
+                Ok(None) if self.buffer.len() > MAX_REQUEST_BYTES => {
+                    return Turn { replies, end: TurnEnd::Invalid(ProtocolError::RequestTooLarge) };
+                }
+                Ok(None) => return Turn { replies, end: TurnEnd::BufferDrained },
+                Err(error) => return Turn { replies, end: TurnEnd::Invalid(error) },
+            };
+            self.buffer.drain(..request.wire_bytes);
+            self.requests += 1;
+            match Command::parse(request.words) {
+                Ok(Command::Quit) => return Turn { replies, end: TurnEnd::Quit },
+                command => replies.push(run_command(command, service)),
+            }
+        }
+        Turn { replies, end: TurnEnd::MaxRequestsReached }
+    }
+
+    /// Rejects every request that was read whole and is no longer submitted, as its client ended its sending or the
+    /// process ends: without an answer the client would take it for lost. What was not read, the client sends again by
+    /// itself. Nothing is accepted: a client that has gone altogether looks the same.
+    fn reject_buffered_requests(&mut self, reason: CloseReason) -> CloseReason {
+        let mut replies = String::new();
+        while let Ok(Some(request)) = protocol::parse_request(&self.buffer) {
+            self.buffer.drain(..request.wire_bytes);
+            self.requests += 1;
+            replies.push_str(protocol::BUSY);
+        }
+        // What the connection does not take at once goes nowhere: its client has stopped reading.
+        let _ = self.stream.get_ref().write(replies.as_bytes());
+        reason
+    }
+
+    /// Writes the last replies and ends. A close over unread bytes would reset the connection and take the replies away
+    /// with it, so what still comes is read, within bounds and at a pace that leaves others their turn.
+    async fn close_after(
+        &mut self,
+        replies: Vec<Reply>,
+        reason: CloseReason,
+        service: &ClientService,
+    ) -> CloseReason {
         self.buffer = Vec::new();
-        if let Some(reason) = self.reply(last, front).await {
+        if let Err(reason) = self.send_replies(replies, service).await {
             return reason;
         }
         let _ = self.stream.get_ref().shutdown(Shutdown::Write);
-        let (due, mut left) = (Instant::now() + LINGER, LINGER_MOST);
-        front.wait(self);
-        while left > 0 && Instant::now() < due && !self.leave.1.is_closed() {
-            match self.skip() {
-                Ok(0) => break,
-                Ok(n) => {
-                    left = left.saturating_sub(n);
-                    Timer::after(LINGER_PAUSE).await;
+        self.discard_input(service).await;
+        reason
+    }
+
+    /// Reads and drops what still comes.
+    async fn discard_input(&self, service: &ClientService) {
+        let due = Instant::now() + DISCARD_TIMEOUT;
+        let mut bytes_left = MAX_DISCARDED_BYTES;
+        service.start_waiting(self);
+        while bytes_left > 0 && Instant::now() < due && !self.evicted.is_closed() {
+            match self.stream.get_ref().read(&mut [0; DISCARD_CHUNK_BYTES]) {
+                Ok(0) => return,
+                Ok(read) => {
+                    bytes_left = bytes_left.saturating_sub(read);
+                    Timer::after(DISCARD_PAUSE).await;
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    let ready = async { self.stream.readable().await.map_or(Some("broken"), |()| None) };
-                    let _ = ready.or(self.let_go(due)).await;
+                    self.readable().or(self.time_over(due)).await;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => break,
+                Err(_) => return,
             }
         }
-        reason
     }
 
-    /// Reads and drops some of what has come.
-    fn skip(&self) -> io::Result<usize> {
-        self.stream.get_ref().read(&mut [0; 64 * 1024])
+    /// True if there is something to read, the end of the connection included.
+    fn has_input(&self) -> bool {
+        let peeked = self.stream.get_ref().peek(&mut [0]);
+        !peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    fn has_something(&self) -> bool {
-        let waiting = self.stream.get_ref().peek(&mut [0]);
-        !waiting.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
-    }
-
-    /// Reads what has come, as far as the buffer goes; false if the client is gone.
-    fn pull(&mut self) -> io::Result<bool> {
-        let mut chunk = [0; 16 * 1024];
-        while self.buffer.len() <= REQUEST_MOST {
+    /// Reads what has come, as far as the buffer goes.
+    fn read_available(&mut self) -> io::Result<Input> {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        while self.buffer.len() <= MAX_REQUEST_BYTES {
             match self.stream.get_ref().read(&mut chunk) {
-                Ok(0) => return Ok(false),
-                Ok(n) => self.buffer.extend(&chunk[..n]),
+                Ok(0) => return Ok(Input::Ended),
+                Ok(read) => self.buffer.extend(&chunk[..read]),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
         }
-        Ok(true)
+        Ok(Input::Open)
+    }
+
+    /// Writes the replies in order; says why the connection ends if it does. A message whose reply did not leave whole
+    /// is withdrawn; one whose reply did stands, whatever comes after it, as its client may have read it.
+    async fn send_replies(
+        &mut self,
+        replies: Vec<Reply>,
+        service: &ClientService,
+    ) -> Result<(), CloseReason> {
+        let ReplyBytes { bytes, accepted, dispatcher_gone } = self.collect_replies(replies).await;
+        let when_written = if dispatcher_gone { Err(CloseReason::Stopping) } else { Ok(()) };
+        if bytes.is_empty() {
+            return when_written;
+        }
+        let client_gone = matches!(self.stream.get_ref().peek(&mut [0]), Ok(0));
+        let (unwritten, result) = if client_gone {
+            (bytes.len(), Err(io::ErrorKind::BrokenPipe.into()))
+        } else {
+            write_in_time(&mut self.stream, &bytes).await
+        };
+        let reason = match result {
+            Ok(()) => return when_written,
+            Err(e) if e.kind() == io::ErrorKind::TimedOut => CloseReason::Slow,
+            Err(_) => CloseReason::ClosedBeforeReply,
+        };
+        for message in unheard_messages(&accepted, bytes.len() - unwritten) {
+            (service.withdraw)(message);
+        }
+        Err(reason)
     }
 
-    /// Writes the replies in order. Messages whose client is gone before are over. Guards against taking back what a
-    /// client may have heard: an answer that left whole stands, whatever comes after it.
-    async fn reply(&mut self, replies: Vec<Reply>, front: &Front) -> Option<&'static str> {
-        let (mut bytes, mut taken, mut stopped) = (Vec::new(), Vec::new(), None);
+    /// Waits for the replies and puts their lines together.
+    async fn collect_replies(&mut self, replies: Vec<Reply>) -> ReplyBytes {
+        let mut collected = ReplyBytes::default();
         for reply in replies {
-            let text = match reply {
-                Reply::Now(text) => text,
-                Reply::Later(answer) => match answer.recv().await {
-                    Ok(Answer::Taken(msg)) => {
-                        taken.push((bytes.len() + TAKEN.len(), msg));
-                        TAKEN.into()
-                    }
-                    Ok(Answer::Held) => TAKEN.into(),
-                    Ok(Answer::PushedBack(0)) => NO_ROOM.into(),
-                    Ok(Answer::PushedBack(ms)) => format!("-BUSY {ms}\r\n"),
-                    Ok(Answer::Failed(what)) => format!("-ERR {what}\r\n"),
-                    Err(_) => {
-                        stopped = Some("stopping");
+            let line = match reply {
+                Reply::Line(line) => line,
+                Reply::Pending(pending) => {
+                    let Ok(reply) = pending.recv().await else {
+                        collected.dispatcher_gone = true;
                         break;
+                    };
+                    let line = protocol::submission_reply_line(&reply);
+                    if let SubmissionReply::Accepted(message) = reply {
+                        let end = collected.bytes.len() + line.len();
+                        collected.accepted.push(AcceptedReply { message, end });
                     }
-                },
+                    line
+                }
             };
-            if text.starts_with('-') {
-                debug!("answered: {}", text.trim_end());
+            if line.starts_with('-') {
+                debug!("answered: {}", line.trim_end());
+            }
+            if line.starts_with("-ERR") {
+                self.consecutive_errors += 1;
+            } else {
+                self.consecutive_errors = 0;
             }
-            self.errors = if text.starts_with("-ERR") { self.errors + 1 } else { 0 };
-            bytes.extend(text.as_bytes());
+            collected.bytes.extend(line.as_bytes());
         }
-        if bytes.is_empty() {
-            return stopped;
+        collected
+    }
+}
+
+/// Whether a client may still send.
+enum Input {
+    Open,
+    Ended,
+}
+
+/// Carries out a command other than `QUIT`, which ends its turn.
+fn run_command(command: Result<Command, CommandError>, service: &ClientService) -> Reply {
+    match command {
+        Ok(Command::Submit(submission)) => {
+            let (sender, pending) = async_channel::bounded(1);
+            (service.submit)(submission, sender);
+            Reply::Pending(pending)
         }
-        let gone = matches!(self.stream.get_ref().peek(&mut [0]), Ok(0));
-        let (left, written) = if gone {
-            (bytes.len(), Err(io::ErrorKind::BrokenPipe.into()))
-        } else {
-            write_out(&mut self.stream, &bytes).await
-        };
-        let reason = match written {
-            Ok(()) => return stopped,
-            Err(e) if e.kind() == io::ErrorKind::TimedOut => "slow",
-            Err(_) => "closed-before-answer",
-        };
-        unheard(&taken, bytes.len() - left).for_each(|msg| (front.gone)(msg));
-        Some(reason)
+        Ok(Command::Ping) if !service.maintenance.borrow().answers_ping() => {
+            Reply::Line(protocol::error_line("standby"))
+        }
+        Ok(Command::Ping) => Reply::Line("+PONG\r\n".to_string()),
+        Ok(Command::Quit) => Reply::Line(protocol::OK.to_string()),
+        Err(error) => Reply::Line(protocol::error_line(error)),
     }
 }
 
-/// Writes the bytes within the time that a client has to take them; how many are left if that fails.
-pub(super) async fn write_out<W: AsyncWrite + Unpin>(to: &mut W, bytes: &[u8]) -> (usize, io::Result<()>) {
-    let mut left = bytes;
+/// Writes the bytes within the time that a client has to take them; says how many are left if that fails.
+pub(super) async fn write_in_time<W: AsyncWrite + Unpin>(
+    writer: &mut W,
+    bytes: &[u8],
+) -> (usize, io::Result<()>) {
+    let mut unwritten = bytes;
     let late = async {
-        Timer::after(SLOW).await;
+        Timer::after(SLOW_CLIENT_TIMEOUT).await;
         Err(io::ErrorKind::TimedOut.into())
     };
     let write = async {
-        while !left.is_empty() {
-            match to.write(left).await? {
+        while !unwritten.is_empty() {
+            match writer.write(unwritten).await? {
                 0 => return Err(io::ErrorKind::WriteZero.into()),
-                n => left = &left[n..],
+                written => unwritten = &unwritten[written..],
             }
         }
         Ok(())
     };
-    let written = write.or(late).await;
-    (left.len(), written)
+    let result = write.or(late).await;
+    (unwritten.len(), result)
 }
 
-/// The messages whose answers, which end at these bytes, did not leave whole.
-pub(super) fn unheard(taken: &[(usize, MessageId)], out: usize) -> impl Iterator<Item = MessageId> {
-    taken.iter().filter(move |(end, _)| *end > out).map(|(_, msg)| *msg)
-}
-
-/// Carries a request out; none if it says that it was the last.
-fn command(words: Words, front: &Front) -> Option<Reply> {
-    let now = |text: &str| Some(Reply::Now(format!("{text}\r\n")));
-    let name = words.first().map(|w| w.to_ascii_uppercase()).unwrap_or_default();
-    match (&name[..], words.len()) {
-        (b"PING", 1) if front.maintenance.borrow().answers_ping() => now("+PONG"),
-        (b"PING", 1) => now("-ERR standby"),
-        (b"QUIT", 1) => None,
-        (b"OUT.ADD", 5) => match handed_in(words) {
-            Err(what) => now(&format!("-ERR {what}")),
-            Ok(message) => {
-                let (tell, answer) = async_channel::bounded(1);
-                (front.hand_in)(message, tell);
-                Some(Reply::Later(answer))
-            }
-        },
-        (b"PING" | b"QUIT" | b"OUT.ADD", _) => now("-ERR wrong number of arguments"),
-        _ => now("-ERR unknown command"),
-    }
+/// The accepted messages whose replies did not leave whole, when so many bytes were written.
+pub(super) fn unheard_messages(
+    accepted: &[AcceptedReply],
+    written: usize,
+) -> impl Iterator<Item = MessageId> {
+    accepted.iter().filter(move |reply| reply.end > written).map(|reply| reply.message)
 }
--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -1,4 +1,8 @@
-//! Clients hand messages in over RESP2: arrays of bulk strings in, one short reply each.
+//! The clients' side of the relay: accepts connections, bounds them all together, and serves each one in a task of its
+//! own.
+//!
+//! [`ClientService`] owns what connections share. `connection` serves one of them, `protocol` reads and writes RESP2,
+//! `submission` is what a request hands to the dispatcher. Nothing here decides on a message.
 
 mod connection;
 mod protocol;
@@ -9,155 +13,231 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use connection::Client;
+use connection::ClientConnection;
 use futures_lite::FutureExt;
 use log::{info, warn};
 use mountshift::interface::MessageId;
 use mountshift_maintenance::MaintenanceState;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::{Read, Write};
-use std::net::{Shutdown, TcpListener, TcpStream};
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-pub(crate) use submission::{Answer, HandedIn, Told, told};
+pub(crate) use submission::{ClientSubmission, SubmissionError, SubmissionMetadata, SubmissionReply};
 
-/// After a failed accept, as when descriptors have run out.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// The pause after a failed accept, as when descriptors have run out: they are not there again at once.
+pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Refused, and harmless to hand in again.
-const NO_ROOM: &str = "-BUSY\r\n";
+/// Takes a message in; the reply comes over the channel.
+pub(crate) type SubmitHandler = Box<dyn Fn(ClientSubmission, Sender<SubmissionReply>)>;
 
-/// What every connection needs.
-pub struct Front {
-    /// Takes a message in; the answer comes over the channel.
-    pub hand_in: Box<dyn Fn(HandedIn, Sender<Answer>)>,
-    /// A client did not hear that its message was taken on.
-    pub gone: Box<dyn Fn(MessageId)>,
+/// What the client service is given at its start.
+pub(crate) struct ClientServiceConfig {
+    /// Takes a message in.
+    pub(crate) submit: SubmitHandler,
+    /// Told of a message whose client did not hear that it was accepted.
+    pub(crate) withdraw: Box<dyn Fn(MessageId)>,
     /// Closed when clients are to go.
-    pub leaving: Receiver<()>,
-    /// Closed shortly before the process ends: what was taken in is answered, nothing more is read.
-    pub ending: Receiver<()>,
-    pub most: usize,
+    pub(crate) stopping: Receiver<()>,
+    /// Closed shortly before the process ends: what was submitted is answered, nothing more is read.
+    pub(crate) ending: Receiver<()>,
+    /// Connections at most.
+    pub(crate) max_connections: usize,
     /// Bytes of requests that are not whole, over all connections, at most.
-    pub bytes_most: usize,
+    pub(crate) max_buffered_bytes: usize,
     /// Connections open now.
-    pub open: Rc<Cell<usize>>,
-    pub waiting: RefCell<BTreeMap<u64, Waiting>>,
-    /// Whether clients are sent away, and when their connections go; from `start` on.
-    pub maintenance: Rc<RefCell<MaintenanceState>>,
-    pub start: Instant,
+    pub(crate) open_connections: Rc<Cell<usize>>,
+    /// Whether the relay is in standby, and when idle connections are closed then; times count from `start`.
+    pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
+    pub(crate) start: Instant,
+}
+
+/// What all client connections share.
+pub(crate) struct ClientService {
+    submit: SubmitHandler,
+    withdraw: Box<dyn Fn(MessageId)>,
+    stopping: Receiver<()>,
+    ending: Receiver<()>,
+    max_connections: usize,
+    max_buffered_bytes: usize,
+    open_connections: Rc<Cell<usize>>,
+    /// Connections that wait for their client, by number.
+    waiting: RefCell<BTreeMap<u64, WaitingConnection>>,
+    maintenance: Rc<RefCell<MaintenanceState>>,
+    start: Instant,
     /// Closed, and made anew, when standby begins or ends: wakes the connections that wait.
-    pub moved: RefCell<(Sender<()>, Receiver<()>)>,
+    standby_changed: RefCell<(Sender<()>, Receiver<()>)>,
 }
 
-/// A connection that waits for its client, and may be let go for others by closing `leave`.
-pub struct Waiting {
+/// A connection that waits for its client, and may be closed for another by closing `evict`.
+struct WaitingConnection {
     since: Instant,
     /// What has come of a request that is not whole.
-    bytes: usize,
-    leave: Sender<()>,
+    buffered_bytes: usize,
+    evict: Sender<()>,
+}
+
+/// Which connections may be closed for others.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Evictable {
+    /// All that wait.
+    Waiting,
+    /// Those that hold part of a request.
+    Buffering,
 }
 
-impl Front {
-    /// Standby began or ended.
-    pub fn standby_moved(&self) {
-        let old = std::mem::replace(&mut *self.moved.borrow_mut(), async_channel::bounded(1));
-        old.0.close();
+impl ClientService {
+    pub(crate) fn new(config: ClientServiceConfig) -> ClientService {
+        ClientService {
+            submit: config.submit,
+            withdraw: config.withdraw,
+            stopping: config.stopping,
+            ending: config.ending,
+            max_connections: config.max_connections,
+            max_buffered_bytes: config.max_buffered_bytes,
+            open_connections: config.open_connections,
+            waiting: RefCell::default(),
+            maintenance: config.maintenance,
+            start: config.start,
+            standby_changed: RefCell::new(async_channel::bounded(1)),
+        }
     }
 
-    /// Why a connection that waits for its next request is let go in standby, once it is.
-    async fn sent_away(&self, since: Instant) -> &'static str {
+    /// Wakes the connections that wait, as standby began or ended.
+    pub(crate) fn notify_standby_changed(&self) {
+        let (old_sender, _) = self.standby_changed.replace(async_channel::bounded(1));
+        old_sender.close();
+    }
+
+    /// Waits until standby closes a connection that has waited for its next request since `since`.
+    async fn standby_closes_idle(&self, since: Instant) {
         loop {
-            let moved = self.moved.borrow().1.clone();
-            let at = self.maintenance.borrow().idle_close_at(since.saturating_duration_since(self.start));
-            let changed = async {
-                let _ = moved.recv().await;
+            let changed = self.standby_changed.borrow().1.clone();
+            let close_at =
+                self.maintenance.borrow().idle_close_at(since.saturating_duration_since(self.start));
+            let change = async {
+                let _ = changed.recv().await;
                 false
             };
-            let due = match at {
-                Some(at) => {
-                    async {
-                        Timer::at(self.start + at).await;
+            let is_due = match close_at {
+                Some(close_at) => {
+                    let due = async {
+                        Timer::at(self.start + close_at).await;
                         true
-                    }
-                    .or(changed)
-                    .await
+                    };
+                    due.or(change).await
                 }
-                None => changed.await,
+                None => change.await,
             };
-            if due {
-                return "standby";
+            if is_due {
+                return;
             }
         }
     }
 
-    /// Guards against clients that keep out others by saying nothing or never ending: of those that wait,
-    /// or hold part of a request, the one that does so for longest goes.
-    fn make_room(&self, holding: bool) -> bool {
+    /// Closes the connection that has waited longest, so that clients that say nothing or never end a request don't
+    /// keep out others. False if there is none.
+    fn evict_oldest(&self, evictable: Evictable) -> bool {
         let mut waiting = self.waiting.borrow_mut();
-        let may_go = waiting.iter().filter(|(_, w)| !holding || w.bytes > 0);
-        let oldest = may_go.min_by_key(|(_, w)| w.since).map(|(number, _)| *number);
-        oldest.and_then(|number| waiting.remove(&number)).is_some_and(|w| w.leave.close())
+        let candidates = waiting
+            .iter()
+            .filter(|(_, connection)| evictable == Evictable::Waiting || connection.buffered_bytes > 0);
+        let oldest = candidates.min_by_key(|(_, connection)| connection.since).map(|(number, _)| *number);
+        let Some(connection) = oldest.and_then(|number| waiting.remove(&number)) else { return false };
+        connection.evict.close()
+    }
+
+    /// Notes that the connection waits for its client, and makes room for what it has buffered.
+    fn start_waiting(&self, connection: &ClientConnection) {
+        let buffered_bytes = connection.buffer.len();
+        let entry = WaitingConnection {
+            since: connection.waiting_since,
+            buffered_bytes,
+            evict: connection.evict.clone(),
+        };
+        self.waiting.borrow_mut().insert(connection.number, entry);
+        if buffered_bytes == 0 {
+            return;
+        }
+        while self.buffered_bytes() > self.max_buffered_bytes {
+            if !self.evict_oldest(Evictable::Buffering) {
+                return;
+            }
+        }
+    }
+
+    fn stop_waiting(&self, number: u64) {
+        self.waiting.borrow_mut().remove(&number);
+    }
+
+    fn buffered_bytes(&self) -> usize {
+        self.waiting.borrow().values().map(|connection| connection.buffered_bytes).sum()
     }
 
-    fn wait(&self, client: &Client) {
-        let bytes = client.buffer.len();
-        let entry = Waiting { since: client.since, bytes, leave: client.leave.0.clone() };
-        self.waiting.borrow_mut().insert(client.number, entry);
-        let held = || self.waiting.borrow().values().map(|w| w.bytes).sum::<usize>();
-        while bytes > 0 && held() > self.bytes_most && self.make_room(true) {}
+    /// True if there is a place for another connection, or one could be freed.
+    fn has_room(&self) -> bool {
+        self.open_connections.get() < self.max_connections || self.evict_oldest(Evictable::Waiting)
     }
 }
 
-/// Accepts until clients are to go.
-pub async fn serve(listener: Async<TcpListener>, front: Rc<Front>, executor: Rc<LocalExecutor<'static>>) {
-    let (open, mut count) = (&front.open, 0);
-    loop {
-        let leaving = async {
-            let _ = front.leaving.recv().await;
-            None
-        };
-        // Accepting is asked first: guards against a listener closed over connections that came in time, which would be
-        // reset without an answer.
-        let Some(accepted) = async { Some(listener.accept().await) }.or(leaving).await else { return };
+/// Accepts connections until clients are to go.
+pub(crate) async fn serve(
+    listener: Async<TcpListener>,
+    service: Rc<ClientService>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    let mut connections = 0;
+    while let Some(accepted) = accept(&listener, &service).await {
         match accepted {
             Err(e) => {
                 warn!("accept: {e}");
                 Timer::after(ACCEPT_PAUSE).await;
             }
-            Ok((stream, peer)) if open.get() >= front.most && !front.make_room(false) => {
-                say_no(&stream);
+            Ok((stream, peer)) if !service.has_room() => {
+                reject_connection(&stream);
                 info!("connection from {peer} ended: too-many after 0 requests");
             }
             Ok((stream, peer)) => {
-                open.set(open.get() + 1);
-                count += 1;
-                let (front, number, leave) = (front.clone(), count, async_channel::bounded(1));
-                let (since, bytes) = (Instant::now(), 0);
-                front.waiting.borrow_mut().insert(number, Waiting { since, bytes, leave: leave.0.clone() });
-                let task = async move {
-                    let _ = stream.get_ref().set_nodelay(true);
-                    let (buffer, errors, requests) = (Vec::new(), 0, 0);
-                    let mut client = Client { stream, number, leave, since, buffer, errors, requests };
-                    let reason = client.run(&front).await;
-                    info!("connection from {peer} ended: {reason} after {} requests", client.requests);
-                    front.waiting.borrow_mut().remove(&number);
-                    front.open.set(front.open.get() - 1);
-                };
-                executor.spawn(task).detach();
+                connections += 1;
+                let connection = ClientConnection::new(stream, connections);
+                service.open_connections.set(service.open_connections.get() + 1);
+                service.start_waiting(&connection);
+                executor.spawn(serve_connection(connection, peer, service.clone())).detach();
             }
         }
     }
 }
 
-/// Turns a new connection away. Guards against an answer that its client never sees: it must not be held back, and a
-/// close over a request that was not read resets the connection, so what has come is read and dropped.
-fn say_no(stream: &Async<TcpStream>) {
+/// The next connection; none once clients are to go.
+async fn accept(
+    listener: &Async<TcpListener>,
+    service: &ClientService,
+) -> Option<io::Result<(Async<TcpStream>, SocketAddr)>> {
+    let accepted = async { Some(listener.accept().await) };
+    let stopping = async {
+        let _ = service.stopping.recv().await;
+        None
+    };
+    // Accepting is polled first: a listener closed over connections that came in time would reset them without an answer.
+    accepted.or(stopping).await
+}
+
+/// Serves a connection to its end.
+async fn serve_connection(mut connection: ClientConnection, peer: SocketAddr, service: Rc<ClientService>) {
+    let reason = connection.run(&service).await;
+    info!("connection from {peer} ended: {reason} after {} requests", connection.requests);
+    service.stop_waiting(connection.number);
+    service.open_connections.set(service.open_connections.get() - 1);
+}
+
+/// Turns a new connection away. A close over a request that was not read would reset the connection, and its client
+/// would never see the reply: so what has come is read and dropped.
+fn reject_connection(stream: &Async<TcpStream>) {
     let mut stream = stream.get_ref();
     let _ = stream.set_nodelay(true);
-    let _ = stream.write(NO_ROOM.as_bytes());
+    let _ = stream.write(protocol::BUSY.as_bytes());
     let _ = stream.shutdown(Shutdown::Write);
-    let _ = stream.read(&mut [0; 16 * 1024]);
+    let _ = stream.read(&mut [0; connection::READ_CHUNK_BYTES]);
 }
--- a/crates/relay/src/clients/submission.rs
+++ b/crates/relay/src/clients/submission.rs
@@ -1,79 +1,142 @@
-//! What a request hands to the dispatcher.
+//! What a request hands to the dispatcher: a message as its client submitted it, and the reply that comes back.
 
 use super::protocol::Words;
 use log::debug;
 use mountshift::interface::MessageId;
 use std::time::{Duration, Instant};
+use thiserror::Error;
 
-pub const BODY_MOST: usize = 64 * 1024;
-/// Bytes of an id.
-const ID_MOST: usize = 128;
+/// Bytes of a message's body at most, as clients are promised.
+pub(super) const MAX_BODY_BYTES: usize = 64 * 1024;
+/// Bytes of a message id or an idempotency key at most: both go into a header of the call to the endpoint.
+const MAX_ID_BYTES: usize = 128;
 
-/// A message as a client handed it in.
-pub struct HandedIn {
-    pub id: Vec<u8>,
-    pub key: u64,
-    /// The names and values that came with it, as they came.
-    pub list: String,
-    pub told: Told,
-    pub at: Instant,
-    pub body: Vec<u8>,
+/// A message as a client submitted it.
+pub(crate) struct ClientSubmission {
+    /// The id that the client gave it.
+    pub(crate) id: Vec<u8>,
+    /// Its ordering key; 0 for none.
+    pub(crate) key: u64,
+    /// The names and values that came with it, as they came: the spool keeps them like this.
+    pub(crate) metadata_text: String,
+    /// What they say.
+    pub(crate) metadata: SubmissionMetadata,
+    /// When it was read.
+    pub(crate) received_at: Instant,
+    /// What the endpoint gets.
+    pub(crate) body: Vec<u8>,
 }
 
-/// What the list of names and values says.
+/// What the names and values of a submission say.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Told {
-    pub lane: String,
-    pub tenant: Option<String>,
-    pub dst: u32,
-    /// How long the message may still be delivered.
-    pub left: Duration,
-    /// By this the other side knows a repeat.
-    pub idempotency_key: Option<String>,
+pub(crate) struct SubmissionMetadata {
+    /// The name of its message class.
+    pub(crate) class: String,
+    /// Whose message it is, where that was told.
+    pub(crate) tenant: Option<String>,
+    /// The number of its destination.
+    pub(crate) destination: u32,
+    /// How long it may still be delivered.
+    pub(crate) time_to_deadline: Duration,
+    /// By this the endpoint recognises a repeat.
+    pub(crate) idempotency_key: Option<String>,
 }
 
-/// What a client hears.
-pub enum Answer {
-    Taken(MessageId),
-    /// It came before under this id and is held.
-    Held,
-    /// With the pause in milliseconds, or zero.
-    PushedBack(u64),
-    Failed(&'static str),
+/// Why a submission is not accepted and need not come again. The texts are part of the protocol with clients.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(crate) enum SubmissionError {
+    #[error("five words wanted")]
+    WrongWordCount,
+    #[error("the id can't be read")]
+    UnreadableId,
+    #[error("the body is too large")]
+    BodyTooLarge,
+    #[error("the key can't be read")]
+    UnreadableKey,
+    #[error("the list can't be read")]
+    UnreadableMetadata,
+    #[error("c is missing")]
+    MissingClass,
+    #[error("dest is missing or can't be read")]
+    MissingDestination,
+    #[error("d is missing or can't be read")]
+    MissingDeadline,
+    #[error("c names no class")]
+    UnknownClass,
+    #[error("dest is not on the list")]
+    UnknownDestination,
+    #[error("the id was used before")]
+    IdAlreadyUsed,
+    /// The decisions ended the message as failed before it was accepted.
+    #[error("failed")]
+    Undeliverable,
 }
 
-pub(super) fn handed_in(words: Words) -> Result<HandedIn, &'static str> {
-    let Ok([_, key, id, list, body]) = <[Vec<u8>; 5]>::try_from(words) else {
-        return Err("five words wanted");
-    };
-    // An id goes into a header as it is.
-    if id.is_empty() || id.len() > ID_MOST || !id.iter().all(u8::is_ascii_graphic) {
-        return Err("the id can't be read");
+/// What became of a submission.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SubmissionReply {
+    /// The relay is responsible for it from now on.
+    Accepted(MessageId),
+    /// It was accepted before under this id and has not ended.
+    AlreadyHeld,
+    /// Not accepted, and safe to submit again after this many milliseconds; 0 where no wait is told.
+    Rejected { retry_after_ms: u64 },
+    /// Not accepted.
+    Failed(SubmissionError),
+}
+
+impl ClientSubmission {
+    /// Reads the words of an `OUT.ADD` request.
+    pub(super) fn parse(words: Words) -> Result<ClientSubmission, SubmissionError> {
+        let Ok([_, key, id, metadata, body]) = <[Vec<u8>; 5]>::try_from(words) else {
+            return Err(SubmissionError::WrongWordCount);
+        };
+        // An id goes into a header as it is.
+        if id.is_empty() || id.len() > MAX_ID_BYTES || !id.iter().all(u8::is_ascii_graphic) {
+            return Err(SubmissionError::UnreadableId);
+        }
+        if body.len() > MAX_BODY_BYTES {
+            return Err(SubmissionError::BodyTooLarge);
+        }
+        let key_text = std::str::from_utf8(&key).map_err(|_| SubmissionError::UnreadableKey)?;
+        let key = u64::from_str_radix(key_text, 16).map_err(|_| SubmissionError::UnreadableKey)?;
+        let metadata_text = String::from_utf8(metadata).map_err(|_| SubmissionError::UnreadableMetadata)?;
+        debug!(
+            "submitted: {} key {key:016x} {metadata_text}, {} bytes",
+            String::from_utf8_lossy(&id),
+            body.len()
+        );
+        let metadata = SubmissionMetadata::parse(&metadata_text)?;
+        Ok(ClientSubmission { id, key, metadata_text, metadata, received_at: Instant::now(), body })
     }
-    if body.len() > BODY_MOST {
-        return Err("the body is too large");
+}
+
+impl SubmissionMetadata {
+    /// Reads the list of names and values of a submission; unknown names are ignored.
+    pub(crate) fn parse(text: &str) -> Result<SubmissionMetadata, SubmissionError> {
+        let class = field(text, "c").ok_or(SubmissionError::MissingClass)?;
+        let destination = number_field(text, "dest").ok_or(SubmissionError::MissingDestination)?;
+        let deadline_ms = number_field(text, "d").ok_or(SubmissionError::MissingDeadline)?;
+        Ok(SubmissionMetadata {
+            class: mountshift_settings::plain(class),
+            tenant: field(text, "t").map(mountshift_settings::plain),
+            destination,
+            time_to_deadline: Duration::from_millis(deadline_ms.into()),
+            idempotency_key: field(text, "k").filter(|key| fits_header(key)).map(str::to_string),
+        })
     }
-    let key = std::str::from_utf8(&key).ok().and_then(|k| u64::from_str_radix(k, 16).ok());
-    let key = key.ok_or("the key can't be read")?;
-    let list = String::from_utf8(list).map_err(|_| "the list can't be read")?;
-    debug!("handed in: {} key {key:016x} {list}, {} bytes", String::from_utf8_lossy(&id), body.len());
-    Ok(HandedIn { id, key, told: told(&list)?, list, at: Instant::now(), body })
 }
 
-/// Reads a message's list of names and values; names that are not known are left alone.
-pub fn told(list: &str) -> Result<Told, &'static str> {
-    let field =
-        |name: &str| list.split(',').filter_map(|f| f.split_once('=')).find(|f| f.0 == name).map(|f| f.1);
-    let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
-    let header = |text: &&str| text.len() <= ID_MOST && text.bytes().all(|b| b.is_ascii_graphic());
-    Ok(Told {
-        lane: mountshift_settings::plain(field("c").ok_or("c is missing")?),
-        tenant: field("t").map(mountshift_settings::plain),
-        dst: number("dest").and_then(|n| u32::try_from(n).ok()).ok_or("dest is missing or can't be read")?,
-        left: number("d")
-            .and_then(|n| u32::try_from(n).ok())
-            .map(|n| Duration::from_millis(n.into()))
-            .ok_or("d is missing or can't be read")?,
-        idempotency_key: field("k").filter(header).map(str::to_string),
-    })
+/// The first value of a name in a list like `c=any,d=8000`.
+fn field<'a>(text: &'a str, name: &str) -> Option<&'a str> {
+    text.split(',').filter_map(|pair| pair.split_once('=')).find(|pair| pair.0 == name).map(|pair| pair.1)
+}
+
+fn number_field(text: &str, name: &str) -> Option<u32> {
+    field(text, name)?.parse().ok()
+}
+
+/// True for a value that can go into a header as it is.
+fn fits_header(value: &str) -> bool {
+    value.len() <= MAX_ID_BYTES && value.bytes().all(|byte| byte.is_ascii_graphic())
 }
--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -11,52 +11,51 @@
 
 const ADD: &str = "*5\r\n$7\r\nOUT.ADD\r\n$1\r\n0\r\n$2\r\nm1\r\n$19\r\nc=any,d=9000,dest=7\r\n$1\r\nx\r\n";
 
-/// A front whose host is the test: what was handed in waits there for its answer.
-struct Scene {
-    front: Rc<Front>,
-    handed: Receiver<Sender<Answer>>,
+/// A client service whose dispatcher is the test: what was submitted waits there for its reply.
+struct Fixture {
+    service: Rc<ClientService>,
+    submitted: Receiver<Sender<SubmissionReply>>,
     ending: Sender<()>,
-    _leaving: Sender<()>,
-    gone: Rc<RefCell<Vec<MessageId>>>,
+    _stopping: Sender<()>,
+    withdrawn: Rc<RefCell<Vec<MessageId>>>,
 }
 
-fn scene() -> Scene {
-    let (hand, handed) = async_channel::unbounded();
-    let ((leave, leaving), (ending, ended)) = (async_channel::bounded(1), async_channel::bounded(1));
-    let gone = Rc::new(RefCell::new(Vec::new()));
-    let told = gone.clone();
-    let front = Front {
-        hand_in: Box::new(move |_, answer| drop(hand.try_send(answer))),
-        gone: Box::new(move |msg| told.borrow_mut().push(msg)),
-        leaving,
-        ending: ended,
-        most: 8,
-        bytes_most: 1 << 20,
-        open: Rc::default(),
-        waiting: RefCell::default(),
+fn fixture() -> Fixture {
+    let (submit, submitted) = async_channel::unbounded();
+    let (stop, stopping) = async_channel::bounded(1);
+    let (end, ending) = async_channel::bounded(1);
+    let withdrawn = Rc::new(RefCell::new(Vec::new()));
+    let withdrawn_by_service = withdrawn.clone();
+    let service = ClientService::new(ClientServiceConfig {
+        submit: Box::new(move |_, reply| drop(submit.try_send(reply))),
+        withdraw: Box::new(move |message| withdrawn_by_service.borrow_mut().push(message)),
+        stopping,
+        ending,
+        max_connections: 8,
+        max_buffered_bytes: 1 << 20,
+        open_connections: Rc::default(),
         maintenance: Rc::new(RefCell::new(MaintenanceState::from_text(""))),
         start: Instant::now(),
-        moved: RefCell::new(async_channel::bounded(1)),
-    };
-    Scene { front: Rc::new(front), handed, ending, _leaving: leave, gone }
+    });
+    Fixture { service: Rc::new(service), submitted, ending: end, _stopping: stop, withdrawn }
 }
 
-/// Plays a scene, ten seconds at most.
-fn play(executor: &LocalExecutor<'_>, scene: impl Future<Output = ()>) {
+/// Runs a test on the executor, ten seconds at most.
+fn run_test(executor: &LocalExecutor<'_>, test: impl Future<Output = ()>) {
     let late = async {
         Timer::after(Duration::from_secs(10)).await;
         panic!("not over in time");
     };
-    async_io::block_on(executor.run(scene.or(late)));
+    async_io::block_on(executor.run(test.or(late)));
 }
 
-/// Both ends of a connection that the front serves; the far one has said `said` by then.
-async fn connected(scene: &Scene, said: &str, executor: &Rc<LocalExecutor<'static>>) -> Async<TcpStream> {
+/// The client's end of a connection that the service serves; the client has written `said` by then.
+async fn connected(fixture: &Fixture, said: &str, executor: &Rc<LocalExecutor<'static>>) -> Async<TcpStream> {
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
     let at = listener.get_ref().local_addr().expect("an address");
     let far = Async::<TcpStream>::connect(at).await.expect("a connection");
     far.get_ref().write_all(said.as_bytes()).expect("written");
-    executor.spawn(serve(listener, scene.front.clone(), executor.clone())).detach();
+    executor.spawn(serve(listener, fixture.service.clone(), executor.clone())).detach();
     far
 }
 
@@ -66,52 +65,54 @@
     text
 }
 
-// Guards against requests that were read and get no answer, as the process ends while the ones before them wait for
-// theirs: whoever wrote them whole takes them for lost.
+// The process ends while requests that were read wait behind others for their turn: they must get an answer, as whoever
+// wrote them whole takes them for lost.
 #[test]
-fn what_was_read_and_not_handed_in_when_the_process_ends_is_turned_away() {
-    let (scene, executor) = (scene(), Rc::new(LocalExecutor::new()));
-    play(&executor, async {
-        let mut far = connected(&scene, &ADD.repeat(AT_ONCE + 8), &executor).await;
+fn requests_read_but_not_submitted_when_the_process_ends_are_rejected() {
+    let (fixture, executor) = (fixture(), Rc::new(LocalExecutor::new()));
+    run_test(&executor, async {
+        let mut far = connected(&fixture, &ADD.repeat(MAX_REQUESTS_PER_TURN + 8), &executor).await;
         let mut waiting = Vec::new();
-        for _ in 0..AT_ONCE {
-            waiting.push(scene.handed.recv().await.expect("a message"));
+        for _ in 0..MAX_REQUESTS_PER_TURN {
+            waiting.push(fixture.submitted.recv().await.expect("a message"));
         }
         // The rest is read by now; the process ends before the first ones have their answers.
-        scene.ending.close();
-        waiting.iter().for_each(|answer| answer.try_send(Answer::Taken(MessageId(1))).expect("waited for"));
-        assert_eq!(heard(&mut far).await, "+OK\r\n".repeat(AT_ONCE) + &"-BUSY\r\n".repeat(8));
-        assert!(scene.handed.is_empty(), "nothing more is handed in");
-        assert!(scene.gone.borrow().is_empty(), "what was heard is not taken back");
+        fixture.ending.close();
+        waiting
+            .iter()
+            .for_each(|answer| answer.try_send(SubmissionReply::Accepted(MessageId(1))).expect("waited for"));
+        assert_eq!(heard(&mut far).await, "+OK\r\n".repeat(MAX_REQUESTS_PER_TURN) + &"-BUSY\r\n".repeat(8));
+        assert!(fixture.submitted.is_empty(), "nothing more is submitted");
+        assert!(fixture.withdrawn.borrow().is_empty(), "what was heard is not withdrawn");
     });
 }
 
 // A client may end its sending behind its request: it hears that it is to come again, and nothing is taken on, as
 // one that has gone altogether looks the same.
 #[test]
-fn a_client_that_ends_its_sending_is_turned_away_and_not_left_without_an_answer() {
-    let (scene, executor) = (scene(), Rc::new(LocalExecutor::new()));
-    play(&executor, async {
+fn a_client_that_half_closes_its_connection_gets_a_rejection() {
+    let (fixture, executor) = (fixture(), Rc::new(LocalExecutor::new()));
+    run_test(&executor, async {
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a port");
         let far = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
         (&far).write_all(ADD.as_bytes()).expect("written");
         far.shutdown(Shutdown::Write).expect("half closed");
         let listener = Async::new(listener).expect("a listener");
-        executor.spawn(serve(listener, scene.front.clone(), executor.clone())).detach();
+        executor.spawn(serve(listener, fixture.service.clone(), executor.clone())).detach();
         let mut far = Async::new(far).expect("a stream");
         assert_eq!(heard(&mut far).await, "-BUSY\r\n");
-        assert!(scene.handed.is_empty(), "nothing is handed in");
+        assert!(fixture.submitted.is_empty(), "nothing is submitted");
     });
 }
 
 // One that is turned away as there is no room hears so, though its request was not read: a close over unread bytes
 // resets the connection.
 #[test]
-fn one_connection_too_many_hears_that_it_is_turned_away() {
-    let (scene, executor) = (scene(), Rc::new(LocalExecutor::new()));
-    scene.front.open.set(scene.front.most);
-    play(&executor, async {
-        let mut far = connected(&scene, ADD, &executor).await;
+fn a_connection_over_the_limit_gets_a_rejection_and_no_reset() {
+    let (fixture, executor) = (fixture(), Rc::new(LocalExecutor::new()));
+    fixture.service.open_connections.set(fixture.service.max_connections);
+    run_test(&executor, async {
+        let mut far = connected(&fixture, ADD, &executor).await;
         let mut text = Vec::new();
         let read = futures_lite::AsyncReadExt::read_to_end(&mut far, &mut text).await;
         assert!(read.is_ok(), "not reset: {read:?}");
@@ -141,11 +142,15 @@
 // An answer that left whole stands, whatever comes after it; the others are taken back. A socket takes so few bytes
 // whole or not at all, so the writer here is one that does not.
 #[test]
-fn only_answers_that_did_not_leave_whole_are_taken_back() {
-    let taken = [(5, MessageId(1)), (10, MessageId(2)), (15, MessageId(3))];
+fn only_messages_whose_replies_did_not_leave_whole_are_withdrawn() {
+    let accepted = [(5, 1), (10, 2), (15, 3)].map(|(end, id)| AcceptedReply { message: MessageId(id), end });
     for (takes, back) in [(0, 3), (4, 3), (5, 2), (9, 2), (10, 1), (14, 1), (15, 0)] {
-        let (left, written) = block_on(write_out(&mut Breaks(takes), &[b'+'; 15]));
+        let (left, written) = block_on(write_in_time(&mut Breaks(takes), &[b'+'; 15]));
         assert_eq!((15 - left, written.is_err()), (takes, takes < 15));
-        assert_eq!(unheard(&taken, 15 - left).collect::<Vec<_>>().len(), back, "{takes} bytes left");
+        assert_eq!(
+            unheard_messages(&accepted, 15 - left).collect::<Vec<_>>().len(),
+            back,
+            "{takes} bytes left"
+        );
     }
 }
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -1,7 +1,7 @@
 //! Carries the decisions out: gathers what came into rounds, is the writer of the decisions, keeps the
 //! spool in step. Everything runs on one thread.
 
-use crate::clients::{Answer, HandedIn, Told, told};
+use crate::clients::{ClientSubmission, SubmissionError, SubmissionMetadata, SubmissionReply};
 use crate::discovery::{Member, Members};
 use crate::notices::Notice;
 use crate::upstream::{self, Call, End, Endpoint, Endpoints, Ends, Idle, Part, Stage};
@@ -36,7 +36,7 @@
 
 /// What came in.
 pub enum Event {
-    Message(HandedIn, Sender<Answer>),
+    Message(ClientSubmission, Sender<SubmissionReply>),
     /// A client did not hear that its message was taken on.
     Gone(MessageId),
     /// Messages of a call have ended.
@@ -119,7 +119,7 @@
     /// Ids of messages that ended lately, as numbers.
     ended: VecDeque<u64>,
     /// Messages that came for this round, and who waits for the answer.
-    asking: BTreeMap<MessageId, Sender<Answer>>,
+    asking: BTreeMap<MessageId, Sender<SubmissionReply>>,
     sends: Vec<(EndpointId, Vec<(MessageId, Duration)>)>,
     late: Vec<(EndpointId, Sender<bool>)>,
     calls: BTreeMap<u64, Out>,
@@ -148,11 +148,11 @@
 
     fn reject(&mut self, msg: MessageId, pause: Duration) -> bool {
         let ms = pause.as_millis() as u64;
-        self.end(msg, Answer::PushedBack(ms), FinalOutcome::Rejected(ms))
+        self.end(msg, SubmissionReply::Rejected { retry_after_ms: ms }, FinalOutcome::Rejected(ms))
     }
 
     fn fail(&mut self, msg: MessageId) -> bool {
-        self.end(msg, Answer::Failed("failed"), FinalOutcome::Failed)
+        self.end(msg, SubmissionReply::Failed(SubmissionError::Undeliverable), FinalOutcome::Failed)
     }
 
     fn cancel(&mut self, msg: MessageId, _leg: AttemptNumber) {
@@ -222,7 +222,7 @@
 
 impl Desk {
     /// An end that is no delivery: the answer to a client that waits, else a notice. True if it is taken.
-    fn end(&mut self, msg: MessageId, answer: Answer, owed: FinalOutcome) -> bool {
+    fn end(&mut self, msg: MessageId, answer: SubmissionReply, owed: FinalOutcome) -> bool {
         if let Some(kept) = self.spool.borrow().get(msg.0) {
             let (id, legs) = (String::from_utf8_lossy(&kept.accepted.id), kept.attempts.len());
             debug!("message {id} ends undelivered: {owed:?} after {legs} legs, {}", kept.accepted.metadata);
@@ -260,9 +260,9 @@
     }
 
     /// What the decisions are told of a message; none if its lane is not known.
-    fn hand_in(&self, told: &Told, key: u64, deadline: Duration) -> Option<Submission> {
+    fn hand_in(&self, told: &SubmissionMetadata, key: u64, deadline: Duration) -> Option<Submission> {
         let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let class = ClassId(place(&self.settings.classes, &told.lane)? as u16);
+        let class = ClassId(place(&self.settings.classes, &told.class)? as u16);
         let tenant = told.tenant.as_deref().and_then(|t| place(&self.settings.tenants, t));
         // Guards against a tenant that nobody knows drawing on the share of the first one: it has none.
         let tenant = TenantId(tenant.map_or(u32::MAX, |t| t as u32));
@@ -270,7 +270,7 @@
         Some(Submission {
             class,
             tenant,
-            destination: DestinationId(told.dst),
+            destination: DestinationId(told.destination),
             key,
             deadline,
             restored: false,
@@ -324,32 +324,37 @@
         inputs.push(Input::Closed(msg));
     }
 
-    fn take_message(&mut self, m: HandedIn, asking: Sender<Answer>, inputs: &mut Vec<Input>) {
-        let deadline = self.clock.at(m.at) + m.told.left;
-        let Some(hand_in) = self.hand_in(&m.told, m.key, deadline) else {
-            let _ = asking.try_send(Answer::Failed("c names no class"));
+    fn take_message(
+        &mut self,
+        m: ClientSubmission,
+        asking: Sender<SubmissionReply>,
+        inputs: &mut Vec<Input>,
+    ) {
+        let deadline = self.clock.at(m.received_at) + m.metadata.time_to_deadline;
+        let Some(hand_in) = self.hand_in(&m.metadata, m.key, deadline) else {
+            let _ = asking.try_send(SubmissionReply::Failed(SubmissionError::UnknownClass));
             return;
         };
         // Guards against messages that nobody can ever take: they would be held until their deadline.
         if !self.endpoints.lists(hand_in.destination) {
-            let _ = asking.try_send(Answer::Failed("dest is not on the list"));
+            let _ = asking.try_send(SubmissionReply::Failed(SubmissionError::UnknownDestination));
             return;
         }
         if let Some(msg) = self.by_name.get(&m.id) {
             // Taken on already: the one that came first stands.
             info!("message {} came again while it is held", msg.0);
-            let _ = asking.try_send(Answer::Held);
+            let _ = asking.try_send(SubmissionReply::AlreadyHeld);
             return;
         }
         if self.ended.contains(&number(&m.id)) {
-            let _ = asking.try_send(Answer::Failed("the id was used before"));
+            let _ = asking.try_send(SubmissionReply::Failed(SubmissionError::IdAlreadyUsed));
             return;
         }
         let at = self.clock.unix_ms(deadline);
         let taken = AcceptedMessage {
             id: m.id,
             key: m.key,
-            metadata: m.list,
+            metadata: m.metadata_text,
             deadline: at,
             body: m.body,
             accepted_at_us: unix_us(),
@@ -361,7 +366,7 @@
             if !std::mem::replace(&mut self.full, true) {
                 warn!("spool: full with {} messages", self.spool.borrow().messages().len());
             }
-            let _ = asking.try_send(Answer::PushedBack(0));
+            let _ = asking.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
             return;
         };
         let msg = MessageId(n);
@@ -506,7 +511,7 @@
         for (msg, kept) in kept {
             self.by_name.insert(kept.accepted.id.clone(), msg);
             let deadline = self.clock.at_unix_ms(kept.accepted.deadline);
-            let told = told(&kept.accepted.metadata).ok();
+            let told = SubmissionMetadata::parse(&kept.accepted.metadata).ok();
             let hand_in = told.and_then(|told| self.hand_in(&told, kept.accepted.key, deadline));
             // A class that the settings no longer hold: nobody could decide on it.
             let owed =
@@ -541,9 +546,9 @@
         }
         for (msg, asking) in std::mem::take(&mut self.asking) {
             if safe.is_ok() {
-                let _ = asking.try_send(Answer::Taken(msg));
+                let _ = asking.try_send(SubmissionReply::Accepted(msg));
             } else {
-                let _ = asking.try_send(Answer::PushedBack(0));
+                let _ = asking.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
                 let _ = self.events.try_send(Event::Gone(msg));
             }
         }
@@ -579,7 +584,8 @@
         let part = |(msg, _): &(MessageId, Duration)| {
             let spool = self.spool.borrow();
             let taken = &spool.get(msg.0)?.accepted;
-            let idempotency_key = told(&taken.metadata).ok().and_then(|t| t.idempotency_key);
+            let idempotency_key =
+                SubmissionMetadata::parse(&taken.metadata).ok().and_then(|t| t.idempotency_key);
             Some(Part { msg: *msg, id: taken.id.clone(), idempotency_key, body: taken.body.clone() })
         };
         let parts = legs.iter().filter_map(part).collect();
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -14,7 +14,7 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use clients::Front;
+use clients::{ClientService, ClientServiceConfig};
 use discovery::Follow;
 use futures_lite::StreamExt;
 use host::{Event, Host, Parts};
@@ -247,19 +247,17 @@
         let taken = move |msgs| drop(taken.try_send(Event::Noticed(msgs)));
         executor.spawn(notices::deliver(start.discovery, notices_moved, notices_out, taken)).detach();
         let (handed, gone) = (events_in.clone(), events_in.clone());
-        let front = Front {
-            hand_in: Box::new(move |message, answer| drop(handed.try_send(Event::Message(message, answer)))),
-            gone: Box::new(move |msg| drop(gone.try_send(Event::Gone(msg)))),
-            leaving: leaving.clone(),
+        let front = ClientService::new(ClientServiceConfig {
+            submit: Box::new(move |message, answer| drop(handed.try_send(Event::Message(message, answer)))),
+            withdraw: Box::new(move |msg| drop(gone.try_send(Event::Gone(msg)))),
+            stopping: leaving.clone(),
             ending,
-            most: start.descriptors / 2,
-            bytes_most: start.memory / REQUESTS_SHARE,
-            open: open.clone(),
-            waiting: RefCell::default(),
+            max_connections: start.descriptors / 2,
+            max_buffered_bytes: start.memory / REQUESTS_SHARE,
+            open_connections: open.clone(),
             maintenance: maintenance.clone(),
             start: started,
-            moved: RefCell::new(async_channel::bounded(1)),
-        };
+        });
         let front = Rc::new(front);
         if let Some(at) = start.mgmt {
             let mgmt =
@@ -267,7 +265,7 @@
             let (changed, front) = (events_in.clone(), front.clone());
             let changed = Box::new(move |change: Change| {
                 if matches!(change, Change::Standby | Change::Active) {
-                    front.standby_moved();
+                    front.notify_standby_changed();
                 }
                 drop(changed.try_send(Event::Maintenance(change)));
             });
--- a/crates/relay/src/reception.rs
+++ b/crates/relay/src/reception.rs
@@ -2,7 +2,7 @@
 //! what they hand in in a spool of its own, and sends nothing, until the owner has ended. Who owns what and
 //! what a taker takes on is decided in `mountshift_handover`; here it is carried out.
 
-use crate::clients::{Answer, HandedIn};
+use crate::clients::{ClientSubmission, SubmissionError, SubmissionReply};
 use crate::host::{Event, unix_us, write_maintenance};
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -58,7 +58,7 @@
             let first = async { came.recv().await.ok() }.or(timer).await;
             let events: Vec<Event> =
                 first.into_iter().chain(std::iter::from_fn(|| came.try_recv().ok())).collect();
-            let mut asking: Vec<(u64, Sender<Answer>)> = Vec::new();
+            let mut asking: Vec<(u64, Sender<SubmissionReply>)> = Vec::new();
             for event in events {
                 match event {
                     Event::Message(m, answer) => match self.take(&m, &by_name) {
@@ -70,7 +70,7 @@
                             }
                             None => {
                                 warn!("next spool: full with {} messages", self.spool.messages().len());
-                                let _ = answer.try_send(Answer::PushedBack(0));
+                                let _ = answer.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
                             }
                         },
                     },
@@ -106,9 +106,9 @@
             }
             for (n, answer) in asking {
                 if safe.is_ok() {
-                    let _ = answer.try_send(Answer::Taken(MessageId(TAKEN_BASE + n)));
+                    let _ = answer.try_send(SubmissionReply::Accepted(MessageId(TAKEN_BASE + n)));
                 } else {
-                    let _ = answer.try_send(Answer::PushedBack(0));
+                    let _ = answer.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
                     self.spool.remove(n);
                 }
             }
@@ -126,19 +126,23 @@
     }
 
     /// What a taker takes on, or how it answers instead.
-    fn take(&self, m: &HandedIn, by_name: &BTreeMap<Vec<u8>, u64>) -> Result<AcceptedMessage, Answer> {
-        if !self.lanes.contains(&m.told.lane) {
-            return Err(Answer::Failed("c names no class"));
+    fn take(
+        &self,
+        m: &ClientSubmission,
+        by_name: &BTreeMap<Vec<u8>, u64>,
+    ) -> Result<AcceptedMessage, SubmissionReply> {
+        if !self.lanes.contains(&m.metadata.class) {
+            return Err(SubmissionReply::Failed(SubmissionError::UnknownClass));
         }
         if by_name.contains_key(&m.id) {
-            return Err(Answer::Held);
+            return Err(SubmissionReply::AlreadyHeld);
         }
-        let left = m.told.left.saturating_sub(m.at.elapsed());
+        let left = m.metadata.time_to_deadline.saturating_sub(m.received_at.elapsed());
         if !accepts(left) {
-            return Err(Answer::PushedBack(0));
+            return Err(SubmissionReply::Rejected { retry_after_ms: 0 });
         }
         let deadline = unix_us() / 1_000 + left.as_millis() as u64;
-        let list = m.list.clone();
+        let list = m.metadata_text.clone();
         Ok(AcceptedMessage {
             id: m.id.clone(),
             key: m.key,
