--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Follows the list of endpoints: one call after the other, each waiting for what is newer.
 
-use crate::upstream::{Connection, ask, request};
+use crate::upstream::{HttpConnection, encode_request, exchange};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -147,16 +147,19 @@
     }
 
     /// The list or its changes; else why not, with a wait that discovery told.
-    async fn call(&self, connection: &mut Option<Connection>) -> Result<Members, (String, Option<Duration>)> {
+    async fn call(
+        &self,
+        connection: &mut Option<HttpConnection>,
+    ) -> Result<Members, (String, Option<Duration>)> {
         // The list held at first, or before a failed call, may be old: what changed since is asked for at once.
         let (wait, within) = self.terms.poll_timeouts(self.heard && self.revision.is_some());
         let path = match self.revision {
             Some(n) => format!("/catalog/members?index={n}&wait={}", wait.as_millis().max(1)),
             None => "/catalog/members".to_string(),
         };
-        let bytes = request("GET", &path, &self.at.to_string(), &[], &[]);
-        let asked = ask(connection, self.at, "discovery", &bytes, self.most, within).await;
-        let answer = asked.map_err(|e| (e, None))?;
+        let bytes = encode_request("GET", &path, &self.at.to_string(), &[], &[]);
+        let asked = exchange(connection, self.at, "discovery", &bytes, self.most, within).await;
+        let answer = asked.map_err(|e| (e.to_string(), None))?;
         if answer.status != 200 {
             let wait = answer.retry_after.map(|s| Duration::from_secs_f64(s.min(1e6)));
             return Err((format!("status {}", answer.status), wait));
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -4,7 +4,9 @@
 use crate::clients::{ClientSubmission, SubmissionError, SubmissionMetadata, SubmissionReply};
 use crate::discovery::{Member, Members};
 use crate::notices::Notice;
-use crate::upstream::{self, Call, End, Endpoint, Endpoints, Ends, Idle, Part, Stage};
+use crate::upstream::{
+    self, AttemptResult, Call, CallMessage, CallResult, CallStage, ConnectionPool, Endpoint, EndpointTable,
+};
 use async_channel::{Receiver, Sender};
 use async_executor::{LocalExecutor, Task};
 use async_io::Timer;
@@ -40,7 +42,7 @@
     /// A client did not hear that its message was taken on.
     Gone(MessageId),
     /// Messages of a call have ended.
-    Ended(u64, Ends),
+    Ended(u64, CallResult),
     /// A call to this endpoint begins late: may it still be reached?
     Late(EndpointId, Sender<bool>),
     /// The list or its changes; or a call for it failed, with a wait if one was told.
@@ -97,7 +99,7 @@
     sent: Duration,
     legs: BTreeSet<MessageId>,
     recalled: BTreeSet<MessageId>,
-    stage: Rc<Cell<Stage>>,
+    stage: Rc<Cell<CallStage>>,
     /// Dropping it closes the call's connection.
     task: Option<Task<()>>,
 }
@@ -109,8 +111,8 @@
     settings: SocketSettings,
     batches: Vec<usize>,
     spool: Rc<RefCell<Spool>>,
-    endpoints: Endpoints,
-    idle: Rc<Idle>,
+    endpoints: EndpointTable,
+    idle: Rc<ConnectionPool>,
     executor: Rc<LocalExecutor<'static>>,
     events: Sender<Event>,
     notices: Sender<Notice>,
@@ -161,20 +163,20 @@
         // One message can't be taken out of a call: it would still be out on an open connection.
         if call.recalled.is_superset(&call.legs) {
             // Guards against a call told as one that may have run, though its last byte never left.
-            let ran = call.stage.get() == Stage::Written;
+            let ran = call.stage.get() == CallStage::Written;
             let outcome = if ran { Outcome::Cancelled } else { Outcome::NotSent };
-            let ends: Vec<End> = call.legs.iter().map(|msg| (*msg, outcome, false)).collect();
-            let _ = self.events.try_send(Event::Ended(*n, ends.into()));
+            let ends = CallResult::same_for_all(call.legs.iter().copied(), outcome, false);
+            let _ = self.events.try_send(Event::Ended(*n, ends));
             call.task = None;
         }
     }
 
     fn close_idle_connections(&mut self, to: EndpointId) {
-        self.idle.close(to);
+        self.idle.close_endpoint(to);
     }
 
     fn forget_endpoint(&mut self, endpoint: EndpointId) {
-        self.idle.close(endpoint);
+        self.idle.close_endpoint(endpoint);
         let name = self.endpoints.get(endpoint).map(|e| e.name.clone());
         let out = name.is_some_and(|name| self.maintenance.borrow().is_out(&name));
         if let Some(gone) = self.endpoints.forget(endpoint, out) {
@@ -285,17 +287,18 @@
             Event::Gone(msg) => self.take_over(msg, inputs),
             Event::Ended(call, ends) => {
                 if let Some(to) = self.calls.get(&call).map(|out| out.to) {
-                    ends.wait
+                    ends.retry_after
                         .into_iter()
                         .for_each(|wait| inputs.push(Input::RetryAfter { endpoint: to, span: wait }));
                     let name = self.settings.rate_limit_field.as_deref();
-                    let limit =
-                        name.zip(ends.report.as_deref()).and_then(|(name, text)| upstream::told(text, name));
+                    let limit = name
+                        .zip(ends.load_report.as_deref())
+                        .and_then(|(name, text)| upstream::load_report_value(text, name));
                     limit
                         .into_iter()
                         .for_each(|rate| inputs.push(Input::RateLimitReported { endpoint: to, rate }));
                 }
-                ends.ends.into_iter().for_each(|end| self.take_end(call, end, inputs));
+                ends.attempts.into_iter().for_each(|end| self.take_end(call, end, inputs));
             }
             Event::List(Ok(list)) => {
                 self.take_list(list, inputs);
@@ -336,7 +339,7 @@
             return;
         };
         // Guards against messages that nobody can ever take: they would be held until their deadline.
-        if !self.endpoints.lists(hand_in.destination) {
+        if !self.endpoints.has_destination(hand_in.destination) {
             let _ = asking.try_send(SubmissionReply::Failed(SubmissionError::UnknownDestination));
             return;
         }
@@ -376,11 +379,12 @@
         inputs.push(Input::Submitted { message: msg, submission: hand_in });
     }
 
-    fn take_end(&mut self, call: u64, (msg, outcome, over): End, inputs: &mut Vec<Input>) {
+    fn take_end(&mut self, call: u64, end: AttemptResult, inputs: &mut Vec<Input>) {
+        let AttemptResult { message: msg, outcome, closed: over } = end;
         let Some(out) = self.calls.get_mut(&call).filter(|out| out.legs.contains(&msg)) else { return };
         out.legs.remove(&msg);
         let (to, waited) = (out.to, self.now.saturating_sub(out.sent));
-        let noted = out.stage.get() != Stage::Begun;
+        let noted = out.stage.get() != CallStage::Connecting;
         if out.legs.is_empty() {
             self.calls.remove(&call);
         }
@@ -401,13 +405,14 @@
         }
         for member in &list.members {
             self.maintenance.borrow_mut().listed(&member.id);
-            let (id, says, moved) = self.endpoints.learn(member);
-            let says = self.as_ordered(&member.id, says);
-            if moved {
-                self.idle.close(id);
+            let update = self.endpoints.update(member);
+            let id = update.endpoint;
+            let says = self.as_ordered(&member.id, update.status);
+            if update.address_left {
+                self.idle.close_endpoint(id);
             }
             let Some(e) = self.endpoints.get(id) else { continue };
-            let (dst, zone, kind, rate) = (e.dst, e.zone, e.kind, member.size);
+            let (dst, zone, kind, rate) = (e.destination, e.zone, e.kind, member.size);
             inputs.push(Input::EndpointListed(ListedEndpoint {
                 endpoint: id,
                 destination: dst,
@@ -458,11 +463,14 @@
         // Guards against an endpoint that the decisions forgot while it was out: put back, it is known again.
         let known = self.endpoints.id_of(name);
         let revived = known.is_none() && matches!(change, Change::EndpointBack(_));
-        let Some(id) = known.or_else(|| revived.then(|| self.endpoints.revive(name)).flatten()) else {
+        let Some(id) =
+            known.or_else(|| revived.then(|| self.endpoints.restore_from_maintenance(name)).flatten())
+        else {
             return;
         };
         let Some(e) = self.endpoints.get(id) else { return };
-        let (dst, zone, kind, rate, says) = (e.dst, e.zone, e.kind, e.rate, self.as_ordered(name, e.listed));
+        let (dst, zone, kind, rate, says) =
+            (e.destination, e.zone, e.kind, e.rate, self.as_ordered(name, e.status));
         inputs.push(Input::EndpointListed(ListedEndpoint {
             endpoint: id,
             destination: dst,
@@ -524,7 +532,7 @@
                 inputs.push(Input::FinalAnswerPending(msg));
             }
             for leg in kept.attempts {
-                let (zone, at) = (self.endpoints.zone(&leg.zone), self.clock.at_unix_ms(leg.at));
+                let (zone, at) = (self.endpoints.zone_id(&leg.zone), self.clock.at_unix_ms(leg.at));
                 inputs.push(Input::EarlierAttempt { message: msg, zone, at, may_have_run: leg.may_have_run });
             }
         }
@@ -556,13 +564,14 @@
             self.count += 1;
             let n = self.count;
             let all = legs.iter().map(|(msg, _)| *msg).collect();
-            let stage = Rc::new(Cell::new(Stage::Begun));
+            let stage = Rc::new(Cell::new(CallStage::Connecting));
             let task = if safe.is_ok() {
                 Some(self.start(n, to, endpoint, legs, stage.clone()))
             } else {
                 // A leg that is not noted must not go out.
-                let moot: Vec<End> = legs.iter().map(|(msg, _)| (*msg, Outcome::NotSent, false)).collect();
-                let _ = self.events.try_send(Event::Ended(n, moot.into()));
+                let moot =
+                    CallResult::same_for_all(legs.iter().map(|(msg, _)| *msg), Outcome::NotSent, false);
+                let _ = self.events.try_send(Event::Ended(n, moot));
                 None
             };
             let out = Out { to, sent: self.now, legs: all, recalled: BTreeSet::new(), stage, task };
@@ -576,7 +585,7 @@
         to: EndpointId,
         endpoint: Endpoint,
         legs: Vec<(MessageId, Duration)>,
-        stage: Rc<Cell<Stage>>,
+        stage: Rc<Cell<CallStage>>,
     ) -> Task<()> {
         // A call is given up as a whole, so that none of its messages is out again while it is open, and at
         // the shortest limit: guards against an answer behind the deadline of one, which counts for none.
@@ -586,7 +595,12 @@
             let taken = &spool.get(msg.0)?.accepted;
             let idempotency_key =
                 SubmissionMetadata::parse(&taken.metadata).ok().and_then(|t| t.idempotency_key);
-            Some(Part { msg: *msg, id: taken.id.clone(), idempotency_key, body: taken.body.clone() })
+            Some(CallMessage {
+                message: *msg,
+                id: taken.id.clone(),
+                idempotency_key,
+                body: taken.body.clone(),
+            })
         };
         let parts = legs.iter().filter_map(part).collect();
         let (idle, events, late) = (self.idle.clone(), self.events.clone(), self.events.clone());
@@ -616,7 +630,17 @@
             }
             safe.is_ok()
         });
-        let call = Call { to, endpoint, parts, limit, connect, decided, may_reach, note, stage };
+        let call = Call {
+            to,
+            endpoint,
+            messages: parts,
+            time_limit: limit,
+            connect_timeout: connect,
+            decided_at: decided,
+            may_still_send: may_reach,
+            record_attempts: note,
+            stage,
+        };
         let tell = move |ends| drop(events.try_send(Event::Ended(n, ends)));
         self.executor.spawn(async move { call.run(&idle, tell).await })
     }
@@ -680,8 +704,8 @@
             clock,
             now: clock.at(Instant::now()),
             batches: parts.policy_settings.destination_kinds.iter().map(|k| k.max_batch.max(1)).collect(),
-            endpoints: Endpoints::new(&parts.socket_settings),
-            idle: Rc::new(Idle::new(parts.socket_settings.idle_timeout, parts.idle_most)),
+            endpoints: EndpointTable::new(&parts.socket_settings),
+            idle: Rc::new(ConnectionPool::new(parts.socket_settings.idle_timeout, parts.idle_most)),
             settings: parts.socket_settings,
             spool: Rc::new(RefCell::new(parts.spool)),
             executor: parts.executor,
@@ -753,7 +777,7 @@
             }
         }
         // What was being written can't become whole any more.
-        for out in self.desk.calls.values_mut().filter(|out| out.stage.get() == Stage::Noted) {
+        for out in self.desk.calls.values_mut().filter(|out| out.stage.get() == CallStage::Recorded) {
             out.task = None;
             out.legs.iter().for_each(|msg| self.desk.spool.borrow_mut().record_not_run(msg.0));
         }
@@ -783,7 +807,7 @@
                 Timer::after(STOP_LOOK).await;
             }
             if swept.elapsed() >= SWEEP {
-                self.desk.idle.close_old();
+                self.desk.idle.close_expired();
                 swept = Instant::now();
             }
             let came: Vec<Event> =
--- a/crates/relay/src/notices.rs
+++ b/crates/relay/src/notices.rs
@@ -1,6 +1,6 @@
 //! Tells the platform of ends that are no delivery, again until each is taken.
 
-use crate::upstream::{Connection, ask, request};
+use crate::upstream::{HttpConnection, encode_request, exchange};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -87,8 +87,13 @@
     }
 }
 
-async fn call(at: SocketAddr, part: &[Notice], connection: &mut Option<Connection>) -> Result<u16, String> {
+async fn call(
+    at: SocketAddr,
+    part: &[Notice],
+    connection: &mut Option<HttpConnection>,
+) -> Result<u16, String> {
     let body: String = part.iter().map(Notice::line).collect();
-    let bytes = request("POST", "/status", &at.to_string(), &[], body.as_bytes());
-    Ok(ask(connection, at, "notices", &bytes, ANSWER_MOST, LATE).await?.status)
+    let bytes = encode_request("POST", "/status", &at.to_string(), &[], body.as_bytes());
+    let asked = exchange(connection, at, "notices", &bytes, ANSWER_MOST, LATE).await;
+    Ok(asked.map_err(|e| e.to_string())?.status)
 }
--- a/crates/relay/src/upstream/attempt.rs
+++ b/crates/relay/src/upstream/attempt.rs
@@ -1,241 +1,308 @@
-//! Calls to endpoints.
+//! One call to an endpoint, from its connection to its response: it carries an attempt of each of its messages.
+//!
+//! A call goes through the stages of [`CallStage`], so that whoever drops it knows whether its messages may have run.
+//! Makes each call once; whether and when there is another one, the decisions say.
 
-use super::connection_pool::Idle;
+use super::connection_pool::ConnectionPool;
 use super::endpoint_table::Endpoint;
-use super::http1::{Answer, Broken, Connection, request};
+use super::http1::{HttpConnection, Response, ResponseError, encode_request};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{debug, error, info};
-use mountshift::interface::*;
+use mountshift::interface::{EndpointId, MessageId, Outcome};
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-const ANSWER_MOST: usize = 256 * 1024;
-/// A call whose first byte goes out longer after the decision asks first.
-const LATE: Duration = Duration::from_millis(50);
-
-/// A connection that is new, turned away with no wait and closed: the endpoint's table is full. Guards against
-/// taking that for a limit, which kept connections do not fill: on sockets a full table has no other sign.
-fn turned_away_at_the_door(answer: &Answer, fresh: bool, keep: bool) -> bool {
-    answer.status == 503 && fresh && !keep && !answer.slots_taken && answer.retry_after.is_none()
-}
+/// Bytes of a response's body at most: a line for each message of the largest batch is far less.
+const MAX_RESPONSE_BYTES: usize = 256 * 1024;
+/// A call whose first byte goes out longer after the decision asks first whether it still may.
+const LATE_START: Duration = Duration::from_millis(50);
+/// The longest `Retry-After` that is taken as told, in seconds; a longer one is cut to it.
+const MAX_RETRY_AFTER_SECONDS: f64 = 1e6;
 
 /// A message in a call.
-pub struct Part {
-    pub msg: MessageId,
-    pub id: Vec<u8>,
-    pub idempotency_key: Option<String>,
-    pub body: Vec<u8>,
+pub(crate) struct CallMessage {
+    pub(crate) message: MessageId,
+    /// The id that its client gave it.
+    pub(crate) id: Vec<u8>,
+    pub(crate) idempotency_key: Option<String>,
+    pub(crate) body: Vec<u8>,
 }
 
-/// How a message of a call ended, and if it is over.
-pub type End = (MessageId, Outcome, bool);
+/// How the attempt of one message ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct AttemptResult {
+    pub(crate) message: MessageId,
+    pub(crate) outcome: Outcome,
+    /// Nothing more is sent for the message.
+    pub(crate) closed: bool,
+}
 
-/// What is known of a call: ends of its messages, and a wait told beside them.
-pub struct Ends {
-    pub ends: Vec<End>,
-    pub wait: Option<Duration>,
-    /// The report that came with the answer.
-    pub report: Option<String>,
+/// How a call ended.
+pub(crate) struct CallResult {
+    pub(crate) attempts: Vec<AttemptResult>,
+    /// A `Retry-After` that came beside the results of several messages.
+    pub(crate) retry_after: Option<Duration>,
+    /// The load report that came with the response.
+    pub(crate) load_report: Option<String>,
 }
 
-impl From<Vec<End>> for Ends {
-    fn from(ends: Vec<End>) -> Ends {
-        Ends { ends, wait: None, report: None }
+impl CallResult {
+    /// The same end for all messages of a call.
+    pub(crate) fn same_for_all(
+        messages: impl IntoIterator<Item = MessageId>,
+        outcome: Outcome,
+        closed: bool,
+    ) -> CallResult {
+        let result = |message| AttemptResult { message, outcome, closed };
+        CallResult {
+            attempts: messages.into_iter().map(result).collect(),
+            retry_after: None,
+            load_report: None,
+        }
     }
 }
 
-/// The value of a name in a report.
-pub fn told(report: &str, name: &str) -> Option<f64> {
+/// The value of a name in a load report.
+pub(crate) fn load_report_value(report: &str, name: &str) -> Option<f64> {
     let pairs = report.split(',').filter_map(|pair| pair.split_once('='));
     pairs
-        .filter(|(n, _)| n.trim() == name)
+        .filter(|(pair_name, _)| pair_name.trim() == name)
         .find_map(|(_, value)| value.trim().parse().ok())
-        .filter(|n: &f64| n.is_finite())
+        .filter(|value: &f64| value.is_finite())
 }
 
 /// How far a call has come.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Stage {
-    /// Queued or connecting: nothing of it is noted, no byte has left.
+pub(crate) enum CallStage {
+    /// Queued or connecting: the spool holds nothing of it, no byte has left.
     #[default]
-    Begun,
-    /// Noted in the spool, its first byte may have left.
-    Noted,
+    Connecting,
+    /// Recorded in the spool, its first byte may have left.
+    Recorded,
     /// Its last byte was written: only now may it run.
     Written,
 }
 
-pub struct Call {
-    pub to: EndpointId,
-    pub endpoint: Endpoint,
-    pub parts: Vec<Part>,
-    pub limit: Duration,
-    pub connect: Duration,
-    pub decided: Instant,
-    /// Asks if the endpoint may still be reached.
-    pub may_reach: Box<dyn Fn() -> Receiver<bool>>,
-    /// Notes the legs, right before the first byte; false if they must not go out.
-    pub note: Box<dyn Fn() -> bool>,
-    pub stage: Rc<Cell<Stage>>,
+/// A call to an endpoint.
+pub(crate) struct Call {
+    pub(crate) to: EndpointId,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) messages: Vec<CallMessage>,
+    /// From the decision on; then it ends as timed out.
+    pub(crate) time_limit: Duration,
+    pub(crate) connect_timeout: Duration,
+    pub(crate) decided_at: Instant,
+    /// Asks if the endpoint may still be called.
+    pub(crate) may_still_send: Box<dyn Fn() -> Receiver<bool>>,
+    /// Records the attempts in the spool, right before the first byte; false if they must not go out.
+    pub(crate) record_attempts: Box<dyn Fn() -> bool>,
+    pub(crate) stage: Rc<Cell<CallStage>>,
 }
 
 impl Call {
-    fn request(&self) -> Vec<u8> {
-        let host = self.endpoint.address.to_string();
-        let limit = self.limit.as_millis().max(1).to_string();
-        if let [part] = &self.parts[..] {
-            let mut headers = vec![("X-Request-ID", &part.id[..]), ("X-Timeout-Ms", limit.as_bytes())];
-            headers.extend(part.idempotency_key.iter().map(|key| ("Idempotency-Key", key.as_bytes())));
-            return request("POST", "/receive", &host, &headers, &part.body);
-        }
-        let mut body = Vec::new();
-        for part in &self.parts {
-            body.extend(&part.id);
-            let key = part.idempotency_key.as_deref().unwrap_or("-");
-            body.extend(format!(" {key} {}\r\n", part.body.len()).as_bytes());
-            body.extend(&part.body);
-            body.extend(b"\r\n");
-        }
-        request("POST", "/receive-many", &host, &[("X-Timeout-Ms", limit.as_bytes())], &body)
-    }
-
-    /// Makes the call, once; tells how its messages ended once it is over. Guards against a message that is
-    /// told as ended while the call goes on for others: the next of its key must wait for that.
-    pub async fn run(self, idle: &Idle, tell: impl Fn(Ends)) {
+    /// Makes the call, once, and reports how its messages ended when it is over. None is reported while the call goes
+    /// on for others: the next message of its key must wait for that.
+    pub(crate) async fn run(self, pool: &ConnectionPool, report: impl Fn(CallResult)) {
         // From the decision on: a task that waits for the core has no more time for that.
-        let by = self.decided + self.limit;
+        let deadline = self.decided_at + self.time_limit;
         let late = async {
-            Timer::at(by).await;
+            Timer::at(deadline).await;
             // Nothing left the relay whole, so it can't have run.
             Err(Outcome::ConnectFailed)
         };
-        let ends = match self.begin(idle, by).or(late).await {
-            Ok(connection) => self.finish(connection, by, idle).await,
-            Err(outcome) => self.all(outcome, false),
+        let result = match self.send(pool, deadline).or(late).await {
+            Ok(connection) => self.receive(connection, deadline, pool).await,
+            Err(outcome) => self.same_for_all(outcome, false),
         };
-        tell(ends);
+        report(result);
     }
 
-    fn all(&self, outcome: Outcome, over: bool) -> Ends {
-        self.parts.iter().map(|p| (p.msg, outcome, over)).collect::<Vec<End>>().into()
+    fn same_for_all(&self, outcome: Outcome, closed: bool) -> CallResult {
+        CallResult::same_for_all(self.messages.iter().map(|message| message.message), outcome, closed)
     }
 
-    /// An idle connection that lasts, or a new one.
-    async fn connection(&self, idle: &Idle) -> Result<Connection, Outcome> {
-        if let Some(connection) = idle.take(self.to, self.endpoint.address) {
+    /// An idle connection that can be used, or a new one.
+    async fn connect(&self, pool: &ConnectionPool) -> Result<HttpConnection, Outcome> {
+        if let Some(connection) = pool.take(self.to, self.endpoint.address) {
             return Ok(connection);
         }
         let late = async {
-            Timer::after(self.connect).await;
+            Timer::after(self.connect_timeout).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
-        let name = format!("endpoint {}", self.endpoint.name);
-        Connection::open(self.endpoint.address, name).or(late).await.map_err(|e| {
+        let server_name = format!("endpoint {}", self.endpoint.name);
+        let opened = HttpConnection::open(self.endpoint.address, server_name).or(late).await;
+        opened.map_err(|e| {
             info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
             Outcome::ConnectFailed
         })
     }
 
-    /// Writes the call, on an idle connection or a new one.
-    async fn begin(&self, idle: &Idle, by: Instant) -> Result<Connection, Outcome> {
-        let mut connection = self.connection(idle).await?;
-        // Guards against a call decided long ago that crosses a wait or a drain told since: its connection came up
-        // slowly, or its task waited for the core. On a kept connection too.
-        if self.decided.elapsed() > LATE && !(self.may_reach)().recv().await.unwrap_or(false) {
+    /// Writes the call, on an idle connection or a new one. Up to the first byte the connection stays of use for other
+    /// calls, whatever becomes of this one.
+    async fn send(&self, pool: &ConnectionPool, deadline: Instant) -> Result<HttpConnection, Outcome> {
+        let mut connection = self.connect(pool).await?;
+        if !self.is_still_allowed().await {
             info!("call to endpoint {} not made: no longer allowed", self.endpoint.name);
-            idle.keep(self.to, connection);
+            pool.put_back(self.to, connection);
             return Err(Outcome::NotSent);
         }
-        // The answer to that may have taken long: guards against writing to a kept connection whose time ran out since.
-        if connection.requests > 0 && !idle.lasting(&mut connection) {
-            connection = self.connection(idle).await?;
+        // The answer to that may have taken long, and the time of a kept connection may have run out since.
+        if connection.requests > 0 && !pool.is_usable(&mut connection) {
+            connection = self.connect(pool).await?;
         }
-        // Guards against a first byte behind the limit, when both the connection and the end of its time are here at once.
-        if Instant::now() >= by {
-            idle.keep(self.to, connection);
+        // Where the connection and the end of its time are here at once, no byte may go out behind the limit.
+        if Instant::now() >= deadline {
+            pool.put_back(self.to, connection);
             return Err(Outcome::ConnectFailed);
         }
         let request = self.request();
-        // Guards against a message that surely has not run and counts as if it may have: its process ended while the
-        // connection came up.
-        if !(self.note)() {
-            idle.keep(self.to, connection);
+        // Recorded only now: where the process ends while a connection comes up, the message surely has not run.
+        if !(self.record_attempts)() {
+            pool.put_back(self.to, connection);
             return Err(Outcome::NotSent);
         }
-        self.stage.set(Stage::Noted);
+        self.stage.set(CallStage::Recorded);
         debug!("call to endpoint {}: {}", self.endpoint.name, String::from_utf8_lossy(&request));
         connection.write(&request).await.map_err(|_| Outcome::ConnectFailed)?;
-        self.stage.set(Stage::Written);
+        self.stage.set(CallStage::Written);
         Ok(connection)
     }
 
-    async fn finish(&self, mut connection: Connection, by: Instant, idle: &Idle) -> Ends {
-        match connection.answer(ANSWER_MOST, by).await {
-            Ok((answer, keep)) => {
-                let fresh = connection.requests == 1;
-                keep.then(|| idle.keep(self.to, connection));
-                if turned_away_at_the_door(&answer, fresh, keep) {
-                    debug!("endpoint {} had no room for another connection", self.endpoint.name);
-                    return self.all(Outcome::ConnectionLimit, false);
-                }
-                Ends { report: answer.report.clone(), ..self.ends(&answer) }
+    /// A call decided long ago could cross a `Retry-After` or a drain told since, as its connection came up slowly or
+    /// its task waited for the core. On a kept connection too.
+    async fn is_still_allowed(&self) -> bool {
+        if self.decided_at.elapsed() <= LATE_START {
+            return true;
+        }
+        (self.may_still_send)().recv().await.unwrap_or(false)
+    }
+
+    fn request(&self) -> Vec<u8> {
+        let host = self.endpoint.address.to_string();
+        let time_limit = self.time_limit.as_millis().max(1).to_string();
+        let timeout_header = ("X-Timeout-Ms", time_limit.as_bytes());
+        if let [message] = &self.messages[..] {
+            let mut headers = vec![("X-Request-ID", &message.id[..]), timeout_header];
+            if let Some(key) = &message.idempotency_key {
+                headers.push(("Idempotency-Key", key.as_bytes()));
             }
-            Err(Broken::Silent) => self.all(Outcome::TimedOut, false),
-            Err(Broken::Ended) => self.all(Outcome::Reset, false),
-            // Guards against a spoilt answer that says it was turned away: it may have run all the same.
-            Err(Broken::Unreadable) => self.all(Outcome::Error, false),
+            return encode_request("POST", "/receive", &host, &headers, &message.body);
         }
+        let body = encode_batch(&self.messages);
+        encode_request("POST", "/receive-many", &host, &[timeout_header], &body)
     }
 
-    /// Reads an answer: how each message ended.
-    fn ends(&self, answer: &Answer) -> Ends {
-        let wait = Duration::from_secs_f64(answer.retry_after.unwrap_or(0.0).min(1e6));
-        if !wait.is_zero() {
-            debug!("endpoint {} answered {} with a wait of {wait:?}", self.endpoint.name, answer.status);
+    /// Reads the response: how each message ended.
+    async fn receive(
+        &self,
+        mut connection: HttpConnection,
+        deadline: Instant,
+        pool: &ConnectionPool,
+    ) -> CallResult {
+        let (response, reusable) = match connection.read_response(MAX_RESPONSE_BYTES, deadline).await {
+            Ok(response) => response,
+            Err(ResponseError::TimedOut) => return self.same_for_all(Outcome::TimedOut, false),
+            Err(ResponseError::ConnectionClosed) => return self.same_for_all(Outcome::Reset, false),
+            // Also where an unreadable response says that the message was rejected: it may have run all the same.
+            Err(ResponseError::Unreadable) => return self.same_for_all(Outcome::Error, false),
+        };
+        let is_first = connection.requests == 1;
+        if reusable {
+            pool.put_back(self.to, connection);
+        }
+        if is_connection_limit(&response, is_first, reusable) {
+            debug!("endpoint {} had no room for another connection", self.endpoint.name);
+            return self.same_for_all(Outcome::ConnectionLimit, false);
+        }
+        let mut result = self.interpret(&response);
+        result.load_report = response.load_report;
+        result
+    }
+
+    /// How each message ended, as the response tells.
+    fn interpret(&self, response: &Response) -> CallResult {
+        let seconds = response.retry_after.unwrap_or(0.0).min(MAX_RETRY_AFTER_SECONDS);
+        let retry_after = Duration::from_secs_f64(seconds);
+        if !retry_after.is_zero() {
+            let (name, status) = (&self.endpoint.name, response.status);
+            debug!("endpoint {name} answered {status} with a wait of {retry_after:?}");
         }
-        let end = match answer.status {
-            200 if self.parts.len() == 1 => (Outcome::Delivered, true),
-            200 if !answer.whole => (Outcome::Error, false),
-            200 => return self.ends_of_many(answer, wait),
-            429 => (Outcome::Rejected { retry_after: wait }, false),
-            503 if answer.slots_taken => (Outcome::NotSent, false),
-            503 => (Outcome::Rejected { retry_after: wait }, false),
-            504 => (Outcome::NotSent, false),
-            410 => (Outcome::NotSent, true),
+        match response.status {
+            200 if self.messages.len() == 1 => self.same_for_all(Outcome::Delivered, true),
+            200 if !response.complete => self.same_for_all(Outcome::Error, false),
+            200 => self.interpret_batch(&response.body, retry_after),
+            429 => self.same_for_all(Outcome::Rejected { retry_after }, false),
+            503 if response.slots_taken => self.same_for_all(Outcome::NotSent, false),
+            503 => self.same_for_all(Outcome::Rejected { retry_after }, false),
+            504 => self.same_for_all(Outcome::NotSent, false),
+            410 => self.same_for_all(Outcome::NotSent, true),
             400 | 404 | 413 => {
-                error!("endpoint {} answered {}", self.endpoint.name, answer.status);
-                (Outcome::Error, false)
+                error!("endpoint {} answered {}", self.endpoint.name, response.status);
+                self.same_for_all(Outcome::Error, false)
             }
-            _ => (Outcome::Error, false),
-        };
-        self.all(end.0, end.1)
+            _ => self.same_for_all(Outcome::Error, false),
+        }
     }
 
-    fn ends_of_many(&self, answer: &Answer, wait: Duration) -> Ends {
-        let mut told = BTreeMap::new();
-        for line in answer.body.split(|b| *b == b'\n') {
-            let mut words = line.split(u8::is_ascii_whitespace).filter(|w| !w.is_empty());
-            if let (Some(id), Some(end)) = (words.next(), words.next()) {
-                told.insert(id, end);
+    /// How each message of a batch ended: the body has a line with an id and a word for each.
+    fn interpret_batch(&self, body: &[u8], retry_after: Duration) -> CallResult {
+        let mut words_by_id = BTreeMap::new();
+        for line in body.split(|byte| *byte == b'\n') {
+            let mut words = line.split(u8::is_ascii_whitespace).filter(|word| !word.is_empty());
+            if let (Some(id), Some(word)) = (words.next(), words.next()) {
+                words_by_id.insert(id, word);
             }
         }
-        let end = |part: &Part| match told.get(&part.id[..]).copied() {
-            Some(b"delivered") => (part.msg, Outcome::Delivered, true),
-            Some(b"refused") => (part.msg, Outcome::Rejected { retry_after: wait }, false),
-            Some(b"over") => (part.msg, Outcome::NotSent, true),
-            Some(b"spent") => (part.msg, Outcome::NotSent, false),
-            // Told as failed, or not told: it may have run.
-            _ => (part.msg, Outcome::Error, false),
+        let result = |message: &CallMessage| {
+            let word = words_by_id.get(&message.id[..]).copied();
+            let (outcome, closed) = batch_outcome(word, retry_after);
+            AttemptResult { message: message.message, outcome, closed }
         };
-        // The wait binds whether or not a message was refused.
-        Ends {
-            ends: self.parts.iter().map(end).collect(),
-            wait: (!wait.is_zero()).then_some(wait),
-            report: None,
+        CallResult {
+            attempts: self.messages.iter().map(result).collect(),
+            // It binds whether or not a message was rejected.
+            retry_after: (!retry_after.is_zero()).then_some(retry_after),
+            load_report: None,
         }
     }
 }
+
+/// How a message of a batch ended, and whether it is closed, by the word that the response has for it.
+fn batch_outcome(word: Option<&[u8]>, retry_after: Duration) -> (Outcome, bool) {
+    match word {
+        Some(b"delivered") => (Outcome::Delivered, true),
+        Some(b"refused") => (Outcome::Rejected { retry_after }, false),
+        Some(b"over") => (Outcome::NotSent, true),
+        Some(b"spent") => (Outcome::NotSent, false),
+        // Told as failed, or not told: it may have run.
+        _ => (Outcome::Error, false),
+    }
+}
+
+/// The body of a call with several messages: for each a line with its id, key and length, then its bytes.
+fn encode_batch(messages: &[CallMessage]) -> Vec<u8> {
+    let mut body = Vec::new();
+    for message in messages {
+        let key = message.idempotency_key.as_deref().unwrap_or("-");
+        body.extend(&message.id);
+        body.extend(format!(" {key} {}\r\n", message.body.len()).as_bytes());
+        body.extend(&message.body);
+        body.extend(b"\r\n");
+    }
+    body
+}
+
+/// True for a new connection that is rejected with no `Retry-After` and closed: the endpoint's table of connections is
+/// full, which has no other sign on sockets. Not a rate limit: connections that are kept already still work.
+fn is_connection_limit(response: &Response, is_first_request: bool, reusable: bool) -> bool {
+    response.status == 503
+        && is_first_request
+        && !reusable
+        && !response.slots_taken
+        && response.retry_after.is_none()
+}
--- a/crates/relay/src/upstream/connection_pool.rs
+++ b/crates/relay/src/upstream/connection_pool.rs
@@ -1,72 +1,92 @@
-//! The connections kept to endpoints.
+//! The idle connections kept to endpoints, for the calls to come.
+//!
+//! Owns every connection that carries no call now. Never hands out one that its endpoint has closed or is about to
+//! close: a request written to it would end as one that may have run.
 
-use super::http1::Connection;
-use mountshift::interface::*;
+use super::http1::{CloseReason, HttpConnection};
+use mountshift::interface::EndpointId;
 use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// An idle connection is not used for the last part of its time, a tenth or so much, but half of it at most: the
-/// request has a way to go, and the other side's clock began as much earlier.
-const IDLE_SPARE: u32 = 10;
-const IDLE_SPARE_LEAST: Duration = Duration::from_millis(250);
+/// An idle connection is not used for this part of its idle time at the end: the request has a way to go, and the
+/// endpoint's clock began earlier.
+const UNUSED_IDLE_FRACTION: u32 = 10;
+/// That part is no shorter than this, but half of the idle time at most.
+const MIN_UNUSED_IDLE_TIME: Duration = Duration::from_millis(250);
 
-/// Connections that carry no call now, those used last at the end.
-pub struct Idle {
-    waiting: RefCell<BTreeMap<EndpointId, VecDeque<Connection>>>,
-    lasts: Duration,
-    most: usize,
+/// Connections that carry no call now; of each endpoint those used last at the end.
+pub(crate) struct ConnectionPool {
+    idle: RefCell<BTreeMap<EndpointId, VecDeque<HttpConnection>>>,
+    /// How long after its last use a connection may be used again.
+    usable_for: Duration,
+    max_connections: usize,
 }
 
-impl Idle {
-    pub fn new(lasts: Duration, most: usize) -> Idle {
-        let spare = (lasts / IDLE_SPARE).max(IDLE_SPARE_LEAST).min(lasts / 2);
-        Idle { waiting: RefCell::default(), lasts: lasts - spare, most }
+impl ConnectionPool {
+    /// A pool for endpoints that close connections after `idle_timeout`.
+    pub(crate) fn new(idle_timeout: Duration, max_connections: usize) -> ConnectionPool {
+        let unused = (idle_timeout / UNUSED_IDLE_FRACTION).max(MIN_UNUSED_IDLE_TIME).min(idle_timeout / 2);
+        ConnectionPool { idle: RefCell::default(), usable_for: idle_timeout - unused, max_connections }
     }
 
-    /// Guards against one that was out when its endpoint moved: what is at the old address may be another.
-    pub(super) fn take(&self, to: EndpointId, at: SocketAddr) -> Option<Connection> {
-        let mut waiting = self.waiting.borrow_mut();
-        let queue = waiting.get_mut(&to)?;
-        queue.retain_mut(|connection| self.lasting(connection) && connection.to == at);
-        queue.pop_back()
+    /// The connection to an endpoint that was used last. One that leads to an address that the endpoint has left since
+    /// is closed: another server may be there now.
+    pub(super) fn take(&self, endpoint: EndpointId, address: SocketAddr) -> Option<HttpConnection> {
+        let mut idle = self.idle.borrow_mut();
+        let connections = idle.get_mut(&endpoint)?;
+        connections.retain_mut(|connection| self.is_usable(connection) && connection.address == address);
+        connections.pop_back()
     }
 
-    pub(super) fn keep(&self, to: EndpointId, connection: Connection) {
-        let mut waiting = self.waiting.borrow_mut();
-        if waiting.values().map(VecDeque::len).sum::<usize>() >= self.most {
-            // Guards against running out of descriptors: the one that waited longest goes.
-            let oldest = waiting.iter().filter_map(|(id, q)| q.front().map(|c| (c.used, *id))).min();
-            let gone = oldest.and_then(|(_, id)| waiting.get_mut(&id)).and_then(VecDeque::pop_front);
-            gone.into_iter().for_each(|mut c| c.reason = "too-many");
+    /// Puts a connection back. The process must not run out of descriptors: of too many the one idle longest is closed.
+    pub(super) fn put_back(&self, endpoint: EndpointId, connection: HttpConnection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.values().map(VecDeque::len).sum::<usize>() >= self.max_connections {
+            close_idle_longest(&mut idle);
         }
-        waiting.entry(to).or_default().push_back(connection);
+        idle.entry(endpoint).or_default().push_back(connection);
     }
 
     /// Closes the idle connections to an endpoint.
-    pub fn close(&self, to: EndpointId) {
-        let gone = self.waiting.borrow_mut().remove(&to);
-        gone.into_iter().flatten().for_each(|mut c| c.reason = "told-to-close");
+    pub(crate) fn close_endpoint(&self, endpoint: EndpointId) {
+        let Some(connections) = self.idle.borrow_mut().remove(&endpoint) else { return };
+        for connection in connections {
+            connection.close(CloseReason::EndpointClosed);
+        }
     }
 
-    /// Lets go of what the other side closed, and of what it is about to close.
-    pub fn close_old(&self) {
-        let mut waiting = self.waiting.borrow_mut();
-        waiting.values_mut().for_each(|queue| queue.retain_mut(|connection| self.lasting(connection)));
-        waiting.retain(|_, queue| !queue.is_empty());
+    /// Closes what an endpoint has closed, and what it is about to close.
+    pub(crate) fn close_expired(&self) {
+        let mut idle = self.idle.borrow_mut();
+        for connections in idle.values_mut() {
+            connections.retain_mut(|connection| self.is_usable(connection));
+        }
+        idle.retain(|_, connections| !connections.is_empty());
     }
 
-    /// True if an idle connection can still be used. Guards against one that was taken out for a call that was not
-    /// made: it was not used, so its time runs on.
-    pub(super) fn lasting(&self, connection: &mut Connection) -> bool {
-        if connection.used.elapsed() >= self.lasts {
-            connection.reason = "idle";
-        } else if !connection.is_quiet() {
-            connection.reason = "closed-while-idle";
-        } else {
-            return true;
+    /// True if an idle connection can still be used. One that was taken for a call that was not made was not used: its
+    /// time runs on.
+    pub(super) fn is_usable(&self, connection: &mut HttpConnection) -> bool {
+        if connection.last_used.elapsed() >= self.usable_for {
+            connection.close_reason = CloseReason::Idle;
+            return false;
+        }
+        if !connection.is_quiet() {
+            connection.close_reason = CloseReason::ClosedWhileIdle;
+            return false;
         }
-        false
+        true
+    }
+}
+
+fn close_idle_longest(idle: &mut BTreeMap<EndpointId, VecDeque<HttpConnection>>) {
+    let first_of_each =
+        idle.iter().filter_map(|(id, connections)| Some((connections.front()?.last_used, *id)));
+    let Some((_, endpoint)) = first_of_each.min() else { return };
+    let Some(connections) = idle.get_mut(&endpoint) else { return };
+    if let Some(connection) = connections.pop_front() {
+        connection.close(CloseReason::PoolFull);
     }
 }
--- a/crates/relay/src/upstream/endpoint_table.rs
+++ b/crates/relay/src/upstream/endpoint_table.rs
@@ -1,113 +1,143 @@
-//! What is known of endpoints.
+//! The endpoints that the relay knows, by id, as the endpoint list describes them.
+//!
+//! Owns the ids: they are given out in the order in which names come up, and none of them twice. Decides on nothing.
 
 use crate::discovery::Member;
-use mountshift::interface::*;
+use mountshift::interface::{DestinationId, DestinationKindId, EndpointId, EndpointStatus, ZoneId};
 use mountshift_discovery::Phase;
 use mountshift_settings::SocketSettings;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// What is known of an endpoint.
+/// An endpoint as the list described it last.
 #[derive(Clone)]
-pub struct Endpoint {
-    pub address: SocketAddr,
-    pub name: Rc<str>,
-    pub zone: ZoneId,
-    pub kind: DestinationKindId,
-    pub dst: DestinationId,
-    /// What the list said last, and its rate.
-    pub listed: EndpointStatus,
-    pub rate: f64,
+pub(crate) struct Endpoint {
+    pub(crate) address: SocketAddr,
+    pub(crate) name: Rc<str>,
+    pub(crate) zone: ZoneId,
+    pub(crate) kind: DestinationKindId,
+    pub(crate) destination: DestinationId,
+    pub(crate) status: EndpointStatus,
+    /// Calls a second, where the list tells a rate.
+    pub(crate) rate: f64,
 }
 
-/// The endpoints by id; ids are given out in the order in which names come up, none of them twice.
+/// What an entry of the list changed.
+pub(crate) struct TableUpdate {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) status: EndpointStatus,
+    /// The endpoint has another address now, or none.
+    pub(crate) address_left: bool,
+}
+
+/// The known endpoints.
 #[derive(Default)]
-pub struct Endpoints {
-    count: u64,
+pub(crate) struct EndpointTable {
+    ids_given_out: u64,
     ids: BTreeMap<Rc<str>, EndpointId>,
-    known: BTreeMap<EndpointId, Endpoint>,
-    /// Forgotten while out by hand, as last listed: guards against an endpoint put back that nobody knows.
-    resting: BTreeMap<Rc<str>, Endpoint>,
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+    /// Forgotten while in maintenance, as last listed: an endpoint that comes back must be known.
+    in_maintenance: BTreeMap<Rc<str>, Endpoint>,
     zones: Vec<String>,
-    kinds: Vec<String>,
+    destination_kinds: Vec<String>,
 }
 
-impl Endpoints {
-    pub fn new(settings: &SocketSettings) -> Endpoints {
-        Endpoints {
+impl EndpointTable {
+    pub(crate) fn new(settings: &SocketSettings) -> EndpointTable {
+        EndpointTable {
             zones: settings.zones.clone(),
-            kinds: settings.destination_kinds.clone(),
-            ..Endpoints::default()
+            destination_kinds: settings.destination_kinds.clone(),
+            ..EndpointTable::default()
         }
     }
 
-    /// Takes an entry of the list in; gives its id, what the list says, and if it has moved or gone.
-    pub fn learn(&mut self, member: &Member) -> (EndpointId, EndpointStatus, bool) {
-        let name: Rc<str> = Rc::from(member.id.as_str());
-        let id = *self.ids.entry(name.clone()).or_insert_with(|| {
-            self.count += 1;
-            EndpointId(self.count)
-        });
-        let place = |names: &[String], name: &str| names.iter().position(|n| n == name);
-        let zone = self.zone(&member.zone);
-        let kind = DestinationKindId(place(&self.kinds, &member.kind).map_or(u16::MAX, |k| k as u16));
-        let (address, dst) = (member.address, DestinationId(member.dst));
-        let listed = match member.phase {
+    /// Takes an entry of the list in.
+    pub(crate) fn update(&mut self, entry: &Member) -> TableUpdate {
+        let name: Rc<str> = Rc::from(entry.id.as_str());
+        let id = match self.ids.get(&name) {
+            Some(id) => *id,
+            None => self.assign_id(&name),
+        };
+        let status = match entry.phase {
             Phase::Ready => EndpointStatus::Ready,
             Phase::Draining => EndpointStatus::Draining,
             Phase::Gone => EndpointStatus::Removed,
         };
-        let rate = member.size;
-        self.resting.remove(&name);
-        let old = self.known.insert(id, Endpoint { address, name, zone, kind, dst, listed, rate });
-        let moved = old.is_some_and(|old| old.address != address) || member.phase == Phase::Gone;
-        (id, listed, moved)
+        self.in_maintenance.remove(&name);
+        let endpoint = Endpoint {
+            address: entry.address,
+            name,
+            zone: self.zone_id(&entry.zone),
+            kind: self.destination_kind_id(&entry.kind),
+            destination: DestinationId(entry.dst),
+            status,
+            rate: entry.size,
+        };
+        let previous = self.endpoints.insert(id, endpoint);
+        let has_moved = previous.is_some_and(|previous| previous.address != entry.address);
+        TableUpdate { endpoint: id, status, address_left: has_moved || entry.phase == Phase::Gone }
+    }
+
+    fn assign_id(&mut self, name: &Rc<str>) -> EndpointId {
+        self.ids_given_out += 1;
+        let id = EndpointId(self.ids_given_out);
+        self.ids.insert(name.clone(), id);
+        id
     }
 
-    /// True if the list has held an endpoint of the destination lately, or holds one that is out by hand.
-    pub fn lists(&self, dst: DestinationId) -> bool {
-        self.known.values().chain(self.resting.values()).any(|e| e.dst == dst)
+    /// True if the list has held an endpoint of the destination lately, or holds one that is in maintenance.
+    pub(crate) fn has_destination(&self, destination: DestinationId) -> bool {
+        let mut known = self.endpoints.values().chain(self.in_maintenance.values());
+        known.any(|endpoint| endpoint.destination == destination)
     }
 
-    /// Guards against tables that grow with every endpoint that ever was. One that is out by hand is kept
-    /// aside (`resting`) as it was last listed, until it is put back or listed again.
-    pub fn forget(&mut self, id: EndpointId, resting: bool) -> Option<Endpoint> {
-        let gone = self.known.remove(&id)?;
-        self.ids.remove(&gone.name);
-        resting.then(|| self.resting.insert(gone.name.clone(), gone.clone()));
-        Some(gone)
+    /// Forgets an endpoint, so that the table doesn't grow with every endpoint that ever was. One that is in
+    /// maintenance is kept aside as it was last listed, until it comes back or is listed again.
+    pub(crate) fn forget(&mut self, id: EndpointId, in_maintenance: bool) -> Option<Endpoint> {
+        let endpoint = self.endpoints.remove(&id)?;
+        self.ids.remove(&endpoint.name);
+        if in_maintenance {
+            self.in_maintenance.insert(endpoint.name.clone(), endpoint.clone());
+        }
+        Some(endpoint)
     }
 
-    /// An endpoint put back after it was forgotten while out: known again, under a new id, as last listed.
-    pub fn revive(&mut self, name: &str) -> Option<EndpointId> {
-        let endpoint = self.resting.remove(name)?;
-        self.count += 1;
-        let id = EndpointId(self.count);
-        self.ids.insert(endpoint.name.clone(), id);
-        self.known.insert(id, endpoint);
+    /// An endpoint that comes back from maintenance after it was forgotten: known again, under a new id, as last listed.
+    pub(crate) fn restore_from_maintenance(&mut self, name: &str) -> Option<EndpointId> {
+        let endpoint = self.in_maintenance.remove(name)?;
+        let id = self.assign_id(&endpoint.name);
+        self.endpoints.insert(id, endpoint);
         Some(id)
     }
 
-    pub fn id_of(&self, name: &str) -> Option<EndpointId> {
+    pub(crate) fn id_of(&self, name: &str) -> Option<EndpointId> {
         self.ids.get(name).copied()
     }
 
-    pub fn get(&self, id: EndpointId) -> Option<&Endpoint> {
-        self.known.get(&id)
+    pub(crate) fn get(&self, id: EndpointId) -> Option<&Endpoint> {
+        self.endpoints.get(&id)
     }
 
-    /// A place by name; a name that the settings don't hold is a place of its own. Guards against two such places
-    /// taken for one: a repeat that one of them knows would go to the other (rule 2).
-    pub fn zone(&mut self, name: &str) -> ZoneId {
-        let known = self.zones.iter().position(|z| z == name);
-        ZoneId(known.unwrap_or_else(|| {
-            self.zones.push(name.to_string());
-            self.zones.len() - 1
-        }) as u16)
+    /// A zone by its name. A name that the settings don't hold is a zone of its own: two such zones taken for one would
+    /// let a repeat that one of them knows go to the other (rule 2).
+    pub(crate) fn zone_id(&mut self, name: &str) -> ZoneId {
+        let index = match self.zones.iter().position(|zone| zone == name) {
+            Some(index) => index,
+            None => {
+                self.zones.push(name.to_string());
+                self.zones.len() - 1
+            }
+        };
+        ZoneId(index as u16)
     }
 
-    pub fn zone_name(&self, zone: ZoneId) -> &str {
+    pub(crate) fn zone_name(&self, zone: ZoneId) -> &str {
         self.zones.get(zone.0 as usize).map_or("", String::as_str)
     }
+
+    fn destination_kind_id(&self, name: &str) -> DestinationKindId {
+        let index = self.destination_kinds.iter().position(|kind| kind == name);
+        DestinationKindId(index.map_or(u16::MAX, |index| index as u16))
+    }
 }
--- a/crates/relay/src/upstream/http1.rs
+++ b/crates/relay/src/upstream/http1.rs
@@ -1,370 +1,535 @@
-//! One HTTP/1.1 connection as its client: a request out, its answer back, everything bounded. Each
-//! connection leaves one log line when it ends.
+//! One HTTP/1.1 connection, seen from its client: a request out, its response back, everything bounded.
+//!
+//! Owns the socket and what was read and not yet parsed. Leaves one log line when the connection ends. Knows nothing of
+//! messages or endpoints; calls for the endpoint list and notifications use it too.
 
 use async_io::{Async, Timer};
 use futures_lite::{AsyncWriteExt, FutureExt};
-use log::info;
+use log::{debug, info};
+use std::fmt;
 use std::io::{self, Read};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
+use thiserror::Error;
 
-const HEADERS_MOST: usize = 64;
-const HEAD_MOST: usize = 16 * 1024;
-const CHUNK: usize = 8 * 1024;
-/// Once an answer has begun, the rest of it comes within this span or not at all.
-const REST: Duration = Duration::from_millis(500);
+/// Header fields of a response at most: far more than endpoints and discovery send.
+const MAX_HEADERS: usize = 64;
+/// Bytes of a response's head, of a chunk's size line and of the trailers at most.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Bytes that one read takes.
+const READ_CHUNK_BYTES: usize = 8 * 1024;
+/// Once a response has begun, the rest of it comes within this span or not at all: one that begins and never ends would
+/// hold its slot to the time limit, and its messages beyond it.
+const REST_OF_RESPONSE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Bytes of an unreadable response that its log line shows.
+const MAX_LOGGED_BYTES: usize = 60;
 
-pub struct Answer {
-    pub status: u16,
+/// A response, as far as the relay reads it.
+pub(crate) struct Response {
+    pub(crate) status: u16,
     /// `Retry-After`, in seconds.
-    pub retry_after: Option<f64>,
-    /// True if the request was not sent on since all slots were taken.
-    pub slots_taken: bool,
+    pub(crate) retry_after: Option<f64>,
+    /// `Slots-Taken`: the request was not sent on, as the destination was busy.
+    pub(crate) slots_taken: bool,
     /// `X-Server-Load`: names and values.
-    pub report: Option<String>,
-    pub body: Vec<u8>,
-    /// False if only its first line could be read; then that says 200.
-    pub whole: bool,
-    keep: bool,
+    pub(crate) load_report: Option<String>,
+    pub(crate) body: Vec<u8>,
+    /// False if only the status line could be read; then that says 200.
+    pub(crate) complete: bool,
+    keep_alive: bool,
 }
 
-/// Why there is no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Broken {
-    /// Closed or reset.
-    Ended,
+impl Response {
+    fn with_status(status: u16) -> Response {
+        Response {
+            status,
+            retry_after: None,
+            slots_taken: false,
+            load_report: None,
+            body: Vec::new(),
+            complete: true,
+            keep_alive: false,
+        }
+    }
+
+    /// What is known of a response whose status line said 200 and whose rest can't be read.
+    fn status_line_only() -> Response {
+        Response { complete: false, ..Response::with_status(200) }
+    }
+}
+
+/// Why there is no response. The texts are part of log lines that on-call staff look for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub(crate) enum ResponseError {
+    /// The connection was closed or reset.
+    #[error("Ended")]
+    ConnectionClosed,
     /// Not HTTP, larger than allowed, or begun and not gone on with.
+    #[error("Unreadable")]
     Unreadable,
     /// Nothing came in time.
-    Silent,
+    #[error("Silent")]
+    TimedOut,
+}
+
+/// Why an exchange over a kept connection failed.
+#[derive(Debug, Error)]
+pub(crate) enum ExchangeError {
+    #[error("no answer in time")]
+    TimedOut,
+    #[error("{0}")]
+    Io(#[source] io::Error),
+    #[error("{0}")]
+    Response(#[source] ResponseError),
+    #[error("the answer is spoilt")]
+    IncompleteResponse,
 }
 
-pub struct Connection {
+/// Why a connection ended, as its log line tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum CloseReason {
+    /// Dropped while a call was under way, or with the process.
+    Abandoned,
+    BrokenInRequest,
+    BrokenInResponse,
+    UnreadableResponse,
+    ClosedAfterResponse,
+    UnrequestedBytes,
+    /// Idle for as long as it may be.
+    Idle,
+    ClosedWhileIdle,
+    /// Too many connections were idle.
+    PoolFull,
+    /// The endpoint moved or left.
+    EndpointClosed,
+}
+
+impl fmt::Display for CloseReason {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(match self {
+            CloseReason::Abandoned => "given-up",
+            CloseReason::BrokenInRequest => "broken-in-request",
+            CloseReason::BrokenInResponse => "broken-in-answer",
+            CloseReason::UnreadableResponse => "unreadable-answer",
+            CloseReason::ClosedAfterResponse => "closed-after-answer",
+            CloseReason::UnrequestedBytes => "more-than-an-answer",
+            CloseReason::Idle => "idle",
+            CloseReason::ClosedWhileIdle => "closed-while-idle",
+            CloseReason::PoolFull => "too-many",
+            CloseReason::EndpointClosed => "told-to-close",
+        })
+    }
+}
+
+/// A connection to a server.
+pub(crate) struct HttpConnection {
     stream: Async<TcpStream>,
     buffer: Vec<u8>,
-    /// The first line of the answer being read says 200.
-    said_ok: bool,
-    pub to: SocketAddr,
-    peer: String,
+    /// The status line of the response being read says 200.
+    status_line_ok: bool,
+    pub(super) address: SocketAddr,
+    /// What its log line calls the server.
+    server_name: String,
     /// Requests written so far.
-    pub requests: u32,
-    /// When it came up, or its last request or answer went over it: the other side counts from then.
-    pub used: Instant,
+    pub(super) requests: u32,
+    /// When it was established, or its last request or response went over it: the server counts idle time from then.
+    pub(super) last_used: Instant,
     /// What the log line tells when the connection ends.
-    pub reason: &'static str,
+    pub(super) close_reason: CloseReason,
 }
 
-impl Drop for Connection {
+impl Drop for HttpConnection {
     fn drop(&mut self) {
-        info!("connection to {} ended: {} after {} requests", self.peer, self.reason, self.requests);
+        let HttpConnection { server_name, close_reason, requests, .. } = self;
+        info!("connection to {server_name} ended: {close_reason} after {requests} requests");
     }
 }
 
-impl Connection {
-    pub async fn open(to: SocketAddr, peer: String) -> io::Result<Connection> {
-        let stream = Async::<TcpStream>::connect(to).await?;
+impl HttpConnection {
+    pub(super) async fn open(address: SocketAddr, server_name: String) -> io::Result<HttpConnection> {
+        let stream = Async::<TcpStream>::connect(address).await?;
         stream.get_ref().set_nodelay(true)?;
-        Ok(Connection {
+        Ok(HttpConnection {
             stream,
             buffer: Vec::new(),
-            said_ok: false,
-            to,
-            peer,
+            status_line_ok: false,
+            address,
+            server_name,
             requests: 0,
-            used: Instant::now(),
-            reason: "given-up",
+            last_used: Instant::now(),
+            close_reason: CloseReason::Abandoned,
         })
     }
 
     /// Leaves room for so few bytes on the way.
     #[cfg(test)]
-    pub fn room(&self, bytes: usize) {
+    pub(super) fn set_send_buffer_size(&self, bytes: usize) {
         socket2::SockRef::from(self.stream.get_ref()).set_send_buffer_size(bytes).expect("a size");
     }
 
-    /// True if the other side has neither closed it nor said anything unasked.
-    pub fn is_quiet(&self) -> bool {
-        let waiting = self.stream.get_ref().peek(&mut [0]);
-        self.buffer.is_empty() && waiting.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    /// Closes it for this reason.
+    pub(super) fn close(mut self, reason: CloseReason) {
+        self.close_reason = reason;
+        drop(self);
+    }
+
+    /// True if the server has neither closed it nor sent anything that was not requested.
+    pub(super) fn is_quiet(&self) -> bool {
+        let peeked = self.stream.get_ref().peek(&mut [0]);
+        self.buffer.is_empty() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    pub async fn write(&mut self, request: &[u8]) -> io::Result<()> {
-        (self.requests, self.used) = (self.requests + 1, Instant::now());
+    /// Writes a request.
+    pub(super) async fn write(&mut self, request: &[u8]) -> io::Result<()> {
+        self.requests += 1;
+        self.last_used = Instant::now();
         let written = self.stream.write_all(request).await;
         if written.is_err() {
-            self.reason = "broken-in-request";
+            self.close_reason = CloseReason::BrokenInRequest;
         }
         written
     }
 
-    /// The answer to the request just written, begun by then, with a body of `most` bytes at most; and if
+    /// The response to the request just written, begun by `deadline`, with a body of `max_body` bytes at most; and if
     /// the connection can carry another request.
-    pub async fn answer(&mut self, most: usize, by: Instant) -> Result<(Answer, bool), Broken> {
-        let answer = loop {
-            self.said_ok = false;
+    pub(super) async fn read_response(
+        &mut self,
+        max_body: usize,
+        deadline: Instant,
+    ) -> Result<(Response, bool), ResponseError> {
+        let result = self.read_final_response(max_body, deadline).await;
+        if let Err(error) = &result {
+            self.log_failure(*error);
+        }
+        self.note_close_reason(&result);
+        match result {
+            Ok(response) => {
+                let reusable = response.keep_alive && self.buffer.is_empty();
+                Ok((response, reusable))
+            }
+            // A delivery must not be taken for a failure: the status line may be all that counts.
+            Err(ResponseError::ConnectionClosed | ResponseError::Unreadable) if self.status_line_ok => {
+                Ok((Response::status_line_only(), false))
+            }
+            Err(error) => Err(error),
+        }
+    }
+
+    /// The first response that is not an interim one (1xx).
+    async fn read_final_response(
+        &mut self,
+        max_body: usize,
+        deadline: Instant,
+    ) -> Result<Response, ResponseError> {
+        loop {
+            self.status_line_ok = false;
             if self.buffer.is_empty() {
                 let late = async {
-                    Timer::at(by).await;
-                    Err(Broken::Silent)
+                    Timer::at(deadline).await;
+                    Err(ResponseError::TimedOut)
                 };
-                match self.fill().or(late).await {
-                    Ok(true) => {}
-                    Ok(false) => break Err(Broken::Ended),
-                    Err(broken) => break Err(broken),
+                if !self.read_more().or(late).await? {
+                    return Err(ResponseError::ConnectionClosed);
                 }
             }
-            // Guards against an answer that begins and never ends: it would hold its slot to the time-out, and
-            // its messages beyond it.
-            let rest = (Instant::now() + REST).min(by);
+            let rest_due = (Instant::now() + REST_OF_RESPONSE_TIMEOUT).min(deadline);
             let stalled = async {
-                Timer::at(rest).await;
-                Err(Broken::Unreadable)
+                Timer::at(rest_due).await;
+                Err(ResponseError::Unreadable)
             };
-            match self.read_answer(most).or(stalled).await {
-                Ok(answer) if (100..200).contains(&answer.status) => {}
-                read => break read,
+            let response = self.read_one_response(max_body).or(stalled).await?;
+            if !(100..200).contains(&response.status) {
+                return Ok(response);
             }
-        };
-        if let Err(broken) = &answer {
-            let seen = String::from_utf8_lossy(&self.buffer[..self.buffer.len().min(60)]).into_owned();
-            log::debug!(
-                "answer from {}: {broken:?} with {} bytes unread: {seen:?}",
-                self.peer,
-                self.buffer.len()
-            );
-        }
-        match &answer {
-            Err(Broken::Ended) => self.reason = "broken-in-answer",
-            Err(Broken::Unreadable) => self.reason = "unreadable-answer",
-            Ok(a) if !a.keep => self.reason = "closed-after-answer",
-            Ok(_) if !self.buffer.is_empty() => self.reason = "more-than-an-answer",
-            Ok(_) | Err(Broken::Silent) => {}
         }
-        match answer {
-            // Guards against taking a delivery for a failure: its first line may be all that counts.
-            Err(Broken::Ended | Broken::Unreadable) if self.said_ok => {
-                let (retry_after, slots_taken, report, body) = (None, false, None, Vec::new());
-                let (status, whole, keep) = (200, false, false);
-                Ok((Answer { status, retry_after, slots_taken, report, body, whole, keep }, false))
-            }
-            answer => answer.map(|a| {
-                let keep = a.keep && self.buffer.is_empty();
-                (a, keep)
-            }),
+    }
+
+    fn log_failure(&self, error: ResponseError) {
+        let shown = &self.buffer[..self.buffer.len().min(MAX_LOGGED_BYTES)];
+        debug!(
+            "answer from {}: {error} with {} bytes unread: {:?}",
+            self.server_name,
+            self.buffer.len(),
+            String::from_utf8_lossy(shown)
+        );
+    }
+
+    /// Notes what the log line is to tell, if the connection ends now.
+    fn note_close_reason(&mut self, result: &Result<Response, ResponseError>) {
+        match result {
+            Err(ResponseError::ConnectionClosed) => self.close_reason = CloseReason::BrokenInResponse,
+            Err(ResponseError::Unreadable) => self.close_reason = CloseReason::UnreadableResponse,
+            Err(ResponseError::TimedOut) => {}
+            Ok(response) if !response.keep_alive => self.close_reason = CloseReason::ClosedAfterResponse,
+            Ok(_) if !self.buffer.is_empty() => self.close_reason = CloseReason::UnrequestedBytes,
+            Ok(_) => {}
         }
     }
 
-    async fn read_answer(&mut self, most: usize) -> Result<Answer, Broken> {
-        let (mut answer, size, length) = loop {
-            self.said_ok = says_ok(&self.buffer);
-            if let Some(found) = head(&self.buffer)? {
-                break found;
-            }
-            if self.buffer.len() > HEAD_MOST {
-                return Err(Broken::Unreadable);
+    async fn read_one_response(&mut self, max_body: usize) -> Result<Response, ResponseError> {
+        let head = self.read_head().await?;
+        self.buffer.drain(..head.wire_bytes);
+        let body = match head.body_length {
+            BodyLength::Bytes(length) if length > max_body => return Err(ResponseError::Unreadable),
+            BodyLength::Bytes(length) => self.take_bytes(length).await?,
+            BodyLength::Chunked => self.read_chunked(max_body).await?,
+            BodyLength::UntilClose => self.read_until_close(max_body).await?,
+        };
+        Ok(Response { body, ..head.response })
+    }
+
+    async fn read_head(&mut self) -> Result<Head, ResponseError> {
+        loop {
+            self.status_line_ok = status_line_says_ok(&self.buffer);
+            if let Some(head) = parse_head(&self.buffer)? {
+                return Ok(head);
             }
-            if !self.fill().await? {
-                return Err(Broken::Ended);
+            if self.buffer.len() > MAX_HEAD_BYTES {
+                return Err(ResponseError::Unreadable);
             }
-        };
-        self.buffer.drain(..size);
-        answer.body = match length {
-            Length::Bytes(n) if n > most => return Err(Broken::Unreadable),
-            Length::Bytes(n) => self.take(n).await?,
-            Length::Chunks => self.chunks(most).await?,
-            Length::ToEnd => self.read_to_end(most).await?,
-        };
-        Ok(answer)
+            self.read_or_closed().await?;
+        }
     }
 
-    /// Reads what has come; false at the end. Nothing is lost if it is given up while it waits.
-    async fn fill(&mut self) -> Result<bool, Broken> {
+    /// Reads what has come; false at the end of the connection. Nothing is lost if it is dropped while it waits.
+    async fn read_more(&mut self) -> Result<bool, ResponseError> {
         loop {
-            match self.read_some() {
-                Ok(n) => return Ok(n > 0),
+            match self.read_available() {
+                Ok(read) => return Ok(read > 0),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.stream.readable().await.map_err(|_| Broken::Ended)?;
+                    self.stream.readable().await.map_err(|_| ResponseError::ConnectionClosed)?;
                 }
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(_) => return Err(Broken::Ended),
+                Err(_) => return Err(ResponseError::ConnectionClosed),
             }
         }
     }
 
-    /// Its place to read into is held only for the moment, not as long as the connection lives.
-    fn read_some(&mut self) -> io::Result<usize> {
-        let mut chunk = [0; CHUNK];
-        let n = self.stream.get_ref().read(&mut chunk)?;
-        self.used = Instant::now();
-        self.buffer.extend(&chunk[..n]);
-        Ok(n)
+    /// Reads what has come, where the end of the connection is an error.
+    async fn read_or_closed(&mut self) -> Result<(), ResponseError> {
+        if self.read_more().await? { Ok(()) } else { Err(ResponseError::ConnectionClosed) }
     }
 
-    async fn take(&mut self, n: usize) -> Result<Vec<u8>, Broken> {
-        while self.buffer.len() < n {
-            if !self.fill().await? {
-                return Err(Broken::Ended);
-            }
+    /// The place to read into lives only for the moment of the read, not as long as the connection.
+    fn read_available(&mut self) -> io::Result<usize> {
+        let mut chunk = [0; READ_CHUNK_BYTES];
+        let read = self.stream.get_ref().read(&mut chunk)?;
+        self.last_used = Instant::now();
+        self.buffer.extend(&chunk[..read]);
+        Ok(read)
+    }
+
+    async fn take_bytes(&mut self, count: usize) -> Result<Vec<u8>, ResponseError> {
+        while self.buffer.len() < count {
+            self.read_or_closed().await?;
         }
-        let rest = self.buffer.split_off(n);
+        let rest = self.buffer.split_off(count);
         Ok(std::mem::replace(&mut self.buffer, rest))
     }
 
-    async fn read_to_end(&mut self, most: usize) -> Result<Vec<u8>, Broken> {
-        while self.fill().await? {
-            if self.buffer.len() > most {
-                return Err(Broken::Unreadable);
+    async fn read_until_close(&mut self, max_body: usize) -> Result<Vec<u8>, ResponseError> {
+        while self.read_more().await? {
+            if self.buffer.len() > max_body {
+                return Err(ResponseError::Unreadable);
             }
         }
         Ok(std::mem::take(&mut self.buffer))
     }
 
-    async fn chunks(&mut self, most: usize) -> Result<Vec<u8>, Broken> {
+    async fn read_chunked(&mut self, max_body: usize) -> Result<Vec<u8>, ResponseError> {
         let mut body = Vec::new();
         loop {
-            let (skip, n) = loop {
-                match httparse::parse_chunk_size(&self.buffer) {
-                    Ok(httparse::Status::Complete((skip, n))) => break (skip, n),
-                    Ok(httparse::Status::Partial) if self.buffer.len() <= HEAD_MOST => {}
-                    _ => return Err(Broken::Unreadable),
-                }
-                if !self.fill().await? {
-                    return Err(Broken::Ended);
-                }
-            };
-            self.buffer.drain(..skip);
-            if n > (most - body.len()) as u64 {
-                return Err(Broken::Unreadable);
+            let size = self.read_chunk_size().await?;
+            if size > (max_body - body.len()) as u64 {
+                return Err(ResponseError::Unreadable);
             }
-            if n == 0 {
-                self.trailers().await?;
+            if size == 0 {
+                self.skip_trailers().await?;
                 return Ok(body);
             }
-            let chunk = self.take(n as usize + 2).await?;
-            let Some(data) = chunk.strip_suffix(b"\r\n") else { return Err(Broken::Unreadable) };
+            let chunk = self.take_bytes(size as usize + 2).await?;
+            let Some(data) = chunk.strip_suffix(b"\r\n") else { return Err(ResponseError::Unreadable) };
             body.extend(data);
         }
     }
 
-    /// Reads past the trailer fields after the last chunk, up to the empty line that ends the answer. Guards
-    /// against a delivery taken for an unreadable answer: endpoints may send trailers though none were asked for.
-    async fn trailers(&mut self) -> Result<(), Broken> {
-        let mut read = 0;
+    /// Takes the line with the size of the next chunk.
+    async fn read_chunk_size(&mut self) -> Result<u64, ResponseError> {
         loop {
-            match self.buffer.windows(2).position(|w| w == b"\r\n") {
+            match httparse::parse_chunk_size(&self.buffer) {
+                Ok(httparse::Status::Complete((line_bytes, size))) => {
+                    self.buffer.drain(..line_bytes);
+                    return Ok(size);
+                }
+                Ok(httparse::Status::Partial) if self.buffer.len() <= MAX_HEAD_BYTES => {}
+                _ => return Err(ResponseError::Unreadable),
+            }
+            self.read_or_closed().await?;
+        }
+    }
+
+    /// Reads past the trailer fields after the last chunk, up to the empty line that ends the response: endpoints may
+    /// send trailers though none were asked for, and their responses are readable all the same.
+    async fn skip_trailers(&mut self) -> Result<(), ResponseError> {
+        let mut skipped = 0;
+        loop {
+            match self.buffer.windows(2).position(|window| window == b"\r\n") {
                 Some(0) => {
                     self.buffer.drain(..2);
                     return Ok(());
                 }
                 Some(end) => {
-                    read += end + 2;
+                    skipped += end + 2;
                     self.buffer.drain(..end + 2);
                 }
-                None if self.buffer.len() + read > HEAD_MOST => return Err(Broken::Unreadable),
-                None => {
-                    if !self.fill().await? {
-                        return Err(Broken::Ended);
-                    }
+                None if self.buffer.len() + skipped > MAX_HEAD_BYTES => {
+                    return Err(ResponseError::Unreadable);
                 }
+                None => self.read_or_closed().await?,
             }
-            if read > HEAD_MOST {
-                return Err(Broken::Unreadable);
+            if skipped > MAX_HEAD_BYTES {
+                return Err(ResponseError::Unreadable);
             }
         }
     }
 }
 
-/// True if a first line has come as far as its status, and that is 200.
-fn says_ok(bytes: &[u8]) -> bool {
-    let minor = bytes.strip_prefix(b"HTTP/1.").and_then(<[u8]>::split_first);
-    let Some((_, rest)) = minor.filter(|(minor, _)| minor.is_ascii_digit()) else { return false };
+/// True if a status line has come as far as its status, and that is 200.
+fn status_line_says_ok(bytes: &[u8]) -> bool {
+    let Some((minor_version, rest)) = bytes.strip_prefix(b"HTTP/1.").and_then(<[u8]>::split_first) else {
+        return false;
+    };
+    if !minor_version.is_ascii_digit() {
+        return false;
+    }
     rest.strip_prefix(b" 200").and_then(<[u8]>::first).is_some_and(u8::is_ascii_whitespace)
 }
 
-#[derive(PartialEq)]
-enum Length {
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyLength {
     Bytes(usize),
-    Chunks,
-    ToEnd,
+    Chunked,
+    UntilClose,
+}
+
+/// The head of a response.
+struct Head {
+    /// The response, its body still empty.
+    response: Response,
+    body_length: BodyLength,
+    wire_bytes: usize,
 }
 
-/// The head of an answer, its length in bytes and how its body is told; none while it is not whole.
-fn head(bytes: &[u8]) -> Result<Option<(Answer, usize, Length)>, Broken> {
-    let mut headers = [httparse::EMPTY_HEADER; HEADERS_MOST];
+/// The head at the beginning of `bytes`; none while it is not whole.
+fn parse_head(bytes: &[u8]) -> Result<Option<Head>, ResponseError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut headers);
-    let size = match parsed.parse(bytes) {
-        Ok(httparse::Status::Complete(size)) => size,
+    let wire_bytes = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(wire_bytes)) => wire_bytes,
         Ok(httparse::Status::Partial) => return Ok(None),
-        Err(_) => return Err(Broken::Unreadable),
+        Err(_) => return Err(ResponseError::Unreadable),
     };
-    let status = parsed.code.ok_or(Broken::Unreadable)?;
-    let mut keep = parsed.version == Some(1);
-    let (retry_after, slots_taken, report, body, whole) = (None, false, None, Vec::new(), true);
-    let mut answer = Answer { status, retry_after, slots_taken, report, body, whole, keep };
-    let mut length = None;
+    let status = parsed.code.ok_or(ResponseError::Unreadable)?;
+    let mut response = Response::with_status(status);
+    response.keep_alive = parsed.version == Some(1);
+    let mut told_length = None;
     for header in parsed.headers.iter() {
         let value = std::str::from_utf8(header.value).unwrap_or("").trim();
-        match header.name.to_ascii_lowercase().as_str() {
-            "content-length" => {
-                let digits = Some(value).filter(|v| v.bytes().all(|b| b.is_ascii_digit()));
-                let n = digits.and_then(|v| v.parse().ok()).ok_or(Broken::Unreadable)?;
-                // Guards against taking one answer for another: two lengths that differ tell nothing.
-                if length.replace(Length::Bytes(n)).is_some_and(|other| other != Length::Bytes(n)) {
-                    return Err(Broken::Unreadable);
-                }
-            }
-            "transfer-encoding" if value.eq_ignore_ascii_case("chunked") && length.is_none() => {
-                length = Some(Length::Chunks);
-            }
-            "transfer-encoding" => return Err(Broken::Unreadable),
-            "connection" => keep = keep && !value.to_ascii_lowercase().contains("close"),
-            "retry-after" => {
-                answer.retry_after = value.parse().ok().filter(|s: &f64| s.is_finite() && *s >= 0.0)
+        read_header(&mut response, &mut told_length, header.name, value)?;
+    }
+    let has_no_body = status < 200 || status == 204 || status == 304;
+    let body_length =
+        if has_no_body { BodyLength::Bytes(0) } else { told_length.unwrap_or(BodyLength::UntilClose) };
+    if body_length == BodyLength::UntilClose {
+        response.keep_alive = false;
+    }
+    Ok(Some(Head { response, body_length, wire_bytes }))
+}
+
+/// Takes one header field into the response.
+fn read_header(
+    response: &mut Response,
+    told_length: &mut Option<BodyLength>,
+    name: &str,
+    value: &str,
+) -> Result<(), ResponseError> {
+    match name.to_ascii_lowercase().as_str() {
+        "content-length" => {
+            let length = BodyLength::Bytes(parse_content_length(value)?);
+            let earlier = told_length.replace(length);
+            // Two lengths that differ tell nothing: one response could be taken for another.
+            if earlier.is_some_and(|earlier| earlier != length) {
+                return Err(ResponseError::Unreadable);
             }
-            "slots-taken" => answer.slots_taken = value == "1",
-            "x-server-load" => answer.report = Some(value.to_string()),
-            _ => {}
         }
+        "transfer-encoding" if value.eq_ignore_ascii_case("chunked") && told_length.is_none() => {
+            *told_length = Some(BodyLength::Chunked);
+        }
+        "transfer-encoding" => return Err(ResponseError::Unreadable),
+        "connection" if value.to_ascii_lowercase().contains("close") => response.keep_alive = false,
+        "retry-after" => {
+            let seconds = value.parse().ok();
+            response.retry_after = seconds.filter(|seconds: &f64| seconds.is_finite() && *seconds >= 0.0);
+        }
+        "slots-taken" => response.slots_taken = value == "1",
+        "x-server-load" => response.load_report = Some(value.to_string()),
+        _ => {}
     }
-    let empty = status < 200 || status == 204 || status == 304;
-    let length = if empty { Length::Bytes(0) } else { length.unwrap_or(Length::ToEnd) };
-    answer.keep = keep && !matches!(length, Length::ToEnd);
-    Ok(Some((answer, size, length)))
+    Ok(())
 }
 
-/// Sends a request over a connection that is kept between calls, opened anew where it is not usable; all of it within a
-/// span.
-pub async fn ask(
-    kept: &mut Option<Connection>,
-    to: SocketAddr,
-    peer: &str,
+/// A length in digits alone: the number parser would take a sign.
+fn parse_content_length(value: &str) -> Result<usize, ResponseError> {
+    if !value.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(ResponseError::Unreadable);
+    }
+    value.parse().map_err(|_| ResponseError::Unreadable)
+}
+
+/// Sends a request over a connection that is kept between calls, opened anew where it can't be used, and reads the
+/// response, all within a span.
+pub(crate) async fn exchange(
+    kept: &mut Option<HttpConnection>,
+    address: SocketAddr,
+    server_name: &str,
     request: &[u8],
-    most: usize,
-    within: Duration,
-) -> Result<Answer, String> {
-    let by = Instant::now() + within;
+    max_body: usize,
+    timeout: Duration,
+) -> Result<Response, ExchangeError> {
+    let deadline = Instant::now() + timeout;
     let late = async {
-        Timer::at(by).await;
-        Err("no answer in time".to_string())
+        Timer::at(deadline).await;
+        Err(ExchangeError::TimedOut)
     };
-    let asked = async {
-        if kept.as_ref().is_none_or(|c| !c.is_quiet()) {
-            *kept = Some(Connection::open(to, peer.into()).await.map_err(|e| e.to_string())?);
-        }
-        let Some(open) = kept.as_mut() else { return Err("not connected".into()) };
-        open.write(request).await.map_err(|e| e.to_string())?;
-        let (answer, keep) = open.answer(most, by).await.map_err(|e| format!("{e:?}"))?;
-        if !keep {
+    let response = async {
+        let connection = match kept {
+            Some(connection) if connection.is_quiet() => connection,
+            _ => {
+                let opened = HttpConnection::open(address, server_name.into()).await;
+                kept.insert(opened.map_err(ExchangeError::Io)?)
+            }
+        };
+        connection.write(request).await.map_err(ExchangeError::Io)?;
+        let (response, reusable) =
+            connection.read_response(max_body, deadline).await.map_err(ExchangeError::Response)?;
+        if !reusable {
             *kept = None;
         }
-        if answer.whole { Ok(answer) } else { Err("the answer is spoilt".into()) }
+        if response.complete { Ok(response) } else { Err(ExchangeError::IncompleteResponse) }
     };
-    // Guards against an answer that is here, and a process that stood still until its time was up.
-    asked.or(late).await
+    // Polled before the timer, as the response may be here when the process stood still until its time was up.
+    response.or(late).await
 }
 
 /// A request as bytes.
-pub fn request(method: &str, path: &str, host: &str, headers: &[(&str, &[u8])], body: &[u8]) -> Vec<u8> {
+pub(crate) fn encode_request(
+    method: &str,
+    path: &str,
+    host: &str,
+    headers: &[(&str, &[u8])],
+    body: &[u8],
+) -> Vec<u8> {
     let mut bytes = format!("{method} {path} HTTP/1.1\r\nHost: {host}\r\n").into_bytes();
     for (name, value) in headers {
         bytes.extend(name.as_bytes());
--- a/crates/relay/src/upstream/mod.rs
+++ b/crates/relay/src/upstream/mod.rs
@@ -1,4 +1,7 @@
-//! Calls to endpoints, and the connections kept to them.
+//! The endpoints' side of the relay: what is known of endpoints, the connections kept to them, and the calls.
+//!
+//! `endpoint_table` holds the known endpoints, `connection_pool` the idle connections; `attempt` makes one call, and
+//! `http1` is the connection that it is made on. Nothing here decides where or when a message is sent.
 
 mod attempt;
 mod connection_pool;
@@ -7,7 +10,7 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use attempt::{Call, End, Ends, Part, Stage, told};
-pub(crate) use connection_pool::Idle;
-pub(crate) use endpoint_table::{Endpoint, Endpoints};
-pub(crate) use http1::{Connection, ask, request};
+pub(crate) use attempt::{AttemptResult, Call, CallMessage, CallResult, CallStage, load_report_value};
+pub(crate) use connection_pool::ConnectionPool;
+pub(crate) use endpoint_table::{Endpoint, EndpointTable};
+pub(crate) use http1::{HttpConnection, encode_request, exchange};
