A queued connection at the listener's close: no test depends on the machine's speed

Cause: a_connection_in_the_queue_when_the_listener_closes_is_served demanded '+OK' for a request that it sent after it had seen the listener closed. A stopping relay waits 400 ms for the first request of a new connection, and on a busy machine the test was later than that: it then demanded what the relay does not promise, and failed with ''. Change: a new test in clients/tests.rs, connections_queued_when_the_listener_closes_are_served, polls the tasks by hand: both connections are in the kernel's queue, clients are sent away, the listener closes, the late connection looks for input once and finds none, then its request is written; both must be served.

--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -16,7 +16,7 @@
     service: Rc<ClientService>,
     submitted: Receiver<Sender<SubmissionReply>>,
     ending: Sender<()>,
-    _stopping: Sender<()>,
+    stopping: Sender<()>,
     withdrawn: Rc<RefCell<Vec<MessageId>>>,
 }
 
@@ -37,7 +37,7 @@
         maintenance: Rc::new(RefCell::new(MaintenanceState::from_text(""))),
         start: Instant::now(),
     });
-    Fixture { service: Rc::new(service), submitted, ending: end, _stopping: stop, withdrawn }
+    Fixture { service: Rc::new(service), submitted, ending: end, stopping: stop, withdrawn }
 }
 
 /// Runs a test on the executor, ten seconds at most.
@@ -120,6 +120,49 @@
     });
 }
 
+/// Connections to the address that the kernel has established; both ends are on this machine, and only the server's is
+/// counted.
+fn established_to(at: std::net::SocketAddr) -> usize {
+    let std::net::SocketAddr::V4(at) = at else { return 0 };
+    let own_address = format!("{:08X}:{:04X}", u32::from_le_bytes(at.ip().octets()), at.port());
+    let table = std::fs::read_to_string("/proc/net/tcp").expect("the kernel's table");
+    let rows = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
+    // Its columns: number, own address, the other one, state; 01 is ESTABLISHED.
+    rows.filter(|columns| columns[1] == own_address && columns[3] == "01").count()
+}
+
+// Connections that wait in the kernel's queue when clients are sent away are served, also one whose request comes only
+// after the listener has closed: one closed without an answer counts against the relay. The tasks are polled by hand, so
+// that no delay of the machine comes between the late connection's first look for input and its request.
+#[test]
+fn connections_queued_when_the_listener_closes_are_served() {
+    let (fixture, executor) = (fixture(), Rc::new(LocalExecutor::new()));
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+    let at = listener.get_ref().local_addr().expect("an address");
+    let connect = || TcpStream::connect(at).expect("a connection");
+    let (early, late) = (connect(), connect());
+    (&early).write_all(ADD.as_bytes()).expect("written");
+    while established_to(at) < 2 {
+        std::thread::yield_now();
+    }
+    fixture.stopping.close();
+    block_on(serve(listener, fixture.service.clone(), executor.clone()));
+    assert!(TcpStream::connect(at).is_err(), "the listener is closed");
+    assert_eq!(fixture.service.open_connections.get(), 2);
+    assert!(executor.try_tick() && executor.try_tick(), "each connection has looked for input once");
+    (&late).write_all(ADD.as_bytes()).expect("written");
+    run_test(&executor, async {
+        for message in [1, 2] {
+            let reply = fixture.submitted.recv().await.expect("a message");
+            reply.try_send(SubmissionReply::Accepted(MessageId(message))).expect("waited for");
+        }
+        for stream in [early, late] {
+            let mut stream = Async::new(stream).expect("a stream");
+            assert_eq!(heard(&mut stream).await, "+OK\r\n");
+        }
+    });
+}
+
 /// Takes so many bytes, then breaks.
 struct Breaks(usize);
 
