--- a/crates/relay/tests/crossings.rs
+++ b/crates/relay/tests/crossings.rs
@@ -16,22 +16,22 @@
 }
 
 /// A discovery whose watches all fall silent: it answers what asks for an answer at once, and never a watch.
-fn never_answers_a_watch(list: serde_json::Value) -> impl Fn(&Request) -> Act {
+fn never_answers_a_watch(list: serde_json::Value) -> impl Fn(&Request) -> ServerAction {
     move |r| {
         let waits = wait_of(r).is_some_and(|wait| wait > 100);
-        if waits { Act::Hang } else { answer(200, "", &list.to_string()) }
+        if waits { ServerAction::Hang } else { answer(200, "", &list.to_string()) }
     }
 }
 
 // Guards against a watch that is left silent: what it misses counts as told 6 s after it fell silent (2 s after its
 // wait, if that is later), and it used to be left for 63 s.
 #[test]
-fn a_watch_that_falls_silent_is_broken_off_before_what_it_misses_counts_as_told() {
-    let members = [nowhere()];
+fn a_silent_watch_is_abandoned_before_the_updates_it_misses_are_binding() {
+    let members = [unreachable_endpoint()];
     let discovery =
         Server::start(never_answers_a_watch(json!({"revision": 2, "complete": true, "members": members})));
     let dir = tempfile::tempdir().expect("a folder");
-    let _relay = Relay::start(&config(free(), discovery.address, &members), dir.path());
+    let _relay = Relay::start(&config(free_address(), discovery.address, &members), dir.path());
     let calls = || discovery.requests().into_iter().filter(|r| r.path.starts_with("/catalog")).collect();
     until("a watch, and the call after it", || {
         let calls: Vec<Request> = calls();
@@ -47,27 +47,27 @@
 
 // Guards against a whole list at a new address that is waited for as long as a watch: it counts 4 s after SIGHUP.
 #[test]
-fn a_new_discovery_that_is_silent_at_first_is_asked_again_before_its_list_counts_as_told() {
+fn a_silent_new_discovery_is_polled_again_before_its_list_is_binding() {
     let endpoint = Server::start(|_| ok());
-    let scene = scene(0, vec![nowhere()]);
-    let relay = scene.relay();
-    until("the list", || scene.log().contains("list 2:"));
+    let fixture = fixture(0, vec![unreachable_endpoint()]);
+    let relay = fixture.relay();
+    until("the list", || fixture.log().contains("list 2:"));
     let (came, list) = (AtomicUsize::new(0), [member("e1", endpoint.address, 7, "single")]);
     let new = Server::start(move |r| {
         if !r.path.starts_with("/catalog") {
             return ok();
         }
         let list = json!({"revision": 1, "complete": true, "members": list}).to_string();
-        if came.fetch_add(1, Ordering::SeqCst) == 0 { Act::Hang } else { answer(200, "", &list) }
+        if came.fetch_add(1, Ordering::SeqCst) == 0 { ServerAction::Hang } else { answer(200, "", &list) }
     });
-    scene.write_discovery(new.address);
+    fixture.write_discovery(new.address);
     relay.signal("HUP");
     until("the second call", || new.requests().len() >= 2);
     let calls = new.requests();
     let gap = calls[1].at.duration_since(calls[0].at);
     assert!(gap < Duration::from_secs(3), "asked again after {gap:?}");
-    until("the new list", || scene.log().contains("list 1: 1 entries"));
-    assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
+    until("the new list", || fixture.log().contains("list 1: 1 entries"));
+    assert_eq!(relay.submit("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
     until("the call", || endpoint.ids() == ["m1"]);
 }
 
@@ -75,21 +75,21 @@
 // one that must not run twice failed at the next start.
 #[test_case("TERM")]
 #[test_case("KILL")]
-fn a_restart_while_a_connection_comes_up_still_tries_its_message(signal: &str) {
-    let (listener, _fillers) = full();
+fn a_restart_while_connecting_still_sends_the_message(signal: &str) {
+    let (listener, _fillers) = full_listener();
     let at = listener.local_addr().expect("an address");
-    let mut scene = scene(0, vec![member("e1", at, 7, "single")]);
-    scene.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
-    let mut relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
-    until("a connection on its way", || connecting(at));
+    let mut fixture = fixture(0, vec![member("e1", at, 7, "single")]);
+    fixture.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
+    let mut relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    until("a connection on its way", || is_connecting(at));
     relay.signal(signal);
     relay.code();
     let other = Server::start(|_| ok());
-    scene.platform.set(vec![member("e1", other.address, 7, "single")]);
-    let _relay = scene.relay();
+    fixture.platform.set(vec![member("e1", other.address, 7, "single")]);
+    let _relay = fixture.relay();
     until("the call", || other.ids() == ["m1"]);
-    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
 
 // What was written whole before the end may have run: not again if that does harm.
@@ -97,104 +97,104 @@
 #[test_case("KILL", "once" => 1; "kill once")]
 #[test_case("TERM", "any" => 2; "term any")]
 #[test_case("KILL", "any" => 2; "kill any")]
-fn a_restart_while_an_answer_is_due_repeats_only_what_does_no_harm(signal: &str, lane: &str) -> usize {
+fn a_restart_with_a_call_in_flight_repeats_only_idempotent_messages(signal: &str, class: &str) -> usize {
     let (gate, endpoint) = gated(ok);
-    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    let mut relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, &format!("c={lane},d=15000,dest=7"), b"1"), "+OK");
-    gate.came(1);
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, &format!("c={class},d=15000,dest=7"), b"1"), "+OK");
+    gate.wait_for_arrivals(1);
     relay.signal(signal);
     relay.code();
     gate.open();
-    let relay = scene.relay();
-    if lane == "once" {
-        until("the notice", || scene.platform.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    let relay = fixture.relay();
+    if class == "once" {
+        until("the notification", || fixture.platform.notifications() == [r#"{"id":"m1","state":"failed"}"#]);
     } else {
         until("the call", || endpoint.ids().len() == 2);
     }
     // Another message that went through shows that nothing more of the first one comes before it.
-    assert_eq!(relay.add("m2", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
+    assert_eq!(relay.submit("m2", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
     until("the next one", || endpoint.ids().contains(&"m2".into()));
     endpoint.ids().iter().filter(|id| *id == "m1").count()
 }
 
 // An answer that came just before the end counts: the message is not sent again.
 #[test]
-fn an_answer_that_comes_while_the_relay_ends_is_taken_in() {
+fn a_response_during_shutdown_is_recorded() {
     let (gate, endpoint) = gated(ok);
-    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    let mut relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, "c=any,d=15000,dest=7", b"1"), "+OK");
-    gate.came(1);
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=any,d=15000,dest=7", b"1"), "+OK");
+    gate.wait_for_arrivals(1);
     relay.signal("TERM");
-    until("the stop", || scene.log().contains("told to stop, for a restart"));
+    until("the stop", || fixture.log().contains("told to stop, for a restart"));
     gate.open();
     assert_eq!(relay.code(), Some(0));
-    assert!(scene.log().contains("stopped with 0 calls out, 0 messages kept"), "{}", scene.log());
-    let _relay = scene.relay();
+    assert!(fixture.log().contains("stopped with 0 calls out, 0 messages kept"), "{}", fixture.log());
+    let _relay = fixture.relay();
     assert_eq!(endpoint.ids(), ["m1"]);
 }
 
 // A tenant that the settings don't hold has no share, and takes nothing of the first one's.
 #[test]
-fn an_unknown_tenant_draws_on_nobodys_share() {
+fn an_unknown_tenant_uses_no_other_tenants_quota() {
     let (gate, endpoint) = gated(ok);
-    let mut scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    scene.config["settings"]["tenants"] = json!([{"name": "North Quay", "quotaPerS": 1.0, "portion": 1.0}]);
-    scene.config["settings"]["familyInfo"]["callsOut"] = json!(1);
-    let relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, "c=any,t=North Quay,d=15000,dest=7", b"1"), "+OK");
-    gate.came(1);
-    assert_eq!(relay.add("strange", 0, "c=any,t=north quay,d=15000,dest=7", b"2"), "+OK");
-    assert_eq!(relay.add("m2", 0, "c=any,t=North Quay,d=15000,dest=7", b"3"), "+OK");
+    let mut fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    fixture.config["settings"]["tenants"] = json!([{"name": "North Quay", "quotaPerS": 1.0, "portion": 1.0}]);
+    fixture.config["settings"]["familyInfo"]["callsOut"] = json!(1);
+    let relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=any,t=North Quay,d=15000,dest=7", b"1"), "+OK");
+    gate.wait_for_arrivals(1);
+    assert_eq!(relay.submit("strange", 0, "c=any,t=north quay,d=15000,dest=7", b"2"), "+OK");
+    assert_eq!(relay.submit("m2", 0, "c=any,t=North Quay,d=15000,dest=7", b"3"), "+OK");
     gate.open();
     until("the calls", || endpoint.ids().len() == 3);
     assert_eq!(endpoint.ids(), ["m1", "m2", "strange"]);
 }
 
-// Signals are read to the end: a move of discovery while stopping reaches the notices and the watch.
+// Signals are read to the end: a move of discovery while stopping reaches the notifications and the watch.
 #[test]
-fn a_move_of_discovery_while_stopping_is_heard() {
+fn a_discovery_change_while_stopping_takes_effect() {
     let (gate, endpoint) = gated(|| answer(500, "", ""));
-    let scene = scene(usize::MAX, vec![member("e1", endpoint.address, 7, "single")]);
-    let mut relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
-    gate.came(1);
+    let fixture = fixture(usize::MAX, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    gate.wait_for_arrivals(1);
     relay.signal("TERM");
-    until("the stop", || scene.log().contains("told to stop, for a restart"));
+    until("the stop", || fixture.log().contains("told to stop, for a restart"));
     let other = Platform::start(0);
-    scene.write_discovery(other.server.address);
+    fixture.write_discovery(other.server.address);
     relay.signal("HUP");
-    until("the move", || scene.log().contains("discovery moves from"));
+    until("the move", || fixture.log().contains("discovery moves from"));
     relay.signal("TERM");
-    until("the second one", || scene.log().contains("told to stop again"));
+    until("the second one", || fixture.log().contains("told to stop again"));
     gate.open();
-    until("the notice", || other.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    until("the notification", || other.notifications() == [r#"{"id":"m1","state":"failed"}"#]);
     assert_eq!(relay.code(), Some(0));
 }
 
-// A connection that waits in the kernel's queue when clients are sent away is served, also if its request comes only
-// after that: one closed without an answer counts against the relay. A relay that is stopping waits 400 ms for the first
-// request of a new connection; on a busy machine the late request may come after that, and only then may it be left
-// without an answer. That one in time is always served is shown without a clock in `clients/tests.rs`
+// A connection that waits in the kernel's queue when clients are sent away is served, also if its request comes
+// only after that: one closed without an answer counts against the relay. A relay that is stopping waits 400 ms for
+// the first request of a new connection; on a busy machine the late request may come after that, and only then may
+// it be left without an answer. That one in time is always served is shown without a clock in `clients/tests.rs`
 // (connections_queued_when_the_listener_closes_are_served).
 #[test]
 fn a_connection_in_the_queue_when_the_listener_closes_is_served() {
     let endpoint = Server::start(|_| ok());
-    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    let mut relay = scene.relay();
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = fixture.relay();
     relay.signal("TERM");
-    until("the stop", || scene.log().contains("told to stop, for a restart"));
+    until("the stop", || fixture.log().contains("told to stop, for a restart"));
     relay.signal("STOP");
-    until("the relay to stand still", || relay.stands_still());
+    until("the relay to stand still", || relay.is_suspended());
     let (mut early, mut late) = (relay.client(), relay.client());
-    early.say(&out_add("m1", 0, "c=any,d=15000,dest=7", b"1"));
+    early.say(&submit_request("m1", 0, "c=any,d=15000,dest=7", b"1"));
     // Beyond the time in which new connections are accepted: all is due at once when it goes on.
     std::thread::sleep(ms(600));
     let goes_on = std::time::Instant::now();
     relay.signal("CONT");
     until("the listener to close", || std::net::TcpStream::connect(relay.listen).is_err());
-    late.say(&out_add("m2", 0, "c=any,d=15000,dest=7", b"2"));
+    late.say(&submit_request("m2", 0, "c=any,d=15000,dest=7", b"2"));
     // Accepted after the relay went on, so the 400 ms were not over before this is.
     let in_time = goes_on.elapsed() < ms(400);
     let late_reply = late.hear();
@@ -205,21 +205,21 @@
     assert_eq!(relay.code(), Some(0));
 }
 
-// Requests that come in the very moment in which the process ends: whatever it took on was answered, whatever was not
-// answered is not kept. The relay stands still over its end, so that both are due at once when it goes on.
+// Requests that come in the very moment in which the process ends: whatever it accepted was answered, whatever was
+// not answered is not kept. The relay stands still over its end, so that both are due at once when it goes on.
 #[test]
-fn at_the_very_end_what_is_kept_was_answered_and_what_was_answered_is_kept() {
+fn at_shutdown_exactly_the_acknowledged_messages_are_kept() {
     let endpoint = Server::start(|_| ok());
-    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    let mut relay = scene.relay();
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = fixture.relay();
     let all: Vec<Vec<u8>> =
-        (0..60).map(|n| out_add(&format!("m{n}"), 0, "c=any,d=15000,dest=7", b"x")).collect();
+        (0..60).map(|n| submit_request(&format!("m{n}"), 0, "c=any,d=15000,dest=7", b"x")).collect();
     let bytes = all.concat();
     let mut client = relay.client();
     // A request that has begun keeps its connection open while the relay stops.
     client.say(&bytes[..10]);
     relay.signal("TERM");
-    until("the stop", || scene.log().contains("told to stop, for a restart"));
+    until("the stop", || fixture.log().contains("told to stop, for a restart"));
     let stopped = std::time::Instant::now();
     std::thread::sleep(ms(1_500));
     let first = all[0].len();
@@ -227,7 +227,7 @@
     assert_eq!(client.hear(), "+OK");
     std::thread::sleep(ms(3_300).saturating_sub(stopped.elapsed()));
     relay.signal("STOP");
-    until("the relay to stand still", || relay.stands_still());
+    until("the relay to stand still", || relay.is_suspended());
     client.say(&bytes[first + 10..]);
     std::thread::sleep(ms(3_700).saturating_sub(stopped.elapsed()));
     relay.signal("CONT");
@@ -239,43 +239,43 @@
     let taken: Vec<String> =
         (0..).zip(&heard).filter(|h| *h.1 == "+OK").map(|h| format!("m{}", h.0)).collect();
     assert!(heard.iter().all(|line| line == "+OK" || line == "-BUSY"), "{heard:?}");
-    let _relay = scene.relay();
+    let _relay = fixture.relay();
     let kept = |log: &str| {
         let told =
             log.rsplit(" starts with ").next().and_then(|rest| rest.split(' ').next()?.parse::<usize>().ok());
         told.expect("a number of messages")
     };
-    until("the calls", || endpoint.ids().len() > kept(&scene.log()));
+    until("the calls", || endpoint.ids().len() > kept(&fixture.log()));
     let (mut sent, mut wanted) = (endpoint.ids(), taken);
     sent.sort();
     wanted.sort();
     assert_eq!(sent, wanted, "{heard:?}");
 }
 
-// What is kept between processes is kept by name: settings that list the classes in another order must not make one that
-// may run only once a repeatable one, nor the other way round.
+// What is kept between processes is kept by name: settings that list the classes in another order must not make one
+// that may run only once a repeatable one, nor the other way round.
 #[test]
-fn classes_in_another_order_at_the_next_start_change_no_message() {
+fn reordered_classes_at_the_next_start_change_no_message() {
     let (gate, endpoint) = gated(ok);
-    let mut scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    let mut relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
-    assert_eq!(relay.add("m2", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
-    gate.came(2);
+    let mut fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    assert_eq!(relay.submit("m2", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
+    gate.wait_for_arrivals(2);
     relay.signal("KILL");
     relay.code();
     gate.open();
-    let classes = scene.config["settings"]["classes"].as_array_mut().expect("classes");
+    let classes = fixture.config["settings"]["classes"].as_array_mut().expect("classes");
     classes.reverse();
-    let _relay = scene.relay();
-    until("the notice", || scene.platform.notices() == [r#"{"id":"m1","state":"failed"}"#]);
+    let _relay = fixture.relay();
+    until("the notification", || fixture.platform.notifications() == [r#"{"id":"m1","state":"failed"}"#]);
     until("the repeat", || endpoint.ids().iter().filter(|id| *id == "m2").count() == 2);
     assert_eq!(endpoint.ids().iter().filter(|id| *id == "m1").count(), 1);
 }
 
 // A list that the old address sends just as discovery moves is not heard: what the new one told stands.
 #[test]
-fn a_list_of_the_old_address_that_crosses_a_move_revives_nothing() {
+fn a_late_list_from_the_old_discovery_address_is_ignored() {
     let (old, new) = (Server::start(|_| ok()), Server::start(|_| ok()));
     let (e1, e2) = (member("e1", old.address, 7, "single"), member("e2", new.address, 7, "single"));
     let gate = Gate::default();
@@ -288,26 +288,26 @@
         }
         answer(200, "", &both.to_string())
     });
-    let mut scene = scene(0, vec![e2]);
-    scene.config["discovery"] = json!(before.address.to_string());
-    let relay = scene.relay();
-    until("the list", || scene.log().contains("list 9:"));
-    gate.came(1);
-    scene.write_discovery(scene.platform.server.address);
+    let mut fixture = fixture(0, vec![e2]);
+    fixture.config["discovery"] = json!(before.address.to_string());
+    let relay = fixture.relay();
+    until("the list", || fixture.log().contains("list 9:"));
+    gate.wait_for_arrivals(1);
+    fixture.write_discovery(fixture.platform.server.address);
     relay.signal("HUP");
-    until("the new list", || scene.log().contains("list 2: 1 entries, whole: true"));
+    until("the new list", || fixture.log().contains("list 2: 1 entries, whole: true"));
     gate.open();
     for n in 0..6 {
-        assert_eq!(relay.add(&format!("m{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+        assert_eq!(relay.submit(&format!("m{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
     }
     until("the calls", || new.ids().len() == 6);
-    assert_eq!((old.ids().len(), scene.log().matches("list 9:").count()), (0, 1));
+    assert_eq!((old.ids().len(), fixture.log().matches("list 9:").count()), (0, 1));
 }
 
-// A whole list that lacks an endpoint with a call out: its answer counts, nothing new goes there, and listed again it is
-// used again.
+// A whole list that lacks an endpoint with a call out: its answer counts, nothing new goes there, and listed again
+// it is used again.
 #[test]
-fn a_call_out_to_an_endpoint_that_a_whole_list_lacks_ends_as_it_is_answered() {
+fn a_call_in_flight_to_an_unlisted_endpoint_ends_by_its_response() {
     let gate = Gate::default();
     let held = gate.clone();
     let (old, new) = (
@@ -318,82 +318,85 @@
         Server::start(|_| answer(503, "", "")),
     );
     let (e1, e2) = (member("e1", old.address, 7, "single"), member("e2", new.address, 7, "single"));
-    let scene = scene(0, vec![e1.clone()]);
-    let mut relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
-    gate.came(1);
-    scene.platform.set(vec![e2.clone()]);
-    until("the list", || scene.log().contains("list 3:"));
-    assert_eq!(relay.add("m2", 0, "c=once,d=15000,dest=7", b"2"), "+OK");
+    let fixture = fixture(0, vec![e1.clone()]);
+    let mut relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    gate.wait_for_arrivals(1);
+    fixture.platform.set(vec![e2.clone()]);
+    until("the list", || fixture.log().contains("list 3:"));
+    assert_eq!(relay.submit("m2", 0, "c=once,d=15000,dest=7", b"2"), "+OK");
     until("the other endpoint", || new.ids().contains(&"m2".into()));
     gate.open();
     // Beyond the grace it is forgotten; what it held ended as it was answered.
-    until("it to be forgotten", || scene.log().contains("endpoint e1 is forgotten"));
+    until("it to be forgotten", || fixture.log().contains("endpoint e1 is forgotten"));
     assert_eq!(old.ids(), ["m1"]);
-    scene.platform.set(vec![e1]);
+    fixture.platform.set(vec![e1]);
     until("the call", || old.ids() == ["m1", "m2"]);
     relay.signal("TERM");
     assert_eq!(relay.code(), Some(0));
-    assert!(scene.log().contains("stopped with 0 calls out, 0 messages kept"), "{}", scene.log());
-    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+    assert!(fixture.log().contains("stopped with 0 calls out, 0 messages kept"), "{}", fixture.log());
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
 
-// Another customer's settings, as bare as they may be: one leg, no recall, no wait to tell, fewer batch sizes than kinds,
-// times as short as the decisions' own margins. What can be delivered is, the rest ends in time by one notice.
+// Another customer's settings, as bare as they may be: one leg, no recall, no wait to tell, fewer batch sizes than
+// kinds, times as short as the decisions' own margins. What can be delivered is, the rest ends in time by one
+// notification.
 #[test]
-fn the_barest_settings_serve_and_end_in_time() {
+fn minimal_settings_serve_and_meet_deadlines() {
     let endpoint = Server::start(|_| ok());
-    let mut scene =
-        scene(0, vec![member("e1", endpoint.address, 7, "bulk"), member("e2", free(), 8, "single")]);
-    let lane = |name: &str, effect: &str, aim: u64, give_up: u64| json!({"name": name, "aim": aim, "giveUp": give_up, "importance": 0.0, "idempotency": effect});
-    let settings = &mut scene.config["settings"];
+    let mut fixture = fixture(
+        0,
+        vec![member("e1", endpoint.address, 7, "bulk"), member("e2", free_address(), 8, "single")],
+    );
+    let class = |name: &str, effect: &str, aim: u64, give_up: u64| json!({"name": name, "aim": aim, "giveUp": give_up, "importance": 0.0, "idempotency": effect});
+    let settings = &mut fixture.config["settings"];
     settings["classes"] =
-        json!([lane("Any Thing", "idempotent", 0, 40_000), lane("any", "at_most_once", 1, 900_000)]);
+        json!([class("Any Thing", "idempotent", 0, 40_000), class("any", "at_most_once", 1, 900_000)]);
     settings["familyInfo"] = json!({"callsOut": 1, "decay": "halving"});
     settings["limits"] = json!({"openCap": 1, "maxAttempts": 1, "connIdle": 1, "dialTimeout": 1_000});
     settings["obligations"] = json!({"coldFrom": 0.0, "warmAfter": 0, "fallMultiple": 0.0, "fall": 0});
     for gone in ["penalties", "tenants", "quantum", "weights", "discovery"] {
         settings.as_object_mut().expect("an object").remove(gone);
     }
-    let relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, "c=Any Thing,d=9000,dest=7", b"1"), "+OK");
+    let relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=Any Thing,d=9000,dest=7", b"1"), "+OK");
     until("the call", || endpoint.ids() == ["m1"]);
-    assert_eq!(relay.add("m2", 0, "c=any thing,d=9000,dest=7", b"2"), "-ERR c names no class");
+    assert_eq!(relay.submit("m2", 0, "c=any thing,d=9000,dest=7", b"2"), "-ERR c names no class");
     let started = std::time::Instant::now();
-    assert_eq!(relay.add("m3", 0, "c=any,d=900,dest=8", b"3"), "+OK");
-    until("the notice", || !scene.platform.notices().is_empty());
+    assert_eq!(relay.submit("m3", 0, "c=any,d=900,dest=8", b"3"), "+OK");
+    until("the notification", || !fixture.platform.notifications().is_empty());
     assert!(started.elapsed() < ms(900), "{:?}", started.elapsed());
-    assert_eq!(relay.add("m4", 0, "c=any,d=9000,dest=7", b"4"), "+OK");
+    assert_eq!(relay.submit("m4", 0, "c=any,d=9000,dest=7", b"4"), "+OK");
     until("the call", || endpoint.ids() == ["m1", "m4"]);
-    assert_eq!(scene.platform.notices().len(), 1);
+    assert_eq!(fixture.platform.notifications().len(), 1);
 }
 
 // A repeat whose connection comes up only when the other side no longer knows the first one: it would run twice.
 #[test]
-fn a_repeat_whose_connection_comes_up_behind_the_memory_is_not_sent() {
+fn a_retry_connected_after_the_deduplication_window_is_not_sent() {
     let (gate, first) = gated(|| answer(500, "", ""));
-    let (listener, fillers) = full();
+    let (listener, fillers) = full_listener();
     let at = listener.local_addr().expect("an address");
-    let mut scene = scene(0, vec![member("e1", first.address, 7, "single")]);
-    let lanes = scene.config["settings"]["classes"].as_array_mut().expect("classes");
-    lanes.push(json!({"name": "known", "aim": 1_500_000, "giveUp": 20_000_000, "importance": 1.0,
+    let mut fixture = fixture(0, vec![member("e1", first.address, 7, "single")]);
+    let classes = fixture.config["settings"]["classes"].as_array_mut().expect("classes");
+    classes.push(json!({"name": "known", "aim": 1_500_000, "giveUp": 20_000_000, "importance": 1.0,
         "idempotency": "deduplicated", "memorySpan": 1_500_000, "group": "all"}));
-    scene.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
-    let relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, "c=known,d=15000,dest=7", b"1"), "+OK");
-    gate.came(1);
+    fixture.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
+    let relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=known,d=15000,dest=7", b"1"), "+OK");
+    gate.wait_for_arrivals(1);
     let began = std::time::Instant::now();
-    scene.platform.set(vec![member("e2", at, 7, "single")]);
-    until("the list", || scene.log().contains("list 3:"));
+    fixture.platform.set(vec![member("e2", at, 7, "single")]);
+    until("the list", || fixture.log().contains("list 3:"));
     gate.open();
-    until("a connection on its way", || connecting(at));
+    until("a connection on its way", || is_connecting(at));
     assert!(began.elapsed() < ms(1_400), "the repeat is decided within the memory");
     // The system asks for the connection again and again, and has it once there is room: after the memory's end.
     std::thread::sleep(ms(1_600).saturating_sub(began.elapsed()));
     drop(fillers);
     let second = Server::on(listener, |_| ok());
-    until("the notice", || scene.platform.notices() == [r#"{"id":"m1","state":"failed"}"#]);
-    assert_eq!(relay.add("m2", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
+    until("the notification", || fixture.platform.notifications() == [r#"{"id":"m1","state":"failed"}"#]);
+    assert_eq!(relay.submit("m2", 0, "c=any,d=15000,dest=7", b"2"), "+OK");
     until("another message", || second.ids().contains(&"m2".into()));
     assert_eq!((first.ids(), second.ids()), (vec!["m1".to_string()], vec!["m2".to_string()]));
 }
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -42,7 +42,7 @@
 
 impl Process {
     fn start(config: &Value, dir: &std::path::Path, fd: i32, n: usize) -> Process {
-        let mgmt = free();
+        let mgmt = free_address();
         let mut config = config.clone();
         config["mgmt"] = json!(mgmt.to_string());
         let file = dir.join(format!("config{n}.json"));
@@ -86,7 +86,7 @@
     }
 }
 
-/// What clients heard, by id: `+OK` or not, and for each key the ids in the order they were taken on.
+/// What clients heard, by id: `+OK` or not, and for each key the ids in the order they were accepted.
 #[derive(Default)]
 struct Heard {
     taken: Vec<String>,
@@ -96,7 +96,7 @@
     again: usize,
 }
 
-/// A client that hands in messages of one key, each once the one before is taken on, over connections it
+/// A client that submits messages of one key, each once the one before is accepted, over connections it
 /// keeps; a request whose connection ends unanswered is sent once more on a new connection.
 fn client(
     at: SocketAddr,
@@ -108,8 +108,8 @@
         let (mut n, mut connection): (u64, Option<Client>) = (0, None);
         while !stop.load(Ordering::SeqCst) {
             n += 1;
-            let (id, lane) = (format!("k{key}m{n}"), if key.is_multiple_of(2) { "pay" } else { "once" });
-            let request = out_add(&id, key, &format!("c={lane},d=15000,dest=7"), b"x");
+            let (id, class) = (format!("k{key}m{n}"), if key.is_multiple_of(2) { "pay" } else { "once" });
+            let request = submit_request(&id, key, &format!("c={class},d=15000,dest=7"), b"x");
             let answer = loop {
                 let mut c = match connection.take() {
                     Some(c) => c,
@@ -159,9 +159,9 @@
         for id in endpoint.ids() {
             *ends.sent.entry(id).or_default() += 1;
         }
-        for notice in platform.notices() {
-            let notice: Value = serde_json::from_str(&notice).expect("a notice in JSON");
-            let id = notice["id"].as_str().expect("a notice names its message").to_string();
+        for notification in platform.notifications() {
+            let notification: Value = serde_json::from_str(&notification).expect("a notification in JSON");
+            let id = notification["id"].as_str().expect("a notification names its message").to_string();
             *ends.notified.entry(id).or_default() += 1;
         }
         ends
@@ -177,7 +177,7 @@
 /// Plays upgrades under load with stops at points drawn from `seed`; checks what the endpoint and the
 /// platform got against what clients heard.
 fn upgrades_under_load(seed: u64) {
-    let endpoint = Server::start(|_| Act::Say(answer_text(200), ms(15)));
+    let endpoint = Server::start(|_| ServerAction::Say(answer_text(200), ms(15)));
     let platform = Platform::start(0);
     let (socket, at) = platform_socket();
     let members = vec![member("e1", endpoint.address, 7, "single")];
@@ -208,7 +208,7 @@
     stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|c| c.join().expect("a client"));
     let heard = heard.lock().expect("heard");
-    until("every message taken on to end", || {
+    until("every message accepted to end", || {
         let ends = Ends::count(&endpoint, &platform);
         heard.taken.iter().all(|id| ends.of(id) != (0, 0))
     });
@@ -222,9 +222,9 @@
         assert!(matches!(ends.of(id), (1, 0) | (0, 1)), "{id}: {:?}", ends.of(id));
     }
     for id in &heard.refused {
-        assert!(!sent.contains(id), "{id} was turned away, yet sent");
+        assert!(!sent.contains(id), "{id} was rejected, yet sent");
     }
-    // Rule 5: each key's messages went out in the order they were taken on (even keys are of a lane in order).
+    // Rule 5: each key's messages went out in the order they were accepted (even keys are of a class in order).
     for (key, ids) in heard.keys.iter().filter(|(key, _)| key.is_multiple_of(2)) {
         let order: Vec<&String> = sent.iter().filter(|id| ids.contains(id)).collect();
         let wanted: Vec<&String> = ids.iter().filter(|id| order.contains(id)).collect();
@@ -244,9 +244,9 @@
 }
 
 #[test]
-fn a_descriptor_that_is_none_is_one_line_and_exit_2() {
+fn an_invalid_descriptor_is_one_line_and_exit_code_2() {
     let platform = Platform::start(0);
-    let config = config(free(), platform.server.address, &[]);
+    let config = config(free_address(), platform.server.address, &[]);
     let dir = tempfile::tempdir().expect("a folder");
     let file = dir.path().join("config.json");
     std::fs::write(&file, config.to_string()).expect("a config");
@@ -260,7 +260,7 @@
 
 /// A relay's folder, platform and listening socket, for processes that are started by hand; its endpoint holds every
 /// call at a gate.
-struct Beside {
+struct Upgrade {
     gate: Gate,
     endpoint: Server,
     platform: Platform,
@@ -270,12 +270,12 @@
     at: SocketAddr,
 }
 
-fn beside() -> Beside {
-    beside_of(0, 200)
+fn upgrade() -> Upgrade {
+    upgrade_with(0, 200)
 }
 
-/// The platform refuses so many calls with notices; the endpoint answers with this status.
-fn beside_of(refused: usize, status: u16) -> Beside {
+/// The platform refuses so many calls with notifications; the endpoint answers with this status.
+fn upgrade_with(refused: usize, status: u16) -> Upgrade {
     let (gate, endpoint) = gated(move || answer(status, "", ""));
     let platform = Platform::start(refused);
     let (socket, at) = platform_socket();
@@ -284,19 +284,19 @@
     platform.set(members);
     let dir = tempfile::tempdir().expect("a folder");
     std::fs::create_dir_all(dir.path().join("state")).expect("a folder");
-    Beside { gate, endpoint, platform, config, dir, socket, at }
+    Upgrade { gate, endpoint, platform, config, dir, socket, at }
 }
 
-impl Beside {
+impl Upgrade {
     fn start(&self, n: usize) -> Process {
         let process = Process::start(&self.config, self.dir.path(), self.socket.as_raw_fd(), n);
         until("the process to say yes", || process.says_yes());
         process
     }
 
-    fn add(&self, id: &str, key: u64, lane: &str) {
+    fn submit(&self, id: &str, key: u64, class: &str) {
         let mut client = Client(std::io::BufReader::new(TcpStream::connect(self.at).expect("a connection")));
-        assert_eq!(client.ask(&out_add(id, key, &format!("c={lane},d=15000,dest=7"), b"x")), "+OK");
+        assert_eq!(client.ask(&submit_request(id, key, &format!("c={class},d=15000,dest=7"), b"x")), "+OK");
     }
 
     fn log(&self) -> String {
@@ -304,139 +304,142 @@
     }
 
     fn owns(&self, times: usize) {
-        until("the taker to own", || self.log().matches("owns the state folder now").count() == times);
+        until("the successor to own", || self.log().matches("owns the state folder now").count() == times);
     }
 }
 
-// A handover while a call is out: its answer is the owner's, and what comes meanwhile goes out only after it.
+// A handover while a call is out: its answer is the active process's, and what comes meanwhile goes out only after
+// it.
 #[test]
-fn an_answer_due_at_a_handover_is_taken_in_before_the_taker_sends() {
-    let scene = beside();
-    let mut owner = scene.start(0);
-    scene.add("m1", 5, "pay");
-    scene.gate.came(1);
-    let _taker = scene.start(1);
-    owner.term();
-    until("the stop", || scene.log().contains("told to stop, with a process beside it"));
-    scene.add("m2", 5, "pay");
-    assert_eq!(scene.endpoint.ids(), ["m1"]);
-    scene.gate.open();
-    assert!(owner.ended_within(ms(3_600)));
-    until("the call of the taker", || scene.endpoint.ids() == ["m1", "m2"]);
-    scene.owns(1);
-    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+fn a_call_in_flight_at_a_handover_ends_before_the_successor_sends() {
+    let fixture = upgrade();
+    let mut active = fixture.start(0);
+    fixture.submit("m1", 5, "pay");
+    fixture.gate.wait_for_arrivals(1);
+    let _successor = fixture.start(1);
+    active.term();
+    until("the stop", || fixture.log().contains("told to stop, with a process beside it"));
+    fixture.submit("m2", 5, "pay");
+    assert_eq!(fixture.endpoint.ids(), ["m1"]);
+    fixture.gate.open();
+    assert!(active.ended_within(ms(3_600)));
+    until("the call of the successor", || fixture.endpoint.ids() == ["m1", "m2"]);
+    fixture.owns(1);
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
 
-// The owner is killed with a call out that may have run: the taker repeats only what does no harm, and what its key
-// holds back comes after that end.
+// The active process is killed with a call out that may have run: the successor repeats only what does no harm, and
+// what its key holds back comes after that end.
 #[test_case("pay", &["m1", "m2"], &[r#"{"id":"m1","state":"failed"}"#]; "must not run twice")]
 #[test_case("line", &["m1", "m1", "m2"], &[]; "does no harm twice")]
-fn a_call_out_when_the_owner_is_killed_is_repeated_only_if_that_does_no_harm(
-    lane: &str,
+fn a_call_in_flight_when_the_active_process_is_killed_is_repeated_only_if_idempotent(
+    class: &str,
     ids: &[&str],
-    notices: &[&str],
+    notifications: &[&str],
 ) {
-    let scene = beside();
-    let mut owner = scene.start(0);
-    scene.add("m1", 5, lane);
-    scene.gate.came(1);
-    let _taker = scene.start(1);
-    // Who stands still takes nothing on: this is the taker's.
-    owner.signal("STOP");
-    scene.add("m2", 5, lane);
-    scene.gate.open();
-    owner.signal("KILL");
-    assert!(owner.ended_within(ms(3_600)));
-    scene.owns(1);
-    until("the calls", || scene.endpoint.ids() == ids);
-    until("the notices", || scene.platform.notices() == notices);
+    let fixture = upgrade();
+    let mut active = fixture.start(0);
+    fixture.submit("m1", 5, class);
+    fixture.gate.wait_for_arrivals(1);
+    let _successor = fixture.start(1);
+    // Who stands still takes nothing on: this is the successor's.
+    active.signal("STOP");
+    fixture.submit("m2", 5, class);
+    fixture.gate.open();
+    active.signal("KILL");
+    assert!(active.ended_within(ms(3_600)));
+    fixture.owns(1);
+    until("the calls", || fixture.endpoint.ids() == ids);
+    until("the notifications", || fixture.platform.notifications() == notifications);
 }
 
-// The owner's call is still connecting at the handover: it never ran, so the taker sends it though it may run only once.
+// The active process's call is still connecting at the handover: it never ran, so the successor sends it though it
+// may run only once.
 #[test]
-fn a_connection_on_its_way_at_a_handover_is_nothing_sent() {
-    let (listener, _fillers) = full();
+fn a_connecting_call_at_a_handover_counts_as_not_sent() {
+    let (listener, _fillers) = full_listener();
     let full_at = listener.local_addr().expect("an address");
-    let mut scene = beside();
-    scene.config["known"]["members"] = json!([member("e1", full_at, 7, "single")]);
-    scene.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
-    scene.platform.set(vec![member("e1", full_at, 7, "single")]);
-    let mut owner = scene.start(0);
-    scene.add("m1", 0, "once");
-    until("a connection on its way", || connecting(full_at));
-    let _taker = scene.start(1);
-    // Where the taker finds it, and no connection waits.
-    scene.gate.open();
-    scene.platform.set(vec![member("e1", scene.endpoint.address, 7, "single")]);
-    owner.term();
-    assert!(owner.ended_within(ms(3_600)));
-    scene.owns(1);
-    until("the call", || scene.endpoint.ids() == ["m1"]);
-    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+    let mut fixture = upgrade();
+    fixture.config["known"]["members"] = json!([member("e1", full_at, 7, "single")]);
+    fixture.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
+    fixture.platform.set(vec![member("e1", full_at, 7, "single")]);
+    let mut active = fixture.start(0);
+    fixture.submit("m1", 0, "once");
+    until("a connection on its way", || is_connecting(full_at));
+    let _successor = fixture.start(1);
+    // Where the successor finds it, and no connection waits.
+    fixture.gate.open();
+    fixture.platform.set(vec![member("e1", fixture.endpoint.address, 7, "single")]);
+    active.term();
+    assert!(active.ended_within(ms(3_600)));
+    fixture.owns(1);
+    until("the call", || fixture.endpoint.ids() == ["m1"]);
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
 
-// A taker is killed with messages that it took on: the owner goes on, and whoever owns next has them, a later taker or
-// a process that starts alone.
-#[test_case(true; "a later taker")]
+// A successor is killed with messages that it accepted: the active process goes on, and whoever owns next has them,
+// a later successor or a process that starts alone.
+#[test_case(true; "a later successor")]
 #[test_case(false; "a process alone")]
-fn what_a_killed_taker_took_on_is_the_next_owners(beside_owner: bool) {
-    let scene = beside();
-    scene.gate.open();
-    let mut owner = scene.start(0);
-    let mut taker = scene.start(1);
-    owner.signal("STOP");
-    scene.add("m1", 0, "once");
-    taker.signal("KILL");
-    assert!(taker.ended_within(ms(3_600)));
-    owner.signal("CONT");
-    if beside_owner {
-        scene.add("m2", 0, "once");
-        until("the owner's call", || scene.endpoint.ids() == ["m2"]);
-        let _later = scene.start(2);
-        owner.term();
-        assert!(owner.ended_within(ms(3_600)));
-        scene.owns(1);
-        until("the taker's message", || scene.endpoint.ids() == ["m2", "m1"]);
+fn messages_of_a_killed_successor_go_to_the_next_active_process(with_active: bool) {
+    let fixture = upgrade();
+    fixture.gate.open();
+    let mut active = fixture.start(0);
+    let mut successor = fixture.start(1);
+    active.signal("STOP");
+    fixture.submit("m1", 0, "once");
+    successor.signal("KILL");
+    assert!(successor.ended_within(ms(3_600)));
+    active.signal("CONT");
+    if with_active {
+        fixture.submit("m2", 0, "once");
+        until("the active process's call", || fixture.endpoint.ids() == ["m2"]);
+        let _later = fixture.start(2);
+        active.term();
+        assert!(active.ended_within(ms(3_600)));
+        fixture.owns(1);
+        until("the successor's message", || fixture.endpoint.ids() == ["m2", "m1"]);
     } else {
-        owner.signal("KILL");
-        assert!(owner.ended_within(ms(3_600)));
-        let _alone = scene.start(2);
-        until("the taker's message", || scene.endpoint.ids() == ["m1"]);
+        active.signal("KILL");
+        assert!(active.ended_within(ms(3_600)));
+        let _alone = fixture.start(2);
+        until("the successor's message", || fixture.endpoint.ids() == ["m1"]);
     }
-    assert!(scene.platform.notices().is_empty(), "{:?}", scene.platform.notices());
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
 
-// A notice that the platform has not taken at the handover is owed: the taker tells it again.
+// A notification that the platform has not taken at the handover is owed: the successor tells it again.
 #[test]
-fn a_notice_owed_at_a_handover_is_told_by_the_taker() {
-    let scene = beside_of(usize::MAX, 500);
-    scene.gate.open();
-    let mut owner = scene.start(0);
-    scene.add("m1", 0, "once");
-    until("the notice", || !scene.platform.notices().is_empty());
-    let _taker = scene.start(1);
-    owner.term();
-    assert!(owner.ended_within(ms(3_600)));
-    let before = scene.platform.notices().len();
-    scene.owns(1);
-    until("the notice again", || scene.platform.notices().len() > before);
-    assert!(scene.platform.notices().iter().all(|n| n == r#"{"id":"m1","state":"failed"}"#));
-    assert_eq!(scene.endpoint.ids(), ["m1"]);
+fn a_pending_notification_at_a_handover_is_sent_by_the_successor() {
+    let fixture = upgrade_with(usize::MAX, 500);
+    fixture.gate.open();
+    let mut active = fixture.start(0);
+    fixture.submit("m1", 0, "once");
+    until("the notification", || !fixture.platform.notifications().is_empty());
+    let _successor = fixture.start(1);
+    active.term();
+    assert!(active.ended_within(ms(3_600)));
+    let before = fixture.platform.notifications().len();
+    fixture.owns(1);
+    until("the notification again", || fixture.platform.notifications().len() > before);
+    assert!(fixture.platform.notifications().iter().all(|n| n == r#"{"id":"m1","state":"failed"}"#));
+    assert_eq!(fixture.endpoint.ids(), ["m1"]);
 }
 
-// Guards against a taker that ends over a snapshot that it can't read once the owner has ended: nobody would serve.
+// Guards against a successor that ends over a snapshot that it can't read once the active process has ended: nobody
+// would serve.
 #[test]
-fn a_snapshot_that_cannot_be_read_ends_no_taker() {
-    let scene = beside();
-    scene.gate.open();
-    let mut owner = scene.start(0);
-    let _taker = scene.start(1);
-    std::fs::write(scene.dir.path().join("state/handover.json"), b"\xff{\"format\": 99}")
+fn an_unreadable_snapshot_does_not_end_the_successor() {
+    let fixture = upgrade();
+    fixture.gate.open();
+    let mut active = fixture.start(0);
+    let _successor = fixture.start(1);
+    std::fs::write(fixture.dir.path().join("state/handover.json"), b"\xff{\"format\": 99}")
         .expect("a snapshot");
-    owner.term();
-    assert!(owner.ended_within(ms(3_600)));
+    active.term();
+    assert!(active.ended_within(ms(3_600)));
     let said = "waits and breakers of the process before are not known";
-    until("the taker to own", || scene.log().contains(said));
-    scene.add("m1", 0, "any");
-    until("the call", || scene.endpoint.ids() == ["m1"]);
+    until("the successor to own", || fixture.log().contains(said));
+    fixture.submit("m1", 0, "any");
+    until("the call", || fixture.endpoint.ids() == ["m1"]);
 }
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -34,16 +34,16 @@
 
 fn ops(members: Vec<serde_json::Value>) -> Ops {
     let platform = Platform::start(0);
-    let mut config = config(free(), platform.server.address, &members);
-    let mgmt = free();
+    let mut config = config(free_address(), platform.server.address, &members);
+    let mgmt = free_address();
     config["mgmt"] = json!(mgmt.to_string());
     platform.set(members);
     Ops { dir: tempfile::tempdir().expect("a folder"), config, mgmt, _platform: platform }
 }
 
 #[test]
-fn calls_are_answered_at_once_and_bad_ones_with_a_4xx() {
-    let ops = ops(vec![member("e1", free(), 7, "single")]);
+fn admin_requests_are_answered_at_once_and_bad_ones_with_a_4xx() {
+    let ops = ops(vec![member("e1", free_address(), 7, "single")]);
     let _relay = Relay::start(&ops.config, ops.dir.path());
     assert_eq!(call(ops.mgmt, "GET", "/status"), 200);
     assert_eq!(call(ops.mgmt, "GET", "/nothing"), 404);
@@ -62,7 +62,7 @@
 }
 
 #[test]
-fn an_endpoint_out_by_hand_gets_nothing_until_it_is_back_over_a_restart() {
+fn an_endpoint_in_maintenance_gets_no_calls_even_over_a_restart() {
     let (one, two) = (Server::start(|_| answer(200, "", "")), Server::start(|_| answer(200, "", "")));
     let ops = ops(vec![member("e1", one.address, 7, "single"), member("e2", two.address, 7, "single")]);
     let mut relay = Relay::start(&ops.config, ops.dir.path());
@@ -72,7 +72,7 @@
     std::thread::sleep(ms(1_200));
     let before = one.requests().len();
     for n in 0..12 {
-        assert_eq!(relay.add(&format!("a{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+        assert_eq!(relay.submit(&format!("a{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
     }
     until("the calls", || two.requests().len() >= 12);
     assert_eq!(one.requests().len(), before);
@@ -81,20 +81,20 @@
     assert_eq!(relay.code(), Some(0));
     let relay = Relay::start(&ops.config, ops.dir.path());
     for n in 0..12 {
-        assert_eq!(relay.add(&format!("b{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+        assert_eq!(relay.submit(&format!("b{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
     }
     until("the calls", || two.requests().len() >= 24);
     assert_eq!(one.requests().len(), before);
     assert_eq!(call(ops.mgmt, "POST", "/maintenance/exit?target=e1"), 200);
     for n in 0..40 {
-        relay.add(&format!("c{n}"), 0, "c=any,d=8000,dest=7", b"");
+        relay.submit(&format!("c{n}"), 0, "c=any,d=8000,dest=7", b"");
     }
     until("a call to the endpoint that is back", || one.requests().len() > before);
 }
 
 #[test]
-fn standby_sends_clients_away_and_active_takes_them_back() {
-    let ops = ops(vec![member("e1", free(), 7, "single")]);
+fn standby_disconnects_clients_and_active_accepts_them_again() {
+    let ops = ops(vec![member("e1", free_address(), 7, "single")]);
     let relay = Relay::start(&ops.config, ops.dir.path());
     let mut idle = relay.client();
     assert_eq!(call(ops.mgmt, "POST", "/standby"), 200);
@@ -109,7 +109,7 @@
 }
 
 #[test]
-fn a_malformed_second_address_is_one_line_and_exit_2() {
+fn a_malformed_admin_address_is_one_line_and_exit_code_2() {
     let mut ops = ops(vec![]);
     ops.config["mgmt"] = json!("nowhere");
     let file = ops.dir.path().join("config.json");
@@ -121,7 +121,7 @@
 }
 
 #[test]
-fn a_second_address_that_is_no_text_is_not_taken_for_none() {
+fn an_admin_address_that_is_not_a_string_is_rejected() {
     let mut ops = ops(vec![]);
     ops.config["mgmt"] = json!(6379);
     let file = ops.dir.path().join("config.json");
@@ -144,7 +144,7 @@
 }
 
 #[test]
-fn an_endpoint_out_for_longer_than_the_grace_serves_again_once_it_is_back() {
+fn an_endpoint_in_maintenance_beyond_the_drain_grace_serves_again_afterwards() {
     let one = Server::start(|_| answer(200, "", ""));
     let ops = ops(vec![member("e1", one.address, 7, "single")]);
     let relay = Relay::start(&ops.config, ops.dir.path());
@@ -155,13 +155,13 @@
     });
     assert_eq!(call(ops.mgmt, "POST", "/maintenance/exit?target=e1"), 200);
     for n in 0..5 {
-        assert_eq!(relay.add(&format!("a{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+        assert_eq!(relay.submit(&format!("a{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
     }
     until("calls to the endpoint that is back", || one.requests().len() >= 5);
 }
 
 #[test]
-fn an_endpoint_out_over_a_restart_and_forgotten_serves_again_once_it_is_back() {
+fn an_endpoint_forgotten_in_maintenance_over_a_restart_serves_again_afterwards() {
     let one = Server::start(|_| answer(200, "", ""));
     let ops = ops(vec![member("e1", one.address, 7, "single")]);
     let mut relay = Relay::start(&ops.config, ops.dir.path());
@@ -172,7 +172,7 @@
     let forgotten = || std::fs::read_to_string(ops.dir.path().join("log")).unwrap_or_default();
     until("it is forgotten", || forgotten().contains("forgotten while out by hand"));
     for n in 0..5 {
-        assert_eq!(relay.add(&format!("a{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+        assert_eq!(relay.submit(&format!("a{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
     }
     std::thread::sleep(ms(300));
     assert_eq!(one.requests().len(), 0);
--- a/crates/relay/tests/relay/clients.rs
+++ b/crates/relay/tests/relay/clients.rs
@@ -19,25 +19,25 @@
 #[test_case(b"*111111111111111111111111111111111111111111111111111", "-ERR Protocol error"; "endless count")]
 #[test_case(b"*1\r\n$4\r\nNOPE\r\n", "-ERR unknown command"; "unknown command")]
 #[test_case(b"*2\r\n$7\r\nOUT.ADD\r\n$1\r\n0\r\n", "-ERR wrong number"; "missing words")]
-#[test_case(&out_add("m", 0, "d=8000,dest=7", b""), "-ERR c is missing"; "no class")]
-#[test_case(&out_add("m", 0, "c=none,d=8000,dest=7", b""), "-ERR c names no class"; "unknown class")]
-#[test_case(&out_add("m", 0, "c=any,d=soon,dest=7", b""), "-ERR d is missing"; "no time")]
-#[test_case(&out_add("m", 0, "c=any,d=1,dest=99999999999", b""), "-ERR dest is missing"; "no destination")]
-#[test_case(&out_add("m", 0, "c=any,d=8000,dest=7", b""), "-ERR dest is not on the list"; "no such destination")]
-#[test_case(&out_add("", 0, "c=any,d=8000,dest=7", b""), "-ERR the id"; "no id")]
-#[test_case(&out_add("a\r\nHost: b", 0, "c=any,d=8000,dest=7", b""), "-ERR the id"; "a header in the id")]
-fn bad_requests_get_plain_errors(bytes: &[u8], expected: &str) {
-    let scene = scene(0, vec![]);
-    let relay = scene.relay();
+#[test_case(&submit_request("m", 0, "d=8000,dest=7", b""), "-ERR c is missing"; "no class")]
+#[test_case(&submit_request("m", 0, "c=none,d=8000,dest=7", b""), "-ERR c names no class"; "unknown class")]
+#[test_case(&submit_request("m", 0, "c=any,d=soon,dest=7", b""), "-ERR d is missing"; "no time")]
+#[test_case(&submit_request("m", 0, "c=any,d=1,dest=99999999999", b""), "-ERR dest is missing"; "no destination")]
+#[test_case(&submit_request("m", 0, "c=any,d=8000,dest=7", b""), "-ERR dest is not on the list"; "no such destination")]
+#[test_case(&submit_request("", 0, "c=any,d=8000,dest=7", b""), "-ERR the id"; "no id")]
+#[test_case(&submit_request("a\r\nHost: b", 0, "c=any,d=8000,dest=7", b""), "-ERR the id"; "a header in the id")]
+fn bad_requests_get_one_line_errors(bytes: &[u8], expected: &str) {
+    let fixture = fixture(0, vec![]);
+    let relay = fixture.relay();
     let said = relay.client().ask(bytes);
     assert!(said.starts_with(expected), "{said}");
     assert_eq!(relay.client().ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
 }
 
 #[test]
-fn what_is_silent_or_never_ends_is_cut_off() {
-    let scene = scene(0, vec![]);
-    let relay = scene.relay();
+fn silent_and_unfinished_clients_are_disconnected() {
+    let fixture = fixture(0, vec![]);
+    let relay = fixture.relay();
     let start = Instant::now();
     let (mut silent, mut slow, mut kept) = (relay.client(), relay.client(), relay.client());
     slow.say(b"*5\r\n$7\r\nOUT.");
@@ -45,17 +45,17 @@
     assert_eq!((silent.hear().as_str(), slow.hear().starts_with("-ERR")), ("", true));
     assert!(start.elapsed() < ms(3_000), "{:?}", start.elapsed());
     until("the log lines", || {
-        ["silent", "slow"].iter().all(|c| scene.log().contains(&format!("ended: {c} after")))
+        ["silent", "slow"].iter().all(|c| fixture.log().contains(&format!("ended: {c} after")))
     });
     assert_eq!(kept.ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
 }
 
 // Guards against a reset that takes the error away, and against garbage that waits behind a request.
 #[test]
-fn an_error_arrives_whatever_is_still_being_sent() {
+fn an_error_reply_arrives_while_the_client_still_sends() {
     let endpoint = Server::start(|_| ok());
-    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    let relay = scene.relay();
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = fixture.relay();
     let (mut huge, mut mixed) = (relay.client(), relay.client());
     let start = Instant::now();
     huge.say(b"*2\r\n$60000000\r\n");
@@ -63,7 +63,7 @@
     assert!(huge.hear().starts_with("-ERR Protocol error: invalid bulk length"));
     assert!(start.elapsed() < ms(6_000), "{:?}", start.elapsed());
     mixed.say(
-        &[&out_add("m1", 0, "c=any,d=8000,dest=7", b"x")[..], b"\x00\xffnoise\r\n", &[b'y'; 500_000]]
+        &[&submit_request("m1", 0, "c=any,d=8000,dest=7", b"x")[..], b"\x00\xffnoise\r\n", &[b'y'; 500_000]]
             .concat(),
     );
     assert_eq!(mixed.hear(), "+OK");
@@ -72,11 +72,11 @@
 }
 
 #[test]
-fn the_greedy_do_not_keep_out_the_others() {
+fn greedy_clients_do_not_starve_others() {
     let endpoint = Server::start(|_| ok());
-    let mut scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    (scene.config["limits"]["sockets"], scene.config["limits"]["memory_mb"]) = (json!(40), json!(2));
-    let relay = scene.relay();
+    let mut fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    (fixture.config["limits"]["sockets"], fixture.config["limits"]["memory_mb"]) = (json!(40), json!(2));
+    let relay = fixture.relay();
     let silent: Vec<Client> = (0..60).map(|_| relay.client()).collect();
     let half = |_| {
         let mut client = relay.client();
@@ -85,16 +85,16 @@
     };
     let held: Vec<Client> = (0..20).map(half).collect();
     let mut many = relay.client();
-    let bad = out_add("m", 0, "c=none,d=8000,dest=7", b"");
+    let bad = submit_request("m", 0, "c=none,d=8000,dest=7", b"");
     many.say(&bad.repeat(400));
     let start = Instant::now();
     let mut said: Vec<String> =
-        (0..30).map(|n| relay.add(&format!("m{n}"), 0, "c=any,d=8000,dest=7", b"")).collect();
+        (0..30).map(|n| relay.submit(&format!("m{n}"), 0, "c=any,d=8000,dest=7", b"")).collect();
     said.dedup();
     assert_eq!(said, ["+OK"]);
     assert!((0..400).all(|_| many.hear() == "-ERR c names no class"));
     assert!(start.elapsed() < ms(2_000), "{:?}", start.elapsed());
-    // The same again at once, turned away each time, is read more and more seldom.
+    // The same again at once, rejected each time, is read more and more seldom.
     let (start, mut again) = (Instant::now(), 0);
     while start.elapsed() < ms(1_000) {
         again += usize::from(many.ask(&bad).starts_with("-ERR"));
@@ -104,19 +104,19 @@
 }
 
 #[test]
-fn a_client_that_is_gone_hands_nothing_in() {
+fn a_request_of_a_disconnected_client_is_not_accepted() {
     let endpoint = Server::start(|_| ok());
-    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    let relay = scene.relay();
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = fixture.relay();
     let mut client = relay.client();
     assert_eq!(client.ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
     relay.signal("STOP");
     // Guards this test against a busy machine: the signal is sent at once, the process stops a little later.
-    until("the relay to stand still", || relay.stands_still());
-    client.say(&out_add("gone", 0, "c=any,d=8000,dest=7", b"1"));
+    until("the relay to stand still", || relay.is_suspended());
+    client.say(&submit_request("gone", 0, "c=any,d=8000,dest=7", b"1"));
     drop(client);
     relay.signal("CONT");
-    assert_eq!(relay.add("here", 0, "c=any,d=8000,dest=7", b"2"), "+OK");
+    assert_eq!(relay.submit("here", 0, "c=any,d=8000,dest=7", b"2"), "+OK");
     until("the other one", || endpoint.ids() == ["here"]);
     sleep(ms(300));
     assert_eq!(endpoint.ids(), ["here"]);
@@ -124,25 +124,25 @@
 
 // Guards against a second copy under an id that has had its end.
 #[test]
-fn an_id_is_used_once() {
+fn a_message_id_is_accepted_once() {
     let endpoint = Server::start(|_| ok());
-    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    let relay = scene.relay();
-    assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b"x"), "+OK");
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=any,d=8000,dest=7", b"x"), "+OK");
     until("the call", || endpoint.ids() == ["m1"]);
     sleep(ms(100));
-    assert_eq!(relay.add("m1", 0, "c=any,d=8000,dest=7", b"y"), "-ERR the id was used before");
+    assert_eq!(relay.submit("m1", 0, "c=any,d=8000,dest=7", b"y"), "-ERR the id was used before");
     assert_eq!(endpoint.ids(), ["m1"]);
 }
 
 #[test]
-fn every_answer_comes_in_order_on_its_connection() {
+fn replies_come_in_order_on_each_connection() {
     let endpoint = Server::start(|_| ok());
-    let scene = scene(0, vec![member("e1", endpoint.address, 7, "single")]);
-    let relay = scene.relay();
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = fixture.relay();
     let mut client = relay.client();
     let ping = b"*1\r\n$4\r\nping\r\n".to_vec();
-    let add = |id: &str| out_add(id, 0, "c=any,d=8000,dest=7", b"x");
+    let add = |id: &str| submit_request(id, 0, "c=any,d=8000,dest=7", b"x");
     client.say(&[add("m1"), ping.clone(), add("m1"), add("m2"), b"*1\r\n$4\r\nQUIT\r\n".to_vec()].concat());
     assert_eq!([(); 5].map(|()| client.hear()), ["+OK", "+PONG", "+OK", "+OK", "+OK"]);
     assert_eq!(client.0.read(&mut [0]).expect("an end"), 0);
@@ -150,5 +150,5 @@
     sleep(ms(100));
     let mut ids = endpoint.ids();
     ids.sort();
-    assert_eq!(ids, ["m1", "m2"], "handed in twice, sent once");
+    assert_eq!(ids, ["m1", "m2"], "submitted twice, sent once");
 }
--- a/crates/relay/tests/support/client.rs
+++ b/crates/relay/tests/support/client.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 
-pub fn out_add(id: &str, key: u64, list: &str, body: &[u8]) -> Vec<u8> {
+pub fn submit_request(id: &str, key: u64, list: &str, body: &[u8]) -> Vec<u8> {
     let key = format!("{key:016x}");
     let words = [b"OUT.ADD", key.as_bytes(), id.as_bytes(), list.as_bytes(), body];
     let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
--- a/crates/relay/tests/support/discovery.rs
+++ b/crates/relay/tests/support/discovery.rs
@@ -1,6 +1,6 @@
 //! Discovery, with a list that can change and the notifications that it got.
 
-use super::process::free;
+use super::process::free_address;
 use super::server::{Server, answer};
 use serde_json::{Value, json};
 use std::net::SocketAddr;
@@ -8,14 +8,14 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Discovery: a list that can change, and notices with the status each call gets.
+/// Discovery: a list that can change, and notifications with the status each call gets.
 pub struct Platform {
     pub server: Server,
     list: Arc<Mutex<(u64, Vec<Value>)>>,
 }
 
 impl Platform {
-    /// The first `refused` calls with notices are answered 500.
+    /// The first `refused` calls with notifications are answered 500.
     pub fn start(refused: usize) -> Platform {
         let list: Arc<Mutex<(u64, Vec<Value>)>> = Arc::new(Mutex::new((1, Vec::new())));
         let (shown, left) = (list.clone(), Mutex::new(refused));
@@ -56,7 +56,7 @@
     }
 
     /// Notices as the platform got them, one text each, those of refused calls too.
-    pub fn notices(&self) -> Vec<String> {
+    pub fn notifications(&self) -> Vec<String> {
         let requests = self.server.requests();
         let bodies =
             requests.iter().filter(|r| r.path == "/status").map(|r| String::from_utf8_lossy(&r.body));
@@ -70,6 +70,6 @@
 }
 
 /// An endpoint of destination 8 that refuses connections.
-pub fn nowhere() -> Value {
-    member("e0", free(), 8, "single")
+pub fn unreachable_endpoint() -> Value {
+    member("e0", free_address(), 8, "single")
 }
--- a/crates/relay/tests/support/gate.rs
+++ b/crates/relay/tests/support/gate.rs
@@ -1,15 +1,16 @@
 //! Gates, which force the order of two events.
 
-use super::server::{Act, Server};
+use super::server::{Server, ServerAction};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::Duration;
 
-/// Holds whoever comes to it until it is opened, and counts them: forces the order of two events.
+/// Holds every thread that comes to it until it is opened, and counts them: so a test forces the order of two events
+/// where a pause would depend on the speed of the machine.
 #[derive(Clone, Default)]
 pub struct Gate(Arc<(Mutex<(bool, usize)>, Condvar)>);
 
 impl Gate {
-    /// Waits at the gate until it is open, a minute at most.
+    /// Called by the held side: counts as arrived and waits until the gate is open, a minute at most.
     pub fn pass(&self) {
         let (state, moved) = &*self.0;
         let mut held = state.lock().expect("a gate");
@@ -18,13 +19,14 @@
         let _ = moved.wait_timeout_while(held, Duration::from_secs(60), |s| !s.0).expect("a gate");
     }
 
+    /// Called by the test: lets everyone pass, from now on without waiting.
     pub fn open(&self) {
         self.0.0.lock().expect("a gate").0 = true;
         self.0.1.notify_all();
     }
 
-    /// Waits until so many have come.
-    pub fn came(&self, n: usize) {
+    /// Called by the test: waits until so many have arrived since the start, ten seconds at most.
+    pub fn wait_for_arrivals(&self, n: usize) {
         let (state, moved) = &*self.0;
         let held = state.lock().expect("a gate");
         let most = Duration::from_secs(10);
@@ -33,8 +35,8 @@
     }
 }
 
-/// An endpoint that holds every call at a gate before it acts.
-pub fn gated(act: impl Fn() -> Act + Send + Sync + 'static) -> (Gate, Server) {
+/// An endpoint that holds every call at a gate before it acts: until the test opens the gate, calls are in flight.
+pub fn gated(act: impl Fn() -> ServerAction + Send + Sync + 'static) -> (Gate, Server) {
     let gate = Gate::default();
     let held = gate.clone();
     let endpoint = Server::start(move |_| {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -15,7 +15,7 @@
 }
 
 /// True while a connection to the address is on its way: asked for, and not taken.
-pub fn connecting(to: SocketAddr) -> bool {
+pub fn is_connecting(to: SocketAddr) -> bool {
     let SocketAddr::V4(to) = to else { return false };
     let to = format!("{:08X}:{:04X}", u32::from_le_bytes(to.ip().octets()), to.port());
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
--- a/crates/relay/tests/support/process.rs
+++ b/crates/relay/tests/support/process.rs
@@ -1,6 +1,6 @@
 //! The relay as a process: its configuration, its folder, its start and its signals.
 
-use super::client::{Client, out_add};
+use super::client::{Client, submit_request};
 use super::discovery::Platform;
 use super::until;
 use serde_json::{Value, json};
@@ -11,22 +11,22 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
-/// What an operator writes: lanes `any` (retriable), `once` (non-retriable), `line` (in order, retriable).
+/// What an operator writes: classes `any` (idempotent), `once` (not idempotent), `line` (in order, idempotent).
 pub fn config(listen: SocketAddr, discovery: SocketAddr, members: &[Value]) -> Value {
-    let lane = |name: &str, effect: &str, in_order: bool| {
+    let class = |name: &str, effect: &str, in_order: bool| {
         json!({"name": name, "aim": 1_500_000, "giveUp": 20_000_000, "importance": 1.0, "lateWorth": 0.1,
             "idempotency": effect, "inOrder": in_order})
     };
-    let lanes = [
-        lane("any", "idempotent", false),
-        lane("once", "at_most_once", false),
-        lane("line", "idempotent", true),
-        lane("pay", "at_most_once", true),
+    let classes = [
+        class("any", "idempotent", false),
+        class("once", "at_most_once", false),
+        class("line", "idempotent", true),
+        class("pay", "at_most_once", true),
     ];
     json!({"name": "n1", "listen": listen.to_string(), "discovery": discovery.to_string(),
         "seed": "8c1f30d27a5be964", "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256, "disk_mb": 3},
         "known": {"revision": 1, "complete": true, "members": members},
-        "settings": {"balancers": 1, "me": 0, "zone": 0, "quantum": 5_000, "classes": lanes, "tenants": [],
+        "settings": {"balancers": 1, "me": 0, "zone": 0, "quantum": 5_000, "classes": classes, "tenants": [],
             "localities": ["north"], "kinds": ["single", "bulk"], "weights": "nominal", "discovery": "automatic",
             "familyInfo": {"callsOut": 20, "decay": "linear", "feeByZone": [0.0], "kindBatch": [1, 20],
                 "ownLimits": [false, false]},
@@ -58,7 +58,7 @@
 
 /// A free address: on a loopback address of its own, so that no server or connection of another test, here or
 /// in a process beside this one, takes the port before it is used.
-pub fn free() -> SocketAddr {
+pub fn free_address() -> SocketAddr {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let (process, n) = (std::process::id(), COUNT.fetch_add(1, Ordering::SeqCst));
     let part = |n: u32| (n % 250) as u8 + 1;
@@ -96,8 +96,8 @@
     }
 
     /// Hands one message in on a connection of its own.
-    pub fn add(&self, id: &str, key: u64, list: &str, body: &[u8]) -> String {
-        self.client().ask(&out_add(id, key, list, body))
+    pub fn submit(&self, id: &str, key: u64, list: &str, body: &[u8]) -> String {
+        self.client().ask(&submit_request(id, key, list, body))
     }
 
     pub fn signal(&self, name: &str) {
@@ -106,7 +106,7 @@
     }
 
     /// True once a STOP has taken effect.
-    pub fn stands_still(&self) -> bool {
+    pub fn is_suspended(&self) -> bool {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
         stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
     }
@@ -118,21 +118,21 @@
 }
 
 /// A platform, and a relay's configuration and folder.
-pub struct Scene {
+pub struct Fixture {
     pub dir: tempfile::TempDir,
     pub platform: Platform,
     pub config: Value,
 }
 
 /// A platform with one list, told to the relay from the start.
-pub fn scene(refused: usize, members: Vec<Value>) -> Scene {
+pub fn fixture(refused: usize, members: Vec<Value>) -> Fixture {
     let platform = Platform::start(refused);
-    let config = config(free(), platform.server.address, &members);
+    let config = config(free_address(), platform.server.address, &members);
     platform.set(members);
-    Scene { dir: tempfile::tempdir().expect("a folder"), platform, config }
+    Fixture { dir: tempfile::tempdir().expect("a folder"), platform, config }
 }
 
-impl Scene {
+impl Fixture {
     pub fn relay(&self) -> Relay {
         Relay::start(&self.config, self.dir.path())
     }
--- a/crates/relay/tests/support/server.rs
+++ b/crates/relay/tests/support/server.rs
@@ -36,7 +36,7 @@
 }
 
 /// What a server does with a request.
-pub enum Act {
+pub enum ServerAction {
     /// Answers with these bytes, after a while.
     Say(String, Duration),
     /// Answers, then closes without having said so.
@@ -45,12 +45,12 @@
     Close,
 }
 
-pub fn answer(status: u16, headers: &str, body: &str) -> Act {
+pub fn answer(status: u16, headers: &str, body: &str) -> ServerAction {
     let text = format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
-    Act::Say(text, Duration::ZERO)
+    ServerAction::Say(text, Duration::ZERO)
 }
 
-pub fn ok() -> Act {
+pub fn ok() -> ServerAction {
     answer(200, "", "")
 }
 
@@ -62,11 +62,14 @@
 }
 
 impl Server {
-    pub fn start(act: impl Fn(&Request) -> Act + Send + Sync + 'static) -> Server {
+    pub fn start(act: impl Fn(&Request) -> ServerAction + Send + Sync + 'static) -> Server {
         Server::on(TcpListener::bind("127.0.0.1:0").expect("a port"), act)
     }
 
-    pub fn on(listener: TcpListener, act: impl Fn(&Request) -> Act + Send + Sync + 'static) -> Server {
+    pub fn on(
+        listener: TcpListener,
+        act: impl Fn(&Request) -> ServerAction + Send + Sync + 'static,
+    ) -> Server {
         let server = Server { address: listener.local_addr().expect("an address"), got: Arc::default() };
         let (got, act) = (server.got.clone(), Arc::new(act));
         thread::spawn(move || {
@@ -88,7 +91,12 @@
     }
 }
 
-fn serve(mut stream: TcpStream, connection: usize, got: &Mutex<Vec<Request>>, act: &dyn Fn(&Request) -> Act) {
+fn serve(
+    mut stream: TcpStream,
+    connection: usize,
+    got: &Mutex<Vec<Request>>,
+    act: &dyn Fn(&Request) -> ServerAction,
+) {
     let mut reader = BufReader::new(stream.try_clone().expect("a stream"));
     loop {
         let mut line = String::new();
@@ -113,21 +121,21 @@
         let request = Request { path, headers, body, connection, at: Instant::now() };
         got.lock().expect("requests").push(request.clone());
         match act(&request) {
-            Act::Say(text, after) => {
+            ServerAction::Say(text, after) => {
                 thread::sleep(after);
                 if stream.write_all(text.as_bytes()).is_err() {
                     return;
                 }
             }
-            Act::SayAndClose(text) => return drop(stream.write_all(text.as_bytes())),
-            Act::Hang => thread::sleep(Duration::from_secs(60)),
-            Act::Close => return,
+            ServerAction::SayAndClose(text) => return drop(stream.write_all(text.as_bytes())),
+            ServerAction::Hang => thread::sleep(Duration::from_secs(60)),
+            ServerAction::Close => return,
         }
     }
 }
 
 /// A listener that takes no more connections for now; dropping what comes with it makes room.
-pub fn full() -> (TcpListener, Vec<socket2::Socket>) {
+pub fn full_listener() -> (TcpListener, Vec<socket2::Socket>) {
     let socket =
         || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     let listener = socket();
