--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -1,6 +1,6 @@
 //! Follows discovery's endpoint list: one poll after the other, each waiting for what is newer than the list held.
 
-use crate::upstream::{Connection, ask, request};
+use crate::upstream::{HttpConnection, encode_request, exchange};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -118,7 +118,7 @@
 /// Polls discovery.
 pub(crate) struct DiscoveryClient {
     options: DiscoveryOptions,
-    connection: Option<Connection>,
+    connection: Option<HttpConnection>,
     consecutive_failures: u32,
     retry_after: Option<Duration>,
     /// Discovery has answered the last poll at this address.
@@ -203,9 +203,9 @@
             }
             None => "/catalog/members".to_string(),
         };
-        let bytes = request("GET", &path, &address.to_string(), &[], &[]);
+        let bytes = encode_request("GET", &path, &address.to_string(), &[], &[]);
         let max_bytes = self.options.max_list_bytes;
-        let answer = ask(&mut self.connection, address, "discovery", &bytes, max_bytes, timeout)
+        let answer = exchange(&mut self.connection, address, "discovery", &bytes, max_bytes, timeout)
             .await
             .map_err(|e| PollError::NoAnswer(e.to_string()))?;
         if answer.status != STATUS_OK {
--- a/crates/relay/src/dispatch/actions.rs
+++ b/crates/relay/src/dispatch/actions.rs
@@ -2,8 +2,8 @@
 
 use super::event::Event;
 use super::state::{DispatcherState, PendingAttempt, PendingSends};
-use crate::clients::Answer;
-use crate::upstream::{End, Stage};
+use crate::clients::{SubmissionError, SubmissionReply};
+use crate::upstream::{CallResult, CallStage};
 use log::{debug, info};
 use mountshift::interface::*;
 use mountshift_handover::{RouteRecord, Snapshot};
@@ -22,11 +22,15 @@
     fn reject(&mut self, message: MessageId, retry_after: Duration) -> bool {
         let retry_after_ms = retry_after.as_millis() as u64;
         let outcome = FinalOutcome::Rejected(retry_after_ms);
-        self.end_undelivered(message, Answer::PushedBack(retry_after_ms), outcome)
+        self.end_undelivered(message, SubmissionReply::Rejected { retry_after_ms }, outcome)
     }
 
     fn fail(&mut self, message: MessageId) -> bool {
-        self.end_undelivered(message, Answer::Failed("failed"), FinalOutcome::Failed)
+        self.end_undelivered(
+            message,
+            SubmissionReply::Failed(SubmissionError::Undeliverable),
+            FinalOutcome::Failed,
+        )
     }
 
     /// One message can't be taken out of a call, as it would still be in flight on an open connection: the call ends
@@ -39,19 +43,19 @@
             return;
         }
         // What was not written to its last byte can't have run.
-        let may_have_run = call.stage.get() == Stage::Written;
+        let may_have_run = call.stage.get() == CallStage::Written;
         let outcome = if may_have_run { Outcome::Cancelled } else { Outcome::NotSent };
-        let ends: Vec<End> = call.messages.iter().map(|message| (*message, outcome, false)).collect();
-        let _ = self.events.try_send(Event::AttemptsEnded { call: *number, results: ends.into() });
+        let results = CallResult::same_for_all(call.messages.iter().copied(), outcome, false);
+        let _ = self.events.try_send(Event::AttemptsEnded { call: *number, results });
         call.task = None;
     }
 
     fn close_idle_connections(&mut self, endpoint: EndpointId) {
-        self.idle_connections.close(endpoint);
+        self.idle_connections.close_endpoint(endpoint);
     }
 
     fn forget_endpoint(&mut self, endpoint: EndpointId) {
-        self.idle_connections.close(endpoint);
+        self.idle_connections.close_endpoint(endpoint);
         let name = self.endpoints.get(endpoint).map(|known| known.name.clone());
         let in_maintenance = name.is_some_and(|name| self.maintenance.borrow().is_out(&name));
         if let Some(forgotten) = self.endpoints.forget(endpoint, in_maintenance) {
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -2,8 +2,8 @@
 
 use super::event::{CallNumber, Event};
 use super::state::{CallInFlight, DispatcherState, PendingAttempt};
-use crate::clients::{Answer, told};
-use crate::upstream::{Call, End, Endpoint, Part, Stage};
+use crate::clients::{SubmissionMetadata, SubmissionReply};
+use crate::upstream::{Call, CallMessage, CallResult, CallStage, Endpoint};
 use async_channel::Receiver;
 use async_executor::Task;
 use log::error;
@@ -70,9 +70,9 @@
     fn answer_clients(&mut self, is_committed: bool) {
         for (message, reply_to) in std::mem::take(&mut self.awaiting_answer) {
             if is_committed {
-                let _ = reply_to.try_send(Answer::Taken(message));
+                let _ = reply_to.try_send(SubmissionReply::Accepted(message));
             } else {
-                let _ = reply_to.try_send(Answer::PushedBack(0));
+                let _ = reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
                 let _ = self.events.try_send(Event::ClientUnreachable(message));
             }
         }
@@ -85,13 +85,12 @@
         let number = CallNumber(self.last_call_number);
         let endpoint = planned.to;
         let messages: BTreeSet<MessageId> = planned.messages().collect();
-        let stage = Rc::new(Cell::new(Stage::Begun));
+        let stage = Rc::new(Cell::new(CallStage::Connecting));
         let task = if is_committed {
             Some(self.spawn_call(number, planned, stage.clone()))
         } else {
-            let not_sent: Vec<End> =
-                planned.messages().map(|message| (message, Outcome::NotSent, false)).collect();
-            let _ = self.events.try_send(Event::AttemptsEnded { call: number, results: not_sent.into() });
+            let results = CallResult::same_for_all(planned.messages(), Outcome::NotSent, false);
+            let _ = self.events.try_send(Event::AttemptsEnded { call: number, results });
             None
         };
         let sent_at = self.now;
@@ -99,7 +98,7 @@
         self.calls_in_flight.insert(number, call);
     }
 
-    fn spawn_call(&self, number: CallNumber, planned: PlannedCall, stage: Rc<Cell<Stage>>) -> Task<()> {
+    fn spawn_call(&self, number: CallNumber, planned: PlannedCall, stage: Rc<Cell<CallStage>>) -> Task<()> {
         let call = self.call(planned, stage);
         let idle_connections = self.idle_connections.clone();
         let events = self.events.clone();
@@ -107,31 +106,32 @@
         self.executor.spawn(async move { call.run(&idle_connections, on_end).await })
     }
 
-    fn call(&self, planned: PlannedCall, stage: Rc<Cell<Stage>>) -> Call {
+    fn call(&self, planned: PlannedCall, stage: Rc<Cell<CallStage>>) -> Call {
         // A call is given up as a whole, so that none of its messages is sent again while it is open, and at the
         // shortest limit: an answer after a message's deadline would count for nothing.
         let limit = planned.attempts.iter().map(|attempt| attempt.limit).min().unwrap_or_default();
-        let parts = planned.messages().filter_map(|message| self.call_part(message)).collect();
+        let messages = planned.messages().filter_map(|message| self.call_message(message)).collect();
         let zone = self.endpoints.zone_name(planned.endpoint.zone).to_string();
         Call {
             to: planned.to,
             endpoint: planned.endpoint,
-            parts,
-            limit,
-            connect: self.settings.connect_timeout,
-            decided: Instant::now(),
-            may_reach: self.reachability_check(planned.to),
-            note: self.attempt_recorder(planned.attempts, zone),
+            messages,
+            time_limit: limit,
+            connect_timeout: self.settings.connect_timeout,
+            decided_at: Instant::now(),
+            may_still_send: self.reachability_check(planned.to),
+            record_attempts: self.attempt_recorder(planned.attempts, zone),
             stage,
         }
     }
 
     /// A message as it goes out in a call.
-    fn call_part(&self, message: MessageId) -> Option<Part> {
+    fn call_message(&self, message: MessageId) -> Option<CallMessage> {
         let spool = self.spool.borrow();
         let accepted = &spool.get(message.0)?.accepted;
-        let idempotency_key = told(&accepted.metadata).ok().and_then(|metadata| metadata.idempotency_key);
-        Some(Part { msg: message, id: accepted.id.clone(), idempotency_key, body: accepted.body.clone() })
+        let idempotency_key =
+            SubmissionMetadata::parse(&accepted.metadata).ok().and_then(|metadata| metadata.idempotency_key);
+        Some(CallMessage { message, id: accepted.id.clone(), idempotency_key, body: accepted.body.clone() })
     }
 
     /// What a call that begins late asks before it is sent: the next step answers.
--- a/crates/relay/src/dispatch/dependencies.rs
+++ b/crates/relay/src/dispatch/dependencies.rs
@@ -25,7 +25,7 @@
     pub(crate) initial_list: Option<EndpointList>,
     /// What the process before left of its routes, where that still binds.
     pub(crate) snapshot: Option<Snapshot>,
-    /// Endpoints that earlier processes knew to be draining or removed.
+    /// EndpointTable that earlier processes knew to be draining or removed.
     pub(crate) drain_record: DrainRecord,
     pub(crate) files: StateFiles,
     pub(crate) max_idle_connections: usize,
--- a/crates/relay/src/dispatch/endpoint_list.rs
+++ b/crates/relay/src/dispatch/endpoint_list.rs
@@ -17,12 +17,12 @@
         }
         for entry in &list.entries {
             self.maintenance.borrow_mut().listed(&entry.id);
-            let (endpoint, listed_status, has_moved) = self.endpoints.learn(entry);
-            if has_moved {
-                self.idle_connections.close(endpoint);
+            let update = self.endpoints.update(entry);
+            if update.address_left {
+                self.idle_connections.close_endpoint(update.endpoint);
             }
-            let status = self.status_under_maintenance(&entry.id, listed_status);
-            inputs.extend(self.listed_endpoint(endpoint, status).map(Input::EndpointListed));
+            let status = self.status_under_maintenance(&entry.id, update.status);
+            inputs.extend(self.listed_endpoint(update.endpoint, status).map(Input::EndpointListed));
         }
     }
 
@@ -58,7 +58,7 @@
         let known = self.endpoints.get(endpoint)?;
         Some(ListedEndpoint {
             endpoint,
-            destination: known.dst,
+            destination: known.destination,
             zone: known.zone,
             kind: known.kind,
             status,
@@ -75,7 +75,7 @@
         };
         self.files.write_maintenance(&self.maintenance.borrow());
         let Some(endpoint) = self.endpoint_in_maintenance(name, is_back) else { return };
-        let Some(listed_status) = self.endpoints.get(endpoint).map(|known| known.listed) else { return };
+        let Some(listed_status) = self.endpoints.get(endpoint).map(|known| known.status) else { return };
         let status = self.status_under_maintenance(name, listed_status);
         inputs.extend(self.listed_endpoint(endpoint, status).map(Input::EndpointListed));
         if is_back {
@@ -87,7 +87,7 @@
     /// new id, when it is put back.
     fn endpoint_in_maintenance(&mut self, name: &str, is_back: bool) -> Option<EndpointId> {
         let known = self.endpoints.id_of(name);
-        if known.is_none() && is_back { self.endpoints.revive(name) } else { known }
+        if known.is_none() && is_back { self.endpoints.restore_from_maintenance(name) } else { known }
     }
 }
 
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -1,8 +1,8 @@
 //! What the tasks tell the dispatcher.
 
-use crate::clients::{Answer, HandedIn};
+use crate::clients::{ClientSubmission, SubmissionReply};
 use crate::discovery::EndpointList;
-use crate::upstream::Ends;
+use crate::upstream::CallResult;
 use async_channel::Sender;
 use mountshift::interface::{EndpointId, MessageId};
 use mountshift_handover::StopPlan;
@@ -16,11 +16,11 @@
 /// What happened, in the order in which it did.
 pub(crate) enum Event {
     /// A client submitted a message, and waits for the answer.
-    MessageReceived { message: HandedIn, reply_to: Sender<Answer> },
+    MessageReceived { message: ClientSubmission, reply_to: Sender<SubmissionReply> },
     /// A client did not hear that its message was accepted.
     ClientUnreachable(MessageId),
     /// Attempts of a call ended.
-    AttemptsEnded { call: CallNumber, results: Ends },
+    AttemptsEnded { call: CallNumber, results: CallResult },
     /// A call begins late: may it still be sent to the endpoint?
     ReachabilityAsked { endpoint: EndpointId, reply_to: Sender<bool> },
     /// Discovery told the endpoint list or an update; or a poll failed, with a `Retry-After` if one was told.
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -2,10 +2,10 @@
 
 use super::event::{CallNumber, Event};
 use super::state::{DispatcherState, ReachabilityQuestion};
-use crate::clients::{Answer, HandedIn};
+use crate::clients::{ClientSubmission, SubmissionError, SubmissionReply};
 use crate::clock::unix_us;
 use crate::discovery::EndpointList;
-use crate::upstream::{self, End, Ends, Stage};
+use crate::upstream::{self, AttemptResult, CallResult, CallStage};
 use async_channel::Sender;
 use log::{info, warn};
 use mountshift::interface::*;
@@ -38,8 +38,13 @@
         inputs.push(Input::Closed(message));
     }
 
-    fn on_message_received(&mut self, received: HandedIn, reply_to: Sender<Answer>, inputs: &mut Vec<Input>) {
-        let deadline = self.clock.since_start(received.at) + received.told.left;
+    fn on_message_received(
+        &mut self,
+        received: ClientSubmission,
+        reply_to: Sender<SubmissionReply>,
+        inputs: &mut Vec<Input>,
+    ) {
+        let deadline = self.clock.since_start(received.received_at) + received.metadata.time_to_deadline;
         let submission = match self.check_message(&received, deadline) {
             Ok(submission) => submission,
             Err(answer) => {
@@ -48,7 +53,7 @@
             }
         };
         let Some(message) = self.accept_message(received, deadline) else {
-            let _ = reply_to.try_send(Answer::PushedBack(0));
+            let _ = reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
             return;
         };
         self.awaiting_answer.insert(message, reply_to);
@@ -56,32 +61,36 @@
     }
 
     /// What the decisions are told of a message, or the answer if they are told nothing.
-    fn check_message(&self, received: &HandedIn, deadline: Duration) -> Result<Submission, Answer> {
-        let Some(submission) = self.submission(&received.told, received.key, deadline) else {
-            return Err(Answer::Failed("c names no class"));
+    fn check_message(
+        &self,
+        received: &ClientSubmission,
+        deadline: Duration,
+    ) -> Result<Submission, SubmissionReply> {
+        let Some(submission) = self.submission(&received.metadata, received.key, deadline) else {
+            return Err(SubmissionReply::Failed(SubmissionError::UnknownClass));
         };
         // Nobody could ever take it: it would be held until its deadline.
-        if !self.endpoints.lists(submission.destination) {
-            return Err(Answer::Failed("dest is not on the list"));
+        if !self.endpoints.has_destination(submission.destination) {
+            return Err(SubmissionReply::Failed(SubmissionError::UnknownDestination));
         }
         // Accepted already: the one that came first stands.
         if let Some(message) = self.messages_by_id.get(&received.id) {
             info!("message {} came again while it is held", message.0);
-            return Err(Answer::Held);
+            return Err(SubmissionReply::AlreadyHeld);
         }
         if self.has_ended_recently(&received.id) {
-            return Err(Answer::Failed("the id was used before"));
+            return Err(SubmissionReply::Failed(SubmissionError::IdAlreadyUsed));
         }
         Ok(submission)
     }
 
     /// Puts a message into the spool; none if there is no room.
-    fn accept_message(&mut self, received: HandedIn, deadline: Duration) -> Option<MessageId> {
+    fn accept_message(&mut self, received: ClientSubmission, deadline: Duration) -> Option<MessageId> {
         let id = received.id.clone();
         let accepted = AcceptedMessage {
             id: received.id,
             key: received.key,
-            metadata: received.list,
+            metadata: received.metadata_text,
             deadline: self.clock.unix_ms(deadline),
             body: received.body,
             accepted_at_us: unix_us(),
@@ -104,35 +113,35 @@
         }
     }
 
-    fn on_attempts_ended(&mut self, call: CallNumber, results: Ends, inputs: &mut Vec<Input>) {
+    fn on_attempts_ended(&mut self, call: CallNumber, results: CallResult, inputs: &mut Vec<Input>) {
         if let Some(endpoint) = self.calls_in_flight.get(&call).map(|call| call.endpoint) {
-            if let Some(span) = results.wait {
+            if let Some(span) = results.retry_after {
                 inputs.push(Input::RetryAfter { endpoint, span });
             }
             if let Some(rate) = self.reported_rate_limit(&results) {
                 inputs.push(Input::RateLimitReported { endpoint, rate });
             }
         }
-        for end in results.ends {
-            self.on_attempt_ended(call, end, inputs);
+        for result in results.attempts {
+            self.on_attempt_ended(call, result, inputs);
         }
     }
 
     /// The rate limit in the report that came with an answer.
-    fn reported_rate_limit(&self, results: &Ends) -> Option<f64> {
+    fn reported_rate_limit(&self, results: &CallResult) -> Option<f64> {
         let field = self.settings.rate_limit_field.as_deref()?;
-        upstream::told(results.report.as_deref()?, field)
+        upstream::load_report_value(results.load_report.as_deref()?, field)
     }
 
-    fn on_attempt_ended(&mut self, number: CallNumber, end: End, inputs: &mut Vec<Input>) {
-        let (message, outcome, closed) = end;
+    fn on_attempt_ended(&mut self, number: CallNumber, result: AttemptResult, inputs: &mut Vec<Input>) {
+        let AttemptResult { message, outcome, closed } = result;
         let Some(call) = self.calls_in_flight.get_mut(&number) else { return };
         if !call.messages.remove(&message) {
             return;
         }
         let endpoint = call.endpoint;
         let waited = self.now.saturating_sub(call.sent_at);
-        let is_recorded = call.stage.get() != Stage::Begun;
+        let is_recorded = call.stage.get() != CallStage::Connecting;
         if call.messages.is_empty() {
             self.calls_in_flight.remove(&number);
         }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -121,7 +121,7 @@
             Timer::after(CATCH_UP_TIME).await;
         }
         if self.idle_checked_at.elapsed() >= IDLE_CHECK_INTERVAL {
-            self.state.idle_connections.close_old();
+            self.state.idle_connections.close_expired();
             self.idle_checked_at = Instant::now();
         }
         let mut events = Vec::from_iter(first);
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -1,7 +1,7 @@
 //! Tells the decisions what earlier processes of the relay left: routes after a handover, messages in the spool.
 
 use super::state::DispatcherState;
-use crate::clients::told;
+use crate::clients::SubmissionMetadata;
 use log::{debug, info};
 use mountshift::interface::*;
 use mountshift_handover::{RouteRecord, Snapshot};
@@ -78,7 +78,7 @@
     }
 
     fn restored_submission(&self, stored: &StoredMessage) -> Option<Submission> {
-        let metadata = told(&stored.accepted.metadata).ok()?;
+        let metadata = SubmissionMetadata::parse(&stored.accepted.metadata).ok()?;
         let deadline = self.clock.since_start_of_unix_ms(stored.accepted.deadline);
         let submission = self.submission(&metadata, stored.accepted.key, deadline)?;
         Some(Submission { restored: true, ..submission })
@@ -87,7 +87,7 @@
     fn earlier_attempt(&mut self, message: MessageId, attempt: &AttemptRecord) -> Input {
         Input::EarlierAttempt {
             message,
-            zone: self.endpoints.zone(&attempt.zone),
+            zone: self.endpoints.zone_id(&attempt.zone),
             at: self.clock.since_start_of_unix_ms(attempt.at),
             may_have_run: attempt.may_have_run,
         }
--- a/crates/relay/src/dispatch/shutdown.rs
+++ b/crates/relay/src/dispatch/shutdown.rs
@@ -2,7 +2,7 @@
 
 use super::Dispatcher;
 use super::state::DispatcherState;
-use crate::upstream::Stage;
+use crate::upstream::CallStage;
 use async_io::Timer;
 use log::info;
 use mountshift_handover::StopPlan;
@@ -99,7 +99,7 @@
     /// Calls whose last byte is not written can't run any more.
     fn abandon_unwritten_calls(&mut self) {
         for call in self.calls_in_flight.values_mut() {
-            if call.stage.get() != Stage::Noted {
+            if call.stage.get() != CallStage::Recorded {
                 continue;
             }
             call.task = None;
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -2,11 +2,11 @@
 
 use super::dependencies::Dependencies;
 use super::event::{CallNumber, Event};
-use crate::clients::{Answer, Told};
+use crate::clients::{SubmissionMetadata, SubmissionReply};
 use crate::clock::Clock;
 use crate::notifications::Notification;
 use crate::state_files::StateFiles;
-use crate::upstream::{Endpoints, Idle, Stage};
+use crate::upstream::{CallStage, ConnectionPool, EndpointTable};
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use log::debug;
@@ -37,7 +37,7 @@
     pub(super) messages: BTreeSet<MessageId>,
     /// Those of them that the decisions cancelled.
     pub(super) cancelled: BTreeSet<MessageId>,
-    pub(super) stage: Rc<Cell<Stage>>,
+    pub(super) stage: Rc<Cell<CallStage>>,
     /// Dropping it closes the call's connection.
     pub(super) task: Option<Task<()>>,
 }
@@ -71,14 +71,14 @@
     /// Messages in one call at most, by kind of destination.
     pub(super) max_batches: Vec<usize>,
     pub(super) spool: Rc<RefCell<Spool>>,
-    pub(super) endpoints: Endpoints,
-    pub(super) idle_connections: Rc<Idle>,
+    pub(super) endpoints: EndpointTable,
+    pub(super) idle_connections: Rc<ConnectionPool>,
     pub(super) executor: Rc<LocalExecutor<'static>>,
     pub(super) events: Sender<Event>,
     pub(super) notifications: Sender<Notification>,
     pub(super) poll_requests: Sender<()>,
     pub(super) maintenance: Rc<RefCell<MaintenanceState>>,
-    /// Endpoints known to be draining or removed, whatever an older list says.
+    /// EndpointTable known to be draining or removed, whatever an older list says.
     pub(super) drain_record: DrainRecord,
     pub(super) files: StateFiles,
     /// The messages in the spool, by the ids that clients gave them.
@@ -92,7 +92,7 @@
     /// The spool had no room for the last message, and the log says so.
     pub(super) spool_full_logged: bool,
     /// Clients that submitted a message for the step under way.
-    pub(super) awaiting_answer: BTreeMap<MessageId, Sender<Answer>>,
+    pub(super) awaiting_answer: BTreeMap<MessageId, Sender<SubmissionReply>>,
     /// What the step under way sends.
     pub(super) pending_sends: Vec<PendingSends>,
     /// What the step under way is asked.
@@ -104,13 +104,13 @@
     pub(super) fn new(dependencies: Dependencies, clock: Clock) -> DispatcherState {
         let kinds = &dependencies.policy_settings.destination_kinds;
         let settings = dependencies.socket_settings;
-        let idle_connections = Idle::new(settings.idle_timeout, dependencies.max_idle_connections);
+        let idle_connections = ConnectionPool::new(settings.idle_timeout, dependencies.max_idle_connections);
         DispatcherState {
             clock,
             now: clock.now(),
             max_batches: kinds.iter().map(|kind| kind.max_batch.max(1)).collect(),
             spool: Rc::new(RefCell::new(dependencies.spool)),
-            endpoints: Endpoints::new(&settings),
+            endpoints: EndpointTable::new(&settings),
             idle_connections: Rc::new(idle_connections),
             settings,
             executor: dependencies.executor,
@@ -132,12 +132,12 @@
         }
     }
 
-    /// Ends a message undelivered: its client hears so if it still waits, else the platform. True if the client took
+    /// CallResult a message undelivered: its client hears so if it still waits, else the platform. True if the client took
     /// it, so that the message is closed.
     pub(super) fn end_undelivered(
         &mut self,
         message: MessageId,
-        answer: Answer,
+        answer: SubmissionReply,
         outcome: FinalOutcome,
     ) -> bool {
         self.log_undelivered(message, outcome);
@@ -196,16 +196,16 @@
     /// What the decisions are told of a message; none if the settings don't know its class.
     pub(super) fn submission(
         &self,
-        metadata: &Told,
+        metadata: &SubmissionMetadata,
         ordering_key: u64,
         deadline: Duration,
     ) -> Option<Submission> {
-        let class = position(&self.settings.classes, &metadata.lane)?;
+        let class = position(&self.settings.classes, &metadata.class)?;
         let tenant = metadata.tenant.as_deref().and_then(|name| position(&self.settings.tenants, name));
         Some(Submission {
             class: ClassId(class as u16),
             tenant: tenant.map_or(UNKNOWN_TENANT, |position| TenantId(position as u32)),
-            destination: DestinationId(metadata.dst),
+            destination: DestinationId(metadata.destination),
             key: if ordering_key == NO_ORDERING_KEY { None } else { Some(OrderingKey(ordering_key)) },
             deadline,
             restored: false,
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -33,7 +33,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-/// Idle connections to endpoints may take one part in so many of the descriptors.
+/// ConnectionPool connections to endpoints may take one part in so many of the descriptors.
 const IDLE_DESCRIPTOR_DIVISOR: usize = 4;
 
 fn main() -> ExitCode {
--- a/crates/relay/src/notifications.rs
+++ b/crates/relay/src/notifications.rs
@@ -1,6 +1,6 @@
 //! Notifications of final outcomes that are no delivery: sent to the platform, again until each is taken.
 
-use crate::upstream::{Connection, ask, request};
+use crate::upstream::{HttpConnection, encode_request, exchange};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -63,7 +63,7 @@
     queue: Receiver<Notification>,
     /// Taken off the queue, and not taken by the platform yet.
     waiting: Vec<Notification>,
-    connection: Option<Connection>,
+    connection: Option<HttpConnection>,
     consecutive_failures: u32,
     /// Notifications in the next call at most. After a 400 they go one by one, so that one that can't be read does
     /// not hold the others back.
@@ -139,9 +139,9 @@
 
     async fn call(&mut self, batch: &[Notification]) -> CallResult {
         let body: String = batch.iter().map(Notification::line).collect();
-        let bytes = request("POST", "/status", &self.address.to_string(), &[], body.as_bytes());
+        let bytes = encode_request("POST", "/status", &self.address.to_string(), &[], body.as_bytes());
         let answer =
-            ask(&mut self.connection, self.address, "notices", &bytes, MAX_ANSWER_BYTES, ANSWER_TIMEOUT)
+            exchange(&mut self.connection, self.address, "notices", &bytes, MAX_ANSWER_BYTES, ANSWER_TIMEOUT)
                 .await;
         answer.map(|answer| answer.status).map_err(|e| e.to_string())
     }
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -4,7 +4,7 @@
 use super::config::StartConfig;
 use super::state_dir::StateDir;
 use crate::admin::{self, AdminService};
-use crate::clients::{self, Front};
+use crate::clients::{self, ClientService, ClientServiceConfig};
 use crate::discovery::{DiscoveryClient, DiscoveryOptions, EndpointList};
 use crate::dispatch::Event;
 use crate::error::StartError;
@@ -134,33 +134,35 @@
         self.executor.spawn(notifier.run(on_taken)).detach();
     }
 
-    fn client_service(&self, config: &StartConfig) -> Rc<Front> {
+    fn client_service(&self, config: &StartConfig) -> Rc<ClientService> {
         let received = self.events.0.clone();
         let unreachable = self.events.0.clone();
-        Rc::new(Front {
-            hand_in: Box::new(move |message, reply_to| {
+        Rc::new(ClientService::new(ClientServiceConfig {
+            submit: Box::new(move |message, reply_to| {
                 drop(received.try_send(Event::MessageReceived { message, reply_to }));
             }),
-            gone: Box::new(move |message| drop(unreachable.try_send(Event::ClientUnreachable(message)))),
-            leaving: self.clients_leave.1.clone(),
+            withdraw: Box::new(move |message| drop(unreachable.try_send(Event::ClientUnreachable(message)))),
+            stopping: self.clients_leave.1.clone(),
             ending: self.clients_end.1.clone(),
-            most: config.max_descriptors / CLIENT_DESCRIPTOR_DIVISOR,
-            bytes_most: config.memory_bytes / REQUEST_MEMORY_DIVISOR,
-            open: self.client_connections.clone(),
-            waiting: RefCell::default(),
+            max_connections: config.max_descriptors / CLIENT_DESCRIPTOR_DIVISOR,
+            max_buffered_bytes: config.memory_bytes / REQUEST_MEMORY_DIVISOR,
+            open_connections: self.client_connections.clone(),
             maintenance: self.maintenance.clone(),
             start: self.started,
-            moved: RefCell::new(async_channel::bounded(1)),
-        })
+        }))
     }
 
-    fn spawn_admin_service(&self, address: SocketAddr, client_service: Rc<Front>) -> Result<(), StartError> {
+    fn spawn_admin_service(
+        &self,
+        address: SocketAddr,
+        client_service: Rc<ClientService>,
+    ) -> Result<(), StartError> {
         let listener = Async::<TcpListener>::bind(address)
             .map_err(|source| StartError::AdminListen { address, source })?;
         let events = self.events.0.clone();
         let on_change = move |change: Change| {
             if matches!(change, Change::Standby | Change::Active) {
-                client_service.standby_moved();
+                client_service.notify_standby_changed();
             }
             let _ = events.try_send(Event::MaintenanceChanged(change));
         };
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -75,7 +75,7 @@
         }
     }
 
-    /// Endpoints that earlier processes knew to be draining or removed. What can't be read is left out: the rest
+    /// EndpointTable that earlier processes knew to be draining or removed. What can't be read is left out: the rest
     /// still counts, and discovery is asked before anything is sent.
     pub(crate) fn read_drain_record(&self) -> DrainRecord {
         let path = self.dir.join(DRAIN_RECORD_FILE);
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -2,7 +2,7 @@
 //! in a spool of its own and sends nothing, until the active process has ended. Who is active and what a successor
 //! accepts is decided in `mountshift_handover`.
 
-use crate::clients::{Answer, HandedIn};
+use crate::clients::{ClientSubmission, SubmissionError, SubmissionReply};
 use crate::clock::unix_us;
 use crate::discovery::EndpointList;
 use crate::dispatch::Event;
@@ -29,7 +29,7 @@
 pub(crate) enum IntakeEnd {
     /// The active process's lock is this process's now; these events wait for the dispatcher, in order.
     BecameActive(Vec<Event>),
-    /// Told to stop before that: what was accepted waits in the successor's spool for the next active process.
+    /// SubmissionMetadata to stop before that: what was accepted waits in the successor's spool for the next active process.
     Stopped,
 }
 
@@ -52,7 +52,7 @@
 /// A message in the spool that is not committed yet, and who waits for the answer.
 struct PendingAnswer {
     number: u64,
-    reply_to: Sender<Answer>,
+    reply_to: Sender<SubmissionReply>,
 }
 
 /// Accepts messages beside the active process.
@@ -106,7 +106,7 @@
         }
     }
 
-    fn on_message_received(&mut self, message: HandedIn, reply_to: Sender<Answer>) {
+    fn on_message_received(&mut self, message: ClientSubmission, reply_to: Sender<SubmissionReply>) {
         let accepted = match self.check(&message) {
             Ok(accepted) => accepted,
             Err(answer) => {
@@ -116,7 +116,7 @@
         };
         let Some(number) = self.options.spool.accept(accepted) else {
             warn!("next spool: full with {} messages", self.options.spool.messages().len());
-            let _ = reply_to.try_send(Answer::PushedBack(0));
+            let _ = reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
             return;
         };
         self.numbers_by_id.insert(message.id, number);
@@ -124,22 +124,22 @@
     }
 
     /// What goes into the spool, or the answer if nothing does.
-    fn check(&self, message: &HandedIn) -> Result<AcceptedMessage, Answer> {
-        if !self.options.classes.contains(&message.told.lane) {
-            return Err(Answer::Failed("c names no class"));
+    fn check(&self, message: &ClientSubmission) -> Result<AcceptedMessage, SubmissionReply> {
+        if !self.options.classes.contains(&message.metadata.class) {
+            return Err(SubmissionReply::Failed(SubmissionError::UnknownClass));
         }
         if self.numbers_by_id.contains_key(&message.id) {
-            return Err(Answer::Held);
+            return Err(SubmissionReply::AlreadyHeld);
         }
-        let time_left = message.told.left.saturating_sub(message.at.elapsed());
+        let time_left = message.metadata.time_to_deadline.saturating_sub(message.received_at.elapsed());
         if !accepts(time_left) {
-            return Err(Answer::PushedBack(0));
+            return Err(SubmissionReply::Rejected { retry_after_ms: 0 });
         }
         let deadline = unix_us() / 1_000 + time_left.as_millis() as u64;
         Ok(AcceptedMessage {
             id: message.id.clone(),
             key: message.key,
-            metadata: message.list.clone(),
+            metadata: message.metadata_text.clone(),
             deadline,
             body: message.body.clone(),
             accepted_at_us: unix_us(),
@@ -186,9 +186,9 @@
         for pending in std::mem::take(&mut self.pending_answers) {
             if committed.is_ok() {
                 let message = MessageId(FIRST_SUCCESSOR_NUMBER + pending.number);
-                let _ = pending.reply_to.try_send(Answer::Taken(message));
+                let _ = pending.reply_to.try_send(SubmissionReply::Accepted(message));
             } else {
-                let _ = pending.reply_to.try_send(Answer::PushedBack(0));
+                let _ = pending.reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
                 self.options.spool.remove(pending.number);
             }
         }
--- a/crates/relay/tests/stored_data.rs
+++ b/crates/relay/tests/stored_data.rs
@@ -2,15 +2,15 @@
 //! at a restart, and by a successor that takes over. See `fixtures/64fb5b4/README.md`.
 
 #[allow(dead_code)]
-mod standins;
+mod support;
 
 use serde_json::{Value, json};
-use standins::*;
 use std::fs::File;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::time::{SystemTime, UNIX_EPOCH};
+use support::{discovery::*, process::*, server::*, *};
 
 /// Unix milliseconds at which the fixtures' active process wrote its last snapshot, just before it was killed.
 const FIXTURES_WRITTEN_MS: u64 = 1_796_189_817_036;
@@ -19,7 +19,7 @@
 /// Times pass through clocks of whole milliseconds on their way from file to file.
 const ROUNDING_MS: u64 = 2;
 
-fn fixture(name: &str) -> PathBuf {
+fn fixture_path(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixtures/64fb5b4").join(name)
 }
 
@@ -93,7 +93,7 @@
 }
 
 fn write_shifted_spool(state: &Path, name: &str) {
-    let log = std::fs::read(fixture(name)).expect("a spool");
+    let log = std::fs::read(fixture_path(name)).expect("a spool");
     std::fs::write(state.join(name), shifted_spool(&log, shift_to_now_ms())).expect("written");
 }
 
@@ -102,7 +102,7 @@
 fn write_shifted_state(state: &Path) -> Value {
     let shift_ms = shift_to_now_ms();
     write_shifted_spool(state, "spool.log");
-    let read = |name: &str| std::fs::read_to_string(fixture(name)).expect("a fixture");
+    let read = |name: &str| std::fs::read_to_string(fixture_path(name)).expect("a fixture");
     std::fs::write(state.join("leaving"), shifted_drain_record(&read("leaving"), shift_ms)).expect("written");
     std::fs::write(state.join("maintenance"), read("maintenance")).expect("written");
     let snapshot = shifted_snapshot(&read("handover.json"), shift_ms);
@@ -122,7 +122,7 @@
 struct Destinations {
     /// Of destinations 7 to 12, by the names that the fixtures give them.
     servers: Vec<(&'static str, Server)>,
-    scene: Scene,
+    fixture: Fixture,
     management: SocketAddr,
 }
 
@@ -144,16 +144,16 @@
         members.push(member(name, server.address, destination, kind));
         servers.push((name, server));
     }
-    let mut scene = scene(0, members);
-    let management = free();
-    scene.config["mgmt"] = json!(management.to_string());
-    scene.config["settings"]["familyInfo"]["ownLimits"] = json!([false, true]);
-    Destinations { servers, scene, management }
+    let mut relay_fixture = fixture(0, members);
+    let management = free_address();
+    relay_fixture.config["mgmt"] = json!(management.to_string());
+    relay_fixture.config["settings"]["familyInfo"]["ownLimits"] = json!([false, true]);
+    Destinations { servers, fixture: relay_fixture, management }
 }
 
 impl Destinations {
     fn state(&self) -> PathBuf {
-        self.scene.dir.path().join("state")
+        self.fixture.dir.path().join("state")
     }
 
     fn server(&self, name: &str) -> &Server {
@@ -190,7 +190,7 @@
                 && self.ids("e12") == ["held-by-successor"]
         });
         until("the notifications", || {
-            let mut notices = self.scene.platform.notices();
+            let mut notices = self.fixture.platform.notifications();
             notices.sort();
             notices == [failed("may-have-run-once"), failed("pending-outcome")]
         });
@@ -203,7 +203,7 @@
         let before = self.ids(serving).len();
         for n in 0..12 {
             let id = format!("new-{destination}-{n}");
-            assert_eq!(relay.add(&id, 0, &format!("c=any,d=8000,dest={destination}"), b""), "+OK");
+            assert_eq!(relay.submit(&id, 0, &format!("c=any,d=8000,dest={destination}"), b""), "+OK");
         }
         until("the calls", || self.ids(serving).len() == before + 12);
         assert!(self.ids(not_serving).is_empty(), "{:?}", self.ids(not_serving));
@@ -217,19 +217,19 @@
     std::fs::create_dir_all(state.join("next")).expect("a folder");
     write_shifted_state(&state);
     write_shifted_spool(&state, "next/spool.log");
-    let relay = destinations.scene.relay();
+    let relay = destinations.fixture.relay();
     destinations.stored_messages_end();
     destinations.only_this_one_serves(&relay, 11, "e11", "e11-draining");
     destinations.only_this_one_serves(&relay, 12, "e12", "e12-maintenance");
     // A restart starts with the waits over, and the successor's spool is part of the active one's now.
     assert!(!state.join("next/spool.log").exists());
-    let log = destinations.scene.log();
+    let log = destinations.fixture.log();
     assert!(log.contains("starts with 7 messages in its spool"), "{log}");
     assert!(!log.contains("can't be read") && !log.contains("ERROR"), "{log}");
     // The maintenance file's endpoint may be put back.
     assert!(destinations.call("/maintenance/exit?target=e12-maintenance"));
     for n in 0..40 {
-        assert_eq!(relay.add(&format!("back-{n}"), 0, "c=any,d=8000,dest=12", b""), "+OK");
+        assert_eq!(relay.submit(&format!("back-{n}"), 0, "c=any,d=8000,dest=12", b""), "+OK");
     }
     until("a call to the endpoint that is back", || !destinations.ids("e12-maintenance").is_empty());
 }
@@ -239,14 +239,14 @@
     let destinations = destinations();
     let state = destinations.state();
     let active_lock = hold_active_lock(&state);
-    let relay = destinations.scene.relay();
-    until("a successor", || destinations.scene.log().contains("another process owns the state folder"));
-    assert_eq!(relay.add("from-successor", 0, "c=any,d=15000,dest=10", b""), "+OK");
+    let relay = destinations.fixture.relay();
+    until("a successor", || destinations.fixture.log().contains("another process owns the state folder"));
+    assert_eq!(relay.submit("from-successor", 0, "c=any,d=15000,dest=10", b""), "+OK");
     assert!(destinations.ids("e10").is_empty(), "a successor sends nothing");
     let snapshot = write_shifted_state(&state);
     drop(active_lock);
     until("the routes", || {
-        destinations.scene.log().contains("carries 2 routes over from the process before")
+        destinations.fixture.log().contains("carries 2 routes over from the process before")
     });
     until("the first calls", || !destinations.ids("e7").is_empty() && !destinations.ids("e8").is_empty());
     let retry_after_until = snapshot["routes"][0]["told_until_ms"].as_u64().expect("a time");
@@ -272,10 +272,10 @@
     let destinations = destinations();
     let state = destinations.state();
     let active_lock = hold_active_lock(&state);
-    let _relay = destinations.scene.relay();
-    until("a successor", || destinations.scene.log().contains("another process owns the state folder"));
+    let _relay = destinations.fixture.relay();
+    until("a successor", || destinations.fixture.log().contains("another process owns the state folder"));
     // Far enough ahead that none of its times passes meanwhile.
-    let text = std::fs::read_to_string(fixture("handover.json")).expect("a fixture");
+    let text = std::fs::read_to_string(fixture_path("handover.json")).expect("a fixture");
     let snapshot = shifted_snapshot(&text, shift_to_now_ms() + 8_000);
     std::fs::write(state.join("handover.json"), snapshot.to_string()).expect("written");
     drop(active_lock);
