--- a/crates/discovery/src/drain_record.rs
+++ b/crates/discovery/src/drain_record.rs
@@ -1,29 +1,36 @@
-//! What a relay was told of endpoints that leave. Discovery's lists come whole and in part, late, again, from
-//! another address with its own count of revisions, and at a start from a file that may be old; the rule on
-//! drains binds through all of it. So what was told as leaving stays told, beyond the process (the book is
-//! kept in the state folder) and beyond the endpoint's place in the relay's tables, until discovery newly
-//! lists it as ready.
+//! Which endpoints were listed as draining or removed. Discovery's lists come whole and in part, late, again, from
+//! another address with its own count of revisions, and at a start from a file that may be old; the rule on drains
+//! binds through all of it. So an endpoint listed as draining stays draining, beyond the process (the record is
+//! kept in the state folder) and beyond its place in the relay's tables, until discovery newly lists it as ready.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
-/// The book's name in the state folder, and the share of the folder's bytes that it may hold. It is written
-/// beside the old one first, so twice that is needed for a moment.
+/// The record's name in the state folder.
 pub const DRAIN_RECORD_FILE: &str = "leaving";
+/// The share of the folder's bytes that the record may take. It is written beside the old one first, so twice
+/// that is needed for a moment.
 pub const DRAIN_RECORD_DISK_SHARE: f64 = 0.05;
-const HEAD: &str = "mountshift leaving 1";
+/// The first line of the record's text: what it is, and its format.
+const FIRST_LINE: &str = "mountshift leaving 1";
 
 /// What a list says of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
+    /// It takes messages.
     Ready,
+    /// It ends soon: no new message may be sent to it.
     Draining,
+    /// It was removed.
     Gone,
 }
 
-/// An entry of a list, as far as the book reads it.
+/// An entry of a list, as far as the record reads it.
 #[derive(Clone, Copy, Debug)]
 pub struct ListEntry<'a> {
+    /// The endpoint's id as listed.
     pub id: &'a str,
+    /// What the list says of it.
     pub phase: Phase,
     /// When the endpoint last started, Unix milliseconds; 0 for long ago.
     pub up_since_ms: u64,
@@ -34,97 +41,141 @@
 pub struct ListHeader<'a> {
     /// Whose revisions these are: discovery's address.
     pub source: &'a str,
+    /// The list's revision; those of one source grow.
     pub revision: u64,
-    /// What a whole list does not name is gone.
+    /// True if an endpoint that the list does not name was removed; false for a list of changes.
     pub whole: bool,
     /// Now, Unix milliseconds.
     pub now_ms: u64,
 }
 
+/// What came of a list.
 #[derive(Clone, Debug, PartialEq, Eq)]
-struct Told {
+pub struct AppliedList {
+    /// What each entry's phase is to be taken for, in the order of the entries.
+    pub phases: Vec<Phase>,
+    /// How many entries said ready of an endpoint that stays draining.
+    pub kept_draining: usize,
+}
+
+/// A record as it was read from its text.
+#[derive(Debug)]
+pub struct ReadDrainRecord {
+    /// What could be read.
+    pub record: DrainRecord,
+    /// How many lines could not; each is left out by itself.
+    pub unreadable_lines: usize,
+}
+
+/// When and where an endpoint was listed as draining or removed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Drain {
+    /// When it was first listed so, Unix milliseconds.
     at_ms: u64,
+    /// The newest revision of the source that lists it so.
     revision: u64,
     source: String,
 }
 
-impl Told {
-    /// True if an entry that says ready is news, and not an older state told again. Revisions of one source
-    /// grow; those of two can't be compared, so another source is believed only where it tells a change. An
+impl Drain {
+    /// True if an entry that says ready is news, and not an older state listed again. Revisions of one source
+    /// grow; those of two can't be compared, so another source is believed only where it lists a change. An
     /// endpoint that started since was started to serve.
     fn is_over(&self, list: &ListHeader, entry: &ListEntry) -> bool {
-        let newer = if list.source == self.source { list.revision > self.revision } else { !list.whole };
-        newer || entry.up_since_ms > self.at_ms
+        let is_newer = if list.source == self.source { list.revision > self.revision } else { !list.whole };
+        is_newer || entry.up_since_ms > self.at_ms
+    }
+
+    /// The record's line for it, with its end of line.
+    fn line(&self, id: &str) -> String {
+        format!("{id} {} {} {}\n", self.at_ms, self.revision, self.source)
     }
 }
 
-/// Endpoints told as leaving.
+/// Endpoints that were listed as draining or removed.
 #[derive(Debug, Default)]
 pub struct DrainRecord {
-    leaving: BTreeMap<String, Told>,
+    /// By id as listed.
+    drains: BTreeMap<String, Drain>,
     /// Endpoints that the list holds as ready: guards against one that a whole list leaves out and an older
     /// one names again.
     ready: BTreeSet<String>,
+    /// The text has changed since it was last asked for.
     changed: bool,
 }
 
 impl DrainRecord {
-    /// Takes a list in, in the order in which lists came: what each entry says is to be taken for, and how
-    /// many of them said ready of an endpoint that stays told as leaving.
-    pub fn take(&mut self, list: &ListHeader, entries: &[ListEntry]) -> (Vec<Phase>, usize) {
+    /// Applies a list; lists must be applied in the order in which they came.
+    pub fn apply(&mut self, list: &ListHeader, entries: &[ListEntry]) -> AppliedList {
         if list.whole {
-            let named: BTreeSet<&str> = entries.iter().map(|e| e.id).collect();
-            let absent = self.ready.iter().filter(|id| !named.contains(id.as_str())).cloned();
-            absent.collect::<Vec<_>>().iter().for_each(|id| self.note(id, list));
+            self.record_absent(list, entries);
         }
-        let mut old = 0;
-        let said = entries.iter().map(|entry| {
-            if entry.phase != Phase::Ready {
-                self.note(entry.id, list);
-                return entry.phase;
+        let mut applied = AppliedList { phases: Vec::with_capacity(entries.len()), kept_draining: 0 };
+        for entry in entries {
+            let phase = self.apply_entry(list, entry);
+            if entry.phase == Phase::Ready && phase != Phase::Ready {
+                applied.kept_draining += 1;
             }
-            match self.leaving.get(entry.id) {
-                Some(told) if !told.is_over(list, entry) => {
-                    old += 1;
-                    return Phase::Draining;
-                }
-                Some(_) => {
-                    self.leaving.remove(entry.id);
-                    self.changed = true;
-                }
-                None => {}
+            applied.phases.push(phase);
+        }
+        applied
+    }
+
+    /// What a whole list leaves out is removed.
+    fn record_absent(&mut self, list: &ListHeader, entries: &[ListEntry]) {
+        let named: BTreeSet<&str> = entries.iter().map(|entry| entry.id).collect();
+        let absent = self.ready.iter().filter(|id| !named.contains(id.as_str()));
+        let absent: Vec<String> = absent.cloned().collect();
+        for id in absent {
+            self.record_drain(&id, list);
+        }
+    }
+
+    fn apply_entry(&mut self, list: &ListHeader, entry: &ListEntry) -> Phase {
+        if entry.phase != Phase::Ready {
+            self.record_drain(entry.id, list);
+            return entry.phase;
+        }
+        if let Some(drain) = self.drains.get(entry.id) {
+            if !drain.is_over(list, entry) {
+                return Phase::Draining;
             }
-            self.ready.insert(entry.id.to_string());
-            Phase::Ready
-        });
-        (said.collect(), old)
+            self.drains.remove(entry.id);
+            self.changed = true;
+        }
+        self.ready.insert(entry.id.to_string());
+        Phase::Ready
     }
 
-    /// Told as leaving: the first time counts, but the newest revision of a source must be passed.
-    fn note(&mut self, id: &str, list: &ListHeader) {
+    /// The first time counts, but the newest revision of a source must be passed.
+    fn record_drain(&mut self, id: &str, list: &ListHeader) {
         self.ready.remove(id);
-        let told = Told { at_ms: list.now_ms, revision: list.revision, source: list.source.to_string() };
-        match self.leaving.get_mut(id) {
-            Some(old) if old.source == told.source && old.revision >= told.revision => return,
-            Some(old) => *old = Told { at_ms: old.at_ms, ..told },
-            None => drop(self.leaving.insert(id.to_string(), told)),
+        let mut drain =
+            Drain { at_ms: list.now_ms, revision: list.revision, source: list.source.to_string() };
+        if let Some(earlier) = self.drains.get(id) {
+            if earlier.source == drain.source && earlier.revision >= drain.revision {
+                return;
+            }
+            drain.at_ms = earlier.at_ms;
         }
+        self.drains.insert(id.to_string(), drain);
         self.changed = true;
     }
 
-    /// The text of the book, if it changed since the last call: `most` bytes at most, of which those told
-    /// last. An id that no line can hold is kept in memory only.
-    pub fn written(&mut self, most: usize) -> Option<String> {
-        if !std::mem::take(&mut self.changed) {
+    /// The record's text, if it changed since the last call: `max_bytes` at most, of which those drained last.
+    /// An id that no line can hold is kept in memory only.
+    pub fn text_if_changed(&mut self, max_bytes: usize) -> Option<String> {
+        if !self.changed {
             return None;
         }
-        let mut rows: Vec<(&String, &Told)> =
-            self.leaving.iter().filter(|(id, t)| is_word(id) && is_word(&t.source)).collect();
-        rows.sort_by_key(|(_, told)| std::cmp::Reverse(told.at_ms));
-        let mut text = format!("{HEAD}\n");
-        for (id, told) in rows {
-            let line = format!("{id} {} {} {}\n", told.at_ms, told.revision, told.source);
-            if text.len() + line.len() > most {
+        self.changed = false;
+        let writable = |(id, drain): &(&String, &Drain)| is_word(id) && is_word(&drain.source);
+        let mut drains: Vec<(&String, &Drain)> = self.drains.iter().filter(writable).collect();
+        drains.sort_by_key(|(_, drain)| Reverse(drain.at_ms));
+        let mut text = format!("{FIRST_LINE}\n");
+        for (id, drain) in drains {
+            let line = drain.line(id);
+            if text.len() + line.len() > max_bytes {
                 break;
             }
             text.push_str(&line);
@@ -132,43 +183,51 @@
         Some(text)
     }
 
-    /// Reads a book's text; with it, how many of its lines can't be read. They are left out one by one.
-    pub fn read(text: &str) -> (DrainRecord, usize) {
-        let mut book = DrainRecord::default();
+    /// Reads a record's text; an empty one is an empty record.
+    pub fn from_text(text: &str) -> ReadDrainRecord {
+        let mut record = DrainRecord::default();
+        let mut unreadable_lines = 0;
         let mut lines = text.lines();
-        if text.is_empty() {
-            return (book, 0);
+        if !text.is_empty() && lines.next() != Some(FIRST_LINE) {
+            unreadable_lines += 1;
         }
-        let mut bad = usize::from(lines.next() != Some(HEAD));
         for line in lines {
-            match row(line) {
-                Some((id, told)) => drop(book.leaving.insert(id, told)),
-                None => bad += 1,
+            match parse_line(line) {
+                Some((id, drain)) => {
+                    record.drains.insert(id, drain);
+                }
+                None => unreadable_lines += 1,
             }
         }
-        (book, bad)
+        ReadDrainRecord { record, unreadable_lines }
     }
 
-    /// How many endpoints are told as leaving.
+    /// How many endpoints are on record.
     pub fn len(&self) -> usize {
-        self.leaving.len()
+        self.drains.len()
     }
 
+    /// True if no endpoint is on record.
     pub fn is_empty(&self) -> bool {
-        self.leaving.is_empty()
+        self.drains.is_empty()
     }
 }
 
+/// True if the text can stand as one word of a line.
 fn is_word(text: &str) -> bool {
     !text.is_empty() && !text.chars().any(|c| c.is_whitespace() || c.is_control())
 }
 
-fn row(line: &str) -> Option<(String, Told)> {
-    let mut words = line.split(' ');
-    let mut word = || words.next();
-    let (id, at, revision, source) = (word()?, word()?, word()?, word()?);
-    let told = Told { at_ms: at.parse().ok()?, revision: revision.parse().ok()?, source: source.to_string() };
-    (is_word(id) && words.next().is_none()).then(|| (id.to_string(), told))
+/// The endpoint's id and its drain; none if the line can't be read.
+fn parse_line(line: &str) -> Option<(String, Drain)> {
+    let words: Vec<&str> = line.split(' ').collect();
+    let [id, at_ms, revision, source] = words[..] else { return None };
+    if !is_word(id) {
+        return None;
+    }
+    let drain =
+        Drain { at_ms: at_ms.parse().ok()?, revision: revision.parse().ok()?, source: source.to_string() };
+    Some((id.to_string(), drain))
 }
 
 #[cfg(test)]
--- a/crates/discovery/src/jitter.rs
+++ b/crates/discovery/src/jitter.rs
@@ -1,15 +1,16 @@
-//! Jitter for pauses.
+//! The random source that spreads pauses.
 
 /// Jitter from a seed: the same seed gives the same draws (splitmix64).
 #[derive(Clone, Debug)]
 pub struct Jitter(u64);
 
 impl Jitter {
+    /// A source that draws by this seed.
     pub fn new(seed: u64) -> Jitter {
         Jitter(seed)
     }
 
-    /// A draw in 0..1.
+    /// The next draw, in 0..1.
     pub fn draw(&mut self) -> f64 {
         self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
         let mut z = self.0;
--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -1,17 +1,20 @@
-//! How a relay follows discovery's list of endpoints, decided without I/O: what stays told as leaving whatever
-//! an older list says ([`DrainRecord`]), and when it asks again after a call that failed. Many relays may fail at one moment (a release, a fleet restarted at once) against an agent
-//! that is short of room; asking again at a fixed pause keeps it full for all of them, and none gets a list.
+//! How a relay follows discovery's list of endpoints, decided without I/O.
+//!
+//! - [`PollSchedule`]: when discovery is polled, and when a poll is given up. Many relays may fail at one moment
+//!   (a release, a fleet restarted at once) against a discovery short of capacity; polling again after a fixed
+//!   pause keeps it saturated by all of them, and none gets a list.
+//! - [`DrainRecord`]: which endpoints were listed as draining or removed, and stay so whatever an older list says.
+//! - [`Jitter`]: the seeded random source that spreads the pauses.
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
 mod drain_record;
 mod jitter;
 mod poll_schedule;
 
 pub use drain_record::{
-    DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ListEntry, ListHeader, Phase,
+    AppliedList, DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ListEntry, ListHeader, Phase,
+    ReadDrainRecord,
 };
 pub use jitter::Jitter;
-pub use poll_schedule::{
-    ASKED_SLACK, FIRST, MOST, OWN_SLACK, PollSchedule, SPREAD, TOGETHER, TOLD_MOST, WAIT, WAIT_MOST,
-    WATCH_SLACK, WITHIN_MOST,
-};
+pub use poll_schedule::{PollSchedule, PollTimeouts};
--- a/crates/discovery/src/poll_schedule_tests.rs
+++ b/crates/discovery/src/poll_schedule_tests.rs
@@ -7,41 +7,44 @@
 
 #[test]
 fn pauses_grow_with_failures_in_a_row_up_to_a_bound() {
-    assert_eq!(PollSchedule::default().retry_pause(1, None, 0.5), FIRST);
-    assert_eq!(PollSchedule::default().retry_pause(2, None, 0.5), FIRST * 2);
-    assert_eq!(PollSchedule::default().retry_pause(5, None, 0.5), MOST);
-    assert_eq!(PollSchedule::default().retry_pause(40, None, 0.5), MOST);
-    assert_eq!(PollSchedule::default().retry_pause(0, None, 0.5), FIRST);
+    assert_eq!(PollSchedule::default().retry_pause(1, None, 0.5), FIRST_PAUSE);
+    assert_eq!(PollSchedule::default().retry_pause(2, None, 0.5), FIRST_PAUSE * 2);
+    assert_eq!(PollSchedule::default().retry_pause(5, None, 0.5), MAX_PAUSE);
+    assert_eq!(PollSchedule::default().retry_pause(40, None, 0.5), MAX_PAUSE);
+    assert_eq!(PollSchedule::default().retry_pause(0, None, 0.5), FIRST_PAUSE);
 }
 
 /// The clock for silence: 6 s after it fell silent, or 2 s after its wait, what a watch missed counts as told.
 #[test]
-fn a_watch_that_falls_silent_is_asked_again_before_what_it_missed_counts_as_told() {
-    for within in [0, 1, 4_000, 10_000, 60_000, u64::MAX / 2] {
+fn a_watch_that_falls_silent_is_polled_again_before_what_it_missed_counts_as_told() {
+    for interval in [0, 1, 4_000, 10_000, 60_000, u64::MAX / 2] {
         for relays in [1, 6, 350] {
-            let terms = PollSchedule { relay_count: relays, poll_interval: ms(within) };
-            let (wait, given_up) = terms.poll_timeouts(true);
-            // A new watch is opened by a call whose answer is due at once.
-            let told = (wait + ms(2_000)).max(ms(6_000));
-            let own = within == 0;
-            let pause = if own { terms.retry_pause(1, None, 1.0) } else { Duration::ZERO };
-            assert!(wait <= WAIT_MOST && given_up + pause + ms(500) < told, "{within} {relays}");
+            let schedule = PollSchedule { relay_count: relays, poll_interval: ms(interval) };
+            let PollTimeouts { wait, give_up_after } = schedule.poll_timeouts(true);
+            // A new watch is opened by a poll whose answer is due at once.
+            let due = (wait + ms(2_000)).max(ms(6_000));
+            let unasked = interval == 0;
+            let pause = if unasked { schedule.retry_pause(1, None, 1.0) } else { Duration::ZERO };
+            assert!(wait <= MAX_WATCH_WAIT && give_up_after + pause + ms(500) < due, "{interval} {relays}");
             // One more may fail where lists come unasked.
-            let next = given_up + pause + terms.poll_timeouts(false).1 + terms.retry_pause(2, None, 1.0);
-            assert!(!own || next + ms(500) < told, "{next:?}");
+            let next = give_up_after
+                + pause
+                + schedule.poll_timeouts(false).give_up_after
+                + schedule.retry_pause(2, None, 1.0);
+            assert!(!unasked || next + ms(500) < due, "{next:?}");
         }
     }
     // A whole list asked for at a new address counts as told 4 s later.
-    let own = PollSchedule::default();
-    assert!((own.poll_timeouts(false).1 + own.retry_pause(1, None, 1.0)) * 2 < ms(4_000));
+    let unasked = PollSchedule::default();
+    assert!((unasked.poll_timeouts(false).give_up_after + unasked.retry_pause(1, None, 1.0)) * 2 < ms(4_000));
 }
 
 #[test]
 fn relays_that_failed_together_come_back_apart() {
-    assert_eq!(PollSchedule::default().retry_pause(5, None, 0.0), MOST / 2);
-    assert_eq!(PollSchedule::default().retry_pause(5, None, 1.0), MOST * 3 / 2);
-    let mut chance = Jitter::new(7);
-    let draws: Vec<f64> = (0..1000).map(|_| chance.draw()).collect();
+    assert_eq!(PollSchedule::default().retry_pause(5, None, 0.0), MAX_PAUSE / 2);
+    assert_eq!(PollSchedule::default().retry_pause(5, None, 1.0), MAX_PAUSE * 3 / 2);
+    let mut jitter = Jitter::new(7);
+    let draws: Vec<f64> = (0..1000).map(|_| jitter.draw()).collect();
     assert!(draws.iter().all(|d| (0.0..1.0).contains(d)));
     let low = draws.iter().filter(|d| **d < 0.5).count();
     assert!((400..600).contains(&low), "{low}");
@@ -49,8 +52,8 @@
 }
 
 #[test]
-fn a_wait_that_discovery_tells_is_kept_within_a_bound() {
+fn a_retry_after_of_discovery_is_kept_within_a_bound() {
     assert_eq!(PollSchedule::default().retry_pause(1, Some(ms(900)), 0.5), ms(900));
-    assert_eq!(PollSchedule::default().retry_pause(1, Some(ms(60_000)), 0.5), TOLD_MOST);
-    assert_eq!(PollSchedule::default().retry_pause(5, Some(ms(10)), 0.5), MOST);
+    assert_eq!(PollSchedule::default().retry_pause(1, Some(ms(60_000)), 0.5), MAX_RETRY_AFTER);
+    assert_eq!(PollSchedule::default().retry_pause(5, Some(ms(10)), 0.5), MAX_PAUSE);
 }
--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -1,19 +1,26 @@
-//! What an upgrade carries from one process of a relay to the next, and who owns each message; no I/O.
+//! What an upgrade hands from one process of a relay to the next, and which process owns each message; no I/O.
+//!
+//! Two processes of one relay may share its state folder, as in a hot restart: the one that runs and a newer one
+//! beside it.
+//!
+//! - The *active process* holds the lock [`LOCK_FILE`], keeps the spool `spool.log` and is the only one that sends.
+//! - A process that starts while another is active is its *successor*: it holds the same lock in
+//!   [`SUCCESSOR_DIR`], answers clients, keeps what they submit in `next/spool.log`, and sends nothing.
+//! - When the active process has ended (its lock is free), the successor becomes active: both spools are merged in
+//!   the order in which their messages were accepted, and what the process before it knew of its destinations
+//!   ([`SNAPSHOT_FILE`], a [`Snapshot`]) is restored before the first decision.
 //!
-//! Two processes of one relay may share its state folder: the one that runs and a newer one beside it. The
-//! *owner* holds the lock `lock`, keeps the spool `spool.log` and is the only one that sends. A process that
-//! starts while another owns is a *taker*: it holds `next/lock`, answers clients and keeps what they hand
-//! in in `next/spool.log`, and sends nothing. When the owner has ended (its lock is free), the taker becomes
-//! the owner: both spools become one, in the order in which their messages were taken on, and what the owner
-//! wrote down of its destinations (`handover.json`, a [`Snapshot`]) is read before the first decision.
 //! Times in a snapshot are Unix milliseconds: the two processes share the machine's clock, not their starts.
 #![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
+mod error;
 mod merge;
 mod role;
 mod snapshot;
 mod stop_plan;
 
+pub use error::HandoverError;
 pub use merge::{Side, merge};
 pub use role::{
     ACTIVE_DISK_SHARE, HOLD_MARGIN, LOCK_FILE, LOCK_POLL_INTERVAL, MAX_HOLD, Role, SUCCESSOR_DIR,
--- a/crates/handover/src/merge.rs
+++ b/crates/handover/src/merge.rs
@@ -1,28 +1,39 @@
-//! Two spools in one order.
+//! Two spools merged into one.
+
+use std::collections::BTreeSet;
 
 /// Which spool a message comes from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Side {
+    /// The active process's.
     Active,
+    /// The successor's.
     Successor,
 }
 
-/// The order of one spool made of two: each side's messages `(id, taken at)` in their own order, merged
-/// by the time they were taken on, the owner's first at a tie. Messages of one key are handed in one after
-/// another, each once the one before was taken on, so this keeps every key's order. A taker's message whose
-/// id the owner holds already is left out: the one that came first stands.
-pub fn merge(owner: &[(&[u8], u64)], taker: &[(&[u8], u64)]) -> Vec<(Side, usize)> {
-    let held: std::collections::BTreeSet<&[u8]> = owner.iter().map(|(id, _)| *id).collect();
-    let taker: Vec<(usize, u64)> =
-        taker.iter().enumerate().filter(|(_, (id, _))| !held.contains(id)).map(|(i, m)| (i, m.1)).collect();
-    let (mut o, mut t, mut order) = (0, 0, Vec::with_capacity(owner.len() + taker.len()));
-    while o < owner.len() || t < taker.len() {
-        if t == taker.len() || (o < owner.len() && owner[o].1 <= taker[t].1) {
-            order.push((Side::Active, o));
-            o += 1;
+/// The order of one spool made of two, as sides and indexes in them. Each side gives its messages as id and time
+/// of acceptance, in its own order; they are merged by these times, the active process's first at a tie. Messages
+/// of one key are submitted one after another, each once the one before was accepted, so this keeps every key's
+/// order. A successor's message whose id the active process holds already is left out: the one that came first
+/// stands.
+pub fn merge(active: &[(&[u8], u64)], successor: &[(&[u8], u64)]) -> Vec<(Side, usize)> {
+    let held: BTreeSet<&[u8]> = active.iter().map(|(id, _)| *id).collect();
+    let new: Vec<usize> = (0..successor.len()).filter(|index| !held.contains(successor[*index].0)).collect();
+    let mut order = Vec::with_capacity(active.len() + new.len());
+    let mut next_active = 0;
+    let mut next_new = 0;
+    while next_active < active.len() || next_new < new.len() {
+        let active_is_next = match (active.get(next_active), new.get(next_new)) {
+            (Some((_, accepted_at)), Some(index)) => *accepted_at <= successor[*index].1,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        if active_is_next {
+            order.push((Side::Active, next_active));
+            next_active += 1;
         } else {
-            order.push((Side::Successor, taker[t].0));
-            t += 1;
+            order.push((Side::Successor, new[next_new]));
+            next_new += 1;
         }
     }
     order
--- a/crates/handover/src/role.rs
+++ b/crates/handover/src/role.rs
@@ -1,59 +1,66 @@
-//! Which process of a relay is the active one.
+//! Which of two processes of a relay is the active one, and what a successor may do until it is.
 
+use crate::error::HandoverError;
 use std::time::Duration;
 
-/// Names in the state folder.
+/// The lock's file, in the state folder for the active process and in [`SUCCESSOR_DIR`] for its successor.
 pub const LOCK_FILE: &str = "lock";
-
+/// The successor's folder in the state folder.
 pub const SUCCESSOR_DIR: &str = "next";
-
-/// Between two looks at the owner's lock while taking in.
+/// How often a successor tries the active process's lock: nobody sends between its end and the next try.
 pub const LOCK_POLL_INTERVAL: Duration = Duration::from_millis(20);
-
-/// A taker holds a message for so long at most before it owns: the owner ends before its SIGKILL, which
-/// comes 3.7 s after its SIGTERM, and the SIGTERM follows the taker's first yes.
+/// A successor holds a message for so long at most before it is active: the active process ends before its
+/// SIGKILL, which comes 3.7 s after its SIGTERM, and the SIGTERM follows once the successor says that it serves.
 pub const MAX_HOLD: Duration = Duration::from_millis(4_000);
-
-/// A taker takes on a message only with so much more time left than it may hold it.
+/// A successor accepts a message only with so much more time left than it may hold it.
 pub const HOLD_MARGIN: Duration = Duration::from_millis(500);
-
-/// Shares of the folder's bytes: the owner's spool and the taker's. The rest is for small files, and for
-/// the spool of an owner of an older version that took all.
+/// The share of the folder's bytes for the active process's spool. What both shares leave is for small files, and
+/// for the spool of an active process of an older version that took all.
 pub const ACTIVE_DISK_SHARE: f64 = 0.6;
-
+/// The share of the folder's bytes for the successor's spool.
 pub const SUCCESSOR_DISK_SHARE: f64 = 0.25;
 
 /// What a process is at its start, by the locks it could take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
-    /// Owns the spool; takes over what a taker left in `next/` if `merge_successor`.
-    Active { merge_successor: bool },
-    /// Another process owns: take in until its lock is free.
+    /// It owns the spool and sends.
+    Active {
+        /// A successor that has ended left messages in `next/`: they are this process's.
+        merge_successor: bool,
+    },
+    /// Another process is active: this one accepts messages until the other's lock is free.
     Successor,
 }
 
-/// Decides the role from the locks: `owner_free` if this process took `lock`, `taker_free` if it took
-/// `next/lock`, `taker_spool` if `next/spool.log` holds anything.
+/// Decides the role from the locks: `active_lock_taken` if this process took `lock`, `successor_lock_taken` if it
+/// took `next/lock`; `successor_spool_exists` if there is a `next/spool.log`.
 ///
 /// # Errors
-/// If both locks are held by others: two processes run beside this one, and a third has no place.
-pub fn role(owner_free: bool, taker_free: bool, taker_spool: bool) -> Result<Role, &'static str> {
-    match (owner_free, taker_free) {
-        (true, free) => Ok(Role::Active { merge_successor: free && taker_spool }),
+/// [`HandoverError::StateFolderTaken`] if other processes hold both locks.
+pub fn role(
+    active_lock_taken: bool,
+    successor_lock_taken: bool,
+    successor_spool_exists: bool,
+) -> Result<Role, HandoverError> {
+    match (active_lock_taken, successor_lock_taken) {
+        // A successor that is still there keeps its messages until it is active.
+        (true, true) => Ok(Role::Active { merge_successor: successor_spool_exists }),
+        (true, false) => Ok(Role::Active { merge_successor: false }),
         (false, true) => Ok(Role::Successor),
-        (false, false) => Err("two processes of this relay hold the state folder already"),
+        (false, false) => Err(HandoverError::StateFolderTaken),
     }
 }
 
-/// True if a process in this role reads what the process before it left of its destinations. A taker
-/// does: it and the owner are one relay, so the owner's told waits bind it. An owner at its start does not:
-/// the process before it ended or was killed, and a restart ends every wait (PROTOCOL); it starts closed.
+/// True if a process in this role reads the snapshot that the process before it left. A successor does: it and the
+/// active process are one relay, so the Retry-Afters that the one was given bind the other. A process that is
+/// active at its start does not: the one before it ended or was killed, and a restart ends every wait (PROTOCOL);
+/// it starts with closed breakers.
 pub fn reads_snapshot(role: Role) -> bool {
     role == Role::Successor
 }
 
-/// True if a taker takes on a message with `left` until its deadline; else it is pushed back, as it
-/// might end late while nobody may send it.
+/// True if a successor accepts a message with `left` until its deadline; else it is rejected, as it might expire
+/// while nobody may send it.
 pub fn accepts(left: Duration) -> bool {
     left > MAX_HOLD + HOLD_MARGIN
 }
--- a/crates/handover/src/stop_plan.rs
+++ b/crates/handover/src/stop_plan.rs
@@ -2,16 +2,16 @@
 
 use std::time::Duration;
 
-/// What an owner does once it is told to stop.
+/// What an active process does once it is told to stop.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopPlan {
-    /// New client connections are accepted for so long: the platform's front still sends them.
+    /// New client connections are accepted for so long: the platform's load balancer still sends them.
     pub accept_for: Duration,
-    /// New legs go out for so long ...
+    /// New attempts are sent for so long ...
     pub send_for: Duration,
-    /// ... and it ends by then, whatever is still out.
+    /// ... and it ends by then, whatever is still in flight.
     pub end_by: Duration,
-    /// It ends as soon as nothing is out and no client is left, though it holds messages.
+    /// It ends as soon as nothing is in flight and no client is left, though it holds messages.
     pub hands_over: bool,
 }
 
@@ -22,8 +22,8 @@
     end_by: Duration::from_millis(3_500),
     hands_over: false,
 };
-/// A stop with a taker beside it: every new connection goes to the taker, every message it holds is the
-/// taker's once it has ended, and the sooner it ends the sooner these are sent.
+/// A stop with a successor beside it: every new connection goes to the successor, every message it holds is the
+/// successor's once it has ended, and the sooner it ends the sooner these are sent.
 pub const HANDOVER: StopPlan = StopPlan {
     accept_for: Duration::ZERO,
     send_for: Duration::ZERO,
@@ -31,7 +31,7 @@
     hands_over: true,
 };
 
-/// How to stop: a handover if a taker is there.
+/// How to stop: a handover if a successor is there.
 pub fn stop_plan(successor_present: bool) -> StopPlan {
     if successor_present { HANDOVER } else { RESTART }
 }
--- a/crates/handover/src/tests.rs
+++ b/crates/handover/src/tests.rs
@@ -3,23 +3,24 @@
 
 #[test]
 fn the_role_follows_from_the_locks() {
-    assert_eq!(role(true, true, false), Ok(Role::Active { merge_successor: false }));
-    assert_eq!(role(true, true, true), Ok(Role::Active { merge_successor: true }));
-    // A taker that is still there keeps its messages until it owns.
-    assert_eq!(role(true, false, true), Ok(Role::Active { merge_successor: false }));
-    assert_eq!(role(false, true, true), Ok(Role::Successor));
-    assert!(role(false, false, false).is_err());
+    let role_of = |active, successor, spool| role(active, successor, spool).expect("a role");
+    assert_eq!(role_of(true, true, false), Role::Active { merge_successor: false });
+    assert_eq!(role_of(true, true, true), Role::Active { merge_successor: true });
+    // A successor that is still there keeps its messages until it is active.
+    assert_eq!(role_of(true, false, true), Role::Active { merge_successor: false });
+    assert_eq!(role_of(false, true, true), Role::Successor);
+    assert!(matches!(role(false, false, false), Err(HandoverError::StateFolderTaken)));
 }
 
 #[test]
-fn a_taker_takes_only_what_has_time_left_beyond_what_it_may_hold() {
+fn a_successor_accepts_only_what_has_time_left_beyond_its_longest_hold() {
     assert!(!accepts(MAX_HOLD));
     assert!(!accepts(MAX_HOLD + HOLD_MARGIN));
     assert!(accepts(Duration::from_secs(8)));
 }
 
 #[test]
-fn a_stop_with_a_taker_accepts_and_sends_nothing_more_and_leaves_what_it_holds() {
+fn a_stop_with_a_successor_accepts_and_sends_nothing_more_and_leaves_what_it_holds() {
     let handover = stop_plan(true);
     assert_eq!(
         (handover.accept_for, handover.send_for, handover.hands_over),
@@ -35,19 +36,19 @@
 }
 
 #[test]
-fn two_spools_merge_by_the_time_of_taking_and_keep_each_ones_order() {
-    let owner: Vec<(&[u8], u64)> = vec![(b"a", 10), (b"b", 30), (b"c", 50)];
-    let taker: Vec<(&[u8], u64)> = vec![(b"x", 20), (b"b", 25), (b"y", 30), (b"z", 60)];
-    let order = merge(&owner, &taker);
+fn two_spools_merge_by_the_time_of_acceptance_and_keep_each_ones_order() {
+    let active: Vec<(&[u8], u64)> = vec![(b"a", 10), (b"b", 30), (b"c", 50)];
+    let successor: Vec<(&[u8], u64)> = vec![(b"x", 20), (b"b", 25), (b"y", 30), (b"z", 60)];
+    let order = merge(&active, &successor);
     use Side::*;
-    // b came first to the owner; y ties with the owner's b and goes after it.
+    // b came first to the active process; y ties with the active process's b and goes after it.
     assert_eq!(
         order,
         vec![(Active, 0), (Successor, 0), (Active, 1), (Successor, 2), (Active, 2), (Successor, 3)]
     );
     // A side whose times go back (the clock was set) keeps its own order.
-    let owner: Vec<(&[u8], u64)> = vec![(b"a", 50), (b"b", 10)];
-    assert_eq!(merge(&owner, &[]), vec![(Active, 0), (Active, 1)]);
+    let active: Vec<(&[u8], u64)> = vec![(b"a", 50), (b"b", 10)];
+    assert_eq!(merge(&active, &[]), vec![(Active, 0), (Active, 1)]);
 }
 
 #[test]
@@ -60,18 +61,20 @@
         slow_start_since_ms: None,
     };
     let snapshot = Snapshot { format: FORMAT, written_ms: 1_000, routes: vec![route] };
-    assert_eq!(Snapshot::read(&snapshot.written()), Ok(snapshot.clone()));
-    let newer = snapshot.written().replace("\"format\":1", "\"format\":2");
-    assert_eq!(Snapshot::read(&newer), Err("it is of format 2; this program reads formats up to 1".into()));
-    assert!(Snapshot::read("{\"format\":1,").is_err());
+    assert_eq!(Snapshot::from_json(&snapshot.to_json()).expect("a snapshot"), snapshot);
+    let newer = snapshot.to_json().replace("\"format\":1", "\"format\":2");
+    let why = Snapshot::from_json(&newer).expect_err("it is refused").to_string();
+    assert_eq!(why, "it is of format 2; this program reads formats up to 1");
+    let why = Snapshot::from_json("{\"format\":1,").expect_err("it is refused").to_string();
+    assert!(why.starts_with("no snapshot: "), "{why}");
 }
 
 #[test]
-fn what_binds_no_more_is_not_carried() {
-    let route = |dst, told_until_ms, open_until_ms| RouteRecord {
-        destination: dst,
+fn what_binds_no_more_is_not_restored() {
+    let route = |destination, retry_after_until_ms, open_until_ms| RouteRecord {
+        destination,
         endpoint: None,
-        retry_after_until_ms: told_until_ms,
+        retry_after_until_ms,
         open_until_ms,
         slow_start_since_ms: None,
     };
@@ -85,7 +88,7 @@
 }
 
 #[test]
-fn only_a_taker_reads_what_the_owner_left() {
+fn only_a_successor_reads_what_the_active_process_left() {
     assert!(reads_snapshot(Role::Successor));
     assert!(
         !reads_snapshot(Role::Active { merge_successor: false })
--- a/crates/handover/tests/stored_data.rs
+++ b/crates/handover/tests/stored_data.rs
@@ -22,11 +22,11 @@
     };
     let expected =
         Snapshot { format: 1, written_ms: 1_796_189_817_036, routes: vec![retry_after, open_breaker] };
-    assert_eq!(Snapshot::read(TEXT).expect("a snapshot"), expected);
+    assert_eq!(Snapshot::from_json(TEXT).expect("a snapshot"), expected);
 }
 
 // So the version before can read what this one writes.
 #[test]
 fn the_snapshot_is_written_as_the_version_before_wrote_it() {
-    assert_eq!(Snapshot::read(TEXT).expect("a snapshot").written(), TEXT);
+    assert_eq!(Snapshot::from_json(TEXT).expect("a snapshot").to_json(), TEXT);
 }
--- a/crates/maintenance/src/call.rs
+++ b/crates/maintenance/src/call.rs
@@ -1,36 +1,39 @@
-//! Operators' calls as they come over HTTP.
+//! Operators' calls as they come over HTTP, and the answers to them.
 
 use std::time::Duration;
 
-/// A call whose head is not whole by then gets `408`.
-pub const HEAD_DUE: Duration = Duration::from_millis(800);
-
-/// Connections to the second address at once; a further one gets `503`.
-pub const CALLERS_MOST: usize = 32;
-
-/// An answer that the caller does not take by then is dropped.
-pub const WRITE_DUE: Duration = Duration::from_millis(150);
-
+/// A call whose head is not whole by then gets `408`: callers are answered within a second.
+pub const HEAD_TIMEOUT: Duration = Duration::from_millis(800);
+/// An answer that the caller does not read by then is dropped.
+pub const WRITE_TIMEOUT: Duration = Duration::from_millis(150);
+/// Connections to the second address at once; the oldest makes room for a further one.
+pub const MAX_CALLERS: usize = 32;
 /// Bytes of a call's head.
-pub const HEAD_MOST: usize = 4 * 1024;
-
+pub const MAX_HEAD_BYTES: usize = 4 * 1024;
 /// Bytes of an endpoint's id in a call.
-const ID_MOST: usize = 256;
+const MAX_ID_BYTES: usize = 256;
 
 /// A call, as the second address takes it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Call {
+    /// Does the process serve?
     Status,
+    /// This endpoint goes into maintenance: it gets nothing more.
     Enter(String),
+    /// This endpoint comes back from maintenance.
     Exit(String),
+    /// Clients are sent away.
     Standby,
+    /// Clients are served again.
     Active,
 }
 
-/// An answer: status code and a line of text.
+/// An answer to a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Answer {
+    /// The HTTP status code.
     pub code: u16,
+    /// A line for whoever called.
     pub text: &'static str,
 }
 
@@ -38,34 +41,47 @@
     Answer { code, text }
 }
 
-/// No whole head in time, or sent away for another caller.
+/// No whole head in time, or closed for the sake of another caller.
 pub const LATE: Answer = answer(408, "the call did not come in time");
+/// What came is not HTTP.
 pub const NOT_HTTP: Answer = answer(400, "not an HTTP call");
+/// The head is larger than [`MAX_HEAD_BYTES`].
 pub const TOO_LARGE: Answer = answer(431, "the head is too large");
+/// The caller closed its connection before the head was whole.
 pub const CUT_SHORT: Answer = answer(400, "closed before the call was whole");
 
-/// What the call is, from its method and target; a 4xx answer if none.
-pub fn call(method: &str, target: &str) -> Result<Call, Answer> {
+/// Reads a call from its method and target.
+///
+/// # Errors
+/// The 4xx answer for what is no call.
+pub fn parse_call(method: &str, target: &str) -> Result<Call, Answer> {
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
-    let id = || {
-        let id = query.split('&').filter_map(|p| p.split_once('=')).find(|p| p.0 == "target").map(|p| p.1);
-        let id = id.filter(|id| !id.is_empty()).ok_or(answer(400, "target is missing"))?;
-        let plain = id.len() <= ID_MOST && id.bytes().all(|b| b.is_ascii_graphic());
-        if plain { Ok(id.to_string()) } else { Err(answer(400, "target can't be read")) }
-    };
-    let wanted = match path {
+    let expected_method = match path {
         "/status" => "GET",
         "/maintenance/enter" | "/maintenance/exit" | "/standby" | "/active" => "POST",
         _ => return Err(answer(404, "no such call")),
     };
-    if method != wanted {
+    if method != expected_method {
         return Err(answer(405, "method not allowed"));
     }
     Ok(match path {
         "/status" => Call::Status,
-        "/maintenance/enter" => Call::Enter(id()?),
-        "/maintenance/exit" => Call::Exit(id()?),
+        "/maintenance/enter" => Call::Enter(endpoint_id(query)?),
+        "/maintenance/exit" => Call::Exit(endpoint_id(query)?),
         "/standby" => Call::Standby,
         _ => Call::Active,
     })
 }
+
+/// The endpoint that the query names.
+fn endpoint_id(query: &str) -> Result<String, Answer> {
+    let mut parameters = query.split('&').filter_map(|pair| pair.split_once('='));
+    let id = parameters.find(|(name, _)| *name == "target").map_or("", |(_, value)| value);
+    if id.is_empty() {
+        return Err(answer(400, "target is missing"));
+    }
+    if id.len() > MAX_ID_BYTES || !id.bytes().all(|byte| byte.is_ascii_graphic()) {
+        return Err(answer(400, "target can't be read"));
+    }
+    Ok(id.to_string())
+}
--- a/crates/maintenance/src/state.rs
+++ b/crates/maintenance/src/state.rs
@@ -1,117 +1,160 @@
-//! The maintenance in force.
+//! The maintenance in force: endpoints in maintenance, standby, and whether the process serves.
 
 use crate::call::{Answer, Call, answer};
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// In standby, a client connection that waits so long for its next request is closed ...
+/// In standby, a client connection that waits so long for its next request is closed.
 pub const IDLE_CLOSE: Duration = Duration::from_millis(300);
-
-/// ... and every one is, after the answers it owes, so long after the call.
+/// In standby, every client connection is closed so long after the call, once what it waits for is answered.
 pub const ALL_CLOSE: Duration = Duration::from_millis(1_500);
 
-/// What changed by a call, for the host to carry out.
+/// What a call changed, for the host to carry out.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
+    /// Nothing.
     None,
-    /// The set of endpoints out changed: write it down, tell the decisions.
+    /// This endpoint is in maintenance now: write the set to its file, tell the decisions.
     EndpointOut(String),
+    /// This endpoint is back: likewise.
     EndpointBack(String),
+    /// Clients are to be sent away.
     Standby,
+    /// Clients are to be served again.
     Active,
 }
 
-/// The orders in force.
+/// What the operators' calls have set.
 #[derive(Debug, Default)]
 pub struct MaintenanceState {
-    /// Endpoints out by hand, by id as listed.
-    out: BTreeSet<String>,
-    /// Every id that a list has named in this process, or that was out from before.
+    /// Endpoints in maintenance, by id as listed.
+    in_maintenance: BTreeSet<String>,
+    /// Every id that a list has named in this process, or that was in maintenance from before.
     listed: BTreeSet<String>,
     /// Since when clients are sent away.
-    standby: Option<Duration>,
+    standby_since: Option<Duration>,
     serving: bool,
     stopping: bool,
 }
 
 impl MaintenanceState {
-    /// With the endpoints out from before, as `written` wrote them.
+    /// With the endpoints that were in maintenance before, as [`MaintenanceState::to_text`] wrote them.
     pub fn from_text(text: &str) -> MaintenanceState {
-        let out: BTreeSet<String> =
-            text.lines().map(str::trim).filter(|l| !l.is_empty()).map(String::from).collect();
-        MaintenanceState { listed: out.clone(), out, ..MaintenanceState::default() }
+        let lines = text.lines().map(str::trim).filter(|line| !line.is_empty());
+        let in_maintenance: BTreeSet<String> = lines.map(String::from).collect();
+        MaintenanceState { listed: in_maintenance.clone(), in_maintenance, ..MaintenanceState::default() }
     }
 
-    /// Takes the endpoints out as another process of the relay wrote them down since (an upgrade): the file
-    /// holds all that are out. True if that changed anything here.
-    pub fn read_out(&mut self, text: &str) -> bool {
-        let told = MaintenanceState::from_text(text);
-        self.listed.extend(told.listed);
-        std::mem::replace(&mut self.out, told.out) != self.out
+    /// The text of the maintenance file: the endpoints in maintenance, a line each.
+    pub fn to_text(&self) -> String {
+        self.in_maintenance.iter().map(|id| format!("{id}\n")).collect()
     }
 
-    /// The endpoints out, a line each.
-    pub fn written(&self) -> String {
-        self.out.iter().map(|id| format!("{id}\n")).collect()
+    /// Replaces the endpoints in maintenance by those that another process of the relay wrote to the file since
+    /// (an upgrade). True if that changed anything here.
+    pub fn reload(&mut self, text: &str) -> bool {
+        let written = MaintenanceState::from_text(text);
+        self.listed.extend(written.listed);
+        let before = std::mem::replace(&mut self.in_maintenance, written.in_maintenance);
+        before != self.in_maintenance
     }
 
-    /// A list named the id.
-    pub fn listed(&mut self, id: &str) {
+    /// A list named the endpoint: calls may name it from now on.
+    pub fn record_listed(&mut self, id: &str) {
         if !self.listed.contains(id) {
             self.listed.insert(id.to_string());
         }
     }
 
-    /// The process can serve, or no longer: it was told to stop.
-    pub fn serving(&mut self) {
+    /// The process can serve.
+    pub fn set_serving(&mut self) {
         self.serving = true;
     }
 
-    pub fn stopping(&mut self) {
+    /// The process was told to stop.
+    pub fn set_stopping(&mut self) {
         self.stopping = true;
     }
 
-    pub fn is_out(&self, id: &str) -> bool {
-        self.out.contains(id)
+    /// True if the endpoint is in maintenance.
+    pub fn is_in_maintenance(&self, id: &str) -> bool {
+        self.in_maintenance.contains(id)
     }
 
     /// True if `PING` at the clients' address says yes.
     pub fn answers_ping(&self) -> bool {
-        self.standby.is_none() && !self.stopping
+        self.standby_since.is_none() && !self.stopping
     }
 
     /// When a client connection that waits since `since` for its next request is closed; none if it isn't.
     pub fn idle_close_at(&self, since: Duration) -> Option<Duration> {
-        self.standby.map(|at| (since.max(at) + IDLE_CLOSE).min(at + ALL_CLOSE))
+        let standby_since = self.standby_since?;
+        let idle_close_at = since.max(standby_since) + IDLE_CLOSE;
+        Some(idle_close_at.min(standby_since + ALL_CLOSE))
     }
 
-    /// True if a client connection is closed after the answers it owes.
+    /// True if a client connection is closed once what it waits for is answered.
     pub fn closes(&self, now: Duration) -> bool {
-        self.standby.is_some_and(|at| now >= at + ALL_CLOSE)
+        self.standby_since.is_some_and(|since| now >= since + ALL_CLOSE)
     }
 
-    /// Takes a call at `now`: its answer, and what the host has to carry out.
-    pub fn take(&mut self, call: Call, now: Duration) -> (Answer, Change) {
+    /// Carries out a call that came at `now`: its answer, and what the host has to do.
+    pub fn handle(&mut self, call: Call, now: Duration) -> (Answer, Change) {
         match call {
-            Call::Status if self.serving && !self.stopping => (answer(200, "serving"), Change::None),
-            Call::Status if self.stopping => (answer(503, "stopping"), Change::None),
-            Call::Status => (answer(503, "starting"), Change::None),
-            Call::Enter(id) | Call::Exit(id) if !self.listed.contains(&id) => {
-                (answer(404, "no endpoint of that id was listed"), Change::None)
-            }
-            Call::Enter(id) if self.out.insert(id.clone()) => (answer(200, "out"), Change::EndpointOut(id)),
-            Call::Enter(_) => (answer(200, "out already"), Change::None),
-            Call::Exit(id) if self.out.remove(&id) => (answer(200, "back"), Change::EndpointBack(id)),
-            Call::Exit(_) => (answer(200, "was not out"), Change::None),
-            Call::Standby => {
-                let change = if self.standby.is_none() { Change::Standby } else { Change::None };
-                self.standby = self.standby.or(Some(now));
-                (answer(200, "standby"), change)
-            }
-            Call::Active => {
-                let change = if self.standby.take().is_some() { Change::Active } else { Change::None };
-                (answer(200, "active"), change)
-            }
+            Call::Status => (self.status(), Change::None),
+            Call::Enter(id) => self.enter(id),
+            Call::Exit(id) => self.exit(id),
+            Call::Standby => (answer(200, "standby"), self.start_standby(now)),
+            Call::Active => (answer(200, "active"), self.end_standby()),
+        }
+    }
+
+    fn status(&self) -> Answer {
+        if self.stopping {
+            answer(503, "stopping")
+        } else if self.serving {
+            answer(200, "serving")
+        } else {
+            answer(503, "starting")
+        }
+    }
+
+    fn enter(&mut self, id: String) -> (Answer, Change) {
+        if !self.listed.contains(&id) {
+            return (NEVER_LISTED, Change::None);
+        }
+        if !self.in_maintenance.insert(id.clone()) {
+            return (answer(200, "out already"), Change::None);
+        }
+        (answer(200, "out"), Change::EndpointOut(id))
+    }
+
+    fn exit(&mut self, id: String) -> (Answer, Change) {
+        if !self.listed.contains(&id) {
+            return (NEVER_LISTED, Change::None);
+        }
+        if !self.in_maintenance.remove(&id) {
+            return (answer(200, "was not out"), Change::None);
+        }
+        (answer(200, "back"), Change::EndpointBack(id))
+    }
+
+    /// A repeated call changes nothing: the first one counts.
+    fn start_standby(&mut self, now: Duration) -> Change {
+        if self.standby_since.is_some() {
+            return Change::None;
+        }
+        self.standby_since = Some(now);
+        Change::Standby
+    }
+
+    fn end_standby(&mut self) -> Change {
+        match self.standby_since.take() {
+            Some(_) => Change::Active,
+            None => Change::None,
         }
     }
 }
+
+/// Guards against an endpoint taken out under a name that was misspelt.
+const NEVER_LISTED: Answer = answer(404, "no endpoint of that id was listed");
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{Level, log, warn};
-use mountshift_discovery::{Jitter, Phase, PollSchedule};
+use mountshift_discovery::{Jitter, Phase, PollSchedule, PollTimeouts};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -149,7 +149,8 @@
     /// The list or its changes; else why not, with a wait that discovery told.
     async fn call(&self, connection: &mut Option<Connection>) -> Result<Members, (String, Option<Duration>)> {
         // The list held at first, or before a failed call, may be old: what changed since is asked for at once.
-        let (wait, within) = self.terms.poll_timeouts(self.heard && self.revision.is_some());
+        let PollTimeouts { wait, give_up_after: within } =
+            self.terms.poll_timeouts(self.heard && self.revision.is_some());
         let path = match self.revision {
             Some(n) => format!("/catalog/members?index={n}&wait={}", wait.as_millis().max(1)),
             None => "/catalog/members".to_string(),
--- a/crates/relay/src/host.rs
+++ b/crates/relay/src/host.rs
@@ -12,7 +12,7 @@
 use log::{debug, error, info, warn};
 use mountshift::interface::*;
 use mountshift::rules::DeliveryPolicy;
-use mountshift_discovery::{DrainRecord, ListEntry, ListHeader};
+use mountshift_discovery::{AppliedList, DrainRecord, ListEntry, ListHeader};
 use mountshift_handover::{RouteRecord, Snapshot, StopPlan};
 use mountshift_maintenance::{Change, MaintenanceState};
 use mountshift_settings::SocketSettings;
@@ -176,7 +176,7 @@
     fn forget_endpoint(&mut self, endpoint: EndpointId) {
         self.idle.close(endpoint);
         let name = self.endpoints.get(endpoint).map(|e| e.name.clone());
-        let out = name.is_some_and(|name| self.maintenance.borrow().is_out(&name));
+        let out = name.is_some_and(|name| self.maintenance.borrow().is_in_maintenance(&name));
         if let Some(gone) = self.endpoints.forget(endpoint, out) {
             info!("endpoint {} is forgotten{}", gone.name, if out { " while out by hand" } else { "" });
         }
@@ -208,7 +208,7 @@
         debug!("carry at {}: {routes:?}", self.clock.unix_ms(self.now));
         let now = self.clock.unix_ms(self.now);
         let snapshot = Snapshot { format: mountshift_handover::FORMAT, written_ms: now, routes };
-        if let Err(e) = write_anew(&self.snapshot_file, &snapshot.written()) {
+        if let Err(e) = write_anew(&self.snapshot_file, &snapshot.to_json()) {
             error!("{}: {e}", self.snapshot_file.display());
         }
     }
@@ -309,7 +309,7 @@
             Event::Late(to, asking) => self.late.push((to, asking)),
             Event::Maintenance(change) => self.take_maintenance(change, inputs),
             Event::Stop(how) => {
-                self.maintenance.borrow_mut().stopping();
+                self.maintenance.borrow_mut().set_stopping();
                 // A process beside this one takes over what is held: nothing more goes out from here.
                 if how.hands_over {
                     info!("hands over to the process beside it");
@@ -395,7 +395,7 @@
             inputs.push(Input::FullListBegins);
         }
         for member in &list.members {
-            self.maintenance.borrow_mut().listed(&member.id);
+            self.maintenance.borrow_mut().record_listed(&member.id);
             let (id, says, moved) = self.endpoints.learn(member);
             let says = self.as_ordered(&member.id, says);
             if moved {
@@ -424,7 +424,7 @@
             ListEntry { id: &m.id, phase: m.phase, up_since_ms: m.up_since_ms }
         }
         let entries: Vec<ListEntry> = list.members.iter().map(entry).collect();
-        let (phases, old) = self.drain_record.take(&head, &entries);
+        let AppliedList { phases, kept_draining: old } = self.drain_record.apply(&head, &entries);
         if old > 0 {
             info!(
                 "list {}: {old} entries say ready of endpoints told as leaving; they stay so",
@@ -432,7 +432,7 @@
             );
         }
         list.members.iter_mut().zip(phases).for_each(|(m, phase)| m.phase = phase);
-        let Some(text) = self.drain_record.written(self.drain_record_max_bytes) else { return };
+        let Some(text) = self.drain_record.text_if_changed(self.drain_record_max_bytes) else { return };
         if let Err(e) = write_anew(&self.drain_record_file, &text) {
             error!("{}: {e}", self.drain_record_file.display());
         }
@@ -440,7 +440,7 @@
 
     /// An endpoint out by hand is draining for this relay, whatever the list says (rule 3).
     fn as_ordered(&self, name: &str, status: EndpointStatus) -> EndpointStatus {
-        if status == EndpointStatus::Ready && self.maintenance.borrow().is_out(name) {
+        if status == EndpointStatus::Ready && self.maintenance.borrow().is_in_maintenance(name) {
             EndpointStatus::Draining
         } else {
             status
@@ -474,7 +474,7 @@
     /// Tells what an earlier process of the relay left (rules 4 and 6 run on over an upgrade).
     fn restore_routes(&mut self, snapshot: Snapshot, inputs: &mut Vec<Input>) {
         let snapshot = snapshot.binding(self.clock.unix_ms(self.now));
-        debug!("carried at {}: {}", self.clock.unix_ms(self.now), snapshot.written());
+        debug!("carried at {}: {}", self.clock.unix_ms(self.now), snapshot.to_json());
         let at = |ms: u64| {
             if ms == 0 { Duration::ZERO } else { self.clock.at_unix_ms(ms).max(Duration::from_millis(1)) }
         };
@@ -623,7 +623,7 @@
 
 /// Writes down the endpoints out by hand, for the next process and the one beside.
 pub fn write_maintenance(path: &std::path::Path, maintenance: &MaintenanceState) {
-    if let Err(e) = write_anew(path, &maintenance.written()) {
+    if let Err(e) = write_anew(path, &maintenance.to_text()) {
         error!("{}: {e}", path.display());
     }
 }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -20,7 +20,7 @@
 use host::{Event, Host, Parts};
 use log::{error, info, warn};
 use mountshift::interface::MessageId;
-use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord};
+use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ReadDrainRecord};
 use mountshift_handover::{
     ACTIVE_DISK_SHARE, LOCK_FILE, Role, SNAPSHOT_FILE, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, Side, Snapshot,
     reads_snapshot,
@@ -124,7 +124,7 @@
 fn carried(state: &Path) -> Option<Snapshot> {
     let path = state.join(SNAPSHOT_FILE);
     let read = match std::fs::read(&path) {
-        Ok(bytes) => Snapshot::read(&String::from_utf8_lossy(&bytes)),
+        Ok(bytes) => Snapshot::from_json(&String::from_utf8_lossy(&bytes)).map_err(|e| e.to_string()),
         Err(e) if e.kind() == std::io::ErrorKind::NotFound => return None,
         Err(e) => Err(e.to_string()),
     };
@@ -146,7 +146,7 @@
             String::new()
         }
     };
-    let (drain_record, bad) = DrainRecord::read(&text);
+    let ReadDrainRecord { record: drain_record, unreadable_lines: bad } = DrainRecord::from_text(&text);
     if bad > 0 {
         error!("{}: {bad} lines can't be read and are left out", path.display());
     }
@@ -220,7 +220,7 @@
     let started = Instant::now();
     let out_file = start.state.join("maintenance");
     let maintenance = Rc::new(RefCell::new(MaintenanceState::from_text(&read_out(&out_file)?)));
-    known.iter().flat_map(|list| &list.members).for_each(|m| maintenance.borrow_mut().listed(&m.id));
+    known.iter().flat_map(|list| &list.members).for_each(|m| maintenance.borrow_mut().record_listed(&m.id));
     let lanes = start.socket_settings.classes.clone();
     async_io::block_on(executor.run(async {
         let events_in = events.0.clone();
@@ -323,7 +323,7 @@
             }
         };
         executor.spawn(stop).detach();
-        maintenance.borrow_mut().serving();
+        maintenance.borrow_mut().set_serving();
         info!("ready on {}", start.listen);
         let mut spool = Spool::open(&start.state, share(ACTIVE_DISK_SHARE), legs, zone_room).map_err(folder);
         let mut stash = Vec::new();
@@ -361,7 +361,7 @@
                     Spool::open(&start.state, share(ACTIVE_DISK_SHARE), legs, zone_room).map_err(folder)?;
                 merge_successor_spool(&mut owned, next, &next_dir, &notices).map_err(NotStarted::failure)?;
                 // What the owner wrote down since this process started.
-                maintenance.borrow_mut().read_out(&read_out(&out_file)?);
+                maintenance.borrow_mut().reload(&read_out(&out_file)?);
                 spool = Ok(owned);
             }
         }
--- a/crates/relay/src/mgmt.rs
+++ b/crates/relay/src/mgmt.rs
@@ -7,8 +7,8 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use log::{info, warn};
 use mountshift_maintenance::{
-    Answer, CALLERS_MOST, CUT_SHORT, Change, HEAD_DUE, HEAD_MOST, LATE, MaintenanceState, NOT_HTTP,
-    TOO_LARGE, WRITE_DUE, call,
+    Answer, CUT_SHORT, Change, HEAD_TIMEOUT, LATE, MAX_CALLERS, MAX_HEAD_BYTES, MaintenanceState, NOT_HTTP,
+    TOO_LARGE, WRITE_TIMEOUT, parse_call,
 };
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -44,7 +44,7 @@
         let (number, (go, gone)) = (count, async_channel::bounded::<()>(1));
         // Guards against callers that say nothing and stay: the one that came first makes room.
         let mut callers = open.borrow_mut();
-        while callers.len() >= CALLERS_MOST {
+        while callers.len() >= MAX_CALLERS {
             callers.pop_first().into_iter().for_each(|(_, go)| {
                 go.close();
             });
@@ -58,7 +58,7 @@
             };
             let answer = take(&stream, &desk).or(sent_away).await;
             open.borrow_mut().remove(&number);
-            let end = Instant::now() + WRITE_DUE;
+            let end = Instant::now() + WRITE_TIMEOUT;
             let written = written(&stream, answer).or(async {
                 Timer::at(end).await;
                 false
@@ -73,7 +73,7 @@
 
 /// Reads a call's head within its time, and takes it.
 async fn take(stream: &Async<TcpStream>, desk: &Desk) -> Answer {
-    let due = Instant::now() + HEAD_DUE;
+    let due = Instant::now() + HEAD_TIMEOUT;
     let head = read_head(stream).or(async {
         Timer::at(due).await;
         Err(LATE)
@@ -82,12 +82,12 @@
         Ok(head) => head,
         Err(answer) => return answer,
     };
-    let call = match call(&method, &target) {
+    let call = match parse_call(&method, &target) {
         Ok(call) => call,
         Err(answer) => return answer,
     };
     let now = desk.start.elapsed();
-    let (answer, change) = desk.maintenance.borrow_mut().take(call, now);
+    let (answer, change) = desk.maintenance.borrow_mut().handle(call, now);
     if change != Change::None {
         info!("mgmt: {method} {target}: {change:?}");
         (desk.changed)(change);
@@ -112,7 +112,7 @@
                 let method = request.method.unwrap_or_default().to_string();
                 return Ok((method, request.path.unwrap_or_default().to_string()));
             }
-            Ok(httparse::Status::Partial) if buffer.len() <= HEAD_MOST => {}
+            Ok(httparse::Status::Partial) if buffer.len() <= MAX_HEAD_BYTES => {}
             Ok(httparse::Status::Partial) => return Err(TOO_LARGE),
             Err(_) => return Err(NOT_HTTP),
         }
--- a/crates/relay/src/reception.rs
+++ b/crates/relay/src/reception.rs
@@ -84,7 +84,7 @@
                     }
                     Event::Stop(_) => {
                         stopped = stopped.or(Some(Instant::now()));
-                        self.maintenance.borrow_mut().stopping();
+                        self.maintenance.borrow_mut().set_stopping();
                         self.leave.close();
                     }
                     Event::Maintenance(change) => {
@@ -94,7 +94,7 @@
                         stash.push(Event::Maintenance(change));
                     }
                     Event::List(Ok(list)) => {
-                        list.members.iter().for_each(|m| self.maintenance.borrow_mut().listed(&m.id));
+                        list.members.iter().for_each(|m| self.maintenance.borrow_mut().record_listed(&m.id));
                         stash.push(Event::List(Ok(list)));
                     }
                     other => stash.push(other),
