--- a/crates/relay/src/admin.rs
+++ b/crates/relay/src/admin.rs
@@ -8,8 +8,8 @@
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
 use log::{info, warn};
 use mountshift_maintenance::{
-    Answer, CALLERS_MOST, CUT_SHORT, Change, HEAD_DUE, HEAD_MOST, LATE, MaintenanceState, NOT_HTTP,
-    TOO_LARGE, WRITE_DUE, call,
+    Answer, CUT_SHORT, Change, HEAD_TIMEOUT, LATE, MAX_CALLERS, MAX_HEAD_BYTES, MaintenanceState, NOT_HTTP,
+    TOO_LARGE, WRITE_TIMEOUT, parse_call,
 };
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -42,7 +42,7 @@
     /// Adds a connection; gives its number, and what closes when it is to go. Callers that say nothing must not keep
     /// others out: the one that came first makes room.
     fn add(&mut self) -> (u64, Receiver<()>) {
-        while self.open.len() >= CALLERS_MOST {
+        while self.open.len() >= MAX_CALLERS {
             if let Some((_, dismiss)) = self.open.pop_first() {
                 dismiss.close();
             }
@@ -97,7 +97,7 @@
 
     /// Reads a request's head within its time, and carries the command out.
     async fn handle_command(&self, stream: &Async<TcpStream>) -> Answer {
-        let due = Instant::now() + HEAD_DUE;
+        let due = Instant::now() + HEAD_TIMEOUT;
         let too_late = async {
             Timer::at(due).await;
             Err(LATE)
@@ -106,12 +106,12 @@
             Ok(head) => head,
             Err(answer) => return answer,
         };
-        let command = match call(&head.method, &head.target) {
+        let command = match parse_call(&head.method, &head.target) {
             Ok(command) => command,
             Err(answer) => return answer,
         };
         let now = self.started.elapsed();
-        let (answer, change) = self.maintenance.borrow_mut().take(command, now);
+        let (answer, change) = self.maintenance.borrow_mut().handle(command, now);
         if change != Change::None {
             info!("mgmt: {} {}: {change:?}", head.method, head.target);
             (self.on_change)(change);
@@ -139,7 +139,7 @@
         if let Some(head) = parse_head(&buffer)? {
             return Ok(head);
         }
-        if buffer.len() > HEAD_MOST {
+        if buffer.len() > MAX_HEAD_BYTES {
             return Err(TOO_LARGE);
         }
     }
@@ -161,7 +161,7 @@
 
 /// Writes the answer within its time, and closes the connection.
 async fn respond(stream: &Async<TcpStream>, peer: SocketAddr, answer: Answer) {
-    let due = Instant::now() + WRITE_DUE;
+    let due = Instant::now() + WRITE_TIMEOUT;
     let too_late = async {
         Timer::at(due).await;
         false
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -5,7 +5,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{Level, log, warn};
-use mountshift_discovery::{Jitter, Phase, PollSchedule};
+use mountshift_discovery::{Jitter, Phase, PollSchedule, PollTimeouts};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -196,7 +196,7 @@
         let address = self.options.address;
         // The list held at first, or before a failed poll, may be old: what changed since is asked for at once.
         let may_wait = self.has_answered && self.options.revision.is_some();
-        let (wait, timeout) = self.options.schedule.poll_timeouts(may_wait);
+        let PollTimeouts { wait, give_up_after: timeout } = self.options.schedule.poll_timeouts(may_wait);
         let path = match self.options.revision {
             Some(revision) => {
                 format!("/catalog/members?index={revision}&wait={}", wait.as_millis().max(1))
--- a/crates/relay/src/dispatch/actions.rs
+++ b/crates/relay/src/dispatch/actions.rs
@@ -57,7 +57,7 @@
     fn forget_endpoint(&mut self, endpoint: EndpointId) {
         self.idle_connections.close_endpoint(endpoint);
         let name = self.endpoints.get(endpoint).map(|known| known.name.clone());
-        let in_maintenance = name.is_some_and(|name| self.maintenance.borrow().is_out(&name));
+        let in_maintenance = name.is_some_and(|name| self.maintenance.borrow().is_in_maintenance(&name));
         if let Some(forgotten) = self.endpoints.forget(endpoint, in_maintenance) {
             let note = if in_maintenance { " while out by hand" } else { "" };
             info!("endpoint {} is forgotten{note}", forgotten.name);
--- a/crates/relay/src/dispatch/endpoint_list.rs
+++ b/crates/relay/src/dispatch/endpoint_list.rs
@@ -5,7 +5,7 @@
 use crate::discovery::{EndpointEntry, EndpointList};
 use log::info;
 use mountshift::interface::*;
-use mountshift_discovery::{ListEntry, ListHeader};
+use mountshift_discovery::{AppliedList, ListEntry, ListHeader};
 use mountshift_maintenance::Change;
 
 impl DispatcherState {
@@ -16,7 +16,7 @@
             inputs.push(Input::FullListBegins);
         }
         for entry in &list.entries {
-            self.maintenance.borrow_mut().listed(&entry.id);
+            self.maintenance.borrow_mut().record_listed(&entry.id);
             let update = self.endpoints.update(entry);
             if update.address_left {
                 self.idle_connections.close_endpoint(update.endpoint);
@@ -33,10 +33,12 @@
         let now_ms = self.clock.unix_ms(self.now);
         let header = ListHeader { source: &source, revision: list.revision, whole: list.is_full, now_ms };
         let entries: Vec<ListEntry> = list.entries.iter().map(drain_record_entry).collect();
-        let (phases, outdated) = self.drain_record.take(&header, &entries);
-        if outdated > 0 {
+        let AppliedList { phases, kept_draining } = self.drain_record.apply(&header, &entries);
+        if kept_draining > 0 {
             let revision = list.revision;
-            info!("list {revision}: {outdated} entries say ready of endpoints told as leaving; they stay so");
+            info!(
+                "list {revision}: {kept_draining} entries say ready of endpoints told as leaving; they stay so"
+            );
         }
         for (entry, phase) in list.entries.iter_mut().zip(phases) {
             entry.phase = phase;
@@ -46,7 +48,7 @@
 
     /// Rule 3: an endpoint in maintenance is draining for this relay, whatever the list says.
     fn status_under_maintenance(&self, name: &str, status: EndpointStatus) -> EndpointStatus {
-        if status == EndpointStatus::Ready && self.maintenance.borrow().is_out(name) {
+        if status == EndpointStatus::Ready && self.maintenance.borrow().is_in_maintenance(name) {
             EndpointStatus::Draining
         } else {
             status
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -173,7 +173,7 @@
     }
 
     fn on_stop_requested(&mut self, plan: StopPlan, inputs: &mut Vec<Input>) {
-        self.maintenance.borrow_mut().stopping();
+        self.maintenance.borrow_mut().set_stopping();
         // A successor takes over what is held: nothing more is sent from here.
         if plan.hands_over {
             info!("hands over to the process beside it");
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -16,7 +16,7 @@
     pub(super) fn restore_routes(&mut self, snapshot: Snapshot, inputs: &mut Vec<Input>) {
         let now_ms = self.clock.unix_ms(self.now);
         let snapshot = snapshot.binding(now_ms);
-        debug!("restores at {now_ms}: {}", snapshot.written());
+        debug!("restores at {now_ms}: {}", snapshot.to_json());
         let mut restored = Vec::new();
         for route in &snapshot.routes {
             restored.extend(self.restored_route(route));
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -78,7 +78,7 @@
     pub(super) notifications: Sender<Notification>,
     pub(super) poll_requests: Sender<()>,
     pub(super) maintenance: Rc<RefCell<MaintenanceState>>,
-    /// EndpointTable known to be draining or removed, whatever an older list says.
+    /// Endpoints known to be draining or removed, whatever an older list says.
     pub(super) drain_record: DrainRecord,
     pub(super) files: StateFiles,
     /// The messages in the spool, by the ids that clients gave them.
@@ -132,7 +132,7 @@
         }
     }
 
-    /// CallResult a message undelivered: its client hears so if it still waits, else the platform. True if the client took
+    /// Ends a message undelivered: its client hears so if it still waits, else the platform. True if the client took
     /// it, so that the message is closed.
     pub(super) fn end_undelivered(
         &mut self,
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -33,7 +33,7 @@
 use std::process::ExitCode;
 use std::rc::Rc;
 
-/// ConnectionPool connections to endpoints may take one part in so many of the descriptors.
+/// Idle connections to endpoints may take one part in so many of the descriptors.
 const IDLE_DESCRIPTOR_DIVISOR: usize = 4;
 
 fn main() -> ExitCode {
@@ -84,7 +84,7 @@
 ) -> Result<MaintenanceState, StartError> {
     let mut maintenance = MaintenanceState::from_text(&files.read_maintenance()?);
     for entry in initial_list.iter().flat_map(|list| &list.entries) {
-        maintenance.listed(&entry.id);
+        maintenance.record_listed(&entry.id);
     }
     Ok(maintenance)
 }
@@ -104,7 +104,7 @@
 async fn run(start: Start) -> Result<(), StartError> {
     let Start { config, mut state_dir, files, initial_list, tasks, listener, signals } = start;
     tasks.spawn_all(&config, &state_dir, initial_list.as_ref(), listener, signals)?;
-    tasks.maintenance.borrow_mut().serving();
+    tasks.maintenance.borrow_mut().set_serving();
     info!("ready on {}", config.listen);
     let opened = open_spool(&config, &state_dir, &files, &tasks).await?;
     let Some(ActiveSpool { spool, deferred_events }) = opened else { return Ok(()) };
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -82,7 +82,7 @@
     merge_successor_spool(&mut spool, successor, &state_dir.successor_path, &tasks.notifications.0)?;
     // What the process before wrote down since this one started.
     let maintenance = files.read_maintenance()?;
-    tasks.maintenance.borrow_mut().read_out(&maintenance);
+    tasks.maintenance.borrow_mut().reload(&maintenance);
     Ok(Some(ActiveSpool { spool, deferred_events }))
 }
 
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -5,7 +5,7 @@
 use crate::error::StartError;
 use crate::startup::config::StartConfig;
 use log::error;
-use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord};
+use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ReadDrainRecord};
 use mountshift_handover::{SNAPSHOT_FILE, Snapshot};
 use mountshift_maintenance::MaintenanceState;
 use std::io::{self, ErrorKind};
@@ -43,7 +43,7 @@
 
     /// Writes the endpoints in maintenance, for the next process and for one beside this.
     pub(crate) fn write_maintenance(&self, maintenance: &MaintenanceState) {
-        self.replace(MAINTENANCE_FILE, &maintenance.written());
+        self.replace(MAINTENANCE_FILE, &maintenance.to_text());
     }
 
     /// What the process before left of its routes; none where it left nothing. A file that can't be read is no
@@ -52,7 +52,7 @@
     pub(crate) fn read_snapshot(&self) -> Option<Snapshot> {
         let path = self.dir.join(SNAPSHOT_FILE);
         let reason = match std::fs::read(&path) {
-            Ok(bytes) => match Snapshot::read(&String::from_utf8_lossy(&bytes)) {
+            Ok(bytes) => match Snapshot::from_json(&String::from_utf8_lossy(&bytes)) {
                 Ok(snapshot) => return Some(snapshot),
                 Err(e) => e.to_string(),
             },
@@ -64,7 +64,7 @@
     }
 
     pub(crate) fn write_snapshot(&self, snapshot: &Snapshot) {
-        self.replace(SNAPSHOT_FILE, &snapshot.written());
+        self.replace(SNAPSHOT_FILE, &snapshot.to_json());
     }
 
     /// Removes the snapshot: left in place, the next handover would restore waits of a process long gone.
@@ -75,7 +75,7 @@
         }
     }
 
-    /// EndpointTable that earlier processes knew to be draining or removed. What can't be read is left out: the rest
+    /// Endpoints that earlier processes knew to be draining or removed. What can't be read is left out: the rest
     /// still counts, and discovery is asked before anything is sent.
     pub(crate) fn read_drain_record(&self) -> DrainRecord {
         let path = self.dir.join(DRAIN_RECORD_FILE);
@@ -87,16 +87,16 @@
                 String::new()
             }
         };
-        let (drain_record, unreadable) = DrainRecord::read(&text);
-        if unreadable > 0 {
-            error!("{}: {unreadable} lines can't be read and are left out", path.display());
+        let ReadDrainRecord { record, unreadable_lines } = DrainRecord::from_text(&text);
+        if unreadable_lines > 0 {
+            error!("{}: {unreadable_lines} lines can't be read and are left out", path.display());
         }
-        drain_record
+        record
     }
 
     /// Writes the drain record, if it changed.
     pub(crate) fn write_drain_record(&self, drain_record: &mut DrainRecord) {
-        if let Some(text) = drain_record.written(self.drain_record_max_bytes) {
+        if let Some(text) = drain_record.text_if_changed(self.drain_record_max_bytes) {
             self.replace(DRAIN_RECORD_FILE, &text);
         }
     }
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -159,7 +159,7 @@
         if self.stopping_since.is_none() {
             self.stopping_since = Some(Instant::now());
         }
-        self.options.maintenance.borrow_mut().stopping();
+        self.options.maintenance.borrow_mut().set_stopping();
         self.options.clients_leave.close();
     }
 
@@ -172,7 +172,7 @@
 
     fn on_endpoint_list(&mut self, list: EndpointList) {
         for entry in &list.entries {
-            self.options.maintenance.borrow_mut().listed(&entry.id);
+            self.options.maintenance.borrow_mut().record_listed(&entry.id);
         }
         self.deferred_events.push(Event::EndpointList(Ok(list)));
     }
