Baselines: a module for each textbook rule, shared BaselineState, PolicyKind builds them

Cause: policy.rs, policies/mod.rs and policies/law.rs imported one another in a circle, and all baselines' rules stood in one struct's methods. Change: policy.rs holds the trait and the ground truth alone, policy_kind.rs builds policies, policies/ holds the baselines (state, backoff, retry_budget, circuit_breaker, selection, jitter); nothing imports back. Which -> PolicyKind, Truth -> GroundTruth, TrueState -> EndpointTruth, Law -> BaselineState, Style -> BaselineKind, Line -> KeyQueue; OneTry, PlainBreaker, LeastOut, SeesAll -> SingleAttempt, CircuitBreaker, LeastInFlight, Omniscient (serialized names stay).

--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -8,7 +8,7 @@
 use mountshift_lab::experiment::{self, Comparison, Summary};
 use mountshift_lab::hunt::{self, Prey};
 use mountshift_lab::outcome::DayOutcome;
-use mountshift_lab::policy::Which;
+use mountshift_lab::policy_kind::PolicyKind;
 use mountshift_lab::report;
 use mountshift_scenario::{Scenario, TroubleKind};
 use std::io::IsTerminal;
@@ -144,18 +144,18 @@
 
 /// A policy by its name.
 #[derive(Clone, Copy)]
-struct Policy(Which);
+struct Policy(PolicyKind);
 
 impl ValueEnum for Policy {
     fn value_variants<'a>() -> &'a [Policy] {
         &[
-            Policy(Which::Mountshift),
-            Policy(Which::OneTry),
-            Policy(Which::Backoff),
-            Policy(Which::RetryBudget),
-            Policy(Which::PlainBreaker),
-            Policy(Which::LeastOut),
-            Policy(Which::SeesAll),
+            Policy(PolicyKind::Mountshift),
+            Policy(PolicyKind::SingleAttempt),
+            Policy(PolicyKind::Backoff),
+            Policy(PolicyKind::RetryBudget),
+            Policy(PolicyKind::CircuitBreaker),
+            Policy(PolicyKind::LeastInFlight),
+            Policy(PolicyKind::Omniscient),
         ]
     }
 
@@ -165,10 +165,10 @@
 }
 
 impl Days {
-    fn policies(&self) -> Vec<Which> {
+    fn policies(&self) -> Vec<PolicyKind> {
         match (self.all, self.policies.is_empty()) {
-            (true, _) => Which::ALL.to_vec(),
-            (_, true) => vec![Which::Mountshift],
+            (true, _) => PolicyKind::ALL.to_vec(),
+            (_, true) => vec![PolicyKind::Mountshift],
             _ => self.policies.iter().map(|p| p.0).collect(),
         }
     }
@@ -207,7 +207,7 @@
 }
 
 fn went(days: &[DayOutcome]) -> Went {
-    let ours = |d: &&DayOutcome| d.policy == Which::Mountshift.name();
+    let ours = |d: &&DayOutcome| d.policy == PolicyKind::Mountshift.name();
     if days.iter().filter(ours).all(DayOutcome::kept) { Went::Well } else { Went::Broke }
 }
 
@@ -250,8 +250,11 @@
     for s in experiment::summarise(days) {
         println!("  {}", row(&s));
     }
-    for b in
-        days.iter().filter(|d| d.policy == Which::Mountshift.name()).flat_map(|d| d.breaches.iter()).take(3)
+    for b in days
+        .iter()
+        .filter(|d| d.policy == PolicyKind::Mountshift.name())
+        .flat_map(|d| d.breaches.iter())
+        .take(3)
     {
         println!("  rule {} broken at {:.3} s: {}", b.rule, b.at_s, b.why);
     }
@@ -281,7 +284,7 @@
     }
     let scenario = Scenario { name: "compared".into(), ..Scenario::read(path)? };
     let bar = bar(seeds.len() as u64);
-    let days = experiment::run(&scenario, &[Which::Mountshift], seeds, false, &|_| bar.inc(1));
+    let days = experiment::run(&scenario, &[PolicyKind::Mountshift], seeds, false, &|_| bar.inc(1));
     bar.finish_and_clear();
     Ok(days)
 }
@@ -331,7 +334,10 @@
     let bar = bar((args.to.len() * seeds.len()) as u64);
     for (value, scenario) in changed {
         let scenario = Scenario { name: "swept".into(), ..scenario };
-        sides.push((value, experiment::run(&scenario, &[Which::Mountshift], &seeds, false, &|_| bar.inc(1))));
+        sides.push((
+            value,
+            experiment::run(&scenario, &[PolicyKind::Mountshift], &seeds, false, &|_| bar.inc(1)),
+        ));
     }
     if let Some(constant) = &args.constant {
         for value in &args.to {
--- a/crates/lab/benches/day.rs
+++ b/crates/lab/benches/day.rs
@@ -2,7 +2,7 @@
 
 use criterion::{Criterion, Throughput, criterion_group, criterion_main};
 use mountshift_lab::day::{Day, Play};
-use mountshift_lab::policy::Which;
+use mountshift_lab::policy_kind::PolicyKind;
 use mountshift_scenario::Scenario;
 use std::hint::black_box;
 
@@ -12,7 +12,7 @@
     for name in ["calm", "everything", "crowd-outage"] {
         let path = format!("{}/../../examples/scenarios/{name}.toml", env!("CARGO_MANIFEST_DIR"));
         let scenario = Scenario::read(path.as_ref()).expect("a scenario");
-        let play = Play { which: Which::Mountshift, seed: 1, course: false };
+        let play = Play { which: PolicyKind::Mountshift, seed: 1, course: false };
         let messages = Day::new(&scenario, play).play().messages;
         group.throughput(Throughput::Elements(messages));
         group.bench_function(name, |b| b.iter(|| black_box(Day::new(&scenario, play).play())));
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -10,7 +10,8 @@
 use crate::chance::What;
 use crate::host::{Act, Came, Relay};
 use crate::outcome::{DayOutcome, breaches};
-use crate::policy::{Policy, TrueState, Truth, Which};
+use crate::policy::{EndpointTruth, GroundTruth, Policy};
+use crate::policy_kind::PolicyKind;
 use crate::servers::{Route, Server};
 use crate::tally::Tally;
 use crate::traffic::{self, Request};
@@ -44,7 +45,7 @@
 /// How a day is to be played.
 #[derive(Clone, Copy, Debug)]
 pub struct Play {
-    pub which: Which,
+    pub which: PolicyKind,
     pub seed: u64,
     /// Keep the course of the day for a report.
     pub course: bool,
@@ -148,7 +149,7 @@
     discovery_free: Time,
     /// What the list says of each endpoint.
     listing: Vec<EndpointStatus>,
-    truth: Truth,
+    truth: GroundTruth,
     judge: Judge,
     tally: Tally,
     digest: SipHasher13,
@@ -214,13 +215,13 @@
             lists_held: 0,
             discovery_free: 0,
             listing: vec![EndpointStatus::Ready; world.places.len()],
-            truth: Truth::default(),
+            truth: GroundTruth::default(),
             judge,
             tally,
             digest: SipHasher13::new(),
             legs: 0,
             watch: None,
-            make: Box::new(move |facts| play.which.make(facts)),
+            make: Box::new(move |facts| play.which.build(facts)),
             world,
         }
     }
@@ -523,7 +524,7 @@
 
     fn rounds(&mut self) {
         let now = self.now;
-        if self.play.which.sees_all() {
+        if self.play.which.is_omniscient() {
             self.see_all();
             for me in 0..self.relays.len() {
                 if self.relays[me].due(now) {
@@ -562,19 +563,24 @@
             let room = f64::from(s.workers) * route.share(now, world).max(0.05)
                 - f64::from(s.busy)
                 - s.queue.len() as f64;
-            TrueState { well, route: s.route, room: room + 1.0, stale: s.state.stale > 0.0 }
+            EndpointTruth {
+                available: well,
+                route: s.route,
+                spare_capacity: room + 1.0,
+                has_stale_connections: s.state.stale > 0.0,
+            }
         };
         let endpoints = self.servers.iter().map(state).collect();
-        self.truth = Truth { endpoints, routes };
+        self.truth = GroundTruth { endpoints, route_allowances: routes };
     }
 
     fn start(&mut self, me: u32) {
         let which = self.play.which;
-        if which.sees_all() {
+        if which.is_omniscient() {
             self.see_all();
         }
         let mut truth = std::mem::take(&mut self.truth);
-        let seen = which.sees_all().then_some(&mut truth);
+        let seen = which.is_omniscient().then_some(&mut truth);
         self.relays[me as usize].start(&self.world, &*self.make, self.now, seen);
         self.truth = truth;
         self.carry_out(me, usize::MAX);
@@ -640,7 +646,8 @@
         // At what point of its work it dies: before a round, behind the spool's write, in the middle of the
         // writes to the sockets.
         let point = self.world.chance.of(What::Kill, 3, strike as u64, u64::from(me));
-        if point > 0 && self.relays[me as usize].stalled_until <= self.now && !self.play.which.sees_all() {
+        if point > 0 && self.relays[me as usize].stalled_until <= self.now && !self.play.which.is_omniscient()
+        {
             let now = self.now;
             self.relays[me as usize].round(now, None);
             let most = if point == 1 { 0 } else { 2 };
--- a/crates/lab/src/experiment.rs
+++ b/crates/lab/src/experiment.rs
@@ -4,7 +4,7 @@
 use crate::chance::{Chance, What};
 use crate::day::{Day, Play};
 use crate::outcome::DayOutcome;
-use crate::policy::Which;
+use crate::policy_kind::PolicyKind;
 use mountshift_scenario::Scenario;
 use rand::RngExt;
 use rayon::prelude::*;
@@ -21,14 +21,14 @@
 /// course of the day is kept for the first seed where `course` is set.
 pub fn run(
     scenario: &Scenario,
-    policies: &[Which],
+    policies: &[PolicyKind],
     seeds: &[u64],
     course: bool,
     done: &(dyn Fn(&DayOutcome) + Sync),
 ) -> Vec<DayOutcome> {
     let days = policies.iter().flat_map(|which| seeds.iter().map(|seed| (*which, *seed)));
-    let days: Vec<(Which, u64)> = days.collect();
-    let play = |(which, seed): (Which, u64)| {
+    let days: Vec<(PolicyKind, u64)> = days.collect();
+    let play = |(which, seed): (PolicyKind, u64)| {
         let keep = course && Some(&seed) == seeds.first();
         let outcome = Day::new(scenario, Play { which, seed, course: keep }).play();
         done(&outcome);
@@ -96,9 +96,9 @@
         let days = by_policy.get(name)?;
         Some(days.iter().map(|d| d.service).sum::<f64>() / days.len() as f64)
     };
-    let ends = mean_of(Which::OneTry.name()).zip(mean_of(Which::SeesAll.name()));
+    let ends = mean_of(PolicyKind::SingleAttempt.name()).zip(mean_of(PolicyKind::Omniscient.name()));
     let mut order: Vec<&str> = by_policy.keys().copied().collect();
-    order.sort_by_key(|name| Which::ALL.iter().position(|w| w.name() == *name));
+    order.sort_by_key(|name| PolicyKind::ALL.iter().position(|w| w.name() == *name));
     let summary = |name: &str| {
         let days = &by_policy[name];
         let n = days.len() as f64;
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -2,7 +2,7 @@
 //! and starts again from it, in the way of the relay on sockets.
 
 use crate::Time;
-use crate::policy::{Policy, Truth};
+use crate::policy::{GroundTruth, Policy};
 use crate::world::World;
 use mountshift::interface::*;
 use mountshift_invariants::{End, Fact, LegEnd, Listed as Said};
@@ -381,7 +381,7 @@
         world: &World,
         make: &dyn Fn(PolicySettings) -> Box<dyn Policy>,
         now: Time,
-        truth: Option<&mut Truth>,
+        truth: Option<&mut GroundTruth>,
     ) {
         let desk = &mut self.desk;
         let unix = desk.unix(now);
@@ -440,7 +440,7 @@
         self.desk.wake.filter(|_| self.up).map(|at| at.max(self.stalled_until))
     }
 
-    pub fn round(&mut self, now: Time, truth: Option<&mut Truth>) {
+    pub fn round(&mut self, now: Time, truth: Option<&mut GroundTruth>) {
         let desk = &mut self.desk;
         (desk.now, self.last_round) = (now, now);
         desk.wake.take_if(|at| *at <= now);
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -3,7 +3,7 @@
 
 use crate::chance::{Chance, What};
 use crate::day::{Day, Play};
-use crate::policy::Which;
+use crate::policy_kind::PolicyKind;
 use mountshift_scenario::{Amount, Scenario, Share, Span, Strikes, Trouble, TroubleKind};
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -61,8 +61,8 @@
 
 fn play(scenario: &Scenario, seed: u64, prey: Prey) -> Badness {
     let day = |which| Day::new(scenario, Play { which, seed, course: false }).play();
-    let ours = day(Which::Mountshift);
-    let top = if prey == Prey::Loss { day(Which::SeesAll).service } else { 1.0 };
+    let ours = day(PolicyKind::Mountshift);
+    let top = if prey == Prey::Loss { day(PolicyKind::Omniscient).service } else { 1.0 };
     Badness { broken: ours.rules.iter().sum(), service: ours.service, top }
 }
 
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod outcome;
 mod policies;
 pub mod policy;
+pub mod policy_kind;
 pub mod report;
 mod servers;
 mod tally;
--- a/crates/lab/src/policies/mod.rs
+++ b/crates/lab/src/policies/mod.rs
@@ -1,153 +1,179 @@
-//! The baselines: what textbooks do, each on the same port as the project's decisions. They keep the rules on
-//! legs, order, drains and waits, so that what differs is when and where they send; none has a cold ramp.
+//! The baselines: what textbooks do, behind the same interface as the project's decisions. All keep the rules on
+//! attempts, order, drains and Retry-After, so that what differs is when and where they send; none has a slow
+//! start.
 
-mod law;
+mod backoff;
+mod circuit_breaker;
+mod jitter;
+mod retry_budget;
+mod selection;
+mod state;
 
-use crate::policy::{Policy, Truth};
-use law::Law;
+use crate::policy::{GroundTruth, Policy};
+use backoff::Backoff;
+use circuit_breaker::CircuitBreaker;
+use jitter::Jitter;
 use mountshift::interface::*;
+use retry_budget::RetryBudget;
+use state::BaselineState;
 use std::collections::BTreeMap;
-use std::hash::Hasher;
 use std::time::Duration;
 
-const fn ms(n: u64) -> Duration {
-    Duration::from_millis(n)
-}
-
-/// The first pause before a further leg, and the longest.
-const BACKOFF: Duration = ms(250);
-const BACKOFF_MOST: Duration = ms(8_000);
-/// Further legs for each first one, and how many may be saved up.
-const BUDGET_SHARE: f64 = 0.1;
-const BUDGET_MOST: f64 = 10.0;
-/// The breaker: failures in a row that open it, and the delay before the trial.
-const BREAKER_RUN: u32 = 5;
-const BREAKER_DELAY: Duration = ms(5_000);
-/// A leg's share of the time left until its deadline, and the least it gets.
-const LIMIT_SHARE: f64 = 0.5;
-const LIMIT_LEAST: Duration = ms(1_000);
+/// An attempt's share of the time left until the deadline, so that a retry still fits behind it.
+const ATTEMPT_TIMEOUT_SHARE: f64 = 0.5;
+/// The least that an attempt gets: shorter ones would time out on ordinary answers.
+const MIN_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Which textbook rule a baseline follows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Style {
-    OneTry,
+pub(crate) enum BaselineKind {
+    /// No retries.
+    SingleAttempt,
+    /// Retries after an exponential backoff.
     Backoff,
-    Budget,
-    Breaker,
-    LeastOut,
-    SeesAll,
-}
-
-#[derive(Clone, Copy, Default)]
-struct Breaker {
-    run: u32,
-    open_until: Option<Duration>,
-    trial: Option<MessageId>,
+    /// Backoff, and retries limited by a budget.
+    RetryBudget,
+    /// Backoff, and a circuit breaker for each destination.
+    CircuitBreaker,
+    /// Backoff, and the endpoint with the fewest calls in flight.
+    LeastInFlight,
+    /// Sends where the true state of the model says that a call is accepted.
+    Omniscient,
 }
 
+/// A baseline policy.
 pub(crate) struct Baseline {
-    style: Style,
-    law: Law,
-    /// Not before this time, after so many tries.
-    pauses: BTreeMap<MessageId, (Duration, u32)>,
-    budget: f64,
-    breakers: BTreeMap<DestinationId, Breaker>,
-    count: u64,
-    /// Messages that go to each endpoint in this round.
-    round: BTreeMap<EndpointId, usize>,
+    kind: BaselineKind,
+    state: BaselineState,
+    jitter: Jitter,
+    backoff: Backoff,
+    retry_budget: RetryBudget,
+    breakers: BTreeMap<DestinationId, CircuitBreaker>,
+    /// Messages sent to each endpoint in this step.
+    sent_in_step: BTreeMap<EndpointId, usize>,
 }
 
 impl Baseline {
-    pub fn new(style: Style, facts: PolicySettings) -> Baseline {
-        let law = Law::new(facts);
+    pub fn new(kind: BaselineKind, settings: PolicySettings) -> Baseline {
+        let initial_delay = match kind {
+            BaselineKind::Omniscient => Duration::ZERO,
+            _ => backoff::INITIAL_DELAY,
+        };
         Baseline {
-            style,
-            law,
-            pauses: BTreeMap::new(),
-            budget: 0.0,
+            kind,
+            jitter: Jitter::new(&settings),
+            state: BaselineState::new(settings),
+            backoff: Backoff::new(initial_delay),
+            retry_budget: RetryBudget::default(),
             breakers: BTreeMap::new(),
-            count: 0,
-            round: BTreeMap::new(),
+            sent_in_step: BTreeMap::new(),
         }
     }
 
-    fn chance(&mut self) -> f64 {
-        self.count += 1;
-        let mut hasher = siphasher::sip::SipHasher13::new_with_keys(self.law.facts.seed, self.count);
-        hasher.write_u32(self.law.facts.relay.0);
-        (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
-    }
-
-    /// Learns from how a leg ended.
-    fn ended(&mut self, msg: MessageId, dst: DestinationId, outcome: Outcome) {
-        let now = self.law.now;
-        let failed = !matches!(
-            outcome,
-            Outcome::Delivered | Outcome::Rejected { .. } | Outcome::NotSent | Outcome::Cancelled
-        );
-        if self.style == Style::Breaker {
-            let b = self.breakers.entry(dst).or_default();
-            let trial = b.trial.take_if(|t| *t == msg).is_some();
-            if outcome == Outcome::Delivered {
-                (b.run, b.open_until) = (0, None);
-            } else if failed {
-                b.run += 1;
-                if trial || b.run >= BREAKER_RUN {
-                    b.open_until = Some(now + BREAKER_DELAY);
-                }
-            }
+    fn record_outcome(&mut self, message: MessageId, destination: DestinationId, outcome: Outcome) {
+        let now = self.state.now;
+        if self.kind == BaselineKind::CircuitBreaker {
+            self.breakers.entry(destination).or_default().record_outcome(message, outcome, now);
         }
         if outcome == Outcome::Delivered {
-            self.pauses.remove(&msg);
-            return;
+            self.backoff.record_delivery(message);
+        } else {
+            let jitter = self.jitter.draw();
+            self.backoff.record_failure(message, now, jitter);
         }
-        let tries = self.pauses.get(&msg).map_or(0, |p| p.1) + 1;
-        let longest = BACKOFF.saturating_mul(1 << (tries - 1).min(8)).min(BACKOFF_MOST);
-        let pause = longest.mul_f64(0.5 + self.chance() / 2.0);
-        let pause = if self.style == Style::SeesAll { ms(0) } else { pause };
-        self.pauses.insert(msg, (now + pause, tries));
     }
 
-    /// May this message go now, as far as the style is concerned?
-    fn may_try(&self, msg: MessageId, dst: DestinationId) -> bool {
-        let (not_before, tries) = self.pauses.get(&msg).copied().unwrap_or_default();
-        let open = self
-            .breakers
-            .get(&dst)
-            .is_some_and(|b| b.trial.is_some() || b.open_until.is_some_and(|until| until > self.law.now));
-        let spent = match self.style {
-            Style::OneTry => tries > 0,
-            Style::Budget => tries > 0 && self.budget < 1.0,
-            _ => false,
+    /// Messages that may be sent now, the first to be sent first.
+    fn send_order(&self) -> Vec<MessageId> {
+        let mut order = self.state.waiting();
+        if self.kind == BaselineKind::Omniscient {
+            order.sort_by_key(|message| self.state.latency_target(*message));
+        }
+        order
+    }
+
+    /// True if the baseline's own rule lets the message be sent now.
+    fn may_attempt(&self, message: MessageId, destination: DestinationId) -> bool {
+        let now = self.state.now;
+        let is_retry = self.backoff.has_failed(message);
+        let may_retry = match self.kind {
+            BaselineKind::SingleAttempt => false,
+            BaselineKind::RetryBudget => self.retry_budget.allows_retry(),
+            BaselineKind::Backoff
+            | BaselineKind::CircuitBreaker
+            | BaselineKind::LeastInFlight
+            | BaselineKind::Omniscient => true,
         };
-        self.law.now >= not_before && !open && !spent
+        let breaker_allows = self.breakers.get(&destination).is_none_or(|breaker| breaker.allows(now));
+        breaker_allows && self.backoff.allows(message, now) && (may_retry || !is_retry)
     }
 
-    /// Where it goes; none if nowhere is allowed.
-    fn pick(&mut self, msg: MessageId, dst: DestinationId, truth: Option<&Truth>) -> Option<EndpointId> {
-        let options: Vec<EndpointId> = self.law.options(msg, dst).collect();
-        if options.is_empty() {
+    /// Where the message goes; none if nowhere is permitted.
+    fn select_endpoint(
+        &mut self,
+        message: MessageId,
+        destination: DestinationId,
+        truth: Option<&GroundTruth>,
+    ) -> Option<EndpointId> {
+        let candidates: Vec<EndpointId> = self.state.permitted_endpoints(message, destination).collect();
+        if candidates.is_empty() {
             return None;
         }
-        match (self.style, truth) {
-            (Style::LeastOut, _) => options.into_iter().min_by_key(|e| (self.law.calls_out(*e), *e)),
-            (Style::SeesAll, Some(truth)) => {
-                let state =
-                    |e: &EndpointId| truth.endpoints.get(e.0 as usize - 1).copied().unwrap_or_default();
-                // What joins a call that goes out anyway needs no room of its own.
-                let joins = |e: &EndpointId| self.round.get(e).is_some_and(|n| n % self.law.batch(*e) != 0);
-                let takes = |e: &EndpointId| {
-                    let s = state(e);
-                    joins(e)
-                        || (s.room >= 1.0 && truth.routes.get(s.route as usize).is_some_and(|r| *r >= 1.0))
-                };
-                let fits = options.into_iter().filter(|e| state(e).well && takes(e));
-                fits.max_by(|a, b| state(a).room.total_cmp(&state(b).room).then(b.cmp(a)))
-            }
-            _ => {
-                let n = (self.chance() * options.len() as f64) as usize;
-                options.get(n).copied()
+        match (self.kind, truth) {
+            (BaselineKind::LeastInFlight, _) => selection::least_in_flight(&candidates, &self.state),
+            (BaselineKind::Omniscient, Some(truth)) => {
+                selection::omniscient(&candidates, &self.state, truth, &self.sent_in_step)
             }
+            _ => selection::random(&candidates, self.jitter.draw()),
+        }
+    }
+
+    fn attempt_timeout(&self, message: MessageId) -> Duration {
+        let left = self.state.time_left(message);
+        if self.kind == BaselineKind::Omniscient {
+            return left;
         }
+        left.mul_f64(ATTEMPT_TIMEOUT_SHARE).max(MIN_ATTEMPT_TIMEOUT).min(left)
+    }
+
+    /// Sends the message if its turn has come and an endpoint is permitted.
+    fn try_send(&mut self, message: MessageId, truth: Option<&mut GroundTruth>, actions: &mut dyn Actions) {
+        let Some(destination) = self.state.destination(message) else { return };
+        if !self.may_attempt(message, destination) {
+            return;
+        }
+        let Some(endpoint) = self.select_endpoint(message, destination, truth.as_deref()) else { return };
+        let timeout = self.attempt_timeout(message);
+        self.state.send(message, endpoint, timeout, actions);
+        self.retry_budget.record_attempt(self.backoff.has_failed(message));
+        let opens_batch = self.count_in_batch(endpoint);
+        if let Some(truth) = truth
+            && opens_batch
+        {
+            account_for_call(truth, endpoint, actions);
+        }
+        if let Some(breaker) = self.breakers.get_mut(&destination) {
+            breaker.record_attempt(message);
+        }
+    }
+
+    /// Counts a message sent in this step; true if a call of its own begins with it.
+    fn count_in_batch(&mut self, endpoint: EndpointId) -> bool {
+        let max_batch = self.state.max_batch(endpoint);
+        let sent = self.sent_in_step.entry(endpoint).or_default();
+        let opens_batch = sent.is_multiple_of(max_batch);
+        *sent += 1;
+        opens_batch
+    }
+}
+
+/// Subtracts a call from the ground truth, and does what a policy that knows of dead connections does first.
+fn account_for_call(truth: &mut GroundTruth, endpoint: EndpointId, actions: &mut dyn Actions) {
+    let endpoint_truth = &mut truth.endpoints[selection::endpoint_position(endpoint)];
+    endpoint_truth.spare_capacity -= 1.0;
+    truth.route_allowances[endpoint_truth.route as usize] -= 1.0;
+    if endpoint_truth.has_stale_connections {
+        actions.close_idle_connections(endpoint);
     }
 }
 
@@ -156,58 +182,29 @@
         &mut self,
         now: Duration,
         inputs: &mut Vec<Input>,
-        mut truth: Option<&mut Truth>,
-        out: &mut dyn Actions,
+        mut truth: Option<&mut GroundTruth>,
+        actions: &mut dyn Actions,
     ) {
-        self.law.now = now;
-        self.round.clear();
+        self.state.now = now;
+        self.sent_in_step.clear();
         for input in inputs.drain(..) {
-            if let Input::AttemptEnded { message: msg, outcome, .. } = input
-                && let Some(dst) = self.law.destination(msg)
+            if let Input::AttemptEnded { message, outcome, .. } = input
+                && let Some(destination) = self.state.destination(message)
             {
-                self.ended(msg, dst, outcome);
+                self.record_outcome(message, destination, outcome);
             }
-            self.law.take(input);
-        }
-        let once = self.style == Style::OneTry;
-        self.law.end_spent(out, |id| once && self.pauses.contains_key(&id));
-        let mut order = self.law.waiting();
-        if self.style == Style::SeesAll {
-            order.sort_by_key(|id| self.law.target(*id));
+            self.state.apply(input);
         }
-        for id in order {
-            if self.law.no_slot() {
+        let gives_up = self.kind == BaselineKind::SingleAttempt;
+        self.state.fail_exhausted(actions, |message| gives_up && self.backoff.has_failed(message));
+        for message in self.send_order() {
+            if self.state.at_call_limit() {
                 break;
             }
-            let Some(dst) = self.law.destination(id) else { continue };
-            if !self.may_try(id, dst) {
-                continue;
-            }
-            let Some(to) = self.pick(id, dst, truth.as_deref()) else { continue };
-            let left = self.law.left(id);
-            let limit =
-                if self.style == Style::SeesAll { left } else { left.mul_f64(LIMIT_SHARE).max(LIMIT_LEAST) };
-            self.law.send(id, to, limit.min(left), out);
-            let again = self.pauses.contains_key(&id);
-            self.budget = (self.budget + if again { -1.0 } else { BUDGET_SHARE }).min(BUDGET_MOST);
-            let in_call = self.round.entry(to).or_default();
-            *in_call += 1;
-            if let Some(truth) =
-                truth.as_mut().filter(|_| *in_call % self.law.batch(to) == 1 % self.law.batch(to))
-            {
-                let state = &mut truth.endpoints[to.0 as usize - 1];
-                state.room -= 1.0;
-                truth.routes[state.route as usize] -= 1.0;
-                if state.stale {
-                    out.close_idle_connections(to);
-                }
-            }
-            if let Some(b) = self.breakers.get_mut(&dst).filter(|b| b.open_until.is_some()) {
-                b.trial = Some(id);
-            }
+            self.try_send(message, truth.as_deref_mut(), actions);
         }
-        let law = &self.law;
-        self.pauses.retain(|id, _| law.destination(*id).is_some());
-        self.law.wake(out);
+        let state = &self.state;
+        self.backoff.retain(|message| state.destination(message).is_some());
+        self.state.request_wake(actions);
     }
 }
--- /dev/null
+++ b/crates/lab/src/policy_kind.rs
@@ -0,0 +1,79 @@
+//! The policies that a day can be played with, by name, and how each is built.
+
+use crate::policies::{Baseline, BaselineKind};
+use crate::policy::Policy;
+use mountshift::interface::PolicySettings;
+use mountshift::rules::DeliveryPolicy;
+use serde::{Deserialize, Serialize};
+
+/// The policies that a day can be played with. Their serialized names stand in stored results and on the command
+/// line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum PolicyKind {
+    /// The project's decisions.
+    #[serde(rename = "mountshift")]
+    Mountshift,
+    /// One attempt for each message, in the order of arrival: the floor of all comparisons.
+    #[serde(rename = "one-try")]
+    SingleAttempt,
+    /// Retries after an exponential backoff with jitter.
+    #[serde(rename = "backoff")]
+    Backoff,
+    /// The same, with retries limited to a tenth of the first attempts.
+    #[serde(rename = "retry-budget")]
+    RetryBudget,
+    /// Backoff and a circuit breaker for each destination.
+    #[serde(rename = "plain-breaker")]
+    CircuitBreaker,
+    /// Backoff, and always the endpoint with the fewest calls in flight.
+    #[serde(rename = "least-out")]
+    LeastInFlight,
+    /// Sees the true state of the model: the top of all comparisons.
+    #[serde(rename = "sees-all")]
+    Omniscient,
+}
+
+impl PolicyKind {
+    /// All of them, in the order of reports.
+    pub const ALL: [PolicyKind; 7] = [
+        PolicyKind::Mountshift,
+        PolicyKind::SingleAttempt,
+        PolicyKind::Backoff,
+        PolicyKind::RetryBudget,
+        PolicyKind::CircuitBreaker,
+        PolicyKind::LeastInFlight,
+        PolicyKind::Omniscient,
+    ];
+
+    /// The name in results and on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            PolicyKind::Mountshift => "mountshift",
+            PolicyKind::SingleAttempt => "one-try",
+            PolicyKind::Backoff => "backoff",
+            PolicyKind::RetryBudget => "retry-budget",
+            PolicyKind::CircuitBreaker => "plain-breaker",
+            PolicyKind::LeastInFlight => "least-out",
+            PolicyKind::Omniscient => "sees-all",
+        }
+    }
+
+    /// True if it is shown the true state of the model: its relays then play one after another.
+    pub fn is_omniscient(self) -> bool {
+        self == PolicyKind::Omniscient
+    }
+
+    /// A policy for a relay that starts.
+    pub fn build(self, settings: PolicySettings) -> Box<dyn Policy> {
+        let baseline = match self {
+            PolicyKind::Mountshift => return Box::new(DeliveryPolicy::new(settings)),
+            PolicyKind::SingleAttempt => BaselineKind::SingleAttempt,
+            PolicyKind::Backoff => BaselineKind::Backoff,
+            PolicyKind::RetryBudget => BaselineKind::RetryBudget,
+            PolicyKind::CircuitBreaker => BaselineKind::CircuitBreaker,
+            PolicyKind::LeastInFlight => BaselineKind::LeastInFlight,
+            PolicyKind::Omniscient => BaselineKind::Omniscient,
+        };
+        Box::new(Baseline::new(baseline, settings))
+    }
+}
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -3,7 +3,7 @@
 
 use crate::experiment::summarise;
 use crate::outcome::{Course, DayOutcome};
-use crate::policy::Which;
+use crate::policy_kind::PolicyKind;
 use minijinja::{Environment, context};
 use mountshift_scenario::Scenario;
 use plotters::coord::Shift;
@@ -40,7 +40,7 @@
 /// If a plot or the page can't be made, or no day is there.
 pub fn page(scenario: &Scenario, days: &[DayOutcome]) -> Drawn {
     let shown = days.iter().find(|d| d.course.is_some()).or(days.first()).ok_or("there are no days")?;
-    let ours = Which::Mountshift.name();
+    let ours = PolicyKind::Mountshift.name();
     let seeds: std::collections::BTreeSet<u64> = days.iter().map(|d| d.seed).collect();
     let seeds: Vec<String> = seeds.iter().map(u64::to_string).collect();
     let policies: Vec<_> = summarise(days)
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -5,7 +5,7 @@
 use mountshift_lab::experiment::{Estimate, compare, run, summarise, with_value};
 use mountshift_lab::hunt::{Prey, hunt};
 use mountshift_lab::outcome::DayOutcome;
-use mountshift_lab::policy::Which;
+use mountshift_lab::policy_kind::PolicyKind;
 use mountshift_lab::report;
 use mountshift_scenario::Scenario;
 use proptest::prelude::*;
@@ -20,7 +20,7 @@
     Scenario::read(&path(name)).expect("a scenario")
 }
 
-fn play(s: &Scenario, which: Which, seed: u64) -> DayOutcome {
+fn play(s: &Scenario, which: PolicyKind, seed: u64) -> DayOutcome {
     Day::new(s, Play { which, seed, course: false }).play()
 }
 
@@ -47,7 +47,7 @@
 fn the_decisions_keep_the_rules(name: &str) {
     let s = scenario(name);
     for seed in [11, 12] {
-        let day = play(&s, Which::Mountshift, seed);
+        let day = play(&s, PolicyKind::Mountshift, seed);
         assert!(day.kept(), "seed {seed}: {:?} {:#?}", day.rules, day.breaches.first());
         assert!(day.service > 0.5 && day.requests > 100, "{}", day.service);
     }
@@ -60,7 +60,7 @@
 #[test_case("fleet-killed", 0.9)]
 fn a_fleet_is_served(name: &str, least: f64) {
     let s = scenario(name);
-    let served: f64 = (1..=3).map(|seed| play(&s, Which::Mountshift, seed).service).sum();
+    let served: f64 = (1..=3).map(|seed| play(&s, PolicyKind::Mountshift, seed).service).sum();
     assert!(served / 3.0 > least, "{}", served / 3.0);
 }
 
@@ -83,7 +83,7 @@
         pool.install(|| {
             let mut lines = Vec::new();
             let mut watch = |at: u64, seen: Seen| lines.push(format!("{at} {seen:?}"));
-            let play = Play { which: Which::Mountshift, seed: 3, course: false };
+            let play = Play { which: PolicyKind::Mountshift, seed: 3, course: false };
             let day = Day::new(&s, play).watched(&mut watch).play();
             (lines, day.digest)
         })
@@ -91,22 +91,29 @@
     let (one, four) = (trace(1), trace(4));
     assert!(one.0.len() > 5_000);
     assert!(one == four, "traces differ");
-    assert_ne!(play(&s, Which::Mountshift, 4).digest, one.1, "another seed gives another day");
+    assert_ne!(play(&s, PolicyKind::Mountshift, 4).digest, one.1, "another seed gives another day");
 }
 
 #[test]
 fn floor_and_top_enclose_the_textbooks() {
     // A day on which a second try elsewhere helps and does no harm.
     let s = scenario("one-endpoint-down");
-    let days = run(&s, &Which::ALL, &[1, 2, 3], false, &|_| {});
-    let of = |which: Which| {
+    let days = run(&s, &PolicyKind::ALL, &[1, 2, 3], false, &|_| {});
+    let of = |which: PolicyKind| {
         let days: Vec<f64> = days.iter().filter(|d| d.policy == which.name()).map(|d| d.service).collect();
         days.iter().sum::<f64>() / days.len() as f64
     };
-    assert!(of(Which::SeesAll) > of(Which::OneTry) + 0.05, "{} {}", of(Which::SeesAll), of(Which::OneTry));
-    for which in [Which::Backoff, Which::PlainBreaker, Which::LeastOut, Which::Mountshift] {
-        assert!(of(which) > of(Which::OneTry), "{which:?}");
-        assert!(of(which) < of(Which::SeesAll) + 0.01, "{which:?}");
+    assert!(
+        of(PolicyKind::Omniscient) > of(PolicyKind::SingleAttempt) + 0.05,
+        "{} {}",
+        of(PolicyKind::Omniscient),
+        of(PolicyKind::SingleAttempt)
+    );
+    for which in
+        [PolicyKind::Backoff, PolicyKind::CircuitBreaker, PolicyKind::LeastInFlight, PolicyKind::Mountshift]
+    {
+        assert!(of(which) > of(PolicyKind::SingleAttempt), "{which:?}");
+        assert!(of(which) < of(PolicyKind::Omniscient) + 0.01, "{which:?}");
     }
 }
 
@@ -114,11 +121,11 @@
 fn what_is_the_same_can_not_be_told_apart_and_what_is_worse_can() {
     let s = scenario("crash-cold");
     let seeds: Vec<u64> = (1..=8).collect();
-    let a = run(&s, &[Which::Mountshift], &seeds, false, &|_| {});
+    let a = run(&s, &[PolicyKind::Mountshift], &seeds, false, &|_| {});
     let same = compare(&a, &a).expect("pairs");
     assert!(same.says.starts_with("can't be told apart"), "{}", same.says);
     assert_eq!(same.difference.mean, 0.0);
-    let b = run(&s, &[Which::OneTry], &seeds, false, &|_| {});
+    let b = run(&s, &[PolicyKind::SingleAttempt], &seeds, false, &|_| {});
     let worse = compare(&a, &b).expect("pairs");
     assert!(worse.says.starts_with("A serves better"), "{}", worse.says);
     let few = compare(&a[..3], &b[..3]).expect("pairs");
@@ -147,14 +154,20 @@
     assert!(found.badness.loss() > 0.01 && found.troubles.1 <= found.troubles.0);
     let text = found.scenario.to_text().expect("a text");
     let again = Scenario::from_text(&text, "found").expect("a scenario");
-    let day = play(&again, Which::Mountshift, found.seed);
+    let day = play(&again, PolicyKind::Mountshift, found.seed);
     assert_eq!(day.service, found.badness.service);
 }
 
 #[test]
 fn a_report_is_one_page_that_needs_nothing_else() {
     let s = scenario("everything");
-    let days = run(&s, &[Which::Mountshift, Which::OneTry, Which::SeesAll], &[1], true, &|_| {});
+    let days = run(
+        &s,
+        &[PolicyKind::Mountshift, PolicyKind::SingleAttempt, PolicyKind::Omniscient],
+        &[1],
+        true,
+        &|_| {},
+    );
     let page = report::page(&s, &days).expect("a page");
     for part in ["<svg", "Policies", "sees-all", "Breaches", "transfer", "throttle-count"] {
         assert!(page.contains(part), "{part}");
@@ -165,11 +178,17 @@
 #[test]
 fn a_summary_tells_where_between_floor_and_top() {
     let s = scenario("silent");
-    let days = run(&s, &[Which::Mountshift, Which::OneTry, Which::SeesAll], &[1, 2], false, &|_| {});
+    let days = run(
+        &s,
+        &[PolicyKind::Mountshift, PolicyKind::SingleAttempt, PolicyKind::Omniscient],
+        &[1, 2],
+        false,
+        &|_| {},
+    );
     let summaries = summarise(&days);
-    let place = |which: Which| summaries.iter().find(|s| s.policy == which.name()).and_then(|s| s.place);
-    assert_eq!((place(Which::OneTry), place(Which::SeesAll)), (Some(0.0), Some(1.0)));
-    assert!(place(Which::Mountshift).is_some_and(|p| p > 0.0));
+    let place = |which: PolicyKind| summaries.iter().find(|s| s.policy == which.name()).and_then(|s| s.place);
+    assert_eq!((place(PolicyKind::SingleAttempt), place(PolicyKind::Omniscient)), (Some(0.0), Some(1.0)));
+    assert!(place(PolicyKind::Mountshift).is_some_and(|p| p > 0.0));
 }
 
 proptest! {
--- a/crates/lab/tests/sabotage.rs
+++ b/crates/lab/tests/sabotage.rs
@@ -5,7 +5,8 @@
 use mountshift::rules::DeliveryPolicy;
 use mountshift_lab::day::{Day, Play};
 use mountshift_lab::outcome::DayOutcome;
-use mountshift_lab::policy::{Policy, Truth, Which};
+use mountshift_lab::policy::{GroundTruth, Policy};
+use mountshift_lab::policy_kind::PolicyKind;
 use mountshift_scenario::Scenario;
 use std::time::Duration;
 use test_case::test_case;
@@ -135,7 +136,13 @@
 }
 
 impl Policy for Liar {
-    fn step(&mut self, now: Duration, inputs: &mut Vec<Input>, _: Option<&mut Truth>, out: &mut dyn Actions) {
+    fn step(
+        &mut self,
+        now: Duration,
+        inputs: &mut Vec<Input>,
+        _: Option<&mut GroundTruth>,
+        out: &mut dyn Actions,
+    ) {
         let lie = self.lie;
         let mut peers = Vec::new();
         inputs.retain_mut(|input| match input {
@@ -179,7 +186,7 @@
     // One key a destination: a line stands behind every message that keeps its order.
     s.traffic.keys = std::num::NonZeroU32::MIN;
     change(&mut s);
-    let play = Play { which: Which::Mountshift, seed, course: false };
+    let play = Play { which: PolicyKind::Mountshift, seed, course: false };
     Day::new(&s, play).with_policy(Box::new(move |facts| lied_to(lie, facts))).play()
 }
 
