Modelled relay: events and effects as named enums, a folder in place of host.rs

Cause: one file of 484 lines held the relay's events (Came), effects (Act), spool, clocks and decisions' actions (Desk), with tuples for attempts.

--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -8,7 +8,7 @@
 
 use crate::Time;
 use crate::chance::What;
-use crate::host::{Act, Came, Relay};
+use crate::host::{Relay, RelayEffect, RelayEvent};
 use crate::outcome::{DayOutcome, breaches};
 use crate::policy::{EndpointTruth, GroundTruth, Policy};
 use crate::policy_kind::PolicyKind;
@@ -256,7 +256,7 @@
             // The next thing that happens, on the grid of rounds.
             let arrival = self.requests.get(arrived).map(|r| r.at);
             let event = self.heap.peek().map(|e| e.0.0);
-            let wakes = self.relays.iter().filter_map(Relay::wakes).min();
+            let wakes = self.relays.iter().filter_map(Relay::next_wake).min();
             let next = [arrival, event, wakes].into_iter().flatten().min();
             let Some(next) = next.filter(|next| *next <= end) else { break };
             let tick = (next.div_ceil(gap) * gap).max(self.now);
@@ -372,7 +372,7 @@
             Event::StrikeOff(n) => self.strike(n, false),
             Event::Tell(relay, endpoint, says) => self.tell(relay, endpoint, says),
             Event::Whole(relay) => self.whole(relay),
-            Event::NoList(relay) => self.relays[relay as usize].inbox.push(Came::WatchFailed),
+            Event::NoList(relay) => self.relays[relay as usize].inbox.push(RelayEvent::PollFailed),
             Event::Noticed(msg) => self.noticed(msg),
             Event::Patience(msg) => self.patience(msg),
             Event::Second => self.second(),
@@ -409,7 +409,7 @@
 
     fn second(&mut self) {
         let held: usize = self.relays.iter().map(Relay::held).sum();
-        let out: usize = self.relays.iter().map(Relay::calls_out).sum();
+        let out: usize = self.relays.iter().map(Relay::calls_in_flight).sum();
         Tally::count(&mut self.tally.held, self.now, held as f64);
         Tally::count(&mut self.tally.out, self.now, out as f64);
         let (routes, world, now) = (&self.routes, &self.world, self.now);
@@ -450,7 +450,14 @@
         let (lane, tenant, dst, key) = (r.lane, r.tenant, r.dst, r.key);
         self.fact(Fact::HandedIn { msg, request: u64::from(n), relay, lane, dst, key, deadline });
         let host = &mut self.relays[relay as usize];
-        host.inbox.push(Came::Message { msg, lane, tenant, dst, key, deadline });
+        host.inbox.push(RelayEvent::Submitted {
+            message: msg,
+            class: lane,
+            tenant,
+            destination: dst,
+            key,
+            deadline,
+        });
         if host.stalled_until > self.now {
             self.at(self.now + self.world.scenario.clients.patience.us(), Event::Patience(msg));
         }
@@ -480,7 +487,7 @@
         if m.client == Client::GaveUp {
             if end.is_none() {
                 let relay = m.relay;
-                self.relays[relay as usize].inbox.push(Came::Gone(msg));
+                self.relays[relay as usize].inbox.push(RelayEvent::ClientGone { message: msg });
             }
             return;
         }
@@ -517,7 +524,7 @@
         let Some(m) = self.msgs.get(&msg) else { return };
         let relay = m.relay as usize;
         self.fact(Fact::EndTaken { msg });
-        self.relays[relay].inbox.push(Came::Noticed(msg));
+        self.relays[relay].inbox.push(RelayEvent::NotificationTaken { message: msg });
     }
 
     // Relays.
@@ -529,7 +536,7 @@
             for me in 0..self.relays.len() {
                 if self.relays[me].due(now) {
                     let mut truth = std::mem::take(&mut self.truth);
-                    self.relays[me].round(now, Some(&mut truth));
+                    self.relays[me].step(now, Some(&mut truth));
                     self.truth = truth;
                     self.carry_out(me as u32, usize::MAX);
                 }
@@ -538,9 +545,9 @@
         }
         let mut due: Vec<&mut Relay> = self.relays.iter_mut().filter(|r| r.due(now)).collect();
         if due.len() >= PARALLEL {
-            due.par_iter_mut().for_each(|r| r.round(now, None));
+            due.par_iter_mut().for_each(|r| r.step(now, None));
         } else {
-            due.iter_mut().for_each(|r| r.round(now, None));
+            due.iter_mut().for_each(|r| r.step(now, None));
         }
         for me in 0..self.relays.len() {
             if self.relays[me].last_round == now {
@@ -590,40 +597,45 @@
     fn carry_out(&mut self, me: u32, most: usize) {
         let mut done = 0;
         let mut seen_to_go = true;
-        for act in self.relays[me as usize].acts() {
-            let outward = matches!(act, Act::Call { .. } | Act::Answer { .. } | Act::Notice { .. });
+        for act in self.relays[me as usize].take_effects() {
+            let outward = matches!(
+                act,
+                RelayEffect::StartCall { .. } | RelayEffect::AnswerClient { .. } | RelayEffect::Notify { .. }
+            );
             done += usize::from(outward);
             if outward && done > most {
                 seen_to_go = false;
             }
             match act {
                 // What was learnt was learnt; what went out counts only if it went.
-                Act::Fact(fact @ (Fact::LegEnded { .. } | Fact::WaitTold { .. })) => {
+                RelayEffect::Fact(fact @ (Fact::LegEnded { .. } | Fact::WaitTold { .. })) => {
                     if let Fact::LegEnded { end, .. } = fact {
                         *self.tally.ends.entry(end_name(end)).or_default() += 1;
                     }
                     self.fact(fact);
                 }
-                Act::Fact(Fact::Leg { msg, call, relay, to }) => {
+                RelayEffect::Fact(Fact::Leg { msg, call, relay, to }) => {
                     if most == usize::MAX || done < most {
                         self.legs += 1;
                         Tally::count(&mut self.tally.legs, self.now, 1.0);
                         self.fact(Fact::Leg { msg, call, relay, to });
                     }
                 }
-                Act::Fact(fact) => {
+                RelayEffect::Fact(fact) => {
                     if most == usize::MAX || done < most {
                         self.fact(fact);
                     }
                 }
                 _ if !seen_to_go => {}
-                Act::Call { call, to, legs, limit } => self.call(me, call, to, legs, limit),
-                Act::Answer { msg, end } => self.heard(msg, end),
-                Act::Notice { msg, end } => self.notice(msg, end),
-                Act::Close { call } => self.close(call, Outcome::Cancelled),
-                Act::CloseIdle { endpoint } => self.close_idle(me, endpoint),
-                Act::Watch => self.ask(me),
-                Act::Log(line) => {
+                RelayEffect::StartCall { call, endpoint, messages, timeout } => {
+                    self.call(me, call, endpoint, messages, timeout)
+                }
+                RelayEffect::AnswerClient { message, end } => self.heard(message, end),
+                RelayEffect::Notify { message, end } => self.notice(message, end),
+                RelayEffect::CloseCall { call } => self.close(call, Outcome::Cancelled),
+                RelayEffect::CloseIdleConnections { endpoint } => self.close_idle(me, endpoint),
+                RelayEffect::PollEndpoints => self.ask(me),
+                RelayEffect::Log(line) => {
                     if let Some(watch) = self.watch.as_mut() {
                         watch(self.now, Seen::Log(me, &line));
                     }
@@ -649,7 +661,7 @@
         if point > 0 && self.relays[me as usize].stalled_until <= self.now && !self.play.which.is_omniscient()
         {
             let now = self.now;
-            self.relays[me as usize].round(now, None);
+            self.relays[me as usize].step(now, None);
             let most = if point == 1 { 0 } else { 2 };
             self.carry_out(me, most);
         }
@@ -697,7 +709,7 @@
         }
         host.learn(&self.world, &place, endpoint, says);
         if host.up {
-            host.inbox.push(Came::Listed { endpoint, says });
+            host.inbox.push(RelayEvent::EndpointListed { endpoint, status: says });
         }
     }
 
@@ -747,18 +759,18 @@
             return;
         }
         if failed {
-            self.relays[relay as usize].inbox.push(Came::WatchFailed);
+            self.relays[relay as usize].inbox.push(RelayEvent::PollFailed);
             return;
         }
         self.relays[relay as usize].watching = true;
-        self.relays[relay as usize].inbox.push(Came::Whole);
+        self.relays[relay as usize].inbox.push(RelayEvent::FullListBegins);
         for endpoint in 0..self.listing.len() as u32 {
             let says = self.listing[endpoint as usize];
             if says != EndpointStatus::Removed {
                 let place = self.place(endpoint);
                 let host = &mut self.relays[relay as usize];
                 host.learn(&self.world, &place, endpoint, says);
-                host.inbox.push(Came::Listed { endpoint, says });
+                host.inbox.push(RelayEvent::EndpointListed { endpoint, status: says });
             }
         }
     }
--- a/crates/lab/src/day/calls.rs
+++ b/crates/lab/src/day/calls.rs
@@ -3,7 +3,7 @@
 use super::{AT_ONCE, Call, Client, Day, Event, Stage};
 use crate::Time;
 use crate::chance::What;
-use crate::host::Came;
+use crate::host::{AttemptEnd, RelayEvent};
 use crate::world::by_zone;
 use mountshift::interface::Outcome;
 use mountshift_invariants::Fact;
@@ -382,7 +382,11 @@
         if done && self.calls.get(&n).is_some_and(|c| c.stage != Stage::Running && c.stage != Stage::Queued) {
             self.calls.remove(&n);
         }
-        self.relays[relay as usize].inbox.push(Came::Ended { call: n, ends, wait });
+        self.relays[relay as usize].inbox.push(RelayEvent::CallEnded {
+            call: n,
+            ends: ends.into_iter().map(AttemptEnd::from).collect(),
+            retry_after: wait,
+        });
     }
 
     /// A relay has waited long enough for a call.
@@ -402,9 +406,9 @@
     pub(super) fn close(&mut self, n: u64, outcome: Outcome) {
         let Some(call) = self.calls.get(&n).filter(|c| c.open) else { return };
         let relay = call.relay as usize;
-        let ends = call.legs.iter().map(|msg| (*msg, outcome, false)).collect();
+        let ends = call.legs.iter().map(|msg| AttemptEnd { message: *msg, outcome, closed: false }).collect();
         self.hang_up(n);
-        self.relays[relay].inbox.push(Came::Ended { call: n, ends, wait: 0 });
+        self.relays[relay].inbox.push(RelayEvent::CallEnded { call: n, ends, retry_after: 0 });
     }
 
     /// The connection of a call is closed from the relay's side.
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -3,7 +3,7 @@
 use super::{AT_ONCE, Call, Day, Event, Stage};
 use crate::Time;
 use crate::chance::What;
-use crate::host::Came;
+use crate::host::RelayEvent;
 use crate::servers::{Route, Server, State};
 use crate::world::Strike;
 use mountshift::interface::{EndpointStatus, Outcome};
@@ -33,10 +33,10 @@
                         let host = &mut self.relays[relay as usize];
                         host.stalled_until = host.stalled_until.max(strike.to);
                         let patience = self.now + self.world.scenario.clients.patience.us();
-                        let asks = |m: &&Came| matches!(m, Came::Message { .. });
-                        let waiting: Vec<Came> = host.inbox.iter().filter(asks).cloned().collect();
+                        let asks = |m: &&RelayEvent| matches!(m, RelayEvent::Submitted { .. });
+                        let waiting: Vec<RelayEvent> = host.inbox.iter().filter(asks).cloned().collect();
                         for came in waiting {
-                            if let Came::Message { msg, .. } = came {
+                            if let RelayEvent::Submitted { message: msg, .. } = came {
                                 self.at(patience, Event::Patience(msg));
                             }
                         }
@@ -59,7 +59,7 @@
                 self.lists_held = if on { self.lists_held + 1 } else { self.lists_held - 1 };
                 if on && strike.kind == TroubleKind::WatchLost && self.world.scenario.relays.watch {
                     for relay in strike.relays {
-                        self.relays[relay as usize].inbox.push(Came::WatchFailed);
+                        self.relays[relay as usize].inbox.push(RelayEvent::PollFailed);
                     }
                 }
             }
--- /dev/null
+++ b/crates/lab/src/host/dispatcher.rs
@@ -0,0 +1,339 @@
+//! The dispatcher state of a modelled relay: turns events into inputs of the policy, and takes the policy's
+//! actions. What was decided is stored in the spool before anything of it goes out.
+
+use super::clock::{DecisionClock, UnixClock};
+use super::messages::{AttemptEnd, RelayEffect, RelayEvent};
+use super::spool::{StoredAttempt, StoredMessage};
+use crate::Time;
+use crate::world::World;
+use mountshift::interface::*;
+use mountshift_invariants::{End, Fact, LegEnd, Listed};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Calls are numbered within a relay, with the relay's number above these bits.
+const CALL_NUMBER_BITS: u32 = 40;
+
+/// An endpoint as the list described it last.
+#[derive(Clone, Copy)]
+pub(super) struct KnownEndpoint {
+    pub status: EndpointStatus,
+    pub destination: u32,
+    pub zone: u8,
+    pub kind: u16,
+    pub rate: f64,
+}
+
+/// A call in flight.
+pub(super) struct CallInFlight {
+    endpoint: u32,
+    sent_at: Time,
+    messages: Vec<u64>,
+    cancelled: Vec<u64>,
+}
+
+/// An attempt that the policy has sent in this step.
+#[derive(Clone, Copy)]
+struct QueuedAttempt {
+    message: u64,
+    timeout: Time,
+}
+
+/// The attempts to one endpoint that the policy has sent in this step.
+struct QueuedAttempts {
+    endpoint: u32,
+    attempts: Vec<QueuedAttempt>,
+}
+
+/// What a relay holds beside its policy.
+pub(super) struct DispatcherState {
+    pub relay: u32,
+    pub now: Time,
+    pub clock: DecisionClock,
+    pub unix_clock: UnixClock,
+    /// Messages in one call at most, by kind of destination.
+    max_batch: Vec<usize>,
+    max_queued: usize,
+    pub spool: BTreeMap<u64, StoredMessage>,
+    pub endpoints: BTreeMap<u32, KnownEndpoint>,
+    /// Messages whose clients wait to hear that they are accepted, in the order of their submission.
+    pub unanswered: Vec<u64>,
+    queued: Vec<QueuedAttempts>,
+    pub calls: BTreeMap<u64, CallInFlight>,
+    calls_started: u64,
+    /// When the policy wants its next step.
+    pub wake_at: Option<Time>,
+    pub effects: Vec<RelayEffect>,
+    pub keep_log: bool,
+}
+
+/// The model's endpoints count from 0, the ids of the interface from 1.
+fn endpoint_id(endpoint: u32) -> EndpointId {
+    EndpointId(u64::from(endpoint) + 1)
+}
+
+fn endpoint_number(endpoint: EndpointId) -> u32 {
+    endpoint.0 as u32 - 1
+}
+
+impl Actions for DispatcherState {
+    fn send(&mut self, message: MessageId, endpoint: EndpointId, limit: Duration) {
+        let endpoint = endpoint_number(endpoint);
+        let attempt = QueuedAttempt { message: message.0, timeout: limit.as_micros() as u64 };
+        match self.queued.iter_mut().find(|queued| queued.endpoint == endpoint) {
+            Some(queued) => queued.attempts.push(attempt),
+            None => self.queued.push(QueuedAttempts { endpoint, attempts: vec![attempt] }),
+        }
+    }
+
+    fn reject(&mut self, message: MessageId, retry_after: Duration) -> bool {
+        self.end_undelivered(message.0, End::PushedBack(retry_after.as_micros() as u64))
+    }
+
+    fn fail(&mut self, message: MessageId) -> bool {
+        self.end_undelivered(message.0, End::Failed)
+    }
+
+    fn cancel(&mut self, message: MessageId, _attempt: AttemptNumber) {
+        let holds_message = |call: &CallInFlight| call.messages.contains(&message.0);
+        let Some((id, call)) = self.calls.iter_mut().find(|(_, call)| holds_message(call)) else { return };
+        call.cancelled.push(message.0);
+        // One message can't be taken out of a call: it would still be in flight on an open connection.
+        if call.messages.iter().all(|message| call.cancelled.contains(message)) {
+            self.effects.push(RelayEffect::CloseCall { call: *id });
+        }
+    }
+
+    fn close_idle_connections(&mut self, endpoint: EndpointId) {
+        let endpoint = endpoint_number(endpoint);
+        self.effects.push(RelayEffect::CloseIdleConnections { endpoint });
+    }
+
+    fn forget_endpoint(&mut self, endpoint: EndpointId) {
+        self.endpoints.remove(&endpoint_number(endpoint));
+        self.close_idle_connections(endpoint);
+    }
+
+    fn wake_after(&mut self, span: Duration) {
+        let at = self.now + span.as_micros() as u64;
+        self.wake_at = Some(self.wake_at.map_or(at, |earlier| earlier.min(at)));
+    }
+
+    fn poll_endpoints(&mut self) {
+        self.effects.push(RelayEffect::PollEndpoints);
+    }
+
+    fn log(&mut self, line: &str) {
+        if self.keep_log {
+            self.effects.push(RelayEffect::Log(line.to_string()));
+        }
+    }
+}
+
+impl DispatcherState {
+    pub fn new(world: &World, relay: u32, keep_log: bool) -> DispatcherState {
+        DispatcherState {
+            relay,
+            now: 0,
+            clock: DecisionClock::default(),
+            unix_clock: UnixClock::default(),
+            max_batch: world.scenario.groups.iter().map(|group| group.batch.get() as usize).collect(),
+            max_queued: world.scenario.relays.held.get() as usize,
+            spool: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            unanswered: Vec::new(),
+            queued: Vec::new(),
+            calls: BTreeMap::new(),
+            calls_started: 0,
+            wake_at: None,
+            effects: Vec::new(),
+            keep_log,
+        }
+    }
+
+    pub fn record(&mut self, fact: Fact) {
+        self.effects.push(RelayEffect::Fact(fact));
+    }
+
+    /// Gives a final answer that is no delivery: to the client if it waits, else as a notification. True if that
+    /// ends the message at once.
+    fn end_undelivered(&mut self, message: u64, end: End) -> bool {
+        self.record(Fact::Ended { msg: message, relay: self.relay, end });
+        if let Some(position) = self.unanswered.iter().position(|waiting| *waiting == message) {
+            self.unanswered.remove(position);
+            self.effects.push(RelayEffect::AnswerClient { message, end: Some(end) });
+            self.spool.remove(&message);
+            return true;
+        }
+        if let Some(stored) = self.spool.get_mut(&message) {
+            stored.pending_end = Some(end);
+        }
+        self.effects.push(RelayEffect::Notify { message, end });
+        false
+    }
+
+    /// Takes an event in, and adds what the policy must know of it to `inputs`.
+    pub fn apply(&mut self, event: RelayEvent, inputs: &mut Vec<Input>) {
+        match event {
+            RelayEvent::Submitted { message, class, tenant, destination, key, deadline } => {
+                let submission = Submission {
+                    class: ClassId(class),
+                    tenant: TenantId(tenant),
+                    destination: DestinationId(destination),
+                    key: if key == 0 { None } else { Some(OrderingKey(key)) },
+                    deadline: self.clock.at(deadline),
+                    restored: false,
+                };
+                self.on_submitted(message, submission, deadline, inputs);
+            }
+            RelayEvent::ClientGone { message } | RelayEvent::NotificationTaken { message } => {
+                self.spool.remove(&message);
+                inputs.push(Input::Closed(MessageId(message)));
+            }
+            RelayEvent::CallEnded { call, ends, retry_after } => {
+                self.on_call_ended(call, &ends, retry_after, inputs);
+            }
+            RelayEvent::FullListBegins => inputs.extend([Input::FullListBegins, Input::ListReceived]),
+            RelayEvent::EndpointListed { endpoint, status } => {
+                self.on_endpoint_listed(endpoint, status, inputs);
+            }
+            RelayEvent::PollFailed => inputs.push(Input::PollFailed { retry_after: None }),
+        }
+    }
+
+    fn on_submitted(
+        &mut self,
+        message: u64,
+        submission: Submission,
+        deadline: Time,
+        inputs: &mut Vec<Input>,
+    ) {
+        if self.spool.len() >= self.max_queued {
+            let end = End::PushedBack(0);
+            self.record(Fact::Ended { msg: message, relay: self.relay, end });
+            self.effects.push(RelayEffect::AnswerClient { message, end: Some(end) });
+            return;
+        }
+        let deadline = self.unix_clock.read(deadline);
+        let stored = StoredMessage { submission, deadline, attempts: Vec::new(), pending_end: None };
+        self.spool.insert(message, stored);
+        self.unanswered.push(message);
+        inputs.push(Input::Submitted { message: MessageId(message), submission });
+    }
+
+    fn on_call_ended(&mut self, call: u64, ends: &[AttemptEnd], retry_after: Time, inputs: &mut Vec<Input>) {
+        let Some(ended) = self.calls.remove(&call) else { return };
+        let endpoint = endpoint_id(ended.endpoint);
+        if retry_after > 0 {
+            self.record(Fact::WaitTold { relay: self.relay, endpoint: ended.endpoint, wait: retry_after });
+            inputs.push(Input::RetryAfter { endpoint, span: Duration::from_micros(retry_after) });
+        }
+        let waited = Duration::from_micros(self.now.saturating_sub(ended.sent_at));
+        for attempt in ends {
+            let AttemptEnd { message, outcome, closed } = *attempt;
+            self.record_attempt_end(call, message, outcome, closed);
+            let message = MessageId(message);
+            inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, closed });
+        }
+    }
+
+    fn record_attempt_end(&mut self, call: u64, message: u64, outcome: Outcome, closed: bool) {
+        let end = fact_of_outcome(outcome);
+        self.record(Fact::LegEnded { msg: message, call, relay: self.relay, end });
+        if outcome.never_ran()
+            && let Some(stored) = self.spool.get_mut(&message)
+            && let Some(attempt) = stored.attempts.last_mut()
+        {
+            attempt.may_have_run = false;
+        }
+        if closed {
+            self.spool.remove(&message);
+        }
+    }
+
+    fn on_endpoint_listed(&mut self, endpoint: u32, status: EndpointStatus, inputs: &mut Vec<Input>) {
+        let Some(known) = self.endpoints.get_mut(&endpoint) else { return };
+        known.status = status;
+        let known = *known;
+        self.list_endpoint(endpoint, known, inputs);
+    }
+
+    /// Tells the policy of an endpoint.
+    pub fn list_endpoint(&mut self, endpoint: u32, known: KnownEndpoint, inputs: &mut Vec<Input>) {
+        let listed = match known.status {
+            EndpointStatus::Ready => Listed::Ready,
+            EndpointStatus::Draining => Listed::Draining,
+            EndpointStatus::Removed => Listed::Gone,
+        };
+        self.record(Fact::Told { relay: self.relay, endpoint, listed });
+        inputs.push(Input::EndpointListed(ListedEndpoint {
+            endpoint: endpoint_id(endpoint),
+            destination: DestinationId(known.destination),
+            zone: ZoneId(known.zone.into()),
+            kind: DestinationKindId(known.kind),
+            status: known.status,
+            rate: known.rate,
+        }));
+    }
+
+    /// Stores what was decided in the spool, then lets it out.
+    pub fn flush(&mut self) {
+        let batches = self.store_queued_attempts();
+        for message in std::mem::take(&mut self.unanswered) {
+            self.effects.push(RelayEffect::AnswerClient { message, end: None });
+        }
+        for batch in batches {
+            self.start_call(batch);
+        }
+    }
+
+    /// Stores the attempts of this step, batched into calls.
+    fn store_queued_attempts(&mut self) -> Vec<QueuedAttempts> {
+        let sent_at = self.unix_clock.read(self.now);
+        let mut batches = Vec::new();
+        for queued in std::mem::take(&mut self.queued) {
+            let Some(known) = self.endpoints.get(&queued.endpoint).copied() else { continue };
+            let zone = ZoneId(known.zone.into());
+            for attempt in &queued.attempts {
+                if let Some(stored) = self.spool.get_mut(&attempt.message) {
+                    stored.attempts.push(StoredAttempt { zone, sent_at, may_have_run: true });
+                }
+            }
+            let max_batch = self.max_batch.get(usize::from(known.kind)).copied().unwrap_or(1);
+            for batch in queued.attempts.chunks(max_batch) {
+                batches.push(QueuedAttempts { endpoint: queued.endpoint, attempts: batch.to_vec() });
+            }
+        }
+        batches
+    }
+
+    fn start_call(&mut self, batch: QueuedAttempts) {
+        let endpoint = batch.endpoint;
+        // A call ends at the shortest limit of its messages.
+        let timeout = batch.attempts.iter().map(|attempt| attempt.timeout).min().unwrap_or_default();
+        let messages: Vec<u64> = batch.attempts.iter().map(|attempt| attempt.message).collect();
+        self.calls_started += 1;
+        let call = (u64::from(self.relay) + 1) << CALL_NUMBER_BITS | self.calls_started;
+        let in_flight =
+            CallInFlight { endpoint, sent_at: self.now, messages: messages.clone(), cancelled: Vec::new() };
+        self.calls.insert(call, in_flight);
+        for message in &messages {
+            self.record(Fact::Leg { msg: *message, call, relay: self.relay, to: endpoint });
+        }
+        self.effects.push(RelayEffect::StartCall { call, endpoint, messages, timeout });
+    }
+}
+
+fn fact_of_outcome(outcome: Outcome) -> LegEnd {
+    match outcome {
+        Outcome::Delivered => LegEnd::Delivered,
+        Outcome::Error => LegEnd::Error,
+        Outcome::Rejected { retry_after } => LegEnd::Full(retry_after.as_micros() as u64),
+        Outcome::ConnectionLimit => LegEnd::Full(0),
+        Outcome::TimedOut => LegEnd::TimedOut,
+        Outcome::ConnectFailed => LegEnd::ConnectFailed,
+        Outcome::Reset => LegEnd::Reset,
+        Outcome::Cancelled => LegEnd::Cancelled,
+        Outcome::NotSent => LegEnd::Moot,
+    }
+}
