--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,13 +6,13 @@
 //! What the model leaves out, and how to add to it, stands in `docs/lab.md`.
 #![forbid(unsafe_code)]
 
+mod baselines;
 pub mod chance;
 pub mod day;
 pub mod experiment;
 mod host;
 pub mod hunt;
 pub mod outcome;
-mod policies;
 pub mod policy;
 pub mod policy_kind;
 pub mod report;
--- a/crates/lab/src/policy_kind.rs
+++ b/crates/lab/src/policy_kind.rs
@@ -1,6 +1,6 @@
 //! The policies that a day can be played with, by name, and how each is built.
 
-use crate::policies::{Baseline, BaselineKind};
+use crate::baselines::{Baseline, BaselineKind};
 use crate::policy::Policy;
 use mountshift::interface::PolicySettings;
 use mountshift::rules::DeliveryPolicy;
