Fault injection tests in plain terms; no assertion changed

Lie -> Fault, Liar -> FaultyPolicy, Meddler -> FaultyActions, lied_to -> faulty_policy; each fault is named by what it does.

--- a/crates/lab/tests/fault_injection.rs
+++ b/crates/lab/tests/fault_injection.rs
@@ -1,5 +1,5 @@
-//! The judge proved on whole days: the decisions are lied to, so that they break a rule on purpose, and the
-//! judge must name that rule; the same day without the lie must be clean.
+//! The invariant checker proved on whole days: a fault is injected, so that a rule is broken on purpose, and the
+//! checker must name that rule; the same day without the fault must be clean.
 
 use mountshift::interface::*;
 use mountshift::rules::DeliveryPolicy;
@@ -11,60 +11,61 @@
 use std::time::Duration;
 use test_case::test_case;
 
-/// What the decisions are told wrongly.
+/// The fault that is injected between the model and the decisions.
 #[derive(Clone, Copy, PartialEq)]
-enum Lie {
+enum Fault {
     None,
-    /// Ends are swallowed.
-    Lost,
-    /// Each end is given twice.
-    Twice,
+    /// Final answers are dropped.
+    AnswersDropped,
+    /// Each final answer is given twice.
+    AnswersDuplicated,
     /// What has just been failed is sent once more.
-    AfterItsEnd,
-    /// Deadlines lie three seconds later.
-    Deadline,
-    /// Each leg goes to a second endpoint too.
-    Beside,
-    /// Every lane may be repeated.
-    Repeats,
-    /// Repeats are known for a minute, and everywhere.
-    Memory,
-    Everywhere,
-    /// Failures are told to clients as push-backs.
-    Pushed,
-    /// What went out before a restart is forgotten.
-    Amnesia,
-    /// What a restart finds is given up at once.
-    GiveUp,
+    AttemptAfterFailure,
+    /// The decisions are told deadlines that fault three seconds later.
+    LaterDeadlines,
+    /// Each attempt goes to a second endpoint too.
+    ParallelAttempts,
+    /// The decisions are told that every class is idempotent.
+    AllClassesIdempotent,
+    /// They are told that endpoints recognise repeats for a minute.
+    LongerDeduplicationWindow,
+    /// They are told that all endpoints recognise repeats.
+    DeduplicationAtAllEndpoints,
+    /// Clients are told failures as rejections.
+    FailuresAsRejections,
+    /// What was sent before a restart is not restored.
+    EarlierAttemptsForgotten,
+    /// What is restored is told as out of time.
+    RestoredMessagesExpired,
     /// Draining endpoints are told as ready.
-    Drains,
-    /// One relay alone sends, and what is cold is warm.
-    Cold,
-    /// No lane keeps an order.
-    Order,
-    /// A key needs no rest.
-    Rest,
-    /// Told waits are kept from it.
-    Waits,
+    DrainsHidden,
+    /// The decisions are told that one relay alone sends, and that destinations bear their whole rate at once.
+    NoSlowStart,
+    /// They are told that no class keeps an order.
+    NoOrdering,
+    /// They are told that a key needs no hold-off.
+    NoHoldOff,
+    /// Retry-After is kept from them.
+    RetryAfterHidden,
 }
 
-struct Liar {
+struct FaultyPolicy {
     policy: DeliveryPolicy,
-    lie: Lie,
+    fault: Fault,
 }
 
-struct Meddler<'a> {
+struct FaultyActions<'a> {
     out: &'a mut dyn Actions,
-    lie: Lie,
+    fault: Fault,
     peers: Vec<EndpointId>,
     last: Option<EndpointId>,
 }
 
-impl Actions for Meddler<'_> {
+impl Actions for FaultyActions<'_> {
     fn send(&mut self, msg: MessageId, to: EndpointId, limit: Duration) {
         self.out.send(msg, to, limit);
         self.last = Some(to);
-        if self.lie == Lie::Beside {
+        if self.fault == Fault::ParallelAttempts {
             // Endpoints of a destination have neighbouring numbers.
             let other = if to.0 % 2 == 1 { to.0 + 1 } else { to.0 - 1 };
             if self.peers.contains(&EndpointId(other)) {
@@ -76,19 +77,19 @@
         self.out.reject(msg, pause)
     }
     fn fail(&mut self, msg: MessageId) -> bool {
-        match self.lie {
-            Lie::Lost => false,
-            Lie::Twice => {
+        match self.fault {
+            Fault::AnswersDropped => false,
+            Fault::AnswersDuplicated => {
                 self.out.fail(msg);
                 self.out.fail(msg)
             }
-            Lie::AfterItsEnd => {
+            Fault::AttemptAfterFailure => {
                 let at_once = self.out.fail(msg);
                 let to = self.last.unwrap_or(EndpointId(1));
                 self.out.send(msg, to, Duration::from_millis(500));
                 at_once
             }
-            Lie::Pushed => self.out.reject(msg, Duration::from_millis(100)),
+            Fault::FailuresAsRejections => self.out.reject(msg, Duration::from_millis(100)),
             _ => self.out.fail(msg),
         }
     }
@@ -112,30 +113,33 @@
     }
 }
 
-fn lied_to(lie: Lie, mut facts: PolicySettings) -> Box<dyn Policy> {
-    for lane in &mut facts.classes {
-        match (lie, lane.idempotency) {
-            (Lie::Repeats, _) => lane.idempotency = Idempotency::Idempotent,
-            (Lie::Memory, Idempotency::WithKey { scope: group, .. }) => {
-                lane.idempotency = Idempotency::WithKey { window: Duration::from_secs(60), scope: group };
+fn faulty_policy(fault: Fault, mut settings: PolicySettings) -> Box<dyn Policy> {
+    for class in &mut settings.classes {
+        match (fault, class.idempotency) {
+            (Fault::AllClassesIdempotent, _) => class.idempotency = Idempotency::Idempotent,
+            (Fault::LongerDeduplicationWindow, Idempotency::WithKey { scope, .. }) => {
+                class.idempotency = Idempotency::WithKey { window: Duration::from_secs(60), scope };
             }
-            (Lie::Everywhere, Idempotency::WithKey { window: memory, .. }) => {
-                lane.idempotency =
-                    Idempotency::WithKey { window: memory, scope: DeduplicationScope::AllEndpoints };
+            (Fault::DeduplicationAtAllEndpoints, Idempotency::WithKey { window, .. }) => {
+                class.idempotency = Idempotency::WithKey { window, scope: DeduplicationScope::AllEndpoints };
             }
-            (Lie::Order, _) => lane.in_order = false,
+            (Fault::NoOrdering, _) => class.in_order = false,
             _ => {}
         }
     }
-    match lie {
-        Lie::Rest => facts.order_hold_off = Duration::ZERO,
-        Lie::Cold => (facts.relay_count, facts.slow_start_share, facts.overload_multiple) = (1, 1.0, 100.0),
+    match fault {
+        Fault::NoHoldOff => settings.order_hold_off = Duration::ZERO,
+        Fault::NoSlowStart => {
+            settings.relay_count = 1;
+            settings.slow_start_share = 1.0;
+            settings.overload_multiple = 100.0;
+        }
         _ => {}
     }
-    Box::new(Liar { policy: DeliveryPolicy::new(facts), lie })
+    Box::new(FaultyPolicy { policy: DeliveryPolicy::new(settings), fault })
 }
 
-impl Policy for Liar {
+impl Policy for FaultyPolicy {
     fn step(
         &mut self,
         now: Duration,
@@ -143,24 +147,26 @@
         _: Option<&mut GroundTruth>,
         out: &mut dyn Actions,
     ) {
-        let lie = self.lie;
+        let fault = self.fault;
         let mut peers = Vec::new();
         inputs.retain_mut(|input| match input {
-            Input::Submitted { submission, .. } if lie == Lie::Deadline => {
+            Input::Submitted { submission, .. } if fault == Fault::LaterDeadlines => {
                 submission.deadline += Duration::from_secs(3);
                 true
             }
-            Input::Submitted { submission, .. } if lie == Lie::GiveUp && submission.restored => {
+            Input::Submitted { submission, .. }
+                if fault == Fault::RestoredMessagesExpired && submission.restored =>
+            {
                 submission.deadline = now;
                 true
             }
-            Input::EarlierAttempt { .. } => lie != Lie::Amnesia,
-            Input::EndpointListed(listed) if lie == Lie::Drains => {
+            Input::EarlierAttempt { .. } => fault != Fault::EarlierAttemptsForgotten,
+            Input::EndpointListed(listed) if fault == Fault::DrainsHidden => {
                 listed.status = EndpointStatus::Ready;
                 true
             }
-            Input::RetryAfter { .. } => lie != Lie::Waits,
-            Input::AttemptEnded { outcome, .. } if lie == Lie::Waits => {
+            Input::RetryAfter { .. } => fault != Fault::RetryAfterHidden,
+            Input::AttemptEnded { outcome, .. } if fault == Fault::RetryAfterHidden => {
                 if let Outcome::Rejected { retry_after: wait } = outcome {
                     *wait = Duration::ZERO;
                 }
@@ -168,11 +174,11 @@
             }
             _ => true,
         });
-        if lie == Lie::Beside {
+        if fault == Fault::ParallelAttempts {
             peers = (1..=200).map(EndpointId).collect();
         }
-        let mut meddler = Meddler { out, lie, peers, last: None };
-        Policy::step(&mut self.policy, now, inputs, None, &mut meddler);
+        let mut faulty_actions = FaultyActions { out, fault, peers, last: None };
+        Policy::step(&mut self.policy, now, inputs, None, &mut faulty_actions);
     }
 }
 
@@ -181,13 +187,13 @@
     Scenario::read(path.as_ref()).expect("a scenario")
 }
 
-fn play(name: &str, lie: Lie, seed: u64, change: impl FnOnce(&mut Scenario)) -> DayOutcome {
+fn play(name: &str, fault: Fault, seed: u64, change: impl FnOnce(&mut Scenario)) -> DayOutcome {
     let mut s = scenario(name);
-    // One key a destination: a line stands behind every message that keeps its order.
+    // One key a destination: a queue stands behind every message that keeps its order.
     s.traffic.keys = std::num::NonZeroU32::MIN;
     change(&mut s);
     let play = Play { which: PolicyKind::Mountshift, seed, course: false };
-    Day::new(&s, play).with_policy(Box::new(move |facts| lied_to(lie, facts))).play()
+    Day::new(&s, play).with_policy(Box::new(move |settings| faulty_policy(fault, settings))).play()
 }
 
 /// Rule by rule, if it was broken.
@@ -195,37 +201,37 @@
     (1..=6).filter(|rule| day.rules[rule - 1] > 0).collect()
 }
 
-#[test_case("hang", Lie::Lost, 1; "swallowed ends")]
-#[test_case("hang", Lie::Twice, 1; "ends given twice")]
-#[test_case("hang", Lie::AfterItsEnd, 1; "sent after its end")]
-#[test_case("vanish", Lie::Deadline, 1; "ends after the deadline")]
-#[test_case("calm", Lie::Beside, 2; "two legs at once")]
-#[test_case("half-errors", Lie::Repeats, 2; "repeats that may not be")]
-#[test_case("half-errors", Lie::Pushed, 2; "pushed back what may have run")]
-#[test_case("fast-errors", Lie::Memory, 2; "behind the memory")]
-#[test_case("relays-in-waves", Lie::Amnesia, 2; "forgets what was out")]
-#[test_case("relays-in-waves", Lie::GiveUp, 1; "gives up what a restart finds untried")]
-#[test_case("rolling-drain", Lie::Drains, 3; "sends to what drains")]
-#[test_case("crowd-cold", Lie::Cold, 4; "pushes over what is cold")]
-#[test_case("slow", Lie::Order, 5; "keeps no order")]
-#[test_case("resets", Lie::Rest, 5; "no rest for a key")]
-#[test_case("limit-count", Lie::Waits, 6; "heeds no wait")]
-fn a_lie_that_breaks_a_rule_is_found(name: &str, lie: Lie, rule: usize) {
-    let clean = play(name, Lie::None, 5, |_| {});
+#[test_case("hang", Fault::AnswersDropped, 1; "final answers dropped")]
+#[test_case("hang", Fault::AnswersDuplicated, 1; "final answers duplicated")]
+#[test_case("hang", Fault::AttemptAfterFailure, 1; "attempt after a failure")]
+#[test_case("vanish", Fault::LaterDeadlines, 1; "final answer after the deadline")]
+#[test_case("calm", Fault::ParallelAttempts, 2; "parallel attempts")]
+#[test_case("half-errors", Fault::AllClassesIdempotent, 2; "every class treated as idempotent")]
+#[test_case("half-errors", Fault::FailuresAsRejections, 2; "failure told as a rejection")]
+#[test_case("fast-errors", Fault::LongerDeduplicationWindow, 2; "repeat after the deduplication window")]
+#[test_case("relays-in-waves", Fault::EarlierAttemptsForgotten, 2; "earlier attempts forgotten")]
+#[test_case("relays-in-waves", Fault::RestoredMessagesExpired, 1; "restored messages expired")]
+#[test_case("rolling-drain", Fault::DrainsHidden, 3; "drains hidden")]
+#[test_case("crowd-cold", Fault::NoSlowStart, 4; "no slow start")]
+#[test_case("slow", Fault::NoOrdering, 5; "no ordering")]
+#[test_case("resets", Fault::NoHoldOff, 5; "no hold off for a key")]
+#[test_case("limit-count", Fault::RetryAfterHidden, 6; "retry after hidden")]
+fn an_injected_fault_is_found(name: &str, fault: Fault, rule: usize) {
+    let clean = play(name, Fault::None, 5, |_| {});
     assert_eq!(broken(&clean), Vec::<usize>::new(), "{:?}", clean.breaches.first());
-    // Not every day gives every lie its chance.
-    let mut days = (5..15).map(|seed| play(name, lie, seed, |_| {}));
-    let lied = days.find(|day| broken(day).contains(&rule)).expect("a day on which the rule is broken");
-    let breach = lied.breaches.iter().find(|b| usize::from(b.rule) == rule).expect("a breach");
+    // Not every day gives every fault its chance.
+    let mut days = (5..15).map(|seed| play(name, fault, seed, |_| {}));
+    let faulty = days.find(|day| broken(day).contains(&rule)).expect("a day on which the rule is broken");
+    let breach = faulty.breaches.iter().find(|b| usize::from(b.rule) == rule).expect("a breach");
     assert!(!breach.story.is_empty() && !breach.why.is_empty());
 }
 
 #[test]
-fn a_repeat_where_only_a_zone_knows_it_is_found() {
+fn a_repeat_outside_the_deduplication_zone_is_found() {
     let by_zone = |s: &mut Scenario| {
         let text = s.to_text().expect("a text").replace("memory = ", "group = \"zone\"\nmemory = ");
         *s = Scenario::from_text(&text, "by zone").expect("a scenario");
     };
-    assert_eq!(broken(&play("fast-errors", Lie::None, 5, by_zone)), Vec::<usize>::new());
-    assert_eq!(broken(&play("fast-errors", Lie::Everywhere, 5, by_zone)), vec![2]);
+    assert_eq!(broken(&play("fast-errors", Fault::None, 5, by_zone)), Vec::<usize>::new());
+    assert_eq!(broken(&play("fast-errors", Fault::DeduplicationAtAllEndpoints, 5, by_zone)), vec![2]);
 }
