--- a/crates/cli/src/lab/compare.rs
+++ b/crates/cli/src/lab/compare.rs
@@ -1,8 +1,10 @@
 //! `lab compare`: sets two sides of the same days side by side.
 
-use super::bar;
-use crate::variant::{Variant, played};
-use crate::{Went, json};
+use super::read_scenario;
+use crate::Verdict;
+use crate::error::CliError;
+use crate::output::{progress_bar, to_json};
+use crate::variant::{Variant, read_results};
 use clap::Args;
 use mountshift_lab::experiment::{self, Comparison};
 use mountshift_lab::outcome::DayOutcome;
@@ -10,8 +12,11 @@
 use mountshift_scenario::Scenario;
 use std::path::{Path, PathBuf};
 
+/// The name under which both sides are played, as days are paired by scenario and seed.
+const COMPARED_NAME: &str = "compared";
+
 #[derive(Args)]
-pub struct Compare {
+pub(crate) struct CompareArguments {
     /// Side A and side B: results that `run --save` kept, or scenario files
     #[arg(num_args = 2, required = true)]
     sides: Vec<PathBuf>,
@@ -25,42 +30,42 @@
     json: bool,
 }
 
-fn kept_or_played(path: &Path, seeds: &[u64]) -> Result<Vec<DayOutcome>, String> {
-    if path.extension().is_some_and(|e| e == "json") {
-        return played(path);
+pub(super) fn run(arguments: &CompareArguments) -> Result<Verdict, CliError> {
+    let seeds: Vec<u64> = (1..=arguments.seeds).collect();
+    let side_a = side_days(arguments, &arguments.sides[0], &seeds)?;
+    let side_b = side_days(arguments, &arguments.sides[1], &seeds)?;
+    let comparison = experiment::compare(&side_a, &side_b).map_err(CliError::experiment)?;
+    if arguments.json {
+        println!("{}", to_json(&comparison)?);
+    } else {
+        show_comparison(&comparison);
     }
-    let scenario = Scenario { name: "compared".into(), ..Scenario::read(path)? };
-    let bar = bar(seeds.len() as u64);
-    let days = experiment::run(&scenario, &[PolicyKind::Mountshift], seeds, false, &|_| bar.inc(1));
-    bar.finish_and_clear();
-    Ok(days)
+    Ok(Verdict::Good)
 }
 
-pub(super) fn compare(args: Compare) -> Result<Went, String> {
-    let seeds: Vec<u64> = (1..=args.seeds).collect();
-    let [a, b] = [&args.sides[0], &args.sides[1]];
-    let (a, b) = if args.constants_on.is_empty() {
-        (kept_or_played(a, &seeds)?, kept_or_played(b, &seeds)?)
-    } else {
-        let build = |constants: &Path| Variant::from_file(constants)?.play(&args.constants_on, &seeds);
-        (build(a)?, build(b)?)
-    };
-    let c = experiment::compare(&a, &b)?;
-    if args.json {
-        println!("{}", json(&c)?)
-    } else {
-        show_comparison(&c)
+/// The days of one side: played with its constants, read, or played.
+fn side_days(arguments: &CompareArguments, side: &Path, seeds: &[u64]) -> Result<Vec<DayOutcome>, CliError> {
+    if !arguments.constants_on.is_empty() {
+        return Variant::from_file(side)?.play(&arguments.constants_on, seeds);
+    }
+    if side.extension().is_some_and(|extension| extension == "json") {
+        return read_results(side);
     }
-    Ok(Went::Well)
+    let scenario = Scenario { name: COMPARED_NAME.into(), ..read_scenario(side)? };
+    let bar = progress_bar(seeds.len() as u64);
+    let days = experiment::run(&scenario, &[PolicyKind::Mountshift], seeds, false, &|_| bar.inc(1));
+    bar.finish_and_clear();
+    Ok(days)
 }
 
-fn show_comparison(c: &Comparison) {
-    println!("A           {}", c.a);
-    println!("B           {}", c.b);
-    println!("B less A    {}   worst 10 s {}", c.difference, c.worst_window);
-    for (lane, difference) in &c.lanes {
-        println!("  lane {lane:18} {difference}");
+fn show_comparison(comparison: &Comparison) {
+    println!("A           {}", comparison.a);
+    println!("B           {}", comparison.b);
+    println!("B less A    {}   worst 10 s {}", comparison.difference, comparison.worst_window);
+    for (class, difference) in &comparison.lanes {
+        println!("  lane {class:18} {difference}");
     }
-    println!("days with a broken rule: A {}, B {}, of {}", c.days_broken.0, c.days_broken.1, c.difference.n);
-    println!("{}", c.says);
+    let (broken_a, broken_b) = comparison.days_broken;
+    println!("days with a broken rule: A {broken_a}, B {broken_b}, of {}", comparison.difference.n);
+    println!("{}", comparison.says);
 }
--- a/crates/cli/src/lab/hunt.rs
+++ b/crates/cli/src/lab/hunt.rs
@@ -1,14 +1,15 @@
 //! `lab hunt`: searches scripts of troubles for bad days and cuts the worst down.
 
-use super::{bar, write};
-use crate::Went;
+use super::read_scenario;
+use crate::Verdict;
+use crate::error::CliError;
+use crate::output::{progress_bar, write_file};
 use clap::Args;
-use mountshift_lab::hunt::{self, Prey};
-use mountshift_scenario::Scenario;
+use mountshift_lab::hunt::{self, Found, Prey};
 use std::path::PathBuf;
 
 #[derive(Args)]
-pub struct Hunt {
+pub(crate) struct HuntArguments {
     /// The world to search in; its own troubles are left out
     scenario: PathBuf,
     /// Look for broken rules and not for losses
@@ -24,38 +25,41 @@
     out: Option<PathBuf>,
 }
 
-pub(super) fn search(args: Hunt) -> Result<Went, String> {
-    let base = Scenario::read(&args.scenario)?;
-    let bar = bar(args.budget as u64);
-    let prey = if args.rules { Prey::Rules } else { Prey::Loss };
-    let found = hunt::hunt(&base, prey, args.budget, args.seed, &|| bar.inc(1));
+pub(super) fn run(arguments: &HuntArguments) -> Result<Verdict, CliError> {
+    let base = read_scenario(&arguments.scenario)?;
+    let bar = progress_bar(arguments.budget as u64);
+    let prey = if arguments.rules { Prey::Rules } else { Prey::Loss };
+    let found = hunt::hunt(&base, prey, arguments.budget, arguments.seed, &|| bar.inc(1));
     bar.finish_and_clear();
     let Some(found) = found else {
-        println!("{} scripts tried: no rule broken", args.budget);
-        return Ok(Went::Well);
+        println!("{} scripts tried: no rule broken", arguments.budget);
+        return Ok(Verdict::Good);
     };
-    let b = found.badness;
+    show_found(arguments, &found);
+    if let Some(path) = &arguments.out {
+        write_file(path, &found.scenario.to_text().map_err(CliError::scenario)?)?;
+        println!("written to {}; play it with --first-seed {} --seeds 1", path.display(), found.seed);
+    }
+    Ok(if found.badness.broken > 0 { Verdict::Bad } else { Verdict::Good })
+}
+
+fn show_found(arguments: &HuntArguments, found: &Found) {
+    let badness = found.badness;
+    let what_was_found = if arguments.rules {
+        format!("{} breaches", badness.broken)
+    } else {
+        format!("top {:.3}, {} breaches", badness.top, badness.broken)
+    };
+    let (troubles_before, troubles_after) = found.troubles;
     println!(
-        "{} scripts tried. The worst, cut down from {} troubles to {}, seed {}: service {:.3}, {}",
-        found.tried,
-        found.troubles.0,
-        found.troubles.1,
-        found.seed,
-        b.service,
-        if args.rules {
-            format!("{} breaches", b.broken)
-        } else {
-            format!("top {:.3}, {} breaches", b.top, b.broken)
-        }
+        "{} scripts tried. The worst, cut down from {troubles_before} troubles to {troubles_after}, seed {}: \
+         service {:.3}, {what_was_found}",
+        found.tried, found.seed, badness.service
     );
-    for t in &found.scenario.troubles {
-        let t = t.as_ref();
-        let (from, to) = (String::from(t.from), String::from(t.to));
-        println!("  {} of {} from {from} to {to}", t.kind, t.who.join(", "));
-    }
-    if let Some(path) = &args.out {
-        write(path, &found.scenario.to_text()?)?;
-        println!("written to {}; play it with --first-seed {} --seeds 1", path.display(), found.seed);
+    for trouble in &found.scenario.troubles {
+        let trouble = trouble.as_ref();
+        let from = String::from(trouble.from);
+        let to = String::from(trouble.to);
+        println!("  {} of {} from {from} to {to}", trouble.kind, trouble.who.join(", "));
     }
-    Ok(if b.broken > 0 { Went::Broke } else { Went::Well })
 }
--- a/crates/cli/src/lab/list.rs
+++ b/crates/cli/src/lab/list.rs
@@ -1,12 +1,14 @@
 //! `lab list`: the scenarios of a folder, and all kinds of trouble.
 
-use crate::Went;
+use super::read_scenario;
+use crate::Verdict;
+use crate::error::CliError;
 use clap::Args;
 use mountshift_scenario::{Scenario, TroubleKind};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 #[derive(Args)]
-pub struct List {
+pub(crate) struct ListArguments {
     #[arg(default_value = "examples/scenarios")]
     folder: PathBuf,
     /// The kinds of trouble, and whom they strike
@@ -14,27 +16,36 @@
     troubles: bool,
 }
 
-pub(super) fn list(args: List) -> Result<Went, String> {
-    if args.troubles {
-        for kind in TroubleKind::ALL {
-            println!("{kind:16} {:9} {}", format!("{:?}", kind.strikes().0).to_lowercase(), kind.strikes().1);
-        }
-        return Ok(Went::Well);
+pub(super) fn run(arguments: &ListArguments) -> Result<Verdict, CliError> {
+    if arguments.troubles {
+        show_troubles();
+        return Ok(Verdict::Good);
     }
-    let folder = args.folder.display();
-    let entries = std::fs::read_dir(&args.folder).map_err(|e| format!("{folder}: {e}"))?;
-    let mut paths: Vec<PathBuf> = entries.flatten().map(|e| e.path()).collect();
-    paths.retain(|p| p.extension().is_some_and(|e| e == "toml"));
-    paths.sort();
-    for path in paths {
-        let s = Scenario::read(&path)?;
-        println!(
-            "{:22} {:>4} relays {:>6} destinations  {}",
-            s.name,
-            s.relays.count,
-            s.destinations(),
-            s.about
-        );
+    for path in scenario_files(&arguments.folder)? {
+        show_scenario(&read_scenario(&path)?);
     }
-    Ok(Went::Well)
+    Ok(Verdict::Good)
+}
+
+fn show_troubles() {
+    for kind in TroubleKind::ALL {
+        let (strikes, description) = kind.strikes();
+        let strikes = format!("{strikes:?}").to_lowercase();
+        println!("{kind:16} {strikes:9} {description}");
+    }
+}
+
+/// The TOML files of a folder, in the order of their names.
+fn scenario_files(folder: &Path) -> Result<Vec<PathBuf>, CliError> {
+    let entries = std::fs::read_dir(folder).map_err(CliError::file(folder))?;
+    let mut paths: Vec<PathBuf> = entries.flatten().map(|entry| entry.path()).collect();
+    paths.retain(|path| path.extension().is_some_and(|extension| extension == "toml"));
+    paths.sort();
+    Ok(paths)
+}
+
+fn show_scenario(scenario: &Scenario) {
+    let relays = scenario.relays.count;
+    let destinations = scenario.destinations();
+    println!("{:22} {relays:>4} relays {destinations:>6} destinations  {}", scenario.name, scenario.about);
 }
--- a/crates/cli/src/lab/mod.rs
+++ b/crates/cli/src/lab/mod.rs
@@ -7,38 +7,45 @@
 mod sweep;
 mod trace;
 
-use crate::Went;
+use crate::Verdict;
+use crate::error::CliError;
 use clap::{Args, Subcommand, ValueEnum};
-use compare::{Compare, compare};
-use hunt::{Hunt, search};
-use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
-use list::{List, list};
 use mountshift_lab::outcome::DayOutcome;
 use mountshift_lab::policy_kind::PolicyKind;
-use run::{Run, play};
-use std::io::IsTerminal;
+use mountshift_scenario::Scenario;
 use std::path::Path;
-use sweep::{Sweep, sweep};
-use trace::{Trace, trace};
 
 #[derive(Subcommand)]
-pub enum Lab {
+pub(crate) enum LabCommand {
     /// Play a scenario on many seeds and say what service came of it
-    Run(Run),
+    Run(run::RunArguments),
     /// Set two sides of the same days side by side: results, scenarios or constants of the decisions
-    Compare(Compare),
+    Compare(compare::CompareArguments),
     /// Play a scenario with one value changed again and again
-    Sweep(Sweep),
+    Sweep(sweep::SweepArguments),
     /// Search scripts of troubles for days that break a rule or lose most, and cut the worst down
-    Hunt(Hunt),
+    Hunt(hunt::HuntArguments),
     /// Tell the story of one message, one wish of a client or one destination
-    Trace(Trace),
+    Trace(trace::TraceArguments),
     /// The scenarios of a folder, and all kinds of trouble
-    List(List),
+    List(list::ListArguments),
 }
 
+/// Carries a command of the laboratory out.
+pub(crate) fn run(command: LabCommand) -> Result<Verdict, CliError> {
+    match command {
+        LabCommand::Run(arguments) => run::run(&arguments),
+        LabCommand::Compare(arguments) => compare::run(&arguments),
+        LabCommand::Sweep(arguments) => sweep::run(&arguments),
+        LabCommand::Hunt(arguments) => hunt::run(&arguments),
+        LabCommand::Trace(arguments) => trace::run(&arguments),
+        LabCommand::List(arguments) => list::run(&arguments),
+    }
+}
+
+/// Which days are played.
 #[derive(Args)]
-struct Days {
+struct DayArguments {
     /// How many seeds, from the first one on
     #[arg(long, default_value_t = 4)]
     seeds: u64,
@@ -46,7 +53,7 @@
     first_seed: u64,
     /// Which policies; the project's decisions alone if none is named
     #[arg(long, value_delimiter = ',')]
-    policies: Vec<Policy>,
+    policies: Vec<PolicyArgument>,
     /// All policies, with floor and top
     #[arg(long)]
     all: bool,
@@ -55,20 +62,36 @@
     json: bool,
 }
 
+impl DayArguments {
+    fn policies(&self) -> Vec<PolicyKind> {
+        if self.all {
+            return PolicyKind::ALL.to_vec();
+        }
+        if self.policies.is_empty() {
+            return vec![PolicyKind::Mountshift];
+        }
+        self.policies.iter().map(|argument| argument.0).collect()
+    }
+
+    fn seeds(&self) -> Vec<u64> {
+        (self.first_seed..self.first_seed + self.seeds.max(1)).collect()
+    }
+}
+
 /// A policy by its name.
 #[derive(Clone, Copy)]
-struct Policy(PolicyKind);
+struct PolicyArgument(PolicyKind);
 
-impl ValueEnum for Policy {
-    fn value_variants<'a>() -> &'a [Policy] {
+impl ValueEnum for PolicyArgument {
+    fn value_variants<'a>() -> &'a [PolicyArgument] {
         &[
-            Policy(PolicyKind::Mountshift),
-            Policy(PolicyKind::SingleAttempt),
-            Policy(PolicyKind::Backoff),
-            Policy(PolicyKind::RetryBudget),
-            Policy(PolicyKind::CircuitBreaker),
-            Policy(PolicyKind::LeastInFlight),
-            Policy(PolicyKind::Omniscient),
+            PolicyArgument(PolicyKind::Mountshift),
+            PolicyArgument(PolicyKind::SingleAttempt),
+            PolicyArgument(PolicyKind::Backoff),
+            PolicyArgument(PolicyKind::RetryBudget),
+            PolicyArgument(PolicyKind::CircuitBreaker),
+            PolicyArgument(PolicyKind::LeastInFlight),
+            PolicyArgument(PolicyKind::Omniscient),
         ]
     }
 
@@ -77,49 +100,16 @@
     }
 }
 
-impl Days {
-    fn policies(&self) -> Vec<PolicyKind> {
-        match (self.all, self.policies.is_empty()) {
-            (true, _) => PolicyKind::ALL.to_vec(),
-            (_, true) => vec![PolicyKind::Mountshift],
-            _ => self.policies.iter().map(|p| p.0).collect(),
-        }
-    }
-
-    fn seeds(&self) -> Vec<u64> {
-        (self.first_seed..self.first_seed + self.seeds.max(1)).collect()
-    }
-}
-
-/// A bar where a person watches.
-fn bar(steps: u64) -> ProgressBar {
-    let target = if std::io::stderr().is_terminal() {
-        ProgressDrawTarget::stderr()
-    } else {
-        ProgressDrawTarget::hidden()
-    };
-    let bar = ProgressBar::with_draw_target(Some(steps), target);
-    let style = ProgressStyle::with_template("{bar:40} {pos}/{len} days, {elapsed} of about {duration}");
-    style.into_iter().for_each(|style| bar.set_style(style));
-    bar
+fn read_scenario(path: &Path) -> Result<Scenario, CliError> {
+    Scenario::read(path).map_err(CliError::scenario)
 }
 
-fn write(path: &Path, text: &str) -> Result<(), String> {
-    std::fs::write(path, text).map_err(|e| format!("{}: {e}", path.display()))
-}
-
-pub fn run(what: Lab) -> Result<Went, String> {
-    match what {
-        Lab::Run(args) => play(args),
-        Lab::Compare(args) => compare(args),
-        Lab::Sweep(args) => sweep(args),
-        Lab::Hunt(args) => search(args),
-        Lab::Trace(args) => trace(args),
-        Lab::List(args) => list(args),
-    }
+/// True for days that the project's decisions played.
+fn is_ours(day: &DayOutcome) -> bool {
+    day.policy == PolicyKind::Mountshift.name()
 }
 
-fn went(days: &[DayOutcome]) -> Went {
-    let ours = |d: &&DayOutcome| d.policy == PolicyKind::Mountshift.name();
-    if days.iter().filter(ours).all(DayOutcome::kept) { Went::Well } else { Went::Broke }
+/// Good where the project's decisions kept all rules; baselines may break them.
+fn verdict(days: &[DayOutcome]) -> Verdict {
+    if days.iter().filter(|day| is_ours(day)).all(DayOutcome::kept) { Verdict::Good } else { Verdict::Bad }
 }
--- a/crates/cli/src/lab/run.rs
+++ b/crates/cli/src/lab/run.rs
@@ -1,23 +1,27 @@
 //! `lab run`: plays scenarios on many seeds and says what service came of it.
 
-use super::{Days, bar, went, write};
-use crate::{Went, json};
+use super::{DayArguments, is_ours, read_scenario, verdict};
+use crate::Verdict;
+use crate::error::CliError;
+use crate::output::{progress_bar, to_json, write_file};
 use clap::Args;
 use mountshift_lab::experiment::{self, Summary};
 use mountshift_lab::outcome::DayOutcome;
-use mountshift_lab::policy_kind::PolicyKind;
 use mountshift_lab::report;
 use mountshift_scenario::Scenario;
 use std::path::PathBuf;
-use std::time::Instant;
+use std::time::{Duration, Instant};
+
+/// Breaches that are shown; all stand in the results.
+const BREACHES_SHOWN: usize = 3;
 
 #[derive(Args)]
-pub struct Run {
+pub(crate) struct RunArguments {
     /// Scenario files
     #[arg(required = true)]
     scenarios: Vec<PathBuf>,
     #[command(flatten)]
-    days: Days,
+    days: DayArguments,
     /// Write a page of the first scenario here
     #[arg(long)]
     report: Option<PathBuf>,
@@ -26,69 +30,80 @@
     save: Option<PathBuf>,
 }
 
-pub(super) fn play(args: Run) -> Result<Went, String> {
+pub(super) fn run(arguments: &RunArguments) -> Result<Verdict, CliError> {
     // All are read before any is played.
-    let read: Result<Vec<Scenario>, String> = args.scenarios.iter().map(|p| Scenario::read(p)).collect();
-    let scenarios = read?;
-    let (policies, seeds) = (args.days.policies(), args.days.seeds());
-    let bar = bar((scenarios.len() * policies.len() * seeds.len()) as u64);
-    let mut all = Vec::new();
-    for (i, scenario) in scenarios.iter().enumerate() {
+    let scenarios = read_scenarios(&arguments.scenarios)?;
+    let policies = arguments.days.policies();
+    let seeds = arguments.days.seeds();
+    let bar = progress_bar((scenarios.len() * policies.len() * seeds.len()) as u64);
+    let mut all_days = Vec::new();
+    for (position, scenario) in scenarios.iter().enumerate() {
         let start = Instant::now();
-        let course = args.report.is_some() && i == 0;
-        let days = experiment::run(scenario, &policies, &seeds, course, &|_| bar.inc(1));
-        if !args.days.json {
-            bar.suspend(|| show(scenario, &days, start.elapsed().as_secs_f64()));
+        let report_path = arguments.report.as_ref().filter(|_| position == 0);
+        let days = experiment::run(scenario, &policies, &seeds, report_path.is_some(), &|_| bar.inc(1));
+        if !arguments.days.json {
+            bar.suspend(|| show_days(scenario, &days, start.elapsed()));
         }
-        if let Some(path) = args.report.as_ref().filter(|_| i == 0) {
-            write(path, &report::page(scenario, &days)?)?;
+        if let Some(path) = report_path {
+            write_file(path, &report::page(scenario, &days).map_err(CliError::experiment)?)?;
         }
-        all.extend(days);
+        all_days.extend(days);
     }
     bar.finish_and_clear();
-    all.iter_mut().for_each(|d| d.course = None);
-    if let Some(path) = &args.save {
-        write(path, &json(&all)?)?;
+    for day in &mut all_days {
+        day.course = None;
+    }
+    if let Some(path) = &arguments.save {
+        write_file(path, &to_json(&all_days)?)?;
     }
-    if args.days.json {
-        println!("{}", json(&all)?);
+    if arguments.days.json {
+        println!("{}", to_json(&all_days)?);
     }
-    Ok(went(&all))
+    Ok(verdict(&all_days))
+}
+
+fn read_scenarios(paths: &[PathBuf]) -> Result<Vec<Scenario>, CliError> {
+    paths.iter().map(|path| read_scenario(path)).collect()
 }
 
-fn show(scenario: &Scenario, days: &[DayOutcome], took: f64) {
+fn show_days(scenario: &Scenario, days: &[DayOutcome], elapsed: Duration) {
     println!("{}: {}", scenario.name, scenario.about);
     println!(
         "  {:14} {:26} {:>8} {:>9} {:>6} {:>9} {:>7}  rules",
         "policy", "service [95%]", "worst 10", "of top", "legs", "into out", "pushed"
     );
-    for s in experiment::summarise(days) {
-        println!("  {}", row(&s));
+    for summary in experiment::summarise(days) {
+        println!("  {}", summary_row(&summary));
     }
-    for b in days
-        .iter()
-        .filter(|d| d.policy == PolicyKind::Mountshift.name())
-        .flat_map(|d| d.breaches.iter())
-        .take(3)
-    {
-        println!("  rule {} broken at {:.3} s: {}", b.rule, b.at_s, b.why);
+    let breaches = days.iter().filter(|day| is_ours(day)).flat_map(|day| &day.breaches);
+    for breach in breaches.take(BREACHES_SHOWN) {
+        println!("  rule {} broken at {:.3} s: {}", breach.rule, breach.at_s, breach.why);
     }
-    let messages: u64 = days.iter().map(|d| d.messages).sum();
-    println!("  {} days, {messages} messages, {took:.1} s", days.len());
+    let messages: u64 = days.iter().map(|day| day.messages).sum();
+    println!("  {} days, {messages} messages, {:.1} s", days.len(), elapsed.as_secs_f64());
 }
 
-fn row(s: &Summary) -> String {
-    let broken = s.days_broken.iter().enumerate().filter(|(_, n)| **n > 0);
-    let broken: Vec<String> = broken.map(|(i, n)| format!("{} on {n} days", i + 1)).collect();
+fn summary_row(summary: &Summary) -> String {
     format!(
         "{:14} {:26} {:>8.3} {:>9} {:>6.2} {:>9.0} {:>7.1}  {}",
-        s.policy,
-        s.service.to_string(),
-        s.worst_window.mean,
-        s.place.map_or("-".to_string(), |p| format!("{p:.2}")),
-        s.legs_per_message,
-        s.calls_into_outages,
-        s.fell_over,
-        if broken.is_empty() { "kept".to_string() } else { broken.join(", ") }
+        summary.policy,
+        summary.service.to_string(),
+        summary.worst_window.mean,
+        summary.place.map_or("-".to_string(), |place| format!("{place:.2}")),
+        summary.legs_per_message,
+        summary.calls_into_outages,
+        summary.fell_over,
+        broken_rules(&summary.days_broken)
     )
 }
+
+/// The rules that were broken, counted from 1, and on how many days.
+fn broken_rules(days_broken: &[usize]) -> String {
+    let mut broken = Vec::new();
+    for (position, days) in days_broken.iter().enumerate() {
+        if *days > 0 {
+            broken.push(format!("{} on {days} days", position + 1));
+        }
+    }
+    if broken.is_empty() { "kept".to_string() } else { broken.join(", ") }
+}
--- a/crates/cli/src/lab/sweep.rs
+++ b/crates/cli/src/lab/sweep.rs
@@ -1,17 +1,23 @@
 //! `lab sweep`: plays a scenario with one value changed again and again.
 
-use super::{Days, bar, went};
+use super::{DayArguments, read_scenario, verdict};
+use crate::Verdict;
+use crate::error::CliError;
+use crate::output::{progress_bar, to_json};
 use crate::variant::Variant;
-use crate::{Went, json};
 use clap::Args;
+use indicatif::ProgressBar;
 use mountshift_lab::experiment;
 use mountshift_lab::outcome::DayOutcome;
 use mountshift_lab::policy_kind::PolicyKind;
 use mountshift_scenario::Scenario;
 use std::path::PathBuf;
 
+/// The name under which all values are played, as days are paired by scenario and seed.
+const SWEPT_NAME: &str = "swept";
+
 #[derive(Args)]
-pub struct Sweep {
+pub(crate) struct SweepArguments {
     scenario: PathBuf,
     /// A value of the scenario, as `traffic.rate` or `trouble.0.level`
     #[arg(long, conflicts_with = "constant", required_unless_present = "constant")]
@@ -23,56 +29,81 @@
     #[arg(long, num_args = 1.., required = true)]
     to: Vec<String>,
     #[command(flatten)]
-    days: Days,
+    days: DayArguments,
 }
 
-pub(super) fn sweep(args: Sweep) -> Result<Went, String> {
-    let seeds = args.days.seeds();
-    let shown = args.scenario.display().to_string();
-    let text = std::fs::read_to_string(&args.scenario).map_err(|e| format!("{shown}: {e}"))?;
+/// A value, and the days played with it; in JSON a pair.
+type Side = (String, Vec<DayOutcome>);
+
+pub(super) fn run(arguments: &SweepArguments) -> Result<Verdict, CliError> {
+    let seeds = arguments.days.seeds();
     // Refused as a whole before anything is played.
-    Scenario::read(&args.scenario)?;
-    let mut sides: Vec<(String, Vec<DayOutcome>)> = Vec::new();
-    let mut changed = Vec::new();
-    if let Some(path) = &args.value {
-        for value in &args.to {
-            changed.push((value.clone(), experiment::with_value(&text, &shown, path, value)?));
-        }
+    let scenarios = changed_scenarios(arguments)?;
+    let bar = progress_bar((arguments.to.len() * seeds.len()) as u64);
+    let mut sides = Vec::new();
+    for (value, scenario) in scenarios {
+        let days = experiment::run(&scenario, &[PolicyKind::Mountshift], &seeds, false, &|_| bar.inc(1));
+        sides.push((value, days));
     }
-    let bar = bar((args.to.len() * seeds.len()) as u64);
-    for (value, scenario) in changed {
-        let scenario = Scenario { name: "swept".into(), ..scenario };
-        sides.push((
-            value,
-            experiment::run(&scenario, &[PolicyKind::Mountshift], &seeds, false, &|_| bar.inc(1)),
-        ));
-    }
-    if let Some(constant) = &args.constant {
-        for value in &args.to {
-            let variant = Variant::of([(constant.clone(), value.clone())].into())?;
-            sides.push((value.clone(), variant.play(std::slice::from_ref(&args.scenario), &seeds)?));
-            bar.inc(seeds.len() as u64);
-        }
+    if let Some(constant) = &arguments.constant {
+        sides = sweep_constant(arguments, constant, &seeds, &bar)?;
     }
     bar.finish_and_clear();
-    let what = args.value.or(args.constant).unwrap_or_default();
-    if args.days.json {
-        println!("{}", json(&sides)?);
+    if arguments.days.json {
+        println!("{}", to_json(&sides)?);
     } else {
-        println!("{:>16}  {:26} {:>8}  rules  against the first", what, "service [95%]", "worst 10");
-        for (value, days) in &sides {
-            let Some(s) = experiment::summarise(days).into_iter().next() else { continue };
-            let broken: usize = days.iter().filter(|d| !d.kept()).count();
-            let against = if std::ptr::eq(days, &sides[0].1) {
-                String::new()
-            } else {
-                experiment::compare(&sides[0].1, days)?.says
-            };
-            let rules = if broken == 0 { "kept".to_string() } else { format!("{broken} broken") };
-            let service = s.service.to_string();
-            println!("{value:>16}  {service:26} {:>8.3}  {rules}  {against}", s.worst_window.mean);
+        show_sides(arguments, &sides)?;
+    }
+    let days: Vec<DayOutcome> = sides.into_iter().flat_map(|(_, days)| days).collect();
+    Ok(verdict(&days))
+}
+
+/// The scenario with each value; none where a constant is swept.
+fn changed_scenarios(arguments: &SweepArguments) -> Result<Vec<(String, Scenario)>, CliError> {
+    let shown = arguments.scenario.display().to_string();
+    let text = std::fs::read_to_string(&arguments.scenario).map_err(CliError::file(&arguments.scenario))?;
+    read_scenario(&arguments.scenario)?;
+    let mut scenarios = Vec::new();
+    if let Some(path) = &arguments.value {
+        for value in &arguments.to {
+            let scenario =
+                experiment::with_value(&text, &shown, path, value).map_err(CliError::experiment)?;
+            scenarios.push((value.clone(), Scenario { name: SWEPT_NAME.into(), ..scenario }));
         }
     }
-    let days: Vec<DayOutcome> = sides.into_iter().flat_map(|s| s.1).collect();
-    Ok(went(&days))
+    Ok(scenarios)
+}
+
+fn sweep_constant(
+    arguments: &SweepArguments,
+    constant: &str,
+    seeds: &[u64],
+    bar: &ProgressBar,
+) -> Result<Vec<Side>, CliError> {
+    let mut sides = Vec::new();
+    for value in &arguments.to {
+        let variant = Variant::build([(constant.to_string(), value.clone())].into())?;
+        sides.push((value.clone(), variant.play(std::slice::from_ref(&arguments.scenario), seeds)?));
+        bar.inc(seeds.len() as u64);
+    }
+    Ok(sides)
+}
+
+fn show_sides(arguments: &SweepArguments, sides: &[Side]) -> Result<(), CliError> {
+    let swept = arguments.value.as_ref().or(arguments.constant.as_ref()).map_or("", String::as_str);
+    println!("{swept:>16}  {:26} {:>8}  rules  against the first", "service [95%]", "worst 10");
+    for (position, (value, days)) in sides.iter().enumerate() {
+        let Some(summary) = experiment::summarise(days).into_iter().next() else { continue };
+        let broken = days.iter().filter(|day| !day.kept()).count();
+        let rules = if broken == 0 { "kept".to_string() } else { format!("{broken} broken") };
+        let against_first = if position == 0 {
+            String::new()
+        } else {
+            experiment::compare(&sides[0].1, days).map_err(CliError::experiment)?.says
+        };
+        let service = summary.service.to_string();
+        let worst_window = summary.worst_window.mean;
+        println!("{value:>16}  {service:26} {worst_window:>8.3}  {rules}  {against_first}");
+    }
+    Ok(())
 }
--- a/crates/cli/src/lab/trace.rs
+++ b/crates/cli/src/lab/trace.rs
@@ -1,19 +1,21 @@
 //! `lab trace`: tells the story of one message, one wish of a client or one destination.
 
-use super::{Policy, went};
-use crate::Went;
+use super::{PolicyArgument, read_scenario, verdict};
+use crate::Verdict;
+use crate::error::CliError;
 use clap::Args;
 use mountshift_lab::day::{Day, Play, Seen};
-use mountshift_scenario::Scenario;
+use mountshift_lab::{Fact, Time};
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 
 #[derive(Args)]
-pub struct Trace {
+pub(crate) struct TraceArguments {
     scenario: PathBuf,
     #[arg(long, default_value_t = 1)]
     seed: u64,
     #[arg(long, default_value = "mountshift")]
-    policy: Policy,
+    policy: PolicyArgument,
     /// A message's number, as breaches name it
     #[arg(long)]
     message: Option<u64>,
@@ -28,68 +30,123 @@
     everything: bool,
 }
 
-pub(super) fn trace(args: Trace) -> Result<Went, String> {
-    use mountshift_lab::Fact;
-    let scenario = Scenario::read(&args.scenario)?;
-    let play = Play { which: args.policy.0, seed: args.seed, course: false };
+impl TraceArguments {
+    fn names_a_subject(&self) -> bool {
+        self.message.is_some() || self.request.is_some() || self.destination.is_some() || self.everything
+    }
+}
+
+pub(super) fn run(arguments: &TraceArguments) -> Result<Verdict, CliError> {
+    let scenario = read_scenario(&arguments.scenario)?;
+    let play = Play { which: arguments.policy.0, seed: arguments.seed, course: false };
     let day = Day::new(&scenario, play);
-    let destination = match &args.destination {
-        Some(name) => Some(day.destination(name).ok_or_else(|| format!("there is no destination {name}"))?),
-        None => None,
-    };
-    if args.message.is_none() && args.request.is_none() && destination.is_none() && !args.everything {
-        return Err("name a --message, a --request, a --destination, or --everything".into());
+    let mut tracer = Tracer::new(arguments, find_destination(&day, arguments)?);
+    if !arguments.names_a_subject() {
+        return Err(CliError::NoTraceSubject);
+    }
+    let mut watch = |at: Time, seen: Seen| tracer.see(at, seen);
+    let outcome = day.watched(&mut watch).play();
+    if tracer.facts_shown == 0 {
+        return Err(CliError::EmptyTrace);
+    }
+    println!("service of the day {:.4}, digest {}", outcome.service, outcome.digest);
+    Ok(verdict(&[outcome]))
+}
+
+/// The number of the destination that is asked about, if one is.
+fn find_destination(day: &Day<'_>, arguments: &TraceArguments) -> Result<Option<u32>, CliError> {
+    let Some(name) = &arguments.destination else { return Ok(None) };
+    match day.destination(name) {
+        Some(destination) => Ok(Some(destination)),
+        None => Err(CliError::UnknownDestination { name: name.clone() }),
+    }
+}
+
+/// Prints the facts that concern what is asked about; learns on the way which ids belong to it.
+struct Tracer<'a> {
+    arguments: &'a TraceArguments,
+    destination: Option<u32>,
+    /// How the log lines of the destination's circuit breaker begin.
+    breaker_prefix: Option<String>,
+    messages: BTreeSet<u64>,
+    calls: BTreeSet<u64>,
+    endpoints: BTreeSet<u32>,
+    routes: BTreeSet<u32>,
+    facts_shown: usize,
+}
+
+impl<'a> Tracer<'a> {
+    fn new(arguments: &'a TraceArguments, destination: Option<u32>) -> Tracer<'a> {
+        Tracer {
+            arguments,
+            destination,
+            breaker_prefix: destination.map(|destination| format!("breaker of {destination}:")),
+            messages: arguments.message.into_iter().collect(),
+            calls: BTreeSet::new(),
+            endpoints: BTreeSet::new(),
+            routes: BTreeSet::new(),
+            facts_shown: 0,
+        }
     }
-    let mut messages: std::collections::BTreeSet<u64> = args.message.into_iter().collect();
-    let mut calls = std::collections::BTreeSet::new();
-    let mut places = std::collections::BTreeSet::new();
-    let mut routes = std::collections::BTreeSet::new();
-    let mut lines = 0;
-    let breaker = destination.map(|dst| format!("breaker of {dst}:"));
-    let mut watch = |at: u64, seen: Seen| {
-        let fact = match seen {
-            Seen::Fact(fact) => fact,
+
+    fn see(&mut self, at: Time, seen: Seen) {
+        match seen {
+            Seen::Fact(fact) => {
+                self.learn(fact);
+                if self.arguments.everything || self.concerns(fact) {
+                    println!("{:10.4} s  {fact}", seconds(at));
+                    self.facts_shown += 1;
+                }
+            }
             Seen::Log(relay, line) => {
-                if args.everything || breaker.as_ref().is_some_and(|b| line.starts_with(b)) {
-                    println!("{:10.4} s  relay {relay} logs: {line}", at as f64 / 1e6);
+                if self.arguments.everything || self.is_of_breaker(line) {
+                    println!("{:10.4} s  relay {relay} logs: {line}", seconds(at));
                 }
-                return;
             }
-        };
+        }
+    }
+
+    fn is_of_breaker(&self, line: &str) -> bool {
+        self.breaker_prefix.as_ref().is_some_and(|prefix| line.starts_with(prefix))
+    }
+
+    /// True for a submission whose request or destination is asked about.
+    fn is_asked_for(&self, request: u64, destination: u32) -> bool {
+        self.arguments.request == Some(request) || self.destination == Some(destination)
+    }
+
+    /// Notes the ids that a fact adds to what is asked about.
+    fn learn(&mut self, fact: &Fact) {
         match *fact {
-            Fact::HandedIn { msg, request, dst, .. }
-                if args.request == Some(request) || destination == Some(dst) =>
-            {
-                messages.insert(msg);
+            Fact::HandedIn { msg, request, dst, .. } if self.is_asked_for(request, dst) => {
+                self.messages.insert(msg);
             }
-            Fact::Endpoint { endpoint, dst, route, .. } if destination == Some(dst) => {
-                places.insert(endpoint);
-                routes.insert(route);
+            Fact::Endpoint { endpoint, dst, route, .. } if self.destination == Some(dst) => {
+                self.endpoints.insert(endpoint);
+                self.routes.insert(route);
             }
-            Fact::Leg { msg, call, .. } if messages.contains(&msg) => {
-                calls.insert(call);
+            Fact::Leg { msg, call, .. } if self.messages.contains(&msg) => {
+                self.calls.insert(call);
             }
             _ => {}
         }
-        let about = match *fact {
-            Fact::Reached { call, .. } => calls.contains(&call),
+    }
+
+    fn concerns(&self, fact: &Fact) -> bool {
+        match *fact {
+            Fact::Reached { call, .. } => self.calls.contains(&call),
             Fact::Endpoint { endpoint, .. }
             | Fact::Told { endpoint, .. }
-            | Fact::WaitTold { endpoint, .. } => places.contains(&endpoint),
+            | Fact::WaitTold { endpoint, .. } => self.endpoints.contains(&endpoint),
             Fact::OutageBegan { route } | Fact::OutageOver { route } | Fact::FellOver { route } => {
-                routes.contains(&route)
+                self.routes.contains(&route)
             }
-            _ => fact.msg().is_some_and(|msg| messages.contains(&msg)),
-        };
-        if about || args.everything {
-            println!("{:10.4} s  {fact}", at as f64 / 1e6);
-            lines += 1;
+            _ => fact.msg().is_some_and(|message| self.messages.contains(&message)),
         }
-    };
-    let outcome = day.watched(&mut watch).play();
-    if lines == 0 {
-        return Err("nothing on this day is about that".into());
     }
-    println!("service of the day {:.4}, digest {}", outcome.service, outcome.digest);
-    Ok(went(&[outcome]))
+}
+
+/// A time of the day, which counts microseconds, in seconds.
+fn seconds(at: Time) -> f64 {
+    at as f64 / 1e6
 }
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -1,14 +1,16 @@
 //! `mountshift load`: hands messages to a relay by a schedule, and looks for the rate that it bears.
 
-use crate::Went;
+use crate::Verdict;
+use crate::error::CliError;
+use crate::output::to_json;
 use clap::Args;
-use mountshift_load::{Plan, Schedule, Tried, run, search};
+use mountshift_load::{Plan, Report, Schedule, Tried};
 use mountshift_scenario::Span;
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
 
 #[derive(Args)]
-pub struct Load {
+pub(crate) struct LoadArguments {
     /// The relay, at a loopback address
     #[arg(long)]
     to: SocketAddr,
@@ -50,43 +52,73 @@
     Span::try_from(text.to_string())
 }
 
-pub fn load(args: Load) -> Result<Went, String> {
+/// Measures the rate that was asked for, or searches for the rate that the relay bears.
+pub(crate) fn run(arguments: LoadArguments) -> Result<Verdict, CliError> {
+    let json = arguments.json;
+    let rate = arguments.rate;
+    let p99 = arguments.p99;
+    let plan = plan(arguments);
+    match p99 {
+        Some(p99) => search(&plan, rate, p99, json),
+        None => measure(&plan, json),
+    }
+}
+
+fn plan(arguments: LoadArguments) -> Plan {
     // Ids must not come twice at one relay.
-    let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64);
-    let plan = Plan {
-        to: args.to,
-        schedule: Schedule { from: args.rate, to: args.ramp_to.unwrap_or(args.rate), length: args.length.0 },
-        connections: args.connections,
-        lane: args.lane,
-        destinations: args.destinations,
-        keys: args.keys,
-        body: args.body,
-        deadline: args.deadline.0,
-        patience: args.patience.0,
+    let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
+    Plan {
+        to: arguments.to,
+        schedule: Schedule {
+            from: arguments.rate,
+            to: arguments.ramp_to.unwrap_or(arguments.rate),
+            length: arguments.length.0,
+        },
+        connections: arguments.connections,
+        lane: arguments.lane,
+        destinations: arguments.destinations,
+        keys: arguments.keys,
+        body: arguments.body,
+        deadline: arguments.deadline.0,
+        patience: arguments.patience.0,
         seed,
-    };
-    if let Some(p99) = args.p99 {
-        let tell = |t: &Tried| {
-            let says = if t.borne { "borne" } else { "too much" };
-            let r = &t.report;
-            eprintln!(
-                "{:8.0} a second: {says}, 99% within {:.2} ms, {} of {} taken",
-                t.asked, r.p99_ms, r.taken, r.due
-            );
-        };
-        let best = search(&plan, p99.0, tell)?;
-        match (best, args.json) {
-            (best, true) => println!("{}", crate::json(&best)?),
-            (Some(best), _) => println!("{best:.0} messages a second with 99% within {}", String::from(p99)),
-            (None, _) => println!("not even {:.0} messages a second", args.rate),
-        }
-        return Ok(if best.is_some() { Went::Well } else { Went::Broke });
     }
-    let report = run(&plan)?;
-    if args.json {
-        println!("{}", crate::json(&report)?)
+}
+
+fn measure(plan: &Plan, json: bool) -> Result<Verdict, CliError> {
+    let report = mountshift_load::run(plan).map_err(|error| CliError::Load(error.into()))?;
+    if json {
+        println!("{}", to_json(&report)?);
     } else {
-        println!("{report}")
+        println!("{report}");
     }
-    Ok(if report.taken + report.pushed_back == report.due { Went::Well } else { Went::Broke })
+    Ok(if is_complete(&report) { Verdict::Good } else { Verdict::Bad })
+}
+
+/// True if every message got an answer.
+fn is_complete(report: &Report) -> bool {
+    report.taken + report.pushed_back == report.due
+}
+
+/// Searches for the highest rate at which 99% of the answers come within the span, from `first_rate` on.
+fn search(plan: &Plan, first_rate: f64, p99: Span, json: bool) -> Result<Verdict, CliError> {
+    let best_rate =
+        mountshift_load::search(plan, p99.0, show_tried).map_err(|error| CliError::Load(error.into()))?;
+    if json {
+        println!("{}", to_json(&best_rate)?);
+    } else if let Some(rate) = best_rate {
+        println!("{rate:.0} messages a second with 99% within {}", String::from(p99));
+    } else {
+        println!("not even {first_rate:.0} messages a second");
+    }
+    Ok(if best_rate.is_some() { Verdict::Good } else { Verdict::Bad })
+}
+
+fn show_tried(tried: &Tried) {
+    let says = if tried.borne { "borne" } else { "too much" };
+    let report = &tried.report;
+    eprintln!(
+        "{:8.0} a second: {says}, 99% within {:.2} ms, {} of {} taken",
+        tried.asked, report.p99_ms, report.taken, report.due
+    );
 }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,52 +3,62 @@
 //! Exit codes: 0 done, 1 a rule broke or messages were lost, 2 bad input (one plain line).
 #![forbid(unsafe_code)]
 
+mod error;
 mod lab;
 mod load;
+mod output;
 mod variant;
+#[cfg(test)]
+mod variant_tests;
 
 use clap::{Parser, Subcommand};
+use error::CliError;
 use std::process::ExitCode;
 
 #[derive(Parser)]
 #[command(name = "mountshift", version, about = "Relay of messages to outside destinations: tools")]
-struct Args {
+struct Arguments {
     #[command(subcommand)]
-    what: What,
+    command: Command,
 }
 
 #[derive(Subcommand)]
-enum What {
+enum Command {
     /// Play days of a model fleet in virtual time, compare, search, report
     #[command(subcommand)]
-    Lab(lab::Lab),
+    Lab(lab::LabCommand),
     /// Hand messages to a relay by a schedule, and measure from the moment each was due
-    Load(load::Load),
+    Load(load::LoadArguments),
 }
 
-/// How a command went, where it went at all.
-pub enum Went {
-    Well,
-    /// A rule broke.
-    Broke,
+/// What a command that was carried out has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// Nothing wrong.
+    Good,
+    /// A rule was broken, or messages were lost.
+    Bad,
 }
 
-fn json(what: &impl serde::Serialize) -> Result<String, String> {
-    serde_json::to_string_pretty(what).map_err(|e| e.to_string())
-}
+/// The exit code of a command that found something wrong.
+const EXIT_BAD: u8 = 1;
+/// The exit code of a command that could not be carried out.
+const EXIT_ERROR: u8 = 2;
 
 fn main() -> ExitCode {
-    let args = Args::parse();
-    let went = match args.what {
-        What::Lab(what) => lab::run(what),
-        What::Load(what) => load::load(what),
-    };
-    match went {
-        Ok(Went::Well) => ExitCode::SUCCESS,
-        Ok(Went::Broke) => ExitCode::from(1),
-        Err(reason) => {
-            eprintln!("mountshift: {reason}");
-            ExitCode::from(2)
+    match run(Arguments::parse().command) {
+        Ok(Verdict::Good) => ExitCode::SUCCESS,
+        Ok(Verdict::Bad) => ExitCode::from(EXIT_BAD),
+        Err(error) => {
+            eprintln!("mountshift: {error}");
+            ExitCode::from(EXIT_ERROR)
         }
     }
 }
+
+fn run(command: Command) -> Result<Verdict, CliError> {
+    match command {
+        Command::Lab(command) => lab::run(command),
+        Command::Load(arguments) => load::run(arguments),
+    }
+}
--- a/crates/cli/src/variant.rs
+++ b/crates/cli/src/variant.rs
@@ -1,122 +1,145 @@
 //! The decisions with other constants: built anew from this checkout beside it, and played by a program of their
 //! own, so that a value never comes into the decisions from outside.
 
+use crate::error::CliError;
 use mountshift_lab::outcome::DayOutcome;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
-use std::process::Command;
+use std::process::{Command, Stdio};
 
-const RULES: &str = "src/rules.rs";
-const PARTS: [&str; 4] = ["Cargo.toml", "Cargo.lock", "src", "crates"];
+/// Where the constants of the decisions stand.
+const POLICY: &str = "src/rules.rs";
+/// What a build needs of the checkout.
+const CHECKOUT_PARTS: [&str; 4] = ["Cargo.toml", "Cargo.lock", "src", "crates"];
+/// Each variant has a folder here.
+const VARIANTS: &str = "target/variants";
+/// Where all variants are built, so that they share what they have in common.
+const BUILD_FOLDER: &str = "target/variants/built";
+const BUILT_PROGRAM: &str = "target/variants/built/release/mountshift";
 
 /// The decisions with some constants changed.
-pub struct Variant {
+pub(crate) struct Variant {
     program: PathBuf,
 }
 
 impl Variant {
-    /// Constants by name, each with the text of its value.
-    pub fn from_file(path: &Path) -> Result<Variant, String> {
-        let shown = path.display();
-        let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
-        let constants: BTreeMap<String, String> =
-            toml::from_str(&text).map_err(|e| format!("{shown}: {}", e.message()))?;
-        Variant::of(constants)
+    /// Builds it from a file of constants by name, each with the text of its value.
+    pub(crate) fn from_file(path: &Path) -> Result<Variant, CliError> {
+        let text = std::fs::read_to_string(path).map_err(CliError::file(path))?;
+        let constants = toml::from_str(&text)
+            .map_err(|source| CliError::Constants { path: path.to_path_buf(), source })?;
+        Variant::build(constants)
     }
 
     /// Builds it; must be called inside the checkout.
-    pub fn of(constants: BTreeMap<String, String>) -> Result<Variant, String> {
-        let rules =
-            std::fs::read_to_string(RULES).map_err(|e| format!("{RULES}: {e} (not in a checkout?)"))?;
-        let mut changed = rules;
-        let mut name = String::from("as-it-is");
+    pub(crate) fn build(constants: BTreeMap<String, String>) -> Result<Variant, CliError> {
+        let mut policy = std::fs::read_to_string(POLICY)
+            .map_err(|source| CliError::NoCheckout { path: POLICY.into(), source })?;
         for (constant, value) in &constants {
-            changed = with_constant(&changed, constant, value)?;
-            name = format!("{name}-{constant}-{value}");
+            policy = with_constant(&policy, constant, value)?;
         }
-        let plain = |c: char| if c.is_ascii_alphanumeric() { c } else { '-' };
-        let folder = PathBuf::from("target/variants").join(name.chars().map(plain).collect::<String>());
-        let copy = |from: &str| {
-            let status = Command::new("cp").args(["-rpu", from]).arg(&folder).status();
-            status
-                .is_ok_and(|s| s.success())
-                .then_some(())
-                .ok_or(format!("{from}: can't be copied to {}", folder.display()))
-        };
-        std::fs::create_dir_all(&folder).map_err(|e| format!("{}: {e}", folder.display()))?;
-        PARTS.iter().try_for_each(|part| copy(part))?;
-        let at = folder.join(RULES);
-        if std::fs::read_to_string(&at).ok().as_ref() != Some(&changed) {
-            std::fs::write(&at, &changed).map_err(|e| format!("{}: {e}", at.display()))?;
+        let folder = variant_folder(&constants);
+        std::fs::create_dir_all(&folder).map_err(CliError::file(&folder))?;
+        for part in CHECKOUT_PARTS {
+            copy_part(part, &folder)?;
         }
+        write_if_changed(&folder.join(POLICY), &policy)?;
         eprintln!("building {}", folder.display());
-        let mut build = Command::new("cargo");
-        build.args(["build", "--release", "--locked", "--quiet", "-p", "mountshift-cli"]);
-        build.args(["--target-dir", "target/variants/built"]);
-        build.args(["--manifest-path".into(), folder.join("Cargo.toml")]);
-        if !build.status().is_ok_and(|s| s.success()) {
-            return Err(format!("the decisions with {constants:?} can't be built"));
+        if !build_succeeds(&folder) {
+            return Err(CliError::BuildVariant { constants });
         }
         // The next variant is built at the same place.
         let program = folder.join("mountshift");
-        std::fs::copy("target/variants/built/release/mountshift", &program)
-            .map_err(|e| format!("{}: {e}", program.display()))?;
+        std::fs::copy(BUILT_PROGRAM, &program).map_err(CliError::file(&program))?;
         Ok(Variant { program })
     }
 
-    pub fn play(&self, scenarios: &[PathBuf], seeds: &[u64]) -> Result<Vec<DayOutcome>, String> {
-        let save = self.program.with_extension("json");
-        let mut run = Command::new(&self.program);
-        run.args(["lab", "run", "--seeds", &seeds.len().to_string()]);
-        run.args(["--first-seed", &seeds.first().copied().unwrap_or(1).to_string(), "--save"]);
-        run.arg(&save).args(scenarios).stdout(std::process::Stdio::null());
-        let status = run.status().map_err(|e| format!("{}: {e}", self.program.display()))?;
+    /// Plays days with it.
+    pub(crate) fn play(&self, scenarios: &[PathBuf], seeds: &[u64]) -> Result<Vec<DayOutcome>, CliError> {
+        let results = self.program.with_extension("json");
+        let first_seed = seeds.first().copied().unwrap_or(1);
+        let status = Command::new(&self.program)
+            .args(["lab", "run", "--seeds", &seeds.len().to_string()])
+            .args(["--first-seed", &first_seed.to_string()])
+            .arg("--save")
+            .arg(&results)
+            .args(scenarios)
+            .stdout(Stdio::null())
+            .status()
+            .map_err(CliError::file(&self.program))?;
         match status.code() {
-            Some(0 | 1) => played(&save),
-            code => Err(format!("{}: ended with {code:?}", self.program.display())),
+            // A broken rule is a result too.
+            Some(0 | 1) => read_results(&results),
+            exit_code => Err(CliError::RunVariant { program: self.program.clone(), exit_code }),
         }
     }
 }
 
-/// The text with one constant's value replaced.
-fn with_constant(rules: &str, constant: &str, value: &str) -> Result<String, String> {
-    let start = format!("const {constant}: ");
-    let mut found = false;
-    let line = |line: &str| {
-        let rest = line.strip_prefix(&start)?;
-        let (kind, old) = rest.split_once(" = ")?;
-        let (_, after) = old.split_once(';')?;
-        Some(format!("{start}{kind} = {value};{after}"))
-    };
-    let lines: Vec<String> = rules
-        .lines()
-        .map(|l| {
-            let changed = line(l);
-            found |= changed.is_some();
-            changed.unwrap_or_else(|| l.to_string())
-        })
-        .collect();
-    if found { Ok(lines.join("\n") + "\n") } else { Err(format!("{RULES} has no constant {constant}")) }
+/// A folder that is named by the constants.
+fn variant_folder(constants: &BTreeMap<String, String>) -> PathBuf {
+    let mut name = String::from("as-it-is");
+    for (constant, value) in constants {
+        name = format!("{name}-{constant}-{value}");
+    }
+    Path::new(VARIANTS).join(name.replace(|c: char| !c.is_ascii_alphanumeric(), "-"))
 }
 
-/// Days that `lab run --save` kept.
-pub fn played(path: &Path) -> Result<Vec<DayOutcome>, String> {
-    let shown = path.display();
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"))?;
-    serde_json::from_str(&text).map_err(|e| format!("{shown}: {e}"))
+fn copy_part(part: &'static str, folder: &Path) -> Result<(), CliError> {
+    let status = Command::new("cp").args(["-rpu", part]).arg(folder).status();
+    if status.is_ok_and(|status| status.success()) {
+        return Ok(());
+    }
+    Err(CliError::CopyCheckout { part, folder: folder.to_path_buf() })
 }
 
-#[cfg(test)]
-mod tests {
-    use super::with_constant;
+/// Leaves a file as it is where it holds the text already, so that it is not built again.
+fn write_if_changed(path: &Path, text: &str) -> Result<(), CliError> {
+    if std::fs::read_to_string(path).is_ok_and(|old| old == text) {
+        return Ok(());
+    }
+    std::fs::write(path, text).map_err(CliError::file(path))
+}
+
+fn build_succeeds(folder: &Path) -> bool {
+    let status = Command::new("cargo")
+        .args(["build", "--release", "--locked", "--quiet", "-p", "mountshift-cli"])
+        .args(["--target-dir", BUILD_FOLDER])
+        .arg("--manifest-path")
+        .arg(folder.join("Cargo.toml"))
+        .status();
+    status.is_ok_and(|status| status.success())
+}
 
-    #[test]
-    fn a_constant_is_changed_and_nothing_else() {
-        let rules = "const A: u32 = 5; // five\nconst AB: f64 = 1.0;\n";
-        assert_eq!(
-            with_constant(rules, "A", "7").unwrap(),
-            "const A: u32 = 7; // five\nconst AB: f64 = 1.0;\n"
-        );
-        assert!(with_constant(rules, "B", "7").is_err());
+/// The text with one constant's value replaced.
+pub(crate) fn with_constant(policy: &str, constant: &str, value: &str) -> Result<String, CliError> {
+    let mut found = false;
+    let mut changed = String::new();
+    for line in policy.lines() {
+        match line_with_value(line, constant, value) {
+            Some(line) => {
+                changed.push_str(&line);
+                found = true;
+            }
+            None => changed.push_str(line),
+        }
+        changed.push('\n');
     }
+    if !found {
+        return Err(CliError::UnknownConstant { path: POLICY, constant: constant.to_string() });
+    }
+    Ok(changed)
+}
+
+/// The line with another value, if it is the constant's; what follows the value stays.
+fn line_with_value(line: &str, constant: &str, value: &str) -> Option<String> {
+    let start = format!("const {constant}: ");
+    let (kind, old) = line.strip_prefix(&start)?.split_once(" = ")?;
+    let (_, after) = old.split_once(';')?;
+    Some(format!("{start}{kind} = {value};{after}"))
+}
+
+/// Days that `lab run --save` kept.
+pub(crate) fn read_results(path: &Path) -> Result<Vec<DayOutcome>, CliError> {
+    let text = std::fs::read_to_string(path).map_err(CliError::file(path))?;
+    serde_json::from_str(&text).map_err(|source| CliError::Results { path: path.to_path_buf(), source })
 }
