--- /dev/null
+++ b/crates/cli/src/lab/list.rs
@@ -0,0 +1,51 @@
+//! `lab list`: the scenarios of a folder, and all kinds of trouble.
+
+use super::read_scenario;
+use crate::Verdict;
+use crate::error::CliError;
+use clap::Args;
+use mountshift_scenario::{Scenario, TroubleKind};
+use std::path::{Path, PathBuf};
+
+#[derive(Args)]
+pub(crate) struct ListArguments {
+    #[arg(default_value = "examples/scenarios")]
+    folder: PathBuf,
+    /// The kinds of trouble, and whom they strike
+    #[arg(long)]
+    troubles: bool,
+}
+
+pub(super) fn run(arguments: &ListArguments) -> Result<Verdict, CliError> {
+    if arguments.troubles {
+        show_troubles();
+        return Ok(Verdict::Good);
+    }
+    for path in scenario_files(&arguments.folder)? {
+        show_scenario(&read_scenario(&path)?);
+    }
+    Ok(Verdict::Good)
+}
+
+fn show_troubles() {
+    for kind in TroubleKind::ALL {
+        let (strikes, description) = kind.strikes();
+        let strikes = format!("{strikes:?}").to_lowercase();
+        println!("{kind:16} {strikes:9} {description}");
+    }
+}
+
+/// The TOML files of a folder, in the order of their names.
+fn scenario_files(folder: &Path) -> Result<Vec<PathBuf>, CliError> {
+    let entries = std::fs::read_dir(folder).map_err(CliError::file(folder))?;
+    let mut paths: Vec<PathBuf> = entries.flatten().map(|entry| entry.path()).collect();
+    paths.retain(|path| path.extension().is_some_and(|extension| extension == "toml"));
+    paths.sort();
+    Ok(paths)
+}
+
+fn show_scenario(scenario: &Scenario) {
+    let relays = scenario.relays.count;
+    let destinations = scenario.destinations();
+    println!("{:22} {relays:>4} relays {destinations:>6} destinations  {}", scenario.name, scenario.about);
+}
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -24,7 +24,8 @@
 use crate::Time;
 use crate::host::Relay;
 use crate::outcome::{DayOutcome, breaches};
-use crate::policy::{Policy, Truth, Which};
+use crate::policy::{GroundTruth, Policy};
+use crate::policy_kind::PolicyKind;
 use crate::route::Route;
 use crate::servers::Server;
 use crate::statistics::Statistics;
@@ -48,7 +49,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Play {
     /// The policy that decides at the relays.
-    pub which: Which,
+    pub which: PolicyKind,
     /// The seed of everything random.
     pub seed: u64,
     /// Keep the course of the day for a report.
@@ -103,7 +104,7 @@
     discovery_busy_until: Time,
     /// What the list says of each endpoint.
     endpoint_list: Vec<EndpointStatus>,
-    truth: Truth,
+    truth: GroundTruth,
     judge: Judge,
     statistics: Statistics,
     digest: SipHasher13,
@@ -139,13 +140,13 @@
             discovery_troubles: 0,
             discovery_busy_until: 0,
             endpoint_list: vec![EndpointStatus::Ready; world.endpoints.len()],
-            truth: Truth::default(),
+            truth: GroundTruth::default(),
             judge: Judge::new(world.figures()),
             statistics: Statistics::new(&world, &requests),
             digest: SipHasher13::new(),
             attempts: 0,
             watch: None,
-            make_policy: Box::new(move |settings| play.which.make(settings)),
+            make_policy: Box::new(move |settings| play.which.build(settings)),
             requests,
             world,
         }
@@ -235,7 +236,7 @@
 
     /// When the next request, event or step is due.
     fn next_time(&self) -> Option<Time> {
-        let step = self.relays.iter().filter_map(Relay::wakes).min();
+        let step = self.relays.iter().filter_map(Relay::next_wake).min();
         [self.next_arrival(), self.events.next_time(), step].into_iter().flatten().min()
     }
 
@@ -270,7 +271,7 @@
     /// Samples what the course of the day shows, once a second.
     fn sample_second(&mut self) {
         let queued: usize = self.relays.iter().map(Relay::held).sum();
-        let in_flight: usize = self.relays.iter().map(Relay::calls_out).sum();
+        let in_flight: usize = self.relays.iter().map(Relay::calls_in_flight).sum();
         self.statistics.queued.add(self.now, queued as f64);
         self.statistics.calls_in_flight.add(self.now, in_flight as f64);
         let now = self.now;
--- a/crates/lab/src/day/calls.rs
+++ b/crates/lab/src/day/calls.rs
@@ -5,7 +5,7 @@
 use super::connections::IdleConnection;
 use super::events::Event;
 use crate::Time;
-use crate::host::Came;
+use crate::host::{AttemptEnd, RelayEvent};
 use crate::random::Purpose;
 use mountshift::interface::Outcome;
 use mountshift_invariants::Fact;
@@ -94,7 +94,11 @@
     /// The call ends at its relay without an answer, a while from now.
     pub(super) fn fail_call(&mut self, call_id: u64, outcome: Outcome, delay: Time) {
         let Some(call) = self.calls.get(&call_id) else { return };
-        let ends = call.messages.iter().map(|message| (*message, outcome, false)).collect();
+        let ends = call
+            .messages
+            .iter()
+            .map(|message| AttemptEnd { message: *message, outcome, closed: false })
+            .collect();
         self.schedule(self.now + delay, Event::CallEnds { call: call_id, ends });
     }
 
@@ -127,7 +131,7 @@
     }
 
     /// The outcome of a call arrives at its relay.
-    pub(super) fn call_ends(&mut self, call_id: u64, ends: Vec<(u64, Outcome, bool)>) {
+    pub(super) fn call_ends(&mut self, call_id: u64, ends: Vec<AttemptEnd>) {
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         if !call.open {
             return;
@@ -135,14 +139,13 @@
         call.open = false;
         let relay = call.relay as usize;
         let stage = call.stage;
-        let broken =
-            ends.iter().any(|(_, outcome, _)| matches!(outcome, Outcome::Reset | Outcome::ConnectFailed));
+        let broken = ends.iter().any(|end| matches!(end.outcome, Outcome::Reset | Outcome::ConnectFailed));
         if broken {
             self.close_connection(call_id);
         } else {
             self.keep_connection(call_id);
         }
-        for (message, outcome, _) in &ends {
+        for AttemptEnd { message, outcome, .. } in &ends {
             if *outcome == Outcome::Delivered {
                 self.record_delivery(call_id, *message);
                 self.close_message(*message);
@@ -151,7 +154,7 @@
         if stage == Stage::Done || (broken && stage == Stage::OnTheWay) {
             self.calls.remove(&call_id);
         }
-        self.relays[relay].inbox.push(Came::Ended { call: call_id, ends, wait: 0 });
+        self.relays[relay].inbox.push(RelayEvent::CallEnded { call: call_id, ends, retry_after: 0 });
     }
 
     /// Puts the connection of a call that is over back into the pool.
@@ -187,9 +190,13 @@
             return;
         }
         let relay = call.relay as usize;
-        let ends = call.messages.iter().map(|message| (*message, outcome, false)).collect();
+        let ends = call
+            .messages
+            .iter()
+            .map(|message| AttemptEnd { message: *message, outcome, closed: false })
+            .collect();
         self.hang_up(call_id);
-        self.relays[relay].inbox.push(Came::Ended { call: call_id, ends, wait: 0 });
+        self.relays[relay].inbox.push(RelayEvent::CallEnded { call: call_id, ends, retry_after: 0 });
     }
 
     /// The connection of a call is closed from the relay's side.
--- a/crates/lab/src/day/clients.rs
+++ b/crates/lab/src/day/clients.rs
@@ -3,7 +3,7 @@
 use super::Day;
 use super::events::Event;
 use crate::Time;
-use crate::host::Came;
+use crate::host::RelayEvent;
 use crate::random::Purpose;
 use crate::traffic::Request;
 use mountshift_invariants::{End, Fact};
@@ -69,7 +69,14 @@
         let request = u64::from(request_id);
         self.record(Fact::HandedIn { msg: message, request, relay, lane, dst, key, deadline });
         let host = &mut self.relays[relay as usize];
-        host.inbox.push(Came::Message { msg: message, lane, tenant, dst, key, deadline });
+        host.inbox.push(RelayEvent::Submitted {
+            message,
+            class: lane,
+            tenant,
+            destination: dst,
+            key,
+            deadline,
+        });
         if host.stalled_until > self.now {
             let patience = self.world.scenario.clients.patience.us();
             self.schedule(self.now + patience, Event::ClientTimeout { message });
@@ -124,7 +131,7 @@
         if message.client == ClientState::GaveUp {
             if end.is_none() {
                 let relay = message.relay;
-                self.relays[relay as usize].inbox.push(Came::Gone(message_id));
+                self.relays[relay as usize].inbox.push(RelayEvent::ClientGone { message: message_id });
             }
             return;
         }
@@ -173,6 +180,6 @@
         let Some(message) = self.messages.get(&message_id) else { return };
         let relay = message.relay as usize;
         self.record(Fact::EndTaken { msg: message_id });
-        self.relays[relay].inbox.push(Came::Noticed(message_id));
+        self.relays[relay].inbox.push(RelayEvent::NotificationTaken { message: message_id });
     }
 }
--- a/crates/lab/src/day/discovery.rs
+++ b/crates/lab/src/day/discovery.rs
@@ -3,7 +3,7 @@
 use super::Day;
 use super::events::Event;
 use crate::Time;
-use crate::host::Came;
+use crate::host::RelayEvent;
 use crate::random::Purpose;
 use crate::world::ScheduledTrouble;
 use mountshift::interface::EndpointStatus;
@@ -32,7 +32,7 @@
         }
         host.learn(&self.world, &setup, endpoint, status);
         if host.up {
-            host.inbox.push(Came::Listed { endpoint, says: status });
+            host.inbox.push(RelayEvent::EndpointListed { endpoint, status: status });
         }
     }
 
@@ -97,18 +97,18 @@
             return;
         }
         if failed {
-            host.inbox.push(Came::WatchFailed);
+            host.inbox.push(RelayEvent::PollFailed);
             return;
         }
         host.watching = true;
-        host.inbox.push(Came::Whole);
+        host.inbox.push(RelayEvent::FullListBegins);
         for endpoint in 0..self.endpoint_list.len() as u32 {
             let status = self.endpoint_list[endpoint as usize];
             if status != EndpointStatus::Removed {
                 let setup = self.servers[endpoint as usize].setup;
                 let host = &mut self.relays[relay as usize];
                 host.learn(&self.world, &setup, endpoint, status);
-                host.inbox.push(Came::Listed { endpoint, says: status });
+                host.inbox.push(RelayEvent::EndpointListed { endpoint, status: status });
             }
         }
     }
--- a/crates/lab/src/day/endpoints.rs
+++ b/crates/lab/src/day/endpoints.rs
@@ -4,6 +4,7 @@
 use super::events::Event;
 use super::{ANSWER_DELAY, Day};
 use crate::Time;
+use crate::host::AttemptEnd;
 use crate::random::Purpose;
 use crate::servers::HeavyTail;
 use crate::world::by_zone;
@@ -284,7 +285,10 @@
             }
         }
         let written_at = silent_until.max(self.now);
-        let ends = messages.into_iter().map(|message| (message, Outcome::Delivered, true)).collect();
+        let ends = messages
+            .into_iter()
+            .map(|message| AttemptEnd { message, outcome: Outcome::Delivered, closed: true })
+            .collect();
         self.schedule(written_at + delay, Event::CallEnds { call: call_id, ends });
     }
 }
--- a/crates/lab/src/day/events.rs
+++ b/crates/lab/src/day/events.rs
@@ -2,8 +2,9 @@
 
 use super::Day;
 use crate::Time;
-use crate::host::Came;
-use mountshift::interface::{EndpointStatus, Outcome};
+use crate::host::AttemptEnd;
+use crate::host::RelayEvent;
+use mountshift::interface::EndpointStatus;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -17,7 +18,7 @@
     /// An endpoint has worked a call off, unless its connections broke since `epoch`.
     WorkFinished { call: u64, epoch: u32 },
     /// The outcome of a call arrives at its relay; each end is a message, its outcome and whether it is closed.
-    CallEnds { call: u64, ends: Vec<(u64, Outcome, bool)> },
+    CallEnds { call: u64, ends: Vec<AttemptEnd> },
     /// The time limit that a relay set for a call has passed.
     CallTimeout { call: u64 },
     /// An endpoint that stood still goes on.
@@ -101,7 +102,7 @@
             Event::TroubleEnds { trouble } => self.change_trouble(trouble, false),
             Event::ListUpdate { relay, endpoint, status } => self.list_update(relay, endpoint, status),
             Event::PollAnswered { relay } => self.poll_answered(relay),
-            Event::PollFailed { relay } => self.relays[relay as usize].inbox.push(Came::WatchFailed),
+            Event::PollFailed { relay } => self.relays[relay as usize].inbox.push(RelayEvent::PollFailed),
             Event::NotificationAcknowledged { message } => self.notification_acknowledged(message),
             Event::ClientTimeout { message } => self.client_timeout(message),
             Event::Second => self.sample_second(),
--- a/crates/lab/src/day/relays.rs
+++ b/crates/lab/src/day/relays.rs
@@ -5,8 +5,8 @@
 use super::trace::attempt_end_name;
 use super::{Day, Seen};
 use crate::Time;
-use crate::host::{Act, Relay};
-use crate::policy::{TrueState, Truth};
+use crate::host::{Relay, RelayEffect};
+use crate::policy::{EndpointTruth, GroundTruth};
 use crate::random::Purpose;
 use crate::servers::Server;
 use mountshift::interface::Outcome;
@@ -45,16 +45,16 @@
 impl Day<'_> {
     /// Plays the steps of all relays that are due.
     pub(super) fn step_relays(&mut self) {
-        if self.play.which.sees_all() {
+        if self.play.which.is_omniscient() {
             self.step_relays_with_truth();
             return;
         }
         let now = self.now;
         let mut due: Vec<&mut Relay> = self.relays.iter_mut().filter(|relay| relay.due(now)).collect();
         if due.len() >= PARALLEL_MIN {
-            due.par_iter_mut().for_each(|relay| relay.round(now, None));
+            due.par_iter_mut().for_each(|relay| relay.step(now, None));
         } else {
-            due.iter_mut().for_each(|relay| relay.round(now, None));
+            due.iter_mut().for_each(|relay| relay.step(now, None));
         }
         for relay in 0..self.relays.len() {
             if self.relays[relay].last_round == now {
@@ -69,7 +69,7 @@
         for relay in 0..self.relays.len() {
             if self.relays[relay].due(self.now) {
                 let mut truth = std::mem::take(&mut self.truth);
-                self.relays[relay].round(self.now, Some(&mut truth));
+                self.relays[relay].step(self.now, Some(&mut truth));
                 self.truth = truth;
                 self.perform_actions(relay as u32, usize::MAX);
             }
@@ -81,10 +81,10 @@
         let world = &self.world;
         let routes = self.routes.iter_mut().map(|route| route.calls_allowed(now, world)).collect();
         let endpoints = self.servers.iter().map(|server| self.true_state(server)).collect();
-        self.truth = Truth { endpoints, routes };
+        self.truth = GroundTruth { endpoints, route_allowances: routes };
     }
 
-    fn true_state(&self, listed: &Server) -> TrueState {
+    fn true_state(&self, listed: &Server) -> EndpointTruth {
         // Who is reached is whoever has the address now.
         let mut server = listed;
         while let Some(next) = server.successor {
@@ -95,17 +95,17 @@
         let share = route.capacity_share(self.now, &self.world).max(MIN_TRUE_SHARE);
         let workers = f64::from(server.workers) * share;
         let free = workers - f64::from(server.busy) - server.queue.len() as f64;
-        TrueState {
-            well: serves && server.effects.frozen_until <= self.now,
+        EndpointTruth {
+            available: serves && server.effects.frozen_until <= self.now,
             route: server.setup.route,
-            room: free + 1.0,
-            stale: server.effects.stale_rate > 0.0,
+            spare_capacity: free + 1.0,
+            has_stale_connections: server.effects.stale_rate > 0.0,
         }
     }
 
     /// Starts a relay's process, with what its spool and its endpoint list hold.
     pub(super) fn start_relay(&mut self, relay: u32) {
-        let sees_all = self.play.which.sees_all();
+        let sees_all = self.play.which.is_omniscient();
         if sees_all {
             self.refresh_truth();
         }
@@ -120,13 +120,13 @@
     /// those that leave the process get out.
     fn perform_actions(&mut self, relay: u32, completed: usize) {
         let mut begun = 0;
-        for action in self.relays[relay as usize].acts() {
+        for action in self.relays[relay as usize].take_effects() {
             if leaves_process(&action) {
                 begun += 1;
             }
             // What was learnt was learnt; what was sent counts only if it got out.
             let gets_out = match &action {
-                Act::Fact(fact) => is_observation(fact) || begun < completed,
+                RelayEffect::Fact(fact) => is_observation(fact) || begun < completed,
                 _ => begun <= completed,
             };
             if gets_out {
@@ -149,16 +149,18 @@
         self.record(fact);
     }
 
-    fn perform(&mut self, relay: u32, action: Act) {
+    fn perform(&mut self, relay: u32, action: RelayEffect) {
         match action {
-            Act::Fact(fact) => self.record_from_relay(fact),
-            Act::Call { call, to, legs, limit } => self.start_call(relay, call, to, legs, limit),
-            Act::Answer { msg, end } => self.answer_client(msg, end),
-            Act::Notice { msg, end } => self.send_notification(msg, end),
-            Act::Close { call } => self.close_call(call, Outcome::Cancelled),
-            Act::CloseIdle { endpoint } => self.close_idle_connections(relay, endpoint),
-            Act::Watch => self.poll_discovery(relay),
-            Act::Log(line) => self.record_log_line(relay, &line),
+            RelayEffect::Fact(fact) => self.record_from_relay(fact),
+            RelayEffect::StartCall { call, endpoint, messages, timeout } => {
+                self.start_call(relay, call, endpoint, messages, timeout)
+            }
+            RelayEffect::AnswerClient { message, end } => self.answer_client(message, end),
+            RelayEffect::Notify { message, end } => self.send_notification(message, end),
+            RelayEffect::CloseCall { call } => self.close_call(call, Outcome::Cancelled),
+            RelayEffect::CloseIdleConnections { endpoint } => self.close_idle_connections(relay, endpoint),
+            RelayEffect::PollEndpoints => self.poll_discovery(relay),
+            RelayEffect::Log(line) => self.record_log_line(relay, &line),
         }
     }
 
@@ -191,11 +193,11 @@
         let count = KillPoint::ALL.len();
         let drawn = self.world.random.index(Purpose::KillPoint, count, trouble as u64, u64::from(relay));
         let stalled = self.relays[relay as usize].stalled_until > self.now;
-        if stalled || self.play.which.sees_all() {
+        if stalled || self.play.which.is_omniscient() {
             return;
         }
         if let Some(completed) = KillPoint::ALL[drawn].completed_actions() {
-            self.relays[relay as usize].round(self.now, None);
+            self.relays[relay as usize].step(self.now, None);
             self.perform_actions(relay, completed);
         }
     }
@@ -229,8 +231,11 @@
 }
 
 /// True for what other processes see: it gets out only if the relay lives long enough.
-fn leaves_process(action: &Act) -> bool {
-    matches!(action, Act::Call { .. } | Act::Answer { .. } | Act::Notice { .. })
+fn leaves_process(action: &RelayEffect) -> bool {
+    matches!(
+        action,
+        RelayEffect::StartCall { .. } | RelayEffect::AnswerClient { .. } | RelayEffect::Notify { .. }
+    )
 }
 
 /// True for facts that a relay has learnt from others, as opposed to those that it makes.
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -3,7 +3,7 @@
 use super::Day;
 use super::events::Event;
 use crate::Time;
-use crate::host::Came;
+use crate::host::RelayEvent;
 use crate::world::ScheduledTrouble;
 use mountshift::interface::EndpointStatus;
 use mountshift_invariants::Fact;
@@ -64,7 +64,7 @@
         let host = &mut self.relays[relay as usize];
         host.stalled_until = host.stalled_until.max(until);
         let unread = host.inbox.iter().filter_map(|came| match came {
-            Came::Message { msg, .. } => Some(*msg),
+            RelayEvent::Submitted { message, .. } => Some(*message),
             _ => None,
         });
         let unread: Vec<u64> = unread.collect();
@@ -96,7 +96,7 @@
         self.discovery_troubles += 1;
         if trouble.kind == TroubleKind::WatchLost && self.world.scenario.relays.watch {
             for relay in &trouble.relays {
-                self.relays[*relay as usize].inbox.push(Came::WatchFailed);
+                self.relays[*relay as usize].inbox.push(RelayEvent::PollFailed);
             }
         }
     }
