--- a/crates/cli/src/lab/compare.rs
+++ b/crates/cli/src/lab/compare.rs
@@ -62,10 +62,10 @@
     println!("A           {}", comparison.a);
     println!("B           {}", comparison.b);
     println!("B less A    {}   worst 10 s {}", comparison.difference, comparison.worst_window);
-    for (class, difference) in &comparison.lanes {
+    for (class, difference) in &comparison.classes {
         println!("  lane {class:18} {difference}");
     }
     let (broken_a, broken_b) = comparison.days_broken;
     println!("days with a broken rule: A {broken_a}, B {broken_b}, of {}", comparison.difference.n);
-    println!("{}", comparison.says);
+    println!("{}", comparison.conclusion);
 }
--- a/crates/cli/src/lab/hunt.rs
+++ b/crates/cli/src/lab/hunt.rs
@@ -5,7 +5,7 @@
 use crate::error::CliError;
 use crate::output::{progress_bar, write_file};
 use clap::Args;
-use mountshift_lab::hunt::{self, Found, Prey};
+use mountshift_lab::hunt::{self, Found, SearchGoal};
 use std::path::PathBuf;
 
 #[derive(Args)]
@@ -28,8 +28,8 @@
 pub(super) fn run(arguments: &HuntArguments) -> Result<Verdict, CliError> {
     let base = read_scenario(&arguments.scenario)?;
     let bar = progress_bar(arguments.budget as u64);
-    let prey = if arguments.rules { Prey::Rules } else { Prey::Loss };
-    let found = hunt::hunt(&base, prey, arguments.budget, arguments.seed, &|| bar.inc(1));
+    let goal = if arguments.rules { SearchGoal::Rules } else { SearchGoal::Loss };
+    let found = hunt::hunt(&base, goal, arguments.budget, arguments.seed, &|| bar.inc(1));
     bar.finish_and_clear();
     let Some(found) = found else {
         println!("{} scripts tried: no rule broken", arguments.budget);
--- a/crates/cli/src/lab/run.rs
+++ b/crates/cli/src/lab/run.rs
@@ -89,8 +89,8 @@
         summary.policy,
         summary.service.to_string(),
         summary.worst_window.mean,
-        summary.place.map_or("-".to_string(), |place| format!("{place:.2}")),
-        summary.legs_per_message,
+        summary.relative_service.map_or("-".to_string(), |place| format!("{place:.2}")),
+        summary.attempts_per_message,
         summary.calls_into_outages,
         summary.fell_over,
         broken_rules(&summary.days_broken)
--- a/crates/cli/src/lab/sweep.rs
+++ b/crates/cli/src/lab/sweep.rs
@@ -99,7 +99,7 @@
         let against_first = if position == 0 {
             String::new()
         } else {
-            experiment::compare(&sides[0].1, days).map_err(CliError::experiment)?.says
+            experiment::compare(&sides[0].1, days).map_err(CliError::experiment)?.conclusion
         };
         let service = summary.service.to_string();
         let worst_window = summary.worst_window.mean;
