--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -51,3 +51,6 @@
 pub(crate) fn unix_us() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_micros() as u64
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -99,6 +99,15 @@
     Moved(SocketAddr),
 }
 
+/// Discovery's next address. Once nobody can tell it any more this never ends, so that who waits goes on at the
+/// address it has: the relay still sends then, and what discovery tells binds as before (rule 3).
+pub(crate) async fn next_address(moves: &Receiver<SocketAddr>) -> SocketAddr {
+    match moves.recv().await {
+        Ok(address) => address,
+        Err(_) => std::future::pending().await,
+    }
+}
+
 /// What the client is configured with.
 pub(crate) struct DiscoveryOptions {
     pub(crate) address: SocketAddr,
@@ -158,16 +167,10 @@
         }
     }
 
-    /// A poll that waits at an address where nothing is told any more is given up. Once the sender of moves is gone
-    /// the poll goes on all the same: the relay still sends then, and what it is told binds as before (rule 3).
+    /// A poll that waits at an address where nothing is told any more is given up.
     async fn poll_unless_moved(&mut self) -> PollEnd {
         let moves = self.options.moves.clone();
-        let moved = async {
-            match moves.recv().await {
-                Ok(address) => PollEnd::Moved(address),
-                Err(_) => std::future::pending().await,
-            }
-        };
+        let moved = async { PollEnd::Moved(next_address(&moves).await) };
         // With jitter, or a fleet that failed at one moment would keep discovery full by polling together.
         let draw = self.options.jitter.draw();
         let pause = self.options.schedule.retry_pause(self.consecutive_failures, self.retry_after, draw);
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -21,7 +21,7 @@
         for route in &snapshot.routes {
             restored.extend(self.restored_route(route));
         }
-        info!("carries {} routes over from the process before", restored.len());
+        info!("restores {} routes of the process before", restored.len());
         inputs.push(Input::RoutesRestored(restored));
     }
 
--- a/crates/relay/src/notifications.rs
+++ b/crates/relay/src/notifications.rs
@@ -1,5 +1,6 @@
 //! Notifications of final outcomes that are no delivery: sent to the platform, again until each is taken.
 
+use crate::discovery::next_address;
 use crate::http::{Connection, ask, request};
 use async_channel::Receiver;
 use async_io::Timer;
@@ -128,12 +129,7 @@
 
     async fn call_unless_moved(&mut self, batch: &[Notification]) -> CallEnd {
         let moves = self.moves.clone();
-        let moved = async {
-            match moves.recv().await {
-                Ok(address) => CallEnd::Moved(address),
-                Err(_) => std::future::pending().await,
-            }
-        };
+        let moved = async { CallEnd::Moved(next_address(&moves).await) };
         async { CallEnd::Answered(self.call(batch).await) }.or(moved).await
     }
 
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -64,7 +64,7 @@
     opener: &SpoolOpener<'_>,
 ) -> Result<Option<ActiveSpool>, StartError> {
     let successor = opener.open_successor()?;
-    info!("another process owns the state folder: takes in beside it");
+    info!("another process owns the state folder: accepts messages beside it");
     let mut intake = SuccessorIntake::new(IntakeOptions {
         spool: successor,
         active_lock: &state_dir.active_lock,
@@ -150,7 +150,7 @@
     for message in left_out {
         fail_left_out(message, notifications);
     }
-    info!("took over {} messages taken in beside the owner", accepted_by_successor.len());
+    info!("took over {} messages accepted beside the active process", accepted_by_successor.len());
     drop(successor);
     let path = successor_dir.join(mountshift_spool::FILE_NAME);
     std::fs::remove_file(&path).map_err(|source| StartError::State { path, source })
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -115,7 +115,7 @@
             }
         };
         let Some(number) = self.options.spool.accept(accepted) else {
-            warn!("next spool: full with {} messages", self.options.spool.messages().len());
+            warn!("successor's spool: full with {} messages", self.options.spool.messages().len());
             let _ = reply_to.try_send(Answer::PushedBack(0));
             return;
         };
@@ -181,7 +181,7 @@
     fn commit(&mut self) {
         let committed = self.options.spool.commit();
         if let Err(e) = &committed {
-            error!("next spool: {e}");
+            error!("successor's spool: {e}");
         }
         for pending in std::mem::take(&mut self.pending_answers) {
             if committed.is_ok() {
@@ -202,13 +202,13 @@
             if !clients_gone && since.elapsed() < RESTART.end_by {
                 return None;
             }
-            info!("stopped before it owned, with {stored} messages in the next spool");
+            info!("stopped before it was active, with {stored} messages in the successor's spool");
             return Some(IntakeEnd::Stopped);
         }
         if self.options.active_lock.try_lock().is_err() {
             return None;
         }
-        info!("owns the state folder now, with {stored} messages taken in beside the owner");
+        info!("owns the state folder now, with {stored} messages accepted beside the active process");
         Some(IntakeEnd::BecameActive(std::mem::take(&mut self.deferred_events)))
     }
 }
