--- a/crates/relay/tests/crossings.rs
+++ b/crates/relay/tests/crossings.rs
@@ -23,8 +23,8 @@
     }
 }
 
-// Guards against a watch that is left silent: what it misses counts as told 6 s after it fell silent (2 s after its
-// wait, if that is later), and it used to be left for 63 s.
+// The updates that a silent watch misses are binding 6 s after it fell silent (2 s after its wait, if that is
+// later); once such a watch was kept for 63 s.
 #[test]
 fn a_silent_watch_is_abandoned_before_the_updates_it_misses_are_binding() {
     let members = [unreachable_endpoint()];
@@ -45,7 +45,7 @@
     assert!(wait_of(&calls[2]).is_none_or(|wait| wait < 100), "what it missed is asked for at once");
 }
 
-// Guards against a whole list at a new address that is waited for as long as a watch: it counts 4 s after SIGHUP.
+// The full list at a new address is binding 4 s after SIGHUP, so it must not be waited for as long as a watch.
 #[test]
 fn a_silent_new_discovery_is_polled_again_before_its_list_is_binding() {
     let endpoint = Server::start(|_| ok());
@@ -71,8 +71,8 @@
     until("the call", || endpoint.ids() == ["m1"]);
 }
 
-// Guards against a message given up untried: it was noted as one that may have run before its connection was up, and
-// one that must not run twice failed at the next start.
+// A message was once given up untried: it was recorded as one that may have run before its connection was up, and
+// one that is not idempotent failed at the next start.
 #[test_case("TERM")]
 #[test_case("KILL")]
 fn a_restart_while_connecting_still_sends_the_message(signal: &str) {
@@ -338,9 +338,9 @@
     assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
 
-// Another customer's settings, as bare as they may be: one leg, no recall, no wait to tell, fewer batch sizes than
-// kinds, times as short as the decisions' own margins. What can be delivered is, the rest ends in time by one
-// notification.
+// Another customer's settings, as bare as they may be: one attempt, no cancelling, no Retry-After for clients,
+// fewer batch sizes than kinds, times as short as the decisions' own margins. What can be delivered is; the rest
+// ends in time by one notification.
 #[test]
 fn minimal_settings_serve_and_meet_deadlines() {
     let endpoint = Server::start(|_| ok());
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -342,7 +342,7 @@
     fixture.submit("m1", 5, class);
     fixture.gate.wait_for_arrivals(1);
     let _successor = fixture.start(1);
-    // Who stands still takes nothing on: this is the successor's.
+    // A suspended process accepts nothing: this one goes to the successor.
     active.signal("STOP");
     fixture.submit("m2", 5, class);
     fixture.gate.open();
@@ -426,8 +426,8 @@
     assert_eq!(fixture.endpoint.ids(), ["m1"]);
 }
 
-// Guards against a successor that ends over a snapshot that it can't read once the active process has ended: nobody
-// would serve.
+// A successor that ended over a snapshot that it cannot read, once the active process has ended, would leave nobody
+// to serve.
 #[test]
 fn an_unreadable_snapshot_does_not_end_the_successor() {
     let fixture = upgrade();
--- a/crates/relay/tests/relay/calls.rs
+++ b/crates/relay/tests/relay/calls.rs
@@ -245,8 +245,8 @@
     endpoint.ids().len()
 }
 
-// Guards against a delivery taken for a failure, a refusal believed that is not whole, and the connection
-// of either being used again.
+// A delivery must not be taken for a failure, an incomplete rejection must not be believed, and the connection of
+// either must not be used again.
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc" => (false, false); "a body that stalls")]
 #[test_case("HTTP/1.1 200 OK\r\nX-" => (false, false); "a head that stalls")]
 #[test_case("HTTP/1.1 200 OK\r\n \x01 : :\r\n\r\n" => (false, false); "a head that can't be read")]
--- a/crates/relay/tests/relay/clients.rs
+++ b/crates/relay/tests/relay/clients.rs
@@ -50,7 +50,7 @@
     assert_eq!(kept.ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
 }
 
-// Guards against a reset that takes the error away, and against garbage that waits behind a request.
+// A reset must not take the error reply away, and garbage may wait behind a request.
 #[test]
 fn an_error_reply_arrives_while_the_client_still_sends() {
     let endpoint = Server::start(|_| ok());
@@ -111,7 +111,7 @@
     let mut client = relay.client();
     assert_eq!(client.ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
     relay.signal("STOP");
-    // Guards this test against a busy machine: the signal is sent at once, the process stops a little later.
+    // The signal is sent at once; on a busy machine the process stops a little later.
     until("the relay to stand still", || relay.is_suspended());
     client.say(&submit_request("gone", 0, "c=any,d=8000,dest=7", b"1"));
     drop(client);
@@ -122,7 +122,7 @@
     assert_eq!(endpoint.ids(), ["here"]);
 }
 
-// Guards against a second copy under an id that has had its end.
+// A second copy must not go out under an id whose message has ended.
 #[test]
 fn a_message_id_is_accepted_once() {
     let endpoint = Server::start(|_| ok());
--- a/crates/relay/tests/relay/discovery.rs
+++ b/crates/relay/tests/relay/discovery.rs
@@ -23,8 +23,10 @@
     let (old, new, fixture, list) = told_before();
     let relay = fixture.relay();
     fixture.platform.set(list);
-    let book = fixture.dir.path().join("state/leaving");
-    until("the book", || std::fs::read_to_string(&book).is_ok_and(|text| text.contains("e1 ")));
+    let drain_record = fixture.dir.path().join("state/leaving");
+    until("the drain record", || {
+        std::fs::read_to_string(&drain_record).is_ok_and(|text| text.contains("e1 "))
+    });
     relay.signal(signal);
     drop(relay);
     // Discovery says nothing to the next process, whose configuration lists e1 as ready and knows of no other.
@@ -78,7 +80,7 @@
     let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
     let state = fixture.dir.path().join("state");
     std::fs::create_dir_all(&state).expect("a folder");
-    std::fs::write(state.join("leaving"), b"\xff\0what\nno row\n").expect("a book");
+    std::fs::write(state.join("leaving"), b"\xff\0what\nno row\n").expect("a drain record");
     let relay = fixture.relay();
     assert_eq!(relay.submit("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
     until("the call", || endpoint.ids() == ["m1"]);
@@ -132,7 +134,7 @@
     (endpoint, act)
 }
 
-// Guards against a discovery that, once it was short of room, silent or wrong, is not asked again or ends the relay.
+// A discovery that was once short of room, silent or wrong is polled again, and the relay goes on.
 #[test_case("HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n"; "full")]
 #[test_case("HTTP/1.1 503 X\r\nRetry-After: 1e300\r\nContent-Length: 0\r\n\r\n"; "full for ages")]
 #[test_case("HTTP/1.1 503 X\r\nRetry-After: -5\r\nContent-Length: 0\r\n\r\n"; "full since long ago")]
@@ -199,7 +201,7 @@
     assert_eq!(new.ids().len(), 3);
 }
 
-// Guards against tables that grow for good, and against one endpoint's connection used for another.
+// Tables must not grow for good, and a connection to one endpoint must not be used for another.
 #[test]
 fn removed_endpoints_are_forgotten_with_their_connections() {
     let endpoint = Server::start(|_| ok());
--- a/crates/relay/tests/relay/restarts.rs
+++ b/crates/relay/tests/relay/restarts.rs
@@ -33,7 +33,7 @@
     let log = fixture.dir.path().join("said");
     let mut command = command(&file, fixture.dir.path());
     let mut child = command.stderr(std::fs::File::create(&log).expect("a log")).spawn().expect("a relay");
-    // Guards against waiting for good on one that starts after all.
+    // A process that starts after all must not be waited for without end.
     let mut code = None;
     for _ in 0..1_000 {
         code = child.try_wait().expect("a state").and_then(|status| status.code());
