ClientService holds its configuration instead of a copy of each field

Cause: nine fields stood twice, in ClientServiceConfig and in ClientService. Change: ClientService { config, waiting, standby_changed }.

--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -195,7 +195,7 @@
             {
                 return reason;
             }
-            if service.ending.is_closed() {
+            if service.config.ending.is_closed() {
                 return self.reject_buffered_requests(CloseReason::Stopping);
             }
             match self.read_available() {
@@ -254,7 +254,7 @@
             Expecting::NextRequest => IDLE_TIMEOUT,
         };
         let stopping = async {
-            let _ = service.stopping.recv().await;
+            let _ = service.config.stopping.recv().await;
             match expecting {
                 Expecting::FirstRequest => {
                     Timer::at(self.waiting_since + FIRST_REQUEST_WHILE_STOPPING).await;
@@ -273,7 +273,7 @@
             Wakeup::Standby
         };
         let ending = async {
-            let _ = service.ending.recv().await;
+            let _ = service.config.ending.recv().await;
             Wakeup::Stopping
         };
         let time_over = self.time_over(self.waiting_since + timeout);
@@ -322,7 +322,7 @@
             self.waiting_since = Instant::now();
         }
         // In standby a connection ends once it is owed nothing, and none is held long after the operators' call.
-        let standby = service.maintenance.borrow().closes(service.start.elapsed());
+        let standby = service.config.maintenance.borrow().closes(service.config.start.elapsed());
         if standby && self.buffer.is_empty() && !has_more && !self.has_input() {
             return Err(CloseReason::Standby);
         }
@@ -462,7 +462,7 @@
             Err(_) => CloseReason::ClosedBeforeReply,
         };
         for message in unheard_messages(&accepted, bytes.len() - unwritten) {
-            (service.withdraw)(message);
+            (service.config.withdraw)(message);
         }
         Err(reason)
     }
@@ -511,10 +511,10 @@
     match command {
         Ok(Command::Submit(submission)) => {
             let (sender, pending) = async_channel::bounded(1);
-            (service.submit)(submission, sender);
+            (service.config.submit)(submission, sender);
             Reply::Pending(pending)
         }
-        Ok(Command::Ping) if !service.maintenance.borrow().answers_ping() => {
+        Ok(Command::Ping) if !service.config.maintenance.borrow().answers_ping() => {
             Reply::Line(protocol::error_line("standby"))
         }
         Ok(Command::Ping) => Reply::Line("+PONG\r\n".to_string()),
--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -56,17 +56,9 @@
 
 /// What all client connections share.
 pub(crate) struct ClientService {
-    submit: SubmitHandler,
-    withdraw: Box<dyn Fn(MessageId)>,
-    stopping: Receiver<()>,
-    ending: Receiver<()>,
-    max_connections: usize,
-    max_buffered_bytes: usize,
-    open_connections: Rc<Cell<usize>>,
+    config: ClientServiceConfig,
     /// Connections that wait for their client, by number.
     waiting: RefCell<BTreeMap<u64, WaitingConnection>>,
-    maintenance: Rc<RefCell<MaintenanceState>>,
-    start: Instant,
     /// Closed, and made anew, when standby begins or ends: wakes the connections that wait.
     standby_changed: RefCell<(Sender<()>, Receiver<()>)>,
 }
@@ -91,16 +83,8 @@
 impl ClientService {
     pub(crate) fn new(config: ClientServiceConfig) -> ClientService {
         ClientService {
-            submit: config.submit,
-            withdraw: config.withdraw,
-            stopping: config.stopping,
-            ending: config.ending,
-            max_connections: config.max_connections,
-            max_buffered_bytes: config.max_buffered_bytes,
-            open_connections: config.open_connections,
+            config,
             waiting: RefCell::default(),
-            maintenance: config.maintenance,
-            start: config.start,
             standby_changed: RefCell::new(async_channel::bounded(1)),
         }
     }
@@ -115,8 +99,11 @@
     async fn standby_closes_idle(&self, since: Instant) {
         loop {
             let changed = self.standby_changed.borrow().1.clone();
-            let close_at =
-                self.maintenance.borrow().idle_close_at(since.saturating_duration_since(self.start));
+            let close_at = self
+                .config
+                .maintenance
+                .borrow()
+                .idle_close_at(since.saturating_duration_since(self.config.start));
             let change = async {
                 let _ = changed.recv().await;
                 false
@@ -124,7 +111,7 @@
             let is_due = match close_at {
                 Some(close_at) => {
                     let due = async {
-                        Timer::at(self.start + close_at).await;
+                        Timer::at(self.config.start + close_at).await;
                         true
                     };
                     due.or(change).await
@@ -161,7 +148,7 @@
         if buffered_bytes == 0 {
             return;
         }
-        while self.buffered_bytes() > self.max_buffered_bytes {
+        while self.buffered_bytes() > self.config.max_buffered_bytes {
             if !self.evict_oldest(Evictable::Buffering) {
                 return;
             }
@@ -178,7 +165,8 @@
 
     /// True if there is a place for another connection, or one could be freed.
     fn has_room(&self) -> bool {
-        self.open_connections.get() < self.max_connections || self.evict_oldest(Evictable::Waiting)
+        self.config.open_connections.get() < self.config.max_connections
+            || self.evict_oldest(Evictable::Waiting)
     }
 }
 
@@ -202,7 +190,7 @@
             Ok((stream, peer)) => {
                 connections += 1;
                 let connection = ClientConnection::new(stream, connections);
-                service.open_connections.set(service.open_connections.get() + 1);
+                service.config.open_connections.set(service.config.open_connections.get() + 1);
                 service.start_waiting(&connection);
                 executor.spawn(serve_connection(connection, peer, service.clone())).detach();
             }
@@ -217,7 +205,7 @@
 ) -> Option<io::Result<(Async<TcpStream>, SocketAddr)>> {
     let accepted = async { Some(listener.accept().await) };
     let stopping = async {
-        let _ = service.stopping.recv().await;
+        let _ = service.config.stopping.recv().await;
         None
     };
     // Accepting is polled first: a listener closed over connections that came in time would reset them without an answer.
@@ -229,7 +217,7 @@
     let reason = connection.run(&service).await;
     info!("connection from {peer} ended: {reason} after {} requests", connection.requests);
     service.stop_waiting(connection.number);
-    service.open_connections.set(service.open_connections.get() - 1);
+    service.config.open_connections.set(service.config.open_connections.get() - 1);
 }
 
 /// Turns a new connection away. A close over a request that was not read would reset the connection, and its client
--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -110,7 +110,7 @@
 #[test]
 fn a_connection_over_the_limit_gets_a_rejection_and_no_reset() {
     let (fixture, executor) = (fixture(), Rc::new(LocalExecutor::new()));
-    fixture.service.open_connections.set(fixture.service.max_connections);
+    fixture.service.config.open_connections.set(fixture.service.config.max_connections);
     run_test(&executor, async {
         let mut far = connected(&fixture, ADD, &executor).await;
         let mut text = Vec::new();
@@ -148,7 +148,7 @@
     fixture.stopping.close();
     block_on(serve(listener, fixture.service.clone(), executor.clone()));
     assert!(TcpStream::connect(at).is_err(), "the listener is closed");
-    assert_eq!(fixture.service.open_connections.get(), 2);
+    assert_eq!(fixture.service.config.open_connections.get(), 2);
     assert!(executor.try_tick() && executor.try_tick(), "each connection has looked for input once");
     (&late).write_all(ADD.as_bytes()).expect("written");
     run_test(&executor, async {
