--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -1,5 +1,5 @@
 //! Something to try the relay with: `cargo run --example toy -- serve` plays discovery and two destinations,
-//! one steady (7) and one that fails for ten seconds of every twenty (8); `-- send 20` hands twenty messages in.
+//! one steady (7) and one that fails for ten seconds of every twenty (8); `-- send 20` submits twenty messages.
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
@@ -8,12 +8,20 @@
 
 const RELAY: &str = "127.0.0.1:6390";
 const DISCOVERY: &str = "127.0.0.1:8500";
-const DESTINATIONS: [(&str, &str, u32); 2] =
-    [("127.0.0.1:8607", "steady", 7), ("127.0.0.1:8608", "shaky", 8)];
+
+/// A destination with one endpoint, as discovery lists it.
+struct Destination {
+    number: u32,
+    kind: &'static str,
+    address: &'static str,
+}
+
+const STEADY: Destination = Destination { number: 7, kind: "steady", address: "127.0.0.1:8607" };
+const SHAKY: Destination = Destination { number: 8, kind: "shaky", address: "127.0.0.1:8608" };
 
 fn main() -> std::io::Result<()> {
-    let words: Vec<String> = std::env::args().skip(1).collect();
-    match words.iter().map(String::as_str).collect::<Vec<_>>()[..] {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match arguments.iter().map(String::as_str).collect::<Vec<_>>()[..] {
         ["serve"] => serve(),
         ["send", count] => send(count.parse().unwrap_or(1)),
         _ => {
@@ -23,53 +31,71 @@
     }
 }
 
+/// Plays the destinations and discovery until the process is stopped.
 fn serve() -> std::io::Result<()> {
     let start = Instant::now();
-    for (address, kind, _) in DESTINATIONS {
-        let shaky = kind == "shaky";
-        spawn(address, move |path, body| {
-            let fails = shaky && start.elapsed().as_secs() % 20 < 10;
-            println!("{kind}: {path}, {} bytes, {}", body.len(), if fails { "fails" } else { "delivered" });
-            // Several in a call: each is a line with id, key and length, then its bytes.
-            let (mut rest, mut ends) = (body, String::new());
-            while let Some(end) =
-                rest.windows(2).position(|w| w == b"\r\n").filter(|_| path.ends_with("many"))
-            {
-                let line = String::from_utf8_lossy(&rest[..end]).into_owned();
-                let length: usize = line.rsplit(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0);
-                ends += &format!("{} delivered\r\n", line.split(' ').next().unwrap_or("-"));
-                rest = rest.get(end + 2 + length + 2..).unwrap_or(&[]);
-            }
-            if fails { (500, String::new()) } else { (200, ends) }
-        })?;
-    }
+    spawn_server(STEADY.address, |path, body| answer_call(&STEADY, path, body, false))?;
+    spawn_server(SHAKY.address, move |path, body| {
+        let fails = start.elapsed().as_secs() % 20 < 10;
+        answer_call(&SHAKY, path, body, fails)
+    })?;
     println!("discovery on {DISCOVERY}; stop with ctrl-C");
-    spawn(DISCOVERY, |path, body| {
-        if path == "/status" {
-            print!("notices: {}", String::from_utf8_lossy(body));
-            return (204, String::new());
-        }
-        // Nothing ever changes after the first list, so a call that waits for news waits its time.
-        if path.contains("index=1&") {
-            let wait = path.rsplit("wait=").next().and_then(|ms| ms.parse().ok()).unwrap_or(1_000);
-            thread::sleep(Duration::from_millis(wait));
-            return (200, r#"{"revision":1,"complete":false,"members":[]}"#.into());
-        }
-        let member = |(address, kind, cell): &(&str, &str, u32)| {
-            format!(
-                r#"{{"id":"s-{kind}","host_port":"{address}","locality":"here","flavor":"{kind}","cell":{cell},"#
-            ) + r#""phase":"Ready","size":50.0,"up_since_ms":0}"#
-        };
-        let members: Vec<String> = DESTINATIONS.iter().map(member).collect();
-        (200, format!(r#"{{"revision":1,"complete":true,"members":[{}]}}"#, members.join(",")))
-    })?
-    .join()
-    .expect("a server that runs for good");
+    spawn_server(DISCOVERY, answer_discovery)?.join().expect("a server that runs for good");
     Ok(())
 }
 
+/// A destination's answer to a call of the relay.
+fn answer_call(destination: &Destination, path: &str, body: &[u8], fails: bool) -> (u16, String) {
+    let outcome = if fails { "fails" } else { "delivered" };
+    println!("{}: {path}, {} bytes, {outcome}", destination.kind, body.len());
+    if fails {
+        return (500, String::new());
+    }
+    let outcomes = if path.ends_with("many") { delivered_lines(body) } else { String::new() };
+    (200, outcomes)
+}
+
+/// The outcome of each message of a call with several: in the body each has a line with id, key and length, then
+/// its bytes.
+fn delivered_lines(body: &[u8]) -> String {
+    let mut rest = body;
+    let mut outcomes = String::new();
+    while let Some(line_end) = rest.windows(2).position(|pair| pair == b"\r\n") {
+        let line = String::from_utf8_lossy(&rest[..line_end]).into_owned();
+        let length: usize = line.rsplit(' ').next().and_then(|number| number.parse().ok()).unwrap_or(0);
+        let id = line.split(' ').next().unwrap_or("-");
+        outcomes += &format!("{id} delivered\r\n");
+        rest = rest.get(line_end + 2 + length + 2..).unwrap_or(&[]);
+    }
+    outcomes
+}
+
+/// Discovery's answers, and the platform's to notifications.
+fn answer_discovery(path: &str, body: &[u8]) -> (u16, String) {
+    if path == "/status" {
+        print!("notifications: {}", String::from_utf8_lossy(body));
+        return (204, String::new());
+    }
+    // Nothing ever changes after the first list, so a call that waits for news waits its time.
+    if path.contains("index=1&") {
+        let wait = path.rsplit("wait=").next().and_then(|ms| ms.parse().ok()).unwrap_or(1_000);
+        thread::sleep(Duration::from_millis(wait));
+        return (200, r#"{"revision":1,"complete":false,"members":[]}"#.into());
+    }
+    let members = format!("{},{}", list_entry(&STEADY), list_entry(&SHAKY));
+    (200, format!(r#"{{"revision":1,"complete":true,"members":[{members}]}}"#))
+}
+
+/// The entry of a destination's endpoint in the endpoint list.
+fn list_entry(destination: &Destination) -> String {
+    let Destination { number, kind, address } = destination;
+    format!(
+        r#"{{"id":"s-{kind}","host_port":"{address}","locality":"here","flavor":"{kind}","cell":{number},"#
+    ) + r#""phase":"Ready","size":50.0,"up_since_ms":0}"#
+}
+
 /// Answers HTTP requests on an address, a thread for each connection.
-fn spawn(
+fn spawn_server(
     address: &str,
     answer: impl Fn(&str, &[u8]) -> (u16, String) + Clone + Send + 'static,
 ) -> std::io::Result<thread::JoinHandle<()>> {
@@ -77,21 +103,26 @@
     Ok(thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             let answer = answer.clone();
-            thread::spawn(move || converse(stream, answer));
+            thread::spawn(move || serve_connection(stream, answer));
         }
     }))
 }
 
-fn converse(mut stream: TcpStream, answer: impl Fn(&str, &[u8]) -> (u16, String)) -> std::io::Result<()> {
+fn serve_connection(
+    mut stream: TcpStream,
+    answer: impl Fn(&str, &[u8]) -> (u16, String),
+) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     loop {
-        let (mut path, mut length, mut line) = (String::new(), 0, String::new());
+        let mut path = String::new();
+        let mut length = 0;
+        let mut line = String::new();
         while reader.read_line(&mut line)? > 0 && line != "\r\n" {
-            let lower = line.trim().to_ascii_lowercase();
+            let header = line.trim().to_ascii_lowercase();
             if path.is_empty() {
                 path = line.split(' ').nth(1).unwrap_or("/").to_string();
-            } else if let Some(n) = lower.strip_prefix("content-length: ") {
-                length = n.parse().unwrap_or(0);
+            } else if let Some(number) = header.strip_prefix("content-length: ") {
+                length = number.parse().unwrap_or(0);
             }
             line.clear();
         }
@@ -105,21 +136,27 @@
     }
 }
 
+/// Submits messages to the relay, every fourth a payment in order for the shaky destination; prints its replies.
 fn send(count: u64) -> std::io::Result<()> {
     let mut stream = TcpStream::connect(RELAY)?;
     let mut reader = BufReader::new(stream.try_clone()?);
-    let run = std::process::id();
-    for n in 0..count {
-        let (class, time, dst) =
-            if n % 4 == 3 { ("payment", 20_000, 8) } else { ("status", 8_000, 7 + n % 2) };
-        let key = if class == "payment" { "00000000000000a1" } else { "0000000000000000" };
-        let words =
-            ["OUT.ADD", key, &format!("{run:08x}{n:08x}"), &format!("c={class},d={time},dest={dst}"), "hi"];
+    let process = std::process::id();
+    for number in 0..count {
+        let is_payment = number % 4 == 3;
+        let class = if is_payment { "payment" } else { "status" };
+        let deadline_ms = if is_payment { 20_000 } else { 8_000 };
+        let destination = if is_payment || number % 2 == 1 { SHAKY.number } else { STEADY.number };
+        let key = if is_payment { "00000000000000a1" } else { "0000000000000000" };
+        let id = format!("{process:08x}{number:08x}");
+        let metadata = format!("c={class},d={deadline_ms},dest={destination}");
+        let words = ["OUT.ADD", key, &id, &metadata, "hi"];
         write!(stream, "*{}\r\n", words.len())?;
-        words.iter().try_for_each(|word| write!(stream, "${}\r\n{word}\r\n", word.len()))?;
-        let mut said = String::new();
-        reader.read_line(&mut said)?;
-        println!("{class} {n} for {dst}: {}", said.trim());
+        for word in words {
+            write!(stream, "${}\r\n{word}\r\n", word.len())?;
+        }
+        let mut reply = String::new();
+        reader.read_line(&mut reply)?;
+        println!("{class} {number} for {destination}: {}", reply.trim());
     }
     Ok(())
 }
