--- a/src/policy/pacing.rs
+++ b/src/policy/pacing.rs
@@ -151,7 +151,7 @@
     }
     // Rejected again with no `Retry-After` it may be shut: one message asks, not the attempts of a batch.
     let may_be_shut = route.consecutive_rejections > 1 && !route.has_retry_after_since_rejected();
-    slow_start::messages_allowed(&state.settings, route, now, if may_be_shut { 1 } else { batch })
+    slow_start::capacity(&state.settings, route, now, if may_be_shut { 1 } else { batch })
 }
 
 fn has_rate_budget(settings: &PolicySettings, route: &mut Route, now: Duration) -> bool {
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -31,31 +31,32 @@
 
 /// Keeps a large fleet from pushing over a destination that comes back (rule 4), and from starving one that
 /// rejects: from the second bad end in a row on, all who may ask share what it bears. Makes returns late.
-pub(super) fn fleet_delay(f: &PolicySettings, route: &Route, now: Duration, jitter: f64) -> Duration {
+pub(super) fn fleet_delay(settings: &PolicySettings, route: &Route, now: Duration, jitter: f64) -> Duration {
     let is_failing = route.consecutive_failures > 0;
     let began = if is_failing { route.failing_since } else { route.rejected_since };
     let since = now.saturating_sub(began).max(FLEET_SPAN_MIN).as_secs_f64();
-    let relays = f64::from(f.relay_count.saturating_sub(LARGE_FLEET));
+    let relays = f64::from(settings.relay_count.saturating_sub(LARGE_FLEET));
     let rate = route.rate_limit.max(1.0);
     let is_repeated = route.consecutive_failures + 2 * route.consecutive_rejections > 1;
     let others = if is_repeated { relays.min(FLEET_LOAD * rate * since) } else { 0.0 };
-    let share = slow_start_share(f, slow_start_progress(f, f.overload_window).min(1.0));
-    let bearable = (f.overload_multiple * share * rate).max(0.01);
-    Duration::from_secs_f64(others * (0.5 + jitter) / bearable).min(f.slow_start_duration * 2)
+    let share = slow_start_share(settings, slow_start_progress(settings, settings.overload_window).min(1.0));
+    let bearable = (settings.overload_multiple * share * rate).max(0.01);
+    Duration::from_secs_f64(others * (0.5 + jitter) / bearable).min(settings.slow_start_duration * 2)
 }
 
 /// How many messages of a call the slow start lets pass; the whole batch if it is over.
-pub(super) fn messages_allowed(f: &PolicySettings, route: &mut Route, now: Duration, batch: usize) -> usize {
+pub(super) fn capacity(settings: &PolicySettings, route: &mut Route, now: Duration, batch: usize) -> usize {
     let Some(since) = route.slow_start_since else { return batch };
-    let progress = slow_start_progress(f, now.saturating_sub(since));
+    let progress = slow_start_progress(settings, now.saturating_sub(since));
     if progress >= 1.0 {
         route.slow_start_since = None;
         return batch;
     }
-    let is_inexact = route.is_rate_inexact(f.listed_rate);
+    let is_inexact = route.is_rate_inexact(settings.listed_rate);
     let limit = if is_inexact { route.rate_limit / INEXACT_RATE_MARGIN } else { route.rate_limit };
-    let rate = f.overload_multiple * slow_start_share(f, progress) * limit / f64::from(f.relay_count);
-    let burst = (BURST_SHARE * rate * f.overload_window.as_secs_f64()).max(1.0);
+    let share = slow_start_share(settings, progress);
+    let rate = settings.overload_multiple * share * limit / f64::from(settings.relay_count);
+    let burst = (BURST_SHARE * rate * settings.overload_window.as_secs_f64()).max(1.0);
     route.slow_start_budget.refill(now, rate, burst);
     // A call weighs little more for each further message; the first wants a whole token.
     let further = (route.slow_start_budget.tokens - 1.0) / FURTHER_MESSAGE_WEIGHT;
