--- a/crates/cli/src/lab.rs
+++ b/crates/cli/src/lab.rs
@@ -428,29 +428,29 @@
             }
         };
         match *fact {
-            Fact::HandedIn { msg, request, dst, .. }
+            Fact::Submitted { message: msg, request, destination: dst, .. }
                 if args.request == Some(request) || destination == Some(dst) =>
             {
                 messages.insert(msg);
             }
-            Fact::Endpoint { endpoint, dst, route, .. } if destination == Some(dst) => {
+            Fact::EndpointAdded { endpoint, destination: dst, route, .. } if destination == Some(dst) => {
                 places.insert(endpoint);
                 routes.insert(route);
             }
-            Fact::Leg { msg, call, .. } if messages.contains(&msg) => {
+            Fact::AttemptStarted { message: msg, call, .. } if messages.contains(&msg) => {
                 calls.insert(call);
             }
             _ => {}
         }
         let about = match *fact {
-            Fact::Reached { call, .. } => calls.contains(&call),
-            Fact::Endpoint { endpoint, .. }
-            | Fact::Told { endpoint, .. }
-            | Fact::WaitTold { endpoint, .. } => places.contains(&endpoint),
-            Fact::OutageBegan { route } | Fact::OutageOver { route } | Fact::FellOver { route } => {
+            Fact::CallReceived { call, .. } => calls.contains(&call),
+            Fact::EndpointAdded { endpoint, .. }
+            | Fact::EndpointListed { endpoint, .. }
+            | Fact::RetryAfterReceived { endpoint, .. } => places.contains(&endpoint),
+            Fact::OutageStarted { route } | Fact::OutageEnded { route } | Fact::RouteOverloaded { route } => {
                 routes.contains(&route)
             }
-            _ => fact.msg().is_some_and(|msg| messages.contains(&msg)),
+            _ => fact.message().is_some_and(|msg| messages.contains(&msg)),
         };
         if about || args.everything {
             println!("{:10.4} s  {fact}", at as f64 / 1e6);
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -2,7 +2,7 @@
 
 use crate::Went;
 use clap::Args;
-use mountshift_load::{Plan, Schedule, Tried, run, search};
+use mountshift_load::{Plan, Schedule, Trial, run, search};
 use mountshift_scenario::Span;
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -54,24 +54,24 @@
     // Ids must not come twice at one relay.
     let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis() as u64);
     let plan = Plan {
-        to: args.to,
+        relay: args.to,
         schedule: Schedule { from: args.rate, to: args.ramp_to.unwrap_or(args.rate), length: args.length.0 },
         connections: args.connections,
-        lane: args.lane,
+        class: args.lane,
         destinations: args.destinations,
         keys: args.keys,
-        body: args.body,
+        body_bytes: args.body,
         deadline: args.deadline.0,
-        patience: args.patience.0,
+        answer_timeout: args.patience.0,
         seed,
     };
     if let Some(p99) = args.p99 {
-        let tell = |t: &Tried| {
-            let says = if t.borne { "borne" } else { "too much" };
+        let tell = |t: &Trial| {
+            let says = if t.sustained { "borne" } else { "too much" };
             let r = &t.report;
             eprintln!(
                 "{:8.0} a second: {says}, 99% within {:.2} ms, {} of {} taken",
-                t.asked, r.p99_ms, r.taken, r.due
+                t.requested_rate, r.p99_ms, r.accepted, r.due
             );
         };
         let best = search(&plan, p99.0, tell)?;
@@ -88,5 +88,5 @@
     } else {
         println!("{report}")
     }
-    Ok(if report.taken + report.pushed_back == report.due { Went::Well } else { Went::Broke })
+    Ok(if report.accepted + report.rejected == report.due { Went::Well } else { Went::Broke })
 }
--- a/crates/invariants/src/fact.rs
+++ b/crates/invariants/src/fact.rs
@@ -1,224 +1,243 @@
-//! What can be seen of a day from outside the decisions, one fact at a time.
+//! The trace that the checker reads: what can be observed of a day from outside the decisions, one fact at a time.
+//!
+//! `Display` gives the sentences that reports print. Their wording, and the names that they give to outcomes and
+//! statuses, are part of the report format and older than the names in this code.
 
 use std::fmt;
 
 /// Microseconds since the day began.
 pub type Time = u64;
 
-/// How a leg ended, as its relay learnt it.
+/// How an attempt ended, as its relay learnt it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LegEnd {
+pub enum AttemptOutcome {
+    /// The endpoint answered that the message is delivered.
     Delivered,
+    /// The endpoint answered with an error; the message may have taken effect.
     Error,
-    /// With the wait told, or 0.
-    Full(Time),
+    /// The endpoint rejected the message without running it.
+    Rejected {
+        /// The Retry-After that came with the rejection, 0 for none.
+        retry_after: Time,
+    },
+    /// No answer came in time.
     TimedOut,
+    /// The connection was not made.
     ConnectFailed,
+    /// The connection broke before the answer came.
     Reset,
+    /// The relay cancelled the call.
     Cancelled,
-    Moot,
+    /// The message never left the relay.
+    NotSent,
 }
 
-impl LegEnd {
-    /// True where it proves that the leg took no effect.
+impl AttemptOutcome {
+    /// True where the outcome proves that the attempt took no effect.
     pub fn never_ran(self) -> bool {
-        matches!(self, LegEnd::Full(_) | LegEnd::ConnectFailed | LegEnd::Moot)
+        matches!(
+            self,
+            AttemptOutcome::Rejected { .. } | AttemptOutcome::ConnectFailed | AttemptOutcome::NotSent
+        )
+    }
+
+    /// True where the attempt may still be running at the endpoint.
+    pub fn may_still_run(self) -> bool {
+        matches!(self, AttemptOutcome::TimedOut | AttemptOutcome::Reset | AttemptOutcome::Cancelled)
     }
+}
 
-    /// True where the leg may be running still.
-    pub fn may_run_yet(self) -> bool {
-        matches!(self, LegEnd::TimedOut | LegEnd::Reset | LegEnd::Cancelled)
+impl fmt::Display for AttemptOutcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {
+            AttemptOutcome::Delivered => f.write_str("Delivered"),
+            AttemptOutcome::Error => f.write_str("Error"),
+            AttemptOutcome::Rejected { retry_after } => write!(f, "Full({retry_after})"),
+            AttemptOutcome::TimedOut => f.write_str("TimedOut"),
+            AttemptOutcome::ConnectFailed => f.write_str("ConnectFailed"),
+            AttemptOutcome::Reset => f.write_str("Reset"),
+            AttemptOutcome::Cancelled => f.write_str("Cancelled"),
+            AttemptOutcome::NotSent => f.write_str("Moot"),
+        }
     }
 }
 
-/// An end that a relay gives.
+/// A final answer other than delivery, as a relay gives it to the client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum End {
+pub enum FinalAnswer {
+    /// The message failed for good.
     Failed,
-    /// With the pause told.
-    PushedBack(Time),
+    /// The client is asked to submit the message again later.
+    Rejected {
+        /// How long the client is asked to wait, 0 if it was told no time.
+        retry_after: Time,
+    },
 }
 
-/// What a relay is told of an endpoint.
+impl fmt::Display for FinalAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {
+            FinalAnswer::Failed => f.write_str("Failed"),
+            FinalAnswer::Rejected { retry_after } => write!(f, "PushedBack({retry_after})"),
+        }
+    }
+}
+
+/// What the endpoint list tells a relay of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Listed {
+pub enum ListedStatus {
+    /// It takes calls.
     Ready,
+    /// It is about to leave: no new calls after the drain grace.
     Draining,
-    Gone,
+    /// It is no longer on the list.
+    Removed,
+}
+
+impl fmt::Display for ListedStatus {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ListedStatus::Ready => "Ready",
+            ListedStatus::Draining => "Draining",
+            ListedStatus::Removed => "Gone",
+        })
+    }
 }
 
-/// One fact. Messages, calls, endpoints, relays, lanes, destinations and routes go by number.
+/// One fact. Messages, calls, endpoints, relays, message classes, destinations and routes are given by number.
+#[allow(
+    missing_docs,
+    reason = "the fields are the numbers named above; others are explained at their variant"
+)]
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fact {
-    /// An endpoint exists from now on. `capacity` is what its route works off, calls a second, while warm.
-    Endpoint {
-        endpoint: u32,
-        dst: u32,
-        zone: u8,
-        route: u32,
-        capacity: f32,
-    },
-    /// A client hands a message in. `request` is the same for all messages that stand for one wish of a client;
-    /// key 0 is none.
-    HandedIn {
-        msg: u64,
+    /// An endpoint exists from now on. `capacity` is the calls a second that its route can serve while warm.
+    EndpointAdded { endpoint: u32, destination: u32, zone: u8, route: u32, capacity: f32 },
+    /// A client submits a message. `request` is the same for all messages of one request that the client submits
+    /// again; key 0 is none.
+    Submitted {
+        message: u64,
         request: u64,
         relay: u32,
-        lane: u16,
-        dst: u32,
+        class: u16,
+        destination: u32,
         key: u64,
         deadline: Time,
     },
-    /// Its client heard that it was taken on.
-    Taken {
-        msg: u64,
-    },
-    /// Its client gave up waiting to hear that: nothing under this id counts.
-    Disowned {
-        msg: u64,
-    },
-    /// A leg goes out, in a call that may hold several.
-    Leg {
-        msg: u64,
-        call: u64,
-        relay: u32,
-        to: u32,
-    },
-    /// A call's last byte came to an endpoint.
-    Reached {
-        call: u64,
-        relay: u32,
-        endpoint: u32,
-        weight: f32,
-    },
-    /// A message took effect, or was dropped as a repeat.
-    Ran {
-        msg: u64,
-        call: u64,
-        endpoint: u32,
-        repeat: bool,
-    },
-    /// The endpoint has written that it is delivered.
-    Answered {
-        msg: u64,
-        call: u64,
-    },
-    /// The relay learnt how a leg ended.
-    LegEnded {
-        msg: u64,
-        call: u64,
-        relay: u32,
-        end: LegEnd,
-    },
-    /// The relay learnt of a wait told beside the ends.
-    WaitTold {
-        relay: u32,
-        endpoint: u32,
-        wait: Time,
-    },
-    /// The relay ended the message.
-    Ended {
-        msg: u64,
-        relay: u32,
-        end: End,
-    },
-    /// Whoever the end is owed to has it.
-    EndTaken {
-        msg: u64,
-    },
-    /// The relay was told of an endpoint.
-    Told {
-        relay: u32,
-        endpoint: u32,
-        listed: Listed,
-    },
-    /// A route is down, silent, hung, shut, or fails most calls.
-    OutageBegan {
-        route: u32,
-    },
-    OutageOver {
-        route: u32,
-    },
-    /// A cold route was pushed over.
-    FellOver {
-        route: u32,
-    },
-    RelayDown {
-        relay: u32,
-    },
-    RelayUp {
-        relay: u32,
-    },
-    /// It stands still until then: its machine gives it no time, so it can end nothing.
-    RelayStands {
-        relay: u32,
-        until: Time,
-    },
+    /// The client learnt that the relay accepted the message.
+    Accepted { message: u64 },
+    /// The client gave up waiting for the acceptance: nothing under this message's number counts.
+    Withdrawn { message: u64 },
+    /// An attempt of a message starts, in a call that may carry several messages.
+    AttemptStarted { message: u64, call: u64, relay: u32, endpoint: u32 },
+    /// The last byte of a call arrived at an endpoint. `weight` is its work, that of a call with one message being 1.
+    CallReceived { call: u64, relay: u32, endpoint: u32, weight: f32 },
+    /// A message took effect, or was dropped as a duplicate.
+    Executed { message: u64, call: u64, endpoint: u32, duplicate: bool },
+    /// The endpoint wrote its answer that the message is delivered.
+    DeliveryAnswered { message: u64, call: u64 },
+    /// The relay learnt how an attempt ended.
+    AttemptEnded { message: u64, call: u64, relay: u32, outcome: AttemptOutcome },
+    /// The relay received a Retry-After that did not come as an attempt's outcome.
+    RetryAfterReceived { relay: u32, endpoint: u32, retry_after: Time },
+    /// The relay gave a final answer other than delivery.
+    FinalAnswerGiven { message: u64, relay: u32, answer: FinalAnswer },
+    /// Whoever the final answer is owed to has it.
+    FinalAnswerReceived { message: u64 },
+    /// The endpoint list told the relay the status of an endpoint.
+    EndpointListed { relay: u32, endpoint: u32, status: ListedStatus },
+    /// A route went down, silent, hung or shut, or fails most calls.
+    OutageStarted { route: u32 },
+    /// The route serves calls again and is in slow start.
+    OutageEnded { route: u32 },
+    /// A route in slow start broke down under its load.
+    RouteOverloaded { route: u32 },
+    /// The relay's process ended.
+    RelayDown { relay: u32 },
+    /// The relay's process started and has read its spool.
+    RelayUp { relay: u32 },
+    /// The relay gets no processor time until then, so it can give no answer.
+    RelayStalled { relay: u32, until: Time },
 }
 
 impl Fact {
-    /// The message that it is about, if it is about one.
-    pub fn msg(&self) -> Option<u64> {
+    /// The message that the fact is about, if it is about one.
+    pub fn message(&self) -> Option<u64> {
         match *self {
-            Fact::HandedIn { msg, .. }
-            | Fact::Taken { msg }
-            | Fact::Disowned { msg }
-            | Fact::Leg { msg, .. }
-            | Fact::Ran { msg, .. }
-            | Fact::Answered { msg, .. }
-            | Fact::LegEnded { msg, .. }
-            | Fact::Ended { msg, .. }
-            | Fact::EndTaken { msg } => Some(msg),
+            Fact::Submitted { message, .. }
+            | Fact::Accepted { message }
+            | Fact::Withdrawn { message }
+            | Fact::AttemptStarted { message, .. }
+            | Fact::Executed { message, .. }
+            | Fact::DeliveryAnswered { message, .. }
+            | Fact::AttemptEnded { message, .. }
+            | Fact::FinalAnswerGiven { message, .. }
+            | Fact::FinalAnswerReceived { message } => Some(message),
             _ => None,
         }
     }
-}
 
-impl fmt::Display for Fact {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt_message_fact(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match *self {
-            Fact::Endpoint { endpoint, dst, zone, route, capacity } => write!(
+            Fact::Submitted { message, request, relay, class, destination, key, deadline } => write!(
                 f,
-                "endpoint {endpoint} of destination {dst} in zone {zone}, route {route}, {capacity:.2} calls/s"
-            ),
-            Fact::HandedIn { msg, request, relay, lane, dst, key, deadline } => write!(
-                f,
-                "message {msg} (request {request}, lane {lane}, key {key:x}) for {dst} handed in at relay {relay}, \
-                 deadline {:.3} s",
+                "message {message} (request {request}, lane {class}, key {key:x}) for {destination} handed in at \
+                 relay {relay}, deadline {:.3} s",
                 seconds(deadline)
             ),
-            Fact::Taken { msg } => write!(f, "message {msg} is taken"),
-            Fact::Disowned { msg } => write!(f, "message {msg} is disowned by its client"),
-            Fact::Leg { msg, call, relay, to } => {
-                write!(f, "message {msg} goes out from relay {relay} to endpoint {to} in call {call}")
+            Fact::Accepted { message } => write!(f, "message {message} is taken"),
+            Fact::Withdrawn { message } => write!(f, "message {message} is disowned by its client"),
+            Fact::AttemptStarted { message, call, relay, endpoint } => {
+                write!(
+                    f,
+                    "message {message} goes out from relay {relay} to endpoint {endpoint} in call {call}"
+                )
             }
-            Fact::Reached { call, relay, endpoint, weight } => {
-                write!(f, "call {call} of relay {relay} reaches endpoint {endpoint}, weight {weight:.2}")
+            Fact::Executed { message, call, endpoint, duplicate } => {
+                let effect = if duplicate { "is dropped as a repeat" } else { "takes effect" };
+                write!(f, "message {message} {effect} at endpoint {endpoint}, call {call}")
+            }
+            Fact::DeliveryAnswered { message, call } => {
+                write!(f, "message {message} is answered as delivered, call {call}")
             }
-            Fact::Ran { msg, call, endpoint, repeat } => {
-                let what = if repeat { "is dropped as a repeat" } else { "takes effect" };
-                write!(f, "message {msg} {what} at endpoint {endpoint}, call {call}")
+            Fact::AttemptEnded { message, call, relay, outcome } => {
+                write!(f, "relay {relay} learns that message {message} in call {call} ended as {outcome}")
             }
-            Fact::Answered { msg, call } => write!(f, "message {msg} is answered as delivered, call {call}"),
-            Fact::LegEnded { msg, call, relay, end } => {
-                write!(f, "relay {relay} learns that message {msg} in call {call} ended as {end:?}")
+            Fact::FinalAnswerGiven { message, relay, answer } => {
+                write!(f, "relay {relay} ends message {message}: {answer}")
+            }
+            Fact::FinalAnswerReceived { message } => write!(f, "the end of message {message} is taken"),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl fmt::Display for Fact {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match *self {
+            Fact::EndpointAdded { endpoint, destination, zone, route, capacity } => write!(
+                f,
+                "endpoint {endpoint} of destination {destination} in zone {zone}, route {route}, {capacity:.2} calls/s"
+            ),
+            Fact::CallReceived { call, relay, endpoint, weight } => {
+                write!(f, "call {call} of relay {relay} reaches endpoint {endpoint}, weight {weight:.2}")
             }
-            Fact::WaitTold { relay, endpoint, wait } => {
-                write!(f, "relay {relay} is told by endpoint {endpoint} to wait {:.3} s", seconds(wait))
+            Fact::RetryAfterReceived { relay, endpoint, retry_after } => {
+                let wait = seconds(retry_after);
+                write!(f, "relay {relay} is told by endpoint {endpoint} to wait {wait:.3} s")
             }
-            Fact::Ended { msg, relay, end } => write!(f, "relay {relay} ends message {msg}: {end:?}"),
-            Fact::EndTaken { msg } => write!(f, "the end of message {msg} is taken"),
-            Fact::Told { relay, endpoint, listed } => {
-                write!(f, "relay {relay} is told that endpoint {endpoint} is {listed:?}")
+            Fact::EndpointListed { relay, endpoint, status } => {
+                write!(f, "relay {relay} is told that endpoint {endpoint} is {status}")
             }
-            Fact::OutageBegan { route } => write!(f, "route {route} is out"),
-            Fact::OutageOver { route } => write!(f, "route {route} is back, cold"),
-            Fact::FellOver { route } => write!(f, "route {route} is pushed over"),
+            Fact::OutageStarted { route } => write!(f, "route {route} is out"),
+            Fact::OutageEnded { route } => write!(f, "route {route} is back, cold"),
+            Fact::RouteOverloaded { route } => write!(f, "route {route} is pushed over"),
             Fact::RelayDown { relay } => write!(f, "relay {relay} is down"),
             Fact::RelayUp { relay } => write!(f, "relay {relay} is up"),
-            Fact::RelayStands { relay, until } => {
+            Fact::RelayStalled { relay, until } => {
                 write!(f, "relay {relay} stands still until {:.3} s", seconds(until))
             }
+            _ => self.fmt_message_fact(f),
         }
     }
 }
--- a/crates/invariants/src/lib.rs
+++ b/crates/invariants/src/lib.rs
@@ -15,7 +15,7 @@
 
 mod fact;
 
-pub use fact::{End, Fact, LegEnd, Listed, Time};
+pub use fact::{AttemptOutcome, Fact, FinalAnswer, ListedStatus, Time};
 
 use fact::seconds;
 use rustc_hash::FxHashMap;
@@ -23,40 +23,40 @@
 
 /// What running a message twice would do.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Effect {
-    Retriable,
-    /// Repeats are dropped for `memory` after the first leg that may have run, by all endpoints of the
+pub enum Idempotency {
+    Idempotent,
+    /// Repeats are dropped for `window` after the first attempt that may have run, by all endpoints of the
     /// destination or by those of one zone.
-    Keyed {
-        memory: Time,
+    WithKey {
+        window: Time,
         by_zone: bool,
     },
-    NonRetriable,
+    NotIdempotent,
 }
 
 /// What the rules say of a lane.
 #[derive(Clone, Copy, Debug)]
-pub struct Lane {
-    pub effect: Effect,
+pub struct MessageClass {
+    pub idempotency: Idempotency,
     pub in_order: bool,
 }
 
 /// The figures of the rules.
 #[derive(Clone, Debug)]
-pub struct Figures {
-    pub lanes: Vec<Lane>,
+pub struct RuleParameters {
+    pub classes: Vec<MessageClass>,
     /// How far past its deadline an end still counts.
     pub answer_slack: Time,
     /// After it is up again, or goes on after standing still, a relay may be late with ends for so long.
     pub restart_slack: Time,
     pub drain_grace: Time,
-    pub order_pause: Time,
-    pub cold_from: f64,
-    pub warm_after: Time,
-    pub fall_multiple: f64,
-    pub fall: Time,
+    pub order_hold_off: Time,
+    pub slow_start_share: f64,
+    pub slow_start_duration: Time,
+    pub overload_multiple: f64,
+    pub overload_window: Time,
     /// Legs that go out so soon after a wait was told are let through.
-    pub wait_excused: Time,
+    pub retry_after_grace: Time,
 }
 
 /// The share of the load on a cold route that must come from relays that saw its outage.
@@ -68,7 +68,7 @@
 
 /// What may come to a cold route over its budget and be put down to chance: calls come as they come, so a count
 /// has a spread of its square root; one of those, and one call at least.
-pub fn cold_slack(budget: f64) -> f64 {
+pub fn overload_slack(budget: f64) -> f64 {
     budget.max(1.0).sqrt()
 }
 
@@ -78,9 +78,9 @@
     /// 1 to 6.
     pub rule: u8,
     pub at: Time,
-    pub why: String,
+    pub reason: String,
     /// The facts about its message, or the latest of its route, oldest first.
-    pub story: Vec<(Time, Fact)>,
+    pub history: Vec<(Time, Fact)>,
 }
 
 /// What a day came to.
@@ -89,11 +89,11 @@
     /// The first breaches, in order.
     pub breaches: Vec<Breach>,
     /// How often each rule was broken, rule 1 first.
-    pub count: [u64; 6],
+    pub breach_counts: [u64; 6],
     /// Messages that had an effect more than once, where that does no harm.
     pub harmless_repeats: u64,
     /// Routes that were pushed over while cold, whoever did it.
-    pub fell_over: u64,
+    pub overloaded_routes: u64,
     /// Messages that restarts found taken on and untried, and those of them that were ended with no call made
     /// though their time was not up.
     pub found_untried: u64,
@@ -102,7 +102,7 @@
 
 impl Verdict {
     pub fn kept(&self) -> bool {
-        self.count.iter().all(|n| *n == 0)
+        self.breach_counts.iter().all(|n| *n == 0)
     }
 }
 
@@ -116,7 +116,7 @@
     call: u64,
     at: Time,
     zone: u8,
-    end: Option<LegEnd>,
+    end: Option<AttemptOutcome>,
 }
 
 struct Message {
@@ -170,7 +170,7 @@
     down: bool,
     up_since: Time,
     live: BTreeSet<u64>,
-    told: FxHashMap<u32, (Listed, Time)>,
+    told: FxHashMap<u32, (ListedStatus, Time)>,
     waits: FxHashMap<u32, (Time, Time)>,
     lines: FxHashMap<u64, Line>,
 }
@@ -184,8 +184,8 @@
 }
 
 /// Reads facts, in the order in which they happen.
-pub struct Judge {
-    figures: Figures,
+pub struct InvariantChecker {
+    parameters: RuleParameters,
     now: Time,
     endpoints: FxHashMap<u32, Endpoint>,
     messages: FxHashMap<u64, Message>,
@@ -201,10 +201,10 @@
     given_up: Vec<(Time, Fact)>,
 }
 
-impl Judge {
-    pub fn new(figures: Figures) -> Judge {
-        Judge {
-            figures,
+impl InvariantChecker {
+    pub fn new(parameters: RuleParameters) -> InvariantChecker {
+        InvariantChecker {
+            parameters,
             now: 0,
             endpoints: FxHashMap::default(),
             messages: FxHashMap::default(),
@@ -219,46 +219,52 @@
     }
 
     /// Takes a fact in. Facts must come in the order of their times.
-    pub fn see(&mut self, at: Time, fact: Fact) {
+    pub fn observe(&mut self, at: Time, fact: Fact) {
         self.now = self.now.max(at);
         self.find_lost();
-        if let Some(m) = fact.msg().and_then(|msg| self.messages.get_mut(&msg)) {
+        if let Some(m) = fact.message().and_then(|msg| self.messages.get_mut(&msg)) {
             m.story.push((at, fact));
         }
         match fact {
-            Fact::Endpoint { endpoint, dst, zone, route, capacity } => {
+            Fact::EndpointAdded { endpoint, destination: dst, zone, route, capacity } => {
                 self.endpoints.insert(endpoint, Endpoint { dst, zone, route });
                 self.routes.entry(route).or_default().capacity = f64::from(capacity);
             }
-            Fact::HandedIn { msg, relay, lane, dst, key, deadline, .. } => {
+            Fact::Submitted { message: msg, relay, class: lane, destination: dst, key, deadline, .. } => {
                 self.handed_in(msg, relay, lane, dst, key, deadline, fact);
             }
-            Fact::Taken { msg } => self.taken(msg),
-            Fact::Disowned { msg } => self.disowned(msg),
-            Fact::Leg { msg, call, relay, to } => self.leg(msg, call, relay, to),
-            Fact::Reached { call, relay, endpoint, weight } => {
+            Fact::Accepted { message: msg } => self.taken(msg),
+            Fact::Withdrawn { message: msg } => self.disowned(msg),
+            Fact::AttemptStarted { message: msg, call, relay, endpoint: to } => {
+                self.leg(msg, call, relay, to)
+            }
+            Fact::CallReceived { call, relay, endpoint, weight } => {
                 self.reached(call, relay, endpoint, f64::from(weight), fact);
             }
-            Fact::Ran { msg, repeat, .. } => self.ran(msg, repeat),
-            Fact::Answered { msg, .. } => {
+            Fact::Executed { message: msg, duplicate: repeat, .. } => self.ran(msg, repeat),
+            Fact::DeliveryAnswered { message: msg, .. } => {
                 self.with(msg, |m| m.answered = true);
                 self.retire(msg);
             }
-            Fact::LegEnded { msg, call, relay, end } => self.leg_ended(msg, call, relay, end, fact),
-            Fact::WaitTold { relay, endpoint, wait } => self.wait_told(relay, endpoint, wait),
-            Fact::Ended { msg, relay, end } => self.ended(msg, relay, end),
-            Fact::EndTaken { msg } => {
+            Fact::AttemptEnded { message: msg, call, relay, outcome: end } => {
+                self.leg_ended(msg, call, relay, end, fact)
+            }
+            Fact::RetryAfterReceived { relay, endpoint, retry_after: wait } => {
+                self.wait_told(relay, endpoint, wait)
+            }
+            Fact::FinalAnswerGiven { message: msg, relay, answer: end } => self.ended(msg, relay, end),
+            Fact::FinalAnswerReceived { message: msg } => {
                 self.with(msg, |m| m.end_taken = true);
                 self.leave_line(msg);
                 self.retire(msg);
             }
-            Fact::Told { relay, endpoint, listed } => {
+            Fact::EndpointListed { relay, endpoint, status: listed } => {
                 let now = self.now;
                 let told = &mut self.relays.entry(relay).or_default().told;
-                let since = told.get(&endpoint).filter(|t| t.0 != Listed::Ready).map_or(now, |t| t.1);
+                let since = told.get(&endpoint).filter(|t| t.0 != ListedStatus::Ready).map_or(now, |t| t.1);
                 told.insert(endpoint, (listed, since));
             }
-            Fact::OutageBegan { route } => {
+            Fact::OutageStarted { route } => {
                 let r = self.routes.entry(route).or_default();
                 (r.out, r.cold_since, r.told) = (true, None, false);
                 r.seen.clear();
@@ -266,13 +272,13 @@
                 r.story.clear();
                 r.story.push_back((at, fact));
             }
-            Fact::OutageOver { route } => {
+            Fact::OutageEnded { route } => {
                 let r = self.routes.entry(route).or_default();
                 (r.out, r.cold_since) = (false, Some(at));
                 r.story.push_back((at, fact));
             }
-            Fact::FellOver { route } => {
-                self.verdict.fell_over += 1;
+            Fact::RouteOverloaded { route } => {
+                self.verdict.overloaded_routes += 1;
                 self.routes.entry(route).or_default().story.push_back((at, fact));
             }
             Fact::RelayDown { relay } => self.relay_down(relay),
@@ -287,7 +293,7 @@
                 }
             }
             // What falls due meanwhile may be late as after a restart.
-            Fact::RelayStands { relay, until } => {
+            Fact::RelayStalled { relay, until } => {
                 let r = self.relays.entry(relay).or_default();
                 r.up_since = r.up_since.max(until);
             }
@@ -314,9 +320,9 @@
     }
 
     fn breach(&mut self, rule: u8, why: String, story: Vec<(Time, Fact)>) {
-        self.verdict.count[usize::from(rule) - 1] += 1;
+        self.verdict.breach_counts[usize::from(rule) - 1] += 1;
         if self.verdict.breaches.len() < STORIES_MOST {
-            self.verdict.breaches.push(Breach { rule, at: self.now, why, story });
+            self.verdict.breaches.push(Breach { rule, at: self.now, reason: why, history: story });
         }
     }
 
@@ -328,7 +334,7 @@
     #[allow(clippy::too_many_arguments)]
     fn handed_in(&mut self, msg: u64, relay: u32, lane: u16, dst: u32, key: u64, deadline: Time, fact: Fact) {
         let story = vec![(self.now, fact)];
-        let in_order = self.figures.lanes.get(usize::from(lane)).is_some_and(|l| l.in_order);
+        let in_order = self.parameters.classes.get(usize::from(lane)).is_some_and(|l| l.in_order);
         let message = Message {
             relay,
             lane,
@@ -358,7 +364,7 @@
     fn taken(&mut self, msg: u64) {
         let Some(m) = self.messages.get_mut(&msg) else { return };
         m.taken = true;
-        let due = m.deadline + self.figures.answer_slack;
+        let due = m.deadline + self.parameters.answer_slack;
         self.due.insert((due, msg));
     }
 
@@ -386,14 +392,14 @@
             found.push((2, "a second leg goes out beside the first".into()));
         }
         let zone = self.endpoints.get(&to).map_or(0, |e| e.zone);
-        match (self.figures.lanes[usize::from(m.lane)].effect, m.may_have_run()) {
-            (Effect::NonRetriable, Some(_)) => {
+        match (self.parameters.classes[usize::from(m.lane)].idempotency, m.may_have_run()) {
+            (Idempotency::NotIdempotent, Some(_)) => {
                 found.push((2, "sent again, though it may have run and may not be repeated".into()));
             }
-            (Effect::Keyed { memory, .. }, Some((since, _))) if now > since + memory => {
+            (Idempotency::WithKey { window: memory, .. }, Some((since, _))) if now > since + memory => {
                 found.push((2, format!("sent again {:.3} s after it may have run", seconds(now - since))));
             }
-            (Effect::Keyed { by_zone: true, .. }, Some((_, first))) if first != zone => {
+            (Idempotency::WithKey { by_zone: true, .. }, Some((_, first))) if first != zone => {
                 found.push((2, "sent again to endpoints that can't know it".into()));
             }
             _ => {}
@@ -407,16 +413,16 @@
                 found.push((3, format!("sent to endpoint {to} of destination {}", e.dst)));
             }
             (_, Some((listed, since)))
-                if *listed != Listed::Ready && now > since + self.figures.drain_grace =>
+                if *listed != ListedStatus::Ready && now > since + self.parameters.drain_grace =>
             {
                 let late = seconds(now - since);
-                found.push((3, format!("sent to endpoint {to}, told as {listed:?} {late:.3} s before")));
+                found.push((3, format!("sent to endpoint {to}, told as {listed} {late:.3} s before")));
             }
             _ => {}
         }
         let route = self.endpoints.get(&to).map_or(u32::MAX, |e| e.route);
         if let Some((told, until)) = r.waits.get(&route)
-            && now > told + self.figures.wait_excused
+            && now > told + self.parameters.retry_after_grace
             && now < *until
         {
             found.push((6, format!("sent {:.3} s before the wait there is over", seconds(until - now))));
@@ -437,40 +443,40 @@
         self.calls.insert(call, (now, relay));
     }
 
-    fn leg_ended(&mut self, msg: u64, call: u64, relay: u32, end: LegEnd, fact: Fact) {
+    fn leg_ended(&mut self, msg: u64, call: u64, relay: u32, end: AttemptOutcome, fact: Fact) {
         let now = self.now;
         let sent = self.calls.get(&call).map_or(now, |c| c.0);
         let endpoint = self.messages.get(&msg).and_then(|m| {
             m.story.iter().rev().find_map(|(_, f)| match f {
-                Fact::Leg { call: c, to, .. } if *c == call => Some(*to),
+                Fact::AttemptStarted { call: c, endpoint: to, .. } if *c == call => Some(*to),
                 _ => None,
             })
         });
         if let Some(endpoint) = endpoint {
-            if let LegEnd::Full(wait) = end {
+            if let AttemptOutcome::Rejected { retry_after: wait } = end {
                 self.wait_told(relay, endpoint, wait);
             }
             let route = self.endpoints.get(&endpoint).map_or(u32::MAX, |e| e.route);
-            if let Some(r) = self.routes.get_mut(&route).filter(|_| end != LegEnd::Delivered) {
+            if let Some(r) = self.routes.get_mut(&route).filter(|_| end != AttemptOutcome::Delivered) {
                 let lasted = r.out || r.cold_since.is_some_and(|back| sent < back);
-                if lasted && !matches!(end, LegEnd::Moot | LegEnd::Cancelled) {
+                if lasted && !matches!(end, AttemptOutcome::NotSent | AttemptOutcome::Cancelled) {
                     r.seen.entry(relay).or_insert(now);
                     r.story.push_back((now, fact));
                 }
             }
         }
-        let order_pause = self.figures.order_pause;
+        let order_hold_off = self.parameters.order_hold_off;
         let Some(m) = self.messages.get_mut(&msg) else { return };
         if let Some(leg) = m.legs.iter_mut().find(|l| l.call == call && l.end.is_none()) {
             leg.end = Some(end);
         }
-        m.known_over |= end == LegEnd::Delivered;
+        m.known_over |= end == AttemptOutcome::Delivered;
         let (key, of) = (m.key, m.relay);
-        if end.may_run_yet() {
+        if end.may_still_run() {
             let line = self.relays.entry(of).or_default().lines.get_mut(&key);
-            line.into_iter().for_each(|l| (l.rest_until, l.rest_by) = (now + order_pause, msg));
+            line.into_iter().for_each(|l| (l.rest_until, l.rest_by) = (now + order_hold_off, msg));
         }
-        if end == LegEnd::Delivered {
+        if end == AttemptOutcome::Delivered {
             self.leave_line(msg);
         }
         self.leave_line_if_over(msg);
@@ -487,7 +493,7 @@
         waits.insert(route, (told, (now + wait).max(old.map_or(0, |o| o.1))));
     }
 
-    fn ended(&mut self, msg: u64, relay: u32, end: End) {
+    fn ended(&mut self, msg: u64, relay: u32, end: FinalAnswer) {
         let now = self.now;
         let Some(m) = self.messages.get(&msg) else {
             if self.retired.contains_key(&msg) {
@@ -505,17 +511,17 @@
                 self.given_up = m.story.clone();
             }
         }
-        let late = m.deadline + self.figures.answer_slack;
+        let late = m.deadline + self.parameters.answer_slack;
         let excused = self.relays.get(&relay).map_or(0, |r| r.up_since);
-        if now > late && (excused == 0 || now > excused + self.figures.restart_slack) && !m.answered {
+        if now > late && (excused == 0 || now > excused + self.parameters.restart_slack) && !m.answered {
             found.push((1, format!("ended {:.3} s after its deadline", seconds(now - m.deadline))));
         }
-        let lane = self.figures.lanes[usize::from(m.lane)].effect;
+        let lane = self.parameters.classes[usize::from(m.lane)].idempotency;
         let again = match lane {
-            Effect::Retriable | Effect::Keyed { by_zone: false, .. } => true,
-            Effect::Keyed { .. } | Effect::NonRetriable => m.may_have_run().is_none(),
+            Idempotency::Idempotent | Idempotency::WithKey { by_zone: false, .. } => true,
+            Idempotency::WithKey { .. } | Idempotency::NotIdempotent => m.may_have_run().is_none(),
         };
-        if matches!(end, End::PushedBack(_)) && !again {
+        if matches!(end, FinalAnswer::Rejected { .. }) && !again {
             found.push((2, "pushed back, though it may have run and coming again would do harm".into()));
         }
         found.into_iter().for_each(|(rule, why)| self.breach_of(rule, msg, why));
@@ -537,7 +543,7 @@
         if repeat || effects < 2 {
             return;
         }
-        if self.figures.lanes[usize::from(lane)].effect == Effect::Retriable {
+        if self.parameters.classes[usize::from(lane)].idempotency == Idempotency::Idempotent {
             self.verdict.harmless_repeats += u64::from(effects == 2);
         } else {
             self.breach_of(2, msg, format!("took effect {effects} times"));
@@ -568,7 +574,7 @@
         let done =
             |m: &Message| !m.out() && m.known_over && (m.end_taken || !m.ended) && (m.taken || m.end_taken);
         let Some(m) = self.messages.get(&msg).filter(|m| done(m)) else { return };
-        let (relay, due) = (m.relay, m.deadline + self.figures.answer_slack);
+        let (relay, due) = (m.relay, m.deadline + self.parameters.answer_slack);
         self.retired.insert(msg, (m.lane, m.effects));
         for leg in &m.legs {
             self.calls.remove(&leg.call);
@@ -587,10 +593,10 @@
                 continue;
             }
             let relay = self.relays.entry(m.relay).or_default();
-            let excused = relay.up_since + self.figures.restart_slack;
+            let excused = relay.up_since + self.parameters.restart_slack;
             if relay.down {
                 // Nobody can end it now; it is looked at again.
-                self.due.insert((self.now + self.figures.restart_slack, msg));
+                self.due.insert((self.now + self.parameters.restart_slack, msg));
             } else if relay.up_since > 0 && excused >= self.now {
                 self.due.insert((excused + 1, msg));
             } else {
@@ -602,7 +608,7 @@
 
     /// Its calls broke with it: they may have run, and it knows of nothing but what its spool tells.
     fn relay_down(&mut self, relay: u32) {
-        let (now, pause) = (self.now, self.figures.order_pause);
+        let (now, pause) = (self.now, self.parameters.order_hold_off);
         let r = self.relays.entry(relay).or_default();
         r.down = true;
         r.told.clear();
@@ -610,7 +616,10 @@
         for msg in r.live.iter() {
             let Some(m) = self.messages.get_mut(msg) else { continue };
             if m.out() {
-                m.legs.iter_mut().filter(|l| l.end.is_none()).for_each(|l| l.end = Some(LegEnd::Reset));
+                m.legs
+                    .iter_mut()
+                    .filter(|l| l.end.is_none())
+                    .for_each(|l| l.end = Some(AttemptOutcome::Reset));
                 let line = r.lines.get_mut(&m.key);
                 line.into_iter().for_each(|l| (l.rest_until, l.rest_by) = (now + pause, *msg));
             }
@@ -618,12 +627,12 @@
     }
 
     fn reached(&mut self, call: u64, relay: u32, endpoint: u32, weight: f64, fact: Fact) {
-        let (now, f) = (self.now, &self.figures);
+        let (now, f) = (self.now, &self.parameters);
         let Some(route_id) = self.endpoints.get(&endpoint).map(|e| e.route) else { return };
         let sent = self.calls.get(&call).map_or(now, |c| c.0);
         let Some(route) = self.routes.get_mut(&route_id) else { return };
         let Some(since) = route.cold_since else { return };
-        let warm = (now - since) as f64 / f.warm_after.max(1) as f64;
+        let warm = (now - since) as f64 / f.slow_start_duration.max(1) as f64;
         if warm >= 1.0 {
             route.cold_since = None;
             return;
@@ -634,12 +643,12 @@
         while route.story.len() > 400 {
             route.story.pop_front();
         }
-        while route.load.front().is_some_and(|l| l.0 + f.fall < now) {
+        while route.load.front().is_some_and(|l| l.0 + f.overload_window < now) {
             route.load.pop_front();
         }
-        let capacity = route.capacity * (f.cold_from + (1.0 - f.cold_from) * warm);
-        let takes = f.fall_multiple * capacity * f.fall as f64 / 1e6;
-        let budget = takes + cold_slack(takes);
+        let capacity = route.capacity * (f.slow_start_share + (1.0 - f.slow_start_share) * warm);
+        let takes = f.overload_multiple * capacity * f.overload_window as f64 / 1e6;
+        let budget = takes + overload_slack(takes);
         let all: f64 = route.load.iter().map(|l| l.1).sum();
         let by_seen: f64 = route.load.iter().filter(|l| l.2).map(|l| l.1).sum();
         if all > budget && by_seen >= COLD_SEEN * all && !route.told {
@@ -648,7 +657,7 @@
             let why = format!(
                 "route {route_id}: {all:.1} calls in {:.1} s on a cold route that takes {budget:.1}, {by_seen:.1} of \
                  them from relays that saw its outage",
-                seconds(f.fall)
+                seconds(f.overload_window)
             );
             self.breach(4, why, story);
         }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -16,7 +16,7 @@
 use crate::traffic::{self, Request};
 use crate::world::{Place, World};
 use mountshift::interface::{EndpointStatus, Outcome, PolicySettings};
-use mountshift_invariants::{End, Fact, Judge};
+use mountshift_invariants::{Fact, FinalAnswer, InvariantChecker};
 use mountshift_scenario::{Scenario, TroubleKind};
 use rayon::prelude::*;
 use rustc_hash::FxHashMap;
@@ -149,7 +149,7 @@
     /// What the list says of each endpoint.
     listing: Vec<EndpointStatus>,
     truth: Truth,
-    judge: Judge,
+    judge: InvariantChecker,
     tally: Tally,
     digest: SipHasher13,
     legs: u64,
@@ -189,7 +189,7 @@
             servers.push(Server::new(&world, place.dst, place.group, place.zone, place.route, peers));
         }
         let relays = (0..scenario.relays.count.get()).map(|me| Relay::new(&world, me, play.course)).collect();
-        let judge = Judge::new(world.figures());
+        let judge = InvariantChecker::new(world.figures());
         let tally = Tally::new(&world, &requests);
         Day {
             wishes: vec![Wish::default(); requests.len()],
@@ -246,8 +246,8 @@
     /// Plays the day to its end.
     pub fn play(mut self) -> DayOutcome {
         self.begin();
-        let gap = self.world.scenario.relays.round_gap.us();
-        let last_deadline = self.world.scenario.lanes.iter().map(|l| l.deadline.as_ref().us()).max();
+        let gap = self.world.scenario.relays.min_step_interval.us();
+        let last_deadline = self.world.scenario.classes.iter().map(|l| l.deadline.as_ref().us()).max();
         let length = self.world.scenario.length.as_ref().us();
         let end = length + last_deadline.unwrap_or(0) + AFTERMATH;
         let mut arrived = 0;
@@ -283,7 +283,8 @@
     }
 
     fn outcome(mut self, end: Time) -> DayOutcome {
-        let verdict = std::mem::replace(&mut self.judge, Judge::new(self.world.figures())).finish(end);
+        let verdict =
+            std::mem::replace(&mut self.judge, InvariantChecker::new(self.world.figures())).finish(end);
         let digest = self.digest.finish128();
         let twins = self.wishes.iter().filter(|w| w.effects > 1).count() as u64;
         DayOutcome {
@@ -302,9 +303,9 @@
             failed: self.tally.failed,
             pushed_back: self.tally.pushed_back,
             twins,
-            rules: verdict.count,
+            rules: verdict.breach_counts,
             breaches: breaches(&verdict),
-            fell_over: verdict.fell_over,
+            fell_over: verdict.overloaded_routes,
             connections: self.tally.connections,
             digest: format!("{:016x}{:016x}", digest.h1, digest.h2),
             course: if self.play.course { Some(self.tally.course(&self.world)) } else { None },
@@ -316,28 +317,35 @@
         self.digest.write_u64(self.now);
         let mut words = [0u64; 4];
         match fact {
-            Fact::Leg { msg, call, relay, to } => {
+            Fact::AttemptStarted { message: msg, call, relay, endpoint: to } => {
                 words = [1, msg, call, u64::from(relay) << 32 | u64::from(to)]
             }
-            Fact::Reached { call, endpoint, .. } => words = [2, call, u64::from(endpoint), 0],
-            Fact::Ran { msg, call, repeat, .. } => words = [3, msg, call, u64::from(repeat)],
-            Fact::LegEnded { msg, call, end, .. } => {
+            Fact::CallReceived { call, endpoint, .. } => words = [2, call, u64::from(endpoint), 0],
+            Fact::Executed { message: msg, call, duplicate: repeat, .. } => {
+                words = [3, msg, call, u64::from(repeat)]
+            }
+            Fact::AttemptEnded { message: msg, call, outcome: end, .. } => {
                 let (code, wait) = match end {
-                    mountshift_invariants::LegEnd::Full(wait) => (0, wait),
+                    mountshift_invariants::AttemptOutcome::Rejected { retry_after: wait } => (0, wait),
                     other => (1 + end_number(other), 0),
                 };
                 words = [4, msg, call, code << 56 | wait];
             }
-            Fact::Ended { msg, end, .. } => {
-                words = [5, msg, if let End::PushedBack(pause) = end { pause + 1 } else { 0 }, 0];
+            Fact::FinalAnswerGiven { message: msg, answer: end, .. } => {
+                words = [
+                    5,
+                    msg,
+                    if let FinalAnswer::Rejected { retry_after: pause } = end { pause + 1 } else { 0 },
+                    0,
+                ];
             }
-            other => words[1] = other.msg().unwrap_or(u64::MAX),
+            other => words[1] = other.message().unwrap_or(u64::MAX),
         }
         words.iter().for_each(|w| self.digest.write_u64(*w));
         if let Some(watch) = self.watch.as_mut() {
             watch(self.now, Seen::Fact(&fact));
         }
-        self.judge.see(self.now, fact);
+        self.judge.observe(self.now, fact);
     }
 
     fn at(&mut self, at: Time, event: Event) {
@@ -403,7 +411,7 @@
             (s.dst, s.zone, s.route)
         };
         let capacity = self.routes[route as usize].capacity as f32;
-        self.fact(Fact::Endpoint { endpoint, dst, zone, route, capacity });
+        self.fact(Fact::EndpointAdded { endpoint, destination: dst, zone, route, capacity });
     }
 
     fn second(&mut self) {
@@ -427,7 +435,7 @@
 
     fn hand_in(&mut self, n: u32) {
         let r = self.requests[n as usize];
-        let deadline = r.at + self.world.scenario.lanes[usize::from(r.lane)].deadline.as_ref().us();
+        let deadline = r.at + self.world.scenario.classes[usize::from(r.lane)].deadline.as_ref().us();
         if self.now >= deadline || self.wishes[n as usize].delivered {
             return;
         }
@@ -447,11 +455,19 @@
         self.live += 1;
         Tally::count(&mut self.tally.messages, self.now, 1.0);
         let (lane, tenant, dst, key) = (r.lane, r.tenant, r.dst, r.key);
-        self.fact(Fact::HandedIn { msg, request: u64::from(n), relay, lane, dst, key, deadline });
+        self.fact(Fact::Submitted {
+            message: msg,
+            request: u64::from(n),
+            relay,
+            class: lane,
+            destination: dst,
+            key,
+            deadline,
+        });
         let host = &mut self.relays[relay as usize];
         host.inbox.push(Came::Message { msg, lane, tenant, dst, key, deadline });
         if host.stalled_until > self.now {
-            self.at(self.now + self.world.scenario.clients.patience.us(), Event::Patience(msg));
+            self.at(self.now + self.world.scenario.clients.submit_timeout.us(), Event::Patience(msg));
         }
     }
 
@@ -460,7 +476,7 @@
         let Some(m) = self.msgs.get_mut(&msg).filter(|m| m.client == Client::Waits) else { return };
         m.client = Client::GaveUp;
         let request = m.request;
-        self.fact(Fact::Disowned { msg });
+        self.fact(Fact::Withdrawn { message: msg });
         self.pass(msg);
         self.at(self.now + REFUSED, Event::Submission(request));
     }
@@ -474,7 +490,7 @@
     }
 
     /// The client heard what became of its message.
-    fn heard(&mut self, msg: u64, end: Option<End>) {
+    fn heard(&mut self, msg: u64, end: Option<FinalAnswer>) {
         let Some(m) = self.msgs.get_mut(&msg) else { return };
         if m.client == Client::GaveUp {
             if end.is_none() {
@@ -485,26 +501,27 @@
         }
         m.client = Client::Heard;
         match end {
-            None => self.fact(Fact::Taken { msg }),
+            None => self.fact(Fact::Accepted { message: msg }),
             Some(end) => {
-                self.fact(Fact::EndTaken { msg });
+                self.fact(Fact::FinalAnswerReceived { message: msg });
                 self.ended(msg, end);
             }
         }
     }
 
     /// A message ended undelivered: its client may come again.
-    fn ended(&mut self, msg: u64, end: End) {
+    fn ended(&mut self, msg: u64, end: FinalAnswer) {
         let Some(request) = self.msgs.get(&msg).filter(|m| !m.past).map(|m| m.request) else { return };
         self.pass(msg);
         let clients = &self.world.scenario.clients;
         match end {
-            End::Failed => self.tally.failed += 1,
-            End::PushedBack(pause) => {
+            FinalAnswer::Failed => self.tally.failed += 1,
+            FinalAnswer::Rejected { retry_after: pause } => {
                 self.tally.pushed_back += 1;
-                let comes = self.world.chance.part(What::Again, u64::from(request), msg) < clients.again.0;
-                let pause = if pause > 0 { pause } else { clients.pause.us() };
-                let pause = pause.min(self.world.scenario.rules.max_pause.us()).max(1_000);
+                let comes =
+                    self.world.chance.part(What::Again, u64::from(request), msg) < clients.retry_share.0;
+                let pause = if pause > 0 { pause } else { clients.default_retry_delay.us() };
+                let pause = pause.min(self.world.scenario.rules.max_retry_after.us()).max(1_000);
                 if comes {
                     self.at(self.now + pause, Event::Submission(request));
                 }
@@ -515,7 +532,7 @@
     fn noticed(&mut self, msg: u64) {
         let Some(m) = self.msgs.get(&msg) else { return };
         let relay = m.relay as usize;
-        self.fact(Fact::EndTaken { msg });
+        self.fact(Fact::FinalAnswerReceived { message: msg });
         self.relays[relay].inbox.push(Came::Noticed(msg));
     }
 
@@ -592,17 +609,17 @@
             }
             match act {
                 // What was learnt was learnt; what went out counts only if it went.
-                Act::Fact(fact @ (Fact::LegEnded { .. } | Fact::WaitTold { .. })) => {
-                    if let Fact::LegEnded { end, .. } = fact {
+                Act::Fact(fact @ (Fact::AttemptEnded { .. } | Fact::RetryAfterReceived { .. })) => {
+                    if let Fact::AttemptEnded { outcome: end, .. } = fact {
                         *self.tally.ends.entry(end_name(end)).or_default() += 1;
                     }
                     self.fact(fact);
                 }
-                Act::Fact(Fact::Leg { msg, call, relay, to }) => {
+                Act::Fact(Fact::AttemptStarted { message: msg, call, relay, endpoint: to }) => {
                     if most == usize::MAX || done < most {
                         self.legs += 1;
                         Tally::count(&mut self.tally.legs, self.now, 1.0);
-                        self.fact(Fact::Leg { msg, call, relay, to });
+                        self.fact(Fact::AttemptStarted { message: msg, call, relay, endpoint: to });
                     }
                 }
                 Act::Fact(fact) => {
@@ -627,7 +644,7 @@
         }
     }
 
-    fn notice(&mut self, msg: u64, end: End) {
+    fn notice(&mut self, msg: u64, end: FinalAnswer) {
         // The platform passes it on at once; its answer takes a while.
         self.at(self.now + NOTICE, Event::Noticed(msg));
         self.ended(msg, end);
@@ -718,13 +735,13 @@
         let Some(d) = self.world.scenario.relays.discovery else {
             return self.at(self.now + ASKED, Event::Whole(relay));
         };
-        let answered = self.discovery_free.max(self.now) + (1e6 / d.calls.0) as Time;
-        if answered > self.now + d.queued.us() {
+        let answered = self.discovery_free.max(self.now) + (1e6 / d.calls_per_second.0) as Time;
+        if answered > self.now + d.max_queue_wait.us() {
             return self.at(self.now + ASKED, Event::NoList(relay));
         }
         self.discovery_free = answered;
-        if answered > self.now + d.within.us() {
-            return self.at(self.now + d.within.us(), Event::NoList(relay));
+        if answered > self.now + d.timeout.us() {
+            return self.at(self.now + d.timeout.us(), Event::NoList(relay));
         }
         self.at(answered.max(self.now + ASKED), Event::Whole(relay));
     }
@@ -757,21 +774,21 @@
     }
 }
 
-fn end_number(end: mountshift_invariants::LegEnd) -> u64 {
-    use mountshift_invariants::LegEnd as E;
+fn end_number(end: mountshift_invariants::AttemptOutcome) -> u64 {
+    use mountshift_invariants::AttemptOutcome as E;
     match end {
         E::Delivered => 0,
         E::Error => 1,
-        E::Full(_) => 2,
+        E::Rejected { .. } => 2,
         E::TimedOut => 3,
         E::ConnectFailed => 4,
         E::Reset => 5,
         E::Cancelled => 6,
-        E::Moot => 7,
+        E::NotSent => 7,
     }
 }
 
-fn end_name(end: mountshift_invariants::LegEnd) -> &'static str {
+fn end_name(end: mountshift_invariants::AttemptOutcome) -> &'static str {
     ["delivered", "error", "full", "timed out", "connect failed", "reset", "cancelled", "moot"]
         [end_number(end) as usize]
 }
--- a/crates/lab/src/day/calls.rs
+++ b/crates/lab/src/day/calls.rs
@@ -7,7 +7,7 @@
 use crate::world::by_zone;
 use mountshift::interface::Outcome;
 use mountshift_invariants::Fact;
-use mountshift_scenario::Effect;
+use mountshift_scenario::Idempotency;
 use std::time::Duration;
 
 /// One way through the network, inside a zone and across.
@@ -77,7 +77,7 @@
     }
 
     fn idle_used(&self) -> Time {
-        (self.world.scenario.relays.idle.us() as f64 * IDLE_USED) as Time
+        (self.world.scenario.relays.idle_timeout.us() as f64 * IDLE_USED) as Time
     }
 
     /// The call ends at its relay without an answer, a while from now.
@@ -98,14 +98,14 @@
         let group = &self.world.scenario.groups[server.group];
         if server.state.vanished || silent || (server.gone && server.successor.is_none()) {
             // The list may still hold what is gone: its machine says nothing.
-            let never = self.world.scenario.relays.connect.us();
+            let never = self.world.scenario.relays.connect_timeout.us();
             self.broken(n, Outcome::ConnectFailed, never);
         } else if server.state.refuses || self.routes[route].fallen {
             self.broken(n, Outcome::ConnectFailed, 2 * way);
-        } else if server.state.tables_full || server.connections >= group.connections.get() {
+        } else if server.state.tables_full || server.connections >= group.max_connections.get() {
             self.sweep(at);
             let server = &self.servers[at as usize];
-            let most = self.world.scenario.groups[server.group].connections.get();
+            let most = self.world.scenario.groups[server.group].max_connections.get();
             if server.state.tables_full || server.connections >= most {
                 self.broken(n, Outcome::ConnectFailed, 2 * way);
             } else {
@@ -125,7 +125,7 @@
 
     /// Closes what has stood idle too long at an endpoint whose table seems full.
     fn sweep(&mut self, at: u32) {
-        let oldest = self.now.saturating_sub(self.world.scenario.relays.idle.us());
+        let oldest = self.now.saturating_sub(self.world.scenario.relays.idle_timeout.us());
         for relay in 0..self.relays.len() as u32 {
             if let Some(pool) = self.idle.get_mut(&(relay, at)) {
                 let before = pool.len();
@@ -169,11 +169,11 @@
             return;
         }
         let (route_id, group) = (server.route, server.group);
-        let weight = 1.0 + self.world.scenario.groups[group].further.0 * (items as f64 - 1.0);
+        let weight = 1.0 + self.world.scenario.groups[group].batch_item_cost.0 * (items as f64 - 1.0);
         let now = self.now;
         self.calls.entry(n).and_modify(|c| c.came = now);
         self.tally.reached(route_id, self.now);
-        self.fact(Fact::Reached { call: n, relay, endpoint: at, weight: weight as f32 });
+        self.fact(Fact::CallReceived { call: n, relay, endpoint: at, weight: weight as f32 });
         let route = &mut self.routes[route_id as usize];
         self.tally.calls_into_outages += u64::from(route.out);
         if route.weigh(self.now, weight, &self.world) {
@@ -193,7 +193,9 @@
             }
             self.broken(n, Outcome::Error, AT_ONCE + self.way(relay, at));
             self.done(n);
-        } else if self.servers[at as usize].queue.len() as u32 >= self.world.scenario.groups[group].queue {
+        } else if self.servers[at as usize].queue.len() as u32
+            >= self.world.scenario.groups[group].queue_capacity
+        {
             self.refuse(n, 0);
         } else {
             self.calls.entry(n).and_modify(|c| c.stage = Stage::Queued);
@@ -242,8 +244,9 @@
         let call = &self.calls[&n];
         // By request and place, so that another policy that sends it there meets the same answer time.
         let first = call.legs.first().and_then(|msg| self.msgs.get(msg)).map_or(n, |m| u64::from(m.request));
-        let drawn = self.world.chance.factor(What::Service, group.spread.0, first, u64::from(at));
-        let items = 1.0 + group.further.0 * (call.legs.len() as f64 - 1.0);
+        let drawn =
+            self.world.chance.factor(What::Service, group.response_time_spread.0, first, u64::from(at));
+        let items = 1.0 + group.batch_item_cost.0 * (call.legs.len() as f64 - 1.0);
         let tail = |(lane, times): &(u16, f64)| {
             let of_lane = |msg: &u64| {
                 self.msgs.get(msg).is_some_and(|m| self.requests[m.request as usize].lane == *lane)
@@ -254,7 +257,8 @@
         };
         let tails: f64 = server.state.tails.iter().map(tail).product();
         let share = self.routes[server.route as usize].share(self.now, &self.world);
-        let span = group.answers.seconds() * drawn * items * tails * server.state.slow / share.max(0.01);
+        let span =
+            group.response_time.seconds() * drawn * items * tails * server.state.slow / share.max(0.01);
         ((span * 1e6) as Time).max(100)
     }
 
@@ -265,11 +269,11 @@
         let (zone, dst) = (self.servers[at as usize].zone, self.servers[at as usize].dst);
         for msg in legs {
             let Some(request) = self.msgs.get(&msg).map(|m| m.request) else { continue };
-            let lane = &self.world.scenario.lanes[usize::from(self.requests[request as usize].lane)];
+            let lane = &self.world.scenario.classes[usize::from(self.requests[request as usize].lane)];
             let mut repeat = false;
-            if lane.effect == Effect::Keyed {
+            if lane.idempotency == Idempotency::WithKey {
                 let place = if by_zone(lane) { u32::from(zone) } else { dst };
-                let memory = lane.memory.map_or(0, |m| m.us());
+                let memory = lane.deduplication_window.map_or(0, |m| m.us());
                 // It is known from its first coming on, but counts as done only once it has run: a first try that
                 // died in the queue must not swallow the second.
                 let (since, ran) = self.memories.entry((msg, place)).or_insert((came, false));
@@ -282,7 +286,7 @@
                 m.ran = true;
                 self.wishes[request as usize].effects += 1;
             }
-            self.fact(Fact::Ran { msg, call: n, endpoint: at, repeat });
+            self.fact(Fact::Executed { message: msg, call: n, endpoint: at, duplicate: repeat });
         }
     }
 
@@ -330,9 +334,9 @@
         if self.wishes[request].delivered {
             return;
         }
-        self.fact(Fact::Answered { msg, call: n });
+        self.fact(Fact::DeliveryAnswered { message: msg, call: n });
         let r = self.requests[request];
-        let deadline = r.at + self.world.scenario.lanes[usize::from(r.lane)].deadline.as_ref().us();
+        let deadline = r.at + self.world.scenario.classes[usize::from(r.lane)].deadline.as_ref().us();
         if self.now <= deadline {
             self.wishes[request].delivered = true;
             self.tally.delivered(&self.world, &r, self.now);
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -29,10 +29,10 @@
             TroubleKind::Stall => {
                 for relay in strike.relays {
                     if on {
-                        self.fact(Fact::RelayStands { relay, until: strike.to });
+                        self.fact(Fact::RelayStalled { relay, until: strike.to });
                         let host = &mut self.relays[relay as usize];
                         host.stalled_until = host.stalled_until.max(strike.to);
-                        let patience = self.now + self.world.scenario.clients.patience.us();
+                        let patience = self.now + self.world.scenario.clients.submit_timeout.us();
                         let asks = |m: &&Came| matches!(m, Came::Message { .. });
                         let waiting: Vec<Came> = host.inbox.iter().filter(asks).cloned().collect();
                         for came in waiting {
@@ -167,16 +167,16 @@
         route.out = out;
         if out {
             (route.cold_since, route.out_since) = (None, now);
-            self.fact(Fact::OutageBegan { route: route_id });
+            self.fact(Fact::OutageStarted { route: route_id });
         } else if now - route.out_since >= COLD_LEAST {
             route.cold_since = Some(now);
-            self.fact(Fact::OutageOver { route: route_id });
+            self.fact(Fact::OutageEnded { route: route_id });
         }
     }
 
     /// A cold route was sent more than it bears: it is down for the rest of the day.
     pub(super) fn fall_over(&mut self, route_id: u32) {
-        self.fact(Fact::FellOver { route: route_id });
+        self.fact(Fact::RouteOverloaded { route: route_id });
         self.routes[route_id as usize].fallen = true;
         for endpoint in self.routes[route_id as usize].endpoints.clone() {
             self.servers[endpoint as usize].state.refuses = true;
@@ -194,7 +194,7 @@
                 }
                 let mut place = self.place(old);
                 let group = &self.world.scenario.groups[place.group];
-                let (new, apart) = (self.servers.len() as u32, group.own_limits);
+                let (new, apart) = (self.servers.len() as u32, group.independent_endpoints);
                 let peers = if apart { 1 } else { group.endpoints.get() };
                 if apart {
                     place.route = self.routes.len() as u32;
--- a/crates/lab/src/host.rs
+++ b/crates/lab/src/host.rs
@@ -5,7 +5,7 @@
 use crate::policy::{Policy, Truth};
 use crate::world::World;
 use mountshift::interface::*;
-use mountshift_invariants::{End, Fact, LegEnd, Listed as Said};
+use mountshift_invariants::{AttemptOutcome, Fact, FinalAnswer, ListedStatus};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -52,11 +52,11 @@
     /// To a client that waits: taken, or its end.
     Answer {
         msg: u64,
-        end: Option<End>,
+        end: Option<FinalAnswer>,
     },
     Notice {
         msg: u64,
-        end: End,
+        end: FinalAnswer,
     },
     Close {
         call: u64,
@@ -74,7 +74,7 @@
     hand_in: Submission,
     deadline: i64,
     legs: Vec<(ZoneId, i64, bool)>,
-    owed: Option<End>,
+    owed: Option<FinalAnswer>,
 }
 
 struct Out {
@@ -154,11 +154,11 @@
     }
 
     fn reject(&mut self, msg: MessageId, pause: Duration) -> bool {
-        self.end(msg.0, End::PushedBack(pause.as_micros() as u64))
+        self.end(msg.0, FinalAnswer::Rejected { retry_after: pause.as_micros() as u64 })
     }
 
     fn fail(&mut self, msg: MessageId) -> bool {
-        self.end(msg.0, End::Failed)
+        self.end(msg.0, FinalAnswer::Failed)
     }
 
     fn cancel(&mut self, msg: MessageId, _leg: AttemptNumber) {
@@ -201,8 +201,8 @@
     }
 
     /// An end that is no delivery: the answer to a client that waits, else a notice. True if it is taken.
-    fn end(&mut self, msg: u64, end: End) -> bool {
-        self.acts.push(Act::Fact(Fact::Ended { msg, relay: self.me, end }));
+    fn end(&mut self, msg: u64, end: FinalAnswer) -> bool {
+        self.acts.push(Act::Fact(Fact::FinalAnswerGiven { message: msg, relay: self.me, answer: end }));
         if let Some(at) = self.asking.iter().position(|m| *m == msg) {
             self.asking.remove(at);
             self.acts.push(Act::Answer { msg, end: Some(end) });
@@ -218,8 +218,12 @@
         match came {
             Came::Message { msg, lane, tenant, dst, key, deadline } => {
                 if self.spool.len() >= self.held_most {
-                    let end = End::PushedBack(0);
-                    self.acts.push(Act::Fact(Fact::Ended { msg, relay: self.me, end }));
+                    let end = FinalAnswer::Rejected { retry_after: 0 };
+                    self.acts.push(Act::Fact(Fact::FinalAnswerGiven {
+                        message: msg,
+                        relay: self.me,
+                        answer: end,
+                    }));
                     self.acts.push(Act::Answer { msg, end: Some(end) });
                     return;
                 }
@@ -251,24 +255,31 @@
         let Some(out) = self.calls.remove(&call) else { return };
         let to = EndpointId(u64::from(out.to) + 1);
         if wait > 0 {
-            let told = Fact::WaitTold { relay: self.me, endpoint: out.to, wait };
+            let told = Fact::RetryAfterReceived { relay: self.me, endpoint: out.to, retry_after: wait };
             self.acts.push(Act::Fact(told));
             inputs.push(Input::RetryAfter { endpoint: to, span: Duration::from_micros(wait) });
         }
         let waited = Duration::from_micros(self.now.saturating_sub(out.sent));
         for (msg, outcome, over) in ends {
             let end = match outcome {
-                Outcome::Delivered => LegEnd::Delivered,
-                Outcome::Error => LegEnd::Error,
-                Outcome::Rejected { retry_after: wait } => LegEnd::Full(wait.as_micros() as u64),
-                Outcome::ConnectionLimit => LegEnd::Full(0),
-                Outcome::TimedOut => LegEnd::TimedOut,
-                Outcome::ConnectFailed => LegEnd::ConnectFailed,
-                Outcome::Reset => LegEnd::Reset,
-                Outcome::Cancelled => LegEnd::Cancelled,
-                Outcome::NotSent => LegEnd::Moot,
+                Outcome::Delivered => AttemptOutcome::Delivered,
+                Outcome::Error => AttemptOutcome::Error,
+                Outcome::Rejected { retry_after: wait } => {
+                    AttemptOutcome::Rejected { retry_after: wait.as_micros() as u64 }
+                }
+                Outcome::ConnectionLimit => AttemptOutcome::Rejected { retry_after: 0 },
+                Outcome::TimedOut => AttemptOutcome::TimedOut,
+                Outcome::ConnectFailed => AttemptOutcome::ConnectFailed,
+                Outcome::Reset => AttemptOutcome::Reset,
+                Outcome::Cancelled => AttemptOutcome::Cancelled,
+                Outcome::NotSent => AttemptOutcome::NotSent,
             };
-            self.acts.push(Act::Fact(Fact::LegEnded { msg, call, relay: self.me, end }));
+            self.acts.push(Act::Fact(Fact::AttemptEnded {
+                message: msg,
+                call,
+                relay: self.me,
+                outcome: end,
+            }));
             if outcome.never_ran() {
                 let leg = self.spool.get_mut(&msg).and_then(|k| k.legs.last_mut());
                 leg.into_iter().for_each(|l| l.2 = false);
@@ -295,11 +306,11 @@
 
     fn tell_entry(&mut self, endpoint: u32, e: Entry, inputs: &mut Vec<Input>) {
         let listed = match e.says {
-            EndpointStatus::Ready => Said::Ready,
-            EndpointStatus::Draining => Said::Draining,
-            EndpointStatus::Removed => Said::Gone,
+            EndpointStatus::Ready => ListedStatus::Ready,
+            EndpointStatus::Draining => ListedStatus::Draining,
+            EndpointStatus::Removed => ListedStatus::Removed,
         };
-        self.acts.push(Act::Fact(Fact::Told { relay: self.me, endpoint, listed }));
+        self.acts.push(Act::Fact(Fact::EndpointListed { relay: self.me, endpoint, status: listed }));
         inputs.push(Input::EndpointListed(ListedEndpoint {
             endpoint: EndpointId(u64::from(endpoint) + 1),
             destination: DestinationId(e.dst),
@@ -336,7 +347,12 @@
             let out = Out { to, sent: self.now, legs: legs.clone(), recalled: Vec::new() };
             self.calls.insert(call, out);
             for msg in &legs {
-                self.acts.push(Act::Fact(Fact::Leg { msg: *msg, call, relay: self.me, to }));
+                self.acts.push(Act::Fact(Fact::AttemptStarted {
+                    message: *msg,
+                    call,
+                    relay: self.me,
+                    endpoint: to,
+                }));
             }
             self.acts.push(Act::Call { call, to, legs, limit });
         }
@@ -350,8 +366,8 @@
             now: 0,
             clock: Clock::default(),
             step: 0,
-            batches: world.scenario.groups.iter().map(|g| g.batch.get() as usize).collect(),
-            held_most: world.scenario.relays.held.get() as usize,
+            batches: world.scenario.groups.iter().map(|g| g.max_batch.get() as usize).collect(),
+            held_most: world.scenario.relays.max_queued.get() as usize,
             spool: BTreeMap::new(),
             listed: BTreeMap::new(),
             asking: Vec::new(),
@@ -406,7 +422,11 @@
                 submission: Submission { deadline, restored: true, ..k.hand_in },
             });
             if let Some(end) = k.owed {
-                desk.acts.push(Act::Fact(Fact::Ended { msg, relay: desk.me, end }));
+                desk.acts.push(Act::Fact(Fact::FinalAnswerGiven {
+                    message: msg,
+                    relay: desk.me,
+                    answer: end,
+                }));
                 desk.acts.push(Act::Notice { msg, end });
                 self.inputs.push(Input::FinalAnswerPending(id));
             }
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -108,7 +108,7 @@
         level: (knobs.part || knobs.level).then_some(Amount((level * 100.0_f64).round() / 100.0)),
         every: knobs.every.then_some(span(every)),
         lasts: knobs.every.then(|| span(every * rng.random_range(0.1..0.6))),
-        lane: knobs.lane.then(|| base.lanes[rng.random_range(0..base.lanes.len())].name.clone()),
+        lane: knobs.lane.then(|| base.classes[rng.random_range(0..base.classes.len())].name.clone()),
         off: if knobs.off { vec![group(rng)] } else { Vec::new() },
     }
 }
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -118,8 +118,8 @@
     let breach = |b: &mountshift_invariants::Breach| BreachOutcome {
         rule: b.rule,
         at_s: b.at as f64 / 1e6,
-        why: b.why.clone(),
-        story: b.story.iter().map(line).collect(),
+        why: b.reason.clone(),
+        story: b.history.iter().map(line).collect(),
     };
     verdict.breaches.iter().map(breach).collect()
 }
--- a/crates/lab/src/report.rs
+++ b/crates/lab/src/report.rs
@@ -131,7 +131,7 @@
     let lines = |names: Vec<String>, all: &[Vec<(f64, f64)>]| -> Vec<(String, Vec<f64>)> {
         names.into_iter().zip(all.iter().map(|by_second| smooth(by_second))).collect()
     };
-    let lanes = lines(scenario.lanes.iter().map(|l| l.name.clone()).collect(), &course.lanes);
+    let lanes = lines(scenario.classes.iter().map(|l| l.name.clone()).collect(), &course.lanes);
     plots.push((
         chart(course, "share of worth delivered", Some(1.02), &lanes)?,
         "Service by lane and second of arrival (over three seconds). Shaded: troubles.".to_string(),
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::Time;
 use crate::world::{Strike, World};
-use mountshift_scenario::{Limit, LimitBy, Rate, Span, TroubleKind, Waits};
+use mountshift_scenario::{Limit, LimitBy, Rate, RetryAfterAccuracy, Span, TroubleKind};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -99,7 +99,7 @@
         let (window, most) = (now / span + 1, (self.limit.rate.0 * span as f64 / 1e6).max(1.0));
         if window != self.window {
             // What was refused in the last window takes up to half of this one.
-            let spent = self.limit.spent_by_refused && window == self.window + 1;
+            let spent = self.limit.rejected_calls_count && window == self.window + 1;
             self.count = if spent { self.refused.min(most / 2.0) } else { 0.0 };
             (self.window, self.refused) = (window, 0.0);
         }
@@ -116,7 +116,7 @@
                     self.tokens -= 1.0;
                     return None;
                 }
-                if self.limit.spent_by_refused {
+                if self.limit.rejected_calls_count {
                     self.tokens = (self.tokens - 0.5).max(-rate);
                 }
                 Some(((1.0 - self.tokens) / rate * 1e6) as Time)
@@ -168,14 +168,16 @@
     /// The share of its capacity that it has now.
     pub fn share(&self, now: Time, world: &World) -> f64 {
         let rules = &world.scenario.rules;
-        let warm = |since: Time| ((now - since) as f64 / rules.warm_after.us().max(1) as f64).min(1.0);
-        self.cold_since.map_or(1.0, |since| rules.cold_from.0 + (1.0 - rules.cold_from.0) * warm(since))
+        let warm =
+            |since: Time| ((now - since) as f64 / rules.slow_start_duration.us().max(1) as f64).min(1.0);
+        self.cold_since
+            .map_or(1.0, |since| rules.slow_start_share.0 + (1.0 - rules.slow_start_share.0) * warm(since))
     }
 
     /// A call has come; true if that pushes it over.
     pub fn weigh(&mut self, now: Time, weight: f64, world: &World) -> bool {
         let rules = &world.scenario.rules;
-        if self.cold_since.is_some_and(|since| now >= since + rules.warm_after.us()) {
+        if self.cold_since.is_some_and(|since| now >= since + rules.slow_start_duration.us()) {
             self.cold_since = None;
             self.load.clear();
             self.weighed = 0.0;
@@ -187,7 +189,7 @@
         self.weighed += weight;
         // A little slack for chance, as the judge allows it.
         let takes = self.takes(now, world);
-        self.weighed(now, world) > takes + mountshift_invariants::cold_slack(takes)
+        self.weighed(now, world) > takes + mountshift_invariants::overload_slack(takes)
     }
 
     /// Calls that its limits and what it bears while cold let through now.
@@ -203,13 +205,13 @@
 
     fn takes(&self, now: Time, world: &World) -> f64 {
         let rules = &world.scenario.rules;
-        rules.fall_multiple.0 * self.capacity * self.share(now, world) * rules.fall.seconds()
+        rules.overload_multiple.0 * self.capacity * self.share(now, world) * rules.overload_window.seconds()
     }
 
     /// What came within the last fall span.
     fn weighed(&mut self, now: Time, world: &World) -> f64 {
         while let Some((_, old)) =
-            self.load.front().copied().filter(|l| l.0 + world.scenario.rules.fall.us() < now)
+            self.load.front().copied().filter(|l| l.0 + world.scenario.rules.overload_window.us() < now)
         {
             self.load.pop_front();
             self.weighed -= old;
@@ -222,10 +224,10 @@
         let mut told = None;
         for gate in &mut self.gates {
             if let Some(wait) = gate.refuses(now) {
-                let says = match gate.limit.waits {
-                    Waits::True => wait.max(1_000),
-                    Waits::Missing => 0,
-                    Waits::Lying => (wait as f64 * (0.1 + 3.9 * lie)) as Time,
+                let says = match gate.limit.retry_after {
+                    RetryAfterAccuracy::Exact => wait.max(1_000),
+                    RetryAfterAccuracy::Missing => 0,
+                    RetryAfterAccuracy::Wrong => (wait as f64 * (0.1 + 3.9 * lie)) as Time,
                 };
                 told = Some(told.unwrap_or(0).max(says));
             }
@@ -237,17 +239,22 @@
     pub fn throttle(&mut self, by: usize, strike: &Strike, rate: f64, on: bool, now: Time) {
         self.gates.retain(|g| g.by != Some(by));
         let kind = match strike.kind {
-            TroubleKind::ThrottleCount => (LimitBy::Count, Waits::True, false),
-            TroubleKind::ThrottleRate => (LimitBy::Rate, Waits::Missing, false),
-            TroubleKind::ThrottleLies => (LimitBy::Rate, Waits::Lying, false),
-            TroubleKind::ThrottleSpends => (LimitBy::Count, Waits::True, true),
+            TroubleKind::ThrottleCount => (LimitBy::Count, RetryAfterAccuracy::Exact, false),
+            TroubleKind::ThrottleRate => (LimitBy::Rate, RetryAfterAccuracy::Missing, false),
+            TroubleKind::ThrottleLies => (LimitBy::Rate, RetryAfterAccuracy::Wrong, false),
+            TroubleKind::ThrottleSpends => (LimitBy::Count, RetryAfterAccuracy::Exact, true),
             _ => return,
         };
         if on {
             let (limit_by, waits, spent_by_refused) = kind;
             let window = Span(Duration::from_secs(1));
-            let limit =
-                Limit { by: limit_by, rate: Rate(rate * strike.level), window, waits, spent_by_refused };
+            let limit = Limit {
+                by: limit_by,
+                rate: Rate(rate * strike.level),
+                window,
+                retry_after: waits,
+                rejected_calls_count: spent_by_refused,
+            };
             self.gates.push(Gate::new(limit, Some(by), now));
         }
     }
@@ -277,7 +284,8 @@
     pub fn new(world: &World, dst: u32, group: usize, zone: u8, route: u32, peers: u32) -> Server {
         let g = &world.scenario.groups[group];
         // The mean of what is drawn around the median.
-        let mean = g.answers.seconds() * (g.spread.0 * g.spread.0 / 2.0).exp();
+        let mean =
+            g.response_time.seconds() * (g.response_time_spread.0 * g.response_time_spread.0 / 2.0).exp();
         let share = world.capacity(group) / f64::from(peers.max(1));
         Server {
             dst,
--- a/crates/lab/src/tally.rs
+++ b/crates/lab/src/tally.rs
@@ -73,7 +73,7 @@
         let s = world.scenario;
         let seconds = s.length.as_ref().seconds().ceil() as usize + 1;
         let mut tally = Tally {
-            lanes: s.lanes.iter().map(|_| Part::new(seconds)).collect(),
+            lanes: s.classes.iter().map(|_| Part::new(seconds)).collect(),
             tenants: s.tenants.iter().map(|_| Part::new(seconds)).collect(),
             legs: Vec::new(),
             messages: Vec::new(),
@@ -88,7 +88,7 @@
             connections: 0,
         };
         for r in requests {
-            let value = s.lanes[usize::from(r.lane)].value.0;
+            let value = s.classes[usize::from(r.lane)].priority_weight.0;
             tally.parts(r, |part, second| {
                 part.offered += value;
                 part.requests += 1;
@@ -114,15 +114,15 @@
 
     /// A request was delivered in time for its deadline.
     pub fn delivered(&mut self, world: &World, r: &Request, at: Time) {
-        let lane = &world.scenario.lanes[usize::from(r.lane)];
+        let lane = &world.scenario.classes[usize::from(r.lane)];
         let took = (at - r.at) as f64 / 1e6;
-        let (target, deadline) = (lane.target.seconds(), lane.deadline.as_ref().seconds());
+        let (target, deadline) = (lane.latency_objective.seconds(), lane.deadline.as_ref().seconds());
         let late = (took - target).max(0.0);
         let left = match world.scenario.rules.decay {
-            Decay::Linear => 1.0 - (1.0 - lane.late_share.0) * (late / (deadline - target)).min(1.0),
-            Decay::Halving => 0.5f64.powf(late / target.max(0.001)).max(lane.late_share.0),
+            Decay::Linear => 1.0 - (1.0 - lane.late_weight_share.0) * (late / (deadline - target)).min(1.0),
+            Decay::Halving => 0.5f64.powf(late / target.max(0.001)).max(lane.late_weight_share.0),
         };
-        let worth = lane.value.0 * left;
+        let worth = lane.priority_weight.0 * left;
         self.parts(r, |part, second| {
             part.earned += worth;
             part.delivered += 1;
@@ -191,7 +191,7 @@
     }
 
     pub fn lanes(&self, world: &World) -> Vec<PartOutcome> {
-        self.lanes.iter().zip(&world.scenario.lanes).map(|(part, lane)| part.outcome(&lane.name)).collect()
+        self.lanes.iter().zip(&world.scenario.classes).map(|(part, lane)| part.outcome(&lane.name)).collect()
     }
 
     pub fn tenants(&self, world: &World) -> Vec<PartOutcome> {
--- a/crates/lab/src/traffic.rs
+++ b/crates/lab/src/traffic.rs
@@ -46,7 +46,7 @@
     if s.traffic.replay.is_some() {
         let row = |r: &mountshift_scenario::Recorded| Request {
             at: (r.seconds * 1e6) as Time,
-            lane: s.lanes.iter().position(|l| l.name == r.lane).unwrap_or(0) as u16,
+            lane: s.classes.iter().position(|l| l.name == r.lane).unwrap_or(0) as u16,
             tenant: 0,
             dst: world.destination(world.group(&r.destinations), r.number),
             key: r.key,
@@ -54,7 +54,7 @@
         return s.recorded.iter().map(row).collect();
     }
     let mut rng = world.chance.stream(What::Traffic, 0);
-    let lanes = Choice::new(s.lanes.iter().map(|l| l.traffic.0).collect());
+    let lanes = Choice::new(s.classes.iter().map(|l| l.traffic.0).collect());
     let tenants = Choice::new(s.tenants.iter().map(|t| t.traffic.0).collect());
     let groups = Choice::new(s.groups.iter().map(|g| g.traffic.0).collect());
     let uneven = |count: u32| (1..=count).map(|i| f64::from(i).powf(-s.traffic.zipf.0)).collect();
@@ -92,7 +92,7 @@
             let lane = lanes.draw(&mut rng) as u16;
             let tenant = tenants.draw(&mut rng) as u32;
             let number = rng.random_range(0..u64::from(s.traffic.keys.get()));
-            let key = if s.lanes[usize::from(lane)].in_order { key(dst, number) } else { 0 };
+            let key = if s.classes[usize::from(lane)].in_order { key(dst, number) } else { 0 };
             let at = (at + later).min(length);
             requests.push(Request { at: (at * 1e6) as Time, lane, tenant, dst, key });
         }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -62,10 +62,10 @@
             world.first_of.push(world.destinations.len() as u32);
             for _ in 0..g.count.get() {
                 let dst = world.destinations.len() as u32;
-                world.routes += u32::from(!g.own_limits);
+                world.routes += u32::from(!g.independent_endpoints);
                 let mut endpoints = Vec::new();
                 for i in 0..g.endpoints.get() {
-                    world.routes += u32::from(g.own_limits);
+                    world.routes += u32::from(g.independent_endpoints);
                     let zone = ((dst + i) as usize % scenario.zones.len()) as u8;
                     endpoints.push(world.places.len() as u32);
                     world.places.push(Place { dst, group, zone, route: world.routes - 1 });
@@ -103,12 +103,12 @@
     /// What the list tells of a destination's rate.
     pub fn listed_rate(&self, place: &Place) -> f64 {
         let rate = self.scenario.groups[place.group].rate.0;
-        match self.scenario.relays.rates {
-            scenario::Rates::Exact => rate,
-            scenario::Rates::Rough => {
+        match self.scenario.relays.listed_rate {
+            scenario::ListedRate::Exact => rate,
+            scenario::ListedRate::Approximate => {
                 rate * (0.5 + self.chance.part(What::List, u64::from(place.route), 0)).max(0.5)
             }
-            scenario::Rates::Untold => 1.0,
+            scenario::ListedRate::Unknown => 1.0,
         }
     }
 
@@ -150,7 +150,8 @@
                 .retain(|e| drawn(if t.each { u64::from(*e) } else { u64::from(places[*e as usize].dst) }));
             relays.retain(|r| drawn(u64::from(*r)));
         }
-        let lane = t.lane.as_ref().and_then(|l| self.scenario.lanes.iter().position(|lane| lane.name == *l));
+        let lane =
+            t.lane.as_ref().and_then(|l| self.scenario.classes.iter().position(|lane| lane.name == *l));
         let (from, to) = (t.from.us(), t.to.us());
         let level = t.level.map_or(0.0, |l| l.0);
         if t.kind == TroubleKind::Cut {
@@ -178,19 +179,19 @@
     pub fn policy_settings(&self, relay: u32, start: u64) -> PolicySettings {
         let s = self.scenario;
         let kind = |g: &scenario::Group| DestinationKind {
-            independent_endpoints: g.own_limits,
-            max_batch: g.batch.get() as usize,
+            independent_endpoints: g.independent_endpoints,
+            max_batch: g.max_batch.get() as usize,
         };
-        let class = |l: &scenario::Lane| MessageClass {
-            latency_objective: l.target.0,
+        let class = |l: &scenario::MessageClass| MessageClass {
+            latency_objective: l.latency_objective.0,
             deadline: l.deadline.as_ref().0,
-            priority_weight: l.value.0,
-            late_weight_share: l.late_share.0,
-            idempotency: match l.effect {
-                scenario::Effect::Retriable => Idempotency::Idempotent,
-                scenario::Effect::NonRetriable => Idempotency::NotIdempotent,
-                scenario::Effect::Keyed => Idempotency::WithKey {
-                    window: l.memory.map_or(Duration::ZERO, |m| m.0),
+            priority_weight: l.priority_weight.0,
+            late_weight_share: l.late_weight_share.0,
+            idempotency: match l.idempotency {
+                scenario::Idempotency::Idempotent => Idempotency::Idempotent,
+                scenario::Idempotency::NotIdempotent => Idempotency::NotIdempotent,
+                scenario::Idempotency::WithKey => Idempotency::WithKey {
+                    window: l.deduplication_window.map_or(Duration::ZERO, |m| m.0),
                     scope: if by_zone(l) {
                         DeduplicationScope::SameZone
                     } else {
@@ -205,64 +206,65 @@
             seed: self.chance.seed(What::Relay, u64::from(relay), start),
             relay_count: s.relays.count.get(),
             zone: ZoneId(self.relay_zone(relay).into()),
-            classes: s.lanes.iter().map(class).collect(),
+            classes: s.classes.iter().map(class).collect(),
             destination_kinds: s.groups.iter().map(kind).collect(),
             tenant_quotas: s.tenants.iter().map(|t| t.quota.0).collect(),
             decay: match s.rules.decay {
                 scenario::Decay::Linear => Decay::Linear,
                 scenario::Decay::Halving => Decay::Halving,
             },
-            max_calls_in_flight: s.relays.slots.get() as usize,
-            max_queued: s.relays.held.get() as usize,
-            max_attempts: s.rules.legs.get().min(255) as u8,
-            listed_rate: match s.relays.rates {
-                scenario::Rates::Exact => ListedRate::Exact,
-                scenario::Rates::Rough => ListedRate::Approximate,
-                scenario::Rates::Untold => ListedRate::Unknown,
+            max_calls_in_flight: s.relays.max_calls_in_flight.get() as usize,
+            max_queued: s.relays.max_queued.get() as usize,
+            max_attempts: s.rules.max_attempts.get().min(255) as u8,
+            listed_rate: match s.relays.listed_rate {
+                scenario::ListedRate::Exact => ListedRate::Exact,
+                scenario::ListedRate::Approximate => ListedRate::Approximate,
+                scenario::ListedRate::Unknown => ListedRate::Unknown,
             },
             must_poll: s.relays.watch,
-            poll_interval: s.rules.ask_within.0,
-            may_cancel: s.relays.recall,
-            max_retry_after: s.rules.max_pause.0,
+            poll_interval: s.rules.poll_interval.0,
+            may_cancel: s.relays.may_cancel,
+            max_retry_after: s.rules.max_retry_after.0,
             drain_grace: s.rules.drain_grace.0,
-            order_hold_off: s.rules.order_pause.0,
-            slow_start_share: s.rules.cold_from.0,
-            slow_start_duration: s.rules.warm_after.0,
-            overload_multiple: s.rules.fall_multiple.0,
-            overload_window: s.rules.fall.0,
+            order_hold_off: s.rules.order_hold_off.0,
+            slow_start_share: s.rules.slow_start_share.0,
+            slow_start_duration: s.rules.slow_start_duration.0,
+            overload_multiple: s.rules.overload_multiple.0,
+            overload_window: s.rules.overload_window.0,
             zone_fees: vec![0.0; s.zones.len()],
             cross_zone_price: s.relays.cross_zone.0,
         }
     }
 
     /// The rules' figures for the judge, read from the scenario and not from what relays are told.
-    pub fn figures(&self) -> judge::Figures {
+    pub fn figures(&self) -> judge::RuleParameters {
         let s = self.scenario;
-        let lane = |l: &scenario::Lane| judge::Lane {
-            effect: match l.effect {
-                scenario::Effect::Retriable => judge::Effect::Retriable,
-                scenario::Effect::NonRetriable => judge::Effect::NonRetriable,
-                scenario::Effect::Keyed => {
-                    judge::Effect::Keyed { memory: l.memory.map_or(0, |m| m.us()), by_zone: by_zone(l) }
-                }
+        let lane = |l: &scenario::MessageClass| judge::MessageClass {
+            idempotency: match l.idempotency {
+                scenario::Idempotency::Idempotent => judge::Idempotency::Idempotent,
+                scenario::Idempotency::NotIdempotent => judge::Idempotency::NotIdempotent,
+                scenario::Idempotency::WithKey => judge::Idempotency::WithKey {
+                    window: l.deduplication_window.map_or(0, |m| m.us()),
+                    by_zone: by_zone(l),
+                },
             },
             in_order: l.in_order,
         };
-        judge::Figures {
-            lanes: s.lanes.iter().map(lane).collect(),
+        judge::RuleParameters {
+            classes: s.classes.iter().map(lane).collect(),
             answer_slack: 300_000,
             restart_slack: 1_500_000,
             drain_grace: s.rules.drain_grace.us(),
-            order_pause: s.rules.order_pause.us(),
-            cold_from: s.rules.cold_from.0,
-            warm_after: s.rules.warm_after.us(),
-            fall_multiple: s.rules.fall_multiple.0,
-            fall: s.rules.fall.us(),
-            wait_excused: 0,
+            order_hold_off: s.rules.order_hold_off.us(),
+            slow_start_share: s.rules.slow_start_share.0,
+            slow_start_duration: s.rules.slow_start_duration.us(),
+            overload_multiple: s.rules.overload_multiple.0,
+            overload_window: s.rules.overload_window.us(),
+            retry_after_grace: 0,
         }
     }
 }
 
-pub(crate) fn by_zone(lane: &scenario::Lane) -> bool {
-    lane.group.as_ref().is_some_and(|g| *g.as_ref() == scenario::RepeatGroup::Zone)
+pub(crate) fn by_zone(lane: &scenario::MessageClass) -> bool {
+    lane.deduplication_scope.as_ref().is_some_and(|g| *g.as_ref() == scenario::DeduplicationScope::SameZone)
 }
--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -132,7 +132,7 @@
     let changed = with_value(&text, "slow.toml", "trouble.0.level", "3").expect("a scenario");
     assert_eq!(changed.troubles[0].as_ref().level.map(|l| l.0), Some(3.0));
     let set = with_value(&text, "slow.toml", "relays.round_gap", "10 ms").expect("a scenario");
-    assert_eq!(set.relays.round_gap.us(), 10_000);
+    assert_eq!(set.relays.min_step_interval.us(), 10_000);
     let none = with_value(&text, "slow.toml", "trouble.7.level", "3").expect_err("refused");
     assert_eq!(none, "slow.toml: there is no trouble.7.level: nothing at \"7\"");
     assert!(
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -29,20 +29,20 @@
 /// What is sent, to whom.
 #[derive(Clone, Debug)]
 pub struct Plan {
-    pub to: SocketAddr,
+    pub relay: SocketAddr,
     pub schedule: Schedule,
     pub connections: usize,
     /// The lane's name.
-    pub lane: String,
+    pub class: String,
     /// Destinations, in turns.
     pub destinations: Vec<u32>,
     /// Keys in use; 0 for none.
     pub keys: u64,
     /// Bytes of a message.
-    pub body: usize,
+    pub body_bytes: usize,
     pub deadline: Duration,
     /// A connection without an answer for so long is given up.
-    pub patience: Duration,
+    pub answer_timeout: Duration,
     /// Tells the ids of one run from those of another.
     pub seed: u64,
 }
@@ -51,8 +51,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 pub struct Report {
     pub due: u64,
-    pub taken: u64,
-    pub pushed_back: u64,
+    #[serde(rename = "taken")]
+    pub accepted: u64,
+    #[serde(rename = "pushed_back")]
+    pub rejected: u64,
     pub failed: u64,
     /// No answer in time, or the connection broke.
     pub unanswered: u64,
@@ -65,9 +67,11 @@
     pub p90_ms: f64,
     pub p99_ms: f64,
     pub p999_ms: f64,
-    pub most_ms: f64,
+    #[serde(rename = "most_ms")]
+    pub max_ms: f64,
     /// How late the tool itself was to notice that a message was due, 99%.
-    pub own_p99_ms: f64,
+    #[serde(rename = "own_p99_ms")]
+    pub scheduling_delay_p99_ms: f64,
 }
 
 impl std::fmt::Display for Report {
@@ -78,8 +82,8 @@
              {:.1} s, {:.0} taken a second; ms from when due: 50% {:.2}, 90% {:.2}, 99% {:.2}, 99.9% {:.2}, most {:.2}\n\
              the tool's own lateness, 99%: {:.2} ms",
             self.due,
-            self.taken,
-            self.pushed_back,
+            self.accepted,
+            self.rejected,
             self.failed,
             self.unanswered,
             self.not_connected,
@@ -89,8 +93,8 @@
             self.p90_ms,
             self.p99_ms,
             self.p999_ms,
-            self.most_ms,
-            self.own_p99_ms
+            self.max_ms,
+            self.scheduling_delay_p99_ms
         )
     }
 }
@@ -130,8 +134,8 @@
 /// # Errors
 /// If the plan can't be played; one line.
 pub fn run(plan: &Plan) -> Result<Report, String> {
-    if !plan.to.ip().is_loopback() {
-        return Err(format!("{} is no loopback address: this tool loads nothing else", plan.to));
+    if !plan.relay.ip().is_loopback() {
+        return Err(format!("{} is no loopback address: this tool loads nothing else", plan.relay));
     }
     let rates = [plan.schedule.from, plan.schedule.to];
     if rates.iter().any(|r| !r.is_finite() || *r <= 0.0) || plan.schedule.length.is_zero() {
@@ -165,13 +169,13 @@
     let (times, own) = (counts.times.take(), counts.own.take());
     Ok(Report {
         seconds,
-        rate: counts.report.taken as f64 / seconds,
+        rate: counts.report.accepted as f64 / seconds,
         p50_ms: at(&times, 0.5),
         p90_ms: at(&times, 0.9),
         p99_ms: at(&times, 0.99),
         p999_ms: at(&times, 0.999),
-        most_ms: at(&times, 1.0),
-        own_p99_ms: at(&own, 0.99),
+        max_ms: at(&times, 1.0),
+        scheduling_delay_p99_ms: at(&own, 0.99),
         ..counts.report.clone()
     })
 }
@@ -197,7 +201,7 @@
     while let Ok(Due { n, at }) = due.recv().await {
         let mut open = match stream.take() {
             Some(open) => open,
-            None => match Async::<TcpStream>::connect(plan.to).await {
+            None => match Async::<TcpStream>::connect(plan.relay).await {
                 Ok(open) => {
                     let _ = open.get_ref().set_nodelay(true);
                     open
@@ -211,7 +215,7 @@
             },
         };
         let late = async {
-            Timer::after(plan.patience).await;
+            Timer::after(plan.answer_timeout).await;
             None
         };
         let said = async { ask(&mut open, &command(plan, n)).await.ok() }.or(late).await;
@@ -222,8 +226,8 @@
         };
         note(&mut counts.times, at);
         match said {
-            Said::Taken => counts.report.taken += 1,
-            Said::PushedBack => counts.report.pushed_back += 1,
+            Said::Taken => counts.report.accepted += 1,
+            Said::PushedBack => counts.report.rejected += 1,
             Said::Failed => counts.report.failed += 1,
         }
         stream = Some(open);
@@ -234,9 +238,9 @@
 fn command(plan: &Plan, n: u64) -> Vec<u8> {
     let key = if plan.keys > 0 { n % plan.keys + 1 } else { 0 };
     let dst = plan.destinations[n as usize % plan.destinations.len()];
-    let list = format!("c={},d={},dest={dst}", plan.lane, plan.deadline.as_millis());
+    let list = format!("c={},d={},dest={dst}", plan.class, plan.deadline.as_millis());
     let (key, id) = (format!("{key:016x}"), format!("{:08x}{n:08x}", plan.seed as u32));
-    let body = vec![b'x'; plan.body];
+    let body = vec![b'x'; plan.body_bytes];
     let words = [&b"OUT.ADD"[..], key.as_bytes(), id.as_bytes(), list.as_bytes(), &body];
     let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
     for word in words {
@@ -268,9 +272,11 @@
 
 /// One rate of a search, and if it was borne.
 #[derive(Clone, Debug, Serialize)]
-pub struct Tried {
-    pub asked: f64,
-    pub borne: bool,
+pub struct Trial {
+    #[serde(rename = "asked")]
+    pub requested_rate: f64,
+    #[serde(rename = "borne")]
+    pub sustained: bool,
     pub report: Report,
 }
 
@@ -278,13 +284,13 @@
 ///
 /// # Errors
 /// As [`run`].
-pub fn search(plan: &Plan, p99: Duration, mut tell: impl FnMut(&Tried)) -> Result<Option<f64>, String> {
+pub fn search(plan: &Plan, p99: Duration, mut tell: impl FnMut(&Trial)) -> Result<Option<f64>, String> {
     let mut attempt = |rate: f64, n: u64| {
         let schedule = Schedule::steady(rate, plan.schedule.length);
         let report = run(&Plan { schedule, seed: plan.seed + n, ..plan.clone() })?;
-        let whole = report.taken == report.due;
+        let whole = report.accepted == report.due;
         let borne = whole && report.p99_ms <= p99.as_secs_f64() * 1e3;
-        tell(&Tried { asked: rate, borne, report });
+        tell(&Trial { requested_rate: rate, sustained: borne, report });
         Ok::<bool, String>(borne)
     };
     let (mut low, mut high, mut n) = (None, plan.schedule.from, 1);
--- a/crates/load/tests/load.rs
+++ b/crates/load/tests/load.rs
@@ -53,21 +53,21 @@
 
 fn plan(to: SocketAddr, rate: f64, length: Duration, connections: usize) -> Plan {
     Plan {
-        to,
+        relay: to,
         schedule: Schedule::steady(rate, length),
         connections,
-        lane: "any".into(),
+        class: "any".into(),
         destinations: vec![1, 2],
         keys: 3,
-        body: 10,
+        body_bytes: 10,
         deadline: ms(8_000),
-        patience: ms(500),
+        answer_timeout: ms(500),
         seed: 1,
     }
 }
 
 fn counts(r: &Report) -> (u64, u64, u64, u64) {
-    (r.taken, r.pushed_back, r.failed, r.unanswered)
+    (r.accepted, r.rejected, r.failed, r.unanswered)
 }
 
 #[test_case(|_| Some("+OK\r\n") => (100, 0, 0, 0); "taken")]
@@ -93,7 +93,7 @@
     let report = run(&plan(stand_in(stalls), 100.0, ms(2_000), 1)).expect("a report");
     // Forty of two hundred fell due while it stood still, not one.
     assert_eq!(counts(&report), (200, 0, 0, 0));
-    assert!(report.most_ms >= 395.0 && report.p90_ms >= 150.0, "{report}");
+    assert!(report.max_ms >= 395.0 && report.p90_ms >= 150.0, "{report}");
     assert!(report.p50_ms < 150.0, "{report}");
 }
 
@@ -121,7 +121,7 @@
         change(&mut p);
         run(&p).expect_err("refused")
     };
-    let elsewhere = refused(&|p| p.to = "192.0.2.1:6390".parse().expect("an address"));
+    let elsewhere = refused(&|p| p.relay = "192.0.2.1:6390".parse().expect("an address"));
     assert_eq!(elsewhere, "192.0.2.1:6390 is no loopback address: this tool loads nothing else");
     assert_eq!(refused(&|p| p.schedule.from = 0.0), "a rate above 0 and a span above 0 are needed");
     assert_eq!(refused(&|p| p.destinations.clear()), "a connection and a destination are needed");
--- a/crates/scenario/src/check.rs
+++ b/crates/scenario/src/check.rs
@@ -1,6 +1,6 @@
 //! What no single field can tell: that a scenario fits together.
 
-use crate::{Effect, FORMAT, Group, Recorded, Scenario, Strikes, Trouble, Whom};
+use crate::{FORMAT, Group, Idempotency, Recorded, Scenario, Strikes, Trouble, Whom};
 use std::path::Path;
 use toml::Spanned;
 
@@ -19,23 +19,23 @@
     if s.zones.is_empty() || s.zones.len() > 200 {
         return Err((0, format!("zones: {} places; one to 200 are possible", s.zones.len())));
     }
-    if s.lanes.is_empty() || s.groups.is_empty() {
+    if s.classes.is_empty() || s.groups.is_empty() {
         return Err((0, "a day needs a lane and a group of destinations".into()));
     }
-    twice("lane", s.lanes.iter().map(|l| (day, l.name.as_str())))?;
+    twice("lane", s.classes.iter().map(|l| (day, l.name.as_str())))?;
     twice("destinations", s.groups.iter().map(|g| (g.name.span().start, g.name.as_ref().as_str())))?;
-    for lane in &s.lanes {
+    for lane in &s.classes {
         let at = lane.deadline.span().start;
         let span = lane.deadline.as_ref();
-        if span.0 <= lane.target.0 {
+        if span.0 <= lane.latency_objective.0 {
             return Err((at, format!("lane {}: its deadline must come after its target time", lane.name)));
         }
-        let keyed = lane.effect == Effect::Keyed;
-        if keyed != lane.memory.is_some() {
+        let keyed = lane.idempotency == Idempotency::WithKey;
+        if keyed != lane.deduplication_window.is_some() {
             let says = if keyed { "needs a memory" } else { "takes no memory: it is not keyed" };
             return Err((at, format!("lane {} {says}", lane.name)));
         }
-        if let Some(group) = lane.group.as_ref().filter(|_| !keyed) {
+        if let Some(group) = lane.deduplication_scope.as_ref().filter(|_| !keyed) {
             return Err((group.span().start, format!("lane {} takes no group: it is not keyed", lane.name)));
         }
     }
@@ -45,7 +45,7 @@
             return Err((at, format!("{name:?} can't name a group of destinations")));
         }
     }
-    if s.clients.patience.us() == 0 || s.relays.round_gap.us() == 0 {
+    if s.clients.submit_timeout.us() == 0 || s.relays.min_step_interval.us() == 0 {
         return Err((0, "clients.patience and relays.round_gap must be above 0".into()));
     }
     if s.relays.discovery.is_some() && !s.relays.watch {
@@ -121,7 +121,7 @@
     {
         return complain("it must last a while, and less than the gap to the next".into());
     }
-    if let Some(lane) = t.lane.as_ref().filter(|lane| s.lanes.iter().all(|l| l.name != **lane)) {
+    if let Some(lane) = t.lane.as_ref().filter(|lane| s.classes.iter().all(|l| l.name != **lane)) {
         return complain(format!("there is no lane {lane}"));
     }
     for text in &t.off {
@@ -171,7 +171,7 @@
         if !(row.seconds >= last && row.seconds <= s.length.as_ref().seconds()) {
             return Err(complain(format!("{} s lies outside the day or before the line above", row.seconds)));
         }
-        if s.lanes.iter().all(|l| l.name != row.lane) {
+        if s.classes.iter().all(|l| l.name != row.lane) {
             return Err(complain(format!("there is no lane {}", row.lane)));
         }
         if find(s, &row.destinations).is_none_or(|g| row.number >= g.count.get()) {
--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -48,7 +48,7 @@
     #[serde(default)]
     pub clients: Clients,
     #[serde(rename = "lane")]
-    pub lanes: Vec<Lane>,
+    pub classes: Vec<MessageClass>,
     #[serde(rename = "tenant", default)]
     pub tenants: Vec<Tenant>,
     #[serde(rename = "destinations")]
@@ -73,19 +73,26 @@
 pub struct Relays {
     pub count: NonZeroU32,
     /// Calls that one relay may have out.
-    pub slots: NonZeroU32,
+    #[serde(rename = "slots")]
+    pub max_calls_in_flight: NonZeroU32,
     /// Messages that one relay may hold.
-    pub held: NonZeroU32,
+    #[serde(rename = "held")]
+    pub max_queued: NonZeroU32,
     /// The shortest gap between two rounds.
-    pub round_gap: Span,
+    #[serde(rename = "round_gap")]
+    pub min_step_interval: Span,
     /// Idle connections are closed by endpoints after this span.
-    pub idle: Span,
+    #[serde(rename = "idle")]
+    pub idle_timeout: Span,
     /// A connection that is not up by then has failed.
-    pub connect: Span,
+    #[serde(rename = "connect")]
+    pub connect_timeout: Span,
     /// Calls may be recalled.
-    pub recall: bool,
+    #[serde(rename = "recall")]
+    pub may_cancel: bool,
     /// What the list tells of a destination's rate.
-    pub rates: Rates,
+    #[serde(rename = "rates")]
+    pub listed_rate: ListedRate,
     /// The list comes only to a relay that watches it.
     pub watch: bool,
     /// With `watch`: what discovery bears; anything, if it is not told.
@@ -98,13 +105,13 @@
     fn default() -> Relays {
         Relays {
             count: n(3),
-            slots: n(12),
-            held: n(300),
-            round_gap: ms(5),
-            idle: ms(15_000),
-            connect: ms(1_500),
-            recall: true,
-            rates: Rates::Exact,
+            max_calls_in_flight: n(12),
+            max_queued: n(300),
+            min_step_interval: ms(5),
+            idle_timeout: ms(15_000),
+            connect_timeout: ms(1_500),
+            may_cancel: true,
+            listed_rate: ListedRate::Exact,
             watch: false,
             discovery: None,
             cross_zone: Amount(0.0),
@@ -118,13 +125,14 @@
 #[serde(deny_unknown_fields)]
 pub struct Discovery {
     /// Calls for the list a second.
-    pub calls: Rate,
+    #[serde(rename = "calls")]
+    pub calls_per_second: Rate,
     /// A call not answered by then has failed.
-    #[serde(default = "within")]
-    pub within: Span,
+    #[serde(rename = "within", default = "within")]
+    pub timeout: Span,
     /// A call that would wait longer is turned away at once.
-    #[serde(default = "queued")]
-    pub queued: Span,
+    #[serde(rename = "queued", default = "queued")]
+    pub max_queue_wait: Span,
 }
 
 fn within() -> Span {
@@ -136,30 +144,40 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Rates {
+#[serde(rename_all = "kebab-case", expecting = "enum Rates")]
+pub enum ListedRate {
     Exact,
     /// Up to half too high or too low.
-    Rough,
-    Untold,
+    #[serde(rename = "rough")]
+    Approximate,
+    #[serde(rename = "untold")]
+    Unknown,
 }
 
 /// The figures of the rules, the same for every relay.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Rules {
-    pub legs: NonZeroU32,
+    #[serde(rename = "legs")]
+    pub max_attempts: NonZeroU32,
     pub drain_grace: Span,
-    pub order_pause: Span,
+    #[serde(rename = "order_pause")]
+    pub order_hold_off: Span,
     /// A relay that asks for lists is to ask so often.
-    pub ask_within: Span,
+    #[serde(rename = "ask_within")]
+    pub poll_interval: Span,
     /// Capacity just after an outage, as a share.
-    pub cold_from: Share,
-    pub warm_after: Span,
-    pub fall_multiple: Rate,
-    pub fall: Span,
+    #[serde(rename = "cold_from")]
+    pub slow_start_share: Share,
+    #[serde(rename = "warm_after")]
+    pub slow_start_duration: Span,
+    #[serde(rename = "fall_multiple")]
+    pub overload_multiple: Rate,
+    #[serde(rename = "fall")]
+    pub overload_window: Span,
     /// The longest pause that clients heed.
-    pub max_pause: Span,
+    #[serde(rename = "max_pause")]
+    pub max_retry_after: Span,
     /// How value falls after the target time.
     pub decay: Decay,
 }
@@ -167,15 +185,15 @@
 impl Default for Rules {
     fn default() -> Rules {
         Rules {
-            legs: n(8),
+            max_attempts: n(8),
             drain_grace: ms(1_000),
-            order_pause: ms(300),
-            ask_within: ms(10_000),
-            cold_from: Share(0.3),
-            warm_after: ms(10_000),
-            fall_multiple: Rate(1.5),
-            fall: ms(2_000),
-            max_pause: ms(3_000),
+            order_hold_off: ms(300),
+            poll_interval: ms(10_000),
+            slow_start_share: Share(0.3),
+            slow_start_duration: ms(10_000),
+            overload_multiple: Rate(1.5),
+            overload_window: ms(2_000),
+            max_retry_after: ms(3_000),
             decay: Decay::Linear,
         }
     }
@@ -193,39 +211,50 @@
 #[serde(default, deny_unknown_fields)]
 pub struct Clients {
     /// The share that comes again after a push-back.
-    pub again: Share,
+    #[serde(rename = "again")]
+    pub retry_share: Share,
     /// How long a client stays away that was told no pause.
-    pub pause: Span,
+    #[serde(rename = "pause")]
+    pub default_retry_delay: Span,
     /// How long a client waits to hear that its message was taken.
-    pub patience: Span,
+    #[serde(rename = "patience")]
+    pub submit_timeout: Span,
     /// How long the front goes on dealing out clients to a dead relay.
-    pub front_notices: Span,
+    #[serde(rename = "front_notices")]
+    pub failover_delay: Span,
 }
 
 impl Default for Clients {
     fn default() -> Clients {
-        Clients { again: Share(1.0), pause: ms(500), patience: ms(400), front_notices: ms(2_000) }
+        Clients {
+            retry_share: Share(1.0),
+            default_retry_delay: ms(500),
+            submit_timeout: ms(400),
+            failover_delay: ms(2_000),
+        }
     }
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Lane {
+#[serde(deny_unknown_fields, expecting = "struct Lane")]
+pub struct MessageClass {
     pub name: String,
     /// From arrival to the target time, and to the deadline.
-    pub target: Span,
+    #[serde(rename = "target")]
+    pub latency_objective: Span,
     pub deadline: Spanned<Span>,
-    #[serde(default = "one")]
-    pub value: Rate,
-    #[serde(default)]
-    pub late_share: Share,
-    pub effect: Effect,
+    #[serde(rename = "value", default = "one")]
+    pub priority_weight: Rate,
+    #[serde(rename = "late_share", default)]
+    pub late_weight_share: Share,
+    #[serde(rename = "effect")]
+    pub idempotency: Idempotency,
     /// With `keyed`: how long repeats are dropped, counted from the first leg that may have run.
-    #[serde(default)]
-    pub memory: Option<Span>,
+    #[serde(rename = "memory", default)]
+    pub deduplication_window: Option<Span>,
     /// With `keyed`: which endpoints recognise a repeat.
-    #[serde(default)]
-    pub group: Option<Spanned<RepeatGroup>>,
+    #[serde(rename = "group", default)]
+    pub deduplication_scope: Option<Spanned<DeduplicationScope>>,
     #[serde(default)]
     pub in_order: bool,
     /// Its part of the traffic, against the other lanes.
@@ -238,18 +267,23 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Effect {
-    Retriable,
-    Keyed,
-    NonRetriable,
+#[serde(rename_all = "kebab-case", expecting = "enum Effect")]
+pub enum Idempotency {
+    #[serde(rename = "retriable")]
+    Idempotent,
+    #[serde(rename = "keyed")]
+    WithKey,
+    #[serde(rename = "non-retriable")]
+    NotIdempotent,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum RepeatGroup {
-    All,
-    Zone,
+#[serde(rename_all = "kebab-case", expecting = "enum RepeatGroup")]
+pub enum DeduplicationScope {
+    #[serde(rename = "all")]
+    AllEndpoints,
+    #[serde(rename = "zone")]
+    SameZone,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
@@ -273,29 +307,30 @@
     #[serde(default = "single")]
     pub endpoints: NonZeroU32,
     /// Endpoints are routes apart, each with its own limit and outages.
-    #[serde(default)]
-    pub own_limits: bool,
+    #[serde(rename = "own_limits", default)]
+    pub independent_endpoints: bool,
     /// Messages in one call at most.
-    #[serde(default = "single")]
-    pub batch: NonZeroU32,
+    #[serde(rename = "batch", default = "single")]
+    pub max_batch: NonZeroU32,
     /// Calls a second that each destination (or route apart) takes from all relays together; what the list tells.
     pub rate: Rate,
     /// What it can really work off, as a multiple of its rate.
     #[serde(default = "headroom")]
     pub headroom: Rate,
     /// The answer time while nothing waits, in the median, and its spread (sigma of its logarithm).
-    pub answers: Span,
-    #[serde(default = "spread")]
-    pub spread: Amount,
+    #[serde(rename = "answers")]
+    pub response_time: Span,
+    #[serde(rename = "spread", default = "spread")]
+    pub response_time_spread: Amount,
     /// Work of each further message of a call, as a share of the first one's.
-    #[serde(default = "further")]
-    pub further: Share,
+    #[serde(rename = "further", default = "further")]
+    pub batch_item_cost: Share,
     /// Calls that may wait at an endpoint beyond those it works on.
-    #[serde(default = "queue")]
-    pub queue: u32,
+    #[serde(rename = "queue", default = "queue")]
+    pub queue_capacity: u32,
     /// Connections that an endpoint takes, idle ones counted.
-    #[serde(default = "connections")]
-    pub connections: NonZeroU32,
+    #[serde(rename = "connections", default = "connections")]
+    pub max_connections: NonZeroU32,
     #[serde(default)]
     pub limit: Option<Limit>,
     /// Its part of the traffic, against the other groups.
@@ -336,11 +371,11 @@
     pub rate: Rate,
     #[serde(default = "window")]
     pub window: Span,
-    #[serde(default)]
-    pub waits: Waits,
+    #[serde(rename = "waits", default)]
+    pub retry_after: RetryAfterAccuracy,
     /// Refused calls use up the limit too.
-    #[serde(default)]
-    pub spent_by_refused: bool,
+    #[serde(rename = "spent_by_refused", default)]
+    pub rejected_calls_count: bool,
 }
 
 fn window() -> Span {
@@ -358,13 +393,15 @@
 
 /// What a refused caller is told.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Waits {
+#[serde(rename_all = "kebab-case", expecting = "enum Waits")]
+pub enum RetryAfterAccuracy {
     #[default]
-    True,
+    #[serde(rename = "true")]
+    Exact,
     Missing,
     /// Between a tenth and four times the true one.
-    Lying,
+    #[serde(rename = "lying")]
+    Wrong,
 }
 
 #[derive(Clone, Debug, Serialize, Deserialize)]
