Doc comments on each public item of the scenario reader

Cause: fields and variants without one, others in words of the earlier house style.

The texts of troubles, which the lab prints, stay.

--- a/crates/scenario/src/trouble.rs
+++ b/crates/scenario/src/trouble.rs
@@ -7,8 +7,11 @@
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Trouble {
+    /// What goes wrong.
     pub kind: TroubleKind,
+    /// When it begins.
     pub from: Span,
+    /// When it ends.
     pub to: Span,
     /// Whom it strikes: `*`, a group `banks`, a destination `banks/3`, an endpoint `banks/3#0`, `relays`,
     /// a relay `relay/2`.
@@ -22,12 +25,13 @@
     /// How hard: see [`TroubleKind::strikes`] for what it means.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub level: Option<Amount>,
-    /// Again and again: the gap between two beginnings, and how long each lasts.
+    /// Again and again: the time between two beginnings.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub every: Option<Span>,
+    /// How long each occurrence lasts, where there are several.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lasts: Option<Span>,
-    /// Only messages of this lane.
+    /// Only messages of this class.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lane: Option<String>,
     /// For relays cut off: from whom.
@@ -77,13 +81,18 @@
     pub level: bool,
     /// `every` and `lasts`.
     pub every: bool,
+    /// `lane`.
     pub lane: bool,
+    /// `off`.
     pub off: bool,
 }
 
+/// What a kind of trouble strikes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Strikes {
+    /// Endpoints.
     Endpoints,
+    /// Relays.
     Relays,
 }
 
@@ -123,9 +132,11 @@
 pub enum Whom {
     /// Every endpoint.
     All,
-    /// A group, one of its destinations, one endpoint of that.
+    /// A group, or only one of its destinations, or only one endpoint of that.
     Group(String, Option<u32>, Option<u32>),
+    /// Every relay.
     Relays,
+    /// The relay of this number.
     Relay(u32),
 }
 
@@ -150,6 +161,7 @@
         })
     }
 
+    /// What the named are.
     pub fn strikes(&self) -> Strikes {
         match self {
             Whom::Relays | Whom::Relay(_) => Strikes::Relays,
