--- a/crates/cli/src/lab/trace.rs
+++ b/crates/cli/src/lab/trace.rs
@@ -118,14 +118,18 @@
     /// Notes the ids that a fact adds to what is asked about.
     fn learn(&mut self, fact: &Fact) {
         match *fact {
-            Fact::HandedIn { msg, request, dst, .. } if self.is_asked_for(request, dst) => {
+            Fact::Submitted { message: msg, request, destination: dst, .. }
+                if self.is_asked_for(request, dst) =>
+            {
                 self.messages.insert(msg);
             }
-            Fact::Endpoint { endpoint, dst, route, .. } if self.destination == Some(dst) => {
+            Fact::EndpointAdded { endpoint, destination: dst, route, .. }
+                if self.destination == Some(dst) =>
+            {
                 self.endpoints.insert(endpoint);
                 self.routes.insert(route);
             }
-            Fact::Leg { msg, call, .. } if self.messages.contains(&msg) => {
+            Fact::AttemptStarted { message: msg, call, .. } if self.messages.contains(&msg) => {
                 self.calls.insert(call);
             }
             _ => {}
@@ -134,14 +138,14 @@
 
     fn concerns(&self, fact: &Fact) -> bool {
         match *fact {
-            Fact::Reached { call, .. } => self.calls.contains(&call),
-            Fact::Endpoint { endpoint, .. }
-            | Fact::Told { endpoint, .. }
-            | Fact::WaitTold { endpoint, .. } => self.endpoints.contains(&endpoint),
-            Fact::OutageBegan { route } | Fact::OutageOver { route } | Fact::FellOver { route } => {
+            Fact::CallReceived { call, .. } => self.calls.contains(&call),
+            Fact::EndpointAdded { endpoint, .. }
+            | Fact::EndpointListed { endpoint, .. }
+            | Fact::RetryAfterReceived { endpoint, .. } => self.endpoints.contains(&endpoint),
+            Fact::OutageStarted { route } | Fact::OutageEnded { route } | Fact::RouteOverloaded { route } => {
                 self.routes.contains(&route)
             }
-            _ => fact.msg().is_some_and(|message| self.messages.contains(&message)),
+            _ => fact.message().is_some_and(|message| self.messages.contains(&message)),
         }
     }
 }
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -4,7 +4,7 @@
 use crate::error::CliError;
 use crate::output::to_json;
 use clap::Args;
-use mountshift_load::{Plan, Report, Schedule, Tried};
+use mountshift_load::{Plan, Report, Schedule, Trial};
 use mountshift_scenario::Span;
 use std::net::SocketAddr;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -49,7 +49,7 @@
 }
 
 fn span(text: &str) -> Result<Span, String> {
-    Span::try_from(text.to_string())
+    Span::try_from(text.to_string()).map_err(|e| e.to_string())
 }
 
 /// Measures the rate that was asked for, or searches for the rate that the relay bears.
@@ -68,19 +68,19 @@
     // Ids must not come twice at one relay.
     let seed = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64);
     Plan {
-        to: arguments.to,
+        relay: arguments.to,
         schedule: Schedule {
             from: arguments.rate,
             to: arguments.ramp_to.unwrap_or(arguments.rate),
             length: arguments.length.0,
         },
         connections: arguments.connections,
-        lane: arguments.lane,
+        class: arguments.lane,
         destinations: arguments.destinations,
         keys: arguments.keys,
-        body: arguments.body,
+        body_bytes: arguments.body,
         deadline: arguments.deadline.0,
-        patience: arguments.patience.0,
+        answer_timeout: arguments.patience.0,
         seed,
     }
 }
@@ -97,7 +97,7 @@
 
 /// True if every message got an answer.
 fn is_complete(report: &Report) -> bool {
-    report.taken + report.pushed_back == report.due
+    report.accepted + report.rejected == report.due
 }
 
 /// Searches for the highest rate at which 99% of the answers come within the span, from `first_rate` on.
@@ -114,11 +114,11 @@
     Ok(if best_rate.is_some() { Verdict::Good } else { Verdict::Bad })
 }
 
-fn show_tried(tried: &Tried) {
-    let says = if tried.borne { "borne" } else { "too much" };
+fn show_tried(tried: &Trial) {
+    let says = if tried.sustained { "borne" } else { "too much" };
     let report = &tried.report;
     eprintln!(
         "{:8.0} a second: {says}, 99% within {:.2} ms, {} of {} taken",
-        tried.asked, report.p99_ms, report.taken, report.due
+        tried.requested_rate, report.p99_ms, report.accepted, report.due
     );
 }
--- a/crates/lab/src/day.rs
+++ b/crates/lab/src/day.rs
@@ -32,7 +32,7 @@
 use crate::traffic::{self, Request};
 use crate::world::{EndpointSetup, World};
 use mountshift::interface::{EndpointStatus, PolicySettings};
-use mountshift_invariants::{Fact, Judge};
+use mountshift_invariants::{Fact, InvariantChecker};
 use mountshift_scenario::Scenario;
 use rustc_hash::FxHashMap;
 use siphasher::sip128::{Hasher128, SipHasher13};
@@ -105,7 +105,7 @@
     /// What the list says of each endpoint.
     endpoint_list: Vec<EndpointStatus>,
     truth: GroundTruth,
-    judge: Judge,
+    checker: InvariantChecker,
     statistics: Statistics,
     digest: SipHasher13,
     attempts: u64,
@@ -141,7 +141,7 @@
             discovery_busy_until: 0,
             endpoint_list: vec![EndpointStatus::Ready; world.endpoints.len()],
             truth: GroundTruth::default(),
-            judge: Judge::new(world.figures()),
+            checker: InvariantChecker::new(world.rule_parameters()),
             statistics: Statistics::new(&world, &requests),
             digest: SipHasher13::new(),
             attempts: 0,
@@ -179,7 +179,7 @@
         let end = self.end();
         while let Some(next) = self.next_time().filter(|next| *next <= end) {
             // Relays take steps on a grid of ticks.
-            let gap = self.world.scenario.relays.round_gap.us();
+            let gap = self.world.scenario.relays.min_step_interval.us();
             let tick = (next.div_ceil(gap) * gap).max(self.now);
             self.handle_events_until(tick);
             self.now = tick;
@@ -214,9 +214,9 @@
     fn record_endpoint(&mut self, endpoint: u32) {
         let server = &self.servers[endpoint as usize];
         let route = &self.routes[server.setup.route as usize];
-        let fact = Fact::Endpoint {
+        let fact = Fact::EndpointAdded {
             endpoint,
-            dst: server.setup.destination,
+            destination: server.setup.destination,
             zone: server.setup.zone,
             route: server.setup.route,
             capacity: route.capacity as f32,
@@ -226,7 +226,7 @@
 
     /// When the day is over at the latest.
     fn end(&self) -> Time {
-        let deadlines = self.world.scenario.lanes.iter().map(|lane| lane.deadline.as_ref().us());
+        let deadlines = self.world.scenario.classes.iter().map(|lane| lane.deadline.as_ref().us());
         self.length() + deadlines.max().unwrap_or(0) + AFTERMATH
     }
 
@@ -291,8 +291,9 @@
     }
 
     fn outcome(mut self, end: Time) -> DayOutcome {
-        let judge = std::mem::replace(&mut self.judge, Judge::new(self.world.figures()));
-        let verdict = judge.finish(end);
+        let checker =
+            std::mem::replace(&mut self.checker, InvariantChecker::new(self.world.rule_parameters()));
+        let verdict = checker.finish(end);
         let digest = self.digest.finish128();
         let duplicates = self.progress.iter().filter(|progress| progress.effects > 1).count() as u64;
         DayOutcome {
@@ -316,9 +317,9 @@
             failed: self.statistics.failed,
             rejected: self.statistics.rejected,
             duplicates,
-            rules: verdict.count,
+            rules: verdict.breach_counts,
             breaches: breaches(&verdict),
-            fell_over: verdict.fell_over,
+            fell_over: verdict.overloaded_routes,
             connections: self.statistics.connections,
             digest: format!("{:016x}{:016x}", digest.h1, digest.h2),
             course: if self.play.course { Some(self.statistics.course(&self.world)) } else { None },
--- a/crates/lab/src/day/calls.rs
+++ b/crates/lab/src/day/calls.rs
@@ -113,7 +113,7 @@
         if self.progress[request_id].delivered {
             return;
         }
-        self.record(Fact::Answered { msg: message_id, call: call_id });
+        self.record(Fact::DeliveryAnswered { message: message_id, call: call_id });
         let request = self.requests[request_id];
         if self.now <= self.deadline(&request) {
             self.progress[request_id].delivered = true;
--- a/crates/lab/src/day/clients.rs
+++ b/crates/lab/src/day/clients.rs
@@ -6,7 +6,7 @@
 use crate::host::RelayEvent;
 use crate::random::Purpose;
 use crate::traffic::Request;
-use mountshift_invariants::{End, Fact};
+use mountshift_invariants::{Fact, FinalAnswer};
 
 /// A client that finds a dead relay tries the next one after this span.
 const RECONNECT_DELAY: Time = 50_000;
@@ -47,7 +47,7 @@
 impl Day<'_> {
     /// When a request is worth nothing any more.
     pub(super) fn deadline(&self, request: &Request) -> Time {
-        request.at + self.world.scenario.lanes[usize::from(request.class)].deadline.as_ref().us()
+        request.at + self.world.scenario.classes[usize::from(request.class)].deadline.as_ref().us()
     }
 
     /// A client submits a request to a relay that is up.
@@ -67,7 +67,15 @@
         let message = self.open_message(request_id, relay);
         let Request { class: lane, tenant, destination: dst, key, .. } = request;
         let request = u64::from(request_id);
-        self.record(Fact::HandedIn { msg: message, request, relay, lane, dst, key, deadline });
+        self.record(Fact::Submitted {
+            message,
+            request,
+            relay,
+            class: lane,
+            destination: dst,
+            key,
+            deadline,
+        });
         let host = &mut self.relays[relay as usize];
         host.inbox.push(RelayEvent::Submitted {
             message,
@@ -78,7 +86,7 @@
             deadline,
         });
         if host.stalled_until > self.now {
-            let patience = self.world.scenario.clients.patience.us();
+            let patience = self.world.scenario.clients.submit_timeout.us();
             self.schedule(self.now + patience, Event::ClientTimeout { message });
         }
     }
@@ -111,7 +119,7 @@
         }
         message.client = ClientState::GaveUp;
         let request = message.request;
-        self.record(Fact::Disowned { msg: message_id });
+        self.record(Fact::Withdrawn { message: message_id });
         self.close_message(message_id);
         self.schedule(self.now + RECONNECT_DELAY, Event::Submission { request });
     }
@@ -126,7 +134,7 @@
     }
 
     /// A relay answers the client of a message: accepted, or its final answer.
-    pub(super) fn answer_client(&mut self, message_id: u64, end: Option<End>) {
+    pub(super) fn answer_client(&mut self, message_id: u64, end: Option<FinalAnswer>) {
         let Some(message) = self.messages.get_mut(&message_id) else { return };
         if message.client == ClientState::GaveUp {
             if end.is_none() {
@@ -137,16 +145,16 @@
         }
         message.client = ClientState::Answered;
         match end {
-            None => self.record(Fact::Taken { msg: message_id }),
+            None => self.record(Fact::Accepted { message: message_id }),
             Some(end) => {
-                self.record(Fact::EndTaken { msg: message_id });
+                self.record(Fact::FinalAnswerReceived { message: message_id });
                 self.message_ended(message_id, end);
             }
         }
     }
 
     /// A message ended undelivered: its client may submit the request again.
-    pub(super) fn message_ended(&mut self, message_id: u64, end: End) {
+    pub(super) fn message_ended(&mut self, message_id: u64, end: FinalAnswer) {
         let Some(message) = self.messages.get(&message_id) else { return };
         if message.closed {
             return;
@@ -154,8 +162,8 @@
         let request = message.request;
         self.close_message(message_id);
         match end {
-            End::Failed => self.statistics.failed += 1,
-            End::PushedBack(retry_after) => {
+            FinalAnswer::Failed => self.statistics.failed += 1,
+            FinalAnswer::Rejected { retry_after } => {
                 self.statistics.rejected += 1;
                 self.schedule_resubmission(request, message_id, retry_after);
             }
@@ -166,11 +174,11 @@
     fn schedule_resubmission(&mut self, request: u32, message_id: u64, retry_after: Time) {
         let clients = &self.world.scenario.clients;
         let drawn = self.world.random.uniform(Purpose::Resubmission, u64::from(request), message_id);
-        if drawn >= clients.again.0 {
+        if drawn >= clients.retry_share.0 {
             return;
         }
-        let delay = if retry_after > 0 { retry_after } else { clients.pause.us() };
-        let longest = self.world.scenario.rules.max_pause.us();
+        let delay = if retry_after > 0 { retry_after } else { clients.default_retry_delay.us() };
+        let longest = self.world.scenario.rules.max_retry_after.us();
         let delay = delay.min(longest).max(MIN_RESUBMISSION_DELAY);
         self.schedule(self.now + delay, Event::Submission { request });
     }
@@ -179,7 +187,7 @@
     pub(super) fn notification_acknowledged(&mut self, message_id: u64) {
         let Some(message) = self.messages.get(&message_id) else { return };
         let relay = message.relay as usize;
-        self.record(Fact::EndTaken { msg: message_id });
+        self.record(Fact::FinalAnswerReceived { message: message_id });
         self.relays[relay].inbox.push(RelayEvent::NotificationTaken { message: message_id });
     }
 }
--- a/crates/lab/src/day/connections.rs
+++ b/crates/lab/src/day/connections.rs
@@ -47,7 +47,7 @@
         addressed: u32,
         endpoint: u32,
     ) -> Option<IdleConnection> {
-        let usable_idle = self.world.scenario.relays.idle.us() as f64 * USABLE_IDLE_SHARE;
+        let usable_idle = self.world.scenario.relays.idle_timeout.us() as f64 * USABLE_IDLE_SHARE;
         let oldest = self.now.saturating_sub(usable_idle as Time);
         let server = &mut self.servers[endpoint as usize];
         let pool = self.idle_connections.get_mut(&(relay, addressed))?;
@@ -68,7 +68,7 @@
         let deserted = server.removed && server.successor.is_none();
         if server.effects.vanished || silent || deserted {
             // The list may still hold what is gone: its machine says nothing.
-            let connect_timeout = self.world.scenario.relays.connect.us();
+            let connect_timeout = self.world.scenario.relays.connect_timeout.us();
             self.fail_call(call_id, Outcome::ConnectFailed, connect_timeout);
             return;
         }
@@ -88,7 +88,7 @@
 
     fn connection_table_full(&self, endpoint: u32) -> bool {
         let server = &self.servers[endpoint as usize];
-        let limit = self.world.scenario.groups[server.setup.group].connections.get();
+        let limit = self.world.scenario.groups[server.setup.group].max_connections.get();
         server.effects.connection_table_full || server.connections >= limit
     }
 
@@ -104,7 +104,7 @@
 
     /// Closes what has been idle too long at an endpoint whose table seems full.
     fn close_expired_connections(&mut self, endpoint: u32) {
-        let oldest = self.now.saturating_sub(self.world.scenario.relays.idle.us());
+        let oldest = self.now.saturating_sub(self.world.scenario.relays.idle_timeout.us());
         for relay in 0..self.relays.len() as u32 {
             if let Some(pool) = self.idle_connections.get_mut(&(relay, endpoint)) {
                 let before = pool.len();
--- a/crates/lab/src/day/discovery.rs
+++ b/crates/lab/src/day/discovery.rs
@@ -71,15 +71,15 @@
             self.schedule(self.now + POLL_DELAY, Event::PollAnswered { relay });
             return;
         };
-        let time_per_poll = (1e6 / discovery.calls.0) as Time;
+        let time_per_poll = (1e6 / discovery.calls_per_second.0) as Time;
         let answered = self.discovery_busy_until.max(self.now) + time_per_poll;
-        if answered > self.now + discovery.queued.us() {
+        if answered > self.now + discovery.max_queue_wait.us() {
             self.schedule(self.now + POLL_DELAY, Event::PollFailed { relay });
             return;
         }
         self.discovery_busy_until = answered;
-        if answered > self.now + discovery.within.us() {
-            self.schedule(self.now + discovery.within.us(), Event::PollFailed { relay });
+        if answered > self.now + discovery.timeout.us() {
+            self.schedule(self.now + discovery.timeout.us(), Event::PollFailed { relay });
             return;
         }
         self.schedule(answered.max(self.now + POLL_DELAY), Event::PollAnswered { relay });
--- a/crates/lab/src/day/endpoints.rs
+++ b/crates/lab/src/day/endpoints.rs
@@ -10,7 +10,7 @@
 use crate::world::by_zone;
 use mountshift::interface::Outcome;
 use mountshift_invariants::Fact;
-use mountshift_scenario::Effect;
+use mountshift_scenario::Idempotency;
 use std::time::Duration;
 
 /// The share of messages that a heavy tail strikes.
@@ -72,9 +72,10 @@
         let further_messages = call.messages.len() as f64 - 1.0;
         let server = &self.servers[endpoint as usize];
         let route_id = server.setup.route;
-        let weight = 1.0 + self.world.scenario.groups[server.setup.group].further.0 * further_messages;
+        let weight =
+            1.0 + self.world.scenario.groups[server.setup.group].batch_item_cost.0 * further_messages;
         self.statistics.record_arrival(route_id, now);
-        self.record(Fact::Reached { call: call_id, relay, endpoint, weight: weight as f32 });
+        self.record(Fact::CallReceived { call: call_id, relay, endpoint, weight: weight as f32 });
         let route = &mut self.routes[route_id as usize];
         if route.in_outage {
             self.statistics.calls_into_outages += 1;
@@ -109,7 +110,7 @@
             return;
         }
         let server = &mut self.servers[endpoint as usize];
-        if server.queue.len() as u32 >= self.world.scenario.groups[server.setup.group].queue {
+        if server.queue.len() as u32 >= self.world.scenario.groups[server.setup.group].queue_capacity {
             self.reject_call(call_id, 0);
             return;
         }
@@ -167,9 +168,13 @@
         // By request and place, so that another policy that sends it there meets the same answer time.
         let first = messages.first().and_then(|message| self.messages.get(message));
         let first = first.map_or(call_id, |message| u64::from(message.request));
-        let drawn =
-            self.world.random.log_normal(Purpose::ServiceTime, group.spread.0, first, u64::from(endpoint));
-        let batch = 1.0 + group.further.0 * (messages.len() as f64 - 1.0);
+        let drawn = self.world.random.log_normal(
+            Purpose::ServiceTime,
+            group.response_time_spread.0,
+            first,
+            u64::from(endpoint),
+        );
+        let batch = 1.0 + group.batch_item_cost.0 * (messages.len() as f64 - 1.0);
         let struck =
             self.world.random.uniform(Purpose::HeavyTail, first, u64::from(endpoint)) < HEAVY_TAIL_SHARE;
         let tail = |tail: &HeavyTail| {
@@ -177,7 +182,7 @@
         };
         let tails: f64 = server.effects.heavy_tails.iter().map(tail).product();
         let capacity = self.routes[server.setup.route as usize].capacity_share(self.now, &self.world);
-        let seconds = group.answers.seconds() * drawn * batch * tails * server.effects.slowdown
+        let seconds = group.response_time.seconds() * drawn * batch * tails * server.effects.slowdown
             / capacity.max(MIN_CAPACITY_SHARE);
         ((seconds * 1e6) as Time).max(MIN_SERVICE_TIME)
     }
@@ -203,7 +208,7 @@
             if !repeat {
                 self.count_effect(message_id);
             }
-            self.record(Fact::Ran { msg: message_id, call: call_id, endpoint, repeat });
+            self.record(Fact::Executed { message: message_id, call: call_id, endpoint, duplicate: repeat });
         }
     }
 
@@ -218,13 +223,13 @@
     /// True if the endpoint knows a message's idempotency key and drops the message; otherwise it remembers it.
     fn is_repeat(&mut self, message_id: u64, request: u32, endpoint: u32, arrived_at: Time) -> bool {
         let class = self.requests[request as usize].class;
-        let lane = &self.world.scenario.lanes[usize::from(class)];
-        if lane.effect != Effect::Keyed {
+        let lane = &self.world.scenario.classes[usize::from(class)];
+        if lane.idempotency != Idempotency::WithKey {
             return false;
         }
         let server = &self.servers[endpoint as usize];
         let scope = if by_zone(lane) { u32::from(server.setup.zone) } else { server.setup.destination };
-        let window = lane.memory.map_or(0, |memory| memory.us());
+        let window = lane.deduplication_window.map_or(0, |memory| memory.us());
         // It is known from its first arrival on, but counts as done only once it took effect: a first attempt that
         // died in the queue must not swallow the second.
         let unknown = Deduplication { first_seen: arrived_at, took_effect: false };
--- a/crates/lab/src/day/outages.rs
+++ b/crates/lab/src/day/outages.rs
@@ -90,10 +90,10 @@
         if out {
             route.slow_start_since = None;
             route.outage_since = now;
-            self.record(Fact::OutageBegan { route: route_id });
+            self.record(Fact::OutageStarted { route: route_id });
         } else if now - route.outage_since >= MIN_OUTAGE_BEFORE_SLOW_START {
             route.slow_start_since = Some(now);
-            self.record(Fact::OutageOver { route: route_id });
+            self.record(Fact::OutageEnded { route: route_id });
         }
     }
 
@@ -107,7 +107,7 @@
 
     /// A route in slow start was sent more than it bears: it is down for the rest of the day.
     pub(super) fn overload_route(&mut self, route_id: u32) {
-        self.record(Fact::FellOver { route: route_id });
+        self.record(Fact::RouteOverloaded { route: route_id });
         let route = &mut self.routes[route_id as usize];
         route.overloaded = true;
         for endpoint in route.endpoints.clone() {
--- a/crates/lab/src/day/relays.rs
+++ b/crates/lab/src/day/relays.rs
@@ -10,7 +10,7 @@
 use crate::random::Purpose;
 use crate::servers::Server;
 use mountshift::interface::Outcome;
-use mountshift_invariants::{End, Fact};
+use mountshift_invariants::{Fact, FinalAnswer};
 use rayon::prelude::*;
 
 /// The platform acknowledges a notification after this span.
@@ -137,10 +137,10 @@
 
     fn record_from_relay(&mut self, fact: Fact) {
         match fact {
-            Fact::LegEnded { end, .. } => {
+            Fact::AttemptEnded { outcome: end, .. } => {
                 *self.statistics.attempt_ends.entry(attempt_end_name(end)).or_default() += 1;
             }
-            Fact::Leg { .. } => {
+            Fact::AttemptStarted { .. } => {
                 self.attempts += 1;
                 self.statistics.attempts.add(self.now, 1.0);
             }
@@ -172,7 +172,7 @@
     }
 
     /// Sends a final answer to the platform, which passes it on to the client at once and acknowledges it later.
-    fn send_notification(&mut self, message: u64, end: End) {
+    fn send_notification(&mut self, message: u64, end: FinalAnswer) {
         self.schedule(self.now + NOTIFICATION_DELAY, Event::NotificationAcknowledged { message });
         self.message_ended(message, end);
     }
@@ -240,5 +240,5 @@
 
 /// True for facts that a relay has learnt from others, as opposed to those that it makes.
 fn is_observation(fact: &Fact) -> bool {
-    matches!(fact, Fact::LegEnded { .. } | Fact::WaitTold { .. })
+    matches!(fact, Fact::AttemptEnded { .. } | Fact::RetryAfterReceived { .. })
 }
--- a/crates/lab/src/day/replacement.rs
+++ b/crates/lab/src/day/replacement.rs
@@ -51,7 +51,7 @@
         let mut setup = self.servers[old as usize].setup;
         let group = &self.world.scenario.groups[setup.group];
         let mut endpoints_of_route = group.endpoints.get();
-        if group.own_limits {
+        if group.independent_endpoints {
             endpoints_of_route = 1;
             setup.route = self.routes.len() as u32;
             self.routes.push(Route::new(&self.world, setup.group));
--- a/crates/lab/src/day/troubles.rs
+++ b/crates/lab/src/day/troubles.rs
@@ -54,7 +54,7 @@
 
     fn begin_stall(&mut self, trouble: &ScheduledTrouble) {
         for relay in trouble.relays.iter().copied() {
-            self.record(Fact::RelayStands { relay, until: trouble.ends });
+            self.record(Fact::RelayStalled { relay, until: trouble.ends });
             self.stall_relay(relay, trouble.ends);
         }
     }
@@ -68,7 +68,7 @@
             _ => None,
         });
         let unread: Vec<u64> = unread.collect();
-        let timeout = self.now + self.world.scenario.clients.patience.us();
+        let timeout = self.now + self.world.scenario.clients.submit_timeout.us();
         for message in unread {
             self.schedule(timeout, Event::ClientTimeout { message });
         }
--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -1,5 +1,6 @@
 //! What can go wrong in an experiment, apart from the days themselves.
 
+use mountshift_scenario::ScenarioError;
 use std::error::Error;
 
 /// Why an experiment or its report could not be made. Its message is one line.
@@ -37,8 +38,8 @@
     #[error(transparent)]
     Unwritable(#[from] toml::ser::Error),
     /// A changed scenario is refused.
-    #[error("{0}")]
-    Scenario(String),
+    #[error(transparent)]
+    Scenario(#[from] ScenarioError),
 }
 
 impl LabError {
--- a/crates/lab/src/host/dispatcher.rs
+++ b/crates/lab/src/host/dispatcher.rs
@@ -7,7 +7,7 @@
 use crate::Time;
 use crate::world::World;
 use mountshift::interface::*;
-use mountshift_invariants::{End, Fact, LegEnd, Listed};
+use mountshift_invariants::{AttemptOutcome, Fact, FinalAnswer, ListedStatus};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -87,11 +87,11 @@
     }
 
     fn reject(&mut self, message: MessageId, retry_after: Duration) -> bool {
-        self.end_undelivered(message.0, End::PushedBack(retry_after.as_micros() as u64))
+        self.end_undelivered(message.0, FinalAnswer::Rejected { retry_after: retry_after.as_micros() as u64 })
     }
 
     fn fail(&mut self, message: MessageId) -> bool {
-        self.end_undelivered(message.0, End::Failed)
+        self.end_undelivered(message.0, FinalAnswer::Failed)
     }
 
     fn cancel(&mut self, message: MessageId, _attempt: AttemptNumber) {
@@ -137,8 +137,8 @@
             now: 0,
             clock: DecisionClock::default(),
             unix_clock: UnixClock::default(),
-            max_batch: world.scenario.groups.iter().map(|group| group.batch.get() as usize).collect(),
-            max_queued: world.scenario.relays.held.get() as usize,
+            max_batch: world.scenario.groups.iter().map(|group| group.max_batch.get() as usize).collect(),
+            max_queued: world.scenario.relays.max_queued.get() as usize,
             spool: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             unanswered: Vec::new(),
@@ -157,8 +157,8 @@
 
     /// Gives a final answer that is no delivery: to the client if it waits, else as a notification. True if that
     /// ends the message at once.
-    fn end_undelivered(&mut self, message: u64, end: End) -> bool {
-        self.record(Fact::Ended { msg: message, relay: self.relay, end });
+    fn end_undelivered(&mut self, message: u64, end: FinalAnswer) -> bool {
+        self.record(Fact::FinalAnswerGiven { message, relay: self.relay, answer: end });
         if let Some(position) = self.unanswered.iter().position(|waiting| *waiting == message) {
             self.unanswered.remove(position);
             self.effects.push(RelayEffect::AnswerClient { message, end: Some(end) });
@@ -209,8 +209,8 @@
         inputs: &mut Vec<Input>,
     ) {
         if self.spool.len() >= self.max_queued {
-            let end = End::PushedBack(0);
-            self.record(Fact::Ended { msg: message, relay: self.relay, end });
+            let end = FinalAnswer::Rejected { retry_after: 0 };
+            self.record(Fact::FinalAnswerGiven { message, relay: self.relay, answer: end });
             self.effects.push(RelayEffect::AnswerClient { message, end: Some(end) });
             return;
         }
@@ -225,7 +225,11 @@
         let Some(ended) = self.calls.remove(&call) else { return };
         let endpoint = endpoint_id(ended.endpoint);
         if retry_after > 0 {
-            self.record(Fact::WaitTold { relay: self.relay, endpoint: ended.endpoint, wait: retry_after });
+            self.record(Fact::RetryAfterReceived {
+                relay: self.relay,
+                endpoint: ended.endpoint,
+                retry_after,
+            });
             inputs.push(Input::RetryAfter { endpoint, span: Duration::from_micros(retry_after) });
         }
         let waited = Duration::from_micros(self.now.saturating_sub(ended.sent_at));
@@ -239,7 +243,7 @@
 
     fn record_attempt_end(&mut self, call: u64, message: u64, outcome: Outcome, closed: bool) {
         let end = fact_of_outcome(outcome);
-        self.record(Fact::LegEnded { msg: message, call, relay: self.relay, end });
+        self.record(Fact::AttemptEnded { message, call, relay: self.relay, outcome: end });
         if outcome.never_ran()
             && let Some(stored) = self.spool.get_mut(&message)
             && let Some(attempt) = stored.attempts.last_mut()
@@ -261,11 +265,11 @@
     /// Tells the policy of an endpoint.
     pub fn list_endpoint(&mut self, endpoint: u32, known: KnownEndpoint, inputs: &mut Vec<Input>) {
         let listed = match known.status {
-            EndpointStatus::Ready => Listed::Ready,
-            EndpointStatus::Draining => Listed::Draining,
-            EndpointStatus::Removed => Listed::Gone,
+            EndpointStatus::Ready => ListedStatus::Ready,
+            EndpointStatus::Draining => ListedStatus::Draining,
+            EndpointStatus::Removed => ListedStatus::Removed,
         };
-        self.record(Fact::Told { relay: self.relay, endpoint, listed });
+        self.record(Fact::EndpointListed { relay: self.relay, endpoint, status: listed });
         inputs.push(Input::EndpointListed(ListedEndpoint {
             endpoint: endpoint_id(endpoint),
             destination: DestinationId(known.destination),
@@ -318,22 +322,29 @@
             CallInFlight { endpoint, sent_at: self.now, messages: messages.clone(), cancelled: Vec::new() };
         self.calls.insert(call, in_flight);
         for message in &messages {
-            self.record(Fact::Leg { msg: *message, call, relay: self.relay, to: endpoint });
+            self.record(Fact::AttemptStarted {
+                message: *message,
+                call,
+                relay: self.relay,
+                endpoint: endpoint,
+            });
         }
         self.effects.push(RelayEffect::StartCall { call, endpoint, messages, timeout });
     }
 }
 
-fn fact_of_outcome(outcome: Outcome) -> LegEnd {
+fn fact_of_outcome(outcome: Outcome) -> AttemptOutcome {
     match outcome {
-        Outcome::Delivered => LegEnd::Delivered,
-        Outcome::Error => LegEnd::Error,
-        Outcome::Rejected { retry_after } => LegEnd::Full(retry_after.as_micros() as u64),
-        Outcome::ConnectionLimit => LegEnd::Full(0),
-        Outcome::TimedOut => LegEnd::TimedOut,
-        Outcome::ConnectFailed => LegEnd::ConnectFailed,
-        Outcome::Reset => LegEnd::Reset,
-        Outcome::Cancelled => LegEnd::Cancelled,
-        Outcome::NotSent => LegEnd::Moot,
+        Outcome::Delivered => AttemptOutcome::Delivered,
+        Outcome::Error => AttemptOutcome::Error,
+        Outcome::Rejected { retry_after } => {
+            AttemptOutcome::Rejected { retry_after: retry_after.as_micros() as u64 }
+        }
+        Outcome::ConnectionLimit => AttemptOutcome::Rejected { retry_after: 0 },
+        Outcome::TimedOut => AttemptOutcome::TimedOut,
+        Outcome::ConnectFailed => AttemptOutcome::ConnectFailed,
+        Outcome::Reset => AttemptOutcome::Reset,
+        Outcome::Cancelled => AttemptOutcome::Cancelled,
+        Outcome::NotSent => AttemptOutcome::NotSent,
     }
 }
--- a/crates/lab/src/host/messages.rs
+++ b/crates/lab/src/host/messages.rs
@@ -2,7 +2,7 @@
 
 use crate::Time;
 use mountshift::interface::{EndpointStatus, Outcome};
-use mountshift_invariants::{End, Fact};
+use mountshift_invariants::{Fact, FinalAnswer};
 
 /// What comes to a relay.
 #[derive(Clone, Debug)]
@@ -40,9 +40,9 @@
     /// Starts a call to an endpoint.
     StartCall { call: u64, endpoint: u32, messages: Vec<u64>, timeout: Time },
     /// Answers a client that waits: that the message is accepted, or its final answer.
-    AnswerClient { message: u64, end: Option<End> },
+    AnswerClient { message: u64, end: Option<FinalAnswer> },
     /// Sends the notification of a final answer for which no client waits.
-    Notify { message: u64, end: End },
+    Notify { message: u64, end: FinalAnswer },
     /// Closes the connection of a call that is in flight.
     CloseCall { call: u64 },
     /// Closes the idle connections to an endpoint.
--- a/crates/lab/src/host/mod.rs
+++ b/crates/lab/src/host/mod.rs
@@ -100,7 +100,7 @@
         self.inputs.push(Input::Submitted { message: id, submission });
         if let Some(end) = stored.pending_end {
             let relay = self.dispatcher.relay;
-            self.dispatcher.record(Fact::Ended { msg: message, relay, end });
+            self.dispatcher.record(Fact::FinalAnswerGiven { message, relay, answer: end });
             self.dispatcher.effects.push(RelayEffect::Notify { message, end });
             self.inputs.push(Input::FinalAnswerPending(id));
         }
--- a/crates/lab/src/host/spool.rs
+++ b/crates/lab/src/host/spool.rs
@@ -2,7 +2,7 @@
 
 use super::clock::UnixTime;
 use mountshift::interface::{Submission, ZoneId};
-use mountshift_invariants::End;
+use mountshift_invariants::FinalAnswer;
 
 /// An accepted message that is not over.
 #[derive(Clone, Debug)]
@@ -12,7 +12,7 @@
     pub deadline: UnixTime,
     pub attempts: Vec<StoredAttempt>,
     /// The final answer that was given and has not been taken yet.
-    pub pending_end: Option<End>,
+    pub pending_end: Option<FinalAnswer>,
 }
 
 /// An attempt, stored before it is sent.
--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -200,7 +200,7 @@
 }
 
 fn draw_class(base: &Scenario, rng: &mut ChaCha8Rng) -> String {
-    base.lanes[rng.random_range(0..base.lanes.len())].name.clone()
+    base.classes[rng.random_range(0..base.classes.len())].name.clone()
 }
 
 /// The end of a trouble that is cut off.
--- a/crates/lab/src/rate_limit.rs
+++ b/crates/lab/src/rate_limit.rs
@@ -61,7 +61,7 @@
             return Ok(());
         }
         let rate = self.limit.rate.0;
-        if self.limit.spent_by_refused {
+        if self.limit.rejected_calls_count {
             self.tokens = (self.tokens - REJECTED_CALL_COST).max(-rate);
         }
         Err(((1.0 - self.tokens) / rate * 1e6) as Time)
@@ -97,7 +97,7 @@
         let max_calls = (self.limit.rate.0 * span as f64 / 1e6).max(1.0);
         if window != self.window {
             let follows = window == self.window + 1;
-            self.calls = if self.limit.spent_by_refused && follows {
+            self.calls = if self.limit.rejected_calls_count && follows {
                 self.rejected.min(max_calls * MAX_SHARE_USED_BY_REJECTED)
             } else {
                 0.0
--- a/crates/lab/src/report/charts.rs
+++ b/crates/lab/src/report/charts.rs
@@ -74,7 +74,7 @@
 }
 
 fn class_chart(scenario: &Scenario, course: &Course) -> Result<Chart, LabError> {
-    let names = scenario.lanes.iter().map(|class| class.name.as_str());
+    let names = scenario.classes.iter().map(|class| class.name.as_str());
     let lines = service_lines(names, &course.classes);
     Ok(Chart {
         svg: line_chart(course, "share of worth delivered", Some(SHARE_TOP), &lines)?,
--- a/crates/lab/src/route.rs
+++ b/crates/lab/src/route.rs
@@ -3,7 +3,7 @@
 use crate::Time;
 use crate::rate_limit::RateLimit;
 use crate::world::{ScheduledTrouble, World};
-use mountshift_scenario::{Limit, LimitBy, Rate, Span, TroubleKind, Waits};
+use mountshift_scenario::{Limit, LimitBy, Rate, RetryAfterAccuracy, Span, TroubleKind};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -60,14 +60,14 @@
     pub(crate) fn capacity_share(&self, now: Time, world: &World) -> f64 {
         let Some(since) = self.slow_start_since else { return 1.0 };
         let rules = &world.scenario.rules;
-        let warmed_up = ((now - since) as f64 / rules.warm_after.us().max(1) as f64).min(1.0);
-        rules.cold_from.0 + (1.0 - rules.cold_from.0) * warmed_up
+        let warmed_up = ((now - since) as f64 / rules.slow_start_duration.us().max(1) as f64).min(1.0);
+        rules.slow_start_share.0 + (1.0 - rules.slow_start_share.0) * warmed_up
     }
 
     /// Counts a call that has arrived; true if it overloads the route.
     pub(crate) fn record_call(&mut self, now: Time, weight: f64, world: &World) -> bool {
         let Some(since) = self.slow_start_since else { return false };
-        if now >= since + world.scenario.rules.warm_after.us() {
+        if now >= since + world.scenario.rules.slow_start_duration.us() {
             self.end_slow_start();
             return false;
         }
@@ -75,7 +75,7 @@
         self.recent_weight += weight;
         // A little slack for random arrivals, as the checker of the rules allows it.
         let limit = self.overload_limit(now, world);
-        self.recent_weight(now, world) > limit + mountshift_invariants::cold_slack(limit)
+        self.recent_weight(now, world) > limit + mountshift_invariants::overload_slack(limit)
     }
 
     fn end_slow_start(&mut self) {
@@ -97,12 +97,15 @@
     /// The weight of calls within the overload window that it bears.
     fn overload_limit(&self, now: Time, world: &World) -> f64 {
         let rules = &world.scenario.rules;
-        rules.fall_multiple.0 * self.capacity * self.capacity_share(now, world) * rules.fall.seconds()
+        rules.overload_multiple.0
+            * self.capacity
+            * self.capacity_share(now, world)
+            * rules.overload_window.seconds()
     }
 
     /// The weight of calls that arrived within the overload window.
     fn recent_weight(&mut self, now: Time, world: &World) -> f64 {
-        let window = world.scenario.rules.fall.us();
+        let window = world.scenario.rules.overload_window.us();
         while let Some(oldest) = self.recent_calls.front().filter(|call| call.at + window < now) {
             self.recent_weight -= oldest.weight;
             self.recent_calls.pop_front();
@@ -118,10 +121,10 @@
         let mut longest: Option<Time> = None;
         for limit in &mut self.limits {
             if let Err(wait) = limit.admit(now) {
-                let retry_after = match limit.limit.waits {
-                    Waits::True => wait.max(MIN_RETRY_AFTER),
-                    Waits::Missing => 0,
-                    Waits::Lying => {
+                let retry_after = match limit.limit.retry_after {
+                    RetryAfterAccuracy::Exact => wait.max(MIN_RETRY_AFTER),
+                    RetryAfterAccuracy::Missing => 0,
+                    RetryAfterAccuracy::Wrong => {
                         (wait as f64 * (WRONG_RETRY_AFTER_MIN + WRONG_RETRY_AFTER_SPREAD * lie)) as Time
                     }
                 };
@@ -156,12 +159,22 @@
 /// The limit that a kind of trouble brings.
 fn limit_of(kind: TroubleKind, rate: Rate) -> Option<Limit> {
     let window = Span(TROUBLE_LIMIT_WINDOW);
-    let by_count = Limit { by: LimitBy::Count, rate, window, waits: Waits::True, spent_by_refused: false };
+    let by_count = Limit {
+        by: LimitBy::Count,
+        rate,
+        window,
+        retry_after: RetryAfterAccuracy::Exact,
+        rejected_calls_count: false,
+    };
     match kind {
         TroubleKind::ThrottleCount => Some(by_count),
-        TroubleKind::ThrottleRate => Some(Limit { by: LimitBy::Rate, waits: Waits::Missing, ..by_count }),
-        TroubleKind::ThrottleLies => Some(Limit { by: LimitBy::Rate, waits: Waits::Lying, ..by_count }),
-        TroubleKind::ThrottleSpends => Some(Limit { spent_by_refused: true, ..by_count }),
+        TroubleKind::ThrottleRate => {
+            Some(Limit { by: LimitBy::Rate, retry_after: RetryAfterAccuracy::Missing, ..by_count })
+        }
+        TroubleKind::ThrottleLies => {
+            Some(Limit { by: LimitBy::Rate, retry_after: RetryAfterAccuracy::Wrong, ..by_count })
+        }
+        TroubleKind::ThrottleSpends => Some(Limit { rejected_calls_count: true, ..by_count }),
         _ => None,
     }
 }
--- a/crates/lab/src/servers.rs
+++ b/crates/lab/src/servers.rs
@@ -133,7 +133,8 @@
     pub(crate) fn new(world: &World, setup: EndpointSetup, endpoints_of_route: u32) -> Server {
         let group = &world.scenario.groups[setup.group];
         // The mean of what is drawn around the median.
-        let mean_service_time = group.answers.seconds() * (group.spread.0 * group.spread.0 / 2.0).exp();
+        let mean_service_time = group.response_time.seconds()
+            * (group.response_time_spread.0 * group.response_time_spread.0 / 2.0).exp();
         let capacity = world.capacity(setup.group) / f64::from(endpoints_of_route.max(1));
         Server {
             setup,
--- a/crates/lab/src/statistics.rs
+++ b/crates/lab/src/statistics.rs
@@ -5,7 +5,7 @@
 use crate::traffic::Request;
 use crate::world::World;
 use hdrhistogram::Histogram;
-use mountshift_scenario::{Decay, Lane};
+use mountshift_scenario::{Decay, MessageClass};
 use std::collections::BTreeMap;
 
 const MICROSECONDS_PER_SECOND: Time = 1_000_000;
@@ -147,7 +147,7 @@
         let scenario = world.scenario;
         let seconds = scenario.length.as_ref().seconds().ceil() as usize + 1;
         let mut statistics = Statistics {
-            classes: scenario.lanes.iter().map(|_| Part::new(seconds)).collect(),
+            classes: scenario.classes.iter().map(|_| Part::new(seconds)).collect(),
             tenants: scenario.tenants.iter().map(|_| Part::new(seconds)).collect(),
             attempts: BySecond::default(),
             submissions: BySecond::default(),
@@ -162,7 +162,7 @@
             connections: 0,
         };
         for request in requests {
-            let value = scenario.lanes[usize::from(request.class)].value.0;
+            let value = scenario.classes[usize::from(request.class)].priority_weight.0;
             statistics.for_parts_of(request, |part, second| part.record_request(second, value));
         }
         statistics
@@ -179,9 +179,9 @@
 
     /// A request was delivered before its deadline.
     pub(crate) fn record_delivery(&mut self, world: &World, request: &Request, at: Time) {
-        let class = &world.scenario.lanes[usize::from(request.class)];
+        let class = &world.scenario.classes[usize::from(request.class)];
         let delivery_time = at - request.at;
-        let worth = class.value.0 * worth_left(class, world.scenario.rules.decay, delivery_time);
+        let worth = class.priority_weight.0 * worth_left(class, world.scenario.rules.decay, delivery_time);
         self.for_parts_of(request, |part, second| part.record_delivery(second, worth, delivery_time));
     }
 
@@ -242,7 +242,7 @@
 
     /// The outcome of each message class.
     pub(crate) fn classes(&self, world: &World) -> Vec<PartOutcome> {
-        let named = self.classes.iter().zip(&world.scenario.lanes);
+        let named = self.classes.iter().zip(&world.scenario.classes);
         named.map(|(part, class)| part.outcome(&class.name)).collect()
     }
 
@@ -287,13 +287,13 @@
 }
 
 /// The share of its worth that a message has left when it is delivered.
-fn worth_left(class: &Lane, decay: Decay, delivery_time: Time) -> f64 {
-    let objective = class.target.seconds();
+fn worth_left(class: &MessageClass, decay: Decay, delivery_time: Time) -> f64 {
+    let objective = class.latency_objective.seconds();
     let deadline = class.deadline.as_ref().seconds();
     let late = (delivery_time as f64 / 1e6 - objective).max(0.0);
     match decay {
-        Decay::Linear => 1.0 - (1.0 - class.late_share.0) * (late / (deadline - objective)).min(1.0),
-        Decay::Halving => 0.5f64.powf(late / objective.max(MIN_HALF_LIFE)).max(class.late_share.0),
+        Decay::Linear => 1.0 - (1.0 - class.late_weight_share.0) * (late / (deadline - objective)).min(1.0),
+        Decay::Halving => 0.5f64.powf(late / objective.max(MIN_HALF_LIFE)).max(class.late_weight_share.0),
     }
 }
 
--- a/crates/lab/src/traffic.rs
+++ b/crates/lab/src/traffic.rs
@@ -50,7 +50,7 @@
 }
 
 fn replayed(world: &World, recorded: &Recorded) -> Request {
-    let class = world.scenario.lanes.iter().position(|class| class.name == recorded.lane);
+    let class = world.scenario.classes.iter().position(|class| class.name == recorded.lane);
     Request {
         at: (recorded.seconds * 1e6) as Time,
         class: class.unwrap_or(0) as u16,
@@ -82,7 +82,7 @@
         Generator {
             world,
             rng: world.random.stream(Purpose::Traffic, 0),
-            classes: WeightedChoice::new(scenario.lanes.iter().map(|class| class.traffic.0).collect()),
+            classes: WeightedChoice::new(scenario.classes.iter().map(|class| class.traffic.0).collect()),
             tenants: WeightedChoice::new(scenario.tenants.iter().map(|tenant| tenant.traffic.0).collect()),
             groups: WeightedChoice::new(scenario.groups.iter().map(|group| group.traffic.0).collect()),
             destinations: destinations.collect(),
@@ -136,7 +136,7 @@
         let class = self.classes.draw(&mut self.rng) as u16;
         let tenant = self.tenants.draw(&mut self.rng) as u32;
         let number = self.rng.random_range(0..u64::from(scenario.traffic.keys.get()));
-        let in_order = scenario.lanes[usize::from(class)].in_order;
+        let in_order = scenario.classes[usize::from(class)].in_order;
         let key = if in_order { ordering_key(destination, number) } else { 0 };
         Request { at: (at_seconds * 1e6) as Time, class, tenant, destination, key }
     }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -4,7 +4,7 @@
 use crate::Time;
 use crate::random::{Purpose, SeededRandom};
 use mountshift::interface::*;
-use mountshift_invariants as judge;
+use mountshift_invariants as invariants;
 use mountshift_scenario as scenario;
 use mountshift_scenario::{Scenario, TroubleKind, Whom};
 use std::time::Duration;
@@ -96,12 +96,12 @@
     /// Adds a destination, on one route or on one for each endpoint where endpoints have limits of their own.
     fn add_destination(&mut self, group_id: usize, group: &scenario::Group) {
         let destination = self.destinations.len() as u32;
-        if !group.own_limits {
+        if !group.independent_endpoints {
             self.route_count += 1;
         }
         let mut endpoints = Vec::new();
         for index in 0..group.endpoints.get() {
-            if group.own_limits {
+            if group.independent_endpoints {
                 self.route_count += 1;
             }
             let zone = ((destination + index) as usize % self.scenario.zones.len()) as u8;
@@ -138,13 +138,13 @@
     /// What the list tells of a destination's rate.
     pub(crate) fn listed_rate(&self, endpoint: &EndpointSetup) -> f64 {
         let rate = self.scenario.groups[endpoint.group].rate.0;
-        match self.scenario.relays.rates {
-            scenario::Rates::Exact => rate,
-            scenario::Rates::Rough => {
+        match self.scenario.relays.listed_rate {
+            scenario::ListedRate::Exact => rate,
+            scenario::ListedRate::Approximate => {
                 let drawn = self.random.uniform(Purpose::EndpointList, u64::from(endpoint.route), 0);
                 rate * (ROUGH_RATE_MIN + drawn)
             }
-            scenario::Rates::Untold => UNTOLD_RATE,
+            scenario::ListedRate::Unknown => UNTOLD_RATE,
         }
     }
 
@@ -222,7 +222,7 @@
         if script.kind == TroubleKind::Cut {
             targets.endpoints = self.targets(&script.off).endpoints;
         }
-        let lanes = &self.scenario.lanes;
+        let lanes = &self.scenario.classes;
         let class = script.lane.as_ref().and_then(|name| lanes.iter().position(|lane| lane.name == *name));
         ScheduledTrouble {
             kind: script.kind,
@@ -245,85 +245,89 @@
             seed: self.random.derive_seed(Purpose::RelaySeed, u64::from(relay), start),
             relay_count: relays.count.get(),
             zone: ZoneId(self.relay_zone(relay).into()),
-            classes: scenario.lanes.iter().map(message_class).collect(),
+            classes: scenario.classes.iter().map(message_class).collect(),
             destination_kinds: scenario.groups.iter().map(destination_kind).collect(),
             tenant_quotas: scenario.tenants.iter().map(|tenant| tenant.quota.0).collect(),
             decay: match rules.decay {
                 scenario::Decay::Linear => Decay::Linear,
                 scenario::Decay::Halving => Decay::Halving,
             },
-            max_calls_in_flight: relays.slots.get() as usize,
-            max_queued: relays.held.get() as usize,
-            max_attempts: rules.legs.get().min(MAX_ATTEMPTS) as u8,
-            listed_rate: match relays.rates {
-                scenario::Rates::Exact => ListedRate::Exact,
-                scenario::Rates::Rough => ListedRate::Approximate,
-                scenario::Rates::Untold => ListedRate::Unknown,
+            max_calls_in_flight: relays.max_calls_in_flight.get() as usize,
+            max_queued: relays.max_queued.get() as usize,
+            max_attempts: rules.max_attempts.get().min(MAX_ATTEMPTS) as u8,
+            listed_rate: match relays.listed_rate {
+                scenario::ListedRate::Exact => ListedRate::Exact,
+                scenario::ListedRate::Approximate => ListedRate::Approximate,
+                scenario::ListedRate::Unknown => ListedRate::Unknown,
             },
             must_poll: relays.watch,
-            poll_interval: rules.ask_within.0,
-            may_cancel: relays.recall,
-            max_retry_after: rules.max_pause.0,
+            poll_interval: rules.poll_interval.0,
+            may_cancel: relays.may_cancel,
+            max_retry_after: rules.max_retry_after.0,
             drain_grace: rules.drain_grace.0,
-            order_hold_off: rules.order_pause.0,
-            slow_start_share: rules.cold_from.0,
-            slow_start_duration: rules.warm_after.0,
-            overload_multiple: rules.fall_multiple.0,
-            overload_window: rules.fall.0,
+            order_hold_off: rules.order_hold_off.0,
+            slow_start_share: rules.slow_start_share.0,
+            slow_start_duration: rules.slow_start_duration.0,
+            overload_multiple: rules.overload_multiple.0,
+            overload_window: rules.overload_window.0,
             zone_fees: vec![0.0; scenario.zones.len()],
             cross_zone_price: relays.cross_zone.0,
         }
     }
 
-    /// The rules' figures for the judge, read from the scenario and not from what relays are told.
-    pub(crate) fn figures(&self) -> judge::Figures {
+    /// The rules' parameters for the invariant checker, read from the scenario and not from what relays are told.
+    pub(crate) fn rule_parameters(&self) -> invariants::RuleParameters {
         let s = self.scenario;
-        let lane = |l: &scenario::Lane| judge::Lane {
-            effect: match l.effect {
-                scenario::Effect::Retriable => judge::Effect::Retriable,
-                scenario::Effect::NonRetriable => judge::Effect::NonRetriable,
-                scenario::Effect::Keyed => {
-                    judge::Effect::Keyed { memory: l.memory.map_or(0, |m| m.us()), by_zone: by_zone(l) }
-                }
+        let lane = |l: &scenario::MessageClass| invariants::MessageClass {
+            idempotency: match l.idempotency {
+                scenario::Idempotency::Idempotent => invariants::Idempotency::Idempotent,
+                scenario::Idempotency::NotIdempotent => invariants::Idempotency::NotIdempotent,
+                scenario::Idempotency::WithKey => invariants::Idempotency::WithKey {
+                    window: l.deduplication_window.map_or(0, |m| m.us()),
+                    by_zone: by_zone(l),
+                },
             },
             in_order: l.in_order,
         };
-        judge::Figures {
-            lanes: s.lanes.iter().map(lane).collect(),
+        invariants::RuleParameters {
+            classes: s.classes.iter().map(lane).collect(),
             answer_slack: 300_000,
             restart_slack: 1_500_000,
             drain_grace: s.rules.drain_grace.us(),
-            order_pause: s.rules.order_pause.us(),
-            cold_from: s.rules.cold_from.0,
-            warm_after: s.rules.warm_after.us(),
-            fall_multiple: s.rules.fall_multiple.0,
-            fall: s.rules.fall.us(),
-            wait_excused: 0,
+            order_hold_off: s.rules.order_hold_off.us(),
+            slow_start_share: s.rules.slow_start_share.0,
+            slow_start_duration: s.rules.slow_start_duration.us(),
+            overload_multiple: s.rules.overload_multiple.0,
+            overload_window: s.rules.overload_window.us(),
+            retry_after_grace: 0,
         }
     }
 }
 
 fn destination_kind(group: &scenario::Group) -> DestinationKind {
-    DestinationKind { independent_endpoints: group.own_limits, max_batch: group.batch.get() as usize }
+    DestinationKind {
+        independent_endpoints: group.independent_endpoints,
+        max_batch: group.max_batch.get() as usize,
+    }
 }
 
-fn message_class(lane: &scenario::Lane) -> MessageClass {
+fn message_class(lane: &scenario::MessageClass) -> MessageClass {
     MessageClass {
-        latency_objective: lane.target.0,
+        latency_objective: lane.latency_objective.0,
         deadline: lane.deadline.as_ref().0,
-        priority_weight: lane.value.0,
-        late_weight_share: lane.late_share.0,
+        priority_weight: lane.priority_weight.0,
+        late_weight_share: lane.late_weight_share.0,
         idempotency: idempotency(lane),
         in_order: lane.in_order,
     }
 }
 
-fn idempotency(lane: &scenario::Lane) -> Idempotency {
-    match lane.effect {
-        scenario::Effect::Retriable => Idempotency::Idempotent,
-        scenario::Effect::NonRetriable => Idempotency::NotIdempotent,
-        scenario::Effect::Keyed => {
-            let window = lane.memory.map_or(Duration::ZERO, |memory| memory.0);
+fn idempotency(lane: &scenario::MessageClass) -> Idempotency {
+    match lane.idempotency {
+        scenario::Idempotency::Idempotent => Idempotency::Idempotent,
+        scenario::Idempotency::NotIdempotent => Idempotency::NotIdempotent,
+        scenario::Idempotency::WithKey => {
+            let window = lane.deduplication_window.map_or(Duration::ZERO, |memory| memory.0);
             let scope =
                 if by_zone(lane) { DeduplicationScope::SameZone } else { DeduplicationScope::AllEndpoints };
             Idempotency::WithKey { window, scope }
@@ -332,6 +336,6 @@
 }
 
 /// True if an idempotency key is known to the endpoints of one zone only, else to all of a destination.
-pub(crate) fn by_zone(lane: &scenario::Lane) -> bool {
-    lane.group.as_ref().is_some_and(|g| *g.as_ref() == scenario::RepeatGroup::Zone)
+pub(crate) fn by_zone(lane: &scenario::MessageClass) -> bool {
+    lane.deduplication_scope.as_ref().is_some_and(|g| *g.as_ref() == scenario::DeduplicationScope::SameZone)
 }
