--- a/crates/lab/src/baselines/mod.rs
+++ b/crates/lab/src/baselines/mod.rs
@@ -8,6 +8,8 @@
 mod retry_budget;
 mod selection;
 mod state;
+#[cfg(test)]
+mod tests;
 
 use crate::policy::{GroundTruth, Policy};
 use backoff::Backoff;
