--- a/crates/lab/src/day/discovery.rs
+++ b/crates/lab/src/day/discovery.rs
@@ -32,7 +32,7 @@
         }
         host.learn(&self.world, &setup, endpoint, status);
         if host.up {
-            host.inbox.push(RelayEvent::EndpointListed { endpoint, status: status });
+            host.inbox.push(RelayEvent::EndpointListed { endpoint, status });
         }
     }
 
@@ -108,7 +108,7 @@
                 let setup = self.servers[endpoint as usize].setup;
                 let host = &mut self.relays[relay as usize];
                 host.learn(&self.world, &setup, endpoint, status);
-                host.inbox.push(RelayEvent::EndpointListed { endpoint, status: status });
+                host.inbox.push(RelayEvent::EndpointListed { endpoint, status });
             }
         }
     }
--- a/crates/lab/src/host/dispatcher.rs
+++ b/crates/lab/src/host/dispatcher.rs
@@ -322,12 +322,7 @@
             CallInFlight { endpoint, sent_at: self.now, messages: messages.clone(), cancelled: Vec::new() };
         self.calls.insert(call, in_flight);
         for message in &messages {
-            self.record(Fact::AttemptStarted {
-                message: *message,
-                call,
-                relay: self.relay,
-                endpoint: endpoint,
-            });
+            self.record(Fact::AttemptStarted { message: *message, call, relay: self.relay, endpoint });
         }
         self.effects.push(RelayEffect::StartCall { call, endpoint, messages, timeout });
     }
