A starting successor no longer opens the active process's spool: it cut its log and removed its compaction

Found by reading: a successor opened the active spool and dropped it. Spool::open removes spool.new and cuts the log behind its last whole record, so a start in the middle of the active process's append or compaction could cut a record off or fail the compaction. Change: only an active process opens it; a successor does once the lock is its own.

--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -35,22 +35,20 @@
     tasks: &RelayTasks,
 ) -> Result<Option<ActiveSpool>, StartError> {
     let opener = SpoolOpener::new(config, state_dir);
-    // A successor opens it too, and lets go of it again: it is the active process's.
-    let active = opener.open_active();
     match state_dir.role {
         Role::Active { merge_successor: false } => {
-            Ok(Some(ActiveSpool { spool: active?, deferred_events: Vec::new() }))
+            Ok(Some(ActiveSpool { spool: opener.open_active()?, deferred_events: Vec::new() }))
         }
         Role::Active { merge_successor: true } => {
+            let active = opener.open_active();
             let successor = opener.open_successor()?;
             let mut spool = active?;
             merge_successor_spool(&mut spool, successor, &state_dir.successor_path, &tasks.notifications.0)?;
             Ok(Some(ActiveSpool { spool, deferred_events: Vec::new() }))
         }
-        Role::Successor => {
-            drop(active);
-            accept_until_active(config, state_dir, files, tasks, &opener).await
-        }
+        // The active spool is not opened here: opening cuts a half written record off and removes a half written
+        // compaction, and both may be the active process's at this moment.
+        Role::Successor => accept_until_active(config, state_dir, files, tasks, &opener).await,
     }
 }
 
--- a/crates/relay/tests/stored_data.rs
+++ b/crates/relay/tests/stored_data.rs
@@ -293,3 +293,25 @@
         }
     }
 }
+
+// The active process may be in the middle of an append or of a compaction when a successor starts: the half record at
+// the log's end and the new log beside it are the active process's own. Guards against a successor that opens the
+// active spool to read it: it cut the log behind its last whole record and removed the new log.
+#[test]
+fn a_starting_successor_leaves_the_spool_of_the_active_process_alone() {
+    let destinations = destinations();
+    let state = destinations.state();
+    let active_lock = hold_active_lock(&state);
+    let mut log = std::fs::read(fixture_path("spool.log")).expect("a fixture");
+    let half_record = [200, 0, 0, 0, 1, 2, 3, 4, b'M'];
+    log.extend(half_record);
+    std::fs::write(state.join("spool.log"), &log).expect("written");
+    let compacted = b"a log that is being compacted";
+    std::fs::write(state.join("spool.new"), compacted).expect("written");
+    let relay = destinations.fixture.relay();
+    until("a successor", || destinations.fixture.log().contains("another process owns the state folder"));
+    assert_eq!(relay.submit("from-successor", 0, "c=any,d=15000,dest=10", b""), "+OK");
+    assert_eq!(std::fs::read(state.join("spool.log")).expect("a log"), log);
+    assert_eq!(std::fs::read(state.join("spool.new")).expect("a log"), compacted);
+    drop(active_lock);
+}
