--- a/crates/lab/tests/days.rs
+++ b/crates/lab/tests/days.rs
@@ -138,7 +138,7 @@
     let text = std::fs::read_to_string(path("slow")).expect("a file");
     let changed = with_value(&text, "slow.toml", "trouble.0.level", "3").expect("a scenario");
     assert_eq!(changed.troubles[0].as_ref().level.map(|l| l.0), Some(3.0));
-    let set = with_value(&text, "slow.toml", "relays.min_step_interval", "10 ms").expect("a scenario");
+    let set = with_value(&text, "slow.toml", "relays.round_gap", "10 ms").expect("a scenario");
     assert_eq!(set.relays.min_step_interval.us(), 10_000);
     let none = with_value(&text, "slow.toml", "trouble.7.level", "3").expect_err("refused");
     assert_eq!(none.to_string(), "slow.toml: there is no trouble.7.level: nothing at \"7\"");
