Workspace lints: missing_docs, unreachable_pub and a chosen part of clippy's pedantic

Visibility follows (pub -> pub(crate) where nothing outside uses it), a few statements become loops. Left out: cast_*, must_use_candidate, wildcard_imports, needless_pass_by_value, match_same_arms (arms by status code read better one by one).

--- a/crates/handover/src/tests.rs
+++ b/crates/handover/src/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use Side::{Active, Successor};
 use std::time::Duration;
 
 #[test]
@@ -40,7 +41,6 @@
     let active: Vec<(&[u8], u64)> = vec![(b"a", 10), (b"b", 30), (b"c", 50)];
     let successor: Vec<(&[u8], u64)> = vec![(b"x", 20), (b"b", 25), (b"y", 30), (b"z", 60)];
     let order = merge(&active, &successor);
-    use Side::*;
     // b came first to the active process; y ties with the active process's b and goes after it.
     assert_eq!(
         order,
--- a/crates/lab/src/baselines/backoff.rs
+++ b/crates/lab/src/baselines/backoff.rs
@@ -26,12 +26,12 @@
 
 impl Backoff {
     /// With an initial delay of zero a message may be retried at once.
-    pub fn new(initial_delay: Duration) -> Backoff {
+    pub(super) fn new(initial_delay: Duration) -> Backoff {
         Backoff { initial_delay, retries: BTreeMap::new() }
     }
 
     /// Schedules the retry; half of its delay is jitter, a number from 0 to 1.
-    pub fn record_failure(&mut self, message: MessageId, now: Duration, jitter: f64) {
+    pub(super) fn record_failure(&mut self, message: MessageId, now: Duration, jitter: f64) {
         let retry = self.retries.entry(message).or_default();
         let doublings = retry.failed_attempts.min(MAX_DOUBLINGS);
         let longest = self.initial_delay.saturating_mul(1 << doublings).min(MAX_DELAY);
@@ -39,22 +39,22 @@
         retry.not_before = now + longest.mul_f64(0.5 + jitter / 2.0);
     }
 
-    pub fn record_delivery(&mut self, message: MessageId) {
+    pub(super) fn record_delivery(&mut self, message: MessageId) {
         self.retries.remove(&message);
     }
 
     /// True once an attempt for the message has failed.
-    pub fn has_failed(&self, message: MessageId) -> bool {
+    pub(super) fn has_failed(&self, message: MessageId) -> bool {
         self.retries.contains_key(&message)
     }
 
     /// True unless the message still waits for its retry.
-    pub fn allows(&self, message: MessageId, now: Duration) -> bool {
+    pub(super) fn allows(&self, message: MessageId, now: Duration) -> bool {
         self.retries.get(&message).is_none_or(|retry| retry.not_before <= now)
     }
 
     /// Forgets messages that are over.
-    pub fn retain(&mut self, is_held: impl Fn(MessageId) -> bool) {
+    pub(super) fn retain(&mut self, is_held: impl Fn(MessageId) -> bool) {
         self.retries.retain(|message, _| is_held(*message));
     }
 }
--- a/crates/lab/src/baselines/circuit_breaker.rs
+++ b/crates/lab/src/baselines/circuit_breaker.rs
@@ -20,18 +20,18 @@
 
 impl CircuitBreaker {
     /// True unless it is open or waits for the outcome of its trial.
-    pub fn allows(&self, now: Duration) -> bool {
+    pub(super) fn allows(&self, now: Duration) -> bool {
         self.trial.is_none() && self.open_until.is_none_or(|until| until <= now)
     }
 
     /// The first attempt after the recovery delay is the trial.
-    pub fn record_attempt(&mut self, message: MessageId) {
+    pub(super) fn record_attempt(&mut self, message: MessageId) {
         if self.open_until.is_some() {
             self.trial = Some(message);
         }
     }
 
-    pub fn record_outcome(&mut self, message: MessageId, outcome: Outcome, now: Duration) {
+    pub(super) fn record_outcome(&mut self, message: MessageId, outcome: Outcome, now: Duration) {
         let was_trial = self.trial == Some(message);
         if was_trial {
             self.trial = None;
--- a/crates/lab/src/baselines/jitter.rs
+++ b/crates/lab/src/baselines/jitter.rs
@@ -11,12 +11,12 @@
 }
 
 impl Jitter {
-    pub fn new(settings: &PolicySettings) -> Jitter {
+    pub(super) fn new(settings: &PolicySettings) -> Jitter {
         Jitter { seed: settings.seed, relay: settings.relay, draws: 0 }
     }
 
     /// The next number, from 0 up to but without 1.
-    pub fn draw(&mut self) -> f64 {
+    pub(super) fn draw(&mut self) -> f64 {
         self.draws += 1;
         let mut hasher = siphasher::sip::SipHasher13::new_with_keys(self.seed, self.draws);
         hasher.write_u32(self.relay.0);
--- a/crates/lab/src/baselines/mod.rs
+++ b/crates/lab/src/baselines/mod.rs
@@ -56,7 +56,7 @@
 }
 
 impl Baseline {
-    pub fn new(kind: BaselineKind, settings: PolicySettings) -> Baseline {
+    pub(crate) fn new(kind: BaselineKind, settings: PolicySettings) -> Baseline {
         let initial_delay = match kind {
             BaselineKind::Omniscient => Duration::ZERO,
             _ => backoff::INITIAL_DELAY,
--- a/crates/lab/src/baselines/retry_budget.rs
+++ b/crates/lab/src/baselines/retry_budget.rs
@@ -12,11 +12,11 @@
 }
 
 impl RetryBudget {
-    pub fn allows_retry(&self) -> bool {
+    pub(super) fn allows_retry(&self) -> bool {
         self.balance >= 1.0
     }
 
-    pub fn record_attempt(&mut self, is_retry: bool) {
+    pub(super) fn record_attempt(&mut self, is_retry: bool) {
         let change = if is_retry { -1.0 } else { RETRIES_PER_FIRST_ATTEMPT };
         self.balance = (self.balance + change).min(MAX_BALANCE);
     }
--- a/crates/lab/src/baselines/state.rs
+++ b/crates/lab/src/baselines/state.rs
@@ -118,7 +118,7 @@
 }
 
 impl BaselineState {
-    pub fn new(settings: PolicySettings) -> BaselineState {
+    pub(super) fn new(settings: PolicySettings) -> BaselineState {
         BaselineState {
             now: Duration::ZERO,
             settings,
@@ -134,7 +134,7 @@
     }
 
     /// Takes an input in.
-    pub fn apply(&mut self, input: Input) {
+    pub(super) fn apply(&mut self, input: Input) {
         match input {
             Input::Submitted { message, submission } => self.on_submitted(message, submission),
             Input::EarlierAttempt { message, zone, at, may_have_run } => {
@@ -274,41 +274,41 @@
     }
 
     /// Where the message goes; none if it is not held.
-    pub fn destination(&self, id: MessageId) -> Option<DestinationId> {
+    pub(super) fn destination(&self, id: MessageId) -> Option<DestinationId> {
         self.messages.get(&id).map(|message| message.submission.destination)
     }
 
     /// The time left until the message's deadline.
-    pub fn time_left(&self, id: MessageId) -> Duration {
+    pub(super) fn time_left(&self, id: MessageId) -> Duration {
         let deadline = self.messages.get(&id).map(|message| message.submission.deadline);
         deadline.unwrap_or_default().saturating_sub(self.now)
     }
 
     /// The time by which the message's delivery earns its full weight.
-    pub fn latency_target(&self, id: MessageId) -> Duration {
+    pub(super) fn latency_target(&self, id: MessageId) -> Duration {
         let Some(message) = self.messages.get(&id) else { return Duration::ZERO };
         let class = self.class_of(message);
         (message.submission.deadline + class.latency_objective).saturating_sub(class.deadline)
     }
 
     /// Calls in flight to an endpoint.
-    pub fn calls_in_flight(&self, id: EndpointId) -> u32 {
+    pub(super) fn calls_in_flight(&self, id: EndpointId) -> u32 {
         self.endpoints.get(&id).map_or(0, |endpoint| endpoint.calls_in_flight)
     }
 
     /// Messages in one call to an endpoint at most.
-    pub fn max_batch(&self, id: EndpointId) -> usize {
+    pub(super) fn max_batch(&self, id: EndpointId) -> usize {
         let kind = self.endpoints.get(&id).map_or(DestinationKindId(0), |endpoint| endpoint.kind);
         self.kind(kind).map_or(1, |kind| kind.max_batch.max(1))
     }
 
     /// True if no further call may be sent.
-    pub fn at_call_limit(&self) -> bool {
+    pub(super) fn at_call_limit(&self) -> bool {
         self.calls_in_flight >= self.settings.max_calls_in_flight
     }
 
     /// Messages without an attempt in flight whose turn it is, oldest first.
-    pub fn waiting(&self) -> Vec<MessageId> {
+    pub(super) fn waiting(&self) -> Vec<MessageId> {
         self.idle.iter().copied().filter(|message| self.is_in_turn(*message)).collect()
     }
 
@@ -319,7 +319,7 @@
     }
 
     /// Endpoints that the message may be sent to now.
-    pub fn permitted_endpoints(
+    pub(super) fn permitted_endpoints(
         &self,
         message: MessageId,
         destination: DestinationId,
@@ -338,7 +338,7 @@
     }
 
     /// Sends an attempt and counts it.
-    pub fn send(
+    pub(super) fn send(
         &mut self,
         id: MessageId,
         endpoint: EndpointId,
@@ -359,7 +359,11 @@
     }
 
     /// Fails what is out of time, can't be sent again, or is given up by the baseline.
-    pub fn fail_exhausted(&mut self, actions: &mut dyn Actions, is_given_up: impl Fn(MessageId) -> bool) {
+    pub(super) fn fail_exhausted(
+        &mut self,
+        actions: &mut dyn Actions,
+        is_given_up: impl Fn(MessageId) -> bool,
+    ) {
         let is_exhausted = |id: MessageId, message: &Message| {
             let out_of_time = message.submission.deadline <= self.now + ANSWER_MARGIN;
             let may_send_again = message.attempts < self.settings.max_attempts
@@ -379,7 +383,7 @@
     }
 
     /// Asks for the next step while messages are held, and forgets key queues that no longer matter.
-    pub fn request_wake(&mut self, actions: &mut dyn Actions) {
+    pub(super) fn request_wake(&mut self, actions: &mut dyn Actions) {
         if !self.messages.is_empty() && self.next_wake <= self.now {
             self.next_wake = self.now + WAKE_INTERVAL;
             actions.wake_after(WAKE_INTERVAL);
--- a/crates/lab/src/day/endpoints.rs
+++ b/crates/lab/src/day/endpoints.rs
@@ -229,7 +229,7 @@
         }
         let server = &self.servers[endpoint as usize];
         let scope = if by_zone(lane) { u32::from(server.setup.zone) } else { server.setup.destination };
-        let window = lane.deduplication_window.map_or(0, |memory| memory.us());
+        let window = lane.deduplication_window.map_or(0, mountshift_scenario::Span::us);
         // It is known from its first arrival on, but counts as done only once it took effect: a first attempt that
         // died in the queue must not swallow the second.
         let unknown = Deduplication { first_seen: arrived_at, took_effect: false };
--- a/crates/lab/src/day/relays.rs
+++ b/crates/lab/src/day/relays.rs
@@ -54,7 +54,9 @@
         if due.len() >= PARALLEL_MIN {
             due.par_iter_mut().for_each(|relay| relay.step(now, None));
         } else {
-            due.iter_mut().for_each(|relay| relay.step(now, None));
+            for relay in &mut due {
+                relay.step(now, None);
+            }
         }
         for relay in 0..self.relays.len() {
             if self.relays[relay].last_round == now {
@@ -153,7 +155,7 @@
         match action {
             RelayEffect::Fact(fact) => self.record_from_relay(fact),
             RelayEffect::StartCall { call, endpoint, messages, timeout } => {
-                self.start_call(relay, call, endpoint, messages, timeout)
+                self.start_call(relay, call, endpoint, messages, timeout);
             }
             RelayEffect::AnswerClient { message, end } => self.answer_client(message, end),
             RelayEffect::Notify { message, end } => self.send_notification(message, end),
--- a/crates/lab/src/host/clock.rs
+++ b/crates/lab/src/host/clock.rs
@@ -18,11 +18,11 @@
 }
 
 impl UnixClock {
-    pub fn read(self, now: Time) -> UnixTime {
+    pub(super) fn read(self, now: Time) -> UnixTime {
         UNIX_TIME_OF_DAY_START + now as i64 + self.step
     }
 
-    pub fn step(&mut self, by: i64) {
+    pub(super) fn step(&mut self, by: i64) {
         self.step += by;
     }
 }
@@ -38,16 +38,16 @@
 
 impl DecisionClock {
     /// Starts with the process; `oldest` is the oldest attempt in its spool.
-    pub fn start(now: Time, unix: UnixTime, oldest: Option<UnixTime>) -> DecisionClock {
+    pub(super) fn start(now: Time, unix: UnixTime, oldest: Option<UnixTime>) -> DecisionClock {
         let lead = oldest.map_or(0, |oldest| (unix - oldest).max(0));
         DecisionClock { started_at: now, started_at_unix: unix, lead }
     }
 
-    pub fn at(&self, now: Time) -> Duration {
+    pub(super) fn at(&self, now: Time) -> Duration {
         Duration::from_micros(now.saturating_sub(self.started_at) + self.lead as u64)
     }
 
-    pub fn at_unix(&self, unix: UnixTime) -> Duration {
+    pub(super) fn at_unix(&self, unix: UnixTime) -> Duration {
         Duration::from_micros((unix + self.lead - self.started_at_unix).max(0) as u64)
     }
 }
--- a/crates/lab/src/host/dispatcher.rs
+++ b/crates/lab/src/host/dispatcher.rs
@@ -131,7 +131,7 @@
 }
 
 impl DispatcherState {
-    pub fn new(world: &World, relay: u32, keep_log: bool) -> DispatcherState {
+    pub(super) fn new(world: &World, relay: u32, keep_log: bool) -> DispatcherState {
         DispatcherState {
             relay,
             now: 0,
@@ -151,7 +151,7 @@
         }
     }
 
-    pub fn record(&mut self, fact: Fact) {
+    pub(super) fn record(&mut self, fact: Fact) {
         self.effects.push(RelayEffect::Fact(fact));
     }
 
@@ -173,7 +173,7 @@
     }
 
     /// Takes an event in, and adds what the policy must know of it to `inputs`.
-    pub fn apply(&mut self, event: RelayEvent, inputs: &mut Vec<Input>) {
+    pub(super) fn apply(&mut self, event: RelayEvent, inputs: &mut Vec<Input>) {
         match event {
             RelayEvent::Submitted { message, class, tenant, destination, key, deadline } => {
                 let submission = Submission {
@@ -263,7 +263,7 @@
     }
 
     /// Tells the policy of an endpoint.
-    pub fn list_endpoint(&mut self, endpoint: u32, known: KnownEndpoint, inputs: &mut Vec<Input>) {
+    pub(super) fn list_endpoint(&mut self, endpoint: u32, known: KnownEndpoint, inputs: &mut Vec<Input>) {
         let listed = match known.status {
             EndpointStatus::Ready => ListedStatus::Ready,
             EndpointStatus::Draining => ListedStatus::Draining,
@@ -281,7 +281,7 @@
     }
 
     /// Stores what was decided in the spool, then lets it out.
-    pub fn flush(&mut self) {
+    pub(super) fn flush(&mut self) {
         let batches = self.store_queued_attempts();
         for message in std::mem::take(&mut self.unanswered) {
             self.effects.push(RelayEffect::AnswerClient { message, end: None });
--- a/crates/lab/src/host/mod.rs
+++ b/crates/lab/src/host/mod.rs
@@ -34,7 +34,7 @@
 }
 
 impl Relay {
-    pub fn new(world: &World, relay: u32, keep_log: bool) -> Relay {
+    pub(crate) fn new(world: &World, relay: u32, keep_log: bool) -> Relay {
         Relay {
             policy: None,
             dispatcher: DispatcherState::new(world, relay, keep_log),
@@ -50,7 +50,7 @@
 
     /// Starts the process, with the endpoint list as it had it last and what the spool holds; plays its first
     /// step.
-    pub fn start(
+    pub(crate) fn start(
         &mut self,
         world: &World,
         build_policy: &dyn Fn(PolicySettings) -> Box<dyn Policy>,
@@ -114,12 +114,18 @@
         }
     }
 
-    pub fn keep_log(&mut self) {
+    pub(crate) fn keep_log(&mut self) {
         self.dispatcher.keep_log = true;
     }
 
     /// Makes an endpoint known that this relay may not know yet; what it knows already stays.
-    pub fn learn(&mut self, world: &World, setup: &EndpointSetup, endpoint: u32, status: EndpointStatus) {
+    pub(crate) fn learn(
+        &mut self,
+        world: &World,
+        setup: &EndpointSetup,
+        endpoint: u32,
+        status: EndpointStatus,
+    ) {
         let known = KnownEndpoint {
             status,
             destination: setup.destination,
@@ -131,13 +137,13 @@
     }
 
     /// True if a step is due.
-    pub fn due(&self, now: Time) -> bool {
+    pub(crate) fn due(&self, now: Time) -> bool {
         let wakes = self.dispatcher.wake_at.is_some_and(|at| at <= now);
         self.up && now >= self.stalled_until && (wakes || !self.inbox.is_empty())
     }
 
     /// When it wakes by itself.
-    pub fn next_wake(&self) -> Option<Time> {
+    pub(crate) fn next_wake(&self) -> Option<Time> {
         if !self.up {
             return None;
         }
@@ -145,7 +151,7 @@
     }
 
     /// Takes in what came, has the policy decide, and lets its actions out.
-    pub fn step(&mut self, now: Time, truth: Option<&mut GroundTruth>) {
+    pub(crate) fn step(&mut self, now: Time, truth: Option<&mut GroundTruth>) {
         self.last_round = now;
         self.dispatcher.now = now;
         self.dispatcher.wake_at = self.dispatcher.wake_at.filter(|at| *at > now);
@@ -160,12 +166,12 @@
     }
 
     /// What was done since the last call.
-    pub fn take_effects(&mut self) -> Vec<RelayEffect> {
+    pub(crate) fn take_effects(&mut self) -> Vec<RelayEffect> {
         std::mem::take(&mut self.dispatcher.effects)
     }
 
     /// Ends the process, with all but its spool and the endpoint list as it had it.
-    pub fn kill(&mut self) {
+    pub(crate) fn kill(&mut self) {
         self.policy = None;
         self.up = false;
         self.watching = false;
@@ -176,16 +182,16 @@
         self.dispatcher.wake_at = None;
     }
 
-    pub fn step_clock(&mut self, by: i64) {
+    pub(crate) fn step_clock(&mut self, by: i64) {
         self.dispatcher.unix_clock.step(by);
     }
 
     /// Messages in the spool.
-    pub fn held(&self) -> usize {
+    pub(crate) fn held(&self) -> usize {
         self.dispatcher.spool.len()
     }
 
-    pub fn calls_in_flight(&self) -> usize {
+    pub(crate) fn calls_in_flight(&self) -> usize {
         self.dispatcher.calls.len()
     }
 }
--- a/crates/lab/src/traffic.rs
+++ b/crates/lab/src/traffic.rs
@@ -144,7 +144,7 @@
 
 /// The factor by which rushes raise the rate of arrivals at a time in seconds.
 fn rush_factor(scenario: &Scenario, at: f64) -> f64 {
-    let rushes = scenario.traffic.rush.iter().map(|rush| rush.as_ref());
+    let rushes = scenario.traffic.rush.iter().map(std::convert::AsRef::as_ref);
     let active = rushes.filter(|rush| (rush.from.seconds()..rush.to.seconds()).contains(&at));
     active.map(|rush| rush.times.0).product()
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -283,7 +283,7 @@
                 scenario::Idempotency::Idempotent => invariants::Idempotency::Idempotent,
                 scenario::Idempotency::NotIdempotent => invariants::Idempotency::NotIdempotent,
                 scenario::Idempotency::WithKey => invariants::Idempotency::WithKey {
-                    window: l.deduplication_window.map_or(0, |m| m.us()),
+                    window: l.deduplication_window.map_or(0, mountshift_scenario::Span::us),
                     by_zone: by_zone(l),
                 },
             },
--- a/crates/maintenance/src/tests.rs
+++ b/crates/maintenance/src/tests.rs
@@ -37,7 +37,9 @@
 #[test]
 fn endpoints_in_maintenance_outlive_the_process_by_their_text() {
     let mut maintenance = MaintenanceState::default();
-    ["b", "a"].iter().for_each(|id| maintenance.record_listed(id));
+    for id in ["b", "a"] {
+        maintenance.record_listed(id);
+    }
     maintenance.handle(Call::Enter("b".into()), ms(0));
     maintenance.handle(Call::Enter("a".into()), ms(0));
     let mut again = MaintenanceState::from_text(&maintenance.to_text());
--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -78,9 +78,9 @@
         }
         // The rest is read by now; the process ends before the first ones have their answers.
         fixture.ending.close();
-        waiting
-            .iter()
-            .for_each(|answer| answer.try_send(SubmissionReply::Accepted(MessageId(1))).expect("waited for"));
+        for answer in &waiting {
+            answer.try_send(SubmissionReply::Accepted(MessageId(1))).expect("waited for");
+        }
         assert_eq!(heard(&mut far).await, "+OK\r\n".repeat(MAX_REQUESTS_PER_TURN) + &"-BUSY\r\n".repeat(8));
         assert!(fixture.submitted.is_empty(), "nothing more is submitted");
         assert!(fixture.withdrawn.borrow().is_empty(), "what was heard is not withdrawn");
--- a/crates/relay/src/upstream/endpoint_table.rs
+++ b/crates/relay/src/upstream/endpoint_table.rs
@@ -122,12 +122,11 @@
     /// A zone by its name. A name that the settings don't hold is a zone of its own: two such zones taken for one would
     /// let a repeat that one of them knows go to the other (rule 2).
     pub(crate) fn zone_id(&mut self, name: &str) -> ZoneId {
-        let index = match self.zones.iter().position(|zone| zone == name) {
-            Some(index) => index,
-            None => {
-                self.zones.push(name.to_string());
-                self.zones.len() - 1
-            }
+        let index = if let Some(index) = self.zones.iter().position(|zone| zone == name) {
+            index
+        } else {
+            self.zones.push(name.to_string());
+            self.zones.len() - 1
         };
         ZoneId(index as u16)
     }
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -113,16 +113,15 @@
             let answer = loop {
                 let mut c = match connection.take() {
                     Some(c) => c,
-                    None => match TcpStream::connect(at) {
-                        Ok(stream) => {
+                    None => {
+                        if let Ok(stream) = TcpStream::connect(at) {
                             stream.set_read_timeout(Some(ms(3_000))).expect("a time-out");
                             Client(std::io::BufReader::new(stream))
-                        }
-                        Err(_) => {
+                        } else {
                             sleep(ms(5));
                             continue;
                         }
-                    },
+                    }
                 };
                 let _ = c.0.get_mut().write_all(&request);
                 let line = c.hear();
@@ -192,7 +191,7 @@
     let clients: Vec<_> = (1..=4).map(|key| client(at, key, stop.clone(), heard.clone())).collect();
     let mut chance = seed;
     let mut draw = |most: u64| {
-        chance = chance.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+        chance = chance.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
         (chance >> 33) % most
     };
     for n in 1..=3 {
@@ -206,7 +205,9 @@
     }
     sleep(ms(400));
     stop.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|c| c.join().expect("a client"));
+    for client in clients {
+        client.join().expect("a client");
+    }
     let heard = heard.lock().expect("heard");
     until("every message accepted to end", || {
         let ends = Ends::count(&endpoint, &platform);
--- a/crates/relay/tests/support/client.rs
+++ b/crates/relay/tests/support/client.rs
@@ -3,7 +3,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::TcpStream;
 
-pub fn submit_request(id: &str, key: u64, list: &str, body: &[u8]) -> Vec<u8> {
+pub(crate) fn submit_request(id: &str, key: u64, list: &str, body: &[u8]) -> Vec<u8> {
     let key = format!("{key:016x}");
     let words = [b"OUT.ADD", key.as_bytes(), id.as_bytes(), list.as_bytes(), body];
     let mut bytes = format!("*{}\r\n", words.len()).into_bytes();
@@ -15,21 +15,21 @@
     bytes
 }
 
-pub struct Client(pub BufReader<TcpStream>);
+pub(crate) struct Client(pub BufReader<TcpStream>);
 
 impl Client {
-    pub fn say(&mut self, bytes: &[u8]) {
+    pub(crate) fn say(&mut self, bytes: &[u8]) {
         self.0.get_mut().write_all(bytes).expect("written");
     }
 
     /// A line, empty at the end of the connection.
-    pub fn hear(&mut self) -> String {
+    pub(crate) fn hear(&mut self) -> String {
         let mut line = String::new();
         let _ = self.0.read_line(&mut line);
         line.trim_end().to_string()
     }
 
-    pub fn ask(&mut self, bytes: &[u8]) -> String {
+    pub(crate) fn ask(&mut self, bytes: &[u8]) -> String {
         self.say(bytes);
         self.hear()
     }
--- a/crates/relay/tests/support/discovery.rs
+++ b/crates/relay/tests/support/discovery.rs
@@ -9,14 +9,14 @@
 use std::time::{Duration, Instant};
 
 /// Discovery: a list that can change, and notifications with the status each call gets.
-pub struct Platform {
+pub(crate) struct Platform {
     pub server: Server,
     list: Arc<Mutex<(u64, Vec<Value>)>>,
 }
 
 impl Platform {
     /// The first `refused` calls with notifications are answered 500.
-    pub fn start(refused: usize) -> Platform {
+    pub(crate) fn start(refused: usize) -> Platform {
         let list: Arc<Mutex<(u64, Vec<Value>)>> = Arc::new(Mutex::new((1, Vec::new())));
         let (shown, left) = (list.clone(), Mutex::new(refused));
         let server = Server::start(move |request| {
@@ -50,13 +50,13 @@
         Platform { server, list }
     }
 
-    pub fn set(&self, members: Vec<Value>) {
+    pub(crate) fn set(&self, members: Vec<Value>) {
         let mut list = self.list.lock().expect("a list");
         *list = (list.0 + 1, members);
     }
 
     /// Notices as the platform got them, one text each, those of refused calls too.
-    pub fn notifications(&self) -> Vec<String> {
+    pub(crate) fn notifications(&self) -> Vec<String> {
         let requests = self.server.requests();
         let bodies =
             requests.iter().filter(|r| r.path == "/status").map(|r| String::from_utf8_lossy(&r.body));
@@ -64,12 +64,12 @@
     }
 }
 
-pub fn member(id: &str, at: SocketAddr, dst: u32, kind: &str) -> Value {
+pub(crate) fn member(id: &str, at: SocketAddr, dst: u32, kind: &str) -> Value {
     json!({"id": id, "host_port": at.to_string(), "locality": "north", "flavor": kind, "cell": dst,
         "phase": "Ready", "size": 1000.0, "up_since_ms": 0})
 }
 
 /// An endpoint of destination 8 that refuses connections.
-pub fn unreachable_endpoint() -> Value {
+pub(crate) fn unreachable_endpoint() -> Value {
     member("e0", free_address(), 8, "single")
 }
--- a/crates/relay/tests/support/gate.rs
+++ b/crates/relay/tests/support/gate.rs
@@ -7,11 +7,11 @@
 /// Holds every thread that comes to it until it is opened, and counts them: so a test forces the order of two events
 /// where a pause would depend on the speed of the machine.
 #[derive(Clone, Default)]
-pub struct Gate(Arc<(Mutex<(bool, usize)>, Condvar)>);
+pub(crate) struct Gate(Arc<(Mutex<(bool, usize)>, Condvar)>);
 
 impl Gate {
     /// Called by the held side: counts as arrived and waits until the gate is open, a minute at most.
-    pub fn pass(&self) {
+    pub(crate) fn pass(&self) {
         let (state, moved) = &*self.0;
         let mut held = state.lock().expect("a gate");
         held.1 += 1;
@@ -20,13 +20,13 @@
     }
 
     /// Called by the test: lets everyone pass, from now on without waiting.
-    pub fn open(&self) {
+    pub(crate) fn open(&self) {
         self.0.0.lock().expect("a gate").0 = true;
         self.0.1.notify_all();
     }
 
     /// Called by the test: waits until so many have arrived since the start, ten seconds at most.
-    pub fn wait_for_arrivals(&self, n: usize) {
+    pub(crate) fn wait_for_arrivals(&self, n: usize) {
         let (state, moved) = &*self.0;
         let held = state.lock().expect("a gate");
         let most = Duration::from_secs(10);
@@ -36,7 +36,7 @@
 }
 
 /// An endpoint that holds every call at a gate before it acts: until the test opens the gate, calls are in flight.
-pub fn gated(act: impl Fn() -> ServerAction + Send + Sync + 'static) -> (Gate, Server) {
+pub(crate) fn gated(act: impl Fn() -> ServerAction + Send + Sync + 'static) -> (Gate, Server) {
     let gate = Gate::default();
     let held = gate.clone();
     let endpoint = Server::start(move |_| {
--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -1,21 +1,21 @@
 //! Stand-ins for what a relay meets: clients, endpoints, discovery. Plain threads on loopback sockets.
 
-pub mod client;
-pub mod discovery;
-pub mod gate;
-pub mod process;
-pub mod server;
+pub(crate) mod client;
+pub(crate) mod discovery;
+pub(crate) mod gate;
+pub(crate) mod process;
+pub(crate) mod server;
 
 use std::net::SocketAddr;
 use std::thread;
 use std::time::{Duration, Instant};
 
-pub fn ms(n: u64) -> Duration {
+pub(crate) fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
 }
 
 /// True while a connection to the address is on its way: asked for, and not taken.
-pub fn is_connecting(to: SocketAddr) -> bool {
+pub(crate) fn is_connecting(to: SocketAddr) -> bool {
     let SocketAddr::V4(to) = to else { return false };
     let to = format!("{:08X}:{:04X}", u32::from_le_bytes(to.ip().octets()), to.port());
     let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
@@ -24,7 +24,7 @@
 }
 
 /// Waits for something, ten seconds at most.
-pub fn until(what: &str, mut seen: impl FnMut() -> bool) {
+pub(crate) fn until(what: &str, mut seen: impl FnMut() -> bool) {
     let start = Instant::now();
     while !seen() {
         assert!(start.elapsed() < Duration::from_secs(10), "waited for {what}");
--- a/crates/relay/tests/support/process.rs
+++ b/crates/relay/tests/support/process.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 /// What an operator writes: classes `any` (idempotent), `once` (not idempotent), `line` (in order, idempotent).
-pub fn config(listen: SocketAddr, discovery: SocketAddr, members: &[Value]) -> Value {
+pub(crate) fn config(listen: SocketAddr, discovery: SocketAddr, members: &[Value]) -> Value {
     let class = |name: &str, effect: &str, in_order: bool| {
         json!({"name": name, "aim": 1_500_000, "giveUp": 20_000_000, "importance": 1.0, "lateWorth": 0.1,
             "idempotency": effect, "inOrder": in_order})
@@ -38,7 +38,7 @@
 }
 
 /// A relay as operators start it.
-pub struct Relay {
+pub(crate) struct Relay {
     child: Child,
     pub listen: SocketAddr,
 }
@@ -50,7 +50,7 @@
     }
 }
 
-pub fn command(config: &Path, state: &Path) -> Command {
+pub(crate) fn command(config: &Path, state: &Path) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_mountshift-relay"));
     command.env_clear().env("NODE_CONFIG", config).env("NODE_STATE", state);
     command
@@ -58,7 +58,7 @@
 
 /// A free address: on a loopback address of its own, so that no server or connection of another test, here or
 /// in a process beside this one, takes the port before it is used.
-pub fn free_address() -> SocketAddr {
+pub(crate) fn free_address() -> SocketAddr {
     static COUNT: AtomicU32 = AtomicU32::new(0);
     let (process, n) = (std::process::id(), COUNT.fetch_add(1, Ordering::SeqCst));
     let part = |n: u32| (n % 250) as u8 + 1;
@@ -68,12 +68,12 @@
 
 impl Relay {
     /// Starts one and waits for its `+PONG`.
-    pub fn start(config: &Value, dir: &Path) -> Relay {
+    pub(crate) fn start(config: &Value, dir: &Path) -> Relay {
         Relay::start_with(config, dir, None)
     }
 
     /// As above, with the address of discovery in its environment too.
-    pub fn start_with(config: &Value, dir: &Path, discovery: Option<SocketAddr>) -> Relay {
+    pub(crate) fn start_with(config: &Value, dir: &Path, discovery: Option<SocketAddr>) -> Relay {
         let (file, state) = (dir.join("config.json"), dir.join("state"));
         std::fs::write(&file, config.to_string()).expect("a config");
         std::fs::create_dir_all(&state).expect("a folder");
@@ -89,43 +89,43 @@
         relay
     }
 
-    pub fn client(&self) -> Client {
+    pub(crate) fn client(&self) -> Client {
         let stream = TcpStream::connect(self.listen).expect("a connection");
         stream.set_read_timeout(Some(Duration::from_secs(8))).expect("a time-out");
         Client(BufReader::new(stream))
     }
 
     /// Hands one message in on a connection of its own.
-    pub fn submit(&self, id: &str, key: u64, list: &str, body: &[u8]) -> String {
+    pub(crate) fn submit(&self, id: &str, key: u64, list: &str, body: &[u8]) -> String {
         self.client().ask(&submit_request(id, key, list, body))
     }
 
-    pub fn signal(&self, name: &str) {
+    pub(crate) fn signal(&self, name: &str) {
         let id = self.child.id().to_string();
         assert!(Command::new("kill").args(["-s", name, &id]).status().expect("kill").success());
     }
 
     /// True once a STOP has taken effect.
-    pub fn is_suspended(&self) -> bool {
+    pub(crate) fn is_suspended(&self) -> bool {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
         stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
     }
 
     /// Its exit code, once it ends.
-    pub fn code(&mut self) -> Option<i32> {
+    pub(crate) fn code(&mut self) -> Option<i32> {
         self.child.wait().expect("an end").code()
     }
 }
 
 /// A platform, and a relay's configuration and folder.
-pub struct Fixture {
+pub(crate) struct Fixture {
     pub dir: tempfile::TempDir,
     pub platform: Platform,
     pub config: Value,
 }
 
 /// A platform with one list, told to the relay from the start.
-pub fn fixture(refused: usize, members: Vec<Value>) -> Fixture {
+pub(crate) fn fixture(refused: usize, members: Vec<Value>) -> Fixture {
     let platform = Platform::start(refused);
     let config = config(free_address(), platform.server.address, &members);
     platform.set(members);
@@ -133,22 +133,22 @@
 }
 
 impl Fixture {
-    pub fn relay(&self) -> Relay {
+    pub(crate) fn relay(&self) -> Relay {
         Relay::start(&self.config, self.dir.path())
     }
 
-    pub fn log(&self) -> String {
+    pub(crate) fn log(&self) -> String {
         std::fs::read_to_string(self.dir.path().join("log")).expect("a log")
     }
 
     /// Writes a configuration that names another discovery, for SIGHUP.
-    pub fn write_discovery(&self, to: SocketAddr) {
+    pub(crate) fn write_discovery(&self, to: SocketAddr) {
         let mut config = self.config.clone();
         config["discovery"] = json!(to.to_string());
         std::fs::write(self.dir.path().join("config.json"), config.to_string()).expect("a config");
     }
 
-    pub fn disk(&self) -> u64 {
+    pub(crate) fn disk(&self) -> u64 {
         let files = std::fs::read_dir(self.dir.path().join("state")).expect("a folder").flatten();
         files.map(|f| f.metadata().map_or(0, |m| m.len().div_ceil(512) * 512)).sum()
     }
--- a/crates/relay/tests/support/server.rs
+++ b/crates/relay/tests/support/server.rs
@@ -9,7 +9,7 @@
 
 /// A request as a server got it.
 #[derive(Clone, Debug)]
-pub struct Request {
+pub(crate) struct Request {
     pub path: String,
     pub headers: BTreeMap<String, String>,
     pub body: Vec<u8>,
@@ -20,7 +20,7 @@
 
 impl Request {
     /// The ids of the messages in it.
-    pub fn ids(&self) -> Vec<String> {
+    pub(crate) fn ids(&self) -> Vec<String> {
         if let Some(id) = self.headers.get("x-request-id") {
             return vec![id.clone()];
         }
@@ -36,7 +36,7 @@
 }
 
 /// What a server does with a request.
-pub enum ServerAction {
+pub(crate) enum ServerAction {
     /// Answers with these bytes, after a while.
     Say(String, Duration),
     /// Answers, then closes without having said so.
@@ -45,28 +45,28 @@
     Close,
 }
 
-pub fn answer(status: u16, headers: &str, body: &str) -> ServerAction {
+pub(crate) fn answer(status: u16, headers: &str, body: &str) -> ServerAction {
     let text = format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len());
     ServerAction::Say(text, Duration::ZERO)
 }
 
-pub fn ok() -> ServerAction {
+pub(crate) fn ok() -> ServerAction {
     answer(200, "", "")
 }
 
 /// A server that keeps every request it got.
 #[derive(Clone)]
-pub struct Server {
+pub(crate) struct Server {
     pub address: SocketAddr,
     pub got: Arc<Mutex<Vec<Request>>>,
 }
 
 impl Server {
-    pub fn start(act: impl Fn(&Request) -> ServerAction + Send + Sync + 'static) -> Server {
+    pub(crate) fn start(act: impl Fn(&Request) -> ServerAction + Send + Sync + 'static) -> Server {
         Server::on(TcpListener::bind("127.0.0.1:0").expect("a port"), act)
     }
 
-    pub fn on(
+    pub(crate) fn on(
         listener: TcpListener,
         act: impl Fn(&Request) -> ServerAction + Send + Sync + 'static,
     ) -> Server {
@@ -81,12 +81,12 @@
         server
     }
 
-    pub fn requests(&self) -> Vec<Request> {
+    pub(crate) fn requests(&self) -> Vec<Request> {
         self.got.lock().expect("requests").clone()
     }
 
     /// Ids in the order in which they came.
-    pub fn ids(&self) -> Vec<String> {
+    pub(crate) fn ids(&self) -> Vec<String> {
         self.requests().iter().flat_map(Request::ids).collect()
     }
 }
@@ -135,7 +135,7 @@
 }
 
 /// A listener that takes no more connections for now; dropping what comes with it makes room.
-pub fn full_listener() -> (TcpListener, Vec<socket2::Socket>) {
+pub(crate) fn full_listener() -> (TcpListener, Vec<socket2::Socket>) {
     let socket =
         || socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
     let listener = socket();
--- a/crates/spool/tests/spool.rs
+++ b/crates/spool/tests/spool.rs
@@ -193,7 +193,9 @@
 fn a_log_of_format_1_is_read_with_no_time_of_acceptance() {
     let dir = tempfile::tempdir().expect("a folder");
     let mut message = vec![b'M'];
-    [1u64, 5, 1_000].iter().for_each(|x| message.extend(x.to_le_bytes()));
+    for number in [1u64, 5, 1_000] {
+        message.extend(number.to_le_bytes());
+    }
     for text in [&b"a"[..], b"c=a,d=8000,dest=7", b"body"] {
         message.extend((text.len() as u32).to_le_bytes());
         message.extend(text);
