--- a/crates/cli/src/lab/trace.rs
+++ b/crates/cli/src/lab/trace.rs
@@ -118,18 +118,18 @@
     /// Notes the ids that a fact adds to what is asked about.
     fn learn(&mut self, fact: &Fact) {
         match *fact {
-            Fact::Submitted { message: msg, request, destination: dst, .. }
-                if self.is_asked_for(request, dst) =>
+            Fact::Submitted { message, request, destination, .. }
+                if self.is_asked_for(request, destination) =>
             {
-                self.messages.insert(msg);
+                self.messages.insert(message);
             }
-            Fact::EndpointAdded { endpoint, destination: dst, route, .. }
-                if self.destination == Some(dst) =>
+            Fact::EndpointAdded { endpoint, destination, route, .. }
+                if self.destination == Some(destination) =>
             {
                 self.endpoints.insert(endpoint);
                 self.routes.insert(route);
             }
-            Fact::AttemptStarted { message: msg, call, .. } if self.messages.contains(&msg) => {
+            Fact::AttemptStarted { message, call, .. } if self.messages.contains(&message) => {
                 self.calls.insert(call);
             }
             _ => {}
--- a/crates/lab/src/day/clients.rs
+++ b/crates/lab/src/day/clients.rs
@@ -65,26 +65,11 @@
             return;
         };
         let message = self.open_message(request_id, relay);
-        let Request { class: lane, tenant, destination: dst, key, .. } = request;
+        let Request { class, tenant, destination, key, .. } = request;
         let request = u64::from(request_id);
-        self.record(Fact::Submitted {
-            message,
-            request,
-            relay,
-            class: lane,
-            destination: dst,
-            key,
-            deadline,
-        });
+        self.record(Fact::Submitted { message, request, relay, class, destination, key, deadline });
         let host = &mut self.relays[relay as usize];
-        host.inbox.push(RelayEvent::Submitted {
-            message,
-            class: lane,
-            tenant,
-            destination: dst,
-            key,
-            deadline,
-        });
+        host.inbox.push(RelayEvent::Submitted { message, class, tenant, destination, key, deadline });
         if host.stalled_until > self.now {
             let patience = self.world.scenario.clients.submit_timeout.us();
             self.schedule(self.now + patience, Event::ClientTimeout { message });
--- a/crates/lab/src/day/endpoints.rs
+++ b/crates/lab/src/day/endpoints.rs
@@ -223,13 +223,13 @@
     /// True if the endpoint knows a message's idempotency key and drops the message; otherwise it remembers it.
     fn is_repeat(&mut self, message_id: u64, request: u32, endpoint: u32, arrived_at: Time) -> bool {
         let class = self.requests[request as usize].class;
-        let lane = &self.world.scenario.classes[usize::from(class)];
-        if lane.idempotency != Idempotency::WithKey {
+        let class = &self.world.scenario.classes[usize::from(class)];
+        if class.idempotency != Idempotency::WithKey {
             return false;
         }
         let server = &self.servers[endpoint as usize];
-        let scope = if by_zone(lane) { u32::from(server.setup.zone) } else { server.setup.destination };
-        let window = lane.deduplication_window.map_or(0, mountshift_scenario::Span::us);
+        let scope = if by_zone(class) { u32::from(server.setup.zone) } else { server.setup.destination };
+        let window = class.deduplication_window.map_or(0, mountshift_scenario::Span::us);
         // It is known from its first arrival on, but counts as done only once it took effect: a first attempt that
         // died in the queue must not swallow the second.
         let unknown = Deduplication { first_seen: arrived_at, took_effect: false };
--- a/crates/lab/src/day/trace.rs
+++ b/crates/lab/src/day/trace.rs
@@ -21,16 +21,16 @@
 /// What tells two traces apart: the kind of a fact, about whom, and what it says.
 fn digest_words(fact: Fact) -> [u64; 4] {
     match fact {
-        Fact::AttemptStarted { message: msg, call, relay, endpoint: to } => {
-            [1, msg, call, u64::from(relay) << 32 | u64::from(to)]
+        Fact::AttemptStarted { message, call, relay, endpoint } => {
+            [1, message, call, u64::from(relay) << 32 | u64::from(endpoint)]
         }
         Fact::CallReceived { call, endpoint, .. } => [2, call, u64::from(endpoint), 0],
-        Fact::Executed { message: msg, call, duplicate: repeat, .. } => [3, msg, call, u64::from(repeat)],
-        Fact::AttemptEnded { message: msg, call, outcome: end, .. } => [4, msg, call, attempt_end_word(end)],
-        Fact::FinalAnswerGiven { message: msg, answer: FinalAnswer::Rejected { retry_after }, .. } => {
-            [5, msg, retry_after + 1, 0]
+        Fact::Executed { message, call, duplicate, .. } => [3, message, call, u64::from(duplicate)],
+        Fact::AttemptEnded { message, call, outcome, .. } => [4, message, call, attempt_end_word(outcome)],
+        Fact::FinalAnswerGiven { message, answer: FinalAnswer::Rejected { retry_after }, .. } => {
+            [5, message, retry_after + 1, 0]
         }
-        Fact::FinalAnswerGiven { message: msg, answer: FinalAnswer::Failed, .. } => [5, msg, 0, 0],
+        Fact::FinalAnswerGiven { message, answer: FinalAnswer::Failed, .. } => [5, message, 0, 0],
         other => [0, other.message().unwrap_or(u64::MAX), 0, 0],
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -222,8 +222,9 @@
         if script.kind == TroubleKind::Cut {
             targets.endpoints = self.targets(&script.off).endpoints;
         }
-        let lanes = &self.scenario.classes;
-        let class = script.lane.as_ref().and_then(|name| lanes.iter().position(|lane| lane.name == *name));
+        let classes = &self.scenario.classes;
+        let class =
+            script.lane.as_ref().and_then(|name| classes.iter().position(|class| class.name == *name));
         ScheduledTrouble {
             kind: script.kind,
             begins: script.from.us(),
@@ -278,19 +279,19 @@
     /// The rules' parameters for the invariant checker, read from the scenario and not from what relays are told.
     pub(crate) fn rule_parameters(&self) -> invariants::RuleParameters {
         let s = self.scenario;
-        let lane = |l: &scenario::MessageClass| invariants::MessageClass {
-            idempotency: match l.idempotency {
+        let class = |class: &scenario::MessageClass| invariants::MessageClass {
+            idempotency: match class.idempotency {
                 scenario::Idempotency::Idempotent => invariants::Idempotency::Idempotent,
                 scenario::Idempotency::NotIdempotent => invariants::Idempotency::NotIdempotent,
                 scenario::Idempotency::WithKey => invariants::Idempotency::WithKey {
-                    window: l.deduplication_window.map_or(0, mountshift_scenario::Span::us),
-                    by_zone: by_zone(l),
+                    window: class.deduplication_window.map_or(0, mountshift_scenario::Span::us),
+                    by_zone: by_zone(class),
                 },
             },
-            in_order: l.in_order,
+            in_order: class.in_order,
         };
         invariants::RuleParameters {
-            classes: s.classes.iter().map(lane).collect(),
+            classes: s.classes.iter().map(class).collect(),
             answer_slack: 300_000,
             restart_slack: 1_500_000,
             drain_grace: s.rules.drain_grace.us(),
@@ -311,31 +312,31 @@
     }
 }
 
-fn message_class(lane: &scenario::MessageClass) -> MessageClass {
+fn message_class(class: &scenario::MessageClass) -> MessageClass {
     MessageClass {
-        latency_objective: lane.latency_objective.0,
-        deadline: lane.deadline.as_ref().0,
-        priority_weight: lane.priority_weight.0,
-        late_weight_share: lane.late_weight_share.0,
-        idempotency: idempotency(lane),
-        in_order: lane.in_order,
+        latency_objective: class.latency_objective.0,
+        deadline: class.deadline.as_ref().0,
+        priority_weight: class.priority_weight.0,
+        late_weight_share: class.late_weight_share.0,
+        idempotency: idempotency(class),
+        in_order: class.in_order,
     }
 }
 
-fn idempotency(lane: &scenario::MessageClass) -> Idempotency {
-    match lane.idempotency {
+fn idempotency(class: &scenario::MessageClass) -> Idempotency {
+    match class.idempotency {
         scenario::Idempotency::Idempotent => Idempotency::Idempotent,
         scenario::Idempotency::NotIdempotent => Idempotency::NotIdempotent,
         scenario::Idempotency::WithKey => {
-            let window = lane.deduplication_window.map_or(Duration::ZERO, |memory| memory.0);
+            let window = class.deduplication_window.map_or(Duration::ZERO, |window| window.0);
             let scope =
-                if by_zone(lane) { DeduplicationScope::SameZone } else { DeduplicationScope::AllEndpoints };
+                if by_zone(class) { DeduplicationScope::SameZone } else { DeduplicationScope::AllEndpoints };
             Idempotency::WithKey { window, scope }
         }
     }
 }
 
 /// True if an idempotency key is known to the endpoints of one zone only, else to all of a destination.
-pub(crate) fn by_zone(lane: &scenario::MessageClass) -> bool {
-    lane.deduplication_scope.as_ref().is_some_and(|g| *g.as_ref() == scenario::DeduplicationScope::SameZone)
+pub(crate) fn by_zone(class: &scenario::MessageClass) -> bool {
+    class.deduplication_scope.as_ref().is_some_and(|g| *g.as_ref() == scenario::DeduplicationScope::SameZone)
 }
