--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -402,7 +402,7 @@
         let mut bytes_left = MAX_DISCARDED_BYTES;
         service.start_waiting(self);
         while bytes_left > 0 && Instant::now() < due && !self.evicted.is_closed() {
-            match self.stream.get_ref().read(&mut [0; DISCARD_CHUNK_BYTES]) {
+            match self.discard_chunk() {
                 Ok(0) => return,
                 Ok(read) => {
                     bytes_left = bytes_left.saturating_sub(read);
@@ -417,6 +417,12 @@
         }
     }
 
+    /// Reads and drops some of what has come. Not async: a buffer that lives across an `await` would be held by every
+    /// connection for as long as it is open.
+    fn discard_chunk(&self) -> io::Result<usize> {
+        self.stream.get_ref().read(&mut [0; DISCARD_CHUNK_BYTES])
+    }
+
     /// True if there is something to read, the end of the connection included.
     fn has_input(&self) -> bool {
         let peeked = self.stream.get_ref().peek(&mut [0]);
--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -197,3 +197,18 @@
         );
     }
 }
+
+// A connection's task is kept for as long as the connection is open, and hundreds may be: a buffer of 64 KiB that lived
+// across an await made each of them as much larger.
+#[test]
+fn a_connection_task_holds_no_read_buffer() {
+    const MAX_TASK_BYTES: usize = 8 * 1024;
+    let fixture = fixture();
+    let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0)).expect("a port");
+    let at = listener.get_ref().local_addr().expect("an address");
+    let _client = TcpStream::connect(at).expect("a connection");
+    let (stream, peer) = block_on(listener.accept()).expect("accepted");
+    let task = serve_connection(ClientConnection::new(stream, 1), peer, fixture.service);
+    let task_bytes = std::mem::size_of_val(&task);
+    assert!(task_bytes < MAX_TASK_BYTES, "{task_bytes} bytes");
+}
