Failing tests: a stepped wall clock across a restart, writes cut short; a fault shim

On: an hour ahead gives up 30 of 30 with no call, an hour behind leaves 30 of 30 unnotified, accepted messages behind a torn record are lost.

--- /dev/null
+++ b/crates/faults/src/system_call.rs
@@ -0,0 +1,102 @@
+//! The system calls that can fail.
+
+use std::fmt;
+use std::str::FromStr;
+
+/// A system call, or a group of calls of one kind, that can fail.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[repr(usize)]
+pub enum SystemCall {
+    /// `write`, `writev`, `pwrite` to a file of the state folder.
+    FileWrite,
+    /// `fsync`, `fdatasync`.
+    FileSync,
+    /// `ftruncate` of a file of the state folder.
+    FileTruncate,
+    /// `rename` in the state folder.
+    FileRename,
+    /// `open` of a file of the state folder.
+    FileOpen,
+    /// `unlink` in the state folder.
+    FileUnlink,
+    /// `flock`.
+    FileLock,
+    /// `read` of a file of the state folder.
+    FileRead,
+    /// `accept`.
+    Accept,
+    /// `socket`.
+    Socket,
+    /// `connect`.
+    Connect,
+    /// `bind`.
+    Bind,
+    /// `recv`, and `read` from a socket.
+    Receive,
+    /// `send`, and `write` to a socket.
+    Send,
+    /// `epoll_wait`.
+    Wait,
+}
+
+impl SystemCall {
+    /// All of them, in the order of the control file.
+    pub const ALL: [SystemCall; 15] = [
+        SystemCall::FileWrite,
+        SystemCall::FileSync,
+        SystemCall::FileTruncate,
+        SystemCall::FileRename,
+        SystemCall::FileOpen,
+        SystemCall::FileUnlink,
+        SystemCall::FileLock,
+        SystemCall::FileRead,
+        SystemCall::Accept,
+        SystemCall::Socket,
+        SystemCall::Connect,
+        SystemCall::Bind,
+        SystemCall::Receive,
+        SystemCall::Send,
+        SystemCall::Wait,
+    ];
+
+    /// Its name in schedules and on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            SystemCall::FileWrite => "file-write",
+            SystemCall::FileSync => "file-sync",
+            SystemCall::FileTruncate => "file-truncate",
+            SystemCall::FileRename => "file-rename",
+            SystemCall::FileOpen => "file-open",
+            SystemCall::FileUnlink => "file-unlink",
+            SystemCall::FileLock => "file-lock",
+            SystemCall::FileRead => "file-read",
+            SystemCall::Accept => "accept",
+            SystemCall::Socket => "socket",
+            SystemCall::Connect => "connect",
+            SystemCall::Bind => "bind",
+            SystemCall::Receive => "receive",
+            SystemCall::Send => "send",
+            SystemCall::Wait => "wait",
+        }
+    }
+}
+
+impl fmt::Display for SystemCall {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
+}
+
+/// A text that names no system call.
+#[derive(Debug, thiserror::Error)]
+#[error("{0} is no system call that can fail")]
+pub struct ParseSystemCallError(String);
+
+impl FromStr for SystemCall {
+    type Err = ParseSystemCallError;
+
+    fn from_str(text: &str) -> Result<SystemCall, ParseSystemCallError> {
+        let found = SystemCall::ALL.into_iter().find(|call| call.name() == text);
+        found.ok_or_else(|| ParseSystemCallError(text.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/faults.rs
@@ -0,0 +1,118 @@
+//! The relay under system calls that fail and a wall clock that is stepped. The library preloaded into it injects both;
+//! the calls that reach it leave through the C library.
+
+#[allow(dead_code)]
+mod support;
+
+use mountshift_faults::{CallFault, FULL_RATE, FaultControl, SystemCall};
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::sleep;
+use support::{client::*, discovery::*, process::*, server::*, *};
+use test_case::test_case;
+
+const HOUR_MS: i64 = 3_600_000;
+
+/// An endpoint that rejects everything until the flag is set.
+fn busy_until_told() -> (Arc<AtomicBool>, Server) {
+    let well = Arc::new(AtomicBool::new(false));
+    let told = well.clone();
+    let endpoint =
+        Server::start(move |_| if told.load(Ordering::SeqCst) { ok() } else { answer(503, "", "") });
+    (well, endpoint)
+}
+
+/// Submits messages with such ids and gives back the ids that were accepted.
+fn submit_all(relay: &Relay, ids: impl IntoIterator<Item = String>, list: &str) -> BTreeSet<String> {
+    let mut client = relay.client();
+    let mut accepted = BTreeSet::new();
+    for id in ids {
+        let answer = client.ask(&submit_request(&id, 0, list, b"x"));
+        if answer == "+OK" {
+            accepted.insert(id);
+        } else {
+            assert!(answer.starts_with("-BUSY"), "{answer}");
+        }
+    }
+    accepted
+}
+
+fn delivered(endpoint: &Server) -> BTreeSet<String> {
+    endpoint.ids().into_iter().collect()
+}
+
+#[test_case(HOUR_MS; "an hour ahead")]
+#[test_case(-HOUR_MS; "an hour behind")]
+fn a_wall_clock_step_across_a_restart_ends_no_message_early(step_ms: i64) {
+    let (well, endpoint) = busy_until_told();
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let faults = fixture.faults();
+    let relay = fixture.relay_with_faults(&faults);
+    let ids = (0..30).map(|n| format!("m{n}"));
+    let accepted = submit_all(&relay, ids, "c=any,d=15000,dest=7");
+    relay.signal("KILL");
+    drop(relay);
+    faults.set_wall_clock_offset_ms(step_ms).expect("a step");
+    well.store(true, Ordering::SeqCst);
+    let calls_before = endpoint.ids().len();
+    let _relay = fixture.relay_with_faults(&faults);
+    until("all messages", || {
+        let later: BTreeSet<String> = endpoint.ids().split_off(calls_before).into_iter().collect();
+        later == accepted
+    });
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
+}
+
+#[test]
+fn a_wall_clock_step_back_across_a_restart_delays_no_final_answer() {
+    let (_, endpoint) = busy_until_told();
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let faults = fixture.faults();
+    let relay = fixture.relay_with_faults(&faults);
+    let accepted = submit_all(&relay, (0..30).map(|n| format!("m{n}")), "c=any,d=3000,dest=7");
+    relay.signal("KILL");
+    drop(relay);
+    faults.set_wall_clock_offset_ms(-HOUR_MS).expect("a step");
+    let _relay = fixture.relay_with_faults(&faults);
+    until("all notifications", || fixture.platform.notifications().len() >= accepted.len());
+}
+
+/// Half of the writes are cut in half, the others fail; what was written can't be cut off again.
+fn break_writes(faults: &FaultControl) {
+    let write = CallFault { errno: libc::ENOSPC, fail_rate: FULL_RATE, short_rate: 500, kill_rate: 0 };
+    faults.set_call_fault(SystemCall::FileTruncate, CallFault::always(libc::EIO)).expect("a fault");
+    faults.set_call_fault(SystemCall::FileRename, CallFault::always(libc::EIO)).expect("a fault");
+    faults.set_call_fault(SystemCall::FileWrite, write).expect("a fault");
+}
+
+fn mend_files(faults: &FaultControl) {
+    for call in [SystemCall::FileWrite, SystemCall::FileTruncate, SystemCall::FileRename] {
+        faults.set_call_fault(call, CallFault::default()).expect("no fault");
+    }
+}
+
+#[test]
+fn exactly_what_was_accepted_survives_writes_that_were_cut_short() {
+    let (well, endpoint) = busy_until_told();
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let faults = fixture.faults();
+    let relay = fixture.relay_with_faults(&faults);
+    let list = "c=any,d=20000,dest=7";
+    let mut accepted = submit_all(&relay, (0..10).map(|n| format!("before{n}")), list);
+    break_writes(&faults);
+    accepted.extend(submit_all(&relay, (0..10).map(|n| format!("during{n}")), list));
+    mend_files(&faults);
+    accepted.extend(submit_all(&relay, (0..30).map(|n| format!("after{n}")), list));
+    assert!(faults.injected(SystemCall::FileWrite).expect("a count") > 0);
+    assert!(accepted.len() >= 40, "{accepted:?}");
+    relay.signal("KILL");
+    drop(relay);
+    well.store(true, Ordering::SeqCst);
+    let calls_before = endpoint.ids().len();
+    let _relay = fixture.relay_with_faults(&faults);
+    let later = || -> BTreeSet<String> { endpoint.ids().split_off(calls_before).into_iter().collect() };
+    until("what was accepted", || later().is_superset(&accepted));
+    assert_eq!(later(), accepted, "only what was accepted is sent");
+    assert!(delivered(&endpoint).is_superset(&accepted));
+}
--- a/crates/relay/tests/support/process.rs
+++ b/crates/relay/tests/support/process.rs
@@ -3,10 +3,11 @@
 use super::client::{Client, submit_request};
 use super::discovery::Platform;
 use super::until;
+use mountshift_faults::{CONTROL_VARIABLE, FaultControl};
 use serde_json::{Value, json};
 use std::io::BufReader;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -56,6 +57,14 @@
     command
 }
 
+/// The library that makes system calls of a relay fail: cargo builds it beside this test program.
+fn fault_shim() -> PathBuf {
+    let program = std::env::current_exe().expect("a program");
+    let shim = program.with_file_name("libmountshift_fault_shim.so");
+    assert!(shim.exists(), "{} is not built", shim.display());
+    shim
+}
+
 /// A free address: on a loopback address of its own, so that no server or connection of another test, here or
 /// in a process beside this one, takes the port before it is used.
 pub(crate) fn free_address() -> SocketAddr {
@@ -74,12 +83,24 @@
 
     /// As above, with the address of discovery in its environment too.
     pub(crate) fn start_with(config: &Value, dir: &Path, discovery: Option<SocketAddr>) -> Relay {
+        let discovery = discovery.map(|at| ("NODE_DISCOVERY", at.to_string()));
+        Relay::start_in(config, dir, &Vec::from_iter(discovery))
+    }
+
+    /// Starts one whose system calls obey the control file.
+    pub(crate) fn start_with_faults(config: &Value, dir: &Path, faults: &FaultControl) -> Relay {
+        let control = faults.path().display().to_string();
+        let shim = fault_shim().display().to_string();
+        Relay::start_in(config, dir, &[(CONTROL_VARIABLE, control), ("LD_PRELOAD", shim)])
+    }
+
+    fn start_in(config: &Value, dir: &Path, environment: &[(&str, String)]) -> Relay {
         let (file, state) = (dir.join("config.json"), dir.join("state"));
         std::fs::write(&file, config.to_string()).expect("a config");
         std::fs::create_dir_all(&state).expect("a folder");
         let log = std::fs::File::options().create(true).append(true).open(dir.join("log")).expect("a log");
         let mut command = command(&file, &state);
-        command.envs(discovery.map(|at| ("NODE_DISCOVERY", at.to_string())));
+        command.envs(environment.iter().map(|(name, value)| (*name, value.as_str())));
         let child = command.stderr(log).stdout(Stdio::null()).spawn().expect("a relay");
         let listen = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
         let relay = Relay { child, listen };
@@ -141,6 +162,16 @@
         std::fs::read_to_string(self.dir.path().join("log")).expect("a log")
     }
 
+    /// A control file under which nothing fails yet.
+    pub(crate) fn faults(&self) -> FaultControl {
+        FaultControl::create(&self.dir.path().join("faults")).expect("a control file")
+    }
+
+    /// A relay whose system calls obey the control file.
+    pub(crate) fn relay_with_faults(&self, faults: &FaultControl) -> Relay {
+        Relay::start_with_faults(&self.config, self.dir.path(), faults)
+    }
+
     /// Writes a configuration that names another discovery, for SIGHUP.
     pub(crate) fn write_discovery(&self, to: SocketAddr) {
         let mut config = self.config.clone();
