--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -8,7 +8,6 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::thread::sleep;
 use support::{client::*, discovery::*, process::*, server::*, *};
 use test_case::test_case;
 
