--- a/crates/lab/src/baselines/circuit_breaker.rs
+++ b/crates/lab/src/baselines/circuit_breaker.rs
@@ -51,7 +51,11 @@
 /// True where the outcome speaks against the destination's health.
 fn is_failure(outcome: Outcome) -> bool {
     match outcome {
-        Outcome::Delivered | Outcome::Rejected { .. } | Outcome::NotSent | Outcome::Cancelled => false,
+        Outcome::Delivered
+        | Outcome::Rejected { .. }
+        | Outcome::NotSent
+        | Outcome::LocalFailure
+        | Outcome::Cancelled => false,
         Outcome::Error
         | Outcome::ConnectionLimit
         | Outcome::TimedOut
--- a/crates/lab/src/host/dispatcher.rs
+++ b/crates/lab/src/host/dispatcher.rs
@@ -340,6 +340,6 @@
         Outcome::ConnectFailed => AttemptOutcome::ConnectFailed,
         Outcome::Reset => AttemptOutcome::Reset,
         Outcome::Cancelled => AttemptOutcome::Cancelled,
-        Outcome::NotSent => AttemptOutcome::NotSent,
+        Outcome::NotSent | Outcome::LocalFailure => AttemptOutcome::NotSent,
     }
 }
--- a/crates/relay/src/dispatch/actions.rs
+++ b/crates/relay/src/dispatch/actions.rs
@@ -12,7 +12,7 @@
 
 impl Actions for DispatcherState {
     fn send(&mut self, message: MessageId, endpoint: EndpointId, limit: Duration) {
-        let attempt = PendingAttempt { message, limit };
+        let attempt = PendingAttempt { message, limit, needs_record: true };
         match self.pending_sends.iter_mut().find(|sends| sends.endpoint == endpoint) {
             Some(sends) => sends.attempts.push(attempt),
             None => self.pending_sends.push(PendingSends { endpoint, attempts: vec![attempt] }),
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -6,7 +6,7 @@
 use crate::upstream::{Call, CallMessage, CallResult, CallStage, Endpoint};
 use async_channel::Receiver;
 use async_executor::Task;
-use log::error;
+use log::{error, info};
 use mountshift::interface::*;
 use std::cell::Cell;
 use std::collections::BTreeSet;
@@ -35,6 +35,7 @@
         let calls = self.plan_calls();
         let is_committed = self.commit_spool();
         self.answer_clients(is_committed);
+        self.release_notifications(is_committed);
         for call in calls {
             self.begin_call(call, is_committed);
         }
@@ -58,12 +59,41 @@
         calls
     }
 
-    fn commit_spool(&mut self) -> bool {
+    /// Commits what the spool recorded. Nothing counts as committed before the time anchor is written: a later process
+    /// would date it by its own wall clock.
+    pub(super) fn commit_spool(&mut self) -> bool {
+        if !self.files.is_anchor_written() {
+            self.files.retry_unwritten();
+        }
         let committed = self.spool.borrow_mut().commit();
-        if let Err(e) = &committed {
-            error!("spool: {e}");
+        match &committed {
+            Err(e) if !self.spool_failure_logged => {
+                error!("spool: {e}; nothing is accepted until it can be written");
+                self.spool_failure_logged = true;
+            }
+            Ok(()) if self.spool_failure_logged => {
+                info!("spool: written again");
+                self.spool_failure_logged = false;
+            }
+            _ => {}
+        }
+        committed.is_ok() && self.files.is_anchor_written()
+    }
+
+    /// Tries again to write what could not be written.
+    pub(super) fn retry_writes(&mut self) {
+        self.files.retry_unwritten();
+        if self.spool.borrow().has_uncommitted() || !self.pending_notifications.is_empty() {
+            let is_committed = self.commit_spool();
+            self.release_notifications(is_committed);
         }
-        committed.is_ok()
+    }
+
+    /// True if something could not be written yet.
+    pub(super) fn has_unwritten(&self) -> bool {
+        self.files.has_unwritten()
+            || self.spool.borrow().has_uncommitted()
+            || !self.pending_notifications.is_empty()
     }
 
     /// Only a message that is committed may be called accepted.
@@ -72,24 +102,26 @@
             if is_committed {
                 let _ = reply_to.try_send(SubmissionReply::Accepted(message));
             } else {
+                // Removed before its client hears of it: with the next commit it would come back otherwise.
+                self.remove_message(message);
                 let _ = reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
                 let _ = self.events.try_send(Event::ClientUnreachable(message));
             }
         }
     }
 
-    /// Starts a call. While the spool can't be written none is sent, as no attempt of it could be recorded: it ends
-    /// as not sent.
+    /// Starts a call. While the spool can't be written only what need not be recorded is sent; the rest waits.
     fn begin_call(&mut self, planned: PlannedCall, is_committed: bool) {
         self.last_call_number += 1;
         let number = CallNumber(self.last_call_number);
         let endpoint = planned.to;
         let messages: BTreeSet<MessageId> = planned.messages().collect();
         let stage = Rc::new(Cell::new(CallStage::Connecting));
-        let task = if is_committed {
+        let may_begin = is_committed || self.may_go_unrecorded(&planned);
+        let task = if may_begin {
             Some(self.spawn_call(number, planned, stage.clone()))
         } else {
-            let results = CallResult::same_for_all(planned.messages(), Outcome::NotSent, false);
+            let results = CallResult::same_for_all(planned.messages(), Outcome::LocalFailure, false);
             let _ = self.events.try_send(Event::AttemptsEnded { call: number, results });
             None
         };
@@ -98,6 +130,12 @@
         self.calls_in_flight.insert(number, call);
     }
 
+    /// True if all messages of the call may be sent though the spool can't be written: none was rejected for that.
+    fn may_go_unrecorded(&self, planned: &PlannedCall) -> bool {
+        let spool = self.spool.borrow();
+        planned.attempts.iter().all(|attempt| !attempt.needs_record && spool.get(attempt.message.0).is_some())
+    }
+
     fn spawn_call(&self, number: CallNumber, planned: PlannedCall, stage: Rc<Cell<CallStage>>) -> Task<()> {
         let call = self.call(planned, stage);
         let idle_connections = self.idle_connections.clone();
@@ -144,9 +182,13 @@
         })
     }
 
-    /// What a call does right before its first byte: it records its attempts. False if they must not be sent: one of
-    /// the messages has its final answer or is withdrawn, or the spool can't be written.
-    fn attempt_recorder(&self, attempts: Vec<PendingAttempt>, zone: String) -> Box<dyn Fn() -> bool> {
+    /// What a call does right before its first byte: it records its attempts. An outcome if they must not be sent: one
+    /// of the messages has its final answer or is withdrawn, or the spool can't be written.
+    fn attempt_recorder(
+        &self,
+        attempts: Vec<PendingAttempt>,
+        zone: String,
+    ) -> Box<dyn Fn() -> Result<(), Outcome>> {
         let spool = self.spool.clone();
         let clock = self.clock;
         Box::new(move || {
@@ -156,19 +198,20 @@
                 spool.get(attempt.message.0).is_some_and(|stored| stored.pending_outcome.is_none())
             };
             if !attempts.iter().all(is_wanted) {
-                return false;
+                return Err(Outcome::NotSent);
+            }
+            let numbers: Vec<u64> = attempts.iter().map(|attempt| attempt.message.0).collect();
+            if spool.record_attempts_now(&numbers, &zone, at_ms).is_ok() {
+                return Ok(());
             }
-            for attempt in &attempts {
-                spool.record_attempt(attempt.message.0, &zone, at_ms);
+            if attempts.iter().any(|attempt| attempt.needs_record) {
+                return Err(Outcome::LocalFailure);
             }
-            let committed = spool.commit();
-            if let Err(e) = &committed {
-                error!("spool: {e}");
-                for attempt in &attempts {
-                    spool.record_not_run(attempt.message.0);
-                }
+            // Committed with what comes next.
+            for number in numbers {
+                spool.record_attempt(number, &zone, at_ms);
             }
-            committed.is_ok()
+            Ok(())
         })
     }
 }
--- a/crates/relay/src/dispatch/dependencies.rs
+++ b/crates/relay/src/dispatch/dependencies.rs
@@ -1,6 +1,7 @@
 //! What a dispatcher is made of.
 
 use super::event::Event;
+use crate::clock::StoredTime;
 use crate::discovery::EndpointList;
 use crate::notifications::Notification;
 use crate::state_files::StateFiles;
@@ -28,6 +29,8 @@
     /// Endpoints that earlier processes knew to be draining or removed.
     pub(crate) drain_record: DrainRecord,
     pub(crate) files: StateFiles,
+    /// The time line of all that is stored.
+    pub(crate) stored_time: StoredTime,
     pub(crate) max_idle_connections: usize,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     /// The dispatcher reads events, and tells itself some.
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -3,7 +3,6 @@
 use super::event::{CallNumber, Event};
 use super::state::{DispatcherState, ReachabilityQuestion};
 use crate::clients::{ClientSubmission, SubmissionError, SubmissionReply};
-use crate::clock::unix_us;
 use crate::discovery::EndpointList;
 use crate::upstream::{self, AttemptResult, CallResult, CallStage};
 use async_channel::Sender;
@@ -93,7 +92,7 @@
             metadata: received.metadata_text,
             deadline: self.clock.unix_ms(deadline),
             body: received.body,
-            accepted_at_us: unix_us(),
+            accepted_at_us: self.clock.unix(self.clock.now()).as_micros() as u64,
         };
         let Some(number) = self.spool.borrow_mut().accept(accepted) else {
             self.log_spool_full();
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -53,7 +53,7 @@
 impl Dispatcher {
     /// Makes the dispatcher, and takes the first step with what earlier processes and the configuration left.
     pub(crate) fn new(mut dependencies: Dependencies) -> Dispatcher {
-        let clock = Clock::new(oldest_attempt_ms(&dependencies.spool));
+        let clock = Clock::new(dependencies.stored_time, oldest_attempt_ms(&dependencies.spool));
         let initial_list = dependencies.initial_list.take();
         let snapshot = dependencies.snapshot.take();
         let mut dispatcher = Dispatcher {
@@ -85,6 +85,10 @@
         loop {
             let events = self.next_events().await;
             self.note_stop_request(&events);
+            if self.state.has_unwritten() {
+                self.state.now = self.state.clock.now();
+                self.state.retry_writes();
+            }
             if events.is_empty() && !self.is_wake_due() && self.stopping.is_none() {
                 continue;
             }
@@ -134,7 +138,7 @@
     /// When there is something to do without an event: a step that the decisions want, a look at idle connections, or
     /// one at what is left before the end.
     fn next_look(&self) -> Instant {
-        let check = if self.stopping.is_some() {
+        let check = if self.stopping.is_some() || self.state.has_unwritten() {
             Instant::now() + STOP_CHECK_INTERVAL
         } else {
             self.idle_checked_at + IDLE_CHECK_INTERVAL
@@ -168,6 +172,9 @@
             self.state.next_wake = None;
         }
         self.policy.step(now, inputs, &mut self.state);
+        for attempt in self.state.pending_sends.iter_mut().flat_map(|sends| &mut sends.attempts) {
+            attempt.needs_record = !self.policy.may_send_unrecorded(attempt.message);
+        }
         self.state.execute_step();
         for question in std::mem::take(&mut self.state.reachability_questions) {
             let may_send = self.policy.may_send_to(question.endpoint, now);
--- a/crates/relay/src/dispatch/shutdown.rs
+++ b/crates/relay/src/dispatch/shutdown.rs
@@ -4,7 +4,7 @@
 use super::state::DispatcherState;
 use crate::upstream::CallStage;
 use async_io::Timer;
-use log::info;
+use log::{error, info};
 use mountshift_handover::StopPlan;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,8 @@
 pub(super) const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// At the end: the time for clients to hear the answers they are owed.
 const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(80);
+/// At the end: the time for writes that failed to be done after all. SIGKILL comes 0.2 s after the end at the earliest.
+const LAST_WRITES_TIME: Duration = Duration::from_millis(60);
 /// Between two looks at events within that time.
 const FINAL_ANSWERS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -82,12 +84,28 @@
         }
         self.state.abandon_unwritten_calls();
         self.state.execute_step();
+        self.write_what_is_left().await;
         let calls = self.state.calls_in_flight.len();
         let stored = self.state.spool.borrow().messages().len();
         info!("stopped with {calls} calls out, {stored} messages kept");
     }
 }
 
+impl Dispatcher {
+    /// The last chance: what can't be written now, the next process does not know.
+    async fn write_what_is_left(&mut self) {
+        let end = Instant::now() + LAST_WRITES_TIME;
+        while self.state.has_unwritten() && Instant::now() < end {
+            Timer::after(FINAL_ANSWERS_CHECK_INTERVAL).await;
+            self.state.now = self.state.clock.now();
+            self.state.retry_writes();
+        }
+        if self.state.has_unwritten() {
+            error!("state folder: not all could be written before the end");
+        }
+    }
+}
+
 impl DispatcherState {
     /// Carries out a step in which nothing is decided: outcomes are recorded, messages wait in the spool for the next
     /// process. Late calls hear nothing, and are not sent.
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -48,6 +48,15 @@
     pub(super) message: MessageId,
     /// It ends as timed out after this.
     pub(super) limit: Duration,
+    /// It may be sent only once the spool has recorded it.
+    pub(super) needs_record: bool,
+}
+
+/// A notification whose final outcome the spool has not recorded yet.
+pub(super) struct PendingNotification {
+    pub(super) notification: Notification,
+    /// When its message is due.
+    pub(super) deadline: Duration,
 }
 
 /// The attempts of the step under way to one endpoint.
@@ -93,6 +102,10 @@
     pub(super) spool_full_logged: bool,
     /// Clients that submitted a message for the step under way.
     pub(super) awaiting_answer: BTreeMap<MessageId, Sender<SubmissionReply>>,
+    /// Final outcomes that the platform hears of once the spool has recorded them.
+    pub(super) pending_notifications: Vec<PendingNotification>,
+    /// The spool could not be written at the last try, and the log says so.
+    pub(super) spool_failure_logged: bool,
     /// What the step under way sends.
     pub(super) pending_sends: Vec<PendingSends>,
     /// What the step under way is asked.
@@ -127,6 +140,8 @@
             next_wake: None,
             spool_full_logged: false,
             awaiting_answer: BTreeMap::new(),
+            pending_notifications: Vec::new(),
+            spool_failure_logged: false,
             pending_sends: Vec::new(),
             reachability_questions: Vec::new(),
         }
@@ -147,7 +162,7 @@
             return true;
         }
         self.spool.borrow_mut().record_outcome(message.0, outcome);
-        self.notify(message, outcome);
+        self.notify_once_recorded(message, outcome);
         false
     }
 
@@ -160,14 +175,41 @@
         debug!("message {id} ends undelivered: {outcome:?} after {attempts} attempts, {metadata}");
     }
 
-    /// Queues the notification of a message's final outcome.
+    /// Queues the notification of a final outcome that the spool knows already.
     pub(super) fn notify(&self, message: MessageId, outcome: FinalOutcome) {
-        if let Some(stored) = self.spool.borrow().get(message.0) {
-            let id = stored.accepted.id.clone();
-            let _ = self.notifications.try_send(Notification { message, id, outcome });
+        if let Some(notification) = self.notification(message, outcome) {
+            let _ = self.notifications.try_send(notification);
         }
     }
 
+    /// Rule 1: a final outcome that the platform has heard of and a later process has not would be followed by a second
+    /// one. So it waits for the spool.
+    fn notify_once_recorded(&mut self, message: MessageId, outcome: FinalOutcome) {
+        let Some(notification) = self.notification(message, outcome) else { return };
+        let deadline_ms = self.spool.borrow().get(message.0).map_or(0, |stored| stored.accepted.deadline);
+        let deadline = self.clock.since_start_of_unix_ms(deadline_ms);
+        self.pending_notifications.push(PendingNotification { notification, deadline });
+    }
+
+    /// Sends the notifications that may go. While the spool can't be written these are the ones of messages whose
+    /// deadline is over: no later process sends those, whatever it knows of them.
+    pub(super) fn release_notifications(&mut self, is_committed: bool) {
+        let now = self.now;
+        let (due, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.pending_notifications)
+            .into_iter()
+            .partition(|pending| is_committed || pending.deadline <= now);
+        self.pending_notifications = waiting;
+        for pending in due {
+            let _ = self.notifications.try_send(pending.notification);
+        }
+    }
+
+    fn notification(&self, message: MessageId, outcome: FinalOutcome) -> Option<Notification> {
+        let spool = self.spool.borrow();
+        let id = spool.get(message.0)?.accepted.id.clone();
+        Some(Notification { message, id, outcome })
+    }
+
     /// Removes a message that is closed.
     pub(super) fn remove_message(&mut self, message: MessageId) {
         let mut spool = self.spool.borrow_mut();
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -18,6 +18,7 @@
 use async_executor::LocalExecutor;
 use async_io::Async;
 use async_signal::Signals;
+use clock::StoredTime;
 use discovery::EndpointList;
 use dispatch::{Dependencies, Dispatcher};
 use error::StartError;
@@ -25,6 +26,7 @@
 use mountshift_maintenance::MaintenanceState;
 use startup::config::StartConfig;
 use startup::listener::client_listener;
+use startup::patience::Patience;
 use startup::spool::{ActiveSpool, open_spool};
 use startup::state_dir::StateDir;
 use startup::tasks::RelayTasks;
@@ -53,23 +55,26 @@
 fn start() -> Result<(), StartError> {
     // Before all else: a signal that comes during the start must not end the process.
     let signals = signals::subscribe();
-    let config = StartConfig::from_environment()?;
+    let patience = Patience::of_start();
+    let config = StartConfig::from_environment(&patience)?;
     let signals = signals?;
-    let listener = client_listener(&config)?;
-    let state_dir = StateDir::open(&config.state_dir)?;
+    let listener = client_listener(&config, &patience)?;
+    let state_dir = StateDir::open(&config.state_dir, &patience)?;
     info!("{} starts as {:?}", config.name, state_dir.role);
     let initial_list = discovery::parse_list(&config.initial_list, config.discovery);
     if initial_list.is_none() {
         warn!("the configuration's known list can't be read; discovery is asked for the whole list");
     }
     let files = StateFiles::new(&config);
-    let maintenance = restore_maintenance(&files, initial_list.as_ref())?;
+    let stored_time = files.stored_time(&patience);
+    let maintenance = restore_maintenance(&files, initial_list.as_ref(), &patience);
     let executor = Rc::new(LocalExecutor::new());
     let tasks = RelayTasks::new(executor.clone(), maintenance);
     async_io::block_on(executor.run(run(Start {
         config,
         state_dir,
         files,
+        stored_time,
         initial_list,
         tasks,
         listener,
@@ -81,12 +86,13 @@
 fn restore_maintenance(
     files: &StateFiles,
     initial_list: Option<&EndpointList>,
-) -> Result<MaintenanceState, StartError> {
-    let mut maintenance = MaintenanceState::from_text(&files.read_maintenance()?);
+    patience: &Patience,
+) -> MaintenanceState {
+    let mut maintenance = MaintenanceState::from_text(&files.read_maintenance(patience));
     for entry in initial_list.iter().flat_map(|list| &list.entries) {
         maintenance.record_listed(&entry.id);
     }
-    Ok(maintenance)
+    maintenance
 }
 
 /// What a start has made ready.
@@ -94,6 +100,7 @@
     config: StartConfig,
     state_dir: StateDir,
     files: StateFiles,
+    stored_time: StoredTime,
     initial_list: Option<EndpointList>,
     tasks: RelayTasks,
     listener: Async<TcpListener>,
@@ -102,16 +109,17 @@
 
 /// Serves clients at once, and dispatches once this process is the active one.
 async fn run(start: Start) -> Result<(), StartError> {
-    let Start { config, mut state_dir, files, initial_list, tasks, listener, signals } = start;
+    let Start { config, mut state_dir, files, stored_time, initial_list, tasks, listener, signals } = start;
     tasks.spawn_all(&config, &state_dir, initial_list.as_ref(), listener, signals)?;
     tasks.maintenance.borrow_mut().set_serving();
     info!("ready on {}", config.listen);
-    let opened = open_spool(&config, &state_dir, &files, &tasks).await?;
+    let opened = open_spool(&config, &state_dir, &files, stored_time, &tasks).await?;
     let Some(ActiveSpool { spool, deferred_events }) = opened else { return Ok(()) };
     state_dir.release_successor_lock();
+    let patience = Patience::of_start();
     let restores_snapshot = mountshift_handover::reads_snapshot(state_dir.role);
     if !restores_snapshot {
-        files.discard_snapshot();
+        files.discard_snapshot(&patience);
     }
     tasks.is_active.set(true);
     info!("{} starts with {} messages in its spool", config.name, spool.messages().len());
@@ -129,8 +137,9 @@
         clients_leave: tasks.clients_leave.1.clone(),
         clients_end: tasks.clients_end.0.clone(),
         maintenance: tasks.maintenance.clone(),
-        snapshot: if restores_snapshot { files.read_snapshot() } else { None },
-        drain_record: files.read_drain_record(),
+        snapshot: if restores_snapshot { files.read_snapshot(&patience) } else { None },
+        drain_record: files.read_drain_record(&patience),
+        stored_time,
         files,
     });
     for event in deferred_events {
--- a/crates/relay/src/startup/config.rs
+++ b/crates/relay/src/startup/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of a relay: a JSON file, and environment variables that take precedence over it.
 
+use super::patience::{MayPass, Patience};
 use mountshift::interface::PolicySettings;
 use mountshift_settings::{FlatSettings, SocketSettings};
 use serde_json::Value;
@@ -64,6 +65,12 @@
     Settings { path: String, reason: String },
 }
 
+impl MayPass for ConfigError {
+    fn may_pass(&self) -> bool {
+        matches!(self, ConfigError::Read { source, .. } if source.may_pass())
+    }
+}
+
 /// What a relay is configured with, fixed at startup.
 #[derive(Debug)]
 pub(crate) struct StartConfig {
@@ -95,8 +102,8 @@
 
 impl StartConfig {
     /// Reads the configuration that the environment names.
-    pub(crate) fn from_environment() -> Result<StartConfig, ConfigError> {
-        StartConfig::read(|name| std::env::var(name).ok())
+    pub(crate) fn from_environment(patience: &Patience) -> Result<StartConfig, ConfigError> {
+        patience.retry(|| StartConfig::read(|name| std::env::var(name).ok()))
     }
 
     /// Reads the file named by `NODE_CONFIG`; `variable` looks up the environment.
--- a/crates/relay/src/startup/listener.rs
+++ b/crates/relay/src/startup/listener.rs
@@ -1,15 +1,20 @@
 //! The clients' listening socket.
 
 use super::config::StartConfig;
+use super::patience::Patience;
 use crate::error::StartError;
 use async_io::Async;
 use std::net::TcpListener;
 
 /// Inherits the clients' listening socket from the platform where the configuration names it, or binds it.
-pub(crate) fn client_listener(config: &StartConfig) -> Result<Async<TcpListener>, StartError> {
+pub(crate) fn client_listener(
+    config: &StartConfig,
+    patience: &Patience,
+) -> Result<Async<TcpListener>, StartError> {
     match config.inherited_listener {
         Some(descriptor) => inherit(descriptor),
-        None => Async::<TcpListener>::bind(config.listen)
+        None => patience
+            .retry(|| Async::<TcpListener>::bind(config.listen))
             .map_err(|source| StartError::Listen { address: config.listen, source }),
     }
 }
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -2,8 +2,10 @@
 //! beside it.
 
 use super::config::StartConfig;
+use super::patience::{MayPass, Patience};
 use super::state_dir::StateDir;
 use super::tasks::RelayTasks;
+use crate::clock::StoredTime;
 use crate::dispatch::Event;
 use crate::error::StartError;
 use crate::notifications::Notification;
@@ -32,23 +34,32 @@
     config: &StartConfig,
     state_dir: &StateDir,
     files: &StateFiles,
+    stored_time: StoredTime,
     tasks: &RelayTasks,
 ) -> Result<Option<ActiveSpool>, StartError> {
     let opener = SpoolOpener::new(config, state_dir);
+    let patience = Patience::of_start();
     match state_dir.role {
         Role::Active { merge_successor: false } => {
-            Ok(Some(ActiveSpool { spool: opener.open_active()?, deferred_events: Vec::new() }))
+            let spool = patience.retry_beside_tasks(|| opener.open_active()).await?;
+            Ok(Some(ActiveSpool { spool, deferred_events: Vec::new() }))
         }
         Role::Active { merge_successor: true } => {
-            let active = opener.open_active();
-            let successor = opener.open_successor()?;
-            let mut spool = active?;
-            merge_successor_spool(&mut spool, successor, &state_dir.successor_path, &tasks.notifications.0)?;
+            let mut spool = patience.retry_beside_tasks(|| opener.open_active()).await?;
+            let successor = patience.retry_beside_tasks(|| opener.open_successor()).await?;
+            merge_successor_spool(
+                &mut spool,
+                successor,
+                &state_dir.successor_path,
+                &tasks.notifications.0,
+                &patience,
+            )
+            .await?;
             Ok(Some(ActiveSpool { spool, deferred_events: Vec::new() }))
         }
         // The active spool is not opened here: opening cuts a half written record off and removes a half written
         // compaction, and both may be the active process's at this moment.
-        Role::Successor => accept_until_active(config, state_dir, files, tasks, &opener).await,
+        Role::Successor => accept_until_active(config, state_dir, files, stored_time, tasks, &opener).await,
     }
 }
 
@@ -57,10 +68,11 @@
     config: &StartConfig,
     state_dir: &StateDir,
     files: &StateFiles,
+    stored_time: StoredTime,
     tasks: &RelayTasks,
     opener: &SpoolOpener<'_>,
 ) -> Result<Option<ActiveSpool>, StartError> {
-    let successor = opener.open_successor()?;
+    let successor = Patience::of_start().retry_beside_tasks(|| opener.open_successor()).await?;
     info!("another process owns the state folder: accepts messages beside it");
     let mut intake = SuccessorIntake::new(IntakeOptions {
         spool: successor,
@@ -68,6 +80,7 @@
         classes: &config.socket_settings.classes,
         maintenance: tasks.maintenance.clone(),
         files,
+        stored_time,
         clients_leave: tasks.clients_leave.0.clone(),
         client_connections: tasks.client_connections.clone(),
     });
@@ -75,15 +88,29 @@
         IntakeEnd::Stopped => return Ok(None),
         IntakeEnd::BecameActive(deferred_events) => deferred_events,
     };
-    let mut spool = opener.open_active()?;
+    let patience = Patience::of_start();
+    let mut spool = patience.retry_beside_tasks(|| opener.open_active()).await?;
     let successor = intake.into_spool();
-    merge_successor_spool(&mut spool, successor, &state_dir.successor_path, &tasks.notifications.0)?;
+    merge_successor_spool(
+        &mut spool,
+        successor,
+        &state_dir.successor_path,
+        &tasks.notifications.0,
+        &patience,
+    )
+    .await?;
     // What the process before wrote down since this one started.
-    let maintenance = files.read_maintenance()?;
+    let maintenance = files.read_maintenance(&patience);
     tasks.maintenance.borrow_mut().reload(&maintenance);
     Ok(Some(ActiveSpool { spool, deferred_events }))
 }
 
+impl MayPass for StartError {
+    fn may_pass(&self) -> bool {
+        matches!(self, StartError::Spool { source: SpoolError::Io(source), .. } if source.may_pass())
+    }
+}
+
 /// Opens the spools in the state folder.
 struct SpoolOpener<'a> {
     config: &'a StartConfig,
@@ -125,11 +152,12 @@
 /// Merges what a successor accepted into the active process's spool, in the order in which all of it was accepted,
 /// before any number of the spool is used. What does not fit fails, with a notification. The successor's spool file
 /// is removed.
-fn merge_successor_spool(
+async fn merge_successor_spool(
     spool: &mut Spool,
     successor: Spool,
     successor_dir: &Path,
     notifications: &Sender<Notification>,
+    patience: &Patience,
 ) -> Result<(), StartError> {
     let accepted_by_active = stored_messages(spool);
     let accepted_by_successor = stored_messages(&successor);
@@ -143,14 +171,20 @@
         };
         merged.push(message.clone());
     }
-    let left_out = spool.replace_all(merged).map_err(StartError::MergeSpools)?;
+    let left_out = patience
+        .retry_beside_tasks(|| spool.replace_all(merged.clone()))
+        .await
+        .map_err(StartError::MergeSpools)?;
     for message in left_out {
         fail_left_out(message, notifications);
     }
     info!("took over {} messages accepted beside the active process", accepted_by_successor.len());
     drop(successor);
     let path = successor_dir.join(mountshift_spool::FILE_NAME);
-    std::fs::remove_file(&path).map_err(|source| StartError::State { path, source })
+    patience
+        .retry_beside_tasks(|| std::fs::remove_file(&path))
+        .await
+        .map_err(|source| StartError::State { path, source })
 }
 
 fn stored_messages(spool: &Spool) -> Vec<StoredMessage> {
--- a/crates/relay/src/startup/state_dir.rs
+++ b/crates/relay/src/startup/state_dir.rs
@@ -1,8 +1,10 @@
 //! The state folder: its locks, and the role that they give to this process.
 
+use super::patience::Patience;
 use crate::error::StartError;
 use mountshift_handover::{LOCK_FILE, Role, SUCCESSOR_DIR};
 use std::fs::{File, TryLockError};
+use std::io;
 use std::path::{Path, PathBuf};
 
 /// The state folder of a process, which holds its locks.
@@ -21,12 +23,13 @@
 
 impl StateDir {
     /// Takes the locks that are free, and finds the role that follows.
-    pub(crate) fn open(path: &Path) -> Result<StateDir, StartError> {
+    pub(crate) fn open(path: &Path, patience: &Patience) -> Result<StateDir, StartError> {
         let successor_path = path.join(SUCCESSOR_DIR);
-        std::fs::create_dir_all(&successor_path)
-            .map_err(|source| StartError::State { path: path.to_path_buf(), source })?;
-        let active = try_lock(path)?;
-        let successor = try_lock(&successor_path)?;
+        let unusable = |path: PathBuf| move |source| StartError::State { path, source };
+        patience.retry(|| std::fs::create_dir_all(&successor_path)).map_err(unusable(path.to_path_buf()))?;
+        let active = patience.retry(|| try_lock(path)).map_err(unusable(path.join(LOCK_FILE)))?;
+        let successor =
+            patience.retry(|| try_lock(&successor_path)).map_err(unusable(successor_path.join(LOCK_FILE)))?;
         let successor_spool_exists = successor_path.join(mountshift_spool::FILE_NAME).exists();
         let role = mountshift_handover::role(active.acquired, successor.acquired, successor_spool_exists)
             .map_err(|e| StartError::StateDirInUse { path: path.to_path_buf(), reason: e.to_string() })?;
@@ -58,12 +61,11 @@
 }
 
 /// Takes the lock in `dir`, for as long as the file is open, if it is free.
-fn try_lock(dir: &Path) -> Result<LockAttempt, StartError> {
-    let path = dir.join(LOCK_FILE);
-    let file = File::create(&path).map_err(|source| StartError::State { path: path.clone(), source })?;
+fn try_lock(dir: &Path) -> io::Result<LockAttempt> {
+    let file = File::create(dir.join(LOCK_FILE))?;
     match file.try_lock() {
         Ok(()) => Ok(LockAttempt { file, acquired: true }),
         Err(TryLockError::WouldBlock) => Ok(LockAttempt { file, acquired: false }),
-        Err(TryLockError::Error(source)) => Err(StartError::State { path, source }),
+        Err(TryLockError::Error(source)) => Err(source),
     }
 }
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -1,16 +1,22 @@
-//! The small files in the state folder: endpoints in maintenance, the handover snapshot, the drain record. The spool
-//! has its own crate. A file that can't be written is logged, and the relay goes on: it serves without it, and only
-//! a later process lacks what the file would have told.
+//! The small files in the state folder: the time anchor, endpoints in maintenance, the handover snapshot, the drain
+//! record. The spool has its own crate. A file that can't be written is logged, and written again until it is: the relay
+//! serves without it, and only a later process would lack what the file tells.
 
-use crate::error::StartError;
+use crate::clock::{ClockReading, StoredTime, TimeAnchor};
 use crate::startup::config::StartConfig;
-use log::error;
+use crate::startup::patience::Patience;
+use log::{error, info};
 use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ReadDrainRecord};
 use mountshift_handover::{SNAPSHOT_FILE, Snapshot};
 use mountshift_maintenance::MaintenanceState;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
 use std::path::{Path, PathBuf};
+use std::rc::Rc;
 
+/// The file of the time anchor.
+const ANCHOR_FILE: &str = "clock";
 /// The file of endpoints in maintenance, an id a line.
 const MAINTENANCE_FILE: &str = "maintenance";
 /// The extension of a file that is being written.
@@ -21,6 +27,8 @@
 pub(crate) struct StateFiles {
     dir: PathBuf,
     drain_record_max_bytes: usize,
+    /// Files that could not be written, with what they have to hold.
+    unwritten: Rc<RefCell<BTreeMap<&'static str, String>>>,
 }
 
 impl StateFiles {
@@ -28,17 +36,32 @@
         StateFiles {
             dir: config.state_dir.clone(),
             drain_record_max_bytes: config.disk_share(DRAIN_RECORD_DISK_SHARE) as usize,
+            unwritten: Rc::default(),
         }
     }
 
+    /// The time line of all that is stored: the anchor that an earlier process of this boot left, else a new one.
+    pub(crate) fn stored_time(&self, patience: &Patience) -> StoredTime {
+        let stored = self.read(ANCHOR_FILE, patience);
+        let reading = ClockReading::now();
+        let anchor =
+            stored.as_deref().and_then(TimeAnchor::from_text).filter(|anchor| anchor.holds(&reading));
+        let anchor = anchor.unwrap_or_else(|| {
+            let anchor = TimeAnchor::new(&reading);
+            info!("times that are stored count from now on by the monotonic clock of this boot");
+            // Waited for: what is accepted before it is written would be dated by the next process's wall clock.
+            let written = patience.retry(|| replace_file(&self.dir.join(ANCHOR_FILE), &anchor.to_string()));
+            if let Err(e) = written {
+                self.note_unwritten(ANCHOR_FILE, &anchor.to_string(), &e);
+            }
+            anchor
+        });
+        StoredTime::new(&anchor, &reading)
+    }
+
     /// The endpoints in maintenance as written; none is, where there is no file.
-    pub(crate) fn read_maintenance(&self) -> Result<String, StartError> {
-        let path = self.dir.join(MAINTENANCE_FILE);
-        match std::fs::read_to_string(&path) {
-            Ok(text) => Ok(text),
-            Err(e) if e.kind() == ErrorKind::NotFound => Ok(String::new()),
-            Err(source) => Err(StartError::State { path, source }),
-        }
+    pub(crate) fn read_maintenance(&self, patience: &Patience) -> String {
+        self.read(MAINTENANCE_FILE, patience).unwrap_or_default()
     }
 
     /// Writes the endpoints in maintenance, for the next process and for one beside this.
@@ -49,18 +72,16 @@
     /// What the process before left of its routes; none where it left nothing. A file that can't be read is no
     /// reason to end: the process before has ended, and nobody else would serve. The relay goes on as after a
     /// restart.
-    pub(crate) fn read_snapshot(&self) -> Option<Snapshot> {
-        let path = self.dir.join(SNAPSHOT_FILE);
-        let reason = match std::fs::read(&path) {
-            Ok(bytes) => match Snapshot::from_json(&String::from_utf8_lossy(&bytes)) {
-                Ok(snapshot) => return Some(snapshot),
-                Err(e) => e.to_string(),
-            },
-            Err(e) if e.kind() == ErrorKind::NotFound => return None,
-            Err(e) => e.to_string(),
-        };
-        error!("{}: {reason}; waits and breakers of the process before are not known", path.display());
-        None
+    pub(crate) fn read_snapshot(&self, patience: &Patience) -> Option<Snapshot> {
+        let text = self.read(SNAPSHOT_FILE, patience)?;
+        match Snapshot::from_json(&text) {
+            Ok(snapshot) => Some(snapshot),
+            Err(e) => {
+                let path = self.dir.join(SNAPSHOT_FILE);
+                error!("{}: {e}; waits and breakers of the process before are not known", path.display());
+                None
+            }
+        }
     }
 
     pub(crate) fn write_snapshot(&self, snapshot: &Snapshot) {
@@ -68,27 +89,20 @@
     }
 
     /// Removes the snapshot: left in place, the next handover would restore waits of a process long gone.
-    pub(crate) fn discard_snapshot(&self) {
-        match std::fs::remove_file(self.dir.join(SNAPSHOT_FILE)) {
-            Err(e) if e.kind() != ErrorKind::NotFound => error!("{SNAPSHOT_FILE}: {e}"),
-            _ => {}
+    pub(crate) fn discard_snapshot(&self, patience: &Patience) {
+        let path = self.dir.join(SNAPSHOT_FILE);
+        if let Err(e) = patience.retry(|| remove_if_present(&path)) {
+            error!("{SNAPSHOT_FILE}: {e}");
         }
     }
 
     /// Endpoints that earlier processes knew to be draining or removed. What can't be read is left out: the rest
     /// still counts, and discovery is asked before anything is sent.
-    pub(crate) fn read_drain_record(&self) -> DrainRecord {
-        let path = self.dir.join(DRAIN_RECORD_FILE);
-        let text = match std::fs::read(&path) {
-            Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(e) if e.kind() == ErrorKind::NotFound => String::new(),
-            Err(e) => {
-                error!("{}: {e}", path.display());
-                String::new()
-            }
-        };
+    pub(crate) fn read_drain_record(&self, patience: &Patience) -> DrainRecord {
+        let text = self.read(DRAIN_RECORD_FILE, patience).unwrap_or_default();
         let ReadDrainRecord { record, unreadable_lines } = DrainRecord::from_text(&text);
         if unreadable_lines > 0 {
+            let path = self.dir.join(DRAIN_RECORD_FILE);
             error!("{}: {unreadable_lines} lines can't be read and are left out", path.display());
         }
         record
@@ -101,10 +115,55 @@
         }
     }
 
-    fn replace(&self, name: &str, text: &str) {
+    /// Tries again to write what could not be written.
+    pub(crate) fn retry_unwritten(&self) {
+        let unwritten = std::mem::take(&mut *self.unwritten.borrow_mut());
+        for (name, text) in unwritten {
+            let path = self.dir.join(name);
+            if replace_file(&path, &text).is_ok() {
+                info!("{}: written after all", path.display());
+            } else {
+                self.unwritten.borrow_mut().insert(name, text);
+            }
+        }
+    }
+
+    /// True if a file is still to be written.
+    pub(crate) fn has_unwritten(&self) -> bool {
+        !self.unwritten.borrow().is_empty()
+    }
+
+    /// True once the time anchor is written: before that nothing that is stored may be relied on.
+    pub(crate) fn is_anchor_written(&self) -> bool {
+        !self.unwritten.borrow().contains_key(ANCHOR_FILE)
+    }
+
+    /// What a file holds; none if there is none, or if it can't be read for as long as a start can wait.
+    fn read(&self, name: &str, patience: &Patience) -> Option<String> {
         let path = self.dir.join(name);
-        if let Err(e) = replace_file(&path, text) {
-            error!("{}: {e}", path.display());
+        match patience.retry(|| read_if_present(&path)) {
+            Ok(bytes) => bytes.map(|bytes| String::from_utf8_lossy(&bytes).into_owned()),
+            Err(e) => {
+                error!("{}: {e}", path.display());
+                None
+            }
+        }
+    }
+
+    /// Replaces a file, now or as soon as that can be done.
+    fn replace(&self, name: &'static str, text: &str) {
+        match replace_file(&self.dir.join(name), text) {
+            // What an earlier try was to write is out of date.
+            Ok(()) => drop(self.unwritten.borrow_mut().remove(name)),
+            Err(e) => self.note_unwritten(name, text, &e),
+        }
+    }
+
+    /// Logged once, or a full disk would fill the log.
+    fn note_unwritten(&self, name: &'static str, text: &str, error: &io::Error) {
+        let earlier = self.unwritten.borrow_mut().insert(name, text.to_string());
+        if earlier.is_none() {
+            error!("{}: {error}; tried again until it is written", self.dir.join(name).display());
         }
     }
 }
@@ -115,3 +174,18 @@
     std::fs::write(&unfinished, text)?;
     std::fs::rename(&unfinished, path)
 }
+
+fn read_if_present(path: &Path) -> io::Result<Option<Vec<u8>>> {
+    match std::fs::read(path) {
+        Ok(bytes) => Ok(Some(bytes)),
+        Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
+fn remove_if_present(path: &Path) -> io::Result<()> {
+    match std::fs::remove_file(path) {
+        Err(e) if e.kind() != ErrorKind::NotFound => Err(e),
+        _ => Ok(()),
+    }
+}
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -3,7 +3,7 @@
 //! accepts is decided in `mountshift_handover`.
 
 use crate::clients::{ClientSubmission, SubmissionError, SubmissionReply};
-use crate::clock::unix_us;
+use crate::clock::StoredTime;
 use crate::discovery::EndpointList;
 use crate::dispatch::Event;
 use crate::state_files::StateFiles;
@@ -43,6 +43,8 @@
     pub(crate) classes: &'a [String],
     pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
     pub(crate) files: &'a StateFiles,
+    /// The time line of all that is stored.
+    pub(crate) stored_time: StoredTime,
     /// Closed when client connections are to go.
     pub(crate) clients_leave: Sender<()>,
     /// Client connections open now.
@@ -135,14 +137,14 @@
         if !accepts(time_left) {
             return Err(SubmissionReply::Rejected { retry_after_ms: 0 });
         }
-        let deadline = unix_us() / 1_000 + time_left.as_millis() as u64;
+        let now = self.options.stored_time.now();
         Ok(AcceptedMessage {
             id: message.id.clone(),
             key: message.key,
             metadata: message.metadata_text.clone(),
-            deadline,
+            deadline: (now + time_left).as_millis() as u64,
             body: message.body.clone(),
-            accepted_at_us: unix_us(),
+            accepted_at_us: now.as_micros() as u64,
         })
     }
 
--- a/crates/relay/src/upstream/attempt.rs
+++ b/crates/relay/src/upstream/attempt.rs
@@ -11,6 +11,7 @@
 use futures_lite::FutureExt;
 use log::{debug, error, info};
 use mountshift::interface::{EndpointId, MessageId, Outcome};
+use rustix::io::Errno;
 use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -23,6 +24,21 @@
 /// The longest `Retry-After` that is taken as told, in seconds; a longer one is cut to it.
 const MAX_RETRY_AFTER_SECONDS: f64 = 1e6;
 
+/// Errors of a connection that is made which tell of this machine alone: no port, no route, no descriptor, no memory.
+const LOCAL_CONNECT_ERRORS: [Errno; 11] = [
+    Errno::ADDRNOTAVAIL,
+    Errno::NETUNREACH,
+    Errno::NETDOWN,
+    Errno::NOBUFS,
+    Errno::NOMEM,
+    Errno::NFILE,
+    Errno::MFILE,
+    Errno::AGAIN,
+    Errno::INTR,
+    Errno::PERM,
+    Errno::ACCESS,
+];
+
 /// A message in a call.
 pub(crate) struct CallMessage {
     pub(crate) message: MessageId,
@@ -98,8 +114,8 @@
     pub(crate) decided_at: Instant,
     /// Asks if the endpoint may still be called.
     pub(crate) may_still_send: Box<dyn Fn() -> Receiver<bool>>,
-    /// Records the attempts in the spool, right before the first byte; false if they must not go out.
-    pub(crate) record_attempts: Box<dyn Fn() -> bool>,
+    /// Records the attempts in the spool, right before the first byte; how they end if they must not go out.
+    pub(crate) record_attempts: Box<dyn Fn() -> Result<(), Outcome>>,
     pub(crate) stage: Rc<Cell<CallStage>>,
 }
 
@@ -138,7 +154,7 @@
         let opened = HttpConnection::open(self.endpoint.address, server_name).or(late).await;
         opened.map_err(|e| {
             info!("connection to endpoint {} not made: {}", self.endpoint.name, e.kind());
-            Outcome::ConnectFailed
+            if is_local(&e) { Outcome::LocalFailure } else { Outcome::ConnectFailed }
         })
     }
 
@@ -162,9 +178,9 @@
         }
         let request = self.request();
         // Recorded only now: where the process ends while a connection comes up, the message surely has not run.
-        if !(self.record_attempts)() {
+        if let Err(outcome) = (self.record_attempts)() {
             pool.put_back(self.to, connection);
-            return Err(Outcome::NotSent);
+            return Err(outcome);
         }
         self.stage.set(CallStage::Recorded);
         debug!("call to endpoint {}: {}", self.endpoint.name, String::from_utf8_lossy(&request));
@@ -272,6 +288,12 @@
     }
 }
 
+/// True if a connection was not made for a shortage of this machine: that tells nothing of the endpoint.
+fn is_local(error: &std::io::Error) -> bool {
+    let errno = Errno::from_io_error(error);
+    errno.is_some_and(|errno| LOCAL_CONNECT_ERRORS.contains(&errno))
+}
+
 /// How a message of a batch ended, and whether it is closed, by the word that the response has for it.
 fn batch_outcome(word: Option<&[u8]>, retry_after: Duration) -> (Outcome, bool) {
     match word {
--- a/crates/relay/src/upstream/tests.rs
+++ b/crates/relay/src/upstream/tests.rs
@@ -76,7 +76,7 @@
             tell.try_send(true).expect("room");
             told
         }),
-        record_attempts: Box::new(note),
+        record_attempts: Box::new(move || if note() { Ok(()) } else { Err(Outcome::NotSent) }),
         stage: Rc::default(),
     }
 }
--- /dev/null
+++ b/crates/spool/src/batch.rs
@@ -0,0 +1,51 @@
+//! Records that are not written yet and will be written together.
+
+use crate::record::{BatchHead, encode_batch_head, encode_salt, frame};
+use std::hash::{BuildHasher, RandomState};
+
+/// Records to be written together.
+#[derive(Debug, Default)]
+pub(crate) struct Batch {
+    records: Vec<u8>,
+}
+
+impl Batch {
+    pub(crate) fn push(&mut self, payload: &[u8]) {
+        self.records.extend(frame(payload));
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Bytes of the records.
+    pub(crate) fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Takes back what was pushed since the records took so many bytes.
+    pub(crate) fn truncate(&mut self, bytes: usize) {
+        self.records.truncate(bytes);
+    }
+
+    pub(crate) fn clear(&mut self) {
+        self.records.clear();
+    }
+
+    /// The batch as it stands in a log with this salt from `offset` on.
+    pub(crate) fn encode(&self, salt: u32, offset: u64) -> Vec<u8> {
+        let mut bytes = frame(&encode_batch_head(BatchHead::new(salt, offset, self.records.len())));
+        bytes.extend(&self.records);
+        bytes
+    }
+}
+
+/// A salt for a log that has none.
+pub(crate) fn new_salt() -> u32 {
+    RandomState::new().hash_one(0) as u32
+}
+
+/// The salt's record as it stands in the log.
+pub(crate) fn encode_salt_record(salt: u32) -> Vec<u8> {
+    frame(&encode_salt(salt))
+}
--- a/crates/spool/src/compaction.rs
+++ b/crates/spool/src/compaction.rs
@@ -4,8 +4,8 @@
 use crate::log_file::{FILE_NAME, Spool};
 use crate::message::{AcceptedMessage, StoredMessage};
 use crate::record::{
-    MAX_SMALL_RECORD_BYTES, encode_accepted, encode_attempt, encode_format, encode_not_run, encode_outcome,
-    frame,
+    BATCH_OVERHEAD_BYTES, MAX_SMALL_RECORD_BYTES, encode_accepted, encode_attempt, encode_format,
+    encode_not_run, encode_outcome, frame,
 };
 use std::fs::{self, OpenOptions};
 use std::io::{self, Write};
@@ -16,6 +16,8 @@
 const BLOCK_BYTES: u64 = 512;
 /// Bytes of the format record at most.
 const MAX_FORMAT_RECORD_BYTES: u64 = MAX_SMALL_RECORD_BYTES;
+/// Bytes at most that a batch takes in the log beside its records, the first one's head of the log included.
+const MAX_BATCH_HEAD_BYTES: u64 = MAX_FORMAT_RECORD_BYTES + BATCH_OVERHEAD_BYTES as u64;
 
 impl Spool {
     /// Replaces all messages by these, numbered anew from 1 in the order given, in a fresh file that takes the
@@ -62,7 +64,8 @@
     /// True if the log with `more_in_log` bytes more and a fresh file with `more_reserved` bytes more fit
     /// within the limit together.
     pub(crate) fn fits(&self, more_in_log: usize, more_reserved: u64) -> bool {
-        let log = self.written_bytes + self.pending.len() as u64 + more_in_log as u64;
+        let pending = self.pending.len() as u64 + more_in_log as u64;
+        let log = self.written_bytes + MAX_BATCH_HEAD_BYTES + pending;
         let fresh = MAX_FORMAT_RECORD_BYTES + self.reserved_bytes + more_reserved;
         whole_blocks(log) + whole_blocks(fresh) <= self.max_bytes || self.written_bytes == 0
     }
@@ -81,6 +84,8 @@
         }
         self.file = file;
         self.written_bytes = bytes.len() as u64;
+        self.has_torn_tail = false;
+        self.salt = None;
         self.pending.clear();
         Ok(())
     }
--- a/crates/spool/src/log_file.rs
+++ b/crates/spool/src/log_file.rs
@@ -1,12 +1,14 @@
 //! The log file and the messages in it: opening and replaying, appending, committing.
 
+use crate::batch::{Batch, encode_salt_record, new_salt};
 use crate::compaction::{NEW_FILE_NAME, whole_blocks};
 use crate::error::SpoolError;
 use crate::message::{AcceptedMessage, AttemptRecord, FinalOutcome, StoredMessage};
 use crate::record::{
-    FORMAT, Record, encode_accepted, encode_attempt, encode_format, encode_not_run, encode_outcome,
-    encode_removed, frame, split_first_record,
+    Record, encode_accepted, encode_attempt, encode_format, encode_not_run, encode_outcome, encode_removed,
+    frame,
 };
+use crate::replay::replay;
 use log::warn;
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -21,10 +23,15 @@
 pub struct Spool {
     pub(crate) dir: PathBuf,
     pub(crate) file: File,
-    /// Bytes of the log's file.
+    /// Bytes of the log that are whole.
     pub(crate) written_bytes: u64,
+    /// Bytes may follow these in the file that belong to no record: a write that failed or was cut short. Nothing is
+    /// written before they are gone.
+    pub(crate) has_torn_tail: bool,
+    /// The number that heads of batches are checked with; none until the first batch.
+    pub(crate) salt: Option<u32>,
     /// Records that are not written yet.
-    pub(crate) pending: Vec<u8>,
+    pub(crate) pending: Batch,
     /// What the log and a fresh one may take together.
     pub(crate) max_bytes: u64,
     /// Bytes of a zone's name at most.
@@ -52,7 +59,10 @@
         max_attempts: u64,
         max_zone_bytes: u64,
     ) -> Result<Spool, SpoolError> {
-        remove_if_present(&dir.join(NEW_FILE_NAME))?;
+        if let Err(error) = remove_if_present(&dir.join(NEW_FILE_NAME)) {
+            // It takes room, and is written over by the next compaction.
+            warn!("spool: {NEW_FILE_NAME} is left over: {error}");
+        }
         let path = dir.join(FILE_NAME);
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
         let bytes = fs::read(&path)?;
@@ -60,7 +70,9 @@
             dir: dir.to_path_buf(),
             file,
             written_bytes: 0,
-            pending: Vec::new(),
+            has_torn_tail: false,
+            salt: None,
+            pending: Batch::default(),
             max_bytes,
             max_zone_bytes,
             max_attempts,
@@ -68,17 +80,21 @@
             reserved_bytes: 0,
             next_number: 1,
         };
-        let whole_bytes = spool.replay(&bytes)?;
-        if whole_bytes < bytes.len() {
-            // Guards against a record cut short by the end of a process: what follows it is unreadable.
-            let torn_bytes = bytes.len() - whole_bytes;
-            warn!("spool: dropped a torn tail of {torn_bytes} bytes after {whole_bytes}");
-            spool.file.set_len(whole_bytes as u64)?;
+        let log = replay(&bytes)?;
+        for record in log.records {
+            spool.apply(record);
+        }
+        if log.skipped_bytes > 0 {
+            warn!("spool: {} bytes can't be read; what follows them is", log.skipped_bytes);
         }
-        spool.written_bytes = whole_bytes as u64;
-        if whole_bytes == 0 {
-            spool.append(&encode_format());
+        let torn_bytes = bytes.len() - log.whole_bytes;
+        if torn_bytes > 0 {
+            // Cut short by the end of a process: it was never committed.
+            warn!("spool: drops a torn tail of {torn_bytes} bytes after {}", log.whole_bytes);
         }
+        spool.has_torn_tail = torn_bytes > 0;
+        spool.written_bytes = log.whole_bytes as u64;
+        spool.salt = log.salt;
         spool.reserved_bytes = spool.messages.values().map(|m| spool.max_bytes_of(&m.accepted)).sum();
         Ok(spool)
     }
@@ -97,7 +113,7 @@
     pub fn accept(&mut self, accepted: AcceptedMessage) -> Option<u64> {
         let number = self.next_number;
         let needed = self.max_bytes_of(&accepted);
-        let record = frame(&encode_accepted(number, &accepted));
+        let record = encode_accepted(number, &accepted);
         // A tenth stays free so that a nearly full log is not written anew for every message.
         let half = (self.max_bytes / 2).saturating_sub(self.max_bytes / 20);
         if self.reserved_bytes + needed > half {
@@ -108,7 +124,7 @@
         }
         self.reserved_bytes += needed;
         self.next_number += 1;
-        self.pending.extend(record);
+        self.pending.push(&record);
         self.messages.insert(number, StoredMessage::new(accepted));
         Some(number)
     }
@@ -122,6 +138,32 @@
         self.append(&record);
     }
 
+    /// Records an attempt of each of these messages, about to be sent at `at`, and commits.
+    ///
+    /// # Errors
+    /// If the file can't be written: then no attempt is recorded, now or later.
+    pub fn record_attempts_now(&mut self, numbers: &[u64], zone: &str, at: u64) -> io::Result<()> {
+        let pending_before = self.pending.len();
+        for number in numbers {
+            self.record_attempt(*number, zone, at);
+        }
+        let committed = self.commit();
+        if committed.is_err() {
+            self.pending.truncate(pending_before);
+            for number in numbers {
+                if let Some(message) = self.messages.get_mut(number) {
+                    message.attempts.pop();
+                }
+            }
+        }
+        committed
+    }
+
+    /// True if something recorded is not committed.
+    pub fn has_uncommitted(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
     /// Records that the last attempt was not processed.
     pub fn record_not_run(&mut self, number: u64) {
         let last = self.messages.get_mut(&number).and_then(|message| message.attempts.last_mut());
@@ -147,59 +189,74 @@
         }
     }
 
-    /// Writes what was recorded since the last call. Before this returns nothing of it survives the process.
+    /// Writes what was recorded since the last call, all of it or nothing. Before this returns nothing of it survives
+    /// the process.
     ///
     /// # Errors
-    /// If the file can't be written. What was recorded stays pending, and the file holds no part of it.
+    /// If the file can't be written. What was recorded stays pending; a process that reads the log finds nothing of it.
     pub fn commit(&mut self) -> io::Result<()> {
         if self.pending.is_empty() {
             return Ok(());
         }
+        if self.has_torn_tail && !self.cut_torn_tail() {
+            // The log can't be cut: a fresh one takes its place.
+            return self.compact();
+        }
         if !self.fits(0, 0) {
             return self.compact();
         }
-        if let Err(error) = self.file.write_all(&self.pending) {
-            // Guards against half a record in the middle of the log.
-            self.file.set_len(self.written_bytes)?;
+        let (salt, head) = self.log_head();
+        let offset = self.written_bytes + head.len() as u64;
+        let bytes = [head, self.pending.encode(salt, offset)].concat();
+        if let Err(error) = self.file.write_all(&bytes) {
+            self.has_torn_tail = true;
+            self.cut_torn_tail();
             return Err(error);
         }
-        self.written_bytes += self.pending.len() as u64;
+        self.salt = Some(salt);
+        self.written_bytes += bytes.len() as u64;
         self.pending.clear();
         Ok(())
     }
 
+    /// The log's salt, and what has to stand in front of its first batch.
+    fn log_head(&self) -> (u32, Vec<u8>) {
+        if let Some(salt) = self.salt {
+            return (salt, Vec::new());
+        }
+        let salt = new_salt();
+        let mut head = Vec::new();
+        if self.written_bytes == 0 {
+            head.extend(frame(&encode_format()));
+        }
+        head.extend(encode_salt_record(salt));
+        (salt, head)
+    }
+
+    /// Cuts off what follows the last whole record; false if that can't be done now. Written behind, a later record
+    /// could not be told from the rest of the torn one.
+    fn cut_torn_tail(&mut self) -> bool {
+        let cut = self.file.set_len(self.written_bytes);
+        if let Err(error) = &cut {
+            warn!("spool: a torn tail can't be cut off: {error}");
+        }
+        self.has_torn_tail = cut.is_err();
+        cut.is_ok()
+    }
+
     /// The bytes that the log takes on disk now, in whole blocks.
     pub fn size(&self) -> u64 {
         whole_blocks(self.written_bytes)
     }
 
     fn append(&mut self, payload: &[u8]) {
-        self.pending.extend(frame(payload));
-    }
-
-    /// Reads all whole records; how many bytes these are.
-    fn replay(&mut self, bytes: &[u8]) -> Result<usize, SpoolError> {
-        let mut rest = bytes;
-        while let Some((payload, after)) = split_first_record(rest) {
-            let offset = bytes.len() - rest.len();
-            // Guards against the log of a newer program: what is whole and can't be read must not be dropped as
-            // if it were a torn tail.
-            match Record::decode(payload) {
-                Some(Record::Format(format)) if format > FORMAT => {
-                    return Err(SpoolError::NewerFormat { offset, format });
-                }
-                Some(record) => self.apply(record),
-                None => return Err(SpoolError::UnknownRecord { offset }),
-            }
-            rest = after;
-        }
-        Ok(bytes.len() - rest.len())
+        self.pending.push(payload);
     }
 
     /// Takes up one record of the log. Records of messages that are over change nothing.
     fn apply(&mut self, record: Record) {
         match record {
-            Record::Format(_) => {}
+            Record::Format(_) | Record::Salt(_) | Record::Batch(_) => {}
             Record::Accepted { number, message } => {
                 self.note_used(number);
                 self.messages.insert(number, StoredMessage::new(message));
--- a/crates/spool/src/record.rs
+++ b/crates/spool/src/record.rs
@@ -14,6 +14,17 @@
 pub(crate) const MAX_SMALL_RECORD_BYTES: u64 = FRAME_HEADER_BYTES as u64 + 1 + 8 + 16;
 
 const TAG_FORMAT: u8 = b'V';
+/// Formats that stand for no format, but for a record of its own kind: earlier programs read these as the record of
+/// an older format, and go on.
+const BATCH_MARK: u64 = 0;
+const SALT_MARK: u64 = 1;
+/// Bytes of the payload of a format record, of a salt and of a batch: they tell the three apart.
+const FORMAT_PAYLOAD_BYTES: usize = 9;
+const SALT_PAYLOAD_BYTES: usize = FORMAT_PAYLOAD_BYTES + 4;
+const BATCH_PAYLOAD_BYTES: usize = FORMAT_PAYLOAD_BYTES + 8;
+/// Bytes that a salt and the head of a batch take in the log.
+pub(crate) const BATCH_OVERHEAD_BYTES: usize =
+    2 * FRAME_HEADER_BYTES + SALT_PAYLOAD_BYTES + BATCH_PAYLOAD_BYTES;
 const TAG_ACCEPTED: u8 = b'M';
 const TAG_ATTEMPT: u8 = b'L';
 const TAG_NOT_RUN: u8 = b'N';
@@ -26,11 +37,28 @@
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum Record {
     Format(u64),
-    Accepted { number: u64, message: AcceptedMessage },
-    Attempt { number: u64, attempt: AttemptRecord },
-    NotRun { number: u64 },
-    Outcome { number: u64, outcome: FinalOutcome },
-    Removed { number: u64 },
+    /// A secret number of the log: heads of batches are checked with it, so that no client can forge one.
+    Salt(u32),
+    /// The head of a batch: so many bytes of records follow that were committed together.
+    Batch(BatchHead),
+    Accepted {
+        number: u64,
+        message: AcceptedMessage,
+    },
+    Attempt {
+        number: u64,
+        attempt: AttemptRecord,
+    },
+    NotRun {
+        number: u64,
+    },
+    Outcome {
+        number: u64,
+        outcome: FinalOutcome,
+    },
+    Removed {
+        number: u64,
+    },
 }
 
 impl Record {
@@ -39,6 +67,14 @@
         let mut fields = Fields(payload);
         let tag = fields.take(1)?[0];
         let number = fields.number()?;
+        match (tag, number, payload.len()) {
+            (TAG_FORMAT, SALT_MARK, SALT_PAYLOAD_BYTES) => return Some(Record::Salt(fields.half_number()?)),
+            (TAG_FORMAT, BATCH_MARK, BATCH_PAYLOAD_BYTES) => {
+                let head = BatchHead { length: fields.half_number()?, check: fields.half_number()? };
+                return Some(Record::Batch(head));
+            }
+            _ => {}
+        }
         match tag {
             TAG_FORMAT => Some(Record::Format(number)),
             TAG_ACCEPTED => Some(Record::Accepted { number, message: fields.message()? }),
@@ -51,6 +87,36 @@
     }
 }
 
+/// The head of a batch of records that were committed together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct BatchHead {
+    /// Bytes of the records that follow.
+    length: u32,
+    /// Proves that the head was written by this log's owner, at this place.
+    check: u32,
+}
+
+impl BatchHead {
+    /// The head of a batch of `length` bytes whose own frame begins at `offset` in a log with this salt.
+    pub(crate) fn new(salt: u32, offset: u64, length: usize) -> BatchHead {
+        let length = length as u32;
+        BatchHead { length, check: BatchHead::checksum(salt, offset, length) }
+    }
+
+    /// Bytes of the records that follow; none if the head does not belong to this place in a log with this salt.
+    pub(crate) fn length_at(self, salt: u32, offset: u64) -> Option<usize> {
+        (self.check == BatchHead::checksum(salt, offset, self.length)).then_some(self.length as usize)
+    }
+
+    fn checksum(salt: u32, offset: u64, length: u32) -> u32 {
+        let mut hasher = crc32fast::Hasher::new();
+        hasher.update(&salt.to_le_bytes());
+        hasher.update(&offset.to_le_bytes());
+        hasher.update(&length.to_le_bytes());
+        hasher.finalize()
+    }
+}
+
 /// The payload, framed.
 pub(crate) fn frame(payload: &[u8]) -> Vec<u8> {
     let mut bytes = Vec::with_capacity(FRAME_HEADER_BYTES + payload.len());
@@ -62,6 +128,17 @@
 
 /// The first record's payload and the bytes that follow it; none if it is not whole.
 pub(crate) fn split_first_record(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+    let (payload, checksum, after) = split_first_frame(bytes)?;
+    (crc32fast::hash(payload) == checksum).then_some((payload, after))
+}
+
+/// The bytes that follow the first record, which may be unreadable, if its length is of use.
+pub(crate) fn skip_first_record(bytes: &[u8]) -> Option<&[u8]> {
+    split_first_frame(bytes).map(|(_, _, after)| after)
+}
+
+/// The first frame: a payload, its checksum as written, the bytes that follow.
+fn split_first_frame(bytes: &[u8]) -> Option<(&[u8], u32, &[u8])> {
     let (length, after) = bytes.split_first_chunk::<4>()?;
     let (checksum, after) = after.split_first_chunk::<4>()?;
     let length = u32::from_le_bytes(*length) as usize;
@@ -69,16 +146,26 @@
         return None;
     }
     let (payload, after) = after.split_at_checked(length)?;
-    if crc32fast::hash(payload) != u32::from_le_bytes(*checksum) {
-        return None;
-    }
-    Some((payload, after))
+    Some((payload, u32::from_le_bytes(*checksum), after))
 }
 
 pub(crate) fn encode_format() -> Vec<u8> {
     encode_number(TAG_FORMAT, FORMAT)
 }
 
+pub(crate) fn encode_salt(salt: u32) -> Vec<u8> {
+    let mut bytes = encode_number(TAG_FORMAT, SALT_MARK);
+    bytes.extend(salt.to_le_bytes());
+    bytes
+}
+
+pub(crate) fn encode_batch_head(head: BatchHead) -> Vec<u8> {
+    let mut bytes = encode_number(TAG_FORMAT, BATCH_MARK);
+    bytes.extend(head.length.to_le_bytes());
+    bytes.extend(head.check.to_le_bytes());
+    bytes
+}
+
 pub(crate) fn encode_accepted(number: u64, message: &AcceptedMessage) -> Vec<u8> {
     let mut bytes = encode_number(TAG_ACCEPTED, number);
     bytes.extend(message.key.to_le_bytes());
@@ -140,8 +227,12 @@
         Some(u64::from_le_bytes(self.take(8)?.try_into().ok()?))
     }
 
+    fn half_number(&mut self) -> Option<u32> {
+        Some(u32::from_le_bytes(self.take(4)?.try_into().ok()?))
+    }
+
     fn text(&mut self) -> Option<&'a [u8]> {
-        let length = u32::from_le_bytes(self.take(4)?.try_into().ok()?);
+        let length = self.half_number()?;
         self.take(length as usize)
     }
 
--- a/src/interface/message.rs
+++ b/src/interface/message.rs
@@ -112,6 +112,9 @@
     Cancelled,
     /// Never left the relay.
     NotSent,
+    /// Never left the relay, for a shortage of the relay's own machine: descriptors, ports, memory, a state folder that
+    /// can't be written. It tells nothing of the destination, and is no attempt.
+    LocalFailure,
 }
 
 impl Outcome {
@@ -119,7 +122,11 @@
     pub fn never_ran(self) -> bool {
         matches!(
             self,
-            Outcome::Rejected { .. } | Outcome::ConnectionLimit | Outcome::ConnectFailed | Outcome::NotSent
+            Outcome::Rejected { .. }
+                | Outcome::ConnectionLimit
+                | Outcome::ConnectFailed
+                | Outcome::NotSent
+                | Outcome::LocalFailure
         )
     }
 }
--- a/src/policy/circuit_breaker.rs
+++ b/src/policy/circuit_breaker.rs
@@ -27,7 +27,7 @@
 pub(super) fn record_result(state: &mut State, call: &CallResult, waited: Duration, outcome: Outcome) {
     match outcome {
         Outcome::Delivered => call_succeeded(state, call, waited),
-        Outcome::Cancelled | Outcome::NotSent => {
+        Outcome::Cancelled | Outcome::NotSent | Outcome::LocalFailure => {
             state.routes.end_trial(call.route, call.number, Breaker::HalfOpen(None));
         }
         _ if !call.is_first_result => {}
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Rules 2 and 5. A host asks where an attempt can't be recorded for the next process.
+    pub fn may_send_unrecorded(&self, message: MessageId) -> bool {
+        safety::may_send_unrecorded(&self.state, message)
+    }
+
     /// Rules 3 and 6. A host asks again where a call begins late: both may have changed.
     pub fn may_send_to(&self, endpoint: EndpointId, now: Duration) -> bool {
         safety::may_send_to(&self.state, endpoint, now)
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -12,6 +12,8 @@
 const DOUBLED_TO_ATTEMPT: u8 = 6;
 /// Backoffs added after a rejection if all attempts are rejected: else attempts are used up route by route.
 const REJECTED_BACKOFFS: f64 = 8.0;
+/// Backoffs after a shortage of this machine: it lasts a while, and each try costs processor time.
+const LOCAL_FAILURE_BACKOFFS: f64 = 0.4;
 /// Seconds over which the share of rejected attempts is measured, ...
 pub(crate) const REJECTION_SECONDS: usize = 30;
 /// ... of at least so many, so that the first rejections weigh little.
@@ -52,6 +54,7 @@
     let backoffs = match outcome {
         Outcome::Error | Outcome::ConnectFailed | Outcome::TimedOut => doubled,
         Outcome::Rejected { .. } => doubled - 1.0 + doubled * REJECTED_BACKOFFS * recent.sum / measured,
+        Outcome::LocalFailure => LOCAL_FAILURE_BACKOFFS,
         _ => 0.0,
     };
     message.not_before = state.now + RETRY_BACKOFF.mul_f64(backoffs);
--- a/src/policy/safety.rs
+++ b/src/policy/safety.rs
@@ -57,6 +57,14 @@
     endpoint.unavailable_since.is_none() && now >= state.routes[endpoint.route].retry_after_until
 }
 
+/// Rules 2 and 5, where the state folder can't be written: an attempt that no later process will know of is sent only
+/// where a repeat does no harm and comes into nobody's turn. What may run once, within a window or in order waits for
+/// the folder, at most until its deadline.
+pub(super) fn may_send_unrecorded(state: &State, id: MessageId) -> bool {
+    let Some(message) = state.messages.get(id) else { return false };
+    state.class_of(message).idempotency == Idempotency::Idempotent && message.key.is_none()
+}
+
 /// Rule 4: within the budget of its slow start, or as a trial.
 fn keeps_slow_start(route: &Route) -> bool {
     route.slow_start_since.is_none() || route.slow_start_budget.tokens > 0.0 || !route.is_closed()
--- a/src/state/messages.rs
+++ b/src/state/messages.rs
@@ -82,6 +82,9 @@
         if outcome.never_ran() {
             self.possible_runs -= 1;
         }
+        if outcome == Outcome::LocalFailure {
+            self.attempts = self.attempts.saturating_sub(1);
+        }
         if self.possible_runs == 0 {
             self.first_possible_run = None;
         }
