--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -6,6 +6,7 @@
 
 use mountshift_faults::{CallFault, FULL_RATE, FaultControl, SystemCall};
 use std::collections::BTreeSet;
+use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use support::{client::*, discovery::*, process::*, server::*, *};
@@ -115,3 +116,64 @@
     assert_eq!(later(), accepted, "only what was accepted is sent");
     assert!(delivered(&endpoint).is_superset(&accepted));
 }
+
+#[test]
+fn a_client_that_ends_its_sending_gets_its_answer_whenever_it_does() {
+    let endpoint = Server::start(|_| ok());
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = fixture.relay();
+    let mut unanswered = Vec::new();
+    for n in 0..60 {
+        let mut client = relay.client();
+        client.say(&submit_request(&format!("m{n}"), 0, "c=any,d=8000,dest=7", b"x"));
+        // At any moment of the way of a request: read, submitted, decided on, answered.
+        std::thread::sleep(std::time::Duration::from_micros(150 * n));
+        client.0.get_ref().shutdown(Shutdown::Write).expect("an end");
+        let answer = client.hear();
+        if answer != "+OK" && !answer.starts_with("-BUSY") {
+            unanswered.push((n, answer));
+        }
+    }
+    assert!(unanswered.is_empty(), "{unanswered:?}");
+}
+
+#[test]
+fn connections_that_fail_for_a_shortage_of_this_machine_open_no_breaker() {
+    let endpoint = Server::start(|_| ok());
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let relay = fixture.relay();
+    let mut client = relay.client();
+    assert_eq!(client.ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
+    let limit_before = relay.limit_descriptors(Some(relay.first_free_descriptor()));
+    // At most eight attempts are allowed, and a message that must not run twice has to outlast them.
+    assert_eq!(client.ask(&submit_request("once", 0, "c=once,d=15000,dest=7", b"x")), "+OK");
+    assert_eq!(client.ask(&submit_request("any", 0, "c=any,d=15000,dest=7", b"x")), "+OK");
+    until("tries", || fixture.log().matches("connection to endpoint e1 not made").count() >= 20);
+    assert!(endpoint.ids().is_empty());
+    relay.limit_descriptors(limit_before);
+    until_within(ms(1_000), "both calls, as the destination is not to blame", || endpoint.ids().len() == 2);
+    assert!(fixture.platform.notifications().is_empty());
+}
+
+#[test]
+fn attempts_that_cannot_be_recorded_use_up_no_message() {
+    let endpoint = Server::start(|_| ok());
+    let (gate, slow) = gate::gated(ok);
+    let fixture = fixture(
+        0,
+        vec![member("e1", endpoint.address, 7, "single"), member("e2", slow.address, 8, "single")],
+    );
+    let faults = fixture.faults();
+    let relay = fixture.relay_with_faults(&faults);
+    // The second message of the key waits until the first has its answer; by then nothing can be recorded.
+    assert_eq!(relay.submit("pay1", 5, "c=pay,d=15000,dest=8", b"x"), "+OK");
+    gate.wait_for_arrivals(1);
+    assert_eq!(relay.submit("pay2", 5, "c=pay,d=15000,dest=7", b"x"), "+OK");
+    break_writes(&faults);
+    gate.open();
+    until("tries", || faults.injected(SystemCall::FileTruncate).expect("a count") >= 40);
+    assert!(endpoint.ids().is_empty(), "an attempt that may run once is not sent unrecorded");
+    mend_files(&faults);
+    until_within(ms(2_000), "the second message", || endpoint.ids() == ["pay2"]);
+    assert!(fixture.platform.notifications().is_empty());
+}
--- a/crates/relay/tests/support/process.rs
+++ b/crates/relay/tests/support/process.rs
@@ -126,6 +126,21 @@
         assert!(Command::new("kill").args(["-s", name, &id]).status().expect("kill").success());
     }
 
+    /// The lowest descriptor that it does not hold: with this as its limit it opens no other.
+    pub(crate) fn first_free_descriptor(&self) -> u64 {
+        let held = |number: &u64| Path::new(&format!("/proc/{}/fd/{number}", self.child.id())).exists();
+        (0..).find(|number| !held(number)).expect("a free one")
+    }
+
+    /// Limits its descriptors from now on; gives back the limit before.
+    pub(crate) fn limit_descriptors(&self, most: Option<u64>) -> Option<u64> {
+        let process = rustix::process::Pid::from_child(&self.child);
+        let resource = rustix::process::Resource::Nofile;
+        let maximum = rustix::process::getrlimit(resource).maximum;
+        let limit = rustix::process::Rlimit { current: most, maximum };
+        rustix::process::prlimit(Some(process), resource, limit).expect("a limit").current
+    }
+
     /// True once a STOP has taken effect.
     pub(crate) fn is_suspended(&self) -> bool {
         let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).unwrap_or_default();
