A client that ends its sending gets its answer; no reset takes a rejection away

Cause: while an answer was due, an end of the client's sending was read as a client that is gone: withdrawn, no answer. Class: gone read from ended its sending. Now the answer is written; only a reset that it meets at once shows that nobody reads (searched: calls, discovery, notifications, operators' calls read an end only where it ends an answer). Beside it: a connection over the limit, or cut off in the middle of a request for another one, gets -BUSY and 100 ms to finish (one in eight of the limit at a time, beyond it); accept that fails keeps the listener open no longer once told to stop, and is logged once; a drain is not ended by a start that another clock dates ahead.

--- a/crates/discovery/src/drain_record.rs
+++ b/crates/discovery/src/drain_record.rs
@@ -70,7 +70,7 @@
 /// When and where an endpoint was listed as draining or removed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 struct Drain {
-    /// When it was first listed so, Unix milliseconds.
+    /// When it was first listed so, Unix milliseconds; not before its last start as listed, which another clock tells.
     at_ms: u64,
     /// The newest revision of the source that lists it so.
     revision: u64,
@@ -97,9 +97,9 @@
 pub struct DrainRecord {
     /// By id as listed.
     drains: BTreeMap<String, Drain>,
-    /// Endpoints that the list holds as ready: guards against one that a whole list leaves out and an older
-    /// one names again.
-    ready: BTreeSet<String>,
+    /// Endpoints that the list holds as ready, with their last start as listed: guards against one that a whole
+    /// list leaves out and an older one names again.
+    ready: BTreeMap<String, u64>,
     /// The text has changed since it was last asked for.
     changed: bool,
 }
@@ -124,16 +124,16 @@
     /// What a whole list leaves out is removed.
     fn record_absent(&mut self, list: &ListHeader, entries: &[ListEntry]) {
         let named: BTreeSet<&str> = entries.iter().map(|entry| entry.id).collect();
-        let absent = self.ready.iter().filter(|id| !named.contains(id.as_str()));
-        let absent: Vec<String> = absent.cloned().collect();
-        for id in absent {
-            self.record_drain(&id, list);
+        let absent = self.ready.iter().filter(|(id, _)| !named.contains(id.as_str()));
+        let absent: Vec<(String, u64)> = absent.map(|(id, up_since_ms)| (id.clone(), *up_since_ms)).collect();
+        for (id, up_since_ms) in absent {
+            self.record_drain(&id, up_since_ms, list);
         }
     }
 
     fn apply_entry(&mut self, list: &ListHeader, entry: &ListEntry) -> Phase {
         if entry.phase != Phase::Ready {
-            self.record_drain(entry.id, list);
+            self.record_drain(entry.id, entry.up_since_ms, list);
             return entry.phase;
         }
         if let Some(drain) = self.drains.get(entry.id) {
@@ -143,20 +143,22 @@
             self.drains.remove(entry.id);
             self.changed = true;
         }
-        self.ready.insert(entry.id.to_string());
+        self.ready.insert(entry.id.to_string(), entry.up_since_ms);
         Phase::Ready
     }
 
-    /// The first time counts, but the newest revision of a source must be passed.
-    fn record_drain(&mut self, id: &str, list: &ListHeader) {
+    /// The first time counts, but the newest revision of a source must be passed. The last start of the endpoint is
+    /// told by another clock than this relay's: where that one is ahead, a start before the drain must not look as
+    /// if it were behind it.
+    fn record_drain(&mut self, id: &str, up_since_ms: u64, list: &ListHeader) {
         self.ready.remove(id);
-        let mut drain =
-            Drain { at_ms: list.now_ms, revision: list.revision, source: list.source.to_string() };
+        let at_ms = list.now_ms.max(up_since_ms);
+        let mut drain = Drain { at_ms, revision: list.revision, source: list.source.to_string() };
         if let Some(earlier) = self.drains.get(id) {
             if earlier.source == drain.source && earlier.revision >= drain.revision {
                 return;
             }
-            drain.at_ms = earlier.at_ms;
+            drain.at_ms = earlier.at_ms.max(up_since_ms);
         }
         self.drains.insert(id.to_string(), drain);
         self.changed = true;
--- a/crates/discovery/src/drain_record_tests.rs
+++ b/crates/discovery/src/drain_record_tests.rs
@@ -136,3 +136,23 @@
     assert!(again.len() > 3_000, "{}", again.len());
     assert!(again.drains.contains_key("s-00001387") && !again.drains.contains_key("s-00000000"));
 }
+
+// The last start of an endpoint is told by discovery's clock; this relay's may be behind it.
+#[test]
+fn a_start_before_the_drain_does_not_end_it_where_another_clock_is_ahead() {
+    const STARTED_MS: u64 = 9_000_000;
+    let entry = |phase, up_since_ms| ListEntry { id: "x", phase, up_since_ms };
+    for is_absent in [false, true] {
+        for (up_since_ms, expected) in [(STARTED_MS, Draining), (STARTED_MS + 1, Ready)] {
+            let mut record = DrainRecord::default();
+            apply(&mut record, &list(A, 5, true), &[entry(Ready, STARTED_MS)]);
+            if is_absent {
+                apply(&mut record, &list(A, 7, true), &[]);
+            } else {
+                apply(&mut record, &list(A, 7, false), &[entry(Draining, STARTED_MS)]);
+            }
+            let stale = list(B, 3, true);
+            assert_eq!(apply(&mut record, &stale, &[entry(Ready, up_since_ms)]), [expected], "{is_absent}");
+        }
+    }
+}
--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -41,6 +41,9 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How much of it is.
 const MAX_DISCARDED_BYTES: usize = 80_000_000;
+/// How long it is read where the place is needed for another connection: a client that is well has sent the rest of its
+/// request by then, and reads its reply before the close can reset the connection.
+pub(super) const SHORT_DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 /// The pause between two such reads, which leaves other connections their turn.
 const DISCARD_PAUSE: Duration = Duration::from_millis(1);
 
@@ -59,6 +62,8 @@
     Slow,
     /// Nothing was asked for a long while, or another connection needed the place.
     Idle,
+    /// Another connection needed the place before its request was whole.
+    Evicted,
     /// The client said that it was done.
     Quit,
     /// What came was no request.
@@ -78,6 +83,7 @@
             CloseReason::Silent => "silent",
             CloseReason::Slow => "slow",
             CloseReason::Idle => "idle",
+            CloseReason::Evicted => "evicted",
             CloseReason::Quit => "quit",
             CloseReason::ProtocolError => "protocol",
             CloseReason::Stopping => "stopping",
@@ -238,6 +244,11 @@
             (Wakeup::SocketBroken, _) => CloseReason::Broken,
             (Wakeup::Stopping, _) => CloseReason::Stopping,
             (Wakeup::Standby, _) => CloseReason::Standby,
+            (_, Expecting::Remainder) if self.evicted.is_closed() => {
+                // Nobody took the request on: it may come again.
+                let busy = Reply::Line(protocol::BUSY.to_string());
+                self.close_after(vec![busy], CloseReason::Evicted, service).await
+            }
             (_, Expecting::Remainder) => {
                 let late = Reply::Line(protocol::error_line("the request did not come in time"));
                 self.close_after(vec![late], CloseReason::Slow, service).await
@@ -400,9 +411,12 @@
     async fn discard_input(&self, service: &ClientService) {
         let due = Instant::now() + DISCARD_TIMEOUT;
         let mut bytes_left = MAX_DISCARDED_BYTES;
+        if self.evicted.is_closed() {
+            return discard_briefly(&self.stream, service).await;
+        }
         service.start_waiting(self);
         while bytes_left > 0 && Instant::now() < due && !self.evicted.is_closed() {
-            match self.discard_chunk() {
+            match discard_chunk(&self.stream) {
                 Ok(0) => return,
                 Ok(read) => {
                     bytes_left = bytes_left.saturating_sub(read);
@@ -417,12 +431,6 @@
         }
     }
 
-    /// Reads and drops some of what has come. Not async: a buffer that lives across an `await` would be held by every
-    /// connection for as long as it is open.
-    fn discard_chunk(&self) -> io::Result<usize> {
-        self.stream.get_ref().read(&mut [0; DISCARD_CHUNK_BYTES])
-    }
-
     /// True if there is something to read, the end of the connection included.
     fn has_input(&self) -> bool {
         let peeked = self.stream.get_ref().peek(&mut [0]);
@@ -456,23 +464,29 @@
         if bytes.is_empty() {
             return when_written;
         }
-        let client_gone = matches!(self.stream.get_ref().peek(&mut [0]), Ok(0));
-        let (unwritten, result) = if client_gone {
-            (bytes.len(), Err(io::ErrorKind::BrokenPipe.into()))
-        } else {
-            write_in_time(&mut self.stream, &bytes).await
-        };
+        let has_ended_sending = matches!(self.stream.get_ref().peek(&mut [0]), Ok(0));
+        let (unwritten, result) = write_in_time(&mut self.stream, &bytes).await;
+        // A client that has only ended its sending reads the replies; one that is gone answers them with a reset. It
+        // comes at once where both are on one machine. Later the client may have read them: then they stand.
+        let is_gone = has_ended_sending && self.is_reset();
         let reason = match result {
-            Ok(()) => return when_written,
+            Ok(()) if !is_gone => return when_written,
             Err(e) if e.kind() == io::ErrorKind::TimedOut => CloseReason::Slow,
-            Err(_) => CloseReason::ClosedBeforeReply,
+            _ => CloseReason::ClosedBeforeReply,
         };
-        for message in unheard_messages(&accepted, bytes.len() - unwritten) {
+        let heard = if is_gone { 0 } else { bytes.len() - unwritten };
+        for message in unheard_messages(&accepted, heard) {
             (service.config.withdraw)(message);
         }
         Err(reason)
     }
 
+    /// True if the client has answered what was written with a reset.
+    fn is_reset(&self) -> bool {
+        let peeked = self.stream.get_ref().peek(&mut [0]);
+        peeked.is_err_and(|e| !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted))
+    }
+
     /// Waits for the replies and puts their lines together.
     async fn collect_replies(&mut self, replies: Vec<Reply>) -> ReplyBytes {
         let mut collected = ReplyBytes::default();
@@ -506,6 +520,41 @@
     }
 }
 
+/// Reads and drops some of what has come. Not async: a buffer that lives across an `await` would be held by every
+/// connection for as long as it is open.
+pub(super) fn discard_chunk(stream: &Async<TcpStream>) -> io::Result<usize> {
+    stream.get_ref().read(&mut [0; DISCARD_CHUNK_BYTES])
+}
+
+/// Reads and drops for a moment what still comes, so that the close does not take the reply away; not at all if too many
+/// connections end like this at once.
+pub(super) async fn discard_briefly(stream: &Async<TcpStream>, service: &ClientService) {
+    if service.start_lingering() {
+        discard_until(stream, Instant::now() + SHORT_DISCARD_TIMEOUT).await;
+        service.stop_lingering();
+    }
+}
+
+async fn discard_until(stream: &Async<TcpStream>, due: Instant) {
+    while Instant::now() < due {
+        match discard_chunk(stream) {
+            Ok(0) => return,
+            Ok(_) => drop(Timer::after(DISCARD_PAUSE).await),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                let late = async {
+                    Timer::at(due).await;
+                };
+                let readable = async {
+                    let _ = stream.readable().await;
+                };
+                readable.or(late).await;
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(_) => return,
+        }
+    }
+}
+
 /// Whether a client may still send.
 enum Input {
     Open,
--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -20,7 +20,7 @@
 use mountshift_maintenance::MaintenanceState;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -30,6 +30,9 @@
 /// The pause after a failed accept, as when descriptors have run out: they are not there again at once.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Connections that only linger for their last reply to be read may be one part in so many beyond the limit.
+const LINGER_DIVISOR: usize = 8;
+
 /// Takes a message in; the reply comes over the channel.
 pub(crate) type SubmitHandler = Box<dyn Fn(ClientSubmission, Sender<SubmissionReply>)>;
 
@@ -59,6 +62,8 @@
     config: ClientServiceConfig,
     /// Connections that wait for their client, by number.
     waiting: RefCell<BTreeMap<u64, WaitingConnection>>,
+    /// Connections that have their last reply and are open only for it to be read.
+    lingering: Cell<usize>,
     /// Closed, and made anew, when standby begins or ends: wakes the connections that wait.
     standby_changed: RefCell<(Sender<()>, Receiver<()>)>,
 }
@@ -85,6 +90,7 @@
         ClientService {
             config,
             waiting: RefCell::default(),
+            lingering: Cell::default(),
             standby_changed: RefCell::new(async_channel::bounded(1)),
         }
     }
@@ -155,6 +161,20 @@
         }
     }
 
+    /// Notes that a connection that has its last reply is kept for a moment, beyond the limit of connections. False if
+    /// too many are.
+    fn start_lingering(&self) -> bool {
+        let has_room = self.lingering.get() < self.config.max_connections.div_ceil(LINGER_DIVISOR);
+        if has_room {
+            self.lingering.set(self.lingering.get() + 1);
+        }
+        has_room
+    }
+
+    fn stop_lingering(&self) {
+        self.lingering.set(self.lingering.get() - 1);
+    }
+
     fn stop_waiting(&self, number: u64) {
         self.waiting.borrow_mut().remove(&number);
     }
@@ -165,7 +185,7 @@
 
     /// True if there is a place for another connection, or one could be freed.
     fn has_room(&self) -> bool {
-        self.config.open_connections.get() < self.config.max_connections
+        self.config.open_connections.get() - self.lingering.get() < self.config.max_connections
             || self.evict_oldest(Evictable::Waiting)
     }
 }
@@ -177,18 +197,25 @@
     executor: Rc<LocalExecutor<'static>>,
 ) {
     let mut connections = 0;
+    let mut failures = 0;
     while let Some(accepted) = accept(&listener, &service).await {
         match accepted {
+            // Accepting fails as long as descriptors are short: that must not keep the listener open.
+            Err(_) if service.config.stopping.is_closed() => return,
             Err(e) => {
-                warn!("accept: {e}");
+                // Logged once, or a shortage would fill the log.
+                if failures == 0 {
+                    warn!("accept: {e}");
+                }
+                failures += 1;
                 Timer::after(ACCEPT_PAUSE).await;
             }
             Ok((stream, peer)) if !service.has_room() => {
-                reject_connection(&stream);
-                info!("connection from {peer} ended: too-many after 0 requests");
+                executor.spawn(reject_connection(stream, peer, service.clone())).detach();
             }
             Ok((stream, peer)) => {
                 connections += 1;
+                failures = 0;
                 let connection = ClientConnection::new(stream, connections);
                 service.config.open_connections.set(service.config.open_connections.get() + 1);
                 service.start_waiting(&connection);
@@ -220,12 +247,17 @@
     service.config.open_connections.set(service.config.open_connections.get() - 1);
 }
 
-/// Turns a new connection away. A close over a request that was not read would reset the connection, and its client
-/// would never see the reply: so what has come is read and dropped.
-fn reject_connection(stream: &Async<TcpStream>) {
-    let mut stream = stream.get_ref();
-    let _ = stream.set_nodelay(true);
-    let _ = stream.write(protocol::BUSY.as_bytes());
-    let _ = stream.shutdown(Shutdown::Write);
-    let _ = stream.read(&mut [0; connection::READ_CHUNK_BYTES]);
+/// Turns a new connection away. A close over a request that was not read, or that is still on its way, would reset the
+/// connection, and its client would never see the reply: so what comes is read and dropped for a moment.
+async fn reject_connection(stream: Async<TcpStream>, peer: SocketAddr, service: Rc<ClientService>) {
+    let open_connections = &service.config.open_connections;
+    open_connections.set(open_connections.get() + 1);
+    let mut socket = stream.get_ref();
+    let _ = socket.set_nodelay(true);
+    let _ = socket.write(protocol::BUSY.as_bytes());
+    let _ = socket.shutdown(Shutdown::Write);
+    let _ = connection::discard_chunk(&stream);
+    connection::discard_briefly(&stream, &service).await;
+    info!("connection from {peer} ended: too-many after 0 requests");
+    open_connections.set(open_connections.get() - 1);
 }
--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -120,6 +120,53 @@
     });
 }
 
+// The rest of its request may still be on its way: it must find the connection open, or a reset takes the reply away.
+#[test]
+fn a_connection_over_the_limit_may_still_send_the_rest_of_its_request() {
+    let (fixture, executor) = (fixture(), Rc::new(LocalExecutor::new()));
+    fixture.service.config.open_connections.set(fixture.service.config.max_connections);
+    run_test(&executor, async {
+        let (first, rest) = ADD.split_at(ADD.len() / 2);
+        let mut far = connected(&fixture, first, &executor).await;
+        let mut reply = [0; 7];
+        futures_lite::AsyncReadExt::read_exact(&mut far, &mut reply).await.expect("a reply");
+        assert_eq!(&reply, b"-BUSY\r\n");
+        for piece in [&rest[..2], &rest[2..]] {
+            far.get_ref().write_all(piece.as_bytes()).expect("taken");
+        }
+        let mut text = Vec::new();
+        let read = futures_lite::AsyncReadExt::read_to_end(&mut far, &mut text).await;
+        assert!(read.is_ok() && text.is_empty(), "not reset: {read:?}");
+        drop(far);
+        while fixture.service.config.open_connections.get() > fixture.service.config.max_connections {
+            futures_lite::future::yield_now().await;
+        }
+    });
+}
+
+// A place is needed while a request is half there: nobody has taken it on, so that it may come again.
+#[test]
+fn a_request_cut_off_for_another_connection_is_rejected_and_may_end() {
+    let (fixture, executor) = (fixture(), Rc::new(LocalExecutor::new()));
+    run_test(&executor, async {
+        let (first, rest) = ADD.split_at(ADD.len() / 2);
+        let mut far = connected(&fixture, first, &executor).await;
+        while !fixture.service.evict_oldest(Evictable::Buffering) {
+            futures_lite::future::yield_now().await;
+        }
+        let mut reply = [0; 7];
+        futures_lite::AsyncReadExt::read_exact(&mut far, &mut reply).await.expect("a reply");
+        assert_eq!(&reply, b"-BUSY\r\n");
+        for piece in [&rest[..2], &rest[2..]] {
+            far.get_ref().write_all(piece.as_bytes()).expect("taken");
+        }
+        let mut text = Vec::new();
+        let read = futures_lite::AsyncReadExt::read_to_end(&mut far, &mut text).await;
+        assert!(read.is_ok() && text.is_empty(), "not reset: {read:?}");
+        assert!(fixture.submitted.is_empty(), "nothing is submitted");
+    });
+}
+
 /// Connections to the address that the kernel has established; both ends are on this machine, and only the server's is
 /// counted.
 fn established_to(at: std::net::SocketAddr) -> usize {
