Guards at send, close and final answer, counted; metrics at the second address

Right before the first byte of a call the decisions are asked again (end, deadline, repeat, window, drain, Retry-After); a client connection that ends owing an answer and a second final answer are counted and logged with message, connection, call and the state expected. GET /metrics gives Prometheus text; the last line at the exit tells violations. Transitions of messages, calls and connections are debug lines with the same fields.

--- a/crates/relay/src/admin.rs
+++ b/crates/relay/src/admin.rs
@@ -2,6 +2,7 @@
 //! `mountshift_maintenance`; here commands are read, handed over and answered. No answer waits for the dispatcher.
 
 use crate::clients::ACCEPT_PAUSE;
+use crate::metrics::Metrics;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
@@ -19,6 +20,12 @@
 
 /// Bytes that one read of a request takes at most.
 const READ_CHUNK_BYTES: usize = 1024;
+/// Where the metrics are.
+const METRICS_TARGET: &str = "/metrics";
+/// The status of the metrics.
+const METRICS_CODE: u16 = 200;
+/// The content type of the metrics: Prometheus' text format, as `prometheus-client` writes it.
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Header fields of a request at most.
 const MAX_HEADERS: usize = 32;
 
@@ -29,6 +36,7 @@
     pub(crate) started: Instant,
     /// Carries out what a command changed.
     pub(crate) on_change: Box<dyn Fn(Change)>,
+    pub(crate) metrics: Rc<Metrics>,
 }
 
 /// The open connections by number, each with what lets it go when closed.
@@ -71,9 +79,9 @@
                 let (number, dismissed) = callers.borrow_mut().add();
                 let (service, callers) = (service.clone(), callers.clone());
                 let task = async move {
-                    let answer = service.answer(&stream, dismissed).await;
+                    let response = service.answer(&stream, dismissed).await;
                     callers.borrow_mut().remove(number);
-                    respond(&stream, peer, answer).await;
+                    respond(&stream, peer, response).await;
                 };
                 executor.spawn(task).detach();
             }
@@ -87,16 +95,16 @@
 
 impl AdminService {
     /// The answer to a connection's command, or to a connection that has to go before it brought one.
-    async fn answer(&self, stream: &Async<TcpStream>, dismissed: Receiver<()>) -> Answer {
+    async fn answer(&self, stream: &Async<TcpStream>, dismissed: Receiver<()>) -> Response {
         let sent_away = async {
             let _ = dismissed.recv().await;
-            LATE
+            LATE.into()
         };
         self.handle_command(stream).or(sent_away).await
     }
 
     /// Reads a request's head within its time, and carries the command out.
-    async fn handle_command(&self, stream: &Async<TcpStream>) -> Answer {
+    async fn handle_command(&self, stream: &Async<TcpStream>) -> Response {
         let due = Instant::now() + HEAD_TIMEOUT;
         let too_late = async {
             Timer::at(due).await;
@@ -104,11 +112,14 @@
         };
         let head = match read_head(stream).or(too_late).await {
             Ok(head) => head,
-            Err(answer) => return answer,
+            Err(answer) => return answer.into(),
         };
+        if head.method == "GET" && head.target == METRICS_TARGET {
+            return Response { code: METRICS_CODE, content_type: METRICS_TYPE, body: self.metrics.to_text() };
+        }
         let command = match parse_call(&head.method, &head.target) {
             Ok(command) => command,
-            Err(answer) => return answer,
+            Err(answer) => return answer.into(),
         };
         let now = self.started.elapsed();
         let (answer, change) = self.maintenance.borrow_mut().handle(command, now);
@@ -116,7 +127,20 @@
             info!("mgmt: {} {}: {change:?}", head.method, head.target);
             (self.on_change)(change);
         }
-        answer
+        answer.into()
+    }
+}
+
+/// What goes back to a caller.
+struct Response {
+    code: u16,
+    content_type: &'static str,
+    body: String,
+}
+
+impl From<Answer> for Response {
+    fn from(answer: Answer) -> Response {
+        Response { code: answer.code, content_type: "text/plain", body: format!("{}\n", answer.text) }
     }
 }
 
@@ -160,25 +184,25 @@
 }
 
 /// Writes the answer within its time, and closes the connection.
-async fn respond(stream: &Async<TcpStream>, peer: SocketAddr, answer: Answer) {
+async fn respond(stream: &Async<TcpStream>, peer: SocketAddr, response: Response) {
     let due = Instant::now() + WRITE_TIMEOUT;
     let too_late = async {
         Timer::at(due).await;
         false
     };
-    let is_written = write_answer(stream, answer).or(too_late).await;
+    let is_written = write_response(stream, &response).or(too_late).await;
     let how = if is_written { "answered" } else { "not taken" };
-    info!("mgmt call from {peer}: {} {}, {how}", answer.code, answer.text);
+    let first_line = response.body.lines().next().unwrap_or_default();
+    info!("mgmt call from {peer}: {} {first_line}, {how}", response.code);
     let _ = stream.get_ref().shutdown(Shutdown::Both);
 }
 
 /// True if the whole answer was written.
-async fn write_answer(mut stream: &Async<TcpStream>, answer: Answer) -> bool {
-    let body = format!("{}\n", answer.text);
+async fn write_response(mut stream: &Async<TcpStream>, response: &Response) -> bool {
+    let Response { code, content_type, body } = response;
     let text = format!(
-        "HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
-        answer.code,
-        reason_phrase(answer.code),
+        "HTTP/1.1 {code} {}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\nConnection: close\r\n\r\n{body}",
+        reason_phrase(*code),
         body.len()
     );
     stream.write_all(text.as_bytes()).await.is_ok()
--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -74,6 +74,19 @@
     Standby,
 }
 
+impl CloseReason {
+    /// True where the client ended the connection, or took no replies.
+    pub(super) fn is_clients_doing(self) -> bool {
+        matches!(
+            self,
+            CloseReason::Broken
+                | CloseReason::ClosedBeforeReply
+                | CloseReason::Slow
+                | CloseReason::ProtocolError
+        )
+    }
+}
+
 impl fmt::Display for CloseReason {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter.write_str(match self {
@@ -145,6 +158,8 @@
 struct ReplyBytes {
     bytes: Vec<u8>,
     accepted: Vec<AcceptedReply>,
+    /// Requests that these replies answer; some replies are to no request.
+    answered: u64,
     /// The dispatcher is gone: what it had not answered stays unanswered.
     dispatcher_gone: bool,
 }
@@ -171,6 +186,8 @@
     consecutive_errors: u32,
     /// Requests read so far.
     pub(super) requests: u64,
+    /// Requests whose replies have left whole.
+    answered_requests: u64,
 }
 
 impl ClientConnection {
@@ -187,9 +204,21 @@
             buffer: Vec::new(),
             consecutive_errors: 0,
             requests: 0,
+            answered_requests: 0,
         }
     }
 
+    /// Requests that were read and have no answer, those still in the buffer included.
+    pub(super) fn unanswered_requests(&self) -> u64 {
+        let mut buffered = 0;
+        let mut rest = &self.buffer[..];
+        while let Ok(Some(request)) = protocol::parse_request(rest) {
+            rest = &rest[request.wire_bytes..];
+            buffered += 1;
+        }
+        self.requests.saturating_sub(self.answered_requests) + buffered
+    }
+
     /// Serves the client until the connection ends; says why it did.
     pub(super) async fn run(&mut self, service: &ClientService) -> CloseReason {
         let mut has_buffered_requests = false;
@@ -383,6 +412,7 @@
         while let Ok(Some(request)) = protocol::parse_request(&self.buffer) {
             self.buffer.drain(..request.wire_bytes);
             self.requests += 1;
+            self.answered_requests += 1;
             replies.push_str(protocol::BUSY);
         }
         // What the connection does not take at once goes nowhere: its client has stopped reading.
@@ -459,7 +489,7 @@
         replies: Vec<Reply>,
         service: &ClientService,
     ) -> Result<(), CloseReason> {
-        let ReplyBytes { bytes, accepted, dispatcher_gone } = self.collect_replies(replies).await;
+        let ReplyBytes { bytes, accepted, answered, dispatcher_gone } = self.collect_replies(replies).await;
         let when_written = if dispatcher_gone { Err(CloseReason::Stopping) } else { Ok(()) };
         if bytes.is_empty() {
             return when_written;
@@ -470,7 +500,10 @@
         // comes at once where both are on one machine. Later the client may have read them: then they stand.
         let is_gone = has_ended_sending && self.is_reset();
         let reason = match result {
-            Ok(()) if !is_gone => return when_written,
+            Ok(()) if !is_gone => {
+                self.answered_requests += answered;
+                return when_written;
+            }
             Err(e) if e.kind() == io::ErrorKind::TimedOut => CloseReason::Slow,
             _ => CloseReason::ClosedBeforeReply,
         };
@@ -515,6 +548,7 @@
                 self.consecutive_errors = 0;
             }
             collected.bytes.extend(line.as_bytes());
+            collected.answered += 1;
         }
         collected
     }
--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -10,10 +10,12 @@
 #[cfg(test)]
 mod tests;
 
+use crate::metrics::Metrics;
+use crate::violations::{Evidence, ViolationKind, Violations};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use connection::ClientConnection;
+use connection::{ClientConnection, CloseReason};
 use futures_lite::FutureExt;
 use log::{info, warn};
 use mountshift::interface::MessageId;
@@ -55,6 +57,8 @@
     /// Whether the relay is in standby, and when idle connections are closed then; times count from `start`.
     pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
     pub(crate) start: Instant,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) violations: Rc<Violations>,
 }
 
 /// What all client connections share.
@@ -242,11 +246,27 @@
 /// Serves a connection to its end.
 async fn serve_connection(mut connection: ClientConnection, peer: SocketAddr, service: Rc<ClientService>) {
     let reason = connection.run(&service).await;
+    check_owes_nothing(&connection, reason, &service);
+    service.config.metrics.count_closed_connection(&reason.to_string());
     info!("connection from {peer} ended: {reason} after {} requests", connection.requests);
     service.stop_waiting(connection.number);
     service.config.open_connections.set(service.config.open_connections.get() - 1);
 }
 
+/// The guard of the verb "close": a request that was read gets its answer before the relay closes its connection. One
+/// that the client closed or broke owes nothing any more.
+fn check_owes_nothing(connection: &ClientConnection, reason: CloseReason, service: &ClientService) {
+    let owed = connection.unanswered_requests();
+    if owed > 0 && !reason.is_clients_doing() {
+        let evidence = Evidence {
+            connection: Some(connection.number),
+            expected: "an answer to every request that was read",
+            ..Evidence::default()
+        };
+        service.config.violations.report(ViolationKind::ClosedOwingAnswer, evidence);
+    }
+}
+
 /// Turns a new connection away. A close over a request that was not read, or that is still on its way, would reset the
 /// connection, and its client would never see the reply: so what comes is read and dropped for a moment.
 async fn reject_connection(stream: Async<TcpStream>, peer: SocketAddr, service: Rc<ClientService>) {
--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -18,6 +18,16 @@
     ending: Sender<()>,
     stopping: Sender<()>,
     withdrawn: Rc<RefCell<Vec<MessageId>>>,
+    violations: Rc<Violations>,
+}
+
+impl Drop for Fixture {
+    fn drop(&mut self) {
+        // Whatever a test plays, no connection is closed owing an answer.
+        if !std::thread::panicking() {
+            assert_eq!(self.violations.total(), 0);
+        }
+    }
 }
 
 fn fixture() -> Fixture {
@@ -25,6 +35,7 @@
     let (stop, stopping) = async_channel::bounded(1);
     let (end, ending) = async_channel::bounded(1);
     let withdrawn = Rc::new(RefCell::new(Vec::new()));
+    let violations: Rc<Violations> = Rc::default();
     let withdrawn_by_service = withdrawn.clone();
     let service = ClientService::new(ClientServiceConfig {
         submit: Box::new(move |_, reply| drop(submit.try_send(reply))),
@@ -36,8 +47,10 @@
         open_connections: Rc::default(),
         maintenance: Rc::new(RefCell::new(MaintenanceState::from_text(""))),
         start: Instant::now(),
+        metrics: Rc::new(Metrics::new(violations.clone(), Rc::default())),
+        violations: violations.clone(),
     });
-    Fixture { service: Rc::new(service), submitted, ending: end, stopping: stop, withdrawn }
+    Fixture { service: Rc::new(service), submitted, ending: end, stopping: stop, withdrawn, violations }
 }
 
 /// Runs a test on the executor, ten seconds at most.
@@ -255,7 +268,7 @@
     let at = listener.get_ref().local_addr().expect("an address");
     let _client = TcpStream::connect(at).expect("a connection");
     let (stream, peer) = block_on(listener.accept()).expect("accepted");
-    let task = serve_connection(ClientConnection::new(stream, 1), peer, fixture.service);
+    let task = serve_connection(ClientConnection::new(stream, 1), peer, fixture.service.clone());
     let task_bytes = std::mem::size_of_val(&task);
     assert!(task_bytes < MAX_TASK_BYTES, "{task_bytes} bytes");
 }
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -3,15 +3,18 @@
 use super::event::{CallNumber, Event};
 use super::state::{CallInFlight, DispatcherState, PendingAttempt};
 use crate::clients::{SubmissionMetadata, SubmissionReply};
+use crate::metrics::Metrics;
 use crate::upstream::{Call, CallMessage, CallResult, CallStage, Endpoint};
+use crate::violations::{Evidence, ViolationKind, Violations};
 use async_channel::Receiver;
 use async_executor::Task;
 use log::{error, info};
 use mountshift::interface::*;
-use std::cell::Cell;
+use mountshift::policy::DeliveryPolicy;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// Messages in one call to an endpoint of a kind that the settings don't name.
 const DEFAULT_BATCH: usize = 1;
@@ -29,6 +32,32 @@
     }
 }
 
+/// The guard of the verb "send": asks the rules again right before the first byte of a call.
+struct BeginGuard {
+    policy: Rc<RefCell<DeliveryPolicy>>,
+    metrics: Rc<Metrics>,
+    violations: Rc<Violations>,
+    call: CallNumber,
+    endpoint: EndpointId,
+}
+
+impl BeginGuard {
+    /// How the attempt of a message ends if it must not begin now.
+    fn check(&self, message: MessageId, id: Option<&[u8]>, now: Duration) -> Result<(), Outcome> {
+        let Err(refusal) = self.policy.borrow().check_begin(message, self.endpoint, now) else {
+            return Ok(());
+        };
+        self.metrics.count_stopped_send(refusal.name());
+        let evidence =
+            Evidence { message: id, call: Some(self.call.0), expected: "no earlier run", connection: None };
+        // The others are events that crossed; this one the decisions must never ask for.
+        if refusal == SendRefusal::UnsafeRepeat {
+            self.violations.report(ViolationKind::UnsafeRepeat, evidence);
+        }
+        Err(Outcome::NotSent)
+    }
+}
+
 impl DispatcherState {
     /// Carries a step out: first into the spool, then onto the sockets.
     pub(super) fn execute_step(&mut self) {
@@ -68,6 +97,7 @@
         let committed = self.spool.borrow_mut().commit();
         match &committed {
             Err(e) if !self.spool_failure_logged => {
+                self.metrics.count_write_failure();
                 error!("spool: {e}; nothing is accepted until it can be written");
                 self.spool_failure_logged = true;
             }
@@ -137,14 +167,14 @@
     }
 
     fn spawn_call(&self, number: CallNumber, planned: PlannedCall, stage: Rc<Cell<CallStage>>) -> Task<()> {
-        let call = self.call(planned, stage);
+        let call = self.call(number, planned, stage);
         let idle_connections = self.idle_connections.clone();
         let events = self.events.clone();
         let on_end = move |results| drop(events.try_send(Event::AttemptsEnded { call: number, results }));
         self.executor.spawn(async move { call.run(&idle_connections, on_end).await })
     }
 
-    fn call(&self, planned: PlannedCall, stage: Rc<Cell<CallStage>>) -> Call {
+    fn call(&self, number: CallNumber, planned: PlannedCall, stage: Rc<Cell<CallStage>>) -> Call {
         // A call is given up as a whole, so that none of its messages is sent again while it is open, and at the
         // shortest limit: an answer after a message's deadline would count for nothing.
         let limit = planned.attempts.iter().map(|attempt| attempt.limit).min().unwrap_or_default();
@@ -158,7 +188,8 @@
             connect_timeout: self.settings.connect_timeout,
             decided_at: Instant::now(),
             may_still_send: self.reachability_check(planned.to),
-            record_attempts: self.attempt_recorder(planned.attempts, zone),
+            record_attempts: self.attempt_recorder(number, planned.to, planned.attempts, zone),
+            number: number.0,
             stage,
         }
     }
@@ -182,24 +213,38 @@
         })
     }
 
-    /// What a call does right before its first byte: it records its attempts. An outcome if they must not be sent: one
-    /// of the messages has its final answer or is withdrawn, or the spool can't be written.
+    /// What a call does right before its first byte: it asks the rules again, by what is known by then, and records its
+    /// attempts. An outcome if they must not be sent: a rule forbids it, or the spool can't be written.
     fn attempt_recorder(
         &self,
+        call: CallNumber,
+        endpoint: EndpointId,
         attempts: Vec<PendingAttempt>,
         zone: String,
     ) -> Box<dyn Fn() -> Result<(), Outcome>> {
+        let guard = BeginGuard {
+            policy: self.policy.clone(),
+            metrics: self.metrics.clone(),
+            violations: self.violations.clone(),
+            call,
+            endpoint,
+        };
         let spool = self.spool.clone();
         let clock = self.clock;
         Box::new(move || {
             let mut spool = spool.borrow_mut();
-            let at_ms = clock.unix_ms(clock.now());
+            let now = clock.now();
+            let at_ms = clock.unix_ms(now);
             let is_wanted = |attempt: &PendingAttempt| {
                 spool.get(attempt.message.0).is_some_and(|stored| stored.pending_outcome.is_none())
             };
             if !attempts.iter().all(is_wanted) {
                 return Err(Outcome::NotSent);
             }
+            for attempt in &attempts {
+                let id = spool.get(attempt.message.0).map(|stored| &stored.accepted.id[..]);
+                guard.check(attempt.message, id, now)?;
+            }
             let numbers: Vec<u64> = attempts.iter().map(|attempt| attempt.message.0).collect();
             if spool.record_attempts_now(&numbers, &zone, at_ms).is_ok() {
                 return Ok(());
--- a/crates/relay/src/dispatch/dependencies.rs
+++ b/crates/relay/src/dispatch/dependencies.rs
@@ -3,8 +3,10 @@
 use super::event::Event;
 use crate::clock::StoredTime;
 use crate::discovery::EndpointList;
+use crate::metrics::Metrics;
 use crate::notifications::Notification;
 use crate::state_files::StateFiles;
+use crate::violations::Violations;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use mountshift::interface::PolicySettings;
@@ -42,6 +44,8 @@
     pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
     /// Client connections open now.
     pub(crate) client_connections: Rc<Cell<usize>>,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) violations: Rc<Violations>,
     /// Closed once client connections are to go.
     pub(crate) clients_leave: Receiver<()>,
     /// Closed by the dispatcher shortly before the end: clients hear the answers they are owed, nothing more is read.
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -55,6 +55,7 @@
             let _ = reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
             return;
         };
+        self.log_transition(message, "submitted", "held", "accepted");
         self.awaiting_answer.insert(message, reply_to);
         inputs.push(Input::Submitted { message, submission });
     }
@@ -148,6 +149,9 @@
             self.spool.borrow_mut().record_not_run(message.0);
         }
         if closed {
+            if outcome == Outcome::Delivered {
+                self.metrics.count_final_answer("delivered");
+            }
             self.remember_ended(message);
             self.remove_message(message);
         }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -19,7 +19,6 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use mountshift::interface::*;
-use mountshift::policy::DeliveryPolicy;
 use mountshift_spool::Spool;
 use shutdown::{STOP_CHECK_INTERVAL, StopProgress, Stopping};
 use state::DispatcherState;
@@ -36,7 +35,6 @@
 
 /// Takes events, decides in steps, and carries the steps out.
 pub(crate) struct Dispatcher {
-    policy: DeliveryPolicy,
     state: DispatcherState,
     events: Receiver<Event>,
     /// Set once the process was told to stop.
@@ -57,7 +55,6 @@
         let initial_list = dependencies.initial_list.take();
         let snapshot = dependencies.snapshot.take();
         let mut dispatcher = Dispatcher {
-            policy: DeliveryPolicy::new(dependencies.policy_settings.clone()),
             events: dependencies.events.1.clone(),
             stopping: None,
             idle_checked_at: Instant::now(),
@@ -171,15 +168,19 @@
         if self.state.next_wake.is_some_and(|wake| wake <= now) {
             self.state.next_wake = None;
         }
-        self.policy.step(now, inputs, &mut self.state);
+        let policy = self.state.policy.clone();
+        policy.borrow_mut().step(now, inputs, &mut self.state);
         for attempt in self.state.pending_sends.iter_mut().flat_map(|sends| &mut sends.attempts) {
-            attempt.needs_record = !self.policy.may_send_unrecorded(attempt.message);
+            attempt.needs_record = !policy.borrow().may_send_unrecorded(attempt.message);
         }
         self.state.execute_step();
         for question in std::mem::take(&mut self.state.reachability_questions) {
-            let may_send = self.policy.may_send_to(question.endpoint, now);
+            let may_send = policy.borrow().may_send_to(question.endpoint, now);
             let _ = question.reply_to.try_send(may_send);
         }
+        let held = self.state.spool.borrow().messages().len();
+        let calls = self.state.calls_in_flight.len();
+        self.state.metrics.set_dispatched(held, calls, self.state.has_unwritten());
     }
 }
 
--- a/crates/relay/src/dispatch/shutdown.rs
+++ b/crates/relay/src/dispatch/shutdown.rs
@@ -87,7 +87,8 @@
         self.write_what_is_left().await;
         let calls = self.state.calls_in_flight.len();
         let stored = self.state.spool.borrow().messages().len();
-        info!("stopped with {calls} calls out, {stored} messages kept");
+        let violations = self.state.violations.total();
+        info!("stopped with {calls} calls out, {stored} messages kept, {violations} violations");
     }
 }
 
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -4,13 +4,17 @@
 use super::event::{CallNumber, Event};
 use crate::clients::{SubmissionMetadata, SubmissionReply};
 use crate::clock::Clock;
+use crate::metrics::Metrics;
 use crate::notifications::Notification;
 use crate::state_files::StateFiles;
+use crate::transitions::Transition;
 use crate::upstream::{CallStage, ConnectionPool, EndpointTable};
+use crate::violations::{Evidence, ViolationKind, Violations};
 use async_channel::Sender;
 use async_executor::{LocalExecutor, Task};
 use log::debug;
 use mountshift::interface::*;
+use mountshift::policy::DeliveryPolicy;
 use mountshift_discovery::DrainRecord;
 use mountshift_maintenance::MaintenanceState;
 use mountshift_settings::SocketSettings;
@@ -74,6 +78,10 @@
 /// What the decisions are about. It is their [`Actions`].
 pub(super) struct DispatcherState {
     pub(super) clock: Clock,
+    /// The decisions; a call asks them again right before its first byte.
+    pub(super) policy: Rc<RefCell<DeliveryPolicy>>,
+    pub(super) metrics: Rc<Metrics>,
+    pub(super) violations: Rc<Violations>,
     /// The time of the step under way.
     pub(super) now: Duration,
     pub(super) settings: SocketSettings,
@@ -118,8 +126,12 @@
         let kinds = &dependencies.policy_settings.destination_kinds;
         let settings = dependencies.socket_settings;
         let idle_connections = ConnectionPool::new(settings.idle_timeout, dependencies.max_idle_connections);
+        let policy = DeliveryPolicy::new(dependencies.policy_settings.clone());
         DispatcherState {
             clock,
+            policy: Rc::new(RefCell::new(policy)),
+            metrics: dependencies.metrics,
+            violations: dependencies.violations,
             now: clock.now(),
             max_batches: kinds.iter().map(|kind| kind.max_batch.max(1)).collect(),
             spool: Rc::new(RefCell::new(dependencies.spool)),
@@ -156,6 +168,13 @@
         outcome: FinalOutcome,
     ) -> bool {
         self.log_undelivered(message, outcome);
+        if self.has_final_answer(message) {
+            return false;
+        }
+        self.metrics.count_final_answer(match outcome {
+            FinalOutcome::Failed => "failed",
+            FinalOutcome::Rejected(_) => "rejected",
+        });
         if let Some(reply_to) = self.awaiting_answer.remove(&message) {
             let _ = reply_to.try_send(answer);
             self.remove_message(message);
@@ -166,6 +185,21 @@
         false
     }
 
+    /// Rule 1: one final answer. True if the message has one; then a second one is a violation.
+    fn has_final_answer(&self, message: MessageId) -> bool {
+        let spool = self.spool.borrow();
+        let Some(stored) = spool.get(message.0).filter(|stored| stored.pending_outcome.is_some()) else {
+            return false;
+        };
+        let evidence = Evidence {
+            message: Some(&stored.accepted.id),
+            expected: "no final answer yet",
+            ..Evidence::default()
+        };
+        self.violations.report(ViolationKind::SecondFinalAnswer, evidence);
+        true
+    }
+
     fn log_undelivered(&self, message: MessageId, outcome: FinalOutcome) {
         let spool = self.spool.borrow();
         let Some(stored) = spool.get(message.0) else { return };
@@ -175,6 +209,16 @@
         debug!("message {id} ends undelivered: {outcome:?} after {attempts} attempts, {metadata}");
     }
 
+    /// Logs a state transition of a message.
+    pub(super) fn log_transition(&self, message: MessageId, from: &str, to: &str, reason: &str) {
+        if !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let spool = self.spool.borrow();
+        let id = spool.get(message.0).map(|stored| &stored.accepted.id[..]);
+        debug!("{}", Transition { message: id, from, to, reason, ..Transition::default() });
+    }
+
     /// Queues the notification of a final outcome that the spool knows already.
     pub(super) fn notify(&self, message: MessageId, outcome: FinalOutcome) {
         if let Some(notification) = self.notification(message, outcome) {
@@ -214,7 +258,9 @@
     pub(super) fn remove_message(&mut self, message: MessageId) {
         let mut spool = self.spool.borrow_mut();
         if let Some(stored) = spool.get(message.0) {
-            self.messages_by_id.remove(&stored.accepted.id);
+            let id = &stored.accepted.id;
+            debug!("{}", Transition { message: Some(id), from: "held", to: "gone", ..Transition::default() });
+            self.messages_by_id.remove(id);
             spool.remove(message.0);
         }
     }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -8,12 +8,15 @@
 mod discovery;
 mod dispatch;
 mod error;
+mod metrics;
 mod notifications;
 mod signals;
 mod startup;
 mod state_files;
 mod successor;
+mod transitions;
 mod upstream;
+mod violations;
 
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -134,6 +137,8 @@
         notifications: tasks.notifications.0.clone(),
         poll_requests: tasks.poll_requests.0.clone(),
         client_connections: tasks.client_connections.clone(),
+        metrics: tasks.metrics.clone(),
+        violations: tasks.violations.clone(),
         clients_leave: tasks.clients_leave.1.clone(),
         clients_end: tasks.clients_end.0.clone(),
         maintenance: tasks.maintenance.clone(),
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,126 @@
+//! What operators can measure of the process: Prometheus text at the second address (`GET /metrics`).
+
+use crate::violations::{ViolationKind, Violations};
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::registry::Registry;
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+/// The label of a counter by kind, outcome or reason.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct Label {
+    kind: String,
+}
+
+/// The metrics that the tasks of the relay write.
+#[derive(Default)]
+pub(crate) struct Metrics {
+    registry: RefCell<Registry>,
+    violations: Rc<Violations>,
+    client_connections: Rc<Cell<usize>>,
+    gauges: Gauges,
+    counters: Counters,
+}
+
+/// What is so now.
+#[derive(Default)]
+struct Gauges {
+    client_connections: Gauge,
+    held_messages: Gauge,
+    calls_in_flight: Gauge,
+    unwritten: Gauge,
+}
+
+/// What has happened so far.
+#[derive(Default)]
+struct Counters {
+    violations: Family<Label, Counter>,
+    final_answers: Family<Label, Counter>,
+    sends_stopped: Family<Label, Counter>,
+    connections_closed: Family<Label, Counter>,
+    write_failures: Counter,
+}
+
+impl Metrics {
+    pub(crate) fn new(violations: Rc<Violations>, client_connections: Rc<Cell<usize>>) -> Metrics {
+        let metrics = Metrics { violations, client_connections, ..Metrics::default() };
+        let mut registry = Registry::with_prefix("mountshift");
+        metrics.gauges.register(&mut registry);
+        metrics.counters.register(&mut registry);
+        metrics.registry.replace(registry);
+        metrics
+    }
+
+    /// All metrics as text.
+    pub(crate) fn to_text(&self) -> String {
+        self.gauges.client_connections.set(self.client_connections.get() as i64);
+        for kind in ViolationKind::ALL {
+            let counter = self.counters.violations.get_or_create(&label(kind.name()));
+            let missing = self.violations.count(kind) - counter.get();
+            counter.inc_by(missing);
+        }
+        let mut text = String::new();
+        // Writing to a text does not fail.
+        let _ = encode(&mut text, &self.registry.borrow());
+        text
+    }
+
+    /// Notes how the dispatcher stands after a step.
+    pub(crate) fn set_dispatched(&self, held_messages: usize, calls_in_flight: usize, has_unwritten: bool) {
+        self.gauges.held_messages.set(held_messages as i64);
+        self.gauges.calls_in_flight.set(calls_in_flight as i64);
+        self.gauges.unwritten.set(i64::from(has_unwritten));
+    }
+
+    pub(crate) fn count_final_answer(&self, kind: &str) {
+        self.counters.final_answers.get_or_create(&label(kind)).inc();
+    }
+
+    pub(crate) fn count_stopped_send(&self, reason: &str) {
+        self.counters.sends_stopped.get_or_create(&label(reason)).inc();
+    }
+
+    pub(crate) fn count_closed_connection(&self, reason: &str) {
+        self.counters.connections_closed.get_or_create(&label(reason)).inc();
+    }
+
+    pub(crate) fn count_write_failure(&self) {
+        self.counters.write_failures.inc();
+    }
+}
+
+impl Gauges {
+    fn register(&self, registry: &mut Registry) {
+        let mut register = |name, help, gauge: &Gauge| registry.register(name, help, gauge.clone());
+        register("client_connections", "Client connections open now", &self.client_connections);
+        register("held_messages", "Accepted messages whose end nobody has taken yet", &self.held_messages);
+        register("calls_in_flight", "Calls to endpoints in flight now", &self.calls_in_flight);
+        register("unwritten", "1 while something can't be written to the state folder", &self.unwritten);
+    }
+}
+
+impl Counters {
+    fn register(&self, registry: &mut Registry) {
+        let help = "Commits of the spool that failed after one that worked";
+        registry.register("write_failures", help, self.write_failures.clone());
+        let mut register = |name, help, family: &Family<Label, Counter>| {
+            registry.register(name, help, family.clone());
+        };
+        register(
+            "violations",
+            "Rules that a guard found about to be broken; none is expected",
+            &self.violations,
+        );
+        register("final_answers", "Final answers to messages", &self.final_answers);
+        register("sends_stopped", "Attempts stopped right before their first byte", &self.sends_stopped);
+        register("connections_closed", "Client connections that ended, by reason", &self.connections_closed);
+    }
+}
+
+fn label(kind: &str) -> Label {
+    Label { kind: kind.to_string() }
+}
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -8,8 +8,10 @@
 use crate::discovery::{DiscoveryClient, DiscoveryOptions, EndpointList};
 use crate::dispatch::Event;
 use crate::error::StartError;
+use crate::metrics::Metrics;
 use crate::notifications::{Notification, Notifier};
 use crate::signals::SignalHandler;
+use crate::violations::Violations;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
@@ -49,6 +51,8 @@
     pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
     /// Client connections open now.
     pub(crate) client_connections: Rc<Cell<usize>>,
+    pub(crate) metrics: Rc<Metrics>,
+    pub(crate) violations: Rc<Violations>,
     /// True once this process holds the active process's lock and spool.
     pub(crate) is_active: Rc<Cell<bool>>,
     /// From which maintenance commands count time.
@@ -57,7 +61,12 @@
 
 impl RelayTasks {
     pub(crate) fn new(executor: Rc<LocalExecutor<'static>>, maintenance: MaintenanceState) -> RelayTasks {
+        let client_connections: Rc<Cell<usize>> = Rc::default();
+        let violations: Rc<Violations> = Rc::default();
         RelayTasks {
+            metrics: Rc::new(Metrics::new(violations.clone(), client_connections.clone())),
+            client_connections,
+            violations,
             executor,
             events: async_channel::unbounded(),
             notifications: async_channel::unbounded(),
@@ -65,7 +74,6 @@
             clients_leave: async_channel::bounded(1),
             clients_end: async_channel::bounded(1),
             maintenance: Rc::new(RefCell::new(maintenance)),
-            client_connections: Rc::default(),
             is_active: Rc::default(),
             started: Instant::now(),
         }
@@ -149,6 +157,8 @@
             open_connections: self.client_connections.clone(),
             maintenance: self.maintenance.clone(),
             start: self.started,
+            metrics: self.metrics.clone(),
+            violations: self.violations.clone(),
         }))
     }
 
@@ -170,6 +180,7 @@
             maintenance: self.maintenance.clone(),
             started: self.started,
             on_change: Box::new(on_change),
+            metrics: self.metrics.clone(),
         });
         self.executor.spawn(admin::serve(listener, service, self.executor.clone())).detach();
         info!("operators' calls on {address}");
--- a/crates/relay/src/upstream/attempt.rs
+++ b/crates/relay/src/upstream/attempt.rs
@@ -6,6 +6,7 @@
 use super::connection_pool::ConnectionPool;
 use super::endpoint_table::Endpoint;
 use super::http1::{HttpConnection, Response, ResponseError, encode_request};
+use crate::transitions::Transition;
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -105,6 +106,8 @@
 
 /// A call to an endpoint.
 pub(crate) struct Call {
+    /// Its number, for log lines.
+    pub(crate) number: u64,
     pub(crate) to: EndpointId,
     pub(crate) endpoint: Endpoint,
     pub(crate) messages: Vec<CallMessage>,
@@ -134,9 +137,35 @@
             Ok(connection) => self.receive(connection, deadline, pool).await,
             Err(outcome) => self.same_for_all(outcome, false),
         };
+        self.log_end(&result);
         report(result);
     }
 
+    /// Logs how each attempt ended, and in which stage.
+    fn log_end(&self, result: &CallResult) {
+        if !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let from = match self.stage.get() {
+            CallStage::Connecting => "connecting",
+            CallStage::Recorded => "recorded",
+            CallStage::Written => "written",
+        };
+        for attempt in &result.attempts {
+            let message = self.messages.iter().find(|message| message.message == attempt.message);
+            let transition = Transition {
+                message: message.map(|message| &message.id[..]),
+                call: Some(self.number),
+                endpoint: Some(&self.endpoint.name),
+                from,
+                to: "ended",
+                reason: &format!("{:?}", attempt.outcome),
+                ..Transition::default()
+            };
+            debug!("{transition}");
+        }
+    }
+
     fn same_for_all(&self, outcome: Outcome, closed: bool) -> CallResult {
         CallResult::same_for_all(self.messages.iter().map(|message| message.message), outcome, closed)
     }
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -12,13 +12,19 @@
 /// Sends the bytes, then reads the answer to its end; the status code and how long it took.
 fn call_with(at: SocketAddr, bytes: &[u8]) -> (u16, Duration) {
     let start = Instant::now();
+    let text = answer_to(at, bytes);
+    let code = text.split(' ').nth(1).and_then(|c| c.parse().ok()).unwrap_or(0);
+    (code, start.elapsed())
+}
+
+/// Sends the bytes; the whole answer.
+fn answer_to(at: SocketAddr, bytes: &[u8]) -> String {
     let mut stream = TcpStream::connect(at).expect("a connection");
     stream.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
     let _ = stream.write_all(bytes);
     let mut text = String::new();
     let _ = stream.read_to_string(&mut text);
-    let code = text.split(' ').nth(1).and_then(|c| c.parse().ok()).unwrap_or(0);
-    (code, start.elapsed())
+    text
 }
 
 fn call(at: SocketAddr, method: &str, path: &str) -> u16 {
@@ -179,3 +185,23 @@
     assert_eq!(call(ops.mgmt, "POST", "/maintenance/exit?target=e1"), 200);
     until("calls to the endpoint that is back", || one.requests().len() >= 5);
 }
+
+#[test]
+fn metrics_tell_what_ended_and_that_no_guard_found_anything() {
+    let endpoint = Server::start(|_| ok());
+    let ops = ops(vec![member("e1", endpoint.address, 7, "single")]);
+    let mut relay = Relay::start(&ops.config, ops.dir.path());
+    assert_eq!(relay.submit("m1", 0, "c=any,d=8000,dest=7", b"x"), "+OK");
+    let metrics = || answer_to(ops.mgmt, b"GET /metrics HTTP/1.1\r\n\r\n");
+    until("the delivery", || metrics().contains("mountshift_final_answers_total{kind=\"delivered\"} 1"));
+    let text = metrics();
+    for kind in ["unsafe_repeat", "second_final_answer", "closed_owing_answer"] {
+        let line = format!("mountshift_violations_total{{kind=\"{kind}\"}} 0");
+        assert!(text.contains(&line), "{text}");
+    }
+    assert!(text.trim_end().ends_with("# EOF"), "{text}");
+    relay.signal("TERM");
+    assert_eq!(relay.code(), Some(0));
+    let log = std::fs::read_to_string(ops.dir.path().join("log")).expect("a log");
+    assert!(log.contains("0 messages kept, 0 violations"), "{log}");
+}
--- a/src/interface/message.rs
+++ b/src/interface/message.rs
@@ -88,6 +88,34 @@
     pub in_order: bool,
 }
 
+/// Why an attempt that was decided may not begin after all.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SendRefusal {
+    /// The message has its final answer, or is withdrawn.
+    Ended,
+    /// Its deadline is over (rule 1).
+    DeadlineOver,
+    /// An earlier attempt may have run, and the message must not run twice (rule 2).
+    UnsafeRepeat,
+    /// No endpoint recognises the repeat any more (rule 2).
+    WindowOver,
+    /// The endpoint is draining or removed, or a `Retry-After` binds (rules 3 and 6).
+    EndpointUnavailable,
+}
+
+impl SendRefusal {
+    /// Its name in metrics and log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            SendRefusal::Ended => "ended",
+            SendRefusal::DeadlineOver => "deadline_over",
+            SendRefusal::UnsafeRepeat => "unsafe_repeat",
+            SendRefusal::WindowOver => "window_over",
+            SendRefusal::EndpointUnavailable => "endpoint_unavailable",
+        }
+    }
+}
+
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -64,6 +64,19 @@
         }
     }
 
+    /// The rules again, right before the first byte of an attempt.
+    ///
+    /// # Errors
+    /// Why the attempt must not begin.
+    pub fn check_begin(
+        &self,
+        message: MessageId,
+        endpoint: EndpointId,
+        now: Duration,
+    ) -> Result<(), SendRefusal> {
+        safety::check_begin(&self.state, message, endpoint, now)
+    }
+
     /// Rules 2 and 5. A host asks where an attempt can't be recorded for the next process.
     pub fn may_send_unrecorded(&self, message: MessageId) -> bool {
         safety::may_send_unrecorded(&self.state, message)
--- a/src/policy/safety.rs
+++ b/src/policy/safety.rs
@@ -65,6 +65,29 @@
     state.class_of(message).idempotency == Idempotency::Idempotent && message.key.is_none()
 }
 
+/// The rules again, right before the first byte of an attempt that was decided a while ago.
+pub(super) fn check_begin(
+    state: &State,
+    id: MessageId,
+    to: EndpointId,
+    now: Duration,
+) -> Result<(), SendRefusal> {
+    let message = state.messages.get(id).filter(|message| !message.ended).ok_or(SendRefusal::Ended)?;
+    let class = state.class_of(message);
+    if message.deadline <= now {
+        return Err(SendRefusal::DeadlineOver);
+    }
+    // The attempt itself is one of those that may run.
+    let is_repeat = message.possible_runs > 1;
+    if is_repeat && class.idempotency == Idempotency::NotIdempotent {
+        return Err(SendRefusal::UnsafeRepeat);
+    }
+    if is_repeat && message.deduplication_left(class, now) == Some(Duration::ZERO) {
+        return Err(SendRefusal::WindowOver);
+    }
+    if may_send_to(state, to, now) { Ok(()) } else { Err(SendRefusal::EndpointUnavailable) }
+}
+
 /// Rule 4: within the budget of its slow start, or as a trial.
 fn keeps_slow_start(route: &Route) -> bool {
     route.slow_start_since.is_none() || route.slow_start_budget.tokens > 0.0 || !route.is_closed()
