The fault soak: mountshift soak, first whole (drawn schedules, stand-ins, oracle)

Real processes of mountshift-relay with the shim preloaded, endpoints, discovery and clients as stand-ins on smol, faults that overlap, crates/invariants as the oracle, plus: every request answered, ready within 10 s, no crash, limits, no violation. Network faults are made in the stand-ins' sockets, there is no proxy between. Not proved by planting yet.

--- a/crates/cli/src/error.rs
+++ b/crates/cli/src/error.rs
@@ -29,6 +29,12 @@
     /// A load test can't be carried out.
     #[error("{0}")]
     Load(#[source] BoxedError),
+    /// A soak can't be played.
+    #[error("{0}")]
+    Soak(#[source] BoxedError),
+    /// The soak's relay and shim can't be built.
+    #[error("the relay for the soak can't be built (not in a checkout?)")]
+    BuildSoak,
     /// Results can't be written as JSON.
     #[error("{0}")]
     Json(#[from] serde_json::Error),
@@ -70,6 +76,11 @@
         CliError::Scenario(error.into())
     }
 
+    /// For `map_err` where a soak is played.
+    pub(crate) fn soak(error: impl Into<BoxedError>) -> CliError {
+        CliError::Soak(error.into())
+    }
+
     /// For `map_err` where days are compared or drawn.
     pub(crate) fn experiment(error: impl Into<BoxedError>) -> CliError {
         CliError::Experiment(error.into())
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,6 +7,7 @@
 mod lab;
 mod load;
 mod output;
+mod soak;
 mod variant;
 #[cfg(test)]
 mod variant_tests;
@@ -29,6 +30,8 @@
     Lab(lab::LabCommand),
     /// Hand messages to a relay by a schedule, and measure from the moment each was due
     Load(load::LoadArguments),
+    /// Play drawn schedules of overlapping faults against real relay processes, and check the rules
+    Soak(soak::SoakArguments),
 }
 
 /// What a command that was carried out has found.
@@ -60,5 +63,6 @@
     match command {
         Command::Lab(command) => lab::run(command),
         Command::Load(arguments) => load::run(arguments),
+        Command::Soak(arguments) => soak::run(arguments),
     }
 }
--- /dev/null
+++ b/crates/soak/src/client.rs
@@ -0,0 +1,288 @@
+//! Clients: well behaved ones that submit messages one after another, and others that don't.
+
+use crate::endpoint::Endpoints;
+use crate::installation::Installation;
+use crate::recorder::{Observation, Recorder, message_id, message_number};
+use crate::relay_process::RelayProcess;
+use mountshift_invariants::{Fact, Time};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::net::TcpStream;
+use std::io;
+use std::net::Shutdown;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+/// A client waits so long for its answer.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// A client that stops in the middle of a request is ended within this time.
+const BAD_CLIENT_LIMIT: Duration = Duration::from_millis(3_000 + 500);
+/// Between two messages of a client, on average.
+const MEAN_PAUSE_MS: u64 = 120;
+/// Clients of each relay without a key, and with a key of their own.
+const FREE_CLIENTS: usize = 2;
+const KEYED_CLIENTS: usize = 2;
+/// Commands that a bad client sends at once.
+const BURST: usize = 60;
+/// Idle connections that a bad client opens.
+const IDLE_CONNECTIONS: usize = 40;
+
+/// What all clients share.
+pub(crate) struct Clients {
+    pub(crate) installation: Installation,
+    pub(crate) endpoints: Arc<Endpoints>,
+    pub(crate) recorder: Arc<Recorder>,
+    pub(crate) relays: Vec<Arc<RelayProcess>>,
+    pub(crate) is_over: AtomicBool,
+    counts: Vec<AtomicU64>,
+}
+
+/// A message to submit.
+struct Submission {
+    number: u64,
+    bytes: Vec<u8>,
+}
+
+/// What became of a submission.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Answer {
+    Accepted,
+    Refused,
+    /// The connection ended with no answer.
+    None,
+    /// No answer within the client's patience.
+    Late,
+}
+
+impl Clients {
+    pub(crate) fn new(
+        installation: &Installation,
+        endpoints: &Arc<Endpoints>,
+        recorder: &Arc<Recorder>,
+        relays: &[Arc<RelayProcess>],
+    ) -> Clients {
+        Clients {
+            installation: installation.clone(),
+            endpoints: endpoints.clone(),
+            recorder: recorder.clone(),
+            relays: relays.to_vec(),
+            is_over: AtomicBool::new(false),
+            counts: relays.iter().map(|_| AtomicU64::new(0)).collect(),
+        }
+    }
+
+    /// Starts the clients of all relays; they go on until the run is over.
+    pub(crate) fn start(self: &Arc<Clients>, seed: u64) -> Vec<smol::Task<()>> {
+        let mut tasks = Vec::new();
+        for relay in 0..self.relays.len() {
+            for client in 0..FREE_CLIENTS + KEYED_CLIENTS {
+                let mut random = ChaCha8Rng::seed_from_u64(seed);
+                random.set_stream(1_000 + (relay * 100 + client) as u64);
+                let key = if client < FREE_CLIENTS { 0 } else { (client + 1) as u64 };
+                tasks.push(smol::spawn(submit_all(self.clone(), relay, key, random)));
+            }
+        }
+        tasks
+    }
+
+    fn submission(&self, relay: usize, key: u64, random: &mut ChaCha8Rng) -> Submission {
+        let classes = &self.installation.classes;
+        let fitting: Vec<usize> = (0..classes.len()).filter(|c| classes[*c].in_order == (key != 0)).collect();
+        let class = fitting[random.random_range(0..fitting.len())];
+        let destination = random.random_range(0..self.installation.destinations);
+        let number = message_number(relay, self.counts[relay].fetch_add(1, Ordering::SeqCst));
+        let id = message_id(number);
+        let plan = &classes[class];
+        let metadata = format!("c={},d={},dest={destination},k={id}", plan.name, plan.deadline_ms);
+        self.endpoints.announce(number, class);
+        self.recorder.fact(Fact::Submitted {
+            message: number,
+            request: number,
+            relay: relay as u32,
+            class: class as u16,
+            destination,
+            key,
+            deadline: self.recorder.now() + plan.deadline_ms * 1_000,
+        });
+        Submission { number, bytes: request(&["OUT.ADD", &format!("{key:016x}"), &id, &metadata, "body"]) }
+    }
+
+    fn note_answer(&self, message: u64, answer: Answer) {
+        self.recorder.fact(match answer {
+            Answer::Accepted => Fact::Accepted { message },
+            Answer::Refused | Answer::None | Answer::Late => Fact::Withdrawn { message },
+        });
+    }
+
+    fn note_unanswered(&self, relay: usize, message: u64, written_at: Time) {
+        if !self.relays[relay].is_disturbed_since(written_at) {
+            self.recorder.note(Observation::Unanswered { relay, id: message_id(message) });
+        }
+    }
+}
+
+/// A command as it goes over the wire.
+fn request(words: &[&str]) -> Vec<u8> {
+    let mut text = format!("*{}\r\n", words.len());
+    for word in words {
+        text += &format!("${}\r\n{word}\r\n", word.len());
+    }
+    text.into_bytes()
+}
+
+/// A client that submits messages until the run is over, on one connection as long as that lasts.
+async fn submit_all(clients: Arc<Clients>, relay: usize, key: u64, mut random: ChaCha8Rng) {
+    let mut kept: Option<TcpStream> = None;
+    while !clients.is_over.load(Ordering::SeqCst) {
+        Timer::after(Duration::from_millis(random.random_range(1..2 * MEAN_PAUSE_MS))).await;
+        let submission = clients.submission(relay, key, &mut random);
+        let answer = submit(&clients, relay, &mut kept, &submission).await;
+        clients.note_answer(submission.number, answer);
+        if answer != Answer::Accepted && answer != Answer::Refused || random.random_range(0..4) == 0 {
+            kept = None;
+        }
+    }
+}
+
+/// Submits a message, once more on a new connection if a kept one ended with no answer.
+async fn submit(
+    clients: &Clients,
+    relay: usize,
+    kept: &mut Option<TcpStream>,
+    submission: &Submission,
+) -> Answer {
+    if let Some(mut stream) = kept.take() {
+        match exchange(&mut stream, &submission.bytes).await {
+            // The relay may close a connection between requests: what it has not read comes again.
+            Answer::None => {}
+            answer => {
+                *kept = Some(stream);
+                return answer;
+            }
+        }
+    }
+    let Ok(mut stream) = TcpStream::connect(clients.relays[relay].listen).await else {
+        return Answer::None;
+    };
+    let _ = stream.set_nodelay(true);
+    let written_at = clients.recorder.now();
+    let answer = exchange(&mut stream, &submission.bytes).await;
+    if answer == Answer::None {
+        clients.note_unanswered(relay, submission.number, written_at);
+    }
+    *kept = Some(stream);
+    answer
+}
+
+/// Writes a request and reads its answer.
+async fn exchange(stream: &mut TcpStream, bytes: &[u8]) -> Answer {
+    let answered = async {
+        if stream.write_all(bytes).await.is_err() {
+            return Answer::None;
+        }
+        match read_line(stream).await {
+            Ok(line) if line.starts_with('+') => Answer::Accepted,
+            Ok(line) if line.starts_with('-') => Answer::Refused,
+            _ => Answer::None,
+        }
+    };
+    let late = async {
+        Timer::after(PATIENCE).await;
+        Answer::Late
+    };
+    answered.or(late).await
+}
+
+/// A line; empty at the end of the connection.
+async fn read_line(stream: &mut TcpStream) -> io::Result<String> {
+    let mut line = String::new();
+    let mut byte = [0];
+    while !line.ends_with('\n') && stream.read(&mut byte).await? > 0 {
+        line.push(byte[0] as char);
+    }
+    Ok(line)
+}
+
+/// Clients that misbehave at a relay, for a while.
+pub(crate) async fn misbehave(clients: Arc<Clients>, relay: usize, until: Instant, seed: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(900_000 + relay as u64);
+    let idle = open_idle(&clients, relay).await;
+    while Instant::now() < until {
+        end_sending(&clients, relay, &mut random).await;
+        burst(&clients, relay).await;
+        smol::spawn(stop_in_the_middle(clients.clone(), relay)).detach();
+        Timer::after(Duration::from_millis(random.random_range(20..200))).await;
+    }
+    drop(idle);
+}
+
+async fn open_idle(clients: &Clients, relay: usize) -> Vec<TcpStream> {
+    let mut idle = Vec::new();
+    for _ in 0..IDLE_CONNECTIONS {
+        idle.extend(TcpStream::connect(clients.relays[relay].listen).await);
+    }
+    idle
+}
+
+/// A client that ends its sending a moment behind its request gets its answer.
+async fn end_sending(clients: &Clients, relay: usize, random: &mut ChaCha8Rng) {
+    let submission = clients.submission(relay, 0, random);
+    let Ok(mut stream) = TcpStream::connect(clients.relays[relay].listen).await else {
+        return clients.note_answer(submission.number, Answer::None);
+    };
+    let written_at = clients.recorder.now();
+    let pause = Duration::from_micros(random.random_range(0..8_000));
+    let answer = async {
+        stream.write_all(&submission.bytes).await.ok()?;
+        Timer::after(pause).await;
+        stream.shutdown(Shutdown::Write).ok()?;
+        read_line(&mut stream).await.ok()
+    };
+    let late = async {
+        Timer::after(PATIENCE).await;
+        Some("late".to_string())
+    };
+    let answer = match answer.or(late).await.as_deref() {
+        Some(line) if line.starts_with('+') => Answer::Accepted,
+        Some(line) if line.starts_with('-') => Answer::Refused,
+        Some("late") => Answer::Late,
+        _ => Answer::None,
+    };
+    if answer == Answer::None {
+        clients.note_unanswered(relay, submission.number, written_at);
+    }
+    clients.note_answer(submission.number, answer);
+}
+
+/// A client that sends much at once and goes.
+async fn burst(clients: &Clients, relay: usize) {
+    if let Ok(mut stream) = TcpStream::connect(clients.relays[relay].listen).await {
+        let _ = stream.write_all(&request(&["PING"]).repeat(BURST)).await;
+    }
+}
+
+/// A client that stops in the middle of a request and stays: it is ended in time.
+async fn stop_in_the_middle(clients: Arc<Clients>, relay: usize) {
+    let Ok(mut stream) = TcpStream::connect(clients.relays[relay].listen).await else { return };
+    let begun_at = clients.recorder.now();
+    if stream.write_all(b"*5\r\n$7\r\nOUT.").await.is_err() {
+        return;
+    }
+    let ended = async {
+        let mut bytes = [0; 256];
+        while matches!(stream.read(&mut bytes).await, Ok(read) if read > 0) {}
+        true
+    };
+    let late = async {
+        Timer::after(BAD_CLIENT_LIMIT).await;
+        false
+    };
+    if !ended.or(late).await && !clients.relays[relay].is_disturbed_since(begun_at) {
+        clients.relays[relay].note_process(format!("kept a client that stopped for {BAD_CLIENT_LIMIT:?}"));
+    }
+}
--- /dev/null
+++ b/crates/soak/src/endpoint.rs
@@ -0,0 +1,294 @@
+//! Endpoints: servers that run messages, recognise repeats, and misbehave when told to.
+
+use crate::http::{RequestReader, answer, reset};
+use crate::installation::Installation;
+use crate::recorder::{Recorder, lock, number_of_id, relay_of};
+use mountshift_invariants::{AttemptOutcome, Fact, Time};
+use smol::Timer;
+use smol::future::FutureExt;
+use smol::io::AsyncWriteExt;
+use smol::net::{TcpListener, TcpStream};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+/// Between two looks at something that may have changed.
+const LOOK_INTERVAL: Duration = Duration::from_millis(10);
+/// What a call takes when all is well.
+const SERVICE_TIME: Duration = Duration::from_millis(3);
+/// Bytes of a request that an endpoint reads before it resets the connection in the middle.
+const BYTES_BEFORE_RESET: usize = 40;
+/// The beginning of an answer that never goes on: not enough to tell a status.
+const HALF_ANSWER: &str = "HTTP/1.1 2";
+
+/// How an endpoint behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Behaviour {
+    Well,
+    /// Reads requests and never answers.
+    Hang,
+    /// 503.
+    Busy,
+    /// 429 with a wait of so many milliseconds.
+    RetryAfter(u64),
+    /// 500, after the message has run or not.
+    Errors,
+    /// Answers so many milliseconds later.
+    Slow(u64),
+    /// Resets the connection in the middle of a request, or before the answer.
+    Reset,
+    /// Begins an answer and stops.
+    HalfAnswer,
+    /// Closes connections that are idle.
+    CloseIdle,
+}
+
+/// What recognises a repeat, where something does: a destination, or one zone of it.
+type Scope = (u32, Option<usize>);
+
+/// All endpoints of a run.
+pub(crate) struct Endpoints {
+    installation: Installation,
+    recorder: Arc<Recorder>,
+    behaviours: Vec<Mutex<Behaviour>>,
+    addresses: Mutex<Vec<SocketAddr>>,
+    /// The class of each message, by its number.
+    classes: Mutex<BTreeMap<u64, usize>>,
+    /// When a message first ran where its repeats are recognised.
+    first_runs: Mutex<BTreeMap<(Scope, u64), Time>>,
+    last_call: AtomicU64,
+}
+
+impl Endpoints {
+    /// Starts them, each on a port of its own.
+    pub(crate) async fn start(
+        installation: &Installation,
+        recorder: &Arc<Recorder>,
+    ) -> io::Result<Arc<Endpoints>> {
+        let endpoints = Arc::new(Endpoints {
+            installation: installation.clone(),
+            recorder: recorder.clone(),
+            behaviours: installation.endpoints.iter().map(|_| Mutex::new(Behaviour::Well)).collect(),
+            addresses: Mutex::default(),
+            classes: Mutex::default(),
+            first_runs: Mutex::default(),
+            last_call: AtomicU64::new(0),
+        });
+        for number in 0..installation.endpoints.len() {
+            let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+            lock(&endpoints.addresses).push(listener.local_addr()?);
+            let plan = &installation.endpoints[number];
+            recorder.fact(Fact::EndpointAdded {
+                endpoint: number as u32,
+                destination: plan.destination,
+                zone: plan.zone as u8,
+                route: plan.destination,
+                capacity: 200.0,
+            });
+            smol::spawn(accept(listener, number, endpoints.clone())).detach();
+        }
+        Ok(endpoints)
+    }
+
+    pub(crate) fn address(&self, endpoint: usize) -> SocketAddr {
+        lock(&self.addresses)[endpoint]
+    }
+
+    pub(crate) fn set_behaviour(&self, endpoint: usize, behaviour: Behaviour) {
+        *lock(&self.behaviours[endpoint]) = behaviour;
+    }
+
+    /// Tells the class of a message, before it is submitted.
+    pub(crate) fn announce(&self, message: u64, class: usize) {
+        lock(&self.classes).insert(message, class);
+    }
+
+    fn behaviour(&self, endpoint: usize) -> Behaviour {
+        *lock(&self.behaviours[endpoint])
+    }
+
+    fn run(&self, call: &Call) {
+        let duplicate = self.is_duplicate(call);
+        let Call { message, call, endpoint, .. } = *call;
+        self.recorder.fact(Fact::Executed { message, call, endpoint: endpoint as u32, duplicate });
+    }
+
+    /// True if the endpoint recognises the message as one that has run.
+    fn is_duplicate(&self, call: &Call) -> bool {
+        let Some(class) = lock(&self.classes).get(&call.message).copied() else { return false };
+        let class = &self.installation.classes[class];
+        if class.effect != "deduplicated" {
+            return false;
+        }
+        let plan = &self.installation.endpoints[call.endpoint];
+        let scope = (plan.destination, class.by_zone.then_some(plan.zone));
+        let now = self.recorder.now();
+        let mut first_runs = lock(&self.first_runs);
+        let first = *first_runs.entry((scope, call.message)).or_insert(now);
+        first < now && now < first + class.window_ms * 1_000
+    }
+}
+
+/// A call that an endpoint has read whole.
+struct Call {
+    message: u64,
+    call: u64,
+    relay: u32,
+    endpoint: usize,
+}
+
+impl Call {
+    fn ended(&self, outcome: AttemptOutcome) -> Fact {
+        Fact::AttemptEnded { message: self.message, call: self.call, relay: self.relay, outcome }
+    }
+}
+
+async fn accept(listener: TcpListener, endpoint: usize, endpoints: Arc<Endpoints>) {
+    loop {
+        if let Ok((stream, _)) = listener.accept().await {
+            smol::spawn(serve(stream, endpoint, endpoints.clone())).detach();
+        }
+    }
+}
+
+/// Serves a connection to its end.
+async fn serve(mut stream: TcpStream, endpoint: usize, endpoints: Arc<Endpoints>) {
+    let _ = stream.set_nodelay(true);
+    let mut reader = RequestReader::default();
+    let mut calls = 0;
+    loop {
+        let request = {
+            let closes = close_idle(&endpoints, endpoint, calls > 0 && !reader.has_begun());
+            let cut = cut_request(&endpoints, endpoint, &stream);
+            let next = async { reader.next(&mut stream.clone()).await.ok().flatten() };
+            next.or(closes).or(cut).await
+        };
+        let Some(request) = request else { return };
+        calls += 1;
+        let Some(message) = request.request_id.as_deref().and_then(number_of_id) else { return };
+        let call = Call {
+            message,
+            call: endpoints.last_call.fetch_add(1, Ordering::SeqCst) + 1,
+            relay: relay_of(message) as u32,
+            endpoint,
+        };
+        let Call { message, call: number, relay, .. } = call;
+        endpoints.recorder.fact(Fact::AttemptStarted {
+            message,
+            call: number,
+            relay,
+            endpoint: endpoint as u32,
+        });
+        if !answer_call(&mut stream, &call, &endpoints).await {
+            return;
+        }
+    }
+}
+
+/// Ends an idle connection, where the endpoint closes them.
+async fn close_idle<T>(endpoints: &Endpoints, endpoint: usize, is_idle: bool) -> Option<T> {
+    loop {
+        Timer::after(LOOK_INTERVAL).await;
+        if is_idle && endpoints.behaviour(endpoint) == Behaviour::CloseIdle {
+            return None;
+        }
+    }
+}
+
+/// Resets a connection in the middle of a request, where the endpoint does that.
+async fn cut_request<T>(endpoints: &Endpoints, endpoint: usize, stream: &TcpStream) -> Option<T> {
+    loop {
+        let mut begun = [0; BYTES_BEFORE_RESET];
+        let has_begun = matches!(stream.peek(&mut begun).await, Ok(read) if read > 0);
+        // Every second request is read whole and reset before its answer.
+        let is_cut = begun.iter().map(|byte| u64::from(*byte)).sum::<u64>() % 2 == 0;
+        if has_begun && is_cut && endpoints.behaviour(endpoint) == Behaviour::Reset {
+            reset(stream);
+            return None;
+        }
+        Timer::after(LOOK_INTERVAL).await;
+    }
+}
+
+/// Answers a call by the endpoint's behaviour at this moment; false at the end of the connection.
+async fn answer_call(stream: &mut TcpStream, call: &Call, endpoints: &Endpoints) -> bool {
+    let recorder = &endpoints.recorder;
+    match endpoints.behaviour(call.endpoint) {
+        Behaviour::Well | Behaviour::CloseIdle => deliver(stream, call, SERVICE_TIME, endpoints).await,
+        Behaviour::Slow(milliseconds) => {
+            deliver(stream, call, Duration::from_millis(milliseconds), endpoints).await
+        }
+        Behaviour::Hang => {
+            if call.call.is_multiple_of(2) {
+                endpoints.run(call);
+            }
+            wait_for_end(stream).await;
+            recorder.fact(call.ended(AttemptOutcome::TimedOut));
+            false
+        }
+        Behaviour::Busy => {
+            recorder.fact(call.ended(AttemptOutcome::Rejected { retry_after: 0 }));
+            write(stream, &answer(503, "", "")).await
+        }
+        Behaviour::RetryAfter(milliseconds) => {
+            recorder.fact(call.ended(AttemptOutcome::Rejected { retry_after: milliseconds * 1_000 }));
+            let seconds = milliseconds as f64 / 1e3;
+            write(stream, &answer(429, &format!("Retry-After: {seconds}\r\n"), "")).await
+        }
+        Behaviour::Errors => {
+            if call.call.is_multiple_of(2) {
+                endpoints.run(call);
+            }
+            recorder.fact(call.ended(AttemptOutcome::Error));
+            write(stream, &answer(500, "", "")).await
+        }
+        Behaviour::Reset => {
+            endpoints.run(call);
+            recorder.fact(call.ended(AttemptOutcome::Reset));
+            reset(stream);
+            false
+        }
+        Behaviour::HalfAnswer => {
+            endpoints.run(call);
+            let _ = write(stream, HALF_ANSWER).await;
+            wait_for_end(stream).await;
+            recorder.fact(call.ended(AttemptOutcome::Error));
+            false
+        }
+    }
+}
+
+/// Runs the message and says so, unless the relay has given the call up by then.
+async fn deliver(stream: &mut TcpStream, call: &Call, after: Duration, endpoints: &Endpoints) -> bool {
+    let given_up = async {
+        wait_for_end(stream).await;
+        true
+    };
+    let due = async {
+        Timer::after(after).await;
+        false
+    };
+    if given_up.or(due).await {
+        endpoints.recorder.fact(call.ended(AttemptOutcome::TimedOut));
+        return false;
+    }
+    endpoints.run(call);
+    let Call { message, call: number, .. } = *call;
+    endpoints.recorder.fact(Fact::DeliveryAnswered { message, call: number });
+    endpoints.recorder.fact(call.ended(AttemptOutcome::Delivered));
+    write(stream, &answer(200, "", "")).await
+}
+
+async fn write(stream: &mut TcpStream, text: &str) -> bool {
+    stream.write_all(text.as_bytes()).await.is_ok()
+}
+
+/// Waits until the other side has closed the connection.
+async fn wait_for_end(stream: &TcpStream) {
+    while matches!(stream.peek(&mut [0]).await, Ok(read) if read > 0) {
+        Timer::after(LOOK_INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/soak/src/http.rs
@@ -0,0 +1,71 @@
+//! HTTP/1.1 as the stand-ins read it.
+
+use smol::io::AsyncReadExt;
+use smol::net::TcpStream;
+use std::io;
+
+const MAX_HEADERS: usize = 32;
+const READ_CHUNK_BYTES: usize = 8 * 1024;
+
+/// A request.
+#[derive(Clone, Debug)]
+pub(crate) struct Request {
+    pub(crate) path: String,
+    pub(crate) request_id: Option<String>,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Reads requests from a connection.
+#[derive(Default)]
+pub(crate) struct RequestReader {
+    buffer: Vec<u8>,
+}
+
+impl RequestReader {
+    /// True if part of a request has come.
+    pub(crate) fn has_begun(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// The next request; none at the end of the connection.
+    pub(crate) async fn next(&mut self, stream: &mut TcpStream) -> io::Result<Option<Request>> {
+        loop {
+            if let Some(request) = self.parse()? {
+                return Ok(Some(request));
+            }
+            let mut chunk = [0; READ_CHUNK_BYTES];
+            let read = stream.read(&mut chunk).await?;
+            if read == 0 {
+                return Ok(None);
+            }
+            self.buffer.extend(&chunk[..read]);
+        }
+    }
+
+    fn parse(&mut self) -> io::Result<Option<Request>> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut parsed = httparse::Request::new(&mut headers);
+        let status = parsed.parse(&self.buffer).map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?;
+        let httparse::Status::Complete(head) = status else { return Ok(None) };
+        let header = |name: &str| {
+            let found = parsed.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name));
+            found.map(|header| String::from_utf8_lossy(header.value).into_owned())
+        };
+        let length: usize = header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+        let path = parsed.path.unwrap_or_default().to_string();
+        let request_id = header("x-request-id");
+        let Some(body) = self.buffer.get(head..head + length).map(<[u8]>::to_vec) else { return Ok(None) };
+        self.buffer.drain(..head + length);
+        Ok(Some(Request { path, request_id, body }))
+    }
+}
+
+/// An answer as bytes.
+pub(crate) fn answer(status: u16, headers: &str, body: &str) -> String {
+    format!("HTTP/1.1 {status} Status\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Closes a connection by a reset.
+pub(crate) fn reset(stream: &TcpStream) {
+    let _ = socket2::SockRef::from(stream).set_linger(Some(std::time::Duration::ZERO));
+}
--- /dev/null
+++ b/crates/soak/src/injection.rs
@@ -0,0 +1,267 @@
+//! Makes the faults of a schedule begin and end.
+
+use crate::client::{Clients, misbehave};
+use crate::endpoint::{Behaviour, Endpoints};
+use crate::platform::Platform;
+use crate::recorder::Recorder;
+use crate::relay_process::RelayProcess;
+use crate::schedule::{FaultKind, Schedule, ScheduledFault};
+use mountshift_faults::{CallFault, FULL_RATE, SystemCall};
+use mountshift_invariants::ListedStatus;
+use smol::Timer;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Between a reload and a stop that follows it.
+const RELOAD_TO_STOP: Duration = Duration::from_millis(50);
+/// An endpoint is away for so long before it is listed again.
+const AWAY: Duration = Duration::from_millis(1_500);
+/// A write to a socket is held up for so long, ...
+const HOLD: Duration = Duration::from_millis(150);
+/// ... in so many of 1,000 writes.
+const HOLD_RATE: u64 = 50;
+/// Of 1,000 calls that fail at all.
+const SHORTAGE_RATE: u64 = 500;
+const INTERRUPTION_RATE: u64 = 200;
+
+/// What faults strike.
+pub(crate) struct Targets {
+    pub(crate) relays: Vec<Arc<RelayProcess>>,
+    pub(crate) endpoints: Arc<Endpoints>,
+    pub(crate) platform: Arc<Platform>,
+    pub(crate) clients: Arc<Clients>,
+    pub(crate) recorder: Arc<Recorder>,
+    pub(crate) seed: u64,
+}
+
+/// Plays all faults of a schedule, each at its time; over once all of them are.
+pub(crate) async fn inject(schedule: &Schedule, targets: Arc<Targets>) {
+    let start = Instant::now();
+    let mut tasks = Vec::new();
+    for fault in schedule.faults.clone() {
+        let targets = targets.clone();
+        tasks.push(smol::spawn(async move {
+            Timer::at(start + Duration::from_millis(fault.at_ms)).await;
+            targets.recorder.fault(format!("{} begins: {:?}, {}", fault.kind, fault.targets, fault.amount));
+            targets.play(&fault).await;
+            targets.recorder.fault(format!("{} ends: {:?}", fault.kind, fault.targets));
+        }));
+    }
+    for task in tasks {
+        task.await;
+    }
+}
+
+impl Targets {
+    async fn play(&self, fault: &ScheduledFault) {
+        let span = Duration::from_millis(fault.for_ms);
+        match fault.kind {
+            FaultKind::Kill => {
+                self.on_each_relay(fault, |relay| async move { relay.kill_and_restart().await }).await
+            }
+            FaultKind::Stop => {
+                // A third of the stops are cut short by SIGKILL.
+                let kill_after = (fault.amount % 3 == 0).then(|| Duration::from_millis(fault.amount as u64));
+                self.on_each_relay(
+                    fault,
+                    move |relay| async move { relay.stop_and_restart(kill_after).await },
+                )
+                .await;
+            }
+            FaultKind::Reload => self.on_each_relay(fault, |relay| async move { relay.reload().await }).await,
+            FaultKind::ReloadAndStop => {
+                self.on_each_relay(fault, |relay| async move {
+                    relay.reload().await;
+                    Timer::after(RELOAD_TO_STOP).await;
+                    relay.stop_and_restart(None).await;
+                })
+                .await;
+            }
+            FaultKind::Clock => {
+                for relay in self.struck_relays(fault) {
+                    let _ = relay.faults.set_wall_clock_offset_ms(fault.amount);
+                }
+            }
+            FaultKind::Disk | FaultKind::DiskAtStart | FaultKind::TornKill => {
+                self.break_disk(fault, span).await
+            }
+            FaultKind::Sockets => self.break_sockets(fault, span).await,
+            FaultKind::Hold => {
+                for relay in self.struck_relays(fault) {
+                    let _ = relay.faults.set_hold(HOLD, HOLD_RATE);
+                }
+                Timer::after(span).await;
+                for relay in self.struck_relays(fault) {
+                    let _ = relay.faults.set_hold(Duration::ZERO, 0);
+                }
+            }
+            FaultKind::Drain => self.drain(fault, span).await,
+            FaultKind::Discovery => {
+                self.set_discovery_silent(fault, true);
+                Timer::after(span).await;
+                self.set_discovery_silent(fault, false);
+            }
+            FaultKind::BadClients => {
+                let until = Instant::now() + span;
+                let misbehave_at =
+                    |relay| smol::spawn(misbehave(self.clients.clone(), relay, until, self.seed));
+                let tasks: Vec<_> = fault.targets.iter().map(|relay| misbehave_at(*relay)).collect();
+                for task in tasks {
+                    task.await;
+                }
+            }
+            _ => self.change_endpoints(fault, span).await,
+        }
+    }
+
+    fn struck_relays(&self, fault: &ScheduledFault) -> Vec<Arc<RelayProcess>> {
+        fault.targets.iter().map(|number| self.relays[*number].clone()).collect()
+    }
+
+    async fn on_each_relay<F>(&self, fault: &ScheduledFault, act: impl Fn(Arc<RelayProcess>) -> F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let tasks: Vec<_> =
+            self.struck_relays(fault).into_iter().map(|relay| smol::spawn(act(relay))).collect();
+        for task in tasks {
+            task.await;
+        }
+    }
+
+    async fn break_disk(&self, fault: &ScheduledFault, span: Duration) {
+        let relays = self.struck_relays(fault);
+        for relay in &relays {
+            relay.set_may_kill_itself(fault.kind == FaultKind::TornKill);
+            for (call, how) in disk_faults(fault) {
+                let _ = relay.faults.set_call_fault(call, how);
+            }
+        }
+        if fault.kind == FaultKind::DiskAtStart {
+            let restarts = self.on_each_relay(fault, |relay| async move { relay.kill_and_restart().await });
+            let mended = async {
+                Timer::after(RESTART_PART + span).await;
+                mend_disk(&relays, fault);
+            };
+            smol::future::zip(restarts, mended).await;
+        } else {
+            Timer::after(span).await;
+            mend_disk(&relays, fault);
+        }
+        if fault.kind == FaultKind::TornKill {
+            // The watcher starts again what killed itself.
+            Timer::after(RESTART_PART * 2).await;
+            for relay in &relays {
+                relay.set_may_kill_itself(false);
+            }
+        }
+    }
+
+    async fn break_sockets(&self, fault: &ScheduledFault, span: Duration) {
+        let shortages = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
+        let shortage = shortages[fault.amount as usize % shortages.len()];
+        let locals = [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENOBUFS, libc::EAGAIN];
+        let local = locals[fault.amount as usize / 4 % locals.len()];
+        let fails = |errno, fail_rate| CallFault { errno, fail_rate, ..CallFault::default() };
+        let short = CallFault { short_rate: INTERRUPTION_RATE, ..CallFault::default() };
+        let how = [
+            (SystemCall::Accept, fails(shortage, SHORTAGE_RATE)),
+            (SystemCall::Socket, fails(shortage, SHORTAGE_RATE)),
+            (SystemCall::Connect, fails(local, SHORTAGE_RATE)),
+            (SystemCall::Receive, fails(libc::EINTR, INTERRUPTION_RATE)),
+            (SystemCall::Wait, fails(libc::EINTR, INTERRUPTION_RATE)),
+            (SystemCall::Send, short),
+        ];
+        for relay in self.struck_relays(fault) {
+            for (call, how) in how {
+                let _ = relay.faults.set_call_fault(call, how);
+            }
+        }
+        Timer::after(span).await;
+        for relay in self.struck_relays(fault) {
+            for (call, _) in how {
+                let _ = relay.faults.set_call_fault(call, CallFault::default());
+            }
+        }
+    }
+
+    async fn drain(&self, fault: &ScheduledFault, span: Duration) {
+        for endpoint in &fault.targets {
+            self.platform.set_phase(*endpoint, ListedStatus::Draining);
+        }
+        Timer::after(span).await;
+        for endpoint in &fault.targets {
+            self.platform.set_phase(*endpoint, ListedStatus::Removed);
+        }
+        Timer::after(AWAY).await;
+        for endpoint in &fault.targets {
+            self.platform.set_phase(*endpoint, ListedStatus::Ready);
+        }
+    }
+
+    fn set_discovery_silent(&self, fault: &ScheduledFault, is_silent: bool) {
+        for relay in &fault.targets {
+            self.platform.set_silent(*relay, is_silent);
+        }
+    }
+
+    async fn change_endpoints(&self, fault: &ScheduledFault, span: Duration) {
+        let behaviour = match fault.kind {
+            FaultKind::Hang => Behaviour::Hang,
+            FaultKind::Busy => Behaviour::Busy,
+            FaultKind::RetryAfter => Behaviour::RetryAfter(fault.amount as u64),
+            FaultKind::Errors => Behaviour::Errors,
+            FaultKind::Slow => Behaviour::Slow(fault.amount as u64),
+            FaultKind::Reset => Behaviour::Reset,
+            FaultKind::HalfAnswer => Behaviour::HalfAnswer,
+            _ => Behaviour::CloseIdle,
+        };
+        for endpoint in &fault.targets {
+            self.endpoints.set_behaviour(*endpoint, behaviour);
+        }
+        Timer::after(span).await;
+        for endpoint in &fault.targets {
+            self.endpoints.set_behaviour(*endpoint, Behaviour::Well);
+        }
+    }
+}
+
+/// Up to here a killed relay is not started again yet.
+const RESTART_PART: Duration = Duration::from_millis(600);
+
+/// How the state folder fails.
+fn disk_faults(fault: &ScheduledFault) -> Vec<(SystemCall, CallFault)> {
+    let errno = if fault.amount % 2 == 0 { libc::ENOSPC } else { libc::EIO };
+    let half_cut = CallFault { errno, fail_rate: FULL_RATE, short_rate: FULL_RATE / 2, kill_rate: 0 };
+    let fails = CallFault::always(errno);
+    let at_times = CallFault { errno, fail_rate: SHORTAGE_RATE, ..CallFault::default() };
+    match fault.kind {
+        FaultKind::TornKill => {
+            let torn = CallFault { errno, fail_rate: 0, short_rate: 0, kill_rate: FULL_RATE / 5 };
+            vec![(SystemCall::FileWrite, torn)]
+        }
+        FaultKind::DiskAtStart => vec![
+            (SystemCall::FileWrite, half_cut),
+            (SystemCall::FileOpen, at_times),
+            (SystemCall::FileLock, at_times),
+            (SystemCall::FileRead, at_times),
+            (SystemCall::FileRename, fails),
+            (SystemCall::FileTruncate, fails),
+            (SystemCall::FileUnlink, at_times),
+            (SystemCall::Bind, CallFault { errno: libc::EADDRINUSE, ..at_times }),
+        ],
+        _ => vec![
+            (SystemCall::FileWrite, half_cut),
+            (SystemCall::FileTruncate, if fault.amount % 3 == 0 { fails } else { CallFault::default() }),
+            (SystemCall::FileRename, if fault.amount % 5 == 0 { fails } else { CallFault::default() }),
+        ],
+    }
+}
+
+fn mend_disk(relays: &[Arc<RelayProcess>], fault: &ScheduledFault) {
+    for relay in relays {
+        for (call, _) in disk_faults(fault) {
+            let _ = relay.faults.set_call_fault(call, CallFault::default());
+        }
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,28 @@
+//! The fault soak: real processes of `mountshift-relay` on loopback, stand-ins for all that they meet, faults that
+//! overlap in time, and a checker of the rules that sees only what the stand-ins saw.
+//!
+//! - [`Schedule`] says what happens when; it is drawn from a seed alone and can be written, cut down and played again.
+//! - `installation` draws the settings, destinations and limits of a run; `relay_process` runs the relays.
+//! - `endpoint`, `platform` and `client` are the stand-ins; they record what they see in the `recorder`.
+//! - `injection` makes the faults of a schedule begin and end; `oracle` reads the record and tells breaches.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+mod client;
+mod endpoint;
+mod error;
+mod http;
+mod injection;
+mod installation;
+mod oracle;
+mod platform;
+mod recorder;
+mod relay_process;
+mod run;
+mod schedule;
+
+pub use error::SoakError;
+pub use oracle::SoakBreach;
+pub use relay_process::Programs;
+pub use run::{SoakReport, play, shrink};
+pub use schedule::{FaultKind, MAX_RELAYS, Schedule, ScheduledFault};
--- /dev/null
+++ b/crates/soak/src/oracle.rs
@@ -0,0 +1,166 @@
+//! The oracle: what broke, told by what the stand-ins saw. The six rules are checked by `mountshift-invariants`.
+
+use crate::installation::Installation;
+use crate::recorder::{Observation, message_id, relay_of};
+use mountshift_invariants::{AttemptOutcome, Fact, InvariantChecker, Time};
+use std::collections::BTreeMap;
+
+/// An attempt's end is seen so long after the relay knew of it at most, in microseconds: the connection's end has to
+/// reach the endpoint's task first.
+const END_SEEN_WITHIN: Time = 300_000;
+
+/// Something that must not happen and did.
+#[derive(Clone, Debug)]
+pub struct SoakBreach {
+    /// A line that tells what.
+    pub what: String,
+    /// The message that it is about, by its id, if it is about one.
+    pub message: Option<String>,
+    /// The relay, if it is about one.
+    pub relay: Option<usize>,
+}
+
+/// All breaches that the observations show, at a time by which every message is due.
+pub(crate) fn judge(
+    installation: &Installation,
+    observations: &[(Time, Observation)],
+    end: Time,
+) -> Vec<SoakBreach> {
+    let mut breaches = Vec::new();
+    for (at, observation) in observations {
+        match observation {
+            Observation::Unanswered { relay, id } => breaches.push(SoakBreach {
+                what: format!("{:.3} s: request of {id} at relay {relay} got no answer", *at as f64 / 1e6),
+                message: Some(id.clone()),
+                relay: Some(*relay),
+            }),
+            Observation::Process { relay, what } => breaches.push(SoakBreach {
+                what: format!("{:.3} s: relay {relay} {what}", *at as f64 / 1e6),
+                message: None,
+                relay: Some(*relay),
+            }),
+            Observation::Fact(_) | Observation::Fault(_) => {}
+        }
+    }
+    let mut checker = InvariantChecker::new(installation.rule_parameters());
+    for (at, fact) in facts(observations) {
+        checker.observe(at, fact);
+    }
+    for breach in checker.finish(end).breaches {
+        let message = breach.history.iter().find_map(|(_, fact)| fact.message());
+        breaches.push(SoakBreach {
+            what: format!("{:.3} s: rule {}: {}", breach.at as f64 / 1e6, breach.rule, breach.reason),
+            message: message.map(message_id),
+            relay: message.map(relay_of),
+        });
+    }
+    breaches
+}
+
+/// The facts, in the order in which the relays knew of them.
+fn facts(observations: &[(Time, Observation)]) -> Vec<(Time, Fact)> {
+    let mut facts: Vec<(Time, Fact)> = Vec::new();
+    for (at, observation) in observations {
+        if let Observation::Fact(fact) = observation {
+            facts.push((*at, *fact));
+        }
+    }
+    let starts = attempt_starts(&facts);
+    let delivered_before = delivered_before_notice(&facts);
+    let mut kept = Vec::with_capacity(facts.len());
+    for (at, fact) in facts {
+        match fact {
+            // A relay that gave a call up sends the next one at once; the end of the first is seen a moment later.
+            Fact::AttemptEnded { message, call, relay, outcome } => {
+                let next = next_start(&starts, message, call);
+                let at = match next {
+                    Some(next) if next < at && at - next <= END_SEEN_WITHIN => next.saturating_sub(1),
+                    _ => at,
+                };
+                // An answer that was followed by another attempt was not read.
+                let unread = next.is_some() && outcome == AttemptOutcome::Delivered;
+                let outcome = if unread { AttemptOutcome::Error } else { outcome };
+                kept.push((at, Fact::AttemptEnded { message, call, relay, outcome }));
+            }
+            // A notification for a message that is over does no harm.
+            Fact::FinalAnswerGiven { message, .. } | Fact::FinalAnswerReceived { message }
+                if delivered_before.contains_key(&message) => {}
+            _ => kept.push((at, fact)),
+        }
+    }
+    kept.sort_by_key(|(at, _)| *at);
+    kept
+}
+
+/// When the attempts of each message started, with their calls, in order.
+fn attempt_starts(facts: &[(Time, Fact)]) -> BTreeMap<u64, Vec<(Time, u64)>> {
+    let mut starts: BTreeMap<u64, Vec<(Time, u64)>> = BTreeMap::new();
+    for (at, fact) in facts {
+        if let Fact::AttemptStarted { message, call, .. } = fact {
+            starts.entry(*message).or_default().push((*at, *call));
+        }
+    }
+    starts
+}
+
+/// When the attempt after this one started.
+fn next_start(starts: &BTreeMap<u64, Vec<(Time, u64)>>, message: u64, call: u64) -> Option<Time> {
+    let starts = starts.get(&message)?;
+    let position = starts.iter().position(|(_, other)| *other == call)?;
+    starts.get(position + 1).map(|(at, _)| *at)
+}
+
+/// Messages whose delivery was answered before a notification came.
+fn delivered_before_notice(facts: &[(Time, Fact)]) -> BTreeMap<u64, Time> {
+    let mut noticed: BTreeMap<u64, Time> = BTreeMap::new();
+    let mut delivered = BTreeMap::new();
+    for (at, fact) in facts {
+        match fact {
+            Fact::FinalAnswerGiven { message, .. } => {
+                noticed.entry(*message).or_insert(*at);
+            }
+            Fact::DeliveryAnswered { message, .. } if !noticed.contains_key(message) => {
+                delivered.entry(*message).or_insert(*at);
+            }
+            _ => {}
+        }
+    }
+    delivered
+}
+
+/// The merged timeline of a message: what the stand-ins saw of it, the faults meanwhile, and the relay's log lines.
+pub(crate) fn timeline(breach: &SoakBreach, observations: &[(Time, Observation)], log: &str) -> String {
+    let number = breach.message.as_deref().and_then(crate::recorder::number_of_id);
+    let mut lines = Vec::new();
+    for (at, observation) in observations {
+        let line = match observation {
+            Observation::Fact(fact) if number.is_some() && fact.message() == number => format!("{fact}"),
+            Observation::Fact(fact @ (Fact::RelayDown { relay } | Fact::RelayUp { relay }))
+                if breach.relay == Some(*relay as usize) =>
+            {
+                format!("{fact}")
+            }
+            Observation::Fault(text) => format!("fault: {text}"),
+            Observation::Process { relay, what } if breach.relay == Some(*relay) => {
+                format!("relay {relay} {what}")
+            }
+            _ => continue,
+        };
+        lines.push(format!("{:>9.3} s  {line}", *at as f64 / 1e6));
+    }
+    let mut text = format!("{}\n", lines.join("\n"));
+    if let Some(id) = &breach.message {
+        text.push_str("log of the relay, lines on the message and its processes:\n");
+        let is_about = |line: &&str| {
+            line.contains(id.as_str())
+                || ["starts as", "ready on", "told to", "stopped with", "spool:"]
+                    .iter()
+                    .any(|words| line.contains(words))
+        };
+        for line in log.lines().filter(is_about) {
+            text.push_str(line);
+            text.push('\n');
+        }
+    }
+    text
+}
