--- a/crates/relay/tests/crossings.rs
+++ b/crates/relay/tests/crossings.rs
@@ -400,3 +400,28 @@
     until("another message", || second.ids().contains(&"m2".into()));
     assert_eq!((first.ids(), second.ids()), (vec!["m1".to_string()], vec!["m2".to_string()]));
 }
+
+// An attempt of the first message may still be running when it has ended as failed and is forgotten; the next process
+// has to hold the rest of its key off as this one would. Found by the soak (seed 3, docs/incidents/hunt.md).
+#[test]
+fn the_hold_off_of_a_key_outlives_a_kill_behind_the_end_of_its_message() {
+    const HOLD_OFF: Duration = Duration::from_millis(3_000);
+    let hangs = std::sync::atomic::AtomicBool::new(true);
+    let endpoint =
+        Server::start(move |_| if hangs.swap(false, Ordering::SeqCst) { ServerAction::Hang } else { ok() });
+    let mut fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    fixture.config["settings"]["obligations"]["orderPause"] = json!(HOLD_OFF.as_micros() as u64);
+    let relay = fixture.relay();
+    assert_eq!(relay.submit("pay1", 5, "c=pay,d=800,dest=7", b"1"), "+OK");
+    assert_eq!(relay.submit("pay2", 5, "c=pay,d=15000,dest=7", b"2"), "+OK");
+    until("the notification", || fixture.platform.notifications().len() == 1);
+    let ended = std::time::Instant::now();
+    // The notification is taken and the message forgotten.
+    std::thread::sleep(ms(200));
+    relay.signal("KILL");
+    drop(relay);
+    let _relay = fixture.relay();
+    until("the second message", || endpoint.ids().len() == 2);
+    let sent = endpoint.requests()[1].at;
+    assert!(sent.duration_since(ended) >= HOLD_OFF - ms(300), "{:?}", sent.duration_since(ended));
+}
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -164,3 +164,20 @@
     }
     text
 }
+
+/// All observations, a line each.
+pub(crate) fn all_lines(observations: &[(Time, Observation)]) -> String {
+    let mut text = String::new();
+    for (at, observation) in observations {
+        let line = match observation {
+            Observation::Fact(fact) => fact.to_string(),
+            Observation::Unanswered { relay, id } => {
+                format!("request of {id} at relay {relay} got no answer")
+            }
+            Observation::Process { relay, what } => format!("relay {relay} {what}"),
+            Observation::Fault(fault) => format!("fault: {fault}"),
+        };
+        text.push_str(&format!("{:>9.6} s  {line}\n", *at as f64 / 1e6));
+    }
+    text
+}
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -215,6 +215,8 @@
 
     async fn start_locked(&self, slot: &mut Option<Child>) {
         self.write_config();
+        // What its agent has counts as told from the first moment of a process.
+        self.platform.note_told_at_start(self.number);
         let started = Instant::now();
         match self.spawn() {
             Ok(child) => *slot = Some(child),
@@ -237,7 +239,6 @@
             Timer::after(READY_INTERVAL).await;
         }
         self.recorder.fact(Fact::RelayUp { relay: self.number as u32 });
-        self.platform.note_told_at_start(self.number);
         self.disturb(self.recorder.now() + DISTURBANCE);
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,7 @@
 use crate::endpoint::Endpoints;
 use crate::injection::{Targets, inject};
 use crate::installation::Installation;
-use crate::oracle::{SoakBreach, judge, timeline};
+use crate::oracle::{SoakBreach, all_lines, judge, timeline};
 use crate::platform::Platform;
 use crate::recorder::{Observation, Recorder};
 use crate::relay_process::{Programs, RelayProcess};
@@ -26,6 +26,7 @@
 /// The folder of a run in `--out`.
 const TIMELINE_FILE: &str = "timeline.txt";
 const SCHEDULE_FILE: &str = "schedule.json";
+const OBSERVATIONS_FILE: &str = "observations.txt";
 
 /// What a run came to.
 #[derive(Debug)]
@@ -149,7 +150,7 @@
         format!("{}\n{}", breach.what, timeline(&breach, &observations, &log))
     });
     if let Some(out) = out.filter(|_| !breaches.is_empty()) {
-        write_out(out, schedule, &text, relays);
+        write_out(out, schedule, &text, &all_lines(&observations), relays);
     }
     let count = |is_counted: fn(&Fact) -> bool| {
         let facts = observations.iter().filter_map(|(_, observation)| match observation {
@@ -177,13 +178,20 @@
 }
 
 /// Keeps what a run has shown: the schedule, the timeline and the logs.
-fn write_out(out: &Path, schedule: &Schedule, timeline: &str, relays: &[Arc<RelayProcess>]) {
+fn write_out(
+    out: &Path,
+    schedule: &Schedule,
+    timeline: &str,
+    observations: &str,
+    relays: &[Arc<RelayProcess>],
+) {
     let folder = out.join(format!("seed-{}", schedule.seed));
     if std::fs::create_dir_all(&folder).is_err() {
         return;
     }
     let _ = std::fs::write(folder.join(SCHEDULE_FILE), schedule.to_json());
     let _ = std::fs::write(folder.join(TIMELINE_FILE), timeline);
+    let _ = std::fs::write(folder.join(OBSERVATIONS_FILE), observations);
     for relay in relays {
         let _ = std::fs::write(folder.join(format!("r{}.log", relay.number)), relay.log());
     }
