A message that holds its key off is known to the next process until the hold-off is over

Cause: a message that ended (failed, withdrawn, or delivered by a later attempt) was removed from the spool at once, and with it what holds the rest of its key off (rule 5). Class: what binds longer than the record that carries it. Now it stays in the spool as ended until the hold-off is over; a process that finds it tells its end once more and waits.

--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -61,6 +61,7 @@
 impl DispatcherState {
     /// Carries a step out: first into the spool, then onto the sockets.
     pub(super) fn execute_step(&mut self) {
+        self.remove_closed_messages();
         let calls = self.plan_calls();
         let is_committed = self.commit_spool();
         self.answer_clients(is_committed);
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -33,7 +33,7 @@
     }
 
     fn close_message(&mut self, message: MessageId, inputs: &mut Vec<Input>) {
-        self.remove_message(message);
+        self.close_in_spool(message, true);
         inputs.push(Input::Closed(message));
     }
 
@@ -153,7 +153,7 @@
                 self.metrics.count_final_answer("delivered");
             }
             self.remember_ended(message);
-            self.remove_message(message);
+            self.close_in_spool(message, false);
         }
         inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, closed });
     }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -82,8 +82,9 @@
         loop {
             let events = self.next_events().await;
             self.note_stop_request(&events);
-            if self.state.has_unwritten() {
+            if self.state.has_unwritten() || !self.state.closed_messages.is_empty() {
                 self.state.now = self.state.clock.now();
+                self.state.remove_closed_messages();
                 self.state.retry_writes();
             }
             if events.is_empty() && !self.is_wake_due() && self.stopping.is_none() {
--- a/crates/relay/src/dispatch/shutdown.rs
+++ b/crates/relay/src/dispatch/shutdown.rs
@@ -59,8 +59,7 @@
         }
         let clients_gone = self.clients_leave.is_closed() && self.client_connections.get() == 0;
         let nothing_in_flight = self.state.calls_in_flight.is_empty();
-        let is_spool_empty = self.state.spool.borrow().messages().is_empty();
-        clients_gone && nothing_in_flight && (stop.may_leave_messages() || is_spool_empty)
+        clients_gone && nothing_in_flight && (stop.may_leave_messages() || !self.state.holds_messages())
     }
 
     /// Takes in what has come by now, and lets clients hear which messages were accepted. Without that a delivery
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -69,6 +69,12 @@
     pub(super) attempts: Vec<PendingAttempt>,
 }
 
+/// A closed message that the spool keeps for a while.
+pub(super) struct ClosedMessage {
+    message: MessageId,
+    until: Duration,
+}
+
 /// A late call that waits to hear whether it may still be sent.
 pub(super) struct ReachabilityQuestion {
     pub(super) endpoint: EndpointId,
@@ -110,6 +116,8 @@
     pub(super) spool_full_logged: bool,
     /// Clients that submitted a message for the step under way.
     pub(super) awaiting_answer: BTreeMap<MessageId, Sender<SubmissionReply>>,
+    /// Closed messages that a process after this one has to know of.
+    pub(super) closed_messages: Vec<ClosedMessage>,
     /// Final outcomes that the platform hears of once the spool has recorded them.
     pub(super) pending_notifications: Vec<PendingNotification>,
     /// The spool could not be written at the last try, and the log says so.
@@ -152,6 +160,7 @@
             next_wake: None,
             spool_full_logged: false,
             awaiting_answer: BTreeMap::new(),
+            closed_messages: Vec::new(),
             pending_notifications: Vec::new(),
             spool_failure_logged: false,
             pending_sends: Vec::new(),
@@ -265,6 +274,37 @@
         }
     }
 
+    /// Removes a message that is closed, or keeps it in the spool as one that has ended for as long as the next process
+    /// has to know of it.
+    pub(super) fn close_in_spool(&mut self, message: MessageId, has_attempt_in_flight: bool) {
+        let until = self.policy.borrow().must_be_known_until(message, self.now, has_attempt_in_flight);
+        let Some(until) = until else { return self.remove_message(message) };
+        let mut spool = self.spool.borrow_mut();
+        let Some(stored) = spool.get(message.0) else { return };
+        self.messages_by_id.remove(&stored.accepted.id);
+        // A process that finds it tells its end once more, which does no harm, and sends nothing of it.
+        if stored.pending_outcome.is_none() {
+            spool.record_outcome(message.0, FinalOutcome::Failed);
+        }
+        self.closed_messages.push(ClosedMessage { message, until });
+    }
+
+    /// Removes closed messages that no later process has to know of any more.
+    pub(super) fn remove_closed_messages(&mut self) {
+        let now = self.now;
+        let (due, kept): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.closed_messages).into_iter().partition(|closed| closed.until <= now);
+        self.closed_messages = kept;
+        for closed in due {
+            self.spool.borrow_mut().remove(closed.message.0);
+        }
+    }
+
+    /// True if a message in the spool is not closed.
+    pub(super) fn holds_messages(&self) -> bool {
+        self.spool.borrow().messages().len() > self.closed_messages.len()
+    }
+
     /// Remembers the id of a message that ended. Every message has a new id, so who submits it again repeats the
     /// message, which must not be sent a second time.
     pub(super) fn remember_ended(&mut self, message: MessageId) {
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -57,7 +57,7 @@
         let span = Duration::from_millis(fault.for_ms);
         match fault.kind {
             FaultKind::Kill => {
-                self.on_each_relay(fault, |relay| async move { relay.kill_and_restart().await }).await
+                self.on_each_relay(fault, |relay| async move { relay.kill_and_restart().await }).await;
             }
             FaultKind::Stop => {
                 // A third of the stops are cut short by SIGKILL.
@@ -83,7 +83,7 @@
                 }
             }
             FaultKind::Disk | FaultKind::DiskAtStart | FaultKind::TornKill => {
-                self.break_disk(fault, span).await
+                self.break_disk(fault, span).await;
             }
             FaultKind::Sockets => self.break_sockets(fault, span).await,
             FaultKind::Hold => {
--- a/crates/soak/src/installation.rs
+++ b/crates/soak/src/installation.rs
@@ -17,7 +17,8 @@
 /// Megabytes that a relay may take.
 pub(crate) const RELAY_MEMORY_MB: u64 = 64;
 const DRAIN_GRACE_MS: u64 = 1_000;
-const ORDER_PAUSE_MS: u64 = 300;
+/// Between these the pause behind an attempt that may still be running is drawn; the longer ones outlast a restart.
+const ORDER_PAUSE_MS: (u64, u64) = (200, 1_200);
 /// A final answer may come so long after its deadline: 300 ms, 50 ms for sockets, and what a busy machine takes.
 const ANSWER_SLACK_MS: u64 = 350 + 400;
 /// After a restart: 1.5 s from ready on, and what a busy machine takes.
@@ -55,6 +56,7 @@
     open_cap: u64,
     calls_out: u64,
     max_attempts: u64,
+    order_pause_ms: u64,
 }
 
 impl Installation {
@@ -91,6 +93,7 @@
             open_cap: random.random_range(40..200),
             calls_out: random.random_range(6..24),
             max_attempts: random.random_range(4..9),
+            order_pause_ms: random.random_range(ORDER_PAUSE_MS.0..ORDER_PAUSE_MS.1),
         }
     }
 
@@ -127,7 +130,7 @@
                     "kindBatch": [1], "ownLimits": [false]},
                 "limits": {"openCap": self.open_cap, "maxAttempts": self.max_attempts, "cancel": true,
                     "maxRetryAfter": 3_000_000, "connIdle": 5_000_000, "dialTimeout": 1_500_000},
-                "obligations": {"drainGrace": micros(DRAIN_GRACE_MS), "orderPause": micros(ORDER_PAUSE_MS),
+                "obligations": {"drainGrace": micros(DRAIN_GRACE_MS), "orderPause": micros(self.order_pause_ms),
                     "coldFrom": 0.3, "warmAfter": 3_000_000, "fallMultiple": 1.5, "fall": 2_000_000},
                 "penalties": {"crossZone": 0.03}}})
     }
@@ -150,7 +153,7 @@
             drain_grace: micros(DRAIN_GRACE_MS + HOLD_SLACK_MS),
             // The checker sees an attempt's end when its connection ends at the endpoint, which is a little later than
             // when the relay gave it up.
-            order_hold_off: micros(ORDER_PAUSE_MS - 100),
+            order_hold_off: micros(self.order_pause_ms - 100),
             slow_start_share: 0.3,
             slow_start_duration: 3_000_000,
             overload_multiple: 1.5,
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -3,7 +3,7 @@
 use crate::installation::Installation;
 use crate::recorder::{Observation, message_id, relay_of};
 use mountshift_invariants::{AttemptOutcome, Fact, InvariantChecker, Time};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// An attempt's end is seen so long after the relay knew of it at most, in microseconds: the connection's end has to
 /// reach the endpoint's task first.
@@ -66,7 +66,7 @@
         }
     }
     let starts = attempt_starts(&facts);
-    let delivered_before = delivered_before_notice(&facts);
+    let delivered = delivered_and_read(&facts, &starts);
     let mut kept = Vec::with_capacity(facts.len());
     for (at, fact) in facts {
         match fact {
@@ -84,7 +84,7 @@
             }
             // A notification for a message that is over does no harm.
             Fact::FinalAnswerGiven { message, .. } | Fact::FinalAnswerReceived { message }
-                if delivered_before.contains_key(&message) => {}
+                if delivered.contains(&message) => {}
             _ => kept.push((at, fact)),
         }
     }
@@ -110,19 +110,14 @@
     starts.get(position + 1).map(|(at, _)| *at)
 }
 
-/// Messages whose delivery was answered before a notification came.
-fn delivered_before_notice(facts: &[(Time, Fact)]) -> BTreeMap<u64, Time> {
-    let mut noticed: BTreeMap<u64, Time> = BTreeMap::new();
-    let mut delivered = BTreeMap::new();
-    for (at, fact) in facts {
-        match fact {
-            Fact::FinalAnswerGiven { message, .. } => {
-                noticed.entry(*message).or_insert(*at);
-            }
-            Fact::DeliveryAnswered { message, .. } if !noticed.contains_key(message) => {
-                delivered.entry(*message).or_insert(*at);
-            }
-            _ => {}
+/// Messages whose delivery was answered, and of which no attempt followed.
+fn delivered_and_read(facts: &[(Time, Fact)], starts: &BTreeMap<u64, Vec<(Time, u64)>>) -> BTreeSet<u64> {
+    let mut delivered = BTreeSet::new();
+    for (_, fact) in facts {
+        if let Fact::DeliveryAnswered { message, call } = fact
+            && next_start(starts, *message, *call).is_none()
+        {
+            delivered.insert(*message);
         }
     }
     delivered
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -228,6 +228,9 @@
                 if !self.may_kill_itself.load(Ordering::SeqCst) {
                     self.note_process(format!("ended while it started: {status}"));
                 }
+                self.recorder.fact(Fact::RelayDown { relay: self.number as u32 });
+                Timer::after(RESTART_AFTER).await;
+                self.platform.note_told_at_start(self.number);
                 match self.spawn() {
                     Ok(child) => *slot = Some(child),
                     Err(e) => return self.note_process(format!("not started: {e}")),
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -116,7 +116,7 @@
 
     fn from_str(text: &str) -> Result<FaultKind, String> {
         serde_json::from_value(text.into()).map_err(|_| {
-            let names: Vec<String> = FaultKind::ALL.iter().map(|kind| kind.to_string()).collect();
+            let names: Vec<String> = FaultKind::ALL.iter().map(ToString::to_string).collect();
             format!("{text} is no fault; there are {}", names.join(", "))
         })
     }
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -64,6 +64,17 @@
         }
     }
 
+    /// Rule 5: until when a process after this one has to know of a message that is closed now; none if it need not.
+    /// `has_attempt_in_flight` is false where the end of its only attempt in flight closes it.
+    pub fn must_be_known_until(
+        &self,
+        message: MessageId,
+        now: Duration,
+        has_attempt_in_flight: bool,
+    ) -> Option<Duration> {
+        safety::must_be_known_until(&self.state, message, now, has_attempt_in_flight)
+    }
+
     /// The rules again, right before the first byte of an attempt.
     ///
     /// # Errors
--- a/src/policy/safety.rs
+++ b/src/policy/safety.rs
@@ -65,6 +65,22 @@
     state.class_of(message).idempotency == Idempotency::Idempotent && message.key.is_none()
 }
 
+/// Rule 5 across processes: until when the next process has to know of a message that is closed, as an attempt of it
+/// may still be running and holds off the rest of its key. None if it need not.
+pub(super) fn must_be_known_until(
+    state: &State,
+    id: MessageId,
+    now: Duration,
+    has_attempt_in_flight: bool,
+) -> Option<Duration> {
+    let message = state.messages.get(id)?;
+    let hold_off = state.settings.order_hold_off;
+    if has_attempt_in_flight && message.key.is_some() && message.call.is_some() {
+        return Some(message.deadline.max(now) + hold_off);
+    }
+    state.messages.holds_key_off_until(id, now)
+}
+
 /// The rules again, right before the first byte of an attempt that was decided a while ago.
 pub(super) fn check_begin(
     state: &State,
--- a/src/state/key_queues.rs
+++ b/src/state/key_queues.rs
@@ -36,6 +36,18 @@
         }
     }
 
+    /// Until when an attempt of `by` holds off the rest of the key; none if it does not.
+    pub(crate) fn held_off_until(
+        &self,
+        key: Option<OrderingKey>,
+        by: MessageId,
+        now: Duration,
+    ) -> Option<Duration> {
+        let queue = self.queues.get(&key?)?;
+        let holds_off = queue.held_off_by == Some(by) && queue.hold_off_until > now;
+        holds_off.then_some(queue.hold_off_until)
+    }
+
     pub(crate) fn is_next(&self, key: Option<OrderingKey>, message: MessageId, now: Duration) -> bool {
         let Some(queue) = key.and_then(|key| self.queues.get(&key)) else { return true };
         let is_held_off = queue.hold_off_until > now && queue.held_off_by != Some(message);
--- a/src/state/messages.rs
+++ b/src/state/messages.rs
@@ -206,6 +206,11 @@
         self.by_id.remove(&id);
     }
 
+    /// Until when an attempt of the message holds off the rest of its key; none if it does not.
+    pub(crate) fn holds_key_off_until(&self, id: MessageId, now: Duration) -> Option<Duration> {
+        self.key_queues.held_off_until(self.get(id)?.key, id, now)
+    }
+
     pub(crate) fn discard_unused_queues(&mut self, now: Duration) {
         self.key_queues.discard_unused(now);
     }
