--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -69,7 +69,9 @@
 pub(crate) fn run(arguments: SoakArguments) -> Result<Verdict, CliError> {
     let schedules = schedules(&arguments)?;
     if arguments.print {
-        schedules.iter().for_each(|schedule| println!("{}", schedule.to_json()));
+        for schedule in &schedules {
+            println!("{}", schedule.to_json());
+        }
         return Ok(Verdict::Good);
     }
     let programs = programs(&arguments)?;
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -56,27 +56,11 @@
     async fn play(&self, fault: &ScheduledFault) {
         let span = Duration::from_millis(fault.for_ms);
         match fault.kind {
-            FaultKind::Kill => {
-                self.on_each_relay(fault, |relay| async move { relay.kill_and_restart().await }).await;
-            }
-            FaultKind::Stop => {
-                // A third of the stops are cut short by SIGKILL.
-                let kill_after = (fault.amount % 3 == 0).then(|| Duration::from_millis(fault.amount as u64));
-                self.on_each_relay(
-                    fault,
-                    move |relay| async move { relay.stop_and_restart(kill_after).await },
-                )
-                .await;
-            }
-            FaultKind::Reload => self.on_each_relay(fault, |relay| async move { relay.reload().await }).await,
-            FaultKind::ReloadAndStop => {
-                self.on_each_relay(fault, |relay| async move {
-                    relay.reload().await;
-                    Timer::after(RELOAD_TO_STOP).await;
-                    relay.stop_and_restart(None).await;
-                })
-                .await;
-            }
+            FaultKind::Kill
+            | FaultKind::Stop
+            | FaultKind::Upgrade
+            | FaultKind::Reload
+            | FaultKind::ReloadAndStop => self.end_processes(fault).await,
             FaultKind::Clock => {
                 for relay in self.struck_relays(fault) {
                     let _ = relay.faults.set_wall_clock_offset_ms(fault.amount);
@@ -86,31 +70,56 @@
                 self.break_disk(fault, span).await;
             }
             FaultKind::Sockets => self.break_sockets(fault, span).await,
-            FaultKind::Hold => {
-                for relay in self.struck_relays(fault) {
-                    let _ = relay.faults.set_hold(HOLD, HOLD_RATE);
-                }
-                Timer::after(span).await;
-                for relay in self.struck_relays(fault) {
-                    let _ = relay.faults.set_hold(Duration::ZERO, 0);
-                }
-            }
+            FaultKind::Hold => self.hold(fault, span).await,
             FaultKind::Drain => self.drain(fault, span).await,
             FaultKind::Discovery => {
                 self.set_discovery_silent(fault, true);
                 Timer::after(span).await;
                 self.set_discovery_silent(fault, false);
             }
-            FaultKind::BadClients => {
-                let until = Instant::now() + span;
-                let misbehave_at =
-                    |relay| smol::spawn(misbehave(self.clients.clone(), relay, until, self.seed));
-                let tasks: Vec<_> = fault.targets.iter().map(|relay| misbehave_at(*relay)).collect();
-                for task in tasks {
-                    task.await;
+            FaultKind::BadClients => self.misbehave(fault, span).await,
+            _ => self.change_endpoints(fault, span).await,
+        }
+    }
+
+    /// Signals, and what starts in the place of what they end.
+    async fn end_processes(&self, fault: &ScheduledFault) {
+        // A part of the stops is cut short by SIGKILL, and a part of the upgrades begins with one.
+        let kill_after = (fault.amount % 3 == 0).then(|| Duration::from_millis(fault.amount as u64));
+        let is_killed = fault.amount % 4 == 0;
+        let kind = fault.kind;
+        self.on_each_relay(fault, move |relay| async move {
+            match kind {
+                FaultKind::Kill => relay.kill_and_restart().await,
+                FaultKind::Stop => relay.stop_and_restart(kill_after).await,
+                FaultKind::Upgrade => relay.upgrade(is_killed).await,
+                FaultKind::Reload => relay.reload().await,
+                _ => {
+                    relay.reload().await;
+                    Timer::after(RELOAD_TO_STOP).await;
+                    relay.stop_and_restart(None).await;
                 }
             }
-            _ => self.change_endpoints(fault, span).await,
+        })
+        .await;
+    }
+
+    async fn hold(&self, fault: &ScheduledFault, span: Duration) {
+        for relay in self.struck_relays(fault) {
+            let _ = relay.faults.set_hold(HOLD, HOLD_RATE);
+        }
+        Timer::after(span).await;
+        for relay in self.struck_relays(fault) {
+            let _ = relay.faults.set_hold(Duration::ZERO, 0);
+        }
+    }
+
+    async fn misbehave(&self, fault: &ScheduledFault, span: Duration) {
+        let until = Instant::now() + span;
+        let misbehave_at = |relay| smol::spawn(misbehave(self.clients.clone(), relay, until, self.seed));
+        let tasks: Vec<_> = fault.targets.iter().map(|relay| misbehave_at(*relay)).collect();
+        for task in tasks {
+            task.await;
         }
     }
 
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -12,6 +12,7 @@
 use smol::lock::Mutex;
 use smol::net::TcpStream;
 use std::net::{SocketAddr, TcpListener};
+use std::os::fd::AsRawFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
@@ -26,6 +27,8 @@
 const KILL_AFTER: Duration = Duration::from_millis(3_700);
 /// A relay starts again so long after its end.
 const RESTART_AFTER: Duration = Duration::from_millis(600);
+/// A successor answers clients so long after its start at the latest.
+const SUCCESSOR_START: Duration = Duration::from_millis(400);
 /// Between two looks at a process.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// What was on its way when a process ended counts as struck by that for so long, in microseconds.
@@ -64,6 +67,8 @@
     recorder: Arc<Recorder>,
     platform: Arc<Platform>,
     installation: Installation,
+    /// The clients' socket, where the platform holds it: kept open for as long as the run, and inherited.
+    inherited: Option<TcpListener>,
     child: Mutex<Option<Child>>,
     /// Which address of its agent the configuration names.
     agent_address: AtomicUsize,
@@ -81,13 +86,21 @@
         recorder: &Arc<Recorder>,
         platform: &Arc<Platform>,
         installation: &Installation,
+        inherits_socket: bool,
     ) -> Result<RelayProcess, SoakError> {
         let dir = run_dir.join(format!("r{number}"));
         std::fs::create_dir_all(dir.join("state")).map_err(SoakError::io(dir.display().to_string()))?;
         let faults = FaultControl::create(&dir.join("faults")).map_err(SoakError::io("control file"))?;
+        let listener = free_listener(number).map_err(SoakError::io("a port for a relay"))?;
+        let listen = listener.local_addr().map_err(SoakError::io("a port for a relay"))?;
+        if inherits_socket {
+            rustix::io::fcntl_setfd(&listener, rustix::io::FdFlags::empty())
+                .map_err(|e| SoakError::io("an inherited socket")(e.into()))?;
+        }
         Ok(RelayProcess {
             number,
-            listen: free_address(number).map_err(SoakError::io("a port for a relay"))?,
+            listen,
+            inherited: inherits_socket.then_some(listener),
             faults,
             dir,
             programs: programs.clone(),
@@ -128,6 +141,30 @@
         self.start_locked(&mut child).await;
     }
 
+    /// A second process starts beside the first and takes over once that has ended. The two are one relay: whatever
+    /// binds the first binds the second, and nothing excuses a late answer, unless the first one is killed.
+    pub(crate) async fn upgrade(&self, is_killed: bool) {
+        let mut slot = self.child.lock().await;
+        let Ok(successor) = self.spawn() else { return self.note_process("no successor started".into()) };
+        Timer::after(SUCCESSOR_START).await;
+        if is_killed {
+            self.disturb(Time::MAX);
+            self.recorder.fact(Fact::RelayDown { relay: self.number as u32 });
+            self.platform.note_told_at_start(self.number);
+            if let Some(first) = slot.as_mut() {
+                let _ = first.kill();
+                let _ = first.wait();
+            }
+            self.recorder.fact(Fact::RelayUp { relay: self.number as u32 });
+            self.disturb(self.recorder.now() + DISTURBANCE);
+        } else if let Some(first) = slot.as_mut() {
+            let _ = kill_process(Pid::from_child(first), Signal::TERM);
+            let status = wait_for_end(first, KILL_AFTER).await;
+            self.check_end(status, None);
+        }
+        *slot = Some(successor);
+    }
+
     /// SIGTERM, for good.
     pub(crate) async fn stop(&self) {
         let mut child = self.child.lock().await;
@@ -187,18 +224,7 @@
         // No final answer is overdue from here until the next process is ready.
         self.recorder.fact(Fact::RelayStalled { relay: self.number as u32, until });
         let _ = kill_process(Pid::from_child(child), Signal::TERM);
-        let due = Instant::now() + kill_after.unwrap_or(KILL_AFTER);
-        let status = loop {
-            if let Ok(Some(status)) = child.try_wait() {
-                break Some(status);
-            }
-            if Instant::now() >= due {
-                let _ = child.kill();
-                let _ = child.wait();
-                break None;
-            }
-            Timer::after(LOOK_INTERVAL).await;
-        };
+        let status = wait_for_end(child, kill_after.unwrap_or(KILL_AFTER)).await;
         self.recorder.fact(Fact::RelayDown { relay: self.number as u32 });
         self.check_end(status, kill_after);
         *slot = None;
@@ -253,6 +279,11 @@
             .env("NODE_CONFIG", self.dir.join("config.json"))
             .env("NODE_STATE", self.dir.join("state"))
             .env("RUST_LOG", "info,mountshift_relay=debug");
+        if let Some(listener) = &self.inherited {
+            let descriptor = listener.as_raw_fd().to_string();
+            command.env("NODE_ACCEPT_FD", &descriptor);
+            command.env("LISTEN_FDS", "1").env("LISTEN_FDS_FIRST_FD", &descriptor);
+        }
         if let Some(shim) = &self.programs.shim {
             command.env("LD_PRELOAD", shim).env(CONTROL_VARIABLE, self.faults.path());
         }
@@ -299,6 +330,22 @@
     }
 }
 
+/// Waits for the end of a process, which is killed after a while; how it ended by itself.
+async fn wait_for_end(child: &mut Child, kill_after: Duration) -> Option<ExitStatus> {
+    let due = Instant::now() + kill_after;
+    loop {
+        if let Ok(Some(status)) = child.try_wait() {
+            return Some(status);
+        }
+        if Instant::now() >= due {
+            let _ = child.kill();
+            let _ = child.wait();
+            return None;
+        }
+        Timer::after(LOOK_INTERVAL).await;
+    }
+}
+
 /// No process outlives the run, however it ends.
 impl Drop for RelayProcess {
     fn drop(&mut self) {
@@ -309,10 +356,10 @@
     }
 }
 
-/// A free address: on a loopback address of its own, so that no other connection takes the port before it is used.
-fn free_address(number: usize) -> std::io::Result<SocketAddr> {
+/// A listener on a free address: on a loopback address of its own, so that no other connection takes the port before it is used.
+fn free_listener(number: usize) -> std::io::Result<TcpListener> {
     let process = std::process::id();
     let part = |n: u32| (n % 250) as u8 + 1;
     let own = [127, part(process / 250 % 100 + 20), part(process), part(number as u32)];
-    TcpListener::bind(SocketAddr::from((own, 0)))?.local_addr()
+    TcpListener::bind(SocketAddr::from((own, 0)))
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -81,7 +81,8 @@
         .map_err(SoakError::io("a port for discovery"))?;
     let mut relays = Vec::new();
     for number in 0..schedule.relays {
-        let relay = RelayProcess::new(number, dir, programs, &recorder, &platform, &installation)?;
+        let inherits = schedule.inherited_sockets;
+        let relay = RelayProcess::new(number, dir, programs, &recorder, &platform, &installation, inherits)?;
         relays.push(Arc::new(relay));
     }
     let starts: Vec<_> =
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -28,6 +28,9 @@
     Kill,
     /// Relays get SIGTERM, and are started again.
     Stop,
+    /// A second process starts beside each relay and takes over; a quarter of the first ones are killed. Only where the
+    /// platform holds the clients' sockets.
+    Upgrade,
     /// Relays get SIGHUP and another address of discovery.
     Reload,
     /// Reload, then stop, within a tenth of a second.
@@ -70,9 +73,10 @@
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [FaultKind; 21] = [
+    pub const ALL: [FaultKind; 22] = [
         FaultKind::Kill,
         FaultKind::Stop,
+        FaultKind::Upgrade,
         FaultKind::Reload,
         FaultKind::ReloadAndStop,
         FaultKind::Clock,
@@ -155,6 +159,8 @@
     pub relays: usize,
     /// Endpoints.
     pub endpoints: usize,
+    /// The platform holds the clients' sockets and passes them on: relays can be upgraded.
+    pub inherited_sockets: bool,
     /// The faults, in the order of their beginnings.
     pub faults: Vec<ScheduledFault>,
 }
@@ -167,8 +173,13 @@
     pub fn draw(seed: u64, seconds: u64, relays: usize, kinds: &[FaultKind]) -> Result<Schedule, SoakError> {
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let endpoints = random.random_range(6..=12);
-        let mut schedule = Schedule { seed, seconds, relays, endpoints, faults: Vec::new() };
+        let inherited_sockets = random.random();
+        let mut schedule =
+            Schedule { seed, seconds, relays, endpoints, inherited_sockets, faults: Vec::new() };
         schedule.check()?;
+        // Without inherited sockets there are no upgrades to draw.
+        let can_happen = |kind: &&FaultKind| inherited_sockets || **kind != FaultKind::Upgrade;
+        let kinds: Vec<FaultKind> = kinds.iter().filter(can_happen).copied().collect();
         let end_ms = seconds * 1_000 - QUIET_MS;
         let mut group_at = QUIET_MS;
         while group_at + QUIET_MS < end_ms && !kinds.is_empty() {
@@ -241,6 +252,9 @@
         }
         for fault in &self.faults {
             let count = if fault.kind.strikes_relays() { self.relays } else { self.endpoints };
+            if fault.kind == FaultKind::Upgrade && !self.inherited_sockets {
+                return Err(SoakError::Unplayable("an upgrade needs inherited sockets".into()));
+            }
             if fault.targets.iter().any(|target| *target >= count) {
                 return Err(SoakError::Unplayable(format!("{}: a target that is not there", fault.kind)));
             }
--- /dev/null
+++ b/crates/soak/tests/soak.rs
@@ -0,0 +1,66 @@
+//! A short soak of real relays, and the schedules that soaks are drawn from. CI plays the fixed schedule beside this file;
+//! longer ones are played by hand (`mountshift soak`).
+
+use mountshift_soak::{FaultKind, MAX_RELAYS, Programs, Schedule, play};
+use std::path::{Path, PathBuf};
+use std::process::Command;
+
+/// The relay and the shim of this build. The relay of the whole workspace's tests is there already; alone it is built.
+fn programs() -> Programs {
+    let test = std::env::current_exe().expect("a program");
+    let dependencies = test.parent().expect("a folder");
+    let relay = dependencies.with_file_name("mountshift-relay");
+    if !relay.exists() {
+        let mut build = Command::new(env!("CARGO"));
+        build.args(["build", "--locked", "-p", "mountshift-relay"]);
+        assert!(build.status().expect("cargo").success());
+    }
+    Programs { relay, shim: Some(dependencies.join("libmountshift_fault_shim.so")) }
+}
+
+fn fixed_schedule() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("tests/fixed-schedule.json")
+}
+
+#[test]
+fn every_invariant_holds_under_the_fixed_schedule() {
+    let schedule = Schedule::read(&fixed_schedule()).expect("a schedule");
+    let report = play(&schedule, &programs(), None).expect("played");
+    assert!(report.held(), "{}\n{:#?}", report.timeline, report.breaches);
+    assert!(report.delivered > 500 && report.ends >= 6 && report.injected > 0, "{report:?}");
+}
+
+#[test]
+fn a_seed_draws_the_same_schedule_each_time_and_another_seed_another_one() {
+    let draw = |seed| Schedule::draw(seed, 60, 20, &FaultKind::ALL).expect("a schedule");
+    assert_eq!(draw(7), draw(7));
+    assert_ne!(draw(7), draw(8));
+    let overlaps = |schedule: &Schedule| {
+        let faults = &schedule.faults;
+        faults.windows(2).filter(|pair| pair[1].at_ms < pair[0].at_ms + pair[0].for_ms).count()
+    };
+    assert!((1..=20).all(|seed| overlaps(&draw(seed)) >= 3));
+}
+
+#[test]
+fn a_schedule_is_read_back_from_its_file() {
+    let schedule = Schedule::draw(7, 60, 20, &FaultKind::ALL).expect("a schedule");
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    std::fs::write(file.path(), schedule.to_json()).expect("written");
+    assert_eq!(Schedule::read(file.path()).expect("read"), schedule);
+}
+
+#[test]
+fn what_can_not_be_played_is_refused_in_one_line() {
+    let refused = |seconds, relays| {
+        let error = Schedule::draw(1, seconds, relays, &FaultKind::ALL).expect_err("it is refused");
+        assert_eq!(error.to_string().lines().count(), 1);
+    };
+    refused(60, 0);
+    refused(60, MAX_RELAYS + 1);
+    refused(1, 20);
+    let missing = Programs { relay: "/nowhere/relay".into(), shim: None };
+    let schedule = Schedule::draw(1, 60, 2, &[]).expect("a schedule");
+    let error = play(&schedule, &missing, None).expect_err("it is refused");
+    assert_eq!(error.to_string(), "/nowhere/relay: not there; build it or name another one");
+}
