Failing test: messages of a successor that ends stay behind while the active process goes on

The soak's own records mended: a process that ended by itself excuses an unanswered request, bytes read after a kill count before it.

--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -438,6 +438,32 @@
     assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
 
+// The upgrade is given up: the successor ends before it has taken over, and the active process goes on. What the successor
+// has accepted is owed all the same, and no other process may start for hours. Found by the soak (seed 32).
+#[test_case("KILL"; "killed")]
+#[test_case("TERM"; "told to stop")]
+fn messages_of_a_successor_that_ends_go_to_the_running_process(signal: &str) {
+    let fixture = upgrade();
+    fixture.gate.open();
+    let active = fixture.start(0);
+    let mut successor = fixture.start(1);
+    active.signal("STOP");
+    fixture.submit("m1", 0, "once");
+    successor.signal(signal);
+    assert!(successor.ended_within(ms(4_600)));
+    active.signal("CONT");
+    until_within(ms(2_500), "the successor's message", || fixture.endpoint.ids() == ["m1"]);
+    fixture.submit("m2", 0, "once");
+    until("a message of its own", || fixture.endpoint.ids() == ["m1", "m2"]);
+    // Another upgrade finds nothing of it left.
+    let _again = fixture.start(2);
+    drop(active);
+    fixture.owns(1);
+    sleep(ms(300));
+    assert_eq!(fixture.endpoint.ids(), ["m1", "m2"]);
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
+}
+
 // A notification that the platform has not taken at the handover is owed: the successor tells it again.
 #[test]
 fn a_pending_notification_at_a_handover_is_sent_by_the_successor() {
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -9,6 +9,11 @@
 /// reach the endpoint's task first.
 const END_SEEN_WITHIN: Time = 300_000;
 
+/// The end of a process is seen so long after its clients see it at most, in microseconds.
+const PROCESS_END_SEEN_WITHIN: Time = 200_000;
+/// What a process had written is read so long after its end at most, in microseconds; it starts again much later.
+const BYTES_READ_WITHIN: Time = 100_000;
+
 /// Something that must not happen and did.
 #[derive(Clone, Debug)]
 pub struct SoakBreach {
@@ -29,6 +34,7 @@
     let mut breaches = Vec::new();
     for (at, observation) in observations {
         match observation {
+            Observation::Unanswered { relay, .. } if ends_near(observations, *relay, *at) => {}
             Observation::Unanswered { relay, id } => breaches.push(SoakBreach {
                 what: format!("{:.3} s: request of {id} at relay {relay} got no answer", *at as f64 / 1e6),
                 message: Some(id.clone()),
@@ -57,6 +63,15 @@
     breaches
 }
 
+/// True if the relay's process ended about then by itself: that is noticed a moment later than by its clients.
+fn ends_near(observations: &[(Time, Observation)], relay: usize, at: Time) -> bool {
+    observations.iter().any(|(ended_at, observation)| {
+        let is_end = matches!(observation,
+            Observation::Fact(Fact::RelayDown { relay: ended }) if *ended as usize == relay);
+        is_end && ended_at.abs_diff(at) <= PROCESS_END_SEEN_WITHIN
+    })
+}
+
 /// The facts, in the order in which the relays knew of them.
 fn facts(observations: &[(Time, Observation)]) -> Vec<(Time, Fact)> {
     let mut facts: Vec<(Time, Fact)> = Vec::new();
@@ -82,6 +97,8 @@
                 let outcome = if unread { AttemptOutcome::Error } else { outcome };
                 kept.push((at, Fact::AttemptEnded { message, call, relay, outcome }));
             }
+            // Endpoints still read what a process that was killed had written.
+            Fact::RelayDown { .. } => kept.push((at + BYTES_READ_WITHIN, fact)),
             // A notification for a message that is over does no harm.
             Fact::FinalAnswerGiven { message, .. } | Fact::FinalAnswerReceived { message }
                 if delivered.contains(&message) => {}
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -149,13 +149,12 @@
         Timer::after(SUCCESSOR_START).await;
         if is_killed {
             self.disturb(Time::MAX);
-            self.recorder.fact(Fact::RelayDown { relay: self.number as u32 });
-            self.platform.note_told_at_start(self.number);
             if let Some(first) = slot.as_mut() {
                 let _ = first.kill();
                 let _ = first.wait();
             }
-            self.recorder.fact(Fact::RelayUp { relay: self.number as u32 });
+            // The successor has to find out first.
+            self.recorder.fact(Fact::RelayStalled { relay: self.number as u32, until: self.recorder.now() });
             self.disturb(self.recorder.now() + DISTURBANCE);
         } else if let Some(first) = slot.as_mut() {
             let _ = kill_process(Pid::from_child(first), Signal::TERM);
