The active process takes over what a successor left that ended before it was active

Cause: messages that a successor had answered +OK lay in its own spool until the next start of a process; an upgrade that was given up left them there past their deadlines. Class: something owed that only a start looks for. Now the active process looks twice a second (stat, and the free lock), writes them into its spool, removes the successor's record, and only then decides on them; a process that finds both locks taken waits 0.5 s before it gives up, as the active one may hold the second for a moment. Searched: next/, spool.new, *.new, handover.json are read or replaced at starts alone and owe nothing. Soak's own faults mended: short writes struck the signal pipe (a stop seemed missed), starts that were on their way.

--- a/crates/fault-shim/src/hooks.rs
+++ b/crates/fault-shim/src/hooks.rs
@@ -42,11 +42,28 @@
     };
     match mode {
         libc::S_IFREG => Kind::File,
-        libc::S_IFSOCK => Kind::Socket,
+        libc::S_IFSOCK if is_network_socket(descriptor) => Kind::Socket,
         _ => Kind::Other,
     }
 }
 
+/// True for a socket of the network: the process's own pairs, over which signals are told, never fail.
+fn is_network_socket(descriptor: c_int) -> bool {
+    let mut domain: c_int = 0;
+    let mut length = size_of::<c_int>() as socklen_t;
+    // SAFETY: the option is an integer of this size.
+    let result = unsafe {
+        libc::getsockopt(
+            descriptor,
+            libc::SOL_SOCKET,
+            libc::SO_DOMAIN,
+            (&raw mut domain).cast(),
+            &raw mut length,
+        )
+    };
+    result == 0 && domain == libc::AF_INET
+}
+
 /// True for a path in the state folder.
 fn is_state(path: *const c_char) -> bool {
     // SAFETY: the caller gave a C string to a function that wants one.
@@ -237,7 +254,9 @@
 #[unsafe(no_mangle)]
 unsafe extern "C" fn recv(descriptor: c_int, bytes: *mut c_void, length: size_t, flags: c_int) -> ssize_t {
     type Function = unsafe extern "C" fn(c_int, *mut c_void, size_t, c_int) -> ssize_t;
-    fail_if_told!(SystemCall::Receive);
+    if kind(descriptor) == Kind::Socket {
+        fail_if_told!(SystemCall::Receive);
+    }
     original!(recv as Function, descriptor, bytes, length, flags)
 }
 
@@ -245,6 +264,9 @@
 #[unsafe(no_mangle)]
 unsafe extern "C" fn send(descriptor: c_int, bytes: *const c_void, length: size_t, flags: c_int) -> ssize_t {
     type Function = unsafe extern "C" fn(c_int, *const c_void, size_t, c_int) -> ssize_t;
+    if kind(descriptor) != Kind::Socket {
+        return original!(send as Function, descriptor, bytes, length, flags);
+    }
     hold();
     write_by(SystemCall::Send, length, |count| original!(send as Function, descriptor, bytes, count, flags))
 }
--- a/crates/relay/src/dispatch/dependencies.rs
+++ b/crates/relay/src/dispatch/dependencies.rs
@@ -5,6 +5,7 @@
 use crate::discovery::EndpointList;
 use crate::metrics::Metrics;
 use crate::notifications::Notification;
+use crate::startup::spool::SuccessorSpool;
 use crate::state_files::StateFiles;
 use crate::violations::Violations;
 use async_channel::{Receiver, Sender};
@@ -31,6 +32,8 @@
     /// Endpoints that earlier processes knew to be draining or removed.
     pub(crate) drain_record: DrainRecord,
     pub(crate) files: StateFiles,
+    /// What a successor that ends too early leaves.
+    pub(crate) successor_spool: SuccessorSpool,
     /// The time line of all that is stored.
     pub(crate) stored_time: StoredTime,
     pub(crate) max_idle_connections: usize,
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -28,6 +28,8 @@
 
 /// Between two looks at idle connections: those that an endpoint closed are let go.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Between two looks for messages of a successor that has ended.
+const ORPHAN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// A step so late means that the process did not run meanwhile.
 const PROCESS_PAUSE: Duration = Duration::from_millis(100);
 /// After such a pause, the time for the other tasks to read what came meanwhile.
@@ -40,6 +42,7 @@
     /// Set once the process was told to stop.
     stopping: Option<Stopping>,
     idle_checked_at: Instant,
+    orphans_checked_at: Instant,
     /// Client connections open now.
     client_connections: Rc<Cell<usize>>,
     /// Closed once client connections are to go.
@@ -58,6 +61,7 @@
             events: dependencies.events.1.clone(),
             stopping: None,
             idle_checked_at: Instant::now(),
+            orphans_checked_at: Instant::now(),
             client_connections: dependencies.client_connections.clone(),
             clients_leave: dependencies.clients_leave.clone(),
             clients_end: dependencies.clients_end.clone(),
@@ -87,11 +91,11 @@
                 self.state.remove_closed_messages();
                 self.state.retry_writes();
             }
-            if events.is_empty() && !self.is_wake_due() && self.stopping.is_none() {
+            let mut inputs = self.take_over_orphaned_messages();
+            if events.is_empty() && inputs.is_empty() && !self.is_wake_due() && self.stopping.is_none() {
                 continue;
             }
             self.state.now = self.state.clock.now();
-            let mut inputs = Vec::new();
             for event in events {
                 self.state.handle(event, &mut inputs);
             }
@@ -107,6 +111,17 @@
         }
     }
 
+    /// From time to time: what a successor has left that ended too early. Not while stopping: the next process finds it.
+    fn take_over_orphaned_messages(&mut self) -> Vec<Input> {
+        let mut inputs = Vec::new();
+        if self.stopping.is_none() && self.orphans_checked_at.elapsed() >= ORPHAN_CHECK_INTERVAL {
+            self.orphans_checked_at = Instant::now();
+            self.state.now = self.state.clock.now();
+            self.state.adopt_orphaned_messages(&mut inputs);
+        }
+        inputs
+    }
+
     /// Waits for an event, or until there is something to do without one. All that comes within the shortest gap
     /// between two steps comes together.
     async fn next_events(&mut self) -> Vec<Event> {
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -2,6 +2,7 @@
 
 use super::state::DispatcherState;
 use crate::clients::SubmissionMetadata;
+use crate::startup::spool::fail_left_out;
 use log::{debug, info};
 use mountshift::interface::*;
 use mountshift_handover::{RouteRecord, Snapshot};
@@ -55,6 +56,40 @@
         }
     }
 
+    /// Takes over what a successor accepted that has ended before it was active: nobody else would send it before the
+    /// next start of a process. Nothing is decided on it before the successor's own record of it is gone: else a process
+    /// after this one would take it over once more.
+    pub(super) fn adopt_orphaned_messages(&mut self, inputs: &mut Vec<Input>) {
+        let Some(orphaned) = self.successor_spool.take_orphaned() else { return };
+        let mut adopted = Vec::new();
+        let mut left_out = Vec::new();
+        for stored in &orphaned.messages {
+            if self.messages_by_id.contains_key(&stored.accepted.id) {
+                continue;
+            }
+            let number = self.spool.borrow_mut().accept(stored.accepted.clone());
+            match number {
+                Some(number) => adopted.push((MessageId(number), stored.clone())),
+                None => left_out.push(stored.clone()),
+            }
+        }
+        let is_committed = self.commit_spool();
+        if !is_committed || orphaned.remove().is_err() {
+            // Tried again at the next look.
+            for (message, _) in adopted {
+                self.spool.borrow_mut().remove(message.0);
+            }
+            return;
+        }
+        info!("takes over {} messages of a successor that has ended", adopted.len());
+        for stored in left_out {
+            fail_left_out(stored, &self.notifications);
+        }
+        for (message, stored) in adopted {
+            self.restore_message(message, stored, inputs);
+        }
+    }
+
     fn restore_message(&mut self, message: MessageId, stored: StoredMessage, inputs: &mut Vec<Input>) {
         self.messages_by_id.insert(stored.accepted.id.clone(), message);
         let submission = self.restored_submission(&stored);
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -6,6 +6,7 @@
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::notifications::Notification;
+use crate::startup::spool::SuccessorSpool;
 use crate::state_files::StateFiles;
 use crate::transitions::Transition;
 use crate::upstream::{CallStage, ConnectionPool, EndpointTable};
@@ -104,6 +105,7 @@
     /// Endpoints known to be draining or removed, whatever an older list says.
     pub(super) drain_record: DrainRecord,
     pub(super) files: StateFiles,
+    pub(super) successor_spool: SuccessorSpool,
     /// The messages in the spool, by the ids that clients gave them.
     pub(super) messages_by_id: BTreeMap<Vec<u8>, MessageId>,
     /// Hashes of the ids of messages that ended lately.
@@ -153,6 +155,7 @@
             maintenance: dependencies.maintenance,
             drain_record: dependencies.drain_record,
             files: dependencies.files,
+            successor_spool: dependencies.successor_spool,
             messages_by_id: BTreeMap::new(),
             recently_ended: VecDeque::new(),
             calls_in_flight: BTreeMap::new(),
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -30,7 +30,7 @@
 use startup::config::StartConfig;
 use startup::listener::client_listener;
 use startup::patience::Patience;
-use startup::spool::{ActiveSpool, open_spool};
+use startup::spool::{ActiveSpool, SuccessorSpool, open_spool};
 use startup::state_dir::StateDir;
 use startup::tasks::RelayTasks;
 use state_files::StateFiles;
@@ -119,6 +119,7 @@
     let opened = open_spool(&config, &state_dir, &files, stored_time, &tasks).await?;
     let Some(ActiveSpool { spool, deferred_events }) = opened else { return Ok(()) };
     state_dir.release_successor_lock();
+    let successor_spool = SuccessorSpool::new(&config, &state_dir);
     let patience = Patience::of_start();
     let restores_snapshot = mountshift_handover::reads_snapshot(state_dir.role);
     if !restores_snapshot {
@@ -145,6 +146,7 @@
         snapshot: if restores_snapshot { files.read_snapshot(&patience) } else { None },
         drain_record: files.read_drain_record(&patience),
         stored_time,
+        successor_spool,
         files,
     });
     for event in deferred_events {
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -3,7 +3,7 @@
 
 use super::config::StartConfig;
 use super::patience::{MayPass, Patience};
-use super::state_dir::StateDir;
+use super::state_dir::{StateDir, take_free_lock};
 use super::tasks::RelayTasks;
 use crate::clock::StoredTime;
 use crate::dispatch::Event;
@@ -16,7 +16,9 @@
 use mountshift::interface::MessageId;
 use mountshift_handover::{ACTIVE_DISK_SHARE, Role, SUCCESSOR_DISK_SHARE, Side};
 use mountshift_spool::{FinalOutcome, Spool, SpoolError, StoredMessage};
-use std::path::Path;
+use std::fs::File;
+use std::io;
+use std::path::{Path, PathBuf};
 
 /// A message that is not in the spool has no number; the dispatcher knows none by this one.
 const NOT_IN_SPOOL: MessageId = MessageId(u64::MAX);
@@ -105,6 +107,55 @@
     Ok(Some(ActiveSpool { spool, deferred_events }))
 }
 
+/// The spool that a successor writes, as the active process beside it sees it: once the successor has ended without
+/// becoming active, what it accepted is the active process's.
+pub(crate) struct SuccessorSpool {
+    dir: PathBuf,
+    max_bytes: u64,
+    max_attempts: u64,
+    max_zone_bytes: u64,
+}
+
+/// The messages of a successor that has ended.
+pub(crate) struct OrphanedSpool {
+    /// In the order in which they were accepted.
+    pub(crate) messages: Vec<StoredMessage>,
+    file: PathBuf,
+    /// No other successor begins to write meanwhile.
+    _lock: File,
+}
+
+impl SuccessorSpool {
+    pub(crate) fn new(config: &StartConfig, state_dir: &StateDir) -> SuccessorSpool {
+        let opener = SpoolOpener::new(config, state_dir);
+        SuccessorSpool {
+            dir: state_dir.successor_path.clone(),
+            max_bytes: config.disk_share(SUCCESSOR_DISK_SHARE),
+            max_attempts: opener.max_attempts,
+            max_zone_bytes: opener.max_zone_bytes,
+        }
+    }
+
+    /// What a successor has left; none while one runs, or where none has left anything.
+    pub(crate) fn take_orphaned(&self) -> Option<OrphanedSpool> {
+        let file = self.dir.join(mountshift_spool::FILE_NAME);
+        if !file.exists() {
+            return None;
+        }
+        let lock = take_free_lock(&self.dir)?;
+        let spool = Spool::open(&self.dir, self.max_bytes, self.max_attempts, self.max_zone_bytes);
+        let messages = spool.ok()?.messages().values().cloned().collect();
+        Some(OrphanedSpool { messages, file, _lock: lock })
+    }
+}
+
+impl OrphanedSpool {
+    /// Removes what was left, once it stands in the active process's spool.
+    pub(crate) fn remove(&self) -> io::Result<()> {
+        std::fs::remove_file(&self.file)
+    }
+}
+
 impl MayPass for StartError {
     fn may_pass(&self) -> bool {
         matches!(self, StartError::Spool { source: SpoolError::Io(source), .. } if source.may_pass())
@@ -196,7 +247,7 @@
     messages.iter().map(|message| (message.accepted.id.as_slice(), message.accepted.accepted_at_us)).collect()
 }
 
-fn fail_left_out(message: StoredMessage, notifications: &Sender<Notification>) {
+pub(crate) fn fail_left_out(message: StoredMessage, notifications: &Sender<Notification>) {
     let id = message.accepted.id;
     warn!(
         "spool: no room for message {} of the process before; it ends as failed",
--- a/crates/relay/src/startup/state_dir.rs
+++ b/crates/relay/src/startup/state_dir.rs
@@ -6,6 +6,12 @@
 use std::fs::{File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// Both locks may be taken for a moment without a third process being one too many.
+const TAKEN_LOCK_PATIENCE: Duration = Duration::from_millis(500);
+/// Between two tries to take them.
+const TAKEN_LOCK_PAUSE: Duration = Duration::from_millis(20);
 
 /// The state folder of a process, which holds its locks.
 pub(crate) struct StateDir {
@@ -27,12 +33,25 @@
         let successor_path = path.join(SUCCESSOR_DIR);
         let unusable = |path: PathBuf| move |source| StartError::State { path, source };
         patience.retry(|| std::fs::create_dir_all(&successor_path)).map_err(unusable(path.to_path_buf()))?;
-        let active = patience.retry(|| try_lock(path)).map_err(unusable(path.join(LOCK_FILE)))?;
-        let successor =
-            patience.retry(|| try_lock(&successor_path)).map_err(unusable(successor_path.join(LOCK_FILE)))?;
-        let successor_spool_exists = successor_path.join(mountshift_spool::FILE_NAME).exists();
-        let role = mountshift_handover::role(active.acquired, successor.acquired, successor_spool_exists)
-            .map_err(|e| StartError::StateDirInUse { path: path.to_path_buf(), reason: e.to_string() })?;
+        let started = Instant::now();
+        let (active, successor, role) = loop {
+            let active = patience.retry(|| try_lock(path)).map_err(unusable(path.join(LOCK_FILE)))?;
+            let successor = patience
+                .retry(|| try_lock(&successor_path))
+                .map_err(unusable(successor_path.join(LOCK_FILE)))?;
+            let successor_spool_exists = successor_path.join(mountshift_spool::FILE_NAME).exists();
+            match mountshift_handover::role(active.acquired, successor.acquired, successor_spool_exists) {
+                Ok(role) => break (active, successor, role),
+                // The active process holds the second lock for a moment while it takes over what a successor left.
+                Err(_) if started.elapsed() < TAKEN_LOCK_PATIENCE => std::thread::sleep(TAKEN_LOCK_PAUSE),
+                Err(e) => {
+                    return Err(StartError::StateDirInUse {
+                        path: path.to_path_buf(),
+                        reason: e.to_string(),
+                    });
+                }
+            }
+        };
         Ok(StateDir {
             path: path.to_path_buf(),
             successor_path,
@@ -54,6 +73,12 @@
     file.is_ok_and(|file| matches!(file.try_lock(), Err(TryLockError::WouldBlock)))
 }
 
+/// The lock in `dir`, if it is free; held while the file is open.
+pub(crate) fn take_free_lock(dir: &Path) -> Option<File> {
+    let attempt = try_lock(dir).ok()?;
+    attempt.acquired.then_some(attempt.file)
+}
+
 /// A lock file, and whether its lock is this process's.
 struct LockAttempt {
     file: File,
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -141,7 +141,9 @@
     async fn break_disk(&self, fault: &ScheduledFault, span: Duration) {
         let relays = self.struck_relays(fault);
         for relay in &relays {
-            relay.set_may_kill_itself(fault.kind == FaultKind::TornKill);
+            if fault.kind == FaultKind::TornKill {
+                relay.begin_self_kills();
+            }
             for (call, how) in disk_faults(fault) {
                 let _ = relay.faults.set_call_fault(call, how);
             }
@@ -161,7 +163,7 @@
             // The watcher starts again what killed itself.
             Timer::after(RESTART_PART * 2).await;
             for relay in &relays {
-                relay.set_may_kill_itself(false);
+                relay.end_self_kills();
             }
         }
     }
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -16,7 +16,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 /// A relay is ready within this time of its start.
@@ -74,8 +74,8 @@
     agent_address: AtomicUsize,
     /// Until then a request without an answer is put down to the process's end or start.
     disturbed_until: AtomicU64,
-    /// A fault may make the process end itself.
-    may_kill_itself: AtomicBool,
+    /// How many faults may make the process end itself.
+    self_kill_faults: AtomicUsize,
 }
 
 impl RelayProcess {
@@ -110,7 +110,7 @@
             child: Mutex::new(None),
             agent_address: AtomicUsize::new(0),
             disturbed_until: AtomicU64::new(0),
-            may_kill_itself: AtomicBool::new(false),
+            self_kill_faults: AtomicUsize::new(0),
         })
     }
 
@@ -187,15 +187,25 @@
         let Some(status) = child.as_mut().and_then(|child| child.try_wait().ok().flatten()) else { return };
         self.disturb(Time::MAX);
         self.recorder.fact(Fact::RelayDown { relay: self.number as u32 });
-        if !self.may_kill_itself.load(Ordering::SeqCst) {
+        if !self.may_kill_itself() {
             self.note_process(format!("ended by itself: {status}"));
         }
         Timer::after(RESTART_AFTER).await;
         self.start_locked(&mut child).await;
     }
 
-    pub(crate) fn set_may_kill_itself(&self, may: bool) {
-        self.may_kill_itself.store(may, Ordering::SeqCst);
+    /// A fault begins that may make the process end itself, ...
+    pub(crate) fn begin_self_kills(&self) {
+        self.self_kill_faults.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// ... and is over.
+    pub(crate) fn end_self_kills(&self) {
+        self.self_kill_faults.fetch_sub(1, Ordering::SeqCst);
+    }
+
+    fn may_kill_itself(&self) -> bool {
+        self.self_kill_faults.load(Ordering::SeqCst) > 0
     }
 
     /// True if an end or start of the process may have taken an answer away that was due at `since` or later.
@@ -231,7 +241,7 @@
 
     fn check_end(&self, status: Option<ExitStatus>, kill_after: Option<Duration>) {
         match status {
-            Some(status) if status.success() || self.may_kill_itself.load(Ordering::SeqCst) => {}
+            Some(status) if status.success() || self.may_kill_itself() => {}
             Some(status) => self.note_process(format!("ended after SIGTERM with {status}")),
             None if kill_after.is_some() => {}
             None => self.note_process(format!("had not ended {KILL_AFTER:?} after SIGTERM")),
@@ -242,6 +252,7 @@
         self.write_config();
         // What its agent has counts as told from the first moment of a process.
         self.platform.note_told_at_start(self.number);
+        self.note_starting();
         let started = Instant::now();
         match self.spawn() {
             Ok(child) => *slot = Some(child),
@@ -250,12 +261,13 @@
         while !self.is_ready().await {
             let ended = slot.as_mut().and_then(|child| child.try_wait().ok().flatten());
             if let Some(status) = ended {
-                if !self.may_kill_itself.load(Ordering::SeqCst) {
+                if !self.may_kill_itself() {
                     self.note_process(format!("ended while it started: {status}"));
                 }
                 self.recorder.fact(Fact::RelayDown { relay: self.number as u32 });
                 Timer::after(RESTART_AFTER).await;
                 self.platform.note_told_at_start(self.number);
+                self.note_starting();
                 match self.spawn() {
                     Ok(child) => *slot = Some(child),
                     Err(e) => return self.note_process(format!("not started: {e}")),
@@ -270,6 +282,12 @@
         self.disturb(self.recorder.now() + DISTURBANCE);
     }
 
+    /// Until the process is seen to be ready, no final answer of it is overdue.
+    fn note_starting(&self) {
+        let until = self.recorder.now() + READY_WITHIN.as_micros() as Time;
+        self.recorder.fact(Fact::RelayStalled { relay: self.number as u32, until });
+    }
+
     fn spawn(&self) -> std::io::Result<Child> {
         let log = std::fs::File::options().create(true).append(true).open(self.dir.join("log"))?;
         let mut command = Command::new(&self.programs.relay);
