--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -11,13 +11,14 @@
 mod tests;
 
 use crate::metrics::Metrics;
+use crate::transitions::Transition;
 use crate::violations::{Evidence, ViolationKind, Violations};
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use connection::{ClientConnection, CloseReason};
 use futures_lite::FutureExt;
-use log::{info, warn};
+use log::{debug, info, warn};
 use mountshift::interface::MessageId;
 use mountshift_maintenance::MaintenanceState;
 use std::cell::{Cell, RefCell};
@@ -247,7 +248,16 @@
 async fn serve_connection(mut connection: ClientConnection, peer: SocketAddr, service: Rc<ClientService>) {
     let reason = connection.run(&service).await;
     check_owes_nothing(&connection, reason, &service);
-    service.config.metrics.count_closed_connection(&reason.to_string());
+    let reason_text = reason.to_string();
+    service.config.metrics.count_closed_connection(&reason_text);
+    let transition = Transition {
+        connection: Some(connection.number),
+        from: "open",
+        to: "closed",
+        reason: &reason_text,
+        ..Transition::default()
+    };
+    debug!("{transition}");
     info!("connection from {peer} ended: {reason} after {} requests", connection.requests);
     service.stop_waiting(connection.number);
     service.config.open_connections.set(service.config.open_connections.get() - 1);
--- a/crates/spool/src/log_file.rs
+++ b/crates/spool/src/log_file.rs
@@ -90,7 +90,7 @@
         let torn_bytes = bytes.len() - log.whole_bytes;
         if torn_bytes > 0 {
             // Cut short by the end of a process: it was never committed.
-            warn!("spool: drops a torn tail of {torn_bytes} bytes after {}", log.whole_bytes);
+            warn!("spool: dropped a torn tail of {torn_bytes} bytes after {}", log.whole_bytes);
         }
         spool.has_torn_tail = torn_bytes > 0;
         spool.written_bytes = log.whole_bytes as u64;
