Failing test: sends and receives that fail for a moment take answers away

send and recv may fail by EINTR, ENOBUFS, ENOMEM (their pages); a client connection then ends without its answer, a call counts against its destination. Found by reading all places that match on an error's kind.

--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -177,3 +177,25 @@
     until_within(ms(2_000), "the second message", || endpoint.ids() == ["pay2"]);
     assert!(fixture.platform.notifications().is_empty());
 }
+
+#[test_case(libc::EINTR; "interrupted")]
+#[test_case(libc::ENOBUFS; "no buffers")]
+#[test_case(libc::ENOMEM; "no memory")]
+fn sends_and_receives_that_fail_for_a_moment_cost_no_answer_and_no_attempt(errno: i32) {
+    let endpoint = Server::start(|_| ok());
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let faults = fixture.faults();
+    let relay = fixture.relay_with_faults(&faults);
+    let at_times = CallFault { errno, fail_rate: FULL_RATE / 3, ..CallFault::default() };
+    faults.set_call_fault(SystemCall::Send, at_times).expect("a fault");
+    faults.set_call_fault(SystemCall::Receive, at_times).expect("a fault");
+    let ids: BTreeSet<String> = (0..40).map(|n| format!("m{n}")).collect();
+    for id in &ids {
+        assert_eq!(relay.submit(id, 0, "c=once,d=15000,dest=7", b"x"), "+OK", "{id}");
+    }
+    until("all messages", || delivered(&endpoint) == ids);
+    assert_eq!(endpoint.ids().len(), ids.len(), "each once");
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
+    assert!(!fixture.log().contains("Closed -> Open"), "no breaker opens");
+    assert!(faults.injected(SystemCall::Send).expect("a count") > 10);
+}
