--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -317,16 +317,13 @@
     }
 
     fn submit(&self, id: &str, key: u64, class: &str) {
+        assert_eq!(self.answer_to(id, key, class), "+OK");
+    }
+
+    fn answer_to(&self, id: &str, key: u64, class: &str) -> String {
         let mut client = Client(std::io::BufReader::new(TcpStream::connect(self.at).expect("a connection")));
-        assert_eq!(
-            client.ask(&submit_request(
-                id,
-                key,
-                &format!("c={class},d={},dest=7", TIME_TO_DEADLINE.as_millis()),
-                b"x"
-            )),
-            "+OK"
-        );
+        let list = format!("c={class},d={},dest=7", TIME_TO_DEADLINE.as_millis());
+        client.ask(&submit_request(id, key, &list, b"x"))
     }
 
     fn log(&self) -> String {
@@ -467,6 +464,30 @@
     assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
 
+// Both processes accept for a moment. A message of a key that the successor accepted would wait for the handover, while the
+// active process sends the next one of the key. Found by the soak (seed 3, 60 s).
+#[test]
+fn a_successor_accepts_messages_in_order_only_once_the_active_process_sends_nothing_new() {
+    let fixture = upgrade();
+    let mut active = fixture.start(0);
+    fixture.submit("out", 0, "once");
+    fixture.gate.wait_for_arrivals(1);
+    let _successor = fixture.start(1);
+    active.signal("STOP");
+    assert_eq!(fixture.answer_to("early", 6, "pay"), "-BUSY");
+    fixture.submit("free", 6, "once");
+    active.signal("CONT");
+    // The call at the gate keeps the active process for a while.
+    active.term();
+    until("the handover to be seen", || fixture.answer_to("pay", 6, "pay") == "+OK");
+    fixture.gate.open();
+    assert!(active.ended_within(ms(3_600)));
+    until("all messages", || fixture.endpoint.ids().len() == 3);
+    let mut ids = fixture.endpoint.ids();
+    ids.sort();
+    assert_eq!(ids, ["free", "out", "pay"]);
+}
+
 // A notification that the platform has not taken at the handover is owed: the successor tells it again.
 #[test]
 fn a_pending_notification_at_a_handover_is_sent_by_the_successor() {
