A successor accepts messages in order only once the active process sends nothing new

Cause: in an upgrade both processes accept for a moment; what a successor accepts of a key waits for the handover while the active process sends the next one. Class: two owners of one order. Now the active process makes the file handing-over as it stops sending, and a successor answers -BUSY to messages in order until it is there (beside an older version: until that has ended). Test changed: a_call_in_flight_when_the_active_process_is_killed.. submitted the second message of a key to the successor beside a process that could still send; it goes to the active process now, and the successor's -BUSY is demanded.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -23,8 +23,8 @@
 pub use error::HandoverError;
 pub use merge::{Side, merge};
 pub use role::{
-    ACTIVE_DISK_SHARE, HOLD_MARGIN, LOCK_FILE, LOCK_POLL_INTERVAL, MAX_HOLD, Role, SUCCESSOR_DIR,
-    SUCCESSOR_DISK_SHARE, accepts, reads_snapshot, role,
+    ACTIVE_DISK_SHARE, HANDING_OVER_FILE, HOLD_MARGIN, LOCK_FILE, LOCK_POLL_INTERVAL, MAX_HOLD, Role,
+    SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, accepts, reads_snapshot, role,
 };
 pub use snapshot::{FORMAT, RouteRecord, SNAPSHOT_FILE, Snapshot};
 pub use stop_plan::{HANDOVER, RESTART, StopPlan, stop_plan};
--- a/crates/handover/src/role.rs
+++ b/crates/handover/src/role.rs
@@ -5,6 +5,9 @@
 
 /// The lock's file, in the state folder for the active process and in [`SUCCESSOR_DIR`] for its successor.
 pub const LOCK_FILE: &str = "lock";
+/// The file in the state folder that an active process makes as it begins to hand over: it sends nothing new from then
+/// on. Whoever becomes active removes it.
+pub const HANDING_OVER_FILE: &str = "handing-over";
 /// The successor's folder in the state folder.
 pub const SUCCESSOR_DIR: &str = "next";
 /// How often a successor tries the active process's lock: nobody sends between its end and the next try.
@@ -60,7 +63,8 @@
 }
 
 /// True if a successor accepts a message with `left` until its deadline; else it is rejected, as it might expire
-/// while nobody may send it.
-pub fn accepts(left: Duration) -> bool {
-    left > MAX_HOLD + HOLD_MARGIN
+/// while nobody may send it. One that has its place in the order of a key is accepted only once the active process sends
+/// nothing new: until then it could send the next one of the key before this one.
+pub fn accepts(left: Duration, is_in_order: bool, active_sends: bool) -> bool {
+    left > MAX_HOLD + HOLD_MARGIN && !(is_in_order && active_sends)
 }
--- a/crates/handover/src/tests.rs
+++ b/crates/handover/src/tests.rs
@@ -15,9 +15,12 @@
 
 #[test]
 fn a_successor_accepts_only_what_has_time_left_beyond_its_longest_hold() {
-    assert!(!accepts(MAX_HOLD));
-    assert!(!accepts(MAX_HOLD + HOLD_MARGIN));
-    assert!(accepts(Duration::from_secs(8)));
+    for (is_in_order, active_sends) in [(false, true), (false, false), (true, false)] {
+        assert!(!accepts(MAX_HOLD, is_in_order, active_sends));
+        assert!(!accepts(MAX_HOLD + HOLD_MARGIN, is_in_order, active_sends));
+        assert!(accepts(Duration::from_secs(8), is_in_order, active_sends));
+    }
+    assert!(!accepts(Duration::from_secs(8), true, true), "the active process may send the next of the key");
 }
 
 #[test]
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -180,6 +180,7 @@
         // A successor takes over what is held: nothing more is sent from here.
         if plan.hands_over {
             info!("hands over to the process beside it");
+            self.files.write_handing_over();
             inputs.push(Input::HandoverStarted);
         }
     }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -122,6 +122,7 @@
     state_dir.release_successor_lock();
     let successor_spool = SuccessorSpool::new(&config, &state_dir);
     let patience = Patience::of_start();
+    files.discard_handing_over(&patience);
     let restores_snapshot = mountshift_handover::reads_snapshot(state_dir.role);
     if !restores_snapshot {
         files.discard_snapshot(&patience);
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -80,6 +80,7 @@
         spool: successor,
         active_lock: &state_dir.active_lock,
         classes: &config.socket_settings.classes,
+        ordered_classes: config.policy_settings.classes.iter().map(|class| class.in_order).collect(),
         maintenance: tasks.maintenance.clone(),
         files,
         stored_time,
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -7,7 +7,7 @@
 use crate::startup::patience::Patience;
 use log::{error, info};
 use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ReadDrainRecord};
-use mountshift_handover::{SNAPSHOT_FILE, Snapshot};
+use mountshift_handover::{HANDING_OVER_FILE, SNAPSHOT_FILE, Snapshot};
 use mountshift_maintenance::MaintenanceState;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -96,6 +96,24 @@
         }
     }
 
+    /// Tells a successor that this process sends nothing new from now on.
+    pub(crate) fn write_handing_over(&self) {
+        self.replace(HANDING_OVER_FILE, "");
+    }
+
+    /// True once the active process has told that it sends nothing new.
+    pub(crate) fn is_handing_over(&self) -> bool {
+        self.dir.join(HANDING_OVER_FILE).exists()
+    }
+
+    /// This process is the active one, and sends.
+    pub(crate) fn discard_handing_over(&self, patience: &Patience) {
+        let path = self.dir.join(HANDING_OVER_FILE);
+        if let Err(e) = patience.retry(|| remove_if_present(&path)) {
+            error!("{HANDING_OVER_FILE}: {e}");
+        }
+    }
+
     /// Endpoints that earlier processes knew to be draining or removed. What can't be read is left out: the rest
     /// still counts, and discovery is asked before anything is sent.
     pub(crate) fn read_drain_record(&self, patience: &Patience) -> DrainRecord {
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -39,8 +39,10 @@
     pub(crate) spool: Spool,
     /// The active process's lock, to be taken once it is free.
     pub(crate) active_lock: &'a File,
-    /// The names of the message classes.
+    /// The names of the message classes, ...
     pub(crate) classes: &'a [String],
+    /// ... and which of them keep their messages in order.
+    pub(crate) ordered_classes: Vec<bool>,
     pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
     pub(crate) files: &'a StateFiles,
     /// The time line of all that is stored.
@@ -134,7 +136,9 @@
             return Err(SubmissionReply::AlreadyHeld);
         }
         let time_left = message.metadata.time_to_deadline.saturating_sub(message.received_at.elapsed());
-        if !accepts(time_left) {
+        let class = self.options.classes.iter().position(|class| *class == message.metadata.class);
+        let is_in_order = class.is_some_and(|class| self.options.ordered_classes[class]) && message.key != 0;
+        if !accepts(time_left, is_in_order, !self.options.files.is_handing_over()) {
             return Err(SubmissionReply::Rejected { retry_after_ms: 0 });
         }
         let now = self.options.stored_time.now();
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -368,10 +368,11 @@
     let mut active = fixture.start(0);
     fixture.submit("m1", 5, class);
     fixture.gate.wait_for_arrivals(1);
+    // Before the successor starts: beside an active process that sends it accepts no message in order.
+    fixture.submit("m2", 5, class);
     let _successor = fixture.start(1);
-    // A suspended process accepts nothing: this one goes to the successor.
     active.signal("STOP");
-    fixture.submit("m2", 5, class);
+    assert_eq!(fixture.answer_to("m3", 5, class), "-BUSY");
     fixture.gate.open();
     active.signal("KILL");
     assert!(active.ended_within(ms(3_600)));
