Soak: faults of a group strike the same relays more often, and something is owed

Cause: with targets drawn one by one, a planted fault that needs two troubles at one relay was met too seldom (trial: stored-time, torn-write, hold-off not found in the first seeds of 20 s, 8 relays).

--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -14,9 +14,13 @@
 /// The shortest run in which a fault can begin, be over and leave something owed, in seconds.
 const MIN_SECONDS: u64 = 10;
 /// Milliseconds between the beginnings of two groups of faults, drawn between these.
-const GROUP_GAP_MS: (u64, u64) = (2_000, 6_000);
+const GROUP_GAP_MS: (u64, u64) = (2_000, 5_000);
 /// Faults in a group at most; they overlap.
-const MAX_GROUP: usize = 3;
+const MAX_GROUP: usize = 4;
+/// How often a fault of a group strikes what an earlier one strikes.
+const SAME_TARGETS: f64 = 0.7;
+/// How often a group that holds no trouble at endpoints gets one: without it little is owed when a relay is struck.
+const ENDPOINT_TROUBLE: f64 = 0.5;
 /// Milliseconds before the first fault, and without one before the end.
 const QUIET_MS: u64 = 2_000;
 
@@ -165,6 +169,19 @@
     pub faults: Vec<ScheduledFault>,
 }
 
+/// The kind of a group's next fault.
+fn draw_kind(kinds: &[FaultKind], group: &[ScheduledFault], random: &mut ChaCha8Rng) -> FaultKind {
+    let lacks_endpoints = group.iter().all(|fault| fault.kind.strikes_relays());
+    let at_endpoints: Vec<FaultKind> = kinds.iter().copied().filter(|kind| !kind.strikes_relays()).collect();
+    if lacks_endpoints
+        && random.random_bool(ENDPOINT_TROUBLE)
+        && let Some(kind) = at_endpoints.choose(random)
+    {
+        return *kind;
+    }
+    kinds.choose(random).copied().unwrap_or(FaultKind::Kill)
+}
+
 impl Schedule {
     /// Draws a schedule with faults of these kinds.
     ///
@@ -183,11 +200,21 @@
         let end_ms = seconds * 1_000 - QUIET_MS;
         let mut group_at = QUIET_MS;
         while group_at + QUIET_MS < end_ms && !kinds.is_empty() {
+            let mut group: Vec<ScheduledFault> = Vec::new();
             for _ in 0..random.random_range(1..=MAX_GROUP) {
                 let at_ms = group_at + random.random_range(0..1_000);
-                let kind = *kinds.choose(&mut random).unwrap_or(&FaultKind::Kill);
-                schedule.faults.push(schedule.draw_fault(kind, at_ms, end_ms, &mut random));
+                let kind = draw_kind(&kinds, &group, &mut random);
+                let mut fault = schedule.draw_fault(kind, at_ms, end_ms, &mut random);
+                // What strikes the same relays is what crosses.
+                let earlier = group.iter().find(|e| e.kind.strikes_relays() == kind.strikes_relays());
+                if let Some(earlier) = earlier
+                    && random.random_bool(SAME_TARGETS)
+                {
+                    fault.targets.clone_from(&earlier.targets);
+                }
+                group.push(fault);
             }
+            schedule.faults.append(&mut group);
             group_at += random.random_range(GROUP_GAP_MS.0..=GROUP_GAP_MS.1);
         }
         schedule.faults.sort_by_key(|fault| fault.at_ms);
