--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -5,6 +5,8 @@
 //! writes their replies. Never takes back a message whose reply left whole, and never reads without a bound.
 
 use super::ClientService;
+use super::close_reason::CloseReason;
+use super::lingering::{DISCARD_PAUSE, discard_briefly, discard_chunk, write_at_once};
 use super::protocol::{self, Command, CommandError, ProtocolError};
 use super::submission::{MAX_BODY_BYTES, SubmissionReply};
 use crate::transient::{self, is_transient};
@@ -13,8 +15,7 @@
 use futures_lite::{AsyncWrite, FutureExt};
 use log::debug;
 use mountshift::interface::MessageId;
-use std::fmt;
-use std::io::{self, Read, Write};
+use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
 use std::time::{Duration, Instant};
 
@@ -23,8 +24,6 @@
 const MAX_REQUEST_BYTES: usize = MAX_BODY_BYTES + 4 * 1024;
 /// Bytes that one read takes.
 pub(super) const READ_CHUNK_BYTES: usize = 16 * 1024;
-/// Bytes that one read takes from a connection whose input is dropped.
-const DISCARD_CHUNK_BYTES: usize = 64 * 1024;
 /// The first request must begin by then, a request that has begun must be whole and a reply taken: far more than a
 /// client that is well needs, and within what others may be kept waiting for a place.
 const SLOW_CLIENT_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -42,71 +41,6 @@
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How much of it is.
 const MAX_DISCARDED_BYTES: usize = 80_000_000;
-/// How long it is read where the place is needed for another connection: a client that is well has sent the rest of its
-/// request by then, and reads its reply before the close can reset the connection.
-pub(super) const SHORT_DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
-/// Tries of a write that is not waited for.
-const MAX_WRITES_AT_ONCE: usize = 20;
-/// The pause between two such reads, which leaves other connections their turn.
-const DISCARD_PAUSE: Duration = Duration::from_millis(1);
-
-/// Why a connection ended, as its log line tells.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum CloseReason {
-    /// The socket failed.
-    Broken,
-    /// The client ended its sending.
-    Closed,
-    /// The client was gone before its replies could be written.
-    ClosedBeforeReply,
-    /// No first request came.
-    Silent,
-    /// A request did not arrive whole in time, or replies were not taken.
-    Slow,
-    /// Nothing was asked for a long while, or another connection needed the place.
-    Idle,
-    /// Another connection needed the place before its request was whole.
-    Evicted,
-    /// The client said that it was done.
-    Quit,
-    /// What came was no request.
-    ProtocolError,
-    /// The process ends.
-    Stopping,
-    /// Clients are to go to another relay.
-    Standby,
-}
-
-impl CloseReason {
-    /// True where the client ended the connection, or took no replies.
-    pub(super) fn is_clients_doing(self) -> bool {
-        matches!(
-            self,
-            CloseReason::Broken
-                | CloseReason::ClosedBeforeReply
-                | CloseReason::Slow
-                | CloseReason::ProtocolError
-        )
-    }
-}
-
-impl fmt::Display for CloseReason {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
-            CloseReason::Broken => "broken",
-            CloseReason::Closed => "closed",
-            CloseReason::ClosedBeforeReply => "closed-before-answer",
-            CloseReason::Silent => "silent",
-            CloseReason::Slow => "slow",
-            CloseReason::Idle => "idle",
-            CloseReason::Evicted => "evicted",
-            CloseReason::Quit => "quit",
-            CloseReason::ProtocolError => "protocol",
-            CloseReason::Stopping => "stopping",
-            CloseReason::Standby => "standby",
-        })
-    }
-}
 
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -559,51 +493,6 @@
     }
 }
 
-/// Writes what a connection takes at once; transient errors are tried over.
-pub(super) fn write_at_once(mut stream: &TcpStream, bytes: &[u8]) {
-    for _ in 0..MAX_WRITES_AT_ONCE {
-        match stream.write(bytes) {
-            Err(e) if is_transient(&e) => {}
-            _ => return,
-        }
-    }
-}
-
-/// Reads and drops some of what has come. Not async: a buffer that lives across an `await` would be held by every
-/// connection for as long as it is open.
-pub(super) fn discard_chunk(stream: &Async<TcpStream>) -> io::Result<usize> {
-    stream.get_ref().read(&mut [0; DISCARD_CHUNK_BYTES])
-}
-
-/// Reads and drops for a moment what still comes, so that the close does not take the reply away; not at all if too many
-/// connections end like this at once.
-pub(super) async fn discard_briefly(stream: &Async<TcpStream>, service: &ClientService) {
-    if service.start_lingering() {
-        discard_until(stream, Instant::now() + SHORT_DISCARD_TIMEOUT).await;
-        service.stop_lingering();
-    }
-}
-
-async fn discard_until(stream: &Async<TcpStream>, due: Instant) {
-    while Instant::now() < due {
-        match discard_chunk(stream) {
-            Ok(0) => return,
-            Ok(_) => drop(Timer::after(DISCARD_PAUSE).await),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                let late = async {
-                    Timer::at(due).await;
-                };
-                let readable = async {
-                    let _ = stream.readable().await;
-                };
-                readable.or(late).await;
-            }
-            Err(e) if is_transient(&e) => transient::pause().await,
-            Err(_) => return,
-        }
-    }
-}
-
 /// Whether a client may still send.
 enum Input {
     Open,
--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -4,7 +4,9 @@
 //! [`ClientService`] owns what connections share. `connection` serves one of them, `protocol` reads and writes RESP2,
 //! `submission` is what a request hands to the dispatcher. Nothing here decides on a message.
 
+mod close_reason;
 mod connection;
+mod lingering;
 mod protocol;
 mod submission;
 #[cfg(test)]
@@ -16,7 +18,8 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use connection::{ClientConnection, CloseReason};
+use close_reason::CloseReason;
+use connection::ClientConnection;
 use futures_lite::FutureExt;
 use log::{debug, info, warn};
 use mountshift::interface::MessageId;
@@ -284,10 +287,10 @@
     open_connections.set(open_connections.get() + 1);
     let socket = stream.get_ref();
     let _ = socket.set_nodelay(true);
-    connection::write_at_once(socket, protocol::BUSY.as_bytes());
+    lingering::write_at_once(socket, protocol::BUSY.as_bytes());
     let _ = socket.shutdown(Shutdown::Write);
-    let _ = connection::discard_chunk(&stream);
-    connection::discard_briefly(&stream, &service).await;
+    let _ = lingering::discard_chunk(&stream);
+    lingering::discard_briefly(&stream, &service).await;
     info!("connection from {peer} ended: too-many after 0 requests");
     open_connections.set(open_connections.get() - 1);
 }
--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -133,6 +133,19 @@
     });
 }
 
+/// The client hears `-BUSY`, then sends the rest of its request in two pieces, and meets no reset.
+async fn expect_rejection_and_send(far: &mut Async<TcpStream>, rest: &str) {
+    let mut reply = [0; 7];
+    futures_lite::AsyncReadExt::read_exact(far, &mut reply).await.expect("a reply");
+    assert_eq!(&reply, b"-BUSY\r\n");
+    for piece in [&rest[..2], &rest[2..]] {
+        far.get_ref().write_all(piece.as_bytes()).expect("taken");
+    }
+    let mut text = Vec::new();
+    let read = futures_lite::AsyncReadExt::read_to_end(far, &mut text).await;
+    assert!(read.is_ok() && text.is_empty(), "not reset: {read:?}");
+}
+
 // The rest of its request may still be on its way: it must find the connection open, or a reset takes the reply away.
 #[test]
 fn a_connection_over_the_limit_may_still_send_the_rest_of_its_request() {
@@ -141,15 +154,7 @@
     run_test(&executor, async {
         let (first, rest) = ADD.split_at(ADD.len() / 2);
         let mut far = connected(&fixture, first, &executor).await;
-        let mut reply = [0; 7];
-        futures_lite::AsyncReadExt::read_exact(&mut far, &mut reply).await.expect("a reply");
-        assert_eq!(&reply, b"-BUSY\r\n");
-        for piece in [&rest[..2], &rest[2..]] {
-            far.get_ref().write_all(piece.as_bytes()).expect("taken");
-        }
-        let mut text = Vec::new();
-        let read = futures_lite::AsyncReadExt::read_to_end(&mut far, &mut text).await;
-        assert!(read.is_ok() && text.is_empty(), "not reset: {read:?}");
+        expect_rejection_and_send(&mut far, rest).await;
         drop(far);
         while fixture.service.config.open_connections.get() > fixture.service.config.max_connections {
             futures_lite::future::yield_now().await;
@@ -167,15 +172,7 @@
         while !fixture.service.evict_oldest(Evictable::Buffering) {
             futures_lite::future::yield_now().await;
         }
-        let mut reply = [0; 7];
-        futures_lite::AsyncReadExt::read_exact(&mut far, &mut reply).await.expect("a reply");
-        assert_eq!(&reply, b"-BUSY\r\n");
-        for piece in [&rest[..2], &rest[2..]] {
-            far.get_ref().write_all(piece.as_bytes()).expect("taken");
-        }
-        let mut text = Vec::new();
-        let read = futures_lite::AsyncReadExt::read_to_end(&mut far, &mut text).await;
-        assert!(read.is_ok() && text.is_empty(), "not reset: {read:?}");
+        expect_rejection_and_send(&mut far, rest).await;
         assert!(fixture.submitted.is_empty(), "nothing is submitted");
     });
 }
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -49,14 +49,7 @@
         Role::Active { merge_successor: true } => {
             let mut spool = patience.retry_beside_tasks(|| opener.open_active()).await?;
             let successor = patience.retry_beside_tasks(|| opener.open_successor()).await?;
-            merge_successor_spool(
-                &mut spool,
-                successor,
-                &state_dir.successor_path,
-                &tasks.notifications.0,
-                &patience,
-            )
-            .await?;
+            merge_successor_spool(&mut spool, successor, state_dir, tasks, &patience).await?;
             Ok(Some(ActiveSpool { spool, deferred_events: Vec::new() }))
         }
         // The active spool is not opened here: opening cuts a half written record off and removes a half written
@@ -94,14 +87,7 @@
     let patience = Patience::of_start();
     let mut spool = patience.retry_beside_tasks(|| opener.open_active()).await?;
     let successor = intake.into_spool();
-    merge_successor_spool(
-        &mut spool,
-        successor,
-        &state_dir.successor_path,
-        &tasks.notifications.0,
-        &patience,
-    )
-    .await?;
+    merge_successor_spool(&mut spool, successor, state_dir, tasks, &patience).await?;
     // What the process before wrote down since this one started.
     let maintenance = files.read_maintenance(&patience);
     tasks.maintenance.borrow_mut().reload(&maintenance);
@@ -207,8 +193,8 @@
 async fn merge_successor_spool(
     spool: &mut Spool,
     successor: Spool,
-    successor_dir: &Path,
-    notifications: &Sender<Notification>,
+    state_dir: &StateDir,
+    tasks: &RelayTasks,
     patience: &Patience,
 ) -> Result<(), StartError> {
     let accepted_by_active = stored_messages(spool);
@@ -228,11 +214,11 @@
         .await
         .map_err(StartError::MergeSpools)?;
     for message in left_out {
-        fail_left_out(message, notifications);
+        fail_left_out(message, &tasks.notifications.0);
     }
     info!("took over {} messages accepted beside the active process", accepted_by_successor.len());
     drop(successor);
-    let path = successor_dir.join(mountshift_spool::FILE_NAME);
+    let path = state_dir.successor_path.join(mountshift_spool::FILE_NAME);
     patience
         .retry_beside_tasks(|| std::fs::remove_file(&path))
         .await
--- a/crates/relay/src/upstream/attempt.rs
+++ b/crates/relay/src/upstream/attempt.rs
@@ -5,7 +5,8 @@
 
 use super::connection_pool::ConnectionPool;
 use super::endpoint_table::Endpoint;
-use super::http1::{HttpConnection, Response, ResponseError, encode_request};
+use super::http1::{HttpConnection, ResponseError, encode_request};
+use super::response::Response;
 use crate::transitions::Transition;
 use async_channel::Receiver;
 use async_io::Timer;
--- a/crates/relay/src/upstream/mod.rs
+++ b/crates/relay/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod connection_pool;
 mod endpoint_table;
 mod http1;
+mod response;
 #[cfg(test)]
 mod tests;
 
--- /dev/null
+++ b/crates/relay/src/upstream/response.rs
@@ -0,0 +1,134 @@
+//! The head of an HTTP/1.1 response: what it says, and how the end of its body is told. Reads from bytes, no socket.
+
+use super::http1::ResponseError;
+
+/// Header fields of a response at most: far more than endpoints and discovery send.
+const MAX_HEADERS: usize = 64;
+
+/// A response, as far as the relay reads it.
+pub(crate) struct Response {
+    pub(crate) status: u16,
+    /// `Retry-After`, in seconds.
+    pub(crate) retry_after: Option<f64>,
+    /// `Slots-Taken`: the request was not sent on, as the destination was busy.
+    pub(crate) slots_taken: bool,
+    /// `X-Server-Load`: names and values.
+    pub(crate) load_report: Option<String>,
+    pub(crate) body: Vec<u8>,
+    /// False if only the status line could be read; then that says 200.
+    pub(crate) complete: bool,
+    /// The connection carries on behind it.
+    pub(super) keep_alive: bool,
+}
+
+impl Response {
+    fn with_status(status: u16) -> Response {
+        Response {
+            status,
+            retry_after: None,
+            slots_taken: false,
+            load_report: None,
+            body: Vec::new(),
+            complete: true,
+            keep_alive: false,
+        }
+    }
+
+    /// What is known of a response whose status line said 200 and whose rest can't be read.
+    pub(super) fn status_line_only() -> Response {
+        Response { complete: false, ..Response::with_status(200) }
+    }
+}
+
+/// True if a status line has come as far as its status, and that is 200.
+pub(super) fn status_line_says_ok(bytes: &[u8]) -> bool {
+    let Some((minor_version, rest)) = bytes.strip_prefix(b"HTTP/1.").and_then(<[u8]>::split_first) else {
+        return false;
+    };
+    if !minor_version.is_ascii_digit() {
+        return false;
+    }
+    rest.strip_prefix(b" 200").and_then(<[u8]>::first).is_some_and(u8::is_ascii_whitespace)
+}
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BodyLength {
+    Bytes(usize),
+    Chunked,
+    UntilClose,
+}
+
+/// The head of a response.
+pub(super) struct Head {
+    /// The response, its body still empty.
+    pub(super) response: Response,
+    pub(super) body_length: BodyLength,
+    pub(super) wire_bytes: usize,
+}
+
+/// The head at the beginning of `bytes`; none while it is not whole.
+pub(super) fn parse_head(bytes: &[u8]) -> Result<Option<Head>, ResponseError> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut parsed = httparse::Response::new(&mut headers);
+    let wire_bytes = match parsed.parse(bytes) {
+        Ok(httparse::Status::Complete(wire_bytes)) => wire_bytes,
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(_) => return Err(ResponseError::Unreadable),
+    };
+    let status = parsed.code.ok_or(ResponseError::Unreadable)?;
+    let mut response = Response::with_status(status);
+    response.keep_alive = parsed.version == Some(1);
+    let mut told_length = None;
+    for header in parsed.headers.iter() {
+        let value = std::str::from_utf8(header.value).unwrap_or("").trim();
+        read_header(&mut response, &mut told_length, header.name, value)?;
+    }
+    let has_no_body = status < 200 || status == 204 || status == 304;
+    let body_length =
+        if has_no_body { BodyLength::Bytes(0) } else { told_length.unwrap_or(BodyLength::UntilClose) };
+    if body_length == BodyLength::UntilClose {
+        response.keep_alive = false;
+    }
+    Ok(Some(Head { response, body_length, wire_bytes }))
+}
+
+/// Takes one header field into the response.
+fn read_header(
+    response: &mut Response,
+    told_length: &mut Option<BodyLength>,
+    name: &str,
+    value: &str,
+) -> Result<(), ResponseError> {
+    match name.to_ascii_lowercase().as_str() {
+        "content-length" => {
+            let length = BodyLength::Bytes(parse_content_length(value)?);
+            let earlier = told_length.replace(length);
+            // Two lengths that differ tell nothing: one response could be taken for another.
+            if earlier.is_some_and(|earlier| earlier != length) {
+                return Err(ResponseError::Unreadable);
+            }
+        }
+        "transfer-encoding" if value.eq_ignore_ascii_case("chunked") && told_length.is_none() => {
+            *told_length = Some(BodyLength::Chunked);
+        }
+        "transfer-encoding" => return Err(ResponseError::Unreadable),
+        "connection" if value.to_ascii_lowercase().contains("close") => response.keep_alive = false,
+        "retry-after" => {
+            let seconds = value.parse().ok();
+            response.retry_after = seconds.filter(|seconds: &f64| seconds.is_finite() && *seconds >= 0.0);
+        }
+        "slots-taken" => response.slots_taken = value == "1",
+        "x-server-load" => response.load_report = Some(value.to_string()),
+        _ => {}
+    }
+    Ok(())
+}
+
+/// A length in digits alone: the number parser would take a sign.
+fn parse_content_length(value: &str) -> Result<usize, ResponseError> {
+    if !value.bytes().all(|byte| byte.is_ascii_digit()) {
+        return Err(ResponseError::Unreadable);
+    }
+    value.parse().map_err(|_| ResponseError::Unreadable)
+}
