--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -26,6 +26,10 @@
 /// Clients of each relay without a key, and with a key of their own.
 const FREE_CLIENTS: usize = 2;
 const KEYED_CLIENTS: usize = 2;
+/// One request in so many comes in two pieces, ...
+const PIECES_IN: usize = 3;
+/// ... so far apart.
+const PIECE_PAUSE: Duration = Duration::from_millis(4);
 /// Commands that a bad client sends at once.
 const BURST: usize = 60;
 /// Idle connections that a bad client opens.
@@ -112,6 +116,9 @@
     }
 
     fn note_answer(&self, message: u64, answer: Answer) {
+        if answer == Answer::Refused {
+            self.recorder.note(Observation::Refused { message });
+        }
         self.recorder.fact(match answer {
             Answer::Accepted => Fact::Accepted { message },
             Answer::Refused | Answer::None | Answer::Late => Fact::Withdrawn { message },
@@ -181,9 +188,20 @@
 /// Writes a request and reads its answer.
 async fn exchange(stream: &mut TcpStream, bytes: &[u8]) -> Answer {
     let answered = async {
-        if stream.write_all(bytes).await.is_err() {
+        // Some requests come in two pieces.
+        let (first, rest) = if bytes.len().is_multiple_of(PIECES_IN) {
+            bytes.split_at(bytes.len() / 2)
+        } else {
+            (bytes, &bytes[..0])
+        };
+        if stream.write_all(first).await.is_err() {
             return Answer::None;
         }
+        if !rest.is_empty() {
+            Timer::after(PIECE_PAUSE).await;
+            // A rejection may be here already; then the rest counts for nothing.
+            let _ = stream.write_all(rest).await;
+        }
         match read_line(stream).await {
             Ok(line) if line.starts_with('+') => Answer::Accepted,
             Ok(line) if line.starts_with('-') => Answer::Refused,
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -4,7 +4,7 @@
 use crate::endpoint::{Behaviour, Endpoints};
 use crate::platform::Platform;
 use crate::recorder::Recorder;
-use crate::relay_process::RelayProcess;
+use crate::relay_process::{RelayProcess, UpgradeEnd};
 use crate::schedule::{FaultKind, Schedule, ScheduledFault};
 use mountshift_faults::{CallFault, FULL_RATE, SystemCall};
 use mountshift_invariants::ListedStatus;
@@ -86,13 +86,18 @@
     async fn end_processes(&self, fault: &ScheduledFault) {
         // A part of the stops is cut short by SIGKILL, and a part of the upgrades begins with one.
         let kill_after = (fault.amount % 3 == 0).then(|| Duration::from_millis(fault.amount as u64));
-        let is_killed = fault.amount % 4 == 0;
+        let upgrade = match fault.amount % 8 {
+            0 | 4 => UpgradeEnd::FirstKilled,
+            1 => UpgradeEnd::SecondKilled,
+            5 => UpgradeEnd::SecondStopped,
+            _ => UpgradeEnd::TakenOver,
+        };
         let kind = fault.kind;
         self.on_each_relay(fault, move |relay| async move {
             match kind {
                 FaultKind::Kill => relay.kill_and_restart().await,
                 FaultKind::Stop => relay.stop_and_restart(kill_after).await,
-                FaultKind::Upgrade => relay.upgrade(is_killed).await,
+                FaultKind::Upgrade => relay.upgrade(upgrade).await,
                 FaultKind::Reload => relay.reload().await,
                 _ => {
                     relay.reload().await;
--- a/crates/soak/src/installation.rs
+++ b/crates/soak/src/installation.rs
@@ -12,8 +12,8 @@
 const STREAM: u64 = 1;
 /// Zones of the installation.
 const ZONES: [&str; 2] = ["north", "south"];
-/// Descriptors that a relay may hold.
-pub(crate) const RELAY_DESCRIPTORS: u64 = 256;
+/// Between these the descriptors that a relay may hold are drawn; few are soon taken by clients that do nothing.
+const RELAY_DESCRIPTORS: (u64, u64) = (64, 256);
 /// Megabytes that a relay may take.
 pub(crate) const RELAY_MEMORY_MB: u64 = 64;
 const DRAIN_GRACE_MS: u64 = 1_000;
@@ -57,6 +57,8 @@
     calls_out: u64,
     max_attempts: u64,
     order_pause_ms: u64,
+    /// Descriptors that a relay may hold.
+    pub(crate) descriptors: u64,
 }
 
 impl Installation {
@@ -93,6 +95,7 @@
             open_cap: random.random_range(40..200),
             calls_out: random.random_range(6..24),
             max_attempts: random.random_range(4..9),
+            descriptors: random.random_range(RELAY_DESCRIPTORS.0..RELAY_DESCRIPTORS.1),
             order_pause_ms: random.random_range(ORDER_PAUSE_MS.0..ORDER_PAUSE_MS.1),
         }
     }
@@ -121,7 +124,7 @@
         let classes: Vec<Value> = self.classes.iter().map(class).collect();
         json!({"name": format!("r{relay}"), "listen": listen.to_string(), "discovery": discovery.to_string(),
             "seed": format!("{:016x}", relay as u64 + 1),
-            "limits": {"cores": 1.0, "memory_mb": RELAY_MEMORY_MB, "sockets": RELAY_DESCRIPTORS, "disk_mb": 3},
+            "limits": {"cores": 1.0, "memory_mb": RELAY_MEMORY_MB, "sockets": self.descriptors, "disk_mb": 3},
             "known": known,
             "settings": {"balancers": self.relays, "me": relay, "zone": relay % ZONES.len(), "quantum": 5_000,
                 "classes": classes, "tenants": [], "localities": ZONES, "kinds": ["single"], "weights": "nominal",
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -45,9 +45,10 @@
                 message: None,
                 relay: Some(*relay),
             }),
-            Observation::Fact(_) | Observation::Fault(_) => {}
+            Observation::Fact(_) | Observation::Fault(_) | Observation::Refused { .. } => {}
         }
     }
+    breaches.extend(refused_and_sent(observations));
     let mut checker = InvariantChecker::new(installation.rule_parameters());
     for (at, fact) in facts(observations) {
         checker.observe(at, fact);
@@ -72,6 +73,29 @@
     })
 }
 
+/// Messages that were sent after their client had heard that they were not accepted.
+fn refused_and_sent(observations: &[(Time, Observation)]) -> Vec<SoakBreach> {
+    let mut refused = BTreeSet::new();
+    let mut breaches = Vec::new();
+    for (at, observation) in observations {
+        match observation {
+            Observation::Refused { message } => {
+                refused.insert(*message);
+            }
+            Observation::Fact(Fact::AttemptStarted { message, .. }) if refused.contains(message) => {
+                let (id, relay) = (message_id(*message), relay_of(*message));
+                breaches.push(SoakBreach {
+                    what: format!("{:.3} s: {id} is sent though it was not accepted", *at as f64 / 1e6),
+                    message: Some(id),
+                    relay: Some(relay),
+                });
+            }
+            _ => {}
+        }
+    }
+    breaches
+}
+
 /// The facts, in the order in which the relays knew of them.
 fn facts(observations: &[(Time, Observation)]) -> Vec<(Time, Fact)> {
     let mut facts: Vec<(Time, Fact)> = Vec::new();
@@ -188,6 +212,7 @@
             }
             Observation::Process { relay, what } => format!("relay {relay} {what}"),
             Observation::Fault(fault) => format!("fault: {fault}"),
+            Observation::Refused { message } => format!("message {message} is answered as not accepted"),
         };
         text.push_str(&format!("{:>9.6} s  {line}\n", *at as f64 / 1e6));
     }
--- a/crates/soak/src/recorder.rs
+++ b/crates/soak/src/recorder.rs
@@ -11,6 +11,8 @@
     Fact(Fact),
     /// A request that was written whole and got no answer though its connection ended, and nothing excuses that.
     Unanswered { relay: usize, id: String },
+    /// A message was answered with a rejection or an error: it must not be sent.
+    Refused { message: u64 },
     /// A relay's process ended, was not ready, or used too much.
     Process { relay: usize, what: String },
     /// A fault began or ended; only for the timeline.
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -1,7 +1,7 @@
 //! The relays of a run: processes on loopback, each with a folder that lasts and a control file for its faults.
 
 use crate::SoakError;
-use crate::installation::{Installation, RELAY_DESCRIPTORS, RELAY_MEMORY_MB};
+use crate::installation::{Installation, RELAY_MEMORY_MB};
 use crate::platform::Platform;
 use crate::recorder::{Observation, Recorder};
 use mountshift_faults::{CONTROL_VARIABLE, FaultControl};
@@ -57,6 +57,19 @@
     }
 }
 
+/// How an upgrade ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum UpgradeEnd {
+    /// The first process is told to stop, the second takes over.
+    TakenOver,
+    /// The first process is killed, the second takes over.
+    FirstKilled,
+    /// The upgrade is given up: the second process is killed, ...
+    SecondKilled,
+    /// ... or told to stop.
+    SecondStopped,
+}
+
 /// A relay of the run.
 pub(crate) struct RelayProcess {
     pub(crate) number: usize,
@@ -141,27 +154,47 @@
         self.start_locked(&mut child).await;
     }
 
-    /// A second process starts beside the first and takes over once that has ended. The two are one relay: whatever
-    /// binds the first binds the second, and nothing excuses a late answer, unless the first one is killed.
-    pub(crate) async fn upgrade(&self, is_killed: bool) {
+    /// A second process starts beside the first. The two are one relay: whatever binds the first binds the second, and
+    /// nothing excuses a late answer, unless one of them is killed.
+    pub(crate) async fn upgrade(&self, end: UpgradeEnd) {
         let mut slot = self.child.lock().await;
-        let Ok(successor) = self.spawn() else { return self.note_process("no successor started".into()) };
+        let Ok(mut second) = self.spawn() else { return self.note_process("no successor started".into()) };
         Timer::after(SUCCESSOR_START).await;
-        if is_killed {
-            self.disturb(Time::MAX);
-            if let Some(first) = slot.as_mut() {
-                let _ = first.kill();
-                let _ = first.wait();
+        match end {
+            UpgradeEnd::TakenOver => {
+                if let Some(first) = slot.as_mut() {
+                    let _ = kill_process(Pid::from_child(first), Signal::TERM);
+                    let status = wait_for_end(first, KILL_AFTER).await;
+                    self.check_end(status, None);
+                }
+                *slot = Some(second);
+            }
+            UpgradeEnd::FirstKilled => {
+                self.disturb(Time::MAX);
+                if let Some(first) = slot.as_mut() {
+                    let _ = first.kill();
+                    let _ = first.wait();
+                }
+                *slot = Some(second);
             }
-            // The successor has to find out first.
+            UpgradeEnd::SecondKilled => {
+                self.disturb(Time::MAX);
+                let _ = second.kill();
+                let _ = second.wait();
+            }
+            UpgradeEnd::SecondStopped => {
+                let _ = kill_process(Pid::from_child(&second), Signal::TERM);
+                let status = wait_for_end(&mut second, KILL_AFTER).await;
+                self.check_end(status, None);
+            }
+        }
+        if end != UpgradeEnd::TakenOver {
+            // What the one that ended had accepted has to be found first.
             self.recorder.fact(Fact::RelayStalled { relay: self.number as u32, until: self.recorder.now() });
+        }
+        if matches!(end, UpgradeEnd::FirstKilled | UpgradeEnd::SecondKilled) {
             self.disturb(self.recorder.now() + DISTURBANCE);
-        } else if let Some(first) = slot.as_mut() {
-            let _ = kill_process(Pid::from_child(first), Signal::TERM);
-            let status = wait_for_end(first, KILL_AFTER).await;
-            self.check_end(status, None);
         }
-        *slot = Some(successor);
     }
 
     /// SIGTERM, for good.
@@ -341,8 +374,9 @@
             self.note_process(format!("took {peak_kb} kB of memory, {RELAY_MEMORY_MB} MB are allowed"));
         }
         let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count) as u64;
-        if descriptors > RELAY_DESCRIPTORS {
-            self.note_process(format!("held {descriptors} descriptors, {RELAY_DESCRIPTORS} are allowed"));
+        let allowed = self.installation.descriptors;
+        if descriptors > allowed {
+            self.note_process(format!("held {descriptors} descriptors, {allowed} are allowed"));
         }
     }
 }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -32,8 +32,8 @@
     Kill,
     /// Relays get SIGTERM, and are started again.
     Stop,
-    /// A second process starts beside each relay and takes over; a quarter of the first ones are killed. Only where the
-    /// platform holds the clients' sockets.
+    /// A second process starts beside each relay and takes over; a quarter of the first ones are killed, and a quarter of
+    /// the upgrades given up. Only where the platform holds the clients' sockets.
     Upgrade,
     /// Relays get SIGHUP and another address of discovery.
     Reload,
