--- a/crates/soak/src/error.rs
+++ b/crates/soak/src/error.rs
@@ -29,6 +29,9 @@
         /// Why.
         source: serde_json::Error,
     },
+    /// The soak was told to end.
+    #[error("ended by a signal; its processes are ended too")]
+    Interrupted,
     /// A schedule asks for what the soak does not do.
     #[error("{0}")]
     Unplayable(String),
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -3,7 +3,7 @@
 use crate::SoakError;
 use crate::installation::{Installation, RELAY_MEMORY_MB};
 use crate::platform::Platform;
-use crate::recorder::{Observation, Recorder};
+use crate::recorder::{Observation, Recorder, lock};
 use mountshift_faults::{CONTROL_VARIABLE, FaultControl};
 use mountshift_invariants::{Fact, Time};
 use rustix::process::{Pid, Signal, kill_process};
@@ -87,6 +87,8 @@
     agent_address: AtomicUsize,
     /// Until then a request without an answer is put down to the process's end or start.
     disturbed_until: AtomicU64,
+    /// All processes started so far.
+    started: std::sync::Mutex<Vec<Pid>>,
     /// How many faults may make the process end itself.
     self_kill_faults: AtomicUsize,
 }
@@ -123,6 +125,7 @@
             child: Mutex::new(None),
             agent_address: AtomicUsize::new(0),
             disturbed_until: AtomicU64::new(0),
+            started: std::sync::Mutex::default(),
             self_kill_faults: AtomicUsize::new(0),
         })
     }
@@ -246,6 +249,17 @@
         since <= self.disturbed_until.load(Ordering::SeqCst)
     }
 
+    /// Ends every process that was started, whatever the tasks of the run do.
+    pub(crate) fn kill_all(&self) {
+        for process in lock(&self.started).drain(..) {
+            // The number of one that has ended may be another program's by now.
+            let program = std::fs::read_link(format!("/proc/{}/exe", process.as_raw_nonzero()));
+            if program.is_ok_and(|program| program == self.programs.relay) {
+                let _ = kill_process(process, Signal::KILL);
+            }
+        }
+    }
+
     pub(crate) fn note_process(&self, what: String) {
         self.recorder.note(Observation::Process { relay: self.number, what });
     }
@@ -337,7 +351,9 @@
         if let Some(shim) = &self.programs.shim {
             command.env("LD_PRELOAD", shim).env(CONTROL_VARIABLE, self.faults.path());
         }
-        command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
+        lock(&self.started).push(Pid::from_child(&child));
+        Ok(child)
     }
 
     async fn is_ready(&self) -> bool {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -7,14 +7,17 @@
 use crate::installation::Installation;
 use crate::oracle::{SoakBreach, all_lines, judge, timeline};
 use crate::platform::Platform;
-use crate::recorder::{Observation, Recorder};
+use crate::recorder::{Observation, Recorder, lock};
 use crate::relay_process::{Programs, RelayProcess};
 use crate::schedule::Schedule;
+use async_signal::{Signal, Signals};
 use mountshift_invariants::Fact;
 use smol::Timer;
+use smol::future::FutureExt;
+use smol::stream::StreamExt;
 use std::path::Path;
-use std::sync::Arc;
 use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 /// Between two looks at processes that may have ended.
@@ -63,7 +66,28 @@
 pub fn play(schedule: &Schedule, programs: &Programs, out: Option<&Path>) -> Result<SoakReport, SoakError> {
     programs.check()?;
     let dir = tempfile::tempdir().map_err(SoakError::io("a folder for the run"))?;
-    smol::block_on(play_in(schedule, programs, dir.path(), out))
+    let relays: Mutex<Vec<Arc<RelayProcess>>> = Mutex::default();
+    let played = smol::block_on(async {
+        let interrupted = async {
+            wait_for_interrupt().await;
+            Err(SoakError::Interrupted)
+        };
+        play_in(schedule, programs, dir.path(), out, &relays).or(interrupted).await
+    });
+    // Also where the run ended early.
+    for relay in lock(&relays).iter() {
+        relay.kill_all();
+    }
+    played
+}
+
+/// Waits for a signal that tells the soak to end.
+async fn wait_for_interrupt() {
+    let signals = Signals::new([Signal::Int, Signal::Term]);
+    match signals {
+        Ok(mut signals) => drop(signals.next().await),
+        Err(_) => std::future::pending().await,
+    }
 }
 
 async fn play_in(
@@ -71,6 +95,7 @@
     programs: &Programs,
     dir: &Path,
     out: Option<&Path>,
+    started: &Mutex<Vec<Arc<RelayProcess>>>,
 ) -> Result<SoakReport, SoakError> {
     let installation = Installation::draw(schedule);
     let recorder = Arc::new(Recorder::new());
@@ -83,7 +108,9 @@
     for number in 0..schedule.relays {
         let inherits = schedule.inherited_sockets;
         let relay = RelayProcess::new(number, dir, programs, &recorder, &platform, &installation, inherits)?;
-        relays.push(Arc::new(relay));
+        let relay = Arc::new(relay);
+        lock(started).push(relay.clone());
+        relays.push(relay);
     }
     let starts: Vec<_> =
         relays.iter().cloned().map(|relay| smol::spawn(async move { relay.start().await })).collect();
