--- a/crates/spool/tests/spool.rs
+++ b/crates/spool/tests/spool.rs
@@ -72,17 +72,23 @@
     assert_eq!(open(dir.path(), 1 << 20).messages().len(), 1);
 }
 
-#[test]
-fn a_log_cut_anywhere_keeps_all_whole_records() {
-    let dir = tempfile::tempdir().expect("a folder");
-    let path = dir.path().join("spool.log");
-    let mut spool = open(dir.path(), 1 << 20);
+/// Commits the messages a, b and c one by one; where each commit ends in the log.
+fn write_three_commits(dir: &Path) -> Vec<usize> {
+    let mut spool = open(dir, 1 << 20);
     let mut ends = Vec::new();
     for id in ["a", "b", "c"] {
         spool.accept(accepted(id, 20)).expect("room");
         spool.commit().expect("written");
-        ends.push(fs::metadata(&path).expect("a log").len() as usize);
+        ends.push(fs::metadata(dir.join("spool.log")).expect("a log").len() as usize);
     }
+    ends
+}
+
+#[test]
+fn a_log_cut_anywhere_keeps_all_whole_records() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let path = dir.path().join("spool.log");
+    let ends = write_three_commits(dir.path());
     let whole = fs::read(&path).expect("a log");
     for cut in 0..=whole.len() {
         fs::write(&path, &whole[..cut]).expect("a log");
@@ -106,13 +112,7 @@
 fn an_unreadable_byte_costs_the_message_that_it_belongs_to_and_no_other() {
     let dir = tempfile::tempdir().expect("a folder");
     let path = dir.path().join("spool.log");
-    let mut spool = open(dir.path(), 1 << 20);
-    let mut ends = Vec::new();
-    for id in ["a", "b", "c"] {
-        spool.accept(accepted(id, 20)).expect("room");
-        spool.commit().expect("written");
-        ends.push(fs::metadata(&path).expect("a log").len() as usize);
-    }
+    let ends = write_three_commits(dir.path());
     let whole = fs::read(&path).expect("a log");
     for at in 0..whole.len() {
         let mut bad = whole.clone();
