--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -179,8 +179,8 @@
         self.maintenance.borrow_mut().set_stopping();
         // A successor takes over what is held: nothing more is sent from here.
         if plan.hands_over {
-            info!("hands over to the process beside it");
             self.files.write_handing_over();
+            info!("hands over to the process beside it");
             inputs.push(Input::HandoverStarted);
         }
     }
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -345,7 +345,8 @@
     fixture.gate.wait_for_arrivals(1);
     let _successor = fixture.start(1);
     active.term();
-    until("the stop", || fixture.log().contains("told to stop, with a process beside it"));
+    // A signal is noted before the dispatcher hears of it; the successor accepts messages in order from then on.
+    until("the handover", || fixture.log().contains("hands over to the process beside it"));
     fixture.submit("m2", 5, "pay");
     assert_eq!(fixture.endpoint.ids(), ["m1"]);
     fixture.gate.open();
