--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -225,3 +225,25 @@
     assert!(!fixture.log().contains("Closed -> Open"), "no breaker opens");
     assert!(faults.injected(SystemCall::Send).expect("a count") > 10);
 }
+
+// A configuration that can't be read for a moment after SIGHUP: nobody sends a second SIGHUP for it, and what discovery
+// tells at its new address would never be heard.
+#[test]
+fn a_new_configuration_that_cannot_be_read_for_a_moment_is_used() {
+    let endpoint = Server::start(|_| ok());
+    let members = vec![member("e1", endpoint.address, 7, "single")];
+    let fixture = fixture(0, members.clone());
+    let faults = fixture.faults();
+    let relay = fixture.relay_with_faults(&faults);
+    let next = Platform::start(0);
+    next.set(members);
+    fixture.write_discovery(next.server.address);
+    faults.set_call_fault(SystemCall::FileRead, CallFault::always(libc::EIO)).expect("a fault");
+    let failed_before = faults.injected(SystemCall::FileRead).expect("a count");
+    relay.signal("HUP");
+    until("a read that fails", || faults.injected(SystemCall::FileRead).expect("a count") > failed_before);
+    faults.set_call_fault(SystemCall::FileRead, CallFault::default()).expect("no fault");
+    until_within(ms(3_000), "discovery to be asked at its new address", || {
+        !next.server.requests().is_empty()
+    });
+}
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -4,13 +4,14 @@
 #[allow(dead_code)]
 mod support;
 
+use mountshift_spool::Spool;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::os::fd::AsRawFd;
 use std::process::{Child, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
@@ -466,6 +467,87 @@
     assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
 
+/// A client with many requests unanswered at any time, so that its connection never rests. Gives back the ids of the
+/// messages that it heard to be accepted, once the connection has ended. Before `may_be_accepted` its messages have so
+/// little time left that a successor rejects them.
+fn restless_client(
+    at: SocketAddr,
+    name: char,
+    may_be_accepted: Arc<AtomicBool>,
+    answers: Arc<AtomicUsize>,
+) -> thread::JoinHandle<BTreeSet<String>> {
+    /// Far more than a relay carries out in one turn, and few enough that each is answered soon.
+    const MAX_UNANSWERED: usize = 512;
+    let stream = TcpStream::connect(at).expect("a connection");
+    let mut sending = stream.try_clone().expect("a stream");
+    let (sent, in_order) = std::sync::mpsc::sync_channel(MAX_UNANSWERED);
+    let sender = thread::spawn(move || {
+        for n in 0.. {
+            let id = format!("{name}{n}");
+            let left = if may_be_accepted.load(Ordering::SeqCst) { TIME_TO_DEADLINE } else { ms(1_000) };
+            let list = format!("c=once,d={},dest=7", left.as_millis());
+            let request = submit_request(&id, 0, &list, b"x");
+            if sent.send(id).is_err() || sending.write_all(&request).is_err() {
+                return;
+            }
+        }
+    });
+    thread::spawn(move || {
+        let mut client = Client(std::io::BufReader::new(stream));
+        let mut accepted = BTreeSet::new();
+        loop {
+            let answer = client.hear();
+            if answer.is_empty() {
+                break;
+            }
+            answers.fetch_add(1, Ordering::SeqCst);
+            let id = in_order.recv().expect("a request for each answer");
+            if answer == "+OK" {
+                accepted.insert(id);
+            }
+        }
+        drop((client, in_order));
+        sender.join().expect("a sender");
+        accepted
+    })
+}
+
+// A successor that is told to stop ends while a client still sends: what it has accepted by then its client has to hear.
+#[test]
+fn a_successor_that_is_told_to_stop_answers_what_it_has_accepted() {
+    /// Shortly before the end of a stop for a restart.
+    const NEAR_THE_END: Duration = Duration::from_millis(3_400);
+    let mut fixture = upgrade();
+    // Room for all that the client sends near the end.
+    fixture.config["limits"]["disk_mb"] = json!(1_000);
+    fixture.gate.open();
+    let active = fixture.start(0);
+    let mut successor = fixture.start(1);
+    active.signal("STOP");
+    let may_be_accepted = Arc::new(AtomicBool::new(false));
+    let answers = Arc::new(AtomicUsize::new(0));
+    // One that the machine holds up for a moment may rest, and is sent away then.
+    let clients = ['a', 'b', 'c']
+        .map(|name| restless_client(fixture.at, name, may_be_accepted.clone(), answers.clone()));
+    until("many answers", || answers.load(Ordering::SeqCst) > 10_000);
+    successor.term();
+    sleep(NEAR_THE_END);
+    may_be_accepted.store(true, Ordering::SeqCst);
+    assert!(successor.ended_within(ms(400)));
+    let heard: BTreeSet<String> =
+        clients.into_iter().flat_map(|client| client.join().expect("a client")).collect();
+    let spool = Spool::open(&fixture.dir.path().join("state/next"), u64::MAX / 4, 8, 8).expect("a spool");
+    let accepted: BTreeSet<String> = spool
+        .messages()
+        .values()
+        .map(|stored| String::from_utf8_lossy(&stored.accepted.id).into_owned())
+        .collect();
+    assert!(heard.len() > 10, "{heard:?}, {}", fixture.log());
+    let unheard: Vec<_> = accepted.difference(&heard).collect();
+    assert!(unheard.is_empty(), "{} accepted, not heard: {unheard:?}", accepted.len());
+    assert_eq!(heard, accepted);
+}
+
 // Both processes accept for a moment. A message of a key that the successor accepted would wait for the handover, while the
 // active process sends the next one of the key. Found by the soak (seed 3, 60 s).
 #[test]
--- a/crates/spool/tests/spool.rs
+++ b/crates/spool/tests/spool.rs
@@ -72,6 +72,29 @@
     assert_eq!(open(dir.path(), 1 << 20).messages().len(), 1);
 }
 
+// A message accepted in a step whose commit fails is rejected: a log written anew in that step must not hold it, or a kill
+// brings it back.
+#[test]
+fn a_log_written_anew_before_the_commit_holds_nothing_that_is_not_committed() {
+    const LIMIT: u64 = 24 * 1024;
+    let dir = tempfile::tempdir().expect("a folder");
+    let mut spool = open(dir.path(), LIMIT);
+    let mut compactions = 0;
+    for n in 0..200 {
+        let size_before = spool.size();
+        let (first, second) = (format!("first{n}"), format!("second{n}"));
+        let numbers = [&first, &second].map(|id| spool.accept(accepted(id, 300)).expect("room"));
+        compactions += usize::from(spool.size() < size_before);
+        let found = ids(&open(dir.path(), LIMIT));
+        assert!(found.is_empty(), "{found:?} before the commit {n}");
+        spool.commit().expect("written");
+        assert_eq!(ids(&open(dir.path(), LIMIT)), [first, second]);
+        numbers.map(|number| spool.remove(number));
+        spool.commit().expect("written");
+    }
+    assert!(compactions > 3, "{compactions}");
+}
+
 /// Commits the messages a, b and c one by one; where each commit ends in the log.
 fn write_three_commits(dir: &Path) -> Vec<usize> {
     let mut spool = open(dir, 1 << 20);
