Reload is tried again, a stopped successor answers, a log written anew holds nothing uncommitted

- SIGHUP: a configuration that can't be read or is not whole JSON is tried again each 100 ms for 30 s, until it works or another SIGHUP comes.
One that is whole and wrong is refused at once, as before.
- A successor that is told to stop ends as the active process does: clients_end is closed, and the last rounds let its clients hear what was accepted (FinalRounds, taken out of the dispatcher's shutdown; both use it).
- A compaction in the middle of a step keeps messages accepted since the last commit pending (Spool::compact_committed); one that is the commit itself writes all, as before.

--- a/crates/relay/src/dispatch/shutdown.rs
+++ b/crates/relay/src/dispatch/shutdown.rs
@@ -2,6 +2,7 @@
 
 use super::Dispatcher;
 use super::state::DispatcherState;
+use crate::final_rounds::FinalRounds;
 use crate::upstream::CallStage;
 use async_io::Timer;
 use log::{error, info};
@@ -10,14 +11,10 @@
 
 /// Between two looks at whether everything has ended, while stopping.
 pub(super) const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// At the end: the time for clients to hear the answers they are owed.
-const FINAL_ANSWERS_TIME: Duration = Duration::from_millis(80);
-/// Looks at events at the end at the least, however late it is.
-const MIN_FINAL_ROUNDS: u32 = 3;
 /// At the end: the time for writes that failed to be done after all. SIGKILL comes 0.2 s after the end at the earliest.
 const LAST_WRITES_TIME: Duration = Duration::from_millis(60);
-/// Between two looks at events within that time.
-const FINAL_ANSWERS_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Between two tries within that time.
+const LAST_WRITES_INTERVAL: Duration = Duration::from_millis(5);
 
 /// The process was told to stop.
 #[derive(Clone, Copy)]
@@ -69,19 +66,15 @@
     /// and submits it again.
     pub(super) async fn finish(mut self) {
         self.clients_end.close();
-        let end = Instant::now() + FINAL_ANSWERS_TIME;
-        for round in 1.. {
-            // All other tasks have their turn meanwhile.
-            Timer::after(FINAL_ANSWERS_CHECK_INTERVAL).await;
+        let mut rounds = FinalRounds::begin();
+        loop {
+            rounds.next().await;
             let mut inputs = Vec::new();
             while let Ok(event) = self.events.try_recv() {
                 self.state.handle(event, &mut inputs);
             }
             self.state.execute_without_deciding();
-            let is_quiet = self.client_connections.get() == 0 && inputs.is_empty();
-            // A process that was held up meanwhile has had less than the time: the other tasks have their turns all the same.
-            let is_late = Instant::now() >= end && round >= MIN_FINAL_ROUNDS;
-            if is_quiet || is_late {
+            if rounds.are_over(self.client_connections.get() == 0 && inputs.is_empty()) {
                 break;
             }
         }
@@ -100,7 +93,7 @@
     async fn write_what_is_left(&mut self) {
         let end = Instant::now() + LAST_WRITES_TIME;
         while self.state.has_unwritten() && Instant::now() < end {
-            Timer::after(FINAL_ANSWERS_CHECK_INTERVAL).await;
+            Timer::after(LAST_WRITES_INTERVAL).await;
             self.state.now = self.state.clock.now();
             self.state.retry_writes();
         }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -8,6 +8,7 @@
 mod discovery;
 mod dispatch;
 mod error;
+mod final_rounds;
 mod metrics;
 mod notifications;
 mod signals;
--- a/crates/relay/src/signals.rs
+++ b/crates/relay/src/signals.rs
@@ -4,18 +4,24 @@
 use crate::clients::ACCEPT_PAUSE;
 use crate::dispatch::Event;
 use crate::error::StartError;
-use crate::startup::config::reload_discovery;
+use crate::startup::config::{ConfigError, reload_discovery};
 use crate::startup::state_dir::is_locked_by_another;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use async_io::Timer;
 use async_signal::{Signal, Signals};
-use futures_lite::StreamExt;
+use futures_lite::{FutureExt, StreamExt};
 use log::{error, info};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+/// A new configuration that can't be read is tried again after this pause ...
+const RELOAD_RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// ... for so long: nobody sends a second SIGHUP for it, and a file that is bad stays so.
+const RELOAD_PATIENCE: Duration = Duration::from_secs(30);
 
 /// Takes the signals over from the system's defaults, which would end the process.
 pub(crate) fn subscribe() -> Result<Signals, StartError> {
@@ -37,6 +43,21 @@
     pub(crate) successor_path: PathBuf,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) is_stopping: bool,
+    /// A new configuration that could not be read yet.
+    pub(crate) pending_reload: Option<PendingReload>,
+}
+
+/// A new configuration that could not be read yet.
+pub(crate) struct PendingReload {
+    /// When the process was told of it.
+    since: Instant,
+}
+
+/// What the handler waits for.
+enum Wakeup {
+    Signal(Option<std::io::Result<Signal>>),
+    /// It is time to read the new configuration again.
+    RetryReload,
 }
 
 impl SignalHandler {
@@ -44,15 +65,53 @@
     /// stream is no reason to stop.
     pub(crate) async fn run(mut self, mut signals: Signals) {
         loop {
-            match signals.next().await {
-                Some(Ok(Signal::Hup)) => self.on_reload(),
-                Some(Ok(_)) if self.is_stopping => info!("told to stop again, while stopping"),
-                Some(Ok(_)) => self.on_stop().await,
-                Some(Err(e)) => {
+            match self.next_wakeup(&mut signals).await {
+                Wakeup::RetryReload => self.on_reload(),
+                Wakeup::Signal(Some(Ok(Signal::Hup))) => {
+                    self.pending_reload = None;
+                    self.on_reload();
+                }
+                Wakeup::Signal(Some(Ok(_))) if self.is_stopping => {
+                    info!("told to stop again, while stopping");
+                }
+                Wakeup::Signal(Some(Ok(_))) => self.on_stop().await,
+                Wakeup::Signal(Some(Err(e))) => {
                     error!("signals: {e}");
                     Timer::after(ACCEPT_PAUSE).await;
                 }
-                None => return error!("signals: no more of them can be read"),
+                Wakeup::Signal(None) => return error!("signals: no more of them can be read"),
+            }
+        }
+    }
+
+    async fn next_wakeup(&self, signals: &mut Signals) -> Wakeup {
+        let signal = async { Wakeup::Signal(signals.next().await) };
+        if self.pending_reload.is_none() {
+            return signal.await;
+        }
+        let retry = async {
+            Timer::after(RELOAD_RETRY_PAUSE).await;
+            Wakeup::RetryReload
+        };
+        signal.or(retry).await
+    }
+
+    /// A file that can't be read as a whole may be so for a moment: the system is short of something, or it is being
+    /// written.
+    fn on_reload_failed(&mut self, error: &ConfigError) {
+        if !error.may_pass_at_reload() {
+            self.pending_reload = None;
+            return error!("the new configuration is not used: {error}");
+        }
+        match &self.pending_reload {
+            None => {
+                error!("the new configuration is not used: {error}; it is tried again for a while");
+                self.pending_reload = Some(PendingReload { since: Instant::now() });
+            }
+            Some(pending) if pending.since.elapsed() < RELOAD_PATIENCE => {}
+            Some(_) => {
+                error!("the new configuration is given up: {error}");
+                self.pending_reload = None;
             }
         }
     }
@@ -60,8 +119,9 @@
     fn on_reload(&mut self) {
         let address = match reload_discovery() {
             Ok(address) => address,
-            Err(e) => return error!("the new configuration is not used: {e}"),
+            Err(e) => return self.on_reload_failed(&e),
         };
+        self.pending_reload = None;
         let before = self.discovery;
         if address == before {
             info!("told to read the configuration: discovery stays at {address}");
--- a/crates/relay/src/startup/config.rs
+++ b/crates/relay/src/startup/config.rs
@@ -71,6 +71,13 @@
     }
 }
 
+impl ConfigError {
+    /// True if the file may be whole a moment later: it can't be read, or it is being written.
+    pub(crate) fn may_pass_at_reload(&self) -> bool {
+        matches!(self, ConfigError::Read { .. } | ConfigError::Json { .. })
+    }
+}
+
 /// What a relay is configured with, fixed at startup.
 #[derive(Debug)]
 pub(crate) struct StartConfig {
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -78,6 +78,7 @@
         files,
         stored_time,
         clients_leave: tasks.clients_leave.0.clone(),
+        clients_end: tasks.clients_end.0.clone(),
         client_connections: tasks.client_connections.clone(),
     });
     let deferred_events = match intake.run(&tasks.events.1).await {
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -107,6 +107,7 @@
             successor_path: state_dir.successor_path.clone(),
             executor: self.executor.clone(),
             is_stopping: false,
+            pending_reload: None,
         };
         self.executor.spawn(handler.run(signals)).detach();
         Ok(())
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -6,6 +6,7 @@
 use crate::clock::StoredTime;
 use crate::discovery::EndpointList;
 use crate::dispatch::Event;
+use crate::final_rounds::FinalRounds;
 use crate::state_files::StateFiles;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -29,7 +30,7 @@
 pub(crate) enum IntakeEnd {
     /// The active process's lock is this process's now; these events wait for the dispatcher, in order.
     BecameActive(Vec<Event>),
-    /// SubmissionMetadata to stop before that: what was accepted waits in the successor's spool for the next active process.
+    /// Told to stop before that: what was accepted waits in the successor's spool for the next active process.
     Stopped,
 }
 
@@ -49,6 +50,8 @@
     pub(crate) stored_time: StoredTime,
     /// Closed when client connections are to go.
     pub(crate) clients_leave: Sender<()>,
+    /// Closed shortly before the end: clients hear the answers they are owed, nothing more is read.
+    pub(crate) clients_end: Sender<()>,
     /// Client connections open now.
     pub(crate) client_connections: Rc<Cell<usize>>,
 }
@@ -88,8 +91,15 @@
                 self.handle(event);
             }
             self.commit();
-            if let Some(end) = self.end() {
-                return end;
+            if self.stopping_since.is_some() {
+                if self.may_stop() {
+                    self.finish(events).await;
+                    return IntakeEnd::Stopped;
+                }
+            } else if self.options.active_lock.try_lock().is_ok() {
+                let stored = self.options.spool.messages().len();
+                info!("owns the state folder now, with {stored} messages accepted beside the active process");
+                return IntakeEnd::BecameActive(std::mem::take(&mut self.deferred_events));
             }
         }
     }
@@ -200,22 +210,30 @@
         }
     }
 
-    /// How the intake ends, if it does now. One that is told to stop does not become active any more.
-    fn end(&mut self) -> Option<IntakeEnd> {
-        let stored = self.options.spool.messages().len();
-        if let Some(since) = self.stopping_since {
-            let clients_gone = self.options.client_connections.get() == 0;
-            if !clients_gone && since.elapsed() < RESTART.end_by {
-                return None;
+    /// True once a process that is told to stop can end, or has to. It does not become active any more.
+    fn may_stop(&self) -> bool {
+        let is_late = self.stopping_since.is_some_and(|since| since.elapsed() >= RESTART.end_by);
+        is_late || self.options.client_connections.get() == 0
+    }
+
+    /// The end of a process that was not active: clients hear what became of the requests that were read.
+    async fn finish(&mut self, events: &Receiver<Event>) {
+        self.options.clients_end.close();
+        let mut rounds = FinalRounds::begin();
+        loop {
+            rounds.next().await;
+            let mut is_quiet = self.options.client_connections.get() == 0;
+            while let Ok(event) = events.try_recv() {
+                self.handle(event);
+                is_quiet = false;
+            }
+            self.commit();
+            if rounds.are_over(is_quiet) {
+                break;
             }
-            info!("stopped before it was active, with {stored} messages in the successor's spool");
-            return Some(IntakeEnd::Stopped);
-        }
-        if self.options.active_lock.try_lock().is_err() {
-            return None;
         }
-        info!("owns the state folder now, with {stored} messages accepted beside the active process");
-        Some(IntakeEnd::BecameActive(std::mem::take(&mut self.deferred_events)))
+        let stored = self.options.spool.messages().len();
+        info!("stopped before it was active, with {stored} messages in the successor's spool");
     }
 }
 
--- a/crates/spool/src/compaction.rs
+++ b/crates/spool/src/compaction.rs
@@ -70,9 +70,30 @@
         whole_blocks(log) + whole_blocks(fresh) <= self.max_bytes || self.written_bytes == 0
     }
 
-    /// Writes the messages to a fresh file, which takes the place of the old one.
+    /// Writes all messages to a fresh file, which takes the place of the old one: this commits them.
     pub(crate) fn compact(&mut self) -> io::Result<()> {
-        let bytes = self.encode_all();
+        self.write_fresh_log(self.next_number)?;
+        self.pending.clear();
+        self.first_uncommitted = self.next_number;
+        Ok(())
+    }
+
+    /// As [`Spool::compact`], in the middle of a step: what was accepted since the last commit stays pending, as that
+    /// commit may fail.
+    pub(crate) fn compact_committed(&mut self) -> io::Result<()> {
+        self.write_fresh_log(self.first_uncommitted)?;
+        self.pending.clear();
+        for (number, message) in self.messages.range(self.first_uncommitted..) {
+            for payload in encode_message(*number, message) {
+                self.pending.push(&payload);
+            }
+        }
+        Ok(())
+    }
+
+    /// Writes the messages numbered below `end` to a fresh file, which takes the place of the log.
+    fn write_fresh_log(&mut self, end: u64) -> io::Result<()> {
+        let bytes = self.encode_below(end);
         let new_path = self.dir.join(NEW_FILE_NAME);
         let mut file = OpenOptions::new().create(true).append(true).open(&new_path)?;
         file.set_len(0)?;
@@ -86,29 +107,34 @@
         self.written_bytes = bytes.len() as u64;
         self.has_torn_tail = false;
         self.salt = None;
-        self.pending.clear();
         Ok(())
     }
 
-    /// A log that holds the messages and nothing else.
-    fn encode_all(&self) -> Vec<u8> {
+    /// A log that holds the messages numbered below `end` and nothing else.
+    fn encode_below(&self, end: u64) -> Vec<u8> {
         let mut bytes = frame(&encode_format());
-        for (number, message) in &self.messages {
-            bytes.extend(frame(&encode_accepted(*number, &message.accepted)));
-            for attempt in &message.attempts {
-                bytes.extend(frame(&encode_attempt(*number, attempt)));
-                if !attempt.may_have_run {
-                    bytes.extend(frame(&encode_not_run(*number)));
-                }
-            }
-            if let Some(outcome) = message.pending_outcome {
-                bytes.extend(frame(&encode_outcome(*number, outcome)));
+        for (number, message) in self.messages.range(..end) {
+            for payload in encode_message(*number, message) {
+                bytes.extend(frame(&payload));
             }
         }
         bytes
     }
 }
 
+/// All records of a message.
+fn encode_message(number: u64, message: &StoredMessage) -> Vec<Vec<u8>> {
+    let mut records = vec![encode_accepted(number, &message.accepted)];
+    for attempt in &message.attempts {
+        records.push(encode_attempt(number, attempt));
+        if !attempt.may_have_run {
+            records.push(encode_not_run(number));
+        }
+    }
+    records.extend(message.pending_outcome.map(|outcome| encode_outcome(number, outcome)));
+    records
+}
+
 /// What a file of so many bytes takes on disk.
 pub(crate) fn whole_blocks(bytes: u64) -> u64 {
     bytes.div_ceil(BLOCK_BYTES) * BLOCK_BYTES
--- a/crates/spool/src/log_file.rs
+++ b/crates/spool/src/log_file.rs
@@ -43,6 +43,8 @@
     pub(crate) reserved_bytes: u64,
     /// The number of the next message.
     pub(crate) next_number: u64,
+    /// Messages from this number on were accepted since the last commit.
+    pub(crate) first_uncommitted: u64,
 }
 
 impl Spool {
@@ -79,6 +81,7 @@
             messages: BTreeMap::new(),
             reserved_bytes: 0,
             next_number: 1,
+            first_uncommitted: 1,
         };
         let log = replay(&bytes)?;
         for record in log.records {
@@ -95,6 +98,7 @@
         spool.has_torn_tail = torn_bytes > 0;
         spool.written_bytes = log.whole_bytes as u64;
         spool.salt = log.salt;
+        spool.first_uncommitted = spool.next_number;
         spool.reserved_bytes = spool.messages.values().map(|m| spool.max_bytes_of(&m.accepted)).sum();
         Ok(spool)
     }
@@ -119,7 +123,9 @@
         if self.reserved_bytes + needed > half {
             return None;
         }
-        if !self.fits(record.len(), needed) && (self.compact().is_err() || !self.fits(record.len(), needed)) {
+        if !self.fits(record.len(), needed)
+            && (self.compact_committed().is_err() || !self.fits(record.len(), needed))
+        {
             return None;
         }
         self.reserved_bytes += needed;
@@ -189,8 +195,8 @@
         }
     }
 
-    /// Writes what was recorded since the last call, all of it or nothing. Before this returns nothing of it survives
-    /// the process.
+    /// Writes what was recorded since the last call, all of it or nothing. Before this returns no message accepted since
+    /// survives the process.
     ///
     /// # Errors
     /// If the file can't be written. What was recorded stays pending; a process that reads the log finds nothing of it.
@@ -216,6 +222,7 @@
         self.salt = Some(salt);
         self.written_bytes += bytes.len() as u64;
         self.pending.clear();
+        self.first_uncommitted = self.next_number;
         Ok(())
     }
 
