--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -100,6 +100,36 @@
     });
 }
 
+// The process ends in the middle of a request: its client would wait for an answer to what was read in part, and find the
+// connection reset as it sends the rest.
+#[test]
+fn a_request_read_in_part_when_the_process_ends_is_rejected() {
+    let (fixture, executor) = (fixture(), Rc::new(LocalExecutor::new()));
+    run_test(&executor, async {
+        let (first, rest) = ADD.split_at(ADD.len() / 2);
+        let mut far = connected(&fixture, first, &executor).await;
+        while fixture.service.buffered_bytes() == 0 {
+            futures_lite::future::yield_now().await;
+        }
+        fixture.ending.close();
+        expect_rejection_and_send(&mut far, rest).await;
+        assert!(fixture.submitted.is_empty(), "nothing is submitted");
+    });
+}
+
+// The first request of a connection comes in the very moment in which the process ends: who opens a connection does not ask
+// again on another one.
+#[test]
+fn a_first_request_that_comes_as_the_process_ends_is_rejected() {
+    let (fixture, executor) = (fixture(), Rc::new(LocalExecutor::new()));
+    run_test(&executor, async {
+        fixture.ending.close();
+        let mut far = connected(&fixture, ADD, &executor).await;
+        assert_eq!(heard(&mut far).await, "-BUSY\r\n");
+        assert!(fixture.submitted.is_empty(), "nothing is submitted");
+    });
+}
+
 // A client may end its sending behind its request: it hears that it is to come again, and nothing is taken on, as
 // one that has gone altogether looks the same.
 #[test]
--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -247,3 +247,24 @@
         !next.server.requests().is_empty()
     });
 }
+
+// While the note that dates stored times can't be written nothing is accepted. What is rejected for that must not stand in
+// the log: the removal comes a step later, and a kill before it.
+#[test]
+fn what_is_rejected_for_want_of_the_time_anchor_does_not_come_back() {
+    let endpoint = Server::start(|_| ok());
+    let mut fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    // Microseconds between two steps: time for a kill.
+    fixture.config["settings"]["quantum"] = 500_000.into();
+    let in_the_way = fixture.dir.path().join("state/clock.new");
+    std::fs::create_dir_all(&in_the_way).expect("a folder");
+    let relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=any,d=15000,dest=7", b"x"), "-BUSY");
+    relay.signal("KILL");
+    drop(relay);
+    std::fs::remove_dir(&in_the_way).expect("no folder");
+    let relay = fixture.relay();
+    assert_eq!(relay.submit("m2", 0, "c=any,d=15000,dest=7", b"x"), "+OK");
+    until("the second message", || delivered(&endpoint).contains("m2"));
+    assert_eq!(endpoint.ids(), ["m2"]);
+}
