What comes at the very end of a process is rejected; nothing commits before the time anchor

- ClientConnection::reject_at_the_end: for 30 ms of the 80 that a process has at its end, requests on a connection that is in the middle of something are read and answered -BUSY, the last one also if it came in part; an idle connection is closed as before.
The rejections share reject_whole_requests.
- DispatcherState::commit_spool commits nothing while the file clock is not written: what is rejected for that is accepted and removed in one batch.

--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -37,6 +37,9 @@
 const PAUSE_PER_ERROR: Duration = Duration::from_millis(50);
 /// The pause grows no longer than this many errors make it: one second.
 const MAX_PAUSED_ERRORS: u32 = 20;
+/// As the process ends, how long requests are still read, to be rejected: those on their way come within this time, and the
+/// process goes on a little longer.
+const LAST_REQUESTS_TIME: Duration = Duration::from_millis(30);
 /// How long input is read and dropped after the last reply.
 const DISCARD_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How much of it is.
@@ -168,13 +171,13 @@
                 return reason;
             }
             if service.config.ending.is_closed() {
-                return self.reject_buffered_requests(CloseReason::Stopping);
+                return self.reject_at_the_end(service).await;
             }
             match self.read_available() {
                 Ok(Input::Open) => {}
                 Ok(Input::Unreadable) => transient::pause().await,
                 // A client that is gone hears no reply: what it asked last is not accepted.
-                Ok(Input::Ended) => return self.reject_buffered_requests(CloseReason::Closed),
+                Ok(Input::Ended) => return self.reject_after_end_of_input(),
                 Err(_) => return CloseReason::Broken,
             }
             match self.take_turn(service).await {
@@ -209,12 +212,13 @@
         }
         Err(match (wakeup, expecting) {
             (Wakeup::SocketBroken, _) => CloseReason::Broken,
+            // While stopping the rest of a request is waited for, up to the end of the process.
+            (Wakeup::Stopping, Expecting::Remainder) => self.reject_at_the_end(service).await,
             (Wakeup::Stopping, _) => CloseReason::Stopping,
             (Wakeup::Standby, _) => CloseReason::Standby,
             (_, Expecting::Remainder) if self.evicted.is_closed() => {
                 // Nobody took the request on: it may come again.
-                let busy = Reply::Line(protocol::BUSY.to_string());
-                self.close_after(vec![busy], CloseReason::Evicted, service).await
+                self.close_after(vec![busy()], CloseReason::Evicted, service).await
             }
             (_, Expecting::Remainder) => {
                 let late = Reply::Line(protocol::error_line("the request did not come in time"));
@@ -342,20 +346,54 @@
         Turn { replies, end: TurnEnd::MaxRequestsReached }
     }
 
-    /// Rejects every request that was read whole and is no longer submitted, as its client ended its sending or the
-    /// process ends: without an answer the client would take it for lost. What was not read, the client sends again by
-    /// itself. Nothing is accepted: a client that has gone altogether looks the same.
-    fn reject_buffered_requests(&mut self, reason: CloseReason) -> CloseReason {
-        let mut replies = String::new();
+    /// The process ends: what still comes is read for a moment and rejected, the last request also if it is not whole.
+    /// Nobody has taken it on, and its client would wait for an answer as it sends the rest.
+    async fn reject_at_the_end(&mut self, service: &ClientService) -> CloseReason {
+        let due = Instant::now() + LAST_REQUESTS_TIME;
+        loop {
+            let Ok(input) = self.read_available() else { return CloseReason::Broken };
+            let rejections = self.reject_whole_requests();
+            if let Err(reason) = self.send_replies(rejections, service).await {
+                return reason;
+            }
+            match input {
+                Input::Ended => return CloseReason::Stopping,
+                _ if Instant::now() >= due => break,
+                Input::Unreadable => transient::pause().await,
+                Input::Open => {
+                    let time_over = async {
+                        Timer::at(due).await;
+                        Wakeup::TimeOver
+                    };
+                    self.readable().or(time_over).await;
+                }
+            }
+        }
+        if self.buffer.is_empty() {
+            return CloseReason::Stopping;
+        }
+        self.close_after(vec![busy()], CloseReason::Stopping, service).await
+    }
+
+    /// Takes every whole request out of the buffer and rejects it.
+    fn reject_whole_requests(&mut self) -> Vec<Reply> {
+        let mut replies = Vec::new();
         while let Ok(Some(request)) = protocol::parse_request(&self.buffer) {
             self.buffer.drain(..request.wire_bytes);
             self.requests += 1;
-            self.answered_requests += 1;
-            replies.push_str(protocol::BUSY);
+            replies.push(busy());
         }
+        replies
+    }
+
+    /// Rejects every request that was read whole before its client ended its sending: without an answer the client would
+    /// take it for lost. Nothing is accepted: a client that has gone altogether looks the same.
+    fn reject_after_end_of_input(&mut self) -> CloseReason {
+        let rejected = self.reject_whole_requests().len();
+        self.answered_requests += rejected as u64;
         // What the connection does not take at once goes nowhere: its client has stopped reading.
-        write_at_once(self.stream.get_ref(), replies.as_bytes());
-        reason
+        write_at_once(self.stream.get_ref(), protocol::BUSY.repeat(rejected).as_bytes());
+        CloseReason::Closed
     }
 
     /// Writes the last replies and ends. A close over unread bytes would reset the connection and take the replies away
@@ -501,6 +539,11 @@
     Ended,
 }
 
+/// The reply to a request that nobody takes on.
+fn busy() -> Reply {
+    Reply::Line(protocol::BUSY.to_string())
+}
+
 /// Carries out a command other than `QUIT`, which ends its turn.
 fn run_command(command: Result<Command, CommandError>, service: &ClientService) -> Reply {
     match command {
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -95,6 +95,10 @@
         if !self.files.is_anchor_written() {
             self.files.retry_unwritten();
         }
+        // Not committed either: what is rejected for that would stand in the log until its removal does.
+        if !self.files.is_anchor_written() {
+            return false;
+        }
         let committed = self.spool.borrow_mut().commit();
         match &committed {
             Err(e) if !self.spool_failure_logged => {
@@ -108,7 +112,7 @@
             }
             _ => {}
         }
-        committed.is_ok() && self.files.is_anchor_written()
+        committed.is_ok()
     }
 
     /// Tries again to write what could not be written.
