Failing tests: a start whose second address is taken, whose folder fails, that is told to stop

Class: passing faults at a start. The second address was left out when the others got their patience; a folder that fails for 7.5 s ends the process after 6 s with "not started", though 30 s are allowed and nobody starts it again; SIGTERM meanwhile is heard only then.

--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -268,3 +268,34 @@
     until("the second message", || delivered(&endpoint).contains("m2"));
     assert_eq!(endpoint.ids(), ["m2"]);
 }
+
+/// Nothing in the state folder can be opened.
+fn close_folder(faults: &FaultControl) {
+    faults.set_call_fault(SystemCall::FileOpen, CallFault::always(libc::EIO)).expect("a fault");
+}
+
+// A process that gives a folder up that fails for a while has not started at all, and nobody starts it again.
+#[test]
+fn a_start_waits_out_a_folder_that_fails_for_some_seconds() {
+    let endpoint = Server::start(|_| ok());
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "single")]);
+    let faults = fixture.faults();
+    close_folder(&faults);
+    let mut relay = Relay::begin_with_faults(&fixture.config, fixture.dir.path(), &faults);
+    assert_eq!(relay.code_within(ms(7_500)), None, "{}", fixture.log());
+    faults.set_call_fault(SystemCall::FileOpen, CallFault::default()).expect("no fault");
+    assert_eq!(relay.client().ask(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
+    assert_eq!(relay.submit("m1", 0, "c=any,d=8000,dest=7", b"x"), "+OK");
+    until("the call", || endpoint.ids() == ["m1"]);
+}
+
+#[test]
+fn a_start_that_waits_for_its_folder_hears_a_stop() {
+    let fixture = fixture(0, vec![unreachable_endpoint()]);
+    let faults = fixture.faults();
+    close_folder(&faults);
+    let mut relay = Relay::begin_with_faults(&fixture.config, fixture.dir.path(), &faults);
+    until("the start to wait", || faults.injected(SystemCall::FileOpen).expect("a count") > 3);
+    relay.signal("TERM");
+    assert_eq!(relay.code_within(ms(3_600)), Some(0), "{}", fixture.log());
+}
--- a/crates/relay/tests/operations.rs
+++ b/crates/relay/tests/operations.rs
@@ -205,3 +205,18 @@
     let log = std::fs::read_to_string(ops.dir.path().join("log")).expect("a log");
     assert!(log.contains("0 messages kept, 0 violations"), "{log}");
 }
+
+// The address may still be the last process's for a moment, or the system short of what a socket needs.
+#[test]
+fn a_second_address_that_is_taken_for_a_moment_ends_no_start() {
+    let ops = ops(vec![member("e1", free_address(), 7, "single")]);
+    let taken = std::net::TcpListener::bind(ops.mgmt).expect("the address");
+    let freed = std::thread::spawn(move || {
+        std::thread::sleep(ms(700));
+        drop(taken);
+    });
+    let _relay = Relay::start(&ops.config, ops.dir.path());
+    freed.join().expect("free");
+    until("the second address", || TcpStream::connect(ops.mgmt).is_ok());
+    assert_eq!(call(ops.mgmt, "GET", "/status"), 200);
+}
--- a/crates/relay/tests/support/process.rs
+++ b/crates/relay/tests/support/process.rs
@@ -10,7 +10,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// What an operator writes: classes `any` (idempotent), `once` (not idempotent), `line` (in order, idempotent).
 pub(crate) fn config(listen: SocketAddr, discovery: SocketAddr, members: &[Value]) -> Value {
@@ -89,12 +89,29 @@
 
     /// Starts one whose system calls obey the control file.
     pub(crate) fn start_with_faults(config: &Value, dir: &Path, faults: &FaultControl) -> Relay {
+        Relay::start_in(config, dir, &Relay::fault_environment(faults))
+    }
+
+    /// As [`Relay::start_with_faults`], without waiting until it is ready.
+    pub(crate) fn begin_with_faults(config: &Value, dir: &Path, faults: &FaultControl) -> Relay {
+        Relay::begin_in(config, dir, &Relay::fault_environment(faults))
+    }
+
+    fn fault_environment(faults: &FaultControl) -> [(&'static str, String); 2] {
         let control = faults.path().display().to_string();
         let shim = fault_shim().display().to_string();
-        Relay::start_in(config, dir, &[(CONTROL_VARIABLE, control), ("LD_PRELOAD", shim)])
+        [(CONTROL_VARIABLE, control), ("LD_PRELOAD", shim)]
     }
 
     fn start_in(config: &Value, dir: &Path, environment: &[(&str, String)]) -> Relay {
+        let relay = Relay::begin_in(config, dir, environment);
+        until("the relay to be ready", || TcpStream::connect(relay.listen).is_ok());
+        let said = relay.client().ask(b"*1\r\n$4\r\nPING\r\n");
+        assert_eq!(said, "+PONG", "{}", std::fs::read_to_string(dir.join("log")).unwrap_or_default());
+        relay
+    }
+
+    fn begin_in(config: &Value, dir: &Path, environment: &[(&str, String)]) -> Relay {
         let (file, state) = (dir.join("config.json"), dir.join("state"));
         std::fs::write(&file, config.to_string()).expect("a config");
         std::fs::create_dir_all(&state).expect("a folder");
@@ -103,11 +120,7 @@
         command.envs(environment.iter().map(|(name, value)| (*name, value.as_str())));
         let child = command.stderr(log).stdout(Stdio::null()).spawn().expect("a relay");
         let listen = config["listen"].as_str().and_then(|a| a.parse().ok()).expect("an address");
-        let relay = Relay { child, listen };
-        until("the relay to be ready", || TcpStream::connect(listen).is_ok());
-        let said = relay.client().ask(b"*1\r\n$4\r\nPING\r\n");
-        assert_eq!(said, "+PONG", "{}", std::fs::read_to_string(dir.join("log")).unwrap_or_default());
-        relay
+        Relay { child, listen }
     }
 
     pub(crate) fn client(&self) -> Client {
@@ -147,6 +160,18 @@
         stat.rsplit(')').next().is_some_and(|rest| rest.trim_start().starts_with('T'))
     }
 
+    /// Its exit code, if it ends within this time.
+    pub(crate) fn code_within(&mut self, most: Duration) -> Option<i32> {
+        let start = Instant::now();
+        while start.elapsed() < most {
+            if let Some(status) = self.child.try_wait().expect("a state") {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        None
+    }
+
     /// Its exit code, once it ends.
     pub(crate) fn code(&mut self) -> Option<i32> {
         self.child.wait().expect("an end").code()
