A start waits out a failing folder for 25 s, binds its second address again, and hears a stop

- Patience has two spans: 6 s for what a process can serve without, 25 s for what ends it (config, lock, spool, addresses).
All waits are async: a stop is heard beside them, and so are clients once the relay is ready.
SIGHUP during a start is read again afterwards.
- Events from before the dispatcher go in front of those that came since: an older list could follow a newer one.

--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -35,8 +35,8 @@
 impl ClockReading {
     /// Reads the clocks, again if the process was held up between two of them. A boot's id that can't be read for a
     /// moment is waited for: without it stored times would be dated anew.
-    pub(crate) fn now(patience: &Patience) -> ClockReading {
-        let boot_id = patience.retry(|| std::fs::read_to_string(BOOT_ID_FILE));
+    pub(crate) async fn now(patience: &Patience) -> ClockReading {
+        let boot_id = patience.retry(|| std::fs::read_to_string(BOOT_ID_FILE)).await;
         if let Err(e) = &boot_id {
             error!("{BOOT_ID_FILE}: {e}; stored times count by the wall clock");
         }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -21,22 +21,24 @@
 mod violations;
 
 use async_executor::LocalExecutor;
-use async_io::Async;
-use async_signal::Signals;
 use clock::StoredTime;
 use discovery::EndpointList;
 use dispatch::{Dependencies, Dispatcher};
 use error::StartError;
+use futures_lite::FutureExt;
 use log::{error, info, warn};
+use mountshift_discovery::DrainRecord;
+use mountshift_handover::{Role, Snapshot};
 use mountshift_maintenance::MaintenanceState;
+use signals::StartSignals;
 use startup::config::StartConfig;
-use startup::listener::client_listener;
+use startup::listener::{admin_listener, client_listener};
+use startup::opening::open_beside_clients;
 use startup::patience::Patience;
 use startup::spool::{ActiveSpool, SuccessorSpool, open_spool};
 use startup::state_dir::StateDir;
-use startup::tasks::RelayTasks;
+use startup::tasks::{Listeners, RelayTasks};
 use state_files::StateFiles;
-use std::net::TcpListener;
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -58,76 +60,107 @@
 
 /// Starts the relay, and runs it until it is told to stop.
 fn start() -> Result<(), StartError> {
-    // Before all else: a signal that comes during the start must not end the process.
-    let signals = signals::subscribe();
+    let executor = Rc::new(LocalExecutor::new());
+    async_io::block_on(executor.run(start_and_run(executor.clone())))
+}
+
+async fn start_and_run(executor: Rc<LocalExecutor<'static>>) -> Result<(), StartError> {
     let patience = Patience::of_start();
-    let config = StartConfig::from_environment(&patience)?;
-    let signals = signals?;
-    let listener = client_listener(&config, &patience)?;
-    let state_dir = StateDir::open(&config.state_dir, &patience)?;
+    // Before all else: a signal that comes during the start must not end the process.
+    let signals = patience.retry_essential(StartSignals::subscribe).await;
+    let config = StartConfig::from_environment(&patience).await?;
+    let mut signals = signals.map_err(StartError::Signals)?;
+    let prepared = async { Some(prepare(config, executor, &patience).await) };
+    let stopped = async {
+        signals.stop_requested().await;
+        None
+    };
+    if let Some(start) = prepared.or(stopped).await {
+        return run(start?, signals).await;
+    }
+    info!("told to stop before it was ready");
+    Ok(())
+}
+
+/// What a start has made ready.
+struct Start {
+    config: StartConfig,
+    state_dir: StateDir,
+    files: StateFiles,
+    stored_time: StoredTime,
+    initial_list: Option<EndpointList>,
+    tasks: RelayTasks,
+    listeners: Listeners,
+}
+
+/// Makes ready what clients can be served with. What fails for a moment is waited out.
+async fn prepare(
+    config: StartConfig,
+    executor: Rc<LocalExecutor<'static>>,
+    patience: &Patience,
+) -> Result<Start, StartError> {
+    let clients = client_listener(&config, patience).await?;
+    let state_dir = StateDir::open(&config.state_dir, patience).await?;
     info!("{} starts as {:?}", config.name, state_dir.role);
     let initial_list = discovery::parse_list(&config.initial_list, config.discovery);
     if initial_list.is_none() {
         warn!("the configuration's known list can't be read; discovery is asked for the whole list");
     }
     let files = StateFiles::new(&config);
-    let stored_time = files.stored_time(&patience);
-    let maintenance = restore_maintenance(&files, initial_list.as_ref(), &patience);
-    let executor = Rc::new(LocalExecutor::new());
-    let tasks = RelayTasks::new(executor.clone(), maintenance);
-    async_io::block_on(executor.run(run(Start {
-        config,
-        state_dir,
-        files,
-        stored_time,
-        initial_list,
-        tasks,
-        listener,
-        signals,
-    })))
+    let stored_time = files.stored_time(patience).await;
+    let maintenance = restore_maintenance(&files, initial_list.as_ref(), patience).await;
+    let admin = admin_listener(&config, patience).await?;
+    let tasks = RelayTasks::new(executor, maintenance);
+    let listeners = Listeners { clients, admin };
+    Ok(Start { config, state_dir, files, stored_time, initial_list, tasks, listeners })
 }
 
 /// The maintenance commands of the process before; they may name every endpoint of the list.
-fn restore_maintenance(
+async fn restore_maintenance(
     files: &StateFiles,
     initial_list: Option<&EndpointList>,
     patience: &Patience,
 ) -> MaintenanceState {
-    let mut maintenance = MaintenanceState::from_text(&files.read_maintenance(patience));
+    let mut maintenance = MaintenanceState::from_text(&files.read_maintenance(patience).await);
     for entry in initial_list.iter().flat_map(|list| &list.entries) {
         maintenance.record_listed(&entry.id);
     }
     maintenance
 }
 
-/// What a start has made ready.
-struct Start {
-    config: StartConfig,
-    state_dir: StateDir,
-    files: StateFiles,
-    stored_time: StoredTime,
-    initial_list: Option<EndpointList>,
-    tasks: RelayTasks,
-    listener: Async<TcpListener>,
-    signals: Signals,
+/// What the process before left beside the spool.
+struct EarlierState {
+    /// Of its routes, where that still binds.
+    snapshot: Option<Snapshot>,
+    drain_record: DrainRecord,
+}
+
+/// Reads what the process before left beside the spool; what no longer counts is removed.
+async fn read_earlier_state(files: &StateFiles, role: Role) -> EarlierState {
+    let patience = Patience::of_start();
+    files.discard_handing_over(&patience).await;
+    let snapshot = if mountshift_handover::reads_snapshot(role) {
+        files.read_snapshot(&patience).await
+    } else {
+        files.discard_snapshot(&patience).await;
+        None
+    };
+    EarlierState { snapshot, drain_record: files.read_drain_record(&patience).await }
 }
 
 /// Serves clients at once, and dispatches once this process is the active one.
-async fn run(start: Start) -> Result<(), StartError> {
-    let Start { config, mut state_dir, files, stored_time, initial_list, tasks, listener, signals } = start;
-    tasks.spawn_all(&config, &state_dir, initial_list.as_ref(), listener, signals)?;
+async fn run(start: Start, signals: StartSignals) -> Result<(), StartError> {
+    let Start { config, mut state_dir, files, stored_time, initial_list, tasks, listeners } = start;
+    tasks.spawn_all(&config, &state_dir, initial_list.as_ref(), listeners, signals);
     tasks.maintenance.borrow_mut().set_serving();
     info!("ready on {}", config.listen);
     let opened = open_spool(&config, &state_dir, &files, stored_time, &tasks).await?;
-    let Some(ActiveSpool { spool, deferred_events }) = opened else { return Ok(()) };
+    let Some(ActiveSpool { spool, mut deferred_events }) = opened else { return Ok(()) };
     state_dir.release_successor_lock();
     let successor_spool = SuccessorSpool::new(&config, &state_dir);
-    let patience = Patience::of_start();
-    files.discard_handing_over(&patience);
-    let restores_snapshot = mountshift_handover::reads_snapshot(state_dir.role);
-    if !restores_snapshot {
-        files.discard_snapshot(&patience);
-    }
+    let reading = async { Ok(read_earlier_state(&files, state_dir.role).await) };
+    let earlier = open_beside_clients(&tasks, &mut deferred_events, reading).await?;
+    let Some(EarlierState { snapshot, drain_record }) = earlier else { return Ok(()) };
     tasks.is_active.set(true);
     info!("{} starts with {} messages in its spool", config.name, spool.messages().len());
     let dispatcher = Dispatcher::new(Dependencies {
@@ -146,15 +179,13 @@
         clients_leave: tasks.clients_leave.1.clone(),
         clients_end: tasks.clients_end.0.clone(),
         maintenance: tasks.maintenance.clone(),
-        snapshot: if restores_snapshot { files.read_snapshot(&patience) } else { None },
-        drain_record: files.read_drain_record(&patience),
+        snapshot,
+        drain_record,
         stored_time,
         successor_spool,
         files,
     });
-    for event in deferred_events {
-        let _ = tasks.events.0.try_send(event);
-    }
+    deferred_events.put_back(&tasks.events);
     dispatcher.run().await;
     Ok(())
 }
--- a/crates/relay/src/signals.rs
+++ b/crates/relay/src/signals.rs
@@ -3,7 +3,6 @@
 
 use crate::clients::ACCEPT_PAUSE;
 use crate::dispatch::Event;
-use crate::error::StartError;
 use crate::startup::config::{ConfigError, reload_discovery};
 use crate::startup::state_dir::is_locked_by_another;
 use async_channel::Sender;
@@ -13,6 +12,7 @@
 use futures_lite::{FutureExt, StreamExt};
 use log::{error, info};
 use std::cell::Cell;
+use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -23,9 +23,33 @@
 /// ... for so long: nobody sends a second SIGHUP for it, and a file that is bad stays so.
 const RELOAD_PATIENCE: Duration = Duration::from_secs(30);
 
-/// Takes the signals over from the system's defaults, which would end the process.
-pub(crate) fn subscribe() -> Result<Signals, StartError> {
-    Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(StartError::Signals)
+/// The signals of a process that starts.
+pub(crate) struct StartSignals {
+    pub(crate) signals: Signals,
+    /// Set if a new configuration was told while the process started: it may have read the old one.
+    pub(crate) pending_reload: Option<PendingReload>,
+}
+
+impl StartSignals {
+    /// Takes the signals over from the system's defaults, which would end the process.
+    pub(crate) fn subscribe() -> io::Result<StartSignals> {
+        let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+        Ok(StartSignals { signals, pending_reload: None })
+    }
+
+    /// Waits until the process is told to stop.
+    pub(crate) async fn stop_requested(&mut self) {
+        loop {
+            match self.signals.next().await {
+                Some(Ok(Signal::Hup)) => {
+                    self.pending_reload = Some(PendingReload { since: Instant::now() });
+                }
+                Some(Ok(_)) => return,
+                Some(Err(_)) => drop(Timer::after(ACCEPT_PAUSE).await),
+                None => std::future::pending().await,
+            }
+        }
+    }
 }
 
 /// Handles signals for as long as the process runs.
@@ -55,7 +79,7 @@
 
 /// What the handler waits for.
 enum Wakeup {
-    Signal(Option<std::io::Result<Signal>>),
+    Signal(Option<io::Result<Signal>>),
     /// It is time to read the new configuration again.
     RetryReload,
 }
--- a/crates/relay/src/startup/config.rs
+++ b/crates/relay/src/startup/config.rs
@@ -109,8 +109,8 @@
 
 impl StartConfig {
     /// Reads the configuration that the environment names.
-    pub(crate) fn from_environment(patience: &Patience) -> Result<StartConfig, ConfigError> {
-        patience.retry(|| StartConfig::read(|name| std::env::var(name).ok()))
+    pub(crate) async fn from_environment(patience: &Patience) -> Result<StartConfig, ConfigError> {
+        patience.retry_essential(|| StartConfig::read(|name| std::env::var(name).ok())).await
     }
 
     /// Reads the file named by `NODE_CONFIG`; `variable` looks up the environment.
--- a/crates/relay/src/startup/mod.rs
+++ b/crates/relay/src/startup/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod config;
 pub(crate) mod listener;
+pub(crate) mod opening;
 pub(crate) mod patience;
 pub(crate) mod spool;
 pub(crate) mod state_dir;
--- a/crates/relay/src/startup/patience.rs
+++ b/crates/relay/src/startup/patience.rs
@@ -5,8 +5,10 @@
 use std::io::{self, ErrorKind};
 use std::time::{Duration, Instant};
 
-/// The platform wants a process to be ready within 10 s; the rest is for what a start does beside waiting.
+/// What a process can serve without is waited for so long: the platform wants it ready within 10 s.
 const START_PATIENCE: Duration = Duration::from_secs(6);
+/// What it can't serve without is waited for so long: later than 30 s after its start nobody waits for it.
+const ESSENTIAL_PATIENCE: Duration = Duration::from_secs(25);
 /// Between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -36,39 +38,42 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Patience {
     ends_at: Instant,
+    essential_ends_at: Instant,
 }
 
 impl Patience {
     /// The patience of a process that starts now, or becomes the active one.
     pub(crate) fn of_start() -> Patience {
-        Patience { ends_at: Instant::now() + START_PATIENCE }
+        let now = Instant::now();
+        Patience { ends_at: now + START_PATIENCE, essential_ends_at: now + ESSENTIAL_PATIENCE }
     }
 
-    /// Tries until it works, the error is one that does not pass, or the time is over; then the last error counts.
-    pub(crate) fn retry<T, E: MayPass>(&self, mut attempt: impl FnMut() -> Result<T, E>) -> Result<T, E> {
-        loop {
-            match attempt() {
-                Err(error) if self.goes_on(&error) => std::thread::sleep(RETRY_PAUSE),
-                result => return result,
-            }
-        }
+    /// Tries until it works, the error is one that does not pass, or the time is over; then the last error counts. Other
+    /// tasks run between the tries.
+    pub(crate) async fn retry<T, E: MayPass>(&self, attempt: impl FnMut() -> Result<T, E>) -> Result<T, E> {
+        retry_until(self.ends_at, attempt).await
     }
 
-    /// As [`Patience::retry`], while other tasks run between the tries.
-    pub(crate) async fn retry_beside_tasks<T, E: MayPass>(
+    /// As [`Patience::retry`], for what ends the process if it fails.
+    pub(crate) async fn retry_essential<T, E: MayPass>(
         &self,
-        mut attempt: impl FnMut() -> Result<T, E>,
+        attempt: impl FnMut() -> Result<T, E>,
     ) -> Result<T, E> {
-        loop {
-            match attempt() {
-                Err(error) if self.goes_on(&error) => drop(Timer::after(RETRY_PAUSE).await),
-                result => return result,
-            }
-        }
+        retry_until(self.essential_ends_at, attempt).await
     }
+}
 
-    fn goes_on(&self, error: &impl MayPass) -> bool {
-        error.may_pass() && Instant::now() < self.ends_at
+async fn retry_until<T, E: MayPass>(
+    ends_at: Instant,
+    mut attempt: impl FnMut() -> Result<T, E>,
+) -> Result<T, E> {
+    loop {
+        match attempt() {
+            Err(error) if error.may_pass() && Instant::now() < ends_at => {
+                Timer::after(RETRY_PAUSE).await;
+            }
+            result => return result,
+        }
     }
 }
 
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -2,11 +2,11 @@
 //! beside it.
 
 use super::config::StartConfig;
+use super::opening::{DeferredEvents, open_beside_clients};
 use super::patience::{MayPass, Patience};
 use super::state_dir::{StateDir, take_free_lock};
 use super::tasks::RelayTasks;
 use crate::clock::StoredTime;
-use crate::dispatch::Event;
 use crate::error::StartError;
 use crate::notifications::Notification;
 use crate::state_files::StateFiles;
@@ -27,11 +27,11 @@
 pub(crate) struct ActiveSpool {
     pub(crate) spool: Spool,
     /// Events from the time before this process was active that the dispatcher has to handle, in order.
-    pub(crate) deferred_events: Vec<Event>,
+    pub(crate) deferred_events: DeferredEvents,
 }
 
-/// Opens the spool as the role demands; a successor accepts messages meanwhile. None if a successor was told to stop
-/// before it became active.
+/// Opens the spool as the role demands; a successor accepts messages meanwhile. None if the process was told to stop
+/// before that.
 pub(crate) async fn open_spool(
     config: &StartConfig,
     state_dir: &StateDir,
@@ -40,17 +40,12 @@
     tasks: &RelayTasks,
 ) -> Result<Option<ActiveSpool>, StartError> {
     let opener = SpoolOpener::new(config, state_dir);
-    let patience = Patience::of_start();
     match state_dir.role {
-        Role::Active { merge_successor: false } => {
-            let spool = patience.retry_beside_tasks(|| opener.open_active()).await?;
-            Ok(Some(ActiveSpool { spool, deferred_events: Vec::new() }))
-        }
-        Role::Active { merge_successor: true } => {
-            let mut spool = patience.retry_beside_tasks(|| opener.open_active()).await?;
-            let successor = patience.retry_beside_tasks(|| opener.open_successor()).await?;
-            merge_successor_spool(&mut spool, successor, state_dir, tasks, &patience).await?;
-            Ok(Some(ActiveSpool { spool, deferred_events: Vec::new() }))
+        Role::Active { merge_successor } => {
+            let mut deferred_events = DeferredEvents::default();
+            let opening = open_as_active(&opener, state_dir, tasks, merge_successor);
+            let spool = open_beside_clients(tasks, &mut deferred_events, opening).await?;
+            Ok(spool.map(|spool| ActiveSpool { spool, deferred_events }))
         }
         // The active spool is not opened here: opening cuts a half written record off and removes a half written
         // compaction, and both may be the active process's at this moment.
@@ -58,6 +53,22 @@
     }
 }
 
+/// Opens the spool of a process that is active at its start, with what a successor left that has ended.
+async fn open_as_active(
+    opener: &SpoolOpener<'_>,
+    state_dir: &StateDir,
+    tasks: &RelayTasks,
+    merge_successor: bool,
+) -> Result<Spool, StartError> {
+    let patience = Patience::of_start();
+    let mut spool = patience.retry_essential(|| opener.open_active()).await?;
+    if merge_successor {
+        let successor = patience.retry_essential(|| opener.open_successor()).await?;
+        merge_successor_spool(&mut spool, successor, state_dir, tasks, &patience).await?;
+    }
+    Ok(spool)
+}
+
 /// Accepts messages beside the active process until it ends, then takes over its spool.
 async fn accept_until_active(
     config: &StartConfig,
@@ -67,7 +78,12 @@
     tasks: &RelayTasks,
     opener: &SpoolOpener<'_>,
 ) -> Result<Option<ActiveSpool>, StartError> {
-    let successor = Patience::of_start().retry_beside_tasks(|| opener.open_successor()).await?;
+    let patience = Patience::of_start();
+    let mut early_events = DeferredEvents::default();
+    let opening = patience.retry_essential(|| opener.open_successor());
+    let opened = open_beside_clients(tasks, &mut early_events, opening).await?;
+    let Some(successor) = opened else { return Ok(None) };
+    early_events.put_back(&tasks.events);
     info!("another process owns the state folder: accepts messages beside it");
     let mut intake = SuccessorIntake::new(IntakeOptions {
         spool: successor,
@@ -81,18 +97,22 @@
         clients_end: tasks.clients_end.0.clone(),
         client_connections: tasks.client_connections.clone(),
     });
-    let deferred_events = match intake.run(&tasks.events.1).await {
+    let mut deferred_events = match intake.run(&tasks.events.1).await {
         IntakeEnd::Stopped => return Ok(None),
         IntakeEnd::BecameActive(deferred_events) => deferred_events,
     };
-    let patience = Patience::of_start();
-    let mut spool = patience.retry_beside_tasks(|| opener.open_active()).await?;
     let successor = intake.into_spool();
-    merge_successor_spool(&mut spool, successor, state_dir, tasks, &patience).await?;
-    // What the process before wrote down since this one started.
-    let maintenance = files.read_maintenance(&patience);
-    tasks.maintenance.borrow_mut().reload(&maintenance);
-    Ok(Some(ActiveSpool { spool, deferred_events }))
+    let taking_over = async {
+        let patience = Patience::of_start();
+        let mut spool = patience.retry_essential(|| opener.open_active()).await?;
+        merge_successor_spool(&mut spool, successor, state_dir, tasks, &patience).await?;
+        // What the process before wrote down since this one started.
+        let maintenance = files.read_maintenance(&patience).await;
+        tasks.maintenance.borrow_mut().reload(&maintenance);
+        Ok(spool)
+    };
+    let spool = open_beside_clients(tasks, &mut deferred_events, taking_over).await?;
+    Ok(spool.map(|spool| ActiveSpool { spool, deferred_events }))
 }
 
 /// The spool that a successor writes, as the active process beside it sees it: once the successor has ended without
@@ -211,7 +231,7 @@
         merged.push(message.clone());
     }
     let left_out = patience
-        .retry_beside_tasks(|| spool.replace_all(merged.clone()))
+        .retry_essential(|| spool.replace_all(merged.clone()))
         .await
         .map_err(StartError::MergeSpools)?;
     for message in left_out {
@@ -221,7 +241,7 @@
     drop(successor);
     let path = state_dir.successor_path.join(mountshift_spool::FILE_NAME);
     patience
-        .retry_beside_tasks(|| std::fs::remove_file(&path))
+        .retry_essential(|| std::fs::remove_file(&path))
         .await
         .map_err(|source| StartError::State { path, source })
 }
--- a/crates/relay/src/startup/state_dir.rs
+++ b/crates/relay/src/startup/state_dir.rs
@@ -2,6 +2,7 @@
 
 use super::patience::Patience;
 use crate::error::StartError;
+use async_io::Timer;
 use mountshift_handover::{LOCK_FILE, Role, SUCCESSOR_DIR};
 use std::fs::{File, TryLockError};
 use std::io;
@@ -29,21 +30,24 @@
 
 impl StateDir {
     /// Takes the locks that are free, and finds the role that follows.
-    pub(crate) fn open(path: &Path, patience: &Patience) -> Result<StateDir, StartError> {
+    pub(crate) async fn open(path: &Path, patience: &Patience) -> Result<StateDir, StartError> {
         let successor_path = path.join(SUCCESSOR_DIR);
         let unusable = |path: PathBuf| move |source| StartError::State { path, source };
-        patience.retry(|| std::fs::create_dir_all(&successor_path)).map_err(unusable(path.to_path_buf()))?;
+        let created = patience.retry_essential(|| std::fs::create_dir_all(&successor_path)).await;
+        created.map_err(unusable(path.to_path_buf()))?;
         let started = Instant::now();
         let (active, successor, role) = loop {
-            let active = patience.retry(|| try_lock(path)).map_err(unusable(path.join(LOCK_FILE)))?;
-            let successor = patience
-                .retry(|| try_lock(&successor_path))
-                .map_err(unusable(successor_path.join(LOCK_FILE)))?;
+            let active = patience.retry_essential(|| try_lock(path)).await;
+            let active = active.map_err(unusable(path.join(LOCK_FILE)))?;
+            let successor = patience.retry_essential(|| try_lock(&successor_path)).await;
+            let successor = successor.map_err(unusable(successor_path.join(LOCK_FILE)))?;
             let successor_spool_exists = successor_path.join(mountshift_spool::FILE_NAME).exists();
             match mountshift_handover::role(active.acquired, successor.acquired, successor_spool_exists) {
                 Ok(role) => break (active, successor, role),
                 // The active process holds the second lock for a moment while it takes over what a successor left.
-                Err(_) if started.elapsed() < TAKEN_LOCK_PATIENCE => std::thread::sleep(TAKEN_LOCK_PAUSE),
+                Err(_) if started.elapsed() < TAKEN_LOCK_PATIENCE => {
+                    Timer::after(TAKEN_LOCK_PAUSE).await;
+                }
                 Err(e) => {
                     return Err(StartError::StateDirInUse {
                         path: path.to_path_buf(),
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -7,16 +7,13 @@
 use crate::clients::{self, ClientService, ClientServiceConfig};
 use crate::discovery::{DiscoveryClient, DiscoveryOptions, EndpointList};
 use crate::dispatch::Event;
-use crate::error::StartError;
 use crate::metrics::Metrics;
 use crate::notifications::{Notification, Notifier};
-use crate::signals::SignalHandler;
+use crate::signals::{SignalHandler, StartSignals};
 use crate::violations::Violations;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::Async;
-use async_signal::Signals;
-use log::info;
 use mountshift_discovery::{Jitter, PollSchedule};
 use mountshift_maintenance::{Change, MaintenanceState};
 use std::cell::{Cell, RefCell};
@@ -31,6 +28,13 @@
 /// Client connections may take one part in so many of the descriptors; the rest is for endpoints and files.
 const CLIENT_DESCRIPTOR_DIVISOR: usize = 2;
 
+/// Where the relay is reached.
+pub(crate) struct Listeners {
+    pub(crate) clients: Async<TcpListener>,
+    /// The operators' address, where there is one.
+    pub(crate) admin: Option<Async<TcpListener>>,
+}
+
 /// A channel, both ends: kept together so that none of them closes before the process ends.
 type Channel<T> = (Sender<T>, Receiver<T>);
 
@@ -85,18 +89,18 @@
         config: &StartConfig,
         state_dir: &StateDir,
         initial_list: Option<&EndpointList>,
-        listener: Async<TcpListener>,
-        signals: Signals,
-    ) -> Result<(), StartError> {
+        listeners: Listeners,
+        signals: StartSignals,
+    ) {
         let discovery_moves = async_channel::unbounded();
         let notification_moves = async_channel::unbounded();
         self.spawn_discovery_client(config, initial_list, discovery_moves.1);
         self.spawn_notifier(config, notification_moves.1);
         let client_service = self.client_service(config);
-        if let Some(address) = config.admin_listen {
-            self.spawn_admin_service(address, client_service.clone())?;
+        if let Some(listener) = listeners.admin {
+            self.spawn_admin_service(listener, client_service.clone());
         }
-        let serve_clients = clients::serve(listener, client_service, self.executor.clone());
+        let serve_clients = clients::serve(listeners.clients, client_service, self.executor.clone());
         self.executor.spawn(serve_clients).detach();
         let handler = SignalHandler {
             discovery: config.discovery,
@@ -107,10 +111,9 @@
             successor_path: state_dir.successor_path.clone(),
             executor: self.executor.clone(),
             is_stopping: false,
-            pending_reload: None,
+            pending_reload: signals.pending_reload,
         };
-        self.executor.spawn(handler.run(signals)).detach();
-        Ok(())
+        self.executor.spawn(handler.run(signals.signals)).detach();
     }
 
     /// Follows the endpoint list: unasked, or when the decisions ask, as the settings say.
@@ -163,13 +166,7 @@
         }))
     }
 
-    fn spawn_admin_service(
-        &self,
-        address: SocketAddr,
-        client_service: Rc<ClientService>,
-    ) -> Result<(), StartError> {
-        let listener = Async::<TcpListener>::bind(address)
-            .map_err(|source| StartError::AdminListen { address, source })?;
+    fn spawn_admin_service(&self, listener: Async<TcpListener>, client_service: Rc<ClientService>) {
         let events = self.events.0.clone();
         let on_change = move |change: Change| {
             if matches!(change, Change::Standby | Change::Active) {
@@ -184,7 +181,5 @@
             metrics: self.metrics.clone(),
         });
         self.executor.spawn(admin::serve(listener, service, self.executor.clone())).detach();
-        info!("operators' calls on {address}");
-        Ok(())
     }
 }
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -41,27 +41,31 @@
     }
 
     /// The time line of all that is stored: the anchor that an earlier process of this boot left, else a new one.
-    pub(crate) fn stored_time(&self, patience: &Patience) -> StoredTime {
-        let stored = self.read(ANCHOR_FILE, patience);
-        let reading = ClockReading::now(patience);
-        let anchor =
-            stored.as_deref().and_then(TimeAnchor::from_text).filter(|anchor| anchor.holds(&reading));
-        let anchor = anchor.unwrap_or_else(|| {
-            let anchor = TimeAnchor::new(&reading);
-            info!("times that are stored count from now on by the monotonic clock of this boot");
-            // Waited for: what is accepted before it is written would be dated by the next process's wall clock.
-            let written = patience.retry(|| replace_file(&self.dir.join(ANCHOR_FILE), &anchor.to_string()));
-            if let Err(e) = written {
-                self.note_unwritten(ANCHOR_FILE, &anchor.to_string(), &e);
-            }
-            anchor
-        });
+    pub(crate) async fn stored_time(&self, patience: &Patience) -> StoredTime {
+        let stored = self.read(ANCHOR_FILE, patience).await;
+        let reading = ClockReading::now(patience).await;
+        let stored = stored.as_deref().and_then(TimeAnchor::from_text);
+        let anchor = match stored.filter(|anchor| anchor.holds(&reading)) {
+            Some(anchor) => anchor,
+            None => self.write_anchor(TimeAnchor::new(&reading), patience).await,
+        };
         StoredTime::new(&anchor, &reading)
     }
 
+    /// Notes which Unix time belongs to which monotonic reading. Waited for: what is accepted before it is written would
+    /// be dated by the next process's wall clock.
+    async fn write_anchor(&self, anchor: TimeAnchor, patience: &Patience) -> TimeAnchor {
+        info!("times that are stored count from now on by the monotonic clock of this boot");
+        let (path, text) = (self.dir.join(ANCHOR_FILE), anchor.to_string());
+        if let Err(e) = patience.retry(|| replace_file(&path, &text)).await {
+            self.note_unwritten(ANCHOR_FILE, &text, &e);
+        }
+        anchor
+    }
+
     /// The endpoints in maintenance as written; none is, where there is no file.
-    pub(crate) fn read_maintenance(&self, patience: &Patience) -> String {
-        self.read(MAINTENANCE_FILE, patience).unwrap_or_default()
+    pub(crate) async fn read_maintenance(&self, patience: &Patience) -> String {
+        self.read(MAINTENANCE_FILE, patience).await.unwrap_or_default()
     }
 
     /// Writes the endpoints in maintenance, for the next process and for one beside this.
@@ -72,8 +76,8 @@
     /// What the process before left of its routes; none where it left nothing. A file that can't be read is no
     /// reason to end: the process before has ended, and nobody else would serve. The relay goes on as after a
     /// restart.
-    pub(crate) fn read_snapshot(&self, patience: &Patience) -> Option<Snapshot> {
-        let text = self.read(SNAPSHOT_FILE, patience)?;
+    pub(crate) async fn read_snapshot(&self, patience: &Patience) -> Option<Snapshot> {
+        let text = self.read(SNAPSHOT_FILE, patience).await?;
         match Snapshot::from_json(&text) {
             Ok(snapshot) => Some(snapshot),
             Err(e) => {
@@ -89,9 +93,9 @@
     }
 
     /// Removes the snapshot: left in place, the next handover would restore waits of a process long gone.
-    pub(crate) fn discard_snapshot(&self, patience: &Patience) {
+    pub(crate) async fn discard_snapshot(&self, patience: &Patience) {
         let path = self.dir.join(SNAPSHOT_FILE);
-        if let Err(e) = patience.retry(|| remove_if_present(&path)) {
+        if let Err(e) = patience.retry(|| remove_if_present(&path)).await {
             error!("{SNAPSHOT_FILE}: {e}");
         }
     }
@@ -107,17 +111,17 @@
     }
 
     /// This process is the active one, and sends.
-    pub(crate) fn discard_handing_over(&self, patience: &Patience) {
+    pub(crate) async fn discard_handing_over(&self, patience: &Patience) {
         let path = self.dir.join(HANDING_OVER_FILE);
-        if let Err(e) = patience.retry(|| remove_if_present(&path)) {
+        if let Err(e) = patience.retry(|| remove_if_present(&path)).await {
             error!("{HANDING_OVER_FILE}: {e}");
         }
     }
 
     /// Endpoints that earlier processes knew to be draining or removed. What can't be read is left out: the rest
     /// still counts, and discovery is asked before anything is sent.
-    pub(crate) fn read_drain_record(&self, patience: &Patience) -> DrainRecord {
-        let text = self.read(DRAIN_RECORD_FILE, patience).unwrap_or_default();
+    pub(crate) async fn read_drain_record(&self, patience: &Patience) -> DrainRecord {
+        let text = self.read(DRAIN_RECORD_FILE, patience).await.unwrap_or_default();
         let ReadDrainRecord { record, unreadable_lines } = DrainRecord::from_text(&text);
         if unreadable_lines > 0 {
             let path = self.dir.join(DRAIN_RECORD_FILE);
@@ -157,9 +161,9 @@
     }
 
     /// What a file holds; none if there is none, or if it can't be read for as long as a start can wait.
-    fn read(&self, name: &str, patience: &Patience) -> Option<String> {
+    async fn read(&self, name: &str, patience: &Patience) -> Option<String> {
         let path = self.dir.join(name);
-        match patience.retry(|| read_if_present(&path)) {
+        match patience.retry(|| read_if_present(&path)).await {
             Ok(bytes) => bytes.map(|bytes| String::from_utf8_lossy(&bytes).into_owned()),
             Err(e) => {
                 error!("{}: {e}", path.display());
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -7,6 +7,7 @@
 use crate::discovery::EndpointList;
 use crate::dispatch::Event;
 use crate::final_rounds::FinalRounds;
+use crate::startup::opening::DeferredEvents;
 use crate::state_files::StateFiles;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
@@ -29,7 +30,7 @@
 /// How the intake ended.
 pub(crate) enum IntakeEnd {
     /// The active process's lock is this process's now; these events wait for the dispatcher, in order.
-    BecameActive(Vec<Event>),
+    BecameActive(DeferredEvents),
     /// Told to stop before that: what was accepted waits in the successor's spool for the next active process.
     Stopped,
 }
@@ -69,7 +70,7 @@
     /// Accepted since the last commit.
     pending_answers: Vec<PendingAnswer>,
     /// Events that only a dispatcher can handle.
-    deferred_events: Vec<Event>,
+    deferred_events: DeferredEvents,
     stopping_since: Option<Instant>,
 }
 
@@ -79,7 +80,7 @@
             options,
             numbers_by_id: BTreeMap::new(),
             pending_answers: Vec::new(),
-            deferred_events: Vec::new(),
+            deferred_events: DeferredEvents::default(),
             stopping_since: None,
         }
     }
