--- a/crates/relay/tests/crossings.rs
+++ b/crates/relay/tests/crossings.rs
@@ -425,3 +425,23 @@
     let sent = endpoint.requests()[1].at;
     assert!(sent.duration_since(ended) >= HOLD_OFF - ms(300), "{:?}", sent.duration_since(ended));
 }
+
+// The connection of a call comes up late, and meanwhile the list has told another address of the endpoint: at the old one
+// there may be another server by now.
+#[test]
+fn a_call_on_its_way_to_an_address_that_its_endpoint_has_left_is_not_sent_there() {
+    let (listener, fillers) = full_listener();
+    let at = listener.local_addr().expect("an address");
+    let mut fixture = fixture(0, vec![member("e1", at, 7, "single")]);
+    fixture.config["settings"]["limits"]["dialTimeout"] = json!(20_000_000);
+    let relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=once,d=15000,dest=7", b"1"), "+OK");
+    until("a connection on its way", || is_connecting(at));
+    let moved = Server::start(|_| ok());
+    fixture.platform.set(vec![member("e1", moved.address, 7, "single")]);
+    until("the list", || fixture.log().contains("list 3:"));
+    drop(fillers);
+    let left = Server::on(listener, |_| ok());
+    until("the call", || moved.ids() == ["m1"]);
+    assert!(left.ids().is_empty(), "sent to the address that it left");
+}
--- a/crates/relay/tests/relay/calls.rs
+++ b/crates/relay/tests/relay/calls.rs
@@ -2,6 +2,7 @@
 
 use crate::support::{client::*, discovery::*, process::*, server::*, *};
 use serde_json::json;
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
@@ -355,3 +356,63 @@
     until("the call", || late.ids() == ["m1"]);
     assert!(fixture.platform.notifications().is_empty());
 }
+
+/// Bytes that a body holds at most, by the protocol.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+// Each message may be as large as a body: those that wait together may be too much for one call.
+#[test]
+fn a_call_of_several_messages_is_no_larger_than_a_body_may_be() {
+    let endpoint = Server::start(|r| {
+        if r.path != "/receive-many" {
+            return ok();
+        }
+        if r.body.len() > MAX_BODY_BYTES {
+            return answer(413, "", "");
+        }
+        let lines: String = r.ids().iter().map(|id| format!("{id} delivered\r\n")).collect();
+        answer(200, "", &lines)
+    });
+    let fixture = fixture(0, vec![member("e1", endpoint.address, 7, "bulk")]);
+    let relay = fixture.relay();
+    let ids: Vec<String> = (0..8).map(|n| format!("m{n}")).collect();
+    let body = [b'x'; 20_000];
+    let mut client = relay.client();
+    let requests = ids.iter().map(|id| submit_request(id, 0, "c=once,d=8000,dest=7", &body));
+    client.say(&requests.collect::<Vec<_>>().concat());
+    for _ in &ids {
+        assert_eq!(client.hear(), "+OK");
+    }
+    until("all messages", || endpoint.ids().len() >= ids.len());
+    sleep(ms(300));
+    let requests = endpoint.requests();
+    let too_large = requests.iter().filter(|request| request.body.len() > MAX_BODY_BYTES).count();
+    assert_eq!(too_large, 0, "of {} calls", requests.len());
+    let mut sent = endpoint.ids();
+    sent.sort();
+    assert_eq!(sent, ids);
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
+}
+
+// Many messages end at once, with ids as long as they may be: the platform does not take a call that is too large.
+#[test]
+fn a_call_with_notifications_is_no_larger_than_a_body_may_be() {
+    const MESSAGES: usize = 600;
+    let endpoint = Server::start(|_| answer(500, "", ""));
+    // They gather while the platform takes none.
+    let mut fixture = fixture(120, vec![member("e1", endpoint.address, 7, "single")]);
+    fixture.config["settings"]["limits"]["openCap"] = json!(2 * MESSAGES);
+    fixture.config["settings"]["familyInfo"]["callsOut"] = json!(200);
+    fixture.config["limits"]["disk_mb"] = json!(50);
+    let relay = fixture.relay();
+    let mut client = relay.client();
+    for n in 0..MESSAGES {
+        assert_eq!(client.ask(&submit_request(&format!("{n:0128}"), 0, "c=once,d=1500,dest=7", b"x")), "+OK");
+    }
+    until("all notifications", || {
+        let calls = fixture.platform.server.requests();
+        let largest = calls.iter().map(|call| call.body.len()).max().unwrap_or(0);
+        assert!(largest <= MAX_BODY_BYTES, "{largest} bytes");
+        fixture.platform.notifications().into_iter().collect::<BTreeSet<_>>().len() >= MESSAGES
+    });
+}
