Calls of several messages and notifications stay within a body; late calls ask for their address

- Submission::call_bytes: what a message takes at most in a call of several ones; selection fills a call up to MAX_CALL_BYTES (64 KiB), the relay packs by the same bound.
One message alone goes whatever its size. 400 and 413 to a call of several messages count as rejected: by the protocol nothing of it has run.
- Notifier::next_batch_size bounds a call by bytes as well.
- The question of a late call names the address that its connection was made to (Event::ReachabilityAsked).

--- a/crates/lab/src/host/dispatcher.rs
+++ b/crates/lab/src/host/dispatcher.rs
@@ -182,6 +182,7 @@
                     destination: DestinationId(destination),
                     key: if key == 0 { None } else { Some(OrderingKey(key)) },
                     deadline: self.clock.at(deadline),
+                    call_bytes: 0,
                     restored: false,
                 };
                 self.on_submitted(message, submission, deadline, inputs);
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -4,15 +4,17 @@
 use super::state::{CallInFlight, DispatcherState, PendingAttempt};
 use crate::clients::{SubmissionMetadata, SubmissionReply};
 use crate::metrics::Metrics;
-use crate::upstream::{Call, CallMessage, CallResult, CallStage, Endpoint};
+use crate::upstream::{self, Call, CallMessage, CallResult, CallStage, Endpoint};
 use crate::violations::{Evidence, ViolationKind, Violations};
 use async_channel::Receiver;
 use async_executor::Task;
 use log::{error, info};
 use mountshift::interface::*;
 use mountshift::policy::DeliveryPolicy;
+use mountshift_spool::AcceptedMessage;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -58,6 +60,11 @@
     }
 }
 
+/// Bytes that a message takes at most in a call of several ones.
+pub(super) fn batch_entry_bytes(accepted: &AcceptedMessage) -> usize {
+    upstream::max_batch_entry_bytes(&accepted.id, &accepted.metadata, &accepted.body)
+}
+
 impl DispatcherState {
     /// Carries a step out: first into the spool, then onto the sockets.
     pub(super) fn execute_step(&mut self) {
@@ -78,12 +85,30 @@
             let Some(endpoint) = self.endpoints.get(sends.endpoint) else { continue };
             let kind = endpoint.kind.0 as usize;
             let max_batch = self.max_batches.get(kind).copied().unwrap_or(DEFAULT_BATCH);
-            for attempts in sends.attempts.chunks(max_batch) {
-                calls.push(PlannedCall {
-                    to: sends.endpoint,
-                    endpoint: endpoint.clone(),
-                    attempts: attempts.to_vec(),
-                });
+            for attempts in self.split_into_calls(&sends.attempts, max_batch) {
+                calls.push(PlannedCall { to: sends.endpoint, endpoint: endpoint.clone(), attempts });
+            }
+        }
+        calls
+    }
+
+    /// Attempts in calls of so many at most, none with more bytes than a body may hold.
+    fn split_into_calls(&self, attempts: &[PendingAttempt], max_batch: usize) -> Vec<Vec<PendingAttempt>> {
+        let spool = self.spool.borrow();
+        let mut calls: Vec<Vec<PendingAttempt>> = Vec::new();
+        let mut bytes_of_last = 0;
+        for attempt in attempts {
+            let stored = spool.get(attempt.message.0);
+            let bytes = stored.map_or(0, |stored| batch_entry_bytes(&stored.accepted));
+            let fits = |call: &&mut Vec<PendingAttempt>| {
+                call.len() < max_batch && bytes_of_last + bytes <= MAX_CALL_BYTES
+            };
+            if let Some(call) = calls.last_mut().filter(fits) {
+                call.push(*attempt);
+                bytes_of_last += bytes;
+            } else {
+                calls.push(vec![*attempt]);
+                bytes_of_last = bytes;
             }
         }
         calls
@@ -185,6 +210,7 @@
         let limit = planned.attempts.iter().map(|attempt| attempt.limit).min().unwrap_or_default();
         let messages = planned.messages().filter_map(|message| self.call_message(message)).collect();
         let zone = self.endpoints.zone_name(planned.endpoint.zone).to_string();
+        let address = planned.endpoint.address;
         Call {
             to: planned.to,
             endpoint: planned.endpoint,
@@ -192,7 +218,7 @@
             time_limit: limit,
             connect_timeout: self.settings.connect_timeout,
             decided_at: Instant::now(),
-            may_still_send: self.reachability_check(planned.to),
+            may_still_send: self.reachability_check(planned.to, address),
             record_attempts: self.attempt_recorder(number, planned.to, planned.attempts, zone),
             number: number.0,
             stage,
@@ -209,11 +235,15 @@
     }
 
     /// What a call that begins late asks before it is sent: the next step answers.
-    fn reachability_check(&self, endpoint: EndpointId) -> Box<dyn Fn() -> Receiver<bool>> {
+    fn reachability_check(
+        &self,
+        endpoint: EndpointId,
+        address: SocketAddr,
+    ) -> Box<dyn Fn() -> Receiver<bool>> {
         let events = self.events.clone();
         Box::new(move || {
             let (reply_to, answer) = async_channel::bounded(1);
-            let _ = events.try_send(Event::ReachabilityAsked { endpoint, reply_to });
+            let _ = events.try_send(Event::ReachabilityAsked { endpoint, address, reply_to });
             answer
         })
     }
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -7,6 +7,7 @@
 use mountshift::interface::{EndpointId, MessageId};
 use mountshift_handover::StopPlan;
 use mountshift_maintenance::Change;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// A call to an endpoint; never used twice.
@@ -21,8 +22,8 @@
     ClientUnreachable(MessageId),
     /// Attempts of a call ended.
     AttemptsEnded { call: CallNumber, results: CallResult },
-    /// A call begins late: may it still be sent to the endpoint?
-    ReachabilityAsked { endpoint: EndpointId, reply_to: Sender<bool> },
+    /// A call begins late: may it still be sent to the endpoint, at this address?
+    ReachabilityAsked { endpoint: EndpointId, address: SocketAddr, reply_to: Sender<bool> },
     /// Discovery told the endpoint list or an update; or a poll failed, with a `Retry-After` if one was told.
     EndpointList(Result<EndpointList, Option<Duration>>),
     /// The platform took the notifications of these messages.
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -22,8 +22,8 @@
             // Its client submits it again: this one is nobody's any more.
             Event::ClientUnreachable(message) => self.close_message(message, inputs),
             Event::AttemptsEnded { call, results } => self.on_attempts_ended(call, results, inputs),
-            Event::ReachabilityAsked { endpoint, reply_to } => {
-                self.reachability_questions.push(ReachabilityQuestion { endpoint, reply_to });
+            Event::ReachabilityAsked { endpoint, address, reply_to } => {
+                self.reachability_questions.push(ReachabilityQuestion { endpoint, address, reply_to });
             }
             Event::EndpointList(result) => self.on_poll_ended(result, inputs),
             Event::NotificationsTaken(messages) => self.on_notifications_taken(messages, inputs),
@@ -66,7 +66,9 @@
         received: &ClientSubmission,
         deadline: Duration,
     ) -> Result<Submission, SubmissionReply> {
-        let Some(submission) = self.submission(&received.metadata, received.key, deadline) else {
+        let call_bytes =
+            upstream::max_batch_entry_bytes(&received.id, &received.metadata_text, &received.body);
+        let Some(submission) = self.submission(&received.metadata, received.key, deadline, call_bytes) else {
             return Err(SubmissionReply::Failed(SubmissionError::UnknownClass));
         };
         // Nobody could ever take it: it would be held until its deadline.
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -191,7 +191,9 @@
         }
         self.state.execute_step();
         for question in std::mem::take(&mut self.state.reachability_questions) {
-            let may_send = policy.borrow().may_send_to(question.endpoint, now);
+            let known = self.state.endpoints.get(question.endpoint);
+            let is_there = known.is_some_and(|known| known.address == question.address);
+            let may_send = is_there && policy.borrow().may_send_to(question.endpoint, now);
             let _ = question.reply_to.try_send(may_send);
         }
         let held = self.state.spool.borrow().messages().len();
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -1,5 +1,6 @@
 //! Tells the decisions what earlier processes of the relay left: routes after a handover, messages in the spool.
 
+use super::calls::batch_entry_bytes;
 use super::state::DispatcherState;
 use crate::clients::SubmissionMetadata;
 use crate::startup::spool::fail_left_out;
@@ -115,7 +116,8 @@
     fn restored_submission(&self, stored: &StoredMessage) -> Option<Submission> {
         let metadata = SubmissionMetadata::parse(&stored.accepted.metadata).ok()?;
         let deadline = self.clock.since_start_of_unix_ms(stored.accepted.deadline);
-        let submission = self.submission(&metadata, stored.accepted.key, deadline)?;
+        let call_bytes = batch_entry_bytes(&stored.accepted);
+        let submission = self.submission(&metadata, stored.accepted.key, deadline, call_bytes)?;
         Some(Submission { restored: true, ..submission })
     }
 
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -23,6 +23,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -79,6 +80,8 @@
 /// A late call that waits to hear whether it may still be sent.
 pub(super) struct ReachabilityQuestion {
     pub(super) endpoint: EndpointId,
+    /// Where the call goes.
+    pub(super) address: SocketAddr,
     pub(super) reply_to: Sender<bool>,
 }
 
@@ -330,6 +333,7 @@
         metadata: &SubmissionMetadata,
         ordering_key: u64,
         deadline: Duration,
+        call_bytes: usize,
     ) -> Option<Submission> {
         let class = position(&self.settings.classes, &metadata.class)?;
         let tenant = metadata.tenant.as_deref().and_then(|name| position(&self.settings.tenants, name));
@@ -339,6 +343,7 @@
             destination: DestinationId(metadata.destination),
             key: if ordering_key == NO_ORDERING_KEY { None } else { Some(OrderingKey(ordering_key)) },
             deadline,
+            call_bytes,
             restored: false,
         })
     }
--- a/crates/relay/src/notifications.rs
+++ b/crates/relay/src/notifications.rs
@@ -20,6 +20,8 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Notifications in one call at most.
 const MAX_BATCH: usize = 500;
+/// Bytes of a call at most: the protocol lets a body hold no more.
+const MAX_CALL_BYTES: usize = 64 * 1024;
 /// The platform took the whole call.
 const STATUS_TAKEN: u16 = 204;
 /// The platform can't read a notification of the call.
@@ -118,10 +120,20 @@
         if let Ok(address) = self.moves.try_recv() {
             self.move_to(address);
         }
-        let size = self.waiting.len().min(self.batch_limit);
+        let size = self.next_batch_size();
         Some(self.waiting.drain(..size).collect())
     }
 
+    /// How many of those waiting go into the next call: at least one, none that makes it too large.
+    fn next_batch_size(&self) -> usize {
+        let mut bytes = 0;
+        let fitting = self.waiting.iter().take(self.batch_limit).take_while(|notification| {
+            bytes += notification.line().len();
+            bytes <= MAX_CALL_BYTES
+        });
+        fitting.count().max(1)
+    }
+
     fn move_to(&mut self, address: SocketAddr) {
         self.address = address;
         self.connection = None;
--- a/crates/relay/src/upstream/attempt.rs
+++ b/crates/relay/src/upstream/attempt.rs
@@ -26,6 +26,9 @@
 /// The longest `Retry-After` that is taken as told, in seconds; a longer one is cut to it.
 const MAX_RETRY_AFTER_SECONDS: f64 = 1e6;
 
+/// Bytes of an entry of a batch beside its id, key and body: separators and the length's digits, rounded up.
+const MAX_ENTRY_OVERHEAD_BYTES: usize = 32;
+
 /// Errors of a connection that is made which tell of this machine alone: no port, no route, no descriptor, no memory.
 const LOCAL_CONNECT_ERRORS: [Errno; 11] = [
     Errno::ADDRNOTAVAIL,
@@ -287,6 +290,11 @@
             503 => self.same_for_all(Outcome::Rejected { retry_after }, false),
             504 => self.same_for_all(Outcome::NotSent, false),
             410 => self.same_for_all(Outcome::NotSent, true),
+            // By the protocol nothing of a call of several messages has run that can't be read or is too large.
+            400 | 413 if self.messages.len() > 1 => {
+                error!("endpoint {} answered {} to a batch", self.endpoint.name, response.status);
+                self.same_for_all(Outcome::Rejected { retry_after: Duration::ZERO }, false)
+            }
             400 | 404 | 413 => {
                 error!("endpoint {} answered {}", self.endpoint.name, response.status);
                 self.same_for_all(Outcome::Error, false)
@@ -336,6 +344,11 @@
     }
 }
 
+/// Bytes that a message takes at most in the body of a call with several ones; its idempotency key stands in the metadata.
+pub(crate) fn max_batch_entry_bytes(id: &[u8], metadata: &str, body: &[u8]) -> usize {
+    id.len() + metadata.len() + body.len() + MAX_ENTRY_OVERHEAD_BYTES
+}
+
 /// The body of a call with several messages: for each a line with its id, key and length, then its bytes.
 fn encode_batch(messages: &[CallMessage]) -> Vec<u8> {
     let mut body = Vec::new();
--- a/crates/relay/src/upstream/mod.rs
+++ b/crates/relay/src/upstream/mod.rs
@@ -11,7 +11,9 @@
 #[cfg(test)]
 mod tests;
 
-pub(crate) use attempt::{AttemptResult, Call, CallMessage, CallResult, CallStage, load_report_value};
+pub(crate) use attempt::{
+    AttemptResult, Call, CallMessage, CallResult, CallStage, load_report_value, max_batch_entry_bytes,
+};
 pub(crate) use connection_pool::ConnectionPool;
 pub(crate) use endpoint_table::{Endpoint, EndpointTable};
 pub(crate) use http1::{HttpConnection, encode_request, exchange};
--- a/crates/simulation-adapter/src/decode.rs
+++ b/crates/simulation-adapter/src/decode.rs
@@ -18,7 +18,7 @@
         0 => None,
         key => Some(OrderingKey(key)),
     };
-    let submission = Submission { class, tenant, destination, key, deadline, restored: false };
+    let submission = Submission { class, tenant, destination, key, deadline, call_bytes: 0, restored: false };
     Ok(Input::Submitted { message, submission })
 }
 
--- a/src/interface/message.rs
+++ b/src/interface/message.rs
@@ -67,6 +67,8 @@
     pub key: Option<OrderingKey>,
     /// When its final answer is due at the latest.
     pub deadline: Duration,
+    /// Bytes that it takes at most in a call of several messages; 0 where a host has no such limit.
+    pub call_bytes: usize,
     /// An earlier process of the relay accepted it.
     pub restored: bool,
 }
--- a/src/policy/safety.rs
+++ b/src/policy/safety.rs
@@ -25,7 +25,7 @@
     }
     let timeout = timeouts::timeout(state, call.endpoint, state.class_of(message), message.timeouts);
     let limit = attempt_limit(state, message, timeout);
-    call.add(message.deadline - now, timeout);
+    call.add(message.deadline - now, timeout, message.call_bytes);
     let run = PossibleRun { at: now, zone: endpoint.zone };
     if let Some(message) = state.messages.get_mut(id) {
         message.record_sent(call.number, run);
--- a/src/policy/selection.rs
+++ b/src/policy/selection.rs
@@ -120,8 +120,10 @@
     let mut draft = CallDraft::new(state.jitter.next_number(), to.endpoint, to.messages_allowed);
     let learnt_timeout = timeouts::learnt(state, to.endpoint);
     messages.retain(|id| {
-        let left = state.messages[*id].deadline.saturating_sub(state.now);
-        let may_join = !draft.is_full() && may_join(&draft, left, learnt_timeout);
+        let message = &state.messages[*id];
+        let left = message.deadline.saturating_sub(state.now);
+        let has_room = !draft.is_full() && fits(&draft, message);
+        let may_join = has_room && may_join(&draft, left, learnt_timeout);
         !(may_join && safety::send(state, *id, &mut draft, out))
     });
     if draft.messages == 0 {
@@ -135,6 +137,11 @@
     true
 }
 
+/// A message fits alone however large it is: only a call of several ones has its bytes beside those of others.
+fn fits(draft: &CallDraft, message: &Message) -> bool {
+    draft.messages == 0 || draft.bytes_with(message.call_bytes) <= MAX_CALL_BYTES
+}
+
 /// A call ends at its shortest limit, so one with little time left would cut others off. One whose time is
 /// long beside the learnt answer time cuts nobody off: else what waited long keeps out what is new.
 fn may_join(draft: &CallDraft, left: Duration, learnt_timeout: Option<Duration>) -> bool {
--- a/src/state/calls.rs
+++ b/src/state/calls.rs
@@ -64,6 +64,8 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) messages_allowed: usize,
     pub(crate) messages: usize,
+    /// Bytes that they take.
+    bytes: usize,
     expected_within: Duration,
     shortest_left: Duration,
     longest_left: Duration,
@@ -76,6 +78,7 @@
             endpoint,
             messages_allowed,
             messages: 0,
+            bytes: 0,
             expected_within: Duration::ZERO,
             shortest_left: Duration::MAX,
             longest_left: Duration::ZERO,
@@ -86,6 +89,11 @@
         self.messages >= self.messages_allowed
     }
 
+    /// The bytes of the call with a message that takes so many.
+    pub(crate) fn bytes_with(&self, bytes: usize) -> usize {
+        self.bytes + bytes
+    }
+
     /// The shortest time left in the call, with a message that has `left`.
     pub(crate) fn shortest_with(&self, left: Duration) -> Duration {
         self.shortest_left.min(left)
@@ -96,8 +104,9 @@
         self.longest_left.max(left)
     }
 
-    pub(crate) fn add(&mut self, left: Duration, timeout: Duration) {
+    pub(crate) fn add(&mut self, left: Duration, timeout: Duration, bytes: usize) {
         self.messages += 1;
+        self.bytes = self.bytes_with(bytes);
         self.expected_within = self.expected_within.max(timeout);
         self.shortest_left = self.shortest_with(left);
         self.longest_left = self.longest_with(left);
--- a/src/state/messages.rs
+++ b/src/state/messages.rs
@@ -30,6 +30,8 @@
     /// The time by which a delivery earns the full priority weight.
     pub(crate) objective: Duration,
     pub(crate) deadline: Duration,
+    /// Bytes that it takes in a call of several messages.
+    pub(crate) call_bytes: usize,
     pub(crate) over_quota: bool,
     /// An earlier process of the relay accepted it.
     pub(crate) restored: bool,
@@ -53,6 +55,7 @@
             key: submission.key.filter(|_| class.in_order),
             objective: (submission.deadline + class.latency_objective).saturating_sub(class.deadline),
             deadline: submission.deadline,
+            call_bytes: submission.call_bytes,
             restored: submission.restored,
             ..Message::default()
         }
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -298,6 +298,7 @@
         destination: DestinationId(4),
         key: Some(OrderingKey(key)),
         deadline: seconds(12.0),
+        call_bytes: 0,
         restored: false,
     }
 }
@@ -364,8 +365,8 @@
 fn a_call_counts_its_first_result_and_is_over_with_its_last_attempt() {
     let mut calls = Calls::default();
     let mut draft = CallDraft::new(5, EndpointId(1), 2);
-    draft.add(seconds(4.0), seconds(1.0));
-    draft.add(seconds(2.0), seconds(0.6));
+    draft.add(seconds(4.0), seconds(1.0), 10);
+    draft.add(seconds(2.0), seconds(0.6), 20);
     assert!(draft.is_full());
     assert_eq!(draft.shortest_with(seconds(3.0)), seconds(2.0));
     assert_eq!(draft.longest_with(seconds(3.0)), seconds(4.0));
@@ -387,7 +388,7 @@
 fn an_overdue_call_counts_once_and_stays_in_flight() {
     let mut calls = Calls::default();
     let mut draft = CallDraft::new(5, EndpointId(1), 2);
-    draft.add(seconds(4.0), seconds(1.0));
+    draft.add(seconds(4.0), seconds(1.0), 10);
     calls.insert(draft.number, draft.call(route_id(), seconds(10.0), false));
     let overdue = calls.count_overdue(seconds(11.0));
     assert_eq!(overdue.iter().map(|call| (call.number, call.is_over)).collect::<Vec<_>>(), [(5, false)]);
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -181,6 +181,7 @@
         destination: words.destination(),
         key: (key > 0).then_some(OrderingKey(key)),
         deadline: now + classes[class as usize].deadline,
+        call_bytes: words.number("bytes", 0.0) as usize,
         restored: words.has("restored"),
     };
     Input::Submitted { message: words.message(), submission }
