Failing tests: an endpoint's id listed for another destination, a successor's rejected message again

- A successor that can't write a message answers -BUSY and keeps its id as held: the same message again gets +OK and is lost.
Clients use new ids by the protocol, so this needs one that does not.

--- a/crates/relay/tests/crossings.rs
+++ b/crates/relay/tests/crossings.rs
@@ -445,3 +445,24 @@
     until("the call", || moved.ids() == ["m1"]);
     assert!(left.ids().is_empty(), "sent to the address that it left");
 }
+
+// An id that the list gives to an endpoint of another destination: what waits for the first one must not go there.
+#[test]
+fn an_endpoint_listed_for_another_destination_gets_that_ones_messages_alone() {
+    let [first, second] = [(); 2].map(|()| Server::start(|_| ok()));
+    let fixture = fixture(0, vec![member("e1", first.address, 7, "single")]);
+    let relay = fixture.relay();
+    assert_eq!(relay.submit("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
+    until("the first call", || first.ids() == ["m1"]);
+    fixture
+        .platform
+        .set(vec![member("e1", first.address, 8, "single"), member("e2", second.address, 7, "single")]);
+    until("the list", || fixture.log().contains("list 3:"));
+    for n in 0..10 {
+        assert_eq!(relay.submit(&format!("seven{n}"), 0, "c=any,d=8000,dest=7", b""), "+OK");
+    }
+    assert_eq!(relay.submit("eight", 0, "c=any,d=8000,dest=8", b""), "+OK");
+    until("all calls", || first.ids().len() + second.ids().len() >= 12);
+    assert_eq!(first.ids(), ["m1", "eight"]);
+    assert!(second.ids().iter().all(|id| id.starts_with("seven")), "{:?}", second.ids());
+}
--- a/crates/relay/tests/handover.rs
+++ b/crates/relay/tests/handover.rs
@@ -4,6 +4,7 @@
 #[allow(dead_code)]
 mod support;
 
+use mountshift_faults::{CallFault, FaultControl, SystemCall};
 use mountshift_spool::Spool;
 use serde_json::{Value, json};
 use std::collections::{BTreeMap, BTreeSet};
@@ -43,6 +44,16 @@
 
 impl Process {
     fn start(config: &Value, dir: &std::path::Path, fd: i32, n: usize) -> Process {
+        Process::start_in(config, dir, fd, n, &[])
+    }
+
+    fn start_in(
+        config: &Value,
+        dir: &std::path::Path,
+        fd: i32,
+        n: usize,
+        environment: &[(&str, String)],
+    ) -> Process {
         let mgmt = free_address();
         let mut config = config.clone();
         config["mgmt"] = json!(mgmt.to_string());
@@ -52,6 +63,7 @@
         let mut command = command(&file, &dir.join("state"));
         let fd = fd.to_string();
         command.env("NODE_ACCEPT_FD", &fd).env("LISTEN_FDS", "1").env("LISTEN_FDS_FIRST_FD", &fd);
+        command.envs(environment.iter().map(|(name, value)| (*name, value.as_str())));
         let child = command.stderr(log).stdout(Stdio::null()).spawn().expect("a relay");
         Process { child, mgmt }
     }
@@ -317,6 +329,15 @@
         process
     }
 
+    /// A process whose system calls obey the control file.
+    fn start_with_faults(&self, n: usize, faults: &FaultControl) -> Process {
+        let environment = Relay::fault_environment(faults);
+        let fd = self.socket.as_raw_fd();
+        let process = Process::start_in(&self.config, self.dir.path(), fd, n, &environment);
+        until("the process to say yes", || process.says_yes());
+        process
+    }
+
     fn submit(&self, id: &str, key: u64, class: &str) {
         assert_eq!(self.answer_to(id, key, class), "+OK");
     }
@@ -550,6 +571,24 @@
     assert_eq!(heard, accepted);
 }
 
+// A message that could not be written is rejected, and may come again.
+#[test]
+fn a_successor_accepts_what_it_could_not_write_when_it_comes_again() {
+    let fixture = upgrade();
+    fixture.gate.open();
+    let active = fixture.start(0);
+    let faults = FaultControl::create(&fixture.dir.path().join("faults")).expect("a control file");
+    let _successor = fixture.start_with_faults(1, &faults);
+    active.signal("STOP");
+    faults.set_call_fault(SystemCall::FileWrite, CallFault::always(libc::ENOSPC)).expect("a fault");
+    assert_eq!(fixture.answer_to("m1", 0, "once"), "-BUSY");
+    faults.set_call_fault(SystemCall::FileWrite, CallFault::default()).expect("no fault");
+    fixture.submit("m1", 0, "once");
+    active.signal("KILL");
+    fixture.owns(1);
+    until("the call", || fixture.endpoint.ids() == ["m1"]);
+}
+
 // Both processes accept for a moment. A message of a key that the successor accepted would wait for the handover, while the
 // active process sends the next one of the key. Found by the soak (seed 3, 60 s).
 #[test]
--- a/crates/relay/tests/support/process.rs
+++ b/crates/relay/tests/support/process.rs
@@ -97,7 +97,8 @@
         Relay::begin_in(config, dir, &Relay::fault_environment(faults))
     }
 
-    fn fault_environment(faults: &FaultControl) -> [(&'static str, String); 2] {
+    /// What preloads the library that obeys the control file.
+    pub(crate) fn fault_environment(faults: &FaultControl) -> [(&'static str, String); 2] {
         let control = faults.path().display().to_string();
         let shim = fault_shim().display().to_string();
         [(CONTROL_VARIABLE, control), ("LD_PRELOAD", shim)]
