An endpoint's id follows its entry, a rejected message may come again at a successor, waits that fail

- EndpointTable::retire_if_another: an entry of another destination, zone or kind than the one that its id had is another endpoint; the old one counts as removed.
- A successor forgets the id of a message that it could not write, and logs a failing spool once.
- A wait for a socket that fails (epoll_ctl, ENOMEM) was read as the end of the connection, at clients and at endpoints alike; the read behind it tells what is true (transient::readable).
- ENOSPC (no more sockets can be waited for) and EADDRINUSE of connect count as this machine's own.

--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -6,7 +6,6 @@
 
 use super::ClientService;
 use super::close_reason::CloseReason;
-use super::lingering::{DISCARD_PAUSE, discard_briefly, discard_chunk, write_at_once};
 use super::protocol::{self, Command, CommandError, ProtocolError};
 use super::submission::{MAX_BODY_BYTES, SubmissionReply};
 use crate::transient::{self, is_transient};
@@ -16,7 +15,7 @@
 use log::debug;
 use mountshift::interface::MessageId;
 use std::io::{self, Read};
-use std::net::{Shutdown, TcpStream};
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// Bytes of a request at most, with room for its words beside the body. More than one request may be in the buffer,
@@ -37,14 +36,6 @@
 const PAUSE_PER_ERROR: Duration = Duration::from_millis(50);
 /// The pause grows no longer than this many errors make it: one second.
 const MAX_PAUSED_ERRORS: u32 = 20;
-/// As the process ends, how long requests are still read, to be rejected: those on their way come within this time, and the
-/// process goes on a little longer.
-const LAST_REQUESTS_TIME: Duration = Duration::from_millis(30);
-/// How long input is read and dropped after the last reply.
-const DISCARD_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// How much of it is.
-const MAX_DISCARDED_BYTES: usize = 80_000_000;
-
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Expecting {
@@ -58,9 +49,8 @@
 
 /// What ended a wait for input.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Wakeup {
+pub(super) enum Wakeup {
     Input,
-    SocketBroken,
     /// The time for what is expected is over, or the place is needed for another connection.
     TimeOver,
     Stopping,
@@ -68,7 +58,7 @@
 }
 
 /// The reply to a request.
-enum Reply {
+pub(super) enum Reply {
     /// Known already.
     Line(String),
     /// To come from the dispatcher.
@@ -113,12 +103,12 @@
 
 /// A client's connection.
 pub(super) struct ClientConnection {
-    stream: Async<TcpStream>,
+    pub(super) stream: Async<TcpStream>,
     /// Its number among all connections so far.
     pub(super) number: u64,
     /// Closed when it is to make room for another connection.
     pub(super) evict: Sender<()>,
-    evicted: Receiver<()>,
+    pub(super) evicted: Receiver<()>,
     /// When it was accepted, its last request was answered or the one it is sending began.
     pub(super) waiting_since: Instant,
     pub(super) buffer: Vec<u8>,
@@ -127,7 +117,7 @@
     /// Requests read so far.
     pub(super) requests: u64,
     /// Requests whose replies have left whole.
-    answered_requests: u64,
+    pub(super) answered_requests: u64,
 }
 
 impl ClientConnection {
@@ -211,7 +201,6 @@
             return Ok(());
         }
         Err(match (wakeup, expecting) {
-            (Wakeup::SocketBroken, _) => CloseReason::Broken,
             // While stopping the rest of a request is waited for, up to the end of the process.
             (Wakeup::Stopping, Expecting::Remainder) => self.reject_at_the_end(service).await,
             (Wakeup::Stopping, _) => CloseReason::Stopping,
@@ -262,15 +251,15 @@
         self.readable().or(time_over).or(stopping).or(standby).or(ending).await
     }
 
-    async fn readable(&self) -> Wakeup {
-        match self.stream.readable().await {
-            Ok(()) => Wakeup::Input,
-            Err(_) => Wakeup::SocketBroken,
-        }
+    /// Waits until there may be something to read. A wait that fails tells nothing of the connection; the read behind it
+    /// does.
+    pub(super) async fn readable(&self) -> Wakeup {
+        transient::readable(&self.stream).await;
+        Wakeup::Input
     }
 
     /// Waits until `due`, or until the place is needed for another connection.
-    async fn time_over(&self, due: Instant) -> Wakeup {
+    pub(super) async fn time_over(&self, due: Instant) -> Wakeup {
         let late = async {
             Timer::at(due).await;
         };
@@ -346,97 +335,6 @@
         Turn { replies, end: TurnEnd::MaxRequestsReached }
     }
 
-    /// The process ends: what still comes is read for a moment and rejected, the last request also if it is not whole.
-    /// Nobody has taken it on, and its client would wait for an answer as it sends the rest.
-    async fn reject_at_the_end(&mut self, service: &ClientService) -> CloseReason {
-        let due = Instant::now() + LAST_REQUESTS_TIME;
-        loop {
-            let Ok(input) = self.read_available() else { return CloseReason::Broken };
-            let rejections = self.reject_whole_requests();
-            if let Err(reason) = self.send_replies(rejections, service).await {
-                return reason;
-            }
-            match input {
-                Input::Ended => return CloseReason::Stopping,
-                _ if Instant::now() >= due => break,
-                Input::Unreadable => transient::pause().await,
-                Input::Open => {
-                    let time_over = async {
-                        Timer::at(due).await;
-                        Wakeup::TimeOver
-                    };
-                    self.readable().or(time_over).await;
-                }
-            }
-        }
-        if self.buffer.is_empty() {
-            return CloseReason::Stopping;
-        }
-        self.close_after(vec![busy()], CloseReason::Stopping, service).await
-    }
-
-    /// Takes every whole request out of the buffer and rejects it.
-    fn reject_whole_requests(&mut self) -> Vec<Reply> {
-        let mut replies = Vec::new();
-        while let Ok(Some(request)) = protocol::parse_request(&self.buffer) {
-            self.buffer.drain(..request.wire_bytes);
-            self.requests += 1;
-            replies.push(busy());
-        }
-        replies
-    }
-
-    /// Rejects every request that was read whole before its client ended its sending: without an answer the client would
-    /// take it for lost. Nothing is accepted: a client that has gone altogether looks the same.
-    fn reject_after_end_of_input(&mut self) -> CloseReason {
-        let rejected = self.reject_whole_requests().len();
-        self.answered_requests += rejected as u64;
-        // What the connection does not take at once goes nowhere: its client has stopped reading.
-        write_at_once(self.stream.get_ref(), protocol::BUSY.repeat(rejected).as_bytes());
-        CloseReason::Closed
-    }
-
-    /// Writes the last replies and ends. A close over unread bytes would reset the connection and take the replies away
-    /// with it, so what still comes is read, within bounds and at a pace that leaves others their turn.
-    async fn close_after(
-        &mut self,
-        replies: Vec<Reply>,
-        reason: CloseReason,
-        service: &ClientService,
-    ) -> CloseReason {
-        self.buffer = Vec::new();
-        if let Err(reason) = self.send_replies(replies, service).await {
-            return reason;
-        }
-        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
-        self.discard_input(service).await;
-        reason
-    }
-
-    /// Reads and drops what still comes.
-    async fn discard_input(&self, service: &ClientService) {
-        let due = Instant::now() + DISCARD_TIMEOUT;
-        let mut bytes_left = MAX_DISCARDED_BYTES;
-        if self.evicted.is_closed() {
-            return discard_briefly(&self.stream, service).await;
-        }
-        service.start_waiting(self);
-        while bytes_left > 0 && Instant::now() < due && !self.evicted.is_closed() {
-            match discard_chunk(&self.stream) {
-                Ok(0) => return,
-                Ok(read) => {
-                    bytes_left = bytes_left.saturating_sub(read);
-                    Timer::after(DISCARD_PAUSE).await;
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.readable().or(self.time_over(due)).await;
-                }
-                Err(e) if is_transient(&e) => transient::pause().await,
-                Err(_) => return,
-            }
-        }
-    }
-
     /// True if there is something to read, the end of the connection included.
     fn has_input(&self) -> bool {
         let peeked = self.stream.get_ref().peek(&mut [0]);
@@ -444,7 +342,7 @@
     }
 
     /// Reads what has come, as far as the buffer goes.
-    fn read_available(&mut self) -> io::Result<Input> {
+    pub(super) fn read_available(&mut self) -> io::Result<Input> {
         let mut chunk = [0; READ_CHUNK_BYTES];
         while self.buffer.len() <= MAX_REQUEST_BYTES {
             match self.stream.get_ref().read(&mut chunk) {
@@ -461,7 +359,7 @@
 
     /// Writes the replies in order; says why the connection ends if it does. A message whose reply did not leave whole
     /// is withdrawn; one whose reply did stands, whatever comes after it, as its client may have read it.
-    async fn send_replies(
+    pub(super) async fn send_replies(
         &mut self,
         replies: Vec<Reply>,
         service: &ClientService,
@@ -532,7 +430,7 @@
 }
 
 /// Whether a client may still send.
-enum Input {
+pub(super) enum Input {
     Open,
     /// It can't be told at this moment.
     Unreadable,
@@ -540,7 +438,7 @@
 }
 
 /// The reply to a request that nobody takes on.
-fn busy() -> Reply {
+pub(super) fn busy() -> Reply {
     Reply::Line(protocol::BUSY.to_string())
 }
 
--- a/crates/relay/src/clients/lingering.rs
+++ b/crates/relay/src/clients/lingering.rs
@@ -53,10 +53,7 @@
                 let late = async {
                     Timer::at(due).await;
                 };
-                let readable = async {
-                    let _ = stream.readable().await;
-                };
-                readable.or(late).await;
+                transient::readable(stream).or(late).await;
             }
             Err(e) if is_transient(&e) => transient::pause().await,
             Err(_) => return,
--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -1,10 +1,11 @@
 //! The clients' side of the relay: accepts connections, bounds them all together, and serves each one in a task of its
 //! own.
 //!
-//! [`ClientService`] owns what connections share. `connection` serves one of them, `protocol` reads and writes RESP2,
+//! [`ClientService`] owns what connections share. `connection` serves one of them, `closing` ends it, `protocol` reads and writes RESP2,
 //! `submission` is what a request hands to the dispatcher. Nothing here decides on a message.
 
 mod close_reason;
+mod closing;
 mod connection;
 mod lingering;
 mod protocol;
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -59,6 +59,7 @@
 
 /// A message in the spool that is not committed yet, and who waits for the answer.
 struct PendingAnswer {
+    id: Vec<u8>,
     number: u64,
     reply_to: Sender<SubmissionReply>,
 }
@@ -72,6 +73,8 @@
     /// Events that only a dispatcher can handle.
     deferred_events: DeferredEvents,
     stopping_since: Option<Instant>,
+    /// The spool could not be written at the last try, and the log says so.
+    failure_logged: bool,
 }
 
 impl<'a> SuccessorIntake<'a> {
@@ -82,6 +85,7 @@
             pending_answers: Vec::new(),
             deferred_events: DeferredEvents::default(),
             stopping_since: None,
+            failure_logged: false,
         }
     }
 
@@ -134,8 +138,8 @@
             let _ = reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
             return;
         };
-        self.numbers_by_id.insert(message.id, number);
-        self.pending_answers.push(PendingAnswer { number, reply_to });
+        self.numbers_by_id.insert(message.id.clone(), number);
+        self.pending_answers.push(PendingAnswer { id: message.id, number, reply_to });
     }
 
     /// What goes into the spool, or the answer if nothing does.
@@ -197,16 +201,20 @@
     /// Commits what was accepted, and answers: only what is committed may be called accepted.
     fn commit(&mut self) {
         let committed = self.options.spool.commit();
-        if let Err(e) = &committed {
-            error!("successor's spool: {e}");
+        match &committed {
+            // Logged once, or a full disk would fill the log.
+            Err(e) if !self.failure_logged => error!("successor's spool: {e}"),
+            _ => {}
         }
+        self.failure_logged = committed.is_err();
         for pending in std::mem::take(&mut self.pending_answers) {
             if committed.is_ok() {
                 let message = MessageId(FIRST_SUCCESSOR_NUMBER + pending.number);
                 let _ = pending.reply_to.try_send(SubmissionReply::Accepted(message));
             } else {
-                let _ = pending.reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
                 self.options.spool.remove(pending.number);
+                self.numbers_by_id.remove(&pending.id);
+                let _ = pending.reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
             }
         }
     }
--- a/crates/relay/src/transient.rs
+++ b/crates/relay/src/transient.rs
@@ -1,9 +1,10 @@
 //! Errors of sockets that pass: the connection is as it was, and the same call works a moment later.
 
-use async_io::Timer;
+use async_io::{Async, Timer};
 use futures_lite::{AsyncWrite, AsyncWriteExt};
 use rustix::io::Errno;
 use std::io;
+use std::net::TcpStream;
 use std::time::Duration;
 
 /// Before a call that failed for a shortage is made again.
@@ -20,6 +21,14 @@
     Timer::after(PAUSE).await;
 }
 
+/// Waits until there may be something to read, or for a moment where the system can't wait for the socket (`epoll_ctl`
+/// fails): the read that follows tells what is true.
+pub(crate) async fn readable(stream: &Async<TcpStream>) {
+    if stream.readable().await.is_err() {
+        pause().await;
+    }
+}
+
 /// Writes all bytes, again after transient errors; `unwritten` holds at any time what is left.
 pub(crate) async fn write_all<W: AsyncWrite + Unpin>(
     writer: &mut W,
--- a/crates/relay/src/upstream/attempt.rs
+++ b/crates/relay/src/upstream/attempt.rs
@@ -29,13 +29,16 @@
 /// Bytes of an entry of a batch beside its id, key and body: separators and the length's digits, rounded up.
 const MAX_ENTRY_OVERHEAD_BYTES: usize = 32;
 
-/// Errors of a connection that is made which tell of this machine alone: no port, no route, no descriptor, no memory.
-const LOCAL_CONNECT_ERRORS: [Errno; 11] = [
+/// Errors of a connection that is made which tell of this machine alone: no port, no route, no descriptor, no memory, no watch.
+const LOCAL_CONNECT_ERRORS: [Errno; 13] = [
     Errno::ADDRNOTAVAIL,
+    Errno::ADDRINUSE,
     Errno::NETUNREACH,
     Errno::NETDOWN,
     Errno::NOBUFS,
     Errno::NOMEM,
+    // No more sockets can be waited for (epoll_ctl).
+    Errno::NOSPC,
     Errno::NFILE,
     Errno::MFILE,
     Errno::AGAIN,
@@ -327,7 +330,7 @@
 }
 
 /// True if a connection was not made for a shortage of this machine: that tells nothing of the endpoint.
-fn is_local(error: &std::io::Error) -> bool {
+pub(super) fn is_local(error: &std::io::Error) -> bool {
     let errno = Errno::from_io_error(error);
     errno.is_some_and(|errno| LOCAL_CONNECT_ERRORS.contains(&errno))
 }
--- a/crates/relay/src/upstream/endpoint_table.rs
+++ b/crates/relay/src/upstream/endpoint_table.rs
@@ -52,6 +52,21 @@
         }
     }
 
+    /// The endpoint that had the entry's name until now, where the entry is about another one: of another destination, zone
+    /// or kind. It keeps its id, and the entry gets a new one.
+    pub(crate) fn retire_if_another(&mut self, entry: &EndpointEntry) -> Option<EndpointId> {
+        let id = *self.ids.get(entry.id.as_str())?;
+        let known = self.endpoints.get(&id)?;
+        let is_same = known.destination == DestinationId(entry.dst)
+            && self.zone_name(known.zone) == entry.zone
+            && known.kind == self.destination_kind_id(&entry.kind);
+        if is_same {
+            return None;
+        }
+        self.ids.remove(entry.id.as_str());
+        Some(id)
+    }
+
     /// Takes an entry of the list in.
     pub(crate) fn update(&mut self, entry: &EndpointEntry) -> TableUpdate {
         let name: Rc<str> = Rc::from(entry.id.as_str());
@@ -96,6 +111,10 @@
     /// maintenance is kept aside as it was last listed, until it comes back or is listed again.
     pub(crate) fn forget(&mut self, id: EndpointId, in_maintenance: bool) -> Option<Endpoint> {
         let endpoint = self.endpoints.remove(&id)?;
+        let has_its_name = self.ids.get(&endpoint.name) == Some(&id);
+        if !has_its_name {
+            return Some(endpoint);
+        }
         self.ids.remove(&endpoint.name);
         if in_maintenance {
             self.in_maintenance.insert(endpoint.name.clone(), endpoint.clone());
--- a/crates/relay/src/upstream/http1.rs
+++ b/crates/relay/src/upstream/http1.rs
@@ -264,7 +264,7 @@
             match self.read_available() {
                 Ok(read) => return Ok(read > 0),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
-                    self.stream.readable().await.map_err(|_| ResponseError::ConnectionClosed)?;
+                    transient::readable(&self.stream).await;
                 }
                 Err(e) if is_transient(&e) => transient::pause().await,
                 Err(_) => return Err(ResponseError::ConnectionClosed),
--- a/crates/relay/src/upstream/tests.rs
+++ b/crates/relay/src/upstream/tests.rs
@@ -154,3 +154,16 @@
     let _ = std::io::Read::read_to_end(&mut far, &mut bytes);
     assert!(bytes.is_empty(), "{} bytes came", bytes.len());
 }
+
+// What this machine lacks tells nothing of an endpoint; what the network or the endpoint says does.
+#[test_case(libc::EMFILE => true; "no descriptor")]
+#[test_case(libc::EADDRNOTAVAIL => true; "no port")]
+#[test_case(libc::EADDRINUSE => true; "the port is taken")]
+#[test_case(libc::ENOSPC => true; "no room to wait for another socket")]
+#[test_case(libc::ENOMEM => true; "no memory")]
+#[test_case(libc::ECONNREFUSED => false; "refused")]
+#[test_case(libc::ETIMEDOUT => false; "timed out")]
+#[test_case(libc::EHOSTUNREACH => false; "unreachable")]
+fn an_error_of_a_connection_may_tell_of_this_machine_alone(errno: i32) -> bool {
+    super::attempt::is_local(&std::io::Error::from_raw_os_error(errno))
+}
