Failing tests: a drain told while a write to the state folder is held up; the shim holds writes

A relay that the disk holds up between its decision and the first byte sends to an endpoint that was told to be draining meanwhile: the call asks again only if 50 ms have passed since it began itself, which is behind the commit, and never behind the record of its attempt. Both cases seen to fail.

--- a/crates/fault-shim/src/control.rs
+++ b/crates/fault-shim/src/control.rs
@@ -64,6 +64,17 @@
     if draws(word(Word::HoldRate as usize)) { word(Word::HoldMilliseconds as usize) } else { 0 }
 }
 
+/// Milliseconds for which this write to a file is held up; counted.
+pub(crate) fn file_hold_milliseconds() -> u64 {
+    let milliseconds = word(Word::FileHoldMilliseconds as usize);
+    if milliseconds > 0
+        && let Some(words) = WORDS.get_or_init(map)
+    {
+        words[Word::FileHolds as usize].fetch_add(1, Ordering::Relaxed);
+    }
+    milliseconds
+}
+
 /// What this call has to do.
 pub(crate) fn verdict(call: SystemCall) -> Verdict {
     let read = |part: CallWord| word(call_word(call, part));
--- a/crates/fault-shim/src/hooks.rs
+++ b/crates/fault-shim/src/hooks.rs
@@ -1,7 +1,7 @@
 //! The functions of the C library that this one replaces. Each asks the control file what to do, and else calls the
 //! function that it replaces.
 
-use crate::control::{Verdict, hold_milliseconds, verdict, wall_clock_offset};
+use crate::control::{Verdict, file_hold_milliseconds, hold_milliseconds, verdict, wall_clock_offset};
 use crate::original::original;
 use libc::{
     c_char, c_int, c_uint, c_void, clockid_t, iovec, off64_t, size_t, sockaddr, socklen_t, ssize_t, timespec,
@@ -139,9 +139,12 @@
 unsafe extern "C" fn write(descriptor: c_int, bytes: *const c_void, length: size_t) -> ssize_t {
     type Function = unsafe extern "C" fn(c_int, *const c_void, size_t) -> ssize_t;
     match kind(descriptor) {
-        Kind::File => write_by(SystemCall::FileWrite, length, |count| {
-            original!(write as Function, descriptor, bytes, count)
-        }),
+        Kind::File => {
+            hold_for(file_hold_milliseconds());
+            write_by(SystemCall::FileWrite, length, |count| {
+                original!(write as Function, descriptor, bytes, count)
+            })
+        }
         Kind::Socket => {
             hold();
             write_by(SystemCall::Send, length, |count| original!(write as Function, descriptor, bytes, count))
@@ -323,9 +326,28 @@
     original!(epoll_wait as Function, descriptor, events, max_events, timeout)
 }
 
+/// Replaces the function of the C library. Only a change of what is waited for fails: a connection that can't be added is
+/// closed by async-io before the relay has it.
+#[unsafe(no_mangle)]
+unsafe extern "C" fn epoll_ctl(
+    descriptor: c_int,
+    operation: c_int,
+    socket: c_int,
+    event: *mut libc::epoll_event,
+) -> c_int {
+    type Function = unsafe extern "C" fn(c_int, c_int, c_int, *mut libc::epoll_event) -> c_int;
+    if operation == libc::EPOLL_CTL_MOD && kind(socket) == Kind::Socket {
+        fail_if_told!(SystemCall::WaitControl);
+    }
+    original!(epoll_ctl as Function, descriptor, operation, socket, event)
+}
+
 /// Holds a write to a socket up, where the control file says so.
 fn hold() {
-    let milliseconds = hold_milliseconds();
+    hold_for(hold_milliseconds());
+}
+
+fn hold_for(milliseconds: u64) {
     if milliseconds > 0 {
         std::thread::sleep(std::time::Duration::from_millis(milliseconds));
     }
--- a/crates/faults/src/control.rs
+++ b/crates/faults/src/control.rs
@@ -67,6 +67,22 @@
         self.set(Word::HoldRate as usize, rate)
     }
 
+    /// Holds each write to a file up for a span.
+    ///
+    /// # Errors
+    /// If the file can't be written.
+    pub fn set_file_hold(&self, hold: Duration) -> io::Result<()> {
+        self.set(Word::FileHoldMilliseconds as usize, hold.as_millis() as u64)
+    }
+
+    /// Writes to files that have been held up so far, the one that is held up now included.
+    ///
+    /// # Errors
+    /// If the file can't be read.
+    pub fn file_holds(&self) -> io::Result<u64> {
+        self.get(Word::FileHolds as usize)
+    }
+
     /// From now on the system call fails like this; as it should by itself, with the default.
     ///
     /// # Errors
@@ -83,8 +99,11 @@
     /// # Errors
     /// If the file can't be read.
     pub fn injected(&self, call: SystemCall) -> io::Result<u64> {
+        self.get(call_word(call, CallWord::Injected))
+    }
+
+    fn get(&self, index: usize) -> io::Result<u64> {
         let mut bytes = [0; WORD_BYTES];
-        let index = call_word(call, CallWord::Injected);
         self.file.read_exact_at(&mut bytes, (index * WORD_BYTES) as u64)?;
         Ok(u64::from_ne_bytes(bytes))
     }
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -36,6 +36,10 @@
     HoldMilliseconds = 1,
     /// ... in so many of 1,000 writes.
     HoldRate = 2,
+    /// Milliseconds for which each write to a file is held up.
+    FileHoldMilliseconds = 3,
+    /// Written by the shim: writes to files held up so far.
+    FileHolds = 4,
 }
 
 /// Words of a system call, by index.
--- a/crates/faults/src/system_call.rs
+++ b/crates/faults/src/system_call.rs
@@ -37,11 +37,13 @@
     Send,
     /// `epoll_wait`.
     Wait,
+    /// `epoll_ctl` that changes what a network socket is waited for.
+    WaitControl,
 }
 
 impl SystemCall {
     /// All of them, in the order of the control file.
-    pub const ALL: [SystemCall; 15] = [
+    pub const ALL: [SystemCall; 16] = [
         SystemCall::FileWrite,
         SystemCall::FileSync,
         SystemCall::FileTruncate,
@@ -57,6 +59,7 @@
         SystemCall::Receive,
         SystemCall::Send,
         SystemCall::Wait,
+        SystemCall::WaitControl,
     ];
 
     /// Its name in schedules and on the command line.
@@ -77,6 +80,7 @@
             SystemCall::Receive => "receive",
             SystemCall::Send => "send",
             SystemCall::Wait => "wait",
+            SystemCall::WaitControl => "wait-control",
         }
     }
 }
--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -299,3 +299,26 @@
     relay.signal("TERM");
     assert_eq!(relay.code_within(ms(3_600)), Some(0), "{}", fixture.log());
 }
+
+// The disk holds the process up between its decision and the first byte: what was told meanwhile binds all the same. The
+// first write records the message, the second one its attempt.
+#[test_case(1; "as the message is recorded")]
+#[test_case(2; "as its attempt is recorded")]
+fn a_drain_told_while_a_write_is_held_up_binds(held_write: u64) {
+    let [leaving, other] = [(); 2].map(|()| Server::start(|_| ok()));
+    let fixture = fixture(0, vec![member("e1", leaving.address, 7, "single")]);
+    let faults = fixture.faults();
+    let relay = fixture.relay_with_faults(&faults);
+    until("the list", || fixture.log().contains("list 2:"));
+    faults.set_file_hold(ms(700)).expect("a hold");
+    let mut client = relay.client();
+    client.say(&submit_request("m1", 0, "c=once,d=15000,dest=7", b"x"));
+    until("the write", || faults.file_holds().expect("a count") >= held_write);
+    let mut draining = member("e1", leaving.address, 7, "single");
+    draining["phase"] = "Terminating".into();
+    fixture.platform.set(vec![draining, member("e2", other.address, 7, "single")]);
+    faults.set_file_hold(ms(0)).expect("no hold");
+    assert_eq!(client.hear(), "+OK");
+    until("the call elsewhere", || other.ids() == ["m1"]);
+    assert!(leaving.ids().is_empty(), "sent though its endpoint was told to be draining");
+}
