--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -16,7 +16,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Messages in one call to an endpoint of a kind that the settings don't name.
 const DEFAULT_BATCH: usize = 1;
@@ -217,7 +217,8 @@
             messages,
             time_limit: limit,
             connect_timeout: self.settings.connect_timeout,
-            decided_at: Instant::now(),
+            // By the clock that the decision was taken by: a commit that took long is part of the delay.
+            decided_at: self.clock.instant(self.now),
             may_still_send: self.reachability_check(planned.to, address),
             record_attempts: self.attempt_recorder(number, planned.to, planned.attempts, zone),
             number: number.0,
--- a/crates/relay/src/upstream/attempt.rs
+++ b/crates/relay/src/upstream/attempt.rs
@@ -214,11 +214,16 @@
         }
         let request = self.request();
         // Recorded only now: where the process ends while a connection comes up, the message surely has not run.
+        let recording_since = Instant::now();
         if let Err(outcome) = (self.record_attempts)() {
             pool.put_back(self.to, connection);
             return Err(outcome);
         }
         self.stage.set(CallStage::Recorded);
+        if let Err(outcome) = self.check_after_record(recording_since, deadline).await {
+            pool.put_back(self.to, connection);
+            return Err(outcome);
+        }
         debug!("call to endpoint {}: {}", self.endpoint.name, String::from_utf8_lossy(&request));
         connection.write(&request).await.map_err(|_| Outcome::ConnectFailed)?;
         self.stage.set(CallStage::Written);
@@ -234,6 +239,19 @@
         (self.may_still_send)().recv().await.unwrap_or(false)
     }
 
+    /// A write to the state folder that took long may cross the same, and the limit.
+    async fn check_after_record(&self, recording_since: Instant, deadline: Instant) -> Result<(), Outcome> {
+        if recording_since.elapsed() <= LATE_START {
+            return Ok(());
+        }
+        let is_allowed = (self.may_still_send)().recv().await.unwrap_or(false);
+        if !is_allowed {
+            info!("call to endpoint {} not made: no longer allowed", self.endpoint.name);
+            return Err(Outcome::NotSent);
+        }
+        if Instant::now() >= deadline { Err(Outcome::ConnectFailed) } else { Ok(()) }
+    }
+
     fn request(&self) -> Vec<u8> {
         let host = self.endpoint.address.to_string();
         let time_limit = self.time_limit.as_millis().max(1).to_string();
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -348,6 +348,7 @@
 #[test_case("line"; "what holds others back goes first")]
 #[test_case("batch"; "a batch is one call")]
 #[test_case("batch-times"; "a call holds messages with like times left")]
+#[test_case("batch-bytes"; "a call holds no more than a body may")]
 #[test_case("hold"; "the least weight is rejected when places run out")]
 #[test_case("legs"; "retries go by priority weight")]
 #[test_case("list"; "lists whole and in part")]
