Soak: few kinds of faults together, calls of several messages, messages given up early, failing waits

- The oracle knows of messages that are failed early and untried though their endpoints were well and no process ended.
- A folder may fail for 7 s at a start; epoll_ctl fails (ENOMEM) with the other calls of sockets.

--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -1,8 +1,8 @@
 //! Endpoints: servers that run messages, recognise repeats, and misbehave when told to.
 
-use crate::http::{RequestReader, answer, reset};
+use crate::http::{Request, RequestReader, answer, reset};
 use crate::installation::Installation;
-use crate::recorder::{Recorder, lock, number_of_id, relay_of};
+use crate::recorder::{Recorder, lock, message_id, number_of_id, relay_of};
 use mountshift_invariants::{AttemptOutcome, Fact, Time};
 use smol::Timer;
 use smol::future::FutureExt;
@@ -111,38 +111,65 @@
     }
 
     fn run(&self, call: &Call) {
-        let duplicate = self.is_duplicate(call);
-        let Call { message, call, endpoint, .. } = *call;
-        self.recorder.fact(Fact::Executed { message, call, endpoint: endpoint as u32, duplicate });
+        for called in &call.messages {
+            self.run_one(call.endpoint, *called);
+        }
+    }
+
+    fn run_one(&self, endpoint: usize, called: CalledMessage) {
+        let CalledMessage { message, number } = called;
+        let duplicate = self.is_duplicate(endpoint, message);
+        self.recorder.fact(Fact::Executed { message, call: number, endpoint: endpoint as u32, duplicate });
     }
 
     /// True if the endpoint recognises the message as one that has run.
-    fn is_duplicate(&self, call: &Call) -> bool {
-        let Some(class) = lock(&self.classes).get(&call.message).copied() else { return false };
+    fn is_duplicate(&self, endpoint: usize, message: u64) -> bool {
+        let Some(class) = lock(&self.classes).get(&message).copied() else { return false };
         let class = &self.installation.classes[class];
         if class.effect != "deduplicated" {
             return false;
         }
-        let plan = &self.installation.endpoints[call.endpoint];
+        let plan = &self.installation.endpoints[endpoint];
         let scope = (plan.destination, class.by_zone.then_some(plan.zone));
         let now = self.recorder.now();
         let mut first_runs = lock(&self.first_runs);
-        let first = *first_runs.entry((scope, call.message)).or_insert(now);
+        let first = *first_runs.entry((scope, message)).or_insert(now);
         first < now && now < first + class.window_ms * 1_000
     }
 }
 
+/// A message in a call; its attempt has a number of its own.
+#[derive(Clone, Copy)]
+struct CalledMessage {
+    message: u64,
+    number: u64,
+}
+
 /// A call that an endpoint has read whole.
 struct Call {
-    message: u64,
-    call: u64,
+    messages: Vec<CalledMessage>,
     relay: u32,
     endpoint: usize,
+    recorder: Arc<Recorder>,
 }
 
 impl Call {
-    fn ended(&self, outcome: AttemptOutcome) -> Fact {
-        Fact::AttemptEnded { message: self.message, call: self.call, relay: self.relay, outcome }
+    /// Notes that all attempts have ended in this way.
+    fn ended(&self, outcome: AttemptOutcome) {
+        for called in &self.messages {
+            self.one_ended(*called, outcome);
+        }
+    }
+
+    fn one_ended(&self, called: CalledMessage, outcome: AttemptOutcome) {
+        let CalledMessage { message, number } = called;
+        let relay = self.relay;
+        self.recorder.fact(Fact::AttemptEnded { message, call: number, relay, outcome });
+    }
+
+    /// True for a call that carries out what it brings though it is not answered so: every second one.
+    fn runs_unanswered(&self) -> bool {
+        self.messages.iter().any(|called| called.number.is_multiple_of(2))
     }
 }
 
@@ -168,24 +195,31 @@
         };
         let Some(request) = request else { return };
         calls += 1;
-        let Some(message) = request.request_id.as_deref().and_then(number_of_id) else { return };
-        let call = Call {
-            message,
-            call: endpoints.last_call.fetch_add(1, Ordering::SeqCst) + 1,
-            relay: relay_of(message) as u32,
-            endpoint,
-        };
-        let Call { message, call: number, relay, .. } = call;
+        let Some(call) = begin_call(&request, endpoint, &endpoints) else { return };
+        if !answer_call(&mut stream, &call, &endpoints).await {
+            return;
+        }
+    }
+}
+
+/// Notes the attempts that a request begins; none if it is no call to an endpoint.
+fn begin_call(request: &Request, endpoint: usize, endpoints: &Endpoints) -> Option<Call> {
+    let ids = request.message_ids()?;
+    let mut messages = Vec::new();
+    for message in ids.iter().map(|id| number_of_id(id)) {
+        let number = endpoints.last_call.fetch_add(1, Ordering::SeqCst) + 1;
+        messages.push(CalledMessage { message: message?, number });
+    }
+    let relay = relay_of(messages.first()?.message) as u32;
+    for CalledMessage { message, number } in messages.iter().copied() {
         endpoints.recorder.fact(Fact::AttemptStarted {
             message,
             call: number,
             relay,
             endpoint: endpoint as u32,
         });
-        if !answer_call(&mut stream, &call, &endpoints).await {
-            return;
-        }
     }
+    Some(Call { messages, relay, endpoint, recorder: endpoints.recorder.clone() })
 }
 
 /// Ends an idle connection, where the endpoint closes them.
@@ -215,39 +249,39 @@
 
 /// Answers a call by the endpoint's behaviour at this moment; false at the end of the connection.
 async fn answer_call(stream: &mut TcpStream, call: &Call, endpoints: &Endpoints) -> bool {
-    let recorder = &endpoints.recorder;
     match endpoints.behaviour(call.endpoint) {
         Behaviour::Well | Behaviour::CloseIdle => deliver(stream, call, SERVICE_TIME, endpoints).await,
         Behaviour::Slow(milliseconds) => {
             deliver(stream, call, Duration::from_millis(milliseconds), endpoints).await
         }
         Behaviour::Hang => {
-            if call.call.is_multiple_of(2) {
+            if call.runs_unanswered() {
                 endpoints.run(call);
             }
             wait_for_end(stream).await;
-            recorder.fact(call.ended(AttemptOutcome::TimedOut));
+            call.ended(AttemptOutcome::TimedOut);
             false
         }
         Behaviour::Busy => {
-            recorder.fact(call.ended(AttemptOutcome::Rejected { retry_after: 0 }));
+            call.ended(AttemptOutcome::Rejected { retry_after: 0 });
             write(stream, &answer(503, "", "")).await
         }
         Behaviour::RetryAfter(milliseconds) => {
-            recorder.fact(call.ended(AttemptOutcome::Rejected { retry_after: milliseconds * 1_000 }));
+            call.ended(AttemptOutcome::Rejected { retry_after: milliseconds * 1_000 });
             let seconds = milliseconds as f64 / 1e3;
             write(stream, &answer(429, &format!("Retry-After: {seconds}\r\n"), "")).await
         }
+        Behaviour::Errors if call.messages.len() > 1 => fail_in_part(stream, call, endpoints).await,
         Behaviour::Errors => {
-            if call.call.is_multiple_of(2) {
+            if call.runs_unanswered() {
                 endpoints.run(call);
             }
-            recorder.fact(call.ended(AttemptOutcome::Error));
+            call.ended(AttemptOutcome::Error);
             write(stream, &answer(500, "", "")).await
         }
         Behaviour::Reset => {
             endpoints.run(call);
-            recorder.fact(call.ended(AttemptOutcome::Reset));
+            call.ended(AttemptOutcome::Reset);
             reset(stream);
             false
         }
@@ -255,13 +289,44 @@
             endpoints.run(call);
             let _ = write(stream, HALF_ANSWER).await;
             wait_for_end(stream).await;
-            recorder.fact(call.ended(AttemptOutcome::Error));
+            call.ended(AttemptOutcome::Error);
             false
         }
     }
 }
 
-/// Runs the message and says so, unless the relay has given the call up by then.
+/// Answers a call of several messages with a word of its own for each, by the number of its attempt.
+async fn fail_in_part(stream: &mut TcpStream, call: &Call, endpoints: &Endpoints) -> bool {
+    let mut lines = String::new();
+    for called in call.messages.iter().copied() {
+        let word = match called.number % 3 {
+            0 => {
+                deliver_one(call, called, endpoints);
+                "delivered"
+            }
+            1 => {
+                endpoints.run_one(call.endpoint, called);
+                call.one_ended(called, AttemptOutcome::Error);
+                "failed"
+            }
+            _ => {
+                call.one_ended(called, AttemptOutcome::Rejected { retry_after: 0 });
+                "refused"
+            }
+        };
+        lines += &format!("{} {word}\r\n", message_id(called.message));
+    }
+    write(stream, &answer(200, "", &lines)).await
+}
+
+fn deliver_one(call: &Call, called: CalledMessage, endpoints: &Endpoints) {
+    endpoints.run_one(call.endpoint, called);
+    let CalledMessage { message, number } = called;
+    endpoints.recorder.fact(Fact::DeliveryAnswered { message, call: number });
+    call.one_ended(called, AttemptOutcome::Delivered);
+}
+
+/// Runs the messages and says so, unless the relay has given the call up by then.
 async fn deliver(stream: &mut TcpStream, call: &Call, after: Duration, endpoints: &Endpoints) -> bool {
     let given_up = async {
         wait_for_end(stream).await;
@@ -272,14 +337,15 @@
         false
     };
     if given_up.or(due).await {
-        endpoints.recorder.fact(call.ended(AttemptOutcome::TimedOut));
+        call.ended(AttemptOutcome::TimedOut);
         return false;
     }
-    endpoints.run(call);
-    let Call { message, call: number, .. } = *call;
-    endpoints.recorder.fact(Fact::DeliveryAnswered { message, call: number });
-    endpoints.recorder.fact(call.ended(AttemptOutcome::Delivered));
-    write(stream, &answer(200, "", "")).await
+    let mut lines = String::new();
+    for called in call.messages.iter().copied() {
+        deliver_one(call, called, endpoints);
+        lines += &format!("{} delivered\r\n", message_id(called.message));
+    }
+    write(stream, &answer(200, "", &lines)).await
 }
 
 async fn write(stream: &mut TcpStream, text: &str) -> bool {
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -6,6 +6,7 @@
 
 const MAX_HEADERS: usize = 32;
 const READ_CHUNK_BYTES: usize = 8 * 1024;
+const END_OF_LINE: &[u8] = b"\r\n";
 
 /// A request.
 #[derive(Clone, Debug)]
@@ -15,6 +16,31 @@
     pub(crate) body: Vec<u8>,
 }
 
+impl Request {
+    /// The ids of the messages in a call to an endpoint; none if it is no such call.
+    pub(crate) fn message_ids(&self) -> Option<Vec<String>> {
+        match (self.path.as_str(), &self.request_id) {
+            ("/receive", Some(id)) => Some(vec![id.clone()]),
+            ("/receive-many", _) => batch_ids(&self.body),
+            _ => None,
+        }
+    }
+}
+
+/// The ids in a body of several messages: each has a line with its id, key and length, then its bytes.
+fn batch_ids(mut body: &[u8]) -> Option<Vec<String>> {
+    let mut ids = Vec::new();
+    while !body.is_empty() {
+        let line_bytes = body.windows(END_OF_LINE.len()).position(|window| window == END_OF_LINE)?;
+        let line = std::str::from_utf8(&body[..line_bytes]).ok()?;
+        let mut words = line.split(' ');
+        let (id, _key, length) = (words.next()?, words.next()?, words.next()?.parse::<usize>().ok()?);
+        ids.push(id.to_string());
+        body = body.get(line_bytes + END_OF_LINE.len() + length + END_OF_LINE.len()..)?;
+    }
+    Some(ids)
+}
+
 /// Reads requests from a connection.
 #[derive(Default)]
 pub(crate) struct RequestReader {
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -3,7 +3,7 @@
 use crate::client::{Clients, misbehave};
 use crate::endpoint::{Behaviour, Endpoints};
 use crate::platform::Platform;
-use crate::recorder::Recorder;
+use crate::recorder::{Observation, Recorder};
 use crate::relay_process::{RelayProcess, UpgradeEnd};
 use crate::schedule::{FaultKind, Schedule, ScheduledFault};
 use mountshift_faults::{CallFault, FULL_RATE, SystemCall};
@@ -179,6 +179,7 @@
         let locals = [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENOBUFS, libc::EAGAIN];
         let local = locals[fault.amount as usize / 4 % locals.len()];
         let fails = |errno, fail_rate| CallFault { errno, fail_rate, ..CallFault::default() };
+        let watch = libc::ENOMEM;
         let passing = [libc::EINTR, libc::ENOBUFS, libc::ENOMEM];
         let passing = passing[fault.amount as usize % passing.len()];
         let sends = CallFault { short_rate: INTERRUPTION_RATE, ..fails(passing, INTERRUPTION_RATE) };
@@ -188,6 +189,7 @@
             (SystemCall::Connect, fails(local, SHORTAGE_RATE)),
             (SystemCall::Receive, fails(passing, INTERRUPTION_RATE)),
             (SystemCall::Wait, fails(libc::EINTR, INTERRUPTION_RATE)),
+            (SystemCall::WaitControl, fails(watch, INTERRUPTION_RATE)),
             (SystemCall::Send, sends),
         ];
         for relay in self.struck_relays(fault) {
@@ -205,6 +207,7 @@
 
     async fn drain(&self, fault: &ScheduledFault, span: Duration) {
         for endpoint in &fault.targets {
+            self.note_trouble(*endpoint, false);
             self.platform.set_phase(*endpoint, ListedStatus::Draining);
         }
         Timer::after(span).await;
@@ -214,9 +217,14 @@
         Timer::after(AWAY).await;
         for endpoint in &fault.targets {
             self.platform.set_phase(*endpoint, ListedStatus::Ready);
+            self.note_trouble(*endpoint, true);
         }
     }
 
+    fn note_trouble(&self, endpoint: usize, is_over: bool) {
+        self.recorder.note(Observation::EndpointTrouble { endpoint, is_over });
+    }
+
     fn set_discovery_silent(&self, fault: &ScheduledFault, is_silent: bool) {
         for relay in &fault.targets {
             self.platform.set_silent(*relay, is_silent);
@@ -235,11 +243,13 @@
             _ => Behaviour::CloseIdle,
         };
         for endpoint in &fault.targets {
+            self.note_trouble(*endpoint, false);
             self.endpoints.set_behaviour(*endpoint, behaviour);
         }
         Timer::after(span).await;
         for endpoint in &fault.targets {
             self.endpoints.set_behaviour(*endpoint, Behaviour::Well);
+            self.note_trouble(*endpoint, true);
         }
     }
 }
--- a/crates/soak/src/installation.rs
+++ b/crates/soak/src/installation.rs
@@ -14,6 +14,10 @@
 const ZONES: [&str; 2] = ["north", "south"];
 /// Between these the descriptors that a relay may hold are drawn; few are soon taken by clients that do nothing.
 const RELAY_DESCRIPTORS: (u64, u64) = (64, 256);
+/// Messages in a call, where the endpoints take several in one.
+const BATCH: u64 = 4;
+/// How often they do.
+const BATCHES: f64 = 0.5;
 /// Megabytes that a relay may take.
 pub(crate) const RELAY_MEMORY_MB: u64 = 64;
 const DRAIN_GRACE_MS: u64 = 1_000;
@@ -55,6 +59,7 @@
     pub(crate) relays: usize,
     open_cap: u64,
     calls_out: u64,
+    batch: u64,
     max_attempts: u64,
     order_pause_ms: u64,
     /// Descriptors that a relay may hold.
@@ -97,6 +102,7 @@
             max_attempts: random.random_range(4..9),
             descriptors: random.random_range(RELAY_DESCRIPTORS.0..RELAY_DESCRIPTORS.1),
             order_pause_ms: random.random_range(ORDER_PAUSE_MS.0..ORDER_PAUSE_MS.1),
+            batch: if random.random_bool(BATCHES) { BATCH } else { 1 },
         }
     }
 
@@ -130,7 +136,7 @@
                 "classes": classes, "tenants": [], "localities": ZONES, "kinds": ["single"], "weights": "nominal",
                 "discovery": "automatic",
                 "familyInfo": {"callsOut": self.calls_out, "decay": "linear", "feeByZone": [0.0, 0.0],
-                    "kindBatch": [1], "ownLimits": [false]},
+                    "kindBatch": [self.batch], "ownLimits": [false]},
                 "limits": {"openCap": self.open_cap, "maxAttempts": self.max_attempts, "cancel": true,
                     "maxRetryAfter": 3_000_000, "connIdle": 5_000_000, "dialTimeout": 1_500_000},
                 "obligations": {"drainGrace": micros(DRAIN_GRACE_MS), "orderPause": micros(self.order_pause_ms),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,6 +9,7 @@
 #![warn(missing_docs)]
 
 mod client;
+mod early_end;
 mod endpoint;
 mod error;
 mod http;
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -1,5 +1,6 @@
 //! The oracle: what broke, told by what the stand-ins saw. The six rules are checked by `mountshift-invariants`.
 
+use crate::early_end::early_ends;
 use crate::installation::Installation;
 use crate::recorder::{Observation, message_id, relay_of};
 use mountshift_invariants::{AttemptOutcome, Fact, InvariantChecker, Time};
@@ -45,10 +46,14 @@
                 message: None,
                 relay: Some(*relay),
             }),
-            Observation::Fact(_) | Observation::Fault(_) | Observation::Refused { .. } => {}
+            Observation::Fact(_)
+            | Observation::Fault(_)
+            | Observation::Refused { .. }
+            | Observation::EndpointTrouble { .. } => {}
         }
     }
     breaches.extend(refused_and_sent(observations));
+    breaches.extend(early_ends(installation, observations));
     let mut checker = InvariantChecker::new(installation.rule_parameters());
     for (at, fact) in facts(observations) {
         checker.observe(at, fact);
@@ -213,6 +218,12 @@
             Observation::Process { relay, what } => format!("relay {relay} {what}"),
             Observation::Fault(fault) => format!("fault: {fault}"),
             Observation::Refused { message } => format!("message {message} is answered as not accepted"),
+            Observation::EndpointTrouble { endpoint, is_over: false } => {
+                format!("endpoint {endpoint} has trouble")
+            }
+            Observation::EndpointTrouble { endpoint, is_over: true } => {
+                format!("endpoint {endpoint} is well")
+            }
         };
         text.push_str(&format!("{:>9.6} s  {line}\n", *at as f64 / 1e6));
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -21,6 +21,10 @@
 const SAME_TARGETS: f64 = 0.7;
 /// How often a group that holds no trouble at endpoints gets one: without it little is owed when a relay is struck.
 const ENDPOINT_TROUBLE: f64 = 0.5;
+/// How often a run draws from few kinds of faults alone: what two or three of them do together is seldom drawn from all.
+const FEW_KINDS: f64 = 0.5;
+/// How many kinds such a run has.
+const KINDS_OF_FEW: (usize, usize) = (3, 7);
 /// Milliseconds before the first fault, and without one before the end.
 const QUIET_MS: u64 = 2_000;
 
@@ -182,6 +186,16 @@
     kinds.choose(random).copied().unwrap_or(FaultKind::Kill)
 }
 
+/// The kinds of a run: all of them, or a few.
+fn draw_kinds(kinds: Vec<FaultKind>, random: &mut ChaCha8Rng) -> Vec<FaultKind> {
+    let count = random.random_range(KINDS_OF_FEW.0..=KINDS_OF_FEW.1);
+    if !random.random_bool(FEW_KINDS) || kinds.len() <= count {
+        return kinds;
+    }
+    let few = rand::seq::index::sample(random, kinds.len(), count);
+    few.into_iter().map(|index| kinds[index]).collect()
+}
+
 impl Schedule {
     /// Draws a schedule with faults of these kinds.
     ///
@@ -197,6 +211,7 @@
         // Without inherited sockets there are no upgrades to draw.
         let can_happen = |kind: &&FaultKind| inherited_sockets || **kind != FaultKind::Upgrade;
         let kinds: Vec<FaultKind> = kinds.iter().filter(can_happen).copied().collect();
+        let kinds = draw_kinds(kinds, &mut random);
         let end_ms = seconds * 1_000 - QUIET_MS;
         let mut group_at = QUIET_MS;
         while group_at + QUIET_MS < end_ms && !kinds.is_empty() {
@@ -235,7 +250,9 @@
             _ => random.random_range(0..1_000),
         };
         let longest = match kind {
-            FaultKind::Disk | FaultKind::DiskAtStart | FaultKind::Sockets => 1_500,
+            FaultKind::Disk | FaultKind::Sockets => 1_500,
+            // A relay has to be ready 10 s after its start, and starts 0.6 s into the fault.
+            FaultKind::DiskAtStart => 7_000,
             FaultKind::Hold => 1_000,
             _ => 4_000,
         };
