--- a/crates/relay/src/upstream/endpoint_table.rs
+++ b/crates/relay/src/upstream/endpoint_table.rs
@@ -39,6 +39,8 @@
     endpoints: BTreeMap<EndpointId, Endpoint>,
     /// Forgotten while in maintenance, as last listed: an endpoint that comes back must be known.
     in_maintenance: BTreeMap<Rc<str>, Endpoint>,
+    /// How many endpoints each destination has, those in maintenance included.
+    destinations: BTreeMap<DestinationId, usize>,
     zones: Vec<String>,
     destination_kinds: Vec<String>,
 }
@@ -79,7 +81,7 @@
             Phase::Draining => EndpointStatus::Draining,
             Phase::Gone => EndpointStatus::Removed,
         };
-        self.in_maintenance.remove(&name);
+        let returned = self.in_maintenance.remove(&name);
         let endpoint = Endpoint {
             address: entry.address,
             name,
@@ -89,7 +91,11 @@
             status,
             rate: entry.size,
         };
+        self.count_destination(endpoint.destination);
         let previous = self.endpoints.insert(id, endpoint);
+        for replaced in returned.iter().chain(&previous) {
+            self.discount_destination(replaced.destination);
+        }
         let has_moved = previous.is_some_and(|previous| previous.address != entry.address);
         TableUpdate { endpoint: id, status, address_left: has_moved || entry.phase == Phase::Gone }
     }
@@ -103,21 +109,38 @@
 
     /// True if the list has held an endpoint of the destination lately, or holds one that is in maintenance.
     pub(crate) fn has_destination(&self, destination: DestinationId) -> bool {
-        let mut known = self.endpoints.values().chain(self.in_maintenance.values());
-        known.any(|endpoint| endpoint.destination == destination)
+        self.destinations.contains_key(&destination)
+    }
+
+    fn count_destination(&mut self, destination: DestinationId) {
+        *self.destinations.entry(destination).or_default() += 1;
+    }
+
+    fn discount_destination(&mut self, destination: DestinationId) {
+        if let Some(count) = self.destinations.get_mut(&destination) {
+            *count -= 1;
+            if *count == 0 {
+                self.destinations.remove(&destination);
+            }
+        }
     }
 
     /// Forgets an endpoint, so that the table doesn't grow with every endpoint that ever was. One that is in
     /// maintenance is kept aside as it was last listed, until it comes back or is listed again.
     pub(crate) fn forget(&mut self, id: EndpointId, in_maintenance: bool) -> Option<Endpoint> {
         let endpoint = self.endpoints.remove(&id)?;
+        self.discount_destination(endpoint.destination);
         let has_its_name = self.ids.get(&endpoint.name) == Some(&id);
         if !has_its_name {
             return Some(endpoint);
         }
         self.ids.remove(&endpoint.name);
         if in_maintenance {
-            self.in_maintenance.insert(endpoint.name.clone(), endpoint.clone());
+            self.count_destination(endpoint.destination);
+            let replaced = self.in_maintenance.insert(endpoint.name.clone(), endpoint.clone());
+            if let Some(replaced) = replaced {
+                self.discount_destination(replaced.destination);
+            }
         }
         Some(endpoint)
     }
@@ -159,3 +182,7 @@
         DestinationKindId(index.map_or(u16::MAX, |index| index as u16))
     }
 }
+
+#[cfg(test)]
+#[path = "endpoint_table_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/relay/src/upstream/endpoint_table_tests.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+fn entry(id: &str, destination: u32, phase: Phase) -> EndpointEntry {
+    EndpointEntry {
+        id: id.into(),
+        address: ([127, 0, 0, 1], 80).into(),
+        zone: "north".into(),
+        kind: "single".into(),
+        dst: destination,
+        phase,
+        size: 1.0,
+        up_since_ms: 0,
+    }
+}
+
+/// The destinations that have an endpoint, of the first four.
+fn known(table: &EndpointTable) -> Vec<u32> {
+    (1..=4).filter(|number| table.has_destination(DestinationId(*number))).collect()
+}
+
+#[test]
+fn a_destination_is_known_as_long_as_it_has_an_endpoint_or_one_in_maintenance() {
+    let mut table = EndpointTable::default();
+    let first = table.update(&entry("e1", 1, Phase::Ready)).endpoint;
+    let second = table.update(&entry("e2", 1, Phase::Ready)).endpoint;
+    let third = table.update(&entry("e3", 2, Phase::Ready)).endpoint;
+    table.update(&entry("e1", 1, Phase::Draining));
+    assert_eq!(known(&table), [1, 2]);
+    table.forget(first, false);
+    assert_eq!(known(&table), [1, 2]);
+    table.forget(second, false);
+    assert_eq!(known(&table), [2]);
+    table.forget(third, true);
+    assert_eq!(known(&table), [2], "it is in maintenance");
+    let back = table.restore_from_maintenance("e3").expect("known");
+    assert_eq!(known(&table), [2]);
+    table.forget(back, true);
+    let listed = table.update(&entry("e3", 2, Phase::Ready)).endpoint;
+    table.forget(listed, false);
+    assert!(known(&table).is_empty());
+}
+
+#[test]
+fn an_entry_of_another_destination_is_another_endpoint() {
+    let mut table = EndpointTable::default();
+    let old = table.update(&entry("e1", 1, Phase::Ready)).endpoint;
+    assert_eq!(table.retire_if_another(&entry("e1", 1, Phase::Draining)), None);
+    assert_eq!(table.retire_if_another(&entry("e1", 3, Phase::Ready)), Some(old));
+    let new = table.update(&entry("e1", 3, Phase::Ready)).endpoint;
+    assert_ne!(new, old);
+    assert_eq!(known(&table), [1, 3]);
+    table.forget(old, false);
+    assert_eq!((known(&table), table.id_of("e1")), (vec![3], Some(new)));
+}
--- a/src/state/routes.rs
+++ b/src/state/routes.rs
@@ -4,7 +4,7 @@
 use crate::interface::*;
 use crate::policy::circuit_breaker::RECENT_RESULT_SECONDS;
 use crate::policy::pacing::OWN_RATE_SECONDS;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// A destination, or one endpoint of it where its endpoints are independent.
@@ -189,6 +189,9 @@
 #[derive(Default)]
 pub(crate) struct Routes {
     by_id: BTreeMap<RouteId, Route>,
+    /// Routes that may have something to be persisted: those changed since the last look, and those that had something
+    /// then. As time passes nothing is added, so no look walks over the others.
+    may_persist: BTreeSet<RouteId>,
     persisted: Vec<RouteSnapshot>,
     log_lines: Vec<String>,
 }
@@ -199,11 +202,14 @@
     }
 
     pub(crate) fn get_mut(&mut self, id: RouteId) -> Option<&mut Route> {
-        self.by_id.get_mut(&id)
+        let route = self.by_id.get_mut(&id)?;
+        self.may_persist.insert(id);
+        Some(route)
     }
 
     /// The route, which is `new` if it was not known.
     pub(crate) fn get_or_insert(&mut self, id: RouteId, new: Route) -> &mut Route {
+        self.may_persist.insert(id);
         self.by_id.entry(id).or_insert(new)
     }
 
@@ -213,13 +219,13 @@
 
     /// An attempt of a failed call has ended.
     pub(crate) fn confirm_failure(&mut self, id: RouteId) {
-        if let Some(route) = self.by_id.get_mut(&id) {
+        if let Some(route) = self.get_mut(id) {
             route.confirm_failure();
         }
     }
 
     pub(crate) fn set_breaker(&mut self, id: RouteId, next: Breaker) {
-        let Some(route) = self.by_id.get_mut(&id) else { return };
+        let Some(route) = self.get_mut(id) else { return };
         let last = std::mem::replace(&mut route.breaker, next);
         if std::mem::discriminant(&last) != std::mem::discriminant(&next) {
             let (destination, failures) = (id.destination.0, route.consecutive_failures);
@@ -242,21 +248,31 @@
     pub(crate) fn restore(&mut self, snapshots: &[RouteSnapshot], consecutive_failures: u32, now: Duration) {
         for snapshot in snapshots {
             let id = RouteId { destination: snapshot.destination, endpoint: snapshot.endpoint };
-            if let Some(route) = self.by_id.get_mut(&id) {
+            if let Some(route) = self.get_mut(id) {
                 route.restore(snapshot, consecutive_failures, now);
             }
         }
     }
 
+    /// How many routes the next look for changed snapshots walks over.
+    #[cfg(test)]
+    pub(crate) fn looked_at(&self) -> usize {
+        self.may_persist.len()
+    }
+
     /// What must outlive the process, if that changed since it was last asked for.
     pub(crate) fn changed_snapshots(
         &mut self,
         now: Duration,
         slow_start_duration: Duration,
     ) -> Option<&[RouteSnapshot]> {
-        let routes = self.by_id.iter();
-        let snapshots = routes.filter_map(|(id, route)| route.snapshot(*id, now, slow_start_duration));
-        let snapshots: Vec<RouteSnapshot> = snapshots.collect();
+        let mut snapshots = Vec::new();
+        self.may_persist.retain(|id| {
+            let route = self.by_id.get(id);
+            let snapshot = route.and_then(|route| route.snapshot(*id, now, slow_start_duration));
+            snapshots.extend(snapshot);
+            snapshot.is_some()
+        });
         if snapshots == self.persisted {
             return None;
         }
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -291,6 +291,51 @@
     }
 }
 
+/// Routes of so many destinations, none with anything to persist.
+fn idle_routes(count: u32) -> Routes {
+    let mut routes = Routes::default();
+    for destination in 0..count {
+        let id = RouteId { destination: DestinationId(destination), endpoint: None };
+        routes.get_or_insert(id, Route::default());
+    }
+    routes
+}
+
+// What must outlive the process is told whenever it changes, also as time ends it, and not again without a change.
+#[test]
+fn snapshots_are_told_as_they_change() {
+    let mut routes = idle_routes(5);
+    let id = |destination| RouteId { destination: DestinationId(destination), endpoint: None };
+    let told = |routes: &mut Routes, at: f64| {
+        let changed = routes.changed_snapshots(seconds(at), seconds(2.0));
+        changed.map(|snapshots| snapshots.iter().map(|snapshot| snapshot.destination.0).collect::<Vec<_>>())
+    };
+    assert_eq!(told(&mut routes, 0.0), None);
+    routes.set_breaker(id(3), Breaker::Open(seconds(1.0)));
+    routes.get_mut(id(1)).expect("known").extend_retry_after(seconds(4.0));
+    assert_eq!(told(&mut routes, 0.5), Some(vec![1, 3]));
+    assert_eq!(told(&mut routes, 1.0), None);
+    routes.set_breaker(id(3), Breaker::Closed);
+    routes.get_mut(id(3)).expect("known").start_slow_start(seconds(1.5));
+    assert_eq!(told(&mut routes, 1.5), Some(vec![1, 3]));
+    assert_eq!(told(&mut routes, 3.6), Some(vec![1]), "its slow start is over");
+    routes.remove(id(1));
+    assert_eq!(told(&mut routes, 3.7), Some(vec![]));
+    assert_eq!(told(&mut routes, 9.0), None);
+}
+
+// A look at what must outlive the process is taken in each step: it must not walk over routes that nothing happened to.
+#[test]
+fn a_look_for_changed_snapshots_walks_over_no_idle_route() {
+    let mut routes = idle_routes(50_000);
+    routes.changed_snapshots(seconds(0.0), seconds(2.0));
+    assert_eq!(routes.looked_at(), 0);
+    let id = RouteId { destination: DestinationId(7), endpoint: None };
+    routes.set_breaker(id, Breaker::Open(seconds(1.0)));
+    routes.changed_snapshots(seconds(0.5), seconds(2.0));
+    assert_eq!(routes.looked_at(), 1);
+}
+
 fn submission(key: u64) -> Submission {
     Submission {
         class: ClassId(0),
