Waits of a start and of a take-over stand beside the stop plans in crates/handover

START_PATIENCE, ESSENTIAL_PATIENCE, TAKEN_LOCK_PATIENCE, SPOOL_WAIT, RELOAD_PATIENCE (start_plan) and ORPHAN_CHECK_INTERVAL (role) were tuned values in the host. No value changes.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -18,15 +18,17 @@
 mod merge;
 mod role;
 mod snapshot;
+mod start_plan;
 mod stop_plan;
 
 pub use error::HandoverError;
 pub use merge::{Side, merge};
 pub use role::{
-    ACTIVE_DISK_SHARE, HANDING_OVER_FILE, HOLD_MARGIN, LOCK_FILE, LOCK_POLL_INTERVAL, MAX_HOLD, Role,
-    SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, accepts, reads_snapshot, role,
+    ACTIVE_DISK_SHARE, HANDING_OVER_FILE, HOLD_MARGIN, LOCK_FILE, LOCK_POLL_INTERVAL, MAX_HOLD,
+    ORPHAN_CHECK_INTERVAL, Role, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, accepts, reads_snapshot, role,
 };
 pub use snapshot::{FORMAT, RouteRecord, SNAPSHOT_FILE, Snapshot};
+pub use start_plan::{ESSENTIAL_PATIENCE, RELOAD_PATIENCE, SPOOL_WAIT, START_PATIENCE, TAKEN_LOCK_PATIENCE};
 pub use stop_plan::{HANDOVER, RESTART, StopPlan, stop_plan};
 
 #[cfg(test)]
--- a/crates/handover/src/role.rs
+++ b/crates/handover/src/role.rs
@@ -12,6 +12,8 @@
 pub const SUCCESSOR_DIR: &str = "next";
 /// How often a successor tries the active process's lock: nobody sends between its end and the next try.
 pub const LOCK_POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// How often the active process looks for messages of a successor that has ended.
+pub const ORPHAN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// A successor holds a message for so long at most before it is active: the active process ends before its
 /// SIGKILL, which comes 3.7 s after its SIGTERM, and the SIGTERM follows once the successor says that it serves.
 pub const MAX_HOLD: Duration = Duration::from_millis(4_000);
--- /dev/null
+++ b/crates/handover/src/start_plan.rs
@@ -0,0 +1,16 @@
+//! How long a process waits at its start, and for what.
+
+use std::time::Duration;
+
+/// What a process can serve without is waited for so long: the platform wants it ready within 10 s.
+pub const START_PATIENCE: Duration = Duration::from_secs(6);
+/// What it can't serve without is waited for so long: later than 30 s after its start nobody waits for it.
+pub const ESSENTIAL_PATIENCE: Duration = Duration::from_secs(25);
+/// Both locks may be taken for a moment without a third process being one too many: the active process holds the
+/// successor's while it takes over what a successor left.
+pub const TAKEN_LOCK_PATIENCE: Duration = Duration::from_millis(500);
+/// A message waits so long for the spool to be opened, then it is rejected: its client waits 0.4 s for an answer.
+pub const SPOOL_WAIT: Duration = Duration::from_millis(200);
+/// A new configuration that can't be read is tried again for so long: nobody sends a second SIGHUP for it, and a file that
+/// is bad stays so.
+pub const RELOAD_PATIENCE: Duration = Duration::from_secs(30);
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -19,6 +19,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use mountshift::interface::*;
+use mountshift_handover::ORPHAN_CHECK_INTERVAL;
 use mountshift_spool::Spool;
 use shutdown::{STOP_CHECK_INTERVAL, StopProgress, Stopping};
 use state::DispatcherState;
@@ -28,8 +29,6 @@
 
 /// Between two looks at idle connections: those that an endpoint closed are let go.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Between two looks for messages of a successor that has ended.
-const ORPHAN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// A step so late means that the process did not run meanwhile.
 const PROCESS_PAUSE: Duration = Duration::from_millis(100);
 /// After such a pause, the time for the other tasks to read what came meanwhile.
--- a/crates/relay/src/signals.rs
+++ b/crates/relay/src/signals.rs
@@ -11,6 +11,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
 use log::{error, info};
+use mountshift_handover::RELOAD_PATIENCE;
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
@@ -18,11 +19,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-/// A new configuration that can't be read is tried again after this pause ...
+/// A new configuration that can't be read is tried again after this pause.
 const RELOAD_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// ... for so long: nobody sends a second SIGHUP for it, and a file that is bad stays so.
-const RELOAD_PATIENCE: Duration = Duration::from_secs(30);
-
 /// The signals of a process that starts.
 pub(crate) struct StartSignals {
     pub(crate) signals: Signals,
--- a/crates/relay/src/startup/opening.rs
+++ b/crates/relay/src/startup/opening.rs
@@ -10,10 +10,8 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::info;
-use std::time::{Duration, Instant};
-
-/// A message waits so long for the spool to be opened, then it is rejected: its client waits 0.4 s for an answer.
-const SPOOL_WAIT: Duration = Duration::from_millis(200);
+use mountshift_handover::SPOOL_WAIT;
+use std::time::Instant;
 
 /// Events that came before there was a dispatcher, in order.
 #[derive(Default)]
--- a/crates/relay/src/startup/patience.rs
+++ b/crates/relay/src/startup/patience.rs
@@ -2,13 +2,10 @@
 //! be ready. A fault that passes in that time must not end the process; one that tells of bad input ends it at once.
 
 use async_io::Timer;
+use mountshift_handover::{ESSENTIAL_PATIENCE, START_PATIENCE};
 use std::io::{self, ErrorKind};
 use std::time::{Duration, Instant};
 
-/// What a process can serve without is waited for so long: the platform wants it ready within 10 s.
-const START_PATIENCE: Duration = Duration::from_secs(6);
-/// What it can't serve without is waited for so long: later than 30 s after its start nobody waits for it.
-const ESSENTIAL_PATIENCE: Duration = Duration::from_secs(25);
 /// Between two tries.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
--- a/crates/relay/src/startup/state_dir.rs
+++ b/crates/relay/src/startup/state_dir.rs
@@ -3,14 +3,12 @@
 use super::patience::Patience;
 use crate::error::StartError;
 use async_io::Timer;
-use mountshift_handover::{LOCK_FILE, Role, SUCCESSOR_DIR};
+use mountshift_handover::{LOCK_FILE, Role, SUCCESSOR_DIR, TAKEN_LOCK_PATIENCE};
 use std::fs::{File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// Both locks may be taken for a moment without a third process being one too many.
-const TAKEN_LOCK_PATIENCE: Duration = Duration::from_millis(500);
 /// Between two tries to take them.
 const TAKEN_LOCK_PAUSE: Duration = Duration::from_millis(20);
 
