--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -22,9 +22,9 @@
 /// How often a group that holds no trouble at endpoints gets one: without it little is owed when a relay is struck.
 const ENDPOINT_TROUBLE: f64 = 0.5;
 /// How often a run draws from few kinds of faults alone: what two or three of them do together is seldom drawn from all.
-const FEW_KINDS: f64 = 0.5;
+const FEW_KINDS: f64 = 0.7;
 /// How many kinds such a run has.
-const KINDS_OF_FEW: (usize, usize) = (3, 7);
+const KINDS_OF_FEW: (usize, usize) = (2, 5);
 /// Milliseconds before the first fault, and without one before the end.
 const QUIET_MS: u64 = 2_000;
 
