--- a/crates/relay/tests/relay/discovery.rs
+++ b/crates/relay/tests/relay/discovery.rs
@@ -244,3 +244,31 @@
     // A pause of 100 ms each time would make some 30 calls; doubling pauses up to 1.6 s make about 7.
     assert!((3..=12).contains(&calls), "{calls} calls in 3 s");
 }
+
+// The largest list that the platform tells, indented, within the smallest memory that it grants.
+#[test]
+fn an_indented_list_of_the_largest_fleet_is_taken_in() {
+    const ENDPOINTS: usize = 3_200;
+    let endpoint = Server::start(|_| ok());
+    let members: Vec<Value> = (0..ENDPOINTS)
+        .map(|number| {
+            let mut entry = member(&format!("endpoint-{number:08}"), endpoint.address, 7, "single");
+            entry["up_since_ms"] = json!(1_796_000_000_000_u64 + number as u64);
+            entry
+        })
+        .collect();
+    let list = json!({"revision": 5, "complete": true, "members": members});
+    // Four spaces for each level.
+    let text = serde_json::to_string_pretty(&list).expect("a text").replace("  ", "    ");
+    let discovery = Server::start(move |request| {
+        let is_watch = request.path.contains("index=5");
+        if is_watch { ServerAction::Hang } else { answer(200, "", &text) }
+    });
+    let mut fixture = fixture(0, vec![]);
+    fixture.config["discovery"] = json!(discovery.address.to_string());
+    fixture.config["limits"]["memory_mb"] = json!(32);
+    let relay = fixture.relay();
+    until("the list", || fixture.log().contains(&format!("list 5: {ENDPOINTS} entries")));
+    assert_eq!(relay.submit("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
+    until("the call", || endpoint.ids() == ["m1"]);
+}
