--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -270,7 +270,7 @@
         }
         FaultKind::DiskAtStart => vec![
             (SystemCall::FileWrite, half_cut),
-            (SystemCall::FileOpen, at_times),
+            (SystemCall::FileOpen, if fault.is_long_at_start() { fails } else { at_times }),
             (SystemCall::FileLock, at_times),
             (SystemCall::FileRead, at_times),
             (SystemCall::FileRename, fails),
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -25,6 +25,12 @@
 const FEW_KINDS: f64 = 0.7;
 /// How many kinds such a run has.
 const KINDS_OF_FEW: (usize, usize) = (2, 5);
+/// The shortest fault.
+const SHORTEST_MS: u64 = 300;
+/// One fault of the folder at a start in so many is a long one, ...
+const LONG_AT_START_IN: i64 = 3;
+/// ... of so many milliseconds: a relay starts 0.6 s into it and has to be ready 10 s later.
+const LONG_AT_START_MS: (u64, u64) = (7_000, 8_500);
 /// Milliseconds before the first fault, and without one before the end.
 const QUIET_MS: u64 = 2_000;
 
@@ -156,6 +162,13 @@
     pub amount: i64,
 }
 
+impl ScheduledFault {
+    /// True if a folder fails for longer than a start waits for what it can do without.
+    pub(crate) fn is_long_at_start(&self) -> bool {
+        self.kind == FaultKind::DiskAtStart && self.for_ms >= LONG_AT_START_MS.0
+    }
+}
+
 /// What happens in a run.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
@@ -249,14 +262,13 @@
             FaultKind::Slow => random.random_range(100..1_500),
             _ => random.random_range(0..1_000),
         };
-        let longest = match kind {
-            FaultKind::Disk | FaultKind::Sockets => 1_500,
-            // A relay has to be ready 10 s after its start, and starts 0.6 s into the fault.
-            FaultKind::DiskAtStart => 7_000,
-            FaultKind::Hold => 1_000,
-            _ => 4_000,
+        let (shortest, longest) = match kind {
+            FaultKind::DiskAtStart if amount % LONG_AT_START_IN == 0 => LONG_AT_START_MS,
+            FaultKind::Disk | FaultKind::DiskAtStart | FaultKind::Sockets => (SHORTEST_MS, 1_500),
+            FaultKind::Hold => (SHORTEST_MS, 1_000),
+            _ => (SHORTEST_MS, 4_000),
         };
-        let for_ms = random.random_range(300..=longest).min(end_ms.saturating_sub(at_ms)).max(100);
+        let for_ms = random.random_range(shortest..=longest).min(end_ms.saturating_sub(at_ms)).max(100);
         let count = if kind.strikes_relays() { self.relays } else { self.endpoints };
         let struck = random.random_range(1..=count.div_ceil(3));
         let mut targets = rand::seq::index::sample(random, count, struck).into_vec();
