--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -36,6 +36,7 @@
 const PAUSE_PER_ERROR: Duration = Duration::from_millis(50);
 /// The pause grows no longer than this many errors make it: one second.
 const MAX_PAUSED_ERRORS: u32 = 20;
+
 /// What a connection waits for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Expecting {
--- a/crates/relay/src/notifications.rs
+++ b/crates/relay/src/notifications.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::warn;
-use mountshift::interface::MessageId;
+use mountshift::interface::{MAX_CALL_BYTES, MessageId};
 use mountshift_spool::FinalOutcome;
 use serde_json::json;
 use std::net::SocketAddr;
@@ -20,8 +20,6 @@
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 /// Notifications in one call at most.
 const MAX_BATCH: usize = 500;
-/// Bytes of a call at most: the protocol lets a body hold no more.
-const MAX_CALL_BYTES: usize = 64 * 1024;
 /// The platform took the whole call.
 const STATUS_TAKEN: u16 = 204;
 /// The platform can't read a notification of the call.
--- a/src/interface/settings.rs
+++ b/src/interface/settings.rs
@@ -3,7 +3,7 @@
 use super::{Decay, MessageClass, RelayId, ZoneId};
 use std::time::Duration;
 
-/// Bytes of a call of several messages at most: the protocol lets a body hold no more.
+/// Bytes of a call of several messages, or of several notifications, at most: the protocol lets a body hold no more.
 pub const MAX_CALL_BYTES: usize = 64 * 1024;
 
 /// A kind of destination, as the settings describe it.
