--- a/crates/relay/src/signals.rs
+++ b/crates/relay/src/signals.rs
@@ -24,15 +24,15 @@
 /// The signals of a process that starts.
 pub(crate) struct StartSignals {
     pub(crate) signals: Signals,
-    /// Set if a new configuration was told while the process started: it may have read the old one.
-    pub(crate) pending_reload: Option<PendingReload>,
+    /// When a new configuration was told while the process started: it may have read the old one.
+    pub(crate) reload_pending_since: Option<Instant>,
 }
 
 impl StartSignals {
     /// Takes the signals over from the system's defaults, which would end the process.
     pub(crate) fn subscribe() -> io::Result<StartSignals> {
         let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
-        Ok(StartSignals { signals, pending_reload: None })
+        Ok(StartSignals { signals, reload_pending_since: None })
     }
 
     /// Waits until the process is told to stop.
@@ -40,7 +40,7 @@
         loop {
             match self.signals.next().await {
                 Some(Ok(Signal::Hup)) => {
-                    self.pending_reload = Some(PendingReload { since: Instant::now() });
+                    self.reload_pending_since = Some(Instant::now());
                 }
                 Some(Ok(_)) => return,
                 Some(Err(_)) => drop(Timer::after(ACCEPT_PAUSE).await),
@@ -65,14 +65,8 @@
     pub(crate) successor_path: PathBuf,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) is_stopping: bool,
-    /// A new configuration that could not be read yet.
-    pub(crate) pending_reload: Option<PendingReload>,
-}
-
-/// A new configuration that could not be read yet.
-pub(crate) struct PendingReload {
-    /// When the process was told of it.
-    since: Instant,
+    /// Since when a new configuration could not be read.
+    pub(crate) reload_pending_since: Option<Instant>,
 }
 
 /// What the handler waits for.
@@ -90,7 +84,7 @@
             match self.next_wakeup(&mut signals).await {
                 Wakeup::RetryReload => self.on_reload(),
                 Wakeup::Signal(Some(Ok(Signal::Hup))) => {
-                    self.pending_reload = None;
+                    self.reload_pending_since = None;
                     self.on_reload();
                 }
                 Wakeup::Signal(Some(Ok(_))) if self.is_stopping => {
@@ -108,7 +102,7 @@
 
     async fn next_wakeup(&self, signals: &mut Signals) -> Wakeup {
         let signal = async { Wakeup::Signal(signals.next().await) };
-        if self.pending_reload.is_none() {
+        if self.reload_pending_since.is_none() {
             return signal.await;
         }
         let retry = async {
@@ -122,18 +116,18 @@
     /// written.
     fn on_reload_failed(&mut self, error: &ConfigError) {
         if !error.may_pass_at_reload() {
-            self.pending_reload = None;
+            self.reload_pending_since = None;
             return error!("the new configuration is not used: {error}");
         }
-        match &self.pending_reload {
+        match self.reload_pending_since {
             None => {
                 error!("the new configuration is not used: {error}; it is tried again for a while");
-                self.pending_reload = Some(PendingReload { since: Instant::now() });
+                self.reload_pending_since = Some(Instant::now());
             }
-            Some(pending) if pending.since.elapsed() < RELOAD_PATIENCE => {}
+            Some(since) if since.elapsed() < RELOAD_PATIENCE => {}
             Some(_) => {
                 error!("the new configuration is given up: {error}");
-                self.pending_reload = None;
+                self.reload_pending_since = None;
             }
         }
     }
@@ -143,7 +137,7 @@
             Ok(address) => address,
             Err(e) => return self.on_reload_failed(&e),
         };
-        self.pending_reload = None;
+        self.reload_pending_since = None;
         let before = self.discovery;
         if address == before {
             info!("told to read the configuration: discovery stays at {address}");
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -111,7 +111,7 @@
             successor_path: state_dir.successor_path.clone(),
             executor: self.executor.clone(),
             is_stopping: false,
-            pending_reload: signals.pending_reload,
+            reload_pending_since: signals.reload_pending_since,
         };
         self.executor.spawn(handler.run(signals.signals)).detach();
     }
