--- a/crates/relay/tests/handover/main.rs
+++ b/crates/relay/tests/handover/main.rs
@@ -6,6 +6,7 @@
 mod support;
 
 mod process;
+mod stale_marker;
 mod successor;
 mod under_load;
 mod upgrade;
--- a/crates/relay/tests/support/server.rs
+++ b/crates/relay/tests/support/server.rs
@@ -36,6 +36,7 @@
 }
 
 /// What a server does with a request.
+#[derive(Clone, Debug)]
 pub(crate) enum ServerAction {
     /// Answers with these bytes, after a while.
     Say(String, Duration),
@@ -43,6 +44,28 @@
     SayAndClose(String),
     Hang,
     Close,
+    /// These steps in order, then the call is over at the latest; the connection carries no other call.
+    Play(Vec<Step>),
+}
+
+/// A step of an answer that is not a plain one.
+#[derive(Clone, Debug)]
+pub(crate) enum Step {
+    Write(Vec<u8>),
+    /// These bytes one at a time, with so long between two.
+    Drip(Vec<u8>, Duration),
+    /// The peer reads the end of the connection, this side goes on reading.
+    EndSending,
+    /// Until the peer ends the connection, or its sending.
+    AwaitPeer,
+    Reset,
+}
+
+/// When a call was over at its server: its answer was written whole, or its connection ended.
+#[derive(Clone, Debug)]
+pub(crate) struct CallEnd {
+    pub ids: Vec<String>,
+    pub at: Instant,
 }
 
 pub(crate) fn answer(status: u16, headers: &str, body: &str) -> ServerAction {
@@ -59,6 +82,8 @@
 pub(crate) struct Server {
     pub address: SocketAddr,
     pub got: Arc<Mutex<Vec<Request>>>,
+    /// Calls that were answered by [`ServerAction::Say`] or [`ServerAction::Play`] and are over.
+    pub ended: Arc<Mutex<Vec<CallEnd>>>,
 }
 
 impl Server {
@@ -70,17 +95,27 @@
         listener: TcpListener,
         act: impl Fn(&Request) -> ServerAction + Send + Sync + 'static,
     ) -> Server {
-        let server = Server { address: listener.local_addr().expect("an address"), got: Arc::default() };
-        let (got, act) = (server.got.clone(), Arc::new(act));
+        let server = Server {
+            address: listener.local_addr().expect("an address"),
+            got: Arc::default(),
+            ended: Arc::default(),
+        };
+        let (logs, act) = ((server.got.clone(), server.ended.clone()), Arc::new(act));
         thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
-                let (got, act) = (got.clone(), act.clone());
-                thread::spawn(move || serve(stream, connection, &got, &*act));
+                let ((got, ended), act) = (logs.clone(), act.clone());
+                thread::spawn(move || serve(stream, connection, &got, &ended, &*act));
             }
         });
         server
     }
 
+    /// When the first call with this message was over.
+    pub(crate) fn first_end_of(&self, id: &str) -> Option<Instant> {
+        let ended = self.ended.lock().expect("ends");
+        ended.iter().find(|end| end.ids.iter().any(|ended| ended == id)).map(|end| end.at)
+    }
+
     pub(crate) fn requests(&self) -> Vec<Request> {
         self.got.lock().expect("requests").clone()
     }
@@ -95,6 +130,7 @@
     mut stream: TcpStream,
     connection: usize,
     got: &Mutex<Vec<Request>>,
+    ended: &Mutex<Vec<CallEnd>>,
     act: &dyn Fn(&Request) -> ServerAction,
 ) {
     let mut reader = BufReader::new(stream.try_clone().expect("a stream"));
@@ -120,13 +156,24 @@
         }
         let request = Request { path, headers, body, connection, at: Instant::now() };
         got.lock().expect("requests").push(request.clone());
+        let note_end = || {
+            ended.lock().expect("ends").push(CallEnd { ids: request.ids(), at: Instant::now() });
+        };
         match act(&request) {
             ServerAction::Say(text, after) => {
                 thread::sleep(after);
+                // Noted before it is written: what the peer sends behind the answer comes later.
+                note_end();
                 if stream.write_all(text.as_bytes()).is_err() {
                     return;
                 }
             }
+            ServerAction::Play(steps) => {
+                for step in steps {
+                    play(step, &mut stream);
+                }
+                return note_end();
+            }
             ServerAction::SayAndClose(text) => return drop(stream.write_all(text.as_bytes())),
             ServerAction::Hang => thread::sleep(Duration::from_secs(60)),
             ServerAction::Close => return,
@@ -134,6 +181,33 @@
     }
 }
 
+fn play(step: Step, stream: &mut TcpStream) {
+    match step {
+        Step::Write(bytes) => drop(stream.write_all(&bytes)),
+        Step::Drip(bytes, pause) => {
+            for byte in bytes {
+                if stream.write_all(&[byte]).is_err() || peer_has_ended(stream, pause) {
+                    return;
+                }
+            }
+        }
+        Step::EndSending => drop(stream.shutdown(std::net::Shutdown::Write)),
+        Step::AwaitPeer => while !peer_has_ended(stream, Duration::from_secs(60)) {},
+        Step::Reset => {
+            let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+/// Waits for the end of the peer's sending, so long at most.
+fn peer_has_ended(stream: &mut TcpStream, most: Duration) -> bool {
+    let _ = stream.set_read_timeout(Some(most));
+    match stream.read(&mut [0; 256]) {
+        Ok(read) => read == 0,
+        Err(error) => !matches!(error.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut),
+    }
+}
+
 /// A listener that takes no more connections for now; dropping what comes with it makes room.
 pub(crate) fn full_listener() -> (TcpListener, Vec<socket2::Socket>) {
     let socket =
