Rests of a key go by what is known of an attempt's run, not by its outcome

Cause: Outcome told both what was answered (for breaker and retries) and whether the attempt may still be running; an answer that can't be read was an Error, so the next message of its key followed at once. Change: RunState beside Outcome, derived at one place (RunState::after) from the outcome and how the call ended; rests, repeats, the spool's record and what outlives a close ask it alone. One rest for each message in a key's queue; the guard before the first byte asks rule 5 too (out_of_turn, counted as a violation); rests by reason and the shortest gap of a key as metrics, both messages and calls in the log.

--- a/crates/lab/src/baselines/state.rs
+++ b/crates/lab/src/baselines/state.rs
@@ -43,9 +43,9 @@
         }
     }
 
-    fn record_outcome(&mut self, outcome: Outcome) {
+    fn record_run(&mut self, run: RunState) {
         self.in_flight = false;
-        if outcome.never_ran() {
+        if run == RunState::NeverRan {
             self.possible_runs -= 1;
         }
         if self.possible_runs == 0 {
@@ -81,6 +81,14 @@
     calls_in_flight: u32,
 }
 
+/// The end of an attempt.
+struct EndedAttempt {
+    endpoint: EndpointId,
+    outcome: Outcome,
+    run: RunState,
+    closed: bool,
+}
+
 /// The messages of one ordering key.
 #[derive(Default)]
 struct KeyQueue {
@@ -141,8 +149,8 @@
                 self.on_earlier_attempt(message, zone, at, may_have_run);
             }
             Input::FinalAnswerPending(message) => self.set_final_answer(message),
-            Input::AttemptEnded { message, outcome, closed, endpoint, .. } => {
-                self.on_attempt_ended(message, endpoint, outcome, closed);
+            Input::AttemptEnded { message, outcome, run, closed, endpoint, .. } => {
+                self.on_attempt_ended(message, EndedAttempt { endpoint, outcome, run, closed });
             }
             Input::RetryAfter { endpoint, span } => self.on_retry_after(endpoint, span),
             Input::FullListBegins => self.on_full_list(),
@@ -180,16 +188,17 @@
         }
     }
 
-    fn on_attempt_ended(&mut self, id: MessageId, endpoint: EndpointId, outcome: Outcome, closed: bool) {
+    fn on_attempt_ended(&mut self, id: MessageId, ended: EndedAttempt) {
+        let EndedAttempt { endpoint, outcome, run, closed } = ended;
         let Some(message) = self.messages.get_mut(&id).filter(|message| message.in_flight) else { return };
-        message.record_outcome(outcome);
+        message.record_run(run);
         let key = message.submission.key;
         let is_over = message.has_final_answer || closed;
         self.calls_in_flight -= 1;
         if let Some(endpoint) = self.endpoints.get_mut(&endpoint) {
             endpoint.calls_in_flight -= 1;
         }
-        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+        if run == RunState::MayBeRunning {
             self.hold_off(key, id);
         }
         if let Outcome::Rejected { retry_after } = outcome {
--- a/crates/lab/src/host/dispatcher.rs
+++ b/crates/lab/src/host/dispatcher.rs
@@ -238,14 +238,15 @@
             let AttemptEnd { message, outcome, closed } = *attempt;
             self.record_attempt_end(call, message, outcome, closed);
             let message = MessageId(message);
-            inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, closed });
+            let run = RunState::of(outcome);
+            inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, run, closed });
         }
     }
 
     fn record_attempt_end(&mut self, call: u64, message: u64, outcome: Outcome, closed: bool) {
         let end = fact_of_outcome(outcome);
         self.record(Fact::AttemptEnded { message, call, relay: self.relay, outcome: end });
-        if outcome.never_ran()
+        if RunState::of(outcome) == RunState::NeverRan
             && let Some(stored) = self.spool.get_mut(&message)
             && let Some(attempt) = stored.attempts.last_mut()
         {
--- a/crates/relay/src/dispatch/actions.rs
+++ b/crates/relay/src/dispatch/actions.rs
@@ -43,9 +43,12 @@
             return;
         }
         // What was not written to its last byte can't have run.
-        let may_have_run = call.stage.get() == CallStage::Written;
-        let outcome = if may_have_run { Outcome::Cancelled } else { Outcome::NotSent };
-        let results = CallResult::same_for_all(call.messages.iter().copied(), outcome, false);
+        let (outcome, end) = if call.stage.get() == CallStage::Written {
+            (Outcome::Cancelled, CallEnd::BrokenOff)
+        } else {
+            (Outcome::NotSent, CallEnd::NotWritten)
+        };
+        let results = CallResult::same_for_all(call.messages.iter().copied(), outcome, end, false);
         let _ = self.events.try_send(Event::AttemptsEnded { call: *number, results });
         call.task = None;
     }
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -1,6 +1,7 @@
 //! Carries out what a step decided: commits the spool, answers clients, starts calls.
 
 use super::event::{CallNumber, Event};
+use super::key_rests::KeyRests;
 use super::state::{CallInFlight, DispatcherState, PendingAttempt};
 use crate::clients::{SubmissionMetadata, SubmissionReply};
 use crate::metrics::Metrics;
@@ -8,10 +9,10 @@
 use crate::violations::{Evidence, ViolationKind, Violations};
 use async_channel::Receiver;
 use async_executor::Task;
-use log::{error, info};
+use log::{debug, error, info};
 use mountshift::interface::*;
 use mountshift::policy::DeliveryPolicy;
-use mountshift_spool::AcceptedMessage;
+use mountshift_spool::{AcceptedMessage, Spool};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -39,25 +40,70 @@
     policy: Rc<RefCell<DeliveryPolicy>>,
     metrics: Rc<Metrics>,
     violations: Rc<Violations>,
+    key_rests: Rc<KeyRests>,
+    order_hold_off: Duration,
     call: CallNumber,
     endpoint: EndpointId,
 }
 
 impl BeginGuard {
     /// How the attempt of a message ends if it must not begin now.
-    fn check(&self, message: MessageId, id: Option<&[u8]>, now: Duration) -> Result<(), Outcome> {
+    fn check(&self, spool: &Spool, message: MessageId, now: Duration) -> Result<(), Outcome> {
         let Err(refusal) = self.policy.borrow().check_begin(message, self.endpoint, now) else {
             return Ok(());
         };
         self.metrics.count_stopped_send(refusal.name());
-        let evidence =
-            Evidence { message: id, call: Some(self.call.0), expected: "no earlier run", connection: None };
-        // The others are events that crossed; this one the decisions must never ask for.
-        if refusal == SendRefusal::UnsafeRepeat {
-            self.violations.report(ViolationKind::UnsafeRepeat, evidence);
+        // The others are events that crossed; these the decisions must never ask for.
+        match refusal {
+            SendRefusal::UnsafeRepeat => {
+                self.report(ViolationKind::UnsafeRepeat, spool, message, "no earlier run");
+            }
+            SendRefusal::OutOfTurn => {
+                let turn = self.policy.borrow().turn(message, now);
+                let expected = format!("its turn, is {}", turn_text(spool, turn));
+                self.report(ViolationKind::OutOfTurn, spool, message, &expected);
+            }
+            _ => {}
         }
         Err(Outcome::NotSent)
     }
+
+    /// Measures how long the key of a message that goes out now has rested.
+    fn measure_rest(&self, spool: &Spool, message: MessageId, now: Duration) {
+        let Some(key) = self.policy.borrow().ordering_key(message) else { return };
+        let Some(rest) = self.key_rests.end(key, message) else { return };
+        let gap = now.saturating_sub(rest.since);
+        self.metrics.observe_key_gap(gap);
+        let earlier = String::from_utf8_lossy(&rest.id).into_owned();
+        let (key, call, earlier_call) = (key.0, self.call.0, rest.call);
+        debug!("key {key:016x}: call {call} begins {gap:?} after call {earlier_call} of message {earlier}");
+        if gap < self.order_hold_off {
+            let expected = format!("a rest behind message {earlier} of call {earlier_call}, was {gap:?}");
+            self.report(ViolationKind::OutOfTurn, spool, message, &expected);
+        }
+    }
+
+    fn report(&self, kind: ViolationKind, spool: &Spool, message: MessageId, expected: &str) {
+        let message = spool.get(message.0).map(|stored| &stored.accepted.id[..]);
+        let evidence = Evidence { message, call: Some(self.call.0), expected, connection: None };
+        self.violations.report(kind, evidence);
+    }
+}
+
+/// A turn as log lines tell it, with the client's id of the other message.
+fn turn_text(spool: &Spool, turn: Option<Turn>) -> String {
+    let id_of = |message: MessageId| {
+        let stored = spool.get(message.0);
+        stored.map_or_else(|| "-".into(), |stored| String::from_utf8_lossy(&stored.accepted.id).into_owned())
+    };
+    match turn {
+        None => "not held".into(),
+        Some(Turn::Now) => "next".into(),
+        Some(Turn::Behind(other)) => format!("behind message {}", id_of(other)),
+        Some(Turn::RestsBehind(other, until)) => {
+            format!("resting behind message {} until {until:?}", id_of(other))
+        }
+    }
 }
 
 /// Bytes that a message takes at most in a call of several ones.
@@ -181,7 +227,12 @@
         let task = if may_begin {
             Some(self.spawn_call(number, planned, stage.clone()))
         } else {
-            let results = CallResult::same_for_all(planned.messages(), Outcome::LocalFailure, false);
+            let results = CallResult::same_for_all(
+                planned.messages(),
+                Outcome::LocalFailure,
+                CallEnd::NotWritten,
+                false,
+            );
             let _ = self.events.try_send(Event::AttemptsEnded { call: number, results });
             None
         };
@@ -262,6 +313,8 @@
             policy: self.policy.clone(),
             metrics: self.metrics.clone(),
             violations: self.violations.clone(),
+            key_rests: self.key_rests.clone(),
+            order_hold_off: self.order_hold_off,
             call,
             endpoint,
         };
@@ -278,8 +331,10 @@
                 return Err(Outcome::NotSent);
             }
             for attempt in &attempts {
-                let id = spool.get(attempt.message.0).map(|stored| &stored.accepted.id[..]);
-                guard.check(attempt.message, id, now)?;
+                guard.check(&spool, attempt.message, now)?;
+            }
+            for attempt in &attempts {
+                guard.measure_rest(&spool, attempt.message, now);
             }
             let numbers: Vec<u64> = attempts.iter().map(|attempt| attempt.message.0).collect();
             if spool.record_attempts_now(&numbers, &zone, at_ms).is_ok() {
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -1,12 +1,13 @@
 //! Handles events: keeps the dispatcher's state, and tells the decisions what they must know. One handler each.
 
 use super::event::{CallNumber, Event};
+use super::key_rests::KeyRest;
 use super::state::{DispatcherState, ReachabilityQuestion};
 use crate::clients::{ClientSubmission, SubmissionError, SubmissionReply};
 use crate::discovery::EndpointList;
 use crate::upstream::{self, AttemptResult, CallResult, CallStage};
 use async_channel::Sender;
-use log::{info, warn};
+use log::{debug, info, warn};
 use mountshift::interface::*;
 use mountshift_handover::StopPlan;
 use mountshift_spool::AcceptedMessage;
@@ -33,7 +34,7 @@
     }
 
     fn close_message(&mut self, message: MessageId, inputs: &mut Vec<Input>) {
-        self.close_in_spool(message, true);
+        self.close_in_spool(message, AttemptAtClose::InFlight);
         inputs.push(Input::Closed(message));
     }
 
@@ -56,6 +57,9 @@
             return;
         };
         self.log_transition(message, "submitted", "held", "accepted");
+        if submission.key.is_some() {
+            self.log_key_of(message);
+        }
         self.awaiting_answer.insert(message, reply_to);
         inputs.push(Input::Submitted { message, submission });
     }
@@ -86,6 +90,14 @@
         Ok(submission)
     }
 
+    /// The place of a message among those of its key is what on-call staff need to follow its order.
+    fn log_key_of(&self, message: MessageId) {
+        let spool = self.spool.borrow();
+        let Some(stored) = spool.get(message.0) else { return };
+        let AcceptedMessage { id, key, .. } = &stored.accepted;
+        debug!("message {} is number {} here, of key {key:016x}", String::from_utf8_lossy(id), message.0);
+    }
+
     /// Puts a message into the spool; none if there is no room.
     fn accept_message(&mut self, received: ClientSubmission, deadline: Duration) -> Option<MessageId> {
         let id = received.id.clone();
@@ -136,7 +148,7 @@
     }
 
     fn on_attempt_ended(&mut self, number: CallNumber, result: AttemptResult, inputs: &mut Vec<Input>) {
-        let AttemptResult { message, outcome, closed } = result;
+        let AttemptResult { message, outcome, run, closed } = result;
         let Some(call) = self.calls_in_flight.get_mut(&number) else { return };
         if !call.messages.remove(&message) {
             return;
@@ -147,17 +159,37 @@
         if call.messages.is_empty() {
             self.calls_in_flight.remove(&number);
         }
-        if outcome.never_ran() && is_recorded {
+        if run == RunState::NeverRan && is_recorded {
             self.spool.borrow_mut().record_not_run(message.0);
         }
+        if run == RunState::MayBeRunning {
+            self.note_key_rest(number, message, outcome);
+        }
         if closed {
             if outcome == Outcome::Delivered {
                 self.metrics.count_final_answer("delivered");
             }
             self.remember_ended(message);
-            self.close_in_spool(message, false);
+            self.close_in_spool(message, AttemptAtClose::Ended(run));
         }
-        inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, closed });
+        inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, run, closed });
+    }
+
+    /// The decisions let the key of the message rest from here on. Counted and logged apart from them.
+    fn note_key_rest(&self, call: CallNumber, message: MessageId, outcome: Outcome) {
+        let Some(key) = self.policy.borrow().ordering_key(message) else { return };
+        let spool = self.spool.borrow();
+        let Some(stored) = spool.get(message.0) else { return };
+        let id = stored.accepted.id.clone();
+        self.metrics.count_key_rest(outcome.name());
+        debug!(
+            "key {:016x} rests behind message {} and call {}: {}",
+            key.0,
+            String::from_utf8_lossy(&id),
+            call.0,
+            outcome.name()
+        );
+        self.key_rests.begin(key, KeyRest { message, id, call: call.0, since: self.now });
     }
 
     fn on_poll_ended(&mut self, result: Result<EndpointList, Option<Duration>>, inputs: &mut Vec<Input>) {
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod endpoint_list;
 mod event;
 mod handlers;
+mod key_rests;
 mod restore;
 mod shutdown;
 mod state;
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -2,6 +2,7 @@
 
 use super::dependencies::Dependencies;
 use super::event::{CallNumber, Event};
+use super::key_rests::KeyRests;
 use crate::clients::{SubmissionMetadata, SubmissionReply};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -114,6 +115,9 @@
     /// Hashes of the ids of messages that ended lately.
     pub(super) recently_ended: VecDeque<u64>,
     pub(super) calls_in_flight: BTreeMap<CallNumber, CallInFlight>,
+    pub(super) key_rests: Rc<KeyRests>,
+    /// How long a key rests behind an attempt that may still be running.
+    pub(super) order_hold_off: Duration,
     pub(super) last_call_number: u64,
     /// When the decisions want the next step at the latest.
     pub(super) next_wake: Option<Duration>,
@@ -162,6 +166,8 @@
             messages_by_id: BTreeMap::new(),
             recently_ended: VecDeque::new(),
             calls_in_flight: BTreeMap::new(),
+            key_rests: Rc::default(),
+            order_hold_off: dependencies.policy_settings.order_hold_off,
             last_call_number: 0,
             next_wake: None,
             spool_full_logged: false,
@@ -282,8 +288,8 @@
 
     /// Removes a message that is closed, or keeps it in the spool as one that has ended for as long as the next process
     /// has to know of it.
-    pub(super) fn close_in_spool(&mut self, message: MessageId, has_attempt_in_flight: bool) {
-        let until = self.policy.borrow().must_be_known_until(message, self.now, has_attempt_in_flight);
+    pub(super) fn close_in_spool(&mut self, message: MessageId, attempt: AttemptAtClose) {
+        let until = self.policy.borrow().must_be_known_until(message, self.now, attempt);
         let Some(until) = until else { return self.remove_message(message) };
         let mut spool = self.spool.borrow_mut();
         let Some(stored) = spool.get(message.0) else { return };
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -9,6 +9,10 @@
 use prometheus_client::registry::Registry;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
+
+/// No key has rested yet.
+const NO_KEY_GAP: i64 = -1;
 
 /// The label of a counter by kind, outcome or reason.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
@@ -33,6 +37,7 @@
     held_messages: Gauge,
     calls_in_flight: Gauge,
     unwritten: Gauge,
+    shortest_key_gap_ms: Gauge,
 }
 
 /// What has happened so far.
@@ -42,6 +47,7 @@
     final_answers: Family<Label, Counter>,
     sends_stopped: Family<Label, Counter>,
     connections_closed: Family<Label, Counter>,
+    key_rests: Family<Label, Counter>,
     write_failures: Counter,
 }
 
@@ -49,6 +55,7 @@
     pub(crate) fn new(violations: Rc<Violations>, client_connections: Rc<Cell<usize>>) -> Metrics {
         let metrics = Metrics { violations, client_connections, ..Metrics::default() };
         let mut registry = Registry::with_prefix("mountshift");
+        metrics.gauges.shortest_key_gap_ms.set(NO_KEY_GAP);
         metrics.gauges.register(&mut registry);
         metrics.counters.register(&mut registry);
         metrics.registry.replace(registry);
@@ -88,6 +95,20 @@
         self.counters.connections_closed.get_or_create(&label(reason)).inc();
     }
 
+    /// A key rests behind an attempt that may still be running and ended like this.
+    pub(crate) fn count_key_rest(&self, outcome: &str) {
+        self.counters.key_rests.get_or_create(&label(outcome)).inc();
+    }
+
+    /// The next message of a key goes out so long after the end of an attempt that may still be running.
+    pub(crate) fn observe_key_gap(&self, gap: Duration) {
+        let gap_ms = gap.as_millis() as i64;
+        let gauge = &self.gauges.shortest_key_gap_ms;
+        if gauge.get() == NO_KEY_GAP || gap_ms < gauge.get() {
+            gauge.set(gap_ms);
+        }
+    }
+
     pub(crate) fn count_write_failure(&self) {
         self.counters.write_failures.inc();
     }
@@ -99,6 +120,9 @@
         register("client_connections", "Client connections open now", &self.client_connections);
         register("held_messages", "Accepted messages whose end nobody has taken yet", &self.held_messages);
         register("calls_in_flight", "Calls to endpoints in flight now", &self.calls_in_flight);
+        let help = "Shortest span, in milliseconds, from the end of an attempt that may still be running to the next \
+            message of its key; -1 before the first";
+        register("shortest_key_gap_ms", help, &self.shortest_key_gap_ms);
         register("unwritten", "1 while something can't be written to the state folder", &self.unwritten);
     }
 }
@@ -117,6 +141,8 @@
         );
         register("final_answers", "Final answers to messages", &self.final_answers);
         register("sends_stopped", "Attempts stopped right before their first byte", &self.sends_stopped);
+        let help = "Rests of a key behind an attempt that may still be running, by how that ended";
+        register("key_rests", help, &self.key_rests);
         register("connections_closed", "Client connections that ended, by reason", &self.connections_closed);
     }
 }
--- a/crates/relay/src/upstream/attempt.rs
+++ b/crates/relay/src/upstream/attempt.rs
@@ -12,7 +12,7 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{debug, error, info};
-use mountshift::interface::{EndpointId, MessageId, Outcome};
+use mountshift::interface::{CallEnd, EndpointId, MessageId, Outcome, RunState};
 use rustix::io::Errno;
 use std::cell::Cell;
 use std::collections::BTreeMap;
@@ -61,6 +61,7 @@
 pub(crate) struct AttemptResult {
     pub(crate) message: MessageId,
     pub(crate) outcome: Outcome,
+    pub(crate) run: RunState,
     /// Nothing more is sent for the message.
     pub(crate) closed: bool,
 }
@@ -79,9 +80,11 @@
     pub(crate) fn same_for_all(
         messages: impl IntoIterator<Item = MessageId>,
         outcome: Outcome,
+        end: CallEnd,
         closed: bool,
     ) -> CallResult {
-        let result = |message| AttemptResult { message, outcome, closed };
+        let run = RunState::after(outcome, end);
+        let result = |message| AttemptResult { message, outcome, run, closed };
         CallResult {
             attempts: messages.into_iter().map(result).collect(),
             retry_after: None,
@@ -142,7 +145,7 @@
         };
         let result = match self.send(pool, deadline).or(late).await {
             Ok(connection) => self.receive(connection, deadline, pool).await,
-            Err(outcome) => self.same_for_all(outcome, false),
+            Err(outcome) => self.same_for_all(outcome, CallEnd::NotWritten, false),
         };
         self.log_end(&result);
         report(result);
@@ -166,15 +169,25 @@
                 endpoint: Some(&self.endpoint.name),
                 from,
                 to: "ended",
-                reason: &format!("{:?}", attempt.outcome),
+                reason: &format!("{:?},{}", attempt.outcome, attempt.run.name()),
                 ..Transition::default()
             };
             debug!("{transition}");
         }
     }
 
-    fn same_for_all(&self, outcome: Outcome, closed: bool) -> CallResult {
-        CallResult::same_for_all(self.messages.iter().map(|message| message.message), outcome, closed)
+    fn same_for_all(&self, outcome: Outcome, end: CallEnd, closed: bool) -> CallResult {
+        CallResult::same_for_all(self.messages.iter().map(|message| message.message), outcome, end, closed)
+    }
+
+    /// No whole answer came. Whatever the outcome, the endpoint may still be at work: the relay gave the call up, or its
+    /// connection ended.
+    fn broken_off(&self, outcome: Outcome) -> CallResult {
+        self.same_for_all(outcome, CallEnd::BrokenOff, false)
+    }
+
+    fn answered(&self, outcome: Outcome, closed: bool) -> CallResult {
+        self.same_for_all(outcome, CallEnd::Answered, closed)
     }
 
     /// An idle connection that can be used, or a new one.
@@ -276,10 +289,10 @@
     ) -> CallResult {
         let (response, reusable) = match connection.read_response(MAX_RESPONSE_BYTES, deadline).await {
             Ok(response) => response,
-            Err(ResponseError::TimedOut) => return self.same_for_all(Outcome::TimedOut, false),
-            Err(ResponseError::ConnectionClosed) => return self.same_for_all(Outcome::Reset, false),
+            Err(ResponseError::TimedOut) => return self.broken_off(Outcome::TimedOut),
+            Err(ResponseError::ConnectionClosed) => return self.broken_off(Outcome::Reset),
             // Also where an unreadable response says that the message was rejected: it may have run all the same.
-            Err(ResponseError::Unreadable) => return self.same_for_all(Outcome::Error, false),
+            Err(ResponseError::Unreadable) => return self.broken_off(Outcome::Error),
         };
         let is_first = connection.requests == 1;
         if reusable {
@@ -287,7 +300,7 @@
         }
         if is_connection_limit(&response, is_first, reusable) {
             debug!("endpoint {} had no room for another connection", self.endpoint.name);
-            return self.same_for_all(Outcome::ConnectionLimit, false);
+            return self.answered(Outcome::ConnectionLimit, false);
         }
         let mut result = self.interpret(&response);
         result.load_report = response.load_report;
@@ -303,24 +316,28 @@
             debug!("endpoint {name} answered {status} with a wait of {retry_after:?}");
         }
         match response.status {
-            200 if self.messages.len() == 1 => self.same_for_all(Outcome::Delivered, true),
-            200 if !response.complete => self.same_for_all(Outcome::Error, false),
+            // The first line is all that counts. The endpoint may go on with the rest of it all the same.
+            200 if self.messages.len() == 1 && !response.complete => {
+                self.same_for_all(Outcome::Delivered, CallEnd::BrokenOff, true)
+            }
+            200 if self.messages.len() == 1 => self.answered(Outcome::Delivered, true),
+            200 if !response.complete => self.broken_off(Outcome::Error),
             200 => self.interpret_batch(&response.body, retry_after),
-            429 => self.same_for_all(Outcome::Rejected { retry_after }, false),
-            503 if response.slots_taken => self.same_for_all(Outcome::NotSent, false),
-            503 => self.same_for_all(Outcome::Rejected { retry_after }, false),
-            504 => self.same_for_all(Outcome::NotSent, false),
-            410 => self.same_for_all(Outcome::NotSent, true),
+            429 => self.answered(Outcome::Rejected { retry_after }, false),
+            503 if response.slots_taken => self.answered(Outcome::NotSent, false),
+            503 => self.answered(Outcome::Rejected { retry_after }, false),
+            504 => self.answered(Outcome::NotSent, false),
+            410 => self.answered(Outcome::NotSent, true),
             // By the protocol nothing of a call of several messages has run that can't be read or is too large.
             400 | 413 if self.messages.len() > 1 => {
                 error!("endpoint {} answered {} to a batch", self.endpoint.name, response.status);
-                self.same_for_all(Outcome::Rejected { retry_after: Duration::ZERO }, false)
+                self.answered(Outcome::Rejected { retry_after: Duration::ZERO }, false)
             }
             400 | 404 | 413 => {
                 error!("endpoint {} answered {}", self.endpoint.name, response.status);
-                self.same_for_all(Outcome::Error, false)
+                self.answered(Outcome::Error, false)
             }
-            _ => self.same_for_all(Outcome::Error, false),
+            _ => self.answered(Outcome::Error, false),
         }
     }
 
@@ -336,7 +353,8 @@
         let result = |message: &CallMessage| {
             let word = words_by_id.get(&message.id[..]).copied();
             let (outcome, closed) = batch_outcome(word, retry_after);
-            AttemptResult { message: message.message, outcome, closed }
+            let run = RunState::after(outcome, CallEnd::Answered);
+            AttemptResult { message: message.message, outcome, run, closed }
         };
         CallResult {
             attempts: self.messages.iter().map(result).collect(),
--- a/crates/relay/src/violations.rs
+++ b/crates/relay/src/violations.rs
@@ -16,12 +16,18 @@
     SecondFinalAnswer,
     /// A client connection was closed by the relay while a request that it had read had no answer.
     ClosedOwingAnswer,
+    /// A message was about to be sent before its turn among those of its key.
+    OutOfTurn,
 }
 
 impl ViolationKind {
     /// All kinds, in order.
-    pub(crate) const ALL: [ViolationKind; 3] =
-        [ViolationKind::UnsafeRepeat, ViolationKind::SecondFinalAnswer, ViolationKind::ClosedOwingAnswer];
+    pub(crate) const ALL: [ViolationKind; 4] = [
+        ViolationKind::UnsafeRepeat,
+        ViolationKind::SecondFinalAnswer,
+        ViolationKind::ClosedOwingAnswer,
+        ViolationKind::OutOfTurn,
+    ];
 
     /// Its name in metrics and log lines.
     pub(crate) fn name(self) -> &'static str {
@@ -29,6 +35,7 @@
             ViolationKind::UnsafeRepeat => "unsafe_repeat",
             ViolationKind::SecondFinalAnswer => "second_final_answer",
             ViolationKind::ClosedOwingAnswer => "closed_owing_answer",
+            ViolationKind::OutOfTurn => "out_of_turn",
         }
     }
 }
--- a/crates/simulation-adapter/src/decode.rs
+++ b/crates/simulation-adapter/src/decode.rs
@@ -46,7 +46,8 @@
             inputs.push(Input::RateLimitReported { endpoint, rate: value.into() });
         }
     }
-    inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, closed });
+    let run = RunState::of(outcome);
+    inputs.push(Input::AttemptEnded { message, endpoint, waited, outcome, run, closed });
     Ok(())
 }
 
--- a/src/interface/input.rs
+++ b/src/interface/input.rs
@@ -1,6 +1,6 @@
 //! What a host tells the decisions.
 
-use super::{EndpointId, ListedEndpoint, MessageId, Outcome, RouteSnapshot, Submission, ZoneId};
+use super::{EndpointId, ListedEndpoint, MessageId, Outcome, RouteSnapshot, RunState, Submission, ZoneId};
 use std::time::Duration;
 
 /// What a host tells the decisions, in the order in which it happened.
@@ -36,8 +36,10 @@
         endpoint: EndpointId,
         /// How long it was in flight.
         waited: Duration,
-        /// How it ended.
+        /// What the endpoint answered.
         outcome: Outcome,
+        /// What is known of its run.
+        run: RunState,
         /// Nothing more is sent for the message.
         closed: bool,
     },
--- a/src/interface/message.rs
+++ b/src/interface/message.rs
@@ -1,6 +1,6 @@
-//! Messages: what a class of them is, what is known of one when it is submitted, how an attempt ends.
+//! Messages: what a class of them is, what is known of one when it is submitted, its turn among those of its key.
 
-use super::{ClassId, DestinationId, OrderingKey, TenantId};
+use super::{ClassId, DestinationId, MessageId, OrderingKey, RunState, TenantId};
 use std::time::Duration;
 
 /// What running a message twice would do, the harmless first.
@@ -90,6 +90,26 @@
     pub in_order: bool,
 }
 
+/// Whether it is a message's turn among those of its key, and what it waits for if not.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// It is, or the message has no key.
+    Now,
+    /// This one is before it.
+    Behind(MessageId),
+    /// An attempt of this one may still be running until then.
+    RestsBehind(MessageId, Duration),
+}
+
+/// The attempt of a message that is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptAtClose {
+    /// One may be in flight, which goes on.
+    InFlight,
+    /// The end of its only one in flight closes it.
+    Ended(RunState),
+}
+
 /// Why an attempt that was decided may not begin after all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendRefusal {
@@ -103,6 +123,8 @@
     WindowOver,
     /// The endpoint is draining or removed, or a `Retry-After` binds (rules 3 and 6).
     EndpointUnavailable,
+    /// Another message of its key is before it, or an attempt of one may still be running (rule 5).
+    OutOfTurn,
 }
 
 impl SendRefusal {
@@ -114,49 +136,7 @@
             SendRefusal::UnsafeRepeat => "unsafe_repeat",
             SendRefusal::WindowOver => "window_over",
             SendRefusal::EndpointUnavailable => "endpoint_unavailable",
+            SendRefusal::OutOfTurn => "out_of_turn",
         }
     }
 }
-
-/// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The endpoint confirmed the delivery.
-    Delivered,
-    /// The endpoint answered with an error.
-    Error,
-    /// Rejected without being processed.
-    Rejected {
-        /// The `Retry-After` of the answer, or zero.
-        retry_after: Duration,
-    },
-    /// Rejected without being processed, as the endpoint's connection limit is reached.
-    ConnectionLimit,
-    /// No answer within the attempt's time limit.
-    TimedOut,
-    /// The connection never came up.
-    ConnectFailed,
-    /// The connection was closed or reset before the answer was complete.
-    Reset,
-    /// The attempt was cancelled by the relay.
-    Cancelled,
-    /// Never left the relay.
-    NotSent,
-    /// Never left the relay, for a shortage of the relay's own machine: descriptors, ports, memory, a state folder that
-    /// can't be written. It tells nothing of the destination, and is no attempt.
-    LocalFailure,
-}
-
-impl Outcome {
-    /// True where the outcome proves that the attempt took no effect.
-    pub fn never_ran(self) -> bool {
-        matches!(
-            self,
-            Outcome::Rejected { .. }
-                | Outcome::ConnectionLimit
-                | Outcome::ConnectFailed
-                | Outcome::NotSent
-                | Outcome::LocalFailure
-        )
-    }
-}
--- a/src/interface/mod.rs
+++ b/src/interface/mod.rs
@@ -4,6 +4,7 @@
 //! [`Actions`] that come back. Times are spans since the start of the process.
 
 mod actions;
+mod attempt;
 mod endpoint;
 mod handover;
 mod ids;
@@ -12,6 +13,7 @@
 mod settings;
 
 pub use actions::*;
+pub use attempt::*;
 pub use endpoint::*;
 pub use handover::*;
 pub use ids::*;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -65,14 +65,24 @@
     }
 
     /// Rule 5: until when a process after this one has to know of a message that is closed now; none if it need not.
-    /// `has_attempt_in_flight` is false where the end of its only attempt in flight closes it.
     pub fn must_be_known_until(
         &self,
         message: MessageId,
         now: Duration,
-        has_attempt_in_flight: bool,
+        attempt: AttemptAtClose,
     ) -> Option<Duration> {
-        safety::must_be_known_until(&self.state, message, now, has_attempt_in_flight)
+        safety::must_be_known_until(&self.state, message, now, attempt)
+    }
+
+    /// Rule 5: whether it is a message's turn in its key. None if the message is not held.
+    pub fn turn(&self, message: MessageId, now: Duration) -> Option<Turn> {
+        let held = self.state.messages.get(message)?;
+        Some(self.state.messages.turn(message, held, now))
+    }
+
+    /// By which key a message is in order; none if it is in no order, or not held.
+    pub fn ordering_key(&self, message: MessageId) -> Option<OrderingKey> {
+        self.state.messages.get(message)?.key
     }
 
     /// The rules again, right before the first byte of an attempt.
@@ -107,8 +117,8 @@
         }
         Input::FinalAnswerPending(message) => state.messages.end(message, false),
         Input::Closed(message) => state.messages.close(message),
-        Input::AttemptEnded { message, endpoint, waited, outcome, closed } => {
-            retry::attempt_ended(state, message, &EndedAttempt { endpoint, waited, outcome, closed });
+        Input::AttemptEnded { message, endpoint, waited, outcome, run, closed } => {
+            retry::attempt_ended(state, message, &EndedAttempt { endpoint, waited, outcome, run, closed });
         }
         Input::RetryAfter { endpoint, span } => state.extend_retry_after(endpoint, span),
         Input::RateLimitReported { endpoint, rate } => pacing::rate_limit_reported(state, endpoint, rate),
--- a/src/policy/retry.rs
+++ b/src/policy/retry.rs
@@ -26,10 +26,10 @@
     let rejected = Outcome::Rejected { retry_after: Duration::ZERO };
     let outcome = if is_limited { rejected } else { ended.outcome };
     let Some(number) = state.take_call(id) else { return };
-    let may_be_running = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
-    record_outcome(state, id, outcome);
-    // Rule 5: an attempt that may still be running holds back the rest of its key for a while.
-    if may_be_running {
+    record_outcome(state, id, outcome, ended.run);
+    // Rule 5: an attempt that may still be running holds back the rest of its key for a while. Not asked of the outcome:
+    // an error may be an answer that the relay gave up.
+    if ended.run == RunState::MayBeRunning {
         state.messages.hold_off_key(id, state.now + state.settings.order_hold_off);
     }
     if ended.closed || state.messages[id].ended {
@@ -40,15 +40,16 @@
     }
     let Some(call) = state.calls.end_attempt(number, ended.endpoint) else { return };
     let was_refused = is_limited || outcome == Outcome::ConnectFailed;
-    state.record_connection(&call, was_refused, may_be_running);
+    let was_lost = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+    state.record_connection(&call, was_refused, was_lost);
     circuit_breaker::record_result(state, &call, ended.waited, outcome);
 }
 
-fn record_outcome(state: &mut State, id: MessageId, outcome: Outcome) {
+fn record_outcome(state: &mut State, id: MessageId, outcome: Outcome, run: RunState) {
     let is_rejected = matches!(outcome, Outcome::Rejected { .. });
     let recent = state.recent_rejections.totals(state.now);
     let Some(message) = state.messages.get_mut(id) else { return };
-    message.record_outcome(outcome);
+    message.record_outcome(outcome, run);
     let doubled = 2f64.powi(i32::from(message.attempts.clamp(1, DOUBLED_TO_ATTEMPT)) - 1);
     let measured = recent.count.max(ATTEMPTS_MEASURED_MIN);
     let backoffs = match outcome {
--- a/src/policy/safety.rs
+++ b/src/policy/safety.rs
@@ -18,7 +18,7 @@
     let keeps_rules = keeps_deadline(message, endpoint, now) // rule 1
         && may_repeat(state, message, endpoint) // rule 2
         && keeps_slow_start(&state.routes[endpoint.route]) // rule 4
-        && state.messages.is_next(id, message, now) // rule 5
+        && state.messages.is_turn(id, message, now) // rule 5
         && may_send_to(state, call.endpoint, now); // rules 3 and 6
     if !keeps_rules {
         return false;
@@ -71,14 +71,17 @@
     state: &State,
     id: MessageId,
     now: Duration,
-    has_attempt_in_flight: bool,
+    attempt: AttemptAtClose,
 ) -> Option<Duration> {
     let message = state.messages.get(id)?;
+    message.key?;
     let hold_off = state.settings.order_hold_off;
-    if has_attempt_in_flight && message.key.is_some() && message.call.is_some() {
-        return Some(message.deadline.max(now) + hold_off);
+    match attempt {
+        AttemptAtClose::InFlight if message.call.is_some() => Some(message.deadline.max(now) + hold_off),
+        // The decisions hear of this end later in the step.
+        AttemptAtClose::Ended(RunState::MayBeRunning) => Some(now + hold_off),
+        _ => state.messages.holds_key_off_until(id, now),
     }
-    state.messages.holds_key_off_until(id, now)
 }
 
 /// The rules again, right before the first byte of an attempt that was decided a while ago.
@@ -101,6 +104,9 @@
     if is_repeat && message.deduplication_left(class, now) == Some(Duration::ZERO) {
         return Err(SendRefusal::WindowOver);
     }
+    if !state.messages.is_turn(id, message, now) {
+        return Err(SendRefusal::OutOfTurn);
+    }
     if may_send_to(state, to, now) { Ok(()) } else { Err(SendRefusal::EndpointUnavailable) }
 }
 
--- a/src/state/key_queues.rs
+++ b/src/state/key_queues.rs
@@ -1,14 +1,45 @@
 //! Per-key queues: messages with the same key are delivered in the order in which they were submitted.
+//!
+//! The turn of a key belongs to the message at the head of its queue, until nothing more is sent for that one. Behind an
+//! attempt that may still be running the key rests: no other message has the turn until then.
 
-use crate::interface::{MessageId, OrderingKey};
+use crate::interface::{MessageId, OrderingKey, Turn};
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+/// A span in which an attempt of a message may still be running.
+struct Rest {
+    behind: MessageId,
+    until: Duration,
+}
+
 #[derive(Default)]
 struct KeyQueue {
     messages: VecDeque<MessageId>,
-    hold_off_until: Duration,
-    held_off_by: Option<MessageId>,
+    /// One for each message at most: a rest behind one message must not end with the rest behind another.
+    rests: Vec<Rest>,
+}
+
+impl KeyQueue {
+    fn rest_behind(&mut self, message: MessageId, until: Duration) {
+        match self.rests.iter_mut().find(|rest| rest.behind == message) {
+            Some(rest) => rest.until = rest.until.max(until),
+            None => self.rests.push(Rest { behind: message, until }),
+        }
+    }
+
+    fn turn(&self, message: MessageId, now: Duration) -> Turn {
+        match self.messages.front() {
+            Some(first) if *first != message => return Turn::Behind(*first),
+            _ => {}
+        }
+        // Another attempt of the same message need not wait: its turn goes on.
+        let of_others = self.rests.iter().filter(|rest| rest.behind != message && rest.until > now);
+        match of_others.max_by_key(|rest| rest.until) {
+            Some(rest) => Turn::RestsBehind(rest.behind, rest.until),
+            None => Turn::Now,
+        }
+    }
 }
 
 /// The queues of all keys. Messages without a key are in none and always next.
@@ -28,11 +59,10 @@
         }
     }
 
-    /// An attempt of `by` may still be running: until then no other message of the key is next.
+    /// An attempt of `by` may still be running: until then it is the turn of no other message of the key.
     pub(crate) fn hold_off(&mut self, key: Option<OrderingKey>, until: Duration, by: MessageId) {
         if let Some(queue) = key.and_then(|key| self.queues.get_mut(&key)) {
-            queue.hold_off_until = until;
-            queue.held_off_by = Some(by);
+            queue.rest_behind(by, until);
         }
     }
 
@@ -44,14 +74,16 @@
         now: Duration,
     ) -> Option<Duration> {
         let queue = self.queues.get(&key?)?;
-        let holds_off = queue.held_off_by == Some(by) && queue.hold_off_until > now;
-        holds_off.then_some(queue.hold_off_until)
+        let rest = queue.rests.iter().find(|rest| rest.behind == by && rest.until > now)?;
+        Some(rest.until)
     }
 
-    pub(crate) fn is_next(&self, key: Option<OrderingKey>, message: MessageId, now: Duration) -> bool {
-        let Some(queue) = key.and_then(|key| self.queues.get(&key)) else { return true };
-        let is_held_off = queue.hold_off_until > now && queue.held_off_by != Some(message);
-        queue.messages.front() == Some(&message) && !is_held_off
+    /// Whether it is the message's turn, and what it waits for if not.
+    pub(crate) fn turn(&self, key: Option<OrderingKey>, message: MessageId, now: Duration) -> Turn {
+        match key.and_then(|key| self.queues.get(&key)) {
+            Some(queue) => queue.turn(message, now),
+            None => Turn::Now,
+        }
     }
 
     /// How many messages wait for the key; 1 for a message without one.
@@ -60,6 +92,9 @@
     }
 
     pub(crate) fn discard_unused(&mut self, now: Duration) {
-        self.queues.retain(|_, queue| !queue.messages.is_empty() || queue.hold_off_until > now);
+        self.queues.retain(|_, queue| {
+            queue.rests.retain(|rest| rest.until > now);
+            !queue.messages.is_empty() || !queue.rests.is_empty()
+        });
     }
 }
--- a/src/state/messages.rs
+++ b/src/state/messages.rs
@@ -18,6 +18,7 @@
     pub(crate) endpoint: EndpointId,
     pub(crate) waited: Duration,
     pub(crate) outcome: Outcome,
+    pub(crate) run: RunState,
     /// Nothing more is sent for the message.
     pub(crate) closed: bool,
 }
@@ -81,8 +82,8 @@
         self.first_possible_run.get_or_insert(run);
     }
 
-    pub(crate) fn record_outcome(&mut self, outcome: Outcome) {
-        if outcome.never_ran() {
+    pub(crate) fn record_outcome(&mut self, outcome: Outcome, run: RunState) {
+        if run == RunState::NeverRan {
             self.possible_runs -= 1;
         }
         if outcome == Outcome::LocalFailure {
@@ -166,15 +167,20 @@
     pub(crate) fn waiting(&self, now: Duration) -> BTreeMap<DestinationId, Vec<MessageId>> {
         let mut waiting: BTreeMap<DestinationId, Vec<MessageId>> = BTreeMap::new();
         for (id, message) in self.open() {
-            if message.call.is_none() && message.not_before <= now && self.is_next(id, message, now) {
+            if message.call.is_none() && message.not_before <= now && self.is_turn(id, message, now) {
                 waiting.entry(message.destination).or_default().push(id);
             }
         }
         waiting
     }
 
-    pub(crate) fn is_next(&self, id: MessageId, message: &Message, now: Duration) -> bool {
-        self.key_queues.is_next(message.key, id, now)
+    /// Whether it is the message's turn in its key, and what it waits for if not.
+    pub(crate) fn turn(&self, id: MessageId, message: &Message, now: Duration) -> Turn {
+        self.key_queues.turn(message.key, id, now)
+    }
+
+    pub(crate) fn is_turn(&self, id: MessageId, message: &Message, now: Duration) -> bool {
+        self.turn(id, message, now) == Turn::Now
     }
 
     /// How many messages wait for this one's key, itself included.
--- a/src/state/tests.rs
+++ b/src/state/tests.rs
@@ -265,21 +265,60 @@
 fn a_key_queue_lets_the_first_message_go_and_holds_the_others_off() {
     let (first, second, key) = (MessageId(1), MessageId(2), Some(OrderingKey(9)));
     let mut queues = KeyQueues::default();
-    assert!(queues.is_next(None, first, seconds(0.0)), "a message without a key");
+    assert_eq!(queues.turn(None, first, seconds(0.0)), Turn::Now, "a message without a key");
     queues.push(OrderingKey(9), first);
     queues.push(OrderingKey(9), second);
     assert_eq!((queues.length(key), queues.length(None)), (2, 1));
-    assert!(queues.is_next(key, first, seconds(0.0)) && !queues.is_next(key, second, seconds(0.0)));
+    assert_eq!(queues.turn(key, first, seconds(0.0)), Turn::Now);
+    assert_eq!(queues.turn(key, second, seconds(0.0)), Turn::Behind(first));
     queues.hold_off(key, seconds(1.0), first);
-    assert!(queues.is_next(key, first, seconds(0.5)), "a retry of the one that holds the others off");
+    assert_eq!(
+        queues.turn(key, first, seconds(0.5)),
+        Turn::Now,
+        "a retry of the one that holds the others off"
+    );
     queues.remove(key, first);
     queues.discard_unused(seconds(0.5));
-    assert!(!queues.is_next(key, second, seconds(0.9)) && queues.is_next(key, second, seconds(1.0)));
+    assert_eq!(queues.turn(key, second, seconds(0.9)), Turn::RestsBehind(first, seconds(1.0)));
+    assert_eq!(queues.turn(key, second, seconds(1.0)), Turn::Now);
     queues.remove(key, second);
     queues.discard_unused(seconds(1.0));
     assert_eq!(queues.length(key), 1, "the queue is forgotten");
 }
 
+// An attempt of a message that is over may still be running while the next one, taken up by a restart, is tried: the rest
+// behind the second one must not end the first one's.
+#[test]
+fn a_rest_behind_one_message_outlives_the_rest_behind_another() {
+    let (first, second, key) = (MessageId(1), MessageId(2), Some(OrderingKey(9)));
+    let mut queues = KeyQueues::default();
+    queues.push(OrderingKey(9), second);
+    queues.hold_off(key, seconds(2.0), first);
+    queues.hold_off(key, seconds(1.0), second);
+    queues.hold_off(key, seconds(1.5), first);
+    assert_eq!(queues.turn(key, second, seconds(1.2)), Turn::RestsBehind(first, seconds(2.0)));
+    assert_eq!(queues.turn(key, second, seconds(2.0)), Turn::Now);
+}
+
+// Each kind of answer beside each way in which a call ends.
+#[test]
+fn the_state_of_a_run_follows_from_the_end_of_its_call_first() {
+    let rejected = Outcome::Rejected { retry_after: Duration::ZERO };
+    let answers = [Outcome::Delivered, Outcome::Error, rejected, Outcome::ConnectionLimit, Outcome::NotSent];
+    let whole = answers.map(|outcome| RunState::after(outcome, CallEnd::Answered));
+    let (never, may_have) = (RunState::NeverRan, RunState::MayHaveRun);
+    assert_eq!(whole, [RunState::Ran, may_have, never, never, never]);
+    assert_eq!(
+        answers.map(|outcome| RunState::after(outcome, CallEnd::BrokenOff)),
+        [RunState::MayBeRunning; 5]
+    );
+    assert_eq!(answers.map(|outcome| RunState::after(outcome, CallEnd::NotWritten)), [never; 5]);
+    let unanswered = [Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled];
+    assert_eq!(unanswered.map(RunState::of), [RunState::MayBeRunning; 3]);
+    let unsent = [Outcome::ConnectFailed, Outcome::LocalFailure, Outcome::NotSent];
+    assert_eq!(unsent.map(RunState::of), [never; 3]);
+}
+
 fn class(idempotency: Idempotency) -> MessageClass {
     MessageClass {
         latency_objective: seconds(2.0),
@@ -353,12 +392,12 @@
     let mut message = Message::default();
     let run = PossibleRun { at: seconds(1.0), zone: ZoneId(2) };
     message.record_sent(1, run);
-    message.record_outcome(Outcome::ConnectFailed);
+    message.record_outcome(Outcome::ConnectFailed, RunState::NeverRan);
     assert_eq!((message.attempts, message.possible_runs, message.first_possible_run), (1, 0, None));
     message.record_sent(2, run);
-    message.record_outcome(Outcome::TimedOut);
+    message.record_outcome(Outcome::TimedOut, RunState::MayBeRunning);
     message.record_sent(3, PossibleRun { at: seconds(9.0), zone: ZoneId(3) });
-    message.record_outcome(Outcome::Rejected { retry_after: Duration::ZERO });
+    message.record_outcome(Outcome::Rejected { retry_after: Duration::ZERO }, RunState::NeverRan);
     assert_eq!((message.attempts, message.possible_runs, message.timeouts), (3, 1, 1));
     assert_eq!(message.first_possible_run, Some(run));
 }
@@ -391,7 +430,7 @@
     let mut messages = Messages::default();
     messages.insert(first, Message::new(&submission(9), &class));
     messages.insert(second, Message::new(&submission(9), &class));
-    let is_next = |messages: &Messages, id| messages.is_next(id, &messages[id], seconds(0.0));
+    let is_next = |messages: &Messages, id| messages.is_turn(id, &messages[id], seconds(0.0));
     assert_eq!(messages.waiting(seconds(0.0))[&DestinationId(4)], [first]);
     messages.end(first, false);
     assert!(messages.waiting(seconds(0.0)).is_empty());
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -204,6 +204,7 @@
         endpoint: words.endpoint(2),
         waited: words.span("took", 0.1),
         outcome,
+        run: RunState::of(outcome),
         closed: outcome == Outcome::Delivered,
     }
 }
