--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -10,6 +10,9 @@
 //!   the order in which their messages were accepted, and what the process before it knew of its destinations
 //!   ([`SNAPSHOT_FILE`], a [`Snapshot`]) is restored before the first decision.
 //!
+//! What one process tells the other ends with it: locks end with their process, the marker of a handover
+//! ([`HANDING_OVER_FILE`]) is one, and a snapshot names its writer.
+//!
 //! Times in a snapshot are Unix milliseconds: the two processes share the machine's clock, not their starts.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -24,8 +27,9 @@
 pub use error::HandoverError;
 pub use merge::{Side, merge};
 pub use role::{
-    ACTIVE_DISK_SHARE, HANDING_OVER_FILE, HOLD_MARGIN, LOCK_FILE, LOCK_POLL_INTERVAL, MAX_HOLD,
-    ORPHAN_CHECK_INTERVAL, Role, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, accepts, reads_snapshot, role,
+    ACTIVE_DISK_SHARE, BesideActive, EarlierSuccessor, HANDING_OVER_FILE, HOLD_MARGIN, LOCK_FILE,
+    LOCK_POLL_INTERVAL, MAX_HOLD, ORPHAN_CHECK_INTERVAL, Role, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE,
+    active_accepts, reads_snapshot, role, successor_accepts,
 };
 pub use snapshot::{FORMAT, RouteRecord, SNAPSHOT_FILE, Snapshot};
 pub use start_plan::{ESSENTIAL_PATIENCE, RELOAD_PATIENCE, SPOOL_WAIT, START_PATIENCE, TAKEN_LOCK_PATIENCE};
--- a/crates/handover/src/role.rs
+++ b/crates/handover/src/role.rs
@@ -6,7 +6,8 @@
 /// The lock's file, in the state folder for the active process and in [`SUCCESSOR_DIR`] for its successor.
 pub const LOCK_FILE: &str = "lock";
 /// The file in the state folder that an active process makes as it begins to hand over: it sends nothing new from then
-/// on. Whoever becomes active removes it.
+/// on, and takes no message in order. The process keeps the file locked, so that what it says ends with the process: a file
+/// that nobody holds locked says nothing.
 pub const HANDING_OVER_FILE: &str = "handing-over";
 /// The successor's folder in the state folder.
 pub const SUCCESSOR_DIR: &str = "next";
@@ -25,14 +26,22 @@
 /// The share of the folder's bytes for the successor's spool.
 pub const SUCCESSOR_DISK_SHARE: f64 = 0.25;
 
+/// What an active process finds of an earlier successor at its start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlierSuccessor {
+    /// Nothing.
+    None,
+    /// It has ended and left messages in `next/`: they are this process's.
+    LeftMessages,
+    /// It still runs, and keeps what it has accepted until it ends.
+    Running,
+}
+
 /// What a process is at its start, by the locks it could take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
     /// It owns the spool and sends.
-    Active {
-        /// A successor that has ended left messages in `next/`: they are this process's.
-        merge_successor: bool,
-    },
+    Active(EarlierSuccessor),
     /// Another process is active: this one accepts messages until the other's lock is free.
     Successor,
 }
@@ -48,9 +57,9 @@
     successor_spool_exists: bool,
 ) -> Result<Role, HandoverError> {
     match (active_lock_taken, successor_lock_taken) {
-        // A successor that is still there keeps its messages until it is active.
-        (true, true) => Ok(Role::Active { merge_successor: successor_spool_exists }),
-        (true, false) => Ok(Role::Active { merge_successor: false }),
+        (true, true) if successor_spool_exists => Ok(Role::Active(EarlierSuccessor::LeftMessages)),
+        (true, true) => Ok(Role::Active(EarlierSuccessor::None)),
+        (true, false) => Ok(Role::Active(EarlierSuccessor::Running)),
         (false, true) => Ok(Role::Successor),
         (false, false) => Err(HandoverError::StateFolderTaken),
     }
@@ -64,9 +73,25 @@
     role == Role::Successor
 }
 
+/// What a successor knows of the active process beside it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BesideActive {
+    /// The active process says that it sends nothing new and takes no message in order.
+    pub hands_over: bool,
+    /// Both processes date what they store by one time line, so that their messages can be merged in order.
+    pub shares_time_line: bool,
+}
+
 /// True if a successor accepts a message with `left` until its deadline; else it is rejected, as it might expire
-/// while nobody may send it. One that has its place in the order of a key is accepted only once the active process sends
-/// nothing new: until then it could send the next one of the key before this one.
-pub fn accepts(left: Duration, is_in_order: bool, active_sends: bool) -> bool {
-    left > MAX_HOLD + HOLD_MARGIN && !(is_in_order && active_sends)
+/// while nobody may send it. One that has its place in the order of a key is accepted only where that place is certain:
+/// else the active process could send the next one of the key before it.
+pub fn successor_accepts(left: Duration, is_in_order: bool, active: BesideActive) -> bool {
+    let place_is_certain = active.hands_over && active.shares_time_line;
+    left > MAX_HOLD + HOLD_MARGIN && (!is_in_order || place_is_certain)
+}
+
+/// True if an active process accepts a message. From the handover on messages in order are its successor's, and beside a
+/// successor that has yet to end, which may have accepted earlier ones of the key, they wait for that end.
+pub fn active_accepts(is_in_order: bool, hands_over: bool, successor_may_hold_earlier: bool) -> bool {
+    !is_in_order || !(hands_over || successor_may_hold_earlier)
 }
--- a/crates/handover/src/snapshot.rs
+++ b/crates/handover/src/snapshot.rs
@@ -40,6 +40,9 @@
 pub struct Snapshot {
     /// The format it was written in.
     pub format: u32,
+    /// The process that wrote it; none in one of an older version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub writer: Option<String>,
     /// When it was written, Unix milliseconds.
     pub written_ms: u64,
     /// Routes of which anything is to be known.
@@ -70,6 +73,12 @@
         serde_json::from_str(text).map_err(HandoverError::NotASnapshot)
     }
 
+    /// True unless another process than the active one is known to have written it: that one ended long ago, but could not
+    /// remove what an earlier process had left.
+    pub fn is_of(&self, active_process: Option<&str>) -> bool {
+        active_process.is_none_or(|active| self.writer.as_deref() == Some(active))
+    }
+
     /// What still binds at `now_ms`, Unix milliseconds: Retry-Afters that are over are dropped, and routes of
     /// which nothing is left.
     pub fn binding(mut self, now_ms: u64) -> Snapshot {
--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -116,13 +116,38 @@
     created: Instant,
     /// The Unix time of `created`.
     created_unix: Duration,
+    /// By an anchor that all processes of the boot share.
+    is_shared: bool,
 }
 
 impl StoredTime {
     /// The time line of an anchor that holds.
     pub(crate) fn new(anchor: &TimeAnchor, reading: &ClockReading) -> StoredTime {
         let created_unix = anchor.unix + reading.monotonic.saturating_sub(anchor.monotonic);
-        StoredTime { created: reading.instant, created_unix }
+        StoredTime { created: reading.instant, created_unix, is_shared: true }
+    }
+
+    /// A time line of this process alone, by the wall clock as it is now.
+    pub(crate) fn unshared(reading: &ClockReading) -> StoredTime {
+        StoredTime { created: reading.instant, created_unix: reading.wall, is_shared: false }
+    }
+
+    /// True if all processes of the boot date by it.
+    pub(crate) fn is_shared(&self) -> bool {
+        self.is_shared
+    }
+
+    /// A Unix time of this time line in another one, in microseconds.
+    pub(crate) fn translate_us(&self, unix_us: u64, to: &StoredTime) -> u64 {
+        let since = |time: &StoredTime| time.unix_of(self.created).as_micros() as u64;
+        (unix_us + since(to)).saturating_sub(since(self))
+    }
+
+    /// The Unix time of an instant.
+    fn unix_of(&self, instant: Instant) -> Duration {
+        let later = instant.saturating_duration_since(self.created);
+        let earlier = self.created.saturating_duration_since(instant);
+        (self.created_unix + later).saturating_sub(earlier)
     }
 
     /// Now, Unix time.
--- a/crates/relay/src/dispatch/actions.rs
+++ b/crates/relay/src/dispatch/actions.rs
@@ -6,7 +6,7 @@
 use crate::upstream::{CallResult, CallStage};
 use log::{debug, info};
 use mountshift::interface::*;
-use mountshift_handover::{RouteRecord, Snapshot};
+use mountshift_handover::RouteRecord;
 use mountshift_spool::FinalOutcome;
 use std::time::Duration;
 
@@ -82,10 +82,9 @@
 
     fn persist_routes(&mut self, routes: &[RouteSnapshot]) {
         let now_ms = self.clock.unix_ms(self.now);
-        let routes = routes.iter().map(|route| self.route_record(route)).collect();
+        let routes: Vec<RouteRecord> = routes.iter().map(|route| self.route_record(route)).collect();
         debug!("persists routes at {now_ms}: {routes:?}");
-        let snapshot = Snapshot { format: mountshift_handover::FORMAT, written_ms: now_ms, routes };
-        self.files.write_snapshot(&snapshot);
+        self.files.write_snapshot(now_ms, routes);
     }
 }
 
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -75,6 +75,12 @@
         let Some(submission) = self.submission(&received.metadata, received.key, deadline, call_bytes) else {
             return Err(SubmissionReply::Failed(SubmissionError::UnknownClass));
         };
+        let holds_earlier = self.successor_spool.may_hold_earlier();
+        let is_in_order = self.is_in_order(&submission);
+        if !mountshift_handover::active_accepts(is_in_order, self.hands_over, holds_earlier) {
+            debug!("message of key {:016x} is left to the successor", received.key);
+            return Err(SubmissionReply::Rejected { retry_after_ms: 0 });
+        }
         // Nobody could ever take it: it would be held until its deadline.
         if !self.endpoints.has_destination(submission.destination) {
             return Err(SubmissionReply::Failed(SubmissionError::UnknownDestination));
@@ -213,7 +219,8 @@
         self.maintenance.borrow_mut().set_stopping();
         // A successor takes over what is held: nothing more is sent from here.
         if plan.hands_over {
-            self.files.write_handing_over();
+            self.hands_over = true;
+            self.files.raise_handover_marker();
             info!("hands over to the process beside it");
             inputs.push(Input::HandoverStarted);
         }
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -82,6 +82,7 @@
             }
             return;
         }
+        self.successor_spool.note_taken_over();
         info!("takes over {} messages of a successor that has ended", adopted.len());
         for stored in left_out {
             fail_left_out(stored, &self.notifications);
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -110,6 +110,10 @@
     pub(super) drain_record: DrainRecord,
     pub(super) files: StateFiles,
     pub(super) successor_spool: SuccessorSpool,
+    /// Told to stop, with a successor beside it.
+    pub(super) hands_over: bool,
+    /// Which message classes keep their messages in order.
+    ordered_classes: Vec<bool>,
     /// The messages in the spool, by the ids that clients gave them.
     pub(super) messages_by_id: BTreeMap<Vec<u8>, MessageId>,
     /// Hashes of the ids of messages that ended lately.
@@ -163,6 +167,13 @@
             drain_record: dependencies.drain_record,
             files: dependencies.files,
             successor_spool: dependencies.successor_spool,
+            hands_over: false,
+            ordered_classes: dependencies
+                .policy_settings
+                .classes
+                .iter()
+                .map(|class| class.in_order)
+                .collect(),
             messages_by_id: BTreeMap::new(),
             recently_ended: VecDeque::new(),
             calls_in_flight: BTreeMap::new(),
@@ -328,6 +339,11 @@
         }
     }
 
+    /// True if the message has its place among those of a key.
+    pub(super) fn is_in_order(&self, submission: &Submission) -> bool {
+        submission.key.is_some() && self.ordered_classes[usize::from(submission.class.0)]
+    }
+
     /// True if a message of this id ended lately.
     pub(super) fn has_ended_recently(&self, id: &[u8]) -> bool {
         self.recently_ended.contains(&hash_id(id))
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -9,6 +9,7 @@
 mod dispatch;
 mod error;
 mod final_rounds;
+mod handover_marker;
 mod metrics;
 mod notifications;
 mod signals;
@@ -107,7 +108,10 @@
         warn!("the configuration's known list can't be read; discovery is asked for the whole list");
     }
     let files = StateFiles::new(&config);
-    let stored_time = files.stored_time(patience).await;
+    let stored_time = match state_dir.role {
+        Role::Active(_) => files.stored_time(patience).await,
+        Role::Successor => files.stored_time_beside_active(patience).await,
+    };
     let maintenance = restore_maintenance(&files, initial_list.as_ref(), patience).await;
     let admin = admin_listener(&config, patience).await?;
     let tasks = RelayTasks::new(executor, maintenance);
@@ -136,13 +140,13 @@
 }
 
 /// Reads what the process before left beside the spool; what no longer counts is removed.
-async fn read_earlier_state(files: &StateFiles, role: Role) -> EarlierState {
+async fn read_earlier_state(files: &StateFiles, role: Role, process_before: Option<&str>) -> EarlierState {
     let patience = Patience::of_start();
-    files.discard_handing_over(&patience).await;
+    files.discard_handover_marker();
     let snapshot = if mountshift_handover::reads_snapshot(role) {
-        files.read_snapshot(&patience).await
+        files.read_snapshot(process_before, &patience).await
     } else {
-        files.discard_snapshot(&patience).await;
+        files.discard_snapshot();
         None
     };
     EarlierState { snapshot, drain_record: files.read_drain_record(&patience).await }
@@ -155,10 +159,13 @@
     tasks.maintenance.borrow_mut().set_serving();
     info!("ready on {}", config.listen);
     let opened = open_spool(&config, &state_dir, &files, stored_time, &tasks).await?;
-    let Some(ActiveSpool { spool, mut deferred_events }) = opened else { return Ok(()) };
+    let Some(ActiveSpool { spool, mut deferred_events, stored_time, process_before }) = opened else {
+        return Ok(());
+    };
     state_dir.release_successor_lock();
     let successor_spool = SuccessorSpool::new(&config, &state_dir);
-    let reading = async { Ok(read_earlier_state(&files, state_dir.role).await) };
+    let process_before = process_before.as_deref();
+    let reading = async { Ok(read_earlier_state(&files, state_dir.role, process_before).await) };
     let earlier = open_beside_clients(&tasks, &mut deferred_events, reading).await?;
     let Some(EarlierState { snapshot, drain_record }) = earlier else { return Ok(()) };
     tasks.is_active.set(true);
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -14,8 +14,9 @@
 use async_channel::Sender;
 use log::{info, warn};
 use mountshift::interface::MessageId;
-use mountshift_handover::{ACTIVE_DISK_SHARE, Role, SUCCESSOR_DISK_SHARE, Side};
+use mountshift_handover::{ACTIVE_DISK_SHARE, EarlierSuccessor, Role, SUCCESSOR_DISK_SHARE, Side};
 use mountshift_spool::{FinalOutcome, Spool, SpoolError, StoredMessage};
+use std::cell::Cell;
 use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -28,6 +29,10 @@
     pub(crate) spool: Spool,
     /// Events from the time before this process was active that the dispatcher has to handle, in order.
     pub(crate) deferred_events: DeferredEvents,
+    /// The time line of all that is stored.
+    pub(crate) stored_time: StoredTime,
+    /// The process that has handed over to this one, by what it calls itself; none if that is not known.
+    pub(crate) process_before: Option<String>,
 }
 
 /// Opens the spool as the role demands; a successor accepts messages meanwhile. None if the process was told to stop
@@ -41,11 +46,12 @@
 ) -> Result<Option<ActiveSpool>, StartError> {
     let opener = SpoolOpener::new(config, state_dir);
     match state_dir.role {
-        Role::Active { merge_successor } => {
+        Role::Active(earlier) => {
             let mut deferred_events = DeferredEvents::default();
-            let opening = open_as_active(&opener, state_dir, tasks, merge_successor);
+            let merge_successor = earlier == EarlierSuccessor::LeftMessages;
+            let opening = open_as_active(&opener, state_dir, tasks, merge_successor, stored_time);
             let spool = open_beside_clients(tasks, &mut deferred_events, opening).await?;
-            Ok(spool.map(|spool| ActiveSpool { spool, deferred_events }))
+            Ok(spool.map(|spool| ActiveSpool { spool, deferred_events, stored_time, process_before: None }))
         }
         // The active spool is not opened here: opening cuts a half written record off and removes a half written
         // compaction, and both may be the active process's at this moment.
@@ -59,12 +65,15 @@
     state_dir: &StateDir,
     tasks: &RelayTasks,
     merge_successor: bool,
+    stored_time: StoredTime,
 ) -> Result<Spool, StartError> {
     let patience = Patience::of_start();
     let mut spool = patience.retry_essential(|| opener.open_active()).await?;
     if merge_successor {
         let successor = patience.retry_essential(|| opener.open_successor()).await?;
-        merge_successor_spool(&mut spool, successor, state_dir, tasks, &patience).await?;
+        let accepted =
+            SuccessorMessages { spool: successor, dated_by: stored_time, shared_time: stored_time };
+        merge_successor_spool(&mut spool, accepted, state_dir, tasks, &patience).await?;
     }
     Ok(spool)
 }
@@ -101,23 +110,56 @@
         IntakeEnd::Stopped => return Ok(None),
         IntakeEnd::BecameActive(deferred_events) => deferred_events,
     };
-    let successor = intake.into_spool();
+    let (successor, process_before) = intake.into_parts();
     let taking_over = async {
         let patience = Patience::of_start();
         let mut spool = patience.retry_essential(|| opener.open_active()).await?;
-        merge_successor_spool(&mut spool, successor, state_dir, tasks, &patience).await?;
+        let shared_time =
+            if stored_time.is_shared() { stored_time } else { files.stored_time(&patience).await };
+        let accepted = SuccessorMessages { spool: successor, dated_by: stored_time, shared_time };
+        merge_successor_spool(&mut spool, accepted, state_dir, tasks, &patience).await?;
         // What the process before wrote down since this one started.
         let maintenance = files.read_maintenance(&patience).await;
         tasks.maintenance.borrow_mut().reload(&maintenance);
-        Ok(spool)
+        Ok((spool, shared_time))
     };
-    let spool = open_beside_clients(tasks, &mut deferred_events, taking_over).await?;
-    Ok(spool.map(|spool| ActiveSpool { spool, deferred_events }))
+    let taken_over = open_beside_clients(tasks, &mut deferred_events, taking_over).await?;
+    Ok(taken_over.map(|(spool, stored_time)| ActiveSpool {
+        spool,
+        deferred_events,
+        stored_time,
+        process_before,
+    }))
+}
+
+/// What a successor has accepted, and by which time line it has dated that.
+struct SuccessorMessages {
+    spool: Spool,
+    dated_by: StoredTime,
+    shared_time: StoredTime,
+}
+
+impl SuccessorMessages {
+    /// Its messages, dated by the time line that all processes share.
+    fn stored_messages(&self) -> Vec<StoredMessage> {
+        let mut messages = stored_messages(&self.spool);
+        if !self.dated_by.is_shared() {
+            for message in &mut messages {
+                let accepted = &mut message.accepted;
+                let translate = |unix_us| self.dated_by.translate_us(unix_us, &self.shared_time);
+                accepted.accepted_at_us = translate(accepted.accepted_at_us);
+                accepted.deadline = translate(accepted.deadline * 1_000) / 1_000;
+            }
+        }
+        messages
+    }
 }
 
 /// The spool that a successor writes, as the active process beside it sees it: once the successor has ended without
 /// becoming active, what it accepted is the active process's.
 pub(crate) struct SuccessorSpool {
+    /// A successor that was there at this process's start may have accepted messages in order before that.
+    may_hold_earlier: Cell<bool>,
     dir: PathBuf,
     max_bytes: u64,
     max_attempts: u64,
@@ -137,6 +179,7 @@
     pub(crate) fn new(config: &StartConfig, state_dir: &StateDir) -> SuccessorSpool {
         let opener = SpoolOpener::new(config, state_dir);
         SuccessorSpool {
+            may_hold_earlier: Cell::new(state_dir.role == Role::Active(EarlierSuccessor::Running)),
             dir: state_dir.successor_path.clone(),
             max_bytes: config.disk_share(SUCCESSOR_DISK_SHARE),
             max_attempts: opener.max_attempts,
@@ -144,13 +187,34 @@
         }
     }
 
+    /// True until what an earlier successor has accepted is this process's: messages in order might be among it that come
+    /// before what clients submit now.
+    pub(crate) fn may_hold_earlier(&self) -> bool {
+        self.may_hold_earlier.get()
+    }
+
+    /// What it has left, if anything, is this process's now.
+    pub(crate) fn note_taken_over(&self) {
+        if self.may_hold_earlier.replace(false) {
+            info!("messages in order are accepted again: the successor has ended");
+        }
+    }
+
     /// What a successor has left; none while one runs, or where none has left anything.
     pub(crate) fn take_orphaned(&self) -> Option<OrphanedSpool> {
         let file = self.dir.join(mountshift_spool::FILE_NAME);
-        if !file.exists() {
+        if !self.may_hold_earlier() && !file.exists() {
             return None;
         }
         let lock = take_free_lock(&self.dir)?;
+        match file.try_exists() {
+            Ok(true) => {}
+            Ok(false) => {
+                self.note_taken_over();
+                return None;
+            }
+            Err(_) => return None,
+        }
         let spool = Spool::open(&self.dir, self.max_bytes, self.max_attempts, self.max_zone_bytes);
         let messages = spool.ok()?.messages().values().cloned().collect();
         Some(OrphanedSpool { messages, file, _lock: lock })
@@ -213,13 +277,13 @@
 /// is removed.
 async fn merge_successor_spool(
     spool: &mut Spool,
-    successor: Spool,
+    successor: SuccessorMessages,
     state_dir: &StateDir,
     tasks: &RelayTasks,
     patience: &Patience,
 ) -> Result<(), StartError> {
     let accepted_by_active = stored_messages(spool);
-    let accepted_by_successor = stored_messages(&successor);
+    let accepted_by_successor = successor.stored_messages();
     let order =
         mountshift_handover::merge(&accept_times(&accepted_by_active), &accept_times(&accepted_by_successor));
     let mut merged = Vec::with_capacity(order.len());
--- a/crates/relay/src/startup/state_dir.rs
+++ b/crates/relay/src/startup/state_dir.rs
@@ -3,7 +3,7 @@
 use super::patience::Patience;
 use crate::error::StartError;
 use async_io::Timer;
-use mountshift_handover::{LOCK_FILE, Role, SUCCESSOR_DIR, TAKEN_LOCK_PATIENCE};
+use mountshift_handover::{EarlierSuccessor, LOCK_FILE, Role, SUCCESSOR_DIR, TAKEN_LOCK_PATIENCE};
 use std::fs::{File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -41,6 +41,11 @@
             let successor = successor.map_err(unusable(successor_path.join(LOCK_FILE)))?;
             let successor_spool_exists = successor_path.join(mountshift_spool::FILE_NAME).exists();
             match mountshift_handover::role(active.acquired, successor.acquired, successor_spool_exists) {
+                // The successor takes the free lock in a moment, unless it is ending. Both locks go for that time.
+                Ok(Role::Active(EarlierSuccessor::Running)) if started.elapsed() < TAKEN_LOCK_PATIENCE => {
+                    drop((active, successor));
+                    Timer::after(TAKEN_LOCK_PAUSE).await;
+                }
                 Ok(role) => break (active, successor, role),
                 // The active process holds the second lock for a moment while it takes over what a successor left.
                 Err(_) if started.elapsed() < TAKEN_LOCK_PATIENCE => {
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -3,11 +3,12 @@
 //! serves without it, and only a later process would lack what the file tells.
 
 use crate::clock::{ClockReading, StoredTime, TimeAnchor};
+use crate::handover_marker::HandoverMarker;
 use crate::startup::config::StartConfig;
 use crate::startup::patience::Patience;
 use log::{error, info};
 use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ReadDrainRecord};
-use mountshift_handover::{HANDING_OVER_FILE, SNAPSHOT_FILE, Snapshot};
+use mountshift_handover::{FORMAT, RouteRecord, SNAPSHOT_FILE, Snapshot};
 use mountshift_maintenance::MaintenanceState;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -27,6 +28,9 @@
 pub(crate) struct StateFiles {
     dir: PathBuf,
     drain_record_max_bytes: usize,
+    /// What this process calls itself: no other process of this boot has the name.
+    process: Rc<str>,
+    marker: HandoverMarker,
     /// Files that could not be written, with what they have to hold.
     unwritten: Rc<RefCell<BTreeMap<&'static str, String>>>,
 }
@@ -36,22 +40,40 @@
         StateFiles {
             dir: config.state_dir.clone(),
             drain_record_max_bytes: config.disk_share(DRAIN_RECORD_DISK_SHARE) as usize,
+            process: process_name().into(),
+            marker: HandoverMarker::new(&config.state_dir),
             unwritten: Rc::default(),
         }
     }
 
-    /// The time line of all that is stored: the anchor that an earlier process of this boot left, else a new one.
+    /// The time line of all that is stored: the anchor that an earlier process of this boot left, else a new one. For the
+    /// active process.
     pub(crate) async fn stored_time(&self, patience: &Patience) -> StoredTime {
-        let stored = self.read(ANCHOR_FILE, patience).await;
         let reading = ClockReading::now(patience).await;
-        let stored = stored.as_deref().and_then(TimeAnchor::from_text);
-        let anchor = match stored.filter(|anchor| anchor.holds(&reading)) {
+        let anchor = match self.read_anchor(&reading, patience).await {
             Some(anchor) => anchor,
             None => self.write_anchor(TimeAnchor::new(&reading), patience).await,
         };
         StoredTime::new(&anchor, &reading)
     }
 
+    /// The time line for a successor: the active process's. Where that can't be read it has one of its own for now, which
+    /// it must not write down: all that the active process has stored would be dated anew.
+    pub(crate) async fn stored_time_beside_active(&self, patience: &Patience) -> StoredTime {
+        let reading = ClockReading::now(patience).await;
+        if let Some(anchor) = self.read_anchor(&reading, patience).await {
+            return StoredTime::new(&anchor, &reading);
+        }
+        info!("{ANCHOR_FILE}: not to be had; messages in order are accepted once this process is active");
+        StoredTime::unshared(&reading)
+    }
+
+    /// The anchor that an earlier process of this boot left.
+    async fn read_anchor(&self, reading: &ClockReading, patience: &Patience) -> Option<TimeAnchor> {
+        let stored = self.read(ANCHOR_FILE, patience).await;
+        stored.as_deref().and_then(TimeAnchor::from_text).filter(|anchor| anchor.holds(reading))
+    }
+
     /// Notes which Unix time belongs to which monotonic reading. Waited for: what is accepted before it is written would
     /// be dated by the next process's wall clock.
     async fn write_anchor(&self, anchor: TimeAnchor, patience: &Patience) -> TimeAnchor {
@@ -73,49 +95,58 @@
         self.replace(MAINTENANCE_FILE, &maintenance.to_text());
     }
 
-    /// What the process before left of its routes; none where it left nothing. A file that can't be read is no
-    /// reason to end: the process before has ended, and nobody else would serve. The relay goes on as after a
-    /// restart.
-    pub(crate) async fn read_snapshot(&self, patience: &Patience) -> Option<Snapshot> {
+    /// What the process before left of its routes; none where it left nothing, or where another one is known to have written
+    /// it. A file that can't be read is no reason to end: the process before has ended, and nobody else would serve. The
+    /// relay goes on as after a restart.
+    pub(crate) async fn read_snapshot(
+        &self,
+        process_before: Option<&str>,
+        patience: &Patience,
+    ) -> Option<Snapshot> {
         let text = self.read(SNAPSHOT_FILE, patience).await?;
+        let path = self.dir.join(SNAPSHOT_FILE);
         match Snapshot::from_json(&text) {
-            Ok(snapshot) => Some(snapshot),
+            Ok(snapshot) if snapshot.is_of(process_before) => Some(snapshot),
+            Ok(_) => {
+                info!("{}: not of the process before, left out", path.display());
+                None
+            }
             Err(e) => {
-                let path = self.dir.join(SNAPSHOT_FILE);
                 error!("{}: {e}; waits and breakers of the process before are not known", path.display());
                 None
             }
         }
     }
 
-    pub(crate) fn write_snapshot(&self, snapshot: &Snapshot) {
+    /// Writes what a later process has to know of the routes, all of it.
+    pub(crate) fn write_snapshot(&self, written_ms: u64, routes: Vec<RouteRecord>) {
+        let writer = Some(self.process.to_string());
+        let snapshot = Snapshot { format: FORMAT, writer, written_ms, routes };
         self.replace(SNAPSHOT_FILE, &snapshot.to_json());
     }
 
-    /// Removes the snapshot: left in place, the next handover would restore waits of a process long gone.
-    pub(crate) async fn discard_snapshot(&self, patience: &Patience) {
-        let path = self.dir.join(SNAPSHOT_FILE);
-        if let Err(e) = patience.retry(|| remove_if_present(&path)).await {
-            error!("{SNAPSHOT_FILE}: {e}");
+    /// Removes the snapshot: left in place, the next handover would restore waits of a process long gone. What can't be
+    /// removed is replaced as soon as that can be done.
+    pub(crate) fn discard_snapshot(&self) {
+        if let Err(e) = remove_if_present(&self.dir.join(SNAPSHOT_FILE)) {
+            info!("{SNAPSHOT_FILE}: {e}; replaced by an empty one");
+            self.write_snapshot(0, Vec::new());
         }
     }
 
     /// Tells a successor that this process sends nothing new from now on.
-    pub(crate) fn write_handing_over(&self) {
-        self.replace(HANDING_OVER_FILE, "");
+    pub(crate) fn raise_handover_marker(&self) {
+        self.marker.raise(&self.process);
     }
 
-    /// True once the active process has told that it sends nothing new.
-    pub(crate) fn is_handing_over(&self) -> bool {
-        self.dir.join(HANDING_OVER_FILE).exists()
+    /// The active process that hands over at this moment, by what it calls itself.
+    pub(crate) fn handing_over_process(&self) -> Option<String> {
+        self.marker.raised_by()
     }
 
     /// This process is the active one, and sends.
-    pub(crate) async fn discard_handing_over(&self, patience: &Patience) {
-        let path = self.dir.join(HANDING_OVER_FILE);
-        if let Err(e) = patience.retry(|| remove_if_present(&path)).await {
-            error!("{HANDING_OVER_FILE}: {e}");
-        }
+    pub(crate) fn discard_handover_marker(&self) {
+        self.marker.discard_leftover();
     }
 
     /// Endpoints that earlier processes knew to be draining or removed. What can't be read is left out: the rest
@@ -139,6 +170,9 @@
 
     /// Tries again to write what could not be written.
     pub(crate) fn retry_unwritten(&self) {
+        if self.marker.is_pending() {
+            self.raise_handover_marker();
+        }
         let unwritten = std::mem::take(&mut *self.unwritten.borrow_mut());
         for (name, text) in unwritten {
             let path = self.dir.join(name);
@@ -152,7 +186,7 @@
 
     /// True if a file is still to be written.
     pub(crate) fn has_unwritten(&self) -> bool {
-        !self.unwritten.borrow().is_empty()
+        self.marker.is_pending() || !self.unwritten.borrow().is_empty()
     }
 
     /// True once the time anchor is written: before that nothing that is stored may be relied on.
@@ -190,6 +224,12 @@
     }
 }
 
+/// A name that no other process of this boot has.
+fn process_name() -> String {
+    let started = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    format!("{}-{}.{:09}", std::process::id(), started.tv_sec, started.tv_nsec)
+}
+
 /// Replaces a file whole or not at all.
 fn replace_file(path: &Path, text: &str) -> io::Result<()> {
     let unfinished = path.with_extension(UNFINISHED_EXTENSION);
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -14,7 +14,7 @@
 use futures_lite::FutureExt;
 use log::{error, info, warn};
 use mountshift::interface::MessageId;
-use mountshift_handover::{LOCK_POLL_INTERVAL, RESTART, accepts};
+use mountshift_handover::{BesideActive, LOCK_POLL_INTERVAL, RESTART, successor_accepts};
 use mountshift_maintenance::{Change, MaintenanceState};
 use mountshift_spool::{AcceptedMessage, Spool};
 use std::cell::{Cell, RefCell};
@@ -73,6 +73,8 @@
     /// Events that only a dispatcher can handle.
     deferred_events: DeferredEvents,
     stopping_since: Option<Instant>,
+    /// The active process that has said that it hands over.
+    process_before: Option<String>,
     /// The spool could not be written at the last try, and the log says so.
     failure_logged: bool,
 }
@@ -85,6 +87,7 @@
             pending_answers: Vec::new(),
             deferred_events: DeferredEvents::default(),
             stopping_since: None,
+            process_before: None,
             failure_logged: false,
         }
     }
@@ -96,6 +99,7 @@
                 self.handle(event);
             }
             self.commit();
+            self.note_handover();
             if self.stopping_since.is_some() {
                 if self.may_stop() {
                     self.finish(events).await;
@@ -109,9 +113,16 @@
         }
     }
 
-    /// The spool, for the active process that this one is now.
-    pub(crate) fn into_spool(self) -> Spool {
-        self.options.spool
+    /// What the intake leaves to the active process that this one is now.
+    pub(crate) fn into_parts(self) -> (Spool, Option<String>) {
+        (self.options.spool, self.process_before)
+    }
+
+    /// Whose snapshot counts: that of the process that has handed over.
+    fn note_handover(&mut self) {
+        if self.process_before.is_none() {
+            self.process_before = self.options.files.handing_over_process();
+        }
     }
 
     fn handle(&mut self, event: Event) {
@@ -153,7 +164,12 @@
         let time_left = message.metadata.time_to_deadline.saturating_sub(message.received_at.elapsed());
         let class = self.options.classes.iter().position(|class| *class == message.metadata.class);
         let is_in_order = class.is_some_and(|class| self.options.ordered_classes[class]) && message.key != 0;
-        if !accepts(time_left, is_in_order, !self.options.files.is_handing_over()) {
+        let active = BesideActive {
+            // Asked each time: what the active process says ends with it.
+            hands_over: is_in_order && self.options.files.handing_over_process().is_some(),
+            shares_time_line: self.options.stored_time.is_shared(),
+        };
+        if !successor_accepts(time_left, is_in_order, active) {
             return Err(SubmissionReply::Rejected { retry_after_ms: 0 });
         }
         let now = self.options.stored_time.now();
--- a/crates/relay/tests/handover/stale_marker.rs
+++ b/crates/relay/tests/handover/stale_marker.rs
@@ -77,3 +77,40 @@
     until("both", || in_order(&fixture.endpoint.ids()).len() == 2);
     assert_eq!(in_order(&fixture.endpoint.ids()), ["m1", "m2"], "{}", fixture.log());
 }
+
+// What users saw: after an upgrade messages were given up at once though they had time left.
+// What happened: the successor could not read the folder's time line and wrote a new one, by its wall clock, which had been stepped by
+// an hour meanwhile. All that the active process had stored was dated anew by it, and messages of both processes were
+// merged by times of two time lines, which is no order.
+// The cause: two processes wrote one fact, the later one without knowing it.
+// The evidence: the messages that are delivered after the take-over.
+#[test]
+fn a_successor_that_cannot_read_the_time_line_dates_nothing_anew() {
+    const HOUR_MS: i64 = 3_600_000;
+    let fixture = upgrade();
+    let mut active = fixture.start(0);
+    fixture.submit("out", 0, "once");
+    fixture.gate.wait_for_arrivals(1);
+    fixture.submit("held", 5, "pay");
+    fixture.submit("behind", 5, "pay");
+    let faults = FaultControl::create(&fixture.dir.path().join("faults")).expect("a control file");
+    faults.set_wall_clock_offset_ms(HOUR_MS).expect("a step");
+    // A folder in its place can't be read, whoever asks.
+    let [time_line, away] = ["state/clock", "state/clock.away"].map(|name| fixture.dir.path().join(name));
+    std::fs::rename(&time_line, &away).and_then(|()| std::fs::create_dir(&time_line)).expect("a folder");
+    let _successor = fixture.start_with_faults(1, &faults);
+    std::fs::remove_dir(&time_line).and_then(|()| std::fs::rename(&away, &time_line)).expect("a file");
+    active.signal("STOP");
+    fixture.submit("beside", 0, "once");
+    active.signal("CONT");
+    active.term();
+    until("the handover", || fixture.log().contains("hands over to the process beside it"));
+    assert_eq!(fixture.answer_to("in-order", 5, "pay"), "-BUSY", "its place can't be told");
+    fixture.gate.open();
+    assert!(active.ended_within(ms(3_600)));
+    let delivered = || fixture.endpoint.ids();
+    until("all messages", || delivered().len() == 4);
+    let of_key: Vec<String> = delivered().into_iter().filter(|id| id == "held" || id == "behind").collect();
+    assert_eq!(of_key, ["held", "behind"]);
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
+}
