--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -8,3 +8,4 @@
 mod clients;
 mod discovery;
 mod restarts;
+mod shared_ids;
