A message is the one that is held only if its key and content are, not by its id alone

Cause: an id that came again was answered +OK whatever came under it; the second client's message was held by nobody, so the next ones of its key were sent. Same class: its +OK came before the commit, and the first client's end withdrew what the second had been told is accepted; a withdrawn message that may have run could be accepted anew under its id. Change: MessageContent decides whether it is the same message; another one is rejected with -BUSY (counted, logged), in the dispatcher and in a successor; Acceptances tells each client behind the commit and withdraws with the last; ids of ended messages are remembered with their content.

--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -32,7 +32,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-pub(crate) use submission::{ClientSubmission, SubmissionError, SubmissionMetadata, SubmissionReply};
+pub(crate) use submission::{
+    ClientSubmission, MessageContent, SubmissionError, SubmissionMetadata, SubmissionReply,
+};
 
 /// The pause after a failed accept, as when descriptors have run out: they are not there again at once.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
--- a/crates/relay/src/clients/protocol.rs
+++ b/crates/relay/src/clients/protocol.rs
@@ -138,7 +138,7 @@
 /// The line that tells a client what became of its submission.
 pub(super) fn submission_reply_line(reply: &SubmissionReply) -> String {
     match reply {
-        SubmissionReply::Accepted(_) | SubmissionReply::AlreadyHeld => OK.to_string(),
+        SubmissionReply::Accepted(_) => OK.to_string(),
         SubmissionReply::Rejected { retry_after_ms: 0 } => BUSY.to_string(),
         SubmissionReply::Rejected { retry_after_ms } => format!("-BUSY {retry_after_ms}\r\n"),
         SubmissionReply::Failed(error) => error_line(error),
--- a/crates/relay/src/clients/submission.rs
+++ b/crates/relay/src/clients/submission.rs
@@ -3,11 +3,14 @@
 use super::protocol::Words;
 use log::debug;
 use mountshift::interface::MessageId;
+use mountshift_spool::AcceptedMessage;
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
 /// Bytes of a message's body at most, as clients are promised.
 pub(super) const MAX_BODY_BYTES: usize = 64 * 1024;
+/// A client sends a request once more within so long: it waits 0.4 s for an answer.
+const RESEND_WITHIN: Duration = Duration::from_millis(1_000);
 /// Bytes of a message id or an idempotency key at most: both go into a header of the call to the endpoint.
 const MAX_ID_BYTES: usize = 128;
 
@@ -77,8 +80,6 @@
 pub(crate) enum SubmissionReply {
     /// The relay is responsible for it from now on.
     Accepted(MessageId),
-    /// It was accepted before under this id and has not ended.
-    AlreadyHeld,
     /// Not accepted, and safe to submit again after this many milliseconds; 0 where no wait is told.
     Rejected { retry_after_ms: u64 },
     /// Not accepted.
@@ -86,6 +87,19 @@
 }
 
 impl ClientSubmission {
+    /// What was handed in under its id.
+    pub(crate) fn content(&self) -> MessageContent<'_> {
+        MessageContent { key: self.key, metadata: &self.metadata, body: &self.body }
+    }
+
+    /// True if this is the message that was accepted under its id, as far as its key and content tell.
+    pub(crate) fn is_same_as(&self, accepted: &AcceptedMessage) -> bool {
+        SubmissionMetadata::parse(&accepted.metadata).is_ok_and(|metadata| {
+            let held = MessageContent { key: accepted.key, metadata: &metadata, body: &accepted.body };
+            held.is_same(&self.content())
+        })
+    }
+
     /// Reads the words of an `OUT.ADD` request.
     pub(super) fn parse(words: Words) -> Result<ClientSubmission, SubmissionError> {
         let Ok([_, key, id, metadata, body]) = <[Vec<u8>; 5]>::try_from(words) else {
@@ -111,6 +125,29 @@
     }
 }
 
+/// What makes a message the same one when it comes again; its id alone does not, as another client may have used that.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct MessageContent<'a> {
+    pub(crate) key: u64,
+    pub(crate) metadata: &'a SubmissionMetadata,
+    pub(crate) body: &'a [u8],
+}
+
+impl MessageContent<'_> {
+    /// True for the same message. Each says how long it may still be delivered from now on: a request that comes once more
+    /// may have counted that again from its own beginning.
+    pub(crate) fn is_same(&self, other: &MessageContent<'_>) -> bool {
+        let (own, others) = (self.metadata, other.metadata);
+        self.key == other.key
+            && self.body == other.body
+            && own.class == others.class
+            && own.tenant == others.tenant
+            && own.destination == others.destination
+            && own.idempotency_key == others.idempotency_key
+            && own.time_to_deadline.abs_diff(others.time_to_deadline) <= RESEND_WITHIN
+    }
+}
+
 impl SubmissionMetadata {
     /// Reads the list of names and values of a submission; unknown names are ignored.
     pub(crate) fn parse(text: &str) -> Result<SubmissionMetadata, SubmissionError> {
--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -3,7 +3,7 @@
 use super::event::{CallNumber, Event};
 use super::key_rests::KeyRests;
 use super::state::{CallInFlight, DispatcherState, PendingAttempt};
-use crate::clients::{SubmissionMetadata, SubmissionReply};
+use crate::clients::SubmissionMetadata;
 use crate::metrics::Metrics;
 use crate::upstream::{self, Call, CallMessage, CallResult, CallStage, Endpoint};
 use crate::violations::{Evidence, ViolationKind, Violations};
@@ -204,15 +204,13 @@
 
     /// Only a message that is committed may be called accepted.
     fn answer_clients(&mut self, is_committed: bool) {
-        for (message, reply_to) in std::mem::take(&mut self.awaiting_answer) {
-            if is_committed {
-                let _ = reply_to.try_send(SubmissionReply::Accepted(message));
-            } else {
-                // Removed before its client hears of it: with the next commit it would come back otherwise.
-                self.remove_message(message);
-                let _ = reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
-                let _ = self.events.try_send(Event::ClientUnreachable(message));
-            }
+        if is_committed {
+            return self.acceptances.tell_accepted();
+        }
+        for message in self.acceptances.tell_rejected() {
+            // With the next commit it would come back otherwise.
+            self.remove_message(message);
+            let _ = self.events.try_send(Event::ClientUnreachable(message));
         }
     }
 
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -1,5 +1,6 @@
 //! Handles events: keeps the dispatcher's state, and tells the decisions what they must know. One handler each.
 
+use super::ended_ids::IdUse;
 use super::event::{CallNumber, Event};
 use super::key_rests::KeyRest;
 use super::state::{DispatcherState, ReachabilityQuestion};
@@ -20,8 +21,7 @@
             Event::MessageReceived { message, reply_to } => {
                 self.on_message_received(message, reply_to, inputs);
             }
-            // Its client submits it again: this one is nobody's any more.
-            Event::ClientUnreachable(message) => self.close_message(message, inputs),
+            Event::ClientUnreachable(message) => self.on_client_unreachable(message, inputs),
             Event::AttemptsEnded { call, results } => self.on_attempts_ended(call, results, inputs),
             Event::ReachabilityAsked { endpoint, address, reply_to } => {
                 self.reachability_questions.push(ReachabilityQuestion { endpoint, address, reply_to });
@@ -38,12 +38,32 @@
         inputs.push(Input::Closed(message));
     }
 
+    /// The client submits the message again: unless another one has handed it in too, this one is nobody's any more.
+    fn on_client_unreachable(&mut self, message: MessageId, inputs: &mut Vec<Input>) {
+        if !self.acceptances.was_last_client(message) {
+            return;
+        }
+        let may_have_run = self
+            .spool
+            .borrow()
+            .get(message.0)
+            .is_some_and(|stored| stored.attempts.iter().any(|attempt| attempt.may_have_run));
+        // Under its id it must not be sent once more.
+        if may_have_run {
+            self.remember_ended(message);
+        }
+        self.close_message(message, inputs);
+    }
+
     fn on_message_received(
         &mut self,
         received: ClientSubmission,
         reply_to: Sender<SubmissionReply>,
         inputs: &mut Vec<Input>,
     ) {
+        if let Some(message) = self.messages_by_id.get(&received.id).copied() {
+            return self.on_message_received_again(message, &received, reply_to);
+        }
         let deadline = self.clock.since_start(received.received_at) + received.metadata.time_to_deadline;
         let submission = match self.check_message(&received, deadline) {
             Ok(submission) => submission,
@@ -60,10 +80,30 @@
         if submission.key.is_some() {
             self.log_key_of(message);
         }
-        self.awaiting_answer.insert(message, reply_to);
+        self.acceptances.add(message, reply_to);
         inputs.push(Input::Submitted { message, submission });
     }
 
+    /// A message of an id that is held. The id alone does not make it the one that is: told that it is accepted, the client
+    /// of another one would wait for what nobody holds, and the next message of its key would go before it.
+    fn on_message_received_again(
+        &mut self,
+        message: MessageId,
+        received: &ClientSubmission,
+        reply_to: Sender<SubmissionReply>,
+    ) {
+        let is_same =
+            self.spool.borrow().get(message.0).is_some_and(|stored| received.is_same_as(&stored.accepted));
+        if is_same {
+            info!("message {} came again while it is held", message.0);
+            self.acceptances.add_further(message, reply_to);
+            return;
+        }
+        info!("message {} is held, another one came under its id: rejected", message.0);
+        self.metrics.count_id_conflict();
+        let _ = reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
+    }
+
     /// What the decisions are told of a message, or the answer if they are told nothing.
     fn check_message(
         &self,
@@ -85,13 +125,13 @@
         if !self.endpoints.has_destination(submission.destination) {
             return Err(SubmissionReply::Failed(SubmissionError::UnknownDestination));
         }
-        // Accepted already: the one that came first stands.
-        if let Some(message) = self.messages_by_id.get(&received.id) {
-            info!("message {} came again while it is held", message.0);
-            return Err(SubmissionReply::AlreadyHeld);
-        }
-        if self.has_ended_recently(&received.id) {
-            return Err(SubmissionReply::Failed(SubmissionError::IdAlreadyUsed));
+        match self.ended_ids.find(&received.id, &received.content()) {
+            IdUse::Unused => {}
+            IdUse::SameMessage => return Err(SubmissionReply::Failed(SubmissionError::IdAlreadyUsed)),
+            IdUse::OtherMessage => {
+                self.metrics.count_id_conflict();
+                return Err(SubmissionReply::Rejected { retry_after_ms: 0 });
+            }
         }
         Ok(submission)
     }
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -4,6 +4,7 @@
 mod actions;
 mod calls;
 mod dependencies;
+mod ended_ids;
 mod endpoint_list;
 mod event;
 mod handlers;
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -1,9 +1,11 @@
 //! What the dispatcher holds: messages, calls in flight, endpoints, and what the step under way collects.
 
 use super::dependencies::Dependencies;
+use super::ended_ids::EndedIds;
 use super::event::{CallNumber, Event};
 use super::key_rests::KeyRests;
-use crate::clients::{SubmissionMetadata, SubmissionReply};
+use crate::acceptance::Acceptances;
+use crate::clients::{MessageContent, SubmissionMetadata, SubmissionReply};
 use crate::clock::Clock;
 use crate::metrics::Metrics;
 use crate::notifications::Notification;
@@ -20,16 +22,13 @@
 use mountshift_discovery::DrainRecord;
 use mountshift_maintenance::MaintenanceState;
 use mountshift_settings::SocketSettings;
-use mountshift_spool::{FinalOutcome, Spool};
+use mountshift_spool::{AcceptedMessage, FinalOutcome, Spool};
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use std::hash::{DefaultHasher, Hash, Hasher};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Ids that are remembered after their messages ended: enough for a client that submits again late, and bounded.
-const MAX_RECENTLY_ENDED: usize = 4_096;
 /// The tenant of messages whose tenant the settings don't name: it has no quota. Were it the first one, unknown
 /// tenants would draw on that one's share.
 const UNKNOWN_TENANT: TenantId = TenantId(u32::MAX);
@@ -116,8 +115,7 @@
     ordered_classes: Vec<bool>,
     /// The messages in the spool, by the ids that clients gave them.
     pub(super) messages_by_id: BTreeMap<Vec<u8>, MessageId>,
-    /// Hashes of the ids of messages that ended lately.
-    pub(super) recently_ended: VecDeque<u64>,
+    pub(super) ended_ids: EndedIds,
     pub(super) calls_in_flight: BTreeMap<CallNumber, CallInFlight>,
     pub(super) key_rests: Rc<KeyRests>,
     /// How long a key rests behind an attempt that may still be running.
@@ -127,8 +125,8 @@
     pub(super) next_wake: Option<Duration>,
     /// The spool had no room for the last message, and the log says so.
     pub(super) spool_full_logged: bool,
-    /// Clients that submitted a message for the step under way.
-    pub(super) awaiting_answer: BTreeMap<MessageId, Sender<SubmissionReply>>,
+    /// The clients of the messages that are held.
+    pub(super) acceptances: Acceptances,
     /// Closed messages that a process after this one has to know of.
     pub(super) closed_messages: Vec<ClosedMessage>,
     /// Final outcomes that the platform hears of once the spool has recorded them.
@@ -175,14 +173,14 @@
                 .map(|class| class.in_order)
                 .collect(),
             messages_by_id: BTreeMap::new(),
-            recently_ended: VecDeque::new(),
+            ended_ids: EndedIds::default(),
             calls_in_flight: BTreeMap::new(),
             key_rests: Rc::default(),
             order_hold_off: dependencies.policy_settings.order_hold_off,
             last_call_number: 0,
             next_wake: None,
             spool_full_logged: false,
-            awaiting_answer: BTreeMap::new(),
+            acceptances: Acceptances::default(),
             closed_messages: Vec::new(),
             pending_notifications: Vec::new(),
             spool_failure_logged: false,
@@ -207,8 +205,7 @@
             FinalOutcome::Failed => "failed",
             FinalOutcome::Rejected(_) => "rejected",
         });
-        if let Some(reply_to) = self.awaiting_answer.remove(&message) {
-            let _ = reply_to.try_send(answer);
+        if self.acceptances.tell_end(message, answer) {
             self.remove_message(message);
             return true;
         }
@@ -293,6 +290,7 @@
             let id = &stored.accepted.id;
             debug!("{}", Transition { message: Some(id), from: "held", to: "gone", ..Transition::default() });
             self.messages_by_id.remove(id);
+            self.acceptances.forget(message);
             spool.remove(message.0);
         }
     }
@@ -305,6 +303,7 @@
         let mut spool = self.spool.borrow_mut();
         let Some(stored) = spool.get(message.0) else { return };
         self.messages_by_id.remove(&stored.accepted.id);
+        self.acceptances.forget(message);
         // A process that finds it tells its end once more, which does no harm, and sends nothing of it.
         if stored.pending_outcome.is_none() {
             spool.record_outcome(message.0, FinalOutcome::Failed);
@@ -328,14 +327,16 @@
         self.spool.borrow().messages().len() > self.closed_messages.len()
     }
 
-    /// Remembers the id of a message that ended. Every message has a new id, so who submits it again repeats the
-    /// message, which must not be sent a second time.
+    /// Remembers the id of a message that ended.
     pub(super) fn remember_ended(&mut self, message: MessageId) {
-        if let Some(stored) = self.spool.borrow().get(message.0) {
-            self.recently_ended.push_back(hash_id(&stored.accepted.id));
-        }
-        while self.recently_ended.len() > MAX_RECENTLY_ENDED {
-            self.recently_ended.pop_front();
+        let spool = self.spool.borrow();
+        let Some(AcceptedMessage { id, key, metadata, body, .. }) =
+            spool.get(message.0).map(|stored| &stored.accepted)
+        else {
+            return;
+        };
+        if let Ok(metadata) = SubmissionMetadata::parse(metadata) {
+            self.ended_ids.remember(id, &MessageContent { key: *key, metadata: &metadata, body });
         }
     }
 
@@ -344,11 +345,6 @@
         submission.key.is_some() && self.ordered_classes[usize::from(submission.class.0)]
     }
 
-    /// True if a message of this id ended lately.
-    pub(super) fn has_ended_recently(&self, id: &[u8]) -> bool {
-        self.recently_ended.contains(&hash_id(id))
-    }
-
     /// What the decisions are told of a message; none if the settings don't know its class.
     pub(super) fn submission(
         &self,
@@ -374,9 +370,3 @@
 fn position(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|known| known == name)
 }
-
-fn hash_id(id: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    id.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -2,6 +2,7 @@
 //! one thread. This module is the order of a start.
 #![forbid(unsafe_code)]
 
+mod acceptance;
 mod admin;
 mod clients;
 mod clock;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -48,6 +48,7 @@
     sends_stopped: Family<Label, Counter>,
     connections_closed: Family<Label, Counter>,
     key_rests: Family<Label, Counter>,
+    id_conflicts: Counter,
     write_failures: Counter,
 }
 
@@ -109,6 +110,11 @@
         }
     }
 
+    /// A message was rejected, as another one is held or has ended under its id.
+    pub(crate) fn count_id_conflict(&self) {
+        self.counters.id_conflicts.inc();
+    }
+
     pub(crate) fn count_write_failure(&self) {
         self.counters.write_failures.inc();
     }
@@ -131,6 +137,8 @@
     fn register(&self, registry: &mut Registry) {
         let help = "Commits of the spool that failed after one that worked";
         registry.register("write_failures", help, self.write_failures.clone());
+        let help = "Messages rejected, as another one is held or has ended under their ids";
+        registry.register("id_conflicts", help, self.id_conflicts.clone());
         let mut register = |name, help, family: &Family<Label, Counter>| {
             registry.register(name, help, family.clone());
         };
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -2,6 +2,7 @@
 //! in a spool of its own and sends nothing, until the active process has ended. Who is active and what a successor
 //! accepts is decided in `mountshift_handover`.
 
+use crate::acceptance::Acceptances;
 use crate::clients::{ClientSubmission, SubmissionError, SubmissionReply};
 use crate::clock::StoredTime;
 use crate::discovery::EndpointList;
@@ -57,19 +58,12 @@
     pub(crate) client_connections: Rc<Cell<usize>>,
 }
 
-/// A message in the spool that is not committed yet, and who waits for the answer.
-struct PendingAnswer {
-    id: Vec<u8>,
-    number: u64,
-    reply_to: Sender<SubmissionReply>,
-}
-
 /// Accepts messages beside the active process.
 pub(crate) struct SuccessorIntake<'a> {
     options: IntakeOptions<'a>,
     numbers_by_id: BTreeMap<Vec<u8>, u64>,
-    /// Accepted since the last commit.
-    pending_answers: Vec<PendingAnswer>,
+    /// The clients of the messages, by the numbers that their connections know.
+    acceptances: Acceptances,
     /// Events that only a dispatcher can handle.
     deferred_events: DeferredEvents,
     stopping_since: Option<Instant>,
@@ -84,7 +78,7 @@
         SuccessorIntake {
             options,
             numbers_by_id: BTreeMap::new(),
-            pending_answers: Vec::new(),
+            acceptances: Acceptances::default(),
             deferred_events: DeferredEvents::default(),
             stopping_since: None,
             process_before: None,
@@ -137,6 +131,9 @@
     }
 
     fn on_message_received(&mut self, message: ClientSubmission, reply_to: Sender<SubmissionReply>) {
+        if let Some(number) = self.numbers_by_id.get(&message.id).copied() {
+            return self.on_message_received_again(number, &message, reply_to);
+        }
         let accepted = match self.check(&message) {
             Ok(accepted) => accepted,
             Err(answer) => {
@@ -150,7 +147,23 @@
             return;
         };
         self.numbers_by_id.insert(message.id.clone(), number);
-        self.pending_answers.push(PendingAnswer { id: message.id, number, reply_to });
+        self.acceptances.add(successor_message(number), reply_to);
+    }
+
+    /// A message of an id that is held. The id alone does not make it the one that is.
+    fn on_message_received_again(
+        &mut self,
+        number: u64,
+        message: &ClientSubmission,
+        reply_to: Sender<SubmissionReply>,
+    ) {
+        let held = self.options.spool.get(number);
+        if held.is_some_and(|stored| message.is_same_as(&stored.accepted)) {
+            self.acceptances.add_further(successor_message(number), reply_to);
+        } else {
+            info!("successor's message {number} is held, another one came under its id: rejected");
+            let _ = reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
+        }
     }
 
     /// What goes into the spool, or the answer if nothing does.
@@ -158,9 +171,6 @@
         if !self.options.classes.contains(&message.metadata.class) {
             return Err(SubmissionReply::Failed(SubmissionError::UnknownClass));
         }
-        if self.numbers_by_id.contains_key(&message.id) {
-            return Err(SubmissionReply::AlreadyHeld);
-        }
         let time_left = message.metadata.time_to_deadline.saturating_sub(message.received_at.elapsed());
         let class = self.options.classes.iter().position(|class| *class == message.metadata.class);
         let is_in_order = class.is_some_and(|class| self.options.ordered_classes[class]) && message.key != 0;
@@ -183,8 +193,15 @@
         })
     }
 
-    /// The client did not hear that its message was accepted, and submits it again: this one is nobody's.
+    /// The client did not hear that its message was accepted, and submits it again: unless another one has handed it in too,
+    /// this one is nobody's.
     fn on_client_unreachable(&mut self, message: MessageId) {
+        if self.acceptances.was_last_client(message) {
+            self.remove(message);
+        }
+    }
+
+    fn remove(&mut self, message: MessageId) {
         let number = message.0.wrapping_sub(FIRST_SUCCESSOR_NUMBER);
         if let Some(stored) = self.options.spool.get(number) {
             self.numbers_by_id.remove(&stored.accepted.id);
@@ -223,15 +240,12 @@
             _ => {}
         }
         self.failure_logged = committed.is_err();
-        for pending in std::mem::take(&mut self.pending_answers) {
-            if committed.is_ok() {
-                let message = MessageId(FIRST_SUCCESSOR_NUMBER + pending.number);
-                let _ = pending.reply_to.try_send(SubmissionReply::Accepted(message));
-            } else {
-                self.options.spool.remove(pending.number);
-                self.numbers_by_id.remove(&pending.id);
-                let _ = pending.reply_to.try_send(SubmissionReply::Rejected { retry_after_ms: 0 });
-            }
+        if committed.is_ok() {
+            self.acceptances.tell_accepted();
+            return;
+        }
+        for message in self.acceptances.tell_rejected() {
+            self.remove(message);
         }
     }
 
@@ -262,6 +276,11 @@
     }
 }
 
+/// A message of a successor, as its clients' connections know it.
+fn successor_message(number: u64) -> MessageId {
+    MessageId(FIRST_SUCCESSOR_NUMBER + number)
+}
+
 /// Waits for an event, or until it is time to look at the lock again; all events that are there come together.
 async fn next_events(events: &Receiver<Event>) -> Vec<Event> {
     let look_at_lock = async {
