Soak: outcomes from the wire, copied ids, spoilt answers, crowds, signal series, bad folders in upgrades

Cause: the stand-ins noted the relay's own belief of a call, so the oracle could not see what the relay got wrong; no client copied an id. Change: endpoints note what was written and who ended the connection, wire_end derives the outcome by the protocol's table; 50 ms of slack for order and no other; two connections for each client, messages handed in again after silence and refusals; seven new kinds of faults; a hold behind reads of a clock in the shim.

--- a/crates/fault-shim/src/control.rs
+++ b/crates/fault-shim/src/control.rs
@@ -64,6 +64,11 @@
     if draws(word(Word::HoldRate as usize)) { word(Word::HoldMilliseconds as usize) } else { 0 }
 }
 
+/// Milliseconds for which the process is held up behind this read of a clock.
+pub(crate) fn clock_hold_milliseconds() -> u64 {
+    if draws(word(Word::ClockHoldRate as usize)) { word(Word::ClockHoldMilliseconds as usize) } else { 0 }
+}
+
 /// Milliseconds for which this write to a file is held up; counted.
 pub(crate) fn file_hold_milliseconds() -> u64 {
     let milliseconds = word(Word::FileHoldMilliseconds as usize);
--- a/crates/fault-shim/src/hooks.rs
+++ b/crates/fault-shim/src/hooks.rs
@@ -1,7 +1,9 @@
 //! The functions of the C library that this one replaces. Each asks the control file what to do, and else calls the
 //! function that it replaces.
 
-use crate::control::{Verdict, file_hold_milliseconds, hold_milliseconds, verdict, wall_clock_offset};
+use crate::control::{
+    Verdict, clock_hold_milliseconds, file_hold_milliseconds, hold_milliseconds, verdict, wall_clock_offset,
+};
 use crate::original::original;
 use libc::{
     c_char, c_int, c_uint, c_void, clockid_t, iovec, off64_t, size_t, sockaddr, socklen_t, ssize_t, timespec,
@@ -123,6 +125,7 @@
 unsafe extern "C" fn clock_gettime(clock: clockid_t, time: *mut timespec) -> c_int {
     type Function = unsafe extern "C" fn(clockid_t, *mut timespec) -> c_int;
     let result = original!(clock_gettime as Function, clock, time);
+    hold_for(clock_hold_milliseconds());
     if result != 0 || clock != libc::CLOCK_REALTIME {
         return result;
     }
--- a/crates/faults/src/control.rs
+++ b/crates/faults/src/control.rs
@@ -67,6 +67,15 @@
         self.set(Word::HoldRate as usize, rate)
     }
 
+    /// Holds the process up for a span behind so many of 1,000 reads of a clock.
+    ///
+    /// # Errors
+    /// If the file can't be written.
+    pub fn set_clock_hold(&self, hold: Duration, rate: u64) -> io::Result<()> {
+        self.set(Word::ClockHoldMilliseconds as usize, hold.as_millis() as u64)?;
+        self.set(Word::ClockHoldRate as usize, rate)
+    }
+
     /// Holds each write to a file up for a span.
     ///
     /// # Errors
--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -40,6 +40,10 @@
     FileHoldMilliseconds = 3,
     /// Written by the shim: writes to files held up so far.
     FileHolds = 4,
+    /// Milliseconds for which the process is held up behind reading a clock, ...
+    ClockHoldMilliseconds = 5,
+    /// ... at so many of 1,000 reads.
+    ClockHoldRate = 6,
 }
 
 /// Words of a system call, by index.
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,5 +1,6 @@
 //! Clients: well behaved ones that submit messages one after another, and others that don't.
 
+use crate::copies::send_copy;
 use crate::endpoint::Endpoints;
 use crate::installation::Installation;
 use crate::recorder::{Observation, Recorder, message_id, message_number};
@@ -26,6 +27,20 @@
 /// Clients of each relay without a key, and with a key of their own.
 const FREE_CLIENTS: usize = 2;
 const KEYED_CLIENTS: usize = 2;
+/// Connections of a client.
+const CONNECTIONS: usize = 2;
+/// A message is handed in so often at most, ...
+const MAX_TRIES: usize = 4;
+/// ... and this share of those that were not accepted is given up at each try.
+const GIVES_UP: f64 = 0.4;
+/// How often a message is copied, where another client does that.
+const COPIED: f64 = 0.5;
+/// Connections of a crowd: more than a relay has descriptors for.
+const CROWD: usize = 300;
+/// Between two looks of a crowd at those that were shut.
+const CROWD_PAUSE: Duration = Duration::from_millis(100);
+/// A crowd is felt for so long after its end, in microseconds: its connections are closed one by one.
+const CROWD_AFTERMATH: Time = 1_000_000;
 /// One request in so many comes in two pieces, ...
 const PIECES_IN: usize = 3;
 /// ... so far apart.
@@ -43,17 +58,42 @@
     pub(crate) relays: Vec<Arc<RelayProcess>>,
     pub(crate) is_over: AtomicBool,
     counts: Vec<AtomicU64>,
+    /// Relays at which another client copies ids.
+    copied: Vec<AtomicBool>,
+    /// Until when a crowd may keep other clients out of a relay.
+    crowded_until: Vec<AtomicU64>,
 }
 
 /// A message to submit.
-struct Submission {
-    number: u64,
-    bytes: Vec<u8>,
+pub(crate) struct Submission {
+    pub(crate) number: u64,
+    pub(crate) id: String,
+    pub(crate) key: u64,
+    pub(crate) class: usize,
+    pub(crate) destination: u32,
+    pub(crate) bytes: Vec<u8>,
+}
+
+/// Why a message is handed in again, under a new id.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Again {
+    AfterRefusal,
+    AfterSilence,
+}
+
+impl Again {
+    /// What the request says of it.
+    fn mark(self) -> &'static str {
+        match self {
+            Again::AfterRefusal => ",r=1",
+            Again::AfterSilence => ",again=1",
+        }
+    }
 }
 
 /// What became of a submission.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Answer {
+pub(crate) enum Answer {
     Accepted,
     Refused,
     /// The connection ended with no answer.
@@ -76,6 +116,8 @@
             relays: relays.to_vec(),
             is_over: AtomicBool::new(false),
             counts: relays.iter().map(|_| AtomicU64::new(0)).collect(),
+            copied: relays.iter().map(|_| AtomicBool::new(false)).collect(),
+            crowded_until: relays.iter().map(|_| AtomicU64::new(0)).collect(),
         }
     }
 
@@ -98,10 +140,27 @@
         let fitting: Vec<usize> = (0..classes.len()).filter(|c| classes[*c].in_order == (key != 0)).collect();
         let class = fitting[random.random_range(0..fitting.len())];
         let destination = random.random_range(0..self.installation.destinations);
+        self.submission_to(relay, key, class, destination, "")
+    }
+
+    /// The message of an earlier submission once more, as another message.
+    fn submission_again(&self, relay: usize, earlier: &Submission, why: Again) -> Submission {
+        self.submission_to(relay, earlier.key, earlier.class, earlier.destination, why.mark())
+    }
+
+    fn submission_to(
+        &self,
+        relay: usize,
+        key: u64,
+        class: usize,
+        destination: u32,
+        mark: &str,
+    ) -> Submission {
+        let classes = &self.installation.classes;
         let number = message_number(relay, self.counts[relay].fetch_add(1, Ordering::SeqCst));
         let id = message_id(number);
         let plan = &classes[class];
-        let metadata = format!("c={},d={},dest={destination},k={id}", plan.name, plan.deadline_ms);
+        let metadata = format!("c={},d={},dest={destination},k={id}{mark}", plan.name, plan.deadline_ms);
         self.endpoints.announce(number, class);
         self.recorder.fact(Fact::Submitted {
             message: number,
@@ -112,7 +171,8 @@
             key,
             deadline: self.recorder.now() + plan.deadline_ms * 1_000,
         });
-        Submission { number, bytes: request(&["OUT.ADD", &format!("{key:016x}"), &id, &metadata, "body"]) }
+        let bytes = request(&["OUT.ADD", &format!("{key:016x}"), &id, &metadata, "body"]);
+        Submission { number, id, key, class, destination, bytes }
     }
 
     fn note_answer(&self, message: u64, answer: Answer) {
@@ -125,7 +185,16 @@
         });
     }
 
+    /// From now on another client copies the ids of a relay's messages, or does no longer.
+    pub(crate) fn set_copied(&self, relay: usize, is_copied: bool) {
+        self.copied[relay].store(is_copied, Ordering::SeqCst);
+    }
+
     fn note_unanswered(&self, relay: usize, message: u64, written_at: Time) {
+        // New connections may be shut unread where idle clients fill the descriptors.
+        if written_at <= self.crowded_until[relay].load(Ordering::SeqCst) {
+            return;
+        }
         if !self.relays[relay].is_disturbed_since(written_at) {
             self.recorder.note(Observation::Unanswered { relay, id: message_id(message) });
         }
@@ -133,7 +202,7 @@
 }
 
 /// A command as it goes over the wire.
-fn request(words: &[&str]) -> Vec<u8> {
+pub(crate) fn request(words: &[&str]) -> Vec<u8> {
     let mut text = format!("*{}\r\n", words.len());
     for word in words {
         text += &format!("${}\r\n{word}\r\n", word.len());
@@ -141,16 +210,35 @@
     text.into_bytes()
 }
 
-/// A client that submits messages until the run is over, on one connection as long as that lasts.
+/// A client that submits messages until the run is over, over two connections as long as these last. What is refused, or gets no
+/// answer, it hands in again as a new message, before the next one of its key.
 async fn submit_all(clients: Arc<Clients>, relay: usize, key: u64, mut random: ChaCha8Rng) {
-    let mut kept: Option<TcpStream> = None;
+    let mut kept: [Option<TcpStream>; CONNECTIONS] = Default::default();
     while !clients.is_over.load(Ordering::SeqCst) {
         Timer::after(Duration::from_millis(random.random_range(1..2 * MEAN_PAUSE_MS))).await;
-        let submission = clients.submission(relay, key, &mut random);
-        let answer = submit(&clients, relay, &mut kept, &submission).await;
-        clients.note_answer(submission.number, answer);
-        if answer != Answer::Accepted && answer != Answer::Refused || random.random_range(0..4) == 0 {
-            kept = None;
+        let mut submission = clients.submission(relay, key, &mut random);
+        for tries_left in (0..MAX_TRIES).rev() {
+            let connection = &mut kept[random.random_range(0..CONNECTIONS)];
+            if clients.copied[relay].load(Ordering::SeqCst) && random.random_bool(COPIED) {
+                send_copy(&clients, relay, &submission, &mut random).await;
+            }
+            let answer = submit(&clients, relay, connection, &submission).await;
+            clients.note_answer(submission.number, answer);
+            if answer != Answer::Accepted && answer != Answer::Refused || random.random_range(0..4) == 0 {
+                *connection = None;
+            }
+            let why = match answer {
+                Answer::Accepted => break,
+                Answer::Refused => Again::AfterRefusal,
+                Answer::None | Answer::Late => Again::AfterSilence,
+            };
+            if tries_left == 0 || random.random_bool(GIVES_UP) {
+                break;
+            }
+            if why == Again::AfterRefusal {
+                Timer::after(Duration::from_millis(random.random_range(5..MEAN_PAUSE_MS))).await;
+            }
+            submission = clients.submission_again(relay, &submission, why);
         }
     }
 }
@@ -186,7 +274,7 @@
 }
 
 /// Writes a request and reads its answer.
-async fn exchange(stream: &mut TcpStream, bytes: &[u8]) -> Answer {
+pub(crate) async fn exchange(stream: &mut TcpStream, bytes: &[u8]) -> Answer {
     let answered = async {
         // Some requests come in two pieces.
         let (first, rest) = if bytes.len().is_multiple_of(PIECES_IN) {
@@ -239,6 +327,34 @@
     drop(idle);
 }
 
+/// Idle clients that fill the relay's descriptors for a while, and come again when they are shut.
+pub(crate) async fn crowd(clients: Arc<Clients>, relay: usize, until: Instant) {
+    clients.crowded_until[relay].store(Time::MAX, Ordering::SeqCst);
+    let mut idle: Vec<TcpStream> = Vec::new();
+    while Instant::now() < until {
+        idle.retain(|stream| !is_shut(stream));
+        while idle.len() < CROWD {
+            match TcpStream::connect(clients.relays[relay].listen).await {
+                Ok(stream) => idle.push(stream),
+                Err(_) => break,
+            }
+        }
+        Timer::after(CROWD_PAUSE).await;
+    }
+    drop(idle);
+    clients.crowded_until[relay].store(clients.recorder.now() + CROWD_AFTERMATH, Ordering::SeqCst);
+}
+
+/// True if the relay has ended the connection.
+fn is_shut(stream: &TcpStream) -> bool {
+    let socket = socket2::SockRef::from(stream);
+    let mut byte = [std::mem::MaybeUninit::uninit()];
+    match socket.peek(&mut byte) {
+        Ok(read) => read == 0,
+        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
+    }
+}
+
 async fn open_idle(clients: &Clients, relay: usize) -> Vec<TcpStream> {
     let mut idle = Vec::new();
     for _ in 0..IDLE_CONNECTIONS {
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -1,9 +1,13 @@
 //! Endpoints: servers that run messages, recognise repeats, and misbehave when told to.
 
+use crate::copies::COPY_BODY;
 use crate::http::{Request, RequestReader, answer, reset};
 use crate::installation::Installation;
+use crate::recorder::Observation;
 use crate::recorder::{Recorder, lock, message_id, number_of_id, relay_of};
-use mountshift_invariants::{AttemptOutcome, Fact, Time};
+use crate::spoilt_answer::{SpoiltAnswer, answer_spoilt};
+use crate::wire_end::{Ender, WireEnd, WrittenAnswer};
+use mountshift_invariants::{Fact, Time};
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::io::AsyncWriteExt;
@@ -24,6 +28,11 @@
 /// The beginning of an answer that never goes on: not enough to tell a status.
 const HALF_ANSWER: &str = "HTTP/1.1 2";
 
+/// For so long an endpoint that lets connections come up late takes none.
+const NO_ROOM_FOR: Duration = Duration::from_millis(900);
+/// Connections that may wait to be taken otherwise.
+const BACKLOG: i32 = 128;
+
 /// How an endpoint behaves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Behaviour {
@@ -42,6 +51,10 @@
     Reset,
     /// Begins an answer and stops.
     HalfAnswer,
+    /// Answers with what is no whole answer, in one way after the other.
+    Spoilt,
+    /// Lets connections come up late.
+    LateConnects,
     /// Closes connections that are idle.
     CloseIdle,
 }
@@ -117,7 +130,10 @@
     }
 
     fn run_one(&self, endpoint: usize, called: CalledMessage) {
-        let CalledMessage { message, number } = called;
+        let CalledMessage { message, number, is_copy } = called;
+        if is_copy {
+            return;
+        }
         let duplicate = self.is_duplicate(endpoint, message);
         self.recorder.fact(Fact::Executed { message, call: number, endpoint: endpoint as u32, duplicate });
     }
@@ -143,6 +159,8 @@
 struct CalledMessage {
     message: u64,
     number: u64,
+    /// Another client's message under the same id, of which nothing is checked but the answers to clients.
+    is_copy: bool,
 }
 
 /// A call that an endpoint has read whole.
@@ -155,16 +173,23 @@
 
 impl Call {
     /// Notes that all attempts have ended in this way.
-    fn ended(&self, outcome: AttemptOutcome) {
+    fn ended(&self, end: WireEnd) {
         for called in &self.messages {
-            self.one_ended(*called, outcome);
+            self.one_ended(*called, end);
         }
     }
 
-    fn one_ended(&self, called: CalledMessage, outcome: AttemptOutcome) {
-        let CalledMessage { message, number } = called;
-        let relay = self.relay;
-        self.recorder.fact(Fact::AttemptEnded { message, call: number, relay, outcome });
+    /// Notes that the connection ended with nothing, or only a part, of an answer written.
+    fn broken_off(&self, answer: WrittenAnswer, ended_by: Ender) {
+        self.ended(WireEnd { answer, ended_by: Some(ended_by) });
+    }
+
+    fn one_ended(&self, called: CalledMessage, end: WireEnd) {
+        let CalledMessage { message, number, is_copy } = called;
+        if !is_copy {
+            let relay = self.relay;
+            self.recorder.note(Observation::AttemptEnded { message, call: number, relay, end });
+        }
     }
 
     /// True for a call that carries out what it brings though it is not answered so: every second one.
@@ -175,12 +200,23 @@
 
 async fn accept(listener: TcpListener, endpoint: usize, endpoints: Arc<Endpoints>) {
     loop {
+        if endpoints.behaviour(endpoint) == Behaviour::LateConnects {
+            hold_connections(&listener).await;
+        }
         if let Ok((stream, _)) = listener.accept().await {
             smol::spawn(serve(stream, endpoint, endpoints.clone())).detach();
         }
     }
 }
 
+/// Takes no connection for a while and has no room for more than one to wait: the others come up once the relay's system asks
+/// again, which is a second after it first did.
+async fn hold_connections(listener: &TcpListener) {
+    let _ = rustix::net::listen(listener, 0);
+    Timer::after(NO_ROOM_FOR).await;
+    let _ = rustix::net::listen(listener, BACKLOG);
+}
+
 /// Serves a connection to its end.
 async fn serve(mut stream: TcpStream, endpoint: usize, endpoints: Arc<Endpoints>) {
     let _ = stream.set_nodelay(true);
@@ -204,14 +240,14 @@
 
 /// Notes the attempts that a request begins; none if it is no call to an endpoint.
 fn begin_call(request: &Request, endpoint: usize, endpoints: &Endpoints) -> Option<Call> {
-    let ids = request.message_ids()?;
     let mut messages = Vec::new();
-    for message in ids.iter().map(|id| number_of_id(id)) {
+    for called in request.messages()? {
         let number = endpoints.last_call.fetch_add(1, Ordering::SeqCst) + 1;
-        messages.push(CalledMessage { message: message?, number });
+        let is_copy = called.body == COPY_BODY.as_bytes();
+        messages.push(CalledMessage { message: number_of_id(&called.id)?, number, is_copy });
     }
     let relay = relay_of(messages.first()?.message) as u32;
-    for CalledMessage { message, number } in messages.iter().copied() {
+    for CalledMessage { message, number, .. } in messages.iter().copied().filter(|called| !called.is_copy) {
         endpoints.recorder.fact(Fact::AttemptStarted {
             message,
             call: number,
@@ -250,7 +286,9 @@
 /// Answers a call by the endpoint's behaviour at this moment; false at the end of the connection.
 async fn answer_call(stream: &mut TcpStream, call: &Call, endpoints: &Endpoints) -> bool {
     match endpoints.behaviour(call.endpoint) {
-        Behaviour::Well | Behaviour::CloseIdle => deliver(stream, call, SERVICE_TIME, endpoints).await,
+        Behaviour::Well | Behaviour::CloseIdle | Behaviour::LateConnects => {
+            deliver(stream, call, SERVICE_TIME, endpoints).await
+        }
         Behaviour::Slow(milliseconds) => {
             deliver(stream, call, Duration::from_millis(milliseconds), endpoints).await
         }
@@ -259,15 +297,15 @@
                 endpoints.run(call);
             }
             wait_for_end(stream).await;
-            call.ended(AttemptOutcome::TimedOut);
+            call.broken_off(WrittenAnswer::Nothing, Ender::Relay);
             false
         }
         Behaviour::Busy => {
-            call.ended(AttemptOutcome::Rejected { retry_after: 0 });
+            call.ended(WireEnd::answered(WrittenAnswer::Refused(0)));
             write(stream, &answer(503, "", "")).await
         }
         Behaviour::RetryAfter(milliseconds) => {
-            call.ended(AttemptOutcome::Rejected { retry_after: milliseconds * 1_000 });
+            call.ended(WireEnd::answered(WrittenAnswer::Refused(milliseconds * 1_000)));
             let seconds = milliseconds as f64 / 1e3;
             write(stream, &answer(429, &format!("Retry-After: {seconds}\r\n"), "")).await
         }
@@ -276,12 +314,12 @@
             if call.runs_unanswered() {
                 endpoints.run(call);
             }
-            call.ended(AttemptOutcome::Error);
+            call.ended(WireEnd::answered(WrittenAnswer::Failed));
             write(stream, &answer(500, "", "")).await
         }
         Behaviour::Reset => {
             endpoints.run(call);
-            call.ended(AttemptOutcome::Reset);
+            call.broken_off(WrittenAnswer::Nothing, Ender::Endpoint);
             reset(stream);
             false
         }
@@ -289,12 +327,33 @@
             endpoints.run(call);
             let _ = write(stream, HALF_ANSWER).await;
             wait_for_end(stream).await;
-            call.ended(AttemptOutcome::Error);
+            call.broken_off(WrittenAnswer::Part, Ender::Relay);
+            false
+        }
+        Behaviour::Spoilt => {
+            spoil_answer(stream, call, endpoints).await;
             false
         }
     }
 }
 
+async fn spoil_answer(stream: &mut TcpStream, call: &Call, endpoints: &Endpoints) {
+    let number = call.messages.first().map_or(0, |called| called.number);
+    let spoilt = SpoiltAnswer::of_call(number, call.messages.len());
+    if spoilt.delivers() || call.runs_unanswered() {
+        endpoints.run(call);
+    }
+    if spoilt.delivers() {
+        for called in call.messages.iter().filter(|called| !called.is_copy) {
+            let (message, call) = (called.message, called.number);
+            endpoints.recorder.fact(Fact::DeliveryAnswered { message, call });
+        }
+    }
+    let relay_side = stream.clone();
+    let end = answer_spoilt(stream, spoilt, wait_for_end(&relay_side)).await;
+    call.ended(end);
+}
+
 /// Answers a call of several messages with a word of its own for each, by the number of its attempt.
 async fn fail_in_part(stream: &mut TcpStream, call: &Call, endpoints: &Endpoints) -> bool {
     let mut lines = String::new();
@@ -306,11 +365,11 @@
             }
             1 => {
                 endpoints.run_one(call.endpoint, called);
-                call.one_ended(called, AttemptOutcome::Error);
+                call.one_ended(called, WireEnd::answered(WrittenAnswer::Failed));
                 "failed"
             }
             _ => {
-                call.one_ended(called, AttemptOutcome::Rejected { retry_after: 0 });
+                call.one_ended(called, WireEnd::answered(WrittenAnswer::Refused(0)));
                 "refused"
             }
         };
@@ -320,10 +379,13 @@
 }
 
 fn deliver_one(call: &Call, called: CalledMessage, endpoints: &Endpoints) {
+    let CalledMessage { message, number, is_copy } = called;
+    if is_copy {
+        return;
+    }
     endpoints.run_one(call.endpoint, called);
-    let CalledMessage { message, number } = called;
     endpoints.recorder.fact(Fact::DeliveryAnswered { message, call: number });
-    call.one_ended(called, AttemptOutcome::Delivered);
+    call.one_ended(called, WireEnd::answered(WrittenAnswer::Delivered));
 }
 
 /// Runs the messages and says so, unless the relay has given the call up by then.
@@ -337,7 +399,7 @@
         false
     };
     if given_up.or(due).await {
-        call.ended(AttemptOutcome::TimedOut);
+        call.broken_off(WrittenAnswer::Nothing, Ender::Relay);
         return false;
     }
     let mut lines = String::new();
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -17,28 +17,37 @@
 }
 
 impl Request {
-    /// The ids of the messages in a call to an endpoint; none if it is no such call.
-    pub(crate) fn message_ids(&self) -> Option<Vec<String>> {
+    /// The messages in a call to an endpoint; none if it is no such call.
+    pub(crate) fn messages(&self) -> Option<Vec<RequestMessage>> {
         match (self.path.as_str(), &self.request_id) {
-            ("/receive", Some(id)) => Some(vec![id.clone()]),
-            ("/receive-many", _) => batch_ids(&self.body),
+            ("/receive", Some(id)) => Some(vec![RequestMessage { id: id.clone(), body: self.body.clone() }]),
+            ("/receive-many", _) => batch_messages(&self.body),
             _ => None,
         }
     }
 }
 
-/// The ids in a body of several messages: each has a line with its id, key and length, then its bytes.
-fn batch_ids(mut body: &[u8]) -> Option<Vec<String>> {
-    let mut ids = Vec::new();
+/// A message in a call.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestMessage {
+    pub(crate) id: String,
+    pub(crate) body: Vec<u8>,
+}
+
+/// The messages in a body of several: each has a line with its id, key and length, then its bytes.
+fn batch_messages(mut body: &[u8]) -> Option<Vec<RequestMessage>> {
+    let mut messages = Vec::new();
     while !body.is_empty() {
         let line_bytes = body.windows(END_OF_LINE.len()).position(|window| window == END_OF_LINE)?;
         let line = std::str::from_utf8(&body[..line_bytes]).ok()?;
         let mut words = line.split(' ');
         let (id, _key, length) = (words.next()?, words.next()?, words.next()?.parse::<usize>().ok()?);
-        ids.push(id.to_string());
-        body = body.get(line_bytes + END_OF_LINE.len() + length + END_OF_LINE.len()..)?;
+        let begin = line_bytes + END_OF_LINE.len();
+        let text = body.get(begin..begin + length)?.to_vec();
+        messages.push(RequestMessage { id: id.to_string(), body: text });
+        body = body.get(begin + length + END_OF_LINE.len()..)?;
     }
-    Some(ids)
+    Some(messages)
 }
 
 /// Reads requests from a connection.
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -1,6 +1,6 @@
 //! Makes the faults of a schedule begin and end.
 
-use crate::client::{Clients, misbehave};
+use crate::client::{Clients, crowd, misbehave};
 use crate::endpoint::{Behaviour, Endpoints};
 use crate::platform::Platform;
 use crate::recorder::{Observation, Recorder};
@@ -8,6 +8,7 @@
 use crate::schedule::{FaultKind, Schedule, ScheduledFault};
 use mountshift_faults::{CallFault, FULL_RATE, SystemCall};
 use mountshift_invariants::ListedStatus;
+use rustix::process::Signal;
 use smol::Timer;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -20,6 +21,10 @@
 const HOLD: Duration = Duration::from_millis(150);
 /// ... in so many of 1,000 writes.
 const HOLD_RATE: u64 = 50;
+/// So many of 1,000 reads of a clock are held up.
+const CLOCK_HOLD_RATE: u64 = 2;
+/// Signals that a relay gets one behind the other.
+const SIGNALS_IN_SERIES: usize = 4;
 /// Of 1,000 calls that fail at all.
 const SHORTAGE_RATE: u64 = 500;
 const INTERRUPTION_RATE: u64 = 200;
@@ -60,6 +65,7 @@
             | FaultKind::Stop
             | FaultKind::Upgrade
             | FaultKind::Reload
+            | FaultKind::Signals
             | FaultKind::ReloadAndStop => self.end_processes(fault).await,
             FaultKind::Clock => {
                 for relay in self.struck_relays(fault) {
@@ -78,23 +84,28 @@
                 self.set_discovery_silent(fault, false);
             }
             FaultKind::BadClients => self.misbehave(fault, span).await,
+            FaultKind::CopiedIds => {
+                fault.targets.iter().for_each(|relay| self.clients.set_copied(*relay, true));
+                Timer::after(span).await;
+                fault.targets.iter().for_each(|relay| self.clients.set_copied(*relay, false));
+            }
+            FaultKind::Crowd => self.gather_crowds(fault, span).await,
+            FaultKind::UpgradeDisk => self.upgrade_on_bad_folder(fault, span).await,
+            FaultKind::ClockHold => self.hold_clocks(fault, span).await,
             _ => self.change_endpoints(fault, span).await,
         }
     }
 
     /// Signals, and what starts in the place of what they end.
     async fn end_processes(&self, fault: &ScheduledFault) {
-        // A part of the stops is cut short by SIGKILL, and a part of the upgrades begins with one.
+        // A part of the stops is cut short by SIGKILL.
         let kill_after = (fault.amount % 3 == 0).then(|| Duration::from_millis(fault.amount as u64));
-        let upgrade = match fault.amount % 8 {
-            0 | 4 => UpgradeEnd::FirstKilled,
-            1 => UpgradeEnd::SecondKilled,
-            5 => UpgradeEnd::SecondStopped,
-            _ => UpgradeEnd::TakenOver,
-        };
+        let upgrade = upgrade_end(fault);
         let kind = fault.kind;
+        let series = signal_series(fault.amount as u64);
         self.on_each_relay(fault, move |relay| async move {
             match kind {
+                FaultKind::Signals => relay.signal_series(series).await,
                 FaultKind::Kill => relay.kill_and_restart().await,
                 FaultKind::Stop => relay.stop_and_restart(kill_after).await,
                 FaultKind::Upgrade => relay.upgrade(upgrade).await,
@@ -119,6 +130,41 @@
         }
     }
 
+    async fn gather_crowds(&self, fault: &ScheduledFault, span: Duration) {
+        let until = Instant::now() + span;
+        let gather_at = |relay| smol::spawn(crowd(self.clients.clone(), relay, until));
+        let tasks: Vec<_> = fault.targets.iter().map(|relay| gather_at(*relay)).collect();
+        for task in tasks {
+            task.await;
+        }
+    }
+
+    async fn upgrade_on_bad_folder(&self, fault: &ScheduledFault, span: Duration) {
+        let relays = self.struck_relays(fault);
+        for relay in &relays {
+            for (call, how) in disk_faults(fault) {
+                let _ = relay.faults.set_call_fault(call, how);
+            }
+        }
+        let end = upgrade_end(fault);
+        let upgrades = self.on_each_relay(fault, move |relay| async move { relay.upgrade(end).await });
+        let mended = async {
+            Timer::after(span).await;
+            mend_disk(&relays, fault);
+        };
+        smol::future::zip(upgrades, mended).await;
+    }
+
+    async fn hold_clocks(&self, fault: &ScheduledFault, span: Duration) {
+        for relay in self.struck_relays(fault) {
+            let _ = relay.faults.set_clock_hold(HOLD, CLOCK_HOLD_RATE);
+        }
+        Timer::after(span).await;
+        for relay in self.struck_relays(fault) {
+            let _ = relay.faults.set_clock_hold(Duration::ZERO, 0);
+        }
+    }
+
     async fn misbehave(&self, fault: &ScheduledFault, span: Duration) {
         let until = Instant::now() + span;
         let misbehave_at = |relay| smol::spawn(misbehave(self.clients.clone(), relay, until, self.seed));
@@ -240,6 +286,8 @@
             FaultKind::Slow => Behaviour::Slow(fault.amount as u64),
             FaultKind::Reset => Behaviour::Reset,
             FaultKind::HalfAnswer => Behaviour::HalfAnswer,
+            FaultKind::SpoiltAnswers => Behaviour::Spoilt,
+            FaultKind::LateConnects => Behaviour::LateConnects,
             _ => Behaviour::CloseIdle,
         };
         for endpoint in &fault.targets {
@@ -257,6 +305,28 @@
 /// Up to here a killed relay is not started again yet.
 const RESTART_PART: Duration = Duration::from_millis(600);
 
+/// A part of the upgrades begins with a SIGKILL, and a part is given up.
+fn upgrade_end(fault: &ScheduledFault) -> UpgradeEnd {
+    match fault.amount % 8 {
+        0 | 4 => UpgradeEnd::FirstKilled,
+        1 => UpgradeEnd::SecondKilled,
+        5 => UpgradeEnd::SecondStopped,
+        _ => UpgradeEnd::TakenOver,
+    }
+}
+
+/// Signals of a series, drawn by the bits of a number; one of them at least is SIGTERM.
+fn signal_series(bits: u64) -> [Signal; SIGNALS_IN_SERIES] {
+    let mut series = [Signal::TERM; SIGNALS_IN_SERIES];
+    for (position, signal) in series.iter_mut().enumerate().take(SIGNALS_IN_SERIES - 1) {
+        if bits >> position & 1 == 1 {
+            *signal = Signal::HUP;
+        }
+    }
+    series.rotate_right(bits as usize % SIGNALS_IN_SERIES);
+    series
+}
+
 /// How the state folder fails.
 fn disk_faults(fault: &ScheduledFault) -> Vec<(SystemCall, CallFault)> {
     let errno = if fault.amount % 2 == 0 { libc::ENOSPC } else { libc::EIO };
@@ -268,6 +338,13 @@
             let torn = CallFault { errno, fail_rate: 0, short_rate: 0, kill_rate: FULL_RATE / 5 };
             vec![(SystemCall::FileWrite, torn)]
         }
+        FaultKind::UpgradeDisk => vec![
+            (SystemCall::FileOpen, at_times),
+            (SystemCall::FileLock, at_times),
+            (SystemCall::FileRead, at_times),
+            (SystemCall::FileRename, at_times),
+            (SystemCall::FileUnlink, fails),
+        ],
         FaultKind::DiskAtStart => vec![
             (SystemCall::FileWrite, half_cut),
             (SystemCall::FileOpen, if fault.is_long_at_start() { fails } else { at_times }),
--- a/crates/soak/src/installation.rs
+++ b/crates/soak/src/installation.rs
@@ -27,6 +27,8 @@
 const ANSWER_SLACK_MS: u64 = 350 + 400;
 /// After a restart: 1.5 s from ready on, and what a busy machine takes.
 const RESTART_SLACK_MS: u64 = 1_500 + 500;
+/// What the protocol allows for sockets.
+const ORDER_SLACK_MS: u64 = 50;
 /// A relay may be held up between its decision and the send.
 const HOLD_SLACK_MS: u64 = 250;
 
@@ -160,9 +162,7 @@
             answer_slack: micros(ANSWER_SLACK_MS),
             restart_slack: micros(RESTART_SLACK_MS),
             drain_grace: micros(DRAIN_GRACE_MS + HOLD_SLACK_MS),
-            // The checker sees an attempt's end when its connection ends at the endpoint, which is a little later than
-            // when the relay gave it up.
-            order_hold_off: micros(self.order_pause_ms - 100),
+            order_hold_off: micros(self.order_pause_ms - ORDER_SLACK_MS),
             slow_start_share: 0.3,
             slow_start_duration: 3_000_000,
             overload_multiple: 1.5,
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -3,6 +3,7 @@
 use crate::early_end::early_ends;
 use crate::installation::Installation;
 use crate::recorder::{Observation, message_id, relay_of};
+use crate::wire_end::WireEnd;
 use mountshift_invariants::{AttemptOutcome, Fact, InvariantChecker, Time};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -10,6 +11,8 @@
 /// reach the endpoint's task first.
 const END_SEEN_WITHIN: Time = 300_000;
 
+/// That the stand-ins were held up is noted so near to what they saw late, in microseconds.
+const HELD_UP_NOTED_WITHIN: Time = 20_000;
 /// The end of a process is seen so long after its clients see it at most, in microseconds.
 const PROCESS_END_SEEN_WITHIN: Time = 200_000;
 /// What a process had written is read so long after its end at most, in microseconds; it starts again much later.
@@ -47,6 +50,9 @@
                 relay: Some(*relay),
             }),
             Observation::Fact(_)
+            | Observation::AttemptEnded { .. }
+            | Observation::HeldUp { .. }
+            | Observation::Copied { .. }
             | Observation::Fault(_)
             | Observation::Refused { .. }
             | Observation::EndpointTrouble { .. } => {}
@@ -82,9 +88,10 @@
 fn refused_and_sent(observations: &[(Time, Observation)]) -> Vec<SoakBreach> {
     let mut refused = BTreeSet::new();
     let mut breaches = Vec::new();
+    let copied: BTreeSet<u64> = observations.iter().filter_map(|(_, seen)| copied_message(seen)).collect();
     for (at, observation) in observations {
         match observation {
-            Observation::Refused { message } => {
+            Observation::Refused { message } if !copied.contains(message) => {
                 refused.insert(*message);
             }
             Observation::Fact(Fact::AttemptStarted { message, .. }) if refused.contains(message) => {
@@ -101,14 +108,60 @@
     breaches
 }
 
-/// The facts, in the order in which the relays knew of them.
-fn facts(observations: &[(Time, Observation)]) -> Vec<(Time, Fact)> {
-    let mut facts: Vec<(Time, Fact)> = Vec::new();
-    for (at, observation) in observations {
-        if let Observation::Fact(fact) = observation {
-            facts.push((*at, *fact));
+fn copied_message(observation: &Observation) -> Option<u64> {
+    if let Observation::Copied { message } = observation { Some(*message) } else { None }
+}
+
+/// The fact that an observation is, with its time. The end of a call is as old as the stand-ins were held up just then, and not
+/// older than its beginning.
+fn fact_of(
+    at: Time,
+    observation: &Observation,
+    held_up: &HeldUp,
+    begun: &BTreeMap<u64, Time>,
+) -> Option<(Time, Fact)> {
+    match observation {
+        Observation::Fact(fact) => Some((at, *fact)),
+        Observation::AttemptEnded { message, call, relay, end } => {
+            let (message, call, relay, outcome) = (*message, *call, *relay, end.outcome());
+            let begun_at = begun.get(&call).copied().unwrap_or(0);
+            let at = at.saturating_sub(held_up.near(at)).max(begun_at);
+            Some((at, Fact::AttemptEnded { message, call, relay, outcome }))
         }
+        _ => None,
+    }
+}
+
+/// When the stand-ins' own tasks were held up, and for how long.
+struct HeldUp(BTreeMap<Time, Time>);
+
+impl HeldUp {
+    fn new(observations: &[(Time, Observation)]) -> HeldUp {
+        let spans = observations.iter().filter_map(|(at, observation)| match observation {
+            Observation::HeldUp { span } => Some((*at, *span)),
+            _ => None,
+        });
+        HeldUp(spans.collect())
     }
+
+    /// For how long something that was noted then may have waited to be seen.
+    fn near(&self, at: Time) -> Time {
+        let spans = self.0.range(at.saturating_sub(HELD_UP_NOTED_WITHIN)..=at + HELD_UP_NOTED_WITHIN);
+        spans.map(|(_, span)| *span).max().unwrap_or(0)
+    }
+}
+
+/// The facts, in the order in which the relays knew of them.
+fn facts(observations: &[(Time, Observation)]) -> Vec<(Time, Fact)> {
+    let held_up = HeldUp::new(observations);
+    let begun = observations.iter().filter_map(|(at, observation)| match observation {
+        Observation::Fact(Fact::AttemptStarted { call, .. }) => Some((*call, *at)),
+        _ => None,
+    });
+    let begun: BTreeMap<u64, Time> = begun.collect();
+    let seen = observations.iter().filter_map(|(at, seen)| fact_of(*at, seen, &held_up, &begun));
+    let mut facts: Vec<(Time, Fact)> = seen.collect();
+    facts.sort_by_key(|(at, _)| *at);
     let starts = attempt_starts(&facts);
     let delivered = delivered_and_read(&facts, &starts);
     let mut kept = Vec::with_capacity(facts.len());
@@ -182,6 +235,9 @@
                 format!("{fact}")
             }
             Observation::Fault(text) => format!("fault: {text}"),
+            Observation::AttemptEnded { message, call, end, .. } if number == Some(*message) => {
+                end_line(*message, *call, end)
+            }
             Observation::Process { relay, what } if breach.relay == Some(*relay) => {
                 format!("relay {relay} {what}")
             }
@@ -206,12 +262,22 @@
     text
 }
 
+fn end_line(message: u64, call: u64, end: &WireEnd) -> String {
+    let WireEnd { answer, ended_by } = end;
+    format!("call {call} of message {message} ended: written {answer:?}, connection ended by {ended_by:?}")
+}
+
 /// All observations, a line each.
 pub(crate) fn all_lines(observations: &[(Time, Observation)]) -> String {
     let mut text = String::new();
     for (at, observation) in observations {
         let line = match observation {
             Observation::Fact(fact) => fact.to_string(),
+            Observation::AttemptEnded { message, call, end, .. } => end_line(*message, *call, end),
+            Observation::HeldUp { span } => format!("the stand-ins were held up for {span} us"),
+            Observation::Copied { message } => {
+                format!("message {message} is handed in by another client too")
+            }
             Observation::Unanswered { relay, id } => {
                 format!("request of {id} at relay {relay} got no answer")
             }
--- a/crates/soak/src/recorder.rs
+++ b/crates/soak/src/recorder.rs
@@ -1,5 +1,6 @@
 //! What the stand-ins saw, in the order in which they saw it, and what the faults did meanwhile.
 
+use crate::wire_end::WireEnd;
 use mountshift_invariants::{Fact, Time};
 use std::sync::Mutex;
 use std::time::Instant;
@@ -9,6 +10,12 @@
 pub(crate) enum Observation {
     /// A fact for the checker.
     Fact(Fact),
+    /// An attempt ended at its endpoint.
+    AttemptEnded { message: u64, call: u64, relay: u32, end: WireEnd },
+    /// The stand-ins' own tasks were held up for so many microseconds: what they saw just now may be so old.
+    HeldUp { span: Time },
+    /// Another client has handed in the very same message: what becomes of it is not this client's alone.
+    Copied { message: u64 },
     /// A request that was written whole and got no answer though its connection ended, and nothing excuses that.
     Unanswered { relay: usize, id: String },
     /// A message was answered with a rejection or an error: it must not be sent.
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -29,6 +29,8 @@
 const RESTART_AFTER: Duration = Duration::from_millis(600);
 /// A successor answers clients so long after its start at the latest.
 const SUCCESSOR_START: Duration = Duration::from_millis(400);
+/// Between two signals of a series.
+const BETWEEN_SIGNALS: Duration = Duration::from_millis(40);
 /// Between two looks at a process.
 const LOOK_INTERVAL: Duration = Duration::from_millis(10);
 /// What was on its way when a process ended counts as struck by that for so long, in microseconds.
@@ -200,6 +202,33 @@
         }
     }
 
+    /// Signals one behind the other, one of them SIGTERM, and a new process on the same folder. SIGKILL comes no sooner than after
+    /// the first SIGTERM.
+    pub(crate) async fn signal_series(&self, series: impl IntoIterator<Item = Signal>) {
+        let mut slot = self.child.lock().await;
+        self.agent_address.fetch_add(1, Ordering::SeqCst);
+        self.write_config();
+        let Some(child) = slot.as_mut() else { return };
+        self.disturb(Time::MAX);
+        let mut stopped_at = None;
+        for signal in series {
+            if signal == Signal::TERM && stopped_at.is_none() {
+                stopped_at = Some(Instant::now());
+                let until = self.recorder.now() + KILL_AFTER.as_micros() as Time;
+                self.recorder.fact(Fact::RelayStalled { relay: self.number as u32, until });
+            }
+            let _ = kill_process(Pid::from_child(child), signal);
+            Timer::after(BETWEEN_SIGNALS).await;
+        }
+        let elapsed = stopped_at.map_or(Duration::ZERO, |at| at.elapsed());
+        let status = wait_for_end(child, KILL_AFTER.saturating_sub(elapsed)).await;
+        self.recorder.fact(Fact::RelayDown { relay: self.number as u32 });
+        self.check_end(status, None);
+        *slot = None;
+        Timer::after(RESTART_AFTER).await;
+        self.start_locked(&mut slot).await;
+    }
+
     /// SIGTERM, for good.
     pub(crate) async fn stop(&self) {
         let mut child = self.child.lock().await;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -11,7 +11,7 @@
 use crate::relay_process::{Programs, RelayProcess};
 use crate::schedule::Schedule;
 use async_signal::{Signal, Signals};
-use mountshift_invariants::Fact;
+use mountshift_invariants::{Fact, Time};
 use smol::Timer;
 use smol::future::FutureExt;
 use smol::stream::StreamExt;
@@ -22,6 +22,8 @@
 
 /// Between two looks at processes that may have ended.
 const WATCH_INTERVAL: Duration = Duration::from_millis(20);
+/// Between two looks at whether the stand-ins run late, and what counts as late.
+const TICK: Duration = Duration::from_millis(5);
 /// After the last message is due: its final answer may come a little later.
 const SETTLE: Duration = Duration::from_millis(2_500);
 /// Lines in a relay's log that tell of a fault of its own.
@@ -127,6 +129,7 @@
         seed: schedule.seed,
     });
     let watcher = smol::spawn(watch(relays.clone()));
+    let ticker = smol::spawn(note_held_up(recorder.clone()));
     let traffic_ends = Instant::now() + Duration::from_secs(schedule.seconds);
     let traffic = clients.start(schedule.seed);
     inject(schedule, targets).await;
@@ -138,6 +141,7 @@
     let longest = installation.classes.iter().map(|class| class.deadline_ms).max().unwrap_or(0);
     Timer::after(Duration::from_millis(longest) + SETTLE).await;
     watcher.cancel().await;
+    ticker.cancel().await;
     let end = recorder.now();
     let stops: Vec<_> =
         relays.iter().cloned().map(|relay| smol::spawn(async move { relay.stop().await })).collect();
@@ -157,6 +161,18 @@
     }
 }
 
+/// Notes when the stand-ins' tasks run late: what they see then is older than it seems.
+async fn note_held_up(recorder: Arc<Recorder>) {
+    loop {
+        let due = Instant::now() + TICK;
+        Timer::at(due).await;
+        let span = due.elapsed();
+        if span > TICK {
+            recorder.note(Observation::HeldUp { span: span.as_micros() as Time });
+        }
+    }
+}
+
 fn report(
     schedule: &Schedule,
     installation: &Installation,
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -83,11 +83,25 @@
     Discovery,
     /// Clients end their sending, stop in the middle, send much at once and go.
     BadClients,
+    /// A client hands in messages under the ids of others.
+    CopiedIds,
+    /// Idle clients fill the descriptors of relays.
+    Crowd,
+    /// Relays get SIGHUP and SIGTERM several times, in a drawn order, and are started again.
+    Signals,
+    /// As an upgrade, while the files of the state folder fail at times.
+    UpgradeDisk,
+    /// A process is held up for 0.15 s behind reading a clock.
+    ClockHold,
+    /// Endpoints answer with what is no whole answer: cut at each byte, dripped, too large, chunked wrongly, no HTTP.
+    SpoiltAnswers,
+    /// Connections to endpoints come up a second late.
+    LateConnects,
 }
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [FaultKind; 22] = [
+    pub const ALL: [FaultKind; 29] = [
         FaultKind::Kill,
         FaultKind::Stop,
         FaultKind::Upgrade,
@@ -110,8 +124,20 @@
         FaultKind::Drain,
         FaultKind::Discovery,
         FaultKind::BadClients,
+        FaultKind::CopiedIds,
+        FaultKind::Crowd,
+        FaultKind::Signals,
+        FaultKind::UpgradeDisk,
+        FaultKind::ClockHold,
+        FaultKind::SpoiltAnswers,
+        FaultKind::LateConnects,
     ];
 
+    /// True if a second process starts beside a relay.
+    pub(crate) fn is_upgrade(self) -> bool {
+        matches!(self, FaultKind::Upgrade | FaultKind::UpgradeDisk)
+    }
+
     /// True if the fault strikes relays, false if it strikes endpoints.
     pub(crate) fn strikes_relays(self) -> bool {
         !matches!(
@@ -124,6 +150,8 @@
                 | FaultKind::Reset
                 | FaultKind::HalfAnswer
                 | FaultKind::CloseIdle
+                | FaultKind::SpoiltAnswers
+                | FaultKind::LateConnects
                 | FaultKind::Drain
         )
     }
@@ -222,7 +250,7 @@
             Schedule { seed, seconds, relays, endpoints, inherited_sockets, faults: Vec::new() };
         schedule.check()?;
         // Without inherited sockets there are no upgrades to draw.
-        let can_happen = |kind: &&FaultKind| inherited_sockets || **kind != FaultKind::Upgrade;
+        let can_happen = |kind: &&FaultKind| inherited_sockets || !kind.is_upgrade();
         let kinds: Vec<FaultKind> = kinds.iter().filter(can_happen).copied().collect();
         let kinds = draw_kinds(kinds, &mut random);
         let end_ms = seconds * 1_000 - QUIET_MS;
@@ -265,7 +293,8 @@
         let (shortest, longest) = match kind {
             FaultKind::DiskAtStart if amount % LONG_AT_START_IN == 0 => LONG_AT_START_MS,
             FaultKind::Disk | FaultKind::DiskAtStart | FaultKind::Sockets => (SHORTEST_MS, 1_500),
-            FaultKind::Hold => (SHORTEST_MS, 1_000),
+            FaultKind::Hold | FaultKind::ClockHold => (SHORTEST_MS, 1_000),
+            FaultKind::UpgradeDisk => (SHORTEST_MS, 1_500),
             _ => (SHORTEST_MS, 4_000),
         };
         let for_ms = random.random_range(shortest..=longest).min(end_ms.saturating_sub(at_ms)).max(100);
@@ -308,7 +337,7 @@
         }
         for fault in &self.faults {
             let count = if fault.kind.strikes_relays() { self.relays } else { self.endpoints };
-            if fault.kind == FaultKind::Upgrade && !self.inherited_sockets {
+            if fault.kind.is_upgrade() && !self.inherited_sockets {
                 return Err(SoakError::Unplayable("an upgrade needs inherited sockets".into()));
             }
             if fault.targets.iter().any(|target| *target >= count) {
