--- a/crates/relay/tests/order_by_key.rs
+++ b/crates/relay/tests/order_by_key.rs
@@ -105,8 +105,13 @@
     gap: Option<Duration>,
 }
 
+/// How often a process that is held up stands still: at so many of 1,000 reads of a clock, ...
+const HELD_UP_RATE: u64 = 20;
+/// ... for so long.
+const HELD_UP_FOR: Duration = Duration::from_millis(150);
+
 /// Plays cases beside each other, each at a destination of its own: a message of the class, and another one of its key.
-fn play(cases: Vec<Case>, class: &str) -> Vec<Played> {
+fn play(cases: Vec<Case>, class: &str, is_held_up: bool) -> Vec<Played> {
     let servers: Vec<Server> = cases.iter().map(|case| server(case.end.clone())).collect();
     let kind = |case: &Case| if case.is_batch { "bulk" } else { "single" };
     let members: Vec<Value> = (cases.iter().zip(&servers).enumerate())
@@ -114,8 +119,12 @@
         .collect();
     let mut fixture = fixture(0, members);
     fixture.config["settings"]["obligations"]["orderPause"] = json!(ORDER_PAUSE.as_micros() as u64);
-    let relay = fixture.relay();
+    let faults = fixture.faults();
+    let relay = fixture.relay_with_faults(&faults);
     let mut client = relay.client();
+    if is_held_up {
+        faults.set_clock_hold(HELD_UP_FOR, HELD_UP_RATE).expect("holds");
+    }
     for (n, case) in cases.iter().enumerate() {
         let list = |class: &str| format!("c={class},d={SHORT_DEADLINE_MS},dest={}", n + 1);
         let key = n as u64 + 1;
@@ -161,12 +170,12 @@
 }
 
 /// Cases in which the key rested too short, or needlessly.
-fn wrong_rests(cases: Vec<Case>, class: &str) -> Vec<String> {
+fn wrong_rests(cases: Vec<Case>, class: &str, is_held_up: bool) -> Vec<String> {
     let mut wrong = Vec::new();
     let mut cases = cases.into_iter().peekable();
     while cases.peek().is_some() {
         let some: Vec<Case> = cases.by_ref().take(CASES_AT_ONCE).collect();
-        for Played { case, gap } in play(some, class) {
+        for Played { case, gap } in play(some, class, is_held_up) {
             let is_right = gap.is_some_and(|gap| if case.rests { gap >= ORDER_PAUSE } else { gap < NO_REST });
             if !is_right {
                 wrong.push(format!("{class}: {}: {gap:?}", case.name));
@@ -185,14 +194,22 @@
 // The evidence: the gap between the end of a call at its endpoint and the next message of the key, for each kind of answer.
 #[test]
 fn a_call_given_up_over_its_answer_holds_back_the_rest_of_its_key() {
-    let wrong = [wrong_rests(unfinished_ends(), "pay"), wrong_rests(unfinished_ends(), "line")].concat();
+    let wrong = [wrong_rests(unfinished_ends(), "pay", false), wrong_rests(unfinished_ends(), "line", false)]
+        .concat();
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+// The rest counts from behind the end of the call, wherever the process stands still in between.
+#[test]
+fn a_process_that_is_held_up_lets_a_key_rest_as_long() {
+    let wrong = wrong_rests(unfinished_ends(), "pay", true);
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
 // A rest that nothing asks for costs the messages of the key their time.
 #[test]
 fn a_call_that_was_answered_whole_holds_back_nothing() {
-    let wrong = wrong_rests(whole_answers(), "pay");
+    let wrong = wrong_rests(whole_answers(), "pay", false);
     assert!(wrong.is_empty(), "{wrong:#?}");
 }
 
