--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,4 +1,4 @@
-//! Clients: well behaved ones that submit messages one after another, and others that don't.
+//! Clients that are well behaved: they submit messages one after another, those of a key each once the one before has its answer.
 
 use crate::copies::send_copy;
 use crate::endpoint::Endpoints;
@@ -13,15 +13,12 @@
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 use std::io;
-use std::net::Shutdown;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// A client waits so long for its answer.
-const PATIENCE: Duration = Duration::from_millis(400);
-/// A client that stops in the middle of a request is ended within this time.
-const BAD_CLIENT_LIMIT: Duration = Duration::from_millis(3_000 + 500);
+pub(crate) const PATIENCE: Duration = Duration::from_millis(400);
 /// Between two messages of a client, on average.
 const MEAN_PAUSE_MS: u64 = 120;
 /// Clients of each relay without a key, and with a key of their own.
@@ -35,20 +32,10 @@
 const GIVES_UP: f64 = 0.4;
 /// How often a message is copied, where another client does that.
 const COPIED: f64 = 0.5;
-/// Connections of a crowd: more than a relay has descriptors for.
-const CROWD: usize = 300;
-/// Between two looks of a crowd at those that were shut.
-const CROWD_PAUSE: Duration = Duration::from_millis(100);
-/// A crowd is felt for so long after its end, in microseconds: its connections are closed one by one.
-const CROWD_AFTERMATH: Time = 1_000_000;
 /// One request in so many comes in two pieces, ...
 const PIECES_IN: usize = 3;
 /// ... so far apart.
 const PIECE_PAUSE: Duration = Duration::from_millis(4);
-/// Commands that a bad client sends at once.
-const BURST: usize = 60;
-/// Idle connections that a bad client opens.
-const IDLE_CONNECTIONS: usize = 40;
 
 /// What all clients share.
 pub(crate) struct Clients {
@@ -135,7 +122,7 @@
         tasks
     }
 
-    fn submission(&self, relay: usize, key: u64, random: &mut ChaCha8Rng) -> Submission {
+    pub(crate) fn submission(&self, relay: usize, key: u64, random: &mut ChaCha8Rng) -> Submission {
         let classes = &self.installation.classes;
         let fitting: Vec<usize> = (0..classes.len()).filter(|c| classes[*c].in_order == (key != 0)).collect();
         let class = fitting[random.random_range(0..fitting.len())];
@@ -175,7 +162,7 @@
         Submission { number, id, key, class, destination, bytes }
     }
 
-    fn note_answer(&self, message: u64, answer: Answer) {
+    pub(crate) fn note_answer(&self, message: u64, answer: Answer) {
         if answer == Answer::Refused {
             self.recorder.note(Observation::Refused { message });
         }
@@ -190,7 +177,12 @@
         self.copied[relay].store(is_copied, Ordering::SeqCst);
     }
 
-    fn note_unanswered(&self, relay: usize, message: u64, written_at: Time) {
+    /// Until then a crowd may keep other clients out of a relay.
+    pub(crate) fn set_crowded_until(&self, relay: usize, until: Time) {
+        self.crowded_until[relay].store(until, Ordering::SeqCst);
+    }
+
+    pub(crate) fn note_unanswered(&self, relay: usize, message: u64, written_at: Time) {
         // New connections may be shut unread where idle clients fill the descriptors.
         if written_at <= self.crowded_until[relay].load(Ordering::SeqCst) {
             return;
@@ -304,7 +296,7 @@
 }
 
 /// A line; empty at the end of the connection.
-async fn read_line(stream: &mut TcpStream) -> io::Result<String> {
+pub(crate) async fn read_line(stream: &mut TcpStream) -> io::Result<String> {
     let mut line = String::new();
     let mut byte = [0];
     while !line.ends_with('\n') && stream.read(&mut byte).await? > 0 {
@@ -312,111 +304,3 @@
     }
     Ok(line)
 }
-
-/// Clients that misbehave at a relay, for a while.
-pub(crate) async fn misbehave(clients: Arc<Clients>, relay: usize, until: Instant, seed: u64) {
-    let mut random = ChaCha8Rng::seed_from_u64(seed);
-    random.set_stream(900_000 + relay as u64);
-    let idle = open_idle(&clients, relay).await;
-    while Instant::now() < until {
-        end_sending(&clients, relay, &mut random).await;
-        burst(&clients, relay).await;
-        smol::spawn(stop_in_the_middle(clients.clone(), relay)).detach();
-        Timer::after(Duration::from_millis(random.random_range(20..200))).await;
-    }
-    drop(idle);
-}
-
-/// Idle clients that fill the relay's descriptors for a while, and come again when they are shut.
-pub(crate) async fn crowd(clients: Arc<Clients>, relay: usize, until: Instant) {
-    clients.crowded_until[relay].store(Time::MAX, Ordering::SeqCst);
-    let mut idle: Vec<TcpStream> = Vec::new();
-    while Instant::now() < until {
-        idle.retain(|stream| !is_shut(stream));
-        while idle.len() < CROWD {
-            match TcpStream::connect(clients.relays[relay].listen).await {
-                Ok(stream) => idle.push(stream),
-                Err(_) => break,
-            }
-        }
-        Timer::after(CROWD_PAUSE).await;
-    }
-    drop(idle);
-    clients.crowded_until[relay].store(clients.recorder.now() + CROWD_AFTERMATH, Ordering::SeqCst);
-}
-
-/// True if the relay has ended the connection.
-fn is_shut(stream: &TcpStream) -> bool {
-    let socket = socket2::SockRef::from(stream);
-    let mut byte = [std::mem::MaybeUninit::uninit()];
-    match socket.peek(&mut byte) {
-        Ok(read) => read == 0,
-        Err(e) => e.kind() != io::ErrorKind::WouldBlock,
-    }
-}
-
-async fn open_idle(clients: &Clients, relay: usize) -> Vec<TcpStream> {
-    let mut idle = Vec::new();
-    for _ in 0..IDLE_CONNECTIONS {
-        idle.extend(TcpStream::connect(clients.relays[relay].listen).await);
-    }
-    idle
-}
-
-/// A client that ends its sending a moment behind its request gets its answer.
-async fn end_sending(clients: &Clients, relay: usize, random: &mut ChaCha8Rng) {
-    let submission = clients.submission(relay, 0, random);
-    let Ok(mut stream) = TcpStream::connect(clients.relays[relay].listen).await else {
-        return clients.note_answer(submission.number, Answer::None);
-    };
-    let written_at = clients.recorder.now();
-    let pause = Duration::from_micros(random.random_range(0..8_000));
-    let answer = async {
-        stream.write_all(&submission.bytes).await.ok()?;
-        Timer::after(pause).await;
-        stream.shutdown(Shutdown::Write).ok()?;
-        read_line(&mut stream).await.ok()
-    };
-    let late = async {
-        Timer::after(PATIENCE).await;
-        Some("late".to_string())
-    };
-    let answer = match answer.or(late).await.as_deref() {
-        Some(line) if line.starts_with('+') => Answer::Accepted,
-        Some(line) if line.starts_with('-') => Answer::Refused,
-        Some("late") => Answer::Late,
-        _ => Answer::None,
-    };
-    if answer == Answer::None {
-        clients.note_unanswered(relay, submission.number, written_at);
-    }
-    clients.note_answer(submission.number, answer);
-}
-
-/// A client that sends much at once and goes.
-async fn burst(clients: &Clients, relay: usize) {
-    if let Ok(mut stream) = TcpStream::connect(clients.relays[relay].listen).await {
-        let _ = stream.write_all(&request(&["PING"]).repeat(BURST)).await;
-    }
-}
-
-/// A client that stops in the middle of a request and stays: it is ended in time.
-async fn stop_in_the_middle(clients: Arc<Clients>, relay: usize) {
-    let Ok(mut stream) = TcpStream::connect(clients.relays[relay].listen).await else { return };
-    let begun_at = clients.recorder.now();
-    if stream.write_all(b"*5\r\n$7\r\nOUT.").await.is_err() {
-        return;
-    }
-    let ended = async {
-        let mut bytes = [0; 256];
-        while matches!(stream.read(&mut bytes).await, Ok(read) if read > 0) {}
-        true
-    };
-    let late = async {
-        Timer::after(BAD_CLIENT_LIMIT).await;
-        false
-    };
-    if !ended.or(late).await && !clients.relays[relay].is_disturbed_since(begun_at) {
-        clients.relays[relay].note_process(format!("kept a client that stopped for {BAD_CLIENT_LIMIT:?}"));
-    }
-}
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -1,6 +1,7 @@
 //! Makes the faults of a schedule begin and end.
 
-use crate::client::{Clients, crowd, misbehave};
+use crate::bad_clients::{crowd, misbehave};
+use crate::client::Clients;
 use crate::endpoint::{Behaviour, Endpoints};
 use crate::platform::Platform;
 use crate::recorder::{Observation, Recorder};
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,12 +3,13 @@
 //!
 //! - [`Schedule`] says what happens when; it is drawn from a seed alone and can be written, cut down and played again.
 //! - `installation` draws the settings, destinations and limits of a run; `relay_process` runs the relays.
-//! - `endpoint`, `platform` and `client` are the stand-ins; they record what they see on the wire in the `recorder`.
+//! - `endpoint`, `platform`, `client`, `bad_clients` and `copies` are the stand-ins; they record what they see on the wire in the `recorder`.
 //! - `wire_end` derives outcomes of calls from that by the protocol's table, `spoilt_answer` plays answers that are no answers.
 //! - `injection` makes the faults of a schedule begin and end; `oracle` reads the record and tells breaches.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod bad_clients;
 mod client;
 mod copies;
 mod early_end;
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -30,6 +30,29 @@
     assert!(report.delivered > 500 && report.ends >= 6 && report.injected > 0, "{report:?}");
 }
 
+/// A seed whose schedule has each of the kinds that the fixed schedule lacks.
+const SEED_OF_NEWER_KINDS: u64 = 193;
+
+// What the fixed schedule lacks, drawn: spoilt answers, copied ids, series of signals and the like.
+#[test]
+fn every_invariant_holds_under_the_newer_kinds_of_faults() {
+    let kinds = [
+        FaultKind::CopiedIds,
+        FaultKind::Crowd,
+        FaultKind::Signals,
+        FaultKind::UpgradeDisk,
+        FaultKind::ClockHold,
+        FaultKind::SpoiltAnswers,
+        FaultKind::LateConnects,
+    ];
+    let schedule = Schedule::draw(SEED_OF_NEWER_KINDS, 20, 4, &kinds).expect("a schedule");
+    let drawn = |kind| schedule.faults.iter().any(|fault| fault.kind == kind);
+    assert!(kinds.into_iter().all(drawn), "{}", schedule.to_json());
+    let report = play(&schedule, &programs(), None).expect("played");
+    assert!(report.held(), "{}\n{:#?}", report.timeline, report.breaches);
+    assert!(report.delivered > 500 && report.ends > 0, "{report:?}");
+}
+
 #[test]
 fn a_seed_draws_the_same_schedule_each_time_and_another_seed_another_one() {
     let draw = |seed| Schedule::draw(seed, 60, 20, &FaultKind::ALL).expect("a schedule");
