A successor's message whose id the active process holds for another one is returned

Cause: merges and take-overs left a message out by its id alone, though its client had heard +OK: it had no end at all. Change: the very same message is left out as before; another one ends as returned (it has not run). Test in two cases, written behind the mend.

--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -33,7 +33,7 @@
 use std::time::{Duration, Instant};
 
 pub(crate) use submission::{
-    ClientSubmission, MessageContent, SubmissionError, SubmissionMetadata, SubmissionReply,
+    ClientSubmission, MessageContent, SubmissionError, SubmissionMetadata, SubmissionReply, is_same_message,
 };
 
 /// The pause after a failed accept, as when descriptors have run out: they are not there again at once.
--- a/crates/relay/src/clients/submission.rs
+++ b/crates/relay/src/clients/submission.rs
@@ -94,10 +94,7 @@
 
     /// True if this is the message that was accepted under its id, as far as its key and content tell.
     pub(crate) fn is_same_as(&self, accepted: &AcceptedMessage) -> bool {
-        SubmissionMetadata::parse(&accepted.metadata).is_ok_and(|metadata| {
-            let held = MessageContent { key: accepted.key, metadata: &metadata, body: &accepted.body };
-            held.is_same(&self.content())
-        })
+        is_accepted_content(accepted, &self.content())
     }
 
     /// Reads the words of an `OUT.ADD` request.
@@ -148,6 +145,21 @@
     }
 }
 
+/// True if two accepted messages of one id are the same message.
+pub(crate) fn is_same_message(one: &AcceptedMessage, other: &AcceptedMessage) -> bool {
+    SubmissionMetadata::parse(&other.metadata).is_ok_and(|metadata| {
+        let content = MessageContent { key: other.key, metadata: &metadata, body: &other.body };
+        is_accepted_content(one, &content)
+    })
+}
+
+fn is_accepted_content(accepted: &AcceptedMessage, content: &MessageContent<'_>) -> bool {
+    SubmissionMetadata::parse(&accepted.metadata).is_ok_and(|metadata| {
+        let held = MessageContent { key: accepted.key, metadata: &metadata, body: &accepted.body };
+        held.is_same(content)
+    })
+}
+
 impl SubmissionMetadata {
     /// Reads the list of names and values of a submission; unknown names are ignored.
     pub(crate) fn parse(text: &str) -> Result<SubmissionMetadata, SubmissionError> {
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -2,12 +2,12 @@
 
 use super::calls::batch_entry_bytes;
 use super::state::DispatcherState;
-use crate::clients::SubmissionMetadata;
-use crate::startup::spool::fail_left_out;
+use crate::clients::{SubmissionMetadata, is_same_message};
+use crate::startup::spool::{fail_left_out, return_id_conflict};
 use log::{debug, info};
 use mountshift::interface::*;
 use mountshift_handover::{RouteRecord, Snapshot};
-use mountshift_spool::{AttemptRecord, FinalOutcome, StoredMessage};
+use mountshift_spool::{AcceptedMessage, AttemptRecord, FinalOutcome, StoredMessage};
 use std::time::Duration;
 
 /// A time that is not "none" or "due", which zero means, is at least this.
@@ -64,8 +64,12 @@
         let Some(orphaned) = self.successor_spool.take_orphaned() else { return };
         let mut adopted = Vec::new();
         let mut left_out = Vec::new();
+        let mut id_conflicts = Vec::new();
         for stored in &orphaned.messages {
-            if self.messages_by_id.contains_key(&stored.accepted.id) {
+            if let Some(held) = self.messages_by_id.get(&stored.accepted.id) {
+                if !self.holds_same_message(*held, &stored.accepted) {
+                    id_conflicts.push(stored.clone());
+                }
                 continue;
             }
             let number = self.spool.borrow_mut().accept(stored.accepted.clone());
@@ -87,11 +91,19 @@
         for stored in left_out {
             fail_left_out(stored, &self.notifications);
         }
+        for stored in &id_conflicts {
+            return_id_conflict(stored, &self.notifications);
+        }
         for (message, stored) in adopted {
             self.restore_message(message, stored, inputs);
         }
     }
 
+    fn holds_same_message(&self, held: MessageId, accepted: &AcceptedMessage) -> bool {
+        let spool = self.spool.borrow();
+        spool.get(held.0).is_some_and(|stored| is_same_message(&stored.accepted, accepted))
+    }
+
     fn restore_message(&mut self, message: MessageId, stored: StoredMessage, inputs: &mut Vec<Input>) {
         self.messages_by_id.insert(stored.accepted.id.clone(), message);
         let submission = self.restored_submission(&stored);
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -6,6 +6,7 @@
 use super::patience::{MayPass, Patience};
 use super::state_dir::{StateDir, take_free_lock};
 use super::tasks::RelayTasks;
+use crate::clients::is_same_message;
 use crate::clock::StoredTime;
 use crate::error::StartError;
 use crate::notifications::Notification;
@@ -301,6 +302,9 @@
     for message in left_out {
         fail_left_out(message, &tasks.notifications.0);
     }
+    for message in &accepted_by_successor {
+        return_if_id_is_taken(message, &accepted_by_active, &tasks.notifications.0);
+    }
     info!("took over {} messages accepted beside the active process", accepted_by_successor.len());
     drop(successor);
     let path = state_dir.successor_path.join(mountshift_spool::FILE_NAME);
@@ -319,6 +323,28 @@
     messages.iter().map(|message| (message.accepted.id.as_slice(), message.accepted.accepted_at_us)).collect()
 }
 
+/// A message that a successor has accepted is left out where the active process holds one of its id. If that is another message
+/// this one is owed an end all the same: it has not run, and may come again under an id of its own.
+fn return_if_id_is_taken(
+    message: &StoredMessage,
+    held: &[StoredMessage],
+    notifications: &Sender<Notification>,
+) {
+    let accepted = &message.accepted;
+    let taken = held.iter().find(|held| held.accepted.id == accepted.id);
+    if taken.is_some_and(|held| !is_same_message(&held.accepted, accepted)) {
+        return_id_conflict(message, notifications);
+    }
+}
+
+/// Tells the platform that a message can't be held beside another one of its id.
+pub(crate) fn return_id_conflict(message: &StoredMessage, notifications: &Sender<Notification>) {
+    let id = message.accepted.id.clone();
+    warn!("message {} is returned: another one is held under its id", String::from_utf8_lossy(&id));
+    let outcome = FinalOutcome::Rejected(0);
+    let _ = notifications.try_send(Notification { message: NOT_IN_SPOOL, id, outcome });
+}
+
 pub(crate) fn fail_left_out(message: StoredMessage, notifications: &Sender<Notification>) {
     let id = message.accepted.id;
     warn!(
--- a/crates/relay/tests/handover/successor.rs
+++ b/crates/relay/tests/handover/successor.rs
@@ -199,3 +199,34 @@
     ids.sort();
     assert_eq!(ids, ["free", "out", "pay"]);
 }
+
+// Two processes hold different messages of one id: one client's at the active process, another one's at the successor. Only one can be
+// sent under the id; the other one was accepted too, and its client hears of its end.
+#[test_case(true; "the successor takes over")]
+#[test_case(false; "the successor ends")]
+fn a_successors_message_whose_id_the_active_process_holds_for_another_one_is_returned(takes_over: bool) {
+    let fixture = upgrade();
+    let mut active = fixture.start(0);
+    fixture.submit("m1", 5, "pay");
+    fixture.gate.wait_for_arrivals(1);
+    let mut successor = fixture.start(1);
+    active.signal("STOP");
+    fixture.submit("m1", 0, "once");
+    if takes_over {
+        active.signal("CONT");
+        active.term();
+        until("the handover", || fixture.log().contains("hands over to the process beside it"));
+        active.signal("KILL");
+        assert!(active.ended_within(ms(3_600)));
+        fixture.owns(1);
+    } else {
+        successor.signal("KILL");
+        assert!(successor.ended_within(ms(3_600)));
+        active.signal("CONT");
+    }
+    let returned = r#"{"id":"m1","state":"returned"}"#.to_string();
+    until("its end", || fixture.platform.notifications().contains(&returned));
+    fixture.gate.open();
+    sleep(ms(300));
+    assert_eq!(fixture.endpoint.ids(), ["m1"], "sent once under the id");
+}
