--- a/crates/relay/tests/handover/main.rs
+++ b/crates/relay/tests/handover/main.rs
@@ -5,6 +5,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod failing_folder;
 mod process;
 mod stale_marker;
 mod successor;
