--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -210,10 +210,14 @@
 }
 
 /// Takes no connection for a while and has no room for more than one to wait: the others come up once the relay's system asks
-/// again, which is a second after it first did.
+/// again, which is a second after it first did. What waited meanwhile is cut off unread: its calls may have been given up by now, and
+/// would seem to arrive late.
 async fn hold_connections(listener: &TcpListener) {
     let _ = rustix::net::listen(listener, 0);
     Timer::after(NO_ROOM_FOR).await;
+    while let Some(Ok((waited, _))) = smol::future::poll_once(listener.accept()).await {
+        reset(&waited);
+    }
     let _ = rustix::net::listen(listener, BACKLOG);
 }
 
