--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -179,8 +179,14 @@
 impl SuccessorSpool {
     pub(crate) fn new(config: &StartConfig, state_dir: &StateDir) -> SuccessorSpool {
         let opener = SpoolOpener::new(config, state_dir);
+        let may_hold_earlier = state_dir.role == Role::Active(EarlierSuccessor::Running);
+        if may_hold_earlier {
+            warn!(
+                "a successor of the process before still runs: messages in order are rejected until it ends"
+            );
+        }
         SuccessorSpool {
-            may_hold_earlier: Cell::new(state_dir.role == Role::Active(EarlierSuccessor::Running)),
+            may_hold_earlier: Cell::new(may_hold_earlier),
             dir: state_dir.successor_path.clone(),
             max_bytes: config.disk_share(SUCCESSOR_DISK_SHARE),
             max_attempts: opener.max_attempts,
