--- a/crates/cli/src/soak.rs
+++ b/crates/cli/src/soak.rs
@@ -76,7 +76,9 @@
     }
     let programs = programs(&arguments)?;
     let mut verdict = Verdict::Good;
-    println!("seed  faults  process ends  calls failed  submitted  accepted  delivered  breaches");
+    println!(
+        "seed  faults  process ends  calls failed  submitted  accepted  delivered  held up ms  breaches"
+    );
     for schedule in schedules {
         let report = play(&schedule, &programs, arguments.out.as_deref()).map_err(CliError::soak)?;
         print_row(&report);
@@ -127,7 +129,7 @@
 
 fn print_row(report: &SoakReport) {
     println!(
-        "{:>4}  {:>6}  {:>12}  {:>12}  {:>9}  {:>8}  {:>9}  {:>8}",
+        "{:>4}  {:>6}  {:>12}  {:>12}  {:>9}  {:>8}  {:>9}  {:>10}  {:>8}",
         report.schedule.seed,
         report.schedule.faults.len(),
         report.ends,
@@ -135,6 +137,7 @@
         report.submitted,
         report.accepted,
         report.delivered,
+        report.longest_held_up.as_millis(),
         report.breaches.len()
     );
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -52,6 +52,9 @@
     pub ends: usize,
     /// System calls that the shim made fail.
     pub injected: u64,
+    /// The longest time for which the stand-ins' own tasks were held up: on a machine that is too busy they see late what the
+    /// relays did in time, and a breach may be theirs.
+    pub longest_held_up: Duration,
 }
 
 impl SoakReport {
@@ -203,7 +206,12 @@
         });
         facts.filter(|fact| is_counted(fact)).count()
     };
+    let held_up = observations.iter().filter_map(|(_, observation)| match observation {
+        Observation::HeldUp { span } => Some(*span),
+        _ => None,
+    });
     SoakReport {
+        longest_held_up: Duration::from_micros(held_up.max().unwrap_or(0)),
         submitted: count(|fact| matches!(fact, Fact::Submitted { .. })),
         accepted: count(|fact| matches!(fact, Fact::Accepted { .. })),
         delivered: count(|fact| matches!(fact, Fact::DeliveryAnswered { .. })),
