A start waits six seconds where both locks are taken: a take-over may hold them for a while

Cause: 0.5 s were waited, as for two processes, while one that merges two spools on a failing folder holds both locks for longer. Change: as long as for all that a start can serve without; the half second that a running successor is left the free lock counts from when it was seen.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -32,7 +32,10 @@
     active_accepts, reads_snapshot, role, successor_accepts,
 };
 pub use snapshot::{FORMAT, RouteRecord, SNAPSHOT_FILE, Snapshot};
-pub use start_plan::{ESSENTIAL_PATIENCE, RELOAD_PATIENCE, SPOOL_WAIT, START_PATIENCE, TAKEN_LOCK_PATIENCE};
+pub use start_plan::{
+    ESSENTIAL_PATIENCE, RELOAD_PATIENCE, RUNNING_SUCCESSOR_PATIENCE, SPOOL_WAIT, START_PATIENCE,
+    TAKEN_LOCK_PATIENCE,
+};
 pub use stop_plan::{HANDOVER, RESTART, StopPlan, stop_plan};
 
 #[cfg(test)]
--- a/crates/relay/src/startup/state_dir.rs
+++ b/crates/relay/src/startup/state_dir.rs
@@ -3,7 +3,9 @@
 use super::patience::Patience;
 use crate::error::StartError;
 use async_io::Timer;
-use mountshift_handover::{EarlierSuccessor, LOCK_FILE, Role, SUCCESSOR_DIR, TAKEN_LOCK_PATIENCE};
+use mountshift_handover::{
+    EarlierSuccessor, LOCK_FILE, RUNNING_SUCCESSOR_PATIENCE, Role, SUCCESSOR_DIR, TAKEN_LOCK_PATIENCE,
+};
 use std::fs::{File, TryLockError};
 use std::io;
 use std::path::{Path, PathBuf};
@@ -34,6 +36,7 @@
         let created = patience.retry_essential(|| std::fs::create_dir_all(&successor_path)).await;
         created.map_err(unusable(path.to_path_buf()))?;
         let started = Instant::now();
+        let mut running_since = None;
         let (active, successor, role) = loop {
             let active = patience.retry_essential(|| try_lock(path)).await;
             let active = active.map_err(unusable(path.join(LOCK_FILE)))?;
@@ -42,12 +45,15 @@
             let successor_spool_exists = successor_path.join(mountshift_spool::FILE_NAME).exists();
             match mountshift_handover::role(active.acquired, successor.acquired, successor_spool_exists) {
                 // The successor takes the free lock in a moment, unless it is ending. Both locks go for that time.
-                Ok(Role::Active(EarlierSuccessor::Running)) if started.elapsed() < TAKEN_LOCK_PATIENCE => {
+                Ok(Role::Active(EarlierSuccessor::Running))
+                    if running_since.get_or_insert_with(Instant::now).elapsed()
+                        < RUNNING_SUCCESSOR_PATIENCE =>
+                {
                     drop((active, successor));
                     Timer::after(TAKEN_LOCK_PAUSE).await;
                 }
                 Ok(role) => break (active, successor, role),
-                // The active process holds the second lock for a moment while it takes over what a successor left.
+                // One process may hold both: while it takes over, or takes up what a successor left.
                 Err(_) if started.elapsed() < TAKEN_LOCK_PATIENCE => {
                     Timer::after(TAKEN_LOCK_PAUSE).await;
                 }
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -252,8 +252,15 @@
             }
         }
     }
-    let Ok(mut stream) = TcpStream::connect(clients.relays[relay].listen).await else {
-        return Answer::None;
+    // The time of the message counts from here, so the client does not wait longer for the connection than for the answer.
+    let late = async {
+        Timer::after(PATIENCE).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    let mut stream = match TcpStream::connect(clients.relays[relay].listen).or(late).await {
+        Ok(stream) => stream,
+        Err(e) if e.kind() == io::ErrorKind::TimedOut => return Answer::Late,
+        Err(_) => return Answer::None,
     };
     let _ = stream.set_nodelay(true);
     let written_at = clients.recorder.now();
