--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -281,9 +281,7 @@
     /// Ends every process that was started, whatever the tasks of the run do.
     pub(crate) fn kill_all(&self) {
         for process in lock(&self.started).drain(..) {
-            // The number of one that has ended may be another program's by now.
-            let program = std::fs::read_link(format!("/proc/{}/exe", process.as_raw_nonzero()));
-            if program.is_ok_and(|program| program == self.programs.relay) {
+            if is_own_child(process) {
                 let _ = kill_process(process, Signal::KILL);
             }
         }
@@ -426,6 +424,15 @@
     }
 }
 
+/// True if the process is this one's child: the number of one that has ended may be another program's by now.
+fn is_own_child(process: Pid) -> bool {
+    let stat =
+        std::fs::read_to_string(format!("/proc/{}/stat", process.as_raw_nonzero())).unwrap_or_default();
+    // Behind the name in brackets: the state, then the parent.
+    let parent = stat.rsplit(')').next().and_then(|rest| rest.split_whitespace().nth(1));
+    parent.and_then(|parent| parent.parse().ok()) == Some(std::process::id())
+}
+
 /// Waits for the end of a process, which is killed after a while; how it ended by itself.
 async fn wait_for_end(child: &mut Child, kill_after: Duration) -> Option<ExitStatus> {
     let due = Instant::now() + kill_after;
