Test: a message's end is recorded before its process is killed

Cause: the test killed the active process 5 ms behind a call of a message that may run once; the next one then tells it as failed, as the protocol asks. Traced by the relay's log, which the assertion prints now. Change: waits until the process holds nothing (metrics). Same assertions.

--- a/crates/relay/tests/handover/process.rs
+++ b/crates/relay/tests/handover/process.rs
@@ -58,12 +58,21 @@
     }
 
     pub(crate) fn says_yes(&self) -> bool {
-        let Ok(mut stream) = TcpStream::connect(self.mgmt) else { return false };
-        let _ = stream.set_read_timeout(Some(ms(1_000)));
-        let _ = stream.write_all(b"GET /status HTTP/1.1\r\nHost: relay\r\n\r\n");
+        self.answer_to("/status").starts_with("HTTP/1.1 200")
+    }
+
+    /// True once the ends of all messages are recorded.
+    pub(crate) fn holds_nothing(&self) -> bool {
+        self.answer_to("/metrics").lines().any(|line| line == "mountshift_held_messages 0")
+    }
+
+    fn answer_to(&self, path: &str) -> String {
         let mut text = String::new();
+        let Ok(mut stream) = TcpStream::connect(self.mgmt) else { return text };
+        let _ = stream.set_read_timeout(Some(ms(1_000)));
+        let _ = stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: relay\r\n\r\n").as_bytes());
         let _ = stream.read_to_string(&mut text);
-        text.starts_with("HTTP/1.1 200")
+        text
     }
 
     pub(crate) fn term(&self) {
--- a/crates/relay/tests/handover/successor.rs
+++ b/crates/relay/tests/handover/successor.rs
@@ -66,13 +66,16 @@
     until_within(ms(2_500), "the successor's message", || fixture.endpoint.ids() == ["m1"]);
     fixture.submit("m2", 0, "once");
     until("a message of its own", || fixture.endpoint.ids() == ["m1", "m2"]);
+    // Killed before, the process leaves a call that may have run.
+    until("its end to be recorded", || active.holds_nothing());
     // Another upgrade finds nothing of it left.
     let _again = fixture.start(2);
     drop(active);
     fixture.owns(1);
     sleep(ms(300));
     assert_eq!(fixture.endpoint.ids(), ["m1", "m2"]);
-    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
+    let notifications = fixture.platform.notifications();
+    assert!(notifications.is_empty(), "{notifications:?}\n{}", fixture.log());
 }
 
 /// A client with many requests unanswered at any time, so that its connection never rests. Gives back the ids of the
