Review, case 2: interim answers without end hold up the whole relay

Cause: the loop over interim answers (1xx) in upstream/http1.rs has no bound and never gives way while bytes are at hand, so neither the call's limit nor any other task of the one thread gets its turn.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -12,6 +12,7 @@
 mod record;
 mod relay;
 
+mod endless_answer;
 mod foreign_id;
 
 use record::Record;
@@ -40,6 +41,7 @@
     record.line(format!("case {case}, with the disruption: {has_trouble}"));
     let play = match case.as_str() {
         "foreign-id" => foreign_id::play,
+        "endless-answer" => endless_answer::play,
         _ => return ExitCode::from(2),
     };
     let (played, result) = std::sync::mpsc::channel();
