Review, case 3: a successor takes on messages that run out of time before its turn

Cause: successor_accepts counts 4.5 s from the moment of the message, but the successor accepts from its start on, and SIGTERM to the old process may come up to 6 s after that, its end another 3.7 s later.

Nothing of the project is changed.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 
 mod endless_answer;
 mod foreign_id;
+mod late_takeover;
 
 use record::Record;
 use std::process::ExitCode;
@@ -41,6 +42,7 @@
     record.line(format!("case {case}, with the disruption: {has_trouble}"));
     let play = match case.as_str() {
         "foreign-id" => foreign_id::play,
+        "late-takeover" => late_takeover::play,
         "endless-answer" => endless_answer::play,
         _ => return ExitCode::from(2),
     };
