Review, case 1: begin the upgrade as a payment goes out; probes of other faults

Cause: the time in which the bad client had to be taken on was that of one call, 0.3 s at most, and began at any point of the call. A slow machine could have missed it.

Change: the upgrade begins as a payment goes out; six payments of 0.8 s.

--- a/review/standin/foreign_id.rs
+++ b/review/standin/foreign_id.rs
@@ -13,9 +13,9 @@
 use std::time::Duration;
 
 /// Number of payments of one account, which are delivered one after another.
-const PAYMENTS: usize = 10;
+const PAYMENTS: usize = 6;
 /// Time that the endpoint takes for a payment.
-const PACE: Duration = Duration::from_millis(300);
+const PACE: Duration = Duration::from_millis(800);
 const ACCOUNT: u64 = 0x7f3a_9c21_e0b4_d655;
 const DEADLINE_MS: u64 = 12_000;
 
@@ -54,7 +54,11 @@
         let (record, address, is_over) = (record.clone(), site.clients, is_over.clone());
         thread::spawn(move || run_bad_client(&record, address, &is_over))
     });
-    thread::sleep(Duration::from_millis(300));
+    // The upgrade begins as a payment goes out, so that the old process has a call in flight as it is told to stop.
+    let begun = endpoint.calls().len();
+    while endpoint.calls().len() == begun {
+        thread::sleep(Duration::from_millis(5));
+    }
     let new = site.start("new");
     if !new.wait_until_ready() {
         return Verdict::NotRun(format!("the new process did not get ready: {}", site.log("new")));
@@ -135,3 +139,31 @@
     record.line(format!("handed in again: {resubmissions:?}"));
     if broken.is_empty() { Verdict::Held } else { Verdict::Broken(broken.join("; ")) }
 }
+
+/// Probe: as the case, but the old process delivers the message whose id is used before it ends.
+pub fn probe_ended(record: &Record, has_trouble: bool) -> Verdict {
+    let endpoint = Endpoint::start(record, "s-1", |_, _| Answer::Run(Duration::from_millis(1_500)));
+    let member = Member { id: "s-1".into(), address: endpoint.address, cell: 7, phase: "Ready", size: 20.0 };
+    let platform = Platform::start(record, 41, std::slice::from_ref(&member));
+    let site = Site::new(record, platform.address, &list_json(41, true, &[member]));
+    let mut old = site.start("old");
+    if !old.wait_until_ready() || !wait_for_pong(site.clients) {
+        return Verdict::NotRun(format!("the relay did not get ready: {}", site.log("old")));
+    }
+    client::hand_in(record, "client", site.clients, &payment(PAYMENTS, &id_of(PAYMENTS)));
+    let is_over = Arc::new(AtomicBool::new(!has_trouble));
+    let bad_client = {
+        let (record, address, is_over) = (record.clone(), site.clients, is_over.clone());
+        thread::spawn(move || run_bad_client(&record, address, &is_over))
+    };
+    let new = site.start("new");
+    if !new.wait_until_ready() {
+        return Verdict::NotRun(format!("the new process did not get ready: {}", site.log("new")));
+    }
+    old.terminate();
+    thread::sleep(Duration::from_secs(4));
+    is_over.store(true, Ordering::Relaxed);
+    let _ = bad_client.join();
+    let runs = endpoint.calls().iter().filter(|call| call.ran && call.id == id_of(PAYMENTS)).count();
+    if runs > 1 { Verdict::Broken(format!("duplicate: {} ran {runs} times", id_of(PAYMENTS))) } else { Verdict::Held }
+}
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -15,6 +15,7 @@
 mod endless_answer;
 mod foreign_id;
 mod late_takeover;
+mod probes;
 
 use record::Record;
 use std::process::ExitCode;
@@ -43,6 +44,10 @@
     let play = match case.as_str() {
         "foreign-id" => foreign_id::play,
         "late-takeover" => late_takeover::play,
+        "probe-ended-id" => foreign_id::probe_ended,
+        "probe-waits" => probes::waits,
+        "probe-standby" => probes::standby,
+        "probe-maintenance" => probes::maintenance,
         "endless-answer" => endless_answer::play,
         _ => return ExitCode::from(2),
     };
