--- a/review/standin/late_takeover.rs
+++ b/review/standin/late_takeover.rs
@@ -26,23 +26,49 @@
 const HAND_IN_INTERVAL: Duration = Duration::from_millis(50);
 
 pub fn play(record: &Record, has_trouble: bool) -> Verdict {
+    play_upgrade(record, if has_trouble { ASKED_AFTER } else { Duration::ZERO }, false)
+}
+
+/// Probe: the platform asks 2 s after the start, and another destination's endpoint hangs through the shutdown of the
+/// old process. Without the disruption that endpoint answers.
+pub fn probe_hang(record: &Record, has_trouble: bool) -> Verdict {
+    play_upgrade(record, Duration::from_secs(2), has_trouble)
+}
+
+fn play_upgrade(record: &Record, asked_after: Duration, hangs: bool) -> Verdict {
     let endpoint = Endpoint::start(record, "s-1", |_, _| Answer::Run(PACE));
-    let member = Member { id: "s-1".into(), address: endpoint.address, cell: 7, phase: "Ready", size: 40.0 };
-    let platform = Platform::start(record, 41, std::slice::from_ref(&member));
-    let site = Site::new(record, platform.address, &list_json(41, true, &[member]));
+    let other = Endpoint::start(record, "s-2", move |_, _| {
+        Answer::Run(if hangs { Duration::from_secs(20) } else { PACE })
+    });
+    let member = |endpoint: &Endpoint, cell| {
+        let (id, address) = (endpoint.name.clone(), endpoint.address);
+        Member { id, address, cell, phase: "Ready", size: 40.0 }
+    };
+    let members = [member(&endpoint, 7), member(&other, 8)];
+    let platform = Platform::start(record, 41, &members);
+    let site = Site::new(record, platform.address, &list_json(41, true, &members));
     let mut old = site.start("old");
     if !old.wait_until_ready() || !wait_for_pong(site.clients) {
         return Verdict::NotRun(format!("the relay did not get ready: {}", site.log("old")));
     }
+    if hangs {
+        let message = Message {
+            key: 0,
+            id: "5ca1ab1e00000001".into(),
+            class: "stock-status",
+            deadline_ms: 8_000,
+            destination: 8,
+            body: "stock elsewhere".into(),
+        };
+        client::hand_in(record, "client", site.clients, &message);
+    }
     let is_over = Arc::new(AtomicBool::new(false));
     let client = {
         let (record, address, is_over) = (record.clone(), site.clients, is_over.clone());
         thread::spawn(move || run_client(&record, address, &is_over))
     };
     let new = site.start("new");
-    if has_trouble {
-        thread::sleep(ASKED_AFTER);
-    }
+    thread::sleep(asked_after);
     if !new.wait_until_ready() {
         return Verdict::NotRun(format!("the new process did not get ready: {}", site.log("new")));
     }
--- a/review/standin/probes.rs
+++ b/review/standin/probes.rs
@@ -133,3 +133,37 @@
     }
     Ok(if broken.is_empty() { Verdict::Held } else { Verdict::Broken(broken.join("; ")) })
 }
+
+/// The relay is killed right behind its yes to `POST /maintenance/enter`, and started again. Without the disruption the
+/// kill comes a second later.
+pub fn kill_behind_yes(record: &Record, has_trouble: bool) -> Verdict {
+    play_kill_behind_yes(record, has_trouble).unwrap_or_else(|verdict| verdict)
+}
+
+fn play_kill_behind_yes(record: &Record, has_trouble: bool) -> Result<Verdict, Verdict> {
+    let endpoints: Vec<Endpoint> =
+        ["s-1", "s-2"].iter().map(|name| Endpoint::start(record, name, |_, _| Answer::Run(PACE))).collect();
+    let members: Vec<Member> = endpoints.iter().map(member).collect();
+    let platform = Platform::start(record, 41, &members);
+    let site = Site::new(record, platform.address, &list_json(41, true, &members));
+    let mut lost = 0;
+    for round in 0..20 {
+        let mut relay = start(&site, &format!("round-{round}"))?;
+        for number in 0..20 {
+            client::hand_in(record, "client", site.clients, &status(format!("9b1f03aa5c7e{round:02}{number:02}")));
+        }
+        let answer = relay.operate("/maintenance/enter?target=s-1");
+        if !has_trouble {
+            thread::sleep(Duration::from_secs(1));
+        }
+        relay.kill();
+        let relay = start(&site, &format!("round-{round}-again"))?;
+        let again = relay.operate("/maintenance/exit?target=s-1");
+        let was_out = again.as_ref().is_some_and(|answer| answer.1 == "back");
+        record.line(format!("round {round}: {answer:?}, still out after the kill: {was_out}"));
+        lost += usize::from(!was_out);
+        thread::sleep(Duration::from_millis(100));
+        drop(relay);
+    }
+    Ok(if lost == 0 { Verdict::Held } else { Verdict::Broken(format!("drain: {lost} of 20 calls were forgotten")) })
+}
