Review: a probe of upgrades, kills and restarts in a row; the first delivery counts

Cause: the checks of cases 2 and 3 took the delivery of a message's first call; a message that may be repeated can be delivered earlier by a later call.

Change: the first delivery of any call that ran counts. The probe (`probe-chain`) stands beside the cases.

--- a/review/standin/endless_answer.rs
+++ b/review/standin/endless_answer.rs
@@ -88,7 +88,8 @@
     let mut lost = Vec::new();
     for (id, sent_at) in accepted {
         let due = *sent_at + Duration::from_millis(DEADLINE_MS) + SLACK;
-        let delivered = calls.iter().filter(|call| call.id == *id).find_map(|call| call.answered_at);
+        let of_message = calls.iter().filter(|call| call.id == *id && call.ran);
+        let delivered = of_message.filter_map(|call| call.answered_at).min();
         let notice = platform.notice_of(id).map(|notice| notice.at);
         let end = delivered.into_iter().chain(notice).min();
         record.line(format!("message {id}: due by {due:.3?}; delivered at {delivered:.3?}, notice at {notice:.3?}"));
--- a/review/standin/late_takeover.rs
+++ b/review/standin/late_takeover.rs
@@ -117,7 +117,8 @@
         if due >= stopped_at {
             due = due.max(stopped_at + RESTART_GRACE);
         }
-        let delivered = calls.iter().filter(|call| call.id == *id).find_map(|call| call.answered_at);
+        let of_message = calls.iter().filter(|call| call.id == *id && call.ran);
+        let delivered = of_message.filter_map(|call| call.answered_at).min();
         let notice = platform.notice_of(id).map(|notice| notice.at);
         let end = delivered.into_iter().chain(notice).min();
         if end.is_none_or(|end| end > due) {
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -4,6 +4,7 @@
 
 #![allow(dead_code)]
 
+mod chain;
 mod client;
 mod endpoint;
 mod http;
@@ -46,6 +47,7 @@
         "late-takeover" => late_takeover::play,
         "probe-ended-id" => foreign_id::probe_ended,
         "probe-hang" => late_takeover::probe_hang,
+        "probe-chain" => chain::play,
         "probe-waits" => probes::waits,
         "probe-kill-behind-yes" => probes::kill_behind_yes,
         "probe-standby" => probes::standby,
