Relay: two processes refuse another message under an id of the other one

Cause: which ids are held was known to one process alone, and which have ended to its memory alone. A conflict showed only at the merge of the spools, and the notification of the message that lost names nothing but the id, so the platform takes it for the one that is kept.

Change: each process follows the other's spool (SpoolFollower, PeerIds) and answers -BUSY; ended ids are read from the spool and kept by compactions, in records that earlier versions skip; a conflict that a merge still finds is dropped with no notification. Related paths: the active process against its successor's ids, a restart after a kill, the adoption of a successor's spool.

The test successors_message_with_an_id_held_by_the_active_process_is_returned asked for the notification that did the harm. message_ids.rs replaces it, as strictly: refused, and where found at a merge sent once and never notified.

--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -1,11 +1,11 @@
 //! Event handlers, one for each event: they update the dispatcher's state and collect the inputs of the policy.
 
-use super::ended_ids::IdUse;
 use super::event::{CallNumber, Event};
 use super::key_hold_offs::KeyHoldOff;
 use super::state::{DispatcherState, SendPermissionRequest};
 use crate::clients::{ClientSubmission, SubmissionError, SubmissionReply};
 use crate::discovery::EndpointList;
+use crate::ended_ids::{self, IdUse};
 use crate::upstream::{self, AttemptResult, CallResult, CallStage};
 use async_channel::Sender;
 use log::{debug, info, warn};
@@ -68,7 +68,9 @@
             return self.on_id_already_held(message, &received, reply_to);
         }
         let deadline = self.clock.since_start(received.received_at) + received.metadata.time_to_deadline;
-        let submission = match self.check_message(&received, deadline) {
+        let checked = self.check_message(&received, deadline);
+        let checked = checked.and_then(|submission| self.check_id(&received).map_or(Ok(submission), Err));
+        let submission = match checked {
             Ok(submission) => submission,
             Err(reply) => {
                 let _ = reply_to.try_send(reply);
@@ -132,17 +134,23 @@
         if !self.endpoints.has_destination(submission.destination) {
             return Err(SubmissionReply::Failed(SubmissionError::UnknownDestination));
         }
-        match self.ended_ids.find(&received.id, &received.content()) {
-            IdUse::Unused => {}
-            IdUse::SameMessage => return Err(SubmissionReply::Failed(SubmissionError::IdAlreadyUsed)),
-            IdUse::OtherMessage => {
-                self.metrics.count_id_conflict();
-                return Err(SubmissionReply::Rejected { retry_after_ms: 0 });
-            }
-        }
         Ok(submission)
     }
 
+    /// Returns the reply to a submission whose id was used before, by a message that has ended or in a successor.
+    fn check_id(&mut self, received: &ClientSubmission) -> Option<SubmissionReply> {
+        let content = received.content();
+        let use_by_ended = ended_ids::find(self.spool.borrow().ended_ids(), &received.id, &content);
+        let id_use = match use_by_ended {
+            IdUse::Unused => self.successor_ids.find(&received.id, &content),
+            id_use => id_use,
+        };
+        if id_use == IdUse::OtherMessage {
+            self.metrics.count_id_conflict();
+        }
+        id_use.refusal()
+    }
+
     /// Logs the ordering key and the local number of a message, so that on-call staff can follow the order of a key.
     fn log_ordering_key(&self, message: MessageId) {
         let spool = self.spool.borrow();
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -4,7 +4,6 @@
 mod actions;
 mod calls;
 mod dependencies;
-mod ended_ids;
 mod endpoint_list;
 mod event;
 mod handlers;
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -3,7 +3,7 @@
 use super::calls::batch_entry_bytes;
 use super::state::DispatcherState;
 use crate::clients::{SubmissionMetadata, is_same_message};
-use crate::startup::spool::{notify_id_conflict, notify_no_space};
+use crate::startup::spool::{has_ended_id, log_id_conflict, notify_no_space};
 use log::{debug, info};
 use mountshift::interface::*;
 use mountshift_handover::{RouteRecord, Snapshot};
@@ -64,12 +64,8 @@
         let Some(orphaned) = self.successor_spool.take_orphaned() else { return };
         let mut adopted = Vec::new();
         let mut left_out = Vec::new();
-        let mut id_conflicts = Vec::new();
         for stored in &orphaned.messages {
-            if let Some(held) = self.messages_by_id.get(&stored.accepted.id) {
-                if !self.holds_same_message(*held, &stored.accepted) {
-                    id_conflicts.push(stored.clone());
-                }
+            if self.is_id_used(&stored.accepted) {
                 continue;
             }
             let number = self.spool.borrow_mut().accept(stored.accepted.clone());
@@ -91,17 +87,22 @@
         for stored in left_out {
             notify_no_space(stored, &self.notifications);
         }
-        for stored in &id_conflicts {
-            notify_id_conflict(stored, &self.notifications);
-        }
         for (message, stored) in adopted {
             self.restore_message(message, stored, inputs);
         }
     }
 
-    fn holds_same_message(&self, held: MessageId, accepted: &AcceptedMessage) -> bool {
+    /// Returns whether the id of a successor's message belongs to a message that this process holds or that has ended.
+    fn is_id_used(&self, accepted: &AcceptedMessage) -> bool {
         let spool = self.spool.borrow();
-        spool.get(held.0).is_some_and(|stored| is_same_message(&stored.accepted, accepted))
+        let Some(held) = self.messages_by_id.get(&accepted.id) else {
+            return has_ended_id(accepted, spool.ended_ids());
+        };
+        let is_same = spool.get(held.0).is_some_and(|stored| is_same_message(&stored.accepted, accepted));
+        if !is_same {
+            log_id_conflict(accepted);
+        }
+        true
     }
 
     fn restore_message(&mut self, message: MessageId, stored: StoredMessage, inputs: &mut Vec<Input>) {
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -1,14 +1,15 @@
 //! State of the dispatcher: messages, calls in flight, endpoints, and the actions collected during the current step.
 
 use super::dependencies::Dependencies;
-use super::ended_ids::EndedIds;
 use super::event::{CallNumber, Event};
 use super::key_hold_offs::KeyHoldOffs;
 use crate::acceptance::Acceptances;
-use crate::clients::{MessageContent, SubmissionMetadata, SubmissionReply};
+use crate::clients::{SubmissionMetadata, SubmissionReply};
 use crate::clock::Clock;
+use crate::ended_ids;
 use crate::metrics::Metrics;
 use crate::notifications::Notification;
+use crate::peer_ids::PeerIds;
 use crate::startup::spool::SuccessorSpool;
 use crate::state_files::StateFiles;
 use crate::transitions::Transition;
@@ -22,7 +23,7 @@
 use mountshift_discovery::DrainRecord;
 use mountshift_maintenance::MaintenanceState;
 use mountshift_settings::SocketSettings;
-use mountshift_spool::{AcceptedMessage, FinalOutcome, Spool};
+use mountshift_spool::{FinalOutcome, Spool};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -115,7 +116,8 @@
     ordered_classes: Vec<bool>,
     /// Messages in the spool that are not closed, by client-supplied id.
     pub(super) messages_by_id: BTreeMap<Vec<u8>, MessageId>,
-    pub(super) ended_ids: EndedIds,
+    /// Ids of the messages that a successor has accepted.
+    pub(super) successor_ids: PeerIds,
     pub(super) calls_in_flight: BTreeMap<CallNumber, CallInFlight>,
     pub(super) key_hold_offs: Rc<KeyHoldOffs>,
     /// Pause of an ordering key after an attempt that may still be running.
@@ -164,6 +166,7 @@
             maintenance: dependencies.maintenance,
             drain_record: dependencies.drain_record,
             files: dependencies.files,
+            successor_ids: dependencies.successor_spool.ids(),
             successor_spool: dependencies.successor_spool,
             is_handing_over: false,
             ordered_classes: dependencies
@@ -173,7 +176,6 @@
                 .map(|class| class.in_order)
                 .collect(),
             messages_by_id: BTreeMap::new(),
-            ended_ids: EndedIds::default(),
             calls_in_flight: BTreeMap::new(),
             key_hold_offs: Rc::default(),
             order_hold_off: dependencies.policy_settings.order_hold_off,
@@ -331,14 +333,10 @@
 
     /// Records the id and content of a message that ended.
     pub(super) fn record_ended_id(&mut self, message: MessageId) {
-        let spool = self.spool.borrow();
-        let Some(AcceptedMessage { id, key, metadata, body, .. }) =
-            spool.get(message.0).map(|stored| &stored.accepted)
-        else {
-            return;
-        };
-        if let Ok(metadata) = SubmissionMetadata::parse(metadata) {
-            self.ended_ids.insert(id, &MessageContent { key: *key, metadata: &metadata, body });
+        let mut spool = self.spool.borrow_mut();
+        let ended = spool.get(message.0).map(|stored| ended_ids::ended_id(&stored.accepted));
+        if let Some(ended) = ended {
+            spool.record_ended(ended);
         }
     }
 
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -8,15 +8,17 @@
 use super::tasks::RelayTasks;
 use crate::clients::is_same_message;
 use crate::clock::StoredTime;
+use crate::ended_ids::{self, IdUse};
 use crate::error::StartError;
 use crate::notifications::Notification;
+use crate::peer_ids::PeerIds;
 use crate::state_files::StateFiles;
-use crate::successor::{IntakeEnd, IntakeOptions, SuccessorIntake};
+use crate::successor::{IntakeEnd, IntakeOptions, IntakeParts, SuccessorIntake};
 use async_channel::Sender;
 use log::{info, warn};
 use mountshift::interface::MessageId;
 use mountshift_handover::{ACTIVE_DISK_SHARE, PreviousSuccessor, Role, SUCCESSOR_DISK_SHARE, SpoolOwner};
-use mountshift_spool::{FinalOutcome, Spool, SpoolError, StoredMessage};
+use mountshift_spool::{AcceptedMessage, EndedIds, FinalOutcome, Spool, SpoolError, StoredMessage};
 use std::cell::Cell;
 use std::fs::File;
 use std::io;
@@ -51,8 +53,13 @@
             let mut deferred_events = DeferredEvents::default();
             let merge_successor = earlier == PreviousSuccessor::LeftMessages;
             let opening = open_as_active(&opener, state_dir, tasks, merge_successor, stored_time);
-            let spool = await_while_serving(tasks, &mut deferred_events, opening).await?;
-            Ok(spool.map(|spool| ActiveSpool { spool, deferred_events, stored_time, previous_process: None }))
+            let opened = await_while_serving(tasks, &mut deferred_events, opening).await?;
+            Ok(opened.map(|spool| ActiveSpool {
+                spool,
+                deferred_events,
+                stored_time,
+                previous_process: None,
+            }))
         }
         // The active spool is not opened here, because the active process may write to it. Opening removes the file
         // of an unfinished compaction, and the next commit truncates an incomplete record.
@@ -69,14 +76,14 @@
     stored_time: StoredTime,
 ) -> Result<Spool, StartError> {
     let retry_deadlines = RetryDeadlines::from_now();
-    let mut spool = retry_deadlines.retry_required(|| opener.open_active()).await?;
+    let mut opened = retry_deadlines.retry_required(|| opener.open_active()).await?;
     if merge_successor {
         let successor = retry_deadlines.retry_required(|| opener.open_successor()).await?;
         let accepted =
             SuccessorMessages { spool: successor, dated_by: stored_time, shared_time: stored_time };
-        merge_successor_spool(&mut spool, accepted, state_dir, tasks, &retry_deadlines).await?;
+        merge_successor_spool(&mut opened, accepted, state_dir, tasks, &retry_deadlines).await?;
     }
-    Ok(spool)
+    Ok(opened)
 }
 
 /// Accepts messages concurrently with the active process until it exits, then takes over its spool.
@@ -97,6 +104,7 @@
     info!("another process owns the state folder: accepting messages as its successor");
     let mut intake = SuccessorIntake::new(IntakeOptions {
         spool: successor,
+        active_ids: PeerIds::new(&state_dir.path),
         active_lock: &state_dir.active_lock,
         classes: &config.socket_settings.classes,
         ordered_classes: config.policy_settings.classes.iter().map(|class| class.in_order).collect(),
@@ -111,18 +119,21 @@
         IntakeEnd::Stopped => return Ok(None),
         IntakeEnd::BecameActive(deferred_events) => deferred_events,
     };
-    let (successor, previous_process) = intake.into_parts();
+    let IntakeParts { spool: successor, active_ids, previous_process } = intake.into_parts();
     let taking_over = async {
         let retry_deadlines = RetryDeadlines::from_now();
-        let mut spool = retry_deadlines.retry_required(|| opener.open_active()).await?;
+        let mut opened = retry_deadlines.retry_required(|| opener.open_active()).await?;
+        for ended in active_ids.ended().iter() {
+            opened.record_ended(ended);
+        }
         let shared_time =
             if stored_time.is_shared() { stored_time } else { files.stored_time(&retry_deadlines).await };
         let accepted = SuccessorMessages { spool: successor, dated_by: stored_time, shared_time };
-        merge_successor_spool(&mut spool, accepted, state_dir, tasks, &retry_deadlines).await?;
+        merge_successor_spool(&mut opened, accepted, state_dir, tasks, &retry_deadlines).await?;
         // The previous process may have changed the file after this process read it.
         let maintenance = files.read_maintenance(&retry_deadlines).await;
         tasks.maintenance.borrow_mut().reload(&maintenance);
-        Ok((spool, shared_time))
+        Ok((opened, shared_time))
     };
     let taken_over = await_while_serving(tasks, &mut deferred_events, taking_over).await?;
     Ok(taken_over.map(|(spool, stored_time)| ActiveSpool {
@@ -204,6 +215,11 @@
         self.may_hold_earlier_messages.get()
     }
 
+    /// Returns the ids of the messages that a successor accepts.
+    pub(crate) fn ids(&self) -> PeerIds {
+        PeerIds::new(&self.dir)
+    }
+
     /// Records that this process has adopted the messages of the successor, if there were any.
     pub(crate) fn record_takeover(&self) {
         if self.may_hold_earlier_messages.replace(false) {
@@ -265,7 +281,11 @@
     }
 
     fn open_active(&self) -> Result<Spool, StartError> {
-        self.open(&self.state_dir.path, ACTIVE_DISK_SHARE)
+        let mut spool = self.open(&self.state_dir.path, ACTIVE_DISK_SHARE)?;
+        for ended in spool.take_ended() {
+            spool.record_ended(ended_ids::ended_id(&ended));
+        }
+        Ok(spool)
     }
 
     fn open_successor(&self) -> Result<Spool, StartError> {
@@ -285,7 +305,8 @@
 
 /// Merges the messages of a successor into the active process's spool, in the order of acceptance, and removes the
 /// successor's spool file. The merge renumbers messages, so it must precede any use of message numbers. Messages that
-/// do not fit end as failed, with a notification.
+/// do not fit end as failed, with a notification. Messages under ids that the active process holds or that have ended
+/// are left out.
 async fn merge_successor_spool(
     spool: &mut Spool,
     successor: SuccessorMessages,
@@ -294,7 +315,8 @@
     retry_deadlines: &RetryDeadlines,
 ) -> Result<(), StartError> {
     let accepted_by_active = stored_messages(spool);
-    let accepted_by_successor = successor.stored_messages();
+    let mut accepted_by_successor = successor.stored_messages();
+    accepted_by_successor.retain(|message| !has_ended_id(&message.accepted, spool.ended_ids()));
     let order =
         mountshift_handover::merge(&accept_times(&accepted_by_active), &accept_times(&accepted_by_successor));
     let mut merged = Vec::with_capacity(order.len());
@@ -313,7 +335,7 @@
         notify_no_space(message, &tasks.notifications.0);
     }
     for message in &accepted_by_successor {
-        notify_if_id_conflicts(message, &accepted_by_active, &tasks.notifications.0);
+        log_if_id_conflicts(&message.accepted, &accepted_by_active);
     }
     info!("took over {} messages accepted as successor of the active process", accepted_by_successor.len());
     drop(successor);
@@ -333,26 +355,29 @@
     messages.iter().map(|message| (message.accepted.id.as_slice(), message.accepted.accepted_at_us)).collect()
 }
 
-/// Notifies the platform if the merge omitted a message of the successor because the active process holds a different
-/// message with the same id. The omitted message has not run, so it can be submitted again with another id.
-fn notify_if_id_conflicts(
-    message: &StoredMessage,
-    held: &[StoredMessage],
-    notifications: &Sender<Notification>,
-) {
-    let accepted = &message.accepted;
+/// Returns whether the id of a successor's message belongs to a message that has ended.
+pub(crate) fn has_ended_id(accepted: &AcceptedMessage, ended_ids: &EndedIds) -> bool {
+    let id_use = ended_ids::find_accepted(ended_ids, accepted);
+    if id_use == IdUse::OtherMessage {
+        log_id_conflict(accepted);
+    }
+    id_use != IdUse::Unused
+}
+
+/// Logs that the merge omitted a message of the successor because the active process holds a different message with the
+/// same id.
+fn log_if_id_conflicts(accepted: &AcceptedMessage, held: &[StoredMessage]) {
     let same_id = held.iter().find(|held| held.accepted.id == accepted.id);
     if same_id.is_some_and(|held| !is_same_message(&held.accepted, accepted)) {
-        notify_id_conflict(message, notifications);
+        log_id_conflict(accepted);
     }
 }
 
-/// Notifies the platform that a message is returned because another message with its id is held.
-pub(crate) fn notify_id_conflict(message: &StoredMessage, notifications: &Sender<Notification>) {
-    let id = message.accepted.id.clone();
-    warn!("message {} is returned: another message with the same id is held", String::from_utf8_lossy(&id));
-    let outcome = FinalOutcome::Rejected(0);
-    let _ = notifications.try_send(Notification { message: NOT_IN_SPOOL, id, outcome });
+/// Logs that a successor's message is dropped because its id belongs to another message. The platform gets no
+/// notification of it: it knows messages by their ids, and would take the notification for one of that other message.
+pub(crate) fn log_id_conflict(accepted: &AcceptedMessage) {
+    let id = String::from_utf8_lossy(&accepted.id);
+    warn!("a message submitted as {id} is dropped: another message has this id");
 }
 
 /// Notifies the platform that a message of the previous process ends as failed because the spool has no space for it.
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -7,6 +7,7 @@
 use crate::clock::StoredTime;
 use crate::discovery::EndpointList;
 use crate::dispatch::Event;
+use crate::peer_ids::PeerIds;
 use crate::shutdown_rounds::ShutdownRounds;
 use crate::startup::opening::DeferredEvents;
 use crate::state_files::StateFiles;
@@ -42,6 +43,8 @@
 pub(crate) struct IntakeOptions<'a> {
     /// Spool of the successor.
     pub(crate) spool: Spool,
+    /// Ids of the messages that the active process has accepted.
+    pub(crate) active_ids: PeerIds,
     /// Lock file of the active process, whose lock is acquired once it is free.
     pub(crate) active_lock: &'a File,
     /// Names of the message classes.
@@ -61,6 +64,16 @@
     pub(crate) client_connections: Rc<Cell<usize>>,
 }
 
+/// What remains of an intake once this process is active.
+pub(crate) struct IntakeParts {
+    /// Spool of the successor.
+    pub(crate) spool: Spool,
+    /// Ids of the messages that the previous process had accepted.
+    pub(crate) active_ids: PeerIds,
+    /// Name of the process that handed over, if known.
+    pub(crate) previous_process: Option<String>,
+}
+
 /// Accepts messages while another process is active.
 pub(crate) struct SuccessorIntake<'a> {
     options: IntakeOptions<'a>,
@@ -110,9 +123,12 @@
         }
     }
 
-    /// Returns the successor's spool and the name of the process that handed over.
-    pub(crate) fn into_parts(self) -> (Spool, Option<String>) {
-        (self.options.spool, self.previous_process)
+    pub(crate) fn into_parts(self) -> IntakeParts {
+        IntakeParts {
+            spool: self.options.spool,
+            active_ids: self.options.active_ids,
+            previous_process: self.previous_process,
+        }
     }
 
     /// Records the name of the process that hands over; only its snapshot is valid.
@@ -137,6 +153,12 @@
         if let Some(number) = self.numbers_by_id.get(&message.id).copied() {
             return self.on_message_received_again(number, &message, reply_to);
         }
+        let id_use = self.options.active_ids.find(&message.id, &message.content());
+        if let Some(refusal) = id_use.refusal() {
+            info!("submission rejected: its id is not free in the active process ({id_use:?})");
+            let _ = reply_to.try_send(refusal);
+            return;
+        }
         let accepted = match self.check(&message) {
             Ok(accepted) => accepted,
             Err(answer) => {
--- a/crates/relay/tests/handover/main.rs
+++ b/crates/relay/tests/handover/main.rs
@@ -6,6 +6,7 @@
 mod support;
 
 mod failing_folder;
+mod message_ids;
 mod process;
 mod stale_marker;
 mod successor;
--- a/crates/soak/src/client.rs
+++ b/crates/soak/src/client.rs
@@ -1,7 +1,7 @@
 //! Well-behaved clients. They submit messages one after another, and a message with a key only once the previous
 //! message of the key is answered.
 
-use crate::copies::send_copy;
+use crate::copies::{send_copy, send_late_copies};
 use crate::endpoint::Endpoints;
 use crate::installation::Installation;
 use crate::recorder::{Observation, Recorder, message_id, message_number};
@@ -227,6 +227,10 @@
             if answer != Answer::Accepted && answer != Answer::NotAccepted || random.random_range(0..4) == 0 {
                 *connection = None;
             }
+            let is_copied_later = clients.ids_copied[relay].load(Ordering::SeqCst);
+            if answer == Answer::Accepted && is_copied_later && random.random_bool(COPY_PROBABILITY) {
+                send_late_copies(&clients, relay, &submission);
+            }
             let reason = match answer {
                 Answer::Accepted => break,
                 Answer::NotAccepted => ResubmitReason::NotAccepted,
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -1,6 +1,6 @@
 //! Stand-in endpoints: servers that execute messages, recognise duplicates, and misbehave while a fault lasts.
 
-use crate::copies::COPY_BODY;
+use crate::copies::{COPY_BODY, LATE_COPY_BODY};
 use crate::http::{Request, RequestReader, reset, response};
 use crate::installation::Installation;
 use crate::malformed_response::{MalformedResponse, send_malformed_response};
@@ -255,8 +255,14 @@
     let mut attempts = Vec::new();
     for called in request.messages()? {
         let number = endpoints.last_call.fetch_add(1, Ordering::SeqCst) + 1;
-        let is_copy = called.body == COPY_BODY.as_bytes();
-        attempts.push(Attempt { message: parse_message_id(&called.id)?, number, is_copy });
+        let message = parse_message_id(&called.id)?;
+        let is_late_copy = called.body == LATE_COPY_BODY.as_bytes();
+        if is_late_copy {
+            let relay = relay_of_message(message);
+            endpoints.recorder.record(Observation::ForeignMessageSent { message, relay });
+        }
+        let is_copy = is_late_copy || called.body == COPY_BODY.as_bytes();
+        attempts.push(Attempt { message, number, is_copy });
     }
     let relay = relay_of_message(attempts.first()?.message) as u32;
     for Attempt { message, number, .. } in attempts.iter().copied().filter(|attempt| !attempt.is_copy) {
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -54,6 +54,14 @@
                 message: None,
                 relay: Some(*relay),
             }),
+            Observation::ForeignMessageSent { message, relay } => breaches.push(SoakBreach {
+                description: format!(
+                    "{:.3} s: another client's message was sent under the id of an accepted one",
+                    *at as f64 / 1e6
+                ),
+                message: Some(message_id(*message)),
+                relay: Some(*relay),
+            }),
             Observation::Fact(_)
             | Observation::AttemptEnded { .. }
             | Observation::StandInsDelayed { .. }
@@ -297,6 +305,9 @@
             Observation::Unanswered { relay, id } => {
                 format!("submission of {id} to relay {relay} got no answer")
             }
+            Observation::ForeignMessageSent { message, relay } => {
+                format!("relay {relay} sent another client's message under the id of message {message}")
+            }
             Observation::ProcessEvent { relay, description } => format!("relay {relay} {description}"),
             Observation::Fault(fault) => format!("fault: {fault}"),
             Observation::NotAccepted { message } => format!("message {message} is not accepted"),
--- a/crates/soak/src/recorder.rs
+++ b/crates/soak/src/recorder.rs
@@ -16,6 +16,8 @@
     StandInsDelayed { delay: Time },
     /// Another client submitted an identical copy of the message, so its outcome does not depend on this client alone.
     IdenticalCopySubmitted { message: u64 },
+    /// A relay sent another client's message under the id of a message that it had accepted before.
+    ForeignMessageSent { message: u64, relay: usize },
     /// A request was written completely and got no answer although its connection ended, and no fault explains that.
     Unanswered { relay: usize, id: String },
     /// A submission was answered with a rejection or an error, so the message must not be sent.
--- a/crates/spool/src/compaction.rs
+++ b/crates/spool/src/compaction.rs
@@ -1,11 +1,12 @@
 //! Compaction: writes the messages that are still needed to a new log file, and computes the maximum space
 //! that they need. The old and the new file together stay within the size limit.
 
+use crate::ended_ids::MAX_ENDED_IDS;
 use crate::log_file::{SPOOL_FILE, Spool};
 use crate::message::{AcceptedMessage, StoredMessage};
 use crate::record::{
-    BATCH_OVERHEAD_BYTES, MAX_SMALL_RECORD_BYTES, encode_accepted, encode_attempt, encode_format,
-    encode_not_processed, encode_outcome, frame,
+    BATCH_OVERHEAD_BYTES, ENDED_ID_RECORD_BYTES, MAX_SMALL_RECORD_BYTES, encode_accepted, encode_attempt,
+    encode_ended_id, encode_format, encode_not_processed, encode_outcome, frame,
 };
 use std::fs::{self, OpenOptions};
 use std::io::{self, Write};
@@ -20,6 +21,9 @@
 /// batch.
 const MAX_BATCH_OVERHEAD_BYTES: u64 = MAX_FORMAT_RECORD_BYTES + BATCH_OVERHEAD_BYTES as u64;
 
+/// Divisor of the size limit that gives the maximum size of the ended ids in the log.
+const ENDED_IDS_DIVISOR: u64 = 50;
+
 impl Spool {
     /// Replaces all messages by the given ones, renumbered from 1 in the order given, in a new file that
     /// replaces the log by rename. Used in a handover, before any message number is in use. Returns the
@@ -33,10 +37,11 @@
         let next_before = self.next_number;
         self.reserved_bytes = 0;
         self.next_number = 1;
+        let max_reserved_bytes = (self.max_bytes / 2).saturating_sub(self.ended_ids_bytes());
         let mut not_stored = Vec::new();
         for message in messages {
             let needed = self.max_bytes_of(&message.accepted);
-            if !not_stored.is_empty() || self.reserved_bytes + needed > self.max_bytes / 2 {
+            if !not_stored.is_empty() || self.reserved_bytes + needed > max_reserved_bytes {
                 not_stored.push(message);
                 continue;
             }
@@ -68,10 +73,15 @@
     pub(crate) fn fits(&self, more_in_log: usize, more_reserved: u64) -> bool {
         let pending = self.pending.len() as u64 + more_in_log as u64;
         let log = self.written_bytes + MAX_BATCH_OVERHEAD_BYTES + pending;
-        let new_log = MAX_FORMAT_RECORD_BYTES + self.reserved_bytes + more_reserved;
+        let new_log = MAX_FORMAT_RECORD_BYTES + self.ended_ids_bytes() + self.reserved_bytes + more_reserved;
         round_up_to_blocks(log) + round_up_to_blocks(new_log) <= self.max_bytes || self.written_bytes == 0
     }
 
+    /// Returns the size of the ended ids in a new file, in bytes.
+    fn ended_ids_bytes(&self) -> u64 {
+        (self.ended_ids.len() * ENDED_ID_RECORD_BYTES) as u64
+    }
+
     /// Writes all messages to a new file that replaces the log. This commits them.
     pub(crate) fn compact(&mut self) -> io::Result<()> {
         self.write_new_log(self.next_number)?;
@@ -112,9 +122,12 @@
         Ok(())
     }
 
-    /// Returns a log that holds only the messages with numbers below `end`.
+    /// Returns a log that holds only the ended ids and the messages with numbers below `end`.
     fn encode_messages_below(&self, end: u64) -> Vec<u8> {
         let mut bytes = frame(&encode_format());
+        for ended in self.ended_ids.iter() {
+            bytes.extend(frame(&encode_ended_id(ended)));
+        }
         for (number, message) in self.messages.range(..end) {
             for payload in encode_message(*number, message) {
                 bytes.extend(frame(&payload));
@@ -137,6 +150,12 @@
     records
 }
 
+/// Returns the maximum number of ended ids in a log with this size limit in bytes.
+pub(crate) fn max_ended_ids(max_bytes: u64) -> usize {
+    let fitting = max_bytes / ENDED_IDS_DIVISOR / ENDED_ID_RECORD_BYTES as u64;
+    usize::try_from(fitting).unwrap_or(usize::MAX).min(MAX_ENDED_IDS)
+}
+
 /// Returns the disk space that a file of this size takes, in bytes.
 pub(crate) fn round_up_to_blocks(bytes: u64) -> u64 {
     bytes.div_ceil(BLOCK_BYTES) * BLOCK_BYTES
--- a/crates/spool/src/lib.rs
+++ b/crates/spool/src/lib.rs
@@ -7,6 +7,7 @@
 //! Records committed after a failed write are never placed behind the torn data of that write.
 //!
 //! - [`Spool`] owns the file and the messages in it; it makes no decisions about them.
+//! - [`SpoolFollower`] reads the log of another process while that process writes it.
 //! - `batch` collects records that are written together, `replay` reads them back.
 //! - `record` holds the encoding, `compaction` rewrites the log.
 #![forbid(unsafe_code)]
@@ -14,12 +15,16 @@
 
 mod batch;
 mod compaction;
+mod ended_ids;
 mod error;
+mod follower;
 mod log_file;
 mod message;
 mod record;
 mod replay;
 
+pub use ended_ids::{EndedId, EndedIds, MAX_ENDED_IDS};
 pub use error::SpoolError;
+pub use follower::{LogChange, SpoolFollower};
 pub use log_file::{SPOOL_FILE, Spool};
 pub use message::{AcceptedMessage, AttemptRecord, FinalOutcome, StoredMessage};
--- a/crates/spool/src/log_file.rs
+++ b/crates/spool/src/log_file.rs
@@ -1,7 +1,8 @@
 //! The log file and the messages in it: opens and replays the log, appends records, commits.
 
 use crate::batch::{Batch, encode_salt_record, new_salt};
-use crate::compaction::{NEW_SPOOL_FILE, round_up_to_blocks};
+use crate::compaction::{NEW_SPOOL_FILE, max_ended_ids, round_up_to_blocks};
+use crate::ended_ids::{EndedId, EndedIds};
 use crate::error::SpoolError;
 use crate::message::{AcceptedMessage, AttemptRecord, FinalOutcome, StoredMessage};
 use crate::record::{
@@ -46,6 +47,10 @@
     pub(crate) next_number: u64,
     /// Messages from this number on were accepted since the last commit.
     pub(crate) first_uncommitted: u64,
+    /// Messages in the log that had ended when it was opened, the earliest end first.
+    pub(crate) ended: Vec<AcceptedMessage>,
+    /// Ids of messages that ended recently.
+    pub(crate) ended_ids: EndedIds,
 }
 
 impl Spool {
@@ -83,6 +88,8 @@
             reserved_bytes: 0,
             next_number: 1,
             first_uncommitted: 1,
+            ended: Vec::new(),
+            ended_ids: EndedIds::with_limit(max_ended_ids(max_bytes)),
         };
         let log = replay(&bytes)?;
         for record in log.records {
@@ -112,6 +119,23 @@
         &self.messages
     }
 
+    /// Takes the messages that had ended before the log was opened, as far as the log still holds them. Their ids
+    /// must not be used again, so the caller has to pass them to [`Spool::record_ended`]. A message that was
+    /// withdrawn before it could run is not among them.
+    pub fn take_ended(&mut self) -> Vec<AcceptedMessage> {
+        std::mem::take(&mut self.ended)
+    }
+
+    /// Returns the ids of the messages that ended recently.
+    pub fn ended_ids(&self) -> &EndedIds {
+        &self.ended_ids
+    }
+
+    /// Records the id of a message that has ended; compactions keep it.
+    pub fn record_ended(&mut self, ended: EndedId) {
+        self.ended_ids.push(ended);
+    }
+
     /// Returns the message with this number, or `None` if it is finished.
     pub fn get(&self, number: u64) -> Option<&StoredMessage> {
         self.messages.get(&number)
@@ -269,35 +293,25 @@
 
     /// Applies one record of the log. Records of finished messages have no effect.
     fn apply(&mut self, record: Record) {
+        if let Record::EndedId(ended) = record {
+            self.ended_ids.push(ended);
+        }
+        let Some(number) = record.message_number() else { return };
+        self.mark_used(number);
         match record {
-            Record::Format(_) | Record::Salt(_) | Record::Batch(_) => {}
-            Record::Accepted { number, message } => {
-                self.mark_used(number);
+            Record::Accepted { message, .. } => {
                 self.messages.insert(number, StoredMessage::new(message));
             }
-            Record::Attempt { number, attempt } => {
-                self.mark_used(number);
-                if let Some(message) = self.messages.get_mut(&number) {
-                    message.attempts.push(attempt);
-                }
-            }
-            Record::NotProcessed { number } => {
-                self.mark_used(number);
-                let message = self.messages.get_mut(&number);
-                if let Some(attempt) = message.and_then(|message| message.attempts.last_mut()) {
-                    attempt.may_have_run = false;
-                }
+            Record::Removed { .. } => {
+                let removed = self.messages.remove(&number);
+                self.ended
+                    .extend(removed.filter(StoredMessage::uses_up_its_id).map(|stored| stored.accepted));
             }
-            Record::Outcome { number, outcome } => {
-                self.mark_used(number);
+            progress => {
                 if let Some(message) = self.messages.get_mut(&number) {
-                    message.pending_outcome = Some(outcome);
+                    message.apply(progress);
                 }
             }
-            Record::Removed { number } => {
-                self.mark_used(number);
-                self.messages.remove(&number);
-            }
         }
     }
 
--- a/crates/spool/src/message.rs
+++ b/crates/spool/src/message.rs
@@ -1,5 +1,7 @@
 //! The data that the spool holds for a message.
 
+use crate::record::Record;
+
 /// A message as it was submitted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AcceptedMessage {
@@ -53,4 +55,24 @@
     pub(crate) fn new(accepted: AcceptedMessage) -> StoredMessage {
         StoredMessage { accepted, attempts: Vec::new(), pending_outcome: None }
     }
+
+    /// Applies a record of an attempt or an outcome; other records have no effect.
+    pub(crate) fn apply(&mut self, record: Record) {
+        match record {
+            Record::Attempt { attempt, .. } => self.attempts.push(attempt),
+            Record::NotProcessed { .. } => {
+                if let Some(attempt) = self.attempts.last_mut() {
+                    attempt.may_have_run = false;
+                }
+            }
+            Record::Outcome { outcome, .. } => self.pending_outcome = Some(outcome),
+            _ => {}
+        }
+    }
+
+    /// Returns whether nothing more may be sent under the message's id once the message is removed: it may have
+    /// run, or it had a final outcome. A message that was withdrawn before that may be submitted again.
+    pub(crate) fn uses_up_its_id(&self) -> bool {
+        self.pending_outcome.is_some() || self.attempts.iter().any(|attempt| attempt.may_have_run)
+    }
 }
--- a/crates/spool/src/record.rs
+++ b/crates/spool/src/record.rs
@@ -1,6 +1,7 @@
 //! Encoding of the log's records. A record is framed by its length and checksum; its payload is a tag, the
 //! number of a message, and fields that depend on the tag. All numbers are little-endian. No I/O.
 
+use crate::ended_ids::EndedId;
 use crate::message::{AcceptedMessage, AttemptRecord, FinalOutcome};
 
 /// Format of the logs that this program writes. Format 0 has no format record, which format 1 added. Format 2
@@ -20,11 +21,17 @@
 /// Format number that marks a salt record. Earlier programs read such a record as the format record of an
 /// older format and continue.
 const SALT_MARK: u64 = 1;
-/// Payload size of a format record in bytes. Format records, salts and batch heads are distinguished by their
-/// size.
+/// Format number that marks the id of an ended message. Earlier programs read such a record as the format record
+/// of an older format and continue.
+const ENDED_ID_MARK: u64 = 1;
+/// Payload size of a format record in bytes. Format records, salts, batch heads and ended ids are distinguished
+/// by their size.
 const FORMAT_PAYLOAD_BYTES: usize = 9;
 const SALT_PAYLOAD_BYTES: usize = FORMAT_PAYLOAD_BYTES + 4;
 const BATCH_PAYLOAD_BYTES: usize = FORMAT_PAYLOAD_BYTES + 8;
+const ENDED_ID_PAYLOAD_BYTES: usize = FORMAT_PAYLOAD_BYTES + 16;
+/// Size of the record of an ended id in bytes.
+pub(crate) const ENDED_ID_RECORD_BYTES: usize = FRAME_HEADER_BYTES + ENDED_ID_PAYLOAD_BYTES;
 /// Bytes that a salt and the head of a batch add to a log.
 pub(crate) const BATCH_OVERHEAD_BYTES: usize =
     2 * FRAME_HEADER_BYTES + SALT_PAYLOAD_BYTES + BATCH_PAYLOAD_BYTES;
@@ -44,6 +51,8 @@
     Salt(u32),
     /// The head of a batch of records that were committed together.
     Batch(BatchHead),
+    /// The id of a message that had ended before a compaction.
+    EndedId(EndedId),
     Accepted {
         number: u64,
         message: AcceptedMessage,
@@ -65,6 +74,18 @@
 }
 
 impl Record {
+    /// Returns the number of the message that the record is about, if it is about one.
+    pub(crate) fn message_number(&self) -> Option<u64> {
+        match self {
+            Record::Format(_) | Record::Salt(_) | Record::Batch(_) | Record::EndedId(_) => None,
+            Record::Accepted { number, .. }
+            | Record::Attempt { number, .. }
+            | Record::NotProcessed { number }
+            | Record::Outcome { number, .. }
+            | Record::Removed { number } => Some(*number),
+        }
+    }
+
     /// Decodes a payload; returns `None` if this program does not know its type.
     pub(crate) fn decode(payload: &[u8]) -> Option<Record> {
         let mut fields = Fields(payload);
@@ -76,6 +97,9 @@
                 let head = BatchHead { length: fields.u32()?, check: fields.u32()? };
                 return Some(Record::Batch(head));
             }
+            (TAG_FORMAT, ENDED_ID_MARK, ENDED_ID_PAYLOAD_BYTES) => {
+                return Some(Record::EndedId(EndedId { id: fields.u64()?, content: fields.u64()? }));
+            }
             _ => {}
         }
         match tag {
@@ -173,6 +197,13 @@
     bytes
 }
 
+pub(crate) fn encode_ended_id(ended: EndedId) -> Vec<u8> {
+    let mut bytes = encode_tag_and_number(TAG_FORMAT, ENDED_ID_MARK);
+    bytes.extend(ended.id.to_le_bytes());
+    bytes.extend(ended.content.to_le_bytes());
+    bytes
+}
+
 pub(crate) fn encode_accepted(number: u64, message: &AcceptedMessage) -> Vec<u8> {
     let mut bytes = encode_tag_and_number(TAG_ACCEPTED, number);
     bytes.extend(message.key.to_le_bytes());
--- a/crates/spool/src/replay.rs
+++ b/crates/spool/src/replay.rs
@@ -21,16 +21,32 @@
     pub(crate) skipped_bytes: usize,
 }
 
-/// Reads a log.
+/// A position between two commits of a log, from which the log can be read on.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LogPosition {
+    pub(crate) offset: u64,
+    /// The log's salt, if it precedes the position.
+    pub(crate) salt: Option<u32>,
+}
+
+/// Reads a whole log.
 ///
 /// # Errors
 /// If the log holds a complete record of unknown type, or is of a newer format.
 pub(crate) fn replay(bytes: &[u8]) -> Result<ReplayedLog, SpoolError> {
-    let mut log = ReplayedLog::default();
+    replay_from(bytes, LogPosition::default())
+}
+
+/// Reads the part of a log that begins at a position.
+///
+/// # Errors
+/// If the part holds a complete record of unknown type, or is of a newer format.
+pub(crate) fn replay_from(bytes: &[u8], start: LogPosition) -> Result<ReplayedLog, SpoolError> {
+    let mut log = ReplayedLog { salt: start.salt, ..ReplayedLog::default() };
     let mut offset = 0;
     while offset < bytes.len() {
         let Some((payload, after)) = split_first_record(&bytes[offset..]) else {
-            let Some(next) = next_readable_offset(bytes, offset + 1, log.salt) else { break };
+            let Some(next) = next_readable_offset(bytes, offset + 1, log.salt, start.offset) else { break };
             log.skipped_bytes += next - offset;
             offset = next;
             continue;
@@ -49,7 +65,7 @@
                 offset = next;
             }
             Some(Record::Batch(head)) => {
-                let length = log.salt.and_then(|salt| head.length_at(salt, offset as u64));
+                let length = log.salt.and_then(|salt| head.length_at(salt, start.offset + offset as u64));
                 let Some(length) = length else {
                     offset = next;
                     continue;
@@ -85,12 +101,12 @@
 }
 
 /// Returns the offset, from `from` on, of the next valid batch head (in a log with a salt) or record (without
-/// one).
-fn next_readable_offset(bytes: &[u8], from: usize, salt: Option<u32>) -> Option<usize> {
+/// one). The bytes begin at `start` in the log.
+fn next_readable_offset(bytes: &[u8], from: usize, salt: Option<u32>, start: u64) -> Option<usize> {
     (from..bytes.len()).find(|offset| {
         let record = split_first_record(&bytes[*offset..]).and_then(|(payload, _)| Record::decode(payload));
         match (record, salt) {
-            (Some(Record::Batch(head)), Some(salt)) => head.length_at(salt, *offset as u64).is_some(),
+            (Some(Record::Batch(head)), Some(salt)) => head.length_at(salt, start + *offset as u64).is_some(),
             (Some(_), None) => true,
             _ => false,
         }
--- a/crates/spool/tests/spool.rs
+++ b/crates/spool/tests/spool.rs
@@ -1,6 +1,8 @@
 //! Recovery of the spool after torn writes, unreadable bytes and restarts, and its size limit.
 
-use mountshift_spool::{AcceptedMessage, AttemptRecord, FinalOutcome, Spool, StoredMessage};
+use mountshift_spool::{
+    AcceptedMessage, AttemptRecord, EndedId, FinalOutcome, LogChange, Spool, SpoolFollower, StoredMessage,
+};
 use std::collections::BTreeMap;
 use std::fs;
 use std::path::Path;
@@ -364,3 +366,67 @@
     assert!(!not_stored.is_empty() && small.messages().len() + not_stored.len() == 20);
     assert_eq!(not_stored[0].accepted.id, small.messages().len().to_string().into_bytes());
 }
+
+/// Returns the ids of the messages that the follower reports as accepted, and those of the removed ones with whether
+/// they have ended.
+fn follow(
+    follower: &mut SpoolFollower,
+    ids: &mut BTreeMap<u64, String>,
+) -> (Vec<String>, Vec<(String, bool)>) {
+    let (mut accepted, mut removed) = (Vec::new(), Vec::new());
+    for change in follower.read_changes().expect("readable") {
+        match change {
+            LogChange::Replaced => ids.clear(),
+            LogChange::EndedBefore(ended) => removed.push((format!("hash {}", ended.id), true)),
+            LogChange::Accepted { number, message } => {
+                let id = String::from_utf8(message.id).expect("text");
+                ids.insert(number, id.clone());
+                accepted.push(id);
+            }
+            LogChange::Removed { number, has_ended } => {
+                removed.push((ids.remove(&number).expect("a reported message"), has_ended));
+            }
+        }
+    }
+    (accepted, removed)
+}
+
+// The other process of a relay decides by these reports under which ids it may accept messages.
+#[test]
+fn follower_reports_committed_changes_once_and_reads_a_replaced_log_anew() {
+    let dir = tempfile::tempdir().expect("a folder");
+    let (mut follower, mut ids) = (SpoolFollower::new(dir.path()), BTreeMap::new());
+    let none = (Vec::<String>::new(), Vec::<(String, bool)>::new());
+    assert_eq!(follow(&mut follower, &mut ids), none, "no log yet");
+    let mut spool = open(dir.path(), 1 << 20);
+    let n: Vec<u64> =
+        ["a", "b", "c"].iter().map(|id| spool.accept(accepted(id, 300)).expect("room")).collect();
+    assert_eq!(follow(&mut follower, &mut ids), none, "not committed");
+    spool.commit().expect("written");
+    assert_eq!(follow(&mut follower, &mut ids), (vec!["a".into(), "b".into(), "c".into()], vec![]));
+    spool.record_attempt(n[0], "north", 10);
+    spool.remove(n[0]);
+    spool.record_attempt(n[1], "north", 10);
+    spool.record_not_processed(n[1]);
+    spool.remove(n[1]);
+    spool.commit().expect("written");
+    let removed = vec![("a".to_string(), true), ("b".to_string(), false)];
+    assert_eq!(follow(&mut follower, &mut ids), (vec![], removed), "b never ran and may be submitted again");
+    assert_eq!(follow(&mut follower, &mut ids), none, "reported once");
+    let kept = spool.messages().values().cloned().collect();
+    spool.record_ended(EndedId { id: 1, content: 2 });
+    spool.replace_all(kept).expect("written");
+    let ended_before = vec![("hash 1".to_string(), true)];
+    assert_eq!(follow(&mut follower, &mut ids), (vec!["c".into()], ended_before), "another file");
+    drop(spool);
+    let mut spool = open(dir.path(), 1 << 20);
+    assert_eq!(spool.take_ended(), vec![], "a new log holds no ended messages, but their ids");
+    assert_eq!(spool.ended_ids().iter().collect::<Vec<_>>(), [EndedId { id: 1, content: 2 }]);
+    spool.record_outcome(1, FinalOutcome::Failed);
+    spool.remove(1);
+    spool.commit().expect("written");
+    assert_eq!(follow(&mut follower, &mut ids), (vec![], vec![("c".to_string(), true)]));
+    assert_eq!(open(dir.path(), 1 << 20).take_ended(), vec![accepted("c", 300)]);
+    fs::remove_file(dir.path().join("spool.log")).expect("removed");
+    assert_eq!(follower.read_changes().expect("no log"), vec![LogChange::Replaced]);
+}
