Relay: give way to other tasks while a peer sends without end

Cause: the relay has one thread, and a read whose peer always has bytes at hand never waits, so nothing else runs and the timers beside it are never polled. Interim responses and the framing of chunks had no bound on size.

Change: after four reads (32 KB) without a wait a connection pauses for 1 ms (TurnBudget); interim responses have 16 KB together. Related paths: the same code reads discovery and the platform; clients and accepted connections were flooded too and hold up nothing (40 and 11 ms, on the old code).

--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod ended_ids;
 mod error;
+mod fairness;
 mod handover_marker;
 mod metrics;
 mod notifications;
--- a/crates/relay/src/upstream/http1.rs
+++ b/crates/relay/src/upstream/http1.rs
@@ -4,6 +4,7 @@
 //! Independent of messages and endpoints: polls of the endpoint list and notifications use it too.
 
 use super::response::{BodyLength, Head, Response, has_ok_status_line, parse_head};
+use crate::fairness::TurnBudget;
 use crate::transient::{self, is_transient};
 use async_io::{Async, Timer};
 use futures_lite::FutureExt;
@@ -14,7 +15,8 @@
 use std::time::{Duration, Instant};
 use thiserror::Error;
 
-/// Maximum size of a response's head, of a chunk's size line and of the trailers.
+/// Maximum size of a response's head, of a chunk's size line, of the trailers, and of all interim responses (1xx) in front
+/// of a response together.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 /// Size of the buffer for one read.
 const READ_CHUNK_BYTES: usize = 8 * 1024;
@@ -92,6 +94,8 @@
     stream: Async<TcpStream>,
     /// Bytes that were read but not parsed yet.
     buffer: Vec<u8>,
+    /// Reads that may follow without a wait.
+    reads: TurnBudget,
     /// Whether the response being read has a status line with status 200.
     has_ok_status_line: bool,
     pub(super) address: SocketAddr,
@@ -119,6 +123,7 @@
         Ok(HttpConnection {
             stream,
             buffer: Vec::new(),
+            reads: TurnBudget::default(),
             has_ok_status_line: false,
             address,
             server_name,
@@ -183,13 +188,14 @@
         }
     }
 
-    /// Reads the first response that is not an interim one (1xx).
+    /// Reads the first response that is not an interim one (1xx). Without a bound on the interim ones it might never end.
     async fn read_final_response(
         &mut self,
         max_body: usize,
         deadline: Instant,
     ) -> Result<Response, ResponseError> {
-        loop {
+        let mut interim_bytes = 0;
+        while interim_bytes <= MAX_HEAD_BYTES {
             self.has_ok_status_line = false;
             if self.buffer.is_empty() {
                 let timed_out = async {
@@ -205,11 +211,13 @@
                 Timer::at(rest_deadline).await;
                 Err(ResponseError::Unreadable)
             };
-            let response = self.read_one_response(max_body).or(stalled).await?;
+            let (response, head_bytes) = self.read_one_response(max_body).or(stalled).await?;
             if !(100..200).contains(&response.status) {
                 return Ok(response);
             }
+            interim_bytes += head_bytes;
         }
+        Err(ResponseError::Unreadable)
     }
 
     fn log_failure(&self, error: ResponseError) {
@@ -234,7 +242,8 @@
         }
     }
 
-    async fn read_one_response(&mut self, max_body: usize) -> Result<Response, ResponseError> {
+    /// Reads one response, which may be an interim one; returns it with the size of its head.
+    async fn read_one_response(&mut self, max_body: usize) -> Result<(Response, usize), ResponseError> {
         let head = self.read_head().await?;
         self.buffer.drain(..head.wire_bytes);
         let body = match head.body_length {
@@ -243,7 +252,7 @@
             BodyLength::Chunked => self.read_chunked(max_body).await?,
             BodyLength::UntilClose => self.read_until_close(max_body).await?,
         };
-        Ok(Response { body, ..head.response })
+        Ok((Response { body, ..head.response }, head.wire_bytes))
     }
 
     async fn read_head(&mut self) -> Result<Head, ResponseError> {
@@ -262,11 +271,13 @@
     /// Reads the bytes that have arrived; returns false at the end of the stream. No bytes are lost if the future is
     /// dropped while it waits.
     async fn read_more(&mut self) -> Result<bool, ResponseError> {
+        self.reads.spend().await;
         loop {
             match self.read_available() {
                 Ok(read) => return Ok(read > 0),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     transient::readable(&self.stream).await;
+                    self.reads.renew();
                 }
                 Err(e) if is_transient(&e) => transient::pause().await,
                 Err(_) => return Err(ResponseError::ConnectionClosed),
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -7,5 +7,6 @@
 mod calls;
 mod clients;
 mod discovery;
+mod floods;
 mod restarts;
 mod shared_ids;
--- a/crates/relay/tests/support/server.rs
+++ b/crates/relay/tests/support/server.rs
@@ -7,6 +7,9 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
+/// Maximum duration of a [`Step::Flood`].
+const MAX_FLOOD: Duration = Duration::from_secs(6);
+
 /// A request as the server received it.
 #[derive(Clone, Debug)]
 pub(crate) struct Request {
@@ -57,6 +60,8 @@
     Write(Vec<u8>),
     /// Writes these bytes one at a time with this pause between two.
     Drip(Vec<u8>, Duration),
+    /// Writes these bytes again and again, as fast as the peer reads them, until it closes the connection.
+    Flood(Vec<u8>),
     /// Shuts down the sending side; the server can still read.
     ShutdownWrite,
     /// Waits until the peer closes the connection or its sending side.
@@ -200,6 +205,10 @@
                 }
             }
         }
+        Step::Flood(bytes) => {
+            let until = Instant::now() + MAX_FLOOD;
+            while Instant::now() < until && stream.write_all(&bytes).is_ok() {}
+        }
         Step::ShutdownWrite => drop(stream.shutdown(std::net::Shutdown::Write)),
         Step::AwaitPeerClose => while !has_peer_closed(stream, Duration::from_secs(60)) {},
         Step::Reset => {
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -3,7 +3,7 @@
 use crate::bad_clients::{exhaust_descriptors, misbehave};
 use crate::client::Clients;
 use crate::endpoint::{Behaviour, Endpoints};
-use crate::platform::Platform;
+use crate::platform::{AgentBehaviour, Platform};
 use crate::recorder::{Observation, Recorder};
 use crate::relay_process::{RelayProcess, UpgradeEnd};
 use crate::schedule::{FaultKind, Schedule, ScheduledFault};
@@ -82,11 +82,8 @@
             FaultKind::Sockets => self.inject_socket_faults(fault, span).await,
             FaultKind::Hold => self.delay_socket_writes(fault, span).await,
             FaultKind::Drain => self.drain(fault, span).await,
-            FaultKind::Discovery => {
-                self.set_discovery_silent(fault, true);
-                Timer::after(span).await;
-                self.set_discovery_silent(fault, false);
-            }
+            FaultKind::Discovery => self.change_agents(fault, span, AgentBehaviour::Silent).await,
+            FaultKind::EndlessAnswers => self.change_agents(fault, span, AgentBehaviour::Endless).await,
             FaultKind::BadClients => self.run_bad_clients(fault, span).await,
             FaultKind::CopiedIds => {
                 fault.targets.iter().for_each(|relay| self.clients.set_ids_copied(*relay, true));
@@ -279,10 +276,10 @@
         self.recorder.record(Observation::EndpointFaultChanged { endpoint, is_over });
     }
 
-    fn set_discovery_silent(&self, fault: &ScheduledFault, is_silent: bool) {
-        for relay in &fault.targets {
-            self.platform.set_silent(*relay, is_silent);
-        }
+    async fn change_agents(&self, fault: &ScheduledFault, span: Duration, behaviour: AgentBehaviour) {
+        fault.targets.iter().for_each(|relay| self.platform.set_behaviour(*relay, behaviour));
+        Timer::after(span).await;
+        fault.targets.iter().for_each(|relay| self.platform.set_behaviour(*relay, AgentBehaviour::Normal));
     }
 
     async fn change_endpoints(&self, fault: &ScheduledFault, span: Duration) {
--- a/crates/soak/src/malformed_response.rs
+++ b/crates/soak/src/malformed_response.rs
@@ -1,4 +1,4 @@
-//! Malformed responses: truncated, sent byte by byte, too large, with invalid chunks, or not HTTP.
+//! Malformed responses: truncated, sent byte by byte, too large, without end, with invalid chunks, or not HTTP.
 
 use crate::wire_end::{ConnectionSide, WireEnd, WrittenResponse};
 use smol::Timer;
@@ -10,8 +10,16 @@
 
 /// Pause between two bytes of a response that is sent byte by byte.
 const BYTE_PAUSE: Duration = Duration::from_millis(100);
+/// Number of kinds of defects.
+const DEFECT_KINDS: u64 = 10;
+/// Size of a block of an endless response, in bytes.
+const ENDLESS_BLOCK_BYTES: usize = 32 * 1024;
+/// Length of a chunk extension, in bytes; less than the relay's limit for a chunk's size line.
+const CHUNK_EXTENSION_BYTES: usize = 9_000;
 /// Size of a response, in bytes, that is larger than any relay reads.
 const TOO_LARGE_BYTES: usize = 400_000;
+/// An interim response.
+pub(crate) const INTERIM_RESPONSE: &str = "HTTP/1.1 102 Processing\r\n\r\n";
 /// Response with an error and a body.
 const ERROR: &[u8] = b"HTTP/1.1 500 Status\r\nContent-Length: 9\r\n\r\nsome text";
 /// Response that reports a delivery, already by its status code.
@@ -39,6 +47,10 @@
     /// A chunk with an invalid size; the connection stays open.
     InvalidChunk,
     TooLarge,
+    /// Interim responses (1xx) without end, as fast as the relay reads them.
+    EndlessInterim,
+    /// Chunks with long extensions without end, as fast as the relay reads them.
+    EndlessChunks,
 }
 
 /// A malformed response to a call.
@@ -54,8 +66,8 @@
     pub(crate) fn of_call(number: u64, messages: usize) -> MalformedResponse {
         let kind = number / RESPONSES_PER_DELIVERY;
         // At least one byte, but never the whole response.
-        let length = 1 + (kind / 8) as usize % (ERROR.len() - 1);
-        let defect = match kind % 8 {
+        let length = 1 + (kind / DEFECT_KINDS) as usize % (ERROR.len() - 1);
+        let defect = match kind % DEFECT_KINDS {
             0 => ResponseDefect::TruncatedAndClosed(length),
             1 => ResponseDefect::TruncatedAndReset(length),
             2 => ResponseDefect::TruncatedAndHalfClosed(length),
@@ -63,7 +75,9 @@
             4 => ResponseDefect::ByteByByte,
             5 => ResponseDefect::NotHttp,
             6 => ResponseDefect::InvalidChunk,
-            _ => ResponseDefect::TooLarge,
+            7 => ResponseDefect::TooLarge,
+            8 => ResponseDefect::EndlessInterim,
+            _ => ResponseDefect::EndlessChunks,
         };
         let is_delivery = messages == 1 && number.is_multiple_of(RESPONSES_PER_DELIVERY);
         MalformedResponse { text: if is_delivery { DELIVERY } else { ERROR }, defect }
@@ -96,10 +110,33 @@
                 let head = format!("HTTP/1.1 500 Status\r\nContent-Length: {}\r\n\r\n", TOO_LARGE_BYTES * 2);
                 [head.into_bytes(), vec![b'x'; TOO_LARGE_BYTES]].concat()
             }
+            ResponseDefect::EndlessInterim => Vec::new(),
+            ResponseDefect::EndlessChunks => {
+                b"HTTP/1.1 500 Status\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec()
+            }
+        }
+    }
+
+    /// Returns the part that repeats without end, if there is one.
+    fn endless_part(self) -> Option<String> {
+        match self.defect {
+            ResponseDefect::EndlessInterim => Some(INTERIM_RESPONSE.to_string()),
+            ResponseDefect::EndlessChunks => {
+                Some(format!("1;{}\r\nx\r\n", "e".repeat(CHUNK_EXTENSION_BYTES)))
+            }
+            _ => None,
         }
     }
 }
 
+/// Writes a text again and again, as fast as the relay reads it, until the relay closes the connection.
+pub(crate) async fn write_endlessly(stream: &mut TcpStream, text: &str) {
+    let block = text.repeat(ENDLESS_BLOCK_BYTES.div_ceil(text.len()));
+    while stream.write_all(block.as_bytes()).await.is_ok() {
+        smol::future::yield_now().await;
+    }
+}
+
 /// Sends a malformed response and waits until the call is over. `relay_closed` completes once the relay has closed the
 /// connection.
 pub(crate) async fn send_malformed_response(
@@ -112,6 +149,10 @@
             return send_byte_by_byte(stream, &malformed.bytes()).await;
         }
         let _ = stream.write_all(&malformed.bytes()).await;
+        if let Some(text) = malformed.endless_part() {
+            write_endlessly(stream, &text).await;
+            return Some(ConnectionSide::Relay);
+        }
         match malformed.defect {
             ResponseDefect::TruncatedAndClosed(_) => Some(ConnectionSide::Endpoint),
             ResponseDefect::TruncatedAndReset(_) => {
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -3,6 +3,7 @@
 use crate::endpoint::Endpoints;
 use crate::http::{Request, RequestReader, response};
 use crate::installation::Installation;
+use crate::malformed_response::{INTERIM_RESPONSE, write_endlessly};
 use crate::recorder::{Recorder, lock, parse_message_id};
 use mountshift_invariants::{Fact, FinalAnswer, ListedStatus};
 use serde_json::{Value, json};
@@ -12,10 +13,12 @@
 use std::collections::BTreeSet;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+/// Path of calls with notifications.
+const NOTIFICATIONS_PATH: &str = "/status";
 /// Poll interval for changes of the list.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of addresses of each agent. A reload (SIGHUP) moves a relay from one to the other.
@@ -28,14 +31,26 @@
     statuses: Vec<ListedStatus>,
 }
 
+/// Behaviour of the agent of a relay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum AgentBehaviour {
+    Normal,
+    /// Does not respond with lists.
+    Silent,
+    /// Responds to requests for the list, and to every second call with notifications, with interim responses without end.
+    Endless,
+}
+
 /// Stand-in for discovery and for the receiver of notifications of all relays.
 pub(crate) struct Platform {
     installation: Installation,
     endpoints: Arc<Endpoints>,
     recorder: Arc<Recorder>,
     list: Mutex<EndpointList>,
-    /// By relay, whether its agent does not respond.
-    is_silent: Vec<AtomicBool>,
+    /// Behaviour of each relay's agent.
+    behaviours: Vec<Mutex<AgentBehaviour>>,
+    /// Number of calls with notifications.
+    notification_calls: AtomicU64,
     addresses: Mutex<Vec<[SocketAddr; AGENT_ADDRESSES]>>,
     /// Messages whose final answer has been recorded.
     messages_with_final_answer: Mutex<BTreeSet<u64>>,
@@ -53,7 +68,8 @@
             endpoints: endpoints.clone(),
             recorder: recorder.clone(),
             list: Mutex::new(EndpointList { revision: 1, statuses }),
-            is_silent: (0..installation.relays).map(|_| AtomicBool::new(false)).collect(),
+            behaviours: (0..installation.relays).map(|_| Mutex::new(AgentBehaviour::Normal)).collect(),
+            notification_calls: AtomicU64::new(0),
             addresses: Mutex::default(),
             messages_with_final_answer: Mutex::default(),
         });
@@ -74,8 +90,22 @@
         lock(&self.addresses)[relay][index % AGENT_ADDRESSES]
     }
 
-    pub(crate) fn set_silent(&self, relay: usize, is_silent: bool) {
-        self.is_silent[relay].store(is_silent, Ordering::SeqCst);
+    pub(crate) fn set_behaviour(&self, relay: usize, behaviour: AgentBehaviour) {
+        *lock(&self.behaviours[relay]) = behaviour;
+    }
+
+    fn behaviour(&self, relay: usize) -> AgentBehaviour {
+        *lock(&self.behaviours[relay])
+    }
+
+    /// Returns whether the response to a request never ends.
+    fn responds_endlessly(&self, relay: usize, request: &Request) -> bool {
+        if self.behaviour(relay) != AgentBehaviour::Endless {
+            return false;
+        }
+        // The relay must be able to deliver each notification in time.
+        request.path != NOTIFICATIONS_PATH
+            || self.notification_calls.fetch_add(1, Ordering::SeqCst).is_multiple_of(2)
     }
 
     /// Changes the listed status of an endpoint.
@@ -94,9 +124,9 @@
     }
 
     /// Records the list that a relay starting now has from the beginning: the current one, or the one of its
-    /// configuration if its agent is silent.
+    /// configuration if its agent sends none.
     pub(crate) fn record_initial_list(&self, relay: usize) {
-        let list = if self.is_silent[relay].load(Ordering::SeqCst) {
+        let list = if self.behaviour(relay) != AgentBehaviour::Normal {
             EndpointList {
                 revision: 1,
                 statuses: vec![ListedStatus::Ready; self.installation.endpoints.len()],
@@ -139,7 +169,7 @@
         let index = parameter("index=");
         let until = Instant::now() + Duration::from_millis(parameter("wait=").unwrap_or(0));
         loop {
-            let is_silent = self.is_silent[relay].load(Ordering::SeqCst);
+            let is_silent = self.behaviour(relay) != AgentBehaviour::Normal;
             let list = lock(&self.list).clone();
             if !is_silent && index.is_none_or(|index| index < list.revision) {
                 self.record_list(relay, &list);
@@ -184,7 +214,10 @@
     let _ = stream.set_nodelay(true);
     let mut reader = RequestReader::default();
     while let Ok(Some(request)) = reader.next(&mut stream).await {
-        let text = if request.path == "/status" {
+        if platform.responds_endlessly(relay, &request) {
+            return write_endlessly(&mut stream, INTERIM_RESPONSE).await;
+        }
+        let text = if request.path == NOTIFICATIONS_PATH {
             platform.record_notifications(relay, &request.body);
             response(204, "", "")
         } else {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -98,16 +98,18 @@
     UpgradeDisk,
     /// Threads of relays are delayed by 0.15 s after reading a clock.
     ClockHold,
-    /// Endpoints send malformed responses: truncated at any byte, byte by byte, too large, with invalid chunks, or not
-    /// HTTP.
+    /// Endpoints send malformed responses: truncated at any byte, byte by byte, too large, without end, with invalid
+    /// chunks, or not HTTP.
     SpoiltAnswers,
     /// Connections to endpoints are established a second late.
     LateConnects,
+    /// The discovery service and the receiver of notifications send interim responses without end.
+    EndlessAnswers,
 }
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [FaultKind; 29] = [
+    pub const ALL: [FaultKind; 30] = [
         FaultKind::Kill,
         FaultKind::Stop,
         FaultKind::Upgrade,
@@ -137,6 +139,7 @@
         FaultKind::ClockHold,
         FaultKind::SpoiltAnswers,
         FaultKind::LateConnects,
+        FaultKind::EndlessAnswers,
     ];
 
     /// Returns whether the fault upgrades relays.
