Relay: a late copy of an answer never stands for the answer to a later call

Cause: an HTTP/1.1 answer does not say which request it answers. A kept connection got the next call once nothing unread was on it; a copy that came later was read as that call's answer: a 200 ended a message that the endpoint then rejected, a 503 let a payment go again that the endpoint then ran.

Change: a connection gets another call only where a copy can be told from the answer by content, as a copy may come at any time. Batch calls, also of one message, are named by their answers; other connections carry two calls, of which the second asks for Connection: close and only its own answer announces that; an endpoint that does not announce it gets a connection for each call. Related path: a copy of a 204 acknowledged a notification that the platform had rejected; each call with notifications has its own connection.

--- a/crates/relay/src/dispatch/calls.rs
+++ b/crates/relay/src/dispatch/calls.rs
@@ -27,6 +27,8 @@
     endpoint_id: EndpointId,
     endpoint: Endpoint,
     attempts: Vec<PendingAttempt>,
+    /// Whether the endpoint gets a batch call.
+    is_batch: bool,
 }
 
 impl PlannedCall {
@@ -146,12 +148,27 @@
             let kind = endpoint.kind.0 as usize;
             let max_batch = self.max_batches.get(kind).copied().unwrap_or(DEFAULT_MAX_BATCH);
             for attempts in self.split_into_calls(&sends.attempts, max_batch) {
-                calls.push(PlannedCall { endpoint_id: sends.endpoint, endpoint: endpoint.clone(), attempts });
+                let is_batch = attempts.len() > 1 || self.may_be_batch(&attempts, max_batch);
+                calls.push(PlannedCall {
+                    endpoint_id: sends.endpoint,
+                    endpoint: endpoint.clone(),
+                    attempts,
+                    is_batch,
+                });
             }
         }
         calls
     }
 
+    /// Returns whether a single message is sent in a batch call: its destination must accept these, and the message must
+    /// fit into one.
+    fn may_be_batch(&self, attempts: &[PendingAttempt], max_batch: usize) -> bool {
+        let spool = self.spool.borrow();
+        let stored = attempts.iter().filter_map(|attempt| spool.get(attempt.message.0));
+        max_batch > 1
+            && stored.map(|stored| batch_entry_bytes(&stored.accepted)).sum::<usize>() <= MAX_CALL_BYTES
+    }
+
     /// Splits attempts into calls with at most `max_batch` messages and at most `MAX_CALL_BYTES` bytes.
     fn split_into_calls(&self, attempts: &[PendingAttempt], max_batch: usize) -> Vec<Vec<PendingAttempt>> {
         let spool = self.spool.borrow();
@@ -275,6 +292,7 @@
         let zone = self.endpoints.zone_name(planned.endpoint.zone).to_string();
         let address = planned.endpoint.address;
         Call {
+            is_batch: planned.is_batch,
             endpoint_id: planned.endpoint_id,
             endpoint: planned.endpoint,
             messages,
--- a/crates/relay/src/notifications.rs
+++ b/crates/relay/src/notifications.rs
@@ -1,7 +1,7 @@
 //! Notifications of final outcomes other than deliveries, sent to the platform until each one is acknowledged.
 
 use crate::discovery::next_address;
-use crate::upstream::{HttpConnection, encode_request, exchange};
+use crate::upstream::{encode_request, exchange};
 use async_channel::Receiver;
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -64,7 +64,6 @@
     queue: Receiver<Notification>,
     /// Notifications removed from the queue but not acknowledged by the platform yet.
     waiting: Vec<Notification>,
-    connection: Option<HttpConnection>,
     consecutive_failures: u32,
     /// Maximum number of notifications in the next call. Set to 1 after a response with status 400, so that an invalid
     /// notification does not block the others.
@@ -82,7 +81,6 @@
             moves,
             queue,
             waiting: Vec::new(),
-            connection: None,
             consecutive_failures: 0,
             batch_limit: MAX_BATCH,
         }
@@ -94,7 +92,7 @@
             match self.call_or_move(&batch).await {
                 CallEnd::Moved(address) => {
                     // Notifications without a response go to the new address first.
-                    self.move_to(address);
+                    self.address = address;
                     self.waiting.splice(0..0, batch);
                 }
                 CallEnd::Answered(Ok(STATUS_ACKNOWLEDGED)) => {
@@ -116,7 +114,7 @@
             self.waiting.push(notification);
         }
         if let Ok(address) = self.moves.try_recv() {
-            self.move_to(address);
+            self.address = address;
         }
         let size = self.next_batch_size();
         Some(self.waiting.drain(..size).collect())
@@ -132,23 +130,19 @@
         fitting.count().max(1)
     }
 
-    fn move_to(&mut self, address: SocketAddr) {
-        self.address = address;
-        self.connection = None;
-    }
-
     async fn call_or_move(&mut self, batch: &[Notification]) -> CallEnd {
         let moves = self.moves.clone();
         let moved = async { CallEnd::Moved(next_address(&moves).await) };
         async { CallEnd::Answered(self.call(batch).await) }.or(moved).await
     }
 
+    /// Sends the notifications on a connection of their own: the response names none of them, so a late copy of an earlier
+    /// response on the connection could acknowledge them.
     async fn call(&mut self, batch: &[Notification]) -> CallResult {
         let body: String = batch.iter().map(Notification::line).collect();
         let bytes = encode_request("POST", "/status", &self.address.to_string(), &[], body.as_bytes());
         let response =
-            exchange(&mut self.connection, self.address, "notices", &bytes, MAX_RESPONSE_BYTES, CALL_TIMEOUT)
-                .await;
+            exchange(&mut None, self.address, "notices", &bytes, MAX_RESPONSE_BYTES, CALL_TIMEOUT).await;
         response.map(|response| response.status).map_err(|e| e.to_string())
     }
 
@@ -161,9 +155,6 @@
         if result == Ok(STATUS_INVALID) {
             self.batch_limit = 1;
         }
-        if result.is_err() {
-            self.connection = None;
-        }
         self.waiting.extend(batch);
         Timer::after(RETRY_PAUSE).await;
     }
--- a/crates/relay/src/upstream/connection_pool.rs
+++ b/crates/relay/src/upstream/connection_pool.rs
@@ -24,13 +24,29 @@
     /// Time after its last use within which a connection may be used again.
     max_idle_time: Duration,
     max_connections: usize,
+    /// By endpoint, whether its responses to requests that ask for the end of the connection announce it.
+    announces_close: RefCell<BTreeMap<EndpointId, bool>>,
 }
 
 impl ConnectionPool {
     /// Creates a pool for endpoints that close idle connections after `idle_timeout`.
     pub(crate) fn new(idle_timeout: Duration, max_connections: usize) -> ConnectionPool {
         let margin = (idle_timeout / IDLE_MARGIN_DIVISOR).max(MIN_IDLE_MARGIN).min(idle_timeout / 2);
-        ConnectionPool { idle: RefCell::default(), max_idle_time: idle_timeout - margin, max_connections }
+        ConnectionPool {
+            idle: RefCell::default(),
+            max_idle_time: idle_timeout - margin,
+            max_connections,
+            announces_close: RefCell::default(),
+        }
+    }
+
+    /// Returns whether the endpoint's responses to requests that ask for the end of the connection announce it, if known.
+    pub(super) fn announces_close(&self, endpoint: EndpointId) -> Option<bool> {
+        self.announces_close.borrow().get(&endpoint).copied()
+    }
+
+    pub(super) fn record_announces_close(&self, endpoint: EndpointId, announces_close: bool) {
+        self.announces_close.borrow_mut().insert(endpoint, announces_close);
     }
 
     /// Takes the last used connection to an endpoint. Connections to a previous address of the endpoint are closed, as
--- a/crates/relay/src/upstream/http1.rs
+++ b/crates/relay/src/upstream/http1.rs
@@ -63,6 +63,8 @@
     UnreadableResponse,
     ClosedAfterResponse,
     UnrequestedBytes,
+    /// A late copy of the last response could not be told from the response to the next call.
+    UnidentifiableResponse,
     /// Idle for the maximum time.
     Idle,
     ClosedWhileIdle,
@@ -81,6 +83,7 @@
             CloseReason::UnreadableResponse => "unreadable-answer",
             CloseReason::ClosedAfterResponse => "closed-after-answer",
             CloseReason::UnrequestedBytes => "more-than-an-answer",
+            CloseReason::UnidentifiableResponse => "answer-names-no-message",
             CloseReason::Idle => "idle",
             CloseReason::ClosedWhileIdle => "closed-while-idle",
             CloseReason::PoolFull => "too-many",
@@ -89,6 +92,16 @@
     }
 }
 
+/// Responses that a connection to an endpoint has carried. The endpoint may send a copy of each of them at any time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EarlierResponses {
+    None,
+    /// Each of them named messages, all of which have ended.
+    Named,
+    /// One of them named no messages, or some that may be sent again.
+    Unnamed,
+}
+
 /// A connection to a server.
 pub(crate) struct HttpConnection {
     stream: Async<TcpStream>,
@@ -103,6 +116,7 @@
     server_name: String,
     /// Number of requests written.
     pub(super) requests: u32,
+    pub(super) earlier_responses: EarlierResponses,
     /// Time at which the connection was established or last carried bytes: the server counts idle time from then.
     pub(super) last_used: Instant,
     /// Reason for the log line if the connection ends now.
@@ -128,6 +142,7 @@
             address,
             server_name,
             requests: 0,
+            earlier_responses: EarlierResponses::None,
             last_used: Instant::now(),
             close_reason: CloseReason::Abandoned,
         })
--- a/crates/relay/src/upstream/response.rs
+++ b/crates/relay/src/upstream/response.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Returns whether the server announces that it closes the connection behind the response.
+    pub(super) fn announces_close(&self) -> bool {
+        self.is_complete && !self.keep_alive
+    }
+
     /// Creates a response with status 200 of which only the status line could be read.
     pub(super) fn status_line_only() -> Response {
         Response { is_complete: false, ..Response::with_status(200) }
--- a/crates/relay/src/upstream/tests.rs
+++ b/crates/relay/src/upstream/tests.rs
@@ -76,6 +76,7 @@
             idempotency_key: None,
             body,
         }],
+        is_batch: false,
         timeout,
         connect_timeout: timeout,
         decided_at: Instant::now(),
@@ -183,3 +184,112 @@
 fn connect_errors_of_this_machine_are_local_errors(errno: i32) -> bool {
     super::attempt::is_local_error(&std::io::Error::from_raw_os_error(errno))
 }
+
+/// Starts a server that answers the requests of each connection with these texts, one each, and then closes it.
+fn scripted_server(connections: Vec<Vec<String>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        for texts in connections {
+            let mut stream = listener.accept().expect("a connection").0;
+            for text in texts {
+                let mut request = Vec::new();
+                while !request.ends_with(b"x\r\n") && !request.ends_with(b"\r\n\r\nx") {
+                    let mut byte = [0];
+                    std::io::Read::read_exact(&mut stream, &mut byte).expect("a request");
+                    request.extend(byte);
+                }
+                std::io::Write::write_all(&mut stream, text.as_bytes()).expect("written");
+            }
+            let _ = stream.shutdown(std::net::Shutdown::Write);
+            // Until the relay closes the connection.
+            std::thread::spawn(move || std::io::Read::read(&mut stream, &mut [0]));
+        }
+    });
+    address
+}
+
+fn batch_response(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Makes a call with this message and returns the outcome.
+fn outcome_of_call(pool: &ConnectionPool, address: SocketAddr, id: &str, is_batch: bool) -> Outcome {
+    let mut call = call(address, 1, Duration::from_secs(5), || true);
+    call.is_batch = is_batch;
+    call.messages[0].id = id.into();
+    let reported = Cell::new(None);
+    async_io::block_on(call.run(pool, |result| reported.set(Some(result.attempts[0].outcome))));
+    reported.get().expect("a result")
+}
+
+const REJECTION: &str = "HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n";
+
+// A late copy of a response could be taken for the response to the next call on the connection. It can be told from it only
+// if every response on the connection names messages that no later call sends.
+#[test_case(&batch_response("m1 delivered\r\n") => true; "the message is delivered")]
+#[test_case(&batch_response("m1 over\r\n") => true; "the message is over")]
+#[test_case(&batch_response("m1 refused\r\n") => false; "the message may be sent again")]
+#[test_case(&batch_response("") => false; "no message named")]
+#[test_case(REJECTION => false; "rejection")]
+#[test_case("HTTP/1.1 500 X\r\nContent-Length: 0\r\n\r\n" => false; "error")]
+fn connection_is_reused_only_behind_a_response_that_names_and_ends_its_messages(response: &str) -> bool {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let response = response.to_string();
+    std::thread::spawn(move || {
+        let mut stream = listener.accept().expect("a connection").0;
+        std::io::Write::write_all(&mut stream, response.as_bytes()).expect("written");
+        let _ = std::io::Read::read_to_end(&mut stream, &mut Vec::new());
+    });
+    let pool = ConnectionPool::new(Duration::from_secs(60), 8);
+    outcome_of_call(&pool, address, "m1", true);
+    pool.take(EndpointId(1), address).is_some()
+}
+
+// Guards against copies of an earlier response that arrive while the next call is in flight.
+#[test_case(&[&batch_response("m2 delivered\r\n")] => Outcome::Delivered; "delivered")]
+#[test_case(&[REJECTION] => Outcome::Rejected { retry_after: Duration::ZERO }; "rejected")]
+#[test_case(&[&batch_response("m2 failed\r\n")] => Outcome::Error; "failed")]
+#[test_case(&["HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nm1"] => Outcome::Error; "copy that is cut off")]
+#[test_case(&["noise\r\n\r\n"] => Outcome::Error; "noise")]
+fn late_copies_in_front_of_a_response_are_skipped(response: &[&str]) -> Outcome {
+    let first = batch_response("m1 delivered\r\n");
+    let second = first.repeat(2) + &response.concat();
+    let pool = ConnectionPool::new(Duration::from_secs(60), 8);
+    let address = scripted_server(vec![vec![first, second]]);
+    assert_eq!(outcome_of_call(&pool, address, "m1", true), Outcome::Delivered);
+    outcome_of_call(&pool, address, "m2", true)
+}
+
+const DELIVERY: &str = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const DELIVERY_AND_CLOSE: &str = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+const REJECTION_AND_CLOSE: &str = "HTTP/1.1 503 X\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+
+// The same for calls whose responses name no messages: the second and last response on a connection has to announce the
+// end of the connection, which a copy of the first one does not.
+#[test_case(DELIVERY_AND_CLOSE => Outcome::Delivered; "delivered")]
+#[test_case(REJECTION_AND_CLOSE => Outcome::Rejected { retry_after: Duration::ZERO }; "rejected")]
+#[test_case("" => Outcome::Reset; "closed behind copies")]
+#[test_case("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 9\r\n\r\n" => Outcome::Error; "cut off")]
+fn late_copies_in_front_of_the_last_response_are_skipped(response: &str) -> Outcome {
+    let pool = ConnectionPool::new(Duration::from_secs(60), 8);
+    let first = vec![DELIVERY_AND_CLOSE.to_string()];
+    let second = vec![DELIVERY.to_string(), DELIVERY.repeat(2) + response];
+    let address = scripted_server(vec![first, second]);
+    assert_eq!(outcome_of_call(&pool, address, "m1", false), Outcome::Delivered);
+    assert!(pool.take(EndpointId(1), address).is_none(), "the first connection ends");
+    assert_eq!(outcome_of_call(&pool, address, "m2", false), Outcome::Delivered);
+    outcome_of_call(&pool, address, "m3", false)
+}
+
+// An endpoint that does not announce the end of a connection gets a connection for each call.
+#[test]
+fn connections_of_an_endpoint_that_ignores_requests_to_close_are_not_reused() {
+    let pool = ConnectionPool::new(Duration::from_secs(60), 8);
+    let address = scripted_server(vec![vec![DELIVERY.to_string()]; 3]);
+    for id in ["m1", "m2", "m3"] {
+        assert_eq!(outcome_of_call(&pool, address, id, false), Outcome::Delivered);
+        assert!(pool.take(EndpointId(1), address).is_none());
+    }
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -8,5 +8,6 @@
 mod clients;
 mod discovery;
 mod floods;
+mod late_copies;
 mod restarts;
 mod shared_ids;
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -25,6 +25,16 @@
 const SERVICE_TIME: Duration = Duration::from_millis(3);
 /// Number of bytes of a request that an endpoint examines before it resets the connection in the middle.
 const BYTES_BEFORE_RESET: usize = 40;
+/// Number of calls to an endpoint with late copies of which one response is sent twice.
+const CALLS_PER_LATE_COPY: u64 = 5;
+/// Delays of late copies in milliseconds.
+const LATE_COPY_DELAYS_MS: [u64; 7] = [0, 1, 5, 15, 40, 60, 800];
+/// Period of the statuses of an endpoint with late copies.
+const LATE_COPY_STATUSES: u64 = 10;
+/// Retry-After of an endpoint with late copies, in milliseconds.
+const LATE_COPY_RETRY_AFTER_MS: u64 = 50;
+/// Factor by which the calls of an endpoint with late copies take longer than those of others.
+const LATE_COPY_SERVICE_FACTOR: u32 = 3;
 /// Beginning of an incomplete response, too short to contain a status.
 const PARTIAL_RESPONSE: &str = "HTTP/1.1 2";
 
@@ -57,6 +67,8 @@
     LateConnects,
     /// Closes idle connections.
     CloseIdle,
+    /// Rejects some calls, and sends a second copy of some responses, also while the connection carries a later call.
+    LateCopies,
 }
 
 /// Scope in which duplicates are recognised: a destination, or one zone of it.
@@ -173,12 +185,22 @@
 /// A call whose request has been read completely.
 struct Call {
     attempts: Vec<Attempt>,
+    is_batch: bool,
+    /// Whether the connection ends behind the response.
+    closes: bool,
+    /// Time after which a copy of the response follows, if one does.
+    copy_delay: Option<Duration>,
     relay: u32,
     endpoint: usize,
     recorder: Arc<Recorder>,
 }
 
 impl Call {
+    /// Returns the number of the first attempt.
+    fn number(&self) -> u64 {
+        self.attempts.first().map_or(0, |attempt| attempt.number)
+    }
+
     /// Records this end for all attempts.
     fn record_end(&self, end: WireEnd) {
         for attempt in &self.attempts {
@@ -273,7 +295,18 @@
             endpoint: endpoint as u32,
         });
     }
-    Some(Call { attempts, relay, endpoint, recorder: endpoints.recorder.clone() })
+    let (closes, recorder) = (request.asks_to_close, endpoints.recorder.clone());
+    let copies = endpoints.behaviour(endpoint) == Behaviour::LateCopies;
+    let copy_delay = attempts.first().and_then(|attempt| late_copy_delay(attempt.number)).filter(|_| copies);
+    let is_batch = request.is_batch();
+    Some(Call { attempts, is_batch, closes, copy_delay, relay, endpoint, recorder })
+}
+
+/// Returns the time after which a copy of the response to the call of this number follows, if one does.
+fn late_copy_delay(number: u64) -> Option<Duration> {
+    let has_copy = (number / 2).is_multiple_of(CALLS_PER_LATE_COPY);
+    let delay = LATE_COPY_DELAYS_MS[number as usize % LATE_COPY_DELAYS_MS.len()];
+    has_copy.then_some(Duration::from_millis(delay))
 }
 
 /// Returns once the endpoint's behaviour is to close idle connections and this one is idle.
@@ -321,12 +354,12 @@
         }
         Behaviour::Busy => {
             call.record_end(WireEnd::responded(WrittenResponse::Refused(0)));
-            write(stream, &response(503, "", "")).await
+            write_response(stream, call, 503, "", "").await
         }
         Behaviour::RetryAfter(milliseconds) => {
             call.record_end(WireEnd::responded(WrittenResponse::Refused(milliseconds * 1_000)));
             let seconds = milliseconds as f64 / 1e3;
-            write(stream, &response(429, &format!("Retry-After: {seconds}\r\n"), "")).await
+            write_response(stream, call, 429, &format!("Retry-After: {seconds}\r\n"), "").await
         }
         Behaviour::Errors if call.attempts.len() > 1 => respond_partly_failed(stream, call, endpoints).await,
         Behaviour::Errors => {
@@ -334,7 +367,7 @@
                 endpoints.execute_all(call);
             }
             call.record_end(WireEnd::responded(WrittenResponse::Failed));
-            write(stream, &response(500, "", "")).await
+            write_response(stream, call, 500, "", "").await
         }
         Behaviour::Reset => {
             endpoints.execute_all(call);
@@ -349,6 +382,7 @@
             call.record_closed(WrittenResponse::Part, ConnectionSide::Relay);
             false
         }
+        Behaviour::LateCopies => respond_with_late_copy(stream, call, endpoints).await,
         Behaviour::MalformedResponses => {
             respond_malformed(stream, call, endpoints).await;
             false
@@ -357,8 +391,7 @@
 }
 
 async fn respond_malformed(stream: &mut TcpStream, call: &Call, endpoints: &Endpoints) {
-    let number = call.attempts.first().map_or(0, |attempt| attempt.number);
-    let malformed = MalformedResponse::of_call(number, call.attempts.len());
+    let malformed = MalformedResponse::of_call(call.number(), call.is_batch);
     if malformed.reports_delivery() || call.executes_without_delivery_response() {
         endpoints.execute_all(call);
     }
@@ -394,7 +427,7 @@
         };
         lines += &format!("{} {word}\r\n", message_id(attempt.message));
     }
-    write(stream, &response(200, "", &lines)).await
+    write_response(stream, call, 200, "", &lines).await
 }
 
 fn execute_and_record_delivery(call: &Call, attempt: Attempt, endpoints: &Endpoints) {
@@ -426,7 +459,43 @@
         execute_and_record_delivery(call, attempt, endpoints);
         lines += &format!("{} delivered\r\n", message_id(attempt.message));
     }
-    write(stream, &response(200, "", &lines)).await
+    write_response(stream, call, 200, "", &lines).await
+}
+
+/// Responds as an endpoint with late copies does. The call's number selects whether it is rejected, and whether and when
+/// a copy of the response follows.
+async fn respond_with_late_copy(stream: &mut TcpStream, call: &Call, endpoints: &Endpoints) -> bool {
+    match call.number() % LATE_COPY_STATUSES {
+        0 | 5 => {
+            call.record_end(WireEnd::responded(WrittenResponse::Refused(0)));
+            write_response(stream, call, 503, "", "").await
+        }
+        7 => {
+            call.record_end(WireEnd::responded(WrittenResponse::Refused(LATE_COPY_RETRY_AFTER_MS * 1_000)));
+            let seconds = LATE_COPY_RETRY_AFTER_MS as f64 / 1e3;
+            write_response(stream, call, 429, &format!("Retry-After: {seconds}\r\n"), "").await
+        }
+        number => {
+            let service_time = SERVICE_TIME * (1 + number as u32 * LATE_COPY_SERVICE_FACTOR);
+            deliver(stream, call, service_time, endpoints).await
+        }
+    }
+}
+
+/// Writes the response to a call, and maybe a copy of it later. Returns whether the connection stays open.
+async fn write_response(stream: &mut TcpStream, call: &Call, status: u16, headers: &str, body: &str) -> bool {
+    let close = if call.closes { "Connection: close\r\n" } else { "" };
+    let text = response(status, &format!("{headers}{close}"), body);
+    let is_written = write(stream, &text).await;
+    if let Some(delay) = call.copy_delay.filter(|_| is_written && !call.closes) {
+        let mut stream = stream.clone();
+        smol::spawn(async move {
+            Timer::after(delay).await;
+            let _ = stream.write_all(text.as_bytes()).await;
+        })
+        .detach();
+    }
+    is_written && !call.closes
 }
 
 async fn write(stream: &mut TcpStream, text: &str) -> bool {
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -4,6 +4,8 @@
 use smol::net::TcpStream;
 use std::io;
 
+/// Path of calls of several messages.
+const BATCH_PATH: &str = "/receive-many";
 const MAX_HEADERS: usize = 32;
 const READ_CHUNK_BYTES: usize = 8 * 1024;
 const END_OF_LINE: &[u8] = b"\r\n";
@@ -13,15 +15,21 @@
 pub(crate) struct Request {
     pub(crate) path: String,
     pub(crate) request_id: Option<String>,
+    /// Whether the request asks for the end of the connection behind the response.
+    pub(crate) asks_to_close: bool,
     pub(crate) body: Vec<u8>,
 }
 
 impl Request {
+    pub(crate) fn is_batch(&self) -> bool {
+        self.path == BATCH_PATH
+    }
+
     /// Returns the messages of a call to an endpoint, or `None` if the request is not such a call.
     pub(crate) fn messages(&self) -> Option<Vec<RequestMessage>> {
         match (self.path.as_str(), &self.request_id) {
             ("/receive", Some(id)) => Some(vec![RequestMessage { id: id.clone(), body: self.body.clone() }]),
-            ("/receive-many", _) => batch_messages(&self.body),
+            (BATCH_PATH, _) => batch_messages(&self.body),
             _ => None,
         }
     }
@@ -89,9 +97,10 @@
         let length: usize = header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
         let path = parsed.path.unwrap_or_default().to_string();
         let request_id = header("x-request-id");
+        let asks_to_close = header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close"));
         let Some(body) = self.buffer.get(head..head + length).map(<[u8]>::to_vec) else { return Ok(None) };
         self.buffer.drain(..head + length);
-        Ok(Some(Request { path, request_id, body }))
+        Ok(Some(Request { path, request_id, asks_to_close, body }))
     }
 }
 
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -293,6 +293,7 @@
             FaultKind::HalfAnswer => Behaviour::HalfAnswer,
             FaultKind::SpoiltAnswers => Behaviour::MalformedResponses,
             FaultKind::LateConnects => Behaviour::LateConnects,
+            FaultKind::LateCopies => Behaviour::LateCopies,
             _ => Behaviour::CloseIdle,
         };
         for endpoint in &fault.targets {
--- a/crates/soak/src/malformed_response.rs
+++ b/crates/soak/src/malformed_response.rs
@@ -26,7 +26,7 @@
 const DELIVERY: &[u8] = b"HTTP/1.1 200 Status\r\nContent-Length: 9\r\n\r\nsome text";
 /// Length of [`DELIVERY`] up to the space after the status code.
 const DELIVERY_STATUS_BYTES: usize = 13;
-/// Calls with a single message whose number is a multiple of this get [`DELIVERY`] truncated instead of [`ERROR`].
+/// Calls other than batch calls whose number is a multiple of this get [`DELIVERY`] truncated instead of [`ERROR`].
 const RESPONSES_PER_DELIVERY: u64 = 3;
 
 /// Defect of a response.
@@ -63,7 +63,7 @@
 impl MalformedResponse {
     /// Returns the response to the call of this number. The defects take turns, and over all calls a response is
     /// truncated at each of its bytes.
-    pub(crate) fn of_call(number: u64, messages: usize) -> MalformedResponse {
+    pub(crate) fn of_call(number: u64, is_batch: bool) -> MalformedResponse {
         let kind = number / RESPONSES_PER_DELIVERY;
         // At least one byte, but never the whole response.
         let length = 1 + (kind / DEFECT_KINDS) as usize % (ERROR.len() - 1);
@@ -79,7 +79,7 @@
             8 => ResponseDefect::EndlessInterim,
             _ => ResponseDefect::EndlessChunks,
         };
-        let is_delivery = messages == 1 && number.is_multiple_of(RESPONSES_PER_DELIVERY);
+        let is_delivery = !is_batch && number.is_multiple_of(RESPONSES_PER_DELIVERY);
         MalformedResponse { text: if is_delivery { DELIVERY } else { ERROR }, defect }
     }
 
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -105,11 +105,13 @@
     LateConnects,
     /// The discovery service and the receiver of notifications send interim responses without end.
     EndlessAnswers,
+    /// Endpoints send a second copy of some responses, also while the connection carries a later call.
+    LateCopies,
 }
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [FaultKind; 30] = [
+    pub const ALL: [FaultKind; 31] = [
         FaultKind::Kill,
         FaultKind::Stop,
         FaultKind::Upgrade,
@@ -140,6 +142,7 @@
         FaultKind::SpoiltAnswers,
         FaultKind::LateConnects,
         FaultKind::EndlessAnswers,
+        FaultKind::LateCopies,
     ];
 
     /// Returns whether the fault upgrades relays.
@@ -161,6 +164,7 @@
                 | FaultKind::CloseIdle
                 | FaultKind::SpoiltAnswers
                 | FaultKind::LateConnects
+                | FaultKind::LateCopies
                 | FaultKind::Drain
         )
     }
