Relay: forget the ids of a successor whose spool is gone

Cause: ids that a successor had withdrawn counted as ended once its spool was replaced, so the same message submitted again got -ERR though it never ran; by reading. Change: a successor sends nothing, so nothing of it can have ended. Result: the handover tests pass.

--- a/crates/relay/src/peer_ids.rs
+++ b/crates/relay/src/peer_ids.rs
@@ -9,6 +9,15 @@
 use std::collections::BTreeMap;
 use std::path::Path;
 
+/// The other process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Peer {
+    /// The active process, which sends messages.
+    Active,
+    /// A successor, which sends nothing: the active process sends what it leaves.
+    Successor,
+}
+
 /// A message that the other process holds.
 struct HeldMessage {
     id: Vec<u8>,
@@ -17,6 +26,7 @@
 
 /// Ids of the messages that the other process accepted, read from its spool.
 pub(crate) struct PeerIds {
+    peer: Peer,
     spool: SpoolFollower,
     /// Messages in the other process's spool, by their numbers there.
     held: BTreeMap<u64, HeldMessage>,
@@ -28,8 +38,9 @@
 
 impl PeerIds {
     /// Creates the ids of the process whose spool is in `dir`, if there is one.
-    pub(crate) fn new(dir: &Path) -> PeerIds {
+    pub(crate) fn new(peer: Peer, dir: &Path) -> PeerIds {
         PeerIds {
+            peer,
             spool: SpoolFollower::new(dir),
             held: BTreeMap::new(),
             numbers_by_id: BTreeMap::new(),
@@ -94,6 +105,9 @@
                 LogChange::EndedBefore(ended) => self.ended.push(ended),
             }
         }
+        if self.peer == Peer::Successor {
+            return;
+        }
         // Removed before the log was replaced. It is not known whether they ended; if they were withdrawn, their clients
         // may submit them again under other ids.
         for message in unreported.into_values() {
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -11,7 +11,7 @@
 use crate::ended_ids::{self, IdUse};
 use crate::error::StartError;
 use crate::notifications::Notification;
-use crate::peer_ids::PeerIds;
+use crate::peer_ids::{Peer, PeerIds};
 use crate::state_files::StateFiles;
 use crate::successor::{IntakeEnd, IntakeOptions, IntakeParts, SuccessorIntake};
 use async_channel::Sender;
@@ -104,7 +104,7 @@
     info!("another process owns the state folder: accepting messages as its successor");
     let mut intake = SuccessorIntake::new(IntakeOptions {
         spool: successor,
-        active_ids: PeerIds::new(&state_dir.path),
+        active_ids: PeerIds::new(Peer::Active, &state_dir.path),
         active_lock: &state_dir.active_lock,
         classes: &config.socket_settings.classes,
         ordered_classes: config.policy_settings.classes.iter().map(|class| class.in_order).collect(),
@@ -217,7 +217,7 @@
 
     /// Returns the ids of the messages that a successor accepts.
     pub(crate) fn ids(&self) -> PeerIds {
-        PeerIds::new(&self.dir)
+        PeerIds::new(Peer::Successor, &self.dir)
     }
 
     /// Records that this process has adopted the messages of the successor, if there were any.
