Soak: an endless answer ends after 12 s, so that a run ends too

Change: an endless answer ends after 12 s, longer than any message's deadline (9 s at most), so that a relay that stands still is found as before.

--- a/crates/soak/src/malformed_response.rs
+++ b/crates/soak/src/malformed_response.rs
@@ -6,7 +6,7 @@
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
 use std::net::Shutdown;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Pause between two bytes of a response that is sent byte by byte.
 const BYTE_PAUSE: Duration = Duration::from_millis(100);
@@ -14,6 +14,9 @@
 const DEFECT_KINDS: u64 = 10;
 /// Size of a block of an endless response, in bytes.
 const ENDLESS_BLOCK_BYTES: usize = 32 * 1024;
+/// Duration after which an endless response ends, so that a run ends even if the relay reads nothing else; longer than
+/// the time to the deadline of any message.
+const MAX_ENDLESS_RESPONSE: Duration = Duration::from_secs(12);
 /// Length of a chunk extension, in bytes; less than the relay's limit for a chunk's size line.
 const CHUNK_EXTENSION_BYTES: usize = 9_000;
 /// Size of a response, in bytes, that is larger than any relay reads.
@@ -129,10 +132,12 @@
     }
 }
 
-/// Writes a text again and again, as fast as the relay reads it, until the relay closes the connection.
+/// Writes a text again and again, as fast as the relay reads it, until the relay closes the connection or the limit for
+/// endless responses is reached.
 pub(crate) async fn write_endlessly(stream: &mut TcpStream, text: &str) {
     let block = text.repeat(ENDLESS_BLOCK_BYTES.div_ceil(text.len()));
-    while stream.write_all(block.as_bytes()).await.is_ok() {
+    let until = Instant::now() + MAX_ENDLESS_RESPONSE;
+    while Instant::now() < until && stream.write_all(block.as_bytes()).await.is_ok() {
         smol::future::yield_now().await;
     }
 }
