--- a/crates/relay/tests/handover/message_ids.rs
+++ b/crates/relay/tests/handover/message_ids.rs
@@ -172,3 +172,51 @@
     assert_eq!(bodies.iter().map(|request| &request.body[..]).collect::<Vec<_>>(), expected);
     assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
 }
+
+// The same at a takeover by a running successor, which holds another message under an id of the active process's message.
+#[test]
+fn successors_message_under_a_held_id_is_dropped_at_the_takeover() {
+    let fixture = upgrade_fixture();
+    let mut active = fixture.start(0);
+    fixture.submit("m0", 0, "once");
+    fixture.gate.wait_for_arrivals(1);
+    fixture.submit("m1", 5, "pay");
+    // Suspended, so that it adopts no messages before the successor holds its lock.
+    active.signal("STOP");
+    let left_by_successor = [accepted("m1", 0, "once", b"another"), accepted("m2", 0, "once", b"x")];
+    write_spool(&fixture.dir.path().join("state/next"), &left_by_successor, |_| {});
+    let _successor = fixture.start(1);
+    active.signal("CONT");
+    active.terminate();
+    wait_until("the handover", || fixture.log().contains("hands over to its successor process"));
+    fixture.gate.open();
+    assert!(active.exits_within(ms(3_600)));
+    fixture.wait_for_ownership(1);
+    wait_until("the other message of the successor", || fixture.endpoint.ids().contains(&"m2".into()));
+    sleep(ms(300));
+    let of_id: Vec<_> = fixture.endpoint.requests().into_iter().filter(|r| r.ids() == ["m1"]).collect();
+    assert_eq!(of_id.iter().map(|request| &request.body[..]).collect::<Vec<_>>(), [b"x"]);
+    assert!(fixture.platform.notifications().is_empty(), "{:?}", fixture.platform.notifications());
+}
+
+// Guards against an error for a message that never ran: its successor had withdrawn it, and the active process took its id
+// for that of an ended message once the successor's spool was gone.
+#[test]
+fn message_that_a_successor_withdrew_may_be_submitted_again() {
+    let fixture = upgrade_fixture();
+    fixture.gate.open();
+    let _active = fixture.start(0);
+    let successor_dir = fixture.dir.path().join("state/next");
+    // The lock of a running successor, whose messages the active process does not adopt.
+    let lock = std::fs::File::create(successor_dir.join("lock")).expect("create the lock file");
+    wait_until("the successor's lock", || lock.try_lock().is_ok());
+    write_spool(&successor_dir, &[accepted("m1", 0, "once", b"x")], |_| {});
+    assert_eq!(
+        fixture.submit_reply("m1", 5, "pay"),
+        "-BUSY",
+        "the active process has read the successor's spool"
+    );
+    std::fs::remove_file(successor_dir.join("spool.log")).expect("remove the spool");
+    fixture.submit("m1", 0, "once");
+    wait_until("the call", || fixture.endpoint.ids() == ["m1"]);
+}
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -31,30 +31,42 @@
     assert!(report.delivered > 500 && report.process_exits >= 6 && report.injected_faults > 0, "{report:?}");
 }
 
-/// Seed whose schedule contains every kind that the fixed schedule lacks.
-const SEED_OF_OTHER_KINDS: u64 = 767;
+/// Kinds of faults that the fixed schedule lacks.
+const OTHER_KINDS: [FaultKind; 7] = [
+    FaultKind::CopiedIds,
+    FaultKind::Crowd,
+    FaultKind::Signals,
+    FaultKind::UpgradeDisk,
+    FaultKind::ClockHold,
+    FaultKind::SpoiltAnswers,
+    FaultKind::LateConnects,
+];
+/// Seed whose schedule contains all of them.
+const SEED_OF_OTHER_KINDS: u64 = 193;
+/// Seed whose schedule contains all of them, endless answers and late copies.
+const SEED_OF_ALL_OTHER_KINDS: u64 = 767;
 
-#[test]
-fn every_invariant_holds_under_the_kinds_of_faults_that_the_fixed_schedule_lacks() {
-    let kinds = [
-        FaultKind::CopiedIds,
-        FaultKind::Crowd,
-        FaultKind::Signals,
-        FaultKind::UpgradeDisk,
-        FaultKind::ClockHold,
-        FaultKind::SpoiltAnswers,
-        FaultKind::LateConnects,
-        FaultKind::EndlessAnswers,
-        FaultKind::LateCopies,
-    ];
-    let schedule = Schedule::draw(SEED_OF_OTHER_KINDS, 20, 4, &kinds).expect("a schedule");
-    let is_drawn = |kind| schedule.faults.iter().any(|fault| fault.kind == kind);
-    assert!(kinds.into_iter().all(is_drawn), "{}", schedule.to_json());
+/// Runs the schedule of a seed, which must contain every one of the kinds.
+fn assert_invariants_hold_under(kinds: &[FaultKind], seed: u64) {
+    let schedule = Schedule::draw(seed, 20, 4, kinds).expect("a schedule");
+    let is_drawn = |kind: &FaultKind| schedule.faults.iter().any(|fault| fault.kind == *kind);
+    assert!(kinds.iter().all(is_drawn), "{}", schedule.to_json());
     let report = run_schedule(&schedule, &programs(), None).expect("a report");
     assert!(report.has_no_breaches(), "{}\n{:#?}", report.timeline, report.breaches);
     assert!(report.delivered > 500 && report.process_exits > 0, "{report:?}");
 }
 
+#[test]
+fn every_invariant_holds_under_the_kinds_of_faults_that_the_fixed_schedule_lacks() {
+    assert_invariants_hold_under(&OTHER_KINDS, SEED_OF_OTHER_KINDS);
+}
+
+#[test]
+fn every_invariant_holds_under_endless_answers_and_late_copies_beside_the_other_kinds() {
+    let kinds = [&OTHER_KINDS[..], &[FaultKind::EndlessAnswers, FaultKind::LateCopies]].concat();
+    assert_invariants_hold_under(&kinds, SEED_OF_ALL_OTHER_KINDS);
+}
+
 #[test]
 fn schedules_differ_by_seed_only_and_have_overlapping_faults() {
     let draw = |seed| Schedule::draw(seed, 60, 20, &FaultKind::ALL).expect("a schedule");
