Test: clients of a stopping successor are never idle on a busy machine

Change: each write ends in the middle of a request, so that the relay waits for the rest of it until it exits; fewer unanswered batches, as the queue need not keep the connection busy any more. What is asserted stays as it was.

--- a/crates/relay/tests/handover/successor.rs
+++ b/crates/relay/tests/handover/successor.rs
@@ -78,8 +78,9 @@
     assert!(notifications.is_empty(), "{notifications:?}\n{}", fixture.log());
 }
 
-/// Starts a client with many pipelined requests, so that its connection is never idle. Returns the ids of the messages
-/// acknowledged by `+OK`, once the connection is closed. Until `may_be_accepted` is set its messages have so short a
+/// Starts a client with many pipelined requests. Each write ends in the middle of a request, so that its connection is
+/// never idle, however the machine delays the client. Returns the ids of the messages acknowledged by `+OK`, once the
+/// connection is closed. Until `may_be_accepted` is set its messages have so short a
 /// deadline that a successor rejects them.
 fn start_pipelining_client(
     address: SocketAddr,
@@ -89,22 +90,26 @@
 ) -> thread::JoinHandle<BTreeSet<String>> {
     /// Number of requests in one write.
     const BATCH: usize = 64;
-    /// Maximum number of unanswered batches: enough to keep the connection busy if the client is delayed by some tens of
-    /// milliseconds.
-    const MAX_BATCHES: usize = 128;
+    /// Number of bytes of the last request that are sent with the next batch.
+    const UNSENT_BYTES: usize = 4;
+    /// Maximum number of unanswered batches.
+    const MAX_BATCHES: usize = 16;
     let stream = TcpStream::connect(address).expect("connect");
     let mut sending = stream.try_clone().expect("a stream");
     let (sent, batches) = std::sync::mpsc::sync_channel(MAX_BATCHES);
     let sender = thread::spawn(move || {
+        let mut unsent = Vec::new();
         for batch in 0.. {
             let ids: Vec<String> = (0..BATCH).map(|n| format!("{name}{batch}-{n}")).collect();
             let time_to_deadline =
                 if may_be_accepted.load(Ordering::SeqCst) { TIME_TO_DEADLINE } else { ms(1_000) };
             let parameters = format!("c=once,d={},dest=7", time_to_deadline.as_millis());
-            let bytes: Vec<u8> = ids.iter().flat_map(|id| submit_request(id, 0, &parameters, b"x")).collect();
-            if sent.send(ids).is_err() || sending.write_all(&bytes).is_err() {
+            unsent.extend(ids.iter().flat_map(|id| submit_request(id, 0, &parameters, b"x")));
+            let rest_of_last_request = unsent.split_off(unsent.len() - UNSENT_BYTES);
+            if sent.send(ids).is_err() || sending.write_all(&unsent).is_err() {
                 return;
             }
+            unsent = rest_of_last_request;
         }
     });
     thread::spawn(move || {
@@ -141,7 +146,6 @@
     active.signal("STOP");
     let may_be_accepted = Arc::new(AtomicBool::new(false));
     let reply_count = Arc::new(AtomicUsize::new(0));
-    // Several clients, since one that the machine delays may be idle for a moment and is disconnected then.
     let clients = ['a', 'b', 'c'].map(|name| {
         start_pipelining_client(fixture.listen, name, may_be_accepted.clone(), reply_count.clone())
     });
