Relay: leave clients to the active process until it hands over

A quarter to a third of the submissions were rejected meanwhile.

Cause: a successor accepted connections from its start on, about every second one, and kept their messages. It may send them only after the exit of the active process, which is up to 6 s (its report that it serves is due) and 3.7 s (SIGKILL) away. Its rule counted the 3.7 s alone, as if SIGTERM came with the start.

Change: the successor reports that it serves, and accepts connections once the active process hands over (its marker) or has exited. Then at most 4 s remain, less as time passes, and a message needs that and 0.5 s to its deadline. A connection that stays in the shared accept queue for 0.2 s (the active process is suspended, or stops without being able to tell) is accepted by the successor, which counts with the latest handover there may be, and moves the client back once it is idle for 20 ms. Same cause elsewhere: a successor told to stop counts the time until another process finds its messages; where the platform has exceeded its own limits, no bound is left and nothing is accepted.

Why it works: a message is accepted by the process that can send it, and by the other one only with a bound on its wait that starts at an event it has seen. One process still sends at a time.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -7,8 +7,9 @@
 //! - The *active process* holds the lock [`LOCK_FILE`], keeps the spool `spool.log` and is the only one that
 //!   sends.
 //! - A process that starts while another is active is its *successor*: it holds the lock file of the same
-//!   name in [`SUCCESSOR_DIR`], accepts messages from clients, stores them in `next/spool.log`, and sends
-//!   nothing.
+//!   name in [`SUCCESSOR_DIR`] and sends nothing. It accepts client connections from the moment when the active
+//!   process no longer does ([`AcceptQueueMonitor`]), and stores their messages in `next/spool.log`. It accepts
+//!   only messages that it can still send in time ([`TakeoverProgress`]).
 //! - When the active process has exited (its lock is free), the successor becomes active: it merges both
 //!   spools in the order in which their messages were accepted, and restores the previous process's state of
 //!   the destinations ([`SNAPSHOT_FILE`], a [`Snapshot`]) before the first decision.
@@ -22,6 +23,8 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod accept_queue;
+mod acceptance;
 mod error;
 mod merge;
 mod role;
@@ -29,12 +32,15 @@
 mod start_plan;
 mod stop_plan;
 
+pub use accept_queue::{ACCEPT_QUEUE_POLL_INTERVAL, AcceptQueueMonitor, STALLED_QUEUE_POLLS};
+pub use acceptance::{
+    DEADLINE_MARGIN, MAX_READY_DELAY, MAX_TAKEOVER_DELAY, TakeoverProgress, active_accepts, successor_accepts,
+};
 pub use error::HandoverError;
 pub use merge::{SpoolOwner, merge};
 pub use role::{
-    ACTIVE_DISK_SHARE, ActiveProcessState, DEADLINE_MARGIN, HANDING_OVER_FILE, LOCK_FILE, LOCK_POLL_INTERVAL,
-    MAX_TAKEOVER_DELAY, ORPHAN_CHECK_INTERVAL, PreviousSuccessor, Role, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE,
-    active_accepts, determine_role, reads_snapshot, successor_accepts,
+    ACTIVE_DISK_SHARE, HANDING_OVER_FILE, LOCK_FILE, LOCK_POLL_INTERVAL, ORPHAN_CHECK_INTERVAL,
+    PreviousSuccessor, Role, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, determine_role, reads_snapshot,
 };
 pub use snapshot::{RouteRecord, SNAPSHOT_FILE, SNAPSHOT_FORMAT, Snapshot};
 pub use start_plan::{
--- a/crates/handover/src/role.rs
+++ b/crates/handover/src/role.rs
@@ -1,4 +1,4 @@
-//! The role of a process, active or successor, and the messages that each role accepts.
+//! The role of a process, active or successor.
 
 use crate::error::HandoverError;
 use std::time::Duration;
@@ -16,13 +16,6 @@
 pub const LOCK_POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which the active process looks for messages of a successor that has exited.
 pub const ORPHAN_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest time for which a successor holds a message before it becomes active. The active process exits
-/// before its SIGKILL, which comes 3.7 s after its SIGTERM, and the SIGTERM is sent once the successor
-/// reports that it serves.
-pub const MAX_TAKEOVER_DELAY: Duration = Duration::from_millis(4_000);
-/// Minimum time to the deadline of a message, in addition to [`MAX_TAKEOVER_DELAY`], for a successor to accept
-/// it.
-pub const DEADLINE_MARGIN: Duration = Duration::from_millis(500);
 /// Share of the folder's size limit for the active process's spool. The part that neither spool uses is for
 /// small files, and for the spool of an active process of an older version that used the whole limit.
 pub const ACTIVE_DISK_SHARE: f64 = 0.6;
@@ -75,29 +68,3 @@
 pub fn reads_snapshot(role: Role) -> bool {
     role == Role::Successor
 }
-
-/// State of the active process as its successor sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ActiveProcessState {
-    /// Whether the active process has announced that it sends nothing new and accepts no message in order.
-    pub is_handing_over: bool,
-    /// Whether both processes date stored data by the same clock, so that their messages can be merged in
-    /// order.
-    pub has_shared_clock: bool,
-}
-
-/// Returns whether a successor accepts a message. If the time to its deadline is too short, the message is
-/// rejected, as it might expire while no process may send it. A message in order is accepted only
-/// if its position among the messages of its key is certain; otherwise the active process could send the next
-/// one of the key first.
-pub fn successor_accepts(time_to_deadline: Duration, is_in_order: bool, active: ActiveProcessState) -> bool {
-    let has_certain_position = active.is_handing_over && active.has_shared_clock;
-    time_to_deadline > MAX_TAKEOVER_DELAY + DEADLINE_MARGIN && (!is_in_order || has_certain_position)
-}
-
-/// Returns whether an active process accepts a message. Once it hands over, only its successor accepts messages
-/// in order. While a successor that has not yet exited may hold earlier messages of the key, messages in
-/// order are not accepted until that successor has exited.
-pub fn active_accepts(is_in_order: bool, is_handing_over: bool, successor_may_hold_earlier: bool) -> bool {
-    !is_in_order || !(is_handing_over || successor_may_hold_earlier)
-}
--- a/crates/relay/src/clients/close_reason.rs
+++ b/crates/relay/src/clients/close_reason.rs
@@ -27,6 +27,9 @@
     Stopping,
     /// The relay is in standby: clients have to use another relay.
     Standby,
+    /// This process is a successor that replied for an active process which did not accept the connection. The next
+    /// connection goes to the active process again.
+    Successor,
 }
 
 impl CloseReason {
@@ -56,6 +59,7 @@
             CloseReason::ProtocolError => "protocol",
             CloseReason::Stopping => "stopping",
             CloseReason::Standby => "standby",
+            CloseReason::Successor => "successor",
         })
     }
 }
--- a/crates/relay/src/clients/connection.rs
+++ b/crates/relay/src/clients/connection.rs
@@ -31,6 +31,8 @@
 const FIRST_REQUEST_STOPPING_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time without a request after which an idle connection is closed to make room for others.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+/// The same for a successor that leaves clients to the active process: the next connection goes there again.
+const SUCCESSOR_IDLE_TIMEOUT: Duration = Duration::from_millis(20);
 /// Maximum number of requests of a connection executed per turn, so that a pipelining client does not delay others.
 pub(super) const MAX_REQUESTS_PER_TURN: usize = 32;
 /// Delay before the next read per consecutive error reply, to slow down a client that repeats an invalid request.
@@ -216,6 +218,9 @@
                 self.send_and_close(vec![late], CloseReason::Slow, service).await
             }
             (_, ExpectedInput::FirstRequest) => CloseReason::Silent,
+            (_, ExpectedInput::NextRequest) if service.leaves_clients_to_active_process() => {
+                CloseReason::Successor
+            }
             (_, ExpectedInput::NextRequest) => CloseReason::Idle,
         })
     }
@@ -224,6 +229,9 @@
     async fn next_wakeup(&self, service: &ClientService, expecting: ExpectedInput) -> Wakeup {
         let timeout = match expecting {
             ExpectedInput::FirstRequest | ExpectedInput::Remainder => SLOW_CLIENT_TIMEOUT,
+            ExpectedInput::NextRequest if service.leaves_clients_to_active_process() => {
+                SUCCESSOR_IDLE_TIMEOUT
+            }
             ExpectedInput::NextRequest => IDLE_TIMEOUT,
         };
         let stopping = async {
--- a/crates/relay/src/clients/mod.rs
+++ b/crates/relay/src/clients/mod.rs
@@ -1,9 +1,10 @@
 //! RESP2 server for clients: accepts connections, bounds their number and memory, and serves each in its own task.
 //!
-//! [`ClientService`] owns the state shared by all connections. `connection` serves one connection, `closing` ends it,
+//! [`ClientService`] owns the state shared by all connections. `accept` accepts them, `connection` serves one, `closing` ends it,
 //! `protocol` reads and writes RESP2, `submission` holds the types passed to the dispatcher. All decisions about a
 //! message are made by the dispatcher.
 
+mod accept;
 mod close_reason;
 mod closing;
 mod connection;
@@ -17,21 +18,20 @@
 use crate::transitions::Transition;
 use crate::violations::{Evidence, ViolationKind, Violations};
 use async_channel::{Receiver, Sender};
-use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use close_reason::CloseReason;
 use connection::ClientConnection;
 use futures_lite::FutureExt;
-use log::{debug, info, warn};
+use log::{debug, info};
 use mountshift::interface::MessageId;
 use mountshift_maintenance::MaintenanceState;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
-use std::io;
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+pub(crate) use accept::serve;
 pub(crate) use submission::{
     ClientSubmission, MessageContent, SubmissionError, SubmissionMetadata, SubmissionReply, is_same_message,
 };
@@ -52,6 +52,9 @@
     pub(crate) submit: SubmitHandler,
     /// Reports a message whose "accepted" reply could not be delivered to its client.
     pub(crate) withdraw: Box<dyn Fn(MessageId)>,
+    /// Channel that is closed once this process accepts all connections: from its start, or as a successor once the active
+    /// process no longer accepts any.
+    pub(crate) accepting: Receiver<()>,
     /// Channel that is closed when the relay stops accepting and starts to close client connections.
     pub(crate) stopping: Receiver<()>,
     /// Channel that is closed shortly before the process exits: pending replies are sent, further requests are
@@ -144,6 +147,11 @@
         }
     }
 
+    /// Returns whether the active process accepts the client connections, and this successor only those that it leaves.
+    fn leaves_clients_to_active_process(&self) -> bool {
+        !self.config.accepting.is_closed()
+    }
+
     /// Closes the connection that has waited longest, so that silent clients and incomplete requests do not exclude
     /// other clients. Returns whether a connection was closed.
     fn evict_oldest(&self, evictable: Evictable) -> bool {
@@ -203,55 +211,6 @@
     }
 }
 
-/// Accepts connections until the `stopping` channel is closed.
-pub(crate) async fn serve(
-    listener: Async<TcpListener>,
-    service: Rc<ClientService>,
-    executor: Rc<LocalExecutor<'static>>,
-) {
-    let mut connections = 0;
-    let mut failures = 0;
-    while let Some(accepted) = accept(&listener, &service).await {
-        match accepted {
-            // Accepting fails while file descriptors are exhausted; the listener must be closed even then.
-            Err(_) if service.config.stopping.is_closed() => return,
-            Err(e) => {
-                // Logged once per series of failures, to bound the log during a shortage of descriptors.
-                if failures == 0 {
-                    warn!("can't accept a client connection: {e}");
-                }
-                failures += 1;
-                Timer::after(ACCEPT_PAUSE).await;
-            }
-            Ok((stream, peer)) if !service.make_room() => {
-                executor.spawn(reject_connection(stream, peer, service.clone())).detach();
-            }
-            Ok((stream, peer)) => {
-                connections += 1;
-                failures = 0;
-                let connection = ClientConnection::new(stream, connections);
-                service.config.open_connections.set(service.config.open_connections.get() + 1);
-                service.start_waiting(&connection);
-                executor.spawn(serve_connection(connection, peer, service.clone())).detach();
-            }
-        }
-    }
-}
-
-/// Returns the next connection, or `None` once the `stopping` channel is closed.
-async fn accept(
-    listener: &Async<TcpListener>,
-    service: &ClientService,
-) -> Option<io::Result<(Async<TcpStream>, SocketAddr)>> {
-    let accepted = async { Some(listener.accept().await) };
-    let stopping = async {
-        let _ = service.config.stopping.recv().await;
-        None
-    };
-    // `accepted` is polled first: closing the listener would reset connections that are already established.
-    accepted.or(stopping).await
-}
-
 /// Serves a connection until it is closed, and logs the reason.
 async fn serve_connection(mut connection: ClientConnection, peer: SocketAddr, service: Rc<ClientService>) {
     let reason = connection.run(&service).await;
--- a/crates/relay/src/clients/tests.rs
+++ b/crates/relay/src/clients/tests.rs
@@ -4,8 +4,10 @@
 use super::submission::*;
 use super::*;
 use async_channel::Sender;
+use async_executor::LocalExecutor;
 use futures_lite::future::block_on;
 use std::io::{self, Write};
+use std::net::TcpListener;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -34,12 +36,15 @@
     let (submit, submitted) = async_channel::unbounded();
     let (stop, stopping) = async_channel::bounded(1);
     let (end, ending) = async_channel::bounded(1);
+    let (accept, accepting) = async_channel::bounded(1);
+    accept.close();
     let withdrawn = Rc::new(RefCell::new(Vec::new()));
     let violations: Rc<Violations> = Rc::default();
     let withdrawn_by_service = withdrawn.clone();
     let service = ClientService::new(ClientServiceConfig {
         submit: Box::new(move |_, reply| drop(submit.try_send(reply))),
         withdraw: Box::new(move |message| withdrawn_by_service.borrow_mut().push(message)),
+        accepting,
         stopping,
         ending,
         max_connections: 8,
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -165,6 +165,9 @@
 /// Serves clients at once, and runs the dispatcher once this process is the active one.
 async fn run(start: PreparedStart, signals: StartSignals) -> Result<(), StartError> {
     let PreparedStart { config, mut state_dir, files, stored_time, initial_list, tasks, listeners } = start;
+    if matches!(state_dir.role, Role::Active(_)) {
+        tasks.clients_accepting.0.close();
+    }
     tasks.spawn_all(&config, &state_dir, initial_list.as_ref(), listeners, signals);
     tasks.maintenance.borrow_mut().set_serving();
     info!("ready on {}", config.listen);
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -23,6 +23,7 @@
 use std::fs::File;
 use std::io;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// Message number in notifications of messages that are not in the spool; the dispatcher does not use it.
 const NOT_IN_SPOOL: MessageId = MessageId(u64::MAX);
@@ -101,7 +102,7 @@
     let opened = await_while_serving(tasks, &mut early_events, opening).await?;
     let Some(successor) = opened else { return Ok(None) };
     early_events.requeue(&tasks.events);
-    info!("another process owns the state folder: accepting messages as its successor");
+    info!("another process owns the state folder: waiting as its successor until it hands over");
     let mut intake = SuccessorIntake::new(IntakeOptions {
         spool: successor,
         active_ids: PeerIds::new(Peer::Active, &state_dir.path),
@@ -111,6 +112,8 @@
         maintenance: tasks.maintenance.clone(),
         files,
         stored_time,
+        started: tasks.started,
+        clients_accepting: tasks.clients_accepting.0.clone(),
         clients_stopping: tasks.clients_stopping.0.clone(),
         clients_ending: tasks.clients_ending.0.clone(),
         client_connections: tasks.client_connections.clone(),
@@ -337,7 +340,7 @@
     for message in &accepted_by_successor {
         log_if_id_conflicts(&message.accepted, &accepted_by_active);
     }
-    info!("took over {} messages accepted as successor of the active process", accepted_by_successor.len());
+    log_takeover(&accepted_by_successor, successor.shared_time.now());
     drop(successor);
     let path = state_dir.successor_path.join(mountshift_spool::SPOOL_FILE);
     retry_deadlines
@@ -346,6 +349,22 @@
         .map_err(|source| StartError::State { path, source })
 }
 
+/// Logs how long the messages of a successor have waited until this process may send them, and how many have expired.
+fn log_takeover(messages: &[StoredMessage], now: Duration) {
+    let count = messages.len();
+    let accepted_at =
+        messages.iter().map(|message| Duration::from_micros(message.accepted.accepted_at_us)).min();
+    let longest = now.saturating_sub(accepted_at.unwrap_or(now));
+    info!(
+        "took over {count} messages accepted as successor of the active process, after {longest:.3?} at most"
+    );
+    let is_expired = |message: &&StoredMessage| now.as_millis() as u64 > message.accepted.deadline;
+    let expired = messages.iter().filter(is_expired).count();
+    if expired > 0 {
+        warn!("{expired} of them expired before this process could send them");
+    }
+}
+
 fn stored_messages(spool: &Spool) -> Vec<StoredMessage> {
     spool.messages().values().cloned().collect()
 }
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -48,6 +48,8 @@
     pub(crate) notifications: Channel<Notification>,
     /// Requests of the dispatcher to poll the endpoint list.
     pub(crate) poll_requests: Channel<()>,
+    /// Channel that is closed once this process accepts all client connections.
+    pub(crate) clients_accepting: Channel<()>,
     /// Channel that is closed when the relay stops accepting and starts to close client connections.
     pub(crate) clients_stopping: Channel<()>,
     /// Channel that is closed shortly before the process exits: pending replies are sent, further requests are
@@ -61,8 +63,8 @@
     pub(crate) violations: Rc<Violations>,
     /// Whether this process holds the lock and the spool of the active process.
     pub(crate) is_active: Rc<Cell<bool>>,
-    /// Reference time for maintenance commands.
-    started: Instant,
+    /// Start of this process: the reference time for maintenance commands.
+    pub(crate) started: Instant,
 }
 
 impl RelayTasks {
@@ -77,6 +79,7 @@
             events: async_channel::unbounded(),
             notifications: async_channel::unbounded(),
             poll_requests: async_channel::bounded(1),
+            clients_accepting: async_channel::bounded(1),
             clients_stopping: async_channel::bounded(1),
             clients_ending: async_channel::bounded(1),
             maintenance: Rc::new(RefCell::new(maintenance)),
@@ -158,6 +161,7 @@
                 drop(received.try_send(Event::MessageReceived { message, reply_to }));
             }),
             withdraw: Box::new(move |message| drop(unreachable.try_send(Event::ClientUnreachable(message)))),
+            accepting: self.clients_accepting.1.clone(),
             stopping: self.clients_stopping.1.clone(),
             ending: self.clients_ending.1.clone(),
             max_connections: config.max_descriptors / CLIENT_DESCRIPTOR_DIVISOR,
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -1,6 +1,7 @@
 //! Intake of a successor, a process started while another one is active. Until the active process exits, the successor
-//! serves clients, stores their submissions in its own spool and sends nothing. `mountshift_handover` determines which
-//! process is active and which messages a successor accepts.
+//! sends nothing. It leaves client connections to the active process until that hands over; from then on it serves
+//! clients and stores their submissions in its own spool. `mountshift_handover` determines which process is active and
+//! which messages a successor accepts.
 
 use crate::acceptance::Acceptances;
 use crate::clients::{ClientSubmission, SubmissionError, SubmissionReply};
@@ -14,9 +15,9 @@
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
-use log::{error, info, warn};
+use log::{debug, error, info, warn};
 use mountshift::interface::MessageId;
-use mountshift_handover::{ActiveProcessState, LOCK_POLL_INTERVAL, RESTART_STOP_PLAN, successor_accepts};
+use mountshift_handover::{LOCK_POLL_INTERVAL, RESTART_STOP_PLAN, TakeoverProgress, successor_accepts};
 use mountshift_maintenance::{Change, MaintenanceState};
 use mountshift_spool::{AcceptedMessage, Spool};
 use std::cell::{Cell, RefCell};
@@ -55,6 +56,10 @@
     pub(crate) files: &'a StateFiles,
     /// Time line by which stored data is dated.
     pub(crate) stored_time: StoredTime,
+    /// Start of this process.
+    pub(crate) started: Instant,
+    /// Channel that is closed once this process accepts all client connections.
+    pub(crate) clients_accepting: Sender<()>,
     /// Channel that is closed when the relay stops accepting and starts to close client connections.
     pub(crate) clients_stopping: Sender<()>,
     /// Channel that is closed shortly before the process exits: pending replies are sent, further requests are
@@ -74,6 +79,13 @@
     pub(crate) previous_process: Option<String>,
 }
 
+/// A handover, as the successor noticed it.
+struct Handover {
+    /// Name of the process that hands over.
+    process: String,
+    noticed_at: Instant,
+}
+
 /// Accepts messages while another process is active.
 pub(crate) struct SuccessorIntake<'a> {
     options: IntakeOptions<'a>,
@@ -83,8 +95,8 @@
     /// Events that only a dispatcher can handle.
     deferred_events: DeferredEvents,
     stopping_since: Option<Instant>,
-    /// Name of the active process, once it has marked its handover.
-    previous_process: Option<String>,
+    /// The handover of the active process, once it has begun.
+    handover: Option<Handover>,
     /// Whether the last commit of the spool failed and this has been logged.
     is_failure_logged: bool,
 }
@@ -97,7 +109,7 @@
             acceptances: Acceptances::default(),
             deferred_events: DeferredEvents::default(),
             stopping_since: None,
-            previous_process: None,
+            handover: None,
             is_failure_logged: false,
         }
     }
@@ -109,7 +121,7 @@
                 self.handle(event);
             }
             self.commit();
-            self.record_handover();
+            self.check_handover();
             if self.stopping_since.is_some() {
                 if self.can_stop() {
                     self.finish(events).await;
@@ -118,6 +130,7 @@
             } else if self.options.active_lock.try_lock().is_ok() {
                 let stored = self.options.spool.messages().len();
                 info!("this process owns the state folder now, with {stored} messages accepted as successor");
+                self.options.clients_accepting.close();
                 return IntakeEnd::BecameActive(std::mem::take(&mut self.deferred_events));
             }
         }
@@ -127,14 +140,35 @@
         IntakeParts {
             spool: self.options.spool,
             active_ids: self.options.active_ids,
-            previous_process: self.previous_process,
+            previous_process: self.handover.map(|handover| handover.process),
         }
     }
 
-    /// Records the name of the process that hands over; only its snapshot is valid.
-    fn record_handover(&mut self) {
-        if self.previous_process.is_none() {
-            self.previous_process = self.options.files.handing_over_process();
+    /// Returns whether the active process hands over at this moment. The first time that it does, records its name, as only
+    /// its snapshot is valid, and starts to accept client connections.
+    fn check_handover(&mut self) -> bool {
+        // Read each time, because the marker of the active process is valid only until that process exits.
+        let Some(process) = self.options.files.handing_over_process() else { return false };
+        if self.handover.is_none() {
+            info!(
+                "process {process} hands over {:.3} s after the start of this one: accepting client connections",
+                self.options.started.elapsed().as_secs_f64()
+            );
+            self.options.clients_accepting.close();
+            self.handover = Some(Handover { process, noticed_at: Instant::now() });
+        }
+        true
+    }
+
+    /// Returns the progress of the upgrade. Whether the active process hands over at this moment matters only to a message
+    /// in order.
+    fn takeover_progress(&mut self, is_in_order: bool) -> TakeoverProgress {
+        TakeoverProgress {
+            is_handing_over: is_in_order && self.check_handover(),
+            successor_uptime: self.options.started.elapsed(),
+            handover_elapsed: self.handover.as_ref().map(|handover| handover.noticed_at.elapsed()),
+            stop_elapsed: self.stopping_since.map(|since| since.elapsed()),
+            has_shared_clock: self.options.stored_time.is_shared(),
         }
     }
 
@@ -197,19 +231,19 @@
     }
 
     /// Returns the message to store in the spool, or the reply if it is not accepted.
-    fn check(&self, message: &ClientSubmission) -> Result<AcceptedMessage, SubmissionReply> {
+    fn check(&mut self, message: &ClientSubmission) -> Result<AcceptedMessage, SubmissionReply> {
         if !self.options.classes.contains(&message.metadata.class) {
             return Err(SubmissionReply::Failed(SubmissionError::UnknownClass));
         }
         let time_left = message.metadata.time_to_deadline.saturating_sub(message.received_at.elapsed());
         let class = self.options.classes.iter().position(|class| *class == message.metadata.class);
         let is_in_order = class.is_some_and(|class| self.options.ordered_classes[class]) && message.key != 0;
-        let active = ActiveProcessState {
-            // Read each time, because the marker of the active process is valid only until that process exits.
-            is_handing_over: is_in_order && self.options.files.handing_over_process().is_some(),
-            has_shared_clock: self.options.stored_time.is_shared(),
-        };
-        if !successor_accepts(time_left, is_in_order, active) {
+        let progress = self.takeover_progress(is_in_order);
+        if !successor_accepts(time_left, is_in_order, progress) {
+            debug!(
+                "submission rejected as successor: {time_left:?} to its deadline, longest wait {:?}, in order: {is_in_order}",
+                progress.longest_wait()
+            );
             return Err(SubmissionReply::Rejected { retry_after_ms: 0 });
         }
         let now = self.options.stored_time.now();
--- a/crates/relay/tests/handover/main.rs
+++ b/crates/relay/tests/handover/main.rs
@@ -5,6 +5,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod delayed_handover;
 mod failing_folder;
 mod message_ids;
 mod process;
