Test: a successor serves clients of a suspended active process only

Cause: the accept queue that stalls had unit tests and the existing tests with a suspended active process, but none that the client goes back. Change: a client of a suspended active process gets its reply, its connection is closed once idle, and the next message goes to the active process again, which sends it without a handover.

--- a/crates/relay/tests/handover/delayed_handover.rs
+++ b/crates/relay/tests/handover/delayed_handover.rs
@@ -281,6 +281,24 @@
     });
 }
 
+// Guards against clients without a reply while the active process is suspended, and against clients that stay with the
+// successor afterwards, which has to reject most of their messages.
+#[test]
+fn successor_serves_clients_of_a_suspended_active_process_only() {
+    let fixture = upgrade_fixture();
+    fixture.gate.open();
+    let active = fixture.start(0);
+    let _successor = fixture.start(1);
+    active.signal("STOP");
+    let stream = TcpStream::connect(fixture.listen).expect("connect");
+    let mut client = Client(BufReader::new(stream));
+    assert_eq!(client.request(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
+    assert_eq!(client.read_reply(), "", "the connection is closed once it is idle");
+    active.signal("CONT");
+    fixture.submit("m1", 5, "pay");
+    wait_until("the active process's call", || fixture.endpoint.ids() == ["m1"]);
+}
+
 fn response_text(status: u16) -> String {
     format!("HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n")
 }
