Soak: the successor is asked 0 to 6 s after its start; messages expire there

Cause: the soak stopped the active process 0.4 s after the start of its successor, always, so that no message could expire in the successor.

Change: an upgrade asks the successor's admin address whether it serves, from a drawn time of 0 to 6 s on, and only then sends SIGTERM (or kills one of the two); no answer within 6 s, and a process that exits meanwhile, are breaches. Disk faults of an upgrade come as the successor starts and again around the handover.

--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -5,8 +5,9 @@
 use crate::endpoint::{Behaviour, Endpoints};
 use crate::platform::{AgentBehaviour, Platform};
 use crate::recorder::{Observation, Recorder};
-use crate::relay_process::{RelayProcess, UpgradeEnd};
+use crate::relay_process::RelayProcess;
 use crate::schedule::{FaultKind, Schedule, ScheduledFault};
+use crate::upgrade::UpgradePlan;
 use mountshift_faults::{FULL_RATE, SystemCall, SystemCallFault};
 use mountshift_invariants::ListedStatus;
 use rustix::process::Signal;
@@ -101,7 +102,7 @@
     async fn signal_processes(&self, fault: &ScheduledFault) {
         // A third of the stops is cut short by SIGKILL.
         let kill_after = (fault.amount % 3 == 0).then(|| Duration::from_millis(fault.amount as u64));
-        let upgrade = upgrade_end(fault);
+        let upgrade = UpgradePlan::of(fault);
         let kind = fault.kind;
         let series = signal_series(fault.amount as u64);
         self.for_each_relay(fault, move |relay| async move {
@@ -140,20 +141,18 @@
         }
     }
 
+    /// Upgrades relays while calls on their folders fail: as the successor starts, and again around its handover.
     async fn upgrade_with_disk_faults(&self, fault: &ScheduledFault, span: Duration) {
         let relays = self.targeted_relays(fault);
-        for relay in &relays {
-            for (call, call_fault) in disk_faults(fault) {
-                let _ = relay.faults.set_system_call_fault(call, call_fault);
-            }
-        }
-        let end = upgrade_end(fault);
-        let upgrades = self.for_each_relay(fault, move |relay| async move { relay.upgrade(end).await });
-        let clear = async {
-            Timer::after(span).await;
-            clear_disk_faults(&relays, fault);
+        let plan = UpgradePlan::of(fault);
+        let upgrades = self.for_each_relay(fault, move |relay| async move { relay.upgrade(plan).await });
+        let faults = async {
+            let until_handover = plan.ready_call_delay.saturating_sub(span / 2);
+            fail_disk_calls(&relays, fault, span).await;
+            Timer::after(until_handover.saturating_sub(span)).await;
+            fail_disk_calls(&relays, fault, span).await;
         };
-        smol::future::zip(upgrades, clear).await;
+        smol::future::zip(upgrades, faults).await;
     }
 
     async fn delay_clock_reads(&self, fault: &ScheduledFault, span: Duration) {
@@ -311,16 +310,6 @@
 /// Time after which a killed relay is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(600);
 
-/// Returns the end of an upgrade: in a quarter of them the active process is killed, and a quarter is aborted.
-fn upgrade_end(fault: &ScheduledFault) -> UpgradeEnd {
-    match fault.amount % 8 {
-        0 | 4 => UpgradeEnd::ActiveKilled,
-        1 => UpgradeEnd::SuccessorKilled,
-        5 => UpgradeEnd::SuccessorStopped,
-        _ => UpgradeEnd::TakenOver,
-    }
-}
-
 /// Returns a series of signals selected by the bits of a number; at least one of them is SIGTERM.
 fn signal_series(bits: u64) -> [Signal; SIGNALS_IN_SERIES] {
     let mut series = [Signal::TERM; SIGNALS_IN_SERIES];
@@ -385,6 +374,17 @@
     }
 }
 
+/// Makes calls on the folders of relays fail for a time.
+async fn fail_disk_calls(relays: &[Arc<RelayProcess>], fault: &ScheduledFault, span: Duration) {
+    for relay in relays {
+        for (call, call_fault) in disk_faults(fault) {
+            let _ = relay.faults.set_system_call_fault(call, call_fault);
+        }
+    }
+    Timer::after(span).await;
+    clear_disk_faults(relays, fault);
+}
+
 fn clear_disk_faults(relays: &[Arc<RelayProcess>], fault: &ScheduledFault) {
     for relay in relays {
         for (call, _) in disk_faults(fault) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod admin;
 mod bad_clients;
 mod client;
 mod copies;
@@ -28,6 +29,7 @@
 mod relay_process;
 mod run;
 mod schedule;
+mod upgrade;
 mod wire_end;
 
 pub use error::SoakError;
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -23,13 +23,11 @@
 /// Time within which a relay must be ready after its start.
 const READY_WITHIN: Duration = Duration::from_secs(10);
 /// Interval between two checks whether a relay is ready.
-const READY_INTERVAL: Duration = Duration::from_millis(20);
+pub(crate) const READY_INTERVAL: Duration = Duration::from_millis(20);
 /// Time from SIGTERM to SIGKILL.
-const KILL_AFTER: Duration = Duration::from_millis(3_700);
+pub(crate) const KILL_AFTER: Duration = Duration::from_millis(3_700);
 /// Time from the end of a relay to its next start.
 const RESTART_AFTER: Duration = Duration::from_millis(600);
-/// Time after its start within which a successor must answer clients.
-const SUCCESSOR_START: Duration = Duration::from_millis(400);
 /// Pause between two signals of a series.
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(40);
 /// Interval between two checks whether a process has ended.
@@ -63,19 +61,6 @@
     }
 }
 
-/// End of an upgrade.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum UpgradeEnd {
-    /// The active process is stopped by SIGTERM and the successor takes over.
-    TakenOver,
-    /// The active process is killed and the successor takes over.
-    ActiveKilled,
-    /// The upgrade is aborted: the successor is killed.
-    SuccessorKilled,
-    /// The upgrade is aborted: the successor is stopped by SIGTERM.
-    SuccessorStopped,
-}
-
 /// A relay of the run.
 pub(crate) struct RelayProcess {
     pub(crate) number: usize,
@@ -83,13 +68,13 @@
     pub(crate) faults: FaultControl,
     dir: PathBuf,
     programs: Programs,
-    recorder: Arc<Recorder>,
+    pub(crate) recorder: Arc<Recorder>,
     platform: Arc<Platform>,
     installation: Installation,
     /// The clients' socket if the platform owns it. It stays open during the whole run and is inherited by the
     /// processes.
     inherited_listener: Option<TcpListener>,
-    child: Mutex<Option<Child>>,
+    pub(crate) child: Mutex<Option<Child>>,
     /// Index of the agent's address that the configuration names.
     agent_address_index: AtomicUsize,
     /// Time until which a missing answer is attributed to the end or start of the process.
@@ -165,52 +150,6 @@
         self.start_locked(&mut child).await;
     }
 
-    /// Starts a successor while the process is active. Both processes together are one relay and obey the same rules,
-    /// and no answer may be late unless one of them is killed.
-    pub(crate) async fn upgrade(&self, end: UpgradeEnd) {
-        let mut slot = self.child.lock().await;
-        let Ok(mut successor) = self.spawn() else {
-            return self.record_process_event("could not start a successor".into());
-        };
-        Timer::after(SUCCESSOR_START).await;
-        match end {
-            UpgradeEnd::TakenOver => {
-                if let Some(active) = slot.as_mut() {
-                    let _ = kill_process(Pid::from_child(active), Signal::TERM);
-                    let status = wait_for_exit(active, KILL_AFTER).await;
-                    self.check_exit_status(status, None);
-                }
-                *slot = Some(successor);
-            }
-            UpgradeEnd::ActiveKilled => {
-                self.tolerate_missing_answers_until(Time::MAX);
-                if let Some(active) = slot.as_mut() {
-                    let _ = active.kill();
-                    let _ = active.wait();
-                }
-                *slot = Some(successor);
-            }
-            UpgradeEnd::SuccessorKilled => {
-                self.tolerate_missing_answers_until(Time::MAX);
-                let _ = successor.kill();
-                let _ = successor.wait();
-            }
-            UpgradeEnd::SuccessorStopped => {
-                let _ = kill_process(Pid::from_child(&successor), Signal::TERM);
-                let status = wait_for_exit(&mut successor, KILL_AFTER).await;
-                self.check_exit_status(status, None);
-            }
-        }
-        if end != UpgradeEnd::TakenOver {
-            // The remaining process first has to find the messages that the ended one had accepted.
-            self.recorder
-                .record_fact(Fact::RelayStalled { relay: self.number as u32, until: self.recorder.now() });
-        }
-        if matches!(end, UpgradeEnd::ActiveKilled | UpgradeEnd::SuccessorKilled) {
-            self.tolerate_missing_answers_until(self.recorder.now() + RESTART_AFTEREFFECT);
-        }
-    }
-
     /// Sends a series of signals with at least one SIGTERM, waits for the end of the process and starts a new one on
     /// the same folder. The time until SIGKILL counts from the first SIGTERM.
     pub(crate) async fn signal_and_restart(&self, series: impl IntoIterator<Item = Signal>) {
@@ -279,7 +218,7 @@
         self.self_kill_faults.fetch_sub(1, Ordering::SeqCst);
     }
 
-    fn may_kill_itself(&self) -> bool {
+    pub(crate) fn may_kill_itself(&self) -> bool {
         self.self_kill_faults.load(Ordering::SeqCst) > 0
     }
 
@@ -306,7 +245,7 @@
         String::from_utf8_lossy(&std::fs::read(self.dir.join("log")).unwrap_or_default()).into_owned()
     }
 
-    fn tolerate_missing_answers_until(&self, until: Time) {
+    pub(crate) fn tolerate_missing_answers_until(&self, until: Time) {
         self.missing_answers_tolerated_until.store(until, Ordering::SeqCst);
     }
 
@@ -323,7 +262,7 @@
         *slot = None;
     }
 
-    fn check_exit_status(&self, status: Option<ExitStatus>, kill_after: Option<Duration>) {
+    pub(crate) fn check_exit_status(&self, status: Option<ExitStatus>, kill_after: Option<Duration>) {
         match status {
             Some(status) if status.success() || self.may_kill_itself() => {}
             Some(status) => self.record_process_event(format!("exited after SIGTERM with {status}")),
@@ -339,7 +278,7 @@
         self.record_starting();
         let started = Instant::now();
         match self.spawn() {
-            Ok(child) => *slot = Some(child),
+            Ok((child, _)) => *slot = Some(child),
             Err(e) => return self.record_process_event(format!("could not be started: {e}")),
         }
         while !self.is_ready().await {
@@ -353,7 +292,7 @@
                 self.platform.record_initial_list(self.number);
                 self.record_starting();
                 match self.spawn() {
-                    Ok(child) => *slot = Some(child),
+                    Ok((child, _)) => *slot = Some(child),
                     Err(e) => return self.record_process_event(format!("could not be started: {e}")),
                 }
             }
@@ -372,13 +311,17 @@
         self.recorder.record_fact(Fact::RelayStalled { relay: self.number as u32, until });
     }
 
-    fn spawn(&self) -> std::io::Result<Child> {
+    /// Starts a process. Returns it and its admin address.
+    pub(crate) fn spawn(&self) -> std::io::Result<(Child, SocketAddr)> {
+        // The port is free again once the socket is dropped; no other program uses the relay's loopback address.
+        let admin_address = free_listener(self.number)?.local_addr()?;
         let log = std::fs::File::options().create(true).append(true).open(self.dir.join("log"))?;
         let mut command = Command::new(&self.programs.relay);
         command
             .env_clear()
             .env("NODE_CONFIG", self.dir.join("config.json"))
             .env("NODE_STATE", self.dir.join("state"))
+            .env("NODE_MGMT", admin_address.to_string())
             .env("RUST_LOG", "info,mountshift_relay=debug");
         if let Some(listener) = &self.inherited_listener {
             let descriptor = listener.as_raw_fd().to_string();
@@ -390,7 +333,7 @@
         }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
         lock(&self.started_processes).push(Pid::from_child(&child));
-        Ok(child)
+        Ok((child, admin_address))
     }
 
     async fn is_ready(&self) -> bool {
@@ -446,7 +389,7 @@
 }
 
 /// Waits for the end of a process and kills it after `kill_after`. Returns its exit status unless it was killed.
-async fn wait_for_exit(child: &mut Child, kill_after: Duration) -> Option<ExitStatus> {
+pub(crate) async fn wait_for_exit(child: &mut Child, kill_after: Duration) -> Option<ExitStatus> {
     let due = Instant::now() + kill_after;
     loop {
         if let Ok(Some(status)) = child.try_wait() {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -1,6 +1,7 @@
 //! The schedule of a run: its faults and their times, drawn from a seed alone.
 
 use crate::SoakError;
+use crate::upgrade::MAX_UPGRADE_AMOUNT;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::seq::IndexedRandom;
@@ -45,8 +46,8 @@
     Kill,
     /// Relays are stopped by SIGTERM and started again.
     Stop,
-    /// Relays are upgraded: a successor starts and takes over. In a quarter of the upgrades the active process is
-    /// killed, and a quarter is aborted. Requires inherited sockets.
+    /// Relays are upgraded: a successor starts, reports when asked 0 to 6 s later that it serves, and takes over. In a
+    /// quarter of the upgrades the active process is killed, and a quarter is aborted. Requires inherited sockets.
     Upgrade,
     /// Relays get SIGHUP and another address of the discovery service.
     Reload,
@@ -305,6 +306,7 @@
             FaultKind::Clock => *[-3_600_000, -5_000, 5_000, 3_600_000].choose(random).unwrap_or(&0),
             FaultKind::RetryAfter => random.random_range(300..3_000),
             FaultKind::Slow => random.random_range(100..1_500),
+            FaultKind::Upgrade | FaultKind::UpgradeDisk => random.random_range(0..MAX_UPGRADE_AMOUNT),
             _ => random.random_range(0..1_000),
         };
         let (shortest, longest) = match kind {
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -46,9 +46,20 @@
 /// Seed whose schedule contains all of them, endless answers and late copies.
 const SEED_OF_ALL_OTHER_KINDS: u64 = 767;
 
+/// Number of relays in most runs.
+const RELAYS: usize = 4;
+/// Kinds of faults beside which a successor may have to wait for the handover, at most 6 s, while messages expire.
+const KINDS_BESIDE_LATE_HANDOVERS: [FaultKind; 3] =
+    [FaultKind::Upgrade, FaultKind::Hang, FaultKind::BadClients];
+/// Seed with handovers up to 6 s after the start of a successor. A relay whose successors accept messages that may expire
+/// before the handover has 4 late notifications in it.
+const SEED_OF_LATE_HANDOVERS: u64 = 2;
+/// Number of relays in the run of that seed.
+const RELAYS_WITH_LATE_HANDOVERS: usize = 8;
+
 /// Runs the schedule of a seed, which must contain every one of the kinds.
-fn assert_invariants_hold_under(kinds: &[FaultKind], seed: u64) {
-    let schedule = Schedule::draw(seed, 20, 4, kinds).expect("a schedule");
+fn assert_invariants_hold_under(kinds: &[FaultKind], seed: u64, relays: usize) {
+    let schedule = Schedule::draw(seed, 20, relays, kinds).expect("a schedule");
     let is_drawn = |kind: &FaultKind| schedule.faults.iter().any(|fault| fault.kind == *kind);
     assert!(kinds.iter().all(is_drawn), "{}", schedule.to_json());
     let report = run_schedule(&schedule, &programs(), None).expect("a report");
@@ -58,13 +69,21 @@
 
 #[test]
 fn every_invariant_holds_under_the_kinds_of_faults_that_the_fixed_schedule_lacks() {
-    assert_invariants_hold_under(&OTHER_KINDS, SEED_OF_OTHER_KINDS);
+    assert_invariants_hold_under(&OTHER_KINDS, SEED_OF_OTHER_KINDS, RELAYS);
 }
 
 #[test]
 fn every_invariant_holds_under_endless_answers_and_late_copies_beside_the_other_kinds() {
     let kinds = [&OTHER_KINDS[..], &[FaultKind::EndlessAnswers, FaultKind::LateCopies]].concat();
-    assert_invariants_hold_under(&kinds, SEED_OF_ALL_OTHER_KINDS);
+    assert_invariants_hold_under(&kinds, SEED_OF_ALL_OTHER_KINDS, RELAYS);
+}
+
+// Guards against messages that expire in a successor that waits for the handover. The other runs ask a successor at once
+// or at times at which nothing expires.
+#[test]
+fn every_invariant_holds_when_upgrades_hand_over_late_beside_hanging_endpoints() {
+    let relays = RELAYS_WITH_LATE_HANDOVERS;
+    assert_invariants_hold_under(&KINDS_BESIDE_LATE_HANDOVERS, SEED_OF_LATE_HANDOVERS, relays);
 }
 
 #[test]
