--- a/crates/relay/tests/support/mod.rs
+++ b/crates/relay/tests/support/mod.rs
@@ -36,3 +36,13 @@
         thread::sleep(ms(5));
     }
 }
+
+/// Pseudo-random numbers, the same for the same seed.
+pub(crate) struct Random(pub(crate) u64);
+
+impl Random {
+    pub(crate) fn below(&mut self, bound: u64) -> u64 {
+        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) % bound
+    }
+}
--- a/crates/soak/src/upgrade.rs
+++ b/crates/soak/src/upgrade.rs
@@ -1,5 +1,5 @@
-//! Upgrades of a relay: a successor starts beside the active process, which is stopped once the platform has heard from
-//! the successor that it serves. Both processes together are one relay and obey the same rules.
+//! Upgrades of a relay: a successor starts beside the active process, which is stopped once the successor has reported
+//! that it serves. Both processes together are one relay and obey the same rules.
 
 use crate::admin::reports_ready;
 use crate::relay_process::{KILL_AFTER, READY_INTERVAL, RelayProcess, wait_for_exit};
