--- a/review/standin-2/kit.py
+++ b/review/standin-2/kit.py
@@ -204,6 +204,7 @@
         self.record, self.name, self.cell = record, name, cell
         self.behave = behave or (lambda endpoint, message: (0.0, 200))
         self.calls = []  # (time, id, body)
+        self.results = []  # (time of the call, time of the answer, ids, status)
         self.report = None  # the load report of the answers
         self.http = HttpServer(self._answer, server)
         self.address = self.http.address
@@ -222,6 +223,7 @@
         delay, status = self.behave(self, messages[0][0])
         if delay:
             time.sleep(delay)
+        self.results.append((at, self.record.now(), [message for message, _ in messages], status))
         if status is None:
             return None
         self.record.write(f"endpoint {self.name}: answers {' '.join(m for m, _ in messages)} with {status}")
