--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# Operators take two endpoints out during an upgrade, one at each second address.
+# An open watch falls silent, and an endpoint leaves meanwhile.
 cd "$(dirname "$0")" && PYTHONDONTWRITEBYTECODE=1 exec python3 case.py
