--- /dev/null
+++ b/review/7/case.py
@@ -0,0 +1,87 @@
+"""Discovery moves by a new configuration while an upgrade is under way: between the new process's start and its yes."""
+
+import os
+import signal
+import sys
+import time
+
+FOLDER = os.path.dirname(os.path.abspath(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(FOLDER), "standin-2"))
+
+import kit
+
+SLACK = 0.3 + 0.05  # a message's end, behind its time, and 50 ms on sockets
+READY_SLACK = 1.5  # no notice is overdue from the SIGTERM of a restart until 1.5 s after the relay is ready again
+
+
+def case(site, trouble):
+    record = site.record
+    delivered = {}
+
+    def behave(endpoint, message):
+        # One payment in four is answered with an error at once: it may have run, so it must end by a notice.
+        status = 500 if message[0] in "0123" else 200
+        if status == 200:
+            delivered[message] = record.now()
+        return 0.02, status
+
+    # The endpoint takes one message in a call, so each has an answer of its own.
+    endpoint = kit.Endpoint(record, "s-a", 7, behave=behave)
+    platform = kit.Platform(record, [endpoint.entry(flavor="minor-host")])
+    mgmt = kit.free_address()
+    first = site.start_relay(platform.address, platform.initial_list(), mgmt=mgmt, inherit=True)
+    site.wait_for_pong()
+    site.wait_for_status(mgmt)
+    client = kit.Client(record, site.listen_address)
+    accepted = {}
+
+    def submit_for(seconds):
+        due = time.monotonic() + seconds
+        while time.monotonic() < due:
+            message, answer = client.submit("order-payment", 7, d=3000, body="payment")
+            if answer and answer.startswith("+"):
+                accepted[message] = record.now()
+            time.sleep(0.05)
+
+    submit_for(2.0)
+    second_mgmt = kit.free_address()
+    second = site.start_relay(platform.address, platform.initial_list(), mgmt=second_mgmt, inherit=True)
+    submit_for(0.6)
+    if trouble:
+        # The new process is in its first second and has not said yes, so SIGHUP goes to the one that serves.
+        site.write_config(platform.move(), platform.initial_list())
+        site.signal(first, signal.SIGHUP)
+    submit_for(0.9)
+    site.wait_for_status(second_mgmt)
+    site.signal(first, signal.SIGTERM)
+    ended = record.now()
+    if site.wait_for_exit(first, 3.7) is None:
+        site.signal(first, signal.SIGKILL)
+        site.wait_for_exit(first, 2.0)
+    site.wait_for_pong()
+    ready = record.now()
+    submit_for(6.0)
+    time.sleep(5.0)
+    if second.poll() is not None:
+        raise kit.CannotRun("the new process ended")
+
+    notices = {}
+    for at, message, _ in platform.notices:
+        notices.setdefault(message, at)
+    lost = []
+    for message, at in accepted.items():
+        due = at + 3.0 + SLACK
+        if ended <= due <= ready + READY_SLACK:
+            due = ready + READY_SLACK
+        if min(delivered.get(message, due + 1), notices.get(message, due + 1)) > due:
+            lost.append((at, message))
+    late = [at for at, _, _, _ in platform.told if at > ended]
+    record.write(f"accepted {len(accepted)}, delivered {len(delivered)}, ended by a notice {len(notices)}; lists told behind the "
+                 f"SIGTERM: {len(late)}; watches: {[round(at, 3) for at, _ in platform.watches]}")
+    if not lost:
+        return []
+    return [f"{len(lost)} messages that were taken on between {lost[0][0]:.3f} and {lost[-1][0]:.3f} were neither delivered nor "
+            f"ended by a notice {SLACK} s behind their time"]
+
+
+sys.exit(kit.run_case(FOLDER, case))
