Upgrade: a new configuration reaches both processes, whichever gets the SIGHUP

Cause: a process read the address at its start and at a SIGHUP of its own. An event for the relay was handled by one of its processes.

Change: the process that reads a new address publishes it with the time of reading (state folder, `reload`); each process follows a later one than its own, every 0.25 s and at the takeover. There the successor also reads its file anew if that names another address than at its start.

Why it works: the address outlives the process that read it, and the later read counts in both, in whatever order they are written.

--- a/crates/handover/src/lib.rs
+++ b/crates/handover/src/lib.rs
@@ -13,10 +13,11 @@
 //! - When the active process has exited (its lock is free), the successor becomes active: it merges both
 //!   spools in the order in which their messages were accepted, and restores the previous process's state of
 //!   the destinations ([`SNAPSHOT_FILE`], a [`Snapshot`]) before the first decision.
+//! - A new configuration is for both processes, whichever of them gets the SIGHUP ([`Reload`]).
 //!
 //! State that one process publishes to the other is valid only while that process exists: locks are released
 //! when their process exits, the handover marker ([`HANDING_OVER_FILE`]) is a lock too, and a snapshot names
-//! its writer.
+//! its writer. A reload counts by its time alone.
 //!
 //! Times in a snapshot are Unix milliseconds, because the two processes share the machine's clock but not
 //! their start times.
@@ -27,6 +28,7 @@
 mod acceptance;
 mod error;
 mod merge;
+mod reload;
 mod role;
 mod snapshot;
 mod start_plan;
@@ -38,6 +40,7 @@
 };
 pub use error::HandoverError;
 pub use merge::{SpoolOwner, merge};
+pub use reload::{RELOAD_CHECK_INTERVAL, RELOAD_FILE, Reload, ReloadState, ReloadStep};
 pub use role::{
     ACTIVE_DISK_SHARE, HANDING_OVER_FILE, LOCK_FILE, LOCK_POLL_INTERVAL, ORPHAN_CHECK_INTERVAL,
     PreviousSuccessor, Role, SUCCESSOR_DIR, SUCCESSOR_DISK_SHARE, determine_role, reads_snapshot,
--- a/crates/relay/src/clock.rs
+++ b/crates/relay/src/clock.rs
@@ -33,6 +33,12 @@
     pub(crate) instant: Instant,
 }
 
+/// Returns the monotonic clock of the machine, shared by all processes of a boot.
+pub(crate) fn monotonic_now() -> Duration {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+    Duration::new(now.tv_sec.try_into().unwrap_or_default(), now.tv_nsec.try_into().unwrap_or_default())
+}
+
 impl ClockReading {
     /// Reads the clocks, and repeats this if the process was interrupted meanwhile. Reading the boot id is retried,
     /// because without it the stored anchor can't be used and stored times would be interpreted by a new one.
@@ -54,17 +60,9 @@
 
     fn read(boot_id: &Option<String>) -> ClockReading {
         let instant = Instant::now();
-        let monotonic = rustix::time::clock_gettime(rustix::time::ClockId::Monotonic);
+        let monotonic = monotonic_now();
         let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        ClockReading {
-            boot_id: boot_id.clone().filter(|id| !id.is_empty()),
-            monotonic: Duration::new(
-                monotonic.tv_sec.try_into().unwrap_or_default(),
-                monotonic.tv_nsec.try_into().unwrap_or_default(),
-            ),
-            wall,
-            instant,
-        }
+        ClockReading { boot_id: boot_id.clone().filter(|id| !id.is_empty()), monotonic, wall, instant }
     }
 }
 
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod notifications;
 mod peer_ids;
+mod reload;
 mod shutdown_rounds;
 mod signals;
 mod startup;
@@ -168,13 +169,16 @@
     if matches!(state_dir.role, Role::Active(_)) {
         tasks.clients_accepting.0.close();
     }
-    tasks.spawn_all(&config, &state_dir, initial_list.as_ref(), listeners, signals);
+    let reloader = tasks.spawn_all(&config, &state_dir, &files, initial_list.as_ref(), listeners, signals);
     tasks.maintenance.borrow_mut().set_serving();
     info!("ready on {}", config.listen);
     let opened = open_spool(&config, &state_dir, &files, stored_time, &tasks).await?;
     let Some(ActiveSpool { spool, mut deferred_events, stored_time, previous_process }) = opened else {
         return Ok(());
     };
+    if state_dir.role == Role::Successor {
+        reloader.reload_if_replaced();
+    }
     state_dir.release_successor_lock();
     let successor_spool = SuccessorSpool::new(&config, &state_dir);
     let previous_process = previous_process.as_deref();
--- a/crates/relay/src/signals.rs
+++ b/crates/relay/src/signals.rs
@@ -1,9 +1,9 @@
-//! Signal handling: SIGHUP reloads the address of discovery from the configuration file, SIGTERM and SIGINT stop the
-//! relay.
+//! Signal handling: SIGHUP reloads the configuration, SIGTERM and SIGINT stop the relay.
 
 use crate::clients::ACCEPT_PAUSE;
 use crate::dispatch::Event;
-use crate::startup::config::{ConfigError, reload_discovery};
+use crate::reload::ConfigReloader;
+use crate::startup::config::ConfigError;
 use crate::startup::state_dir::is_locked_by_another;
 use async_channel::Sender;
 use async_executor::LocalExecutor;
@@ -11,10 +11,9 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
 use log::{error, info};
-use mountshift_handover::RELOAD_RETRY_TIMEOUT;
+use mountshift_handover::{RELOAD_CHECK_INTERVAL, RELOAD_RETRY_TIMEOUT};
 use std::cell::Cell;
 use std::io;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -53,10 +52,7 @@
 
 /// Handles signals until the process exits.
 pub(crate) struct SignalHandler {
-    /// Current address of discovery.
-    pub(crate) discovery: SocketAddr,
-    /// Channels of the tasks that need new addresses of discovery.
-    pub(crate) discovery_moves: Vec<Sender<SocketAddr>>,
+    pub(crate) reloader: Rc<ConfigReloader>,
     pub(crate) events: Sender<Event>,
     /// Channel that is closed when the relay stops accepting and starts to close client connections.
     pub(crate) clients_stopping: Sender<()>,
@@ -73,8 +69,8 @@
 /// Event that wakes the handler.
 enum Wakeup {
     Signal(Option<io::Result<Signal>>),
-    /// A new attempt to read the configuration is due.
-    RetryReload,
+    /// It is time to check for a reload of the other process, and to retry a failed one of this process.
+    CheckReload,
 }
 
 impl SignalHandler {
@@ -83,7 +79,7 @@
     pub(crate) async fn run(mut self, mut signals: Signals) {
         loop {
             match self.next_wakeup(&mut signals).await {
-                Wakeup::RetryReload => self.on_reload(),
+                Wakeup::CheckReload => self.check_reload(),
                 Wakeup::Signal(Some(Ok(Signal::Hup))) => {
                     self.reload_pending_since = None;
                     self.on_reload();
@@ -102,15 +98,21 @@
     }
 
     async fn next_wakeup(&self, signals: &mut Signals) -> Wakeup {
+        let is_pending = self.reload_pending_since.is_some();
+        let pause = if is_pending { RELOAD_RETRY_PAUSE } else { RELOAD_CHECK_INTERVAL };
         let signal = async { Wakeup::Signal(signals.next().await) };
-        if self.reload_pending_since.is_none() {
-            return signal.await;
-        }
-        let retry = async {
-            Timer::after(RELOAD_RETRY_PAUSE).await;
-            Wakeup::RetryReload
+        let check = async {
+            Timer::after(pause).await;
+            Wakeup::CheckReload
         };
-        signal.or(retry).await
+        signal.or(check).await
+    }
+
+    fn check_reload(&mut self) {
+        if self.reload_pending_since.is_some() {
+            self.on_reload();
+        }
+        self.reloader.follow_other_process();
     }
 
     /// Schedules a retry if the error may be temporary: the system lacks resources, or the file is being written.
@@ -133,20 +135,9 @@
     }
 
     fn on_reload(&mut self) {
-        let address = match reload_discovery() {
-            Ok(address) => address,
-            Err(e) => return self.on_reload_failed(&e),
-        };
-        self.reload_pending_since = None;
-        let before = self.discovery;
-        if address == before {
-            info!("told to reload the configuration: discovery stays at {address}");
-            return;
-        }
-        info!("told to reload the configuration: discovery moves from {before} to {address}");
-        self.discovery = address;
-        for moves in &self.discovery_moves {
-            let _ = moves.try_send(address);
+        match self.reloader.reload() {
+            Ok(()) => self.reload_pending_since = None,
+            Err(e) => self.on_reload_failed(&e),
         }
     }
 
--- a/crates/relay/src/startup/config.rs
+++ b/crates/relay/src/startup/config.rs
@@ -1,12 +1,15 @@
 //! Configuration of a relay: a JSON file, and environment variables that take precedence over it.
 
 use super::retry::{RetryDeadlines, Retryable};
+use crate::clock::monotonic_now;
 use mountshift::interface::PolicySettings;
+use mountshift_handover::Reload;
 use mountshift_settings::{FlatSettings, SocketSettings};
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 /// Variable with the path of the configuration file.
 const CONFIG_VARIABLE: &str = "NODE_CONFIG";
@@ -92,6 +95,10 @@
     pub(crate) inherited_listener: Option<i32>,
     /// Address of discovery, which serves endpoint lists and receives notifications.
     pub(crate) discovery: SocketAddr,
+    /// Address of discovery in the file, which a variable may override at startup.
+    pub(crate) file_discovery: Option<SocketAddr>,
+    /// Monotonic clock right before the configuration was read for the first time.
+    pub(crate) read_at: Duration,
     /// Path of the state folder.
     pub(crate) state_dir: PathBuf,
     /// Maximum size of the state folder in bytes.
@@ -113,11 +120,15 @@
     pub(crate) async fn from_environment(
         retry_deadlines: &RetryDeadlines,
     ) -> Result<StartConfig, ConfigError> {
-        retry_deadlines.retry_required(|| StartConfig::read(|name| std::env::var(name).ok())).await
+        let read_at = monotonic_now();
+        let read = || StartConfig::read(|name| std::env::var(name).ok());
+        let config = retry_deadlines.retry_required(read).await?;
+        Ok(StartConfig { read_at, ..config })
     }
 
     /// Reads the file named by `NODE_CONFIG`; `variable` looks up an environment variable.
     fn read(variable: impl Fn(&str) -> Option<String>) -> Result<StartConfig, ConfigError> {
+        let read_at = monotonic_now();
         let source = ConfigSource::open(variable)?;
         let state_dir = source.required_variable(STATE_VARIABLE)?;
         let seed = source.seed()?;
@@ -129,6 +140,8 @@
             admin_listen: source.admin_address()?,
             inherited_listener: source.inherited_listener()?,
             discovery: source.address(DISCOVERY_VARIABLE, "discovery")?,
+            file_discovery: source.json["discovery"].as_str().and_then(|text| text.parse().ok()),
+            read_at,
             state_dir: PathBuf::from(state_dir),
             disk_bytes: source
                 .limit("disk_mb")?
@@ -151,11 +164,11 @@
     }
 }
 
-/// Returns the address of discovery from the configuration file, ignoring its environment variable. The whole file must
-/// be valid.
-pub(crate) fn reload_discovery() -> Result<SocketAddr, ConfigError> {
+/// Reads the address of discovery from the configuration file, ignoring its environment variable. The whole file must be
+/// valid.
+pub(crate) fn reload_discovery() -> Result<Reload, ConfigError> {
     let variable = |name: &str| std::env::var(name).ok().filter(|_| name != DISCOVERY_VARIABLE);
-    StartConfig::read(variable).map(|config| config.discovery)
+    StartConfig::read(variable).map(|config| Reload::new(config.discovery, config.read_at))
 }
 
 /// The parsed file, and the variables that take precedence over it.
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -9,7 +9,9 @@
 use crate::dispatch::Event;
 use crate::metrics::Metrics;
 use crate::notifications::{Notification, Notifier};
+use crate::reload::ConfigReloader;
 use crate::signals::{SignalHandler, StartSignals};
+use crate::state_files::StateFiles;
 use crate::violations::Violations;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
@@ -88,15 +90,16 @@
         }
     }
 
-    /// Spawns all tasks that run concurrently with the dispatcher.
+    /// Spawns all tasks that run concurrently with the dispatcher. Returns the reloader of the configuration.
     pub(crate) fn spawn_all(
         &self,
         config: &StartConfig,
         state_dir: &StateDir,
+        files: &StateFiles,
         initial_list: Option<&EndpointList>,
         listeners: Listeners,
         signals: StartSignals,
-    ) {
+    ) -> Rc<ConfigReloader> {
         let discovery_moves = async_channel::unbounded();
         let notification_moves = async_channel::unbounded();
         self.spawn_discovery_client(config, initial_list, discovery_moves.1);
@@ -107,9 +110,10 @@
         }
         let serve_clients = clients::serve(listeners.clients, client_service, self.executor.clone());
         self.executor.spawn(serve_clients).detach();
+        let moves = vec![discovery_moves.0, notification_moves.0];
+        let reloader = Rc::new(ConfigReloader::new(config, state_dir.role, files.clone(), moves));
         let handler = SignalHandler {
-            discovery: config.discovery,
-            discovery_moves: vec![discovery_moves.0, notification_moves.0],
+            reloader: reloader.clone(),
             events: self.events.0.clone(),
             clients_stopping: self.clients_stopping.0.clone(),
             is_active: self.is_active.clone(),
@@ -119,6 +123,7 @@
             reload_pending_since: signals.reload_pending_since,
         };
         self.executor.spawn(handler.run(signals.signals)).detach();
+        reloader
     }
 
     /// Spawns the task that keeps the endpoint list up to date, by watching or, if the settings require it, by polling
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -1,4 +1,5 @@
-//! Small files in the state folder: the time anchor, endpoints in maintenance, the handover snapshot, the drain record.
+//! Small files in the state folder: the time anchor, endpoints in maintenance, the handover snapshot, the drain record,
+//! the last reload.
 //! The spool has its own crate. A failed write is logged and retried until it succeeds: the relay can serve without the
 //! file, and only a later process would lack its contents.
 
@@ -8,7 +9,7 @@
 use crate::startup::retry::RetryDeadlines;
 use log::{error, info};
 use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ParsedDrainRecord};
-use mountshift_handover::{RouteRecord, SNAPSHOT_FILE, SNAPSHOT_FORMAT, Snapshot};
+use mountshift_handover::{RELOAD_FILE, Reload, RouteRecord, SNAPSHOT_FILE, SNAPSHOT_FORMAT, Snapshot};
 use mountshift_maintenance::MaintenanceState;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
@@ -180,6 +181,23 @@
         }
     }
 
+    /// Reads the last reload that a process of this relay has published, if any.
+    ///
+    /// # Errors
+    /// If there is a file that can't be read.
+    pub(crate) fn published_reload(&self) -> io::Result<Option<Reload>> {
+        let bytes = read_if_present(&self.dir.join(RELOAD_FILE))?;
+        Ok(bytes.and_then(|bytes| Reload::from_text(&String::from_utf8_lossy(&bytes))))
+    }
+
+    /// Publishes a reload. A failed write is not retried here: a later reload of the other process may precede it.
+    ///
+    /// # Errors
+    /// If the file can't be written.
+    pub(crate) fn publish_reload(&self, reload: &Reload) -> io::Result<()> {
+        replace_file(&self.dir.join(RELOAD_FILE), &reload.to_string())
+    }
+
     /// Retries the failed writes.
     pub(crate) fn retry_unwritten(&self) {
         if self.marker.is_pending() {
--- a/crates/relay/tests/handover/main.rs
+++ b/crates/relay/tests/handover/main.rs
@@ -9,6 +9,7 @@
 mod failing_folder;
 mod message_ids;
 mod process;
+mod reload;
 mod stale_marker;
 mod successor;
 mod under_load;
