Discovery: a large fleet's relay polls before missed changes count as known

Cause: PollSchedule spread the poll behind a silent watch over half of the fleet's spread (1.7 to 5.1 s with 40 relays), 1 s behind the end of its wait, though what it missed counts as known 2 s behind it. The unit test of that rule left the delay out where polling is required.

Change: the watches of a fleet wait for different times and are replaced at once when silent; no poll starts over 5.2 s after the last one could have brought a change; a poll is given up after 4.5 s, not 3; only repeated rejections keep the whole spread. PollFailure says which it was.

Why it works: the spread that keeps a fleet from asking together lies before the end of a watch, not behind it, and is as wide.

--- a/crates/discovery/src/lib.rs
+++ b/crates/discovery/src/lib.rs
@@ -3,7 +3,8 @@
 //! - [`PollSchedule`]: the delays between polls of discovery, and their timeouts. The polls of many relays
 //!   may fail at the same time (a release, a restart of the whole fleet) while discovery is short of
 //!   capacity. Polling again after a fixed delay would keep discovery saturated, and no relay would get a
-//!   list.
+//!   list. Polling again too late would leave changes unknown beyond the time by which a relay must know
+//!   them.
 //! - [`DrainRecord`]: the endpoints that were listed as draining or removed, and stay so even if an older
 //!   list shows them as ready.
 //! - [`Jitter`]: the seeded random source that spreads the delays.
@@ -19,4 +20,4 @@
     ParsedDrainRecord, Phase,
 };
 pub use jitter::Jitter;
-pub use poll_schedule::{PollSchedule, PollTimeouts};
+pub use poll_schedule::{PollFailure, PollSchedule, PollTimeouts};
--- a/crates/lab/src/host/dispatcher.rs
+++ b/crates/lab/src/host/dispatcher.rs
@@ -198,7 +198,7 @@
             RelayEvent::EndpointListed { endpoint, status } => {
                 self.on_endpoint_listed(endpoint, status, inputs);
             }
-            RelayEvent::PollFailed => inputs.push(Input::PollFailed { retry_after: None }),
+            RelayEvent::PollFailed => inputs.push(Input::PollFailed(PollFailure::UNEXPLAINED)),
         }
     }
 
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -5,10 +5,10 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use log::{Level, log, warn};
-use mountshift_discovery::{Jitter, Phase, PollSchedule, PollTimeouts};
+use mountshift_discovery::{Jitter, Phase, PollFailure, PollSchedule, PollTimeouts};
 use serde_json::Value;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const STATUS_OK: u16 = 200;
 /// Upper bound of a `Retry-After` in seconds, so that it fits into a `Duration`. The poll schedule applies a lower one.
@@ -88,15 +88,23 @@
 }
 
 impl PollError {
-    /// Returns the `Retry-After` of the response, if any.
-    fn retry_after(&self) -> Option<Duration> {
-        if let PollError::Status { retry_after, .. } = self { *retry_after } else { None }
+    /// Returns the failure of a poll that took `duration` and was a watch or not, for the poll schedule.
+    fn failure(&self, is_watch: bool, duration: Duration, request_timeout: Duration) -> PollFailure {
+        let elapsed = if is_watch { Duration::ZERO } else { duration };
+        match self {
+            PollError::NoAnswer(_) if is_watch && duration >= request_timeout => PollFailure::SilentWatch,
+            PollError::NoAnswer(_) => PollFailure::NoResponse { elapsed },
+            PollError::Status { retry_after, .. } => {
+                PollFailure::Rejected { elapsed, retry_after: *retry_after }
+            }
+            PollError::Json(_) | PollError::NotAList => PollFailure::Rejected { elapsed, retry_after: None },
+        }
     }
 }
 
 /// Event that ended a poll.
 enum PollEnd {
-    Answered(Result<EndpointList, PollError>),
+    Answered(Result<EndpointList, PollFailure>),
     /// The address of discovery has changed.
     Moved(SocketAddr),
 }
@@ -131,7 +139,8 @@
     options: DiscoveryOptions,
     connection: Option<HttpConnection>,
     consecutive_failures: u32,
-    retry_after: Option<Duration>,
+    /// The last of the consecutive failures.
+    last_failure: Option<PollFailure>,
     /// Whether the last poll at the current address returned a list.
     has_responded: bool,
     /// Whether the next poll is the first one, which waits for a poll request if the policy makes any.
@@ -145,15 +154,14 @@
             options,
             connection: None,
             consecutive_failures: 0,
-            retry_after: None,
+            last_failure: None,
             has_responded: false,
         }
     }
 
     /// Polls until the process exits. After a failed poll, the next one starts after a pause, or at a poll request if
-    /// the policy determines when to poll. `on_result` is called with every list, and with the `Retry-After`, if any,
-    /// of every failed poll.
-    pub(crate) async fn run(mut self, on_result: impl Fn(Result<EndpointList, Option<Duration>>)) {
+    /// the policy determines when to poll. `on_result` is called with the result of every poll.
+    pub(crate) async fn run(mut self, on_result: impl Fn(Result<EndpointList, PollFailure>)) {
         loop {
             match self.poll_or_move().await {
                 PollEnd::Moved(address) => self.on_address_change(address),
@@ -161,9 +169,9 @@
                     self.on_list(&list);
                     on_result(Ok(list));
                 }
-                PollEnd::Answered(Err(e)) => {
-                    self.on_failure(&e);
-                    on_result(Err(e.retry_after()));
+                PollEnd::Answered(Err(failure)) => {
+                    self.on_failure(failure);
+                    on_result(Err(failure));
                 }
             }
         }
@@ -173,9 +181,7 @@
     async fn poll_or_move(&mut self) -> PollEnd {
         let moves = self.options.moves.clone();
         let moved = async { PollEnd::Moved(next_address(&moves).await) };
-        // Without jitter, relays whose polls failed simultaneously would keep overloading discovery together.
-        let jitter = self.options.jitter.sample();
-        let pause = self.options.schedule.retry_delay(self.consecutive_failures, self.retry_after, jitter);
+        let pause = self.next_pause();
         let polled = async {
             self.wait_for_turn(pause).await;
             PollEnd::Answered(self.poll().await)
@@ -183,6 +189,14 @@
         moved.or(polled).await
     }
 
+    /// Returns the pause after a failed poll. Without jitter, relays whose polls failed simultaneously would keep
+    /// overloading discovery together.
+    fn next_pause(&mut self) -> Duration {
+        let jitter = self.options.jitter.sample();
+        let Some(failure) = self.last_failure else { return Duration::ZERO };
+        self.options.schedule.retry_delay(self.consecutive_failures, failure, jitter)
+    }
+
     async fn wait_for_turn(&self, pause: Duration) {
         if !self.is_first && self.consecutive_failures == 0 {
             return;
@@ -197,11 +211,24 @@
         }
     }
 
-    async fn poll(&mut self) -> Result<EndpointList, PollError> {
-        let address = self.options.address;
+    async fn poll(&mut self) -> Result<EndpointList, PollFailure> {
         // A list from the configuration or from before a failed poll may be outdated, so the poll must not wait.
-        let may_wait = self.has_responded && self.options.revision.is_some();
-        let PollTimeouts { wait, request_timeout: timeout } = self.options.schedule.poll_timeouts(may_wait);
+        let is_watch = self.has_responded && self.options.revision.is_some();
+        let timeouts = self.options.schedule.poll_timeouts(is_watch, self.options.jitter.sample());
+        let started = Instant::now();
+        let result = self.request_list(timeouts).await;
+        result.map_err(|error| {
+            // Logged once per series of failures, to bound the log during an outage.
+            if self.consecutive_failures == 0 {
+                warn!("discovery: poll failed: {error}");
+            }
+            error.failure(is_watch, started.elapsed(), timeouts.request_timeout)
+        })
+    }
+
+    async fn request_list(&mut self, timeouts: PollTimeouts) -> Result<EndpointList, PollError> {
+        let PollTimeouts { wait, request_timeout: timeout } = timeouts;
+        let address = self.options.address;
         let path = match self.options.revision {
             Some(revision) => {
                 format!("/catalog/members?index={revision}&wait={}", wait.as_millis().max(1))
@@ -229,6 +256,7 @@
         self.has_responded = false;
         self.connection = None;
         self.consecutive_failures = 0;
+        self.last_failure = None;
         self.is_first = false;
     }
 
@@ -244,18 +272,15 @@
         );
         self.options.revision = Some(list.revision);
         self.consecutive_failures = 0;
+        self.last_failure = None;
         self.has_responded = true;
         self.is_first = false;
     }
 
-    fn on_failure(&mut self, error: &PollError) {
-        // Logged once per series of failures, to bound the log during an outage.
-        if self.consecutive_failures == 0 {
-            warn!("discovery: poll failed: {error}");
-        }
+    fn on_failure(&mut self, failure: PollFailure) {
         self.connection = None;
         self.consecutive_failures += 1;
-        self.retry_after = error.retry_after();
+        self.last_failure = Some(failure);
         // The next poll must not wait for a change, or its wait would extend the time without updates.
         self.has_responded = false;
         self.is_first = false;
--- a/crates/relay/src/dispatch/event.rs
+++ b/crates/relay/src/dispatch/event.rs
@@ -5,10 +5,10 @@
 use crate::upstream::CallResult;
 use async_channel::Sender;
 use mountshift::interface::{EndpointId, MessageId};
+use mountshift_discovery::PollFailure;
 use mountshift_handover::StopPlan;
 use mountshift_maintenance::Change;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 /// Number of a call to an endpoint; no number is used twice.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -24,8 +24,8 @@
     AttemptsEnded { call: CallNumber, results: CallResult },
     /// A delayed call requests permission to be sent to the endpoint at this address.
     SendPermissionRequested { endpoint: EndpointId, address: SocketAddr, reply_to: Sender<bool> },
-    /// The endpoint list or an update from discovery; or a failed poll, with the `Retry-After` of the response, if any.
-    EndpointList(Result<EndpointList, Option<Duration>>),
+    /// The endpoint list or an update from discovery, or a failed poll.
+    EndpointList(Result<EndpointList, PollFailure>),
     /// The platform acknowledged the notifications of these messages.
     NotificationsAcknowledged(Vec<MessageId>),
     /// An operator's command changed the maintenance state.
--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -257,13 +257,13 @@
         self.key_hold_offs.begin(key, KeyHoldOff { message, id, call: call.0, since: self.now });
     }
 
-    fn on_poll_ended(&mut self, result: Result<EndpointList, Option<Duration>>, inputs: &mut Vec<Input>) {
+    fn on_poll_ended(&mut self, result: Result<EndpointList, PollFailure>, inputs: &mut Vec<Input>) {
         match result {
             Ok(list) => {
                 self.on_endpoint_list(list, inputs);
                 inputs.push(Input::ListReceived);
             }
-            Err(retry_after) => inputs.push(Input::PollFailed { retry_after }),
+            Err(failure) => inputs.push(Input::PollFailed(failure)),
         }
     }
 
--- a/crates/relay/tests/relay/discovery.rs
+++ b/crates/relay/tests/relay/discovery.rs
@@ -283,3 +283,42 @@
     assert_eq!(relay.submit("m1", 0, "c=any,d=8000,dest=7", b""), "+OK");
     wait_until("the call", || endpoint.ids() == ["m1"]);
 }
+
+/// Returns the wait of a request for the list, if it is a watch.
+fn watch_wait(request: &Request) -> Option<Duration> {
+    let wait = request.path.split("wait=").nth(1)?.parse().ok()?;
+    (wait > 1).then(|| ms(wait))
+}
+
+// Guards against a large fleet's relay that spreads the poll behind a silent watch beyond the time at which what the watch
+// missed counts as known: it would send to an endpoint that is gone, or to the next one at its address.
+#[test]
+fn silent_watch_of_a_large_fleet_is_replaced_before_missed_changes_count_as_known() {
+    let known_after_wait = ms(2_000);
+    let endpoint = Server::start(|_| ok());
+    let list =
+        json!({"revision": 5, "complete": true, "members": [member("e1", endpoint.address, 7, "single")]});
+    let discovery = Server::start(move |request| {
+        if watch_wait(request).is_some() { ServerAction::Hang } else { respond(200, "", &list.to_string()) }
+    });
+    let mut config = config(free_address(), discovery.address, &[]);
+    config["settings"]["discovery"] = json!("subscribe");
+    config["settings"]["balancers"] = json!(40);
+    config["settings"]["obligations"]["askWithin"] = json!(6_000_000);
+    let dir = tempfile::tempdir().expect("create the folder");
+    let _relay = Relay::start(&config, dir.path());
+    let polls = || -> Vec<Request> {
+        discovery.requests().into_iter().filter(|request| request.path.starts_with("/catalog")).collect()
+    };
+    let is_watch = |request: &Request| watch_wait(request).is_some();
+    wait_until_within(ms(30_000), "two polls after silent watches", || {
+        let polls = polls();
+        let second_watch = polls.iter().enumerate().filter(|(_, poll)| is_watch(poll)).nth(1);
+        second_watch.is_some_and(|(index, _)| polls.len() > index + 1)
+    });
+    for pair in polls().windows(2).filter(|pair| is_watch(&pair[0])) {
+        let wait = watch_wait(&pair[0]).expect("a watch");
+        let gap = pair[1].at - pair[0].at;
+        assert!(gap < wait + known_after_wait, "{gap:?} after a watch of {wait:?}");
+    }
+}
--- a/crates/simulation-adapter/src/decode.rs
+++ b/crates/simulation-adapter/src/decode.rs
@@ -80,7 +80,7 @@
     fields.u64("generation")?;
     let change_type = fields.u8("how")?;
     if change_type == LIST_FAILED {
-        inputs.push(Input::PollFailed { retry_after: None });
+        inputs.push(Input::PollFailed(PollFailure::UNEXPLAINED));
         return Ok(());
     }
     inputs.push(Input::ListReceived);
--- a/src/interface/input.rs
+++ b/src/interface/input.rs
@@ -1,6 +1,7 @@
 //! Inputs that a host passes to the decisions.
 
 use super::{EndpointId, ListedEndpoint, MessageId, Outcome, RouteSnapshot, RunState, Submission, ZoneId};
+pub use mountshift_discovery::PollFailure;
 use std::time::Duration;
 
 /// An event that a host passes to the decisions, in the order of occurrence.
@@ -66,10 +67,7 @@
     /// The list held at a start may be older than the latest list of discovery.
     ListMayBeStale,
     /// A call for the endpoint list failed.
-    PollFailed {
-        /// The `Retry-After` of discovery's response, if any.
-        retry_after: Option<Duration>,
-    },
+    PollFailed(PollFailure),
     /// The endpoint was restarted while it was in maintenance.
     EndpointRestarted(EndpointId),
     /// A successor takes over the messages of this process: no attempt is sent from now on. Final answers that
--- a/src/policy/discovery.rs
+++ b/src/policy/discovery.rs
@@ -3,7 +3,7 @@
 use super::{concurrency::CONCURRENCY_LIMIT_INITIAL, pacing};
 use crate::interface::*;
 use crate::state::{Endpoint, State};
-use mountshift_discovery::PollSchedule;
+use mountshift_discovery::{PollFailure, PollSchedule};
 use std::time::Duration;
 
 /// Maximum wait for discovery before a possibly stale list is used; discovery responds sooner or is down.
@@ -32,10 +32,10 @@
     state.poll_at = state.settings.requires_polling.then_some(delay);
 }
 
-pub(super) fn record_poll_failure(state: &mut State, retry_after: Option<Duration>) {
+pub(super) fn record_poll_failure(state: &mut State, failure: PollFailure) {
     state.poll_failures += 1;
     let jitter = state.jitter.draw(0);
-    let delay = poll_schedule(state).retry_delay(state.poll_failures, retry_after, jitter);
+    let delay = poll_schedule(state).retry_delay(state.poll_failures, failure, jitter);
     state.poll_at = state.settings.requires_polling.then_some(state.now + delay);
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -129,7 +129,7 @@
         Input::EndpointListed(listed) => discovery::update_endpoint(state, listed),
         Input::ListReceived => state.record_list_received(),
         Input::ListMayBeStale => discovery::await_list_refresh(state),
-        Input::PollFailed { retry_after } => discovery::record_poll_failure(state, retry_after),
+        Input::PollFailed(failure) => discovery::record_poll_failure(state, failure),
         Input::EndpointRestarted(endpoint) => state.start_slow_start(endpoint),
         Input::HandoverStarted => state.is_handing_over = true,
         Input::RoutesRestored(routes) => handover::restore_routes(state, &routes),
--- a/tests/scenarios.rs
+++ b/tests/scenarios.rs
@@ -250,7 +250,7 @@
         }
         "oldlist" => vec![Input::ListMayBeStale],
         "listed" => vec![Input::ListReceived],
-        "nolist" => vec![Input::PollFailed { retry_after: None }],
+        "nolist" => vec![Input::PollFailed(PollFailure::UNEXPLAINED)],
         other => panic!("unknown event {other}"),
     }
 }
