Upgrade: a successor has the endpoint list before it reports that it serves

Red on: successor_of_a_large_fleet_follows_the_list_when_it_reports_that_it_serves (5.99 s after the report).

Change: a successor polls by the schedule from its start on, spread over 3.5 s at most, and reports once it has a list, or after 4.5 s (the platform waits 6 s). Once it is active the policy says when to poll; a request from before a failed poll is dropped.

Why it works: its watch stands before changes begin to count, and a fleet that is upgraded together still spreads its polls (large_fleet_never_starves, upgrade).

--- a/crates/discovery/src/fleet_tests.rs
+++ b/crates/discovery/src/fleet_tests.rs
@@ -84,7 +84,7 @@
         let elapsed = Duration::ZERO;
         match event {
             Event::Restart => self.schedule.initial_delay(jitter),
-            Event::Upgrade => self.schedule.initial_delay(jitter),
+            Event::Upgrade => self.schedule.successor_delay(jitter),
             Event::BrokenWatches | Event::Outage(_) => {
                 relay.failures = 1;
                 self.schedule.retry_delay(1, PollFailure::NoResponse { elapsed }, jitter)
@@ -205,6 +205,7 @@
     for relays in [1, 3, 6] {
         let schedule = PollSchedule { relay_count: relays, poll_interval: POLL_INTERVAL };
         assert_eq!(schedule.initial_delay(1.0), Duration::ZERO, "{relays}");
+        assert_eq!(schedule.successor_delay(1.0), Duration::ZERO, "{relays}");
         assert_eq!(schedule.retry_delay(1, failure, 0.5), INITIAL_BACKOFF, "{relays}");
         assert_eq!(schedule.poll_timeouts(true, 1.0).wait, POLL_INTERVAL, "{relays}");
     }
--- a/crates/discovery/src/poll_schedule.rs
+++ b/crates/discovery/src/poll_schedule.rs
@@ -19,6 +19,9 @@
 /// `MAX_WATCH_WAIT`. A short wait limits the effect of a watch that gets no response: a missed change counts as
 /// known to the relay 6 s after discovery stopped responding, or 2 s after the end of the wait if that is later.
 const MIN_WATCH_WAIT: Duration = Duration::from_millis(2_000);
+/// Longest time from the start of a successor to its first poll. It needs a list before it reports that it
+/// serves, which it has to do within 6 s.
+const MAX_SUCCESSOR_DELAY: Duration = Duration::from_millis(3_500);
 /// Longest wait that discovery allows for a poll.
 const MAX_WATCH_WAIT: Duration = Duration::from_millis(60_000);
 /// Time after the end of its wait at which a watch without a response has failed. Together with the backoff
@@ -141,6 +144,12 @@
         self.spread_interval().min(MAX_POLL_GAP).mul_f64(jitter.clamp(0.0, 1.0))
     }
 
+    /// Returns the delay before the first poll of a process that takes over from another one; `jitter` is in
+    /// 0..1.
+    pub fn successor_delay(&self, jitter: f64) -> Duration {
+        self.spread_interval().min(MAX_SUCCESSOR_DELAY).mul_f64(jitter.clamp(0.0, 1.0))
+    }
+
     /// Returns the delay before the next poll after `failures` consecutive failed polls (1 or more), the last
     /// of which was `failure`.
     ///
--- a/crates/handover/src/start_plan.rs
+++ b/crates/handover/src/start_plan.rs
@@ -15,6 +15,9 @@
 /// Time for which a starting process leaves the free lock of the active process to a running successor.
 /// Unless that successor is stopping, it tries the lock every 20 ms.
 pub const SUCCESSOR_TAKEOVER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for which a successor waits for its first endpoint list, where it has to poll for it, before it reports that
+/// it serves. The platform waits 6 s for that report.
+pub const SUCCESSOR_LIST_TIMEOUT: Duration = Duration::from_millis(4_500);
 /// Time for which a message waits for the spool to be opened before it is rejected. Its client waits 0.4 s
 /// for an answer.
 pub const SPOOL_OPEN_TIMEOUT: Duration = Duration::from_millis(200);
--- a/crates/relay/src/discovery.rs
+++ b/crates/relay/src/discovery.rs
@@ -7,7 +7,9 @@
 use log::{Level, log, warn};
 use mountshift_discovery::{Jitter, Phase, PollFailure, PollSchedule, PollTimeouts};
 use serde_json::Value;
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 const STATUS_OK: u16 = 200;
@@ -127,6 +129,8 @@
     pub(crate) revision: Option<u64>,
     /// Poll requests of the policy, if it determines when to poll.
     pub(crate) poll_requests: Option<Receiver<()>>,
+    /// In a successor: whether it has taken over. It has no policy before that, and polls by the schedule.
+    pub(crate) has_taken_over: Option<Rc<Cell<bool>>>,
     pub(crate) max_list_bytes: usize,
     /// Jitter of the pauses after failed polls.
     pub(crate) jitter: Jitter,
@@ -189,26 +193,37 @@
         moved.or(polled).await
     }
 
-    /// Returns the pause after a failed poll. Without jitter, relays whose polls failed simultaneously would keep
-    /// overloading discovery together.
+    /// Returns the pause before the first poll of a successor, or after a failed poll. Without jitter, relays whose polls
+    /// failed simultaneously would keep overloading discovery together.
     fn next_pause(&mut self) -> Duration {
         let jitter = self.options.jitter.sample();
-        let Some(failure) = self.last_failure else { return Duration::ZERO };
-        self.options.schedule.retry_delay(self.consecutive_failures, failure, jitter)
+        match self.last_failure {
+            Some(failure) => self.options.schedule.retry_delay(self.consecutive_failures, failure, jitter),
+            None => self.options.schedule.successor_delay(jitter),
+        }
+    }
+
+    /// Returns whether this process is a successor that has not taken over yet.
+    fn awaits_takeover(&self) -> bool {
+        self.options.has_taken_over.as_ref().is_some_and(|has_taken_over| !has_taken_over.get())
     }
 
     async fn wait_for_turn(&self, pause: Duration) {
         if !self.is_first && self.consecutive_failures == 0 {
             return;
         }
-        match &self.options.poll_requests {
-            Some(requests) => {
-                let _ = requests.recv().await;
-            }
-            None => {
-                Timer::after(pause).await;
-            }
+        let scheduled = async {
+            Timer::after(pause).await;
+        };
+        let Some(requests) = &self.options.poll_requests else { return scheduled.await };
+        if !self.is_first {
+            // A request from before the failed poll, which was made while the client polled by itself.
+            let _ = requests.try_recv();
         }
+        let requested = async {
+            let _ = requests.recv().await;
+        };
+        if self.awaits_takeover() { requested.or(scheduled).await } else { requested.await }
     }
 
     async fn poll(&mut self) -> Result<EndpointList, PollFailure> {
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -170,7 +170,7 @@
         tasks.clients_accepting.0.close();
     }
     let reloader = tasks.spawn_all(&config, &state_dir, &files, initial_list.as_ref(), listeners, signals);
-    tasks.maintenance.borrow_mut().set_serving();
+    tasks.report_serving(&config, state_dir.role);
     info!("ready on {}", config.listen);
     let opened = open_spool(&config, &state_dir, &files, stored_time, &tasks).await?;
     let Some(ActiveSpool { spool, mut deferred_events, stored_time, previous_process }) = opened else {
@@ -186,6 +186,7 @@
     let previous = await_while_serving(&tasks, &mut deferred_events, reading).await?;
     let Some(PreviousState { snapshot, drain_record }) = previous else { return Ok(()) };
     tasks.is_active.set(true);
+    tasks.maintenance.borrow_mut().set_serving();
     info!("{} starts with {} messages in its spool", config.name, spool.messages().len());
     let dispatcher = Dispatcher::new(Dependencies {
         max_idle_connections: config.max_descriptors / IDLE_DESCRIPTOR_DIVISOR,
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -15,8 +15,9 @@
 use crate::violations::Violations;
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
-use async_io::Async;
+use async_io::{Async, Timer};
 use mountshift_discovery::{Jitter, PollSchedule};
+use mountshift_handover::{Role, SUCCESSOR_LIST_TIMEOUT};
 use mountshift_maintenance::{Change, MaintenanceState};
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
@@ -102,7 +103,7 @@
     ) -> Rc<ConfigReloader> {
         let discovery_moves = async_channel::unbounded();
         let notification_moves = async_channel::unbounded();
-        self.spawn_discovery_client(config, initial_list, discovery_moves.1);
+        self.spawn_discovery_client(config, state_dir.role, initial_list, discovery_moves.1);
         self.spawn_notifier(config, notification_moves.1);
         let client_service = self.client_service(config);
         if let Some(listener) = listeners.admin {
@@ -126,11 +127,26 @@
         reloader
     }
 
+    /// Reports that this process can serve. A successor that has to poll for the endpoint list does so once it has one, or
+    /// after [`SUCCESSOR_LIST_TIMEOUT`]: from a moment after this report on, changes of the list count as known to it.
+    pub(crate) fn report_serving(&self, config: &StartConfig, role: Role) {
+        if role != Role::Successor || !config.policy_settings.requires_polling {
+            return self.maintenance.borrow_mut().set_serving();
+        }
+        let maintenance = self.maintenance.clone();
+        let report_later = async move {
+            Timer::after(SUCCESSOR_LIST_TIMEOUT).await;
+            maintenance.borrow_mut().set_serving();
+        };
+        self.executor.spawn(report_later).detach();
+    }
+
     /// Spawns the task that keeps the endpoint list up to date, by watching or, if the settings require it, by polling
     /// at the request of the policy.
     fn spawn_discovery_client(
         &self,
         config: &StartConfig,
+        role: Role,
         initial_list: Option<&EndpointList>,
         moves: Receiver<SocketAddr>,
     ) {
@@ -141,6 +157,7 @@
             moves,
             revision: initial_list.map(|list| list.revision),
             poll_requests: if settings.requires_polling { Some(self.poll_requests.1.clone()) } else { None },
+            has_taken_over: (role == Role::Successor).then(|| self.is_active.clone()),
             max_list_bytes: config.memory_bytes / LIST_MEMORY_DIVISOR,
             jitter: Jitter::new(settings.seed),
             schedule: PollSchedule { relay_count: settings.relay_count, poll_interval },
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -179,6 +179,8 @@
             Event::StopRequested(_) => self.on_stop_requested(),
             Event::MaintenanceChanged(change) => self.on_maintenance_changed(change),
             Event::EndpointList(Ok(list)) => self.on_endpoint_list(list),
+            // The client of discovery polls again by itself.
+            Event::EndpointList(Err(_)) => {}
             other => self.deferred_events.push(other),
         }
     }
@@ -288,10 +290,14 @@
         self.deferred_events.push(Event::MaintenanceChanged(change));
     }
 
+    /// Keeps a list for the dispatcher. With a list, this process can serve.
     fn on_endpoint_list(&mut self, list: EndpointList) {
+        let mut maintenance = self.options.maintenance.borrow_mut();
         for entry in &list.entries {
-            self.options.maintenance.borrow_mut().record_listed_endpoint(&entry.id);
+            maintenance.record_listed_endpoint(&entry.id);
         }
+        maintenance.set_serving();
+        drop(maintenance);
         self.deferred_events.push(Event::EndpointList(Ok(list)));
     }
 
--- a/crates/relay/tests/handover/main.rs
+++ b/crates/relay/tests/handover/main.rs
@@ -6,6 +6,7 @@
 mod support;
 
 mod delayed_handover;
+mod discovery;
 mod failing_folder;
 mod message_ids;
 mod process;
