--- a/crates/discovery/src/fleet_tests.rs
+++ b/crates/discovery/src/fleet_tests.rs
@@ -13,7 +13,7 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(10);
 const END: Duration = Duration::from_secs(60);
 
-/// What discovery does with a poll that waits long in its queue.
+/// The reaction of discovery to a poll that waits long in its queue.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Overload {
     /// It responds with an error `CLIENT_TIMEOUT` after the poll was sent.
@@ -29,11 +29,11 @@
     Restart,
     /// The successors of all relays start together.
     Upgrade,
-    /// All watches break together, as discovery is restarted.
+    /// Discovery is restarted, which breaks all watches.
     BrokenWatches,
-    /// All watches fall silent together, right after they began.
+    /// Discovery stops responding to the watches, right after they began.
     SilentWatches,
-    /// All watches break, and discovery doesn't respond for this time.
+    /// Discovery breaks all watches and does not respond for this time.
     Outage(Duration),
 }
 
--- a/crates/handover/src/reload.rs
+++ b/crates/handover/src/reload.rs
@@ -48,10 +48,10 @@
     }
 }
 
-/// What a process does about the published reload.
+/// The reaction of a process to the published reload.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReloadStep {
-    /// Nothing: the process uses the published address, or nobody has published one.
+    /// No reaction: the process uses the published address, or no process has published any.
     Keep,
     /// It uses this reload of the other process.
     Follow(Reload),
--- a/crates/relay/src/reload.rs
+++ b/crates/relay/src/reload.rs
@@ -10,7 +10,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 
-/// Reads new configurations, and tells the tasks that use discovery when its address changes.
+/// Reads new configurations, and informs the tasks that use discovery of changes of its address.
 pub(crate) struct ConfigReloader {
     state: RefCell<ReloadState>,
     files: StateFiles,
--- a/crates/relay/tests/handover/discovery.rs
+++ b/crates/relay/tests/handover/discovery.rs
@@ -24,8 +24,8 @@
     fixture
 }
 
-// Guards against a successor that asks for the list only after it has taken over, as late as a fleet that starts together:
-// it would send to endpoints that are gone.
+// Guards against a successor that polls only after it has taken over, as late as a fleet that starts together: it would send
+// to removed endpoints.
 #[test]
 fn successor_of_a_large_fleet_follows_the_list_when_it_reports_that_it_serves() {
     for seed in SEEDS {
--- a/crates/relay/tests/handover/reload.rs
+++ b/crates/relay/tests/handover/reload.rs
@@ -41,8 +41,7 @@
     (fixture, moved_to)
 }
 
-// Guards against a successor that keeps the old address of discovery for good: every notification and every drain would be
-// lost.
+// Guards against a successor that keeps the old address of discovery: every notification and every drain would be lost.
 #[test_case(ReloadTime::SuccessorStarting; "while the successor starts")]
 #[test_case(ReloadTime::SuccessorReady; "while the successor waits")]
 #[test_case(ReloadTime::HandingOver; "while the active process hands over")]
--- a/crates/relay/tests/relay/discovery.rs
+++ b/crates/relay/tests/relay/discovery.rs
@@ -291,7 +291,7 @@
 }
 
 // Guards against a large fleet's relay that spreads the poll behind a silent watch beyond the time at which what the watch
-// missed counts as known: it would send to an endpoint that is gone, or to the next one at its address.
+// missed counts as known: it would send to a removed endpoint, or to another endpoint at the same address.
 #[test]
 fn silent_watch_of_a_large_fleet_is_replaced_before_missed_changes_count_as_known() {
     let known_after_wait = ms(2_000);
