Soak: reloads during upgrades, fleets that poll for the list, changes that count as known

A reload waited for the lock that an upgrade holds, and both addresses of an agent answered for good; relays never polled for the list; and nothing said when a change that a relay has not received counts as known to it.

Three in ten seeds (kinds with drain and discovery) play relays of a fleet of 16 to 43 that polls every 4 or 10 s: half of their discovery faults make open watches fall silent, an endpoint is removed behind each upgrade, removed endpoints stay away for 13 s. known_changes.rs has the protocol's times.

--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -7,8 +7,9 @@
 use crate::recorder::{Observation, Recorder};
 use crate::relay_process::RelayProcess;
 use crate::schedule::{FaultKind, Schedule, ScheduledFault};
+use crate::system_call_faults::{disk_faults, socket_faults};
 use crate::upgrade::UpgradePlan;
-use mountshift_faults::{FULL_RATE, SystemCall, SystemCallFault};
+use mountshift_faults::SystemCallFault;
 use mountshift_invariants::ListedStatus;
 use rustix::process::Signal;
 use smol::Timer;
@@ -19,6 +20,9 @@
 const RELOAD_TO_STOP: Duration = Duration::from_millis(50);
 /// Time after which a removed endpoint is listed again.
 const REMOVED_FOR: Duration = Duration::from_millis(1_500);
+/// The same where the relays poll for the list. It is longer than the time after which a change counts as known to a relay
+/// that has not received it.
+const REMOVED_FOR_WHERE_POLLED: Duration = Duration::from_millis(13_000);
 /// Delay of a write to a socket, or of the reading thread after a read of a clock.
 const INJECTED_DELAY: Duration = Duration::from_millis(150);
 /// Number of delayed writes to sockets per 1,000.
@@ -27,10 +31,6 @@
 const CLOCK_READ_DELAY_RATE: u64 = 2;
 /// Number of signals in a series.
 const SIGNALS_IN_SERIES: usize = 4;
-/// Number of system calls per 1,000 that fail for a shortage of resources, or with an intermittent disk fault.
-const SHORTAGE_RATE: u64 = 500;
-/// Number of system calls per 1,000 that are interrupted or fail with a transient error.
-const INTERRUPTION_RATE: u64 = 200;
 
 /// Parts of the run that faults affect.
 pub(crate) struct FaultTargets {
@@ -40,6 +40,8 @@
     pub(crate) clients: Arc<Clients>,
     pub(crate) recorder: Arc<Recorder>,
     pub(crate) seed: u64,
+    /// Whether the relays have to poll for the endpoint list.
+    pub(crate) is_polling: bool,
 }
 
 /// Injects all faults of a schedule, each at its time, and waits until all of them are over.
@@ -83,6 +85,9 @@
             FaultKind::Sockets => self.inject_socket_faults(fault, span).await,
             FaultKind::Hold => self.delay_socket_writes(fault, span).await,
             FaultKind::Drain => self.drain(fault, span).await,
+            FaultKind::Discovery if self.is_polling && fault.amount % 2 == 0 => {
+                fault.targets.iter().for_each(|relay| self.platform.silence_watches(*relay));
+            }
             FaultKind::Discovery => self.change_agents(fault, span, AgentBehaviour::Silent).await,
             FaultKind::EndlessAnswers => self.change_agents(fault, span, AgentBehaviour::Endless).await,
             FaultKind::BadClients => self.run_bad_clients(fault, span).await,
@@ -104,22 +109,34 @@
         let kill_after = (fault.amount % 3 == 0).then(|| Duration::from_millis(fault.amount as u64));
         let upgrade = UpgradePlan::of(fault);
         let kind = fault.kind;
-        let series = signal_series(fault.amount as u64);
+        let drawn = fault.amount as u64;
+        let series = signal_series(drawn);
         self.for_each_relay(fault, move |relay| async move {
             match kind {
                 FaultKind::Signals => relay.signal_and_restart(series).await,
                 FaultKind::Kill => relay.kill_and_restart().await,
                 FaultKind::Stop => relay.stop_and_restart(kill_after).await,
                 FaultKind::Upgrade => relay.upgrade(upgrade).await,
-                FaultKind::Reload => relay.reload().await,
+                FaultKind::Reload => relay.reload(drawn).await,
                 _ => {
-                    relay.reload().await;
+                    relay.reload(drawn).await;
                     Timer::after(RELOAD_TO_STOP).await;
                     relay.stop_and_restart(None).await;
                 }
             }
         })
         .await;
+        if kind == FaultKind::Upgrade && self.is_polling {
+            self.drain_after_upgrade(fault).await;
+        }
+    }
+
+    /// Drains and removes an endpoint right after an upgrade: where relays have to poll for the list, only a successor that
+    /// has polled receives that change at once.
+    async fn drain_after_upgrade(&self, fault: &ScheduledFault) {
+        let endpoint = fault.amount as usize % self.platform.endpoint_count();
+        let drain = ScheduledFault { kind: FaultKind::Drain, targets: vec![endpoint], ..fault.clone() };
+        self.drain(&drain, Duration::ZERO).await;
     }
 
     async fn delay_socket_writes(&self, fault: &ScheduledFault, span: Duration) {
@@ -220,37 +237,16 @@
     }
 
     async fn inject_socket_faults(&self, fault: &ScheduledFault, span: Duration) {
-        let shortages = [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::ENOMEM];
-        let shortage = shortages[fault.amount as usize % shortages.len()];
-        let connect_errors = [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENOBUFS, libc::EAGAIN];
-        let connect_error = connect_errors[fault.amount as usize / 4 % connect_errors.len()];
-        let fails_with =
-            |errno, fail_rate| SystemCallFault { errno, fail_rate, ..SystemCallFault::default() };
-        let wait_control_error = libc::ENOMEM;
-        let transient_errors = [libc::EINTR, libc::ENOBUFS, libc::ENOMEM];
-        let transient_error = transient_errors[fault.amount as usize % transient_errors.len()];
-        let send_fault = SystemCallFault {
-            partial_write_rate: INTERRUPTION_RATE,
-            ..fails_with(transient_error, INTERRUPTION_RATE)
-        };
-        let call_faults = [
-            (SystemCall::Accept, fails_with(shortage, SHORTAGE_RATE)),
-            (SystemCall::Socket, fails_with(shortage, SHORTAGE_RATE)),
-            (SystemCall::Connect, fails_with(connect_error, SHORTAGE_RATE)),
-            (SystemCall::Receive, fails_with(transient_error, INTERRUPTION_RATE)),
-            (SystemCall::Wait, fails_with(libc::EINTR, INTERRUPTION_RATE)),
-            (SystemCall::WaitControl, fails_with(wait_control_error, INTERRUPTION_RATE)),
-            (SystemCall::Send, send_fault),
-        ];
+        let call_faults = socket_faults(fault);
         for relay in self.targeted_relays(fault) {
-            for (call, call_fault) in call_faults {
-                let _ = relay.faults.set_system_call_fault(call, call_fault);
+            for (call, call_fault) in &call_faults {
+                let _ = relay.faults.set_system_call_fault(*call, *call_fault);
             }
         }
         Timer::after(span).await;
         for relay in self.targeted_relays(fault) {
-            for (call, _) in call_faults {
-                let _ = relay.faults.set_system_call_fault(call, SystemCallFault::default());
+            for (call, _) in &call_faults {
+                let _ = relay.faults.set_system_call_fault(*call, SystemCallFault::default());
             }
         }
     }
@@ -264,7 +260,7 @@
         for endpoint in &fault.targets {
             self.platform.set_status(*endpoint, ListedStatus::Removed);
         }
-        Timer::after(REMOVED_FOR).await;
+        Timer::after(if self.is_polling { REMOVED_FOR_WHERE_POLLED } else { REMOVED_FOR }).await;
         for endpoint in &fault.targets {
             self.platform.set_status(*endpoint, ListedStatus::Ready);
             self.record_endpoint_fault(*endpoint, true);
@@ -322,58 +318,6 @@
     series
 }
 
-/// Returns the faults of system calls on the state folder.
-fn disk_faults(fault: &ScheduledFault) -> Vec<(SystemCall, SystemCallFault)> {
-    let errno = if fault.amount % 2 == 0 { libc::ENOSPC } else { libc::EIO };
-    let partial_or_failed = SystemCallFault {
-        errno,
-        fail_rate: FULL_RATE,
-        partial_write_rate: FULL_RATE / 2,
-        partial_write_kill_rate: 0,
-    };
-    let always_fails = SystemCallFault::always(errno);
-    let intermittent = SystemCallFault { errno, fail_rate: SHORTAGE_RATE, ..SystemCallFault::default() };
-    match fault.kind {
-        FaultKind::TornKill => {
-            let partial_and_kill = SystemCallFault {
-                errno,
-                fail_rate: 0,
-                partial_write_rate: 0,
-                partial_write_kill_rate: FULL_RATE / 5,
-            };
-            vec![(SystemCall::FileWrite, partial_and_kill)]
-        }
-        FaultKind::UpgradeDisk => vec![
-            (SystemCall::FileOpen, intermittent),
-            (SystemCall::FileLock, intermittent),
-            (SystemCall::FileRead, intermittent),
-            (SystemCall::FileRename, intermittent),
-            (SystemCall::FileUnlink, always_fails),
-        ],
-        FaultKind::DiskAtStart => vec![
-            (SystemCall::FileWrite, partial_or_failed),
-            (SystemCall::FileOpen, if fault.is_long_disk_at_start() { always_fails } else { intermittent }),
-            (SystemCall::FileLock, intermittent),
-            (SystemCall::FileRead, intermittent),
-            (SystemCall::FileRename, always_fails),
-            (SystemCall::FileTruncate, always_fails),
-            (SystemCall::FileUnlink, intermittent),
-            (SystemCall::Bind, SystemCallFault { errno: libc::EADDRINUSE, ..intermittent }),
-        ],
-        _ => vec![
-            (SystemCall::FileWrite, partial_or_failed),
-            (
-                SystemCall::FileTruncate,
-                if fault.amount % 3 == 0 { always_fails } else { SystemCallFault::default() },
-            ),
-            (
-                SystemCall::FileRename,
-                if fault.amount % 5 == 0 { always_fails } else { SystemCallFault::default() },
-            ),
-        ],
-    }
-}
-
 /// Makes calls on the folders of relays fail for a time.
 async fn fail_disk_calls(relays: &[Arc<RelayProcess>], fault: &ScheduledFault, span: Duration) {
     for relay in relays {
--- a/crates/soak/src/installation.rs
+++ b/crates/soak/src/installation.rs
@@ -1,7 +1,7 @@
 //! The installation of a run, drawn from its seed: message classes, destinations, limits, and the configuration of each
 //! relay.
 
-use crate::schedule::Schedule;
+use crate::schedule::{PollingFleet, Schedule};
 use mountshift_invariants::{Idempotency, MessageClass, RuleParameters};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -20,7 +20,10 @@
 const BATCH_PROBABILITY: f64 = 0.5;
 /// Maximum memory of a relay in megabytes.
 pub(crate) const RELAY_MEMORY_MB: u64 = 64;
+/// Time after an endpoint is listed as draining or removed until no new work may be sent to it, in milliseconds.
 const DRAIN_GRACE_MS: u64 = 1_000;
+/// The same where the relays poll for the list.
+const POLLING_DRAIN_GRACE_MS: u64 = 250;
 /// Range of the hold-off of an ordering key, in milliseconds. The longer ones outlast a restart.
 const ORDER_HOLD_OFF_MS: (u64, u64) = (200, 1_200);
 /// Maximum delay of a final answer after the deadline: 300 ms by the rule, 50 ms for sockets, and 400 ms for a busy
@@ -65,6 +68,8 @@
     max_batch: u64,
     max_attempts: u64,
     order_hold_off_ms: u64,
+    /// The fleet of the relays, if they have to poll for the endpoint list.
+    pub(crate) polling: Option<PollingFleet>,
     /// Maximum number of descriptors of a relay.
     pub(crate) max_descriptors: u64,
 }
@@ -100,6 +105,7 @@
             endpoints: endpoints.collect(),
             destinations,
             relays: schedule.relays,
+            polling: schedule.polling,
             max_queued: random.random_range(40..200),
             max_calls_in_flight: random.random_range(6..24),
             max_attempts: random.random_range(4..9),
@@ -116,6 +122,10 @@
             "cell": plan.destination, "phase": phase, "size": 200.0, "up_since_ms": 0})
     }
 
+    fn drain_grace_ms(&self) -> u64 {
+        if self.polling.is_some() { POLLING_DRAIN_GRACE_MS } else { DRAIN_GRACE_MS }
+    }
+
     /// Returns the configuration of a relay.
     pub(crate) fn config(
         &self,
@@ -132,18 +142,22 @@
                 "memorySpan": micros(plan.deduplication_window_ms)})
         };
         let classes: Vec<Value> = self.classes.iter().map(class).collect();
+        let fleet = self.polling.map_or(self.relays, |fleet| fleet.relays);
+        let discovery_mode = if self.polling.is_some() { "subscribe" } else { "automatic" };
+        let poll_interval_ms = self.polling.map_or(0, |fleet| fleet.poll_interval_ms);
         json!({"name": format!("r{relay}"), "listen": listen.to_string(), "discovery": discovery.to_string(),
             "seed": format!("{:016x}", relay as u64 + 1),
             "limits": {"cores": 1.0, "memory_mb": RELAY_MEMORY_MB, "sockets": self.max_descriptors, "disk_mb": 3},
             "known": known_endpoints,
-            "settings": {"balancers": self.relays, "me": relay, "zone": relay % ZONES.len(), "quantum": 5_000,
+            "settings": {"balancers": fleet, "me": relay, "zone": relay % ZONES.len(), "quantum": 5_000,
                 "classes": classes, "tenants": [], "localities": ZONES, "kinds": ["single"], "weights": "nominal",
-                "discovery": "automatic",
+                "discovery": discovery_mode,
                 "familyInfo": {"callsOut": self.max_calls_in_flight, "decay": "linear", "feeByZone": [0.0, 0.0],
                     "kindBatch": [self.max_batch], "ownLimits": [false]},
                 "limits": {"openCap": self.max_queued, "maxAttempts": self.max_attempts, "cancel": true,
                     "maxRetryAfter": 3_000_000, "connIdle": 5_000_000, "dialTimeout": 1_500_000},
-                "obligations": {"drainGrace": micros(DRAIN_GRACE_MS), "orderPause": micros(self.order_hold_off_ms),
+                "obligations": {"drainGrace": micros(self.drain_grace_ms()), "askWithin": micros(poll_interval_ms),
+                    "orderPause": micros(self.order_hold_off_ms),
                     "coldFrom": 0.3, "warmAfter": 3_000_000, "fallMultiple": 1.5, "fall": 2_000_000},
                 "penalties": {"crossZone": 0.03}}})
     }
@@ -166,7 +180,7 @@
             classes: self.classes.iter().map(class).collect(),
             answer_slack: micros(ANSWER_SLACK_MS),
             restart_slack: micros(RESTART_SLACK_MS),
-            drain_grace: micros(DRAIN_GRACE_MS + SEND_DELAY_SLACK_MS),
+            drain_grace: micros(self.drain_grace_ms() + SEND_DELAY_SLACK_MS),
             order_hold_off: micros(self.order_hold_off_ms - ORDER_SLACK_MS),
             slow_start_share: 0.3,
             slow_start_duration: 3_000_000,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,15 +4,17 @@
 //! - [`Schedule`] contains the faults and their times. It is drawn from a seed alone and can be saved, reduced and run
 //!   again.
 //! - `installation` draws the settings, destinations and limits of a run; `relay_process` runs the relays.
-//! - `endpoint`, `platform`, `client`, `bad_clients` and `copies` are the stand-ins. They record what they observe on
+//! - `endpoint`, `platform`, `agent`, `client`, `bad_clients` and `copies` are the stand-ins. They record what they observe on
 //!   the wire in the `recorder`.
 //! - `wire_end` derives the outcome of a call from these observations, as the protocol defines it;
 //!   `malformed_response` sends malformed responses.
-//! - `injection` begins and ends the faults of a schedule; `oracle` and `early_end` find breaches in the record.
+//! - `injection` begins and ends the faults of a schedule; `oracle`, `known_changes` and `early_end` find breaches in
+//!   the record.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 mod admin;
+mod agent;
 mod bad_clients;
 mod client;
 mod copies;
@@ -22,13 +24,16 @@
 mod http;
 mod injection;
 mod installation;
+mod known_changes;
 mod malformed_response;
 mod oracle;
+mod os_process;
 mod platform;
 mod recorder;
 mod relay_process;
 mod run;
 mod schedule;
+mod system_call_faults;
 mod upgrade;
 mod wire_end;
 
@@ -36,4 +41,4 @@
 pub use oracle::SoakBreach;
 pub use relay_process::Programs;
 pub use run::{SoakReport, run_schedule, shrink};
-pub use schedule::{FaultKind, MAX_RELAYS, Schedule, ScheduledFault};
+pub use schedule::{FaultKind, MAX_RELAYS, PollingFleet, Schedule, ScheduledFault};
--- a/crates/soak/src/oracle.rs
+++ b/crates/soak/src/oracle.rs
@@ -3,6 +3,7 @@
 
 use crate::early_end::find_early_failures;
 use crate::installation::Installation;
+use crate::known_changes::known_listings;
 use crate::recorder::{Observation, message_id, relay_of_message};
 use crate::wire_end::WireEnd;
 use mountshift_invariants::{AttemptOutcome, Fact, InvariantChecker, Time};
@@ -68,13 +69,23 @@
             | Observation::IdenticalCopySubmitted { .. }
             | Observation::Fault(_)
             | Observation::NotAccepted { .. }
+            | Observation::ListChanged { .. }
+            | Observation::ListSent { .. }
+            | Observation::WatchSilenced { .. }
+            | Observation::AgentReachable { .. }
+            | Observation::SuccessorReported { .. }
             | Observation::EndpointFaultChanged { .. } => {}
         }
     }
     breaches.extend(sent_though_not_accepted(observations));
     breaches.extend(find_early_failures(installation, observations));
     let mut checker = InvariantChecker::new(installation.rule_parameters());
-    for (at, fact) in facts(observations) {
+    let mut facts = facts(observations);
+    if installation.polling.is_some() {
+        facts.extend(known_listings(installation.relays, observations, end));
+        facts.sort_by_key(|(at, _)| *at);
+    }
+    for (at, fact) in facts {
         checker.observe(at, fact);
     }
     for breach in checker.finish(end).breaches {
@@ -311,6 +322,17 @@
             Observation::ProcessEvent { relay, description } => format!("relay {relay} {description}"),
             Observation::Fault(fault) => format!("fault: {fault}"),
             Observation::NotAccepted { message } => format!("message {message} is not accepted"),
+            Observation::ListChanged { revision, statuses } => format!("list {revision}: {statuses:?}"),
+            Observation::ListSent { relay, revision } => format!("list {revision} is sent to relay {relay}"),
+            Observation::WatchSilenced { relay, opened_at, wait } => format!(
+                "a watch of relay {relay} falls silent, opened at {:.3} s for {:.3} s",
+                *opened_at as f64 / 1e6,
+                *wait as f64 / 1e6
+            ),
+            Observation::AgentReachable { relay, is_reachable } => {
+                format!("agent of relay {relay} is reachable: {is_reachable}")
+            }
+            Observation::SuccessorReported { relay } => format!("successor of relay {relay} serves"),
             Observation::EndpointFaultChanged { endpoint, is_over: false } => {
                 format!("fault of endpoint {endpoint} begins")
             }
--- a/crates/soak/src/recorder.rs
+++ b/crates/soak/src/recorder.rs
@@ -1,7 +1,7 @@
 //! Record of what the stand-ins observe, in the order of observation, and of the faults injected meanwhile.
 
 use crate::wire_end::WireEnd;
-use mountshift_invariants::{Fact, Time};
+use mountshift_invariants::{Fact, ListedStatus, Time};
 use std::sync::Mutex;
 use std::time::Instant;
 
@@ -26,6 +26,16 @@
     EndpointFaultChanged { endpoint: usize, is_over: bool },
     /// A relay's process ended unexpectedly, was not ready in time, used too many resources, or logged a defect.
     ProcessEvent { relay: usize, description: String },
+    /// The endpoint list changed.
+    ListChanged { revision: u64, statuses: Vec<ListedStatus> },
+    /// A relay's agent sent it this revision of the list.
+    ListSent { relay: usize, revision: u64 },
+    /// A watch of a relay that was opened at `opened_at` for `wait` microseconds will never get a response.
+    WatchSilenced { relay: usize, opened_at: Time, wait: Time },
+    /// A relay's agent answers calls for the list from now on, or does not.
+    AgentReachable { relay: usize, is_reachable: bool },
+    /// The successor of a relay has reported that it serves, and will take over.
+    SuccessorReported { relay: usize },
     /// A fault began or ended; only for the timeline.
     Fault(String),
 }
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -3,8 +3,10 @@
 
 use crate::SoakError;
 use crate::installation::{Installation, RELAY_MEMORY_MB};
+use crate::os_process::{free_listener, is_own_child, is_running, wait_for_exit};
 use crate::platform::Platform;
 use crate::recorder::{Observation, Recorder, lock};
+use crate::upgrade::UpgradeUnderWay;
 use mountshift_faults::{CONTROL_VARIABLE, FaultControl};
 use mountshift_invariants::{Fact, Time};
 use rustix::process::{Pid, Signal, kill_process};
@@ -30,8 +32,6 @@
 const RESTART_AFTER: Duration = Duration::from_millis(600);
 /// Pause between two signals of a series.
 const BETWEEN_SIGNALS: Duration = Duration::from_millis(40);
-/// Interval between two checks whether a process has ended.
-const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time after a restart, in microseconds, during which requests may go unanswered because of the previous process's
 /// end.
 const RESTART_AFTEREFFECT: Time = 100_000;
@@ -75,8 +75,8 @@
     /// processes.
     inherited_listener: Option<TcpListener>,
     pub(crate) child: Mutex<Option<Child>>,
-    /// Index of the agent's address that the configuration names.
-    agent_address_index: AtomicUsize,
+    /// The upgrade under way, if any.
+    pub(crate) upgrade: std::sync::Mutex<Option<UpgradeUnderWay>>,
     /// Time until which a missing answer is attributed to the end or start of the process.
     missing_answers_tolerated_until: AtomicU64,
     /// All processes started so far.
@@ -116,7 +116,7 @@
             platform: platform.clone(),
             installation: installation.clone(),
             child: Mutex::new(None),
-            agent_address_index: AtomicUsize::new(0),
+            upgrade: std::sync::Mutex::default(),
             missing_answers_tolerated_until: AtomicU64::new(0),
             started_processes: std::sync::Mutex::default(),
             self_kill_faults: AtomicUsize::new(0),
@@ -154,8 +154,10 @@
     /// the same folder. The time until SIGKILL counts from the first SIGTERM.
     pub(crate) async fn signal_and_restart(&self, series: impl IntoIterator<Item = Signal>) {
         let mut slot = self.child.lock().await;
-        self.agent_address_index.fetch_add(1, Ordering::SeqCst);
-        self.write_config();
+        let series: Vec<Signal> = series.into_iter().collect();
+        if series.contains(&Signal::HUP) {
+            self.move_agent().await;
+        }
         let Some(child) = slot.as_mut() else { return };
         self.tolerate_missing_answers_until(Time::MAX);
         let mut stopped_at = None;
@@ -184,16 +186,49 @@
         self.stop_locked(&mut child, None).await;
     }
 
-    /// Changes the agent's address in the configuration and makes the process reload it by SIGHUP.
-    pub(crate) async fn reload(&self) {
+    /// Moves the agent, changes its address in the configuration and makes the process reload it by SIGHUP. During an
+    /// upgrade one process or both get the signal, as the drawn number selects.
+    pub(crate) async fn reload(&self, drawn: u64) {
+        if lock(&self.upgrade).is_some() {
+            self.move_agent().await;
+            return self.signal_upgrade(drawn);
+        }
         let child = self.child.lock().await;
-        self.agent_address_index.fetch_add(1, Ordering::SeqCst);
-        self.write_config();
+        self.move_agent().await;
         if let Some(child) = child.as_ref() {
             let _ = kill_process(Pid::from_child(child), Signal::HUP);
         }
     }
 
+    /// Sends SIGHUP to the processes of an upgrade that the drawn number selects.
+    fn signal_upgrade(&self, drawn: u64) {
+        let Some(upgrade) = *lock(&self.upgrade) else {
+            // It has ended meanwhile: the remaining process is the only one.
+            return self.signal_last_started();
+        };
+        for process in upgrade.reload_targets(drawn) {
+            if is_own_child(process) {
+                let _ = kill_process(process, Signal::HUP);
+            }
+        }
+    }
+
+    fn signal_last_started(&self) {
+        let started = lock(&self.started_processes);
+        let running = started.iter().rev().find(|process| is_running(**process));
+        if let Some(process) = running {
+            let _ = kill_process(*process, Signal::HUP);
+        }
+    }
+
+    /// Opens a new address of the agent, and writes it to the configuration.
+    async fn move_agent(&self) {
+        if let Err(e) = self.platform.move_agent(self.number).await {
+            return self.record_process_event(format!("its agent could not be moved: {e}"));
+        }
+        self.write_config();
+    }
+
     /// Starts the process again if it has ended by itself, and records that as a breach unless a fault made it kill
     /// itself.
     pub(crate) async fn restart_if_exited(&self) {
@@ -322,6 +357,7 @@
             .env("NODE_CONFIG", self.dir.join("config.json"))
             .env("NODE_STATE", self.dir.join("state"))
             .env("NODE_MGMT", admin_address.to_string())
+            .env("NODE_DISCOVERY", self.platform.address(self.number).to_string())
             .env("RUST_LOG", "info,mountshift_relay=debug");
         if let Some(listener) = &self.inherited_listener {
             let descriptor = listener.as_raw_fd().to_string();
@@ -352,7 +388,7 @@
     }
 
     fn write_config(&self) {
-        let discovery = self.platform.address(self.number, self.agent_address_index.load(Ordering::SeqCst));
+        let discovery = self.platform.address(self.number);
         let known_endpoints = self.platform.initial_list();
         let config = self.installation.config(self.number, self.listen, discovery, &known_endpoints);
         if let Err(e) = std::fs::write(self.dir.join("config.json"), config.to_string()) {
@@ -379,31 +415,6 @@
     }
 }
 
-/// Returns whether the process is a child of this one. The id of an ended process may belong to another program by now.
-fn is_own_child(process: Pid) -> bool {
-    let stat =
-        std::fs::read_to_string(format!("/proc/{}/stat", process.as_raw_nonzero())).unwrap_or_default();
-    // The name in brackets is followed by the state and the parent's id.
-    let parent = stat.rsplit(')').next().and_then(|rest| rest.split_whitespace().nth(1));
-    parent.and_then(|parent| parent.parse().ok()) == Some(std::process::id())
-}
-
-/// Waits for the end of a process and kills it after `kill_after`. Returns its exit status unless it was killed.
-pub(crate) async fn wait_for_exit(child: &mut Child, kill_after: Duration) -> Option<ExitStatus> {
-    let due = Instant::now() + kill_after;
-    loop {
-        if let Ok(Some(status)) = child.try_wait() {
-            return Some(status);
-        }
-        if Instant::now() >= due {
-            let _ = child.kill();
-            let _ = child.wait();
-            return None;
-        }
-        Timer::after(EXIT_POLL_INTERVAL).await;
-    }
-}
-
 /// Kills the process, so that it does not outlive the run.
 impl Drop for RelayProcess {
     fn drop(&mut self) {
@@ -413,12 +424,3 @@
         }
     }
 }
-
-/// Returns a listener on a free port of a loopback address of its own, so that no other connection takes the port
-/// before the relay uses it.
-fn free_listener(number: usize) -> std::io::Result<TcpListener> {
-    let process = std::process::id();
-    let part = |n: u32| (n % 250) as u8 + 1;
-    let own = [127, part(process / 250 % 100 + 20), part(process), part(number as u32)];
-    TcpListener::bind(SocketAddr::from((own, 0)))
-}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -136,6 +136,7 @@
         clients: clients.clone(),
         recorder: recorder.clone(),
         seed: schedule.seed,
+        is_polling: schedule.polling.is_some(),
     });
     let watcher = smol::spawn(restart_exited(relays.clone()));
     let delay_recorder = smol::spawn(record_stand_in_delays(recorder.clone()));
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -35,6 +35,14 @@
 /// Range of the duration of a long [`FaultKind::DiskAtStart`] fault, in milliseconds. A relay starts 0.6 s after the
 /// fault begins and has to be ready 10 s later.
 const LONG_DISK_AT_START_MS: (u64, u64) = (7_000, 8_500);
+/// Probability that the relays of a run belong to a large fleet that polls for the endpoint list.
+const POLLING_PROBABILITY: f64 = 0.3;
+/// Random stream of the polling fleet.
+const POLLING_RANDOM_STREAM: u64 = 2;
+/// Range of the number of relays of such a fleet.
+const FLEET_RELAYS: (usize, usize) = (16, 43);
+/// Poll intervals of such a fleet, in milliseconds.
+const POLL_INTERVALS_MS: [u64; 2] = [4_000, 10_000];
 /// Time without faults at the beginning and at the end of a run, in milliseconds.
 const FAULT_FREE_MS: u64 = 2_000;
 
@@ -48,8 +56,10 @@
     Stop,
     /// Relays are upgraded: a successor starts, reports when asked 0 to 6 s later that it serves, and takes over. In a
     /// quarter of the upgrades the active process is killed, and a quarter is aborted. Requires inherited sockets.
+    /// Where lists are polled, an endpoint is removed right afterwards.
     Upgrade,
-    /// Relays get SIGHUP and another address of the discovery service.
+    /// Relays get SIGHUP and another address of the discovery service. During an upgrade the active process, its
+    /// successor or both get the signal.
     Reload,
     /// Relays reload their configuration and are stopped within 0.1 s.
     ReloadAndStop,
@@ -84,7 +94,8 @@
     CloseIdle,
     /// Endpoints are drained and removed, and listed again later.
     Drain,
-    /// The discovery service does not respond.
+    /// The discovery service does not respond; where lists are polled, half of these faults only make the open watches
+    /// fall silent.
     Discovery,
     /// Clients shut down their sending side, stop in the middle of a request, or send many requests at once and
     /// disconnect.
@@ -189,6 +200,31 @@
     }
 }
 
+/// A large fleet whose relays have to poll for the endpoint list; a run plays some of its relays.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PollingFleet {
+    /// Number of relays of the fleet.
+    pub relays: usize,
+    /// Interval at which a relay has to poll, in milliseconds.
+    pub poll_interval_ms: u64,
+}
+
+impl PollingFleet {
+    /// Draws whether the relays belong to such a fleet. A random stream of its own keeps all other draws of a seed the
+    /// same, whether there is a fleet or not.
+    fn draw(seed: u64, relays: usize, kinds: &[FaultKind]) -> Option<PollingFleet> {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        random.set_stream(POLLING_RANDOM_STREAM);
+        let has_list_faults =
+            [FaultKind::Drain, FaultKind::Discovery].iter().all(|kind| kinds.contains(kind));
+        let fleet = PollingFleet {
+            relays: random.random_range(FLEET_RELAYS.0..=FLEET_RELAYS.1).max(relays),
+            poll_interval_ms: *POLL_INTERVALS_MS.choose(&mut random)?,
+        };
+        (random.random_bool(POLLING_PROBABILITY) && has_list_faults).then_some(fleet)
+    }
+}
+
 /// A fault in a schedule.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ScheduledFault {
@@ -227,6 +263,9 @@
     pub endpoints: usize,
     /// Whether relays inherit the clients' sockets from the platform, which upgrades require.
     pub inherited_sockets: bool,
+    /// The fleet of the relays, if they have to poll for the endpoint list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub polling: Option<PollingFleet>,
     /// Faults in the order of their start.
     pub faults: Vec<ScheduledFault>,
 }
@@ -264,8 +303,9 @@
         let mut random = ChaCha8Rng::seed_from_u64(seed);
         let endpoints = random.random_range(6..=12);
         let inherited_sockets = random.random();
+        let polling = PollingFleet::draw(seed, relays, kinds);
         let mut schedule =
-            Schedule { seed, seconds, relays, endpoints, inherited_sockets, faults: Vec::new() };
+            Schedule { seed, seconds, relays, endpoints, inherited_sockets, polling, faults: Vec::new() };
         schedule.check()?;
         // Upgrades require inherited sockets.
         let is_possible = |kind: &&FaultKind| inherited_sockets || !kind.is_upgrade();
--- a/crates/soak/src/upgrade.rs
+++ b/crates/soak/src/upgrade.rs
@@ -2,7 +2,9 @@
 //! that it serves. Both processes together are one relay and obey the same rules.
 
 use crate::admin::reports_ready;
-use crate::relay_process::{KILL_AFTER, READY_INTERVAL, RelayProcess, wait_for_exit};
+use crate::os_process::{is_running, wait_for_exit};
+use crate::recorder::{Observation, lock};
+use crate::relay_process::{KILL_AFTER, READY_INTERVAL, RelayProcess};
 use crate::schedule::ScheduledFault;
 use mountshift_invariants::{Fact, Time};
 use rustix::process::{Pid, Signal, kill_process};
@@ -19,6 +21,10 @@
 const UPGRADE_ENDS: i64 = 8;
 /// Exclusive upper bound of the drawn number of an upgrade, which selects its end and its delay.
 pub(crate) const MAX_UPGRADE_AMOUNT: i64 = UPGRADE_ENDS * MAX_READY_CALL_DELAY_MS;
+/// Number of selections of the processes that get a SIGHUP.
+const RELOAD_TARGETS: u64 = 3;
+/// Time from the start of a process to the first signal that the platform may send to it.
+const FIRST_SIGNAL_AFTER: Duration = Duration::from_millis(1_000);
 /// Time after a kill, in microseconds, during which requests may go unanswered because of the previous process's end.
 const KILL_AFTEREFFECT: Time = 100_000;
 
@@ -58,6 +64,33 @@
     }
 }
 
+/// The processes of an upgrade that is under way.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UpgradeUnderWay {
+    active: Option<Pid>,
+    successor: Pid,
+    successor_started: Instant,
+    /// Whether the successor has reported that it serves.
+    is_successor_ready: bool,
+}
+
+impl UpgradeUnderWay {
+    /// Returns the processes that get the SIGHUP of a new configuration, as a drawn number selects: the active process,
+    /// the successor or both. A successor gets none before it is ready, nor in its first second.
+    pub(crate) fn reload_targets(&self, drawn: u64) -> Vec<Pid> {
+        let may_signal_successor =
+            self.is_successor_ready && self.successor_started.elapsed() >= FIRST_SIGNAL_AFTER;
+        let active = self.active.filter(|active| is_running(*active));
+        let successor = Some(self.successor).filter(|_| may_signal_successor);
+        match (active, successor, drawn % RELOAD_TARGETS) {
+            (None, _, _) => vec![self.successor],
+            (Some(_), Some(successor), 0) => vec![successor],
+            (Some(active), Some(successor), 1) => vec![active, successor],
+            (Some(active), _, _) => vec![active],
+        }
+    }
+}
+
 /// Result of waiting for a successor.
 enum SuccessorStart {
     /// It has reported that it serves.
@@ -77,6 +110,12 @@
             Ok(started) => started,
             Err(e) => return self.record_process_event(format!("could not start a successor: {e}")),
         };
+        *lock(&self.upgrade) = Some(UpgradeUnderWay {
+            active: slot.as_ref().map(Pid::from_child),
+            successor: Pid::from_child(&successor),
+            successor_started: Instant::now(),
+            is_successor_ready: false,
+        });
         let start = self
             .wait_for_successor(slot.as_mut(), &mut successor, admin_address, plan.ready_call_delay)
             .await;
@@ -85,6 +124,7 @@
             SuccessorStart::SuccessorExited => {}
             SuccessorStart::ActiveExited => self.replace_exited(&mut slot, successor),
         }
+        *lock(&self.upgrade) = None;
     }
 
     /// Waits until the successor reports that it serves; it is called from `delay` after its start on.
@@ -111,6 +151,9 @@
                 return SuccessorStart::ActiveExited;
             }
             if started.elapsed() >= delay && reports_ready(admin_address).await {
+                if let Some(upgrade) = lock(&self.upgrade).as_mut() {
+                    upgrade.is_successor_ready = true;
+                }
                 return SuccessorStart::Ready;
             }
             if started.elapsed() > SUCCESSOR_READY_WITHIN.max(delay) {
@@ -128,6 +171,7 @@
     async fn end_upgrade(&self, slot: &mut Option<Child>, mut successor: Child, end: UpgradeEnd) {
         match end {
             UpgradeEnd::TakenOver => {
+                self.recorder.record(Observation::SuccessorReported { relay: self.number });
                 if let Some(active) = slot.as_mut() {
                     let _ = kill_process(Pid::from_child(active), Signal::TERM);
                     let status = wait_for_exit(active, KILL_AFTER).await;
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -56,12 +56,34 @@
 /// Number of relays in the run of that seed.
 const RELAYS_WITH_DELAYED_HANDOVERS: usize = 8;
 
+/// Kinds of faults that together move discovery during upgrades, and change the list meanwhile.
+const KINDS_OF_DISCOVERY: [FaultKind; 4] =
+    [FaultKind::Upgrade, FaultKind::Reload, FaultKind::Drain, FaultKind::Discovery];
+/// Seed whose schedule contains reloads during upgrades.
+const SEED_OF_RELOADS: u64 = 22;
+/// Seed whose schedule plays relays of a large fleet that polls for the list, with watches that fall silent.
+const SEED_OF_SILENT_WATCHES: u64 = 18;
+/// Kinds of faults around the upgrade of relays that poll for the list.
+const KINDS_AROUND_POLLED_UPGRADES: [FaultKind; 3] =
+    [FaultKind::Upgrade, FaultKind::Drain, FaultKind::Discovery];
+/// Seed whose schedule plays upgrades of relays of such a fleet.
+const SEED_OF_POLLED_UPGRADES: u64 = 140;
+/// Number of relays in the runs of these seeds.
+const RELAYS_WITH_DISCOVERY_FAULTS: usize = 8;
+
 /// Runs the schedule of a seed, which must contain every one of the kinds.
 fn assert_invariants_hold_under(kinds: &[FaultKind], seed: u64, relays: usize) {
     let schedule = Schedule::draw(seed, 20, relays, kinds).expect("a schedule");
-    let is_drawn = |kind: &FaultKind| schedule.faults.iter().any(|fault| fault.kind == *kind);
-    assert!(kinds.iter().all(is_drawn), "{}", schedule.to_json());
-    let report = run_schedule(&schedule, &programs(), None).expect("a report");
+    assert!(kinds.iter().all(|kind| contains(&schedule, *kind)), "{}", schedule.to_json());
+    assert_invariants_hold(&schedule);
+}
+
+fn contains(schedule: &Schedule, kind: FaultKind) -> bool {
+    schedule.faults.iter().any(|fault| fault.kind == kind)
+}
+
+fn assert_invariants_hold(schedule: &Schedule) {
+    let report = run_schedule(schedule, &programs(), None).expect("a report");
     assert!(report.has_no_breaches(), "{}\n{:#?}", report.timeline, report.breaches);
     assert!(report.delivered > 500 && report.process_exits > 0, "{report:?}");
 }
@@ -85,6 +107,34 @@
     assert_invariants_hold_under(&KINDS_BESIDE_DELAYED_HANDOVERS, SEED_OF_DELAYED_HANDOVERS, relays);
 }
 
+// Guards against a configuration that reaches one of the two processes of an upgrade.
+#[test]
+fn every_invariant_holds_under_reloads_during_upgrades() {
+    let relays = RELAYS_WITH_DISCOVERY_FAULTS;
+    let schedule = Schedule::draw(SEED_OF_RELOADS, 20, relays, &KINDS_OF_DISCOVERY).expect("a schedule");
+    assert!(contains(&schedule, FaultKind::Upgrade) && contains(&schedule, FaultKind::Reload));
+    assert_invariants_hold(&schedule);
+}
+
+/// Runs the schedule of a seed, which must play relays of a large fleet that polls for the list.
+fn assert_invariants_hold_where_lists_are_polled(kinds: &[FaultKind], seed: u64) {
+    let schedule = Schedule::draw(seed, 20, RELAYS_WITH_DISCOVERY_FAULTS, kinds).expect("a schedule");
+    assert!(schedule.polling.is_some() && contains(&schedule, FaultKind::Drain), "{}", schedule.to_json());
+    assert_invariants_hold(&schedule);
+}
+
+// Guards against relays that poll, behind a watch that fell silent, after what it missed counts as known.
+#[test]
+fn every_invariant_holds_in_a_large_fleet_whose_watches_fall_silent() {
+    assert_invariants_hold_where_lists_are_polled(&KINDS_OF_DISCOVERY, SEED_OF_SILENT_WATCHES);
+}
+
+// Guards against a successor that polls for the first time after changes count as known to it.
+#[test]
+fn every_invariant_holds_in_upgrades_of_a_large_fleet_that_polls() {
+    assert_invariants_hold_where_lists_are_polled(&KINDS_AROUND_POLLED_UPGRADES, SEED_OF_POLLED_UPGRADES);
+}
+
 #[test]
 fn schedules_differ_by_seed_only_and_have_overlapping_faults() {
     let draw = |seed| Schedule::draw(seed, 60, 20, &FaultKind::ALL).expect("a schedule");
