Upgrade: a lone process doesn't look for another process's reloads

Change: an active process looks every 0.5 s, in a step that it makes anyway, whether a successor holds its lock, and checks for reloads only while one does, or once it hands over. A successor checks from its start on.

--- a/crates/relay/src/dispatch/dependencies.rs
+++ b/crates/relay/src/dispatch/dependencies.rs
@@ -5,6 +5,7 @@
 use crate::discovery::EndpointList;
 use crate::metrics::Metrics;
 use crate::notifications::Notification;
+use crate::reload::ConfigReloader;
 use crate::startup::spool::SuccessorSpool;
 use crate::state_files::StateFiles;
 use crate::violations::Violations;
@@ -43,6 +44,7 @@
     pub(crate) notifications: Sender<Notification>,
     /// Requests a poll of the endpoint list.
     pub(crate) poll_requests: Sender<()>,
+    pub(crate) reloader: Rc<ConfigReloader>,
     /// Maintenance commands of the operators that are in effect.
     pub(crate) maintenance: Rc<RefCell<MaintenanceState>>,
     /// Number of open client connections.
--- a/crates/relay/src/dispatch/mod.rs
+++ b/crates/relay/src/dispatch/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) use event::Event;
 
 use crate::clock::Clock;
+use crate::reload::ConfigReloader;
 use async_channel::{Receiver, Sender};
 use async_io::Timer;
 use futures_lite::FutureExt;
@@ -43,6 +44,8 @@
     stopping: Option<Stopping>,
     idle_checked_at: Instant,
     orphans_checked_at: Instant,
+    /// Informed of a successor, whose reloads of the configuration it then follows.
+    reloader: Rc<ConfigReloader>,
     /// Number of open client connections.
     client_connections: Rc<Cell<usize>>,
     /// Closed once client connections must be closed.
@@ -63,6 +66,7 @@
             stopping: None,
             idle_checked_at: Instant::now(),
             orphans_checked_at: Instant::now(),
+            reloader: dependencies.reloader.clone(),
             client_connections: dependencies.client_connections.clone(),
             clients_stopping: dependencies.clients_stopping.clone(),
             clients_ending: dependencies.clients_ending.clone(),
@@ -112,12 +116,13 @@
         }
     }
 
-    /// Takes over, every `ORPHAN_CHECK_INTERVAL`, the messages of a successor that exited before it became active. Not
-    /// while stopping: the next process will find them.
+    /// Checks, every `ORPHAN_CHECK_INTERVAL`, whether there is a successor, and takes over the messages of one that exited
+    /// before it became active. Not while stopping: the next process will find them.
     fn take_over_orphaned_messages(&mut self) -> Vec<Input> {
         let mut inputs = Vec::new();
         if self.stopping.is_none() && self.orphans_checked_at.elapsed() >= ORPHAN_CHECK_INTERVAL {
             self.orphans_checked_at = Instant::now();
+            self.reloader.set_has_other_process(self.state.successor_spool.is_successor_running());
             self.state.now = self.state.clock.now();
             self.state.adopt_orphaned_messages(&mut inputs);
         }
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -198,6 +198,7 @@
         events: tasks.events.clone(),
         notifications: tasks.notifications.0.clone(),
         poll_requests: tasks.poll_requests.0.clone(),
+        reloader,
         client_connections: tasks.client_connections.clone(),
         metrics: tasks.metrics.clone(),
         violations: tasks.violations.clone(),
--- a/crates/relay/src/reload.rs
+++ b/crates/relay/src/reload.rs
@@ -4,9 +4,10 @@
 use crate::clock::monotonic_now;
 use crate::startup::config::{ConfigError, StartConfig, reload_discovery};
 use crate::state_files::StateFiles;
-use async_channel::Sender;
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
 use log::{error, info};
-use mountshift_handover::{Reload, ReloadState, ReloadStep, Role};
+use mountshift_handover::{RELOAD_CHECK_INTERVAL, Reload, ReloadState, ReloadStep, Role};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 
@@ -18,6 +19,10 @@
     file_discovery: Cell<Option<SocketAddr>>,
     /// Channels of the tasks that need new addresses of discovery.
     moves: Vec<Sender<SocketAddr>>,
+    /// Whether another process of the relay runs. A lone process needs no checks.
+    has_other_process: Cell<bool>,
+    /// Channel on which the start of another process is announced.
+    other_process_started: (Sender<()>, Receiver<()>),
     /// Whether the last attempt to publish a reload failed and this has been logged.
     is_failure_logged: Cell<bool>,
 }
@@ -37,10 +42,29 @@
             files,
             file_discovery: Cell::new(config.file_discovery),
             moves,
+            has_other_process: Cell::new(is_successor),
+            other_process_started: async_channel::bounded(1),
             is_failure_logged: Cell::default(),
         }
     }
 
+    /// Records whether another process of the relay runs.
+    pub(crate) fn set_has_other_process(&self, has_other_process: bool) {
+        let before = self.has_other_process.replace(has_other_process);
+        if has_other_process && !before {
+            let _ = self.other_process_started.0.try_send(());
+        }
+    }
+
+    /// Waits until it is time to check for a reload of the other process: after an interval, or once there is one.
+    pub(crate) async fn wait_for_check(&self) {
+        if self.has_other_process.get() {
+            Timer::after(RELOAD_CHECK_INTERVAL).await;
+        } else {
+            let _ = self.other_process_started.1.recv().await;
+        }
+    }
+
     /// Reads the configuration anew, and publishes it to the other process of the relay.
     ///
     /// # Errors
--- a/crates/relay/src/signals.rs
+++ b/crates/relay/src/signals.rs
@@ -11,7 +11,7 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt};
 use log::{error, info};
-use mountshift_handover::{RELOAD_CHECK_INTERVAL, RELOAD_RETRY_TIMEOUT};
+use mountshift_handover::RELOAD_RETRY_TIMEOUT;
 use std::cell::Cell;
 use std::io;
 use std::path::PathBuf;
@@ -98,11 +98,13 @@
     }
 
     async fn next_wakeup(&self, signals: &mut Signals) -> Wakeup {
-        let is_pending = self.reload_pending_since.is_some();
-        let pause = if is_pending { RELOAD_RETRY_PAUSE } else { RELOAD_CHECK_INTERVAL };
         let signal = async { Wakeup::Signal(signals.next().await) };
         let check = async {
-            Timer::after(pause).await;
+            if self.reload_pending_since.is_some() {
+                Timer::after(RELOAD_RETRY_PAUSE).await;
+            } else {
+                self.reloader.wait_for_check().await;
+            }
             Wakeup::CheckReload
         };
         signal.or(check).await
@@ -145,6 +147,9 @@
     async fn on_stop(&mut self) {
         self.is_stopping = true;
         let has_successor = self.is_active.get() && is_locked_by_another(&self.successor_path);
+        if has_successor {
+            self.reloader.set_has_other_process(true);
+        }
         let plan = mountshift_handover::stop_plan(has_successor);
         let purpose = if plan.is_handover { "for a handover to its successor" } else { "for a restart" };
         info!("told to stop, {purpose}");
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -4,7 +4,7 @@
 use super::config::StartConfig;
 use super::opening::{DeferredEvents, await_while_serving};
 use super::retry::{RetryDeadlines, Retryable};
-use super::state_dir::{StateDir, take_free_lock};
+use super::state_dir::{StateDir, is_locked_by_another, take_free_lock};
 use super::tasks::RelayTasks;
 use crate::clients::is_same_message;
 use crate::clock::StoredTime;
@@ -230,6 +230,11 @@
         }
     }
 
+    /// Returns whether a successor of this process runs.
+    pub(crate) fn is_successor_running(&self) -> bool {
+        is_locked_by_another(&self.dir)
+    }
+
     /// Returns the spool of an exited successor, or `None` if a successor runs or no spool exists.
     pub(crate) fn take_orphaned(&self) -> Option<OrphanedSpool> {
         let file = self.dir.join(mountshift_spool::SPOOL_FILE);
