--- a/crates/discovery/src/fleet_tests.rs
+++ b/crates/discovery/src/fleet_tests.rs
@@ -185,6 +185,26 @@
     }
 }
 
+/// As `large_fleet_never_starves`, with a discovery that can serve each relay just once in the poll interval.
+#[test]
+fn large_fleet_never_starves_at_the_capacity_of_discovery() {
+    let outages = [8, 40].map(|seconds| Event::Outage(Duration::from_secs(seconds)));
+    let events = [Event::Restart, Event::Upgrade, Event::BrokenWatches, Event::SilentWatches];
+    for event in events.into_iter().chain(outages) {
+        for relays in [20, 40, 350, 900] {
+            for overload in [Overload::Errors, Overload::LateResponses] {
+                let run = Fleet::new(relays, POLL_INTERVAL, overload).run(event);
+                let last = run.last().saturating_sub(event.served_from());
+                assert!(
+                    last <= END,
+                    "{relays} relays, {event:?}, {overload:?}: {last:?}, {} polls",
+                    run.polls
+                );
+            }
+        }
+    }
+}
+
 /// Checks that the model reproduces the failure: without the spread most relays get no list within a minute.
 #[test]
 fn unspread_polls_of_a_large_fleet_keep_discovery_saturated() {
