Maintenance: the log says as what an endpoint is taken out or put back

A stale status in the endpoint table, a drain record that is not asked and an endpoint lost by the policy all looked the same.

Change: one line for each command that changes the state: the listed status, and the one that is in effect. EndpointStatus has names for log lines.

--- a/crates/relay/src/dispatch/endpoint_list.rs
+++ b/crates/relay/src/dispatch/endpoint_list.rs
@@ -84,9 +84,19 @@
             Change::None | Change::Standby | Change::Active => return,
         };
         self.files.write_maintenance(&self.maintenance.borrow());
-        let Some(endpoint) = self.endpoint_in_maintenance(name, is_back) else { return };
-        let Some(listed_status) = self.endpoints.get(endpoint).map(|known| known.status) else { return };
-        let status = self.status_under_maintenance(name, listed_status);
+        let command = if is_back { "put back" } else { "taken out" };
+        let endpoint = self.endpoint_in_maintenance(name, is_back);
+        let known = endpoint.and_then(|id| self.endpoints.get(id));
+        let (Some(endpoint), Some(known)) = (endpoint, known) else {
+            info!("endpoint {name} is {command}: it is not known");
+            return;
+        };
+        let status = self.status_under_maintenance(name, known.status);
+        info!(
+            "endpoint {name} is {command}: listed as {}, treated as {}",
+            known.status.name(),
+            status.name()
+        );
         inputs.extend(self.listed_endpoint(endpoint, status).map(Input::EndpointListed));
         if is_back {
             inputs.push(Input::EndpointRestarted(endpoint));
--- a/src/interface/endpoint.rs
+++ b/src/interface/endpoint.rs
@@ -13,6 +13,17 @@
     Removed,
 }
 
+impl EndpointStatus {
+    /// Returns its name in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndpointStatus::Ready => "ready",
+            EndpointStatus::Draining => "draining",
+            EndpointStatus::Removed => "removed",
+        }
+    }
+}
+
 /// An endpoint as the endpoint list describes it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ListedEndpoint {
