Maintenance: an endpoint that left the list gets nothing once it is put back

Cause: two places keep the listed status of an endpoint. A whole list says by omission that an endpoint is gone. The policy infers that (FullListBegins); the endpoint table, the only one that the operator's command reads, was told of entries alone and kept 'ready'. The drain record needs no question: it corrects what a list says, before the table gets it.

Change: the table marks what a whole list leaves out as removed, also endpoints kept aside in maintenance, and an entry that is replaced under its id. The policy's input always carries the table's status under maintenance, so no caller can pass another one.

The log says 'listed as ready' before, 'listed as removed' now.

--- a/crates/relay/src/dispatch/endpoint_list.rs
+++ b/crates/relay/src/dispatch/endpoint_list.rs
@@ -14,21 +14,20 @@
         self.apply_drain_record(&mut list);
         if list.is_full {
             inputs.push(Input::FullListBegins);
+            self.endpoints.remove_absent(&list.entries);
         }
         for entry in &list.entries {
             self.maintenance.borrow_mut().record_listed_endpoint(&entry.id);
             // An endpoint gets only messages of its own destination (rule 1).
             if let Some(retired) = self.endpoints.retire_replaced_endpoint(entry) {
                 self.idle_connections.close_endpoint(retired);
-                let removed = self.listed_endpoint(retired, EndpointStatus::Removed);
-                inputs.extend(removed.map(Input::EndpointListed));
+                inputs.extend(self.listed_endpoint(retired).map(Input::EndpointListed));
             }
             let update = self.endpoints.update(entry);
             if update.has_left_address {
                 self.idle_connections.close_endpoint(update.endpoint);
             }
-            let status = self.status_under_maintenance(&entry.id, update.status);
-            inputs.extend(self.listed_endpoint(update.endpoint, status).map(Input::EndpointListed));
+            inputs.extend(self.listed_endpoint(update.endpoint).map(Input::EndpointListed));
         }
     }
 
@@ -63,15 +62,15 @@
         }
     }
 
-    /// Returns an endpoint as an input of the policy.
-    fn listed_endpoint(&self, endpoint: EndpointId, status: EndpointStatus) -> Option<ListedEndpoint> {
+    /// Returns an endpoint as an input of the policy, with the status in effect.
+    fn listed_endpoint(&self, endpoint: EndpointId) -> Option<ListedEndpoint> {
         let known = self.endpoints.get(endpoint)?;
         Some(ListedEndpoint {
             endpoint,
             destination: known.destination,
             zone: known.zone,
             kind: known.kind,
-            status,
+            status: self.status_under_maintenance(&known.name, known.status),
             rate: known.rate,
         })
     }
@@ -86,20 +85,17 @@
         self.files.write_maintenance(&self.maintenance.borrow());
         let command = if is_back { "put back" } else { "taken out" };
         let endpoint = self.endpoint_in_maintenance(name, is_back);
+        let listed = endpoint.and_then(|id| self.listed_endpoint(id));
         let known = endpoint.and_then(|id| self.endpoints.get(id));
-        let (Some(endpoint), Some(known)) = (endpoint, known) else {
+        let (Some(listed), Some(known)) = (listed, known) else {
             info!("endpoint {name} is {command}: it is not known");
             return;
         };
-        let status = self.status_under_maintenance(name, known.status);
-        info!(
-            "endpoint {name} is {command}: listed as {}, treated as {}",
-            known.status.name(),
-            status.name()
-        );
-        inputs.extend(self.listed_endpoint(endpoint, status).map(Input::EndpointListed));
+        let (listed_status, status) = (known.status.name(), listed.status.name());
+        info!("endpoint {name} is {command}: listed as {listed_status}, treated as {status}");
+        inputs.push(Input::EndpointListed(listed));
         if is_back {
-            inputs.push(Input::EndpointRestarted(endpoint));
+            inputs.push(Input::EndpointRestarted(listed.endpoint));
         }
     }
 
--- a/crates/relay/src/upstream/endpoint_table.rs
+++ b/crates/relay/src/upstream/endpoint_table.rs
@@ -6,11 +6,11 @@
 use mountshift::interface::{DestinationId, DestinationKindId, EndpointId, EndpointStatus, ZoneId};
 use mountshift_discovery::Phase;
 use mountshift_settings::SocketSettings;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-/// An endpoint as last listed.
+/// An endpoint as last listed. One that left the list keeps its other properties, with the status removed.
 #[derive(Clone)]
 pub(crate) struct Endpoint {
     pub(crate) address: SocketAddr,
@@ -26,7 +26,6 @@
 /// Result of applying a list entry.
 pub(crate) struct TableUpdate {
     pub(crate) endpoint: EndpointId,
-    pub(crate) status: EndpointStatus,
     /// Whether the endpoint has a new address, or has been removed from the list.
     pub(crate) has_left_address: bool,
 }
@@ -56,8 +55,19 @@
         }
     }
 
+    /// Marks the endpoints without an entry in a full list as removed, including those in maintenance. The policy infers
+    /// these removals from the list itself; here they apply to what an operator puts back later.
+    pub(crate) fn remove_absent(&mut self, full_list: &[EndpointEntry]) {
+        let listed: BTreeSet<&str> = full_list.iter().map(|entry| entry.id.as_str()).collect();
+        let known = self.endpoints.values_mut().chain(self.in_maintenance.values_mut());
+        for absent in known.filter(|endpoint| !listed.contains(&*endpoint.name)) {
+            absent.status = EndpointStatus::Removed;
+        }
+    }
+
     /// Releases the entry's name if the known endpoint of this name has another destination, zone or kind, and returns
-    /// the id of that endpoint. It keeps its id; the entry describes a different endpoint and gets a new one.
+    /// the id of that endpoint. It keeps its id and is removed; the entry describes a different endpoint and gets a new
+    /// id.
     pub(crate) fn retire_replaced_endpoint(&mut self, entry: &EndpointEntry) -> Option<EndpointId> {
         let id = *self.ids.get(entry.id.as_str())?;
         let known = self.endpoints.get(&id)?;
@@ -68,6 +78,9 @@
             return None;
         }
         self.ids.remove(entry.id.as_str());
+        if let Some(retired) = self.endpoints.get_mut(&id) {
+            retired.status = EndpointStatus::Removed;
+        }
         Some(id)
     }
 
@@ -99,7 +112,7 @@
             self.uncount_destination(replaced.destination);
         }
         let has_moved = previous.is_some_and(|previous| previous.address != entry.address);
-        TableUpdate { endpoint: id, status, has_left_address: has_moved || entry.phase == Phase::Gone }
+        TableUpdate { endpoint: id, has_left_address: has_moved || entry.phase == Phase::Gone }
     }
 
     fn assign_id(&mut self, name: &Rc<str>) -> EndpointId {
--- a/crates/relay/src/upstream/endpoint_table_tests.rs
+++ b/crates/relay/src/upstream/endpoint_table_tests.rs
@@ -52,3 +52,27 @@
     table.forget(old, false);
     assert_eq!((known(&table), table.id_of("e1")), (vec![3], Some(new)));
 }
+
+/// Returns the status of the endpoint of this name.
+fn status(table: &EndpointTable, name: &str) -> Option<EndpointStatus> {
+    Some(table.get(table.id_of(name)?)?.status)
+}
+
+// Guards against an endpoint that is put back as last listed although a full list left it out meanwhile.
+#[test]
+fn an_endpoint_missing_from_a_full_list_is_removed_also_in_maintenance() {
+    let mut table = EndpointTable::default();
+    let entries = ["e1", "e2", "e3"].map(|id| entry(id, 1, Phase::Ready));
+    for listed in &entries {
+        table.update(listed);
+    }
+    let forgotten = table.id_of("e3").expect("known");
+    table.forget(forgotten, true);
+    table.remove_absent(&entries[..1]);
+    assert_eq!(status(&table, "e1"), Some(EndpointStatus::Ready));
+    assert_eq!(status(&table, "e2"), Some(EndpointStatus::Removed));
+    table.restore_from_maintenance("e3").expect("known");
+    assert_eq!(status(&table, "e3"), Some(EndpointStatus::Removed));
+    table.update(&entries[2]);
+    assert_eq!(status(&table, "e3"), Some(EndpointStatus::Ready), "it is listed again");
+}
--- a/crates/relay/tests/operations/main.rs
+++ b/crates/relay/tests/operations/main.rs
@@ -40,7 +40,7 @@
     dir: tempfile::TempDir,
     config: serde_json::Value,
     admin_address: SocketAddr,
-    _platform: Platform,
+    platform: Platform,
 }
 
 fn admin_fixture(members: Vec<serde_json::Value>) -> AdminFixture {
@@ -49,12 +49,7 @@
     let admin_address = free_address();
     config["mgmt"] = json!(admin_address.to_string());
     platform.set_members(members);
-    AdminFixture {
-        dir: tempfile::tempdir().expect("create the folder"),
-        config,
-        admin_address,
-        _platform: platform,
-    }
+    AdminFixture { dir: tempfile::tempdir().expect("create the folder"), config, admin_address, platform }
 }
 
 #[test]
--- a/crates/relay/tests/support/discovery.rs
+++ b/crates/relay/tests/support/discovery.rs
@@ -53,10 +53,11 @@
         Platform { server, list }
     }
 
-    /// Replaces the list and increments its revision.
-    pub(crate) fn set_members(&self, members: Vec<Value>) {
+    /// Replaces the list, increments its revision and returns it.
+    pub(crate) fn set_members(&self, members: Vec<Value>) -> u64 {
         let mut list = self.list.lock().expect("lock the list");
         *list = (list.0 + 1, members);
+        list.0
     }
 
     /// Returns the notifications received, one text each, including those of rejected calls.
