--- a/crates/cli/src/lab/trace.rs
+++ b/crates/cli/src/lab/trace.rs
@@ -141,6 +141,8 @@
             Fact::CallReceived { call, .. } => self.calls.contains(&call),
             Fact::EndpointAdded { endpoint, .. }
             | Fact::EndpointListed { endpoint, .. }
+            | Fact::EndpointTakenOut { endpoint, .. }
+            | Fact::EndpointPutBack { endpoint, .. }
             | Fact::RetryAfterReceived { endpoint, .. } => self.endpoints.contains(&endpoint),
             Fact::OutageStarted { route } | Fact::OutageEnded { route } | Fact::RouteOverloaded { route } => {
                 self.routes.contains(&route)
--- a/crates/invariants/src/checker.rs
+++ b/crates/invariants/src/checker.rs
@@ -116,6 +116,12 @@
                 let now = self.now;
                 self.relays.entry(relay).or_default().record_listing(endpoint, status, now);
             }
+            Fact::EndpointTakenOut { relay, endpoint } => {
+                self.relays.entry(relay).or_default().taken_out_at.entry(endpoint).or_insert(at);
+            }
+            Fact::EndpointPutBack { relay, endpoint } => {
+                self.relays.entry(relay).or_default().taken_out_at.remove(&endpoint);
+            }
             Fact::OutageStarted { route } => self.routes.entry(route).or_default().start_outage(at, fact),
             Fact::OutageEnded { route } => self.routes.entry(route).or_default().end_outage(at, fact),
             Fact::RouteOverloaded { route } => {
@@ -205,6 +211,9 @@
         let listing = relay.listings.get(&number);
         let grace = self.parameters.drain_grace;
         findings.extend(drain::check_attempt(number, endpoint, listing, state.destination, now, grace));
+        if let Some(taken_out_at) = relay.taken_out_at.get(&number) {
+            findings.extend(drain::check_out_of_service(number, *taken_out_at, now, grace));
+        }
         let active = endpoint.and_then(|endpoint| relay.retry_after.get(&endpoint.route));
         findings.extend(retry_after::check_attempt(active, now, self.parameters.retry_after_grace));
         if let Some(queue) = relay.key_queues.get(&state.key) {
--- a/crates/invariants/src/fact.rs
+++ b/crates/invariants/src/fact.rs
@@ -151,6 +151,10 @@
     OutageStarted { route: u32 },
     /// The route serves calls again and is in slow start.
     OutageEnded { route: u32 },
+    /// An operator took the endpoint out of service at the relay, which acknowledged that.
+    EndpointTakenOut { relay: u32, endpoint: u32 },
+    /// An operator puts the endpoint back at the relay.
+    EndpointPutBack { relay: u32, endpoint: u32 },
     /// A route in slow start failed under its load.
     RouteOverloaded { route: u32 },
     /// The relay's process exited.
@@ -230,6 +234,12 @@
             Fact::EndpointListed { relay, endpoint, status } => {
                 write!(f, "relay {relay} is told that endpoint {endpoint} is {status}")
             }
+            Fact::EndpointTakenOut { relay, endpoint } => {
+                write!(f, "an operator takes endpoint {endpoint} out at relay {relay}")
+            }
+            Fact::EndpointPutBack { relay, endpoint } => {
+                write!(f, "an operator puts endpoint {endpoint} back at relay {relay}")
+            }
             Fact::OutageStarted { route } => write!(f, "route {route} is out"),
             Fact::OutageEnded { route } => write!(f, "route {route} is back, cold"),
             Fact::RouteOverloaded { route } => write!(f, "route {route} is pushed over"),
--- a/crates/invariants/src/rules/drain.rs
+++ b/crates/invariants/src/rules/drain.rs
@@ -1,5 +1,5 @@
-//! Rule 3: nothing is sent to an endpoint that has been draining or removed for longer than the drain grace, to
-//! one that was never listed, or to one of another destination.
+//! Rule 3: nothing is sent to an endpoint that has been draining, removed or out of service for longer than the drain
+//! grace, to one that was never listed, or to one of another destination.
 
 use crate::fact::seconds;
 use crate::state::endpoint::Endpoint;
@@ -31,3 +31,17 @@
     }
     None
 }
+
+/// Checks an attempt at an endpoint that an operator took out of service at `taken_out_at`.
+pub(crate) fn check_out_of_service(
+    number: u32,
+    taken_out_at: Time,
+    now: Time,
+    drain_grace: Time,
+) -> Option<Finding> {
+    if now <= taken_out_at + drain_grace {
+        return None;
+    }
+    let since = seconds(now - taken_out_at);
+    Some(Finding::new(Rule::Drain, format!("sent to endpoint {number}, out of service for {since:.3} s")))
+}
--- a/crates/invariants/src/state/relay.rs
+++ b/crates/invariants/src/state/relay.rs
@@ -46,6 +46,8 @@
     pub(crate) messages: BTreeSet<u64>,
     /// Listings by endpoint.
     pub(crate) listings: FxHashMap<u32, Listing>,
+    /// Times at which endpoints were taken out of service. They outlast the process.
+    pub(crate) taken_out_at: FxHashMap<u32, Time>,
     /// Active Retry-After by route.
     pub(crate) retry_after: FxHashMap<u32, RetryAfter>,
     /// Queues by ordering key.
--- a/crates/invariants/tests/rules.rs
+++ b/crates/invariants/tests/rules.rs
@@ -56,6 +56,12 @@
         self.at = ms * 1_000;
         self
     }
+    fn taken_out(&mut self, endpoint: u32) -> &mut Script {
+        self.observe(Fact::EndpointTakenOut { relay: RELAY, endpoint })
+    }
+    fn put_back(&mut self, endpoint: u32) -> &mut Script {
+        self.observe(Fact::EndpointPutBack { relay: RELAY, endpoint })
+    }
     fn listed(&mut self, endpoint: u32, status: ListedStatus) -> &mut Script {
         self.observe(Fact::EndpointListed { relay: RELAY, endpoint, status })
     }
@@ -137,6 +143,10 @@
 #[test_case(|s| { s.submit(1, 0, 0).listed(0, ListedStatus::Draining).at(900).attempt(1, 1, 0).attempt_end(1, 1, AttemptOutcome::Delivered); } => Vec::<u8>::new(); "sent to a draining endpoint within the grace")]
 #[test_case(|s| { s.submit(1, 0, 0).listed(0, ListedStatus::Draining).at(1_100).attempt(1, 1, 0).attempt_end(1, 1, AttemptOutcome::Delivered); } => vec![3]; "3 sent to a draining endpoint after the grace")]
 #[test_case(|s| { s.submit(1, 0, 0).listed(0, ListedStatus::Draining).at(900).listed(0, ListedStatus::Removed).at(1_100).attempt(1, 1, 0).attempt_end(1, 1, AttemptOutcome::Delivered); } => vec![3]; "3 removal does not restart the grace of a drain")]
+#[test_case(|s| { s.submit(1, 0, 0).taken_out(0).at(900).attempt(1, 1, 0).attempt_end(1, 1, AttemptOutcome::Delivered); } => Vec::<u8>::new(); "sent within the grace to an endpoint out of service")]
+#[test_case(|s| { s.submit(1, 0, 0).taken_out(0).at(500).taken_out(0).listed(0, ListedStatus::Ready).at(1_100).attempt(1, 1, 0).attempt_end(1, 1, AttemptOutcome::Delivered); } => vec![3]; "3 sent after the grace to an endpoint out of service, whatever the list says")]
+#[test_case(|s| { s.submit(1, 0, 0).taken_out(0).at(500).put_back(0).at(1_100).attempt(1, 1, 0).attempt_end(1, 1, AttemptOutcome::Delivered); } => Vec::<u8>::new(); "sent to an endpoint that is back in service")]
+#[test_case(|s| { s.submit(1, 0, 0).taken_out(0).listed(0, ListedStatus::Removed).at(500).put_back(0).at(1_100).attempt(1, 1, 0).attempt_end(1, 1, AttemptOutcome::Delivered); } => vec![3]; "3 sent to an endpoint that is back in service but no longer listed")]
 #[test_case(|s| { s.submit(1, 0, 0).listed(0, ListedStatus::Removed).listed(0, ListedStatus::Ready).at(1_100).attempt(1, 1, 0).attempt_end(1, 1, AttemptOutcome::Delivered); } => Vec::<u8>::new(); "sent to an endpoint that is listed again")]
 #[test_case(|s| { s.submit(1, 0, 0).attempt(1, 1, 2).attempt_end(1, 1, AttemptOutcome::Delivered); } => vec![3]; "3 sent to another destination")]
 #[test_case(|s| { s.submit(1, 0, 0).attempt(1, 1, 9).attempt_end(1, 1, AttemptOutcome::Delivered); } => vec![3]; "3 sent to an endpoint that was never listed")]
