--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -3,10 +3,11 @@
 use crate::bad_clients::{exhaust_descriptors, misbehave};
 use crate::client::Clients;
 use crate::endpoint::{Behaviour, Endpoints};
+use crate::fault_kind::FaultKind;
 use crate::platform::{AgentBehaviour, Platform};
 use crate::recorder::{Observation, Recorder};
 use crate::relay_process::RelayProcess;
-use crate::schedule::{FaultKind, Schedule, ScheduledFault};
+use crate::schedule::{Schedule, ScheduledFault};
 use crate::system_call_faults::{disk_faults, socket_faults};
 use crate::upgrade::UpgradePlan;
 use mountshift_faults::SystemCallFault;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -21,6 +21,7 @@
 mod early_end;
 mod endpoint;
 mod error;
+mod fault_kind;
 mod http;
 mod injection;
 mod installation;
@@ -38,7 +39,8 @@
 mod wire_end;
 
 pub use error::SoakError;
+pub use fault_kind::FaultKind;
 pub use oracle::SoakBreach;
 pub use relay_process::Programs;
 pub use run::{SoakReport, run_schedule, shrink};
-pub use schedule::{FaultKind, MAX_RELAYS, PollingFleet, Schedule, ScheduledFault};
+pub use schedule::{MAX_RELAYS, PollingFleet, Schedule, ScheduledFault};
--- a/crates/soak/src/system_call_faults.rs
+++ b/crates/soak/src/system_call_faults.rs
@@ -1,6 +1,7 @@
 //! The system call faults that a fault of the schedule injects into relays.
 
-use crate::schedule::{FaultKind, ScheduledFault};
+use crate::fault_kind::FaultKind;
+use crate::schedule::ScheduledFault;
 use mountshift_faults::{FULL_RATE, SystemCall, SystemCallFault};
 
 /// Number of system calls per 1,000 that fail for a shortage of resources, or with an intermittent disk fault.
