Soak: operators take endpoints out and put them back while the list changes

Change: the fault 'maintenance'. Operators take an endpoint out at some relays and put it back, half of the time twice; it stays on the list, leaves it before or after it was taken out, or is back on it before it is put back.

--- a/crates/soak/src/fault_kind.rs
+++ b/crates/soak/src/fault_kind.rs
@@ -76,11 +76,14 @@
     EndlessAnswers,
     /// Endpoints send a second copy of some responses, also while the connection carries a later call.
     LateCopies,
+    /// Operators take an endpoint out of service at relays and put it back, maybe twice. In three quarters of these faults
+    /// the endpoint leaves the list meanwhile, and is listed again before or after it is put back.
+    Maintenance,
 }
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [FaultKind; 31] = [
+    pub const ALL: [FaultKind; 32] = [
         FaultKind::Kill,
         FaultKind::Stop,
         FaultKind::Upgrade,
@@ -112,6 +115,7 @@
         FaultKind::LateConnects,
         FaultKind::EndlessAnswers,
         FaultKind::LateCopies,
+        FaultKind::Maintenance,
     ];
 
     /// Returns whether the fault upgrades relays.
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -100,6 +100,7 @@
             FaultKind::Crowd => self.exhaust_descriptors(fault, span).await,
             FaultKind::UpgradeDisk => self.upgrade_with_disk_faults(fault, span).await,
             FaultKind::ClockHold => self.delay_clock_reads(fault, span).await,
+            FaultKind::Maintenance => self.maintain_endpoint(fault, span).await,
             _ => self.change_endpoints(fault, span).await,
         }
     }
@@ -196,7 +197,7 @@
         fault.targets.iter().map(|number| self.relays[*number].clone()).collect()
     }
 
-    async fn for_each_relay<F>(&self, fault: &ScheduledFault, act: impl Fn(Arc<RelayProcess>) -> F)
+    pub(crate) async fn for_each_relay<F>(&self, fault: &ScheduledFault, act: impl Fn(Arc<RelayProcess>) -> F)
     where
         F: Future<Output = ()> + Send + 'static,
     {
@@ -261,14 +262,19 @@
         for endpoint in &fault.targets {
             self.platform.set_status(*endpoint, ListedStatus::Removed);
         }
-        Timer::after(if self.is_polling { REMOVED_FOR_WHERE_POLLED } else { REMOVED_FOR }).await;
+        Timer::after(self.removed_for()).await;
         for endpoint in &fault.targets {
             self.platform.set_status(*endpoint, ListedStatus::Ready);
             self.record_endpoint_fault(*endpoint, true);
         }
     }
 
-    fn record_endpoint_fault(&self, endpoint: usize, is_over: bool) {
+    /// Returns the time after which a removed endpoint is listed again.
+    pub(crate) fn removed_for(&self) -> Duration {
+        if self.is_polling { REMOVED_FOR_WHERE_POLLED } else { REMOVED_FOR }
+    }
+
+    pub(crate) fn record_endpoint_fault(&self, endpoint: usize, is_over: bool) {
         self.recorder.record(Observation::EndpointFaultChanged { endpoint, is_over });
     }
 
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -8,7 +8,7 @@
 //!   the wire in the `recorder`.
 //! - `wire_end` derives the outcome of a call from these observations, as the protocol defines it;
 //!   `malformed_response` sends malformed responses.
-//! - `injection` begins and ends the faults of a schedule; `oracle`, `known_changes` and `early_end` find breaches in
+//! - `injection` begins and ends the faults of a schedule, `maintenance` those that operators' commands belong to; `oracle`, `known_changes` and `early_end` find breaches in
 //!   the record.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
@@ -26,6 +26,7 @@
 mod injection;
 mod installation;
 mod known_changes;
+mod maintenance;
 mod malformed_response;
 mod oracle;
 mod os_process;
--- /dev/null
+++ b/crates/soak/src/maintenance.rs
@@ -0,0 +1,149 @@
+//! Operators' commands: endpoints are taken out of service at relays and put back, while the endpoint list changes.
+//!
+//! A command is made while one process of a relay runs. The maintenance itself lasts over restarts and upgrades.
+
+use crate::admin::post;
+use crate::injection::FaultTargets;
+use crate::relay_process::RelayProcess;
+use crate::schedule::ScheduledFault;
+use mountshift_invariants::{Fact, ListedStatus};
+use smol::Timer;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Time between a change of the list and the operators' next commands, in which relays receive the list.
+const LIST_TO_COMMAND: Duration = Duration::from_millis(300);
+/// Minimum time for which an endpoint stays off the list. Messages after the drain grace show whether relays respect that.
+const REMOVED_FOR_MIN: Duration = Duration::from_millis(3_000);
+/// Time within which a process stores a command that it has acknowledged.
+const COMMAND_STORED_WITHIN: Duration = Duration::from_millis(100);
+/// Number of tries of a command that gets no positive answer.
+const COMMAND_TRIES: usize = 5;
+/// Pause between two tries of a command.
+const BETWEEN_TRIES: Duration = Duration::from_millis(200);
+
+/// What happens to the list around the maintenance of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ListChange {
+    /// The endpoint stays on the list.
+    None,
+    /// It leaves the list in maintenance, and is listed again after it was put back.
+    LeavesInMaintenance,
+    /// It leaves the list before it is taken out, and is listed again after it was put back.
+    LeavesBefore,
+    /// It leaves the list in maintenance, and is listed again before it is put back.
+    ReturnsInMaintenance,
+}
+
+impl ListChange {
+    const ALL: [ListChange; 4] = [
+        ListChange::None,
+        ListChange::LeavesInMaintenance,
+        ListChange::LeavesBefore,
+        ListChange::ReturnsInMaintenance,
+    ];
+}
+
+/// The maintenance of an endpoint, as a fault's drawn number selects it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct MaintenancePlan {
+    pub(crate) endpoint: usize,
+    pub(crate) list_change: ListChange,
+    /// Whether the endpoint is taken out and put back once more.
+    pub(crate) is_repeated: bool,
+}
+
+impl MaintenancePlan {
+    pub(crate) fn of(fault: &ScheduledFault, endpoint_count: usize) -> MaintenancePlan {
+        let drawn = fault.amount as usize;
+        let (endpoint, drawn) = (drawn % endpoint_count, drawn / endpoint_count);
+        let (list_change, drawn) =
+            (ListChange::ALL[drawn % ListChange::ALL.len()], drawn / ListChange::ALL.len());
+        MaintenancePlan { endpoint, list_change, is_repeated: !drawn.is_multiple_of(2) }
+    }
+}
+
+/// A command of an operator.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Command {
+    TakeOut,
+    PutBack,
+}
+
+impl FaultTargets {
+    /// Takes an endpoint out of service at relays for a time.
+    pub(crate) async fn maintain_endpoint(&self, fault: &ScheduledFault, span: Duration) {
+        let plan = MaintenancePlan::of(fault, self.platform.endpoint_count());
+        self.record_endpoint_fault(plan.endpoint, false);
+        if plan.list_change == ListChange::LeavesBefore {
+            self.change_list(plan.endpoint, ListedStatus::Removed).await;
+        }
+        self.command_all(fault, plan.endpoint, Command::TakeOut).await;
+        Timer::after(span).await;
+        let leaves =
+            matches!(plan.list_change, ListChange::LeavesInMaintenance | ListChange::ReturnsInMaintenance);
+        if leaves {
+            self.change_list(plan.endpoint, ListedStatus::Removed).await;
+        }
+        if plan.list_change == ListChange::ReturnsInMaintenance {
+            Timer::after(self.removed_for().max(REMOVED_FOR_MIN)).await;
+            self.change_list(plan.endpoint, ListedStatus::Ready).await;
+        }
+        self.command_all(fault, plan.endpoint, Command::PutBack).await;
+        if plan.is_repeated {
+            self.command_all(fault, plan.endpoint, Command::TakeOut).await;
+            self.command_all(fault, plan.endpoint, Command::PutBack).await;
+        }
+        if matches!(plan.list_change, ListChange::LeavesInMaintenance | ListChange::LeavesBefore) {
+            Timer::after(self.removed_for().max(REMOVED_FOR_MIN)).await;
+            self.change_list(plan.endpoint, ListedStatus::Ready).await;
+        }
+        self.record_endpoint_fault(plan.endpoint, true);
+    }
+
+    async fn change_list(&self, endpoint: usize, status: ListedStatus) {
+        self.platform.set_status(endpoint, status);
+        Timer::after(LIST_TO_COMMAND).await;
+    }
+
+    /// Makes a command at all targeted relays.
+    async fn command_all(&self, fault: &ScheduledFault, endpoint: usize, command: Command) {
+        let name: Arc<str> = self.platform.endpoint_name(endpoint).into();
+        self.for_each_relay(fault, move |relay| {
+            let name = name.clone();
+            async move { relay.command(endpoint, &name, command).await }
+        })
+        .await;
+    }
+}
+
+impl RelayProcess {
+    /// Makes an operator's command at the relay's process, once no restart or upgrade is under way.
+    async fn command(&self, endpoint: usize, name: &str, command: Command) {
+        let process = self.child.lock().await;
+        let Some(address) = process.as_ref().and_then(|child| self.admin_address_of(child)) else { return };
+        let (relay, endpoint) = (self.number as u32, endpoint as u32);
+        let path = match command {
+            Command::TakeOut => "enter",
+            Command::PutBack => "exit",
+        };
+        // The relay may send to the endpoint again as soon as it has read the command.
+        if command == Command::PutBack {
+            self.recorder.record_fact(Fact::EndpointPutBack { relay, endpoint });
+        }
+        for _ in 0..COMMAND_TRIES {
+            if post(address, &format!("/maintenance/{path}?target={name}")).await {
+                if command == Command::TakeOut {
+                    self.recorder.record_fact(Fact::EndpointTakenOut { relay, endpoint });
+                }
+                Timer::after(COMMAND_STORED_WITHIN).await;
+                return;
+            }
+            Timer::after(BETWEEN_TRIES).await;
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "maintenance_tests.rs"]
+mod tests;
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -146,6 +146,11 @@
         self.installation.endpoints.len()
     }
 
+    /// Returns the id of an endpoint in the list.
+    pub(crate) fn endpoint_name(&self, endpoint: usize) -> &str {
+        &self.installation.endpoints[endpoint].name
+    }
+
     /// Changes the listed status of an endpoint.
     pub(crate) fn set_status(&self, endpoint: usize, status: ListedStatus) {
         let mut list = lock(&self.list);
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -61,6 +61,13 @@
     }
 }
 
+/// A process of a relay.
+#[derive(Clone, Copy, Debug)]
+struct StartedProcess {
+    id: Pid,
+    admin_address: SocketAddr,
+}
+
 /// A relay of the run.
 pub(crate) struct RelayProcess {
     pub(crate) number: usize,
@@ -80,7 +87,7 @@
     /// Time until which a missing answer is attributed to the end or start of the process.
     missing_answers_tolerated_until: AtomicU64,
     /// All processes started so far.
-    started_processes: std::sync::Mutex<Vec<Pid>>,
+    started_processes: std::sync::Mutex<Vec<StartedProcess>>,
     /// Number of current faults that may make the process kill itself.
     self_kill_faults: AtomicUsize,
 }
@@ -215,9 +222,9 @@
 
     fn signal_last_started(&self) {
         let started = lock(&self.started_processes);
-        let running = started.iter().rev().find(|process| is_running(**process));
+        let running = started.iter().rev().find(|process| is_running(process.id));
         if let Some(process) = running {
-            let _ = kill_process(*process, Signal::HUP);
+            let _ = kill_process(process.id, Signal::HUP);
         }
     }
 
@@ -265,8 +272,8 @@
     /// Kills every started process, independently of the tasks of the run.
     pub(crate) fn kill_all(&self) {
         for process in lock(&self.started_processes).drain(..) {
-            if is_own_child(process) {
-                let _ = kill_process(process, Signal::KILL);
+            if is_own_child(process.id) {
+                let _ = kill_process(process.id, Signal::KILL);
             }
         }
     }
@@ -368,10 +375,18 @@
             command.env("LD_PRELOAD", shim).env(CONTROL_VARIABLE, self.faults.path());
         }
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn()?;
-        lock(&self.started_processes).push(Pid::from_child(&child));
+        lock(&self.started_processes).push(StartedProcess { id: Pid::from_child(&child), admin_address });
         Ok((child, admin_address))
     }
 
+    /// Returns the admin address of a started process.
+    pub(crate) fn admin_address_of(&self, child: &Child) -> Option<SocketAddr> {
+        let id = Pid::from_child(child);
+        // The system may have reused the id of an ended process.
+        let started = lock(&self.started_processes).iter().rev().find(|process| process.id == id).copied();
+        started.map(|process| process.admin_address)
+    }
+
     async fn is_ready(&self) -> bool {
         let ping = async {
             let mut stream = TcpStream::connect(self.listen).await?;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -39,6 +39,15 @@
 const POLLING_PROBABILITY: f64 = 0.3;
 /// Random stream of the polling fleet.
 const POLLING_RANDOM_STREAM: u64 = 2;
+/// Probability that the schedule of a run that may contain operators' commands contains them.
+const MAINTENANCE_PROBABILITY: f64 = 0.5;
+/// Random stream of the operators' commands.
+const MAINTENANCE_RANDOM_STREAM: u64 = 3;
+/// Range of the time for which an endpoint is out of service before the next change, in milliseconds. The policy forgets an
+/// endpoint that is out for longer than the drain grace.
+const MAINTENANCE_MS: (u64, u64) = (200, 2_500);
+/// Exclusive upper bound of the drawn number of a maintenance, which selects its endpoint and its course.
+const MAX_MAINTENANCE_AMOUNT: i64 = 10_000;
 /// Range of the number of relays of such a fleet.
 const FLEET_RELAYS: (usize, usize) = (16, 43);
 /// Poll intervals of such a fleet, in milliseconds.
@@ -153,8 +162,10 @@
         let mut schedule =
             Schedule { seed, seconds, relays, endpoints, inherited_sockets, polling, faults: Vec::new() };
         schedule.check()?;
-        // Upgrades require inherited sockets.
-        let is_possible = |kind: &&FaultKind| inherited_sockets || !kind.is_upgrade();
+        // Upgrades require inherited sockets. Operators' commands are drawn apart.
+        let is_possible =
+            |kind: &&FaultKind| (inherited_sockets || !kind.is_upgrade()) && **kind != FaultKind::Maintenance;
+        let has_maintenance = kinds.contains(&FaultKind::Maintenance);
         let kinds: Vec<FaultKind> = kinds.iter().filter(is_possible).copied().collect();
         let kinds = draw_kinds(kinds, &mut random);
         let end_ms = seconds * 1_000 - FAULT_FREE_MS;
@@ -177,10 +188,37 @@
             schedule.faults.append(&mut group);
             group_at += random.random_range(GROUP_GAP_MS.0..=GROUP_GAP_MS.1);
         }
+        if has_maintenance {
+            schedule.draw_maintenance(end_ms);
+        }
         schedule.faults.sort_by_key(|fault| fault.at_ms);
         Ok(schedule)
     }
 
+    /// Draws operators' commands. A random stream of its own keeps all other draws of a seed the same, whether there are
+    /// commands or not.
+    fn draw_maintenance(&mut self, end_ms: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(MAINTENANCE_RANDOM_STREAM);
+        if !random.random_bool(MAINTENANCE_PROBABILITY) {
+            return;
+        }
+        let mut at_ms = FAULT_FREE_MS;
+        while at_ms + FAULT_FREE_MS < end_ms {
+            let target_count = random.random_range(1..=self.relays.div_ceil(2));
+            let mut targets = rand::seq::index::sample(&mut random, self.relays, target_count).into_vec();
+            targets.sort_unstable();
+            self.faults.push(ScheduledFault {
+                kind: FaultKind::Maintenance,
+                at_ms,
+                for_ms: random.random_range(MAINTENANCE_MS.0..=MAINTENANCE_MS.1),
+                targets,
+                amount: random.random_range(0..MAX_MAINTENANCE_AMOUNT),
+            });
+            at_ms += random.random_range(GROUP_GAP_MS.0..=GROUP_GAP_MS.1);
+        }
+    }
+
     fn draw_fault(
         &self,
         kind: FaultKind,
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -1,7 +1,7 @@
 //! Short soaks of real relays, and tests of schedules. CI runs the fixed schedule in this folder; longer soaks are run
 //! by hand (`mountshift soak`).
 
-use mountshift_soak::{FaultKind, MAX_RELAYS, Programs, Schedule, run_schedule};
+use mountshift_soak::{FaultKind, MAX_RELAYS, Programs, Schedule, ScheduledFault, run_schedule};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 
@@ -68,6 +68,11 @@
     [FaultKind::Upgrade, FaultKind::Drain, FaultKind::Discovery];
 /// Seed whose schedule plays upgrades of relays of such a fleet.
 const SEED_OF_POLLED_UPGRADES: u64 = 140;
+/// Kinds of faults around endpoints that operators take out of service while the list changes.
+const KINDS_AROUND_MAINTENANCE: [FaultKind; 4] =
+    [FaultKind::Maintenance, FaultKind::Drain, FaultKind::Upgrade, FaultKind::Stop];
+/// Seed whose schedule contains endpoints that leave the list in maintenance and are put back.
+const SEED_OF_MAINTENANCE: u64 = 46;
 /// Number of relays in the runs of these seeds.
 const RELAYS_WITH_DISCOVERY_FAULTS: usize = 8;
 
@@ -135,6 +140,29 @@
     assert_invariants_hold_where_lists_are_polled(&KINDS_AROUND_POLLED_UPGRADES, SEED_OF_POLLED_UPGRADES);
 }
 
+// Guards against messages to endpoints that left the list while they were out of service, once they are put back.
+#[test]
+fn every_invariant_holds_beside_operators_commands_and_changing_lists() {
+    let relays = RELAYS_WITH_DISCOVERY_FAULTS;
+    assert_invariants_hold_under(&KINDS_AROUND_MAINTENANCE, SEED_OF_MAINTENANCE, relays);
+}
+
+#[test]
+fn operators_commands_leave_the_other_draws_of_a_seed_as_they_are() {
+    let is_other = |fault: &ScheduledFault| fault.kind != FaultKind::Maintenance;
+    let others: Vec<FaultKind> =
+        FaultKind::ALL.into_iter().filter(|kind| *kind != FaultKind::Maintenance).collect();
+    let mut seeds_with_commands = 0;
+    for seed in 1..=20 {
+        let all = Schedule::draw(seed, 60, 20, &FaultKind::ALL).expect("a schedule");
+        let without_commands = Schedule::draw(seed, 60, 20, &others).expect("a schedule");
+        seeds_with_commands += usize::from(contains(&all, FaultKind::Maintenance));
+        let remaining: Vec<_> = all.faults.into_iter().filter(is_other).collect();
+        assert_eq!(remaining, without_commands.faults, "seed {seed}");
+    }
+    assert!((5..=15).contains(&seeds_with_commands), "{seeds_with_commands}");
+}
+
 #[test]
 fn schedules_differ_by_seed_only_and_have_overlapping_faults() {
     let draw = |seed| Schedule::draw(seed, 60, 20, &FaultKind::ALL).expect("a schedule");
