Discovery: fleets of ten relays and more don't starve at the capacity of discovery

Cause: the spread of polls shrinks with the number of relays, but discovery's capacity is stated per relay: repeatedly rejected, a small fleet offers it more than it can serve, and polls that fail in its queue cost as much as served ones. Partly: polls were given up after 4.5 s where a saturated queue answers after 4.5 to 6 s.

Change: repeatedly rejected relays of any large fleet spread the next poll over the largest share of the interval (4 to 12 s at 10 s, as a fleet of 900 did); a poll is given up after 5 s. The next poll still starts within MAX_POLL_GAP of a poll without an answer; no bound of a test changed.

--- a/crates/discovery/src/fleet_tests.rs
+++ b/crates/discovery/src/fleet_tests.rs
@@ -50,6 +50,8 @@
     relays: u32,
     service_time: Duration,
     overload: Overload,
+    /// Seed of the jitter of the first relay; that of each further one is larger by 1.
+    first_seed: u64,
 }
 
 /// A relay of the model.
@@ -76,7 +78,7 @@
     /// A fleet with this number of relays, each of which discovery can serve once in `round`.
     fn new(relays: u32, round: Duration, overload: Overload) -> Fleet {
         let schedule = PollSchedule { relay_count: relays, poll_interval: POLL_INTERVAL };
-        Fleet { schedule, relays, service_time: round / relays, overload }
+        Fleet { schedule, relays, service_time: round / relays, overload, first_seed: 0 }
     }
 
     fn first_poll_at(&self, relay: &mut Relay, event: Event) -> Duration {
@@ -121,7 +123,11 @@
 
     fn run(&self, event: Event) -> FleetRun {
         let mut relays: Vec<Relay> = (0..self.relays)
-            .map(|n| Relay { jitter: Jitter::new(u64::from(n)), failures: 0, first_list: None })
+            .map(|n| Relay {
+                jitter: Jitter::new(self.first_seed + u64::from(n)),
+                failures: 0,
+                first_list: None,
+            })
             .collect();
         let first_polls =
             relays.iter_mut().enumerate().map(|(n, relay)| (self.first_poll_at(relay, event), n));
@@ -205,6 +211,37 @@
     }
 }
 
+/// Checks that every relay of fleets of these sizes gets its list within `END`, whatever the jitter, from a discovery
+/// that can serve each relay once in the poll interval.
+fn assert_no_relay_starves_at_capacity(fleet_sizes: &[u32]) {
+    let outages = [8, 40].map(|seconds| Event::Outage(Duration::from_secs(seconds)));
+    let events = [Event::Restart, Event::Upgrade, Event::BrokenWatches, Event::SilentWatches];
+    for event in events.into_iter().chain(outages) {
+        for relays in fleet_sizes {
+            for overload in [Overload::Errors, Overload::LateResponses] {
+                for first_seed in (0..20).map(|n| n * 1_000) {
+                    let fleet = Fleet { first_seed, ..Fleet::new(*relays, POLL_INTERVAL, overload) };
+                    let starved = fleet.run(event).first_lists.iter().filter(|at| at.is_none()).count();
+                    assert_eq!(starved, 0, "{relays} relays, {event:?}, {overload:?}, seed {first_seed}");
+                }
+            }
+        }
+    }
+}
+
+/// Guards against polls that are spread by the size of the fleet although discovery has rejected them repeatedly, and
+/// against late responses to polls that were given up.
+#[test]
+fn fleet_of_ten_to_forty_relays_never_starves_at_the_capacity_of_discovery() {
+    assert_no_relay_starves_at_capacity(&[10, 12, 16, 20, 30, 40]);
+}
+
+/// The same for the fleets whose first polls are hardly spread.
+#[test]
+fn fleet_of_seven_to_nine_relays_never_starves_at_the_capacity_of_discovery() {
+    assert_no_relay_starves_at_capacity(&[7, 8, 9]);
+}
+
 /// Checks that the model reproduces the failure: without the spread most relays get no list within a minute.
 #[test]
 fn unspread_polls_of_a_large_fleet_keep_discovery_saturated() {
@@ -213,6 +250,7 @@
         relays: 350,
         service_time: Duration::from_secs(6) / 350,
         overload: Overload::Errors,
+        first_seed: 0,
     };
     let never = unspread.run(Event::Restart).first_lists.iter().filter(|at| at.is_none()).count();
     assert!(never > 175, "{never}");
--- a/crates/discovery/src/poll_schedule.rs
+++ b/crates/discovery/src/poll_schedule.rs
@@ -30,7 +30,7 @@
 /// Timeout of a poll that requests an immediate response. A poll that is given up while it waits in the queue
 /// of a discovery service short of capacity costs that service the same and is repeated. The remainder of
 /// `MAX_POLL_GAP` separates the next polls of relays whose polls were given up together.
-const POLL_TIMEOUT: Duration = Duration::from_millis(4_500);
+const POLL_TIMEOUT: Duration = Duration::from_millis(5_000);
 /// Timeout of a poll that requests an immediate response if the settings require no polling. The discovery
 /// service then runs on the relay's machine and answers immediately, and the list of a new discovery service
 /// counts as known to the relay within 4 s.
@@ -117,7 +117,20 @@
     fn spread_interval(&self) -> Duration {
         let large_fleet_factor =
             1.0 - f64::from(MAX_UNSPREAD_RELAYS) / f64::from(self.relay_count.max(MAX_UNSPREAD_RELAYS));
-        self.poll_interval.min(MAX_POLL_INTERVAL).mul_f64(MAX_SPREAD_SHARE * large_fleet_factor)
+        self.longest_spread().mul_f64(large_fleet_factor)
+    }
+
+    /// Returns the interval over which the polls of a fleet of any size are spread once discovery has rejected them
+    /// repeatedly; zero for a small fleet.
+    ///
+    /// The capacity of discovery is given per relay, so it may be that small for a fleet of a few relays too. The
+    /// polls of such a fleet, spread over a shorter interval, would keep discovery saturated.
+    fn overload_spread(&self) -> Duration {
+        if self.relay_count <= MAX_UNSPREAD_RELAYS { Duration::ZERO } else { self.longest_spread() }
+    }
+
+    fn longest_spread(&self) -> Duration {
+        self.poll_interval.min(MAX_POLL_INTERVAL).mul_f64(MAX_SPREAD_SHARE)
     }
 
     /// Returns the time limits of a poll; `jitter` is in 0..1. If `is_up_to_date`, the last poll returned a
@@ -166,12 +179,13 @@
         if failure == PollFailure::SilentWatch {
             return backoff.mul_f64(jitter_factor);
         }
-        let fleet_spread = if failures > 1 { self.spread_interval() } else { self.spread_interval() / 2 };
-        let delay = backoff.max(fleet_spread);
         let is_overloaded = failures > 1 && matches!(failure, PollFailure::Rejected { .. });
         if is_overloaded {
-            return delay.mul_f64(jitter_factor).max(failure.retry_after().min(MAX_RETRY_AFTER));
+            let delay = backoff.max(self.overload_spread()).mul_f64(jitter_factor);
+            return delay.max(failure.retry_after().min(MAX_RETRY_AFTER));
         }
+        let fleet_spread = if failures > 1 { self.spread_interval() } else { self.spread_interval() / 2 };
+        let delay = backoff.max(fleet_spread);
         let longest = MAX_POLL_GAP.saturating_sub(failure.elapsed());
         let delay = delay.min(longest.div_f64(MAX_JITTER_FACTOR)).mul_f64(jitter_factor);
         delay.max(failure.retry_after().min(MAX_RETRY_AFTER).min(longest))
