Maintenance: a call holds whichever process of an upgrade takes it

A process killed right behind its yes forgot the call.

Cause: each process wrote its whole set over the file that both own, a step behind the answer, without what the other one had been told; the new process read the file at its start and replaced its set by it at the takeover.

Change: a call is one change, applied under a lock to the text that is in the file, before it is acknowledged (maintenance_file.rs). While two processes run each follows what the other has stored (shared_maintenance.rs). A file that can't be read at a takeover no longer clears the set.

The fix removes the only write of a whole set.

--- a/crates/maintenance/src/state.rs
+++ b/crates/maintenance/src/state.rs
@@ -15,10 +15,10 @@
 pub enum Change {
     /// No change.
     None,
-    /// This endpoint is now in maintenance. The host writes the maintenance file and updates the delivery
+    /// This endpoint is now in maintenance. The host changes the maintenance file and updates the delivery
     /// policy.
     EndpointOut(String),
-    /// The maintenance of this endpoint has ended. The host writes the maintenance file and updates the
+    /// The maintenance of this endpoint has ended. The host changes the maintenance file and updates the
     /// delivery policy.
     EndpointBack(String),
     /// Standby has started: the host closes client connections.
@@ -27,6 +27,19 @@
     Active,
 }
 
+impl Change {
+    /// Returns the text of the maintenance file after this change of a file with `text`.
+    pub fn apply_to(&self, text: &str) -> String {
+        let mut stored = MaintenanceState::from_text(text);
+        match self {
+            Change::EndpointOut(id) => drop(stored.in_maintenance.insert(id.clone())),
+            Change::EndpointBack(id) => drop(stored.in_maintenance.remove(id)),
+            Change::None | Change::Standby | Change::Active => {}
+        }
+        stored.to_text()
+    }
+}
+
 /// The state set by the operators' calls.
 #[derive(Debug, Default)]
 pub struct MaintenanceState {
@@ -58,13 +71,15 @@
         self.in_maintenance.iter().map(|id| format!("{id}\n")).collect()
     }
 
-    /// Replaces the endpoints in maintenance by those that another process of the relay has written to the
-    /// file during an upgrade. Returns whether that changed the state.
-    pub fn reload(&mut self, text: &str) -> bool {
+    /// Replaces the endpoints in maintenance by those in the file, which another process of the relay may have
+    /// changed during an upgrade. Returns the changes, which the host has to carry out.
+    pub fn follow(&mut self, text: &str) -> Vec<Change> {
         let written = MaintenanceState::from_text(text);
         self.known_endpoints.extend(written.known_endpoints);
         let before = std::mem::replace(&mut self.in_maintenance, written.in_maintenance);
-        before != self.in_maintenance
+        let taken_out = self.in_maintenance.difference(&before).cloned().map(Change::EndpointOut);
+        let put_back = before.difference(&self.in_maintenance).cloned().map(Change::EndpointBack);
+        taken_out.chain(put_back).collect()
     }
 
     /// Records that a list contained the endpoint, so that calls may name it.
--- a/crates/maintenance/src/tests.rs
+++ b/crates/maintenance/src/tests.rs
@@ -79,10 +79,11 @@
 }
 
 #[test]
-fn reload_replaces_the_endpoints_in_maintenance() {
+fn endpoints_in_maintenance_follow_the_file() {
     let mut maintenance = MaintenanceState::from_text("e1\ne2\n");
-    assert!(!maintenance.reload("e2\ne1\n"));
-    assert!(maintenance.reload("e2\ne3\n"));
+    assert_eq!(maintenance.follow("e2\ne1\n"), []);
+    let changes = [Change::EndpointOut("e3".into()), Change::EndpointBack("e1".into())];
+    assert_eq!(maintenance.follow("e2\ne3\n"), changes);
     assert!(!maintenance.is_in_maintenance("e1") && maintenance.is_in_maintenance("e3"));
     // Maintenance that another process started can be ended by this one.
     assert_eq!(
@@ -90,3 +91,14 @@
         Change::EndpointBack("e3".into())
     );
 }
+
+#[test]
+fn change_is_applied_to_the_file_of_another_process() {
+    let out = Change::EndpointOut("e3".into());
+    assert_eq!(out.apply_to("e1\ne2\n"), "e1\ne2\ne3\n");
+    assert_eq!(out.apply_to(""), "e3\n");
+    let back = Change::EndpointBack("e2".into());
+    assert_eq!(back.apply_to("e1\ne2\n"), "e1\n");
+    assert_eq!(back.apply_to("e1\n"), "e1\n");
+    assert_eq!(Change::Standby.apply_to("e1\n"), "e1\n");
+}
--- a/crates/relay/src/dispatch/endpoint_list.rs
+++ b/crates/relay/src/dispatch/endpoint_list.rs
@@ -75,14 +75,13 @@
         })
     }
 
-    /// Stores the maintenance state, and adds inputs for the endpoint that the command names.
+    /// Adds inputs for the endpoint that a stored command names.
     pub(super) fn on_maintenance_changed(&mut self, change: Change, inputs: &mut Vec<Input>) {
         let (name, is_back) = match &change {
             Change::EndpointOut(name) => (name, false),
             Change::EndpointBack(name) => (name, true),
             Change::None | Change::Standby | Change::Active => return,
         };
-        self.files.write_maintenance(&self.maintenance.borrow());
         let command = if is_back { "put back" } else { "taken out" };
         let endpoint = self.endpoint_in_maintenance(name, is_back);
         let listed = endpoint.and_then(|id| self.listed_endpoint(id));
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -12,10 +12,12 @@
 mod error;
 mod fairness;
 mod handover_marker;
+mod maintenance_file;
 mod metrics;
 mod notifications;
 mod peer_ids;
 mod reload;
+mod shared_maintenance;
 mod shutdown_rounds;
 mod signals;
 mod startup;
@@ -132,7 +134,8 @@
     initial_list: Option<&EndpointList>,
     retry_deadlines: &RetryDeadlines,
 ) -> MaintenanceState {
-    let mut maintenance = MaintenanceState::from_text(&files.read_maintenance(retry_deadlines).await);
+    let stored = files.read_maintenance(retry_deadlines).await.unwrap_or_default();
+    let mut maintenance = MaintenanceState::from_text(&stored);
     for entry in initial_list.iter().flat_map(|list| &list.entries) {
         maintenance.record_listed_endpoint(&entry.id);
     }
--- a/crates/relay/src/signals.rs
+++ b/crates/relay/src/signals.rs
@@ -3,6 +3,7 @@
 use crate::clients::ACCEPT_PAUSE;
 use crate::dispatch::Event;
 use crate::reload::ConfigReloader;
+use crate::shared_maintenance::SharedMaintenance;
 use crate::startup::config::ConfigError;
 use crate::startup::state_dir::is_locked_by_another;
 use async_channel::Sender;
@@ -53,6 +54,7 @@
 /// Handles signals until the process exits.
 pub(crate) struct SignalHandler {
     pub(crate) reloader: Rc<ConfigReloader>,
+    pub(crate) maintenance: Rc<SharedMaintenance>,
     pub(crate) events: Sender<Event>,
     /// Channel that is closed when the relay stops accepting and starts to close client connections.
     pub(crate) clients_stopping: Sender<()>,
@@ -69,8 +71,9 @@
 /// Event that wakes the handler.
 enum Wakeup {
     Signal(Option<io::Result<Signal>>),
-    /// It is time to check for a reload of the other process, and to retry a failed one of this process.
-    CheckReload,
+    /// It is time to check for a reload and for operators' commands of the other process, and to retry a failed reload of
+    /// this process.
+    CheckOtherProcess,
 }
 
 impl SignalHandler {
@@ -79,7 +82,7 @@
     pub(crate) async fn run(mut self, mut signals: Signals) {
         loop {
             match self.next_wakeup(&mut signals).await {
-                Wakeup::CheckReload => self.check_reload(),
+                Wakeup::CheckOtherProcess => self.check_other_process(),
                 Wakeup::Signal(Some(Ok(Signal::Hup))) => {
                     self.reload_pending_since = None;
                     self.on_reload();
@@ -105,16 +108,17 @@
             } else {
                 self.reloader.wait_for_check().await;
             }
-            Wakeup::CheckReload
+            Wakeup::CheckOtherProcess
         };
         signal.or(check).await
     }
 
-    fn check_reload(&mut self) {
+    fn check_other_process(&mut self) {
         if self.reload_pending_since.is_some() {
             self.on_reload();
         }
         self.reloader.follow_other_process();
+        self.maintenance.follow_other_process();
     }
 
     /// Schedules a retry if the error may be temporary: the system lacks resources, or the file is being written.
--- a/crates/relay/src/startup/spool.rs
+++ b/crates/relay/src/startup/spool.rs
@@ -134,8 +134,9 @@
         let accepted = SuccessorMessages { spool: successor, dated_by: stored_time, shared_time };
         merge_successor_spool(&mut opened, accepted, state_dir, tasks, &retry_deadlines).await?;
         // The previous process may have changed the file after this process read it.
-        let maintenance = files.read_maintenance(&retry_deadlines).await;
-        tasks.maintenance.borrow_mut().reload(&maintenance);
+        if let Some(stored) = files.read_maintenance(&retry_deadlines).await {
+            tasks.maintenance.borrow_mut().follow(&stored);
+        }
         Ok((opened, shared_time))
     };
     let taken_over = await_while_serving(tasks, &mut deferred_events, taking_over).await?;
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::notifications::{Notification, Notifier};
 use crate::reload::ConfigReloader;
+use crate::shared_maintenance::SharedMaintenance;
 use crate::signals::{SignalHandler, StartSignals};
 use crate::state_files::StateFiles;
 use crate::violations::Violations;
@@ -106,8 +107,13 @@
         self.spawn_discovery_client(config, state_dir.role, initial_list, discovery_moves.1);
         self.spawn_notifier(config, notification_moves.1);
         let client_service = self.client_service(config);
+        let maintenance = Rc::new(SharedMaintenance {
+            state: self.maintenance.clone(),
+            files: files.clone(),
+            events: self.events.0.clone(),
+        });
         if let Some(listener) = listeners.admin {
-            self.spawn_admin_service(listener, client_service.clone());
+            self.spawn_admin_service(listener, client_service.clone(), maintenance.clone());
         }
         let serve_clients = clients::serve(listeners.clients, client_service, self.executor.clone());
         self.executor.spawn(serve_clients).detach();
@@ -115,6 +121,7 @@
         let reloader = Rc::new(ConfigReloader::new(config, state_dir.role, files.clone(), moves));
         let handler = SignalHandler {
             reloader: reloader.clone(),
+            maintenance,
             events: self.events.0.clone(),
             clients_stopping: self.clients_stopping.0.clone(),
             is_active: self.is_active.clone(),
@@ -196,13 +203,17 @@
         }))
     }
 
-    fn spawn_admin_service(&self, listener: Async<TcpListener>, client_service: Rc<ClientService>) {
-        let events = self.events.0.clone();
+    fn spawn_admin_service(
+        &self,
+        listener: Async<TcpListener>,
+        client_service: Rc<ClientService>,
+        maintenance: Rc<SharedMaintenance>,
+    ) {
         let on_change = move |change: Change| {
             if matches!(change, Change::Standby | Change::Active) {
                 client_service.notify_standby_changed();
             }
-            let _ = events.try_send(Event::MaintenanceChanged(change));
+            maintenance.apply(change);
         };
         let service = Rc::new(AdminService {
             maintenance: self.maintenance.clone(),
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -5,12 +5,13 @@
 
 use crate::clock::{ClockReading, StoredTime, TimeAnchor};
 use crate::handover_marker::HandoverMarker;
+use crate::maintenance_file::MaintenanceFile;
 use crate::startup::config::StartConfig;
 use crate::startup::retry::RetryDeadlines;
 use log::{error, info};
 use mountshift_discovery::{DRAIN_RECORD_DISK_SHARE, DRAIN_RECORD_FILE, DrainRecord, ParsedDrainRecord};
 use mountshift_handover::{RELOAD_FILE, Reload, RouteRecord, SNAPSHOT_FILE, SNAPSHOT_FORMAT, Snapshot};
-use mountshift_maintenance::MaintenanceState;
+use mountshift_maintenance::Change;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind};
@@ -19,8 +20,6 @@
 
 /// File of the time anchor.
 const ANCHOR_FILE: &str = "clock";
-/// File of the endpoints in maintenance, one id per line.
-const MAINTENANCE_FILE: &str = "maintenance";
 /// Extension of a file that is being written.
 const TEMPORARY_EXTENSION: &str = "new";
 
@@ -32,6 +31,7 @@
     /// Name of this process, unique within the boot.
     process: Rc<str>,
     marker: HandoverMarker,
+    maintenance: MaintenanceFile,
     /// Names and contents of files whose last write failed.
     unwritten: Rc<RefCell<BTreeMap<&'static str, String>>>,
 }
@@ -43,6 +43,7 @@
             drain_record_max_bytes: config.disk_share(DRAIN_RECORD_DISK_SHARE) as usize,
             process: process_name().into(),
             marker: HandoverMarker::new(&config.state_dir),
+            maintenance: MaintenanceFile::new(&config.state_dir),
             unwritten: Rc::default(),
         }
     }
@@ -95,14 +96,26 @@
         anchor
     }
 
-    /// Reads the file of endpoints in maintenance; returns an empty text if there is none.
-    pub(crate) async fn read_maintenance(&self, retry_deadlines: &RetryDeadlines) -> String {
-        self.read(MAINTENANCE_FILE, retry_deadlines).await.unwrap_or_default()
+    /// Reads the endpoints in maintenance; returns `None` if they can't be read within the retry deadline.
+    pub(crate) async fn read_maintenance(&self, retry_deadlines: &RetryDeadlines) -> Option<String> {
+        let text = retry_deadlines.retry_optional(|| self.maintenance_text()).await;
+        text.inspect_err(|e| error!("endpoints in maintenance can't be read: {e}; continuing without them"))
+            .ok()
     }
 
-    /// Writes the endpoints in maintenance, for a successor and for the next process.
-    pub(crate) fn write_maintenance(&self, maintenance: &MaintenanceState) {
-        self.replace(MAINTENANCE_FILE, &maintenance.to_text());
+    /// Returns the endpoints in maintenance as both processes of the relay have stored them, one id per line.
+    ///
+    /// # Errors
+    /// If they can't be read.
+    pub(crate) fn maintenance_text(&self) -> io::Result<String> {
+        self.maintenance.text()
+    }
+
+    /// Stores a change of the endpoints in maintenance, for the other process of the relay and for the next one.
+    pub(crate) fn record_maintenance(&self, change: &Change) {
+        if matches!(change, Change::EndpointOut(_) | Change::EndpointBack(_)) {
+            self.maintenance.record(change.clone());
+        }
     }
 
     /// Reads the route snapshot of the previous process; returns `None` if there is none or if another process wrote
@@ -203,6 +216,7 @@
         if self.marker.is_pending() {
             self.write_handover_marker();
         }
+        self.maintenance.write_pending();
         let unwritten = std::mem::take(&mut *self.unwritten.borrow_mut());
         for (name, text) in unwritten {
             let path = self.dir.join(name);
@@ -216,7 +230,7 @@
 
     /// Returns whether the last write of any file has failed.
     pub(crate) fn has_unwritten(&self) -> bool {
-        self.marker.is_pending() || !self.unwritten.borrow().is_empty()
+        self.marker.is_pending() || self.maintenance.is_pending() || !self.unwritten.borrow().is_empty()
     }
 
     /// Returns whether the time anchor is written. Before that, stored times have no meaning for a later process.
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -18,7 +18,7 @@
 use log::{debug, error, info, warn};
 use mountshift::interface::MessageId;
 use mountshift_handover::{LOCK_POLL_INTERVAL, RESTART_STOP_PLAN, TakeoverProgress, successor_accepts};
-use mountshift_maintenance::{Change, MaintenanceState};
+use mountshift_maintenance::MaintenanceState;
 use mountshift_spool::{AcceptedMessage, Spool};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -121,6 +121,7 @@
                 self.handle(event);
             }
             self.commit();
+            self.options.files.retry_unwritten();
             self.check_handover();
             if self.stopping_since.is_some() {
                 if self.can_stop() {
@@ -177,7 +178,6 @@
             Event::MessageReceived { message, reply_to } => self.on_message_received(message, reply_to),
             Event::ClientUnreachable(message) => self.on_client_unreachable(message),
             Event::StopRequested(_) => self.on_stop_requested(),
-            Event::MaintenanceChanged(change) => self.on_maintenance_changed(change),
             Event::EndpointList(Ok(list)) => self.on_endpoint_list(list),
             // The client of discovery polls again by itself.
             Event::EndpointList(Err(_)) => {}
@@ -283,13 +283,6 @@
         self.options.clients_stopping.close();
     }
 
-    fn on_maintenance_changed(&mut self, change: Change) {
-        if matches!(change, Change::EndpointOut(_) | Change::EndpointBack(_)) {
-            self.options.files.write_maintenance(&self.options.maintenance.borrow());
-        }
-        self.deferred_events.push(Event::MaintenanceChanged(change));
-    }
-
     /// Keeps a list for the dispatcher. With a list, this process can serve.
     fn on_endpoint_list(&mut self, list: EndpointList) {
         let mut maintenance = self.options.maintenance.borrow_mut();
--- a/crates/relay/tests/handover/main.rs
+++ b/crates/relay/tests/handover/main.rs
@@ -8,6 +8,7 @@
 mod delayed_handover;
 mod discovery;
 mod failing_folder;
+mod maintenance;
 mod message_ids;
 mod process;
 mod reload;
--- a/crates/relay/tests/handover/process.rs
+++ b/crates/relay/tests/handover/process.rs
@@ -60,20 +60,26 @@
 
     /// Returns whether the process answers `/status` with 200.
     pub(crate) fn is_ready(&self) -> bool {
-        self.get("/status").starts_with("HTTP/1.1 200")
+        self.call("GET", "/status").starts_with("HTTP/1.1 200")
     }
 
     /// Returns whether the ends of all messages are recorded.
     pub(crate) fn has_no_held_messages(&self) -> bool {
-        self.get("/metrics").lines().any(|line| line == "mountshift_held_messages 0")
+        self.call("GET", "/metrics").lines().any(|line| line == "mountshift_held_messages 0")
     }
 
-    /// Returns the response to a GET request to the admin address; empty if the process does not accept it.
-    fn get(&self, path: &str) -> String {
+    /// Makes an operator's command at this process, which must be acknowledged.
+    pub(crate) fn command(&self, command: &str, endpoint: &str) {
+        let response = self.call("POST", &format!("/maintenance/{command}?target={endpoint}"));
+        assert!(response.starts_with("HTTP/1.1 200"), "{command} {endpoint}: {response}");
+    }
+
+    /// Returns the response to a request to the admin address; empty if the process does not accept it.
+    fn call(&self, method: &str, path: &str) -> String {
         let mut text = String::new();
         let Ok(mut stream) = TcpStream::connect(self.admin_address) else { return text };
         let _ = stream.set_read_timeout(Some(ms(1_000)));
-        let _ = stream.write_all(format!("GET {path} HTTP/1.1\r\nHost: relay\r\n\r\n").as_bytes());
+        let _ = stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: relay\r\n\r\n").as_bytes());
         let _ = stream.read_to_string(&mut text);
         text
     }
--- a/crates/relay/tests/operations/maintenance.rs
+++ b/crates/relay/tests/operations/maintenance.rs
@@ -216,3 +216,18 @@
     assert_eq!(fixture.relay.submit("m1", 0, &parameters, b""), "+OK");
     wait_until("the call", || current.ids() == ["m1"]);
 }
+
+// Guards against an acknowledged command that a SIGKILL right behind its answer makes the next process forget.
+#[test]
+fn acknowledged_command_is_stored() {
+    let fixture = admin_fixture(vec![member("e1", free_address(), 7, "single")]);
+    let _relay = Relay::start(&fixture.config, fixture.dir.path());
+    let file = fixture.dir.path().join("state/maintenance");
+    let is_stored = || std::fs::read_to_string(&file).is_ok_and(|text| text == "e1\n");
+    for round in 0..20 {
+        assert_eq!(call(fixture.admin_address, "POST", "/maintenance/enter?target=e1"), 200);
+        assert!(is_stored(), "round {round}: taken out");
+        assert_eq!(call(fixture.admin_address, "POST", "/maintenance/exit?target=e1"), 200);
+        assert!(!is_stored(), "round {round}: put back");
+    }
+}
