Soak: operators' commands during upgrades

Cause: since a call holds whichever process takes it, but the soak waited with its calls until an upgrade had ended, and shielded a process from a kill right behind its yes.

Change: during an upgrade the old process gets the commands until the new one's yes, and the new one from then on. A process may be killed right behind its yes.

--- a/crates/soak/src/maintenance.rs
+++ b/crates/soak/src/maintenance.rs
@@ -1,13 +1,20 @@
 //! Operators' commands: endpoints are taken out of service at relays and put back, while the endpoint list changes.
 //!
-//! A command is made while one process of a relay runs. The maintenance itself lasts over restarts and upgrades.
+//! Outside upgrades a command is made while the process of a relay runs. During an upgrade the active process gets the
+//! commands until the successor has reported that it serves, and the successor from then on. The maintenance itself lasts
+//! over restarts and upgrades.
 
 use crate::admin::post;
 use crate::injection::FaultTargets;
-use crate::relay_process::RelayProcess;
+use crate::recorder::lock;
+use crate::relay_process::{READY_INTERVAL, RelayProcess};
 use crate::schedule::ScheduledFault;
 use mountshift_invariants::{Fact, ListedStatus};
+use rustix::process::Pid;
 use smol::Timer;
+use smol::lock::MutexGuard;
+use std::net::SocketAddr;
+use std::process::Child;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,8 +22,6 @@
 const LIST_TO_COMMAND: Duration = Duration::from_millis(300);
 /// Minimum time for which an endpoint stays off the list. Messages after the drain grace show whether relays respect that.
 const REMOVED_FOR_MIN: Duration = Duration::from_millis(3_000);
-/// Time within which a process stores a command that it has acknowledged.
-const COMMAND_STORED_WITHIN: Duration = Duration::from_millis(100);
 /// Number of tries of a command that gets no positive answer.
 const COMMAND_TRIES: usize = 5;
 /// Pause between two tries of a command.
@@ -117,11 +122,18 @@
     }
 }
 
+/// The process that gets a command.
+struct CommandTarget<'a> {
+    address: SocketAddr,
+    /// Outside upgrades, keeps the process from being ended before the answer.
+    _process: Option<MutexGuard<'a, Option<Child>>>,
+}
+
 impl RelayProcess {
-    /// Makes an operator's command at the relay's process, once no restart or upgrade is under way.
+    /// Makes an operator's command at the relay, once no restart is under way.
     async fn command(&self, endpoint: usize, name: &str, command: Command) {
-        let process = self.child.lock().await;
-        let Some(address) = process.as_ref().and_then(|child| self.admin_address_of(child)) else { return };
+        // The order of the facts is that of the commands.
+        let _turn = self.command_turn.lock().await;
         let (relay, endpoint) = (self.number as u32, endpoint as u32);
         let path = match command {
             Command::TakeOut => "enter",
@@ -132,16 +144,32 @@
             self.recorder.record_fact(Fact::EndpointPutBack { relay, endpoint });
         }
         for _ in 0..COMMAND_TRIES {
-            if post(address, &format!("/maintenance/{path}?target={name}")).await {
+            let Some(target) = self.command_target().await else { return };
+            if post(target.address, &format!("/maintenance/{path}?target={name}")).await {
                 if command == Command::TakeOut {
                     self.recorder.record_fact(Fact::EndpointTakenOut { relay, endpoint });
                 }
-                Timer::after(COMMAND_STORED_WITHIN).await;
                 return;
             }
+            drop(target);
             Timer::after(BETWEEN_TRIES).await;
         }
     }
+
+    /// Returns the process that gets the next command; `None` if there is no process.
+    async fn command_target(&self) -> Option<CommandTarget<'_>> {
+        loop {
+            let upgrade = *lock(&self.upgrade);
+            if let Some(id) = upgrade.and_then(|upgrade| upgrade.command_target()) {
+                return Some(CommandTarget { address: self.admin_address_of(id)?, _process: None });
+            }
+            if let Some(process) = self.child.try_lock() {
+                let address = self.admin_address_of(Pid::from_child(process.as_ref()?))?;
+                return Some(CommandTarget { address, _process: Some(process) });
+            }
+            Timer::after(READY_INTERVAL).await;
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/soak/src/relay_process.rs
+++ b/crates/soak/src/relay_process.rs
@@ -82,6 +82,8 @@
     /// processes.
     inherited_listener: Option<TcpListener>,
     pub(crate) child: Mutex<Option<Child>>,
+    /// Held while an operator's command is made.
+    pub(crate) command_turn: Mutex<()>,
     /// The upgrade under way, if any.
     pub(crate) upgrade: std::sync::Mutex<Option<UpgradeUnderWay>>,
     /// Time until which a missing answer is attributed to the end or start of the process.
@@ -123,6 +125,7 @@
             platform: platform.clone(),
             installation: installation.clone(),
             child: Mutex::new(None),
+            command_turn: Mutex::new(()),
             upgrade: std::sync::Mutex::default(),
             missing_answers_tolerated_until: AtomicU64::new(0),
             started_processes: std::sync::Mutex::default(),
@@ -380,8 +383,7 @@
     }
 
     /// Returns the admin address of a started process.
-    pub(crate) fn admin_address_of(&self, child: &Child) -> Option<SocketAddr> {
-        let id = Pid::from_child(child);
+    pub(crate) fn admin_address_of(&self, id: Pid) -> Option<SocketAddr> {
         // The system may have reused the id of an ended process.
         let started = lock(&self.started_processes).iter().rev().find(|process| process.id == id).copied();
         started.map(|process| process.admin_address)
--- a/crates/soak/src/upgrade.rs
+++ b/crates/soak/src/upgrade.rs
@@ -75,6 +75,12 @@
 }
 
 impl UpgradeUnderWay {
+    /// Returns the process that gets an operator's command: the active one until the successor has reported that it
+    /// serves.
+    pub(crate) fn command_target(&self) -> Option<Pid> {
+        if self.is_successor_ready { Some(self.successor) } else { self.active }
+    }
+
     /// Returns the processes that get the SIGHUP of a new configuration, as a drawn number selects: the active process,
     /// the successor or both. A successor gets none before it is ready, nor in its first second.
     pub(crate) fn reload_targets(&self, drawn: u64) -> Vec<Pid> {
