Soak: upgrades in which both processes take an operator's command

Change: the fault 'commands-in-upgrade' upgrades relays, takes one endpoint out at the old process and another one at the new one right behind its yes, and puts both back later.

--- a/crates/soak/src/fault_kind.rs
+++ b/crates/soak/src/fault_kind.rs
@@ -79,11 +79,14 @@
     /// Operators take an endpoint out of service at relays and put it back, maybe twice. In three quarters of these faults
     /// the endpoint leaves the list meanwhile, and is listed again before or after it is put back.
     Maintenance,
+    /// Relays are upgraded, and operators take one endpoint out of service at the active process and another one at the
+    /// successor. Requires inherited sockets.
+    CommandsInUpgrade,
 }
 
 impl FaultKind {
     /// All kinds.
-    pub const ALL: [FaultKind; 32] = [
+    pub const ALL: [FaultKind; 33] = [
         FaultKind::Kill,
         FaultKind::Stop,
         FaultKind::Upgrade,
@@ -116,11 +119,17 @@
         FaultKind::EndlessAnswers,
         FaultKind::LateCopies,
         FaultKind::Maintenance,
+        FaultKind::CommandsInUpgrade,
     ];
 
     /// Returns whether the fault upgrades relays.
     pub(crate) fn is_upgrade(self) -> bool {
-        matches!(self, FaultKind::Upgrade | FaultKind::UpgradeDisk)
+        matches!(self, FaultKind::Upgrade | FaultKind::UpgradeDisk | FaultKind::CommandsInUpgrade)
+    }
+
+    /// Returns whether the fault consists of operators' commands, whose draws are independent of all others.
+    pub(crate) fn has_commands(self) -> bool {
+        matches!(self, FaultKind::Maintenance | FaultKind::CommandsInUpgrade)
     }
 
     /// Returns whether the fault affects relays. All others affect endpoints.
--- a/crates/soak/src/injection.rs
+++ b/crates/soak/src/injection.rs
@@ -101,6 +101,7 @@
             FaultKind::UpgradeDisk => self.upgrade_with_disk_faults(fault, span).await,
             FaultKind::ClockHold => self.delay_clock_reads(fault, span).await,
             FaultKind::Maintenance => self.maintain_endpoint(fault, span).await,
+            FaultKind::CommandsInUpgrade => self.upgrade_with_commands(fault, span).await,
             _ => self.change_endpoints(fault, span).await,
         }
     }
--- a/crates/soak/src/maintenance.rs
+++ b/crates/soak/src/maintenance.rs
@@ -9,6 +9,7 @@
 use crate::recorder::lock;
 use crate::relay_process::{READY_INTERVAL, RelayProcess};
 use crate::schedule::ScheduledFault;
+use crate::upgrade::{UpgradePlan, UpgradeUnderWay};
 use mountshift_invariants::{Fact, ListedStatus};
 use rustix::process::Pid;
 use smol::Timer;
@@ -16,12 +17,16 @@
 use std::net::SocketAddr;
 use std::process::Child;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Time between a change of the list and the operators' next commands, in which relays receive the list.
 const LIST_TO_COMMAND: Duration = Duration::from_millis(300);
 /// Minimum time for which an endpoint stays off the list. Messages after the drain grace show whether relays respect that.
 const REMOVED_FOR_MIN: Duration = Duration::from_millis(3_000);
+/// Time from the start of a successor to the first command of an upgrade.
+const UPGRADE_TO_COMMAND: Duration = Duration::from_millis(300);
+/// Maximum time for which an operator waits for the start of a successor, or for its report that it serves.
+const MAX_SUCCESSOR_WAIT: Duration = Duration::from_millis(15_000);
 /// Number of tries of a command that gets no positive answer.
 const COMMAND_TRIES: usize = 5;
 /// Pause between two tries of a command.
@@ -106,6 +111,28 @@
         self.record_endpoint_fault(plan.endpoint, true);
     }
 
+    /// Upgrades relays while operators take one endpoint out of service at the active process and the next one at the
+    /// successor, and puts both back later.
+    pub(crate) async fn upgrade_with_commands(&self, fault: &ScheduledFault, span: Duration) {
+        let plan = UpgradePlan::of(fault);
+        let count = self.platform.endpoint_count();
+        let endpoints = [0, 1].map(|offset| (fault.amount as usize + offset) % count);
+        for endpoint in endpoints {
+            self.record_endpoint_fault(endpoint, false);
+        }
+        let names = endpoints.map(|endpoint| Arc::<str>::from(self.platform.endpoint_name(endpoint)));
+        self.for_each_relay(fault, move |relay| {
+            let names = names.clone();
+            async move { relay.upgrade_with_commands(plan, endpoints, &names).await }
+        })
+        .await;
+        Timer::after(span).await;
+        for endpoint in endpoints {
+            self.command_all(fault, endpoint, Command::PutBack).await;
+            self.record_endpoint_fault(endpoint, true);
+        }
+    }
+
     async fn change_list(&self, endpoint: usize, status: ListedStatus) {
         self.platform.set_status(endpoint, status);
         Timer::after(LIST_TO_COMMAND).await;
@@ -130,6 +157,26 @@
 }
 
 impl RelayProcess {
+    /// Upgrades the relay; takes the first endpoint out of service before the successor has reported that it serves, and
+    /// the second one right afterwards.
+    async fn upgrade_with_commands(&self, plan: UpgradePlan, endpoints: [usize; 2], names: &[Arc<str>; 2]) {
+        let commands = async {
+            self.wait_for_upgrade(|upgrade| upgrade.is_some()).await;
+            Timer::after(UPGRADE_TO_COMMAND).await;
+            self.command(endpoints[0], &names[0], Command::TakeOut).await;
+            self.wait_for_upgrade(|upgrade| upgrade.is_none_or(UpgradeUnderWay::is_successor_ready)).await;
+            self.command(endpoints[1], &names[1], Command::TakeOut).await;
+        };
+        smol::future::zip(self.upgrade(plan), commands).await;
+    }
+
+    async fn wait_for_upgrade(&self, condition: impl Fn(Option<&UpgradeUnderWay>) -> bool) {
+        let due = Instant::now() + MAX_SUCCESSOR_WAIT;
+        while Instant::now() < due && !condition(lock(&self.upgrade).as_ref()) {
+            Timer::after(READY_INTERVAL).await;
+        }
+    }
+
     /// Makes an operator's command at the relay, once no restart is under way.
     async fn command(&self, endpoint: usize, name: &str, command: Command) {
         // The order of the facts is that of the commands.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -43,6 +43,10 @@
 const MAINTENANCE_PROBABILITY: f64 = 0.5;
 /// Random stream of the operators' commands.
 const MAINTENANCE_RANDOM_STREAM: u64 = 3;
+/// Random stream of the upgrades with operators' commands.
+const COMMANDS_IN_UPGRADE_RANDOM_STREAM: u64 = 4;
+/// Time between two of these upgrades, in milliseconds.
+const COMMANDS_IN_UPGRADE_GAP_MS: u64 = 12_000;
 /// Range of the time for which an endpoint is out of service before the next change, in milliseconds. The policy forgets an
 /// endpoint that is out for longer than the drain grace.
 const MAINTENANCE_MS: (u64, u64) = (200, 2_500);
@@ -164,8 +168,9 @@
         schedule.check()?;
         // Upgrades require inherited sockets. Operators' commands are drawn apart.
         let is_possible =
-            |kind: &&FaultKind| (inherited_sockets || !kind.is_upgrade()) && **kind != FaultKind::Maintenance;
+            |kind: &&FaultKind| (inherited_sockets || !kind.is_upgrade()) && !kind.has_commands();
         let has_maintenance = kinds.contains(&FaultKind::Maintenance);
+        let has_commands_in_upgrade = inherited_sockets && kinds.contains(&FaultKind::CommandsInUpgrade);
         let kinds: Vec<FaultKind> = kinds.iter().filter(is_possible).copied().collect();
         let kinds = draw_kinds(kinds, &mut random);
         let end_ms = seconds * 1_000 - FAULT_FREE_MS;
@@ -191,6 +196,9 @@
         if has_maintenance {
             schedule.draw_maintenance(end_ms);
         }
+        if has_commands_in_upgrade {
+            schedule.draw_commands_in_upgrades(end_ms);
+        }
         schedule.faults.sort_by_key(|fault| fault.at_ms);
         Ok(schedule)
     }
@@ -219,6 +227,29 @@
         }
     }
 
+    /// Draws upgrades with operators' commands, from a random stream of their own as well.
+    fn draw_commands_in_upgrades(&mut self, end_ms: u64) {
+        let mut random = ChaCha8Rng::seed_from_u64(self.seed);
+        random.set_stream(COMMANDS_IN_UPGRADE_RANDOM_STREAM);
+        if !random.random_bool(MAINTENANCE_PROBABILITY) {
+            return;
+        }
+        let mut at_ms = FAULT_FREE_MS;
+        while at_ms + FAULT_FREE_MS < end_ms {
+            let target_count = random.random_range(1..=self.relays.div_ceil(2));
+            let mut targets = rand::seq::index::sample(&mut random, self.relays, target_count).into_vec();
+            targets.sort_unstable();
+            self.faults.push(ScheduledFault {
+                kind: FaultKind::CommandsInUpgrade,
+                at_ms,
+                for_ms: MAINTENANCE_MS.1,
+                targets,
+                amount: random.random_range(0..MAX_UPGRADE_AMOUNT),
+            });
+            at_ms += COMMANDS_IN_UPGRADE_GAP_MS;
+        }
+    }
+
     fn draw_fault(
         &self,
         kind: FaultKind,
--- a/crates/soak/src/upgrade.rs
+++ b/crates/soak/src/upgrade.rs
@@ -75,6 +75,11 @@
 }
 
 impl UpgradeUnderWay {
+    /// Returns whether the successor has reported that it serves.
+    pub(crate) fn is_successor_ready(&self) -> bool {
+        self.is_successor_ready
+    }
+
     /// Returns the process that gets an operator's command: the active one until the successor has reported that it
     /// serves.
     pub(crate) fn command_target(&self) -> Option<Pid> {
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -73,6 +73,11 @@
     [FaultKind::Maintenance, FaultKind::Drain, FaultKind::Upgrade, FaultKind::Stop];
 /// Seed whose schedule contains endpoints that leave the list in maintenance and are put back.
 const SEED_OF_MAINTENANCE: u64 = 46;
+/// Kinds of faults around upgrades in which both processes take operators' commands.
+const KINDS_AROUND_COMMANDS_IN_UPGRADES: [FaultKind; 3] =
+    [FaultKind::CommandsInUpgrade, FaultKind::Upgrade, FaultKind::Hang];
+/// Seed whose schedule contains such upgrades.
+const SEED_OF_COMMANDS_IN_UPGRADES: u64 = 27;
 /// Number of relays in the runs of these seeds.
 const RELAYS_WITH_DISCOVERY_FAULTS: usize = 8;
 
@@ -147,11 +152,19 @@
     assert_invariants_hold_under(&KINDS_AROUND_MAINTENANCE, SEED_OF_MAINTENANCE, relays);
 }
 
+// Guards against commands that one process of an upgrade forgets as the other one takes a command too.
+#[test]
+fn every_invariant_holds_in_upgrades_with_operators_commands_at_both_processes() {
+    let relays = RELAYS_WITH_DISCOVERY_FAULTS;
+    assert_invariants_hold_under(&KINDS_AROUND_COMMANDS_IN_UPGRADES, SEED_OF_COMMANDS_IN_UPGRADES, relays);
+}
+
 #[test]
 fn operators_commands_leave_the_other_draws_of_a_seed_as_they_are() {
-    let is_other = |fault: &ScheduledFault| fault.kind != FaultKind::Maintenance;
-    let others: Vec<FaultKind> =
-        FaultKind::ALL.into_iter().filter(|kind| *kind != FaultKind::Maintenance).collect();
+    let has_commands =
+        |kind: FaultKind| matches!(kind, FaultKind::Maintenance | FaultKind::CommandsInUpgrade);
+    let is_other = |fault: &ScheduledFault| !has_commands(fault.kind);
+    let others: Vec<FaultKind> = FaultKind::ALL.into_iter().filter(|kind| !has_commands(*kind)).collect();
     let mut seeds_with_commands = 0;
     for seed in 1..=20 {
         let all = Schedule::draw(seed, 60, 20, &FaultKind::ALL).expect("a schedule");
