--- a/crates/relay/src/maintenance_file.rs
+++ b/crates/relay/src/maintenance_file.rs
@@ -3,11 +3,12 @@
 //! A process never writes what it holds in memory over the file: it applies each change to the text that is there, under
 //! a lock, so that no change of the other process is lost.
 
+use crate::state_files::{read_if_present, replace_file};
 use log::{error, info};
 use mountshift_maintenance::Change;
 use std::cell::RefCell;
 use std::fs::File;
-use std::io::{self, ErrorKind};
+use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
@@ -15,8 +16,6 @@
 const MAINTENANCE_FILE: &str = "maintenance";
 /// File that is locked while a process changes the file.
 const MAINTENANCE_LOCK_FILE: &str = "maintenance.lock";
-/// Extension of the file while it is being written.
-const TEMPORARY_EXTENSION: &str = "new";
 
 /// Access to the file.
 #[derive(Clone)]
@@ -66,11 +65,8 @@
     /// # Errors
     /// If there is a file that can't be read.
     pub(crate) fn text(&self) -> io::Result<String> {
-        let stored = match std::fs::read(&self.path) {
-            Ok(bytes) => String::from_utf8_lossy(&bytes).into_owned(),
-            Err(e) if e.kind() == ErrorKind::NotFound => String::new(),
-            Err(e) => return Err(e),
-        };
+        let bytes = read_if_present(&self.path)?.unwrap_or_default();
+        let stored = String::from_utf8_lossy(&bytes).into_owned();
         Ok(self.unwritten.borrow().iter().fold(stored, |text, change| change.apply_to(&text)))
     }
 
@@ -79,10 +75,12 @@
         let lock = File::options().create(true).append(true).open(&self.lock_path)?;
         // The process must not wait for another one, which may be suspended.
         lock.try_lock()?;
-        let temporary = self.path.with_extension(TEMPORARY_EXTENSION);
-        std::fs::write(&temporary, self.text()?)?;
-        std::fs::rename(&temporary, &self.path)?;
+        replace_file(&self.path, &self.text()?)?;
         self.unwritten.borrow_mut().clear();
         Ok(())
     }
 }
+
+#[cfg(test)]
+#[path = "maintenance_file_tests.rs"]
+mod tests;
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -21,7 +21,7 @@
 /// File of the time anchor.
 const ANCHOR_FILE: &str = "clock";
 /// Extension of a file that is being written.
-const TEMPORARY_EXTENSION: &str = "new";
+pub(crate) const TEMPORARY_EXTENSION: &str = "new";
 
 /// Access to the small files in the state folder.
 #[derive(Clone)]
@@ -275,13 +275,14 @@
 }
 
 /// Replaces a file atomically.
-fn replace_file(path: &Path, text: &str) -> io::Result<()> {
+pub(crate) fn replace_file(path: &Path, text: &str) -> io::Result<()> {
     let temporary = path.with_extension(TEMPORARY_EXTENSION);
     std::fs::write(&temporary, text)?;
     std::fs::rename(&temporary, path)
 }
 
-fn read_if_present(path: &Path) -> io::Result<Option<Vec<u8>>> {
+/// Reads a file; returns `None` if it does not exist.
+pub(crate) fn read_if_present(path: &Path) -> io::Result<Option<Vec<u8>>> {
     match std::fs::read(path) {
         Ok(bytes) => Ok(Some(bytes)),
         Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
--- a/crates/relay/src/successor.rs
+++ b/crates/relay/src/successor.rs
@@ -332,6 +332,7 @@
                 is_quiet = false;
             }
             self.commit();
+            self.options.files.retry_unwritten();
             if rounds.is_complete(is_quiet) {
                 break;
             }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -46,7 +46,7 @@
 /// Random stream of the upgrades with operators' commands.
 const COMMANDS_IN_UPGRADE_RANDOM_STREAM: u64 = 4;
 /// Time between two of these upgrades, in milliseconds.
-const COMMANDS_IN_UPGRADE_GAP_MS: u64 = 12_000;
+const COMMANDS_IN_UPGRADE_GAP_MS: usize = 12_000;
 /// Range of the time for which an endpoint is out of service before the next change, in milliseconds. The policy forgets an
 /// endpoint that is out for longer than the drain grace.
 const MAINTENANCE_MS: (u64, u64) = (200, 2_500);
@@ -203,7 +203,7 @@
         Ok(schedule)
     }
 
-    /// Draws operators' commands. A random stream of its own keeps all other draws of a seed the same, whether there are
+    /// Draws operators' commands. A random stream of their own keeps all other draws of a seed the same, whether there are
     /// commands or not.
     fn draw_maintenance(&mut self, end_ms: u64) {
         let mut random = ChaCha8Rng::seed_from_u64(self.seed);
@@ -213,16 +213,10 @@
         }
         let mut at_ms = FAULT_FREE_MS;
         while at_ms + FAULT_FREE_MS < end_ms {
-            let target_count = random.random_range(1..=self.relays.div_ceil(2));
-            let mut targets = rand::seq::index::sample(&mut random, self.relays, target_count).into_vec();
-            targets.sort_unstable();
-            self.faults.push(ScheduledFault {
-                kind: FaultKind::Maintenance,
-                at_ms,
-                for_ms: random.random_range(MAINTENANCE_MS.0..=MAINTENANCE_MS.1),
-                targets,
-                amount: random.random_range(0..MAX_MAINTENANCE_AMOUNT),
-            });
+            let targets = self.draw_command_targets(&mut random);
+            let for_ms = random.random_range(MAINTENANCE_MS.0..=MAINTENANCE_MS.1);
+            let amount = random.random_range(0..MAX_MAINTENANCE_AMOUNT);
+            self.faults.push(ScheduledFault { kind: FaultKind::Maintenance, at_ms, for_ms, targets, amount });
             at_ms += random.random_range(GROUP_GAP_MS.0..=GROUP_GAP_MS.1);
         }
     }
@@ -234,22 +228,23 @@
         if !random.random_bool(MAINTENANCE_PROBABILITY) {
             return;
         }
-        let mut at_ms = FAULT_FREE_MS;
-        while at_ms + FAULT_FREE_MS < end_ms {
-            let target_count = random.random_range(1..=self.relays.div_ceil(2));
-            let mut targets = rand::seq::index::sample(&mut random, self.relays, target_count).into_vec();
-            targets.sort_unstable();
-            self.faults.push(ScheduledFault {
-                kind: FaultKind::CommandsInUpgrade,
-                at_ms,
-                for_ms: MAINTENANCE_MS.1,
-                targets,
-                amount: random.random_range(0..MAX_UPGRADE_AMOUNT),
-            });
-            at_ms += COMMANDS_IN_UPGRADE_GAP_MS;
+        let starts = (FAULT_FREE_MS..).step_by(COMMANDS_IN_UPGRADE_GAP_MS);
+        for at_ms in starts.take_while(|at_ms| at_ms + FAULT_FREE_MS < end_ms) {
+            let targets = self.draw_command_targets(&mut random);
+            let amount = random.random_range(0..MAX_UPGRADE_AMOUNT);
+            let (kind, for_ms) = (FaultKind::CommandsInUpgrade, MAINTENANCE_MS.1);
+            self.faults.push(ScheduledFault { kind, at_ms, for_ms, targets, amount });
         }
     }
 
+    /// Draws the relays that get operators' commands.
+    fn draw_command_targets(&self, random: &mut ChaCha8Rng) -> Vec<usize> {
+        let count = random.random_range(1..=self.relays.div_ceil(2));
+        let mut targets = rand::seq::index::sample(random, self.relays, count).into_vec();
+        targets.sort_unstable();
+        targets
+    }
+
     fn draw_fault(
         &self,
         kind: FaultKind,
