--- a/crates/relay/tests/faults.rs
+++ b/crates/relay/tests/faults.rs
@@ -350,3 +350,28 @@
     wait_until("the call to the other endpoint", || other.ids() == ["m1"]);
     assert!(draining.ids().is_empty(), "sent though its endpoint was reported as draining");
 }
+
+// Guards against an operator's command that is forgotten as the folder could not be written when it was taken.
+#[test]
+fn command_taken_while_the_folder_fails_is_stored_later() {
+    let mut fixture = fixture(0, vec![member("e1", free_address(), 7, "single")]);
+    let admin_address = free_address();
+    fixture.config["mgmt"] = serde_json::json!(admin_address.to_string());
+    let faults = fixture.fault_control();
+    let mut relay = fixture.start_relay_with_faults(&faults);
+    faults
+        .set_system_call_fault(SystemCall::FileRename, SystemCallFault::always(libc::EIO))
+        .expect("set the fault");
+    let request = b"POST /maintenance/enter?target=e1 HTTP/1.1\r\nHost: relay\r\n\r\n";
+    let mut response = String::new();
+    let mut stream = std::net::TcpStream::connect(admin_address).expect("connect");
+    std::io::Write::write_all(&mut stream, request).expect("send the request");
+    std::io::Read::read_to_string(&mut stream, &mut response).expect("read the response");
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    let file = fixture.dir.path().join("state/maintenance");
+    assert!(!file.exists(), "the fault has no effect");
+    repair_writes(&faults);
+    wait_until("the command in the file", || std::fs::read_to_string(&file).is_ok_and(|text| text == "e1\n"));
+    relay.signal("TERM");
+    assert_eq!(relay.wait_for_exit_code(), Some(0));
+}
--- a/crates/soak/src/maintenance.rs
+++ b/crates/soak/src/maintenance.rs
@@ -32,7 +32,7 @@
 /// Pause between two tries of a command.
 const BETWEEN_TRIES: Duration = Duration::from_millis(200);
 
-/// What happens to the list around the maintenance of an endpoint.
+/// Change of the list around the maintenance of an endpoint.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ListChange {
     /// The endpoint stays on the list.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -50,7 +50,7 @@
 /// Range of the time for which an endpoint is out of service before the next change, in milliseconds. The policy forgets an
 /// endpoint that is out for longer than the drain grace.
 const MAINTENANCE_MS: (u64, u64) = (200, 2_500);
-/// Exclusive upper bound of the drawn number of a maintenance, which selects its endpoint and its course.
+/// Exclusive upper bound of the drawn number of a maintenance, which selects its endpoint and the changes of the list.
 const MAX_MAINTENANCE_AMOUNT: i64 = 10_000;
 /// Range of the number of relays of such a fleet.
 const FLEET_RELAYS: (usize, usize) = (16, 43);
