Standby: it holds in both processes of an upgrade, and after it

Cause: standby was in the memory of the process that took the call, but the two processes of an upgrade are one relay.

Change: a call is stored in the folder before its yes, a successor reads it at its start, and each process follows the other while two run, as with endpoints in maintenance. A process that starts as the active one ends it, as a restart did before.

--- a/crates/maintenance/src/state.rs
+++ b/crates/maintenance/src/state.rs
@@ -82,6 +82,12 @@
         taken_out.chain(put_back).collect()
     }
 
+    /// Starts or ends standby as another process of the relay has stored it. Returns the change, which the host has to
+    /// carry out.
+    pub fn follow_standby(&mut self, is_in_standby: bool, now: Duration) -> Change {
+        if is_in_standby { self.start_standby(now) } else { self.end_standby() }
+    }
+
     /// Records that a list contained the endpoint, so that calls may name it.
     pub fn record_listed_endpoint(&mut self, id: &str) {
         if !self.known_endpoints.contains(id) {
--- a/crates/maintenance/src/tests.rs
+++ b/crates/maintenance/src/tests.rs
@@ -102,3 +102,14 @@
     assert_eq!(back.apply_to("e1\n"), "e1\n");
     assert_eq!(Change::Standby.apply_to("e1\n"), "e1\n");
 }
+
+#[test]
+fn standby_follows_another_process() {
+    let mut maintenance = MaintenanceState::default();
+    assert_eq!(maintenance.follow_standby(false, ms(0)), Change::None);
+    assert_eq!(maintenance.follow_standby(true, ms(1_000)), Change::Standby);
+    assert_eq!(maintenance.follow_standby(true, ms(2_000)), Change::None);
+    assert_eq!(maintenance.idle_close_at(ms(0)), Some(ms(1_000) + STANDBY_IDLE_TIMEOUT));
+    assert_eq!(maintenance.follow_standby(false, ms(3_000)), Change::Active);
+    assert!(maintenance.should_answer_ping());
+}
--- a/crates/relay/src/main.rs
+++ b/crates/relay/src/main.rs
@@ -49,6 +49,7 @@
 use state_files::StateFiles;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Divisor of the descriptor limit that gives the maximum number of idle connections to endpoints.
 const IDLE_DESCRIPTOR_DIVISOR: usize = 4;
@@ -121,7 +122,8 @@
         Role::Active(_) => files.stored_time(retry_deadlines).await,
         Role::Successor => files.stored_time_as_successor(retry_deadlines).await,
     };
-    let maintenance = restore_maintenance(&files, initial_list.as_ref(), retry_deadlines).await;
+    let maintenance =
+        restore_maintenance(&files, state_dir.role, initial_list.as_ref(), retry_deadlines).await;
     let admin = admin_listener(&config, retry_deadlines).await?;
     let tasks = RelayTasks::new(executor, maintenance);
     let listeners = Listeners { clients, admin };
@@ -131,6 +133,7 @@
 /// Restores the maintenance state of the previous process; commands may refer to the endpoints of the initial list.
 async fn restore_maintenance(
     files: &StateFiles,
+    role: Role,
     initial_list: Option<&EndpointList>,
     retry_deadlines: &RetryDeadlines,
 ) -> MaintenanceState {
@@ -139,6 +142,13 @@
     for entry in initial_list.iter().flat_map(|list| &list.entries) {
         maintenance.record_listed_endpoint(&entry.id);
     }
+    match role {
+        Role::Active(_) => files.discard_standby(),
+        Role::Successor => {
+            let is_in_standby = retry_deadlines.retry_optional(|| files.is_in_standby()).await;
+            maintenance.follow_standby(is_in_standby.unwrap_or_default(), Duration::ZERO);
+        }
+    }
     maintenance
 }
 
--- a/crates/relay/src/startup/tasks.rs
+++ b/crates/relay/src/startup/tasks.rs
@@ -19,7 +19,7 @@
 use async_io::{Async, Timer};
 use mountshift_discovery::{Jitter, PollSchedule};
 use mountshift_handover::{Role, SUCCESSOR_LIST_TIMEOUT};
-use mountshift_maintenance::{Change, MaintenanceState};
+use mountshift_maintenance::MaintenanceState;
 use std::cell::{Cell, RefCell};
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -111,9 +111,11 @@
             state: self.maintenance.clone(),
             files: files.clone(),
             events: self.events.0.clone(),
+            clients: client_service.clone(),
+            started: self.started,
         });
         if let Some(listener) = listeners.admin {
-            self.spawn_admin_service(listener, client_service.clone(), maintenance.clone());
+            self.spawn_admin_service(listener, maintenance.clone());
         }
         let serve_clients = clients::serve(listeners.clients, client_service, self.executor.clone());
         self.executor.spawn(serve_clients).detach();
@@ -203,22 +205,11 @@
         }))
     }
 
-    fn spawn_admin_service(
-        &self,
-        listener: Async<TcpListener>,
-        client_service: Rc<ClientService>,
-        maintenance: Rc<SharedMaintenance>,
-    ) {
-        let on_change = move |change: Change| {
-            if matches!(change, Change::Standby | Change::Active) {
-                client_service.notify_standby_changed();
-            }
-            maintenance.apply(change);
-        };
+    fn spawn_admin_service(&self, listener: Async<TcpListener>, maintenance: Rc<SharedMaintenance>) {
         let service = Rc::new(AdminService {
             maintenance: self.maintenance.clone(),
             started: self.started,
-            on_change: Box::new(on_change),
+            on_change: Box::new(move |change| maintenance.apply(change)),
             metrics: self.metrics.clone(),
         });
         self.executor.spawn(admin::serve(listener, service, self.executor.clone())).detach();
--- a/crates/relay/src/state_files.rs
+++ b/crates/relay/src/state_files.rs
@@ -20,6 +20,11 @@
 
 /// File of the time anchor.
 const ANCHOR_FILE: &str = "clock";
+/// File of standby. It holds during upgrades and ends at a restart.
+const STANDBY_FILE: &str = "standby";
+/// Text of the file in standby, and after it.
+const IN_STANDBY: &str = "standby\n";
+const NOT_IN_STANDBY: &str = "active\n";
 /// Extension of a file that is being written.
 pub(crate) const TEMPORARY_EXTENSION: &str = "new";
 
@@ -113,8 +118,31 @@
 
     /// Stores a change of the endpoints in maintenance, for the other process of the relay and for the next one.
     pub(crate) fn record_maintenance(&self, change: &Change) {
-        if matches!(change, Change::EndpointOut(_) | Change::EndpointBack(_)) {
-            self.maintenance.record(change.clone());
+        self.maintenance.record(change.clone());
+    }
+
+    /// Stores whether the relay is in standby, for the other process of the relay.
+    pub(crate) fn write_standby(&self, is_in_standby: bool) {
+        self.replace(STANDBY_FILE, if is_in_standby { IN_STANDBY } else { NOT_IN_STANDBY });
+    }
+
+    /// Returns whether the relay is in standby, as its processes have stored it.
+    ///
+    /// # Errors
+    /// If there is a file that can't be read.
+    pub(crate) fn is_in_standby(&self) -> io::Result<bool> {
+        if let Some(unwritten) = self.unwritten.borrow().get(STANDBY_FILE) {
+            return Ok(unwritten == IN_STANDBY);
+        }
+        let stored = read_if_present(&self.dir.join(STANDBY_FILE))?;
+        Ok(stored.is_some_and(|bytes| bytes == IN_STANDBY.as_bytes()))
+    }
+
+    /// Ends the standby of earlier processes: a restarted relay serves.
+    pub(crate) fn discard_standby(&self) {
+        if let Err(e) = remove_if_present(&self.dir.join(STANDBY_FILE)) {
+            info!("{STANDBY_FILE}: can't be removed: {e}; replacing it");
+            self.write_standby(false);
         }
     }
 
--- a/crates/relay/tests/handover/maintenance.rs
+++ b/crates/relay/tests/handover/maintenance.rs
@@ -1,8 +1,10 @@
 //! Operators' commands during an upgrade: both processes are one relay, whichever of them takes a command.
 
 use crate::process::*;
-use crate::support::{discovery::*, server::*, *};
+use crate::support::{client::*, discovery::*, server::*, *};
 use crate::upgrade::*;
+use std::io::BufReader;
+use std::net::TcpStream;
 use test_case::test_case;
 
 /// Number of messages after the commands: enough for every endpoint in service to get some.
@@ -96,3 +98,51 @@
     assert!(successor.exits_within(ms(3_700)));
     fixture.assert_out_of_service(&[1]);
 }
+
+/// Returns the reply to a `PING` on a new connection.
+fn ping(fixture: &UpgradeFixture) -> String {
+    let stream = TcpStream::connect(fixture.listen).expect("connect");
+    stream.set_read_timeout(Some(ms(1_000))).expect("set the time-out");
+    Client(BufReader::new(stream)).request(b"*1\r\n$4\r\nPING\r\n")
+}
+
+/// When standby begins.
+#[derive(Clone, Copy, PartialEq)]
+enum StandbyTime {
+    BeforeSuccessor,
+    AtActive,
+    AtSuccessor,
+}
+
+// Guards against an upgrade that ends standby: clients would be sent to a relay that its operators drain.
+#[test_case(StandbyTime::BeforeSuccessor; "before the successor starts")]
+#[test_case(StandbyTime::AtActive; "at the active process")]
+#[test_case(StandbyTime::AtSuccessor; "at the successor")]
+fn standby_holds_in_both_processes_and_after_the_upgrade(time: StandbyTime) {
+    let fixture = upgrade_fixture();
+    fixture.gate.open();
+    let mut active = fixture.start(0);
+    if time == StandbyTime::BeforeSuccessor {
+        active.post("/standby");
+    }
+    let successor = fixture.start(1);
+    match time {
+        StandbyTime::BeforeSuccessor => {}
+        StandbyTime::AtActive => active.post("/standby"),
+        StandbyTime::AtSuccessor => successor.post("/standby"),
+    }
+    wait_until_within(ms(2_000), "standby in the active process", || ping(&fixture) == "-ERR standby");
+    active.terminate();
+    assert!(active.exits_within(ms(3_700)));
+    fixture.wait_for_ownership(1);
+    wait_until_within(ms(1_000), "standby in the successor", || ping(&fixture) == "-ERR standby");
+    successor.post("/active");
+    assert_eq!(ping(&fixture), "+PONG");
+    // The next upgrade doesn't bring an ended standby back.
+    let mut active = successor;
+    let _successor = fixture.start(2);
+    active.terminate();
+    assert!(active.exits_within(ms(3_700)));
+    fixture.wait_for_ownership(2);
+    assert_eq!(ping(&fixture), "+PONG");
+}
--- a/crates/relay/tests/handover/process.rs
+++ b/crates/relay/tests/handover/process.rs
@@ -70,8 +70,13 @@
 
     /// Makes an operator's command at this process, which must be acknowledged.
     pub(crate) fn command(&self, command: &str, endpoint: &str) {
-        let response = self.call("POST", &format!("/maintenance/{command}?target={endpoint}"));
-        assert!(response.starts_with("HTTP/1.1 200"), "{command} {endpoint}: {response}");
+        self.post(&format!("/maintenance/{command}?target={endpoint}"));
+    }
+
+    /// Makes a call at this process, which must be acknowledged.
+    pub(crate) fn post(&self, path: &str) {
+        let response = self.call("POST", path);
+        assert!(response.starts_with("HTTP/1.1 200"), "{path}: {response}");
     }
 
     /// Returns the response to a request to the admin address; empty if the process does not accept it.
--- a/crates/relay/tests/operations/main.rs
+++ b/crates/relay/tests/operations/main.rs
@@ -88,6 +88,18 @@
     assert_eq!(relay.client().request(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
 }
 
+// A restarted relay serves: its operators restart it to bring it back.
+#[test]
+fn standby_ends_at_a_restart() {
+    let fixture = admin_fixture(vec![member("e1", free_address(), 7, "single")]);
+    let mut relay = Relay::start(&fixture.config, fixture.dir.path());
+    assert_eq!(call(fixture.admin_address, "POST", "/standby"), 200);
+    relay.signal("TERM");
+    assert_eq!(relay.wait_for_exit_code(), Some(0));
+    let relay = Relay::start(&fixture.config, fixture.dir.path());
+    assert_eq!(relay.client().request(b"*1\r\n$4\r\nPING\r\n"), "+PONG");
+}
+
 #[test]
 fn malformed_admin_address_logs_one_line_and_exits_with_code_2() {
     let mut fixture = admin_fixture(vec![]);
