Upgrade: routes that the configuration's list lacks are restored once discovery lists them

Change: such routes are kept until discovery's first answer and restored as it lists them; what that answer lacks has left the list and is dropped.

Nothing can be sent to such a route before the answer that restores it, as its endpoint is not known until then.

--- a/crates/relay/src/dispatch/handlers.rs
+++ b/crates/relay/src/dispatch/handlers.rs
@@ -261,6 +261,9 @@
         match result {
             Ok(list) => {
                 self.on_endpoint_list(list, inputs);
+                // Routes that this list lacks belong to endpoints that have left it.
+                self.restore_listed_routes(inputs);
+                self.unrestored_routes.clear();
                 inputs.push(Input::ListReceived);
             }
             Err(failure) => inputs.push(Input::PollFailed(failure)),
--- a/crates/relay/src/dispatch/restore.rs
+++ b/crates/relay/src/dispatch/restore.rs
@@ -19,15 +19,38 @@
         let now_ms = self.clock.unix_ms(self.now);
         let snapshot = snapshot.without_expired(now_ms);
         debug!("restoring route snapshot at {now_ms} ms Unix time: {}", snapshot.to_json());
-        let mut restored = Vec::new();
-        for route in &snapshot.routes {
-            restored.extend(self.restored_route(route));
+        self.unrestored_routes = snapshot.routes;
+        self.restore_listed_routes(inputs);
+    }
+
+    /// Restores the routes of the previous process that the list has by now. The others wait for the first list of
+    /// discovery: the list of the configuration may be older than the routes.
+    pub(super) fn restore_listed_routes(&mut self, inputs: &mut Vec<Input>) {
+        let stored = std::mem::take(&mut self.unrestored_routes);
+        if stored.is_empty() {
+            return;
         }
-        info!("restored {} routes of the previous process", restored.len());
+        let (listed, unlisted): (Vec<RouteRecord>, Vec<RouteRecord>) =
+            stored.into_iter().partition(|route| self.is_route_listed(route));
+        let restored: Vec<RouteSnapshot> =
+            listed.iter().filter_map(|route| self.restored_route(route)).collect();
+        info!(
+            "restored {} routes of the previous process, {} are not listed",
+            restored.len(),
+            unlisted.len()
+        );
         inputs.push(Input::RoutesRestored(restored));
+        self.unrestored_routes = unlisted;
+    }
+
+    fn is_route_listed(&self, record: &RouteRecord) -> bool {
+        match &record.endpoint {
+            Some(name) => self.endpoints.id_of(name).is_some(),
+            None => self.endpoints.has_destination(DestinationId(record.destination)),
+        }
     }
 
-    /// Converts a stored route for the policy; returns none if its endpoint is no longer on the list.
+    /// Converts a stored route for the policy; returns none if its endpoint is not on the list.
     fn restored_route(&self, record: &RouteRecord) -> Option<RouteSnapshot> {
         let endpoint = match &record.endpoint {
             Some(name) => Some(self.endpoints.id_of(name)?),
--- a/crates/relay/src/dispatch/state.rs
+++ b/crates/relay/src/dispatch/state.rs
@@ -21,6 +21,7 @@
 use mountshift::interface::*;
 use mountshift::policy::DeliveryPolicy;
 use mountshift_discovery::DrainRecord;
+use mountshift_handover::RouteRecord;
 use mountshift_maintenance::MaintenanceState;
 use mountshift_settings::SocketSettings;
 use mountshift_spool::{FinalOutcome, Spool};
@@ -109,6 +110,8 @@
     /// Endpoints that discovery reported as draining or removed, which an older list must not undo.
     pub(super) drain_record: DrainRecord,
     pub(super) files: StateFiles,
+    /// Routes of the previous process that are not on the list so far.
+    pub(super) unrestored_routes: Vec<RouteRecord>,
     pub(super) successor_spool: SuccessorSpool,
     /// Whether a stop was requested while a successor runs, to which this process hands over.
     pub(super) is_handing_over: bool,
@@ -166,6 +169,7 @@
             maintenance: dependencies.maintenance,
             drain_record: dependencies.drain_record,
             files: dependencies.files,
+            unrestored_routes: Vec::new(),
             successor_ids: dependencies.successor_spool.ids(),
             successor_spool: dependencies.successor_spool,
             is_handing_over: false,
--- a/crates/relay/tests/handover/discovery.rs
+++ b/crates/relay/tests/handover/discovery.rs
@@ -3,6 +3,7 @@
 use crate::support::{discovery::*, server::*, *};
 use crate::upgrade::*;
 use serde_json::json;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 /// Number of relays that spread their polls.
@@ -59,3 +60,25 @@
     let _successor = fixture.start(1);
     assert!(started.elapsed() < REPORT_TIMEOUT, "{:?}", started.elapsed());
 }
+
+// Guards against a successor that forgets the Retry-After of an endpoint which the list of its configuration lacks.
+#[test]
+fn retry_after_of_an_endpoint_listed_by_discovery_alone_holds_after_the_upgrade() {
+    let is_first = AtomicBool::new(true);
+    let endpoint = Server::start(move |_| {
+        if is_first.swap(false, Ordering::SeqCst) { respond(429, "Retry-After: 3\r\n", "") } else { ok() }
+    });
+    let mut fixture = upgrade_fixture();
+    fixture.config["known"]["members"] = json!([]);
+    fixture.platform.set_members(vec![member("e1", endpoint.address, 7, "single")]);
+    let mut active = fixture.start(0);
+    wait_until("the list", || fixture.submit_reply("m1", 0, "any") == "+OK");
+    wait_until("the rejection", || endpoint.requests().len() == 1);
+    let _successor = fixture.start(1);
+    active.terminate();
+    assert!(active.exits_within(ms(3_700)));
+    wait_until("the call", || endpoint.requests().len() == 2);
+    let calls = endpoint.requests();
+    let pause = calls[1].at - calls[0].at;
+    assert!(pause >= ms(2_950), "{pause:?}\n{}", fixture.log());
+}
